--- /dev/null
+++ b/src/base/common/schemaFindings.ts
@@ -0,0 +1,70 @@
+import type { ZodMiniType } from "zod/mini";
+import { Finding } from "./finding";
+import { YamlText } from "./yamlText";
+
+/** A value that was read, or why it could not be. */
+export type Parsed<T> =
+    { readonly value: T; readonly findings: readonly [] } | { readonly findings: readonly Finding[] };
+
+/**
+ * Reads a YAML text and holds it against a schema.
+ * @param text The text.
+ * @param file Name of the file, for places.
+ * @param schema The schema.
+ * @returns The value, or every fault with its place and the value expected there.
+ */
+export function parseYaml<T>(text: string, file: string, schema: ZodMiniType<T>): Parsed<T> {
+    const yaml = YamlText.create(text, file);
+    if (yaml.findings.length > 0) {
+        return { findings: yaml.findings };
+    }
+    const result = schema.safeParse(yaml.value);
+    if (result.success) {
+        return { value: result.data, findings: [] };
+    }
+    return { findings: result.error.issues.flatMap(issue => toFindings(yaml, issue)) };
+}
+
+interface Issue {
+    readonly code: string;
+    readonly path: readonly PropertyKey[];
+    readonly message: string;
+    readonly keys?: readonly string[];
+    readonly expected?: string;
+    readonly values?: readonly unknown[];
+    readonly minimum?: number | bigint;
+    readonly maximum?: number | bigint;
+    readonly pattern?: string;
+    readonly errors?: readonly (readonly Issue[])[];
+}
+
+function toFindings(yaml: YamlText, raw: unknown): Finding[] {
+    const issue = raw as Issue;
+    if (issue.code === "unrecognized_keys") {
+        return (issue.keys ?? []).map(key => ({
+            place: yaml.place([...issue.path, key], true),
+            message: `unknown key ${key}`,
+            expected: "no such key",
+        }));
+    }
+    const [branch] = issue.errors ?? [];
+    if (branch !== undefined) {
+        return branch.flatMap(each => toFindings(yaml, { ...each, path: [...issue.path, ...each.path] }));
+    }
+    const name = issue.path.map(String).join(".") || "the file";
+    const place = yaml.place(issue.path);
+    return [{ place, message: `${name}: ${issue.message}`, expected: expectedOf(issue) }];
+}
+
+function expectedOf(issue: Issue): string {
+    if (issue.values !== undefined) {
+        return issue.values.map(String).join(" or ");
+    }
+    if (issue.minimum !== undefined) {
+        return `at least ${issue.minimum}`;
+    }
+    if (issue.maximum !== undefined) {
+        return `at most ${issue.maximum}`;
+    }
+    return issue.pattern ?? issue.expected ?? "a valid value";
+}
--- /dev/null
+++ b/src/coordination/common/appender.ts
@@ -0,0 +1,187 @@
+import { ChartLoader } from "../../base/common/chartLoader";
+import { ChartRegistry } from "../../base/common/chartRegistry";
+import { Machine } from "../../base/common/machine";
+import { Outbox } from "../../base/common/outbox";
+import { AppendAnswer, Batch, LogEffect } from "../../platform/common/logTraffic";
+import chartText from "./append.chart.yaml";
+import { MAX_BATCH_ENTRIES } from "./fold";
+
+/** State of a writer's appends. */
+export type AppendState = "idle" | "sending" | "waiting" | "unsettled" | "resending";
+type AppendEvent = "flush" | "appended" | "refused" | "lost" | "seen" | "retry-due";
+type AppendGuard = "hasPending";
+type AppendAction = "send" | "settle" | "requeue" | "backOff" | "resend";
+
+const chart = ChartRegistry.instance.register(
+    ChartLoader.load<AppendState, AppendEvent, AppendGuard, AppendAction>(chartText, "append.chart.yaml", {
+        states: ["idle", "sending", "waiting", "unsettled", "resending"],
+        events: ["flush", "appended", "refused", "lost", "seen", "retry-due"],
+        guards: ["hasPending"],
+        actions: ["send", "settle", "requeue", "backOff", "resend"],
+    }),
+);
+
+/** Shortest and longest pause before an append is tried again. */
+const MIN_RETRY_MS = 200;
+const MAX_RETRY_MS = 3_000;
+
+/** Entries queued for one stream at most; above it `append` refuses. */
+const MAX_PENDING_ENTRIES = 4_096;
+
+/** Told that an entry is durable, with the time of the first attempt to append it (ms, the loop's clock). */
+export type SettledListener = (firstSentAt: number) => void;
+
+interface PendingEntry<Entry> {
+    readonly entry: Entry;
+    readonly onSettled: SettledListener | undefined;
+}
+
+/** Answer to the wish to take an entry back. */
+export type Withdrawal = "withdrawn" | "may-be-durable";
+
+/**
+ * Appends entries to one stream in groups, each group once. A group whose reply was lost is sent again under
+ * the same sequence number until it is acknowledged or read back.
+ */
+export class Appender<Entry> {
+    private readonly machine: Machine<number, AppendState, AppendEvent, AppendGuard, AppendAction>;
+    private pending: PendingEntry<Entry>[] = [];
+    private inFlight: PendingEntry<Entry>[] = [];
+    private sequence = 0;
+    private firstSentAt = 0;
+    private retryAt = 0;
+    private failures = 0;
+
+    private constructor(
+        private readonly stream: string,
+        private readonly writer: string,
+        private readonly outbox: Outbox<LogEffect<Entry>>,
+    ) {
+        this.machine = Machine.create(chart, {
+            guards: { hasPending: () => this.pending.length > 0 },
+            actions: {
+                send: now => this.send(now),
+                settle: () => this.settle(),
+                requeue: () => this.requeue(),
+                backOff: now => this.backOff(now),
+                resend: () => this.transmit(),
+            },
+        });
+    }
+
+    /**
+     * @param stream Name of the stream.
+     * @param writer Names this incarnation of the process; no other incarnation may use it.
+     * @param outbox Takes the effects.
+     * @returns An appender with nothing queued.
+     */
+    static create<E>(stream: string, writer: string, outbox: Outbox<LogEffect<E>>): Appender<E> {
+        return new Appender(stream, writer, outbox);
+    }
+
+    /** State of the append on its way. */
+    get state(): AppendState {
+        return this.machine.state;
+    }
+
+    /** Whether the last append failed and none has succeeded since. */
+    get isFailing(): boolean {
+        return this.failures > 0;
+    }
+
+    /** Number of entries that are not yet durable. */
+    get backlog(): number {
+        return this.pending.length + this.inFlight.length;
+    }
+
+    /**
+     * Queues an entry.
+     * @param entry The entry.
+     * @param onSettled Called once the entry is durable.
+     * @returns Whether the entry was queued; it is not when the queue is full.
+     */
+    append(entry: Entry, onSettled?: SettledListener): boolean {
+        if (this.pending.length >= MAX_PENDING_ENTRIES) {
+            return false;
+        }
+        this.pending.push({ entry, onSettled });
+        return true;
+    }
+
+    /**
+     * Takes an entry back, if it has certainly not reached the log.
+     * @param entry The entry that was queued.
+     * @returns Whether it was taken back.
+     */
+    withdraw(entry: Entry): Withdrawal {
+        const index = this.pending.findIndex(each => each.entry === entry);
+        if (index < 0) {
+            return "may-be-durable";
+        }
+        this.pending.splice(index, 1);
+        return "withdrawn";
+    }
+
+    /** Sends what is queued, or tries again what is due. @param now Time in ms. */
+    flush(now: number): void {
+        if (now >= this.retryAt) {
+            this.machine.fire("retry-due", now);
+        }
+        this.machine.fire("flush", now);
+    }
+
+    /** Takes in the log's answer to an append of any writer. @param event The answer. @param now Time in ms. */
+    handle(event: AppendAnswer, now: number): void {
+        if (event.writer !== this.writer || event.stream !== this.stream) {
+            return;
+        }
+        if (event.kind === "log-appended") {
+            this.fire(event.sequence, "appended", now);
+        } else {
+            this.fire(event.sequence, event.certainty === "refused" ? "refused" : "lost", now);
+        }
+    }
+
+    /** Notes a batch of this writer that was read back. */
+    readBack(batch: Batch<Entry>, now: number): void {
+        if (batch.writer === this.writer) {
+            this.fire(batch.sequence, "seen", now);
+        }
+    }
+
+    private fire(sequence: number, event: AppendEvent, now: number): void {
+        if (sequence === this.sequence) {
+            this.machine.fire(event, now);
+        }
+    }
+
+    private send(now: number): void {
+        this.inFlight = this.pending.splice(0, MAX_BATCH_ENTRIES);
+        this.sequence += 1;
+        this.firstSentAt = now;
+        this.transmit();
+    }
+
+    private transmit(): void {
+        const entries = this.inFlight.map(each => each.entry);
+        const batch = { writer: this.writer, sequence: this.sequence, entries };
+        this.outbox.emit({ kind: "log-append", stream: this.stream, batch });
+    }
+
+    private settle(): void {
+        const settled = this.inFlight;
+        this.inFlight = [];
+        this.failures = 0;
+        settled.forEach(each => each.onSettled?.(this.firstSentAt));
+    }
+
+    private requeue(): void {
+        this.pending.unshift(...this.inFlight);
+        this.inFlight = [];
+    }
+
+    private backOff(now: number): void {
+        this.failures += 1;
+        this.retryAt = now + Math.min(MAX_RETRY_MS, MIN_RETRY_MS * 2 ** (this.failures - 1));
+    }
+}
--- /dev/null
+++ b/src/coordination/common/lease.ts
@@ -0,0 +1,48 @@
+import { withDrift } from "./duration";
+
+/**
+ * A lease as its holder sees it. It runs from the moment before the holder asked for it, so that the holder
+ * stops relying on it no later than any observer allows for.
+ */
+export class Lease {
+    private constructor(private readonly until: number) {}
+
+    /** @returns A lease that is not held. */
+    static none(): Lease {
+        return new Lease(Number.NEGATIVE_INFINITY);
+    }
+
+    /**
+     * @param askedAt Time (ms, the holder's clock) before the holder asked.
+     * @param durationMs Duration of the lease in ms.
+     * @returns The lease.
+     */
+    static create(askedAt: number, durationMs: number): Lease {
+        return new Lease(askedAt + durationMs);
+    }
+
+    /** @param now Time in ms on the holder's clock. @returns Whether the holder may still rely on the lease. */
+    isHeld(now: number): boolean {
+        return now < this.until;
+    }
+
+    /** @returns The time (ms, the holder's clock) at which the lease ends. */
+    get endsAt(): number {
+        return this.until;
+    }
+
+    /** @returns This lease or the other one, whichever ends later. */
+    later(other: Lease): Lease {
+        return other.until > this.until ? other : this;
+    }
+
+    /**
+     * Bound for somebody else's lease.
+     * @param seenAt Time (ms, the observer's clock) when the observer learnt of the grant.
+     * @param durationMs Duration of the lease in ms.
+     * @returns Time on the observer's clock after which the holder no longer relies on it.
+     */
+    static observedEnd(seenAt: number, durationMs: number): number {
+        return seenAt + withDrift(durationMs);
+    }
+}
--- /dev/null
+++ b/src/coordination/common/ownershipKeeper.ts
@@ -0,0 +1,371 @@
+import { Emitter } from "../../base/common/emitter";
+import { Offset } from "../../platform/common/logService";
+import { withDrift } from "./duration";
+import { Lease } from "./lease";
+import { AppliedBatch, LogSession } from "./logSession";
+import { InstancePhase, OwnershipEntry, ShardClaimed } from "./ownershipEntry";
+import { InstanceRecord, OwnershipFold } from "./ownershipFold";
+import { assignBalanced } from "./rendezvous";
+import { OwnershipHost, OwnershipState, ShardOwnership } from "./shardOwnership";
+
+/** Time between two renewals of an instance. */
+export const PRESENCE_INTERVAL_MS = 4_000;
+
+/** Duration of an owner's lease of a shard, and of an instance's membership. */
+export const OWNERSHIP_LEASE_MS = 12_000;
+
+/** How long an owner goes on renewing what runs while the log cannot be reached. */
+export const HOLDOVER_MS = 300_000;
+
+/** How long another instance must be the better owner before a shard is handed over. */
+const REBALANCE_DELAY_MS = 15_000;
+
+/** Delay before an instance that has just become current acts on what it has not heard. */
+const SETTLE_MS = 1_000;
+
+/** Who this instance is. */
+export interface InstanceIdentity {
+    /** Unique for each incarnation of the process. */
+    readonly instance: string;
+    readonly address: string;
+    readonly region: string;
+    readonly failureDomain: string;
+}
+
+/** A shard and the region whose workers it has. */
+export interface ShardPlan {
+    readonly name: string;
+    readonly region: string;
+}
+
+/** A change of this instance's part in the ownership of a shard. */
+export interface OwnershipChange {
+    readonly shard: ShardOwnership;
+    readonly from: OwnershipState;
+    readonly now: number;
+}
+
+/** Answers what the keeper puts into its renewals. */
+export abstract class PresenceSource {
+    /** @returns Number of the ticket in force here. */
+    abstract ticketNumber(): number;
+    /** @returns Offset up to which the newest snapshot of the shard's stream goes. */
+    abstract snapshotNext(shard: string): Offset;
+}
+
+/**
+ * Takes part in spreading the shards over the live instances. Membership and ownership both follow from the
+ * ownership stream alone, so no two instances can hold different orders of claims.
+ */
+export class OwnershipKeeper extends OwnershipHost {
+    private readonly shards: ReadonlyMap<string, ShardOwnership>;
+    private readonly seenAt = new Map<string, number>();
+    private readonly changes = Emitter.create<OwnershipChange>();
+    private readonly releasedEpochs = new Map<string, number>();
+    private presenceAskedAt: number | undefined;
+    private joinedAt = Number.POSITIVE_INFINITY;
+    private nextPresenceAt = 0;
+    private phase: InstancePhase = "serving";
+    private farewell: "none" | "asked" | "durable" = "none";
+
+    /** Fires when this instance's part in the ownership of a shard changes. */
+    readonly onDidChange = this.changes.event;
+
+    private constructor(
+        private readonly identity: InstanceIdentity,
+        private readonly plan: readonly ShardPlan[],
+        private readonly fold: OwnershipFold,
+        private readonly session: LogSession<OwnershipEntry>,
+        private readonly source: PresenceSource,
+    ) {
+        super();
+        this.shards = new Map(plan.map(each => [each.name, ShardOwnership.create(each.name, each.region, this)]));
+        session.onDidApply(applied => this.onApplied(applied));
+    }
+
+    /**
+     * @param identity Who this instance is.
+     * @param plan All shards; every instance must be given the same.
+     * @param fold Fold of the ownership stream.
+     * @param session Session that keeps the fold.
+     * @param source Answers what renewals carry.
+     * @returns A keeper that watches.
+     */
+    static create(
+        identity: InstanceIdentity,
+        plan: readonly ShardPlan[],
+        fold: OwnershipFold,
+        session: LogSession<OwnershipEntry>,
+        source: PresenceSource,
+    ): OwnershipKeeper {
+        return new OwnershipKeeper(identity, plan, fold, session, source);
+    }
+
+    /** All shards. */
+    get all(): Iterable<ShardOwnership> {
+        return this.shards.values();
+    }
+
+    /** @param shard Name of a shard. @returns This instance's part in it. */
+    get(shard: string): ShardOwnership {
+        return this.shards.get(shard)!;
+    }
+
+    /** Whether nothing is held any more and the farewell is durable. */
+    get isGone(): boolean {
+        return this.farewell === "durable";
+    }
+
+    /**
+     * @param now Time in ms.
+     * @returns Instances heard of within a lease, this one included once it is.
+     */
+    live(now: number): InstanceRecord[] {
+        const oldest = Math.min(now, this.session.coveredUntil) - withDrift(OWNERSHIP_LEASE_MS);
+        return [...this.fold.instances.values()].filter(each => (this.seenAt.get(each.instance) ?? 0) >= oldest);
+    }
+
+    /** @param shard Name of a shard. @returns The instance that owns it by the log's order, if it lives. */
+    ownerOf(shard: string): InstanceRecord | undefined {
+        const tenure = this.fold.tenure(shard);
+        return tenure.phase === "held" ? this.fold.instances.get(tenure.owner) : undefined;
+    }
+
+    /** Begins to give all shards up. */
+    drain(): void {
+        this.phase = "draining";
+        this.nextPresenceAt = 0;
+    }
+
+    /** Acts on the passing of time. @param now Time in ms. */
+    tick(now: number): void {
+        if (!this.session.isReady) {
+            return;
+        }
+        this.renewPresence(now);
+        this.judgePlacement(now);
+        for (const shard of this.shards.values()) {
+            this.judge(shard, now);
+        }
+        this.sayFarewell();
+    }
+
+    override claim(shard: ShardOwnership): void {
+        const tenure = this.fold.tenure(shard.name);
+        if (tenure.phase === "released") {
+            this.releasedEpochs.set(shard.name, tenure.epoch);
+        }
+        this.session.append({
+            kind: "shard-claimed",
+            shard: shard.name,
+            instance: this.identity.instance,
+            seenEpoch: tenure.epoch,
+            seenRenewal: tenure.renewal,
+        });
+    }
+
+    override release(shard: ShardOwnership): void {
+        this.session.append({
+            kind: "shard-released",
+            shard: shard.name,
+            instance: this.identity.instance,
+            epoch: shard.epoch,
+            snapshotNext: this.source.snapshotNext(shard.name),
+        });
+    }
+
+    override changed(shard: ShardOwnership, from: OwnershipState, now: number): void {
+        this.changes.fire({ shard, from, now });
+    }
+
+    private renewPresence(now: number): void {
+        // A record that a snapshot skipped is never read back.
+        if (this.session.backlog === 0 && now > (this.presenceAskedAt ?? now) + OWNERSHIP_LEASE_MS) {
+            this.presenceAskedAt = undefined;
+        }
+        if (now < this.nextPresenceAt || this.presenceAskedAt !== undefined || this.farewell !== "none") {
+            return;
+        }
+        this.presenceAskedAt = now;
+        this.nextPresenceAt = now + PRESENCE_INTERVAL_MS;
+        const held = [...this.shards.values()].filter(shard => shard.isHeld);
+        this.session.append({
+            kind: "instance-present",
+            ...this.identity,
+            phase: this.phase,
+            ticket: this.source.ticketNumber(),
+            holdings: held.map(shard => ({
+                shard: shard.name,
+                epoch: shard.epoch,
+                snapshotNext: this.source.snapshotNext(shard.name),
+            })),
+        });
+    }
+
+    private judgePlacement(now: number): void {
+        const serving = this.live(now).filter(each => each.phase === "serving");
+        const regions = new Set(this.plan.map(each => each.region));
+        for (const region of regions) {
+            const local = serving.filter(each => each.region === region);
+            const members = (local.length > 0 ? local : serving).map(each => each.instance).sort();
+            const names = this.plan.filter(each => each.region === region).map(each => each.name);
+            const assigned = assignBalanced(names, members);
+            for (const name of names) {
+                this.notePreferred(this.get(name), assigned.get(name), now);
+            }
+        }
+    }
+
+    private notePreferred(shard: ShardOwnership, member: string | undefined, now: number): void {
+        shard.preferred = member === this.identity.instance;
+        const misplaced = member !== undefined && !shard.preferred;
+        shard.misplacedSince = misplaced ? (shard.misplacedSince ?? now) : undefined;
+    }
+
+    private judge(shard: ShardOwnership, now: number): void {
+        if (this.isVacant(shard)) {
+            shard.fire("vacant", now);
+        }
+        if (now >= shard.lease.endsAt + HOLDOVER_MS) {
+            shard.fire("holdover-over", now);
+        } else if (!shard.lease.isHeld(now)) {
+            shard.fire("lease-stale", now);
+        } else {
+            shard.fire("lease-renewed", now);
+        }
+        const misplacedFor = shard.misplacedSince === undefined ? 0 : now - shard.misplacedSince;
+        if (misplacedFor > REBALANCE_DELAY_MS || this.phase === "draining") {
+            shard.fire("give-up", now);
+        }
+    }
+
+    /** A shard is vacant once its owner released it, or once all that was appended lately holds no renewal. */
+    private isVacant(shard: ShardOwnership): boolean {
+        if (!this.session.isCurrent || this.phase === "draining") {
+            return false;
+        }
+        const tenure = this.fold.tenure(shard.name);
+        const covered = this.session.coveredUntil;
+        if (tenure.phase === "released") {
+            return covered > this.firstCurrentAt() + SETTLE_MS;
+        }
+        const local = shard.region === this.identity.region;
+        const silence = local ? OWNERSHIP_LEASE_MS : OWNERSHIP_LEASE_MS + HOLDOVER_MS;
+        return covered > Lease.observedEnd(this.renewalSeen(shard), silence);
+    }
+
+    /** An owner whose renewals were all read before this instance was current counts as heard of then. */
+    private renewalSeen(shard: ShardOwnership): number {
+        return Math.max(shard.renewalSeenAt, this.firstCurrentAt());
+    }
+
+    private firstCurrentAt(): number {
+        return this.seenAt.get(this.identity.instance) === undefined ? Number.POSITIVE_INFINITY : this.joinedAt;
+    }
+
+    private onApplied(applied: AppliedBatch<OwnershipEntry>): void {
+        const { placed, counted, now } = applied;
+        for (const entry of placed.batch.entries) {
+            this.note(entry, placed.offset, counted, now);
+        }
+        for (const shard of this.shards.values()) {
+            this.noteSuperseded(shard, now);
+        }
+    }
+
+    private note(entry: OwnershipEntry, offset: Offset, counted: boolean, now: number): void {
+        if (!counted) {
+            return;
+        }
+        switch (entry.kind) {
+            case "instance-present":
+                this.seenAt.set(entry.instance, now);
+                entry.holdings.forEach(holding => this.noteRenewal(holding.shard, offset, now));
+                if (entry.instance === this.identity.instance) {
+                    this.noteOwnPresence(offset, now);
+                }
+                return;
+            case "shard-claimed":
+                return this.noteClaim(entry, offset, now);
+            case "shard-released":
+                this.noteRenewal(entry.shard, offset, now);
+                if (entry.instance === this.identity.instance) {
+                    this.shards.get(entry.shard)?.fire("released", now);
+                }
+                return;
+            case "instance-gone":
+                this.seenAt.delete(entry.instance);
+                return;
+            case "snapshot-taken":
+                return;
+        }
+    }
+
+    private noteRenewal(name: string, offset: Offset, now: number): void {
+        const shard = this.shards.get(name);
+        if (shard !== undefined && this.fold.tenure(name).renewal === offset) {
+            shard.renewalSeenAt = now;
+        }
+    }
+
+    private noteOwnPresence(offset: Offset, now: number): void {
+        const askedAt = this.presenceAskedAt ?? now;
+        this.presenceAskedAt = undefined;
+        this.joinedAt = Math.min(this.joinedAt, now);
+        for (const shard of this.shards.values()) {
+            if (shard.isHeld && this.fold.tenure(shard.name).renewal === offset) {
+                shard.extend(Lease.create(askedAt, OWNERSHIP_LEASE_MS));
+            }
+        }
+    }
+
+    private noteClaim(entry: ShardClaimed, offset: Offset, now: number): void {
+        const shard = this.shards.get(entry.shard);
+        if (shard === undefined) {
+            return;
+        }
+        const won = this.fold.tenure(entry.shard).epoch === offset;
+        if (won && entry.instance === this.identity.instance) {
+            shard.authorityEndsAt = this.authorityEnd(shard, entry, now);
+            shard.epoch = offset;
+            shard.extend(Lease.create(shard.claimedAt, OWNERSHIP_LEASE_MS));
+            shard.fire("claim-won", now);
+        } else if (entry.instance === this.identity.instance) {
+            shard.fire("claim-lost", now);
+        }
+        if (won) {
+            shard.renewalSeenAt = now;
+        }
+    }
+
+    /** The earlier owner acts until its holdover is over, unless it gave the shard up. */
+    private authorityEnd(shard: ShardOwnership, entry: ShardClaimed, now: number): number {
+        if (entry.seenEpoch < 0) {
+            return now;
+        }
+        const released = this.releasedEpochs.get(entry.shard) === entry.seenEpoch;
+        return released ? now : Lease.observedEnd(this.renewalSeen(shard), OWNERSHIP_LEASE_MS + HOLDOVER_MS);
+    }
+
+    private noteSuperseded(shard: ShardOwnership, now: number): void {
+        const tenure = this.fold.tenure(shard.name);
+        if (tenure.phase === "released") {
+            this.releasedEpochs.set(shard.name, tenure.epoch);
+        }
+        const lost = tenure.epoch !== shard.epoch || (tenure.phase === "released" && shard.state !== "releasing");
+        if (shard.epoch >= 0 && lost) {
+            shard.fire("superseded", now);
+        }
+    }
+
+    private sayFarewell(): void {
+        const idle = [...this.shards.values()].every(shard => shard.state === "watching" || shard.state === "claiming");
+        if (this.phase !== "draining" || !idle || this.farewell !== "none" || this.presenceAskedAt !== undefined) {
+            return;
+        }
+        this.farewell = "asked";
+        this.session.append({ kind: "instance-gone", instance: this.identity.instance }, () => {
+            this.farewell = "durable";
+        });
+    }
+}
--- /dev/null
+++ b/src/platform/common/kindCase.ts
@@ -0,0 +1,33 @@
+/**
+ * Turns the kind of a message into the name of its case in the generated code.
+ * @param kind A kind, for example `task-assigned`.
+ * @returns The case, for example `taskAssigned`.
+ */
+export function toCase(kind: string): string {
+    return kind.replace(/-(.)/g, (_, letter: string) => letter.toUpperCase());
+}
+
+/**
+ * Turns the name of a case in the generated code into the kind of a message.
+ * @param name A case, for example `taskAssigned`.
+ * @returns The kind, for example `task-assigned`.
+ */
+export function toKind(name: string): string {
+    return name.replace(/[A-Z]/g, letter => `-${letter.toLowerCase()}`);
+}
+
+/**
+ * Strips what the generated code adds to messages.
+ * @param value A decoded message or a part of one.
+ * @returns The same data as plain objects.
+ */
+export function toPlain(value: unknown): unknown {
+    if (Array.isArray(value)) {
+        return value.map(toPlain);
+    }
+    if (!(value instanceof Object)) {
+        return value;
+    }
+    const entries = Object.entries(value).filter(([key]) => !key.startsWith("$"));
+    return Object.fromEntries(entries.map(([key, each]) => [key, toPlain(each)]));
+}
--- /dev/null
+++ b/src/platform/common/logTraffic.ts
@@ -0,0 +1,59 @@
+import { Offset } from "./logService";
+
+/** Entries that one writer appends together as one record. */
+export interface Batch<Entry> {
+    /** Names the incarnation of the process that wrote the batch. */
+    readonly writer: string;
+    /** Counts the writer's batches on one stream, from 1. A copy of a batch repeats the number. */
+    readonly sequence: number;
+    readonly entries: readonly Entry[];
+}
+
+/** A batch with its position. */
+export interface PlacedBatch<Entry> {
+    readonly offset: Offset;
+    readonly batch: Batch<Entry>;
+}
+
+/** The log's answer to an append. */
+export type AppendAnswer = Extract<LogEvent<never>, { readonly kind: "log-appended" | "log-append-failed" }>;
+
+/** What the loop learns from the log service. */
+export type LogEvent<Entry> =
+    | {
+          readonly kind: "log-appended";
+          readonly stream: string;
+          readonly writer: string;
+          readonly sequence: number;
+          readonly offset: Offset;
+      }
+    | {
+          readonly kind: "log-append-failed";
+          readonly stream: string;
+          readonly writer: string;
+          readonly sequence: number;
+          readonly certainty: "refused" | "unknown";
+      }
+    | {
+          readonly kind: "log-read";
+          readonly stream: string;
+          /** Number of the read that this answers. */
+          readonly read: number;
+          readonly from: Offset;
+          readonly batches: readonly PlacedBatch<Entry>[];
+          readonly next: Offset;
+          readonly head: Offset;
+      }
+    | { readonly kind: "log-read-failed"; readonly stream: string; readonly read: number }
+    | { readonly kind: "log-truncated"; readonly stream: string; readonly read: number; readonly first: Offset };
+
+/** What decisions ask of the log service. */
+export type LogEffect<Entry> =
+    | { readonly kind: "log-append"; readonly stream: string; readonly batch: Batch<Entry> }
+    | {
+          readonly kind: "log-read-next";
+          readonly stream: string;
+          readonly read: number;
+          readonly from: Offset;
+          readonly waitMs: number;
+      };
--- /dev/null
+++ b/src/platform/node/connectTypes.ts
@@ -0,0 +1,2 @@
+export type { Transport } from "@connectrpc/connect";
+export type { UniversalClientFn, UniversalHandler } from "@connectrpc/connect/protocol";
--- /dev/null
+++ b/src/platform/node/httpWorker.ts
@@ -0,0 +1,44 @@
+import { Err, Ok, Result } from "ts-results";
+import { LeaseCall, Worker, WorkerError, WorkerReport } from "../common/worker";
+import { isNotSent } from "./connectionPool";
+import { HttpClient } from "./httpClient";
+
+/** Time within which a worker must answer, in ms. */
+const ANSWER_TIMEOUT_MS = 2_000;
+
+/** Path of a worker's interface for leases. */
+export const LEASE_PATH = "/.worker/leases";
+
+/** A worker over HTTP. */
+export class HttpWorker extends Worker {
+    private constructor(
+        private readonly origin: string,
+        private readonly client: HttpClient,
+    ) {
+        super();
+    }
+
+    /** @param origin Scheme, host and port of the worker. @returns The worker. */
+    static create(origin: string, client: HttpClient): HttpWorker {
+        return new HttpWorker(origin, client);
+    }
+
+    override async exchange(call: LeaseCall): Promise<Result<WorkerReport, WorkerError>> {
+        try {
+            const answer = await this.client.call({
+                origin: this.origin,
+                method: "POST",
+                path: LEASE_PATH,
+                headers: { "content-type": "application/json" },
+                body: JSON.stringify(call),
+                timeoutMs: ANSWER_TIMEOUT_MS,
+            });
+            const text = Buffer.from(answer.body).toString();
+            return answer.status === 200
+                ? Ok(JSON.parse(text) as WorkerReport)
+                : Err({ kind: "refused", message: `status ${answer.status}: ${text}` });
+        } catch (error) {
+            return Err({ kind: isNotSent(error) ? "refused" : "unreachable", message: String(error) });
+        }
+    }
+}
--- /dev/null
+++ b/src/routing/common/routeTraffic.ts
@@ -0,0 +1,52 @@
+import { RefusalReason, RequestDescription } from "./request";
+
+/** What the loop learns of callers' requests and of upstreams. */
+export type RouteEvent =
+    | { readonly kind: "request-received"; readonly description: RequestDescription }
+    | { readonly kind: "caller-gone"; readonly request: number }
+    | { readonly kind: "upstream-head"; readonly request: number; readonly attempt: number }
+    | {
+          readonly kind: "upstream-whole";
+          readonly request: number;
+          readonly attempt: number;
+          /** Whether the upstream said that it will close its connections. */
+          readonly closing: boolean;
+      }
+    | {
+          readonly kind: "upstream-failed";
+          readonly request: number;
+          readonly attempt: number;
+          /** `not-sent`: no byte of the request left. `broken`: the upstream may have run it. */
+          readonly certainty: "not-sent" | "broken";
+      }
+    | { readonly kind: "probe-answered"; readonly worker: string }
+    | { readonly kind: "probe-failed"; readonly worker: string };
+
+/** What decisions ask of the front end and of the connections to upstreams. */
+export type RouteEffect =
+    | {
+          readonly kind: "upstream-send";
+          readonly request: number;
+          readonly attempt: number;
+          readonly worker: string;
+          readonly address: string;
+          readonly timeoutMs: number;
+      }
+    | { readonly kind: "upstream-abort"; readonly request: number; readonly attempt: number }
+    | { readonly kind: "upstream-relay"; readonly request: number; readonly attempt: number }
+    | { readonly kind: "upstream-probe"; readonly worker: string; readonly address: string }
+    | { readonly kind: "upstream-replace"; readonly worker: string }
+    | { readonly kind: "caller-cut"; readonly request: number }
+    | {
+          readonly kind: "caller-refuse";
+          readonly request: number;
+          readonly outcome: "not-run" | "unknown";
+          readonly reason: RefusalReason;
+          readonly retryAfterMs: number;
+      }
+    | {
+          readonly kind: "request-measured";
+          readonly service: string;
+          readonly outcome: "done" | "not-run" | "unknown" | "cut";
+          readonly latencyMs: number;
+      };
--- /dev/null
+++ b/src/routing/common/upstream.ts
@@ -0,0 +1,119 @@
+import { ChartLoader } from "../../base/common/chartLoader";
+import { ChartRegistry } from "../../base/common/chartRegistry";
+import { Machine } from "../../base/common/machine";
+import { Request } from "./request";
+import chartText from "./upstream.chart.yaml";
+
+/** State of the connections to an upstream. */
+export type UpstreamState = "healthy" | "probing" | "unreachable";
+type UpstreamEvent = "quiet" | "broken" | "answered" | "probe-answered" | "probe-failed" | "retry-due";
+type UpstreamAction = "probe" | "replaceConnections" | "backOff";
+
+const chart = ChartRegistry.instance.register(
+    ChartLoader.load<UpstreamState, UpstreamEvent, never, UpstreamAction>(chartText, "upstream.chart.yaml", {
+        states: ["healthy", "probing", "unreachable"],
+        events: ["quiet", "broken", "answered", "probe-answered", "probe-failed", "retry-due"],
+        guards: [],
+        actions: ["probe", "replaceConnections", "backOff"],
+    }),
+);
+
+/** Shortest and longest time before an unreachable upstream is probed again. */
+const MIN_PROBE_PAUSE_MS = 500;
+const MAX_PROBE_PAUSE_MS = 10_000;
+
+/** Weight of the newest answer in the mean latency. */
+const LATENCY_SMOOTHING = 0.1;
+
+/** Time within which an upstream is expected to answer while nothing is known of it. */
+const DEFAULT_LATENCY_MS = 20;
+
+/** Time after a replacement in which connections are not judged again, in ms. */
+const REPLACEMENT_GRACE_MS = 5_000;
+
+/** What an upstream asks of its router. */
+export abstract class UpstreamHost {
+    /** Opens a new connection and asks for a sign of life on it. */
+    abstract probe(upstream: Upstream): void;
+    /** Stops using all connections made before now. */
+    abstract replaceConnections(upstream: Upstream, now: number): void;
+}
+
+/** One upstream as this instance knows it. */
+export class Upstream {
+    private readonly machine: Machine<number, UpstreamState, UpstreamEvent, never, UpstreamAction>;
+    private retryAt = 0;
+    private failures = 0;
+    private replacedAt = Number.NEGATIVE_INFINITY;
+    private latency = DEFAULT_LATENCY_MS;
+
+    /** Requests whose attempts are with the upstream. */
+    readonly requests = new Set<Request>();
+    /** Requests of them that hold a slot; begun streams hold a connection alone. */
+    busySlots = 0;
+
+    private constructor(
+        readonly worker: string,
+        host: UpstreamHost,
+    ) {
+        this.machine = Machine.create(chart, {
+            guards: {},
+            actions: {
+                probe: () => host.probe(this),
+                replaceConnections: now => {
+                    this.failures = 0;
+                    host.replaceConnections(this, now);
+                },
+                backOff: now => this.backOff(now),
+            },
+        });
+    }
+
+    /** @param worker Worker that it runs on. @param host Acts on the decisions. @returns A healthy upstream. */
+    static create(worker: string, host: UpstreamHost): Upstream {
+        return new Upstream(worker, host);
+    }
+
+    /** State of the connections. */
+    get state(): UpstreamState {
+        return this.machine.state;
+    }
+
+    /** Mean time to the head of an answer, in ms. */
+    get latencyMs(): number {
+        return this.latency;
+    }
+
+    /** Notes the head of an answer. @param latencyMs Time since the attempt was sent, in ms. */
+    answered(latencyMs: number, now: number): void {
+        this.latency += LATENCY_SMOOTHING * (latencyMs - this.latency);
+        this.machine.fire("answered", now);
+    }
+
+    /** Notes that the connections were replaced. */
+    noteReplaced(now: number): void {
+        this.replacedAt = now;
+    }
+
+    /** Whether the connections were replaced a moment ago, so that quiet requests are of the old ones. */
+    isNewlyReplaced(now: number): boolean {
+        return now - this.replacedAt < REPLACEMENT_GRACE_MS;
+    }
+
+    /** Notes another event. */
+    fire(event: Exclude<UpstreamEvent, "answered">, now: number): void {
+        this.machine.fire(event, now);
+    }
+
+    /** Acts on the passing of time. @param now Time in ms. */
+    tick(now: number): void {
+        if (now >= this.retryAt) {
+            this.machine.fire("retry-due", now);
+        }
+    }
+
+    private backOff(now: number): void {
+        this.failures += 1;
+        this.retryAt = now + Math.min(MAX_PROBE_PAUSE_MS, MIN_PROBE_PAUSE_MS * 2 ** (this.failures - 1));
+    }
+}
--- /dev/null
+++ b/src/scheduling/common/attemptFollower.ts
@@ -0,0 +1,162 @@
+import { withDrift } from "../../coordination/common/duration";
+import { FinishedAttempt, RunningAttempt, WorkerReport } from "../../platform/common/worker";
+import { Attempt } from "./attempt";
+import { ClassLoad } from "./interferenceModel";
+import { TASK_LEASE_MS } from "./schedulingLimits";
+import { ShardContext } from "./shardContext";
+import { Task } from "./task";
+import { AttemptEnd } from "./taskEntry";
+import { WorkerLink } from "./workerLink";
+
+/** Follows the attempts of a shard by what workers report, and concludes how each one ended. */
+export class AttemptFollower {
+    private constructor(private readonly context: ShardContext) {}
+
+    /** @param context The shard. @returns A follower. */
+    static create(context: ShardContext): AttemptFollower {
+        return new AttemptFollower(context);
+    }
+
+    /** Begins to follow an assignment that is in the log. @param inherited Whether an earlier owner made it. */
+    follow(task: Task, inherited: boolean): void {
+        if (task.assignment === undefined) {
+            return;
+        }
+        const attempt = Attempt.create(task, task.assignment, (ended, end, result, checkpoint) =>
+            this.record(ended, end, result, checkpoint),
+        );
+        this.context.attempts.set(task.number, attempt);
+        if (inherited) {
+            attempt.fire("inherit");
+        }
+    }
+
+    /** Stops following an attempt whose end is in the log. */
+    unfollow(task: Task): void {
+        const attempt = this.context.attempts.get(task.number);
+        if (attempt !== undefined && attempt.assignment.attempt !== task.assignment?.attempt) {
+            this.context.attempts.delete(task.number);
+        }
+    }
+
+    /** Takes in a report. @param link The worker's link, which has taken the report. @param now Time in ms. */
+    read(link: WorkerLink, report: WorkerReport, now: number): void {
+        const running = new Map(report.running.map(each => [`${each.task}#${each.attempt}`, each]));
+        const finished = new Map(report.finished.map(each => [`${each.task}#${each.attempt}`, each]));
+        const refused = new Set(report.refused.map(each => `${each.task}#${each.attempt}`));
+        for (const attempt of this.on(link)) {
+            const name = `${this.context.taskName(attempt.task.number)}#${attempt.assignment.attempt}`;
+            this.judge(attempt, report, running.get(name), finished.get(name), refused.has(name));
+        }
+        this.learn(link, report, now);
+    }
+
+    /** Concludes on attempts of workers that cannot be reached. @param now Time in ms. */
+    tick(now: number): void {
+        for (const attempt of [...this.context.attempts.values()]) {
+            const link = this.context.links.get(attempt.assignment.worker);
+            if (attempt.state === "committed" && attempt.task.state === "cancelling") {
+                attempt.fire("expired");
+            } else if (link?.contact !== "met" && now > this.runsUntil(attempt, link)) {
+                attempt.fire("expired");
+            }
+        }
+    }
+
+    /** @returns Attempts on a worker. */
+    *on(link: WorkerLink): Iterable<Attempt> {
+        for (const task of this.context.fold.onWorker(link.listing.id)) {
+            const attempt = this.context.attempts.get(task.number);
+            if (attempt !== undefined) {
+                yield attempt;
+            }
+        }
+    }
+
+    private judge(
+        attempt: Attempt,
+        report: WorkerReport,
+        running: RunningAttempt | undefined,
+        finished: FinishedAttempt | undefined,
+        refused: boolean,
+    ): void {
+        if (attempt.assignment.boot !== report.boot) {
+            attempt.fire("rebooted");
+        } else if (finished !== undefined) {
+            attempt.fire("finished", { finished });
+        } else if (running !== undefined) {
+            attempt.running = running;
+            // An earlier owner may have granted up to a whole lease just before this report.
+            attempt.leaseExpiresAt = Math.max(attempt.leaseExpiresAt, report.clock + TASK_LEASE_MS);
+            attempt.fire("seen");
+        } else if (refused) {
+            attempt.fire("refused");
+        } else {
+            attempt.fire("unseen", { workerClock: report.clock });
+        }
+    }
+
+    /** Time (ms) by which an attempt on an unreachable worker has certainly ended. */
+    private runsUntil(attempt: Attempt, link: WorkerLink | undefined): number {
+        if (link?.clock !== undefined) {
+            const sameBoot = link.clock.boot === attempt.assignment.boot;
+            return sameBoot ? link.clock.passedBy(attempt.leaseExpiresAt) : Number.NEGATIVE_INFINITY;
+        }
+        return this.context.ownership.authorityEndsAt + withDrift(TASK_LEASE_MS);
+    }
+
+    private record(attempt: Attempt, end: AttemptEnd, result: string, checkpoint: string): void {
+        const { context } = this;
+        const { worker, attempt: number } = attempt.assignment;
+        context.session.append({
+            kind: "attempt-ended",
+            epoch: context.ownership.epoch,
+            task: attempt.task.number,
+            attempt: number,
+            end,
+            result,
+            checkpoint,
+        });
+        context.audit("task", attempt.task.request.key, end, `attempt ${number} on ${worker}`);
+        this.noteTrust(attempt, end);
+    }
+
+    private noteTrust(attempt: Attempt, end: AttemptEnd): void {
+        if (end !== "done" && end !== "failed") {
+            return;
+        }
+        const { failures } = this.context.models;
+        const { family } = attempt.task.request;
+        const trust = this.context.links.get(attempt.assignment.worker)?.trust;
+        const now = performance.now();
+        if (end === "done") {
+            trust?.done(now);
+        } else {
+            trust?.failed({ now, familyFailureRate: failures.rate(family) });
+        }
+        failures.note(family, end === "failed");
+    }
+
+    /** Usage and slowdown lag, so they are held against what ran at the time of the measurement. */
+    private learn(link: WorkerLink, report: WorkerReport, now: number): void {
+        const { usage, interference } = this.context.models;
+        const beside = link.history.at(now - (report.clock - report.measuredAt));
+        for (const each of report.running) {
+            const family = this.context.fold.task(Number(each.task.split("/").at(-1)))?.request.family;
+            if (family === undefined || each.cpus === 0) {
+                continue;
+            }
+            usage.observe(family, each);
+            if (beside !== undefined) {
+                interference.observe(family, each.slowdown, without(beside, family));
+            }
+        }
+    }
+}
+
+/** What ran beside one task of a family. */
+function without(classes: readonly ClassLoad[], family: string): ClassLoad[] {
+    return classes
+        .map(each => (each.name === family ? { name: each.name, load: each.load - 1 } : each))
+        .filter(each => each.load > 0);
+}
--- /dev/null
+++ b/src/scheduling/common/capacityLedger.ts
@@ -0,0 +1,101 @@
+import { Invariants } from "../../base/common/invariant";
+import { WorkerListing } from "../../platform/common/instanceList";
+import { Candidate } from "./candidate";
+import { ClassLoad } from "./interferenceModel";
+import { ShardContext } from "./shardContext";
+import { TaskSize } from "./taskEntry";
+import { WorkerLink } from "./workerLink";
+
+/** Adds up what is reserved on each worker of a shard. */
+export class CapacityLedger {
+    private constructor(private readonly context: ShardContext) {}
+
+    /** @param context The shard. @returns A ledger. */
+    static create(context: ShardContext): CapacityLedger {
+        return new CapacityLedger(context);
+    }
+
+    /**
+     * @param link A worker.
+     * @param now Time in ms.
+     * @returns What is free there, and who is there.
+     */
+    candidate(link: WorkerLink, now: number): Candidate {
+        const { listing } = link;
+        const sizes = this.reserved(listing.id);
+        const serviceSlots = this.context.slotsForServices(listing.id, now);
+        const slot = this.slotSize(listing);
+        const free = {
+            cpus: listing.capacity.cpus - sum(sizes, each => each.cpus) - serviceSlots * slot.cpus,
+            memoryGb: listing.capacity.memoryGb - sum(sizes, each => each.memoryGb) - serviceSlots * slot.memoryGb,
+            accelerators: listing.capacity.accelerators - sum(sizes, each => each.accelerators),
+        };
+        const freeSlots = listing.capacity.slots - sizes.length - serviceSlots;
+        this.check(listing, freeSlots, free);
+        return {
+            worker: listing.id,
+            rack: listing.rack,
+            failureDomain: listing.failureDomain,
+            capacity: listing.capacity,
+            freeSlots,
+            free,
+            batch: this.batchClasses(listing.id),
+            services: this.serviceClasses(listing, now),
+            servicePressure: this.pressure(listing, now),
+        };
+    }
+
+    /** What one slot of the largest service of a worker needs. */
+    slotSize(listing: WorkerListing): { readonly cpus: number; readonly memoryGb: number } {
+        const slots = listing.services.map(service => this.context.config.serviceSlot(service));
+        return {
+            cpus: Math.max(0, ...slots.map(each => each.cpus)),
+            memoryGb: Math.max(0, ...slots.map(each => each.memoryGb)),
+        };
+    }
+
+    /** @returns Classes of work on a worker, services and batch. */
+    classes(listing: WorkerListing, now: number): ClassLoad[] {
+        return [...this.batchClasses(listing.id), ...this.serviceClasses(listing, now)];
+    }
+
+    private reserved(worker: string): TaskSize[] {
+        const assigned = [...this.context.fold.onWorker(worker)].map(task => task.assignment!);
+        const pending = [...this.context.pendingAssignments.values()].filter(each => each.worker === worker);
+        return [...assigned, ...pending.map(each => each.size)];
+    }
+
+    private batchClasses(worker: string): ClassLoad[] {
+        const counts = new Map<string, number>();
+        for (const task of this.context.fold.onWorker(worker)) {
+            const { family } = task.request;
+            counts.set(family, (counts.get(family) ?? 0) + 1);
+        }
+        return [...counts].map(([name, load]) => ({ name, load }));
+    }
+
+    private serviceClasses(listing: WorkerListing, now: number): ClassLoad[] {
+        const load = this.context.grants.inUse(listing.id, now);
+        return listing.services.map(name => ({ name, load }));
+    }
+
+    private pressure(listing: WorkerListing, now: number): number {
+        const share = this.context.fold.serviceSlots(listing.id);
+        const demand = sum(listing.services, service => this.context.grants.demand(service));
+        const workers = Math.max(1, this.context.links.size);
+        return share === 0 || now === 0 ? 0 : Math.min(1, demand / workers / share);
+    }
+
+    private check(listing: WorkerListing, freeSlots: number, free: TaskSize): void {
+        const holds = freeSlots >= 0 && free.accelerators >= 0 && free.memoryGb >= -0.01 && free.cpus >= -0.01;
+        Invariants.instance.check(
+            "capacity",
+            holds,
+            () => `${listing.id} has ${JSON.stringify({ freeSlots, ...free })}`,
+        );
+    }
+}
+
+function sum<T>(items: readonly T[], value: (item: T) => number): number {
+    return items.reduce((total, item) => total + value(item), 0);
+}
--- /dev/null
+++ b/src/scheduling/common/placementPolicy.ts
@@ -0,0 +1,14 @@
+import { Candidate } from "./candidate";
+import { Task } from "./task";
+import { TaskSize } from "./taskEntry";
+
+/** Chooses among the workers that have room for a task. */
+export abstract class PlacementPolicy {
+    /**
+     * @param task The task.
+     * @param size What will be reserved for it.
+     * @param candidates Workers with room for it; not empty.
+     * @returns The worker to place it on, or `undefined` to let the task wait.
+     */
+    abstract choose(task: Task, size: TaskSize, candidates: readonly Candidate[]): Candidate | undefined;
+}
--- /dev/null
+++ b/src/scheduling/common/reviewer.ts
@@ -0,0 +1,213 @@
+import { Attempt } from "./attempt";
+import { AttemptFollower } from "./attemptFollower";
+import { Candidate, fits } from "./candidate";
+import { CapacityLedger } from "./capacityLedger";
+import { evictionCost, isEvictable } from "./evictionCost";
+import { LeaseCaller } from "./leaseCaller";
+import { Placer } from "./placer";
+import {
+    EVICT_MEMORY_SHARE,
+    MAX_EVICTIONS_PER_REVIEW,
+    THROTTLE_CPU_SHARE,
+    URGENT_PATIENCE_MS,
+} from "./schedulingLimits";
+import { ShardContext } from "./shardContext";
+import { Task } from "./task";
+import { ServiceShare, TaskSize } from "./taskEntry";
+import { WorkerLink } from "./workerLink";
+
+/** Slots above the demand that services get on each worker. */
+const SHARE_HEADROOM_SLOTS = 1;
+
+/** Reviews the shares of services, and makes room where tasks are too many: throttles first, evicts last. */
+export class Reviewer {
+    private evictions = 0;
+
+    private constructor(
+        private readonly context: ShardContext,
+        private readonly ledger: CapacityLedger,
+        private readonly follower: AttemptFollower,
+        private readonly placer: Placer,
+        private readonly caller: LeaseCaller,
+    ) {}
+
+    /** @returns A reviewer of the shard that its parts belong to. */
+    static create(
+        context: ShardContext,
+        ledger: CapacityLedger,
+        follower: AttemptFollower,
+        placer: Placer,
+        caller: LeaseCaller,
+    ): Reviewer {
+        return new Reviewer(context, ledger, follower, placer, caller);
+    }
+
+    /** Reviews every worker of the shard. @param now Time in ms. @param wallNow Time since the Unix epoch in ms. */
+    review(now: number, wallNow: number): void {
+        this.evictions = 0;
+        for (const link of this.context.links.values()) {
+            link.history.note(now, this.ledger.classes(link.listing, now));
+            this.relieve(link);
+            this.empty(link);
+        }
+        this.setShares(now);
+        this.makeRoomForUrgent(now, wallNow);
+    }
+
+    /** Sets the shares of services to the demand, and evicts where the slots for it are taken. */
+    private setShares(now: number): void {
+        const shares: ServiceShare[] = [];
+        for (const link of this.context.links.values()) {
+            const wanted = this.wantedShare(link);
+            const slots = this.reachableShare(link, wanted, now);
+            if (slots < wanted) {
+                this.evictOne(link, () => true, "the services of the worker need its slot");
+            }
+            if (slots !== this.context.fold.serviceSlots(link.listing.id)) {
+                shares.push({ worker: link.listing.id, slots });
+            }
+        }
+        this.recordShares(shares);
+    }
+
+    private wantedShare(link: WorkerLink): number {
+        const { listing } = link;
+        const { config, grants, links } = this.context;
+        if (listing.services.length === 0 || listing.availability === "leaving" || config.isDrained(listing.id)) {
+            return 0;
+        }
+        const hosts = [...links.values()].filter(each => each.listing.services.some(s => listing.services.includes(s)));
+        const demand = listing.services.reduce((sum, service) => sum + grants.demand(service), 0);
+        const wanted = Math.ceil(demand / hosts.length) + SHARE_HEADROOM_SLOTS;
+        return Math.min(listing.capacity.slots, Math.max(config.minServiceSlots(), wanted));
+    }
+
+    /** The share closest to the wanted one that leaves room for tasks there and slots in use. */
+    private reachableShare(link: WorkerLink, wanted: number, now: number): number {
+        const { listing } = link;
+        const current = this.context.fold.serviceSlots(listing.id);
+        const inUse = this.context.grants.inUse(listing.id, now);
+        if (wanted <= current) {
+            return Math.max(wanted, Math.min(current, inUse));
+        }
+        const candidate = this.ledger.candidate(link, now);
+        const slot = this.ledger.slotSize(listing);
+        const room = Math.min(
+            candidate.freeSlots,
+            slot.cpus === 0 ? candidate.freeSlots : Math.floor(candidate.free.cpus / slot.cpus),
+            slot.memoryGb === 0 ? candidate.freeSlots : Math.floor(candidate.free.memoryGb / slot.memoryGb),
+        );
+        return Math.min(wanted, current + Math.max(0, room));
+    }
+
+    private recordShares(shares: readonly ServiceShare[]): void {
+        const { session, pendingShares, ownership } = this.context;
+        if (shares.length === 0 || session.isAppendFailing || pendingShares.size > 0) {
+            return;
+        }
+        shares.forEach(share => pendingShares.set(share.worker, share.slots));
+        session.append({ kind: "shares-set", epoch: ownership.epoch, shares });
+    }
+
+    /** Throttles or evicts where the measured usage exceeds the worker. */
+    private relieve(link: WorkerLink): void {
+        const running = link.report?.running ?? [];
+        const cpus = running.reduce((sum, each) => sum + each.cpus, 0);
+        const memoryGb = running.reduce((sum, each) => sum + each.memoryGb, 0);
+        const crowded = cpus > THROTTLE_CPU_SHARE * link.listing.capacity.cpus;
+        for (const attempt of this.follower.on(link)) {
+            attempt.throttled = crowded && attempt.task.request.urgency === "normal";
+        }
+        if (memoryGb > EVICT_MEMORY_SHARE * link.listing.capacity.memoryGb) {
+            this.evictOne(link, () => true, "the worker's memory is nearly used up");
+        }
+    }
+
+    /** Empties a worker that is leaving or drained. */
+    private empty(link: WorkerLink): void {
+        const drained = this.context.config.isDrained(link.listing.id);
+        if (link.listing.availability !== "leaving" && !drained) {
+            return;
+        }
+        for (const attempt of this.follower.on(link)) {
+            if (!attempt.evicting && isEvictable(attempt.task)) {
+                this.evict(attempt, drained ? "operators drain the worker" : "the worker is leaving");
+            }
+        }
+    }
+
+    private makeRoomForUrgent(now: number, wallNow: number): void {
+        const waiting = this.placer
+            .queued()
+            .filter(task => task.request.urgency === "urgent" && wallNow - task.submittedAt > URGENT_PATIENCE_MS);
+        for (const task of waiting) {
+            this.makeRoom(task, now);
+        }
+    }
+
+    private makeRoom(task: Task, now: number): void {
+        const size = this.context.models.usage.reserve(task.request);
+        const links = [...this.context.links.values()].filter(
+            link => link.contact === "met" && link.listing.availability === "live" && link.trust.state === "trusted",
+        );
+        const options = links
+            .map(link => ({ link, victim: this.cheapest(link, victim => this.wouldFit(link, size, victim, now)) }))
+            .flatMap(({ link, victim }) => (victim === undefined ? [] : [{ link, victim }]));
+        const cheapest = options.reduce<Attempt | undefined>(
+            (best, { victim }) => (best === undefined || this.cost(victim) < this.cost(best) ? victim : best),
+            undefined,
+        );
+        if (cheapest !== undefined && this.evictions < MAX_EVICTIONS_PER_REVIEW) {
+            this.evictions += 1;
+            this.evict(cheapest, `urgent task ${task.request.key} waits`);
+        }
+    }
+
+    private wouldFit(link: WorkerLink, size: TaskSize, victim: Attempt, now: number): boolean {
+        const candidate = this.ledger.candidate(link, now);
+        const { cpus, memoryGb, accelerators } = victim.assignment;
+        const freed: Candidate = {
+            ...candidate,
+            freeSlots: candidate.freeSlots + 1,
+            free: {
+                cpus: candidate.free.cpus + cpus,
+                memoryGb: candidate.free.memoryGb + memoryGb,
+                accelerators: candidate.free.accelerators + accelerators,
+            },
+        };
+        return victim.task.request.urgency === "normal" && fits(freed, size);
+    }
+
+    private evictOne(link: WorkerLink, accepts: (attempt: Attempt) => boolean, reason: string): void {
+        const pending = [...this.follower.on(link)].some(attempt => attempt.evicting);
+        const victim = this.cheapest(link, accepts);
+        if (victim !== undefined && !pending && this.evictions < MAX_EVICTIONS_PER_REVIEW) {
+            this.evictions += 1;
+            this.evict(victim, reason);
+        }
+    }
+
+    private cheapest(link: WorkerLink, accepts: (attempt: Attempt) => boolean): Attempt | undefined {
+        const victims = [...this.follower.on(link)].filter(
+            each => each.state === "running" && !each.evicting && isEvictable(each.task) && accepts(each),
+        );
+        return victims.reduce<Attempt | undefined>(
+            (best, each) => (best === undefined || this.cost(each) < this.cost(best) ? each : best),
+            undefined,
+        );
+    }
+
+    private cost(attempt: Attempt): number {
+        const { interference } = this.context.models;
+        const listing = this.context.links.get(attempt.assignment.worker)?.listing;
+        const { family } = attempt.task.request;
+        const harm = (listing?.services ?? []).reduce((sum, name) => sum + interference.effect(name, family), 0);
+        return evictionCost({ task: attempt.task, progress: attempt.progress, harm }, this.context.config.weights());
+    }
+
+    private evict(attempt: Attempt, reason: string): void {
+        attempt.evicting = true;
+        this.caller.hurry(attempt.assignment.worker, performance.now());
+        this.context.audit("task", attempt.task.request.key, "evicting", reason);
+    }
+}
--- /dev/null
+++ b/src/scheduling/common/shardContext.ts
@@ -0,0 +1,107 @@
+import { Outbox } from "../../base/common/outbox";
+import { GrantTable } from "../../coordination/common/grantTable";
+import { LogSession } from "../../coordination/common/logSession";
+import { ShardOwnership } from "../../coordination/common/shardOwnership";
+import { WorkerEffect } from "../../platform/common/workerTraffic";
+import { Attempt } from "./attempt";
+import { AuditEffect, AuditSubject } from "./auditEntry";
+import { FamilyFailures } from "./familyFailures";
+import { InterferenceModel } from "./interferenceModel";
+import { PlacementPolicy } from "./placementPolicy";
+import { SchedulingConfig } from "./schedulingConfig";
+import { ShardFold } from "./shardFold";
+import { ShardEntry, TaskSize } from "./taskEntry";
+import { UsageModel } from "./usageModel";
+import { WorkerLink } from "./workerLink";
+
+/** What the parts of an instance that schedule have in common over all shards. */
+export interface SchedulingModels {
+    readonly usage: UsageModel;
+    readonly interference: InterferenceModel;
+    readonly failures: FamilyFailures;
+    readonly policy: PlacementPolicy;
+}
+
+/** An assignment that is on its way to the log. */
+export interface PendingAssignment {
+    readonly worker: string;
+    readonly size: TaskSize;
+}
+
+/** What the parts that schedule one shard share. All of it but the fold is lost with the ownership. */
+export class ShardContext {
+    readonly links = new Map<string, WorkerLink>();
+    readonly attempts = new Map<number, Attempt>();
+    readonly pendingAssignments = new Map<number, PendingAssignment>();
+    /** Shares that are on their way to the log. */
+    readonly pendingShares = new Map<string, number>();
+    private callCount = 0;
+
+    private constructor(
+        readonly ownership: ShardOwnership,
+        readonly instance: string,
+        readonly session: LogSession<ShardEntry>,
+        readonly fold: ShardFold,
+        readonly grants: GrantTable,
+        readonly models: SchedulingModels,
+        readonly config: SchedulingConfig,
+        readonly outbox: Outbox<WorkerEffect | AuditEffect>,
+    ) {}
+
+    /**
+     * @param ownership The instance's part in the ownership of the shard.
+     * @param instance Name of this instance.
+     * @param session Session that keeps the fold.
+     * @param fold The shard's tasks.
+     * @param grants Splits the service slots of the shard's workers.
+     * @param models What was learnt.
+     * @param config What is in force.
+     * @param outbox Takes the effects.
+     * @returns A context without workers.
+     */
+    static create(
+        ownership: ShardOwnership,
+        instance: string,
+        session: LogSession<ShardEntry>,
+        fold: ShardFold,
+        grants: GrantTable,
+        models: SchedulingModels,
+        config: SchedulingConfig,
+        outbox: Outbox<WorkerEffect | AuditEffect>,
+    ): ShardContext {
+        return new ShardContext(ownership, instance, session, fold, grants, models, config, outbox);
+    }
+
+    /** Name of the shard. */
+    get shard(): string {
+        return this.ownership.name;
+    }
+
+    /** @returns A number for the next call to a worker. */
+    nextCall(): number {
+        this.callCount += 1;
+        return this.callCount;
+    }
+
+    /** @param worker Name of a worker. @returns Slots of it that batch tasks must leave to services. */
+    slotsForServices(worker: string, now: number): number {
+        const pending = this.pendingShares.get(worker) ?? 0;
+        return Math.max(this.fold.serviceSlots(worker), pending, this.grants.inUse(worker, now));
+    }
+
+    /** @param number Number of a task. @returns Its name towards workers. */
+    taskName(number: number): string {
+        return `${this.shard}/${number}`;
+    }
+
+    /** Puts a decision into the audit trail. */
+    audit(subject: AuditSubject, name: string, action: string, reason: string): void {
+        const entry = { subject, name, action, reason, at: Date.now(), instance: this.instance };
+        this.outbox.emit({ kind: "audit", entry });
+    }
+}
+
+/** @param name Name of a task towards workers. @returns Its number. */
+export function taskNumber(name: string): number {
+    return Number(name.slice(name.lastIndexOf("/") + 1));
+}
--- /dev/null
+++ b/src/scheduling/common/task.ts
@@ -0,0 +1,133 @@
+import { Binding, Chart } from "../../base/common/chart";
+import { ChartLoader } from "../../base/common/chartLoader";
+import { ChartRegistry } from "../../base/common/chartRegistry";
+import { Epoch } from "../../platform/common/worker";
+import chartText from "./task.chart.yaml";
+import { AttemptEnd, AttemptEnded, TaskAssigned, TaskRefused, TaskRequest } from "./taskEntry";
+
+/** State of a batch task. */
+export type TaskState = "queued" | "assigned" | "cancelling" | "done" | "failed" | "cancelled" | "refused" | "unknown";
+
+/** What happens to a batch task. */
+export type TaskEvent = "assign" | "cancel" | "refuse" | AttemptEnd;
+
+type TaskGuard = "isNextAttempt" | "isCurrentAttempt" | "isFinalFailure" | "isUnrepeatable";
+type TaskAction =
+    "beginAttempt" | "endAttempt" | "keepResult" | "keepCheckpoint" | "countFailure" | "countEviction" | "noteRefusal";
+
+/** The life cycle of a batch task. */
+export const taskChart: Chart<TaskState, TaskEvent, TaskGuard, TaskAction> = ChartRegistry.instance.register(
+    ChartLoader.load<TaskState, TaskEvent, TaskGuard, TaskAction>(chartText, "task.chart.yaml", {
+        states: ["queued", "assigned", "cancelling", "done", "failed", "cancelled", "refused", "unknown"],
+        events: [
+            "assign",
+            "cancel",
+            "refuse",
+            "done",
+            "failed",
+            "evicted",
+            "lapsed",
+            "stopped",
+            "lost",
+            "never-started",
+        ],
+        guards: ["isNextAttempt", "isCurrentAttempt", "isFinalFailure", "isUnrepeatable"],
+        actions: [
+            "beginAttempt",
+            "endAttempt",
+            "keepResult",
+            "keepCheckpoint",
+            "countFailure",
+            "countEviction",
+            "noteRefusal",
+        ],
+    }),
+);
+
+/** Distinct workers on which a task may fail before it is given up. */
+export const MAX_FAILED_WORKERS = 3;
+
+/** Where an attempt was placed and what is reserved for it. */
+export interface Assignment {
+    readonly worker: string;
+    readonly boot: string;
+    readonly attempt: number;
+    readonly epoch: Epoch;
+    readonly cpus: number;
+    readonly memoryGb: number;
+    readonly accelerators: number;
+}
+
+/** A batch task as the fold knows it. */
+export interface Task {
+    readonly number: number;
+    readonly request: TaskRequest;
+    readonly submittedAt: number;
+    state: TaskState;
+    /** Attempts begun so far. */
+    attempts: number;
+    evictions: number;
+    checkpoint: string;
+    /** Result, or the reason why the task ended without one. */
+    result: string;
+    assignment: Assignment | undefined;
+    failedOn: string[];
+}
+
+/** Data of a task's events. */
+export type TaskPayload = TaskAssigned | AttemptEnded | TaskRefused | undefined;
+
+/** The functions behind the names of the task chart. */
+export const taskBinding: Binding<Task, TaskPayload, TaskGuard, TaskAction> = {
+    guards: {
+        isNextAttempt: (task, payload) => payload?.kind === "task-assigned" && payload.attempt === task.attempts + 1,
+        isCurrentAttempt,
+        isFinalFailure: (task, payload) =>
+            isCurrentAttempt(task, payload) &&
+            (task.request.idempotency === "non-idempotent" || failedWorkers(task).size >= MAX_FAILED_WORKERS),
+        isUnrepeatable: (task, payload) =>
+            isCurrentAttempt(task, payload) && task.request.idempotency === "non-idempotent",
+    },
+    actions: {
+        beginAttempt(task, payload) {
+            if (payload?.kind === "task-assigned") {
+                const { worker, boot, attempt, epoch, cpus, memoryGb, accelerators } = payload;
+                task.attempts = attempt;
+                task.assignment = { worker, boot, attempt, epoch, cpus, memoryGb, accelerators };
+            }
+        },
+        endAttempt(task) {
+            task.assignment = undefined;
+        },
+        keepResult(task, payload) {
+            task.result = payload?.kind === "attempt-ended" ? payload.result : "";
+        },
+        keepCheckpoint(task, payload) {
+            if (payload?.kind === "attempt-ended" && payload.checkpoint !== "") {
+                task.checkpoint = payload.checkpoint;
+            }
+        },
+        countFailure(task) {
+            task.failedOn = [...failedWorkers(task)];
+        },
+        countEviction(task) {
+            task.evictions += 1;
+        },
+        noteRefusal(task, payload) {
+            task.result = payload?.kind === "task-refused" ? payload.reason : "";
+        },
+    },
+};
+
+/** States that a task never leaves. */
+export function isEnded(state: TaskState): boolean {
+    return taskChart.finals.has(state);
+}
+
+function isCurrentAttempt(task: Task, payload: TaskPayload): boolean {
+    return payload?.kind === "attempt-ended" && payload.attempt === task.assignment?.attempt;
+}
+
+function failedWorkers(task: Task): Set<string> {
+    return new Set([...task.failedOn, ...(task.assignment === undefined ? [] : [task.assignment.worker])]);
+}
--- /dev/null
+++ b/src/scheduling/common/workerClock.ts
@@ -0,0 +1,34 @@
+import { withDrift } from "../../coordination/common/duration";
+
+/** What is known of a worker's own clock from its latest report. */
+export class WorkerClock {
+    private constructor(
+        readonly boot: string,
+        /** Reading in the report, in ms. */
+        readonly reading: number,
+        private readonly receivedAt: number,
+    ) {}
+
+    /**
+     * @param boot Boot of the worker.
+     * @param reading Reading in the report, in ms.
+     * @param receivedAt Time (ms, the loop's clock) when the report arrived.
+     * @returns The knowledge.
+     */
+    static create(boot: string, reading: number, receivedAt: number): WorkerClock {
+        return new WorkerClock(boot, reading, receivedAt);
+    }
+
+    /**
+     * @param reading A reading of the worker's clock, in ms.
+     * @returns Time (ms, the loop's clock) by which the worker's clock has certainly passed it.
+     */
+    passedBy(reading: number): number {
+        return this.receivedAt + withDrift(Math.max(0, reading - this.reading));
+    }
+
+    /** @param now Time in ms. @returns Time since the report, in ms. */
+    age(now: number): number {
+        return now - this.receivedAt;
+    }
+}
--- /dev/null
+++ b/src/serving/common/auditDesk.ts
@@ -0,0 +1,79 @@
+import { AuditEntry } from "../../scheduling/common/auditEntry";
+import { Feature } from "./feature";
+import { FeatureRegistry } from "./featureRegistry";
+import { InstanceServices } from "./instanceServices";
+import { InstanceEvent } from "./instanceTraffic";
+import { PeerAsk, PeerReply } from "./peerTraffic";
+
+/** Entries that an answer has at most. */
+const MAX_ANSWERED_ENTRIES = 200;
+
+/** Answers an instance's latest decisions. The entries themselves are kept by whoever performs audit effects. */
+export abstract class AuditSource {
+    /** @param name Name of a subject; empty for all. @returns Latest entries, the latest last. */
+    abstract entries(name: string): readonly AuditEntry[];
+}
+
+/** Collects the decisions about a subject from all instances. */
+export class AuditDesk extends Feature {
+    private constructor(private readonly services: InstanceServices) {
+        super();
+        services.localAnswers.push((_from, ask) => this.answer(ask));
+    }
+
+    /** @param services What all features share. @returns The desk. */
+    static create(services: InstanceServices): AuditDesk {
+        return new AuditDesk(services);
+    }
+
+    override handle(event: InstanceEvent, now: number): void {
+        if (event.kind === "audit-show") {
+            this.collect(event.id, event.name, now);
+        }
+    }
+
+    override tick(): void {
+        // Nothing happens with time alone.
+    }
+
+    private answer(ask: PeerAsk): PeerReply | undefined {
+        if (ask.kind !== "report-ask") {
+            return undefined;
+        }
+        const entries = this.services.auditSource?.entries(ask.name) ?? [];
+        return { kind: "report-reply", entries: entries.slice(-MAX_ANSWERED_ENTRIES) };
+    }
+
+    private collect(id: number, name: string, now: number): void {
+        const instances = this.services.ownership.live(now);
+        const entries: AuditEntry[] = [];
+        const unanswered: string[] = [];
+        let waiting = instances.length;
+        const finish = () => {
+            entries.sort((a, b) => a.at - b.at);
+            this.services.outbox.emit({
+                kind: "desk-reply",
+                id,
+                reply: { kind: "audit-listing", entries, unanswered },
+            });
+        };
+        for (const { instance, address } of instances) {
+            this.services.ask(instance, address, { kind: "report-ask", name }, now, reply => {
+                if (reply?.kind === "report-reply") {
+                    entries.push(...reply.entries);
+                } else {
+                    unanswered.push(instance);
+                }
+                waiting -= 1;
+                if (waiting === 0) {
+                    finish();
+                }
+            });
+        }
+        if (instances.length === 0) {
+            finish();
+        }
+    }
+}
+
+FeatureRegistry.instance.register(services => AuditDesk.create(services));
--- /dev/null
+++ b/src/serving/common/directory.ts
@@ -0,0 +1,58 @@
+import { bucketOf } from "../../coordination/common/rendezvous";
+import { ShardPlan } from "../../coordination/common/ownershipKeeper";
+import { EntryListing, Listing, WorkerListing } from "../../platform/common/instanceList";
+
+/** The workers and instances that the platform lists, and the shard of each worker and task. */
+export class Directory {
+    private workers = new Map<string, WorkerListing>();
+    private entryListings: readonly EntryListing[] = [];
+
+    private constructor(private readonly plan: readonly ShardPlan[]) {}
+
+    /** @param plan All shards; every instance must be given the same. @returns An empty directory. */
+    static create(plan: readonly ShardPlan[]): Directory {
+        return new Directory(plan);
+    }
+
+    /** Entry instances that the platform lists. */
+    get entries(): readonly EntryListing[] {
+        return this.entryListings;
+    }
+
+    /** Takes in the platform's list. */
+    update(listing: Listing): void {
+        this.workers = new Map(listing.workers.map(each => [each.id, each]));
+        this.entryListings = listing.entries;
+    }
+
+    /** @param id Name of a worker. @returns The worker, if it is listed. */
+    worker(id: string): WorkerListing | undefined {
+        return this.workers.get(id);
+    }
+
+    /** @param shard Name of a shard. @returns Its workers. */
+    workersOf(shard: string): WorkerListing[] {
+        return [...this.workers.values()].filter(each => this.shardOfWorker(each) === shard);
+    }
+
+    /** @param service Name of a service. @returns Workers that run it. */
+    hosts(service: string): WorkerListing[] {
+        return [...this.workers.values()].filter(each => each.services.includes(service));
+    }
+
+    /** @returns Services that run on some worker. */
+    services(): Set<string> {
+        return new Set([...this.workers.values()].flatMap(each => each.services));
+    }
+
+    /** @returns Shard of a worker: one of its region's, by its name. */
+    shardOfWorker(worker: WorkerListing): string {
+        const local = this.plan.filter(each => each.region === worker.region);
+        return local.length === 0 ? "" : local[bucketOf(worker.id, local.length)].name;
+    }
+
+    /** @param key Idempotency key of a task. @returns Its shard; the same for every submission of the key. */
+    shardOfTask(key: string): string {
+        return this.plan[bucketOf(key, this.plan.length)].name;
+    }
+}
--- /dev/null
+++ b/src/serving/common/grantDesk.ts
@@ -0,0 +1,90 @@
+import { GRANT_INTERVAL_MS, GrantAsk } from "../../coordination/common/grant";
+import { GrantHoldings } from "../../coordination/common/grantHoldings";
+import { Feature } from "./feature";
+import { FeatureRegistry } from "./featureRegistry";
+import { InstanceServices } from "./instanceServices";
+import { InstanceEvent } from "./instanceTraffic";
+import { PeerAsk, PeerReply } from "./peerTraffic";
+
+/** Latencies of upstreams that go with one request for grants. */
+const MAX_LATENCIES = 16;
+
+/** Slowdown from which a latency is worth reporting. */
+const NOTABLE_SLOWDOWN = 1.1;
+
+/** Holds this instance's slots, and asks the owners of the shards for them. */
+export class GrantDesk extends Feature {
+    private readonly holdings: GrantHoldings;
+    private readonly nextAskAt = new Map<string, number>();
+
+    private constructor(private readonly services: InstanceServices) {
+        super();
+        this.holdings = GrantHoldings.create(worker => services.busySlots(worker));
+        services.holdings = this.holdings;
+        services.localAnswers.push((_from, ask, now) => this.answer(ask, now));
+    }
+
+    /** @param services What all features share. @returns The desk. */
+    static create(services: InstanceServices): GrantDesk {
+        return new GrantDesk(services);
+    }
+
+    override handle(_event: InstanceEvent, _now: number): void {
+        // Questions reach the desk through the services.
+    }
+
+    override tick(now: number): void {
+        if (this.services.isStopping && this.services.ownership.isGone) {
+            return;
+        }
+        for (const { name } of this.services.plan) {
+            if (now >= (this.nextAskAt.get(name) ?? 0)) {
+                this.ask(name, now);
+            }
+        }
+    }
+
+    private ask(shard: string, now: number): void {
+        const owner = this.services.ownership.ownerOf(shard);
+        if (owner === undefined || !this.services.ownershipFold.instances.has(this.services.identity.instance)) {
+            return;
+        }
+        this.nextAskAt.set(shard, now + GRANT_INTERVAL_MS);
+        this.services.ask(owner.instance, owner.address, this.grantAsk(shard, now), now, reply => {
+            if (reply?.kind === "grant-reply") {
+                this.holdings.take(reply, now);
+            }
+        });
+    }
+
+    private grantAsk(shard: string, now: number): GrantAsk {
+        const { directory, identity } = this.services;
+        const workers = directory.workersOf(shard);
+        const services = new Set(workers.flatMap(worker => worker.services));
+        const demand = this.services.demand();
+        const demands = [...services].map(service => {
+            const hosts = Math.max(1, directory.hosts(service).length);
+            const local = workers.filter(worker => worker.services.includes(service)).length;
+            return { service, slots: ((demand.get(service) ?? 0) * local) / hosts };
+        });
+        const names = new Set(workers.map(worker => worker.id));
+        return {
+            kind: "grant-ask",
+            shard,
+            instance: identity.instance,
+            ...this.holdings.position(shard),
+            demands,
+            held: this.holdings.held(shard, now),
+            latencies: this.services
+                .latencies(services)
+                .filter(each => names.has(each.worker) && each.slowdown > NOTABLE_SLOWDOWN)
+                .slice(0, MAX_LATENCIES),
+        };
+    }
+
+    private answer(ask: PeerAsk, now: number): PeerReply | undefined {
+        return ask.kind === "fence-ask" ? this.holdings.fence(ask, now) : undefined;
+    }
+}
+
+FeatureRegistry.instance.register(services => GrantDesk.create(services));
--- /dev/null
+++ b/src/serving/common/instanceServices.ts
@@ -0,0 +1,135 @@
+import { Emitter } from "../../base/common/emitter";
+import { Outbox } from "../../base/common/outbox";
+import { ServiceLatency } from "../../coordination/common/grant";
+import { GrantHoldings } from "../../coordination/common/grantHoldings";
+import { LogSession } from "../../coordination/common/logSession";
+import { OwnershipEntry } from "../../coordination/common/ownershipEntry";
+import { OwnershipFold } from "../../coordination/common/ownershipFold";
+import { InstanceIdentity, OwnershipKeeper, ShardPlan } from "../../coordination/common/ownershipKeeper";
+import { TicketEntry } from "../../coordination/common/ticketEntry";
+import { TicketFold } from "../../coordination/common/ticketFold";
+import { LogEffect } from "../../platform/common/logTraffic";
+import type { AuditSource } from "./auditDesk";
+import { Directory } from "./directory";
+import { InstanceEffect } from "./instanceTraffic";
+import { LogEntry, OWNERSHIP_STREAM, TICKET_STREAM } from "./logEntry";
+import { PeerAsk, PeerReply } from "./peerTraffic";
+import { AuditSubject } from "../../scheduling/common/auditEntry";
+import { ShardKeeper } from "../../scheduling/common/shardKeeper";
+import { Task, TaskEvent } from "../../scheduling/common/task";
+import { TicketConfig } from "./ticketConfig";
+
+/** A change of a task, as the owner of its shard reads it. */
+export interface TaskChange {
+    readonly shard: string;
+    readonly task: Task;
+    readonly event: TaskEvent;
+}
+
+/** Takes the answer of another instance; `undefined` when it did not answer. */
+export type PeerListener = (reply: PeerReply | undefined, now: number) => void;
+
+/** Questions of its own that an instance answers without asking anybody. */
+export type LocalAnswer = (from: string, ask: PeerAsk, now: number) => PeerReply | undefined;
+
+/** What all features of an instance share. */
+export class InstanceServices {
+    readonly outbox = Outbox.create<InstanceEffect>();
+    readonly ticketFold = TicketFold.create();
+    readonly ownershipFold = OwnershipFold.create();
+    readonly config = TicketConfig.create(this.ticketFold);
+    readonly directory: Directory;
+    readonly tickets: LogSession<TicketEntry>;
+    readonly ownershipSession: LogSession<OwnershipEntry>;
+    readonly listed = Emitter.create<void>();
+    readonly tasks = Emitter.create<TaskChange>();
+    /** Keepers of the shards that this instance owns. */
+    shards: ReadonlyMap<string, ShardKeeper> = new Map();
+    readonly snapshotOffsets = new Map<string, () => number>();
+    readonly localAnswers: LocalAnswer[] = [];
+    readonly ownership: OwnershipKeeper;
+    /** Latest decisions of this instance. */
+    auditSource: AuditSource | undefined;
+    /** Slots of other owners' workers that this instance may use. */
+    holdings: GrantHoldings | undefined;
+    /** Answers how many slots of a worker are busy. */
+    busySlots: (worker: string) => number = () => 0;
+    /** Answers the slots wanted by service. */
+    demand: () => ReadonlyMap<string, number> = () => new Map();
+    /** Answers the relative latencies of the upstreams of services. */
+    latencies: (services: Iterable<string>) => ServiceLatency[] = () => [];
+    /** Answers how many requests have no answer yet. */
+    openRequests: () => number = () => 0;
+    /** Whether the instance is shutting down. */
+    isStopping = false;
+    private readonly peerListeners = new Map<number, PeerListener>();
+    private callCount = 0;
+
+    private constructor(
+        readonly identity: InstanceIdentity,
+        readonly plan: readonly ShardPlan[],
+    ) {
+        this.directory = Directory.create(plan);
+        this.tickets = LogSession.create(TICKET_STREAM, identity.instance, this.ticketFold, 0, this.logOutbox());
+        this.ownershipSession = LogSession.create(
+            OWNERSHIP_STREAM,
+            identity.instance,
+            this.ownershipFold,
+            0,
+            this.logOutbox(),
+        );
+        this.ownership = OwnershipKeeper.create(identity, plan, this.ownershipFold, this.ownershipSession, {
+            ticketNumber: () => this.ticketFold.latestNumber,
+            snapshotNext: shard => this.snapshotOffsets.get(shard)?.() ?? 0,
+        });
+    }
+
+    /**
+     * @param identity Who the instance is.
+     * @param plan All shards.
+     * @returns The services, with closed log sessions.
+     */
+    static create(identity: InstanceIdentity, plan: readonly ShardPlan[]): InstanceServices {
+        return new InstanceServices(identity, plan);
+    }
+
+    /** @returns The outbox as parts see it that only talk to the log. */
+    logOutbox<E extends LogEntry>(): Outbox<LogEffect<E>> {
+        return this.outbox as unknown as Outbox<LogEffect<E>>;
+    }
+
+    /** Puts a decision into the audit trail. */
+    audit(subject: AuditSubject, name: string, action: string, reason: string): void {
+        const { instance } = this.identity;
+        this.outbox.emit({ kind: "audit", entry: { subject, name, action, reason, at: Date.now(), instance } });
+    }
+
+    /** Asks another instance, or this one itself. @param now Time in ms. */
+    ask(instance: string, address: string, ask: PeerAsk, now: number, listener: PeerListener): void {
+        if (instance === this.identity.instance) {
+            listener(this.answer(instance, ask, now), now);
+            return;
+        }
+        this.callCount += 1;
+        this.peerListeners.set(this.callCount, listener);
+        this.outbox.emit({ kind: "peer-ask", call: this.callCount, instance, address, ask });
+    }
+
+    /** Takes in the answer to a question. @param reply The answer; `undefined` when there is none. */
+    settle(call: number, reply: PeerReply | undefined, now: number): void {
+        const listener = this.peerListeners.get(call);
+        this.peerListeners.delete(call);
+        listener?.(reply, now);
+    }
+
+    /** @returns The answer of this instance to a question. */
+    answer(from: string, ask: PeerAsk, now: number): PeerReply {
+        for (const answer of this.localAnswers) {
+            const reply = answer(from, ask, now);
+            if (reply !== undefined) {
+                return reply;
+            }
+        }
+        return { kind: "unavailable", reason: `${ask.kind} cannot be answered now` };
+    }
+}
--- /dev/null
+++ b/src/serving/common/instanceTraffic.ts
@@ -0,0 +1,31 @@
+import { ListEffect, ListEvent } from "../../platform/common/listTraffic";
+import { LogEffect, LogEvent } from "../../platform/common/logTraffic";
+import { WorkerEffect, WorkerEvent } from "../../platform/common/workerTraffic";
+import { RouteEffect, RouteEvent } from "../../routing/common/routeTraffic";
+import { AuditEffect } from "../../scheduling/common/auditEntry";
+import { DeskEffect, DeskEvent } from "./deskTraffic";
+import { LogEntry } from "./logEntry";
+import { PeerEffect, PeerEvent } from "./peerTraffic";
+
+/** Everything that an instance learns. */
+export type InstanceEvent =
+    | LogEvent<LogEntry>
+    | WorkerEvent
+    | PeerEvent
+    | RouteEvent
+    | DeskEvent
+    | ListEvent
+    | { readonly kind: "tick" }
+    | { readonly kind: "stop" };
+
+/** Everything that an instance asks for. */
+export type InstanceEffect =
+    | LogEffect<LogEntry>
+    | WorkerEffect
+    | PeerEffect
+    | RouteEffect
+    | DeskEffect
+    | AuditEffect
+    | ListEffect
+    /** The instance holds nothing any more and may end. */
+    | { readonly kind: "stopped" };
--- /dev/null
+++ b/src/serving/common/ticketSchema.ts
@@ -0,0 +1,84 @@
+import * as z from "zod/mini";
+import { TicketObject } from "../../coordination/common/ticketEntry";
+import { TicketDraft } from "./deskTraffic";
+
+/** Longest time that a request may be given, in ms. */
+const MAX_REQUEST_MS = 120_000;
+
+const MAX_BODY_BYTES = 16 * 1024 * 1024;
+
+const name = z.string().check(z.regex(/^[a-zA-Z0-9][a-zA-Z0-9._-]*$/), z.maxLength(64));
+const positive = z.number().check(z.positive());
+const weight = z.number().check(z.nonnegative(), z.maximum(100));
+const removed = z.literal("removed");
+
+const service = z.strictObject({
+    cpus: positive,
+    memoryGb: positive,
+    deadlineMs: z.int().check(z.positive(), z.maximum(MAX_REQUEST_MS)),
+    requestClass: z.enum(["idempotent", "non-idempotent"]),
+});
+
+const team = z.strictObject({
+    guaranteedSlots: z.number().check(z.nonnegative()),
+    maxSlots: z.int().check(z.nonnegative()),
+});
+
+const batchClass = z.strictObject({
+    cpus: positive,
+    memoryGb: positive,
+    accelerators: z.int().check(z.nonnegative()),
+    durationMs: z.int().check(z.positive()),
+});
+
+const policy = z.strictObject({ tailLatency: weight, throughput: weight, evictions: weight });
+
+const limits = z.strictObject({
+    requestMs: z.int().check(z.positive(), z.maximum(MAX_REQUEST_MS)),
+    bodyBytes: z.int().check(z.positive(), z.maximum(MAX_BODY_BYTES)),
+    minServiceSlots: z.int().check(z.nonnegative()),
+});
+
+const drain = z.strictObject({ reason: z.string() });
+
+/** Each part of a ticket names objects and gives the whole new state of each, or says that it is removed. */
+export const ticketSchema = z.strictObject({
+    number: z.int().check(z.positive()),
+    basedOn: z._default(z.int().check(z.nonnegative()), 0),
+    author: z.string().check(z.minLength(1)),
+    reason: z.string().check(z.minLength(1)),
+    services: z.optional(z.record(name, z.union([service, removed]))),
+    teams: z.optional(z.record(name, z.union([team, removed]))),
+    classes: z.optional(z.record(name, z.union([batchClass, removed]))),
+    policy: z.optional(policy),
+    limits: z.optional(limits),
+    drains: z.optional(z.record(name, z.union([drain, removed]))),
+});
+
+/** A ticket as its file says it. */
+export type TicketFile = z.infer<typeof ticketSchema>;
+
+const PARTS = [
+    ["services", "service"],
+    ["teams", "team"],
+    ["classes", "class"],
+    ["drains", "drain"],
+] as const;
+
+/** @param file A ticket as its file says it. @returns The ticket by objects. */
+export function toTicketDraft(file: TicketFile): TicketDraft {
+    const objects: TicketObject[] = PARTS.flatMap(([part, kind]) =>
+        Object.entries(file[part] ?? {}).map(([key, state]) => ({
+            key: `${kind}/${key}`,
+            value: state === "removed" ? "" : JSON.stringify(state),
+        })),
+    );
+    if (file.policy !== undefined) {
+        objects.push({ key: "policy/weights", value: JSON.stringify(file.policy) });
+    }
+    if (file.limits !== undefined) {
+        objects.push({ key: "limits/requests", value: JSON.stringify(file.limits) });
+    }
+    const { number, basedOn, author, reason } = file;
+    return { number, basedOn, author, reason, objects };
+}
--- /dev/null
+++ b/src/serving/node/instanceProcess.ts
@@ -0,0 +1,135 @@
+import { randomBytes } from "node:crypto";
+import { AddressInfo } from "node:net";
+import { Server } from "node:http";
+import { Disposable } from "../../base/common/disposable";
+import { Invariants } from "../../base/common/invariant";
+import { Loop } from "../../base/node/loop";
+import { HttpClient } from "../../platform/node/httpClient";
+import { Instance } from "../common/instance";
+import { InstanceEffect, InstanceEvent } from "../common/instanceTraffic";
+import { Settings } from "../common/settings";
+import { createLogger } from "./logger";
+import { MetricsWriter } from "./metricsWriter";
+import { Performers } from "./performers";
+
+/** Time between two ticks of the loop: also the time over which appends are grouped. */
+export const TICK_MS = 200;
+
+/** Bytes of the part of an instance's name that differs with each start. */
+const INCARNATION_BYTES = 3;
+
+/** Time that a stop waits for the log to take the farewell, in ms. */
+const FAREWELL_PATIENCE_MS = 15_000;
+
+/** One running instance: the loop, its decisions, and the performers of its effects. */
+export class InstanceProcess implements Disposable {
+    private readonly client: HttpClient;
+    private readonly loop: Loop<InstanceEvent, InstanceEffect>;
+    private readonly performers: Performers;
+    private server: Server | undefined;
+    private readonly stopped: Promise<void>;
+    private resolveStopped: () => void = () => undefined;
+
+    private constructor(
+        private readonly settings: Settings,
+        readonly instance: Instance,
+        private readonly metrics: MetricsWriter,
+    ) {
+        const logger = createLogger(settings.log);
+        const post = (event: InstanceEvent) => this.loop.post(event);
+        this.stopped = new Promise(resolve => (this.resolveStopped = resolve));
+        this.client = HttpClient.create();
+        this.performers = Performers.create(settings, instance, this.client, metrics, post, () => this.onStopped());
+        this.loop = Loop.create(
+            (event, now, wallNow) => instance.dispatch(event, now, wallNow),
+            effect => this.performers.perform(effect),
+        );
+        instance.shared.auditSource = this.performers.audit;
+        instance.shared.tasks.event(change => metrics.task(change));
+        Invariants.instance.onDidViolate(({ invariant, detail }) => logger.error("invariant", { invariant, detail }));
+    }
+
+    /**
+     * Makes an instance and begins to listen.
+     * @param settings Settings of the instance.
+     * @returns The running instance.
+     * @throws The system's error when the address cannot be listened on.
+     */
+    static async start(settings: Settings): Promise<InstanceProcess> {
+        const incarnation = `${settings.instance}-${randomBytes(INCARNATION_BYTES).toString("hex")}`;
+        const plan = Object.entries(settings.shards).flatMap(([region, count]) =>
+            Array.from({ length: count }, (_, index) => ({ name: `${region}-${index}`, region })),
+        );
+        const { region, failureDomain } = settings;
+        const address = settings.advertise ?? settings.listen;
+        const instance = Instance.create({ instance: incarnation, address, region, failureDomain }, plan);
+        const process = new InstanceProcess(settings, instance, await MetricsWriter.create(settings.metrics));
+        await process.listen();
+        return process;
+    }
+
+    /** Port that the instance listens on. */
+    get port(): number {
+        return (this.server?.address() as AddressInfo).port;
+    }
+
+    /** Resolves when the instance has ended. */
+    get ended(): Promise<void> {
+        return this.stopped;
+    }
+
+    /** Begins a graceful shutdown. @returns Resolves when nothing is in flight any more. */
+    async stop(): Promise<void> {
+        this.loop.post({ kind: "stop" });
+        const timer = setTimeout(() => this.onStopped(), this.settings.drainMs);
+        const farewell = setInterval(() => this.giveUpFarewell(), FAREWELL_PATIENCE_MS);
+        await this.stopped;
+        clearTimeout(timer);
+        clearInterval(farewell);
+        await this.closeServer();
+        this.dispose();
+    }
+
+    /** Ends at once, as a crash would: nothing is said to anybody. */
+    dispose(): void {
+        this.loop.dispose();
+        this.server?.closeAllConnections();
+        this.server?.close();
+        this.performers.dispose();
+        this.client.dispose();
+        this.metrics.close();
+    }
+
+    private async listen(): Promise<void> {
+        const { listen } = this.settings;
+        const [host, port] = [listen.slice(0, listen.lastIndexOf(":")), listen.slice(listen.lastIndexOf(":") + 1)];
+        const server = await this.performers.createServer();
+        await new Promise<void>((resolve, reject) => {
+            server.once("error", reject);
+            server.listen(Number(port), host, resolve);
+        });
+        this.server = server;
+        this.instance.start(performance.now()).forEach(effect => this.performers.perform(effect));
+        this.loop.startTicking({ kind: "tick" }, TICK_MS);
+    }
+
+    private onStopped(): void {
+        this.resolveStopped();
+    }
+
+    /** While the log is down nobody can be told of the end; what is in flight is still awaited. */
+    private giveUpFarewell(): void {
+        const { shared } = this.instance;
+        if (shared.ownershipSession.isAppendFailing && shared.openRequests() === 0) {
+            this.onStopped();
+        }
+    }
+
+    /** Answers that are on their way are sent whole before the connections are closed. */
+    private closeServer(): Promise<void> {
+        return new Promise(resolve => {
+            this.server?.close(() => resolve());
+            this.server?.closeIdleConnections();
+        });
+    }
+}
--- /dev/null
+++ b/src/serving/node/performers.ts
@@ -0,0 +1,117 @@
+import { Server } from "node:http";
+import { Disposable } from "../../base/common/disposable";
+import { HttpClient } from "../../platform/node/httpClient";
+import { HttpInstanceList } from "../../platform/node/httpInstanceList";
+import { HttpLogService } from "../../platform/node/httpLogService";
+import { Instance } from "../common/instance";
+import { InstanceEffect, InstanceEvent } from "../common/instanceTraffic";
+import { Settings } from "../common/settings";
+import { AuditTrail } from "./auditTrail";
+import { DeskTable } from "./deskTable";
+import { FrontEnd } from "./frontEnd";
+import { createLogger } from "./logger";
+import { LogPerformer } from "./logPerformer";
+import { MetricsWriter } from "./metricsWriter";
+import { PeerExchange } from "./peerExchange";
+import { RequestTable } from "./requestTable";
+import { UpstreamPerformer } from "./upstreamPerformer";
+import { WorkerPerformer } from "./workerPerformer";
+
+/** The performers of one instance, by the kinds of effects. */
+export class Performers implements Disposable {
+    readonly audit: AuditTrail;
+    private readonly log: LogPerformer;
+    private readonly list: HttpInstanceList;
+    private readonly workers: WorkerPerformer;
+    private readonly peers: PeerExchange;
+    private readonly requests = RequestTable.create();
+    private readonly upstreams: UpstreamPerformer;
+    private readonly desk: DeskTable;
+
+    private constructor(
+        private readonly settings: Settings,
+        private readonly instance: Instance,
+        client: HttpClient,
+        private readonly metrics: MetricsWriter,
+        private readonly post: (event: InstanceEvent) => void,
+        private readonly onStopped: () => void,
+    ) {
+        const logger = createLogger(settings.log);
+        this.audit = AuditTrail.create(entry => logger.info("audit", { ...entry }));
+        this.log = LogPerformer.create(HttpLogService.create(settings.platform.log, client), post);
+        this.list = HttpInstanceList.create(settings.platform.instances, client);
+        this.workers = WorkerPerformer.create(client, post);
+        this.peers = PeerExchange.create({
+            instance: instance.shared.identity.instance,
+            client,
+            scheme: settings.tls === undefined ? "http" : "https",
+            key: settings.keys.peers,
+            post,
+        });
+        this.upstreams = UpstreamPerformer.create(this.requests, post);
+        this.desk = DeskTable.create(post);
+    }
+
+    static create(
+        settings: Settings,
+        instance: Instance,
+        client: HttpClient,
+        metrics: MetricsWriter,
+        post: (event: InstanceEvent) => void,
+        onStopped: () => void,
+    ): Performers {
+        return new Performers(settings, instance, client, metrics, post, onStopped);
+    }
+
+    createServer(): Promise<Server> {
+        const { settings, instance, requests, desk, post } = this;
+        const peerHandlers = this.peers.handlers;
+        return FrontEnd.create({ settings, instance, requests, desk, peerHandlers, post }).createServer();
+    }
+
+    perform(effect: InstanceEffect): void {
+        switch (effect.kind) {
+            case "log-append":
+            case "log-read-next":
+                return this.log.perform(effect);
+            case "worker-call":
+                return this.workers.perform(effect);
+            case "peer-ask":
+            case "peer-reply":
+                return this.peers.perform(effect);
+            case "list-instances":
+                return void this.readList();
+            case "desk-reply":
+                return this.desk.reply(effect.id, effect.reply);
+            case "audit":
+                return this.audit.add(effect.entry);
+            case "upstream-send":
+                return void this.upstreams.send(effect);
+            case "upstream-abort":
+                return this.upstreams.abort(effect.request, effect.attempt);
+            case "upstream-relay":
+                return void this.upstreams.relay(effect.request, effect.attempt);
+            case "upstream-probe":
+                return void this.upstreams.probe(effect.worker, effect.address);
+            case "upstream-replace":
+                return this.upstreams.replace(effect.worker);
+            case "caller-cut":
+                return this.requests.cut(effect.request);
+            case "caller-refuse":
+                return this.requests.refuse(effect);
+            case "request-measured":
+                return this.metrics.request(effect);
+            case "stopped":
+                return this.onStopped();
+        }
+    }
+
+    dispose(): void {
+        this.upstreams.dispose();
+    }
+
+    private async readList(): Promise<void> {
+        const result = await this.list.read();
+        this.post(result.ok ? { kind: "instances-listed", listing: result.val } : { kind: "instances-unlisted" });
+    }
+}
--- /dev/null
+++ b/src/standin/common/memoryLog.ts
@@ -0,0 +1,116 @@
+import { Err, Ok, Result } from "ts-results";
+import { LogError, LogPage, LogService, Offset } from "../../platform/common/logService";
+
+/** Records that one read returns at most. */
+const MAX_PAGE_RECORDS = 512;
+
+interface Stream {
+    first: Offset;
+    records: Uint8Array[];
+    readonly waiting: Set<() => void>;
+}
+
+/** Faults that the log shows while they are set. */
+export interface LogFaults {
+    /** The log refuses everything. */
+    down: boolean;
+    /** Appends take effect, and their replies are lost. */
+    losesReplies: boolean;
+    /** Records that a stream keeps. */
+    retention: number;
+}
+
+/** A log service in memory, with the faults of a real one. */
+export class MemoryLog extends LogService {
+    private readonly streams = new Map<string, Stream>();
+    readonly faults: LogFaults = { down: false, losesReplies: false, retention: Number.POSITIVE_INFINITY };
+    /** Appends that took effect. */
+    appendCount = 0;
+    /** Bytes that appends carried. */
+    appendedBytes = 0;
+
+    private constructor() {
+        super();
+    }
+
+    /** @returns An empty log without faults. */
+    static create(): MemoryLog {
+        return new MemoryLog();
+    }
+
+    /** Names of the streams that have had records. */
+    get names(): Iterable<string> {
+        return this.streams.keys();
+    }
+
+    override append(stream: string, payload: Uint8Array): Promise<Result<Offset, LogError>> {
+        return Promise.resolve(this.appendNow(stream, payload));
+    }
+
+    override async read(stream: string, from: Offset, waitMs: number): Promise<Result<LogPage, LogError>> {
+        const first = this.readNow(stream, from);
+        if (!first.ok || first.val.records.length > 0 || waitMs === 0) {
+            return first;
+        }
+        await this.changed(stream, waitMs);
+        return this.readNow(stream, from);
+    }
+
+    /** Appends at once. */
+    appendNow(name: string, payload: Uint8Array): Result<Offset, LogError> {
+        if (this.faults.down) {
+            return Err({ kind: "refused", message: "the log is down" });
+        }
+        const stream = this.stream(name);
+        stream.records.push(payload);
+        this.appendCount += 1;
+        this.appendedBytes += payload.length;
+        const offset = stream.first + stream.records.length - 1;
+        this.truncate(stream);
+        [...stream.waiting].forEach(wake => wake());
+        return this.faults.losesReplies ? Err({ kind: "unknown", message: "the reply was lost" }) : Ok(offset);
+    }
+
+    /** Reads at once. */
+    readNow(name: string, from: Offset): Result<LogPage, LogError> {
+        if (this.faults.down) {
+            return Err({ kind: "refused", message: "the log is down" });
+        }
+        const stream = this.stream(name);
+        if (from < stream.first) {
+            return Err({ kind: "truncated", first: stream.first });
+        }
+        const start = from - stream.first;
+        const records = stream.records
+            .slice(start, start + MAX_PAGE_RECORDS)
+            .map((payload, index) => ({ offset: from + index, payload }));
+        return Ok({ records, head: stream.first + stream.records.length });
+    }
+
+    private stream(name: string): Stream {
+        const stream = this.streams.get(name) ?? { first: 0, records: [], waiting: new Set() };
+        this.streams.set(name, stream);
+        return stream;
+    }
+
+    private truncate(stream: Stream): void {
+        const excess = stream.records.length - this.faults.retention;
+        if (excess > 0) {
+            stream.records.splice(0, excess);
+            stream.first += excess;
+        }
+    }
+
+    private changed(name: string, waitMs: number): Promise<void> {
+        const { waiting } = this.stream(name);
+        return new Promise(resolve => {
+            const wake = () => {
+                clearTimeout(timer);
+                waiting.delete(wake);
+                resolve();
+            };
+            const timer = setTimeout(wake, waitMs);
+            waiting.add(wake);
+        });
+    }
+}
--- /dev/null
+++ b/src/standin/node/platformServer.ts
@@ -0,0 +1,104 @@
+import { createServer, IncomingMessage, Server, ServerResponse } from "node:http";
+import { AddressInfo } from "node:net";
+import { Disposable } from "../../base/common/disposable";
+import { Listing } from "../../platform/common/instanceList";
+import { LogError } from "../../platform/common/logService";
+import { joinFrames } from "../../platform/node/frames";
+import { FIRST_HEADER, HEAD_HEADER, OFFSET_HEADER } from "../../platform/node/httpLogService";
+import { MemoryLog } from "../common/memoryLog";
+
+/** The platform's log service and instance list over HTTP, in memory. */
+export class PlatformServer implements Disposable {
+    readonly log = MemoryLog.create();
+    private listing: Listing = { workers: [], entries: [] };
+    private version = 0;
+
+    private constructor(private readonly server: Server) {}
+
+    /** @param port Port to listen on; 0 for any. @returns The platform, listening on loopback. */
+    static async start(port = 0): Promise<PlatformServer> {
+        const server = createServer();
+        const platform = new PlatformServer(server);
+        server.on("request", (request, response) => void platform.serve(request, response));
+        await new Promise<void>(resolve => server.listen(port, "127.0.0.1", resolve));
+        return platform;
+    }
+
+    /** Scheme, host and port. */
+    get origin(): string {
+        return `http://127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    }
+
+    /** Replaces what the platform lists. */
+    list(listing: Listing): void {
+        this.listing = listing;
+        this.version += 1;
+    }
+
+    /** Stops to listen. */
+    dispose(): void {
+        this.server.closeAllConnections();
+        this.server.close();
+    }
+
+    private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        response.on("error", () => undefined);
+        const url = new URL(request.url ?? "/", "http://localhost");
+        const stream = /^\/streams\/([^/]+)\/records$/.exec(url.pathname)?.[1];
+        if (url.pathname === "/instances") {
+            this.serveList(request, response);
+        } else if (stream === undefined) {
+            response.writeHead(404).end();
+        } else if (request.method === "POST") {
+            await this.serveAppend(stream, request, response);
+        } else {
+            await this.serveRead(stream, url, response);
+        }
+    }
+
+    private serveList(request: IncomingMessage, response: ServerResponse): void {
+        const tag = `"${this.version}"`;
+        if (request.headers["if-none-match"] === tag) {
+            response.writeHead(304, { etag: tag }).end();
+        } else {
+            response.writeHead(200, { etag: tag }).end(JSON.stringify(this.listing));
+        }
+    }
+
+    private async serveAppend(stream: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const parts: Buffer[] = [];
+        for await (const part of request as AsyncIterable<Buffer>) {
+            parts.push(part);
+        }
+        const result = this.log.appendNow(stream, Buffer.concat(parts));
+        if (result.ok) {
+            response.writeHead(201, { [OFFSET_HEADER]: result.val }).end();
+        } else {
+            fail(response, result.val);
+        }
+    }
+
+    private async serveRead(stream: string, url: URL, response: ServerResponse): Promise<void> {
+        const from = Number(url.searchParams.get("from") ?? 0);
+        const result = await this.log.read(stream, from, Number(url.searchParams.get("wait") ?? 0));
+        if (result.ok) {
+            const { records, head } = result.val;
+            response.writeHead(200, { [HEAD_HEADER]: head }).end(joinFrames(records.map(each => each.payload)));
+        } else {
+            fail(response, result.val);
+        }
+    }
+}
+
+function fail(response: ServerResponse, error: LogError): void {
+    switch (error.kind) {
+        case "truncated":
+            response.writeHead(410, { [FIRST_HEADER]: error.first }).end();
+            return;
+        case "refused":
+            response.writeHead(503).end(error.message);
+            return;
+        case "unknown":
+            response.destroy();
+    }
+}
