--- a/src/coordination/common/grantTable.ts
+++ b/src/coordination/common/grantTable.ts
@@ -15,10 +15,11 @@
 /** Slots of one worker that services may use. */
 interface WorkerSlots {
     share: number;
-    readonly services: readonly string[];
+    /** Share at the change of owners: all that earlier owners can have granted; unknown before it is set. */
+    inheritedShare: number | undefined;
     readonly holdings: Map<string, Holding>;
-    /** Slots that an unreachable instance may hold from an earlier owner. */
-    unaccounted: number;
+    /** Slots that instances have accounted for of what earlier owners granted. */
+    accounted: number;
 }
 
 interface Asker {
@@ -61,12 +62,11 @@
      * Sets the slots that services may use on a worker.
      * @param worker Name of the worker.
      * @param slots The slots; 0 takes the worker out as the grants of it lapse.
-     * @param services Services that run there.
      */
-    setShare(worker: string, slots: number, services: readonly string[]): void {
-        const known = this.workers.get(worker);
-        const holdings = known?.holdings ?? new Map<string, Holding>();
-        this.workers.set(worker, { share: slots, services, holdings, unaccounted: known?.unaccounted ?? 0 });
+    setShare(worker: string, slots: number): void {
+        const known = this.worker(worker);
+        known.share = slots;
+        known.inheritedShare ??= slots;
     }
 
     /**
@@ -75,12 +75,10 @@
      */
     adopt(instance: string, held: readonly Grant[], now: number): void {
         for (const grant of held) {
-            const worker = this.workers.get(grant.worker);
-            if (worker !== undefined) {
-                const { slots } = grant;
-                worker.holdings.set(instance, { granted: slots, target: slots, until: this.lapse(now) });
-                worker.unaccounted = Math.max(0, worker.unaccounted - slots);
-            }
+            const worker = this.worker(grant.worker);
+            const { slots } = grant;
+            worker.holdings.set(instance, { granted: slots, target: slots, until: this.lapse(now) });
+            worker.accounted += slots;
         }
     }
 
@@ -90,10 +88,6 @@
      */
     holdBackUnaccounted(until: number): void {
         this.unaccountedUntil = until;
-        for (const worker of this.workers.values()) {
-            const granted = [...worker.holdings.values()].reduce((sum, each) => sum + each.granted, 0);
-            worker.unaccounted = Math.max(0, worker.share - granted);
-        }
     }
 
     /** Ends the keeping back, since every instance has answered. */
@@ -112,7 +106,8 @@
             return 0;
         }
         const granted = [...slots.holdings.values()].filter(each => each.until > now);
-        const kept = now < this.unaccountedUntil ? slots.unaccounted : 0;
+        const unaccounted = Math.max(0, (slots.inheritedShare ?? 0) - slots.accounted);
+        const kept = now < this.unaccountedUntil ? unaccounted : 0;
         return granted.reduce((sum, each) => sum + each.granted, 0) + kept;
     }
 
@@ -150,6 +145,17 @@
         return [...this.askers.values()].reduce((sum, each) => sum + (each.demands.get(service) ?? 0), 0);
     }
 
+    private worker(name: string): WorkerSlots {
+        const known = this.workers.get(name) ?? {
+            share: 0,
+            inheritedShare: undefined,
+            holdings: new Map<string, Holding>(),
+            accounted: 0,
+        };
+        this.workers.set(name, known);
+        return known;
+    }
+
     private lapse(now: number): number {
         return now + withDrift(GRANT_LEASE_MS) + this.requestTailMs;
     }
--- a/src/platform/common/worker.ts
+++ b/src/platform/common/worker.ts
@@ -11,6 +11,8 @@
 
 /** Order to run one attempt. All times are readings of the worker's own clock, in milliseconds. */
 export interface StartOrder extends AttemptName {
+    /** Reading after which the worker must not start the attempt any more. */
+    readonly startBy: number;
     readonly expiresAt: number;
     readonly family: string;
     readonly payload: string;
--- a/src/routing/common/routeTraffic.ts
+++ b/src/routing/common/routeTraffic.ts
@@ -30,7 +30,8 @@
           readonly attempt: number;
           readonly worker: string;
           readonly address: string;
-          readonly timeoutMs: number;
+          /** Time (ms, the loop's clock) after which the request must not be sent any more. */
+          readonly deadline: number;
       }
     | { readonly kind: "upstream-abort"; readonly request: number; readonly attempt: number }
     | { readonly kind: "upstream-relay"; readonly request: number; readonly attempt: number }
--- a/src/routing/common/router.ts
+++ b/src/routing/common/router.ts
@@ -2,7 +2,7 @@
 import { Outbox } from "../../base/common/outbox";
 import { ServiceLatency } from "../../coordination/common/grant";
 import { LinkBudget } from "./linkBudget";
-import { RefusalReason, Request, RequestDescription, RequestHost } from "./request";
+import { RefusalReason, Request, RequestDescription, RequestEvent, RequestHost } from "./request";
 import { RetryBudget } from "./retryBudget";
 import { RouteEffect, RouteEvent } from "./routeTraffic";
 import { SlotSource, UpstreamListing } from "./slotSource";
@@ -31,6 +31,15 @@
 /** Weight of the newest moment in the demand of a service. */
 const DEMAND_SMOOTHING = 0.2;
 
+/**
+ * Time by which an upstream has stopped working on a request whose connection was closed, after the deadline
+ * that it was given, in ms.
+ */
+const LINGER_MS = 1_000;
+
+/** Events after which an upstream certainly does not work on a request, or holds no slot for it. */
+const ENDS_FOR_CERTAIN: readonly RequestEvent[] = ["whole", "head", "not-sent"];
+
 /** Answers without which a latency is not reported to the owners. */
 const MIN_REPORTED_LATENCY_MS = 1;
 
@@ -246,13 +255,16 @@
     }
 
     /** Takes one step of a request, and gives its slot back when the attempt is over. */
-    private step(request: Request, event: Parameters<Request["fire"]>[0], now: number): void {
+    private step(request: Request, event: RequestEvent, now: number): void {
         const upstream = request.worker === undefined ? undefined : this.upstream(request.worker);
         const held = holdsSlot(request);
         request.fire(event, now);
         const keeps = holdsSlot(request);
         if (upstream !== undefined) {
-            upstream.busySlots += Number(keeps) - Number(held);
+            upstream.heldSlots += Number(keeps) - Number(held);
+            if (held && !keeps && !ENDS_FOR_CERTAIN.includes(event)) {
+                upstream.linger(Math.max(now, request.description.deadline) + LINGER_MS);
+            }
             this.checkSlots(upstream, held, keeps, now);
             if (!isWithUpstream(request)) {
                 upstream.requests.delete(request);
@@ -364,7 +376,7 @@
             attempt: request.attempt,
             worker,
             address: this.addressOf(worker),
-            timeoutMs: request.description.deadline - now,
+            deadline: request.description.deadline,
         });
     }
 
--- a/src/routing/common/upstream.ts
+++ b/src/routing/common/upstream.ts
@@ -50,7 +50,9 @@
     /** Requests whose attempts are with the upstream. */
     readonly requests = new Set<Request>();
     /** Requests of them that hold a slot; begun streams hold a connection alone. */
-    busySlots = 0;
+    heldSlots = 0;
+    /** Times (ms) until which given up requests may still be running. */
+    private lingering: number[] = [];
 
     private constructor(
         readonly worker: string,
@@ -79,6 +81,16 @@
         return this.machine.state;
     }
 
+    /** Slots that requests use, those that were given up and may still be running included. */
+    get busySlots(): number {
+        return this.heldSlots + this.lingering.length;
+    }
+
+    /** Keeps a slot of a given up request. @param until Time in ms by which the upstream has stopped. */
+    linger(until: number): void {
+        this.lingering.push(until);
+    }
+
     /** Mean time to the head of an answer, in ms. */
     get latencyMs(): number {
         return this.latency;
@@ -107,6 +119,7 @@
 
     /** Acts on the passing of time. @param now Time in ms. */
     tick(now: number): void {
+        this.lingering = this.lingering.filter(until => until > now);
         if (now >= this.retryAt) {
             this.machine.fire("retry-due", now);
         }
--- a/src/scheduling/common/adoption.ts
+++ b/src/scheduling/common/adoption.ts
@@ -43,6 +43,11 @@
         return this.unanswered.size === 0;
     }
 
+    /** @param instance Name of an instance. @returns Whether it has not accounted for what it holds. */
+    awaits(instance: string): boolean {
+        return this.unanswered.has(instance);
+    }
+
     /** Takes in an answer. @param instance Name of the instance. @param now Time in ms. */
     answered(instance: string, reply: FenceReply, now: number): void {
         if (reply.epoch === this.context.ownership.epoch && this.unanswered.delete(instance)) {
--- a/src/scheduling/common/attempt.ts
+++ b/src/scheduling/common/attempt.ts
@@ -39,7 +39,7 @@
     private readonly machine: Machine<AttemptEvidence, AttemptState, AttemptEvent, AttemptGuard, AttemptAction>;
 
     /** Reading of the worker's clock (ms) after which a start that was sent is void. */
-    startExpiresAt = 0;
+    startBy = 0;
     /** Reading of the worker's clock (ms) up to which the attempt may be running. */
     leaseExpiresAt = 0;
     /** Latest report of the running attempt. */
@@ -56,7 +56,7 @@
     ) {
         this.machine = Machine.create(chart, {
             guards: {
-                isStartVoid: evidence => (evidence.workerClock ?? 0) > this.startExpiresAt,
+                isStartVoid: evidence => (evidence.workerClock ?? 0) > this.startBy,
             },
             actions: {
                 recordEnd: evidence => {
--- a/src/scheduling/common/attemptFollower.ts
+++ b/src/scheduling/common/attemptFollower.ts
@@ -55,7 +55,7 @@
     tick(now: number): void {
         for (const attempt of [...this.context.attempts.values()]) {
             const link = this.context.links.get(attempt.assignment.worker);
-            if (attempt.state === "committed" && attempt.task.state === "cancelling") {
+            if (attempt.state === "committed" && !this.isStartable(attempt, link, now)) {
                 attempt.fire("expired");
             } else if (link?.contact !== "met" && now > this.runsUntil(attempt, link)) {
                 attempt.fire("expired");
@@ -63,6 +63,12 @@
         }
     }
 
+    /** Whether an attempt that has not been sent is still wanted where it was placed. */
+    private isStartable(attempt: Attempt, link: WorkerLink | undefined, now: number): boolean {
+        const open = link === undefined || !this.context.isListFresh(now) || this.context.isOpen(link.listing, now);
+        return attempt.task.state === "assigned" && open;
+    }
+
     /** @returns Attempts on a worker. */
     *on(link: WorkerLink): Iterable<Attempt> {
         for (const task of this.context.fold.onWorker(link.listing.id)) {
--- a/src/scheduling/common/leaseCaller.ts
+++ b/src/scheduling/common/leaseCaller.ts
@@ -2,7 +2,7 @@
 import { Attempt } from "./attempt";
 import { AttemptFollower } from "./attemptFollower";
 import { REPORT_INTERVAL_MS, WorkerLink } from "./workerLink";
-import { TASK_LEASE_MS } from "./schedulingLimits";
+import { START_WINDOW_MS, TASK_LEASE_MS } from "./schedulingLimits";
 import { ShardContext, taskNumber } from "./shardContext";
 
 /** Age of a clock reading above which nothing is started on its strength, in ms. */
@@ -58,22 +58,29 @@
 
     private starts(link: WorkerLink, now: number): StartOrder[] {
         const { clock } = link;
-        if (clock === undefined || clock.age(now) > MAX_CLOCK_AGE_MS || link.contact !== "met") {
+        if (
+            clock === undefined ||
+            clock.age(now) > MAX_CLOCK_AGE_MS ||
+            link.contact !== "met" ||
+            !this.context.isOpen(link.listing, now)
+        ) {
             return [];
         }
+        const startBy = clock.estimate(now) + START_WINDOW_MS;
         return [...this.follower.on(link)]
             .filter(attempt => isToStart(attempt) && attempt.assignment.boot === clock.boot)
-            .map(attempt => this.start(attempt, clock.reading + TASK_LEASE_MS));
+            .map(attempt => this.start(attempt, startBy, clock.reading + TASK_LEASE_MS));
     }
 
-    private start(attempt: Attempt, expiresAt: number): StartOrder {
-        attempt.startExpiresAt = expiresAt;
+    private start(attempt: Attempt, startBy: number, expiresAt: number): StartOrder {
+        attempt.startBy = startBy;
         attempt.leaseExpiresAt = Math.max(attempt.leaseExpiresAt, expiresAt);
         attempt.fire("sent");
         const { task, assignment } = attempt;
         return {
             task: this.context.taskName(task.number),
             attempt: assignment.attempt,
+            startBy,
             expiresAt,
             family: task.request.family,
             payload: task.request.payload,
--- a/src/scheduling/common/placer.ts
+++ b/src/scheduling/common/placer.ts
@@ -53,7 +53,7 @@
         }
         const candidates = [...this.context.links.values()]
             .filter(link => this.takesTasks(link, now))
-            .map(link => this.ledger.candidate(link, now));
+            .map(link => this.candidate(link, now));
         for (const task of this.order.next(queued, this.teamUsage(), wallNow, MAX_PLACEMENTS_PER_PASS)) {
             this.place(task, candidates);
         }
@@ -65,6 +65,15 @@
         return [...fold.openTasks].filter(task => task.state === "queued" && !pendingAssignments.has(task.number));
     }
 
+    /** Slots that services wait for are not given to tasks again. */
+    private candidate(link: WorkerLink, now: number): Candidate {
+        const candidate = this.ledger.candidate(link, now);
+        const { id } = link.listing;
+        const wanted = this.context.wantedShares.get(id) ?? 0;
+        candidate.freeSlots -= Math.max(0, wanted - this.context.slotsForServices(id, now));
+        return candidate;
+    }
+
     private place(task: Task, candidates: readonly Candidate[]): void {
         const size = this.context.models.usage.reserve(task.request);
         if (this.refuseImpossible(task, size)) {
@@ -141,12 +150,13 @@
         return true;
     }
 
-    private takesTasks(link: WorkerLink, now: number): boolean {
+    /** @returns Whether a worker is given tasks at all. */
+    takesTasks(link: WorkerLink, now: number): boolean {
         const { listing, clock, contact, trust } = link;
         if (contact !== "met" || clock === undefined || clock.age(now) > MAX_REPORT_AGE_MS) {
             return false;
         }
-        if (listing.availability === "leaving" || this.context.config.isDrained(listing.id)) {
+        if (!this.context.isOpen(listing, now)) {
             return false;
         }
         const idle = this.context.fold.onWorker(listing.id).size === 0;
--- a/src/scheduling/common/reviewer.ts
+++ b/src/scheduling/common/reviewer.ts
@@ -59,6 +59,7 @@
         const shares: ServiceShare[] = [];
         for (const link of this.context.links.values()) {
             const wanted = this.wantedShare(link);
+            this.context.wantedShares.set(link.listing.id, wanted);
             const slots = this.reachableShare(link, wanted, now);
             if (slots < wanted) {
                 this.evictOne(link, () => true, "the services of the worker need its slot");
@@ -140,7 +141,8 @@
         const waiting = this.placer
             .queued()
             .filter(task => task.request.urgency === "urgent" && wallNow - task.submittedAt > URGENT_PATIENCE_MS);
-        for (const task of waiting) {
+        const underway = [...this.context.attempts.values()].filter(attempt => attempt.evicting).length;
+        for (const task of waiting.slice(underway)) {
             this.makeRoom(task, now);
         }
     }
@@ -148,7 +150,7 @@
     private makeRoom(task: Task, now: number): void {
         const size = this.context.models.usage.reserve(task.request);
         const links = [...this.context.links.values()].filter(
-            link => link.contact === "met" && link.listing.availability === "live" && link.trust.state === "trusted",
+            link => this.placer.takesTasks(link, now) && !task.failedOn.includes(link.listing.id),
         );
         const options = links
             .map(link => ({ link, victim: this.cheapest(link, victim => this.wouldFit(link, size, victim, now)) }))
--- a/src/scheduling/common/schedulingLimits.ts
+++ b/src/scheduling/common/schedulingLimits.ts
@@ -1,6 +1,9 @@
 /** Lease of an attempt, in ms on the worker's clock. It outlasts the change of a shard's owner. */
 export const TASK_LEASE_MS = 40_000;
 
+/** Time that a start may be on its way, in ms. */
+export const START_WINDOW_MS = 4_000;
+
 /** Waiting time after which an urgent task may evict another one, in ms. */
 export const URGENT_PATIENCE_MS = 1_500;
 
@@ -23,7 +26,7 @@
 export const EVICT_MEMORY_SHARE = 0.92;
 
 /** Records after which a shard's owner writes a snapshot. */
-export const SNAPSHOT_INTERVAL_RECORDS = 2_000;
+export const SNAPSHOT_INTERVAL_RECORDS = 500;
 
 /** Time after which a shard's owner writes a snapshot, if there are new records. */
 export const SNAPSHOT_INTERVAL_MS = 600_000;
--- a/src/scheduling/common/shardContext.ts
+++ b/src/scheduling/common/shardContext.ts
@@ -2,6 +2,7 @@
 import { GrantTable } from "../../coordination/common/grantTable";
 import { LogSession } from "../../coordination/common/logSession";
 import { ShardOwnership } from "../../coordination/common/shardOwnership";
+import { WorkerListing } from "../../platform/common/instanceList";
 import { WorkerEffect } from "../../platform/common/workerTraffic";
 import { Attempt } from "./attempt";
 import { AuditEffect, AuditSubject } from "./auditEntry";
@@ -35,6 +36,8 @@
     readonly pendingAssignments = new Map<number, PendingAssignment>();
     /** Shares that are on their way to the log. */
     readonly pendingShares = new Map<string, number>();
+    /** Shares that the services of each worker need, whether or not they have them yet. */
+    readonly wantedShares = new Map<string, number>();
     private callCount = 0;
 
     private constructor(
@@ -46,6 +49,8 @@
         readonly models: SchedulingModels,
         readonly config: SchedulingConfig,
         readonly outbox: Outbox<WorkerEffect | AuditEffect>,
+        /** Tells whether the platform's list has been looked at lately. */
+        readonly isListFresh: (now: number) => boolean,
     ) {}
 
     /**
@@ -57,6 +62,7 @@
      * @param models What was learnt.
      * @param config What is in force.
      * @param outbox Takes the effects.
+     * @param isListFresh Tells whether the platform's list has been looked at lately.
      * @returns A context without workers.
      */
     static create(
@@ -68,8 +74,9 @@
         models: SchedulingModels,
         config: SchedulingConfig,
         outbox: Outbox<WorkerEffect | AuditEffect>,
+        isListFresh: (now: number) => boolean,
     ): ShardContext {
-        return new ShardContext(ownership, instance, session, fold, grants, models, config, outbox);
+        return new ShardContext(ownership, instance, session, fold, grants, models, config, outbox, isListFresh);
     }
 
     /** Name of the shard. */
@@ -77,6 +84,11 @@
         return this.ownership.name;
     }
 
+    /** @returns Whether a worker may be given new work: nobody is taking it away, as far as is known now. */
+    isOpen(listing: WorkerListing, now: number): boolean {
+        return listing.availability === "live" && !this.config.isDrained(listing.id) && this.isListFresh(now);
+    }
+
     /** @returns A number for the next call to a worker. */
     nextCall(): number {
         this.callCount += 1;
--- a/src/scheduling/common/shardKeeper.ts
+++ b/src/scheduling/common/shardKeeper.ts
@@ -46,6 +46,8 @@
     /** Instances that may hold grants of earlier owners. */
     readonly instances: () => Iterable<string>;
     readonly sendFence: FenceSender;
+    /** Tells whether the platform's list has been looked at lately. */
+    readonly isListFresh: (now: number) => boolean;
 }
 
 /** Owns one shard from the claim to its loss: reads its stream, adopts what runs, places and follows tasks. */
@@ -85,6 +87,7 @@
             options.models,
             config,
             outbox as unknown as Outbox<WorkerEffect | AuditEffect>,
+            options.isListFresh,
         );
         this.follower = AttemptFollower.create(this.context);
         this.ledger = CapacityLedger.create(this.context);
@@ -189,7 +192,9 @@
     /** Answers an instance that asks for slots; `undefined` while the shard cannot grant any. */
     handleAsk(ask: GrantAsk, now: number): GrantReply | undefined {
         const { ownership, grants, models } = this.context;
-        if (!ownership.isActing || ownership.state === "adopting") {
+        // What an instance holds from earlier owners must be known before it is given anything.
+        const unknown = this.adoption?.awaits(ask.instance) === true;
+        if (!ownership.isActing || ownership.state === "adopting" || unknown) {
             return undefined;
         }
         for (const { service, worker, slowdown } of ask.latencies) {
@@ -310,7 +315,7 @@
     private shareOut(): void {
         const { links, fold, grants } = this.context;
         for (const { listing } of links.values()) {
-            grants.setShare(listing.id, fold.serviceSlots(listing.id), listing.services);
+            grants.setShare(listing.id, fold.serviceSlots(listing.id));
         }
     }
 
--- a/src/scheduling/common/workerClock.ts
+++ b/src/scheduling/common/workerClock.ts
@@ -1,4 +1,4 @@
-import { withDrift } from "../../coordination/common/duration";
+import { CLOCK_DRIFT, withDrift } from "../../coordination/common/duration";
 
 /** What is known of a worker's own clock from its latest report. */
 export class WorkerClock {
@@ -27,6 +27,11 @@
         return this.receivedAt + withDrift(Math.max(0, reading - this.reading));
     }
 
+    /** @param now Time in ms. @returns Reading that the worker's clock has certainly reached. */
+    estimate(now: number): number {
+        return this.reading + this.age(now) * (1 - CLOCK_DRIFT);
+    }
+
     /** @param now Time in ms. @returns Time since the report, in ms. */
     age(now: number): number {
         return now - this.receivedAt;
--- a/src/serving/common/directory.ts
+++ b/src/serving/common/directory.ts
@@ -2,9 +2,13 @@
 import { ShardPlan } from "../../coordination/common/ownershipKeeper";
 import { EntryListing, Listing, WorkerListing } from "../../platform/common/instanceList";
 
+/** Time after which the list must have been asked for again, in ms. */
+const MAX_LIST_AGE_MS = 5_000;
+
 /** The workers and instances that the platform lists, and the shard of each worker and task. */
 export class Directory {
     private workers = new Map<string, WorkerListing>();
+    private checkedAt = Number.NEGATIVE_INFINITY;
     private entryListings: readonly EntryListing[] = [];
 
     private constructor(private readonly plan: readonly ShardPlan[]) {}
@@ -14,6 +18,21 @@
         return new Directory(plan);
     }
 
+    /** Notes that the platform was asked for the list, whether it answered or not. */
+    checked(now: number): void {
+        this.checkedAt = now;
+    }
+
+    /**
+     * A list that could not be read is still the best there is. One that nobody has asked for lately, as after a
+     * pause of the process, is not relied on.
+     * @param now Time in ms.
+     * @returns Whether the list may be relied on.
+     */
+    isFresh(now: number): boolean {
+        return now - this.checkedAt < MAX_LIST_AGE_MS;
+    }
+
     /** Entry instances that the platform lists. */
     get entries(): readonly EntryListing[] {
         return this.entryListings;
--- a/src/serving/common/grantedSlots.ts
+++ b/src/serving/common/grantedSlots.ts
@@ -23,7 +23,9 @@
     override slots(worker: string, now: number): number {
         const { directory, holdings } = this.services;
         const listing = directory.worker(worker);
-        return listing === undefined ? 0 : (holdings?.slots(directory.shardOfWorker(listing), worker, now) ?? 0);
+        return listing === undefined || !directory.isFresh(now)
+            ? 0
+            : (holdings?.slots(directory.shardOfWorker(listing), worker, now) ?? 0);
     }
 
     override address(worker: string): string {
--- a/src/serving/common/shardDesk.ts
+++ b/src/serving/common/shardDesk.ts
@@ -105,6 +105,7 @@
                 outbox: services.outbox as unknown as Outbox<ShardEffect>,
                 onTask: (task, event) => services.tasks.fire({ shard: shard.name, task, event }),
                 instances: () => services.ownershipFold.instances.keys(),
+                isListFresh: at => services.directory.isFresh(at),
                 sendFence: instance => this.sendFence(shard.name, instance),
             },
             now,
--- a/src/serving/common/streamDesk.ts
+++ b/src/serving/common/streamDesk.ts
@@ -16,7 +16,7 @@
 const LIST_INTERVAL_MS = 2_000;
 
 /** Records of a stream after which the owner of the first shard writes a snapshot of it. */
-const SNAPSHOT_RECORDS = 1_000;
+const SNAPSHOT_RECORDS = 500;
 
 /** Keeps the streams that every instance reads, and the platform's list. */
 export class StreamDesk extends Feature {
@@ -46,6 +46,7 @@
                 return this.handleLog(event, now);
             case "instances-listed":
                 this.listAnswered = true;
+                this.services.directory.checked(now);
                 if (event.listing !== undefined) {
                     this.services.directory.update(event.listing);
                     this.services.listed.fire();
@@ -53,6 +54,7 @@
                 return;
             case "instances-unlisted":
                 this.listAnswered = true;
+                this.services.directory.checked(now);
                 return;
             case "peer-replied":
                 return this.services.settle(event.call, event.reply, now);
--- a/src/serving/node/upstreamPerformer.ts
+++ b/src/serving/node/upstreamPerformer.ts
@@ -55,12 +55,18 @@
 
     /** Sends a request to an upstream. */
     async send(effect: SendEffect): Promise<void> {
-        const { request, attempt: number, worker, address, timeoutMs } = effect;
+        const { request, attempt: number, worker, address, deadline } = effect;
+        const timeoutMs = deadline - performance.now();
         const outgoing = this.store.find(request);
         if (outgoing === undefined) {
             this.post({ kind: "caller-gone", request });
             return;
         }
+        // The process may have been paused since the decision.
+        if (timeoutMs <= 0) {
+            this.post({ kind: "upstream-failed", request, attempt: number, certainty: "not-sent" });
+            return;
+        }
         const attempt: Attempt = { number, abort: new AbortController(), answer: undefined };
         this.attempts.set(request, attempt);
         try {
--- a/src/standin/common/memoryLog.ts
+++ b/src/standin/common/memoryLog.ts
@@ -52,7 +52,7 @@
         if (!first.ok || first.val.records.length > 0 || waitMs === 0) {
             return first;
         }
-        await this.changed(stream, waitMs);
+        await new Promise<void>(resolve => this.onceChanged(stream, waitMs, resolve));
         return this.readNow(stream, from);
     }
 
@@ -101,16 +101,15 @@
         }
     }
 
-    private changed(name: string, waitMs: number): Promise<void> {
+    /** Calls back once: at the next append to a stream, or when the time is over. */
+    onceChanged(name: string, waitMs: number, wakeUp: () => void): void {
         const { waiting } = this.stream(name);
-        return new Promise(resolve => {
-            const wake = () => {
-                clearTimeout(timer);
-                waiting.delete(wake);
-                resolve();
-            };
-            const timer = setTimeout(wake, waitMs);
-            waiting.add(wake);
-        });
+        const wake = () => {
+            clearTimeout(timer);
+            waiting.delete(wake);
+            wakeUp();
+        };
+        const timer = setTimeout(wake, waitMs);
+        waiting.add(wake);
     }
 }
--- a/src/standin/common/simulatedWorker.ts
+++ b/src/standin/common/simulatedWorker.ts
@@ -149,7 +149,7 @@
         if (this.known.has(name)) {
             return this.running.has(name) || this.finished.has(name);
         }
-        if (this.keepsEpochs && order.expiresAt <= this.clock()) {
+        if (this.keepsEpochs && order.startBy <= this.clock()) {
             return false;
         }
         this.known.add(name);
