--- a/src/coordination/common/grant.ts
+++ b/src/coordination/common/grant.ts
@@ -59,6 +59,8 @@
     readonly kind: "fence-ask";
     readonly shard: string;
     readonly epoch: Epoch;
+    /** The instance that is meant: another one may have its address by now. */
+    readonly instance: string;
 }
 
 /** What an instance holds, granted by earlier owners. */
--- a/src/coordination/common/ownershipEntry.ts
+++ b/src/coordination/common/ownershipEntry.ts
@@ -48,6 +48,8 @@
     readonly instance: string;
     readonly epoch: Epoch;
     readonly snapshotNext: Offset;
+    /** Time for which owners before this one may still be renewing what they granted, in ms. */
+    readonly authorityMs: number;
 }
 
 /** Entries of the ownership stream. */
--- a/src/coordination/common/ownershipFold.ts
+++ b/src/coordination/common/ownershipFold.ts
@@ -14,6 +14,8 @@
     readonly renewal: Offset;
     readonly phase: "held" | "released";
     readonly snapshotNext: Offset;
+    /** Time after a release for which owners before the last one may still be renewing, in ms. */
+    readonly authorityMs: number;
 }
 
 /** An instance as the log knows it. */
@@ -27,7 +29,14 @@
     readonly offset: Offset;
 }
 
-const NEVER_OWNED: ShardTenure = { owner: "", epoch: -1, renewal: -1, phase: "released", snapshotNext: 0 };
+const NEVER_OWNED: ShardTenure = {
+    owner: "",
+    epoch: -1,
+    renewal: -1,
+    phase: "released",
+    snapshotNext: 0,
+    authorityMs: 0,
+};
 
 interface SavedState {
     readonly shards: readonly (readonly [string, ShardTenure])[];
@@ -117,6 +126,7 @@
             renewal: offset,
             phase: "held",
             snapshotNext: tenure.snapshotNext,
+            authorityMs: 0,
         });
     }
 
@@ -128,6 +138,7 @@
                 phase: "released",
                 renewal: offset,
                 snapshotNext: entry.snapshotNext,
+                authorityMs: entry.authorityMs,
             });
         }
     }
--- a/src/coordination/common/ownershipKeeper.ts
+++ b/src/coordination/common/ownershipKeeper.ts
@@ -1,5 +1,6 @@
 import { Emitter } from "../../base/common/emitter";
 import { Offset } from "../../platform/common/logService";
+import { Epoch } from "../../platform/common/worker";
 import { withDrift } from "./duration";
 import { Lease } from "./lease";
 import { AppliedBatch, LogSession } from "./logSession";
@@ -45,6 +46,11 @@
     readonly now: number;
 }
 
+interface ReadRelease {
+    readonly epoch: Epoch;
+    readonly authorityEndsAt: number;
+}
+
 /** Answers what the keeper puts into its renewals. */
 export abstract class PresenceSource {
     /** @returns Number of the ticket in force here. */
@@ -61,7 +67,8 @@
     private readonly shards: ReadonlyMap<string, ShardOwnership>;
     private readonly seenAt = new Map<string, number>();
     private readonly changes = Emitter.create<OwnershipChange>();
-    private readonly releasedEpochs = new Map<string, number>();
+    /** Releases that were read, by shard: the epoch given up, and until when (ms) owners before it may renew. */
+    private readonly releases = new Map<string, ReadRelease>();
     private presenceAskedAt: number | undefined;
     private joinedAt = Number.POSITIVE_INFINITY;
     private nextPresenceAt = 0;
@@ -152,9 +159,6 @@
 
     override claim(shard: ShardOwnership): void {
         const tenure = this.fold.tenure(shard.name);
-        if (tenure.phase === "released") {
-            this.releasedEpochs.set(shard.name, tenure.epoch);
-        }
         this.session.append({
             kind: "shard-claimed",
             shard: shard.name,
@@ -164,13 +168,14 @@
         });
     }
 
-    override release(shard: ShardOwnership): void {
+    override release(shard: ShardOwnership, now: number): void {
         this.session.append({
             kind: "shard-released",
             shard: shard.name,
             instance: this.identity.instance,
             epoch: shard.epoch,
             snapshotNext: this.source.snapshotNext(shard.name),
+            authorityMs: Math.ceil(Math.max(0, shard.authorityEndsAt - now)),
         });
     }
 
@@ -343,14 +348,18 @@
         if (entry.seenEpoch < 0) {
             return now;
         }
-        const released = this.releasedEpochs.get(entry.shard) === entry.seenEpoch;
-        return released ? now : Lease.observedEnd(this.renewalSeen(shard), OWNERSHIP_LEASE_MS + HOLDOVER_MS);
+        const release = this.releases.get(entry.shard);
+        if (release?.epoch === entry.seenEpoch) {
+            return Math.max(now, release.authorityEndsAt);
+        }
+        return Lease.observedEnd(this.renewalSeen(shard), OWNERSHIP_LEASE_MS + HOLDOVER_MS);
     }
 
     private noteSuperseded(shard: ShardOwnership, now: number): void {
         const tenure = this.fold.tenure(shard.name);
-        if (tenure.phase === "released") {
-            this.releasedEpochs.set(shard.name, tenure.epoch);
+        if (tenure.phase === "released" && this.releases.get(shard.name)?.epoch !== tenure.epoch) {
+            const authorityEndsAt = Lease.observedEnd(now, tenure.authorityMs);
+            this.releases.set(shard.name, { epoch: tenure.epoch, authorityEndsAt });
         }
         const lost = tenure.epoch !== shard.epoch || (tenure.phase === "released" && shard.state !== "releasing");
         if (shard.epoch >= 0 && lost) {
--- a/src/scheduling/common/adoption.ts
+++ b/src/scheduling/common/adoption.ts
@@ -20,7 +20,7 @@
         private readonly context: ShardContext,
         instances: Iterable<string>,
         private readonly send: FenceSender,
-        private readonly startedAt: number,
+        private startedAt: number,
     ) {
         this.unanswered = new Set(instances);
     }
@@ -38,6 +38,12 @@
         return adoption;
     }
 
+    /** Goes on with the adoption after the owner was suspended. @param now Time in ms. @returns The adoption. */
+    resume(now: number): this {
+        this.startedAt = now;
+        return this;
+    }
+
     /** Whether every instance has accounted for what it holds. */
     get isComplete(): boolean {
         return this.unanswered.size === 0;
--- a/src/scheduling/common/capacityLedger.ts
+++ b/src/scheduling/common/capacityLedger.ts
@@ -31,7 +31,7 @@
             accelerators: listing.capacity.accelerators - sum(sizes, each => each.accelerators),
         };
         const freeSlots = listing.capacity.slots - sizes.length - serviceSlots;
-        this.check(listing, freeSlots, free);
+        this.check(listing, freeSlots, free, now);
         return {
             worker: listing.id,
             rack: listing.rack,
@@ -86,13 +86,26 @@
         return share === 0 || now === 0 ? 0 : Math.min(1, demand / workers / share);
     }
 
-    private check(listing: WorkerListing, freeSlots: number, free: TaskSize): void {
+    private describe(listing: WorkerListing, freeSlots: number, free: TaskSize, now: number): string {
+        const { fold, pendingShares, pendingAssignments, grants, ownership } = this.context;
+        const { id } = listing;
+        return JSON.stringify({
+            worker: id,
+            owner: this.context.instance,
+            state: ownership.state,
+            freeSlots,
+            ...free,
+            share: fold.serviceSlots(id),
+            pendingShare: pendingShares.get(id),
+            granted: grants.inUse(id, now),
+            tasks: [...fold.onWorker(id)].map(task => task.request.key),
+            pending: [...pendingAssignments].filter(([, each]) => each.worker === id).map(([number]) => number),
+        });
+    }
+
+    private check(listing: WorkerListing, freeSlots: number, free: TaskSize, now: number): void {
         const holds = freeSlots >= 0 && free.accelerators >= 0 && free.memoryGb >= -0.01 && free.cpus >= -0.01;
-        Invariants.instance.check(
-            "capacity",
-            holds,
-            () => `${listing.id} has ${JSON.stringify({ freeSlots, ...free })}`,
-        );
+        Invariants.instance.check("capacity", holds, () => this.describe(listing, freeSlots, free, now));
     }
 }
 
--- a/src/scheduling/common/placer.ts
+++ b/src/scheduling/common/placer.ts
@@ -137,17 +137,35 @@
                 each.memoryGb >= needed.memoryGb &&
                 each.accelerators >= needed.accelerators,
         );
-        if (possible || room.length === 0) {
+        if (room.length === 0) {
             return false;
         }
+        if (possible) {
+            return this.refuseFailedEverywhere(task, size);
+        }
         const reason =
             `needs ${needed.cpus} cpus, ${needed.memoryGb} GB and ${needed.accelerators} accelerators; ` +
             `the largest worker of ${context.shard} has ${Math.max(...room.map(each => each.cpus))}, ` +
             `${Math.max(...room.map(each => each.memoryGb))} and ${Math.max(...room.map(each => each.accelerators))}`;
+        this.refuse(task, size, reason);
+        return true;
+    }
+
+    /** A shard may have fewer workers than a task may fail on. */
+    private refuseFailedEverywhere(task: Task, size: TaskSize): boolean {
+        const names = [...this.context.links.keys()];
+        const everywhere = names.every(name => task.failedOn.includes(name));
+        if (everywhere) {
+            this.refuse(task, size, `failed on every worker of ${this.context.shard}: ${task.failedOn.join(", ")}`);
+        }
+        return everywhere;
+    }
+
+    private refuse(task: Task, size: TaskSize, reason: string): void {
+        const { context } = this;
         context.session.append({ kind: "task-refused", epoch: context.ownership.epoch, task: task.number, reason });
         context.pendingAssignments.set(task.number, { worker: "", size });
         context.audit("task", task.request.key, "refused", reason);
-        return true;
     }
 
     /** @returns Whether a worker is given tasks at all. */
--- a/src/scheduling/common/reviewer.ts
+++ b/src/scheduling/common/reviewer.ts
@@ -102,11 +102,15 @@
     }
 
     private recordShares(shares: readonly ServiceShare[]): void {
-        const { session, pendingShares, ownership } = this.context;
+        const { session, pendingShares, ownership, grants, fold } = this.context;
         if (shares.length === 0 || session.isAppendFailing || pendingShares.size > 0) {
             return;
         }
-        shares.forEach(share => pendingShares.set(share.worker, share.slots));
+        for (const { worker, slots } of shares) {
+            pendingShares.set(worker, slots);
+            // A lower share binds the grants before it is in the log, a higher one only after.
+            grants.setShare(worker, Math.min(slots, fold.serviceSlots(worker)));
+        }
         session.append({ kind: "shares-set", epoch: ownership.epoch, shares });
     }
 
--- a/src/scheduling/common/shardKeeper.ts
+++ b/src/scheduling/common/shardKeeper.ts
@@ -228,7 +228,10 @@
             }
         }
         this.shareOut();
-        this.adoption = Adoption.create(this.context, this.options.instances(), this.options.sendFence, now);
+        // An owner that comes back to the same epoch knows what it granted.
+        this.adoption =
+            this.adoption?.resume(now) ??
+            Adoption.create(this.context, this.options.instances(), this.options.sendFence, now);
     }
 
     /** Acts on the passing of time. @param now Time in ms. @param wallNow Time in ms since the Unix epoch. */
@@ -313,9 +316,10 @@
 
     /** Lets the grants follow the shares in the log. */
     private shareOut(): void {
-        const { links, fold, grants } = this.context;
-        for (const { listing } of links.values()) {
-            grants.setShare(listing.id, fold.serviceSlots(listing.id));
+        const { links, fold, grants, pendingShares } = this.context;
+        for (const id of links.keys()) {
+            const share = fold.serviceSlots(id);
+            grants.setShare(id, Math.min(share, pendingShares.get(id) ?? share));
         }
     }
 
--- a/src/scheduling/common/task.ts
+++ b/src/scheduling/common/task.ts
@@ -11,7 +11,7 @@
 /** What happens to a batch task. */
 export type TaskEvent = "assign" | "cancel" | "refuse" | AttemptEnd;
 
-type TaskGuard = "isNextAttempt" | "isCurrentAttempt" | "isFinalFailure" | "isUnrepeatable";
+type TaskGuard = "hasRun" | "isNextAttempt" | "isCurrentAttempt" | "isFinalFailure" | "isUnrepeatable";
 type TaskAction =
     "beginAttempt" | "endAttempt" | "keepResult" | "keepCheckpoint" | "countFailure" | "countEviction" | "noteRefusal";
 
@@ -31,7 +31,7 @@
             "lost",
             "never-started",
         ],
-        guards: ["isNextAttempt", "isCurrentAttempt", "isFinalFailure", "isUnrepeatable"],
+        guards: ["hasRun", "isNextAttempt", "isCurrentAttempt", "isFinalFailure", "isUnrepeatable"],
         actions: [
             "beginAttempt",
             "endAttempt",
@@ -80,6 +80,7 @@
 /** The functions behind the names of the task chart. */
 export const taskBinding: Binding<Task, TaskPayload, TaskGuard, TaskAction> = {
     guards: {
+        hasRun: task => task.attempts > 0,
         isNextAttempt: (task, payload) => payload?.kind === "task-assigned" && payload.attempt === task.attempts + 1,
         isCurrentAttempt,
         isFinalFailure: (task, payload) =>
--- a/src/serving/common/grantDesk.ts
+++ b/src/serving/common/grantDesk.ts
@@ -83,7 +83,8 @@
     }
 
     private answer(ask: PeerAsk, now: number): PeerReply | undefined {
-        return ask.kind === "fence-ask" ? this.holdings.fence(ask, now) : undefined;
+        const isMeant = ask.kind === "fence-ask" && ask.instance === this.services.identity.instance;
+        return isMeant ? this.holdings.fence(ask, now) : undefined;
     }
 }
 
--- a/src/serving/common/shardDesk.ts
+++ b/src/serving/common/shardDesk.ts
@@ -123,11 +123,17 @@
         const { services } = this;
         const address = services.ownershipFold.instances.get(instance)?.address ?? "";
         const { epoch } = services.ownership.get(shard);
-        services.ask(instance, address, { kind: "fence-ask", shard, epoch }, performance.now(), (reply, now) => {
-            if (reply?.kind === "fence-reply") {
-                this.keepers.get(shard)?.handleFence(instance, reply, now);
-            }
-        });
+        services.ask(
+            instance,
+            address,
+            { kind: "fence-ask", shard, epoch, instance },
+            performance.now(),
+            (reply, now) => {
+                if (reply?.kind === "fence-reply") {
+                    this.keepers.get(shard)?.handleFence(instance, reply, now);
+                }
+            },
+        );
     }
 
     private answer(_from: string, ask: PeerAsk, now: number): PeerReply | undefined {
