--- a/src/coordination/common/grantHoldings.ts
+++ b/src/coordination/common/grantHoldings.ts
@@ -16,11 +16,11 @@
 
     private constructor(
         /** Answers how many slots of a worker are busy. */
-        private readonly busy: (worker: string) => number,
+        private readonly busy: (worker: string, now: number) => number,
     ) {}
 
     /** @param busy Answers how many slots of a worker this instance uses. @returns Holdings without grants. */
-    static create(busy: (worker: string) => number): GrantHoldings {
+    static create(busy: (worker: string, now: number) => number): GrantHoldings {
         return new GrantHoldings(busy);
     }
 
@@ -40,7 +40,7 @@
         const newer = reply.epoch > known.epoch || (reply.epoch === known.epoch && reply.serial > known.serial);
         if (newer) {
             // A worker that is still busy stays listed, so that the owner hears of the slots in use.
-            const busy = [...known.grants.keys()].filter(worker => this.busy(worker) > 0);
+            const busy = [...known.grants.keys()].filter(worker => this.busy(worker, askedAt) > 0);
             const grants = new Map(busy.map(worker => [worker, 0]));
             reply.grants.forEach(grant => grants.set(grant.worker, grant.slots));
             const { epoch, serial } = reply;
@@ -74,7 +74,7 @@
         const known = this.shards.get(shard) ?? NOTHING;
         const lapsed = now >= known.until;
         return [...known.grants]
-            .map(([worker, slots]) => ({ worker, slots: Math.max(lapsed ? 0 : slots, this.busy(worker)) }))
+            .map(([worker, slots]) => ({ worker, slots: Math.max(lapsed ? 0 : slots, this.busy(worker, now)) }))
             .filter(grant => grant.slots > 0);
     }
 
--- a/src/routing/common/router.ts
+++ b/src/routing/common/router.ts
@@ -31,12 +31,6 @@
 /** Weight of the newest moment in the demand of a service. */
 const DEMAND_SMOOTHING = 0.2;
 
-/**
- * Time by which an upstream has stopped working on a request whose connection was closed, after the deadline
- * that it was given, in ms.
- */
-const LINGER_MS = 1_000;
-
 /** Events after which an upstream certainly does not work on a request, or holds no slot for it. */
 const ENDS_FOR_CERTAIN: readonly RequestEvent[] = ["whole", "head", "not-sent"];
 
@@ -88,9 +82,9 @@
         return this.requests.size;
     }
 
-    /** @param worker Name of a worker. @returns Slots of it that requests of this instance use. */
-    busySlots(worker: string): number {
-        return this.upstreams.get(worker)?.busySlots ?? 0;
+    /** @param worker Name of a worker. @param now Time in ms. @returns Slots of it that requests here may be using. */
+    usedSlots(worker: string, now: number): number {
+        return this.upstreams.get(worker)?.usedSlots(now) ?? 0;
     }
 
     /** @returns Slots wanted by service, smoothed over time and never below what is busy now. */
@@ -263,7 +257,7 @@
         if (upstream !== undefined) {
             upstream.heldSlots += Number(keeps) - Number(held);
             if (held && !keeps && !ENDS_FOR_CERTAIN.includes(event)) {
-                upstream.linger(Math.max(now, request.description.deadline) + LINGER_MS);
+                upstream.linger(request, now);
             }
             this.checkSlots(upstream, held, keeps, now);
             if (!isWithUpstream(request)) {
--- a/src/routing/common/upstream.ts
+++ b/src/routing/common/upstream.ts
@@ -31,6 +31,12 @@
 /** Time after a replacement in which connections are not judged again, in ms. */
 const REPLACEMENT_GRACE_MS = 5_000;
 
+/**
+ * Time by which an upstream has stopped working on a request whose connection was closed, after the deadline
+ * that it was given, in ms.
+ */
+const LINGER_MS = 1_000;
+
 /** What an upstream asks of its router. */
 export abstract class UpstreamHost {
     /** Opens a new connection and asks for a sign of life on it. */
@@ -86,9 +92,19 @@
         return this.heldSlots + this.lingering.length;
     }
 
-    /** Keeps a slot of a given up request. @param until Time in ms by which the upstream has stopped. */
-    linger(until: number): void {
-        this.lingering.push(until);
+    /**
+     * After a pause of the process, requests may be long over that are still counted as held.
+     * @param now Time in ms.
+     * @returns Slots that may really be in use.
+     */
+    usedSlots(now: number): number {
+        const over = [...this.requests].filter(request => request.state === "sent" && hasStopped(request, now));
+        return this.heldSlots - over.length + this.lingering.filter(until => until > now).length;
+    }
+
+    /** Keeps the slot of a request that is given up, until the upstream has stopped. @param now Time in ms. */
+    linger(request: Request, now: number): void {
+        this.lingering.push(Math.max(now, request.description.deadline) + LINGER_MS);
     }
 
     /** Mean time to the head of an answer, in ms. */
@@ -130,3 +146,7 @@
         this.retryAt = now + Math.min(MAX_PROBE_PAUSE_MS, MIN_PROBE_PAUSE_MS * 2 ** (this.failures - 1));
     }
 }
+
+function hasStopped(request: Request, now: number): boolean {
+    return now > request.description.deadline + LINGER_MS;
+}
--- a/src/serving/common/grantDesk.ts
+++ b/src/serving/common/grantDesk.ts
@@ -19,7 +19,7 @@
 
     private constructor(private readonly services: InstanceServices) {
         super();
-        this.holdings = GrantHoldings.create(worker => services.busySlots(worker));
+        this.holdings = GrantHoldings.create((worker, now) => services.usedSlots(worker, now));
         services.holdings = this.holdings;
         services.localAnswers.push((_from, ask, now) => this.answer(ask, now));
     }
--- a/src/serving/common/instanceServices.ts
+++ b/src/serving/common/instanceServices.ts
@@ -52,8 +52,8 @@
     auditSource: AuditSource | undefined;
     /** Slots of other owners' workers that this instance may use. */
     holdings: GrantHoldings | undefined;
-    /** Answers how many slots of a worker are busy. */
-    busySlots: (worker: string) => number = () => 0;
+    /** Answers how many slots of a worker requests here may be using. */
+    usedSlots: (worker: string, now: number) => number = () => 0;
     /** Answers the slots wanted by service. */
     demand: () => ReadonlyMap<string, number> = () => new Map();
     /** Answers the relative latencies of the upstreams of services. */
--- a/src/serving/common/routeDesk.ts
+++ b/src/serving/common/routeDesk.ts
@@ -25,7 +25,7 @@
             LinkBudget.create(LINK_SHARERS),
             services.outbox as unknown as Outbox<RouteEffect>,
         );
-        services.busySlots = worker => this.router.busySlots(worker);
+        services.usedSlots = (worker, now) => this.router.usedSlots(worker, now);
         services.demand = () => this.router.demand();
         services.latencies = names => this.router.latencies(names);
         services.openRequests = () => this.router.openCount;
