Keep the limits of grants in the log, so that a new owner knows what a dead instance may hold

Cause: a new owner knew only the share of a worker, and kept back all of it that no instance accounted for, until the holdover of the earlier owner was over. Shares were raised to make up for it, and the next owner kept back more. Also, shares that were read while an owner replayed the stream passed for the share at the change of owners.

Now the limit of each instance on each worker is in the shard's stream; grants stay below it, and a limit is lowered only after its holder confirmed or lapsed.

--- a/src/coordination/common/grant.ts
+++ b/src/coordination/common/grant.ts
@@ -15,6 +15,13 @@
     readonly slots: number;
 }
 
+/** Slots of a worker that an instance may be granted at the most; kept in the log. */
+export interface GrantLimit {
+    readonly worker: string;
+    readonly instance: string;
+    readonly slots: number;
+}
+
 /** An instance asks a shard's owner for slots. */
 export interface GrantAsk {
     readonly kind: "grant-ask";
--- a/src/coordination/common/grantTable.ts
+++ b/src/coordination/common/grantTable.ts
@@ -1,6 +1,6 @@
-import { withDrift } from "./duration";
-import { Grant, GRANT_LEASE_MS, GrantAsk, GrantReply } from "./grant";
 import { Epoch } from "../../platform/common/worker";
+import { withDrift } from "./duration";
+import { Grant, GRANT_INTERVAL_MS, GRANT_LEASE_MS, GrantAsk, GrantLimit, GrantReply } from "./grant";
 
 /** What one instance has of one worker's slots. */
 interface Holding {
@@ -8,18 +8,16 @@
     granted: number;
     /** Slots that it is to have. */
     target: number;
-    /** Time (ms, the owner's clock) until which the instance may be using them. */
+    /** Slots that the log lets it have at the most. */
+    limit: number;
+    /** Time (ms, the owner's clock) until which the instance may be using what it was granted. */
     until: number;
 }
 
 /** Slots of one worker that services may use. */
 interface WorkerSlots {
     share: number;
-    /** Share at the change of owners: all that earlier owners can have granted; unknown before it is set. */
-    inheritedShare: number | undefined;
     readonly holdings: Map<string, Holding>;
-    /** Slots that instances have accounted for of what earlier owners granted. */
-    accounted: number;
 }
 
 interface Asker {
@@ -31,15 +29,17 @@
 /** Demand that every instance is taken to have, so that each can serve its first caller at once. */
 const BASE_DEMAND = 1;
 
+/** Time without a request for grants after which an instance counts as not heard of, in ms. */
+const UNHEARD_MS = 3 * GRANT_INTERVAL_MS;
+
 /**
- * Splits the service slots of a shard's workers among the instances. Slots move from one instance to another
- * only after the first has confirmed that it uses fewer, or its grant has lapsed; so all grants together
- * never exceed a worker's share.
+ * Splits the service slots of a shard's workers among the instances. What an instance may have at the most is
+ * kept in the log, so that a new owner knows what may be in use; the limits of a worker never exceed its share.
+ * A limit is lowered only after its holder has confirmed that it uses fewer slots, or its grant has lapsed.
  */
 export class GrantTable {
     private readonly workers = new Map<string, WorkerSlots>();
     private readonly askers = new Map<string, Asker>();
-    private unaccountedUntil = Number.NEGATIVE_INFINITY;
 
     private constructor(
         private readonly shard: string,
@@ -64,35 +64,82 @@
      * @param slots The slots; 0 takes the worker out as the grants of it lapse.
      */
     setShare(worker: string, slots: number): void {
-        const known = this.worker(worker);
-        known.share = slots;
-        known.inheritedShare ??= slots;
+        this.worker(worker).share = slots;
     }
 
     /**
-     * Takes over what an instance holds from an earlier owner.
+     * Takes in the limits that the log has from earlier owners: until an instance answers, it may be using them.
+     * @param limits All limits of the shard.
+     * @param until Time (ms) by which grants of earlier owners have lapsed.
+     */
+    inherit(limits: readonly GrantLimit[], until: number): void {
+        for (const { worker, instance, slots } of limits) {
+            const holding = { granted: slots, target: 0, limit: slots, until };
+            this.worker(worker).holdings.set(instance, holding);
+        }
+    }
+
+    /**
+     * Takes in what an instance holds from earlier owners.
      * @param now Time in ms.
      */
     adopt(instance: string, held: readonly Grant[], now: number): void {
-        for (const grant of held) {
-            const worker = this.worker(grant.worker);
-            const { slots } = grant;
-            worker.holdings.set(instance, { granted: slots, target: slots, until: this.lapse(now) });
-            worker.accounted += slots;
+        const slots = new Map(held.map(grant => [grant.worker, grant.slots]));
+        for (const [name, { holdings }] of this.workers) {
+            const holding = holdings.get(instance);
+            if (holding !== undefined) {
+                holding.granted = Math.min(holding.granted, slots.get(name) ?? 0);
+                holding.until = this.lapse(now);
+            }
+        }
+    }
+
+    /** Notes that an instance has ended and uses nothing any more. */
+    forget(instance: string): void {
+        this.askers.delete(instance);
+        for (const { holdings } of this.workers.values()) {
+            const holding = holdings.get(instance);
+            if (holding !== undefined) {
+                holding.granted = 0;
+                holding.target = 0;
+            }
         }
     }
 
     /**
-     * Keeps back all that no instance has accounted for.
-     * @param until Time (ms) by which grants of earlier owners have lapsed.
+     * Takes in limits that the log has accepted.
+     * @param limits The limits.
      */
-    holdBackUnaccounted(until: number): void {
-        this.unaccountedUntil = until;
+    applyLimits(limits: readonly GrantLimit[]): void {
+        for (const { worker, instance, slots } of limits) {
+            const { holdings } = this.worker(worker);
+            const holding = holdings.get(instance) ?? { granted: 0, target: 0, limit: 0, until: 0 };
+            holding.limit = slots;
+            holdings.set(instance, holding);
+            if (slots === 0 && holding.target === 0) {
+                holdings.delete(instance);
+            }
+        }
     }
 
-    /** Ends the keeping back, since every instance has answered. */
-    accountForAll(): void {
-        this.unaccountedUntil = Number.NEGATIVE_INFINITY;
+    /**
+     * Finds the limits to change. A lowered one binds the table from now on, a raised one once it is applied.
+     * @param now Time in ms.
+     * @returns The changes to record; after them no worker's limits exceed its share.
+     */
+    changeLimits(now: number): GrantLimit[] {
+        this.dropLapsed(now);
+        this.retarget(now);
+        return [...this.workers].flatMap(([name, worker]) => [
+            ...lowerLimits(name, worker),
+            ...raiseLimits(name, worker),
+        ]);
+    }
+
+    /** @param worker Name of a worker. @returns Slots that the log lets instances have together. */
+    limited(worker: string): number {
+        const holdings = this.workers.get(worker)?.holdings.values() ?? [];
+        return [...holdings].reduce((sum, each) => sum + each.limit, 0);
     }
 
     /**
@@ -101,14 +148,19 @@
      * @returns Slots that instances may be using.
      */
     inUse(worker: string, now: number): number {
-        const slots = this.workers.get(worker);
-        if (slots === undefined) {
-            return 0;
-        }
-        const granted = [...slots.holdings.values()].filter(each => each.until > now);
-        const unaccounted = Math.max(0, (slots.inheritedShare ?? 0) - slots.accounted);
-        const kept = now < this.unaccountedUntil ? unaccounted : 0;
-        return granted.reduce((sum, each) => sum + each.granted, 0) + kept;
+        const holdings = this.workers.get(worker)?.holdings.values() ?? [];
+        return [...holdings].filter(each => each.until > now).reduce((sum, each) => sum + each.granted, 0);
+    }
+
+    /**
+     * @param worker Name of a worker.
+     * @param now Time in ms.
+     * @returns Slots that are kept for instances which have not been heard of lately.
+     */
+    idle(worker: string, now: number): number {
+        const heard = (instance: string) => (this.askers.get(instance)?.until ?? 0) > this.lapse(now) - UNHEARD_MS;
+        const holdings = this.workers.get(worker)?.holdings ?? [];
+        return [...holdings].filter(([instance]) => !heard(instance)).reduce((sum, [, each]) => sum + each.limit, 0);
     }
 
     /**
@@ -122,18 +174,16 @@
         asker.demands = new Map(ask.demands.map(each => [each.service, each.slots]));
         asker.until = this.lapse(now);
         this.askers.set(ask.instance, asker);
-        this.dropLapsed(now);
         if (ask.epoch === this.epoch && ask.serial === asker.serial) {
             this.confirm(ask);
         }
-        this.retarget(now);
         asker.serial += 1;
         return {
             kind: "grant-reply",
             shard: this.shard,
             epoch: this.epoch,
             serial: asker.serial,
-            grants: this.raise(ask.instance, now),
+            grants: this.grant(ask.instance, now),
         };
     }
 
@@ -146,12 +196,7 @@
     }
 
     private worker(name: string): WorkerSlots {
-        const known = this.workers.get(name) ?? {
-            share: 0,
-            inheritedShare: undefined,
-            holdings: new Map<string, Holding>(),
-            accounted: 0,
-        };
+        const known = this.workers.get(name) ?? { share: 0, holdings: new Map<string, Holding>() };
         this.workers.set(name, known);
         return known;
     }
@@ -166,11 +211,9 @@
                 this.askers.delete(instance);
             }
         }
-        for (const worker of this.workers.values()) {
-            for (const [instance, holding] of worker.holdings) {
-                if (holding.until <= now) {
-                    worker.holdings.delete(instance);
-                }
+        for (const { holdings } of this.workers.values()) {
+            for (const holding of holdings.values()) {
+                holding.granted = holding.until <= now ? 0 : holding.granted;
             }
         }
     }
@@ -178,8 +221,8 @@
     /** The holder has seen the latest reply, so what it says it holds is all that it uses. */
     private confirm(ask: GrantAsk): void {
         const held = new Map(ask.held.map(grant => [grant.worker, grant.slots]));
-        for (const [name, worker] of this.workers) {
-            const holding = worker.holdings.get(ask.instance);
+        for (const [name, { holdings }] of this.workers) {
+            const holding = holdings.get(ask.instance);
             if (holding !== undefined) {
                 holding.granted = Math.min(holding.granted, held.get(name) ?? 0);
             }
@@ -191,15 +234,15 @@
         const parts = this.parts();
         const given = new Map<string, number>();
         for (const worker of this.workers.values()) {
-            for (const holding of worker.holdings.values()) {
-                holding.target = 0;
-            }
-            for (let slot = 0; slot < worker.share; slot++) {
-                const instance = this.furthestBelow(parts, given, worker);
+            worker.holdings.forEach(holding => (holding.target = 0));
+            const slots = worker.share - this.unheardSlots(worker);
+            for (let slot = 0; slot < slots; slot++) {
+                const instance = furthestBelow(parts, given, worker);
                 if (instance === undefined) {
                     break;
                 }
-                const holding = worker.holdings.get(instance) ?? { granted: 0, target: 0, until: this.lapse(now) };
+                const fresh = { granted: 0, target: 0, limit: 0, until: this.lapse(now) };
+                const holding = worker.holdings.get(instance) ?? fresh;
                 holding.target += 1;
                 worker.holdings.set(instance, holding);
                 given.set(instance, (given.get(instance) ?? 0) + 1);
@@ -207,6 +250,12 @@
         }
     }
 
+    /** Slots of instances that do not ask are not to be given out before their limits are lowered. */
+    private unheardSlots(worker: WorkerSlots): number {
+        const unheard = [...worker.holdings].filter(([instance]) => !this.askers.has(instance));
+        return unheard.reduce((sum, [, holding]) => sum + holding.granted, 0);
+    }
+
     /** Part of all slots that each instance should have, by demand. */
     private parts(): Map<string, number> {
         const demands = [...this.askers].map(([instance, asker]): [string, number] => {
@@ -218,42 +267,68 @@
         return new Map(demands.map(([instance, demand]) => [instance, (slots * demand) / total]));
     }
 
-    private furthestBelow(
-        parts: ReadonlyMap<string, number>,
-        given: ReadonlyMap<string, number>,
-        worker: WorkerSlots,
-    ): string | undefined {
-        let best: string | undefined;
-        let largest = Number.NEGATIVE_INFINITY;
-        for (const [instance, part] of parts) {
-            const holding = worker.holdings.get(instance);
-            // What an instance already has stays with it unless another is a whole slot worse off.
-            const stickiness = holding !== undefined && holding.granted > holding.target ? 1 : 0;
-            const deficit = part - (given.get(instance) ?? 0) + stickiness;
-            if (deficit > largest) {
-                largest = deficit;
-                best = instance;
-            }
-        }
-        return best;
-    }
-
-    private raise(instance: string, now: number): Grant[] {
+    private grant(instance: string, now: number): Grant[] {
         const grants: Grant[] = [];
-        for (const [name, worker] of this.workers) {
-            const holding = worker.holdings.get(instance);
+        for (const [name, { holdings }] of this.workers) {
+            const holding = holdings.get(instance);
             if (holding === undefined) {
                 continue;
             }
-            const free = Math.max(0, worker.share - this.inUse(name, now));
-            const raised = Math.min(holding.target, holding.granted + free);
+            const slots = Math.min(holding.target, holding.limit);
             // A lowered grant counts in full until the holder confirms the lower one.
-            holding.granted = Math.max(holding.granted, raised);
+            holding.granted = Math.max(holding.granted, slots);
             holding.until = this.lapse(now);
-            if (raised > 0) {
-                grants.push({ worker: name, slots: raised });
+            if (slots > 0) {
+                grants.push({ worker: name, slots });
             }
         }
         return grants;
     }
 }
+
+function furthestBelow(
+    parts: ReadonlyMap<string, number>,
+    given: ReadonlyMap<string, number>,
+    worker: WorkerSlots,
+): string | undefined {
+    let best: string | undefined;
+    let largest = Number.NEGATIVE_INFINITY;
+    for (const [instance, part] of parts) {
+        const holding = worker.holdings.get(instance);
+        // What an instance already has stays with it unless another is a whole slot worse off.
+        const stickiness = holding !== undefined && holding.limit > holding.target ? 1 : 0;
+        const deficit = part - (given.get(instance) ?? 0) + stickiness;
+        if (deficit > largest) {
+            largest = deficit;
+            best = instance;
+        }
+    }
+    return best;
+}
+
+/** Lowers limits to what is neither used nor to be given. */
+function lowerLimits(name: string, { holdings }: WorkerSlots): GrantLimit[] {
+    const changes: GrantLimit[] = [];
+    for (const [instance, holding] of holdings) {
+        const slots = Math.max(holding.granted, holding.target);
+        if (slots < holding.limit) {
+            holding.limit = slots;
+            changes.push({ worker: name, instance, slots });
+        }
+    }
+    return changes;
+}
+
+/** Raises limits towards the targets as far as the share allows; they bind once they are in the log. */
+function raiseLimits(name: string, { share, holdings }: WorkerSlots): GrantLimit[] {
+    let free = share - [...holdings.values()].reduce((sum, each) => sum + each.limit, 0);
+    const changes: GrantLimit[] = [];
+    for (const [instance, holding] of holdings) {
+        const raise = Math.min(free, holding.target - holding.limit);
+        if (raise > 0) {
+            free -= raise;
+            changes.push({ worker: name, instance, slots: holding.limit + raise });
+        }
+    }
+    return changes;
+}
--- a/src/scheduling/common/adoption.ts
+++ b/src/scheduling/common/adoption.ts
@@ -33,9 +33,9 @@
      * @returns The adoption, begun.
      */
     static create(context: ShardContext, instances: Iterable<string>, send: FenceSender, now: number): Adoption {
-        const adoption = new Adoption(context, instances, send, now);
-        adoption.holdBack();
-        return adoption;
+        const tailMs = withDrift(GRANT_LEASE_MS) + context.config.requestTailMs();
+        context.grants.inherit(context.fold.grantLimits(), context.ownership.authorityEndsAt + tailMs);
+        return new Adoption(context, instances, send, now);
     }
 
     /** Goes on with the adoption after the owner was suspended. @param now Time in ms. @returns The adoption. */
@@ -58,14 +58,13 @@
     answered(instance: string, reply: FenceReply, now: number): void {
         if (reply.epoch === this.context.ownership.epoch && this.unanswered.delete(instance)) {
             this.context.grants.adopt(instance, reply.held, now);
-            this.settle();
         }
     }
 
     /** Notes that an instance has said that it is gone. */
     gone(instance: string): void {
         this.unanswered.delete(instance);
-        this.settle();
+        this.context.grants.forget(instance);
     }
 
     /** Asks again, and ends the adoption when enough is known. @param now Time in ms. */
@@ -79,16 +78,4 @@
             this.context.ownership.fire("adopted", now);
         }
     }
-
-    private holdBack(): void {
-        const tail = withDrift(GRANT_LEASE_MS) + this.context.config.requestTailMs();
-        this.context.grants.holdBackUnaccounted(this.context.ownership.authorityEndsAt + tail);
-        this.settle();
-    }
-
-    private settle(): void {
-        if (this.isComplete) {
-            this.context.grants.accountForAll();
-        }
-    }
 }
--- a/src/scheduling/common/capacityLedger.ts
+++ b/src/scheduling/common/capacityLedger.ts
@@ -23,7 +23,7 @@
     candidate(link: WorkerLink, now: number): Candidate {
         const { listing } = link;
         const sizes = this.reserved(listing.id);
-        const serviceSlots = this.context.slotsForServices(listing.id, now);
+        const serviceSlots = this.context.slotsForServices(listing.id);
         const slot = this.slotSize(listing);
         const free = {
             cpus: listing.capacity.cpus - sum(sizes, each => each.cpus) - serviceSlots * slot.cpus,
@@ -104,7 +104,10 @@
     }
 
     private check(listing: WorkerListing, freeSlots: number, free: TaskSize, now: number): void {
-        const holds = freeSlots >= 0 && free.accelerators >= 0 && free.memoryGb >= -0.01 && free.cpus >= -0.01;
+        const granted = this.context.grants.inUse(listing.id, now);
+        const withinShare = granted <= this.context.slotsForServices(listing.id);
+        const holds =
+            withinShare && freeSlots >= 0 && free.accelerators >= 0 && free.memoryGb >= -0.01 && free.cpus >= -0.01;
         Invariants.instance.check("capacity", holds, () => this.describe(listing, freeSlots, free, now));
     }
 }
--- a/src/scheduling/common/placer.ts
+++ b/src/scheduling/common/placer.ts
@@ -70,7 +70,7 @@
         const candidate = this.ledger.candidate(link, now);
         const { id } = link.listing;
         const wanted = this.context.wantedShares.get(id) ?? 0;
-        candidate.freeSlots -= Math.max(0, wanted - this.context.slotsForServices(id, now));
+        candidate.freeSlots -= Math.max(0, wanted - this.context.slotsForServices(id));
         return candidate;
     }
 
--- a/src/scheduling/common/reviewer.ts
+++ b/src/scheduling/common/reviewer.ts
@@ -22,6 +22,7 @@
 /** Reviews the shares of services, and makes room where tasks are too many: throttles first, evicts last. */
 export class Reviewer {
     private evictions = 0;
+    private limitsPending = false;
 
     private constructor(
         private readonly context: ShardContext,
@@ -51,6 +52,7 @@
             this.empty(link);
         }
         this.setShares(now);
+        this.limitGrants(now);
         this.makeRoomForUrgent(now, wallNow);
     }
 
@@ -58,7 +60,7 @@
     private setShares(now: number): void {
         const shares: ServiceShare[] = [];
         for (const link of this.context.links.values()) {
-            const wanted = this.wantedShare(link);
+            const wanted = this.wantedShare(link, now);
             this.context.wantedShares.set(link.listing.id, wanted);
             const slots = this.reachableShare(link, wanted, now);
             if (slots < wanted) {
@@ -71,7 +73,8 @@
         this.recordShares(shares);
     }
 
-    private wantedShare(link: WorkerLink): number {
+    /** The demand, and what replaces the slots that are kept for instances which do not use them. */
+    private wantedShare(link: WorkerLink, now: number): number {
         const { listing } = link;
         const { config, grants, links } = this.context;
         if (listing.services.length === 0 || listing.availability === "leaving" || config.isDrained(listing.id)) {
@@ -79,17 +82,16 @@
         }
         const hosts = [...links.values()].filter(each => each.listing.services.some(s => listing.services.includes(s)));
         const demand = listing.services.reduce((sum, service) => sum + grants.demand(service), 0);
-        const wanted = Math.ceil(demand / hosts.length) + SHARE_HEADROOM_SLOTS;
-        return Math.min(listing.capacity.slots, Math.max(config.minServiceSlots(), wanted));
+        const wanted = Math.max(config.minServiceSlots(), Math.ceil(demand / hosts.length) + SHARE_HEADROOM_SLOTS);
+        return Math.min(listing.capacity.slots, wanted + grants.idle(listing.id, now));
     }
 
     /** The share closest to the wanted one that leaves room for tasks there and slots in use. */
     private reachableShare(link: WorkerLink, wanted: number, now: number): number {
         const { listing } = link;
         const current = this.context.fold.serviceSlots(listing.id);
-        const inUse = this.context.grants.inUse(listing.id, now);
         if (wanted <= current) {
-            return Math.max(wanted, Math.min(current, inUse));
+            return Math.max(wanted, Math.min(current, this.context.grants.limited(listing.id)));
         }
         const candidate = this.ledger.candidate(link, now);
         const slot = this.ledger.slotSize(listing);
@@ -102,18 +104,38 @@
     }
 
     private recordShares(shares: readonly ServiceShare[]): void {
-        const { session, pendingShares, ownership, grants, fold } = this.context;
-        if (shares.length === 0 || session.isAppendFailing || pendingShares.size > 0) {
+        const { session, pendingShares, ownership } = this.context;
+        // Limits that are on their way count on the share as it is.
+        if (shares.length === 0 || session.isAppendFailing || pendingShares.size > 0 || this.limitsPending) {
             return;
         }
-        for (const { worker, slots } of shares) {
-            pendingShares.set(worker, slots);
-            // A lower share binds the grants before it is in the log, a higher one only after.
-            grants.setShare(worker, Math.min(slots, fold.serviceSlots(worker)));
-        }
+        shares.forEach(({ worker, slots }) => pendingShares.set(worker, slots));
         session.append({ kind: "shares-set", epoch: ownership.epoch, shares });
     }
 
+    /** Records which instance may be granted how much, before anything is granted beyond it. */
+    private limitGrants(now: number): void {
+        const { session, ownership, grants, fold, links, wantedShares, pendingShares } = this.context;
+        if (session.isAppendFailing || this.limitsPending) {
+            return;
+        }
+        for (const id of links.keys()) {
+            // A lower share binds the limits before it is in the log, a higher one only after.
+            const share = Math.min(fold.serviceSlots(id), pendingShares.get(id) ?? Number.POSITIVE_INFINITY);
+            grants.setShare(id, Math.min(share, wantedShares.get(id) ?? 0));
+        }
+        const limits = grants.changeLimits(now);
+        if (limits.length > 0) {
+            this.limitsPending = true;
+            session.append({ kind: "grants-limited", epoch: ownership.epoch, limits });
+        }
+    }
+
+    /** Notes that the log has the limits that were recorded last. */
+    limitsRecorded(): void {
+        this.limitsPending = false;
+    }
+
     /** Throttles or evicts where the measured usage exceeds the worker. */
     private relieve(link: WorkerLink): void {
         const running = link.report?.running ?? [];
--- a/src/scheduling/common/shardContext.ts
+++ b/src/scheduling/common/shardContext.ts
@@ -96,9 +96,8 @@
     }
 
     /** @param worker Name of a worker. @returns Slots of it that batch tasks must leave to services. */
-    slotsForServices(worker: string, now: number): number {
-        const pending = this.pendingShares.get(worker) ?? 0;
-        return Math.max(this.fold.serviceSlots(worker), pending, this.grants.inUse(worker, now));
+    slotsForServices(worker: string): number {
+        return Math.max(this.fold.serviceSlots(worker), this.pendingShares.get(worker) ?? 0);
     }
 
     /** @param number Number of a task. @returns Its name towards workers. */
--- a/src/scheduling/common/shardFold.ts
+++ b/src/scheduling/common/shardFold.ts
@@ -1,4 +1,5 @@
 import { EntryPosition, Fold, MAX_BATCH_ENTRIES } from "../../coordination/common/fold";
+import { GrantLimit } from "../../coordination/common/grant";
 import { Offset } from "../../platform/common/logService";
 import { Epoch } from "../../platform/common/worker";
 import { isEnded, Task, taskBinding, taskChart, TaskEvent, TaskPayload } from "./task";
@@ -15,6 +16,7 @@
     readonly tasks: readonly Task[];
     readonly ended: readonly EndedMark[];
     readonly shares: readonly (readonly [string, number])[];
+    readonly limits: readonly GrantLimit[];
 }
 
 /** Told of each change of a task's state, as the fold makes it. */
@@ -29,6 +31,7 @@
     private open = new Set<Task>();
     private byWorker = new Map<string, Set<Task>>();
     private shares = new Map<string, number>();
+    private limits = new Map<string, Map<string, number>>();
     private ended: EndedMark[] = [];
 
     private constructor(private readonly onTask: TaskListener) {
@@ -84,6 +87,13 @@
         return this.shares.get(worker) ?? 0;
     }
 
+    /** @returns What each instance may be granted of each worker. */
+    grantLimits(): GrantLimit[] {
+        return [...this.limits].flatMap(([worker, row]) =>
+            [...row].map(([instance, slots]) => ({ worker, instance, slots })),
+        );
+    }
+
     protected override apply(entry: ShardEntry, position: EntryPosition): void {
         switch (entry.kind) {
             case "shard-fenced":
@@ -103,6 +113,8 @@
                 return this.ifCurrent(entry.epoch, () =>
                     entry.shares.forEach(share => this.shares.set(share.worker, share.slots)),
                 );
+            case "grants-limited":
+                return this.ifCurrent(entry.epoch, () => entry.limits.forEach(limit => this.limit(limit)));
             case "snapshot-taken":
                 return;
         }
@@ -114,6 +126,7 @@
             tasks: [...this.tasks.values()],
             ended: this.ended,
             shares: [...this.shares],
+            limits: this.grantLimits(),
         };
     }
 
@@ -127,6 +140,18 @@
         this.open.forEach(task => this.index(task));
         this.ended = [...saved.ended];
         this.shares = new Map(saved.shares);
+        this.limits = new Map();
+        saved.limits.forEach(limit => this.limit(limit));
+    }
+
+    private limit({ worker, instance, slots }: GrantLimit): void {
+        const row = this.limits.get(worker) ?? new Map<string, number>();
+        this.limits.set(worker, row);
+        if (slots > 0) {
+            row.set(instance, slots);
+        } else {
+            row.delete(instance);
+        }
     }
 
     private ifCurrent(epoch: Epoch, act: () => void): void {
--- a/src/scheduling/common/shardKeeper.ts
+++ b/src/scheduling/common/shardKeeper.ts
@@ -227,7 +227,6 @@
                 this.follower.follow(task, task.assignment.epoch !== this.context.ownership.epoch);
             }
         }
-        this.shareOut();
         // An owner that comes back to the same epoch knows what it granted.
         this.adoption =
             this.adoption?.resume(now) ??
@@ -258,7 +257,6 @@
         }
         if (ownership.state === "owning" && now >= this.nextReviewAt) {
             this.nextReviewAt = now + REVIEW_INTERVAL_MS;
-            this.shareOut();
             this.reviewer.review(now, wallNow);
             this.snapshotWhenDue(now);
         }
@@ -290,7 +288,12 @@
             }
             case "shares-set":
                 entry.shares.forEach(share => pendingShares.delete(share.worker));
-                this.shareOut();
+                return;
+            case "grants-limited":
+                if (entry.epoch === ownership.epoch && ownership.isActing) {
+                    this.context.grants.applyLimits(entry.limits);
+                    this.reviewer.limitsRecorded();
+                }
                 return;
             case "snapshot-taken":
                 this.snapshotPending = false;
@@ -314,15 +317,6 @@
         }
     }
 
-    /** Lets the grants follow the shares in the log. */
-    private shareOut(): void {
-        const { links, fold, grants, pendingShares } = this.context;
-        for (const id of links.keys()) {
-            const share = fold.serviceSlots(id);
-            grants.setShare(id, Math.min(share, pendingShares.get(id) ?? share));
-        }
-    }
-
     private snapshotWhenDue(now: number): void {
         const records = this.session.next - this.snapshotNext;
         const due =
--- a/src/scheduling/common/taskEntry.ts
+++ b/src/scheduling/common/taskEntry.ts
@@ -1,3 +1,4 @@
+import { GrantLimit } from "../../coordination/common/grant";
 import { SnapshotTaken } from "../../coordination/common/snapshot";
 import { AttemptOutcome, Epoch } from "../../platform/common/worker";
 
@@ -96,6 +97,21 @@
     readonly shares: readonly ServiceShare[];
 }
 
+/** The owner limited what instances may be granted. Grants are given out of the log, but never beyond this. */
+export interface GrantsLimited {
+    readonly kind: "grants-limited";
+    readonly epoch: Epoch;
+    readonly limits: readonly GrantLimit[];
+}
+
 /** Entries of a shard's stream. */
 export type ShardEntry =
-    ShardFenced | TaskSubmitted | TaskCancelled | TaskAssigned | AttemptEnded | TaskRefused | SharesSet | SnapshotTaken;
+    | ShardFenced
+    | TaskSubmitted
+    | TaskCancelled
+    | TaskAssigned
+    | AttemptEnded
+    | TaskRefused
+    | SharesSet
+    | GrantsLimited
+    | SnapshotTaken;
