--- a/src/coordination/common/grantTable.ts
+++ b/src/coordination/common/grantTable.ts
@@ -70,10 +70,18 @@
     /**
      * Takes in the limits that the log has from earlier owners: until an instance answers, it may be using them.
      * @param limits All limits of the shard.
-     * @param until Time (ms) by which grants of earlier owners have lapsed.
+     * @param known Tells whether an instance may still be running.
+     * @param authorityEndsAt Time (ms) after which earlier owners renew nothing.
+     * @param now Time in ms.
      */
-    inherit(limits: readonly GrantLimit[], until: number): void {
+    inherit(
+        limits: readonly GrantLimit[],
+        known: (instance: string) => boolean,
+        authorityEndsAt: number,
+        now: number,
+    ): void {
         for (const { worker, instance, slots } of limits) {
+            const until = known(instance) ? this.lapse(authorityEndsAt) : now + this.requestTailMs;
             const holding = { granted: slots, target: 0, limit: slots, until };
             this.worker(worker).holdings.set(instance, holding);
         }
@@ -94,14 +102,13 @@
         }
     }
 
-    /** Notes that an instance has ended and uses nothing any more. */
-    forget(instance: string): void {
+    /** Notes that an instance has ended; requests that it sent may go on for a while. @param now Time in ms. */
+    forget(instance: string, now: number): void {
         this.askers.delete(instance);
         for (const { holdings } of this.workers.values()) {
             const holding = holdings.get(instance);
             if (holding !== undefined) {
-                holding.granted = 0;
-                holding.target = 0;
+                holding.until = Math.min(holding.until, now + this.requestTailMs);
             }
         }
     }
--- a/src/coordination/common/ownershipFold.ts
+++ b/src/coordination/common/ownershipFold.ts
@@ -4,7 +4,7 @@
 import { Holding, InstancePhase, InstancePresent, OwnershipEntry, ShardClaimed, ShardReleased } from "./ownershipEntry";
 
 /** Offsets after which an instance that has not been heard of is forgotten. */
-const INSTANCE_RETENTION_OFFSETS = 2_000;
+const INSTANCE_RETENTION_OFFSETS = 5_000;
 
 /** The ownership of one shard as the log's order decides it. */
 export interface ShardTenure {
@@ -101,7 +101,9 @@
             this.renewShard(entry.instance, holding, offset);
         }
         for (const [name, member] of this.members) {
-            if (member.offset < offset - INSTANCE_RETENTION_OFFSETS) {
+            // Two processes cannot have one address: the one before can reach nobody any more.
+            const replaced = member.address === entry.address && name !== entry.instance;
+            if (replaced || member.offset < offset - INSTANCE_RETENTION_OFFSETS) {
                 this.members.delete(name);
             }
         }
--- a/src/coordination/common/ownershipKeeper.ts
+++ b/src/coordination/common/ownershipKeeper.ts
@@ -46,6 +46,12 @@
     readonly now: number;
 }
 
+/** The end of an instance. */
+export interface InstanceEnd {
+    readonly instance: string;
+    readonly now: number;
+}
+
 interface ReadRelease {
     readonly epoch: Epoch;
     readonly authorityEndsAt: number;
@@ -57,6 +63,8 @@
     abstract ticketNumber(): number;
     /** @returns Offset up to which the newest snapshot of the shard's stream goes. */
     abstract snapshotNext(shard: string): Offset;
+    /** @returns Whether the instance uses nothing that it was granted. */
+    abstract isIdle(): boolean;
 }
 
 /**
@@ -67,6 +75,8 @@
     private readonly shards: ReadonlyMap<string, ShardOwnership>;
     private readonly seenAt = new Map<string, number>();
     private readonly changes = Emitter.create<OwnershipChange>();
+    private readonly gone = Emitter.create<InstanceEnd>();
+    private members = new Set<string>();
     /** Releases that were read, by shard: the epoch given up, and until when (ms) owners before it may renew. */
     private readonly releases = new Map<string, ReadRelease>();
     private presenceAskedAt: number | undefined;
@@ -78,6 +88,9 @@
     /** Fires when this instance's part in the ownership of a shard changes. */
     readonly onDidChange = this.changes.event;
 
+    /** Fires when an instance has said that it is gone, or another one has its address. */
+    readonly onDidEnd = this.gone.event;
+
     private constructor(
         private readonly identity: InstanceIdentity,
         private readonly plan: readonly ShardPlan[],
@@ -276,6 +289,17 @@
         for (const shard of this.shards.values()) {
             this.noteSuperseded(shard, now);
         }
+        this.noteEnded(now);
+    }
+
+    private noteEnded(now: number): void {
+        const members = new Set(this.fold.instances.keys());
+        for (const instance of this.members) {
+            if (!members.has(instance)) {
+                this.gone.fire({ instance, now });
+            }
+        }
+        this.members = members;
     }
 
     private note(entry: OwnershipEntry, offset: Offset, counted: boolean, now: number): void {
@@ -369,7 +393,13 @@
 
     private sayFarewell(): void {
         const idle = [...this.shards.values()].every(shard => shard.state === "watching" || shard.state === "claiming");
-        if (this.phase !== "draining" || !idle || this.farewell !== "none" || this.presenceAskedAt !== undefined) {
+        if (
+            this.phase !== "draining" ||
+            !idle ||
+            !this.source.isIdle() ||
+            this.farewell !== "none" ||
+            this.presenceAskedAt !== undefined
+        ) {
             return;
         }
         this.farewell = "asked";
--- a/src/proof/node/caller.ts
+++ b/src/proof/node/caller.ts
@@ -18,6 +18,7 @@
     /** Numbers of the tickets that were told to be in force. */
     readonly acceptedTickets = new Set<number>();
     readonly cancelled = new Set<string>();
+    readonly refusals: Record<string, number> = {};
     readonly counts = { submissions: 0, quotes: 0, quotesDone: 0, tickets: 0, ticketsAccepted: 0, ticketsLost: 0 };
     private nextKey = 0;
 
@@ -61,7 +62,8 @@
             const once = random.chance(0.5);
             const key = `${once ? "once-" : ""}quote-${this.nextKey}`;
             this.counts.quotes += 1;
-            node.request(key, SERVICE, !once, DEADLINE_MS, outcome => {
+            node.request(key, SERVICE, !once, DEADLINE_MS, (outcome, reason) => {
+                this.refusals[`${outcome} ${reason ?? ""}`] = (this.refusals[`${outcome} ${reason ?? ""}`] ?? 0) + 1;
                 this.counts.quotesDone += outcome === "done" ? 1 : 0;
                 if (outcome === "not-run") {
                     this.notRun.add(key);
--- a/src/proof/node/fakeNode.ts
+++ b/src/proof/node/fakeNode.ts
@@ -17,7 +17,7 @@
 const CALL_TIMEOUT_MS = 2_000;
 
 type ReplyListener = (reply: DeskReply) => void;
-type OutcomeListener = (outcome: "done" | "not-run" | "unknown" | "cut") => void;
+type OutcomeListener = (outcome: "done" | "not-run" | "unknown" | "cut", reason?: string) => void;
 
 /** One instance in the world of a trial, with fakes at all of its interfaces. */
 export class FakeNode {
@@ -172,7 +172,7 @@
             case "upstream-probe":
                 return this.upstreams.probe(effect.worker);
             case "caller-refuse":
-                return this.requests.get(effect.request)?.onOutcome(effect.outcome);
+                return this.requests.get(effect.request)?.onOutcome(effect.outcome, effect.reason);
             case "stopped":
                 this.crash();
                 return;
@@ -193,8 +193,8 @@
         const fail = (certainty: "refused" | "unknown"): void =>
             this.post({ kind: "log-append-failed", stream, writer, sequence, certainty });
         const payload = encodeBatch(batch);
+        const timer = setTimeout(() => fail("unknown"), CALL_TIMEOUT_MS);
         if (network.isCut(this.name, LOG_END)) {
-            setTimeout(() => fail("unknown"), CALL_TIMEOUT_MS);
             return;
         }
         // An append that is on its way arrives even when its writer has died meanwhile.
@@ -204,8 +204,11 @@
             if (result.ok && !lost) {
                 const offset = result.val;
                 this.later(() => this.post({ kind: "log-appended", stream, writer, sequence, offset }));
-            } else {
-                this.later(() => fail(!lost && !result.ok && result.val.kind === "refused" ? "refused" : "unknown"));
+            } else if (!lost && !result.ok && result.val.kind === "refused") {
+                this.later(() => {
+                    clearTimeout(timer);
+                    fail("refused");
+                });
             }
         }, network.delay());
     }
@@ -313,11 +316,16 @@
     }
 
     private readList(): void {
-        this.later(() => {
+        const delay = this.world.network.delay();
+        if (delay > CALL_TIMEOUT_MS) {
+            setTimeout(() => this.post({ kind: "instances-unlisted" }), CALL_TIMEOUT_MS);
+            return;
+        }
+        setTimeout(() => {
             const { listing, listVersion } = this.world;
             const changed = listVersion !== this.listVersion;
             this.listVersion = listVersion;
             this.post({ kind: "instances-listed", listing: changed ? listing : undefined });
-        });
+        }, delay);
     }
 }
--- a/src/proof/node/judge.ts
+++ b/src/proof/node/judge.ts
@@ -66,9 +66,7 @@
             .filter(([, state]) => state === "accepted")
             .map(([key]) => [key, this.findTask(key)] as const)
             .filter(([, task]) => task === undefined || !isEnded(task.state))
-            .map(
-                ([key, task]) => `${key} ${task?.state ?? "unknown to every owner"} ${task?.assignment?.worker ?? ""}`,
-            );
+            .map(([key, task]) => `${key} ${task === undefined ? "unknown to every owner" : this.describeTask(task)}`);
     }
 
     /** @returns What each instance says of each shard, for the report of a failure. */
@@ -87,6 +85,22 @@
         });
     }
 
+    private describeTask(task: Task): string {
+        const keepers = this.world.alive.flatMap(node => [...node.instance.shared.shards.values()]);
+        const keeper = keepers.find(each => each.fold.find(task.request.key) === task);
+        const link = keeper?.links.get(task.assignment?.worker ?? "");
+        const { cpus, memoryGb, accelerators, family } = task.request;
+        return [
+            task.state,
+            `${family} ${cpus}/${memoryGb}/${accelerators}`,
+            `failed on ${task.failedOn.join(",")}`,
+            keeper?.waitReasons.get(task.number) ?? "",
+            link === undefined ? "" : `${link.listing.id} ${link.contact} boot ${link.clock?.boot} ${link.outstanding}`,
+            JSON.stringify(task.assignment),
+            keeper?.attemptState(task.number) ?? "",
+        ].join(" ");
+    }
+
     private findTask(key: string): Task | undefined {
         for (const node of this.world.alive) {
             for (const keeper of node.instance.shared.shards.values()) {
--- a/src/proof/node/soak.tool.ts
+++ b/src/proof/node/soak.tool.ts
@@ -42,7 +42,7 @@
 const seed = readNumber("seed", 1);
 const steps = readNumber("steps", DEFAULT_STEPS);
 const startedAt = process.hrtime.bigint();
-const result = Trial.run({ seed, steps });
+const result = Trial.run({ seed, steps, calm: process.argv.includes("--calm") });
 const seconds = Number((process.hrtime.bigint() - startedAt) / 1_000_000n) / 1_000;
 console.log(`seed ${seed}, ${steps} steps, ${seconds} s`, JSON.stringify(result.counts));
 if (result.violations.length === 0) {
--- a/src/proof/node/trial.ts
+++ b/src/proof/node/trial.ts
@@ -37,6 +37,9 @@
     },
 };
 
+/** Actions of a trial in which nothing fails. */
+const CALM: readonly Action[] = ["submit", "resubmit", "quotes", "cancel-burst", "tickets"];
+
 /** What a trial is. */
 export interface TrialOptions {
     readonly seed: number;
@@ -44,6 +47,8 @@
     readonly size?: WorldSize;
     /** Steps whose actions are left out, to find the shortest failing trace. */
     readonly skipped?: ReadonlySet<number>;
+    /** Whether nothing fails. */
+    readonly calm?: boolean;
     /** Changes the world before it runs, to show that the checks can fail. */
     readonly sabotage?: (world: World) => void;
 }
@@ -109,6 +114,7 @@
                 requests: witness.requestCount,
                 appends: log.appendCount,
                 ...this.caller.counts,
+                ...this.caller.refusals,
             },
         };
     }
@@ -121,7 +127,8 @@
     private step(step: number): void {
         const random = Random.create(hash(`${this.options.seed}/${step}`));
         const action = actionOf(random);
-        if (this.options.skipped?.has(step) !== true && action !== "none") {
+        const isLeftOut = this.options.skipped?.has(step) === true || (this.options.calm && !CALM.includes(action));
+        if (!isLeftOut && action !== "none") {
             this.trace.set(step, action);
             ACTIONS[action](this.world, this.caller, random);
         }
--- a/src/routing/common/router.ts
+++ b/src/routing/common/router.ts
@@ -77,9 +77,16 @@
         return new Router(region, slots, choice, link, outbox);
     }
 
-    /** Number of requests that have no answer yet. */
+    /** Number of requests that have no answer yet, or were given up and may still be running. */
     get openCount(): number {
-        return this.requests.size;
+        const given = [...this.upstreams.values()].reduce((sum, each) => sum + each.lingeringCount, 0);
+        return this.requests.size + given;
+    }
+
+    /** Refuses a request that arrives while the instance is stopping. */
+    turnAway(description: RequestDescription, now: number): void {
+        const request = Request.create(description, now, this.requestHost);
+        this.step(request, "overload", now);
     }
 
     /** @param worker Name of a worker. @param now Time in ms. @returns Slots of it that requests here may be using. */
--- a/src/routing/common/upstream.ts
+++ b/src/routing/common/upstream.ts
@@ -102,6 +102,11 @@
         return this.heldSlots - over.length + this.lingering.filter(until => until > now).length;
     }
 
+    /** Number of given up requests that may still be running. */
+    get lingeringCount(): number {
+        return this.lingering.length;
+    }
+
     /** Keeps the slot of a request that is given up, until the upstream has stopped. @param now Time in ms. */
     linger(request: Request, now: number): void {
         this.lingering.push(Math.max(now, request.description.deadline) + LINGER_MS);
--- a/src/scheduling/common/adoption.ts
+++ b/src/scheduling/common/adoption.ts
@@ -1,5 +1,4 @@
-import { withDrift } from "../../coordination/common/duration";
-import { FenceReply, GRANT_LEASE_MS } from "../../coordination/common/grant";
+import { FenceReply } from "../../coordination/common/grant";
 import { ShardContext } from "./shardContext";
 
 /** Time after which a new owner goes on without the workers and instances that have not answered. */
@@ -33,9 +32,10 @@
      * @returns The adoption, begun.
      */
     static create(context: ShardContext, instances: Iterable<string>, send: FenceSender, now: number): Adoption {
-        const tailMs = withDrift(GRANT_LEASE_MS) + context.config.requestTailMs();
-        context.grants.inherit(context.fold.grantLimits(), context.ownership.authorityEndsAt + tailMs);
-        return new Adoption(context, instances, send, now);
+        const known = new Set(instances);
+        const { authorityEndsAt } = context.ownership;
+        context.grants.inherit(context.fold.grantLimits(), each => known.has(each), authorityEndsAt, now);
+        return new Adoption(context, known, send, now);
     }
 
     /** Goes on with the adoption after the owner was suspended. @param now Time in ms. @returns The adoption. */
@@ -62,9 +62,9 @@
     }
 
     /** Notes that an instance has said that it is gone. */
-    gone(instance: string): void {
+    gone(instance: string, now: number): void {
         this.unanswered.delete(instance);
-        this.context.grants.forget(instance);
+        this.context.grants.forget(instance, now);
     }
 
     /** Asks again, and ends the adoption when enough is known. @param now Time in ms. */
--- a/src/scheduling/common/reviewer.ts
+++ b/src/scheduling/common/reviewer.ts
@@ -19,6 +19,9 @@
 /** Slots above the demand that services get on each worker. */
 const SHARE_HEADROOM_SLOTS = 1;
 
+/** Share of a worker's slots that may replace those which instances hold and do not use. */
+const MAX_REPLACED_SHARE = 0.25;
+
 /** Reviews the shares of services, and makes room where tasks are too many: throttles first, evicts last. */
 export class Reviewer {
     private evictions = 0;
@@ -83,7 +86,8 @@
         const hosts = [...links.values()].filter(each => each.listing.services.some(s => listing.services.includes(s)));
         const demand = listing.services.reduce((sum, service) => sum + grants.demand(service), 0);
         const wanted = Math.max(config.minServiceSlots(), Math.ceil(demand / hosts.length) + SHARE_HEADROOM_SLOTS);
-        return Math.min(listing.capacity.slots, wanted + grants.idle(listing.id, now));
+        const replaced = Math.min(grants.idle(listing.id, now), listing.capacity.slots * MAX_REPLACED_SHARE);
+        return Math.min(listing.capacity.slots, wanted + replaced);
     }
 
     /** The share closest to the wanted one that leaves room for tasks there and slots in use. */
--- a/src/scheduling/common/shardKeeper.ts
+++ b/src/scheduling/common/shardKeeper.ts
@@ -9,6 +9,7 @@
 import { LogEffect, LogEvent } from "../../platform/common/logTraffic";
 import { WorkerEffect, WorkerEvent } from "../../platform/common/workerTraffic";
 import { Adoption, FenceSender } from "./adoption";
+import { AttemptState } from "./attempt";
 import { AttemptFollower } from "./attemptFollower";
 import { AuditEffect } from "./auditEntry";
 import { CapacityLedger } from "./capacityLedger";
@@ -130,6 +131,11 @@
         return this.context.grants;
     }
 
+    /** @param task Number of a task. @returns What is known of its attempt. */
+    attemptState(task: number): AttemptState | undefined {
+        return this.context.attempts.get(task)?.state;
+    }
+
     /** Why each waiting task waits. */
     get waitReasons(): Placer["reasons"] {
         return this.placer.reasons;
@@ -213,9 +219,9 @@
         this.adoption?.answered(instance, reply, now);
     }
 
-    /** Notes that an instance has said that it is gone. */
-    handleGone(instance: string): void {
-        this.adoption?.gone(instance);
+    /** Notes that an instance has ended. @param now Time in ms. */
+    handleGone(instance: string, now: number): void {
+        this.adoption?.gone(instance, now);
     }
 
     /** Begins an adoption: whenever the ownership comes to that state. @param now Time in ms. */
--- a/src/scheduling/common/workerTrust.ts
+++ b/src/scheduling/common/workerTrust.ts
@@ -6,14 +6,14 @@
 /** Whether a worker is given tasks. */
 export type TrustState = "trusted" | "excluded" | "trial";
 type TrustEvent = "task-failed" | "task-done" | "trial-due";
-type TrustGuard = "isSuspicious";
+type TrustGuard = "isSuspicious" | "isTelling";
 type TrustAction = "suspect" | "exclude" | "clear";
 
 const chart = ChartRegistry.instance.register(
     ChartLoader.load<TrustState, TrustEvent, TrustGuard, TrustAction>(chartText, "workerTrust.chart.yaml", {
         states: ["trusted", "excluded", "trial"],
         events: ["task-failed", "task-done", "trial-due"],
-        guards: ["isSuspicious"],
+        guards: ["isSuspicious", "isTelling"],
         actions: ["suspect", "exclude", "clear"],
     }),
 );
@@ -21,9 +21,12 @@
 /** Suspicion at which a worker is taken out; a failure of a task whose family never fails adds 1. */
 const EXCLUSION_SUSPICION = 2.5;
 
+/** Weight from which one failure tells something of the worker rather than of the task. */
+const TELLING_WEIGHT = 0.5;
+
 /** Shortest and longest time before an excluded worker is tried again. */
 const MIN_EXCLUSION_MS = 30_000;
-const MAX_EXCLUSION_MS = 1_800_000;
+const MAX_EXCLUSION_MS = 600_000;
 
 /** A failure with the share of its family's attempts that fail anywhere. */
 export interface TrustEvidence {
@@ -41,6 +44,7 @@
     private constructor() {
         this.machine = Machine.create(chart, {
             guards: {
+                isTelling: evidence => weight(evidence) >= TELLING_WEIGHT,
                 isSuspicious: evidence => this.suspicion + weight(evidence) >= EXCLUSION_SUSPICION,
             },
             actions: {
--- a/src/serving/common/instanceServices.ts
+++ b/src/serving/common/instanceServices.ts
@@ -58,7 +58,7 @@
     demand: () => ReadonlyMap<string, number> = () => new Map();
     /** Answers the relative latencies of the upstreams of services. */
     latencies: (services: Iterable<string>) => ServiceLatency[] = () => [];
-    /** Answers how many requests have no answer yet. */
+    /** Answers how many requests have no answer yet, or were given up and may still be running. */
     openRequests: () => number = () => 0;
     /** Whether the instance is shutting down. */
     isStopping = false;
@@ -81,6 +81,7 @@
         this.ownership = OwnershipKeeper.create(identity, plan, this.ownershipFold, this.ownershipSession, {
             ticketNumber: () => this.ticketFold.latestNumber,
             snapshotNext: shard => this.snapshotOffsets.get(shard)?.() ?? 0,
+            isIdle: () => this.openRequests() === 0,
         });
     }
 
--- a/src/serving/common/routeDesk.ts
+++ b/src/serving/common/routeDesk.ts
@@ -16,7 +16,7 @@
 export class RouteDesk extends Feature {
     private readonly router: Router;
 
-    private constructor(services: InstanceServices) {
+    private constructor(private readonly services: InstanceServices) {
         super();
         this.router = Router.create(
             services.identity.region,
@@ -41,6 +41,10 @@
     }
 
     override handle(event: InstanceEvent, now: number): void {
+        if (event.kind === "request-received" && this.services.isStopping) {
+            this.router.turnAway(event.description, now);
+            return;
+        }
         switch (event.kind) {
             case "request-received":
             case "caller-gone":
--- a/src/serving/common/shardDesk.ts
+++ b/src/serving/common/shardDesk.ts
@@ -37,13 +37,9 @@
         services.listed.event(() => this.keepers.forEach((keeper, shard) => this.relist(shard, keeper)));
         services.localAnswers.push((from, ask, now) => this.answer(from, ask, now));
         services.shards = this.keepers;
-        services.ownershipSession.onDidApply(({ placed }) => {
-            for (const entry of placed.batch.entries) {
-                if (entry.kind === "instance-gone") {
-                    this.keepers.forEach(keeper => keeper.handleGone(entry.instance));
-                }
-            }
-        });
+        services.ownership.onDidEnd(({ instance, now }) =>
+            this.keepers.forEach(keeper => keeper.handleGone(instance, now)),
+        );
     }
 
     /** @param services What all features share. @returns The desk. */
