--- a/src/coordination/common/grantTable.ts
+++ b/src/coordination/common/grantTable.ts
@@ -97,6 +97,8 @@
             const holding = holdings.get(instance);
             if (holding !== undefined) {
                 holding.granted = Math.min(holding.granted, slots.get(name) ?? 0);
+                // What is held stays until the demands of all instances are known.
+                holding.target = holding.granted;
                 holding.until = this.lapse(now);
             }
         }
--- a/src/scheduling/common/shardKeeper.ts
+++ b/src/scheduling/common/shardKeeper.ts
@@ -270,7 +270,9 @@
     }
 
     private onApplied(applied: AppliedBatch<ShardEntry>): void {
-        for (const entry of applied.placed.batch.entries) {
+        // A late copy of a batch changes nothing.
+        const entries = applied.counted ? applied.placed.batch.entries : [];
+        for (const entry of entries) {
             this.note(entry, applied);
         }
     }
