--- /dev/null
+++ b/src/base/common/table.ts
@@ -0,0 +1,18 @@
+/**
+ * Lays out rows in columns.
+ * @param header Names of the columns.
+ * @param rows Cells by row.
+ * @returns The lines of the table.
+ */
+export function formatTable(header: readonly string[], rows: readonly (readonly (string | number)[])[]): string {
+    const lines = [header, ...rows].map(row => row.map(String));
+    const widths = header.map((_, column) => Math.max(...lines.map(line => line[column].length)));
+    return lines
+        .map(line =>
+            line
+                .map((cell, column) => cell.padEnd(widths[column]))
+                .join("  ")
+                .trimEnd(),
+        )
+        .join("\n");
+}
--- a/src/platform/node/httpInstanceList.ts
+++ b/src/platform/node/httpInstanceList.ts
@@ -3,7 +3,7 @@
 import { HttpClient } from "./httpClient";
 
 /** Time within which the list must answer, in ms. */
-const ANSWER_TIMEOUT_MS = 2_000;
+const ANSWER_TIMEOUT_MS = 1_000;
 
 /** The platform's list over HTTP. It is read again only when it has changed. */
 export class HttpInstanceList extends InstanceList {
--- /dev/null
+++ b/src/proof/node/demo.tool.ts
@@ -0,0 +1,3 @@
+import { runDemo } from "./demo";
+
+process.exitCode = await runDemo();
--- a/src/proof/node/fakeNode.ts
+++ b/src/proof/node/fakeNode.ts
@@ -16,6 +16,9 @@
 /** Time after which a call without an answer has failed, in ms. */
 const CALL_TIMEOUT_MS = 2_000;
 
+/** Time after which a reading of the platform's list has failed, in ms. */
+const LIST_TIMEOUT_MS = 1_000;
+
 type ReplyListener = (reply: DeskReply) => void;
 type OutcomeListener = (outcome: "done" | "not-run" | "unknown" | "cut", reason?: string) => void;
 
@@ -317,8 +320,8 @@
 
     private readList(): void {
         const delay = this.world.network.delay();
-        if (delay > CALL_TIMEOUT_MS) {
-            setTimeout(() => this.post({ kind: "instances-unlisted" }), CALL_TIMEOUT_MS);
+        if (delay > LIST_TIMEOUT_MS) {
+            setTimeout(() => this.post({ kind: "instances-unlisted" }), LIST_TIMEOUT_MS);
             return;
         }
         setTimeout(() => {
--- /dev/null
+++ b/src/proof/node/runCounter.ts
@@ -0,0 +1,34 @@
+import { Invariants } from "../../base/common/invariant";
+import { AttemptOutcome, StartOrder } from "../../platform/common/worker";
+import { WorkerObserver } from "../../standin/common/simulatedWorker";
+
+/** Counts what workers run, and asserts that no task runs in two places at once. */
+export class RunCounter extends WorkerObserver {
+    private readonly running = new Map<string, string>();
+    starts = 0;
+    done = 0;
+    evictions = 0;
+
+    private constructor() {
+        super();
+    }
+
+    /** @returns A counter that has seen nothing. */
+    static create(): RunCounter {
+        return new RunCounter();
+    }
+
+    override started(worker: string, order: StartOrder): void {
+        const other = this.running.get(order.task);
+        const detail = () => `${order.task} started on ${worker} while it runs on ${other}`;
+        Invariants.instance.check("single-run", other === undefined, detail);
+        this.running.set(order.task, worker);
+        this.starts += 1;
+    }
+
+    override ended(_worker: string, order: StartOrder, outcome: AttemptOutcome): void {
+        this.running.delete(order.task);
+        this.done += outcome === "done" ? 1 : 0;
+        this.evictions += outcome === "evicted" ? 1 : 0;
+    }
+}
--- a/src/scheduling/common/attempt.ts
+++ b/src/scheduling/common/attempt.ts
@@ -44,6 +44,8 @@
     leaseExpiresAt = 0;
     /** Latest report of the running attempt. */
     running: RunningAttempt | undefined;
+    /** Time (ms) of the first and the latest report of the running attempt, and the progress at the first. */
+    firstSeen: { readonly at: number; readonly progress: number } | undefined;
     /** Whether it has been chosen to make room. */
     evicting = false;
     /** Whether the worker is told to slow it down. */
--- a/src/scheduling/common/attemptFollower.ts
+++ b/src/scheduling/common/attemptFollower.ts
@@ -46,7 +46,7 @@
         const refused = new Set(report.refused.map(each => `${each.task}#${each.attempt}`));
         for (const attempt of this.on(link)) {
             const name = `${this.context.taskName(attempt.task.number)}#${attempt.assignment.attempt}`;
-            this.judge(attempt, report, running.get(name), finished.get(name), refused.has(name));
+            this.judge(attempt, report, running.get(name), finished.get(name), refused.has(name), now);
         }
         this.learn(link, report, now);
     }
@@ -79,12 +79,35 @@
         }
     }
 
+    /**
+     * @param link A worker.
+     * @param now Time in ms.
+     * @returns Time (ms) at which the next of its attempts is expected to end; infinite when nothing is known.
+     */
+    nextEnd(link: WorkerLink, now: number): number {
+        return Math.min(...[...this.on(link)].map(attempt => this.expectedEnd(attempt, now)), Number.POSITIVE_INFINITY);
+    }
+
+    private expectedEnd(attempt: Attempt, now: number): number {
+        const { firstSeen, progress } = attempt;
+        if (firstSeen === undefined) {
+            return Number.POSITIVE_INFINITY;
+        }
+        const made = progress - firstSeen.progress;
+        if (made > 0) {
+            return now + ((1 - progress) * (now - firstSeen.at)) / made;
+        }
+        const mean = this.context.models.durations.mean(attempt.task.request.family);
+        return mean === undefined ? Number.POSITIVE_INFINITY : firstSeen.at + mean * (1 - progress);
+    }
+
     private judge(
         attempt: Attempt,
         report: WorkerReport,
         running: RunningAttempt | undefined,
         finished: FinishedAttempt | undefined,
         refused: boolean,
+        now: number,
     ): void {
         if (attempt.assignment.boot !== report.boot) {
             attempt.fire("rebooted");
@@ -92,6 +115,7 @@
             attempt.fire("finished", { finished });
         } else if (running !== undefined) {
             attempt.running = running;
+            attempt.firstSeen ??= { at: now, progress: running.progress };
             // An earlier owner may have granted up to a whole lease just before this report.
             attempt.leaseExpiresAt = Math.max(attempt.leaseExpiresAt, report.clock + TASK_LEASE_MS);
             attempt.fire("seen");
@@ -137,12 +161,19 @@
         const now = performance.now();
         if (end === "done") {
             trust?.done(now);
+            this.noteDuration(attempt, now);
         } else {
             trust?.failed({ now, familyFailureRate: failures.rate(family) });
         }
         failures.note(family, end === "failed");
     }
 
+    private noteDuration({ task, firstSeen }: Attempt, now: number): void {
+        if (firstSeen !== undefined && firstSeen.progress < 1) {
+            this.context.models.durations.note(task.request.family, (now - firstSeen.at) / (1 - firstSeen.progress));
+        }
+    }
+
     /** Usage and slowdown lag, so they are held against what ran at the time of the measurement. */
     private learn(link: WorkerLink, report: WorkerReport, now: number): void {
         const { usage, interference } = this.context.models;
--- a/src/scheduling/common/shardContext.ts
+++ b/src/scheduling/common/shardContext.ts
@@ -6,6 +6,7 @@
 import { WorkerEffect } from "../../platform/common/workerTraffic";
 import { Attempt } from "./attempt";
 import { AuditEffect, AuditSubject } from "./auditEntry";
+import { FamilyDurations } from "./familyDurations";
 import { FamilyFailures } from "./familyFailures";
 import { InterferenceModel } from "./interferenceModel";
 import { PlacementPolicy } from "./placementPolicy";
@@ -20,6 +21,7 @@
     readonly usage: UsageModel;
     readonly interference: InterferenceModel;
     readonly failures: FamilyFailures;
+    readonly durations: FamilyDurations;
     readonly policy: PlacementPolicy;
 }
 
--- a/src/scheduling/common/shardKeeper.ts
+++ b/src/scheduling/common/shardKeeper.ts
@@ -26,7 +26,7 @@
 import { SchedulingModels, ShardContext } from "./shardContext";
 import { ShardFold, TaskListener } from "./shardFold";
 import { ShardEntry } from "./taskEntry";
-import { WorkerLink } from "./workerLink";
+import { MIN_REPORT_INTERVAL_MS, WorkerLink } from "./workerLink";
 
 /** Effects that keeping a shard asks for. */
 export type ShardEffect = LogEffect<ShardEntry> | WorkerEffect | AuditEffect;
@@ -192,6 +192,8 @@
         if (event.kind === "worker-answered") {
             link.answered(event.report, now);
             this.follower.read(link, event.report, now);
+            const soonest = now + MIN_REPORT_INTERVAL_MS;
+            link.nextCallAt = Math.min(link.nextCallAt, Math.max(soonest, this.follower.nextEnd(link, now)));
         }
     }
 
--- a/src/scheduling/common/workerLink.ts
+++ b/src/scheduling/common/workerLink.ts
@@ -25,6 +25,9 @@
 /** Time between two reports of a worker. */
 export const REPORT_INTERVAL_MS = 5_000;
 
+/** Shortest time between two reports of a worker that are asked for because a task is about to end. */
+export const MIN_REPORT_INTERVAL_MS = 1_000;
+
 /** Time without an answer after which a worker counts as silent. */
 export const SILENCE_MS = 11_000;
 
--- a/src/serving/common/shardDesk.ts
+++ b/src/serving/common/shardDesk.ts
@@ -1,6 +1,7 @@
 import { OwnershipChange } from "../../coordination/common/ownershipKeeper";
 import { ShardOwnership } from "../../coordination/common/shardOwnership";
 import { LogEvent } from "../../platform/common/logTraffic";
+import { FamilyDurations } from "../../scheduling/common/familyDurations";
 import { FamilyFailures } from "../../scheduling/common/familyFailures";
 import { InterferenceModel } from "../../scheduling/common/interferenceModel";
 import { LearnedPlacement } from "../../scheduling/common/learnedPlacement";
@@ -31,6 +32,7 @@
             usage: LearnedUsage.create(),
             interference,
             failures: FamilyFailures.create(),
+            durations: FamilyDurations.create(),
             policy: LearnedPlacement.create(interference, () => services.config.weights()),
         };
         services.ownership.onDidChange(change => this.onOwnership(change));
--- a/src/serving/common/streamDesk.ts
+++ b/src/serving/common/streamDesk.ts
@@ -13,7 +13,7 @@
 const STATE_INTERVAL_MS = 1_500;
 
 /** Time between two readings of the platform's list. */
-const LIST_INTERVAL_MS = 2_000;
+const LIST_INTERVAL_MS = 1_000;
 
 /** Records of a stream after which the owner of the first shard writes a snapshot of it. */
 const SNAPSHOT_RECORDS = 500;
