Serve quotes through the death of an instance without loss

Cause 1: the close of a caller's connection after a whole answer was taken for the caller's leaving, and kept the slot for the rest of the deadline. Cause 2: an instance said that it was ready before it had slots.

--- a/src/scheduling/common/shardKeeper.ts
+++ b/src/scheduling/common/shardKeeper.ts
@@ -298,6 +298,8 @@
             }
             case "shares-set":
                 entry.shares.forEach(share => pendingShares.delete(share.worker));
+                // The slots can be given out now.
+                this.nextReviewAt = applied.now;
                 return;
             case "grants-limited":
                 if (entry.epoch === ownership.epoch && ownership.isActing) {
--- a/src/serving/common/grantDesk.ts
+++ b/src/serving/common/grantDesk.ts
@@ -9,6 +9,9 @@
 /** Latencies of upstreams that go with one request for grants. */
 const MAX_LATENCIES = 16;
 
+/** Time between two requests for grants while an owner has given none, in ms. */
+const EMPTY_INTERVAL_MS = 500;
+
 /** Slowdown from which a latency is worth reporting. */
 const NOTABLE_SLOWDOWN = 1.1;
 
@@ -53,6 +56,8 @@
         this.services.ask(owner.instance, owner.address, this.grantAsk(shard, now), now, reply => {
             if (reply?.kind === "grant-reply") {
                 this.holdings.take(reply, now);
+                const hasNothing = reply.grants.length === 0;
+                this.nextAskAt.set(shard, now + (hasNothing ? EMPTY_INTERVAL_MS : GRANT_INTERVAL_MS));
             }
         });
     }
--- a/src/serving/common/instanceServices.ts
+++ b/src/serving/common/instanceServices.ts
@@ -99,6 +99,15 @@
         return this.outbox as unknown as Outbox<LogEffect<E>>;
     }
 
+    /** @param now Time in ms. @returns Whether callers of every service that runs somewhere can be served. */
+    canServe(now: number): boolean {
+        return [...this.directory.services()].every(service =>
+            this.directory
+                .hosts(service)
+                .some(host => (this.holdings?.slots(this.directory.shardOfWorker(host), host.id, now) ?? 0) > 0),
+        );
+    }
+
     /** Puts a decision into the audit trail. */
     audit(subject: AuditSubject, name: string, action: string, reason: string): void {
         const { instance } = this.identity;
--- a/src/serving/node/frontEnd.ts
+++ b/src/serving/node/frontEnd.ts
@@ -113,8 +113,9 @@
     }
 
     private serveReadiness(response: ServerResponse): void {
-        const { state } = this.options.instance;
-        answer(response, state === "serving" ? 200 : 503, { state });
+        const { state, shared } = this.options.instance;
+        const canServe = shared.canServe(performance.now());
+        answer(response, state === "serving" && canServe ? 200 : 503, { state, canServe });
     }
 
     /** Keys are compared by digests of equal length, in constant time. */
@@ -149,7 +150,12 @@
         const id = this.requestCount;
         const path = url.pathname.slice(`/services/${service}`.length) + url.search;
         this.options.requests.add(id, request, path === "" ? "/" : path, body.body, response);
-        response.once("close", () => this.options.post({ kind: "caller-gone", request: id }));
+        response.once("close", () => {
+            // The connection also closes after a whole answer.
+            if (!response.writableFinished) {
+                this.options.post({ kind: "caller-gone", request: id });
+            }
+        });
         this.options.post({
             kind: "request-received",
             description: {
