--- a/src/coordination/common/replica.ts
+++ b/src/coordination/common/replica.ts
@@ -10,14 +10,14 @@
 /** How far a reader of a stream has come. */
 export type ReplicaState = "seeking" | "following" | "current";
 type ReplicaEvent = "page-read" | "image-offered" | "truncated";
-type ReplicaGuard = "canBegin" | "isAhead" | "reachesHead";
+type ReplicaGuard = "canBeginAtHead" | "canBegin" | "isAhead" | "reachesHead";
 type ReplicaAction = "begin" | "keep" | "install" | "restart" | "advance";
 
 const chart = ChartRegistry.instance.register(
     ChartLoader.load<ReplicaState, ReplicaEvent, ReplicaGuard, ReplicaAction>(chartText, "replica.chart.yaml", {
         states: ["seeking", "following", "current"],
         events: ["page-read", "image-offered", "truncated"],
-        guards: ["canBegin", "isAhead", "reachesHead"],
+        guards: ["canBeginAtHead", "canBegin", "isAhead", "reachesHead"],
         actions: ["begin", "keep", "install", "restart", "advance"],
     }),
 );
@@ -61,6 +61,8 @@
         this.position = from;
         this.machine = Machine.create(chart, {
             guards: {
+                canBeginAtHead: payload =>
+                    payload.kind === "page" && payload.page.next >= payload.page.head && this.canBegin(payload.page),
                 canBegin: payload => payload.kind === "page" && this.canBegin(payload.page),
                 isAhead: payload => payload.kind === "image" && payload.image.next > this.position,
                 reachesHead: payload => payload.kind === "page" && payload.page.next >= payload.page.head,
--- /dev/null
+++ b/src/coordination/common/test/appender.test.ts
@@ -0,0 +1,69 @@
+import test from "ava";
+import { Outbox } from "../../../base/common/outbox";
+import { LogEffect } from "../../../platform/common/logTraffic";
+import { Appender } from "../appender";
+
+function create() {
+    const outbox = Outbox.create<LogEffect<string>>();
+    const appender = Appender.create("stream", "me", outbox);
+    const sent = () => outbox.drain().flatMap(effect => (effect.kind === "log-append" ? [effect.batch] : []));
+    const answer = (kind: "appended" | "refused" | "unknown", sequence: number, now: number) =>
+        appender.handle(
+            kind === "appended"
+                ? { kind: "log-appended", stream: "stream", writer: "me", sequence, offset: 0 }
+                : { kind: "log-append-failed", stream: "stream", writer: "me", sequence, certainty: kind },
+            now,
+        );
+    return { appender, sent, answer };
+}
+
+test("entries are grouped and settle once", t => {
+    const { appender, sent, answer } = create();
+    let settled = 0;
+    appender.append("a", () => settled++);
+    appender.append("b", () => settled++);
+    appender.flush(0);
+    t.deepEqual(sent(), [{ writer: "me", sequence: 1, entries: ["a", "b"] }]);
+    answer("appended", 1, 5);
+    answer("appended", 1, 6);
+    t.is(settled, 2);
+    t.is(appender.backlog, 0);
+});
+
+test("a batch whose reply was lost is sent again under the same number, and cannot be withdrawn", t => {
+    const { appender, sent, answer } = create();
+    appender.append("a");
+    appender.flush(0);
+    sent();
+    answer("unknown", 1, 10);
+    t.is(appender.withdraw("a"), "may-be-durable");
+    appender.append("later");
+    appender.flush(11);
+    t.deepEqual(sent(), []);
+    appender.flush(5_000);
+    t.deepEqual(sent(), [{ writer: "me", sequence: 1, entries: ["a"] }]);
+    // Even a certain refusal of the copy leaves the first one in doubt.
+    answer("refused", 1, 5_001);
+    t.is(appender.withdraw("a"), "may-be-durable");
+    appender.readBack({ writer: "me", sequence: 1, entries: ["a"] }, 5_002);
+    t.is(appender.state, "idle");
+});
+
+test("a refused batch can be withdrawn", t => {
+    const { appender, sent, answer } = create();
+    appender.append("a");
+    appender.flush(0);
+    sent();
+    answer("refused", 1, 10);
+    t.is(appender.withdraw("a"), "withdrawn");
+    appender.flush(5_000);
+    t.deepEqual(sent(), []);
+});
+
+test("answers to other writers are not taken for one's own", t => {
+    const { appender } = create();
+    appender.append("a");
+    appender.flush(0);
+    appender.handle({ kind: "log-appended", stream: "stream", writer: "you", sequence: 1, offset: 0 }, 1);
+    t.is(appender.state, "sending");
+});
--- /dev/null
+++ b/src/coordination/common/test/ticketFold.test.ts
@@ -0,0 +1,81 @@
+import test from "ava";
+import fc from "fast-check";
+import { TicketFiled } from "../ticketEntry";
+import { TicketFold } from "../ticketFold";
+
+function file(number: number, basedOn: number, values: Record<string, string>): TicketFiled {
+    const objects = Object.entries(values).map(([key, value]) => ({ key, value }));
+    return { kind: "ticket-filed", number, basedOn, author: "a", reason: "r", filedAt: 0, objects };
+}
+
+function fold(...tickets: TicketFiled[]): TicketFold {
+    const result = TicketFold.create();
+    tickets.forEach((entry, offset) =>
+        result.accept({ offset, batch: { writer: `w${offset}`, sequence: 1, entries: [entry] } }),
+    );
+    return result;
+}
+
+test("of two tickets with one number the first in the log wins, and the other is told by which it lost", t => {
+    const { verdicts, inForce } = fold(file(1, 0, { a: "1" }), file(1, 0, { a: "2" }));
+    t.is(verdicts[1].state, "lost");
+    t.is(verdicts[1].loss, "number-taken");
+    t.is(verdicts[1].winner, 1);
+    t.is(inForce.get("a")?.value, "1");
+});
+
+test("a ticket filed twice is accepted once", t => {
+    const { verdicts } = fold(file(1, 0, { a: "1" }), file(1, 0, { a: "1" }));
+    t.deepEqual(
+        verdicts.map(each => each.state),
+        ["in-force", "repeated"],
+    );
+});
+
+test("a ticket built on an older number loses only where the objects have changed since", t => {
+    const { verdicts, inForce } = fold(
+        file(1, 0, { a: "1", b: "1" }),
+        file(2, 1, { a: "2" }),
+        file(3, 1, { a: "3" }),
+        file(4, 1, { b: "4" }),
+    );
+    t.deepEqual(
+        verdicts.map(each => each.state),
+        ["superseded", "in-force", "lost", "in-force"],
+    );
+    t.is(verdicts[2].loss, "built-on-older");
+    t.is(verdicts[2].winner, 2);
+    t.is(inForce.get("b")?.value, "4");
+});
+
+test("a removed object cannot be brought back by a ticket that did not see the removal", t => {
+    const { verdicts, inForce } = fold(file(1, 0, { a: "1" }), file(2, 1, { a: "" }), file(3, 1, { a: "3" }));
+    t.is(verdicts[2].state, "lost");
+    t.is(inForce.get("a")?.value, "");
+});
+
+test("the number in force never goes back, and an image gives the same state", t => {
+    const anyTicket = fc.record({
+        number: fc.integer({ min: 1, max: 9 }),
+        basedOn: fc.integer({ min: 0, max: 9 }),
+        key: fc.constantFrom("a", "b", "c"),
+        value: fc.constantFrom("1", "2", ""),
+    });
+    fc.assert(
+        fc.property(fc.array(anyTicket, { maxLength: 20 }), tickets => {
+            const whole = TicketFold.create();
+            let latest = 0;
+            tickets.forEach(({ number, basedOn, key, value }, offset) => {
+                const entries = [file(number, basedOn, { [key]: value })];
+                whole.accept({ offset, batch: { writer: "w", sequence: offset + 1, entries } });
+                t.true(whole.latestNumber >= latest);
+                latest = whole.latestNumber;
+            });
+            const copy = TicketFold.create();
+            copy.restore(JSON.parse(JSON.stringify(whole.image())) as ReturnType<typeof whole.image>);
+            t.deepEqual([...copy.inForce], [...whole.inForce]);
+            t.deepEqual(JSON.stringify(copy.image()), JSON.stringify(whole.image()));
+        }),
+        { seed: 7, numRuns: 200 },
+    );
+});
--- a/src/scheduling/common/attemptFollower.ts
+++ b/src/scheduling/common/attemptFollower.ts
@@ -2,7 +2,7 @@
 import { FinishedAttempt, RunningAttempt, WorkerReport } from "../../platform/common/worker";
 import { Attempt } from "./attempt";
 import { ClassLoad } from "./interferenceModel";
-import { TASK_LEASE_MS } from "./schedulingLimits";
+import { MAX_EXCLUDED_SHARE, TASK_LEASE_MS } from "./schedulingLimits";
 import { ShardContext } from "./shardContext";
 import { Task } from "./task";
 import { AttemptEnd } from "./taskEntry";
@@ -162,12 +162,19 @@
         if (end === "done") {
             trust?.done(now);
             this.noteDuration(attempt, now);
-        } else {
+        } else if (this.mayExclude()) {
             trust?.failed({ now, familyFailureRate: failures.rate(family) });
         }
         failures.note(family, end === "failed");
     }
 
+    /** Whether another worker may be taken out; without a bound one bad family could stop a small shard. */
+    private mayExclude(): boolean {
+        const links = [...this.context.links.values()];
+        const excluded = links.filter(link => link.trust.state !== "trusted").length;
+        return links.length > 1 && excluded < Math.ceil(links.length * MAX_EXCLUDED_SHARE);
+    }
+
     private noteDuration({ task, firstSeen }: Attempt, now: number): void {
         if (firstSeen !== undefined && firstSeen.progress < 1) {
             this.context.models.durations.note(task.request.family, (now - firstSeen.at) / (1 - firstSeen.progress));
--- a/src/scheduling/common/schedulingLimits.ts
+++ b/src/scheduling/common/schedulingLimits.ts
@@ -30,3 +30,6 @@
 
 /** Time after which a shard's owner writes a snapshot, if there are new records. */
 export const SNAPSHOT_INTERVAL_MS = 600_000;
+
+/** Share of a shard's workers that may be excluded at once for failing tasks. */
+export const MAX_EXCLUDED_SHARE = 0.3;
--- a/src/serving/common/directory.ts
+++ b/src/serving/common/directory.ts
@@ -18,9 +18,9 @@
         return new Directory(plan);
     }
 
-    /** Notes that the platform was asked for the list, whether it answered or not. */
-    checked(now: number): void {
-        this.checkedAt = now;
+    /** Notes an answer of the platform, the list or a failure. @param askedAt Time (ms) when it was asked. */
+    checked(askedAt: number): void {
+        this.checkedAt = askedAt;
     }
 
     /**
--- a/src/serving/common/streamDesk.ts
+++ b/src/serving/common/streamDesk.ts
@@ -23,6 +23,7 @@
     private nextStateAt = 0;
     private nextListAt = 0;
     private listAnswered = true;
+    private listAskedAt = Number.NEGATIVE_INFINITY;
     private asked = 0;
     private readonly snapshotPending = new Set<string>();
 
@@ -46,7 +47,7 @@
                 return this.handleLog(event, now);
             case "instances-listed":
                 this.listAnswered = true;
-                this.services.directory.checked(now);
+                this.services.directory.checked(this.listAskedAt);
                 if (event.listing !== undefined) {
                     this.services.directory.update(event.listing);
                     this.services.listed.fire();
@@ -54,7 +55,7 @@
                 return;
             case "instances-unlisted":
                 this.listAnswered = true;
-                this.services.directory.checked(now);
+                this.services.directory.checked(this.listAskedAt);
                 return;
             case "peer-replied":
                 return this.services.settle(event.call, event.reply, now);
@@ -72,6 +73,8 @@
     override tick(now: number): void {
         if (this.listAnswered && now >= this.nextListAt) {
             this.listAnswered = false;
+            // The answer tells what was listed after this moment; it may be looked at much later.
+            this.listAskedAt = now;
             this.nextListAt = now + LIST_INTERVAL_MS;
             this.services.outbox.emit({ kind: "list-instances" });
         }
