--- a/src/scheduling/common/learnedPlacement.ts
+++ b/src/scheduling/common/learnedPlacement.ts
@@ -67,21 +67,28 @@
     }
 
     private harmToServices(task: Task, candidate: Candidate): number {
-        return candidate.services.reduce(
-            (sum, service) => sum + (1 + service.load) * this.interference.effect(service.name, task.request.family),
-            0,
-        );
+        const { family } = task.request;
+        return candidate.services.reduce((sum, service) => {
+            const before = this.interference.sum(service.name, candidate.batch);
+            return sum + (1 + service.load) * this.addedSlowdown(before, service.name, family);
+        }, 0);
     }
 
     private harmToBatch(task: Task, candidate: Candidate): number {
         const { family } = task.request;
-        const suffered = this.interference.sum(family, [...candidate.batch, ...candidate.services]);
-        const caused = candidate.batch.reduce(
-            (sum, each) => sum + each.load * this.interference.effect(each.name, family),
-            0,
-        );
+        const beside = [...candidate.batch, ...candidate.services];
+        const suffered = Math.expm1(this.interference.sum(family, beside));
+        const caused = candidate.batch.reduce((sum, each) => {
+            const before = this.interference.sum(each.name, beside);
+            return sum + each.load * this.addedSlowdown(before, each.name, family);
+        }, 0);
         return suffered + caused;
     }
+
+    /** Effects multiply, so one more aggressor costs more where there are some already. */
+    private addedSlowdown(before: number, victim: string, aggressor: string): number {
+        return Math.exp(before) * Math.expm1(this.interference.effect(victim, aggressor));
+    }
 }
 
 /** A long task is more likely to be there when the services take their slots back. */
--- a/src/scheduling/common/reviewer.ts
+++ b/src/scheduling/common/reviewer.ts
@@ -66,7 +66,8 @@
             const wanted = this.wantedShare(link, now);
             this.context.wantedShares.set(link.listing.id, wanted);
             const slots = this.reachableShare(link, wanted, now);
-            if (slots < wanted) {
+            // Headroom is taken where it is free; tasks are evicted for real demand alone.
+            if (slots < Math.min(wanted, this.neededShare(link))) {
                 this.evictOne(link, () => true, "the services of the worker need its slot");
             }
             if (slots !== this.context.fold.serviceSlots(link.listing.id)) {
@@ -76,16 +77,23 @@
         this.recordShares(shares);
     }
 
+    /** Slots that the demand of the worker's services takes. */
+    private neededShare({ listing }: WorkerLink): number {
+        const { config, grants, links } = this.context;
+        const isHost = (each: WorkerLink) => each.listing.services.some(name => listing.services.includes(name));
+        const hosts = [...links.values()].filter(isHost).length;
+        const demand = listing.services.reduce((sum, service) => sum + grants.demand(service), 0);
+        return Math.max(config.minServiceSlots(), Math.ceil(demand / Math.max(1, hosts)));
+    }
+
     /** The demand, and what replaces the slots that are kept for instances which do not use them. */
     private wantedShare(link: WorkerLink, now: number): number {
         const { listing } = link;
-        const { config, grants, links } = this.context;
+        const { config, grants } = this.context;
         if (listing.services.length === 0 || listing.availability === "leaving" || config.isDrained(listing.id)) {
             return 0;
         }
-        const hosts = [...links.values()].filter(each => each.listing.services.some(s => listing.services.includes(s)));
-        const demand = listing.services.reduce((sum, service) => sum + grants.demand(service), 0);
-        const wanted = Math.max(config.minServiceSlots(), Math.ceil(demand / hosts.length) + SHARE_HEADROOM_SLOTS);
+        const wanted = Math.max(config.minServiceSlots(), this.neededShare(link) + SHARE_HEADROOM_SLOTS);
         const replaced = Math.min(grants.idle(listing.id, now), listing.capacity.slots * MAX_REPLACED_SHARE);
         return Math.min(listing.capacity.slots, wanted + replaced);
     }
