--- a/src/serving/common/grantDesk.ts
+++ b/src/serving/common/grantDesk.ts
@@ -1,4 +1,4 @@
-import { GRANT_INTERVAL_MS, GrantAsk } from "../../coordination/common/grant";
+import { GRANT_INTERVAL_MS, GrantAsk, ServiceLatency } from "../../coordination/common/grant";
 import { GrantHoldings } from "../../coordination/common/grantHoldings";
 import { Feature } from "./feature";
 import { FeatureRegistry } from "./featureRegistry";
@@ -7,7 +7,7 @@
 import { PeerAsk, PeerReply } from "./peerTraffic";
 
 /** Latencies of upstreams that go with one request for grants. */
-const MAX_LATENCIES = 16;
+const MAX_LATENCIES = 6;
 
 /** Time between two requests for grants while an owner has given none, in ms. */
 const EMPTY_INTERVAL_MS = 500;
@@ -16,12 +16,10 @@
 const RISE_FACTOR = 1.5;
 const RISE_INTERVAL_MS = 1_000;
 
-/** Slowdown from which a latency is worth reporting. */
-const NOTABLE_SLOWDOWN = 1.1;
-
 /** Holds this instance's slots, and asks the owners of the shards for them. */
 export class GrantDesk extends Feature {
     private readonly holdings: GrantHoldings;
+    private sampled = 0;
     private toldDemand = 0;
     private nextRiseAt = 0;
     private readonly nextAskAt = new Map<string, number>();
@@ -99,13 +97,17 @@
             ...this.holdings.position(shard),
             demands,
             held: this.holdings.held(shard, now),
-            latencies: this.services
-                .latencies(services)
-                .filter(each => names.has(each.worker) && each.slowdown > NOTABLE_SLOWDOWN)
-                .slice(0, MAX_LATENCIES),
+            latencies: this.sample(this.services.latencies(services).filter(each => names.has(each.worker))),
         };
     }
 
+    /** Some of the latencies, others each time: from slow ones alone the owner would learn that all tasks hurt. */
+    private sample(latencies: readonly ServiceLatency[]): ServiceLatency[] {
+        this.sampled += MAX_LATENCIES;
+        const start = latencies.length === 0 ? 0 : this.sampled % latencies.length;
+        return [...latencies.slice(start), ...latencies.slice(0, start)].slice(0, MAX_LATENCIES);
+    }
+
     private answer(ask: PeerAsk, now: number): PeerReply | undefined {
         const isMeant = ask.kind === "fence-ask" && ask.instance === this.services.identity.instance;
         return isMeant ? this.holdings.fence(ask, now) : undefined;
