Spread families over racks and failure domains; try slow upstreams less often than the tail

Cause: one request in 16 tried an upstream irrespective of its latency, so the 99th percentile was that of the slowest upstreams whatever the policy did. Now one in 200 does, and slowness is forgotten with a half-life of 30 s.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,6 +1,15 @@
 import tseslint from "typescript-eslint";
 
-const LAYERS = [["base"], ["platform"], ["coordination"], ["scheduling", "routing"], ["serving"], ["standin"], ["proof"], ["cli"]];
+const LAYERS = [
+    ["base"],
+    ["platform"],
+    ["coordination"],
+    ["scheduling", "routing"],
+    ["serving"],
+    ["standin"],
+    ["proof"],
+    ["cli"],
+];
 
 const PROCESS_MODULES = ["worker_threads", "child_process", "cluster"].flatMap(name => [name, `node:${name}`]);
 
--- a/src/base/common/schemaFindings.ts
+++ b/src/base/common/schemaFindings.ts
@@ -34,6 +34,7 @@
     readonly values?: readonly unknown[];
     readonly minimum?: number | bigint;
     readonly maximum?: number | bigint;
+    readonly inclusive?: boolean;
     readonly pattern?: string;
     readonly errors?: readonly (readonly Issue[])[];
 }
@@ -52,8 +53,13 @@
         return branch.flatMap(each => toFindings(yaml, { ...each, path: [...issue.path, ...each.path] }));
     }
     const name = issue.path.map(String).join(".") || "the file";
-    const place = yaml.place(issue.path);
-    return [{ place, message: `${name}: ${issue.message}`, expected: expectedOf(issue) }];
+    const value = valueAt(yaml.value, issue.path);
+    const message = value === undefined ? `${name} is missing` : `${name} is ${JSON.stringify(value)}`;
+    return [{ place: yaml.place(issue.path), message, expected: expectedOf(issue) }];
+}
+
+function valueAt(value: unknown, path: readonly PropertyKey[]): unknown {
+    return path.reduce<unknown>((each, key) => (each as Record<PropertyKey, unknown> | undefined)?.[key], value);
 }
 
 function expectedOf(issue: Issue): string {
@@ -61,7 +67,7 @@
         return issue.values.map(String).join(" or ");
     }
     if (issue.minimum !== undefined) {
-        return `at least ${issue.minimum}`;
+        return issue.inclusive === false ? `more than ${issue.minimum}` : `at least ${issue.minimum}`;
     }
     if (issue.maximum !== undefined) {
         return `at most ${issue.maximum}`;
--- /dev/null
+++ b/src/proof/node/benchConfig.ts
@@ -0,0 +1,30 @@
+import { DEFAULT_WEIGHTS } from "../../scheduling/common/policyWeights";
+import { SchedulingConfig } from "../../scheduling/common/schedulingConfig";
+import { TeamQuota } from "../../scheduling/common/teamQuota";
+
+/** Config of a bench: nothing is drained, and every team has the same quota. */
+export class BenchConfig extends SchedulingConfig {
+    /** @returns The config. */
+    static create(): BenchConfig {
+        return new BenchConfig();
+    }
+
+    override weights() {
+        return DEFAULT_WEIGHTS;
+    }
+    override quota(team: string): TeamQuota {
+        return { team, guaranteedSlots: 60, maxSlots: 2_000 };
+    }
+    override serviceSlot() {
+        return { cpus: 2, memoryGb: 4 };
+    }
+    override minServiceSlots() {
+        return 2;
+    }
+    override requestTailMs() {
+        return 10_000;
+    }
+    override isDrained() {
+        return false;
+    }
+}
--- a/src/proof/node/shardBench.ts
+++ b/src/proof/node/shardBench.ts
@@ -1,7 +1,7 @@
 import { Outbox } from "../../base/common/outbox";
 import { GrantTable } from "../../coordination/common/grantTable";
 import { LogSession } from "../../coordination/common/logSession";
-import { OwnershipHost, ShardOwnership } from "../../coordination/common/shardOwnership";
+import { ShardOwnership } from "../../coordination/common/shardOwnership";
 import { WorkerListing } from "../../platform/common/instanceList";
 import { LogEffect } from "../../platform/common/logTraffic";
 import { WorkerEffect } from "../../platform/common/workerTraffic";
@@ -16,46 +16,17 @@
 import { LeaseCaller } from "../../scheduling/common/leaseCaller";
 import { Placer } from "../../scheduling/common/placer";
 import { DEFAULT_WEIGHTS } from "../../scheduling/common/policyWeights";
-import { SchedulingConfig } from "../../scheduling/common/schedulingConfig";
 import { ShardContext } from "../../scheduling/common/shardContext";
 import { ShardFold } from "../../scheduling/common/shardFold";
 import { ShardEntry, TaskSubmitted } from "../../scheduling/common/taskEntry";
-import { TeamQuota } from "../../scheduling/common/teamQuota";
 import { WorkerLink } from "../../scheduling/common/workerLink";
+import { BenchConfig } from "./benchConfig";
+import { BenchHost } from "./benchHost";
 
 const TEAMS = 130;
 const FAMILIES = 40;
 const SHARDS = 16;
 
-/** Config of a bench: nothing is drained, and every team has the same quota. */
-class BenchConfig extends SchedulingConfig {
-    override weights() {
-        return DEFAULT_WEIGHTS;
-    }
-    override quota(team: string): TeamQuota {
-        return { team, guaranteedSlots: 60, maxSlots: 2_000 };
-    }
-    override serviceSlot() {
-        return { cpus: 2, memoryGb: 4 };
-    }
-    override minServiceSlots() {
-        return 2;
-    }
-    override requestTailMs() {
-        return 10_000;
-    }
-    override isDrained() {
-        return false;
-    }
-}
-
-/** Host of an ownership that nobody contests. */
-class BenchHost extends OwnershipHost {
-    override claim(): void {}
-    override release(): void {}
-    override changed(): void {}
-}
-
 /** @param index Number of a worker. @returns A worker of the target size. */
 export function benchListing(index: number): WorkerListing {
     return {
@@ -99,7 +70,7 @@
 
     private constructor(workers: number) {
         const outbox = Outbox.create<LogEffect<ShardEntry> | WorkerEffect | AuditEffect>();
-        const ownership = ShardOwnership.create("north-0", "north", new BenchHost());
+        const ownership = ShardOwnership.create("north-0", "north", BenchHost.create());
         ownership.epoch = 0;
         const logOutbox = outbox as unknown as Outbox<LogEffect<ShardEntry>>;
         const session = LogSession.create<ShardEntry>("shard-north-0", "me", this.fold, 0, logOutbox);
@@ -117,7 +88,7 @@
                 durations: FamilyDurations.create(),
                 policy: LearnedPlacement.create(interference, () => DEFAULT_WEIGHTS),
             },
-            new BenchConfig(),
+            BenchConfig.create(),
             outbox as unknown as Outbox<WorkerEffect | AuditEffect>,
             () => true,
         );
--- a/src/proof/node/test/trial.test.ts
+++ b/src/proof/node/test/trial.test.ts
@@ -137,7 +137,7 @@
     replaceMethod(t, ShardFold.prototype, "load", function (this: ShardFold, state: object) {
         original.call(this, { ...state, tasks: [] });
     });
-    breaks(t, ["nothing-lost", "single-run", "at-most-once", "capacity"], [1, 2, 3], () => undefined);
+    breaks(t, ["nothing-lost", "single-run", "resume-once", "at-most-once", "capacity"], [1, 2, 3], () => undefined);
 });
 
 test.serial("an ownership that ignores renewals which the claimant did not see is caught", t => {
--- a/src/routing/common/expectedLatency.ts
+++ b/src/routing/common/expectedLatency.ts
@@ -4,10 +4,13 @@
 /** Time that crossing to the other region and back adds, in ms. */
 const REGION_ROUND_TRIP_MS = 40;
 
-/** Share of choices that try an upstream irrespective of what it was like before: one in this many. */
-const EXPLORATION_INTERVAL = 16;
+/** Choices of which one tries the upstream that has not answered for the longest time: fewer than the tail has. */
+const EXPLORATION_INTERVAL = 200;
 
-/** Takes the upstream with the lowest expected time to answer, and now and then tries another one. */
+/** Time after which half of what made an upstream slow is taken to be over, in ms. */
+const SLOWNESS_HALF_LIFE_MS = 30_000;
+
+/** Takes the upstream with the lowest expected time to answer. What was slow long ago is expected to be as the mean. */
 export class ExpectedLatency extends UpstreamChoice {
     private choices = 0;
 
@@ -22,15 +25,26 @@
 
     override choose(options: readonly UpstreamOption[]): UpstreamOption {
         this.choices += 1;
-        const local = options.filter(each => each.isLocal);
-        if (this.choices % EXPLORATION_INTERVAL === 0 && local.length > 0) {
-            return local[Math.floor(this.choices / EXPLORATION_INTERVAL) % local.length];
+        if (this.choices % EXPLORATION_INTERVAL === 0) {
+            return options.reduce((stalest, each) => (each.ageMs > stalest.ageMs ? each : stalest));
+        }
+        const mean = options.reduce((sum, each) => sum + each.latencyMs, 0) / options.length;
+        let best = options[0];
+        let lowest = Number.POSITIVE_INFINITY;
+        for (const option of options) {
+            const time = expected(option, mean);
+            if (time < lowest) {
+                lowest = time;
+                best = option;
+            }
         }
-        return options.reduce((best, each) => (expected(each) < expected(best) ? each : best));
+        return best;
     }
 }
 
-function expected(option: UpstreamOption): number {
+function expected(option: UpstreamOption, mean: number): number {
+    const excess = Math.max(0, option.latencyMs - mean);
+    const kept = excess === 0 ? 0 : excess * 0.5 ** (option.ageMs / SLOWNESS_HALF_LIFE_MS);
     const crossing = option.isLocal ? 0 : REGION_ROUND_TRIP_MS;
-    return option.latencyMs * (1 + option.busySlots / option.slots) + crossing;
+    return (option.latencyMs - excess + kept) * (1 + option.busySlots / option.slots) + crossing;
 }
--- a/src/routing/common/router.ts
+++ b/src/routing/common/router.ts
@@ -223,6 +223,7 @@
             slots: this.slots.slots(listing.worker, now),
             busySlots: upstream.busySlots,
             latencyMs: upstream.latencyMs,
+            ageMs: now - upstream.answeredAt,
         };
     }
 
--- a/src/routing/common/upstream.ts
+++ b/src/routing/common/upstream.ts
@@ -53,6 +53,8 @@
     private replacedAt = Number.NEGATIVE_INFINITY;
     private latency = DEFAULT_LATENCY_MS;
 
+    /** Time (ms) of the latest head of an answer. */
+    answeredAt = Number.NEGATIVE_INFINITY;
     /** Requests whose attempts are with the upstream. */
     readonly requests = new Set<Request>();
     /** Requests of them that hold a slot; begun streams hold a connection alone. */
@@ -120,6 +122,7 @@
     /** Notes the head of an answer. @param latencyMs Time since the attempt was sent, in ms. */
     answered(latencyMs: number, now: number): void {
         this.latency += LATENCY_SMOOTHING * (latencyMs - this.latency);
+        this.answeredAt = now;
         this.machine.fire("answered", now);
     }
 
--- a/src/routing/common/upstreamOption.ts
+++ b/src/routing/common/upstreamOption.ts
@@ -7,4 +7,6 @@
     readonly busySlots: number;
     /** Mean time to the head of an answer, in ms. */
     readonly latencyMs: number;
+    /** Time since the latest answer, in ms. */
+    readonly ageMs: number;
 }
--- a/src/scheduling/common/candidate.ts
+++ b/src/scheduling/common/candidate.ts
@@ -1,4 +1,5 @@
 import { Capacity } from "../../platform/common/instanceList";
+import { FamilySpread } from "./familySpread";
 import { ClassLoad } from "./interferenceModel";
 import { TaskSize } from "./taskEntry";
 
@@ -18,6 +19,8 @@
     readonly services: readonly ClassLoad[];
     /** Whether demand of the services there is close to their share, 0 to 1. */
     readonly servicePressure: number;
+    /** How the families are spread over the racks and failure domains of the shard. */
+    readonly spread: FamilySpread;
 }
 
 /**
--- a/src/scheduling/common/capacityLedger.ts
+++ b/src/scheduling/common/capacityLedger.ts
@@ -1,6 +1,7 @@
 import { Invariants } from "../../base/common/invariant";
 import { WorkerListing } from "../../platform/common/instanceList";
 import { Candidate } from "./candidate";
+import { FamilySpread } from "./familySpread";
 import { ClassLoad } from "./interferenceModel";
 import { ShardContext } from "./shardContext";
 import { TaskSize } from "./taskEntry";
@@ -8,6 +9,8 @@
 
 /** Adds up what is reserved on each worker of a shard. */
 export class CapacityLedger {
+    private spread = FamilySpread.create();
+
     private constructor(private readonly context: ShardContext) {}
 
     /** @param context The shard. @returns A ledger. */
@@ -15,6 +18,17 @@
         return new CapacityLedger(context);
     }
 
+    /** Counts anew how the families are spread. */
+    recount(): void {
+        this.spread = FamilySpread.create();
+        for (const { assignment, request } of this.context.fold.openTasks) {
+            const listing = this.context.links.get(assignment?.worker ?? "")?.listing;
+            if (listing !== undefined) {
+                this.spread.add(request.family, listing.rack, listing.failureDomain);
+            }
+        }
+    }
+
     /**
      * @param link A worker.
      * @param now Time in ms.
@@ -42,6 +56,7 @@
             batch: this.batchClasses(listing.id),
             services: this.serviceClasses(listing, now),
             servicePressure: this.pressure(listing, now),
+            spread: this.spread,
         };
     }
 
--- a/src/scheduling/common/learnedPlacement.ts
+++ b/src/scheduling/common/learnedPlacement.ts
@@ -8,6 +8,9 @@
 /** Weight of leaving a worker's resources unevenly used, against one unit of slowdown. */
 const IMBALANCE_WEIGHT = 0.05;
 
+/** Weight of having a family in one rack and failure domain, against one unit of slowdown. */
+const SPREAD_WEIGHT = 0.05;
+
 /** Weight of using up accelerators with a task that needs none. */
 const ACCELERATOR_WASTE_WEIGHT = 0.1;
 
@@ -61,6 +64,7 @@
             weights.throughput * this.harmToBatch(task, candidate) +
             weights.evictions * evictionRisk(task, candidate) +
             CROWDING_WEIGHT * crowding(size, candidate) +
+            SPREAD_WEIGHT * candidate.spread.share(task.request.family, candidate.rack, candidate.failureDomain) +
             IMBALANCE_WEIGHT * imbalance(size, candidate) +
             ACCELERATOR_WASTE_WEIGHT * acceleratorWaste(size, candidate)
         );
--- a/src/scheduling/common/placer.ts
+++ b/src/scheduling/common/placer.ts
@@ -51,6 +51,7 @@
         if (queued.length === 0 || this.context.session.isAppendFailing) {
             return;
         }
+        this.ledger.recount();
         const candidates = [...this.context.links.values()]
             .filter(link => this.takesTasks(link, now))
             .map(link => this.candidate(link, now));
@@ -100,6 +101,7 @@
         const boot = context.links.get(chosen.worker)!.clock!.boot;
         context.pendingAssignments.set(task.number, { worker: chosen.worker, size });
         chosen.freeSlots -= 1;
+        chosen.spread.add(task.request.family, chosen.rack, chosen.failureDomain);
         chosen.free = {
             cpus: chosen.free.cpus - size.cpus,
             memoryGb: chosen.free.memoryGb - size.memoryGb,
--- a/src/scheduling/common/test/learning.test.ts
+++ b/src/scheduling/common/test/learning.test.ts
@@ -1,8 +1,10 @@
 import test from "ava";
 import { Candidate } from "../candidate";
+import { FamilySpread } from "../familySpread";
 import { InterferenceModel } from "../interferenceModel";
 import { LearnedPlacement } from "../learnedPlacement";
 import { LearnedUsage } from "../learnedUsage";
+import { DEFAULT_WEIGHTS } from "../policyWeights";
 import { Task } from "../task";
 import { WorkerTrust } from "../workerTrust";
 
@@ -44,6 +46,7 @@
         batch: [],
         services,
         servicePressure: 0,
+        spread: FamilySpread.create(),
     };
 }
 
@@ -83,6 +86,15 @@
     t.is(policy.choose(TASK, REQUEST, [near, far])?.worker, "far");
 });
 
+test("a family is spread over racks and failure domains", t => {
+    const policy = LearnedPlacement.create(InterferenceModel.create(), () => DEFAULT_WEIGHTS);
+    const spread = FamilySpread.create();
+    spread.add("loud", "r", "d");
+    const taken = { ...candidate("taken", []), spread };
+    const other = { ...candidate("other", []), spread, rack: "r2", failureDomain: "d2" };
+    t.is(policy.choose(TASK, REQUEST, [taken, other])?.worker, "other");
+});
+
 test("usage is learnt past a wrong declaration, and never below what is used", t => {
     const model = LearnedUsage.create();
     t.is(model.reserve(REQUEST).cpus, 2);
--- a/src/serving/common/auditDesk.ts
+++ b/src/serving/common/auditDesk.ts
@@ -8,12 +8,6 @@
 /** Entries that an answer has at most. */
 const MAX_ANSWERED_ENTRIES = 200;
 
-/** Answers an instance's latest decisions. The entries themselves are kept by whoever performs audit effects. */
-export abstract class AuditSource {
-    /** @param name Name of a subject; empty for all. @returns Latest entries, the latest last. */
-    abstract entries(name: string): readonly AuditEntry[];
-}
-
 /** Collects the decisions about a subject from all instances. */
 export class AuditDesk extends Feature {
     private constructor(private readonly services: InstanceServices) {
--- a/src/serving/common/instanceServices.ts
+++ b/src/serving/common/instanceServices.ts
@@ -9,7 +9,7 @@
 import { TicketEntry } from "../../coordination/common/ticketEntry";
 import { TicketFold } from "../../coordination/common/ticketFold";
 import { LogEffect } from "../../platform/common/logTraffic";
-import type { AuditSource } from "./auditDesk";
+import { AuditSource } from "./auditSource";
 import { Directory } from "./directory";
 import { InstanceEffect } from "./instanceTraffic";
 import { LogEntry, OWNERSHIP_STREAM, TICKET_STREAM } from "./logEntry";
--- a/src/serving/node/auditTrail.ts
+++ b/src/serving/node/auditTrail.ts
@@ -1,5 +1,5 @@
 import { AuditEntry } from "../../scheduling/common/auditEntry";
-import { AuditSource } from "../common/auditDesk";
+import { AuditSource } from "../common/auditSource";
 
 /** Entries kept for reading back. */
 const MAX_KEPT_ENTRIES = 2_000;
--- a/src/serving/node/instanceProcess.ts
+++ b/src/serving/node/instanceProcess.ts
@@ -1,7 +1,8 @@
 import { randomBytes } from "node:crypto";
 import { AddressInfo } from "node:net";
 import { Server } from "node:http";
-import { Disposable } from "../../base/common/disposable";
+import { Disposable, toDisposable } from "../../base/common/disposable";
+import { DisposableStore } from "../../base/common/disposableStore";
 import { Invariants } from "../../base/common/invariant";
 import { Loop } from "../../base/node/loop";
 import { HttpClient } from "../../platform/node/httpClient";
@@ -26,6 +27,7 @@
     private readonly client: HttpClient;
     private readonly loop: Loop<InstanceEvent, InstanceEffect>;
     private readonly performers: Performers;
+    private readonly resources = DisposableStore.create();
     private server: Server | undefined;
     private readonly stopped: Promise<void>;
     private resolveStopped: () => void = () => undefined;
@@ -33,17 +35,17 @@
     private constructor(
         private readonly settings: Settings,
         readonly instance: Instance,
-        private readonly metrics: MetricsWriter,
+        metrics: MetricsWriter,
     ) {
         const logger = createLogger(settings.log);
         const post = (event: InstanceEvent) => this.loop.post(event);
         this.stopped = new Promise(resolve => (this.resolveStopped = resolve));
-        this.client = HttpClient.create();
+        this.client = this.resources.add(HttpClient.create());
+        this.resources.add(toDisposable(() => metrics.close()));
         this.performers = Performers.create(settings, instance, this.client, metrics, post, () => this.onStopped());
-        this.loop = Loop.create(
-            (event, now, wallNow) => instance.dispatch(event, now, wallNow),
-            effect => this.performers.perform(effect),
-        );
+        this.resources.add(this.performers);
+        const dispatch = instance.dispatch.bind(instance);
+        this.loop = this.resources.add(Loop.create(dispatch, effect => this.performers.perform(effect)));
         instance.shared.auditSource = this.performers.audit;
         instance.shared.tasks.event(change => metrics.task(change));
         Invariants.instance.onDidViolate(({ invariant, detail }) => logger.error("invariant", { invariant, detail }));
@@ -86,18 +88,15 @@
         await this.stopped;
         clearTimeout(timer);
         clearInterval(farewell);
+        const open = this.instance.shared.openRequests();
+        Invariants.instance.check("graceful-stop", open === 0, () => `${open} requests were cut off`);
         await this.closeServer();
         this.dispose();
     }
 
     /** Ends at once, as a crash would: nothing is said to anybody. */
     dispose(): void {
-        this.loop.dispose();
-        this.server?.closeAllConnections();
-        this.server?.close();
-        this.performers.dispose();
-        this.client.dispose();
-        this.metrics.close();
+        this.resources.dispose();
     }
 
     private async listen(): Promise<void> {
@@ -109,6 +108,12 @@
             server.listen(Number(port), host, resolve);
         });
         this.server = server;
+        this.resources.add(
+            toDisposable(() => {
+                server.closeAllConnections();
+                server.close();
+            }),
+        );
         this.instance.start(performance.now()).forEach(effect => this.performers.perform(effect));
         this.loop.startTicking({ kind: "tick" }, TICK_MS);
     }
