--- a/src/coordination/common/ownershipKeeper.ts
+++ b/src/coordination/common/ownershipKeeper.ts
@@ -4,7 +4,8 @@
 import { withDrift } from "./duration";
 import { Lease } from "./lease";
 import { AppliedBatch, LogSession } from "./logSession";
-import { InstancePhase, OwnershipEntry, ShardClaimed } from "./ownershipEntry";
+import { Membership } from "./membership";
+import { OwnershipEntry, ShardClaimed } from "./ownershipEntry";
 import { InstanceRecord, OwnershipFold } from "./ownershipFold";
 import { assignBalanced } from "./rendezvous";
 import { OwnershipHost, OwnershipState, ShardOwnership } from "./shardOwnership";
@@ -82,8 +83,7 @@
     private presenceAskedAt: number | undefined;
     private joinedAt = Number.POSITIVE_INFINITY;
     private nextPresenceAt = 0;
-    private phase: InstancePhase = "serving";
-    private farewell: "none" | "asked" | "durable" = "none";
+    private readonly membership: Membership;
 
     /** Fires when this instance's part in the ownership of a shard changes. */
     readonly onDidChange = this.changes.event;
@@ -99,6 +99,10 @@
         private readonly source: PresenceSource,
     ) {
         super();
+        this.membership = Membership.create({
+            hasNothing: () => this.hasNothing(),
+            sayFarewell: () => this.sayFarewell(),
+        });
         this.shards = new Map(plan.map(each => [each.name, ShardOwnership.create(each.name, each.region, this)]));
         session.onDidApply(applied => this.onApplied(applied));
     }
@@ -133,7 +137,7 @@
 
     /** Whether nothing is held any more and the farewell is durable. */
     get isGone(): boolean {
-        return this.farewell === "durable";
+        return this.membership.state === "gone";
     }
 
     /**
@@ -153,7 +157,7 @@
 
     /** Begins to give all shards up. */
     drain(): void {
-        this.phase = "draining";
+        this.membership.fire("drain");
         this.nextPresenceAt = 0;
     }
 
@@ -167,7 +171,7 @@
         for (const shard of this.shards.values()) {
             this.judge(shard, now);
         }
-        this.sayFarewell();
+        this.membership.fire("settled");
     }
 
     override claim(shard: ShardOwnership): void {
@@ -201,7 +205,7 @@
         if (this.session.backlog === 0 && now > (this.presenceAskedAt ?? now) + OWNERSHIP_LEASE_MS) {
             this.presenceAskedAt = undefined;
         }
-        if (now < this.nextPresenceAt || this.presenceAskedAt !== undefined || this.farewell !== "none") {
+        if (now < this.nextPresenceAt || this.presenceAskedAt !== undefined || !this.isMember) {
             return;
         }
         this.presenceAskedAt = now;
@@ -210,7 +214,7 @@
         this.session.append({
             kind: "instance-present",
             ...this.identity,
-            phase: this.phase,
+            phase: this.membership.phase,
             ticket: this.source.ticketNumber(),
             holdings: held.map(shard => ({
                 shard: shard.name,
@@ -252,14 +256,14 @@
             shard.fire("lease-renewed", now);
         }
         const misplacedFor = shard.misplacedSince === undefined ? 0 : now - shard.misplacedSince;
-        if (misplacedFor > REBALANCE_DELAY_MS || this.phase === "draining") {
+        if (misplacedFor > REBALANCE_DELAY_MS || this.membership.phase === "draining") {
             shard.fire("give-up", now);
         }
     }
 
     /** A shard is vacant once its owner released it, or once all that was appended lately holds no renewal. */
     private isVacant(shard: ShardOwnership): boolean {
-        if (!this.session.isCurrent || this.phase === "draining") {
+        if (!this.session.isCurrent || this.membership.phase === "draining") {
             return false;
         }
         const tenure = this.fold.tenure(shard.name);
@@ -391,20 +395,18 @@
         }
     }
 
-    private sayFarewell(): void {
+    /** Whether the instance still renews itself. */
+    private get isMember(): boolean {
+        return this.membership.state === "serving" || this.membership.state === "leaving";
+    }
+
+    private hasNothing(): boolean {
         const idle = [...this.shards.values()].every(shard => shard.state === "watching" || shard.state === "claiming");
-        if (
-            this.phase !== "draining" ||
-            !idle ||
-            !this.source.isIdle() ||
-            this.farewell !== "none" ||
-            this.presenceAskedAt !== undefined
-        ) {
-            return;
-        }
-        this.farewell = "asked";
-        this.session.append({ kind: "instance-gone", instance: this.identity.instance }, () => {
-            this.farewell = "durable";
-        });
+        return idle && this.source.isIdle() && this.presenceAskedAt === undefined;
+    }
+
+    private sayFarewell(): void {
+        const { instance } = this.identity;
+        this.session.append({ kind: "instance-gone", instance }, () => this.membership.fire("said"));
     }
 }
--- a/src/proof/node/bench.tool.ts
+++ b/src/proof/node/bench.tool.ts
@@ -9,7 +9,7 @@
 import { benchTask, ShardBench } from "./shardBench";
 import { Contender, Scenario, ScenarioFigures, SCENARIOS } from "./scenario";
 
-const SEEDS = [1, 2];
+const SEEDS = [1, 2, 3, 4];
 const US_PER_MS = 1_000;
 
 /** Stated target of the time from a submission to the start of urgent work, in ms. */
--- a/src/scheduling/common/learnedUsage.ts
+++ b/src/scheduling/common/learnedUsage.ts
@@ -31,13 +31,17 @@
 export class LearnedUsage extends UsageModel {
     private readonly families = new Map<string, FamilyUsage>();
 
-    private constructor() {
+    private constructor(private readonly mayShrink: () => boolean) {
         super();
     }
 
-    /** @returns A model that has learnt nothing. */
-    static create(): LearnedUsage {
-        return new LearnedUsage();
+    /**
+     * @param mayShrink Tells whether less may be reserved than is declared. Where the tail weighs most, what is
+     * declared in excess stays free for the services.
+     * @returns A model that has learnt nothing.
+     */
+    static create(mayShrink: () => boolean = () => true): LearnedUsage {
+        return new LearnedUsage(mayShrink);
     }
 
     override reserve(request: TaskRequest): TaskSize {
@@ -47,11 +51,12 @@
             return { cpus: request.cpus, memoryGb: request.memoryGb, accelerators };
         }
         const trust = usage.samples / (usage.samples + PRIOR_SAMPLES);
-        return {
-            cpus: blend(request.cpus, upperBound(usage.cpus), trust),
-            memoryGb: blend(request.memoryGb, upperBound(usage.memoryGb), trust),
-            accelerators,
-        };
+        const cpus = blend(request.cpus, upperBound(usage.cpus), trust);
+        const memoryGb = blend(request.memoryGb, upperBound(usage.memoryGb), trust);
+        if (this.mayShrink()) {
+            return { cpus, memoryGb, accelerators };
+        }
+        return { cpus: Math.max(cpus, request.cpus), memoryGb: Math.max(memoryGb, request.memoryGb), accelerators };
     }
 
     override observe(family: string, sample: UsageSample): void {
--- a/src/scheduling/common/test/learning.test.ts
+++ b/src/scheduling/common/test/learning.test.ts
@@ -106,6 +106,15 @@
     t.true(memoryGb < 2, String(memoryGb));
 });
 
+test("where the tail weighs most, less than is declared is not reserved", t => {
+    const model = LearnedUsage.create(() => false);
+    for (let index = 0; index < 200; index++) {
+        model.observe("loud", { cpus: 9, memoryGb: 1 });
+    }
+    t.true(model.reserve(REQUEST).cpus > 8);
+    t.is(model.reserve(REQUEST).memoryGb, 2);
+});
+
 test("a worker is excluded for failing what works elsewhere, not for a task that fails everywhere", t => {
     const bad = WorkerTrust.create();
     const good = WorkerTrust.create();
--- a/src/serving/common/shardDesk.ts
+++ b/src/serving/common/shardDesk.ts
@@ -29,7 +29,10 @@
         super();
         const interference = InterferenceModel.create();
         this.models = {
-            usage: LearnedUsage.create(),
+            usage: LearnedUsage.create(() => {
+                const { tailLatency, throughput } = services.config.weights();
+                return throughput >= tailLatency;
+            }),
             interference,
             failures: FamilyFailures.create(),
             durations: FamilyDurations.create(),
--- a/src/serving/common/test/charts.test.ts
+++ b/src/serving/common/test/charts.test.ts
@@ -15,6 +15,7 @@
             "attempt",
             "instance",
             "log-session",
+            "membership",
             "ownership",
             "replica",
             "request",
--- a/src/serving/node/requestTable.ts
+++ b/src/serving/node/requestTable.ts
@@ -1,5 +1,6 @@
 import { IncomingMessage, ServerResponse } from "node:http";
 import { pipeline } from "node:stream/promises";
+import { Invariants } from "../../base/common/invariant";
 import { RouteEffect } from "../../routing/common/routeTraffic";
 import { RequestStore, UpstreamAnswer, UpstreamRequest } from "./upstreamPerformer";
 
@@ -60,8 +61,13 @@
         open.response.writeHead(answer.status, headers);
         // The head of a stream must reach the caller before its first event does.
         open.response.flushHeaders();
+        let size = 0;
+        answer.body.on("data", (part: Buffer) => (size += part.length));
         await pipeline(answer.body, open.response);
         this.open.delete(request);
+        const announced = Number(answer.headers["content-length"] ?? size);
+        const isWhole = open.outgoing.method === "HEAD" || size === announced;
+        Invariants.instance.check("whole-answer", isWhole, () => `${size} of ${announced} bytes were passed on`);
     }
 
     /** Answers a caller without an upstream's answer. */
