Give services more headroom where the tail weighs most

Cause: requests could avoid slowed upstreams only within one spare slot a worker. Parts take a sink of the effects that they emit, in place of casts of the outbox.

--- a/src/coordination/common/appender.ts
+++ b/src/coordination/common/appender.ts
@@ -1,7 +1,7 @@
 import { ChartLoader } from "../../base/common/chartLoader";
 import { ChartRegistry } from "../../base/common/chartRegistry";
 import { Machine } from "../../base/common/machine";
-import { Outbox } from "../../base/common/outbox";
+import { EffectSink } from "../../base/common/effectSink";
 import { AppendAnswer, Batch, LogEffect } from "../../platform/common/logTraffic";
 import chartText from "./append.chart.yaml";
 import { MAX_BATCH_ENTRIES } from "./fold";
@@ -55,7 +55,7 @@
     private constructor(
         private readonly stream: string,
         private readonly writer: string,
-        private readonly outbox: Outbox<LogEffect<Entry>>,
+        private readonly outbox: EffectSink<LogEffect<Entry>>,
     ) {
         this.machine = Machine.create(chart, {
             guards: { hasPending: () => this.pending.length > 0 },
@@ -75,7 +75,7 @@
      * @param outbox Takes the effects.
      * @returns An appender with nothing queued.
      */
-    static create<E>(stream: string, writer: string, outbox: Outbox<LogEffect<E>>): Appender<E> {
+    static create<E>(stream: string, writer: string, outbox: EffectSink<LogEffect<E>>): Appender<E> {
         return new Appender(stream, writer, outbox);
     }
 
--- a/src/coordination/common/logSession.ts
+++ b/src/coordination/common/logSession.ts
@@ -1,7 +1,7 @@
 import { ChartLoader } from "../../base/common/chartLoader";
 import { ChartRegistry } from "../../base/common/chartRegistry";
 import { Machine } from "../../base/common/machine";
-import { Outbox } from "../../base/common/outbox";
+import { EffectSink } from "../../base/common/effectSink";
 import { Offset } from "../../platform/common/logService";
 import { LogEffect, LogEvent, PlacedBatch } from "../../platform/common/logTraffic";
 import { Emitter } from "../../base/common/emitter";
@@ -60,7 +60,7 @@
         writer: string,
         fold: Fold<Entry>,
         from: Offset,
-        private readonly outbox: Outbox<LogEffect<Entry>>,
+        private readonly outbox: EffectSink<LogEffect<Entry>>,
     ) {
         this.appender = Appender.create(stream, writer, outbox);
         this.replica = Replica.create(fold, from, (placed, counted) => this.apply(placed, counted));
@@ -86,7 +86,7 @@
         writer: string,
         fold: Fold<E>,
         from: Offset,
-        outbox: Outbox<LogEffect<E>>,
+        outbox: EffectSink<LogEffect<E>>,
     ): LogSession<E> {
         return new LogSession(stream, writer, fold, from, outbox);
     }
--- a/src/proof/node/shardBench.ts
+++ b/src/proof/node/shardBench.ts
@@ -72,8 +72,7 @@
         const outbox = Outbox.create<LogEffect<ShardEntry> | WorkerEffect | AuditEffect>();
         const ownership = ShardOwnership.create("north-0", "north", BenchHost.create());
         ownership.epoch = 0;
-        const logOutbox = outbox as unknown as Outbox<LogEffect<ShardEntry>>;
-        const session = LogSession.create<ShardEntry>("shard-north-0", "me", this.fold, 0, logOutbox);
+        const session = LogSession.create<ShardEntry>("shard-north-0", "me", this.fold, 0, outbox);
         const interference = InterferenceModel.create();
         this.context = ShardContext.create(
             ownership,
@@ -89,7 +88,7 @@
                 policy: LearnedPlacement.create(interference, () => DEFAULT_WEIGHTS),
             },
             BenchConfig.create(),
-            outbox as unknown as Outbox<WorkerEffect | AuditEffect>,
+            outbox,
             () => true,
         );
         for (let index = 0; index < workers; index++) {
--- a/src/routing/common/router.ts
+++ b/src/routing/common/router.ts
@@ -1,8 +1,9 @@
 import { Invariants } from "../../base/common/invariant";
-import { Outbox } from "../../base/common/outbox";
+import { EffectSink } from "../../base/common/effectSink";
 import { ServiceLatency } from "../../coordination/common/grant";
 import { LinkBudget } from "./linkBudget";
 import { RefusalReason, Request, RequestDescription, RequestEvent, RequestHost } from "./request";
+import { RequestUsage } from "./requestUsage";
 import { RetryBudget } from "./retryBudget";
 import { RouteEffect, RouteEvent } from "./routeTraffic";
 import { SlotSource, UpstreamListing } from "./slotSource";
@@ -38,7 +39,7 @@
 const MIN_REPORTED_LATENCY_MS = 1;
 
 /** Takes callers' requests to upstreams, within the slots that this instance may use. */
-export class Router {
+export class Router extends RequestUsage {
     private readonly requests = new Map<number, Request>();
     private readonly waiting = new Map<string, Request[]>();
     private readonly upstreams = new Map<string, Upstream>();
@@ -53,8 +54,9 @@
         private readonly slots: SlotSource,
         private choice: UpstreamChoice,
         private readonly link: LinkBudget,
-        private readonly outbox: Outbox<RouteEffect>,
+        private readonly outbox: EffectSink<RouteEffect>,
     ) {
+        super();
         this.requestHost = this.createRequestHost();
         this.upstreamHost = this.createUpstreamHost();
     }
@@ -72,13 +74,12 @@
         slots: SlotSource,
         choice: UpstreamChoice,
         link: LinkBudget,
-        outbox: Outbox<RouteEffect>,
+        outbox: EffectSink<RouteEffect>,
     ): Router {
         return new Router(region, slots, choice, link, outbox);
     }
 
-    /** Number of requests that have no answer yet, or were given up and may still be running. */
-    get openCount(): number {
+    override get openCount(): number {
         const given = [...this.upstreams.values()].reduce((sum, each) => sum + each.lingeringCount, 0);
         return this.requests.size + given;
     }
@@ -94,18 +95,15 @@
         this.step(request, "overload", now);
     }
 
-    /** @param worker Name of a worker. @param now Time in ms. @returns Slots of it that requests here may be using. */
-    usedSlots(worker: string, now: number): number {
+    override usedSlots(worker: string, now: number): number {
         return this.upstreams.get(worker)?.usedSlots(now) ?? 0;
     }
 
-    /** @returns Slots wanted by service, smoothed over time and never below what is busy now. */
-    demand(): ReadonlyMap<string, number> {
+    override demand(): ReadonlyMap<string, number> {
         return this.demands;
     }
 
-    /** @returns Latency of each upstream relative to the fastest one of the service. */
-    latencies(services: Iterable<string>): ServiceLatency[] {
+    override latencies(services: Iterable<string>): ServiceLatency[] {
         return [...services].flatMap(service => {
             const known = this.slots
                 .upstreams(service)
--- a/src/scheduling/common/reviewer.ts
+++ b/src/scheduling/common/reviewer.ts
@@ -14,10 +14,12 @@
 import { ShardContext } from "./shardContext";
 import { Task } from "./task";
 import { ServiceShare, TaskSize } from "./taskEntry";
+import { isPressing } from "./taskOrder";
 import { WorkerLink } from "./workerLink";
 
-/** Slots above the demand that services get on each worker. */
-const SHARE_HEADROOM_SLOTS = 1;
+/** Slots above the demand that services get on each worker, where they are free: usually, and where the tail weighs most. */
+const USUAL_HEADROOM_SLOTS = 1;
+const TAIL_HEADROOM_SLOTS = 2;
 
 /** Share of a worker's slots that may replace those which instances hold and do not use. */
 const MAX_REPLACED_SHARE = 0.25;
@@ -25,6 +27,7 @@
 /** Reviews the shares of services, and makes room where tasks are too many: throttles first, evicts last. */
 export class Reviewer {
     private evictions = 0;
+    private headroom = USUAL_HEADROOM_SLOTS;
     private limitsPending = false;
 
     private constructor(
@@ -49,6 +52,7 @@
     /** Reviews every worker of the shard. @param now Time in ms. @param wallNow Time since the Unix epoch in ms. */
     review(now: number, wallNow: number): void {
         this.evictions = 0;
+        this.headroom = this.headroomFor(wallNow);
         for (const link of this.context.links.values()) {
             link.history.note(now, this.ledger.classes(link.listing, now));
             this.relieve(link);
@@ -77,6 +81,13 @@
         this.recordShares(shares);
     }
 
+    /** Where the tail weighs most there is more headroom, unless tasks would miss their time for it. */
+    private headroomFor(wallNow: number): number {
+        const { tailLatency, throughput } = this.context.config.weights();
+        const spares = tailLatency > throughput && !this.placer.queued().some(task => isPressing(task, wallNow));
+        return spares ? TAIL_HEADROOM_SLOTS : USUAL_HEADROOM_SLOTS;
+    }
+
     /** Slots that the demand of the worker's services takes. */
     private neededShare({ listing }: WorkerLink): number {
         const { config, grants, links } = this.context;
@@ -93,7 +104,7 @@
         if (listing.services.length === 0 || listing.availability === "leaving" || config.isDrained(listing.id)) {
             return 0;
         }
-        const wanted = Math.max(config.minServiceSlots(), this.neededShare(link) + SHARE_HEADROOM_SLOTS);
+        const wanted = Math.max(config.minServiceSlots(), this.neededShare(link) + this.headroom);
         const replaced = Math.min(grants.idle(listing.id, now), listing.capacity.slots * MAX_REPLACED_SHARE);
         return Math.min(listing.capacity.slots, wanted + replaced);
     }
--- a/src/scheduling/common/shardContext.ts
+++ b/src/scheduling/common/shardContext.ts
@@ -1,4 +1,4 @@
-import { Outbox } from "../../base/common/outbox";
+import { EffectSink } from "../../base/common/effectSink";
 import { GrantTable } from "../../coordination/common/grantTable";
 import { LogSession } from "../../coordination/common/logSession";
 import { ShardOwnership } from "../../coordination/common/shardOwnership";
@@ -50,7 +50,7 @@
         readonly grants: GrantTable,
         readonly models: SchedulingModels,
         readonly config: SchedulingConfig,
-        readonly outbox: Outbox<WorkerEffect | AuditEffect>,
+        readonly outbox: EffectSink<WorkerEffect | AuditEffect>,
         /** Tells whether the platform's list has been looked at lately. */
         readonly isListFresh: (now: number) => boolean,
     ) {}
@@ -75,7 +75,7 @@
         grants: GrantTable,
         models: SchedulingModels,
         config: SchedulingConfig,
-        outbox: Outbox<WorkerEffect | AuditEffect>,
+        outbox: EffectSink<WorkerEffect | AuditEffect>,
         isListFresh: (now: number) => boolean,
     ): ShardContext {
         return new ShardContext(ownership, instance, session, fold, grants, models, config, outbox, isListFresh);
--- a/src/scheduling/common/shardKeeper.ts
+++ b/src/scheduling/common/shardKeeper.ts
@@ -1,4 +1,4 @@
-import { Outbox } from "../../base/common/outbox";
+import { EffectSink } from "../../base/common/effectSink";
 import { FenceReply, GrantAsk, GrantReply } from "../../coordination/common/grant";
 import { GrantTable } from "../../coordination/common/grantTable";
 import { AppliedBatch, LogSession } from "../../coordination/common/logSession";
@@ -42,7 +42,7 @@
     readonly shardCount: number;
     readonly models: SchedulingModels;
     readonly config: SchedulingConfig;
-    readonly outbox: Outbox<ShardEffect>;
+    readonly outbox: EffectSink<ShardEffect>;
     readonly onTask: TaskListener;
     /** Instances that may hold grants of earlier owners. */
     readonly instances: () => Iterable<string>;
@@ -76,7 +76,7 @@
             options.writer,
             fold,
             options.from,
-            outbox as unknown as Outbox<LogEffect<ShardEntry>>,
+            outbox,
         );
         const grants = GrantTable.create(ownership.name, ownership.epoch, config.requestTailMs());
         this.context = ShardContext.create(
@@ -87,7 +87,7 @@
             grants,
             options.models,
             config,
-            outbox as unknown as Outbox<WorkerEffect | AuditEffect>,
+            outbox,
             options.isListFresh,
         );
         this.follower = AttemptFollower.create(this.context);
--- a/src/scheduling/common/taskOrder.ts
+++ b/src/scheduling/common/taskOrder.ts
@@ -84,12 +84,21 @@
     }
 }
 
+/**
+ * @param task A task.
+ * @param wallNow Time in ms since the Unix epoch.
+ * @returns Whether the task would miss its time if it waited much longer.
+ */
+export function isPressing(task: Task, wallNow: number): boolean {
+    const { dueAt, durationMs } = task.request;
+    return dueAt > 0 && dueAt - wallNow < durationMs * (1 + PRESSING_SLACK_SHARE);
+}
+
 function rankOf(task: Task, wallNow: number): Rank {
-    const { urgency, dueAt, durationMs } = task.request;
-    if (urgency === "urgent") {
+    if (task.request.urgency === "urgent") {
         return 0;
     }
-    if (dueAt > 0 && dueAt - wallNow < durationMs * (1 + PRESSING_SLACK_SHARE)) {
+    if (isPressing(task, wallNow)) {
         return 1;
     }
     return wallNow - task.submittedAt > STARVATION_MS ? 2 : 3;
--- a/src/serving/common/grantDesk.ts
+++ b/src/serving/common/grantDesk.ts
@@ -26,7 +26,7 @@
 
     private constructor(private readonly services: InstanceServices) {
         super();
-        this.holdings = GrantHoldings.create((worker, now) => services.usedSlots(worker, now));
+        this.holdings = GrantHoldings.create((worker, now) => services.requests?.usedSlots(worker, now) ?? 0);
         services.holdings = this.holdings;
         services.localAnswers.push((_from, ask, now) => this.answer(ask, now));
     }
@@ -54,7 +54,7 @@
 
     /** A demand that rises fast is told sooner. */
     private noteRise(now: number): void {
-        const demand = [...this.services.demand().values()].reduce((sum, each) => sum + each, 0);
+        const demand = [...(this.services.requests?.demand().values() ?? [])].reduce((sum, each) => sum + each, 0);
         const rises = demand > this.toldDemand * RISE_FACTOR + 1;
         if (!rises || now < this.nextRiseAt) {
             return;
@@ -83,11 +83,11 @@
         const { directory, identity } = this.services;
         const workers = directory.workersOf(shard);
         const services = new Set(workers.flatMap(worker => worker.services));
-        const demand = this.services.demand();
+        const demand = this.services.requests?.demand();
         const demands = [...services].map(service => {
             const hosts = Math.max(1, directory.hosts(service).length);
             const local = workers.filter(worker => worker.services.includes(service)).length;
-            return { service, slots: ((demand.get(service) ?? 0) * local) / hosts };
+            return { service, slots: ((demand?.get(service) ?? 0) * local) / hosts };
         });
         const names = new Set(workers.map(worker => worker.id));
         return {
@@ -97,7 +97,9 @@
             ...this.holdings.position(shard),
             demands,
             held: this.holdings.held(shard, now),
-            latencies: this.sample(this.services.latencies(services).filter(each => names.has(each.worker))),
+            latencies: this.sample(
+                (this.services.requests?.latencies(services) ?? []).filter(each => names.has(each.worker)),
+            ),
         };
     }
 
--- a/src/serving/common/instanceServices.ts
+++ b/src/serving/common/instanceServices.ts
@@ -1,6 +1,5 @@
 import { Emitter } from "../../base/common/emitter";
 import { Outbox } from "../../base/common/outbox";
-import { ServiceLatency } from "../../coordination/common/grant";
 import { GrantHoldings } from "../../coordination/common/grantHoldings";
 import { LogSession } from "../../coordination/common/logSession";
 import { OwnershipEntry } from "../../coordination/common/ownershipEntry";
@@ -8,11 +7,12 @@
 import { InstanceIdentity, OwnershipKeeper, ShardPlan } from "../../coordination/common/ownershipKeeper";
 import { TicketEntry } from "../../coordination/common/ticketEntry";
 import { TicketFold } from "../../coordination/common/ticketFold";
-import { LogEffect } from "../../platform/common/logTraffic";
 import { AuditSource } from "./auditSource";
+import { WorkerListing } from "../../platform/common/instanceList";
+import { RequestUsage } from "../../routing/common/requestUsage";
 import { Directory } from "./directory";
 import { InstanceEffect } from "./instanceTraffic";
-import { LogEntry, OWNERSHIP_STREAM, TICKET_STREAM } from "./logEntry";
+import { OWNERSHIP_STREAM, TICKET_STREAM } from "./logEntry";
 import { PeerAsk, PeerReply } from "./peerTraffic";
 import { AuditSubject } from "../../scheduling/common/auditEntry";
 import { ShardKeeper } from "../../scheduling/common/shardKeeper";
@@ -52,14 +52,8 @@
     auditSource: AuditSource | undefined;
     /** Slots of other owners' workers that this instance may use. */
     holdings: GrantHoldings | undefined;
-    /** Answers how many slots of a worker requests here may be using. */
-    usedSlots: (worker: string, now: number) => number = () => 0;
-    /** Answers the slots wanted by service. */
-    demand: () => ReadonlyMap<string, number> = () => new Map();
-    /** Answers the relative latencies of the upstreams of services. */
-    latencies: (services: Iterable<string>) => ServiceLatency[] = () => [];
-    /** Answers how many requests have no answer yet, or were given up and may still be running. */
-    openRequests: () => number = () => 0;
+    /** What callers' requests use and want. */
+    requests: RequestUsage | undefined;
     /** Whether the instance is shutting down. */
     isStopping = false;
     private readonly peerListeners = new Map<number, PeerListener>();
@@ -70,18 +64,24 @@
         readonly plan: readonly ShardPlan[],
     ) {
         this.directory = Directory.create(plan);
-        this.tickets = LogSession.create(TICKET_STREAM, identity.instance, this.ticketFold, 0, this.logOutbox());
-        this.ownershipSession = LogSession.create(
+        this.tickets = LogSession.create<TicketEntry>(
+            TICKET_STREAM,
+            identity.instance,
+            this.ticketFold,
+            0,
+            this.outbox,
+        );
+        this.ownershipSession = LogSession.create<OwnershipEntry>(
             OWNERSHIP_STREAM,
             identity.instance,
             this.ownershipFold,
             0,
-            this.logOutbox(),
+            this.outbox,
         );
         this.ownership = OwnershipKeeper.create(identity, plan, this.ownershipFold, this.ownershipSession, {
             ticketNumber: () => this.ticketFold.latestNumber,
             snapshotNext: shard => this.snapshotOffsets.get(shard)?.() ?? 0,
-            isIdle: () => this.openRequests() === 0,
+            isIdle: () => this.openRequests === 0,
         });
     }
 
@@ -94,18 +94,18 @@
         return new InstanceServices(identity, plan);
     }
 
-    /** @returns The outbox as parts see it that only talk to the log. */
-    logOutbox<E extends LogEntry>(): Outbox<LogEffect<E>> {
-        return this.outbox as unknown as Outbox<LogEffect<E>>;
+    /** Number of requests that have no answer yet, or were given up and may still be running. */
+    get openRequests(): number {
+        return this.requests?.openCount ?? 0;
     }
 
     /** @param now Time in ms. @returns Whether callers of every service that runs somewhere can be served. */
     canServe(now: number): boolean {
-        return [...this.directory.services()].every(service =>
-            this.directory
-                .hosts(service)
-                .some(host => (this.holdings?.slots(this.directory.shardOfWorker(host), host.id, now) ?? 0) > 0),
-        );
+        const slots = (host: WorkerListing) =>
+            this.holdings?.slots(this.directory.shardOfWorker(host), host.id, now) ?? 0;
+        return [...this.directory.services()]
+            .map(service => this.directory.hosts(service).filter(host => host.availability === "live"))
+            .every(hosts => hosts.length === 0 || hosts.some(host => slots(host) > 0));
     }
 
     /** Puts a decision into the audit trail. */
--- a/src/serving/common/routeDesk.ts
+++ b/src/serving/common/routeDesk.ts
@@ -1,8 +1,6 @@
-import { Outbox } from "../../base/common/outbox";
 import { ExpectedLatency } from "../../routing/common/expectedLatency";
 import { LinkBudget } from "../../routing/common/linkBudget";
 import { Router } from "../../routing/common/router";
-import { RouteEffect } from "../../routing/common/routeTraffic";
 import { UpstreamChoice } from "../../routing/common/upstreamChoice";
 import { Feature } from "./feature";
 import { FeatureRegistry } from "./featureRegistry";
@@ -24,12 +22,9 @@
             GrantedSlots.create(services),
             ExpectedLatency.create(),
             LinkBudget.create(LINK_SHARERS),
-            services.outbox as unknown as Outbox<RouteEffect>,
+            services.outbox,
         );
-        services.usedSlots = (worker, now) => this.router.usedSlots(worker, now);
-        services.demand = () => this.router.demand();
-        services.latencies = names => this.router.latencies(names);
-        services.openRequests = () => this.router.openCount;
+        services.requests = this.router;
     }
 
     /** @param services What all features share. @returns The desk. */
--- a/src/serving/common/shardDesk.ts
+++ b/src/serving/common/shardDesk.ts
@@ -7,10 +7,9 @@
 import { LearnedPlacement } from "../../scheduling/common/learnedPlacement";
 import { LearnedUsage } from "../../scheduling/common/learnedUsage";
 import { SchedulingModels } from "../../scheduling/common/shardContext";
-import { ShardEffect, ShardKeeper } from "../../scheduling/common/shardKeeper";
+import { ShardKeeper } from "../../scheduling/common/shardKeeper";
 import { Task } from "../../scheduling/common/task";
 import { ShardEntry } from "../../scheduling/common/taskEntry";
-import { Outbox } from "../../base/common/outbox";
 import { Feature } from "./feature";
 import { FeatureRegistry } from "./featureRegistry";
 import { InstanceEvent } from "./instanceTraffic";
@@ -108,7 +107,7 @@
                 shardCount: services.plan.length,
                 models: this.models,
                 config: services.config,
-                outbox: services.outbox as unknown as Outbox<ShardEffect>,
+                outbox: services.outbox,
                 onTask: (task, event) => services.tasks.fire({ shard: shard.name, task, event }),
                 instances: () => services.ownershipFold.instances.keys(),
                 isListFresh: at => services.directory.isFresh(at),
--- a/src/serving/common/statusDesk.ts
+++ b/src/serving/common/statusDesk.ts
@@ -31,7 +31,7 @@
                 phase: services.isStopping ? "draining" : "serving",
                 streams: this.streams(now),
                 shards: [...services.ownership.all].map(shard => this.shard(shard)),
-                openRequests: services.openRequests(),
+                openRequests: services.openRequests,
                 violations: Object.fromEntries(Invariants.instance.violated()),
             },
         });
--- a/src/serving/common/taskDesk.ts
+++ b/src/serving/common/taskDesk.ts
@@ -1,6 +1,4 @@
-import { Outbox } from "../../base/common/outbox";
 import { Appender } from "../../coordination/common/appender";
-import { LogEffect } from "../../platform/common/logTraffic";
 import { streamOf } from "../../scheduling/common/shardKeeper";
 import { ShardEntry, TaskRequest } from "../../scheduling/common/taskEntry";
 import { DeskReply } from "./deskTraffic";
@@ -167,8 +165,11 @@
         if (known !== undefined) {
             return known;
         }
-        const outbox = this.services.outbox as unknown as Outbox<LogEffect<ShardEntry>>;
-        const appender = Appender.create(stream, `${this.services.identity.instance}/entry`, outbox);
+        const appender = Appender.create<ShardEntry>(
+            stream,
+            `${this.services.identity.instance}/entry`,
+            this.services.outbox,
+        );
         this.appenders.set(stream, appender);
         return appender;
     }
--- a/src/serving/node/instanceProcess.ts
+++ b/src/serving/node/instanceProcess.ts
@@ -88,7 +88,7 @@
         await this.stopped;
         clearTimeout(timer);
         clearInterval(farewell);
-        const open = this.instance.shared.openRequests();
+        const open = this.instance.shared.openRequests;
         Invariants.instance.check("graceful-stop", open === 0, () => `${open} requests were cut off`);
         await this.closeServer();
         this.dispose();
@@ -125,7 +125,7 @@
     /** While the log is down nobody can be told of the end; what is in flight is still awaited. */
     private giveUpFarewell(): void {
         const { shared } = this.instance;
-        if (shared.ownershipSession.isAppendFailing && shared.openRequests() === 0) {
+        if (shared.ownershipSession.isAppendFailing && shared.openRequests === 0) {
             this.onStopped();
         }
     }
