Speak TLS between instances as well as with callers

Cause: the client of an instance did not know the authority of the others' certificates, so questions between instances failed under TLS. Seen in a test that serves over TLS with a certificate of its own: it failed before and passes now.

--- a/src/serving/node/instanceProcess.ts
+++ b/src/serving/node/instanceProcess.ts
@@ -1,4 +1,5 @@
 import { randomBytes } from "node:crypto";
+import { readFile } from "node:fs/promises";
 import { AddressInfo } from "node:net";
 import { Server } from "node:http";
 import { Disposable, toDisposable } from "../../base/common/disposable";
@@ -36,11 +37,12 @@
         private readonly settings: Settings,
         readonly instance: Instance,
         metrics: MetricsWriter,
+        authority: string | undefined,
     ) {
         const logger = createLogger(settings.log);
         const post = (event: InstanceEvent) => this.loop.post(event);
         this.stopped = new Promise(resolve => (this.resolveStopped = resolve));
-        this.client = this.resources.add(HttpClient.create());
+        this.client = this.resources.add(HttpClient.create({ ca: authority }));
         this.resources.add(toDisposable(() => metrics.close()));
         this.performers = Performers.create(settings, instance, this.client, metrics, post, () => this.onStopped());
         this.resources.add(this.performers);
@@ -65,7 +67,9 @@
         const { region, failureDomain } = settings;
         const address = settings.advertise ?? settings.listen;
         const instance = Instance.create({ instance: incarnation, address, region, failureDomain }, plan);
-        const process = new InstanceProcess(settings, instance, await MetricsWriter.create(settings.metrics));
+        const authority = settings.tls === undefined ? undefined : await readFile(settings.tls.authority, "utf8");
+        const metrics = await MetricsWriter.create(settings.metrics);
+        const process = new InstanceProcess(settings, instance, metrics, authority);
         await process.listen();
         return process;
     }
--- a/src/standin/node/localDeployment.ts
+++ b/src/standin/node/localDeployment.ts
@@ -11,6 +11,8 @@
     readonly instances: number;
     readonly shards: number;
     readonly logLevel?: "error" | "info";
+    /** Files of the certificate, its key and its authority; without them the instances speak plain HTTP. */
+    readonly tls?: Settings["tls"];
 }
 
 /** A whole deployment in one process on loopback: the platform, workers and instances. */
@@ -48,7 +50,7 @@
 
     /** @param index Number of an instance. @returns Scheme, host and port of it. */
     origin(index: number): string {
-        return `http://${this.addresses[index]}`;
+        return `${this.options.tls === undefined ? "http" : "https"}://${this.addresses[index]}`;
     }
 
     /** @param index Number of an instance. @returns Its settings. */
@@ -61,6 +63,7 @@
             listen: this.addresses[index],
             platform: { log: platform.origin, instances: platform.origin },
             shards: { [options.region]: options.shards },
+            tls: options.tls,
             log: { format: "json", level: options.logLevel ?? "error" },
         });
     }
