--- a/src/proof/node/slopes.tool.ts
+++ b/src/proof/node/slopes.tool.ts
@@ -2,6 +2,11 @@
 import { toBinary } from "@bufbuild/protobuf";
 import { formatTable } from "../../base/common/table";
 import { Outbox } from "../../base/common/outbox";
+import { withDrift } from "../../coordination/common/duration";
+import { READ_WAIT_MS } from "../../coordination/common/logSession";
+import { OWNERSHIP_LEASE_MS } from "../../coordination/common/ownershipKeeper";
+import { REVIEW_INTERVAL_MS, URGENT_PATIENCE_MS } from "../../scheduling/common/schedulingLimits";
+import { TICK_MS } from "../../serving/node/instanceProcess";
 import { GrantTable } from "../../coordination/common/grantTable";
 import { PeerAskSchema, PeerReplySchema } from "../../generated/wigeonstall/v1/peer_pb";
 import { LinkBudget } from "../../routing/common/linkBudget";
@@ -317,7 +322,7 @@
         {
             budget: "processor share of decisions",
             need: `${(share * 100).toFixed(2)}% (folding ${(foldCpu / 1e4).toFixed(2)}%, placing ${(placeCpu / 1e4).toFixed(2)}%, grants ${(grantCpu / 1e4).toFixed(2)}%)`,
-            limit: `${BUDGET.cpuShare * 100}%`,
+            limit: `${(BUDGET.cpuShare * 100).toFixed(1)}%`,
             verdict: judge(share, BUDGET.cpuShare),
         },
         {
@@ -335,6 +340,33 @@
         limit: "200",
         verdict: judge(ceiling, 200),
     });
+    const linkBytes = (instances / 2) * (logBytes + grantBytes / 2 + presenceBytes);
+    rows.push(
+        {
+            budget: "bytes/s between regions for control",
+            need: `${linkBytes.toFixed(0)} (half of the instances read the log and half of the grants from the other region)`,
+            limit: "2500000",
+            verdict: judge(linkBytes, 2_500_000),
+        },
+        {
+            budget: "urgent start, ms",
+            need: `${4 * TICK_MS + 50} (submission, pass, assignment, call); ${2 * TICK_MS + 50 + REVIEW_INTERVAL_MS + URGENT_PATIENCE_MS} with an eviction`,
+            limit: "5400",
+            verdict: judge(2 * TICK_MS + 50 + REVIEW_INTERVAL_MS + URGENT_PATIENCE_MS, 5_400),
+        },
+        {
+            budget: "urgent start while a shard's owner is replaced after a death, ms",
+            need: String(withDrift(OWNERSHIP_LEASE_MS) + READ_WAIT_MS + 4 * TICK_MS),
+            limit: "5400",
+            verdict: judge(withDrift(OWNERSHIP_LEASE_MS) + READ_WAIT_MS + 4 * TICK_MS, 5_400),
+        },
+        {
+            budget: "ticket in force everywhere, ms",
+            need: `${TICK_MS + READ_WAIT_MS}`,
+            limit: "9000",
+            verdict: judge(TICK_MS + READ_WAIT_MS, 9_000),
+        },
+    );
     return rows;
 }
 
--- a/src/scheduling/common/placer.ts
+++ b/src/scheduling/common/placer.ts
@@ -18,6 +18,7 @@
 export class Placer {
     private readonly order: TaskOrder;
     private readonly waiting = new Map<number, WaitReason>();
+    private readonly told = new Map<number, WaitReason>();
 
     private constructor(
         private readonly context: ShardContext,
@@ -48,6 +49,7 @@
     pass(now: number, wallNow: number): void {
         const queued = this.queued();
         this.waiting.clear();
+        this.forgetTold(queued);
         if (queued.length === 0 || this.context.session.isAppendFailing) {
             return;
         }
@@ -83,12 +85,30 @@
         const fitting = candidates.filter(each => fits(each, size) && !task.failedOn.includes(each.worker));
         const chosen = fitting.length === 0 ? undefined : this.context.models.policy.choose(task, size, fitting);
         if (chosen === undefined) {
-            this.waiting.set(task.number, this.whyNot(candidates, fitting));
+            this.wait(task, this.whyNot(candidates, fitting));
             return;
         }
         this.assign(task, size, chosen);
     }
 
+    private forgetTold(queued: readonly Task[]): void {
+        const numbers = new Set(queued.map(task => task.number));
+        for (const number of this.told.keys()) {
+            if (!numbers.has(number)) {
+                this.told.delete(number);
+            }
+        }
+    }
+
+    /** A reason goes into the audit trail when it is new. */
+    private wait(task: Task, reason: WaitReason): void {
+        this.waiting.set(task.number, reason);
+        if (this.told.get(task.number) !== reason) {
+            this.told.set(task.number, reason);
+            this.context.audit("task", task.request.key, "waits", reason);
+        }
+    }
+
     private whyNot(candidates: readonly Candidate[], fitting: readonly Candidate[]): WaitReason {
         if (fitting.length > 0) {
             return "policy-waits";
@@ -100,6 +120,7 @@
         const { context } = this;
         const boot = context.links.get(chosen.worker)!.clock!.boot;
         context.pendingAssignments.set(task.number, { worker: chosen.worker, size });
+        this.told.delete(task.number);
         chosen.freeSlots -= 1;
         chosen.spread.add(task.request.family, chosen.rack, chosen.failureDomain);
         chosen.free = {
