Answer instances that were away, and let limits bind that a suspended owner reads

Cause 1: an owner forgot the count of its answers to an instance that had not asked for 40 s, and began again at 1; the instance dropped those answers as old until they passed its own count, and got no slots meanwhile. Cause 2: limits read back while the owner was suspended were not applied, and no later ones were recorded in that epoch. Both were found by reading; each has a test that failed before and passes now.

--- a/src/coordination/common/grantTable.ts
+++ b/src/coordination/common/grantTable.ts
@@ -179,7 +179,7 @@
      * @returns All that it may use from now on.
      */
     reply(ask: GrantAsk, now: number): GrantReply {
-        const asker = this.askers.get(ask.instance) ?? { serial: 0, demands: new Map(), until: 0 };
+        const asker = this.askers.get(ask.instance) ?? this.createAsker(ask);
         asker.demands = new Map(ask.demands.map(each => [each.service, each.slots]));
         asker.until = this.lapse(now);
         this.askers.set(ask.instance, asker);
@@ -204,6 +204,12 @@
         return [...this.askers.values()].reduce((sum, each) => sum + (each.demands.get(service) ?? 0), 0);
     }
 
+    /** An instance that comes back goes on counting above what it has seen, or it would drop the answers as old. */
+    private createAsker(ask: GrantAsk): Asker {
+        const seen = ask.epoch === this.epoch && ask.serial > 0 ? ask.serial + 1 : 0;
+        return { serial: seen, demands: new Map(), until: 0 };
+    }
+
     private worker(name: string): WorkerSlots {
         const known = this.workers.get(name) ?? { share: 0, holdings: new Map<string, Holding>() };
         this.workers.set(name, known);
--- a/src/coordination/common/test/grantTable.test.ts
+++ b/src/coordination/common/test/grantTable.test.ts
@@ -115,3 +115,22 @@
         { seed: 3, numRuns: 300 },
     );
 });
+
+test("an instance that was away for long takes the answers of the same owner again", t => {
+    const table = GrantTable.create("shard", 1, TAIL_MS);
+    table.setShare("w", 2);
+    const a = GrantHoldings.create(() => 0);
+    const exchange = (now: number) => a.take(table.reply(ask(a, "a", 2, now), now), now);
+    for (let now = 0; now < 20_000; now += 1_000) {
+        exchange(now);
+        table.applyLimits(table.changeLimits(now));
+    }
+    t.is(a.slots("shard", "w", 20_000), 2);
+    const back = 20_000 + 3 * GRANT_LEASE_MS;
+    table.applyLimits(table.changeLimits(back));
+    t.is(a.slots("shard", "w", back), 0);
+    exchange(back);
+    table.applyLimits(table.changeLimits(back + 1));
+    exchange(back + 2);
+    t.is(a.slots("shard", "w", back + 3), 2);
+});
--- a/src/scheduling/common/shardKeeper.ts
+++ b/src/scheduling/common/shardKeeper.ts
@@ -302,7 +302,8 @@
                 this.nextReviewAt = applied.now;
                 return;
             case "grants-limited":
-                if (entry.epoch === ownership.epoch && ownership.isActing) {
+                // Also while suspended: the limits are in force, and the next ones wait for these.
+                if (entry.epoch === ownership.epoch) {
                     this.context.grants.applyLimits(entry.limits);
                     this.reviewer.limitsRecorded();
                 }
--- /dev/null
+++ b/src/scheduling/common/test/shardKeeper.test.ts
@@ -0,0 +1,73 @@
+import test from "ava";
+import { Outbox } from "../../../base/common/outbox";
+import { OwnershipHost, ShardOwnership } from "../../../coordination/common/shardOwnership";
+import { FamilyDurations } from "../familyDurations";
+import { FamilyFailures } from "../familyFailures";
+import { FirstFit } from "../firstFit";
+import { InterferenceModel } from "../interferenceModel";
+import { LearnedUsage } from "../learnedUsage";
+import { DEFAULT_WEIGHTS } from "../policyWeights";
+import { ShardEffect, ShardKeeper } from "../shardKeeper";
+import { ShardEntry } from "../taskEntry";
+
+const HOST: OwnershipHost = { claim: () => undefined, release: () => undefined, changed: () => undefined };
+
+function create() {
+    const ownership = ShardOwnership.create("s", "north", HOST);
+    ownership.preferred = true;
+    ownership.fire("vacant", 0);
+    ownership.epoch = 5;
+    ownership.fire("claim-won", 0);
+    const outbox = Outbox.create<ShardEffect>();
+    const keeper = ShardKeeper.create(
+        {
+            ownership,
+            instance: "i",
+            writer: "i@5",
+            from: 0,
+            shardCount: 1,
+            models: {
+                usage: LearnedUsage.create(),
+                interference: InterferenceModel.create(),
+                failures: FamilyFailures.create(),
+                durations: FamilyDurations.create(),
+                policy: FirstFit.create(),
+            },
+            config: {
+                weights: () => DEFAULT_WEIGHTS,
+                quota: team => ({ team, guaranteedSlots: 1, maxSlots: 1 }),
+                serviceSlot: () => ({ cpus: 1, memoryGb: 1 }),
+                minServiceSlots: () => 1,
+                requestTailMs: () => 1_000,
+                isDrained: () => false,
+            },
+            outbox,
+            onTask: () => undefined,
+            instances: () => [],
+            sendFence: () => undefined,
+            isListFresh: () => true,
+        },
+        0,
+    );
+    let next = 0;
+    const read = (entry: ShardEntry) => {
+        next += 1;
+        const batches = [{ offset: next - 1, batch: { writer: "i@5", sequence: next, entries: [entry] } }];
+        const page = { stream: "shard-s", read: next, from: next - 1, batches, next, head: next };
+        keeper.handleLog({ kind: "log-read", ...page }, 0);
+    };
+    return { ownership, keeper, read };
+}
+
+test("limits that are read while the owner is suspended are in force when it goes on", t => {
+    const { ownership, keeper, read } = create();
+    read({ kind: "shard-fenced", epoch: 5, instance: "i" });
+    keeper.tick(0, 0);
+    t.is(ownership.state, "adopting");
+    ownership.fire("holdover-over", 0);
+    t.is(ownership.state, "suspended");
+    read({ kind: "grants-limited", epoch: 5, limits: [{ worker: "w", instance: "i", slots: 2 }] });
+    t.is(keeper.grants.limited("w"), 2);
+    read({ kind: "grants-limited", epoch: 4, limits: [{ worker: "w", instance: "i", slots: 7 }] });
+    t.is(keeper.grants.limited("w"), 2);
+});
