Say once what stood twice

- The reviewer chose the cheapest victim in two places, counted the hosts of a service anew for each worker, and built a candidate for each victim; now once for each.
For workers with several services the demand is divided by the hosts of each service rather than of any.
- Trials and scenarios share the paused clock.
The capacity page has one line fit, one judge and one writer.

--- a/scripts/resident.mjs
+++ b/scripts/resident.mjs
@@ -1,20 +1,14 @@
-// Measures the resident memory of the binary over four numbers of workers, and rewrites its table of the capacity page.
+// Measures the resident memory and processor time of the binary over four numbers of workers, for `npm run slopes`.
 import { spawn } from "node:child_process";
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 
 const SIZES = [29, 58, 116, 232];
-const TARGET_WORKERS = 116;
-const LIMIT_MB = 64;
-const LIMIT_CPU_PERCENT = 3.5;
 const TICK_MS = 10;
 const SETTLE_MS = 20_000;
 const START_MS = 2_000;
 const FIRST_PORT = 7500;
-const PAGE = "docs/CAPACITY.md";
-const BEGIN = "<!-- memory: begin -->";
-const END = "<!-- memory: end -->";
 
 const sleep = ms => new Promise(resolve => setTimeout(resolve, ms));
 
@@ -34,21 +28,6 @@
     return Number(fields[13]) + Number(fields[14]);
 }
 
-/** Line through the points, its value at the target, and the verdict. */
-function judge(points, name, limit, unit) {
-    const mean = key => points.reduce((sum, each) => sum + each[key], 0) / points.length;
-    const [meanSize, meanValue] = [mean("size"), mean(name)];
-    const covariance = points.reduce((sum, each) => sum + (each.size - meanSize) * (each[name] - meanValue), 0);
-    const slope = covariance / points.reduce((sum, each) => sum + (each.size - meanSize) ** 2, 0);
-    const constant = meanValue - slope * meanSize;
-    const squares = points.reduce((sum, each) => sum + (each[name] - constant - slope * each.size) ** 2, 0);
-    const need = constant + slope * TARGET_WORKERS;
-    const verdict = need <= limit ? "held" : `not held, by ${((need / limit - 1) * 100).toFixed(0)}%`;
-    const residual = Math.sqrt(squares / points.length).toPrecision(2);
-    const line = `${constant.toPrecision(3)} + ${slope.toPrecision(3)} a worker ${unit}, residual ${residual}`;
-    return `${line}. With ${TARGET_WORKERS} workers ${need.toPrecision(3)} ${unit}; limit ${limit} ${unit}: ${verdict}.`;
-}
-
 async function measure(size, index, folder) {
     const file = join(folder, `${size}.yaml`);
     writeFileSync(file, settings(index));
@@ -73,15 +52,5 @@
 const folder = mkdtempSync(join(tmpdir(), "wigeonstall-"));
 const points = await Promise.all(SIZES.map((size, index) => measure(size, index, folder)));
 rmSync(folder, { recursive: true });
-const rows = points.map(
-    each =>
-        `| ${each.size} | ${each.resident.toFixed(0)} MB | ${each.own.toFixed(0)} MB | ${(each.cpu * 100).toFixed(1)}% |`,
-);
-const percent = points.map(each => ({ ...each, cpu: each.cpu * 100 }));
-const memory = `Resident: ${judge(points, "resident", LIMIT_MB, "MB")}`;
-const processor = `Processor, without tasks and requests: ${judge(percent, "cpu", LIMIT_CPU_PERCENT, "% of a core")}`;
-console.log(`${memory}\n${processor}`);
-const head = ["| workers | resident | private | processor |", "|---|---|---|---|"];
-const table = [...head, ...rows, "", memory, "", processor].join("\n");
-const page = readFileSync(PAGE, "utf8");
-writeFileSync(PAGE, `${page.slice(0, page.indexOf(BEGIN))}${BEGIN}\n${table}\n${page.slice(page.indexOf(END))}`);
+mkdirSync("out", { recursive: true });
+writeFileSync("out/resident.json", JSON.stringify(points));
--- a/src/coordination/common/ticketFold.ts
+++ b/src/coordination/common/ticketFold.ts
@@ -112,14 +112,6 @@
         return this.log;
     }
 
-    /**
-     * @param offset Offset of a ticket's record.
-     * @returns What became of it, if that is still kept.
-     */
-    verdictAt(offset: Offset): TicketVerdict | undefined {
-        return this.log.findLast(verdict => verdict.offset === offset);
-    }
-
     protected override apply(entry: TicketEntry, position: EntryPosition): void {
         if (entry.kind !== "ticket-filed") {
             return;
--- a/src/proof/node/scenario.ts
+++ b/src/proof/node/scenario.ts
@@ -1,4 +1,3 @@
-import FakeTimers from "@sinonjs/fake-timers";
 import { RouteDesk } from "../../serving/common/routeDesk";
 import { ShardDesk } from "../../serving/common/shardDesk";
 import { UpstreamChoice } from "../../routing/common/upstreamChoice";
@@ -8,6 +7,7 @@
 import { Caller } from "./caller";
 import { FakeNode } from "./fakeNode";
 import { Random } from "./random";
+import { installClock } from "./virtualClock";
 import { Witness } from "./witness";
 import { SERVICE_SLOT, World, WORKER_CAPACITY } from "./world";
 
@@ -87,7 +87,7 @@
     }
 
     private run(): ScenarioFigures {
-        const clock = FakeTimers.install({ now: Date.UTC(2030, 0, 1), toFake: [...FAKED] });
+        const clock = installClock();
         try {
             const random = Random.create(this.seed);
             const witness = Witness.create(WORKER_CAPACITY, SERVICE_SLOT, () => false);
@@ -174,5 +174,3 @@
         }
     }
 }
-
-const FAKED = ["setTimeout", "clearTimeout", "setInterval", "clearInterval", "Date", "performance"] as const;
--- a/src/proof/node/slopes.tool.ts
+++ b/src/proof/node/slopes.tool.ts
@@ -13,7 +13,6 @@
 import { ExpectedLatency } from "../../routing/common/expectedLatency";
 import { Router } from "../../routing/common/router";
 import { RouteEffect } from "../../routing/common/routeTraffic";
-import { SlotSource } from "../../routing/common/slotSource";
 import { ShardEntry } from "../../scheduling/common/taskEntry";
 import { Directory } from "../../serving/common/directory";
 import { Batch } from "../../platform/common/logTraffic";
@@ -21,6 +20,7 @@
 import { encodeAsk, encodeReply } from "../../serving/node/peerCodec";
 import { encodeCall, encodeReport } from "../../platform/node/workerCodec";
 import { decodeBatch, encodeBatch } from "../../serving/node/recordCodec";
+import { BenchSlots } from "./benchSlots";
 import { benchListing, benchTask, ShardBench } from "./shardBench";
 import { fit, Point, Slope } from "./slope";
 
@@ -203,30 +203,13 @@
     return [fit("leases: bytes of a call and its report", "B/task", bytes)];
 }
 
-class BenchSlots extends SlotSource {
-    private readonly listed;
-    constructor(count: number) {
-        super();
-        this.listed = Array.from({ length: count }, (_, i) => ({ worker: `w${i}`, address: `a${i}`, region: "north" }));
-    }
-    override upstreams() {
-        return this.listed;
-    }
-    override slots() {
-        return 2;
-    }
-    override address() {
-        return "a";
-    }
-}
-
 function requestSlopes(): Slope[] {
     const sizes = [35, 70, 140, 280];
     const work = measure(sizes, size => {
         const outbox = Outbox.create<RouteEffect>();
         const router = Router.create(
             "north",
-            new BenchSlots(size),
+            BenchSlots.create(size),
             ExpectedLatency.create(),
             LinkBudget.create(8),
             outbox,
@@ -278,6 +261,29 @@
     ];
 }
 
+interface ProcessFigures {
+    readonly size: number;
+    readonly resident: number;
+    readonly cpu: number;
+}
+
+/** What was measured of the whole binary just before. */
+function processSlopes(): Slope[] {
+    const figures = JSON.parse(readFileSync("out/resident.json", "utf8")) as ProcessFigures[];
+    return [
+        fit(
+            "process: resident memory",
+            "MB/worker",
+            figures.map(each => ({ size: each.size, value: each.resident })),
+        ),
+        fit(
+            "process: processor time without tasks",
+            "% of a core/worker",
+            figures.map(each => ({ size: each.size, value: each.cpu * 100 })),
+        ),
+    ];
+}
+
 interface Verdict {
     readonly budget: string;
     readonly need: string;
@@ -328,8 +334,20 @@
         {
             budget: "heap of the state of the target size",
             need: `${stateMb.toFixed(1)} MB`,
-            limit: `${BUDGET.memoryMb} MB, less the process itself`,
-            verdict: "see resident memory below",
+            limit: `${BUDGET.memoryMb} MB`,
+            verdict: judge(stateMb, BUDGET.memoryMb),
+        },
+        {
+            budget: "resident memory of an instance",
+            need: `${at(slopes, "process: resident", ownWorkers).toFixed(0)} MB`,
+            limit: `${BUDGET.memoryMb} MB`,
+            verdict: judge(at(slopes, "process: resident", ownWorkers), BUDGET.memoryMb),
+        },
+        {
+            budget: "processor time of an instance without tasks",
+            need: `${at(slopes, "process: processor", ownWorkers).toFixed(1)}%`,
+            limit: `${(BUDGET.cpuShare * 100).toFixed(1)}%`,
+            verdict: judge(at(slopes, "process: processor", ownWorkers), BUDGET.cpuShare * 100),
         },
     ];
     const appends = shards * 5 + instances * 0.25 + starts * (1 - Math.exp(-starts / (shards * instances * 5)));
@@ -373,7 +391,7 @@
 function render(slopes: readonly Slope[], rows: readonly Verdict[]): string {
     const slopeRows = slopes.map(each => [
         each.name,
-        `${each.constant.toFixed(1)} + ${each.perUnit.toFixed(2)} ${each.unit}`,
+        `${each.constant.toFixed(1)} + ${each.perUnit.toPrecision(3)} ${each.unit}`,
         each.points.map(point => `${point.size}: ${point.value.toFixed(0)}`).join(", "),
         `${(each.residual * 100).toFixed(1)}%`,
     ]);
@@ -396,6 +414,7 @@
     ...leaseSlopes(),
     ...requestSlopes(),
     ...memorySlopes(),
+    ...processSlopes(),
 ];
 const rows = verdicts(slopes);
 console.log(
@@ -403,7 +422,7 @@
         ["MEASURED", "LINE", "RESIDUAL"],
         slopes.map(each => [
             each.name,
-            `${each.constant.toFixed(1)} + ${each.perUnit.toFixed(2)} ${each.unit}`,
+            `${each.constant.toFixed(1)} + ${each.perUnit.toPrecision(3)} ${each.unit}`,
             `${(each.residual * 100).toFixed(1)}%`,
         ]),
     ),
--- a/src/proof/node/trial.ts
+++ b/src/proof/node/trial.ts
@@ -1,4 +1,4 @@
-import FakeTimers, { Clock } from "@sinonjs/fake-timers";
+import { Clock } from "@sinonjs/fake-timers";
 import { Invariants, Violation } from "../../base/common/invariant";
 import { hash } from "../../coordination/common/rendezvous";
 import { Workload } from "../../standin/common/workload";
@@ -6,6 +6,7 @@
 import { Random } from "./random";
 import { Judge } from "./judge";
 import { Caller } from "./caller";
+import { installClock } from "./virtualClock";
 import { Witness } from "./witness";
 import { SERVICE_SLOT, World, WORKER_CAPACITY, WorldSize } from "./world";
 
@@ -75,7 +76,7 @@
     private readonly judge: Judge;
 
     private constructor(private readonly options: TrialOptions) {
-        this.clock = FakeTimers.install({ now: Date.UTC(2030, 0, 1), toFake: [...FAKED] });
+        this.clock = installClock();
         const random = Random.create(options.seed);
         const witness = Witness.create(WORKER_CAPACITY, SERVICE_SLOT, key => key.includes("once"));
         this.world = World.create(options.size ?? DEFAULT_SIZE, TRIAL_WORKLOAD, random, witness);
@@ -153,5 +154,3 @@
         this.judge.conclude();
     }
 }
-
-const FAKED = ["setTimeout", "clearTimeout", "setInterval", "clearInterval", "Date", "performance"] as const;
--- a/src/scheduling/common/attempt.ts
+++ b/src/scheduling/common/attempt.ts
@@ -44,7 +44,7 @@
     leaseExpiresAt = 0;
     /** Latest report of the running attempt. */
     running: RunningAttempt | undefined;
-    /** Time (ms) of the first and the latest report of the running attempt, and the progress at the first. */
+    /** Time (ms) of the first report of the running attempt, and its progress then. */
     firstSeen: { readonly at: number; readonly progress: number } | undefined;
     /** Whether it has been chosen to make room. */
     evicting = false;
--- a/src/scheduling/common/reviewer.ts
+++ b/src/scheduling/common/reviewer.ts
@@ -66,13 +66,15 @@
     /** Sets the shares of services to the demand, and evicts where the slots for it are taken. */
     private setShares(now: number): void {
         const shares: ServiceShare[] = [];
+        const hosts = this.countHosts();
         for (const link of this.context.links.values()) {
-            const wanted = this.wantedShare(link, now);
+            const needed = this.neededShare(link, hosts);
+            const wanted = this.wantedShare(link, needed, now);
             this.context.wantedShares.set(link.listing.id, wanted);
             const slots = this.reachableShare(link, wanted, now);
             // Headroom is taken where it is free; tasks are evicted for real demand alone.
-            if (slots < Math.min(wanted, this.neededShare(link))) {
-                this.evictOne(link, () => true, "the services of the worker need its slot");
+            if (slots < Math.min(wanted, needed)) {
+                this.evictOne(link, "the services of the worker need its slot");
             }
             if (slots !== this.context.fold.serviceSlots(link.listing.id)) {
                 shares.push({ worker: link.listing.id, slots });
@@ -88,25 +90,31 @@
         return spares ? TAIL_HEADROOM_SLOTS : USUAL_HEADROOM_SLOTS;
     }
 
+    /** Workers by the services that run on them; those with the same services share their demand. */
+    private countHosts(): Map<string, number> {
+        const hosts = new Map<string, number>();
+        for (const { listing } of this.context.links.values()) {
+            listing.services.forEach(service => hosts.set(service, (hosts.get(service) ?? 0) + 1));
+        }
+        return hosts;
+    }
+
     /** Slots that the demand of the worker's services takes. */
-    private neededShare({ listing }: WorkerLink): number {
-        const { config, grants, links } = this.context;
-        const isHost = (each: WorkerLink) => each.listing.services.some(name => listing.services.includes(name));
-        const hosts = [...links.values()].filter(isHost).length;
-        const demand = listing.services.reduce((sum, service) => sum + grants.demand(service), 0);
-        return Math.max(config.minServiceSlots(), Math.ceil(demand / Math.max(1, hosts)));
+    private neededShare({ listing }: WorkerLink, hosts: ReadonlyMap<string, number>): number {
+        const { config, grants } = this.context;
+        const part = (service: string) => grants.demand(service) / Math.max(1, hosts.get(service) ?? 0);
+        const demand = listing.services.reduce((sum, service) => sum + part(service), 0);
+        return Math.max(config.minServiceSlots(), Math.ceil(demand));
     }
 
     /** The demand, and what replaces the slots that are kept for instances which do not use them. */
-    private wantedShare(link: WorkerLink, now: number): number {
-        const { listing } = link;
+    private wantedShare({ listing }: WorkerLink, needed: number, now: number): number {
         const { config, grants } = this.context;
         if (listing.services.length === 0 || listing.availability === "leaving" || config.isDrained(listing.id)) {
             return 0;
         }
-        const wanted = Math.max(config.minServiceSlots(), this.neededShare(link) + this.headroom);
         const replaced = Math.min(grants.idle(listing.id, now), listing.capacity.slots * MAX_REPLACED_SHARE);
-        return Math.min(listing.capacity.slots, wanted + replaced);
+        return Math.min(listing.capacity.slots, needed + this.headroom + replaced);
     }
 
     /** The share closest to the wanted one that leaves room for tasks there and slots in use. */
@@ -169,7 +177,7 @@
             attempt.throttled = crowded && attempt.task.request.urgency === "normal";
         }
         if (memoryGb > EVICT_MEMORY_SHARE * link.listing.capacity.memoryGb) {
-            this.evictOne(link, () => true, "the worker's memory is nearly used up");
+            this.evictOne(link, "the worker's memory is nearly used up");
         }
     }
 
@@ -201,53 +209,35 @@
         const links = [...this.context.links.values()].filter(
             link => this.placer.takesTasks(link, now) && !task.failedOn.includes(link.listing.id),
         );
-        const options = links
-            .map(link => ({ link, victim: this.cheapest(link, victim => this.wouldFit(link, size, victim, now)) }))
-            .flatMap(({ link, victim }) => (victim === undefined ? [] : [{ link, victim }]));
-        const cheapest = options.reduce<Attempt | undefined>(
-            (best, { victim }) => (best === undefined || this.cost(victim) < this.cost(best) ? victim : best),
-            undefined,
-        );
-        if (cheapest !== undefined && this.evictions < MAX_EVICTIONS_PER_REVIEW) {
-            this.evictions += 1;
-            this.evict(cheapest, `urgent task ${task.request.key} waits`);
-        }
+        const victims = links.flatMap(link => {
+            const candidate = this.ledger.candidate(link, now);
+            return this.victims(link).filter(victim => wouldFit(candidate, size, victim));
+        });
+        this.evictCheapest(victims, `urgent task ${task.request.key} waits`);
     }
 
-    private wouldFit(link: WorkerLink, size: TaskSize, victim: Attempt, now: number): boolean {
-        const candidate = this.ledger.candidate(link, now);
-        const { cpus, memoryGb, accelerators } = victim.assignment;
-        const freed: Candidate = {
-            ...candidate,
-            freeSlots: candidate.freeSlots + 1,
-            free: {
-                cpus: candidate.free.cpus + cpus,
-                memoryGb: candidate.free.memoryGb + memoryGb,
-                accelerators: candidate.free.accelerators + accelerators,
-            },
-        };
-        return victim.task.request.urgency === "normal" && fits(freed, size);
-    }
-
-    private evictOne(link: WorkerLink, accepts: (attempt: Attempt) => boolean, reason: string): void {
+    private evictOne(link: WorkerLink, reason: string): void {
         const pending = [...this.follower.on(link)].some(attempt => attempt.evicting);
-        const victim = this.cheapest(link, accepts);
-        if (victim !== undefined && !pending && this.evictions < MAX_EVICTIONS_PER_REVIEW) {
-            this.evictions += 1;
-            this.evict(victim, reason);
+        if (!pending) {
+            this.evictCheapest(this.victims(link), reason);
         }
     }
 
-    private cheapest(link: WorkerLink, accepts: (attempt: Attempt) => boolean): Attempt | undefined {
-        const victims = [...this.follower.on(link)].filter(
-            each => each.state === "running" && !each.evicting && isEvictable(each.task) && accepts(each),
-        );
-        return victims.reduce<Attempt | undefined>(
-            (best, each) => (best === undefined || this.cost(each) < this.cost(best) ? each : best),
-            undefined,
+    private victims(link: WorkerLink): Attempt[] {
+        return [...this.follower.on(link)].filter(
+            each => each.state === "running" && !each.evicting && isEvictable(each.task),
         );
     }
 
+    private evictCheapest(victims: readonly Attempt[], reason: string): void {
+        const costs = victims.map(victim => this.cost(victim));
+        const cheapest = victims[costs.indexOf(Math.min(...costs))];
+        if (cheapest !== undefined && this.evictions < MAX_EVICTIONS_PER_REVIEW) {
+            this.evictions += 1;
+            this.evict(cheapest, reason);
+        }
+    }
+
     private cost(attempt: Attempt): number {
         const { interference } = this.context.models;
         const listing = this.context.links.get(attempt.assignment.worker)?.listing;
@@ -262,3 +252,18 @@
         this.context.audit("task", attempt.task.request.key, "evicting", reason);
     }
 }
+
+/** Whether a task would fit on a worker if a running one made room. */
+function wouldFit(candidate: Candidate, size: TaskSize, victim: Attempt): boolean {
+    const { cpus, memoryGb, accelerators } = victim.assignment;
+    const freed: Candidate = {
+        ...candidate,
+        freeSlots: candidate.freeSlots + 1,
+        free: {
+            cpus: candidate.free.cpus + cpus,
+            memoryGb: candidate.free.memoryGb + memoryGb,
+            accelerators: candidate.free.accelerators + accelerators,
+        },
+    };
+    return victim.task.request.urgency === "normal" && fits(freed, size);
+}
--- a/src/scheduling/common/shardFold.ts
+++ b/src/scheduling/common/shardFold.ts
@@ -77,11 +77,6 @@
         return this.byWorker.get(worker) ?? new Set();
     }
 
-    /** Names of the workers that have attempts. */
-    get busyWorkers(): Iterable<string> {
-        return this.byWorker.keys();
-    }
-
     /** @param worker Name of a worker. @returns Slots of it that are set apart for services. */
     serviceSlots(worker: string): number {
         return this.shares.get(worker) ?? 0;
--- a/src/scheduling/common/shardKeeper.ts
+++ b/src/scheduling/common/shardKeeper.ts
@@ -2,7 +2,6 @@
 import { FenceReply, GrantAsk, GrantReply } from "../../coordination/common/grant";
 import { GrantTable } from "../../coordination/common/grantTable";
 import { AppliedBatch, LogSession } from "../../coordination/common/logSession";
-import { ReplicaImage } from "../../coordination/common/replica";
 import { ShardOwnership } from "../../coordination/common/shardOwnership";
 import { WorkerListing } from "../../platform/common/instanceList";
 import { Offset } from "../../platform/common/logService";
@@ -177,11 +176,6 @@
         this.session.handle(event, now);
     }
 
-    /** Takes in the state of another reader of the stream. */
-    offer(image: ReplicaImage): void {
-        this.session.offer(image);
-    }
-
     /** Takes in a worker's answer. */
     handleWorker(event: WorkerEvent, now: number): void {
         const link = this.context.links.get(event.worker);
