--- a/src/coordination/common/grant.ts
+++ b/src/coordination/common/grant.ts
@@ -6,8 +6,8 @@
  */
 export const GRANT_LEASE_MS = 30_000;
 
-/** Time between two requests for grants. */
-export const GRANT_INTERVAL_MS = 2_000;
+/** Time between two requests for grants while the demand is steady. */
+export const GRANT_INTERVAL_MS = 5_000;
 
 /** Slots of one worker that one instance may use. Connections go with them in the worker's proportion. */
 export interface Grant {
--- a/src/platform/common/worker.ts
+++ b/src/platform/common/worker.ts
@@ -33,7 +33,11 @@
 
 /** Starts attempts, renews leases, acknowledges results and asks for a report, all in one call. */
 export interface LeaseCall {
+    /** Shard that the worker belongs to. */
+    readonly shard: string;
     readonly epoch: Epoch;
+    /** Whether the report is to say what the attempts use. */
+    readonly usage: boolean;
     /** Boot that starts and renewals are meant for; another boot of the worker only reports. */
     readonly boot: string;
     readonly starts: readonly StartOrder[];
--- a/src/platform/node/httpWorker.ts
+++ b/src/platform/node/httpWorker.ts
@@ -1,6 +1,7 @@
 import { Err, Ok, Result } from "ts-results";
 import { LeaseCall, Worker, WorkerError, WorkerReport } from "../common/worker";
 import { isNotSent } from "./connectionPool";
+import { decodeReport, encodeCall } from "./workerCodec";
 import { HttpClient } from "./httpClient";
 
 /** Time within which a worker must answer, in ms. */
@@ -29,14 +30,13 @@
                 origin: this.origin,
                 method: "POST",
                 path: LEASE_PATH,
-                headers: { "content-type": "application/json" },
-                body: JSON.stringify(call),
+                headers: { "content-type": "application/x-protobuf" },
+                body: encodeCall(call),
                 timeoutMs: ANSWER_TIMEOUT_MS,
             });
-            const text = Buffer.from(answer.body).toString();
             return answer.status === 200
-                ? Ok(JSON.parse(text) as WorkerReport)
-                : Err({ kind: "refused", message: `status ${answer.status}: ${text}` });
+                ? Ok(decodeReport(answer.body, call.shard))
+                : Err({ kind: "refused", message: `status ${answer.status}: ${Buffer.from(answer.body).toString()}` });
         } catch (error) {
             return Err({ kind: isNotSent(error) ? "refused" : "unreachable", message: String(error) });
         }
--- a/src/proof/node/caller.ts
+++ b/src/proof/node/caller.ts
@@ -20,6 +20,8 @@
     readonly cancelled = new Set<string>();
     readonly refusals: Record<string, number> = {};
     readonly counts = { submissions: 0, quotes: 0, quotesDone: 0, tickets: 0, ticketsAccepted: 0, ticketsLost: 0 };
+    /** Times from a quote's request to the head of its answer, in ms. */
+    readonly latencies: number[] = [];
     private nextKey = 0;
 
     private constructor() {}
@@ -46,6 +48,13 @@
         }
     }
 
+    /** Submits a task of a family as it is declared. */
+    submitFamily(node: FakeNode, family: string, declaredCpus: number): void {
+        this.nextKey += 1;
+        const key = `task-${this.nextKey}`;
+        this.send(node, key, { ...BENCH_TASK, key, payload: key, family, cpus: declaredCpus });
+    }
+
     /** Cancels some of the tasks. */
     cancelBurst(node: FakeNode, random: Random): void {
         const accepted = [...this.submissions].filter(([, state]) => state === "accepted").map(([key]) => key);
@@ -62,9 +71,12 @@
             const once = random.chance(0.5);
             const key = `${once ? "once-" : ""}quote-${this.nextKey}`;
             this.counts.quotes += 1;
+            const askedAt = performance.now();
             node.request(key, SERVICE, !once, DEADLINE_MS, (outcome, reason) => {
                 this.refusals[`${outcome} ${reason ?? ""}`] = (this.refusals[`${outcome} ${reason ?? ""}`] ?? 0) + 1;
                 this.counts.quotesDone += outcome === "done" ? 1 : 0;
+                // A quote that is not answered has taken the caller's whole patience.
+                this.latencies.push(outcome === "done" ? performance.now() - askedAt : DEADLINE_MS);
                 if (outcome === "not-run") {
                     this.notRun.add(key);
                 }
@@ -124,6 +136,16 @@
     }
 }
 
+const BENCH_TASK = {
+    team: "team-0",
+    urgency: "normal",
+    idempotency: "idempotent",
+    memoryGb: 2,
+    accelerators: 0,
+    durationMs: 20_000,
+    dueAt: 0,
+} as const;
+
 const SERVICE_STATE = JSON.stringify({ cpus: 2, memoryGb: 4, deadlineMs: 2_000, requestClass: "non-idempotent" });
 
 function randomTask(key: string, once: boolean, random: Random): TaskRequest {
--- a/src/proof/node/network.ts
+++ b/src/proof/node/network.ts
@@ -15,16 +15,24 @@
 export class Network {
     private readonly cuts = new Set<string>();
 
-    private constructor(private readonly random: Random) {}
-
-    /** @param random Decides on delays. @returns A network without cuts. */
-    static create(random: Random): Network {
-        return new Network(random);
+    private constructor(
+        private readonly random: Random,
+        /** Whether no message is very slow and no attempt of a request goes wrong by itself. */
+        readonly isSound: boolean,
+    ) {}
+
+    /**
+     * @param random Decides on delays.
+     * @param isSound Whether no message is very slow and no attempt of a request goes wrong by itself.
+     * @returns A network without cuts.
+     */
+    static create(random: Random, isSound: boolean): Network {
+        return new Network(random, isSound);
     }
 
     /** @returns Delay of the next message, in ms. */
     delay(): number {
-        if (this.random.chance(SLOW_SHARE)) {
+        if (!this.isSound && this.random.chance(SLOW_SHARE)) {
             return this.random.between(MAX_DELAY_MS, MAX_SLOW_DELAY_MS);
         }
         return this.random.between(MIN_DELAY_MS, MAX_DELAY_MS);
--- /dev/null
+++ b/src/proof/node/shardBench.ts
@@ -0,0 +1,164 @@
+import { Outbox } from "../../base/common/outbox";
+import { GrantTable } from "../../coordination/common/grantTable";
+import { LogSession } from "../../coordination/common/logSession";
+import { OwnershipHost, ShardOwnership } from "../../coordination/common/shardOwnership";
+import { WorkerListing } from "../../platform/common/instanceList";
+import { LogEffect } from "../../platform/common/logTraffic";
+import { WorkerEffect } from "../../platform/common/workerTraffic";
+import { AttemptFollower } from "../../scheduling/common/attemptFollower";
+import { AuditEffect } from "../../scheduling/common/auditEntry";
+import { CapacityLedger } from "../../scheduling/common/capacityLedger";
+import { FamilyDurations } from "../../scheduling/common/familyDurations";
+import { FamilyFailures } from "../../scheduling/common/familyFailures";
+import { InterferenceModel } from "../../scheduling/common/interferenceModel";
+import { LearnedPlacement } from "../../scheduling/common/learnedPlacement";
+import { LearnedUsage } from "../../scheduling/common/learnedUsage";
+import { LeaseCaller } from "../../scheduling/common/leaseCaller";
+import { Placer } from "../../scheduling/common/placer";
+import { DEFAULT_WEIGHTS } from "../../scheduling/common/policyWeights";
+import { SchedulingConfig } from "../../scheduling/common/schedulingConfig";
+import { ShardContext } from "../../scheduling/common/shardContext";
+import { ShardFold } from "../../scheduling/common/shardFold";
+import { ShardEntry, TaskSubmitted } from "../../scheduling/common/taskEntry";
+import { TeamQuota } from "../../scheduling/common/teamQuota";
+import { WorkerLink } from "../../scheduling/common/workerLink";
+
+const TEAMS = 130;
+const FAMILIES = 40;
+const SHARDS = 16;
+
+/** Config of a bench: nothing is drained, and every team has the same quota. */
+class BenchConfig extends SchedulingConfig {
+    override weights() {
+        return DEFAULT_WEIGHTS;
+    }
+    override quota(team: string): TeamQuota {
+        return { team, guaranteedSlots: 60, maxSlots: 2_000 };
+    }
+    override serviceSlot() {
+        return { cpus: 2, memoryGb: 4 };
+    }
+    override minServiceSlots() {
+        return 2;
+    }
+    override requestTailMs() {
+        return 10_000;
+    }
+    override isDrained() {
+        return false;
+    }
+}
+
+/** Host of an ownership that nobody contests. */
+class BenchHost extends OwnershipHost {
+    override claim(): void {}
+    override release(): void {}
+    override changed(): void {}
+}
+
+/** @param index Number of a worker. @returns A worker of the target size. */
+export function benchListing(index: number): WorkerListing {
+    return {
+        id: `worker-${index}`,
+        address: `10.0.${index >> 8}.${index & 255}:8080`,
+        region: "north",
+        failureDomain: `domain-${index % 5}`,
+        rack: `rack-${index >> 3}`,
+        availability: "live",
+        capacity: { slots: 8, connections: 64, cpus: 64, memoryGb: 250, accelerators: index % 2 === 0 ? 2 : 0 },
+        services: ["quotes"],
+    };
+}
+
+/** @param index Number of a task. @returns A submission of the target size. */
+export function benchTask(index: number): TaskSubmitted {
+    return {
+        kind: "task-submitted",
+        key: `job-${index >> 3}-task-${index}`,
+        team: `team-${index % TEAMS}`,
+        family: `family-${index % FAMILIES}`,
+        urgency: index % 10 === 0 ? "urgent" : "normal",
+        idempotency: "idempotent",
+        cpus: 4,
+        memoryGb: 8,
+        accelerators: 0,
+        durationMs: 600_000,
+        dueAt: 0,
+        payload: "s3://bucket/input",
+        submittedAt: 1_800_000_000_000,
+    };
+}
+
+/** One shard with an owner, workers that have answered, and nothing else around it. */
+export class ShardBench {
+    readonly fold = ShardFold.create();
+    readonly context: ShardContext;
+    readonly placer: Placer;
+    private offset = 0;
+    private sequence = 0;
+
+    private constructor(workers: number) {
+        const outbox = Outbox.create<LogEffect<ShardEntry> | WorkerEffect | AuditEffect>();
+        const ownership = ShardOwnership.create("north-0", "north", new BenchHost());
+        ownership.epoch = 0;
+        const logOutbox = outbox as unknown as Outbox<LogEffect<ShardEntry>>;
+        const session = LogSession.create<ShardEntry>("shard-north-0", "me", this.fold, 0, logOutbox);
+        const interference = InterferenceModel.create();
+        this.context = ShardContext.create(
+            ownership,
+            "me",
+            session,
+            this.fold,
+            GrantTable.create("north-0", 0, 10_000),
+            {
+                usage: LearnedUsage.create(),
+                interference,
+                failures: FamilyFailures.create(),
+                durations: FamilyDurations.create(),
+                policy: LearnedPlacement.create(interference, () => DEFAULT_WEIGHTS),
+            },
+            new BenchConfig(),
+            outbox as unknown as Outbox<WorkerEffect | AuditEffect>,
+            () => true,
+        );
+        for (let index = 0; index < workers; index++) {
+            this.addWorker(index);
+        }
+        const follower = AttemptFollower.create(this.context);
+        const caller = LeaseCaller.create(this.context, follower);
+        this.placer = Placer.create(this.context, CapacityLedger.create(this.context), caller, SHARDS);
+        this.apply([{ kind: "shard-fenced", epoch: 0, instance: "me" }]);
+    }
+
+    /** @param workers Number of workers. @returns A shard without tasks. */
+    static create(workers: number): ShardBench {
+        return new ShardBench(workers);
+    }
+
+    /** Applies entries as one record. */
+    apply(entries: readonly ShardEntry[]): void {
+        this.sequence += 1;
+        this.fold.accept({ offset: this.offset, batch: { writer: "me", sequence: this.sequence, entries } });
+        this.offset += 1;
+    }
+
+    /** Puts tasks on the workers in turn, as running. */
+    fill(tasks: number): void {
+        const workers = [...this.context.links.keys()];
+        for (let index = 0; index < tasks; index++) {
+            this.apply([benchTask(index)]);
+            const task = this.fold.find(benchTask(index).key)!;
+            const worker = workers[index % workers.length];
+            const size = { cpus: 4, memoryGb: 8, accelerators: 0 };
+            const name = { epoch: 0, task: task.number, attempt: 1, worker, boot: "b1" };
+            this.apply([{ kind: "task-assigned", ...name, ...size }]);
+        }
+    }
+
+    private addWorker(index: number): void {
+        const link = WorkerLink.create(benchListing(index));
+        const report = { boot: "b1", clock: 1, measuredAt: 1, running: [], finished: [], refused: [] };
+        link.answered(report, performance.now());
+        this.context.links.set(link.listing.id, link);
+    }
+}
--- /dev/null
+++ b/src/proof/node/slopes.tool.ts
@@ -0,0 +1,388 @@
+import { readFileSync, writeFileSync } from "node:fs";
+import { toBinary } from "@bufbuild/protobuf";
+import { formatTable } from "../../base/common/table";
+import { Outbox } from "../../base/common/outbox";
+import { GrantTable } from "../../coordination/common/grantTable";
+import { PeerAskSchema, PeerReplySchema } from "../../generated/wigeonstall/v1/peer_pb";
+import { LinkBudget } from "../../routing/common/linkBudget";
+import { ExpectedLatency } from "../../routing/common/expectedLatency";
+import { Router } from "../../routing/common/router";
+import { RouteEffect } from "../../routing/common/routeTraffic";
+import { SlotSource } from "../../routing/common/slotSource";
+import { ShardEntry } from "../../scheduling/common/taskEntry";
+import { Directory } from "../../serving/common/directory";
+import { Batch } from "../../platform/common/logTraffic";
+import { LogEntry } from "../../serving/common/logEntry";
+import { encodeAsk, encodeReply } from "../../serving/node/peerCodec";
+import { encodeCall, encodeReport } from "../../platform/node/workerCodec";
+import { decodeBatch, encodeBatch } from "../../serving/node/recordCodec";
+import { benchListing, benchTask, ShardBench } from "./shardBench";
+import { fit, Point, Slope } from "./slope";
+
+const US_PER_S = 1e6;
+const PAGE = "docs/CAPACITY.md";
+const BEGIN = "<!-- slopes: begin -->";
+const END = "<!-- slopes: end -->";
+
+/** Repetitions of which the fastest counts, since the machine is shared. */
+const REPETITIONS = 5;
+
+/** Bytes of HTTP/1.1 headers of a small call and its answer, as the library sends them on loopback. */
+const HTTP_OVERHEAD_BYTES = 330;
+
+/** The target size, and how it is spread. */
+const TARGET = { workers: 930, tasks: 8_100, starts: 92, instances: 8, shards: 16, requests: 600 };
+
+/** Budgets of one instance for control. */
+const BUDGET = { bytesPerS: 29_000, cpuShare: 0.035, memoryMb: 64 };
+
+function cpu(work: () => void): number {
+    let best = Number.POSITIVE_INFINITY;
+    for (let run = 0; run < REPETITIONS; run++) {
+        const before = process.cpuUsage();
+        work();
+        const { user, system } = process.cpuUsage(before);
+        best = Math.min(best, user + system);
+    }
+    return best;
+}
+
+function heap(make: () => unknown): number {
+    // The first one also pays for the code.
+    make();
+    global.gc?.();
+    global.gc?.();
+    const before = process.memoryUsage().heapUsed;
+    const kept = make();
+    global.gc?.();
+    global.gc?.();
+    const bytes = process.memoryUsage().heapUsed - before;
+    return kept === undefined ? 0 : bytes;
+}
+
+function measure(sizes: readonly number[], value: (size: number) => number): Point[] {
+    return sizes.map(size => ({ size, value: value(size) }));
+}
+
+function lifeOf(index: number): ShardEntry[] {
+    const name = { epoch: 40_000, task: 1_234_567_890 + index, attempt: 1 };
+    const size = { cpus: 4, memoryGb: 8, accelerators: 0 };
+    return [
+        benchTask(index),
+        { kind: "task-assigned", ...name, worker: `worker-${index % 930}`, boot: "b1", ...size },
+        { kind: "attempt-ended", ...name, end: "done", result: "s3://bucket/output", checkpoint: "" },
+    ];
+}
+
+function bytesOf(entries: readonly LogEntry[]): number {
+    return encodeBatch({ writer: "entry-1-3defb4@40000", sequence: 70_000, entries }).length;
+}
+
+function recordSlopes(): Slope[] {
+    const sizes = [1, 4, 16, 64];
+    const bytes = measure(sizes, size => bytesOf(Array.from({ length: size }, (_, i) => lifeOf(i)).flat()));
+    const counts = [1_000, 2_000, 4_000, 8_000];
+    const folding = measure(counts, size => {
+        const payloads = Array.from({ length: size }, (_, i) =>
+            encodeBatch({ writer: "w", sequence: i + 1, entries: lifeOf(i) }),
+        );
+        return cpu(() => {
+            const bench = ShardBench.create(1);
+            payloads.forEach((payload, offset) =>
+                bench.fold.accept({ offset, batch: decodeBatch(payload) as Batch<ShardEntry> }),
+            );
+        });
+    });
+    return [
+        fit("log: bytes of a task's records", "B/task", bytes),
+        fit("log: decoding and folding a task's records", "µs/task", folding),
+    ];
+}
+
+function placementSlopes(): Slope[] {
+    const place = (workers: number, tasks: number) => {
+        const bench = ShardBench.create(workers);
+        bench.fill(tasks);
+        for (let index = 0; index < 64; index++) {
+            bench.apply([benchTask(100_000 + index)]);
+        }
+        const clearAndPass = () => {
+            bench.context.pendingAssignments.clear();
+            bench.placer.pass(performance.now(), Date.now());
+        };
+        clearAndPass();
+        return cpu(clearAndPass) / 64;
+    };
+    const sizes = [15, 29, 58, 116];
+    return [
+        fit(
+            "placement: one start, by workers of the shard",
+            "µs/worker",
+            measure(sizes, size => place(size, size * 6)),
+        ),
+    ];
+}
+
+function grantSlopes(): Slope[] {
+    const table = (workers: number) => {
+        const grants = GrantTable.create("north-0", 0, 10_000);
+        for (let index = 0; index < workers; index++) {
+            grants.setShare(`worker-${index}`, 3);
+        }
+        return grants;
+    };
+    const ask = (instance: number) =>
+        ({
+            kind: "grant-ask",
+            shard: "north-0",
+            instance: `entry-${instance}-3defb4`,
+            serial: 0,
+            epoch: 0,
+            demands: [{ service: "quotes", slots: 30 }],
+            held: [],
+            latencies: [],
+        }) as const;
+    const fill = (workers: number) => {
+        const grants = table(workers);
+        for (let instance = 0; instance < TARGET.instances; instance++) {
+            grants.reply(ask(instance), 0);
+        }
+        grants.applyLimits(grants.changeLimits(0));
+        return grants;
+    };
+    const sizes = [15, 29, 58, 116];
+    const bytes = measure(sizes, size => {
+        const grants = fill(size);
+        const reply = grants.reply(ask(0), 1);
+        const question = encodeAsk("entry-1-3defb4", { ...ask(0), held: reply.grants });
+        return toBinary(PeerReplySchema, encodeReply(reply)).length + toBinary(PeerAskSchema, question).length;
+    });
+    const work = measure(sizes, size => {
+        const grants = fill(size);
+        return (
+            cpu(() => {
+                for (let round = 0; round < 10; round++) {
+                    for (let instance = 0; instance < TARGET.instances; instance++) {
+                        grants.reply(ask(instance), round);
+                    }
+                    grants.changeLimits(round);
+                }
+            }) / 10
+        );
+    });
+    return [
+        fit("grants: bytes of a question and its answer", "B/worker", bytes),
+        fit("grants: one round of all instances", "µs/worker", work),
+    ];
+}
+
+function leaseSlopes(): Slope[] {
+    const sizes = [0, 2, 4, 8];
+    const bytes = measure(sizes, size => {
+        const names = Array.from({ length: size }, (_, i) => ({ task: `north-0/${1_234_567_890 + i}`, attempt: 1 }));
+        const renewals = names.map(each => ({ ...each, expiresAt: 123_456_789, order: "run" as const }));
+        const call = {
+            shard: "north-0",
+            usage: false,
+            epoch: 40_000,
+            boot: "b1",
+            starts: [],
+            renewals,
+            acknowledged: [],
+        };
+        const usage = { progress: 0.123456789, cpus: 0, memoryGb: 0, slowdown: 1 };
+        const running = names.map(each => ({ ...each, ...usage }));
+        const report = { boot: "b1", clock: 123_456_789, measuredAt: 123_450_000, running, finished: [], refused: [] };
+        return encodeCall(call).length + encodeReport(report).length + HTTP_OVERHEAD_BYTES;
+    });
+    return [fit("leases: bytes of a call and its report", "B/task", bytes)];
+}
+
+class BenchSlots extends SlotSource {
+    private readonly listed;
+    constructor(count: number) {
+        super();
+        this.listed = Array.from({ length: count }, (_, i) => ({ worker: `w${i}`, address: `a${i}`, region: "north" }));
+    }
+    override upstreams() {
+        return this.listed;
+    }
+    override slots() {
+        return 2;
+    }
+    override address() {
+        return "a";
+    }
+}
+
+function requestSlopes(): Slope[] {
+    const sizes = [35, 70, 140, 280];
+    const work = measure(sizes, size => {
+        const outbox = Outbox.create<RouteEffect>();
+        const router = Router.create(
+            "north",
+            new BenchSlots(size),
+            ExpectedLatency.create(),
+            LinkBudget.create(8),
+            outbox,
+        );
+        let id = 0;
+        const count = 2_000;
+        return (
+            cpu(() => {
+                for (let index = 0; index < count; index++) {
+                    id += 1;
+                    const description = {
+                        id,
+                        service: "s",
+                        requestClass: "idempotent",
+                        deadline: 1e9,
+                        bytes: 100,
+                        streaming: false,
+                    } as const;
+                    router.handle({ kind: "request-received", description }, index);
+                    router.handle({ kind: "upstream-head", request: id, attempt: 1 }, index + 1);
+                    router.handle({ kind: "upstream-whole", request: id, attempt: 1, closing: false }, index + 2);
+                    outbox.drain();
+                }
+            }) / count
+        );
+    });
+    return [fit("routing: one request, by upstreams of the service", "µs/upstream", work)];
+}
+
+function memorySlopes(): Slope[] {
+    const tasks = measure([500, 1_000, 2_000, 4_000], size =>
+        heap(() => {
+            const bench = ShardBench.create(60);
+            bench.fill(size);
+            return bench;
+        }),
+    );
+    const workers = measure([116, 232, 465, 930], size =>
+        heap(() => {
+            const directory = Directory.create([{ name: "north-0", region: "north" }]);
+            const listing = { workers: Array.from({ length: size }, (_, i) => benchListing(i)), entries: [] };
+            directory.update(JSON.parse(JSON.stringify(listing)) as typeof listing);
+            return directory;
+        }),
+    );
+    return [
+        fit("memory: heap of a task at its owner", "B/task", tasks),
+        fit("memory: heap of a listed worker", "B/worker", workers),
+    ];
+}
+
+interface Verdict {
+    readonly budget: string;
+    readonly need: string;
+    readonly limit: string;
+    readonly verdict: string;
+}
+
+function at(slopes: readonly Slope[], name: string, size: number): number {
+    const slope = slopes.find(each => each.name.startsWith(name))!;
+    return slope.constant + slope.perUnit * size;
+}
+
+function judge(need: number, limit: number): string {
+    return need <= limit ? "held" : `not held, by ${((need / limit - 1) * 100).toFixed(0)}%`;
+}
+
+function verdicts(slopes: readonly Slope[]): Verdict[] {
+    const { workers, tasks, starts, instances, shards } = TARGET;
+    const ownWorkers = workers / instances;
+    const perTask = slopes.find(each => each.name.startsWith("log: bytes"))!.perUnit;
+    const logBytes = (2 * perTask * starts) / instances;
+    // A call for a start or an end counts as the report of that worker, so the two seldom add up.
+    const calls = Math.max(ownWorkers / 10, (2 * starts) / instances);
+    const leaseBytes = calls * at(slopes, "leases", tasks / workers);
+    const grantBytes = (2 * shards * (at(slopes, "grants: bytes", workers / shards) + HTTP_OVERHEAD_BYTES)) / 5;
+    const presenceBytes = instances * 0.25 * 130 + 2 * 200 + 250;
+    const bytes = logBytes + leaseBytes + grantBytes + presenceBytes;
+    const foldCpu = (at(slopes, "log: decoding", 1) - at(slopes, "log: decoding", 0)) * (starts / instances);
+    const placeCpu = at(slopes, "placement", workers / shards) * (starts / instances);
+    const grantCpu = at(slopes, "grants: one round", workers / shards) * (shards / instances);
+    const share = (foldCpu + placeCpu + grantCpu) / US_PER_S;
+    const stateMb =
+        (at(slopes, "memory: heap of a task", tasks / instances) + at(slopes, "memory: heap of a listed", workers)) /
+        1e6;
+    const rows: Verdict[] = [
+        {
+            budget: "bytes/s of an instance for control",
+            need: `${bytes.toFixed(0)} (log ${logBytes.toFixed(0)}, leases ${leaseBytes.toFixed(0)}, grants ${grantBytes.toFixed(0)}, members and list ${presenceBytes.toFixed(0)})`,
+            limit: String(BUDGET.bytesPerS),
+            verdict: judge(bytes, BUDGET.bytesPerS),
+        },
+        {
+            budget: "processor share of decisions",
+            need: `${(share * 100).toFixed(2)}% (folding ${(foldCpu / 1e4).toFixed(2)}%, placing ${(placeCpu / 1e4).toFixed(2)}%, grants ${(grantCpu / 1e4).toFixed(2)}%)`,
+            limit: `${BUDGET.cpuShare * 100}%`,
+            verdict: judge(share, BUDGET.cpuShare),
+        },
+        {
+            budget: "heap of the state of the target size",
+            need: `${stateMb.toFixed(1)} MB`,
+            limit: `${BUDGET.memoryMb} MB, less the process itself`,
+            verdict: "see resident memory below",
+        },
+    ];
+    const appends = shards * 5 + instances * 0.25 + starts * (1 - Math.exp(-starts / (shards * instances * 5)));
+    const ceiling = shards * 5 + instances * 0.25 + starts;
+    rows.push({
+        budget: "appends/s on the log, all instances",
+        need: `${ceiling.toFixed(0)} at the most (owners ${shards * 5}, members ${instances * 0.25}, submissions ${starts}); expected ${appends.toFixed(0)}`,
+        limit: "200",
+        verdict: judge(ceiling, 200),
+    });
+    return rows;
+}
+
+function render(slopes: readonly Slope[], rows: readonly Verdict[]): string {
+    const slopeRows = slopes.map(each => [
+        each.name,
+        `${each.constant.toFixed(1)} + ${each.perUnit.toFixed(2)} ${each.unit}`,
+        each.points.map(point => `${point.size}: ${point.value.toFixed(0)}`).join(", "),
+        `${(each.residual * 100).toFixed(1)}%`,
+    ]);
+    const markdown = (header: readonly string[], body: readonly (readonly string[])[]) =>
+        [header, header.map(() => "---"), ...body].map(row => `| ${row.join(" | ")} |`).join("\n");
+    return [
+        markdown(["measured", "line", "points (size: value)", "residual"], slopeRows),
+        "",
+        markdown(
+            ["budget", "need at the target size", "limit", "verdict"],
+            rows.map(row => [row.budget, row.need, row.limit, row.verdict]),
+        ),
+    ].join("\n");
+}
+
+const slopes = [
+    ...recordSlopes(),
+    ...placementSlopes(),
+    ...grantSlopes(),
+    ...leaseSlopes(),
+    ...requestSlopes(),
+    ...memorySlopes(),
+];
+const rows = verdicts(slopes);
+console.log(
+    formatTable(
+        ["MEASURED", "LINE", "RESIDUAL"],
+        slopes.map(each => [
+            each.name,
+            `${each.constant.toFixed(1)} + ${each.perUnit.toFixed(2)} ${each.unit}`,
+            `${(each.residual * 100).toFixed(1)}%`,
+        ]),
+    ),
+);
+console.log();
+console.log(
+    formatTable(
+        ["BUDGET", "NEED", "LIMIT", "VERDICT"],
+        rows.map(row => [row.budget, row.need, row.limit, row.verdict]),
+    ),
+);
+const page = readFileSync(PAGE, "utf8");
+const [head, rest] = [page.slice(0, page.indexOf(BEGIN)), page.slice(page.indexOf(END))];
+writeFileSync(PAGE, `${head}${BEGIN}\n${render(slopes, rows)}\n${rest}`);
--- a/src/proof/node/witness.ts
+++ b/src/proof/node/witness.ts
@@ -34,6 +34,7 @@
     private workers: ReadonlyMap<string, SimulatedWorker> = new Map();
     startCount = 0;
     evictionCount = 0;
+    doneCount = 0;
     requestCount = 0;
 
     private constructor(
@@ -121,6 +122,7 @@
             history.progress = progress;
         }
         this.evictionCount += outcome === "evicted" ? 1 : 0;
+        this.doneCount += outcome === "done" ? 1 : 0;
     }
 
     /** Notes that an upstream begins to run a request. */
--- a/src/proof/node/world.ts
+++ b/src/proof/node/world.ts
@@ -29,6 +29,8 @@
     readonly shardsPerRegion: number;
     /** Records that a stream of the log keeps. */
     readonly retention: number;
+    /** Whether no message is very slow and no attempt of a request goes wrong by itself. */
+    readonly isSound?: boolean;
 }
 
 /** Everything around the instances of a trial: the log, the workers, the list and the network. */
@@ -49,7 +51,7 @@
         readonly random: Random,
         readonly witness: Witness,
     ) {
-        this.network = Network.create(random);
+        this.network = Network.create(random, size.isSound === true);
         this.log.faults.retention = size.retention;
         this.plan = REGIONS.flatMap(region =>
             Array.from({ length: size.shardsPerRegion }, (_, index) => ({ name: `${region}-${index}`, region })),
--- a/src/routing/common/router.ts
+++ b/src/routing/common/router.ts
@@ -51,7 +51,7 @@
     private constructor(
         private readonly region: string,
         private readonly slots: SlotSource,
-        private readonly choice: UpstreamChoice,
+        private choice: UpstreamChoice,
         private readonly link: LinkBudget,
         private readonly outbox: Outbox<RouteEffect>,
     ) {
@@ -83,6 +83,11 @@
         return this.requests.size + given;
     }
 
+    /** Replaces how upstreams are chosen. */
+    useChoice(choice: UpstreamChoice): void {
+        this.choice = choice;
+    }
+
     /** Refuses a request that arrives while the instance is stopping. */
     turnAway(description: RequestDescription, now: number): void {
         const request = Request.create(description, now, this.requestHost);
--- a/src/scheduling/common/leaseCaller.ts
+++ b/src/scheduling/common/leaseCaller.ts
@@ -1,7 +1,7 @@
 import { AttemptName, LeaseOrder, Renewal, StartOrder } from "../../platform/common/worker";
 import { Attempt } from "./attempt";
 import { AttemptFollower } from "./attemptFollower";
-import { REPORT_INTERVAL_MS, WorkerLink } from "./workerLink";
+import { REPORT_INTERVAL_MS, USAGE_INTERVAL_MS, WorkerLink } from "./workerLink";
 import { START_WINDOW_MS, TASK_LEASE_MS } from "./schedulingLimits";
 import { ShardContext, taskNumber } from "./shardContext";
 
@@ -41,12 +41,16 @@
         const call = this.context.nextCall();
         link.outstanding = call;
         link.nextCallAt = now + REPORT_INTERVAL_MS;
+        const usage = now >= link.nextUsageAt;
+        link.nextUsageAt = usage ? now + USAGE_INTERVAL_MS : link.nextUsageAt;
         this.context.outbox.emit({
             kind: "worker-call",
             worker: link.listing.id,
             address: link.listing.address,
             call,
             lease: {
+                shard: this.context.shard,
+                usage,
                 epoch: this.context.ownership.epoch,
                 boot: link.clock?.boot ?? "",
                 starts: this.starts(link, now),
--- a/src/scheduling/common/placer.ts
+++ b/src/scheduling/common/placer.ts
@@ -9,7 +9,7 @@
 import { WorkerLink } from "./workerLink";
 
 /** Age of a worker's report above which nothing is placed there, in ms. */
-const MAX_REPORT_AGE_MS = 9_000;
+const MAX_REPORT_AGE_MS = 14_000;
 
 /** Why a task is not placed yet. */
 export type WaitReason = "no-room" | "policy-waits" | "no-worker-answers";
--- a/src/scheduling/common/workerLink.ts
+++ b/src/scheduling/common/workerLink.ts
@@ -23,13 +23,16 @@
 );
 
 /** Time between two reports of a worker. */
-export const REPORT_INTERVAL_MS = 5_000;
+export const REPORT_INTERVAL_MS = 10_000;
+
+/** Time between two reports of a worker that say what its attempts use. */
+export const USAGE_INTERVAL_MS = 10_000;
 
 /** Shortest time between two reports of a worker that are asked for because a task is about to end. */
 export const MIN_REPORT_INTERVAL_MS = 1_000;
 
 /** Time without an answer after which a worker counts as silent. */
-export const SILENCE_MS = 11_000;
+export const SILENCE_MS = 22_000;
 
 interface Answer {
     readonly now: number;
@@ -48,6 +51,8 @@
     /** Number of the call that is on its way. */
     outstanding: number | undefined;
     nextCallAt = 0;
+    /** Time (ms) from which usage is asked for again. */
+    nextUsageAt = 0;
     /** Boot of the report before the latest one. */
     previousBoot: string | undefined;
 
--- a/src/serving/common/grantDesk.ts
+++ b/src/serving/common/grantDesk.ts
@@ -12,12 +12,18 @@
 /** Time between two requests for grants while an owner has given none, in ms. */
 const EMPTY_INTERVAL_MS = 500;
 
+/** Rise of the demand that is told at once, and the shortest time between two of them in ms. */
+const RISE_FACTOR = 1.5;
+const RISE_INTERVAL_MS = 1_000;
+
 /** Slowdown from which a latency is worth reporting. */
 const NOTABLE_SLOWDOWN = 1.1;
 
 /** Holds this instance's slots, and asks the owners of the shards for them. */
 export class GrantDesk extends Feature {
     private readonly holdings: GrantHoldings;
+    private toldDemand = 0;
+    private nextRiseAt = 0;
     private readonly nextAskAt = new Map<string, number>();
 
     private constructor(private readonly services: InstanceServices) {
@@ -45,6 +51,19 @@
                 this.ask(name, now);
             }
         }
+        this.noteRise(now);
+    }
+
+    /** A demand that rises fast is told sooner. */
+    private noteRise(now: number): void {
+        const demand = [...this.services.demand().values()].reduce((sum, each) => sum + each, 0);
+        const rises = demand > this.toldDemand * RISE_FACTOR + 1;
+        if (!rises || now < this.nextRiseAt) {
+            return;
+        }
+        this.toldDemand = demand;
+        this.nextRiseAt = now + RISE_INTERVAL_MS;
+        this.services.plan.forEach(({ name }) => this.nextAskAt.set(name, now));
     }
 
     private ask(shard: string, now: number): void {
--- a/src/serving/common/instance.ts
+++ b/src/serving/common/instance.ts
@@ -63,6 +63,14 @@
         return this.services;
     }
 
+    /**
+     * @param type Class of a feature.
+     * @returns The instance's feature of that class.
+     */
+    feature<T extends Feature>(type: { readonly prototype: T }): T {
+        return this.features.find(each => type.prototype.isPrototypeOf(each)) as T;
+    }
+
     /** Begins to read the log. @param now Time in ms. @returns The effects asked for. */
     start(now: number): InstanceEffect[] {
         this.services.tickets.open(now);
--- a/src/serving/common/routeDesk.ts
+++ b/src/serving/common/routeDesk.ts
@@ -3,6 +3,7 @@
 import { LinkBudget } from "../../routing/common/linkBudget";
 import { Router } from "../../routing/common/router";
 import { RouteEffect } from "../../routing/common/routeTraffic";
+import { UpstreamChoice } from "../../routing/common/upstreamChoice";
 import { Feature } from "./feature";
 import { FeatureRegistry } from "./featureRegistry";
 import { GrantedSlots } from "./grantedSlots";
@@ -36,6 +37,11 @@
         return new RouteDesk(services);
     }
 
+    /** Replaces how upstreams are chosen. */
+    useChoice(choice: UpstreamChoice): void {
+        this.router.useChoice(choice);
+    }
+
     override get isIdle(): boolean {
         return this.router.openCount === 0;
     }
--- a/src/serving/common/shardDesk.ts
+++ b/src/serving/common/shardDesk.ts
@@ -23,7 +23,7 @@
 /** Keeps the shards that this instance owns. */
 export class ShardDesk extends Feature {
     private readonly keepers = new Map<string, ShardKeeper>();
-    private readonly models: SchedulingModels;
+    private models: SchedulingModels;
 
     private constructor(private readonly services: InstanceServices) {
         super();
@@ -49,6 +49,11 @@
         return new ShardDesk(services);
     }
 
+    /** Replaces models, for shards that are taken over from now on. */
+    useModels(models: Partial<SchedulingModels>): void {
+        this.models = { ...this.models, ...models };
+    }
+
     override handle(event: InstanceEvent, now: number): void {
         switch (event.kind) {
             case "log-appended":
