--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,10 +2,14 @@
 
 const LAYERS = [
     ["base"],
-    ["platform"],
+    ["services"],
     ["coordination"],
     ["scheduling", "routing"],
-    ["serving"],
+    ["records"],
+    ["jobs"],
+    ["dispatch"],
+    ["serving", "host"],
+    ["platform"],
     ["standin"],
     ["proof"],
     ["cli"],
@@ -50,7 +54,7 @@
 );
 
 export default tseslint.config(
-    { ignores: ["out", "dist", "node_modules", "src/generated", "**/*.js", "**/*.mjs"] },
+    { ignores: ["out", "dist", "target", "node_modules", "src/generated", "**/*.js", "**/*.mjs"] },
     ...tseslint.configs.recommendedTypeChecked,
     {
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
@@ -81,7 +85,7 @@
     },
     ...layerRules,
     // The library wants a null where it compresses nothing.
-    { files: ["src/platform/node/connectClient.ts"], rules: { "no-restricted-syntax": "off" } },
+    { files: ["src/services/node/connectClient.ts"], rules: { "no-restricted-syntax": "off" } },
     {
         files: ["**/*.test.ts", "**/*.tool.ts"],
         rules: {
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,9 +1,15 @@
-// Builds what the argument names: `tests` (tests and tools), `binary` or `library`.
+// Builds what the arguments name: `tests` (tests and tools), `binary` or `library`; `--out FOLDER` takes the binary.
 import { build } from "esbuild";
 import { execFileSync } from "node:child_process";
 import { chmodSync, copyFileSync, mkdirSync, readdirSync, rmSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
+import { parseArgs } from "node:util";
 
+const { values, positionals: names } = parseArgs({
+    options: { out: { type: "string", default: "dist" } },
+    allowPositionals: true,
+});
+const { out } = values;
 const SEA_FUSE = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
 // Libraries in CommonJS need a `require` when they are bundled into a module.
 const REQUIRE_BANNER = `import { createRequire } from "node:module"; const require = createRequire(import.meta.url);`;
@@ -47,38 +53,32 @@
 }
 
 async function buildBinary() {
-    mkdirSync("dist", { recursive: true });
+    const binary = `${out}/wigeonstall`;
+    mkdirSync(out, { recursive: true });
     await build({
         ...common,
         entryPoints: ["src/cli/node/main.ts"],
-        outfile: "dist/wigeonstall.cjs",
+        outfile: `${out}/wigeonstall.cjs`,
         format: "cjs",
         mainFields: ["module", "main"],
         minify: true,
         keepNames: true,
     });
     const config = {
-        main: "dist/wigeonstall.cjs",
-        output: "dist/wigeonstall.blob",
+        main: `${out}/wigeonstall.cjs`,
+        output: `${out}/wigeonstall.blob`,
         disableExperimentalSEAWarning: true,
     };
-    writeFileSync("dist/sea.json", JSON.stringify(config));
-    execFileSync(process.execPath, ["--experimental-sea-config", "dist/sea.json"], { stdio: "pipe" });
-    rmSync("dist/wigeonstall", { force: true });
-    copyFileSync(process.execPath, "dist/wigeonstall");
-    chmodSync("dist/wigeonstall", 0o755);
-    const inject = [
-        "postject",
-        "dist/wigeonstall",
-        "NODE_SEA_BLOB",
-        "dist/wigeonstall.blob",
-        "--sentinel-fuse",
-        SEA_FUSE,
-    ];
+    writeFileSync(`${out}/sea.json`, JSON.stringify(config));
+    execFileSync(process.execPath, ["--experimental-sea-config", `${out}/sea.json`], { stdio: "pipe" });
+    rmSync(binary, { force: true });
+    copyFileSync(process.execPath, binary);
+    chmodSync(binary, 0o755);
+    const inject = ["postject", binary, "NODE_SEA_BLOB", `${out}/wigeonstall.blob`, "--sentinel-fuse", SEA_FUSE];
     execFileSync("npx", inject, { stdio: "pipe" });
 }
 
 const targets = { tests: buildTests, library: buildLibrary, binary: buildBinary };
-for (const name of process.argv.slice(2)) {
+for (const name of names) {
     await targets[name]();
 }
--- a/src/cli/node/apiClient.ts
+++ b/src/cli/node/apiClient.ts
@@ -1,4 +1,4 @@
-import { HttpAnswer, HttpClient } from "../../platform/node/httpClient";
+import { HttpAnswer, HttpClient } from "../../services/node/httpClient";
 import { CommandError } from "./commandError";
 
 /** Time within which an instance must answer, in ms. */
--- a/src/cli/node/inputFiles.ts
+++ b/src/cli/node/inputFiles.ts
@@ -1,6 +1,7 @@
 import { readFile } from "node:fs/promises";
 import { Finding, formatFinding } from "../../base/common/finding";
 import { parseYaml } from "../../base/common/schemaFindings";
+import { JobSettings, jobSettingsSchema } from "../../host/common/jobSettings";
 import { Settings, settingsSchema } from "../../serving/common/settings";
 import { TicketFile, ticketSchema, toTicketDraft } from "../../serving/common/ticketSchema";
 import { YamlText } from "../../base/common/yamlText";
@@ -24,6 +25,15 @@
     return parsed.value;
 }
 
+/** Reads settings of an instance that serves jobs. @throws CommandError with every fault and its place. */
+export async function readJobSettings(file: string): Promise<JobSettings> {
+    const parsed = parseYaml(await readText(file), file, jobSettingsSchema);
+    if (!("value" in parsed)) {
+        throw toError(parsed.findings);
+    }
+    return parsed.value;
+}
+
 /** Reads a ticket. @throws CommandError with every fault and its place. */
 export async function readTicket(file: string): Promise<{ readonly text: string; readonly ticket: TicketFile }> {
     const text = await readText(file);
--- a/src/cli/node/main.ts
+++ b/src/cli/node/main.ts
@@ -4,6 +4,7 @@
 import { CommandError } from "./commandError";
 import { addCompletionCommand } from "./completion";
 import { addChartCommand, addReadingCommands } from "./readingCommands";
+import { addScheduleCommand } from "./scheduleCommand";
 import { addServeCommand } from "./serveCommand";
 import { addStandInCommand } from "./standInCommand";
 import { addTaskCommands } from "./taskCommands";
@@ -42,6 +43,7 @@
         .addHelpText("after", EXIT_HELP)
         .exitOverride();
     addServeCommand(program);
+    addScheduleCommand(program);
     addCheckCommand(program);
     addTicketCommands(program, createClient);
     addTaskCommands(program, createClient);
--- a/src/coordination/common/appender.ts
+++ b/src/coordination/common/appender.ts
@@ -2,7 +2,7 @@
 import { ChartRegistry } from "../../base/common/chartRegistry";
 import { Machine } from "../../base/common/machine";
 import { EffectSink } from "../../base/common/effectSink";
-import { AppendAnswer, Batch, LogEffect } from "../../platform/common/logTraffic";
+import { AppendAnswer, Batch, LogEffect } from "../../services/common/logTraffic";
 import chartText from "./append.chart.yaml";
 import { MAX_BATCH_ENTRIES } from "./fold";
 
--- a/src/coordination/common/fold.ts
+++ b/src/coordination/common/fold.ts
@@ -1,5 +1,5 @@
-import { Batch, PlacedBatch } from "../../platform/common/logTraffic";
-import { Offset } from "../../platform/common/logService";
+import { Batch, PlacedBatch } from "../../services/common/logTraffic";
+import { Offset } from "../../services/common/logService";
 
 /** Entries that one record may carry; entry numbers derive from it. */
 export const MAX_BATCH_ENTRIES = 256;
--- a/src/coordination/common/grant.ts
+++ b/src/coordination/common/grant.ts
@@ -1,4 +1,4 @@
-import { Epoch } from "../../platform/common/worker";
+import { Epoch } from "../../services/common/worker";
 
 /**
  * How long a grant lasts unless it is renewed, from the moment before its holder asked. It outlasts the change
--- a/src/coordination/common/grantHoldings.ts
+++ b/src/coordination/common/grantHoldings.ts
@@ -1,4 +1,4 @@
-import { Epoch } from "../../platform/common/worker";
+import { Epoch } from "../../services/common/worker";
 import { FenceAsk, FenceReply, Grant, GRANT_LEASE_MS, GrantReply } from "./grant";
 
 interface ShardGrants {
--- a/src/coordination/common/grantTable.ts
+++ b/src/coordination/common/grantTable.ts
@@ -1,4 +1,4 @@
-import { Epoch } from "../../platform/common/worker";
+import { Epoch } from "../../services/common/worker";
 import { withDrift } from "./duration";
 import { Grant, GRANT_INTERVAL_MS, GRANT_LEASE_MS, GrantAsk, GrantLimit, GrantReply } from "./grant";
 
--- a/src/coordination/common/ownershipFold.ts
+++ b/src/coordination/common/ownershipFold.ts
@@ -1,5 +1,5 @@
-import { Offset } from "../../platform/common/logService";
-import { Epoch } from "../../platform/common/worker";
+import { Offset } from "../../services/common/logService";
+import { Epoch } from "../../services/common/worker";
 import { EntryPosition, Fold } from "./fold";
 import { Holding, InstancePhase, InstancePresent, OwnershipEntry, ShardClaimed, ShardReleased } from "./ownershipEntry";
 
--- a/src/coordination/common/ownershipKeeper.ts
+++ b/src/coordination/common/ownershipKeeper.ts
@@ -1,6 +1,6 @@
 import { Emitter } from "../../base/common/emitter";
-import { Offset } from "../../platform/common/logService";
-import { Epoch } from "../../platform/common/worker";
+import { Offset } from "../../services/common/logService";
+import { Epoch } from "../../services/common/worker";
 import { withDrift } from "./duration";
 import { Lease } from "./lease";
 import { AppliedBatch, LogSession } from "./logSession";
--- a/src/coordination/common/replica.ts
+++ b/src/coordination/common/replica.ts
@@ -1,8 +1,8 @@
 import { ChartLoader } from "../../base/common/chartLoader";
 import { ChartRegistry } from "../../base/common/chartRegistry";
 import { Machine } from "../../base/common/machine";
-import { Offset } from "../../platform/common/logService";
-import { PlacedBatch } from "../../platform/common/logTraffic";
+import { Offset } from "../../services/common/logService";
+import { PlacedBatch } from "../../services/common/logTraffic";
 import { Fold, FoldImage } from "./fold";
 import chartText from "./replica.chart.yaml";
 import { isCompatible, SnapshotTaken } from "./snapshot";
--- a/src/coordination/common/shardOwnership.ts
+++ b/src/coordination/common/shardOwnership.ts
@@ -1,7 +1,7 @@
 import { ChartLoader } from "../../base/common/chartLoader";
 import { ChartRegistry } from "../../base/common/chartRegistry";
 import { Machine } from "../../base/common/machine";
-import { Epoch } from "../../platform/common/worker";
+import { Epoch } from "../../services/common/worker";
 import { Lease } from "./lease";
 import chartText from "./ownership.chart.yaml";
 
--- a/src/coordination/common/snapshot.ts
+++ b/src/coordination/common/snapshot.ts
@@ -1,4 +1,4 @@
-import { Offset } from "../../platform/common/logService";
+import { Offset } from "../../services/common/logService";
 
 /** Entry that carries the state of its own stream, so that readers can begin after older records are gone. */
 export interface SnapshotTaken {
--- a/src/coordination/common/ticketFold.ts
+++ b/src/coordination/common/ticketFold.ts
@@ -1,7 +1,7 @@
 import { ChartLoader } from "../../base/common/chartLoader";
 import { ChartRegistry } from "../../base/common/chartRegistry";
 import { Binding } from "../../base/common/chart";
-import { Offset } from "../../platform/common/logService";
+import { Offset } from "../../services/common/logService";
 import { EntryPosition, Fold } from "./fold";
 import { hash } from "./rendezvous";
 import chartText from "./ticket.chart.yaml";
--- /dev/null
+++ b/src/dispatch/common/activeJob.ts
@@ -0,0 +1,208 @@
+import { DoneSet } from "../../jobs/common/doneSet";
+import { JobProgress, TaskRecord } from "../../jobs/common/jobRecord";
+import { JobSpec, JobState, StepSpec } from "../../jobs/common/jobSpec";
+import { isFinal } from "../../jobs/common/jobTable";
+import { Task } from "./task";
+
+/** Tasks of one step of one occurrence. */
+export interface StepRun {
+    readonly key: string;
+    readonly step: StepSpec;
+    readonly occurrence: number;
+    readonly done: DoneSet;
+    readonly tasks: readonly Task[];
+}
+
+/** A job that is not over, with its tasks. Tasks of an occurrence are made when it is due. */
+export class ActiveJob {
+    private readonly groups = new Map<string, StepRun>();
+    /** Occurrences whose steps are all done. */
+    private readonly finished = new Set<number>();
+    private opened = 0;
+
+    state: JobState = "queued";
+    isCancelled = false;
+    /** Time up to which the job has its full worth, in ms since the Unix epoch. */
+    readonly objectiveMs: number;
+
+    private constructor(
+        readonly spec: JobSpec,
+        /** Offset of its submission. */
+        readonly specOffset: number,
+    ) {
+        const { queue } = spec;
+        this.objectiveMs = spec.acceptedAtMs + queue.stretch * criticalPath(spec.steps) + queue.slackMs;
+    }
+
+    /**
+     * @param spec The job.
+     * @param specOffset Offset of its submission.
+     * @param progress Progress that an earlier leader recorded.
+     * @returns The job; its runs are added by the caller.
+     */
+    static create(spec: JobSpec, specOffset: number, progress: JobProgress | undefined): ActiveJob {
+        const job = new ActiveJob(spec, specOffset);
+        job.state = progress?.state ?? "queued";
+        const keys = [
+            ...Object.keys(progress?.done ?? {}),
+            ...[...(progress?.tasks ?? []), ...(progress?.runs ?? [])].map(each => groupOf(each.task)),
+        ];
+        keys.forEach(key => job.open(Number(key.split(".")[0]), progress));
+        (progress?.tasks ?? []).forEach(record => job.restoreTask(record));
+        return job;
+    }
+
+    /** Number of times that the steps run. */
+    get occurrences(): number {
+        return Math.max(1, this.spec.occurrences);
+    }
+
+    /** Steps of the occurrences that are open. */
+    get steps(): Iterable<StepRun> {
+        return this.groups.values();
+    }
+
+    /** All tasks of the open occurrences. */
+    *tasks(): Generator<Task> {
+        for (const group of this.groups.values()) {
+            yield* group.tasks;
+        }
+    }
+
+    /** Whether every task of every occurrence is done. */
+    get isDone(): boolean {
+        return this.finished.size === this.occurrences;
+    }
+
+    /** @param name Name of a task. @returns The task if its occurrence is open and its name is valid. */
+    find(name: string): Task | undefined {
+        const index = Number(name.slice(name.lastIndexOf(".") + 1));
+        return this.groups.get(groupOf(name))?.tasks[index];
+    }
+
+    /**
+     * Opens the occurrences that are due.
+     * @param wallNow Time in ms since the Unix epoch.
+     * @returns Whether one was opened.
+     */
+    openDue(wallNow: number): boolean {
+        const before = this.opened;
+        while (this.opened < this.occurrences && this.dueMs(this.opened) <= wallNow) {
+            this.open(this.opened, undefined);
+            this.opened += 1;
+        }
+        return this.opened > before;
+    }
+
+    /** @returns Whether all steps that a step comes after are done. */
+    isReady(group: StepRun): boolean {
+        return group.step.after.every(step => this.groups.get(`${group.occurrence}.${step}`)!.done.isFull);
+    }
+
+    /** Notes that a task is done; for a gang all its tasks are. */
+    markDone(task: Task): void {
+        const group = this.groups.get(task.group)!;
+        if (task.step.mode === "gang") {
+            group.tasks.forEach(each => group.done.add(each.index));
+        } else {
+            group.done.add(task.index);
+        }
+        if (group.done.isFull && this.stepsOf(group.occurrence).every(each => each.done.isFull)) {
+            this.finished.add(group.occurrence);
+        }
+    }
+
+    /** @param task A task. @returns Whether it is done. */
+    isTaskDone(task: Task): boolean {
+        return this.groups.get(task.group)!.done.has(task.index);
+    }
+
+    /** @param epoch Epoch of the leader. @returns The progress to be recorded. */
+    progress(epoch: number): JobProgress {
+        const runs = [...this.tasks()].flatMap(task => (task.run === undefined ? [] : [task.run.record]));
+        if (isFinal(this.state)) {
+            return { epoch, state: this.state, runs };
+        }
+        const done: Record<string, string> = {};
+        const tasks: TaskRecord[] = [];
+        for (const group of this.groups.values()) {
+            if (!group.done.isEmpty) {
+                done[group.key] = group.done.pack();
+            }
+            for (const task of group.tasks) {
+                if (!group.done.has(task.index) && (task.lastRun > 0 || task.checkpoint !== "")) {
+                    const { failures, checkpoint, lastRun } = task;
+                    tasks.push({ task: task.name, failures, checkpoint, lastRun });
+                }
+            }
+        }
+        return { epoch, state: this.state, done, runs, tasks };
+    }
+
+    /** @returns When an occurrence is due, in ms since the Unix epoch. */
+    private dueMs(occurrence: number): number {
+        return this.spec.occurrences === 0 ? 0 : this.spec.firstDueMs + occurrence * this.spec.intervalMs;
+    }
+
+    private stepsOf(occurrence: number): StepRun[] {
+        return this.spec.steps.map((_, step) => this.groups.get(`${occurrence}.${step}`)!);
+    }
+
+    private open(occurrence: number, progress: JobProgress | undefined): void {
+        if (this.groups.has(`${occurrence}.0`)) {
+            return;
+        }
+        this.spec.steps.forEach((step, number) => {
+            const key = `${occurrence}.${number}`;
+            const done = DoneSet.create(step.tasks, progress?.done?.[key]);
+            const tasks = Array.from({ length: step.tasks }, (_, index) => this.createTask(step, key, index));
+            this.groups.set(key, { key, step, occurrence, done, tasks });
+        });
+        if (this.stepsOf(occurrence).every(each => each.done.isFull)) {
+            this.finished.add(occurrence);
+        }
+    }
+
+    private createTask(step: StepSpec, group: string, index: number): Task {
+        return {
+            job: this,
+            step,
+            group,
+            index,
+            name: `${this.spec.id}.${group}.${index}`,
+            failures: 0,
+            checkpoint: "",
+            lastRun: 0,
+            highestRun: 0,
+            run: undefined,
+            failedOn: new Set(),
+            notBefore: 0,
+        };
+    }
+
+    private restoreTask(record: TaskRecord): void {
+        const task = this.find(record.task);
+        if (task !== undefined) {
+            task.failures = record.failures;
+            task.checkpoint = record.checkpoint;
+            task.lastRun = record.lastRun;
+            task.highestRun = record.lastRun;
+        }
+    }
+}
+
+/** @param name Name of a task, ID.K.STEP.INDEX. @returns Key of its occurrence and step, K.STEP. */
+function groupOf(name: string): string {
+    const [, occurrence, step] = name.split(".");
+    return `${occurrence}.${step}`;
+}
+
+/** @param steps Steps of a job. @returns Estimated duration in ms of the longest chain of steps. */
+export function criticalPath(steps: readonly StepSpec[]): number {
+    const ends: number[] = [];
+    for (const step of steps) {
+        const start = Math.max(0, ...step.after.map(each => ends[each]));
+        ends.push(start + step.estimateMs);
+    }
+    return Math.max(0, ...ends);
+}
--- /dev/null
+++ b/src/dispatch/common/scheduler.ts
@@ -0,0 +1,489 @@
+import { Disposable } from "../../base/common/disposable";
+import { DisposableStore } from "../../base/common/disposableStore";
+import { EffectSink } from "../../base/common/effectSink";
+import { RunRecord } from "../../jobs/common/jobRecord";
+import { isFinal, JobEntry, JobTable } from "../../jobs/common/jobTable";
+import { QueueTable } from "../../jobs/common/queueTable";
+import { Leadership } from "../../records/common/leadership";
+import { RecordWriter } from "../../records/common/recordWriter";
+import { ActiveJob } from "./activeJob";
+import { DispatchTerms, RENEWAL_RIGHT_MS, START_VALIDITY_MS } from "./dispatchTerms";
+import { DispatchEffect } from "./dispatchTraffic";
+import { JobBook } from "./jobBook";
+import { Pacer } from "./pacer";
+import { Run, RunHost, RunOutcome } from "./run";
+import { StepQueue } from "./stepQueue";
+import { Task } from "./task";
+import { WorkerContact } from "./workerContact";
+import { WorkerEntry } from "./workerEntry";
+import { PoolHost, WorkerPool } from "./workerPool";
+import { ListedEnd, NOT_CARRIED_OUT, WorkerEvent } from "./workerTraffic";
+
+/** Numbers of runs that one epoch can use for a task, so that no two leaders give the same number. */
+const RUNS_PER_EPOCH = 1_000;
+
+/** Time for which a worker that had no room is left out, in ms: about as long as a short task runs. */
+const NO_ROOM_PAUSE_MS = 200;
+
+/** Time for which a worker that says it is unhealthy is left out, in ms. */
+const UNHEALTHY_PAUSE_MS = 1_000;
+
+/** Shortest time between two passes over the waiting tasks, in ms. */
+const PASS_INTERVAL_MS = 10;
+
+/** Time without progress after which a run is taken to be stuck, in ms. */
+const STUCK_MS = 2_500;
+
+/** Rough time until a draining worker leaves if it does not say, in ms. */
+const DRAIN_MARGIN_MS = 900;
+
+/** What the scheduler reads besides its own state. */
+export interface SchedulerContext {
+    readonly jobs: JobTable;
+    readonly queues: QueueTable;
+    readonly leadership: Leadership;
+    readonly terms: DispatchTerms;
+    readonly effects: EffectSink<DispatchEffect>;
+}
+
+/** Decides for one leader's epoch which task runs where. */
+export class Scheduler implements Disposable {
+    private readonly resources = DisposableStore.create();
+    private readonly book: JobBook;
+    private readonly pool: WorkerPool;
+    private readonly pacer: Pacer;
+    private readonly queue: StepQueue;
+    private readonly runHost: RunHost;
+    private heldStarts: Run[] = [];
+    private isDirty = true;
+    private passedAt = 0;
+    private wallNow = 0;
+
+    private constructor(
+        private readonly context: SchedulerContext,
+        private readonly epoch: number,
+        private readonly writer: RecordWriter,
+        now: number,
+    ) {
+        this.runHost = new SchedulerRunHost(this);
+        this.pool = WorkerPool.create(epoch, now, context.terms, new SchedulerPoolHost(this), context.effects);
+        this.book = JobBook.create(epoch, writer);
+        this.pacer = Pacer.create((run, percent) => this.throttle(run, percent));
+        this.queue = StepQueue.create(context.queues, (task, worker, at) => this.assign(task, worker, at));
+        this.resources.add(this.book.onDidCancel(job => this.stopRuns(job, now)));
+        this.book.load(context.jobs, (task, record) => this.inherit(task, record, now));
+        this.resources.add(context.jobs.onDidChange(entry => this.onJob(entry)));
+        this.decide("leader-began", { epoch, jobs: this.book.size });
+    }
+
+    /**
+     * Begins an epoch with all jobs that are known.
+     * @param context What the scheduler reads.
+     * @param epoch Epoch of the leader.
+     * @param writer Writes its records.
+     * @param now Time in ms.
+     * @returns The scheduler; workers are told to it as the platform lists them.
+     */
+    static create(context: SchedulerContext, epoch: number, writer: RecordWriter, now: number): Scheduler {
+        return new Scheduler(context, epoch, writer, now);
+    }
+
+    /** Ends the epoch: nothing is sent any more. */
+    dispose(): void {
+        this.resources.dispose();
+        this.decide("leader-ended", { epoch: this.epoch });
+    }
+
+    /** Takes in a worker that the platform lists, or that it lists no more (`undefined`). @param now Time in ms. */
+    listWorker(id: string, entry: WorkerEntry | undefined, now: number): void {
+        if (entry === undefined) {
+            this.pool.unlist(id);
+        } else {
+            this.pool.list(entry, now);
+        }
+        this.isDirty = true;
+    }
+
+    /** Takes in that only these workers are listed. */
+    retainWorkers(ids: ReadonlySet<string>): void {
+        for (const worker of this.pool.all) {
+            if (!ids.has(worker.entry.id)) {
+                this.pool.unlist(worker.entry.id);
+            }
+        }
+    }
+
+    /** Takes the answer of a worker. @param now Time in ms. */
+    answer(event: WorkerEvent, now: number): void {
+        const worker = this.pool.answer(event, now);
+        if (worker === undefined) {
+            return;
+        }
+        if (event.kind === "start-answer") {
+            this.answerStart(worker, event, now);
+        } else if (event.kind === "stop-answer" && event.outcome === "done") {
+            const run = worker.runs.get(event.order.task);
+            if (run?.record.run === event.order.run) {
+                run.fire("stop-confirmed", { now });
+                this.pool.hurry(worker, now);
+            }
+        }
+        this.isDirty = true;
+    }
+
+    /** Acts on the passing of time. @param now Time in ms. @param wallNow Time in ms since the Unix epoch. */
+    tick(now: number, wallNow: number): void {
+        this.wallNow = wallNow;
+        this.pool.tick(now);
+        for (const worker of this.pool.all) {
+            this.reviewWorker(worker, now);
+        }
+        this.isDirty = true;
+    }
+
+    /** Sends what is due and gives waiting tasks to workers. @param now Time in ms. @param wallNow Unix time in ms. */
+    advance(now: number, wallNow: number): void {
+        this.wallNow = wallNow;
+        if (!this.context.leadership.mayOrder()) {
+            return;
+        }
+        const held = this.heldStarts;
+        this.heldStarts = [];
+        held.forEach(run => run.fire("stored", { now }));
+        if (this.isDirty && now - this.passedAt >= PASS_INTERVAL_MS) {
+            this.isDirty = false;
+            this.passedAt = now;
+            this.queue.pass(
+                this.book.all,
+                [...this.pool.all].filter(each => each.isUsable(now)),
+                now,
+                wallNow,
+            );
+        }
+    }
+
+    /** @returns Whether leases may be extended. */
+    mayExtend(now: number): boolean {
+        const { confirmedAt } = this.writer;
+        return this.context.leadership.mayOrder() && confirmedAt !== undefined && now - confirmedAt < RENEWAL_RIGHT_MS;
+    }
+
+    /** Sends the start of a run. */
+    sendStart(run: Run, now: number): void {
+        const worker = this.pool.find(run.record.worker);
+        const validUntil = worker?.extendTo(worker.readingIn(START_VALIDITY_MS, now));
+        if (worker === undefined || validUntil === undefined || worker.state !== "reachable") {
+            run.fire("not-started", { now });
+            return;
+        }
+        const { task, checkpoint, run: number } = run.record;
+        const order = {
+            task,
+            run: number,
+            payload: run.task.job.spec.payload,
+            validUntil,
+            epoch: this.epoch,
+            checkpoint,
+            ticket: run.ticket,
+        };
+        this.context.effects.emit({ kind: "start", worker: worker.entry, order });
+        const { entry } = worker;
+        this.decide("run-started", { task, run: number, worker: entry.id, epoch: this.epoch, rack: entry.rack });
+    }
+
+    /** Sends the stop of a run. */
+    sendStop(run: Run): void {
+        const worker = this.pool.find(run.record.worker);
+        if (worker !== undefined && worker.entry.address !== "") {
+            const { task, run: number } = run.record;
+            this.context.effects.emit({
+                kind: "stop",
+                worker: worker.entry,
+                order: { task, run: number, epoch: this.epoch },
+            });
+        }
+    }
+
+    /** Takes an end that a worker lists. */
+    takeListedEnd(worker: WorkerContact, end: ListedEnd, now: number): void {
+        const { incarnation } = worker.entry;
+        const task = this.book.findTask(end.task);
+        const noteRecorded = () => worker.noteRecorded(end.number, incarnation);
+        if (task === undefined) {
+            noteRecorded();
+            return;
+        }
+        const run = worker.runs.get(end.task);
+        if (run?.record.run === end.run) {
+            run.fire("ended", { now, end });
+        } else if (end.end === "done" && !task.job.isTaskDone(task)) {
+            // The worker was given up before it told of this end; a later run, if there is one, is stopped.
+            this.finishTask(task, now);
+        } else if (end.end === "failed") {
+            this.countFailure(task, end.run, worker);
+        }
+        this.book.record(task.job, noteRecorded);
+    }
+
+    /** Notes that a worker was heard from. */
+    onListed(worker: WorkerContact): void {
+        this.pacer.review(worker);
+    }
+
+    /** Notes that a worker knows a later epoch. */
+    onFenced(now: number): void {
+        this.context.leadership.fence(now);
+    }
+
+    /** Notes the end of a run and decides what becomes of its task. */
+    onRunEnd(run: Run, outcome: RunOutcome, checkpoint: string, now: number): void {
+        const { task, record } = run;
+        const worker = this.pool.find(record.worker);
+        worker?.runs.delete(task.name);
+        task.run = undefined;
+        this.isDirty = true;
+        this.decide("run-ended", { task: task.name, run: record.run, worker: record.worker, outcome });
+        if (checkpoint !== "") {
+            task.checkpoint = checkpoint;
+        }
+        if (outcome === "done") {
+            worker?.trust.done(now);
+            this.finishTask(task, now);
+        } else if (outcome === "failed") {
+            this.countFailure(task, record.run, worker);
+            worker?.trust.failed({ now, familyFailureRate: 0 });
+        }
+        if (outcome !== "unstarted") {
+            task.lastRun = Math.max(task.lastRun, record.run);
+        }
+        if (task.step.mode === "gang" && outcome !== "done") {
+            this.stopGroup(task, now);
+        }
+        this.book.record(task.job);
+    }
+
+    private answerStart(
+        worker: WorkerContact,
+        event: WorkerEvent & { readonly kind: "start-answer" },
+        now: number,
+    ): void {
+        const run = worker.runs.get(event.order.task);
+        if (run?.record.run !== event.order.run) {
+            return;
+        }
+        if (event.outcome === "done") {
+            run.fire("accepted", { now });
+            this.pool.hurry(worker, now);
+            return;
+        }
+        const { task, run: number } = event.order;
+        this.decide("order-failed", { task, run: number, worker: event.worker, outcome: event.outcome });
+        if (!NOT_CARRIED_OUT.includes(event.outcome)) {
+            run.fire("unanswered", { now });
+            this.pool.hurry(worker, now);
+            return;
+        }
+        if (event.outcome === "no-room") {
+            worker.fullUntil = now + NO_ROOM_PAUSE_MS;
+        } else if (event.outcome === "unhealthy") {
+            worker.fullUntil = now + UNHEALTHY_PAUSE_MS;
+        }
+        run.fire("not-started", { now });
+    }
+
+    private onJob(entry: JobEntry): void {
+        this.book.update(entry);
+        this.isDirty = true;
+    }
+
+    private assign(task: Task, worker: WorkerContact, now: number): Run {
+        const first = (this.epoch - 1) * RUNS_PER_EPOCH;
+        task.highestRun = Math.max(task.highestRun, task.lastRun, first) + 1;
+        const record: RunRecord = {
+            task: task.name,
+            run: task.highestRun,
+            worker: worker.entry.id,
+            incarnation: worker.entry.incarnation,
+            checkpoint: task.checkpoint,
+        };
+        const run = Run.create(task, record, this.runHost, now);
+        run.rack = worker.entry.rack;
+        task.run = run;
+        worker.runs.set(task.name, run);
+        if (task.job.state === "queued") {
+            task.job.state = "running";
+        }
+        this.book.record(task.job, () => this.onAssignmentStored(run));
+        return run;
+    }
+
+    /** After a suspension the store has to confirm the epoch again before the order is sent. */
+    private onAssignmentStored(run: Run): void {
+        this.heldStarts.push(run);
+    }
+
+    private inherit(task: Task, record: RunRecord, now: number): void {
+        const worker = this.pool.inherit(record);
+        const run = Run.create(task, record, this.runHost, now);
+        task.run = run;
+        task.highestRun = Math.max(task.highestRun, record.run);
+        worker.runs.set(task.name, run);
+        run.fire("inherit", { now });
+        if (isFinal(task.job.state)) {
+            run.fire("stop", { now });
+        }
+    }
+
+    private finishTask(task: Task, now: number): void {
+        const { job } = task;
+        job.markDone(task);
+        if (task.run !== undefined) {
+            this.stop(task.run, "done-elsewhere", now);
+        }
+        if (job.isDone && !isFinal(job.state)) {
+            job.state = "done";
+            this.decide("job-ended", { job: job.spec.id, state: "done", lateMs: this.wallNow - job.objectiveMs });
+        }
+    }
+
+    private countFailure(task: Task, run: number, worker: WorkerContact | undefined): void {
+        if (run <= task.lastRun) {
+            return;
+        }
+        task.lastRun = run;
+        task.failures += 1;
+        if (worker !== undefined) {
+            task.failedOn.add(worker.entry.id);
+        }
+        const { job } = task;
+        const { maxAttempts } = this.context.queues.newest(job.spec.queue);
+        if (task.step.mode !== "long-running" && task.failures >= maxAttempts && !isFinal(job.state)) {
+            job.state = "failed";
+            this.decide("job-ended", { job: job.spec.id, state: "failed", task: task.name, failures: task.failures });
+            this.stopRuns(job, this.passedAt);
+        }
+    }
+
+    private stopRuns(job: ActiveJob, now: number): void {
+        for (const task of job.tasks()) {
+            if (task.run !== undefined) {
+                this.stop(task.run, job.state, now);
+            }
+        }
+    }
+
+    private stopGroup(task: Task, now: number): void {
+        for (const each of task.job.tasks()) {
+            if (each.group === task.group && each.run !== undefined) {
+                this.stop(each.run, "gang-broken", now);
+            }
+        }
+    }
+
+    private stop(run: Run, reason: string, now: number): void {
+        if (!run.isEnding) {
+            const { task, run: number, worker } = run.record;
+            this.decide("run-stopping", { task, run: number, worker, reason });
+            run.fire("stop", { now });
+        }
+    }
+
+    private throttle(run: Run, percent: number): void {
+        const worker = this.pool.find(run.record.worker);
+        if (worker === undefined) {
+            return;
+        }
+        run.percent = percent;
+        const { task, run: number } = run.record;
+        this.context.effects.emit({
+            kind: "throttle",
+            worker: worker.entry,
+            order: { task, run: number, epoch: this.epoch, percent },
+        });
+        this.decide("run-throttled", { task, run: number, worker: worker.entry.id, percent });
+    }
+
+    private reviewWorker(worker: WorkerContact, now: number): void {
+        const isDraining = worker.entry.state === "draining";
+        for (const run of worker.runs.values()) {
+            if (run.state !== "running") {
+                continue;
+            }
+            if (isDraining && this.mustLeave(run, worker, now)) {
+                this.stop(run, "draining", now);
+            } else if (this.isStuck(run, now)) {
+                worker.trust.failed({ now, familyFailureRate: 0 });
+                run.task.failedOn.add(worker.entry.id);
+                this.stop(run, "stuck", now);
+            }
+        }
+    }
+
+    /** Runs that would not end before the worker leaves are moved while they can still save their work. */
+    private mustLeave(run: Run, worker: WorkerContact, now: number): boolean {
+        worker.leavesAt ??= now + this.context.terms.longestLeaseMs;
+        return run.task.step.mode === "long-running" || now > worker.leavesAt - DRAIN_MARGIN_MS;
+    }
+
+    private isStuck(run: Run, now: number): boolean {
+        const isAtWork = run.task.step.mode === "long-running" && run.report?.percent === 100;
+        return (
+            run.report !== undefined &&
+            !isAtWork &&
+            run.percent > 0 &&
+            run.reportedAt - run.progressAt > STUCK_MS &&
+            now - run.reportedAt < STUCK_MS
+        );
+    }
+
+    private decide(name: Parameters<typeof decision>[0], data: Parameters<typeof decision>[1]): void {
+        this.context.effects.emit(decision(name, data));
+    }
+}
+
+function decision(
+    name: (DispatchEffect & { readonly kind: "decision" })["name"],
+    data: (DispatchEffect & { readonly kind: "decision" })["data"],
+): DispatchEffect {
+    return { kind: "decision", name, data };
+}
+
+class SchedulerRunHost extends RunHost {
+    constructor(private readonly scheduler: Scheduler) {
+        super();
+    }
+
+    override sendStart(run: Run, now: number): void {
+        this.scheduler.sendStart(run, now);
+    }
+
+    override sendStop(run: Run, _now: number): void {
+        this.scheduler.sendStop(run);
+    }
+
+    override onEnd(run: Run, outcome: RunOutcome, checkpoint: string, now: number): void {
+        this.scheduler.onRunEnd(run, outcome, checkpoint, now);
+    }
+}
+
+class SchedulerPoolHost extends PoolHost {
+    constructor(private readonly scheduler: Scheduler) {
+        super();
+    }
+
+    override mayExtend(now: number): boolean {
+        return this.scheduler.mayExtend(now);
+    }
+
+    override onEnd(worker: WorkerContact, end: ListedEnd, now: number): void {
+        this.scheduler.takeListedEnd(worker, end, now);
+    }
+
+    override onListed(worker: WorkerContact, _now: number): void {
+        this.scheduler.onListed(worker);
+    }
+
+    override onFenced(now: number): void {
+        this.scheduler.onFenced(now);
+    }
+}
--- /dev/null
+++ b/src/dispatch/common/stepQueue.ts
@@ -0,0 +1,159 @@
+import { QueueTable } from "../../jobs/common/queueTable";
+import { isFinal } from "../../jobs/common/jobTable";
+import { ActiveJob, StepRun } from "./activeJob";
+import { Placer } from "./placer";
+import { Run } from "./run";
+import { Task } from "./task";
+import { WorkerContact } from "./workerContact";
+
+/** Assigns a task to a worker. */
+export type AssignTask = (task: Task, worker: WorkerContact, now: number) => Run;
+
+/** A job whose objective was missed by this factor is worth nothing any more. */
+const WORTHLESS_FACTOR = 3;
+
+/** A step with tasks that wait, and what its order depends on. */
+interface WaitingStep {
+    readonly job: ActiveJob;
+    readonly group: StepRun;
+    readonly tasks: readonly Task[];
+    readonly service: string;
+    readonly priority: number;
+    readonly isWorthless: boolean;
+    /** Time left until the job misses its objective, in ms. */
+    readonly slackMs: number;
+}
+
+/** Orders the steps that wait and gives their tasks to workers, as long as there is room. */
+export class StepQueue {
+    private constructor(
+        private readonly queues: QueueTable,
+        private readonly assign: AssignTask,
+    ) {}
+
+    /** @param queues Queues as configured. @param assign Assigns a task to a worker. @returns A queue. */
+    static create(queues: QueueTable, assign: AssignTask): StepQueue {
+        return new StepQueue(queues, assign);
+    }
+
+    /**
+     * Gives waiting tasks to workers.
+     * @param jobs Jobs of the leader.
+     * @param workers Workers that may be given tasks.
+     * @param now Time in ms.
+     * @param wallNow Time in ms since the Unix epoch.
+     */
+    pass(jobs: Iterable<ActiveJob>, workers: readonly WorkerContact[], now: number, wallNow: number): void {
+        const waiting: WaitingStep[] = [];
+        for (const job of jobs) {
+            if (!isFinal(job.state)) {
+                job.openDue(wallNow);
+                this.collect(job, now, wallNow, waiting);
+            }
+        }
+        if (waiting.length === 0) {
+            return;
+        }
+        waiting.sort(compareSteps);
+        const placer = Placer.create(workers);
+        for (const step of waiting) {
+            if (step.group.step.mode === "gang") {
+                this.placeGang(step, placer, now);
+            } else {
+                this.placeTasks(step, placer, now);
+            }
+        }
+    }
+
+    private collect(job: ActiveJob, now: number, wallNow: number, into: WaitingStep[]): void {
+        const { service, priority } = this.queues.newest(job.spec.queue);
+        const allowedMs = job.objectiveMs - job.spec.acceptedAtMs;
+        const isWorthless = wallNow > job.spec.acceptedAtMs + WORTHLESS_FACTOR * allowedMs;
+        for (const group of job.steps) {
+            if (group.done.isFull || !job.isReady(group)) {
+                continue;
+            }
+            const tasks = group.tasks.filter(
+                task => task.run === undefined && !group.done.has(task.index) && now >= task.notBefore,
+            );
+            const isWhole = group.step.mode !== "gang" || tasks.length === group.tasks.length;
+            if (tasks.length > 0 && isWhole) {
+                const slackMs = job.objectiveMs - wallNow - group.step.estimateMs;
+                into.push({ job, group, tasks, service, priority, isWorthless, slackMs });
+            }
+        }
+    }
+
+    /** Tasks of a step are alike: when one finds no room, the others find none either. */
+    private placeTasks(step: WaitingStep, placer: Placer, now: number): void {
+        const rack = step.group.step.sameRack ? rackOf(step.group) : undefined;
+        for (const task of step.tasks) {
+            const worker =
+                this.choosePreferred(task, step.service, placer, rack) ?? this.chooseAny(task, step.service, placer);
+            if (worker === undefined) {
+                if (task.failedOn.size === 0) {
+                    return;
+                }
+                continue;
+            }
+            this.assign(task, worker, now);
+            placer.update(worker);
+        }
+    }
+
+    private choosePreferred(
+        task: Task,
+        service: string,
+        placer: Placer,
+        rack: string | undefined,
+    ): WorkerContact | undefined {
+        const preferred = rack ?? task.step.dataRack;
+        return preferred === undefined
+            ? undefined
+            : placer.choose(task, service, worker => worker.entry.rack === preferred);
+    }
+
+    private chooseAny(task: Task, service: string, placer: Placer): WorkerContact | undefined {
+        const worker = placer.choose(task, service);
+        if (worker !== undefined || task.failedOn.size === 0) {
+            return worker;
+        }
+        // Every other worker is full or failed the task, too.
+        const failedOn = [...task.failedOn];
+        task.failedOn.clear();
+        const any = placer.choose(task, service);
+        failedOn.forEach(id => task.failedOn.add(id));
+        return any;
+    }
+
+    /** The members of a gang are assigned together or not at all. */
+    private placeGang(step: WaitingStep, placer: Placer, now: number): void {
+        const run = Math.max(...step.tasks.map(task => task.highestRun));
+        const racks = step.group.step.sameRack ? placer.racks(step.service) : [undefined];
+        for (const rack of [...racks, undefined]) {
+            const chosen = placer.chooseAll(step.tasks, step.service, rack);
+            if (chosen !== undefined) {
+                step.tasks.forEach((task, index) => {
+                    task.highestRun = run;
+                    this.assign(task, chosen[index], now);
+                    placer.update(chosen[index]);
+                });
+                return;
+            }
+        }
+    }
+}
+
+function compareSteps(a: WaitingStep, b: WaitingStep): number {
+    return (
+        Number(a.isWorthless) - Number(b.isWorthless) ||
+        a.priority - b.priority ||
+        a.slackMs - b.slackMs ||
+        a.tasks.length - b.tasks.length
+    );
+}
+
+/** @returns The rack on which most tasks of a step run, if any run. */
+function rackOf(group: StepRun): string | undefined {
+    return group.tasks.find(task => task.run !== undefined)?.run?.rack;
+}
--- /dev/null
+++ b/src/dispatch/common/task.ts
@@ -0,0 +1,26 @@
+import { StepSpec } from "../../jobs/common/jobSpec";
+import type { ActiveJob } from "./activeJob";
+import type { Run } from "./run";
+
+/** A task of a job that the leader schedules. */
+export interface Task {
+    readonly job: ActiveJob;
+    readonly step: StepSpec;
+    /** Key of its occurrence and step. */
+    readonly group: string;
+    readonly index: number;
+    readonly name: string;
+    /** Runs that ended `failed`. */
+    failures: number;
+    checkpoint: string;
+    /** Highest number of a run whose end was counted. */
+    lastRun: number;
+    /** Highest number that was given to a run. */
+    highestRun: number;
+    /** Its present run, if it has one. */
+    run: Run | undefined;
+    /** Workers on which it failed, which are avoided. */
+    readonly failedOn: Set<string>;
+    /** Time (ms) before which it is not started again. */
+    notBefore: number;
+}
--- /dev/null
+++ b/src/dispatch/common/workerContact.ts
@@ -0,0 +1,250 @@
+import { ChartLoader } from "../../base/common/chartLoader";
+import { ChartRegistry } from "../../base/common/chartRegistry";
+import { Machine } from "../../base/common/machine";
+import { TaskRequest } from "../../jobs/common/jobSpec";
+import { WorkerClock } from "../../scheduling/common/workerClock";
+import { WorkerTrust } from "../../scheduling/common/workerTrust";
+import { LEASE_MARGIN_MS, RENEWAL_RIGHT_MS } from "./dispatchTerms";
+import { Run } from "./run";
+import chartText from "./workerContact.chart.yaml";
+import { WorkerEntry } from "./workerEntry";
+import { ListedEnd } from "./workerTraffic";
+
+/** Contact of the leader with a worker. */
+export type ContactState = "unmet" | "reachable" | "silent" | "vacant";
+type ContactEvent = "answered" | "unanswered" | "replaced" | "lease-over";
+type ContactAction = "loseRuns";
+
+const chart = ChartRegistry.instance.register(
+    ChartLoader.load<ContactState, ContactEvent, never, ContactAction>(chartText, "workerContact.chart.yaml", {
+        states: ["unmet", "reachable", "silent", "vacant"],
+        events: ["answered", "unanswered", "replaced", "lease-over"],
+        guards: [],
+        actions: ["loseRuns"],
+    }),
+);
+
+/** How long a worker that fails all tasks is left out before it is tried with one task, in ms. */
+const EXCLUSION = { shortestMs: 2_500, longestMs: 20_000 };
+
+/** What a worker has been given and what is left of it. */
+export interface Room {
+    readonly cpuMillis: number;
+    readonly memoryMb: number;
+    readonly accelerators: number;
+    /** Processor time that is neither reserved nor requested by runs that use spare time; may be negative. */
+    readonly spareCpuMillis: number;
+}
+
+/** One worker as the leader knows it. */
+export class WorkerContact {
+    private readonly machine: Machine<number, ContactState, ContactEvent, never, ContactAction>;
+    private clock: WorkerClock | undefined;
+    /** Latest reading of the worker's clock (ms) up to which this leader let it run tasks. */
+    private leaseUntil = 0;
+    private processedUpTo = 0;
+    private readonly unrecorded = new Set<number>();
+
+    /** Runs by task that may be on the worker. */
+    readonly runs = new Map<string, Run>();
+    readonly trust = WorkerTrust.create(EXCLUSION);
+    /** Whether the platform lists the worker. */
+    isListed = true;
+    /** Whether a list is on its way, and when the next one is due (ms). */
+    isListing = false;
+    nextListAt = 0;
+    /** Time (ms) at which the latest answered list was asked for. */
+    listedAt: number | undefined;
+    /** Ends up to this number are recorded. */
+    recordedUpTo = 0;
+    /** Time (ms) by which it has to have left, once it drains. */
+    leavesAt: number | undefined;
+    /** Whether the worker's rejections say that it has less room than was reckoned, up to this time (ms). */
+    fullUntil = 0;
+
+    private constructor(
+        private listed: WorkerEntry,
+        private readonly ledSince: number,
+        private readonly longestLeaseMs: number,
+    ) {
+        this.machine = Machine.create(chart, {
+            guards: {},
+            actions: { loseRuns: now => this.loseRuns(now) },
+        });
+    }
+
+    /**
+     * @param entry The worker as the platform lists it.
+     * @param ledSince Time (ms) at which this leader's epoch began.
+     * @param longestLeaseMs Longest lease that the worker accepts, in ms.
+     * @returns A worker without contact.
+     */
+    static create(entry: WorkerEntry, ledSince: number, longestLeaseMs: number): WorkerContact {
+        return new WorkerContact(entry, ledSince, longestLeaseMs);
+    }
+
+    /** The worker as the platform listed it last. */
+    get entry(): WorkerEntry {
+        return this.listed;
+    }
+
+    /** Contact with the worker. */
+    get state(): ContactState {
+        return this.machine.state;
+    }
+
+    /** Whether it may be given tasks. */
+    isUsable(now: number): boolean {
+        return (
+            this.state === "reachable" &&
+            this.isListed &&
+            this.listed.state === "ready" &&
+            now >= this.fullUntil &&
+            this.trust.state !== "excluded" &&
+            (this.trust.state !== "trial" || this.runs.size === 0)
+        );
+    }
+
+    /** Takes in a change of the platform's list. @param now Time in ms. */
+    relist(entry: WorkerEntry, now: number): void {
+        if (entry.incarnation < this.listed.incarnation) {
+            return;
+        }
+        const isNewer = entry.incarnation > this.listed.incarnation;
+        this.listed = entry;
+        this.isListed = true;
+        if (isNewer) {
+            this.forgetLife(now);
+        }
+    }
+
+    /**
+     * Takes in the incarnation that the worker itself names.
+     * @param incarnation When its life began, in ms since the Unix epoch.
+     * @param now Time in ms.
+     */
+    noteIncarnation(incarnation: number, now: number): void {
+        if (incarnation > this.listed.incarnation) {
+            this.listed = { ...this.listed, incarnation };
+            this.forgetLife(now);
+        }
+    }
+
+    /** Notes that another worker answers at the address. @param now Time in ms. */
+    noteReplaced(now: number): void {
+        this.isListed = false;
+        this.forgetLife(now);
+    }
+
+    private forgetLife(now: number): void {
+        this.clock = undefined;
+        this.leaseUntil = 0;
+        this.processedUpTo = 0;
+        this.recordedUpTo = 0;
+        this.unrecorded.clear();
+        this.machine.fire("replaced", now);
+    }
+
+    /** Notes a reading of the worker's clock. @param reading Reading in ms. @param now Time in ms. */
+    noteClock(reading: number, now: number): void {
+        this.clock = WorkerClock.create(String(this.listed.incarnation), reading, now);
+        this.machine.fire("answered", now);
+    }
+
+    /** Notes that an order was not answered. @param now Time in ms. */
+    noteSilence(now: number): void {
+        this.machine.fire("unanswered", now);
+    }
+
+    /** Takes back the loss of contact or finds that all leases are over. @param now Time in ms. */
+    tick(now: number): void {
+        if (this.isLeaseOver(now)) {
+            this.machine.fire("lease-over", now);
+        }
+        this.trust.tick(now);
+    }
+
+    /** @returns Reading of the worker's clock (ms) that lies this far ahead, or `undefined` before the first answer. */
+    readingIn(ms: number, now: number): number | undefined {
+        return this.clock === undefined ? undefined : Math.round(this.clock.estimate(now) + ms);
+    }
+
+    /**
+     * Notes that an order lets the worker run tasks up to a reading of its clock.
+     * @param reading The reading in ms.
+     * @returns The same reading.
+     */
+    extendTo(reading: number | undefined): number | undefined {
+        this.leaseUntil = Math.max(this.leaseUntil, reading ?? 0);
+        return reading;
+    }
+
+    /** @returns Reading of the worker's clock (ms) up to which its lease can be extended. */
+    longestLease(now: number): number | undefined {
+        return this.extendTo(this.readingIn(this.longestLeaseMs - LEASE_MARGIN_MS, now));
+    }
+
+    /**
+     * Takes an end that the worker lists.
+     * @param end The end.
+     * @returns Whether it was not taken before.
+     */
+    takeEnd(end: ListedEnd): boolean {
+        if (end.number <= this.processedUpTo) {
+            return false;
+        }
+        this.processedUpTo = end.number;
+        this.unrecorded.add(end.number);
+        return true;
+    }
+
+    /** Notes that an end is recorded, so that the worker may forget it once all earlier ones are recorded, too. */
+    noteRecorded(number: number, incarnation: number): void {
+        if (incarnation !== this.listed.incarnation || !this.unrecorded.delete(number)) {
+            return;
+        }
+        const first = Math.min(...this.unrecorded);
+        this.recordedUpTo = this.unrecorded.size === 0 ? this.processedUpTo : first - 1;
+    }
+
+    /** Whether ends are being recorded. */
+    get isRecording(): boolean {
+        return this.unrecorded.size > 0;
+    }
+
+    /** @returns What is left of the worker's capacity. */
+    room(): Room {
+        const { capacity } = this.listed;
+        let { cpuMillis, memoryMb, accelerators } = capacity;
+        let spareCpuMillis = cpuMillis;
+        for (const { task } of this.runs.values()) {
+            const { request, usesSpareCpu } = task.step;
+            spareCpuMillis -= request.cpuMillis;
+            cpuMillis -= usesSpareCpu ? 0 : request.cpuMillis;
+            memoryMb -= request.memoryMb;
+            accelerators -= request.accelerators;
+        }
+        return { cpuMillis, memoryMb, accelerators, spareCpuMillis };
+    }
+
+    /** @returns Whether a request fits into what is left. */
+    fits(request: TaskRequest, usesSpareCpu: boolean, room: Room): boolean {
+        return (
+            (usesSpareCpu || request.cpuMillis <= room.cpuMillis) &&
+            request.memoryMb <= room.memoryMb &&
+            request.accelerators <= room.accelerators
+        );
+    }
+
+    /** Until the worker has answered, an earlier leader may have extended its lease for as long as it had the right to. */
+    private isLeaseOver(now: number): boolean {
+        if (this.clock === undefined) {
+            return now > this.ledSince + RENEWAL_RIGHT_MS + this.longestLeaseMs * 1.02 + LEASE_MARGIN_MS;
+        }
+        return now > this.clock.passedBy(this.leaseUntil) + LEASE_MARGIN_MS;
+    }
+
+    private loseRuns(now: number): void {
+        [...this.runs.values()].forEach(run => run.fire("lost", { now }));
+    }
+}
--- /dev/null
+++ b/src/dispatch/common/workerPool.ts
@@ -0,0 +1,278 @@
+import { EffectSink } from "../../base/common/effectSink";
+import { RunRecord } from "../../jobs/common/jobRecord";
+import { DispatchTerms } from "./dispatchTerms";
+import { DispatchEffect } from "./dispatchTraffic";
+import { ContactState, WorkerContact } from "./workerContact";
+import { WorkerEntry } from "./workerEntry";
+import { ListedEnd, WorkerEvent } from "./workerTraffic";
+
+/** How long a worker waits for an end before it answers, in ms: also the age of the latencies that it reports. */
+const LIST_WAIT_MS = 500;
+
+/** Time between two lists of a worker that runs nothing, in ms. */
+const IDLE_LIST_MS = 1_200;
+
+/** Time between two lists of a worker that does not answer, or whose ends are being recorded, in ms. */
+const RETRY_LIST_MS = 300;
+
+/** Shortest time between two lists of a worker, in ms. */
+const SHORTEST_LIST_MS = 25;
+
+/** Time between two lists while a run is between two states, in ms. */
+const UNSETTLED_LIST_MS = 60;
+
+/** States of runs that the next list settles. */
+const UNSETTLED = new Set(["inherited", "doubtful", "stopping", "stopped"]);
+
+/** Time after which a stop that was not confirmed is sent again, in ms. */
+const STOP_REPEAT_MS = 800;
+
+/** What the pool tells its owner of. */
+export abstract class PoolHost {
+    /** Whether leases may be extended now. */
+    abstract mayExtend(now: number): boolean;
+
+    /** Told of an end that a worker lists; the owner says when it is recorded. */
+    abstract onEnd(worker: WorkerContact, end: ListedEnd, now: number): void;
+
+    /** Told that a worker was heard from. */
+    abstract onListed(worker: WorkerContact, now: number): void;
+
+    /** Told that a worker knows a later epoch. */
+    abstract onFenced(now: number): void;
+}
+
+/** The workers of one leader: who is listed, who answers, and what runs where. */
+export class WorkerPool {
+    private readonly contacts = new Map<string, WorkerContact>();
+
+    private constructor(
+        private readonly epoch: number,
+        private readonly ledSince: number,
+        private readonly terms: DispatchTerms,
+        private readonly host: PoolHost,
+        private readonly effects: EffectSink<DispatchEffect>,
+    ) {}
+
+    /**
+     * @param epoch Epoch of the leader.
+     * @param ledSince Time (ms) at which it began.
+     * @param terms Limits of the deployment.
+     * @param host Told of what happens.
+     * @param effects Takes the calls.
+     * @returns A pool without workers.
+     */
+    static create(
+        epoch: number,
+        ledSince: number,
+        terms: DispatchTerms,
+        host: PoolHost,
+        effects: EffectSink<DispatchEffect>,
+    ): WorkerPool {
+        return new WorkerPool(epoch, ledSince, terms, host, effects);
+    }
+
+    /** All workers. */
+    get all(): Iterable<WorkerContact> {
+        return this.contacts.values();
+    }
+
+    /** @param id Identifier of a worker. @returns The worker, if it is known. */
+    find(id: string): WorkerContact | undefined {
+        return this.contacts.get(id);
+    }
+
+    /** Takes in a worker that the platform lists. @param now Time in ms. */
+    list(entry: WorkerEntry, now: number): void {
+        const known = this.contacts.get(entry.id);
+        if (known !== undefined) {
+            known.relist(entry, now);
+            return;
+        }
+        this.contacts.set(entry.id, WorkerContact.create(entry, this.ledSince, this.terms.longestLeaseMs));
+    }
+
+    /** Takes in that the platform lists a worker no more. @param id Its identifier. */
+    unlist(id: string): void {
+        const contact = this.contacts.get(id);
+        if (contact !== undefined) {
+            contact.isListed = false;
+        }
+    }
+
+    /**
+     * Finds the worker that an earlier leader assigned a run to. One that is not listed any more is only waited for.
+     * @param record The assignment.
+     * @returns The worker.
+     */
+    inherit(record: RunRecord): WorkerContact {
+        const known = this.contacts.get(record.worker);
+        if (known !== undefined) {
+            return known;
+        }
+        const entry = unlistedEntry(record);
+        const contact = WorkerContact.create(entry, this.ledSince, this.terms.longestLeaseMs);
+        contact.isListed = false;
+        this.contacts.set(record.worker, contact);
+        return contact;
+    }
+
+    /** Asks for lists that are due, repeats stops, and gives up workers whose leases are over. @param now Time in ms. */
+    tick(now: number): void {
+        for (const worker of this.contacts.values()) {
+            this.follow(worker, now, () => worker.tick(now));
+            if (!worker.isListed && worker.runs.size === 0 && !worker.isListing) {
+                this.contacts.delete(worker.entry.id);
+                continue;
+            }
+            this.repeatStops(worker, now);
+            if (!worker.isListing && now >= worker.nextListAt && worker.entry.address !== "") {
+                this.requestList(worker, now);
+            }
+        }
+    }
+
+    /** Takes an answer that carries the state of a worker. @returns The worker, if it is known. */
+    answer(event: WorkerEvent, now: number): WorkerContact | undefined {
+        const worker = this.contacts.get(event.worker);
+        if (worker === undefined) {
+            return undefined;
+        }
+        if (event.outcome === "fenced") {
+            this.host.onFenced(now);
+        } else if (event.outcome === "other-incarnation") {
+            this.follow(worker, now, () => worker.noteReplaced(now));
+        } else if (event.clockMs !== undefined) {
+            this.follow(worker, now, () => worker.noteClock(event.clockMs!, now));
+        }
+        if (event.kind === "list-answer") {
+            this.answerList(worker, event, now);
+        }
+        return worker;
+    }
+
+    /** Has a worker listed as soon as possible. */
+    hurry(worker: WorkerContact, now: number): void {
+        worker.nextListAt = Math.min(worker.nextListAt, now);
+    }
+
+    private answerList(
+        worker: WorkerContact,
+        event: WorkerEvent & { readonly kind: "list-answer" },
+        now: number,
+    ): void {
+        worker.isListing = false;
+        if (event.list === undefined) {
+            if (event.outcome === "no-answer" || event.outcome === "unreachable") {
+                this.follow(worker, now, () => worker.noteSilence(now));
+            }
+            worker.nextListAt = now + RETRY_LIST_MS;
+            return;
+        }
+        const { incarnation, running, ended } = event.list;
+        if (incarnation !== undefined && incarnation !== worker.entry.incarnation) {
+            if (incarnation < worker.entry.incarnation) {
+                worker.nextListAt = now + RETRY_LIST_MS;
+                return;
+            }
+            this.follow(worker, now, () => worker.noteIncarnation(incarnation, now));
+        }
+        worker.listedAt = event.sentAt;
+        for (const end of ended) {
+            if (worker.takeEnd(end)) {
+                this.host.onEnd(worker, end, now);
+            }
+        }
+        const present = new Set<string>();
+        for (const listed of running) {
+            present.add(listed.task);
+            const run = worker.runs.get(listed.task);
+            if (run?.record.run === listed.run) {
+                run.takeReport(listed, now);
+            } else {
+                this.stopUnknown(worker, listed.task, listed.run);
+            }
+        }
+        for (const run of [...worker.runs.values()]) {
+            if (!present.has(run.task.name) && run.changedAt < event.sentAt) {
+                run.fire("unlisted", { now });
+            }
+        }
+        this.host.onListed(worker, now);
+        worker.nextListAt = now + pauseAfterList(worker);
+    }
+
+    private requestList(worker: WorkerContact, now: number): void {
+        const isBusy = worker.runs.size > 0;
+        const isUnsettled = [...worker.runs.values()].some(run => UNSETTLED.has(run.state));
+        worker.isListing = true;
+        this.effects.emit({
+            kind: "list",
+            worker: worker.entry,
+            order: {
+                epoch: this.epoch,
+                leaseUntil: isBusy && this.host.mayExtend(now) ? worker.longestLease(now) : undefined,
+                recordedUpTo: worker.recordedUpTo,
+                waitMs: isBusy && !isUnsettled && worker.state === "reachable" ? LIST_WAIT_MS : 0,
+            },
+        });
+    }
+
+    private repeatStops(worker: WorkerContact, now: number): void {
+        for (const run of worker.runs.values()) {
+            if (run.state === "stopping" && now - run.changedAt > STOP_REPEAT_MS) {
+                run.changedAt = now;
+                run.fire("stop-due", { now });
+            }
+        }
+    }
+
+    /** A run that the leader does not know there cannot be continued: its task is over, or runs elsewhere. */
+    private stopUnknown(worker: WorkerContact, task: string, run: number): void {
+        this.effects.emit({ kind: "stop", worker: worker.entry, order: { task, run, epoch: this.epoch } });
+    }
+
+    /** Logs a change of contact. */
+    private follow(worker: WorkerContact, now: number, act: () => void): void {
+        const before = worker.state;
+        const runs = worker.runs.size;
+        act();
+        const name = worker.state === before ? undefined : CONTACT_DECISIONS[worker.state];
+        if (name !== undefined && before !== "unmet") {
+            const age = worker.listedAt === undefined ? undefined : Math.round(now - worker.listedAt);
+            const data = { worker: worker.entry.id, from: before, runs, listAgeMs: age };
+            this.effects.emit({ kind: "decision", name, data });
+        }
+    }
+}
+
+const CONTACT_DECISIONS: Partial<Record<ContactState, "worker-back" | "worker-silent" | "worker-vacant">> = {
+    reachable: "worker-back",
+    silent: "worker-silent",
+    vacant: "worker-vacant",
+};
+
+function pauseAfterList(worker: WorkerContact): number {
+    if (worker.isRecording) {
+        return RETRY_LIST_MS;
+    }
+    if (worker.runs.size === 0) {
+        return IDLE_LIST_MS;
+    }
+    return [...worker.runs.values()].some(run => UNSETTLED.has(run.state)) ? UNSETTLED_LIST_MS : SHORTEST_LIST_MS;
+}
+
+function unlistedEntry(record: RunRecord): WorkerEntry {
+    return {
+        id: record.worker,
+        incarnation: record.incarnation,
+        service: "",
+        address: "",
+        failureDomain: "",
+        state: "ready",
+        warmupLeftMs: 0,
+        capacity: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
+        labels: [],
+        rack: "",
+    };
+}
--- /dev/null
+++ b/src/host/node/jobPerformers.ts
@@ -0,0 +1,179 @@
+import { Disposable } from "../../base/common/disposable";
+import { OrderAnswer, TaskWorkers } from "../../dispatch/common/taskWorker";
+import { WorkerEffect } from "../../dispatch/common/workerTraffic";
+import { JobAnswer, JobCall } from "../../jobs/common/jobCall";
+import { RecordStore } from "../../records/common/recordStore";
+import { RecordEffect } from "../../records/common/recordTraffic";
+import { JobInstanceEffect, JobInstanceEvent } from "../common/jobTraffic";
+import { DecisionLog, LineKind } from "./decisionLog";
+import { JobMetrics } from "./jobMetrics";
+
+/** Decisions that come with each task; under load their lines are left out first. */
+const DETAIL_DECISIONS: readonly string[] = ["run-started", "run-ended", "run-throttled"];
+
+/** Carries out the effects of an instance and posts what comes of them. */
+export class JobPerformers implements Disposable {
+    private readonly replies = new Map<number, (answer: JobAnswer) => void>();
+    private readonly timers = new Set<NodeJS.Timeout>();
+
+    private constructor(
+        private readonly store: RecordStore,
+        private readonly workers: TaskWorkers,
+        private readonly log: DecisionLog,
+        private readonly metrics: JobMetrics,
+        private readonly post: (event: JobInstanceEvent) => void,
+        private readonly onStopped: () => void,
+    ) {}
+
+    /**
+     * @param store Holds the streams.
+     * @param workers Calls workers.
+     * @param log Takes the decisions.
+     * @param metrics Counts.
+     * @param post Takes events.
+     * @param onStopped Called when the instance has nothing left to do.
+     * @returns The performers.
+     */
+    static create(
+        store: RecordStore,
+        workers: TaskWorkers,
+        log: DecisionLog,
+        metrics: JobMetrics,
+        post: (event: JobInstanceEvent) => void,
+        onStopped: () => void,
+    ): JobPerformers {
+        return new JobPerformers(store, workers, log, metrics, post, onStopped);
+    }
+
+    /** Takes a call. @param call The call. @param reply Takes its answer. */
+    take(call: JobCall, reply: (answer: JobAnswer) => void): void {
+        this.replies.set(call.number, reply);
+        this.post({ kind: "call", call });
+    }
+
+    /** Carries out one effect. */
+    perform(effect: JobInstanceEffect): void {
+        switch (effect.kind) {
+            case "append":
+            case "read":
+            case "read-newest":
+                this.performRecord(effect);
+                break;
+            case "start":
+            case "stop":
+            case "throttle":
+            case "list":
+                void this.performWorker(effect);
+                break;
+            case "answer":
+                this.performAnswer(effect.call, effect.answer);
+                break;
+            case "decision":
+                this.metrics.decided(effect.name, effect.data);
+                this.log.log(effect.name, effect.data, lineKind(effect.name));
+                break;
+            case "stopped":
+                this.onStopped();
+                break;
+        }
+    }
+
+    /** Forgets what is delayed. */
+    dispose(): void {
+        this.timers.forEach(clearTimeout);
+        this.timers.clear();
+    }
+
+    private performRecord(effect: RecordEffect): void {
+        const { stream } = effect;
+        if (effect.kind === "append") {
+            const { writer, append } = effect;
+            void this.store.append(stream, append).then(result => {
+                this.metrics.storeCall("append", result.ok ? "done" : result.val);
+                this.post({ kind: "append-answer", writer, sequence: append.sequence, result });
+            });
+            return;
+        }
+        this.delay(effect.delayMs, () => {
+            const sentAt = performance.now();
+            if (effect.kind === "read") {
+                void this.store.read(stream, effect.from, effect.waitMs).then(result => {
+                    this.metrics.storeCall("read", result.ok ? "done" : result.val);
+                    this.post({ kind: "read-answer", stream, sentAt, result });
+                });
+            } else {
+                void this.store.newest(stream, effect.after).then(result => {
+                    this.metrics.storeCall("newest", result.ok ? "done" : result.val);
+                    this.post({ kind: "newest-answer", stream, sentAt, result });
+                });
+            }
+        });
+    }
+
+    private async performWorker(effect: WorkerEffect): Promise<void> {
+        const sentAt = performance.now();
+        const worker = effect.worker.id;
+        const answer = await this.callWorker(effect);
+        this.metrics.order(effect.kind, answer.outcome);
+        const base = { worker, sentAt, outcome: answer.outcome, clockMs: answer.clockMs };
+        switch (effect.kind) {
+            case "start":
+                this.post({ kind: "start-answer", order: effect.order, ...base });
+                break;
+            case "stop":
+                this.post({ kind: "stop-answer", order: effect.order, ...base });
+                break;
+            case "throttle":
+                this.post({ kind: "throttle-answer", order: effect.order, ...base });
+                break;
+            case "list":
+                this.post({ kind: "list-answer", order: effect.order, list: answer.list, ...base });
+                break;
+        }
+    }
+
+    private callWorker(effect: WorkerEffect): Promise<OrderAnswer> {
+        switch (effect.kind) {
+            case "start":
+                return this.workers.start(effect.worker, effect.order);
+            case "stop":
+                return this.workers.stop(effect.worker, effect.order);
+            case "throttle":
+                return this.workers.throttle(effect.worker, effect.order);
+            case "list":
+                return this.workers.list(effect.worker, effect.order);
+        }
+    }
+
+    private performAnswer(call: JobCall, answer: JobAnswer): void {
+        this.metrics.call(call.request.kind, answer.kind);
+        if (answer.kind !== "state" && answer.kind !== "pending") {
+            const { kind } = call.request;
+            this.log.log("call-answered", {
+                path: call.path,
+                request: kind,
+                ...answer,
+                answer: answer.kind,
+                kind: undefined,
+            });
+        }
+        this.replies.get(call.number)?.(answer);
+        this.replies.delete(call.number);
+    }
+
+    private delay(ms: number, act: () => void): void {
+        if (ms === 0) {
+            act();
+            return;
+        }
+        const timer = setTimeout(() => {
+            this.timers.delete(timer);
+            act();
+        }, ms);
+        this.timers.add(timer);
+    }
+}
+
+function lineKind(decision: string): LineKind {
+    return DETAIL_DECISIONS.includes(decision) ? "detail" : "essential";
+}
--- /dev/null
+++ b/src/jobs/common/doneSet.ts
@@ -0,0 +1,49 @@
+/** Tasks of one step that are done, as a set that packs into hexadecimal digits. */
+export class DoneSet {
+    private readonly bits: boolean[];
+
+    private constructor(bits: boolean[]) {
+        this.bits = bits;
+    }
+
+    /** @param size Number of tasks. @param packed Digits made by `pack`. @returns The set. */
+    static create(size: number, packed = ""): DoneSet {
+        const bits = Array.from({ length: size }, (_, index) => {
+            const digit = parseInt(packed[index >> 2] ?? "0", 16);
+            return ((digit >> (index & 3)) & 1) === 1;
+        });
+        return new DoneSet(bits);
+    }
+
+    /** @param index Number of a task. @returns Whether it is done. */
+    has(index: number): boolean {
+        return this.bits[index];
+    }
+
+    /** @param index Number of a task that is done. */
+    add(index: number): void {
+        this.bits[index] = true;
+    }
+
+    /** Whether all tasks are done. */
+    get isFull(): boolean {
+        return this.bits.every(bit => bit);
+    }
+
+    /** Whether no task is done. */
+    get isEmpty(): boolean {
+        return !this.bits.some(bit => bit);
+    }
+
+    /** @returns One digit for each four tasks, lowest task first. */
+    pack(): string {
+        let packed = "";
+        for (let start = 0; start < this.bits.length; start += 4) {
+            const digit = this.bits
+                .slice(start, start + 4)
+                .reduce((sum, bit, place) => sum + (bit ? 1 << place : 0), 0);
+            packed += digit.toString(16);
+        }
+        return packed;
+    }
+}
--- /dev/null
+++ b/src/platform/common/jobDecoder.ts
@@ -0,0 +1,104 @@
+import * as z from "zod/mini";
+import { JobRequest } from "../../jobs/common/jobCall";
+import { StepMode, StepSpec } from "../../jobs/common/jobSpec";
+import { WireJob, WireStep } from "./wireTypes";
+
+const count = z.int().check(z.nonnegative());
+
+/** Most tasks of a step and steps of a job: a bound against submissions that cannot be meant. */
+const MOST_TASKS = 10_000;
+const MOST_STEPS = 200;
+
+const stepSchema = z.object({
+    count: z.int().check(z.positive(), z.maximum(MOST_TASKS)),
+    cpu: z.optional(count),
+    memMb: z.optional(count),
+    gpu: z.optional(count),
+    estMs: z.optional(z.number().check(z.nonnegative())),
+    after: z.optional(z.array(count)),
+    checkpoint: z.optional(z.boolean()),
+    gang: z.optional(z.boolean()),
+    sameRack: z.optional(z.boolean()),
+    requires: z.optional(z.string()),
+    affinity: z.optional(z.string()),
+    maxPerServer: z.optional(count),
+    speculative: z.optional(z.boolean()),
+    longRunning: z.optional(z.boolean()),
+    image: z.optional(z.string()),
+    latencySloMs: z.optional(z.number()),
+    fills: z.optional(z.boolean()),
+    mayMiss: z.optional(count),
+});
+
+const jobSchema = z.object({
+    spec: z.optional(z.string()),
+    steps: z.array(stepSchema).check(z.minLength(1), z.maxLength(MOST_STEPS)),
+    times: z.optional(count),
+    firstMs: z.optional(z.number()),
+    intervalMs: z.optional(z.number().check(z.nonnegative())),
+});
+
+/**
+ * Reads the body of a submission.
+ * @param body The JSON text.
+ * @returns The submission, or all faults of the body.
+ */
+export function decodeSubmission(body: string): JobRequest {
+    let value: unknown;
+    try {
+        value = JSON.parse(body);
+    } catch {
+        return { kind: "invalid", faults: ["the body is not valid JSON"] };
+    }
+    const parsed = jobSchema.safeParse(value);
+    if (!parsed.success) {
+        const faults = parsed.error.issues.map(issue => `${issue.path.map(String).join(".")}: ${issue.message}`);
+        return { kind: "invalid", faults };
+    }
+    const job: WireJob = parsed.data;
+    const faults = job.steps.flatMap((step, index) =>
+        (step.after ?? [])
+            .filter(each => each >= index)
+            .map(each => `steps.${index}.after: ${each} is no earlier step`),
+    );
+    if (faults.length > 0) {
+        return { kind: "invalid", faults };
+    }
+    const draft = {
+        payload: job.spec ?? "",
+        steps: job.steps.map(toStep),
+        occurrences: job.times ?? 0,
+        firstDueMs: job.firstMs ?? 0,
+        intervalMs: job.intervalMs ?? 0,
+    };
+    return { kind: "submit", draft };
+}
+
+function toStep(step: WireStep): StepSpec {
+    return {
+        tasks: step.count,
+        request: { cpuMillis: step.cpu ?? 0, memoryMb: step.memMb ?? 0, accelerators: step.gpu ?? 0 },
+        estimateMs: step.estMs ?? 0,
+        after: step.after ?? [],
+        mode: modeOf(step),
+        checkpoints: step.checkpoint ?? false,
+        sameRack: step.sameRack ?? false,
+        requiredLabel: step.requires || undefined,
+        dataRack: step.affinity || undefined,
+        maxPerWorker: step.maxPerServer || undefined,
+        image: step.image || undefined,
+        tailTargetMs: step.latencySloMs || undefined,
+        usesSpareCpu: step.fills ?? false,
+        maxUnavailable: step.mayMiss,
+    };
+}
+
+function modeOf(step: WireStep): StepMode {
+    if (step.longRunning === true) {
+        return "long-running";
+    }
+    if (step.gang === true) {
+        return "gang";
+    }
+    return step.speculative === true ? "speculative" : "independent";
+}
--- /dev/null
+++ b/src/platform/common/recordFrames.ts
@@ -0,0 +1,49 @@
+import { KeyedRecord, StoredRecord } from "../../records/common/record";
+
+const LENGTH_BYTES = 4;
+const KEY_LENGTH_BYTES = 1;
+
+/** Bytes at the start of a page: the end of the stream and its first offset. */
+export const PAGE_HEADER_BYTES = 16;
+
+/** @param records Records to append. @returns The body: each with its length, the length of its key, key and value. */
+export function packRecords(records: readonly KeyedRecord[]): Buffer {
+    const parts: Buffer[] = [];
+    for (const { key, value } of records) {
+        const keyBytes = Buffer.from(key);
+        const valueBytes = Buffer.from(value ?? "");
+        const head = Buffer.allocUnsafe(LENGTH_BYTES + KEY_LENGTH_BYTES);
+        head.writeUInt32BE(KEY_LENGTH_BYTES + keyBytes.length + valueBytes.length, 0);
+        head.writeUInt8(keyBytes.length, LENGTH_BYTES);
+        parts.push(head, keyBytes, valueBytes);
+    }
+    return Buffer.concat(parts);
+}
+
+/**
+ * Reads the records of a page.
+ * @param body Body of the answer to a read.
+ * @param from Offset of its first record.
+ * @returns The records; one that is cut off at the end is left out, one without a readable key keeps its offset.
+ */
+export function unpackRecords(body: Uint8Array, from: number): StoredRecord[] {
+    const bytes = Buffer.from(body.buffer, body.byteOffset, body.byteLength);
+    const records: StoredRecord[] = [];
+    let at = PAGE_HEADER_BYTES;
+    while (at + LENGTH_BYTES <= bytes.length) {
+        const end = at + LENGTH_BYTES + bytes.readUInt32BE(at);
+        if (end > bytes.length) {
+            break;
+        }
+        records.push(unpackRecord(bytes.subarray(at + LENGTH_BYTES, end), from + records.length));
+        at = end;
+    }
+    return records;
+}
+
+function unpackRecord(bytes: Buffer, offset: number): StoredRecord {
+    const keyEnd = KEY_LENGTH_BYTES + (bytes[0] ?? 0);
+    const key = bytes.toString("utf8", KEY_LENGTH_BYTES, keyEnd);
+    const value = bytes.length > keyEnd ? bytes.toString("utf8", keyEnd) : undefined;
+    return { key, value, offset };
+}
--- /dev/null
+++ b/src/platform/common/streamDecoder.ts
@@ -0,0 +1,127 @@
+import * as z from "zod/mini";
+import { WorkerEntry } from "../../dispatch/common/workerEntry";
+import { EntryDecoder } from "../../host/common/entryDecoder";
+import { Configuration } from "../../jobs/common/queueTable";
+import { StoredRecord } from "../../records/common/record";
+
+const CONFIG_KEY = "config";
+
+const amount = z.optional(z.number().check(z.nonnegative()));
+
+const serverSchema = z.object({
+    service: z.string(),
+    addr: z.string(),
+    zone: z.string(),
+    state: z.enum(["ready", "draining"]),
+    warmupLeftMs: amount,
+    capacity: z.object({ cpu: amount, memMb: amount, gpu: amount }),
+    labels: z.optional(z.array(z.string())),
+    born: z.optional(z.number()),
+    drainRemainingMs: amount,
+});
+
+const configSchema = z.object({
+    version: z.number(),
+    routes: z.array(
+        z.object({
+            host: z.string(),
+            prefix: z.string(),
+            service: z.string(),
+            priority: amount,
+            attempts: amount,
+            stretch: amount,
+            sloMs: amount,
+            timeoutMs: amount,
+            advice: z.optional(z.object({ decideMs: amount, eachMs: amount, validMs: amount })),
+        }),
+    ),
+    services: z.array(
+        z.object({
+            name: z.string(),
+            rejectsOverload: z.optional(z.boolean()),
+            standby: z.optional(z.boolean()),
+        }),
+    ),
+    limits: z.optional(z.object({ maxBodyBytes: amount })),
+});
+
+/** Longest body that is read while the operator sets no limit, in bytes. */
+const DEFAULT_BODY_BYTES = 262_144;
+
+/** Reads the platform's entries of workers and of the operator. */
+export class StreamDecoder extends EntryDecoder {
+    private constructor() {
+        super();
+    }
+
+    /** @returns The decoder. */
+    static create(): StreamDecoder {
+        return new StreamDecoder();
+    }
+
+    override configuration(record: StoredRecord): Configuration | undefined {
+        const parsed = record.key === CONFIG_KEY ? parse(record.value, configSchema) : undefined;
+        if (parsed === undefined) {
+            return undefined;
+        }
+        return {
+            version: parsed.version,
+            queues: parsed.routes.map(route => ({
+                name: `${route.host}${route.prefix}`,
+                host: route.host,
+                prefix: route.prefix,
+                service: route.service,
+                priority: route.priority ?? 0,
+                maxAttempts: route.attempts ?? 1,
+                stretch: route.stretch ?? 1,
+                slackMs: route.sloMs ?? 0,
+                timeoutMs: route.timeoutMs ?? 0,
+                advice: route.advice && {
+                    decideMs: route.advice.decideMs ?? 0,
+                    perWorkerMs: route.advice.eachMs ?? 0,
+                    validMs: route.advice.validMs ?? 0,
+                },
+            })),
+            services: parsed.services.map(service => ({
+                name: service.name,
+                rejectsOverload: service.rejectsOverload ?? false,
+                isStandby: service.standby ?? false,
+            })),
+            maxBodyBytes: parsed.limits?.maxBodyBytes ?? DEFAULT_BODY_BYTES,
+        };
+    }
+
+    override worker(record: StoredRecord): WorkerEntry | undefined {
+        const server = parse(record.value, serverSchema);
+        if (server === undefined) {
+            return undefined;
+        }
+        const { cpu = 0, memMb = 0, gpu = 0 } = server.capacity;
+        return {
+            id: record.key,
+            incarnation: server.born ?? 0,
+            service: server.service,
+            address: server.addr,
+            failureDomain: server.zone,
+            state: server.state,
+            warmupLeftMs: server.warmupLeftMs ?? 0,
+            drainLeftMs: server.drainRemainingMs,
+            capacity: { cpuMillis: cpu, memoryMb: memMb, accelerators: gpu },
+            labels: server.labels ?? [],
+            rack: server.labels?.[1] ?? "",
+        };
+    }
+}
+
+function parse<T>(value: string | undefined, schema: z.ZodMiniType<T>): T | undefined {
+    if (value === undefined) {
+        return undefined;
+    }
+    try {
+        const parsed = schema.safeParse(JSON.parse(value));
+        return parsed.success ? parsed.data : undefined;
+    } catch {
+        // Other writers may leave entries that are no JSON; they name nothing to use.
+        return undefined;
+    }
+}
--- /dev/null
+++ b/src/platform/node/platformProcess.ts
@@ -0,0 +1,56 @@
+import { randomBytes, randomInt } from "node:crypto";
+import { JobInstance } from "../../host/common/jobInstance";
+import { JobSettings } from "../../host/common/jobSettings";
+import { DecisionLog } from "../../host/node/decisionLog";
+import { JobProcess } from "../../host/node/jobProcess";
+import { HttpClient } from "../../services/node/httpClient";
+import { StreamDecoder } from "../common/streamDecoder";
+import { PlatformFrontEnd } from "./platformFrontEnd";
+import { PlatformStore } from "./platformStore";
+import { PlatformWorkers } from "./platformWorkers";
+
+/** Connections to the store: three reads that wait, two appends, and room for repeats. */
+const STORE_CONNECTIONS = 8;
+
+/** Connections to each worker: one list that waits, and orders. */
+const WORKER_CONNECTIONS = 4;
+
+/** Bytes of the part of an instance's name that differs with each start. */
+const INCARNATION_BYTES = 4;
+
+/** First numbers of a producer's appends lie below this, so that two claims of one epoch have different numbers. */
+const MOST_NONCE = 1_000_000_000;
+
+const MS_PER_SECOND = 1_000;
+
+/**
+ * Runs an instance on the platform.
+ * @param settings Settings of the instance.
+ * @returns The running process.
+ */
+export async function startOnPlatform(settings: JobSettings): Promise<JobProcess> {
+    const name = `${settings.instance}-${randomBytes(INCARNATION_BYTES).toString("hex")}`;
+    const log = DecisionLog.create(name);
+    const onFailure = (call: string, failure: string) => log.log("store-call-failed", { call, failure }, "detail");
+    const store = PlatformStore.create(
+        settings.store,
+        HttpClient.create({ connections: STORE_CONNECTIONS }),
+        onFailure,
+    );
+    const workers = PlatformWorkers.create(HttpClient.create({ connections: WORKER_CONNECTIONS }));
+    const { longestLeaseMs, stopMs, gangWaitMs, harmMs, retentionS } = settings.scheduling;
+    const terms = { longestLeaseMs, stopMs, gangWaitMs, harmMs, retentionMs: retentionS * MS_PER_SECOND };
+    const identity = { instance: name, nonce: randomInt(MOST_NONCE), storeRoundTripMs: () => store.roundTripMs };
+    const instance = JobInstance.create(identity, terms, StreamDecoder.create());
+    return JobProcess.start(instance, settings, {
+        store,
+        workers,
+        log,
+        createFrontEnd: process =>
+            PlatformFrontEnd.create({
+                take: (call, reply) => process.take(call, reply),
+                maxBodyBytes: () => instance.maxBodyBytes,
+                isStopping: () => process.isStopping,
+            }),
+    });
+}
--- a/src/proof/node/fakeNode.ts
+++ b/src/proof/node/fakeNode.ts
@@ -1,7 +1,7 @@
-import { LogEffect, LogEvent, PlacedBatch } from "../../platform/common/logTraffic";
+import { LogEffect, LogEvent, PlacedBatch } from "../../services/common/logTraffic";
 import { Loop } from "../../base/node/loop";
 import { InstanceIdentity, ShardPlan } from "../../coordination/common/ownershipKeeper";
-import { WorkerEffect } from "../../platform/common/workerTraffic";
+import { WorkerEffect } from "../../services/common/workerTraffic";
 import { DeskEvent, DeskReply } from "../../serving/common/deskTraffic";
 import { Instance } from "../../serving/common/instance";
 import { InstanceEffect, InstanceEvent } from "../../serving/common/instanceTraffic";
--- a/src/proof/node/runCounter.ts
+++ b/src/proof/node/runCounter.ts
@@ -1,5 +1,5 @@
 import { Invariants } from "../../base/common/invariant";
-import { AttemptOutcome, StartOrder } from "../../platform/common/worker";
+import { AttemptOutcome, StartOrder } from "../../services/common/worker";
 import { WorkerObserver } from "../../standin/common/simulatedWorker";
 
 /** Counts what workers run, and asserts that no task runs in two places at once. */
--- a/src/proof/node/witness.ts
+++ b/src/proof/node/witness.ts
@@ -1,7 +1,7 @@
 import { InvariantName, Violation } from "../../base/common/invariant";
-import { AttemptOutcome, StartOrder } from "../../platform/common/worker";
+import { AttemptOutcome, StartOrder } from "../../services/common/worker";
 import { WorkerObserver } from "../../standin/common/simulatedWorker";
-import { Capacity } from "../../platform/common/instanceList";
+import { Capacity } from "../../services/common/instanceList";
 import { SimulatedWorker } from "../../standin/common/simulatedWorker";
 
 /** Time after which a leaving worker gets no new work, in ms: the stated "few seconds". */
--- a/src/proof/node/world.ts
+++ b/src/proof/node/world.ts
@@ -1,4 +1,4 @@
-import { Capacity, Listing, WorkerListing } from "../../platform/common/instanceList";
+import { Capacity, Listing, WorkerListing } from "../../services/common/instanceList";
 import { InstanceIdentity, ShardPlan } from "../../coordination/common/ownershipKeeper";
 import { MemoryLog } from "../../standin/common/memoryLog";
 import { SimulatedWorker } from "../../standin/common/simulatedWorker";
--- /dev/null
+++ b/src/records/common/leaderRecord.ts
@@ -0,0 +1,21 @@
+/** Key of the record that names the leader. */
+export const LEADER_KEY = "leader";
+
+/** Claim or renewal of the leader's place. */
+export interface LeaderRecord {
+    /** Rises with each claim; workers reject orders of lower epochs. */
+    readonly epoch: number;
+    readonly instance: string;
+    /** Whether the leader gives up its place. */
+    readonly resigned?: boolean;
+}
+
+/** @param value Value of a stored record. @returns The leader's record, or `undefined` if it cannot be read. */
+export function decodeLeader(value: string): LeaderRecord | undefined {
+    try {
+        const record = JSON.parse(value) as LeaderRecord;
+        return Number.isSafeInteger(record.epoch) && typeof record.instance === "string" ? record : undefined;
+    } catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/src/records/common/recordTraffic.ts
@@ -0,0 +1,42 @@
+import { Result } from "ts-results";
+import { RecordOffset } from "./record";
+import { Append, AppendError, NewestPage, ReadError, RecordPage, StreamName } from "./recordStore";
+
+/** What is asked of the store. `writer` and `sentAt` come back with the answer. */
+export type RecordEffect =
+    | { readonly kind: "append"; readonly writer: string; readonly stream: StreamName; readonly append: Append }
+    | {
+          readonly kind: "read";
+          readonly stream: StreamName;
+          readonly from: RecordOffset;
+          readonly waitMs: number;
+          readonly delayMs: number;
+      }
+    | {
+          readonly kind: "read-newest";
+          readonly stream: StreamName;
+          readonly after: string | undefined;
+          readonly delayMs: number;
+      };
+
+/** What the store answered. */
+export type RecordEvent =
+    | {
+          readonly kind: "append-answer";
+          readonly writer: string;
+          readonly sequence: number;
+          readonly result: Result<RecordOffset, AppendError>;
+      }
+    | {
+          readonly kind: "read-answer";
+          readonly stream: StreamName;
+          /** Time (ms) at which the read was sent. */
+          readonly sentAt: number;
+          readonly result: Result<RecordPage, ReadError>;
+      }
+    | {
+          readonly kind: "newest-answer";
+          readonly stream: StreamName;
+          readonly sentAt: number;
+          readonly result: Result<NewestPage, ReadError>;
+      };
--- a/src/scheduling/common/attempt.ts
+++ b/src/scheduling/common/attempt.ts
@@ -1,7 +1,7 @@
 import { ChartLoader } from "../../base/common/chartLoader";
 import { ChartRegistry } from "../../base/common/chartRegistry";
 import { Machine } from "../../base/common/machine";
-import { FinishedAttempt, RunningAttempt } from "../../platform/common/worker";
+import { FinishedAttempt, RunningAttempt } from "../../services/common/worker";
 import chartText from "./attempt.chart.yaml";
 import { Assignment, Task } from "./task";
 import { AttemptEnd } from "./taskEntry";
--- a/src/scheduling/common/attemptFollower.ts
+++ b/src/scheduling/common/attemptFollower.ts
@@ -1,5 +1,5 @@
 import { withDrift } from "../../coordination/common/duration";
-import { FinishedAttempt, RunningAttempt, WorkerReport } from "../../platform/common/worker";
+import { FinishedAttempt, RunningAttempt, WorkerReport } from "../../services/common/worker";
 import { Attempt } from "./attempt";
 import { ClassLoad } from "./interferenceModel";
 import { MAX_EXCLUDED_SHARE, TASK_LEASE_MS } from "./schedulingLimits";
--- a/src/scheduling/common/candidate.ts
+++ b/src/scheduling/common/candidate.ts
@@ -1,4 +1,4 @@
-import { Capacity } from "../../platform/common/instanceList";
+import { Capacity } from "../../services/common/instanceList";
 import { FamilySpread } from "./familySpread";
 import { ClassLoad } from "./interferenceModel";
 import { TaskSize } from "./taskEntry";
--- a/src/scheduling/common/capacityLedger.ts
+++ b/src/scheduling/common/capacityLedger.ts
@@ -1,5 +1,5 @@
 import { Invariants } from "../../base/common/invariant";
-import { WorkerListing } from "../../platform/common/instanceList";
+import { WorkerListing } from "../../services/common/instanceList";
 import { Candidate } from "./candidate";
 import { FamilySpread } from "./familySpread";
 import { ClassLoad } from "./interferenceModel";
--- a/src/scheduling/common/leaseCaller.ts
+++ b/src/scheduling/common/leaseCaller.ts
@@ -1,4 +1,4 @@
-import { AttemptName, LeaseOrder, Renewal, StartOrder } from "../../platform/common/worker";
+import { AttemptName, LeaseOrder, Renewal, StartOrder } from "../../services/common/worker";
 import { Attempt } from "./attempt";
 import { AttemptFollower } from "./attemptFollower";
 import { REPORT_INTERVAL_MS, USAGE_INTERVAL_MS, WorkerLink } from "./workerLink";
--- a/src/scheduling/common/shardFold.ts
+++ b/src/scheduling/common/shardFold.ts
@@ -1,7 +1,7 @@
 import { EntryPosition, Fold, MAX_BATCH_ENTRIES } from "../../coordination/common/fold";
 import { GrantLimit } from "../../coordination/common/grant";
-import { Offset } from "../../platform/common/logService";
-import { Epoch } from "../../platform/common/worker";
+import { Offset } from "../../services/common/logService";
+import { Epoch } from "../../services/common/worker";
 import { isEnded, Task, taskBinding, taskChart, TaskEvent, TaskPayload } from "./task";
 import { ShardEntry, TaskSubmitted } from "./taskEntry";
 
--- a/src/scheduling/common/shardKeeper.ts
+++ b/src/scheduling/common/shardKeeper.ts
@@ -3,10 +3,10 @@
 import { GrantTable } from "../../coordination/common/grantTable";
 import { AppliedBatch, LogSession } from "../../coordination/common/logSession";
 import { ShardOwnership } from "../../coordination/common/shardOwnership";
-import { WorkerListing } from "../../platform/common/instanceList";
-import { Offset } from "../../platform/common/logService";
-import { LogEffect, LogEvent } from "../../platform/common/logTraffic";
-import { WorkerEffect, WorkerEvent } from "../../platform/common/workerTraffic";
+import { WorkerListing } from "../../services/common/instanceList";
+import { Offset } from "../../services/common/logService";
+import { LogEffect, LogEvent } from "../../services/common/logTraffic";
+import { WorkerEffect, WorkerEvent } from "../../services/common/workerTraffic";
 import { Adoption, FenceSender } from "./adoption";
 import { AttemptState } from "./attempt";
 import { AttemptFollower } from "./attemptFollower";
--- a/src/scheduling/common/task.ts
+++ b/src/scheduling/common/task.ts
@@ -1,7 +1,7 @@
 import { Binding, Chart } from "../../base/common/chart";
 import { ChartLoader } from "../../base/common/chartLoader";
 import { ChartRegistry } from "../../base/common/chartRegistry";
-import { Epoch } from "../../platform/common/worker";
+import { Epoch } from "../../services/common/worker";
 import chartText from "./task.chart.yaml";
 import { AttemptEnd, AttemptEnded, TaskAssigned, TaskRefused, TaskRequest } from "./taskEntry";
 
--- a/src/scheduling/common/taskEntry.ts
+++ b/src/scheduling/common/taskEntry.ts
@@ -1,6 +1,6 @@
 import { GrantLimit } from "../../coordination/common/grant";
 import { SnapshotTaken } from "../../coordination/common/snapshot";
-import { AttemptOutcome, Epoch } from "../../platform/common/worker";
+import { AttemptOutcome, Epoch } from "../../services/common/worker";
 
 /** How soon a task must start. */
 export type Urgency = "urgent" | "normal";
--- a/src/scheduling/common/workerLink.ts
+++ b/src/scheduling/common/workerLink.ts
@@ -1,8 +1,8 @@
 import { ChartLoader } from "../../base/common/chartLoader";
 import { ChartRegistry } from "../../base/common/chartRegistry";
 import { Machine } from "../../base/common/machine";
-import { WorkerListing } from "../../platform/common/instanceList";
-import { WorkerReport } from "../../platform/common/worker";
+import { WorkerListing } from "../../services/common/instanceList";
+import { WorkerReport } from "../../services/common/worker";
 import { ColocationHistory } from "./colocationHistory";
 import { WorkerClock } from "./workerClock";
 import chartText from "./workerContact.chart.yaml";
--- a/src/scheduling/common/workerTrust.ts
+++ b/src/scheduling/common/workerTrust.ts
@@ -28,6 +28,14 @@
 const MIN_EXCLUSION_MS = 30_000;
 const MAX_EXCLUSION_MS = 600_000;
 
+/** How long a worker is excluded. Each further exclusion without a success is twice as long. */
+export interface ExclusionTerms {
+    readonly shortestMs: number;
+    readonly longestMs: number;
+}
+
+const DEFAULT_TERMS: ExclusionTerms = { shortestMs: MIN_EXCLUSION_MS, longestMs: MAX_EXCLUSION_MS };
+
 /** A failure with the share of its family's attempts that fail anywhere. */
 export interface TrustEvidence {
     readonly now: number;
@@ -41,7 +49,7 @@
     private exclusions = 0;
     private trialAt = 0;
 
-    private constructor() {
+    private constructor(private readonly terms: ExclusionTerms) {
         this.machine = Machine.create(chart, {
             guards: {
                 isTelling: evidence => weight(evidence) >= TELLING_WEIGHT,
@@ -55,9 +63,9 @@
         });
     }
 
-    /** @returns The trust in a worker that has done nothing yet. */
-    static create(): WorkerTrust {
-        return new WorkerTrust();
+    /** @param terms How long it is excluded. @returns The trust in a worker that has done nothing yet. */
+    static create(terms: ExclusionTerms = DEFAULT_TERMS): WorkerTrust {
+        return new WorkerTrust(terms);
     }
 
     /** Whether the worker is given tasks. */
@@ -83,7 +91,7 @@
     }
 
     private exclude(now: number): void {
-        this.trialAt = now + Math.min(MAX_EXCLUSION_MS, MIN_EXCLUSION_MS * 2 ** this.exclusions);
+        this.trialAt = now + Math.min(this.terms.longestMs, this.terms.shortestMs * 2 ** this.exclusions);
         this.exclusions += 1;
     }
 
--- a/src/platform/node/httpClient.ts
+++ b/src/services/node/httpClient.ts
@@ -49,6 +49,12 @@
         return { status: statusCode, headers, body: new Uint8Array(await body.arrayBuffer()) };
     }
 
+    /** Closes the connections to an origin. */
+    forget(origin: string): void {
+        void this.pools.get(origin)?.destroy();
+        this.pools.delete(origin);
+    }
+
     /** Closes all connections. */
     dispose(): void {
         this.pools.forEach(pool => void pool.destroy());
--- a/src/serving/common/directory.ts
+++ b/src/serving/common/directory.ts
@@ -1,6 +1,6 @@
 import { bucketOf } from "../../coordination/common/rendezvous";
 import { ShardPlan } from "../../coordination/common/ownershipKeeper";
-import { EntryListing, Listing, WorkerListing } from "../../platform/common/instanceList";
+import { EntryListing, Listing, WorkerListing } from "../../services/common/instanceList";
 
 /** Time after which the list must have been asked for again, in ms. */
 const MAX_LIST_AGE_MS = 5_000;
--- a/src/serving/common/instanceServices.ts
+++ b/src/serving/common/instanceServices.ts
@@ -8,7 +8,7 @@
 import { TicketEntry } from "../../coordination/common/ticketEntry";
 import { TicketFold } from "../../coordination/common/ticketFold";
 import { AuditSource } from "./auditSource";
-import { WorkerListing } from "../../platform/common/instanceList";
+import { WorkerListing } from "../../services/common/instanceList";
 import { RequestUsage } from "../../routing/common/requestUsage";
 import { Directory } from "./directory";
 import { InstanceEffect } from "./instanceTraffic";
--- a/src/serving/common/instanceTraffic.ts
+++ b/src/serving/common/instanceTraffic.ts
@@ -1,6 +1,6 @@
-import { ListEffect, ListEvent } from "../../platform/common/listTraffic";
-import { LogEffect, LogEvent } from "../../platform/common/logTraffic";
-import { WorkerEffect, WorkerEvent } from "../../platform/common/workerTraffic";
+import { ListEffect, ListEvent } from "../../services/common/listTraffic";
+import { LogEffect, LogEvent } from "../../services/common/logTraffic";
+import { WorkerEffect, WorkerEvent } from "../../services/common/workerTraffic";
 import { RouteEffect, RouteEvent } from "../../routing/common/routeTraffic";
 import { AuditEffect } from "../../scheduling/common/auditEntry";
 import { DeskEffect, DeskEvent } from "./deskTraffic";
--- a/src/serving/common/shardDesk.ts
+++ b/src/serving/common/shardDesk.ts
@@ -1,6 +1,6 @@
 import { OwnershipChange } from "../../coordination/common/ownershipKeeper";
 import { ShardOwnership } from "../../coordination/common/shardOwnership";
-import { LogEvent } from "../../platform/common/logTraffic";
+import { LogEvent } from "../../services/common/logTraffic";
 import { FamilyDurations } from "../../scheduling/common/familyDurations";
 import { FamilyFailures } from "../../scheduling/common/familyFailures";
 import { InterferenceModel } from "../../scheduling/common/interferenceModel";
--- a/src/serving/node/frontEnd.ts
+++ b/src/serving/node/frontEnd.ts
@@ -3,8 +3,8 @@
 import { formatFinding, Finding } from "../../base/common/finding";
 import { parseYaml } from "../../base/common/schemaFindings";
 import { RouteEvent } from "../../routing/common/routeTraffic";
-import { UniversalHandler } from "../../platform/node/connectTypes";
-import { serveConnect } from "../../platform/node/connectServer";
+import { UniversalHandler } from "../../services/node/connectTypes";
+import { serveConnect } from "../../services/node/connectServer";
 import { DeskReply } from "../common/deskTraffic";
 import { Instance } from "../common/instance";
 import { Settings } from "../common/settings";
--- a/src/serving/node/instanceProcess.ts
+++ b/src/serving/node/instanceProcess.ts
@@ -6,7 +6,7 @@
 import { DisposableStore } from "../../base/common/disposableStore";
 import { Invariants } from "../../base/common/invariant";
 import { Loop } from "../../base/node/loop";
-import { HttpClient } from "../../platform/node/httpClient";
+import { HttpClient } from "../../services/node/httpClient";
 import { Instance } from "../common/instance";
 import { InstanceEffect, InstanceEvent } from "../common/instanceTraffic";
 import { Settings } from "../common/settings";
--- a/src/serving/node/logPerformer.ts
+++ b/src/serving/node/logPerformer.ts
@@ -1,5 +1,5 @@
-import { LogService } from "../../platform/common/logService";
-import { LogEffect, LogEvent, PlacedBatch } from "../../platform/common/logTraffic";
+import { LogService } from "../../services/common/logService";
+import { LogEffect, LogEvent, PlacedBatch } from "../../services/common/logTraffic";
 import { LogEntry } from "../common/logEntry";
 import { decodeBatch, encodeBatch } from "./recordCodec";
 
--- a/src/serving/node/peerCodec.ts
+++ b/src/serving/node/peerCodec.ts
@@ -1,5 +1,5 @@
 import { create } from "@bufbuild/protobuf";
-import { toCase, toKind, toPlain } from "../../platform/common/kindCase";
+import { toCase, toKind, toPlain } from "../../services/common/kindCase";
 import * as generated from "../../generated/wigeonstall/v1/peer_pb";
 import { PeerAsk, PeerReply } from "../common/peerTraffic";
 
--- a/src/serving/node/peerExchange.ts
+++ b/src/serving/node/peerExchange.ts
@@ -1,8 +1,8 @@
 import { createClient, createConnectRouter, Client } from "@connectrpc/connect";
-import { UniversalHandler } from "../../platform/node/connectTypes";
+import { UniversalHandler } from "../../services/node/connectTypes";
 import { PeerReply as ReplyMessage, PeerService } from "../../generated/wigeonstall/v1/peer_pb";
-import { createClientTransport } from "../../platform/node/connectClient";
-import { HttpClient } from "../../platform/node/httpClient";
+import { createClientTransport } from "../../services/node/connectClient";
+import { HttpClient } from "../../services/node/httpClient";
 import { PeerAsk, PeerEffect, PeerEvent, PeerReply } from "../common/peerTraffic";
 import { decodeAsk, decodeReply, encodeAsk, encodeReply } from "./peerCodec";
 
--- a/src/serving/node/performers.ts
+++ b/src/serving/node/performers.ts
@@ -1,8 +1,8 @@
 import { Server } from "node:http";
 import { Disposable } from "../../base/common/disposable";
-import { HttpClient } from "../../platform/node/httpClient";
-import { HttpInstanceList } from "../../platform/node/httpInstanceList";
-import { HttpLogService } from "../../platform/node/httpLogService";
+import { HttpClient } from "../../services/node/httpClient";
+import { HttpInstanceList } from "../../services/node/httpInstanceList";
+import { HttpLogService } from "../../services/node/httpLogService";
 import { Instance } from "../common/instance";
 import { InstanceEffect, InstanceEvent } from "../common/instanceTraffic";
 import { Settings } from "../common/settings";
--- a/src/serving/node/recordCodec.ts
+++ b/src/serving/node/recordCodec.ts
@@ -1,6 +1,6 @@
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
-import { Batch } from "../../platform/common/logTraffic";
-import { toCase, toKind, toPlain } from "../../platform/common/kindCase";
+import { Batch } from "../../services/common/logTraffic";
+import { toCase, toKind, toPlain } from "../../services/common/kindCase";
 import { Record, RecordSchema } from "../../generated/wigeonstall/v1/records_pb";
 import { LogEntry } from "../common/logEntry";
 
--- a/src/serving/node/test/recordCodec.test.ts
+++ b/src/serving/node/test/recordCodec.test.ts
@@ -2,7 +2,7 @@
 import { LogEntry } from "../../common/logEntry";
 import { decodeReply, encodeReply } from "../peerCodec";
 import { decodeBatch, encodeBatch } from "../recordCodec";
-import { decodeCall, encodeCall } from "../../../platform/node/workerCodec";
+import { decodeCall, encodeCall } from "../../../services/node/workerCodec";
 
 const ENTRIES: readonly LogEntry[] = [
     { kind: "snapshot-taken", next: 3, format: "1.0.0", image: "{}" },
--- a/src/serving/node/upstreamPerformer.ts
+++ b/src/serving/node/upstreamPerformer.ts
@@ -1,7 +1,7 @@
 import type { Dispatcher, Pool } from "undici";
 import { Disposable } from "../../base/common/disposable";
 import { RouteEffect, RouteEvent } from "../../routing/common/routeTraffic";
-import { createPool, isNotSent } from "../../platform/node/connectionPool";
+import { createPool, isNotSent } from "../../services/node/connectionPool";
 
 /** Time within which a probe must show a sign of life, in ms. */
 const PROBE_TIMEOUT_MS = 1_000;
--- a/src/serving/node/workerPerformer.ts
+++ b/src/serving/node/workerPerformer.ts
@@ -1,6 +1,6 @@
-import { WorkerEffect, WorkerEvent } from "../../platform/common/workerTraffic";
-import { HttpClient } from "../../platform/node/httpClient";
-import { HttpWorker } from "../../platform/node/httpWorker";
+import { WorkerEffect, WorkerEvent } from "../../services/common/workerTraffic";
+import { HttpClient } from "../../services/node/httpClient";
+import { HttpWorker } from "../../services/node/httpWorker";
 
 /** Carries out what decisions ask of workers. */
 export class WorkerPerformer {
--- a/src/standin/common/memoryLog.ts
+++ b/src/standin/common/memoryLog.ts
@@ -1,5 +1,5 @@
 import { Err, Ok, Result } from "ts-results";
-import { LogError, LogPage, LogService, Offset } from "../../platform/common/logService";
+import { LogError, LogPage, LogService, Offset } from "../../services/common/logService";
 
 /** Records that one read returns at most. */
 const MAX_PAGE_RECORDS = 512;
--- a/src/standin/common/simulatedWorker.ts
+++ b/src/standin/common/simulatedWorker.ts
@@ -9,7 +9,7 @@
     Worker,
     WorkerError,
     WorkerReport,
-} from "../../platform/common/worker";
+} from "../../services/common/worker";
 import { DEFAULT_FAMILY, FamilyTruth, Workload } from "./workload";
 
 /** Share of its speed that a throttled attempt keeps. */
--- a/src/standin/node/platformServer.ts
+++ b/src/standin/node/platformServer.ts
@@ -1,10 +1,10 @@
 import { createServer, IncomingMessage, Server, ServerResponse } from "node:http";
 import { AddressInfo } from "node:net";
 import { Disposable } from "../../base/common/disposable";
-import { Listing } from "../../platform/common/instanceList";
-import { LogError } from "../../platform/common/logService";
-import { joinFrames } from "../../platform/node/frames";
-import { FIRST_HEADER, HEAD_HEADER, OFFSET_HEADER } from "../../platform/node/httpLogService";
+import { Listing } from "../../services/common/instanceList";
+import { LogError } from "../../services/common/logService";
+import { joinFrames } from "../../services/node/frames";
+import { FIRST_HEADER, HEAD_HEADER, OFFSET_HEADER } from "../../services/node/httpLogService";
 import { MemoryLog } from "../common/memoryLog";
 
 /** The platform's log service and instance list over HTTP, in memory. */
--- a/src/standin/node/standInCluster.ts
+++ b/src/standin/node/standInCluster.ts
@@ -1,7 +1,7 @@
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { Disposable } from "../../base/common/disposable";
-import { WorkerListing } from "../../platform/common/instanceList";
+import { WorkerListing } from "../../services/common/instanceList";
 import { SimulatedWorker, WorkerObserver } from "../common/simulatedWorker";
 import { Workload } from "../common/workload";
 import { PlatformServer } from "./platformServer";
--- a/src/standin/node/test/tls.test.ts
+++ b/src/standin/node/test/tls.test.ts
@@ -2,7 +2,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import test from "ava";
-import { HttpClient } from "../../../platform/node/httpClient";
+import { HttpClient } from "../../../services/node/httpClient";
 import { waitUntil } from "../../common/wait";
 import { LocalDeployment } from "../localDeployment";
 import { CERTIFICATE, CERTIFICATE_KEY } from "./certificate";
--- a/src/standin/node/workerServer.ts
+++ b/src/standin/node/workerServer.ts
@@ -1,8 +1,8 @@
 import { createServer, IncomingMessage, Server, ServerResponse } from "node:http";
 import { AddressInfo } from "node:net";
 import { Disposable } from "../../base/common/disposable";
-import { LEASE_PATH } from "../../platform/node/httpWorker";
-import { decodeCall, encodeReport } from "../../platform/node/workerCodec";
+import { LEASE_PATH } from "../../services/node/httpWorker";
+import { decodeCall, encodeReport } from "../../services/node/workerCodec";
 import { SimulatedWorker } from "../common/simulatedWorker";
 
 /** Mean time that a stand-in's service takes when nothing disturbs it, in ms. */
