Learn the pressures between images, and place and pace by them

Found: the ratio of target to tail latency is linear in load and in what single pairs of images cost each other; all tasks of a job share the load, so differences between them show the pairs. A scheduling pass took over 20 ms with a backlog, which stopped the leader of the smaller machines; it now looks at each worker once. Ruled out: stuck runs (a false finding: slowed runs look stuck).

--- a/src/dispatch/common/placer.ts
+++ b/src/dispatch/common/placer.ts
@@ -1,20 +1,31 @@
+import { LatencyModel } from "./latencyModel";
 import { ReservedChoice } from "./reservedChoice";
 import { SpareChoice } from "./spareChoice";
 import { Task } from "./task";
 import { WorkerChoice } from "./workerChoice";
 import { Room, WorkerContact } from "./workerContact";
+import { outlookOf, WorkerOutlook } from "./workerOutlook";
 
 /** Finds a worker for each task of one scheduling pass; what it gives away is reckoned from then on. */
 export class Placer {
-    private readonly reserved: WorkerChoice = ReservedChoice.create();
-    private readonly spare: WorkerChoice = SpareChoice.create();
-    private readonly rooms = new Map<WorkerContact, Room>();
+    private readonly outlooks = new Map<WorkerContact, WorkerOutlook>();
+    /** Least processor time, by image, for which no room was found in this pass. */
+    private readonly rejected = new Map<string | undefined, number>();
 
-    private constructor(private readonly workers: readonly WorkerContact[]) {}
+    private constructor(
+        private readonly workers: readonly WorkerContact[],
+        private readonly reserved: WorkerChoice,
+        private readonly spare: WorkerChoice,
+        private readonly model: LatencyModel,
+    ) {}
 
-    /** @param workers Workers that may be given tasks. @returns A placer for one pass. */
-    static create(workers: readonly WorkerContact[]): Placer {
-        return new Placer(workers);
+    /**
+     * @param workers Workers that may be given tasks.
+     * @param model Knows the pressures between images.
+     * @returns A placer for one pass.
+     */
+    static create(workers: readonly WorkerContact[], model: LatencyModel): Placer {
+        return new Placer(workers, ReservedChoice.create(), SpareChoice.create(model), model);
     }
 
     /**
@@ -32,11 +43,11 @@
         let best: WorkerContact | undefined;
         let bestCost = Number.POSITIVE_INFINITY;
         for (const worker of this.workers) {
-            const room = this.room(worker);
-            if (!this.isEligible(task, service, worker, room) || !isAllowed(worker)) {
+            const outlook = this.outlook(worker);
+            if (!isEligible(task, service, worker, outlook.room) || !isAllowed(worker)) {
                 continue;
             }
-            const cost = choice.cost(task, worker, room);
+            const cost = choice.cost(task, worker, outlook);
             if (cost !== undefined && cost < bestCost) {
                 best = worker;
                 bestCost = cost;
@@ -45,6 +56,20 @@
         return best;
     }
 
+    /** @returns Whether a task that asks for no more found no room in this pass, so that looking again is useless. */
+    isHopeless(task: Task): boolean {
+        const { image, request, usesSpareCpu } = task.step;
+        return usesSpareCpu && request.cpuMillis >= (this.rejected.get(image) ?? Number.POSITIVE_INFINITY);
+    }
+
+    /** Notes that a task found no room. */
+    noteRejected(task: Task): void {
+        const { image, request, usesSpareCpu } = task.step;
+        if (usesSpareCpu) {
+            this.rejected.set(image, Math.min(request.cpuMillis, this.rejected.get(image) ?? Number.POSITIVE_INFINITY));
+        }
+    }
+
     /**
      * Finds workers for tasks that have to start together.
      * @param tasks The tasks.
@@ -81,43 +106,46 @@
 
     /** Reckons a worker's room anew after something was placed on it. */
     update(worker: WorkerContact): void {
-        this.rooms.delete(worker);
+        this.outlooks.delete(worker);
     }
 
     private deduct(task: Task, worker: WorkerContact): void {
         const { request, usesSpareCpu } = task.step;
-        const room = this.room(worker);
-        this.rooms.set(worker, {
-            cpuMillis: room.cpuMillis - (usesSpareCpu ? 0 : request.cpuMillis),
-            memoryMb: room.memoryMb - request.memoryMb,
-            accelerators: room.accelerators - request.accelerators,
-            spareCpuMillis: room.spareCpuMillis - request.cpuMillis,
+        const { room, serving } = this.outlook(worker);
+        this.outlooks.set(worker, {
+            serving,
+            room: {
+                cpuMillis: room.cpuMillis - (usesSpareCpu ? 0 : request.cpuMillis),
+                memoryMb: room.memoryMb - request.memoryMb,
+                accelerators: room.accelerators - request.accelerators,
+                spareCpuMillis: room.spareCpuMillis - request.cpuMillis,
+            },
         });
     }
 
-    private isEligible(task: Task, service: string, worker: WorkerContact, room: Room): boolean {
-        const { step } = task;
-        const { entry } = worker;
-        return (
-            entry.service === service &&
-            worker.fits(step.request, step.usesSpareCpu, room) &&
-            (step.requiredLabel === undefined || entry.labels.includes(step.requiredLabel)) &&
-            (step.maxPerWorker === undefined || countOfStep(task, worker) < step.maxPerWorker) &&
-            !task.failedOn.has(entry.id)
-        );
-    }
-
-    private room(worker: WorkerContact): Room {
-        const known = this.rooms.get(worker);
+    private outlook(worker: WorkerContact): WorkerOutlook {
+        const known = this.outlooks.get(worker);
         if (known !== undefined) {
             return known;
         }
-        const room = worker.room();
-        this.rooms.set(worker, room);
-        return room;
+        const outlook = outlookOf(worker, this.model);
+        this.outlooks.set(worker, outlook);
+        return outlook;
     }
 }
 
+function isEligible(task: Task, service: string, worker: WorkerContact, room: Room): boolean {
+    const { step } = task;
+    const { entry } = worker;
+    return (
+        entry.service === service &&
+        worker.fits(step.request, step.usesSpareCpu, room) &&
+        (step.requiredLabel === undefined || entry.labels.includes(step.requiredLabel)) &&
+        (step.maxPerWorker === undefined || countOfStep(task, worker) < step.maxPerWorker) &&
+        !task.failedOn.has(entry.id)
+    );
+}
+
 function countOfStep(task: Task, worker: WorkerContact): number {
     let count = 0;
     for (const run of worker.runs.values()) {
--- a/src/dispatch/common/reservedChoice.ts
+++ b/src/dispatch/common/reservedChoice.ts
@@ -1,11 +1,18 @@
 import { Task } from "./task";
 import { WorkerChoice } from "./workerChoice";
-import { Room, WorkerContact } from "./workerContact";
+import { WorkerContact } from "./workerContact";
+import { WorkerOutlook } from "./workerOutlook";
 
-/** Cost of each task of the same step on the same worker, in thousandths of a core: spreads what lasts. */
-const SAME_STEP_COST = 20_000;
+/** Cost of a task that serves with another image on the same worker, in thousandths of a core. */
+const OTHER_IMAGE_COST = 40_000;
 
-/** Chooses for tasks whose processor time is reserved: where most is left, so that little is taken from spare time. */
+/** Gain of a task that serves with the same image on the same worker, in thousandths of a core. */
+const SAME_IMAGE_GAIN = 10_000;
+
+/**
+ * Chooses for tasks whose processor time is reserved. Tasks that serve are put beside those of the same image, so that
+ * for each image that would disturb them there are workers where it disturbs nobody; the others go where most is left.
+ */
 export class ReservedChoice extends WorkerChoice {
     private constructor() {
         super();
@@ -16,13 +23,15 @@
         return new ReservedChoice();
     }
 
-    override cost(task: Task, worker: WorkerContact, room: Room): number {
-        let sameStep = 0;
-        if (task.step.mode === "long-running") {
-            for (const run of worker.runs.values()) {
-                sameStep += run.task.job === task.job ? 1 : 0;
-            }
+    override cost(task: Task, _worker: WorkerContact, { room, serving }: WorkerOutlook): number {
+        const { image, tailTargetMs } = task.step;
+        if (tailTargetMs === undefined) {
+            return -room.cpuMillis;
+        }
+        let cost = -room.cpuMillis / 2;
+        for (const each of serving) {
+            cost += each.image === image ? -SAME_IMAGE_GAIN : OTHER_IMAGE_COST;
         }
-        return sameStep * SAME_STEP_COST - room.spareCpuMillis;
+        return cost;
     }
 }
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -10,6 +10,7 @@
 import { DispatchTerms, RENEWAL_RIGHT_MS, START_VALIDITY_MS } from "./dispatchTerms";
 import { DispatchEffect } from "./dispatchTraffic";
 import { JobBook } from "./jobBook";
+import { LatencyModel } from "./latencyModel";
 import { Pacer } from "./pacer";
 import { Run, RunHost, RunOutcome } from "./run";
 import { StepQueue } from "./stepQueue";
@@ -29,7 +30,10 @@
 const UNHEALTHY_PAUSE_MS = 1_000;
 
 /** Shortest time between two passes over the waiting tasks, in ms. */
-const PASS_INTERVAL_MS = 10;
+const PASS_INTERVAL_MS = 20;
+
+/** Longest time between two passes, in ms: what is known of latencies changes while nothing ends. */
+const LONGEST_PASS_INTERVAL_MS = 150;
 
 /** Time without progress after which a run is taken to be stuck, in ms. */
 const STUCK_MS = 2_500;
@@ -51,6 +55,7 @@
     private readonly resources = DisposableStore.create();
     private readonly book: JobBook;
     private readonly pool: WorkerPool;
+    private readonly model = LatencyModel.create();
     private readonly pacer: Pacer;
     private readonly queue: StepQueue;
     private readonly runHost: RunHost;
@@ -68,8 +73,8 @@
         this.runHost = new SchedulerRunHost(this);
         this.pool = WorkerPool.create(epoch, now, context.terms, new SchedulerPoolHost(this), context.effects);
         this.book = JobBook.create(epoch, writer);
-        this.pacer = Pacer.create((run, percent) => this.throttle(run, percent));
-        this.queue = StepQueue.create(context.queues, (task, worker, at) => this.assign(task, worker, at));
+        this.pacer = Pacer.create(this.model, (run, percent) => this.throttle(run, percent));
+        this.queue = StepQueue.create(context.queues, this.model, (task, worker, at) => this.assign(task, worker, at));
         this.resources.add(this.book.onDidCancel(job => this.stopRuns(job, now)));
         this.book.load(context.jobs, (task, record) => this.inherit(task, record, now));
         this.resources.add(context.jobs.onDidChange(entry => this.onJob(entry)));
@@ -128,7 +133,6 @@
                 this.pool.hurry(worker, now);
             }
         }
-        this.isDirty = true;
     }
 
     /** Acts on the passing of time. @param now Time in ms. @param wallNow Time in ms since the Unix epoch. */
@@ -138,7 +142,7 @@
         for (const worker of this.pool.all) {
             this.reviewWorker(worker, now);
         }
-        this.isDirty = true;
+        this.isDirty ||= now - this.passedAt > LONGEST_PASS_INTERVAL_MS;
     }
 
     /** Sends what is due and gives waiting tasks to workers. @param now Time in ms. @param wallNow Unix time in ms. */
@@ -226,8 +230,9 @@
     }
 
     /** Notes that a worker was heard from. */
-    onListed(worker: WorkerContact): void {
-        this.pacer.review(worker);
+    onListed(worker: WorkerContact, now: number): void {
+        this.model.learn(worker, now);
+        this.pacer.review(worker, now);
     }
 
     /** Notes that a worker knows a later epoch. */
@@ -426,6 +431,9 @@
     }
 
     private isStuck(run: Run, now: number): boolean {
+        if (run.task.step.usesSpareCpu) {
+            return false;
+        }
         const isAtWork = run.task.step.mode === "long-running" && run.report?.percent === 100;
         return (
             run.report !== undefined &&
@@ -479,8 +487,8 @@
         this.scheduler.takeListedEnd(worker, end, now);
     }
 
-    override onListed(worker: WorkerContact, _now: number): void {
-        this.scheduler.onListed(worker);
+    override onListed(worker: WorkerContact, now: number): void {
+        this.scheduler.onListed(worker, now);
     }
 
     override onFenced(now: number): void {
--- a/src/dispatch/common/spareChoice.ts
+++ b/src/dispatch/common/spareChoice.ts
@@ -1,39 +1,46 @@
+import { LatencyModel } from "./latencyModel";
 import { Task } from "./task";
 import { WorkerChoice } from "./workerChoice";
-import { Room, WorkerContact } from "./workerContact";
+import { WorkerContact } from "./workerContact";
+import { WorkerOutlook } from "./workerOutlook";
 
 /** Part of its requested processor time that a task which serves is expected to use. */
-const SERVING_LOAD = 0.5;
-
-/** Cost of each task that serves its own users beside, in thousandths of a core. */
-const SERVING_COST = 6_000;
+const SERVING_LOAD = 0.6;
 
 /** Part of the requested processor time that must be left for a task to be placed. */
 const LEAST_SHARE = 0.6;
 
-/** Chooses for tasks that run on spare processor time: where most is unused, away from tasks that serve. */
+/** Headroom that tasks that serve are to keep when another is placed beside them. */
+const KEPT_HEADROOM = 1.1;
+
+/** Cost of a loss of headroom below what is to be kept, and of any loss, in thousandths of a core per unit. */
+const SHORTFALL_COST = 200_000;
+const PRESSURE_COST = 40_000;
+
+/** Chooses for tasks that run on spare processor time: where they do not harm tasks that serve, and most is unused. */
 export class SpareChoice extends WorkerChoice {
-    private constructor() {
+    private constructor(private readonly model: LatencyModel) {
         super();
     }
 
-    /** @returns The choice. */
-    static create(): SpareChoice {
-        return new SpareChoice();
+    /** @param model Knows the pressures between images. @returns The choice. */
+    static create(model: LatencyModel): SpareChoice {
+        return new SpareChoice(model);
     }
 
-    override cost(task: Task, worker: WorkerContact, room: Room): number | undefined {
+    override cost(task: Task, worker: WorkerContact, { room, serving }: WorkerOutlook): number | undefined {
+        const { request, image } = task.step;
+        const share = request.cpuMillis / worker.entry.capacity.cpuMillis;
         let unused = room.spareCpuMillis;
-        let serving = 0;
-        for (const run of worker.runs.values()) {
-            if (run.task.step.tailTargetMs !== undefined) {
-                unused += run.task.step.request.cpuMillis * (1 - SERVING_LOAD);
-                serving += 1;
+        let cost = 0;
+        for (const each of serving) {
+            unused += each.cpuMillis * (1 - SERVING_LOAD);
+            const added = this.model.pressure(each.image, image, share);
+            if (each.headroom - added < KEPT_HEADROOM) {
+                return undefined;
             }
+            cost += added * PRESSURE_COST + Math.max(0, KEPT_HEADROOM - each.lowestHeadroom + added) * SHORTFALL_COST;
         }
-        if (unused < task.step.request.cpuMillis * LEAST_SHARE) {
-            return undefined;
-        }
-        return serving * SERVING_COST - unused;
+        return unused < request.cpuMillis * LEAST_SHARE ? undefined : cost - unused;
     }
 }
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -1,6 +1,7 @@
 import { QueueTable } from "../../jobs/common/queueTable";
 import { isFinal } from "../../jobs/common/jobTable";
 import { ActiveJob, StepRun } from "./activeJob";
+import { LatencyModel } from "./latencyModel";
 import { Placer } from "./placer";
 import { Run } from "./run";
 import { Task } from "./task";
@@ -28,12 +29,18 @@
 export class StepQueue {
     private constructor(
         private readonly queues: QueueTable,
+        private readonly model: LatencyModel,
         private readonly assign: AssignTask,
     ) {}
 
-    /** @param queues Queues as configured. @param assign Assigns a task to a worker. @returns A queue. */
-    static create(queues: QueueTable, assign: AssignTask): StepQueue {
-        return new StepQueue(queues, assign);
+    /**
+     * @param queues Queues as configured.
+     * @param model Knows the pressures between images.
+     * @param assign Assigns a task to a worker.
+     * @returns A queue.
+     */
+    static create(queues: QueueTable, model: LatencyModel, assign: AssignTask): StepQueue {
+        return new StepQueue(queues, model, assign);
     }
 
     /**
@@ -55,7 +62,7 @@
             return;
         }
         waiting.sort(compareSteps);
-        const placer = Placer.create(workers);
+        const placer = Placer.create(workers, this.model);
         for (const step of waiting) {
             if (step.group.step.mode === "gang") {
                 this.placeGang(step, placer, now);
@@ -88,9 +95,13 @@
     private placeTasks(step: WaitingStep, placer: Placer, now: number): void {
         const rack = step.group.step.sameRack ? rackOf(step.group) : undefined;
         for (const task of step.tasks) {
+            if (placer.isHopeless(task)) {
+                return;
+            }
             const worker =
                 this.choosePreferred(task, step.service, placer, rack) ?? this.chooseAny(task, step.service, placer);
             if (worker === undefined) {
+                placer.noteRejected(task);
                 if (task.failedOn.size === 0) {
                     return;
                 }
--- a/src/dispatch/common/workerChoice.ts
+++ b/src/dispatch/common/workerChoice.ts
@@ -1,13 +1,14 @@
 import { Task } from "./task";
-import { Room, WorkerContact } from "./workerContact";
+import { WorkerContact } from "./workerContact";
+import { WorkerOutlook } from "./workerOutlook";
 
 /** Chooses among the workers that have room for a task. */
 export abstract class WorkerChoice {
     /**
      * @param task The task.
      * @param worker A worker with room for it.
-     * @param room What is left of the worker.
+     * @param outlook What is left of the worker, and the tasks that serve there.
      * @returns Cost of placing the task there; the lowest is taken. `undefined` if it should not be placed there.
      */
-    abstract cost(task: Task, worker: WorkerContact, room: Room): number | undefined;
+    abstract cost(task: Task, worker: WorkerContact, outlook: WorkerOutlook): number | undefined;
 }
--- /dev/null
+++ b/src/dispatch/common/workerOutlook.ts
@@ -0,0 +1,39 @@
+import { expectedShare, LatencyModel } from "./latencyModel";
+import { Room, WorkerContact } from "./workerContact";
+
+/** A task that serves on a worker, and the headroom that it has beside what runs there. */
+export interface ServingOutlook {
+    readonly image: string | undefined;
+    readonly cpuMillis: number;
+    readonly headroom: number;
+    readonly lowestHeadroom: number;
+}
+
+/** What a placement on a worker has to reckon with. */
+export interface WorkerOutlook {
+    readonly room: Room;
+    readonly serving: readonly ServingOutlook[];
+}
+
+/**
+ * @param worker A worker.
+ * @param model Knows the pressures between images.
+ * @returns What a placement there has to reckon with.
+ */
+export function outlookOf(worker: WorkerContact, model: LatencyModel): WorkerOutlook {
+    const serving: ServingOutlook[] = [];
+    for (const run of worker.runs.values()) {
+        const { image, request, tailTargetMs } = run.task.step;
+        if (tailTargetMs !== undefined) {
+            const base = model.base(run);
+            const loss = model.pressureOn(run, worker, each => expectedShare(each, worker));
+            serving.push({
+                image,
+                cpuMillis: request.cpuMillis,
+                headroom: base.headroom - loss,
+                lowestHeadroom: base.lowest - loss,
+            });
+        }
+    }
+    return { room: worker.room(), serving };
+}
--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -34,8 +34,8 @@
 /** Difference between the clocks from which the process is taken to have been suspended, in ms. */
 const SUSPENSION_MS = 200;
 
-/** Time without a read of the stream or a confirmed append after which new connections should go elsewhere, in ms. */
-const UNREADY_MS = 1_500;
+/** Time since the latest good read was sent after which new connections should go elsewhere, in ms: two long reads. */
+const UNREADY_MS = 3_000;
 
 /** How an instance that does not lead reads the stream of jobs. A read that waits shows how long the leader is silent. */
 const STANDBY_PACE: FollowPace = { waitMs: 400, pauseMs: 50 };
@@ -128,7 +128,8 @@
 
     /** @returns Whether new connections should come to this instance. @param now Time in ms. */
     isReady(now: number): boolean {
-        const isFresh = (follower: RecordFollower) => now - (follower.knownUntil ?? -Infinity) < UNREADY_MS;
+        const isFresh = (follower: RecordFollower) =>
+            !follower.isFailing && now - (follower.knownUntil ?? -Infinity) < UNREADY_MS;
         return (
             this.life.state === "serving" &&
             isFresh(this.jobsFollower) &&
--- a/src/platform/node/platformStore.ts
+++ b/src/platform/node/platformStore.ts
@@ -79,7 +79,7 @@
                 path: `/api/log-append?${query.toString()}`,
                 headers: { "content-type": "application/octet-stream" },
                 body: packRecords(records),
-                timeoutMs,
+                timeoutMs: Math.round(timeoutMs),
             });
             this.noteAppend(performance.now() - startedAt);
             return this.appendResult(answer);
--- a/src/records/common/recordFollower.ts
+++ b/src/records/common/recordFollower.ts
@@ -55,6 +55,9 @@
     /** Time (ms) up to which all records are known: when the latest good read was sent. */
     knownUntil: number | undefined;
 
+    /** Whether the latest read failed. */
+    isFailing = false;
+
     private constructor(
         readonly stream: StreamName,
         private readonly receiver: RecordReceiver,
@@ -105,6 +108,7 @@
 
     /** Takes an answer to a read of this stream. */
     answer(answer: StoreAnswer): void {
+        this.isFailing = !answer.result.ok;
         this.pauseNext = answer.result.ok ? this.pace().pauseMs : RETRY_PAUSE_MS;
         if (!answer.result.ok) {
             this.machine.fire(answer.result.val === "truncated" ? "truncated" : "failed", answer);
