Share the headroom of tasks that serve among the runs beside them, least pressure first

Cause: one slow task slowed all runs beside it, to a headroom that the load alone takes away; recovery was one run at a time. Ruled out: the choice of workers (images that disturb each other are kept apart once known). Now the pacer gives each run what the model says the tasks beside it can bear, extrapolating the load by 0.8 s; runs that are held down are moved.

--- a/src/dispatch/common/activeJob.ts
+++ b/src/dispatch/common/activeJob.ts
@@ -176,6 +176,7 @@
             highestRun: 0,
             run: undefined,
             failedOn: new Set(),
+            moves: 0,
             notBefore: 0,
         };
     }
--- a/src/dispatch/common/latencyModel.ts
+++ b/src/dispatch/common/latencyModel.ts
@@ -5,17 +5,24 @@
  * Expected loss of headroom when a task takes the whole processor time of a worker beside one that serves, before
  * anything was seen of the two images, and the variance of that expectation.
  */
-const PRIOR_PRESSURE = 1.5;
+const PRIOR_PRESSURE = 0.8;
 const PRIOR_VARIANCE = 4;
 
 /** Variance of a report of latency, as headroom: load moves while a report is under way. */
 const REPORT_VARIANCE = 0.15;
 
 /** Growth of the variance of a pair with each report, since pressures change. */
-const DRIFT_VARIANCE = 0.0005;
+const DRIFT_VARIANCE = 0.0001;
 
-/** Weight of the latest report in a job's headroom without pressure. */
-const BASE_WEIGHT = 0.3;
+/** Weights of the latest report in a job's headroom without pressure and in the trend of it. */
+const BASE_WEIGHT = 0.25;
+const TREND_WEIGHT = 0.06;
+
+/** Reports of a job's tasks come one after the other; a trend over less than this time is noise, in ms. */
+const SHORTEST_TREND_MS = 100;
+
+/** Steepest trend that is believed, per second. */
+const STEEPEST_TREND = 1.2;
 
 /** Headroom of a job of which nothing is known: between a calm and a busy one. */
 const UNKNOWN_BASE = 2.5;
@@ -37,10 +44,14 @@
 /** What is known of the load of a job that serves. */
 interface JobBase {
     headroom: number;
+    /** Change of the headroom per second. */
+    trend: number;
     lowest: number;
     updatedAt: number;
 }
 
+const UNKNOWN: JobBase = { headroom: UNKNOWN_BASE, trend: 0, lowest: UNKNOWN_BASE, updatedAt: 0 };
+
 /** Pressures of pairs, to be kept for the next leader: image that serves, image beside it, pressure, variance. */
 export type PairRow = readonly [string, string, number, number];
 
@@ -90,8 +101,8 @@
     }
 
     /** @returns Headroom that a serving run has now without anything beside it, and the lowest that it had. */
-    base(serving: Run): { readonly headroom: number; readonly lowest: number } {
-        return this.bases.get(serving.task.job.spec.id) ?? { headroom: UNKNOWN_BASE, lowest: UNKNOWN_BASE };
+    base(serving: Run): Readonly<JobBase> {
+        return this.bases.get(serving.task.job.spec.id) ?? UNKNOWN;
     }
 
     /** @returns Loss of headroom of a serving image when another one uses a share (0 to 1) of the worker beside it. */
@@ -136,12 +147,16 @@
         const { id } = serving.task.job.spec;
         const known = this.bases.get(id);
         if (known === undefined) {
-            this.bases.set(id, { headroom, lowest: headroom, updatedAt: now });
+            this.bases.set(id, { headroom, trend: 0, lowest: headroom, updatedAt: now });
             return;
         }
-        known.headroom += BASE_WEIGHT * (headroom - known.headroom);
-        const forgotten = known.lowest + (LOW_FORGET_PER_S * (now - known.updatedAt)) / 1_000;
-        known.lowest = Math.min(forgotten, known.headroom);
+        const elapsedS = (now - known.updatedAt) / 1_000;
+        const expected = known.headroom + known.trend * elapsedS;
+        const surplus = headroom - expected;
+        known.headroom = expected + BASE_WEIGHT * surplus;
+        const trend = known.trend + (TREND_WEIGHT * surplus) / Math.max(elapsedS, SHORTEST_TREND_MS / 1_000);
+        known.trend = Math.max(-STEEPEST_TREND, Math.min(STEEPEST_TREND, trend));
+        known.lowest = Math.min(known.lowest + LOW_FORGET_PER_S * elapsedS, known.headroom);
         known.updatedAt = now;
     }
 
--- a/src/dispatch/common/pacer.ts
+++ b/src/dispatch/common/pacer.ts
@@ -1,21 +1,25 @@
-import { expectedShare, headroomOf, LatencyModel, measuredShare } from "./latencyModel";
+import { headroomOf, LatencyModel, measuredShare } from "./latencyModel";
 import { Run } from "./run";
 import { WorkerContact } from "./workerContact";
 
-/** Headroom below which the runs beside a task that serves are slowed down; the load may rise before the next report. */
-const SLOW_DOWN_BELOW = 1.2;
+/** Headroom that tasks which serve are to keep: the reports are late and rough. */
+const KEPT_HEADROOM = 1.12;
 
-/** Headroom that is left when runs speed up again. */
-const SPEED_UP_ABOVE = 1.5;
+/** How far ahead the load is extrapolated when it rises, in s: age of a report and time until an order shows. */
+const HORIZON_S = 0.8;
 
-/** Least change of speed that is worth an order, in percent. */
-const LEAST_CHANGE = 10;
+/** Least change of speed that is worth an order, and the steps in which speeds are given, in percent. */
+const LEAST_CHANGE = 15;
+const STEP = 5;
 
 /** Largest increase of speed at once, in percent. */
-const LARGEST_INCREASE = 40;
+const LARGEST_INCREASE = 50;
 
 /** Time after a change of speed before reports show it, in ms. */
-const SETTLE_MS = 700;
+const SETTLE_MS = 600;
+
+/** Least pressure that is reckoned with, so that a run without any is divided by something. */
+const LEAST_PRESSURE = 0.001;
 
 /** Sets the speed of runs that use spare processor time, so that tasks beside them keep their latency targets. */
 export class Pacer {
@@ -42,70 +46,55 @@
         }
         const runs = [...worker.runs.values()].filter(run => run.state === "running");
         const spare = runs.filter(run => run.task.step.usesSpareCpu);
-        const serving = runs.filter(run => headroomOf(run) !== undefined);
-        if (spare.length === 0 || serving.length === 0) {
-            spare.filter(run => run.percent < 100).forEach(run => this.change(worker, run, 100, now));
-            return;
-        }
-        const worst = serving.reduce((a, b) => (headroomOf(a)! < headroomOf(b)! ? a : b));
-        if (headroomOf(worst)! < SLOW_DOWN_BELOW) {
-            this.slowDown(worst, spare, worker, now);
-        } else {
-            this.speedUp(serving, spare, worker, now);
+        if (spare.length > 0) {
+            this.share(this.budgets(runs, worker), spare, worker, now);
         }
     }
 
-    /** Slows down the runs that press most until the headroom is as large as wanted. */
-    private slowDown(serving: Run, spare: readonly Run[], worker: WorkerContact, now: number): void {
-        let missing = SPEED_UP_ABOVE - headroomOf(serving)!;
-        const pressing = spare
-            .map(run => ({ run, pressure: this.pressureBy(run, serving, measuredShare(run, worker)) }))
-            .filter(each => each.pressure > 0)
-            .sort((a, b) => b.pressure - a.pressure);
-        for (const { run, pressure } of pressing) {
-            if (missing <= 0) {
-                return;
+    /** How much headroom each task that serves can give to the runs beside it. */
+    private budgets(runs: readonly Run[], worker: WorkerContact): Budget[] {
+        return runs.flatMap(run => {
+            const observed = headroomOf(run);
+            if (observed === undefined) {
+                return [];
             }
-            const kept = Math.max(0, 1 - missing / pressure);
-            missing -= pressure * (1 - kept);
-            const percent = Math.floor((run.percent * kept) / LEAST_CHANGE) * LEAST_CHANGE;
-            this.change(worker, run, percent, now);
-        }
+            const own = observed + this.model.pressureOn(run, worker, each => measuredShare(each, worker));
+            const base = this.model.base(run);
+            const expected = (own + base.headroom) / 2 + Math.min(0, base.trend) * HORIZON_S;
+            return [{ image: run.task.step.image, left: Math.max(0, expected - KEPT_HEADROOM) }];
+        });
     }
 
-    /** Speeds up the run that presses least, as far as every task that serves keeps its headroom. */
-    private speedUp(serving: readonly Run[], spare: readonly Run[], worker: WorkerContact, now: number): void {
-        const slowed = spare
-            .filter(run => run.percent < 100)
-            .map(run => ({ run, percent: this.allowedPercent(run, serving, worker) }))
-            .sort((a, b) => b.percent - b.run.percent - (a.percent - a.run.percent));
-        const [best] = slowed;
-        if (best !== undefined && best.percent - best.run.percent >= LEAST_CHANGE) {
-            this.change(worker, best.run, best.percent, now);
+    /** Gives speed to the runs that press least first, as long as no task that serves loses more than it can. */
+    private share(budgets: readonly Budget[], spare: readonly Run[], worker: WorkerContact, now: number): void {
+        const demands = spare.map(run => {
+            const full = run.task.step.request.cpuMillis / worker.entry.capacity.cpuMillis;
+            const pressures = budgets.map(budget => this.model.pressure(budget.image, run.task.step.image, full));
+            return { run, pressures, most: Math.max(0, ...pressures) };
+        });
+        demands.sort((a, b) => a.most - b.most);
+        for (const { run, pressures } of demands) {
+            const share = Math.min(
+                1,
+                ...budgets.map((each, at) => each.left / Math.max(LEAST_PRESSURE, pressures[at])),
+            );
+            budgets.forEach((each, at) => (each.left -= share * pressures[at]));
+            this.change(worker, run, Math.floor((share * 100) / STEP) * STEP, now);
         }
     }
 
-    private allowedPercent(run: Run, serving: readonly Run[], worker: WorkerContact): number {
-        const full = run.task.step.request.cpuMillis / worker.entry.capacity.cpuMillis;
-        let share = full;
-        for (const each of serving) {
-            const spareHeadroom = headroomOf(each)! - SPEED_UP_ABOVE;
-            const perShare = this.pressureBy(run, each, 1);
-            const present = expectedShare(run, worker);
-            share = perShare <= 0 ? share : Math.min(share, present + spareHeadroom / perShare);
-        }
-        const percent = Math.min(100, run.percent + LARGEST_INCREASE, (share / full) * 100);
-        return Math.floor(percent / LEAST_CHANGE) * LEAST_CHANGE;
-    }
-
-    private pressureBy(run: Run, serving: Run, share: number): number {
-        return this.model.pressure(serving.task.step.image, run.task.step.image, share);
-    }
-
-    private change(worker: WorkerContact, run: Run, percent: number, now: number): void {
-        if (percent !== run.percent) {
+    private change(worker: WorkerContact, run: Run, wanted: number, now: number): void {
+        const percent = Math.min(wanted, run.percent + LARGEST_INCREASE);
+        const isEnd = percent !== run.percent && (percent === 0 || percent === 100);
+        if (isEnd || Math.abs(percent - run.percent) >= LEAST_CHANGE) {
             this.changedAt.set(worker, now);
             this.throttle(run, percent);
         }
     }
 }
+
+/** Headroom that a task which serves can still lose. */
+interface Budget {
+    readonly image: string | undefined;
+    left: number;
+}
--- a/src/dispatch/common/run.ts
+++ b/src/dispatch/common/run.ts
@@ -81,6 +81,8 @@
     progressAt = 0;
     /** Share of its speed that the run has been given, 0 to 100. */
     percent = 100;
+    /** Time (ms) since when it is given little speed. */
+    slowedAt = 0;
     /** Rack of its worker. */
     rack = "";
     /** Ticket of the advice service that the start carries. */
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -38,6 +38,16 @@
 /** Time without progress after which a run is taken to be stuck, in ms. */
 const STUCK_MS = 2_500;
 
+/** Speed, in percent, and time, in ms, from which a run is moved instead of being slowed down any longer. */
+const HELD_DOWN_PERCENT = 20;
+const HELD_DOWN_MS = 1_000;
+
+/** Moves of a task at most, so that work is not spent on moving. */
+const MOST_MOVES = 4;
+
+/** Progress, in percent, that may be lost when a run without checkpoints is moved. */
+const LITTLE_PROGRESS_PERCENT = 15;
+
 /** Rough time until a draining worker leaves if it does not say, in ms. */
 const DRAIN_MARGIN_MS = 900;
 
@@ -62,6 +72,7 @@
     private heldStarts: Run[] = [];
     private isDirty = true;
     private passedAt = 0;
+    private now = 0;
     private wallNow = 0;
 
     private constructor(
@@ -137,6 +148,7 @@
 
     /** Acts on the passing of time. @param now Time in ms. @param wallNow Time in ms since the Unix epoch. */
     tick(now: number, wallNow: number): void {
+        this.now = now;
         this.wallNow = wallNow;
         this.pool.tick(now);
         for (const worker of this.pool.all) {
@@ -398,6 +410,9 @@
         if (worker === undefined) {
             return;
         }
+        if (percent <= HELD_DOWN_PERCENT && run.percent > HELD_DOWN_PERCENT) {
+            run.slowedAt = this.now;
+        }
         run.percent = percent;
         const { task, run: number } = run.record;
         this.context.effects.emit({
@@ -416,6 +431,9 @@
             }
             if (isDraining && this.mustLeave(run, worker, now)) {
                 this.stop(run, "draining", now);
+            } else if (this.isHeldDown(run, now)) {
+                run.task.moves += 1;
+                this.stop(run, "slowed-down", now);
             } else if (this.isStuck(run, now)) {
                 worker.trust.failed({ now, familyFailureRate: 0 });
                 run.task.failedOn.add(worker.entry.id);
@@ -430,6 +448,16 @@
         return run.task.step.mode === "long-running" || now > worker.leavesAt - DRAIN_MARGIN_MS;
     }
 
+    /** A run that harms the tasks beside it makes no progress there; elsewhere it may, and its work is saved. */
+    private isHeldDown(run: Run, now: number): boolean {
+        return (
+            run.percent <= HELD_DOWN_PERCENT &&
+            now - run.slowedAt > HELD_DOWN_MS &&
+            run.task.moves < MOST_MOVES &&
+            (run.task.step.checkpoints || (run.report?.percent ?? 0) < LITTLE_PROGRESS_PERCENT)
+        );
+    }
+
     private isStuck(run: Run, now: number): boolean {
         if (run.task.step.usesSpareCpu) {
             return false;
--- a/src/dispatch/common/task.ts
+++ b/src/dispatch/common/task.ts
@@ -21,6 +21,8 @@
     run: Run | undefined;
     /** Workers on which it failed, which are avoided. */
     readonly failedOn: Set<string>;
+    /** How often it was moved because it was slowed down. */
+    moves: number;
     /** Time (ms) before which it is not started again. */
     notBefore: number;
 }
