--- a/src/dispatch/common/pacer.ts
+++ b/src/dispatch/common/pacer.ts
@@ -86,7 +86,7 @@
     private change(worker: WorkerContact, run: Run, wanted: number, now: number): void {
         const percent = Math.min(wanted, run.percent + LARGEST_INCREASE);
         const isEnd = percent !== run.percent && (percent === 0 || percent === 100);
-        if (isEnd || Math.abs(percent - run.percent) >= LEAST_CHANGE) {
+        if (!run.isSpeedKnown || isEnd || Math.abs(percent - run.percent) >= LEAST_CHANGE) {
             this.changedAt.set(worker, now);
             this.throttle(run, percent);
         }
--- a/src/dispatch/common/run.ts
+++ b/src/dispatch/common/run.ts
@@ -79,9 +79,10 @@
     report: ListedRun | undefined;
     reportedAt = 0;
     progressAt = 0;
-    /** Share of its speed that the run has been given, 0 to 100. */
-    percent = 100;
-    /** Time (ms) since when it is given little speed. */
+    private speed = 100;
+    /** Whether the worker is known to have taken the speed; that of an inherited run is not. */
+    isSpeedKnown = true;
+    /** Time (ms) at which it was slowed down from full speed. */
     slowedAt = 0;
     /** Rack of its worker. */
     rack = "";
@@ -123,6 +124,20 @@
         return this.machine.state;
     }
 
+    /** Share of its speed that the run has been given, 0 to 100. */
+    get percent(): number {
+        return this.speed;
+    }
+
+    /** Notes a change of its speed. @param percent 0 to 100. @param now Time in ms. */
+    setPercent(percent: number, now: number): void {
+        if (this.speed === 100) {
+            this.slowedAt = now;
+        }
+        this.speed = percent;
+        this.isSpeedKnown = true;
+    }
+
     /** Whether its end is decided on and it does no more useful work. */
     get isEnding(): boolean {
         return this.state === "stopping" || this.state === "stopped";
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -10,9 +10,11 @@
 import { DispatchTerms, RENEWAL_RIGHT_MS, START_VALIDITY_MS } from "./dispatchTerms";
 import { DispatchEffect } from "./dispatchTraffic";
 import { JobBook } from "./jobBook";
-import { LatencyModel } from "./latencyModel";
+import { LatencyModel, PairRow } from "./latencyModel";
+import { encodeLearning, LEARNING_KEY } from "./learningRecord";
 import { Pacer } from "./pacer";
 import { Run, RunHost, RunOutcome } from "./run";
+import { RunReviewer } from "./runReviewer";
 import { StepQueue } from "./stepQueue";
 import { Task } from "./task";
 import { WorkerContact } from "./workerContact";
@@ -35,21 +37,8 @@
 /** Longest time between two passes, in ms: what is known of latencies changes while nothing ends. */
 const LONGEST_PASS_INTERVAL_MS = 150;
 
-/** Time without progress after which a run is taken to be stuck, in ms. */
-const STUCK_MS = 2_500;
-
-/** Speed, in percent, and time, in ms, from which a run is moved instead of being slowed down any longer. */
-const HELD_DOWN_PERCENT = 20;
-const HELD_DOWN_MS = 1_000;
-
-/** Moves of a task at most, so that work is not spent on moving. */
-const MOST_MOVES = 4;
-
-/** Progress, in percent, that may be lost when a run without checkpoints is moved. */
-const LITTLE_PROGRESS_PERCENT = 15;
-
-/** Rough time until a draining worker leaves if it does not say, in ms. */
-const DRAIN_MARGIN_MS = 900;
+/** Time between two records of what was learnt, in ms: what a successor may have to learn again. */
+const LEARNING_INTERVAL_MS = 5_000;
 
 /** What the scheduler reads besides its own state. */
 export interface SchedulerContext {
@@ -57,6 +46,8 @@
     readonly queues: QueueTable;
     readonly leadership: Leadership;
     readonly terms: DispatchTerms;
+    /** What an earlier leader learnt of latencies. */
+    readonly learnt: readonly PairRow[];
     readonly effects: EffectSink<DispatchEffect>;
 }
 
@@ -65,13 +56,15 @@
     private readonly resources = DisposableStore.create();
     private readonly book: JobBook;
     private readonly pool: WorkerPool;
-    private readonly model = LatencyModel.create();
+    private readonly model: LatencyModel;
     private readonly pacer: Pacer;
     private readonly queue: StepQueue;
+    private readonly reviewer = RunReviewer.create();
     private readonly runHost: RunHost;
     private heldStarts: Run[] = [];
     private isDirty = true;
     private passedAt = 0;
+    private recordLearningAt: number;
     private now = 0;
     private wallNow = 0;
 
@@ -81,6 +74,8 @@
         private readonly writer: RecordWriter,
         now: number,
     ) {
+        this.recordLearningAt = now + LEARNING_INTERVAL_MS;
+        this.model = LatencyModel.create(context.learnt);
         this.runHost = new SchedulerRunHost(this);
         this.pool = WorkerPool.create(epoch, now, context.terms, new SchedulerPoolHost(this), context.effects);
         this.book = JobBook.create(epoch, writer);
@@ -137,6 +132,11 @@
         }
         if (event.kind === "start-answer") {
             this.answerStart(worker, event, now);
+        } else if (event.kind === "throttle-answer" && event.outcome !== "done") {
+            const run = worker.runs.get(event.order.task);
+            if (run?.record.run === event.order.run) {
+                run.isSpeedKnown = false;
+            }
         } else if (event.kind === "stop-answer" && event.outcome === "done") {
             const run = worker.runs.get(event.order.task);
             if (run?.record.run === event.order.run) {
@@ -154,6 +154,10 @@
         for (const worker of this.pool.all) {
             this.reviewWorker(worker, now);
         }
+        if (now >= this.recordLearningAt) {
+            this.recordLearningAt = now + LEARNING_INTERVAL_MS;
+            this.writer.write(LEARNING_KEY, () => encodeLearning(this.model.rows()));
+        }
         this.isDirty ||= now - this.passedAt > LONGEST_PASS_INTERVAL_MS;
     }
 
@@ -345,6 +349,7 @@
         task.run = run;
         task.highestRun = Math.max(task.highestRun, record.run);
         worker.runs.set(task.name, run);
+        run.isSpeedKnown = false;
         run.fire("inherit", { now });
         if (isFinal(task.job.state)) {
             run.fire("stop", { now });
@@ -410,10 +415,7 @@
         if (worker === undefined) {
             return;
         }
-        if (percent <= HELD_DOWN_PERCENT && run.percent > HELD_DOWN_PERCENT) {
-            run.slowedAt = this.now;
-        }
-        run.percent = percent;
+        run.setPercent(percent, this.now);
         const { task, run: number } = run.record;
         this.context.effects.emit({
             kind: "throttle",
@@ -424,54 +426,21 @@
     }
 
     private reviewWorker(worker: WorkerContact, now: number): void {
-        const isDraining = worker.entry.state === "draining";
         for (const run of worker.runs.values()) {
-            if (run.state !== "running") {
+            const reason = this.reviewer.reasonToMove(run, worker, now);
+            if (reason === undefined) {
                 continue;
             }
-            if (isDraining && this.mustLeave(run, worker, now)) {
-                this.stop(run, "draining", now);
-            } else if (this.isHeldDown(run, now)) {
-                run.task.moves += 1;
-                this.stop(run, "slowed-down", now);
-            } else if (this.isStuck(run, now)) {
+            if (reason === "stuck") {
                 worker.trust.failed({ now, familyFailureRate: 0 });
                 run.task.failedOn.add(worker.entry.id);
-                this.stop(run, "stuck", now);
+            } else if (reason === "slowed-down") {
+                run.task.moves += 1;
             }
+            this.stop(run, reason, now);
         }
     }
 
-    /** Runs that would not end before the worker leaves are moved while they can still save their work. */
-    private mustLeave(run: Run, worker: WorkerContact, now: number): boolean {
-        worker.leavesAt ??= now + this.context.terms.longestLeaseMs;
-        return run.task.step.mode === "long-running" || now > worker.leavesAt - DRAIN_MARGIN_MS;
-    }
-
-    /** A run that harms the tasks beside it makes no progress there; elsewhere it may, and its work is saved. */
-    private isHeldDown(run: Run, now: number): boolean {
-        return (
-            run.percent <= HELD_DOWN_PERCENT &&
-            now - run.slowedAt > HELD_DOWN_MS &&
-            run.task.moves < MOST_MOVES &&
-            (run.task.step.checkpoints || (run.report?.percent ?? 0) < LITTLE_PROGRESS_PERCENT)
-        );
-    }
-
-    private isStuck(run: Run, now: number): boolean {
-        if (run.task.step.usesSpareCpu) {
-            return false;
-        }
-        const isAtWork = run.task.step.mode === "long-running" && run.report?.percent === 100;
-        return (
-            run.report !== undefined &&
-            !isAtWork &&
-            run.percent > 0 &&
-            run.reportedAt - run.progressAt > STUCK_MS &&
-            now - run.reportedAt < STUCK_MS
-        );
-    }
-
     private decide(name: Parameters<typeof decision>[0], data: Parameters<typeof decision>[1]): void {
         this.context.effects.emit(decision(name, data));
     }
--- a/src/dispatch/common/workerContact.ts
+++ b/src/dispatch/common/workerContact.ts
@@ -57,7 +57,7 @@
     listedAt: number | undefined;
     /** Ends up to this number are recorded. */
     recordedUpTo = 0;
-    /** Time (ms) by which it has to have left, once it drains. */
+    /** Time (ms) from which it may leave, once it drains. */
     leavesAt: number | undefined;
     /** Whether the worker's rejections say that it has less room than was reckoned, up to this time (ms). */
     fullUntil = 0;
@@ -113,6 +113,7 @@
         const isNewer = entry.incarnation > this.listed.incarnation;
         this.listed = entry;
         this.isListed = true;
+        this.leavesAt = entry.state === "draining" ? (this.leavesAt ?? now + (entry.drainLeftMs ?? 0)) : undefined;
         if (isNewer) {
             this.forgetLife(now);
         }
--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -3,10 +3,13 @@
 import { Machine } from "../../base/common/machine";
 import { Outbox } from "../../base/common/outbox";
 import { DispatchTerms } from "../../dispatch/common/dispatchTerms";
+import { PairRow } from "../../dispatch/common/latencyModel";
+import { decodeLearning, LEARNING_KEY } from "../../dispatch/common/learningRecord";
 import { Scheduler } from "../../dispatch/common/scheduler";
 import { WorkerEntry } from "../../dispatch/common/workerEntry";
 import { JobDesk } from "../../jobs/common/jobDesk";
-import { JobTable } from "../../jobs/common/jobTable";
+import { JobState } from "../../jobs/common/jobSpec";
+import { JobTable, stateOf } from "../../jobs/common/jobTable";
 import { QueueTable } from "../../jobs/common/queueTable";
 import { LEADER_KEY } from "../../records/common/leaderRecord";
 import { CLAIM_WRITER, Leadership, LEADER_WRITER } from "../../records/common/leadership";
@@ -79,6 +82,7 @@
     private readonly leadership: Leadership;
     private readonly desk: JobDesk;
     private scheduler: Scheduler | undefined;
+    private learnt: readonly PairRow[] = [];
     private readonly workers = new Map<string, WorkerEntry>();
     private clockOffset: number | undefined;
     private stoppingSince = 0;
@@ -148,6 +152,12 @@
         return this.leadership.isLeading;
     }
 
+    /** @param id Identifier of a job. @returns Its state as far as this instance knows, or `undefined`. */
+    stateOfJob(id: string): JobState | undefined {
+        const entry = this.jobs.find(id);
+        return entry === undefined ? undefined : stateOf(entry);
+    }
+
     /** @returns The first effects. */
     start(): JobInstanceEffect[] {
         this.jobsFollower.start();
@@ -192,6 +202,8 @@
     takeJobRecord(record: StoredRecord): void {
         if (record.key === LEADER_KEY) {
             this.leadership.take(record, this.now);
+        } else if (record.key === LEARNING_KEY) {
+            this.learnt = decodeLearning(record.value ?? "");
         } else {
             this.jobs.take(record);
         }
@@ -267,8 +279,8 @@
     }
 
     private beginScheduling(writer: RecordWriter): void {
-        const { jobs, queues, leadership, terms, outbox } = this;
-        const context = { jobs, queues, leadership, terms, effects: outbox };
+        const { jobs, queues, leadership, terms, learnt, outbox } = this;
+        const context = { jobs, queues, leadership, terms, learnt, effects: outbox };
         this.scheduler = Scheduler.create(context, leadership.epoch, writer, this.now);
         this.workers.forEach((worker, id) => this.scheduler!.listWorker(id, worker, this.now));
     }
--- /dev/null
+++ b/src/proof/node/jobTrial.ts
@@ -0,0 +1,565 @@
+import { Err } from "ts-results";
+import { WorkerEntry } from "../../dispatch/common/workerEntry";
+import { OrderOutcome, RunEnd, RunList, WorkerEffect } from "../../dispatch/common/workerTraffic";
+import { EntryDecoder } from "../../host/common/entryDecoder";
+import { JobInstance } from "../../host/common/jobInstance";
+import { JobInstanceEffect, JobInstanceEvent } from "../../host/common/jobTraffic";
+import { JobDraft } from "../../jobs/common/jobCall";
+import { Configuration, Queue } from "../../jobs/common/queueTable";
+import { StoredRecord } from "../../records/common/record";
+import { StreamName } from "../../records/common/recordStore";
+import { RecordEffect } from "../../records/common/recordTraffic";
+import { KeyedLog } from "../../standin/common/keyedLog";
+import { LeasedWorker } from "../../standin/common/leasedWorker";
+import { Breach, JobWitness } from "./jobWitness";
+import { Random } from "./random";
+
+const TICK_MS = 25;
+const BEAT_MS = 1_500;
+const STORE_TIMEOUT_MS = 400;
+const WORKER_TIMEOUT_MS = 800;
+const QUEUE: Queue = {
+    name: "q/",
+    host: "host",
+    prefix: "/q/",
+    service: "svc",
+    priority: 0,
+    maxAttempts: 3,
+    stretch: 2,
+    slackMs: 1_000,
+    timeoutMs: 3_000,
+};
+const CONFIGURATION: Configuration = {
+    version: 1,
+    queues: [QUEUE],
+    services: [{ name: "svc", rejectsOverload: true, isStandby: false }],
+    maxBodyBytes: 100_000,
+};
+const TERMS = { longestLeaseMs: 6_000, stopMs: 200, gangWaitMs: 3_000, harmMs: 4_000, retentionMs: 120_000 };
+
+/** Kinds of faults that a trial injects, one at a time or several at once. */
+export type JobFault =
+    | "kill"
+    | "kill-all"
+    | "freeze"
+    | "cut-store"
+    | "store-down"
+    | "lost-answers"
+    | "worker-crash"
+    | "worker-cut"
+    | "late-orders"
+    | "expire";
+
+const FAULTS: readonly JobFault[] = [
+    "kill",
+    "kill-all",
+    "freeze",
+    "cut-store",
+    "store-down",
+    "lost-answers",
+    "worker-crash",
+    "worker-cut",
+    "late-orders",
+    "expire",
+];
+
+/** What a trial does. */
+export interface JobTrialPlan {
+    readonly seed: number;
+    /** How long jobs are handed in and faults injected, in ms. */
+    readonly lengthMs: number;
+    readonly instances: number;
+    readonly workers: number;
+    /** Mean time between faults, in ms; none if 0. */
+    readonly faultEveryMs: number;
+    /** Breaks something on purpose, to show that a rule notices. */
+    readonly sabotage?: (trial: JobTrial) => void;
+}
+
+/** What came of a trial. */
+export interface JobTrialResult {
+    readonly breaches: readonly Breach[];
+    readonly jobs: number;
+    readonly accepted: number;
+    readonly finished: number;
+    readonly starts: number;
+    readonly leaders: number;
+    readonly log: readonly string[];
+}
+
+/** Time after the last fault within which all jobs must have ended, in ms: leases of lost leaders and workers, twice. */
+const SETTLE_MS = 60_000;
+
+interface Node {
+    readonly index: number;
+    instance: JobInstance | undefined;
+    life: number;
+    /** Time for which the steady clock stood still, in ms. */
+    frozenMs: number;
+    frozenUntil: number;
+    storeCutUntil: number;
+    held: (() => void)[];
+}
+
+interface Timed {
+    readonly at: number;
+    readonly order: number;
+    readonly act: () => void;
+}
+
+class TrialDecoder extends EntryDecoder {
+    override configuration(): Configuration {
+        return CONFIGURATION;
+    }
+
+    override worker(record: StoredRecord): WorkerEntry | undefined {
+        return record.value === undefined ? undefined : (JSON.parse(record.value) as WorkerEntry);
+    }
+}
+
+/** Runs whole instances against a store and workers in memory, on a clock of its own, under random faults. */
+export class JobTrial {
+    private readonly random: Random;
+    private readonly witness = JobWitness.create();
+    private readonly streams: Record<StreamName, KeyedLog> = {
+        jobs: KeyedLog.create(),
+        operator: KeyedLog.create(),
+        workers: KeyedLog.create(),
+    };
+    private readonly nodes: Node[] = [];
+    private readonly workers: LeasedWorker[] = [];
+    private readonly cutWorkers = new Map<string, number>();
+    private readonly jobs = new Map<string, { draft: JobDraft; answered: boolean }>();
+    private readonly log: string[] = [];
+    private queue: Timed[] = [];
+    private order = 0;
+    private calls = 0;
+    private leaders = 0;
+    private storeDownUntil = 0;
+    private lostUntil = 0;
+    private lateUntil = 0;
+
+    private constructor(private readonly plan: JobTrialPlan) {
+        this.random = Random.create(plan.seed);
+    }
+
+    /** @param plan What to do. @returns What came of it; the same for the same plan. */
+    static run(plan: JobTrialPlan): JobTrialResult {
+        return new JobTrial(plan).run();
+    }
+
+    private get now(): number {
+        return this.witness.now;
+    }
+
+    private run(): JobTrialResult {
+        this.streams.operator.store("config", "{}");
+        for (let index = 0; index < this.plan.workers; index++) {
+            this.addWorker(index, 0);
+        }
+        for (let index = 0; index < this.plan.instances; index++) {
+            this.nodes.push({
+                index,
+                instance: undefined,
+                life: 0,
+                frozenMs: 0,
+                frozenUntil: 0,
+                storeCutUntil: 0,
+                held: [],
+            });
+            this.startNode(this.nodes[index]);
+        }
+        this.plan.sabotage?.(this);
+        this.after(2_000, () => this.submitNext());
+        if (this.plan.faultEveryMs > 0) {
+            this.after(3_000, () => this.injectNext());
+        }
+        this.advance(this.plan.lengthMs + SETTLE_MS);
+        this.checkFinished();
+        const accepted = this.witness.accepted.size;
+        const finished = [...this.witness.accepted].filter(id => this.shownState(id) === "done").length;
+        const { breaches, starts } = this.witness;
+        return { breaches, jobs: this.jobs.size, accepted, finished, starts, leaders: this.leaders, log: this.log };
+    }
+
+    private advance(until: number): void {
+        while (this.queue.length > 0) {
+            this.queue.sort((a, b) => a.at - b.at || a.order - b.order);
+            const next = this.queue.shift()!;
+            if (next.at > until) {
+                return;
+            }
+            this.witness.now = next.at;
+            next.act();
+        }
+    }
+
+    private after(ms: number, act: () => void): void {
+        this.order += 1;
+        this.queue.push({ at: this.now + ms, order: this.order, act });
+    }
+
+    // Instances
+
+    private startNode(node: Node): void {
+        node.life += 1;
+        node.frozenMs = 0;
+        node.held = [];
+        const identity = {
+            instance: `n${node.index}-${node.life}`,
+            nonce: this.random.between(0, 1_000_000),
+            storeRoundTripMs: () => 5 + node.index,
+        };
+        const instance = JobInstance.create(identity, TERMS, new TrialDecoder());
+        node.instance = instance;
+        const { life } = node;
+        this.after(this.random.between(0, 50), () => {
+            instance.start().forEach(effect => this.perform(node, life, effect));
+            this.tick(node, life);
+        });
+    }
+
+    private tick(node: Node, life: number): void {
+        if (node.life !== life || node.instance === undefined) {
+            return;
+        }
+        this.post(node, life, { kind: "tick" });
+        this.after(TICK_MS, () => this.tick(node, life));
+    }
+
+    /** Events for a frozen instance wait until it wakes. */
+    private post(node: Node, life: number, event: JobInstanceEvent): void {
+        if (node.life !== life || node.instance === undefined) {
+            return;
+        }
+        if (this.now < node.frozenUntil) {
+            node.held.push(() => this.post(node, life, event));
+            return;
+        }
+        const wasLeading = node.instance.isLeading;
+        const steady = this.now - node.frozenMs;
+        const effects = node.instance.dispatch(event, steady, 1_700_000_000_000 + this.now);
+        if (!wasLeading && node.instance.isLeading) {
+            this.leaders += 1;
+        }
+        effects.forEach(effect => this.perform(node, life, effect));
+    }
+
+    private perform(node: Node, life: number, effect: JobInstanceEffect): void {
+        switch (effect.kind) {
+            case "append":
+            case "read":
+            case "read-newest":
+                this.callStore(node, life, effect);
+                break;
+            case "start":
+            case "stop":
+            case "throttle":
+            case "list":
+                this.callWorker(node, life, effect);
+                break;
+            case "answer":
+                this.takeAnswer(effect.call.path.slice(QUEUE.prefix.length), effect.call.request.kind, effect.answer);
+                break;
+            case "decision":
+                this.log.push(`${Math.round(this.now)} n${node.index} ${effect.name} ${JSON.stringify(effect.data)}`);
+                break;
+            case "stopped":
+                break;
+        }
+    }
+
+    // Store
+
+    private callStore(node: Node, life: number, effect: RecordEffect): void {
+        const sentAt = this.now - node.frozenMs;
+        const log = this.streams[effect.stream];
+        const answer = (event: JobInstanceEvent) =>
+            this.after(this.random.between(1, 4), () => this.post(node, life, event));
+        const { stream } = effect;
+        if (effect.kind === "append") {
+            const reply = (result: ReturnType<KeyedLog["append"]>) =>
+                answer({ kind: "append-answer", writer: effect.writer, sequence: effect.append.sequence, result });
+            if (!this.reachesStore(node)) {
+                this.after(STORE_TIMEOUT_MS, () => reply(Err("unknown")));
+            } else if (this.now < this.lostUntil && this.random.chance(0.4)) {
+                const delay = this.random.chance(0.5) ? 1 : this.random.between(1_000, 5_000);
+                this.after(delay, () => log.append(effect.append));
+                this.after(STORE_TIMEOUT_MS, () => reply(Err("unknown")));
+            } else {
+                this.after(this.random.between(1, 4), () => reply(log.append(effect.append)));
+            }
+            return;
+        }
+        const read = (deadline: number) => {
+            if (!this.reachesStore(node)) {
+                const unavailable = Err("unavailable" as const);
+                const kind = effect.kind === "read" ? "read-answer" : "newest-answer";
+                this.after(STORE_TIMEOUT_MS, () =>
+                    answer({ kind, stream, sentAt, result: unavailable } as JobInstanceEvent),
+                );
+            } else if (effect.kind === "read-newest") {
+                answer({ kind: "newest-answer", stream, sentAt, result: log.newest(effect.after) });
+            } else if (log.end > effect.from || this.now >= deadline || !log.read(effect.from).ok) {
+                answer({ kind: "read-answer", stream, sentAt, result: log.read(effect.from) });
+            } else {
+                this.after(3, () => read(deadline));
+            }
+        };
+        this.after(effect.delayMs + 2, () => read(this.now + (effect.kind === "read" ? effect.waitMs : 0)));
+    }
+
+    private reachesStore(node: Node): boolean {
+        return this.now >= this.storeDownUntil && this.now >= node.storeCutUntil;
+    }
+
+    // Workers
+
+    private addWorker(index: number, bornAt: number): void {
+        const entry: WorkerEntry = {
+            id: `w${index}`,
+            incarnation: bornAt,
+            service: "svc",
+            address: `w${index}`,
+            failureDomain: `z${index % 3}`,
+            state: "ready",
+            warmupLeftMs: 0,
+            capacity: { cpuMillis: 16_000, memoryMb: 64_000, accelerators: 0 },
+            labels: ["a", `r${index % 2}`],
+            rack: `r${index % 2}`,
+        };
+        const rate = 1 - (this.plan.seed % 2 === 0 ? 0 : 0.02);
+        const durationOf = (task: string, run: number) => this.durationOf(task, run);
+        this.workers[index] = LeasedWorker.create(entry, bornAt, rate, durationOf, this.witness);
+        this.beat(this.workers[index], index);
+    }
+
+    private beat(worker: LeasedWorker, index: number): void {
+        if (this.workers[index] !== worker) {
+            return;
+        }
+        if (this.now >= (this.cutWorkers.get(worker.entry.id) ?? 0)) {
+            this.streams.workers.store(worker.entry.id, JSON.stringify(worker.entry));
+        }
+        worker.advance(this.now);
+        this.after(BEAT_MS, () => this.beat(worker, index));
+    }
+
+    private durationOf(task: string, run: number): { ms: number; end: RunEnd } {
+        const choice = Random.create(
+            [...`${task}/${run}`].reduce((sum, char) => (sum * 31 + char.charCodeAt(0)) | 0, 7),
+        );
+        return { ms: choice.between(100, 2_500), end: choice.chance(0.04) ? "failed" : "done" };
+    }
+
+    private callWorker(node: Node, life: number, effect: WorkerEffect): void {
+        const sentAt = this.now - node.frozenMs;
+        const { id } = effect.worker;
+        const isLate = effect.kind !== "list" && this.now < this.lateUntil && this.random.chance(0.3);
+        const find = () => this.workers.find(each => each.entry.id === id)!;
+        const isCut = () => this.now < (this.cutWorkers.get(id) ?? 0);
+        const reply = (outcome: OrderOutcome, list?: RunList) => {
+            const clockMs = outcome === "no-answer" ? undefined : find().clock(this.now);
+            const answer = { worker: id, sentAt, outcome, clockMs, order: effect.order, list };
+            this.after(this.random.between(1, 20), () =>
+                this.post(node, life, { kind: `${effect.kind}-answer`, ...answer } as JobInstanceEvent),
+            );
+        };
+        if (isLate || isCut()) {
+            this.after(WORKER_TIMEOUT_MS, () => reply("no-answer"));
+            if (isLate) {
+                this.after(this.random.between(2_000, 6_000), () => carryOut(find(), effect, this.now));
+            }
+            return;
+        }
+        const deliver = (deadline: number) => {
+            const worker = find();
+            if (isCut()) {
+                this.after(WORKER_TIMEOUT_MS, () => reply("no-answer"));
+                return;
+            }
+            const outcome = carryOut(worker, effect, this.now);
+            const waits =
+                effect.kind === "list" && outcome === "done" && worker.ends.length === 0 && this.now < deadline;
+            if (waits) {
+                this.after(20, () => deliver(deadline));
+                return;
+            }
+            const list = {
+                incarnation: worker.entry.incarnation,
+                running: worker.running(this.now),
+                ended: [...worker.ends],
+            };
+            reply(outcome, effect.kind === "list" && outcome === "done" ? list : undefined);
+        };
+        const waitMs = effect.kind === "list" ? effect.order.waitMs : 0;
+        this.after(this.random.between(1, 20), () => deliver(this.now + waitMs));
+    }
+
+    // Callers
+
+    private submitNext(): void {
+        if (this.now > this.plan.lengthMs) {
+            return;
+        }
+        const id = this.random
+            .between(0, 2 ** 31 - 1)
+            .toString(16)
+            .padStart(16, "0");
+        const steps = this.random.between(1, 3);
+        const draft: JobDraft = {
+            payload: "p",
+            steps: Array.from({ length: steps }, (_, index) => ({
+                tasks: this.random.between(1, 4),
+                request: { cpuMillis: this.random.between(1, 6) * 1_000, memoryMb: 1_000, accelerators: 0 },
+                estimateMs: 1_000,
+                after: index === 0 ? [] : [index - 1],
+                mode: "independent",
+                checkpoints: false,
+                sameRack: false,
+                usesSpareCpu: false,
+            })),
+            occurrences: 0,
+            firstDueMs: 0,
+            intervalMs: 0,
+        };
+        this.jobs.set(id, { draft, answered: false });
+        this.witness.noteJob({ id, queue: QUEUE, acceptedAtMs: 0, ...draft });
+        this.submit(id, 5);
+        this.after(this.random.between(50, 500), () => this.submitNext());
+    }
+
+    private submit(id: string, tries: number): void {
+        const job = this.jobs.get(id)!;
+        if (job.answered || tries === 0) {
+            return;
+        }
+        this.call(id, { kind: "submit", draft: job.draft });
+        this.after(3_200, () => this.submit(id, tries - 1));
+    }
+
+    private call(id: string, request: { kind: "submit"; draft: JobDraft } | { kind: "read" }): void {
+        const alive = this.nodes.filter(each => each.instance !== undefined && this.now >= each.frozenUntil);
+        if (alive.length === 0) {
+            return;
+        }
+        const node = this.random.pick(alive);
+        this.calls += 1;
+        const path = `${QUEUE.prefix}${id}`;
+        const call = { number: this.calls, host: QUEUE.host, path, patienceMs: 3_000, request };
+        this.post(node, node.life, { kind: "call", call });
+    }
+
+    private takeAnswer(id: string, request: string, answer: { kind: string; state?: string }): void {
+        if (answer.kind === "accepted") {
+            this.jobs.get(id)!.answered = true;
+            this.witness.accepted.add(id);
+            this.after(this.random.between(100, 4_000), () => this.call(id, { kind: "read" }));
+        } else if (answer.kind === "state") {
+            this.witness.onShown(id, answer.state!);
+            if (answer.state === "running" || answer.state === "queued") {
+                this.after(this.random.between(300, 3_000), () => this.call(id, { kind: "read" }));
+            }
+        } else if (answer.kind === "no-job" && request === "read") {
+            this.witness.onUnknown(id);
+        }
+    }
+
+    // Faults
+
+    private injectNext(): void {
+        if (this.now > this.plan.lengthMs) {
+            return;
+        }
+        this.inject(this.random.pick(FAULTS));
+        this.after(this.random.between(1, this.plan.faultEveryMs * 2), () => this.injectNext());
+    }
+
+    private inject(fault: JobFault): void {
+        const leader = this.nodes.find(each => each.instance?.isLeading === true);
+        const node = leader !== undefined && this.random.chance(0.6) ? leader : this.random.pick(this.nodes);
+        const worker = this.random.between(0, this.plan.workers - 1);
+        const lasts = this.random.between(500, 6_000);
+        this.log.push(`${Math.round(this.now)} FAULT ${fault} n${node.index} w${worker} ${lasts}`);
+        switch (fault) {
+            case "kill":
+                this.kill(node);
+                break;
+            case "kill-all":
+                this.nodes.forEach(each => this.kill(each));
+                break;
+            case "freeze":
+                this.freeze(node, lasts);
+                break;
+            case "cut-store":
+                node.storeCutUntil = this.now + lasts;
+                break;
+            case "store-down":
+                this.storeDownUntil = this.now + lasts;
+                break;
+            case "lost-answers":
+                this.lostUntil = this.now + lasts;
+                break;
+            case "worker-crash":
+                this.workers[worker].crash();
+                this.addWorker(worker, Math.round(this.now));
+                break;
+            case "worker-cut":
+                this.cutWorkers.set(`w${worker}`, this.now + lasts);
+                break;
+            case "late-orders":
+                this.lateUntil = this.now + lasts;
+                break;
+            case "expire":
+                Object.values(this.streams).forEach(log => log.expire());
+                break;
+        }
+    }
+
+    private kill(node: Node): void {
+        node.instance = undefined;
+        node.life += 1;
+        this.after(this.random.between(300, 1_500), () => this.startNode(node));
+    }
+
+    private freeze(node: Node, lasts: number): void {
+        if (this.now < node.frozenUntil || node.instance === undefined) {
+            return;
+        }
+        const { life } = node;
+        node.frozenUntil = this.now + lasts;
+        this.after(lasts, () => {
+            if (node.life === life) {
+                node.frozenMs += lasts;
+                const { held } = node;
+                node.held = [];
+                held.forEach(act => act());
+            }
+        });
+    }
+
+    private checkFinished(): void {
+        for (const id of this.witness.accepted) {
+            const state = this.shownState(id);
+            this.witness.check("finished", state === "done" || state === "failed", `${id} is ${state} at the end`);
+        }
+    }
+
+    private shownState(id: string): string {
+        const node = this.nodes.find(each => each.instance !== undefined)!;
+        return node.instance!.stateOfJob(id) ?? "unknown";
+    }
+}
+
+function carryOut(worker: LeasedWorker, effect: WorkerEffect, now: number): OrderOutcome {
+    switch (effect.kind) {
+        case "start":
+            return worker.start(effect.order, now);
+        case "stop":
+            return worker.stop(effect.order, now);
+        case "list":
+            return worker.hold(effect.order, now);
+        case "throttle":
+            return "done";
+    }
+}
