Conclude from a worker's own lists, not from the platform's, which life of it runs what

A list asked for with the former life's numbers made the new life forget ends. Ruled out: fences and leases, which held.

--- a/src/dispatch/common/run.ts
+++ b/src/dispatch/common/run.ts
@@ -20,6 +20,7 @@
     | "unlisted"
     | "ended"
     | "lost"
+    | "replaced"
     | "stop"
     | "stop-confirmed"
     | "stop-due";
@@ -39,6 +40,7 @@
             "unlisted",
             "ended",
             "lost",
+            "replaced",
             "stop",
             "stop-confirmed",
             "stop-due",
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -226,7 +226,7 @@
 
     /** Takes an end that a worker lists. */
     takeListedEnd(worker: WorkerContact, end: ListedEnd, now: number): void {
-        const { incarnation } = worker.entry;
+        const { incarnation } = worker;
         const task = this.book.findTask(end.task);
         const noteRecorded = () => worker.noteRecorded(end.number, incarnation);
         if (task === undefined) {
--- a/src/dispatch/common/workerContact.ts
+++ b/src/dispatch/common/workerContact.ts
@@ -12,21 +12,24 @@
 
 /** Contact of the leader with a worker. */
 export type ContactState = "unmet" | "reachable" | "silent" | "vacant";
-type ContactEvent = "answered" | "unanswered" | "replaced" | "lease-over";
-type ContactAction = "loseRuns";
+type ContactEvent = "answered" | "unanswered" | "replaced" | "gone" | "lease-over";
+type ContactAction = "loseRuns" | "replaceRuns";
 
 const chart = ChartRegistry.instance.register(
     ChartLoader.load<ContactState, ContactEvent, never, ContactAction>(chartText, "workerContact.chart.yaml", {
         states: ["unmet", "reachable", "silent", "vacant"],
-        events: ["answered", "unanswered", "replaced", "lease-over"],
+        events: ["answered", "unanswered", "replaced", "gone", "lease-over"],
         guards: [],
-        actions: ["loseRuns"],
+        actions: ["loseRuns", "replaceRuns"],
     }),
 );
 
 /** How long a worker that fails all tasks is left out before it is tried with one task, in ms. */
 const EXCLUSION = { shortestMs: 2_500, longestMs: 20_000 };
 
+/** How far a worker's clock may be behind before it is taken to have started anew, in ms: more than it can be slow. */
+const REBIRTH_MS = 500;
+
 /** What a worker has been given and what is left of it. */
 export interface Room {
     readonly cpuMillis: number;
@@ -40,6 +43,8 @@
 export class WorkerContact {
     private readonly machine: Machine<number, ContactState, ContactEvent, never, ContactAction>;
     private clock: WorkerClock | undefined;
+    /** Incarnation that the latest list named. */
+    private life: number | undefined;
     /** Latest reading of the worker's clock (ms) up to which this leader let it run tasks. */
     private leaseUntil = 0;
     private processedUpTo = 0;
@@ -69,7 +74,10 @@
     ) {
         this.machine = Machine.create(chart, {
             guards: {},
-            actions: { loseRuns: now => this.loseRuns(now) },
+            actions: {
+                loseRuns: now => this.fireAll("lost", now),
+                replaceRuns: now => this.fireAll("replaced", now),
+            },
         });
     }
 
@@ -110,45 +118,47 @@
         if (entry.incarnation < this.listed.incarnation) {
             return;
         }
-        const isNewer = entry.incarnation > this.listed.incarnation;
         this.listed = entry;
         this.isListed = true;
         this.leavesAt = entry.state === "draining" ? (this.leavesAt ?? now + (entry.drainLeftMs ?? 0)) : undefined;
-        if (isNewer) {
-            this.forgetLife(now);
-        }
     }
 
     /**
-     * Takes in the incarnation that the worker itself names.
-     * @param incarnation When its life began, in ms since the Unix epoch.
+     * Takes in the incarnation that a list names. Only a list tells what the new life runs, so nothing is concluded from
+     * the platform's list.
+     * @param incarnation When the worker's life began, in ms since the Unix epoch.
      * @param now Time in ms.
+     * @returns Whether the list is of the latest life.
      */
-    noteIncarnation(incarnation: number, now: number): void {
-        if (incarnation > this.listed.incarnation) {
-            this.listed = { ...this.listed, incarnation };
-            this.forgetLife(now);
+    noteIncarnation(incarnation: number, now: number): boolean {
+        const isNewer = this.life !== undefined && incarnation > this.life;
+        if (this.life !== undefined && incarnation < this.life) {
+            return false;
+        }
+        this.life = incarnation;
+        if (isNewer) {
+            this.resetLife();
+            this.machine.fire("replaced", now);
         }
+        return true;
     }
 
     /** Notes that another worker answers at the address. @param now Time in ms. */
-    noteReplaced(now: number): void {
+    noteGone(now: number): void {
         this.isListed = false;
-        this.forgetLife(now);
-    }
-
-    private forgetLife(now: number): void {
-        this.clock = undefined;
-        this.leaseUntil = 0;
-        this.processedUpTo = 0;
-        this.recordedUpTo = 0;
-        this.unrecorded.clear();
-        this.machine.fire("replaced", now);
+        this.resetLife();
+        this.machine.fire("gone", now);
     }
 
     /** Notes a reading of the worker's clock. @param reading Reading in ms. @param now Time in ms. */
     noteClock(reading: number, now: number): void {
+        const expected = this.readingIn(0, now);
+        if (expected !== undefined && reading < expected - REBIRTH_MS) {
+            // The ends of a new life are numbered anew: none of them has been recorded.
+            this.resetLife();
+        }
         this.clock = WorkerClock.create(String(this.listed.incarnation), reading, now);
+        this.leaseUntil = Math.min(this.leaseUntil, reading + this.longestLeaseMs);
         this.machine.fire("answered", now);
     }
 
@@ -200,19 +210,31 @@
     }
 
     /** Notes that an end is recorded, so that the worker may forget it once all earlier ones are recorded, too. */
-    noteRecorded(number: number, incarnation: number): void {
-        if (incarnation !== this.listed.incarnation || !this.unrecorded.delete(number)) {
+    noteRecorded(number: number, life: number | undefined): void {
+        if (life !== this.life || !this.unrecorded.delete(number)) {
             return;
         }
         const first = Math.min(...this.unrecorded);
         this.recordedUpTo = this.unrecorded.size === 0 ? this.processedUpTo : first - 1;
     }
 
+    /** Incarnation that the latest list named, in ms since the Unix epoch. */
+    get incarnation(): number | undefined {
+        return this.life;
+    }
+
     /** Whether ends are being recorded. */
     get isRecording(): boolean {
         return this.unrecorded.size > 0;
     }
 
+    private resetLife(): void {
+        this.leaseUntil = 0;
+        this.processedUpTo = 0;
+        this.recordedUpTo = 0;
+        this.unrecorded.clear();
+    }
+
     /** @returns What is left of the worker's capacity. */
     room(): Room {
         const { capacity } = this.listed;
@@ -245,7 +267,7 @@
         return now > this.clock.passedBy(this.leaseUntil) + LEASE_MARGIN_MS;
     }
 
-    private loseRuns(now: number): void {
-        [...this.runs.values()].forEach(run => run.fire("lost", { now }));
+    private fireAll(event: "lost" | "replaced", now: number): void {
+        [...this.runs.values()].forEach(run => run.fire(event, { now }));
     }
 }
--- a/src/dispatch/common/workerPool.ts
+++ b/src/dispatch/common/workerPool.ts
@@ -141,7 +141,7 @@
         if (event.outcome === "fenced") {
             this.host.onFenced(now);
         } else if (event.outcome === "other-incarnation") {
-            this.follow(worker, now, () => worker.noteReplaced(now));
+            this.follow(worker, now, () => worker.noteGone(now));
         } else if (event.clockMs !== undefined) {
             this.follow(worker, now, () => worker.noteClock(event.clockMs!, now));
         }
@@ -170,12 +170,9 @@
             return;
         }
         const { incarnation, running, ended } = event.list;
-        if (incarnation !== undefined && incarnation !== worker.entry.incarnation) {
-            if (incarnation < worker.entry.incarnation) {
-                worker.nextListAt = now + RETRY_LIST_MS;
-                return;
-            }
-            this.follow(worker, now, () => worker.noteIncarnation(incarnation, now));
+        if (incarnation !== undefined && !this.noteIncarnation(worker, incarnation, now)) {
+            worker.nextListAt = now + RETRY_LIST_MS;
+            return;
         }
         worker.listedAt = event.sentAt;
         for (const end of ended) {
@@ -202,6 +199,16 @@
         worker.nextListAt = now + pauseAfterList(worker);
     }
 
+    private noteIncarnation(worker: WorkerContact, incarnation: number, now: number): boolean {
+        const before = worker.incarnation;
+        const isLatest = worker.noteIncarnation(incarnation, now);
+        if (before !== undefined && worker.incarnation !== before) {
+            const data = { worker: worker.entry.id, incarnation, before, runs: worker.runs.size };
+            this.effects.emit({ kind: "decision", name: "worker-replaced", data });
+        }
+        return isLatest;
+    }
+
     private requestList(worker: WorkerContact, now: number): void {
         const isBusy = worker.runs.size > 0;
         const isUnsettled = [...worker.runs.values()].some(run => UNSETTLED.has(run.state));
--- a/src/proof/node/jobTrial.ts
+++ b/src/proof/node/jobTrial.ts
@@ -368,7 +368,13 @@
         if (isLate || isCut()) {
             this.after(WORKER_TIMEOUT_MS, () => reply("no-answer"));
             if (isLate) {
-                this.after(this.random.between(2_000, 6_000), () => carryOut(find(), effect, this.now));
+                // The worker has the order and is slow to carry it out; if it crashes, the order is gone.
+                const worker = find();
+                this.after(this.random.between(2_000, 6_000), () => {
+                    if (find() === worker) {
+                        carryOut(worker, effect, this.now);
+                    }
+                });
             }
             return;
         }
@@ -518,6 +524,7 @@
 
     private kill(node: Node): void {
         node.instance = undefined;
+        node.frozenUntil = 0;
         node.life += 1;
         this.after(this.random.between(300, 1_500), () => this.startNode(node));
     }
