--- a/src/dispatch/common/workerContact.ts
+++ b/src/dispatch/common/workerContact.ts
@@ -229,7 +229,6 @@
     }
 
     private resetLife(): void {
-        this.leaseUntil = 0;
         this.processedUpTo = 0;
         this.recordedUpTo = 0;
         this.unrecorded.clear();
--- a/src/proof/node/jobTrial.ts
+++ b/src/proof/node/jobTrial.ts
@@ -1,92 +1,21 @@
 import { Err } from "ts-results";
 import { WorkerEntry } from "../../dispatch/common/workerEntry";
 import { OrderOutcome, RunEnd, RunList, WorkerEffect } from "../../dispatch/common/workerTraffic";
-import { EntryDecoder } from "../../host/common/entryDecoder";
 import { JobInstance } from "../../host/common/jobInstance";
 import { JobInstanceEffect, JobInstanceEvent } from "../../host/common/jobTraffic";
 import { JobDraft } from "../../jobs/common/jobCall";
-import { Configuration, Queue } from "../../jobs/common/queueTable";
-import { StoredRecord } from "../../records/common/record";
 import { StreamName } from "../../records/common/recordStore";
 import { RecordEffect } from "../../records/common/recordTraffic";
 import { KeyedLog } from "../../standin/common/keyedLog";
 import { LeasedWorker } from "../../standin/common/leasedWorker";
-import { Breach, JobWitness } from "./jobWitness";
+import { carryOut, FAULTS, JobFault, JobTrialPlan, JobTrialResult, QUEUE, TERMS, TrialDecoder } from "./jobTrialPlan";
+import { JobWitness } from "./jobWitness";
 import { Random } from "./random";
 
 const TICK_MS = 25;
 const BEAT_MS = 1_500;
 const STORE_TIMEOUT_MS = 400;
 const WORKER_TIMEOUT_MS = 800;
-const QUEUE: Queue = {
-    name: "q/",
-    host: "host",
-    prefix: "/q/",
-    service: "svc",
-    priority: 0,
-    maxAttempts: 3,
-    stretch: 2,
-    slackMs: 1_000,
-    timeoutMs: 3_000,
-};
-const CONFIGURATION: Configuration = {
-    version: 1,
-    queues: [QUEUE],
-    services: [{ name: "svc", rejectsOverload: true, isStandby: false }],
-    maxBodyBytes: 100_000,
-};
-const TERMS = { longestLeaseMs: 6_000, stopMs: 200, gangWaitMs: 3_000, harmMs: 4_000, retentionMs: 120_000 };
-
-/** Kinds of faults that a trial injects, one at a time or several at once. */
-export type JobFault =
-    | "kill"
-    | "kill-all"
-    | "freeze"
-    | "cut-store"
-    | "store-down"
-    | "lost-answers"
-    | "worker-crash"
-    | "worker-cut"
-    | "late-orders"
-    | "expire";
-
-const FAULTS: readonly JobFault[] = [
-    "kill",
-    "kill-all",
-    "freeze",
-    "cut-store",
-    "store-down",
-    "lost-answers",
-    "worker-crash",
-    "worker-cut",
-    "late-orders",
-    "expire",
-];
-
-/** What a trial does. */
-export interface JobTrialPlan {
-    readonly seed: number;
-    /** How long jobs are handed in and faults injected, in ms. */
-    readonly lengthMs: number;
-    readonly instances: number;
-    readonly workers: number;
-    /** Mean time between faults, in ms; none if 0. */
-    readonly faultEveryMs: number;
-    /** Breaks something on purpose, to show that a rule notices. */
-    readonly sabotage?: (trial: JobTrial) => void;
-}
-
-/** What came of a trial. */
-export interface JobTrialResult {
-    readonly breaches: readonly Breach[];
-    readonly jobs: number;
-    readonly accepted: number;
-    readonly finished: number;
-    readonly starts: number;
-    readonly leaders: number;
-    readonly log: readonly string[];
-}
-
 /** Time after the last fault within which all jobs must have ended, in ms: leases of lost leaders and workers, twice. */
 const SETTLE_MS = 60_000;
 
@@ -107,16 +36,6 @@
     readonly act: () => void;
 }
 
-class TrialDecoder extends EntryDecoder {
-    override configuration(): Configuration {
-        return CONFIGURATION;
-    }
-
-    override worker(record: StoredRecord): WorkerEntry | undefined {
-        return record.value === undefined ? undefined : (JSON.parse(record.value) as WorkerEntry);
-    }
-}
-
 /** Runs whole instances against a store and workers in memory, on a clock of its own, under random faults. */
 export class JobTrial {
     private readonly random: Random;
@@ -295,9 +214,7 @@
             if (!this.reachesStore(node)) {
                 const unavailable = Err("unavailable" as const);
                 const kind = effect.kind === "read" ? "read-answer" : "newest-answer";
-                this.after(STORE_TIMEOUT_MS, () =>
-                    answer({ kind, stream, sentAt, result: unavailable } as JobInstanceEvent),
-                );
+                this.after(STORE_TIMEOUT_MS, () => answer({ kind, stream, sentAt, result: unavailable }));
             } else if (effect.kind === "read-newest") {
                 answer({ kind: "newest-answer", stream, sentAt, result: log.newest(effect.after) });
             } else if (log.end > effect.from || this.now >= deadline || !log.read(effect.from).ok) {
@@ -378,17 +295,20 @@
             }
             return;
         }
-        const deliver = (deadline: number) => {
-            const worker = find();
-            if (isCut()) {
+        let outcome: OrderOutcome | undefined;
+        const deliver = (deadline: number, worker: LeasedWorker) => {
+            // A crash breaks the connections of the calls that wait.
+            if (isCut() || find() !== worker) {
                 this.after(WORKER_TIMEOUT_MS, () => reply("no-answer"));
                 return;
             }
-            const outcome = carryOut(worker, effect, this.now);
+            worker.advance(this.now);
+            // What a list says of recorded ends is taken in once, when it arrives.
+            outcome ??= carryOut(worker, effect, this.now);
             const waits =
                 effect.kind === "list" && outcome === "done" && worker.ends.length === 0 && this.now < deadline;
             if (waits) {
-                this.after(20, () => deliver(deadline));
+                this.after(20, () => deliver(deadline, worker));
                 return;
             }
             const list = {
@@ -399,7 +319,7 @@
             reply(outcome, effect.kind === "list" && outcome === "done" ? list : undefined);
         };
         const waitMs = effect.kind === "list" ? effect.order.waitMs : 0;
-        this.after(this.random.between(1, 20), () => deliver(this.now + waitMs));
+        this.after(this.random.between(1, 20), () => deliver(this.now + waitMs, find()));
     }
 
     // Callers
@@ -557,16 +477,3 @@
         return node.instance!.stateOfJob(id) ?? "unknown";
     }
 }
-
-function carryOut(worker: LeasedWorker, effect: WorkerEffect, now: number): OrderOutcome {
-    switch (effect.kind) {
-        case "start":
-            return worker.start(effect.order, now);
-        case "stop":
-            return worker.stop(effect.order, now);
-        case "list":
-            return worker.hold(effect.order, now);
-        case "throttle":
-            return "done";
-    }
-}
