Serve jobs that can still meet their objective first; extrapolate falling headroom when placing

Cause: under overload the step with the least slack came first, also of jobs that were late already, so that most became late; runs were placed beside tasks whose load was about to rise, then slowed down and moved (627 moves). Ruled out: the learnt pressures (the pairs that press were all found).

--- a/src/dispatch/common/activeJob.ts
+++ b/src/dispatch/common/activeJob.ts
@@ -99,6 +99,23 @@
         return group.step.after.every(step => this.groups.get(`${group.occurrence}.${step}`)!.done.isFull);
     }
 
+    /** Whether the job runs until it is cancelled. */
+    get isLongRunning(): boolean {
+        return this.spec.steps.some(step => step.mode === "long-running");
+    }
+
+    /** @returns Estimated duration in ms of a step and of all that comes after it. */
+    remainingMs(group: StepRun): number {
+        const first = this.spec.steps.indexOf(group.step);
+        const ends = this.spec.steps.map(() => 0);
+        for (let number = first; number < ends.length; number++) {
+            const step = this.spec.steps[number];
+            const start = Math.max(0, ...step.after.map(each => ends[each]));
+            ends[number] = number === first || start > 0 ? start + step.estimateMs : 0;
+        }
+        return Math.max(...ends);
+    }
+
     /** Notes that a task is done; for a gang all its tasks are. */
     markDone(task: Task): void {
         const group = this.groups.get(task.group)!;
--- a/src/dispatch/common/spareChoice.ts
+++ b/src/dispatch/common/spareChoice.ts
@@ -13,6 +13,9 @@
 /** Headroom that tasks that serve are to keep when another is placed beside them. */
 const KEPT_HEADROOM = 1.1;
 
+/** Longest time over which the load of tasks that serve is extrapolated, in s. */
+const LONGEST_HORIZON_S = 2;
+
 /** Cost of a loss of headroom below what is to be kept, and of any loss, in thousandths of a core per unit. */
 const SHORTFALL_COST = 200_000;
 const PRESSURE_COST = 40_000;
@@ -31,12 +34,14 @@
     override cost(task: Task, worker: WorkerContact, { room, serving }: WorkerOutlook): number | undefined {
         const { request, image } = task.step;
         const share = request.cpuMillis / worker.entry.capacity.cpuMillis;
+        const horizonS = Math.min(LONGEST_HORIZON_S, task.step.estimateMs / 1_000);
         let unused = room.spareCpuMillis;
         let cost = 0;
         for (const each of serving) {
             unused += each.cpuMillis * (1 - SERVING_LOAD);
             const added = this.model.pressure(each.image, image, share);
-            if (each.headroom - added < KEPT_HEADROOM) {
+            const expected = Math.max(each.lowestHeadroom, each.headroom + each.decline * horizonS);
+            if (Math.min(each.headroom, expected) - added < KEPT_HEADROOM) {
                 return undefined;
             }
             cost += added * PRESSURE_COST + Math.max(0, KEPT_HEADROOM - each.lowestHeadroom + added) * SHORTFALL_COST;
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -13,6 +13,11 @@
 /** A job whose objective was missed by this factor is worth nothing any more. */
 const WORTHLESS_FACTOR = 3;
 
+/** Whether a job can still meet its objective, is only late, or is worth nothing any more; lower comes first. */
+type Prospect = "in-time" | "late" | "worthless";
+
+const PROSPECT_ORDER: Readonly<Record<Prospect, number>> = { "in-time": 0, late: 1, worthless: 2 };
+
 /** A step with tasks that wait, and what its order depends on. */
 interface WaitingStep {
     readonly job: ActiveJob;
@@ -20,9 +25,11 @@
     readonly tasks: readonly Task[];
     readonly service: string;
     readonly priority: number;
-    readonly isWorthless: boolean;
-    /** Time left until the job misses its objective, in ms. */
+    readonly prospect: Prospect;
+    /** Time to spare until the job misses its objective, in ms. */
     readonly slackMs: number;
+    /** Estimated duration of what is left of the job, in ms. */
+    readonly leftMs: number;
 }
 
 /** Orders the steps that wait and gives their tasks to workers, as long as there is room. */
@@ -74,8 +81,6 @@
 
     private collect(job: ActiveJob, now: number, wallNow: number, into: WaitingStep[]): void {
         const { service, priority } = this.queues.newest(job.spec.queue);
-        const allowedMs = job.objectiveMs - job.spec.acceptedAtMs;
-        const isWorthless = wallNow > job.spec.acceptedAtMs + WORTHLESS_FACTOR * allowedMs;
         for (const group of job.steps) {
             if (group.done.isFull || !job.isReady(group)) {
                 continue;
@@ -85,8 +90,10 @@
             );
             const isWhole = group.step.mode !== "gang" || tasks.length === group.tasks.length;
             if (tasks.length > 0 && isWhole) {
-                const slackMs = job.objectiveMs - wallNow - group.step.estimateMs;
-                into.push({ job, group, tasks, service, priority, isWorthless, slackMs });
+                const leftMs = job.remainingMs(group);
+                const slackMs = job.objectiveMs - wallNow - leftMs;
+                const prospect = prospectOf(job, wallNow, leftMs);
+                into.push({ job, group, tasks, service, priority, prospect, slackMs, leftMs });
             }
         }
     }
@@ -157,13 +164,22 @@
 
 function compareSteps(a: WaitingStep, b: WaitingStep): number {
     return (
-        Number(a.isWorthless) - Number(b.isWorthless) ||
         a.priority - b.priority ||
-        a.slackMs - b.slackMs ||
+        PROSPECT_ORDER[a.prospect] - PROSPECT_ORDER[b.prospect] ||
+        (a.prospect === "in-time" ? a.slackMs - b.slackMs : a.leftMs - b.leftMs) ||
         a.tasks.length - b.tasks.length
     );
 }
 
+function prospectOf(job: ActiveJob, wallNow: number, leftMs: number): Prospect {
+    const end = wallNow + leftMs;
+    if (job.isLongRunning || end <= job.objectiveMs) {
+        return "in-time";
+    }
+    const { acceptedAtMs } = job.spec;
+    return end <= acceptedAtMs + WORTHLESS_FACTOR * (job.objectiveMs - acceptedAtMs) ? "late" : "worthless";
+}
+
 /** @returns The rack on which most tasks of a step run, if any run. */
 function rackOf(group: StepRun): string | undefined {
     return group.tasks.find(task => task.run !== undefined)?.run?.rack;
--- a/src/dispatch/common/workerOutlook.ts
+++ b/src/dispatch/common/workerOutlook.ts
@@ -6,6 +6,8 @@
     readonly image: string | undefined;
     readonly cpuMillis: number;
     readonly headroom: number;
+    /** Change of the headroom per second, if it falls. */
+    readonly decline: number;
     readonly lowestHeadroom: number;
 }
 
@@ -31,6 +33,7 @@
                 image,
                 cpuMillis: request.cpuMillis,
                 headroom: base.headroom - loss,
+                decline: Math.min(0, base.trend),
                 lowestHeadroom: base.lowest - loss,
             });
         }
