Let the lease of a silent worker run out

Ruled out: the leader's rights, which were confirmed all the time. A list to a worker that does not answer extends nothing any more.

--- a/src/dispatch/common/workerPool.ts
+++ b/src/dispatch/common/workerPool.ts
@@ -212,15 +212,17 @@
     private requestList(worker: WorkerContact, now: number): void {
         const isBusy = worker.runs.size > 0;
         const isUnsettled = [...worker.runs.values()].some(run => UNSETTLED.has(run.state));
+        // A list that is not answered may still be carried out, so a silent worker's lease is left to run out.
+        const isReachable = worker.state === "reachable";
         worker.isListing = true;
         this.effects.emit({
             kind: "list",
             worker: worker.entry,
             order: {
                 epoch: this.epoch,
-                leaseUntil: isBusy && this.host.mayExtend(now) ? worker.longestLease(now) : undefined,
+                leaseUntil: isBusy && isReachable && this.host.mayExtend(now) ? worker.longestLease(now) : undefined,
                 recordedUpTo: worker.recordedUpTo,
-                waitMs: isBusy && !isUnsettled && worker.state === "reachable" ? LIST_WAIT_MS : 0,
+                waitMs: isBusy && !isUnsettled && isReachable ? LIST_WAIT_MS : 0,
             },
         });
     }
--- a/src/proof/node/jobTrial.ts
+++ b/src/proof/node/jobTrial.ts
@@ -1,5 +1,4 @@
 import { Err } from "ts-results";
-import { WorkerEntry } from "../../dispatch/common/workerEntry";
 import { OrderOutcome, RunEnd, RunList, WorkerEffect } from "../../dispatch/common/workerTraffic";
 import { JobInstance } from "../../host/common/jobInstance";
 import { JobInstanceEffect, JobInstanceEvent } from "../../host/common/jobTraffic";
@@ -8,7 +7,18 @@
 import { RecordEffect } from "../../records/common/recordTraffic";
 import { KeyedLog } from "../../standin/common/keyedLog";
 import { LeasedWorker } from "../../standin/common/leasedWorker";
-import { carryOut, FAULTS, JobFault, JobTrialPlan, JobTrialResult, QUEUE, TERMS, TrialDecoder } from "./jobTrialPlan";
+import {
+    carryOut,
+    createDraft,
+    createEntry,
+    FAULTS,
+    JobFault,
+    JobTrialPlan,
+    JobTrialResult,
+    QUEUE,
+    TERMS,
+    TrialDecoder,
+} from "./jobTrialPlan";
 import { JobWitness } from "./jobWitness";
 import { Random } from "./random";
 
@@ -54,6 +64,7 @@
     private order = 0;
     private calls = 0;
     private leaders = 0;
+    private replacements = 0;
     private storeDownUntil = 0;
     private lostUntil = 0;
     private lateUntil = 0;
@@ -232,25 +243,23 @@
 
     // Workers
 
-    private addWorker(index: number, bornAt: number): void {
-        const entry: WorkerEntry = {
-            id: `w${index}`,
-            incarnation: bornAt,
-            service: "svc",
-            address: `w${index}`,
-            failureDomain: `z${index % 3}`,
-            state: "ready",
-            warmupLeftMs: 0,
-            capacity: { cpuMillis: 16_000, memoryMb: 64_000, accelerators: 0 },
-            labels: ["a", `r${index % 2}`],
-            rack: `r${index % 2}`,
-        };
+    private addWorker(index: number, bornAt: number, id = `w${index}`): void {
+        const entry = createEntry(index, id, bornAt);
         const rate = 1 - (this.plan.seed % 2 === 0 ? 0 : 0.02);
         const durationOf = (task: string, run: number) => this.durationOf(task, run);
         this.workers[index] = LeasedWorker.create(entry, bornAt, rate, durationOf, this.witness);
         this.beat(this.workers[index], index);
     }
 
+    /** Takes a worker away for good; another one with another name comes in its place. */
+    private removeWorker(index: number): void {
+        const gone = this.workers[index];
+        gone.crash();
+        this.replacements += 1;
+        this.addWorker(index, Math.round(this.now), `w${index}-${this.replacements}`);
+        this.after(3 * BEAT_MS, () => this.streams.workers.store(gone.entry.id, undefined));
+    }
+
     private beat(worker: LeasedWorker, index: number): void {
         if (this.workers[index] !== worker) {
             return;
@@ -273,10 +282,10 @@
         const sentAt = this.now - node.frozenMs;
         const { id } = effect.worker;
         const isLate = effect.kind !== "list" && this.now < this.lateUntil && this.random.chance(0.3);
-        const find = () => this.workers.find(each => each.entry.id === id)!;
+        const find = () => this.workers.find(each => each.entry.id === id);
         const isCut = () => this.now < (this.cutWorkers.get(id) ?? 0);
         const reply = (outcome: OrderOutcome, list?: RunList) => {
-            const clockMs = outcome === "no-answer" ? undefined : find().clock(this.now);
+            const clockMs = outcome === "no-answer" ? undefined : find()?.clock(this.now);
             const answer = { worker: id, sentAt, outcome, clockMs, order: effect.order, list };
             this.after(this.random.between(1, 20), () =>
                 this.post(node, life, { kind: `${effect.kind}-answer`, ...answer } as JobInstanceEvent),
@@ -288,7 +297,7 @@
                 // The worker has the order and is slow to carry it out; if it crashes, the order is gone.
                 const worker = find();
                 this.after(this.random.between(2_000, 6_000), () => {
-                    if (find() === worker) {
+                    if (worker !== undefined && find() === worker) {
                         carryOut(worker, effect, this.now);
                     }
                 });
@@ -296,9 +305,9 @@
             return;
         }
         let outcome: OrderOutcome | undefined;
-        const deliver = (deadline: number, worker: LeasedWorker) => {
+        const deliver = (deadline: number, worker: LeasedWorker | undefined) => {
             // A crash breaks the connections of the calls that wait.
-            if (isCut() || find() !== worker) {
+            if (worker === undefined || isCut() || find() !== worker) {
                 this.after(WORKER_TIMEOUT_MS, () => reply("no-answer"));
                 return;
             }
@@ -332,23 +341,7 @@
             .between(0, 2 ** 31 - 1)
             .toString(16)
             .padStart(16, "0");
-        const steps = this.random.between(1, 3);
-        const draft: JobDraft = {
-            payload: "p",
-            steps: Array.from({ length: steps }, (_, index) => ({
-                tasks: this.random.between(1, 4),
-                request: { cpuMillis: this.random.between(1, 6) * 1_000, memoryMb: 1_000, accelerators: 0 },
-                estimateMs: 1_000,
-                after: index === 0 ? [] : [index - 1],
-                mode: "independent",
-                checkpoints: false,
-                sameRack: false,
-                usesSpareCpu: false,
-            })),
-            occurrences: 0,
-            firstDueMs: 0,
-            intervalMs: 0,
-        };
+        const draft = createDraft(this.random);
         this.jobs.set(id, { draft, answered: false });
         this.witness.noteJob({ id, queue: QUEUE, acceptedAtMs: 0, ...draft });
         this.submit(id, 5);
@@ -397,7 +390,7 @@
         if (this.now > this.plan.lengthMs) {
             return;
         }
-        this.inject(this.random.pick(FAULTS));
+        this.inject(this.random.pick(this.plan.faults ?? FAULTS));
         this.after(this.random.between(1, this.plan.faultEveryMs * 2), () => this.injectNext());
     }
 
@@ -428,10 +421,13 @@
                 break;
             case "worker-crash":
                 this.workers[worker].crash();
-                this.addWorker(worker, Math.round(this.now));
+                this.addWorker(worker, Math.round(this.now), this.workers[worker].entry.id);
+                break;
+            case "worker-gone":
+                this.removeWorker(worker);
                 break;
             case "worker-cut":
-                this.cutWorkers.set(`w${worker}`, this.now + lasts);
+                this.cutWorkers.set(this.workers[worker].entry.id, this.now + lasts);
                 break;
             case "late-orders":
                 this.lateUntil = this.now + lasts;
--- a/src/proof/node/jobTrialPlan.ts
+++ b/src/proof/node/jobTrialPlan.ts
@@ -2,9 +2,11 @@
 import { OrderOutcome, WorkerEffect } from "../../dispatch/common/workerTraffic";
 import { EntryDecoder } from "../../host/common/entryDecoder";
 import { Configuration, Queue } from "../../jobs/common/queueTable";
+import { JobDraft } from "../../jobs/common/jobCall";
 import { StoredRecord } from "../../records/common/record";
 import { LeasedWorker } from "../../standin/common/leasedWorker";
 import type { JobTrial } from "./jobTrial";
+import { Random } from "./random";
 import { Breach } from "./jobWitness";
 
 /** The queue that all jobs of a trial are handed in to. */
@@ -38,6 +40,7 @@
     | "store-down"
     | "lost-answers"
     | "worker-crash"
+    | "worker-gone"
     | "worker-cut"
     | "late-orders"
     | "expire";
@@ -51,6 +54,7 @@
     "store-down",
     "lost-answers",
     "worker-crash",
+    "worker-gone",
     "worker-cut",
     "late-orders",
     "expire",
@@ -63,6 +67,8 @@
     readonly lengthMs: number;
     readonly instances: number;
     readonly workers: number;
+    /** Kinds of faults; all if not given. */
+    readonly faults?: readonly JobFault[];
     /** Mean time between faults, in ms; none if 0. */
     readonly faultEveryMs: number;
     /** Breaks something on purpose, to show that a rule notices. */
@@ -104,3 +110,40 @@
             return "done";
     }
 }
+
+/** @param index Number of the worker. @param id Its identifier. @param bornAt Time (ms) of its start. @returns Its entry. */
+export function createEntry(index: number, id: string, bornAt: number): WorkerEntry {
+    return {
+        id,
+        incarnation: bornAt,
+        service: "svc",
+        address: id,
+        failureDomain: `z${index % 3}`,
+        state: "ready",
+        warmupLeftMs: 0,
+        capacity: { cpuMillis: 16_000, memoryMb: 64_000, accelerators: 0 },
+        labels: ["a", `r${index % 2}`],
+        rack: `r${index % 2}`,
+    };
+}
+
+/** @param random Source of choices. @returns A job of up to three steps. */
+export function createDraft(random: Random): JobDraft {
+    const steps = random.between(1, 3);
+    return {
+        payload: "p",
+        steps: Array.from({ length: steps }, (_, index) => ({
+            tasks: random.between(1, 4),
+            request: { cpuMillis: random.between(1, 6) * 1_000, memoryMb: 1_000, accelerators: 0 },
+            estimateMs: 1_000,
+            after: index === 0 ? [] : [index - 1],
+            mode: "independent",
+            checkpoints: false,
+            sameRack: false,
+            usesSpareCpu: false,
+        })),
+        occurrences: 0,
+        firstDueMs: 0,
+        intervalMs: 0,
+    };
+}
--- a/src/proof/node/test/jobTrial.test.ts
+++ b/src/proof/node/test/jobTrial.test.ts
@@ -5,7 +5,7 @@
 import { RecordWriter } from "../../../records/common/recordWriter";
 import { LeasedWorker } from "../../../standin/common/leasedWorker";
 import { JobTrial } from "../jobTrial";
-import { JobTrialPlan } from "../jobTrialPlan";
+import { FAULTS, JobFault, JobTrialPlan } from "../jobTrialPlan";
 import { JobRule } from "../jobWitness";
 
 const PLAN: Omit<JobTrialPlan, "seed"> = { lengthMs: 20_000, instances: 3, workers: 6, faultEveryMs: 1_200 };
@@ -30,12 +30,24 @@
     });
 }
 
-for (const [seed, cause] of Object.entries(REGRESSIONS)) {
+/** Faults that the trials had when the seeds above failed; the choices of a seed depend on them. */
+const FIRST_FAULTS = FAULTS.filter(fault => fault !== "worker-gone");
+
+/** Seeds that failed with all faults, and why. */
+const LATER_REGRESSIONS: Readonly<Record<number, string>> = {
+    300: "lists that were not answered extended the lease of a lost worker for ever",
+    307: "the same, with several leaders",
+};
+
+function holds(seed: string, cause: string, faults: readonly JobFault[]): void {
     test.serial(`seed ${seed} holds: ${cause}`, t => {
-        t.deepEqual(JobTrial.run({ ...PLAN, lengthMs: FULL_MS, seed: Number(seed) }).breaches, []);
+        t.deepEqual(JobTrial.run({ ...PLAN, lengthMs: FULL_MS, seed: Number(seed), faults }).breaches, []);
     });
 }
 
+Object.entries(REGRESSIONS).forEach(([seed, cause]) => holds(seed, cause, FIRST_FAULTS));
+Object.entries(LATER_REGRESSIONS).forEach(([seed, cause]) => holds(seed, cause, FAULTS));
+
 test.serial("the same seed gives the same trial", t => {
     const [one, two] = [1, 2].map(() => JobTrial.run({ ...PLAN, seed: 5 }));
     t.deepEqual(one, two);
