--- a/src/dispatch/common/pacer.ts
+++ b/src/dispatch/common/pacer.ts
@@ -8,8 +8,8 @@
 /** How far ahead the load is extrapolated when it rises, in s: age of a report and time until an order shows. */
 const HORIZON_S = 0.8;
 
-/** Least change of speed that is worth an order, and the steps in which speeds are given, in percent. */
-const LEAST_CHANGE = 15;
+/** Least increase of speed that is worth an order, and the steps in which speeds are given, in percent. */
+const LEAST_INCREASE = 15;
 const STEP = 5;
 
 /** Largest increase of speed at once, in percent. */
@@ -18,12 +18,17 @@
 /** Time after a change of speed before reports show it, in ms. */
 const SETTLE_MS = 600;
 
+/** Time over its target after which a task that serves is left alone on its worker, in ms, whatever the model says. */
+const LONGEST_OVER_MS = 1_500;
+
 /** Least pressure that is reckoned with, so that a run without any is divided by something. */
 const LEAST_PRESSURE = 0.001;
 
 /** Sets the speed of runs that use spare processor time, so that tasks beside them keep their latency targets. */
 export class Pacer {
     private readonly changedAt = new WeakMap<WorkerContact, number>();
+    /** Since when tasks that serve have been over their targets. */
+    private readonly overSince = new WeakMap<Run, number>();
 
     private constructor(
         private readonly model: LatencyModel,
@@ -41,18 +46,20 @@
 
     /** Looks at the latest reports of a worker's runs. @param worker The worker. @param now Time in ms. */
     review(worker: WorkerContact, now: number): void {
-        if (now - (this.changedAt.get(worker) ?? -Infinity) < SETTLE_MS) {
+        const runs = [...worker.runs.values()].filter(run => run.state === "running");
+        runs.forEach(run => this.noteTarget(run, now));
+        const isSettled = now - (this.changedAt.get(worker) ?? -Infinity) >= SETTLE_MS;
+        if (!isSettled && !runs.some(run => this.isOverLong(run, now))) {
             return;
         }
-        const runs = [...worker.runs.values()].filter(run => run.state === "running");
         const spare = runs.filter(run => run.task.step.usesSpareCpu);
         if (spare.length > 0) {
-            this.share(this.budgets(runs, worker), spare, worker, now);
+            this.share(this.budgets(runs, worker, now), spare, worker, now);
         }
     }
 
     /** How much headroom each task that serves can give to the runs beside it. */
-    private budgets(runs: readonly Run[], worker: WorkerContact): Budget[] {
+    private budgets(runs: readonly Run[], worker: WorkerContact, now: number): Budget[] {
         return runs.flatMap(run => {
             const observed = headroomOf(run);
             if (observed === undefined) {
@@ -61,10 +68,25 @@
             const own = observed + this.model.pressureOn(run, worker, each => measuredShare(each, worker));
             const base = this.model.base(run);
             const expected = (own + base.headroom) / 2 + Math.min(0, base.trend) * HORIZON_S;
-            return [{ image: run.task.step.image, left: Math.max(0, expected - KEPT_HEADROOM) }];
+            const left = this.isOverLong(run, now) ? 0 : Math.max(0, expected - KEPT_HEADROOM);
+            return [{ image: run.task.step.image, left }];
         });
     }
 
+    private noteTarget(run: Run, now: number): void {
+        const headroom = headroomOf(run);
+        if (headroom === undefined || headroom >= 1) {
+            this.overSince.delete(run);
+        } else if (!this.overSince.has(run)) {
+            this.overSince.set(run, now);
+        }
+    }
+
+    private isOverLong(run: Run, now: number): boolean {
+        const since = this.overSince.get(run);
+        return since !== undefined && now - since >= LONGEST_OVER_MS;
+    }
+
     /** Gives speed to the runs that press least first, as long as no task that serves loses more than it can. */
     private share(budgets: readonly Budget[], spare: readonly Run[], worker: WorkerContact, now: number): void {
         const demands = spare.map(run => {
@@ -85,8 +107,9 @@
 
     private change(worker: WorkerContact, run: Run, wanted: number, now: number): void {
         const percent = Math.min(wanted, run.percent + LARGEST_INCREASE);
-        const isEnd = percent !== run.percent && (percent === 0 || percent === 100);
-        if (!run.isSpeedKnown || isEnd || Math.abs(percent - run.percent) >= LEAST_CHANGE) {
+        const isRestored = percent === 100 && run.percent < 100;
+        const isWorth = percent < run.percent || percent - run.percent >= LEAST_INCREASE || isRestored;
+        if (!run.isSpeedKnown || isWorth) {
             this.changedAt.set(worker, now);
             this.throttle(run, percent);
         }
