--- a/src/cli/node/main.ts
+++ b/src/cli/node/main.ts
@@ -8,6 +8,7 @@
 import { addServeCommand } from "./serveCommand";
 import { addStandInCommand } from "./standInCommand";
 import { addTaskCommands } from "./taskCommands";
+import { addTraceCommand } from "./traceCommand";
 import { addTicketCommands, ClientSource } from "./ticketCommands";
 
 const DEFAULT_SERVER = "http://127.0.0.1:7400";
@@ -49,6 +50,7 @@
     addTaskCommands(program, createClient);
     addReadingCommands(program, createClient);
     addChartCommand(program);
+    addTraceCommand(program);
     program
         .command("demo")
         .description("run instances, workers and the platform in this process for a minute, and tell what happens")
--- /dev/null
+++ b/src/dispatch/common/jobPruner.ts
@@ -0,0 +1,58 @@
+import { jobKey } from "../../jobs/common/jobRecord";
+import { isFinal, JobTable } from "../../jobs/common/jobTable";
+import { RecordWriter } from "../../records/common/recordWriter";
+
+/** Time between two looks for jobs that have expired, in ms. */
+const INTERVAL_MS = 5_000;
+
+/** Time for which a job is kept beyond the retention, in ms: repeated submissions arrive seconds late. */
+const MARGIN_MS = 60_000;
+
+/** Deletes the records of jobs that finished longer ago than their state has to be kept. */
+export class JobPruner {
+    private readonly finishedAt = new Map<string, number>();
+    private lookAt = 0;
+
+    private constructor(
+        private readonly jobs: JobTable,
+        private readonly writer: RecordWriter,
+        private readonly retentionMs: number,
+    ) {}
+
+    /**
+     * @param jobs All jobs.
+     * @param writer Writes the deletions.
+     * @param retentionMs How long the state of a finished job is kept, in ms.
+     * @returns The pruner; jobs count as finished from when it first sees them so.
+     */
+    static create(jobs: JobTable, writer: RecordWriter, retentionMs: number): JobPruner {
+        return new JobPruner(jobs, writer, retentionMs);
+    }
+
+    /** Deletes what has expired. @param now Time in ms. */
+    tick(now: number): void {
+        if (now < this.lookAt) {
+            return;
+        }
+        this.lookAt = now + INTERVAL_MS;
+        for (const entry of this.jobs.all) {
+            const hasRuns = (entry.progress?.runs ?? []).length > 0;
+            if (entry.progress === undefined || hasRuns || !isFinal(entry.progress.state)) {
+                continue;
+            }
+            const finishedAt = this.finishedAt.get(entry.id) ?? now;
+            this.finishedAt.set(entry.id, finishedAt);
+            if (now - finishedAt > this.retentionMs + MARGIN_MS) {
+                this.finishedAt.delete(entry.id);
+                this.prune(entry.id);
+            }
+        }
+    }
+
+    /** The progress goes last: without it, a submission that is left over would run again. */
+    private prune(id: string): void {
+        this.writer.write(jobKey("cancellation", id), () => undefined);
+        this.writer.write(jobKey("spec", id), () => undefined);
+        this.writer.write(jobKey("progress", id), () => undefined);
+    }
+}
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -10,6 +10,7 @@
 import { DispatchTerms, RENEWAL_RIGHT_MS, START_VALIDITY_MS } from "./dispatchTerms";
 import { DispatchEffect } from "./dispatchTraffic";
 import { JobBook } from "./jobBook";
+import { JobPruner } from "./jobPruner";
 import { LatencyModel, PairRow } from "./latencyModel";
 import { encodeLearning, LEARNING_KEY } from "./learningRecord";
 import { Pacer } from "./pacer";
@@ -60,6 +61,7 @@
     private readonly pacer: Pacer;
     private readonly queue: StepQueue;
     private readonly reviewer = RunReviewer.create();
+    private readonly pruner: JobPruner;
     private readonly runHost: RunHost;
     private heldStarts: Run[] = [];
     private isDirty = true;
@@ -78,6 +80,7 @@
         this.model = LatencyModel.create(context.learnt);
         this.runHost = new SchedulerRunHost(this);
         this.pool = WorkerPool.create(epoch, now, context.terms, new SchedulerPoolHost(this), context.effects);
+        this.pruner = JobPruner.create(context.jobs, writer, context.terms.retentionMs);
         this.book = JobBook.create(epoch, writer);
         this.pacer = Pacer.create(this.model, (run, percent) => this.throttle(run, percent));
         this.queue = StepQueue.create(context.queues, this.model, (task, worker, at) => this.assign(task, worker, at));
@@ -154,6 +157,7 @@
         for (const worker of this.pool.all) {
             this.reviewWorker(worker, now);
         }
+        this.pruner.tick(now);
         if (now >= this.recordLearningAt) {
             this.recordLearningAt = now + LEARNING_INTERVAL_MS;
             this.writer.write(LEARNING_KEY, () => encodeLearning(this.model.rows()));
--- /dev/null
+++ b/src/platform/common/test/jobDecoder.test.ts
@@ -0,0 +1,41 @@
+import test from "ava";
+import { decodeSubmission } from "../jobDecoder";
+
+function faultsOf(body: string): readonly string[] {
+    const request = decodeSubmission(body);
+    return request.kind === "invalid" ? request.faults : [];
+}
+
+test("a submission is translated into the project's words; what is left out is zero, false or empty", t => {
+    const body = {
+        spec: "s",
+        steps: [
+            { count: 2, cpu: 500 },
+            { count: 1, after: [0], fills: true, mayMiss: 1 },
+        ],
+    };
+    const request = decodeSubmission(JSON.stringify(body));
+    t.is(request.kind, "submit");
+    if (request.kind === "submit") {
+        const [first, second] = request.draft.steps;
+        t.deepEqual(first.request, { cpuMillis: 500, memoryMb: 0, accelerators: 0 });
+        t.is(first.mode, "independent");
+        t.is(first.image, undefined);
+        t.deepEqual(second.after, [0]);
+        t.true(second.usesSpareCpu);
+        t.is(second.maxUnavailable, 1);
+    }
+});
+
+for (const [name, body, fault] of [
+    ["text that is no JSON", "{", /not valid JSON/],
+    ["no steps", '{"steps":[]}', /steps/],
+    ["a negative count", '{"steps":[{"count":-1}]}', /steps\.0\.count/],
+    ["a step after a later one", '{"steps":[{"count":1,"after":[1]},{"count":1}]}', /no earlier step/],
+    ["a step after itself", '{"steps":[{"count":1,"after":[0]}]}', /no earlier step/],
+    ["a number as text", '{"steps":[{"count":1,"cpu":"4"}]}', /steps\.0\.cpu/],
+] as const) {
+    test(`${name} is refused with its place`, t => {
+        t.regex(faultsOf(body).join("\n"), fault);
+    });
+}
--- /dev/null
+++ b/src/platform/common/test/recordFrames.test.ts
@@ -0,0 +1,24 @@
+import test from "ava";
+import { packRecords, PAGE_HEADER_BYTES, unpackRecords } from "../recordFrames";
+
+function page(body: Buffer): Buffer {
+    return Buffer.concat([Buffer.alloc(PAGE_HEADER_BYTES), body]);
+}
+
+test("records are read back with their offsets; one without a value deletes its key", t => {
+    const body = page(packRecords([{ key: "j/é", value: "v" }, { key: "gone" }]));
+    t.deepEqual(unpackRecords(body, 7), [
+        { key: "j/é", value: "v", offset: 7 },
+        { key: "gone", value: undefined, offset: 8 },
+    ]);
+});
+
+test("a record that is cut off is left out", t => {
+    const body = page(
+        packRecords([
+            { key: "a", value: "1" },
+            { key: "b", value: "2" },
+        ]),
+    );
+    t.is(unpackRecords(body.subarray(0, body.length - 1), 0).length, 1);
+});
--- a/src/proof/node/jobTrial.ts
+++ b/src/proof/node/jobTrial.ts
@@ -19,6 +19,7 @@
     TERMS,
     TrialDecoder,
 } from "./jobTrialPlan";
+import { TimedAction, TrialNode } from "./jobTrialNode";
 import { JobWitness } from "./jobWitness";
 import { Random } from "./random";
 
@@ -29,23 +30,6 @@
 /** Time after the last fault within which all jobs must have ended, in ms: leases of lost leaders and workers, twice. */
 const SETTLE_MS = 60_000;
 
-interface Node {
-    readonly index: number;
-    instance: JobInstance | undefined;
-    life: number;
-    /** Time for which the steady clock stood still, in ms. */
-    frozenMs: number;
-    frozenUntil: number;
-    storeCutUntil: number;
-    held: (() => void)[];
-}
-
-interface Timed {
-    readonly at: number;
-    readonly order: number;
-    readonly act: () => void;
-}
-
 /** Runs whole instances against a store and workers in memory, on a clock of its own, under random faults. */
 export class JobTrial {
     private readonly random: Random;
@@ -55,12 +39,12 @@
         operator: KeyedLog.create(),
         workers: KeyedLog.create(),
     };
-    private readonly nodes: Node[] = [];
+    private readonly nodes: TrialNode[] = [];
     private readonly workers: LeasedWorker[] = [];
     private readonly cutWorkers = new Map<string, number>();
     private readonly jobs = new Map<string, { draft: JobDraft; answered: boolean }>();
     private readonly log: string[] = [];
-    private queue: Timed[] = [];
+    private queue: TimedAction[] = [];
     private order = 0;
     private calls = 0;
     private leaders = 0;
@@ -131,7 +115,7 @@
 
     // Instances
 
-    private startNode(node: Node): void {
+    private startNode(node: TrialNode): void {
         node.life += 1;
         node.frozenMs = 0;
         node.held = [];
@@ -149,7 +133,7 @@
         });
     }
 
-    private tick(node: Node, life: number): void {
+    private tick(node: TrialNode, life: number): void {
         if (node.life !== life || node.instance === undefined) {
             return;
         }
@@ -158,7 +142,7 @@
     }
 
     /** Events for a frozen instance wait until it wakes. */
-    private post(node: Node, life: number, event: JobInstanceEvent): void {
+    private post(node: TrialNode, life: number, event: JobInstanceEvent): void {
         if (node.life !== life || node.instance === undefined) {
             return;
         }
@@ -175,7 +159,7 @@
         effects.forEach(effect => this.perform(node, life, effect));
     }
 
-    private perform(node: Node, life: number, effect: JobInstanceEffect): void {
+    private perform(node: TrialNode, life: number, effect: JobInstanceEffect): void {
         switch (effect.kind) {
             case "append":
             case "read":
@@ -201,7 +185,7 @@
 
     // Store
 
-    private callStore(node: Node, life: number, effect: RecordEffect): void {
+    private callStore(node: TrialNode, life: number, effect: RecordEffect): void {
         const sentAt = this.now - node.frozenMs;
         const log = this.streams[effect.stream];
         const answer = (event: JobInstanceEvent) =>
@@ -237,7 +221,7 @@
         this.after(effect.delayMs + 2, () => read(this.now + (effect.kind === "read" ? effect.waitMs : 0)));
     }
 
-    private reachesStore(node: Node): boolean {
+    private reachesStore(node: TrialNode): boolean {
         return this.now >= this.storeDownUntil && this.now >= node.storeCutUntil;
     }
 
@@ -278,7 +262,7 @@
         return { ms: choice.between(100, 2_500), end: choice.chance(0.04) ? "failed" : "done" };
     }
 
-    private callWorker(node: Node, life: number, effect: WorkerEffect): void {
+    private callWorker(node: TrialNode, life: number, effect: WorkerEffect): void {
         const sentAt = this.now - node.frozenMs;
         const { id } = effect.worker;
         const isLate = effect.kind !== "list" && this.now < this.lateUntil && this.random.chance(0.3);
@@ -438,14 +422,14 @@
         }
     }
 
-    private kill(node: Node): void {
+    private kill(node: TrialNode): void {
         node.instance = undefined;
         node.frozenUntil = 0;
         node.life += 1;
         this.after(this.random.between(300, 1_500), () => this.startNode(node));
     }
 
-    private freeze(node: Node, lasts: number): void {
+    private freeze(node: TrialNode, lasts: number): void {
         if (this.now < node.frozenUntil || node.instance === undefined) {
             return;
         }
