Claim the next epoch without a condition on the stream's end; extend leases until a successor is seen

Ruled out: detection (the resignation was stored). Before: three tests of leadership do not hold (claim after other records; leases after a resignation).

--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -76,6 +76,7 @@
         private readonly writer: RecordWriter,
         now: number,
     ) {
+        this.now = now;
         this.recordLearningAt = now + LEARNING_INTERVAL_MS;
         this.model = LatencyModel.create(context.learnt);
         this.runHost = new SchedulerRunHost(this);
@@ -84,7 +85,7 @@
         this.book = JobBook.create(epoch, writer);
         this.pacer = Pacer.create(this.model, (run, percent) => this.throttle(run, percent));
         this.queue = StepQueue.create(context.queues, this.model, (task, worker, at) => this.assign(task, worker, at));
-        this.resources.add(this.book.onDidCancel(job => this.stopRuns(job, now)));
+        this.resources.add(this.book.onDidCancel(job => this.stopRuns(job, this.now)));
         this.book.load(context.jobs, (task, record) => this.inherit(task, record, now));
         this.resources.add(context.jobs.onDidChange(entry => this.onJob(entry)));
         this.decide("leader-began", { epoch, jobs: this.book.size });
@@ -177,19 +178,15 @@
         if (this.isDirty && now - this.passedAt >= PASS_INTERVAL_MS) {
             this.isDirty = false;
             this.passedAt = now;
-            this.queue.pass(
-                this.book.all,
-                [...this.pool.all].filter(each => each.isUsable(now)),
-                now,
-                wallNow,
-            );
+            const usable = [...this.pool.all].filter(each => each.isUsable(now));
+            this.queue.pass(this.book.all, usable, now, wallNow);
         }
     }
 
     /** @returns Whether leases may be extended. */
     mayExtend(now: number): boolean {
         const { confirmedAt } = this.writer;
-        return this.context.leadership.mayOrder() && confirmedAt !== undefined && now - confirmedAt < RENEWAL_RIGHT_MS;
+        return this.context.leadership.mayExtend() && confirmedAt !== undefined && now - confirmedAt < RENEWAL_RIGHT_MS;
     }
 
     /** Sends the start of a run. */
@@ -211,8 +208,8 @@
             ticket: run.ticket,
         };
         this.context.effects.emit({ kind: "start", worker: worker.entry, order });
-        const { entry } = worker;
-        this.decide("run-started", { task, run: number, worker: entry.id, epoch: this.epoch, rack: entry.rack });
+        const { id, rack } = worker.entry;
+        this.decide("run-started", { task, run: number, worker: id, epoch: this.epoch, rack });
     }
 
     /** Sends the stop of a run. */
@@ -386,7 +383,7 @@
         if (task.step.mode !== "long-running" && task.failures >= maxAttempts && !isFinal(job.state)) {
             job.state = "failed";
             this.decide("job-ended", { job: job.spec.id, state: "failed", task: task.name, failures: task.failures });
-            this.stopRuns(job, this.passedAt);
+            this.stopRuns(job, this.now);
         }
     }
 
--- a/src/records/common/leadership.ts
+++ b/src/records/common/leadership.ts
@@ -124,9 +124,17 @@
      * @returns Whether this instance leads and was not suspended since its latest confirmed append.
      */
     mayOrder(): boolean {
+        return this.machine.state === "leading" && this.mayExtend();
+    }
+
+    /**
+     * Tells whether leases may be extended. A leader that resigned goes on until another one is seen.
+     * @returns Whether nobody else is known to lead, and the process was not suspended since its latest confirmed append.
+     */
+    mayExtend(): boolean {
         return (
-            this.machine.state === "leading" &&
-            (this.suspendedAt === undefined || (this.writer!.confirmedAt ?? 0) > this.suspendedAt)
+            this.writer !== undefined &&
+            (this.suspendedAt === undefined || (this.writer.confirmedAt ?? 0) > this.suspendedAt)
         );
     }
 
@@ -206,8 +214,8 @@
             append: {
                 producer: { name: PRODUCER, epoch: this.claimedEpoch },
                 sequence: this.terms.nonce,
+                // Of two claims of one epoch the store takes the first: the other's number does not follow it.
                 records: [{ key: LEADER_KEY, value: this.encode(false) }],
-                onlyAt: this.follower.position,
             },
         });
     }
--- /dev/null
+++ b/src/records/common/test/leadership.test.ts
@@ -0,0 +1,82 @@
+import test from "ava";
+import { Outbox } from "../../../base/common/outbox";
+import { KeyedLog } from "../../../standin/common/keyedLog";
+import { Leadership } from "../leadership";
+import { RecordFollower, RecordReceiver } from "../recordFollower";
+import { RecordEffect } from "../recordTraffic";
+
+class LeaderReceiver extends RecordReceiver {
+    leadership: Leadership | undefined;
+    now = 0;
+
+    override take(record: Parameters<RecordReceiver["take"]>[0]): void {
+        this.leadership!.take(record, this.now);
+    }
+
+    override retain(): void {}
+}
+
+/** One instance that follows a stream by hand. */
+function createInstance(log: KeyedLog, instance: string, nonce: number) {
+    const outbox = Outbox.create<RecordEffect>();
+    const receiver = new LeaderReceiver();
+    const follower = RecordFollower.create("jobs", receiver, () => ({ waitMs: 0, pauseMs: 0 }), outbox);
+    const leadership = Leadership.create({ instance, nonce, storeRoundTripMs: () => 1 }, follower, outbox);
+    receiver.leadership = leadership;
+    follower.start();
+    outbox.drain();
+    follower.answer({ kind: "newest-answer", stream: "jobs", sentAt: 0, result: log.newest(undefined) });
+    leadership.tick(0);
+    outbox.drain();
+    const read = (now: number) => {
+        receiver.now = now;
+        follower.answer({ kind: "read-answer", stream: "jobs", sentAt: now, result: log.read(follower.position) });
+        outbox.drain();
+    };
+    const claim = (now: number) => {
+        leadership.tick(now);
+        return outbox.drain().flatMap(effect => (effect.kind === "append" ? [effect] : []));
+    };
+    return { leadership, read, claim };
+}
+
+test("a claim succeeds although other records were appended since the claimant read", t => {
+    const log = KeyedLog.create();
+    const { leadership, read, claim } = createInstance(log, "a", 10);
+    read(1_000);
+    const [effect] = claim(1_000);
+    log.store("j/1", "job");
+    t.true(log.append(effect.append).ok);
+    read(1_100);
+    t.true(leadership.isLeading);
+});
+
+test("of two claims of one epoch only the first succeeds", t => {
+    const log = KeyedLog.create();
+    const one = createInstance(log, "a", 10);
+    const two = createInstance(log, "b", 500);
+    one.read(1_000);
+    two.read(1_000);
+    const [first] = one.claim(1_000);
+    const [second] = two.claim(1_000);
+    t.true(log.append(first.append).ok);
+    t.false(log.append(second.append).ok);
+    one.read(1_100);
+    two.read(1_100);
+    t.true(one.leadership.isLeading);
+    t.false(two.leadership.isLeading);
+});
+
+test("a leader that resigned extends leases until another one is seen, and orders nothing more", t => {
+    const log = KeyedLog.create();
+    const { leadership, read, claim } = createInstance(log, "a", 10);
+    read(1_000);
+    log.append(claim(1_000)[0].append);
+    read(1_100);
+    leadership.resign(1_200);
+    t.false(leadership.mayOrder());
+    t.true(leadership.mayExtend());
+    log.store("leader", JSON.stringify({ epoch: 2, instance: "b" }));
+    read(1_300);
+    t.false(leadership.mayExtend());
+});
