--- a/src/dispatch/common/workerContact.ts
+++ b/src/dispatch/common/workerContact.ts
@@ -109,7 +109,7 @@
             this.listed.state === "ready" &&
             now >= this.fullUntil &&
             this.trust.state !== "excluded" &&
-            (this.trust.state !== "trial" || this.runs.size === 0)
+            (this.trust.state !== "trial" || !this.hasTrialRun())
         );
     }
 
@@ -266,6 +266,11 @@
         return now > this.clock.passedBy(this.leaseUntil) + LEASE_MARGIN_MS;
     }
 
+    /** What lasts was there before the worker was excluded, and tells nothing of it now. */
+    private hasTrialRun(): boolean {
+        return [...this.runs.values()].some(run => run.task.step.mode !== "long-running");
+    }
+
     private fireAll(event: "lost" | "replaced", now: number): void {
         [...this.runs.values()].forEach(run => run.fire(event, { now }));
     }
