--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -100,7 +100,7 @@
 
     /** Tasks of a step are alike: when one finds no room, the others find none either. */
     private placeTasks(step: WaitingStep, placer: Placer, now: number): void {
-        const rack = step.group.step.sameRack ? rackOf(step.group) : undefined;
+        const rack = step.group.step.prefersOneRack ? rackOf(step.group) : undefined;
         for (const task of step.tasks) {
             if (placer.isHopeless(task)) {
                 return;
@@ -147,7 +147,7 @@
     /** The members of a gang are assigned together or not at all. */
     private placeGang(step: WaitingStep, placer: Placer, now: number): void {
         const run = Math.max(...step.tasks.map(task => task.highestRun));
-        const racks = step.group.step.sameRack ? placer.racks(step.service) : [undefined];
+        const racks = step.group.step.prefersOneRack ? placer.racks(step.service) : [undefined];
         for (const rack of [...racks, undefined]) {
             const chosen = placer.chooseAll(step.tasks, step.service, rack);
             if (chosen !== undefined) {
--- a/src/dispatch/common/test/pacer.test.ts
+++ b/src/dispatch/common/test/pacer.test.ts
@@ -22,7 +22,7 @@
         after: [],
         mode: isServing ? "long-running" : "independent",
         checkpoints: true,
-        sameRack: false,
+        prefersOneRack: false,
         image,
         tailTargetMs: isServing ? TARGET_MS : undefined,
         usesSpareCpu: !isServing,
--- a/src/jobs/common/jobSpec.ts
+++ b/src/jobs/common/jobSpec.ts
@@ -22,7 +22,7 @@
     readonly mode: StepMode;
     readonly checkpoints: boolean;
     /** Whether the tasks are slower when they run on more than one rack. */
-    readonly sameRack: boolean;
+    readonly prefersOneRack: boolean;
     /** Label that the worker must have. */
     readonly requiredLabel?: string;
     /** Rack where the data are; elsewhere the tasks are slower. */
--- a/src/platform/common/jobDecoder.ts
+++ b/src/platform/common/jobDecoder.ts
@@ -82,7 +82,7 @@
         after: step.after ?? [],
         mode: modeOf(step),
         checkpoints: step.checkpoint ?? false,
-        sameRack: step.sameRack ?? false,
+        prefersOneRack: step.sameRack ?? false,
         requiredLabel: step.requires || undefined,
         dataRack: step.affinity || undefined,
         maxPerWorker: step.maxPerServer || undefined,
--- a/src/platform/common/wireTypes.ts
+++ b/src/platform/common/wireTypes.ts
@@ -40,39 +40,6 @@
     intervalMs?: number;
 }
 
-/** A worker's entry in the list. */
-export interface WireServer {
-    service: string;
-    addr: string;
-    zone: string;
-    state: string;
-    warmupLeftMs?: number;
-    capacity: { cpu?: number; memMb?: number; gpu?: number };
-    /** The worker's kind, then its rack. */
-    labels?: string[];
-    /** Unix time in ms of the start of this life. */
-    born?: number;
-    drainRemainingMs?: number;
-}
-
-/** The operator's configuration. */
-export interface WireConfig {
-    version: number;
-    routes: {
-        host: string;
-        prefix: string;
-        service: string;
-        priority?: number;
-        attempts?: number;
-        stretch?: number;
-        sloMs?: number;
-        timeoutMs?: number;
-        advice?: { decideMs?: number; eachMs?: number; validMs?: number };
-    }[];
-    services: { name: string; rejectsOverload?: boolean; standby?: boolean }[];
-    limits?: { maxBodyBytes?: number };
-}
-
 /** A worker's answer with its lists. */
 export interface WireLists {
     clockMs: number;
--- a/src/proof/node/jobTrialPlan.ts
+++ b/src/proof/node/jobTrialPlan.ts
@@ -139,7 +139,7 @@
             after: index === 0 ? [] : [index - 1],
             mode: "independent",
             checkpoints: false,
-            sameRack: false,
+            prefersOneRack: false,
             usesSpareCpu: false,
         })),
         occurrences: 0,
