--- a/src/standin/node/localDeployment.ts
+++ b/src/standin/node/localDeployment.ts
@@ -13,6 +13,8 @@
     readonly logLevel?: "error" | "info";
     /** Files of the certificate, its key and its authority; if not given, the instances use plain HTTP. */
     readonly tls?: Settings["tls"];
+    /** Loopback address of the instances; if not given, one that no other process uses. */
+    readonly host?: string;
 }
 
 /** A complete deployment in one process on loopback: simulated platform and workers, and real instances. */
@@ -28,8 +30,9 @@
     /** @param options Size and settings. @returns The running deployment. */
     static async start(options: LocalDeploymentOptions): Promise<LocalDeployment> {
         const deployment = new LocalDeployment(await StandInCluster.start(options), options);
-        for (let index = 0; index < options.instances; index++) {
-            deployment.addresses.push(`127.0.0.1:${await findFreePort()}`);
+        const host = options.host ?? ownLoopbackHost();
+        for (const port of await findFreePorts(host, options.instances)) {
+            deployment.addresses.push(`${host}:${port}`);
         }
         deployment.publish();
         for (let index = 0; index < options.instances; index++) {
@@ -89,11 +92,21 @@
     }
 }
 
-/** @returns A loopback port that was free when checked; another process may take it before it is used. */
-export async function findFreePort(): Promise<number> {
-    const server = createServer();
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const { port } = server.address() as AddressInfo;
-    await new Promise<void>(resolve => server.close(() => resolve()));
-    return port;
+/**
+ * @returns A loopback address that no other process on this machine uses, derived from the process id. Ports found free
+ * there are not given to other processes, which listen on 127.0.0.1 or on their own address.
+ */
+function ownLoopbackHost(): string {
+    const { pid } = process;
+    return `127.${1 + ((pid >> 16) & 0x7f)}.${(pid >> 8) & 0xff}.${pid & 0xff}`;
+}
+
+/** @param host A loopback address. @param count Number of ports. @returns Different ports that are free there. */
+async function findFreePorts(host: string, count: number): Promise<number[]> {
+    const servers = Array.from({ length: count }, () => createServer());
+    // All are open at the same time, so that the ports differ.
+    await Promise.all(servers.map(server => new Promise<void>(resolve => server.listen(0, host, resolve))));
+    const ports = servers.map(server => (server.address() as AddressInfo).port);
+    await Promise.all(servers.map(server => new Promise<void>(resolve => server.close(() => resolve()))));
+    return ports;
 }
--- a/src/standin/node/test/tls.test.ts
+++ b/src/standin/node/test/tls.test.ts
@@ -5,7 +5,7 @@
 import { HttpClient } from "../../../services/node/httpClient";
 import { waitUntil } from "../../common/wait";
 import { LocalDeployment } from "../localDeployment";
-import { CERTIFICATE, CERTIFICATE_KEY } from "./certificate";
+import { CERTIFICATE, CERTIFICATE_HOST, CERTIFICATE_KEY } from "./certificate";
 
 const TIMEOUT_MS = 30_000;
 const CALL_TIMEOUT_MS = 3_000;
@@ -24,6 +24,7 @@
         shards: 1,
         seed: 1,
         workload: { families: {}, interference: {} },
+        host: CERTIFICATE_HOST,
         tls: { certificate, key, authority: certificate },
     });
     const client = HttpClient.create({ ca: CERTIFICATE });
