--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -4,6 +4,7 @@
 import { LatencyModel } from "./latencyModel";
 import { Placer } from "./placer";
 import { Run } from "./run";
+import { ShortTaskReserve } from "./shortTaskReserve";
 import { Task } from "./task";
 import { WorkerContact } from "./workerContact";
 
@@ -36,6 +37,11 @@
 /** Orders the waiting task groups and assigns their tasks to workers with free capacity. */
 export class StepQueue {
     private remainingStarts = 0;
+    private readonly reserve = ShortTaskReserve.create();
+    /** Workers on which no new long-running tasks are placed in this pass. */
+    private reserved: ReadonlySet<WorkerContact> = new Set();
+    /** Groups whose demand is recorded. */
+    private readonly recordedGroups = new WeakSet<TaskGroup>();
 
     private constructor(
         private readonly queues: QueueTable,
@@ -80,6 +86,7 @@
             return;
         }
         waiting.sort(compareGroups);
+        this.reserved = this.reserve.choose(workers, now);
         const placer = Placer.create(workers, this.model);
         for (const entry of waiting) {
             if (this.remainingStarts <= 0) {
@@ -104,6 +111,7 @@
             );
             const isComplete = group.step.mode !== "gang" || tasks.length === group.tasks.length;
             if (tasks.length > 0 && isComplete) {
+                this.recordDemand(group, service, now);
                 const remainingMs = job.remainingMs(group);
                 const slackMs = job.objectiveMs - wallNow - remainingMs;
                 const timeliness = timelinessOf(job, wallNow, remainingMs);
@@ -112,6 +120,14 @@
         }
     }
 
+    private recordDemand(group: TaskGroup, service: string, now: number): void {
+        const { mode, usesSpareCpu, request, tasks, estimateMs } = group.step;
+        if (mode !== "long-running" && !usesSpareCpu && !this.recordedGroups.has(group)) {
+            this.recordedGroups.add(group);
+            this.reserve.recordDemand(service, request.cpuMillis * tasks, estimateMs, now);
+        }
+    }
+
     /** Tasks of a step are alike: when no worker has free capacity for one of them, none has for the others. */
     private placeTasks(entry: WaitingGroup, placer: Placer, now: number): void {
         const rack = entry.group.step.prefersOneRack ? rackOf(entry.group) : undefined;
@@ -145,18 +161,30 @@
     }
 
     private chooseAny(task: Task, service: string, placer: Placer): WorkerContact | undefined {
-        const worker = placer.choose(task, service);
+        const worker =
+            task.step.mode === "long-running"
+                ? this.chooseForLongRunning(task, service, placer)
+                : placer.choose(task, service);
         if (worker !== undefined || task.failedOn.size === 0) {
             return worker;
         }
         // No worker without a failure of this task has capacity, so those with a failure are allowed, too.
         const failedOn = [...task.failedOn];
         task.failedOn.clear();
-        const retried = placer.choose(task, service);
+        const retried =
+            task.step.mode === "long-running"
+                ? this.chooseForLongRunning(task, service, placer)
+                : placer.choose(task, service);
         failedOn.forEach(id => task.failedOn.add(id));
         return retried;
     }
 
+    /** A long-running task that ran before is back in service as soon as possible, if need be on a reserved worker. */
+    private chooseForLongRunning(task: Task, service: string, placer: Placer): WorkerContact | undefined {
+        const worker = placer.choose(task, service, each => !this.reserved.has(each));
+        return worker === undefined && task.highestRun > 0 ? placer.choose(task, service) : worker;
+    }
+
     private assignTo(task: Task, worker: WorkerContact, placer: Placer, now: number): void {
         this.assign(task, worker, now);
         placer.invalidate(worker);
