--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -2,36 +2,24 @@
 import { isFinal } from "../../jobs/common/jobTable";
 import { ActiveJob, TaskGroup } from "./activeJob";
 import { LatencyModel } from "./latencyModel";
+import { ObjectiveOrder } from "./objectiveOrder";
 import { Placer } from "./placer";
 import { Run } from "./run";
 import { ShortTaskReserve } from "./shortTaskReserve";
 import { Task } from "./task";
+import { WaitingOrder, WaitingRank } from "./waitingOrder";
 import { WorkerContact } from "./workerContact";
 
 /** Assigns a task to a worker and returns its run. */
 export type AssignTask = (task: Task, worker: WorkerContact, now: number) => Run;
 
-/** A job that ends after this multiple of the time from its acceptance to its objective has no value left. */
-const NO_VALUE_FACTOR = 3;
-
-/** Whether a job can still meet its objective, will be late, or will be so late that it has no value. */
-type Timeliness = "in-time" | "late" | "no-value";
-
-/** Order of placement; lower ranks come first. */
-const TIMELINESS_RANK: Readonly<Record<Timeliness, number>> = { "in-time": 0, late: 1, "no-value": 2 };
-
 /** A task group with waiting tasks, and the criteria for its position in the queue. */
 interface WaitingGroup {
-    readonly job: ActiveJob;
     readonly group: TaskGroup;
     readonly tasks: readonly Task[];
     readonly service: string;
     readonly priority: number;
-    readonly timeliness: Timeliness;
-    /** Slack until the job misses its objective, in ms. */
-    readonly slackMs: number;
-    /** Estimated remaining duration of the job, in ms. */
-    readonly remainingMs: number;
+    readonly rank: WaitingRank;
 }
 
 /** Orders the waiting task groups and assigns their tasks to workers with free capacity. */
@@ -47,16 +35,23 @@
         private readonly queues: QueueTable,
         private readonly model: LatencyModel,
         private readonly assign: AssignTask,
+        private readonly order: WaitingOrder,
     ) {}
 
     /**
      * @param queues Queues as configured.
      * @param model Estimates the interference between images.
      * @param assign Assigns a task to a worker.
+     * @param order Order of the jobs of one priority.
      * @returns The queue.
      */
-    static create(queues: QueueTable, model: LatencyModel, assign: AssignTask): StepQueue {
-        return new StepQueue(queues, model, assign);
+    static create(
+        queues: QueueTable,
+        model: LatencyModel,
+        assign: AssignTask,
+        order: WaitingOrder = ObjectiveOrder.create(),
+    ): StepQueue {
+        return new StepQueue(queues, model, assign, order);
     }
 
     /**
@@ -85,7 +80,7 @@
         if (waiting.length === 0) {
             return;
         }
-        waiting.sort(compareGroups);
+        waiting.sort((a, b) => this.compare(a, b));
         this.reserved = this.reserve.choose(workers, now);
         const placer = Placer.create(workers, this.model);
         for (const entry of waiting) {
@@ -112,14 +107,16 @@
             const isComplete = group.step.mode !== "gang" || tasks.length === group.tasks.length;
             if (tasks.length > 0 && isComplete) {
                 this.recordDemand(group, service, now);
-                const remainingMs = job.remainingMs(group);
-                const slackMs = job.objectiveMs - wallNow - remainingMs;
-                const timeliness = timelinessOf(job, wallNow, remainingMs);
-                waiting.push({ job, group, tasks, service, priority, timeliness, slackMs, remainingMs });
+                const rank = this.order.rank(job, job.remainingMs(group), wallNow);
+                waiting.push({ group, tasks, service, priority, rank });
             }
         }
     }
 
+    private compare(a: WaitingGroup, b: WaitingGroup): number {
+        return a.priority - b.priority || this.order.compare(a.rank, b.rank) || a.tasks.length - b.tasks.length;
+    }
+
     private recordDemand(group: TaskGroup, service: string, now: number): void {
         const { mode, usesSpareCpu, request, tasks, estimateMs } = group.step;
         if (mode !== "long-running" && !usesSpareCpu && !this.recordedGroups.has(group)) {
@@ -208,24 +205,6 @@
     }
 }
 
-function compareGroups(a: WaitingGroup, b: WaitingGroup): number {
-    return (
-        a.priority - b.priority ||
-        TIMELINESS_RANK[a.timeliness] - TIMELINESS_RANK[b.timeliness] ||
-        (a.timeliness === "in-time" ? a.slackMs - b.slackMs : a.remainingMs - b.remainingMs) ||
-        a.tasks.length - b.tasks.length
-    );
-}
-
-function timelinessOf(job: ActiveJob, wallNow: number, remainingMs: number): Timeliness {
-    const end = wallNow + remainingMs;
-    if (job.isLongRunning || end <= job.objectiveMs) {
-        return "in-time";
-    }
-    const { acceptedAtMs } = job.spec;
-    return end <= acceptedAtMs + NO_VALUE_FACTOR * (job.objectiveMs - acceptedAtMs) ? "late" : "no-value";
-}
-
 /** @returns The rack of the first task in the group that has a run, if any. */
 function rackOf(group: TaskGroup): string | undefined {
     return group.tasks.find(task => task.run !== undefined)?.run?.rack;
