--- a/src/dispatch/common/dispatchLimits.ts
+++ b/src/dispatch/common/dispatchLimits.ts
@@ -8,6 +8,8 @@
     readonly gangWaitMs: number;
     /** Longest time for which a latency-critical task may exceed its target. */
     readonly harmMs: number;
+    /** Time within which a configuration must be in force. */
+    readonly configurationMs: number;
     /** Time for which the state of a finished job is kept. */
     readonly retentionMs: number;
 }
--- a/src/dispatch/common/test/workerPool.test.ts
+++ b/src/dispatch/common/test/workerPool.test.ts
@@ -4,7 +4,14 @@
 import { PoolHost, WorkerPool } from "../workerPool";
 import { assign, createJob, createStep, createWorker, report } from "./runs";
 
-const LIMITS = { longestLeaseMs: 6_000, stopMs: 200, gangWaitMs: 3_000, harmMs: 4_000, retentionMs: 120_000 };
+const LIMITS = {
+    longestLeaseMs: 6_000,
+    stopMs: 200,
+    gangWaitMs: 3_000,
+    harmMs: 4_000,
+    configurationMs: 2_500,
+    retentionMs: 120_000,
+};
 
 class NoopPoolHost extends PoolHost {
     override mayExtend(): boolean {
--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -57,6 +57,12 @@
 /** Reads of the configuration. It changes rarely; the short wait of each read shows that the store is reachable. */
 const OPERATOR_TIMING: ReadTiming = { waitMs: 1_000, pauseMs: 0 };
 
+/**
+ * Pause after a large configuration, as a ratio of the time within which the next one must be in force. All instances
+ * read each configuration, so a quick succession of large ones would fill the links between regions.
+ */
+const LARGE_CONFIGURATION_PAUSE_RATIO = 0.3;
+
 /** Time that a stopping instance keeps answering, so that the platform notices that it is not ready. */
 const SHUTDOWN_GRACE_PERIOD_MS = 2_200;
 
@@ -101,12 +107,14 @@
     ) {
         const { outbox } = this;
         const workersTiming = () => (this.leadership.isLeading ? LEADER_WORKERS_TIMING : STANDBY_WORKERS_TIMING);
+        const largePauseMs = limits.configurationMs * LARGE_CONFIGURATION_PAUSE_RATIO;
+        const operatorTiming = { ...OPERATOR_TIMING, largePauseMs };
         const jobsTiming = () => (this.leadership.isLeading ? LEADER_JOBS_TIMING : STANDBY_JOBS_TIMING);
         this.jobsFollower = RecordFollower.create("jobs", new JobsReceiver(this), jobsTiming, outbox);
         this.operatorFollower = RecordFollower.create(
             "operator",
             new OperatorReceiver(this),
-            () => OPERATOR_TIMING,
+            () => operatorTiming,
             outbox,
         );
         this.workersFollower = RecordFollower.create("workers", new WorkersReceiver(this), workersTiming, outbox);
--- a/src/host/common/jobSettings.ts
+++ b/src/host/common/jobSettings.ts
@@ -25,6 +25,7 @@
         stopMs: milliseconds,
         gangWaitMs: milliseconds,
         harmMs: milliseconds,
+        configurationMs: milliseconds,
         retentionS: milliseconds,
     }),
 });
--- a/src/platform/node/platformProcess.ts
+++ b/src/platform/node/platformProcess.ts
@@ -40,8 +40,8 @@
         onFailure,
     );
     const workers = PlatformWorkers.create(HttpClient.create({ connections: WORKER_CONNECTIONS }));
-    const { longestLeaseMs, stopMs, gangWaitMs, harmMs, retentionS } = settings.scheduling;
-    const limits = { longestLeaseMs, stopMs, gangWaitMs, harmMs, retentionMs: retentionS * MS_PER_SECOND };
+    const { retentionS, ...scheduling } = settings.scheduling;
+    const limits = { ...scheduling, retentionMs: retentionS * MS_PER_SECOND };
     const { share, speed } = settings.processor;
     const identity = {
         instance: name,
--- a/src/proof/node/jobTrialPlan.ts
+++ b/src/proof/node/jobTrialPlan.ts
@@ -31,7 +31,14 @@
 };
 
 /** Time limits of the instances of a trial. */
-export const LIMITS = { longestLeaseMs: 6_000, stopMs: 200, gangWaitMs: 3_000, harmMs: 4_000, retentionMs: 120_000 };
+export const LIMITS = {
+    longestLeaseMs: 6_000,
+    stopMs: 200,
+    gangWaitMs: 3_000,
+    harmMs: 4_000,
+    configurationMs: 2_500,
+    retentionMs: 120_000,
+};
 
 /** Timeouts of calls to the store and to workers, in ms. */
 export const CALL_TIMEOUTS_MS = { store: 400, worker: 800 };
--- a/src/records/common/recordFollower.ts
+++ b/src/records/common/recordFollower.ts
@@ -7,17 +7,32 @@
 import { StreamName } from "./recordStore";
 import { RecordEffect, RecordEvent } from "./recordEvents";
 
-type FollowerState = "loading" | "following";
+type FollowerState = "loading" | "following" | "pausing";
 type FollowerEvent = "page" | "last-page" | "records" | "truncated" | "failed";
-type FollowerAction = "applyPage" | "applyRecords" | "finishLoad" | "readNextPage" | "readMore" | "restart";
+type FollowerGuard = "isLarge" | "isFarBehind";
+type FollowerAction =
+    "applyPage" | "applyRecords" | "finishLoad" | "markKnown" | "readNextPage" | "readMore" | "readEnd" | "restart";
 
 const chart = ChartRegistry.instance.register(
-    ChartLoader.load<FollowerState, FollowerEvent, never, FollowerAction>(chartText, "recordFollower.chart.yaml", {
-        states: ["loading", "following"],
-        events: ["page", "last-page", "records", "truncated", "failed"],
-        guards: [],
-        actions: ["applyPage", "applyRecords", "finishLoad", "readNextPage", "readMore", "restart"],
-    }),
+    ChartLoader.load<FollowerState, FollowerEvent, FollowerGuard, FollowerAction>(
+        chartText,
+        "recordFollower.chart.yaml",
+        {
+            states: ["loading", "following", "pausing"],
+            events: ["page", "last-page", "records", "truncated", "failed"],
+            guards: ["isLarge", "isFarBehind"],
+            actions: [
+                "applyPage",
+                "applyRecords",
+                "finishLoad",
+                "markKnown",
+                "readNextPage",
+                "readMore",
+                "readEnd",
+                "restart",
+            ],
+        },
+    ),
 );
 
 /** Delay before a failed read is retried. */
@@ -38,13 +53,30 @@
     readonly waitMs: number;
     /** Pause between two reads, in ms, so that one read returns several records. */
     readonly pauseMs: number;
+    /**
+     * Pause after a page of large records, in ms. Records that are replaced in this time are not read. Without it, every
+     * record is read.
+     */
+    readonly largePauseMs?: number;
 }
 
+/** Size of a page, in characters, from which it is large: reading it takes 10 ms at 50 Mbit/s. */
+const LARGE_PAGE_LENGTH = 64_000;
+
+/** Key after all keys of a stream: a page that begins after it has the end of the stream and no records. */
+const KEY_AFTER_ALL = "~";
+
 type StoreAnswer = RecordEvent & { readonly kind: "read-answer" | "newest-answer" };
 
 /** Loads the newest record of each key of one stream, then reads every record appended to it. */
 export class RecordFollower {
-    private readonly machine: Machine<StoreAnswer | undefined, FollowerState, FollowerEvent, never, FollowerAction>;
+    private readonly machine: Machine<
+        StoreAnswer | undefined,
+        FollowerState,
+        FollowerEvent,
+        FollowerGuard,
+        FollowerAction
+    >;
     /** End of the stream when its load began; the records appended since are read from here. */
     private followFrom: RecordOffset | undefined;
     private loadedKeys = new Set<string>();
@@ -66,12 +98,17 @@
         private readonly effects: EffectSink<RecordEffect>,
     ) {
         this.machine = Machine.create(chart, {
-            guards: {},
+            guards: {
+                isLarge: answer => this.isLarge(answer!),
+                isFarBehind: answer => answer!.result.unwrap().end > this.nextOffset + 1,
+            },
             actions: {
                 applyPage: answer => this.applyPage(answer!),
                 applyRecords: answer => this.applyRecords(answer!),
                 finishLoad: answer => this.finishLoad(answer!),
+                markKnown: answer => this.markKnown(answer!),
                 readNextPage: () => this.emitPageRead(),
+                readEnd: () => this.emitEndRead(),
                 readMore: () => this.emitRead(),
                 restart: () => this.start(),
             },
@@ -96,7 +133,7 @@
 
     /** Whether the stream has been loaded. */
     get isLoaded(): boolean {
-        return this.machine.state === "following";
+        return this.machine.state !== "loading";
     }
 
     /** Starts to load the stream. */
@@ -147,6 +184,24 @@
         this.knownUntil = answer.sentAt;
     }
 
+    private isLarge(answer: StoreAnswer): boolean {
+        const { records } = answer.result.unwrap();
+        const length = records.reduce((sum, { value }) => sum + (value?.length ?? 0), 0);
+        return this.readTiming().largePauseMs !== undefined && length >= LARGE_PAGE_LENGTH;
+    }
+
+    /** All records are known if none was appended; one that was is read next. */
+    private markKnown(answer: StoreAnswer): void {
+        if (answer.result.unwrap().end <= this.nextOffset) {
+            this.knownUntil = answer.sentAt;
+        }
+    }
+
+    private emitEndRead(): void {
+        const delayMs = this.readTiming().largePauseMs ?? 0;
+        this.effects.emit({ kind: "read-newest", stream: this.stream, after: KEY_AFTER_ALL, delayMs });
+    }
+
     private emitPageRead(): void {
         this.effects.emit({
             kind: "read-newest",
--- /dev/null
+++ b/src/records/common/test/recordFollower.test.ts
@@ -0,0 +1,89 @@
+import test from "ava";
+import { Outbox } from "../../../base/common/outbox";
+import { KeyedLog } from "../../../standin/common/keyedLog";
+import { StoredRecord } from "../record";
+import { ReadTiming, RecordFollower, RecordReceiver } from "../recordFollower";
+import { RecordEffect } from "../recordEvents";
+
+const LARGE_VALUE = "x".repeat(200_000);
+const LARGE_PAUSE_MS = 800;
+
+class Collector extends RecordReceiver {
+    readonly values: (string | undefined)[] = [];
+
+    override apply(record: StoredRecord): void {
+        this.values.push(record.value);
+    }
+
+    override retainKeys(): void {}
+}
+
+/** Follows a stream; each step answers the follower's read. */
+class Fixture {
+    readonly log = KeyedLog.create();
+    readonly collector = new Collector();
+    readonly follower: RecordFollower;
+    private readonly outbox = Outbox.create<RecordEffect>();
+    private now = 0;
+
+    constructor(timing: ReadTiming) {
+        this.log.store("config", "first");
+        this.follower = RecordFollower.create("operator", this.collector, () => timing, this.outbox);
+        this.follower.start();
+    }
+
+    /** Answers the read in flight. @returns The read. */
+    step(): RecordEffect {
+        const [effect] = this.outbox.drain();
+        this.now += 10;
+        const base = { stream: "operator" as const, sentAt: this.now };
+        if (effect.kind === "read") {
+            this.follower.handleAnswer({ kind: "read-answer", ...base, result: this.log.read(effect.from) });
+        } else if (effect.kind === "read-newest") {
+            this.follower.handleAnswer({ kind: "newest-answer", ...base, result: this.log.newest(effect.after) });
+        }
+        return effect;
+    }
+}
+
+test("of large records in quick succession, only the first and the newest are read", t => {
+    const fixture = new Fixture({ waitMs: 1_000, pauseMs: 0, largePauseMs: LARGE_PAUSE_MS });
+    fixture.step();
+    fixture.log.store("config", `1${LARGE_VALUE}`);
+    fixture.step();
+    for (let version = 2; version <= 9; version++) {
+        fixture.log.store("config", `${version}${LARGE_VALUE}`);
+    }
+    const endRead = fixture.step();
+    t.is(endRead.kind === "read-newest" && endRead.delayMs, LARGE_PAUSE_MS);
+    fixture.step();
+    t.deepEqual(
+        fixture.collector.values.map(value => value?.slice(0, 1)),
+        ["f", "1", "9"],
+    );
+    t.true(fixture.follower.isLoaded);
+    t.is(fixture.follower.nextOffset, fixture.log.end);
+});
+
+test("a single record after a large one is read by its offset, and the stream counts as known", t => {
+    const fixture = new Fixture({ waitMs: 1_000, pauseMs: 0, largePauseMs: LARGE_PAUSE_MS });
+    fixture.step();
+    fixture.log.store("config", LARGE_VALUE);
+    fixture.step();
+    const knownBefore = fixture.follower.knownUntil!;
+    fixture.step();
+    t.true(fixture.follower.knownUntil! > knownBefore);
+    fixture.log.store("config", "small");
+    t.is(fixture.step().kind, "read");
+    t.is(fixture.collector.values[2], "small");
+});
+
+test("without a pause for large records, every record is read", t => {
+    const fixture = new Fixture({ waitMs: 1_000, pauseMs: 0 });
+    fixture.step();
+    for (let version = 1; version <= 3; version++) {
+        fixture.log.store("config", LARGE_VALUE);
+    }
+    fixture.step();
+    t.is(fixture.collector.values.length, 4);
+});
