--- a/src/base/node/loop.ts
+++ b/src/base/node/loop.ts
@@ -6,9 +6,12 @@
 /** Handles one event and returns its effects. `now` is monotonic time in ms, `wallNow` is ms since the Unix epoch. */
 export type DispatchEvent<Event, Effect> = (event: Event, now: number, wallNow: number) => Effect[];
 
+/** Called with an error that the handling of an event or effect has thrown. */
+export type ErrorListener = (error: unknown) => void;
+
 /**
  * The event loop of a process. Events are handled one at a time, in order of arrival; the effects of an event are
- * performed before the next event is handled.
+ * performed before the next event is handled. An error that is thrown ends the handling of that event or effect only.
  */
 export class Loop<Event, Effect> implements Disposable {
     private readonly queue: Event[] = [];
@@ -19,15 +22,17 @@
     private constructor(
         private readonly dispatch: DispatchEvent<Event, Effect>,
         private readonly perform: PerformEffect<Effect>,
+        private readonly onError: ErrorListener,
     ) {}
 
     /**
      * @param dispatch Handles one event.
      * @param perform Carries out one effect.
+     * @param onError Called with unexpected errors.
      * @returns A loop without a tick timer; see `startTicking`.
      */
-    static create<E, F>(dispatch: DispatchEvent<E, F>, perform: PerformEffect<F>): Loop<E, F> {
-        return new Loop(dispatch, perform);
+    static create<E, F>(dispatch: DispatchEvent<E, F>, perform: PerformEffect<F>, onError: ErrorListener): Loop<E, F> {
+        return new Loop(dispatch, perform, onError);
     }
 
     /** Starts posting an event at regular intervals. @param tick The event. @param intervalMs Interval in ms. */
@@ -56,10 +61,26 @@
         this.isRunning = true;
         try {
             for (let event = this.queue.shift(); event !== undefined; event = this.queue.shift()) {
-                this.dispatch(event, performance.now(), Date.now()).forEach(this.perform);
+                this.handle(event);
             }
         } finally {
             this.isRunning = false;
         }
     }
+
+    private handle(event: Event): void {
+        let effects: Effect[] = [];
+        try {
+            effects = this.dispatch(event, performance.now(), Date.now());
+        } catch (error) {
+            this.onError(error);
+        }
+        for (const effect of effects) {
+            try {
+                this.perform(effect);
+            } catch (error) {
+                this.onError(error);
+            }
+        }
+    }
 }
--- a/src/dispatch/common/activeJobTable.ts
+++ b/src/dispatch/common/activeJobTable.ts
@@ -29,6 +29,10 @@
     private readonly restarts = new Map<string, ReadonlyMap<string, number>>();
     private readonly didCancel = Emitter.create<ActiveJob>();
 
+    private readonly didIgnoreJob = Emitter.create<string>();
+
+    /** Fires with a job that is not scheduled because its progress is malformed. */
+    readonly onDidIgnoreJob = this.didIgnoreJob.event;
     /** Fires when a job is cancelled. */
     readonly onDidCancel = this.didCancel.event;
 
@@ -93,6 +97,10 @@
                 this.finished.add(entry.id);
                 this.recordRestarts(entry.id, known.tasks ?? []);
                 this.publishState(entry.id, entry.state, known.state);
+            } else if (progress.isMalformed(entry.id)) {
+                // Its runs are not known. If it were scheduled, tasks could run twice.
+                this.finished.add(entry.id);
+                this.didIgnoreJob.fire(entry.id);
             } else if (entry.spec !== undefined) {
                 this.restore(entry, known, inherit);
             }
--- a/src/dispatch/common/dispatchEffects.ts
+++ b/src/dispatch/common/dispatchEffects.ts
@@ -22,6 +22,7 @@
     | "job-ended"
     | "job-waits"
     | "suspended"
+    | "record-malformed"
     | "config-applied";
 
 /** A line for the decision log. */
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -1,7 +1,7 @@
 import { Disposable } from "../../base/common/disposable";
 import { DisposableStore } from "../../base/common/disposableStore";
 import { EffectSink } from "../../base/common/effectSink";
-import { RunRecord } from "../../jobs/common/jobRecord";
+import { jobKey, RunRecord } from "../../jobs/common/jobRecord";
 import { isFinal, JobEntry, JobTable } from "../../jobs/common/jobTable";
 import { ProgressTable } from "../../jobs/common/progressTable";
 import { QueueTable } from "../../jobs/common/queueTable";
@@ -93,6 +93,11 @@
         this.throttleController = ThrottleController.create(this.model, (run, percent) => this.throttle(run, percent));
         this.queue = StepQueue.create(context.queues, this.model, (task, worker, at) => this.assign(task, worker, at));
         this.resources.add(this.activeJobs.onDidCancel(job => this.stopRuns(job, this.now)));
+        this.resources.add(
+            this.activeJobs.onDidIgnoreJob(job =>
+                this.logDecision("record-malformed", { key: jobKey("progress", job) }),
+            ),
+        );
         this.activeJobs.load(context.jobs, context.progress, (task, record) => this.inheritRun(task, record, now));
         this.resources.add(context.jobs.onDidChange(entry => this.onJobChange(entry)));
         this.logDecision("leader-began", { epoch, jobs: this.activeJobs.size });
--- a/src/host/common/entryDecoder.ts
+++ b/src/host/common/entryDecoder.ts
@@ -4,6 +4,9 @@
 
 /** Decodes the records that the operator and the workers write to the platform's streams. */
 export abstract class EntryDecoder {
+    /** @param record A record of the operator. @returns Whether it should hold a configuration. */
+    abstract isConfiguration(record: StoredRecord): boolean;
+
     /**
      * @param record A record of the operator.
      * @returns The configuration, or `undefined` if the record holds no valid one.
--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -132,6 +132,7 @@
             this.jobsFollower,
             (call, answer) => outbox.emit({ kind: "answer", call, answer }),
         );
+        this.jobs.onDidIgnore(({ key, offset }) => this.logMalformed("jobs", key, offset));
         this.leadership.onDidBecomeLeader(writer => this.startTakeover(writer));
         this.leadership.onDidStepDown(() => this.stopScheduling());
         this.lifecycle = Machine.create(chart, {
@@ -256,6 +257,9 @@
     /** Applies a record of the operator. */
     applyOperatorRecord(record: StoredRecord): void {
         const configuration = this.decoder.decodeConfiguration(record);
+        if (configuration === undefined && this.decoder.isConfiguration(record)) {
+            this.logMalformed("operator", record.key, record.offset);
+        }
         if (configuration !== undefined && this.queues.apply(configuration)) {
             const { version } = configuration;
             this.outbox.emit({ kind: "decision", name: "config-applied", data: { version } });
@@ -265,6 +269,9 @@
     /** Applies a record of a worker. */
     applyWorkerRecord(record: StoredRecord): void {
         const worker = this.decoder.decodeWorker(record);
+        if (worker === undefined && record.value !== undefined) {
+            this.logMalformed("workers", record.key, record.offset);
+        }
         if (worker === undefined) {
             this.workers.delete(record.key);
         } else {
@@ -279,6 +286,10 @@
         this.scheduler?.retainWorkers(ids);
     }
 
+    private logMalformed(stream: string, key: string, offset: number): void {
+        this.outbox.emit({ kind: "decision", name: "record-malformed", data: { stream, key, offset } });
+    }
+
     private followerOf(stream: string): RecordFollower {
         switch (stream) {
             case "jobs":
--- a/src/host/node/jobPerformers.ts
+++ b/src/host/node/jobPerformers.ts
@@ -1,3 +1,4 @@
+import { Err } from "ts-results";
 import { Disposable } from "../../base/common/disposable";
 import { OrderAnswer, WorkerClient } from "../../dispatch/common/workerClient";
 import { WorkerEffect } from "../../dispatch/common/workerMessages";
@@ -96,32 +97,66 @@
         if (effect.kind === "append") {
             const { writer, append } = effect;
             const appendedAt = performance.now();
-            void this.store.append(stream, append).then(result => {
-                this.metrics.recordStoreCall("append", result.ok ? "done" : result.val, performance.now() - appendedAt);
-                this.post({ kind: "append-answer", writer, sequence: append.sequence, result });
-            });
+            const failed = this.onStoreError("append", Err("unknown" as const));
+            void this.store
+                .append(stream, append)
+                .catch(failed)
+                .then(result => {
+                    this.metrics.recordStoreCall(
+                        "append",
+                        result.ok ? "done" : result.val,
+                        performance.now() - appendedAt,
+                    );
+                    this.post({ kind: "append-answer", writer, sequence: append.sequence, result });
+                });
             return;
         }
         this.delay(effect.delayMs, () => {
             const sentAt = performance.now();
+            const failed = this.onStoreError("read", Err("unavailable" as const));
             if (effect.kind === "read") {
-                void this.store.read(stream, effect.from, effect.waitMs).then(result => {
-                    this.metrics.recordStoreCall("read", result.ok ? "done" : result.val, performance.now() - sentAt);
-                    this.post({ kind: "read-answer", stream, sentAt, result });
-                });
+                void this.store
+                    .read(stream, effect.from, effect.waitMs)
+                    .catch(failed)
+                    .then(result => {
+                        this.metrics.recordStoreCall(
+                            "read",
+                            result.ok ? "done" : result.val,
+                            performance.now() - sentAt,
+                        );
+                        this.post({ kind: "read-answer", stream, sentAt, result });
+                    });
             } else {
-                void this.store.readNewest(stream, effect.after).then(result => {
-                    this.metrics.recordStoreCall("newest", result.ok ? "done" : result.val, performance.now() - sentAt);
-                    this.post({ kind: "newest-answer", stream, sentAt, result });
-                });
+                void this.store
+                    .readNewest(stream, effect.after)
+                    .catch(failed)
+                    .then(result => {
+                        this.metrics.recordStoreCall(
+                            "newest",
+                            result.ok ? "done" : result.val,
+                            performance.now() - sentAt,
+                        );
+                        this.post({ kind: "newest-answer", stream, sentAt, result });
+                    });
             }
         });
     }
 
+    /** @returns A listener that logs an unexpected error of the store's client and replaces it by a result. */
+    private onStoreError<R>(call: string, result: R): (error: unknown) => R {
+        return error => {
+            this.log.log("unexpected-error", { call, error: String(error) });
+            return result;
+        };
+    }
+
     private async performOrder(effect: WorkerEffect): Promise<void> {
         const sentAt = performance.now();
         const worker = effect.worker.id;
-        const answer = await this.callWorker(effect);
+        const answer = await this.callWorker(effect).catch((error: unknown): OrderAnswer => {
+            this.log.log("unexpected-error", { call: effect.kind, error: String(error) });
+            return { outcome: "no-answer", clockMs: undefined };
+        });
         this.metrics.recordOrder(effect.kind, answer.outcome, performance.now() - sentAt);
         const base = { worker, sentAt, outcome: answer.outcome, clockMs: answer.clockMs };
         switch (effect.kind) {
--- a/src/host/node/jobProcess.ts
+++ b/src/host/node/jobProcess.ts
@@ -44,11 +44,13 @@
         const { store, workers, log } = parts;
         const post = (event: JobInstanceEvent) => this.loop.post(event);
         const onStopped = () => this.resolveStopped();
+        const onError = (error: unknown) =>
+            log.log("unexpected-error", { error: error instanceof Error ? error.stack : String(error) });
         log.onDidOmit(count => this.metrics.recordOmittedLines(count));
         this.performers = JobPerformers.create(store, workers, log, this.metrics, post, onStopped);
         this.resources.add(this.performers);
         const perform = (effect: JobInstanceEffect) => this.performers.perform(effect);
-        this.loop = this.resources.add(Loop.create(instance.dispatch.bind(instance), perform));
+        this.loop = this.resources.add(Loop.create(instance.dispatch.bind(instance), perform, onError));
     }
 
     /**
--- a/src/jobs/common/jobRecord.ts
+++ b/src/jobs/common/jobRecord.ts
@@ -1,3 +1,4 @@
+import * as z from "zod/mini";
 import { JobSpec, JobState } from "./jobSpec";
 
 const SPEC_PREFIX = "j/";
@@ -67,12 +68,54 @@
     return JSON.stringify(spec);
 }
 
-/** @param value Value of a record made by the matching encoder. @returns The job. */
-export function decodeSpec(value: string): JobSpec {
-    return JSON.parse(value) as JobSpec;
+const stateSchema = z.enum(["queued", "running", "done", "failed", "cancelled"]);
+
+/** The fields that decisions are based on. */
+const specSchema = z.looseObject({
+    id: z.string(),
+    queue: z.looseObject({
+        name: z.string(),
+        service: z.string(),
+        priority: z.number(),
+        maxAttempts: z.number(),
+        stretch: z.number(),
+        slackMs: z.number(),
+    }),
+    payload: z.string(),
+    steps: z.array(
+        z.looseObject({
+            tasks: z.int().check(z.positive()),
+            request: z.looseObject({ cpuMillis: z.number(), memoryMb: z.number(), accelerators: z.number() }),
+            estimateMs: z.number(),
+            after: z.array(z.int()),
+            mode: z.enum(["independent", "gang", "speculative", "long-running"]),
+        }),
+    ),
+    occurrences: z.number(),
+    firstDueMs: z.number(),
+    intervalMs: z.number(),
+    acceptedAtMs: z.number(),
+});
+
+const runSchema = z.tuple([z.string(), z.int(), z.string(), z.number(), z.string()]);
+const taskSchema = z.tuple([z.string(), z.int(), z.string(), z.int()]);
+const progressSchema = z.tuple([
+    z.int(),
+    stateSchema,
+    z.record(z.string(), z.string()),
+    z.array(runSchema),
+    z.array(taskSchema),
+]);
+
+/** @param value Value of a record. @returns The job, or `undefined` if the value is malformed. */
+export function decodeSpec(value: string): JobSpec | undefined {
+    return parse(value, specSchema) as JobSpec | undefined;
 }
 
-type PackedProgress = [number, JobState, Record<string, string>, unknown[][], unknown[][]];
+/** @param value Value of a record. @returns The state, or `undefined` if the value is malformed. */
+export function decodeState(value: string): JobState | undefined {
+    return stateSchema.safeParse(value).data;
+}
 
 /** @param progress Progress of a job. @returns Value of its record: arrays in place of objects. */
 export function encodeProgress(progress: JobProgress): string {
@@ -87,20 +130,33 @@
     return JSON.stringify([progress.epoch, progress.state, progress.done ?? {}, runs, tasks]);
 }
 
-/** @param value Value of a record made by the matching encoder. @returns The progress. */
-export function decodeProgress(value: string): JobProgress {
-    const [epoch, state, done, runs, tasks] = JSON.parse(value) as PackedProgress;
+/** @param value Value of a record. @returns The progress, or `undefined` if the value is malformed. */
+export function decodeProgress(value: string): JobProgress | undefined {
+    const parsed = parse(value, progressSchema);
+    if (parsed === undefined) {
+        return undefined;
+    }
+    const [epoch, state, done, runs, tasks] = parsed;
     return {
         epoch,
         state,
         done,
-        runs: runs.map(row => {
-            const [task, run, worker, incarnation, checkpoint] = row as [string, number, string, number, string];
-            return { task, run, worker, incarnation, checkpoint };
-        }),
-        tasks: tasks.map(row => {
-            const [task, failures, checkpoint, lastRun] = row as [string, number, string, number];
-            return { task, failures, checkpoint, lastRun };
-        }),
+        runs: runs.map(([task, run, worker, incarnation, checkpoint]) => ({
+            task,
+            run,
+            worker,
+            incarnation,
+            checkpoint,
+        })),
+        tasks: tasks.map(([task, failures, checkpoint, lastRun]) => ({ task, failures, checkpoint, lastRun })),
     };
 }
+
+function parse<T>(value: string, schema: z.ZodMiniType<T>): T | undefined {
+    try {
+        return schema.safeParse(JSON.parse(value)).data;
+    } catch {
+        // The caller reports the record as malformed.
+        return undefined;
+    }
+}
--- a/src/jobs/common/jobTable.ts
+++ b/src/jobs/common/jobTable.ts
@@ -1,6 +1,6 @@
 import { Emitter } from "../../base/common/emitter";
 import { RecordOffset, StoredRecord } from "../../records/common/record";
-import { decodeSpec, parseJobKey } from "./jobRecord";
+import { decodeSpec, decodeState, parseJobKey } from "./jobRecord";
 import { JobSpec, JobState } from "./jobSpec";
 
 /** A job as recorded in the stream. */
@@ -19,9 +19,13 @@
 export class JobTable {
     private readonly entries = new Map<string, JobEntry>();
     private readonly didChange = Emitter.create<JobEntry>();
+    private readonly didIgnore = Emitter.create<StoredRecord>();
 
     private constructor() {}
 
+    /** Fires for a malformed record, which has no effect. */
+    readonly onDidIgnore = this.didIgnore.event;
+
     /** Fires when a job is submitted or cancelled, or its recorded state changes. */
     readonly onDidChange = this.didChange.event;
 
@@ -58,29 +62,20 @@
             }
             return;
         }
-        const entry = this.getOrCreate(key.id);
         switch (key.kind) {
             case "spec":
-                if (entry.spec !== undefined) {
-                    return;
-                }
-                entry.spec = decodeSpec(record.value);
-                entry.specOffset = record.offset;
+                this.applySpec(key.id, record, record.value);
                 break;
-            case "cancellation":
+            case "cancellation": {
+                const entry = this.getOrCreate(key.id);
                 entry.isCancelled = true;
+                this.didChange.fire(entry);
                 break;
+            }
             case "state":
-                if (record.offset <= entry.stateOffset) {
-                    return;
-                }
-                entry.state = record.value as JobState;
-                entry.stateOffset = record.offset;
+                this.applyState(key.id, record, record.value);
                 break;
-            default:
-                return;
         }
-        this.didChange.fire(entry);
     }
 
     /** @param queue Name of a queue. @returns Number of its accepted jobs that have not started. */
@@ -92,6 +87,34 @@
         return count;
     }
 
+    private applySpec(id: string, record: StoredRecord, value: string): void {
+        const spec = decodeSpec(value);
+        if (spec === undefined) {
+            this.didIgnore.fire(record);
+            return;
+        }
+        const entry = this.getOrCreate(id);
+        if (entry.spec === undefined) {
+            entry.spec = spec;
+            entry.specOffset = record.offset;
+            this.didChange.fire(entry);
+        }
+    }
+
+    private applyState(id: string, record: StoredRecord, value: string): void {
+        const state = decodeState(value);
+        if (state === undefined) {
+            this.didIgnore.fire(record);
+            return;
+        }
+        const entry = this.getOrCreate(id);
+        if (record.offset > entry.stateOffset) {
+            entry.state = state;
+            entry.stateOffset = record.offset;
+            this.didChange.fire(entry);
+        }
+    }
+
     private getOrCreate(id: string): JobEntry {
         const existing = this.entries.get(id);
         if (existing !== undefined) {
--- a/src/jobs/common/progressTable.ts
+++ b/src/jobs/common/progressTable.ts
@@ -4,6 +4,7 @@
 /** Progress of all jobs as recorded by earlier leaders. A new leader reads it during takeover. */
 export class ProgressTable {
     private readonly entries = new Map<string, JobProgress>();
+    private readonly malformed = new Set<string>();
 
     private constructor() {}
 
@@ -22,11 +23,21 @@
         return this.entries.get(id);
     }
 
+    /** @param id Identifier of a job. @returns Whether its progress is malformed, so that its runs are not known. */
+    isMalformed(id: string): boolean {
+        return this.malformed.has(id);
+    }
+
     /** Applies the newest record of a key. */
     apply(record: StoredRecord): void {
         const key = parseJobKey(record.key);
         if (key?.kind === "progress" && record.value !== undefined) {
-            this.entries.set(key.id, decodeProgress(record.value));
+            const progress = decodeProgress(record.value);
+            if (progress === undefined) {
+                this.malformed.add(key.id);
+            } else {
+                this.entries.set(key.id, progress);
+            }
         }
     }
 }
--- /dev/null
+++ b/src/platform/common/answerDecoder.ts
@@ -0,0 +1,138 @@
+import * as z from "zod/mini";
+import { OrderAnswer } from "../../dispatch/common/workerClient";
+import { ListedEnd, ListedRun, OrderOutcome, RunEnd, RunList } from "../../dispatch/common/workerMessages";
+import { NewestPage } from "../../records/common/recordStore";
+import { WireLists } from "./wireTypes";
+
+const OUTCOME_BY_REASON: Readonly<Record<string, OrderOutcome>> = {
+    fence: "fenced",
+    old: "superseded",
+    late: "too-late",
+    room: "no-room",
+    ticket: "no-ticket",
+};
+
+const OUTCOME_BY_STATUS: Readonly<Record<number, OrderOutcome>> = {
+    200: "done",
+    421: "other-incarnation",
+    429: "unhealthy",
+    503: "unhealthy",
+};
+
+const RUN_ENDS: readonly RunEnd[] = ["done", "failed", "stopped", "lapsed", "broken", "alone"];
+
+const objectSchema = z.record(z.string(), z.unknown());
+
+const pageSchema = z.object({
+    items: z.optional(z.array(z.object({ key: z.string(), value: z.string(), offset: z.number() }))),
+    hasMore: z.optional(z.boolean()),
+    end: z.optional(z.number()),
+});
+
+const appendSchema = z.object({ offset: z.number() });
+
+/**
+ * Decodes a worker's answer to an order.
+ * @param status Status of the response.
+ * @param body Body of the response.
+ * @returns The answer, or `undefined` if it is malformed: then it is not known whether the order was executed.
+ */
+export function decodeWorkerAnswer(status: number, body: Uint8Array): OrderAnswer | undefined {
+    const value = body.length === 0 ? {} : parseObject(body);
+    if (value === undefined || !isOptionalNumber(value.clockMs)) {
+        return undefined;
+    }
+    const { clockMs } = value;
+    if (status !== 200) {
+        const outcome = status === 409 ? OUTCOME_BY_REASON[String(value.reason)] : OUTCOME_BY_STATUS[status];
+        return { outcome: outcome ?? "invalid", clockMs };
+    }
+    const list = decodeRunList(value);
+    return list === undefined ? undefined : { outcome: "done", clockMs, list };
+}
+
+/** @param body Body of the answer to a read of the newest records. @returns The page, or `undefined` if malformed. */
+export function decodeNewestPage(body: Uint8Array): NewestPage | undefined {
+    const parsed = pageSchema.safeParse(parseObject(body));
+    if (!parsed.success) {
+        return undefined;
+    }
+    const records = (parsed.data.items ?? []).map(({ key, value, offset }) => ({
+        key,
+        value: Buffer.from(value, "base64").toString("utf8"),
+        offset,
+    }));
+    return { records, end: parsed.data.end ?? 0, hasMore: parsed.data.hasMore ?? false };
+}
+
+/** @param body Body of the answer to an append. @returns Offset of the first record, or `undefined` if malformed. */
+export function decodeAppendAnswer(body: Uint8Array): number | undefined {
+    const parsed = appendSchema.safeParse(parseObject(body));
+    return parsed.success ? parsed.data.offset : undefined;
+}
+
+/** Checked by hand: lists are the most frequent messages, and a schema costs several times as much. */
+function decodeRunList(value: Partial<Record<keyof WireLists, unknown>>): RunList | undefined {
+    const { born, running = [], ended = [] } = value;
+    if (!isOptionalNumber(born) || !isArrayOf(running, isRunRow) || !isArrayOf(ended, isEndRow)) {
+        return undefined;
+    }
+    return { incarnation: born, running: running.map(toListedRun), ended: ended.map(toListedEnd) };
+}
+
+function toListedRun([task, run, checkpoint, percent, measure]: RunRow): ListedRun {
+    return { task, run, checkpoint, percent, latencyOrUsage: measure ?? 0 };
+}
+
+function toListedEnd([number, task, run, end, checkpoint]: EndRow): ListedEnd {
+    return { number, task, run, end: end as RunEnd, checkpoint };
+}
+
+type RunRow = NonNullable<WireLists["running"]>[number];
+type EndRow = NonNullable<WireLists["ended"]>[number];
+
+function isArrayOf<T>(value: unknown, isRow: (row: unknown) => row is T): value is T[] {
+    return Array.isArray(value) && value.every(isRow);
+}
+
+function isRunRow(row: unknown): row is RunRow {
+    if (!Array.isArray(row)) {
+        return false;
+    }
+    const [task, run, checkpoint, percent, measure] = row as unknown[];
+    return (
+        typeof task === "string" &&
+        Number.isSafeInteger(run) &&
+        typeof checkpoint === "string" &&
+        Number.isFinite(percent) &&
+        isOptionalNumber(measure)
+    );
+}
+
+function isEndRow(row: unknown): row is EndRow {
+    if (!Array.isArray(row)) {
+        return false;
+    }
+    const [number, task, run, end, checkpoint] = row as unknown[];
+    return (
+        Number.isSafeInteger(number) &&
+        typeof task === "string" &&
+        Number.isSafeInteger(run) &&
+        RUN_ENDS.includes(end as RunEnd) &&
+        typeof checkpoint === "string"
+    );
+}
+
+function isOptionalNumber(value: unknown): value is number | undefined {
+    return value === undefined || Number.isFinite(value);
+}
+
+/** @returns The object that a body contains, or `undefined` if it is not JSON or not an object. */
+function parseObject(body: Uint8Array): Record<string, unknown> | undefined {
+    try {
+        return objectSchema.safeParse(JSON.parse(new TextDecoder().decode(body))).data;
+    } catch {
+        // The caller logs the malformed answer.
+        return undefined;
+    }
+}
--- a/src/platform/common/streamDecoder.ts
+++ b/src/platform/common/streamDecoder.ts
@@ -61,8 +61,12 @@
         return new StreamDecoder();
     }
 
+    override isConfiguration(record: StoredRecord): boolean {
+        return record.key === CONFIG_KEY;
+    }
+
     override decodeConfiguration(record: StoredRecord): Configuration | undefined {
-        const parsed = record.key === CONFIG_KEY ? parse(record.value, configSchema) : undefined;
+        const parsed = this.isConfiguration(record) ? parse(record.value, configSchema) : undefined;
         if (parsed === undefined) {
             return undefined;
         }
--- a/src/platform/node/platformProcess.ts
+++ b/src/platform/node/platformProcess.ts
@@ -39,7 +39,9 @@
         HttpClient.create({ connections: STORE_CONNECTIONS }),
         onFailure,
     );
-    const workers = PlatformWorkers.create(HttpClient.create({ connections: WORKER_CONNECTIONS }));
+    const workers = PlatformWorkers.create(HttpClient.create({ connections: WORKER_CONNECTIONS }), (call, failure) =>
+        log.log("worker-call-failed", { call, failure }, "detail"),
+    );
     const { retentionS, ...scheduling } = settings.scheduling;
     const limits = { ...scheduling, retentionMs: retentionS * MS_PER_SECOND };
     const { share, speed } = settings.processor;
--- a/src/platform/node/platformStore.ts
+++ b/src/platform/node/platformStore.ts
@@ -11,6 +11,8 @@
 } from "../../records/common/recordStore";
 import { isNotSent } from "../../services/node/connectionPool";
 import { HttpResponse, HttpClient } from "../../services/node/httpClient";
+import { decodeAppendAnswer, decodeNewestPage } from "../common/answerDecoder";
+import { FailureListener } from "../common/failureListener";
 import { packRecords, PAGE_HEADER_BYTES, unpackRecords } from "../common/recordFrames";
 
 const TOPICS: Readonly<Record<StreamName, string>> = {
@@ -39,9 +41,6 @@
 /** Weight of the latest append in the average duration. */
 const SMOOTHING_RATIO = 0.2;
 
-/** Called when a call to the store failed. */
-export type FailureListener = (call: string, failure: string) => void;
-
 /** Keyed streams in the platform's store. */
 export class PlatformStore extends RecordStore {
     private averageAppendMs = MIN_APPEND_TIMEOUT_MS / APPEND_TIMEOUT_RATIO;
@@ -134,7 +133,12 @@
             return Err("unavailable");
         }
         this.updateRoundTrip(performance.now() - startedAt);
-        return decodePage(answer);
+        const page = decodeNewestPage(answer.body);
+        if (page === undefined) {
+            this.onFailure("newest", "malformed page");
+            return Err("unavailable");
+        }
+        return Ok(page);
     }
 
     private async get(path: string, timeoutMs: number): Promise<HttpResponse | undefined> {
@@ -151,12 +155,16 @@
     }
 
     private appendResult(answer: HttpResponse): Result<RecordOffset, AppendError> {
-        const body = new TextDecoder().decode(answer.body);
         switch (answer.status) {
-            case 200:
-                return Ok((JSON.parse(body) as { offset: number }).offset);
+            case 200: {
+                const offset = decodeAppendAnswer(answer.body);
+                if (offset === undefined) {
+                    this.onFailure("append", "malformed answer");
+                }
+                return offset === undefined ? Err("unknown") : Ok(offset);
+            }
             case 409:
-                return Err(body.includes("fenced") ? "fenced" : "out-of-sequence");
+                return Err(new TextDecoder().decode(answer.body).includes("fenced") ? "fenced" : "out-of-sequence");
             case 412:
                 return Err("conflict");
             default:
@@ -174,17 +182,3 @@
         this.roundTripMs = Math.min(this.roundTripMs ?? durationMs, durationMs);
     }
 }
-
-function decodePage(answer: HttpResponse): Result<NewestPage, ReadError> {
-    const page = JSON.parse(new TextDecoder().decode(answer.body)) as {
-        items?: { key: string; value: string; offset: number }[];
-        hasMore?: boolean;
-        end?: number;
-    };
-    const records = (page.items ?? []).map(({ key, value, offset }) => ({
-        key,
-        value: Buffer.from(value, "base64").toString("utf8"),
-        offset,
-    }));
-    return Ok({ records, end: page.end ?? 0, hasMore: page.hasMore ?? false });
-}
--- a/src/platform/node/platformWorkers.ts
+++ b/src/platform/node/platformWorkers.ts
@@ -1,17 +1,10 @@
 import { OrderAnswer, WorkerClient } from "../../dispatch/common/workerClient";
 import { WorkerEntry } from "../../dispatch/common/workerEntry";
-import {
-    ListOrder,
-    OrderOutcome,
-    RunEnd,
-    RunList,
-    StartOrder,
-    StopOrder,
-    ThrottleOrder,
-} from "../../dispatch/common/workerMessages";
+import { ListOrder, StartOrder, StopOrder, ThrottleOrder } from "../../dispatch/common/workerMessages";
 import { isNotSent } from "../../services/node/connectionPool";
-import { HttpResponse, HttpClient } from "../../services/node/httpClient";
-import { WireLists } from "../common/wireTypes";
+import { HttpClient } from "../../services/node/httpClient";
+import { decodeWorkerAnswer } from "../common/answerDecoder";
+import { FailureListener } from "../common/failureListener";
 
 /**
  * Bounds of the timeout of a call to a worker, in addition to the time that the worker waits: 20 round trips between
@@ -26,33 +19,21 @@
 /** Weight of the latest answer in the average duration. */
 const SMOOTHING_RATIO = 0.05;
 
-const OUTCOME_BY_REASON: Readonly<Record<string, OrderOutcome>> = {
-    fence: "fenced",
-    old: "superseded",
-    late: "too-late",
-    room: "no-room",
-    ticket: "no-ticket",
-};
-
-const OUTCOME_BY_STATUS: Readonly<Record<number, OrderOutcome>> = {
-    200: "done",
-    421: "other-incarnation",
-    429: "unhealthy",
-    503: "unhealthy",
-};
-
 /** Calls workers over HTTP. */
 export class PlatformWorkers extends WorkerClient {
     /** Average duration of calls in ms. It rises when this instance is slow, so workers do not seem unreachable. */
     private averageAnswerMs = 0;
 
-    private constructor(private readonly client: HttpClient) {
+    private constructor(
+        private readonly client: HttpClient,
+        private readonly onFailure: FailureListener,
+    ) {
         super();
     }
 
-    /** @param client HTTP client for the workers. @returns The client. */
-    static create(client: HttpClient): PlatformWorkers {
-        return new PlatformWorkers(client);
+    /** @param client HTTP client for the workers. @param onFailure Called for malformed answers. @returns The client. */
+    static create(client: HttpClient, onFailure: FailureListener): PlatformWorkers {
+        return new PlatformWorkers(client, onFailure);
     }
 
     override start(worker: WorkerEntry, order: StartOrder): Promise<OrderAnswer> {
@@ -102,7 +83,11 @@
                 timeoutMs: waitMs + this.timeoutMs(),
             });
             this.recordAnswerDuration(performance.now() - startedAt, waitMs);
-            return decodeAnswer(answer);
+            const decoded = decodeWorkerAnswer(answer.status, answer.body);
+            if (decoded === undefined) {
+                this.onFailure(path, `malformed answer of ${worker.id}, status ${answer.status}`);
+            }
+            return decoded ?? { outcome: "no-answer", clockMs: undefined };
         } catch (error) {
             return { outcome: isNotSent(error) ? "unreachable" : "no-answer", clockMs: undefined };
         }
@@ -124,33 +109,3 @@
         }
     }
 }
-
-function decodeAnswer(answer: HttpResponse): OrderAnswer {
-    const text = new TextDecoder().decode(answer.body);
-    const body = (text === "" ? {} : JSON.parse(text)) as Partial<WireLists> & { reason?: string };
-    const outcome =
-        answer.status === 409
-            ? (OUTCOME_BY_REASON[body.reason ?? ""] ?? "invalid")
-            : (OUTCOME_BY_STATUS[answer.status] ?? "invalid");
-    return { outcome, clockMs: body.clockMs, list: answer.status === 200 ? toRunList(body) : undefined };
-}
-
-function toRunList(body: Partial<WireLists>): RunList {
-    return {
-        incarnation: body.born,
-        running: (body.running ?? []).map(([task, run, checkpoint, percent, measure]) => ({
-            task,
-            run,
-            checkpoint,
-            percent,
-            latencyOrUsage: measure ?? 0,
-        })),
-        ended: (body.ended ?? []).map(([number, task, run, end, checkpoint]) => ({
-            number,
-            task,
-            run,
-            end: end as RunEnd,
-            checkpoint,
-        })),
-    };
-}
--- a/src/proof/node/jobTrialPlan.ts
+++ b/src/proof/node/jobTrialPlan.ts
@@ -104,6 +104,10 @@
 
 /** Decodes the stored entries of a trial. */
 export class TrialDecoder extends EntryDecoder {
+    override isConfiguration(): boolean {
+        return true;
+    }
+
     override decodeConfiguration(): Configuration {
         return CONFIGURATION;
     }
--- a/src/proof/node/simulatedInstance.ts
+++ b/src/proof/node/simulatedInstance.ts
@@ -55,6 +55,9 @@
         this.loop = Loop.create(
             (event, now, wallNow) => this.instance.dispatch(event, now, wallNow),
             effect => this.performOrHold(effect),
+            error => {
+                throw error;
+            },
         );
         this.instance.start(performance.now()).forEach(effect => this.perform(effect));
         this.loop.startTicking({ kind: "tick" }, TICK_INTERVAL_MS);
--- a/src/serving/node/instanceProcess.ts
+++ b/src/serving/node/instanceProcess.ts
@@ -50,7 +50,9 @@
         this.performers = Performers.create(settings, instance, this.client, metrics, post, () => this.onStopped());
         this.resources.add(this.performers);
         const dispatch = instance.dispatch.bind(instance);
-        this.loop = this.resources.add(Loop.create(dispatch, effect => this.performers.perform(effect)));
+        const perform = (effect: InstanceEffect) => this.performers.perform(effect);
+        const onError = (error: unknown) => logger.error("unexpected error", error);
+        this.loop = this.resources.add(Loop.create(dispatch, perform, onError));
         instance.shared.auditSource = this.performers.audit;
         instance.shared.taskChanged.event(change => metrics.recordTaskChange(change));
         Invariants.instance.onDidViolate(({ invariant, detail }) => logger.error("invariant", { invariant, detail }));
