--- a/src/platform/node/platformStore.ts
+++ b/src/platform/node/platformStore.ts
@@ -25,6 +25,12 @@
 /** Timeout of a read, in addition to the time that it waits for records. */
 const READ_TIMEOUT_MS = 1_500;
 
+/**
+ * Time without data after which a response that has begun is given up, in ms. A response that only arrives slowly is
+ * awaited: if many instances load the streams at the same time, aborted pages would be sent again and fill the links.
+ */
+const IDLE_TIMEOUT_MS = 2_000;
+
 /**
  * Maximum timeout of a page of newest records: 1 MB over a link of 1 Mbit/s. Each failure doubles the timeout, because
  * a page that timed out is sent again from its start and would waste the bandwidth of a slow link.
@@ -143,7 +149,8 @@
 
     private async get(path: string, timeoutMs: number): Promise<HttpResponse | undefined> {
         try {
-            const answer = await this.client.call({ origin: this.origin, method: "GET", path, timeoutMs });
+            const call = { origin: this.origin, method: "GET" as const, path, timeoutMs };
+            const answer = await this.client.call({ ...call, idleTimeoutMs: IDLE_TIMEOUT_MS });
             if (answer.status >= 400 && answer.status !== 410) {
                 this.onFailure("read", `status ${answer.status}`);
             }
--- a/src/services/node/httpClient.ts
+++ b/src/services/node/httpClient.ts
@@ -12,7 +12,10 @@
     readonly path: string;
     readonly headers?: Record<string, string>;
     readonly body?: Uint8Array | string;
+    /** Time within which the response must be complete, in ms. */
     readonly timeoutMs: number;
+    /** If given, a response that has begun may take longer while data arrives at least this often, in ms. */
+    readonly idleTimeoutMs?: number;
 }
 
 /** Default maximum number of a client's connections to one origin. */
@@ -36,7 +39,7 @@
      */
     call(call: HttpCall): Promise<HttpResponse> {
         const { method, path, headers, body } = call;
-        return PendingCall.run(call.timeoutMs, handler => {
+        return PendingCall.run(call.timeoutMs, call.idleTimeoutMs, handler => {
             this.pool(call.origin).dispatch({ method, path, headers, body }, handler);
         });
     }
--- a/src/services/node/pendingCall.ts
+++ b/src/services/node/pendingCall.ts
@@ -8,6 +8,9 @@
     readonly body: Uint8Array;
 }
 
+/** Time after which even a response whose data keeps arriving is given up, in ms. */
+const MAX_RESPONSE_MS = 20_000;
+
 /**
  * Collects the response to one request. It replaces the library's `request`, whose streams and abort signals took a
  * third of the CPU time of an instance that calls many workers; a handler and a timer cost a fraction of that.
@@ -18,10 +21,12 @@
     private status = 0;
     private headers: HttpResponse["headers"] = {};
     private isSettled = false;
-    private readonly timer: NodeJS.Timeout;
+    private readonly startedAt = performance.now();
+    private timer: NodeJS.Timeout;
 
     private constructor(
         private readonly timeoutMs: number,
+        private readonly idleTimeoutMs: number | undefined,
         private readonly resolve: (response: HttpResponse) => void,
         private readonly reject: (error: Error) => void,
     ) {
@@ -30,13 +35,18 @@
 
     /**
      * @param timeoutMs Time within which the response must be complete, in ms.
+     * @param idleTimeoutMs If given, a response that has begun may take longer while data arrives at least this often.
      * @param dispatch Passes the request to the library.
      * @returns The complete response.
      * @throws `NotSentError` if the time passed before any of the request was written, else the library's error.
      */
-    static run(timeoutMs: number, dispatch: (handler: PendingCall) => void): Promise<HttpResponse> {
+    static run(
+        timeoutMs: number,
+        idleTimeoutMs: number | undefined,
+        dispatch: (handler: PendingCall) => void,
+    ): Promise<HttpResponse> {
         return new Promise((resolve, reject) => {
-            const call = new PendingCall(timeoutMs, resolve, reject);
+            const call = new PendingCall(timeoutMs, idleTimeoutMs, resolve, reject);
             try {
                 dispatch(call);
             } catch (error) {
@@ -61,11 +71,13 @@
     ): void {
         this.status = status;
         this.headers = headers;
+        this.restartTimer();
     }
 
     /** Called with each chunk of the body. */
     onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
         this.chunks.push(chunk);
+        this.restartTimer();
     }
 
     /** Called when the response is complete. */
@@ -80,6 +92,13 @@
         this.fail(error);
     }
 
+    private restartTimer(): void {
+        if (this.idleTimeoutMs !== undefined && performance.now() - this.startedAt < MAX_RESPONSE_MS) {
+            clearTimeout(this.timer);
+            this.timer = setTimeout(() => this.onTimeout(), this.idleTimeoutMs);
+        }
+    }
+
     private onTimeout(): void {
         if (this.controller === undefined) {
             this.fail(NotSentError.create(this.timeoutMs));
--- a/src/services/node/test/httpClient.test.ts
+++ b/src/services/node/test/httpClient.test.ts
@@ -51,6 +51,30 @@
     stopServer(server);
 });
 
+test("a response that arrives slowly is awaited as long as data arrives, one that stalls is given up", async t => {
+    const server = await startServer((request, response) => {
+        let chunks = 0;
+        const timer = setInterval(() => {
+            chunks += 1;
+            response.write("x");
+            if (chunks === 10 || (chunks === 2 && request.url === "/stalls")) {
+                clearInterval(timer);
+            }
+            if (chunks === 10) {
+                response.end();
+            }
+        }, TIMEOUT_MS / 5);
+    });
+    const client = HttpClient.create();
+    const call = { origin: originOf(server), method: "GET", timeoutMs: TIMEOUT_MS } as const;
+    const slow = await client.call({ ...call, path: "/", idleTimeoutMs: TIMEOUT_MS });
+    t.is(slow.body.length, 10);
+    await t.throwsAsync(client.call({ ...call, path: "/stalls", idleTimeoutMs: TIMEOUT_MS }));
+    await t.throwsAsync(client.call({ ...call, path: "/" }));
+    client.dispose();
+    stopServer(server);
+});
+
 test("a call that found no free connection in time is reported as not sent, and is never sent", async t => {
     const receivedPaths: string[] = [];
     const responses: ServerResponse[] = [];
