--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -194,7 +194,8 @@
      */
     schedule(now: number, wallNow: number): void {
         this.wallNow = wallNow;
-        if (!this.context.leadership.canSendOrders()) {
+        // A process that was paused may still believe that it leads: its successor has waited only for this window.
+        if (!this.context.leadership.canSendOrders() || !this.isConfirmationRecent(now)) {
             return;
         }
         const starts = this.pendingStarts;
@@ -211,12 +212,7 @@
 
     /** @param now Time in ms. @returns Whether leases may be extended. */
     mayExtend(now: number): boolean {
-        const { confirmedAt } = this.writers.jobs;
-        return (
-            this.context.leadership.canExtendLeases() &&
-            confirmedAt !== undefined &&
-            now - confirmedAt < RENEWAL_WINDOW_MS
-        );
+        return this.context.leadership.canExtendLeases() && this.isConfirmationRecent(now);
     }
 
     /** Sends the order to start a run, or ends the run if its worker cannot be reached. */
@@ -335,6 +331,11 @@
         this.activeJobs.recordProgress(task.job);
     }
 
+    private isConfirmationRecent(now: number): boolean {
+        const { confirmedAt } = this.writers.jobs;
+        return confirmedAt !== undefined && now - confirmedAt < RENEWAL_WINDOW_MS;
+    }
+
     private handleStartAnswer(
         worker: WorkerContact,
         event: WorkerEvent & { readonly kind: "start-answer" },
--- a/src/dispatch/common/test/scheduler.test.ts
+++ b/src/dispatch/common/test/scheduler.test.ts
@@ -51,7 +51,6 @@
             effects: this.outbox,
         };
         const [jobsWriter, progress] = this.writers;
-        jobsWriter.confirmedAt = Number.MAX_SAFE_INTEGER;
         this.scheduler = Scheduler.create(context, 1, { jobs: jobsWriter, progress }, 0);
         ["w1", "w2"].forEach(id => this.scheduler.updateWorker(id, createWorker(id).entry, 0));
     }
@@ -60,9 +59,13 @@
         return new SchedulerFixture();
     }
 
+    /** Whether the store confirms the renewals of the leader, which the fixture does not send. */
+    isEpochConfirmed = true;
+
     /** Advances the time. @param ms By how much, in ms. */
     advance(ms: number): void {
         for (const until = this.now + ms; this.now < until; this.now += TICK_MS) {
+            this.writers[0].confirmedAt = this.isEpochConfirmed ? this.now : -20_000;
             this.scheduler.tick(this.now, this.now);
             this.scheduler.schedule(this.now, this.now);
             this.writers.forEach(writer => writer.flush(this.now));
@@ -116,6 +119,16 @@
     return { fixture, worker, order };
 }
 
+test("a leader that was paused sends no start before the store has confirmed its epoch again", t => {
+    const fixture = SchedulerFixture.create();
+    fixture.isEpochConfirmed = false;
+    fixture.advance(2_000);
+    t.is(fixture.starts.length, 0);
+    fixture.isEpochConfirmed = true;
+    fixture.advance(500);
+    t.is(fixture.starts.length, 1);
+});
+
 test("an end is confirmed after it is stored", t => {
     const fixture = SchedulerFixture.create();
     fixture.advance(500);
--- a/src/records/common/test/recordFollower.test.ts
+++ b/src/records/common/test/recordFollower.test.ts
@@ -15,7 +15,12 @@
         this.values.push(record.value);
     }
 
-    override retainKeys(): void {}
+    /** Keys that existed at the latest load. */
+    retained: ReadonlySet<string> = new Set();
+
+    override retainKeys(keys: ReadonlySet<string>): void {
+        this.retained = keys;
+    }
 }
 
 /** Follows a stream; each step answers the follower's read. */
@@ -87,3 +92,24 @@
     fixture.step();
     t.is(fixture.collector.values.length, 4);
 });
+
+test("after a restart, a key that was deleted is not among those that a follower retains", t => {
+    const fixture = new Fixture({ waitMs: 1_000, pauseMs: 0 });
+    fixture.log.store("gone", "1");
+    fixture.log.store("gone", undefined);
+    fixture.step();
+    t.deepEqual([...fixture.collector.retained], ["config"]);
+    t.deepEqual(fixture.collector.values, ["first"]);
+});
+
+test("a reload after the history has expired retains only the keys that still exist", t => {
+    const fixture = new Fixture({ waitMs: 1_000, pauseMs: 0 });
+    fixture.log.store("left", "1");
+    fixture.step();
+    fixture.log.store("left", undefined);
+    fixture.log.expire();
+    for (let steps = 0; steps < 4; steps++) {
+        fixture.step();
+    }
+    t.deepEqual([...fixture.collector.retained], ["config"]);
+});
