--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -158,26 +158,26 @@
     }
 
     private chooseAny(task: Task, service: string, placer: Placer): WorkerContact | undefined {
-        const worker =
-            task.step.mode === "long-running"
-                ? this.chooseForLongRunning(task, service, placer)
-                : placer.choose(task, service);
+        const worker = this.chooseOutsideReserve(task, service, placer);
         if (worker !== undefined || task.failedOn.size === 0) {
             return worker;
         }
         // No worker without a failure of this task has capacity, so those with a failure are allowed, too.
         const failedOn = [...task.failedOn];
         task.failedOn.clear();
-        const retried =
-            task.step.mode === "long-running"
-                ? this.chooseForLongRunning(task, service, placer)
-                : placer.choose(task, service);
+        const retried = this.chooseOutsideReserve(task, service, placer);
         failedOn.forEach(id => task.failedOn.add(id));
         return retried;
     }
 
-    /** A long-running task that ran before is back in service as soon as possible, if need be on a reserved worker. */
-    private chooseForLongRunning(task: Task, service: string, placer: Placer): WorkerContact | undefined {
+    /**
+     * New long-running tasks use no reserved worker. One that ran before is back in service as soon as possible, if need
+     * be on a reserved worker.
+     */
+    private chooseOutsideReserve(task: Task, service: string, placer: Placer): WorkerContact | undefined {
+        if (task.step.mode !== "long-running") {
+            return placer.choose(task, service);
+        }
         const worker = placer.choose(task, service, each => !this.reserved.has(each));
         return worker === undefined && task.highestRun > 0 ? placer.choose(task, service) : worker;
     }
--- a/src/dispatch/common/test/workerPool.test.ts
+++ b/src/dispatch/common/test/workerPool.test.ts
@@ -148,6 +148,17 @@
     t.false(worker.isUsable(5_000));
 });
 
+test("a busy worker whose ends are confirmed one after the other stays usable", t => {
+    const { worker } = createBusyPool();
+    const end = (number: number) => ({ number, task: "x.0.0.0", run: 1, end: "done" as const, checkpoint: "" });
+    for (let number = 6; number < 16; number++) {
+        worker.processEnd(end(number));
+        worker.markRecorded(number, 1);
+        worker.updateKeptEnds([end(number)], number * 1_000);
+        t.true(worker.isUsable(number * 1_000 + 500));
+    }
+});
+
 test("a delayed answer does not count as a restart of the worker", t => {
     const { worker } = createBusyPool();
     worker.updateClock(10_000, 10_000, 10_000);
--- a/src/dispatch/common/workerContact.ts
+++ b/src/dispatch/common/workerContact.ts
@@ -86,7 +86,7 @@
     /** Number of the first end in the latest list, or `undefined` if it had none: the worker keeps unconfirmed ends. */
     private firstKeptEnd: number | undefined;
     private keptEndCount = 0;
-    /** Time (ms) since which the worker has kept ends. */
+    /** Time (ms) since which the worker has kept the first of them. */
     private keptEndsSince = 0;
     /** Whether a list request that confirms ends is in flight. */
     isConfirmationInFlight = false;
@@ -248,10 +248,10 @@
 
     /** Records which ends the worker keeps. @param ends The ends in its list. @param now Time in ms. */
     updateKeptEnds(ends: readonly ListedEnd[], now: number): void {
-        const hadKeptEnds = this.hasKeptEnds;
-        this.firstKeptEnd = ends.length === 0 ? undefined : Math.min(...ends.map(each => each.number));
+        const firstKeptEnd = ends.length === 0 ? undefined : Math.min(...ends.map(each => each.number));
+        this.keptEndsSince = firstKeptEnd === this.firstKeptEnd ? this.keptEndsSince : now;
+        this.firstKeptEnd = firstKeptEnd;
         this.keptEndCount = ends.length;
-        this.keptEndsSince = hadKeptEnds ? this.keptEndsSince : now;
     }
 
     /**
