--- a/src/dispatch/common/test/runs.ts
+++ b/src/dispatch/common/test/runs.ts
@@ -1,5 +1,6 @@
 import { JobSpec, StepSpec } from "../../../jobs/common/jobSpec";
 import { ActiveJob } from "../activeJob";
+import { DispatchLimits } from "../dispatchLimits";
 import { Run, RunHost } from "../run";
 import { Task } from "../task";
 import { WorkerContact } from "../workerContact";
@@ -8,6 +9,16 @@
 /** Latency target of the latency-critical tasks, in ms. */
 export const TARGET_MS = 100;
 
+/** Limits of a deployment, in ms. */
+export const LIMITS: DispatchLimits = {
+    longestLeaseMs: 6_000,
+    stopMs: 200,
+    gangWaitMs: 3_000,
+    harmMs: 4_000,
+    configurationMs: 2_500,
+    retentionMs: 120_000,
+};
+
 class NoopRunHost extends RunHost {
     override sendStart(): void {}
     override sendStop(): void {}
--- a/src/dispatch/common/test/scheduler.test.ts
+++ b/src/dispatch/common/test/scheduler.test.ts
@@ -9,16 +9,8 @@
 import { DispatchEffect } from "../dispatchEffects";
 import { Scheduler, SchedulerContext } from "../scheduler";
 import { ListedEnd, RunList, StartOrder } from "../workerMessages";
-import { createJob, createStep, createWorker } from "./runs";
+import { createJob, createStep, createWorker, LIMITS } from "./runs";
 
-const LIMITS = {
-    longestLeaseMs: 6_000,
-    stopMs: 200,
-    gangWaitMs: 3_000,
-    harmMs: 4_000,
-    configurationMs: 2_500,
-    retentionMs: 120_000,
-};
 const TICK_MS = 25;
 
 /** A scheduler with two simulated workers and one job of one task. */
--- a/src/dispatch/common/test/workerPool.test.ts
+++ b/src/dispatch/common/test/workerPool.test.ts
@@ -2,16 +2,7 @@
 import { Outbox } from "../../../base/common/outbox";
 import { DispatchEffect } from "../dispatchEffects";
 import { PoolHost, WorkerPool } from "../workerPool";
-import { assign, createJob, createStep, createWorker, report } from "./runs";
-
-const LIMITS = {
-    longestLeaseMs: 6_000,
-    stopMs: 200,
-    gangWaitMs: 3_000,
-    harmMs: 4_000,
-    configurationMs: 2_500,
-    retentionMs: 120_000,
-};
+import { assign, createJob, createStep, createWorker, LIMITS, report } from "./runs";
 
 /** Time (ms) at which the next list of a worker is due, however many workers there are. */
 const LATER_MS = 5_000;
