--- a/src/dispatch/common/shortTaskReserve.ts
+++ b/src/dispatch/common/shortTaskReserve.ts
@@ -66,7 +66,9 @@
         const byService = new Map<string, WorkerContact[]>();
         for (const worker of workers) {
             const { service } = worker.entry;
-            byService.set(service, [...(byService.get(service) ?? []), worker]);
+            const known = byService.get(service) ?? [];
+            known.push(worker);
+            byService.set(service, known);
         }
         return new Set([...byService].flatMap(([service, each]) => this.chooseOf(service, each, now)));
     }
--- a/src/host/node/jobPerformers.ts
+++ b/src/host/node/jobPerformers.ts
@@ -1,4 +1,4 @@
-import { Err } from "ts-results";
+import { Err, Result } from "ts-results";
 import { Disposable } from "../../base/common/disposable";
 import { OrderAnswer, WorkerClient } from "../../dispatch/common/workerClient";
 import { WorkerEffect } from "../../dispatch/common/workerMessages";
@@ -96,58 +96,47 @@
         const { stream } = effect;
         if (effect.kind === "append") {
             const { writer, append } = effect;
-            const appendedAt = performance.now();
-            const failed = this.onStoreError("append", Err("unknown" as const));
-            void this.store
-                .append(stream, append)
-                .catch(failed)
-                .then(result => {
-                    this.metrics.recordStoreCall(
-                        "append",
-                        result.ok ? "done" : result.val,
-                        performance.now() - appendedAt,
-                    );
-                    this.post({ kind: "append-answer", writer, sequence: append.sequence, result });
-                });
+            const send = () => this.store.append(stream, append);
+            void this.callStore("append", send, Err("unknown" as const)).then(({ result }) =>
+                this.post({ kind: "append-answer", writer, sequence: append.sequence, result }),
+            );
             return;
         }
+        const unavailable = Err("unavailable" as const);
         this.delay(effect.delayMs, () => {
-            const sentAt = performance.now();
-            const failed = this.onStoreError("read", Err("unavailable" as const));
             if (effect.kind === "read") {
-                void this.store
-                    .read(stream, effect.from, effect.waitMs)
-                    .catch(failed)
-                    .then(result => {
-                        this.metrics.recordStoreCall(
-                            "read",
-                            result.ok ? "done" : result.val,
-                            performance.now() - sentAt,
-                        );
-                        this.post({ kind: "read-answer", stream, sentAt, result });
-                    });
+                const send = () => this.store.read(stream, effect.from, effect.waitMs);
+                void this.callStore("read", send, unavailable).then(({ result, sentAt }) =>
+                    this.post({ kind: "read-answer", stream, sentAt, result }),
+                );
             } else {
-                void this.store
-                    .readNewest(stream, effect.after)
-                    .catch(failed)
-                    .then(result => {
-                        this.metrics.recordStoreCall(
-                            "newest",
-                            result.ok ? "done" : result.val,
-                            performance.now() - sentAt,
-                        );
-                        this.post({ kind: "newest-answer", stream, sentAt, result });
-                    });
+                const send = () => this.store.readNewest(stream, effect.after);
+                void this.callStore("newest", send, unavailable).then(({ result, sentAt }) =>
+                    this.post({ kind: "newest-answer", stream, sentAt, result }),
+                );
             }
         });
     }
 
-    /** @returns A listener that logs an unexpected error of the store's client and replaces it by a result. */
-    private onStoreError<R>(call: string, result: R): (error: unknown) => R {
-        return error => {
+    /**
+     * Calls the store and records the duration and the outcome.
+     * @param call Name of the call in log and metrics.
+     * @param send Sends the call.
+     * @param failure Replaces the result after an unexpected error, which is logged.
+     * @returns The result, and the time (ms) at which the call was sent.
+     */
+    private async callStore<T, E extends string>(
+        call: string,
+        send: () => Promise<Result<T, E>>,
+        failure: Result<T, E>,
+    ): Promise<{ readonly result: Result<T, E>; readonly sentAt: number }> {
+        const sentAt = performance.now();
+        const result = await send().catch((error: unknown) => {
             this.log.log("unexpected-error", { call, error: String(error) });
-            return result;
-        };
+            return failure;
+        });
+        this.metrics.recordStoreCall(call, result.ok ? "done" : result.val, performance.now() - sentAt);
+        return { result, sentAt };
     }
 
     private async performOrder(effect: WorkerEffect): Promise<void> {
