Log the loss of a worker with the tasks that had just been started there

The log showed that a run was lost, not that its worker had crashed, nor what else had just been started on it, so it could not tell a task that crashes its workers from the tasks beside it. worker-lost has the cause, the number of runs and the tasks whose start the worker has not survived for 500 ms. An assignment records the incarnation of the latest list if service discovery lags behind it, so that a restarted worker is not taken for lost again.

Failures are counted by a class of their own; no decision changes.

--- a/src/dispatch/common/dispatchEffects.ts
+++ b/src/dispatch/common/dispatchEffects.ts
@@ -17,6 +17,7 @@
     | "worker-back"
     | "worker-vacant"
     | "worker-replaced"
+    | "worker-lost"
     | "worker-excluded"
     | "worker-draining"
     | "job-ended"
--- a/src/dispatch/common/run.ts
+++ b/src/dispatch/common/run.ts
@@ -60,6 +60,9 @@
     readonly end?: ListedEnd;
 }
 
+/** Time after its start for which a run is listed before its start counts as survived by the worker, in ms. */
+const PROVEN_AGE_MS = 500;
+
 /** Sends the orders of a run and is notified of its end. */
 export abstract class RunHost {
     /** Sends the order to start. */
@@ -78,6 +81,8 @@
 
     /** Time (ms) of the latest state change; only a list that was requested later can show that the run is absent. */
     changedAt: number;
+    /** Time (ms) at which the start was sent, or at which this leader inherited the run. */
+    private startedAt: number;
     /** Latest report of the run. */
     report: ListedRun | undefined;
     /** Time (ms) at which the latest report arrived. */
@@ -89,6 +94,8 @@
     isSpeedConfirmed = true;
     /** Time (ms) at which it was throttled from full speed. */
     throttledAt = 0;
+    /** Whether its worker was lost while the run may have been on it. */
+    isWorkerLost = false;
     /** Rack of its worker. */
     rack = "";
     /** Ticket of the advice service that the start carries. */
@@ -101,10 +108,14 @@
         now: number,
     ) {
         this.changedAt = now;
+        this.startedAt = now;
         this.machine = Machine.create(chart, {
             guards: {},
             actions: {
-                sendStart: ({ now }) => this.host.sendStart(this, now),
+                sendStart: ({ now }) => {
+                    this.startedAt = now;
+                    this.host.sendStart(this, now);
+                },
                 sendStop: ({ now }) => this.host.sendStop(this, now),
                 notifyEnded: ({ now, end }) => this.host.onEnd(this, end!.end, end!.checkpoint, now),
                 notifyLost: ({ now }) => this.host.onEnd(this, "lost", this.report?.checkpoint ?? "", now),
@@ -148,6 +159,21 @@
         return this.state === "stopping" || this.state === "stopped";
     }
 
+    /** Whether the run may be on the worker: its start has been sent. */
+    get isSent(): boolean {
+        return this.state !== "assigned" && this.state !== "over";
+    }
+
+    /** Age of the run in the latest report, in ms: the worker has survived it for this long. */
+    get provenAgeMs(): number {
+        return this.report === undefined ? 0 : this.reportedAt - this.startedAt;
+    }
+
+    /** Whether the worker has certainly survived the start of the run. */
+    get isProven(): boolean {
+        return this.provenAgeMs >= PROVEN_AGE_MS;
+    }
+
     /** Handles an event. */
     fire(event: RunEvent, data: RunEventData): void {
         const before = this.machine.state;
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -8,21 +8,23 @@
 import { Leadership } from "../../records/common/leadership";
 import { ActiveJob } from "./activeJob";
 import { DispatchLimits, RENEWAL_WINDOW_MS, START_VALIDITY_MS } from "./dispatchLimits";
-import { DispatchEffect } from "./dispatchEffects";
+import { DecisionData, DecisionName, DispatchEffect } from "./dispatchEffects";
 import { ActiveJobTable, LeaderWriters } from "./activeJobTable";
 import { JobPruner } from "./jobPruner";
+import { FailureController } from "./failureController";
 import { LatencyModel, InterferenceRow } from "./latencyModel";
 import { encodeLatencyModel, LATENCY_MODEL_KEY } from "./latencyModelRecord";
 import { ThrottleController } from "./throttleController";
 import { Run, RunHost, RunOutcome } from "./run";
 import { RunReviewer } from "./runReviewer";
+import { SchedulerFailureHost } from "./schedulerFailureHost";
 import { SchedulerPoolHost } from "./schedulerPoolHost";
 import { SchedulerRunHost } from "./schedulerRunHost";
 import { StepQueue } from "./stepQueue";
 import { firstWaitMs, Task } from "./task";
 import { WorkerContact } from "./workerContact";
 import { WorkerEntry } from "./workerEntry";
-import { WorkerPool } from "./workerPool";
+import { WorkerLossCause, WorkerPool } from "./workerPool";
 import { ListedEnd, NOT_EXECUTED_OUTCOMES, WorkerEvent } from "./workerMessages";
 
 /** Size of the range of run numbers per task and epoch. Separate ranges keep two leaders from using the same number. */
@@ -64,6 +66,7 @@
     private readonly pool: WorkerPool;
     private readonly model: LatencyModel;
     private readonly throttleController: ThrottleController;
+    private readonly failures: FailureController;
     private readonly queue: StepQueue;
     private readonly reviewer = RunReviewer.create();
     private readonly pruner: JobPruner;
@@ -91,6 +94,7 @@
         this.activeJobs = ActiveJobTable.create(epoch, writers);
         this.pruner = JobPruner.create(context.jobs, this.activeJobs, writers, context.limits.retentionMs);
         this.throttleController = ThrottleController.create(this.model, (run, percent) => this.throttle(run, percent));
+        this.failures = FailureController.create(context.queues, SchedulerFailureHost.create(this));
         this.queue = StepQueue.create(context.queues, this.model, (task, worker, at) => this.assign(task, worker, at));
         this.resources.add(this.activeJobs.onDidCancel(job => this.stopRuns(job, this.now)));
         this.resources.add(
@@ -279,7 +283,7 @@
             // The run was given up before the worker reported this end; a later run, if any, is stopped.
             this.finishTask(task, now);
         } else if (end.end === "failed") {
-            this.recordFailure(task, end.run, worker);
+            this.failures.recordFailure(task, end.run, worker);
         }
         this.activeJobs.recordProgress(task.job, isConfirmable ? markRecorded : undefined);
     }
@@ -298,11 +302,27 @@
         this.throttleController.review(worker, now);
     }
 
+    /** Handles the loss of a worker, before its runs end. */
+    onWorkerLost(worker: WorkerContact, runs: readonly Run[], cause: WorkerLossCause): void {
+        this.failures.reviewLoss(worker, runs, cause);
+    }
+
     /** Handles the rejection of an order by a worker that knows a later epoch. */
     onFenced(now: number): void {
         this.context.leadership.handleRejection(now);
     }
 
+    /** Logs that a job has failed, and stops its runs. @param data Why it has failed. */
+    onJobFailed(job: ActiveJob, data: DecisionData): void {
+        this.logDecision("job-ended", { job: job.spec.id, state: job.state, ...data });
+        this.stopRuns(job, this.now);
+    }
+
+    /** Adds a line to the decision log. */
+    logDecision(name: DecisionName, data: DecisionData): void {
+        this.context.effects.emit({ kind: "decision", name, data });
+    }
+
     /** Handles the end of a run: finishes its task, counts its failure or lets the task wait again. */
     onRunEnd(run: Run, outcome: RunOutcome, checkpoint: string, now: number): void {
         const { task, record } = run;
@@ -318,7 +338,7 @@
             worker?.trust.recordSuccess(now);
             this.finishTask(task, now);
         } else if (outcome === "failed") {
-            this.recordFailure(task, record.run, worker);
+            this.failures.recordFailure(task, record.run, worker);
             worker?.trust.recordFailure({ now, familyFailureRate: 0 });
         }
         task.hasLostRun ||= outcome === "lost";
@@ -377,7 +397,7 @@
             task: task.name,
             run: task.highestRun,
             worker: worker.entry.id,
-            incarnation: worker.entry.incarnation,
+            incarnation: Math.max(worker.entry.incarnation, worker.incarnation ?? 0),
             checkpoint: task.checkpoint,
         };
         const run = Run.create(task, record, this.runHost, now);
@@ -421,29 +441,7 @@
         }
     }
 
-    private recordFailure(task: Task, run: number, worker: WorkerContact | undefined): void {
-        if (run <= task.lastRun) {
-            return;
-        }
-        task.lastRun = run;
-        task.failures += 1;
-        if (worker !== undefined) {
-            task.failedOn.add(worker.entry.id);
-        }
-        const { job } = task;
-        const { maxAttempts } = this.context.queues.latestSettings(job.spec.queue);
-        if (task.step.mode !== "long-running" && task.failures >= maxAttempts && !isFinal(job.state)) {
-            job.state = "failed";
-            this.logDecision("job-ended", {
-                job: job.spec.id,
-                state: "failed",
-                task: task.name,
-                failures: task.failures,
-            });
-            this.stopRuns(job, this.now);
-        }
-    }
-
+    /** Stops the runs of a job that has failed or is cancelled. */
     private stopRuns(job: ActiveJob, now: number): void {
         for (const task of job.tasks()) {
             if (task.run !== undefined) {
@@ -498,15 +496,4 @@
             this.stop(run, reason, now);
         }
     }
-
-    private logDecision(name: Parameters<typeof decision>[0], data: Parameters<typeof decision>[1]): void {
-        this.context.effects.emit(decision(name, data));
-    }
-}
-
-function decision(
-    name: (DispatchEffect & { readonly kind: "decision" })["name"],
-    data: (DispatchEffect & { readonly kind: "decision" })["data"],
-): DispatchEffect {
-    return { kind: "decision", name, data };
 }
--- /dev/null
+++ b/src/dispatch/common/schedulerFailureHost.ts
@@ -0,0 +1,24 @@
+import { ActiveJob } from "./activeJob";
+import { DecisionData, DecisionName } from "./dispatchEffects";
+import { FailureHost } from "./failureController";
+import type { Scheduler } from "./scheduler";
+
+/** Forwards the calls of the failure controller to the scheduler. */
+export class SchedulerFailureHost extends FailureHost {
+    private constructor(private readonly scheduler: Scheduler) {
+        super();
+    }
+
+    /** @param scheduler Handles the calls. @returns The host. */
+    static create(scheduler: Scheduler): SchedulerFailureHost {
+        return new SchedulerFailureHost(scheduler);
+    }
+
+    override onJobFailed(job: ActiveJob, data: DecisionData): void {
+        this.scheduler.onJobFailed(job, data);
+    }
+
+    override logDecision(name: DecisionName, data: DecisionData): void {
+        this.scheduler.logDecision(name, data);
+    }
+}
--- a/src/dispatch/common/schedulerPoolHost.ts
+++ b/src/dispatch/common/schedulerPoolHost.ts
@@ -1,6 +1,7 @@
+import { Run } from "./run";
 import type { Scheduler } from "./scheduler";
 import { WorkerContact } from "./workerContact";
-import { PoolHost } from "./workerPool";
+import { PoolHost, WorkerLossCause } from "./workerPool";
 import { ListedEnd } from "./workerMessages";
 
 /** Forwards the calls of the worker pool to the scheduler. */
@@ -26,6 +27,10 @@
         this.scheduler.onRunList(worker, now);
     }
 
+    override onWorkerLost(worker: WorkerContact, runs: readonly Run[], cause: WorkerLossCause): void {
+        this.scheduler.onWorkerLost(worker, runs, cause);
+    }
+
     override onFenced(now: number): void {
         this.scheduler.onFenced(now);
     }
--- a/src/dispatch/common/test/workerPool.test.ts
+++ b/src/dispatch/common/test/workerPool.test.ts
@@ -13,6 +13,7 @@
     }
     override onEndReported(): void {}
     override onRunList(): void {}
+    override onWorkerLost(): void {}
     override onFenced(): void {}
 }
 
--- a/src/dispatch/common/workerContact.ts
+++ b/src/dispatch/common/workerContact.ts
@@ -210,14 +210,28 @@
 
     /** Gives up the runs whose lease has expired, and starts a trial that is due. @param now Time in ms. */
     tick(now: number): void {
-        if (this.isLeaseExpired(now, this.isRegistered ? REGISTERED_GRACE_PERIOD_MS : 0)) {
+        if (this.isGivenUp(now)) {
             this.machine.fire("lease-expired", now);
-        } else if (this.state === "silent" && this.isLeaseExpired(now, 0)) {
-            this.loseLongRunning(now);
+        } else {
+            this.expiredRuns(now).forEach(run => run.fire("lost", { now }));
         }
         this.trust.tick(now);
     }
 
+    /**
+     * @param now Time in ms.
+     * @returns The runs that the next tick gives up, since the lease of a worker that does not answer has expired.
+     * Long-running tasks end with the lease in any case, so they need no grace period.
+     */
+    expiredRuns(now: number): Run[] {
+        const runs = [...this.runs.values()];
+        if (this.isGivenUp(now)) {
+            return runs;
+        }
+        const isExpired = this.state === "silent" && this.isLeaseExpired(now, 0);
+        return isExpired ? runs.filter(run => run.task.step.mode === "long-running") : [];
+    }
+
     /** @returns Lower bound of the worker's clock in this many ms, in ms, or `undefined` before the first answer. */
     clockReadingIn(ms: number, now: number): number | undefined {
         return this.clock === undefined ? undefined : Math.round(this.clock.minReadingAt(now) + ms);
@@ -340,6 +354,11 @@
         );
     }
 
+    private isGivenUp(now: number): boolean {
+        const graceMs = this.isRegistered ? REGISTERED_GRACE_PERIOD_MS : 0;
+        return this.state !== "reachable" && this.isLeaseExpired(now, graceMs);
+    }
+
     /** Before the first answer, an earlier leader may have extended the lease until its renewal window closed. */
     private isLeaseExpired(now: number, graceMs: number): boolean {
         const margin = LEASE_MARGIN_MS + graceMs;
@@ -349,13 +368,6 @@
         return now > this.clock.latestTimeOf(this.leaseUntil) + margin;
     }
 
-    /** Long-running tasks end with the lease in any case, so they need no grace period. */
-    private loseLongRunning(now: number): void {
-        [...this.runs.values()]
-            .filter(run => run.task.step.mode === "long-running")
-            .forEach(run => run.fire("lost", { now }));
-    }
-
     /** Ignores long-running tasks: they were started before the exclusion and say nothing about the worker now. */
     private hasTrialRun(): boolean {
         return [...this.runs.values()].some(run => run.task.step.mode !== "long-running");
--- a/src/dispatch/common/workerPool.ts
+++ b/src/dispatch/common/workerPool.ts
@@ -2,6 +2,7 @@
 import { RunRecord } from "../../jobs/common/jobRecord";
 import { DispatchLimits } from "./dispatchLimits";
 import { DispatchEffect } from "./dispatchEffects";
+import { Run } from "./run";
 import { ContactState, WorkerContact } from "./workerContact";
 import { WorkerEntry } from "./workerEntry";
 import { ListedEnd, WorkerEvent } from "./workerMessages";
@@ -43,6 +44,12 @@
 /** Time after which an unconfirmed stop is sent again, in ms. */
 const STOP_RETRY_INTERVAL_MS = 800;
 
+/**
+ * How a worker and all its runs were lost. `restarted`: it has a new incarnation. `replaced`: another worker answers at
+ * its address. `lease-expired`: it did not answer until its lease had expired.
+ */
+export type WorkerLossCause = "restarted" | "replaced" | "lease-expired";
+
 /** Host of a worker pool, notified of what the workers report. */
 export abstract class PoolHost {
     /** Whether leases may be extended now. */
@@ -60,6 +67,14 @@
     /** Called when the list of a worker was processed. */
     abstract onRunList(worker: WorkerContact, now: number): void;
 
+    /**
+     * Called when a worker was lost that was not leaving, before its runs end.
+     * @param worker The worker.
+     * @param runs The runs that were lost with it; not empty.
+     * @param cause How it was lost.
+     */
+    abstract onWorkerLost(worker: WorkerContact, runs: readonly Run[], cause: WorkerLossCause): void;
+
     /** Called when a worker rejects an order because it knows a later epoch. */
     abstract onFenced(now: number): void;
 }
@@ -158,6 +173,7 @@
     /** Requests lists that are due, retries stops, and gives up runs whose lease has expired. @param now Time in ms. */
     tick(now: number): void {
         for (const worker of this.contacts.values()) {
+            this.reportLoss(worker, worker.expiredRuns(now), "lease-expired");
             this.logTransition(worker, now, () => worker.tick(now));
             if (!worker.isRegistered && worker.runs.size === 0 && !worker.isListInFlight) {
                 this.contacts.delete(worker.entry.id);
@@ -179,6 +195,7 @@
         if (event.outcome === "fenced") {
             this.host.onFenced(now);
         } else if (event.outcome === "other-incarnation") {
+            this.reportLoss(worker, [...worker.runs.values()], "replaced");
             this.logTransition(worker, now, () => worker.markGone(now));
         } else if (event.clockMs !== undefined) {
             this.logTransition(worker, now, () => worker.updateClock(event.clockMs!, event.sentAt, now));
@@ -243,6 +260,9 @@
 
     private updateIncarnation(worker: WorkerContact, incarnation: number, now: number): boolean {
         const previous = worker.incarnation;
+        // An earlier leader may have started runs on a former incarnation that this one never saw.
+        const lost = [...worker.runs.values()].filter(run => run.record.incarnation < incarnation);
+        this.reportLoss(worker, lost, "restarted");
         const isLatest = worker.updateIncarnation(incarnation, now);
         if (previous !== undefined && worker.incarnation !== previous) {
             const data = { worker: worker.entry.id, incarnation, before: previous, runs: worker.runs.size };
@@ -251,6 +271,14 @@
         return isLatest;
     }
 
+    private reportLoss(worker: WorkerContact, runs: readonly Run[], cause: WorkerLossCause): void {
+        const lost = runs.filter(run => run.isSent && !run.isWorkerLost);
+        if (lost.length > 0 && worker.leavesAt === undefined) {
+            lost.forEach(run => (run.isWorkerLost = true));
+            this.host.onWorkerLost(worker, lost, cause);
+        }
+    }
+
     private requestList(worker: WorkerContact, now: number): void {
         const isBusy = worker.runs.size > 0;
         const isTransient = [...worker.runs.values()].some(run => TRANSIENT_STATES.has(run.state));
