--- a/src/dispatch/common/activeJob.ts
+++ b/src/dispatch/common/activeJob.ts
@@ -3,6 +3,7 @@
 import { JobSpec, JobState, StepSpec } from "../../jobs/common/jobSpec";
 import { isFinal } from "../../jobs/common/jobTable";
 import { Task } from "./task";
+import { TaskSuspicion } from "./taskSuspicion";
 
 /** The tasks of one step in one occurrence. */
 export interface TaskGroup {
@@ -153,7 +154,7 @@
             }
             for (const task of group.tasks) {
                 const isWaiting = !group.done.has(task.index) && (task.lastRun > 0 || task.checkpoint !== "");
-                if (isWaiting || task.hasLostRun) {
+                if (isWaiting || task.hasLostRun || task.suspicion?.recorded !== undefined) {
                     tasks.push(recordOf(task));
                 }
             }
@@ -197,6 +198,8 @@
             lastRun: 0,
             highestRun: 0,
             hasLostRun: false,
+            suspicion: undefined,
+            lossAgeMs: 0,
             run: undefined,
             failedOn: new Set(),
             moves: 0,
@@ -212,14 +215,16 @@
             task.lastRun = record.lastRun;
             task.highestRun = record.lastRun;
             task.hasLostRun = record.lastRun > 0;
+            task.suspicion = record.suspicion && TaskSuspicion.create(record.suspicion);
         }
     }
 }
 
 /** The highest run of a done task shows a later leader whether the end of an earlier run still counts. */
 function recordOf(task: Task): TaskRecord {
-    const { name, failures, checkpoint, lastRun, highestRun, hasLostRun, run } = task;
-    return { task: name, failures, checkpoint, lastRun: hasLostRun && run === undefined ? highestRun : lastRun };
+    const { name, failures, checkpoint, highestRun, hasLostRun, run } = task;
+    const lastRun = hasLostRun && run === undefined ? highestRun : task.lastRun;
+    return { task: name, failures, checkpoint, lastRun, suspicion: task.suspicion?.recorded };
 }
 
 /** @param name Name of a task, JOB.OCCURRENCE.STEP.INDEX. @returns Key of its group, OCCURRENCE.STEP. */
--- a/src/dispatch/common/activeJobTable.ts
+++ b/src/dispatch/common/activeJobTable.ts
@@ -78,6 +78,11 @@
         return run < (task?.highestRun ?? this.restarts.get(jobIdOf(name))?.get(name) ?? 0);
     }
 
+    /** @returns The tasks that are suspected of crashing their workers, according to the records of earlier leaders. */
+    suspects(): Task[] {
+        return [...this.jobs.values()].flatMap(job => [...job.tasks()].filter(task => task.suspicion !== undefined));
+    }
+
     /** @param name Name of a task. @returns The task, if its job is in the table. */
     findTask(name: string): Task | undefined {
         return this.jobs.get(jobIdOf(name))?.find(name);
--- a/src/dispatch/common/dispatchEffects.ts
+++ b/src/dispatch/common/dispatchEffects.ts
@@ -18,6 +18,8 @@
     | "worker-vacant"
     | "worker-replaced"
     | "worker-lost"
+    | "task-suspected"
+    | "task-cleared"
     | "worker-excluded"
     | "worker-draining"
     | "job-ended"
--- a/src/dispatch/common/failureController.ts
+++ b/src/dispatch/common/failureController.ts
@@ -3,33 +3,50 @@
 import { ActiveJob } from "./activeJob";
 import { DecisionData, DecisionName } from "./dispatchEffects";
 import { Run } from "./run";
+import { SuspectTable } from "./suspectTable";
 import { Task } from "./task";
+import { TaskSuspicion } from "./taskSuspicion";
 import { WorkerContact } from "./workerContact";
 import { WorkerLossCause } from "./workerPool";
 
+/** Age from which a run that is lost with its worker is no longer suspected of being the cause, in ms. */
+const MAX_SUSPECT_AGE_MS = 3_000;
+
 /** Host of a failure controller. */
 export abstract class FailureHost {
     /** Called when a job has failed. @param data Why it has failed. */
     abstract onJobFailed(job: ActiveJob, data: DecisionData): void;
 
+    /** Called when the evidence against a task of a job has changed and has to be recorded. */
+    abstract onSuspicionChange(job: ActiveJob): void;
+
     /** Adds a line to the decision log. */
     abstract logDecision(name: DecisionName, data: DecisionData): void;
 }
 
-/** Decides when a task has failed too often. */
+/**
+ * Decides when a task is given up: when it has failed too often, or crashes the workers that start it.
+ *
+ * A worker that crashes reports no end, so such a task would otherwise be started without limit. Of the runs that are
+ * lost with a worker, those whose start it has not survived for long are suspected. Each suspected task is started again
+ * on a worker that starts nothing else meanwhile (`ProbationPlacer`). There it is cleared when the worker survives it,
+ * and accused when the worker is lost.
+ */
 export class FailureController {
     private constructor(
         private readonly queues: QueueTable,
+        private readonly suspects: SuspectTable,
         private readonly host: FailureHost,
     ) {}
 
     /**
      * @param queues Queues as configured.
-     * @param host Notified of failed jobs.
+     * @param suspects Receives the suspected tasks.
+     * @param host Notified of failed jobs and of changes to record.
      * @returns The controller.
      */
-    static create(queues: QueueTable, host: FailureHost): FailureController {
-        return new FailureController(queues, host);
+    static create(queues: QueueTable, suspects: SuspectTable, host: FailureHost): FailureController {
+        return new FailureController(queues, suspects, host);
     }
 
     /**
@@ -44,6 +61,7 @@
         }
         task.lastRun = run;
         task.failures += 1;
+        this.clear(task);
         if (worker !== undefined) {
             task.failedOn.add(worker.entry.id);
         }
@@ -60,9 +78,53 @@
      * @param cause How it was lost.
      */
     reviewLoss(worker: WorkerContact, runs: readonly Run[], cause: WorkerLossCause): void {
-        const unproven = runs.filter(run => !run.isProven).map(run => run.record.task);
-        const data = { worker: worker.entry.id, cause, runs: runs.length, unproven: unproven.join(" ") };
-        this.host.logDecision("worker-lost", data);
+        const recent = runs.filter(run => !run.isProven);
+        const unproven = recent.map(run => run.record.task).join(" ");
+        this.host.logDecision("worker-lost", { worker: worker.entry.id, cause, runs: runs.length, unproven });
+        const isEarly = (run: Run) => run.provenAgeMs <= MAX_SUSPECT_AGE_MS;
+        const suspects = mostLikely(recent.length > 0 ? recent : runs.filter(isEarly));
+        // If the worker had survived all starts, this loss alone is no evidence against any of them.
+        const isAlone = recent.length > 0 && new Set(suspects.map(run => startUnitOf(run.task))).size === 1;
+        for (const run of runs) {
+            run.task.lossAgeMs = isEarly(run) ? run.provenAgeMs : 0;
+        }
+        suspects.forEach(run => this.accuse(run.task, worker, isAlone));
+    }
+
+    /** Clears the suspected tasks whose start the worker has survived, after a list of the worker. */
+    reviewSurvival(worker: WorkerContact): void {
+        for (const run of worker.runs.values()) {
+            const { task } = run;
+            if ((task.lossAgeMs > 0 || task.suspicion !== undefined) && run.isProven) {
+                this.clear(task);
+            }
+        }
+    }
+
+    private accuse(task: Task, worker: WorkerContact, isAlone: boolean): void {
+        if (isFinal(task.job.state)) {
+            return;
+        }
+        task.suspicion ??= TaskSuspicion.create();
+        task.suspicion.fire(isAlone ? "lost-alone" : "lost-with-others");
+        const { state } = task.suspicion;
+        this.host.logDecision("task-suspected", { task: task.name, worker: worker.entry.id, state });
+        if (state === "convicted") {
+            this.failJob(task, { task: task.name, reason: "crashes-workers" });
+        }
+        this.suspects.update(task);
+        this.host.onSuspicionChange(task.job);
+    }
+
+    private clear(task: Task): void {
+        task.lossAgeMs = 0;
+        if (task.suspicion?.recorded === undefined) {
+            return;
+        }
+        task.suspicion.fire("survived");
+        this.suspects.update(task);
+        this.host.logDecision("task-cleared", { task: task.name });
+        this.host.onSuspicionChange(task.job);
     }
 
     private failJob(task: Task, data: DecisionData): void {
@@ -73,3 +135,14 @@
         }
     }
 }
+
+/** @returns The runs of accused tasks, if there are any: they are a more likely cause than the others. */
+function mostLikely(runs: readonly Run[]): readonly Run[] {
+    const accused = runs.filter(run => run.task.suspicion?.isAccused === true);
+    return accused.length > 0 ? accused : runs;
+}
+
+/** @returns What starts as a unit: the members of a gang do so together, other tasks alone. */
+function startUnitOf(task: Task): string {
+    return task.step.mode === "gang" ? `${task.job.spec.id}.${task.groupKey}` : task.name;
+}
--- a/src/dispatch/common/placer.ts
+++ b/src/dispatch/common/placer.ts
@@ -101,10 +101,14 @@
      * Chooses workers for tasks that have to start together.
      * @param tasks The tasks.
      * @param service Service whose workers may run them.
-     * @param rack Rack to which the choice is limited, if any.
+     * @param isAllowed Additional constraint on the workers.
      * @returns A worker for each task, or `undefined` if not all can be placed.
      */
-    chooseAll(tasks: readonly Task[], service: string, rack: string | undefined): WorkerContact[] | undefined {
+    chooseAll(
+        tasks: readonly Task[],
+        service: string,
+        isAllowed: (worker: WorkerContact) => boolean = () => true,
+    ): WorkerContact[] | undefined {
         const chosen: WorkerContact[] = [];
         for (const task of tasks) {
             const { maxPerWorker } = task.step;
@@ -112,7 +116,7 @@
                 task,
                 service,
                 each =>
-                    (rack === undefined || each.entry.rack === rack) &&
+                    isAllowed(each) &&
                     (maxPerWorker === undefined || chosen.filter(other => other === each).length < maxPerWorker),
             );
             if (worker === undefined) {
--- /dev/null
+++ b/src/dispatch/common/probationPlacer.ts
@@ -0,0 +1,143 @@
+import { LatencyModel } from "./latencyModel";
+import { Placer } from "./placer";
+import { SuspectTable } from "./suspectTable";
+import { Task } from "./task";
+import { WorkerContact } from "./workerContact";
+
+/** Largest share of the workers on which suspected tasks are tried at the same time. */
+const MAX_PROBATION_RATIO = 0.25;
+
+/** Time for which a worker is kept free of new tasks until the starts of its other runs are survived, in ms. */
+const MAX_RESERVATION_MS = 3_000;
+
+/** Uptime from which a worker is preferred, in ms: the loss of one that restarts again and again says nothing. */
+const MIN_STEADY_UPTIME_MS = 10_000;
+
+/** Suspected tasks that start together: one task, or a gang. */
+export interface ProbationGroup {
+    readonly tasks: readonly Task[];
+    readonly service: string;
+}
+
+/** Workers that are given no new tasks until the starts of their runs are survived. */
+interface Reservation {
+    readonly workers: ReadonlySet<WorkerContact>;
+    /** Time (ms) at which it was made. */
+    readonly since: number;
+}
+
+/** Current time. */
+export interface Moment {
+    /** Time in ms. */
+    readonly now: number;
+    /** Time in ms since the Unix epoch. */
+    readonly wallNow: number;
+}
+
+/** Assigns a task to a worker. */
+export type AssignSuspect = (task: Task, worker: WorkerContact) => void;
+
+/**
+ * Places suspected tasks so that the loss of their worker shows the cause: on workers that have survived the start of
+ * all other runs and are given no other task until the suspected one is cleared.
+ *
+ * Load pattern: workers start several tasks a second, so one that crashes has usually just started several. Without
+ * probation, tasks that were only beside the guilty one would be suspected with it again and again.
+ */
+export class ProbationPlacer {
+    /** Reservations for waiting groups, by the first task of the group. */
+    private readonly reservations = new Map<Task, Reservation>();
+
+    private constructor(
+        private readonly suspects: SuspectTable,
+        private readonly model: LatencyModel,
+    ) {}
+
+    /**
+     * @param suspects The suspected tasks.
+     * @param model Estimates the interference between images.
+     * @returns The placer, without reserved workers.
+     */
+    static create(suspects: SuspectTable, model: LatencyModel): ProbationPlacer {
+        return new ProbationPlacer(suspects, model);
+    }
+
+    /**
+     * Places suspected tasks, or reserves workers for them.
+     * @param groups Waiting suspected tasks, the most urgent first.
+     * @param workers Usable workers.
+     * @param at Current time.
+     * @param assign Assigns a task to a worker.
+     * @returns The workers that are to be given no other tasks in this pass.
+     */
+    place(
+        groups: readonly ProbationGroup[],
+        workers: readonly WorkerContact[],
+        at: Moment,
+        assign: AssignSuspect,
+    ): Set<WorkerContact> {
+        this.dropReservations(groups, workers, at.now);
+        const closed = new Set(workers.filter(worker => this.suspects.isOnProbation(worker)));
+        this.reservations.forEach(each => each.workers.forEach(worker => closed.add(worker)));
+        const placer = Placer.create(workers, this.model);
+        const maxClosed = Math.max(1, Math.floor(workers.length * MAX_PROBATION_RATIO));
+        for (const group of groups) {
+            const [first] = group.tasks;
+            if (this.suspects.isJobOnProbation(first)) {
+                continue;
+            }
+            if (!this.reservations.has(first) && closed.size < maxClosed) {
+                this.reserve(group, placer, closed, at);
+            }
+            this.startIfReady(group, placer, assign);
+        }
+        return closed;
+    }
+
+    private startIfReady({ tasks, service }: ProbationGroup, placer: Placer, assign: AssignSuspect): void {
+        const reserved = this.reservations.get(tasks[0])?.workers;
+        if (reserved === undefined || ![...reserved].every(hasOnlyProvenRuns)) {
+            return;
+        }
+        this.reservations.delete(tasks[0]);
+        const chosen = placer.chooseAll(tasks, service, worker => reserved.has(worker)) ?? [];
+        chosen.forEach((worker, index) => assign(tasks[index], worker));
+        reserved.forEach(worker => placer.invalidate(worker));
+    }
+
+    /** Reserves workers for a group, if possible on the rack of its data and not shortly after they started. */
+    private reserve(group: ProbationGroup, placer: Placer, closed: Set<WorkerContact>, at: Moment): void {
+        const { tasks, service } = group;
+        const { dataRack } = tasks[0].step;
+        const isOpen = (worker: WorkerContact) => !closed.has(worker);
+        const isSteady = (worker: WorkerContact) =>
+            isOpen(worker) && at.wallNow - worker.entry.incarnation >= MIN_STEADY_UPTIME_MS;
+        const isNearData = (worker: WorkerContact) => isSteady(worker) && worker.entry.rack === dataRack;
+        for (const isAllowed of dataRack === undefined ? [isSteady, isOpen] : [isNearData, isSteady, isOpen]) {
+            const chosen = placer.chooseAll(tasks, service, isAllowed);
+            if (chosen !== undefined) {
+                this.reservations.set(tasks[0], { workers: new Set(chosen), since: at.now });
+                chosen.forEach(worker => {
+                    closed.add(worker);
+                    placer.invalidate(worker);
+                });
+                return;
+            }
+        }
+    }
+
+    private dropReservations(groups: readonly ProbationGroup[], workers: readonly WorkerContact[], now: number): void {
+        const waiting = new Set(groups.map(({ tasks }) => tasks[0]));
+        const usable = new Set(workers);
+        for (const [first, reservation] of this.reservations) {
+            const isUsable = [...reservation.workers].every(worker => usable.has(worker));
+            if (!waiting.has(first) || !isUsable || now - reservation.since > MAX_RESERVATION_MS) {
+                this.reservations.delete(first);
+            }
+        }
+    }
+}
+
+function hasOnlyProvenRuns(worker: WorkerContact): boolean {
+    return [...worker.runs.values()].every(run => run.isProven);
+}
--- a/src/dispatch/common/run.ts
+++ b/src/dispatch/common/run.ts
@@ -169,9 +169,9 @@
         return this.report === undefined ? 0 : this.reportedAt - this.startedAt;
     }
 
-    /** Whether the worker has certainly survived the start of the run. */
+    /** Whether the worker has certainly survived the start of the run, also by the time at which it was lost before. */
     get isProven(): boolean {
-        return this.provenAgeMs >= PROVEN_AGE_MS;
+        return this.provenAgeMs >= PROVEN_AGE_MS + this.task.lossAgeMs;
     }
 
     /** Handles an event. */
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -21,6 +21,7 @@
 import { SchedulerPoolHost } from "./schedulerPoolHost";
 import { SchedulerRunHost } from "./schedulerRunHost";
 import { StepQueue } from "./stepQueue";
+import { SuspectTable } from "./suspectTable";
 import { firstWaitMs, Task } from "./task";
 import { WorkerContact } from "./workerContact";
 import { WorkerEntry } from "./workerEntry";
@@ -66,6 +67,7 @@
     private readonly pool: WorkerPool;
     private readonly model: LatencyModel;
     private readonly throttleController: ThrottleController;
+    private readonly suspects = SuspectTable.create();
     private readonly failures: FailureController;
     private readonly queue: StepQueue;
     private readonly reviewer = RunReviewer.create();
@@ -94,8 +96,9 @@
         this.activeJobs = ActiveJobTable.create(epoch, writers);
         this.pruner = JobPruner.create(context.jobs, this.activeJobs, writers, context.limits.retentionMs);
         this.throttleController = ThrottleController.create(this.model, (run, percent) => this.throttle(run, percent));
-        this.failures = FailureController.create(context.queues, SchedulerFailureHost.create(this));
-        this.queue = StepQueue.create(context.queues, this.model, (task, worker, at) => this.assign(task, worker, at));
+        const assign = (task: Task, worker: WorkerContact, at: number) => this.assign(task, worker, at);
+        this.failures = FailureController.create(context.queues, this.suspects, SchedulerFailureHost.create(this));
+        this.queue = StepQueue.create(context.queues, this.model, this.suspects, assign);
         this.resources.add(this.activeJobs.onDidCancel(job => this.stopRuns(job, this.now)));
         this.resources.add(
             this.activeJobs.onDidIgnoreJob(job =>
@@ -103,6 +106,7 @@
             ),
         );
         this.activeJobs.load(context.jobs, context.progress, (task, record) => this.inheritRun(task, record, now));
+        this.activeJobs.suspects().forEach(task => this.suspects.update(task));
         this.resources.add(context.jobs.onDidChange(entry => this.onJobChange(entry)));
         this.logDecision("leader-began", { epoch, jobs: this.activeJobs.size });
     }
@@ -298,6 +302,7 @@
 
     /** Updates the latency model and the speeds of runs after a list of a worker. */
     onRunList(worker: WorkerContact, now: number): void {
+        this.failures.reviewSurvival(worker);
         this.model.update(worker, now);
         this.throttleController.review(worker, now);
     }
@@ -318,6 +323,11 @@
         this.stopRuns(job, this.now);
     }
 
+    /** Records the progress of a job. */
+    recordProgress(job: ActiveJob): void {
+        this.activeJobs.recordProgress(job);
+    }
+
     /** Adds a line to the decision log. */
     logDecision(name: DecisionName, data: DecisionData): void {
         this.context.effects.emit({ kind: "decision", name, data });
--- a/src/dispatch/common/schedulerFailureHost.ts
+++ b/src/dispatch/common/schedulerFailureHost.ts
@@ -18,6 +18,10 @@
         this.scheduler.onJobFailed(job, data);
     }
 
+    override onSuspicionChange(job: ActiveJob): void {
+        this.scheduler.recordProgress(job);
+    }
+
     override logDecision(name: DecisionName, data: DecisionData): void {
         this.scheduler.logDecision(name, data);
     }
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -4,8 +4,10 @@
 import { LatencyModel } from "./latencyModel";
 import { ObjectiveOrder } from "./objectiveOrder";
 import { Placer } from "./placer";
+import { ProbationPlacer } from "./probationPlacer";
 import { Run } from "./run";
 import { ShortTaskReserve } from "./shortTaskReserve";
+import { SuspectTable } from "./suspectTable";
 import { Task } from "./task";
 import { WaitingOrder, WaitingRank } from "./waitingOrder";
 import { WorkerContact } from "./workerContact";
@@ -17,6 +19,8 @@
 interface WaitingGroup {
     readonly group: TaskGroup;
     readonly tasks: readonly Task[];
+    /** Whether they are suspected of crashing their workers. */
+    readonly isSuspected: boolean;
     readonly service: string;
     readonly priority: number;
     readonly rank: WaitingRank;
@@ -24,6 +28,7 @@
 
 /** Orders the waiting task groups and assigns their tasks to workers with free capacity. */
 export class StepQueue {
+    private readonly probation: ProbationPlacer;
     private remainingStarts = 0;
     private readonly reserve = ShortTaskReserve.create();
     /** Workers on which no new long-running tasks are placed in this pass. */
@@ -34,13 +39,17 @@
     private constructor(
         private readonly queues: QueueTable,
         private readonly model: LatencyModel,
+        private readonly suspects: SuspectTable,
         private readonly assign: AssignTask,
         private readonly order: WaitingOrder,
-    ) {}
+    ) {
+        this.probation = ProbationPlacer.create(suspects, model);
+    }
 
     /**
      * @param queues Queues as configured.
      * @param model Estimates the interference between images.
+     * @param suspects Tasks that are suspected of crashing their workers.
      * @param assign Assigns a task to a worker.
      * @param order Order of the jobs of one priority.
      * @returns The queue.
@@ -48,10 +57,11 @@
     static create(
         queues: QueueTable,
         model: LatencyModel,
+        suspects: SuspectTable,
         assign: AssignTask,
         order: WaitingOrder = ObjectiveOrder.create(),
     ): StepQueue {
-        return new StepQueue(queues, model, assign, order);
+        return new StepQueue(queues, model, suspects, assign, order);
     }
 
     /**
@@ -81,9 +91,12 @@
             return;
         }
         waiting.sort((a, b) => this.compare(a, b));
-        this.reserved = this.reserve.choose(workers, now);
-        const placer = Placer.create(workers, this.model);
-        for (const entry of waiting) {
+        this.suspects.prune();
+        const unsuspected = waiting.filter(entry => !entry.isSuspected);
+        const open = this.suspects.isEmpty ? workers : this.placeSuspected(waiting, workers, now, wallNow);
+        this.reserved = this.reserve.choose(open, now);
+        const placer = Placer.create(open, this.model);
+        for (const entry of unsuspected) {
             if (this.remainingStarts <= 0) {
                 return;
             }
@@ -104,15 +117,44 @@
             const tasks = group.tasks.filter(
                 task => task.run === undefined && !group.done.has(task.index) && now >= task.notBefore,
             );
-            const isComplete = group.step.mode !== "gang" || tasks.length === group.tasks.length;
+            const isGang = group.step.mode === "gang";
+            const isComplete = !isGang || tasks.length === group.tasks.length;
             if (tasks.length > 0 && isComplete) {
                 this.recordDemand(group, service, now);
                 const rank = this.order.rank(job, job.remainingMs(group), wallNow);
-                waiting.push({ group, tasks, service, priority, rank });
+                for (const entry of this.separateSuspected(tasks, isGang)) {
+                    waiting.push({ group, service, priority, rank, ...entry });
+                }
             }
         }
     }
 
+    /** Suspected tasks start one by one, apart from the others of their step; a gang starts as a whole. */
+    private separateSuspected(tasks: readonly Task[], isGang: boolean): Pick<WaitingGroup, "tasks" | "isSuspected">[] {
+        const suspected = this.suspects.isEmpty ? [] : tasks.filter(task => this.suspects.has(task));
+        if (suspected.length === 0 || isGang) {
+            return [{ tasks, isSuspected: suspected.length > 0 }];
+        }
+        const others = tasks.filter(task => !this.suspects.has(task));
+        const unsuspected = others.length === 0 ? [] : [{ tasks: others, isSuspected: false }];
+        return [...unsuspected, ...suspected.map(task => ({ tasks: [task], isSuspected: true }))];
+    }
+
+    /** @returns The workers on which other tasks may be placed. */
+    private placeSuspected(
+        waiting: readonly WaitingGroup[],
+        workers: readonly WorkerContact[],
+        now: number,
+        wallNow: number,
+    ): WorkerContact[] {
+        const groups = waiting.filter(entry => entry.isSuspected);
+        groups.forEach(({ tasks }) => alignRuns(tasks));
+        const closed = this.probation.place(groups, workers, { now, wallNow }, (task, worker) =>
+            this.assign(task, worker, now),
+        );
+        return workers.filter(worker => !closed.has(worker));
+    }
+
     private compare(a: WaitingGroup, b: WaitingGroup): number {
         return a.priority - b.priority || this.order.compare(a.rank, b.rank) || a.tasks.length - b.tasks.length;
     }
@@ -190,15 +232,13 @@
 
     /** Assigns all members of a gang or none. */
     private placeGang(entry: WaitingGroup, placer: Placer, now: number): void {
-        const run = Math.max(...entry.tasks.map(task => task.highestRun));
-        const racks = entry.group.step.prefersOneRack ? placer.racks(entry.service) : [undefined];
+        const racks = entry.group.step.prefersOneRack ? placer.racks(entry.service) : [];
         for (const rack of [...racks, undefined]) {
-            const chosen = placer.chooseAll(entry.tasks, entry.service, rack);
+            const isAllowed = (worker: WorkerContact) => rack === undefined || worker.entry.rack === rack;
+            const chosen = placer.chooseAll(entry.tasks, entry.service, isAllowed);
             if (chosen !== undefined) {
-                entry.tasks.forEach((task, index) => {
-                    task.highestRun = run;
-                    this.assignTo(task, chosen[index], placer, now);
-                });
+                alignRuns(entry.tasks);
+                entry.tasks.forEach((task, index) => this.assignTo(task, chosen[index], placer, now));
                 return;
             }
         }
@@ -209,3 +249,9 @@
 function rackOf(group: TaskGroup): string | undefined {
     return group.tasks.find(task => task.run !== undefined)?.run?.rack;
 }
+
+/** Gives the tasks of a gang the same highest run, so that their next runs have the same number. */
+function alignRuns(tasks: readonly Task[]): void {
+    const highestRun = Math.max(...tasks.map(task => task.highestRun));
+    tasks.forEach(task => (task.highestRun = highestRun));
+}
--- a/src/dispatch/common/task.ts
+++ b/src/dispatch/common/task.ts
@@ -1,6 +1,7 @@
 import { StepSpec } from "../../jobs/common/jobSpec";
 import type { ActiveJob } from "./activeJob";
 import type { Run } from "./run";
+import { TaskSuspicion } from "./taskSuspicion";
 
 /** A task of an active job. */
 export interface Task {
@@ -19,6 +20,10 @@
     highestRun: number;
     /** Whether a run was given up that may have ended unnoticed. */
     hasLostRun: boolean;
+    /** Evidence that it crashes its workers; `undefined` unless a worker was lost under it. */
+    suspicion: TaskSuspicion | undefined;
+    /** Age up to which its runs were survived when their workers were lost, in ms; 0 if none was lost early. */
+    lossAgeMs: number;
     /** Current run, if any. */
     run: Run | undefined;
     /** Workers on which it failed or was stuck; they are avoided. */
--- /dev/null
+++ b/src/dispatch/common/test/failureController.test.ts
@@ -0,0 +1,188 @@
+import test from "ava";
+import { decodeProgress, encodeProgress } from "../../../jobs/common/jobRecord";
+import { QueueTable } from "../../../jobs/common/queueTable";
+import { ActiveJob } from "../activeJob";
+import { DecisionData } from "../dispatchEffects";
+import { FailureController, FailureHost } from "../failureController";
+import { LatencyModel } from "../latencyModel";
+import { Run } from "../run";
+import { StepQueue } from "../stepQueue";
+import { SuspectTable } from "../suspectTable";
+import { Task } from "../task";
+import { WorkerContact } from "../workerContact";
+import { assign, createJob, createStep, createWorker, report } from "./runs";
+
+/** Time after which a run is listed and its start counts as survived, in ms. */
+const SURVIVED_MS = 600;
+
+class RecordingHost extends FailureHost {
+    readonly failedJobs: ActiveJob[] = [];
+    readonly decisions: string[] = [];
+
+    override onJobFailed(job: ActiveJob): void {
+        this.failedJobs.push(job);
+    }
+    override onSuspicionChange(): void {}
+    override logDecision(name: string, data: DecisionData): void {
+        this.decisions.push(`${name} ${data.task ?? data.worker} ${data.state ?? ""}`.trim());
+    }
+}
+
+function createController() {
+    const host = new RecordingHost();
+    const suspects = SuspectTable.create();
+    return { host, suspects, failures: FailureController.create(QueueTable.create(), suspects, host) };
+}
+
+function createTask(id: string): Task {
+    return createJob(id, createStep(id, false, { usesSpareCpu: false })).find(`${id}.0.0.0`)!;
+}
+
+function start(worker: WorkerContact, task: Task, now: number): Run {
+    const run = assign(worker, task);
+    run.fire("stored", { now });
+    return run;
+}
+
+/** Loses a worker and all its runs. */
+function lose(failures: FailureController, worker: WorkerContact): void {
+    const runs = [...worker.runs.values()];
+    failures.reviewLoss(worker, runs, "replaced");
+    for (const { task } of runs) {
+        worker.runs.delete(task.name);
+        task.run = undefined;
+    }
+}
+
+test("a task that crashes its workers is given up after three that had started nothing else", t => {
+    const { host, failures } = createController();
+    const task = createTask("a");
+    const neighbor = createTask("b");
+    const first = createWorker("w1");
+    start(first, neighbor, 0);
+    start(first, task, 0);
+    lose(failures, first);
+    t.is(task.suspicion?.state, "suspected");
+    for (const id of ["w2", "w3", "w4"]) {
+        t.deepEqual(host.failedJobs, []);
+        const worker = createWorker(id);
+        start(worker, task, 0);
+        lose(failures, worker);
+    }
+    t.deepEqual(host.failedJobs, [task.job]);
+    t.is(task.job.state, "failed");
+    t.is(neighbor.job.state, "queued");
+});
+
+test("a task that only shared a worker with the guilty one is cleared when a worker survives its start", t => {
+    const { host, suspects, failures } = createController();
+    const [task, neighbor] = [createTask("a"), createTask("b")];
+    for (const id of ["w1", "w2", "w3", "w4"]) {
+        const worker = createWorker(id);
+        start(worker, task, 0);
+        start(worker, neighbor, 0);
+        lose(failures, worker);
+    }
+    t.true(suspects.has(neighbor));
+    const worker = createWorker("w5");
+    report(start(worker, neighbor, 0), 0, SURVIVED_MS);
+    failures.reviewSurvival(worker);
+    t.false(suspects.has(neighbor));
+    t.is(neighbor.suspicion?.state, "cleared");
+    t.deepEqual(host.failedJobs, []);
+});
+
+test("runs whose start the worker has survived are not suspected beside one that has just started", t => {
+    const { suspects, failures } = createController();
+    const [task, neighbor] = [createTask("a"), createTask("b")];
+    const worker = createWorker("w1");
+    report(start(worker, neighbor, 0), 0, SURVIVED_MS);
+    start(worker, task, SURVIVED_MS);
+    lose(failures, worker);
+    t.is(task.suspicion?.state, "accused");
+    t.false(suspects.has(neighbor));
+});
+
+test("a task that crashes its workers some time after the start is given up, too", t => {
+    const { host, failures } = createController();
+    const task = createTask("a");
+    for (let loss = 0; loss < 5 && host.failedJobs.length === 0; loss++) {
+        const worker = createWorker(`w${loss}`);
+        if (task.suspicion?.recorded === undefined) {
+            start(worker, createTask(`n${loss}`), 900);
+        }
+        report(start(worker, task, 0), 0, 1_000);
+        failures.reviewSurvival(worker);
+        lose(failures, worker);
+    }
+    t.deepEqual(host.failedJobs, [task.job]);
+});
+
+test("the evidence against a task is kept over a change of leader", t => {
+    const { host, failures } = createController();
+    const task = createTask("a");
+    const worker = createWorker("w1");
+    for (const state of ["accused", "accused-again"] as const) {
+        start(worker, task, 0);
+        lose(failures, worker);
+        t.is(task.suspicion?.state, state);
+    }
+    const progress = decodeProgress(encodeProgress(task.job.progress(1)))!;
+    const successor = ActiveJob.create(task.job.spec, 0, progress).find(task.name)!;
+    t.is(successor.suspicion?.state, "accused-again");
+    start(worker, successor, 0);
+    lose(failures, worker);
+    t.deepEqual(host.failedJobs, [successor.job]);
+});
+
+test("a loss is attributed to an accused task rather than to others that had just been started", t => {
+    const { suspects, failures } = createController();
+    const [task, neighbor] = [createTask("a"), createTask("b")];
+    const [first, second] = [createWorker("w1"), createWorker("w2")];
+    start(first, task, 0);
+    lose(failures, first);
+    start(second, task, 0);
+    start(second, neighbor, 0);
+    lose(failures, second);
+    t.is(task.suspicion?.state, "accused-again");
+    t.false(suspects.has(neighbor));
+});
+
+test("progress that was recorded without evidence can be read", t => {
+    const recorded = JSON.stringify([1, "running", {}, [], [["a.0.0.0", 1, "", 2]]]);
+    t.deepEqual(decodeProgress(recorded)?.tasks, [
+        { task: "a.0.0.0", failures: 1, checkpoint: "", lastRun: 2, suspicion: undefined },
+    ]);
+});
+
+test("a suspected task starts alone on its worker, and no other task follows until it is cleared", t => {
+    const { suspects, failures } = createController();
+    const tasks = Array.from({ length: 6 }, (_, index) => createTask(`t${index}`));
+    const lost = createWorker("lost");
+    tasks.slice(0, 2).forEach(task => start(lost, task, 0));
+    lose(failures, lost);
+    const workers = Array.from({ length: 8 }, (_, index) => createWorker(`w${index}`));
+    const queue = StepQueue.create(QueueTable.create(), LatencyModel.create(), suspects, (task, worker) =>
+        assign(worker, task),
+    );
+    const jobs = tasks.map(task => task.job);
+    queue.placeWaiting(jobs, workers, 100, 0, 0);
+    const workerOf = (task: Task) => workers.find(worker => worker.runs.has(task.name))!;
+    const [first, second] = tasks;
+    t.not(workerOf(first), workerOf(second));
+    t.deepEqual([...workerOf(first).runs.keys()], [first.name]);
+    t.deepEqual([...workerOf(second).runs.keys()], [second.name]);
+
+    report(first.run!, 0, SURVIVED_MS);
+    failures.reviewSurvival(workerOf(first));
+    const late = Array.from({ length: 60 }, (_, index) => createTask(`u${index}`));
+    queue.placeWaiting(
+        late.map(task => task.job),
+        workers,
+        100,
+        SURVIVED_MS,
+        SURVIVED_MS,
+    );
+    t.true(workerOf(first).runs.size > 1);
+    t.is(workerOf(second).runs.size, 1);
+});
--- a/src/dispatch/common/test/objectiveOrder.test.ts
+++ b/src/dispatch/common/test/objectiveOrder.test.ts
@@ -5,6 +5,7 @@
 import { LatencyModel } from "../latencyModel";
 import { ObjectiveOrder } from "../objectiveOrder";
 import { StepQueue } from "../stepQueue";
+import { SuspectTable } from "../suspectTable";
 import { WaitingOrder, WaitingRank } from "../waitingOrder";
 import { assign, createJob, createStep, createWorker } from "./runs";
 
@@ -34,6 +35,7 @@
     const queue = StepQueue.create(
         QueueTable.create(),
         LatencyModel.create(),
+        SuspectTable.create(),
         (task, worker, now) => {
             task.job.state = "running";
             durations.set(task.name, now + (ESTIMATE_MS * random.between(60, 150)) / 100);
--- a/src/dispatch/common/test/shortTaskReserve.test.ts
+++ b/src/dispatch/common/test/shortTaskReserve.test.ts
@@ -4,6 +4,7 @@
 import { LatencyModel } from "../latencyModel";
 import { ShortTaskReserve } from "../shortTaskReserve";
 import { StepQueue } from "../stepQueue";
+import { SuspectTable } from "../suspectTable";
 import { WorkerContact } from "../workerContact";
 import { assign, createJob, createStep, createWorker, place } from "./runs";
 
@@ -46,10 +47,15 @@
  */
 function replay(isReserving: boolean): number {
     const workers = createWorkers(0);
-    const queue = StepQueue.create(QueueTable.create(), LatencyModel.create(), (task, worker) => {
-        task.highestRun += 1;
-        return assign(worker, task);
-    });
+    const queue = StepQueue.create(
+        QueueTable.create(),
+        LatencyModel.create(),
+        SuspectTable.create(),
+        (task, worker) => {
+            task.highestRun += 1;
+            return assign(worker, task);
+        },
+    );
     if (!isReserving) {
         (queue as unknown as { reserve: unknown }).reserve = { recordDemand: () => undefined, choose: () => new Set() };
     }
@@ -86,7 +92,9 @@
     const workers = createWorkers(60_000);
     const reserved = workers[WORKERS - 1];
     reserved.runs.clear();
-    const queue = StepQueue.create(QueueTable.create(), LatencyModel.create(), (task, worker) => assign(worker, task));
+    const queue = StepQueue.create(QueueTable.create(), LatencyModel.create(), SuspectTable.create(), (task, worker) =>
+        assign(worker, task),
+    );
     const job = createJob("web", createStep("web", true));
     const [task] = [...job.tasks()];
     queue.placeWaiting([job], workers, 10, 0, 0);
--- a/src/jobs/common/jobRecord.ts
+++ b/src/jobs/common/jobRecord.ts
@@ -33,12 +33,16 @@
     readonly checkpoint: string;
 }
 
-/** A task that is neither done nor running. */
+/** Evidence that a task crashes the workers that start it, as it is recorded. */
+export type RecordedSuspicion = "suspected" | "accused" | "accused-again";
+
+/** A task that is neither done nor running, or that is suspected of crashing its workers. */
 export interface TaskRecord {
     readonly task: string;
     readonly failures: number;
     readonly checkpoint: string;
     readonly lastRun: number;
+    readonly suspicion?: RecordedSuspicion;
 }
 
 /** Complete progress of a job, rewritten with each change. Empty lists may be omitted. */
@@ -98,7 +102,8 @@
 });
 
 const runSchema = z.tuple([z.string(), z.int(), z.string(), z.number(), z.string()]);
-const taskSchema = z.tuple([z.string(), z.int(), z.string(), z.int()]);
+const suspicionSchema = z.enum(["suspected", "accused", "accused-again"]);
+const taskSchema = z.tuple([z.string(), z.int(), z.string(), z.int(), z.optional(suspicionSchema)]);
 const progressSchema = z.tuple([
     z.int(),
     stateSchema,
@@ -126,7 +131,10 @@
         each.incarnation,
         each.checkpoint,
     ]);
-    const tasks = (progress.tasks ?? []).map(each => [each.task, each.failures, each.checkpoint, each.lastRun]);
+    const tasks = (progress.tasks ?? []).map(each => {
+        const fields = [each.task, each.failures, each.checkpoint, each.lastRun];
+        return each.suspicion === undefined ? fields : [...fields, each.suspicion];
+    });
     return JSON.stringify([progress.epoch, progress.state, progress.done ?? {}, runs, tasks]);
 }
 
@@ -148,7 +156,13 @@
             incarnation,
             checkpoint,
         })),
-        tasks: tasks.map(([task, failures, checkpoint, lastRun]) => ({ task, failures, checkpoint, lastRun })),
+        tasks: tasks.map(([task, failures, checkpoint, lastRun, suspicion]) => ({
+            task,
+            failures,
+            checkpoint,
+            lastRun,
+            suspicion,
+        })),
     };
 }
 
--- a/src/proof/node/jobRuleChecker.ts
+++ b/src/proof/node/jobRuleChecker.ts
@@ -1,10 +1,26 @@
 import { JobSpec } from "../../jobs/common/jobSpec";
 import { RunEnd } from "../../dispatch/common/workerMessages";
 import { LeasedWorker, LeasedWorkerObserver } from "../../standin/common/leasedWorker";
+import { TrialSchedule } from "./trialSchedule";
+
+/** Number of crashes under a task after which it may be given up, and number after which its starts are limited. */
+const CRASHES_BEFORE_FAILED = 2;
+const CRASHES_BEFORE_BUDGET = 3;
+
+/** Number of starts that the limit allows; a task that is started three times more breaks the rule. */
+const MAX_STARTS_AFTER_CRASHES = 2;
 
 /** A rule of the job scheduler that a trial checks. */
 export type JobRule =
-    "single-run" | "no-start-after-done" | "step-order" | "attempts" | "asked" | "shown-done" | "known" | "finished";
+    | "single-run"
+    | "no-start-after-done"
+    | "step-order"
+    | "attempts"
+    | "crash-budget"
+    | "asked"
+    | "shown-done"
+    | "known"
+    | "finished";
 
 /** One violation of a rule. */
 export interface RuleViolation {
@@ -25,23 +41,55 @@
     private readonly highestRuns = new Map<string, number>();
     private readonly failures = new Map<string, number>();
     private readonly jobs = new Map<string, JobSpec>();
+    /** Tasks that crash each worker that starts them. */
+    private readonly deadlyTasks = new Set<string>();
+    /** Number of crashes of workers on which a task ran. */
+    private readonly crashes = new Map<string, number>();
+    /** Number of starts of a task since the third crash under it. */
+    private readonly startsAfterCrashes = new Map<string, number>();
     /** Jobs of which at least one submission was answered with `accepted`. */
     readonly accepted = new Set<string>();
     readonly violations: RuleViolation[] = [];
-    /** Virtual time in ms, set by the trial. */
-    now = 0;
     starts = 0;
 
-    private constructor() {}
+    private constructor(private readonly schedule: TrialSchedule) {}
 
-    /** @returns A checker without any observations. */
-    static create(): JobRuleChecker {
-        return new JobRuleChecker();
+    /** @param schedule Clock of the trial. @returns A checker without any observations. */
+    static create(schedule: TrialSchedule): JobRuleChecker {
+        return new JobRuleChecker(schedule);
     }
 
-    /** Records that a job is submitted. */
-    recordSubmission(job: JobSpec): void {
+    /** Records that a job is submitted. @param job The job. @param deadlyTask Its task that crashes workers, if any. */
+    recordSubmission(job: JobSpec, deadlyTask?: string): void {
         this.jobs.set(job.id, job);
+        if (deadlyTask !== undefined) {
+            this.deadlyTasks.add(deadlyTask);
+        }
+    }
+
+    /** @param task Name of a task. @returns Whether it crashes each worker that starts it. */
+    isDeadly(task: string): boolean {
+        return this.deadlyTasks.has(task);
+    }
+
+    /** Records that a worker crashes under the runs that are active on it. */
+    recordCrash(worker: LeasedWorker): void {
+        for (const [task, runs] of this.activeRuns) {
+            if (runs.has(worker)) {
+                this.crashes.set(task, (this.crashes.get(task) ?? 0) + 1);
+            }
+        }
+    }
+
+    /** Crashes of workers under deadly tasks. */
+    get deadlyCrashes(): number {
+        return [...this.deadlyTasks].reduce((sum, task) => sum + (this.crashes.get(task) ?? 0), 0);
+    }
+
+    /** Tasks, not deadly themselves, that ran on at least two workers when these crashed. */
+    get sharedCrashes(): number {
+        return [...this.crashes].filter(([task, count]) => count >= CRASHES_BEFORE_FAILED && !this.isDeadly(task))
+            .length;
     }
 
     onStart(worker: LeasedWorker, task: string, run: number): void {
@@ -67,6 +115,7 @@
         this.check("step-order", isStepReady, `${task} starts before the steps it depends on are done`);
         const failures = this.failures.get(task) ?? 0;
         this.check("attempts", failures < (job?.queue.maxAttempts ?? 1), `${task} starts after ${failures} failures`);
+        this.checkCrashBudget(task, run);
         this.highestRuns.set(task, Math.max(run, this.highestRuns.get(task) ?? 0));
         otherRuns.set(worker, run);
         this.activeRuns.set(task, otherRuns);
@@ -107,7 +156,7 @@
             this.check("shown-done", isDone, `${id} is reported as done before all its tasks are done`);
         } else if (state === "failed") {
             const failureCounts = [...this.failures].filter(([task]) => task.startsWith(id)).map(([, count]) => count);
-            const isFailed = Math.max(0, ...failureCounts) >= job.queue.maxAttempts;
+            const isFailed = Math.max(0, ...failureCounts) >= job.queue.maxAttempts || this.hasCrashedWorkers(id);
             this.check("shown-done", isFailed, `${id} is reported as failed, but no task has failed often enough`);
         }
     }
@@ -120,10 +169,27 @@
     /** Records a violation if a rule does not hold. @param detail What happened; begins with the task's or job's ID. */
     check(rule: JobRule, holds: boolean, detail: string): void {
         if (!holds) {
-            this.violations.push({ rule, atMs: Math.round(this.now), detail });
+            this.violations.push({ rule, atMs: Math.round(this.schedule.now), detail });
         }
     }
 
+    private checkCrashBudget(task: string, run: number): void {
+        const crashes = this.crashes.get(task) ?? 0;
+        if (this.isDeadly(task) && crashes >= CRASHES_BEFORE_BUDGET) {
+            const starts = (this.startsAfterCrashes.get(task) ?? 0) + 1;
+            this.startsAfterCrashes.set(task, starts);
+            const detail = `${task} run ${run} is start ${starts} after ${CRASHES_BEFORE_BUDGET} crashes under the task`;
+            this.check("crash-budget", starts <= MAX_STARTS_AFTER_CRASHES, detail);
+        }
+    }
+
+    /** @returns Whether a job has a deadly task under which so many workers have crashed that it may be given up. */
+    private hasCrashedWorkers(id: string): boolean {
+        return [...this.deadlyTasks].some(
+            task => task.startsWith(`${id}.`) && (this.crashes.get(task) ?? 0) >= CRASHES_BEFORE_FAILED,
+        );
+    }
+
     private countDone(prefix: string, tasks: number): number {
         let count = 0;
         for (let index = 0; index < tasks; index++) {
--- a/src/proof/node/jobTrial.ts
+++ b/src/proof/node/jobTrial.ts
@@ -1,17 +1,13 @@
 import { Err } from "ts-results";
-import { OrderOutcome, RunList, WorkerEffect } from "../../dispatch/common/workerMessages";
 import { JobInstance } from "../../host/common/jobInstance";
 import { JobInstanceEffect, JobInstanceEvent } from "../../host/common/jobInstanceEvents";
 import { JobDraft } from "../../jobs/common/jobCall";
 import { StreamName } from "../../records/common/recordStore";
 import { RecordEffect } from "../../records/common/recordEvents";
 import { KeyedLog } from "../../standin/common/keyedLog";
-import { LeasedWorker } from "../../standin/common/leasedWorker";
 import {
-    executeOrder,
     createDraft,
-    createWorkerEntry,
-    simulateRun,
+    deadlyTaskOf,
     FAULTS,
     JobFault,
     JobTrialPlan,
@@ -21,12 +17,13 @@
     CALL_TIMEOUTS_MS,
     TrialDecoder,
 } from "./jobTrialPlan";
-import { ScheduledAction, TrialNode } from "./jobTrialNode";
+import { TrialNode } from "./jobTrialNode";
 import { JobRuleChecker } from "./jobRuleChecker";
 import { Random } from "./random";
+import { TrialSchedule } from "./trialSchedule";
+import { TrialWorkers } from "./trialWorkers";
 
 const TICK_INTERVAL_MS = 25;
-const HEARTBEAT_INTERVAL_MS = 1_500;
 /**
  * Time after the last fault within which all jobs must end, in ms. The leases of lost leaders and workers can expire
  * twice in this time.
@@ -36,7 +33,8 @@
 /** Runs whole instances on a virtual clock against an in-memory store and workers, and injects random faults. */
 export class JobTrial {
     private readonly random: Random;
-    private readonly checker = JobRuleChecker.create();
+    private readonly timeline = TrialSchedule.create();
+    private readonly checker = JobRuleChecker.create(this.timeline);
     private readonly streams: Record<StreamName, KeyedLog> = {
         jobs: KeyedLog.create(),
         progress: KeyedLog.create(),
@@ -44,26 +42,28 @@
         workers: KeyedLog.create(),
     };
     private readonly nodes: TrialNode[] = [];
-    private readonly workers: LeasedWorker[] = [];
-    /** Time (ms) until which a worker is cut off from the network, by worker id. */
-    private readonly workerCutUntil = new Map<string, number>();
-    /** Time (ms) until which the link to a worker takes 100 to 900 ms in each direction, by worker id. */
-    private readonly slowLinkUntil = new Map<string, number>();
     private readonly jobs = new Map<string, { draft: JobDraft; isAccepted: boolean }>();
     /** Lines of the trace. */
     private readonly trace: string[] = [];
-    private scheduledActions: ScheduledAction[] = [];
-    private lastSequence = 0;
     private lastCallNumber = 0;
     /** How often an instance became leader. */
     private leaders = 0;
-    private replacementCount = 0;
     private storeDownUntil = 0;
     private lostAnswersUntil = 0;
-    private lateOrdersUntil = 0;
+
+    private readonly workers: TrialWorkers;
 
     private constructor(private readonly plan: JobTrialPlan) {
         this.random = Random.create(plan.seed);
+        this.streams.operator.store("config", "{}");
+        this.workers = TrialWorkers.create({
+            plan,
+            random: this.random,
+            schedule: this.timeline,
+            checker: this.checker,
+            registry: this.streams.workers,
+            trace: this.trace,
+        });
     }
 
     /** @param plan Parameters of the trial. @returns The result, which is the same for the same plan. */
@@ -72,14 +72,10 @@
     }
 
     private get now(): number {
-        return this.checker.now;
+        return this.timeline.now;
     }
 
     private run(): JobTrialResult {
-        this.streams.operator.store("config", "{}");
-        for (let index = 0; index < this.plan.workers; index++) {
-            this.addWorker(index, 0);
-        }
         for (let index = 0; index < this.plan.instances; index++) {
             this.nodes.push({
                 index,
@@ -97,29 +93,17 @@
         if (this.plan.faultEveryMs > 0) {
             this.schedule(3_000, () => this.injectNext());
         }
-        this.runUntil(this.plan.lengthMs + RECOVERY_TIMEOUT_MS);
+        this.timeline.runUntil(this.plan.lengthMs + RECOVERY_TIMEOUT_MS);
         this.checkFinished();
         const accepted = this.checker.accepted.size;
         const finished = [...this.checker.accepted].filter(id => this.jobState(id) === "done").length;
-        const { violations: breaches, starts } = this.checker;
-        return { breaches, jobs: this.jobs.size, accepted, finished, starts, leaders: this.leaders, trace: this.trace };
-    }
-
-    private runUntil(endMs: number): void {
-        while (this.scheduledActions.length > 0) {
-            this.scheduledActions.sort((a, b) => a.at - b.at || a.sequence - b.sequence);
-            const next = this.scheduledActions.shift()!;
-            if (next.at > endMs) {
-                return;
-            }
-            this.checker.now = next.at;
-            next.perform();
-        }
+        const { violations: breaches, starts, deadlyCrashes: crashes, sharedCrashes } = this.checker;
+        const counts = { jobs: this.jobs.size, accepted, finished, starts, leaders: this.leaders };
+        return { breaches, ...counts, crashes, sharedCrashes, trace: this.trace };
     }
 
     private schedule(delayMs: number, perform: () => void): void {
-        this.lastSequence += 1;
-        this.scheduledActions.push({ at: this.now + delayMs, sequence: this.lastSequence, perform });
+        this.timeline.add(delayMs, perform);
     }
 
     // Instances
@@ -180,7 +164,7 @@
             case "stop":
             case "throttle":
             case "list":
-                this.callWorker(node, incarnation, effect);
+                this.workers.call(effect, this.now - node.frozenMs, event => this.post(node, incarnation, event));
                 break;
             case "answer":
                 this.onAnswer(effect.call.path.slice(QUEUE.prefix.length), effect.call.request.kind, effect.answer);
@@ -235,97 +219,6 @@
         return this.now >= this.storeDownUntil && this.now >= node.storeCutUntil;
     }
 
-    // Workers
-
-    private addWorker(index: number, startedAt: number, id = `w${index}`): void {
-        const entry = createWorkerEntry(index, id, startedAt);
-        const rate = 1 - (this.plan.seed % 2 === 0 ? 0 : 0.02);
-        this.workers[index] = LeasedWorker.create(entry, startedAt, rate, simulateRun, this.checker);
-        this.sendHeartbeat(this.workers[index], index);
-    }
-
-    /** Removes a worker permanently and adds one with another name in its place. */
-    private removeWorker(index: number): void {
-        const removed = this.workers[index];
-        removed.crash();
-        this.replacementCount += 1;
-        this.addWorker(index, Math.round(this.now), `w${index}-${this.replacementCount}`);
-        this.schedule(3 * HEARTBEAT_INTERVAL_MS, () => this.streams.workers.store(removed.entry.id, undefined));
-    }
-
-    private sendHeartbeat(worker: LeasedWorker, index: number): void {
-        if (this.workers[index] !== worker) {
-            return;
-        }
-        if (this.now >= (this.workerCutUntil.get(worker.entry.id) ?? 0)) {
-            this.streams.workers.store(worker.entry.id, JSON.stringify(worker.entry));
-        }
-        worker.endDueRuns(this.now);
-        this.schedule(HEARTBEAT_INTERVAL_MS, () => this.sendHeartbeat(worker, index));
-    }
-
-    private callWorker(node: TrialNode, incarnation: number, effect: WorkerEffect): void {
-        const sentAt = this.now - node.frozenMs;
-        const { id } = effect.worker;
-        const isOrderLate = effect.kind !== "list" && this.now < this.lateOrdersUntil && this.random.chance(0.3);
-        const findWorker = () => this.workers.find(each => each.entry.id === id);
-        const isCut = () => this.now < (this.workerCutUntil.get(id) ?? 0);
-        const isSlow = this.now < (this.slowLinkUntil.get(id) ?? 0);
-        const linkDelayMs = () => (isSlow ? this.random.between(100, 900) : this.random.between(1, 20));
-        let isAnswered = false;
-        const reply = (outcome: OrderOutcome, list?: RunList) => {
-            const clockMs = outcome === "no-answer" ? undefined : findWorker()?.clock(this.now);
-            const answer = { worker: id, sentAt, outcome, clockMs, order: effect.order, list };
-            this.schedule(outcome === "no-answer" ? 1 : linkDelayMs(), () => {
-                if (!isAnswered) {
-                    isAnswered = true;
-                    this.post(node, incarnation, { kind: `${effect.kind}-answer`, ...answer } as JobInstanceEvent);
-                }
-            });
-        };
-        const waitMs = effect.kind === "list" ? effect.order.waitMs : 0;
-        this.schedule(waitMs + CALL_TIMEOUTS_MS.worker, () => isSlow && reply("no-answer"));
-        if (isOrderLate || isCut()) {
-            this.schedule(CALL_TIMEOUTS_MS.worker, () => reply("no-answer"));
-            if (isOrderLate) {
-                // The worker has received the order but executes it late; a crash in between discards the order.
-                const worker = findWorker();
-                this.schedule(this.random.between(2_000, 6_000), () => {
-                    if (worker !== undefined && findWorker() === worker) {
-                        executeOrder(worker, effect, this.now);
-                    }
-                });
-            }
-            return;
-        }
-        let outcome: OrderOutcome | undefined;
-        const deliver = (deadline: number, worker: LeasedWorker | undefined) => {
-            // A crash closes the connections of waiting calls.
-            if (worker === undefined || isCut() || findWorker() !== worker) {
-                this.schedule(CALL_TIMEOUTS_MS.worker, () => reply("no-answer"));
-                return;
-            }
-            worker.endDueRuns(this.now);
-            // A list order waits for ends; its fence, lease and confirmation of recorded ends apply once, on arrival.
-            outcome ??= executeOrder(worker, effect, this.now);
-            const isWaiting =
-                effect.kind === "list" && outcome === "done" && worker.ends.length === 0 && this.now < deadline;
-            if (isWaiting) {
-                this.schedule(20, () => deliver(deadline, worker));
-                return;
-            }
-            const list = {
-                incarnation: worker.entry.incarnation,
-                running: worker.listRuns(this.now),
-                ended: [...worker.ends],
-            };
-            reply(outcome, effect.kind === "list" && outcome === "done" ? list : undefined);
-        };
-        // A crash also closes the connection of a call in transit, so the worker is looked up when the call is sent.
-        const recipient = findWorker();
-        this.schedule(linkDelayMs(), () => deliver(this.now + waitMs, recipient));
-    }
-
     // Clients
 
     private submitNext(): void {
@@ -338,7 +231,8 @@
             .padStart(16, "0");
         const draft = createDraft(this.random);
         this.jobs.set(id, { draft, isAccepted: false });
-        this.checker.recordSubmission({ id, queue: QUEUE, acceptedAtMs: 0, ...draft });
+        const deadlyTask = deadlyTaskOf(id, this.plan.deadlyRatio ?? 0);
+        this.checker.recordSubmission({ id, queue: QUEUE, acceptedAtMs: 0, ...draft }, deadlyTask);
         this.submit(id, 5);
         this.schedule(this.random.between(50, 500), () => this.submitNext());
     }
@@ -415,20 +309,19 @@
                 this.lostAnswersUntil = this.now + durationMs;
                 break;
             case "worker-crash":
-                this.workers[worker].crash();
-                this.addWorker(worker, Math.round(this.now), this.workers[worker].entry.id);
+                this.workers.restart(worker);
                 break;
             case "worker-gone":
-                this.removeWorker(worker);
+                this.workers.remove(worker);
                 break;
             case "worker-cut":
-                this.workerCutUntil.set(this.workers[worker].entry.id, this.now + durationMs);
+                this.workers.cut(worker, durationMs);
                 break;
             case "slow-link":
-                this.slowLinkUntil.set(this.workers[worker].entry.id, this.now + 3 * durationMs);
+                this.workers.slowDownLink(worker, 3 * durationMs);
                 break;
             case "late-orders":
-                this.lateOrdersUntil = this.now + durationMs;
+                this.workers.delayOrders(durationMs);
                 break;
             case "expire":
                 Object.values(this.streams).forEach(log => log.expire());
@@ -463,6 +356,7 @@
         for (const id of this.checker.accepted) {
             const state = this.jobState(id);
             this.checker.check("finished", state === "done" || state === "failed", `${id} is ${state} at the end`);
+            this.checker.onStateReturned(id, state);
         }
     }
 
--- a/src/proof/node/jobTrialNode.ts
+++ b/src/proof/node/jobTrialNode.ts
@@ -13,10 +13,3 @@
     /** Events that arrived during a freeze. */
     deferred: (() => void)[];
 }
-
-/** An action at a virtual time; actions at the same time are performed in the order in which they were scheduled. */
-export interface ScheduledAction {
-    readonly at: number;
-    readonly sequence: number;
-    readonly perform: () => void;
-}
--- a/src/proof/node/jobTrialPlan.ts
+++ b/src/proof/node/jobTrialPlan.ts
@@ -85,6 +85,8 @@
     readonly faults?: readonly JobFault[];
     /** Mean time between faults, in ms; 0 for a fault-free trial. */
     readonly faultEveryMs: number;
+    /** Share of the jobs with a deadly task, from 0 to 1; none if undefined. */
+    readonly deadlyRatio?: number;
     /** Breaks a mechanism on purpose, to prove that a rule detects it. */
     readonly sabotage?: (trial: JobTrial) => void;
 }
@@ -98,6 +100,10 @@
     readonly finished: number;
     readonly starts: number;
     readonly leaders: number;
+    /** Crashes of workers under deadly tasks. */
+    readonly crashes: number;
+    /** Tasks, not deadly themselves, that ran on at least two workers when these crashed. */
+    readonly sharedCrashes: number;
     /** Decisions and faults with their times, one a line. */
     readonly trace: readonly string[];
 }
@@ -135,14 +141,15 @@
  * @param index Number of the worker.
  * @param id Identifier of the worker.
  * @param startedAt Time (ms) at which the worker started.
+ * @param address Its address.
  * @returns The worker's entry.
  */
-export function createWorkerEntry(index: number, id: string, startedAt: number): WorkerEntry {
+export function createWorkerEntry(index: number, id: string, startedAt: number, address: string): WorkerEntry {
     return {
         id,
         incarnation: startedAt,
         service: "svc",
-        address: id,
+        address,
         failureDomain: `z${index % 3}`,
         state: "ready",
         warmupLeftMs: 0,
@@ -158,6 +165,17 @@
     return { ms: random.between(100, 2_500), end: random.chance(0.04) ? "failed" : "done" };
 }
 
+/**
+ * Derives a job's deadly task, which crashes each worker that starts it, from the job's id: a draw would change the
+ * trials of all seeds.
+ * @param id The job.
+ * @param ratio Share of the jobs with a deadly task, from 0 to 1.
+ * @returns Name of the task, or `undefined` if the job has none.
+ */
+export function deadlyTaskOf(id: string, ratio: number): string | undefined {
+    return Number.parseInt(id, 16) % 1_000 < ratio * 1_000 ? `${id}.0.0.0` : undefined;
+}
+
 /** @param random Source of randomness. @returns A job of one to three steps. */
 export function createDraft(random: Random): JobDraft {
     const steps = random.between(1, 3);
--- a/src/proof/node/test/jobTrial.test.ts
+++ b/src/proof/node/test/jobTrial.test.ts
@@ -73,6 +73,48 @@
     });
 }
 
+/** Share of the jobs with a task that crashes each worker that starts it. */
+const DEADLY_RATIO = 0.05;
+
+/** Faults beside deadly tasks and seeds for each; every trial has a deadly task. */
+const DEADLY_TRIALS: readonly { name: string; faults: readonly JobFault[]; everyMs: number; seeds: number[] }[] = [
+    { name: "in a fault-free trial", faults: [], everyMs: 0, seeds: [601, 604] },
+    { name: "also when the leader is killed", faults: ["kill"], everyMs: 1_200, seeds: [602, 605] },
+    { name: "also when other workers crash", faults: ["worker-crash"], everyMs: 1_200, seeds: [601, 604] },
+    { name: "also when the leader is frozen", faults: ["freeze"], everyMs: 1_200, seeds: [603, 604] },
+    { name: "under all faults", faults: FAULTS, everyMs: 1_200, seeds: [601, 605] },
+];
+
+for (const { name, faults, everyMs, seeds } of DEADLY_TRIALS) {
+    for (const seed of seeds) {
+        const plan = { ...PLAN, seed, faults, faultEveryMs: everyMs, deadlyRatio: DEADLY_RATIO };
+
+        // A task that crashed its workers was started until the end of the trial, and its job never ended.
+        test.serial(`a task that crashes its workers is not started again and again, ${name}, seed ${seed}`, t => {
+            const result = JobTrial.run(plan);
+            t.true(result.crashes > 0);
+            t.deepEqual(result.breaches, []);
+        });
+
+        // Guards against giving up each task that was on a worker when it crashed.
+        test.serial(`no task is given up for crashes of a worker that it only shared, ${name}, seed ${seed}`, t => {
+            const result = JobTrial.run(plan);
+            t.true(result.crashes > 0);
+            const shown = result.breaches.filter(each => each.rule === "shown-done");
+            t.deepEqual(shown, []);
+        });
+    }
+}
+
+// Guards against giving up tasks when workers crash often for reasons of their own.
+test.serial("no task is given up for crashes of its workers when no task crashes workers", t => {
+    for (const seed of [601, 603, 605]) {
+        const result = JobTrial.run({ ...PLAN, seed, faults: ["worker-crash"] });
+        t.true(result.sharedCrashes > 0);
+        t.deepEqual(result.breaches, []);
+    }
+});
+
 test.serial("the same seed gives the same trial", t => {
     const [one, two] = [1, 2].map(() => JobTrial.run({ ...PLAN, seed: 5 }));
     t.deepEqual(one, two);
--- /dev/null
+++ b/src/proof/node/trialWorkers.ts
@@ -0,0 +1,254 @@
+import { OrderOutcome, RunList, WorkerEffect } from "../../dispatch/common/workerMessages";
+import { JobInstanceEvent } from "../../host/common/jobInstanceEvents";
+import { KeyedLog } from "../../standin/common/keyedLog";
+import { LeasedWorker } from "../../standin/common/leasedWorker";
+import { JobRuleChecker } from "./jobRuleChecker";
+import { CALL_TIMEOUTS_MS, createWorkerEntry, executeOrder, JobTrialPlan, simulateRun } from "./jobTrialPlan";
+import { Random } from "./random";
+import { TrialSchedule } from "./trialSchedule";
+
+const HEARTBEAT_INTERVAL_MS = 1_500;
+
+/** Time from the start of a deadly task to the crash of its worker, in ms. */
+const CRASH_DELAY_MS = 10;
+
+/** Time for which a worker is down after a deadly task has crashed it, in ms. */
+const DOWN_MS = 3_000;
+
+/** What the workers share with the rest of the trial. */
+export interface TrialWorkersContext {
+    readonly plan: JobTrialPlan;
+    readonly random: Random;
+    readonly schedule: TrialSchedule;
+    readonly checker: JobRuleChecker;
+    /** The stream of service discovery. */
+    readonly registry: KeyedLog;
+    /** Lines of the trace. */
+    readonly trace: string[];
+}
+
+/** The workers of a trial, their entries in service discovery, the links to them and the faults injected into them. */
+export class TrialWorkers {
+    private readonly workers: LeasedWorker[] = [];
+    /** Workers that have crashed and are not back yet. */
+    private readonly down = new Set<LeasedWorker>();
+    /** Time (ms) until which a worker is cut off from the network, by worker id. */
+    private readonly cutUntil = new Map<string, number>();
+    /** Time (ms) until which the link to a worker takes 100 to 900 ms in each direction, by worker id. */
+    private readonly slowLinkUntil = new Map<string, number>();
+    private lateOrdersUntil = 0;
+    private replacementCount = 0;
+    private downCount = 0;
+
+    private constructor(private readonly context: TrialWorkersContext) {}
+
+    /** @param context What they share with the rest of the trial. @returns The workers of the plan, all running. */
+    static create(context: TrialWorkersContext): TrialWorkers {
+        const workers = new TrialWorkers(context);
+        for (let index = 0; index < context.plan.workers; index++) {
+            workers.add(index, `w${index}`);
+        }
+        return workers;
+    }
+
+    private get now(): number {
+        return this.context.schedule.now;
+    }
+
+    /** Crashes a worker, which is back at once under the same id. @param index Number of the worker. */
+    restart(index: number): void {
+        const worker = this.workers[index];
+        if (!this.down.has(worker)) {
+            this.crash(worker);
+            this.add(index, worker.entry.id, worker.entry.address);
+        }
+    }
+
+    /**
+     * Removes a worker permanently and adds one with another name and address in its place.
+     * @param index Number of the worker.
+     */
+    remove(index: number): void {
+        const removed = this.workers[index];
+        this.crash(removed);
+        this.replacementCount += 1;
+        this.add(index, `w${index}-${this.replacementCount}`);
+        this.deregisterLater(removed.entry.id);
+    }
+
+    /** Cuts a worker off from the network. @param index Number of the worker. @param durationMs Duration in ms. */
+    cut(index: number, durationMs: number): void {
+        this.cutUntil.set(this.workers[index].entry.id, this.now + durationMs);
+    }
+
+    /** Slows down the link to a worker. @param index Number of the worker. @param durationMs Duration in ms. */
+    slowDownLink(index: number, durationMs: number): void {
+        this.slowLinkUntil.set(this.workers[index].entry.id, this.now + durationMs);
+    }
+
+    /** Lets the workers execute some orders late. @param durationMs Duration in ms. */
+    delayOrders(durationMs: number): void {
+        this.lateOrdersUntil = this.now + durationMs;
+    }
+
+    /**
+     * Sends an order to a worker.
+     * @param effect The order.
+     * @param sentAt Time (ms) of the sender's clock.
+     * @param onAnswer Called once with the answer.
+     */
+    call(effect: WorkerEffect, sentAt: number, onAnswer: (event: JobInstanceEvent) => void): void {
+        const { random, schedule } = this.context;
+        const { id } = effect.worker;
+        const isOrderLate = effect.kind !== "list" && this.now < this.lateOrdersUntil && random.chance(0.3);
+        const isSlow = this.now < (this.slowLinkUntil.get(id) ?? 0);
+        const linkDelayMs = () => (isSlow ? random.between(100, 900) : random.between(1, 20));
+        let isAnswered = false;
+        const reply = (outcome: OrderOutcome, list?: RunList) => {
+            const clockMs = outcome === "no-answer" ? undefined : this.find(id)?.clock(this.now);
+            const answer = { worker: id, sentAt, outcome, clockMs, order: effect.order, list };
+            schedule.add(outcome === "no-answer" ? 1 : linkDelayMs(), () => {
+                if (!isAnswered) {
+                    isAnswered = true;
+                    onAnswer({ kind: `${effect.kind}-answer`, ...answer } as JobInstanceEvent);
+                }
+            });
+        };
+        const waitMs = effect.kind === "list" ? effect.order.waitMs : 0;
+        schedule.add(waitMs + CALL_TIMEOUTS_MS.worker, () => isSlow && reply("no-answer"));
+        // A crash also closes the connection of a call in transit, so the worker is looked up when the call is sent.
+        const recipient = this.find(id);
+        if (isOrderLate || this.isCut(id)) {
+            schedule.add(CALL_TIMEOUTS_MS.worker, () => reply("no-answer"));
+            if (isOrderLate) {
+                this.executeLate(recipient, effect);
+            }
+            return;
+        }
+        schedule.add(linkDelayMs(), () => this.deliver(effect, recipient, this.now + waitMs, reply));
+    }
+
+    /** The worker has received the order but executes it late; a crash in between discards the order. */
+    private executeLate(worker: LeasedWorker | undefined, effect: WorkerEffect): void {
+        this.context.schedule.add(this.context.random.between(2_000, 6_000), () => {
+            if (worker !== undefined && this.find(effect.worker.id) === worker) {
+                this.execute(worker, effect);
+            }
+        });
+    }
+
+    private deliver(
+        effect: WorkerEffect,
+        worker: LeasedWorker | undefined,
+        deadline: number,
+        reply: (outcome: OrderOutcome, list?: RunList) => void,
+        earlierOutcome?: OrderOutcome,
+    ): void {
+        const { schedule } = this.context;
+        const { id } = effect.worker;
+        // A crash closes the connections of waiting calls.
+        if (worker === undefined || this.isCut(id) || this.find(id) !== worker) {
+            const refusal = worker === undefined ? this.refusalAt(effect.worker.address) : undefined;
+            if (refusal !== undefined) {
+                reply(refusal);
+            } else {
+                schedule.add(CALL_TIMEOUTS_MS.worker, () => reply("no-answer"));
+            }
+            return;
+        }
+        worker.endDueRuns(this.now);
+        // A list order waits for ends; its fence, lease and confirmation of recorded ends apply once, on arrival.
+        const outcome = earlierOutcome ?? this.execute(worker, effect);
+        const isWaiting =
+            effect.kind === "list" && outcome === "done" && worker.ends.length === 0 && this.now < deadline;
+        if (isWaiting) {
+            schedule.add(20, () => this.deliver(effect, worker, deadline, reply, outcome));
+            return;
+        }
+        const list = {
+            incarnation: worker.entry.incarnation,
+            running: worker.listRuns(this.now),
+            ended: [...worker.ends],
+        };
+        reply(outcome, effect.kind === "list" && outcome === "done" ? list : undefined);
+    }
+
+    /**
+     * @param address Address at which a call did not find the worker that it names.
+     * @returns Outcome of the call, or `undefined` if nothing answers there.
+     */
+    private refusalAt(address: string): OrderOutcome | undefined {
+        const worker = this.workers.find(each => each.entry.address === address);
+        if (worker === undefined || this.isCut(worker.entry.id)) {
+            return undefined;
+        }
+        return this.down.has(worker) ? "unreachable" : "other-incarnation";
+    }
+
+    private execute(worker: LeasedWorker, effect: WorkerEffect): OrderOutcome {
+        const outcome = executeOrder(worker, effect, this.now);
+        if (effect.kind === "start" && outcome === "done" && this.context.checker.isDeadly(effect.order.task)) {
+            this.context.schedule.add(CRASH_DELAY_MS, () => this.crashUnder(effect.order.task, worker));
+        }
+        return outcome;
+    }
+
+    /** Crashes a worker under a deadly task; every second one comes back under a new id. */
+    private crashUnder(task: string, worker: LeasedWorker): void {
+        const index = this.workers.indexOf(worker);
+        if (index < 0 || this.down.has(worker)) {
+            return;
+        }
+        const { id, address } = worker.entry;
+        this.context.trace.push(`${Math.round(this.now)} FAULT deadly-task ${id} ${task}`);
+        this.crash(worker);
+        this.down.add(worker);
+        this.downCount += 1;
+        const newId = this.downCount % 2 === 0 ? `${address}-r${this.downCount}` : id;
+        if (newId !== id) {
+            this.deregisterLater(id);
+        }
+        this.context.schedule.add(DOWN_MS, () => {
+            this.down.delete(worker);
+            if (this.workers[index] === worker) {
+                this.add(index, newId, address);
+            }
+        });
+    }
+
+    private crash(worker: LeasedWorker): void {
+        this.context.checker.recordCrash(worker);
+        worker.crash();
+    }
+
+    private add(index: number, id: string, address = id): void {
+        const startedAt = Math.round(this.now);
+        const entry = createWorkerEntry(index, id, startedAt, address);
+        const rate = 1 - (this.context.plan.seed % 2 === 0 ? 0 : 0.02);
+        this.workers[index] = LeasedWorker.create(entry, startedAt, rate, simulateRun, this.context.checker);
+        this.sendHeartbeat(this.workers[index], index);
+    }
+
+    private deregisterLater(id: string): void {
+        this.context.schedule.add(3 * HEARTBEAT_INTERVAL_MS, () => this.context.registry.store(id, undefined));
+    }
+
+    private sendHeartbeat(worker: LeasedWorker, index: number): void {
+        if (this.workers[index] !== worker || this.down.has(worker)) {
+            return;
+        }
+        if (!this.isCut(worker.entry.id)) {
+            this.context.registry.store(worker.entry.id, JSON.stringify(worker.entry));
+        }
+        worker.endDueRuns(this.now);
+        this.context.schedule.add(HEARTBEAT_INTERVAL_MS, () => this.sendHeartbeat(worker, index));
+    }
+
+    private find(id: string): LeasedWorker | undefined {
+        return this.workers.find(each => each.entry.id === id && !this.down.has(each));
+    }
+
+    private isCut(id: string): boolean {
+        return this.now < (this.cutUntil.get(id) ?? 0);
+    }
+}
