Pass over exactly the tests listed in KNOWN-RED.txt

report.mjs now reads the list and prints each entry.

- A listed test that fails is printed as a known failure and counts neither as passed nor as failed.
- A listed test that passes, is skipped or does not exist counts as one failure, so that the last line agrees with the verdict.
- A malformed, incomplete or repeated entry stops the script before the tests, with the number of the line.
- With arguments for ava the list is not used, since titles are printed without the file when only one file is run.

The reading of the list and the verdict are in src/proof/common with tests; build.mjs builds them for the script.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -12,6 +12,8 @@
 });
 const { out } = values;
 const SEA_FUSE = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
+// Modules that scripts/report.mjs imports from the output.
+const REPORT_MODULES = ["src/proof/common/knownFailureList.ts", "src/proof/common/testVerdict.ts"];
 // CommonJS libraries need `require` when they are bundled into an ES module.
 const REQUIRE_BANNER = `import { createRequire } from "node:module"; const require = createRequire(import.meta.url);`;
 const commonOptions = {
@@ -33,7 +35,7 @@
     rmSync("out/test", { recursive: true, force: true });
     await build({
         ...commonOptions,
-        entryPoints: [...findFiles("src", ".test.ts"), ...findFiles("src", ".tool.ts")],
+        entryPoints: [...findFiles("src", ".test.ts"), ...findFiles("src", ".tool.ts"), ...REPORT_MODULES],
         outdir: "out/test",
         outbase: "src",
         format: "esm",
--- /dev/null
+++ b/src/proof/common/knownFailure.ts
@@ -0,0 +1,11 @@
+/** What a known failure is about: a test, which CI runs, or a bound of the bench, which CI does not run. */
+export type KnownFailureSubject = "test" | "bench";
+
+/** An entry of the list of known failures. */
+export interface KnownFailure {
+    readonly subject: KnownFailureSubject;
+    /** Title of the test, as printed by TAP when all tests are run, or of the bound. */
+    readonly title: string;
+    /** Number of the open issue. */
+    readonly issue: number;
+}
