Keep the answers to the leader's appends apart by epoch

Callers could see an accepted job wait, or a run start whose assignment was never stored: an instance that leads again takes a late answer to an append of its earlier epoch for one of the present epoch.

Cause: the appends of each epoch are numbered anew from the same number, and answers named only the writer "leader" and that number. An earlier append that the store rejects made the leader step down, and one that it confirms made a record count as stored. The class: an answer that does not say which question it belongs to. Progress already has a writer name for each epoch; now claims and the leader's appends do, too.

Evidence: the new test failed before (the instance stepped down). Found by reading while looking for reasons why a leader starts nothing; not seen in a run.

--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -10,7 +10,7 @@
 import { JobTable, visibleStateOf } from "../../jobs/common/jobTable";
 import { QueueTable } from "../../jobs/common/queueTable";
 import { LEADER_KEY } from "../../records/common/leaderRecord";
-import { CLAIM_WRITER, Leadership, LEADER_WRITER } from "../../records/common/leadership";
+import { Leadership } from "../../records/common/leadership";
 import { StoredRecord } from "../../records/common/record";
 import { ReadTiming, RecordFollower, RecordReceiver } from "../../records/common/recordFollower";
 import { RecordEvent } from "../../records/common/recordEvents";
@@ -303,18 +303,14 @@
 
     private handleAppendAnswer(event: RecordEvent & { readonly kind: "append-answer" }, now: number): void {
         switch (event.writer) {
-            case LEADER_WRITER:
-                this.leadership.handleAppendAnswer(event, now);
-                break;
-            case CLAIM_WRITER:
-                this.leadership.handleClaimAnswer(event, now);
-                break;
             case this.submissionWriter.name:
                 this.submissionWriter.handleAnswer(event, now);
                 break;
             case this.takeover?.writer.name:
                 this.handleProgressAnswer(this.takeover!.writer, event, now);
                 break;
+            default:
+                this.leadership.handleAppendAnswer(event, now);
         }
     }
 
--- a/src/records/common/leadership.ts
+++ b/src/records/common/leadership.ts
@@ -55,12 +55,6 @@
 /** Producer name of the leader's appends. */
 export const LEADER_PRODUCER = "leader";
 
-/** Writer name that answers to claims carry. */
-export const CLAIM_WRITER = "claim";
-
-/** Writer name that answers to the leader's appends carry. */
-export const LEADER_WRITER = "leader";
-
 /** An instance that may claim leadership. */
 export interface LeadershipCandidate {
     readonly instance: string;
@@ -185,18 +179,21 @@
         this.machine.fire(isOwn ? "own-claim-seen" : "other-leader-seen", now);
     }
 
-    /** Handles the answer to a claim. @param now Time in ms. */
-    handleClaimAnswer(event: RecordEvent & { readonly kind: "append-answer" }, now: number): void {
-        if (!event.result.ok) {
-            this.machine.fire("claim-failed", now);
-        }
-    }
-
-    /** Handles the answer to an append of the leader. @param now Time in ms. */
+    /**
+     * Handles the answer to a claim or to an append of the leader. Answers to those of an earlier epoch are ignored.
+     * @param event The answer.
+     * @param now Time in ms.
+     */
     handleAppendAnswer(event: RecordEvent & { readonly kind: "append-answer" }, now: number): void {
-        this.writer?.handleAnswer(event, now);
-        if (this.writer?.isRejected === true) {
-            this.handleRejection(now);
+        if (event.writer === claimWriterName(this.claimedEpoch)) {
+            if (!event.result.ok) {
+                this.machine.fire("claim-failed", now);
+            }
+        } else if (event.writer === this.writer?.name) {
+            this.writer.handleAnswer(event, now);
+            if (this.writer.isRejected) {
+                this.handleRejection(now);
+            }
         }
     }
 
@@ -271,7 +268,7 @@
         this.nextClaimAt = now + MIN_CLAIM_INTERVAL_MS;
         this.effects.emit({
             kind: "append",
-            writer: CLAIM_WRITER,
+            writer: claimWriterName(this.claimedEpoch),
             stream: this.follower.stream,
             append: {
                 producer: { name: LEADER_PRODUCER, epoch: this.claimedEpoch },
@@ -285,7 +282,8 @@
     private startLeading(now: number): void {
         const producer = { name: LEADER_PRODUCER, epoch: this.claimedEpoch };
         const { stream } = this.follower;
-        this.writer = RecordWriter.create(LEADER_WRITER, stream, producer, this.effects, this.candidate.nonce);
+        const name = leaderWriterName(this.claimedEpoch);
+        this.writer = RecordWriter.create(name, stream, producer, this.effects, this.candidate.nonce);
         this.writer.confirmedAt = now;
         this.suspendedAt = undefined;
         this.nextRenewalAt = now + RENEWAL_INTERVAL_MS;
@@ -307,3 +305,13 @@
         return JSON.stringify(resigned ? { ...record, resigned } : record);
     }
 }
+
+/** @returns Writer name that answers to the claim of an epoch carry. */
+function claimWriterName(epoch: number): string {
+    return `claim-${epoch}`;
+}
+
+/** @returns Writer name that answers to the leader's appends in an epoch carry: each epoch numbers them anew. */
+function leaderWriterName(epoch: number): string {
+    return `leader-${epoch}`;
+}
--- a/src/records/common/test/leadership.test.ts
+++ b/src/records/common/test/leadership.test.ts
@@ -42,7 +42,12 @@
         leadership.tick(now);
         return outbox.drain().flatMap(effect => (effect.kind === "append" ? [effect] : []));
     };
-    return { leadership, read, claim };
+    const renew = (now: number) => {
+        leadership.tick(now);
+        leadership.writer!.flush(now);
+        return outbox.drain().flatMap(effect => (effect.kind === "append" ? [effect] : []));
+    };
+    return { leadership, read, claim, renew };
 }
 
 test("a claim succeeds although other records were appended since the claimant's last read", t => {
@@ -144,3 +149,24 @@
     other.read(7_500);
     t.is(other.claim(7_500).length, 1);
 });
+
+test("an answer to an append of an earlier epoch says nothing about the appends of the present one", t => {
+    const log = KeyedLog.create();
+    const { leadership, read, claim, renew } = createInstance(log, "a", 10);
+    read(1_000);
+    log.append(claim(1_000)[0].append);
+    read(1_100);
+    const [early] = renew(1_400);
+    log.store("leader", JSON.stringify({ epoch: 2, instance: "b" }));
+    read(1_500);
+    read(4_000);
+    log.append(claim(4_000)[0].append);
+    read(4_100);
+    const [late] = renew(4_400);
+    t.is(early.append.sequence, late.append.sequence);
+    const { writer, append } = early;
+    const result = log.append(append);
+    t.false(result.ok);
+    leadership.handleAppendAnswer({ kind: "append-answer", writer, sequence: append.sequence, result }, 4_500);
+    t.true(leadership.isLeading);
+});
