Do not lead again in an epoch in which the instance has stepped down

Cause: an instance that a worker or the store had fenced stepped down, then read its own earlier renewals and took them for its claim. It began the same epoch again, with a writer whose numbers start again: the store answers a number that it has just seen with the first answer, so records could count as stored that are not, and run numbers of the epoch are used twice.

Evidence: the new test failed before (the instance led again). Found by reading, not seen in a run. The class is the same as for answers of an earlier epoch: a record is taken for news although it is from the instance's own past.

--- a/src/records/common/leadership.ts
+++ b/src/records/common/leadership.ts
@@ -79,6 +79,8 @@
     private leaderFirstSeenAt: number | undefined;
     private lastReadAt: number | undefined;
     private claimedEpoch = 0;
+    /** Latest epoch in which this instance led. Once it has stepped down, it does not lead in that epoch again. */
+    private ledEpoch = 0;
     private nextClaimAt = 0;
     private nextRenewalAt = 0;
     private suspendedAt: number | undefined;
@@ -176,7 +178,11 @@
         this.latestRecord = latest;
         this.leaderLastSeenAt = now;
         const isOwn = latest.instance === this.candidate.instance && latest.epoch === this.claimedEpoch;
-        this.machine.fire(isOwn ? "own-claim-seen" : "other-leader-seen", now);
+        if (!isOwn) {
+            this.machine.fire("other-leader-seen", now);
+        } else if (latest.epoch > this.ledEpoch) {
+            this.machine.fire("own-claim-seen", now);
+        }
     }
 
     /**
@@ -284,6 +290,7 @@
         const { stream } = this.follower;
         const name = leaderWriterName(this.claimedEpoch);
         this.writer = RecordWriter.create(name, stream, producer, this.effects, this.candidate.nonce);
+        this.ledEpoch = this.claimedEpoch;
         this.writer.confirmedAt = now;
         this.suspendedAt = undefined;
         this.nextRenewalAt = now + RENEWAL_INTERVAL_MS;
--- a/src/records/common/test/leadership.test.ts
+++ b/src/records/common/test/leadership.test.ts
@@ -170,3 +170,15 @@
     leadership.handleAppendAnswer({ kind: "append-answer", writer, sequence: append.sequence, result }, 4_500);
     t.true(leadership.isLeading);
 });
+
+test("an instance that was fenced does not lead in the same epoch again when it reads its earlier renewals", t => {
+    const log = KeyedLog.create();
+    const { leadership, read, claim, renew } = createInstance(log, "a", 10);
+    read(1_000);
+    log.append(claim(1_000)[0].append);
+    read(1_100);
+    log.append(renew(1_400)[0].append);
+    leadership.handleRejection(1_500);
+    read(1_600);
+    t.false(leadership.isLeading);
+});
