Best-effort tasks do not wait behind others of their image that wait for reasons of their own

Cause: when a best-effort task found no worker, no task of the same image with as much CPU was tried in that pass. The reason did not matter: the limit per worker of its own step, its label, its service, its memory, or an earlier failure. The order of a pass is the same each time, so the others waited as long as the first one did. The class: a reason that holds for one task is remembered under a key that others share.

Now a rejection counts only if no worker was suitable for the step, and only for steps of the same service that need as much or more of everything (RejectionTable).

--- a/src/dispatch/common/placer.ts
+++ b/src/dispatch/common/placer.ts
@@ -4,6 +4,7 @@
 import { BestEffortPolicy } from "./bestEffortPolicy";
 import { Task } from "./task";
 import { PlacementPolicy } from "./placementPolicy";
+import { RejectionTable } from "./rejectionTable";
 import { FreeCapacity, WorkerContact } from "./workerContact";
 import { forecastFor, WorkerForecast } from "./workerForecast";
 
@@ -25,8 +26,8 @@
     private readonly positions: ReadonlyMap<WorkerContact, number>;
     private readonly versions: number[];
     private readonly stepCosts = new Map<StepSpec, StepCosts>();
-    /** Smallest CPU request of best-effort tasks that could not be placed in this pass, by image. */
-    private readonly minRejectedCpuMillis = new Map<string | undefined, number>();
+    /** Steps of best-effort tasks for which no worker was suitable in this pass. */
+    private readonly rejections = RejectionTable.create();
 
     private constructor(
         private readonly workers: readonly WorkerContact[],
@@ -78,22 +79,21 @@
 
     /**
      * @param task A waiting task.
-     * @returns Whether a best-effort task of the same image that requests the same CPU or less could not be placed in
-     * this pass, so that another search is useless.
+     * @param service Service whose workers may run it.
+     * @returns Whether no worker was suitable for a best-effort task that needs no more than this one, so that another
+     * search is useless.
      */
-    isInfeasible(task: Task): boolean {
-        const { image, request, usesSpareCpu } = task.step;
-        return usesSpareCpu && request.cpuMillis >= (this.minRejectedCpuMillis.get(image) ?? Number.POSITIVE_INFINITY);
+    isInfeasible(task: Task, service: string): boolean {
+        return task.step.usesSpareCpu && this.rejections.covers(task.step, service);
     }
 
-    /** Records that a task could not be placed in this pass; only best-effort tasks count. */
-    recordRejection(task: Task): void {
-        const { image, request, usesSpareCpu } = task.step;
-        if (usesSpareCpu) {
-            this.minRejectedCpuMillis.set(
-                image,
-                Math.min(request.cpuMillis, this.minRejectedCpuMillis.get(image) ?? Number.POSITIVE_INFINITY),
-            );
+    /**
+     * Records that `choose` found no worker for a task. Only best-effort tasks count, and only if no worker was suitable:
+     * a limit per worker or an earlier failure of this task says nothing about the tasks of other steps.
+     */
+    recordRejection(task: Task, service: string): void {
+        if (task.step.usesSpareCpu && this.costsOf(task.step).costs.every(cost => cost === undefined)) {
+            this.rejections.add(task.step, service);
         }
     }
 
--- /dev/null
+++ b/src/dispatch/common/rejectionTable.ts
@@ -0,0 +1,46 @@
+import { StepSpec } from "../../jobs/common/jobSpec";
+
+interface Rejection {
+    readonly step: StepSpec;
+    readonly service: string;
+}
+
+/**
+ * Steps of best-effort tasks for which no worker was suitable in one scheduling pass. Placements only reduce what is
+ * free, so a step that needs as much or more of every resource is not suitable either, and another search is useless.
+ */
+export class RejectionTable {
+    private readonly rejections = new Map<string | undefined, Rejection[]>();
+
+    private constructor() {}
+
+    /** @returns A table without rejections. */
+    static create(): RejectionTable {
+        return new RejectionTable();
+    }
+
+    /** Records that no worker of a service was suitable for a step, whatever its tasks may share a worker with. */
+    add(step: StepSpec, service: string): void {
+        const ofImage = this.rejections.get(step.image) ?? [];
+        ofImage.push({ step, service });
+        this.rejections.set(step.image, ofImage);
+    }
+
+    /** @returns Whether a rejected step of the same image needed no more than this one. */
+    covers(step: StepSpec, service: string): boolean {
+        const ofImage = this.rejections.get(step.image) ?? [];
+        return ofImage.some(each => each.service === service && needsNoMore(each.step, step));
+    }
+}
+
+/** @returns Whether a worker that is suitable for `other` is suitable for `step`, too. Both have the same image. */
+function needsNoMore(step: StepSpec, other: StepSpec): boolean {
+    const { request, requiredLabel } = step;
+    return (
+        request.cpuMillis <= other.request.cpuMillis &&
+        request.memoryMb <= other.request.memoryMb &&
+        request.accelerators <= other.request.accelerators &&
+        step.estimateMs <= other.estimateMs &&
+        (requiredLabel === undefined || requiredLabel === other.requiredLabel)
+    );
+}
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -171,13 +171,13 @@
     private placeTasks(entry: WaitingGroup, placer: Placer, now: number): void {
         const rack = entry.group.step.prefersOneRack ? rackOf(entry.group) : undefined;
         for (const task of entry.tasks) {
-            if (this.remainingStarts <= 0 || placer.isInfeasible(task)) {
+            if (this.remainingStarts <= 0 || placer.isInfeasible(task, entry.service)) {
                 return;
             }
             const worker =
                 this.choosePreferred(task, entry.service, placer, rack) ?? this.chooseAny(task, entry.service, placer);
             if (worker === undefined) {
-                placer.recordRejection(task);
+                placer.recordRejection(task, entry.service);
                 if (task.failedOn.size === 0) {
                     return;
                 }
