Log why a job waits although a step is ready

When the users saw an accepted job wait with most of the capacity free, the log could not tell whether nobody led, no worker was suitable, or the task was left out of the passes: job-waits was declared and never logged. It is logged now for a job that has had nothing running for 2 s although a step is ready, with the number of workers by what is in the way there (other service or label, room, latency targets of other tasks, a limit of the task itself). At most 4 jobs in half a second, each again after 5 s.

--- a/src/dispatch/common/placer.ts
+++ b/src/dispatch/common/placer.ts
@@ -5,9 +5,15 @@
 import { Task } from "./task";
 import { PlacementPolicy } from "./placementPolicy";
 import { RejectionTable } from "./rejectionTable";
-import { FreeCapacity, WorkerContact } from "./workerContact";
+import { WorkerContact } from "./workerContact";
 import { forecastFor, WorkerForecast } from "./workerForecast";
 
+/**
+ * What keeps a worker from running a task: the service or the label, too little free capacity, the latency targets of other
+ * tasks there, or a limit per worker or an earlier failure of the task itself.
+ */
+export type Obstacle = "otherKind" | "noRoom" | "interference" | "ownLimit";
+
 /** Placement costs of one step, by position of the worker in the placer. */
 interface StepCosts {
     /** Version of the worker's forecast with which the cost was computed. */
@@ -97,6 +103,23 @@
         }
     }
 
+    /** Number of usable workers. */
+    get workerCount(): number {
+        return this.workers.length;
+    }
+
+    /** @returns Number of workers by what keeps them from running a task. */
+    countObstacles(task: Task, service: string): Record<Obstacle, number> {
+        const counts: Record<Obstacle, number> = { otherKind: 0, noRoom: 0, interference: 0, ownLimit: 0 };
+        for (const worker of this.workers) {
+            const obstacle = this.obstacle(task, service, worker);
+            if (obstacle !== undefined) {
+                counts[obstacle] += 1;
+            }
+        }
+        return counts;
+    }
+
     /**
      * Chooses workers for tasks that have to start together.
      * @param tasks The tasks.
@@ -151,12 +174,29 @@
         return costs;
     }
 
+    private obstacle(task: Task, service: string, worker: WorkerContact): Obstacle | undefined {
+        const { freeCapacity } = this.forecast(worker);
+        if (!isOfKind(task.step, service, worker)) {
+            return "otherKind";
+        }
+        if (!worker.fits(task.step.request, task.step.usesSpareCpu, freeCapacity)) {
+            return "noRoom";
+        }
+        if (this.cost(task, service, worker) === undefined) {
+            return "interference";
+        }
+        return isAcceptable(task, worker) ? undefined : "ownLimit";
+    }
+
     private cost(task: Task, service: string, worker: WorkerContact): number | undefined {
+        const { step } = task;
         const forecast = this.forecast(worker);
-        if (!isEligible(task.step, service, worker, forecast.freeCapacity)) {
+        const isEligible =
+            isOfKind(step, service, worker) && worker.fits(step.request, step.usesSpareCpu, forecast.freeCapacity);
+        if (!isEligible) {
             return undefined;
         }
-        return (task.step.usesSpareCpu ? this.bestEffortPolicy : this.reservedPolicy).cost(task, worker, forecast);
+        return (step.usesSpareCpu ? this.bestEffortPolicy : this.reservedPolicy).cost(task, worker, forecast);
     }
 
     private reserve(task: Task, worker: WorkerContact): void {
@@ -185,14 +225,9 @@
     }
 }
 
-/** @returns Whether a worker meets the constraints that all tasks of a step share. */
-function isEligible(step: StepSpec, service: string, worker: WorkerContact, free: FreeCapacity): boolean {
-    const { entry } = worker;
-    return (
-        entry.service === service &&
-        worker.fits(step.request, step.usesSpareCpu, free) &&
-        (step.requiredLabel === undefined || entry.labels.includes(step.requiredLabel))
-    );
+/** @returns Whether a worker has the service and the label that all tasks of a step require. */
+function isOfKind(step: StepSpec, service: string, { entry }: WorkerContact): boolean {
+    return entry.service === service && (step.requiredLabel === undefined || entry.labels.includes(step.requiredLabel));
 }
 
 /** @returns Whether a worker meets the constraints that vary between tasks of a step or change with placements. */
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -99,6 +99,7 @@
         const assign = (task: Task, worker: WorkerContact, at: number) => this.assign(task, worker, at);
         this.failures = FailureController.create(context.queues, this.suspects, SchedulerFailureHost.create(this));
         this.queue = StepQueue.create(context.queues, this.model, this.suspects, assign);
+        this.resources.add(this.queue.onDidWait(report => this.logDecision("job-waits", { ...report })));
         this.resources.add(this.activeJobs.onDidCancel(job => this.stopRuns(job, this.now)));
         this.resources.add(
             this.activeJobs.onDidIgnoreJob(job =>
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -9,6 +9,7 @@
 import { ShortTaskReserve } from "./shortTaskReserve";
 import { SuspectTable } from "./suspectTable";
 import { Task } from "./task";
+import { WaitReporter } from "./waitReporter";
 import { WaitingOrder, WaitingRank } from "./waitingOrder";
 import { WorkerContact } from "./workerContact";
 
@@ -29,6 +30,9 @@
 /** Orders the waiting task groups and assigns their tasks to workers with free capacity. */
 export class StepQueue {
     private readonly probation: ProbationPlacer;
+    private readonly waits = WaitReporter.create();
+    /** Fires for a job that has nothing running although a step is ready. */
+    readonly onDidWait = this.waits.onDidWait;
     private remainingStarts = 0;
     private readonly reserve = ShortTaskReserve.create();
     /** Workers on which no new long-running tasks are placed in this pass. */
@@ -96,7 +100,12 @@
         const open = this.suspects.isEmpty ? workers : this.placeSuspected(waiting, workers, now, wallNow);
         this.reserved = this.reserve.choose(open, now);
         const placer = Placer.create(open, this.model);
-        for (const entry of unsuspected) {
+        this.placeInOrder(unsuspected, placer, now);
+        this.waits.review(waiting, placer, now);
+    }
+
+    private placeInOrder(waiting: readonly WaitingGroup[], placer: Placer, now: number): void {
+        for (const entry of waiting) {
             if (this.remainingStarts <= 0) {
                 return;
             }
--- a/src/dispatch/common/test/stepQueue.test.ts
+++ b/src/dispatch/common/test/stepQueue.test.ts
@@ -3,16 +3,21 @@
 import { QueueTable } from "../../../jobs/common/queueTable";
 import { ActiveJob } from "../activeJob";
 import { LatencyModel } from "../latencyModel";
+import { Run } from "../run";
 import { StepQueue } from "../stepQueue";
 import { SuspectTable } from "../suspectTable";
+import { Task } from "../task";
+import { WaitReport } from "../waitReporter";
 import { WorkerContact } from "../workerContact";
 import { assign, createJob, createStep, createWorker } from "./runs";
 
+function assignTo(task: Task, worker: WorkerContact): Run {
+    return assign(worker, task);
+}
+
 /** Places the waiting tasks of two jobs in one pass. @returns Number of tasks of the second job that are placed. */
 function placeBehind(first: ActiveJob, second: ActiveJob, workers: readonly WorkerContact[]): number {
-    const queue = StepQueue.create(QueueTable.create(), LatencyModel.create(), SuspectTable.create(), (task, worker) =>
-        assign(worker, task),
-    );
+    const queue = StepQueue.create(QueueTable.create(), LatencyModel.create(), SuspectTable.create(), assignTo);
     queue.placeWaiting([first, second], workers, 100, 0, 0);
     return [...second.tasks()].filter(task => task.run !== undefined).length;
 }
@@ -53,3 +58,19 @@
     const second = createJob("b", createBestEffort({ tasks: 8, request: { ...request, cpuMillis: 50_000 } }));
     t.is(placeBehind(first, second, createWorkers()), 0);
 });
+
+test("a job that waits with nothing running is reported with what is in the way on each worker", t => {
+    const queue = StepQueue.create(QueueTable.create(), LatencyModel.create(), SuspectTable.create(), assignTo);
+    const reports: WaitReport[] = [];
+    queue.onDidWait(report => reports.push(report));
+    const request = { cpuMillis: 60_000, memoryMb: 1_000, accelerators: 0 };
+    const job = createJob("a", createStep("batch", false, { request, usesSpareCpu: false, requiredLabel: "fast" }));
+    const workers = createWorkers();
+    const blocker = createStep("other", false, { usesSpareCpu: false });
+    assign(workers[0], [...createJob("b", blocker).tasks()][0]);
+    for (let now = 0; now <= 4_000; now += 500) {
+        queue.placeWaiting([job], workers, 100, now, now);
+    }
+    const counts = { workers: 3, otherKind: 2, noRoom: 1, interference: 0, ownLimit: 0 };
+    t.deepEqual(reports, [{ task: "a.0.0.0", waitedMs: 2_000, ...counts }]);
+});
--- /dev/null
+++ b/src/dispatch/common/waitReporter.ts
@@ -0,0 +1,89 @@
+import { Emitter } from "../../base/common/emitter";
+import { ActiveJob, TaskGroup } from "./activeJob";
+import { Obstacle, Placer } from "./placer";
+import { Task } from "./task";
+
+/** Time for which a job must have waited with a step that is ready and no run before it is reported, in ms. */
+const MIN_WAIT_MS = 2_000;
+
+/** Interval between two reports of the same step, in ms. */
+const REPORT_INTERVAL_MS = 5_000;
+
+/** Interval between reviews, in ms. */
+const REVIEW_INTERVAL_MS = 500;
+
+/** Limit of the reports of one review, since each visits all workers. */
+const MAX_REPORTS_PER_REVIEW = 4;
+
+/** Why a job waits: the number of usable workers by what keeps them from running its next task. */
+export interface WaitReport extends Readonly<Record<Obstacle, number>> {
+    readonly task: string;
+    /** Time for which the step has waited, in ms. */
+    readonly waitedMs: number;
+    /** Usable workers of all services that accept other tasks. */
+    readonly workers: number;
+}
+
+/** Tasks of one step that wait. */
+export interface WaitingTasks {
+    readonly group: TaskGroup;
+    readonly tasks: readonly Task[];
+    readonly service: string;
+}
+
+/** Reports the jobs that have nothing running although a step is ready, with the reasons. */
+export class WaitReporter {
+    private readonly waitingSince = new WeakMap<TaskGroup, number>();
+    private readonly reportedAt = new WeakMap<TaskGroup, number>();
+    private nextReviewAt = 0;
+    private readonly didWait = Emitter.create<WaitReport>();
+    /** Fires for each report. */
+    readonly onDidWait = this.didWait.event;
+
+    private constructor() {}
+
+    /** @returns A reporter that has seen no job. */
+    static create(): WaitReporter {
+        return new WaitReporter();
+    }
+
+    /**
+     * Reviews the steps that were ready in a pass, if a review is due.
+     * @param waiting The steps, the most urgent first. Some of their tasks may have been placed in the pass.
+     * @param placer Placer of the pass.
+     * @param now Time in ms.
+     */
+    review(waiting: readonly WaitingTasks[], placer: Placer, now: number): void {
+        if (now < this.nextReviewAt) {
+            return;
+        }
+        this.nextReviewAt = now + REVIEW_INTERVAL_MS;
+        let reports = 0;
+        for (const { group, tasks, service } of waiting) {
+            const [task] = tasks;
+            if (hasRun(task.job)) {
+                this.waitingSince.set(group, now);
+                continue;
+            }
+            const since = this.waitingSince.get(group) ?? now;
+            this.waitingSince.set(group, since);
+            const isDue = now - (this.reportedAt.get(group) ?? -Infinity) >= REPORT_INTERVAL_MS;
+            if (now - since >= MIN_WAIT_MS && isDue && reports < MAX_REPORTS_PER_REVIEW) {
+                reports += 1;
+                this.reportedAt.set(group, now);
+                const obstacles = placer.countObstacles(task, service);
+                const { workerCount: workers } = placer;
+                this.didWait.fire({ task: task.name, waitedMs: Math.round(now - since), workers, ...obstacles });
+            }
+        }
+    }
+}
+
+function hasRun(job: ActiveJob): boolean {
+    for (const task of job.tasks()) {
+        if (task.run !== undefined) {
+            return true;
+        }
+    }
+    return false;
+}
