Give up tasks that crash their workers some seconds after each start

Callers would see what ended for tasks that crash their workers at once: a task whose worker crashes 3 s or more after the start is started again without limit, and everything beside it is lost each time.

Cause: only a run whose start the worker has not survived is evidence, and a worker that survives the start clears the task. A task that works for some seconds before it crashes the worker is cleared each time, or never suspected at all. The class: a limit on attempts that a condition can reset without the attempt having ended well.

The workers lost under a task in a row are now counted, whatever ran beside it, and recorded with the progress (a sixth field of a task's record, absent if 0). After five the task is given up, so that it is started twice after the third crash and not three times. A run that was at work for 10 s, or a reported failure, starts the count again.

Tried and dropped: not counting a loss beside an accused task.

--- a/src/dispatch/common/activeJob.ts
+++ b/src/dispatch/common/activeJob.ts
@@ -153,8 +153,9 @@
                 done[group.key] = group.done.pack();
             }
             for (const task of group.tasks) {
-                const isWaiting = !group.done.has(task.index) && (task.lastRun > 0 || task.checkpoint !== "");
-                if (isWaiting || task.hasLostRun || task.suspicion?.recorded !== undefined) {
+                const hasProgress = task.lastRun > 0 || task.checkpoint !== "" || task.lossesInARow > 0;
+                const isUnfinished = !group.done.has(task.index) && hasProgress;
+                if (isUnfinished || task.hasLostRun || task.suspicion?.recorded !== undefined) {
                     tasks.push(recordOf(task));
                 }
             }
@@ -200,6 +201,7 @@
             hasLostRun: false,
             suspicion: undefined,
             lossAgeMs: 0,
+            lossesInARow: 0,
             run: undefined,
             failedOn: new Set(),
             moves: 0,
@@ -216,15 +218,16 @@
             task.highestRun = record.lastRun;
             task.hasLostRun = record.lastRun > 0;
             task.suspicion = record.suspicion && TaskSuspicion.create(record.suspicion);
+            task.lossesInARow = record.lossesInARow ?? 0;
         }
     }
 }
 
 /** The highest run of a done task shows a later leader whether the end of an earlier run still counts. */
 function recordOf(task: Task): TaskRecord {
-    const { name, failures, checkpoint, highestRun, hasLostRun, run } = task;
+    const { name, failures, checkpoint, highestRun, hasLostRun, run, lossesInARow } = task;
     const lastRun = hasLostRun && run === undefined ? highestRun : task.lastRun;
-    return { task: name, failures, checkpoint, lastRun, suspicion: task.suspicion?.recorded };
+    return { task: name, failures, checkpoint, lastRun, suspicion: task.suspicion?.recorded, lossesInARow };
 }
 
 /** @param name Name of a task, JOB.OCCURRENCE.STEP.INDEX. @returns Key of its group, OCCURRENCE.STEP. */
--- a/src/dispatch/common/failureController.ts
+++ b/src/dispatch/common/failureController.ts
@@ -12,6 +12,16 @@
 /** Age from which a run that is lost with its worker is no longer suspected of being the cause, in ms. */
 const MAX_SUSPECT_AGE_MS = 3_000;
 
+/**
+ * Number of workers lost under a task in a row from which it is given up, whatever ran beside it. Each loss may be a
+ * coincidence, so this is the largest number with which a task that crashes its workers is started twice after the third
+ * crash, not more.
+ */
+const MAX_LOSSES_IN_A_ROW = 5;
+
+/** Age from which a run that is lost does not count as one in a row, in ms: long-running tasks are all lost some time. */
+const MAX_COUNTED_AGE_MS = 10_000;
+
 /** Host of a failure controller. */
 export abstract class FailureHost {
     /** Called when a job has failed. @param data Why it has failed. */
@@ -30,7 +40,8 @@
  * A worker that crashes reports no end, so such a task would otherwise be started without limit. Of the runs that are
  * lost with a worker, those whose start it has not survived for long are suspected. Each suspected task is started again
  * on a worker that starts nothing else meanwhile (`ProbationPlacer`). There it is cleared when the worker survives it,
- * and accused when the worker is lost.
+ * and accused when the worker is lost. A task that crashes its workers after some time is cleared each time, so the
+ * losses in a row are counted, too.
  */
 export class FailureController {
     private constructor(
@@ -61,6 +72,7 @@
         }
         task.lastRun = run;
         task.failures += 1;
+        task.lossesInARow = 0;
         this.clear(task);
         if (worker !== undefined) {
             task.failedOn.add(worker.entry.id);
@@ -88,6 +100,7 @@
         for (const run of runs) {
             run.task.lossAgeMs = isEarly(run) ? run.provenAgeMs : 0;
         }
+        runs.forEach(run => this.countLoss(run));
         suspects.forEach(run => this.accuse(run.task, worker, isAlone));
     }
 
@@ -95,12 +108,23 @@
     reviewSurvival(worker: WorkerContact): void {
         for (const run of worker.runs.values()) {
             const { task } = run;
+            if (task.lossesInARow > 0 && run.provenAgeMs > MAX_COUNTED_AGE_MS) {
+                task.lossesInARow = 0;
+                this.host.onSuspicionChange(task.job);
+            }
             if ((task.lossAgeMs > 0 || task.suspicion !== undefined) && run.isProven) {
                 this.clear(task);
             }
         }
     }
 
+    private countLoss({ task, provenAgeMs }: Run): void {
+        task.lossesInARow = provenAgeMs > MAX_COUNTED_AGE_MS ? 0 : task.lossesInARow + 1;
+        if (task.lossesInARow >= MAX_LOSSES_IN_A_ROW) {
+            this.failJob(task, { task: task.name, reason: "crashes-workers", losses: task.lossesInARow });
+        }
+    }
+
     private accuse(task: Task, worker: WorkerContact, isAlone: boolean): void {
         if (isFinal(task.job.state)) {
             return;
--- a/src/dispatch/common/task.ts
+++ b/src/dispatch/common/task.ts
@@ -24,6 +24,8 @@
     suspicion: TaskSuspicion | undefined;
     /** Age up to which its runs were survived when their workers were lost, in ms; 0 if none was lost early. */
     lossAgeMs: number;
+    /** Number of workers that were lost under it since it last worked for some time or reported a failure. */
+    lossesInARow: number;
     /** Current run, if any. */
     run: Run | undefined;
     /** Workers on which it failed or was stuck; they are avoided. */
--- a/src/dispatch/common/test/failureController.test.ts
+++ b/src/dispatch/common/test/failureController.test.ts
@@ -118,6 +118,43 @@
     t.deepEqual(host.failedJobs, [task.job]);
 });
 
+/** Starts a task beside others whose starts the worker has survived, reports it at an age and loses the worker. */
+function loseAt(failures: FailureController, worker: WorkerContact, task: Task, ageMs: number): void {
+    const run = start(worker, task, 0);
+    report(run, 0, ageMs);
+    failures.reviewSurvival(worker);
+    lose(failures, worker);
+}
+
+test("a task that crashes its workers after some seconds is given up, also by a new leader", t => {
+    const { host, failures } = createController();
+    let task = createTask("a");
+    for (let loss = 1; loss <= 5; loss++) {
+        t.deepEqual(host.failedJobs, []);
+        loseAt(failures, createWorker(`w${loss}`), task, 5_000);
+        const progress = decodeProgress(encodeProgress(task.job.progress(1)))!;
+        if (loss < 5) {
+            task = ActiveJob.create(task.job.spec, 0, progress).find(task.name)!;
+        }
+    }
+    t.deepEqual(host.failedJobs, [task.job]);
+});
+
+test("a task is not given up for losses of workers between which it worked for long or reported a failure", t => {
+    const { host, failures } = createController();
+    const [task, failing] = [createTask("a"), createTask("b")];
+    for (let loss = 1; loss <= 8; loss++) {
+        const worker = createWorker(`w${loss}`);
+        loseAt(failures, worker, task, loss % 3 === 0 ? 20_000 : 5_000);
+        loseAt(failures, worker, failing, 5_000);
+        if (loss === 4) {
+            failures.recordFailure(failing, 9, worker);
+        }
+    }
+    t.deepEqual(host.failedJobs, []);
+    t.is(failing.lossesInARow, 4);
+});
+
 test("the evidence against a task is kept over a change of leader", t => {
     const { host, failures } = createController();
     const task = createTask("a");
@@ -151,7 +188,7 @@
 test("progress that was recorded without evidence can be read", t => {
     const recorded = JSON.stringify([1, "running", {}, [], [["a.0.0.0", 1, "", 2]]]);
     t.deepEqual(decodeProgress(recorded)?.tasks, [
-        { task: "a.0.0.0", failures: 1, checkpoint: "", lastRun: 2, suspicion: undefined },
+        { task: "a.0.0.0", failures: 1, checkpoint: "", lastRun: 2, suspicion: undefined, lossesInARow: 0 },
     ]);
 });
 
--- a/src/jobs/common/jobRecord.ts
+++ b/src/jobs/common/jobRecord.ts
@@ -43,6 +43,8 @@
     readonly checkpoint: string;
     readonly lastRun: number;
     readonly suspicion?: RecordedSuspicion;
+    /** Number of workers that were lost under it in a row; 0 if undefined. */
+    readonly lossesInARow?: number;
 }
 
 /** Complete progress of a job, rewritten with each change. Empty lists may be omitted. */
@@ -102,8 +104,15 @@
 });
 
 const runSchema = z.tuple([z.string(), z.int(), z.string(), z.number(), z.string()]);
-const suspicionSchema = z.enum(["suspected", "accused", "accused-again"]);
-const taskSchema = z.tuple([z.string(), z.int(), z.string(), z.int(), z.optional(suspicionSchema)]);
+const suspicionSchema = z.enum(["cleared", "suspected", "accused", "accused-again"]);
+const taskSchema = z.tuple([
+    z.string(),
+    z.int(),
+    z.string(),
+    z.int(),
+    z.optional(suspicionSchema),
+    z.optional(z.int()),
+]);
 const progressSchema = z.tuple([
     z.int(),
     stateSchema,
@@ -133,7 +142,11 @@
     ]);
     const tasks = (progress.tasks ?? []).map(each => {
         const fields = [each.task, each.failures, each.checkpoint, each.lastRun];
-        return each.suspicion === undefined ? fields : [...fields, each.suspicion];
+        const { suspicion, lossesInARow } = each;
+        if ((lossesInARow ?? 0) > 0) {
+            return [...fields, suspicion ?? "cleared", lossesInARow];
+        }
+        return suspicion === undefined ? fields : [...fields, suspicion];
     });
     return JSON.stringify([progress.epoch, progress.state, progress.done ?? {}, runs, tasks]);
 }
@@ -156,12 +169,13 @@
             incarnation,
             checkpoint,
         })),
-        tasks: tasks.map(([task, failures, checkpoint, lastRun, suspicion]) => ({
+        tasks: tasks.map(([task, failures, checkpoint, lastRun, suspicion, lossesInARow]) => ({
             task,
             failures,
             checkpoint,
             lastRun,
-            suspicion,
+            suspicion: suspicion === "cleared" ? undefined : suspicion,
+            lossesInARow: lossesInARow ?? 0,
         })),
     };
 }
--- a/src/proof/node/jobTrialPlan.ts
+++ b/src/proof/node/jobTrialPlan.ts
@@ -87,6 +87,8 @@
     readonly faultEveryMs: number;
     /** Share of the jobs with a deadly task, from 0 to 1; none if undefined. */
     readonly deadlyRatio?: number;
+    /** Time from the start of a deadly task to the crash of its worker, in ms; 10 if undefined. */
+    readonly crashDelayMs?: number;
     /** Breaks a mechanism on purpose, to prove that a rule detects it. */
     readonly sabotage?: (trial: JobTrial) => void;
 }
--- a/src/proof/node/test/jobTrial.test.ts
+++ b/src/proof/node/test/jobTrial.test.ts
@@ -106,6 +106,16 @@
     }
 }
 
+// Each run was cleared when its worker had survived the start for long enough.
+for (const crashDelayMs of [3_000, 3_500, 5_000, 8_000]) {
+    test.serial(`a task that crashes its workers is not started again and again, after ${crashDelayMs} ms`, t => {
+        const deadly = { deadlyRatio: DEADLY_RATIO, crashDelayMs };
+        const result = JobTrial.run({ ...PLAN, seed: 602, faultEveryMs: 0, ...deadly });
+        t.true(result.crashes > 0);
+        t.deepEqual(result.breaches, []);
+    });
+}
+
 // Guards against giving up tasks when workers crash often for reasons of their own.
 test.serial("no task is given up for crashes of its workers when no task crashes workers", t => {
     for (const seed of [601, 603, 605]) {
--- a/src/proof/node/trialWorkers.ts
+++ b/src/proof/node/trialWorkers.ts
@@ -1,7 +1,7 @@
 import { OrderOutcome, RunList, WorkerEffect } from "../../dispatch/common/workerMessages";
 import { JobInstanceEvent } from "../../host/common/jobInstanceEvents";
 import { KeyedLog } from "../../standin/common/keyedLog";
-import { LeasedWorker } from "../../standin/common/leasedWorker";
+import { LeasedWorker, RunPlanner } from "../../standin/common/leasedWorker";
 import { JobRuleChecker } from "./jobRuleChecker";
 import { CALL_TIMEOUTS_MS, createWorkerEntry, executeOrder, JobTrialPlan, simulateRun } from "./jobTrialPlan";
 import { Random } from "./random";
@@ -9,8 +9,8 @@
 
 const HEARTBEAT_INTERVAL_MS = 1_500;
 
-/** Time from the start of a deadly task to the crash of its worker, in ms. */
-const CRASH_DELAY_MS = 10;
+/** Time from the start of a deadly task to the crash of its worker, in ms, if the plan has none. */
+const DEFAULT_CRASH_DELAY_MS = 10;
 
 /** Time for which a worker is down after a deadly task has crashed it, in ms. */
 const DOWN_MS = 3_000;
@@ -55,6 +55,10 @@
         return this.context.schedule.now;
     }
 
+    private get crashDelayMs(): number {
+        return this.context.plan.crashDelayMs ?? DEFAULT_CRASH_DELAY_MS;
+    }
+
     /** Crashes a worker, which is back at once under the same id. @param index Number of the worker. */
     restart(index: number): void {
         const worker = this.workers[index];
@@ -188,15 +192,17 @@
     private execute(worker: LeasedWorker, effect: WorkerEffect): OrderOutcome {
         const outcome = executeOrder(worker, effect, this.now);
         if (effect.kind === "start" && outcome === "done" && this.context.checker.isDeadly(effect.order.task)) {
-            this.context.schedule.add(CRASH_DELAY_MS, () => this.crashUnder(effect.order.task, worker));
+            const { task, run } = effect.order;
+            this.context.schedule.add(this.crashDelayMs, () => this.crashUnder(task, run, worker));
         }
         return outcome;
     }
 
     /** Crashes a worker under a deadly task; every second one comes back under a new id. */
-    private crashUnder(task: string, worker: LeasedWorker): void {
+    private crashUnder(task: string, run: number, worker: LeasedWorker): void {
         const index = this.workers.indexOf(worker);
-        if (index < 0 || this.down.has(worker)) {
+        const isAtWork = worker.listRuns(this.now).some(each => each.task === task && each.run === run);
+        if (index < 0 || this.down.has(worker) || !isAtWork) {
             return;
         }
         const { id, address } = worker.entry;
@@ -225,10 +231,18 @@
         const startedAt = Math.round(this.now);
         const entry = createWorkerEntry(index, id, startedAt, address);
         const rate = 1 - (this.context.plan.seed % 2 === 0 ? 0 : 0.02);
-        this.workers[index] = LeasedWorker.create(entry, startedAt, rate, simulateRun, this.context.checker);
+        const planRun: RunPlanner = (task, run) => this.planRun(task, run);
+        this.workers[index] = LeasedWorker.create(entry, startedAt, rate, planRun, this.context.checker);
         this.sendHeartbeat(this.workers[index], index);
     }
 
+    /** A deadly task is still at work when it crashes its worker. */
+    private planRun(task: string, run: number): ReturnType<RunPlanner> {
+        const { ms, end } = simulateRun(task, run);
+        const isDeadly = this.context.checker.isDeadly(task);
+        return { ms: isDeadly ? Math.max(ms, 2 * this.crashDelayMs) : ms, end };
+    }
+
     private deregisterLater(id: string): void {
         this.context.schedule.add(3 * HEARTBEAT_INTERVAL_MS, () => this.context.registry.store(id, undefined));
     }
