Try suspected tasks beside each other when the workers have nothing else to do

Cause: a quarter of the workers, one of six, was the limit also while nothing else waited, and a job had one suspected task on probation at a time, however many it had. The class: a limit that protects other work holds when there is none.

The limit is half of the workers while only suspected tasks wait. Only an accused task keeps the other tasks of its job waiting; the first probation of tasks that are only suspected needs no order, since each counts for itself.

Cost: a job all of whose tasks are deadly crashes more workers before its first task is given up.

--- a/src/dispatch/common/probationPlacer.ts
+++ b/src/dispatch/common/probationPlacer.ts
@@ -4,9 +4,12 @@
 import { Task } from "./task";
 import { WorkerContact } from "./workerContact";
 
-/** Largest share of the workers on which suspected tasks are tried at the same time. */
+/** Largest share of the workers on which suspected tasks are tried at the same time, while other tasks wait. */
 const MAX_PROBATION_RATIO = 0.25;
 
+/** The same while no other tasks wait. The other half keeps its runs if all of the suspected tasks are guilty. */
+const MAX_UNCONTESTED_RATIO = 0.5;
+
 /** Time for which a worker is kept free of new tasks until the starts of its other runs are survived, in ms. */
 const MAX_RESERVATION_MS = 3_000;
 
@@ -66,6 +69,7 @@
      * Places suspected tasks, or reserves workers for them.
      * @param groups Waiting suspected tasks, the most urgent first.
      * @param workers Usable workers.
+     * @param isContested Whether tasks that are not suspected wait, too.
      * @param at Current time.
      * @param assign Assigns a task to a worker.
      * @returns The workers that are to be given no other tasks in this pass.
@@ -73,6 +77,7 @@
     place(
         groups: readonly ProbationGroup[],
         workers: readonly WorkerContact[],
+        isContested: boolean,
         at: Moment,
         assign: AssignSuspect,
     ): Set<WorkerContact> {
@@ -80,7 +85,8 @@
         const closed = new Set(workers.filter(worker => this.suspects.isOnProbation(worker)));
         this.reservations.forEach(each => each.workers.forEach(worker => closed.add(worker)));
         const placer = Placer.create(workers, this.model);
-        const maxClosed = Math.max(1, Math.floor(workers.length * MAX_PROBATION_RATIO));
+        const maxRatio = isContested ? MAX_PROBATION_RATIO : MAX_UNCONTESTED_RATIO;
+        const maxClosed = Math.max(1, Math.floor(workers.length * maxRatio));
         for (const group of groups) {
             const [first] = group.tasks;
             if (this.suspects.isJobOnProbation(first)) {
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -158,7 +158,8 @@
     ): WorkerContact[] {
         const groups = waiting.filter(entry => entry.isSuspected);
         groups.forEach(({ tasks }) => alignRuns(tasks));
-        const closed = this.probation.place(groups, workers, { now, wallNow }, (task, worker) =>
+        const isContested = groups.length < waiting.length;
+        const closed = this.probation.place(groups, workers, isContested, { now, wallNow }, (task, worker) =>
             this.assign(task, worker, now),
         );
         return workers.filter(worker => !closed.has(worker));
--- a/src/dispatch/common/suspectTable.ts
+++ b/src/dispatch/common/suspectTable.ts
@@ -42,11 +42,12 @@
         return [...worker.runs.values()].some(run => this.has(run.task));
     }
 
-    /** @param task A suspected task. @returns Whether another suspected task of its job has a run. */
+    /** @param task A suspected task. @returns Whether another task of its job, one that is accused, has a run. */
     isJobOnProbation(task: Task): boolean {
         for (const other of this.tasks) {
             const isSameGang = other.groupKey === task.groupKey && task.step.mode === "gang";
-            if (other.job === task.job && other.run !== undefined && !isSameGang) {
+            const isAccusedAtWork = other.run !== undefined && other.suspicion?.isAccused === true;
+            if (other.job === task.job && isAccusedAtWork && !isSameGang) {
                 return true;
             }
         }
--- a/src/proof/node/test/jobTrial.test.ts
+++ b/src/proof/node/test/jobTrial.test.ts
@@ -116,6 +116,17 @@
     });
 }
 
+// One suspected task was tried at a time while five of six workers were idle: jobs waited for over 60 s.
+for (const [seed, deadlyRatio] of [
+    [802, 0],
+    [707, 0.08],
+]) {
+    test.serial(`suspected tasks do not wait for long after many crashes, seed ${seed}`, t => {
+        const result = JobTrial.run({ ...PLAN, seed, faults: ["worker-crash"], faultEveryMs: 600, deadlyRatio });
+        t.deepEqual(result.breaches, []);
+    });
+}
+
 // Guards against giving up tasks when workers crash often for reasons of their own.
 test.serial("no task is given up for crashes of its workers when no task crashes workers", t => {
     for (const seed of [601, 603, 605]) {
