Judge the runs that a new leader inherits by earlier evidence only

Callers could see two things after a change of leader. And if workers were lost together with the leader, as when a rack fails, each of their tasks was suspected and waited for a probation, those that had been at work for hours, too.

Cause: the new leader knows neither the age of a run that it inherits nor which runs its predecessor saw survive. So every inherited run counted as just started: the guilty task, started alone on probation, was one of several again, and evidence "with others" adds nothing to a task that is suspected already. The class: missing knowledge read as evidence.

A first suspicion needs a run of the leader's own; the losses in a row bound what this misses. A loss is attributed to a task that is suspected already before others, also after a change of leader: it starts only where all other starts were survived.

Evidence: the two unit tests on inherited runs failed before.

--- a/src/dispatch/common/failureController.ts
+++ b/src/dispatch/common/failureController.ts
@@ -90,10 +90,10 @@
      * @param cause How it was lost.
      */
     reviewLoss(worker: WorkerContact, runs: readonly Run[], cause: WorkerLossCause): void {
-        const recent = runs.filter(run => !run.isProven);
+        const recent = runs.filter(run => !run.isProven && canBeSuspected(run));
         const unproven = recent.map(run => run.record.task).join(" ");
         this.host.logDecision("worker-lost", { worker: worker.entry.id, cause, runs: runs.length, unproven });
-        const isEarly = (run: Run) => run.provenAgeMs <= MAX_SUSPECT_AGE_MS;
+        const isEarly = (run: Run) => run.provenAgeMs <= MAX_SUSPECT_AGE_MS && canBeSuspected(run);
         const suspects = mostLikely(recent.length > 0 ? recent : runs.filter(isEarly));
         // If the worker had survived all starts, this loss alone is no evidence against any of them.
         const isAlone = recent.length > 0 && new Set(suspects.map(run => startUnitOf(run.task))).size === 1;
@@ -160,10 +160,19 @@
     }
 }
 
-/** @returns The runs of accused tasks, if there are any: they are a more likely cause than the others. */
+/** @returns The runs of accused tasks, or else of suspected ones, if there are any: they are a more likely cause. */
 function mostLikely(runs: readonly Run[]): readonly Run[] {
     const accused = runs.filter(run => run.task.suspicion?.isAccused === true);
-    return accused.length > 0 ? accused : runs;
+    const suspected = runs.filter(run => run.task.suspicion?.recorded !== undefined);
+    return [accused, suspected].find(each => each.length > 0) ?? runs;
+}
+
+/**
+ * An inherited run may have been at work for hours, so it is no cause for a first suspicion: when workers are lost
+ * together with the leader, all their tasks would be suspected.
+ */
+function canBeSuspected(run: Run): boolean {
+    return !run.isInherited || run.task.suspicion?.recorded !== undefined;
 }
 
 /** @returns What starts as a unit: the members of a gang do so together, other tasks alone. */
--- a/src/dispatch/common/run.ts
+++ b/src/dispatch/common/run.ts
@@ -96,6 +96,8 @@
     throttledAt = 0;
     /** Whether its worker was lost while the run may have been on it. */
     isWorkerLost = false;
+    /** Whether an earlier leader started it, so that its age is unknown. */
+    isInherited = false;
     /** Rack of its worker. */
     rack = "";
     /** Ticket of the advice service that the start carries. */
@@ -177,6 +179,7 @@
     /** Handles an event. */
     fire(event: RunEvent, data: RunEventData): void {
         const before = this.machine.state;
+        this.isInherited ||= event === "inherit";
         this.machine.fire(event, data);
         if (this.machine.state !== before) {
             this.changedAt = data.now;
--- a/src/dispatch/common/test/failureController.test.ts
+++ b/src/dispatch/common/test/failureController.test.ts
@@ -5,7 +5,7 @@
 import { DecisionData } from "../dispatchEffects";
 import { FailureController, FailureHost } from "../failureController";
 import { LatencyModel } from "../latencyModel";
-import { Run } from "../run";
+import { Run, RunHost } from "../run";
 import { StepQueue } from "../stepQueue";
 import { SuspectTable } from "../suspectTable";
 import { Task } from "../task";
@@ -28,6 +28,12 @@
     }
 }
 
+class NoopRunHost extends RunHost {
+    override sendStart(): void {}
+    override sendStop(): void {}
+    override onEnd(): void {}
+}
+
 function createController() {
     const host = new RecordingHost();
     const suspects = SuspectTable.create();
@@ -44,6 +50,15 @@
     return run;
 }
 
+/** Adds a run that an earlier leader assigned. */
+function inherit(worker: WorkerContact, task: Task): void {
+    const record = { task: task.name, run: 1, worker: worker.entry.id, incarnation: 0, checkpoint: "" };
+    const run = Run.create(task, record, new NoopRunHost(), 0);
+    task.run = run;
+    worker.runs.set(task.name, run);
+    run.fire("inherit", { now: 0 });
+}
+
 /** Loses a worker and all its runs. */
 function lose(failures: FailureController, worker: WorkerContact): void {
     const runs = [...worker.runs.values()];
@@ -185,6 +200,40 @@
     t.false(suspects.has(neighbor));
 });
 
+test("a new leader does not suspect the inherited runs of a worker that was lost with the former leader", t => {
+    const { suspects, failures } = createController();
+    const worker = createWorker("w1");
+    const tasks = ["a", "b"].map(createTask);
+    tasks.forEach(task => inherit(worker, task));
+    report(tasks[0].run!, 0, 100);
+    lose(failures, worker);
+    t.true(suspects.isEmpty);
+    t.deepEqual(
+        tasks.map(task => task.lossesInARow),
+        [1, 1],
+    );
+});
+
+test("a suspected task that crashes its workers is given up although the leader changes after each crash", t => {
+    const { host, failures } = createController();
+    let task = createTask("a");
+    const first = createWorker("w0");
+    start(first, task, 0);
+    start(first, createTask("n0"), 0);
+    lose(failures, first);
+    for (const state of ["accused", "accused-again", "convicted"]) {
+        t.deepEqual(host.failedJobs, []);
+        const progress = decodeProgress(encodeProgress(task.job.progress(1)))!;
+        task = ActiveJob.create(task.job.spec, 0, progress).find(task.name)!;
+        const worker = createWorker(`w-${state}`);
+        inherit(worker, task);
+        inherit(worker, createTask(`n-${state}`));
+        lose(failures, worker);
+        t.is(task.suspicion?.state, state as never);
+    }
+    t.deepEqual(host.failedJobs, [task.job]);
+});
+
 test("progress that was recorded without evidence can be read", t => {
     const recorded = JSON.stringify([1, "running", {}, [], [["a.0.0.0", 1, "", 2]]]);
     t.deepEqual(decodeProgress(recorded)?.tasks, [
