Product scheduler: end a task whose workers are lost under five attempts in a row

Callers would see an idempotent batch task that crashes its workers start again without limit; each worker is lost with all its tasks.

A lost attempt has no report and led back to `queued`. The class: a retry budget that counts reports of failures, not attempts. A non-idempotent task was not affected: it becomes `unknown` at the first loss.

Lost attempts in a row are counted in the fold of the shard, so each owner has the same count. At the fifth, the task ends as `failed` with the reason. An end that a worker reports starts the count again. During an update, an instance of the earlier version still shows such a task as queued and may start it until a new one owns the shard.

--- a/src/scheduling/common/shardFold.ts
+++ b/src/scheduling/common/shardFold.ts
@@ -178,6 +178,7 @@
             result: "",
             assignment: undefined,
             failedOn: [],
+            lossesInARow: 0,
         };
         this.tasks.set(task.number, task);
         this.numberByKey.set(request.key, task.number);
--- a/src/scheduling/common/task.ts
+++ b/src/scheduling/common/task.ts
@@ -11,13 +11,16 @@
 /** Events of a batch task. */
 export type TaskEvent = "assign" | "cancel" | "refuse" | AttemptEnd;
 
-type TaskGuard = "hasRun" | "isNextAttempt" | "isCurrentAttempt" | "isFinalFailure" | "isNonIdempotent";
+type TaskGuard = "hasRun" | "isNextAttempt" | "isCurrentAttempt" | "isFinalFailure" | "isFinalLoss" | "isNonIdempotent";
 type TaskAction =
     | "beginAttempt"
     | "endAttempt"
     | "storeResult"
     | "storeCheckpoint"
     | "countFailure"
+    | "countLoss"
+    | "resetLosses"
+    | "storeLosses"
     | "countEviction"
     | "storeRefusal";
 
@@ -37,13 +40,16 @@
             "lost",
             "never-started",
         ],
-        guards: ["hasRun", "isNextAttempt", "isCurrentAttempt", "isFinalFailure", "isNonIdempotent"],
+        guards: ["hasRun", "isNextAttempt", "isCurrentAttempt", "isFinalFailure", "isFinalLoss", "isNonIdempotent"],
         actions: [
             "beginAttempt",
             "endAttempt",
             "storeResult",
             "storeCheckpoint",
             "countFailure",
+            "countLoss",
+            "resetLosses",
+            "storeLosses",
             "countEviction",
             "storeRefusal",
         ],
@@ -53,6 +59,12 @@
 /** Number of distinct workers on which a task fails before it ends as failed. */
 export const MAX_FAILED_WORKERS = 3;
 
+/**
+ * Number of attempts in a row lost with their workers after which a task ends as failed: it may be what crashes them. One
+ * loss or two are no evidence, since a worker is lost with all its tasks.
+ */
+export const MAX_LOSSES_IN_A_ROW = 5;
+
 /** Where an attempt was placed and what is reserved for it. */
 export interface Assignment {
     readonly worker: string;
@@ -78,6 +90,8 @@
     result: string;
     assignment: Assignment | undefined;
     failedOn: string[];
+    /** Number of attempts lost with their workers since one ended otherwise; undefined in older snapshots. */
+    lossesInARow: number | undefined;
 }
 
 /** Data of a task's events. */
@@ -92,6 +106,8 @@
         isFinalFailure: (task, payload) =>
             isCurrentAttempt(task, payload) &&
             (task.request.idempotency === "non-idempotent" || failedWorkers(task).size >= MAX_FAILED_WORKERS),
+        isFinalLoss: (task, payload) =>
+            isCurrentAttempt(task, payload) && (task.lossesInARow ?? 0) + 1 >= MAX_LOSSES_IN_A_ROW,
         isNonIdempotent: (task, payload) =>
             isCurrentAttempt(task, payload) && task.request.idempotency === "non-idempotent",
     },
@@ -117,6 +133,15 @@
         countFailure(task) {
             task.failedOn = [...failedWorkers(task)];
         },
+        countLoss(task) {
+            task.lossesInARow = (task.lossesInARow ?? 0) + 1;
+        },
+        resetLosses(task) {
+            task.lossesInARow = 0;
+        },
+        storeLosses(task) {
+            task.result = `lost with ${task.lossesInARow} workers in a row`;
+        },
         countEviction(task) {
             task.evictions += 1;
         },
--- a/src/scheduling/common/test/learning.test.ts
+++ b/src/scheduling/common/test/learning.test.ts
@@ -33,6 +33,7 @@
     result: "",
     assignment: undefined,
     failedOn: [],
+    lossesInARow: 0,
 };
 
 function candidate(worker: string, services: Candidate["services"]): Candidate {
--- a/src/scheduling/common/test/shardFold.test.ts
+++ b/src/scheduling/common/test/shardFold.test.ts
@@ -88,6 +88,22 @@
     t.is(task.state, "failed");
 });
 
+test("a task whose workers are lost under five attempts in a row ends as failed", t => {
+    const { submit, assign, end, fence } = create();
+    fence(1);
+    const [task, evicted] = [submit("k"), submit("e")];
+    for (let attempt = 1; attempt <= 5; attempt++) {
+        t.is(task.state, "queued");
+        for (const each of [task, evicted]) {
+            assign(each.number, 1, attempt, `w${attempt}`);
+            end(each.number, 1, attempt, each === evicted && attempt === 3 ? "evicted" : "lost");
+        }
+    }
+    t.is(task.state, "failed");
+    t.is(task.result, "lost with 5 workers in a row");
+    t.is(evicted.state, "queued");
+});
+
 test("a fold restored from an image has the state of the original", t => {
     const { fold, apply, submit, assign, end, fence } = create();
     fence(1);
--- a/src/scheduling/common/test/taskOrder.test.ts
+++ b/src/scheduling/common/test/taskOrder.test.ts
@@ -19,7 +19,8 @@
         payload: "",
         ...changes,
     };
-    const empty = { attempts: 0, evictions: 0, checkpoint: "", result: "", assignment: undefined, failedOn: [] };
+    const counts = { attempts: 0, evictions: 0, lossesInARow: 0 };
+    const empty = { ...counts, checkpoint: "", result: "", assignment: undefined, failedOn: [] };
     return { number, request, submittedAt, state: "queued", ...empty };
 }
 
