Send a request to at most three upstreams that break it off

An idempotent request that crashes its upstreams was sent to one after the other: up to eleven while the service's retry budget was full, and each of them broke off all its other requests, which were retried, too.

Cause: the retry budget is shared by all requests of a service, and nothing counted the attempts of one. The class: a limit on the whole that a single member can use up.

A request that three upstreams have broken off is answered with the outcome `unknown`. Attempts that were not sent do not count.

Evidence: "a request that three upstreams have broken off is not sent to a fourth" failed without the count.

--- a/src/routing/common/request.ts
+++ b/src/routing/common/request.ts
@@ -63,6 +63,12 @@
     }),
 );
 
+/**
+ * Number of upstreams that may break off one request: it may be what crashes them, and the retry budget, which all requests
+ * share, allows ten in a row.
+ */
+const MAX_BROKEN_ATTEMPTS = 3;
+
 /** Whether a request can safely be run a second time. */
 export type RequestClass = "idempotent" | "non-idempotent";
 
@@ -114,6 +120,8 @@
     sentAt = 0;
     /** Whether an earlier attempt may have run. */
     mayHaveRun = false;
+    /** Number of attempts that upstreams broke off. */
+    brokenAttempts = 0;
     /** Workers of attempts that failed. */
     readonly failedWorkers = new Set<string>();
 
@@ -127,7 +135,10 @@
                 isBeforeDeadline: now => now < description.deadline,
                 mayHaveRun: () => this.mayHaveRun,
                 canRetry: now =>
-                    description.requestClass === "idempotent" && now < description.deadline && host.spendRetry(this),
+                    description.requestClass === "idempotent" &&
+                    now < description.deadline &&
+                    this.brokenAttempts < MAX_BROKEN_ATTEMPTS &&
+                    host.spendRetry(this),
             },
             actions: {
                 send: now => host.send(this, now),
--- a/src/routing/common/router.ts
+++ b/src/routing/common/router.ts
@@ -260,6 +260,7 @@
         const { worker } = request;
         request.failedWorkers.add(worker!);
         request.mayHaveRun ||= certainty === "broken";
+        request.brokenAttempts += certainty === "broken" ? 1 : 0;
         this.transition(request, certainty, now);
         this.upstream(worker!).fire("broken", now);
     }
--- a/src/routing/common/test/router.test.ts
+++ b/src/routing/common/test/router.test.ts
@@ -9,8 +9,9 @@
 
 class FixedSlots extends SlotSource {
     slotsEach = 1;
+    workers = ["a", "b"];
     override upstreams() {
-        return ["a", "b"].map(worker => ({ worker, address: `${worker}:1`, region: "north" }));
+        return this.workers.map(worker => ({ worker, address: `${worker}:1`, region: "north" }));
     }
     override slots() {
         return this.slotsEach;
@@ -54,6 +55,19 @@
     t.false(effects.some(effect => effect.kind === "caller-refuse" && effect.request === 2));
 });
 
+test("a request that three upstreams have broken off is not sent to a fourth", t => {
+    const { router, slots, receive, drainEffects } = create();
+    slots.workers = ["a", "b", "c", "d", "e", "f"];
+    receive(1, "idempotent", 0);
+    for (let attempt = 1; attempt <= 3; attempt++) {
+        t.true(drainEffects().some(effect => effect.kind === "upstream-send" && effect.attempt === attempt));
+        router.handle({ kind: "upstream-failed", request: 1, attempt, certainty: "broken" }, attempt);
+    }
+    const effects = drainEffects();
+    t.false(effects.some(effect => effect.kind === "upstream-send"));
+    t.true(effects.some(effect => effect.kind === "caller-refuse" && effect.outcome === "unknown"));
+});
+
 test("a request whose earlier attempt may have run never gets the outcome not-run", t => {
     const { router, slots, receive, drainEffects } = create();
     receive(1, "idempotent", 0);
