Trials in which the capacity of workers shrinks and grows again

No trial had a worker whose capacity changes, and the simulated workers start whatever they are told. So nothing showed whether a start brings a worker without overload protection over its capacity (LIMIT).

In a trial with `shrinkEveryMs` (`--shrink MS` of the job soak) the service does not reject overload, and the CPU of workers shrinks to 6 to 12 of 16 cores for 6 to 15 s. The checker's rule `capacity` adds up what runs on a worker after each start, with what is being stopped; a shrink counts after `stableWindowMs` and one heartbeat (5.5 s). The rule is checked in all trials.

--- a/src/proof/node/jobRuleChecker.ts
+++ b/src/proof/node/jobRuleChecker.ts
@@ -1,4 +1,4 @@
-import { JobSpec } from "../../jobs/common/jobSpec";
+import { JobSpec, TaskRequest } from "../../jobs/common/jobSpec";
 import { RunEnd } from "../../dispatch/common/workerMessages";
 import { LeasedWorker, LeasedWorkerObserver } from "../../standin/common/leasedWorker";
 import { TrialSchedule } from "./trialSchedule";
@@ -7,6 +7,9 @@
 const CRASHES_BEFORE_FAILED = 2;
 const CRASHES_BEFORE_BUDGET = 3;
 
+/** Time from a shrink of a worker's capacity to when it counts: `stableWindowMs` and one heartbeat, in ms. */
+const SHRINK_GRACE_MS = 4_000 + 1_500;
+
 /** Number of starts that the limit allows; a task that is started three times more breaks the rule. */
 const MAX_STARTS_AFTER_CRASHES = 2;
 
@@ -17,6 +20,7 @@
     | "step-order"
     | "attempts"
     | "crash-budget"
+    | "capacity"
     | "asked"
     | "shown-done"
     | "known"
@@ -47,10 +51,14 @@
     private readonly crashes = new Map<string, number>();
     /** Number of starts of a task since the third crash under it. */
     private readonly startsAfterCrashes = new Map<string, number>();
+    /** Earlier capacities of workers and the times (ms) until which they still count. */
+    private readonly earlierCapacities = new Map<LeasedWorker, { capacity: TaskRequest; until: number }[]>();
     /** Jobs of which at least one submission was answered with `accepted`. */
     readonly accepted = new Set<string>();
     readonly violations: RuleViolation[] = [];
     starts = 0;
+    /** How often the capacity of a worker shrank. */
+    shrinks = 0;
 
     private constructor(private readonly schedule: TrialSchedule) {}
 
@@ -81,6 +89,14 @@
         }
     }
 
+    /** Records that the capacity of a worker is about to shrink. */
+    recordShrink(worker: LeasedWorker): void {
+        this.shrinks += 1;
+        const earlier = this.earlierCapacities.get(worker) ?? [];
+        earlier.push({ capacity: worker.entry.capacity, until: this.schedule.now + SHRINK_GRACE_MS });
+        this.earlierCapacities.set(worker, earlier);
+    }
+
     /** Crashes of workers under deadly tasks. */
     get deadlyCrashes(): number {
         return [...this.deadlyTasks].reduce((sum, task) => sum + (this.crashes.get(task) ?? 0), 0);
@@ -119,6 +135,7 @@
         this.highestRuns.set(task, Math.max(run, this.highestRuns.get(task) ?? 0));
         otherRuns.set(worker, run);
         this.activeRuns.set(task, otherRuns);
+        this.checkCapacity(worker, task, run);
     }
 
     onEnd(worker: LeasedWorker, task: string, run: number, end: RunEnd): void {
@@ -173,6 +190,28 @@
         }
     }
 
+    /** Checks that the runs on a worker, those being stopped included, fit into its capacity after a start. */
+    private checkCapacity(worker: LeasedWorker, task: string, run: number): void {
+        const counting = (this.earlierCapacities.get(worker) ?? []).filter(each => this.schedule.now < each.until);
+        const capacities = [worker.entry.capacity, ...counting.map(each => each.capacity)];
+        const requests = [...this.activeRuns].flatMap(([each, runs]) => (runs.has(worker) ? this.requestOf(each) : []));
+        for (const resource of ["cpuMillis", "memoryMb", "accelerators"] as const) {
+            const used = requests.reduce((sum, each) => sum + each[resource], 0);
+            const available = Math.max(...capacities.map(each => each[resource]));
+            const detail = `${task} run ${run} brings ${worker.entry.id} to ${used} of ${available} ${resource}`;
+            this.check("capacity", used <= available, detail);
+        }
+    }
+
+    /** @returns What a task takes of its worker's capacity; nothing is known of a task that no submitted job has. */
+    private requestOf(task: string): TaskRequest[] {
+        const [id, , number] = task.split(".");
+        const step = this.jobs.get(id)?.steps[Number(number)];
+        return step === undefined
+            ? []
+            : [{ ...step.request, cpuMillis: step.usesSpareCpu ? 0 : step.request.cpuMillis }];
+    }
+
     private checkCrashBudget(task: string, run: number): void {
         const crashes = this.crashes.get(task) ?? 0;
         if (this.isDeadly(task) && crashes >= CRASHES_BEFORE_BUDGET) {
--- a/src/proof/node/jobSoak.tool.ts
+++ b/src/proof/node/jobSoak.tool.ts
@@ -2,8 +2,8 @@
 
 /**
  * Reads a flag with a whole number. Flags: `--seed FIRST --count N --length MS --every MS --deadly PERCENT
- * --crash-delay MS --trace`, where `--deadly` is the share of the jobs with a task that crashes its workers, that long after
- * each start.
+ * --crash-delay MS --shrink MS --trace`, where `--deadly` is the share of the jobs with a task that crashes its workers, that
+ * long after each start, and `--shrink` the mean time between two times at which a worker's capacity shrinks.
  */
 function readNumber(name: string, fallback: number): number {
     const index = process.argv.indexOf(`--${name}`);
@@ -21,7 +21,8 @@
 for (let seed = first; seed < first + count; seed++) {
     const faultEveryMs = readNumber("every", 2_500);
     const deadly = { deadlyRatio: readNumber("deadly", 0) / 100, crashDelayMs: readNumber("crash-delay", 10) };
-    const plan = { seed, lengthMs, instances: 3, workers: 6, faultEveryMs, ...deadly };
+    const shrinkEveryMs = readNumber("shrink", 0) || undefined;
+    const plan = { seed, lengthMs, instances: 3, workers: 6, faultEveryMs, ...deadly, shrinkEveryMs };
     const { breaches, trace, ...counts } = JobTrial.run(plan);
     console.log(`seed ${seed}`, JSON.stringify(counts), `breaches ${breaches.length}`);
     if (breaches.length > 0) {
--- a/src/proof/node/jobTrial.ts
+++ b/src/proof/node/jobTrial.ts
@@ -97,9 +97,9 @@
         this.checkFinished();
         const accepted = this.checker.accepted.size;
         const finished = [...this.checker.accepted].filter(id => this.jobState(id) === "done").length;
-        const { violations: breaches, starts, deadlyCrashes: crashes, sharedCrashes } = this.checker;
+        const { violations: breaches, starts, deadlyCrashes: crashes, sharedCrashes, shrinks } = this.checker;
         const counts = { jobs: this.jobs.size, accepted, finished, starts, leaders: this.leaders };
-        return { breaches, ...counts, crashes, sharedCrashes, trace: this.trace };
+        return { breaches, ...counts, crashes, sharedCrashes, shrinks, trace: this.trace };
     }
 
     private schedule(delayMs: number, perform: () => void): void {
@@ -118,7 +118,7 @@
             storeRoundTripMs: () => 5 + node.index,
             cores: 1,
         };
-        const instance = JobInstance.create(identity, LIMITS, new TrialDecoder());
+        const instance = JobInstance.create(identity, LIMITS, new TrialDecoder(this.plan));
         node.instance = instance;
         const { incarnation } = node;
         this.schedule(this.random.between(0, 50), () => {
--- a/src/proof/node/jobTrialPlan.ts
+++ b/src/proof/node/jobTrialPlan.ts
@@ -22,13 +22,12 @@
     timeoutMs: 3_000,
 };
 
-/** The configuration of a trial. */
-export const CONFIGURATION: Configuration = {
-    version: 1,
-    queues: [QUEUE],
-    services: [{ name: "svc", rejectsOverload: true, isStandby: false }],
-    maxBodyBytes: 100_000,
-};
+/** @param plan Parameters of a trial. @returns Its configuration. */
+function configurationOf(plan: JobTrialPlan): Configuration {
+    const rejectsOverload = plan.shrinkEveryMs === undefined;
+    const services = [{ name: "svc", rejectsOverload, isStandby: false }];
+    return { version: 1, queues: [QUEUE], services, maxBodyBytes: 100_000 };
+}
 
 /** Time limits of the instances of a trial. */
 export const LIMITS = {
@@ -89,6 +88,11 @@
     readonly deadlyRatio?: number;
     /** Time from the start of a deadly task to the crash of its worker, in ms; 10 if undefined. */
     readonly crashDelayMs?: number;
+    /**
+     * Mean time between two times at which a worker's capacity shrinks, in ms. It never shrinks if undefined; otherwise the
+     * service's workers do not reject what exceeds their capacity.
+     */
+    readonly shrinkEveryMs?: number;
     /** Breaks a mechanism on purpose, to prove that a rule detects it. */
     readonly sabotage?: (trial: JobTrial) => void;
 }
@@ -106,18 +110,25 @@
     readonly crashes: number;
     /** Tasks, not deadly themselves, that ran on at least two workers when these crashed. */
     readonly sharedCrashes: number;
+    /** How often the capacity of a worker shrank. */
+    readonly shrinks: number;
     /** Decisions and faults with their times, one a line. */
     readonly trace: readonly string[];
 }
 
 /** Decodes the stored entries of a trial. */
 export class TrialDecoder extends EntryDecoder {
+    /** @param plan Parameters of the trial. */
+    constructor(private readonly plan: JobTrialPlan) {
+        super();
+    }
+
     override isConfiguration(): boolean {
         return true;
     }
 
     override decodeConfiguration(): Configuration {
-        return CONFIGURATION;
+        return configurationOf(this.plan);
     }
 
     override decodeWorker(record: StoredRecord): WorkerEntry | undefined {
--- a/src/proof/node/test/jobRuleChecker.test.ts
+++ b/src/proof/node/test/jobRuleChecker.test.ts
@@ -63,3 +63,43 @@
     fixture.crashUnder([DEADLY_TASK, OTHER_TASK]);
     t.deepEqual(fixture.rules, ["crash-budget"]);
 });
+
+/** Starts a task of 6 cores on a worker of 16 cores that has shrunk to 8. @returns The rules that are broken. */
+function startAfterShrink(elapsedMs: number, prepare: (worker: LeasedWorker) => void): string[] {
+    const schedule = TrialSchedule.create();
+    const checker = JobRuleChecker.create(schedule);
+    const step = createDraft(Random.create(1)).steps[0];
+    const request = { cpuMillis: 6_000, memoryMb: 1_000, accelerators: 0 };
+    const draft = { ...createDraft(Random.create(1)), steps: [{ ...step, tasks: 2, request }] };
+    checker.recordSubmission({ id: "1", queue: QUEUE, acceptedAtMs: 0, ...draft });
+    const planRun = () => ({ ms: 10_000, end: "done" as const });
+    const worker = LeasedWorker.create(createWorkerEntry(0, "w0", 0, "w0"), 0, 1, planRun, checker);
+    const start = (task: string) =>
+        worker.start({ task, run: 1, payload: "", validUntil: 6_000, epoch: 1, checkpoint: "" }, schedule.now);
+    start("1.0.0.0");
+    checker.recordShrink(worker);
+    worker.setCapacity({ ...worker.entry.capacity, cpuMillis: 8_000 });
+    schedule.add(elapsedMs, () => {
+        prepare(worker);
+        start("1.0.0.1");
+    });
+    schedule.runUntil(elapsedMs);
+    return checker.violations.map(each => each.rule);
+}
+
+test("a start over a capacity that has shrunk breaks the rule after the stable window and one heartbeat", t => {
+    t.deepEqual(
+        startAfterShrink(5_499, () => undefined),
+        [],
+    );
+    t.deepEqual(
+        startAfterShrink(5_500, () => undefined),
+        ["capacity"],
+    );
+});
+
+test("a run that is being stopped counts until it has ended", t => {
+    const stop = (at: number) => (worker: LeasedWorker) => void worker.stop({ task: "1.0.0.0", run: 1, epoch: 1 }, at);
+    t.deepEqual(startAfterShrink(5_600, stop(5_500)), ["capacity"]);
+    t.deepEqual(startAfterShrink(5_800, stop(5_500)), []);
+});
--- a/src/proof/node/trialWorkers.ts
+++ b/src/proof/node/trialWorkers.ts
@@ -15,6 +15,12 @@
 /** Time for which a worker is down after a deadly task has crashed it, in ms. */
 const DOWN_MS = 3_000;
 
+/** Bounds of the CPU of a worker whose capacity has shrunk, in thousandths of a core; the largest task fits. */
+const SHRUNK_CPU_MILLIS = { min: 6_000, max: 12_000 };
+
+/** Bounds of the time until its capacity grows again, in ms; a shrink counts after 5.5 s. */
+const SHRUNK_MS = { min: 6_000, max: 15_000 };
+
 /** What the workers share with the rest of the trial. */
 export interface TrialWorkersContext {
     readonly plan: JobTrialPlan;
@@ -36,11 +42,15 @@
     private readonly cutUntil = new Map<string, number>();
     /** Time (ms) until which the link to a worker takes 100 to 900 ms in each direction, by worker id. */
     private readonly slowLinkUntil = new Map<string, number>();
+    /** Draws for changes of capacity, which leave the other draws of a seed as they are. */
+    private readonly shrinkRandom: Random;
     private lateOrdersUntil = 0;
     private replacementCount = 0;
     private downCount = 0;
 
-    private constructor(private readonly context: TrialWorkersContext) {}
+    private constructor(private readonly context: TrialWorkersContext) {
+        this.shrinkRandom = Random.create(context.plan.seed);
+    }
 
     /** @param context What they share with the rest of the trial. @returns The workers of the plan, all running. */
     static create(context: TrialWorkersContext): TrialWorkers {
@@ -48,6 +58,7 @@
         for (let index = 0; index < context.plan.workers; index++) {
             workers.add(index, `w${index}`);
         }
+        workers.planShrink();
         return workers;
     }
 
@@ -222,6 +233,34 @@
         });
     }
 
+    private planShrink(): void {
+        const { shrinkEveryMs, lengthMs } = this.context.plan;
+        if (shrinkEveryMs !== undefined && this.now <= lengthMs) {
+            this.context.schedule.add(this.shrinkRandom.between(1, 2 * shrinkEveryMs), () => {
+                this.shrinkOne();
+                this.planShrink();
+            });
+        }
+    }
+
+    /** Shrinks the capacity of a worker for some time, unless it is shrunk already. The next heartbeat shows it. */
+    private shrinkOne(): void {
+        const worker = this.workers[this.shrinkRandom.between(0, this.workers.length - 1)];
+        const cpuMillis = this.shrinkRandom.between(SHRUNK_CPU_MILLIS.min, SHRUNK_CPU_MILLIS.max);
+        const durationMs = this.shrinkRandom.between(SHRUNK_MS.min, SHRUNK_MS.max);
+        const { id, capacity } = worker.entry;
+        if (capacity.cpuMillis <= SHRUNK_CPU_MILLIS.max) {
+            return;
+        }
+        this.context.checker.recordShrink(worker);
+        worker.setCapacity({ ...capacity, cpuMillis });
+        this.context.trace.push(`${Math.round(this.now)} FAULT shrink ${id} ${cpuMillis} ${durationMs}`);
+        this.context.schedule.add(durationMs, () => {
+            worker.setCapacity(capacity);
+            this.context.trace.push(`${Math.round(this.now)} FAULT grow ${id} ${capacity.cpuMillis}`);
+        });
+    }
+
     private crash(worker: LeasedWorker): void {
         this.context.checker.recordCrash(worker);
         worker.crash();
--- a/src/standin/common/leasedWorker.ts
+++ b/src/standin/common/leasedWorker.ts
@@ -1,4 +1,5 @@
 import { WorkerEntry } from "../../dispatch/common/workerEntry";
+import { TaskRequest } from "../../jobs/common/jobSpec";
 import {
     ListedEnd,
     ListedRun,
@@ -45,7 +46,7 @@
     private leaseUntil = 0;
 
     private constructor(
-        readonly entry: WorkerEntry,
+        private latestEntry: WorkerEntry,
         private readonly startedAt: number,
         private readonly clockRate: number,
         private readonly planRun: RunPlanner,
@@ -70,6 +71,16 @@
         return new LeasedWorker(entry, startedAt, clockRate, planRun, observer);
     }
 
+    /** The worker's entry in service discovery, as its next heartbeat shows it. */
+    get entry(): WorkerEntry {
+        return this.latestEntry;
+    }
+
+    /** Changes the capacity. Runs continue, and starts are accepted as before: the worker does not guard it. */
+    setCapacity(capacity: TaskRequest): void {
+        this.latestEntry = { ...this.latestEntry, capacity };
+    }
+
     /** @param now Time in ms. @returns Reading of the worker's clock in ms. */
     clock(now: number): number {
         return Math.floor((now - this.startedAt) * this.clockRate);
