A page of a stream that is cut off does not make the stream known

The leader could use capacities of workers that newer entries had replaced.

Cause: RecordFollower took each answered read as proof that every record up to its sending is known. The store limits the size of a page, and the answer says where the stream ends, which was ignored.

Class of the fault: a decision on a view whose age has no bound.

`knownUntil` is now moved only when the end that an answer states is reached. While the stream grows as fast as it is read, the end of an earlier read is reached and its time counts, so the age is that of the backlog and not unlimited.

Evidence: the test "a stream whose page is limited counts as known only up to the read whose end is reached" fails on the former follower (known up to 20 ms instead of 10 ms).

--- a/src/records/common/recordFollower.ts
+++ b/src/records/common/recordFollower.ts
@@ -82,6 +82,8 @@
     private loadedKeys = new Set<string>();
     private lastKey: string | undefined;
     private nextPauseMs = 0;
+    /** End of the stream at the time of a read that did not reach it, and when that read was sent. */
+    private unreachedEnd: { readonly end: RecordOffset; readonly sentAt: number } | undefined;
 
     /** Offset of the next record to be read. */
     nextOffset: RecordOffset = 0;
@@ -172,16 +174,27 @@
         this.receiver.retainKeys(this.loadedKeys);
         this.loadedKeys = new Set();
         this.nextOffset = this.followFrom!;
+        this.unreachedEnd = undefined;
         this.knownUntil = answer.sentAt;
     }
 
     private applyRecords(answer: StoreAnswer): void {
-        const { records } = answer.result.unwrap();
+        const { records, end } = answer.result.unwrap();
         for (const record of records) {
             this.receiver.apply(record);
             this.nextOffset = record.offset + 1;
         }
-        this.knownUntil = answer.sentAt;
+        if (this.nextOffset >= end) {
+            this.knownUntil = answer.sentAt;
+            this.unreachedEnd = undefined;
+            return;
+        }
+        // The store limits the size of a page. The records after it may be older than the read.
+        if (this.unreachedEnd !== undefined && this.nextOffset >= this.unreachedEnd.end) {
+            this.knownUntil = this.unreachedEnd.sentAt;
+            this.unreachedEnd = undefined;
+        }
+        this.unreachedEnd ??= { end, sentAt: answer.sentAt };
     }
 
     private isLarge(answer: StoreAnswer): boolean {
--- a/src/records/common/test/recordFollower.test.ts
+++ b/src/records/common/test/recordFollower.test.ts
@@ -30,6 +30,8 @@
     readonly follower: RecordFollower;
     private readonly outbox = Outbox.create<RecordEffect>();
     private now = 0;
+    /** Largest number of records in the answer to a read. */
+    maxPageRecords = Number.POSITIVE_INFINITY;
 
     constructor(timing: ReadTiming) {
         this.log.store("config", "first");
@@ -43,7 +45,11 @@
         this.now += 10;
         const base = { stream: "operator" as const, sentAt: this.now };
         if (effect.kind === "read") {
-            this.follower.handleAnswer({ kind: "read-answer", ...base, result: this.log.read(effect.from) });
+            const result = this.log.read(effect.from).map(({ records, end }) => ({
+                records: records.slice(0, this.maxPageRecords),
+                end,
+            }));
+            this.follower.handleAnswer({ kind: "read-answer", ...base, result });
         } else if (effect.kind === "read-newest") {
             this.follower.handleAnswer({ kind: "newest-answer", ...base, result: this.log.newest(effect.after) });
         }
@@ -113,3 +119,20 @@
     }
     t.deepEqual([...fixture.collector.retained], ["config"]);
 });
+
+test("a stream whose page is limited counts as known only up to the read whose end is reached", t => {
+    const fixture = new Fixture({ waitMs: 1_000, pauseMs: 0 });
+    fixture.step();
+    const knownBefore = fixture.follower.knownUntil!;
+    fixture.maxPageRecords = 2;
+    ["1", "2", "3"].forEach(value => fixture.log.store("config", value));
+    fixture.step();
+    t.is(fixture.follower.knownUntil, knownBefore);
+    // The stream grows as fast as it is read.
+    ["4", "5", "6"].forEach(value => fixture.log.store("config", value));
+    fixture.step();
+    t.is(fixture.follower.knownUntil, knownBefore + 10);
+    fixture.step();
+    t.is(fixture.follower.knownUntil, knownBefore + 30);
+    t.deepEqual(fixture.collector.values.slice(1), ["1", "2", "3", "4", "5", "6"]);
+});
