No starts by an entry of a worker that is too old to show its capacity

What users could see: a worker of a service with rejectsOverload false was given tasks over its capacity (LIMIT), when it had shrunk and its entry in service discovery had not been read since: while the store was down or the leader was cut off from it, and after the worker itself had been cut off, until its next heartbeat. Such a worker starts whatever it is told to.

Cause: the capacity was taken from the latest entry, however old it was. The class: a decision on a view whose age has no bound.

A follower now says after which time a record was certainly written: the time up to which the stream was known before the read that returned it. A record of a page of newest records may be of any age. The age of each entry counts, not that of the stream: the stream is read while one worker's heartbeats are missing.

Cost: during an outage of the store no assignment is stored in any case, so only what was assigned before it is held back, and after it up to one heartbeat passes. Services with overload protection are not affected.

--- a/src/dispatch/common/dispatchEffects.ts
+++ b/src/dispatch/common/dispatchEffects.ts
@@ -9,6 +9,8 @@
     | "leader-began"
     | "leader-ended"
     | "run-started"
+    | "start-withheld"
+    | "capacity-unknown"
     | "run-ended"
     | "run-stopping"
     | "run-throttled"
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -20,11 +20,12 @@
 import { SchedulerFailureHost } from "./schedulerFailureHost";
 import { SchedulerPoolHost } from "./schedulerPoolHost";
 import { SchedulerRunHost } from "./schedulerRunHost";
+import { StartAdmission } from "./startAdmission";
 import { StepQueue } from "./stepQueue";
 import { SuspectTable } from "./suspectTable";
 import { firstWaitMs, Task } from "./task";
 import { WorkerContact } from "./workerContact";
-import { WorkerEntry } from "./workerEntry";
+import { EntryReading } from "./workerEntry";
 import { WorkerLossCause, WorkerPool } from "./workerPool";
 import { ListedEnd, NOT_EXECUTED_OUTCOMES, WorkerEvent } from "./workerMessages";
 
@@ -72,6 +73,7 @@
     private readonly queue: StepQueue;
     private readonly reviewer = RunReviewer.create();
     private readonly pruner: JobPruner;
+    private readonly admission: StartAdmission;
     private readonly runHost: RunHost;
     /** Runs whose assignment is stored and whose start is not sent yet. */
     private pendingStarts: Run[] = [];
@@ -95,6 +97,7 @@
         this.pool = WorkerPool.create(epoch, now, context.limits, SchedulerPoolHost.create(this), context.effects);
         this.activeJobs = ActiveJobTable.create(epoch, writers);
         this.pruner = JobPruner.create(context.jobs, this.activeJobs, writers, context.limits.retentionMs);
+        this.admission = StartAdmission.create(context.queues, context.effects);
         this.throttleController = ThrottleController.create(this.model, (run, percent) => this.throttle(run, percent));
         const assign = (task: Task, worker: WorkerContact, at: number) => this.assign(task, worker, at);
         this.failures = FailureController.create(context.queues, this.suspects, SchedulerFailureHost.create(this));
@@ -133,14 +136,14 @@
     /**
      * Adds, updates or deregisters a worker.
      * @param id Identifier of the worker.
-     * @param entry Its entry in service discovery, or `undefined` if it was deregistered.
+     * @param reading Its entry in service discovery, or `undefined` if it was deregistered.
      * @param now Time in ms.
      */
-    updateWorker(id: string, entry: WorkerEntry | undefined, now: number): void {
-        if (entry === undefined) {
+    updateWorker(id: string, reading: EntryReading | undefined, now: number): void {
+        if (reading === undefined) {
             this.pool.deregister(id);
         } else {
-            this.pool.register(entry, now);
+            this.pool.register(reading, now);
         }
         this.isDirty = true;
     }
@@ -214,7 +217,7 @@
         if (this.isDirty && now - this.lastPassAt >= interval) {
             this.isDirty = false;
             this.lastPassAt = now;
-            const usable = [...this.pool.all].filter(each => each.isUsable(now));
+            const usable = this.admission.usableWorkers(this.pool.all, now);
             this.queue.placeWaiting(this.activeJobs.all, usable, this.pool.remainingStarts(), now, wallNow);
         }
     }
@@ -224,15 +227,19 @@
         return this.context.leadership.canExtendLeases() && this.isConfirmationRecent(now);
     }
 
-    /** Sends the order to start a run, or ends the run if its worker cannot be reached. */
+    /** Sends the order to start a run, or ends the run if its worker may not be given it any more. */
     sendStart(run: Run, now: number): void {
         const worker = this.pool.find(run.record.worker);
+        const { task, checkpoint, run: number } = run.record;
+        const entryAge = worker?.entryAgeMs(now);
+        const entryAgeMs = entryAge === undefined ? undefined : Math.round(entryAge);
+        const reason = this.admission.reasonToWithhold(worker, now);
         const validUntil = worker?.extendLeaseTo(worker.clockReadingIn(START_VALIDITY_MS, now));
-        if (worker === undefined || validUntil === undefined || worker.state !== "reachable") {
+        if (reason !== undefined || worker === undefined || validUntil === undefined) {
+            this.logDecision("start-withheld", { task, run: number, worker: run.record.worker, reason, entryAgeMs });
             run.fire("not-started", { now });
             return;
         }
-        const { task, checkpoint, run: number } = run.record;
         const order = {
             task,
             run: number,
@@ -245,7 +252,8 @@
         this.context.effects.emit({ kind: "start", worker: worker.entry, order });
         const { id, rack } = worker.entry;
         const waitedMs = firstWaitMs(run.task, this.wallNow);
-        this.logDecision("run-started", { task, run: number, worker: id, epoch: this.epoch, rack, waitedMs });
+        const data = { task, run: number, worker: id, epoch: this.epoch, rack, waitedMs, entryAgeMs };
+        this.logDecision("run-started", data);
     }
 
     /** Sends the order to stop a run. */
--- a/src/dispatch/common/test/runs.ts
+++ b/src/dispatch/common/test/runs.ts
@@ -4,7 +4,7 @@
 import { Run, RunHost } from "../run";
 import { Task } from "../task";
 import { WorkerContact } from "../workerContact";
-import { WorkerEntry } from "../workerEntry";
+import { EntryReading, WorkerEntry } from "../workerEntry";
 
 /** Latency target of the latency-critical tasks, in ms. */
 export const TARGET_MS = 100;
@@ -60,6 +60,11 @@
     return WorkerContact.create(entry, 0, 6_000);
 }
 
+/** @returns An entry as it was just read. @param writtenAfter Time (ms) after which it was written, if known. */
+export function readingOf(entry: WorkerEntry, writtenAfter: number | undefined = 0): EntryReading {
+    return { entry, writtenAfter };
+}
+
 /** Creates a job with one task and assigns it to a worker. @returns The run. */
 export function place(worker: WorkerContact, id: string, step: StepSpec): Run {
     const task = createJob(id, step).find(`${id}.0.0.0`)!;
--- a/src/dispatch/common/test/scheduler.test.ts
+++ b/src/dispatch/common/test/scheduler.test.ts
@@ -8,11 +8,14 @@
 import { RecordWriter } from "../../../records/common/recordWriter";
 import { DispatchEffect } from "../dispatchEffects";
 import { Scheduler, SchedulerContext } from "../scheduler";
+import { WorkerEntry } from "../workerEntry";
 import { ListedEnd, RunList, StartOrder } from "../workerMessages";
-import { createJob, createStep, createWorker, LIMITS } from "./runs";
+import { createJob, createStep, createWorker, LIMITS, readingOf } from "./runs";
 
 const TICK_MS = 25;
 
+const HEARTBEAT_INTERVAL_MS = 1_500;
+
 /** A scheduler with two simulated workers and one job of one task. */
 class SchedulerFixture {
     readonly starts: { readonly worker: string; readonly order: StartOrder }[] = [];
@@ -28,6 +31,11 @@
         RecordWriter.create(name, name as "jobs", { name: "leader", epoch: 1 }, this.outbox),
     );
     private now = 0;
+    /** Latest entries of the workers. */
+    private readonly entries = new Map<string, WorkerEntry>();
+    private lastHeartbeatAt = 0;
+    /** Whether the workers renew their entries in service discovery. */
+    hasHeartbeats = true;
 
     private constructor() {
         const jobs = JobTable.create();
@@ -44,13 +52,19 @@
         };
         const [jobsWriter, progress] = this.writers;
         this.scheduler = Scheduler.create(context, 1, { jobs: jobsWriter, progress }, 0);
-        ["w1", "w2"].forEach(id => this.scheduler.updateWorker(id, createWorker(id).entry, 0));
+        ["w1", "w2"].forEach(id => this.updateWorker(createWorker(id).entry));
     }
 
     static create(): SchedulerFixture {
         return new SchedulerFixture();
     }
 
+    /** Writes the entry of a worker, which the scheduler reads at once. */
+    updateWorker(entry: WorkerEntry): void {
+        this.entries.set(entry.id, entry);
+        this.scheduler.updateWorker(entry.id, readingOf(entry, this.now), this.now);
+    }
+
     /** Whether the store confirms the renewals of the leader, which the fixture does not send. */
     isEpochConfirmed = true;
 
@@ -58,6 +72,10 @@
     advance(ms: number): void {
         for (const until = this.now + ms; this.now < until; this.now += TICK_MS) {
             this.writers[0].confirmedAt = this.isEpochConfirmed ? this.now : -20_000;
+            if (this.hasHeartbeats && this.now - this.lastHeartbeatAt >= HEARTBEAT_INTERVAL_MS) {
+                this.lastHeartbeatAt = this.now;
+                this.entries.forEach(entry => this.updateWorker(entry));
+            }
             this.scheduler.tick(this.now, this.now);
             this.scheduler.schedule(this.now, this.now);
             this.writers.forEach(writer => writer.flush(this.now));
@@ -121,6 +139,19 @@
     t.is(fixture.starts.length, 1);
 });
 
+test("no task is started on a worker without overload protection whose entry is too old to show its capacity", t => {
+    const fixture = SchedulerFixture.create();
+    fixture.isEpochConfirmed = false;
+    fixture.hasHeartbeats = false;
+    fixture.advance(4_000);
+    fixture.isEpochConfirmed = true;
+    fixture.advance(1_000);
+    t.deepEqual(fixture.starts, []);
+    fixture.hasHeartbeats = true;
+    fixture.advance(500);
+    t.is(fixture.starts.length, 1);
+});
+
 test("an end is confirmed after it is stored", t => {
     const fixture = SchedulerFixture.create();
     fixture.advance(500);
--- a/src/dispatch/common/test/workerPool.test.ts
+++ b/src/dispatch/common/test/workerPool.test.ts
@@ -2,7 +2,7 @@
 import { Outbox } from "../../../base/common/outbox";
 import { DispatchEffect } from "../dispatchEffects";
 import { PoolHost, WorkerPool } from "../workerPool";
-import { assign, createJob, createStep, createWorker, LIMITS, report } from "./runs";
+import { assign, createJob, createStep, createWorker, LIMITS, readingOf, report } from "./runs";
 
 /** Time (ms) at which the next list of a worker is due, however many workers there are. */
 const LATER_MS = 5_000;
@@ -22,7 +22,7 @@
     const outbox = Outbox.create<DispatchEffect>();
     const pool = WorkerPool.create(1, 0, LIMITS, new NoopPoolHost(), outbox);
     for (let index = 0; index < workers; index++) {
-        pool.register(createWorker(`w${index}`).entry, 0);
+        pool.register(readingOf(createWorker(`w${index}`).entry), 0);
     }
     const lists = () => outbox.drain().flatMap(effect => (effect.kind === "list" ? [effect] : []));
     const answer = (now: number) => {
@@ -199,13 +199,13 @@
 test("a worker that is draining, deregistered or silent gets no tasks", t => {
     const { pool, worker } = createBusyPool();
     t.true(worker.isUsable(10));
-    pool.register({ ...worker.entry, state: "draining", drainLeftMs: 2_500 }, 10);
+    pool.register(readingOf({ ...worker.entry, state: "draining", drainLeftMs: 2_500 }), 10);
     t.false(worker.isUsable(10));
-    pool.register({ ...worker.entry, state: "ready" }, 10);
+    pool.register(readingOf({ ...worker.entry, state: "ready" }), 10);
     t.true(worker.isUsable(10));
     pool.deregister(worker.entry.id);
     t.false(worker.isUsable(10));
-    pool.register(worker.entry, 10);
+    pool.register(readingOf(worker.entry), 10);
     worker.onNoAnswer(20);
     t.false(worker.isUsable(20));
 });
--- a/src/dispatch/common/workerContact.ts
+++ b/src/dispatch/common/workerContact.ts
@@ -7,7 +7,7 @@
 import { LEASE_MARGIN_MS, RENEWAL_WINDOW_MS } from "./dispatchLimits";
 import { Run } from "./run";
 import chartText from "./workerContact.chart.yaml";
-import { WorkerEntry } from "./workerEntry";
+import { EntryReading, WorkerEntry } from "./workerEntry";
 import { ListedEnd } from "./workerMessages";
 
 /** State of the leader's contact with a worker. */
@@ -94,6 +94,8 @@
     leavesAt: number | undefined;
     /** Time (ms) before which it is given no tasks, after it rejected a start as full or unhealthy. */
     backoffUntil = 0;
+    /** Time (ms) after which its entry was certainly written, if known. */
+    entryWrittenAfter: number | undefined;
 
     private constructor(
         private latestEntry: WorkerEntry,
@@ -144,16 +146,23 @@
         );
     }
 
-    /** Applies a change of the worker's entry in service discovery. @param now Time in ms. */
-    updateEntry(entry: WorkerEntry, now: number): void {
+    /** Applies a reading of the worker's entry in service discovery. @param now Time in ms. */
+    updateEntry({ entry, writtenAfter }: EntryReading, now: number): void {
         if (entry.incarnation < this.latestEntry.incarnation) {
             return;
         }
         this.latestEntry = entry;
+        // An entry of unknown age is at least as new as the one before it.
+        this.entryWrittenAfter = writtenAfter ?? this.entryWrittenAfter;
         this.isRegistered = true;
         this.leavesAt = entry.state === "draining" ? (this.leavesAt ?? now + (entry.drainLeftMs ?? 0)) : undefined;
     }
 
+    /** @param now Time in ms. @returns Upper bound of the age of its entry, in ms, or `undefined` if there is none. */
+    entryAgeMs(now: number): number | undefined {
+        return this.entryWrittenAfter === undefined ? undefined : now - this.entryWrittenAfter;
+    }
+
     /**
      * Records the incarnation that a run list states. One that only service discovery states is ignored, since only a
      * list shows what runs.
--- a/src/dispatch/common/workerEntry.ts
+++ b/src/dispatch/common/workerEntry.ts
@@ -20,3 +20,10 @@
     readonly labels: readonly string[];
     readonly rack: string;
 }
+
+/** An entry as it was read from service discovery. */
+export interface EntryReading {
+    readonly entry: WorkerEntry;
+    /** Time (ms) after which the entry was certainly written, or `undefined` if it may be of any age. */
+    readonly writtenAfter: number | undefined;
+}
--- a/src/dispatch/common/workerPool.ts
+++ b/src/dispatch/common/workerPool.ts
@@ -4,7 +4,7 @@
 import { DispatchEffect } from "./dispatchEffects";
 import { Run } from "./run";
 import { ContactState, WorkerContact } from "./workerContact";
-import { WorkerEntry } from "./workerEntry";
+import { EntryReading, WorkerEntry } from "./workerEntry";
 import { ListedEnd, WorkerEvent } from "./workerMessages";
 
 /**
@@ -135,14 +135,17 @@
         return this.contacts.get(id);
     }
 
-    /** Adds a worker, or updates its entry. @param entry Its entry in service discovery. @param now Time in ms. */
-    register(entry: WorkerEntry, now: number): void {
+    /** Adds a worker, or updates its entry. @param reading Its entry in service discovery. @param now Time in ms. */
+    register(reading: EntryReading, now: number): void {
+        const { entry, writtenAfter } = reading;
         const known = this.contacts.get(entry.id);
         if (known !== undefined) {
-            known.updateEntry(entry, now);
+            known.updateEntry(reading, now);
             return;
         }
-        this.contacts.set(entry.id, WorkerContact.create(entry, this.epochStartedAt, this.limits.longestLeaseMs));
+        const contact = WorkerContact.create(entry, this.epochStartedAt, this.limits.longestLeaseMs);
+        contact.entryWrittenAfter = writtenAfter;
+        this.contacts.set(entry.id, contact);
     }
 
     /** Marks a worker as deregistered; it is removed when it has no runs. @param id Its identifier. */
--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -4,7 +4,7 @@
 import { Outbox } from "../../base/common/outbox";
 import { DispatchLimits } from "../../dispatch/common/dispatchLimits";
 import { Scheduler } from "../../dispatch/common/scheduler";
-import { WorkerEntry } from "../../dispatch/common/workerEntry";
+import { EntryReading } from "../../dispatch/common/workerEntry";
 import { JobCallHandler } from "../../jobs/common/jobCallHandler";
 import { JobState } from "../../jobs/common/jobSpec";
 import { JobTable, visibleStateOf } from "../../jobs/common/jobTable";
@@ -95,7 +95,7 @@
     private readonly callHandler: JobCallHandler;
     private scheduler: Scheduler | undefined;
     private takeover: Takeover | undefined;
-    private readonly workers = new Map<string, WorkerEntry>();
+    private readonly workers = new Map<string, EntryReading>();
     private clockOffset: number | undefined;
     private stoppingSince = 0;
     private now = 0;
@@ -266,18 +266,19 @@
         }
     }
 
-    /** Applies a record of a worker. */
-    applyWorkerRecord(record: StoredRecord): void {
-        const worker = this.decoder.decodeWorker(record);
-        if (worker === undefined && record.value !== undefined) {
+    /** Applies a record of a worker. @param writtenAfter Time (ms) after which it was certainly written, if known. */
+    applyWorkerRecord(record: StoredRecord, writtenAfter: number | undefined): void {
+        const entry = this.decoder.decodeWorker(record);
+        if (entry === undefined && record.value !== undefined) {
             this.logMalformed("workers", record.key, record.offset);
         }
-        if (worker === undefined) {
+        const reading = entry === undefined ? undefined : { entry, writtenAfter };
+        if (reading === undefined) {
             this.workers.delete(record.key);
         } else {
-            this.workers.set(record.key, worker);
+            this.workers.set(record.key, reading);
         }
-        this.scheduler?.updateWorker(record.key, worker, this.now);
+        this.scheduler?.updateWorker(record.key, reading, this.now);
     }
 
     /** Removes all workers but these, which are still registered. */
@@ -367,7 +368,7 @@
         const context = { jobs, progress, queues, leadership, limits, learnedInterference, effects: outbox };
         const writers = { jobs: writer, progress: takeover.writer };
         this.scheduler = Scheduler.create(context, leadership.epoch, writers, this.now);
-        this.workers.forEach((worker, id) => this.scheduler!.updateWorker(id, worker, this.now));
+        this.workers.forEach((reading, id) => this.scheduler!.updateWorker(id, reading, this.now));
     }
 
     private stopScheduling(): void {
@@ -410,8 +411,8 @@
         super();
     }
 
-    override apply(record: StoredRecord): void {
-        this.instance.applyWorkerRecord(record);
+    override apply(record: StoredRecord, writtenAfter: number | undefined): void {
+        this.instance.applyWorkerRecord(record, writtenAfter);
     }
 
     override retainKeys(keys: ReadonlySet<string>): void {
--- a/src/host/node/jobPerformers.ts
+++ b/src/host/node/jobPerformers.ts
@@ -10,7 +10,7 @@
 import { JobMetrics } from "./jobMetrics";
 
 /** Decisions made for every task. Under load, their log lines are omitted first. */
-const DETAIL_DECISIONS: readonly string[] = ["run-started", "run-ended", "run-throttled"];
+const DETAIL_DECISIONS: readonly string[] = ["run-started", "run-ended", "run-throttled", "start-withheld"];
 
 /** A caller that has not been answered. */
 interface PendingReply {
--- a/src/proof/node/test/jobTrial.test.ts
+++ b/src/proof/node/test/jobTrial.test.ts
@@ -136,6 +136,24 @@
     }
 });
 
+/** Faults beside capacities that shrink, and seeds for each. */
+const SHRINK_TRIALS: readonly { name: string; faults: readonly JobFault[]; everyMs: number; seeds: number[] }[] = [
+    { name: "in a fault-free trial", faults: [], everyMs: 0, seeds: [701] },
+    // A worker that was cut off was given tasks before its first heartbeat afterwards.
+    { name: "when workers are cut off", faults: ["worker-cut"], everyMs: 1_500, seeds: [71002, 71003, 71020] },
+];
+
+for (const { name, faults, everyMs, seeds } of SHRINK_TRIALS) {
+    for (const seed of seeds) {
+        test.serial(`no start brings a worker over a capacity that has shrunk, ${name}, seed ${seed}`, t => {
+            const plan = { ...PLAN, lengthMs: 30_000, seed, faults, faultEveryMs: everyMs, shrinkEveryMs: 800 };
+            const result = JobTrial.run(plan);
+            t.true(result.shrinks > 0);
+            t.deepEqual(result.breaches, []);
+        });
+    }
+}
+
 test.serial("the same seed gives the same trial", t => {
     const [one, two] = [1, 2].map(() => JobTrial.run({ ...PLAN, seed: 5 }));
     t.deepEqual(one, two);
--- a/src/records/common/recordFollower.ts
+++ b/src/records/common/recordFollower.ts
@@ -40,8 +40,12 @@
 
 /** Receives the records of a stream. */
 export abstract class RecordReceiver {
-    /** Applies one record. The same record may be applied more than once. */
-    abstract apply(record: StoredRecord): void;
+    /**
+     * Applies one record. The same record may be applied more than once.
+     * @param record The record.
+     * @param writtenAfter Time (ms) after which it was certainly written, or `undefined` if it may be of any age.
+     */
+    abstract apply(record: StoredRecord, writtenAfter: number | undefined): void;
 
     /** Called after a complete load with the existing keys. All others have been deleted. */
     abstract retainKeys(keys: ReadonlySet<string>): void;
@@ -166,7 +170,7 @@
         for (const record of records) {
             this.loadedKeys.add(record.key);
             this.lastKey = record.key;
-            this.receiver.apply(record);
+            this.receiver.apply(record, undefined);
         }
     }
 
@@ -181,7 +185,8 @@
     private applyRecords(answer: StoreAnswer): void {
         const { records, end } = answer.result.unwrap();
         for (const record of records) {
-            this.receiver.apply(record);
+            // All earlier records were known by then.
+            this.receiver.apply(record, this.knownUntil);
             this.nextOffset = record.offset + 1;
         }
         if (this.nextOffset >= end) {
