Check again that a worker may be given a task when its start is sent

What users could see: after an outage of the store, tasks were started on workers without overload protection that had shrunk meanwhile (LIMIT), and on workers that had been draining for seconds (DRAIN). If only one member of a gang could not be started, the others were started and stopped, and could end `alone` behind a slow link (GANG).

Cause: the worker is chosen when the assignment is written, and the start is sent when the store has confirmed it, seconds later if the store was down. Only whether the worker was reachable was checked again. The class: a decision on a view whose age has no bound.

`StartAdmission` now also withholds a start if the runs on the worker exceed its capacity by now (runs being stopped count until their end is listed, the CPU of best-effort tasks does not count), if the worker drains or has left, and all members of a gang if it withholds one. The task waits again, and nothing was sent. `start-withheld` names the reason and the entry's age.

Evidence: "no task is started on a worker whose capacity has shrunk since the assignment", "... that drains since the assignment" and "no member of a gang is started if one member's worker has shrunk since the assignment" fail on the former code.

--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -97,7 +97,7 @@
         this.pool = WorkerPool.create(epoch, now, context.limits, SchedulerPoolHost.create(this), context.effects);
         this.activeJobs = ActiveJobTable.create(epoch, writers);
         this.pruner = JobPruner.create(context.jobs, this.activeJobs, writers, context.limits.retentionMs);
-        this.admission = StartAdmission.create(context.queues, context.effects);
+        this.admission = StartAdmission.create(context.queues, id => this.pool.find(id), context.effects);
         this.throttleController = ThrottleController.create(this.model, (run, percent) => this.throttle(run, percent));
         const assign = (task: Task, worker: WorkerContact, at: number) => this.assign(task, worker, at);
         this.failures = FailureController.create(context.queues, this.suspects, SchedulerFailureHost.create(this));
@@ -233,7 +233,7 @@
         const { task, checkpoint, run: number } = run.record;
         const entryAge = worker?.entryAgeMs(now);
         const entryAgeMs = entryAge === undefined ? undefined : Math.round(entryAge);
-        const reason = this.admission.reasonToWithhold(worker, now);
+        const reason = this.admission.reasonToWithhold(run, now);
         const validUntil = worker?.extendLeaseTo(worker.clockReadingIn(START_VALIDITY_MS, now));
         if (reason !== undefined || worker === undefined || validUntil === undefined) {
             this.logDecision("start-withheld", { task, run: number, worker: run.record.worker, reason, entryAgeMs });
--- a/src/dispatch/common/startAdmission.ts
+++ b/src/dispatch/common/startAdmission.ts
@@ -3,6 +3,7 @@
 import { QueueTable } from "../../jobs/common/queueTable";
 import { START_VALIDITY_MS } from "./dispatchLimits";
 import { DecisionEffect } from "./dispatchEffects";
+import { Run } from "./run";
 import { WorkerContact } from "./workerContact";
 
 /** Time after which a shrink of a worker's capacity counts, in ms: `stableWindowMs` and one heartbeat. */
@@ -17,8 +18,14 @@
 /** Minimum interval between log lines about workers whose capacity is not known, in ms. */
 const LOG_INTERVAL_MS = 5_000;
 
-/** Why the start of a run is not sent. `capacity-unknown`: the entry is too old to show what the worker can hold. */
-export type WithholdReason = "unreachable" | "capacity-unknown";
+/**
+ * Why the start of a run is not sent. `not-ready`: the worker drains or has left. `shrunk`: its runs exceed its capacity.
+ * `capacity-unknown`: its entry is too old to show what it can hold. `gang`: one of these holds for another member.
+ */
+export type WithholdReason = "unreachable" | "not-ready" | "shrunk" | "capacity-unknown" | "gang";
+
+/** Returns a worker by its identifier, if it is known. */
+export type FindWorker = (id: string) => WorkerContact | undefined;
 
 /**
  * Decides whether the leader's view of a worker is recent enough to start a task there.
@@ -31,12 +38,18 @@
 
     private constructor(
         private readonly queues: QueueTable,
+        private readonly find: FindWorker,
         private readonly effects: EffectSink<DecisionEffect>,
     ) {}
 
-    /** @param queues Services as configured. @param effects Sink for log lines. @returns The admission. */
-    static create(queues: QueueTable, effects: EffectSink<DecisionEffect>): StartAdmission {
-        return new StartAdmission(queues, effects);
+    /**
+     * @param queues Services as configured.
+     * @param find Finds the worker of a run.
+     * @param effects Sink for log lines.
+     * @returns The admission.
+     */
+    static create(queues: QueueTable, find: FindWorker, effects: EffectSink<DecisionEffect>): StartAdmission {
+        return new StartAdmission(queues, find, effects);
     }
 
     /** @param workers All workers. @param now Time in ms. @returns Those that may be given tasks. */
@@ -57,14 +70,32 @@
     }
 
     /**
-     * @param worker Worker of a run whose assignment is stored, if it is known.
+     * @param run A run whose assignment is stored. It may have waited for an outage of the store to end, and its worker may
+     * have changed meanwhile.
      * @param now Time in ms.
-     * @returns Why the start of the run may not be sent, or `undefined` if it may.
+     * @returns Why its start may not be sent, or `undefined` if it may. A gang starts as a whole.
      */
-    reasonToWithhold(worker: WorkerContact | undefined, now: number): WithholdReason | undefined {
+    reasonToWithhold(run: Run, now: number): WithholdReason | undefined {
+        const reason = this.reasonOf(run, now);
+        const { job, groupKey, step } = run.task;
+        if (reason !== undefined || step.mode !== "gang") {
+            return reason;
+        }
+        const isWithheld = (other: Run | undefined) => other?.state === "assigned" && this.reasonOf(other, now);
+        return [...job.tasks()].some(each => each.groupKey === groupKey && isWithheld(each.run)) ? "gang" : undefined;
+    }
+
+    private reasonOf(run: Run, now: number): WithholdReason | undefined {
+        const worker = this.find(run.record.worker);
         if (worker?.state !== "reachable") {
             return "unreachable";
         }
+        if (!worker.isRegistered || worker.entry.state !== "ready") {
+            return "not-ready";
+        }
+        if (worker.isOvercommitted) {
+            return "shrunk";
+        }
         return this.isCapacityKnown(worker, now) ? undefined : "capacity-unknown";
     }
 
--- a/src/dispatch/common/test/scheduler.test.ts
+++ b/src/dispatch/common/test/scheduler.test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import { Outbox } from "../../../base/common/outbox";
+import { StepSpec } from "../../../jobs/common/jobSpec";
 import { encodeSpec, jobKey } from "../../../jobs/common/jobRecord";
 import { JobTable } from "../../../jobs/common/jobTable";
 import { ProgressTable } from "../../../jobs/common/progressTable";
@@ -34,12 +35,15 @@
     /** Latest entries of the workers. */
     private readonly entries = new Map<string, WorkerEntry>();
     private lastHeartbeatAt = 0;
+    private readonly heldAppends: (DispatchEffect & { readonly kind: "append" })[] = [];
+    /** Whether appends to the store are answered only when it is up again. */
+    isStoreDown = false;
     /** Whether the workers renew their entries in service discovery. */
     hasHeartbeats = true;
 
-    private constructor() {
+    private constructor(step: StepSpec) {
         const jobs = JobTable.create();
-        const { spec } = createJob("a", createStep("x", false));
+        const { spec } = createJob("a", step);
         jobs.apply({ key: jobKey("spec", "a"), value: encodeSpec(spec), offset: 0 });
         const leadership = { canSendOrders: () => true, canExtendLeases: () => true } as unknown as Leadership;
         const tables = { jobs, progress: ProgressTable.create(), queues: QueueTable.create() };
@@ -55,8 +59,8 @@
         ["w1", "w2"].forEach(id => this.updateWorker(createWorker(id).entry));
     }
 
-    static create(): SchedulerFixture {
-        return new SchedulerFixture();
+    static create(step = createStep("x", false)): SchedulerFixture {
+        return new SchedulerFixture(step);
     }
 
     /** Writes the entry of a worker, which the scheduler reads at once. */
@@ -79,11 +83,16 @@
             this.scheduler.tick(this.now, this.now);
             this.scheduler.schedule(this.now, this.now);
             this.writers.forEach(writer => writer.flush(this.now));
-            this.outbox.drain().forEach(effect => this.perform(effect));
+            const appends = this.isStoreDown ? [] : this.heldAppends.splice(0);
+            [...appends, ...this.outbox.drain()].forEach(effect => this.perform(effect));
         }
     }
 
     private perform(effect: DispatchEffect): void {
+        if (effect.kind === "append" && this.isStoreDown) {
+            this.heldAppends.push(effect);
+            return;
+        }
         if (effect.kind === "append") {
             const result = { ok: true, val: 0 } as never;
             const { sequence } = effect.append;
@@ -152,6 +161,59 @@
     t.is(fixture.starts.length, 1);
 });
 
+/** Assigns tasks while the store is down, then changes the entries of workers. @returns The fixture, store still down. */
+function changeAfterAssignment(step: StepSpec, ids: readonly string[], change: Partial<WorkerEntry>): SchedulerFixture {
+    const fixture = SchedulerFixture.create(step);
+    fixture.isStoreDown = true;
+    fixture.advance(500);
+    ids.forEach(id => fixture.updateWorker({ ...createWorker(id).entry, ...change }));
+    return fixture;
+}
+
+const SMALL = { cpuMillis: 100, memoryMb: 100, accelerators: 0 };
+
+test("no task is started on a worker whose capacity has shrunk since the assignment", t => {
+    const fixture = changeAfterAssignment(createStep("x", false), ["w1", "w2"], { capacity: SMALL });
+    fixture.isStoreDown = false;
+    fixture.advance(2_000);
+    t.deepEqual(fixture.starts, []);
+    fixture.updateWorker(createWorker("w2").entry);
+    fixture.advance(500);
+    t.deepEqual(
+        fixture.starts.map(each => each.worker),
+        ["w2"],
+    );
+});
+
+test("a best-effort task is started although its CPU exceeds what a shrink has left", t => {
+    const capacity = { cpuMillis: 100, memoryMb: 8_000, accelerators: 0 };
+    const fixture = changeAfterAssignment(createStep("x", false), ["w1", "w2"], { capacity });
+    fixture.isStoreDown = false;
+    fixture.advance(100);
+    t.is(fixture.starts.length, 1);
+});
+
+test("no task is started on a worker that drains since the assignment", t => {
+    const fixture = changeAfterAssignment(createStep("x", false), ["w1", "w2"], { state: "draining" });
+    fixture.isStoreDown = false;
+    fixture.advance(2_000);
+    t.deepEqual(fixture.starts, []);
+});
+
+test("no member of a gang is started if one member's worker has shrunk since the assignment", t => {
+    const request = { cpuMillis: 40_000, memoryMb: 1_000, accelerators: 0 };
+    const gang = createStep("x", false, { mode: "gang", tasks: 2, usesSpareCpu: false, request });
+    for (const id of ["w1", "w2"]) {
+        const fixture = changeAfterAssignment(gang, [id], { capacity: SMALL });
+        fixture.isStoreDown = false;
+        fixture.advance(2_000);
+        t.deepEqual(fixture.starts, []);
+        fixture.updateWorker(createWorker(id).entry);
+        fixture.advance(500);
+        t.is(fixture.starts.length, 2);
+    }
+});
+
 test("an end is confirmed after it is stored", t => {
     const fixture = SchedulerFixture.create();
     fixture.advance(500);
--- a/src/dispatch/common/workerContact.ts
+++ b/src/dispatch/common/workerContact.ts
@@ -354,6 +354,12 @@
         return { cpuMillis, memoryMb, accelerators, unrequestedCpuMillis };
     }
 
+    /** Whether its runs request more than its capacity, which has shrunk since they were placed. */
+    get isOvercommitted(): boolean {
+        const { cpuMillis, memoryMb, accelerators } = this.freeCapacity();
+        return cpuMillis < 0 || memoryMb < 0 || accelerators < 0;
+    }
+
     /** @returns Whether a request fits into the free capacity. */
     fits(request: TaskRequest, usesSpareCpu: boolean, free: FreeCapacity): boolean {
         return (
--- a/src/proof/node/test/jobTrial.test.ts
+++ b/src/proof/node/test/jobTrial.test.ts
@@ -141,6 +141,14 @@
     { name: "in a fault-free trial", faults: [], everyMs: 0, seeds: [701] },
     // A worker that was cut off was given tasks before its first heartbeat afterwards.
     { name: "when workers are cut off", faults: ["worker-cut"], everyMs: 1_500, seeds: [71002, 71003, 71020] },
+    // Assignments by the capacity before the shrink were stored at the end of an outage, and their starts sent.
+    { name: "when the store is down", faults: ["store-down"], everyMs: 1_500, seeds: [71021] },
+    {
+        name: "when the store is down and links are slow",
+        faults: ["store-down", "slow-link"],
+        everyMs: 1_500,
+        seeds: [71023],
+    },
 ];
 
 for (const { name, faults, everyMs, seeds } of SHRINK_TRIALS) {
