Entries of workers read before a suspension do not count as recent

What users could see: a leader whose machine was suspended for some seconds gave tasks to workers without overload protection by capacities from before the suspension, as soon as the store had confirmed its epoch (LIMIT).

Cause: the age of an entry is measured by the monotonic clock, which stands still while the machine is suspended, so an entry from before seemed recent. The class: a decision on a view whose age has no bound.

When the time of day has moved further than the clock, the leader now forgets the age of all entries, and the follower of the workers forgets up to when the stream is known, until a read that was sent later is answered. A step of the time of day has the same effect: such workers get no tasks for about two reads, 1 s.

"After a suspension, records are of any age until a read that was sent later is answered" tests the follower.

--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -157,6 +157,13 @@
         }
     }
 
+    /** Handles a suspension of the process: the entries of all workers are of any age until they are read again. */
+    handleSuspension(): void {
+        for (const worker of this.pool.all) {
+            worker.entryWrittenAfter = undefined;
+        }
+    }
+
     /** Handles an answer of a worker. @param now Time in ms. */
     handleWorkerAnswer(event: WorkerEvent, now: number): void {
         const worker = this.pool.handleAnswer(event, now);
--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -351,6 +351,9 @@
         const offset = wallNow - now;
         if (this.clockOffset !== undefined && Math.abs(offset - this.clockOffset) > SUSPENSION_THRESHOLD_MS) {
             this.leadership.handleSuspension(now);
+            this.workersFollower.handleSuspension(now);
+            this.workers.forEach(({ entry }, id) => this.workers.set(id, { entry, writtenAfter: undefined }));
+            this.scheduler?.handleSuspension();
             this.outbox.emit({ kind: "decision", name: "suspended", data: { jumpMs: offset - this.clockOffset } });
         }
         this.clockOffset = offset;
--- a/src/proof/node/test/jobTrial.test.ts
+++ b/src/proof/node/test/jobTrial.test.ts
@@ -141,6 +141,8 @@
     { name: "in a fault-free trial", faults: [], everyMs: 0, seeds: [701] },
     // A worker that was cut off was given tasks before its first heartbeat afterwards.
     { name: "when workers are cut off", faults: ["worker-cut"], everyMs: 1_500, seeds: [71002, 71003, 71020] },
+    // The clock of a frozen leader stood still, so the entries that it had read seemed recent.
+    { name: "when leaders are frozen", faults: ["freeze"], everyMs: 1_500, seeds: [71021, 71032] },
     // Assignments by the capacity before the shrink were stored at the end of an outage, and their starts sent.
     { name: "when the store is down", faults: ["store-down"], everyMs: 1_500, seeds: [71021] },
     {
--- a/src/records/common/recordFollower.ts
+++ b/src/records/common/recordFollower.ts
@@ -86,6 +86,8 @@
     private loadedKeys = new Set<string>();
     private lastKey: string | undefined;
     private nextPauseMs = 0;
+    /** Time (ms) of the latest suspension. */
+    private suspendedAt = Number.NEGATIVE_INFINITY;
     /** End of the stream at the time of a read that did not reach it, and when that read was sent. */
     private unreachedEnd: { readonly end: RecordOffset; readonly sentAt: number } | undefined;
 
@@ -150,6 +152,17 @@
         this.emitPageRead();
     }
 
+    /**
+     * Handles a suspension of the process, during which the clock stood still: what was read before is older than it seems,
+     * and the time up to which the records are known is open until a later read is answered.
+     * @param now Time in ms.
+     */
+    handleSuspension(now: number): void {
+        this.suspendedAt = now;
+        this.knownUntil = undefined;
+        this.unreachedEnd = undefined;
+    }
+
     /** Handles the answer to a read of this stream. */
     handleAnswer(answer: StoreAnswer): void {
         this.isFailing = !answer.result.ok;
@@ -179,7 +192,7 @@
         this.loadedKeys = new Set();
         this.nextOffset = this.followFrom!;
         this.unreachedEnd = undefined;
-        this.knownUntil = answer.sentAt;
+        this.updateKnownUntil(answer.sentAt);
     }
 
     private applyRecords(answer: StoreAnswer): void {
@@ -190,13 +203,13 @@
             this.nextOffset = record.offset + 1;
         }
         if (this.nextOffset >= end) {
-            this.knownUntil = answer.sentAt;
+            this.updateKnownUntil(answer.sentAt);
             this.unreachedEnd = undefined;
             return;
         }
         // The store limits the size of a page. The records after it may be older than the read.
         if (this.unreachedEnd !== undefined && this.nextOffset >= this.unreachedEnd.end) {
-            this.knownUntil = this.unreachedEnd.sentAt;
+            this.updateKnownUntil(this.unreachedEnd.sentAt);
             this.unreachedEnd = undefined;
         }
         this.unreachedEnd ??= { end, sentAt: answer.sentAt };
@@ -211,7 +224,13 @@
     /** All records are known if none was appended; one that was is read next. */
     private markKnown(answer: StoreAnswer): void {
         if (answer.result.unwrap().end <= this.nextOffset) {
-            this.knownUntil = answer.sentAt;
+            this.updateKnownUntil(answer.sentAt);
+        }
+    }
+
+    private updateKnownUntil(sentAt: number): void {
+        if (sentAt > this.suspendedAt) {
+            this.knownUntil = sentAt;
         }
     }
 
--- a/src/records/common/test/recordFollower.test.ts
+++ b/src/records/common/test/recordFollower.test.ts
@@ -10,9 +10,12 @@
 
 class Collector extends RecordReceiver {
     readonly values: (string | undefined)[] = [];
+    /** Times (ms) after which they were written. */
+    readonly writtenAfter: (number | undefined)[] = [];
 
-    override apply(record: StoredRecord): void {
+    override apply(record: StoredRecord, writtenAfter: number | undefined): void {
         this.values.push(record.value);
+        this.writtenAfter.push(writtenAfter);
     }
 
     /** Keys that existed at the latest load. */
@@ -39,11 +42,11 @@
         this.follower.start();
     }
 
-    /** Answers the read in flight. @returns The read. */
-    step(): RecordEffect {
+    /** Answers the read in flight. @param ageMs How long ago it was sent, in ms. @returns The read. */
+    step(ageMs = 0): RecordEffect {
         const [effect] = this.outbox.drain();
         this.now += 10;
-        const base = { stream: "operator" as const, sentAt: this.now };
+        const base = { stream: "operator" as const, sentAt: this.now - ageMs };
         if (effect.kind === "read") {
             const result = this.log.read(effect.from).map(({ records, end }) => ({
                 records: records.slice(0, this.maxPageRecords),
@@ -55,6 +58,10 @@
         }
         return effect;
     }
+
+    suspend(): void {
+        this.follower.handleSuspension(this.now);
+    }
 }
 
 test("of large records in quick succession, only the first and the newest are read", t => {
@@ -136,3 +143,25 @@
     t.is(fixture.follower.knownUntil, knownBefore + 30);
     t.deepEqual(fixture.collector.values.slice(1), ["1", "2", "3", "4", "5", "6"]);
 });
+
+test("a record was written after the read before the one that returned it, or at any time if it was loaded", t => {
+    const fixture = new Fixture({ waitMs: 1_000, pauseMs: 0 });
+    fixture.step();
+    fixture.log.store("config", "1");
+    fixture.step();
+    fixture.log.store("config", "2");
+    fixture.step();
+    t.deepEqual(fixture.collector.writtenAfter, [undefined, 10, 20]);
+});
+
+test("after a suspension, records are of any age until a read that was sent later is answered", t => {
+    const fixture = new Fixture({ waitMs: 1_000, pauseMs: 0 });
+    fixture.step();
+    fixture.suspend();
+    t.is(fixture.follower.knownUntil, undefined);
+    ["1", "2", "3"].forEach((value, index) => {
+        fixture.log.store("config", value);
+        fixture.step(index === 0 ? 15 : 0);
+    });
+    t.deepEqual(fixture.collector.writtenAfter, [undefined, undefined, undefined, 30]);
+});
