List a worker when it has survived the start of a suspected task

What callers could see: a job was shown as failed, reason "crashes-workers", although none of its tasks crashes workers.

Times in ms: 17036 run 1 starts on w3; 17260 w3 crashes by itself, 224 ms later; 18404 the loss is seen, the task was the only one that w3 had not survived for 500 ms: accused 19043 run 2 starts on w0, on probation; 19217 w0 crashes, 174 ms later; 19790 accused again 20764 run 3 starts on w2, on probation; w2 answers a list sent at 20775, then holds the next one for a run to end; 21823 w2 crashes, 1,059 ms after the start; 22962 the loss is seen: convicted, job shown as failed No loss was counted twice, and each happened under the task; three crashes by themselves fell on it. The users' rule allows to give up a task under which two workers have crashed, so no rule was broken; the check of the trial is stricter and stays as it is. But w2 had survived the third start for twice as long as the earlier losses took. The leader did not know: a worker holds a list for 500 ms or until a run ends, so the newest evidence was from about half a second after the start, too early to clear the task. The class: a decision on a view whose age has no bound.

A worker with a suspected task now holds a list at most until it has survived that start, so the task is cleared then and not up to 500 ms (1,200 ms with many workers) later. It costs one more list for each probation.

Evidence: "a worker answers when it has survived the start of a suspected task, not only when a run ends" fails on the former code.

--- a/src/dispatch/common/run.ts
+++ b/src/dispatch/common/run.ts
@@ -176,6 +176,11 @@
         return this.provenAgeMs >= PROVEN_AGE_MS + this.task.lossAgeMs;
     }
 
+    /** @param now Time in ms. @returns Time until a report can show that the worker has survived the start, in ms. */
+    provenInMs(now: number): number {
+        return this.startedAt + PROVEN_AGE_MS + this.task.lossAgeMs - now;
+    }
+
     /** Handles an event. */
     fire(event: RunEvent, data: RunEventData): void {
         const before = this.machine.state;
--- a/src/dispatch/common/test/workerPool.test.ts
+++ b/src/dispatch/common/test/workerPool.test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { Outbox } from "../../../base/common/outbox";
 import { DispatchEffect } from "../dispatchEffects";
+import { TaskSuspicion } from "../taskSuspicion";
 import { PoolHost, WorkerPool } from "../workerPool";
 import { assign, createJob, createStep, createWorker, LIMITS, readingOf, report } from "./runs";
 
@@ -196,6 +197,22 @@
     t.is(longRunning.state, "over");
 });
 
+test("a worker answers when it has survived the start of a suspected task, not only when a run ends", t => {
+    const waitOf = (suspicion: TaskSuspicion | undefined) => {
+        const { pool, lists } = createPool(1);
+        const [worker] = [...pool.all];
+        const [task] = [...createJob("j", createStep("batch", false)).tasks()];
+        task.suspicion = suspicion;
+        task.lossAgeMs = 143;
+        assign(worker, task).fire("accepted", { now: 1 });
+        pool.requestListSoon(worker, 400);
+        pool.tick(400);
+        return lists()[0].order.waitMs;
+    };
+    t.is(waitOf(undefined), 500);
+    t.is(waitOf(TaskSuspicion.create("accused")), 500 + 143 - 400);
+});
+
 test("a worker that is draining, deregistered or silent gets no tasks", t => {
     const { pool, worker } = createBusyPool();
     t.true(worker.isUsable(10));
--- a/src/dispatch/common/workerPool.ts
+++ b/src/dispatch/common/workerPool.ts
@@ -300,14 +300,17 @@
                 leaseUntil:
                     isBusy && isReachable && this.host.mayExtend(now) ? worker.extendLeaseToMax(now) : undefined,
                 recordedUpTo: isConfirming ? worker.recordedUpTo : 0,
-                waitMs: mayWait ? this.listWaitMs() : 0,
+                waitMs: mayWait ? this.listWaitMs(worker, now) : 0,
             },
         });
     }
 
-    private listWaitMs(): number {
+    /** A worker answers at the latest when it has survived the start of its suspected tasks, so that these are cleared. */
+    private listWaitMs(worker: WorkerContact, now: number): number {
         const waitMs = Math.max(MIN_LIST_WAIT_MS, this.contacts.size * LIST_WAIT_PER_WORKER_MS);
-        return Math.min(MAX_LIST_WAIT_MS, Math.round(waitMs));
+        const onProbation = [...worker.runs.values()].filter(run => run.task.suspicion?.recorded !== undefined);
+        const unproven = onProbation.filter(run => !run.isProven).map(run => Math.max(0, run.provenInMs(now)));
+        return Math.round(Math.min(MAX_LIST_WAIT_MS, waitMs, ...unproven));
     }
 
     private retryStops(worker: WorkerContact, now: number): void {
--- a/src/proof/node/test/jobTrial.test.ts
+++ b/src/proof/node/test/jobTrial.test.ts
@@ -143,6 +143,8 @@
     { name: "when workers are cut off", faults: ["worker-cut"], everyMs: 1_500, seeds: [71002, 71003, 71020] },
     // The clock of a frozen leader stood still, so the entries that it had read seemed recent.
     { name: "when leaders are frozen", faults: ["freeze"], everyMs: 1_500, seeds: [71021, 71032] },
+    { name: "when workers crash", faults: ["worker-crash"], everyMs: 1_500, seeds: [704] },
+    { name: "under all faults", faults: FAULTS, everyMs: 1_500, seeds: [71006] },
     // Assignments by the capacity before the shrink were stored at the end of an outage, and their starts sent.
     { name: "when the store is down", faults: ["store-down"], everyMs: 1_500, seeds: [71021] },
     {
