Log the age of the views on which a leader starts and stops runs

The logs could not tell whether the leader had read the cancellation.

run-started, run-stopping and leader-began now have jobsAgeMs, the time since the request of the latest read of the jobs; the ages of the configuration and of the workers' list are added only from 2,500 ms on, so a line grows by about 20 bytes.

--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -22,8 +22,10 @@
 import { SchedulerRunHost } from "./schedulerRunHost";
 import { StartAdmission } from "./startAdmission";
 import { StepQueue } from "./stepQueue";
+import { StreamViews } from "./streamViews";
 import { SuspectTable } from "./suspectTable";
 import { firstWaitMs, Task } from "./task";
+import { ViewController } from "./viewController";
 import { WorkerContact } from "./workerContact";
 import { EntryReading } from "./workerEntry";
 import { WorkerLossCause, WorkerPool } from "./workerPool";
@@ -55,6 +57,8 @@
     readonly progress: ProgressTable;
     readonly queues: QueueTable;
     readonly leadership: Leadership;
+    /** Streams that this instance follows. */
+    readonly views: StreamViews;
     readonly limits: DispatchLimits;
     /** Latency model of an earlier leader. */
     readonly learnedInterference: readonly InterferenceRow[];
@@ -72,6 +76,7 @@
     private readonly failures: FailureController;
     private readonly queue: StepQueue;
     private readonly reviewer = RunReviewer.create();
+    private readonly views: ViewController;
     private readonly pruner: JobPruner;
     private readonly admission: StartAdmission;
     private readonly runHost: RunHost;
@@ -93,6 +98,7 @@
         this.now = now;
         this.nextModelRecordAt = now + MODEL_RECORD_INTERVAL_MS;
         this.model = LatencyModel.create(context.learnedInterference);
+        this.views = ViewController.create(context.views);
         this.runHost = SchedulerRunHost.create(this);
         this.pool = WorkerPool.create(epoch, now, context.limits, SchedulerPoolHost.create(this), context.effects);
         this.activeJobs = ActiveJobTable.create(epoch, writers);
@@ -112,7 +118,7 @@
         this.activeJobs.load(context.jobs, context.progress, (task, record) => this.inheritRun(task, record, now));
         this.activeJobs.suspects().forEach(task => this.suspects.update(task));
         this.resources.add(context.jobs.onDidChange(entry => this.onJobChange(entry)));
-        this.logDecision("leader-began", { epoch, jobs: this.activeJobs.size });
+        this.logDecision("leader-began", { epoch, jobs: this.activeJobs.size, ...this.views.ageFields(now) });
     }
 
     /**
@@ -259,8 +265,8 @@
         this.context.effects.emit({ kind: "start", worker: worker.entry, order });
         const { id, rack } = worker.entry;
         const waitedMs = firstWaitMs(run.task, this.wallNow);
-        const data = { task, run: number, worker: id, epoch: this.epoch, rack, waitedMs, entryAgeMs };
-        this.logDecision("run-started", data);
+        const ages = { entryAgeMs, ...this.views.ageFields(now) };
+        this.logDecision("run-started", { task, run: number, worker: id, epoch: this.epoch, rack, waitedMs, ...ages });
     }
 
     /** Sends the order to stop a run. */
@@ -487,7 +493,7 @@
     private stop(run: Run, reason: string, now: number): void {
         if (!run.isEnding) {
             const { task, run: number, worker } = run.record;
-            this.logDecision("run-stopping", { task, run: number, worker, reason });
+            this.logDecision("run-stopping", { task, run: number, worker, reason, ...this.views.ageFields(now) });
             run.fire("stop", { now });
         }
     }
--- a/src/dispatch/common/test/scheduler.test.ts
+++ b/src/dispatch/common/test/scheduler.test.ts
@@ -7,7 +7,7 @@
 import { QueueTable } from "../../../jobs/common/queueTable";
 import { Leadership } from "../../../records/common/leadership";
 import { RecordWriter } from "../../../records/common/recordWriter";
-import { DispatchEffect } from "../dispatchEffects";
+import { DecisionEffect, DispatchEffect } from "../dispatchEffects";
 import { Scheduler, SchedulerContext } from "../scheduler";
 import { WorkerEntry } from "../workerEntry";
 import { ListedEnd, RunList, StartOrder } from "../workerMessages";
@@ -40,6 +40,11 @@
     isStoreDown = false;
     /** Whether the workers renew their entries in service discovery. */
     hasHeartbeats = true;
+    /** How far the streams were read. */
+    private readonly view: { knownUntil: number | undefined } = { knownUntil: 0 };
+    /** How old the views of the streams are, in ms. */
+    viewAgeMs = 0;
+    readonly decisions: DecisionEffect[] = [];
 
     private constructor(step: StepSpec) {
         const jobs = JobTable.create();
@@ -50,6 +55,7 @@
         const context: SchedulerContext = {
             ...tables,
             leadership,
+            views: { jobs: this.view, configuration: this.view, workers: this.view },
             limits: LIMITS,
             learnedInterference: [],
             effects: this.outbox,
@@ -75,6 +81,7 @@
     /** Advances the time. @param ms By how much, in ms. */
     advance(ms: number): void {
         for (const until = this.now + ms; this.now < until; this.now += TICK_MS) {
+            this.view.knownUntil = this.now - this.viewAgeMs;
             this.writers[0].confirmedAt = this.isEpochConfirmed ? this.now : -20_000;
             if (this.hasHeartbeats && this.now - this.lastHeartbeatAt >= HEARTBEAT_INTERVAL_MS) {
                 this.lastHeartbeatAt = this.now;
@@ -100,6 +107,9 @@
             writer.handleAnswer({ kind: "append-answer", writer: effect.writer, sequence, result }, this.now);
             return;
         }
+        if (effect.kind === "decision") {
+            this.decisions.push(effect);
+        }
         if (effect.kind !== "list" && effect.kind !== "start") {
             return;
         }
@@ -214,6 +224,16 @@
     }
 });
 
+test("the line of a start has the age of the view of jobs, and of the others while these are old", t => {
+    const fixture = SchedulerFixture.create();
+    fixture.viewAgeMs = 600;
+    fixture.advance(500);
+    const { data } = fixture.decisions.find(each => each.name === "run-started")!;
+    t.is(data.jobsAgeMs, 600);
+    t.is(data.configAgeMs, undefined);
+    t.is(data.workersAgeMs, undefined);
+});
+
 test("an end is confirmed after it is stored", t => {
     const fixture = SchedulerFixture.create();
     fixture.advance(500);
--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -368,7 +368,8 @@
     private startScheduling(writer: RecordWriter, takeover: Takeover): void {
         const { jobs, queues, leadership, limits, outbox } = this;
         const { progress, learnedInterference } = takeover;
-        const context = { jobs, progress, queues, leadership, limits, learnedInterference, effects: outbox };
+        const views = { jobs: this.jobsFollower, configuration: this.operatorFollower, workers: this.workersFollower };
+        const context = { jobs, progress, queues, leadership, views, limits, learnedInterference, effects: outbox };
         const writers = { jobs: writer, progress: takeover.writer };
         this.scheduler = Scheduler.create(context, leadership.epoch, writers, this.now);
         this.workers.forEach((reading, id) => this.scheduler!.updateWorker(id, reading, this.now));
