Cancel jobs in the trials, and check that their tasks neither start late nor run on

The rule "unasked" follows the users' rule: no instance in touch starts a task later than 3,000 ms after the acknowledgement, and no run is active 200 ms after that, counted without disruptions near. Order and transit count: the validity of a start bounds both. A quarter of the jobs then has runs three times as long, so that only a stop ends them in time.

With runs that are never stopped, the rule is broken ("a leader that does not stop the runs of cancelled jobs...").

--- a/src/proof/node/jobRuleChecker.ts
+++ b/src/proof/node/jobRuleChecker.ts
@@ -1,6 +1,7 @@
 import { JobSpec, TaskRequest } from "../../jobs/common/jobSpec";
 import { RunEnd } from "../../dispatch/common/workerMessages";
 import { LeasedWorker, LeasedWorkerObserver } from "../../standin/common/leasedWorker";
+import { CancellationChecker } from "./cancellationChecker";
 import { TrialSchedule } from "./trialSchedule";
 
 /** Number of crashes under a task after which it may be given up, and number after which its starts are limited. */
@@ -22,6 +23,7 @@
     | "crash-budget"
     | "capacity"
     | "asked"
+    | "unasked"
     | "shown-done"
     | "known"
     | "finished";
@@ -56,11 +58,14 @@
     /** Jobs of which at least one submission was answered with `accepted`. */
     readonly accepted = new Set<string>();
     readonly violations: RuleViolation[] = [];
+    readonly cancellations: CancellationChecker;
     starts = 0;
     /** How often the capacity of a worker shrank. */
     shrinks = 0;
 
-    private constructor(private readonly schedule: TrialSchedule) {}
+    private constructor(private readonly schedule: TrialSchedule) {
+        this.cancellations = CancellationChecker.create(schedule, detail => this.check("unasked", false, detail));
+    }
 
     /** @param schedule Clock of the trial. @returns A checker without any observations. */
     static create(schedule: TrialSchedule): JobRuleChecker {
@@ -110,6 +115,7 @@
 
     onStart(worker: LeasedWorker, task: string, run: number): void {
         this.starts += 1;
+        this.cancellations.onStart(worker, task, run);
         const [id, occurrence, step] = task.split(".");
         const job = this.jobs.get(id);
         const otherRuns = this.activeRuns.get(task) ?? new Map<LeasedWorker, number>();
@@ -139,6 +145,7 @@
     }
 
     onEnd(worker: LeasedWorker, task: string, run: number, end: RunEnd): void {
+        this.cancellations.onEnd(worker, task, run);
         this.activeRuns.get(task)?.delete(worker);
         if (end === "done") {
             this.completedTasks.add(task);
--- a/src/proof/node/jobTrialPlan.ts
+++ b/src/proof/node/jobTrialPlan.ts
@@ -4,7 +4,7 @@
 import { Configuration, Queue } from "../../jobs/common/queueTable";
 import { JobDraft } from "../../jobs/common/jobCall";
 import { StoredRecord } from "../../records/common/record";
-import { LeasedWorker } from "../../standin/common/leasedWorker";
+import { LeasedWorker, RunPlanner } from "../../standin/common/leasedWorker";
 import type { JobTrial } from "./jobTrial";
 import { Random } from "./random";
 import { RuleViolation } from "./jobRuleChecker";
@@ -33,6 +33,7 @@
 export const LIMITS = {
     longestLeaseMs: 6_000,
     stopMs: 200,
+    cancelMs: 3_000,
     gangWaitMs: 3_000,
     harmMs: 4_000,
     configurationMs: 2_500,
@@ -55,9 +56,19 @@
     | "worker-cut"
     | "late-orders"
     | "slow-link"
-    | "expire";
+    | "expire"
+    | ReadFault;
 
-/** All kinds of faults. */
+/**
+ * Kinds of faults of the reads of the jobs by one instance: its pages arrive late, as over a link that other pages fill, or
+ * one response stalls.
+ */
+export type ReadFault = "slow-pages" | "stalled-read";
+
+/** Kinds of faults of the reads. They are apart from the others, whose list decides the trials of earlier seeds. */
+export const READ_FAULTS: readonly ReadFault[] = ["slow-pages", "stalled-read"];
+
+/** All kinds of faults but those of the reads. */
 export const FAULTS: readonly JobFault[] = [
     "kill",
     "kill-all",
@@ -73,6 +84,16 @@
     "expire",
 ];
 
+/** Kinds of faults of workers and of the links to them; all instances stay in touch. */
+export const FAULTS_OF_WORKERS: readonly JobFault[] = [
+    "worker-crash",
+    "worker-gone",
+    "worker-cut",
+    "late-orders",
+    "slow-link",
+    "expire",
+];
+
 /** Parameters of a trial. */
 export interface JobTrialPlan {
     readonly seed: number;
@@ -80,7 +101,7 @@
     readonly lengthMs: number;
     readonly instances: number;
     readonly workers: number;
-    /** Kinds of faults to inject; all if undefined. */
+    /** Kinds of faults to inject; `FAULTS` if undefined. */
     readonly faults?: readonly JobFault[];
     /** Mean time between faults, in ms; 0 for a fault-free trial. */
     readonly faultEveryMs: number;
@@ -93,6 +114,8 @@
      * service's workers do not reject what exceeds their capacity.
      */
     readonly shrinkEveryMs?: number;
+    /** Share of the jobs that are cancelled, from 0 to 1; none if undefined. */
+    readonly cancelRatio?: number;
     /** Breaks a mechanism on purpose, to prove that a rule detects it. */
     readonly sabotage?: (trial: JobTrial) => void;
 }
@@ -112,6 +135,8 @@
     readonly sharedCrashes: number;
     /** How often the capacity of a worker shrank. */
     readonly shrinks: number;
+    /** Jobs of which a cancellation was acknowledged. */
+    readonly cancelled: number;
     /** Decisions and faults with their times, one a line. */
     readonly trace: readonly string[];
 }
@@ -178,6 +203,25 @@
     return { ms: random.between(100, 2_500), end: random.chance(0.04) ? "failed" : "done" };
 }
 
+/** One in so many jobs has long runs in trials with cancellations, and how much longer they are. */
+const JOBS_PER_LONG_JOB = 4;
+const LONG_RUN_RATIO = 3;
+
+/**
+ * @param plan Parameters of the trial.
+ * @returns Decides on the runs. In trials with cancellations some are so long that only a stop ends them in time.
+ */
+export function runPlannerOf(plan: JobTrialPlan): RunPlanner {
+    if ((plan.cancelRatio ?? 0) === 0) {
+        return simulateRun;
+    }
+    return (task, run) => {
+        const { ms, end } = simulateRun(task, run);
+        const isLong = Number.parseInt(task, 16) % JOBS_PER_LONG_JOB === 0;
+        return { ms: isLong ? ms * LONG_RUN_RATIO : ms, end };
+    };
+}
+
 /**
  * Derives a job's deadly task, which crashes each worker that starts it, from the job's id: a draw would change the
  * trials of all seeds.
--- a/src/proof/node/trialWorkers.ts
+++ b/src/proof/node/trialWorkers.ts
@@ -3,7 +3,7 @@
 import { KeyedLog } from "../../standin/common/keyedLog";
 import { LeasedWorker, RunPlanner } from "../../standin/common/leasedWorker";
 import { JobRuleChecker } from "./jobRuleChecker";
-import { CALL_TIMEOUTS_MS, createWorkerEntry, executeOrder, JobTrialPlan, simulateRun } from "./jobTrialPlan";
+import { CALL_TIMEOUTS_MS, createWorkerEntry, executeOrder, JobTrialPlan, runPlannerOf } from "./jobTrialPlan";
 import { Random } from "./random";
 import { TrialSchedule } from "./trialSchedule";
 
@@ -277,7 +277,7 @@
 
     /** A deadly task is still at work when it crashes its worker. */
     private planRun(task: string, run: number): ReturnType<RunPlanner> {
-        const { ms, end } = simulateRun(task, run);
+        const { ms, end } = runPlannerOf(this.context.plan)(task, run);
         const isDeadly = this.context.checker.isDeadly(task);
         return { ms: isDeadly ? Math.max(ms, 2 * this.crashDelayMs) : ms, end };
     }
