Count a stream as known only up to a read that reached its end

A follower gave the time of its latest read as the time up to which it knows the stream, also when that page did not reach the end, and after a load the time of its last page, though a key before that page may have changed since the first one. An instance that lags by pages could answer 410 for a job that was accepted, count as ready, and claim that its view is current.

A page now counts only if the end of the stream was reached, and a load counts from the request of its first page.

--- a/src/records/common/recordFollower.ts
+++ b/src/records/common/recordFollower.ts
@@ -90,10 +90,12 @@
     private suspendedAt = Number.NEGATIVE_INFINITY;
     /** End of the stream at the time of a read that did not reach it, and when that read was sent. */
     private unreachedEnd: { readonly end: RecordOffset; readonly sentAt: number } | undefined;
+    /** Time (ms) at which the first page of the load was requested. */
+    private loadSentAt: number | undefined;
 
     /** Offset of the next record to be read. */
     nextOffset: RecordOffset = 0;
-    /** Time (ms) up to which all records are known: when the latest successful read was sent. */
+    /** Time (ms) up to which all records are known: when the latest read was sent that reached the end of the stream. */
     knownUntil: number | undefined;
 
     /** Whether the latest read failed. */
@@ -113,7 +115,7 @@
             actions: {
                 applyPage: answer => this.applyPage(answer!),
                 applyRecords: answer => this.applyRecords(answer!),
-                finishLoad: answer => this.finishLoad(answer!),
+                finishLoad: () => this.finishLoad(),
                 markKnown: answer => this.markKnown(answer!),
                 readNextPage: () => this.emitPageRead(),
                 readEnd: () => this.emitEndRead(),
@@ -147,6 +149,7 @@
     /** Starts to load the stream. */
     start(): void {
         this.followFrom = undefined;
+        this.loadSentAt = undefined;
         this.loadedKeys = new Set();
         this.lastKey = undefined;
         this.emitPageRead();
@@ -180,6 +183,7 @@
     private applyPage(answer: StoreAnswer): void {
         const { records, end } = answer.result.unwrap();
         this.followFrom ??= end;
+        this.loadSentAt ??= answer.sentAt;
         for (const record of records) {
             this.loadedKeys.add(record.key);
             this.lastKey = record.key;
@@ -187,12 +191,13 @@
         }
     }
 
-    private finishLoad(answer: StoreAnswer): void {
+    private finishLoad(): void {
         this.receiver.retainKeys(this.loadedKeys);
         this.loadedKeys = new Set();
         this.nextOffset = this.followFrom!;
         this.unreachedEnd = undefined;
-        this.updateKnownUntil(answer.sentAt);
+        // Pages are no snapshot: a record of a key before the latest page may have been appended since the first one.
+        this.updateKnownUntil(this.loadSentAt!);
     }
 
     private applyRecords(answer: StoreAnswer): void {
@@ -221,7 +226,7 @@
         return this.readTiming().largePauseMs !== undefined && length >= LARGE_PAGE_LENGTH;
     }
 
-    /** All records are known if none was appended; one that was is read next. */
+    /** All records are known if the page reached the end of the stream; the others are read next. */
     private markKnown(answer: StoreAnswer): void {
         if (answer.result.unwrap().end <= this.nextOffset) {
             this.updateKnownUntil(answer.sentAt);
--- a/src/records/common/test/recordFollower.test.ts
+++ b/src/records/common/test/recordFollower.test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { Ok } from "ts-results";
 import { Outbox } from "../../../base/common/outbox";
 import { KeyedLog } from "../../../standin/common/keyedLog";
 import { StoredRecord } from "../record";
@@ -42,6 +43,20 @@
         this.follower.start();
     }
 
+    /** Time (ms) at which the latest read was sent. */
+    get sentAt(): number {
+        return this.now;
+    }
+
+    /** Answers the read in flight with a page that is not the last one. @param count Number of its records. */
+    stepPartially(count: number): void {
+        const [effect] = this.outbox.drain();
+        this.now += 10;
+        const page = this.log.read(effect.kind === "read" ? effect.from : 0).unwrap();
+        const result = Ok({ ...page, records: page.records.slice(0, count) });
+        this.follower.handleAnswer({ kind: "read-answer", stream: "operator", sentAt: this.now, result });
+    }
+
     /** Answers the read in flight. @param ageMs How long ago it was sent, in ms. @returns The read. */
     step(ageMs = 0): RecordEffect {
         const [effect] = this.outbox.drain();
@@ -165,3 +180,35 @@
     });
     t.deepEqual(fixture.collector.writtenAfter, [undefined, undefined, undefined, 30]);
 });
+
+test("after a page that does not reach the end, the stream is known only up to the read before", t => {
+    const fixture = new Fixture({ waitMs: 1_000, pauseMs: 0 });
+    fixture.step();
+    const knownBefore = fixture.follower.knownUntil;
+    ["a", "b", "c"].forEach(key => fixture.log.store(key, "1"));
+    fixture.stepPartially(2);
+    t.is(fixture.collector.values.length, 3);
+    t.is(fixture.follower.knownUntil, knownBefore);
+    fixture.step();
+    t.is(fixture.collector.values.length, 4);
+    t.is(fixture.follower.knownUntil, fixture.sentAt);
+});
+
+test("after a load of several pages, the stream is known up to the request of the first one", t => {
+    const fixture = new Fixture({ waitMs: 1_000, pauseMs: 0 });
+    for (let key = 0; key < 50; key++) {
+        fixture.log.store(`k${key}`, "1");
+    }
+    fixture.step();
+    const firstSentAt = fixture.sentAt;
+    // Its page has been read, so only the history shows it.
+    fixture.log.store("a", "late");
+    while (!fixture.follower.isLoaded) {
+        fixture.step();
+    }
+    t.false(fixture.collector.values.includes("late"));
+    t.is(fixture.follower.knownUntil, firstSentAt);
+    fixture.step();
+    t.true(fixture.collector.values.includes("late"));
+    t.is(fixture.follower.knownUntil, fixture.sentAt);
+});
