Start no task on a view of the jobs that is older than the contract allows

Cause, as far as the trials show: a leader starts tasks on what it has read of the stream of jobs, and nothing bounded how long ago that was. One response that stalls, or pages that wait behind others on a full link, and tasks of jobs that were cancelled seconds ago are started, by an old leader or a new one. Class: a permission to act that depends on a view whose age nobody knows. An epoch and a lease do not help, since the leader is the right one.

The leader now places tasks and sends starts only while all records up to 1,400 ms ago are known: the 3,000 ms of the contract (new setting cancelMs, from bounds.cancel_ms) less the validity of a start (1,500 ms, at most half of cancelMs) and a margin for the worker's clock. So no order reaches a worker later than 3,000 ms after a cancellation that was not known. The chart view.chart.yaml has the states; view-old and view-recent are logged at each change only. During an outage of the store nothing changes, since assignments cannot be stored either.

--- a/src/dispatch/common/dispatchEffects.ts
+++ b/src/dispatch/common/dispatchEffects.ts
@@ -27,6 +27,8 @@
     | "job-ended"
     | "job-waits"
     | "suspended"
+    | "view-old"
+    | "view-recent"
     | "record-malformed"
     | "config-applied";
 
--- a/src/dispatch/common/dispatchLimits.ts
+++ b/src/dispatch/common/dispatchLimits.ts
@@ -4,6 +4,8 @@
     readonly longestLeaseMs: number;
     /** Time within which a stop takes effect. */
     readonly stopMs: number;
+    /** Time after the acknowledgement of a cancellation from which no task of its job starts. */
+    readonly cancelMs: number;
     /** Time for which the members of a gang wait for each other. */
     readonly gangWaitMs: number;
     /** Longest time for which a latency-critical task may exceed its target. */
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -7,7 +7,7 @@
 import { QueueTable } from "../../jobs/common/queueTable";
 import { Leadership } from "../../records/common/leadership";
 import { ActiveJob } from "./activeJob";
-import { DispatchLimits, RENEWAL_WINDOW_MS, START_VALIDITY_MS } from "./dispatchLimits";
+import { DispatchLimits, RENEWAL_WINDOW_MS } from "./dispatchLimits";
 import { DecisionData, DecisionName, DispatchEffect } from "./dispatchEffects";
 import { ActiveJobTable, LeaderWriters } from "./activeJobTable";
 import { JobPruner } from "./jobPruner";
@@ -98,7 +98,8 @@
         this.now = now;
         this.nextModelRecordAt = now + MODEL_RECORD_INTERVAL_MS;
         this.model = LatencyModel.create(context.learnedInterference);
-        this.views = ViewController.create(context.views);
+        const logView = (name: DecisionName, data: DecisionData) => this.logDecision(name, data);
+        this.views = ViewController.create(context.views, context.limits, logView);
         this.runHost = SchedulerRunHost.create(this);
         this.pool = WorkerPool.create(epoch, now, context.limits, SchedulerPoolHost.create(this), context.effects);
         this.activeJobs = ActiveJobTable.create(epoch, writers);
@@ -213,14 +214,16 @@
     }
 
     /**
-     * Sends the pending starts and assigns waiting tasks to workers, if the leader may give orders.
+     * Sends the pending starts and assigns waiting tasks to workers, if the leader may give orders and its view of the jobs
+     * is recent.
      * @param now Time in ms.
      * @param wallNow Time in ms since the Unix epoch.
      */
     schedule(now: number, wallNow: number): void {
         this.wallNow = wallNow;
         // A process that was paused may still believe that it leads: its successor has waited only for this window.
-        if (!this.context.leadership.canSendOrders() || !this.isConfirmationRecent(now)) {
+        const isLeading = this.context.leadership.canSendOrders() && this.isConfirmationRecent(now);
+        if (!isLeading || !this.views.canStart(now)) {
             return;
         }
         const starts = this.pendingStarts;
@@ -247,7 +250,7 @@
         const entryAge = worker?.entryAgeMs(now);
         const entryAgeMs = entryAge === undefined ? undefined : Math.round(entryAge);
         const reason = this.admission.reasonToWithhold(run, now);
-        const validUntil = worker?.extendLeaseTo(worker.clockReadingIn(START_VALIDITY_MS, now));
+        const validUntil = worker?.extendLeaseTo(worker.clockReadingIn(this.views.startValidityMs, now));
         if (reason !== undefined || worker === undefined || validUntil === undefined) {
             this.logDecision("start-withheld", { task, run: number, worker: run.record.worker, reason, entryAgeMs });
             run.fire("not-started", { now });
--- a/src/dispatch/common/test/runs.ts
+++ b/src/dispatch/common/test/runs.ts
@@ -13,6 +13,7 @@
 export const LIMITS: DispatchLimits = {
     longestLeaseMs: 6_000,
     stopMs: 200,
+    cancelMs: 3_000,
     gangWaitMs: 3_000,
     harmMs: 4_000,
     configurationMs: 2_500,
--- a/src/dispatch/common/test/scheduler.test.ts
+++ b/src/dispatch/common/test/scheduler.test.ts
@@ -224,6 +224,19 @@
     }
 });
 
+test("a leader starts nothing on a view of the jobs that is older than the contract allows", t => {
+    const fixture = SchedulerFixture.create();
+    // An order may travel for 1.5 s, and no task may start 3 s after the acknowledgement of its cancellation.
+    fixture.viewAgeMs = 1_450;
+    fixture.advance(2_000);
+    t.is(fixture.starts.length, 0);
+    fixture.viewAgeMs = 1_350;
+    fixture.advance(500);
+    t.is(fixture.starts.length, 1);
+    const names = fixture.decisions.map(each => each.name).filter(name => name.startsWith("view-"));
+    t.deepEqual(names, ["view-old", "view-recent"]);
+});
+
 test("the line of a start has the age of the view of jobs, and of the others while these are old", t => {
     const fixture = SchedulerFixture.create();
     fixture.viewAgeMs = 600;
--- a/src/dispatch/common/viewController.ts
+++ b/src/dispatch/common/viewController.ts
@@ -1,8 +1,30 @@
+import { ChartLoader } from "../../base/common/chartLoader";
+import { ChartRegistry } from "../../base/common/chartRegistry";
+import { Machine } from "../../base/common/machine";
+import { DecisionData, DecisionName } from "./dispatchEffects";
+import { DispatchLimits, LEASE_MARGIN_MS, START_VALIDITY_MS } from "./dispatchLimits";
 import { StreamView, StreamViews } from "./streamViews";
+import chartText from "./view.chart.yaml";
 
-/** Ages are logged with a decision from this one on, in ms; a shorter one is that of a stream that is read in time. */
+type ViewState = "recent" | "old";
+type ViewEvent = "aged" | "caught-up";
+type ViewAction = "logOld" | "logRecent";
+
+const chart = ChartRegistry.instance.register(
+    ChartLoader.load<ViewState, ViewEvent, never, ViewAction>(chartText, "view.chart.yaml", {
+        states: ["recent", "old"],
+        events: ["aged", "caught-up"],
+        guards: [],
+        actions: ["logOld", "logRecent"],
+    }),
+);
+
+/** Ages of the other views are logged from this one on, in ms; a shorter one is that of a stream that is read in time. */
 const MIN_LOGGED_AGE_MS = 2_500;
 
+/** Share of the time from a cancellation to the last start of its tasks for which an order to start may travel. */
+const MAX_VALIDITY_RATIO = 0.5;
+
 /** Ages of the views on which a decision is based, in ms, as fields of its log line. */
 export interface ViewAgeFields {
     readonly jobsAgeMs: number | undefined;
@@ -12,13 +34,53 @@
     readonly workersAgeMs: number | undefined;
 }
 
-/** Knows how old the views are on which the leader decides. */
+/** Logs a decision. */
+export type LogDecision = (name: DecisionName, data: DecisionData) => void;
+
+/** Knows how old the views are on which the leader decides, and lets no task start on a view that is too old. */
 export class ViewController {
-    private constructor(private readonly views: StreamViews) {}
+    private readonly machine: Machine<number, ViewState, ViewEvent, never, ViewAction>;
+    /** Validity of an order to start, in ms. */
+    readonly startValidityMs: number;
+    private readonly maxStartAgeMs: number;
+
+    private constructor(
+        private readonly views: StreamViews,
+        limits: DispatchLimits,
+        log: LogDecision,
+    ) {
+        this.startValidityMs = Math.min(START_VALIDITY_MS, limits.cancelMs * MAX_VALIDITY_RATIO);
+        this.maxStartAgeMs = limits.cancelMs - this.startValidityMs - LEASE_MARGIN_MS;
+        this.machine = Machine.create(chart, {
+            guards: {},
+            actions: {
+                logOld: now => log("view-old", { ...this.ageFields(now) }),
+                logRecent: now => log("view-recent", { ...this.ageFields(now) }),
+            },
+        });
+    }
+
+    /**
+     * @param views The streams on which decisions depend.
+     * @param limits Limits of the deployment.
+     * @param log Logs when the view of the jobs becomes too old, and when it is recent again.
+     * @returns The controller.
+     */
+    static create(views: StreamViews, limits: DispatchLimits, log: LogDecision): ViewController {
+        return new ViewController(views, limits, log);
+    }
 
-    /** @param views The streams on which decisions depend. @returns The controller. */
-    static create(views: StreamViews): ViewController {
-        return new ViewController(views);
+    /**
+     * Decides whether tasks may be started. An order that is sent now reaches its worker within its validity, and then no
+     * cancellation that is not known yet may be older than the deployment allows.
+     * @param now Time in ms.
+     * @returns Whether the view of the jobs is recent enough.
+     */
+    canStart(now: number): boolean {
+        const { knownUntil } = this.views.jobs;
+        const isRecent = knownUntil !== undefined && now - knownUntil <= this.maxStartAgeMs;
+        this.machine.fire(isRecent ? "caught-up" : "aged", now);
+        return isRecent;
     }
 
     /** @param now Time in ms. @returns Fields for the log line of a decision. */
--- a/src/host/common/jobSettings.ts
+++ b/src/host/common/jobSettings.ts
@@ -23,6 +23,8 @@
     scheduling: z.strictObject({
         longestLeaseMs: milliseconds,
         stopMs: milliseconds,
+        /** Empty in deployments that do not bound it. */
+        cancelMs: z.nullish(milliseconds),
         gangWaitMs: milliseconds,
         harmMs: milliseconds,
         configurationMs: milliseconds,
--- a/src/platform/node/platformProcess.ts
+++ b/src/platform/node/platformProcess.ts
@@ -25,6 +25,9 @@
 
 const MS_PER_SECOND = 1_000;
 
+/** Time from which no task of a cancelled job starts, where the settings do not say it, in ms. */
+const DEFAULT_CANCEL_MS = 3_000;
+
 /**
  * Starts an instance on the platform.
  * @param settings Settings of the instance.
@@ -42,8 +45,8 @@
     const workers = PlatformWorkers.create(HttpClient.create({ connections: WORKER_CONNECTIONS }), (call, failure) =>
         log.log("worker-call-failed", { call, failure }, "detail"),
     );
-    const { retentionS, ...scheduling } = settings.scheduling;
-    const limits = { ...scheduling, retentionMs: retentionS * MS_PER_SECOND };
+    const { retentionS, cancelMs, ...scheduling } = settings.scheduling;
+    const limits = { ...scheduling, cancelMs: cancelMs ?? DEFAULT_CANCEL_MS, retentionMs: retentionS * MS_PER_SECOND };
     const { share, speed } = settings.processor;
     const identity = {
         instance: name,
--- a/src/proof/node/test/jobTrial.test.ts
+++ b/src/proof/node/test/jobTrial.test.ts
@@ -6,7 +6,7 @@
 import { RecordWriter } from "../../../records/common/recordWriter";
 import { LeasedWorker } from "../../../standin/common/leasedWorker";
 import { JobTrial } from "../jobTrial";
-import { FAULTS, JobFault, JobTrialPlan } from "../jobTrialPlan";
+import { FAULTS, JobFault, JobTrialPlan, READ_FAULTS } from "../jobTrialPlan";
 import { JobRule } from "../jobRuleChecker";
 
 const PLAN: Omit<JobTrialPlan, "seed"> = { lengthMs: 20_000, instances: 3, workers: 6, faultEveryMs: 1_200 };
@@ -86,6 +86,39 @@
     });
 }
 
+/** Seeds with which tasks of cancelled jobs were started over 3 s after the cancellation. */
+const OLD_VIEW_REGRESSIONS: Readonly<Record<number, string>> = {
+    1003: "a leader started three tasks up to 3.9 s after the cancellation of their job",
+    1005: "the fourth leader started four tasks 4.8 s after the cancellation of their job",
+    1058: "the second leader started four tasks up to 5.2 s after the cancellation of their job",
+    1078: "a leader started a task 3.5 s after the cancellation of its job",
+};
+
+for (const [seed, cause] of Object.entries(OLD_VIEW_REGRESSIONS)) {
+    test.serial(`regression with seed ${seed}: ${cause}`, t => {
+        const faults = [...FAULTS, ...READ_FAULTS];
+        const plan = { ...PLAN, lengthMs: LONG_TRIAL_MS, faultEveryMs: 2_500, seed: Number(seed), faults };
+        t.deepEqual(JobTrial.run({ ...plan, cancelRatio: CANCEL_RATIO }).breaches, []);
+    });
+}
+
+/** Faults of the reads beside one other kind, and seeds for each. */
+const READ_TRIALS: readonly { name: string; faults: readonly JobFault[] }[] = [
+    { name: "alone", faults: READ_FAULTS },
+    { name: "while leaders are killed", faults: ["kill", ...READ_FAULTS] },
+    { name: "while leaders are frozen", faults: ["freeze", ...READ_FAULTS] },
+];
+
+for (const { name, faults } of READ_TRIALS) {
+    test.serial(`no task of a cancelled job starts late when reads of the jobs are slow or stall, ${name}`, t => {
+        for (const seed of [701, 702, 703]) {
+            const result = JobTrial.run({ ...PLAN, seed, faults, cancelRatio: CANCEL_RATIO });
+            t.true(result.cancelled > 5);
+            t.deepEqual(result.breaches, []);
+        }
+    });
+}
+
 /** Share of the jobs with a task that crashes each worker that starts it. */
 const DEADLY_RATIO = 0.05;
 
