No tasks for a worker by the entry of its former incarnation

What users could see: a worker restarts under its id as another kind, and until its next heartbeat is read tasks are started there that require a label that it no longer has (ROUTE). The same holds for an assignment that waited for an outage of the store.

Cause: the labels were taken from the latest entry, although the list of the worker names a later incarnation. The class: a decision on a view whose age has no bound. The capacity is covered by the bound for the age of the entry.

A worker whose list is of a later incarnation than its entry gets no tasks until the entry is read, about 2 s at most. A start is withheld if that holds when it is sent, or if the worker has lost the required label. Before the list arrives, a start cannot be prevented from reaching the new incarnation, since an order cannot name it.

Evidence: "no task is started on a worker that has restarted, perhaps as another kind, before its new entry is read" and "... that is of another kind since the assignment" fail on the former code.

--- a/src/dispatch/common/startAdmission.ts
+++ b/src/dispatch/common/startAdmission.ts
@@ -19,8 +19,9 @@
 const LOG_INTERVAL_MS = 5_000;
 
 /**
- * Why the start of a run is not sent. `not-ready`: the worker drains or has left. `shrunk`: its runs exceed its capacity.
- * `capacity-unknown`: its entry is too old to show what it can hold. `gang`: one of these holds for another member.
+ * Why the start of a run is not sent. `not-ready`: the worker drains, has left, or has restarted and may be of another kind.
+ * `shrunk`: its runs exceed its capacity. `capacity-unknown`: its entry is too old to show what it can hold. `gang`: one of
+ * these holds for another member.
  */
 export type WithholdReason = "unreachable" | "not-ready" | "shrunk" | "capacity-unknown" | "gang";
 
@@ -90,7 +91,9 @@
         if (worker?.state !== "reachable") {
             return "unreachable";
         }
-        if (!worker.isRegistered || worker.entry.state !== "ready") {
+        const { requiredLabel } = run.task.step;
+        const hasLabel = requiredLabel === undefined || worker.entry.labels.includes(requiredLabel);
+        if (!worker.isRegistered || !worker.isReady || !hasLabel) {
             return "not-ready";
         }
         if (worker.isOvercommitted) {
--- a/src/dispatch/common/test/scheduler.test.ts
+++ b/src/dispatch/common/test/scheduler.test.ts
@@ -195,6 +195,33 @@
     );
 });
 
+test("no task is started on a worker that has restarted, perhaps as another kind, before its new entry is read", t => {
+    const fixture = SchedulerFixture.create();
+    fixture.isEpochConfirmed = false;
+    ["w1", "w2"].forEach(id => {
+        fixture.updateWorker({ ...createWorker(id).entry, incarnation: 5 });
+        fixture.lists.set(id, { incarnation: 6, running: [], ended: [] });
+    });
+    fixture.advance(500);
+    fixture.isEpochConfirmed = true;
+    fixture.advance(2_000);
+    t.deepEqual(fixture.starts, []);
+    fixture.updateWorker({ ...createWorker("w2").entry, incarnation: 6 });
+    fixture.advance(500);
+    t.is(fixture.starts[0]?.worker, "w2");
+});
+
+test("no task is started on a worker that is of another kind since the assignment", t => {
+    const fixture = SchedulerFixture.create(createStep("x", false, { requiredLabel: "big" }));
+    ["w1", "w2"].forEach(id => fixture.updateWorker({ ...createWorker(id).entry, labels: ["big"] }));
+    fixture.isStoreDown = true;
+    fixture.advance(500);
+    ["w1", "w2"].forEach(id => fixture.updateWorker({ ...createWorker(id).entry, labels: ["small"] }));
+    fixture.isStoreDown = false;
+    fixture.advance(2_000);
+    t.deepEqual(fixture.starts, []);
+});
+
 test("a best-effort task is started although its CPU exceeds what a shrink has left", t => {
     const capacity = { cpuMillis: 100, memoryMb: 8_000, accelerators: 0 };
     const fixture = changeAfterAssignment(createStep("x", false), ["w1", "w2"], { capacity });
--- a/src/dispatch/common/workerContact.ts
+++ b/src/dispatch/common/workerContact.ts
@@ -131,12 +131,19 @@
         return this.machine.state;
     }
 
+    /** Whether its entry is that of the incarnation in the latest list, which may be of another kind, and says that it is ready. */
+    get isReady(): boolean {
+        const { incarnation, state } = this.latestEntry;
+        const isOutdated = incarnation > 0 && incarnation < (this.latestIncarnation ?? 0);
+        return state === "ready" && !isOutdated;
+    }
+
     /** Whether it may be given tasks. */
     isUsable(now: number): boolean {
         return (
             this.state === "reachable" &&
             this.isRegistered &&
-            this.latestEntry.state === "ready" &&
+            this.isReady &&
             now >= this.backoffUntil &&
             !this.isConfirmationInFlight &&
             this.keptEndCount < MAX_KEPT_ENDS &&
