No tasks for a worker without overload protection while it has unknown runs

What users could see: such a worker was brought over its capacity (LIMIT) while it had runs that the leader does not know, for example after progress that could not be read. They are stopped as soon as a list shows them, but were not counted until their end, although what is being stopped counts.

Cause: the free capacity was computed from the leader's own runs only. A list with unknown runs now means that what the worker can hold is not known, until a list without them.

Evidence: "no task is started on a worker without overload protection while it has runs of unknown size" fails on the former code.

--- a/src/dispatch/common/startAdmission.ts
+++ b/src/dispatch/common/startAdmission.ts
@@ -20,8 +20,8 @@
 
 /**
  * Why the start of a run is not sent. `not-ready`: the worker drains, has left, or has restarted and may be of another kind.
- * `shrunk`: its runs exceed its capacity. `capacity-unknown`: its entry is too old to show what it can hold. `gang`: one of
- * these holds for another member.
+ * `shrunk`: its runs exceed its capacity. `capacity-unknown`: its entry is too old to show what it can hold, or it has runs of
+ * unknown size. `gang`: one of these holds for another member.
  */
 export type WithholdReason = "unreachable" | "not-ready" | "shrunk" | "capacity-unknown" | "gang";
 
@@ -104,7 +104,10 @@
 
     private isCapacityKnown(worker: WorkerContact, now: number): boolean {
         const isGuarded = this.queues.service(worker.entry.service)?.rejectsOverload === true;
-        return isGuarded || (worker.entryAgeMs(now) ?? Number.POSITIVE_INFINITY) <= MAX_ENTRY_AGE_MS;
+        return (
+            isGuarded ||
+            (!worker.hasUnknownRuns && (worker.entryAgeMs(now) ?? Number.POSITIVE_INFINITY) <= MAX_ENTRY_AGE_MS)
+        );
     }
 }
 
--- a/src/dispatch/common/test/scheduler.test.ts
+++ b/src/dispatch/common/test/scheduler.test.ts
@@ -222,6 +222,17 @@
     t.deepEqual(fixture.starts, []);
 });
 
+test("no task is started on a worker without overload protection while it has runs of unknown size", t => {
+    const fixture = SchedulerFixture.create();
+    const running = [{ task: "b.0.0.0", run: 1, checkpoint: "", percent: 50, latencyOrUsage: 0 }];
+    ["w1", "w2"].forEach(id => fixture.lists.set(id, { incarnation: 1, running, ended: [] }));
+    fixture.advance(2_000);
+    t.deepEqual(fixture.starts, []);
+    fixture.lists.set("w2", { incarnation: 1, running: [], ended: [] });
+    fixture.advance(2_000);
+    t.is(fixture.starts[0]?.worker, "w2");
+});
+
 test("a best-effort task is started although its CPU exceeds what a shrink has left", t => {
     const capacity = { cpuMillis: 100, memoryMb: 8_000, accelerators: 0 };
     const fixture = changeAfterAssignment(createStep("x", false), ["w1", "w2"], { capacity });
--- a/src/dispatch/common/workerContact.ts
+++ b/src/dispatch/common/workerContact.ts
@@ -94,6 +94,8 @@
     leavesAt: number | undefined;
     /** Time (ms) before which it is given no tasks, after it rejected a start as full or unhealthy. */
     backoffUntil = 0;
+    /** Whether its latest list has runs that are not among `runs`; they are being stopped. */
+    hasUnknownRuns = false;
     /** Time (ms) after which its entry was certainly written, if known. */
     entryWrittenAfter: number | undefined;
 
--- a/src/dispatch/common/workerPool.ts
+++ b/src/dispatch/common/workerPool.ts
@@ -242,6 +242,7 @@
                 this.host.onEndReported(worker, end, hasLaterLapse, now);
             }
         }
+        worker.hasUnknownRuns = false;
         const present = new Set<string>();
         for (const listed of running) {
             present.add(listed.task);
@@ -249,6 +250,7 @@
             if (run?.record.run === listed.run) {
                 run.recordReport(listed, now);
             } else {
+                worker.hasUnknownRuns = true;
                 this.stopUnknown(worker, listed.task, listed.run);
             }
         }
