Record the latency model, and back off from workers, outside of the scheduler

WorkerContact knows for how long a rejected start keeps it without tasks, and LatencyModelRecorder when the model is recorded.

--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -13,7 +13,7 @@
 import { JobPruner } from "./jobPruner";
 import { FailureController } from "./failureController";
 import { LatencyModel, InterferenceRow } from "./latencyModel";
-import { encodeLatencyModel, LATENCY_MODEL_KEY } from "./latencyModelRecord";
+import { LatencyModelRecorder } from "./latencyModelRecorder";
 import { ThrottleController } from "./throttleController";
 import { Run, RunHost, RunOutcome } from "./run";
 import { RunReviewer } from "./runReviewer";
@@ -34,12 +34,6 @@
 /** Size of the range of run numbers per task and epoch. Separate ranges keep two leaders from using the same number. */
 const MAX_RUNS_PER_EPOCH = 1_000;
 
-/** Time for which a worker that rejected a start as full gets no tasks, in ms: about the duration of a short task. */
-const NO_ROOM_BACKOFF_MS = 200;
-
-/** Time for which a worker that rejected a start as unhealthy gets no tasks, in ms. */
-const UNHEALTHY_BACKOFF_MS = 1_000;
-
 /** Minimum interval between passes over the waiting tasks, in ms. It grows with the workers: a pass visits them all. */
 const MIN_PASS_INTERVAL_MS = 20;
 const PASS_INTERVAL_PER_WORKER_MS = 0.2;
@@ -47,9 +41,6 @@
 /** Maximum interval between passes, in ms: latencies change even while no run ends. */
 const MAX_PASS_INTERVAL_MS = 150;
 
-/** Interval between records of the latency model, in ms: a successor loses at most this much of its updates. */
-const MODEL_RECORD_INTERVAL_MS = 5_000;
-
 /** Dependencies of the scheduler. */
 export interface SchedulerContext {
     readonly jobs: JobTable;
@@ -85,7 +76,7 @@
     /** Whether a pass over the waiting tasks is needed. */
     private isDirty = true;
     private lastPassAt = 0;
-    private nextModelRecordAt: number;
+    private readonly modelRecorder: LatencyModelRecorder;
     private now = 0;
     private wallNow = 0;
 
@@ -96,8 +87,8 @@
         now: number,
     ) {
         this.now = now;
-        this.nextModelRecordAt = now + MODEL_RECORD_INTERVAL_MS;
         this.model = LatencyModel.create(context.learnedInterference);
+        this.modelRecorder = LatencyModelRecorder.create(this.model, writers.progress, now);
         const logView = (name: DecisionName, data: DecisionData) => this.logDecision(name, data);
         this.views = ViewController.create(context.views, context.limits, logView);
         this.runHost = SchedulerRunHost.create(this);
@@ -206,10 +197,7 @@
             this.moveRuns(worker, now);
         }
         this.pruner.tick(now);
-        if (now >= this.nextModelRecordAt) {
-            this.nextModelRecordAt = now + MODEL_RECORD_INTERVAL_MS;
-            this.writers.progress.write(LATENCY_MODEL_KEY, () => encodeLatencyModel(this.model.rows()));
-        }
+        this.modelRecorder.tick(now);
         this.isDirty ||= now - this.lastPassAt > MAX_PASS_INTERVAL_MS;
     }
 
@@ -412,11 +400,7 @@
             this.pool.requestListSoon(worker, now);
             return;
         }
-        if (event.outcome === "no-room") {
-            worker.backoffUntil = now + NO_ROOM_BACKOFF_MS;
-        } else if (event.outcome === "unhealthy") {
-            worker.backoffUntil = now + UNHEALTHY_BACKOFF_MS;
-        }
+        worker.backOff(event.outcome, now);
         run.fire("not-started", { now });
     }
 
--- a/src/dispatch/common/workerContact.ts
+++ b/src/dispatch/common/workerContact.ts
@@ -8,7 +8,7 @@
 import { Run } from "./run";
 import chartText from "./workerContact.chart.yaml";
 import { EntryReading, WorkerEntry } from "./workerEntry";
-import { ListedEnd } from "./workerMessages";
+import { ListedEnd, OrderOutcome } from "./workerMessages";
 
 /** State of the leader's contact with a worker. */
 export type ContactState = "uncontacted" | "reachable" | "silent" | "vacant";
@@ -48,6 +48,12 @@
  */
 const MAX_KEPT_ENDS = 250;
 
+/**
+ * Time for which a worker that rejected a start gets no tasks, in ms, by why it rejected it. For one that is full it is about
+ * the duration of a short task.
+ */
+const REJECTION_BACKOFF_MS: Partial<Record<OrderOutcome, number>> = { "no-room": 200, unhealthy: 1_000 };
+
 /** Capacity of a worker that is not allocated. */
 export interface FreeCapacity {
     readonly cpuMillis: number;
@@ -93,7 +99,7 @@
     /** Earliest time (ms) at which it may leave, if it is draining. */
     leavesAt: number | undefined;
     /** Time (ms) before which it is given no tasks, after it rejected a start as full or unhealthy. */
-    backoffUntil = 0;
+    private backoffUntil = 0;
     /** Whether its latest list has runs that are not among `runs`; they are being stopped. */
     hasUnknownRuns = false;
     /** Time (ms) after which its entry was certainly written, if known. */
@@ -140,6 +146,11 @@
         return state === "ready" && !isOutdated;
     }
 
+    /** Gives the worker no tasks for some time after it has rejected a start. @param outcome Why. @param now Time in ms. */
+    backOff(outcome: OrderOutcome, now: number): void {
+        this.backoffUntil = Math.max(this.backoffUntil, now + (REJECTION_BACKOFF_MS[outcome] ?? 0));
+    }
+
     /** Whether it may be given tasks. */
     isUsable(now: number): boolean {
         return (
