Repeat a read of the jobs on the leader that is not answered in time

A run of a job that was cancelled went on for more than 3.2 s after the acknowledgement, with no disruption at all: the leader has one read in flight, and a response that stalls is given up only after 1.9 to 3.9 s.

Giving up earlier is no remedy: pages on a full link would be sent again from their start (docs/incidents/ many-restarts-at-once.md). The leader's follower of the jobs now sends a read that has no answer after 0.9 s (its wait of 400 ms and 500 ms more) again over another connection, without a wait. The first answer counts, late ones add the records that are not known yet and start no further read. At most three late reads are awaited beside the latest one.

--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -45,8 +45,11 @@
 /** Reads of the stream of jobs on standby. The long poll shows how long the leader has not renewed its record. */
 const STANDBY_JOBS_TIMING: ReadTiming = { waitMs: 400, pauseMs: 120 };
 
-/** Reads of the stream of jobs on the leader, which needs new submissions with little delay. */
-const LEADER_JOBS_TIMING: ReadTiming = { waitMs: 400, pauseMs: 25 };
+/**
+ * Reads of the stream of jobs on the leader, which needs new submissions with little delay. A response that stalls is given up
+ * only after seconds, in which cancellations would not be known.
+ */
+const LEADER_JOBS_TIMING: ReadTiming = { waitMs: 400, pauseMs: 25, repeatAfterMs: 900 };
 
 /** Reads of the stream of workers on the leader. Entries are renewed continually, so one read collects several. */
 const LEADER_WORKERS_TIMING: ReadTiming = { waitMs: 2_000, pauseMs: 400 };
@@ -338,6 +341,7 @@
         if (this.jobsFollower.isLoaded && this.queues.version !== undefined) {
             this.lifecycle.fire("loaded", now);
         }
+        this.jobsFollower.tick(now);
         this.leadership.tick(now);
         this.scheduler?.tick(now, wallNow);
         const isIdle = this.callHandler.openCallCount === 0 && this.leadership.isResignationStored;
--- a/src/proof/node/test/jobTrial.test.ts
+++ b/src/proof/node/test/jobTrial.test.ts
@@ -119,6 +119,14 @@
     });
 }
 
+// A response that stalls disrupts nothing, so the runs of cancelled jobs have to end in time.
+test.serial("no task of a cancelled job runs on while a response with cancellations stalls", t => {
+    for (const seed of [711, 712, 713, 714, 715, 716]) {
+        const plan = { ...PLAN, lengthMs: LONG_TRIAL_MS, seed, cancelRatio: 2 * CANCEL_RATIO };
+        t.deepEqual(JobTrial.run({ ...plan, faults: ["stalled-read"], faultEveryMs: 2_500 }).breaches, []);
+    }
+});
+
 /** Share of the jobs with a task that crashes each worker that starts it. */
 const DEADLY_RATIO = 0.05;
 
--- a/src/records/common/recordFollower.ts
+++ b/src/records/common/recordFollower.ts
@@ -8,10 +8,18 @@
 import { RecordEffect, RecordEvent } from "./recordEvents";
 
 type FollowerState = "loading" | "following" | "pausing";
-type FollowerEvent = "page" | "last-page" | "records" | "truncated" | "failed";
+type FollowerEvent = "page" | "last-page" | "records" | "truncated" | "failed" | "late" | "late-records";
 type FollowerGuard = "isLarge" | "isFarBehind";
 type FollowerAction =
-    "applyPage" | "applyRecords" | "finishLoad" | "markKnown" | "readNextPage" | "readMore" | "readEnd" | "restart";
+    | "applyPage"
+    | "applyRecords"
+    | "finishLoad"
+    | "markKnown"
+    | "readNextPage"
+    | "readMore"
+    | "readEnd"
+    | "repeatRead"
+    | "restart";
 
 const chart = ChartRegistry.instance.register(
     ChartLoader.load<FollowerState, FollowerEvent, FollowerGuard, FollowerAction>(
@@ -19,7 +27,7 @@
         "recordFollower.chart.yaml",
         {
             states: ["loading", "following", "pausing"],
-            events: ["page", "last-page", "records", "truncated", "failed"],
+            events: ["page", "last-page", "records", "truncated", "failed", "late", "late-records"],
             guards: ["isLarge", "isFarBehind"],
             actions: [
                 "applyPage",
@@ -29,6 +37,7 @@
                 "readNextPage",
                 "readMore",
                 "readEnd",
+                "repeatRead",
                 "restart",
             ],
         },
@@ -38,6 +47,9 @@
 /** Delay before a failed read is retried. */
 const RETRY_BACKOFF_MS = 150;
 
+/** Limit of the late reads that are awaited beside the latest one: their pages use the link, too. */
+const MAX_LATE_READS = 3;
+
 /** Receives the records of a stream. */
 export abstract class RecordReceiver {
     /**
@@ -62,6 +74,11 @@
      * record is read.
      */
     readonly largePauseMs?: number;
+    /**
+     * Time after which a read without an answer is sent again over another connection, in ms. The first is still awaited,
+     * and at most three are. Without it, a response that stalls delays all later records until it is given up.
+     */
+    readonly repeatAfterMs?: number;
 }
 
 /** Size of a page, in characters, from which it is large: reading it takes 10 ms at 50 Mbit/s. */
@@ -90,6 +107,12 @@
     private suspendedAt = Number.NEGATIVE_INFINITY;
     /** End of the stream at the time of a read that did not reach it, and when that read was sent. */
     private unreachedEnd: { readonly end: RecordOffset; readonly sentAt: number } | undefined;
+    /** Time (ms) at which `tick` first saw the read in flight. */
+    private waitingSince: number | undefined;
+    /** Time (ms) at which a read was last repeated; reads sent before it are late. */
+    private repeatedAt = -Infinity;
+    private tickedAt = 0;
+    private lateReadCount = 0;
     /** Time (ms) at which the first page of the load was requested. */
     private loadSentAt: number | undefined;
 
@@ -120,6 +143,7 @@
                 readNextPage: () => this.emitPageRead(),
                 readEnd: () => this.emitEndRead(),
                 readMore: () => this.emitRead(),
+                repeatRead: () => this.emitRepeatedRead(),
                 restart: () => this.start(),
             },
         });
@@ -166,8 +190,24 @@
         this.unreachedEnd = undefined;
     }
 
+    /** Repeats a read that is not answered in time. @param now Time in ms. */
+    tick(now: number): void {
+        this.waitingSince ??= now;
+        const { repeatAfterMs } = this.readTiming();
+        const isLate = repeatAfterMs !== undefined && now - this.waitingSince > repeatAfterMs;
+        if (isLate && this.lateReadCount < MAX_LATE_READS) {
+            this.tickedAt = now;
+            this.machine.fire("late", undefined);
+        }
+    }
+
     /** Handles the answer to a read of this stream. */
     handleAnswer(answer: StoreAnswer): void {
+        if (answer.sentAt < this.repeatedAt) {
+            this.handleLateAnswer(answer);
+            return;
+        }
+        this.waitingSince = undefined;
         this.isFailing = !answer.result.ok;
         this.nextPauseMs = answer.result.ok ? this.readTiming().pauseMs : RETRY_BACKOFF_MS;
         if (!answer.result.ok) {
@@ -180,6 +220,13 @@
         }
     }
 
+    private handleLateAnswer(answer: StoreAnswer): void {
+        this.lateReadCount -= 1;
+        if (answer.kind === "read-answer" && answer.result.ok) {
+            this.machine.fire("late-records", answer);
+        }
+    }
+
     private applyPage(answer: StoreAnswer): void {
         const { records, end } = answer.result.unwrap();
         this.followFrom ??= end;
@@ -203,9 +250,11 @@
     private applyRecords(answer: StoreAnswer): void {
         const { records, end } = answer.result.unwrap();
         for (const record of records) {
-            // All earlier records were known by then.
-            this.receiver.apply(record, this.knownUntil);
-            this.nextOffset = record.offset + 1;
+            if (record.offset >= this.nextOffset) {
+                // All earlier records were known by then.
+                this.receiver.apply(record, this.knownUntil);
+                this.nextOffset = record.offset + 1;
+            }
         }
         if (this.nextOffset >= end) {
             this.updateKnownUntil(answer.sentAt);
@@ -233,9 +282,10 @@
         }
     }
 
+    /** A late answer may follow that to a later read. */
     private updateKnownUntil(sentAt: number): void {
         if (sentAt > this.suspendedAt) {
-            this.knownUntil = sentAt;
+            this.knownUntil = Math.max(this.knownUntil ?? Number.NEGATIVE_INFINITY, sentAt);
         }
     }
 
@@ -253,6 +303,13 @@
         });
     }
 
+    private emitRepeatedRead(): void {
+        this.repeatedAt = this.tickedAt;
+        this.lateReadCount += 1;
+        this.waitingSince = undefined;
+        this.effects.emit({ kind: "read", stream: this.stream, from: this.nextOffset, waitMs: 0, delayMs: 0 });
+    }
+
     private emitRead(): void {
         this.effects.emit({
             kind: "read",
--- a/src/records/common/test/recordFollower.test.ts
+++ b/src/records/common/test/recordFollower.test.ts
@@ -27,6 +27,11 @@
     }
 }
 
+interface SentRead {
+    readonly effect: RecordEffect;
+    readonly sentAt: number;
+}
+
 /** Follows a stream; each step answers the follower's read. */
 class Fixture {
     readonly log = KeyedLog.create();
@@ -43,6 +48,26 @@
         this.follower.start();
     }
 
+    /** @returns The reads that were sent since the latest call. */
+    take(): SentRead[] {
+        const effects = this.outbox.drain();
+        this.now += 10;
+        return effects.map(effect => ({ effect, sentAt: this.now }));
+    }
+
+    /** Answers a read with the records that there are now. */
+    answer({ effect, sentAt }: SentRead): void {
+        const result = this.log.read(effect.kind === "read" ? effect.from : 0);
+        this.follower.handleAnswer({ kind: "read-answer", stream: "operator", sentAt, result });
+    }
+
+    /** Advances the time. @param ms By how much, in ms. */
+    tickFor(ms: number): void {
+        for (const until = this.now + ms; this.now < until; this.now += 25) {
+            this.follower.tick(this.now);
+        }
+    }
+
     /** Time (ms) at which the latest read was sent. */
     get sentAt(): number {
         return this.now;
@@ -212,3 +237,38 @@
     t.true(fixture.collector.values.includes("late"));
     t.is(fixture.follower.knownUntil, fixture.sentAt);
 });
+
+test("a read that is not answered in time is repeated, and its own late answer starts no further reads", t => {
+    const fixture = new Fixture({ waitMs: 400, pauseMs: 0, repeatAfterMs: 900 });
+    fixture.step();
+    const late = fixture.take();
+    fixture.log.store("cancelled", "1");
+    fixture.tickFor(800);
+    t.deepEqual(fixture.take(), []);
+    fixture.tickFor(200);
+    const repeated = fixture.take();
+    t.deepEqual(
+        repeated.map(each => each.effect.kind === "read" && each.effect.waitMs),
+        [0],
+    );
+    fixture.answer(repeated[0]);
+    t.deepEqual(fixture.collector.values, ["first", "1"]);
+    t.is(fixture.follower.knownUntil, repeated[0].sentAt);
+    const next = fixture.take();
+    t.is(next.length, 1);
+    fixture.log.store("later", "2");
+    fixture.answer(late[0]);
+    t.deepEqual(fixture.take(), []);
+    t.deepEqual(fixture.collector.values, ["first", "1", "2"]);
+    fixture.answer(next[0]);
+    t.deepEqual(fixture.collector.values, ["first", "1", "2"]);
+    t.is(fixture.follower.nextOffset, fixture.log.end);
+});
+
+test("at most three late reads are awaited beside the latest one", t => {
+    const fixture = new Fixture({ waitMs: 400, pauseMs: 0, repeatAfterMs: 900 });
+    fixture.step();
+    fixture.take();
+    fixture.tickFor(10_000);
+    t.is(fixture.take().length, 3);
+});
