Begin an epoch only when every record before the leader's claim is read

A new leader relied on having read every record before its own claim. That does not hold while it loads the stream, for example because its history expired between the claim and the next read: pages are read in the order of keys, so the claim can be read before records that were appended earlier. The leader would then schedule without some jobs and cancellations, and delete the progress of jobs that it does not know, whose tasks would run twice.

The leader now compares the offset of its claim with that up to which the stream was read without a gap, and begins its epoch when the claim is passed. Without a load this holds as soon as the claim is read, so takeovers take no longer. The test of Leadership shows the gap: the instance leads, and a record before its claim is not read yet.

--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -98,6 +98,8 @@
     private readonly callHandler: JobCallHandler;
     private scheduler: Scheduler | undefined;
     private takeover: Takeover | undefined;
+    /** Begins the epoch of a takeover that has loaded the progress. */
+    private beginEpoch: (() => void) | undefined;
     private readonly workers = new Map<string, EntryReading>();
     private clockOffset: number | undefined;
     private stoppingSince = 0;
@@ -343,6 +345,7 @@
         }
         this.jobsFollower.tick(now);
         this.leadership.tick(now);
+        this.beginEpochIfRead();
         this.scheduler?.tick(now, wallNow);
         const isIdle = this.callHandler.openCallCount === 0 && this.leadership.isResignationStored;
         if (isIdle && now - this.stoppingSince > SHUTDOWN_GRACE_PERIOD_MS) {
@@ -366,7 +369,19 @@
     private startTakeover(writer: RecordWriter): void {
         const { epoch } = this.leadership;
         this.takeover = Takeover.create(epoch, this.identity.nonce, () => this.now, this.outbox);
-        this.takeover.onDidLoad(takeover => this.startScheduling(writer, takeover));
+        this.takeover.onDidLoad(takeover => {
+            this.beginEpoch = () => this.startScheduling(writer, takeover);
+            this.beginEpochIfRead();
+        });
+    }
+
+    /** Begins the epoch once all jobs are known of which a former leader may have stored progress. */
+    private beginEpochIfRead(): void {
+        if (this.leadership.hasReadUpToClaim) {
+            const begin = this.beginEpoch;
+            this.beginEpoch = undefined;
+            begin?.();
+        }
     }
 
     private startScheduling(writer: RecordWriter, takeover: Takeover): void {
@@ -381,6 +396,7 @@
 
     private stopScheduling(): void {
         this.takeover = undefined;
+        this.beginEpoch = undefined;
         this.scheduler?.dispose();
         this.scheduler = undefined;
     }
--- a/src/records/common/leadership.ts
+++ b/src/records/common/leadership.ts
@@ -81,6 +81,10 @@
     private claimedEpoch = 0;
     /** Latest epoch in which this instance led. Once it has stepped down, it does not lead in that epoch again. */
     private ledEpoch = 0;
+    /** Offset of the latest record of a leader that was read. */
+    private latestOffset = 0;
+    /** Offset of the claim with which this instance became the leader. */
+    private claimOffset = 0;
     private nextClaimAt = 0;
     private nextRenewalAt = 0;
     private suspendedAt: number | undefined;
@@ -138,6 +142,14 @@
         return this.writer !== undefined;
     }
 
+    /**
+     * Whether every record before the claim of this leader was read. While the stream is loaded, the claim may be read in a
+     * page before records that were appended earlier.
+     */
+    get hasReadUpToClaim(): boolean {
+        return this.follower.isLoaded && this.follower.nextOffset > this.claimOffset;
+    }
+
     /** Whether no resignation is waiting to be stored. */
     get isResignationStored(): boolean {
         return this.machine.state !== "resigning" || this.writer?.isFlushed !== false;
@@ -177,6 +189,7 @@
         this.leaderFirstSeenAt = latest.epoch === this.epoch ? this.leaderFirstSeenAt : now;
         this.latestRecord = latest;
         this.leaderLastSeenAt = now;
+        this.latestOffset = record.offset;
         const isOwn = latest.instance === this.candidate.instance && latest.epoch === this.claimedEpoch;
         if (!isOwn) {
             this.machine.fire("other-leader-seen", now);
@@ -292,6 +305,7 @@
         this.writer = RecordWriter.create(name, stream, producer, this.effects, this.candidate.nonce);
         this.ledEpoch = this.claimedEpoch;
         this.writer.confirmedAt = now;
+        this.claimOffset = this.latestOffset;
         this.suspendedAt = undefined;
         this.nextRenewalAt = now + RENEWAL_INTERVAL_MS;
         this.didBecomeLeader.fire(this.writer);
--- a/src/records/common/test/leadership.test.ts
+++ b/src/records/common/test/leadership.test.ts
@@ -1,8 +1,10 @@
 import test from "ava";
+import { Ok } from "ts-results";
 import { Outbox } from "../../../base/common/outbox";
 import { KeyedLog } from "../../../standin/common/keyedLog";
 import { Leadership } from "../leadership";
 import { RecordFollower, RecordReceiver } from "../recordFollower";
+import { NewestPage } from "../recordStore";
 import { RecordEffect } from "../recordEvents";
 
 class LeaderReceiver extends RecordReceiver {
@@ -47,7 +49,13 @@
         leadership.writer!.flush(now);
         return outbox.drain().flatMap(effect => (effect.kind === "append" ? [effect] : []));
     };
-    return { leadership, read, claim, renew };
+    /** Answers the read of a page of newest records. */
+    const load = (now: number, page: NewestPage) => {
+        receiver.now = now;
+        follower.handleAnswer({ kind: "newest-answer", stream: "jobs", sentAt: now, result: Ok(page) });
+        outbox.drain();
+    };
+    return { leadership, read, claim, renew, load };
 }
 
 test("a claim succeeds although other records were appended since the claimant's last read", t => {
@@ -61,6 +69,26 @@
     t.true(leadership.isLeading);
 });
 
+test("a claim that is read during a load counts, but the records before it are read only when the history is", t => {
+    const log = KeyedLog.create();
+    log.store("a", "1");
+    const { leadership, read, claim, load } = createInstance(log, "a", 10);
+    read(1_000);
+    const [effect] = claim(1_000);
+    log.store("b", "1");
+    log.expire();
+    read(1_050);
+    load(1_060, { ...log.newest(undefined).unwrap(), hasMore: true });
+    // Its page has been read, so only the history shows this record, which precedes the claim.
+    log.store("aa", "1");
+    t.true(log.append(effect.append).ok);
+    load(1_070, log.newest("b").unwrap());
+    t.true(leadership.isLeading);
+    t.false(leadership.hasReadUpToClaim);
+    read(1_100);
+    t.true(leadership.hasReadUpToClaim);
+});
+
 test("of two claims of one epoch only the first succeeds", t => {
     const log = KeyedLog.create();
     const instanceA = createInstance(log, "a", 10);
