--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -235,11 +235,10 @@
     sendStart(run: Run, now: number): void {
         const worker = this.pool.find(run.record.worker);
         const { task, checkpoint, run: number } = run.record;
-        const entryAge = worker?.entryAgeMs(now);
-        const entryAgeMs = entryAge === undefined ? undefined : Math.round(entryAge);
+        const entryAgeMs = worker?.entryAgeMs(now);
         const reason = this.admission.reasonToWithhold(run, now);
-        const validUntil = worker?.extendLeaseTo(worker.clockReadingIn(this.views.startValidityMs, now));
-        if (reason !== undefined || worker === undefined || validUntil === undefined) {
+        const validUntil = reason === undefined ? this.extendLeaseForStart(worker, now) : undefined;
+        if (worker === undefined || validUntil === undefined) {
             this.logDecision("start-withheld", { task, run: number, worker: run.record.worker, reason, entryAgeMs });
             run.fire("not-started", { now });
             return;
@@ -260,6 +259,10 @@
         this.logDecision("run-started", { task, run: number, worker: id, epoch: this.epoch, rack, waitedMs, ...ages });
     }
 
+    private extendLeaseForStart(worker: WorkerContact | undefined, now: number): number | undefined {
+        return worker?.extendLeaseTo(worker.clockReadingIn(this.views.startValidityMs, now));
+    }
+
     /** Sends the order to stop a run. */
     sendStop(run: Run): void {
         const worker = this.pool.find(run.record.worker);
--- a/src/dispatch/common/startAdmission.ts
+++ b/src/dispatch/common/startAdmission.ts
@@ -63,7 +63,7 @@
             const data = {
                 workers: usable.length - known.length,
                 of: usable.length,
-                oldestMs: round(Math.max(...ages)),
+                oldestMs: ages.length === 0 ? undefined : Math.max(...ages),
             };
             this.effects.emit({ kind: "decision", name: "capacity-unknown", data });
         }
@@ -110,8 +110,3 @@
         );
     }
 }
-
-/** @returns A duration in whole ms, or `undefined` if there is none. */
-function round(ms: number): number | undefined {
-    return Number.isFinite(ms) ? Math.round(ms) : undefined;
-}
--- a/src/dispatch/common/workerContact.ts
+++ b/src/dispatch/common/workerContact.ts
@@ -180,7 +180,7 @@
 
     /** @param now Time in ms. @returns Upper bound of the age of its entry, in ms, or `undefined` if there is none. */
     entryAgeMs(now: number): number | undefined {
-        return this.entryWrittenAfter === undefined ? undefined : now - this.entryWrittenAfter;
+        return this.entryWrittenAfter === undefined ? undefined : Math.ceil(now - this.entryWrittenAfter);
     }
 
     /**
