One check of a worker's label, and one list of the faults of workers

The check of a required label stood in the placer and in the admission of starts, and the faults of workers twice in the plans of trials, in the same order, so that all seeds draw the same. No change of behaviour.

--- a/src/dispatch/common/placer.ts
+++ b/src/dispatch/common/placer.ts
@@ -226,8 +226,8 @@
 }
 
 /** @returns Whether a worker has the service and the label that all tasks of a step require. */
-function isOfKind(step: StepSpec, service: string, { entry }: WorkerContact): boolean {
-    return entry.service === service && (step.requiredLabel === undefined || entry.labels.includes(step.requiredLabel));
+function isOfKind(step: StepSpec, service: string, worker: WorkerContact): boolean {
+    return worker.entry.service === service && worker.hasLabel(step.requiredLabel);
 }
 
 /** @returns Whether a worker meets the constraints that vary between tasks of a step or change with placements. */
--- a/src/dispatch/common/rejectionTable.ts
+++ b/src/dispatch/common/rejectionTable.ts
@@ -19,7 +19,7 @@
         return new RejectionTable();
     }
 
-    /** Records that no worker of a service was suitable for a step, whatever its tasks may share a worker with. */
+    /** Records that no worker of a service was suitable for a step, apart from limits of its own. */
     add(step: StepSpec, service: string): void {
         const ofImage = this.rejections.get(step.image) ?? [];
         ofImage.push({ step, service });
--- a/src/dispatch/common/startAdmission.ts
+++ b/src/dispatch/common/startAdmission.ts
@@ -91,9 +91,7 @@
         if (worker?.state !== "reachable") {
             return "unreachable";
         }
-        const { requiredLabel } = run.task.step;
-        const hasLabel = requiredLabel === undefined || worker.entry.labels.includes(requiredLabel);
-        if (!worker.isRegistered || !worker.isReady || !hasLabel) {
+        if (!worker.isRegistered || !worker.isReady || !worker.hasLabel(run.task.step.requiredLabel)) {
             return "not-ready";
         }
         if (worker.isOvercommitted) {
--- a/src/dispatch/common/workerContact.ts
+++ b/src/dispatch/common/workerContact.ts
@@ -380,6 +380,11 @@
         return cpuMillis < 0 || memoryMb < 0 || accelerators < 0;
     }
 
+    /** @param label A label, or `undefined` if none is required. @returns Whether the worker has it. */
+    hasLabel(label: string | undefined): boolean {
+        return label === undefined || this.latestEntry.labels.includes(label);
+    }
+
     /** @returns Whether a request fits into the free capacity. */
     fits(request: TaskRequest, usesSpareCpu: boolean, free: FreeCapacity): boolean {
         return (
--- a/src/proof/node/jobTrialPlan.ts
+++ b/src/proof/node/jobTrialPlan.ts
@@ -68,22 +68,6 @@
 /** Kinds of faults of the reads. They are apart from the others, whose list decides the trials of earlier seeds. */
 export const READ_FAULTS: readonly ReadFault[] = ["slow-pages", "stalled-read"];
 
-/** All kinds of faults but those of the reads. */
-export const FAULTS: readonly JobFault[] = [
-    "kill",
-    "kill-all",
-    "freeze",
-    "cut-store",
-    "store-down",
-    "lost-answers",
-    "worker-crash",
-    "worker-gone",
-    "worker-cut",
-    "late-orders",
-    "slow-link",
-    "expire",
-];
-
 /** Kinds of faults of workers and of the links to them; all instances stay in touch. */
 export const FAULTS_OF_WORKERS: readonly JobFault[] = [
     "worker-crash",
@@ -94,6 +78,17 @@
     "expire",
 ];
 
+/** All kinds of faults but those of the reads. */
+export const FAULTS: readonly JobFault[] = [
+    "kill",
+    "kill-all",
+    "freeze",
+    "cut-store",
+    "store-down",
+    "lost-answers",
+    ...FAULTS_OF_WORKERS,
+];
+
 /** Parameters of a trial. */
 export interface JobTrialPlan {
     readonly seed: number;
