Log which limit keeps a waiting best-effort task from a worker

job-waits counted three reasons as 'interference': a latency-critical task without headroom, the estimated loss of headroom, and too little unused CPU.

Placement policies now state the speed that a task could have on a worker and what limits it. job-waits counts the workers by that limit and has the age of the oldest estimate that is in the way. What is placed where is unchanged: a limit of any kind still excludes the worker.

--- a/src/dispatch/common/bestEffortPolicy.ts
+++ b/src/dispatch/common/bestEffortPolicy.ts
@@ -1,6 +1,6 @@
 import { LatencyModel } from "./latencyModel";
 import { Task } from "./task";
-import { PlacementPolicy } from "./placementPolicy";
+import { PlacementOffer, PlacementPolicy, SpeedLimit } from "./placementPolicy";
 import { WorkerContact } from "./workerContact";
 import { WorkerForecast } from "./workerForecast";
 
@@ -21,7 +21,10 @@
 /** Cost of any loss of headroom, in thousandths of a core per unit of headroom. */
 const INTERFERENCE_COST_MILLIS = 40_000;
 
-/** Placement of best-effort tasks: where they leave latency-critical tasks enough headroom and most CPU is unused. */
+/**
+ * Placement of best-effort tasks: where they leave latency-critical tasks enough headroom and most CPU is unused. Their speed
+ * is the one at which latency-critical tasks keep their targets.
+ */
 export class BestEffortPolicy extends PlacementPolicy {
     private constructor(private readonly model: LatencyModel) {
         super();
@@ -32,27 +35,39 @@
         return new BestEffortPolicy(model);
     }
 
-    override cost(
+    override assess(
         task: Task,
         worker: WorkerContact,
         { freeCapacity, latencyCritical }: WorkerForecast,
-    ): number | undefined {
+    ): PlacementOffer {
         const { request, image } = task.step;
         const share = request.cpuMillis / worker.entry.capacity.cpuMillis;
         const horizonS = Math.min(MAX_HORIZON_S, task.step.estimateMs / 1_000);
         let unused = freeCapacity.unrequestedCpuMillis;
         let cost = 0;
+        let speed = 1;
+        let limit: SpeedLimit | undefined;
         for (const each of latencyCritical) {
             unused += each.cpuMillis * (1 - EXPECTED_LOAD_RATIO);
             const added = this.model.conservativeInterference(each.image, image, share);
             const expected = Math.max(each.minHeadroom, each.headroom + each.declinePerS * horizonS);
-            if (Math.min(each.headroom, expected) - added < MIN_HEADROOM_RATIO) {
-                return undefined;
-            }
+            const spare = Math.min(each.headroom, expected) - MIN_HEADROOM_RATIO;
             cost +=
                 added * INTERFERENCE_COST_MILLIS +
                 Math.max(0, MIN_HEADROOM_RATIO - each.minHeadroom + added) * SHORTFALL_COST_MILLIS;
+            if (spare < 0) {
+                speed = 0;
+                limit = "noHeadroom";
+            } else if (spare < added * speed) {
+                speed = spare / added;
+                limit = "interference";
+            }
+        }
+        const cpuRatio = Math.max(0, unused) / (request.cpuMillis * MIN_FREE_RATIO);
+        if (cpuRatio < speed) {
+            speed = cpuRatio;
+            limit = "noSpareCpu";
         }
-        return unused < request.cpuMillis * MIN_FREE_RATIO ? undefined : cost - unused;
+        return { cost: cost - unused, speedPercent: Math.floor(speed * 100), limit };
     }
 }
--- a/src/dispatch/common/latencyModel.ts
+++ b/src/dispatch/common/latencyModel.ts
@@ -49,6 +49,8 @@
     /** Loss of headroom when the neighbor uses all CPU of the worker. */
     interference: number;
     variance: number;
+    /** Time (ms) of the latest report that changed the estimate, or `undefined` if this leader has seen none. */
+    updatedAt?: number;
 }
 
 /** Headroom of the tasks of a latency-critical job without interference. */
@@ -136,6 +138,12 @@
         return (interference + CAUTION_DEVIATIONS * Math.sqrt(variance)) * share;
     }
 
+    /** @returns Time since the latest report on a pair, in ms, or `undefined` if this leader has seen none. */
+    estimateAgeMs(image: string | undefined, neighborImage: string | undefined, now: number): number | undefined {
+        const { updatedAt } = this.pair(image, neighborImage);
+        return updatedAt === undefined ? undefined : now - updatedAt;
+    }
+
     /** @returns Loss of headroom of a latency-critical run due to all best-effort runs on its worker. */
     totalInterference(affected: Run, worker: WorkerContact, shareOf: (run: Run) => number): number {
         let sum = 0;
@@ -165,6 +173,7 @@
                 const gain = (pair.variance * share) / variance;
                 pair.interference = Math.max(0, pair.interference + gain * residual);
                 pair.variance = pair.variance * (1 - gain * share) + DRIFT_VARIANCE;
+                pair.updatedAt = now;
             }
         }
         const interference = neighbors.reduce((sum, each) => sum + each.pair.interference * each.share, 0);
--- a/src/dispatch/common/placer.ts
+++ b/src/dispatch/common/placer.ts
@@ -3,35 +3,44 @@
 import { ReservedPolicy } from "./reservedPolicy";
 import { BestEffortPolicy } from "./bestEffortPolicy";
 import { Task } from "./task";
-import { PlacementPolicy } from "./placementPolicy";
+import { PlacementOffer, PlacementPolicy, SpeedLimit } from "./placementPolicy";
 import { RejectionTable } from "./rejectionTable";
 import { WorkerContact } from "./workerContact";
 import { forecastFor, WorkerForecast } from "./workerForecast";
 
 /**
- * What keeps a worker from running a task: the service or the label, too little free capacity, the latency targets of other
- * tasks there, or a limit per worker or an earlier failure of the task itself.
+ * What keeps a worker from running a task at full speed: the service or the label, too little free capacity, what limits its speed,
+ * or a limit per worker or an earlier failure of the task itself.
  */
-export type Obstacle = "otherKind" | "noRoom" | "interference" | "ownLimit";
+export type Obstacle = "otherKind" | "noRoom" | SpeedLimit | "ownLimit";
 
-/** Placement costs of one step, by position of the worker in the placer. */
-interface StepCosts {
-    /** Version of the worker's forecast with which the cost was computed. */
+const NO_OBSTACLES: Readonly<Record<Obstacle, number>> = {
+    otherKind: 0,
+    noRoom: 0,
+    noHeadroom: 0,
+    interference: 0,
+    noSpareCpu: 0,
+    ownLimit: 0,
+};
+
+/** Offers for one step, by position of the worker in the placer. */
+interface StepOffers {
+    /** Version of the worker's forecast with which the offer was computed. */
     readonly versions: number[];
-    /** `undefined` where the step cannot be placed. */
-    readonly costs: (number | undefined)[];
+    /** `undefined` where the step does not fit. */
+    readonly offers: (PlacementOffer | undefined)[];
 }
 
 /**
  * Chooses workers for the tasks of one scheduling pass. Each placement reduces the free capacity for later tasks. The
- * tasks of a step are alike, so the cost of a worker is computed once per step, and again only after something was
+ * tasks of a step are alike, so the offer of a worker is computed once per step, and again only after something was
  * placed on that worker.
  */
 export class Placer {
     private readonly forecasts = new Map<WorkerContact, WorkerForecast>();
     private readonly positions: ReadonlyMap<WorkerContact, number>;
     private readonly versions: number[];
-    private readonly stepCosts = new Map<StepSpec, StepCosts>();
+    private readonly stepOffers = new Map<StepSpec, StepOffers>();
     /** Steps of best-effort tasks for which no worker was suitable in this pass. */
     private readonly rejections = RejectionTable.create();
 
@@ -65,19 +74,15 @@
         service: string,
         isAllowed: (worker: WorkerContact) => boolean = () => true,
     ): WorkerContact | undefined {
-        const { versions, costs } = this.costsOf(task.step);
+        const offers = this.currentOffers(task, service);
         let best: WorkerContact | undefined;
         let bestCost = Number.POSITIVE_INFINITY;
         for (let position = 0; position < this.workers.length; position++) {
             const worker = this.workers[position];
-            if (versions[position] !== this.versions[position]) {
-                versions[position] = this.versions[position];
-                costs[position] = this.cost(task, service, worker);
-            }
-            const cost = costs[position];
-            if (cost !== undefined && cost < bestCost && isAcceptable(task, worker) && isAllowed(worker)) {
+            const offer = offers[position];
+            if (isAtFullSpeed(offer) && offer.cost < bestCost && isAcceptable(task, worker) && isAllowed(worker)) {
                 best = worker;
-                bestCost = cost;
+                bestCost = offer.cost;
             }
         }
         return best;
@@ -98,7 +103,7 @@
      * a limit per worker or an earlier failure of this task says nothing about the tasks of other steps.
      */
     recordRejection(task: Task, service: string): void {
-        if (task.step.usesSpareCpu && this.costsOf(task.step).costs.every(cost => cost === undefined)) {
+        if (task.step.usesSpareCpu && !this.currentOffers(task, service).some(isAtFullSpeed)) {
             this.rejections.add(task.step, service);
         }
     }
@@ -108,9 +113,9 @@
         return this.workers.length;
     }
 
-    /** @returns Number of workers by what keeps them from running a task. */
+    /** @returns Number of workers by what keeps them from running a task at full speed. */
     countObstacles(task: Task, service: string): Record<Obstacle, number> {
-        const counts: Record<Obstacle, number> = { otherKind: 0, noRoom: 0, interference: 0, ownLimit: 0 };
+        const counts = { ...NO_OBSTACLES };
         for (const worker of this.workers) {
             const obstacle = this.obstacle(task, service, worker);
             if (obstacle !== undefined) {
@@ -120,6 +125,22 @@
         return counts;
     }
 
+    /**
+     * @param task A waiting task.
+     * @param service Service whose workers may run it.
+     * @param now Time in ms.
+     * @returns Age of the oldest estimate of interference that keeps it below full speed on a worker, in ms, or `undefined` if
+     * there is none with reports.
+     */
+    oldestEstimateMs(task: Task, service: string, now: number): number | undefined {
+        const ages = this.workers
+            .filter(worker => this.offer(task, service, worker)?.limit === "interference")
+            .flatMap(worker => this.forecast(worker).latencyCritical)
+            .map(each => this.model.estimateAgeMs(each.image, task.step.image, now))
+            .filter(age => age !== undefined);
+        return ages.length === 0 ? undefined : Math.round(Math.max(...ages));
+    }
+
     /**
      * Chooses workers for tasks that have to start together.
      * @param tasks The tasks.
@@ -164,14 +185,26 @@
         this.versions[this.positions.get(worker)!] += 1;
     }
 
-    private costsOf(step: StepSpec): StepCosts {
-        const known = this.stepCosts.get(step);
+    /** @returns The offers of all workers for a step. */
+    private currentOffers(task: Task, service: string): readonly (PlacementOffer | undefined)[] {
+        const { versions, offers } = this.offersOf(task.step);
+        for (let position = 0; position < this.workers.length; position++) {
+            if (versions[position] !== this.versions[position]) {
+                versions[position] = this.versions[position];
+                offers[position] = this.offer(task, service, this.workers[position]);
+            }
+        }
+        return offers;
+    }
+
+    private offersOf(step: StepSpec): StepOffers {
+        const known = this.stepOffers.get(step);
         if (known !== undefined) {
             return known;
         }
-        const costs = { versions: this.workers.map(() => 0), costs: [] };
-        this.stepCosts.set(step, costs);
-        return costs;
+        const offers = { versions: this.workers.map(() => 0), offers: [] };
+        this.stepOffers.set(step, offers);
+        return offers;
     }
 
     private obstacle(task: Task, service: string, worker: WorkerContact): Obstacle | undefined {
@@ -182,13 +215,12 @@
         if (!worker.fits(task.step.request, task.step.usesSpareCpu, freeCapacity)) {
             return "noRoom";
         }
-        if (this.cost(task, service, worker) === undefined) {
-            return "interference";
-        }
-        return isAcceptable(task, worker) ? undefined : "ownLimit";
+        const limit = this.offer(task, service, worker)?.limit;
+        return limit ?? (isAcceptable(task, worker) ? undefined : "ownLimit");
     }
 
-    private cost(task: Task, service: string, worker: WorkerContact): number | undefined {
+    /** @returns The offer of a worker, or `undefined` if the task does not fit there. */
+    private offer(task: Task, service: string, worker: WorkerContact): PlacementOffer | undefined {
         const { step } = task;
         const forecast = this.forecast(worker);
         const isEligible =
@@ -196,7 +228,7 @@
         if (!isEligible) {
             return undefined;
         }
-        return (step.usesSpareCpu ? this.bestEffortPolicy : this.reservedPolicy).cost(task, worker, forecast);
+        return (step.usesSpareCpu ? this.bestEffortPolicy : this.reservedPolicy).assess(task, worker, forecast);
     }
 
     private reserve(task: Task, worker: WorkerContact): void {
@@ -225,6 +257,10 @@
     }
 }
 
+function isAtFullSpeed(offer: PlacementOffer | undefined): offer is PlacementOffer {
+    return offer !== undefined && offer.limit === undefined;
+}
+
 /** @returns Whether a worker has the service and the label that all tasks of a step require. */
 function isOfKind(step: StepSpec, service: string, worker: WorkerContact): boolean {
     return worker.entry.service === service && worker.hasLabel(step.requiredLabel);
--- a/src/dispatch/common/reservedPolicy.ts
+++ b/src/dispatch/common/reservedPolicy.ts
@@ -1,5 +1,5 @@
 import { Task } from "./task";
-import { PlacementPolicy } from "./placementPolicy";
+import { PlacementOffer, PlacementPolicy } from "./placementPolicy";
 import { WorkerContact } from "./workerContact";
 import { WorkerForecast } from "./workerForecast";
 
@@ -23,15 +23,19 @@
         return new ReservedPolicy();
     }
 
-    override cost(task: Task, _worker: WorkerContact, { freeCapacity, latencyCritical }: WorkerForecast): number {
-        const { image, tailTargetMs } = task.step;
-        if (tailTargetMs === undefined) {
-            return -freeCapacity.cpuMillis;
-        }
-        let cost = -freeCapacity.cpuMillis / 2;
-        for (const each of latencyCritical) {
-            cost += each.image === image ? -SAME_IMAGE_GAIN_MILLIS : OTHER_IMAGE_COST_MILLIS;
-        }
-        return cost;
+    override assess(task: Task, _worker: WorkerContact, forecast: WorkerForecast): PlacementOffer {
+        return { cost: costOf(task, forecast), speedPercent: 100, limit: undefined };
     }
 }
+
+function costOf(task: Task, { freeCapacity, latencyCritical }: WorkerForecast): number {
+    const { image, tailTargetMs } = task.step;
+    if (tailTargetMs === undefined) {
+        return -freeCapacity.cpuMillis;
+    }
+    let cost = -freeCapacity.cpuMillis / 2;
+    for (const each of latencyCritical) {
+        cost += each.image === image ? -SAME_IMAGE_GAIN_MILLIS : OTHER_IMAGE_COST_MILLIS;
+    }
+    return cost;
+}
--- a/src/dispatch/common/test/latencyModel.test.ts
+++ b/src/dispatch/common/test/latencyModel.test.ts
@@ -68,10 +68,24 @@
     report(latencyCritical, TARGET_MS / 1.5, REPORT_INTERVAL_MS);
     model.update(worker, REPORT_INTERVAL_MS);
     const policy = BestEffortPolicy.create(model);
-    const costOf = (image: string) => {
+    const limitOf = (image: string) => {
         const { task } = place(createWorker("other"), image, createStep(image, false));
-        return policy.cost(task, worker, forecastFor(worker, model));
+        return policy.assess(task, worker, forecastFor(worker, model)).limit;
     };
-    t.not(costOf("light"), undefined);
-    t.is(costOf("heavy"), undefined);
+    t.is(limitOf("light"), undefined);
+    t.is(limitOf("heavy"), "interference");
+});
+
+test("the age of an estimate is that of its latest report, and unknown if it was inherited", t => {
+    const model = LatencyModel.create([["web", "inherited", 3, 1]]);
+    const worker = createWorker();
+    const latencyCritical = place(worker, "a", createStep("web", true));
+    const neighbor = place(worker, "b", createStep("batch", false));
+    report(neighbor, 8_000, REPORT_INTERVAL_MS);
+    for (const now of [REPORT_INTERVAL_MS, 2 * REPORT_INTERVAL_MS]) {
+        report(latencyCritical, TARGET_MS / MEAN_HEADROOM, now);
+        model.update(worker, now);
+    }
+    t.is(model.estimateAgeMs("web", "batch", 5_000), 4_000);
+    t.is(model.estimateAgeMs("web", "inherited", 5_000), undefined);
 });
--- a/src/dispatch/common/test/stepQueue.test.ts
+++ b/src/dispatch/common/test/stepQueue.test.ts
@@ -71,6 +71,6 @@
     for (let now = 0; now <= 4_000; now += 500) {
         queue.placeWaiting([job], workers, 100, now, now);
     }
-    const counts = { workers: 3, otherKind: 2, noRoom: 1, interference: 0, ownLimit: 0 };
-    t.deepEqual(reports, [{ task: "a.0.0.0", waitedMs: 2_000, ...counts }]);
+    const counts = { workers: 3, otherKind: 2, noRoom: 1, noHeadroom: 0, interference: 0, noSpareCpu: 0, ownLimit: 0 };
+    t.deepEqual(reports, [{ task: "a.0.0.0", waitedMs: 2_000, oldestEstimateMs: undefined, ...counts }]);
 });
--- a/src/dispatch/common/waitReporter.ts
+++ b/src/dispatch/common/waitReporter.ts
@@ -15,13 +15,15 @@
 /** Limit of the reports of one review, since each visits all workers. */
 const MAX_REPORTS_PER_REVIEW = 4;
 
-/** Why a job waits: the number of usable workers by what keeps them from running its next task. */
+/** Why a job waits: the number of usable workers by what keeps them from running its next task at full speed. */
 export interface WaitReport extends Readonly<Record<Obstacle, number>> {
     readonly task: string;
     /** Time for which the step has waited, in ms. */
     readonly waitedMs: number;
     /** Usable workers of all services that accept other tasks. */
     readonly workers: number;
+    /** Age of the oldest estimate of interference that is in the way, in ms, if one with reports is. */
+    readonly oldestEstimateMs: number | undefined;
 }
 
 /** Tasks of one step that wait. */
@@ -73,7 +75,9 @@
                 this.reportedAt.set(group, now);
                 const obstacles = placer.countObstacles(task, service);
                 const { workerCount: workers } = placer;
-                this.didWait.fire({ task: task.name, waitedMs: Math.round(now - since), workers, ...obstacles });
+                const oldestEstimateMs = placer.oldestEstimateMs(task, service, now);
+                const waitedMs = Math.round(now - since);
+                this.didWait.fire({ task: task.name, waitedMs, workers, oldestEstimateMs, ...obstacles });
             }
         }
     }
