Start best-effort tasks below full speed when their job has had no run for long

Callers saw an accepted batch job that made no progress for 50 s while most of the capacity was free.

Cause: a best-effort task was placed only on a worker on which the estimated loss of headroom of the latency-critical tasks allowed full speed, although its speed is set afterwards to what these tasks bear. On a fleet whose workers all have a latency-critical task, an image that interferes strongly found no worker, so its job waited without bound, in whatever order the jobs were considered. Since it never ran, no report corrected the estimate either. Gangs and tasks on probation had the same fault.

Placement policies already state the speed that a task could have on a worker. A job without any run now accepts a lower speed the longer it waits: full speed for 2 s, any speed after 7 s. Of the workers, the one on which the task runs fastest is chosen. A run starts at full speed, so its speed is ordered as soon as the start is accepted. Workers whose unused CPU allows less than a quarter of the speed are excluded as before: there, more tasks only slow down each other.

Four of the new tests of StepQueue failed before: the job had no run after 20 s.

The speed orders moved from Scheduler to RunThrottle.

--- a/src/dispatch/common/activeJob.ts
+++ b/src/dispatch/common/activeJob.ts
@@ -74,6 +74,16 @@
         }
     }
 
+    /** Whether one of its tasks has a run. */
+    get hasRun(): boolean {
+        for (const task of this.tasks()) {
+            if (task.run !== undefined) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Whether every task of every occurrence is done. */
     get isDone(): boolean {
         return this.finishedOccurrences.size === this.occurrences;
--- a/src/dispatch/common/bestEffortPolicy.ts
+++ b/src/dispatch/common/bestEffortPolicy.ts
@@ -10,6 +10,9 @@
 /** Share of the requested CPU that must be unused on a worker for a task to be placed there. */
 const MIN_FREE_RATIO = 0.6;
 
+/** Speed that the unused CPU of a worker must allow, in percent: below it, more tasks would only slow down each other. */
+export const MIN_SPEED_BY_CPU_PERCENT = 25;
+
 /** Headroom that latency-critical tasks must keep after a placement, as ratio of target to tail latency. */
 const MIN_HEADROOM_RATIO = 1.05;
 
@@ -64,8 +67,8 @@
             }
         }
         const cpuRatio = Math.max(0, unused) / (request.cpuMillis * MIN_FREE_RATIO);
-        if (cpuRatio < speed) {
-            speed = cpuRatio;
+        if (cpuRatio < Math.max(speed, MIN_SPEED_BY_CPU_PERCENT / 100)) {
+            speed = Math.min(speed, cpuRatio);
             limit = "noSpareCpu";
         }
         return { cost: cost - unused, speedPercent: Math.floor(speed * 100), limit };
--- a/src/dispatch/common/placer.ts
+++ b/src/dispatch/common/placer.ts
@@ -1,13 +1,16 @@
 import { StepSpec } from "../../jobs/common/jobSpec";
 import { LatencyModel } from "./latencyModel";
 import { ReservedPolicy } from "./reservedPolicy";
-import { BestEffortPolicy } from "./bestEffortPolicy";
+import { BestEffortPolicy, MIN_SPEED_BY_CPU_PERCENT } from "./bestEffortPolicy";
 import { Task } from "./task";
 import { PlacementOffer, PlacementPolicy, SpeedLimit } from "./placementPolicy";
 import { RejectionTable } from "./rejectionTable";
 import { WorkerContact } from "./workerContact";
 import { forecastFor, WorkerForecast } from "./workerForecast";
 
+/** Cost of each percent of speed that a task cannot have on a worker, in thousandths of a core; it exceeds all other costs. */
+const COST_PER_PERCENT_MILLIS = 1e9;
+
 /**
  * What keeps a worker from running a task at full speed: the service or the label, too little free capacity, what limits its speed,
  * or a limit per worker or an earlier failure of the task itself.
@@ -23,6 +26,13 @@
     ownLimit: 0,
 };
 
+/** A worker that was chosen for a task. */
+export interface PlacementChoice {
+    readonly worker: WorkerContact;
+    /** Speed at which the task may run there, in percent of full speed. */
+    readonly speedPercent: number;
+}
+
 /** Offers for one step, by position of the worker in the placer. */
 interface StepOffers {
     /** Version of the worker's forecast with which the offer was computed. */
@@ -67,22 +77,28 @@
      * @param task A waiting task.
      * @param service Service whose workers may run it.
      * @param isAllowed Additional constraint on the worker.
-     * @returns The worker with the lowest cost, or `undefined` if the task has to wait.
+     * @param minSpeedPercent Lowest speed at which it may run, in percent of full speed.
+     * @returns The worker on which it runs fastest; of several, the one with the lowest cost. `undefined` if the task has to wait.
      */
     choose(
         task: Task,
         service: string,
         isAllowed: (worker: WorkerContact) => boolean = () => true,
-    ): WorkerContact | undefined {
+        minSpeedPercent = 100,
+    ): PlacementChoice | undefined {
         const offers = this.currentOffers(task, service);
-        let best: WorkerContact | undefined;
-        let bestCost = Number.POSITIVE_INFINITY;
+        let best: PlacementChoice | undefined;
+        let bestRank = Number.POSITIVE_INFINITY;
         for (let position = 0; position < this.workers.length; position++) {
             const worker = this.workers[position];
             const offer = offers[position];
-            if (isAtFullSpeed(offer) && offer.cost < bestCost && isAcceptable(task, worker) && isAllowed(worker)) {
-                best = worker;
-                bestCost = offer.cost;
+            if (!isSufficient(offer, minSpeedPercent)) {
+                continue;
+            }
+            const rank = offer.cost + (100 - offer.speedPercent) * COST_PER_PERCENT_MILLIS;
+            if (rank < bestRank && isAcceptable(task, worker) && isAllowed(worker)) {
+                best = { worker, speedPercent: offer.speedPercent };
+                bestRank = rank;
             }
         }
         return best;
@@ -91,20 +107,22 @@
     /**
      * @param task A waiting task.
      * @param service Service whose workers may run it.
+     * @param minSpeedPercent Lowest speed at which it may run, in percent of full speed.
      * @returns Whether no worker was suitable for a best-effort task that needs no more than this one, so that another
      * search is useless.
      */
-    isInfeasible(task: Task, service: string): boolean {
-        return task.step.usesSpareCpu && this.rejections.covers(task.step, service);
+    isInfeasible(task: Task, service: string, minSpeedPercent = 100): boolean {
+        return task.step.usesSpareCpu && this.rejections.covers(task.step, service, minSpeedPercent);
     }
 
     /**
      * Records that `choose` found no worker for a task. Only best-effort tasks count, and only if no worker was suitable:
      * a limit per worker or an earlier failure of this task says nothing about the tasks of other steps.
      */
-    recordRejection(task: Task, service: string): void {
-        if (task.step.usesSpareCpu && !this.currentOffers(task, service).some(isAtFullSpeed)) {
-            this.rejections.add(task.step, service);
+    recordRejection(task: Task, service: string, minSpeedPercent = 100): void {
+        const isSuitable = (offer: PlacementOffer | undefined) => isSufficient(offer, minSpeedPercent);
+        if (task.step.usesSpareCpu && !this.currentOffers(task, service).some(isSuitable)) {
+            this.rejections.add(task.step, service, minSpeedPercent);
         }
     }
 
@@ -146,29 +164,32 @@
      * @param tasks The tasks.
      * @param service Service whose workers may run them.
      * @param isAllowed Additional constraint on the workers.
+     * @param minSpeedPercent Lowest speed at which they may run, in percent of full speed.
      * @returns A worker for each task, or `undefined` if not all can be placed.
      */
     chooseAll(
         tasks: readonly Task[],
         service: string,
         isAllowed: (worker: WorkerContact) => boolean = () => true,
-    ): WorkerContact[] | undefined {
-        const chosen: WorkerContact[] = [];
+        minSpeedPercent = 100,
+    ): PlacementChoice[] | undefined {
+        const chosen: PlacementChoice[] = [];
         for (const task of tasks) {
             const { maxPerWorker } = task.step;
-            const worker = this.choose(
+            const choice = this.choose(
                 task,
                 service,
                 each =>
                     isAllowed(each) &&
-                    (maxPerWorker === undefined || chosen.filter(other => other === each).length < maxPerWorker),
+                    (maxPerWorker === undefined || chosen.filter(other => other.worker === each).length < maxPerWorker),
+                minSpeedPercent,
             );
-            if (worker === undefined) {
-                chosen.forEach(each => this.invalidate(each));
+            if (choice === undefined) {
+                chosen.forEach(each => this.invalidate(each.worker));
                 return undefined;
             }
-            chosen.push(worker);
-            this.reserve(task, worker);
+            chosen.push(choice);
+            this.reserve(task, choice.worker);
         }
         return chosen;
     }
@@ -257,8 +278,12 @@
     }
 }
 
-function isAtFullSpeed(offer: PlacementOffer | undefined): offer is PlacementOffer {
-    return offer !== undefined && offer.limit === undefined;
+function isSufficient(offer: PlacementOffer | undefined, minSpeedPercent: number): offer is PlacementOffer {
+    return (
+        offer !== undefined &&
+        offer.speedPercent >= minSpeedPercent &&
+        (offer.limit !== "noSpareCpu" || offer.speedPercent >= MIN_SPEED_BY_CPU_PERCENT)
+    );
 }
 
 /** @returns Whether a worker has the service and the label that all tasks of a step require. */
--- a/src/dispatch/common/probationPlacer.ts
+++ b/src/dispatch/common/probationPlacer.ts
@@ -20,6 +20,8 @@
 export interface ProbationGroup {
     readonly tasks: readonly Task[];
     readonly service: string;
+    /** Lowest speed at which they may run, in percent of full speed. */
+    readonly minSpeedPercent: number;
 }
 
 /** Workers that are given no new tasks until the starts of their runs are survived. */
@@ -37,8 +39,8 @@
     readonly wallNow: number;
 }
 
-/** Assigns a task to a worker. */
-export type AssignSuspect = (task: Task, worker: WorkerContact) => void;
+/** Assigns a task to a worker, at a speed in percent of full speed. */
+export type AssignSuspect = (task: Task, worker: WorkerContact, speedPercent: number) => void;
 
 /**
  * Places suspected tasks so that the loss of their worker shows the cause: on workers that have survived the start of
@@ -100,30 +102,34 @@
         return closed;
     }
 
-    private startIfReady({ tasks, service }: ProbationGroup, placer: Placer, assign: AssignSuspect): void {
+    private startIfReady(
+        { tasks, service, minSpeedPercent }: ProbationGroup,
+        placer: Placer,
+        assign: AssignSuspect,
+    ): void {
         const reserved = this.reservations.get(tasks[0])?.workers;
         if (reserved === undefined || ![...reserved].every(hasOnlyProvenRuns)) {
             return;
         }
         this.reservations.delete(tasks[0]);
-        const chosen = placer.chooseAll(tasks, service, worker => reserved.has(worker)) ?? [];
-        chosen.forEach((worker, index) => assign(tasks[index], worker));
+        const chosen = placer.chooseAll(tasks, service, worker => reserved.has(worker), minSpeedPercent) ?? [];
+        chosen.forEach(({ worker, speedPercent }, index) => assign(tasks[index], worker, speedPercent));
         reserved.forEach(worker => placer.invalidate(worker));
     }
 
     /** Reserves workers for a group, if possible on the rack of its data and not shortly after they started. */
     private reserve(group: ProbationGroup, placer: Placer, closed: Set<WorkerContact>, at: Moment): void {
-        const { tasks, service } = group;
+        const { tasks, service, minSpeedPercent } = group;
         const { dataRack } = tasks[0].step;
         const isOpen = (worker: WorkerContact) => !closed.has(worker);
         const isSteady = (worker: WorkerContact) =>
             isOpen(worker) && at.wallNow - worker.entry.incarnation >= MIN_STEADY_UPTIME_MS;
         const isNearData = (worker: WorkerContact) => isSteady(worker) && worker.entry.rack === dataRack;
         for (const isAllowed of dataRack === undefined ? [isSteady, isOpen] : [isNearData, isSteady, isOpen]) {
-            const chosen = placer.chooseAll(tasks, service, isAllowed);
+            const chosen = placer.chooseAll(tasks, service, isAllowed, minSpeedPercent);
             if (chosen !== undefined) {
-                this.reservations.set(tasks[0], { workers: new Set(chosen), since: at.now });
-                chosen.forEach(worker => {
+                this.reservations.set(tasks[0], { workers: new Set(chosen.map(each => each.worker)), since: at.now });
+                chosen.forEach(({ worker }) => {
                     closed.add(worker);
                     placer.invalidate(worker);
                 });
--- a/src/dispatch/common/rejectionTable.ts
+++ b/src/dispatch/common/rejectionTable.ts
@@ -3,6 +3,7 @@
 interface Rejection {
     readonly step: StepSpec;
     readonly service: string;
+    readonly minSpeedPercent: number;
 }
 
 /**
@@ -19,17 +20,22 @@
         return new RejectionTable();
     }
 
-    /** Records that no worker of a service was suitable for a step, apart from limits of its own. */
-    add(step: StepSpec, service: string): void {
+    /**
+     * Records that no worker of a service was suitable for a step, apart from limits of its own.
+     * @param minSpeedPercent Lowest speed that was accepted, in percent.
+     */
+    add(step: StepSpec, service: string, minSpeedPercent: number): void {
         const ofImage = this.rejections.get(step.image) ?? [];
-        ofImage.push({ step, service });
+        ofImage.push({ step, service, minSpeedPercent });
         this.rejections.set(step.image, ofImage);
     }
 
-    /** @returns Whether a rejected step of the same image needed no more than this one. */
-    covers(step: StepSpec, service: string): boolean {
+    /** @returns Whether a rejected step of the same image needed no more than this one, at no higher a speed. */
+    covers(step: StepSpec, service: string, minSpeedPercent: number): boolean {
         const ofImage = this.rejections.get(step.image) ?? [];
-        return ofImage.some(each => each.service === service && needsNoMore(each.step, step));
+        return ofImage.some(
+            each => each.service === service && each.minSpeedPercent <= minSpeedPercent && needsNoMore(each.step, step),
+        );
     }
 }
 
--- /dev/null
+++ b/src/dispatch/common/runThrottle.ts
@@ -0,0 +1,44 @@
+import { EffectSink } from "../../base/common/effectSink";
+import { DispatchEffect } from "./dispatchEffects";
+import { Run } from "./run";
+import { FindWorker } from "./startAdmission";
+
+/** Orders the speeds of runs at their workers. */
+export class RunThrottle {
+    private constructor(
+        private readonly epoch: number,
+        private readonly find: FindWorker,
+        private readonly effects: EffectSink<DispatchEffect>,
+    ) {}
+
+    /**
+     * @param epoch Epoch of the leader.
+     * @param find Finds the worker of a run.
+     * @param effects Sink for the orders.
+     * @returns The throttle.
+     */
+    static create(epoch: number, find: FindWorker, effects: EffectSink<DispatchEffect>): RunThrottle {
+        return new RunThrottle(epoch, find, effects);
+    }
+
+    /** Orders a new speed. @param run The run. @param percent Percent of full speed. @param now Time in ms. */
+    change(run: Run, percent: number, now: number): void {
+        const worker = this.find(run.record.worker);
+        if (worker === undefined) {
+            return;
+        }
+        run.setSpeed(percent, now);
+        const { task, run: number } = run.record;
+        const order = { task, run: number, epoch: this.epoch, percent };
+        this.effects.emit({ kind: "throttle", worker: worker.entry, order });
+        const data = { task, run: number, worker: worker.entry.id, percent };
+        this.effects.emit({ kind: "decision", name: "run-throttled", data });
+    }
+
+    /** Orders the speed that was planned for a run whose start was accepted: it starts at full speed. */
+    applyPlanned(run: Run, now: number): void {
+        if (run.state === "running" && !run.isSpeedConfirmed) {
+            this.change(run, run.speedPercent, now);
+        }
+    }
+}
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -17,8 +17,10 @@
 import { ThrottleController } from "./throttleController";
 import { Run, RunHost, RunOutcome } from "./run";
 import { RunReviewer } from "./runReviewer";
+import { RunThrottle } from "./runThrottle";
 import { SchedulerFailureHost } from "./schedulerFailureHost";
 import { SchedulerPoolHost } from "./schedulerPoolHost";
+import { SchedulerQueueHost } from "./schedulerQueueHost";
 import { SchedulerRunHost } from "./schedulerRunHost";
 import { StartAdmission } from "./startAdmission";
 import { StepQueue } from "./stepQueue";
@@ -62,6 +64,7 @@
     private readonly activeJobs: ActiveJobTable;
     private readonly pool: WorkerPool;
     private readonly model: LatencyModel;
+    private readonly throttle: RunThrottle;
     private readonly throttleController: ThrottleController;
     private readonly suspects = SuspectTable.create();
     private readonly failures: FailureController;
@@ -96,10 +99,12 @@
         this.activeJobs = ActiveJobTable.create(epoch, writers);
         this.pruner = JobPruner.create(context.jobs, this.activeJobs, writers, context.limits.retentionMs);
         this.admission = StartAdmission.create(context.queues, id => this.pool.find(id), context.effects);
-        this.throttleController = ThrottleController.create(this.model, (run, percent) => this.throttle(run, percent));
-        const assign = (task: Task, worker: WorkerContact, at: number) => this.assign(task, worker, at);
+        this.throttle = RunThrottle.create(epoch, id => this.pool.find(id), context.effects);
+        this.throttleController = ThrottleController.create(this.model, (run, percent) =>
+            this.throttle.change(run, percent, this.now),
+        );
         this.failures = FailureController.create(context.queues, this.suspects, SchedulerFailureHost.create(this));
-        this.queue = StepQueue.create(context.queues, this.model, this.suspects, assign);
+        this.queue = StepQueue.create(context.queues, this.model, this.suspects, SchedulerQueueHost.create(this));
         this.resources.add(this.queue.onDidWait(report => this.logDecision("job-waits", { ...report })));
         this.resources.add(this.activeJobs.onDidCancel(job => this.stopRuns(job, this.now)));
         this.resources.add(
@@ -349,6 +354,40 @@
         this.context.effects.emit({ kind: "decision", name, data });
     }
 
+    /**
+     * Assigns a task to a worker.
+     * @param task The task.
+     * @param worker The worker.
+     * @param speedPercent Speed at which it may run there, in percent. A run starts at full speed, so a lower one is ordered when
+     * the start is accepted.
+     * @param now Time in ms.
+     * @returns Its run.
+     */
+    assign(task: Task, worker: WorkerContact, speedPercent: number, now: number): Run {
+        const firstRun = (this.epoch - 1) * MAX_RUNS_PER_EPOCH;
+        task.highestRun = Math.max(task.highestRun, task.lastRun, firstRun) + 1;
+        const record: RunRecord = {
+            task: task.name,
+            run: task.highestRun,
+            worker: worker.entry.id,
+            incarnation: Math.max(worker.entry.incarnation, worker.incarnation ?? 0),
+            checkpoint: task.checkpoint,
+        };
+        const run = Run.create(task, record, this.runHost, now);
+        run.rack = worker.entry.rack;
+        if (speedPercent < 100) {
+            run.setSpeed(speedPercent, now);
+            run.isSpeedConfirmed = false;
+        }
+        task.run = run;
+        worker.runs.set(task.name, run);
+        if (task.job.state === "queued") {
+            task.job.state = "running";
+        }
+        this.activeJobs.recordProgress(task.job, () => this.onAssignmentStored(run));
+        return run;
+    }
+
     /** Handles the end of a run: finishes its task, counts its failure or lets the task wait again. */
     onRunEnd(run: Run, outcome: RunOutcome, checkpoint: string, now: number): void {
         const { task, record } = run;
@@ -393,6 +432,7 @@
         }
         if (event.outcome === "done") {
             run.fire("accepted", { now });
+            this.throttle.applyPlanned(run, now);
             this.pool.requestListSoon(worker, now);
             return;
         }
@@ -412,27 +452,6 @@
         this.isDirty = true;
     }
 
-    private assign(task: Task, worker: WorkerContact, now: number): Run {
-        const firstRun = (this.epoch - 1) * MAX_RUNS_PER_EPOCH;
-        task.highestRun = Math.max(task.highestRun, task.lastRun, firstRun) + 1;
-        const record: RunRecord = {
-            task: task.name,
-            run: task.highestRun,
-            worker: worker.entry.id,
-            incarnation: Math.max(worker.entry.incarnation, worker.incarnation ?? 0),
-            checkpoint: task.checkpoint,
-        };
-        const run = Run.create(task, record, this.runHost, now);
-        run.rack = worker.entry.rack;
-        task.run = run;
-        worker.runs.set(task.name, run);
-        if (task.job.state === "queued") {
-            task.job.state = "running";
-        }
-        this.activeJobs.recordProgress(task.job, () => this.onAssignmentStored(run));
-        return run;
-    }
-
     /** Queues the start instead of sending it: after a suspension the store must confirm the epoch again first. */
     private onAssignmentStored(run: Run): void {
         this.pendingStarts.push(run);
@@ -488,21 +507,6 @@
         }
     }
 
-    private throttle(run: Run, percent: number): void {
-        const worker = this.pool.find(run.record.worker);
-        if (worker === undefined) {
-            return;
-        }
-        run.setSpeed(percent, this.now);
-        const { task, run: number } = run.record;
-        this.context.effects.emit({
-            kind: "throttle",
-            worker: worker.entry,
-            order: { task, run: number, epoch: this.epoch, percent },
-        });
-        this.logDecision("run-throttled", { task, run: number, worker: worker.entry.id, percent });
-    }
-
     private moveRuns(worker: WorkerContact, now: number): void {
         for (const run of worker.runs.values()) {
             const reason = this.reviewer.reasonToMove(run, worker, now);
--- /dev/null
+++ b/src/dispatch/common/schedulerQueueHost.ts
@@ -0,0 +1,21 @@
+import { QueueHost } from "./queueHost";
+import { Run } from "./run";
+import type { Scheduler } from "./scheduler";
+import { Task } from "./task";
+import { WorkerContact } from "./workerContact";
+
+/** Forwards the calls of the step queue to the scheduler. */
+export class SchedulerQueueHost extends QueueHost {
+    private constructor(private readonly scheduler: Scheduler) {
+        super();
+    }
+
+    /** @param scheduler Handles the calls. @returns The host. */
+    static create(scheduler: Scheduler): SchedulerQueueHost {
+        return new SchedulerQueueHost(scheduler);
+    }
+
+    override assign(task: Task, worker: WorkerContact, speedPercent: number, now: number): Run {
+        return this.scheduler.assign(task, worker, speedPercent, now);
+    }
+}
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -3,23 +3,23 @@
 import { ActiveJob, TaskGroup } from "./activeJob";
 import { LatencyModel } from "./latencyModel";
 import { ObjectiveOrder } from "./objectiveOrder";
-import { Placer } from "./placer";
+import { PlacementChoice, Placer } from "./placer";
 import { ProbationPlacer } from "./probationPlacer";
-import { Run } from "./run";
+import { QueueHost } from "./queueHost";
 import { ShortTaskReserve } from "./shortTaskReserve";
 import { SuspectTable } from "./suspectTable";
 import { Task } from "./task";
 import { WaitReporter } from "./waitReporter";
+import { minSpeedAfter, WaitTable } from "./waitTable";
 import { WaitingOrder, WaitingRank } from "./waitingOrder";
 import { WorkerContact } from "./workerContact";
 
-/** Assigns a task to a worker and returns its run. */
-export type AssignTask = (task: Task, worker: WorkerContact, now: number) => Run;
-
 /** A task group with waiting tasks, and the criteria for its position in the queue. */
 interface WaitingGroup {
     readonly group: TaskGroup;
     readonly tasks: readonly Task[];
+    /** Time for which the group has waited without any run of its job, in ms. */
+    readonly waitedMs: number;
     /** Whether they are suspected of crashing their workers. */
     readonly isSuspected: boolean;
     readonly service: string;
@@ -30,9 +30,10 @@
 /** Orders the waiting task groups and assigns their tasks to workers with free capacity. */
 export class StepQueue {
     private readonly probation: ProbationPlacer;
-    private readonly waits = WaitReporter.create();
+    private readonly waits = WaitTable.create();
+    private readonly waitReporter = WaitReporter.create();
     /** Fires for a job that has nothing running although a step is ready. */
-    readonly onDidWait = this.waits.onDidWait;
+    readonly onDidWait = this.waitReporter.onDidWait;
     private remainingStarts = 0;
     private readonly reserve = ShortTaskReserve.create();
     /** Workers on which no new long-running tasks are placed in this pass. */
@@ -44,7 +45,7 @@
         private readonly queues: QueueTable,
         private readonly model: LatencyModel,
         private readonly suspects: SuspectTable,
-        private readonly assign: AssignTask,
+        private readonly host: QueueHost,
         private readonly order: WaitingOrder,
     ) {
         this.probation = ProbationPlacer.create(suspects, model);
@@ -54,7 +55,7 @@
      * @param queues Queues as configured.
      * @param model Estimates the interference between images.
      * @param suspects Tasks that are suspected of crashing their workers.
-     * @param assign Assigns a task to a worker.
+     * @param host Assigns tasks to workers and moves them.
      * @param order Order of the jobs of one priority.
      * @returns The queue.
      */
@@ -62,10 +63,10 @@
         queues: QueueTable,
         model: LatencyModel,
         suspects: SuspectTable,
-        assign: AssignTask,
+        host: QueueHost,
         order: WaitingOrder = ObjectiveOrder.create(),
     ): StepQueue {
-        return new StepQueue(queues, model, suspects, assign, order);
+        return new StepQueue(queues, model, suspects, host, order);
     }
 
     /**
@@ -101,7 +102,7 @@
         this.reserved = this.reserve.choose(open, now);
         const placer = Placer.create(open, this.model);
         this.placeInOrder(unsuspected, placer, now);
-        this.waits.review(waiting, placer, now);
+        this.waitReporter.review(waiting, placer, now);
     }
 
     private placeInOrder(waiting: readonly WaitingGroup[], placer: Placer, now: number): void {
@@ -131,8 +132,9 @@
             if (tasks.length > 0 && isComplete) {
                 this.recordDemand(group, service, now);
                 const rank = this.order.rank(job, job.remainingMs(group), wallNow);
+                const waitedMs = this.waits.update(group, job, now);
                 for (const entry of this.separateSuspected(tasks, isGang)) {
-                    waiting.push({ group, service, priority, rank, ...entry });
+                    waiting.push({ group, service, priority, rank, waitedMs, ...entry });
                 }
             }
         }
@@ -156,11 +158,17 @@
         now: number,
         wallNow: number,
     ): WorkerContact[] {
-        const groups = waiting.filter(entry => entry.isSuspected);
+        const groups = waiting
+            .filter(entry => entry.isSuspected)
+            .map(entry => ({ ...entry, minSpeedPercent: minSpeedOf(entry) }));
         groups.forEach(({ tasks }) => alignRuns(tasks));
         const isContested = groups.length < waiting.length;
-        const closed = this.probation.place(groups, workers, isContested, { now, wallNow }, (task, worker) =>
-            this.assign(task, worker, now),
+        const closed = this.probation.place(
+            groups,
+            workers,
+            isContested,
+            { now, wallNow },
+            (task, worker, speedPercent) => this.host.assign(task, worker, speedPercent, now),
         );
         return workers.filter(worker => !closed.has(worker));
     }
@@ -181,19 +189,21 @@
     private placeTasks(entry: WaitingGroup, placer: Placer, now: number): void {
         const rack = entry.group.step.prefersOneRack ? rackOf(entry.group) : undefined;
         for (const task of entry.tasks) {
-            if (this.remainingStarts <= 0 || placer.isInfeasible(task, entry.service)) {
+            const minSpeedPercent = minSpeedOf(entry);
+            if (this.remainingStarts <= 0 || placer.isInfeasible(task, entry.service, minSpeedPercent)) {
                 return;
             }
-            const worker =
-                this.choosePreferred(task, entry.service, placer, rack) ?? this.chooseAny(task, entry.service, placer);
-            if (worker === undefined) {
-                placer.recordRejection(task, entry.service);
+            const choice =
+                this.choosePreferred(task, entry.service, placer, rack) ??
+                this.chooseAny(task, entry.service, placer, minSpeedPercent);
+            if (choice === undefined) {
+                placer.recordRejection(task, entry.service, minSpeedPercent);
                 if (task.failedOn.size === 0) {
                     return;
                 }
                 continue;
             }
-            this.assignTo(task, worker, placer, now);
+            this.assignTo(task, choice, placer, now);
         }
     }
 
@@ -202,22 +212,27 @@
         service: string,
         placer: Placer,
         rack: string | undefined,
-    ): WorkerContact | undefined {
+    ): PlacementChoice | undefined {
         const preferred = rack ?? task.step.dataRack;
         return preferred === undefined
             ? undefined
             : placer.choose(task, service, worker => worker.entry.rack === preferred);
     }
 
-    private chooseAny(task: Task, service: string, placer: Placer): WorkerContact | undefined {
-        const worker = this.chooseOutsideReserve(task, service, placer);
-        if (worker !== undefined || task.failedOn.size === 0) {
-            return worker;
+    private chooseAny(
+        task: Task,
+        service: string,
+        placer: Placer,
+        minSpeedPercent: number,
+    ): PlacementChoice | undefined {
+        const choice = this.chooseOutsideReserve(task, service, placer, minSpeedPercent);
+        if (choice !== undefined || task.failedOn.size === 0) {
+            return choice;
         }
         // No worker without a failure of this task has capacity, so those with a failure are allowed, too.
         const failedOn = [...task.failedOn];
         task.failedOn.clear();
-        const retried = this.chooseOutsideReserve(task, service, placer);
+        const retried = this.chooseOutsideReserve(task, service, placer, minSpeedPercent);
         failedOn.forEach(id => task.failedOn.add(id));
         return retried;
     }
@@ -226,16 +241,25 @@
      * New long-running tasks use no reserved worker. One that ran before is back in service as soon as possible, if need
      * be on a reserved worker.
      */
-    private chooseOutsideReserve(task: Task, service: string, placer: Placer): WorkerContact | undefined {
+    private chooseOutsideReserve(
+        task: Task,
+        service: string,
+        placer: Placer,
+        minSpeedPercent: number,
+    ): PlacementChoice | undefined {
+        const isAny = () => true;
         if (task.step.mode !== "long-running") {
-            return placer.choose(task, service);
+            return placer.choose(task, service, isAny, minSpeedPercent);
         }
-        const worker = placer.choose(task, service, each => !this.reserved.has(each));
-        return worker === undefined && task.highestRun > 0 ? placer.choose(task, service) : worker;
+        const isOpen = (worker: WorkerContact) => !this.reserved.has(worker);
+        const choice = placer.choose(task, service, isOpen, minSpeedPercent);
+        return choice === undefined && task.highestRun > 0
+            ? placer.choose(task, service, isAny, minSpeedPercent)
+            : choice;
     }
 
-    private assignTo(task: Task, worker: WorkerContact, placer: Placer, now: number): void {
-        this.assign(task, worker, now);
+    private assignTo(task: Task, { worker, speedPercent }: PlacementChoice, placer: Placer, now: number): void {
+        this.host.assign(task, worker, speedPercent, now);
         placer.invalidate(worker);
         this.remainingStarts -= 1;
     }
@@ -245,7 +269,7 @@
         const racks = entry.group.step.prefersOneRack ? placer.racks(entry.service) : [];
         for (const rack of [...racks, undefined]) {
             const isAllowed = (worker: WorkerContact) => rack === undefined || worker.entry.rack === rack;
-            const chosen = placer.chooseAll(entry.tasks, entry.service, isAllowed);
+            const chosen = placer.chooseAll(entry.tasks, entry.service, isAllowed, minSpeedOf(entry));
             if (chosen !== undefined) {
                 alignRuns(entry.tasks);
                 entry.tasks.forEach((task, index) => this.assignTo(task, chosen[index], placer, now));
@@ -255,6 +279,11 @@
     }
 }
 
+/** @returns Lowest speed at which a task of a group may start now, in percent: a lower one only while its job has no run. */
+function minSpeedOf({ group, tasks, waitedMs }: WaitingGroup): number {
+    return group.step.usesSpareCpu && !tasks[0].job.hasRun ? minSpeedAfter(waitedMs) : 100;
+}
+
 /** @returns The rack of the first task in the group that has a run, if any. */
 function rackOf(group: TaskGroup): string | undefined {
     return group.tasks.find(task => task.run !== undefined)?.run?.rack;
--- a/src/dispatch/common/test/failureController.test.ts
+++ b/src/dispatch/common/test/failureController.test.ts
@@ -10,7 +10,7 @@
 import { SuspectTable } from "../suspectTable";
 import { Task } from "../task";
 import { WorkerContact } from "../workerContact";
-import { assign, createJob, createStep, createWorker, report } from "./runs";
+import { assign, AssigningHost, createJob, createStep, createWorker, report } from "./runs";
 
 /** Time after which a run is listed and its start counts as survived, in ms. */
 const SURVIVED_MS = 600;
@@ -248,9 +248,7 @@
     tasks.slice(0, 2).forEach(task => start(lost, task, 0));
     lose(failures, lost);
     const workers = Array.from({ length: 8 }, (_, index) => createWorker(`w${index}`));
-    const queue = StepQueue.create(QueueTable.create(), LatencyModel.create(), suspects, (task, worker) =>
-        assign(worker, task),
-    );
+    const queue = StepQueue.create(QueueTable.create(), LatencyModel.create(), suspects, AssigningHost.create());
     const jobs = tasks.map(task => task.job);
     queue.placeWaiting(jobs, workers, 100, 0, 0);
     const workerOf = (task: Task) => workers.find(worker => worker.runs.has(task.name))!;
--- a/src/dispatch/common/test/objectiveOrder.test.ts
+++ b/src/dispatch/common/test/objectiveOrder.test.ts
@@ -7,7 +7,7 @@
 import { StepQueue } from "../stepQueue";
 import { SuspectTable } from "../suspectTable";
 import { WaitingOrder, WaitingRank } from "../waitingOrder";
-import { assign, createJob, createStep, createWorker } from "./runs";
+import { assign, AssigningHost, createJob, createStep, createWorker } from "./runs";
 
 const ESTIMATE_MS = 2_000;
 const STEP_MS = 100;
@@ -36,11 +36,11 @@
         QueueTable.create(),
         LatencyModel.create(),
         SuspectTable.create(),
-        (task, worker, now) => {
+        AssigningHost.create((task, worker, now) => {
             task.job.state = "running";
             durations.set(task.name, now + (ESTIMATE_MS * random.between(60, 150)) / 100);
             return assign(worker, task);
-        },
+        }),
         order,
     );
     const step = createStep("batch", false, { estimateMs: ESTIMATE_MS, usesSpareCpu: false, tasks: 2 });
--- a/src/dispatch/common/test/placer.test.ts
+++ b/src/dispatch/common/test/placer.test.ts
@@ -17,7 +17,7 @@
 function placeAll(placer: Placer, tasks: readonly Task[]): WorkerContact[] {
     const chosen: WorkerContact[] = [];
     for (const task of tasks) {
-        const worker = placer.choose(task, SERVICE);
+        const worker = placer.choose(task, SERVICE)?.worker;
         if (worker === undefined) {
             break;
         }
@@ -43,8 +43,8 @@
     for (let job = 0; job < 12; job++) {
         const request = { cpuMillis: random.between(2_000, 14_000), memoryMb: 5_000, accelerators: 0 };
         for (const task of tasksOf(`j${job}`, createStep("batch", false, { tasks: 10, request }))) {
-            const worker = placer.choose(task, SERVICE);
-            t.is(worker, Placer.create(workers, model).choose(task, SERVICE));
+            const worker = placer.choose(task, SERVICE)?.worker;
+            t.is(worker, Placer.create(workers, model).choose(task, SERVICE)?.worker);
             if (worker !== undefined) {
                 assign(worker, task);
                 placer.invalidate(worker);
@@ -60,7 +60,8 @@
     const plain = createWorker("plain");
     const labelled = createWorker("labelled", { labels: ["gpu"] });
     const [task] = tasksOf("a", createStep("batch", false, { requiredLabel: "gpu" }));
-    const choose = (workers: WorkerContact[]) => Placer.create(workers, LatencyModel.create()).choose(task, SERVICE);
+    const choose = (workers: WorkerContact[]) =>
+        Placer.create(workers, LatencyModel.create()).choose(task, SERVICE)?.worker;
     t.is(choose([other, plain, labelled]), labelled);
     t.is(choose([other, plain]), undefined);
 });
--- a/src/dispatch/common/test/probationPlacer.test.ts
+++ b/src/dispatch/common/test/probationPlacer.test.ts
@@ -7,7 +7,7 @@
 import { SuspectTable } from "../suspectTable";
 import { Task } from "../task";
 import { WorkerContact } from "../workerContact";
-import { assign, createJob, createStep, createWorker, report } from "./runs";
+import { assign, AssigningHost, createJob, createStep, createWorker, report } from "./runs";
 
 const PASS_INTERVAL_MS = 20;
 
@@ -48,10 +48,11 @@
     const workers = Array.from({ length: 25 }, (_, index) => createWorker(`w${index}`));
     const startedAt = new Map<Task, number>();
     let now = 0;
-    const queue = StepQueue.create(QueueTable.create(), LatencyModel.create(), suspects, (task, worker) => {
+    const host = AssigningHost.create((task, worker) => {
         startedAt.set(task, now);
         return assign(worker, task);
     });
+    const queue = StepQueue.create(QueueTable.create(), LatencyModel.create(), suspects, host);
     for (; startedAt.size < tasks.length && now < 120_000; now += PASS_INTERVAL_MS) {
         queue.placeWaiting(jobs, workers, 1_000, now, 1_700_000_000_000 + now);
         workers.forEach((worker, index) => list(worker, index, now, startedAt, failures));
--- a/src/dispatch/common/test/runs.ts
+++ b/src/dispatch/common/test/runs.ts
@@ -1,6 +1,7 @@
 import { JobSpec, StepSpec } from "../../../jobs/common/jobSpec";
 import { ActiveJob } from "../activeJob";
 import { DispatchLimits } from "../dispatchLimits";
+import { QueueHost } from "../queueHost";
 import { Run, RunHost } from "../run";
 import { Task } from "../task";
 import { WorkerContact } from "../workerContact";
@@ -26,6 +27,28 @@
     override onEnd(): void {}
 }
 
+/** Assigns tasks by a function. */
+export class AssigningHost extends QueueHost {
+    private constructor(private readonly assignTask: (task: Task, worker: WorkerContact, now: number) => Run) {
+        super();
+    }
+
+    /** @param assignTask Assigns a task to a worker. @returns The host. */
+    static create(
+        assignTask: (task: Task, worker: WorkerContact, now: number) => Run = (task, worker) => assign(worker, task),
+    ): AssigningHost {
+        return new AssigningHost(assignTask);
+    }
+
+    override assign(task: Task, worker: WorkerContact, speedPercent: number, now: number): Run {
+        const run = this.assignTask(task, worker, now);
+        if (speedPercent < 100) {
+            run.setSpeed(speedPercent, now);
+        }
+        return run;
+    }
+}
+
 /** @returns A step of one task of 8 cores: a latency-critical or a best-effort one. */
 export function createStep(image: string, isLatencyCritical: boolean, overrides: Partial<StepSpec> = {}): StepSpec {
     return {
--- a/src/dispatch/common/test/scheduler.test.ts
+++ b/src/dispatch/common/test/scheduler.test.ts
@@ -8,10 +8,11 @@
 import { Leadership } from "../../../records/common/leadership";
 import { RecordWriter } from "../../../records/common/recordWriter";
 import { DecisionEffect, DispatchEffect } from "../dispatchEffects";
+import { InterferenceRow } from "../latencyModel";
 import { Scheduler, SchedulerContext } from "../scheduler";
 import { WorkerEntry } from "../workerEntry";
-import { ListedEnd, RunList, StartOrder } from "../workerMessages";
-import { createJob, createStep, createWorker, LIMITS, readingOf } from "./runs";
+import { ListedEnd, RunList, StartOrder, ThrottleOrder } from "../workerMessages";
+import { createJob, createStep, createWorker, LIMITS, readingOf, TARGET_MS } from "./runs";
 
 const TICK_MS = 25;
 
@@ -45,11 +46,15 @@
     /** How old the views of the streams are, in ms. */
     viewAgeMs = 0;
     readonly decisions: DecisionEffect[] = [];
+    readonly throttles: ThrottleOrder[] = [];
+    /** Tail latencies (ms) that latency-critical tasks report. */
+    readonly latencies = new Map<string, number>();
 
-    private constructor(step: StepSpec) {
-        const jobs = JobTable.create();
-        const { spec } = createJob("a", step);
-        jobs.apply({ key: jobKey("spec", "a"), value: encodeSpec(spec), offset: 0 });
+    private readonly jobs = JobTable.create();
+
+    private constructor(step: StepSpec, learnedInterference: readonly InterferenceRow[]) {
+        const { jobs } = this;
+        this.submit("a", step);
         const leadership = { canSendOrders: () => true, canExtendLeases: () => true } as unknown as Leadership;
         const tables = { jobs, progress: ProgressTable.create(), queues: QueueTable.create() };
         const context: SchedulerContext = {
@@ -57,7 +62,7 @@
             leadership,
             views: { jobs: this.view, configuration: this.view, workers: this.view },
             limits: LIMITS,
-            learnedInterference: [],
+            learnedInterference,
             effects: this.outbox,
         };
         const [jobsWriter, progress] = this.writers;
@@ -65,8 +70,17 @@
         ["w1", "w2"].forEach(id => this.updateWorker(createWorker(id).entry));
     }
 
-    static create(step = createStep("x", false)): SchedulerFixture {
-        return new SchedulerFixture(step);
+    static create(
+        step = createStep("x", false),
+        learnedInterference: readonly InterferenceRow[] = [],
+    ): SchedulerFixture {
+        return new SchedulerFixture(step, learnedInterference);
+    }
+
+    /** Submits a job of one step. */
+    submit(id: string, step: StepSpec): void {
+        const { spec } = createJob(id, step);
+        this.jobs.apply({ key: jobKey("spec", id), value: encodeSpec(spec), offset: this.jobs.size });
     }
 
     /** Writes the entry of a worker, which the scheduler reads at once. */
@@ -110,6 +124,9 @@
         if (effect.kind === "decision") {
             this.decisions.push(effect);
         }
+        if (effect.kind === "throttle") {
+            this.throttles.push(effect.order);
+        }
         if (effect.kind !== "list" && effect.kind !== "start") {
             return;
         }
@@ -120,7 +137,13 @@
         if (effect.kind === "start") {
             const { task, run } = effect.order;
             this.starts.push({ worker: id, order: effect.order });
-            const running = [{ task, run, checkpoint: "", percent: 50, latencyOrUsage: 8_000 }];
+            const others = this.lists.get(id)?.running.filter(each => each.task !== task) ?? [];
+            const latency = this.latencies.get(task);
+            const latencyOrUsage = latency ?? 8_000;
+            const running = [
+                ...others,
+                { task, run, checkpoint: "", percent: latency === undefined ? 50 : 100, latencyOrUsage },
+            ];
             this.lists.set(id, { incarnation: 1, running, ended: [] });
             this.scheduler.handleWorkerAnswer({ kind: "start-answer", order: effect.order, ...base }, this.now);
         } else {
@@ -334,3 +357,16 @@
     fixture.advance(3_000);
     t.is(fixture.confirmed.get(worker), 2);
 });
+
+test("a best-effort run that may not run at full speed is throttled as soon as its start is accepted", t => {
+    const web = createStep("web", true, { tasks: 2, maxPerWorker: 1 });
+    const fixture = SchedulerFixture.create(web, [["web", "batch", 12, 0.01]]);
+    ["a.0.0.0", "a.0.0.1"].forEach(task => fixture.latencies.set(task, TARGET_MS / 1.6));
+    fixture.advance(2_000);
+    fixture.submit("b", createStep("batch", false));
+    fixture.advance(7_500);
+    t.is(fixture.starts.filter(({ order }) => order.task === "b.0.0.0").length, 1);
+    const [{ task, percent }] = fixture.throttles;
+    t.is(task, "b.0.0.0");
+    t.true(percent > 10 && percent < 60);
+});
--- a/src/dispatch/common/test/shortTaskReserve.test.ts
+++ b/src/dispatch/common/test/shortTaskReserve.test.ts
@@ -6,7 +6,7 @@
 import { StepQueue } from "../stepQueue";
 import { SuspectTable } from "../suspectTable";
 import { WorkerContact } from "../workerContact";
-import { assign, createJob, createStep, createWorker, place } from "./runs";
+import { assign, AssigningHost, createJob, createStep, createWorker, place } from "./runs";
 
 const SERVICE = "svc";
 const WORKERS = 20;
@@ -51,10 +51,10 @@
         QueueTable.create(),
         LatencyModel.create(),
         SuspectTable.create(),
-        (task, worker) => {
+        AssigningHost.create((task, worker) => {
             task.highestRun += 1;
             return assign(worker, task);
-        },
+        }),
     );
     if (!isReserving) {
         (queue as unknown as { reserve: unknown }).reserve = { recordDemand: () => undefined, choose: () => new Set() };
@@ -92,8 +92,11 @@
     const workers = createWorkers(60_000);
     const reserved = workers[WORKERS - 1];
     reserved.runs.clear();
-    const queue = StepQueue.create(QueueTable.create(), LatencyModel.create(), SuspectTable.create(), (task, worker) =>
-        assign(worker, task),
+    const queue = StepQueue.create(
+        QueueTable.create(),
+        LatencyModel.create(),
+        SuspectTable.create(),
+        AssigningHost.create(),
     );
     const job = createJob("web", createStep("web", true));
     const [task] = [...job.tasks()];
--- a/src/dispatch/common/test/stepQueue.test.ts
+++ b/src/dispatch/common/test/stepQueue.test.ts
@@ -3,21 +3,20 @@
 import { QueueTable } from "../../../jobs/common/queueTable";
 import { ActiveJob } from "../activeJob";
 import { LatencyModel } from "../latencyModel";
-import { Run } from "../run";
 import { StepQueue } from "../stepQueue";
 import { SuspectTable } from "../suspectTable";
-import { Task } from "../task";
 import { WaitReport } from "../waitReporter";
 import { WorkerContact } from "../workerContact";
-import { assign, createJob, createStep, createWorker } from "./runs";
-
-function assignTo(task: Task, worker: WorkerContact): Run {
-    return assign(worker, task);
-}
+import { assign, AssigningHost, createJob, createStep, createWorker, place, report, TARGET_MS } from "./runs";
 
 /** Places the waiting tasks of two jobs in one pass. @returns Number of tasks of the second job that are placed. */
 function placeBehind(first: ActiveJob, second: ActiveJob, workers: readonly WorkerContact[]): number {
-    const queue = StepQueue.create(QueueTable.create(), LatencyModel.create(), SuspectTable.create(), assignTo);
+    const queue = StepQueue.create(
+        QueueTable.create(),
+        LatencyModel.create(),
+        SuspectTable.create(),
+        AssigningHost.create(),
+    );
     queue.placeWaiting([first, second], workers, 100, 0, 0);
     return [...second.tasks()].filter(task => task.run !== undefined).length;
 }
@@ -60,7 +59,12 @@
 });
 
 test("a job that waits with nothing running is reported with what is in the way on each worker", t => {
-    const queue = StepQueue.create(QueueTable.create(), LatencyModel.create(), SuspectTable.create(), assignTo);
+    const queue = StepQueue.create(
+        QueueTable.create(),
+        LatencyModel.create(),
+        SuspectTable.create(),
+        AssigningHost.create(),
+    );
     const reports: WaitReport[] = [];
     queue.onDidWait(report => reports.push(report));
     const request = { cpuMillis: 60_000, memoryMb: 1_000, accelerators: 0 };
@@ -74,3 +78,78 @@
     const counts = { workers: 3, otherKind: 2, noRoom: 1, noHeadroom: 0, interference: 0, noSpareCpu: 0, ownLimit: 0 };
     t.deepEqual(reports, [{ task: "a.0.0.0", waitedMs: 2_000, oldestEstimateMs: undefined, ...counts }]);
 });
+
+/** Interference of which a worker's neighbor can bear about a third. */
+const HEAVY_MODEL = [["web", "batch", 12, 0.01]] as const;
+
+/** @returns Workers with a latency-critical task each, which has some headroom. */
+function createBusyWorkers(model: LatencyModel, headroom = 1.6): WorkerContact[] {
+    const workers = Array.from({ length: 4 }, (_, index) => createWorker(`w${index}`));
+    for (const worker of workers) {
+        report(place(worker, `web-${worker.entry.id}`, createStep("web", true)), TARGET_MS * (1 / headroom), 500);
+        model.update(worker, 500);
+    }
+    return workers;
+}
+
+function createQueue(model: LatencyModel, host = AssigningHost.create()): StepQueue {
+    return StepQueue.create(QueueTable.create(), model, SuspectTable.create(), host);
+}
+
+/** Runs passes until a task of the job has a run. @returns Time in ms, or `undefined` if none has one after 20 s. */
+function timeOfFirstRun(queue: StepQueue, job: ActiveJob, workers: readonly WorkerContact[]): number | undefined {
+    for (let now = 0; now <= 20_000; now += 100) {
+        queue.placeWaiting([job], workers, 100, now, now);
+        if (job.hasRun) {
+            return now;
+        }
+    }
+    return undefined;
+}
+
+/** Longest time without any run that a caller can be expected to accept while workers have room, in ms. */
+const MAX_IDLE_MS = 10_000;
+
+test("a best-effort job whose image interferes strongly on all workers is not left without a run", t => {
+    const model = LatencyModel.create(HEAVY_MODEL);
+    const workers = createBusyWorkers(model);
+    const job = createJob("a", createBestEffort({ tasks: 6 }));
+    const at = timeOfFirstRun(createQueue(model), job, workers);
+    t.true(at !== undefined && at <= MAX_IDLE_MS);
+    const started = [...job.tasks()].flatMap(task => task.run ?? []);
+    t.is(started.length, 1);
+    t.true(started[0].speedPercent > 10 && started[0].speedPercent < 60);
+});
+
+test("a best-effort job is not left without a run while the latency-critical tasks have no headroom themselves", t => {
+    const model = LatencyModel.create(HEAVY_MODEL);
+    const workers = createBusyWorkers(model, 0.9);
+    const job = createJob("a", createBestEffort({ tasks: 6 }));
+    const at = timeOfFirstRun(createQueue(model), job, workers);
+    t.true(at !== undefined && at <= MAX_IDLE_MS);
+    t.is([...job.tasks()].find(task => task.run !== undefined)?.run?.speedPercent, 0);
+});
+
+test("a best-effort gang whose image interferes strongly on all workers is not left without a run", t => {
+    const model = LatencyModel.create(HEAVY_MODEL);
+    const workers = createBusyWorkers(model);
+    const job = createJob("a", createBestEffort({ tasks: 3, mode: "gang", maxPerWorker: 1 }));
+    const at = timeOfFirstRun(createQueue(model), job, workers);
+    t.true(at !== undefined && at <= MAX_IDLE_MS);
+    t.true([...job.tasks()].every(task => task.run !== undefined));
+});
+
+test("a best-effort job waits for full speed at first, and on workers without unused CPU in any case", t => {
+    const model = LatencyModel.create(HEAVY_MODEL);
+    const workers = createBusyWorkers(model);
+    const request = { cpuMillis: 30_000, memoryMb: 1_000, accelerators: 0 };
+    workers.forEach(worker => {
+        place(worker, `b-${worker.entry.id}`, createStep("other", false, { request }));
+        place(worker, `c-${worker.entry.id}`, createStep("other", false, { request }));
+    });
+    const job = createJob("a", createBestEffort({ tasks: 6 }));
+    t.is(timeOfFirstRun(createQueue(model), job, workers), undefined);
+    workers.forEach(worker => [...worker.runs.keys()].slice(1).forEach(name => worker.runs.delete(name)));
+    const other = createJob("d", createBestEffort({ tasks: 6 }));
+    t.true(timeOfFirstRun(createQueue(model), other, workers)! >= 2_000);
+});
--- a/src/dispatch/common/waitReporter.ts
+++ b/src/dispatch/common/waitReporter.ts
@@ -1,5 +1,5 @@
 import { Emitter } from "../../base/common/emitter";
-import { ActiveJob, TaskGroup } from "./activeJob";
+import { TaskGroup } from "./activeJob";
 import { Obstacle, Placer } from "./placer";
 import { Task } from "./task";
 
@@ -31,11 +31,12 @@
     readonly group: TaskGroup;
     readonly tasks: readonly Task[];
     readonly service: string;
+    /** Time for which it has waited without any run of its job, in ms. */
+    readonly waitedMs: number;
 }
 
 /** Reports the jobs that have nothing running although a step is ready, with the reasons. */
 export class WaitReporter {
-    private readonly waitingSince = new WeakMap<TaskGroup, number>();
     private readonly reportedAt = new WeakMap<TaskGroup, number>();
     private nextReviewAt = 0;
     private readonly didWait = Emitter.create<WaitReport>();
@@ -61,33 +62,23 @@
         }
         this.nextReviewAt = now + REVIEW_INTERVAL_MS;
         let reports = 0;
-        for (const { group, tasks, service } of waiting) {
+        for (const { group, tasks, service, waitedMs } of waiting) {
             const [task] = tasks;
-            if (hasRun(task.job)) {
-                this.waitingSince.set(group, now);
-                continue;
-            }
-            const since = this.waitingSince.get(group) ?? now;
-            this.waitingSince.set(group, since);
             const isDue = now - (this.reportedAt.get(group) ?? -Infinity) >= REPORT_INTERVAL_MS;
-            if (now - since >= MIN_WAIT_MS && isDue && reports < MAX_REPORTS_PER_REVIEW) {
+            if (waitedMs >= MIN_WAIT_MS && isDue && reports < MAX_REPORTS_PER_REVIEW && !task.job.hasRun) {
                 reports += 1;
                 this.reportedAt.set(group, now);
                 const obstacles = placer.countObstacles(task, service);
                 const { workerCount: workers } = placer;
                 const oldestEstimateMs = placer.oldestEstimateMs(task, service, now);
-                const waitedMs = Math.round(now - since);
-                this.didWait.fire({ task: task.name, waitedMs, workers, oldestEstimateMs, ...obstacles });
+                this.didWait.fire({
+                    task: task.name,
+                    waitedMs: Math.round(waitedMs),
+                    workers,
+                    oldestEstimateMs,
+                    ...obstacles,
+                });
             }
         }
     }
 }
-
-function hasRun(job: ActiveJob): boolean {
-    for (const task of job.tasks()) {
-        if (task.run !== undefined) {
-            return true;
-        }
-    }
-    return false;
-}
