Move a throttled run only if another worker offers its task a higher speed

Callers saw tasks that were stopped three times in 6 s, each time on another worker, and then had no run.

Cause: a run that was throttled to 20% or less for 1 s was stopped, up to four times for each task, without a look at the other workers. When all workers are slow or busy, the task loses what it did since its last checkpoint, and its place: it went back to the queue, where no worker accepted it.

Throttled tasks now take their turn in the queue, in the same order as waiting ones. A run is stopped only if another worker with room offers its task at least 60% of full speed; each worker is offered to one task in a pass. The time for which a run must have been throttled doubles with each move, so tasks whose moves do not help stay where they are. Gangs move together or not at all.

The new test failed before: the run was stopped after 1 s with no worker to go to.

--- a/src/dispatch/common/placer.ts
+++ b/src/dispatch/common/placer.ts
@@ -252,7 +252,8 @@
         return (step.usesSpareCpu ? this.bestEffortPolicy : this.reservedPolicy).assess(task, worker, forecast);
     }
 
-    private reserve(task: Task, worker: WorkerContact): void {
+    /** Takes what a task needs out of the free capacity of a worker for the rest of the pass. */
+    reserve(task: Task, worker: WorkerContact): void {
         const { request, usesSpareCpu } = task.step;
         const { freeCapacity, latencyCritical } = this.forecast(worker);
         this.forecasts.set(worker, {
--- a/src/dispatch/common/queueHost.ts
+++ b/src/dispatch/common/queueHost.ts
@@ -13,4 +13,11 @@
      * @returns Its run.
      */
     abstract assign(task: Task, worker: WorkerContact, speedPercent: number, now: number): Run;
+
+    /**
+     * Stops a run that is throttled, so that its task starts again on a worker on which it runs faster.
+     * @param run The run.
+     * @param now Time in ms.
+     */
+    abstract move(run: Run, now: number): void;
 }
--- a/src/dispatch/common/runReviewer.ts
+++ b/src/dispatch/common/runReviewer.ts
@@ -1,8 +1,8 @@
 import { Run } from "./run";
 import { WorkerContact } from "./workerContact";
 
-/** Why a run is stopped and its task started again on another worker. */
-export type MoveReason = "draining" | "slowed-down" | "stuck";
+/** Why a run is stopped and its task started again on another worker, wherever that is. */
+export type MoveReason = "draining" | "stuck";
 
 /** Time without progress after which a run counts as stuck, in ms. */
 const STUCK_TIMEOUT_MS = 2_500;
@@ -10,12 +10,14 @@
 /** Time before a draining worker leaves at which its runs are moved, in ms: they write a checkpoint as they stop. */
 const DRAIN_MARGIN_MS = 900;
 
-/** A run that is throttled to this speed or below for longer than this time is moved. */
+/** A run that is throttled to this speed or below may be moved. */
 const MAX_THROTTLED_SPEED_PERCENT = 20;
-const MAX_THROTTLED_MS = 1_000;
 
-/** Limits how often a throttled task is moved, since each move costs work. */
-const MAX_MOVES = 4;
+/** Time for which a run must have been throttled before its task moves for the first time, in ms. It doubles with each move. */
+const MIN_THROTTLED_MS = 1_000;
+
+/** Limit of that time, in ms. */
+const MAX_THROTTLED_MS = 16_000;
 
 /** Progress that may be lost by moving a run without checkpoints, in percent. */
 const MAX_LOST_PROGRESS_PERCENT = 15;
@@ -33,7 +35,7 @@
      * @param run A run.
      * @param worker Its worker.
      * @param now Time in ms.
-     * @returns Why it should be moved, or `undefined` to leave it where it is.
+     * @returns Why it should not stay on its worker, or `undefined` if it may.
      */
     reasonToMove(run: Run, worker: WorkerContact, now: number): MoveReason | undefined {
         if (run.state !== "running") {
@@ -42,11 +44,26 @@
         if (worker.leavesAt !== undefined && isDrainDue(run, worker.leavesAt, now)) {
             return "draining";
         }
-        if (isThrottledTooLong(run, now)) {
-            return "slowed-down";
-        }
         return isStuck(run, now) ? "stuck" : undefined;
     }
+
+    /**
+     * A run that interferes with its neighbors makes little progress while throttled; on another worker it may run faster.
+     * It is moved only if checkpoints save its work or little work would be lost.
+     * @param run A run.
+     * @param now Time in ms.
+     * @returns Whether it has been throttled for so long that its task should move if a worker offers a higher speed.
+     */
+    isSlowedDown(run: Run, now: number): boolean {
+        const { moves, step } = run.task;
+        const throttledMs = Math.min(MAX_THROTTLED_MS, MIN_THROTTLED_MS * 2 ** moves);
+        return (
+            run.state === "running" &&
+            run.speedPercent <= MAX_THROTTLED_SPEED_PERCENT &&
+            now - run.throttledAt > throttledMs &&
+            (step.checkpoints || (run.report?.percent ?? 0) < MAX_LOST_PROGRESS_PERCENT)
+        );
+    }
 }
 
 /** Long-running tasks move at once, to keep their interruption short; others may still end before the worker leaves. */
@@ -54,19 +71,6 @@
     return run.task.step.mode === "long-running" || now > leavesAt - DRAIN_MARGIN_MS;
 }
 
-/**
- * A run that interferes with its neighbors makes little progress while throttled; on another worker it may run faster.
- * It is moved only if checkpoints save its work or little work would be lost.
- */
-function isThrottledTooLong(run: Run, now: number): boolean {
-    return (
-        run.speedPercent <= MAX_THROTTLED_SPEED_PERCENT &&
-        now - run.throttledAt > MAX_THROTTLED_MS &&
-        run.task.moves < MAX_MOVES &&
-        (run.task.step.checkpoints || (run.report?.percent ?? 0) < MAX_LOST_PROGRESS_PERCENT)
-    );
-}
-
 /** Best-effort runs may make no progress for lack of CPU; others always make progress on a healthy worker. */
 function isStuck(run: Run, now: number): boolean {
     const { mode, usesSpareCpu } = run.task.step;
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -388,6 +388,12 @@
         return run;
     }
 
+    /** Stops a run that is throttled: another worker offers its task a higher speed. */
+    moveThrottled(run: Run, now: number): void {
+        run.task.moves += 1;
+        this.stop(run, "slowed-down", now);
+    }
+
     /** Handles the end of a run: finishes its task, counts its failure or lets the task wait again. */
     onRunEnd(run: Run, outcome: RunOutcome, checkpoint: string, now: number): void {
         const { task, record } = run;
@@ -516,8 +522,6 @@
             if (reason === "stuck") {
                 worker.trust.recordFailure({ now, familyFailureRate: 0 });
                 run.task.failedOn.add(worker.entry.id);
-            } else if (reason === "slowed-down") {
-                run.task.moves += 1;
             }
             this.stop(run, reason, now);
         }
--- a/src/dispatch/common/schedulerQueueHost.ts
+++ b/src/dispatch/common/schedulerQueueHost.ts
@@ -18,4 +18,8 @@
     override assign(task: Task, worker: WorkerContact, speedPercent: number, now: number): Run {
         return this.scheduler.assign(task, worker, speedPercent, now);
     }
+
+    override move(run: Run, now: number): void {
+        this.scheduler.moveThrottled(run, now);
+    }
 }
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -6,6 +6,7 @@
 import { PlacementChoice, Placer } from "./placer";
 import { ProbationPlacer } from "./probationPlacer";
 import { QueueHost } from "./queueHost";
+import { RunReviewer } from "./runReviewer";
 import { ShortTaskReserve } from "./shortTaskReserve";
 import { SuspectTable } from "./suspectTable";
 import { Task } from "./task";
@@ -14,12 +15,17 @@
 import { WaitingOrder, WaitingRank } from "./waitingOrder";
 import { WorkerContact } from "./workerContact";
 
+/** Lowest speed, in percent, that a worker must offer a throttled task for a move. */
+const MIN_SPEED_AFTER_MOVE_PERCENT = 60;
+
 /** A task group with waiting tasks, and the criteria for its position in the queue. */
 interface WaitingGroup {
     readonly group: TaskGroup;
     readonly tasks: readonly Task[];
     /** Time for which the group has waited without any run of its job, in ms. */
     readonly waitedMs: number;
+    /** Whether the tasks have runs that are throttled, and move if another worker offers a higher speed. */
+    readonly isThrottled: boolean;
     /** Whether they are suspected of crashing their workers. */
     readonly isSuspected: boolean;
     readonly service: string;
@@ -32,6 +38,7 @@
     private readonly probation: ProbationPlacer;
     private readonly waits = WaitTable.create();
     private readonly waitReporter = WaitReporter.create();
+    private readonly reviewer = RunReviewer.create();
     /** Fires for a job that has nothing running although a step is ready. */
     readonly onDidWait = this.waitReporter.onDidWait;
     private remainingStarts = 0;
@@ -40,6 +47,8 @@
     private reserved: ReadonlySet<WorkerContact> = new Set();
     /** Groups whose demand is recorded. */
     private readonly recordedGroups = new WeakSet<TaskGroup>();
+    /** Workers to which a task moves in this pass. */
+    private readonly destinations = new Set<WorkerContact>();
 
     private constructor(
         private readonly queues: QueueTable,
@@ -97,6 +106,7 @@
         }
         waiting.sort((a, b) => this.compare(a, b));
         this.suspects.prune();
+        this.destinations.clear();
         const unsuspected = waiting.filter(entry => !entry.isSuspected);
         const open = this.suspects.isEmpty ? workers : this.placeSuspected(waiting, workers, now, wallNow);
         this.reserved = this.reserve.choose(open, now);
@@ -110,7 +120,9 @@
             if (this.remainingStarts <= 0) {
                 return;
             }
-            if (entry.group.step.mode === "gang") {
+            if (entry.isThrottled) {
+                this.moveTasks(entry, placer, now);
+            } else if (entry.group.step.mode === "gang") {
                 this.placeGang(entry, placer, now);
             } else {
                 this.placeTasks(entry, placer, now);
@@ -129,17 +141,34 @@
             );
             const isGang = group.step.mode === "gang";
             const isComplete = !isGang || tasks.length === group.tasks.length;
+            const throttled = this.throttledTasks(group, now);
+            if ((tasks.length === 0 || !isComplete) && throttled.length === 0) {
+                continue;
+            }
+            const rank = this.order.rank(job, job.remainingMs(group), wallNow);
+            const waitedMs = this.waits.update(group, job, now);
+            const common = { group, service, priority, rank, waitedMs };
+            if (throttled.length > 0) {
+                waiting.push({ ...common, tasks: throttled, isThrottled: true, isSuspected: false });
+            }
             if (tasks.length > 0 && isComplete) {
                 this.recordDemand(group, service, now);
-                const rank = this.order.rank(job, job.remainingMs(group), wallNow);
-                const waitedMs = this.waits.update(group, job, now);
                 for (const entry of this.separateSuspected(tasks, isGang)) {
-                    waiting.push({ group, service, priority, rank, waitedMs, ...entry });
+                    waiting.push({ ...common, ...entry, isThrottled: false });
                 }
             }
         }
     }
 
+    /** @returns Tasks that should move since their runs are slow; those of a gang together, if one of them is. */
+    private throttledTasks(group: TaskGroup, now: number): readonly Task[] {
+        if (!group.step.usesSpareCpu) {
+            return [];
+        }
+        const throttled = group.tasks.filter(({ run }) => run !== undefined && this.reviewer.isSlowedDown(run, now));
+        return throttled.length > 0 && group.step.mode === "gang" ? group.tasks : throttled;
+    }
+
     /** Suspected tasks start one by one, apart from the others of their step; a gang starts as a whole. */
     private separateSuspected(tasks: readonly Task[], isGang: boolean): Pick<WaitingGroup, "tasks" | "isSuspected">[] {
         const suspected = this.suspects.isEmpty ? [] : tasks.filter(task => this.suspects.has(task));
@@ -162,7 +191,7 @@
             .filter(entry => entry.isSuspected)
             .map(entry => ({ ...entry, minSpeedPercent: minSpeedOf(entry) }));
         groups.forEach(({ tasks }) => alignRuns(tasks));
-        const isContested = groups.length < waiting.length;
+        const isContested = waiting.some(entry => !entry.isSuspected && !entry.isThrottled);
         const closed = this.probation.place(
             groups,
             workers,
@@ -207,6 +236,34 @@
         }
     }
 
+    /** Moves throttled tasks that another worker offers a higher speed. Each worker is offered to one of them in a pass. */
+    private moveTasks(entry: WaitingGroup, placer: Placer, now: number): void {
+        const { tasks, service } = entry;
+        const isOther = (task: Task) => (worker: WorkerContact) =>
+            worker.entry.id !== task.run?.record.worker && !this.destinations.has(worker);
+        if (entry.group.step.mode === "gang") {
+            const own = new Set(tasks.map(task => task.run?.record.worker));
+            const isFree = (worker: WorkerContact) => !own.has(worker.entry.id) && !this.destinations.has(worker);
+            const chosen = placer.chooseAll(tasks, service, isFree, MIN_SPEED_AFTER_MOVE_PERCENT) ?? [];
+            chosen.forEach(({ worker }) => this.destinations.add(worker));
+            tasks.slice(0, chosen.length).forEach(task => task.run !== undefined && this.host.move(task.run, now));
+            return;
+        }
+        for (const task of tasks) {
+            if (placer.isInfeasible(task, service, MIN_SPEED_AFTER_MOVE_PERCENT)) {
+                return;
+            }
+            const choice = placer.choose(task, service, isOther(task), MIN_SPEED_AFTER_MOVE_PERCENT);
+            if (choice === undefined) {
+                placer.recordRejection(task, service, MIN_SPEED_AFTER_MOVE_PERCENT);
+            } else if (task.run !== undefined) {
+                placer.reserve(task, choice.worker);
+                this.destinations.add(choice.worker);
+                this.host.move(task.run, now);
+            }
+        }
+    }
+
     private choosePreferred(
         task: Task,
         service: string,
--- a/src/dispatch/common/test/runs.ts
+++ b/src/dispatch/common/test/runs.ts
@@ -27,8 +27,10 @@
     override onEnd(): void {}
 }
 
-/** Assigns tasks by a function. */
+/** Assigns tasks by a function, and records the moves of runs. */
 export class AssigningHost extends QueueHost {
+    readonly moved: Run[] = [];
+
     private constructor(private readonly assignTask: (task: Task, worker: WorkerContact, now: number) => Run) {
         super();
     }
@@ -47,6 +49,10 @@
         }
         return run;
     }
+
+    override move(run: Run): void {
+        this.moved.push(run);
+    }
 }
 
 /** @returns A step of one task of 8 cores: a latency-critical or a best-effort one. */
--- a/src/dispatch/common/test/stepQueue.test.ts
+++ b/src/dispatch/common/test/stepQueue.test.ts
@@ -153,3 +153,25 @@
     const other = createJob("d", createBestEffort({ tasks: 6 }));
     t.true(timeOfFirstRun(createQueue(model), other, workers)! >= 2_000);
 });
+
+test("a throttled run is moved only if another worker offers its task a higher speed", t => {
+    const model = LatencyModel.create(HEAVY_MODEL);
+    const workers = createBusyWorkers(model);
+    const job = createJob("a", createBestEffort({ tasks: 1 }));
+    const [task] = [...job.tasks()];
+    const run = assign(workers[0], task);
+    run.fire("accepted", { now: 0 });
+    run.setSpeed(5, 0);
+    const host = AssigningHost.create();
+    const queue = createQueue(model, host);
+    const runPasses = (from: number) => {
+        for (let now = from; now < from + 10_000; now += 100) {
+            queue.placeWaiting([job], workers, 100, now, now);
+        }
+    };
+    runPasses(0);
+    t.deepEqual(host.moved, []);
+    workers.push(createWorker("idle"));
+    queue.placeWaiting([job], workers, 100, 10_000, 10_000);
+    t.deepEqual(host.moved, [run]);
+});
