Let reports correct an estimate of interference that is old

An estimate that was learned next to slow workers forbade an image nearly all placements. The next reports corrected it only slowly: its variance stays tiny while nothing is reported, so the filter takes each new report for noise. It was also recorded for the next leader.

The variance of a pair without reports for 2 s now grows with the time since its last report, back to that of an unknown pair in 30 s. Inherited estimates are at least as old as the first report of the epoch.

--- a/src/dispatch/common/latencyModel.ts
+++ b/src/dispatch/common/latencyModel.ts
@@ -17,6 +17,10 @@
 /** Growth of a pair's variance with each report, since interference changes over time. */
 const DRIFT_VARIANCE = 0.0001;
 
+/** Time without a report on a pair after which its variance grows, in s, and the growth per second. */
+const MIN_REPORT_GAP_S = 2;
+const GAP_VARIANCE_PER_S = PRIOR_VARIANCE / 30;
+
 /** Standard deviations that are added to the estimated interference when a run is placed. */
 const CAUTION_DEVIATIONS = 0.5;
 
@@ -87,6 +91,8 @@
     private readonly pairs = new Map<string | undefined, Map<string | undefined, PairInterference>>();
     private readonly baselines = new Map<string, JobBaseline>();
     private readonly updatedAt = new WeakMap<Run, number>();
+    /** Time (ms) of the first report: estimates of an earlier leader are at least this old. */
+    private startedAt: number | undefined;
 
     private constructor() {}
 
@@ -157,12 +163,14 @@
 
     private updateFrom(affected: Run, observed: number, worker: WorkerContact, now: number): void {
         const baseline = this.baseline(affected);
+        this.startedAt ??= now;
         const neighbors = [...worker.runs.values()]
             .filter(run => run.task.step.usesSpareCpu && run.report !== undefined)
             .map(run => ({
                 pair: this.pair(affected.task.step.image, run.task.step.image),
                 share: measuredCpuShare(run, worker),
             }));
+        neighbors.forEach(({ pair }) => this.ageEstimate(pair, now));
         const predicted =
             baseline.headroom - neighbors.reduce((sum, each) => sum + each.pair.interference * each.share, 0);
         const residual = predicted - observed;
@@ -180,6 +188,14 @@
         this.updateBaseline(affected, observed + interference, reportVariance / variance, now);
     }
 
+    /** An estimate that no report has confirmed for some time is uncertain again, so that the next reports can correct it. */
+    private ageEstimate(pair: PairInterference, now: number): void {
+        const gapS = (now - (pair.updatedAt ?? this.startedAt ?? now)) / 1_000;
+        if (gapS >= MIN_REPORT_GAP_S) {
+            pair.variance = Math.min(PRIOR_VARIANCE, pair.variance + gapS * GAP_VARIANCE_PER_S);
+        }
+    }
+
     /** @param certainty Share of the variance (0 to 1) that is due to the report and not to uncertain interference. */
     private updateBaseline(affected: Run, headroom: number, certainty: number, now: number): void {
         const { id } = affected.task.job.spec;
--- a/src/dispatch/common/test/latencyModel.test.ts
+++ b/src/dispatch/common/test/latencyModel.test.ts
@@ -89,3 +89,22 @@
     t.is(model.estimateAgeMs("web", "batch", 5_000), 4_000);
     t.is(model.estimateAgeMs("web", "inherited", 5_000), undefined);
 });
+
+test("an estimate that was learned from slow workers is corrected by reports next to runs at half speed", t => {
+    const model = LatencyModel.create([["web", "batch", 30, 0.01]]);
+    const workers = Array.from({ length: 6 }, (_, index) => createWorker(`w${index}`));
+    const latencyCritical = workers.map(worker => place(worker, "a", createStep("web", true)));
+    const reportUntil = (from: number, until: number) => {
+        for (let now = from; now <= until; now += REPORT_INTERVAL_MS) {
+            latencyCritical.forEach(run => report(run, TARGET_MS / headroomAt(now), now));
+            workers.forEach(worker => model.update(worker, now));
+        }
+    };
+    reportUntil(REPORT_INTERVAL_MS, 20_000);
+    for (const worker of workers.slice(0, 2)) {
+        report(place(worker, `b-${worker.entry.id}`, createStep("batch", false)), 4_000, 20_000);
+    }
+    reportUntil(20_500, 30_000);
+    const full = 0.125;
+    t.true(model.interference("web", "batch", full) < HEAVY_LOSS / 2);
+});
