Share spare CPU with best-effort jobs that have had no run for long

Callers saw accepted batch jobs without a run while under half of the CPU was reserved.

Cause: a best-effort task was placed only where most of the CPU that it requests was unused, so the first jobs kept all spare CPU until they ended.

After the same wait as for interference, a task may now start where its share of the spare CPU is at least a quarter of what it requests; the others there slow down as much. The bound on this wait is now 8 s, full speed is awaited for 3 s.

--- a/src/dispatch/common/bestEffortPolicy.ts
+++ b/src/dispatch/common/bestEffortPolicy.ts
@@ -1,7 +1,7 @@
 import { LatencyModel } from "./latencyModel";
 import { Task } from "./task";
 import { PlacementOffer, PlacementPolicy, SpeedLimit } from "./placementPolicy";
-import { WorkerContact } from "./workerContact";
+import { FreeCapacity, WorkerContact } from "./workerContact";
 import { WorkerForecast } from "./workerForecast";
 
 /** Share of its requested CPU that a latency-critical task is expected to use. */
@@ -10,9 +10,15 @@
 /** Share of the requested CPU that must be unused on a worker for a task to be placed there. */
 const MIN_FREE_RATIO = 0.6;
 
-/** Speed that the unused CPU of a worker must allow, in percent: below it, more tasks would only slow down each other. */
+/**
+ * Speed that the spare CPU of a worker must allow when all its best-effort tasks share it, in percent: below it, more tasks would
+ * only slow down each other.
+ */
 export const MIN_SPEED_BY_CPU_PERCENT = 25;
 
+/** Limit of the speed on a worker without enough unused CPU: a task starts there only after a wait. */
+const MAX_SHARED_SPEED = 0.9;
+
 /** Headroom that latency-critical tasks must keep after a placement, as ratio of target to tail latency. */
 const MIN_HEADROOM_RATIO = 1.05;
 
@@ -66,11 +72,26 @@
                 limit = "interference";
             }
         }
-        const cpuRatio = Math.max(0, unused) / (request.cpuMillis * MIN_FREE_RATIO);
-        if (cpuRatio < Math.max(speed, MIN_SPEED_BY_CPU_PERCENT / 100)) {
-            speed = Math.min(speed, cpuRatio);
+        const cpuShare = shareOfSpareCpu(request.cpuMillis, unused, freeCapacity);
+        if (cpuShare < Math.max(speed, MIN_SPEED_BY_CPU_PERCENT / 100)) {
             limit = "noSpareCpu";
+            speed = Math.min(speed, cpuShare);
         }
         return { cost: cost - unused, speedPercent: Math.floor(speed * 100), limit };
     }
 }
+
+/**
+ * @param cpuMillis CPU that a task requests, in thousandths of a core.
+ * @param unused CPU of a worker that no task is expected to use, in thousandths of a core.
+ * @param free Free capacity of the worker.
+ * @returns Share of the requested CPU that it gets there: all of it while enough is unused, otherwise as much as the other
+ * best-effort tasks there, which then slow down, too.
+ */
+function shareOfSpareCpu(cpuMillis: number, unused: number, free: FreeCapacity): number {
+    if (unused >= cpuMillis * MIN_FREE_RATIO) {
+        return 1;
+    }
+    const usedByBestEffort = free.cpuMillis - free.unrequestedCpuMillis;
+    return Math.max(0, Math.min(MAX_SHARED_SPEED, (unused + usedByBestEffort) / (usedByBestEffort + cpuMillis)));
+}
--- a/src/dispatch/common/waitTable.ts
+++ b/src/dispatch/common/waitTable.ts
@@ -1,10 +1,10 @@
 import { ActiveJob, TaskGroup } from "./activeJob";
 
 /** Time without any run for which a job waits for a worker on which its tasks run at full speed, in ms. */
-const FULL_SPEED_WAIT_MS = 2_000;
+const FULL_SPEED_WAIT_MS = 3_000;
 
 /** Time without any run after which a job accepts any speed, in ms. */
-const MAX_WAIT_MS = 7_000;
+const MAX_WAIT_MS = 8_000;
 
 /** Knows how long groups have been ready while their job had no run, and which speed they accept after that time. */
 export class WaitTable {
