Job trials with best-effort tasks beside latency-critical ones

With the option `colocation`, jobs of long-running latency-critical tasks hold a part of every worker, and best-effort jobs of two steps with checkpoints run beside them. The workers report tail latencies that rise with the load and with the CPU of the neighbors, and they obey orders to throttle. The fault `worker-slow` slows down some workers for seconds.

Two rules are checked: `bounded-wait` (an accepted job with a step that is ready gets a run within 10 s while there is room) and `target-kept` (best-effort tasks keep no latency-critical task over its target for more than 4 s). Sabotaged placement and throttling break them; trials with pairs of images that hardly interfere keep them.

`TrialSchedule.runUntil` keeps the first action after the end, so that it can be called again.

--- /dev/null
+++ b/src/proof/node/colocationPlan.ts
@@ -0,0 +1,76 @@
+import { JobDraft } from "../../jobs/common/jobCall";
+import { StepSpec } from "../../jobs/common/jobSpec";
+import { Random } from "./random";
+
+/** Jobs of a trial that share workers: latency-critical ones for the whole trial, and best-effort ones beside them. */
+export interface ColocationPlan {
+    /** Share of the pairs of images that interfere heavily, from 0 to 1. */
+    readonly heavyRatio: number;
+    /** Mean time between two best-effort jobs, in ms. */
+    readonly bestEffortEveryMs: number;
+}
+
+/** Number of images of best-effort tasks. */
+const BEST_EFFORT_IMAGES = 5;
+
+/** Number of latency-critical jobs, and the time between their submissions, in ms: no worker is reserved any more then. */
+export const LATENCY_CRITICAL_JOBS = 2;
+export const LATENCY_CRITICAL_INTERVAL_MS = 4_000;
+
+/** Target of the tail latency, in ms. */
+const TAIL_TARGET_MS = 24;
+
+const COMMON_STEP = {
+    after: [],
+    checkpoints: false,
+    prefersOneRack: false,
+    usesSpareCpu: false,
+} as const;
+
+function createJob(steps: readonly StepSpec[]): JobDraft {
+    return { payload: "p", steps, occurrences: 0, firstDueMs: 0, intervalMs: 0 };
+}
+
+/**
+ * @param index Number of the job among the latency-critical ones, which together have a task for each worker.
+ * @param workers Number of workers.
+ * @returns A job of long-running latency-critical tasks, at most one on a worker.
+ */
+export function createLatencyCriticalDraft(index: number, workers: number): JobDraft {
+    const first = Math.floor((index * workers) / LATENCY_CRITICAL_JOBS);
+    const tasks = Math.floor(((index + 1) * workers) / LATENCY_CRITICAL_JOBS) - first;
+    const step: StepSpec = {
+        ...COMMON_STEP,
+        tasks,
+        request: { cpuMillis: 6_000, memoryMb: 14_000, accelerators: 0 },
+        estimateMs: 60_000,
+        mode: "long-running",
+        maxPerWorker: 1,
+        image: `service-${index}`,
+        tailTargetMs: TAIL_TARGET_MS,
+        maxUnavailable: 1,
+    };
+    return createJob([step]);
+}
+
+/** @param random Source of randomness. @returns A job of best-effort tasks in two steps, all with checkpoints. */
+export function createBestEffortDraft(random: Random): JobDraft {
+    const image = `batch-${random.between(0, BEST_EFFORT_IMAGES - 1)}`;
+    const request = {
+        cpuMillis: random.between(4, 7) * 1_000,
+        memoryMb: random.between(8, 20) * 1_000,
+        accelerators: 0,
+    };
+    const steps = [0, 1].map((index): StepSpec => ({
+        ...COMMON_STEP,
+        tasks: random.between(1, 4),
+        request,
+        estimateMs: 4_000,
+        after: index === 0 ? [] : [index - 1],
+        mode: "independent",
+        checkpoints: true,
+        usesSpareCpu: true,
+        image,
+    }));
+    return createJob(steps);
+}
--- a/src/proof/node/jobRuleChecker.ts
+++ b/src/proof/node/jobRuleChecker.ts
@@ -2,7 +2,9 @@
 import { RunEnd } from "../../dispatch/common/workerMessages";
 import { LeasedWorker, LeasedWorkerObserver } from "../../standin/common/leasedWorker";
 import { CancellationChecker } from "./cancellationChecker";
+import { TargetChecker } from "./targetChecker";
 import { TrialSchedule } from "./trialSchedule";
+import { WaitChecker } from "./waitChecker";
 
 /** Number of crashes under a task after which it may be given up, and number after which its starts are limited. */
 const CRASHES_BEFORE_FAILED = 2;
@@ -14,6 +16,9 @@
 /** Number of starts that the limit allows; a task that is started three times more breaks the rule. */
 const MAX_STARTS_AFTER_CRASHES = 2;
 
+/** Time after a disruption from which none is near any more, in ms. */
+const STABLE_WINDOW_MS = 4_000;
+
 /** A rule of the job scheduler that a trial checks. */
 export type JobRule =
     | "single-run"
@@ -26,7 +31,9 @@
     | "unasked"
     | "shown-done"
     | "known"
-    | "finished";
+    | "finished"
+    | "bounded-wait"
+    | "target-kept";
 
 /** One violation of a rule. */
 export interface RuleViolation {
@@ -59,12 +66,18 @@
     readonly accepted = new Set<string>();
     readonly violations: RuleViolation[] = [];
     readonly cancellations: CancellationChecker;
+    private readonly waits: WaitChecker;
+    private readonly targets: TargetChecker;
+    /** Time (ms) from which no disruption is near. */
+    private calmFrom = 0;
     starts = 0;
     /** How often the capacity of a worker shrank. */
     shrinks = 0;
 
     private constructor(private readonly schedule: TrialSchedule) {
         this.cancellations = CancellationChecker.create(schedule, detail => this.check("unasked", false, detail));
+        this.waits = WaitChecker.create(detail => this.check("bounded-wait", false, detail));
+        this.targets = TargetChecker.create(detail => this.check("target-kept", false, detail));
     }
 
     /** @param schedule Clock of the trial. @returns A checker without any observations. */
@@ -75,6 +88,7 @@
     /** Records that a job is submitted. @param job The job. @param deadlyTask Its task that crashes workers, if any. */
     recordSubmission(job: JobSpec, deadlyTask?: string): void {
         this.jobs.set(job.id, job);
+        this.waits.recordSubmission(job);
         if (deadlyTask !== undefined) {
             this.deadlyTasks.add(deadlyTask);
         }
@@ -85,6 +99,20 @@
         return this.deadlyTasks.has(task);
     }
 
+    /** Records a disruption of any kind. @param lastsMs Time for which it lasts, in ms. */
+    recordDisruption(lastsMs: number): void {
+        this.calmFrom = Math.max(this.calmFrom, this.schedule.now + lastsMs + STABLE_WINDOW_MS);
+    }
+
+    /** Checks the waits of jobs and the targets of latency-critical tasks. @param workers The workers that are up. */
+    reviewColocation(workers: readonly LeasedWorker[]): void {
+        const { now } = this.schedule;
+        const isCalm = now >= this.calmFrom;
+        const wanted = [...this.accepted].filter(id => !this.cancellations.isCancelled(id));
+        this.waits.review(wanted, workers, isCalm, now);
+        this.targets.review(workers, isCalm, now);
+    }
+
     /** Records that a worker crashes under the runs that are active on it. */
     recordCrash(worker: LeasedWorker): void {
         for (const [task, runs] of this.activeRuns) {
@@ -116,6 +144,7 @@
     onStart(worker: LeasedWorker, task: string, run: number): void {
         this.starts += 1;
         this.cancellations.onStart(worker, task, run);
+        this.waits.onStart(worker, task);
         const [id, occurrence, step] = task.split(".");
         const job = this.jobs.get(id);
         const otherRuns = this.activeRuns.get(task) ?? new Map<LeasedWorker, number>();
@@ -146,6 +175,7 @@
 
     onEnd(worker: LeasedWorker, task: string, run: number, end: RunEnd): void {
         this.cancellations.onEnd(worker, task, run);
+        this.waits.onEnd(task, end);
         this.activeRuns.get(task)?.delete(worker);
         if (end === "done") {
             this.completedTasks.add(task);
--- a/src/proof/node/jobTrialPlan.ts
+++ b/src/proof/node/jobTrialPlan.ts
@@ -5,6 +5,7 @@
 import { JobDraft } from "../../jobs/common/jobCall";
 import { StoredRecord } from "../../records/common/record";
 import { LeasedWorker, RunPlanner } from "../../standin/common/leasedWorker";
+import { ColocationPlan } from "./colocationPlan";
 import type { JobTrial } from "./jobTrial";
 import { Random } from "./random";
 import { RuleViolation } from "./jobRuleChecker";
@@ -57,7 +58,8 @@
     | "late-orders"
     | "slow-link"
     | "expire"
-    | ReadFault;
+    | ReadFault
+    | SpeedFault;
 
 /**
  * Kinds of faults of the reads of the jobs by one instance: its pages arrive late, as over a link that other pages fill, or
@@ -68,6 +70,9 @@
 /** Kinds of faults of the reads. They are apart from the others, whose list decides the trials of earlier seeds. */
 export const READ_FAULTS: readonly ReadFault[] = ["slow-pages", "stalled-read"];
 
+/** Kinds of faults of the speed: some workers work several times slower, and the tail latencies there rise as much. */
+export type SpeedFault = "worker-slow";
+
 /** Kinds of faults of workers and of the links to them; all instances stay in touch. */
 export const FAULTS_OF_WORKERS: readonly JobFault[] = [
     "worker-crash",
@@ -100,6 +105,8 @@
     readonly faults?: readonly JobFault[];
     /** Mean time between faults, in ms; 0 for a fault-free trial. */
     readonly faultEveryMs: number;
+    /** Time up to which faults are injected, in ms; `lengthMs` if undefined. */
+    readonly faultsUntilMs?: number;
     /** Share of the jobs with a deadly task, from 0 to 1; none if undefined. */
     readonly deadlyRatio?: number;
     /** Time from the start of a deadly task to the crash of its worker, in ms; 10 if undefined. */
@@ -111,6 +118,8 @@
     readonly shrinkEveryMs?: number;
     /** Share of the jobs that are cancelled, from 0 to 1; none if undefined. */
     readonly cancelRatio?: number;
+    /** Latency-critical and best-effort jobs instead of the others; none if undefined. */
+    readonly colocation?: ColocationPlan;
     /** Breaks a mechanism on purpose, to prove that a rule detects it. */
     readonly sabotage?: (trial: JobTrial) => void;
 }
@@ -166,7 +175,7 @@
         case "list":
             return worker.renewLease(effect.order, now);
         case "throttle":
-            return "done";
+            return worker.throttle(effect.order, now);
     }
 }
 
--- a/src/proof/node/test/jobTrial.test.ts
+++ b/src/proof/node/test/jobTrial.test.ts
@@ -1,5 +1,8 @@
 import test, { ExecutionContext } from "ava";
+import { BestEffortPolicy } from "../../../dispatch/common/bestEffortPolicy";
+import { LatencyModel } from "../../../dispatch/common/latencyModel";
 import { Scheduler } from "../../../dispatch/common/scheduler";
+import { ThrottleController } from "../../../dispatch/common/throttleController";
 import { StartOrder } from "../../../dispatch/common/workerMessages";
 import { JobCallHandler } from "../../../jobs/common/jobCallHandler";
 import { ProgressTable } from "../../../jobs/common/progressTable";
@@ -220,6 +223,18 @@
     }
 }
 
+/** Latency-critical tasks on all workers, and best-effort jobs beside them. */
+const COLOCATED: Omit<JobTrialPlan, "seed"> = { ...PLAN, lengthMs: 30_000, workers: 8, faultEveryMs: 0 };
+const LIGHT = { heavyRatio: 0, bestEffortEveryMs: 1_000 };
+
+for (const seed of [101, 102]) {
+    test.serial(`best-effort jobs run beside latency-critical tasks that they hardly affect, seed ${seed}`, t => {
+        const result = JobTrial.run({ ...COLOCATED, seed, colocation: LIGHT });
+        t.deepEqual(result.breaches, []);
+        t.true(result.jobs > 15 && result.starts > 2 * result.jobs);
+    });
+}
+
 test.serial("the same seed gives the same trial", t => {
     const [one, two] = [1, 2].map(() => JobTrial.run({ ...PLAN, seed: 5 }));
     t.deepEqual(one, two);
@@ -305,3 +320,18 @@
     const plan = { cancelRatio: CANCEL_RATIO, faultEveryMs: 0 };
     expectViolation(t, ["unasked"], Scheduler.prototype, "stopRuns", () => undefined, plan);
 });
+
+test.serial(
+    "best-effort tasks that are neither throttled nor moved keep latency-critical ones over their targets",
+    t => {
+        // Each pair of images seems to be light.
+        replaceMethod(t, LatencyModel.prototype, "conservativeInterference", () => 0);
+        const plan = { ...COLOCATED, colocation: { heavyRatio: 1, bestEffortEveryMs: 1_000 } };
+        expectViolation(t, ["target-kept"], ThrottleController.prototype, "review", () => undefined, plan);
+    },
+);
+
+test.serial("jobs whose tasks are never placed wait although there is room", t => {
+    const plan = { ...COLOCATED, colocation: LIGHT };
+    expectViolation(t, ["bounded-wait"], BestEffortPolicy.prototype, "cost", () => undefined, plan);
+});
--- /dev/null
+++ b/src/proof/node/test/waitChecker.test.ts
@@ -0,0 +1,116 @@
+import test from "ava";
+import { LeasedWorker } from "../../../standin/common/leasedWorker";
+import { createBestEffortDraft } from "../colocationPlan";
+import { JobRuleChecker } from "../jobRuleChecker";
+import { createWorkerEntry, QUEUE } from "../jobTrialPlan";
+import { Random } from "../random";
+import { TrialSchedule } from "../trialSchedule";
+
+const JOB = "1";
+
+/** Longest time for which an accepted job may wait with room free, in ms. */
+const MAX_WAIT_MS = 10_000;
+
+/** Interval between two reviews, in ms. */
+const REVIEW_INTERVAL_MS = 100;
+
+/** A best-effort job of two steps with one task each that was accepted, and two workers of 64,000 MB. */
+class Fixture {
+    private readonly schedule = TrialSchedule.create();
+    readonly checker = JobRuleChecker.create(this.schedule);
+    readonly workers = [0, 1].map(index =>
+        LeasedWorker.create(
+            createWorkerEntry(index, `w${index}`, 0, `w${index}`),
+            0,
+            1,
+            () => ({ ms: Number.POSITIVE_INFINITY, end: "done" as const }),
+            this.checker,
+        ),
+    );
+
+    constructor(memoryMb = 20_000) {
+        const draft = createBestEffortDraft(Random.create(1));
+        const request = { cpuMillis: 4_000, memoryMb, accelerators: 0 };
+        const steps = draft.steps.map(step => ({ ...step, tasks: 1, request }));
+        this.checker.recordSubmission({ id: JOB, queue: QUEUE, acceptedAtMs: 0, ...draft, steps });
+        this.checker.accepted.add(JOB);
+        this.review();
+    }
+
+    private review(): void {
+        this.checker.reviewColocation(this.workers);
+        this.schedule.add(REVIEW_INTERVAL_MS, () => this.review());
+    }
+
+    /** Lets another job, which only the checker of waits considers, hold memory of a worker. */
+    occupy(worker: LeasedWorker, memoryMb: number): void {
+        const draft = createBestEffortDraft(Random.create(2));
+        const request = { cpuMillis: 1_000, memoryMb, accelerators: 0 };
+        const steps = draft.steps.slice(0, 1).map(step => ({ ...step, tasks: 1, request }));
+        this.checker.recordSubmission({ id: "2", queue: QUEUE, acceptedAtMs: 0, ...draft, steps });
+        this.checker.onStart(worker, "2.0.0.0", 1);
+    }
+
+    at(ms: number, perform: () => void): void {
+        this.schedule.add(ms, perform);
+    }
+
+    /** @returns The rules that are broken up to a time. */
+    brokenRules(untilMs: number): string[] {
+        this.schedule.runUntil(untilMs);
+        return this.checker.violations.map(each => each.rule);
+    }
+}
+
+test("an accepted job without a run for longer than the bound breaks the rule once", t => {
+    const fixture = new Fixture();
+    t.deepEqual(fixture.brokenRules(MAX_WAIT_MS + REVIEW_INTERVAL_MS - 1), []);
+    t.deepEqual(fixture.brokenRules(2 * MAX_WAIT_MS), ["bounded-wait"]);
+});
+
+test("a job waits anew after a run and for its next step", t => {
+    const fixture = new Fixture();
+    const [worker] = fixture.workers;
+    fixture.at(9_000, () => fixture.checker.onStart(worker, "1.0.0.0", 1));
+    fixture.at(9_500, () => fixture.checker.onEnd(worker, "1.0.0.0", 1, "stopped"));
+    fixture.at(18_000, () => fixture.checker.onStart(worker, "1.0.0.0", 2));
+    fixture.at(20_000, () => fixture.checker.onEnd(worker, "1.0.0.0", 2, "done"));
+    t.deepEqual(fixture.brokenRules(30_000), []);
+    t.deepEqual(fixture.brokenRules(31_000), ["bounded-wait"]);
+});
+
+test("a job that is done, cancelled or has failed too often does not wait", t => {
+    for (const end of ["done", "failed", "cancelled"] as const) {
+        const fixture = new Fixture();
+        const [worker] = fixture.workers;
+        if (end === "cancelled") {
+            fixture.checker.cancellations.recordAcknowledgement(JOB);
+        } else {
+            const tasks = end === "done" ? ["1.0.0.0", "1.0.1.0"] : ["1.0.0.0", "1.0.0.0", "1.0.0.0"];
+            tasks.forEach((task, index) => {
+                fixture.checker.onStart(worker, task, index + 1);
+                fixture.checker.onEnd(worker, task, index + 1, end);
+            });
+        }
+        t.deepEqual(fixture.brokenRules(30_000), [], end);
+    }
+});
+
+test("a wait does not count while half of the memory is in use or only one such task has room", t => {
+    const full = new Fixture(1_000);
+    full.occupy(full.workers[0], 64_000);
+    t.deepEqual(full.brokenRules(30_000), []);
+    const wide = new Fixture(40_000);
+    wide.occupy(wide.workers[0], 30_000);
+    t.deepEqual(wide.brokenRules(30_000), []);
+    const free = new Fixture(30_000);
+    free.occupy(free.workers[0], 30_000);
+    t.deepEqual(free.brokenRules(30_000), ["bounded-wait"]);
+});
+
+test("a wait does not count from a disruption until 4 s after its end", t => {
+    const fixture = new Fixture();
+    fixture.at(5_000, () => fixture.checker.recordDisruption(3_000));
+    t.deepEqual(fixture.brokenRules(22_000), []);
+    t.deepEqual(fixture.brokenRules(23_000), ["bounded-wait"]);
+});
--- a/src/proof/node/trialSchedule.ts
+++ b/src/proof/node/trialSchedule.ts
@@ -33,10 +33,11 @@
     runUntil(endMs: number): void {
         while (this.actions.length > 0) {
             this.actions.sort((a, b) => a.at - b.at || a.sequence - b.sequence);
-            const next = this.actions.shift()!;
+            const [next] = this.actions;
             if (next.at > endMs) {
                 return;
             }
+            this.actions.shift();
             this.time = next.at;
             next.perform();
         }
--- /dev/null
+++ b/src/proof/node/waitChecker.ts
@@ -0,0 +1,132 @@
+import { JobSpec, StepSpec } from "../../jobs/common/jobSpec";
+import { LeasedWorker } from "../../standin/common/leasedWorker";
+
+/**
+ * Longest time for which a job with a step that is ready may have nothing running while there is room, in ms. Callers ask
+ * for their jobs 14 s after the end of the traffic, of which the first 4 s may belong to an earlier disruption.
+ */
+const MAX_WAIT_MS = 14_000 - 4_000;
+
+/** How many tasks like the waiting one must fit into the free capacity. */
+const ROOM_FOR_TASKS = 2;
+
+/** Share of the reserved CPU and of the memory of a service below which most of its capacity is free. */
+const MAX_USED_RATIO = 0.5;
+
+const RESOURCES = ["cpuMillis", "memoryMb", "accelerators"] as const;
+
+/** Checks that accepted jobs get a run within a bounded time while their service has room. */
+export class WaitChecker {
+    private readonly jobs = new Map<string, JobSpec>();
+    private readonly runs = new Map<string, LeasedWorker>();
+    private readonly completedTasks = new Set<string>();
+    private readonly failures = new Map<string, number>();
+    /** Time (ms) since which a job waits with room free. */
+    private readonly waitingSince = new Map<string, number>();
+    /** Jobs whose present wait is reported. */
+    private readonly reported = new Set<string>();
+
+    private constructor(private readonly report: (detail: string) => void) {}
+
+    /** @param report Receives violations. @returns A checker without observations. */
+    static create(report: (detail: string) => void): WaitChecker {
+        return new WaitChecker(report);
+    }
+
+    /** Records that a job was submitted. */
+    recordSubmission(job: JobSpec): void {
+        this.jobs.set(job.id, job);
+    }
+
+    /** Records that a run starts. */
+    onStart(worker: LeasedWorker, task: string): void {
+        this.runs.set(task, worker);
+    }
+
+    /** Records that a run ends. */
+    onEnd(task: string, end: string): void {
+        this.runs.delete(task);
+        if (end === "done") {
+            this.completedTasks.add(task);
+        } else if (end === "failed") {
+            this.failures.set(task, (this.failures.get(task) ?? 0) + 1);
+        }
+    }
+
+    /**
+     * Reviews the waits; to be called every few hundred milliseconds.
+     * @param accepted Jobs that were accepted and that nobody has cancelled.
+     * @param workers Workers of the service.
+     * @param isCalm Whether all of them are sound and no disruption is near.
+     * @param now Time in ms.
+     */
+    review(accepted: Iterable<string>, workers: readonly LeasedWorker[], isCalm: boolean, now: number): void {
+        const free = workers.map(worker => this.freeCapacity(worker));
+        const isMostlyFree = isCalm && this.isMostlyFree(workers);
+        const running = new Set([...this.runs.keys()].map(task => task.split(".")[0]));
+        for (const id of accepted) {
+            const step = isMostlyFree && !running.has(id) ? this.readyStep(id) : undefined;
+            if (step === undefined || !hasRoom(step, free)) {
+                this.waitingSince.delete(id);
+                this.reported.delete(id);
+                continue;
+            }
+            const since = this.waitingSince.get(id) ?? now;
+            this.waitingSince.set(id, since);
+            if (now - since > MAX_WAIT_MS && !this.reported.has(id)) {
+                this.reported.add(id);
+                this.report(`${id} has nothing running for over ${MAX_WAIT_MS} ms although its service has room`);
+            }
+        }
+    }
+
+    private readyStep(id: string): StepSpec | undefined {
+        const { steps, queue } = this.jobs.get(id)!;
+        const hasFailed = [...this.failures].some(
+            ([task, count]) => task.startsWith(`${id}.`) && count >= queue.maxAttempts,
+        );
+        const isComplete = (index: number) =>
+            Array.from({ length: steps[index].tasks }, (_, task) => `${id}.0.${index}.${task}`).every(task =>
+                this.completedTasks.has(task),
+            );
+        return hasFailed ? undefined : steps.find((step, index) => !isComplete(index) && step.after.every(isComplete));
+    }
+
+    private isMostlyFree(workers: readonly LeasedWorker[]): boolean {
+        return (["cpuMillis", "memoryMb"] as const).every(resource => {
+            const capacity = workers.reduce((sum, worker) => sum + worker.entry.capacity[resource], 0);
+            const free = workers.reduce((sum, worker) => sum + this.freeCapacity(worker)[resource], 0);
+            return capacity - free < capacity * MAX_USED_RATIO;
+        });
+    }
+
+    private freeCapacity(worker: LeasedWorker): Record<(typeof RESOURCES)[number], number> {
+        const { cpuMillis, memoryMb, accelerators } = worker.entry.capacity;
+        const free = { cpuMillis, memoryMb, accelerators };
+        for (const [task, each] of this.runs) {
+            const [id, , index] = task.split(".");
+            const step = each === worker ? this.jobs.get(id)?.steps[Number(index)] : undefined;
+            if (step !== undefined) {
+                RESOURCES.forEach(resource => (free[resource] -= requestOf(step, resource)));
+            }
+        }
+        return free;
+    }
+}
+
+/** Best-effort tasks reserve no CPU. */
+function requestOf(step: StepSpec, resource: (typeof RESOURCES)[number]): number {
+    return step.usesSpareCpu && resource === "cpuMillis" ? 0 : step.request[resource];
+}
+
+/** @returns Whether the workers have room for several tasks of a step. */
+function hasRoom(step: StepSpec, free: readonly Record<(typeof RESOURCES)[number], number>[]): boolean {
+    const needed = RESOURCES.filter(resource => requestOf(step, resource) > 0);
+    const places = free.map(each =>
+        Math.min(
+            step.maxPerWorker ?? ROOM_FOR_TASKS,
+            ...needed.map(resource => Math.max(0, Math.floor(each[resource] / requestOf(step, resource)))),
+        ),
+    );
+    return places.reduce((sum, each) => sum + each, 0) >= ROOM_FOR_TASKS;
+}
