Job trials: jobs and faults of trials with best-effort tasks do not depend on the schedule

The jobs shared their draws with the noise of the reports, and the faults with the delays of the network, so a seed gave other jobs and faults after a change of the scheduler. They have draws of their own now. Trials without best-effort tasks draw as before.

--- a/src/proof/node/jobTrial.ts
+++ b/src/proof/node/jobTrial.ts
@@ -46,6 +46,8 @@
 /** Runs whole instances on a virtual clock against an in-memory store and workers, and injects random faults. */
 export class JobTrial {
     private readonly random: Random;
+    /** Draws for the faults. With colocated tasks they do not depend on what becomes of the tasks. */
+    private readonly faultRandom: Random;
     private readonly timeline = TrialSchedule.create();
     private readonly checker = JobRuleChecker.create(this.timeline);
     private readonly streams: Record<StreamName, KeyedLog> = {
@@ -71,6 +73,7 @@
 
     private constructor(private readonly plan: JobTrialPlan) {
         this.random = Random.create(plan.seed);
+        this.faultRandom = plan.colocation === undefined ? this.random : Random.create(plan.seed);
         this.reads = TrialReads.create(plan.seed, this.timeline);
         this.cancellations = TrialCancellations.create(
             plan.seed,
@@ -326,15 +329,15 @@
         if (this.now > (this.plan.faultsUntilMs ?? this.plan.lengthMs)) {
             return;
         }
-        this.inject(this.random.pick(this.plan.faults ?? FAULTS));
-        this.schedule(this.random.between(1, this.plan.faultEveryMs * 2), () => this.injectNext());
+        this.inject(this.faultRandom.pick(this.plan.faults ?? FAULTS));
+        this.schedule(this.faultRandom.between(1, this.plan.faultEveryMs * 2), () => this.injectNext());
     }
 
     private inject(fault: JobFault): void {
         const leader = this.nodes.find(each => each.instance?.isLeading === true);
-        const node = leader !== undefined && this.random.chance(0.6) ? leader : this.random.pick(this.nodes);
-        const worker = this.random.between(0, this.plan.workers - 1);
-        const durationMs = this.random.between(500, 6_000);
+        const node = leader !== undefined && this.faultRandom.chance(0.6) ? leader : this.faultRandom.pick(this.nodes);
+        const worker = this.faultRandom.between(0, this.plan.workers - 1);
+        const durationMs = this.faultRandom.between(500, 6_000);
         this.trace.push(`${Math.round(this.now)} FAULT ${fault} n${node.index} w${worker} ${durationMs}`);
         this.recordDisruption(fault, node.index, durationMs);
         switch (fault) {
--- a/src/proof/node/trialColocation.ts
+++ b/src/proof/node/trialColocation.ts
@@ -28,8 +28,9 @@
 /** Simulates latency-critical and best-effort tasks that share workers, and makes up the jobs that they belong to. */
 export class TrialColocation extends ColocationModel {
     private readonly steps = new Map<string, readonly StepSpec[]>();
-    /** Draws for the jobs and the reports. */
+    /** Draws for the jobs, and those for the reports: the jobs of a seed do not depend on what becomes of them. */
     private readonly random: Random;
+    private readonly reportRandom: Random;
     private readonly draftCount = { latencyCritical: 0 };
 
     private constructor(
@@ -39,6 +40,7 @@
     ) {
         super();
         this.random = Random.create(seed);
+        this.reportRandom = Random.create(seed);
     }
 
     /**
@@ -95,7 +97,7 @@
             const [headroom, headroomAlone] = [alone - loss, alone].map(
                 each => Math.max(MIN_HEADROOM, each) / worker.slowness,
             );
-            const noise = 1 + REPORT_NOISE * (2 * this.random.fraction() - 1);
+            const noise = 1 + REPORT_NOISE * (2 * this.reportRandom.fraction() - 1);
             const latencyOrUsage = (step.tailTargetMs / headroom) * noise;
             return { rate: 1 / worker.slowness, latencyOrUsage, headroom, headroomAlone };
         });
