--- a/src/proof/node/test/jobTrial.test.ts
+++ b/src/proof/node/test/jobTrial.test.ts
@@ -235,6 +235,29 @@
     });
 }
 
+/** Slow workers early on, then none: what was learnt from them forbade placements for the rest of the trial. */
+const EARLY_SLOW_WORKERS: Partial<JobTrialPlan> = {
+    faults: ["worker-slow"],
+    faultEveryMs: 2_000,
+    faultsUntilMs: 15_000,
+    colocation: { ...LIGHT, bestEffortEveryMs: 700 },
+};
+
+// Jobs had nothing running for 40 s and more after the workers were fast again.
+for (const seed of [100, 108, 134]) {
+    test.serial(`best-effort jobs do not wait for long after workers were slow, seed ${seed}`, t => {
+        t.deepEqual(JobTrial.run({ ...COLOCATED, ...EARLY_SLOW_WORKERS, seed }).breaches, []);
+    });
+}
+
+// Jobs were started only where they could have run at full speed, which was nowhere.
+for (const seed of [1, 2, 3]) {
+    test.serial(`best-effort jobs do not wait for workers on which they could run at full speed, seed ${seed}`, t => {
+        const colocation = { heavyRatio: 1, bestEffortEveryMs: 1_000 };
+        t.deepEqual(JobTrial.run({ ...COLOCATED, seed, colocation }).breaches, []);
+    });
+}
+
 test.serial("the same seed gives the same trial", t => {
     const [one, two] = [1, 2].map(() => JobTrial.run({ ...PLAN, seed: 5 }));
     t.deepEqual(one, two);
