--- a/src/proof/node/jobSoak.tool.ts
+++ b/src/proof/node/jobSoak.tool.ts
@@ -2,14 +2,14 @@
 import { FAULTS, JobFault, JobTrialPlan, READ_FAULTS } from "./jobTrialPlan";
 
 /**
- * Reads a flag with a whole number. Flags: `--seed FIRST --count N --length MS --every MS --deadly PERCENT
- * --crash-delay MS --shrink MS --cancel PERCENT --reads --colocate PERCENT
- * --jobs-every MS --slow --until MS --trace`, where `--deadly` is the share of the jobs with a task that
+ * Reads a flag with a whole number. Flags: `--seed FIRST --count N --workers N --length MS --every MS --deadly PERCENT
+ * --crash-delay MS --shrink MS --cancel PERCENT --reads --colocate PERCENT --jobs-every MS --slow --faults KINDS --until MS
+ * --trace`, where `--deadly` is the share of the jobs with a task that
  * crashes its workers, that long after each start, `--shrink` the mean time between two times at which a worker's capacity
  * shrinks, `--cancel` the share of the jobs that is cancelled, `--reads` adds faults of the reads of the jobs, `--colocate` runs
  * latency-critical and best-effort jobs of which that share of the pairs of images interferes heavily, `--jobs-every` is the
- * mean time between two best-effort jobs, `--slow` lets workers become slow and injects nothing else unless `--faults` names
- * more kinds, separated by commas, and `--until` is the time up to which faults are injected.
+ * mean time between two best-effort jobs, `--slow` injects slow workers only, `--faults` the kinds that it names,
+ * separated by commas, and `--until` is the time up to which faults are injected.
  */
 function readNumber(name: string, fallback: number): number {
     const index = process.argv.indexOf(`--${name}`);
