--- a/src/proof/node/test/jobTrial.test.ts
+++ b/src/proof/node/test/jobTrial.test.ts
@@ -1,5 +1,8 @@
 import test, { ExecutionContext } from "ava";
+import { BestEffortPolicy } from "../../../dispatch/common/bestEffortPolicy";
+import { LatencyModel } from "../../../dispatch/common/latencyModel";
 import { Scheduler } from "../../../dispatch/common/scheduler";
+import { ThrottleController } from "../../../dispatch/common/throttleController";
 import { StartOrder } from "../../../dispatch/common/workerMessages";
 import { JobCallHandler } from "../../../jobs/common/jobCallHandler";
 import { ProgressTable } from "../../../jobs/common/progressTable";
@@ -220,6 +223,41 @@
     }
 }
 
+/** Latency-critical tasks on all workers, and best-effort jobs beside them. */
+const COLOCATED: Omit<JobTrialPlan, "seed"> = { ...PLAN, lengthMs: 30_000, workers: 8, faultEveryMs: 0 };
+const LIGHT = { heavyRatio: 0, bestEffortEveryMs: 1_000 };
+
+for (const seed of [101, 102]) {
+    test.serial(`best-effort jobs run beside latency-critical tasks that they hardly affect, seed ${seed}`, t => {
+        const result = JobTrial.run({ ...COLOCATED, seed, colocation: LIGHT });
+        t.deepEqual(result.breaches, []);
+        t.true(result.jobs > 15 && result.starts > 2 * result.jobs);
+    });
+}
+
+/** Slow workers early on, then none: what was learnt from them forbade placements for the rest of the trial. */
+const EARLY_SLOW_WORKERS: Partial<JobTrialPlan> = {
+    faults: ["worker-slow"],
+    faultEveryMs: 2_000,
+    faultsUntilMs: 15_000,
+    colocation: { ...LIGHT, bestEffortEveryMs: 700 },
+};
+
+// Jobs had nothing running for 40 s and more after the workers were fast again.
+for (const seed of [100, 108, 134]) {
+    test.serial(`best-effort jobs do not wait for long after workers were slow, seed ${seed}`, t => {
+        t.deepEqual(JobTrial.run({ ...COLOCATED, ...EARLY_SLOW_WORKERS, seed }).breaches, []);
+    });
+}
+
+// Jobs were started only where they could have run at full speed, which was nowhere.
+for (const seed of [1, 2, 3]) {
+    test.serial(`best-effort jobs do not wait for workers on which they could run at full speed, seed ${seed}`, t => {
+        const colocation = { heavyRatio: 1, bestEffortEveryMs: 1_000 };
+        t.deepEqual(JobTrial.run({ ...COLOCATED, seed, colocation }).breaches, []);
+    });
+}
+
 test.serial("the same seed gives the same trial", t => {
     const [one, two] = [1, 2].map(() => JobTrial.run({ ...PLAN, seed: 5 }));
     t.deepEqual(one, two);
@@ -305,3 +343,18 @@
     const plan = { cancelRatio: CANCEL_RATIO, faultEveryMs: 0 };
     expectViolation(t, ["unasked"], Scheduler.prototype, "stopRuns", () => undefined, plan);
 });
+
+test.serial(
+    "best-effort tasks that are neither throttled nor moved keep latency-critical ones over their targets",
+    t => {
+        // Each pair of images seems to be light.
+        replaceMethod(t, LatencyModel.prototype, "conservativeInterference", () => 0);
+        const plan = { ...COLOCATED, colocation: { heavyRatio: 1, bestEffortEveryMs: 1_000 } };
+        expectViolation(t, ["target-kept"], ThrottleController.prototype, "review", () => undefined, plan);
+    },
+);
+
+test.serial("jobs whose tasks are never placed wait although there is room", t => {
+    const plan = { ...COLOCATED, colocation: LIGHT };
+    expectViolation(t, ["bounded-wait"], BestEffortPolicy.prototype, "cost", () => undefined, plan);
+});
