Log the waits of up to 160 jobs every five seconds, instead of 40

Of many waiting jobs, each review reported the four most urgent. A review now reports 16 jobs. The new test failed before.

--- a/src/dispatch/common/test/stepQueue.test.ts
+++ b/src/dispatch/common/test/stepQueue.test.ts
@@ -79,6 +79,18 @@
     t.deepEqual(reports, [{ task: "a.0.0.0", waitedMs: 2_000, oldestEstimateMs: undefined, ...counts }]);
 });
 
+test("each of many waiting jobs is reported about every five seconds", t => {
+    const queue = createQueue(LatencyModel.create());
+    const reports: WaitReport[] = [];
+    queue.onDidWait(report => reports.push(report));
+    const step = createStep("batch", false, { usesSpareCpu: false, requiredLabel: "none" });
+    const jobs = Array.from({ length: 100 }, (_, index) => createJob(`j${index}`, step));
+    for (let now = 0; now <= 7_500; now += 500) {
+        queue.placeWaiting(jobs, createWorkers(), 100, now, now);
+    }
+    t.is(new Set(reports.map(report => report.task)).size, jobs.length);
+});
+
 /** Interference of which a worker's neighbor can bear about a third. */
 const HEAVY_MODEL = [["web", "batch", 12, 0.01]] as const;
 
--- a/src/dispatch/common/waitReporter.ts
+++ b/src/dispatch/common/waitReporter.ts
@@ -13,7 +13,7 @@
 const REVIEW_INTERVAL_MS = 500;
 
 /** Limit of the reports of one review, since each visits all workers. */
-const MAX_REPORTS_PER_REVIEW = 4;
+const MAX_REPORTS_PER_REVIEW = 16;
 
 /** Why a job waits: the number of usable workers by what keeps them from running its next task at full speed. */
 export interface WaitReport extends Readonly<Record<Obstacle, number>> {
