Move a run without progress to a worker on which it runs at half speed

A run that was throttled to 0 stayed where it was unless another worker offered 60% of full speed. On a fleet on which an image runs at half speed at best, its job had a run and made no progress. A worker now has to offer 40 points more than the run has, so the required speed follows the present one. The new test failed before.

--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -6,6 +6,7 @@
 import { PlacementChoice, Placer } from "./placer";
 import { ProbationPlacer } from "./probationPlacer";
 import { QueueHost } from "./queueHost";
+import { Run } from "./run";
 import { RunReviewer } from "./runReviewer";
 import { ShortTaskReserve } from "./shortTaskReserve";
 import { SuspectTable } from "./suspectTable";
@@ -15,8 +16,8 @@
 import { WaitingOrder, WaitingRank } from "./waitingOrder";
 import { WorkerContact } from "./workerContact";
 
-/** Lowest speed, in percent, that a worker must offer a throttled task for a move. */
-const MIN_SPEED_AFTER_MOVE_PERCENT = 60;
+/** How much faster a throttled task must run on another worker for a move, in percent of full speed. */
+const MIN_SPEED_GAIN_PERCENT = 40;
 
 /** A task group with waiting tasks, and the criteria for its position in the queue. */
 interface WaitingGroup {
@@ -236,34 +237,49 @@
         }
     }
 
-    /** Moves throttled tasks that another worker offers a higher speed. Each worker is offered to one of them in a pass. */
+    /** Moves throttled tasks that run faster on another worker. Each worker is offered to one of them in a pass. */
     private moveTasks(entry: WaitingGroup, placer: Placer, now: number): void {
-        const { tasks, service } = entry;
-        const isOther = (task: Task) => (worker: WorkerContact) =>
-            worker.entry.id !== task.run?.record.worker && !this.destinations.has(worker);
         if (entry.group.step.mode === "gang") {
-            const own = new Set(tasks.map(task => task.run?.record.worker));
-            const isFree = (worker: WorkerContact) => !own.has(worker.entry.id) && !this.destinations.has(worker);
-            const chosen = placer.chooseAll(tasks, service, isFree, MIN_SPEED_AFTER_MOVE_PERCENT) ?? [];
-            chosen.forEach(({ worker }) => this.destinations.add(worker));
-            tasks.slice(0, chosen.length).forEach(task => task.run !== undefined && this.host.move(task.run, now));
+            this.moveGang(entry, placer, now);
             return;
         }
-        for (const task of tasks) {
-            if (placer.isInfeasible(task, service, MIN_SPEED_AFTER_MOVE_PERCENT)) {
-                return;
-            }
-            const choice = placer.choose(task, service, isOther(task), MIN_SPEED_AFTER_MOVE_PERCENT);
-            if (choice === undefined) {
-                placer.recordRejection(task, service, MIN_SPEED_AFTER_MOVE_PERCENT);
-            } else if (task.run !== undefined) {
-                placer.reserve(task, choice.worker);
-                this.destinations.add(choice.worker);
-                this.host.move(task.run, now);
+        for (const { run } of entry.tasks) {
+            if (run !== undefined) {
+                this.moveRun(run, entry.service, placer, now);
             }
         }
     }
 
+    private moveRun(run: Run, service: string, placer: Placer, now: number): void {
+        const minSpeedPercent = run.speedPercent + MIN_SPEED_GAIN_PERCENT;
+        if (placer.isInfeasible(run.task, service, minSpeedPercent)) {
+            return;
+        }
+        const isAllowed = (worker: WorkerContact) =>
+            worker.entry.id !== run.record.worker && !this.destinations.has(worker);
+        const choice = placer.choose(run.task, service, isAllowed, minSpeedPercent);
+        if (choice === undefined) {
+            placer.recordRejection(run.task, service, minSpeedPercent);
+            return;
+        }
+        placer.reserve(run.task, choice.worker);
+        this.destinations.add(choice.worker);
+        this.host.move(run, now);
+    }
+
+    /** A gang works only together, so it moves if workers without its members have room for all of them. */
+    private moveGang({ tasks, service }: WaitingGroup, placer: Placer, now: number): void {
+        const runs = tasks.flatMap(task => task.run ?? []);
+        const own = new Set(runs.map(run => run.record.worker));
+        const isAllowed = (worker: WorkerContact) => !own.has(worker.entry.id) && !this.destinations.has(worker);
+        const minSpeedPercent = Math.min(...runs.map(run => run.speedPercent)) + MIN_SPEED_GAIN_PERCENT;
+        const chosen = placer.chooseAll(tasks, service, isAllowed, minSpeedPercent);
+        if (chosen !== undefined) {
+            chosen.forEach(({ worker }) => this.destinations.add(worker));
+            runs.forEach(run => this.host.move(run, now));
+        }
+    }
+
     private choosePreferred(
         task: Task,
         service: string,
--- a/src/dispatch/common/test/stepQueue.test.ts
+++ b/src/dispatch/common/test/stepQueue.test.ts
@@ -177,6 +177,18 @@
     t.true(at !== undefined && at <= MAX_IDLE_MS);
 });
 
+test("a run that makes no progress is moved to a worker on which it runs at half speed", t => {
+    const model = LatencyModel.create(HEAVY_MODEL);
+    const workers = createBusyWorkers(model, 2);
+    const job = createJob("a", createBestEffort({ tasks: 1 }));
+    const run = assign(workers[0], [...job.tasks()][0]);
+    run.fire("accepted", { now: 0 });
+    run.setSpeed(0, 0);
+    const host = AssigningHost.create();
+    createQueue(model, host).placeWaiting([job], workers, 100, 2_000, 2_000);
+    t.deepEqual(host.moved, [run]);
+});
+
 test("a throttled run is moved only if another worker offers its task a higher speed", t => {
     const model = LatencyModel.create(HEAVY_MODEL);
     const workers = createBusyWorkers(model);
