Use no worker by an entry with an address, number or id out of range

Cause: the decoder of entries checked types only. A port out of range, an address with a path and a start such as 1e308 passed. An order to such an address fails before it is sent, so the worker counted as silent. After an entry with a start too large, all later entries of that id were ignored as those of a former incarnation: it kept getting tasks while it drained.

An entry now names a worker only if its address is HOST:PORT with port 1 to 65535, its start a whole number of milliseconds up to the year 9999, its quantities and times within bounds, its bytes UTF-8, and its id can be named in a header of an order. A configuration whose version is not a safe integer is not applied: no later version would be higher.

--- a/src/platform/common/streamDecoder.ts
+++ b/src/platform/common/streamDecoder.ts
@@ -6,22 +6,44 @@
 
 const CONFIG_KEY = "config";
 
+/** An order names its worker in a header, so an id has visible ASCII characters only. */
+const WORKER_ID = /^[\x21-\x7e]{1,255}$/;
+
+/** Host and port; the host is a name, an IPv4 address, or an IPv6 address in brackets. */
+const ADDRESS = /^(?:[a-z0-9._-]{1,253}|\[[0-9a-f:.]{2,45}\]):(?<port>[1-9][0-9]{0,4})$/i;
+
+const MAX_PORT = 65_535;
+
+/** Limit of each quantity of a worker's capacity: 1,000,000 cores, 1 PB of memory. */
+const MAX_QUANTITY = 1_000_000_000;
+
+/** Limit of the times that a worker announces for itself, in ms: one week. */
+const MAX_ANNOUNCED_MS = 604_800_000;
+
+/** Limit of the start of a worker, in ms since the Unix epoch: the end of the year 9999. */
+const MAX_UNIX_MS = 253_402_300_799_999;
+
+/** Stands for each byte that is not part of a UTF-8 character. */
+const UNREADABLE_CHARACTER = "\ufffd";
+
 const optionalNonNegative = z.optional(z.number().check(z.nonnegative()));
+const optionalQuantity = z.optional(z.number().check(z.nonnegative(), z.maximum(MAX_QUANTITY)));
+const optionalAnnouncedMs = z.optional(z.number().check(z.nonnegative(), z.maximum(MAX_ANNOUNCED_MS)));
 
 const serverSchema = z.object({
     service: z.string(),
-    addr: z.string(),
+    addr: z.string().check(z.refine(isAddress)),
     zone: z.string(),
     state: z.enum(["ready", "draining"]),
-    warmupLeftMs: optionalNonNegative,
-    capacity: z.object({ cpu: optionalNonNegative, memMb: optionalNonNegative, gpu: optionalNonNegative }),
+    warmupLeftMs: optionalAnnouncedMs,
+    capacity: z.object({ cpu: optionalQuantity, memMb: optionalQuantity, gpu: optionalQuantity }),
     labels: z.optional(z.array(z.string())),
-    born: z.optional(z.number()),
-    drainRemainingMs: optionalNonNegative,
+    born: z.optional(z.int().check(z.nonnegative(), z.maximum(MAX_UNIX_MS))),
+    drainRemainingMs: optionalAnnouncedMs,
 });
 
 const configSchema = z.object({
-    version: z.number(),
+    version: z.int().check(z.nonnegative()),
     routes: z.array(
         z.object({
             host: z.string(),
@@ -98,7 +120,8 @@
     }
 
     override decodeWorker(record: StoredRecord): WorkerEntry | undefined {
-        const server = parse(record.value, serverSchema);
+        const isReadable = WORKER_ID.test(record.key) && record.value?.includes(UNREADABLE_CHARACTER) === false;
+        const server = isReadable ? parse(record.value, serverSchema) : undefined;
         if (server === undefined) {
             return undefined;
         }
@@ -119,6 +142,11 @@
     }
 }
 
+function isAddress(text: string): boolean {
+    const port = Number(ADDRESS.exec(text)?.groups?.port);
+    return port <= MAX_PORT && URL.canParse(`http://${text}`);
+}
+
 function parse<T>(value: string | undefined, schema: z.ZodMiniType<T>): T | undefined {
     if (value === undefined) {
         return undefined;
--- /dev/null
+++ b/src/proof/node/test/instanceFixture.ts
@@ -0,0 +1,257 @@
+import { DispatchLimits } from "../../../dispatch/common/dispatchLimits";
+import { OrderAnswer } from "../../../dispatch/common/workerClient";
+import { StartOrder, WorkerEffect } from "../../../dispatch/common/workerMessages";
+import { JobInstance } from "../../../host/common/jobInstance";
+import { JobInstanceEffect, JobInstanceEvent } from "../../../host/common/jobInstanceEvents";
+import { RecordEffect } from "../../../records/common/recordEvents";
+import { StreamName } from "../../../records/common/recordStore";
+import { KeyedLog } from "../../../standin/common/keyedLog";
+import { decodeSubmission } from "../../../platform/common/jobDecoder";
+import { StreamDecoder } from "../../../platform/common/streamDecoder";
+
+const TICK_MS = 25;
+const HEARTBEAT_INTERVAL_MS = 1_500;
+/** Time in which a run makes one percent of progress, in ms. */
+const MS_PER_PERCENT = 250;
+
+const WALL_START_MS = 1_700_000_000_000;
+
+const LIMITS: DispatchLimits = {
+    longestLeaseMs: 6_000,
+    stopMs: 200,
+    cancelMs: 3_000,
+    gangWaitMs: 3_000,
+    harmMs: 4_000,
+    configurationMs: 2_500,
+    retentionMs: 120_000,
+};
+
+export const CONFIGURATION = {
+    version: 1,
+    routes: [{ host: "host", prefix: "/q/", service: "svc" }],
+    services: [{ name: "svc", rejectsOverload: true }],
+};
+
+/** A worker that accepts every start and reports its runs. */
+export interface FixtureWorker {
+    entry: Record<string, unknown>;
+    /** Its runs, by task: their numbers and the times (ms) at which they started. */
+    readonly runs: Map<string, { readonly run: number; readonly startedAt: number }>;
+    /** Whether it renews its entry. */
+    hasHeartbeats: boolean;
+}
+
+interface DueAction {
+    readonly at: number;
+    readonly perform: () => void;
+}
+
+/** One instance with the decoder of the platform, a store in memory, and workers that write their entries to it. */
+export class InstanceFixture {
+    readonly streams: Record<StreamName, KeyedLog> = {
+        jobs: KeyedLog.create(),
+        progress: KeyedLog.create(),
+        operator: KeyedLog.create(),
+        workers: KeyedLog.create(),
+    };
+    readonly workers = new Map<string, FixtureWorker>();
+    /** Orders to start, by the address to which they were sent. */
+    readonly starts: { readonly worker: string; readonly address: string; readonly order: StartOrder }[] = [];
+    readonly decisions: { readonly name: string; readonly data: object }[] = [];
+    readonly answers: string[] = [];
+    private instance: JobInstance;
+    private takenCount = 0;
+    private now = 0;
+    private callCount = 0;
+    private due: DueAction[] = [];
+
+    constructor(workers: readonly string[]) {
+        this.streams.operator.store("config", JSON.stringify(CONFIGURATION));
+        workers.forEach((id, index) => this.addWorker(id, index));
+        this.instance = this.startInstance();
+    }
+
+    /** Adds a worker. @param index Number of the worker, of which its address is derived. */
+    addWorker(id: string, index: number): void {
+        const entry = {
+            service: "svc",
+            addr: `10.0.0.${index + 1}:8080`,
+            zone: "z",
+            state: "ready",
+            seq: 0,
+            capacity: { cpu: 4_000, memMb: 8_000 },
+            labels: ["big", "r1"],
+            born: WALL_START_MS - 60_000,
+        };
+        this.workers.set(id, { entry, runs: new Map(), hasHeartbeats: true });
+        this.writeEntry(id);
+    }
+
+    /** Writes the entry of a worker. */
+    writeEntry(id: string): void {
+        this.store(id, JSON.stringify(this.workers.get(id)!.entry));
+    }
+
+    /** Appends a record to the stream of workers, as another writer may. */
+    store(key: string, value: string | undefined): void {
+        this.streams.workers.store(key, value);
+    }
+
+    /** Writes an entry that differs from that of a worker. @param overrides Its other fields. */
+    storeOdd(id: string, overrides: object): void {
+        this.store(id, JSON.stringify({ ...this.workers.get(id)!.entry, ...overrides }));
+    }
+
+    /** Replaces the instance by a new one, which loads the streams. */
+    restart(): void {
+        this.due = [];
+        this.instance = this.startInstance();
+    }
+
+    get isLeading(): boolean {
+        return this.instance.isLeading;
+    }
+
+    /** Submits a job of one step. @param count Number of its tasks, each of 1 core. @returns Its id. */
+    submit(count: number, step: object = {}, job: object = {}): string {
+        this.callCount += 1;
+        const id = this.callCount.toString(16).padStart(16, "0");
+        const body = JSON.stringify({ spec: "s", steps: [{ count, cpu: 1_000, estMs: 1_000, ...step }], ...job });
+        const request = decodeSubmission(body);
+        const call = { number: this.callCount, host: "host", path: `/q/${id}`, callerTimeoutMs: 3_000, request };
+        this.dispatch({ kind: "call", call });
+        return id;
+    }
+
+    /** @returns Workers that got a start since this was last called, one name for each start. */
+    takeStarted(): string[] {
+        const started = this.starts.slice(this.takenCount).map(each => each.worker);
+        this.takenCount = this.starts.length;
+        return started;
+    }
+
+    /** @returns Data of the decisions of a name. */
+    decisionsOf(name: string): object[] {
+        return this.decisions.filter(each => each.name === name).map(each => each.data);
+    }
+
+    /** Advances the time. @param ms By how much, in ms. */
+    advance(ms: number): void {
+        for (const until = this.now + ms; this.now < until;) {
+            this.now += TICK_MS;
+            if (this.now % HEARTBEAT_INTERVAL_MS === 0) {
+                this.workers.forEach((worker, id) => worker.hasHeartbeats && this.writeEntry(id));
+            }
+            const due = this.due.filter(each => each.at <= this.now);
+            this.due = this.due.filter(each => each.at > this.now);
+            due.forEach(each => each.perform());
+            this.dispatch({ kind: "tick" });
+        }
+    }
+
+    private startInstance(): JobInstance {
+        const name = `n${this.now}`;
+        const identity = { instance: name, nonce: 7, storeRoundTripMs: () => 5, cores: 1 };
+        const instance = JobInstance.create(identity, LIMITS, StreamDecoder.create());
+        instance.start().forEach(effect => this.perform(effect));
+        return instance;
+    }
+
+    private dispatch(event: JobInstanceEvent): void {
+        const effects = this.instance.dispatch(event, this.now, WALL_START_MS + this.now);
+        effects.forEach(effect => this.perform(effect));
+    }
+
+    private after(ms: number, perform: () => void): void {
+        this.due.push({ at: this.now + ms, perform });
+    }
+
+    private perform(effect: JobInstanceEffect): void {
+        switch (effect.kind) {
+            case "append":
+            case "read":
+            case "read-newest":
+                this.callStore(effect);
+                break;
+            case "start":
+            case "stop":
+            case "throttle":
+            case "list":
+                this.callWorker(effect);
+                break;
+            case "answer":
+                this.answers.push(effect.answer.kind);
+                break;
+            case "decision":
+                this.decisions.push(effect);
+                break;
+            case "stopped":
+                break;
+        }
+    }
+
+    private callStore(effect: RecordEffect): void {
+        const log = this.streams[effect.stream];
+        const { stream } = effect;
+        if (effect.kind === "append") {
+            const { writer, append } = effect;
+            const { sequence } = append;
+            this.after(TICK_MS, () => {
+                const result = log.append(append);
+                this.dispatch({ kind: "append-answer", writer, sequence, result });
+            });
+            return;
+        }
+        this.after(effect.delayMs, () => {
+            const sentAt = this.now;
+            if (effect.kind === "read-newest") {
+                const result = log.newest(effect.after);
+                this.after(TICK_MS, () => this.dispatch({ kind: "newest-answer", stream, sentAt, result }));
+                return;
+            }
+            const read = () => {
+                const isAnswered = log.end > effect.from || this.now - sentAt >= effect.waitMs;
+                if (isAnswered) {
+                    this.dispatch({ kind: "read-answer", stream, sentAt, result: log.read(effect.from) });
+                } else {
+                    this.after(TICK_MS, read);
+                }
+            };
+            this.after(TICK_MS, read);
+        });
+    }
+
+    private callWorker(effect: WorkerEffect): void {
+        const { worker } = effect;
+        const sentAt = this.now;
+        if (effect.kind === "start") {
+            this.starts.push({ worker: worker.id, address: worker.address, order: effect.order });
+        }
+        const recipient = this.workers.get(worker.id);
+        // Nothing answers at another address than that of the worker.
+        const isReached = recipient !== undefined && recipient.entry.addr === worker.address;
+        const waitMs = effect.kind === "list" ? effect.order.waitMs : 0;
+        this.after(waitMs + TICK_MS, () => {
+            const answer: OrderAnswer = isReached
+                ? { outcome: "done", clockMs: this.now, list: this.execute(recipient, effect) }
+                : { outcome: "no-answer", clockMs: undefined };
+            const base = { worker: worker.id, sentAt, order: effect.order, ...answer };
+            this.dispatch({ kind: `${effect.kind}-answer`, ...base } as JobInstanceEvent);
+        });
+    }
+
+    private execute(worker: FixtureWorker, effect: WorkerEffect): OrderAnswer["list"] {
+        if (effect.kind === "start") {
+            const { task, run } = effect.order;
+            worker.runs.set(task, { run, startedAt: this.now });
+        } else if (effect.kind === "stop") {
+            worker.runs.delete(effect.order.task);
+        }
+        const incarnation = worker.entry.born as number;
+        const running = [...worker.runs].map(([task, { run, startedAt }]) => {
+            const percent = Math.min(99, (this.now - startedAt) / MS_PER_PERCENT);
+            return { task, run, checkpoint: "", percent, latencyOrUsage: 0 };
+        });
+        return effect.kind === "list" ? { incarnation, running, ended: [] } : undefined;
+    }
+}
