Follow the entry of a worker again after one with a false start

After another writer had stored one entry with a later start under the id of a worker, every valid entry of that worker was ignored, for as long as the leader led: it kept the address and state of the odd entry. A worker that restarted at another address got no tasks any more; with the address of another machine in the odd entry the worker was lost with its runs.

Cause: an entry with an earlier start than the one before counts as a late write of a former incarnation, whatever shows that the later one is false.

An entry of an earlier start is now ignored only until a run list, requested after the later entry was read, states the earlier start, or until the later entry was not renewed for three heartbeats, after which service discovery lets it expire. A worker gets tasks only while its entry and its latest list state the same start, in both directions, so that no run is recorded with a false start; the list is requested at once when they differ.

Tests: "a worker that restarts after an odd entry with a later start..." and "an entry with a later start and the address of another machine..." (oddEntries.test.ts) failed before: no task was started within 11.5 s, and none at the worker's address.

--- a/src/dispatch/common/test/runs.ts
+++ b/src/dispatch/common/test/runs.ts
@@ -58,7 +58,7 @@
         rack: "r1",
         ...overrides,
     };
-    return WorkerContact.create(entry, 0, 6_000);
+    return WorkerContact.create(entry, 0, 6_000, 0);
 }
 
 /** @returns An entry as it was just read. @param writtenAfter Time (ms) after which it was written, if known. */
--- a/src/dispatch/common/workerContact.ts
+++ b/src/dispatch/common/workerContact.ts
@@ -33,6 +33,12 @@
  */
 const REGISTERED_GRACE_PERIOD_MS = 3_000;
 
+/**
+ * Time after which an entry that is not renewed expires, in ms: three heartbeats. Until then, entries of earlier incarnations
+ * are late writes.
+ */
+const ENTRY_LIFETIME_MS = 4_500;
+
 /** How far drift may put a worker's clock behind its estimate, in ms; a clock further behind shows a restart. */
 const MAX_CLOCK_LAG_MS = 500;
 
@@ -104,12 +110,18 @@
     hasUnknownRuns = false;
     /** Time (ms) after which its entry was certainly written, if known. */
     entryWrittenAfter: number | undefined;
+    /** Time (ms) at which its entry was read. */
+    private entryReadAt: number;
+    /** Whether a list that was requested after its entry was read states an earlier incarnation: the entry is false. */
+    private isEntryRefuted = false;
 
     private constructor(
         private latestEntry: WorkerEntry,
         private readonly epochStartedAt: number,
         private readonly longestLeaseMs: number,
+        now: number,
     ) {
+        this.entryReadAt = now;
         this.machine = Machine.create(chart, {
             guards: {},
             actions: {
@@ -123,10 +135,11 @@
      * @param entry The worker's entry in service discovery.
      * @param epochStartedAt Time (ms) at which this leader's epoch began.
      * @param longestLeaseMs Longest lease that the worker accepts, in ms.
+     * @param now Time (ms) at which the entry was read.
      * @returns A worker that has not been contacted yet.
      */
-    static create(entry: WorkerEntry, epochStartedAt: number, longestLeaseMs: number): WorkerContact {
-        return new WorkerContact(entry, epochStartedAt, longestLeaseMs);
+    static create(entry: WorkerEntry, epochStartedAt: number, longestLeaseMs: number, now: number): WorkerContact {
+        return new WorkerContact(entry, epochStartedAt, longestLeaseMs, now);
     }
 
     /** Latest entry of the worker in service discovery. */
@@ -141,9 +154,13 @@
 
     /** Whether its entry is that of the incarnation in the latest list, which may be of another kind, and says that it is ready. */
     get isReady(): boolean {
-        const { incarnation, state } = this.latestEntry;
-        const isOutdated = incarnation > 0 && incarnation < (this.latestIncarnation ?? 0);
-        return state === "ready" && !isOutdated;
+        return this.latestEntry.state === "ready" && this.isOfListedIncarnation;
+    }
+
+    /** Whether its entry and its latest list state the same incarnation, as far as both state one. */
+    get isOfListedIncarnation(): boolean {
+        const { incarnation } = this.latestEntry;
+        return incarnation === 0 || incarnation === (this.latestIncarnation ?? incarnation);
     }
 
     /** Gives the worker no tasks for some time after it has rejected a start. @param outcome Why. @param now Time in ms. */
@@ -166,12 +183,19 @@
         );
     }
 
-    /** Applies a reading of the worker's entry in service discovery. @param now Time in ms. */
+    /**
+     * Applies a reading of the worker's entry in service discovery. One of an earlier incarnation is ignored, unless the entry
+     * before it is false or was not renewed.
+     * @param now Time in ms.
+     */
     updateEntry({ entry, writtenAfter }: EntryReading, now: number): void {
-        if (entry.incarnation < this.latestEntry.incarnation) {
+        const isEarlier = entry.incarnation < this.latestEntry.incarnation;
+        if (isEarlier && !this.isEntryRefuted && now - this.entryReadAt < ENTRY_LIFETIME_MS) {
             return;
         }
         this.latestEntry = entry;
+        this.entryReadAt = now;
+        this.isEntryRefuted = false;
         // An entry of unknown age is at least as new as the one before it.
         this.entryWrittenAfter = writtenAfter ?? this.entryWrittenAfter;
         this.isRegistered = true;
@@ -187,10 +211,12 @@
      * Records the incarnation that a run list states. One that only service discovery states is ignored, since only a
      * list shows what runs.
      * @param incarnation When the worker started, in ms since the Unix epoch.
+     * @param sentAt Time (ms) at which the list was requested.
      * @param now Time in ms.
      * @returns Whether the list is from the latest incarnation.
      */
-    updateIncarnation(incarnation: number, now: number): boolean {
+    updateIncarnation(incarnation: number, sentAt: number, now: number): boolean {
+        this.isEntryRefuted = incarnation < this.latestEntry.incarnation && sentAt > this.entryReadAt;
         const isNewer = this.latestIncarnation !== undefined && incarnation > this.latestIncarnation;
         if (this.latestIncarnation !== undefined && incarnation < this.latestIncarnation) {
             return false;
--- a/src/dispatch/common/workerPool.ts
+++ b/src/dispatch/common/workerPool.ts
@@ -141,9 +141,12 @@
         const known = this.contacts.get(entry.id);
         if (known !== undefined) {
             known.updateEntry(reading, now);
+            if (!known.isOfListedIncarnation) {
+                this.requestListSoon(known, now);
+            }
             return;
         }
-        const contact = WorkerContact.create(entry, this.epochStartedAt, this.limits.longestLeaseMs);
+        const contact = WorkerContact.create(entry, this.epochStartedAt, this.limits.longestLeaseMs, now);
         contact.entryWrittenAfter = writtenAfter;
         this.contacts.set(entry.id, contact);
     }
@@ -167,7 +170,8 @@
             return known;
         }
         const entry = deregisteredEntry(record);
-        const contact = WorkerContact.create(entry, this.epochStartedAt, this.limits.longestLeaseMs);
+        const { epochStartedAt, limits } = this;
+        const contact = WorkerContact.create(entry, epochStartedAt, limits.longestLeaseMs, epochStartedAt);
         contact.isRegistered = false;
         this.contacts.set(record.worker, contact);
         return contact;
@@ -230,7 +234,7 @@
             return;
         }
         const { incarnation, running, ended } = event.list;
-        if (incarnation !== undefined && !this.updateIncarnation(worker, incarnation, now)) {
+        if (incarnation !== undefined && !this.updateIncarnation(worker, incarnation, event.sentAt, now)) {
             worker.nextListAt = now + LIST_RETRY_INTERVAL_MS;
             return;
         }
@@ -263,12 +267,12 @@
         worker.nextListAt = now + listIntervalMs(worker);
     }
 
-    private updateIncarnation(worker: WorkerContact, incarnation: number, now: number): boolean {
+    private updateIncarnation(worker: WorkerContact, incarnation: number, sentAt: number, now: number): boolean {
         const previous = worker.incarnation;
         // An earlier leader may have started runs on a former incarnation that this one never saw.
         const lost = [...worker.runs.values()].filter(run => run.record.incarnation < incarnation);
         this.reportLoss(worker, lost, "restarted");
-        const isLatest = worker.updateIncarnation(incarnation, now);
+        const isLatest = worker.updateIncarnation(incarnation, sentAt, now);
         if (previous !== undefined && worker.incarnation !== previous) {
             const data = { worker: worker.entry.id, incarnation, before: previous, runs: worker.runs.size };
             this.effects.emit({ kind: "decision", name: "worker-replaced", data });
--- a/src/proof/node/test/oddEntries.test.ts
+++ b/src/proof/node/test/oddEntries.test.ts
@@ -187,3 +187,25 @@
         { seed: SEED, numRuns: 60 },
     );
 });
+
+test("a worker that restarts after an odd entry with a later start is used with its new entry", t => {
+    const fixture = createLeader(["w1"]);
+    const worker = fixture.workers.get("w1")!;
+    fixture.storeOdd("w1", { born: 9e13 });
+    fixture.advance(HEARTBEAT_MS);
+    worker.runs.clear();
+    worker.entry = { ...worker.entry, addr: "10.0.0.77:8080", born: 1_700_000_010_000, state: "ready" };
+    fixture.advance(8_000);
+    fixture.submit(1);
+    fixture.advance(HEARTBEAT_MS);
+    t.is(fixture.starts[fixture.starts.length - 1]?.address, "10.0.0.77:8080");
+});
+
+test("an entry with a later start and the address of another machine does not shut out the worker", t => {
+    const fixture = createLeader(["w1"]);
+    fixture.storeOdd("w1", { born: 9e13, addr: "10.9.9.9:80" });
+    fixture.advance(8_000);
+    fixture.submit(1);
+    fixture.advance(HEARTBEAT_MS);
+    t.is(fixture.starts[fixture.starts.length - 1]?.address, "10.0.0.1:8080");
+});
