Take the earliest time at which a draining worker leaves

The first time that a draining worker announced stood until it was ready again. After an entry of another writer that announced a week, a true entry that announced 2.5 s changed nothing, and the runs were not moved before the worker left. The earliest of the announced times now counts: each entry may be read late, so none is earlier than true.

Test: "a worker that drains leaves when its earliest entry says..." (workerPool.test.ts); it fails with the former line, which keeps the first time.

--- a/src/dispatch/common/test/workerPool.test.ts
+++ b/src/dispatch/common/test/workerPool.test.ts
@@ -226,3 +226,14 @@
     worker.onNoAnswer(20);
     t.false(worker.isUsable(20));
 });
+
+test("a worker that drains leaves when its earliest entry says, also after one that announced a week", t => {
+    const { pool, worker } = createBusyPool();
+    const drain = (drainLeftMs: number, now: number) =>
+        pool.register(readingOf({ ...worker.entry, state: "draining", drainLeftMs }), now);
+    drain(604_800_000, 10);
+    drain(2_500, 1_000);
+    t.is(worker.leavesAt, 3_500);
+    drain(2_500, 1_400);
+    t.is(worker.leavesAt, 3_500);
+});
--- a/src/dispatch/common/workerContact.ts
+++ b/src/dispatch/common/workerContact.ts
@@ -199,7 +199,9 @@
         // An entry of unknown age is at least as new as the one before it.
         this.entryWrittenAfter = writtenAfter ?? this.entryWrittenAfter;
         this.isRegistered = true;
-        this.leavesAt = entry.state === "draining" ? (this.leavesAt ?? now + (entry.drainLeftMs ?? 0)) : undefined;
+        // Each entry may be read late, so the earliest of these times is the closest.
+        const leavesAt = Math.min(this.leavesAt ?? Number.POSITIVE_INFINITY, now + (entry.drainLeftMs ?? 0));
+        this.leavesAt = entry.state === "draining" ? leavesAt : undefined;
     }
 
     /** @param now Time in ms. @returns Upper bound of the age of its entry, in ms, or `undefined` if there is none. */
