Log a malformed entry of a worker once, not with each write

Another writer that renews an odd entry like a heartbeat cost a log line on every instance each time: 100 writes, 100 lines in the test.

Test: "an odd entry that is written again and again costs one log line" (oddEntries.test.ts), which failed before.

--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -18,6 +18,7 @@
 import { EntryDecoder } from "./entryDecoder";
 import chartText from "./jobInstance.chart.yaml";
 import { JobInstanceEffect, JobInstanceEvent } from "./jobInstanceEvents";
+import { MalformedKeys } from "./malformedKeys";
 import { Takeover } from "./takeover";
 
 type LifecycleState = "loading" | "serving" | "stopping" | "stopped";
@@ -101,6 +102,7 @@
     /** Begins the epoch of a takeover that has loaded the progress. */
     private beginEpoch: (() => void) | undefined;
     private readonly workers = new Map<string, EntryReading>();
+    private readonly malformedWorkers = MalformedKeys.create();
     private clockOffset: number | undefined;
     private stoppingSince = 0;
     private now = 0;
@@ -274,7 +276,8 @@
     /** Applies a record of a worker. @param writtenAfter Time (ms) after which it was certainly written, if known. */
     applyWorkerRecord(record: StoredRecord, writtenAfter: number | undefined): void {
         const entry = this.decoder.decodeWorker(record);
-        if (entry === undefined && record.value !== undefined) {
+        const isMalformed = entry === undefined && record.value !== undefined;
+        if (this.malformedWorkers.update(record.key, isMalformed)) {
             this.logMalformed("workers", record.key, record.offset);
         }
         const reading = entry === undefined ? undefined : { entry, writtenAfter };
@@ -289,6 +292,7 @@
     /** Removes all workers but these, which are still registered. */
     retainWorkers(ids: ReadonlySet<string>): void {
         [...this.workers.keys()].filter(id => !ids.has(id)).forEach(id => this.workers.delete(id));
+        this.malformedWorkers.retain(ids);
         this.scheduler?.retainWorkers(ids);
     }
 
--- a/src/proof/node/test/oddEntries.test.ts
+++ b/src/proof/node/test/oddEntries.test.ts
@@ -209,3 +209,18 @@
     fixture.advance(HEARTBEAT_MS);
     t.is(fixture.starts[fixture.starts.length - 1]?.address, "10.0.0.1:8080");
 });
+
+test("an odd entry that is written again and again costs one log line", t => {
+    const fixture = createLeader(["w1"]);
+    for (let round = 0; round < 100; round++) {
+        fixture.store("odd", `{${round}`);
+        fixture.advance(100);
+    }
+    t.is(fixture.decisionsOf("record-malformed").length, 1);
+    fixture.storeOdd("w1", {});
+    fixture.store("odd", JSON.stringify(fixture.workers.get("w1")!.entry));
+    fixture.advance(1_000);
+    fixture.store("odd", "{");
+    fixture.advance(1_000);
+    t.is(fixture.decisionsOf("record-malformed").length, 2);
+});
