Leave single malformed entries out of a list of instances

`wigeonstall serve` took the list of service discovery as it came. One entry without services made every routing decision throw; a list that was not JSON, or without workers, was remembered as read, and the unchanged list was then never requested again, so the instance followed the list no longer.

The list is now decoded entry by entry. Those that are malformed, with an address that is not HOST:PORT with port 1 to 65535 or with numbers out of range among them, are left out and counted in one log line for each changed list.

--- a/src/platform/common/streamDecoder.ts
+++ b/src/platform/common/streamDecoder.ts
@@ -3,17 +3,13 @@
 import { EntryDecoder } from "../../host/common/entryDecoder";
 import { Configuration } from "../../jobs/common/queueTable";
 import { StoredRecord } from "../../records/common/record";
+import { isAddress } from "../../services/common/address";
 
 const CONFIG_KEY = "config";
 
 /** An order names its worker in a header, so an id has visible ASCII characters only. */
 const WORKER_ID = /^[\x21-\x7e]{1,255}$/;
 
-/** Host and port; the host is a name, an IPv4 address, or an IPv6 address in brackets. */
-const ADDRESS = /^(?:[a-z0-9._-]{1,253}|\[[0-9a-f:.]{2,45}\]):(?<port>[1-9][0-9]{0,4})$/i;
-
-const MAX_PORT = 65_535;
-
 /** Limit of each quantity of a worker's capacity: 1,000,000 cores, 1 PB of memory. */
 const MAX_QUANTITY = 1_000_000_000;
 
@@ -142,11 +138,6 @@
     }
 }
 
-function isAddress(text: string): boolean {
-    const port = Number(ADDRESS.exec(text)?.groups?.port);
-    return port <= MAX_PORT && URL.canParse(`http://${text}`);
-}
-
 function parse<T>(value: string | undefined, schema: z.ZodMiniType<T>): T | undefined {
     if (value === undefined) {
         return undefined;
--- a/src/serving/node/performers.ts
+++ b/src/serving/node/performers.ts
@@ -39,7 +39,9 @@
         const logger = createLogger(settings.log);
         this.audit = AuditTrail.create(entry => logger.info("audit", { ...entry }));
         this.log = LogPerformer.create(HttpLogService.create(settings.platform.log, client), post);
-        this.instanceList = HttpInstanceList.create(settings.platform.instances, client);
+        this.instanceList = HttpInstanceList.create(settings.platform.instances, client, count =>
+            logger.warn("malformed entries of service discovery are ignored", { count }),
+        );
         this.workers = WorkerPerformer.create(client, post);
         this.peers = PeerExchange.create({
             instance: instance.shared.identity.instance,
