Do not end the process when an upstream's address is malformed

Nothing handled the rejected promise, which ends a Node process.

The pool is now created where its errors count as a failed probe.

--- a/src/serving/node/upstreamPerformer.ts
+++ b/src/serving/node/upstreamPerformer.ts
@@ -120,8 +120,9 @@
 
     /** Probes an upstream on a new connection; any HTTP response counts as alive. */
     async probe(worker: string, address: string): Promise<void> {
-        const pool = createPool(`http://${address}`, { connections: 1 });
+        let pool: Pool | undefined;
         try {
+            pool = createPool(`http://${address}`, { connections: 1 });
             const signal = AbortSignal.timeout(PROBE_TIMEOUT_MS);
             const { body } = await pool.request({ method: "HEAD", path: "/", signal });
             await body.dump();
@@ -129,7 +130,7 @@
         } catch {
             this.post({ kind: "probe-failed", worker });
         } finally {
-            void pool.destroy();
+            void pool?.destroy();
         }
     }
 
