--- a/src/services/node/test/httpInstanceList.test.ts
+++ b/src/services/node/test/httpInstanceList.test.ts
@@ -74,7 +74,7 @@
                     ? { status: 304, headers: {}, body: Buffer.alloc(0) }
                     : { status: 200, headers: { etag: '"1"' }, body: Buffer.from(bodies.shift()!) },
             ),
-    } as HttpClient;
+    } as unknown as HttpClient;
     const list = HttpInstanceList.create("http://platform", client, count => malformed.push(count));
     t.false((await list.read()).ok);
     t.false((await list.read()).ok);
