Apply the other records, and read on, after one that cannot be applied

An error while one record was applied ended the handling of the whole page: the other records were lost, and the next read was never sent, so the instance followed that stream no longer until it was restarted.

--- a/src/records/common/recordFollower.ts
+++ b/src/records/common/recordFollower.ts
@@ -100,6 +100,8 @@
     >;
     /** End of the stream when its load began; the records appended since are read from here. */
     private followFrom: RecordOffset | undefined;
+    /** Errors with which records of the answer that is being handled could not be applied. */
+    private readonly errors: unknown[] = [];
     private loadedKeys = new Set<string>();
     private lastKey: string | undefined;
     private nextPauseMs = 0;
@@ -201,8 +203,19 @@
         }
     }
 
-    /** Handles the answer to a read of this stream. */
+    /**
+     * Handles the answer to a read of this stream.
+     * @throws The first error with which a record could not be applied, after all others were applied.
+     */
     handleAnswer(answer: StoreAnswer): void {
+        this.processAnswer(answer);
+        const errors = this.errors.splice(0);
+        if (errors.length > 0) {
+            throw errors[0];
+        }
+    }
+
+    private processAnswer(answer: StoreAnswer): void {
         if (answer.sentAt < this.repeatedAt) {
             this.handleLateAnswer(answer);
             return;
@@ -220,6 +233,15 @@
         }
     }
 
+    /** An error must not keep the later records from being applied, or the next read from being sent. */
+    private apply(record: StoredRecord, writtenAfter: number | undefined): void {
+        try {
+            this.receiver.apply(record, writtenAfter);
+        } catch (error) {
+            this.errors.push(error);
+        }
+    }
+
     private handleLateAnswer(answer: StoreAnswer): void {
         this.lateReadCount -= 1;
         if (answer.kind === "read-answer" && answer.result.ok) {
@@ -234,7 +256,7 @@
         for (const record of records) {
             this.loadedKeys.add(record.key);
             this.lastKey = record.key;
-            this.receiver.apply(record, undefined);
+            this.apply(record, undefined);
         }
     }
 
@@ -252,7 +274,7 @@
         for (const record of records) {
             if (record.offset >= this.nextOffset) {
                 // All earlier records were known by then.
-                this.receiver.apply(record, this.knownUntil);
+                this.apply(record, this.knownUntil);
                 this.nextOffset = record.offset + 1;
             }
         }
--- a/src/records/common/test/recordFollower.test.ts
+++ b/src/records/common/test/recordFollower.test.ts
@@ -13,8 +13,13 @@
     readonly values: (string | undefined)[] = [];
     /** Times (ms) after which they were written. */
     readonly writtenAfter: (number | undefined)[] = [];
+    /** Value of the records that cannot be applied. */
+    rejected: string | undefined;
 
     override apply(record: StoredRecord, writtenAfter: number | undefined): void {
+        if (record.value !== undefined && record.value === this.rejected) {
+            throw new Error(record.value);
+        }
         this.values.push(record.value);
         this.writtenAfter.push(writtenAfter);
     }
@@ -272,3 +277,19 @@
     fixture.tickFor(10_000);
     t.is(fixture.take().length, 3);
 });
+
+test("a record that cannot be applied keeps neither the others from being applied nor the next read from being sent", t => {
+    const fixture = new Fixture({ waitMs: 1_000, pauseMs: 0 });
+    fixture.collector.rejected = "odd";
+    fixture.log.store("w1", "odd");
+    fixture.log.store("w2", "2");
+    t.throws(() => fixture.step(), { message: "odd" });
+    t.true(fixture.follower.isLoaded);
+    fixture.log.store("w1", "odd");
+    fixture.log.store("w3", "3");
+    t.throws(() => fixture.step(), { message: "odd" });
+    fixture.log.store("w1", "4");
+    fixture.step();
+    t.deepEqual(fixture.collector.values, ["first", "2", "3", "4"]);
+    t.is(fixture.follower.nextOffset, fixture.log.end);
+});
