Delete no key by a record that is shorter than its key

A record whose stated key is longer than the record was read as a deletion of the beginning of the key: 255 and "w-1" deregistered the worker w-1. It now has no key. Whether the store accepts such a record is not known.

Test: "a record that is shorter than its key..." (recordFrames.test.ts), which failed before.

--- a/src/platform/common/recordFrames.ts
+++ b/src/platform/common/recordFrames.ts
@@ -43,6 +43,10 @@
 
 function unpackRecord(bytes: Buffer, offset: number): StoredRecord {
     const keyEnd = KEY_LENGTH_BYTES + (bytes[0] ?? 0);
+    if (bytes.length < keyEnd) {
+        // The rest of the key may be that of another record, which has not been deleted.
+        return { key: "", value: undefined, offset };
+    }
     const key = bytes.toString("utf8", KEY_LENGTH_BYTES, keyEnd);
     const value = bytes.length > keyEnd ? bytes.toString("utf8", keyEnd) : undefined;
     return { key, value, offset };
