Reject answers of workers with times or reasons that are none

A rejection with the reason "constructor" was decoded to a function in place of an outcome, since reasons were looked up in an object; a clock of 1e308 or a start of 2^53 in an answer was taken over. Reasons are now looked up in a map, and an answer with a time that is negative or after the year 9999 counts as no answer, like any malformed one.

Tests: "an answer with a time that is none..." and "a rejection for a reason that is not known..." (answerDecoder.test.ts), which failed before.

--- a/src/platform/common/answerDecoder.ts
+++ b/src/platform/common/answerDecoder.ts
@@ -4,13 +4,13 @@
 import { NewestPage } from "../../records/common/recordStore";
 import { WireLists } from "./wireTypes";
 
-const OUTCOME_BY_REASON: Readonly<Record<string, OrderOutcome>> = {
-    fence: "fenced",
-    old: "superseded",
-    late: "too-late",
-    room: "no-room",
-    ticket: "no-ticket",
-};
+const OUTCOME_BY_REASON: ReadonlyMap<unknown, OrderOutcome> = new Map([
+    ["fence", "fenced"],
+    ["old", "superseded"],
+    ["late", "too-late"],
+    ["room", "no-room"],
+    ["ticket", "no-ticket"],
+]);
 
 const OUTCOME_BY_STATUS: Readonly<Record<number, OrderOutcome>> = {
     200: "done",
@@ -19,6 +19,9 @@
     503: "unhealthy",
 };
 
+/** Limit of the readings of clocks, in ms: the end of the year 9999. */
+const MAX_TIME_MS = 253_402_300_799_999;
+
 const RUN_ENDS: readonly RunEnd[] = ["done", "failed", "stopped", "lapsed", "broken", "alone"];
 
 const objectSchema = z.record(z.string(), z.unknown());
@@ -39,12 +42,12 @@
  */
 export function decodeWorkerAnswer(status: number, body: Uint8Array): OrderAnswer | undefined {
     const value = body.length === 0 ? {} : parseObject(body);
-    if (value === undefined || !isOptionalNumber(value.clockMs)) {
+    if (value === undefined || !isOptionalTime(value.clockMs)) {
         return undefined;
     }
     const { clockMs } = value;
     if (status !== 200) {
-        const outcome = status === 409 ? OUTCOME_BY_REASON[String(value.reason)] : OUTCOME_BY_STATUS[status];
+        const outcome = status === 409 ? OUTCOME_BY_REASON.get(value.reason) : OUTCOME_BY_STATUS[status];
         return { outcome: outcome ?? "invalid", clockMs };
     }
     const list = decodeRunList(value);
@@ -74,7 +77,7 @@
 /** Checked by hand: lists are the most frequent messages, and a schema costs several times as much. */
 function decodeRunList(value: Partial<Record<keyof WireLists, unknown>>): RunList | undefined {
     const { born, running = [], ended = [] } = value;
-    if (!isOptionalNumber(born) || !isArrayOf(running, isRunRow) || !isArrayOf(ended, isEndRow)) {
+    if (!isOptionalTime(born) || !isArrayOf(running, isRunRow) || !isArrayOf(ended, isEndRow)) {
         return undefined;
     }
     return { incarnation: born, running: running.map(toListedRun), ended: ended.map(toListedEnd) };
@@ -127,6 +130,13 @@
     return value === undefined || Number.isFinite(value);
 }
 
+/** A reading of a clock that is no time would shut out the later, valid ones. */
+function isOptionalTime(value: unknown): value is number | undefined {
+    return (
+        value === undefined || (Number.isFinite(value) && (value as number) >= 0 && (value as number) <= MAX_TIME_MS)
+    );
+}
+
 /** @returns The object that a body contains, or `undefined` if it is not JSON or not an object. */
 function parseObject(body: Uint8Array): Record<string, unknown> | undefined {
     try {
--- a/src/platform/common/test/answerDecoder.test.ts
+++ b/src/platform/common/test/answerDecoder.test.ts
@@ -48,6 +48,19 @@
     t.is(decodeAppendAnswer(bytes({ offset: "3" })), undefined);
 });
 
+test("an answer with a time that is none counts as no answer", t => {
+    for (const time of ["1e308", "1e400", "9007199254740993", "-1"]) {
+        t.is(decodeWorkerAnswer(200, bytes(`{"clockMs":${time}}`)), undefined);
+        t.is(decodeWorkerAnswer(200, bytes(`{"clockMs":5,"born":${time}}`)), undefined);
+    }
+});
+
+test("a rejection for a reason that is not known is invalid, whatever the reason is called", t => {
+    for (const reason of ["constructor", "__proto__", "toString", 1, ["fence"], { toString: 1 }, undefined]) {
+        t.deepEqual(decodeWorkerAnswer(409, bytes({ clockMs: 5, reason })), { outcome: "invalid", clockMs: 5 });
+    }
+});
+
 test("no answer makes a decoder throw", t => {
     const body = fc.oneof(fc.json(), fc.string(), fc.object({ key: fc.constantFrom("clockMs", "running", "ended") }));
     fc.assert(
