Bound the occurrences and durations of a submitted job

A submission was accepted whatever its numbers were. With `times` of every occurrence that was due was opened in one pass, and since the job is stored, each next leader would do the same; sums of estimates such as 1e308 are not finite, and waiting jobs are ordered by them.

A job of more than 2,000,000 tasks in all its occurrences, or with durations over a year, is rejected with 400. Of the occurrences that are due, only so many are open as have 20,000 unfinished tasks; the others are opened as these are done.

Fractional and large counts and deep nesting were rejected before, too.

--- a/src/dispatch/common/activeJob.ts
+++ b/src/dispatch/common/activeJob.ts
@@ -14,6 +14,9 @@
     readonly tasks: readonly Task[];
 }
 
+/** Number of unfinished tasks from which no further occurrence of a job is opened: many may be due at once. */
+const MAX_OPEN_TASKS = 20_000;
+
 /** A job that is not finished, with its tasks. The tasks of an occurrence are created when it is due. */
 export class ActiveJob {
     private readonly groupsByKey = new Map<string, TaskGroup>();
@@ -92,13 +95,24 @@
      */
     openDue(wallNow: number): boolean {
         const openedBefore = this.openedCount;
+        let openTasks: number | undefined;
         while (this.openedCount < this.occurrences && this.dueMs(this.openedCount) <= wallNow) {
+            openTasks ??= this.countOpenTasks();
+            if (openTasks >= MAX_OPEN_TASKS) {
+                break;
+            }
             this.open(this.openedCount, undefined);
             this.openedCount += 1;
+            openTasks += this.spec.steps.reduce((sum, { tasks }) => sum + tasks, 0);
         }
         return this.openedCount > openedBefore;
     }
 
+    /** @returns Upper bound of the number of tasks of open occurrences that are not done. */
+    private countOpenTasks(): number {
+        return [...this.groups].reduce((sum, group) => sum + (group.done.isFull ? 0 : group.tasks.length), 0);
+    }
+
     /** @returns Whether all steps on which the group's step depends are done. */
     isReady(group: TaskGroup): boolean {
         return group.step.after.every(step => this.groupsByKey.get(`${group.occurrence}.${step}`)!.done.isFull);
--- /dev/null
+++ b/src/dispatch/common/test/activeJob.test.ts
@@ -0,0 +1,15 @@
+import test from "ava";
+import { ActiveJob } from "../activeJob";
+import { createJob, createStep } from "./runs";
+
+test("of a million occurrences that are due at once, only so many are open as have 20,000 unfinished tasks", t => {
+    const { spec } = createJob("j", createStep("batch", false, { tasks: 4 }));
+    const job = ActiveJob.create({ ...spec, occurrences: 1_000_000 }, 0, undefined);
+    t.true(job.openDue(1));
+    t.is([...job.groups].length, 5_000);
+    t.false(job.openDue(2));
+    const [first] = job.groups;
+    first.tasks.forEach(task => job.markDone(task));
+    t.true(job.openDue(3));
+    t.is([...job.groups].length, 5_001);
+});
--- a/src/platform/common/jobDecoder.ts
+++ b/src/platform/common/jobDecoder.ts
@@ -8,13 +8,21 @@
 /** Limits that reject submissions which are obviously mistaken. */
 const MAX_TASKS_PER_STEP = 10_000;
 const MAX_STEPS_PER_JOB = 200;
+/** Tasks of all occurrences. */
+const MAX_TASKS_PER_JOB = 2_000_000;
+/** Durations in ms: one year. Sums of larger ones would not be finite. */
+const MAX_DURATION_MS = 31_536_000_000;
+/** Times in ms since the Unix epoch: the end of the year 9999. */
+const MAX_UNIX_MS = 253_402_300_799_999;
+
+const optionalDurationMs = z.optional(z.number().check(z.nonnegative(), z.maximum(MAX_DURATION_MS)));
 
 const stepSchema = z.object({
     count: z.int().check(z.positive(), z.maximum(MAX_TASKS_PER_STEP)),
     cpu: z.optional(nonNegativeInteger),
     memMb: z.optional(nonNegativeInteger),
     gpu: z.optional(nonNegativeInteger),
-    estMs: z.optional(z.number().check(z.nonnegative())),
+    estMs: optionalDurationMs,
     after: z.optional(z.array(nonNegativeInteger)),
     checkpoint: z.optional(z.boolean()),
     gang: z.optional(z.boolean()),
@@ -25,7 +33,7 @@
     speculative: z.optional(z.boolean()),
     longRunning: z.optional(z.boolean()),
     image: z.optional(z.string()),
-    latencySloMs: z.optional(z.number()),
+    latencySloMs: optionalDurationMs,
     fills: z.optional(z.boolean()),
     mayMiss: z.optional(nonNegativeInteger),
 });
@@ -34,8 +42,8 @@
     spec: z.optional(z.string()),
     steps: z.array(stepSchema).check(z.minLength(1), z.maxLength(MAX_STEPS_PER_JOB)),
     times: z.optional(nonNegativeInteger),
-    firstMs: z.optional(z.number()),
-    intervalMs: z.optional(z.number().check(z.nonnegative())),
+    firstMs: z.optional(z.number().check(z.nonnegative(), z.maximum(MAX_UNIX_MS))),
+    intervalMs: optionalDurationMs,
 });
 
 /**
@@ -61,6 +69,10 @@
             .filter(each => each >= index)
             .map(each => `steps.${index}.after: ${each} is no earlier step`),
     );
+    const tasks = job.steps.reduce((sum, { count }) => sum + count, 0) * Math.max(1, job.times ?? 0);
+    if (tasks > MAX_TASKS_PER_JOB) {
+        faults.push(`times: the job has ${tasks} tasks, more than ${MAX_TASKS_PER_JOB}`);
+    }
     if (faults.length > 0) {
         return { kind: "invalid", faults };
     }
