Job trials in which another writer stores odd entries of workers

The trials decoded entries with a decoder of their own, and only workers wrote. With `oddEntryEveryMs`, workers write the entries of the platform, which its decoder reads, and another writer stores odd ones under their ids and its own, every 0.3 s: alone, while instances restart and reload, and while workers restart and leave.

--- a/src/proof/node/jobTrialPlan.ts
+++ b/src/proof/node/jobTrialPlan.ts
@@ -3,6 +3,7 @@
 import { EntryDecoder } from "../../host/common/entryDecoder";
 import { Configuration, Queue } from "../../jobs/common/queueTable";
 import { JobDraft } from "../../jobs/common/jobCall";
+import { StreamDecoder } from "../../platform/common/streamDecoder";
 import { StoredRecord } from "../../records/common/record";
 import { LeasedWorker, RunPlanner } from "../../standin/common/leasedWorker";
 import type { JobTrial } from "./jobTrial";
@@ -111,6 +112,11 @@
     readonly shrinkEveryMs?: number;
     /** Share of the jobs that are cancelled, from 0 to 1; none if undefined. */
     readonly cancelRatio?: number;
+    /**
+     * Mean time between two odd entries of another writer in the stream of workers, in ms; none if undefined. Otherwise, the
+     * entries are those of the platform, with its decoder.
+     */
+    readonly oddEntryEveryMs?: number;
     /** Breaks a mechanism on purpose, to prove that a rule detects it. */
     readonly sabotage?: (trial: JobTrial) => void;
 }
@@ -136,8 +142,28 @@
     readonly trace: readonly string[];
 }
 
+/** Port that the entries of the platform have in a trial, whose addresses are names. */
+const TRIAL_PORT = ":80";
+
+/** @param entry An entry. @returns The entry as workers write it on the platform. */
+export function encodePlatformEntry(entry: WorkerEntry): string {
+    const { service, address, failureDomain, state, capacity, labels, incarnation } = entry;
+    const { cpuMillis, memoryMb, accelerators } = capacity;
+    return JSON.stringify({
+        service,
+        addr: `${address}${TRIAL_PORT}`,
+        zone: failureDomain,
+        state,
+        capacity: { cpu: cpuMillis, memMb: memoryMb, gpu: accelerators },
+        labels,
+        born: incarnation,
+    });
+}
+
 /** Decodes the stored entries of a trial. */
 export class TrialDecoder extends EntryDecoder {
+    private readonly decoder = StreamDecoder.create();
+
     /** @param plan Parameters of the trial. */
     constructor(private readonly plan: JobTrialPlan) {
         super();
@@ -152,6 +178,10 @@
     }
 
     override decodeWorker(record: StoredRecord): WorkerEntry | undefined {
+        if (this.plan.oddEntryEveryMs !== undefined) {
+            const entry = this.decoder.decodeWorker(record);
+            return entry && { ...entry, address: entry.address.slice(0, -TRIAL_PORT.length) };
+        }
         return record.value === undefined ? undefined : (JSON.parse(record.value) as WorkerEntry);
     }
 }
--- a/src/proof/node/test/jobTrial.test.ts
+++ b/src/proof/node/test/jobTrial.test.ts
@@ -305,3 +305,20 @@
     const plan = { cancelRatio: CANCEL_RATIO, faultEveryMs: 0 };
     expectViolation(t, ["unasked"], Scheduler.prototype, "stopRuns", () => undefined, plan);
 });
+
+/** Faults beside which another writer stores odd entries. */
+const ODD_ENTRY_TRIALS: readonly { name: string; faults: readonly JobFault[]; faultEveryMs: number }[] = [
+    { name: "alone", faults: [], faultEveryMs: 0 },
+    { name: "while instances restart and reload", faults: ["kill", "kill-all", "expire"], faultEveryMs: 2_500 },
+    { name: "while workers restart and leave", faults: ["worker-crash", "worker-gone"], faultEveryMs: 2_500 },
+];
+
+for (const { name, faults, faultEveryMs } of ODD_ENTRY_TRIALS) {
+    test.serial(`every rule holds while another writer stores odd entries of workers, ${name}`, t => {
+        for (const seed of [2701, 2702, 2703]) {
+            const result = JobTrial.run({ ...PLAN, seed, faults, faultEveryMs, oddEntryEveryMs: 300 });
+            t.deepEqual(result.breaches, []);
+            t.true(result.finished > 20);
+        }
+    });
+}
--- a/src/proof/node/trialWorkers.ts
+++ b/src/proof/node/trialWorkers.ts
@@ -3,7 +3,15 @@
 import { KeyedLog } from "../../standin/common/keyedLog";
 import { LeasedWorker, RunPlanner } from "../../standin/common/leasedWorker";
 import { JobRuleChecker } from "./jobRuleChecker";
-import { CALL_TIMEOUTS_MS, createWorkerEntry, executeOrder, JobTrialPlan, runPlannerOf } from "./jobTrialPlan";
+import {
+    CALL_TIMEOUTS_MS,
+    createWorkerEntry,
+    encodePlatformEntry,
+    executeOrder,
+    JobTrialPlan,
+    runPlannerOf,
+} from "./jobTrialPlan";
+import { OddEntryWriter } from "./oddEntryWriter";
 import { Random } from "./random";
 import { TrialSchedule } from "./trialSchedule";
 
@@ -59,6 +67,9 @@
             workers.add(index, `w${index}`);
         }
         workers.planShrink();
+        if (context.plan.oddEntryEveryMs !== undefined) {
+            OddEntryWriter.create(context, context.plan.oddEntryEveryMs, () => workers.workers.map(each => each.entry));
+        }
         return workers;
     }
 
@@ -291,7 +302,9 @@
             return;
         }
         if (!this.isCut(worker.entry.id)) {
-            this.context.registry.store(worker.entry.id, JSON.stringify(worker.entry));
+            const isOfPlatform = this.context.plan.oddEntryEveryMs !== undefined;
+            const encode = isOfPlatform ? encodePlatformEntry : JSON.stringify;
+            this.context.registry.store(worker.entry.id, encode(worker.entry));
         }
         worker.endDueRuns(this.now);
         this.context.schedule.add(HEARTBEAT_INTERVAL_MS, () => this.sendHeartbeat(worker, index));
