--- a/src/proof/node/test/jobTrial.test.ts
+++ b/src/proof/node/test/jobTrial.test.ts
@@ -356,5 +356,23 @@
 
 test.serial("jobs whose tasks are never placed wait although there is room", t => {
     const plan = { ...COLOCATED, colocation: LIGHT };
-    expectViolation(t, ["bounded-wait"], BestEffortPolicy.prototype, "cost", () => undefined, plan);
+    const offer = { cost: 0, speedPercent: 0, limit: "noSpareCpu" as const };
+    expectViolation(t, ["bounded-wait"], BestEffortPolicy.prototype, "assess", () => offer, plan);
 });
+
+/** Faults beside which another writer stores odd entries. */
+const ODD_ENTRY_TRIALS: readonly { name: string; faults: readonly JobFault[]; faultEveryMs: number }[] = [
+    { name: "alone", faults: [], faultEveryMs: 0 },
+    { name: "while instances restart and reload", faults: ["kill", "kill-all", "expire"], faultEveryMs: 2_500 },
+    { name: "while workers restart and leave", faults: ["worker-crash", "worker-gone"], faultEveryMs: 2_500 },
+];
+
+for (const { name, faults, faultEveryMs } of ODD_ENTRY_TRIALS) {
+    test.serial(`every rule holds while another writer stores odd entries of workers, ${name}`, t => {
+        for (const seed of [2701, 2702, 2703]) {
+            const result = JobTrial.run({ ...PLAN, seed, faults, faultEveryMs, oddEntryEveryMs: 300 });
+            t.deepEqual(result.breaches, []);
+            t.true(result.finished > 20);
+        }
+    });
+}
--- a/src/proof/node/trialWorkers.ts
+++ b/src/proof/node/trialWorkers.ts
@@ -6,11 +6,13 @@
 import {
     CALL_TIMEOUTS_MS,
     createWorkerEntry,
+    encodePlatformEntry,
     executeOrder,
     JobTrialPlan,
     runPlannerOf,
     simulateRun,
 } from "./jobTrialPlan";
+import { OddEntryWriter } from "./oddEntryWriter";
 import { Random } from "./random";
 import { TrialColocation } from "./trialColocation";
 import { TrialSchedule } from "./trialSchedule";
@@ -90,6 +92,9 @@
         if (context.colocation !== undefined) {
             workers.reviewColocation();
         }
+        if (context.plan.oddEntryEveryMs !== undefined) {
+            OddEntryWriter.create(context, context.plan.oddEntryEveryMs, () => workers.workers.map(each => each.entry));
+        }
         return workers;
     }
 
@@ -369,7 +374,9 @@
             return;
         }
         if (!this.isCut(worker.entry.id)) {
-            this.context.registry.store(worker.entry.id, JSON.stringify(worker.entry));
+            const isOfPlatform = this.context.plan.oddEntryEveryMs !== undefined;
+            const encode = isOfPlatform ? encodePlatformEntry : JSON.stringify;
+            this.context.registry.store(worker.entry.id, encode(worker.entry));
         }
         worker.endDueRuns(this.now);
         this.context.schedule.add(HEARTBEAT_INTERVAL_MS, () => this.sendHeartbeat(worker, index));
