Read what has arrived before a call is given up

On a busy machine the test of slow responses failed in three runs: 'no complete response within 300 ms', although data arrived every 60 ms.

Cause: the event loop runs expired timers before it reads from sockets. A process that got no processor time for longer than the timeout gave up a call whose response had arrived meanwhile, and reported it as perhaps executed. The class is that of a paused process that acts on an expired time.

A timer that expires now lets the event loop read once, and a response that has arrived ends the call or restarts the timer. The new test blocks the event loop while the response arrives; it failed before, as did the test of slow responses beside it.

--- a/src/services/node/pendingCall.ts
+++ b/src/services/node/pendingCall.ts
@@ -23,6 +23,7 @@
     private isSettled = false;
     private readonly startedAt = performance.now();
     private timer: NodeJS.Timeout;
+    private immediate: NodeJS.Immediate | undefined;
 
     private constructor(
         private readonly timeoutMs: number,
@@ -30,7 +31,7 @@
         private readonly resolve: (response: HttpResponse) => void,
         private readonly reject: (error: Error) => void,
     ) {
-        this.timer = setTimeout(() => this.onTimeout(), timeoutMs);
+        this.timer = setTimeout(() => this.onTimerExpired(), timeoutMs);
     }
 
     /**
@@ -94,11 +95,16 @@
 
     private restartTimer(): void {
         if (this.idleTimeoutMs !== undefined && performance.now() - this.startedAt < MAX_RESPONSE_MS) {
-            clearTimeout(this.timer);
-            this.timer = setTimeout(() => this.onTimeout(), this.idleTimeoutMs);
+            this.clearTimers();
+            this.timer = setTimeout(() => this.onTimerExpired(), this.idleTimeoutMs);
         }
     }
 
+    /** The event loop runs expired timers before it reads: after a delay of the process, the response may have arrived. */
+    private onTimerExpired(): void {
+        this.immediate = setImmediate(() => this.onTimeout());
+    }
+
     private onTimeout(): void {
         if (this.controller === undefined) {
             this.fail(NotSentError.create(this.timeoutMs));
@@ -114,6 +120,11 @@
 
     private settle(): void {
         this.isSettled = true;
+        this.clearTimers();
+    }
+
+    private clearTimers(): void {
         clearTimeout(this.timer);
+        clearImmediate(this.immediate);
     }
 }
--- a/src/services/node/test/httpClient.test.ts
+++ b/src/services/node/test/httpClient.test.ts
@@ -75,6 +75,31 @@
     stopServer(server);
 });
 
+/** Blocks the event loop, as a process does that gets no processor time. @param ms For how long, in ms. */
+function block(ms: number): void {
+    for (const until = performance.now() + ms; performance.now() < until;) {
+        // Nothing else runs meanwhile.
+    }
+}
+
+test.serial("a response that has arrived while the process was delayed is not given up", async t => {
+    const server = await startServer((_, response) => {
+        response.write("x");
+        setTimeout(() => {
+            response.end("y");
+            block(2 * TIMEOUT_MS);
+        }, TIMEOUT_MS / 5);
+    });
+    const client = HttpClient.create();
+    const call = { origin: originOf(server), method: "GET", path: "/", timeoutMs: TIMEOUT_MS } as const;
+    for (const idleTimeoutMs of [undefined, TIMEOUT_MS]) {
+        const { body } = await client.call({ ...call, idleTimeoutMs });
+        t.is(Buffer.from(body).toString(), "xy");
+    }
+    client.dispose();
+    stopServer(server);
+});
+
 test("a call that found no free connection in time is reported as not sent, and is never sent", async t => {
     const receivedPaths: string[] = [];
     const responses: ServerResponse[] = [];
