Write the decision log in whole lines of at most 4 KiB at a time

What operators saw: on busy leaders, lines of the log end in the middle and the following ones are missing, without a `lines-omitted` line. `trace ID` then shows ends of runs without their starts, and waits that did not happen.

Cause: all lines of 250 ms, up to 256 KiB, were one write. A pipe accepts only a write of up to PIPE_BUF (4 KiB) as a whole; a reader that takes the first 8 KiB of each cuts the rest.

Fix: each write ends with a line and has at most 4 KiB; only a longer line is written in parts. One write is pending at a time, and the lines of a flush count against the limit of the buffer until the last of them is written, so volume and order are as before. Since the lines of a flush are several writes now, a graceful stop waits up to 250 ms for them; before, lines that were logged during a write were lost at the exit.

--- a/src/host/node/decisionLog.ts
+++ b/src/host/node/decisionLog.ts
@@ -1,6 +1,7 @@
-import { write } from "node:fs";
 import { Disposable } from "../../base/common/disposable";
 import { Emitter } from "../../base/common/emitter";
+import { DescriptorOutput } from "./descriptorOutput";
+import { LineOutput } from "./lineOutput";
 
 const STDOUT_FD = 1;
 
@@ -10,6 +11,17 @@
 /** Limit of the lines buffered for a slow reader. Lines beyond it are omitted and counted. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
 
+/**
+ * Limit of a single write, in bytes. A pipe accepts a write of this size (PIPE_BUF) as a whole, while a reader may cut a larger
+ * one, and lines of other writers may come in between.
+ */
+const MAX_WRITE_BYTES = 4_096;
+
+/** Time for which a stop waits for a slow reader, in ms. */
+const MAX_DRAIN_MS = 250;
+
+const NEWLINE = "\n";
+
 /** Importance of a line. Under load, `detail` lines are omitted first. */
 export type LineImportance = "detail" | "essential";
 
@@ -23,18 +35,26 @@
     private omittedCount = 0;
     private readonly didOmit = Emitter.create<number>();
     private isWriting = false;
+    private onIdle: () => void = () => undefined;
     private readonly timer: NodeJS.Timeout;
 
-    private constructor(private readonly instance: string) {
+    private constructor(
+        private readonly instance: string,
+        private readonly output: LineOutput,
+    ) {
         this.timer = setInterval(() => this.flush(), FLUSH_INTERVAL_MS);
     }
 
     /** Fires with the number of lines omitted since it last fired. */
     readonly onDidOmit = this.didOmit.event;
 
-    /** @param instance Name of the instance, included in each line. @returns The log. */
-    static create(instance: string): DecisionLog {
-        return new DecisionLog(instance);
+    /**
+     * @param instance Name of the instance, included in each line.
+     * @param output Receives the lines; standard output by default.
+     * @returns The log.
+     */
+    static create(instance: string, output: LineOutput = DescriptorOutput.create(STDOUT_FD)): DecisionLog {
+        return new DecisionLog(instance, output);
     }
 
     /**
@@ -49,7 +69,8 @@
             this.omittedCount += 1;
             return;
         }
-        const line = JSON.stringify({ time: new Date().toISOString(), instance: this.instance, event, ...data }) + "\n";
+        const line =
+            JSON.stringify({ time: new Date().toISOString(), instance: this.instance, event, ...data }) + NEWLINE;
         this.bufferedBytes += line.length;
         this.lines.push(line);
     }
@@ -68,7 +89,22 @@
         const text = Buffer.from(this.lines.join(""));
         this.lines = [];
         this.isWriting = true;
-        this.write(text);
+        this.writeFrom(text, 0);
+    }
+
+    /** Writes all lines. @returns Resolves when they have been written, or after a time limit while the reader is slow. */
+    drain(): Promise<void> {
+        return new Promise(resolve => {
+            const timeout = setTimeout(resolve, MAX_DRAIN_MS);
+            this.onIdle = () => {
+                this.flush();
+                if (!this.isWriting) {
+                    clearTimeout(timeout);
+                    resolve();
+                }
+            };
+            this.onIdle();
+        });
     }
 
     /** Stops the periodic writes and flushes the buffered lines. */
@@ -77,15 +113,27 @@
         this.flush();
     }
 
-    private write(text: Buffer): void {
-        write(STDOUT_FD, text, (error, written) => {
-            if (!error && written < text.length) {
-                this.write(text.subarray(written));
+    private writeFrom(text: Buffer, start: number): void {
+        this.output.write(text.subarray(start, endOfWrite(text, start)), (error, writtenBytes) => {
+            const next = start + writtenBytes;
+            if (!error && next < text.length) {
+                this.writeFrom(text, next);
                 return;
             }
             // After an error, for example a closed reader, only these lines are lost.
             this.isWriting = false;
             this.bufferedBytes = this.lines.reduce((sum, line) => sum + line.length, 0);
+            this.onIdle();
         });
     }
 }
+
+/** @returns Where a write of text from `start` ends: after a line, unless that line is longer than a write. */
+function endOfWrite(text: Buffer, start: number): number {
+    const limit = start + MAX_WRITE_BYTES;
+    if (limit >= text.length) {
+        return text.length;
+    }
+    const newline = text.lastIndexOf(NEWLINE, limit - 1);
+    return newline < start ? limit : newline + 1;
+}
--- a/src/host/node/jobProcess.ts
+++ b/src/host/node/jobProcess.ts
@@ -91,6 +91,7 @@
         this.loop.post({ kind: "stop" });
         await this.stopped;
         this.parts.log.log("stopped", {});
+        await this.parts.log.drain();
         this.dispose();
     }
 
