Send a run no second speed while the order of the first one is in flight

Latency-critical tasks could stay over their target: the speed of a run that starts below full speed was ordered when its start was accepted, and the next list, milliseconds later, led to a second order. Calls on different connections overtake each other, and the worker kept the speed that arrived last.

Class: an order counts as obeyed when it is sent. Both new tests, of the scheduler and of the trials, failed before.

--- a/src/dispatch/common/run.ts
+++ b/src/dispatch/common/run.ts
@@ -92,6 +92,8 @@
     private speed = 100;
     /** Whether the worker is known to have applied the speed; for an inherited run it is not. */
     isSpeedConfirmed = true;
+    /** Whether an order to change the speed is in flight. A second one could overtake it, and the withdrawn speed would stay. */
+    isSpeedOrderInFlight = false;
     /** Time (ms) at which it was throttled from full speed. */
     throttledAt = 0;
     /** Whether its worker was lost while the run may have been on it. */
--- a/src/dispatch/common/runThrottle.ts
+++ b/src/dispatch/common/runThrottle.ts
@@ -28,6 +28,7 @@
             return;
         }
         run.setSpeed(percent, now);
+        run.isSpeedOrderInFlight = true;
         const { task, run: number } = run.record;
         const order = { task, run: number, epoch: this.epoch, percent };
         this.effects.emit({ kind: "throttle", worker: worker.entry, order });
@@ -35,10 +36,9 @@
         this.effects.emit({ kind: "decision", name: "run-throttled", data });
     }
 
-    /** Orders the speed that was planned for a run whose start was accepted: it starts at full speed. */
-    applyPlanned(run: Run, now: number): void {
-        if (run.state === "running" && !run.isSpeedConfirmed) {
-            this.change(run, run.speedPercent, now);
-        }
+    /** Handles the answer to the latest order. @param isDone Whether the worker has applied it. */
+    handleAnswer(run: Run, isDone: boolean): void {
+        run.isSpeedOrderInFlight = false;
+        run.isSpeedConfirmed &&= isDone;
     }
 }
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -175,10 +175,10 @@
         }
         if (event.kind === "start-answer") {
             this.handleStartAnswer(worker, event, now);
-        } else if (event.kind === "throttle-answer" && event.outcome !== "done") {
+        } else if (event.kind === "throttle-answer") {
             const run = worker.runs.get(event.order.task);
             if (run?.record.run === event.order.run) {
-                run.isSpeedConfirmed = false;
+                this.throttle.handleAnswer(run, event.outcome === "done");
             }
         } else if (event.kind === "stop-answer" && event.outcome === "done") {
             const run = worker.runs.get(event.order.task);
@@ -438,7 +438,7 @@
         }
         if (event.outcome === "done") {
             run.fire("accepted", { now });
-            this.throttle.applyPlanned(run, now);
+            this.throttleController.applyPlannedSpeed(run, worker, now);
             this.pool.requestListSoon(worker, now);
             return;
         }
--- a/src/dispatch/common/test/scheduler.test.ts
+++ b/src/dispatch/common/test/scheduler.test.ts
@@ -370,3 +370,18 @@
     t.is(task, "b.0.0.0");
     t.true(percent > 10 && percent < 60);
 });
+
+// The worker obeyed the order that arrived last, and ran the task at a speed that the leader had withdrawn.
+test("a run gets no second speed while the order of the first one is in flight", t => {
+    const web = createStep("web", true, { tasks: 2, maxPerWorker: 1 });
+    const fixture = SchedulerFixture.create(web, [["web", "batch", 12, 0.01]]);
+    ["a.0.0.0", "a.0.0.1"].forEach(task => fixture.latencies.set(task, TARGET_MS / 1.6));
+    fixture.advance(2_000);
+    fixture.submit("b", createStep("batch", false));
+    while (fixture.starts.every(({ order }) => order.task !== "b.0.0.0")) {
+        fixture.advance(TICK_MS);
+    }
+    // No order to throttle is answered.
+    fixture.advance(200);
+    t.is(fixture.throttles.length, 1, JSON.stringify(fixture.throttles));
+});
--- a/src/dispatch/common/throttleController.ts
+++ b/src/dispatch/common/throttleController.ts
@@ -64,6 +64,19 @@
         }
     }
 
+    /**
+     * Orders the speed that was planned for a run: it starts at full speed.
+     * @param run A run whose start was accepted.
+     * @param worker Its worker.
+     * @param now Time in ms.
+     */
+    applyPlannedSpeed(run: Run, worker: WorkerContact, now: number): void {
+        if (run.state === "running" && !run.isSpeedConfirmed && !run.isSpeedOrderInFlight) {
+            this.changedAt.set(worker, now);
+            this.throttle(run, run.speedPercent);
+        }
+    }
+
     /** @returns The headroom that each latency-critical run can lose to interference. */
     private headroomBudgets(runs: readonly Run[], worker: WorkerContact, now: number): HeadroomBudget[] {
         return runs.flatMap(run => {
@@ -130,7 +143,7 @@
         const isRestored = percent === 100 && run.speedPercent < 100;
         const isWorthwhile =
             percent < run.speedPercent || percent - run.speedPercent >= MIN_INCREASE_PERCENT || isRestored;
-        if (!run.isSpeedConfirmed || isWorthwhile) {
+        if (!run.isSpeedOrderInFlight && (!run.isSpeedConfirmed || isWorthwhile)) {
             this.changedAt.set(worker, now);
             this.throttle(run, percent);
         }
--- a/src/proof/node/test/jobTrial.test.ts
+++ b/src/proof/node/test/jobTrial.test.ts
@@ -258,6 +258,13 @@
     });
 }
 
+// A worker obeyed two orders of a speed in the wrong order, and never got another one.
+test.serial("best-effort runs that start below full speed do not keep tasks over their targets, seed 1", t => {
+    const colocation = { heavyRatio: 1, bestEffortEveryMs: 150 };
+    const plan = { ...COLOCATED, lengthMs: 40_000, workers: 6, faultEveryMs: 100_000, seed: 1, colocation };
+    t.deepEqual(JobTrial.run(plan).breaches, []);
+});
+
 test.serial("the same seed gives the same trial", t => {
     const [one, two] = [1, 2].map(() => JobTrial.run({ ...PLAN, seed: 5 }));
     t.deepEqual(one, two);
