Let an estimate that no report confirms return to that of an unknown pair

A job whose only run stood at speed 0 made no progress for good: a run that uses no CPU tells nothing about its interference, yet each report next to it counted as a confirmation of the estimate, and a higher speed needs a lower estimate.

The class is an estimate that forbids what alone could correct it. A report confirms a pair only if the neighbor uses CPU. Estimates without confirmation for 2 s return to the mean and variance of an unknown pair with a time constant of 30 s, once for all pairs and not once for each neighbor.

The new test of ThrottleController failed before: with an estimate of 30 and no interference at all, the speed was 0 for 120 s.

--- a/src/dispatch/common/latencyModel.ts
+++ b/src/dispatch/common/latencyModel.ts
@@ -17,9 +17,17 @@
 /** Growth of a pair's variance with each report, since interference changes over time. */
 const DRIFT_VARIANCE = 0.0001;
 
-/** Time without a report on a pair after which its variance grows, in s, and the growth per second. */
-const MIN_REPORT_GAP_S = 2;
-const GAP_VARIANCE_PER_S = PRIOR_VARIANCE / 30;
+/** Time without a report on a pair after which its estimate ages, in ms. */
+const MIN_REPORT_GAP_MS = 2_000;
+
+/** Time constant with which an estimate that ages returns to that of an unknown pair, in ms. */
+const AGING_TIME_MS = 30_000;
+
+/** Interval between two steps of aging, in ms. */
+const AGING_INTERVAL_MS = 500;
+
+/** Share of a worker's CPU that a run must use for its neighbors' reports to say anything about its interference. */
+const MIN_INFORMATIVE_SHARE = 0.002;
 
 /** Standard deviations that are added to the estimated interference when a run is placed. */
 const CAUTION_DEVIATIONS = 0.5;
@@ -93,6 +101,7 @@
     private readonly updatedAt = new WeakMap<Run, number>();
     /** Time (ms) of the first report: estimates of an earlier leader are at least this old. */
     private startedAt: number | undefined;
+    private agedAt = Number.NEGATIVE_INFINITY;
 
     private constructor() {}
 
@@ -119,6 +128,7 @@
 
     /** Updates the estimates from the latest reports. @param worker Worker of the runs. @param now Time in ms. */
     update(worker: WorkerContact, now: number): void {
+        this.ageEstimates(now);
         for (const run of worker.runs.values()) {
             const observed = headroomOf(run);
             if (observed !== undefined && now - (this.updatedAt.get(run) ?? 0) >= REPORT_WINDOW_MS) {
@@ -163,14 +173,12 @@
 
     private updateFrom(affected: Run, observed: number, worker: WorkerContact, now: number): void {
         const baseline = this.baseline(affected);
-        this.startedAt ??= now;
         const neighbors = [...worker.runs.values()]
             .filter(run => run.task.step.usesSpareCpu && run.report !== undefined)
             .map(run => ({
                 pair: this.pair(affected.task.step.image, run.task.step.image),
                 share: measuredCpuShare(run, worker),
             }));
-        neighbors.forEach(({ pair }) => this.ageEstimate(pair, now));
         const predicted =
             baseline.headroom - neighbors.reduce((sum, each) => sum + each.pair.interference * each.share, 0);
         const residual = predicted - observed;
@@ -181,18 +189,29 @@
                 const gain = (pair.variance * share) / variance;
                 pair.interference = Math.max(0, pair.interference + gain * residual);
                 pair.variance = pair.variance * (1 - gain * share) + DRIFT_VARIANCE;
-                pair.updatedAt = now;
+                pair.updatedAt = share >= MIN_INFORMATIVE_SHARE ? now : pair.updatedAt;
             }
         }
         const interference = neighbors.reduce((sum, each) => sum + each.pair.interference * each.share, 0);
         this.updateBaseline(affected, observed + interference, reportVariance / variance, now);
     }
 
-    /** An estimate that no report has confirmed for some time is uncertain again, so that the next reports can correct it. */
-    private ageEstimate(pair: PairInterference, now: number): void {
-        const gapS = (now - (pair.updatedAt ?? this.startedAt ?? now)) / 1_000;
-        if (gapS >= MIN_REPORT_GAP_S) {
-            pair.variance = Math.min(PRIOR_VARIANCE, pair.variance + gapS * GAP_VARIANCE_PER_S);
+    /** Estimates that no report confirms return to that of an unknown pair: one that forbids all placements gets no reports. */
+    private ageEstimates(now: number): void {
+        this.startedAt ??= now;
+        const elapsedMs = now - this.agedAt;
+        if (elapsedMs < AGING_INTERVAL_MS) {
+            return;
+        }
+        this.agedAt = now;
+        const ratio = 1 - Math.exp(-Math.min(elapsedMs, AGING_TIME_MS) / AGING_TIME_MS);
+        for (const pairs of this.pairs.values()) {
+            for (const pair of pairs.values()) {
+                if (now - (pair.updatedAt ?? this.startedAt) >= MIN_REPORT_GAP_MS) {
+                    pair.interference += (PRIOR_INTERFERENCE - pair.interference) * ratio;
+                    pair.variance += (PRIOR_VARIANCE - pair.variance) * ratio;
+                }
+            }
         }
     }
 
--- a/src/dispatch/common/test/throttleController.test.ts
+++ b/src/dispatch/common/test/throttleController.test.ts
@@ -96,3 +96,23 @@
     t.true(ordered.length > 0);
     t.true(ordered.every(percent => percent >= 0 && percent <= 100));
 });
+
+test("a run that is stopped by an outdated estimate of its interference gets some speed again", t => {
+    const worker = createWorker();
+    const latencyCritical = place(worker, "a", createStep("web", true));
+    const neighbor = place(worker, "b", createStep("batch", false));
+    const model = LatencyModel.create([["web", "batch", 30, 0.01]]);
+    neighbor.setSpeed(0, 0);
+    let maxSpeed = 0;
+    const controller = ThrottleController.create(model, (run, percent) => run.setSpeed(percent, 0));
+    for (let now = 500; now <= 120_000; now += 500) {
+        // The neighbor does not interfere at all: the tail is the same at any speed.
+        report(latencyCritical, TARGET_MS / 1.6, now);
+        report(neighbor, (8_000 * neighbor.speedPercent) / 100, now);
+        model.update(worker, now);
+        controller.review(worker, now);
+        maxSpeed = Math.max(maxSpeed, neighbor.speedPercent);
+    }
+    t.log(`estimate ${model.interference("web", "batch", 1)}, speed ${maxSpeed}`);
+    t.true(maxSpeed > 0);
+});
