Suspected tasks: weigh the losses of their workers against coincidence

Cause: a task was given up after three losses alone, or five in a row, however often workers are lost for other reasons, and whatever else explained a loss.

The rate of losses for no known cause is measured now. A task is given up for losses alone when their being a coincidence has a probability of at most 0.001: after two while workers are hardly ever lost, after three or not at all while they often are. Five losses in a row stay the limit, so that a guilty task is started only twice after the third crash. From the second such loss on, one of which another task is accused again does not count. The form of the record stays as it is, so the version before reads it, and the other way round.

--- a/src/dispatch/common/activeJob.ts
+++ b/src/dispatch/common/activeJob.ts
@@ -202,6 +202,7 @@
             suspicion: undefined,
             lossAgeMs: 0,
             lossesInARow: 0,
+            explainedLosses: 0,
             run: undefined,
             failedOn: new Set(),
             moves: 0,
--- a/src/dispatch/common/failureController.ts
+++ b/src/dispatch/common/failureController.ts
@@ -2,6 +2,7 @@
 import { QueueTable } from "../../jobs/common/queueTable";
 import { ActiveJob } from "./activeJob";
 import { DecisionData, DecisionName } from "./dispatchEffects";
+import { LossRate } from "./lossRate";
 import { Run } from "./run";
 import { SuspectTable } from "./suspectTable";
 import { Task } from "./task";
@@ -13,15 +14,24 @@
 const MAX_SUSPECT_AGE_MS = 3_000;
 
 /**
- * Number of workers lost under a task in a row from which it is given up, whatever ran beside it. Each loss may be a
- * coincidence, so this is the largest number with which a task that crashes its workers is started twice after the third
+ * Number of workers lost under a task in a row from which it is given up, however often workers are lost. Each loss may be
+ * a coincidence, so this is the largest number with which a task that crashes its workers is started twice after the third
  * crash, not more.
  */
 const MAX_LOSSES_IN_A_ROW = 5;
 
+/** Number of losses in a row that count although another task was accused of them again: one accusation may be wrong. */
+const MAX_EXPLAINED_LOSSES = 1;
+
 /** Age from which a run that is lost does not count as one in a row, in ms: long-running tasks are all lost some time. */
 const MAX_COUNTED_AGE_MS = 10_000;
 
+/**
+ * Time for which a loss of the worker is attributed to a start, in ms: until a report shows that the worker has survived
+ * it.
+ */
+const ATTRIBUTION_MS = 1_000;
+
 /** Host of a failure controller. */
 export abstract class FailureHost {
     /** Called when a job has failed. @param data Why it has failed. */
@@ -40,10 +50,13 @@
  * A worker that crashes reports no end, so such a task would otherwise be started without limit. Of the runs that are
  * lost with a worker, those whose start it has not survived for long are suspected. Each suspected task is started again
  * on a worker that starts nothing else meanwhile (`ProbationPlacer`). There it is cleared when the worker survives it,
- * and accused when the worker is lost. A task that crashes its workers after some time is cleared each time, so the
- * losses in a row are counted, too.
+ * and accused when the worker is lost; how many such losses convict it depends on how often workers are lost otherwise
+ * (`LossRate`). A task that crashes its workers after some time is cleared each time, so the losses in a row are counted,
+ * too.
  */
 export class FailureController {
+    private readonly lossRate = LossRate.create();
+
     private constructor(
         private readonly queues: QueueTable,
         private readonly suspects: SuspectTable,
@@ -72,7 +85,7 @@
         }
         task.lastRun = run;
         task.failures += 1;
-        task.lossesInARow = 0;
+        clearLosses(task);
         this.clear(task);
         if (worker !== undefined) {
             task.failedOn.add(worker.entry.id);
@@ -97,11 +110,20 @@
         const suspects = mostLikely(recent.length > 0 ? recent : runs.filter(isEarly));
         // If the worker had survived all starts, this loss alone is no evidence against any of them.
         const isAlone = recent.length > 0 && new Set(suspects.map(run => startUnitOf(run.task))).size === 1;
+        suspects.forEach(run => this.accuse(run.task, worker, isAlone));
+        const culprits = new Set(suspects.filter(run => run.task.suspicion?.isAccusedAgain === true));
+        if (![...culprits].some(run => run.task.suspicion?.state === "convicted")) {
+            this.lossRate.recordLoss();
+        }
         for (const run of runs) {
             run.task.lossAgeMs = isEarly(run) ? run.provenAgeMs : 0;
+            this.countLoss(run, culprits.size > 0 && !culprits.has(run));
         }
-        runs.forEach(run => this.countLoss(run));
-        suspects.forEach(run => this.accuse(run.task, worker, isAlone));
+    }
+
+    /** Measures how many workers are at work. @param workers Number of workers with runs. @param now Time in ms. */
+    recordUptime(workers: number, now: number): void {
+        this.lossRate.recordUptime(workers, now);
     }
 
     /** Clears the suspected tasks whose start the worker has survived, after a list of the worker. */
@@ -109,7 +131,7 @@
         for (const run of worker.runs.values()) {
             const { task } = run;
             if (task.lossesInARow > 0 && run.provenAgeMs > MAX_COUNTED_AGE_MS) {
-                task.lossesInARow = 0;
+                clearLosses(task);
                 this.host.onSuspicionChange(task.job);
             }
             if ((task.lossAgeMs > 0 || task.suspicion !== undefined) && run.isProven) {
@@ -118,10 +140,22 @@
         }
     }
 
-    private countLoss({ task, provenAgeMs }: Run): void {
-        task.lossesInARow = provenAgeMs > MAX_COUNTED_AGE_MS ? 0 : task.lossesInARow + 1;
+    /**
+     * Counts a loss as one in a row. Left out are losses that accused tasks explain, but for the first: one explanation
+     * may be wrong.
+     */
+    private countLoss({ task, provenAgeMs }: Run, isExplained: boolean): void {
+        task.explainedLosses += isExplained ? 1 : 0;
+        if (isExplained && task.explainedLosses > MAX_EXPLAINED_LOSSES) {
+            return;
+        }
+        if (provenAgeMs > MAX_COUNTED_AGE_MS) {
+            clearLosses(task);
+        } else {
+            task.lossesInARow += 1;
+        }
         if (task.lossesInARow >= MAX_LOSSES_IN_A_ROW) {
-            this.failJob(task, { task: task.name, reason: "crashes-workers", losses: task.lossesInARow });
+            this.giveUp(task, { losses: task.lossesInARow });
         }
     }
 
@@ -130,11 +164,13 @@
             return;
         }
         task.suspicion ??= TaskSuspicion.create();
-        task.suspicion.fire(isAlone ? "lost-alone" : "lost-with-others");
+        const coincidence = this.lossRate.probabilityWithin(ATTRIBUTION_MS + task.lossAgeMs);
+        task.suspicion.fire(isAlone ? "lost-alone" : "lost-with-others", coincidence);
         const { state } = task.suspicion;
-        this.host.logDecision("task-suspected", { task: task.name, worker: worker.entry.id, state });
+        const data = { task: task.name, worker: worker.entry.id, state, coincidence: coincidence.toFixed(3) };
+        this.host.logDecision("task-suspected", data);
         if (state === "convicted") {
-            this.failJob(task, { task: task.name, reason: "crashes-workers" });
+            this.giveUp(task, {});
         }
         this.suspects.update(task);
         this.host.onSuspicionChange(task.job);
@@ -151,6 +187,14 @@
         this.host.onSuspicionChange(task.job);
     }
 
+    /** Gives up a task that crashes its workers. */
+    private giveUp(task: Task, data: DecisionData): void {
+        if (!isFinal(task.job.state)) {
+            this.lossRate.discountLosses(task.lossesInARow);
+            this.failJob(task, { task: task.name, reason: "crashes-workers", ...data });
+        }
+    }
+
     private failJob(task: Task, data: DecisionData): void {
         const { job } = task;
         if (!isFinal(job.state)) {
@@ -160,6 +204,11 @@
     }
 }
 
+function clearLosses(task: Task): void {
+    task.lossesInARow = 0;
+    task.explainedLosses = 0;
+}
+
 /** @returns The runs of accused tasks, or else of suspected ones, if there are any: they are a more likely cause. */
 function mostLikely(runs: readonly Run[]): readonly Run[] {
     const accused = runs.filter(run => run.task.suspicion?.isAccused === true);
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -193,9 +193,8 @@
         this.now = now;
         this.wallNow = wallNow;
         this.pool.tick(now);
-        for (const worker of this.pool.all) {
-            this.moveRuns(worker, now);
-        }
+        [...this.pool.all].forEach(worker => this.moveRuns(worker, now));
+        this.failures.recordUptime(this.pool.busyCount, now);
         this.pruner.tick(now);
         this.modelRecorder.tick(now);
         this.isDirty ||= now - this.lastPassAt > MAX_PASS_INTERVAL_MS;
--- a/src/dispatch/common/task.ts
+++ b/src/dispatch/common/task.ts
@@ -26,6 +26,8 @@
     lossAgeMs: number;
     /** Number of workers that were lost under it since it last worked for some time or reported a failure. */
     lossesInARow: number;
+    /** Number of losses since then of which another task was accused again. */
+    explainedLosses: number;
     /** Current run, if any. */
     run: Run | undefined;
     /** Workers on which it failed or was stuck; they are avoided. */
--- a/src/dispatch/common/taskSuspicion.ts
+++ b/src/dispatch/common/taskSuspicion.ts
@@ -7,17 +7,18 @@
 /** Whether a task is suspected of crashing its workers. */
 export type SuspicionState = "cleared" | RecordedSuspicion | "convicted";
 type SuspicionEvent = "lost-with-others" | "lost-alone" | "survived";
+type SuspicionGuard = "isCoincidenceUnlikely";
 
 const chart = ChartRegistry.instance.register(
-    ChartLoader.load<SuspicionState, SuspicionEvent, never, never>(chartText, "taskSuspicion.chart.yaml", {
+    ChartLoader.load<SuspicionState, SuspicionEvent, SuspicionGuard, never>(chartText, "taskSuspicion.chart.yaml", {
         states: ["cleared", "suspected", "accused", "accused-again", "convicted"],
         events: ["lost-with-others", "lost-alone", "survived"],
-        guards: [],
+        guards: ["isCoincidenceUnlikely"],
         actions: [],
     }),
 );
 
-/** Events that lead to a recorded state. */
+/** Events that lead to a recorded state if each loss may be a coincidence. */
 const EVENTS_BEFORE: Readonly<Record<RecordedSuspicion | "cleared", readonly SuspicionEvent[]>> = {
     cleared: [],
     suspected: ["lost-with-others"],
@@ -25,10 +26,22 @@
     "accused-again": ["lost-alone", "lost-alone"],
 };
 
+/** Number of workers that were lost alone under an accused task; further ones may have been. */
+const LOSSES_ALONE: Partial<Record<SuspicionState, number>> = { accused: 1, "accused-again": 2 };
+
+/** Probability of all losses being a coincidence from which a task is guilty: few of the suspected tasks are. */
+const MAX_COINCIDENCE_PROBABILITY = 0.001;
+
+/** Probability of a loss that is certainly a coincidence. */
+const CERTAIN = 1;
+
 /** The evidence that a task crashes the workers that start it. */
 export class TaskSuspicion {
-    private readonly machine = Machine.create<undefined, SuspicionState, SuspicionEvent, never, never>(chart, {
-        guards: {},
+    private readonly machine = Machine.create<number, SuspicionState, SuspicionEvent, SuspicionGuard, never>(chart, {
+        guards: {
+            isCoincidenceUnlikely: probability =>
+                probability ** ((LOSSES_ALONE[this.state] ?? 0) + 1) <= MAX_COINCIDENCE_PROBABILITY,
+        },
         actions: {},
     });
 
@@ -60,8 +73,17 @@
         return this.state === "accused" || this.state === "accused-again";
     }
 
-    /** Handles the loss of a worker, or a report that shows that a worker survived the start. */
-    fire(event: SuspicionEvent): void {
-        this.machine.fire(event, undefined);
+    /** Whether at least two workers were lost that had just started only this task. */
+    get isAccusedAgain(): boolean {
+        return this.state === "accused-again" || this.state === "convicted";
+    }
+
+    /**
+     * Handles the loss of a worker, or a report that shows that a worker survived the start.
+     * @param event What has happened.
+     * @param coincidence Probability of the loss if the task is not the cause, from 0 to 1.
+     */
+    fire(event: SuspicionEvent, coincidence = CERTAIN): void {
+        this.machine.fire(event, coincidence);
     }
 }
--- a/src/dispatch/common/test/failureController.test.ts
+++ b/src/dispatch/common/test/failureController.test.ts
@@ -170,6 +170,85 @@
     t.is(failing.lossesInARow, 4);
 });
 
+/** Loses workers that had just started only this task, until its job has ended. @returns Their number. */
+function loseAlone(failures: FailureController, task: Task, max: number): number {
+    let losses = 0;
+    while (losses < max && task.job.state !== "failed") {
+        losses += 1;
+        const worker = createWorker(`${task.name}-${losses}`);
+        start(worker, task, 0);
+        lose(failures, worker);
+    }
+    return losses;
+}
+
+/** Records that workers are at work for 60 s, and loses some of them with runs that are not suspected. */
+function measureLosses(failures: FailureController, workers: number, losses: number): void {
+    for (let now = 0; now <= 60_000; now += 100) {
+        failures.recordUptime(workers, now);
+    }
+    for (let loss = 0; loss < losses; loss++) {
+        const worker = createWorker(`other${loss}`);
+        report(start(worker, createTask(`other${loss}`), 0), 0, 20_000);
+        lose(failures, worker);
+    }
+}
+
+test("a task that crashes its workers is given up after two while hardly any worker is lost otherwise", t => {
+    const { host, failures } = createController();
+    measureLosses(failures, 30, 5);
+    t.is(loseAlone(failures, createTask("a"), 5), 2);
+    t.is(host.failedJobs.length, 1);
+});
+
+// Three workers in a row were lost under a task by coincidence, and its job was shown as failed.
+test("a task is given up only after five losses in a row while each worker is lost every few seconds", t => {
+    const { host, failures } = createController();
+    measureLosses(failures, 6, 80);
+    const task = createTask("a");
+    t.is(loseAlone(failures, task, 6), 5);
+    t.deepEqual(host.failedJobs, [task.job]);
+});
+
+/** Loses a worker on which one run is survived up to an age (ms) and another task has just been started. */
+function loseBeside(failures: FailureController, survived: Task, ageMs: number, started: Task): void {
+    const worker = createWorker(`${survived.name}-${started.name}`);
+    report(start(worker, survived, 0), 0, ageMs);
+    failures.reviewSurvival(worker);
+    start(worker, started, ageMs);
+    lose(failures, worker);
+}
+
+// Two of the five losses in a row under a task were crashes under tasks that had been accused before.
+test("a task is not given up for losses of workers under tasks that were accused before", t => {
+    const { host, failures } = createController();
+    measureLosses(failures, 6, 80);
+    const task = createTask("a");
+    const guilty = ["b", "c"].map(createTask);
+    guilty.forEach(each => loseAlone(failures, each, 2));
+    for (const ageMs of [600, 1_200, 1_800]) {
+        loseAt(failures, createWorker(`w${ageMs}`), task, ageMs);
+    }
+    guilty.forEach((each, index) => loseBeside(failures, task, 2_400 + index * SURVIVED_MS, each));
+    t.deepEqual(host.failedJobs, []);
+    t.is(task.lossesInARow, 4);
+    loseAt(failures, createWorker("w4"), task, 1_000);
+    t.deepEqual(host.failedJobs, [task.job]);
+});
+
+// A task that crashes its workers after some seconds would otherwise be started more often than the limit allows.
+test("one loss that another task was wrongly accused of counts", t => {
+    const { host, failures } = createController();
+    measureLosses(failures, 6, 80);
+    const [task, neighbor] = [createTask("a"), createTask("b")];
+    loseAlone(failures, neighbor, 2);
+    for (let loss = 1; loss <= 4; loss++) {
+        loseAt(failures, createWorker(`w${loss}`), task, 3_500);
+    }
+    loseBeside(failures, task, 3_500, neighbor);
+    t.deepEqual(host.failedJobs, [task.job]);
+});
+
 test("the evidence against a task is kept over a change of leader", t => {
     const { host, failures } = createController();
     const task = createTask("a");
@@ -234,6 +313,37 @@
     t.deepEqual(host.failedJobs, [task.job]);
 });
 
+test("a task that only shared a worker with the guilty one is cleared by a new leader", t => {
+    const { suspects, failures } = createController();
+    const neighbor = createTask("b");
+    const lost = createWorker("w1");
+    start(lost, createTask("a"), 0);
+    start(lost, neighbor, 0);
+    lose(failures, lost);
+    const progress = decodeProgress(encodeProgress(neighbor.job.progress(1)))!;
+    const job = ActiveJob.create(neighbor.job.spec, 0, progress);
+    const successor = job.find(neighbor.name)!;
+    suspects.update(successor);
+    t.true(suspects.has(successor));
+    const worker = createWorker("w2");
+    const run = start(worker, successor, 0);
+    report(run, 0, SURVIVED_MS);
+    failures.reviewSurvival(worker);
+    t.false(suspects.has(successor));
+    t.is(successor.suspicion?.state, "cleared");
+    report(run, 0, 20_000);
+    failures.reviewSurvival(worker);
+    t.is(decodeProgress(encodeProgress(job.progress(2)))?.tasks?.[0]?.lossesInARow ?? 0, 0);
+});
+
+test("evidence is recorded in the form that the version before reads", t => {
+    const { failures } = createController();
+    const task = createTask("a");
+    loseAlone(failures, task, 2);
+    const [, , , , tasks] = JSON.parse(encodeProgress(task.job.progress(1))) as unknown[];
+    t.deepEqual(tasks, [["a.0.0.0", 0, "", 0, "accused-again", 2]]);
+});
+
 test("progress that was recorded without evidence can be read", t => {
     const recorded = JSON.stringify([1, "running", {}, [], [["a.0.0.0", 1, "", 2]]]);
     t.deepEqual(decodeProgress(recorded)?.tasks, [
--- a/src/dispatch/common/workerPool.ts
+++ b/src/dispatch/common/workerPool.ts
@@ -119,6 +119,11 @@
         return this.contacts.size;
     }
 
+    /** Number of workers with runs. */
+    get busyCount(): number {
+        return [...this.contacts.values()].filter(worker => worker.runs.size > 0).length;
+    }
+
     /** @returns How many more starts may be in flight. */
     remainingStarts(): number {
         let count = Math.max(MIN_STARTS_IN_FLIGHT, this.contacts.size);
