LossRate: a short memory beside the long one

A burst of losses after a long calm time hardly changed the rate, so that tasks which shared several of the lost workers would have looked guilty after two. The higher rate of a memory of 10 s and one of 60 s counts now.

--- a/src/dispatch/common/lossRate.ts
+++ b/src/dispatch/common/lossRate.ts
@@ -1,21 +1,34 @@
-/** Losses and time at work that are assumed before any are measured, in ms. */
-const PRIOR_LOSSES = 1;
+/** Time at work that is assumed before any is measured, in ms. */
 const PRIOR_UPTIME_MS = 50_000;
 
-/** Time after which measurements have lost most of their weight, in ms. */
-const MEMORY_MS = 60_000;
+/**
+ * Times after which measurements have lost most of their weight, in ms, and the losses that are assumed before any are
+ * measured. The highest rate counts: the short memory shows when many workers are lost at once, the long one is more exact.
+ */
+const MEMORIES = [
+    { memoryMs: 10_000, priorLosses: 0 },
+    { memoryMs: 60_000, priorLosses: 1 },
+];
 
 /** Longest time between two measurements that counts, in ms: the process may have been suspended meanwhile. */
 const MAX_INTERVAL_MS = 1_000;
 
+/** Measurements of which the older ones have less weight. */
+interface Measurement {
+    /** Time after which a loss has lost most of its weight, in ms. */
+    readonly memoryMs: number;
+    readonly priorLosses: number;
+    losses: number;
+    /** Time for which workers had runs, in ms. */
+    uptimeMs: number;
+}
+
 /**
  * Measures how often workers are lost for no known cause: the evidence that a loss gives against a task depends on how
  * likely the worker would have been lost without it.
  */
 export class LossRate {
-    private losses = 0;
-    /** Time for which workers had runs, in ms. */
-    private uptimeMs = 0;
+    private readonly measurements: readonly Measurement[] = MEMORIES.map(each => ({ ...each, losses: 0, uptimeMs: 0 }));
     /** Time (ms) of the latest measurement. */
     private measuredAt: number | undefined;
 
@@ -29,25 +42,29 @@
     /** Records that workers are at work. @param workers Number of workers with runs. @param now Time in ms. */
     recordUptime(workers: number, now: number): void {
         const intervalMs = Math.min(MAX_INTERVAL_MS, Math.max(0, now - (this.measuredAt ?? now)));
-        const weight = Math.exp(-intervalMs / MEMORY_MS);
         this.measuredAt = now;
-        this.losses *= weight;
-        this.uptimeMs = this.uptimeMs * weight + workers * intervalMs;
+        for (const each of this.measurements) {
+            const weight = Math.exp(-intervalMs / each.memoryMs);
+            each.losses *= weight;
+            each.uptimeMs = each.uptimeMs * weight + workers * intervalMs;
+        }
     }
 
     /** Records that a worker with runs was lost for no known cause. */
     recordLoss(): void {
-        this.losses += 1;
+        this.measurements.forEach(each => (each.losses += 1));
     }
 
     /** Takes back losses whose cause has become known. @param count Their number. */
     discountLosses(count: number): void {
-        this.losses = Math.max(0, this.losses - count);
+        this.measurements.forEach(each => (each.losses = Math.max(0, each.losses - count)));
     }
 
     /** @param ms A time in ms. @returns Probability that a worker is lost within that time for no known cause. */
     probabilityWithin(ms: number): number {
-        const lossesPerMs = (PRIOR_LOSSES + this.losses) / (PRIOR_UPTIME_MS + this.uptimeMs);
-        return -Math.expm1(-ms * lossesPerMs);
+        const rates = this.measurements.map(
+            each => (each.priorLosses + each.losses) / (PRIOR_UPTIME_MS + each.uptimeMs),
+        );
+        return -Math.expm1(-ms * Math.max(...rates));
     }
 }
--- a/src/dispatch/common/test/lossRate.test.ts
+++ b/src/dispatch/common/test/lossRate.test.ts
@@ -46,3 +46,14 @@
     continuous.recordUptime(10, 1_000);
     t.is(suspended.probabilityWithin(1_000), continuous.probabilityWithin(1_000));
 });
+
+// A burst of losses hardly changed a rate that was measured over a long calm time.
+test("many losses in a short time raise the probability at once", t => {
+    const rate = LossRate.create();
+    work(rate, 33, 0, 300_000);
+    for (let loss = 0; loss < 15; loss++) {
+        rate.recordLoss();
+        work(rate, 33, 300_000 + loss * 200, 300_200 + loss * 200);
+    }
+    t.true(rate.probabilityWithin(1_000) > 0.03);
+});
