Suspected tasks: a crash is counted once over a change of leader

One crash of its worker was counted by two leaders: the first had recorded the accusation, but the run, whose start was not answered, had not ended when the leader changed, and its record still named the former incarnation of the worker.

The run is recorded with the new incarnation together with the loss, so a later leader counts only later restarts. The form of the record stays.

--- a/src/dispatch/common/run.ts
+++ b/src/dispatch/common/run.ts
@@ -105,7 +105,7 @@
 
     private constructor(
         readonly task: Task,
-        readonly record: RunRecord,
+        private recorded: RunRecord,
         private readonly host: RunHost,
         now: number,
     ) {
@@ -121,7 +121,7 @@
                 sendStop: ({ now }) => this.host.sendStop(this, now),
                 notifyEnded: ({ now, end }) => this.host.onEnd(this, end!.end, end!.checkpoint, now),
                 notifyLost: ({ now }) => this.host.onEnd(this, "lost", this.report?.checkpoint ?? "", now),
-                notifyUnstarted: ({ now }) => this.host.onEnd(this, "unstarted", record.checkpoint, now),
+                notifyUnstarted: ({ now }) => this.host.onEnd(this, "unstarted", recorded.checkpoint, now),
             },
         });
     }
@@ -137,6 +137,20 @@
         return new Run(task, record, host, now);
     }
 
+    /** The assignment, as it is recorded. */
+    get record(): RunRecord {
+        return this.recorded;
+    }
+
+    /**
+     * Records that its worker has restarted, so that the next leader does not count the same loss again if the run has not
+     * ended by then.
+     * @param incarnation The new incarnation of the worker.
+     */
+    updateIncarnation(incarnation: number): void {
+        this.recorded = { ...this.recorded, incarnation };
+    }
+
     /** State of the run as the leader knows it. */
     get state(): RunState {
         return this.machine.state;
--- a/src/dispatch/common/test/runs.ts
+++ b/src/dispatch/common/test/runs.ts
@@ -20,7 +20,8 @@
     retentionMs: 120_000,
 };
 
-class NoopRunHost extends RunHost {
+/** Host of runs whose orders go nowhere. */
+export class NoopRunHost extends RunHost {
     override sendStart(): void {}
     override sendStop(): void {}
     override onEnd(): void {}
--- a/src/dispatch/common/test/workerPool.test.ts
+++ b/src/dispatch/common/test/workerPool.test.ts
@@ -2,40 +2,48 @@
 import { Outbox } from "../../../base/common/outbox";
 import { DispatchEffect } from "../dispatchEffects";
 import { TaskSuspicion } from "../taskSuspicion";
+import { Run } from "../run";
+import { WorkerContact } from "../workerContact";
 import { PoolHost, WorkerPool } from "../workerPool";
-import { assign, createJob, createStep, createWorker, LIMITS, readingOf, report } from "./runs";
+import { assign, createJob, createStep, createWorker, LIMITS, NoopRunHost, readingOf, report } from "./runs";
 
 /** Time (ms) at which the next list of a worker is due, however many workers there are. */
 const LATER_MS = 5_000;
 
-class NoopPoolHost extends PoolHost {
+class RecordingPoolHost extends PoolHost {
+    /** Workers that were lost. */
+    readonly lost: string[] = [];
+
     override mayExtend(): boolean {
         return true;
     }
     override onEndReported(): void {}
     override onRunList(): void {}
-    override onWorkerLost(): void {}
+    override onWorkerLost(worker: WorkerContact): void {
+        this.lost.push(worker.entry.id);
+    }
     override onFenced(): void {}
 }
 
 /** @returns A pool whose workers have all answered once. */
 function createPool(workers: number) {
     const outbox = Outbox.create<DispatchEffect>();
-    const pool = WorkerPool.create(1, 0, LIMITS, new NoopPoolHost(), outbox);
+    const host = new RecordingPoolHost();
+    const pool = WorkerPool.create(1, 0, LIMITS, host, outbox);
     for (let index = 0; index < workers; index++) {
         pool.register(readingOf(createWorker(`w${index}`).entry), 0);
     }
     const lists = () => outbox.drain().flatMap(effect => (effect.kind === "list" ? [effect] : []));
-    const answer = (now: number) => {
+    const answer = (now: number, incarnation = 1) => {
         for (const { worker, order } of lists()) {
-            const list = { incarnation: 1, running: [], ended: [] };
+            const list = { incarnation, running: [], ended: [] };
             const base = { worker: worker.id, outcome: "done" as const, clockMs: now, sentAt: now };
             pool.handleAnswer({ kind: "list-answer", order, list, ...base }, now);
         }
     };
     pool.tick(0);
     answer(0);
-    return { pool, lists };
+    return { pool, lists, answer, host };
 }
 
 test("the number of starts in flight is limited, and accepted starts no longer count", t => {
@@ -226,3 +234,27 @@
     worker.onNoAnswer(20);
     t.false(worker.isUsable(20));
 });
+
+// Two leaders counted the same crash against a task whose start was not answered: its job was shown as failed.
+test("the loss of a worker that has restarted is counted once, also if the leader changes before its runs end", t => {
+    const [former, successor] = [createPool(1), createPool(1)];
+    const task = createJob("j", createStep("batch", false)).find("j.0.0.0")!;
+    const [lost] = [...former.pool.all];
+    const run = assign(lost, task);
+    run.fire("unanswered", { now: 1 });
+    former.pool.tick(LATER_MS);
+    former.answer(LATER_MS, 7);
+    t.deepEqual(former.host.lost, ["w0"]);
+    t.not(task.run, undefined);
+
+    const [worker] = [...successor.pool.all];
+    const inherited = Run.create(task, run.record, new NoopRunHost(), 0);
+    inherited.fire("inherit", { now: 0 });
+    worker.runs.set(task.name, inherited);
+    successor.pool.tick(LATER_MS);
+    successor.answer(LATER_MS, 7);
+    t.deepEqual(successor.host.lost, []);
+    successor.pool.tick(2 * LATER_MS);
+    successor.answer(2 * LATER_MS, 9);
+    t.deepEqual(successor.host.lost, ["w0"]);
+});
--- a/src/dispatch/common/workerPool.ts
+++ b/src/dispatch/common/workerPool.ts
@@ -272,6 +272,7 @@
         const previous = worker.incarnation;
         // An earlier leader may have started runs on a former incarnation that this one never saw.
         const lost = [...worker.runs.values()].filter(run => run.record.incarnation < incarnation);
+        lost.forEach(run => run.updateIncarnation(incarnation));
         this.reportLoss(worker, lost, "restarted");
         const isLatest = worker.updateIncarnation(incarnation, now);
         if (previous !== undefined && worker.incarnation !== previous) {
