--- a/src/dispatch/common/activeJob.ts
+++ b/src/dispatch/common/activeJob.ts
@@ -226,6 +226,7 @@
             suspicion: undefined,
             lossAgeMs: 0,
             lossesInARow: 0,
+            explainedLosses: 0,
             run: undefined,
             failedOn: new Set(),
             moves: 0,
--- a/src/dispatch/common/workerPool.ts
+++ b/src/dispatch/common/workerPool.ts
@@ -119,6 +119,11 @@
         return this.contacts.size;
     }
 
+    /** Number of workers with runs. */
+    get busyCount(): number {
+        return [...this.contacts.values()].filter(worker => worker.runs.size > 0).length;
+    }
+
     /** @returns How many more starts may be in flight. */
     remainingStarts(): number {
         let count = Math.max(MIN_STARTS_IN_FLIGHT, this.contacts.size);
@@ -271,6 +276,7 @@
         const previous = worker.incarnation;
         // An earlier leader may have started runs on a former incarnation that this one never saw.
         const lost = [...worker.runs.values()].filter(run => run.record.incarnation < incarnation);
+        lost.forEach(run => run.updateIncarnation(incarnation));
         this.reportLoss(worker, lost, "restarted");
         const isLatest = worker.updateIncarnation(incarnation, sentAt, now);
         if (previous !== undefined && worker.incarnation !== previous) {
