Leave half of a worker's memory free of best-effort tasks below full speed

Latency-critical tasks could be left without a worker: a run at speed 0 holds its memory for as long as its neighbors have no headroom, and each waiting job could add one.

Tasks now start below full speed only on workers of which half of the memory and of the accelerators is free. While under half of the service's capacity is in use, there is such a worker, so the bound on the wait holds.

--- a/src/dispatch/common/bestEffortPolicy.ts
+++ b/src/dispatch/common/bestEffortPolicy.ts
@@ -11,10 +11,16 @@
 const MIN_FREE_RATIO = 0.6;
 
 /**
- * Speed that the spare CPU of a worker must allow when all its best-effort tasks share it, in percent: below it, more tasks would
- * only slow down each other.
+ * Share of its requested CPU that a task must get when all best-effort tasks of a worker share the spare CPU: below it, more tasks
+ * would only slow down each other.
  */
-export const MIN_SPEED_BY_CPU_PERCENT = 25;
+const MIN_SPARE_CPU_RATIO = 0.25;
+
+/**
+ * Share of a worker's memory and accelerators that must be free for tasks below full speed: they hold what they need for long, and
+ * tasks with reserved CPU have to find room, too.
+ */
+const MIN_FREE_ROOM_RATIO = 0.5;
 
 /** Limit of the speed on a worker without enough unused CPU: a task starts there only after a wait. */
 const MAX_SHARED_SPEED = 0.9;
@@ -73,14 +79,26 @@
             }
         }
         const cpuShare = shareOfSpareCpu(request.cpuMillis, unused, freeCapacity);
-        if (cpuShare < Math.max(speed, MIN_SPEED_BY_CPU_PERCENT / 100)) {
+        if (cpuShare < Math.max(speed, MIN_SPARE_CPU_RATIO)) {
             limit = "noSpareCpu";
             speed = Math.min(speed, cpuShare);
         }
-        return { cost: cost - unused, speedPercent: Math.floor(speed * 100), limit };
+        return {
+            cost: cost - unused,
+            speedPercent: Math.floor(speed * 100),
+            limit,
+            isOpenBelowFullSpeed: cpuShare >= MIN_SPARE_CPU_RATIO && hasSpareRoom(freeCapacity, worker),
+        };
     }
 }
 
+function hasSpareRoom({ memoryMb, accelerators }: FreeCapacity, { entry: { capacity } }: WorkerContact): boolean {
+    return (
+        memoryMb >= capacity.memoryMb * MIN_FREE_ROOM_RATIO &&
+        accelerators >= capacity.accelerators * MIN_FREE_ROOM_RATIO
+    );
+}
+
 /**
  * @param cpuMillis CPU that a task requests, in thousandths of a core.
  * @param unused CPU of a worker that no task is expected to use, in thousandths of a core.
--- a/src/dispatch/common/placementPolicy.ts
+++ b/src/dispatch/common/placementPolicy.ts
@@ -16,6 +16,8 @@
     readonly speedPercent: number;
     /** What limits the speed; `undefined` at full speed. */
     readonly limit: SpeedLimit | undefined;
+    /** Whether the task may start there below full speed, after a wait. */
+    readonly isOpenBelowFullSpeed: boolean;
 }
 
 /** Assesses placements on workers with enough free capacity. */
--- a/src/dispatch/common/placer.ts
+++ b/src/dispatch/common/placer.ts
@@ -1,7 +1,7 @@
 import { StepSpec } from "../../jobs/common/jobSpec";
 import { LatencyModel } from "./latencyModel";
 import { ReservedPolicy } from "./reservedPolicy";
-import { BestEffortPolicy, MIN_SPEED_BY_CPU_PERCENT } from "./bestEffortPolicy";
+import { BestEffortPolicy } from "./bestEffortPolicy";
 import { Task } from "./task";
 import { PlacementOffer, PlacementPolicy, SpeedLimit } from "./placementPolicy";
 import { RejectionTable } from "./rejectionTable";
@@ -282,8 +282,7 @@
 function isSufficient(offer: PlacementOffer | undefined, minSpeedPercent: number): offer is PlacementOffer {
     return (
         offer !== undefined &&
-        offer.speedPercent >= minSpeedPercent &&
-        (offer.limit !== "noSpareCpu" || offer.speedPercent >= MIN_SPEED_BY_CPU_PERCENT)
+        (offer.limit === undefined || (offer.isOpenBelowFullSpeed && offer.speedPercent >= minSpeedPercent))
     );
 }
 
--- a/src/dispatch/common/reservedPolicy.ts
+++ b/src/dispatch/common/reservedPolicy.ts
@@ -24,7 +24,7 @@
     }
 
     override assess(task: Task, _worker: WorkerContact, forecast: WorkerForecast): PlacementOffer {
-        return { cost: costOf(task, forecast), speedPercent: 100, limit: undefined };
+        return { cost: costOf(task, forecast), speedPercent: 100, limit: undefined, isOpenBelowFullSpeed: false };
     }
 }
 
--- a/src/dispatch/common/test/stepQueue.test.ts
+++ b/src/dispatch/common/test/stepQueue.test.ts
@@ -210,3 +210,24 @@
     queue.placeWaiting([job], workers, 100, 10_000, 10_000);
     t.deepEqual(host.moved, [run]);
 });
+
+/** A latency-critical step that needs a quarter of a worker's memory. */
+function createServing(overrides: Partial<StepSpec> = {}): StepSpec {
+    const request = { cpuMillis: 8_000, memoryMb: 64_000, accelerators: 0 };
+    return createStep("web", true, { request, ...overrides });
+}
+
+test("best-effort runs that are stopped by the lack of headroom do not keep latency-critical tasks out of the memory", t => {
+    const model = LatencyModel.create(HEAVY_MODEL);
+    const workers = createBusyWorkers(model, 0.9);
+    const request = { cpuMillis: 8_000, memoryMb: 24_000, accelerators: 0 };
+    const batch = Array.from({ length: 60 }, (_, index) => createJob(`b${index}`, createBestEffort({ request })));
+    const queue = createQueue(model);
+    for (let now = 0; now <= 20_000; now += 100) {
+        queue.placeWaiting(batch, workers, 100, now, now);
+    }
+    const idleRuns = batch.flatMap(job => [...job.tasks()].flatMap(task => task.run ?? []));
+    t.log(`${idleRuns.length} best-effort runs, speeds ${[...new Set(idleRuns.map(run => run.speedPercent))].join()}`);
+    const serving = createJob("s", createServing());
+    t.not(timeOfFirstRun(queue, serving, workers), undefined);
+});
--- a/src/proof/node/test/jobTrial.test.ts
+++ b/src/proof/node/test/jobTrial.test.ts
@@ -363,7 +363,7 @@
 
 test.serial("jobs whose tasks are never placed wait although there is room", t => {
     const plan = { ...COLOCATED, colocation: LIGHT };
-    const offer = { cost: 0, speedPercent: 0, limit: "noSpareCpu" as const };
+    const offer = { cost: 0, speedPercent: 0, limit: "noSpareCpu" as const, isOpenBelowFullSpeed: false };
     expectViolation(t, ["bounded-wait"], BestEffortPolicy.prototype, "assess", () => offer, plan);
 });
 
