Count a wait until a worker has reported a run

All ready groups are reviewed once in a pass. A wait ends when a worker reports a run of the job; while a start is in flight no other task starts below full speed.

--- a/src/dispatch/common/activeJob.ts
+++ b/src/dispatch/common/activeJob.ts
@@ -87,6 +87,16 @@
         return false;
     }
 
+    /** Whether one of its tasks has a run that a worker has reported. */
+    get hasReportedRun(): boolean {
+        for (const task of this.tasks()) {
+            if (task.run?.report !== undefined) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Whether every task of every occurrence is done. */
     get isDone(): boolean {
         return this.finishedOccurrences.size === this.occurrences;
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -12,7 +12,7 @@
 import { SuspectTable } from "./suspectTable";
 import { Task } from "./task";
 import { WaitReporter } from "./waitReporter";
-import { minSpeedAfter, WaitTable } from "./waitTable";
+import { WaitTable } from "./waitTable";
 import { WaitingOrder, WaitingRank } from "./waitingOrder";
 import { WorkerContact } from "./workerContact";
 
@@ -23,7 +23,7 @@
 interface WaitingGroup {
     readonly group: TaskGroup;
     readonly tasks: readonly Task[];
-    /** Time for which the group has waited without any run of its job, in ms. */
+    /** Time for which its first task has waited without a run at work, in ms. */
     readonly waitedMs: number;
     /** Whether the tasks have runs that are throttled, and move if another worker offers a higher speed. */
     readonly isThrottled: boolean;
@@ -133,10 +133,9 @@
 
     private collectWaiting(job: ActiveJob, now: number, wallNow: number, waiting: WaitingGroup[]): void {
         const { service, priority } = this.queues.latestSettings(job.spec.queue);
-        for (const group of job.groups) {
-            if (group.done.isFull || !job.isReady(group)) {
-                continue;
-            }
+        const groups = [...job.groups].filter(group => !group.done.isFull && job.isReady(group));
+        this.waits.update(job, groups, now);
+        for (const group of groups) {
             const tasks = group.tasks.filter(
                 task => task.run === undefined && !group.done.has(task.index) && now >= task.notBefore,
             );
@@ -147,15 +146,15 @@
                 continue;
             }
             const rank = this.order.rank(job, job.remainingMs(group), wallNow);
-            const waitedMs = this.waits.update(group, job, now);
-            const common = { group, service, priority, rank, waitedMs };
+            const common = { group, service, priority, rank };
             if (throttled.length > 0) {
-                waiting.push({ ...common, tasks: throttled, isThrottled: true, isSuspected: false });
+                waiting.push({ ...common, tasks: throttled, waitedMs: 0, isThrottled: true, isSuspected: false });
             }
             if (tasks.length > 0 && isComplete) {
                 this.recordDemand(group, service, now);
                 for (const entry of this.separateSuspected(tasks, isGang)) {
-                    waiting.push({ ...common, ...entry, isThrottled: false });
+                    const waitedMs = this.waits.waitedMs(group, entry.tasks[0], now);
+                    waiting.push({ ...common, ...entry, waitedMs, isThrottled: false });
                 }
             }
         }
@@ -190,7 +189,7 @@
     ): WorkerContact[] {
         const groups = waiting
             .filter(entry => entry.isSuspected)
-            .map(entry => ({ ...entry, minSpeedPercent: minSpeedOf(entry) }));
+            .map(entry => ({ ...entry, minSpeedPercent: this.minSpeedPercent(entry, entry.tasks[0], now) }));
         groups.forEach(({ tasks }) => alignRuns(tasks));
         const isContested = waiting.some(entry => !entry.isSuspected && !entry.isThrottled);
         const closed = this.probation.place(
@@ -219,7 +218,7 @@
     private placeTasks(entry: WaitingGroup, placer: Placer, now: number): void {
         const rack = entry.group.step.prefersOneRack ? rackOf(entry.group) : undefined;
         for (const task of entry.tasks) {
-            const minSpeedPercent = minSpeedOf(entry);
+            const minSpeedPercent = this.minSpeedPercent(entry, task, now);
             if (this.remainingStarts <= 0 || placer.isInfeasible(task, entry.service, minSpeedPercent)) {
                 return;
             }
@@ -237,6 +236,10 @@
         }
     }
 
+    private minSpeedPercent({ group }: WaitingGroup, task: Task, now: number): number {
+        return this.waits.minSpeedPercent(group, task, now);
+    }
+
     /** Moves throttled tasks that run faster on another worker. Each worker is offered to one of them in a pass. */
     private moveTasks(entry: WaitingGroup, placer: Placer, now: number): void {
         if (entry.group.step.mode === "gang") {
@@ -340,9 +343,10 @@
     /** Assigns all members of a gang or none. */
     private placeGang(entry: WaitingGroup, placer: Placer, now: number): void {
         const racks = entry.group.step.prefersOneRack ? placer.racks(entry.service) : [];
+        const minSpeedPercent = this.minSpeedPercent(entry, entry.tasks[0], now);
         for (const rack of [...racks, undefined]) {
             const isAllowed = (worker: WorkerContact) => rack === undefined || worker.entry.rack === rack;
-            const chosen = placer.chooseAll(entry.tasks, entry.service, isAllowed, minSpeedOf(entry));
+            const chosen = placer.chooseAll(entry.tasks, entry.service, isAllowed, minSpeedPercent);
             if (chosen !== undefined) {
                 alignRuns(entry.tasks);
                 entry.tasks.forEach((task, index) => this.assignTo(task, chosen[index], placer, now));
@@ -352,11 +356,6 @@
     }
 }
 
-/** @returns Lowest speed at which a task of a group may start now, in percent: a lower one only while its job has no run. */
-function minSpeedOf({ group, tasks, waitedMs }: WaitingGroup): number {
-    return group.step.usesSpareCpu && !tasks[0].job.hasRun ? minSpeedAfter(waitedMs) : 100;
-}
-
 /** @returns The rack of the first task in the group that has a run, if any. */
 function rackOf(group: TaskGroup): string | undefined {
     return group.tasks.find(task => task.run !== undefined)?.run?.rack;
--- a/src/dispatch/common/test/stepQueue.test.ts
+++ b/src/dispatch/common/test/stepQueue.test.ts
@@ -231,3 +231,57 @@
     const serving = createJob("s", createServing());
     t.not(timeOfFirstRun(queue, serving, workers), undefined);
 });
+
+test("a best-effort job is not left without a run because a worker rejects its starts", t => {
+    const model = LatencyModel.create(HEAVY_MODEL);
+    const workers = createBusyWorkers(model);
+    const rejecting = createWorker("rejecting");
+    const queue = createQueue(model);
+    const job = createJob("a", createBestEffort({ tasks: 20 }));
+    let starts = 0;
+    let accepted = 0;
+    for (let now = 0; now <= 60_000 && accepted === 0; now += 100) {
+        const usable = now % 1_000 === 0 ? [...workers, rejecting] : workers;
+        queue.placeWaiting([job], usable, 100, now, now);
+        accepted = [...job.tasks()].filter(task => task.run !== undefined && !rejecting.runs.has(task.name)).length;
+        if (now % 1_000 === 100) {
+            // The answers to the starts of the pass before: the worker is unhealthy, and gets no tasks for a second.
+            for (const { task } of [...rejecting.runs.values()]) {
+                rejecting.runs.delete(task.name);
+                task.run = undefined;
+                starts += 1;
+            }
+        }
+    }
+    t.log(`${starts} starts rejected`);
+    t.not(accepted, 0);
+});
+
+test("a job of one task waits for full speed again after it has had a run", t => {
+    const model = LatencyModel.create(HEAVY_MODEL);
+    const workers = createBusyWorkers(model);
+    const idle = createWorker("idle");
+    const job = createJob("a", createBestEffort({ tasks: 1 }));
+    const [task] = [...job.tasks()];
+    const queue = createQueue(model);
+    queue.placeWaiting([job], workers, 100, 0, 0);
+    queue.placeWaiting([job], [...workers, idle], 100, 100, 100);
+    t.is(task.run?.record.worker, "idle");
+    report(task.run!, 8_000, 30_000);
+    queue.placeWaiting([job], workers, 100, 30_000, 30_000);
+    idle.runs.delete(task.name);
+    task.run = undefined;
+    queue.placeWaiting([job], workers, 100, 30_100, 30_100);
+    t.is(task.run, undefined);
+});
+
+test("each task of a best-effort long-running step gets a run, not only the first", t => {
+    const model = LatencyModel.create(HEAVY_MODEL);
+    const workers = createBusyWorkers(model);
+    const job = createJob("a", createBestEffort({ tasks: 3, mode: "long-running" }));
+    const queue = createQueue(model);
+    for (let now = 0; now <= 60_000; now += 100) {
+        queue.placeWaiting([job], workers, 100, now, now);
+    }
+    t.is([...job.tasks()].filter(task => task.run !== undefined).length, 3);
+});
