Hold the destination of a moved task until it can start there

The destination was kept free only for the pass in which the run was stopped, but a stop takes several: a waiting task took the place, or one idle worker made several runs stop.

A moved task whose run has ended starts there before other tasks are placed, at whatever speed is left, and no other best-effort task starts there meanwhile. Both new tests failed before.

--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -2,6 +2,7 @@
 import { isFinal } from "../../jobs/common/jobTable";
 import { ActiveJob, TaskGroup } from "./activeJob";
 import { LatencyModel } from "./latencyModel";
+import { MoveTable } from "./moveTable";
 import { ObjectiveOrder } from "./objectiveOrder";
 import { PlacementChoice, Placer } from "./placer";
 import { ProbationPlacer } from "./probationPlacer";
@@ -48,8 +49,7 @@
     private reserved: ReadonlySet<WorkerContact> = new Set();
     /** Groups whose demand is recorded. */
     private readonly recordedGroups = new WeakSet<TaskGroup>();
-    /** Workers to which a task moves in this pass. */
-    private readonly destinations = new Set<WorkerContact>();
+    private readonly moves = MoveTable.create();
 
     private constructor(
         private readonly queues: QueueTable,
@@ -107,11 +107,12 @@
         }
         waiting.sort((a, b) => this.compare(a, b));
         this.suspects.prune();
-        this.destinations.clear();
         const unsuspected = waiting.filter(entry => !entry.isSuspected);
         const open = this.suspects.isEmpty ? workers : this.placeSuspected(waiting, workers, now, wallNow);
         this.reserved = this.reserve.choose(open, now);
         const placer = Placer.create(open, this.model);
+        this.moves.prune(open, now);
+        this.finishMoves(unsuspected, placer, now);
         this.placeInOrder(unsuspected, placer, now);
         this.waitReporter.review(waiting, placer, now);
     }
@@ -217,7 +218,7 @@
     /** Tasks of a step are alike: when no worker has free capacity for one of them, none has for the others. */
     private placeTasks(entry: WaitingGroup, placer: Placer, now: number): void {
         const rack = entry.group.step.prefersOneRack ? rackOf(entry.group) : undefined;
-        for (const task of entry.tasks) {
+        for (const task of entry.tasks.filter(each => each.run === undefined)) {
             const minSpeedPercent = this.minSpeedPercent(entry, task, now);
             if (this.remainingStarts <= 0 || placer.isInfeasible(task, entry.service, minSpeedPercent)) {
                 return;
@@ -259,14 +260,14 @@
             return;
         }
         const isAllowed = (worker: WorkerContact) =>
-            worker.entry.id !== run.record.worker && !this.destinations.has(worker);
+            worker.entry.id !== run.record.worker && !this.moves.isHeld(worker);
         const choice = placer.choose(run.task, service, isAllowed, minSpeedPercent);
         if (choice === undefined) {
             placer.recordRejection(run.task, service, minSpeedPercent);
             return;
         }
         placer.reserve(run.task, choice.worker);
-        this.destinations.add(choice.worker);
+        this.moves.add(run.task, choice.worker, now);
         this.host.move(run, now);
     }
 
@@ -274,15 +275,42 @@
     private moveGang({ tasks, service }: WaitingGroup, placer: Placer, now: number): void {
         const runs = tasks.flatMap(task => task.run ?? []);
         const own = new Set(runs.map(run => run.record.worker));
-        const isAllowed = (worker: WorkerContact) => !own.has(worker.entry.id) && !this.destinations.has(worker);
+        const isAllowed = (worker: WorkerContact) => !own.has(worker.entry.id) && !this.moves.isHeld(worker);
         const minSpeedPercent = Math.min(...runs.map(run => run.speedPercent)) + MIN_SPEED_GAIN_PERCENT;
         const chosen = placer.chooseAll(tasks, service, isAllowed, minSpeedPercent);
         if (chosen !== undefined) {
-            chosen.forEach(({ worker }) => this.destinations.add(worker));
+            chosen.forEach(({ worker }, index) => this.moves.add(tasks[index], worker, now));
             runs.forEach(run => this.host.move(run, now));
         }
     }
 
+    /** Starts the moved tasks whose runs have ended where they are to run, and keeps room there for the others. */
+    private finishMoves(waiting: readonly WaitingGroup[], placer: Placer, now: number): void {
+        for (const { group, tasks, service, isThrottled } of waiting) {
+            const ended = isThrottled ? [] : tasks.filter(task => this.moves.destinationOf(task) !== undefined);
+            const units = group.step.mode === "gang" && ended.length > 0 ? [tasks] : ended.map(task => [task]);
+            units.forEach(unit => this.finishMove(unit, service, placer, now));
+        }
+        for (const [task, worker] of this.moves.all) {
+            placer.reserve(task, worker);
+        }
+    }
+
+    private finishMove(tasks: readonly Task[], service: string, placer: Placer, now: number): void {
+        const workers = new Set(tasks.map(task => this.moves.destinationOf(task)));
+        const chosen = placer.chooseAll(tasks, service, worker => workers.has(worker), 0);
+        if (chosen !== undefined) {
+            alignRuns(tasks);
+            chosen.forEach((choice, index) => this.assignTo(tasks[index], choice, placer, now));
+        }
+        tasks.forEach(task => this.moves.delete(task));
+    }
+
+    /** @returns Whether a worker may be given a task: best-effort tasks keep away from one that is held for another task. */
+    private isOpenFor(task: Task, worker: WorkerContact): boolean {
+        return !task.step.usesSpareCpu || !this.moves.isHeld(worker);
+    }
+
     private choosePreferred(
         task: Task,
         service: string,
@@ -292,7 +320,7 @@
         const preferred = rack ?? task.step.dataRack;
         return preferred === undefined
             ? undefined
-            : placer.choose(task, service, worker => worker.entry.rack === preferred);
+            : placer.choose(task, service, worker => worker.entry.rack === preferred && this.isOpenFor(task, worker));
     }
 
     private chooseAny(
@@ -323,7 +351,7 @@
         placer: Placer,
         minSpeedPercent: number,
     ): PlacementChoice | undefined {
-        const isAny = () => true;
+        const isAny = (worker: WorkerContact) => this.isOpenFor(task, worker);
         if (task.step.mode !== "long-running") {
             return placer.choose(task, service, isAny, minSpeedPercent);
         }
@@ -342,14 +370,19 @@
 
     /** Assigns all members of a gang or none. */
     private placeGang(entry: WaitingGroup, placer: Placer, now: number): void {
-        const racks = entry.group.step.prefersOneRack ? placer.racks(entry.service) : [];
-        const minSpeedPercent = this.minSpeedPercent(entry, entry.tasks[0], now);
+        const { tasks, service } = entry;
+        if (tasks[0].run !== undefined) {
+            return;
+        }
+        const racks = entry.group.step.prefersOneRack ? placer.racks(service) : [];
+        const minSpeedPercent = this.minSpeedPercent(entry, tasks[0], now);
         for (const rack of [...racks, undefined]) {
-            const isAllowed = (worker: WorkerContact) => rack === undefined || worker.entry.rack === rack;
-            const chosen = placer.chooseAll(entry.tasks, entry.service, isAllowed, minSpeedPercent);
+            const isAllowed = (worker: WorkerContact) =>
+                (rack === undefined || worker.entry.rack === rack) && this.isOpenFor(tasks[0], worker);
+            const chosen = placer.chooseAll(tasks, service, isAllowed, minSpeedPercent);
             if (chosen !== undefined) {
-                alignRuns(entry.tasks);
-                entry.tasks.forEach((task, index) => this.assignTo(task, chosen[index], placer, now));
+                alignRuns(tasks);
+                tasks.forEach((task, index) => this.assignTo(task, chosen[index], placer, now));
                 return;
             }
         }
--- a/src/dispatch/common/test/stepQueue.test.ts
+++ b/src/dispatch/common/test/stepQueue.test.ts
@@ -275,6 +275,31 @@
     t.is(task.run, undefined);
 });
 
+test("a throttled run is not stopped for a worker that a waiting task takes before it can start there", t => {
+    const model = LatencyModel.create(HEAVY_MODEL);
+    const workers = createBusyWorkers(model);
+    const request = { cpuMillis: 60_000, memoryMb: 200_000, accelerators: 0 };
+    const job = createJob("a", createBestEffort({ tasks: 1, request: { ...request, memoryMb: 100_000 } }));
+    const [task] = [...job.tasks()];
+    const run = assign(workers[0], task);
+    run.fire("accepted", { now: 0 });
+    run.setSpeed(5, 0);
+    const host = AssigningHost.create();
+    const queue = createQueue(model, host);
+    const other = createJob("b", createBestEffort({ tasks: 1, request }));
+    const idle = createWorker("idle");
+    const usable = [...workers, idle];
+    queue.placeWaiting([job, other], usable, 100, 10_000, 10_000);
+    t.deepEqual(host.moved, [run]);
+    // The stop takes some passes.
+    run.fire("stop", { now: 10_000 });
+    queue.placeWaiting([job, other], usable, 100, 10_100, 10_100);
+    workers[0].runs.delete(task.name);
+    task.run = undefined;
+    queue.placeWaiting([job, other], usable, 100, 10_200, 10_200);
+    t.is((task.run as { record: { worker: string } } | undefined)?.record.worker, "idle");
+});
+
 test("each task of a best-effort long-running step gets a run, not only the first", t => {
     const model = LatencyModel.create(HEAVY_MODEL);
     const workers = createBusyWorkers(model);
@@ -285,3 +310,24 @@
     }
     t.is([...job.tasks()].filter(task => task.run !== undefined).length, 3);
 });
+
+test("one idle worker does not make several throttled runs stop while the first of them is still stopping", t => {
+    const model = LatencyModel.create(HEAVY_MODEL);
+    const workers = createBusyWorkers(model);
+    const request = { cpuMillis: 40_000, memoryMb: 200_000, accelerators: 0 };
+    const jobs = workers.map((worker, index) => {
+        const job = createJob(`a${index}`, createBestEffort({ tasks: 1, request }));
+        const run = assign(worker, [...job.tasks()][0]);
+        run.fire("accepted", { now: 0 });
+        run.setSpeed(5, 0);
+        return job;
+    });
+    const host = AssigningHost.create();
+    const queue = createQueue(model, host);
+    const usable = [...workers, createWorker("idle")];
+    for (let now = 10_000; now <= 10_300; now += 100) {
+        queue.placeWaiting(jobs, usable, 100, now, now);
+        host.moved.forEach(run => !run.isEnding && run.fire("stop", { now }));
+    }
+    t.is(host.moved.length, 1);
+});
