Place a gang on workers on which its tasks failed if no others are left

A gang whose tasks had failed, or been stuck, on all workers with room was never placed again: only single tasks fell back to such workers. The new test failed before: no run in 20 s.

--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -11,7 +11,7 @@
 import { RunReviewer } from "./runReviewer";
 import { ShortTaskReserve } from "./shortTaskReserve";
 import { SuspectTable } from "./suspectTable";
-import { Task } from "./task";
+import { ignoringFailures, Task } from "./task";
 import { WaitReporter } from "./waitReporter";
 import { WaitTable } from "./waitTable";
 import { WaitingOrder, WaitingRank } from "./waitingOrder";
@@ -334,11 +334,7 @@
             return choice;
         }
         // No worker without a failure of this task has capacity, so those with a failure are allowed, too.
-        const failedOn = [...task.failedOn];
-        task.failedOn.clear();
-        const retried = this.chooseOutsideReserve(task, service, placer, minSpeedPercent);
-        failedOn.forEach(id => task.failedOn.add(id));
-        return retried;
+        return ignoringFailures([task], () => this.chooseOutsideReserve(task, service, placer, minSpeedPercent));
     }
 
     /**
@@ -379,7 +375,9 @@
         for (const rack of [...racks, undefined]) {
             const isAllowed = (worker: WorkerContact) =>
                 (rack === undefined || worker.entry.rack === rack) && this.isOpenFor(tasks[0], worker);
-            const chosen = placer.chooseAll(tasks, service, isAllowed, minSpeedPercent);
+            const choose = () => placer.chooseAll(tasks, service, isAllowed, minSpeedPercent);
+            const hasFailed = rack === undefined && tasks.some(task => task.failedOn.size > 0);
+            const chosen = choose() ?? (hasFailed ? ignoringFailures(tasks, choose) : undefined);
             if (chosen !== undefined) {
                 alignRuns(tasks);
                 tasks.forEach((task, index) => this.assignTo(task, chosen[index], placer, now));
--- a/src/dispatch/common/task.ts
+++ b/src/dispatch/common/task.ts
@@ -47,3 +47,17 @@
     const isFirstStart = task.lastRun === 0 && task.step.after.length === 0;
     return isFirstStart ? wallNow - task.job.spec.acceptedAtMs : undefined;
 }
+
+/**
+ * Chooses workers as if the tasks had failed on none of them.
+ * @param tasks The tasks.
+ * @param choose Chooses the workers.
+ * @returns What `choose` returns.
+ */
+export function ignoringFailures<T>(tasks: readonly Task[], choose: () => T): T {
+    const failedOn = tasks.map(task => [...task.failedOn]);
+    tasks.forEach(task => task.failedOn.clear());
+    const chosen = choose();
+    tasks.forEach((task, index) => failedOn[index].forEach(id => task.failedOn.add(id)));
+    return chosen;
+}
--- a/src/dispatch/common/test/stepQueue.test.ts
+++ b/src/dispatch/common/test/stepQueue.test.ts
@@ -300,6 +300,13 @@
     t.is((task.run as { record: { worker: string } } | undefined)?.record.worker, "idle");
 });
 
+test("a best-effort gang is not left without a run because its tasks failed on all workers", t => {
+    const workers = [createWorker("w1"), createWorker("w2")];
+    const job = createJob("a", createBestEffort({ tasks: 2, mode: "gang" }));
+    [...job.tasks()][0].failedOn.add("w1").add("w2");
+    t.not(timeOfFirstRun(createQueue(LatencyModel.create()), job, workers), undefined);
+});
+
 test("each task of a best-effort long-running step gets a run, not only the first", t => {
     const model = LatencyModel.create(HEAVY_MODEL);
     const workers = createBusyWorkers(model);
