Place a new long-running task on a reserved worker if others lack more than CPU

A long-running task could be without a run for good: the workers that are reserved for short tasks are the emptiest ones, whatever their label and memory, and a task that has not run before was kept away from them. If only they had its label, or enough memory, it never started.

The reserve keeps CPU for short tasks, so it binds only while an unreserved worker of the same kind has everything but CPU.

--- a/src/dispatch/common/placer.ts
+++ b/src/dispatch/common/placer.ts
@@ -194,6 +194,17 @@
         return chosen;
     }
 
+    /** @returns Whether a task has to wait only for CPU on one of the allowed workers. */
+    lacksOnlyCpu(task: Task, service: string, isAllowed: (worker: WorkerContact) => boolean): boolean {
+        const { step } = task;
+        return this.workers.some(
+            worker =>
+                isOfKind(step, service, worker) &&
+                worker.fits(step.request, true, this.forecast(worker).freeCapacity) &&
+                isAllowed(worker),
+        );
+    }
+
     /** @param service A service. @returns Racks of its usable workers. */
     racks(service: string): string[] {
         const racks = this.workers.filter(each => each.entry.service === service).map(each => each.entry.rack);
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -338,8 +338,8 @@
     }
 
     /**
-     * New long-running tasks use no reserved worker. One that ran before is back in service as soon as possible, if need
-     * be on a reserved worker.
+     * New long-running tasks use no reserved worker while others lack only CPU. One that ran before is back in service as soon
+     * as possible, if need be on a reserved worker.
      */
     private chooseOutsideReserve(
         task: Task,
@@ -353,9 +353,10 @@
         }
         const isOpen = (worker: WorkerContact) => !this.reserved.has(worker);
         const choice = placer.choose(task, service, isOpen, minSpeedPercent);
-        return choice === undefined && task.highestRun > 0
-            ? placer.choose(task, service, isAny, minSpeedPercent)
-            : choice;
+        if (choice !== undefined || (task.highestRun === 0 && placer.lacksOnlyCpu(task, service, isOpen))) {
+            return choice;
+        }
+        return placer.choose(task, service, isAny, minSpeedPercent);
     }
 
     private assignTo(task: Task, { worker, speedPercent }: PlacementChoice, placer: Placer, now: number): void {
--- a/src/dispatch/common/test/stepQueue.test.ts
+++ b/src/dispatch/common/test/stepQueue.test.ts
@@ -232,6 +232,27 @@
     t.not(timeOfFirstRun(queue, serving, workers), undefined);
 });
 
+test("a latency-critical task is not left without a worker because idle workers with its label are kept for short tasks", t => {
+    const workers = Array.from({ length: 10 }, (_, index) => createWorker(`w${index}`));
+    workers.push(createWorker("x1", { labels: ["fast"] }), createWorker("x2", { labels: ["fast"] }));
+    const model = LatencyModel.create();
+    workers.slice(0, 10).forEach(worker => place(worker, `l-${worker.entry.id}`, createServing()));
+    const queue = createQueue(model);
+    const serving = createJob("s", createServing({ requiredLabel: "fast" }));
+    const short = createStep("short", false, { usesSpareCpu: false, tasks: 16, estimateMs: 1_000 });
+    let at: number | undefined;
+    for (let now = 0; now <= 60_000 && at === undefined; now += 100) {
+        const arriving = now % 1_000 === 0 ? [createJob(`c${now}`, short)] : [];
+        queue.placeWaiting(now < 10_000 ? arriving : [serving, ...arriving], workers, 100, now, now);
+        // Short tasks end before the next pass.
+        arriving.forEach(job =>
+            [...job.tasks()].forEach(task => workers.forEach(worker => worker.runs.delete(task.name))),
+        );
+        at = serving.hasRun ? now : undefined;
+    }
+    t.not(at, undefined);
+});
+
 test("a best-effort job is not left without a run because a worker rejects its starts", t => {
     const model = LatencyModel.create(HEAVY_MODEL);
     const workers = createBusyWorkers(model);
@@ -318,6 +339,26 @@
     t.is([...job.tasks()].filter(task => task.run !== undefined).length, 3);
 });
 
+test("a latency-critical task is not left without a worker while only workers that are kept for short tasks have room", t => {
+    const workers = Array.from({ length: 10 }, (_, index) => createWorker(`w${index}`));
+    const request = { cpuMillis: 8_000, memoryMb: 200_000, accelerators: 0 };
+    workers.slice(0, 8).forEach(worker => place(worker, `l-${worker.entry.id}`, createServing({ request })));
+    const queue = createQueue(LatencyModel.create());
+    const short = createStep("short", false, { usesSpareCpu: false, tasks: 16, estimateMs: 1_000 });
+    const serving = createJob("s", createServing());
+    let at: number | undefined;
+    for (let now = 0; now <= 60_000 && at === undefined; now += 100) {
+        const arriving = now % 1_000 === 0 ? [createJob(`c${now}`, short)] : [];
+        queue.placeWaiting(now < 10_000 ? arriving : [serving, ...arriving], workers, 100, now, now);
+        // Short tasks end before the next pass.
+        arriving.forEach(job =>
+            [...job.tasks()].forEach(task => workers.forEach(worker => worker.runs.delete(task.name))),
+        );
+        at = serving.hasRun ? now : undefined;
+    }
+    t.not(at, undefined);
+});
+
 test("one idle worker does not make several throttled runs stop while the first of them is still stopping", t => {
     const model = LatencyModel.create(HEAVY_MODEL);
     const workers = createBusyWorkers(model);
