--- a/src/dispatch/common/activeJob.ts
+++ b/src/dispatch/common/activeJob.ts
@@ -79,22 +79,12 @@
 
     /** Whether one of its tasks has a run. */
     get hasRun(): boolean {
-        for (const task of this.tasks()) {
-            if (task.run !== undefined) {
-                return true;
-            }
-        }
-        return false;
+        return this.hasTask(task => task.run !== undefined);
     }
 
     /** Whether one of its tasks has a run that a worker has reported. */
     get hasReportedRun(): boolean {
-        for (const task of this.tasks()) {
-            if (task.run?.report !== undefined) {
-                return true;
-            }
-        }
-        return false;
+        return this.hasTask(task => task.run?.report !== undefined);
     }
 
     /** Whether every task of every occurrence is done. */
@@ -197,6 +187,15 @@
         return { epoch, state: this.state, done, runs, tasks };
     }
 
+    private hasTask(isMatch: (task: Task) => boolean): boolean {
+        for (const group of this.groupsByKey.values()) {
+            if (group.tasks.some(isMatch)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** @returns When an occurrence is due, in ms since the Unix epoch. */
     private dueMs(occurrence: number): number {
         return this.spec.occurrences === 0 ? 0 : this.spec.firstDueMs + occurrence * this.spec.intervalMs;
@@ -240,7 +239,6 @@
             run: undefined,
             failedOn: new Set(),
             moves: 0,
-            notBefore: 0,
         };
     }
 
--- a/src/dispatch/common/moveTable.ts
+++ b/src/dispatch/common/moveTable.ts
@@ -21,6 +21,11 @@
         return new MoveTable();
     }
 
+    /** Whether no task moves. */
+    get isEmpty(): boolean {
+        return this.moves.size === 0;
+    }
+
     /** The moves in progress, with the workers that they hold. */
     get all(): Iterable<[Task, WorkerContact]> {
         return [...this.moves].map(([task, { worker }]): [Task, WorkerContact] => [task, worker]);
@@ -41,7 +46,7 @@
 
     /** Drops the moves that take too long or whose worker is not usable any more. */
     prune(usable: readonly WorkerContact[], now: number): void {
-        if (this.moves.size === 0) {
+        if (this.isEmpty) {
             return;
         }
         const workers = new Set(usable);
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -137,37 +137,41 @@
         const groups = [...job.groups].filter(group => !group.done.isFull && job.isReady(group));
         this.waits.update(job, groups, now);
         for (const group of groups) {
-            const tasks = group.tasks.filter(
-                task => task.run === undefined && !group.done.has(task.index) && now >= task.notBefore,
-            );
+            const { tasks, throttled } = this.tasksToPlace(group, now);
             const isGang = group.step.mode === "gang";
             const isComplete = !isGang || tasks.length === group.tasks.length;
-            const throttled = this.throttledTasks(group, now);
             if ((tasks.length === 0 || !isComplete) && throttled.length === 0) {
                 continue;
             }
             const rank = this.order.rank(job, job.remainingMs(group), wallNow);
-            const common = { group, service, priority, rank };
+            const add = (entryTasks: readonly Task[], isSuspected: boolean, isThrottled: boolean) => {
+                const waitedMs = isThrottled ? 0 : this.waits.waitedMs(group, entryTasks[0], now);
+                waiting.push({ group, tasks: entryTasks, waitedMs, isThrottled, isSuspected, service, priority, rank });
+            };
             if (throttled.length > 0) {
-                waiting.push({ ...common, tasks: throttled, waitedMs: 0, isThrottled: true, isSuspected: false });
+                add(throttled, false, true);
             }
             if (tasks.length > 0 && isComplete) {
                 this.recordDemand(group, service, now);
-                for (const entry of this.separateSuspected(tasks, isGang)) {
-                    const waitedMs = this.waits.waitedMs(group, entry.tasks[0], now);
-                    waiting.push({ ...common, ...entry, waitedMs, isThrottled: false });
-                }
+                this.separateSuspected(tasks, isGang).forEach(each => add(each.tasks, each.isSuspected, false));
             }
         }
     }
 
-    /** @returns Tasks that should move since their runs are slow; those of a gang together, if one of them is. */
-    private throttledTasks(group: TaskGroup, now: number): readonly Task[] {
-        if (!group.step.usesSpareCpu) {
-            return [];
+    /** @returns Tasks of a group that wait, and those that should move since their runs are slow; a gang moves as a whole. */
+    private tasksToPlace(group: TaskGroup, now: number): { tasks: readonly Task[]; throttled: readonly Task[] } {
+        const tasks: Task[] = [];
+        const throttled: Task[] = [];
+        for (const task of group.tasks) {
+            if (task.run === undefined) {
+                if (!group.done.has(task.index)) {
+                    tasks.push(task);
+                }
+            } else if (group.step.usesSpareCpu && this.reviewer.isSlowedDown(task.run, now)) {
+                throttled.push(task);
+            }
         }
-        const throttled = group.tasks.filter(({ run }) => run !== undefined && this.reviewer.isSlowedDown(run, now));
-        return throttled.length > 0 && group.step.mode === "gang" ? group.tasks : throttled;
+        return { tasks, throttled: throttled.length > 0 && group.step.mode === "gang" ? group.tasks : throttled };
     }
 
     /** Suspected tasks start one by one, apart from the others of their step; a gang starts as a whole. */
@@ -286,6 +290,9 @@
 
     /** Starts the moved tasks whose runs have ended where they are to run, and keeps room there for the others. */
     private finishMoves(waiting: readonly WaitingGroup[], placer: Placer, now: number): void {
+        if (this.moves.isEmpty) {
+            return;
+        }
         for (const { group, tasks, service, isThrottled } of waiting) {
             const ended = isThrottled ? [] : tasks.filter(task => this.moves.destinationOf(task) !== undefined);
             const units = group.step.mode === "gang" && ended.length > 0 ? [tasks] : ended.map(task => [task]);
--- a/src/dispatch/common/task.ts
+++ b/src/dispatch/common/task.ts
@@ -34,8 +34,6 @@
     readonly failedOn: Set<string>;
     /** Number of moves because it was throttled. */
     moves: number;
-    /** Earliest time (ms) of its next start. */
-    notBefore: number;
 }
 
 /**
