Reserve at most a whole worker for a task

A task that declares 60 GB never started on a shard whose largest worker has 64 GB, once its family had used 5 and 60 GB in turn: its reservation was 113.54 GB (the mean plus three standard deviations), and it waited with "no-room". It was not refused either, since that check uses the smaller of declaration and estimate. A task that is not placed is not measured, so nothing corrected the estimate.

LearnedUsage now limits the estimate to what one of the workers that may run the task has for tasks while it runs none: the one on which most of the estimate fits, of those with room for what the feasibility check demands. So a task whose declaration fits on an empty worker always has a reservation that fits, too. Workers on which the task has failed, and those that are leaving or drained, are left out, since it is not placed there.

The existing tests of the model pass no workers, which leaves the estimate as it was.

--- a/src/scheduling/common/capacityLedger.ts
+++ b/src/scheduling/common/capacityLedger.ts
@@ -4,6 +4,7 @@
 import { FamilySpread } from "./familySpread";
 import { ClassLoad } from "./interferenceModel";
 import { ShardContext } from "./shardContext";
+import { Task } from "./task";
 import { TaskSize } from "./taskEntry";
 import { WorkerContact } from "./workerContact";
 
@@ -38,11 +39,11 @@
         const { listing } = contact;
         const sizes = this.reservedSizes(listing.id);
         const serviceSlots = this.context.reservedServiceSlots(listing.id);
-        const slot = this.largestServiceSlot(listing);
+        const capacity = this.taskCapacity(listing);
         const free = {
-            cpus: listing.capacity.cpus - sum(sizes, each => each.cpus) - serviceSlots * slot.cpus,
-            memoryGb: listing.capacity.memoryGb - sum(sizes, each => each.memoryGb) - serviceSlots * slot.memoryGb,
-            accelerators: listing.capacity.accelerators - sum(sizes, each => each.accelerators),
+            cpus: capacity.cpus - sum(sizes, each => each.cpus),
+            memoryGb: capacity.memoryGb - sum(sizes, each => each.memoryGb),
+            accelerators: capacity.accelerators - sum(sizes, each => each.accelerators),
         };
         const freeSlots = listing.capacity.slots - sizes.length - serviceSlots;
         this.checkCapacity(listing, freeSlots, free, now);
@@ -60,6 +61,23 @@
         };
     }
 
+    /** @param task A task. @returns What each worker on which it has not failed has for tasks while it runs none. */
+    capacitiesFor(task: Task): TaskSize[] {
+        const listings = [...this.context.contacts.values()].map(contact => contact.listing);
+        const allowed = listings.filter(({ id, availability }) => {
+            return availability === "live" && !this.context.config.isDrained(id) && !task.failedOn.includes(id);
+        });
+        return allowed.map(listing => this.taskCapacity(listing));
+    }
+
+    /** Capacity of a worker that is not reserved for its services. */
+    private taskCapacity(listing: WorkerListing): TaskSize {
+        const { cpus, memoryGb, accelerators } = listing.capacity;
+        const slots = this.context.reservedServiceSlots(listing.id);
+        const slot = this.largestServiceSlot(listing);
+        return { cpus: cpus - slots * slot.cpus, memoryGb: memoryGb - slots * slot.memoryGb, accelerators };
+    }
+
     /** Largest CPU and memory needs of one slot among the services of a worker. */
     largestServiceSlot(listing: WorkerListing): { readonly cpus: number; readonly memoryGb: number } {
         const slots = listing.services.map(service => this.context.config.serviceSlot(service));
--- a/src/scheduling/common/learnedUsage.ts
+++ b/src/scheduling/common/learnedUsage.ts
@@ -26,7 +26,8 @@
 
 /**
  * Estimates the usage of each family from lagging reports, and reserves the mean plus three standard deviations,
- * weighted towards the declaration while there are few samples.
+ * weighted towards the declaration while there are few samples. It reserves at most a whole worker: a task that fits
+ * nowhere is never measured, so that its estimate would not change again.
  */
 export class LearnedUsage extends UsageModel {
     private readonly families = new Map<string, FamilyUsage>();
@@ -44,19 +45,8 @@
         return new LearnedUsage(canReserveLess);
     }
 
-    override reserve(request: TaskRequest): TaskSize {
-        const usage = this.families.get(request.family);
-        const { accelerators } = request;
-        if (usage === undefined) {
-            return { cpus: request.cpus, memoryGb: request.memoryGb, accelerators };
-        }
-        const confidence = usage.samples / (usage.samples + PRIOR_SAMPLES);
-        const cpus = blend(request.cpus, upperBound(usage.cpus), confidence);
-        const memoryGb = blend(request.memoryGb, upperBound(usage.memoryGb), confidence);
-        if (this.canReserveLess()) {
-            return { cpus, memoryGb, accelerators };
-        }
-        return { cpus: Math.max(cpus, request.cpus), memoryGb: Math.max(memoryGb, request.memoryGb), accelerators };
+    override reserve(request: TaskRequest, capacities: readonly TaskSize[]): TaskSize {
+        return clamp(this.estimate(request), request, capacities);
     }
 
     override observe(family: string, sample: UsageSample): void {
@@ -74,6 +64,21 @@
             this.families.delete(this.families.keys().next().value!);
         }
     }
+
+    private estimate(request: TaskRequest): TaskSize {
+        const usage = this.families.get(request.family);
+        const { accelerators } = request;
+        if (usage === undefined) {
+            return { cpus: request.cpus, memoryGb: request.memoryGb, accelerators };
+        }
+        const confidence = usage.samples / (usage.samples + PRIOR_SAMPLES);
+        const cpus = blend(request.cpus, upperBound(usage.cpus), confidence);
+        const memoryGb = blend(request.memoryGb, upperBound(usage.memoryGb), confidence);
+        if (this.canReserveLess()) {
+            return { cpus, memoryGb, accelerators };
+        }
+        return { cpus: Math.max(cpus, request.cpus), memoryGb: Math.max(memoryGb, request.memoryGb), accelerators };
+    }
 }
 
 function updateEstimate(estimate: Estimate, value: number): void {
@@ -86,6 +91,32 @@
     return estimate.mean + SAFETY_DEVIATIONS * Math.sqrt(estimate.variance);
 }
 
+/** Limits an estimate to the worker on which most of it fits, of those that have room for what is certainly needed. */
+function clamp(estimate: TaskSize, declared: TaskSize, capacities: readonly TaskSize[]): TaskSize {
+    if (capacities.some(each => covers(each, estimate))) {
+        return estimate;
+    }
+    const needed = smaller(estimate, declared);
+    const clamped = capacities.filter(each => covers(each, needed)).map(each => smaller(estimate, each));
+    // Unlike CPU, memory can't be throttled.
+    clamped.sort((a, b) => b.memoryGb - a.memoryGb || b.cpus - a.cpus);
+    return clamped[0] ?? estimate;
+}
+
+function covers(capacity: TaskSize, size: TaskSize): boolean {
+    return (
+        capacity.cpus >= size.cpus && capacity.memoryGb >= size.memoryGb && capacity.accelerators >= size.accelerators
+    );
+}
+
+function smaller(a: TaskSize, b: TaskSize): TaskSize {
+    return {
+        cpus: Math.min(a.cpus, b.cpus),
+        memoryGb: Math.min(a.memoryGb, b.memoryGb),
+        accelerators: Math.min(a.accelerators, b.accelerators),
+    };
+}
+
 /** Rounded up to hundredths, so that records stay small. */
 function blend(declared: number, learned: number, confidence: number): number {
     return Math.ceil((declared + confidence * (learned - declared)) * 100) / 100;
--- a/src/scheduling/common/placer.ts
+++ b/src/scheduling/common/placer.ts
@@ -81,7 +81,7 @@
     }
 
     private place(task: Task, candidates: readonly Candidate[]): void {
-        const size = this.context.models.usage.reserve(task.request);
+        const size = this.context.models.usage.reserve(task.request, this.ledger.capacitiesFor(task));
         if (this.refuseIfInfeasible(task, size)) {
             return;
         }
--- a/src/scheduling/common/rebalancer.ts
+++ b/src/scheduling/common/rebalancer.ts
@@ -216,7 +216,7 @@
     }
 
     private evictForTask(task: Task, now: number): void {
-        const size = this.context.models.usage.reserve(task.request);
+        const size = this.context.models.usage.reserve(task.request, this.ledger.capacitiesFor(task));
         const contacts = [...this.context.contacts.values()].filter(
             contact => this.placer.canPlaceOn(contact, now) && !task.failedOn.includes(contact.listing.id),
         );
--- a/src/scheduling/common/test/learning.test.ts
+++ b/src/scheduling/common/test/learning.test.ts
@@ -98,11 +98,11 @@
 
 test("reservations follow reported usage rather than a wrong declaration, and cover the usage", t => {
     const model = LearnedUsage.create();
-    t.is(model.reserve(REQUEST).cpus, 2);
+    t.is(model.reserve(REQUEST, []).cpus, 2);
     for (let index = 0; index < 200; index++) {
         model.observe("loud", { cpus: 9 + (index % 2), memoryGb: 1 });
     }
-    const { cpus, memoryGb } = model.reserve(REQUEST);
+    const { cpus, memoryGb } = model.reserve(REQUEST, []);
     t.true(cpus >= 9.5 && cpus < 13, String(cpus));
     t.true(memoryGb < 2, String(memoryGb));
 });
@@ -112,8 +112,8 @@
     for (let index = 0; index < 200; index++) {
         model.observe("loud", { cpus: 9, memoryGb: 1 });
     }
-    t.true(model.reserve(REQUEST).cpus > 8);
-    t.is(model.reserve(REQUEST).memoryGb, 2);
+    t.true(model.reserve(REQUEST, []).cpus > 8);
+    t.is(model.reserve(REQUEST, []).memoryGb, 2);
 });
 
 test("a worker is excluded for failing tasks that succeed elsewhere, not for tasks that fail everywhere", t => {
@@ -130,3 +130,15 @@
     bad.recordSuccess(40_001);
     t.is(bad.state, "trusted");
 });
+
+test("a task whose declaration fits on a worker is not kept out by what was learned of a family with uneven usage", t => {
+    const largestWorker = { cpus: 16, memoryGb: 64, accelerators: 0 };
+    const request = { ...REQUEST, memoryGb: 60 };
+    const model = LearnedUsage.create();
+    for (let index = 0; index < 200; index++) {
+        model.observe(request.family, { cpus: 2, memoryGb: index % 2 === 0 ? 5 : 60 });
+    }
+    // A task that is not placed is not measured, so the estimate never changes again.
+    const { memoryGb } = model.reserve(request, [largestWorker]);
+    t.true(memoryGb <= largestWorker.memoryGb, String(memoryGb));
+});
--- a/src/scheduling/common/usageModel.ts
+++ b/src/scheduling/common/usageModel.ts
@@ -10,9 +10,10 @@
 export abstract class UsageModel {
     /**
      * @param request The task as declared.
-     * @returns Resources to reserve for it.
+     * @param capacities What each worker that may run the task has for tasks while it runs none.
+     * @returns Resources to reserve for it. If the declaration fits on one of the workers, these do, too.
      */
-    abstract reserve(request: TaskRequest): TaskSize;
+    abstract reserve(request: TaskRequest, capacities: readonly TaskSize[]): TaskSize;
 
     /**
      * Updates the estimate from a measurement.
