Try an excluded worker although a best-effort run there is paused

A worker that was excluded for failing its tasks, and was due for its trial, got no task as long as a best-effort run stood at speed 0 there, which may be for hours beside a busy latency-critical task: any run but a long-running one counted as the trial. A run that makes no progress can't end, so the trial never had a result.

Paused runs no longer count as the trial. A run at any other speed still does, and so does one whose worker may not have obeyed the order to pause it.

The first test failed before (not usable ten minutes after the start of the trial); the second one guards the rule that a worker on trial runs one task at a time.

--- a/src/dispatch/common/run.ts
+++ b/src/dispatch/common/run.ts
@@ -156,6 +156,11 @@
         this.isSpeedConfirmed = true;
     }
 
+    /** Whether the run does no work: its speed is 0, as far as is known. */
+    get isPaused(): boolean {
+        return this.speed === 0 && this.isSpeedConfirmed;
+    }
+
     /** Whether the run is being stopped and does no further useful work. */
     get isEnding(): boolean {
         return this.state === "stopping" || this.state === "stopped";
--- /dev/null
+++ b/src/dispatch/common/test/workerContact.test.ts
@@ -0,0 +1,35 @@
+import test from "ava";
+import { createStep, createWorker, place } from "./runs";
+
+test("a worker on trial is not left unused because a best-effort run there makes no progress", t => {
+    const worker = createWorker();
+    worker.updateClock(1_000, 0, 0);
+    const run = place(worker, "a", createStep("batch", false));
+    run.fire("accepted", { now: 0 });
+    run.setSpeed(0, 0);
+    t.true(worker.isUsable(0));
+    for (let failure = 0; failure < 3; failure++) {
+        worker.trust.recordFailure({ now: 0, familyFailureRate: 0 });
+    }
+    worker.trust.tick(30_000);
+    t.is(worker.trust.state, "trial");
+    t.true(worker.isUsable(600_000));
+});
+
+test("a worker on trial runs one task at a time, also if that one is a best-effort run with some speed", t => {
+    const worker = createWorker();
+    worker.updateClock(1_000, 0, 0);
+    for (let failure = 0; failure < 3; failure++) {
+        worker.trust.recordFailure({ now: 0, familyFailureRate: 0 });
+    }
+    worker.trust.tick(30_000);
+    const run = place(worker, "a", createStep("batch", false));
+    run.fire("accepted", { now: 30_000 });
+    t.false(worker.isUsable(30_000));
+    run.setSpeed(5, 30_000);
+    t.false(worker.isUsable(30_000));
+    // Until the order is known to have arrived, the run may be at any speed.
+    run.setSpeed(0, 30_000);
+    run.isSpeedConfirmed = false;
+    t.false(worker.isUsable(30_000));
+});
--- a/src/dispatch/common/workerContact.ts
+++ b/src/dispatch/common/workerContact.ts
@@ -436,9 +436,12 @@
         return now > this.clock.latestTimeOf(this.leaseUntil) + margin;
     }
 
-    /** Ignores long-running tasks: they were started before the exclusion and say nothing about the worker now. */
+    /**
+     * Ignores runs that say nothing about the worker now: long-running tasks, which were started before the exclusion, and
+     * paused runs, which may not end for a long time.
+     */
     private hasTrialRun(): boolean {
-        return [...this.runs.values()].some(run => run.task.step.mode !== "long-running");
+        return [...this.runs.values()].some(run => run.task.step.mode !== "long-running" && !run.isPaused);
     }
 
     private fireAll(event: "lost" | "replaced", now: number): void {
