Job trials: fail if a method that a test replaces does not exist

A test that proves that a rule can be broken replaces a method. If the method was renamed since, the replacement had no effect, and the test showed only what other changes or chance break.

replaceMethod, now shared by both trials, throws for a name that is not a method. It found one such replacement at once: "without epoch fences a task runs on two workers" replaced ShardFold.ifCurrent, which has been called ifCurrentEpoch since, so that only the workers ignored epochs there.

--- a/src/proof/node/test/jobTrial.test.ts
+++ b/src/proof/node/test/jobTrial.test.ts
@@ -11,6 +11,7 @@
 import { JobTrial } from "../jobTrial";
 import { FAULTS, JobFault, JobTrialPlan, READ_FAULTS } from "../jobTrialPlan";
 import { JobRule } from "../jobRuleChecker";
+import { replaceMethod } from "./replaceMethod";
 
 const PLAN: Omit<JobTrialPlan, "seed"> = { lengthMs: 20_000, instances: 3, workers: 6, faultEveryMs: 1_200 };
 
@@ -270,14 +271,6 @@
     t.is(result.leaders, 1);
 });
 
-/** Replaces a method until the test ends. */
-function replaceMethod<T extends object>(t: ExecutionContext, prototype: T, name: string, method: unknown): void {
-    const methods = prototype as Record<string, unknown>;
-    const original = methods[name];
-    methods[name] = method;
-    t.teardown(() => (methods[name] = original));
-}
-
 /** Replaces a method until the test ends, and expects a violation of one of the rules with seeds 1 to 12. */
 function expectViolation<T extends object>(
     t: ExecutionContext,
--- a/src/proof/node/test/trial.test.ts
+++ b/src/proof/node/test/trial.test.ts
@@ -11,6 +11,7 @@
 import { SimulatedInstance } from "../simulatedInstance";
 import { Trial } from "../trial";
 import { SimulatedCluster } from "../simulatedCluster";
+import { replaceMethod } from "./replaceMethod";
 
 const STEPS = 3_000;
 
@@ -54,16 +55,8 @@
     t.true(isCaught, `seen: ${[...seen].join(", ")}`);
 }
 
-/** Replaces a method until the test ends. */
-function replaceMethod<T extends object>(t: ExecutionContext, prototype: T, name: string, method: unknown): void {
-    const methods = prototype as Record<string, unknown>;
-    const original = methods[name];
-    methods[name] = method;
-    t.teardown(() => (methods[name] = original));
-}
-
 test.serial("without epoch fences a task runs on two workers", t => {
-    replaceMethod(t, ShardFold.prototype, "ifCurrent", (_epoch: number, act: () => void) => act());
+    replaceMethod(t, ShardFold.prototype, "ifCurrentEpoch", (_epoch: number, act: () => void) => act());
     expectViolation(t, ["single-run", "resume-once", "capacity", "at-most-once"], [1, 2, 3, 4], cluster => {
         cluster.workers.forEach(worker => (worker.isFencingEnabled = false));
     });
