Count the work of a run, not its pauses, as survived by its worker

A suspected task was cleared when its run had been listed for 0.5 s, also when the run stood at speed 0 and had hardly worked: a best-effort run is paused as soon as a list shows that a latency-critical task beside it lacks headroom. When it was resumed it could crash its worker, was too old to be suspected, and reset the count of losses in a row; so it could crash workers without limit. A paused run, on the other hand, counted as the cause of the loss of its worker: five such losses within 10 s of a start failed the job.

The age of a run that its worker has survived now leaves out pauses. A pause ends 0.6 s after the order, when the worker has applied the new speed; it begins with the order. A run for which a report shows that the worker survived it up to its pause is left out of the review of a loss.

As such a run may stay unproven for long, it must not forbid anything meanwhile: its worker gets other tasks, other suspected tasks of the job may be tried, and its worker may be used to try another suspected task.

--- a/src/dispatch/common/failureController.ts
+++ b/src/dispatch/common/failureController.ts
@@ -86,13 +86,14 @@
     /**
      * Handles the loss of a worker.
      * @param worker The worker.
-     * @param runs Runs that were lost with it.
+     * @param lostRuns Runs that were lost with it. Those that were paused are no evidence against their tasks.
      * @param cause How it was lost.
      */
-    reviewLoss(worker: WorkerContact, runs: readonly Run[], cause: WorkerLossCause): void {
+    reviewLoss(worker: WorkerContact, lostRuns: readonly Run[], cause: WorkerLossCause): void {
+        const runs = lostRuns.filter(run => !run.isPauseProven);
         const recent = runs.filter(run => !run.isProven && canBeSuspected(run));
         const unproven = recent.map(run => run.record.task).join(" ");
-        this.host.logDecision("worker-lost", { worker: worker.entry.id, cause, runs: runs.length, unproven });
+        this.host.logDecision("worker-lost", { worker: worker.entry.id, cause, runs: lostRuns.length, unproven });
         const isEarly = (run: Run) => run.provenAgeMs <= MAX_SUSPECT_AGE_MS && canBeSuspected(run);
         const suspects = mostLikely(recent.length > 0 ? recent : runs.filter(isEarly));
         // If the worker had survived all starts, this loss alone is no evidence against any of them.
--- a/src/dispatch/common/probationPlacer.ts
+++ b/src/dispatch/common/probationPlacer.ts
@@ -151,5 +151,5 @@
 }
 
 function hasOnlyProvenRuns(worker: WorkerContact): boolean {
-    return [...worker.runs.values()].every(run => run.isProven);
+    return [...worker.runs.values()].every(run => run.isProven || run.isPauseProven);
 }
--- a/src/dispatch/common/run.ts
+++ b/src/dispatch/common/run.ts
@@ -63,6 +63,9 @@
 /** Time after its start for which a run is listed before its start counts as survived by the worker, in ms. */
 const PROVEN_AGE_MS = 500;
 
+/** Time after an order of a speed by which the run works at it, in ms. */
+const SPEED_DELAY_MS = 600;
+
 /** Sends the orders of a run and is notified of its end. */
 export abstract class RunHost {
     /** Sends the order to start. */
@@ -81,8 +84,16 @@
 
     /** Time (ms) of the latest state change; only a list that was requested later can show that the run is absent. */
     changedAt: number;
-    /** Time (ms) at which the start was sent, or at which this leader inherited the run. */
-    private startedAt: number;
+    /** Time for which the run had worked when it was last paused, in ms. */
+    private workedMs = 0;
+    /**
+     * Time (ms) since which it has worked: at which the start was sent, this leader inherited the run, or a pause ended;
+     * `undefined` while it is paused.
+     */
+    private workingSince: number | undefined;
+    /** Time (ms) at which it was paused. */
+    private pausedAt = 0;
+    private provenMs = 0;
     /** Latest report of the run. */
     report: ListedRun | undefined;
     /** Time (ms) at which the latest report arrived. */
@@ -110,12 +121,14 @@
         now: number,
     ) {
         this.changedAt = now;
-        this.startedAt = now;
+        this.workingSince = now;
         this.machine = Machine.create(chart, {
             guards: {},
             actions: {
                 sendStart: ({ now }) => {
-                    this.startedAt = now;
+                    this.workedMs = 0;
+                    this.provenMs = 0;
+                    this.workingSince = now;
                     this.host.sendStart(this, now);
                 },
                 sendStop: ({ now }) => this.host.sendStop(this, now),
@@ -154,6 +167,13 @@
         }
         this.speed = percent;
         this.isSpeedConfirmed = true;
+        if (percent === 0 && this.workingSince !== undefined) {
+            this.workedMs = this.workedUntil(now);
+            this.workingSince = undefined;
+            this.pausedAt = now;
+        } else if (percent > 0) {
+            this.workingSince ??= now + SPEED_DELAY_MS;
+        }
     }
 
     /** Whether the run does no work: its speed is 0, as far as is known. */
@@ -161,6 +181,11 @@
         return this.speed === 0 && this.isSpeedConfirmed;
     }
 
+    /** Whether a report shows that the worker has survived the run up to its pause. */
+    get isPauseProven(): boolean {
+        return this.isPaused && this.reportedAt >= this.pausedAt + SPEED_DELAY_MS;
+    }
+
     /** Whether the run is being stopped and does no further useful work. */
     get isEnding(): boolean {
         return this.state === "stopping" || this.state === "stopped";
@@ -171,9 +196,9 @@
         return this.state !== "assigned" && this.state !== "over";
     }
 
-    /** Age of the run in the latest report, in ms: the worker has survived it for this long. */
+    /** Age of the run in the latest report, in ms, without pauses: the worker has survived its work for this long. */
     get provenAgeMs(): number {
-        return this.report === undefined ? 0 : this.reportedAt - this.startedAt;
+        return this.provenMs;
     }
 
     /** Whether the worker has certainly survived the start of the run, also by the time at which it was lost before. */
@@ -181,9 +206,17 @@
         return this.provenAgeMs >= PROVEN_AGE_MS + this.task.lossAgeMs;
     }
 
-    /** @param now Time in ms. @returns Time until a report can show that the worker has survived the start, in ms. */
+    /**
+     * @param now Time in ms.
+     * @returns Time until a report can show that the worker has survived the start, in ms; infinite while it is paused.
+     */
     provenInMs(now: number): number {
-        return this.startedAt + PROVEN_AGE_MS + this.task.lossAgeMs - now;
+        const missingMs = PROVEN_AGE_MS + this.task.lossAgeMs - this.workedMs;
+        return this.workingSince === undefined ? Number.POSITIVE_INFINITY : this.workingSince + missingMs - now;
+    }
+
+    private workedUntil(now: number): number {
+        return this.workedMs + Math.max(0, now - (this.workingSince ?? now));
     }
 
     /** Handles an event. */
@@ -203,6 +236,7 @@
         }
         this.report = report;
         this.reportedAt = now;
+        this.provenMs = this.workedUntil(now);
         this.fire("listed", { now });
     }
 }
--- a/src/dispatch/common/suspectTable.ts
+++ b/src/dispatch/common/suspectTable.ts
@@ -37,16 +37,16 @@
         this.tasks.forEach(task => this.update(task));
     }
 
-    /** @param worker A worker. @returns Whether it runs a suspected task. */
+    /** @param worker A worker. @returns Whether it runs a suspected task that is not paused: a pause may last. */
     isOnProbation(worker: WorkerContact): boolean {
-        return [...worker.runs.values()].some(run => this.has(run.task));
+        return [...worker.runs.values()].some(run => this.has(run.task) && !run.isPauseProven);
     }
 
-    /** @param task A suspected task. @returns Whether another task of its job, one that is accused, has a run. */
+    /** @param task A suspected task. @returns Whether another task of its job, one that is accused, is at work. */
     isJobOnProbation(task: Task): boolean {
         for (const other of this.tasks) {
             const isSameGang = other.groupKey === task.groupKey && task.step.mode === "gang";
-            const isAccusedAtWork = other.run !== undefined && other.suspicion?.isAccused === true;
+            const isAccusedAtWork = other.run?.isPauseProven === false && other.suspicion?.isAccused === true;
             if (other.job === task.job && isAccusedAtWork && !isSameGang) {
                 return true;
             }
