--- a/src/dispatch/common/latencyModel.ts
+++ b/src/dispatch/common/latencyModel.ts
@@ -20,8 +20,12 @@
 /** Time without a report on a pair after which its estimate ages, in ms. */
 const MIN_REPORT_GAP_MS = 2_000;
 
-/** Time constant with which an estimate that ages returns to that of an unknown pair, in ms. */
-const AGING_TIME_MS = 30_000;
+/**
+ * Time constants with which the mean and the variance of an estimate that ages return to those of an unknown pair, in ms. Most
+ * pairs keep their interference for long, so an estimate becomes uncertain well before it is forgotten.
+ */
+const MEAN_AGING_TIME_MS = 120_000;
+const VARIANCE_AGING_TIME_MS = 30_000;
 
 /** Interval between two steps of aging, in ms. */
 const AGING_INTERVAL_MS = 500;
@@ -101,7 +105,7 @@
     private readonly updatedAt = new WeakMap<Run, number>();
     /** Time (ms) of the first report: estimates of an earlier leader are at least this old. */
     private startedAt: number | undefined;
-    private agedAt = Number.NEGATIVE_INFINITY;
+    private agedAt: number | undefined;
 
     private constructor() {}
 
@@ -199,17 +203,19 @@
     /** Estimates that no report confirms return to that of an unknown pair: one that forbids all placements gets no reports. */
     private ageEstimates(now: number): void {
         this.startedAt ??= now;
+        this.agedAt ??= now;
         const elapsedMs = now - this.agedAt;
         if (elapsedMs < AGING_INTERVAL_MS) {
             return;
         }
         this.agedAt = now;
-        const ratio = 1 - Math.exp(-Math.min(elapsedMs, AGING_TIME_MS) / AGING_TIME_MS);
+        const meanRatio = 1 - Math.exp(-elapsedMs / MEAN_AGING_TIME_MS);
+        const varianceRatio = 1 - Math.exp(-elapsedMs / VARIANCE_AGING_TIME_MS);
         for (const pairs of this.pairs.values()) {
             for (const pair of pairs.values()) {
                 if (now - (pair.updatedAt ?? this.startedAt) >= MIN_REPORT_GAP_MS) {
-                    pair.interference += (PRIOR_INTERFERENCE - pair.interference) * ratio;
-                    pair.variance += (PRIOR_VARIANCE - pair.variance) * ratio;
+                    pair.interference += (PRIOR_INTERFERENCE - pair.interference) * meanRatio;
+                    pair.variance += (PRIOR_VARIANCE - pair.variance) * varianceRatio;
                 }
             }
         }
