--- a/src/dispatch/common/dispatchLimits.ts
+++ b/src/dispatch/common/dispatchLimits.ts
@@ -17,8 +17,9 @@
 }
 
 /**
- * Time after its latest confirmed append during which a leader extends leases, in ms. Tasks survive an outage of the
- * store for this long; a successor waits this long before it gives up a worker that it cannot reach.
+ * Time after its latest confirmed renewal during which a leader extends leases, in ms. Tasks survive an outage of the
+ * store for this long; a successor waits this long before it gives up a worker that it cannot reach, unless a record shows
+ * when the worker's lease expires.
  */
 export const RENEWAL_WINDOW_MS = 8_000;
 
--- /dev/null
+++ b/src/dispatch/common/leaseBook.ts
@@ -0,0 +1,100 @@
+import { withDrift } from "../../coordination/common/duration";
+import { Leadership } from "../../records/common/leadership";
+import { DispatchLimits, RENEWAL_WINDOW_MS } from "./dispatchLimits";
+import { LeaseTable } from "./leaseTable";
+import type { WorkerContact } from "./workerContact";
+import { LeaseWriter, WorkerLease } from "./workerLease";
+
+/**
+ * Age of the latest renewal up to which leases are recorded, in ms: three renewals. A record that could only be deleted
+ * after an outage of the store would let the lease of a worker that is back expire.
+ */
+const MAX_RENEWAL_AGE_MS = 900;
+
+/** The right to lead, as far as leases depend on it. */
+export type LeaseAuthority = Pick<Leadership, "renewedAt" | "formerRenewedBy" | "leasesSince">;
+
+/** Dependencies of the leases; the scheduler has the same. */
+export interface LeaseContext {
+    /** Leases that former leaders recorded. */
+    readonly leases: LeaseTable;
+    readonly leadership: LeaseAuthority;
+    readonly limits: Pick<DispatchLimits, "longestLeaseMs">;
+}
+
+/** The leases of all workers during one epoch, and their records for the next leader. */
+export class LeaseBook {
+    private readonly leases = new Map<string, WorkerLease>();
+    /** Time (ms) by which all leases that former leaders extended have expired. */
+    private readonly formerEndsBy: number;
+    /** The same for the workers of which a former leader left a record. */
+    private readonly recordedEnds: Map<string, number>;
+    private readonly authority: LeaseAuthority;
+
+    private constructor(
+        { leases, limits, leadership }: LeaseContext,
+        private readonly writer: LeaseWriter,
+        epochStartedAt: number,
+    ) {
+        this.authority = leadership;
+        const renewedBy = leadership.formerRenewedBy ?? epochStartedAt;
+        this.formerEndsBy = renewedBy + RENEWAL_WINDOW_MS + withDrift(limits.longestLeaseMs);
+        const end = (id: string) => Math.min(this.formerEndsBy, leases.endOf(id, leadership.leasesSince) ?? Infinity);
+        this.recordedEnds = new Map([...leases.workers].map(id => [id, end(id)]));
+        this.recordedEnds.forEach((_, id) => this.find(id));
+    }
+
+    /**
+     * @param context Dependencies of the leases.
+     * @param writer Writes the records.
+     * @param epochStartedAt Time (ms) at which the epoch began.
+     * @returns The leases.
+     */
+    static create(context: LeaseContext, writer: LeaseWriter, epochStartedAt: number): LeaseBook {
+        return new LeaseBook(context, writer, epochStartedAt);
+    }
+
+    /** @param now Time in ms. @returns Whether the latest renewal is so recent that orders may extend leases. */
+    isRenewalRecent(now: number): boolean {
+        return this.renewalAgeMs(now) < RENEWAL_WINDOW_MS;
+    }
+
+    /** @param worker Identifier of a worker. @returns Its lease. */
+    find(worker: string): WorkerLease {
+        let lease = this.leases.get(worker);
+        if (lease === undefined) {
+            const recordedEnd = this.recordedEnds.get(worker);
+            const endsBy = recordedEnd ?? this.formerEndsBy;
+            lease = WorkerLease.create(worker, endsBy, this.writer, recordedEnd !== undefined);
+            this.leases.set(worker, lease);
+        }
+        return lease;
+    }
+
+    /**
+     * Records the leases of workers that cannot be reached, and deletes the records of the others.
+     * @param workers The workers, by identifier.
+     * @param now Time in ms.
+     */
+    tick(workers: ReadonlyMap<string, WorkerContact>, now: number): void {
+        const isStoreWorking = this.renewalAgeMs(now) <= MAX_RENEWAL_AGE_MS;
+        for (const [id, lease] of this.leases) {
+            const worker = workers.get(id);
+            if (worker === undefined || worker.state === "reachable" || worker.runs.size === 0) {
+                if (!lease.mayExtend) {
+                    lease.release();
+                } else if (worker === undefined) {
+                    this.leases.delete(id);
+                    this.recordedEnds.delete(id);
+                }
+            } else if (isStoreWorking && (worker.isUnreachable || !lease.mayExtend)) {
+                // The append may be built later, when less time remains.
+                lease.record(() => worker.leaseEndsBy - now, now);
+            }
+        }
+    }
+
+    private renewalAgeMs(now: number): number {
+        return now - (this.authority.renewedAt ?? Number.NEGATIVE_INFINITY);
+    }
+}
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -7,12 +7,13 @@
 import { QueueTable } from "../../jobs/common/queueTable";
 import { Leadership } from "../../records/common/leadership";
 import { ActiveJob } from "./activeJob";
-import { DispatchLimits, RENEWAL_WINDOW_MS } from "./dispatchLimits";
+import { DispatchLimits } from "./dispatchLimits";
 import { DecisionData, DecisionName, DispatchEffect } from "./dispatchEffects";
 import { ActiveJobTable, LeaderWriters } from "./activeJobTable";
 import { JobPruner } from "./jobPruner";
 import { FailureController } from "./failureController";
 import { LatencyModel, InterferenceRow } from "./latencyModel";
+import { LeaseBook, LeaseContext } from "./leaseBook";
 import { LatencyModelRecorder } from "./latencyModelRecorder";
 import { ThrottleController } from "./throttleController";
 import { Run, RunHost, RunOutcome } from "./run";
@@ -42,7 +43,7 @@
 const MAX_PASS_INTERVAL_MS = 150;
 
 /** Dependencies of the scheduler. */
-export interface SchedulerContext {
+export interface SchedulerContext extends LeaseContext {
     readonly jobs: JobTable;
     /** Progress of the jobs as recorded by earlier leaders. */
     readonly progress: ProgressTable;
@@ -60,6 +61,7 @@
 export class Scheduler implements Disposable {
     private readonly resources = DisposableStore.create();
     private readonly activeJobs: ActiveJobTable;
+    private readonly leases: LeaseBook;
     private readonly pool: WorkerPool;
     private readonly model: LatencyModel;
     private readonly throttleController: ThrottleController;
@@ -83,7 +85,7 @@
     private constructor(
         private readonly context: SchedulerContext,
         private readonly epoch: number,
-        private readonly writers: LeaderWriters,
+        writers: LeaderWriters,
         now: number,
     ) {
         this.now = now;
@@ -92,7 +94,9 @@
         const logView = (name: DecisionName, data: DecisionData) => this.logDecision(name, data);
         this.views = ViewController.create(context.views, context.limits, logView);
         this.runHost = SchedulerRunHost.create(this);
-        this.pool = WorkerPool.create(epoch, now, context.limits, SchedulerPoolHost.create(this), context.effects);
+        this.leases = LeaseBook.create(context, { epoch, records: writers.jobs }, now);
+        const poolHost = SchedulerPoolHost.create(this);
+        this.pool = WorkerPool.create(epoch, this.leases, context.limits, poolHost, context.effects);
         this.activeJobs = ActiveJobTable.create(epoch, writers);
         this.pruner = JobPruner.create(context.jobs, this.activeJobs, writers, context.limits.retentionMs);
         this.admission = StartAdmission.create(context.queues, id => this.pool.find(id), context.effects);
@@ -210,7 +214,7 @@
     schedule(now: number, wallNow: number): void {
         this.wallNow = wallNow;
         // A process that was paused may still believe that it leads: its successor has waited only for this window.
-        const isLeading = this.context.leadership.canSendOrders() && this.isConfirmationRecent(now);
+        const isLeading = this.context.leadership.canSendOrders() && this.leases.isRenewalRecent(now);
         if (!isLeading || !this.views.canStart(now)) {
             return;
         }
@@ -228,7 +232,7 @@
 
     /** @param now Time in ms. @returns Whether leases may be extended. */
     mayExtend(now: number): boolean {
-        return this.context.leadership.canExtendLeases() && this.isConfirmationRecent(now);
+        return this.context.leadership.canExtendLeases() && this.leases.isRenewalRecent(now);
     }
 
     /** Sends the order to start a run, or ends the run if its worker may not be given it any more. */
@@ -377,11 +381,6 @@
         this.activeJobs.recordProgress(task.job);
     }
 
-    private isConfirmationRecent(now: number): boolean {
-        const { confirmedAt } = this.writers.jobs;
-        return confirmedAt !== undefined && now - confirmedAt < RENEWAL_WINDOW_MS;
-    }
-
     private handleStartAnswer(
         worker: WorkerContact,
         event: WorkerEvent & { readonly kind: "start-answer" },
--- a/src/dispatch/common/startAdmission.ts
+++ b/src/dispatch/common/startAdmission.ts
@@ -21,9 +21,10 @@
 /**
  * Why the start of a run is not sent. `not-ready`: the worker drains, has left, or has restarted and may be of another kind.
  * `shrunk`: its runs exceed its capacity. `capacity-unknown`: its entry is too old to show what it can hold, or it has runs of
- * unknown size. `gang`: one of these holds for another member.
+ * unknown size. `lease-recorded`: a record still says that its lease is not extended. `gang`: one of these holds for another
+ * member.
  */
-export type WithholdReason = "unreachable" | "not-ready" | "shrunk" | "capacity-unknown" | "gang";
+export type WithholdReason = "unreachable" | "lease-recorded" | "not-ready" | "shrunk" | "capacity-unknown" | "gang";
 
 /** Returns a worker by its identifier, if it is known. */
 export type FindWorker = (id: string) => WorkerContact | undefined;
@@ -91,6 +92,9 @@
         if (worker?.state !== "reachable") {
             return "unreachable";
         }
+        if (!worker.mayExtendLease) {
+            return "lease-recorded";
+        }
         if (!worker.isRegistered || !worker.isReady || !worker.hasLabel(run.task.step.requiredLabel)) {
             return "not-ready";
         }
--- a/src/dispatch/common/test/runs.ts
+++ b/src/dispatch/common/test/runs.ts
@@ -1,6 +1,11 @@
+import { Outbox } from "../../../base/common/outbox";
 import { JobSpec, StepSpec } from "../../../jobs/common/jobSpec";
+import { RecordEffect } from "../../../records/common/recordEvents";
+import { RecordWriter } from "../../../records/common/recordWriter";
 import { ActiveJob } from "../activeJob";
 import { DispatchLimits } from "../dispatchLimits";
+import { LeaseBook } from "../leaseBook";
+import { LeaseTable } from "../leaseTable";
 import { Run, RunHost } from "../run";
 import { Task } from "../task";
 import { WorkerContact } from "../workerContact";
@@ -58,7 +63,29 @@
         rack: "r1",
         ...overrides,
     };
-    return WorkerContact.create(entry, 0, 6_000);
+    return WorkerContact.create(entry, createLeases().book.find(id), 6_000);
+}
+
+/** Leases of the first epoch, the writer of their records, and the appends that it makes. */
+export interface LeaseFixture {
+    readonly book: LeaseBook;
+    readonly writer: RecordWriter;
+    readonly outbox: Outbox<RecordEffect>;
+    readonly authority: { renewedAt: number | undefined; formerRenewedBy: number | undefined; leasesSince: number };
+}
+
+/**
+ * @param table Leases that former leaders recorded.
+ * @param formerRenewedBy Time (ms) by which the former leader's latest renewal was stored, if it is known.
+ * @returns The leases of an epoch that begins at 0.
+ */
+export function createLeases(table = LeaseTable.create(), formerRenewedBy?: number): LeaseFixture {
+    const outbox = Outbox.create<RecordEffect>();
+    const writer = RecordWriter.create("leader-1", "jobs", { name: "leader", epoch: 1 }, outbox);
+    const authority = { renewedAt: 0, formerRenewedBy, leasesSince: 1 };
+    const context = { leases: table, leadership: authority, limits: LIMITS };
+    const book = LeaseBook.create(context, { epoch: 1, records: writer }, 0);
+    return { book, writer, outbox, authority };
 }
 
 /** @returns An entry as it was just read. @param writtenAfter Time (ms) after which it was written, if known. */
--- a/src/dispatch/common/test/scheduler.test.ts
+++ b/src/dispatch/common/test/scheduler.test.ts
@@ -8,6 +8,8 @@
 import { Leadership } from "../../../records/common/leadership";
 import { RecordWriter } from "../../../records/common/recordWriter";
 import { DecisionEffect, DispatchEffect } from "../dispatchEffects";
+import { LeaseAuthority } from "../leaseBook";
+import { LeaseTable } from "../leaseTable";
 import { Scheduler, SchedulerContext } from "../scheduler";
 import { WorkerEntry } from "../workerEntry";
 import { ListedEnd, RunList, StartOrder } from "../workerMessages";
@@ -40,6 +42,7 @@
     isStoreDown = false;
     /** Whether the workers renew their entries in service discovery. */
     hasHeartbeats = true;
+    private readonly leadership: LeaseAuthority & { renewedAt: number | undefined };
     /** How far the streams were read. */
     private readonly view: { knownUntil: number | undefined } = { knownUntil: 0 };
     /** How old the views of the streams are, in ms. */
@@ -50,11 +53,14 @@
         const jobs = JobTable.create();
         const { spec } = createJob("a", step);
         jobs.apply({ key: jobKey("spec", "a"), value: encodeSpec(spec), offset: 0 });
-        const leadership = { canSendOrders: () => true, canExtendLeases: () => true } as unknown as Leadership;
+        const rights = { canSendOrders: () => true, canExtendLeases: () => true, formerRenewedBy: undefined };
+        this.leadership = { ...rights, renewedAt: 0, leasesSince: 1 };
+        const leadership = this.leadership as unknown as Leadership;
         const tables = { jobs, progress: ProgressTable.create(), queues: QueueTable.create() };
         const context: SchedulerContext = {
             ...tables,
             leadership,
+            leases: LeaseTable.create(),
             views: { jobs: this.view, configuration: this.view, workers: this.view },
             limits: LIMITS,
             learnedInterference: [],
@@ -82,7 +88,7 @@
     advance(ms: number): void {
         for (const until = this.now + ms; this.now < until; this.now += TICK_MS) {
             this.view.knownUntil = this.now - this.viewAgeMs;
-            this.writers[0].confirmedAt = this.isEpochConfirmed ? this.now : -20_000;
+            this.leadership.renewedAt = this.isEpochConfirmed ? this.now : -20_000;
             if (this.hasHeartbeats && this.now - this.lastHeartbeatAt >= HEARTBEAT_INTERVAL_MS) {
                 this.lastHeartbeatAt = this.now;
                 this.entries.forEach(entry => this.updateWorker(entry));
--- a/src/dispatch/common/test/workerPool.test.ts
+++ b/src/dispatch/common/test/workerPool.test.ts
@@ -3,7 +3,7 @@
 import { DispatchEffect } from "../dispatchEffects";
 import { TaskSuspicion } from "../taskSuspicion";
 import { PoolHost, WorkerPool } from "../workerPool";
-import { assign, createJob, createStep, createWorker, LIMITS, readingOf, report } from "./runs";
+import { assign, createJob, createLeases, createStep, createWorker, LIMITS, readingOf, report } from "./runs";
 
 /** Time (ms) at which the next list of a worker is due, however many workers there are. */
 const LATER_MS = 5_000;
@@ -21,7 +21,7 @@
 /** @returns A pool whose workers have all answered once. */
 function createPool(workers: number) {
     const outbox = Outbox.create<DispatchEffect>();
-    const pool = WorkerPool.create(1, 0, LIMITS, new NoopPoolHost(), outbox);
+    const pool = WorkerPool.create(1, createLeases().book, LIMITS, new NoopPoolHost(), outbox);
     for (let index = 0; index < workers; index++) {
         pool.register(readingOf(createWorker(`w${index}`).entry), 0);
     }
--- a/src/dispatch/common/workerContact.ts
+++ b/src/dispatch/common/workerContact.ts
@@ -4,10 +4,11 @@
 import { TaskRequest } from "../../jobs/common/jobSpec";
 import { WorkerClock } from "../../scheduling/common/workerClock";
 import { WorkerTrust } from "../../scheduling/common/workerTrust";
-import { LEASE_MARGIN_MS, RENEWAL_WINDOW_MS } from "./dispatchLimits";
+import { LEASE_MARGIN_MS } from "./dispatchLimits";
 import { Run } from "./run";
 import chartText from "./workerContact.chart.yaml";
 import { EntryReading, WorkerEntry } from "./workerEntry";
+import { WorkerLease } from "./workerLease";
 import { ListedEnd, OrderOutcome } from "./workerMessages";
 
 /** State of the leader's contact with a worker. */
@@ -104,10 +105,12 @@
     hasUnknownRuns = false;
     /** Time (ms) after which its entry was certainly written, if known. */
     entryWrittenAfter: number | undefined;
+    /** Whether the latest list request was not answered. */
+    private isListUnanswered = false;
 
     private constructor(
         private latestEntry: WorkerEntry,
-        private readonly epochStartedAt: number,
+        private readonly lease: WorkerLease,
         private readonly longestLeaseMs: number,
     ) {
         this.machine = Machine.create(chart, {
@@ -121,12 +124,12 @@
 
     /**
      * @param entry The worker's entry in service discovery.
-     * @param epochStartedAt Time (ms) at which this leader's epoch began.
+     * @param lease The worker's lease, also beyond this leader's epoch.
      * @param longestLeaseMs Longest lease that the worker accepts, in ms.
      * @returns A worker that has not been contacted yet.
      */
-    static create(entry: WorkerEntry, epochStartedAt: number, longestLeaseMs: number): WorkerContact {
-        return new WorkerContact(entry, epochStartedAt, longestLeaseMs);
+    static create(entry: WorkerEntry, lease: WorkerLease, longestLeaseMs: number): WorkerContact {
+        return new WorkerContact(entry, lease, longestLeaseMs);
     }
 
     /** Latest entry of the worker in service discovery. */
@@ -158,6 +161,7 @@
             this.isRegistered &&
             this.isReady &&
             now >= this.backoffUntil &&
+            this.mayExtendLease &&
             !this.isConfirmationInFlight &&
             this.keptEndCount < MAX_KEPT_ENDS &&
             !this.isConfirmationOverdue(now) &&
@@ -229,11 +233,13 @@
         }
         this.clock = WorkerClock.create(String(this.latestEntry.incarnation), reading, now);
         this.leaseUntil = Math.min(this.leaseUntil, reading + this.longestLeaseMs);
+        this.isListUnanswered = false;
         this.machine.fire("answered", now);
     }
 
     /** Handles an order that was not answered. @param now Time in ms. */
     onNoAnswer(now: number): void {
+        this.isListUnanswered = true;
         this.machine.fire("unanswered", now);
     }
 
@@ -266,19 +272,37 @@
         return this.clock === undefined ? undefined : Math.round(this.clock.minReadingAt(now) + ms);
     }
 
+    /** Whether it cannot be reached: it left a list unanswered, or has no address. */
+    get isUnreachable(): boolean {
+        return this.state !== "reachable" && (this.isListUnanswered || this.latestEntry.address === "");
+    }
+
+    /** Whether its lease may be extended: no record says that it is not. */
+    get mayExtendLease(): boolean {
+        return this.lease.mayExtend;
+    }
+
+    /** Time (ms) by which its lease has certainly expired if it is not extended again. */
+    get leaseEndsBy(): number {
+        return this.clock === undefined ? this.lease.formerEndsBy : this.clock.latestTimeOf(this.leaseUntil);
+    }
+
     /**
      * Records that an order lets the worker run tasks up to a reading of its clock.
      * @param reading The reading in ms.
-     * @returns The same reading.
+     * @returns The same reading, or `undefined` if the lease may not be extended.
      */
     extendLeaseTo(reading: number | undefined): number | undefined {
+        if (!this.mayExtendLease) {
+            return undefined;
+        }
         this.leaseUntil = Math.max(this.leaseUntil, reading ?? 0);
         return reading;
     }
 
     /**
      * Extends the lease to the longest that the worker accepts, less a margin.
-     * @returns Reading of the worker's clock (ms) up to which it is extended.
+     * @returns Reading of the worker's clock (ms) up to which it is extended, or `undefined` if it may not be.
      */
     extendLeaseToMax(now: number): number | undefined {
         return this.extendLeaseTo(this.clockReadingIn(this.longestLeaseMs - LEASE_MARGIN_MS, now));
@@ -399,13 +423,8 @@
         return this.state !== "reachable" && this.isLeaseExpired(now, graceMs);
     }
 
-    /** Before the first answer, an earlier leader may have extended the lease until its renewal window closed. */
     private isLeaseExpired(now: number, graceMs: number): boolean {
-        const margin = LEASE_MARGIN_MS + graceMs;
-        if (this.clock === undefined) {
-            return now > this.epochStartedAt + RENEWAL_WINDOW_MS + this.longestLeaseMs * 1.02 + margin;
-        }
-        return now > this.clock.latestTimeOf(this.leaseUntil) + margin;
+        return now > this.leaseEndsBy + LEASE_MARGIN_MS + graceMs;
     }
 
     /** Ignores long-running tasks: they were started before the exclusion and say nothing about the worker now. */
--- /dev/null
+++ b/src/dispatch/common/workerLease.ts
@@ -0,0 +1,104 @@
+import { ChartLoader } from "../../base/common/chartLoader";
+import { ChartRegistry } from "../../base/common/chartRegistry";
+import { Machine } from "../../base/common/machine";
+import { RecordWriter } from "../../records/common/recordWriter";
+import { encodeLease, leaseKey } from "./leaseRecord";
+import chartText from "./workerLease.chart.yaml";
+
+type LeaseState = "unrecorded" | "recording" | "recorded" | "renewing" | "deleting";
+type LeaseEvent = "unreachable" | "reachable" | "inherited" | "record-stored" | "deletion-stored";
+type LeaseGuard = "withdrawsRecord";
+type LeaseAction = "writeRecord" | "writeDeletion";
+
+const chart = ChartRegistry.instance.register(
+    ChartLoader.load<LeaseState, LeaseEvent, LeaseGuard, LeaseAction>(chartText, "workerLease.chart.yaml", {
+        states: ["unrecorded", "recording", "recorded", "renewing", "deleting"],
+        events: ["unreachable", "reachable", "inherited", "record-stored", "deletion-stored"],
+        guards: ["withdrawsRecord"],
+        actions: ["writeRecord", "writeDeletion"],
+    }),
+);
+
+/** Minimum interval between records of one lease, in ms. */
+const RECORD_INTERVAL_MS = 1_000;
+
+/** The writer of the records, and the epoch that they carry. */
+export interface LeaseWriter {
+    readonly epoch: number;
+    readonly records: RecordWriter;
+}
+
+/**
+ * The lease of one worker, beyond one leader's epoch: until when former leaders may have extended it, and whether a record
+ * tells the next leader that it is not extended.
+ */
+export class WorkerLease {
+    private readonly machine: Machine<undefined, LeaseState, LeaseEvent, LeaseGuard, LeaseAction>;
+    private remainingMs: () => number = () => 0;
+    private nextRecordAt = Number.NEGATIVE_INFINITY;
+
+    private constructor(
+        private readonly worker: string,
+        /** Time (ms) by which the lease has expired if no leader has extended it since this epoch began. */
+        readonly formerEndsBy: number,
+        private readonly writer: LeaseWriter,
+    ) {
+        this.machine = Machine.create(chart, {
+            guards: { withdrawsRecord: () => writer.records.withdraw(leaseKey(worker)) },
+            actions: {
+                writeRecord: () => this.writeRecord(),
+                writeDeletion: () => this.writeDeletion(),
+            },
+        });
+    }
+
+    /**
+     * @param worker Identifier of the worker.
+     * @param formerEndsBy Time (ms) by which the lease has expired if no leader has extended it since this epoch began.
+     * @param writer Writes the record.
+     * @param isRecorded Whether a former leader left a record.
+     * @returns The lease.
+     */
+    static create(worker: string, formerEndsBy: number, writer: LeaseWriter, isRecorded: boolean): WorkerLease {
+        const lease = new WorkerLease(worker, formerEndsBy, writer);
+        if (isRecorded) {
+            lease.machine.fire("inherited", undefined);
+        }
+        return lease;
+    }
+
+    /** Whether it may be extended: no record that says otherwise is stored, or could be. */
+    get mayExtend(): boolean {
+        return this.machine.state === "unrecorded";
+    }
+
+    /**
+     * Records that the lease is not extended, since the worker cannot be reached. The record is renewed from time to time.
+     * @param remainingMs Returns an upper bound of the time until the lease has expired, in ms, when the append is built.
+     * @param now Time in ms.
+     */
+    record(remainingMs: () => number, now: number): void {
+        this.remainingMs = remainingMs;
+        if (now >= this.nextRecordAt) {
+            this.nextRecordAt = now + RECORD_INTERVAL_MS;
+            this.machine.fire("unreachable", undefined);
+        }
+    }
+
+    /** Deletes the record, if there is one. The lease may be extended once that is stored. */
+    release(): void {
+        this.machine.fire("reachable", undefined);
+    }
+
+    private writeRecord(): void {
+        const encode = () =>
+            encodeLease({ epoch: this.writer.epoch, remainingMs: Math.ceil(Math.max(0, this.remainingMs())) });
+        const onStored = () => void this.machine.fire("record-stored", undefined);
+        this.writer.records.write(leaseKey(this.worker), encode, onStored);
+    }
+
+    private writeDeletion(): void {
+        const onStored = () => void this.machine.fire("deletion-stored", undefined);
+        this.writer.records.write(leaseKey(this.worker), () => undefined, onStored);
+    }
+}
--- a/src/dispatch/common/workerPool.ts
+++ b/src/dispatch/common/workerPool.ts
@@ -2,6 +2,7 @@
 import { RunRecord } from "../../jobs/common/jobRecord";
 import { DispatchLimits } from "./dispatchLimits";
 import { DispatchEffect } from "./dispatchEffects";
+import { LeaseBook } from "./leaseBook";
 import { Run } from "./run";
 import { ContactState, WorkerContact } from "./workerContact";
 import { EntryReading, WorkerEntry } from "./workerEntry";
@@ -85,7 +86,7 @@
 
     private constructor(
         private readonly epoch: number,
-        private readonly epochStartedAt: number,
+        private readonly leases: LeaseBook,
         private readonly limits: DispatchLimits,
         private readonly host: PoolHost,
         private readonly effects: EffectSink<DispatchEffect>,
@@ -93,7 +94,7 @@
 
     /**
      * @param epoch Epoch of the leader.
-     * @param epochStartedAt Time (ms) at which the epoch began.
+     * @param leases Leases of the workers, also beyond the epoch.
      * @param limits Limits of the deployment.
      * @param host Notified of ends, lists and later epochs.
      * @param effects Sink for the orders to workers.
@@ -101,12 +102,12 @@
      */
     static create(
         epoch: number,
-        epochStartedAt: number,
+        leases: LeaseBook,
         limits: DispatchLimits,
         host: PoolHost,
         effects: EffectSink<DispatchEffect>,
     ): WorkerPool {
-        return new WorkerPool(epoch, epochStartedAt, limits, host, effects);
+        return new WorkerPool(epoch, leases, limits, host, effects);
     }
 
     /** All workers. */
@@ -143,7 +144,7 @@
             known.updateEntry(reading, now);
             return;
         }
-        const contact = WorkerContact.create(entry, this.epochStartedAt, this.limits.longestLeaseMs);
+        const contact = WorkerContact.create(entry, this.leases.find(entry.id), this.limits.longestLeaseMs);
         contact.entryWrittenAfter = writtenAfter;
         this.contacts.set(entry.id, contact);
     }
@@ -167,7 +168,7 @@
             return known;
         }
         const entry = deregisteredEntry(record);
-        const contact = WorkerContact.create(entry, this.epochStartedAt, this.limits.longestLeaseMs);
+        const contact = WorkerContact.create(entry, this.leases.find(entry.id), this.limits.longestLeaseMs);
         contact.isRegistered = false;
         this.contacts.set(record.worker, contact);
         return contact;
@@ -175,6 +176,7 @@
 
     /** Requests lists that are due, retries stops, and gives up runs whose lease has expired. @param now Time in ms. */
     tick(now: number): void {
+        this.leases.tick(this.contacts, now);
         for (const worker of this.contacts.values()) {
             this.reportLoss(worker, worker.expiredRuns(now), "lease-expired");
             this.logTransition(worker, now, () => worker.tick(now));
@@ -291,7 +293,7 @@
         const isReachable = worker.state === "reachable";
         const isConfirming = worker.canConfirmEnds;
         // A worker that keeps ends answers at once, and while a confirmation is in flight it gets no starts.
-        const mayWait = isBusy && !isTransient && isReachable && !worker.hasKeptEnds;
+        const mayWait = isBusy && !isTransient && isReachable && worker.mayExtendLease && !worker.hasKeptEnds;
         worker.isListInFlight = true;
         worker.isConfirmationInFlight = isConfirming;
         this.effects.emit({
--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -4,6 +4,7 @@
 import { Outbox } from "../../base/common/outbox";
 import { DispatchLimits } from "../../dispatch/common/dispatchLimits";
 import { Scheduler } from "../../dispatch/common/scheduler";
+import { LeaseTable } from "../../dispatch/common/leaseTable";
 import { EntryReading } from "../../dispatch/common/workerEntry";
 import { JobCallHandler } from "../../jobs/common/jobCallHandler";
 import { JobState } from "../../jobs/common/jobSpec";
@@ -90,6 +91,7 @@
     private readonly lifecycle: Machine<number, LifecycleState, LifecycleEvent, never, LifecycleAction>;
     private readonly jobs = JobTable.create();
     private readonly queues = QueueTable.create();
+    private readonly leases = LeaseTable.create();
     private readonly jobsFollower: RecordFollower;
     private readonly operatorFollower: RecordFollower;
     private readonly workersFollower: RecordFollower;
@@ -250,10 +252,16 @@
         return this.outbox.drain();
     }
 
-    /** Applies a record of the stream of jobs. */
-    applyJobRecord(record: StoredRecord): void {
+    /**
+     * Applies a record of the stream of jobs.
+     * @param record The record.
+     * @param isFollowed Whether every record before it was read, too.
+     */
+    applyJobRecord(record: StoredRecord, isFollowed: boolean): void {
         if (record.key === LEADER_KEY) {
-            this.leadership.apply(record, this.now);
+            this.leadership.apply(record, this.now, isFollowed);
+        } else if (this.leases.isLeaseKey(record.key)) {
+            this.leases.apply(record, this.now);
         } else {
             this.jobs.apply(record);
         }
@@ -286,6 +294,11 @@
         this.scheduler?.updateWorker(record.key, reading, this.now);
     }
 
+    /** Removes what is known of the leases whose records are not among these keys. */
+    retainLeases(keys: ReadonlySet<string>): void {
+        this.leases.retain(keys);
+    }
+
     /** Removes all workers but these, which are still registered. */
     retainWorkers(ids: ReadonlySet<string>): void {
         [...this.workers.keys()].filter(id => !ids.has(id)).forEach(id => this.workers.delete(id));
@@ -385,10 +398,11 @@
     }
 
     private startScheduling(writer: RecordWriter, takeover: Takeover): void {
-        const { jobs, queues, leadership, limits, outbox } = this;
+        const { jobs, queues, leadership, leases, limits, outbox } = this;
         const { progress, learnedInterference } = takeover;
         const views = { jobs: this.jobsFollower, configuration: this.operatorFollower, workers: this.workersFollower };
-        const context = { jobs, progress, queues, leadership, views, limits, learnedInterference, effects: outbox };
+        const tables = { jobs, progress, queues, leases };
+        const context = { ...tables, leadership, views, limits, learnedInterference, effects: outbox };
         const writers = { jobs: writer, progress: takeover.writer };
         this.scheduler = Scheduler.create(context, leadership.epoch, writers, this.now);
         this.workers.forEach((reading, id) => this.scheduler!.updateWorker(id, reading, this.now));
@@ -407,12 +421,13 @@
         super();
     }
 
-    override apply(record: StoredRecord): void {
-        this.instance.applyJobRecord(record);
+    override apply(record: StoredRecord, writtenAfter: number | undefined): void {
+        this.instance.applyJobRecord(record, writtenAfter !== undefined);
     }
 
-    override retainKeys(): void {
+    override retainKeys(keys: ReadonlySet<string>): void {
         // Jobs whose records expired while the stream was not followed are finished, so they can stay in the table.
+        this.instance.retainLeases(keys);
     }
 }
 
--- a/src/proof/node/jobRuleChecker.ts
+++ b/src/proof/node/jobRuleChecker.ts
@@ -2,6 +2,7 @@
 import { RunEnd } from "../../dispatch/common/workerMessages";
 import { LeasedWorker, LeasedWorkerObserver } from "../../standin/common/leasedWorker";
 import { CancellationChecker } from "./cancellationChecker";
+import { LastingTaskChecker } from "./lastingTaskChecker";
 import { TrialSchedule } from "./trialSchedule";
 
 /** Number of crashes under a task after which it may be given up, and number after which its starts are limited. */
@@ -26,7 +27,8 @@
     | "unasked"
     | "shown-done"
     | "known"
-    | "finished";
+    | "finished"
+    | "lasting-run";
 
 /** One violation of a rule. */
 export interface RuleViolation {
@@ -59,17 +61,27 @@
     readonly accepted = new Set<string>();
     readonly violations: RuleViolation[] = [];
     readonly cancellations: CancellationChecker;
+    readonly lastingTasks: LastingTaskChecker;
     starts = 0;
     /** How often the capacity of a worker shrank. */
     shrinks = 0;
 
-    private constructor(private readonly schedule: TrialSchedule) {
+    private constructor(
+        private readonly schedule: TrialSchedule,
+        maxGapMs: number,
+    ) {
         this.cancellations = CancellationChecker.create(schedule, detail => this.check("unasked", false, detail));
+        const reportGap = (detail: string) => this.check("lasting-run", false, detail);
+        this.lastingTasks = LastingTaskChecker.create(schedule, maxGapMs, reportGap);
     }
 
-    /** @param schedule Clock of the trial. @returns A checker without any observations. */
-    static create(schedule: TrialSchedule): JobRuleChecker {
-        return new JobRuleChecker(schedule);
+    /**
+     * @param schedule Clock of the trial.
+     * @param maxGapMs Longest time for which a task that lasts may be without a run after its first one, in ms.
+     * @returns A checker without any observations.
+     */
+    static create(schedule: TrialSchedule, maxGapMs = Number.POSITIVE_INFINITY): JobRuleChecker {
+        return new JobRuleChecker(schedule, maxGapMs);
     }
 
     /** Records that a job is submitted. @param job The job. @param deadlyTask Its task that crashes workers, if any. */
@@ -78,6 +90,7 @@
         if (deadlyTask !== undefined) {
             this.deadlyTasks.add(deadlyTask);
         }
+        this.lastingTasks.recordSubmission(job);
     }
 
     /** @param task Name of a task. @returns Whether it crashes each worker that starts it. */
@@ -116,6 +129,7 @@
     onStart(worker: LeasedWorker, task: string, run: number): void {
         this.starts += 1;
         this.cancellations.onStart(worker, task, run);
+        this.lastingTasks.onStart(task);
         const [id, occurrence, step] = task.split(".");
         const job = this.jobs.get(id);
         const otherRuns = this.activeRuns.get(task) ?? new Map<LeasedWorker, number>();
@@ -146,6 +160,7 @@
 
     onEnd(worker: LeasedWorker, task: string, run: number, end: RunEnd): void {
         this.cancellations.onEnd(worker, task, run);
+        this.lastingTasks.onEnd(task);
         this.activeRuns.get(task)?.delete(worker);
         if (end === "done") {
             this.completedTasks.add(task);
--- a/src/proof/node/jobSoak.tool.ts
+++ b/src/proof/node/jobSoak.tool.ts
@@ -3,9 +3,11 @@
 
 /**
  * Reads a flag with a whole number. Flags: `--seed FIRST --count N --length MS --every MS --deadly PERCENT
- * --crash-delay MS --shrink MS --cancel PERCENT --reads --trace`, where `--deadly` is the share of the jobs with a task that
+ * --crash-delay MS --shrink MS --cancel PERCENT --reads --lasting N
+ * --lease MS --trace`, where `--deadly` is the share of the jobs with a task that
  * crashes its workers, that long after each start, `--shrink` the mean time between two times at which a worker's capacity
- * shrinks, `--cancel` the share of the jobs that is cancelled, and `--reads` adds faults of the reads of the jobs.
+ * shrinks, `--cancel` the share of the jobs that is cancelled, `--reads` adds faults of the reads of the jobs, `--lasting` is the number of jobs
+ * that last until the end, and `--lease` the longest lease that a worker accepts.
  */
 function readNumber(name: string, fallback: number): number {
     const index = process.argv.indexOf(`--${name}`);
@@ -33,6 +35,8 @@
         crashDelayMs: readNumber("crash-delay", 10),
         shrinkEveryMs: readNumber("shrink", 0) || undefined,
         cancelRatio: readNumber("cancel", 0) / 100,
+        lasting: readNumber("lasting", 0) === 0 ? undefined : { count: readNumber("lasting", 0) },
+        longestLeaseMs: readNumber("lease", 0) || undefined,
     };
     const { breaches, trace, ...counts } = JobTrial.run(plan);
     console.log(`seed ${seed}`, JSON.stringify(counts), `breaches ${breaches.length}`);
--- a/src/proof/node/jobTrial.ts
+++ b/src/proof/node/jobTrial.ts
@@ -8,12 +8,14 @@
 import { KeyedLog } from "../../standin/common/keyedLog";
 import {
     createDraft,
+    createLastingDraft,
     deadlyTaskOf,
     FAULTS,
     FAULTS_OF_WORKERS,
     JobFault,
     JobTrialPlan,
     JobTrialResult,
+    PlannedFault,
     QUEUE,
     LIMITS,
     CALL_TIMEOUTS_MS,
@@ -37,11 +39,14 @@
 /** Longest time for which an instance that was killed is down, in ms. */
 const MAX_DOWN_MS = 1_500;
 
+/** Duration of a planned freeze, in ms: long enough for another instance to become the leader. */
+const PLANNED_FREEZE_MS = 3_000;
+
 /** Runs whole instances on a virtual clock against an in-memory store and workers, and injects random faults. */
 export class JobTrial {
     private readonly random: Random;
     private readonly timeline = TrialSchedule.create();
-    private readonly checker = JobRuleChecker.create(this.timeline);
+    private readonly checker: JobRuleChecker;
     private readonly streams: Record<StreamName, KeyedLog> = {
         jobs: KeyedLog.create(),
         progress: KeyedLog.create(),
@@ -64,6 +69,7 @@
 
     private constructor(private readonly plan: JobTrialPlan) {
         this.random = Random.create(plan.seed);
+        this.checker = JobRuleChecker.create(this.timeline, plan.lasting?.maxGapMs);
         this.reads = TrialReads.create(plan.seed, this.timeline);
         this.cancellations = TrialCancellations.create(
             plan.seed,
@@ -106,7 +112,11 @@
             this.startNode(this.nodes[index]);
         }
         this.plan.sabotage?.(this);
-        this.schedule(2_000, () => this.submitNext());
+        this.submitLasting();
+        if (this.plan.lasting?.isAlone !== true) {
+            this.schedule(2_000, () => this.submitNext());
+        }
+        this.plan.plannedFaults?.forEach(([atMs, fault]) => this.schedule(atMs, () => this.injectPlanned(fault)));
         if (this.plan.faultEveryMs > 0) {
             this.schedule(3_000, () => this.injectNext());
         }
@@ -136,7 +146,8 @@
             storeRoundTripMs: () => 5 + node.index,
             cores: 1,
         };
-        const instance = JobInstance.create(identity, LIMITS, new TrialDecoder(this.plan));
+        const limits = { ...LIMITS, longestLeaseMs: this.plan.longestLeaseMs ?? LIMITS.longestLeaseMs };
+        const instance = JobInstance.create(identity, limits, new TrialDecoder(this.plan));
         node.instance = instance;
         const { incarnation } = node;
         this.schedule(this.random.between(0, 50), () => {
@@ -194,6 +205,7 @@
                 this.trace.push(`${Math.round(this.now)} n${node.index} ${effect.name} ${JSON.stringify(effect.data)}`);
                 break;
             case "stopped":
+                this.kill(node);
                 break;
         }
     }
@@ -259,12 +271,21 @@
             .between(0, 2 ** 31 - 1)
             .toString(16)
             .padStart(16, "0");
-        const draft = createDraft(this.random);
+        this.submitFirst(id, createDraft(this.random));
+        this.schedule(this.random.between(50, 500), () => this.submitNext());
+    }
+
+    private submitLasting(): void {
+        for (let index = 0; index < (this.plan.lasting?.count ?? 0); index++) {
+            this.schedule(2_000, () => this.submitFirst(`1a5${index}`.padEnd(16, "0"), createLastingDraft()));
+        }
+    }
+
+    private submitFirst(id: string, draft: JobDraft): void {
         this.jobs.set(id, { draft, isAccepted: false });
         const deadlyTask = deadlyTaskOf(id, this.plan.deadlyRatio ?? 0);
         this.checker.recordSubmission({ id, queue: QUEUE, acceptedAtMs: 0, ...draft }, deadlyTask);
         this.submit(id, 5);
-        this.schedule(this.random.between(50, 500), () => this.submitNext());
     }
 
     private submit(id: string, attemptsLeft: number): void {
@@ -319,6 +340,22 @@
         this.schedule(this.random.between(1, this.plan.faultEveryMs * 2), () => this.injectNext());
     }
 
+    private injectPlanned(fault: PlannedFault): void {
+        const leader = this.nodes.find(each => each.instance?.isLeading === true && this.now >= each.frozenUntil);
+        this.trace.push(`${Math.round(this.now)} FAULT ${fault} n${leader?.index}`);
+        if (fault === "lose-worker") {
+            this.workers.removeBusiest();
+        } else if (leader === undefined) {
+            throw new Error(`no leader at ${this.now} ms to ${fault}`);
+        } else if (fault === "kill-leader") {
+            this.kill(leader);
+        } else if (fault === "freeze-leader") {
+            this.freeze(leader, PLANNED_FREEZE_MS);
+        } else {
+            this.post(leader, leader.incarnation, { kind: "stop" });
+        }
+    }
+
     private inject(fault: JobFault): void {
         const leader = this.nodes.find(each => each.instance?.isLeading === true);
         const node = leader !== undefined && this.random.chance(0.6) ? leader : this.random.pick(this.nodes);
@@ -410,9 +447,11 @@
     }
 
     private checkFinished(): void {
+        this.checker.lastingTasks.finish();
         for (const id of this.checker.accepted) {
             const state = this.jobState(id);
-            const isFinished = state === "done" || state === "failed" || state === "cancelled";
+            const isLasting = this.checker.lastingTasks.hasJob(id) && state === "running";
+            const isFinished = isLasting || state === "done" || state === "failed" || state === "cancelled";
             this.checker.check("finished", isFinished, `${id} is ${state} at the end`);
             this.checkCancelledState(id, state);
             this.checker.onStateReturned(id, state);
--- a/src/proof/node/jobTrialPlan.ts
+++ b/src/proof/node/jobTrialPlan.ts
@@ -1,8 +1,10 @@
+import { DispatchLimits } from "../../dispatch/common/dispatchLimits";
 import { WorkerEntry } from "../../dispatch/common/workerEntry";
 import { OrderOutcome, RunEnd, WorkerEffect } from "../../dispatch/common/workerMessages";
 import { EntryDecoder } from "../../host/common/entryDecoder";
 import { Configuration, Queue } from "../../jobs/common/queueTable";
 import { JobDraft } from "../../jobs/common/jobCall";
+import { StepSpec } from "../../jobs/common/jobSpec";
 import { StoredRecord } from "../../records/common/record";
 import { LeasedWorker, RunPlanner } from "../../standin/common/leasedWorker";
 import type { JobTrial } from "./jobTrial";
@@ -30,7 +32,7 @@
 }
 
 /** Time limits of the instances of a trial. */
-export const LIMITS = {
+export const LIMITS: DispatchLimits = {
     longestLeaseMs: 6_000,
     stopMs: 200,
     cancelMs: 3_000,
@@ -89,6 +91,22 @@
     ...FAULTS_OF_WORKERS,
 ];
 
+/**
+ * A planned fault of a trial. `lose-worker`: the worker with the most runs is lost for good. The others concern the leader:
+ * it is killed, is frozen for 3 s, or is told to stop and is started again once it has.
+ */
+export type PlannedFault = "lose-worker" | "kill-leader" | "freeze-leader" | "stop-leader";
+
+/** Jobs that last until the end of a trial. */
+export interface LastingJobs {
+    /** Number of jobs. */
+    readonly count: number;
+    /** Longest time for which a task of them may be without a run after its first one, in ms; unlimited if undefined. */
+    readonly maxGapMs?: number;
+    /** Whether no other jobs are submitted. */
+    readonly isAlone?: boolean;
+}
+
 /** Parameters of a trial. */
 export interface JobTrialPlan {
     readonly seed: number;
@@ -111,6 +129,12 @@
     readonly shrinkEveryMs?: number;
     /** Share of the jobs that are cancelled, from 0 to 1; none if undefined. */
     readonly cancelRatio?: number;
+    /** Jobs that last until the end; none if undefined. */
+    readonly lasting?: LastingJobs;
+    /** Longest lease that a worker accepts, in ms; that of `LIMITS` if undefined. */
+    readonly longestLeaseMs?: number;
+    /** Faults at given times in ms. */
+    readonly plannedFaults?: readonly (readonly [atMs: number, fault: PlannedFault])[];
     /** Breaks a mechanism on purpose, to prove that a rule detects it. */
     readonly sabotage?: (trial: JobTrial) => void;
 }
@@ -231,9 +255,8 @@
 /** @param random Source of randomness. @returns A job of one to three steps. */
 export function createDraft(random: Random): JobDraft {
     const steps = random.between(1, 3);
-    return {
-        payload: "p",
-        steps: Array.from({ length: steps }, (_, index) => ({
+    return draftOf(
+        Array.from({ length: steps }, (_, index) => ({
             tasks: random.between(1, 4),
             request: { cpuMillis: random.between(1, 6) * 1_000, memoryMb: 1_000, accelerators: 0 },
             estimateMs: 1_000,
@@ -243,8 +266,25 @@
             prefersOneRack: false,
             usesSpareCpu: false,
         })),
-        occurrences: 0,
-        firstDueMs: 0,
-        intervalMs: 0,
-    };
+    );
+}
+
+/** @returns A job whose tasks last. */
+export function createLastingDraft(): JobDraft {
+    return draftOf([
+        {
+            tasks: 3,
+            request: { cpuMillis: 2_000, memoryMb: 1_000, accelerators: 0 },
+            estimateMs: 60_000,
+            after: [],
+            mode: "long-running",
+            checkpoints: false,
+            prefersOneRack: false,
+            usesSpareCpu: false,
+        },
+    ]);
+}
+
+function draftOf(steps: readonly StepSpec[]): JobDraft {
+    return { payload: "p", steps, occurrences: 0, firstDueMs: 0, intervalMs: 0 };
 }
--- a/src/proof/node/test/jobTrial.test.ts
+++ b/src/proof/node/test/jobTrial.test.ts
@@ -1,12 +1,15 @@
 import test, { ExecutionContext } from "ava";
+import { RENEWAL_WINDOW_MS } from "../../../dispatch/common/dispatchLimits";
 import { Scheduler } from "../../../dispatch/common/scheduler";
+import { WorkerContact } from "../../../dispatch/common/workerContact";
+import { WorkerLease } from "../../../dispatch/common/workerLease";
 import { StartOrder } from "../../../dispatch/common/workerMessages";
 import { JobCallHandler } from "../../../jobs/common/jobCallHandler";
 import { ProgressTable } from "../../../jobs/common/progressTable";
 import { RecordWriter } from "../../../records/common/recordWriter";
 import { LeasedWorker } from "../../../standin/common/leasedWorker";
 import { JobTrial } from "../jobTrial";
-import { FAULTS, JobFault, JobTrialPlan, READ_FAULTS } from "../jobTrialPlan";
+import { FAULTS, JobFault, JobTrialPlan, PlannedFault, READ_FAULTS } from "../jobTrialPlan";
 import { JobRule } from "../jobRuleChecker";
 
 const PLAN: Omit<JobTrialPlan, "seed"> = { lengthMs: 20_000, instances: 3, workers: 6, faultEveryMs: 1_200 };
@@ -174,6 +177,7 @@
 for (const [seed, deadlyRatio] of [
     [802, 0],
     [707, 0.08],
+    [710, 0.08],
 ]) {
     test.serial(`suspected tasks do not wait for long after many crashes, seed ${seed}`, t => {
         const result = JobTrial.run({ ...PLAN, seed, faults: ["worker-crash"], faultEveryMs: 600, deadlyRatio });
@@ -220,6 +224,97 @@
     }
 }
 
+/** Lease of the trials in which workers are lost, in ms: the longest of a deployment. */
+const LONGEST_LEASE_MS = 10_000;
+
+/** Time after which service discovery removes a lost worker, in ms: three heartbeats. By then the leader knows the loss. */
+const DEREGISTERED_AFTER_MS = 4_500;
+
+/**
+ * Bound for the time that a task that lasts is without a run after its worker was lost, in ms: the lease, by the worker's
+ * clock, which may be 2% slow, and the time after which a lost worker is deregistered.
+ */
+const MAX_GAP_MS = LONGEST_LEASE_MS * 1.02 + DEREGISTERED_AFTER_MS;
+
+/** Time (ms) at which the worker is lost. */
+const LOST_AT_MS = 10_000;
+const KNOWN_AT_MS = LOST_AT_MS + DEREGISTERED_AFTER_MS;
+
+const LEADER_FAULTS = ["kill-leader", "freeze-leader", "stop-leader"] as const;
+
+/** Changes of the leader after the worker was lost, before its lease has expired. */
+const LEADER_CHANGES: readonly { name: string; faults: readonly (readonly [number, PlannedFault])[] }[] = [
+    ...LEADER_FAULTS.map(fault => ({ name: fault, faults: [[KNOWN_AT_MS, fault]] as const })),
+    ...LEADER_FAULTS.map(fault => ({
+        name: `${fault} twice`,
+        faults: [
+            [KNOWN_AT_MS, fault],
+            [KNOWN_AT_MS + 4_500, fault],
+        ] as const,
+    })),
+    {
+        name: "each in turn",
+        faults: [
+            [KNOWN_AT_MS, "stop-leader"],
+            [KNOWN_AT_MS + 2_500, "kill-leader"],
+            [KNOWN_AT_MS + 5_000, "freeze-leader"],
+        ],
+    },
+];
+
+// Each new leader waited for its predecessor's right to extend leases and a whole lease, 18 s more.
+for (const { name, faults } of LEADER_CHANGES) {
+    test.serial(`tasks of a lost worker that last run again when its lease ends, leader changes: ${name}`, t => {
+        for (const seed of [1, 2, 3, 4]) {
+            const result = JobTrial.run({
+                ...PLAN,
+                seed,
+                faultEveryMs: 0,
+                lasting: { count: 4, maxGapMs: MAX_GAP_MS, isAlone: true },
+                longestLeaseMs: LONGEST_LEASE_MS,
+                plannedFaults: [[LOST_AT_MS, "lose-worker"], ...faults],
+            });
+            t.is(result.leaders, 1 + faults.length);
+            t.true(result.starts > 12);
+            t.deepEqual(result.breaches, []);
+        }
+    });
+}
+
+/** Bound if the leader changes before it can know the loss: its right to extend leases has to end, too. */
+const MAX_UNKNOWN_GAP_MS = RENEWAL_WINDOW_MS + MAX_GAP_MS;
+
+test.serial("tasks of a lost worker that last do not wait anew with each change of the leader", t => {
+    for (const seed of [1, 2, 3, 4]) {
+        const killsAt = [200, 5_000, 9_500, 14_000, 18_000];
+        const kills = killsAt.map(ms => [LOST_AT_MS + ms, "kill-leader"] as const);
+        const result = JobTrial.run({
+            ...PLAN,
+            seed,
+            faultEveryMs: 0,
+            lasting: { count: 4, maxGapMs: MAX_UNKNOWN_GAP_MS, isAlone: true },
+            longestLeaseMs: LONGEST_LEASE_MS,
+            plannedFaults: [[LOST_AT_MS, "lose-worker"], ...kills],
+        });
+        t.is(result.leaders, 1 + kills.length);
+        t.deepEqual(result.breaches, []);
+    }
+});
+
+// The leases of tasks that last are extended, given up and taken over for as long as the trial takes.
+for (const seed of [901, 902, 903, 904, 905, 906]) {
+    test.serial(`no task that lasts runs twice under all faults, seed ${seed}`, t => {
+        const plan = {
+            ...PLAN,
+            lengthMs: LONG_TRIAL_MS,
+            longestLeaseMs: seed % 2 === 0 ? undefined : LONGEST_LEASE_MS,
+        };
+        const result = JobTrial.run({ ...plan, seed, faultEveryMs: 2_500, lasting: { count: 4 } });
+        t.true(result.starts > 0);
+        t.deepEqual(result.breaches, []);
+    });
+}
+
 test.serial("the same seed gives the same trial", t => {
     const [one, two] = [1, 2].map(() => JobTrial.run({ ...PLAN, seed: 5 }));
     t.deepEqual(one, two);
@@ -305,3 +400,14 @@
     const plan = { cancelRatio: CANCEL_RATIO, faultEveryMs: 0 };
     expectViolation(t, ["unasked"], Scheduler.prototype, "stopRuns", () => undefined, plan);
 });
+
+test.serial("a lease that is extended although a record says that it is not lets a task that lasts run twice", t => {
+    replaceMethod(t, WorkerContact.prototype, "extendLeaseTo", function (this: WorkerContact, reading?: number) {
+        const contact = this as unknown as { leaseUntil: number };
+        contact.leaseUntil = Math.max(contact.leaseUntil, reading ?? 0);
+        return reading;
+    });
+    const plan = { lasting: { count: 4 }, faults: ["worker-cut", "kill"] as const, longestLeaseMs: LONGEST_LEASE_MS };
+    // The records remain, as if their deletions were not awaited.
+    expectViolation(t, ["single-run"], WorkerLease.prototype, "release", () => undefined, plan);
+});
--- a/src/proof/node/trialWorkers.ts
+++ b/src/proof/node/trialWorkers.ts
@@ -91,6 +91,12 @@
         this.deregisterLater(removed.entry.id);
     }
 
+    /** Removes the worker with the most runs permanently. */
+    removeBusiest(): void {
+        const counts = this.workers.map(each => each.listRuns(this.now).length);
+        this.remove(counts.indexOf(Math.max(...counts)));
+    }
+
     /** Cuts a worker off from the network. @param index Number of the worker. @param durationMs Duration in ms. */
     cut(index: number, durationMs: number): void {
         this.cutUntil.set(this.workers[index].entry.id, this.now + durationMs);
@@ -201,6 +207,10 @@
     }
 
     private execute(worker: LeasedWorker, effect: WorkerEffect): OrderOutcome {
+        if (this.context.plan.lasting !== undefined) {
+            // A worker that is cut off ends its runs when its lease expires, although nobody asks for them.
+            this.workers.forEach(each => each.endDueRuns(this.now));
+        }
         const outcome = executeOrder(worker, effect, this.now);
         if (effect.kind === "start" && outcome === "done" && this.context.checker.isDeadly(effect.order.task)) {
             const { task, run } = effect.order;
@@ -271,12 +281,17 @@
         const entry = createWorkerEntry(index, id, startedAt, address);
         const rate = 1 - (this.context.plan.seed % 2 === 0 ? 0 : 0.02);
         const planRun: RunPlanner = (task, run) => this.planRun(task, run);
-        this.workers[index] = LeasedWorker.create(entry, startedAt, rate, planRun, this.context.checker);
+        const { checker, plan } = this.context;
+        const { longestLeaseMs } = plan;
+        this.workers[index] = LeasedWorker.create(entry, startedAt, rate, planRun, checker, longestLeaseMs);
         this.sendHeartbeat(this.workers[index], index);
     }
 
     /** A deadly task is still at work when it crashes its worker. */
     private planRun(task: string, run: number): ReturnType<RunPlanner> {
+        if (this.context.checker.lastingTasks.has(task)) {
+            return { ms: Number.POSITIVE_INFINITY, end: "done" };
+        }
         const { ms, end } = runPlannerOf(this.context.plan)(task, run);
         const isDeadly = this.context.checker.isDeadly(task);
         return { ms: isDeadly ? Math.max(ms, 2 * this.crashDelayMs) : ms, end };
--- a/src/records/common/leaderRecord.ts
+++ b/src/records/common/leaderRecord.ts
@@ -10,6 +10,11 @@
     readonly cores: number;
     /** Whether the leader gives up leadership. */
     readonly resigned?: boolean;
+    /**
+     * Epoch since which all leaders extend leases by the age of their latest renewal, and not while a record says that they
+     * do not. Earlier versions do neither and leave it out.
+     */
+    readonly leasesSince?: number;
 }
 
 /** @param value Value of a stored record. @returns The leader's record, or `undefined` if the value is malformed. */
@@ -17,7 +22,8 @@
     try {
         const record = JSON.parse(value) as LeaderRecord;
         const isLeader = Number.isSafeInteger(record.epoch) && typeof record.instance === "string";
-        return isLeader ? { ...record, cores: record.cores ?? 0 } : undefined;
+        const leasesSince = Number.isSafeInteger(record.leasesSince) ? record.leasesSince : undefined;
+        return isLeader ? { ...record, cores: record.cores ?? 0, leasesSince } : undefined;
     } catch {
         return undefined;
     }
--- a/src/records/common/leadership.ts
+++ b/src/records/common/leadership.ts
@@ -75,6 +75,8 @@
     private readonly didStepDown = Emitter.create<number>();
     private latestRecord: LeaderRecord | undefined;
     private leaderLastSeenAt: number | undefined;
+    /** Time (ms) at which the latest record of a leader was read. */
+    private renewalReadAt: number | undefined;
     /** Time (ms) at which the current leader's first record was read. */
     private leaderFirstSeenAt: number | undefined;
     private lastReadAt: number | undefined;
@@ -88,6 +90,20 @@
     private nextClaimAt = 0;
     private nextRenewalAt = 0;
     private suspendedAt: number | undefined;
+    /** Time (ms) at which the first claim of the claimed epoch was sent. */
+    private claimedAt = 0;
+    /** Time (ms) by which the latest renewal of the leader before the latest known one was stored. */
+    private previousRenewedBy: number | undefined;
+    /** Whether that leader extends leases by the age of its renewals. */
+    private isPreviousBoundByRenewals = false;
+
+    /**
+     * Time (ms) at which the leader's latest confirmed renewal was sent, or the claim if there is none. A successor has read
+     * it before it leads, and knows from then on how long leases may still be extended.
+     */
+    renewedAt: number | undefined;
+    /** Epoch since which all leaders have kept to the records of leases, if this instance leads. */
+    leasesSince = 0;
 
     /** Writer of the leader's records; `undefined` unless this instance leads. */
     writer: RecordWriter | undefined;
@@ -150,6 +166,14 @@
         return this.follower.isLoaded && this.follower.nextOffset > this.claimOffset;
     }
 
+    /**
+     * Time (ms) by which the latest renewal of the former leader was certainly stored, or `undefined` if there is no former
+     * leader or it is of a version that extends leases after any append.
+     */
+    get formerRenewedBy(): number | undefined {
+        return this.isPreviousBoundByRenewals ? this.previousRenewedBy : undefined;
+    }
+
     /** Whether no resignation is waiting to be stored. */
     get isResignationStored(): boolean {
         return this.machine.state !== "resigning" || this.writer?.isFlushed !== false;
@@ -157,7 +181,7 @@
 
     /**
      * Whether orders may be sent. After a suspension of the process, the store must confirm the epoch again.
-     * @returns Whether this instance leads, has not resigned, and was not suspended since its latest confirmed append.
+     * @returns Whether this instance leads, has not resigned, and was not suspended since its latest confirmed renewal.
      */
     canSendOrders(): boolean {
         return this.machine.state === "leading" && this.canExtendLeases();
@@ -165,12 +189,11 @@
 
     /**
      * Whether leases may be extended. A leader that resigned may extend them until it sees another leader.
-     * @returns Whether no other leader was seen and the process was not suspended since its latest confirmed append.
+     * @returns Whether no other leader was seen and the process was not suspended since its latest confirmed renewal.
      */
     canExtendLeases(): boolean {
         return (
-            this.writer !== undefined &&
-            (this.suspendedAt === undefined || (this.writer.confirmedAt ?? 0) > this.suspendedAt)
+            this.writer !== undefined && (this.suspendedAt === undefined || (this.renewedAt ?? 0) > this.suspendedAt)
         );
     }
 
@@ -180,12 +203,22 @@
         this.nextRenewalAt = now;
     }
 
-    /** Applies a record read under the leader's key. @param now Time in ms. */
-    apply(record: StoredRecord, now: number): void {
+    /**
+     * Applies a record read under the leader's key.
+     * @param record The record.
+     * @param now Time in ms.
+     * @param isFollowed Whether every record before it was read, too; not for a record that is read during a load.
+     */
+    apply(record: StoredRecord, now: number, isFollowed = false): void {
         const latest = record.value === undefined ? undefined : decodeLeader(record.value);
         if (latest === undefined || latest.epoch < this.epoch) {
             return;
         }
+        if (latest.epoch > this.epoch) {
+            this.previousRenewedBy = isFollowed ? (this.renewalReadAt ?? now) : now;
+            this.isPreviousBoundByRenewals = this.latestRecord?.leasesSince !== undefined;
+        }
+        this.renewalReadAt = now;
         this.leaderFirstSeenAt = latest.epoch === this.epoch ? this.leaderFirstSeenAt : now;
         this.latestRecord = latest;
         this.leaderLastSeenAt = now;
@@ -283,7 +316,11 @@
     }
 
     private sendClaim(now: number): void {
+        if (this.claimedEpoch !== this.epoch + 1) {
+            this.claimedAt = now;
+        }
         this.claimedEpoch = this.epoch + 1;
+        this.leasesSince = this.latestRecord?.leasesSince ?? this.claimedEpoch;
         this.nextClaimAt = now + MIN_CLAIM_INTERVAL_MS;
         this.effects.emit({
             kind: "append",
@@ -304,9 +341,9 @@
         const name = leaderWriterName(this.claimedEpoch);
         this.writer = RecordWriter.create(name, stream, producer, this.effects, this.candidate.nonce);
         this.ledEpoch = this.claimedEpoch;
-        this.writer.confirmedAt = now;
+        // The claim may be read late: a successor may count from the time at which it was stored.
+        this.renewedAt = this.claimedAt;
         this.claimOffset = this.latestOffset;
-        this.suspendedAt = undefined;
         this.nextRenewalAt = now + RENEWAL_INTERVAL_MS;
         this.didBecomeLeader.fire(this.writer);
     }
@@ -317,12 +354,14 @@
     }
 
     private writeRecord(resigned: boolean): void {
-        this.writer!.write(LEADER_KEY, () => this.encodeRecord(resigned));
+        const onStored = (sentAt: number) => (this.renewedAt = sentAt);
+        this.writer!.write(LEADER_KEY, () => this.encodeRecord(resigned), onStored);
     }
 
     private encodeRecord(resigned: boolean): string {
         const { instance, cores } = this.candidate;
-        const record: LeaderRecord = { epoch: this.claimedEpoch, instance, cores };
+        const { leasesSince } = this;
+        const record: LeaderRecord = { epoch: this.claimedEpoch, instance, cores, leasesSince };
         return JSON.stringify(resigned ? { ...record, resigned } : record);
     }
 }
--- a/src/records/common/recordWriter.ts
+++ b/src/records/common/recordWriter.ts
@@ -52,8 +52,6 @@
     private retryAt = 0;
     private batchSentAt = 0;
 
-    /** Time (ms) at which the latest confirmed append was sent, or `undefined` before the first. */
-    confirmedAt: number | undefined;
     /** Time (ms) of the first failure since the latest confirmed append. */
     firstFailedAt: number | undefined;
 
@@ -68,7 +66,7 @@
             actions: {
                 send: now => this.send(now),
                 resend: () => this.emitAppend(),
-                confirmBatch: now => this.confirmBatch(now),
+                confirmBatch: () => this.confirmBatch(),
                 requeue: () => this.requeue(),
                 backOff: now => this.backOff(now),
             },
@@ -173,11 +171,10 @@
         this.effects.emit({ kind: "append", writer: this.name, stream: this.stream, append: this.append! });
     }
 
-    private confirmBatch(_now: number): void {
+    private confirmBatch(): void {
         const { batch } = this;
         this.batch = [];
         this.append = undefined;
-        this.confirmedAt = this.batchSentAt;
         this.firstFailedAt = undefined;
         this.backoffMs = MIN_RETRY_BACKOFF_MS;
         batch.forEach(each => each.onStored.forEach(listener => listener(this.batchSentAt)));
--- a/src/records/common/test/leadership.test.ts
+++ b/src/records/common/test/leadership.test.ts
@@ -10,9 +10,10 @@
 class LeaderReceiver extends RecordReceiver {
     leadership: Leadership | undefined;
     now = 0;
+    isFollowed = true;
 
     override apply(record: Parameters<RecordReceiver["apply"]>[0]): void {
-        this.leadership!.apply(record, this.now);
+        this.leadership!.apply(record, this.now, this.isFollowed);
     }
 
     override retainKeys(): void {}
@@ -52,7 +53,9 @@
     /** Answers the read of a page of newest records. */
     const load = (now: number, page: NewestPage) => {
         receiver.now = now;
+        receiver.isFollowed = false;
         follower.handleAnswer({ kind: "newest-answer", stream: "jobs", sentAt: now, result: Ok(page) });
+        receiver.isFollowed = true;
         outbox.drain();
     };
     return { leadership, read, claim, renew, load };
@@ -210,3 +213,88 @@
     read(1_600);
     t.false(leadership.isLeading);
 });
+
+/** @returns Record of a leader b. */
+function renewal(epoch: number, leasesSince?: number): string {
+    return JSON.stringify({ epoch, instance: "b", cores: 1, leasesSince });
+}
+
+test("a new leader knows by when its predecessor's latest renewal was stored", t => {
+    const log = KeyedLog.create();
+    const { leadership, read, claim } = createInstance(log, "a", 10);
+    log.store("leader", renewal(3, 2));
+    read(1_000);
+    claim(1_000);
+    log.store("leader", renewal(3, 2));
+    read(1_300);
+    claim(1_300);
+    read(2_200);
+    claim(2_200);
+    read(2_800);
+    const [effect] = claim(2_800);
+    log.append(effect.append);
+    read(3_200);
+    t.true(leadership.isLeading);
+    t.is(leadership.formerRenewedBy, 1_300);
+    t.is(leadership.leasesSince, 2);
+});
+
+test("a claim that is read during a load shows only that earlier renewals were stored before it was read", t => {
+    const log = KeyedLog.create();
+    log.store("leader", renewal(3, 2));
+    const { leadership, read, claim, load } = createInstance(log, "a", 10);
+    read(1_000);
+    claim(1_000);
+    read(1_900);
+    const [effect] = claim(1_900);
+    log.store("leader", renewal(3, 2));
+    log.append(effect.append);
+    log.expire();
+    read(2_000);
+    load(2_100, log.newest(undefined).unwrap());
+    t.true(leadership.isLeading);
+    t.is(leadership.formerRenewedBy, 2_100);
+});
+
+test("records of leases do not count from before a leader of an earlier version", t => {
+    const log = KeyedLog.create();
+    log.store("leader", renewal(3));
+    const { leadership, read, claim } = createInstance(log, "a", 10);
+    read(1_000);
+    claim(1_000);
+    read(1_900);
+    const [effect] = claim(1_900);
+    log.append(effect.append);
+    read(2_000);
+    t.true(leadership.isLeading);
+    t.is(leadership.formerRenewedBy, undefined);
+    t.is(leadership.leasesSince, 4);
+});
+
+// The leader counted from the time at which it read its claim, but a successor may count from when it was stored.
+test("a leader that reads its claim late extends leases by the age of the claim", t => {
+    const log = KeyedLog.create();
+    const { leadership, read, claim } = createInstance(log, "a", 10);
+    read(1_000);
+    log.append(claim(1_000)[0].append);
+    read(6_000);
+    t.true(leadership.isLeading);
+    t.is(leadership.renewedAt, 1_000);
+});
+
+// A suspension between claim and reading was forgotten when the claim was read.
+test("after a suspension a claim gives no right to extend leases until a renewal is stored", t => {
+    const log = KeyedLog.create();
+    const { leadership, read, claim, renew } = createInstance(log, "a", 10);
+    read(1_000);
+    log.append(claim(1_000)[0].append);
+    leadership.handleSuspension(1_050);
+    read(1_100);
+    t.true(leadership.isLeading);
+    t.false(leadership.canExtendLeases());
+    const [{ writer, append }] = renew(1_500);
+    const result = log.append(append);
+    leadership.handleAppendAnswer({ kind: "append-answer", writer, sequence: append.sequence, result }, 1_510);
+    t.true(leadership.canExtendLeases());
+    t.is(leadership.renewedAt, 1_500);
+});
--- a/src/standin/common/leasedWorker.ts
+++ b/src/standin/common/leasedWorker.ts
@@ -10,8 +10,8 @@
     StopOrder,
 } from "../../dispatch/common/workerMessages";
 
-/** Maximum lease duration, in ms of the worker's clock. */
-const MAX_LEASE_MS = 6_000;
+/** Longest lease that a worker accepts if nothing else is stated, in ms of its clock. */
+const DEFAULT_LONGEST_LEASE_MS = 6_000;
 
 /** Time from a stop order to the end of the run, in ms. */
 const STOP_DELAY_MS = 150;
@@ -51,6 +51,7 @@
         private readonly clockRate: number,
         private readonly planRun: RunPlanner,
         private readonly observer: LeasedWorkerObserver,
+        private readonly longestLeaseMs: number,
     ) {}
 
     /**
@@ -59,6 +60,7 @@
      * @param clockRate Speed of the worker's clock relative to real time; a clock may be 2% slow.
      * @param planRun Decides the duration and the end of each run.
      * @param observer Called for each start and end of a run.
+     * @param longestLeaseMs Longest lease that it accepts, in ms of its clock.
      * @returns An idle worker.
      */
     static create(
@@ -67,8 +69,9 @@
         clockRate: number,
         planRun: RunPlanner,
         observer: LeasedWorkerObserver,
+        longestLeaseMs = DEFAULT_LONGEST_LEASE_MS,
     ): LeasedWorker {
-        return new LeasedWorker(entry, startedAt, clockRate, planRun, observer);
+        return new LeasedWorker(entry, startedAt, clockRate, planRun, observer, longestLeaseMs);
     }
 
     /** The worker's entry in service discovery, as its next heartbeat shows it. */
@@ -179,13 +182,13 @@
             task: run.task,
             run: run.run,
             checkpoint: "",
-            percent: Math.min(99, Math.floor((100 * (now - run.startedAt)) / Math.max(1, run.endsAt - run.startedAt))),
+            percent: percentOf(run, now),
             latencyOrUsage: 0,
         }));
     }
 
     private extendLease(until: number, now: number): void {
-        this.leaseUntil = Math.max(this.leaseUntil, Math.min(until, this.clock(now) + MAX_LEASE_MS));
+        this.leaseUntil = Math.max(this.leaseUntil, Math.min(until, this.clock(now) + this.longestLeaseMs));
     }
 
     private acceptEpoch(epoch: number): boolean {
@@ -201,3 +204,10 @@
         this.observer.onEnd(this, run.task, run.run, end);
     }
 }
+
+/** @returns Progress of a run, in percent; 100 for one that lasts. */
+function percentOf({ startedAt, endsAt }: ActiveRun, now: number): number {
+    return endsAt === Number.POSITIVE_INFINITY
+        ? 100
+        : Math.min(99, Math.floor((100 * (now - startedAt)) / Math.max(1, endsAt - startedAt)));
+}
