--- a/src/dispatch/common/latencyModel.ts
+++ b/src/dispatch/common/latencyModel.ts
@@ -17,6 +17,18 @@
 /** Growth of a pair's variance with each report, since interference changes over time. */
 const DRIFT_VARIANCE = 0.0001;
 
+/** Time without a report on a pair after which its estimate ages, in ms. */
+const MIN_REPORT_GAP_MS = 2_000;
+
+/** Time constant with which an estimate that ages returns to that of an unknown pair, in ms. */
+const AGING_TIME_MS = 30_000;
+
+/** Interval between two steps of aging, in ms. */
+const AGING_INTERVAL_MS = 500;
+
+/** Share of a worker's CPU that a run must use for its neighbors' reports to say anything about its interference. */
+const MIN_INFORMATIVE_SHARE = 0.002;
+
 /** Standard deviations that are added to the estimated interference when a run is placed. */
 const CAUTION_DEVIATIONS = 0.5;
 
@@ -49,6 +61,8 @@
     /** Loss of headroom when the neighbor uses all CPU of the worker. */
     interference: number;
     variance: number;
+    /** Time (ms) of the latest report that changed the estimate, or `undefined` if this leader has seen none. */
+    updatedAt?: number;
 }
 
 /** Headroom of the tasks of a latency-critical job without interference. */
@@ -85,6 +99,9 @@
     private readonly pairs = new Map<string | undefined, Map<string | undefined, PairInterference>>();
     private readonly baselines = new Map<string, JobBaseline>();
     private readonly updatedAt = new WeakMap<Run, number>();
+    /** Time (ms) of the first report: estimates of an earlier leader are at least this old. */
+    private startedAt: number | undefined;
+    private agedAt = Number.NEGATIVE_INFINITY;
 
     private constructor() {}
 
@@ -111,6 +128,7 @@
 
     /** Updates the estimates from the latest reports. @param worker Worker of the runs. @param now Time in ms. */
     update(worker: WorkerContact, now: number): void {
+        this.ageEstimates(now);
         for (const run of worker.runs.values()) {
             const observed = headroomOf(run);
             if (observed !== undefined && now - (this.updatedAt.get(run) ?? 0) >= REPORT_WINDOW_MS) {
@@ -136,6 +154,12 @@
         return (interference + CAUTION_DEVIATIONS * Math.sqrt(variance)) * share;
     }
 
+    /** @returns Time since the latest report on a pair, in ms, or `undefined` if this leader has seen none. */
+    estimateAgeMs(image: string | undefined, neighborImage: string | undefined, now: number): number | undefined {
+        const { updatedAt } = this.pair(image, neighborImage);
+        return updatedAt === undefined ? undefined : now - updatedAt;
+    }
+
     /** @returns Loss of headroom of a latency-critical run due to all best-effort runs on its worker. */
     totalInterference(affected: Run, worker: WorkerContact, shareOf: (run: Run) => number): number {
         let sum = 0;
@@ -165,12 +189,32 @@
                 const gain = (pair.variance * share) / variance;
                 pair.interference = Math.max(0, pair.interference + gain * residual);
                 pair.variance = pair.variance * (1 - gain * share) + DRIFT_VARIANCE;
+                pair.updatedAt = share >= MIN_INFORMATIVE_SHARE ? now : pair.updatedAt;
             }
         }
         const interference = neighbors.reduce((sum, each) => sum + each.pair.interference * each.share, 0);
         this.updateBaseline(affected, observed + interference, reportVariance / variance, now);
     }
 
+    /** Estimates that no report confirms return to that of an unknown pair: one that forbids all placements gets no reports. */
+    private ageEstimates(now: number): void {
+        this.startedAt ??= now;
+        const elapsedMs = now - this.agedAt;
+        if (elapsedMs < AGING_INTERVAL_MS) {
+            return;
+        }
+        this.agedAt = now;
+        const ratio = 1 - Math.exp(-Math.min(elapsedMs, AGING_TIME_MS) / AGING_TIME_MS);
+        for (const pairs of this.pairs.values()) {
+            for (const pair of pairs.values()) {
+                if (now - (pair.updatedAt ?? this.startedAt) >= MIN_REPORT_GAP_MS) {
+                    pair.interference += (PRIOR_INTERFERENCE - pair.interference) * ratio;
+                    pair.variance += (PRIOR_VARIANCE - pair.variance) * ratio;
+                }
+            }
+        }
+    }
+
     /** @param certainty Share of the variance (0 to 1) that is due to the report and not to uncertain interference. */
     private updateBaseline(affected: Run, headroom: number, certainty: number, now: number): void {
         const { id } = affected.task.job.spec;
--- a/src/dispatch/common/leaseBook.ts
+++ b/src/dispatch/common/leaseBook.ts
@@ -34,7 +34,8 @@
     private constructor(
         { leases, limits, leadership }: LeaseContext,
         private readonly writer: LeaseWriter,
-        epochStartedAt: number,
+        /** Time (ms) at which the epoch began. */
+        readonly epochStartedAt: number,
     ) {
         this.authority = leadership;
         const renewedBy = leadership.formerRenewedBy ?? epochStartedAt;
--- /dev/null
+++ b/src/dispatch/common/queueHost.ts
@@ -0,0 +1,23 @@
+import { Run } from "./run";
+import { Task } from "./task";
+import { WorkerContact } from "./workerContact";
+
+/** Carries out what a step queue decides. */
+export abstract class QueueHost {
+    /**
+     * Assigns a task to a worker.
+     * @param task The task.
+     * @param worker The worker.
+     * @param speedPercent Speed at which it may run there, in percent of full speed.
+     * @param now Time in ms.
+     * @returns Its run.
+     */
+    abstract assign(task: Task, worker: WorkerContact, speedPercent: number, now: number): Run;
+
+    /**
+     * Stops a run that is throttled, so that its task starts again on a worker on which it runs faster.
+     * @param run The run.
+     * @param now Time in ms.
+     */
+    abstract move(run: Run, now: number): void;
+}
--- a/src/dispatch/common/waitReporter.ts
+++ b/src/dispatch/common/waitReporter.ts
@@ -1,5 +1,5 @@
 import { Emitter } from "../../base/common/emitter";
-import { ActiveJob, TaskGroup } from "./activeJob";
+import { TaskGroup } from "./activeJob";
 import { Obstacle, Placer } from "./placer";
 import { Task } from "./task";
 
@@ -13,15 +13,17 @@
 const REVIEW_INTERVAL_MS = 500;
 
 /** Limit of the reports of one review, since each visits all workers. */
-const MAX_REPORTS_PER_REVIEW = 4;
+const MAX_REPORTS_PER_REVIEW = 16;
 
-/** Why a job waits: the number of usable workers by what keeps them from running its next task. */
+/** Why a job waits: the number of usable workers by what keeps them from running its next task at full speed. */
 export interface WaitReport extends Readonly<Record<Obstacle, number>> {
     readonly task: string;
     /** Time for which the step has waited, in ms. */
     readonly waitedMs: number;
     /** Usable workers of all services that accept other tasks. */
     readonly workers: number;
+    /** Age of the oldest estimate of interference that is in the way, in ms, if one with reports is. */
+    readonly oldestEstimateMs: number | undefined;
 }
 
 /** Tasks of one step that wait. */
@@ -29,11 +31,12 @@
     readonly group: TaskGroup;
     readonly tasks: readonly Task[];
     readonly service: string;
+    /** Time for which it has waited without any run of its job, in ms. */
+    readonly waitedMs: number;
 }
 
 /** Reports the jobs that have nothing running although a step is ready, with the reasons. */
 export class WaitReporter {
-    private readonly waitingSince = new WeakMap<TaskGroup, number>();
     private readonly reportedAt = new WeakMap<TaskGroup, number>();
     private nextReviewAt = 0;
     private readonly didWait = Emitter.create<WaitReport>();
@@ -59,31 +62,23 @@
         }
         this.nextReviewAt = now + REVIEW_INTERVAL_MS;
         let reports = 0;
-        for (const { group, tasks, service } of waiting) {
+        for (const { group, tasks, service, waitedMs } of waiting) {
             const [task] = tasks;
-            if (hasRun(task.job)) {
-                this.waitingSince.set(group, now);
-                continue;
-            }
-            const since = this.waitingSince.get(group) ?? now;
-            this.waitingSince.set(group, since);
             const isDue = now - (this.reportedAt.get(group) ?? -Infinity) >= REPORT_INTERVAL_MS;
-            if (now - since >= MIN_WAIT_MS && isDue && reports < MAX_REPORTS_PER_REVIEW) {
+            if (waitedMs >= MIN_WAIT_MS && isDue && reports < MAX_REPORTS_PER_REVIEW && !task.job.hasRun) {
                 reports += 1;
                 this.reportedAt.set(group, now);
                 const obstacles = placer.countObstacles(task, service);
                 const { workerCount: workers } = placer;
-                this.didWait.fire({ task: task.name, waitedMs: Math.round(now - since), workers, ...obstacles });
+                const oldestEstimateMs = placer.oldestEstimateMs(task, service, now);
+                this.didWait.fire({
+                    task: task.name,
+                    waitedMs: Math.round(waitedMs),
+                    workers,
+                    oldestEstimateMs,
+                    ...obstacles,
+                });
             }
         }
     }
 }
-
-function hasRun(job: ActiveJob): boolean {
-    for (const task of job.tasks()) {
-        if (task.run !== undefined) {
-            return true;
-        }
-    }
-    return false;
-}
--- a/src/dispatch/common/workerPool.ts
+++ b/src/dispatch/common/workerPool.ts
@@ -120,6 +120,11 @@
         return this.contacts.size;
     }
 
+    /** Number of workers with runs. */
+    get busyCount(): number {
+        return [...this.contacts.values()].filter(worker => worker.runs.size > 0).length;
+    }
+
     /** @returns How many more starts may be in flight. */
     remainingStarts(): number {
         let count = Math.max(MIN_STARTS_IN_FLIGHT, this.contacts.size);
@@ -142,9 +147,12 @@
         const known = this.contacts.get(entry.id);
         if (known !== undefined) {
             known.updateEntry(reading, now);
+            if (!known.isOfListedIncarnation) {
+                this.requestListSoon(known, now);
+            }
             return;
         }
-        const contact = WorkerContact.create(entry, this.leases.find(entry.id), this.limits.longestLeaseMs);
+        const contact = WorkerContact.create(entry, this.leases.find(entry.id), this.limits.longestLeaseMs, now);
         contact.entryWrittenAfter = writtenAfter;
         this.contacts.set(entry.id, contact);
     }
@@ -168,7 +176,9 @@
             return known;
         }
         const entry = deregisteredEntry(record);
-        const contact = WorkerContact.create(entry, this.leases.find(entry.id), this.limits.longestLeaseMs);
+        const { leases, limits } = this;
+        const lease = leases.find(entry.id);
+        const contact = WorkerContact.create(entry, lease, limits.longestLeaseMs, leases.epochStartedAt);
         contact.isRegistered = false;
         this.contacts.set(record.worker, contact);
         return contact;
@@ -232,7 +242,7 @@
             return;
         }
         const { incarnation, running, ended } = event.list;
-        if (incarnation !== undefined && !this.updateIncarnation(worker, incarnation, now)) {
+        if (incarnation !== undefined && !this.updateIncarnation(worker, incarnation, event.sentAt, now)) {
             worker.nextListAt = now + LIST_RETRY_INTERVAL_MS;
             return;
         }
@@ -265,12 +275,13 @@
         worker.nextListAt = now + listIntervalMs(worker);
     }
 
-    private updateIncarnation(worker: WorkerContact, incarnation: number, now: number): boolean {
+    private updateIncarnation(worker: WorkerContact, incarnation: number, sentAt: number, now: number): boolean {
         const previous = worker.incarnation;
         // An earlier leader may have started runs on a former incarnation that this one never saw.
         const lost = [...worker.runs.values()].filter(run => run.record.incarnation < incarnation);
+        lost.forEach(run => run.updateIncarnation(incarnation));
         this.reportLoss(worker, lost, "restarted");
-        const isLatest = worker.updateIncarnation(incarnation, now);
+        const isLatest = worker.updateIncarnation(incarnation, sentAt, now);
         if (previous !== undefined && worker.incarnation !== previous) {
             const data = { worker: worker.entry.id, incarnation, before: previous, runs: worker.runs.size };
             this.effects.emit({ kind: "decision", name: "worker-replaced", data });
--- a/src/proof/node/jobTrialPlan.ts
+++ b/src/proof/node/jobTrialPlan.ts
@@ -5,8 +5,10 @@
 import { Configuration, Queue } from "../../jobs/common/queueTable";
 import { JobDraft } from "../../jobs/common/jobCall";
 import { StepSpec } from "../../jobs/common/jobSpec";
+import { StreamDecoder } from "../../platform/common/streamDecoder";
 import { StoredRecord } from "../../records/common/record";
 import { LeasedWorker, RunPlanner } from "../../standin/common/leasedWorker";
+import { ColocationPlan } from "./colocationPlan";
 import type { JobTrial } from "./jobTrial";
 import { Random } from "./random";
 import { RuleViolation } from "./jobRuleChecker";
@@ -59,7 +61,8 @@
     | "late-orders"
     | "slow-link"
     | "expire"
-    | ReadFault;
+    | ReadFault
+    | SpeedFault;
 
 /**
  * Kinds of faults of the reads of the jobs by one instance: its pages arrive late, as over a link that other pages fill, or
@@ -70,6 +73,9 @@
 /** Kinds of faults of the reads. They are apart from the others, whose list decides the trials of earlier seeds. */
 export const READ_FAULTS: readonly ReadFault[] = ["slow-pages", "stalled-read"];
 
+/** Kinds of faults of the speed: some workers work several times slower, and the tail latencies there rise as much. */
+export type SpeedFault = "worker-slow";
+
 /** Kinds of faults of workers and of the links to them; all instances stay in touch. */
 export const FAULTS_OF_WORKERS: readonly JobFault[] = [
     "worker-crash",
@@ -118,6 +124,8 @@
     readonly faults?: readonly JobFault[];
     /** Mean time between faults, in ms; 0 for a fault-free trial. */
     readonly faultEveryMs: number;
+    /** Time up to which faults are injected, in ms; `lengthMs` if undefined. */
+    readonly faultsUntilMs?: number;
     /** Share of the jobs with a deadly task, from 0 to 1; none if undefined. */
     readonly deadlyRatio?: number;
     /** Time from the start of a deadly task to the crash of its worker, in ms; 10 if undefined. */
@@ -135,6 +143,13 @@
     readonly longestLeaseMs?: number;
     /** Faults at given times in ms. */
     readonly plannedFaults?: readonly (readonly [atMs: number, fault: PlannedFault])[];
+    /** Latency-critical and best-effort jobs instead of the others; none if undefined. */
+    readonly colocation?: ColocationPlan;
+    /**
+     * Mean time between two odd entries of another writer in the stream of workers, in ms; none if undefined. Otherwise, the
+     * entries are those of the platform, with its decoder.
+     */
+    readonly oddEntryEveryMs?: number;
     /** Breaks a mechanism on purpose, to prove that a rule detects it. */
     readonly sabotage?: (trial: JobTrial) => void;
 }
@@ -160,8 +175,28 @@
     readonly trace: readonly string[];
 }
 
+/** Port that the entries of the platform have in a trial, whose addresses are names. */
+const TRIAL_PORT = ":80";
+
+/** @param entry An entry. @returns The entry as workers write it on the platform. */
+export function encodePlatformEntry(entry: WorkerEntry): string {
+    const { service, address, failureDomain, state, capacity, labels, incarnation } = entry;
+    const { cpuMillis, memoryMb, accelerators } = capacity;
+    return JSON.stringify({
+        service,
+        addr: `${address}${TRIAL_PORT}`,
+        zone: failureDomain,
+        state,
+        capacity: { cpu: cpuMillis, memMb: memoryMb, gpu: accelerators },
+        labels,
+        born: incarnation,
+    });
+}
+
 /** Decodes the stored entries of a trial. */
 export class TrialDecoder extends EntryDecoder {
+    private readonly decoder = StreamDecoder.create();
+
     /** @param plan Parameters of the trial. */
     constructor(private readonly plan: JobTrialPlan) {
         super();
@@ -176,6 +211,10 @@
     }
 
     override decodeWorker(record: StoredRecord): WorkerEntry | undefined {
+        if (this.plan.oddEntryEveryMs !== undefined) {
+            const entry = this.decoder.decodeWorker(record);
+            return entry && { ...entry, address: entry.address.slice(0, -TRIAL_PORT.length) };
+        }
         return record.value === undefined ? undefined : (JSON.parse(record.value) as WorkerEntry);
     }
 }
@@ -190,7 +229,7 @@
         case "list":
             return worker.renewLease(effect.order, now);
         case "throttle":
-            return "done";
+            return worker.throttle(effect.order, now);
     }
 }
 
--- a/src/proof/node/test/jobTrial.test.ts
+++ b/src/proof/node/test/jobTrial.test.ts
@@ -1,6 +1,9 @@
 import test, { ExecutionContext } from "ava";
+import { BestEffortPolicy } from "../../../dispatch/common/bestEffortPolicy";
 import { RENEWAL_WINDOW_MS } from "../../../dispatch/common/dispatchLimits";
+import { LatencyModel } from "../../../dispatch/common/latencyModel";
 import { Scheduler } from "../../../dispatch/common/scheduler";
+import { ThrottleController } from "../../../dispatch/common/throttleController";
 import { WorkerContact } from "../../../dispatch/common/workerContact";
 import { WorkerLease } from "../../../dispatch/common/workerLease";
 import { StartOrder } from "../../../dispatch/common/workerMessages";
@@ -315,6 +318,48 @@
     });
 }
 
+/** Latency-critical tasks on all workers, and best-effort jobs beside them. */
+const COLOCATED: Omit<JobTrialPlan, "seed"> = { ...PLAN, lengthMs: 30_000, workers: 8, faultEveryMs: 0 };
+const LIGHT = { heavyRatio: 0, bestEffortEveryMs: 1_000 };
+
+for (const seed of [101, 102]) {
+    test.serial(`best-effort jobs run beside latency-critical tasks that they hardly affect, seed ${seed}`, t => {
+        const result = JobTrial.run({ ...COLOCATED, seed, colocation: LIGHT });
+        t.deepEqual(result.breaches, []);
+        t.true(result.jobs > 15 && result.starts > 2 * result.jobs);
+    });
+}
+
+/** Slow workers early on, then none: what was learnt from them forbade placements for the rest of the trial. */
+const EARLY_SLOW_WORKERS: Partial<JobTrialPlan> = {
+    faults: ["worker-slow"],
+    faultEveryMs: 2_000,
+    faultsUntilMs: 15_000,
+    colocation: { ...LIGHT, bestEffortEveryMs: 700 },
+};
+
+// Jobs had nothing running for 40 s and more after the workers were fast again.
+for (const seed of [100, 108, 134]) {
+    test.serial(`best-effort jobs do not wait for long after workers were slow, seed ${seed}`, t => {
+        t.deepEqual(JobTrial.run({ ...COLOCATED, ...EARLY_SLOW_WORKERS, seed }).breaches, []);
+    });
+}
+
+// Jobs were started only where they could have run at full speed, which was nowhere.
+for (const seed of [1, 2, 3]) {
+    test.serial(`best-effort jobs do not wait for workers on which they could run at full speed, seed ${seed}`, t => {
+        const colocation = { heavyRatio: 1, bestEffortEveryMs: 1_000 };
+        t.deepEqual(JobTrial.run({ ...COLOCATED, seed, colocation }).breaches, []);
+    });
+}
+
+// A worker obeyed two orders of a speed in the wrong order, and never got another one.
+test.serial("best-effort runs that start below full speed do not keep tasks over their targets, seed 1", t => {
+    const colocation = { heavyRatio: 1, bestEffortEveryMs: 150 };
+    const plan = { ...COLOCATED, lengthMs: 40_000, workers: 6, faultEveryMs: 100_000, seed: 1, colocation };
+    t.deepEqual(JobTrial.run(plan).breaches, []);
+});
+
 test.serial("the same seed gives the same trial", t => {
     const [one, two] = [1, 2].map(() => JobTrial.run({ ...PLAN, seed: 5 }));
     t.deepEqual(one, two);
@@ -411,3 +456,36 @@
     // The records remain, as if their deletions were not awaited.
     expectViolation(t, ["single-run"], WorkerLease.prototype, "release", () => undefined, plan);
 });
+
+test.serial(
+    "best-effort tasks that are neither throttled nor moved keep latency-critical ones over their targets",
+    t => {
+        // Each pair of images seems to be light.
+        replaceMethod(t, LatencyModel.prototype, "conservativeInterference", () => 0);
+        const plan = { ...COLOCATED, colocation: { heavyRatio: 1, bestEffortEveryMs: 1_000 } };
+        expectViolation(t, ["target-kept"], ThrottleController.prototype, "review", () => undefined, plan);
+    },
+);
+
+test.serial("jobs whose tasks are never placed wait although there is room", t => {
+    const plan = { ...COLOCATED, colocation: LIGHT };
+    const offer = { cost: 0, speedPercent: 0, limit: "noSpareCpu" as const };
+    expectViolation(t, ["bounded-wait"], BestEffortPolicy.prototype, "assess", () => offer, plan);
+});
+
+/** Faults beside which another writer stores odd entries. */
+const ODD_ENTRY_TRIALS: readonly { name: string; faults: readonly JobFault[]; faultEveryMs: number }[] = [
+    { name: "alone", faults: [], faultEveryMs: 0 },
+    { name: "while instances restart and reload", faults: ["kill", "kill-all", "expire"], faultEveryMs: 2_500 },
+    { name: "while workers restart and leave", faults: ["worker-crash", "worker-gone"], faultEveryMs: 2_500 },
+];
+
+for (const { name, faults, faultEveryMs } of ODD_ENTRY_TRIALS) {
+    test.serial(`every rule holds while another writer stores odd entries of workers, ${name}`, t => {
+        for (const seed of [2701, 2702, 2703]) {
+            const result = JobTrial.run({ ...PLAN, seed, faults, faultEveryMs, oddEntryEveryMs: 300 });
+            t.deepEqual(result.breaches, []);
+            t.true(result.finished > 20);
+        }
+    });
+}
