--- a/src/proof/node/jobSoak.tool.ts
+++ b/src/proof/node/jobSoak.tool.ts
@@ -3,10 +3,11 @@
 
 /**
  * Reads a flag with a whole number. Flags: `--seed FIRST --count N --workers N --length MS --every MS --deadly PERCENT
- * --crash-delay MS --shrink MS --cancel PERCENT --reads --colocate PERCENT --jobs-every MS --slow --faults KINDS --until MS
- * --trace`, where `--deadly` is the share of the jobs with a task that
+ * --crash-delay MS --shrink MS --cancel PERCENT --reads --lasting N --lease MS --colocate PERCENT --jobs-every MS --slow
+ * --faults KINDS --until MS --trace`, where `--deadly` is the share of the jobs with a task that
  * crashes its workers, that long after each start, `--shrink` the mean time between two times at which a worker's capacity
- * shrinks, `--cancel` the share of the jobs that is cancelled, `--reads` adds faults of the reads of the jobs, `--colocate` runs
+ * shrinks, `--cancel` the share of the jobs that is cancelled, `--reads` adds faults of the reads of the jobs, `--lasting` is
+ * the number of jobs that last until the end, `--lease` the longest lease that a worker accepts, `--colocate` runs
  * latency-critical and best-effort jobs of which that share of the pairs of images interferes heavily, `--jobs-every` is the
  * mean time between two best-effort jobs, `--slow` injects slow workers only, `--faults` the kinds that it names,
  * separated by commas, and `--until` is the time up to which faults are injected.
@@ -49,6 +50,8 @@
         crashDelayMs: readNumber("crash-delay", 10),
         shrinkEveryMs: readNumber("shrink", 0) || undefined,
         cancelRatio: readNumber("cancel", 0) / 100,
+        lasting: readNumber("lasting", 0) === 0 ? undefined : { count: readNumber("lasting", 0) },
+        longestLeaseMs: readNumber("lease", 0) || undefined,
         colocation: process.argv.includes("--colocate")
             ? { heavyRatio: readNumber("colocate", 0) / 100, bestEffortEveryMs: readNumber("jobs-every", 1_000) }
             : undefined,
--- /dev/null
+++ b/src/proof/node/trialStore.ts
@@ -0,0 +1,112 @@
+import { Err } from "ts-results";
+import { JobInstanceEvent } from "../../host/common/jobInstanceEvents";
+import { RecordEffect } from "../../records/common/recordEvents";
+import { StreamName } from "../../records/common/recordStore";
+import { KeyedLog } from "../../standin/common/keyedLog";
+import { TrialNode } from "./jobTrialNode";
+import { CALL_TIMEOUTS_MS } from "./jobTrialPlan";
+import { Random } from "./random";
+import { TrialReads } from "./trialReads";
+import { TrialSchedule } from "./trialSchedule";
+
+/** The in-memory store of a trial, and the calls to it. */
+export class TrialStore {
+    readonly streams: Readonly<Record<StreamName, KeyedLog>> = {
+        jobs: KeyedLog.create(),
+        progress: KeyedLog.create(),
+        operator: KeyedLog.create(),
+        workers: KeyedLog.create(),
+    };
+    private downUntil = 0;
+    private lostAnswersUntil = 0;
+
+    private constructor(
+        private readonly random: Random,
+        private readonly timeline: TrialSchedule,
+        private readonly reads: TrialReads,
+    ) {}
+
+    /**
+     * @param random Source of randomness, shared with the rest of the trial.
+     * @param timeline Clock of the trial.
+     * @param reads Delays of the reads of the stream of jobs.
+     * @returns A store without records.
+     */
+    static create(random: Random, timeline: TrialSchedule, reads: TrialReads): TrialStore {
+        return new TrialStore(random, timeline, reads);
+    }
+
+    private get now(): number {
+        return this.timeline.now;
+    }
+
+    /** Makes the store unavailable. @param durationMs Duration in ms. */
+    takeDown(durationMs: number): void {
+        this.downUntil = this.now + durationMs;
+    }
+
+    /** Lets answers to some appends get lost. @param durationMs Duration in ms. */
+    loseAnswers(durationMs: number): void {
+        this.lostAnswersUntil = this.now + durationMs;
+    }
+
+    /** Removes what the store keeps for a limited time only. */
+    expire(): void {
+        Object.values(this.streams).forEach(log => log.expire());
+    }
+
+    /**
+     * Sends a call to the store.
+     * @param node The node that calls.
+     * @param effect The call.
+     * @param post Called once with the answer.
+     */
+    call(node: TrialNode, effect: RecordEffect, post: (event: JobInstanceEvent) => void): void {
+        const sentAt = this.now - node.frozenMs;
+        const log = this.streams[effect.stream];
+        const isJobsRead = effect.kind !== "append" && effect.stream === "jobs";
+        const postAnswer = (event: JobInstanceEvent) =>
+            this.schedule(this.random.between(1, 4) + (isJobsRead ? this.reads.lateMs(node.index) : 0), () =>
+                post(event),
+            );
+        const { stream } = effect;
+        if (effect.kind === "append") {
+            const reply = (result: ReturnType<KeyedLog["append"]>) =>
+                postAnswer({ kind: "append-answer", writer: effect.writer, sequence: effect.append.sequence, result });
+            if (!this.isReachable(node)) {
+                this.schedule(CALL_TIMEOUTS_MS.store, () => reply(Err("unknown")));
+            } else if (this.now < this.lostAnswersUntil && this.random.chance(0.4)) {
+                const delayMs = this.random.chance(0.5) ? 1 : this.random.between(1_000, 5_000);
+                this.schedule(delayMs, () => log.append(effect.append));
+                this.schedule(CALL_TIMEOUTS_MS.store, () => reply(Err("unknown")));
+            } else {
+                this.schedule(this.random.between(1, 4), () => reply(log.append(effect.append)));
+            }
+            return;
+        }
+        const read = (deadline: number) => {
+            const stallMs = isJobsRead ? this.reads.takeStallMs(node.index) : undefined;
+            if (stallMs !== undefined || !this.isReachable(node)) {
+                const unavailable = Err("unavailable" as const);
+                const kind = effect.kind === "read" ? "read-answer" : "newest-answer";
+                const timeoutMs = stallMs ?? CALL_TIMEOUTS_MS.store;
+                this.schedule(timeoutMs, () => postAnswer({ kind, stream, sentAt, result: unavailable }));
+            } else if (effect.kind === "read-newest") {
+                postAnswer({ kind: "newest-answer", stream, sentAt, result: log.newest(effect.after) });
+            } else if (log.end > effect.from || this.now >= deadline || !log.read(effect.from).ok) {
+                postAnswer({ kind: "read-answer", stream, sentAt, result: log.read(effect.from) });
+            } else {
+                this.schedule(3, () => read(deadline));
+            }
+        };
+        this.schedule(effect.delayMs + 2, () => read(this.now + (effect.kind === "read" ? effect.waitMs : 0)));
+    }
+
+    private isReachable(node: TrialNode): boolean {
+        return this.now >= this.downUntil && this.now >= node.storeCutUntil;
+    }
+
+    private schedule(delayMs: number, perform: () => void): void {
+        this.timeline.add(delayMs, perform);
+    }
+}
--- a/src/standin/common/leasedWorker.ts
+++ b/src/standin/common/leasedWorker.ts
@@ -13,8 +13,8 @@
 import { ColocationModel, RunCondition } from "./colocationModel";
 import { IndependentRuns } from "./independentRuns";
 
-/** Maximum lease duration, in ms of the worker's clock. */
-const MAX_LEASE_MS = 6_000;
+/** Longest lease that a worker accepts if nothing else is stated, in ms of its clock. */
+const DEFAULT_LONGEST_LEASE_MS = 6_000;
 
 /** Time from a stop order to the end of the run, in ms. */
 const STOP_DELAY_MS = 150;
@@ -92,6 +92,7 @@
         private readonly planRun: RunPlanner,
         private readonly observer: LeasedWorkerObserver,
         private readonly colocation: ColocationModel,
+        private readonly longestLeaseMs: number,
     ) {}
 
     /**
@@ -101,6 +102,7 @@
      * @param planRun Decides the duration and the end of each run.
      * @param observer Called for each start and end of a run.
      * @param colocation Decides how the runs influence each other.
+     * @param longestLeaseMs Longest lease that it accepts, in ms of its clock.
      * @returns An idle worker.
      */
     static create(
@@ -110,8 +112,9 @@
         planRun: RunPlanner,
         observer: LeasedWorkerObserver,
         colocation: ColocationModel = IndependentRuns.create(),
+        longestLeaseMs = DEFAULT_LONGEST_LEASE_MS,
     ): LeasedWorker {
-        return new LeasedWorker(entry, startedAt, clockRate, planRun, observer, colocation);
+        return new LeasedWorker(entry, startedAt, clockRate, planRun, observer, colocation, longestLeaseMs);
     }
 
     /** The worker's entry in service discovery, as its next heartbeat shows it. */
@@ -288,7 +291,7 @@
     }
 
     private extendLease(until: number, now: number): void {
-        this.leaseUntil = Math.max(this.leaseUntil, Math.min(until, this.clock(now) + MAX_LEASE_MS));
+        this.leaseUntil = Math.max(this.leaseUntil, Math.min(until, this.clock(now) + this.longestLeaseMs));
     }
 
     private acceptEpoch(epoch: number): boolean {
