--- a/src/dispatch/common/test/latencyModel.test.ts
+++ b/src/dispatch/common/test/latencyModel.test.ts
@@ -2,6 +2,8 @@
 import { LatencyModel } from "../latencyModel";
 import { BestEffortPolicy } from "../bestEffortPolicy";
 import { forecastFor } from "../workerForecast";
+import { Run } from "../run";
+import { WorkerContact } from "../workerContact";
 import { createStep, createWorker, place, report, TARGET_MS } from "./runs";
 
 /** Time between two reports, in ms. */
@@ -108,3 +110,74 @@
     const full = 0.125;
     t.true(model.interference("web", "batch", full) < HEAVY_LOSS / 2);
 });
+
+/** Interference of a learned pair, and the CPU (thousandths of a core) that an informative neighbor uses. */
+const LEARNED_INTERFERENCE = 4;
+const INFORMATIVE_MILLIS = 8_000;
+
+/** CPU that is too little for a report to say anything about the interference, in thousandths of a core. */
+const UNINFORMATIVE_MILLIS = 100;
+
+/** Time of the first report, in ms. */
+const FIRST_REPORT_MS = 100_000;
+
+/** A latency-critical task next to a best-effort one; all reports agree with the learned interference. */
+class AgingFixture {
+    readonly model = LatencyModel.create([
+        ["web", "batch", LEARNED_INTERFERENCE, 0.01],
+        ["web", "absent", LEARNED_INTERFERENCE, 0.01],
+    ]);
+    private readonly worker: WorkerContact = createWorker();
+    private readonly latencyCritical: Run = place(this.worker, "a", createStep("web", true));
+    private readonly neighbor: Run = place(this.worker, "b", createStep("batch", false));
+    private now = FIRST_REPORT_MS - REPORT_INTERVAL_MS;
+
+    private constructor() {}
+
+    static create(): AgingFixture {
+        return new AgingFixture();
+    }
+
+    /** Reports up to a time after the first report. @param ms The time in ms. @param usedMillis CPU that the neighbor uses. */
+    reportUntil(ms: number, usedMillis: number): void {
+        while (this.now < FIRST_REPORT_MS + ms) {
+            this.now += REPORT_INTERVAL_MS;
+            const loss = (LEARNED_INTERFERENCE * usedMillis) / this.worker.entry.capacity.cpuMillis;
+            report(this.neighbor, usedMillis, this.now);
+            report(this.latencyCritical, TARGET_MS / (MEAN_HEADROOM - loss), this.now);
+            this.model.update(this.worker, this.now);
+        }
+    }
+
+    /** Estimate and variance of a neighbor image. */
+    estimate(neighborImage: string): { readonly interference: number; readonly variance: number } {
+        const [, , interference, variance] = this.model.rows().find(([, image]) => image === neighborImage)!;
+        return { interference, variance };
+    }
+}
+
+test("an estimate does not age while informative reports confirm it, and ages two seconds after the last of them", t => {
+    const fixture = AgingFixture.create();
+    fixture.reportUntil(20_000, INFORMATIVE_MILLIS);
+    t.is(fixture.estimate("batch").interference, LEARNED_INTERFERENCE);
+    t.true(fixture.estimate("batch").variance < 0.1);
+    fixture.reportUntil(21_500, UNINFORMATIVE_MILLIS);
+    t.is(fixture.estimate("batch").interference, LEARNED_INTERFERENCE);
+    fixture.reportUntil(23_000, UNINFORMATIVE_MILLIS);
+    const aging = fixture.estimate("batch");
+    t.true(aging.interference < LEARNED_INTERFERENCE && aging.interference > LEARNED_INTERFERENCE * 0.9);
+    t.true(aging.variance > 0.1);
+    fixture.reportUntil(120_000, UNINFORMATIVE_MILLIS);
+    const unknown = LatencyModel.create().interference("web", "batch", 1);
+    t.true(Math.abs(fixture.estimate("batch").interference - unknown) < 0.2);
+});
+
+test("an inherited estimate ages from two seconds after the first report of this leader", t => {
+    const fixture = AgingFixture.create();
+    fixture.reportUntil(1_500, INFORMATIVE_MILLIS);
+    t.deepEqual(fixture.estimate("absent"), { interference: LEARNED_INTERFERENCE, variance: 0.01 });
+    fixture.reportUntil(3_000, INFORMATIVE_MILLIS);
+    const aging = fixture.estimate("absent");
+    t.true(aging.interference < LEARNED_INTERFERENCE && aging.interference > LEARNED_INTERFERENCE * 0.9);
+    t.true(aging.variance > 0.1);
+});
--- a/src/dispatch/common/test/placer.test.ts
+++ b/src/dispatch/common/test/placer.test.ts
@@ -5,7 +5,7 @@
 import { Placer } from "../placer";
 import { Task } from "../task";
 import { WorkerContact } from "../workerContact";
-import { assign, createJob, createStep, createWorker, place } from "./runs";
+import { assign, createJob, createStep, createWorker, HEAVY_MODEL, place, report, TARGET_MS } from "./runs";
 
 const SERVICE = "svc";
 
@@ -94,3 +94,52 @@
     const single = createStep("solver", false, { tasks: 8, usesSpareCpu: false });
     t.is(placeAll(placer, tasksOf("b", single)).length, 8);
 });
+
+/** @returns A worker with latency-critical tasks that all have the same headroom. */
+function createBusyWorker(model: LatencyModel, id: string, headroom: number, latencyCriticalTasks = 1): WorkerContact {
+    const worker = createWorker(id);
+    for (let index = 0; index < latencyCriticalTasks; index++) {
+        report(place(worker, `${id}-${index}`, createStep("web", true)), TARGET_MS / headroom, 500);
+    }
+    model.update(worker, 500);
+    return worker;
+}
+
+test("below full speed, a task is placed where it runs fastest, even if another worker has a lower cost", t => {
+    const model = LatencyModel.create(HEAVY_MODEL);
+    const fast = createBusyWorker(model, "fast", 1.6, 2);
+    const slow = createBusyWorker(model, "slow", 1.3);
+    const [task] = tasksOf("a", createStep("batch", false));
+    const speedOn = (worker: WorkerContact) =>
+        Placer.create([worker], model).choose(task, SERVICE, undefined, 0)!.speedPercent;
+    t.true(speedOn(slow) > 0 && speedOn(slow) < speedOn(fast) && speedOn(fast) < 100);
+    for (const workers of [
+        [fast, slow],
+        [slow, fast],
+    ]) {
+        const choice = Placer.create(workers, model).choose(task, SERVICE, undefined, 0);
+        t.is(choice?.worker, fast);
+        t.is(choice?.speedPercent, speedOn(fast));
+    }
+});
+
+test("a search at a lower speed is not useless because one at full speed found no worker", t => {
+    const model = LatencyModel.create(HEAVY_MODEL);
+    const placer = Placer.create([createBusyWorker(model, "w1", 1.8)], model);
+    const [task] = tasksOf("a", createStep("batch", false));
+    t.is(placer.choose(task, SERVICE, undefined, 100), undefined);
+    placer.recordRejection(task, SERVICE, 100);
+    t.true(placer.isInfeasible(task, SERVICE, 100));
+    t.false(placer.isInfeasible(task, SERVICE, 40));
+    t.not(placer.choose(task, SERVICE, undefined, 40), undefined);
+});
+
+test("a search at full speed is useless after one at a lower speed found no worker", t => {
+    const model = LatencyModel.create(HEAVY_MODEL);
+    const placer = Placer.create([createBusyWorker(model, "w1", 1.3)], model);
+    const [task] = tasksOf("a", createStep("batch", false));
+    placer.recordRejection(task, SERVICE, 40);
+    t.true(placer.isInfeasible(task, SERVICE, 40));
+    t.true(placer.isInfeasible(task, SERVICE, 100));
+    t.false(placer.isInfeasible(task, SERVICE, 5));
+});
--- a/src/dispatch/common/test/runs.ts
+++ b/src/dispatch/common/test/runs.ts
@@ -1,8 +1,12 @@
 import { JobSpec, StepSpec } from "../../../jobs/common/jobSpec";
+import { QueueTable } from "../../../jobs/common/queueTable";
 import { ActiveJob } from "../activeJob";
 import { DispatchLimits } from "../dispatchLimits";
+import { LatencyModel } from "../latencyModel";
 import { QueueHost } from "../queueHost";
 import { Run, RunHost } from "../run";
+import { StepQueue } from "../stepQueue";
+import { SuspectTable } from "../suspectTable";
 import { Task } from "../task";
 import { WorkerContact } from "../workerContact";
 import { EntryReading, WorkerEntry } from "../workerEntry";
@@ -135,3 +139,26 @@
 export function report(run: Run, latencyOrUsage: number, now: number): void {
     run.recordReport({ task: run.task.name, run: 1, checkpoint: "", percent: 100, latencyOrUsage }, now);
 }
+
+/** @returns A best-effort step. */
+export function createBestEffort(overrides: Partial<StepSpec>): StepSpec {
+    return createStep("batch", false, overrides);
+}
+
+/** Interference of which a worker's neighbor can bear about a third. */
+export const HEAVY_MODEL = [["web", "batch", 12, 0.01]] as const;
+
+/** @returns Workers with a latency-critical task each, which has some headroom. */
+export function createBusyWorkers(model: LatencyModel, headroom = 1.6): WorkerContact[] {
+    const workers = Array.from({ length: 4 }, (_, index) => createWorker(`w${index}`));
+    for (const worker of workers) {
+        report(place(worker, `web-${worker.entry.id}`, createStep("web", true)), TARGET_MS * (1 / headroom), 500);
+        model.update(worker, 500);
+    }
+    return workers;
+}
+
+/** @returns A queue without suspected tasks. */
+export function createQueue(model: LatencyModel, host = AssigningHost.create()): StepQueue {
+    return StepQueue.create(QueueTable.create(), model, SuspectTable.create(), host);
+}
--- a/src/dispatch/common/test/scheduler.test.ts
+++ b/src/dispatch/common/test/scheduler.test.ts
@@ -9,10 +9,11 @@
 import { RecordWriter } from "../../../records/common/recordWriter";
 import { DecisionEffect, DispatchEffect } from "../dispatchEffects";
 import { InterferenceRow } from "../latencyModel";
+import { Run } from "../run";
 import { Scheduler, SchedulerContext } from "../scheduler";
 import { WorkerEntry } from "../workerEntry";
-import { ListedEnd, RunList, StartOrder, ThrottleOrder } from "../workerMessages";
-import { createJob, createStep, createWorker, LIMITS, readingOf, TARGET_MS } from "./runs";
+import { ListedEnd, OrderOutcome, RunList, StartOrder, ThrottleOrder } from "../workerMessages";
+import { assign, createJob, createStep, createWorker, LIMITS, readingOf, TARGET_MS } from "./runs";
 
 const TICK_MS = 25;
 
@@ -47,6 +48,8 @@
     viewAgeMs = 0;
     readonly decisions: DecisionEffect[] = [];
     readonly throttles: ThrottleOrder[] = [];
+    /** Outcome of the orders to throttle; `undefined` while they are in flight. */
+    throttleOutcome: OrderOutcome | undefined;
     /** Tail latencies (ms) that latency-critical tasks report. */
     readonly latencies = new Map<string, number>();
 
@@ -109,6 +112,19 @@
         }
     }
 
+    /** Moves a run that is throttled. */
+    move(run: Run): void {
+        this.scheduler.moveThrottled(run, this.now);
+    }
+
+    private answerThrottle({ worker, order }: DispatchEffect & { readonly kind: "throttle" }): void {
+        if (this.throttleOutcome !== undefined) {
+            const clockMs = this.throttleOutcome === "no-answer" ? undefined : this.now;
+            const base = { worker: worker.id, sentAt: this.now, outcome: this.throttleOutcome, clockMs };
+            this.scheduler.handleWorkerAnswer({ kind: "throttle-answer", order, ...base }, this.now);
+        }
+    }
+
     private perform(effect: DispatchEffect): void {
         if (effect.kind === "append" && this.isStoreDown) {
             this.heldAppends.push(effect);
@@ -126,6 +142,7 @@
         }
         if (effect.kind === "throttle") {
             this.throttles.push(effect.order);
+            this.answerThrottle(effect);
         }
         if (effect.kind !== "list" && effect.kind !== "start") {
             return;
@@ -385,3 +402,51 @@
     fixture.advance(200);
     t.is(fixture.throttles.length, 1, JSON.stringify(fixture.throttles));
 });
+
+/** @returns A fixture with a latency-critical task on each worker, next to which a best-effort run is throttled. */
+function createWithThrottled(outcome: OrderOutcome): SchedulerFixture {
+    const web = createStep("web", true, { tasks: 2, maxPerWorker: 1 });
+    const fixture = SchedulerFixture.create(web, [["web", "batch", 12, 0.01]]);
+    ["a.0.0.0", "a.0.0.1"].forEach(task => fixture.latencies.set(task, TARGET_MS / 1.6));
+    fixture.throttleOutcome = outcome;
+    fixture.advance(2_000);
+    fixture.submit("b", createStep("batch", false));
+    for (let ms = 0; ms < 10_000 && fixture.throttles.length === 0; ms += TICK_MS) {
+        fixture.advance(TICK_MS);
+    }
+    return fixture;
+}
+
+test("a confirmed speed is not ordered again, and may be changed", t => {
+    const fixture = createWithThrottled("done");
+    fixture.advance(6_000);
+    const percents = fixture.throttles.map(each => each.percent);
+    t.true(percents.length > 1);
+    t.deepEqual(percents, [...new Set(percents)]);
+});
+
+test("a speed whose order was not answered is ordered again until the worker confirms it", t => {
+    const fixture = createWithThrottled("no-answer");
+    fixture.advance(6_000);
+    const { percent } = fixture.throttles.at(-1)!;
+    t.true(fixture.throttles.filter(each => each.percent === percent).length > 1);
+    fixture.throttleOutcome = "done";
+    const { length } = fixture.throttles;
+    fixture.advance(4_000);
+    t.deepEqual(
+        fixture.throttles.slice(length).map(each => each.percent),
+        [percent],
+    );
+});
+
+test("each move of a throttled run is counted", t => {
+    const fixture = SchedulerFixture.create();
+    const [task] = [...createJob("b", createStep("batch", false)).tasks()];
+    for (const moves of [1, 2, 3]) {
+        const run = assign(createWorker(), task);
+        run.fire("accepted", { now: 0 });
+        fixture.move(run);
+        t.is(run.state, "stopping");
+        t.is(task.moves, moves);
+    }
+});
--- a/src/dispatch/common/test/stepQueue.test.ts
+++ b/src/dispatch/common/test/stepQueue.test.ts
@@ -5,9 +5,22 @@
 import { LatencyModel } from "../latencyModel";
 import { StepQueue } from "../stepQueue";
 import { SuspectTable } from "../suspectTable";
+import { TaskSuspicion } from "../taskSuspicion";
 import { WaitReport } from "../waitReporter";
 import { WorkerContact } from "../workerContact";
-import { assign, AssigningHost, createJob, createStep, createWorker, place, report, TARGET_MS } from "./runs";
+import {
+    assign,
+    AssigningHost,
+    createBestEffort,
+    createBusyWorkers,
+    createJob,
+    createQueue,
+    createStep,
+    createWorker,
+    HEAVY_MODEL,
+    place,
+    report,
+} from "./runs";
 
 /** Places the waiting tasks of two jobs in one pass. @returns Number of tasks of the second job that are placed. */
 function placeBehind(first: ActiveJob, second: ActiveJob, workers: readonly WorkerContact[]): number {
@@ -26,10 +39,6 @@
     return [createWorker("w1", { labels: ["fast"] }), createWorker("w2"), createWorker("w3")];
 }
 
-function createBestEffort(overrides: Partial<StepSpec>): StepSpec {
-    return createStep("batch", false, overrides);
-}
-
 // Each guards against best-effort tasks that wait in every pass, with most of the capacity free, behind another task of
 // their image that has to wait for a reason of its own.
 test("a best-effort task does not wait behind one whose step has reached its limit per worker", t => {
@@ -91,23 +100,6 @@
     t.is(new Set(reports.map(report => report.task)).size, jobs.length);
 });
 
-/** Interference of which a worker's neighbor can bear about a third. */
-const HEAVY_MODEL = [["web", "batch", 12, 0.01]] as const;
-
-/** @returns Workers with a latency-critical task each, which has some headroom. */
-function createBusyWorkers(model: LatencyModel, headroom = 1.6): WorkerContact[] {
-    const workers = Array.from({ length: 4 }, (_, index) => createWorker(`w${index}`));
-    for (const worker of workers) {
-        report(place(worker, `web-${worker.entry.id}`, createStep("web", true)), TARGET_MS * (1 / headroom), 500);
-        model.update(worker, 500);
-    }
-    return workers;
-}
-
-function createQueue(model: LatencyModel, host = AssigningHost.create()): StepQueue {
-    return StepQueue.create(QueueTable.create(), model, SuspectTable.create(), host);
-}
-
 /** Runs passes until a task of the job has a run. @returns Time in ms, or `undefined` if none has one after 20 s. */
 function timeOfFirstRun(queue: StepQueue, job: ActiveJob, workers: readonly WorkerContact[]): number | undefined {
     for (let now = 0; now <= 20_000; now += 100) {
@@ -379,3 +371,17 @@
     }
     t.is(host.moved.length, 1);
 });
+
+test("a suspected best-effort task is not left without a run while its image interferes strongly on all workers", t => {
+    const model = LatencyModel.create(HEAVY_MODEL);
+    const workers = createBusyWorkers(model);
+    const job = createJob("a", createBestEffort({ tasks: 1 }));
+    const [task] = [...job.tasks()];
+    const suspects = SuspectTable.create();
+    task.suspicion = TaskSuspicion.create("suspected");
+    suspects.update(task);
+    const queue = StepQueue.create(QueueTable.create(), model, suspects, AssigningHost.create());
+    const at = timeOfFirstRun(queue, job, workers);
+    t.true(at !== undefined && at > 3_000 && at <= MAX_IDLE_MS);
+    t.true(task.run!.speedPercent > 10 && task.run!.speedPercent < 60);
+});
