--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -20,7 +20,7 @@
 /** How much faster a throttled task must run on another worker for a move, in percent of full speed. */
 const MIN_SPEED_GAIN_PERCENT = 40;
 
-/** A task group with waiting tasks, and the criteria for its position in the queue. */
+/** A task group with waiting or throttled tasks, and the criteria for its position in the queue. */
 interface WaitingGroup {
     readonly group: TaskGroup;
     readonly tasks: readonly Task[];
@@ -35,7 +35,10 @@
     readonly rank: WaitingRank;
 }
 
-/** Orders the waiting task groups and assigns their tasks to workers with free capacity. */
+/**
+ * Orders the waiting task groups and assigns their tasks to workers with free capacity. Throttled tasks take their turn in the same
+ * order, and move if another worker offers them a higher speed.
+ */
 export class StepQueue {
     private readonly probation: ProbationPlacer;
     private readonly waits = WaitTable.create();
@@ -354,16 +357,16 @@
         placer: Placer,
         minSpeedPercent: number,
     ): PlacementChoice | undefined {
-        const isAny = (worker: WorkerContact) => this.isOpenFor(task, worker);
+        const isAllowed = (worker: WorkerContact) => this.isOpenFor(task, worker);
         if (task.step.mode !== "long-running") {
-            return placer.choose(task, service, isAny, minSpeedPercent);
+            return placer.choose(task, service, isAllowed, minSpeedPercent);
         }
-        const isOpen = (worker: WorkerContact) => !this.reserved.has(worker);
-        const choice = placer.choose(task, service, isOpen, minSpeedPercent);
-        if (choice !== undefined || (task.highestRun === 0 && placer.lacksOnlyCpu(task, service, isOpen))) {
+        const isUnreserved = (worker: WorkerContact) => isAllowed(worker) && !this.reserved.has(worker);
+        const choice = placer.choose(task, service, isUnreserved, minSpeedPercent);
+        if (choice !== undefined || (task.highestRun === 0 && placer.lacksOnlyCpu(task, service, isUnreserved))) {
             return choice;
         }
-        return placer.choose(task, service, isAny, minSpeedPercent);
+        return placer.choose(task, service, isAllowed, minSpeedPercent);
     }
 
     private assignTo(task: Task, { worker, speedPercent }: PlacementChoice, placer: Placer, now: number): void {
