Report waits from the offers of the pass

For each reported wait, the offers of all workers were computed again, twice, although the pass had just computed and kept them. With up to 16 reports in a review this was work on the path that places tasks. The reports are the same: a worker of the right kind without an offer has no room.

--- a/src/dispatch/common/placer.ts
+++ b/src/dispatch/common/placer.ts
@@ -134,12 +134,13 @@
     /** @returns Number of workers by what keeps them from running a task at full speed. */
     countObstacles(task: Task, service: string): Record<Obstacle, number> {
         const counts = { ...NO_OBSTACLES };
-        for (const worker of this.workers) {
-            const obstacle = this.obstacle(task, service, worker);
+        const offers = this.currentOffers(task, service);
+        this.workers.forEach((worker, position) => {
+            const obstacle = this.obstacle(task, service, worker, offers[position]);
             if (obstacle !== undefined) {
                 counts[obstacle] += 1;
             }
-        }
+        });
         return counts;
     }
 
@@ -151,8 +152,9 @@
      * there is none with reports.
      */
     oldestEstimateMs(task: Task, service: string, now: number): number | undefined {
+        const offers = this.currentOffers(task, service);
         const ages = this.workers
-            .filter(worker => this.offer(task, service, worker)?.limit === "interference")
+            .filter((_, position) => offers[position]?.limit === "interference")
             .flatMap(worker => this.forecast(worker).latencyCritical)
             .map(each => this.model.estimateAgeMs(each.image, task.step.image, now))
             .filter(age => age !== undefined);
@@ -239,16 +241,19 @@
         return offers;
     }
 
-    private obstacle(task: Task, service: string, worker: WorkerContact): Obstacle | undefined {
-        const { freeCapacity } = this.forecast(worker);
+    private obstacle(
+        task: Task,
+        service: string,
+        worker: WorkerContact,
+        offer: PlacementOffer | undefined,
+    ): Obstacle | undefined {
         if (!isOfKind(task.step, service, worker)) {
             return "otherKind";
         }
-        if (!worker.fits(task.step.request, task.step.usesSpareCpu, freeCapacity)) {
+        if (offer === undefined) {
             return "noRoom";
         }
-        const limit = this.offer(task, service, worker)?.limit;
-        return limit ?? (isAcceptable(task, worker) ? undefined : "ownLimit");
+        return offer.limit ?? (isAcceptable(task, worker) ? undefined : "ownLimit");
     }
 
     /** @returns The offer of a worker, or `undefined` if the task does not fit there. */
