Measure how late the event loop is and what it spends its time on

LoopDelay takes the lateness of each tick: a histogram on the metrics address, delayMs in the lines of decisions that depend on an age, and leader-late and leader-on-time, whose states are a chart with hysteresis. WorkClock measures the time of the loop by kind of work. Nothing that is decided changes.

--- a/src/base/node/loop.ts
+++ b/src/base/node/loop.ts
@@ -35,9 +35,17 @@
         return new Loop(dispatch, perform, onError);
     }
 
-    /** Starts posting an event at regular intervals. @param tick The event. @param intervalMs Interval in ms. */
-    startTicking(tick: Event, intervalMs: number): void {
-        this.timer = setInterval(() => this.post(tick), intervalMs);
+    /**
+     * Starts posting an event at regular intervals.
+     * @param createTick Creates the event. `dueAt` is the monotonic time in ms at which it is due; a busy loop handles it later.
+     * @param intervalMs Interval in ms.
+     */
+    startTicking(createTick: (dueAt: number) => Event, intervalMs: number): void {
+        let dueAt = performance.now() + intervalMs;
+        this.timer = setInterval(() => {
+            this.post(createTick(dueAt));
+            dueAt = performance.now() + intervalMs;
+        }, intervalMs);
     }
 
     /** Adds an event. It is handled before `post` returns, unless the loop is still handling an earlier one. */
--- a/src/base/node/test/loop.test.ts
+++ b/src/base/node/test/loop.test.ts
@@ -1,3 +1,4 @@
+import FakeTimers from "@sinonjs/fake-timers";
 import test from "ava";
 import { Loop } from "../loop";
 
@@ -24,3 +25,24 @@
     t.deepEqual(performed, ["good effect", "last"]);
     loop.dispose();
 });
+
+test.serial("a tick says when it was due, also if the loop was busy then", t => {
+    const clock = FakeTimers.install();
+    t.teardown(() => clock.uninstall());
+    const delays: number[] = [];
+    const loop = Loop.create<number, never>(
+        (dueAt, now) => {
+            delays.push(now - dueAt);
+            return [];
+        },
+        () => undefined,
+        error => t.fail(String(error)),
+    );
+    loop.startTicking(dueAt => dueAt, 25);
+    clock.tick(50);
+    // The process does something else at the time of the next tick.
+    clock.jump(75);
+    clock.tick(25);
+    t.deepEqual(delays, [0, 0, 50, 0]);
+    loop.dispose();
+});
--- a/src/dispatch/common/dispatchEffects.ts
+++ b/src/dispatch/common/dispatchEffects.ts
@@ -8,6 +8,8 @@
 export type DecisionName =
     | "leader-began"
     | "leader-ended"
+    | "leader-late"
+    | "leader-on-time"
     | "run-started"
     | "start-withheld"
     | "capacity-unknown"
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -1,34 +1,32 @@
 import { Disposable } from "../../base/common/disposable";
 import { DisposableStore } from "../../base/common/disposableStore";
-import { EffectSink } from "../../base/common/effectSink";
+import { UnmeasuredWork } from "../../base/common/unmeasuredWork";
+import { WorkMeter } from "../../base/common/workMeter";
 import { jobKey, RunRecord } from "../../jobs/common/jobRecord";
-import { isFinal, JobEntry, JobTable } from "../../jobs/common/jobTable";
-import { ProgressTable } from "../../jobs/common/progressTable";
-import { QueueTable } from "../../jobs/common/queueTable";
-import { Leadership } from "../../records/common/leadership";
+import { isFinal, JobEntry } from "../../jobs/common/jobTable";
 import { ActiveJob } from "./activeJob";
-import { DispatchLimits } from "./dispatchLimits";
-import { DecisionData, DecisionName, DispatchEffect } from "./dispatchEffects";
+import { DecisionData, DecisionName } from "./dispatchEffects";
 import { ActiveJobTable, LeaderWriters } from "./activeJobTable";
 import { JobPruner } from "./jobPruner";
 import { FailureController } from "./failureController";
-import { LatencyModel, InterferenceRow } from "./latencyModel";
-import { LeaseBook, LeaseContext } from "./leaseBook";
+import { LatencyModel } from "./latencyModel";
+import { LeaseBook } from "./leaseBook";
 import { LatencyModelRecorder } from "./latencyModelRecorder";
 import { ThrottleController } from "./throttleController";
 import { Run, RunHost, RunOutcome } from "./run";
 import { RunReviewer } from "./runReviewer";
 import { RunThrottle } from "./runThrottle";
+import { SchedulerContext } from "./schedulerContext";
 import { SchedulerFailureHost } from "./schedulerFailureHost";
 import { SchedulerPoolHost } from "./schedulerPoolHost";
 import { SchedulerQueueHost } from "./schedulerQueueHost";
 import { SchedulerRunHost } from "./schedulerRunHost";
 import { StartAdmission } from "./startAdmission";
 import { StepQueue } from "./stepQueue";
-import { StreamViews } from "./streamViews";
 import { SuspectTable } from "./suspectTable";
 import { firstWaitMs, Task } from "./task";
 import { ViewController } from "./viewController";
+import { WaitReport } from "./waitReporter";
 import { WorkerContact } from "./workerContact";
 import { EntryReading } from "./workerEntry";
 import { WorkerLossCause, WorkerPool } from "./workerPool";
@@ -44,21 +42,6 @@
 /** Maximum interval between passes, in ms: latencies change even while no run ends. */
 const MAX_PASS_INTERVAL_MS = 150;
 
-/** Dependencies of the scheduler. */
-export interface SchedulerContext extends LeaseContext {
-    readonly jobs: JobTable;
-    /** Progress of the jobs as recorded by earlier leaders. */
-    readonly progress: ProgressTable;
-    readonly queues: QueueTable;
-    readonly leadership: Leadership;
-    /** Streams that this instance follows. */
-    readonly views: StreamViews;
-    readonly limits: DispatchLimits;
-    /** Latency model of an earlier leader. */
-    readonly learnedInterference: readonly InterferenceRow[];
-    readonly effects: EffectSink<DispatchEffect>;
-}
-
 /** Decides which worker runs which task during one leader's epoch. */
 export class Scheduler implements Disposable {
     private readonly resources = DisposableStore.create();
@@ -76,6 +59,7 @@
     private readonly pruner: JobPruner;
     private readonly admission: StartAdmission;
     private readonly runHost: RunHost;
+    private readonly work: WorkMeter<"pass">;
     /** Runs whose assignment is stored and whose start is not sent yet. */
     private pendingStarts: Run[] = [];
     /** Whether a pass over the waiting tasks is needed. */
@@ -92,6 +76,7 @@
         now: number,
     ) {
         this.now = now;
+        this.work = context.work ?? UnmeasuredWork.create();
         this.model = LatencyModel.create(context.learnedInterference);
         this.modelRecorder = LatencyModelRecorder.create(this.model, writers.progress, now);
         const logView = (name: DecisionName, data: DecisionData) => this.logDecision(name, data);
@@ -109,7 +94,7 @@
         );
         this.failures = FailureController.create(context.queues, this.suspects, SchedulerFailureHost.create(this));
         this.queue = StepQueue.create(context.queues, this.model, this.suspects, SchedulerQueueHost.create(this));
-        this.resources.add(this.queue.onDidWait(report => this.logDecision("job-waits", { ...report })));
+        this.resources.add(this.queue.onDidWait(report => this.logWait(report)));
         this.resources.add(this.activeJobs.onDidCancel(job => this.stopRuns(job, this.now)));
         this.resources.add(
             this.activeJobs.onDidIgnoreJob(job =>
@@ -230,7 +215,10 @@
             this.isDirty = false;
             this.lastPassAt = now;
             const usable = this.admission.usableWorkers(this.pool.all, now);
-            this.queue.placeWaiting(this.activeJobs.all, usable, this.pool.remainingStarts(), now, wallNow);
+            const { activeJobs, pool, queue } = this;
+            this.work.measure("pass", () =>
+                queue.placeWaiting(activeJobs.all, usable, pool.remainingStarts(), now, wallNow),
+            );
         }
     }
 
@@ -451,6 +439,10 @@
         run.fire("not-started", { now });
     }
 
+    private logWait(report: WaitReport): void {
+        this.logDecision("job-waits", { ...report, delayMs: this.views.loggedDelayMs });
+    }
+
     private onJobChange(entry: JobEntry): void {
         this.activeJobs.update(entry);
         this.isDirty = true;
--- a/src/dispatch/common/streamViews.ts
+++ b/src/dispatch/common/streamViews.ts
@@ -1,13 +1,22 @@
+import { DelaySummary } from "../../base/common/loopDelay";
+
 /** How far a stream has been read. */
 export interface StreamView {
     /** Time (ms) up to which all records are known; `undefined` before the stream is loaded. */
     readonly knownUntil: number | undefined;
 }
 
+/** How late the loop is that reads the streams. */
+export interface LoopView {
+    readonly summary: DelaySummary;
+}
+
 /** The streams on which a leader's decisions depend. */
 export interface StreamViews {
     /** Submissions and cancellations. */
     readonly jobs: StreamView;
     readonly configuration: StreamView;
     readonly workers: StreamView;
+    /** Left out if it is not measured. */
+    readonly loop?: LoopView;
 }
--- a/src/dispatch/common/test/scheduler.test.ts
+++ b/src/dispatch/common/test/scheduler.test.ts
@@ -12,7 +12,8 @@
 import { LeaseAuthority } from "../leaseBook";
 import { LeaseTable } from "../leaseTable";
 import { Run } from "../run";
-import { Scheduler, SchedulerContext } from "../scheduler";
+import { Scheduler } from "../scheduler";
+import { SchedulerContext } from "../schedulerContext";
 import { WorkerEntry } from "../workerEntry";
 import { ListedEnd, OrderOutcome, RunList, StartOrder, ThrottleOrder } from "../workerMessages";
 import { assign, createJob, createStep, createWorker, LIMITS, readingOf, TARGET_MS } from "./runs";
@@ -49,6 +50,8 @@
     private readonly view: { knownUntil: number | undefined } = { knownUntil: 0 };
     /** How old the views of the streams are, in ms. */
     viewAgeMs = 0;
+    /** How late the loop is. */
+    readonly loop = { summary: { medianMs: 0, mostMs: 0 } };
     readonly decisions: DecisionEffect[] = [];
     readonly throttles: ThrottleOrder[] = [];
     /** Outcome of the orders to throttle; `undefined` while they are in flight. */
@@ -69,7 +72,7 @@
             ...tables,
             leadership,
             leases: LeaseTable.create(),
-            views: { jobs: this.view, configuration: this.view, workers: this.view },
+            views: { jobs: this.view, configuration: this.view, workers: this.view, loop: this.loop },
             limits: LIMITS,
             learnedInterference,
             effects: this.outbox,
@@ -331,6 +334,18 @@
     t.is(data.workersAgeMs, undefined);
 });
 
+test("the line of a start has the delay of the loop while it is late", t => {
+    const fixture = SchedulerFixture.create();
+    fixture.loop.summary = { medianMs: 120, mostMs: 340.4 };
+    fixture.advance(500);
+    const data = fixture.decisions.find(each => each.name === "run-started")!.data;
+    t.is(data.delayMs, 340);
+    const onTime = SchedulerFixture.create();
+    onTime.loop.summary = { medianMs: 1, mostMs: 49 };
+    onTime.advance(500);
+    t.is(onTime.decisions.find(each => each.name === "run-started")!.data.delayMs, undefined);
+});
+
 test("an end is confirmed after it is stored", t => {
     const fixture = SchedulerFixture.create();
     fixture.advance(500);
--- a/src/dispatch/common/viewController.ts
+++ b/src/dispatch/common/viewController.ts
@@ -22,6 +22,9 @@
 /** Ages of the other views are logged from this one on, in ms; a shorter one is that of a stream that is read in time. */
 const MIN_LOGGED_AGE_MS = 2_500;
 
+/** The delay of the loop is logged from this one on, in ms; a shorter one is less than the interval between passes. */
+const MIN_LOGGED_DELAY_MS = 50;
+
 /** Share of the time from a cancellation to the last start of its tasks for which an order to start may travel. */
 const MAX_VALIDITY_RATIO = 0.5;
 
@@ -32,6 +35,8 @@
     readonly configAgeMs: number | undefined;
     /** `undefined` while the view is current. */
     readonly workersAgeMs: number | undefined;
+    /** Largest delay of the loop of late, in ms; `undefined` while it is on time. */
+    readonly delayMs: number | undefined;
 }
 
 /** Logs a decision. */
@@ -90,8 +95,15 @@
             jobsAgeMs: ageOf(jobs, now),
             configAgeMs: ifOld(ageOf(configuration, now)),
             workersAgeMs: ifOld(ageOf(workers, now)),
+            delayMs: this.loggedDelayMs,
         };
     }
+
+    /** Largest delay of the loop of late, in ms, for the log line of a decision; `undefined` while it is on time. */
+    get loggedDelayMs(): number | undefined {
+        const delayMs = Math.round(this.views.loop?.summary.mostMs ?? 0);
+        return delayMs < MIN_LOGGED_DELAY_MS ? undefined : delayMs;
+    }
 }
 
 function ageOf(view: StreamView, now: number): number | undefined {
--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -1,7 +1,9 @@
 import { ChartLoader } from "../../base/common/chartLoader";
 import { ChartRegistry } from "../../base/common/chartRegistry";
+import { DelayReport, LoopDelay } from "../../base/common/loopDelay";
 import { Machine } from "../../base/common/machine";
 import { Outbox } from "../../base/common/outbox";
+import { WorkMeter } from "../../base/common/workMeter";
 import { DispatchLimits } from "../../dispatch/common/dispatchLimits";
 import { Scheduler } from "../../dispatch/common/scheduler";
 import { LeaseTable } from "../../dispatch/common/leaseTable";
@@ -21,6 +23,7 @@
 import { JobInstanceEffect, JobInstanceEvent } from "./jobInstanceEvents";
 import { MalformedKeys } from "./malformedKeys";
 import { Takeover } from "./takeover";
+import { WorkKind } from "./workKind";
 
 type LifecycleState = "loading" | "serving" | "stopping" | "stopped";
 type LifecycleEvent = "loaded" | "stop" | "drained";
@@ -84,10 +87,14 @@
     readonly storeRoundTripMs: () => number | undefined;
     /** CPU available to the instance, in cores. */
     readonly cores: number;
+    /** Measures the work of the instance; left out if it is not measured. */
+    readonly work?: WorkMeter<WorkKind>;
 }
 
 /** Decision logic of one instance: handles calls, takes part in leader election, and schedules while it leads. */
 export class JobInstance {
+    /** How late the events of this instance are handled. */
+    readonly loopDelay = LoopDelay.create();
     private readonly outbox = Outbox.create<JobInstanceEffect>();
     private readonly lifecycle: Machine<number, LifecycleState, LifecycleEvent, never, LifecycleAction>;
     private readonly jobs = JobTable.create();
@@ -144,6 +151,7 @@
         this.jobs.onDidIgnore(({ key, offset }) => this.logMalformed("jobs", key, offset));
         this.leadership.onDidBecomeLeader(writer => this.startTakeover(writer));
         this.leadership.onDidStepDown(() => this.stopScheduling());
+        this.loopDelay.onDidChange(report => this.logDelay(report));
         this.lifecycle = Machine.create(chart, {
             guards: {},
             actions: {
@@ -237,6 +245,7 @@
                 this.handleNewestAnswer(event);
                 break;
             case "tick":
+                this.loopDelay.record(event.dueAt ?? now, now);
                 this.tick(now, wallNow);
                 break;
             case "stop":
@@ -309,6 +318,14 @@
         this.scheduler?.retainWorkers(ids);
     }
 
+    private logDelay({ state, afterMs, medianMs, mostMs }: DelayReport): void {
+        if (this.leadership.isLeading) {
+            const name = state === "late" ? "leader-late" : "leader-on-time";
+            const data = { delayMs: Math.round(mostMs), medianMs: Math.round(medianMs), afterMs: Math.round(afterMs) };
+            this.outbox.emit({ kind: "decision", name, data });
+        }
+    }
+
     private logMalformed(stream: string, key: string, offset: number): void {
         this.outbox.emit({ kind: "decision", name: "record-malformed", data: { stream, key, offset } });
     }
@@ -404,9 +421,11 @@
     private startScheduling(writer: RecordWriter, takeover: Takeover): void {
         const { jobs, queues, leadership, leases, limits, outbox } = this;
         const { progress, learnedInterference } = takeover;
-        const views = { jobs: this.jobsFollower, configuration: this.operatorFollower, workers: this.workersFollower };
+        const { jobsFollower, operatorFollower, workersFollower, loopDelay: loop } = this;
+        const views = { jobs: jobsFollower, configuration: operatorFollower, workers: workersFollower, loop };
         const tables = { jobs, progress, queues, leases };
-        const context = { ...tables, leadership, views, limits, learnedInterference, effects: outbox };
+        const { work } = this.identity;
+        const context = { ...tables, leadership, views, limits, learnedInterference, effects: outbox, work };
         const writers = { jobs: writer, progress: takeover.writer };
         this.scheduler = Scheduler.create(context, leadership.epoch, writers, this.now);
         this.workers.forEach((reading, id) => this.scheduler!.updateWorker(id, reading, this.now));
--- a/src/host/common/jobInstanceEvents.ts
+++ b/src/host/common/jobInstanceEvents.ts
@@ -8,7 +8,8 @@
     | RecordEvent
     | WorkerEvent
     | { readonly kind: "call"; readonly call: JobCall }
-    | { readonly kind: "tick" }
+    /** `dueAt` is the monotonic time in ms at which it was due, if that is known. */
+    | { readonly kind: "tick"; readonly dueAt?: number }
     | { readonly kind: "stop" };
 
 /** Effects that an instance requests. */
--- /dev/null
+++ b/src/host/common/loadRecorder.ts
@@ -0,0 +1,101 @@
+import { WorkKind } from "./workKind";
+
+/** Interval between two reports, in ms. */
+const REPORT_INTERVAL_MS = 5_000;
+
+/** The delay is judged by the largest of each half second. */
+const DELAY_INTERVAL_MS = 500;
+
+/** Delay of the loop that is too long for the bounds of the contract, in ms. */
+const MAX_DELAY_MS = 500;
+
+/** Kinds of work that are reported; the others are summed up as `otherMs`. */
+const REPORTED_KINDS = {
+    pass: "passMs",
+    tick: "tickMs",
+    "list-answer": "listMs",
+    "append-answer": "appendMs",
+    "read-answer": "readMs",
+    call: "callMs",
+    send: "sendMs",
+    log: "logMs",
+} as const;
+
+type ReportedKind = keyof typeof REPORTED_KINDS;
+type WorkField = (typeof REPORTED_KINDS)[ReportedKind] | "otherMs";
+
+/** Delay of a loop and what it did, since the last report. All times are in ms. */
+export interface LoadReport extends Readonly<Partial<Record<WorkField, number>>> {
+    readonly overMs: number;
+    readonly medianMs: number;
+    readonly p99Ms: number;
+    readonly mostMs: number;
+    /** Number of half seconds, and of those with an event that was handled too late. */
+    readonly halfSeconds: number;
+    readonly lateHalfSeconds: number;
+}
+
+/** Collects how late a loop is and how long it spends on each kind of work, for a periodic report. */
+export class LoadRecorder {
+    private startedAt: number | undefined;
+    private delays: number[] = [];
+    private readonly mostByInterval = new Map<number, number>();
+    private readonly workMs = new Map<WorkKind, number>();
+
+    private constructor() {}
+
+    /** @returns A recorder without a record. */
+    static create(): LoadRecorder {
+        return new LoadRecorder();
+    }
+
+    /** Records how late an event was handled. @param ms Delay in ms. @param now Time in ms. */
+    recordDelay(ms: number, now: number): void {
+        this.startedAt ??= now;
+        this.delays.push(ms);
+        const interval = Math.floor((now - this.startedAt) / DELAY_INTERVAL_MS);
+        this.mostByInterval.set(interval, Math.max(ms, this.mostByInterval.get(interval) ?? 0));
+    }
+
+    /** Records a piece of work. @param ms Its duration in ms. */
+    recordWork(kind: WorkKind, ms: number): void {
+        this.workMs.set(kind, (this.workMs.get(kind) ?? 0) + ms);
+    }
+
+    /** @param now Time in ms. @returns The report if one is due; the next one begins with it. */
+    takeReport(now: number): LoadReport | undefined {
+        if (this.startedAt === undefined || now - this.startedAt < REPORT_INTERVAL_MS) {
+            return undefined;
+        }
+        const delays = this.delays.sort((a, b) => a - b);
+        const quantile = (ratio: number) => Math.round(delays[Math.floor((delays.length - 1) * ratio)]);
+        const report = {
+            overMs: Math.round(now - this.startedAt),
+            medianMs: quantile(0.5),
+            p99Ms: quantile(0.99),
+            mostMs: quantile(1),
+            halfSeconds: this.mostByInterval.size,
+            lateHalfSeconds: [...this.mostByInterval.values()].filter(ms => ms > MAX_DELAY_MS).length,
+            ...this.workFields(),
+        };
+        this.reset();
+        return report;
+    }
+
+    /** Forgets what was recorded. */
+    reset(): void {
+        this.startedAt = undefined;
+        this.delays = [];
+        this.mostByInterval.clear();
+        this.workMs.clear();
+    }
+
+    private workFields(): Partial<Record<WorkField, number>> {
+        const fields: Partial<Record<WorkField, number>> = {};
+        for (const [kind, ms] of this.workMs) {
+            const field = kind in REPORTED_KINDS ? REPORTED_KINDS[kind as ReportedKind] : "otherMs";
+            fields[field] = Math.round((fields[field] ?? 0) + ms);
+        }
+        return fields;
+    }
+}
--- /dev/null
+++ b/src/host/common/test/loadRecorder.test.ts
@@ -0,0 +1,36 @@
+import test from "ava";
+import { LoadRecorder } from "../loadRecorder";
+
+test("a report has the delays and the work since the one before", t => {
+    const recorder = LoadRecorder.create();
+    for (let now = 0; now < 5_000; now += 100) {
+        recorder.recordDelay(now === 1_200 || now === 1_400 || now === 3_000 ? 600 : 20, now);
+    }
+    recorder.recordWork("pass", 40);
+    recorder.recordWork("pass", 2.4);
+    recorder.recordWork("start-answer", 3);
+    recorder.recordWork("stop-answer", 4);
+    t.is(recorder.takeReport(4_900), undefined);
+    t.deepEqual(recorder.takeReport(5_000), {
+        overMs: 5_000,
+        medianMs: 20,
+        p99Ms: 600,
+        mostMs: 600,
+        halfSeconds: 10,
+        lateHalfSeconds: 2,
+        passMs: 42,
+        otherMs: 7,
+    });
+    t.is(recorder.takeReport(10_000), undefined);
+});
+
+test("what was recorded before a reset is not reported", t => {
+    const recorder = LoadRecorder.create();
+    recorder.recordDelay(900, 0);
+    recorder.recordWork("tick", 10);
+    recorder.reset();
+    recorder.recordDelay(0, 1_000);
+    const report = recorder.takeReport(6_000);
+    t.is(report?.mostMs, 0);
+    t.is(report?.tickMs, undefined);
+});
--- a/src/host/node/decisionLog.ts
+++ b/src/host/node/decisionLog.ts
@@ -33,6 +33,9 @@
     private lines: string[] = [];
     private bufferedBytes = 0;
     private omittedCount = 0;
+    /** Time (ms) at which the oldest line was added that is not written yet. */
+    private oldestAt: number | undefined;
+    private oldestBufferedAt: number | undefined;
     private readonly didOmit = Emitter.create<number>();
     private isWriting = false;
     private onIdle: () => void = () => undefined;
@@ -45,6 +48,12 @@
         this.timer = setInterval(() => this.flush(), FLUSH_INTERVAL_MS);
     }
 
+    /** How long the oldest line that is not written has waited, in ms. */
+    get delayMs(): number {
+        const oldestAt = this.oldestAt ?? this.oldestBufferedAt;
+        return oldestAt === undefined ? 0 : performance.now() - oldestAt;
+    }
+
     /** Fires with the number of lines omitted since it last fired. */
     readonly onDidOmit = this.didOmit.event;
 
@@ -72,6 +81,7 @@
         const line =
             JSON.stringify({ time: new Date().toISOString(), instance: this.instance, event, ...data }) + NEWLINE;
         this.bufferedBytes += line.length;
+        this.oldestBufferedAt ??= performance.now();
         this.lines.push(line);
     }
 
@@ -88,6 +98,8 @@
         }
         const text = Buffer.from(this.lines.join(""));
         this.lines = [];
+        this.oldestAt = this.oldestBufferedAt;
+        this.oldestBufferedAt = undefined;
         this.isWriting = true;
         this.writeFrom(text, 0);
     }
@@ -122,6 +134,7 @@
             }
             // After an error, for example a closed reader, only these lines are lost.
             this.isWriting = false;
+            this.oldestAt = undefined;
             this.bufferedBytes = this.lines.reduce((sum, line) => sum + line.length, 0);
             this.onIdle();
         });
--- a/src/host/node/jobMetrics.ts
+++ b/src/host/node/jobMetrics.ts
@@ -1,5 +1,6 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import { DecisionData, DecisionName } from "../../dispatch/common/dispatchEffects";
+import { WorkKind } from "../common/workKind";
 
 const MS_PER_SECOND = 1_000;
 
@@ -9,6 +10,9 @@
 /** Bucket bounds of the wait for a start. Urgent tasks must start within 5.4 s. */
 const START_WAIT_BUCKETS_S = [0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 5.4, 10, 20, 60];
 
+/** Bucket bounds of the delay of the loop: from less than a tick to the time in which leadership is lost. */
+const LOOP_DELAY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 5];
+
 /** Counters, gauges and latency histograms of one instance. */
 export class JobMetrics {
     private readonly registry = new Registry();
@@ -18,6 +22,8 @@
     private readonly startWaits: Histogram;
     private readonly decisions: Counter<"decision" | "outcome">;
     private readonly omittedLines: Counter;
+    private readonly loopDelays: Histogram;
+    private readonly workSeconds: Counter<"kind">;
 
     private constructor() {
         const registers = [this.registry];
@@ -57,6 +63,18 @@
             help: "Lines that were left out because the reader of the log was slow.",
             registers,
         });
+        this.loopDelays = new Histogram({
+            name: "wigeonstall_loop_delay_seconds",
+            help: "How late the event loop handled what was due.",
+            buckets: LOOP_DELAY_BUCKETS_S,
+            registers,
+        });
+        this.workSeconds = new Counter({
+            name: "wigeonstall_work_seconds_total",
+            help: "Time that the event loop spent on each kind of work.",
+            labelNames: ["kind"],
+            registers,
+        });
     }
 
     /** @returns Metrics without observations. */
@@ -105,6 +123,16 @@
         }
     }
 
+    /** Records how late an event was handled. @param delayMs Delay in ms. */
+    recordLoopDelay(delayMs: number): void {
+        this.loopDelays.observe(delayMs / MS_PER_SECOND);
+    }
+
+    /** Records a piece of work. @param durationMs Duration in ms. */
+    recordWork(kind: WorkKind, durationMs: number): void {
+        this.workSeconds.inc({ kind }, durationMs / MS_PER_SECOND);
+    }
+
     /** Records lines omitted from the log. */
     recordOmittedLines(count: number): void {
         this.omittedLines.inc(count);
--- a/src/host/node/jobProcess.ts
+++ b/src/host/node/jobProcess.ts
@@ -2,12 +2,15 @@
 import { Disposable, toDisposable } from "../../base/common/disposable";
 import { DisposableStore } from "../../base/common/disposableStore";
 import { Loop } from "../../base/node/loop";
+import { WorkClock } from "../../base/node/workClock";
 import { WorkerClient } from "../../dispatch/common/workerClient";
 import { JobAnswer, JobCall } from "../../jobs/common/jobCall";
 import { RecordStore } from "../../records/common/recordStore";
 import { JobInstance } from "../common/jobInstance";
 import { JobSettings } from "../common/jobSettings";
 import { JobInstanceEffect, JobInstanceEvent } from "../common/jobInstanceEvents";
+import { LoadRecorder } from "../common/loadRecorder";
+import { WorkKind } from "../common/workKind";
 import { DecisionLog } from "./decisionLog";
 import { JobMetrics } from "./jobMetrics";
 import { JobPerformers } from "./jobPerformers";
@@ -17,11 +20,15 @@
 /** Interval between two ticks of the loop. */
 const TICK_INTERVAL_MS = 25;
 
+const MS_PER_SECOND = 1_000;
+
 /** Dependencies of a process. */
 export interface JobProcessParts {
     readonly store: RecordStore;
     readonly workers: WorkerClient;
     readonly log: DecisionLog;
+    /** Measures the work of the loop. */
+    readonly work: WorkClock<WorkKind>;
     /** Creates the server for callers. */
     readonly createFrontEnd: (process: JobProcess) => Server;
 }
@@ -32,6 +39,7 @@
     private readonly loop: Loop<JobInstanceEvent, JobInstanceEffect>;
     private readonly performers: JobPerformers;
     private readonly metrics = JobMetrics.create();
+    private readonly load = LoadRecorder.create();
     private isStopRequested = false;
     private resolveStopped: () => void = () => undefined;
     private readonly stopped = new Promise<void>(resolve => (this.resolveStopped = resolve));
@@ -41,7 +49,7 @@
         private readonly settings: JobSettings,
         private readonly parts: JobProcessParts,
     ) {
-        const { store, workers, log } = parts;
+        const { store, workers, log, work } = parts;
         const post = (event: JobInstanceEvent) => this.loop.post(event);
         const onStopped = () => this.resolveStopped();
         const onError = (error: unknown) =>
@@ -49,8 +57,12 @@
         log.onDidOmit(count => this.metrics.recordOmittedLines(count));
         this.performers = JobPerformers.create(store, workers, log, this.metrics, post, onStopped);
         this.resources.add(this.performers);
-        const perform = (effect: JobInstanceEffect) => this.performers.perform(effect);
-        this.loop = this.resources.add(Loop.create(instance.dispatch.bind(instance), perform, onError));
+        const perform = (effect: JobInstanceEffect) =>
+            work.measure(effect.kind === "decision" ? "log" : "send", () => this.performers.perform(effect));
+        const dispatch = (event: JobInstanceEvent, now: number, wallNow: number) =>
+            work.measure(event.kind, () => instance.dispatch(event, now, wallNow));
+        this.loop = this.resources.add(Loop.create(dispatch, perform, onError));
+        this.observeLoad();
     }
 
     /**
@@ -110,6 +122,41 @@
         metrics.addGauge("open_calls", "Callers that wait for an answer.", () => instance.openCallCount);
         metrics.addGauge("config_version", "Version of the configuration in force.", () => instance.configVersion ?? 0);
         metrics.addGauge("jobs", "Jobs that are known.", () => instance.jobCount);
+        metrics.addGauge(
+            "log_delay_seconds",
+            "How long the oldest log line that is not written has waited.",
+            () => this.parts.log.delayMs / MS_PER_SECOND,
+        );
+    }
+
+    private observeLoad(): void {
+        const { instance, load, metrics, parts, resources } = this;
+        resources.add(
+            instance.loopDelay.onDidRecord(delayMs => {
+                metrics.recordLoopDelay(delayMs);
+                this.reportLoad(delayMs, performance.now());
+            }),
+        );
+        resources.add(
+            parts.work.onDidWork(({ kind, durationMs }) => {
+                metrics.recordWork(kind, durationMs);
+                load.recordWork(kind, durationMs);
+            }),
+        );
+    }
+
+    /** Logs the load of the leader. The other instances do little, and their lines would only add to the log. */
+    private reportLoad(delayMs: number, now: number): void {
+        const { instance, load, parts } = this;
+        if (!instance.isLeading) {
+            load.reset();
+            return;
+        }
+        load.recordDelay(delayMs, now);
+        const report = load.takeReport(now);
+        if (report !== undefined) {
+            parts.log.log("loop-load", { ...report, logDelayMs: Math.round(parts.log.delayMs) });
+        }
     }
 
     private async startServing(): Promise<void> {
@@ -124,7 +171,7 @@
             await this.listenOn(metrics, addresses.metrics);
         }
         this.instance.start().forEach(effect => this.performers.perform(effect));
-        this.loop.startTicking({ kind: "tick" }, TICK_INTERVAL_MS);
+        this.loop.startTicking(dueAt => ({ kind: "tick", dueAt }), TICK_INTERVAL_MS);
         this.parts.log.log("started", { calls: addresses.calls, failureDomain: this.settings.failureDomain });
     }
 
--- a/src/host/node/test/decisionLog.test.ts
+++ b/src/host/node/test/decisionLog.test.ts
@@ -149,3 +149,21 @@
     clock.tick(250);
     await t.notThrowsAsync(drained);
 });
+
+test.serial("the delay is the time for which the oldest line has waited", t => {
+    const clock = FakeTimers.install();
+    t.teardown(() => clock.uninstall());
+    const { log, output } = createLog(t);
+    t.is(log.delayMs, 0);
+    log.log("first", {});
+    clock.tick(250);
+    t.is(log.delayMs, 250);
+    log.log("second", {});
+    clock.tick(1_000);
+    t.is(log.delayMs, 1_250);
+    output.finish();
+    t.is(log.delayMs, 1_000);
+    clock.tick(250);
+    output.finish();
+    t.is(log.delayMs, 0);
+});
--- a/src/host/node/test/jobMetrics.test.ts
+++ b/src/host/node/test/jobMetrics.test.ts
@@ -28,3 +28,15 @@
     jobs = 7;
     t.true((await metrics.text()).includes("wigeonstall_jobs 7"));
 });
+
+test("the delay of the loop and the time that its work takes are measured", async t => {
+    const metrics = JobMetrics.create();
+    metrics.recordLoopDelay(30);
+    metrics.recordLoopDelay(700);
+    metrics.recordWork("pass", 20);
+    metrics.recordWork("pass", 5);
+    const text = await metrics.text();
+    t.true(text.includes('wigeonstall_loop_delay_seconds_bucket{le="0.5"} 1'));
+    t.true(text.includes("wigeonstall_loop_delay_seconds_count 2"));
+    t.true(text.includes('wigeonstall_work_seconds_total{kind="pass"} 0.025'));
+});
--- a/src/platform/node/platformProcess.ts
+++ b/src/platform/node/platformProcess.ts
@@ -1,6 +1,8 @@
 import { randomBytes, randomInt } from "node:crypto";
+import { WorkClock } from "../../base/node/workClock";
 import { JobInstance } from "../../host/common/jobInstance";
 import { JobSettings } from "../../host/common/jobSettings";
+import { WorkKind } from "../../host/common/workKind";
 import { DecisionLog } from "../../host/node/decisionLog";
 import { JobProcess } from "../../host/node/jobProcess";
 import { HttpClient } from "../../services/node/httpClient";
@@ -48,17 +50,20 @@
     const { retentionS, cancelMs, ...scheduling } = settings.scheduling;
     const limits = { ...scheduling, cancelMs: cancelMs ?? DEFAULT_CANCEL_MS, retentionMs: retentionS * MS_PER_SECOND };
     const { share, speed } = settings.processor;
+    const work = WorkClock.create<WorkKind>();
     const identity = {
         instance: name,
         nonce: randomInt(MAX_NONCE),
         storeRoundTripMs: () => store.roundTripMs,
         cores: share * speed,
+        work,
     };
     const instance = JobInstance.create(identity, limits, StreamDecoder.create());
     return JobProcess.start(instance, settings, {
         store,
         workers,
         log,
+        work,
         createFrontEnd: process =>
             PlatformFrontEnd.create({
                 handleCall: (call, reply) => process.handleCall(call, reply),
