Measure how long orders wait for a connection to their worker

A start is rejected as too late 1.2 to 2 s after it was handed to the HTTP client, while the loop is at most 0.9 s late, so the time passes elsewhere. Each worker has four connections, one of which a held list takes; orders wait in one queue for the others, first come first served, and each connection carries about one order for each turn of the loop.

--- a/src/dispatch/common/workerClient.ts
+++ b/src/dispatch/common/workerClient.ts
@@ -7,6 +7,8 @@
     /** Reading of the worker's clock in ms, if the answer contains one. */
     readonly clockMs: number | undefined;
     readonly list?: RunList;
+    /** Time for which the order waited before it was sent, in ms, if it is known. */
+    readonly unsentMs?: number;
 }
 
 /** Client for the orders to workers. */
--- a/src/host/common/loadRecorder.ts
+++ b/src/host/common/loadRecorder.ts
@@ -24,8 +24,19 @@
 type ReportedKind = keyof typeof REPORTED_KINDS;
 type WorkField = (typeof REPORTED_KINDS)[ReportedKind] | "otherMs";
 
+/** Fields of the longest time for which an order waited before it was sent. */
+const ORDER_FIELDS = {
+    start: "startWaitMs",
+    stop: "stopWaitMs",
+    list: "listWaitMs",
+    throttle: "throttleWaitMs",
+} as const;
+
+type OrderKind = keyof typeof ORDER_FIELDS;
+type OrderField = (typeof ORDER_FIELDS)[OrderKind];
+
 /** Delay of a loop and what it did, since the last report. All times are in ms. */
-export interface LoadReport extends Readonly<Partial<Record<WorkField, number>>> {
+export interface LoadReport extends Readonly<Partial<Record<WorkField | OrderField, number>>> {
     readonly overMs: number;
     readonly medianMs: number;
     readonly p99Ms: number;
@@ -41,6 +52,7 @@
     private delays: number[] = [];
     private readonly mostByInterval = new Map<number, number>();
     private readonly workMs = new Map<WorkKind, number>();
+    private readonly orderWaitMs = new Map<OrderKind, number>();
 
     private constructor() {}
 
@@ -62,6 +74,11 @@
         this.workMs.set(kind, (this.workMs.get(kind) ?? 0) + ms);
     }
 
+    /** Records how long an order waited before it was sent. @param ms Time in ms. */
+    recordOrderWait(order: OrderKind, ms: number): void {
+        this.orderWaitMs.set(order, Math.max(ms, this.orderWaitMs.get(order) ?? 0));
+    }
+
     /** @param now Time in ms. @returns The report if one is due; the next one begins with it. */
     takeReport(now: number): LoadReport | undefined {
         if (this.startedAt === undefined || now - this.startedAt < REPORT_INTERVAL_MS) {
@@ -77,6 +94,7 @@
             halfSeconds: this.mostByInterval.size,
             lateHalfSeconds: [...this.mostByInterval.values()].filter(ms => ms > MAX_DELAY_MS).length,
             ...this.workFields(),
+            ...this.orderFields(),
         };
         this.reset();
         return report;
@@ -88,6 +106,7 @@
         this.delays = [];
         this.mostByInterval.clear();
         this.workMs.clear();
+        this.orderWaitMs.clear();
     }
 
     private workFields(): Partial<Record<WorkField, number>> {
@@ -98,4 +117,8 @@
         }
         return fields;
     }
+
+    private orderFields(): Partial<Record<OrderField, number>> {
+        return Object.fromEntries([...this.orderWaitMs].map(([order, ms]) => [ORDER_FIELDS[order], Math.round(ms)]));
+    }
 }
--- a/src/host/common/test/loadRecorder.test.ts
+++ b/src/host/common/test/loadRecorder.test.ts
@@ -10,6 +10,7 @@
     recorder.recordWork("pass", 2.4);
     recorder.recordWork("start-answer", 3);
     recorder.recordWork("stop-answer", 4);
+    [300, 20].forEach(ms => recorder.recordOrderWait("stop", ms));
     t.is(recorder.takeReport(4_900), undefined);
     t.deepEqual(recorder.takeReport(5_000), {
         overMs: 5_000,
@@ -20,6 +21,7 @@
         lateHalfSeconds: 2,
         passMs: 42,
         otherMs: 7,
+        stopWaitMs: 300,
     });
     t.is(recorder.takeReport(10_000), undefined);
 });
--- a/src/host/node/jobMetrics.ts
+++ b/src/host/node/jobMetrics.ts
@@ -19,6 +19,7 @@
     private readonly calls: Histogram<"request" | "answer">;
     private readonly storeCalls: Histogram<"call" | "outcome">;
     private readonly orders: Histogram<"order" | "outcome">;
+    private readonly orderWaits: Histogram<"order">;
     private readonly startWaits: Histogram;
     private readonly decisions: Counter<"decision" | "outcome">;
     private readonly omittedLines: Counter;
@@ -46,6 +47,12 @@
             help: "Time that orders to workers took. Lists wait for ends.",
             labelNames: ["order", "outcome"],
         });
+        this.orderWaits = new Histogram({
+            ...callOptions,
+            name: "wigeonstall_order_wait_seconds",
+            help: "Time that orders to workers waited for a connection.",
+            labelNames: ["order"],
+        });
         this.startWaits = new Histogram({
             name: "wigeonstall_start_wait_seconds",
             help: "Time from the acceptance of a job to the start of each of its tasks that had to wait for no other.",
@@ -114,6 +121,11 @@
         this.orders.observe({ order, outcome }, durationMs / MS_PER_SECOND);
     }
 
+    /** Records how long an order waited before it was sent. @param waitMs Time in ms. */
+    recordOrderWait(order: string, waitMs: number): void {
+        this.orderWaits.observe({ order }, waitMs / MS_PER_SECOND);
+    }
+
     /** Records a decision. */
     recordDecision(name: DecisionName, data: DecisionData): void {
         const outcome = String(data.outcome ?? data.state ?? data.reason ?? "");
--- a/src/host/node/jobPerformers.ts
+++ b/src/host/node/jobPerformers.ts
@@ -1,5 +1,6 @@
 import { Err, Result } from "ts-results";
 import { Disposable } from "../../base/common/disposable";
+import { Emitter } from "../../base/common/emitter";
 import { OrderAnswer, WorkerClient } from "../../dispatch/common/workerClient";
 import { WorkerEffect } from "../../dispatch/common/workerMessages";
 import { JobAnswer, JobCall } from "../../jobs/common/jobCall";
@@ -19,10 +20,19 @@
     readonly receivedAt: number;
 }
 
+/** Time in ms for which an order waited before it was sent. */
+export interface OrderWait {
+    readonly order: WorkerEffect["kind"];
+    readonly waitMs: number;
+}
+
 /** Performs the effects of an instance and posts the resulting events. */
 export class JobPerformers implements Disposable {
     private readonly pendingReplies = new Map<number, PendingReply>();
     private readonly timers = new Set<NodeJS.Timeout>();
+    private readonly didWaitToSend = Emitter.create<OrderWait>();
+    /** Fires with the time for which each order waited before it was sent. */
+    readonly onDidWaitToSend = this.didWaitToSend.event;
 
     private constructor(
         private readonly store: RecordStore,
@@ -147,6 +157,10 @@
             return { outcome: "no-answer", clockMs: undefined };
         });
         this.metrics.recordOrder(effect.kind, answer.outcome, performance.now() - sentAt);
+        if (answer.unsentMs !== undefined) {
+            this.metrics.recordOrderWait(effect.kind, answer.unsentMs);
+            this.didWaitToSend.fire({ order: effect.kind, waitMs: answer.unsentMs });
+        }
         const base = { worker, sentAt, outcome: answer.outcome, clockMs: answer.clockMs };
         switch (effect.kind) {
             case "start":
--- a/src/host/node/jobProcess.ts
+++ b/src/host/node/jobProcess.ts
@@ -137,6 +137,7 @@
                 this.reportLoad(delayMs, performance.now());
             }),
         );
+        resources.add(this.performers.onDidWaitToSend(({ order, waitMs }) => load.recordOrderWait(order, waitMs)));
         resources.add(
             parts.work.onDidWork(({ kind, durationMs }) => {
                 metrics.recordWork(kind, durationMs);
--- a/src/host/node/test/jobMetrics.test.ts
+++ b/src/host/node/test/jobMetrics.test.ts
@@ -40,3 +40,9 @@
     t.true(text.includes("wigeonstall_loop_delay_seconds_count 2"));
     t.true(text.includes('wigeonstall_work_seconds_total{kind="pass"} 0.025'));
 });
+
+test("the time that orders wait for a connection is measured", async t => {
+    const metrics = JobMetrics.create();
+    metrics.recordOrderWait("stop", 300);
+    t.true((await metrics.text()).includes('wigeonstall_order_wait_seconds_sum{order="stop"} 0.3'));
+});
--- a/src/platform/node/platformWorkers.ts
+++ b/src/platform/node/platformWorkers.ts
@@ -73,6 +73,8 @@
 
     private async call(worker: WorkerEntry, path: string, body: object, waitMs = 0): Promise<OrderAnswer> {
         const startedAt = performance.now();
+        let sentAt: number | undefined;
+        const unsentMs = () => (sentAt ?? performance.now()) - startedAt;
         try {
             const answer = await this.client.call({
                 origin: `http://${worker.address}`,
@@ -81,15 +83,20 @@
                 headers: { "content-type": "application/json", "expect-instance": worker.id },
                 body: JSON.stringify(body),
                 timeoutMs: waitMs + this.timeoutMs(),
+                onSent: () => (sentAt = performance.now()),
             });
             this.recordAnswerDuration(performance.now() - startedAt, waitMs);
             const decoded = decodeWorkerAnswer(answer.status, answer.body);
             if (decoded === undefined) {
                 this.onFailure(path, `malformed answer of ${worker.id}, status ${answer.status}`);
             }
-            return decoded ?? { outcome: "no-answer", clockMs: undefined };
+            return { ...(decoded ?? { outcome: "no-answer", clockMs: undefined }), unsentMs: unsentMs() };
         } catch (error) {
-            return { outcome: isNotSent(error) ? "unreachable" : "no-answer", clockMs: undefined };
+            return {
+                outcome: isNotSent(error) ? "unreachable" : "no-answer",
+                clockMs: undefined,
+                unsentMs: unsentMs(),
+            };
         }
     }
 
--- a/src/services/node/httpClient.ts
+++ b/src/services/node/httpClient.ts
@@ -16,6 +16,8 @@
     readonly timeoutMs: number;
     /** If given, a response that has begun may take longer while data arrives at least this often, in ms. */
     readonly idleTimeoutMs?: number;
+    /** Called when a connection was free and the request is sent. */
+    readonly onSent?: () => void;
 }
 
 /** Default maximum number of a client's connections to one origin. */
@@ -39,7 +41,7 @@
      */
     call(call: HttpCall): Promise<HttpResponse> {
         const { method, path, headers, body } = call;
-        return PendingCall.run(call.timeoutMs, call.idleTimeoutMs, handler => {
+        return PendingCall.run(call, handler => {
             this.pool(call.origin).dispatch({ method, path, headers, body }, handler);
         });
     }
--- a/src/services/node/pendingCall.ts
+++ b/src/services/node/pendingCall.ts
@@ -1,6 +1,16 @@
 import type { Dispatcher } from "undici";
 import { NotSentError } from "./notSentError";
 
+/** How long a response is awaited, and who is told that the request was sent. */
+export interface CallObservation {
+    /** Time within which the response must be complete, in ms. */
+    readonly timeoutMs: number;
+    /** If given, a response that has begun may take longer while data arrives at least this often, in ms. */
+    readonly idleTimeoutMs?: number;
+    /** Called when the request is sent. */
+    readonly onSent?: () => void;
+}
+
 /** Status, headers and body of a complete response. */
 export interface HttpResponse {
     readonly status: number;
@@ -26,28 +36,22 @@
     private immediate: NodeJS.Immediate | undefined;
 
     private constructor(
-        private readonly timeoutMs: number,
-        private readonly idleTimeoutMs: number | undefined,
+        private readonly call: CallObservation,
         private readonly resolve: (response: HttpResponse) => void,
         private readonly reject: (error: Error) => void,
     ) {
-        this.timer = setTimeout(() => this.onTimerExpired(), timeoutMs);
+        this.timer = setTimeout(() => this.onTimerExpired(), call.timeoutMs);
     }
 
     /**
-     * @param timeoutMs Time within which the response must be complete, in ms.
-     * @param idleTimeoutMs If given, a response that has begun may take longer while data arrives at least this often.
+     * @param observation How long the response is awaited.
      * @param dispatch Passes the request to the library.
      * @returns The complete response.
      * @throws `NotSentError` if the time passed before any of the request was written, else the library's error.
      */
-    static run(
-        timeoutMs: number,
-        idleTimeoutMs: number | undefined,
-        dispatch: (handler: PendingCall) => void,
-    ): Promise<HttpResponse> {
+    static run(observation: CallObservation, dispatch: (handler: PendingCall) => void): Promise<HttpResponse> {
         return new Promise((resolve, reject) => {
-            const call = new PendingCall(timeoutMs, idleTimeoutMs, resolve, reject);
+            const call = new PendingCall(observation, resolve, reject);
             try {
                 dispatch(call);
             } catch (error) {
@@ -60,7 +64,9 @@
     onRequestStart(controller: Dispatcher.DispatchController): void {
         this.controller = controller;
         if (this.isSettled) {
-            controller.abort(NotSentError.create(this.timeoutMs));
+            controller.abort(NotSentError.create(this.call.timeoutMs));
+        } else {
+            this.call.onSent?.();
         }
     }
 
@@ -94,9 +100,10 @@
     }
 
     private restartTimer(): void {
-        if (this.idleTimeoutMs !== undefined && performance.now() - this.startedAt < MAX_RESPONSE_MS) {
+        const { idleTimeoutMs } = this.call;
+        if (idleTimeoutMs !== undefined && performance.now() - this.startedAt < MAX_RESPONSE_MS) {
             this.clearTimers();
-            this.timer = setTimeout(() => this.onTimerExpired(), this.idleTimeoutMs);
+            this.timer = setTimeout(() => this.onTimerExpired(), idleTimeoutMs);
         }
     }
 
@@ -106,10 +113,11 @@
     }
 
     private onTimeout(): void {
+        const { timeoutMs } = this.call;
         if (this.controller === undefined) {
-            this.fail(NotSentError.create(this.timeoutMs));
+            this.fail(NotSentError.create(timeoutMs));
         } else {
-            this.controller.abort(new Error(`no complete response within ${this.timeoutMs} ms`));
+            this.controller.abort(new Error(`no complete response within ${timeoutMs} ms`));
         }
     }
 
--- a/src/services/node/test/httpClient.test.ts
+++ b/src/services/node/test/httpClient.test.ts
@@ -109,8 +109,11 @@
     });
     const client = HttpClient.create({ connections: 1 });
     const origin = originOf(server);
-    const first = client.call({ origin, method: "GET", path: "/first", timeoutMs: 60_000 });
-    const second = client.call({ origin, method: "POST", path: "/second", body: "x", timeoutMs: TIMEOUT_MS });
+    const sent: string[] = [];
+    const onSent = (path: string) => () => sent.push(path);
+    const first = client.call({ origin, method: "GET", path: "/first", timeoutMs: 60_000, onSent: onSent("first") });
+    const late = { origin, method: "POST", path: "/second", body: "x", timeoutMs: TIMEOUT_MS } as const;
+    const second = client.call({ ...late, onSent: onSent("second") });
     const error = await t.throwsAsync(second);
     t.true(isNotSent(error));
     responses[0].end();
@@ -119,6 +122,7 @@
     while (responses.length < 2) {
         await new Promise(resolve => setTimeout(resolve, 5));
     }
+    t.deepEqual(sent, ["first"]);
     responses[1].end();
     await third;
     t.deepEqual(receivedPaths, ["/first", "/third"]);
