--- a/src/host/node/jobMetrics.ts
+++ b/src/host/node/jobMetrics.ts
@@ -1,5 +1,6 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import { DecisionData, DecisionName } from "../../dispatch/common/dispatchEffects";
+import { WorkKind } from "../common/workKind";
 
 const MS_PER_SECOND = 1_000;
 
@@ -9,15 +10,21 @@
 /** Bucket bounds of the wait for a start. Urgent tasks must start within 5.4 s. */
 const START_WAIT_BUCKETS_S = [0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 5.4, 10, 20, 60];
 
+/** Bucket bounds of the delay of the loop: from less than a tick to the time in which leadership is lost. */
+const LOOP_DELAY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 5];
+
 /** Counters, gauges and latency histograms of one instance. */
 export class JobMetrics {
     private readonly registry = new Registry();
     private readonly calls: Histogram<"request" | "answer">;
     private readonly storeCalls: Histogram<"call" | "outcome">;
     private readonly orders: Histogram<"order" | "outcome">;
+    private readonly orderWaits: Histogram<"order">;
     private readonly startWaits: Histogram;
     private readonly decisions: Counter<"decision" | "outcome">;
     private readonly omittedLines: Counter;
+    private readonly loopDelays: Histogram;
+    private readonly workSeconds: Counter<"kind">;
 
     private constructor() {
         const registers = [this.registry];
@@ -40,6 +47,12 @@
             help: "Time that orders to workers took. Lists wait for ends.",
             labelNames: ["order", "outcome"],
         });
+        this.orderWaits = new Histogram({
+            ...callOptions,
+            name: "wigeonstall_order_wait_seconds",
+            help: "Time that orders to workers waited for a connection.",
+            labelNames: ["order"],
+        });
         this.startWaits = new Histogram({
             name: "wigeonstall_start_wait_seconds",
             help: "Time from the acceptance of a job to the start of each of its tasks that had to wait for no other.",
@@ -57,6 +70,18 @@
             help: "Lines that were left out because the reader of the log was slow.",
             registers,
         });
+        this.loopDelays = new Histogram({
+            name: "wigeonstall_loop_delay_seconds",
+            help: "How late the event loop handled what was due.",
+            buckets: LOOP_DELAY_BUCKETS_S,
+            registers,
+        });
+        this.workSeconds = new Counter({
+            name: "wigeonstall_work_seconds_total",
+            help: "Time that the event loop spent on each kind of work.",
+            labelNames: ["kind"],
+            registers,
+        });
     }
 
     /** @returns Metrics without observations. */
@@ -96,6 +121,11 @@
         this.orders.observe({ order, outcome }, durationMs / MS_PER_SECOND);
     }
 
+    /** Records how long an order waited before it was sent. @param waitMs Time in ms. */
+    recordOrderWait(order: string, waitMs: number): void {
+        this.orderWaits.observe({ order }, waitMs / MS_PER_SECOND);
+    }
+
     /** Records a decision. */
     recordDecision(name: DecisionName, data: DecisionData): void {
         const outcome = String(data.outcome ?? data.state ?? data.reason ?? "");
@@ -105,6 +135,16 @@
         }
     }
 
+    /** Records how late an event was handled. @param delayMs Delay in ms. */
+    recordLoopDelay(delayMs: number): void {
+        this.loopDelays.observe(delayMs / MS_PER_SECOND);
+    }
+
+    /** Records a piece of work. @param durationMs Duration in ms. */
+    recordWork(kind: WorkKind, durationMs: number): void {
+        this.workSeconds.inc({ kind }, durationMs / MS_PER_SECOND);
+    }
+
     /** Records lines omitted from the log. */
     recordOmittedLines(count: number): void {
         this.omittedLines.inc(count);
--- a/src/host/node/test/jobMetrics.test.ts
+++ b/src/host/node/test/jobMetrics.test.ts
@@ -28,3 +28,21 @@
     jobs = 7;
     t.true((await metrics.text()).includes("wigeonstall_jobs 7"));
 });
+
+test("the delay of the loop and the time that its work takes are measured", async t => {
+    const metrics = JobMetrics.create();
+    metrics.recordLoopDelay(30);
+    metrics.recordLoopDelay(700);
+    metrics.recordWork("pass", 20);
+    metrics.recordWork("pass", 5);
+    const text = await metrics.text();
+    t.true(text.includes('wigeonstall_loop_delay_seconds_bucket{le="0.5"} 1'));
+    t.true(text.includes("wigeonstall_loop_delay_seconds_count 2"));
+    t.true(text.includes('wigeonstall_work_seconds_total{kind="pass"} 0.025'));
+});
+
+test("the time that orders wait for a connection is measured", async t => {
+    const metrics = JobMetrics.create();
+    metrics.recordOrderWait("stop", 300);
+    t.true((await metrics.text()).includes('wigeonstall_order_wait_seconds_sum{order="stop"} 0.3'));
+});
