Check in trials that nothing starts on workers that leave

No trial had workers that announce that they leave, so no rule covered it.

The rule `drained` counts a start later than `drainMs` after the store accepted the worker's entry. Workers announce it, serve for 6 to 10 s more and leave; others come in their place. The leader can be killed from 2.5 s before to 1 s after each notice, and the reads of the workers' stream can be slow or stall. All of it draws from its own sequences. The table of senders in touch is shared with the rule `unasked`.

The limit `drainMs` exists and is not used yet by any decision.

--- a/src/dispatch/common/dispatchLimits.ts
+++ b/src/dispatch/common/dispatchLimits.ts
@@ -6,6 +6,8 @@
     readonly stopMs: number;
     /** Time after the acknowledgement of a cancellation from which no task of its job starts. */
     readonly cancelMs: number;
+    /** Time after the store has accepted that a worker leaves from which no task starts there. */
+    readonly drainMs: number;
     /** Time for which the members of a gang wait for each other. */
     readonly gangWaitMs: number;
     /** Longest time for which a latency-critical task may exceed its target. */
--- a/src/host/common/jobSettings.ts
+++ b/src/host/common/jobSettings.ts
@@ -25,6 +25,8 @@
         stopMs: milliseconds,
         /** Empty in deployments that do not bound it. */
         cancelMs: z.nullish(milliseconds),
+        /** Empty in deployments that do not bound it. */
+        drainMs: z.nullish(milliseconds),
         gangWaitMs: milliseconds,
         harmMs: milliseconds,
         configurationMs: milliseconds,
--- a/src/platform/node/platformProcess.ts
+++ b/src/platform/node/platformProcess.ts
@@ -28,6 +28,9 @@
 /** Time from which no task of a cancelled job starts, where the settings do not say it, in ms. */
 const DEFAULT_CANCEL_MS = 3_000;
 
+/** Time from which no task starts on a worker that leaves, where the settings do not say it, in ms. */
+const DEFAULT_DRAIN_MS = 2_500;
+
 /**
  * Starts an instance on the platform.
  * @param settings Settings of the instance.
@@ -45,8 +48,13 @@
     const workers = PlatformWorkers.create(HttpClient.create({ connections: WORKER_CONNECTIONS }), (call, failure) =>
         log.log("worker-call-failed", { call, failure }, "detail"),
     );
-    const { retentionS, cancelMs, ...scheduling } = settings.scheduling;
-    const limits = { ...scheduling, cancelMs: cancelMs ?? DEFAULT_CANCEL_MS, retentionMs: retentionS * MS_PER_SECOND };
+    const { retentionS, cancelMs, drainMs, ...scheduling } = settings.scheduling;
+    const limits = {
+        ...scheduling,
+        cancelMs: cancelMs ?? DEFAULT_CANCEL_MS,
+        drainMs: drainMs ?? DEFAULT_DRAIN_MS,
+        retentionMs: retentionS * MS_PER_SECOND,
+    };
     const { share, speed } = settings.processor;
     const identity = {
         instance: name,
--- a/src/proof/node/cancellationChecker.ts
+++ b/src/proof/node/cancellationChecker.ts
@@ -1,8 +1,9 @@
 import { LeasedWorker } from "../../standin/common/leasedWorker";
 import { LIMITS } from "./jobTrialPlan";
+import { OrderSenders } from "./orderSenders";
 import { TrialSchedule } from "./trialSchedule";
 
-/** Time without disruption after which an instance is in touch again and no disruption is near, in ms. */
+/** Time without disruption after which none is near any more, in ms. */
 const STABLE_WINDOW_MS = 4_000;
 
 /** Time after the acknowledgement of a cancellation within which the runs of its job end, in ms. */
@@ -16,27 +17,21 @@
     readonly startedAt: number;
 }
 
-/** Sender of an order to start, and the time (ms) at which it was sent. */
-interface SentStart {
-    readonly sender: number;
-    readonly sentAt: number;
-}
-
 /** Checks that the tasks of a cancelled job neither start nor run on for too long after its acknowledgement. */
 export class CancellationChecker {
     /** Time (ms) of the first acknowledgement, by job. */
     private readonly cancelledAt = new Map<string, number>();
-    private readonly sentStarts = new Map<string, SentStart>();
     private readonly activeRuns = new Map<string, Set<ObservedRun>>();
-    /** Time (ms) from which an instance is in touch, by its number. */
-    private readonly inTouchFrom = new Map<number, number>();
+    private readonly senders: OrderSenders;
     /** Time (ms) from which no disruption is near. */
     private calmFrom = 0;
 
     private constructor(
         private readonly schedule: TrialSchedule,
         private readonly report: (detail: string) => void,
-    ) {}
+    ) {
+        this.senders = OrderSenders.create(schedule);
+    }
 
     /** @param schedule Clock of the trial. @param report Receives violations. @returns A checker without observations. */
     static create(schedule: TrialSchedule, report: (detail: string) => void): CancellationChecker {
@@ -67,14 +62,12 @@
      * @param instances Numbers of the instances that are not in touch for its duration and the stable window.
      */
     recordDisruption(durationMs: number, instances: readonly number[]): void {
-        const until = this.schedule.now + durationMs + STABLE_WINDOW_MS;
-        this.calmFrom = Math.max(this.calmFrom, until);
-        instances.forEach(each => this.inTouchFrom.set(each, Math.max(this.inTouchFrom.get(each) ?? 0, until)));
+        this.calmFrom = Math.max(this.calmFrom, this.senders.recordDisruption(durationMs, instances));
     }
 
     /** Records that an instance sends an order to start. @param sender Number of the instance. */
     recordOrder(task: string, run: number, sender: number): void {
-        this.sentStarts.set(`${task}/${run}`, { sender, sentAt: this.schedule.now });
+        this.senders.recordOrder(task, run, sender);
     }
 
     /** Handles the start of a run. */
@@ -88,11 +81,10 @@
         if (cancelledAt === undefined) {
             return;
         }
-        const sent = this.sentStarts.get(`${task}/${run}`);
-        const isInTouch = sent !== undefined && (this.inTouchFrom.get(sent.sender) ?? 0) <= sent.sentAt;
-        if (isInTouch && now > cancelledAt + LIMITS.cancelMs) {
+        const sender = this.senders.senderInTouch(task, run);
+        if (sender !== undefined && now > cancelledAt + LIMITS.cancelMs) {
             const ageMs = Math.round(now - cancelledAt);
-            this.report(`${task} run ${run} is started by n${sent.sender} ${ageMs} ms after the job's cancellation`);
+            this.report(`${task} run ${run} is started by n${sender} ${ageMs} ms after the job's cancellation`);
         }
         this.reviewRuns(id);
     }
--- a/src/proof/node/jobRuleChecker.ts
+++ b/src/proof/node/jobRuleChecker.ts
@@ -2,6 +2,7 @@
 import { RunEnd } from "../../dispatch/common/workerMessages";
 import { LeasedWorker, LeasedWorkerObserver } from "../../standin/common/leasedWorker";
 import { CancellationChecker } from "./cancellationChecker";
+import { DrainChecker } from "./drainChecker";
 import { LastingTaskChecker } from "./lastingTaskChecker";
 import { TargetChecker } from "./targetChecker";
 import { TrialSchedule } from "./trialSchedule";
@@ -30,6 +31,7 @@
     | "capacity"
     | "asked"
     | "unasked"
+    | "drained"
     | "shown-done"
     | "known"
     | "finished"
@@ -68,6 +70,7 @@
     readonly accepted = new Set<string>();
     readonly violations: RuleViolation[] = [];
     readonly cancellations: CancellationChecker;
+    readonly drains: DrainChecker;
     readonly lastingTasks: LastingTaskChecker;
     private readonly waits: WaitChecker;
     private readonly targets: TargetChecker;
@@ -82,6 +85,7 @@
         maxGapMs: number,
     ) {
         this.cancellations = CancellationChecker.create(schedule, detail => this.check("unasked", false, detail));
+        this.drains = DrainChecker.create(schedule, detail => this.check("drained", false, detail));
         const reportGap = (detail: string) => this.check("lasting-run", false, detail);
         this.lastingTasks = LastingTaskChecker.create(schedule, maxGapMs, reportGap);
         this.waits = WaitChecker.create(detail => this.check("bounded-wait", false, detail));
@@ -157,6 +161,7 @@
     onStart(worker: LeasedWorker, task: string, run: number): void {
         this.starts += 1;
         this.cancellations.onStart(worker, task, run);
+        this.drains.onStart(worker, task, run);
         this.lastingTasks.onStart(task);
         this.waits.onStart(worker, task);
         const [id, occurrence, step] = task.split(".");
--- a/src/proof/node/jobSoak.tool.ts
+++ b/src/proof/node/jobSoak.tool.ts
@@ -1,16 +1,17 @@
 import { JobTrial } from "./jobTrial";
-import { FAULTS, JobFault, JobTrialPlan, READ_FAULTS } from "./jobTrialPlan";
+import { FAULTS, JobFault, JobTrialPlan, READ_FAULTS, WORKER_READ_FAULTS } from "./jobTrialPlan";
 
 /**
  * Reads a flag with a whole number. Flags: `--seed FIRST --count N --workers N --length MS --every MS --deadly PERCENT
  * --crash-delay MS --shrink MS --cancel PERCENT --reads --lasting N --lease MS --colocate PERCENT --jobs-every MS --slow
- * --faults KINDS --until MS --trace`, where `--deadly` is the share of the jobs with a task that
+ * --drain MS --faults KINDS --until MS --trace`, where `--deadly` is the share of the jobs with a task that
  * crashes its workers, that long after each start, `--shrink` the mean time between two times at which a worker's capacity
  * shrinks, `--cancel` the share of the jobs that is cancelled, `--reads` adds faults of the reads of the jobs, `--lasting` is
  * the number of jobs that last until the end, `--lease` the longest lease that a worker accepts, `--colocate` runs
  * latency-critical and best-effort jobs of which that share of the pairs of images interferes heavily, `--jobs-every` is the
  * mean time between two best-effort jobs, `--slow` injects slow workers only, `--faults` the kinds that it names,
- * separated by commas, and `--until` is the time up to which faults are injected.
+ * separated by commas, `--drain` is the mean time between two times at which workers announce that they leave, around which
+ * the leader is killed; it adds faults of the reads of the workers, and `--until` is the time up to which faults are injected.
  */
 function readNumber(name: string, fallback: number): number {
     const index = process.argv.indexOf(`--${name}`);
@@ -30,7 +31,10 @@
     if (process.argv.includes("--slow")) {
         return ["worker-slow"];
     }
-    return process.argv.includes("--reads") ? [...FAULTS, ...READ_FAULTS] : undefined;
+    const hasReadFaults = process.argv.includes("--reads");
+    const hasDrains = process.argv.includes("--drain");
+    const added = [...(hasReadFaults ? READ_FAULTS : []), ...(hasDrains ? WORKER_READ_FAULTS : [])];
+    return added.length > 0 ? [...FAULTS, ...added] : undefined;
 }
 
 const first = readNumber("seed", 1);
@@ -50,6 +54,7 @@
         crashDelayMs: readNumber("crash-delay", 10),
         shrinkEveryMs: readNumber("shrink", 0) || undefined,
         cancelRatio: readNumber("cancel", 0) / 100,
+        drains: readNumber("drain", 0) === 0 ? undefined : { everyMs: readNumber("drain", 0), killsLeaders: true },
         lasting: readNumber("lasting", 0) === 0 ? undefined : { count: readNumber("lasting", 0) },
         longestLeaseMs: readNumber("lease", 0) || undefined,
         colocation: process.argv.includes("--colocate")
--- a/src/proof/node/jobTrial.ts
+++ b/src/proof/node/jobTrial.ts
@@ -14,14 +14,17 @@
     PlannedFault,
     QUEUE,
     LIMITS,
+    ReadFault,
     TrialDecoder,
+    WORKER_READ_FAULTS,
 } from "./jobTrialPlan";
 import { TrialNode } from "./jobTrialNode";
 import { JobRuleChecker } from "./jobRuleChecker";
 import { Random } from "./random";
 import { TrialCancellations } from "./trialCancellations";
 import { TrialColocation } from "./trialColocation";
-import { TrialReads } from "./trialReads";
+import { TrialDrains } from "./trialDrains";
+import { DelayedStream, TrialReads } from "./trialReads";
 import { TrialSchedule } from "./trialSchedule";
 import { TrialStore } from "./trialStore";
 import { TrialWorkers } from "./trialWorkers";
@@ -62,14 +65,17 @@
     private readonly workers: TrialWorkers;
     private readonly colocation: TrialColocation | undefined;
     private readonly cancellations: TrialCancellations;
-    private readonly reads: TrialReads;
+    private readonly reads: Readonly<Record<DelayedStream, TrialReads>>;
     private readonly store: TrialStore;
 
     private constructor(private readonly plan: JobTrialPlan) {
         this.random = Random.create(plan.seed);
         this.checker = JobRuleChecker.create(this.timeline, plan.lasting?.maxGapMs);
         this.faultRandom = plan.colocation === undefined ? this.random : Random.create(plan.seed);
-        this.reads = TrialReads.create(plan.seed, this.timeline);
+        this.reads = {
+            jobs: TrialReads.create(plan.seed, "jobs", this.timeline),
+            workers: TrialReads.create(plan.seed, "workers", this.timeline),
+        };
         this.store = TrialStore.create(this.random, this.timeline, this.reads);
         this.cancellations = TrialCancellations.create(
             plan.seed,
@@ -123,6 +129,7 @@
         if (this.plan.faultEveryMs > 0) {
             this.schedule(3_000, () => this.injectNext());
         }
+        this.planDrains();
         this.timeline.runUntil(this.plan.lengthMs + RECOVERY_TIMEOUT_MS);
         this.checkFinished();
         const accepted = this.checker.accepted.size;
@@ -130,7 +137,8 @@
         const { violations: breaches, starts, deadlyCrashes: crashes, sharedCrashes, shrinks } = this.checker;
         const counts = { jobs: this.jobs.size, accepted, finished, starts, leaders: this.leaders };
         const cancelled = this.checker.cancellations.count;
-        return { breaches, ...counts, crashes, sharedCrashes, shrinks, cancelled, trace: this.trace };
+        const drained = this.checker.drains.count;
+        return { breaches, ...counts, crashes, sharedCrashes, shrinks, cancelled, drained, trace: this.trace };
     }
 
     private schedule(delayMs: number, perform: () => void): void {
@@ -194,6 +202,7 @@
                 break;
             case "start":
                 this.checker.cancellations.recordOrder(effect.order.task, effect.order.run, node.index);
+                this.checker.drains.recordOrder(effect.order.task, effect.order.run, node.index);
                 this.callWorker(node, incarnation, effect);
                 break;
             case "stop":
@@ -313,6 +322,23 @@
         }
     }
 
+    private planDrains(): void {
+        const { drains, seed, lengthMs } = this.plan;
+        if (drains !== undefined) {
+            const killLeader = () => this.killLeader();
+            TrialDrains.create(seed, drains, lengthMs, this.timeline, this.workers.drainHost(killLeader));
+        }
+    }
+
+    private killLeader(): void {
+        const leader = this.nodes.find(each => each.instance?.isLeading === true);
+        if (leader !== undefined) {
+            this.trace.push(`${Math.round(this.now)} FAULT kill n${leader.index}`);
+            this.recordDisruption("kill", leader.index, 0);
+            this.kill(leader);
+        }
+    }
+
     private inject(fault: JobFault): void {
         const leader = this.nodes.find(each => each.instance?.isLeading === true);
         const node = leader !== undefined && this.faultRandom.chance(0.6) ? leader : this.faultRandom.pick(this.nodes);
@@ -322,10 +348,12 @@
         this.recordDisruption(fault, node.index, durationMs);
         switch (fault) {
             case "slow-pages":
-                this.reads.slowDown(node.index, durationMs);
+            case "slow-worker-pages":
+                this.readsOf(fault).slowDown(node.index, durationMs);
                 break;
             case "stalled-read":
-                this.reads.stallNext(node.index);
+            case "stalled-worker-read":
+                this.readsOf(fault).stallNext(node.index);
                 break;
             case "kill":
                 this.kill(node);
@@ -369,19 +397,25 @@
         }
     }
 
+    private readsOf(fault: ReadFault): TrialReads {
+        return WORKER_READ_FAULTS.includes(fault) ? this.reads.workers : this.reads.jobs;
+    }
+
     /** A response that stalls disrupts nothing, and slow pages fill the links of instances that stay in touch. */
     private recordDisruption(fault: JobFault, index: number, durationMs: number): void {
-        if (fault === "stalled-read") {
+        if (fault === "stalled-read" || fault === "stalled-worker-read") {
             return;
         }
         const isOfWorker = fault === "worker-slow" || FAULTS_OF_WORKERS.includes(fault);
         const isOfAll = fault === "kill-all" || fault === "store-down" || fault === "lost-answers";
         const all = this.nodes.map(each => each.index);
-        const instances = isOfAll ? all : isOfWorker || fault === "slow-pages" ? [] : [index];
+        const isOfReads = fault === "slow-pages" || fault === "slow-worker-pages";
+        const instances = isOfAll ? all : isOfWorker || isOfReads ? [] : [index];
         const isKill = fault === "kill" || fault === "kill-all";
         const lastsMs = isKill ? MAX_DOWN_MS : (DURATION_RATIOS[fault] ?? 1) * durationMs;
         this.checker.recordDisruption(lastsMs);
         this.checker.cancellations.recordDisruption(lastsMs, instances);
+        this.checker.drains.recordDisruption(lastsMs, instances);
     }
 
     private kill(node: TrialNode): void {
--- a/src/proof/node/jobTrialPlan.ts
+++ b/src/proof/node/jobTrialPlan.ts
@@ -12,6 +12,7 @@
 import type { JobTrial } from "./jobTrial";
 import { Random } from "./random";
 import { RuleViolation } from "./jobRuleChecker";
+import { DrainPlan } from "./trialDrains";
 
 /** The queue of all jobs of a trial. */
 export const QUEUE: Queue = {
@@ -38,6 +39,7 @@
     longestLeaseMs: 6_000,
     stopMs: 200,
     cancelMs: 3_000,
+    drainMs: 2_500,
     gangWaitMs: 3_000,
     harmMs: 4_000,
     configurationMs: 2_500,
@@ -65,14 +67,17 @@
     | SpeedFault;
 
 /**
- * Kinds of faults of the reads of the jobs by one instance: its pages arrive late, as over a link that other pages fill, or
- * one response stalls.
+ * Kinds of faults of the reads of the jobs, or of the workers, by one instance: its pages arrive late, as over a link that
+ * other pages fill, or one response stalls.
  */
-export type ReadFault = "slow-pages" | "stalled-read";
+export type ReadFault = "slow-pages" | "stalled-read" | "slow-worker-pages" | "stalled-worker-read";
 
-/** Kinds of faults of the reads. They are apart from the others, whose list decides the trials of earlier seeds. */
+/** Kinds of faults of the reads of the jobs. They are apart from the others, whose list decides the trials of earlier seeds. */
 export const READ_FAULTS: readonly ReadFault[] = ["slow-pages", "stalled-read"];
 
+/** Kinds of faults of the reads of the workers. */
+export const WORKER_READ_FAULTS: readonly ReadFault[] = ["slow-worker-pages", "stalled-worker-read"];
+
 /** Kinds of faults of the speed: some workers work several times slower, and the tail latencies there rise as much. */
 export type SpeedFault = "worker-slow";
 
@@ -137,6 +142,8 @@
     readonly shrinkEveryMs?: number;
     /** Share of the jobs that are cancelled, from 0 to 1; none if undefined. */
     readonly cancelRatio?: number;
+    /** Workers that announce that they leave; none if undefined. */
+    readonly drains?: DrainPlan;
     /** Jobs that last until the end; none if undefined. */
     readonly lasting?: LastingJobs;
     /** Longest lease that a worker accepts, in ms; that of `LIMITS` if undefined. */
@@ -171,6 +178,8 @@
     readonly shrinks: number;
     /** Jobs of which a cancellation was acknowledged. */
     readonly cancelled: number;
+    /** Workers that have announced that they leave. */
+    readonly drained: number;
     /** Decisions and faults with their times, one a line. */
     readonly trace: readonly string[];
 }
--- a/src/proof/node/trialReads.ts
+++ b/src/proof/node/trialReads.ts
@@ -9,10 +9,13 @@
 const MIN_STALL_MS = 1_900;
 const MAX_STALL_MS = 3_900;
 
-/** Distinguishes the random sequence of the delays from that of the trial with the same seed. */
-const SEED_OFFSET = 104_729;
+/** A stream whose reads can be delayed. */
+export type DelayedStream = "jobs" | "workers";
 
-/** Delays of the reads of the stream of jobs. It draws from its own sequence, as the cancellations do. */
+/** Distinguishes the random sequence of the delays of a stream from that of the trial with the same seed. */
+const SEED_OFFSETS: Readonly<Record<DelayedStream, number>> = { jobs: 104_729, workers: 1_299_709 };
+
+/** Delays of the reads of one stream. It draws from its own sequence, as the cancellations do. */
 export class TrialReads {
     private readonly random: Random;
     /** Time (ms) until which the pages of an instance arrive late, by its number. */
@@ -22,14 +25,20 @@
 
     private constructor(
         seed: number,
+        stream: DelayedStream,
         private readonly schedule: TrialSchedule,
     ) {
-        this.random = Random.create(seed + SEED_OFFSET);
+        this.random = Random.create(seed + SEED_OFFSETS[stream]);
     }
 
-    /** @param seed Seed of the trial. @param schedule Clock of the trial. @returns Reads without delays. */
-    static create(seed: number, schedule: TrialSchedule): TrialReads {
-        return new TrialReads(seed, schedule);
+    /**
+     * @param seed Seed of the trial.
+     * @param stream The stream.
+     * @param schedule Clock of the trial.
+     * @returns Reads without delays.
+     */
+    static create(seed: number, stream: DelayedStream, schedule: TrialSchedule): TrialReads {
+        return new TrialReads(seed, stream, schedule);
     }
 
     /** Lets the pages of an instance arrive late. @param index Its number. @param durationMs For how long, in ms. */
--- a/src/proof/node/trialStore.ts
+++ b/src/proof/node/trialStore.ts
@@ -6,7 +6,7 @@
 import { TrialNode } from "./jobTrialNode";
 import { CALL_TIMEOUTS_MS } from "./jobTrialPlan";
 import { Random } from "./random";
-import { TrialReads } from "./trialReads";
+import { DelayedStream, TrialReads } from "./trialReads";
 import { TrialSchedule } from "./trialSchedule";
 
 /** The in-memory store of a trial, and the calls to it. */
@@ -23,16 +23,20 @@
     private constructor(
         private readonly random: Random,
         private readonly timeline: TrialSchedule,
-        private readonly reads: TrialReads,
+        private readonly reads: Readonly<Record<DelayedStream, TrialReads>>,
     ) {}
 
     /**
      * @param random Source of randomness, shared with the rest of the trial.
      * @param timeline Clock of the trial.
-     * @param reads Delays of the reads of the stream of jobs.
+     * @param reads Delays of the reads, by stream.
      * @returns A store without records.
      */
-    static create(random: Random, timeline: TrialSchedule, reads: TrialReads): TrialStore {
+    static create(
+        random: Random,
+        timeline: TrialSchedule,
+        reads: Readonly<Record<DelayedStream, TrialReads>>,
+    ): TrialStore {
         return new TrialStore(random, timeline, reads);
     }
 
@@ -64,11 +68,9 @@
     call(node: TrialNode, effect: RecordEffect, post: (event: JobInstanceEvent) => void): void {
         const sentAt = this.now - node.frozenMs;
         const log = this.streams[effect.stream];
-        const isJobsRead = effect.kind !== "append" && effect.stream === "jobs";
+        const reads = effect.kind === "append" ? undefined : this.readsOf(effect.stream);
         const postAnswer = (event: JobInstanceEvent) =>
-            this.schedule(this.random.between(1, 4) + (isJobsRead ? this.reads.lateMs(node.index) : 0), () =>
-                post(event),
-            );
+            this.schedule(this.random.between(1, 4) + (reads?.lateMs(node.index) ?? 0), () => post(event));
         const { stream } = effect;
         if (effect.kind === "append") {
             const reply = (result: ReturnType<KeyedLog["append"]>) =>
@@ -85,7 +87,7 @@
             return;
         }
         const read = (deadline: number) => {
-            const stallMs = isJobsRead ? this.reads.takeStallMs(node.index) : undefined;
+            const stallMs = reads?.takeStallMs(node.index);
             if (stallMs !== undefined || !this.isReachable(node)) {
                 const unavailable = Err("unavailable" as const);
                 const kind = effect.kind === "read" ? "read-answer" : "newest-answer";
@@ -102,6 +104,10 @@
         this.schedule(effect.delayMs + 2, () => read(this.now + (effect.kind === "read" ? effect.waitMs : 0)));
     }
 
+    private readsOf(stream: StreamName): TrialReads | undefined {
+        return stream === "jobs" || stream === "workers" ? this.reads[stream] : undefined;
+    }
+
     private isReachable(node: TrialNode): boolean {
         return this.now >= this.downUntil && this.now >= node.storeCutUntil;
     }
--- a/src/proof/node/trialWorkers.ts
+++ b/src/proof/node/trialWorkers.ts
@@ -15,6 +15,7 @@
 import { OddEntryWriter } from "./oddEntryWriter";
 import { Random } from "./random";
 import { TrialColocation } from "./trialColocation";
+import { DrainHost } from "./trialDrains";
 import { TrialSchedule } from "./trialSchedule";
 
 const HEARTBEAT_INTERVAL_MS = 1_500;
@@ -133,6 +134,21 @@
         this.remove(counts.indexOf(Math.max(...counts)));
     }
 
+    /** @param killLeader Kills the leader. @returns Lets workers leave; half of them always stay. */
+    drainHost(killLeader: () => void): DrainHost {
+        const candidates = () => {
+            const staying = [...this.workers.keys()].filter(index => this.workers[index].entry.state === "ready");
+            return staying.length > this.workers.length / 2 ? staying : [];
+        };
+        return {
+            get candidates() {
+                return candidates();
+            },
+            announceDrain: (index, leftMs) => this.announceDrain(index, leftMs),
+            killLeader,
+        };
+    }
+
     /** Cuts a worker off from the network. @param index Number of the worker. @param durationMs Duration in ms. */
     cut(index: number, durationMs: number): void {
         this.cutUntil.set(this.workers[index].entry.id, this.now + durationMs);
@@ -331,6 +347,19 @@
         });
     }
 
+    /** Lets a worker announce that it leaves, serve until then, and leave; another one comes in its place. */
+    private announceDrain(index: number, leftMs: number): void {
+        const worker = this.workers[index];
+        worker.announceDrain(leftMs);
+        this.context.trace.push(`${Math.round(this.now)} FAULT drain ${worker.entry.id} ${leftMs}`);
+        this.writeEntry(worker);
+        this.context.schedule.add(leftMs, () => {
+            if (this.workers[index] === worker) {
+                this.remove(index);
+            }
+        });
+    }
+
     private crash(worker: LeasedWorker): void {
         this.context.checker.recordCrash(worker);
         worker.crash();
@@ -382,13 +411,18 @@
         if (this.workers[index] !== worker || this.down.has(worker)) {
             return;
         }
-        if (!this.isCut(worker.entry.id)) {
+        this.writeEntry(worker);
+        worker.endDueRuns(this.now);
+        this.context.schedule.add(HEARTBEAT_INTERVAL_MS, () => this.sendHeartbeat(worker, index));
+    }
+
+    private writeEntry(worker: LeasedWorker): void {
+        if (!this.isCut(worker.entry.id) && !this.down.has(worker)) {
             const isOfPlatform = this.context.plan.oddEntryEveryMs !== undefined;
             const encode = isOfPlatform ? encodePlatformEntry : JSON.stringify;
             this.context.registry.store(worker.entry.id, encode(worker.entry));
+            this.context.checker.drains.recordEntry(worker);
         }
-        worker.endDueRuns(this.now);
-        this.context.schedule.add(HEARTBEAT_INTERVAL_MS, () => this.sendHeartbeat(worker, index));
     }
 
     private find(id: string): LeasedWorker | undefined {
--- a/src/standin/common/leasedWorker.ts
+++ b/src/standin/common/leasedWorker.ts
@@ -127,6 +127,11 @@
         this.latestEntry = { ...this.latestEntry, capacity };
     }
 
+    /** Announces that the worker leaves; it serves until then. @param leftMs Minimum time until it leaves, in ms. */
+    announceDrain(leftMs: number): void {
+        this.latestEntry = { ...this.latestEntry, state: "draining", drainLeftMs: leftMs };
+    }
+
     /** Changes the speed of the worker. @param slowness How many times slower it works than a sound one. @param now Time in ms. */
     setSlowness(slowness: number, now: number): void {
         this.work(now);
