Test the wait of a job against the three seconds that callers state

Callers accept 3 s in which an accepted job has nothing running while its service has room. The checker of the job trials allowed 10 s, and the unit tests of StepQueue, too.

New trials: wide jobs whose tasks run one after the other, changes of the leader, and jobs with little memory after a long overload with slow workers. A planned kill of the leader counts as a disruption, as a random one does. New unit tests: each wait between two tasks, the wait under a new leader, workers that are closed below full speed, jobs that come last in the order, and a run that its worker does not confirm.

--- /dev/null
+++ b/src/dispatch/common/test/stepQueueWaits.test.ts
@@ -0,0 +1,147 @@
+import test from "ava";
+import { StepSpec } from "../../../jobs/common/jobSpec";
+import { ActiveJob } from "../activeJob";
+import { LatencyModel } from "../latencyModel";
+import { StepQueue } from "../stepQueue";
+import { Task } from "../task";
+import { WorkerContact } from "../workerContact";
+import {
+    assign,
+    createBestEffort,
+    createBusyWorkers,
+    createJob,
+    createQueue,
+    createStep,
+    createWorker,
+    HEAVY_MODEL,
+    place,
+    report,
+} from "./runs";
+
+/**
+ * Time without any run after which a run must be assigned while workers have room, in ms: callers accept 3 s, of which a leader
+ * that is late may take half a second.
+ */
+const MAX_IDLE_MS = 3_000 - 500;
+
+const PASS_INTERVAL_MS = 100;
+
+/** Runs passes until a job has a run. @returns Time from the first pass in ms, or `undefined` if it has none after 20 s. */
+function waitForRun(
+    queue: StepQueue,
+    job: ActiveJob,
+    workers: readonly WorkerContact[],
+    from = 0,
+    others: readonly ActiveJob[] = [],
+): number | undefined {
+    for (let now = from; now <= from + 20_000; now += PASS_INTERVAL_MS) {
+        queue.placeWaiting([...others, job], workers, 100, now, now);
+        if (job.hasRun) {
+            return now - from;
+        }
+    }
+    return undefined;
+}
+
+/** Ends the run of a task as done. */
+function finish(task: Task, workers: readonly WorkerContact[]): void {
+    workers.forEach(worker => worker.runs.delete(task.name));
+    task.run = undefined;
+    task.job.markDone(task);
+}
+
+// Each task of a job waited for full speed again.
+test("a best-effort job whose tasks run one after the other does not wait for long between two of them", t => {
+    const model = LatencyModel.create(HEAVY_MODEL);
+    const workers = createBusyWorkers(model, 0.9);
+    const queue = createQueue(model);
+    const job = createJob("a", createBestEffort({ tasks: 6 }));
+    let now = 0;
+    for (let ended = 0; ended < 6; ended++) {
+        const waitedMs = waitForRun(queue, job, workers, now);
+        t.true(waitedMs !== undefined && waitedMs <= MAX_IDLE_MS, `task ${ended} waited ${waitedMs} ms`);
+        now += waitedMs ?? 0;
+        const task = [...job.tasks()].find(each => each.run !== undefined)!;
+        report(task.run!, 0, now + 1_000);
+        queue.placeWaiting([job], workers, 100, now + 1_000, now + 1_000);
+        finish(task, workers);
+        now += 1_100;
+    }
+});
+
+// Each leader let all jobs wait for full speed again.
+test("a new leader does not let a best-effort job wait again that was accepted long ago", t => {
+    const model = LatencyModel.create(HEAVY_MODEL);
+    const workers = createBusyWorkers(model, 0.9);
+    const queue = createQueue(model);
+    const job = createJob("a", createBestEffort({ tasks: 6 }));
+    queue.placeWaiting([job], workers, 100, 0, 60_000);
+    t.true(job.hasRun);
+});
+
+const OTHERWISE_CLOSED: Readonly<Record<string, Partial<StepSpec>>> = {
+    "more than half of its memory is in use": { request: { cpuMillis: 1_000, memoryMb: 150_000, accelerators: 0 } },
+    "its spare CPU is less than a quarter of what the task requests": {
+        request: { cpuMillis: 54_000, memoryMb: 1_000, accelerators: 0 },
+    },
+};
+
+// The bound held only on workers with half of their memory and a quarter of the requested CPU to spare.
+for (const [name, overrides] of Object.entries(OTHERWISE_CLOSED)) {
+    test(`a best-effort job is not left without a run where it fits on one worker only, and ${name}`, t => {
+        const model = LatencyModel.create(HEAVY_MODEL);
+        const workers = createBusyWorkers(model);
+        place(workers[0], "b", createStep("other", false, { ...overrides, usesSpareCpu: false }));
+        const request = { cpuMillis: 56_000, memoryMb: 60_000, accelerators: 0 };
+        const job = createJob("a", createBestEffort({ request, requiredLabel: "big" }));
+        const big = createWorker("big", { labels: ["big"] });
+        place(big, "web-big", createStep("web", true));
+        place(big, "c", createStep("other", false, { ...overrides, usesSpareCpu: false }));
+        const waitedMs = waitForRun(createQueue(model), job, [...workers, big]);
+        t.true(waitedMs !== undefined && waitedMs <= MAX_IDLE_MS, `waited ${waitedMs} ms`);
+    });
+}
+
+// Jobs that cannot be in time any more came last, for as long as others arrived.
+test("a job that has long been without a run goes before those that arrive", t => {
+    const workers = Array.from({ length: 4 }, (_, index) => createWorker(`w${index}`));
+    const queue = createQueue(LatencyModel.create());
+    const late = createJob("late", createStep("batch", false, { usesSpareCpu: false, estimateMs: 1_000_000 }));
+    let waitedMs: number | undefined;
+    for (let now = 0; now <= 20_000 && waitedMs === undefined; now += PASS_INTERVAL_MS) {
+        const arriving = createJob(`c${now}`, createStep("short", false, { usesSpareCpu: false, estimateMs: 10 }));
+        queue.placeWaiting([late, arriving], workers, 1, now, 0);
+        workers.forEach(worker => [...arriving.tasks()].forEach(task => worker.runs.delete(task.name)));
+        waitedMs = late.hasRun ? now : undefined;
+    }
+    t.true(waitedMs !== undefined && waitedMs <= MAX_IDLE_MS, `waited ${waitedMs} ms`);
+});
+
+// The start on a worker that cannot be reached held up all other tasks of its job.
+test("a job whose only run is not confirmed by its worker does not wait for it with its other tasks", t => {
+    const model = LatencyModel.create(HEAVY_MODEL);
+    const workers = createBusyWorkers(model, 0.9);
+    const unreachable = createWorker("unreachable");
+    const queue = createQueue(model);
+    const job = createJob("a", createBestEffort({ tasks: 2 }));
+    const [first, second] = [...job.tasks()];
+    assign(unreachable, first).fire("unanswered", { now: 0 });
+    let at: number | undefined;
+    for (let now = 0; now <= 20_000 && at === undefined; now += PASS_INTERVAL_MS) {
+        queue.placeWaiting([job], workers, 100, now, now);
+        at = second.run === undefined ? undefined : now;
+    }
+    t.true(at !== undefined && at <= MAX_IDLE_MS, `waited ${at} ms`);
+});
+
+test("one task of a job without a run is placed below full speed, the others wait for full speed", t => {
+    const model = LatencyModel.create(HEAVY_MODEL);
+    const workers = createBusyWorkers(model, 0.9);
+    const queue = createQueue(model);
+    const job = createJob("a", createBestEffort({ tasks: 6 }));
+    for (let now = 0; now <= 10_000; now += PASS_INTERVAL_MS) {
+        queue.placeWaiting([job], workers, 100, now, now);
+        [...job.tasks()].forEach(task => task.run !== undefined && report(task.run, 0, now));
+    }
+    t.is([...job.tasks()].filter(task => task.run !== undefined).length, 1);
+});
--- a/src/proof/node/jobTrial.ts
+++ b/src/proof/node/jobTrial.ts
@@ -305,6 +305,7 @@
         } else if (leader === undefined) {
             throw new Error(`no leader at ${this.now} ms to ${fault}`);
         } else if (fault === "kill-leader") {
+            this.checker.recordDisruption(MAX_DOWN_MS);
             this.kill(leader);
         } else if (fault === "freeze-leader") {
             this.freeze(leader, PLANNED_FREEZE_MS);
--- a/src/proof/node/test/jobTrial.test.ts
+++ b/src/proof/node/test/jobTrial.test.ts
@@ -354,6 +354,40 @@
     });
 }
 
+/** Few wide jobs that interfere with all latency-critical tasks: their tasks run one after the other. */
+const ONE_AFTER_THE_OTHER = { heavyRatio: 1, bestEffortEveryMs: 2_500, maxTasks: 12 };
+
+// The wait for full speed began again with each task.
+for (const seed of [201, 202, 203]) {
+    test.serial(`a best-effort job does not wait for long between two of its tasks, seed ${seed}`, t => {
+        const result = JobTrial.run({ ...COLOCATED, seed, colocation: ONE_AFTER_THE_OTHER });
+        t.deepEqual(result.breaches, []);
+        t.true(result.starts > 5 * result.jobs);
+    });
+}
+
+// The wait for full speed began again with each leader.
+for (const seed of [301, 302, 303]) {
+    test.serial(`a best-effort job does not wait for long after a change of the leader, seed ${seed}`, t => {
+        const plannedFaults = [10_000, 20_000, 30_000].map(ms => [ms, "kill-leader"] as const);
+        const plan = { ...COLOCATED, seed, plannedFaults, colocation: ONE_AFTER_THE_OTHER };
+        const result = JobTrial.run({ ...plan, lengthMs: 40_000 });
+        t.is(result.leaders, 1 + plannedFaults.length);
+        t.deepEqual(result.breaches, []);
+    });
+}
+
+// Jobs that had waited through the overload waited for full speed as long as before.
+for (const seed of [421, 422, 423]) {
+    test.serial(`best-effort jobs do not wait for long after a long overload, seed ${seed}`, t => {
+        const colocation = { heavyRatio: 0.6, bestEffortEveryMs: 500, maxTasks: 6, memoryMb: 1_000 };
+        const faults = { faults: ["worker-slow"] as const, faultEveryMs: 4_000, faultsUntilMs: 30_000 };
+        const plannedFaults = [[25_000, "kill-leader"]] as const;
+        const result = JobTrial.run({ ...COLOCATED, ...faults, seed, lengthMs: 60_000, plannedFaults, colocation });
+        t.deepEqual(result.breaches, []);
+    });
+}
+
 // A worker obeyed two orders of a speed in the wrong order, and never got another one.
 test.serial("best-effort runs that start below full speed do not keep tasks over their targets, seed 1", t => {
     const colocation = { heavyRatio: 1, bestEffortEveryMs: 150 };
--- a/src/proof/node/trialColocation.ts
+++ b/src/proof/node/trialColocation.ts
@@ -60,7 +60,7 @@
         this.draftCount.latencyCritical += isLatencyCritical ? 1 : 0;
         const draft = isLatencyCritical
             ? createLatencyCriticalDraft(index, this.workers)
-            : createBestEffortDraft(this.random);
+            : createBestEffortDraft(this.random, this.plan);
         this.steps.set(id, draft.steps);
         const nextInMs = isLatencyCritical
             ? LATENCY_CRITICAL_INTERVAL_MS
