--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -81,6 +81,8 @@
     /** Whether a pass over the waiting tasks is needed. */
     private isDirty = true;
     private lastPassAt = 0;
+    /** Number of passes over the waiting tasks so far. */
+    passCount = 0;
     private readonly modelRecorder: LatencyModelRecorder;
     private now = 0;
     private wallNow = 0;
@@ -229,6 +231,7 @@
         if (this.isDirty && now - this.lastPassAt >= interval) {
             this.isDirty = false;
             this.lastPassAt = now;
+            this.passCount += 1;
             const usable = this.admission.usableWorkers(this.pool.all, now);
             this.queue.placeWaiting(this.activeJobs.all, usable, this.pool.remainingStarts(), now, wallNow);
         }
