Compare waiting tasks with bounds before workers are assessed

Callers saw late starts while the leader was busy with passes: each pass assessed every worker for each waiting step of another shape, and 0.8 of a pass with 5,000 waiting tasks on 378 workers were such assessments, nearly all with the result that the task does not fit. CapacityBounds keeps, for each image and horizon, the most CPU that a worker offers at full speed and whether it offers less than full speed; only workers within the bounds are assessed.

--- a/src/dispatch/common/bestEffortPolicy.ts
+++ b/src/dispatch/common/bestEffortPolicy.ts
@@ -1,8 +1,9 @@
+import { StepSpec } from "../../jobs/common/jobSpec";
 import { LatencyModel } from "./latencyModel";
 import { Task } from "./task";
 import { PlacementOffer, PlacementPolicy, SpeedLimit } from "./placementPolicy";
 import { FreeCapacity, WorkerContact } from "./workerContact";
-import { WorkerForecast } from "./workerForecast";
+import { LatencyForecast, WorkerForecast } from "./workerForecast";
 
 /** Share of its requested CPU that a latency-critical task is expected to use. */
 const EXPECTED_LOAD_RATIO = 0.5;
@@ -57,7 +58,7 @@
     ): PlacementOffer {
         const { request, image } = task.step;
         const share = request.cpuMillis / worker.entry.capacity.cpuMillis;
-        const horizonS = Math.min(MAX_HORIZON_S, task.step.estimateMs / 1_000);
+        const horizonS = horizonOf(task.step);
         let unused = freeCapacity.unrequestedCpuMillis;
         let cost = 0;
         let speed = 1;
@@ -65,8 +66,7 @@
         for (const each of latencyCritical) {
             unused += each.cpuMillis * (1 - EXPECTED_LOAD_RATIO);
             const added = this.model.conservativeInterference(each.image, image, share);
-            const expected = Math.max(each.minHeadroom, each.headroom + each.declinePerS * horizonS);
-            const spare = Math.min(each.headroom, expected) - MIN_HEADROOM_RATIO;
+            const spare = spareHeadroom(each, horizonS);
             cost +=
                 added * INTERFERENCE_COST_MILLIS +
                 Math.max(0, MIN_HEADROOM_RATIO - each.minHeadroom + added) * SHORTFALL_COST_MILLIS;
@@ -90,6 +90,42 @@
             isOpenBelowFullSpeed: cpuShare >= MIN_SPARE_CPU_RATIO && hasSpareRoom(freeCapacity, worker),
         };
     }
+
+    override boundsKey(step: StepSpec): string {
+        return `${step.image}/${horizonOf(step)}`;
+    }
+
+    override fullSpeedMillis(
+        step: StepSpec,
+        worker: WorkerContact,
+        { freeCapacity, latencyCritical }: WorkerForecast,
+    ): number {
+        const horizonS = horizonOf(step);
+        let unused = freeCapacity.unrequestedCpuMillis;
+        let limit = Number.POSITIVE_INFINITY;
+        for (const each of latencyCritical) {
+            unused += each.cpuMillis * (1 - EXPECTED_LOAD_RATIO);
+            const spare = spareHeadroom(each, horizonS);
+            const addedByAll = this.model.conservativeInterference(each.image, step.image, 1);
+            const bound = addedByAll === 0 ? Number.POSITIVE_INFINITY : spare / addedByAll;
+            limit = Math.min(limit, spare < 0 ? -1 : bound * worker.entry.capacity.cpuMillis);
+        }
+        return Math.min(limit, unused / MIN_FREE_RATIO);
+    }
+
+    override mayOpenBelowFullSpeed(worker: WorkerContact, { freeCapacity }: WorkerForecast): boolean {
+        return hasSpareRoom(freeCapacity, worker);
+    }
+}
+
+/** @returns Time over which the load beside a task of a step is extrapolated, in s. */
+function horizonOf(step: StepSpec): number {
+    return Math.min(MAX_HORIZON_S, step.estimateMs / 1_000);
+}
+
+/** @returns Headroom that a latency-critical task can lose within this many seconds; negative if it has too little. */
+function spareHeadroom({ headroom, minHeadroom, declinePerS }: LatencyForecast, horizonS: number): number {
+    return Math.min(headroom, Math.max(minHeadroom, headroom + declinePerS * horizonS)) - MIN_HEADROOM_RATIO;
 }
 
 function hasSpareRoom({ memoryMb, accelerators }: FreeCapacity, { entry: { capacity } }: WorkerContact): boolean {
--- /dev/null
+++ b/src/dispatch/common/capacityBounds.ts
@@ -0,0 +1,98 @@
+import { StepSpec } from "../../jobs/common/jobSpec";
+import { PlacementPolicy } from "./placementPolicy";
+import { WorkerContact } from "./workerContact";
+import { WorkerForecast } from "./workerForecast";
+
+/** Tolerance of the bounds for rounding, as a ratio: a worker at a bound is assessed. */
+const ROUNDING_RATIO = 1e-6;
+
+/** Returns the forecast of a worker, by its position, as it is after the placements of the pass so far. */
+export type ForecastAt = (position: number) => WorkerForecast;
+
+/** Bounds of the workers for tasks of one kind, by position of the worker. */
+interface KindBounds {
+    /** Version of the worker's forecast with which the bounds were computed; 0 before. */
+    readonly versions: Uint32Array;
+    /** No task that requests more CPU has full speed there, in thousandths of a core. */
+    readonly fullSpeedMillis: Float64Array;
+    /** 1 where tasks may run below full speed. */
+    readonly isOpenBelow: Uint8Array;
+    readonly memoryMb: Float64Array;
+}
+
+/**
+ * Bounds of what the workers can take in one pass. Most waiting tasks fit nowhere; a comparison with the bounds shows that
+ * without an assessment of each worker. The bounds depend on the image of a task and on its duration, not on its request,
+ * so that they are computed once for many steps, and again only for workers on which something was placed.
+ */
+export class CapacityBounds {
+    private readonly byKind = new Map<string, KindBounds>();
+
+    private constructor(
+        private readonly workers: readonly WorkerContact[],
+        private readonly versions: Uint32Array,
+        private readonly forecastAt: ForecastAt,
+    ) {}
+
+    /**
+     * @param workers The workers.
+     * @param versions Versions of their forecasts, which the caller increases from 1 on as forecasts change.
+     * @param forecastAt Returns the forecast of a worker.
+     * @returns The bounds.
+     */
+    static create(workers: readonly WorkerContact[], versions: Uint32Array, forecastAt: ForecastAt): CapacityBounds {
+        return new CapacityBounds(workers, versions, forecastAt);
+    }
+
+    /**
+     * @param step A step.
+     * @param policy Policy that assesses its placements.
+     * @param minSpeedPercent Lowest speed at which its tasks may run, in percent of full speed.
+     * @param from Position from which to search.
+     * @returns Position of the next worker that may be suitable for the step, or the number of workers if there is none.
+     */
+    next(step: StepSpec, policy: PlacementPolicy, minSpeedPercent: number, from: number): number {
+        const kind = this.kindOf(step, policy);
+        const { cpuMillis, memoryMb } = step.request;
+        const isSlowAllowed = minSpeedPercent < 100;
+        const { length } = this.workers;
+        for (let position = from; position < length; position++) {
+            if (kind.versions[position] !== this.versions[position]) {
+                this.update(kind, step, policy, position);
+            }
+            const hasCpu =
+                cpuMillis <= kind.fullSpeedMillis[position] || (isSlowAllowed && kind.isOpenBelow[position] === 1);
+            if (hasCpu && memoryMb <= kind.memoryMb[position]) {
+                return position;
+            }
+        }
+        return length;
+    }
+
+    private kindOf(step: StepSpec, policy: PlacementPolicy): KindBounds {
+        const key = policy.boundsKey(step);
+        const known = this.byKind.get(key);
+        if (known !== undefined) {
+            return known;
+        }
+        const { length } = this.workers;
+        const kind = {
+            versions: new Uint32Array(length),
+            fullSpeedMillis: new Float64Array(length),
+            isOpenBelow: new Uint8Array(length),
+            memoryMb: new Float64Array(length),
+        };
+        this.byKind.set(key, kind);
+        return kind;
+    }
+
+    private update(kind: KindBounds, step: StepSpec, policy: PlacementPolicy, position: number): void {
+        const worker = this.workers[position];
+        const forecast = this.forecastAt(position);
+        kind.versions[position] = this.versions[position];
+        const millis = policy.fullSpeedMillis(step, worker, forecast);
+        kind.fullSpeedMillis[position] = millis + Math.abs(millis) * ROUNDING_RATIO;
+        kind.isOpenBelow[position] = policy.mayOpenBelowFullSpeed(worker, forecast) ? 1 : 0;
+        kind.memoryMb[position] = forecast.freeCapacity.memoryMb;
+    }
+}
--- a/src/dispatch/common/placementPolicy.ts
+++ b/src/dispatch/common/placementPolicy.ts
@@ -1,3 +1,4 @@
+import { StepSpec } from "../../jobs/common/jobSpec";
 import { Task } from "./task";
 import { WorkerContact } from "./workerContact";
 import { WorkerForecast } from "./workerForecast";
@@ -29,4 +30,18 @@
      * @returns What a placement of the task there would cost, and at which speed it could run.
      */
     abstract assess(task: Task, worker: WorkerContact, forecast: WorkerForecast): PlacementOffer;
+
+    /** @returns Key of what `fullSpeedMillis` depends on in a step. */
+    abstract boundsKey(step: StepSpec): string;
+
+    /**
+     * @param step A step, of which it uses what `boundsKey` names.
+     * @param worker A worker.
+     * @param forecast Its forecast.
+     * @returns Upper bound of the CPU that a task may request to be offered full speed there, in thousandths of a core.
+     */
+    abstract fullSpeedMillis(step: StepSpec, worker: WorkerContact, forecast: WorkerForecast): number;
+
+    /** @returns Whether any task may be offered less than full speed on a worker. */
+    abstract mayOpenBelowFullSpeed(worker: WorkerContact, forecast: WorkerForecast): boolean;
 }
--- a/src/dispatch/common/placer.ts
+++ b/src/dispatch/common/placer.ts
@@ -1,4 +1,5 @@
 import { StepSpec } from "../../jobs/common/jobSpec";
+import { CapacityBounds } from "./capacityBounds";
 import { LatencyModel } from "./latencyModel";
 import { ReservedPolicy } from "./reservedPolicy";
 import { BestEffortPolicy } from "./bestEffortPolicy";
@@ -35,8 +36,8 @@
 
 /** Offers for one step, by position of the worker in the placer. */
 interface StepOffers {
-    /** Version of the worker's forecast with which the offer was computed. */
-    readonly versions: number[];
+    /** Version of the worker's forecast with which the offer was computed; 0 before. */
+    readonly versions: Uint32Array;
     /** `undefined` where the step does not fit. */
     readonly offers: (PlacementOffer | undefined)[];
 }
@@ -47,9 +48,12 @@
  * placed on that worker.
  */
 export class Placer {
-    private readonly forecasts = new Map<WorkerContact, WorkerForecast>();
+    /** Forecasts by position of the worker, as far as they are known. */
+    private readonly forecasts: (WorkerForecast | undefined)[] = [];
     private readonly positions: ReadonlyMap<WorkerContact, number>;
-    private readonly versions: number[];
+    /** Versions of the forecasts. */
+    private readonly versions: Uint32Array;
+    private readonly bounds: CapacityBounds;
     private readonly stepOffers = new Map<StepSpec, StepOffers>();
     /** Steps of best-effort tasks for which no worker was suitable in this pass. */
     private readonly rejections = RejectionTable.create();
@@ -61,7 +65,8 @@
         private readonly model: LatencyModel,
     ) {
         this.positions = new Map(workers.map((worker, position) => [worker, position]));
-        this.versions = workers.map(() => 1);
+        this.versions = new Uint32Array(workers.length).fill(1);
+        this.bounds = CapacityBounds.create(workers, this.versions, position => this.forecastAt(position));
     }
 
     /**
@@ -86,21 +91,16 @@
         isAllowed: (worker: WorkerContact) => boolean = () => true,
         minSpeedPercent = 100,
     ): PlacementChoice | undefined {
-        const offers = this.currentOffers(task, service);
         let best: PlacementChoice | undefined;
         let bestRank = Number.POSITIVE_INFINITY;
-        for (let position = 0; position < this.workers.length; position++) {
-            const worker = this.workers[position];
-            const offer = offers[position];
-            if (!isSufficient(offer, minSpeedPercent)) {
-                continue;
-            }
+        this.visitSufficient(task, service, minSpeedPercent, (worker, offer) => {
             const rank = offer.cost + (100 - offer.speedPercent) * COST_PER_PERCENT_MILLIS;
             if (rank < bestRank && isAcceptable(task, worker) && isAllowed(worker)) {
                 best = { worker, speedPercent: offer.speedPercent };
                 bestRank = rank;
             }
-        }
+            return true;
+        });
         return best;
     }
 
@@ -120,8 +120,7 @@
      * a limit per worker or an earlier failure of this task says nothing about the tasks of other steps.
      */
     recordRejection(task: Task, service: string, minSpeedPercent = 100): void {
-        const isSuitable = (offer: PlacementOffer | undefined) => isSufficient(offer, minSpeedPercent);
-        if (task.step.usesSpareCpu && !this.currentOffers(task, service).some(isSuitable)) {
+        if (task.step.usesSpareCpu && this.visitSufficient(task, service, minSpeedPercent, () => false)) {
             this.rejections.add(task.step, service, minSpeedPercent);
         }
     }
@@ -154,8 +153,9 @@
     oldestEstimateMs(task: Task, service: string, now: number): number | undefined {
         const offers = this.currentOffers(task, service);
         const ages = this.workers
-            .filter((_, position) => offers[position]?.limit === "interference")
-            .flatMap(worker => this.forecast(worker).latencyCritical)
+            .flatMap((_, position) =>
+                offers[position]?.limit === "interference" ? this.forecastAt(position).latencyCritical : [],
+            )
             .map(each => this.model.estimateAgeMs(each.image, task.step.image, now))
             .filter(age => age !== undefined);
         return ages.length === 0 ? undefined : Math.round(Math.max(...ages));
@@ -200,9 +200,9 @@
     lacksOnlyCpu(task: Task, service: string, isAllowed: (worker: WorkerContact) => boolean): boolean {
         const { step } = task;
         return this.workers.some(
-            worker =>
+            (worker, position) =>
                 isOfKind(step, service, worker) &&
-                worker.fits(step.request, true, this.forecast(worker).freeCapacity) &&
+                worker.fits(step.request, true, this.forecastAt(position).freeCapacity) &&
                 isAllowed(worker),
         );
     }
@@ -215,20 +215,49 @@
 
     /** Discards the forecast and the costs of a worker after something was placed on it. */
     invalidate(worker: WorkerContact): void {
-        this.forecasts.delete(worker);
-        this.versions[this.positions.get(worker)!] += 1;
+        const position = this.positions.get(worker)!;
+        this.forecasts[position] = undefined;
+        this.versions[position] += 1;
+    }
+
+    /**
+     * Visits the workers with a sufficient offer, in their order, until the visitor returns false.
+     * @returns Whether all of them were visited.
+     */
+    private visitSufficient(
+        task: Task,
+        service: string,
+        minSpeedPercent: number,
+        visit: (worker: WorkerContact, offer: PlacementOffer) => boolean,
+    ): boolean {
+        const { step } = task;
+        const policy = this.policyOf(step);
+        const next = (from: number) => this.bounds.next(step, policy, minSpeedPercent, from);
+        for (let position = next(0); position < this.workers.length; position = next(position + 1)) {
+            const offer = this.offerAt(position, task, service);
+            if (isSufficient(offer, minSpeedPercent) && !visit(this.workers[position], offer)) {
+                return false;
+            }
+        }
+        return true;
     }
 
     /** @returns The offers of all workers for a step. */
     private currentOffers(task: Task, service: string): readonly (PlacementOffer | undefined)[] {
+        return this.workers.map((_, position) => this.offerAt(position, task, service));
+    }
+
+    private offerAt(position: number, task: Task, service: string): PlacementOffer | undefined {
         const { versions, offers } = this.offersOf(task.step);
-        for (let position = 0; position < this.workers.length; position++) {
-            if (versions[position] !== this.versions[position]) {
-                versions[position] = this.versions[position];
-                offers[position] = this.offer(task, service, this.workers[position]);
-            }
+        if (versions[position] !== this.versions[position]) {
+            versions[position] = this.versions[position];
+            offers[position] = this.offer(task, service, position);
         }
-        return offers;
+        return offers[position];
+    }
+
+    private policyOf(step: StepSpec): PlacementPolicy {
+        return step.usesSpareCpu ? this.bestEffortPolicy : this.reservedPolicy;
     }
 
     private offersOf(step: StepSpec): StepOffers {
@@ -236,7 +265,7 @@
         if (known !== undefined) {
             return known;
         }
-        const offers = { versions: this.workers.map(() => 0), offers: [] };
+        const offers = { versions: new Uint32Array(this.workers.length), offers: [] };
         this.stepOffers.set(step, offers);
         return offers;
     }
@@ -257,22 +286,24 @@
     }
 
     /** @returns The offer of a worker, or `undefined` if the task does not fit there. */
-    private offer(task: Task, service: string, worker: WorkerContact): PlacementOffer | undefined {
+    private offer(task: Task, service: string, position: number): PlacementOffer | undefined {
         const { step } = task;
-        const forecast = this.forecast(worker);
+        const worker = this.workers[position];
+        const forecast = this.forecastAt(position);
         const isEligible =
             isOfKind(step, service, worker) && worker.fits(step.request, step.usesSpareCpu, forecast.freeCapacity);
         if (!isEligible) {
             return undefined;
         }
-        return (step.usesSpareCpu ? this.bestEffortPolicy : this.reservedPolicy).assess(task, worker, forecast);
+        return this.policyOf(step).assess(task, worker, forecast);
     }
 
     /** Takes what a task needs out of the free capacity of a worker for the rest of the pass. */
     reserve(task: Task, worker: WorkerContact): void {
         const { request, usesSpareCpu } = task.step;
-        const { freeCapacity, latencyCritical } = this.forecast(worker);
-        this.forecasts.set(worker, {
+        const position = this.positions.get(worker)!;
+        const { freeCapacity, latencyCritical } = this.forecastAt(position);
+        this.forecasts[position] = {
             latencyCritical,
             freeCapacity: {
                 cpuMillis: freeCapacity.cpuMillis - (usesSpareCpu ? 0 : request.cpuMillis),
@@ -280,17 +311,13 @@
                 accelerators: freeCapacity.accelerators - request.accelerators,
                 unrequestedCpuMillis: freeCapacity.unrequestedCpuMillis - request.cpuMillis,
             },
-        });
-        this.versions[this.positions.get(worker)!] += 1;
+        };
+        this.versions[position] += 1;
     }
 
-    private forecast(worker: WorkerContact): WorkerForecast {
-        const known = this.forecasts.get(worker);
-        if (known !== undefined) {
-            return known;
-        }
-        const forecast = forecastFor(worker, this.model);
-        this.forecasts.set(worker, forecast);
+    private forecastAt(position: number): WorkerForecast {
+        const forecast = this.forecasts[position] ?? forecastFor(this.workers[position], this.model);
+        this.forecasts[position] = forecast;
         return forecast;
     }
 }
--- a/src/dispatch/common/reservedPolicy.ts
+++ b/src/dispatch/common/reservedPolicy.ts
@@ -1,3 +1,4 @@
+import { StepSpec } from "../../jobs/common/jobSpec";
 import { Task } from "./task";
 import { PlacementOffer, PlacementPolicy } from "./placementPolicy";
 import { WorkerContact } from "./workerContact";
@@ -26,6 +27,18 @@
     override assess(task: Task, _worker: WorkerContact, forecast: WorkerForecast): PlacementOffer {
         return { cost: costOf(task, forecast), speedPercent: 100, limit: undefined, isOpenBelowFullSpeed: false };
     }
+
+    override boundsKey(_step: StepSpec): string {
+        return "reserved";
+    }
+
+    override fullSpeedMillis(_step: StepSpec, _worker: WorkerContact, { freeCapacity }: WorkerForecast): number {
+        return freeCapacity.cpuMillis;
+    }
+
+    override mayOpenBelowFullSpeed(): boolean {
+        return false;
+    }
 }
 
 function costOf(task: Task, { freeCapacity, latencyCritical }: WorkerForecast): number {
