--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -65,6 +65,8 @@
     /** Whether a pass over the waiting tasks is needed. */
     private isDirty = true;
     private lastPassAt = 0;
+    /** Number of passes over the waiting tasks so far. */
+    passCount = 0;
     private readonly modelRecorder: LatencyModelRecorder;
     private now = 0;
     private wallNow = 0;
@@ -214,6 +216,7 @@
         if (this.isDirty && now - this.lastPassAt >= interval) {
             this.isDirty = false;
             this.lastPassAt = now;
+            this.passCount += 1;
             const usable = this.admission.usableWorkers(this.pool.all, now);
             const { activeJobs, pool, queue } = this;
             this.work.measure("pass", () =>
