Leave time for other work after a long pass

A pass over the waiting tasks followed each answer of a worker as soon as 20 ms had passed since the last one began. On an instance with 0.27 of a core a pass takes 60 to 85 ms, so there was one after each answer: the leader handled 20 lists in 1.1 s, in which it neither read the jobs nor ran a tick. After a pass that takes longer than a tick, twice its duration, at most 0.5 s, is now left for other work.

--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -11,6 +11,7 @@
 import { DecisionData, DecisionName, DispatchEffect } from "./dispatchEffects";
 import { ActiveJobTable, LeaderWriters } from "./activeJobTable";
 import { JobPruner } from "./jobPruner";
+import { PassPacer } from "./passPacer";
 import { FailureController } from "./failureController";
 import { LatencyModel, InterferenceRow } from "./latencyModel";
 import { LeaseBook, LeaseContext } from "./leaseBook";
@@ -37,13 +38,6 @@
 /** Size of the range of run numbers per task and epoch. Separate ranges keep two leaders from using the same number. */
 const MAX_RUNS_PER_EPOCH = 1_000;
 
-/** Minimum interval between passes over the waiting tasks, in ms. It grows with the workers: a pass visits them all. */
-const MIN_PASS_INTERVAL_MS = 20;
-const PASS_INTERVAL_PER_WORKER_MS = 0.2;
-
-/** Maximum interval between passes, in ms: latencies change even while no run ends. */
-const MAX_PASS_INTERVAL_MS = 150;
-
 /** Dependencies of the scheduler. */
 export interface SchedulerContext extends LeaseContext {
     readonly jobs: JobTable;
@@ -80,7 +74,7 @@
     private pendingStarts: Run[] = [];
     /** Whether a pass over the waiting tasks is needed. */
     private isDirty = true;
-    private lastPassAt = 0;
+    private readonly pacer = PassPacer.create();
     private readonly modelRecorder: LatencyModelRecorder;
     private now = 0;
     private wallNow = 0;
@@ -206,7 +200,7 @@
         this.failures.recordUptime(this.pool.busyCount, now);
         this.pruner.tick(now);
         this.modelRecorder.tick(now);
-        this.isDirty ||= now - this.lastPassAt > MAX_PASS_INTERVAL_MS;
+        this.isDirty ||= this.pacer.isOverdue(now);
     }
 
     /**
@@ -225,10 +219,10 @@
         const starts = this.pendingStarts;
         this.pendingStarts = [];
         starts.forEach(run => run.fire("stored", { now }));
-        const interval = Math.max(MIN_PASS_INTERVAL_MS, this.pool.size * PASS_INTERVAL_PER_WORKER_MS);
-        if (this.isDirty && now - this.lastPassAt >= interval) {
+        const mayBegin = this.pacer.mayBegin(this.pool.size, now);
+        if (this.isDirty && mayBegin) {
             this.isDirty = false;
-            this.lastPassAt = now;
+            this.pacer.begin(now);
             const usable = this.admission.usableWorkers(this.pool.all, now);
             this.queue.placeWaiting(this.activeJobs.all, usable, this.pool.remainingStarts(), now, wallNow);
         }
