--- a/src/proof/node/leaderLoad.ts
+++ b/src/proof/node/leaderLoad.ts
@@ -2,7 +2,8 @@
 import { Outbox } from "../../base/common/outbox";
 import { DispatchEffect } from "../../dispatch/common/dispatchEffects";
 import { LeaseTable } from "../../dispatch/common/leaseTable";
-import { Scheduler, SchedulerContext } from "../../dispatch/common/scheduler";
+import { Scheduler } from "../../dispatch/common/scheduler";
+import { SchedulerContext } from "../../dispatch/common/schedulerContext";
 import { encodeSpec, jobKey } from "../../jobs/common/jobRecord";
 import { JobSpec } from "../../jobs/common/jobSpec";
 import { JobTable } from "../../jobs/common/jobTable";
@@ -112,6 +113,7 @@
                 longestLeaseMs: 6_000,
                 stopMs: 200,
                 cancelMs: 3_000,
+                drainMs: 2_500,
                 gangWaitMs: 3_000,
                 harmMs: 4_000,
                 configurationMs: 2_500,
--- a/src/proof/node/test/takeoverFixture.ts
+++ b/src/proof/node/test/takeoverFixture.ts
@@ -17,6 +17,7 @@
     longestLeaseMs: 6_000,
     stopMs: 200,
     cancelMs: 3_000,
+    drainMs: 2_500,
     gangWaitMs: 3_000,
     harmMs: 4_000,
     configurationMs: 2_500,
