Restore the jobs of a former leader in slices

A new leader restored all jobs in one event: 163 ms for 136 jobs on an instance with 0.27 of a core, and more than the time after which it is replaced with over a thousand. A job that is not restored yet ignores changes, which its entry keeps until then: without its progress, its tasks would run again. Decisions begin when all jobs are restored. `leader-began` has `tookMs`, the duration since the claim was read.

--- a/src/dispatch/common/activeJobTable.ts
+++ b/src/dispatch/common/activeJobTable.ts
@@ -1,6 +1,6 @@
 import { Emitter } from "../../base/common/emitter";
 import { encodeProgress, encodeSpec, jobKey, JobProgress, RunRecord, TaskRecord } from "../../jobs/common/jobRecord";
-import { JobState } from "../../jobs/common/jobSpec";
+import { JobSpec, JobState } from "../../jobs/common/jobSpec";
 import { isFinal, JobEntry, JobTable } from "../../jobs/common/jobTable";
 import { ProgressTable } from "../../jobs/common/progressTable";
 import { RecordWriter, StoredListener } from "../../records/common/recordWriter";
@@ -89,28 +89,39 @@
     }
 
     /**
-     * Loads all jobs that are not finished, with the progress that earlier leaders recorded.
-     * @param table All jobs.
-     * @param progress Their progress.
-     * @param inherit Called for each run that may be on a worker.
+     * Adds a job with the progress that earlier leaders recorded, unless it is finished.
+     * @param entry The job.
+     * @param progress Progress of all jobs.
+     * @param inherit Called for each of its runs that may be on a worker.
+     * @returns Number of the tasks that were created.
      */
-    load(table: JobTable, progress: ProgressTable, inherit: (task: Task, record: RunRecord) => void): void {
-        for (const entry of table.all) {
-            const known = progress.find(entry.id);
-            const isFinished = known !== undefined && isFinal(known.state) && (known.runs ?? []).length === 0;
-            if (isFinished) {
-                this.finished.add(entry.id);
-                this.recordRestarts(entry.id, known.tasks ?? []);
-                this.publishState(entry.id, entry.state, known.state);
-            } else if (progress.isMalformed(entry.id)) {
-                // Its runs are not known. If it were scheduled, tasks could run twice.
-                this.finished.add(entry.id);
-                this.didIgnoreJob.fire(entry.id);
-            } else if (entry.spec !== undefined) {
-                this.restore(entry, known, inherit);
+    restore(entry: JobEntry, progress: ProgressTable, inherit: (task: Task, record: RunRecord) => void): number {
+        const known = progress.find(entry.id);
+        const isFinished = known !== undefined && isFinal(known.state) && (known.runs ?? []).length === 0;
+        if (isFinished) {
+            this.finished.add(entry.id);
+            this.recordRestarts(entry.id, known.tasks ?? []);
+            this.publishState(entry.id, entry.state, known.state);
+        } else if (progress.isMalformed(entry.id)) {
+            // Its runs are not known. If it were scheduled, tasks could run twice.
+            this.finished.add(entry.id);
+            this.didIgnoreJob.fire(entry.id);
+        } else if (entry.spec !== undefined) {
+            return this.restoreJob(entry, entry.spec, known, inherit);
+        }
+        return 0;
+    }
+
+    /**
+     * Deletes progress without a job. It remains if a leader is lost after it deleted the spec of an expired job, but
+     * before it deleted the progress.
+     */
+    deleteOrphans(table: JobTable, progress: ProgressTable): void {
+        for (const id of progress.ids) {
+            if (table.find(id) === undefined) {
+                this.writers.progress.write(jobKey("progress", id), () => undefined);
             }
         }
-        this.deleteOrphans(table, progress);
     }
 
     /** Applies a change in the table of all jobs. */
@@ -188,12 +199,13 @@
         }
     }
 
-    private restore(
+    private restoreJob(
         entry: JobEntry,
+        spec: JobSpec,
         progress: JobProgress | undefined,
         inherit: (task: Task, record: RunRecord) => void,
-    ): void {
-        const job = ActiveJob.create(entry.spec!, entry.specOffset, progress);
+    ): number {
+        const job = ActiveJob.create(spec, entry.specOffset, progress);
         this.publishState(entry.id, entry.state, job.state);
         job.publishedState = job.state;
         this.jobs.set(entry.id, job);
@@ -206,18 +218,7 @@
         if (entry.isCancelled) {
             this.cancel(job);
         }
-    }
-
-    /**
-     * Deletes progress without a job. It remains if a leader is lost after it deleted the spec of an expired job, but
-     * before it deleted the progress.
-     */
-    private deleteOrphans(table: JobTable, progress: ProgressTable): void {
-        for (const id of progress.ids) {
-            if (table.find(id) === undefined) {
-                this.writers.progress.write(jobKey("progress", id), () => undefined);
-            }
-        }
+        return [...job.groups].reduce((sum, { tasks }) => sum + tasks.length, 0);
     }
 
     private cancel(job: ActiveJob): void {
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -1,32 +1,28 @@
 import { Disposable } from "../../base/common/disposable";
 import { DisposableStore } from "../../base/common/disposableStore";
-import { EffectSink } from "../../base/common/effectSink";
 import { jobKey, RunRecord } from "../../jobs/common/jobRecord";
-import { isFinal, JobEntry, JobTable } from "../../jobs/common/jobTable";
-import { ProgressTable } from "../../jobs/common/progressTable";
-import { QueueTable } from "../../jobs/common/queueTable";
-import { Leadership } from "../../records/common/leadership";
+import { isFinal, JobEntry } from "../../jobs/common/jobTable";
 import { ActiveJob } from "./activeJob";
-import { DispatchLimits } from "./dispatchLimits";
-import { DecisionData, DecisionName, DispatchEffect } from "./dispatchEffects";
+import { DecisionData, DecisionName } from "./dispatchEffects";
 import { ActiveJobTable, LeaderWriters } from "./activeJobTable";
 import { JobPruner } from "./jobPruner";
+import { JobRestorer } from "./jobRestorer";
 import { PassPacer } from "./passPacer";
 import { FailureController } from "./failureController";
-import { LatencyModel, InterferenceRow } from "./latencyModel";
-import { LeaseBook, LeaseContext } from "./leaseBook";
+import { LatencyModel } from "./latencyModel";
+import { LeaseBook } from "./leaseBook";
 import { LatencyModelRecorder } from "./latencyModelRecorder";
 import { ThrottleController } from "./throttleController";
 import { Run, RunHost, RunOutcome } from "./run";
 import { RunReviewer } from "./runReviewer";
 import { RunThrottle } from "./runThrottle";
+import { SchedulerContext } from "./schedulerContext";
 import { SchedulerFailureHost } from "./schedulerFailureHost";
 import { SchedulerPoolHost } from "./schedulerPoolHost";
 import { SchedulerQueueHost } from "./schedulerQueueHost";
 import { SchedulerRunHost } from "./schedulerRunHost";
 import { StartAdmission } from "./startAdmission";
 import { StepQueue } from "./stepQueue";
-import { StreamViews } from "./streamViews";
 import { SuspectTable } from "./suspectTable";
 import { firstWaitMs, Task } from "./task";
 import { ViewController } from "./viewController";
@@ -38,21 +34,6 @@
 /** Size of the range of run numbers per task and epoch. Separate ranges keep two leaders from using the same number. */
 const MAX_RUNS_PER_EPOCH = 1_000;
 
-/** Dependencies of the scheduler. */
-export interface SchedulerContext extends LeaseContext {
-    readonly jobs: JobTable;
-    /** Progress of the jobs as recorded by earlier leaders. */
-    readonly progress: ProgressTable;
-    readonly queues: QueueTable;
-    readonly leadership: Leadership;
-    /** Streams that this instance follows. */
-    readonly views: StreamViews;
-    readonly limits: DispatchLimits;
-    /** Latency model of an earlier leader. */
-    readonly learnedInterference: readonly InterferenceRow[];
-    readonly effects: EffectSink<DispatchEffect>;
-}
-
 /** Decides which worker runs which task during one leader's epoch. */
 export class Scheduler implements Disposable {
     private readonly resources = DisposableStore.create();
@@ -68,6 +49,8 @@
     private readonly reviewer = RunReviewer.create();
     private readonly views: ViewController;
     private readonly pruner: JobPruner;
+    private readonly restorer: JobRestorer;
+    private hasBegun = false;
     private readonly admission: StartAdmission;
     private readonly runHost: RunHost;
     /** Runs whose assignment is stored and whose start is not sent yet. */
@@ -110,28 +93,57 @@
                 this.logDecision("record-malformed", { key: jobKey("progress", job) }),
             ),
         );
-        this.activeJobs.load(context.jobs, context.progress, (task, record) => this.inheritRun(task, record, now));
-        this.activeJobs.suspects().forEach(task => this.suspects.update(task));
+        this.restorer = JobRestorer.create(context.jobs, context.progress, this.activeJobs, (task, record) =>
+            this.inheritRun(task, record, this.now),
+        );
         this.resources.add(context.jobs.onDidChange(entry => this.onJobChange(entry)));
-        this.logDecision("leader-began", { epoch, jobs: this.activeJobs.size, ...this.views.ageFields(now) });
     }
 
     /**
-     * Begins an epoch with all known jobs.
+     * Prepares the epoch of a leader that has read all records before its claim.
      * @param context Dependencies of the scheduler.
      * @param epoch Epoch of the leader.
      * @param writers Writers of the leader's records.
      * @param now Time in ms.
-     * @returns The scheduler, still without registered workers.
+     * @returns The scheduler, without jobs and workers. It decides nothing until its jobs are restored and it has begun.
      */
     static create(context: SchedulerContext, epoch: number, writers: LeaderWriters, now: number): Scheduler {
         return new Scheduler(context, epoch, writers, now);
     }
 
+    /** Whether the jobs of former leaders are restored. */
+    get isRestored(): boolean {
+        return this.restorer.isDone;
+    }
+
+    /**
+     * Restores some of the jobs of former leaders.
+     * @param now Time in ms.
+     * @param maxWork Work after which it stops; a task is 1.
+     */
+    restore(now: number, maxWork?: number): void {
+        this.now = now;
+        this.restorer.restore(maxWork);
+    }
+
+    /**
+     * Begins the epoch with the restored jobs.
+     * @param now Time in ms.
+     * @param tookMs Time since this instance read its claim, in ms.
+     */
+    begin(now: number, tookMs: number): void {
+        this.hasBegun = true;
+        this.activeJobs.suspects().forEach(task => this.suspects.update(task));
+        const ages = this.views.ageFields(now);
+        this.logDecision("leader-began", { epoch: this.epoch, jobs: this.activeJobs.size, tookMs, ...ages });
+    }
+
     /** Ends the epoch: nothing is sent from now on. */
     dispose(): void {
         this.resources.dispose();
-        this.logDecision("leader-ended", { epoch: this.epoch });
+        if (this.hasBegun) {
+            this.logDecision("leader-ended", { epoch: this.epoch });
+        }
     }
 
     /**
@@ -446,8 +458,11 @@
     }
 
     private onJobChange(entry: JobEntry): void {
-        this.activeJobs.update(entry);
-        this.isDirty = true;
+        // Without its progress, its tasks would run again.
+        if (!this.restorer.isWaiting(entry.id)) {
+            this.activeJobs.update(entry);
+            this.isDirty = true;
+        }
     }
 
     /** Queues the start instead of sending it: after a suspension the store must confirm the epoch again first. */
--- a/src/dispatch/common/test/activeJobTable.test.ts
+++ b/src/dispatch/common/test/activeJobTable.test.ts
@@ -6,6 +6,7 @@
 import { RecordEffect } from "../../../records/common/recordEvents";
 import { RecordWriter } from "../../../records/common/recordWriter";
 import { ActiveJobTable, LeaderWriters } from "../activeJobTable";
+import { JobRestorer } from "../jobRestorer";
 import { assign, createJob, createStep, createWorker } from "./runs";
 
 function createWriters(outbox = Outbox.create<RecordEffect>()): LeaderWriters {
@@ -24,7 +25,7 @@
     const { spec } = createJob("a", createStep("x", false));
     jobs.apply({ key: jobKey("spec", "a"), value: encodeSpec(spec), offset: 0 });
     const table = ActiveJobTable.create(1, writers);
-    table.load(jobs, ProgressTable.create(), () => undefined);
+    JobRestorer.create(jobs, ProgressTable.create(), table, () => undefined).restore();
     const appends = () => {
         writers.jobs.flush(1);
         writers.progress.flush(1);
@@ -91,7 +92,7 @@
     progress.append.records.forEach(({ key, value }, offset) => storedProgress.apply({ key, value, offset }));
     t.is(visibleStateOf(storedJobs.find("a")!), "done");
     const table = ActiveJobTable.create(2, createWriters());
-    table.load(storedJobs, storedProgress, () => t.fail());
+    JobRestorer.create(storedJobs, storedProgress, table, () => t.fail()).restore();
     t.deepEqual([...table.all], []);
 });
 
--- a/src/dispatch/common/test/jobPruner.test.ts
+++ b/src/dispatch/common/test/jobPruner.test.ts
@@ -7,6 +7,7 @@
 import { RecordWriter } from "../../../records/common/recordWriter";
 import { ActiveJobTable } from "../activeJobTable";
 import { JobPruner } from "../jobPruner";
+import { JobRestorer } from "../jobRestorer";
 import { createJob, createStep } from "./runs";
 
 const RETENTION_MS = 120_000;
@@ -28,7 +29,7 @@
         progress.apply({ key: jobKey("progress", id), value: encodeProgress({ epoch: 1, state }), offset });
     });
     const activeJobs = ActiveJobTable.create(1, writers);
-    activeJobs.load(jobs, progress, () => undefined);
+    JobRestorer.create(jobs, progress, activeJobs, () => undefined).restore();
     const appends = (now: number) => {
         writers.jobs.flush(now);
         writers.progress.flush(now);
--- a/src/dispatch/common/test/scheduler.test.ts
+++ b/src/dispatch/common/test/scheduler.test.ts
@@ -12,7 +12,8 @@
 import { LeaseAuthority } from "../leaseBook";
 import { LeaseTable } from "../leaseTable";
 import { Run } from "../run";
-import { Scheduler, SchedulerContext } from "../scheduler";
+import { Scheduler } from "../scheduler";
+import { SchedulerContext } from "../schedulerContext";
 import { WorkerEntry } from "../workerEntry";
 import { ListedEnd, OrderOutcome, RunList, StartOrder, ThrottleOrder } from "../workerMessages";
 import { assign, createJob, createStep, createWorker, LIMITS, readingOf, TARGET_MS } from "./runs";
@@ -76,6 +77,8 @@
         };
         const [jobsWriter, progress] = this.writers;
         this.scheduler = Scheduler.create(context, 1, { jobs: jobsWriter, progress }, 0);
+        this.scheduler.restore(0);
+        this.scheduler.begin(0, 0);
         ["w1", "w2"].forEach(id => this.updateWorker(createWorker(id).entry));
     }
 
--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -20,7 +20,7 @@
 import chartText from "./jobInstance.chart.yaml";
 import { JobInstanceEffect, JobInstanceEvent } from "./jobInstanceEvents";
 import { MalformedKeys } from "./malformedKeys";
-import { Takeover } from "./takeover";
+import { Takeover, TakeoverHost } from "./takeover";
 
 type LifecycleState = "loading" | "serving" | "stopping" | "stopped";
 type LifecycleEvent = "loaded" | "stop" | "drained";
@@ -101,8 +101,6 @@
     private readonly callHandler: JobCallHandler;
     private scheduler: Scheduler | undefined;
     private takeover: Takeover | undefined;
-    /** Begins the epoch of a takeover that has loaded the progress. */
-    private beginEpoch: (() => void) | undefined;
     private readonly workers = new Map<string, EntryReading>();
     private readonly malformedWorkers = MalformedKeys.create();
     private clockOffset: number | undefined;
@@ -248,6 +246,7 @@
                 this.scheduler?.handleWorkerAnswer(event, now);
         }
         this.callHandler.tick(now);
+        this.takeover?.advance(now);
         this.scheduler?.schedule(now, wallNow);
         this.submissionWriter.flush(now);
         this.leadership.writer?.flush(now);
@@ -363,7 +362,6 @@
         }
         this.jobsFollower.tick(now);
         this.leadership.tick(now);
-        this.beginEpochIfRead();
         this.scheduler?.tick(now, wallNow);
         const isIdle = this.callHandler.openCallCount === 0 && this.leadership.isResignationStored;
         if (isIdle && now - this.stoppingSince > SHUTDOWN_GRACE_PERIOD_MS) {
@@ -386,41 +384,64 @@
 
     private startTakeover(writer: RecordWriter): void {
         const { epoch } = this.leadership;
-        this.takeover = Takeover.create(epoch, this.identity.nonce, () => this.now, this.outbox);
-        this.takeover.onDidLoad(takeover => {
-            this.beginEpoch = () => this.startScheduling(writer, takeover);
-            this.beginEpochIfRead();
-        });
+        const host = new InstanceTakeoverHost(this, writer);
+        this.takeover = Takeover.create(epoch, this.identity.nonce, () => this.now, this.outbox, host);
     }
 
-    /** Begins the epoch once all jobs are known of which a former leader may have stored progress. */
-    private beginEpochIfRead(): void {
-        if (this.leadership.hasReadUpToClaim) {
-            const begin = this.beginEpoch;
-            this.beginEpoch = undefined;
-            begin?.();
-        }
+    /** Whether all jobs are known of which a former leader may have stored progress. */
+    get isCaughtUp(): boolean {
+        return this.leadership.hasReadUpToClaim;
     }
 
-    private startScheduling(writer: RecordWriter, takeover: Takeover): void {
+    /** @returns A scheduler for the epoch that a takeover begins. @param writer Writer of the leader's records. */
+    createScheduler(takeover: Takeover, writer: RecordWriter): Scheduler {
         const { jobs, queues, leadership, leases, limits, outbox } = this;
         const { progress, learnedInterference } = takeover;
         const views = { jobs: this.jobsFollower, configuration: this.operatorFollower, workers: this.workersFollower };
         const tables = { jobs, progress, queues, leases };
         const context = { ...tables, leadership, views, limits, learnedInterference, effects: outbox };
         const writers = { jobs: writer, progress: takeover.writer };
-        this.scheduler = Scheduler.create(context, leadership.epoch, writers, this.now);
-        this.workers.forEach((reading, id) => this.scheduler!.updateWorker(id, reading, this.now));
+        return Scheduler.create(context, leadership.epoch, writers, this.now);
+    }
+
+    /** Begins an epoch with the restored jobs. @param tookMs Time that the takeover took, in ms. */
+    beginEpoch(scheduler: Scheduler, tookMs: number): void {
+        this.scheduler = scheduler;
+        scheduler.begin(this.now, tookMs);
+        this.workers.forEach((reading, id) => scheduler.updateWorker(id, reading, this.now));
     }
 
     private stopScheduling(): void {
+        this.takeover?.dispose();
         this.takeover = undefined;
-        this.beginEpoch = undefined;
-        this.scheduler?.dispose();
         this.scheduler = undefined;
     }
 }
 
+class InstanceTakeoverHost extends TakeoverHost {
+    private scheduler: Scheduler | undefined;
+
+    constructor(
+        private readonly instance: JobInstance,
+        private readonly writer: RecordWriter,
+    ) {
+        super();
+    }
+
+    override get isCaughtUp(): boolean {
+        return this.instance.isCaughtUp;
+    }
+
+    override prepare(takeover: Takeover): Scheduler {
+        this.scheduler = this.instance.createScheduler(takeover, this.writer);
+        return this.scheduler;
+    }
+
+    override begin(tookMs: number): void {
+        this.instance.beginEpoch(this.scheduler!, tookMs);
+    }
+}
+
 class JobsReceiver extends RecordReceiver {
     constructor(private readonly instance: JobInstance) {
         super();
--- a/src/host/common/takeover.ts
+++ b/src/host/common/takeover.ts
@@ -1,22 +1,61 @@
+import { ChartLoader } from "../../base/common/chartLoader";
+import { ChartRegistry } from "../../base/common/chartRegistry";
+import { Disposable } from "../../base/common/disposable";
 import { EffectSink } from "../../base/common/effectSink";
 import { Emitter } from "../../base/common/emitter";
+import { Machine } from "../../base/common/machine";
 import { InterferenceRow } from "../../dispatch/common/latencyModel";
 import { decodeLatencyModel, LATENCY_MODEL_KEY } from "../../dispatch/common/latencyModelRecord";
+import { Scheduler } from "../../dispatch/common/scheduler";
 import { ProgressTable } from "../../jobs/common/progressTable";
 import { LEADER_PRODUCER } from "../../records/common/leadership";
 import { StoredRecord } from "../../records/common/record";
 import { LoadReceiver, RecordLoader } from "../../records/common/recordLoader";
 import { RecordEffect, RecordEvent } from "../../records/common/recordEvents";
 import { RecordWriter } from "../../records/common/recordWriter";
+import chartText from "./takeover.chart.yaml";
+
+type TakeoverState = "fencing" | "loading" | "catching-up" | "restoring" | "leading";
+type TakeoverEvent = "fenced" | "loaded" | "turn" | "restored";
+type TakeoverGuard = "isCaughtUp";
+type TakeoverAction = "load" | "reportLoaded" | "prepare" | "restoreSlice" | "begin";
+
+const chart = ChartRegistry.instance.register(
+    ChartLoader.load<TakeoverState, TakeoverEvent, TakeoverGuard, TakeoverAction>(chartText, "takeover.chart.yaml", {
+        states: ["fencing", "loading", "catching-up", "restoring", "leading"],
+        events: ["fenced", "loaded", "turn", "restored"],
+        guards: ["isCaughtUp"],
+        actions: ["load", "reportLoaded", "prepare", "restoreSlice", "begin"],
+    }),
+);
 
 /** Key of the record that fences the former leader. */
 const EPOCH_KEY = "epoch";
 
+/** Tasks that are restored in one turn of the loop: 60 to 120 ms of an instance with a quarter of a core. */
+const MAX_TASKS_PER_SLICE = 200;
+
+/** Schedules once its jobs are restored; see `Scheduler`. */
+export type RestoredScheduler = Pick<Scheduler, "isRestored" | "restore" | "dispose">;
+
+/** Host of a takeover. */
+export abstract class TakeoverHost {
+    /** Whether every record before the claim is read. */
+    abstract get isCaughtUp(): boolean;
+
+    /** @returns The scheduler of the new epoch, without jobs. */
+    abstract prepare(takeover: Takeover): RestoredScheduler;
+
+    /** Called when the jobs are restored. @param tookMs Time since this instance read its claim, in ms. */
+    abstract begin(tookMs: number): void;
+}
+
 /**
- * Loads the progress of all jobs for a new leader. Its first append fences the former leader, so the progress no longer
- * changes while it is read.
+ * Takes over from former leaders: fences them, loads the progress of all jobs and restores the jobs. Its first append fences
+ * the former leader, so the progress no longer changes while it is read.
  */
-export class Takeover {
+export class Takeover implements Disposable {
+    private readonly machine: Machine<number, TakeoverState, TakeoverEvent, TakeoverGuard, TakeoverAction>;
     /** Writes progress for the new leader. */
     readonly writer: RecordWriter;
     readonly progress = ProgressTable.create();
@@ -24,6 +63,8 @@
     learnedInterference: readonly InterferenceRow[] = [];
 
     private loader: RecordLoader | undefined;
+    private scheduler: RestoredScheduler | undefined;
+    private readonly startedAt: number;
     private readonly didLoad = Emitter.create<Takeover>();
     /** Fires once, when the progress has been loaded. */
     readonly onDidLoad = this.didLoad.event;
@@ -33,14 +74,26 @@
         nonce: number,
         private readonly clock: () => number,
         private readonly effects: EffectSink<RecordEffect>,
+        private readonly host: TakeoverHost,
     ) {
+        this.startedAt = clock();
+        this.machine = Machine.create(chart, {
+            guards: { isCaughtUp: () => this.host.isCaughtUp },
+            actions: {
+                load: () => this.load(),
+                reportLoaded: () => this.didLoad.fire(this),
+                prepare: () => (this.scheduler = this.host.prepare(this)),
+                restoreSlice: now => this.scheduler!.restore(now, MAX_TASKS_PER_SLICE),
+                begin: now => this.host.begin(now - this.startedAt),
+            },
+        });
         const producer = { name: LEADER_PRODUCER, epoch };
         // The name contains the epoch, so that late answers to an earlier takeover of this instance are ignored.
         this.writer = RecordWriter.create(`progress-${epoch}`, "progress", producer, effects, nonce);
         this.writer.write(
             EPOCH_KEY,
             () => String(epoch),
-            () => this.load(),
+            () => this.machine.fire("fenced", this.clock()),
         );
     }
 
@@ -49,10 +102,17 @@
      * @param nonce Number that differs between instances.
      * @param clock Returns the time in ms.
      * @param effects Receives the appends and the reads.
+     * @param host Creates the scheduler and is told when it has its jobs.
      * @returns The takeover. Flushing its writer sends the first append.
      */
-    static create(epoch: number, nonce: number, clock: () => number, effects: EffectSink<RecordEffect>): Takeover {
-        return new Takeover(epoch, nonce, clock, effects);
+    static create(
+        epoch: number,
+        nonce: number,
+        clock: () => number,
+        effects: EffectSink<RecordEffect>,
+        host: TakeoverHost,
+    ): Takeover {
+        return new Takeover(epoch, nonce, clock, effects, host);
     }
 
     /** Handles the answer to a read of the progress. */
@@ -60,6 +120,14 @@
         this.loader?.handleAnswer(event);
     }
 
+    /** Continues in a turn of the loop. @param now Time in ms. */
+    advance(now: number): void {
+        this.machine.fire("turn", now);
+        if (this.scheduler?.isRestored === true) {
+            this.machine.fire("restored", now);
+        }
+    }
+
     /** Applies the newest record of a key. */
     apply(record: StoredRecord): void {
         if (record.key === LATENCY_MODEL_KEY) {
@@ -71,7 +139,12 @@
 
     /** Called when all records have been read. */
     finish(): void {
-        this.didLoad.fire(this);
+        this.machine.fire("loaded", this.clock());
+    }
+
+    /** Ends the takeover, or the epoch that it began. */
+    dispose(): void {
+        this.scheduler?.dispose();
     }
 
     private load(): void {
