State in the leader's record that it takes over or is late

Others could not tell a leader that is late from one that is gone: both had not renewed their record for 1.2 s. A leader's record now states that it takes over (from its claim until 1.5 s after its jobs are restored), and how late a renewal was sent, also when it waited for the answer to an earlier append. Others wait 2.5 s for a leader that takes over, and twice the delay longer for one that is late, 2.5 s at most. A leader that is on time is replaced as soon as before. The fields are optional: records of earlier versions and odd values count as on time.

Epochs fence appends and orders as before.

Two tests of Leadership had a leader that was lost in its takeover and expected 1.2 s; now it is lost after it, with the same bounds.

--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -407,6 +407,7 @@
     /** Begins an epoch with the restored jobs. @param tookMs Time that the takeover took, in ms. */
     beginEpoch(scheduler: Scheduler, tookMs: number): void {
         this.scheduler = scheduler;
+        this.leadership.endTakeover(this.now);
         scheduler.begin(this.now, tookMs);
         this.workers.forEach((reading, id) => scheduler.updateWorker(id, reading, this.now));
     }
--- a/src/records/common/leaderRecord.ts
+++ b/src/records/common/leaderRecord.ts
@@ -15,6 +15,10 @@
      * do not. Earlier versions do neither and leave it out.
      */
     readonly leasesSince?: number;
+    /** Whether the leader takes over from another one, so that renewals may be late. Earlier versions leave it out. */
+    readonly takingOver?: boolean;
+    /** By how much the renewal is late, in ms; left out by earlier versions, and by a leader that is on time. */
+    readonly lateMs?: number;
 }
 
 /** @param value Value of a stored record. @returns The leader's record, or `undefined` if the value is malformed. */
@@ -23,7 +27,9 @@
         const record = JSON.parse(value) as LeaderRecord;
         const isLeader = Number.isSafeInteger(record.epoch) && typeof record.instance === "string";
         const leasesSince = Number.isSafeInteger(record.leasesSince) ? record.leasesSince : undefined;
-        return isLeader ? { ...record, cores: record.cores ?? 0, leasesSince } : undefined;
+        const takingOver = record.takingOver === true ? true : undefined;
+        const lateMs = Number.isFinite(record.lateMs) && record.lateMs! > 0 ? record.lateMs : undefined;
+        return isLeader ? { ...record, cores: record.cores ?? 0, leasesSince, takingOver, lateMs } : undefined;
     } catch {
         return undefined;
     }
--- a/src/records/common/leadership.ts
+++ b/src/records/common/leadership.ts
@@ -29,6 +29,21 @@
 /** Time without a renewal after which another instance claims leadership. */
 const LEADER_TIMEOUT_MS = 1_200;
 
+/**
+ * Longest time without a renewal of a leader that takes over or is late. It bounds the time without a leader if that one is
+ * lost; leases of workers last longer.
+ */
+const MAX_LEADER_TIMEOUT_MS = 2_500;
+
+/** How much longer others wait for a leader that is late, as a multiple of its latest delay. */
+const LATE_RATIO = 2;
+
+/** Delay of a renewal from which the record states it, in ms: two ticks of the loop. */
+const MIN_LATE_MS = 50;
+
+/** Time after the jobs are restored for which a leader still counts as taking over, in ms: workers report all their ends. */
+const TAKEOVER_SETTLING_MS = 1_500;
+
 /**
  * Gap between two successful reads that counts as a store outage: three long polls. The leader could not renew during
  * the outage, so its timeout starts again.
@@ -89,6 +104,13 @@
     private claimOffset = 0;
     private nextClaimAt = 0;
     private nextRenewalAt = 0;
+    /** Time (ms) at which the renewal was due that is not sent yet. */
+    private unsentDueAt: number | undefined;
+    /** Delay of the latest renewals, in ms. */
+    private lateMs = 0;
+    /** Time (ms) until which this leader counts as taking over. */
+    private takingOverUntil = Infinity;
+    private now = 0;
     private suspendedAt: number | undefined;
     /** Time (ms) at which the first claim of the claimed epoch was sent. */
     private claimedAt = 0;
@@ -269,12 +291,19 @@
      * @param now Time in ms.
      */
     renew(now: number): void {
+        this.now = now;
         if (this.machine.state === "leading" && now >= this.nextRenewalAt) {
+            this.unsentDueAt ??= this.nextRenewalAt;
             this.nextRenewalAt = now + RENEWAL_INTERVAL_MS;
             this.writeRecord(false);
         }
     }
 
+    /** Called when the jobs of former leaders are restored. @param now Time in ms. */
+    endTakeover(now: number): void {
+        this.takingOverUntil = now + TAKEOVER_SETTLING_MS;
+    }
+
     /** Renews the leader's record, or claims leadership when the leader has timed out. @param now Time in ms. */
     tick(now: number): void {
         this.renew(now);
@@ -290,15 +319,23 @@
             return false;
         }
         const delayMs = roundTripMs * 8 + (this.candidate.nonce % MAX_CLAIM_JITTER_MS) + this.capacityDelayMs();
-        const timeoutMs =
-            this.latestRecord === undefined || this.latestRecord.resigned === true ? 0 : LEADER_TIMEOUT_MS;
         this.recordRead(knownUntil);
         return (
-            knownUntil - this.leaderLastSeenAt! > timeoutMs + delayMs ||
+            knownUntil - this.leaderLastSeenAt! > this.leaderTimeoutMs() + delayMs ||
             (this.isLeaderMuchWeaker() && this.hasObservedLeader(knownUntil))
         );
     }
 
+    /** A leader that is late is told from one that is gone by what its latest record states. */
+    private leaderTimeoutMs(): number {
+        if (this.latestRecord === undefined || this.latestRecord.resigned === true) {
+            return 0;
+        }
+        const { takingOver, lateMs = 0 } = this.latestRecord;
+        const timeoutMs = LEADER_TIMEOUT_MS + lateMs * LATE_RATIO;
+        return takingOver === true ? MAX_LEADER_TIMEOUT_MS : Math.min(MAX_LEADER_TIMEOUT_MS, timeoutMs);
+    }
+
     private recordRead(knownUntil: number): void {
         const isOutageOver = this.lastReadAt !== undefined && knownUntil - this.lastReadAt > STORE_OUTAGE_THRESHOLD_MS;
         this.leaderLastSeenAt = isOutageOver ? knownUntil : (this.leaderLastSeenAt ?? knownUntil);
@@ -329,6 +366,9 @@
             this.claimedAt = now;
         }
         this.claimedEpoch = this.epoch + 1;
+        this.takingOverUntil = Infinity;
+        this.unsentDueAt = undefined;
+        this.lateMs = 0;
         this.leasesSince = this.latestRecord?.leasesSince ?? this.claimedEpoch;
         this.nextClaimAt = now + MIN_CLAIM_INTERVAL_MS;
         this.effects.emit({
@@ -367,10 +407,20 @@
         this.writer!.write(LEADER_KEY, () => this.encodeRecord(resigned), onStored);
     }
 
+    /** A leader that was late may be again: the delay is forgotten by half with each renewal. */
+    private takeLateMs(): number | undefined {
+        const delayMs = this.now - (this.unsentDueAt ?? this.now);
+        this.unsentDueAt = undefined;
+        this.lateMs = Math.max(delayMs, this.lateMs / 2);
+        return this.lateMs < MIN_LATE_MS ? undefined : Math.round(this.lateMs);
+    }
+
     private encodeRecord(resigned: boolean): string {
         const { instance, cores } = this.candidate;
         const { leasesSince } = this;
-        const record: LeaderRecord = { epoch: this.claimedEpoch, instance, cores, leasesSince };
+        const takingOver = this.now < this.takingOverUntil ? true : undefined;
+        const state = { leasesSince, takingOver, lateMs: this.takeLateMs() };
+        const record: LeaderRecord = { epoch: this.claimedEpoch, instance, cores, ...state };
         return JSON.stringify(resigned ? { ...record, resigned } : record);
     }
 }
--- a/src/records/common/test/leadership.test.ts
+++ b/src/records/common/test/leadership.test.ts
@@ -1,7 +1,8 @@
-import test from "ava";
+import test, { ExecutionContext } from "ava";
 import { Ok } from "ts-results";
 import { Outbox } from "../../../base/common/outbox";
 import { KeyedLog } from "../../../standin/common/keyedLog";
+import { LeaderRecord } from "../leaderRecord";
 import { Leadership } from "../leadership";
 import { RecordFollower, RecordReceiver } from "../recordFollower";
 import { NewestPage } from "../recordStore";
@@ -64,6 +65,22 @@
     return { leadership, read, claim, renew, flush, load };
 }
 
+type Instance = ReturnType<typeof createInstance>;
+
+/** Makes an instance the leader, which has taken over at 1.1 s and renews its record on time until 2.6 s. */
+function lead(t: ExecutionContext, log: KeyedLog, { leadership, read, claim, renew }: Instance): void {
+    read(1_000);
+    t.true(log.append(claim(1_000)[0].append).ok);
+    read(1_100);
+    leadership.endTakeover(1_100);
+    for (let now = 1_400; now <= 2_600; now += 300) {
+        const [{ writer, append }] = renew(now);
+        const result = log.append(append);
+        t.true(result.ok);
+        leadership.handleAppendAnswer({ kind: "append-answer", writer, sequence: append.sequence, result }, now + 10);
+    }
+}
+
 test("a claim succeeds although other records were appended since the claimant's last read", t => {
     const log = KeyedLog.create();
     const { leadership, read, claim } = createInstance(log, "a", 10);
@@ -153,8 +170,7 @@
 test("the instance with as many cores as the lost leader claims before weaker ones", t => {
     const log = KeyedLog.create();
     const lost = createInstance(log, "lost", 10, 1.4);
-    lost.read(1_000);
-    t.true(log.append(lost.claim(1_000)[0].append).ok);
+    lead(t, log, lost);
     const weak = createInstance(log, "weak", 20, 0.2);
     const strong = createInstance(log, "strong", 30, 1.4);
     for (const each of [weak, strong]) {
@@ -171,8 +187,7 @@
 test("after a store outage, an instance gives the leader time to renew", t => {
     const log = KeyedLog.create();
     const leader = createInstance(log, "a", 10);
-    leader.read(1_000);
-    t.true(log.append(leader.claim(1_000)[0].append).ok);
+    lead(t, log, leader);
     const other = createInstance(log, "b", 20);
     other.read(1_100);
     t.deepEqual(other.claim(1_100), []);
@@ -314,3 +329,94 @@
     leadership.renew(1_400);
     t.is(flush(1_400).length, 1);
 });
+
+/**
+ * @param from Time (ms) of its first read; it has loaded the stream at 0.
+ * @returns The time (ms), in steps of 100 ms, at which an instance that reads nothing new claims.
+ */
+function claimTime({ read, claim }: Instance, from = 100): number {
+    for (let now = from; ; now += 100) {
+        read(now);
+        if (claim(now).length > 0) {
+            return now;
+        }
+    }
+}
+
+// New leaders that were late with their first renewals were deposed one after the other.
+test("a leader that takes over is given more time, but not for ever", t => {
+    const log = KeyedLog.create();
+    const leader = createInstance(log, "a", 10);
+    leader.read(1_000);
+    log.append(leader.claim(1_000)[0].append);
+    t.is(claimTime(createInstance(log, "b", 20)), 2_600);
+});
+
+test("a leader that has taken over is replaced as soon as any other", t => {
+    const log = KeyedLog.create();
+    lead(t, log, createInstance(log, "a", 10));
+    t.is(claimTime(createInstance(log, "b", 20)), 1_300);
+});
+
+test("a leader states how late a renewal is, and others wait longer for the next one", t => {
+    const log = KeyedLog.create();
+    const leader = createInstance(log, "a", 10);
+    lead(t, log, leader);
+    // It was due at 2,900 ms.
+    log.append(leader.renew(3_300)[0].append);
+    t.is(claimTime(createInstance(log, "b", 20)), 2_100);
+});
+
+test("a renewal that waits for the answer to an earlier append is late, too", t => {
+    const log = KeyedLog.create();
+    const { leadership, read, claim, renew, flush } = createInstance(log, "a", 10);
+    read(1_000);
+    log.append(claim(1_000)[0].append);
+    read(1_100);
+    const [{ writer, append }] = renew(1_400);
+    t.deepEqual(renew(1_700), []);
+    t.deepEqual(renew(2_000), []);
+    const result = log.append(append);
+    leadership.renew(2_200);
+    leadership.handleAppendAnswer({ kind: "append-answer", writer, sequence: append.sequence, result }, 2_200);
+    const [{ append: late }] = flush(2_200);
+    t.is((JSON.parse(late.records[0].value!) as LeaderRecord).lateMs, 500);
+});
+
+test("others wait a bounded time for a leader that is very late", t => {
+    const log = KeyedLog.create();
+    log.store("leader", JSON.stringify({ epoch: 1, instance: "a", cores: 1, lateMs: 60_000 }));
+    t.is(claimTime(createInstance(log, "b", 20)), 2_600);
+});
+
+test("records of earlier versions and odd delays leave the timeout as it is", t => {
+    for (const odd of ["", `,"lateMs":"500"`, `,"lateMs":-500`, `,"lateMs":null`, `,"takingOver":"yes"`]) {
+        const log = KeyedLog.create();
+        log.store("leader", `{"epoch":1,"instance":"a","cores":1${odd}}`);
+        t.is(claimTime(createInstance(log, "b", 20)), 1_300);
+    }
+});
+
+test("an instance that lost a claim waits for the new leader as if it had not claimed", t => {
+    const log = KeyedLog.create();
+    const first = createInstance(log, "a", 10);
+    const second = createInstance(log, "b", 20);
+    first.read(1_000);
+    second.read(1_000);
+    t.true(log.append(first.claim(1_000)[0].append).ok);
+    const [{ writer, append }] = second.claim(1_000);
+    const result = log.append(append);
+    t.false(result.ok);
+    second.leadership.handleAppendAnswer({ kind: "append-answer", writer, sequence: append.sequence, result }, 1_010);
+    second.read(1_300);
+    t.is(claimTime(second, 1_400), 3_900);
+});
+
+test("renewals that an instance reads late count from when it reads them", t => {
+    const log = KeyedLog.create();
+    const leader = createInstance(log, "a", 10);
+    lead(t, log, leader);
+    const other = createInstance(log, "b", 20);
+    log.append(leader.renew(2_900)[0].append);
+    t.is(claimTime(other, 1_100), 2_400);
+});
