--- a/src/dispatch/common/test/scheduler.test.ts
+++ b/src/dispatch/common/test/scheduler.test.ts
@@ -79,6 +79,8 @@
         };
         const [jobsWriter, progress] = this.writers;
         this.scheduler = Scheduler.create(context, 1, { jobs: jobsWriter, progress }, 0);
+        this.scheduler.restore(0);
+        this.scheduler.begin(0, 0);
         ["w1", "w2"].forEach(id => this.updateWorker(createWorker(id).entry));
     }
 
