--- a/src/proof/node/jobTrial.ts
+++ b/src/proof/node/jobTrial.ts
@@ -14,6 +14,7 @@
     PlannedFault,
     QUEUE,
     LIMITS,
+    submitDelayMs,
     TrialDecoder,
 } from "./jobTrialPlan";
 import { TrialNode } from "./jobTrialNode";
@@ -21,6 +22,9 @@
 import { Random } from "./random";
 import { TrialCancellations } from "./trialCancellations";
 import { TrialColocation } from "./trialColocation";
+import { TrialConnections } from "./trialConnections";
+import { TrialDelays } from "./trialDelays";
+import { TrialProcessor } from "./trialProcessor";
 import { TrialReads } from "./trialReads";
 import { TrialSchedule } from "./trialSchedule";
 import { TrialStore } from "./trialStore";
@@ -56,6 +60,7 @@
     /** Lines of the trace. */
     private readonly trace: string[] = [];
     private lastCallNumber = 0;
+    private readonly delays = TrialDelays.create();
     /** How often an instance became leader. */
     private leaders = 0;
 
@@ -127,10 +132,11 @@
         this.checkFinished();
         const accepted = this.checker.accepted.size;
         const finished = [...this.checker.accepted].filter(id => this.jobState(id) === "done").length;
-        const { violations: breaches, starts, deadlyCrashes: crashes, sharedCrashes, shrinks } = this.checker;
-        const counts = { jobs: this.jobs.size, accepted, finished, starts, leaders: this.leaders };
-        const cancelled = this.checker.cancellations.count;
-        return { breaches, ...counts, crashes, sharedCrashes, shrinks, cancelled, trace: this.trace };
+        const { trace, leaders, jobs, delays, checker } = this;
+        const { violations: breaches, starts, deadlyCrashes: crashes, sharedCrashes, shrinks } = checker;
+        const counts = { jobs: jobs.size, accepted, finished, starts, leaders, ...delays.counts };
+        const cancelled = checker.cancellations.count;
+        return { breaches, ...counts, crashes, sharedCrashes, shrinks, cancelled, trace };
     }
 
     private schedule(delayMs: number, perform: () => void): void {
@@ -143,27 +149,46 @@
         node.incarnation += 1;
         node.frozenMs = 0;
         node.deferred = [];
+        const { incarnation } = node;
+        this.startProcessor(node, incarnation);
         const identity = {
             instance: `n${node.index}-${node.incarnation}`,
             nonce: this.random.between(0, 1_000_000),
             storeRoundTripMs: () => 5 + node.index,
             cores: 1,
+            work: node.processor,
         };
         const limits = { ...LIMITS, longestLeaseMs: this.plan.longestLeaseMs ?? LIMITS.longestLeaseMs };
         const instance = JobInstance.create(identity, limits, new TrialDecoder(this.plan));
         node.instance = instance;
-        const { incarnation } = node;
         this.schedule(this.random.between(0, 50), () => {
             instance.start().forEach(effect => this.perform(node, incarnation, effect));
             this.tick(node, incarnation);
         });
     }
 
+    /** With a cost model, the work of the instance takes time and its orders wait for a connection. */
+    private startProcessor(node: TrialNode, incarnation: number): void {
+        const { costs } = this.plan;
+        if (costs === undefined) {
+            return;
+        }
+        const isOpen = (id: string) => !FINAL_STATES.includes(node.instance?.stateOfJob(id) ?? "");
+        node.processor = TrialProcessor.create(costs, this.timeline, {
+            openJobs: () => [...this.checker.accepted].filter(isOpen).length,
+            dispatch: event => this.dispatch(node, incarnation, event),
+            onDelay: waitedMs => node.instance?.isLeading && this.delays.record(waitedMs, this.now),
+            perform: effect => node.incarnation === incarnation && this.perform(node, incarnation, effect),
+        });
+        node.connections?.close();
+        node.connections = TrialConnections.create(costs.connections, this.timeline, this.workers);
+    }
+
     private tick(node: TrialNode, incarnation: number): void {
         if (node.incarnation !== incarnation || node.instance === undefined) {
             return;
         }
-        this.post(node, incarnation, { kind: "tick" });
+        this.post(node, incarnation, { kind: "tick", dueAt: this.now - node.frozenMs });
         this.schedule(TICK_INTERVAL_MS, () => this.tick(node, incarnation));
     }
 
@@ -176,13 +201,24 @@
             node.deferred.push(() => this.post(node, incarnation, event));
             return;
         }
+        if (node.processor !== undefined) {
+            node.processor.post(event);
+            return;
+        }
+        this.dispatch(node, incarnation, event).forEach(effect => this.perform(node, incarnation, effect));
+    }
+
+    private dispatch(node: TrialNode, incarnation: number, event: JobInstanceEvent): JobInstanceEffect[] {
+        if (node.incarnation !== incarnation || node.instance === undefined) {
+            return [];
+        }
         const wasLeading = node.instance.isLeading;
         const monotonicNow = this.now - node.frozenMs;
         const effects = node.instance.dispatch(event, monotonicNow, 1_700_000_000_000 + this.now);
         if (!wasLeading && node.instance.isLeading) {
             this.leaders += 1;
         }
-        effects.forEach(effect => this.perform(node, incarnation, effect));
+        return effects;
     }
 
     private perform(node: TrialNode, incarnation: number, effect: JobInstanceEffect): void {
@@ -214,7 +250,8 @@
     }
 
     private callWorker(node: TrialNode, incarnation: number, effect: WorkerEffect): void {
-        this.workers.call(effect, this.now - node.frozenMs, event => this.post(node, incarnation, event));
+        const onAnswer = (event: JobInstanceEvent) => this.post(node, incarnation, event);
+        (node.connections ?? this.workers).call(effect, this.now - node.frozenMs, onAnswer);
     }
 
     // Clients
@@ -229,7 +266,7 @@
             .padStart(16, "0");
         const colocated = this.colocation?.nextDraft(id);
         this.submitFirst(id, colocated?.draft ?? createDraft(this.random));
-        this.schedule(colocated?.nextInMs ?? this.random.between(50, 500), () => this.submitNext());
+        this.schedule(colocated?.nextInMs ?? submitDelayMs(this.plan, this.random), () => this.submitNext());
     }
 
     private submitLasting(): void {
@@ -385,6 +422,7 @@
     }
 
     private kill(node: TrialNode): void {
+        node.connections?.close();
         node.instance = undefined;
         node.frozenUntil = 0;
         node.incarnation += 1;
--- a/src/proof/node/jobTrialNode.ts
+++ b/src/proof/node/jobTrialNode.ts
@@ -1,4 +1,6 @@
 import { JobInstance } from "../../host/common/jobInstance";
+import { TrialConnections } from "./trialConnections";
+import { TrialProcessor } from "./trialProcessor";
 
 /** One node of a trial, its current instance and the faults injected into it. */
 export interface TrialNode {
@@ -12,4 +14,8 @@
     storeCutUntil: number;
     /** Events that arrived during a freeze. */
     deferred: (() => void)[];
+    /** Processor of this incarnation; left out if its work takes no time. */
+    processor?: TrialProcessor;
+    /** Connections of this incarnation; left out if there are any number of them. */
+    connections?: TrialConnections;
 }
--- a/src/proof/node/jobTrialPlan.ts
+++ b/src/proof/node/jobTrialPlan.ts
@@ -12,6 +12,7 @@
 import type { JobTrial } from "./jobTrial";
 import { Random } from "./random";
 import { RuleViolation } from "./jobRuleChecker";
+import { TrialCosts } from "./trialCosts";
 
 /** The queue of all jobs of a trial. */
 export const QUEUE: Queue = {
@@ -150,6 +151,10 @@
      * entries are those of the platform, with its decoder.
      */
     readonly oddEntryEveryMs?: number;
+    /** Longest time between two submissions, in ms; 500 if undefined. */
+    readonly submitEveryMs?: number;
+    /** What the work of the instances costs; it takes no time if undefined. */
+    readonly costs?: TrialCosts;
     /** Breaks a mechanism on purpose, to prove that a rule detects it. */
     readonly sabotage?: (trial: JobTrial) => void;
 }
@@ -171,6 +176,11 @@
     readonly shrinks: number;
     /** Jobs of which a cancellation was acknowledged. */
     readonly cancelled: number;
+    /** Half seconds with events of a leader whose work takes time, and those in which one waited over 500 ms. */
+    readonly halfSeconds: number;
+    readonly lateHalfSeconds: number;
+    /** Longest time for which an event of a leader waited for its processor, in ms. */
+    readonly mostDelayMs: number;
     /** Decisions and faults with their times, one a line. */
     readonly trace: readonly string[];
 }
@@ -327,3 +337,13 @@
 function draftOf(steps: readonly StepSpec[]): JobDraft {
     return { payload: "p", steps, occurrences: 0, firstDueMs: 0, intervalMs: 0 };
 }
+
+/** Bounds of the time between two submissions, in ms. */
+const MIN_SUBMIT_DELAY_MS = 50;
+const MAX_SUBMIT_DELAY_MS = 500;
+
+/** @param plan Parameters of the trial. @param random Source of randomness. @returns Time until the next submission, in ms. */
+export function submitDelayMs(plan: JobTrialPlan, random: Random): number {
+    const maxMs = plan.submitEveryMs ?? MAX_SUBMIT_DELAY_MS;
+    return random.between(Math.min(MIN_SUBMIT_DELAY_MS, maxMs), maxMs);
+}
--- /dev/null
+++ b/src/proof/node/trialProcessor.ts
@@ -0,0 +1,82 @@
+import { WorkMeter } from "../../base/common/workMeter";
+import { JobInstanceEffect, JobInstanceEvent } from "../../host/common/jobInstanceEvents";
+import { WorkKind } from "../../host/common/workKind";
+import { TrialCosts } from "./trialCosts";
+import { TrialSchedule } from "./trialSchedule";
+
+/** The instance whose work a processor does. */
+export interface ProcessorHost {
+    /** Number of jobs that are not finished. */
+    readonly openJobs: () => number;
+    /** Handles an event. */
+    readonly dispatch: (event: JobInstanceEvent) => readonly JobInstanceEffect[];
+    /** Called with the time in ms for which the event has waited that is handled next. */
+    readonly onDelay: (waitedMs: number) => unknown;
+    readonly perform: (effect: JobInstanceEffect) => unknown;
+}
+
+/**
+ * The processor of one instance of a trial: its work takes time, and events that arrive meanwhile are handled later, in order of
+ * arrival.
+ */
+export class TrialProcessor extends WorkMeter<WorkKind> {
+    private readonly queue: { readonly event: JobInstanceEvent; readonly arrivedAt: number }[] = [];
+    private isBusy = false;
+    /** Time in ms of a whole core that the present event has taken so far. */
+    private chargedMs = 0;
+
+    private constructor(
+        private readonly costs: TrialCosts,
+        private readonly schedule: TrialSchedule,
+        private readonly host: ProcessorHost,
+    ) {
+        super();
+    }
+
+    /**
+     * @param costs What work costs.
+     * @param schedule Clock of the trial.
+     * @param host The instance.
+     * @returns An idle processor.
+     */
+    static create(costs: TrialCosts, schedule: TrialSchedule, host: ProcessorHost): TrialProcessor {
+        return new TrialProcessor(costs, schedule, host);
+    }
+
+    override measure<T>(kind: WorkKind, work: () => T): T {
+        if (kind === "pass") {
+            this.chargedMs += this.host.openJobs() * this.costs.passMsPerJob;
+        }
+        return work();
+    }
+
+    /** Adds an event. */
+    post(event: JobInstanceEvent): void {
+        // The timer of the loop is set again only when a tick is handled.
+        if (event.kind === "tick" && this.queue.some(each => each.event.kind === "tick")) {
+            return;
+        }
+        this.queue.push({ event, arrivedAt: this.schedule.now });
+        if (!this.isBusy) {
+            this.handleNext();
+        }
+    }
+
+    private handleNext(): void {
+        const next = this.queue.shift();
+        this.isBusy = next !== undefined;
+        if (next === undefined) {
+            return;
+        }
+        const { event, arrivedAt } = next;
+        this.host.onDelay(this.schedule.now - arrivedAt);
+        const { costs, host } = this;
+        this.chargedMs = costs.eventMs;
+        const effects = host.dispatch(event);
+        this.chargedMs += effects.length * costs.effectMs;
+        this.schedule.add(this.chargedMs / costs.share, () => {
+            effects.forEach(effect => host.perform(effect));
+            this.handleNext();
+        });
+    }
+}
