Let passes over the waiting tasks take at most a quarter of the loop's time

The minimum interval between passes counted from the start of a pass.

PassPacer measures the latest pass and lets the next one wait until passes take a quarter of the time. Without a long queue, passes are as frequent as before.

--- a/src/base/common/unmeasuredWork.ts
+++ b/src/base/common/unmeasuredWork.ts
@@ -14,4 +14,8 @@
     override measure<T>(_kind: string, work: () => T): T {
         return work();
     }
+
+    override lastMs(): number {
+        return 0;
+    }
 }
--- a/src/base/common/workMeter.ts
+++ b/src/base/common/workMeter.ts
@@ -7,4 +7,7 @@
      * @returns What the work returns.
      */
     abstract measure<T>(kind: Kind, work: () => T): T;
+
+    /** @param kind Kind of work. @returns Time that the latest piece of this kind took by itself, in ms; 0 if there is none. */
+    abstract lastMs(kind: Kind): number;
 }
--- a/src/base/node/test/workClock.test.ts
+++ b/src/base/node/test/workClock.test.ts
@@ -16,6 +16,8 @@
         return "done";
     });
     t.is(result, "done");
+    t.is(meter.lastMs("inner"), 3);
+    t.is(meter.lastMs("outer"), 11);
     t.deepEqual(work, [
         { kind: "inner", durationMs: 5 },
         { kind: "inner", durationMs: 3 },
--- a/src/base/node/workClock.ts
+++ b/src/base/node/workClock.ts
@@ -12,6 +12,7 @@
 export class WorkClock<Kind extends string> extends WorkMeter<Kind> {
     /** Time in ms that work within the current one has taken. */
     private nestedMs = 0;
+    private readonly latestMs = new Map<Kind, number>();
     private readonly didWork = Emitter.create<MeasuredWork<Kind>>();
     /** Fires after each piece of work. */
     readonly onDidWork = this.didWork.event;
@@ -33,8 +34,14 @@
             return work();
         } finally {
             const tookMs = performance.now() - startedAt;
-            this.didWork.fire({ kind, durationMs: tookMs - this.nestedMs });
+            const durationMs = tookMs - this.nestedMs;
+            this.latestMs.set(kind, durationMs);
+            this.didWork.fire({ kind, durationMs });
             this.nestedMs = outerNestedMs + tookMs;
         }
     }
+
+    override lastMs(kind: Kind): number {
+        return this.latestMs.get(kind) ?? 0;
+    }
 }
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -1,7 +1,6 @@
 import { Disposable } from "../../base/common/disposable";
 import { DisposableStore } from "../../base/common/disposableStore";
 import { UnmeasuredWork } from "../../base/common/unmeasuredWork";
-import { WorkMeter } from "../../base/common/workMeter";
 import { jobKey, RunRecord } from "../../jobs/common/jobRecord";
 import { isFinal, JobEntry } from "../../jobs/common/jobTable";
 import { ActiveJob } from "./activeJob";
@@ -13,6 +12,7 @@
 import { LeaseBook } from "./leaseBook";
 import { LatencyModelRecorder } from "./latencyModelRecorder";
 import { ThrottleController } from "./throttleController";
+import { PassPacer } from "./passPacer";
 import { Run, RunHost, RunOutcome } from "./run";
 import { RunReviewer } from "./runReviewer";
 import { RunThrottle } from "./runThrottle";
@@ -35,13 +35,6 @@
 /** Size of the range of run numbers per task and epoch. Separate ranges keep two leaders from using the same number. */
 const MAX_RUNS_PER_EPOCH = 1_000;
 
-/** Minimum interval between passes over the waiting tasks, in ms. It grows with the workers: a pass visits them all. */
-const MIN_PASS_INTERVAL_MS = 20;
-const PASS_INTERVAL_PER_WORKER_MS = 0.2;
-
-/** Maximum interval between passes, in ms: latencies change even while no run ends. */
-const MAX_PASS_INTERVAL_MS = 150;
-
 /** Decides which worker runs which task during one leader's epoch. */
 export class Scheduler implements Disposable {
     private readonly resources = DisposableStore.create();
@@ -59,12 +52,9 @@
     private readonly pruner: JobPruner;
     private readonly admission: StartAdmission;
     private readonly runHost: RunHost;
-    private readonly work: WorkMeter<"pass">;
+    private readonly pacer: PassPacer;
     /** Runs whose assignment is stored and whose start is not sent yet. */
     private pendingStarts: Run[] = [];
-    /** Whether a pass over the waiting tasks is needed. */
-    private isDirty = true;
-    private lastPassAt = 0;
     private readonly modelRecorder: LatencyModelRecorder;
     private now = 0;
     private wallNow = 0;
@@ -76,7 +66,7 @@
         now: number,
     ) {
         this.now = now;
-        this.work = context.work ?? UnmeasuredWork.create();
+        this.pacer = PassPacer.create(context.work ?? UnmeasuredWork.create());
         this.model = LatencyModel.create(context.learnedInterference);
         this.modelRecorder = LatencyModelRecorder.create(this.model, writers.progress, now);
         const logView = (name: DecisionName, data: DecisionData) => this.logDecision(name, data);
@@ -137,7 +127,7 @@
         } else {
             this.pool.register(reading, now);
         }
-        this.isDirty = true;
+        this.pacer.request();
     }
 
     /** Deregisters all workers but these. */
@@ -191,7 +181,7 @@
         this.failures.recordUptime(this.pool.busyCount, now);
         this.pruner.tick(now);
         this.modelRecorder.tick(now);
-        this.isDirty ||= now - this.lastPassAt > MAX_PASS_INTERVAL_MS;
+        this.pacer.tick(now);
     }
 
     /**
@@ -210,16 +200,10 @@
         const starts = this.pendingStarts;
         this.pendingStarts = [];
         starts.forEach(run => run.fire("stored", { now }));
-        const interval = Math.max(MIN_PASS_INTERVAL_MS, this.pool.size * PASS_INTERVAL_PER_WORKER_MS);
-        if (this.isDirty && now - this.lastPassAt >= interval) {
-            this.isDirty = false;
-            this.lastPassAt = now;
+        this.pacer.run(this.pool.size, now, () => {
             const usable = this.admission.usableWorkers(this.pool.all, now);
-            const { activeJobs, pool, queue } = this;
-            this.work.measure("pass", () =>
-                queue.placeWaiting(activeJobs.all, usable, pool.remainingStarts(), now, wallNow),
-            );
-        }
+            this.queue.placeWaiting(this.activeJobs.all, usable, this.pool.remainingStarts(), now, wallNow);
+        });
     }
 
     /** @param now Time in ms. @returns Whether leases may be extended. */
@@ -391,7 +375,7 @@
         const worker = this.pool.find(record.worker);
         worker?.runs.delete(task.name);
         task.run = undefined;
-        this.isDirty = true;
+        this.pacer.request();
         this.logDecision("run-ended", { task: task.name, run: record.run, worker: record.worker, outcome });
         if (checkpoint !== "") {
             task.checkpoint = checkpoint;
@@ -445,7 +429,7 @@
 
     private onJobChange(entry: JobEntry): void {
         this.activeJobs.update(entry);
-        this.isDirty = true;
+        this.pacer.request();
     }
 
     /** Queues the start instead of sending it: after a suspension the store must confirm the epoch again first. */
--- /dev/null
+++ b/src/dispatch/common/test/passPacer.test.ts
@@ -0,0 +1,54 @@
+import test from "ava";
+import { WorkMeter } from "../../../base/common/workMeter";
+import { PassPacer } from "../passPacer";
+
+/** Claims that each pass took a given time. */
+class FixedCost extends WorkMeter<"pass"> {
+    constructor(private readonly ms: number) {
+        super();
+    }
+
+    override measure<T>(_kind: "pass", work: () => T): T {
+        return work();
+    }
+
+    override lastMs(): number {
+        return this.ms;
+    }
+}
+
+/** @returns Number of passes in 10 s, of which each event needs one. */
+function countPasses(costMs: number, workers: number): number {
+    const pacer = PassPacer.create(new FixedCost(costMs));
+    let count = 0;
+    for (let now = 0; now < 10_000; now += 5) {
+        pacer.request();
+        pacer.run(workers, now, () => (count += 1));
+    }
+    return count;
+}
+
+test("cheap passes follow each other in 20 ms, or 0.2 ms for each worker", t => {
+    t.is(countPasses(0, 10), 499);
+    t.is(countPasses(5, 10), 499);
+    t.is(countPasses(5, 500), 99);
+});
+
+test("passes take at most a quarter of the time, however expensive each is", t => {
+    t.true(countPasses(40, 33) * 40 <= 2_500);
+    t.true(countPasses(200, 33) * 200 <= 2_500);
+});
+
+test("even the most expensive passes are one second apart", t => {
+    t.is(countPasses(5_000, 33), 9);
+});
+
+test("a pass is done only when it is needed, and after 150 ms in any case", t => {
+    const pacer = PassPacer.create(new FixedCost(0));
+    const passes: number[] = [];
+    for (let now = 1_000; now < 1_400; now += 25) {
+        pacer.tick(now);
+        pacer.run(1, now, () => passes.push(now));
+    }
+    t.deepEqual(passes, [1_000, 1_175, 1_350]);
+});
--- a/src/proof/node/trialProcessor.ts
+++ b/src/proof/node/trialProcessor.ts
@@ -24,6 +24,8 @@
     private isBusy = false;
     /** Time in ms of a whole core that the present event has taken so far. */
     private chargedMs = 0;
+    /** Time in ms of a whole core that the latest pass took. */
+    private passMs = 0;
 
     private constructor(
         private readonly costs: TrialCosts,
@@ -45,11 +47,16 @@
 
     override measure<T>(kind: WorkKind, work: () => T): T {
         if (kind === "pass") {
-            this.chargedMs += this.host.openJobs() * this.costs.passMsPerJob;
+            this.passMs = this.host.openJobs() * this.costs.passMsPerJob;
+            this.chargedMs += this.passMs;
         }
         return work();
     }
 
+    override lastMs(kind: WorkKind): number {
+        return kind === "pass" ? this.passMs / this.costs.share : 0;
+    }
+
     /** Adds an event. */
     post(event: JobInstanceEvent): void {
         // The timer of the loop is set again only when a tick is handled.
