--- a/src/dispatch/common/passPacer.ts
+++ b/src/dispatch/common/passPacer.ts
@@ -1,60 +1,60 @@
+import { WorkMeter } from "../../base/common/workMeter";
+
 /** Minimum interval between passes over the waiting tasks, in ms. It grows with the workers: a pass visits them all. */
-const MIN_PASS_INTERVAL_MS = 20;
-const PASS_INTERVAL_PER_WORKER_MS = 0.2;
+const MIN_INTERVAL_MS = 20;
+const INTERVAL_PER_WORKER_MS = 0.2;
 
 /** Maximum interval between passes, in ms: latencies change even while no run ends. */
-const MAX_PASS_INTERVAL_MS = 150;
+const MAX_INTERVAL_MS = 150;
+
+/** Share of the loop's time that passes may take. The rest is for what is due: renewals, answers, cancellations and stops. */
+const MAX_PASS_RATIO = 0.25;
 
-/** Time between two calls while there is nothing to do, in ms: a tick of the loop. */
-const MAX_IDLE_MS = 25;
+/** Longest interval that an expensive pass leads to, in ms: an accepted job is to start within a second while there is room. */
+const MAX_EXPENSIVE_INTERVAL_MS = 1_000;
 
 /**
- * Pause after a pass, as a multiple of the time that it took. Answers that are handled meanwhile change what the next pass
- * finds, and are not delayed by a pass after each of them.
+ * Decides when the waiting tasks are visited. What a pass costs is measured, so that passes over a long queue, or on a slow
+ * processor, follow each other less closely.
  */
-const PAUSE_RATIO = 2;
-const MAX_PAUSE_MS = 500;
-
-/** Decides when the waiting tasks are passed over, so that passes leave time for everything else that is due. */
 export class PassPacer {
-    /** Time (ms) at which the latest pass began. */
-    private startedAt = 0;
-    /** Time (ms) before which there is no pass. */
-    private nextAt = 0;
-    /** Whether no call has shown yet how long the latest pass took. */
-    private isMeasuring = false;
-
-    private constructor() {}
-
-    /** @returns A pacer before the first pass. */
-    static create(): PassPacer {
-        return new PassPacer();
+    /** Whether a pass is needed. */
+    private isNeeded = true;
+    private lastAt = 0;
+
+    private constructor(private readonly work: WorkMeter<"pass">) {}
+
+    /** @param work Measures the passes. @returns A pacer that needs a pass. */
+    static create(work: WorkMeter<"pass">): PassPacer {
+        return new PassPacer(work);
+    }
+
+    /** Requests a pass: a task waits, or a worker has room. */
+    request(): void {
+        this.isNeeded = true;
+    }
+
+    /** Requests a pass if the latest one is long ago. @param now Time in ms. */
+    tick(now: number): void {
+        this.isNeeded ||= now - this.lastAt > MAX_INTERVAL_MS;
     }
 
     /**
+     * Does a pass if one is needed and due.
      * @param workers Number of workers.
-     * @param now Time in ms; that of the first call after a pass shows how long the pass took.
-     * @returns Whether a pass may begin.
+     * @param now Time in ms.
+     * @param pass Does the pass.
      */
-    mayBegin(workers: number, now: number): boolean {
-        if (this.isMeasuring) {
-            this.isMeasuring = false;
-            const tookMs = now - this.startedAt;
-            const intervalMs = Math.max(MIN_PASS_INTERVAL_MS, workers * PASS_INTERVAL_PER_WORKER_MS);
-            const pauseMs = tookMs > MAX_IDLE_MS ? Math.min(MAX_PAUSE_MS, tookMs * PAUSE_RATIO) : 0;
-            this.nextAt = Math.max(this.startedAt + intervalMs, now + pauseMs);
+    run(workers: number, now: number, pass: () => void): void {
+        if (this.isNeeded && now - this.lastAt >= this.intervalMs(workers)) {
+            this.isNeeded = false;
+            this.lastAt = now;
+            this.work.measure("pass", pass);
         }
-        return now >= this.nextAt;
-    }
-
-    /** @param now Time in ms. @returns Whether the latest pass is so long ago that another one is needed. */
-    isOverdue(now: number): boolean {
-        return now - this.startedAt > MAX_PASS_INTERVAL_MS;
     }
 
-    /** Records that a pass begins. @param now Time in ms. */
-    begin(now: number): void {
-        this.startedAt = now;
-        this.isMeasuring = true;
+    private intervalMs(workers: number): number {
+        const byCost = Math.min(MAX_EXPENSIVE_INTERVAL_MS, this.work.lastMs("pass") / MAX_PASS_RATIO);
+        return Math.max(MIN_INTERVAL_MS, workers * INTERVAL_PER_WORKER_MS, byCost);
     }
 }
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -1,7 +1,6 @@
 import { Disposable } from "../../base/common/disposable";
 import { DisposableStore } from "../../base/common/disposableStore";
 import { UnmeasuredWork } from "../../base/common/unmeasuredWork";
-import { WorkMeter } from "../../base/common/workMeter";
 import { jobKey, RunRecord } from "../../jobs/common/jobRecord";
 import { isFinal, JobEntry } from "../../jobs/common/jobTable";
 import { ActiveJob } from "./activeJob";
@@ -56,14 +55,11 @@
     private hasBegun = false;
     private readonly admission: StartAdmission;
     private readonly runHost: RunHost;
-    private readonly work: WorkMeter<"pass">;
+    private readonly pacer: PassPacer;
     /** Runs whose assignment is stored and whose start is not sent yet. */
     private pendingStarts: Run[] = [];
-    /** Whether a pass over the waiting tasks is needed. */
-    private isDirty = true;
     /** Number of passes over the waiting tasks so far. */
     passCount = 0;
-    private readonly pacer = PassPacer.create();
     private readonly modelRecorder: LatencyModelRecorder;
     private now = 0;
     private wallNow = 0;
@@ -75,7 +71,7 @@
         now: number,
     ) {
         this.now = now;
-        this.work = context.work ?? UnmeasuredWork.create();
+        this.pacer = PassPacer.create(context.work ?? UnmeasuredWork.create());
         this.model = LatencyModel.create(context.learnedInterference);
         this.modelRecorder = LatencyModelRecorder.create(this.model, writers.progress, now);
         const logView = (name: DecisionName, data: DecisionData) => this.logDecision(name, data);
@@ -165,23 +161,17 @@
         } else {
             this.pool.register(reading, now);
         }
-        this.isDirty = true;
+        this.pacer.request();
     }
 
     /** Deregisters all workers but these. */
     retainWorkers(ids: ReadonlySet<string>): void {
-        for (const worker of this.pool.all) {
-            if (!ids.has(worker.entry.id)) {
-                this.pool.deregister(worker.entry.id);
-            }
-        }
+        this.pool.retain(ids);
     }
 
     /** Handles a suspension of the process: the entries of all workers are of any age until they are read again. */
     handleSuspension(): void {
-        for (const worker of this.pool.all) {
-            worker.entryWrittenAfter = undefined;
-        }
+        this.pool.forgetEntryAges();
     }
 
     /** Handles an answer of a worker. @param now Time in ms. */
@@ -219,7 +209,7 @@
         this.failures.recordUptime(this.pool.busyCount, now);
         this.pruner.tick(now);
         this.modelRecorder.tick(now);
-        this.isDirty ||= this.pacer.isOverdue(now);
+        this.pacer.tick(now);
     }
 
     /**
@@ -238,17 +228,11 @@
         const starts = this.pendingStarts;
         this.pendingStarts = [];
         starts.forEach(run => run.fire("stored", { now }));
-        const mayBegin = this.pacer.mayBegin(this.pool.size, now);
-        if (this.isDirty && mayBegin) {
-            this.isDirty = false;
+        this.pacer.run(this.pool.size, now, () => {
             this.passCount += 1;
-            this.pacer.begin(now);
             const usable = this.admission.usableWorkers(this.pool.all, now);
-            const { activeJobs, pool, queue } = this;
-            this.work.measure("pass", () =>
-                queue.placeWaiting(activeJobs.all, usable, pool.remainingStarts(), now, wallNow),
-            );
-        }
+            this.queue.placeWaiting(this.activeJobs.all, usable, this.pool.remainingStarts(), now, wallNow);
+        });
     }
 
     /** @param now Time in ms. @returns Whether leases may be extended. */
@@ -420,7 +404,7 @@
         const worker = this.pool.find(record.worker);
         worker?.runs.delete(task.name);
         task.run = undefined;
-        this.isDirty = true;
+        this.pacer.request();
         this.logDecision("run-ended", { task: task.name, run: record.run, worker: record.worker, outcome });
         if (checkpoint !== "") {
             task.checkpoint = checkpoint;
@@ -476,7 +460,7 @@
         // Without its progress, its tasks would run again.
         if (!this.restorer.isWaiting(entry.id)) {
             this.activeJobs.update(entry);
-            this.isDirty = true;
+            this.pacer.request();
         }
     }
 
--- a/src/dispatch/common/workerPool.ts
+++ b/src/dispatch/common/workerPool.ts
@@ -165,6 +165,16 @@
         }
     }
 
+    /** Deregisters all workers but these. */
+    retain(ids: ReadonlySet<string>): void {
+        [...this.contacts.keys()].filter(id => !ids.has(id)).forEach(id => this.deregister(id));
+    }
+
+    /** Forgets when the entries of the workers were written: after a suspension they are of any age. */
+    forgetEntryAges(): void {
+        this.contacts.forEach(worker => (worker.entryWrittenAfter = undefined));
+    }
+
     /**
      * Finds the worker to which an earlier leader assigned a run.
      * @param record The assignment.
--- a/src/proof/node/jobSoak.tool.ts
+++ b/src/proof/node/jobSoak.tool.ts
@@ -1,11 +1,13 @@
 import { ColocationPlan } from "./colocationPlan";
 import { JobTrial } from "./jobTrial";
 import { FAULTS, JobFault, JobTrialPlan, PlannedFault, READ_FAULTS, WORKER_READ_FAULTS } from "./jobTrialPlan";
+import { MEASURED_COSTS } from "./trialCosts";
 
 /**
  * Reads a flag with a whole number. Flags: `--seed FIRST --count N --workers N --length MS --every MS --deadly PERCENT
  * --crash-delay MS --shrink MS --cancel PERCENT --reads --lasting N --lease MS --colocate PERCENT --jobs-every MS --slow
- * --max-tasks N --memory MB --kill-leader MS --drain MS --faults KINDS --until MS --trace`, where `--deadly` is the share of the jobs with a task that
+ * --max-tasks N --memory MB --kill-leader MS --drain MS --faults KINDS --until MS --submit-every MS --costs PERCENT --trace`,
+ * where `--deadly` is the share of the jobs with a task that
  * crashes its workers, that long after each start, `--shrink` the mean time between two times at which a worker's capacity
  * shrinks, `--cancel` the share of the jobs that is cancelled, `--reads` adds faults of the reads of the jobs, `--lasting` is
  * the number of jobs that last until the end, `--lease` the longest lease that a worker accepts, `--colocate` runs
@@ -13,8 +15,9 @@
  * mean time between two best-effort jobs, `--max-tasks` the largest number of tasks of their steps, `--memory` what each of
  * their tasks requests, `--kill-leader` the interval at which the leader is killed, `--slow` injects slow workers only,
  * `--faults` the kinds that it names, separated by commas, `--drain` is the mean time between two times at which workers
- * announce that they leave, around which the leader is killed; it adds faults of the reads of the workers, and `--until` is the
- * time up to which faults are injected.
+ * announce that they leave, around which the leader is killed; it adds faults of the reads of the workers, `--until` is the
+ * time up to which faults are injected, `--submit-every` the longest time between two submissions, and `--costs` charges the
+ * instances for their work, with that share of a core in percent.
  */
 function readNumber(name: string, fallback: number): number {
     const index = process.argv.indexOf(`--${name}`);
@@ -83,6 +86,8 @@
         longestLeaseMs: readNumber("lease", 0) || undefined,
         colocation: readColocation(),
         plannedFaults: readPlannedFaults(lengthMs),
+        submitEveryMs: readNumber("submit-every", 0) || undefined,
+        costs: readNumber("costs", 0) === 0 ? undefined : { ...MEASURED_COSTS, share: readNumber("costs", 0) / 100 },
     };
     const { breaches, trace, ...counts } = JobTrial.run(plan);
     console.log(`seed ${seed}`, JSON.stringify(counts), `breaches ${breaches.length}`);
--- /dev/null
+++ b/src/proof/node/trialInjector.ts
@@ -0,0 +1,212 @@
+import {
+    FAULTS,
+    FAULTS_OF_WORKERS,
+    JobFault,
+    JobTrialPlan,
+    PlannedFault,
+    ReadFault,
+    WORKER_READ_FAULTS,
+} from "./jobTrialPlan";
+import { JobRuleChecker } from "./jobRuleChecker";
+import { TrialNode } from "./jobTrialNode";
+import { Random } from "./random";
+import { TrialDrains } from "./trialDrains";
+import { DelayedStream, TrialReads } from "./trialReads";
+import { TrialSchedule } from "./trialSchedule";
+import { TrialStore } from "./trialStore";
+import { TrialWorkers } from "./trialWorkers";
+
+/** How many times longer a fault lasts than others. */
+const DURATION_RATIOS: Partial<Record<JobFault, number>> = { "slow-link": 3, "worker-slow": 2 };
+
+/** Longest time for which an instance that was killed is down, in ms. */
+export const MAX_DOWN_MS = 1_500;
+
+/** Duration of a planned freeze, in ms: long enough for another instance to become the leader. */
+const PLANNED_FREEZE_MS = 3_000;
+
+/** The instances of a trial, into which faults are injected. */
+export abstract class TrialNodeHost {
+    /** Kills an instance, which starts again later. */
+    abstract kill(node: TrialNode): void;
+
+    /** Suspends an instance. @param durationMs Duration in ms. */
+    abstract freeze(node: TrialNode, durationMs: number): void;
+
+    /** Tells an instance to stop. */
+    abstract stop(node: TrialNode): void;
+}
+
+/** What the injected faults concern. */
+export interface TrialInjectorContext {
+    readonly plan: JobTrialPlan;
+    /** Draws for the faults. */
+    readonly random: Random;
+    readonly schedule: TrialSchedule;
+    readonly checker: JobRuleChecker;
+    readonly nodes: readonly TrialNode[];
+    readonly workers: TrialWorkers;
+    readonly store: TrialStore;
+    readonly reads: Readonly<Record<DelayedStream, TrialReads>>;
+    /** Lines of the trace. */
+    readonly trace: string[];
+}
+
+/** Injects the faults of a trial. */
+export class TrialInjector {
+    private constructor(
+        private readonly context: TrialInjectorContext,
+        private readonly host: TrialNodeHost,
+    ) {}
+
+    /** @param context What the faults concern. @param host The instances. @returns An injector that has injected nothing. */
+    static create(context: TrialInjectorContext, host: TrialNodeHost): TrialInjector {
+        return new TrialInjector(context, host);
+    }
+
+    /** Injects random faults from now on, until the plan ends them. */
+    injectNext(): void {
+        if (this.context.schedule.now > (this.context.plan.faultsUntilMs ?? this.context.plan.lengthMs)) {
+            return;
+        }
+        this.inject(this.context.random.pick(this.context.plan.faults ?? FAULTS));
+        this.context.schedule.add(this.context.random.between(1, this.context.plan.faultEveryMs * 2), () =>
+            this.injectNext(),
+        );
+    }
+
+    /** Injects a planned fault. @throws `Error` if it concerns the leader and there is none. */
+    injectPlanned(fault: PlannedFault): void {
+        const leader = this.context.nodes.find(
+            each => each.instance?.isLeading === true && this.context.schedule.now >= each.frozenUntil,
+        );
+        this.context.trace.push(`${Math.round(this.context.schedule.now)} FAULT ${fault} n${leader?.index}`);
+        if (fault === "lose-worker") {
+            this.context.workers.removeBusiest();
+        } else if (leader === undefined) {
+            throw new Error(`no leader at ${this.context.schedule.now} ms to ${fault}`);
+        } else if (fault === "kill-leader") {
+            this.context.checker.recordDisruption(MAX_DOWN_MS);
+            this.host.kill(leader);
+        } else if (fault === "freeze-leader") {
+            this.host.freeze(leader, PLANNED_FREEZE_MS);
+        } else {
+            this.host.stop(leader);
+        }
+    }
+
+    /** Lets workers announce that they leave, if the plan says so. */
+    planDrains(): void {
+        const { drains, seed, lengthMs } = this.context.plan;
+        if (drains !== undefined) {
+            const killLeader = () => this.killLeader();
+            TrialDrains.create(
+                seed,
+                drains,
+                lengthMs,
+                this.context.schedule,
+                this.context.workers.drainHost(killLeader),
+            );
+        }
+    }
+
+    private killLeader(): void {
+        const leader = this.context.nodes.find(each => each.instance?.isLeading === true);
+        if (leader !== undefined) {
+            this.context.trace.push(`${Math.round(this.context.schedule.now)} FAULT kill n${leader.index}`);
+            this.recordDisruption("kill", leader.index, 0);
+            this.host.kill(leader);
+        }
+    }
+
+    private inject(fault: JobFault): void {
+        const leader = this.context.nodes.find(each => each.instance?.isLeading === true);
+        const node =
+            leader !== undefined && this.context.random.chance(0.6)
+                ? leader
+                : this.context.random.pick(this.context.nodes);
+        const worker = this.context.random.between(0, this.context.plan.workers - 1);
+        const durationMs = this.context.random.between(500, 6_000);
+        this.context.trace.push(
+            `${Math.round(this.context.schedule.now)} FAULT ${fault} n${node.index} w${worker} ${durationMs}`,
+        );
+        this.recordDisruption(fault, node.index, durationMs);
+        switch (fault) {
+            case "slow-pages":
+            case "slow-worker-pages":
+                this.readsOf(fault).slowDown(node.index, durationMs);
+                break;
+            case "stalled-read":
+            case "stalled-worker-read":
+                this.readsOf(fault).stallNext(node.index);
+                break;
+            case "kill":
+                this.host.kill(node);
+                break;
+            case "kill-all":
+                this.context.nodes.forEach(each => this.host.kill(each));
+                break;
+            case "freeze":
+                this.host.freeze(node, durationMs);
+                break;
+            case "cut-store":
+                node.storeCutUntil = this.context.schedule.now + durationMs;
+                break;
+            case "store-down":
+                this.context.store.takeDown(durationMs);
+                break;
+            case "lost-answers":
+                this.context.store.loseAnswers(durationMs);
+                break;
+            case "expire":
+                this.context.store.expire();
+                break;
+            default:
+                this.injectIntoWorkers(fault, worker, durationMs);
+        }
+    }
+
+    private injectIntoWorkers(fault: JobFault, worker: number, durationMs: number): void {
+        switch (fault) {
+            case "worker-crash":
+                this.context.workers.restart(worker);
+                break;
+            case "worker-gone":
+                this.context.workers.remove(worker);
+                break;
+            case "worker-cut":
+                this.context.workers.cut(worker, durationMs);
+                break;
+            case "slow-link":
+                this.context.workers.slowDownLink(worker, DURATION_RATIOS["slow-link"]! * durationMs);
+                break;
+            case "worker-slow":
+                this.context.workers.slowDown(DURATION_RATIOS["worker-slow"]! * durationMs);
+                break;
+            case "late-orders":
+                this.context.workers.delayOrders(durationMs);
+                break;
+        }
+    }
+
+    private readsOf(fault: ReadFault): TrialReads {
+        return WORKER_READ_FAULTS.includes(fault) ? this.context.reads.workers : this.context.reads.jobs;
+    }
+
+    /** A response that stalls disrupts nothing, and slow pages fill the links of instances that stay in touch. */
+    private recordDisruption(fault: JobFault, index: number, durationMs: number): void {
+        if (fault === "stalled-read" || fault === "stalled-worker-read") {
+            return;
+        }
+        const isOfWorker = fault === "worker-slow" || FAULTS_OF_WORKERS.includes(fault);
+        const isOfAll = fault === "kill-all" || fault === "store-down" || fault === "lost-answers";
+        const all = this.context.nodes.map(each => each.index);
+        const isOfReads = fault === "slow-pages" || fault === "slow-worker-pages";
+        const instances = isOfAll ? all : isOfWorker || isOfReads ? [] : [index];
+        const isKill = fault === "kill" || fault === "kill-all";
+        const lastsMs = isKill ? MAX_DOWN_MS : (DURATION_RATIOS[fault] ?? 1) * durationMs;
+        this.context.checker.recordDisruption(lastsMs);
+        this.context.checker.cancellations.recordDisruption(lastsMs, instances);
+        this.context.checker.drains.recordDisruption(lastsMs, instances);
+    }
+}
