Number the reads of streams, and let a follower hasten a paused one

A follower told the answer to its latest read from those to earlier reads by the time at which they were sent. That holds for a read that is repeated, but not for one that waits for the end of its pause: it is sent later than the read that replaces it. Each read now carries a number, which its answer repeats, and only the answer to the latest one leads to the next read, so there are never two loops. `hasten` reads at once, without ending the pause of the read before; nothing calls it yet.

--- a/src/host/common/test/takeover.test.ts
+++ b/src/host/common/test/takeover.test.ts
@@ -23,6 +23,7 @@
         takeover.handleAnswer({
             kind: "newest-answer",
             stream: "progress",
+            number: 1,
             sentAt: 100,
             result: log.newest(undefined),
         });
--- a/src/host/node/jobPerformers.ts
+++ b/src/host/node/jobPerformers.ts
@@ -102,17 +102,18 @@
             );
             return;
         }
+        const { number } = effect;
         const unavailable = Err("unavailable" as const);
         this.delay(effect.delayMs, () => {
             if (effect.kind === "read") {
                 const send = () => this.store.read(stream, effect.from, effect.waitMs);
                 void this.callStore("read", send, unavailable).then(({ result, sentAt }) =>
-                    this.post({ kind: "read-answer", stream, sentAt, result }),
+                    this.post({ kind: "read-answer", stream, number, sentAt, result }),
                 );
             } else {
                 const send = () => this.store.readNewest(stream, effect.after);
                 void this.callStore("newest", send, unavailable).then(({ result, sentAt }) =>
-                    this.post({ kind: "newest-answer", stream, sentAt, result }),
+                    this.post({ kind: "newest-answer", stream, number, sentAt, result }),
                 );
             }
         });
--- a/src/proof/node/test/instanceFixture.ts
+++ b/src/proof/node/test/instanceFixture.ts
@@ -203,17 +203,18 @@
             });
             return;
         }
+        const { number } = effect;
         this.after(effect.delayMs, () => {
             const sentAt = this.now;
             if (effect.kind === "read-newest") {
                 const result = log.newest(effect.after);
-                this.after(TICK_MS, () => this.dispatch({ kind: "newest-answer", stream, sentAt, result }));
+                this.after(TICK_MS, () => this.dispatch({ kind: "newest-answer", stream, number, sentAt, result }));
                 return;
             }
             const read = () => {
                 const isAnswered = log.end > effect.from || this.now - sentAt >= effect.waitMs;
                 if (isAnswered) {
-                    this.dispatch({ kind: "read-answer", stream, sentAt, result: log.read(effect.from) });
+                    this.dispatch({ kind: "read-answer", stream, number, sentAt, result: log.read(effect.from) });
                 } else {
                     this.after(TICK_MS, read);
                 }
--- a/src/proof/node/trialStore.ts
+++ b/src/proof/node/trialStore.ts
@@ -9,6 +9,9 @@
 import { DelayedStream, TrialReads } from "./trialReads";
 import { TrialSchedule } from "./trialSchedule";
 
+/** Time that a read takes to the store, in ms. */
+const LINK_DELAY_MS = 2;
+
 /** The in-memory store of a trial, and the calls to it. */
 export class TrialStore {
     readonly streams: Readonly<Record<StreamName, KeyedLog>> = {
@@ -66,7 +69,7 @@
      * @param post Called once with the answer.
      */
     call(node: TrialNode, effect: RecordEffect, post: (event: JobInstanceEvent) => void): void {
-        const sentAt = this.now - node.frozenMs;
+        const emittedAt = this.now - node.frozenMs;
         const log = this.streams[effect.stream];
         const reads = effect.kind === "append" ? undefined : this.readsOf(effect.stream);
         const postAnswer = (event: JobInstanceEvent) =>
@@ -86,22 +89,34 @@
             }
             return;
         }
-        const read = (deadline: number) => {
+        const { number } = effect;
+        const read = (sentAt: number, deadline: number) => {
             const stallMs = reads?.takeStallMs(node.index);
             if (stallMs !== undefined || !this.isReachable(node)) {
                 const unavailable = Err("unavailable" as const);
                 const kind = effect.kind === "read" ? "read-answer" : "newest-answer";
                 const timeoutMs = stallMs ?? CALL_TIMEOUTS_MS.store;
-                this.schedule(timeoutMs, () => postAnswer({ kind, stream, sentAt, result: unavailable }));
+                this.schedule(timeoutMs, () => postAnswer({ kind, stream, number, sentAt, result: unavailable }));
             } else if (effect.kind === "read-newest") {
-                postAnswer({ kind: "newest-answer", stream, sentAt, result: log.newest(effect.after) });
+                postAnswer({ kind: "newest-answer", stream, number, sentAt, result: log.newest(effect.after) });
             } else if (log.end > effect.from || this.now >= deadline || !log.read(effect.from).ok) {
-                postAnswer({ kind: "read-answer", stream, sentAt, result: log.read(effect.from) });
+                postAnswer({ kind: "read-answer", stream, number, sentAt, result: log.read(effect.from) });
             } else {
-                this.schedule(3, () => read(deadline));
+                this.schedule(3, () => read(sentAt, deadline));
             }
         };
-        this.schedule(effect.delayMs + 2, () => read(this.now + (effect.kind === "read" ? effect.waitMs : 0)));
+        this.schedule(effect.delayMs + LINK_DELAY_MS, () => {
+            const sentAt = stream === "workers" ? this.sentAtOf(node, emittedAt) : emittedAt;
+            read(sentAt, this.now + (effect.kind === "read" ? effect.waitMs : 0));
+        });
+    }
+
+    /**
+     * @param emittedAt Time (ms) at which a read was emitted, before its pause.
+     * @returns Time (ms) at which it was sent. The clock of a frozen instance stands still.
+     */
+    private sentAtOf(node: TrialNode, emittedAt: number): number {
+        return this.now < node.frozenUntil ? emittedAt : this.now - LINK_DELAY_MS - node.frozenMs;
     }
 
     private readsOf(stream: StreamName): TrialReads | undefined {
--- a/src/records/common/recordEvents.ts
+++ b/src/records/common/recordEvents.ts
@@ -2,12 +2,14 @@
 import { RecordOffset } from "./record";
 import { Append, AppendError, NewestPage, ReadError, RecordPage, StreamName } from "./recordStore";
 
-/** Calls to the store. The event with the answer carries the writer, or the time at which the read was sent. */
+/** Calls to the store. The event with the answer carries the writer, or the number and the time of the read. */
 export type RecordEffect =
     | { readonly kind: "append"; readonly writer: string; readonly stream: StreamName; readonly append: Append }
     | {
           readonly kind: "read";
           readonly stream: StreamName;
+          /** Number that the answer repeats. */
+          readonly number: number;
           readonly from: RecordOffset;
           readonly waitMs: number;
           readonly delayMs: number;
@@ -15,6 +17,7 @@
     | {
           readonly kind: "read-newest";
           readonly stream: StreamName;
+          readonly number: number;
           readonly after: string | undefined;
           readonly delayMs: number;
       };
@@ -30,6 +33,8 @@
     | {
           readonly kind: "read-answer";
           readonly stream: StreamName;
+          /** Number of the read. */
+          readonly number: number;
           /** Time (ms) at which the read was sent. */
           readonly sentAt: number;
           readonly result: Result<RecordPage, ReadError>;
@@ -37,6 +42,7 @@
     | {
           readonly kind: "newest-answer";
           readonly stream: StreamName;
+          readonly number: number;
           readonly sentAt: number;
           readonly result: Result<NewestPage, ReadError>;
       };
--- a/src/records/common/recordFollower.ts
+++ b/src/records/common/recordFollower.ts
@@ -8,7 +8,7 @@
 import { RecordEffect, RecordEvent } from "./recordEvents";
 
 type FollowerState = "loading" | "following" | "pausing";
-type FollowerEvent = "page" | "last-page" | "records" | "truncated" | "failed" | "late" | "late-records";
+type FollowerEvent = "page" | "last-page" | "records" | "truncated" | "failed" | "late" | "hasten" | "late-records";
 type FollowerGuard = "isLarge" | "isFarBehind";
 type FollowerAction =
     | "applyPage"
@@ -18,7 +18,7 @@
     | "readNextPage"
     | "readMore"
     | "readEnd"
-    | "repeatRead"
+    | "readNow"
     | "restart";
 
 const chart = ChartRegistry.instance.register(
@@ -27,7 +27,7 @@
         "recordFollower.chart.yaml",
         {
             states: ["loading", "following", "pausing"],
-            events: ["page", "last-page", "records", "truncated", "failed", "late", "late-records"],
+            events: ["page", "last-page", "records", "truncated", "failed", "late", "hasten", "late-records"],
             guards: ["isLarge", "isFarBehind"],
             actions: [
                 "applyPage",
@@ -37,7 +37,7 @@
                 "readNextPage",
                 "readMore",
                 "readEnd",
-                "repeatRead",
+                "readNow",
                 "restart",
             ],
         },
@@ -47,7 +47,7 @@
 /** Delay before a failed read is retried. */
 const RETRY_BACKOFF_MS = 150;
 
-/** Limit of the late reads that are awaited beside the latest one: their pages use the link, too. */
+/** Limit of the earlier reads that are awaited beside the latest one: their pages use the link, too. */
 const MAX_LATE_READS = 3;
 
 /** Receives the records of a stream. */
@@ -111,9 +111,9 @@
     private unreachedEnd: { readonly end: RecordOffset; readonly sentAt: number } | undefined;
     /** Time (ms) at which `tick` first saw the read in flight. */
     private waitingSince: number | undefined;
-    /** Time (ms) at which a read was last repeated; reads sent before it are late. */
-    private repeatedAt = -Infinity;
-    private tickedAt = 0;
+    /** Number of the latest read. Its answer leads to the next read; answers to earlier reads do not. */
+    private latestRead = 0;
+    /** Number of earlier reads that are not answered. */
     private lateReadCount = 0;
     /** Time (ms) at which the first page of the load was requested. */
     private loadSentAt: number | undefined;
@@ -145,7 +145,7 @@
                 readNextPage: () => this.emitPageRead(),
                 readEnd: () => this.emitEndRead(),
                 readMore: () => this.emitRead(),
-                repeatRead: () => this.emitRepeatedRead(),
+                readNow: () => this.emitReadNow(),
                 restart: () => this.start(),
             },
         });
@@ -198,11 +198,20 @@
         const { repeatAfterMs } = this.readTiming();
         const isLate = repeatAfterMs !== undefined && now - this.waitingSince > repeatAfterMs;
         if (isLate && this.lateReadCount < MAX_LATE_READS) {
-            this.tickedAt = now;
             this.machine.fire("late", undefined);
         }
     }
 
+    /**
+     * Reads at once instead of at the end of the pause. The read that is due then is still sent, but its answer leads to no
+     * further read. Does nothing during a load, or while as many reads are awaited as may be.
+     */
+    hasten(): void {
+        if (this.lateReadCount < MAX_LATE_READS) {
+            this.machine.fire("hasten", undefined);
+        }
+    }
+
     /**
      * Handles the answer to a read of this stream.
      * @throws The first error with which a record could not be applied, after all others were applied.
@@ -216,7 +225,7 @@
     }
 
     private processAnswer(answer: StoreAnswer): void {
-        if (answer.sentAt < this.repeatedAt) {
+        if (answer.number !== this.latestRead) {
             this.handleLateAnswer(answer);
             return;
         }
@@ -313,29 +322,38 @@
 
     private emitEndRead(): void {
         const delayMs = this.readTiming().largePauseMs ?? 0;
-        this.effects.emit({ kind: "read-newest", stream: this.stream, after: KEY_AFTER_ALL, delayMs });
+        const number = this.nextReadNumber();
+        this.effects.emit({ kind: "read-newest", stream: this.stream, number, after: KEY_AFTER_ALL, delayMs });
     }
 
     private emitPageRead(): void {
         this.effects.emit({
             kind: "read-newest",
             stream: this.stream,
+            number: this.nextReadNumber(),
             after: this.lastKey,
             delayMs: this.nextPauseMs === RETRY_BACKOFF_MS ? RETRY_BACKOFF_MS : 0,
         });
     }
 
-    private emitRepeatedRead(): void {
-        this.repeatedAt = this.tickedAt;
+    /** The latest read becomes one of the earlier reads. */
+    private emitReadNow(): void {
         this.lateReadCount += 1;
         this.waitingSince = undefined;
-        this.effects.emit({ kind: "read", stream: this.stream, from: this.nextOffset, waitMs: 0, delayMs: 0 });
+        const number = this.nextReadNumber();
+        this.effects.emit({ kind: "read", stream: this.stream, number, from: this.nextOffset, waitMs: 0, delayMs: 0 });
+    }
+
+    private nextReadNumber(): number {
+        this.latestRead += 1;
+        return this.latestRead;
     }
 
     private emitRead(): void {
         this.effects.emit({
             kind: "read",
             stream: this.stream,
+            number: this.nextReadNumber(),
             from: this.nextOffset,
             waitMs: this.readTiming().waitMs,
             delayMs: this.nextPauseMs,
--- a/src/records/common/recordLoader.ts
+++ b/src/records/common/recordLoader.ts
@@ -37,6 +37,8 @@
 export class RecordLoader {
     private readonly machine: Machine<NewestAnswer, LoaderState, LoaderEvent, never, LoaderAction>;
     private lastKey: string | undefined;
+    /** Number of the latest read. */
+    private latestRead = 0;
 
     private constructor(
         private readonly stream: StreamName,
@@ -76,7 +78,7 @@
 
     /** Handles the answer to a read of the stream. */
     handleAnswer(answer: NewestAnswer): void {
-        if (answer.sentAt < this.startedAt) {
+        if (answer.sentAt < this.startedAt || answer.number !== this.latestRead) {
             return;
         }
         if (!answer.result.ok) {
@@ -94,6 +96,8 @@
     }
 
     private readPage(delayMs: number): void {
-        this.effects.emit({ kind: "read-newest", stream: this.stream, after: this.lastKey, delayMs });
+        this.latestRead += 1;
+        const { stream, latestRead: number, lastKey: after } = this;
+        this.effects.emit({ kind: "read-newest", stream, number, after, delayMs });
     }
 }
--- a/src/records/common/test/leadership.test.ts
+++ b/src/records/common/test/leadership.test.ts
@@ -26,37 +26,44 @@
     const follower = RecordFollower.create("jobs", receiver, () => ({ waitMs: 0, pauseMs: 0 }), outbox);
     const leadership = Leadership.create({ instance, nonce, storeRoundTripMs: () => 1, cores }, follower, outbox);
     receiver.leadership = leadership;
+    let number = 0;
+    const drain = () => {
+        const effects = outbox.drain();
+        effects.forEach(effect => (number = effect.kind === "append" ? number : effect.number));
+        return effects;
+    };
     follower.start();
-    outbox.drain();
-    follower.handleAnswer({ kind: "newest-answer", stream: "jobs", sentAt: 0, result: log.newest(undefined) });
+    drain();
+    follower.handleAnswer({ kind: "newest-answer", stream: "jobs", number, sentAt: 0, result: log.newest(undefined) });
     leadership.tick(0);
-    outbox.drain();
+    drain();
     const read = (now: number) => {
         receiver.now = now;
         follower.handleAnswer({
             kind: "read-answer",
             stream: "jobs",
+            number,
             sentAt: now,
             result: log.read(follower.nextOffset),
         });
-        outbox.drain();
+        drain();
     };
     const claim = (now: number) => {
         leadership.tick(now);
-        return outbox.drain().flatMap(effect => (effect.kind === "append" ? [effect] : []));
+        return drain().flatMap(effect => (effect.kind === "append" ? [effect] : []));
     };
     const renew = (now: number) => {
         leadership.tick(now);
         leadership.writer!.flush(now);
-        return outbox.drain().flatMap(effect => (effect.kind === "append" ? [effect] : []));
+        return drain().flatMap(effect => (effect.kind === "append" ? [effect] : []));
     };
     /** Answers the read of a page of newest records. */
     const load = (now: number, page: NewestPage) => {
         receiver.now = now;
         receiver.isFollowed = false;
-        follower.handleAnswer({ kind: "newest-answer", stream: "jobs", sentAt: now, result: Ok(page) });
+        follower.handleAnswer({ kind: "newest-answer", stream: "jobs", number, sentAt: now, result: Ok(page) });
         receiver.isFollowed = true;
-        outbox.drain();
+        drain();
     };
     return { leadership, read, claim, renew, load };
 }
--- a/src/records/common/test/recordFollower.test.ts
+++ b/src/records/common/test/recordFollower.test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { Ok } from "ts-results";
+import { Err, Ok } from "ts-results";
 import { Outbox } from "../../../base/common/outbox";
 import { KeyedLog } from "../../../standin/common/keyedLog";
 import { StoredRecord } from "../record";
@@ -37,6 +37,10 @@
     readonly sentAt: number;
 }
 
+function numberOf(read: RecordEffect): number {
+    return read.kind === "append" ? 0 : read.number;
+}
+
 /** Follows a stream; each step answers the follower's read. */
 class Fixture {
     readonly log = KeyedLog.create();
@@ -63,7 +67,8 @@
     /** Answers a read with the records that there are now. */
     answer({ effect, sentAt }: SentRead): void {
         const result = this.log.read(effect.kind === "read" ? effect.from : 0);
-        this.follower.handleAnswer({ kind: "read-answer", stream: "operator", sentAt, result });
+        const number = numberOf(effect);
+        this.follower.handleAnswer({ kind: "read-answer", stream: "operator", number, sentAt, result });
     }
 
     /** Advances the time. @param ms By how much, in ms. */
@@ -84,14 +89,15 @@
         this.now += 10;
         const page = this.log.read(effect.kind === "read" ? effect.from : 0).unwrap();
         const result = Ok({ ...page, records: page.records.slice(0, count) });
-        this.follower.handleAnswer({ kind: "read-answer", stream: "operator", sentAt: this.now, result });
+        const number = numberOf(effect);
+        this.follower.handleAnswer({ kind: "read-answer", stream: "operator", number, sentAt: this.now, result });
     }
 
     /** Answers the read in flight. @param ageMs How long ago it was sent, in ms. @returns The read. */
     step(ageMs = 0): RecordEffect {
         const [effect] = this.outbox.drain();
         this.now += 10;
-        const base = { stream: "operator" as const, sentAt: this.now - ageMs };
+        const base = { stream: "operator" as const, number: numberOf(effect), sentAt: this.now - ageMs };
         if (effect.kind === "read") {
             const result = this.log.read(effect.from).map(({ records, end }) => ({
                 records: records.slice(0, this.maxPageRecords),
@@ -270,6 +276,59 @@
     t.is(fixture.follower.nextOffset, fixture.log.end);
 });
 
+test("a hastened read is sent at once, and the one that was paused starts no further reads", t => {
+    const fixture = new Fixture({ waitMs: 2_000, pauseMs: 3_000 });
+    fixture.step();
+    const [paused] = fixture.take();
+    t.is(paused.effect.kind === "read" && paused.effect.delayMs, 3_000);
+    fixture.follower.hasten();
+    const [hastened, ...others] = fixture.take();
+    t.deepEqual(others, []);
+    t.deepEqual(hastened.effect.kind === "read" && [hastened.effect.delayMs, hastened.effect.waitMs], [0, 0]);
+    fixture.log.store("w1", "1");
+    fixture.answer(hastened);
+    t.is(fixture.follower.knownUntil, hastened.sentAt);
+    const next = fixture.take();
+    t.is(next.length, 1);
+    // The paused read is sent at the end of its pause, after the hastened one.
+    fixture.log.store("w2", "2");
+    fixture.answer({ ...paused, sentAt: fixture.sentAt });
+    t.deepEqual(fixture.take(), []);
+    t.deepEqual(fixture.collector.values, ["first", "1", "2"]);
+    fixture.answer(next[0]);
+    t.is(fixture.take().length, 1);
+    t.deepEqual(fixture.collector.values, ["first", "1", "2"]);
+});
+
+test("a hastened read that fails is retried, and a load is not hastened", t => {
+    const fixture = new Fixture({ waitMs: 2_000, pauseMs: 3_000 });
+    fixture.follower.hasten();
+    t.deepEqual(
+        fixture.take().map(each => each.effect.kind),
+        ["read-newest"],
+    );
+    const loaded = new Fixture({ waitMs: 2_000, pauseMs: 3_000 });
+    loaded.step();
+    loaded.take();
+    loaded.follower.hasten();
+    const [hastened] = loaded.take();
+    const result = Err("unavailable" as const);
+    const base = { stream: "operator" as const, number: numberOf(hastened.effect), sentAt: hastened.sentAt };
+    loaded.follower.handleAnswer({ kind: "read-answer", ...base, result });
+    const [retried] = loaded.take();
+    t.true(retried.effect.kind === "read" && retried.effect.delayMs < 1_000);
+});
+
+test("however often a read is hastened, at most three earlier ones are awaited", t => {
+    const fixture = new Fixture({ waitMs: 2_000, pauseMs: 3_000 });
+    fixture.step();
+    fixture.take();
+    for (let count = 0; count < 10; count++) {
+        fixture.follower.hasten();
+    }
+    t.is(fixture.take().length, 3);
+});
+
 test("at most three late reads are awaited beside the latest one", t => {
     const fixture = new Fixture({ waitMs: 400, pauseMs: 0, repeatAfterMs: 900 });
     fixture.step();
--- a/src/records/common/test/recordLoader.test.ts
+++ b/src/records/common/test/recordLoader.test.ts
@@ -30,9 +30,14 @@
     const outbox = Outbox.create<RecordEffect>();
     const collector = new Collector();
     const loader = RecordLoader.start("progress", 100, collector, outbox);
-    const drainReads = () => outbox.drain().flatMap(effect => (effect.kind === "read-newest" ? [effect] : []));
+    let number = 0;
+    const drainReads = () => {
+        const reads = outbox.drain().flatMap(effect => (effect.kind === "read-newest" ? [effect] : []));
+        number = reads.at(-1)?.number ?? number;
+        return reads;
+    };
     const answer = (after: string | undefined, sentAt: number) =>
-        loader.handleAnswer({ kind: "newest-answer", stream: "progress", sentAt, result: log.newest(after) });
+        loader.handleAnswer({ kind: "newest-answer", stream: "progress", number, sentAt, result: log.newest(after) });
     return { loader, collector, drainReads, answer };
 }
 
@@ -52,7 +57,8 @@
     const { loader, collector, drainReads, answer } = createLoad();
     answer(drainReads()[0].after, 200);
     const [second] = drainReads();
-    loader.handleAnswer({ kind: "newest-answer", stream: "progress", sentAt: 210, result: Err("unavailable") });
+    const { number } = second;
+    loader.handleAnswer({ kind: "newest-answer", stream: "progress", number, sentAt: 210, result: Err("unavailable") });
     const [again] = drainReads();
     t.is(again.after, second.after);
     t.true(again.delayMs > 0);
