--- a/src/host/common/test/takeover.test.ts
+++ b/src/host/common/test/takeover.test.ts
@@ -51,6 +51,7 @@
         takeover.handleAnswer({
             kind: "newest-answer",
             stream: "progress",
+            number: 1,
             sentAt: 100,
             result: log.newest(undefined),
         });
