Keep the entries of waiting jobs from one pass to the next

The entries of a job without runs depend on the job alone, so WaitingIndex keeps them until the job's version changes: a run that begins or ends, an end that counts, an occurrence, a suspicion. The order of the last pass is the input of the next sort. ActiveJob counts its runs instead of searching all tasks for one. A rejection covers all steps with the same horizon, since an estimate beyond it changes no offer, and the search for it isn't made twice. Waits are computed for all steps only when reports are due.

--- a/src/dispatch/common/activeJob.ts
+++ b/src/dispatch/common/activeJob.ts
@@ -2,6 +2,8 @@
 import { JobProgress, TaskRecord } from "../../jobs/common/jobRecord";
 import { JobSpec, JobState, StepSpec } from "../../jobs/common/jobSpec";
 import { isFinal } from "../../jobs/common/jobTable";
+import { ActiveTask } from "./activeTask";
+import type { Run } from "./run";
 import { Task } from "./task";
 import { TaskSuspicion } from "./taskSuspicion";
 
@@ -23,6 +25,8 @@
     /** Occurrences of which all steps are done. */
     private readonly finishedOccurrences = new Set<number>();
     private openedCount = 0;
+    private runCount = 0;
+    private changes = 0;
 
     state: JobState = "queued";
     isCancelled = false;
@@ -32,6 +36,8 @@
     publishedState: JobState = "queued";
     /** Time by which the job should be finished to have its full value, in ms since the Unix epoch. */
     readonly objectiveMs: number;
+    /** Whether the job has a long-running step and so runs until it is cancelled. */
+    readonly isLongRunning: boolean;
 
     private constructor(
         readonly spec: JobSpec,
@@ -40,6 +46,7 @@
     ) {
         const { queue } = spec;
         this.objectiveMs = spec.acceptedAtMs + queue.stretch * criticalPathMs(spec.steps) + queue.slackMs;
+        this.isLongRunning = spec.steps.some(step => step.mode === "long-running");
     }
 
     /**
@@ -79,12 +86,28 @@
 
     /** Whether one of its tasks has a run. */
     get hasRun(): boolean {
-        return this.hasTask(task => task.run !== undefined);
+        return this.runCount > 0;
     }
 
     /** Whether one of its tasks has a run that a worker has reported. */
     get hasReportedRun(): boolean {
-        return this.hasTask(task => task.run?.report !== undefined);
+        return this.hasRun && this.hasTask(task => task.run?.report !== undefined);
+    }
+
+    /** Increases with each change of which tasks wait: their occurrences, runs, ends and suspicions. */
+    get version(): number {
+        return this.changes;
+    }
+
+    /** Records a change of which tasks wait. */
+    recordChange(): void {
+        this.changes += 1;
+    }
+
+    /** Records that a task has another run. @param before Its former run. @param after Its new one. */
+    recordRunChange(before: Run | undefined, after: Run | undefined): void {
+        this.runCount += (after === undefined ? 0 : 1) - (before === undefined ? 0 : 1);
+        this.recordChange();
     }
 
     /** Whether every task of every occurrence is done. */
@@ -128,11 +151,6 @@
         return group.step.after.every(step => this.groupsByKey.get(`${group.occurrence}.${step}`)!.done.isFull);
     }
 
-    /** Whether the job has a long-running step and so runs until it is cancelled. */
-    get isLongRunning(): boolean {
-        return this.spec.steps.some(step => step.mode === "long-running");
-    }
-
     /** @returns Estimated duration of the group's step and the steps that depend on it, in ms. */
     remainingMs(group: TaskGroup): number {
         const first = this.spec.steps.indexOf(group.step);
@@ -147,7 +165,8 @@
 
     /** Marks a task as done; for a gang, all its tasks. */
     markDone(task: Task): void {
-        const group = this.groupsByKey.get(task.groupKey)!;
+        const group = this.groupOf(task);
+        this.recordChange();
         if (task.step.mode === "gang") {
             group.tasks.forEach(each => group.done.add(each.index));
         } else {
@@ -160,7 +179,12 @@
 
     /** @param task A task. @returns Whether it is done. */
     isTaskDone(task: Task): boolean {
-        return this.groupsByKey.get(task.groupKey)!.done.has(task.index);
+        return this.groupOf(task).done.has(task.index);
+    }
+
+    /** @param task One of its tasks. @returns The group of the task. */
+    groupOf(task: Task): TaskGroup {
+        return this.groupsByKey.get(task.groupKey)!;
     }
 
     /** @param epoch Epoch of the leader. @returns The progress record. */
@@ -209,10 +233,11 @@
         if (this.groupsByKey.has(`${occurrence}.0`)) {
             return;
         }
+        this.recordChange();
         this.spec.steps.forEach((step, number) => {
             const key = `${occurrence}.${number}`;
             const done = DoneSet.create(step.tasks, progress?.done?.[key]);
-            const tasks = Array.from({ length: step.tasks }, (_, index) => this.createTask(step, key, index));
+            const tasks = Array.from({ length: step.tasks }, (_, index) => ActiveTask.create(this, step, key, index));
             this.groupsByKey.set(key, { key, step, occurrence, done, tasks });
         });
         if (this.groupsOf(occurrence).every(each => each.done.isFull)) {
@@ -220,28 +245,6 @@
         }
     }
 
-    private createTask(step: StepSpec, groupKey: string, index: number): Task {
-        return {
-            job: this,
-            step,
-            groupKey,
-            index,
-            name: `${this.spec.id}.${groupKey}.${index}`,
-            failures: 0,
-            checkpoint: "",
-            lastRun: 0,
-            highestRun: 0,
-            hasLostRun: false,
-            suspicion: undefined,
-            lossAgeMs: 0,
-            lossesInARow: 0,
-            explainedLosses: 0,
-            run: undefined,
-            failedOn: new Set(),
-            moves: 0,
-        };
-    }
-
     private restoreTask(record: TaskRecord): void {
         const task = this.find(record.task);
         if (task !== undefined) {
--- a/src/dispatch/common/activeJobTable.ts
+++ b/src/dispatch/common/activeJobTable.ts
@@ -148,7 +148,7 @@
             }
             onStored?.(sentAt);
         });
-        if (isFinal(job.state) && [...job.tasks()].every(task => task.run === undefined)) {
+        if (isFinal(job.state) && !job.hasRun) {
             this.jobs.delete(id);
             this.finishing.set(id, job);
             this.finished.add(id);
--- a/src/dispatch/common/bestEffortPolicy.ts
+++ b/src/dispatch/common/bestEffortPolicy.ts
@@ -91,8 +91,12 @@
         };
     }
 
-    override boundsKey(step: StepSpec): string {
-        return `${step.image}/${horizonOf(step)}`;
+    override boundsImage(step: StepSpec): string | undefined {
+        return step.image;
+    }
+
+    override boundsHorizonS(step: StepSpec): number {
+        return horizonOf(step);
     }
 
     override fullSpeedMillis(
@@ -118,8 +122,8 @@
     }
 }
 
-/** @returns Time over which the load beside a task of a step is extrapolated, in s. */
-function horizonOf(step: StepSpec): number {
+/** @returns Time over which the load beside a best-effort task of a step is extrapolated, in s. */
+export function horizonOf(step: StepSpec): number {
     return Math.min(MAX_HORIZON_S, step.estimateMs / 1_000);
 }
 
--- a/src/dispatch/common/capacityBounds.ts
+++ b/src/dispatch/common/capacityBounds.ts
@@ -9,8 +9,8 @@
 /** Returns the forecast of a worker, by its position, as it is after the placements of the pass so far. */
 export type ForecastAt = (position: number) => WorkerForecast;
 
-/** Bounds of the workers for tasks of one kind, by position of the worker. */
-interface KindBounds {
+/** Bounds of the workers for the tasks of one image and horizon, by position of the worker. */
+export interface KindBounds {
     /** Version of the worker's forecast with which the bounds were computed; 0 before. */
     readonly versions: Uint32Array;
     /** No task that requests more CPU has full speed there, in thousandths of a core. */
@@ -26,39 +26,67 @@
  * so that they are computed once for many steps, and again only for workers on which something was placed.
  */
 export class CapacityBounds {
-    private readonly byKind = new Map<string, KindBounds>();
+    /** By image, then by horizon. */
+    private readonly kinds = new Map<string | undefined, Map<number, KindBounds>>();
 
     private constructor(
+        private readonly policy: PlacementPolicy,
         private readonly workers: readonly WorkerContact[],
         private readonly versions: Uint32Array,
         private readonly forecastAt: ForecastAt,
     ) {}
 
     /**
+     * @param policy Policy that assesses the placements.
      * @param workers The workers.
      * @param versions Versions of their forecasts, which the caller increases from 1 on as forecasts change.
      * @param forecastAt Returns the forecast of a worker.
      * @returns The bounds.
      */
-    static create(workers: readonly WorkerContact[], versions: Uint32Array, forecastAt: ForecastAt): CapacityBounds {
-        return new CapacityBounds(workers, versions, forecastAt);
+    static create(
+        policy: PlacementPolicy,
+        workers: readonly WorkerContact[],
+        versions: Uint32Array,
+        forecastAt: ForecastAt,
+    ): CapacityBounds {
+        return new CapacityBounds(policy, workers, versions, forecastAt);
+    }
+
+    /** @returns The bounds for a step. */
+    boundsOf(step: StepSpec): KindBounds {
+        const image = this.policy.boundsImage(step);
+        const ofImage = this.kinds.get(image) ?? new Map<number, KindBounds>();
+        this.kinds.set(image, ofImage);
+        const horizonS = this.policy.boundsHorizonS(step);
+        const known = ofImage.get(horizonS);
+        if (known !== undefined) {
+            return known;
+        }
+        const { length } = this.workers;
+        const kind = {
+            versions: new Uint32Array(length),
+            fullSpeedMillis: new Float64Array(length),
+            isOpenBelow: new Uint8Array(length),
+            memoryMb: new Float64Array(length),
+        };
+        ofImage.set(horizonS, kind);
+        return kind;
     }
 
     /**
-     * @param step A step.
-     * @param policy Policy that assesses its placements.
+     * @param kind The bounds for a step.
+     * @param step The step.
      * @param minSpeedPercent Lowest speed at which its tasks may run, in percent of full speed.
      * @param from Position from which to search.
      * @returns Position of the next worker that may be suitable for the step, or the number of workers if there is none.
      */
-    next(step: StepSpec, policy: PlacementPolicy, minSpeedPercent: number, from: number): number {
-        const kind = this.kindOf(step, policy);
+    next(kind: KindBounds, step: StepSpec, minSpeedPercent: number, from: number): number {
         const { cpuMillis, memoryMb } = step.request;
         const isSlowAllowed = minSpeedPercent < 100;
         const { length } = this.workers;
         for (let position = from; position < length; position++) {
             if (kind.versions[position] !== this.versions[position]) {
-                this.update(kind, step, policy, position);
+                this.update(kind, step, position);
             }
             const hasCpu =
                 cpuMillis <= kind.fullSpeedMillis[position] || (isSlowAllowed && kind.isOpenBelow[position] === 1);
@@ -69,24 +97,8 @@
         return length;
     }
 
-    private kindOf(step: StepSpec, policy: PlacementPolicy): KindBounds {
-        const key = policy.boundsKey(step);
-        const known = this.byKind.get(key);
-        if (known !== undefined) {
-            return known;
-        }
-        const { length } = this.workers;
-        const kind = {
-            versions: new Uint32Array(length),
-            fullSpeedMillis: new Float64Array(length),
-            isOpenBelow: new Uint8Array(length),
-            memoryMb: new Float64Array(length),
-        };
-        this.byKind.set(key, kind);
-        return kind;
-    }
-
-    private update(kind: KindBounds, step: StepSpec, policy: PlacementPolicy, position: number): void {
+    private update(kind: KindBounds, step: StepSpec, position: number): void {
+        const { policy } = this;
         const worker = this.workers[position];
         const forecast = this.forecastAt(position);
         kind.versions[position] = this.versions[position];
--- a/src/dispatch/common/placementPolicy.ts
+++ b/src/dispatch/common/placementPolicy.ts
@@ -31,11 +31,14 @@
      */
     abstract assess(task: Task, worker: WorkerContact, forecast: WorkerForecast): PlacementOffer;
 
-    /** @returns Key of what `fullSpeedMillis` depends on in a step. */
-    abstract boundsKey(step: StepSpec): string;
+    /** @returns Image on which `fullSpeedMillis` depends for a step, if it does. */
+    abstract boundsImage(step: StepSpec): string | undefined;
+
+    /** @returns Time ahead on which `fullSpeedMillis` depends for a step, in s. */
+    abstract boundsHorizonS(step: StepSpec): number;
 
     /**
-     * @param step A step, of which it uses what `boundsKey` names.
+     * @param step A step, of which it uses the image and the horizon.
      * @param worker A worker.
      * @param forecast Its forecast.
      * @returns Upper bound of the CPU that a task may request to be offered full speed there, in thousandths of a core.
--- a/src/dispatch/common/placer.ts
+++ b/src/dispatch/common/placer.ts
@@ -53,8 +53,11 @@
     private readonly positions: ReadonlyMap<WorkerContact, number>;
     /** Versions of the forecasts. */
     private readonly versions: Uint32Array;
-    private readonly bounds: CapacityBounds;
+    private readonly reservedBounds: CapacityBounds;
+    private readonly bestEffortBounds: CapacityBounds;
     private readonly stepOffers = new Map<StepSpec, StepOffers>();
+    /** What `choose` searched for last, and whether any worker was suitable. */
+    private lastSearch: { step: StepSpec; service: string; minSpeedPercent: number; hasSuitable: boolean } | undefined;
     /** Steps of best-effort tasks for which no worker was suitable in this pass. */
     private readonly rejections = RejectionTable.create();
 
@@ -66,7 +69,9 @@
     ) {
         this.positions = new Map(workers.map((worker, position) => [worker, position]));
         this.versions = new Uint32Array(workers.length).fill(1);
-        this.bounds = CapacityBounds.create(workers, this.versions, position => this.forecastAt(position));
+        const forecastAt = (position: number) => this.forecastAt(position);
+        this.reservedBounds = CapacityBounds.create(reservedPolicy, workers, this.versions, forecastAt);
+        this.bestEffortBounds = CapacityBounds.create(bestEffortPolicy, workers, this.versions, forecastAt);
     }
 
     /**
@@ -93,7 +98,9 @@
     ): PlacementChoice | undefined {
         let best: PlacementChoice | undefined;
         let bestRank = Number.POSITIVE_INFINITY;
+        let hasSuitable = false;
         this.visitSufficient(task, service, minSpeedPercent, (worker, offer) => {
+            hasSuitable = true;
             const rank = offer.cost + (100 - offer.speedPercent) * COST_PER_PERCENT_MILLIS;
             if (rank < bestRank && isAcceptable(task, worker) && isAllowed(worker)) {
                 best = { worker, speedPercent: offer.speedPercent };
@@ -101,6 +108,7 @@
             }
             return true;
         });
+        this.lastSearch = { step: task.step, service, minSpeedPercent, hasSuitable };
         return best;
     }
 
@@ -120,11 +128,19 @@
      * a limit per worker or an earlier failure of this task says nothing about the tasks of other steps.
      */
     recordRejection(task: Task, service: string, minSpeedPercent = 100): void {
-        if (task.step.usesSpareCpu && this.visitSufficient(task, service, minSpeedPercent, () => false)) {
+        if (task.step.usesSpareCpu && !this.hasSuitable(task, service, minSpeedPercent)) {
             this.rejections.add(task.step, service, minSpeedPercent);
         }
     }
 
+    private hasSuitable(task: Task, service: string, minSpeedPercent: number): boolean {
+        const { lastSearch } = this;
+        const isSame = lastSearch?.step === task.step && lastSearch.service === service;
+        return isSame && lastSearch.minSpeedPercent === minSpeedPercent
+            ? lastSearch.hasSuitable
+            : !this.visitSufficient(task, service, minSpeedPercent, () => false);
+    }
+
     /** Number of usable workers. */
     get workerCount(): number {
         return this.workers.length;
@@ -216,8 +232,7 @@
     /** Discards the forecast and the costs of a worker after something was placed on it. */
     invalidate(worker: WorkerContact): void {
         const position = this.positions.get(worker)!;
-        this.forecasts[position] = undefined;
-        this.versions[position] += 1;
+        this.update(position, undefined);
     }
 
     /**
@@ -231,8 +246,9 @@
         visit: (worker: WorkerContact, offer: PlacementOffer) => boolean,
     ): boolean {
         const { step } = task;
-        const policy = this.policyOf(step);
-        const next = (from: number) => this.bounds.next(step, policy, minSpeedPercent, from);
+        const bounds = step.usesSpareCpu ? this.bestEffortBounds : this.reservedBounds;
+        const kind = bounds.boundsOf(step);
+        const next = (from: number) => bounds.next(kind, step, minSpeedPercent, from);
         for (let position = next(0); position < this.workers.length; position = next(position + 1)) {
             const offer = this.offerAt(position, task, service);
             if (isSufficient(offer, minSpeedPercent) && !visit(this.workers[position], offer)) {
@@ -256,10 +272,6 @@
         return offers[position];
     }
 
-    private policyOf(step: StepSpec): PlacementPolicy {
-        return step.usesSpareCpu ? this.bestEffortPolicy : this.reservedPolicy;
-    }
-
     private offersOf(step: StepSpec): StepOffers {
         const known = this.stepOffers.get(step);
         if (known !== undefined) {
@@ -295,7 +307,7 @@
         if (!isEligible) {
             return undefined;
         }
-        return this.policyOf(step).assess(task, worker, forecast);
+        return (step.usesSpareCpu ? this.bestEffortPolicy : this.reservedPolicy).assess(task, worker, forecast);
     }
 
     /** Takes what a task needs out of the free capacity of a worker for the rest of the pass. */
@@ -303,7 +315,7 @@
         const { request, usesSpareCpu } = task.step;
         const position = this.positions.get(worker)!;
         const { freeCapacity, latencyCritical } = this.forecastAt(position);
-        this.forecasts[position] = {
+        this.update(position, {
             latencyCritical,
             freeCapacity: {
                 cpuMillis: freeCapacity.cpuMillis - (usesSpareCpu ? 0 : request.cpuMillis),
@@ -311,8 +323,13 @@
                 accelerators: freeCapacity.accelerators - request.accelerators,
                 unrequestedCpuMillis: freeCapacity.unrequestedCpuMillis - request.cpuMillis,
             },
-        };
+        });
+    }
+
+    private update(position: number, forecast: WorkerForecast | undefined): void {
+        this.forecasts[position] = forecast;
         this.versions[position] += 1;
+        this.lastSearch = undefined;
     }
 
     private forecastAt(position: number): WorkerForecast {
--- a/src/dispatch/common/rejectionTable.ts
+++ b/src/dispatch/common/rejectionTable.ts
@@ -1,4 +1,5 @@
 import { StepSpec } from "../../jobs/common/jobSpec";
+import { horizonOf } from "./bestEffortPolicy";
 
 interface Rejection {
     readonly step: StepSpec;
@@ -25,20 +26,27 @@
      * @param minSpeedPercent Lowest speed that was accepted, in percent.
      */
     add(step: StepSpec, service: string, minSpeedPercent: number): void {
-        const ofImage = this.rejections.get(step.image) ?? [];
-        ofImage.push({ step, service, minSpeedPercent });
-        this.rejections.set(step.image, ofImage);
+        const rejection = { step, service, minSpeedPercent };
+        const others = (this.rejections.get(step.image) ?? []).filter(each => !isImplied(each, rejection));
+        this.rejections.set(step.image, [...others, rejection]);
     }
 
     /** @returns Whether a rejected step of the same image needed no more than this one, at no higher a speed. */
     covers(step: StepSpec, service: string, minSpeedPercent: number): boolean {
-        const ofImage = this.rejections.get(step.image) ?? [];
-        return ofImage.some(
-            each => each.service === service && each.minSpeedPercent <= minSpeedPercent && needsNoMore(each.step, step),
-        );
+        const asked = { step, service, minSpeedPercent };
+        return this.rejections.get(step.image)?.some(each => isImplied(asked, each)) === true;
     }
 }
 
+/** @returns Whether a step is rejected, too, if another one of the same image is. */
+function isImplied(rejection: Rejection, other: Rejection): boolean {
+    return (
+        other.service === rejection.service &&
+        other.minSpeedPercent <= rejection.minSpeedPercent &&
+        needsNoMore(other.step, rejection.step)
+    );
+}
+
 /** @returns Whether a worker that is suitable for `other` is suitable for `step`, too. Both have the same image. */
 function needsNoMore(step: StepSpec, other: StepSpec): boolean {
     const { request, requiredLabel } = step;
@@ -46,7 +54,7 @@
         request.cpuMillis <= other.request.cpuMillis &&
         request.memoryMb <= other.request.memoryMb &&
         request.accelerators <= other.request.accelerators &&
-        step.estimateMs <= other.estimateMs &&
+        horizonOf(step) <= horizonOf(other) &&
         (requiredLabel === undefined || requiredLabel === other.requiredLabel)
     );
 }
--- a/src/dispatch/common/reservedPolicy.ts
+++ b/src/dispatch/common/reservedPolicy.ts
@@ -28,8 +28,12 @@
         return { cost: costOf(task, forecast), speedPercent: 100, limit: undefined, isOpenBelowFullSpeed: false };
     }
 
-    override boundsKey(_step: StepSpec): string {
-        return "reserved";
+    override boundsImage(): undefined {
+        return undefined;
+    }
+
+    override boundsHorizonS(): number {
+        return 0;
     }
 
     override fullSpeedMillis(_step: StepSpec, _worker: WorkerContact, { freeCapacity }: WorkerForecast): number {
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -13,6 +13,7 @@
 import { SuspectTable } from "./suspectTable";
 import { ignoringFailures, Task } from "./task";
 import { WaitReporter } from "./waitReporter";
+import { IndexedEntry, WaitingIndex } from "./waitingIndex";
 import { WaitTable } from "./waitTable";
 import { WaitingOrder, WaitingRank } from "./waitingOrder";
 import { WorkerContact } from "./workerContact";
@@ -21,18 +22,18 @@
 const MIN_SPEED_GAIN_PERCENT = 40;
 
 /** A task group with waiting or throttled tasks, and the criteria for its position in the queue. */
-interface WaitingGroup {
+interface WaitingGroup extends IndexedEntry {
     readonly group: TaskGroup;
     readonly tasks: readonly Task[];
-    /** Time for which its first task has waited without a run at work, in ms. */
-    readonly waitedMs: number;
+    /** Time for which its first task has waited without a run at work, in ms; kept up to date for reports only. */
+    waitedMs: number;
     /** Whether the tasks have runs that are throttled, and move if another worker offers a higher speed. */
     readonly isThrottled: boolean;
     /** Whether they are suspected of crashing their workers. */
     readonly isSuspected: boolean;
     readonly service: string;
     readonly priority: number;
-    readonly rank: WaitingRank;
+    rank: WaitingRank;
 }
 
 /**
@@ -53,6 +54,7 @@
     /** Groups whose demand is recorded. */
     private readonly recordedGroups = new WeakSet<TaskGroup>();
     private readonly moves = MoveTable.create();
+    private readonly index = WaitingIndex.create<WaitingGroup>();
 
     private constructor(
         private readonly queues: QueueTable,
@@ -98,17 +100,10 @@
         wallNow: number,
     ): void {
         this.remainingStarts = maxStarts;
-        const waiting: WaitingGroup[] = [];
-        for (const job of jobs) {
-            if (!isFinal(job.state)) {
-                job.openDue(wallNow);
-                this.collectWaiting(job, now, wallNow, waiting);
-            }
-        }
+        const waiting = this.orderWaiting(jobs, now, wallNow);
         if (waiting.length === 0) {
             return;
         }
-        waiting.sort((a, b) => this.compare(a, b));
         this.suspects.prune();
         const unsuspected = waiting.filter(entry => !entry.isSuspected);
         const open = this.suspects.isEmpty ? workers : this.placeSuspected(waiting, workers, now, wallNow);
@@ -117,7 +112,34 @@
         this.moves.prune(open, now);
         this.finishMoves(unsuspected, placer, now);
         this.placeInOrder(unsuspected, placer, now);
-        this.waitReporter.review(waiting, placer, now);
+        this.reviewWaits(waiting, placer, now);
+    }
+
+    private reviewWaits(waiting: readonly WaitingGroup[], placer: Placer, now: number): void {
+        if (this.waitReporter.isDue(now)) {
+            for (const entry of waiting) {
+                entry.waitedMs = entry.isThrottled ? 0 : this.waits.waitedMs(entry.group, entry.tasks[0], now);
+            }
+            this.waitReporter.review(waiting, placer, now);
+        }
+    }
+
+    private orderWaiting(jobs: Iterable<ActiveJob>, now: number, wallNow: number): readonly WaitingGroup[] {
+        this.index.begin(this.queues.version);
+        const refresh = (entry: WaitingGroup) => {
+            entry.rank = this.order.rank(entry.tasks[0].job, entry.rank.remainingMs, wallNow);
+        };
+        for (const job of jobs) {
+            if (!isFinal(job.state)) {
+                job.openDue(wallNow);
+                if (!this.index.keep(job, refresh)) {
+                    const waiting: WaitingGroup[] = [];
+                    this.collectWaiting(job, now, wallNow, waiting);
+                    this.index.add(job, waiting);
+                }
+            }
+        }
+        return this.index.sort((a, b) => this.compare(a, b));
     }
 
     private placeInOrder(waiting: readonly WaitingGroup[], placer: Placer, now: number): void {
@@ -149,7 +171,8 @@
             const rank = this.order.rank(job, job.remainingMs(group), wallNow);
             const add = (entryTasks: readonly Task[], isSuspected: boolean, isThrottled: boolean) => {
                 const waitedMs = isThrottled ? 0 : this.waits.waitedMs(group, entryTasks[0], now);
-                waiting.push({ group, tasks: entryTasks, waitedMs, isThrottled, isSuspected, service, priority, rank });
+                const kind = { isThrottled, isSuspected, service, priority };
+                waiting.push({ group, tasks: entryTasks, waitedMs, ...kind, rank, pass: 0, position: 0 });
             };
             if (throttled.length > 0) {
                 add(throttled, false, true);
@@ -225,9 +248,15 @@
     /** Tasks of a step are alike: when no worker has free capacity for one of them, none has for the others. */
     private placeTasks(entry: WaitingGroup, placer: Placer, now: number): void {
         const rack = entry.group.step.prefersOneRack ? rackOf(entry.group) : undefined;
-        for (const task of entry.tasks.filter(each => each.run === undefined)) {
+        for (const task of entry.tasks) {
+            if (task.run !== undefined) {
+                continue;
+            }
+            if (this.remainingStarts <= 0 || placer.isInfeasible(task, entry.service, 0)) {
+                return;
+            }
             const minSpeedPercent = this.minSpeedPercent(entry, task, now);
-            if (this.remainingStarts <= 0 || placer.isInfeasible(task, entry.service, minSpeedPercent)) {
+            if (placer.isInfeasible(task, entry.service, minSpeedPercent)) {
                 return;
             }
             const choice =
@@ -296,7 +325,8 @@
         if (this.moves.isEmpty) {
             return;
         }
-        for (const { group, tasks, service, isThrottled } of waiting) {
+        const moving = new Set([...this.moves.all].map(([task]) => task.job.groupOf(task)));
+        for (const { group, tasks, service, isThrottled } of waiting.filter(each => moving.has(each.group))) {
             const ended = isThrottled ? [] : tasks.filter(task => this.moves.destinationOf(task) !== undefined);
             const units = group.step.mode === "gang" && ended.length > 0 ? [tasks] : ended.map(task => [task]);
             units.forEach(unit => this.finishMove(unit, service, placer, now));
--- a/src/dispatch/common/suspectTable.ts
+++ b/src/dispatch/common/suspectTable.ts
@@ -25,7 +25,12 @@
 
     /** Adds or removes a task, according to the evidence against it. */
     update(task: Task): void {
-        if (task.suspicion?.recorded === undefined || isFinal(task.job.state) || task.job.isTaskDone(task)) {
+        const isCleared =
+            task.suspicion?.recorded === undefined || isFinal(task.job.state) || task.job.isTaskDone(task);
+        if (isCleared === this.tasks.has(task)) {
+            task.job.recordChange();
+        }
+        if (isCleared) {
             this.tasks.delete(task);
         } else {
             this.tasks.add(task);
--- a/src/dispatch/common/test/capacityBounds.test.ts
+++ b/src/dispatch/common/test/capacityBounds.test.ts
@@ -4,7 +4,7 @@
 import { BestEffortPolicy } from "../bestEffortPolicy";
 import { CapacityBounds } from "../capacityBounds";
 import { InterferenceRow, LatencyModel } from "../latencyModel";
-import { PlacementOffer, PlacementPolicy } from "../placementPolicy";
+import { PlacementOffer } from "../placementPolicy";
 import { ReservedPolicy } from "../reservedPolicy";
 import { WorkerContact } from "../workerContact";
 import { forecastFor } from "../workerForecast";
@@ -12,6 +12,7 @@
 
 const IMAGES = ["batch", "index", "render"];
 const SERVICES = ["web", "shop"];
+const WORKERS = 12;
 const MIN_SPEEDS = [100, 60, 30, 0];
 
 function createModel(random: Random): LatencyModel {
@@ -53,11 +54,12 @@
     return offer.limit === undefined || (offer.isOpenBelowFullSpeed && offer.speedPercent >= minSpeedPercent);
 }
 
-function positionsWithin(bounds: CapacityBounds, step: StepSpec, policy: PlacementPolicy, minSpeedPercent: number) {
+function positionsWithin(bounds: CapacityBounds, step: StepSpec, minSpeedPercent: number): number[] {
+    const kind = bounds.boundsOf(step);
     const positions: number[] = [];
-    for (let position = bounds.next(step, policy, minSpeedPercent, 0); position < 12;) {
+    for (let position = bounds.next(kind, step, minSpeedPercent, 0); position < WORKERS;) {
         positions.push(position);
-        position = bounds.next(step, policy, minSpeedPercent, position + 1);
+        position = bounds.next(kind, step, minSpeedPercent, position + 1);
     }
     return positions;
 }
@@ -67,16 +69,19 @@
     for (let seed = 1; seed <= 60; seed++) {
         const random = Random.create(seed);
         const model = createModel(random);
-        const workers = Array.from({ length: 12 }, (_, index) => createLoadedWorker(`w${index}`, random, model));
+        const workers = Array.from({ length: WORKERS }, (_, index) => createLoadedWorker(`w${index}`, random, model));
         const versions = new Uint32Array(workers.length).fill(1);
-        const bounds = CapacityBounds.create(workers, versions, position => forecastFor(workers[position], model));
-        const policies = { reserved: ReservedPolicy.create(), bestEffort: BestEffortPolicy.create(model) };
+        const reserved = ReservedPolicy.create();
+        const bestEffort = BestEffortPolicy.create(model);
+        const [ofReserved, ofBestEffort] = [reserved, bestEffort].map(each =>
+            CapacityBounds.create(each, workers, versions, position => forecastFor(workers[position], model)),
+        );
         for (let index = 0; index < 40; index++) {
             const step = createBatch(random);
             const [task] = createJob(`j${index}`, step).tasks();
             const minSpeedPercent = random.pick(MIN_SPEEDS);
-            const policy = step.usesSpareCpu ? policies.bestEffort : policies.reserved;
-            const within = positionsWithin(bounds, step, policy, minSpeedPercent);
+            const policy = step.usesSpareCpu ? bestEffort : reserved;
+            const within = positionsWithin(step.usesSpareCpu ? ofBestEffort : ofReserved, step, minSpeedPercent);
             const sufficient = workers.flatMap((worker, position) => {
                 const forecast = forecastFor(worker, model);
                 const fits = worker.fits(step.request, step.usesSpareCpu, forecast.freeCapacity);
--- a/src/dispatch/common/waitReporter.ts
+++ b/src/dispatch/common/waitReporter.ts
@@ -50,6 +50,11 @@
         return new WaitReporter();
     }
 
+    /** @param now Time in ms. @returns Whether a review is due. */
+    isDue(now: number): boolean {
+        return now >= this.nextReviewAt;
+    }
+
     /**
      * Reviews the steps that were ready in a pass, if a review is due.
      * @param waiting The steps, the most urgent first. Some of their tasks may have been placed in the pass.
@@ -57,7 +62,7 @@
      * @param now Time in ms.
      */
     review(waiting: readonly WaitingTasks[], placer: Placer, now: number): void {
-        if (now < this.nextReviewAt) {
+        if (!this.isDue(now)) {
             return;
         }
         this.nextReviewAt = now + REVIEW_INTERVAL_MS;
