--- a/src/proof/node/test/takeoverFixture.ts
+++ b/src/proof/node/test/takeoverFixture.ts
@@ -204,16 +204,16 @@
     }
 
     private read(loop: BusyLoop, effect: Exclude<RecordEffect, { readonly kind: "append" }>): void {
-        const { stream } = effect;
+        const { stream, number } = effect;
         const log = this.streams[stream];
         const sentAt = this.schedule.now;
         const check = () => {
             if (this.schedule.now < this.downUntil(stream)) {
                 this.schedule.add(HOLD_CHECK_MS, check);
             } else if (effect.kind === "read-newest") {
-                this.answer(loop, { kind: "newest-answer", stream, sentAt, result: log.newest(effect.after) });
+                this.answer(loop, { kind: "newest-answer", stream, number, sentAt, result: log.newest(effect.after) });
             } else if (log.end > effect.from || this.schedule.now - sentAt >= effect.waitMs) {
-                this.answer(loop, { kind: "read-answer", stream, sentAt, result: log.read(effect.from) });
+                this.answer(loop, { kind: "read-answer", stream, number, sentAt, result: log.read(effect.from) });
             } else {
                 this.schedule.add(HOLD_CHECK_MS, check);
             }
