Review in a tick only what may have become due

Ticks took most of the leader's time after passes: at 378 workers each tick visited all runs of all workers twice, to find stuck runs and stops to retry, and copied the runs of every worker to find none expired. Whether a run is stuck changes only with an answer of its worker, so RunMover reviews a worker after an answer, and a draining one in each tick; a worker remembers the oldest stop that is not confirmed; one that is reachable has no expired runs.

--- a/src/dispatch/common/activeJob.ts
+++ b/src/dispatch/common/activeJob.ts
@@ -38,6 +38,8 @@
     readonly objectiveMs: number;
     /** Whether the job has a long-running step and so runs until it is cancelled. */
     readonly isLongRunning: boolean;
+    /** Number of times that the steps are run. */
+    readonly occurrences: number;
 
     private constructor(
         readonly spec: JobSpec,
@@ -46,6 +48,7 @@
     ) {
         const { queue } = spec;
         this.objectiveMs = spec.acceptedAtMs + queue.stretch * criticalPathMs(spec.steps) + queue.slackMs;
+        this.occurrences = Math.max(1, spec.occurrences);
         this.isLongRunning = spec.steps.some(step => step.mode === "long-running");
     }
 
@@ -67,11 +70,6 @@
         return job;
     }
 
-    /** Number of times that the steps are run. */
-    get occurrences(): number {
-        return Math.max(1, this.spec.occurrences);
-    }
-
     /** Task groups of the open occurrences. */
     get groups(): Iterable<TaskGroup> {
         return this.groupsByKey.values();
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -17,7 +17,7 @@
 import { LatencyModelRecorder } from "./latencyModelRecorder";
 import { ThrottleController } from "./throttleController";
 import { Run, RunHost, RunOutcome } from "./run";
-import { RunReviewer } from "./runReviewer";
+import { RunMover } from "./runMover";
 import { RunThrottle } from "./runThrottle";
 import { SchedulerFailureHost } from "./schedulerFailureHost";
 import { SchedulerPoolHost } from "./schedulerPoolHost";
@@ -71,7 +71,7 @@
     private readonly suspects = SuspectTable.create();
     private readonly failures: FailureController;
     private readonly queue: StepQueue;
-    private readonly reviewer = RunReviewer.create();
+    private readonly mover = RunMover.create((run, reason, now) => this.stop(run, reason, now));
     private readonly views: ViewController;
     private readonly pruner: JobPruner;
     private readonly admission: StartAdmission;
@@ -152,7 +152,7 @@
         if (reading === undefined) {
             this.pool.deregister(id);
         } else {
-            this.pool.register(reading, now);
+            this.mover.review(this.pool.register(reading, now));
         }
         this.isDirty = true;
     }
@@ -179,6 +179,7 @@
         if (worker === undefined) {
             return;
         }
+        this.mover.review(worker);
         if (event.kind === "start-answer") {
             this.handleStartAnswer(worker, event, now);
         } else if (event.kind === "throttle-answer") {
@@ -204,7 +205,7 @@
         this.now = now;
         this.wallNow = wallNow;
         this.pool.tick(now);
-        [...this.pool.all].forEach(worker => this.moveRuns(worker, now));
+        this.mover.tick(now);
         this.failures.recordUptime(this.pool.busyCount, now);
         this.pruner.tick(now);
         this.modelRecorder.tick(now);
@@ -513,18 +514,4 @@
             run.fire("stop", { now });
         }
     }
-
-    private moveRuns(worker: WorkerContact, now: number): void {
-        for (const run of worker.runs.values()) {
-            const reason = this.reviewer.reasonToMove(run, worker, now);
-            if (reason === undefined) {
-                continue;
-            }
-            if (reason === "stuck") {
-                worker.trust.recordFailure({ now, familyFailureRate: 0 });
-                run.task.failedOn.add(worker.entry.id);
-            }
-            this.stop(run, reason, now);
-        }
-    }
 }
--- a/src/dispatch/common/test/workerPool.test.ts
+++ b/src/dispatch/common/test/workerPool.test.ts
@@ -279,3 +279,42 @@
     successor.answer(2 * LATER_MS, 9);
     t.deepEqual(successor.host.lost, ["w0"]);
 });
+
+test("each stop that is not confirmed is sent again after 0.8 s, whenever it was ordered", t => {
+    const { pool } = createPool(1);
+    const [worker] = [...pool.all];
+    const ordered = new Map<Run, number>();
+    const runs = [0, 300, 350, 1_900].map(at => {
+        const run = assign(worker, [...createJob(`j${at}`, createStep("batch", false)).tasks()][0]);
+        run.fire("accepted", { now: 0 });
+        return { at, run };
+    });
+    const retries: string[] = [];
+    for (let now = 0; now <= 3_000; now += 25) {
+        for (const { at, run } of runs) {
+            if (at === now) {
+                run.fire("stop", { now });
+                ordered.set(run, now);
+            }
+        }
+        pool.tick(now);
+        for (const { at, run } of runs) {
+            if (run.state === "stopping" && run.changedAt !== ordered.get(run)) {
+                ordered.set(run, run.changedAt);
+                retries.push(`${at}: ${now - at}`);
+            }
+        }
+    }
+    t.deepEqual(retries.sort(), [
+        "0: 1650",
+        "0: 2475",
+        "0: 825",
+        "1900: 825",
+        "300: 1650",
+        "300: 2475",
+        "300: 825",
+        "350: 1650",
+        "350: 2475",
+        "350: 825",
+    ]);
+});
--- a/src/dispatch/common/workerContact.ts
+++ b/src/dispatch/common/workerContact.ts
@@ -107,6 +107,8 @@
     leavesAt: number | undefined;
     /** Time (ms) before which it is given no tasks, after it rejected a start as full or unhealthy. */
     private backoffUntil = 0;
+    /** Time (ms) before which no stop was ordered that is not confirmed. */
+    oldestStopAt = Number.NEGATIVE_INFINITY;
     /** Whether its latest list has runs that are not among `runs`; they are being stopped. */
     hasUnknownRuns = false;
     /** Time (ms) after which its entry was certainly written, if known. */
--- a/src/dispatch/common/workerPool.ts
+++ b/src/dispatch/common/workerPool.ts
@@ -122,7 +122,11 @@
 
     /** Number of workers with runs. */
     get busyCount(): number {
-        return [...this.contacts.values()].filter(worker => worker.runs.size > 0).length;
+        let count = 0;
+        for (const worker of this.contacts.values()) {
+            count += worker.runs.size > 0 ? 1 : 0;
+        }
+        return count;
     }
 
     /** @returns How many more starts may be in flight. */
@@ -141,8 +145,13 @@
         return this.contacts.get(id);
     }
 
-    /** Adds a worker, or updates its entry. @param reading Its entry in service discovery. @param now Time in ms. */
-    register(reading: EntryReading, now: number): void {
+    /**
+     * Adds a worker, or updates its entry.
+     * @param reading Its entry in service discovery.
+     * @param now Time in ms.
+     * @returns The worker.
+     */
+    register(reading: EntryReading, now: number): WorkerContact {
         const { entry, writtenAfter } = reading;
         const known = this.contacts.get(entry.id);
         if (known !== undefined) {
@@ -150,11 +159,12 @@
             if (!known.isOfListedIncarnation) {
                 this.requestListSoon(known, now);
             }
-            return;
+            return known;
         }
         const contact = WorkerContact.create(entry, this.leases.find(entry.id), this.limits.longestLeaseMs, now);
         contact.entryWrittenAfter = writtenAfter;
         this.contacts.set(entry.id, contact);
+        return contact;
     }
 
     /** Marks a worker as deregistered; it is removed when it has no runs. @param id Its identifier. */
@@ -188,8 +198,12 @@
     tick(now: number): void {
         this.leases.tick(this.contacts, now);
         for (const worker of this.contacts.values()) {
-            this.reportLoss(worker, worker.expiredRuns(now), "lease-expired");
-            this.logTransition(worker, now, () => worker.tick(now));
+            if (worker.state === "reachable") {
+                worker.trust.tick(now);
+            } else {
+                this.reportLoss(worker, worker.expiredRuns(now), "lease-expired");
+                this.logTransition(worker, now, () => worker.tick(now));
+            }
             if (!worker.isRegistered && worker.runs.size === 0 && !worker.isListInFlight) {
                 this.contacts.delete(worker.entry.id);
                 continue;
@@ -328,11 +342,19 @@
         return Math.round(Math.min(MAX_LIST_WAIT_MS, waitMs, ...unproven));
     }
 
+    /** A stop that is ordered after this review is due one interval after it at the earliest. */
     private retryStops(worker: WorkerContact, now: number): void {
+        if (now - worker.oldestStopAt <= STOP_RETRY_INTERVAL_MS) {
+            return;
+        }
+        worker.oldestStopAt = now;
         for (const run of worker.runs.values()) {
-            if (run.state === "stopping" && now - run.changedAt > STOP_RETRY_INTERVAL_MS) {
-                run.changedAt = now;
-                run.fire("stop-due", { now });
+            if (run.state === "stopping") {
+                if (now - run.changedAt > STOP_RETRY_INTERVAL_MS) {
+                    run.changedAt = now;
+                    run.fire("stop-due", { now });
+                }
+                worker.oldestStopAt = Math.min(worker.oldestStopAt, run.changedAt);
             }
         }
     }
