Keep the entries of jobs at work, and share bounds between short steps

Entries now also last while a job has runs, unless one of them is throttled so far that its task should move some time; a change of a run's speed counts as a change of its job. Bounds round the horizon down to half a second, and use arrays that cost less to allocate.

--- a/src/dispatch/common/activeJob.ts
+++ b/src/dispatch/common/activeJob.ts
@@ -92,7 +92,7 @@
         return this.hasRun && this.hasTask(task => task.run?.report !== undefined);
     }
 
-    /** Increases with each change of which tasks wait: their occurrences, runs, ends and suspicions. */
+    /** Increases with each change of which tasks wait: their occurrences, runs, speeds, ends and suspicions. */
     get version(): number {
         return this.changes;
     }
--- a/src/dispatch/common/bestEffortPolicy.ts
+++ b/src/dispatch/common/bestEffortPolicy.ts
@@ -32,6 +32,9 @@
 /** Longest time over which the load of latency-critical tasks is extrapolated, in s. */
 const MAX_HORIZON_S = 2;
 
+/** Horizons are rounded down to a multiple of this for bounds, in s, so that steps share them. */
+const HORIZON_STEP_S = 0.5;
+
 /** Cost of a shortfall below the required headroom, in thousandths of a core per unit of headroom. */
 const SHORTFALL_COST_MILLIS = 200_000;
 /** Cost of any loss of headroom, in thousandths of a core per unit of headroom. */
@@ -95,8 +98,9 @@
         return step.image;
     }
 
+    /** Headroom only falls within the horizon, so that a shorter one gives a bound, too. */
     override boundsHorizonS(step: StepSpec): number {
-        return horizonOf(step);
+        return Math.floor(horizonOf(step) / HORIZON_STEP_S) * HORIZON_STEP_S;
     }
 
     override fullSpeedMillis(
@@ -104,7 +108,7 @@
         worker: WorkerContact,
         { freeCapacity, latencyCritical }: WorkerForecast,
     ): number {
-        const horizonS = horizonOf(step);
+        const horizonS = this.boundsHorizonS(step);
         let unused = freeCapacity.unrequestedCpuMillis;
         let limit = Number.POSITIVE_INFINITY;
         for (const each of latencyCritical) {
--- a/src/dispatch/common/capacityBounds.ts
+++ b/src/dispatch/common/capacityBounds.ts
@@ -12,12 +12,12 @@
 /** Bounds of the workers for the tasks of one image and horizon, by position of the worker. */
 export interface KindBounds {
     /** Version of the worker's forecast with which the bounds were computed; 0 before. */
-    readonly versions: Uint32Array;
+    readonly versions: number[];
     /** No task that requests more CPU has full speed there, in thousandths of a core. */
-    readonly fullSpeedMillis: Float64Array;
-    /** 1 where tasks may run below full speed. */
-    readonly isOpenBelow: Uint8Array;
-    readonly memoryMb: Float64Array;
+    readonly fullSpeedMillis: number[];
+    /** Whether tasks may run below full speed there. */
+    readonly isOpenBelow: boolean[];
+    readonly memoryMb: number[];
 }
 
 /**
@@ -32,7 +32,7 @@
     private constructor(
         private readonly policy: PlacementPolicy,
         private readonly workers: readonly WorkerContact[],
-        private readonly versions: Uint32Array,
+        private readonly versions: readonly number[],
         private readonly forecastAt: ForecastAt,
     ) {}
 
@@ -46,7 +46,7 @@
     static create(
         policy: PlacementPolicy,
         workers: readonly WorkerContact[],
-        versions: Uint32Array,
+        versions: readonly number[],
         forecastAt: ForecastAt,
     ): CapacityBounds {
         return new CapacityBounds(policy, workers, versions, forecastAt);
@@ -62,13 +62,8 @@
         if (known !== undefined) {
             return known;
         }
-        const { length } = this.workers;
-        const kind = {
-            versions: new Uint32Array(length),
-            fullSpeedMillis: new Float64Array(length),
-            isOpenBelow: new Uint8Array(length),
-            memoryMb: new Float64Array(length),
-        };
+        const versions = this.workers.map(() => 0);
+        const kind = { versions, fullSpeedMillis: [], isOpenBelow: [], memoryMb: [] };
         ofImage.set(horizonS, kind);
         return kind;
     }
@@ -88,8 +83,7 @@
             if (kind.versions[position] !== this.versions[position]) {
                 this.update(kind, step, position);
             }
-            const hasCpu =
-                cpuMillis <= kind.fullSpeedMillis[position] || (isSlowAllowed && kind.isOpenBelow[position] === 1);
+            const hasCpu = cpuMillis <= kind.fullSpeedMillis[position] || (isSlowAllowed && kind.isOpenBelow[position]);
             if (hasCpu && memoryMb <= kind.memoryMb[position]) {
                 return position;
             }
@@ -104,7 +98,7 @@
         kind.versions[position] = this.versions[position];
         const millis = policy.fullSpeedMillis(step, worker, forecast);
         kind.fullSpeedMillis[position] = millis + Math.abs(millis) * ROUNDING_RATIO;
-        kind.isOpenBelow[position] = policy.mayOpenBelowFullSpeed(worker, forecast) ? 1 : 0;
+        kind.isOpenBelow[position] = policy.mayOpenBelowFullSpeed(worker, forecast);
         kind.memoryMb[position] = forecast.freeCapacity.memoryMb;
     }
 }
--- a/src/dispatch/common/placer.ts
+++ b/src/dispatch/common/placer.ts
@@ -37,7 +37,7 @@
 /** Offers for one step, by position of the worker in the placer. */
 interface StepOffers {
     /** Version of the worker's forecast with which the offer was computed; 0 before. */
-    readonly versions: Uint32Array;
+    readonly versions: number[];
     /** `undefined` where the step does not fit. */
     readonly offers: (PlacementOffer | undefined)[];
 }
@@ -52,7 +52,7 @@
     private readonly forecasts: (WorkerForecast | undefined)[] = [];
     private readonly positions: ReadonlyMap<WorkerContact, number>;
     /** Versions of the forecasts. */
-    private readonly versions: Uint32Array;
+    private readonly versions: number[];
     private readonly reservedBounds: CapacityBounds;
     private readonly bestEffortBounds: CapacityBounds;
     private readonly stepOffers = new Map<StepSpec, StepOffers>();
@@ -68,7 +68,7 @@
         private readonly model: LatencyModel,
     ) {
         this.positions = new Map(workers.map((worker, position) => [worker, position]));
-        this.versions = new Uint32Array(workers.length).fill(1);
+        this.versions = workers.map(() => 1);
         const forecastAt = (position: number) => this.forecastAt(position);
         this.reservedBounds = CapacityBounds.create(reservedPolicy, workers, this.versions, forecastAt);
         this.bestEffortBounds = CapacityBounds.create(bestEffortPolicy, workers, this.versions, forecastAt);
@@ -277,7 +277,7 @@
         if (known !== undefined) {
             return known;
         }
-        const offers = { versions: new Uint32Array(this.workers.length), offers: [] };
+        const offers = { versions: this.workers.map(() => 0), offers: [] };
         this.stepOffers.set(step, offers);
         return offers;
     }
--- a/src/dispatch/common/run.ts
+++ b/src/dispatch/common/run.ts
@@ -183,6 +183,7 @@
         }
         this.speed = percent;
         this.isSpeedConfirmed = true;
+        this.task.job.recordChange();
         if (percent === 0 && this.workingSince !== undefined) {
             this.workedMs = this.workedUntil(now);
             this.workingSince = undefined;
--- a/src/dispatch/common/runReviewer.ts
+++ b/src/dispatch/common/runReviewer.ts
@@ -47,6 +47,11 @@
         return isStuck(run, now) ? "stuck" : undefined;
     }
 
+    /** @returns Whether a run may count as slowed down before its speed changes. */
+    isThrottled(run: Run): boolean {
+        return run.speedPercent <= MAX_THROTTLED_SPEED_PERCENT;
+    }
+
     /**
      * A run that interferes with its neighbors makes little progress while throttled; on another worker it may run faster.
      * It is moved only if checkpoints save its work or little work would be lost.
@@ -59,7 +64,7 @@
         const throttledMs = Math.min(MAX_THROTTLED_MS, MIN_THROTTLED_MS * 2 ** moves);
         return (
             run.state === "running" &&
-            run.speedPercent <= MAX_THROTTLED_SPEED_PERCENT &&
+            this.isThrottled(run) &&
             now - run.throttledAt > throttledMs &&
             (step.checkpoints || (run.report?.percent ?? 0) < MAX_LOST_PROGRESS_PERCENT)
         );
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -13,7 +13,7 @@
 import { SuspectTable } from "./suspectTable";
 import { ignoringFailures, Task } from "./task";
 import { WaitReporter } from "./waitReporter";
-import { IndexedEntry, WaitingIndex } from "./waitingIndex";
+import { CollectedJob, IndexedEntry, WaitingIndex } from "./waitingIndex";
 import { WaitTable } from "./waitTable";
 import { WaitingOrder, WaitingRank } from "./waitingOrder";
 import { WorkerContact } from "./workerContact";
@@ -36,6 +36,14 @@
     rank: WaitingRank;
 }
 
+/** Tasks of a group that wait or should move. */
+interface TasksToPlace {
+    readonly tasks: readonly Task[];
+    readonly throttled: readonly Task[];
+    /** Whether a run is throttled so far that its task should move some time. */
+    readonly hasThrottledRun: boolean;
+}
+
 /**
  * Orders the waiting task groups and assigns their tasks to workers with free capacity. Throttled tasks take their turn in the same
  * order, and move if another worker offers them a higher speed.
@@ -126,16 +134,14 @@
 
     private orderWaiting(jobs: Iterable<ActiveJob>, now: number, wallNow: number): readonly WaitingGroup[] {
         this.index.begin(this.queues.version);
-        const refresh = (entry: WaitingGroup) => {
-            entry.rank = this.order.rank(entry.tasks[0].job, entry.rank.remainingMs, wallNow);
-        };
         for (const job of jobs) {
             if (!isFinal(job.state)) {
                 job.openDue(wallNow);
-                if (!this.index.keep(job, refresh)) {
-                    const waiting: WaitingGroup[] = [];
-                    this.collectWaiting(job, now, wallNow, waiting);
-                    this.index.add(job, waiting);
+                const kept = this.index.keep(job);
+                if (kept === undefined) {
+                    this.index.add(job, this.collectWaiting(job, now, wallNow));
+                } else {
+                    this.refresh(job, kept, now, wallNow);
                 }
             }
         }
@@ -157,12 +163,25 @@
         }
     }
 
-    private collectWaiting(job: ActiveJob, now: number, wallNow: number, waiting: WaitingGroup[]): void {
+    /** Updates what changes with time in a job that has not changed. Without a run, it waits on as before. */
+    private refresh(job: ActiveJob, kept: CollectedJob<WaitingGroup>, now: number, wallNow: number): void {
+        if (job.hasRun) {
+            this.waits.update(job, kept.groups, now);
+        }
+        for (const entry of kept.entries) {
+            entry.rank = this.order.rank(job, entry.rank.remainingMs, wallNow);
+        }
+    }
+
+    private collectWaiting(job: ActiveJob, now: number, wallNow: number): CollectedJob<WaitingGroup> {
+        const waiting: WaitingGroup[] = [];
+        let isLasting = true;
         const { service, priority } = this.queues.latestSettings(job.spec.queue);
         const groups = [...job.groups].filter(group => !group.done.isFull && job.isReady(group));
         this.waits.update(job, groups, now);
         for (const group of groups) {
-            const { tasks, throttled } = this.tasksToPlace(group, now);
+            const { tasks, throttled, hasThrottledRun } = this.tasksToPlace(group, now);
+            isLasting &&= !hasThrottledRun;
             const isGang = group.step.mode === "gang";
             const isComplete = !isGang || tasks.length === group.tasks.length;
             if ((tasks.length === 0 || !isComplete) && throttled.length === 0) {
@@ -182,22 +201,28 @@
                 this.separateSuspected(tasks, isGang).forEach(each => add(each.tasks, each.isSuspected, false));
             }
         }
+        return { groups, entries: waiting, isLasting };
     }
 
     /** @returns Tasks of a group that wait, and those that should move since their runs are slow; a gang moves as a whole. */
-    private tasksToPlace(group: TaskGroup, now: number): { tasks: readonly Task[]; throttled: readonly Task[] } {
+    private tasksToPlace(group: TaskGroup, now: number): TasksToPlace {
         const tasks: Task[] = [];
+        let hasThrottledRun = false;
         const throttled: Task[] = [];
         for (const task of group.tasks) {
             if (task.run === undefined) {
                 if (!group.done.has(task.index)) {
                     tasks.push(task);
                 }
-            } else if (group.step.usesSpareCpu && this.reviewer.isSlowedDown(task.run, now)) {
-                throttled.push(task);
+            } else if (group.step.usesSpareCpu && this.reviewer.isThrottled(task.run)) {
+                hasThrottledRun = true;
+                if (this.reviewer.isSlowedDown(task.run, now)) {
+                    throttled.push(task);
+                }
             }
         }
-        return { tasks, throttled: throttled.length > 0 && group.step.mode === "gang" ? group.tasks : throttled };
+        const isWhole = throttled.length > 0 && group.step.mode === "gang";
+        return { tasks, throttled: isWhole ? group.tasks : throttled, hasThrottledRun };
     }
 
     /** Suspected tasks start one by one, apart from the others of their step; a gang starts as a whole. */
--- a/src/dispatch/common/test/capacityBounds.test.ts
+++ b/src/dispatch/common/test/capacityBounds.test.ts
@@ -70,7 +70,7 @@
         const random = Random.create(seed);
         const model = createModel(random);
         const workers = Array.from({ length: WORKERS }, (_, index) => createLoadedWorker(`w${index}`, random, model));
-        const versions = new Uint32Array(workers.length).fill(1);
+        const versions = workers.map(() => 1);
         const reserved = ReservedPolicy.create();
         const bestEffort = BestEffortPolicy.create(model);
         const [ofReserved, ofBestEffort] = [reserved, bestEffort].map(each =>
--- a/src/dispatch/common/test/waitingIndex.test.ts
+++ b/src/dispatch/common/test/waitingIndex.test.ts
@@ -82,6 +82,14 @@
                 this.suspects.update(task);
             }
         }
+        for (const worker of this.workers) {
+            for (const run of worker.runs.values()) {
+                if (run.task.step.usesSpareCpu && random.chance(0.01)) {
+                    run.fire("accepted", { now: this.now });
+                    run.setSpeed(random.pick([5, 50, 100]), this.now);
+                }
+            }
+        }
         for (let index = this.jobs.length - 1; index >= 0; index--) {
             if (this.jobs[index].isDone) {
                 this.jobs.splice(index, 1);
@@ -129,19 +137,19 @@
 
 test("entries of a job are kept until it changes, also when jobs before it are gone", t => {
     const index = WaitingIndex.create<{ pass: number; position: number; readonly job: string }>();
-    const jobs = ["a", "b", "c"].map(id => createJob(id, createStep("batch", false)));
+    const [a, b, c] = ["a", "b", "c"].map(id => createJob(id, createStep("batch", false)));
     const collect = (waiting: readonly ActiveJob[]) => {
         index.begin(1);
         const collected = waiting.filter(job => {
-            const isKept = index.keep(job, () => undefined);
+            const isKept = index.keep(job) !== undefined;
             if (!isKept) {
-                index.add(job, [{ pass: 0, position: 0, job: job.spec.id }]);
+                const entries = [{ pass: 0, position: 0, job: job.spec.id }];
+                index.add(job, { groups: [], entries, isLasting: job !== a || !a.hasRun });
             }
             return !isKept;
         });
         return { collected: collected.map(job => job.spec.id), order: index.sort(() => 0).map(each => each.job) };
     };
-    const [a, b, c] = jobs;
     t.deepEqual(collect([a, b]), { collected: ["a", "b"], order: ["a", "b"] });
     t.deepEqual(collect([b, c]), { collected: ["c"], order: ["b", "c"] });
     b.recordChange();
--- a/src/dispatch/common/waitingIndex.ts
+++ b/src/dispatch/common/waitingIndex.ts
@@ -1,4 +1,4 @@
-import { ActiveJob } from "./activeJob";
+import { ActiveJob, TaskGroup } from "./activeJob";
 
 /** What the index records of an entry; it is set by the index. */
 export interface IndexedEntry {
@@ -8,18 +8,26 @@
     position: number;
 }
 
-interface KnownJob<Entry> {
+/** What was collected of a job. */
+export interface CollectedJob<Entry> {
+    /** Its groups that are ready and not finished. */
+    readonly groups: readonly TaskGroup[];
+    readonly entries: readonly Entry[];
+    /** Whether the same would be collected until the job changes. */
+    readonly isLasting: boolean;
+}
+
+interface KnownJob<Entry> extends CollectedJob<Entry> {
     readonly job: ActiveJob;
     /** Version of the job with which the entries were collected. */
     readonly version: number;
-    readonly entries: readonly Entry[];
 }
 
 /**
  * Keeps the entries of waiting jobs, and their order, from one pass to the next.
  *
- * Load pattern: thousands of tasks wait while a few runs end between two passes. The entries of a job without runs depend on
- * nothing but the job, so they are collected again only after it has changed. Few jobs change their place in the order
+ * Load pattern: thousands of tasks wait while a few runs end between two passes. The entries of a job depend on
+ * nothing but the job, unless a run is throttled, so they are collected again only after it has changed. Few jobs change their place in the order
  * between two passes, so the order of the last pass is nearly that of the next one.
  *
  * Jobs come in the same order in each pass, new ones at the end, so those of the last pass are found without a look-up.
@@ -58,31 +66,29 @@
     }
 
     /**
-     * Keeps the entries of a job, unless it has changed or has runs. Each job of a pass is kept or added.
+     * Keeps the entries of a job, unless it has changed. Each job of a pass is kept or added.
      * @param job The job.
-     * @param refresh Updates what changes with time in an entry.
-     * @returns Whether they were kept; otherwise they are to be collected and added.
+     * @returns What was kept; without it, the entries are to be collected and added.
      */
-    keep(job: ActiveJob, refresh: (entry: Entry) => void): boolean {
+    keep(job: ActiveJob): CollectedJob<Entry> | undefined {
         const known = this.find(job);
-        if (known === undefined || known.version !== job.version || job.hasRun) {
-            return false;
+        if (known === undefined || known.version !== job.version || !known.isLasting) {
+            return undefined;
         }
         this.current.push(known);
         for (const entry of known.entries) {
-            refresh(entry);
             this.record(entry);
         }
-        return true;
+        return known;
     }
 
     /** Adds the entries of a job in this pass. */
-    add(job: ActiveJob, entries: readonly Entry[]): void {
-        for (const entry of entries) {
+    add(job: ActiveJob, collected: CollectedJob<Entry>): void {
+        for (const entry of collected.entries) {
             this.record(entry);
             this.added.push(entry);
         }
-        this.current.push({ job, version: job.version, entries });
+        this.current.push({ job, version: job.version, ...collected });
     }
 
     /**
