Send the orders to a worker that are due before the others

Orders to a worker waited in the HTTP client for one of four connections, first come first served, behind changes of speed of which a review orders many at once. A run must end 0.2 s after a cancellation takes effect.

OrderQueue lets at most four orders for each worker be in flight, so that none waits in the client, and sends stops first, then lists, lower speeds, which protect latency-critical tasks, starts and higher speeds. A stop withdraws the start of its run that still waits.

--- a/src/dispatch/common/runThrottle.ts
+++ b/src/dispatch/common/runThrottle.ts
@@ -27,11 +27,12 @@
         if (worker === undefined) {
             return;
         }
+        const isIncrease = percent > run.speedPercent;
         run.setSpeed(percent, now);
         run.isSpeedOrderInFlight = true;
         const { task, run: number } = run.record;
         const order = { task, run: number, epoch: this.epoch, percent };
-        this.effects.emit({ kind: "throttle", worker: worker.entry, order });
+        this.effects.emit({ kind: "throttle", worker: worker.entry, order, isIncrease });
         const data = { task, run: number, worker: worker.entry.id, percent };
         this.effects.emit({ kind: "decision", name: "run-throttled", data });
     }
--- a/src/dispatch/common/workerMessages.ts
+++ b/src/dispatch/common/workerMessages.ts
@@ -97,7 +97,13 @@
 export type WorkerEffect =
     | { readonly kind: "start"; readonly worker: WorkerEntry; readonly order: StartOrder }
     | { readonly kind: "stop"; readonly worker: WorkerEntry; readonly order: StopOrder }
-    | { readonly kind: "throttle"; readonly worker: WorkerEntry; readonly order: ThrottleOrder }
+    | {
+          readonly kind: "throttle";
+          readonly worker: WorkerEntry;
+          readonly order: ThrottleOrder;
+          /** Whether the new speed is higher: the order may wait, since it protects no other task. */
+          readonly isIncrease: boolean;
+      }
     | { readonly kind: "list"; readonly worker: WorkerEntry; readonly order: ListOrder };
 
 /** Common fields of all answers of workers. */
--- a/src/host/node/jobPerformers.ts
+++ b/src/host/node/jobPerformers.ts
@@ -9,6 +9,7 @@
 import { JobInstanceEffect, JobInstanceEvent } from "../common/jobInstanceEvents";
 import { DecisionLog, LineImportance } from "./decisionLog";
 import { JobMetrics } from "./jobMetrics";
+import { OrderSender } from "./orderSender";
 
 /** Decisions made for every task. Under load, their log lines are omitted first. */
 const DETAIL_DECISIONS: readonly string[] = ["run-started", "run-ended", "run-throttled", "start-withheld"];
@@ -30,6 +31,7 @@
 export class JobPerformers implements Disposable {
     private readonly pendingReplies = new Map<number, PendingReply>();
     private readonly timers = new Set<NodeJS.Timeout>();
+    private readonly orders = OrderSender.create(effect => this.callWorker(effect));
     private readonly didWaitToSend = Emitter.create<OrderWait>();
     /** Fires with the time for which each order waited before it was sent. */
     readonly onDidWaitToSend = this.didWaitToSend.event;
@@ -100,6 +102,7 @@
     dispose(): void {
         this.timers.forEach(clearTimeout);
         this.timers.clear();
+        this.orders.dispose();
     }
 
     private performStoreCall(effect: RecordEffect): void {
@@ -152,7 +155,7 @@
     private async performOrder(effect: WorkerEffect): Promise<void> {
         const sentAt = performance.now();
         const worker = effect.worker.id;
-        const answer = await this.callWorker(effect).catch((error: unknown): OrderAnswer => {
+        const answer = await this.orders.send(effect).catch((error: unknown): OrderAnswer => {
             this.log.log("unexpected-error", { call: effect.kind, error: String(error) });
             return { outcome: "no-answer", clockMs: undefined };
         });
--- /dev/null
+++ b/src/host/node/orderSender.ts
@@ -0,0 +1,82 @@
+import { Disposable } from "../../base/common/disposable";
+import { OrderAnswer } from "../../dispatch/common/workerClient";
+import { OrderOutcome, WorkerEffect } from "../../dispatch/common/workerMessages";
+import { MAX_ORDER_WAIT_MS, MAX_ORDERS_IN_FLIGHT, OrderQueue } from "../common/orderQueue";
+
+/** Sends an order over a free connection. */
+export type SendOrder = (effect: WorkerEffect) => Promise<OrderAnswer>;
+
+interface WaitingOrder {
+    readonly effect: WorkerEffect;
+    readonly addedAt: number;
+    readonly settle: (answer: OrderAnswer | Promise<OrderAnswer>) => void;
+    timer: NodeJS.Timeout | undefined;
+}
+
+/** Sends orders to workers, the most urgent first. */
+export class OrderSender implements Disposable {
+    private readonly queue = OrderQueue.create<WaitingOrder>(MAX_ORDERS_IN_FLIGHT);
+    private readonly timers = new Set<NodeJS.Timeout>();
+
+    private constructor(private readonly sendNow: SendOrder) {}
+
+    /** @param sendNow Sends an order at once. @returns A sender without orders. */
+    static create(sendNow: SendOrder): OrderSender {
+        return new OrderSender(sendNow);
+    }
+
+    /**
+     * Sends an order as soon as a connection to its worker is free and no other order is more urgent.
+     * @param effect The order.
+     * @returns The answer; `unreachable` if it was not sent in time, `superseded` if its run was stopped before.
+     * @throws The error of the call.
+     */
+    send(effect: WorkerEffect): Promise<OrderAnswer> {
+        return new Promise(settle => {
+            const order: WaitingOrder = { effect, addedAt: performance.now(), settle, timer: undefined };
+            const withdrawn = this.queue.add(order);
+            if (withdrawn !== undefined) {
+                this.giveUp(withdrawn, "superseded");
+            }
+            order.timer = setTimeout(
+                () => this.queue.remove(order) && this.giveUp(order, "unreachable"),
+                MAX_ORDER_WAIT_MS,
+            );
+            this.timers.add(order.timer);
+            this.sendNext(effect.worker.id);
+        });
+    }
+
+    /** Drops the orders that wait. */
+    dispose(): void {
+        this.timers.forEach(clearTimeout);
+        this.timers.clear();
+    }
+
+    private sendNext(worker: string): void {
+        const order = this.queue.takeNext(worker);
+        if (order === undefined) {
+            return;
+        }
+        this.clearTimer(order);
+        const waitedMs = performance.now() - order.addedAt;
+        const call = this.sendNow(order.effect).finally(() => {
+            this.queue.finish(worker);
+            this.sendNext(worker);
+        });
+        order.settle(call.then(answer => ({ ...answer, unsentMs: waitedMs + (answer.unsentMs ?? 0) })));
+    }
+
+    private giveUp(order: WaitingOrder, outcome: OrderOutcome): void {
+        this.clearTimer(order);
+        const unsentMs = performance.now() - order.addedAt;
+        order.settle({ outcome, clockMs: undefined, unsentMs });
+    }
+
+    private clearTimer(order: WaitingOrder): void {
+        clearTimeout(order.timer);
+        if (order.timer !== undefined) {
+            this.timers.delete(order.timer);
+        }
+    }
+}
--- a/src/platform/node/platformProcess.ts
+++ b/src/platform/node/platformProcess.ts
@@ -2,6 +2,7 @@
 import { WorkClock } from "../../base/node/workClock";
 import { JobInstance } from "../../host/common/jobInstance";
 import { JobSettings } from "../../host/common/jobSettings";
+import { MAX_ORDERS_IN_FLIGHT } from "../../host/common/orderQueue";
 import { WorkKind } from "../../host/common/workKind";
 import { DecisionLog } from "../../host/node/decisionLog";
 import { JobProcess } from "../../host/node/jobProcess";
@@ -14,9 +15,6 @@
 /** Connections to the store: three long polls, two appends, and spare ones for retries. */
 const STORE_CONNECTIONS = 8;
 
-/** Connections to each worker: one long poll for its run list, and orders. */
-const WORKER_CONNECTIONS = 4;
-
 /** Size of the random suffix that makes the name of each start unique. */
 const INSTANCE_SUFFIX_BYTES = 4;
 
@@ -44,7 +42,7 @@
         HttpClient.create({ connections: STORE_CONNECTIONS }),
         onFailure,
     );
-    const workers = PlatformWorkers.create(HttpClient.create({ connections: WORKER_CONNECTIONS }), (call, failure) =>
+    const workers = PlatformWorkers.create(HttpClient.create({ connections: MAX_ORDERS_IN_FLIGHT }), (call, failure) =>
         log.log("worker-call-failed", { call, failure }, "detail"),
     );
     const { retentionS, cancelMs, ...scheduling } = settings.scheduling;
--- a/src/proof/node/trialConnections.ts
+++ b/src/proof/node/trialConnections.ts
@@ -1,6 +1,6 @@
 import { OrderOutcome, WorkerEffect } from "../../dispatch/common/workerMessages";
 import { JobInstanceEvent } from "../../host/common/jobInstanceEvents";
-import { CALL_TIMEOUTS_MS } from "./jobTrialPlan";
+import { MAX_ORDER_WAIT_MS, OrderQueue } from "../../host/common/orderQueue";
 import { TrialSchedule } from "./trialSchedule";
 
 /** Where orders are sent. */
@@ -13,24 +13,20 @@
     readonly effect: WorkerEffect;
     readonly emittedAt: number;
     readonly onAnswer: (event: JobInstanceEvent) => void;
-    isOver: boolean;
 }
 
-interface Link {
-    inFlight: number;
-    readonly waiting: WaitingOrder[];
-}
-
-/** The connections of one instance to the workers, as the HTTP client uses them: first come, first served. */
+/** The connections of one instance to the workers. */
 export class TrialConnections {
-    private readonly links = new Map<string, Link>();
+    private readonly queue: OrderQueue<WaitingOrder>;
     private isClosed = false;
 
     private constructor(
-        private readonly limit: number,
+        limit: number,
         private readonly schedule: TrialSchedule,
         private readonly workers: OrderSink,
-    ) {}
+    ) {
+        this.queue = OrderQueue.create(limit);
+    }
 
     /**
      * @param limit Number of connections to each worker.
@@ -49,14 +45,13 @@
      * @param onAnswer Called once with the answer.
      */
     call(effect: WorkerEffect, emittedAt: number, onAnswer: (event: JobInstanceEvent) => void): void {
-        const { id } = effect.worker;
-        const link = this.links.get(id) ?? { inFlight: 0, waiting: [] };
-        this.links.set(id, link);
-        const order = { effect, emittedAt, onAnswer, isOver: false };
-        link.waiting.push(order);
-        const waitMs = effect.kind === "list" ? effect.order.waitMs : 0;
-        this.schedule.add(waitMs + CALL_TIMEOUTS_MS.worker, () => this.giveUp(link, order));
-        this.sendNext(link);
+        const order = { effect, emittedAt, onAnswer };
+        const withdrawn = this.queue.add(order);
+        if (withdrawn !== undefined) {
+            this.giveUp(withdrawn, "superseded");
+        }
+        this.schedule.add(MAX_ORDER_WAIT_MS, () => this.queue.remove(order) && this.giveUp(order, "unreachable"));
+        this.sendNext(effect.worker.id);
     }
 
     /** Drops what was not sent: the process has ended. */
@@ -64,32 +59,23 @@
         this.isClosed = true;
     }
 
-    private sendNext(link: Link): void {
-        if (link.inFlight >= this.limit || this.isClosed) {
-            return;
-        }
-        const order = link.waiting.shift();
+    private sendNext(worker: string): void {
+        const order = this.isClosed ? undefined : this.queue.takeNext(worker);
         if (order === undefined) {
             return;
         }
-        link.inFlight += 1;
-        order.isOver = true;
         this.workers.call(order.effect, order.emittedAt, event => {
-            link.inFlight -= 1;
+            this.queue.finish(worker);
             order.onAnswer(event);
-            this.sendNext(link);
+            this.sendNext(worker);
         });
     }
 
-    private giveUp(link: Link, order: WaitingOrder): void {
-        if (order.isOver || this.isClosed) {
+    private giveUp({ effect, emittedAt: sentAt, onAnswer }: WaitingOrder, outcome: OrderOutcome): void {
+        if (this.isClosed) {
             return;
         }
-        order.isOver = true;
-        link.waiting.splice(link.waiting.indexOf(order), 1);
-        const { effect, emittedAt: sentAt } = order;
-        const outcome: OrderOutcome = "unreachable";
         const answer = { worker: effect.worker.id, sentAt, outcome, clockMs: undefined, order: effect.order };
-        order.onAnswer({ kind: `${effect.kind}-answer`, ...answer } as JobInstanceEvent);
+        onAnswer({ kind: `${effect.kind}-answer`, ...answer } as JobInstanceEvent);
     }
 }
