Spread the first lists of a new leader over eight ticks

A new leader requested the lists of all workers in one tick. Their answers came together, each with all runs that had ended since the former leader was lost, and in the turn of the loop that handled them nothing else was done. An eighth of the workers is now listed with each tick, those with inherited runs first; an entry that is read meanwhile does not hasten a list. Ticks and not times are counted, since a loop that is late would request the rest at once. Workers are registered before the epoch begins, so that their runs are known by then.

--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -1,4 +1,4 @@
-import { Disposable } from "../../base/common/disposable";
+import { Disposable, toDisposable } from "../../base/common/disposable";
 import { DisposableStore } from "../../base/common/disposableStore";
 import { jobKey, RunRecord } from "../../jobs/common/jobRecord";
 import { isFinal, JobEntry } from "../../jobs/common/jobTable";
@@ -50,7 +50,6 @@
     private readonly views: ViewController;
     private readonly pruner: JobPruner;
     private readonly restorer: JobRestorer;
-    private hasBegun = false;
     private readonly admission: StartAdmission;
     private readonly runHost: RunHost;
     /** Runs whose assignment is stored and whose start is not sent yet. */
@@ -127,23 +126,21 @@
     }
 
     /**
-     * Begins the epoch with the restored jobs.
+     * Begins the epoch with the restored jobs and the workers that are registered by then.
      * @param now Time in ms.
      * @param tookMs Time since this instance read its claim, in ms.
      */
     begin(now: number, tookMs: number): void {
-        this.hasBegun = true;
+        this.resources.add(toDisposable(() => this.logDecision("leader-ended", { epoch: this.epoch })));
         this.activeJobs.suspects().forEach(task => this.suspects.update(task));
-        const ages = this.views.ageFields(now);
-        this.logDecision("leader-began", { epoch: this.epoch, jobs: this.activeJobs.size, tookMs, ...ages });
+        this.pool.spreadFirstLists();
+        const jobs = this.activeJobs.size;
+        this.logDecision("leader-began", { epoch: this.epoch, jobs, tookMs, ...this.views.ageFields(now) });
     }
 
     /** Ends the epoch: nothing is sent from now on. */
     dispose(): void {
         this.resources.dispose();
-        if (this.hasBegun) {
-            this.logDecision("leader-ended", { epoch: this.epoch });
-        }
     }
 
     /**
--- a/src/dispatch/common/test/workerPool.test.ts
+++ b/src/dispatch/common/test/workerPool.test.ts
@@ -279,3 +279,27 @@
     successor.answer(2 * LATER_MS, 9);
     t.deepEqual(successor.host.lost, ["w0"]);
 });
+
+test("the first lists of a new leader are spread, those of workers with inherited runs first", t => {
+    const outbox = Outbox.create<DispatchEffect>();
+    const pool = WorkerPool.create(1, createLeases().book, LIMITS, new RecordingPoolHost(), outbox);
+    for (let index = 0; index < 200; index++) {
+        pool.register(readingOf(createWorker(`w${index}`).entry), 0);
+    }
+    const [task] = [...createJob("j", createStep("batch", false)).tasks()];
+    assign(pool.find("w199")!, task);
+    pool.spreadFirstLists();
+    // Entries that are read meanwhile do not hasten the lists.
+    pool.register(readingOf(createWorker("w150").entry), 1_000);
+    const listedBy = (now: number) => {
+        pool.tick(now);
+        return outbox.drain().flatMap(effect => (effect.kind === "list" ? [effect.worker.id] : []));
+    };
+    const first = listedBy(1_000);
+    t.true(first.includes("w199"));
+    t.is(first.length, 25);
+    // A loop that is late does not request all others at once.
+    t.is(listedBy(2_000).length, 25);
+    const others = [1, 2, 3, 4, 5, 6].flatMap(tick => listedBy(2_000 + tick * 25));
+    t.is(new Set([...first, ...others]).size, 175);
+});
--- a/src/dispatch/common/workerContact.ts
+++ b/src/dispatch/common/workerContact.ts
@@ -92,6 +92,8 @@
     isListInFlight = false;
     /** Time (ms) at which the next list is due. */
     nextListAt = 0;
+    /** Whether lists may be requested; not before the first one of a new leader has its turn. */
+    mayList = true;
     /** Time (ms) at which the latest list that was answered was requested. */
     lastListSentAt: number | undefined;
     /** Ends up to this number are stored. */
--- a/src/dispatch/common/workerPool.ts
+++ b/src/dispatch/common/workerPool.ts
@@ -39,6 +39,12 @@
 /** Minimum interval between two lists of one worker, in ms for each worker: bounds the lists per second. */
 const LIST_INTERVAL_PER_WORKER_MS = 0.5;
 
+/**
+ * Ticks over which the first lists of a new leader are spread. Their answers have all ends since the former leader was lost, so
+ * together they would keep the loop busy; a slow loop has longer ticks.
+ */
+const FIRST_LIST_TICKS = 8;
+
 /** States of runs that the next list resolves. */
 const TRANSIENT_STATES = new Set(["inherited", "unconfirmed", "stopping", "stopped"]);
 
@@ -83,6 +89,9 @@
 /** The workers of one leader: which are registered, which answer, and what each runs. */
 export class WorkerPool {
     private readonly contacts = new Map<string, WorkerContact>();
+    /** Workers whose first list is not requested yet, if their lists are spread. */
+    private firstLists: WorkerContact[] = [];
+    private firstListsPerTick = 0;
 
     private constructor(
         private readonly epoch: number,
@@ -184,9 +193,19 @@
         return contact;
     }
 
+    /** Spreads the first lists of all workers, those with inherited runs first, of these the ones whose lease ends first. */
+    spreadFirstLists(): void {
+        const workers = [...this.contacts.values()];
+        const urgent = workers.filter(worker => worker.runs.size > 0).sort((a, b) => a.leaseEndsBy - b.leaseEndsBy);
+        this.firstLists = [...urgent, ...workers.filter(worker => worker.runs.size === 0)];
+        this.firstLists.forEach(worker => (worker.mayList = false));
+        this.firstListsPerTick = Math.ceil(workers.length / FIRST_LIST_TICKS);
+    }
+
     /** Requests lists that are due, retries stops, and gives up runs whose lease has expired. @param now Time in ms. */
     tick(now: number): void {
         this.leases.tick(this.contacts, now);
+        this.firstLists.splice(0, this.firstListsPerTick).forEach(worker => (worker.mayList = true));
         for (const worker of this.contacts.values()) {
             this.reportLoss(worker, worker.expiredRuns(now), "lease-expired");
             this.logTransition(worker, now, () => worker.tick(now));
@@ -195,7 +214,7 @@
                 continue;
             }
             this.retryStops(worker, now);
-            if (!worker.isListInFlight && now >= worker.nextListAt && worker.entry.address !== "") {
+            if (worker.mayList && !worker.isListInFlight && now >= worker.nextListAt && worker.entry.address !== "") {
                 this.requestList(worker, now);
             }
         }
--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -408,8 +408,8 @@
     beginEpoch(scheduler: Scheduler, tookMs: number): void {
         this.scheduler = scheduler;
         this.leadership.endTakeover(this.now);
-        scheduler.begin(this.now, tookMs);
         this.workers.forEach((reading, id) => scheduler.updateWorker(id, reading, this.now));
+        scheduler.begin(this.now, tookMs);
     }
 
     private stopScheduling(): void {
--- a/src/host/common/takeover.ts
+++ b/src/host/common/takeover.ts
@@ -84,7 +84,7 @@
                 reportLoaded: () => this.didLoad.fire(this),
                 prepare: () => (this.scheduler = this.host.prepare(this)),
                 restoreSlice: now => this.scheduler!.restore(now, MAX_TASKS_PER_SLICE),
-                begin: now => this.host.begin(now - this.startedAt),
+                begin: now => this.host.begin(Math.round(now - this.startedAt)),
             },
         });
         const producer = { name: LEADER_PRODUCER, epoch };
