Log claims, lost claims and the loss of the office

Logs showed when an epoch began and ended, but not why an instance claimed, nor that a leader lost its office while it was alive. `leader-claimed` has the leader that was not seen, for how long, and how long it was awaited; `claim-lost` the leader that came first; `leader-deposed` its successor and the age of the latest renewal. Each is logged once for each epoch.

--- a/src/dispatch/common/dispatchEffects.ts
+++ b/src/dispatch/common/dispatchEffects.ts
@@ -6,6 +6,9 @@
 
 /** Name of a decision in the decision log. */
 export type DecisionName =
+    | "leader-claimed"
+    | "claim-lost"
+    | "leader-deposed"
     | "leader-began"
     | "leader-ended"
     | "run-started"
--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -142,6 +142,7 @@
         this.jobs.onDidIgnore(({ key, offset }) => this.logMalformed("jobs", key, offset));
         this.leadership.onDidBecomeLeader(writer => this.startTakeover(writer));
         this.leadership.onDidStepDown(() => this.stopScheduling());
+        this.leadership.onDidChangeOffice(({ kind, ...data }) => outbox.emit({ kind: "decision", name: kind, data }));
         this.lifecycle = Machine.create(chart, {
             guards: {},
             actions: {
--- a/src/records/common/leadership.ts
+++ b/src/records/common/leadership.ts
@@ -12,14 +12,15 @@
 
 type LeadershipState = "standby" | "claiming" | "leading" | "resigning" | "resigned";
 type LeadershipEvent = "claim" | "claim-failed" | "own-claim-seen" | "other-leader-seen" | "fenced" | "resign";
-type LeadershipAction = "sendClaim" | "startLeading" | "stepDown" | "writeResignation";
+type LeadershipAction =
+    "sendClaim" | "startLeading" | "reportLostClaim" | "reportDeposed" | "stepDown" | "writeResignation";
 
 const chart = ChartRegistry.instance.register(
     ChartLoader.load<LeadershipState, LeadershipEvent, never, LeadershipAction>(chartText, "leadership.chart.yaml", {
         states: ["standby", "claiming", "leading", "resigning", "resigned"],
         events: ["claim", "claim-failed", "own-claim-seen", "other-leader-seen", "fenced", "resign"],
         guards: [],
-        actions: ["sendClaim", "startLeading", "stepDown", "writeResignation"],
+        actions: ["sendClaim", "startLeading", "reportLostClaim", "reportDeposed", "stepDown", "writeResignation"],
     }),
 );
 
@@ -83,11 +84,36 @@
     readonly cores: number;
 }
 
+/** A claim, the loss of one, or the loss of the office to another instance. */
+export type OfficeChange =
+    | {
+          readonly kind: "leader-claimed";
+          readonly epoch: number;
+          /** The leader that has timed out, if there was one. */
+          readonly former: string | undefined;
+          /** Time for which it was not seen, and for which it was awaited, in ms. */
+          readonly silentMs: number | undefined;
+          readonly timeoutMs: number;
+      }
+    | { readonly kind: "claim-lost"; readonly epoch: number; readonly leader: string | undefined }
+    | {
+          readonly kind: "leader-deposed";
+          readonly epoch: number;
+          /** The leader of a later epoch, if it is known. */
+          readonly leader: string | undefined;
+          /** Age of the latest confirmed renewal, in ms. */
+          readonly renewalAgeMs: number;
+      };
+
 /** Leader election by claims appended to the stream of a shard. */
 export class Leadership {
     private readonly machine: Machine<number, LeadershipState, LeadershipEvent, never, LeadershipAction>;
     private readonly didBecomeLeader = Emitter.create<RecordWriter>();
     private readonly didStepDown = Emitter.create<number>();
+    private readonly didChangeOffice = Emitter.create<OfficeChange>();
+    /** Latest epoch of which a claim or its loss was reported; claims are repeated while the store does not answer. */
+    private reportedClaim = 0;
+    private reportedLoss = 0;
     private latestRecord: LeaderRecord | undefined;
     private leaderLastSeenAt: number | undefined;
     /** Time (ms) at which the latest record of a leader was read. */
@@ -134,6 +160,8 @@
     readonly onDidBecomeLeader = this.didBecomeLeader.event;
     /** Fires with the lost epoch when this instance is no longer the leader. */
     readonly onDidStepDown = this.didStepDown.event;
+    /** Fires when this instance claims, loses a claim, or is deposed although it is alive; once for each epoch. */
+    readonly onDidChangeOffice = this.didChangeOffice.event;
 
     private constructor(
         private readonly candidate: LeadershipCandidate,
@@ -145,6 +173,8 @@
             actions: {
                 sendClaim: now => this.sendClaim(now),
                 startLeading: now => this.startLeading(now),
+                reportLostClaim: () => this.reportLostClaim(),
+                reportDeposed: now => this.reportDeposed(now),
                 stepDown: () => this.stepDown(),
                 writeResignation: () => this.writeRecord(true),
             },
@@ -371,6 +401,7 @@
         this.lateMs = 0;
         this.leasesSince = this.latestRecord?.leasesSince ?? this.claimedEpoch;
         this.nextClaimAt = now + MIN_CLAIM_INTERVAL_MS;
+        this.reportClaim();
         this.effects.emit({
             kind: "append",
             writer: claimWriterName(this.claimedEpoch),
@@ -384,6 +415,33 @@
         });
     }
 
+    private reportClaim(): void {
+        const { epoch, leader, follower, leaderLastSeenAt, claimedEpoch } = this;
+        if (this.reportedClaim === claimedEpoch) {
+            return;
+        }
+        this.reportedClaim = claimedEpoch;
+        const silentMs = epoch === 0 ? undefined : Math.round((follower.knownUntil ?? 0) - (leaderLastSeenAt ?? 0));
+        const timeoutMs = this.leaderTimeoutMs();
+        this.didChangeOffice.fire({ kind: "leader-claimed", epoch: claimedEpoch, former: leader, silentMs, timeoutMs });
+    }
+
+    private reportLostClaim(): void {
+        const { claimedEpoch, epoch } = this;
+        if (this.reportedLoss !== claimedEpoch) {
+            this.reportedLoss = claimedEpoch;
+            const leader = epoch >= claimedEpoch ? this.leader : undefined;
+            this.didChangeOffice.fire({ kind: "claim-lost", epoch: claimedEpoch, leader });
+        }
+    }
+
+    private reportDeposed(now: number): void {
+        const { claimedEpoch, epoch } = this;
+        const leader = epoch > claimedEpoch ? this.leader : undefined;
+        const renewalAgeMs = Math.round(now - (this.renewedAt ?? now));
+        this.didChangeOffice.fire({ kind: "leader-deposed", epoch: claimedEpoch, leader, renewalAgeMs });
+    }
+
     private startLeading(now: number): void {
         const producer = { name: LEADER_PRODUCER, epoch: this.claimedEpoch };
         const { stream } = this.follower;
--- a/src/records/common/test/leadership.test.ts
+++ b/src/records/common/test/leadership.test.ts
@@ -1,9 +1,9 @@
 import test, { ExecutionContext } from "ava";
-import { Ok } from "ts-results";
+import { Err, Ok } from "ts-results";
 import { Outbox } from "../../../base/common/outbox";
 import { KeyedLog } from "../../../standin/common/keyedLog";
 import { LeaderRecord } from "../leaderRecord";
-import { Leadership } from "../leadership";
+import { Leadership, OfficeChange } from "../leadership";
 import { RecordFollower, RecordReceiver } from "../recordFollower";
 import { NewestPage } from "../recordStore";
 import { RecordEffect } from "../recordEvents";
@@ -420,3 +420,41 @@
     log.append(leader.renew(2_900)[0].append);
     t.is(claimTime(other, 1_100), 2_400);
 });
+
+test("claims, lost claims and the loss of the office are reported once for each epoch", t => {
+    const log = KeyedLog.create();
+    const first = createInstance(log, "a", 10);
+    const second = createInstance(log, "b", 20);
+    const changes: OfficeChange[][] = [first, second].map(({ leadership }) => {
+        const seen: OfficeChange[] = [];
+        leadership.onDidChangeOffice(change => seen.push(change));
+        return seen;
+    });
+    first.read(1_000);
+    second.read(1_000);
+    const [{ append }] = first.claim(1_000);
+    const [lost] = second.claim(1_000);
+    log.append(append);
+    const { writer } = lost;
+    for (let now = 1_010; now < 1_500; now += 200) {
+        const result = Err("unknown" as const);
+        const { sequence } = lost.append;
+        second.leadership.handleAppendAnswer({ kind: "append-answer", writer, sequence, result }, now);
+        second.claim(now + 200);
+    }
+    first.read(1_600);
+    second.read(1_600);
+    log.store("leader", JSON.stringify({ epoch: 2, instance: "c" }));
+    first.read(1_700);
+    const none = { former: undefined, silentMs: undefined, timeoutMs: 0 };
+    t.deepEqual(changes, [
+        [
+            { kind: "leader-claimed", epoch: 1, ...none },
+            { kind: "leader-deposed", epoch: 1, leader: "c", renewalAgeMs: 700 },
+        ],
+        [
+            { kind: "leader-claimed", epoch: 1, ...none },
+            { kind: "claim-lost", epoch: 1, leader: undefined },
+        ],
+    ]);
+});
