--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -150,6 +150,7 @@
         this.leadership.onDidBecomeLeader(writer => this.startTakeover(writer));
         this.leadership.onDidStepDown(() => this.stopScheduling());
         this.loopDelay.onDidChange(report => this.logDelay(report));
+        this.leadership.onDidChangeOffice(({ kind, ...data }) => outbox.emit({ kind: "decision", name: kind, data }));
         this.lifecycle = Machine.create(chart, {
             guards: {},
             actions: {
@@ -427,8 +428,8 @@
     beginEpoch(scheduler: Scheduler, tookMs: number): void {
         this.scheduler = scheduler;
         this.leadership.endTakeover(this.now);
-        scheduler.begin(this.now, tookMs);
         this.workers.forEach((reading, id) => scheduler.updateWorker(id, reading, this.now));
+        scheduler.begin(this.now, tookMs);
     }
 
     private stopScheduling(): void {
