Derive the validity of starts from the ages of the leader's views

Callers saw tasks started on workers that had announced that they leave, up to 2.9 s after the store had acknowledged the notice (2.5 s are allowed), mostly by a leader whose epoch had just begun.

Cause: a standby reads the stream of workers every 3 s, a new leader awaited the end of that pause, and nothing bounded the age of that view for any leader. Only the age of the view of the jobs was bounded, at 1.4 s, beside a fixed validity of orders.

An order to start now ends before a cancellation (`cancelMs`) or a notice (`drainMs`, new in the settings) can count that the leader has not read yet, and is valid for at most 1.5 s as before. On old views orders get shorter; with less than 0.5 s nothing is started, and `view-old` names the view. A new leader asks for the stream of workers as soon as its claim is stored, and reads of that stream that are not answered in 0.9 s are repeated. Bounds of 600 ms or less, with which nothing could ever be started, are an error of the settings.

The two tests of the scheduler that had the former limit of 1.4 s are replaced: the view of the jobs may be older, since the order is shorter then, and they check that no order outlives the bound, for both views.

Without `hasten` alone the test of the first starts of a new leader fails.

--- a/src/dispatch/common/dispatchLimits.ts
+++ b/src/dispatch/common/dispatchLimits.ts
@@ -31,5 +31,11 @@
  */
 export const START_VALIDITY_MS = 1_500;
 
+/**
+ * Shortest validity of an order to start, in ms: with less, the order would often be late, and the run could end before a
+ * first list extends the lease. A leader whose views leave less starts nothing.
+ */
+export const MIN_START_VALIDITY_MS = 500;
+
 /** Margin by which a lease is extended less than allowed, in ms, since the worker's clock is only estimated. */
 export const LEASE_MARGIN_MS = 100;
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -210,8 +210,8 @@
     }
 
     /**
-     * Sends the pending starts and assigns waiting tasks to workers, if the leader may give orders and its view of the jobs
-     * is recent.
+     * Sends the pending starts and assigns waiting tasks to workers, if the leader may give orders and its views are
+     * recent.
      * @param now Time in ms.
      * @param wallNow Time in ms since the Unix epoch.
      */
@@ -268,7 +268,7 @@
     }
 
     private extendLeaseForStart(worker: WorkerContact | undefined, now: number): number | undefined {
-        return worker?.extendLeaseTo(worker.clockReadingIn(this.views.startValidityMs, now));
+        return worker?.extendLeaseTo(worker.clockReadingIn(this.views.startValidityMs(now), now));
     }
 
     /** Sends the order to stop a run. */
--- a/src/dispatch/common/test/scheduler.test.ts
+++ b/src/dispatch/common/test/scheduler.test.ts
@@ -10,9 +10,11 @@
 import { DecisionEffect, DispatchEffect } from "../dispatchEffects";
 import { InterferenceRow } from "../latencyModel";
 import { LeaseAuthority } from "../leaseBook";
+import { START_VALIDITY_MS } from "../dispatchLimits";
 import { LeaseTable } from "../leaseTable";
 import { Run } from "../run";
 import { Scheduler, SchedulerContext } from "../scheduler";
+import { StreamViews } from "../streamViews";
 import { WorkerEntry } from "../workerEntry";
 import { ListedEnd, OrderOutcome, RunList, StartOrder, ThrottleOrder } from "../workerMessages";
 import { assign, createJob, createStep, createWorker, LIMITS, readingOf, TARGET_MS } from "./runs";
@@ -23,7 +25,7 @@
 
 /** A scheduler with two simulated workers and one job of one task. */
 class SchedulerFixture {
-    readonly starts: { readonly worker: string; readonly order: StartOrder }[] = [];
+    readonly starts: { readonly worker: string; readonly order: StartOrder; readonly sentAt: number }[] = [];
     /** Highest number up to which ends were confirmed, by worker. */
     readonly confirmed = new Map<string, number>();
     /** Workers that do not answer. */
@@ -46,9 +48,13 @@
     hasHeartbeats = true;
     private readonly leadership: LeaseAuthority & { renewedAt: number | undefined };
     /** How far the streams were read. */
-    private readonly view: { knownUntil: number | undefined } = { knownUntil: 0 };
+    private readonly views: Record<keyof StreamViews, { knownUntil: number | undefined }> = {
+        jobs: { knownUntil: 0 },
+        configuration: { knownUntil: 0 },
+        workers: { knownUntil: 0 },
+    };
     /** How old the views of the streams are, in ms. */
-    viewAgeMs = 0;
+    readonly viewAgesMs: Record<keyof StreamViews, number> = { jobs: 0, configuration: 0, workers: 0 };
     readonly decisions: DecisionEffect[] = [];
     readonly throttles: ThrottleOrder[] = [];
     /** Outcome of the orders to throttle; `undefined` while they are in flight. */
@@ -69,7 +75,7 @@
             ...tables,
             leadership,
             leases: LeaseTable.create(),
-            views: { jobs: this.view, configuration: this.view, workers: this.view },
+            views: this.views,
             limits: LIMITS,
             learnedInterference,
             effects: this.outbox,
@@ -104,7 +110,9 @@
     /** Advances the time. @param ms By how much, in ms. */
     advance(ms: number): void {
         for (const until = this.now + ms; this.now < until; this.now += TICK_MS) {
-            this.view.knownUntil = this.now - this.viewAgeMs;
+            for (const stream of ["jobs", "configuration", "workers"] as const) {
+                this.views[stream].knownUntil = this.now - this.viewAgesMs[stream];
+            }
             this.leadership.renewedAt = this.isEpochConfirmed ? this.now : -20_000;
             if (this.hasHeartbeats && this.now - this.lastHeartbeatAt >= HEARTBEAT_INTERVAL_MS) {
                 this.lastHeartbeatAt = this.now;
@@ -159,7 +167,7 @@
         const base = { worker: id, sentAt: this.now, outcome, clockMs: isSilent ? undefined : this.now };
         if (effect.kind === "start") {
             const { task, run } = effect.order;
-            this.starts.push({ worker: id, order: effect.order });
+            this.starts.push({ worker: id, order: effect.order, sentAt: this.now });
             const others = this.lists.get(id)?.running.filter(each => each.task !== task) ?? [];
             const latency = this.latencies.get(task);
             const latencyOrUsage = latency ?? 8_000;
@@ -308,27 +316,42 @@
     }
 });
 
-test("a leader starts nothing on a view of the jobs that is older than the contract allows", t => {
-    const fixture = SchedulerFixture.create();
-    // An order may travel for 1.5 s, and no task may start 3 s after the acknowledgement of its cancellation.
-    fixture.viewAgeMs = 1_450;
-    fixture.advance(2_000);
-    t.is(fixture.starts.length, 0);
-    fixture.viewAgeMs = 1_350;
-    fixture.advance(500);
-    t.is(fixture.starts.length, 1);
-    const names = fixture.decisions.map(each => each.name).filter(name => name.startsWith("view-"));
-    t.deepEqual(names, ["view-old", "view-recent"]);
-});
+for (const [stream, boundMs] of [["jobs", LIMITS.cancelMs] as const, ["workers", LIMITS.drainMs] as const]) {
+    test(`a leader starts nothing on a view of the ${stream} that is older than the contract allows`, t => {
+        const fixture = SchedulerFixture.create();
+        // An order is valid for at least 0.5 s, and ends 0.1 s before the bound.
+        fixture.viewAgesMs[stream] = boundMs - 550;
+        fixture.advance(2_000);
+        t.is(fixture.starts.length, 0);
+        fixture.viewAgesMs[stream] = boundMs - 650;
+        fixture.advance(500);
+        t.is(fixture.starts.length, 1);
+        const names = fixture.decisions.map(each => each.name).filter(name => name.startsWith("view-"));
+        t.deepEqual(names, ["view-old", "view-recent"]);
+    });
+
+    test(`an order to start ends before what an old view of the ${stream} does not show yet counts`, t => {
+        for (const ageMs of [0, 500, 1_000, 1_500, boundMs - 650]) {
+            const fixture = SchedulerFixture.create();
+            fixture.viewAgesMs[stream] = ageMs;
+            fixture.advance(500);
+            const [{ order, sentAt }] = fixture.starts;
+            // The clocks of the workers show the time.
+            const validityMs = order.validUntil - sentAt;
+            t.true(sentAt - ageMs + boundMs > order.validUntil, `${ageMs} ms`);
+            t.true(validityMs <= START_VALIDITY_MS && validityMs > 450, `${validityMs} ms`);
+        }
+    });
+}
 
-test("the line of a start has the age of the view of jobs, and of the others while these are old", t => {
+test("the line of a start has the ages of the views of jobs and workers, and of the configuration while it is old", t => {
     const fixture = SchedulerFixture.create();
-    fixture.viewAgeMs = 600;
+    Object.assign(fixture.viewAgesMs, { jobs: 600, workers: 700, configuration: 800 });
     fixture.advance(500);
     const { data } = fixture.decisions.find(each => each.name === "run-started")!;
     t.is(data.jobsAgeMs, 600);
+    t.is(data.workersAgeMs, 700);
     t.is(data.configAgeMs, undefined);
-    t.is(data.workersAgeMs, undefined);
 });
 
 test("an end is confirmed after it is stored", t => {
--- a/src/dispatch/common/viewController.ts
+++ b/src/dispatch/common/viewController.ts
@@ -2,7 +2,7 @@
 import { ChartRegistry } from "../../base/common/chartRegistry";
 import { Machine } from "../../base/common/machine";
 import { DecisionData, DecisionName } from "./dispatchEffects";
-import { DispatchLimits, LEASE_MARGIN_MS, START_VALIDITY_MS } from "./dispatchLimits";
+import { DispatchLimits, LEASE_MARGIN_MS, MIN_START_VALIDITY_MS, START_VALIDITY_MS } from "./dispatchLimits";
 import { StreamView, StreamViews } from "./streamViews";
 import chartText from "./view.chart.yaml";
 
@@ -19,42 +19,49 @@
     }),
 );
 
-/** Ages of the other views are logged from this one on, in ms; a shorter one is that of a stream that is read in time. */
+/** The age of the configuration is logged from this one on, in ms; a shorter one is that of a stream that is read in time. */
 const MIN_LOGGED_AGE_MS = 2_500;
 
-/** Share of the time from a cancellation to the last start of its tasks for which an order to start may travel. */
-const MAX_VALIDITY_RATIO = 0.5;
+/** A view on which starts are decided, and how old it may be when a task starts. */
+interface BoundedView {
+    readonly name: "jobs" | "workers";
+    readonly view: StreamView;
+    /** Time (ms) after a record of the stream is stored from which no task starts that it rules out. */
+    readonly boundMs: number;
+}
 
 /** Ages of the views on which a decision is based, in ms, as fields of its log line. */
 export interface ViewAgeFields {
     readonly jobsAgeMs: number | undefined;
+    readonly workersAgeMs: number | undefined;
     /** `undefined` while the view is current, to keep the lines short. */
     readonly configAgeMs: number | undefined;
-    /** `undefined` while the view is current. */
-    readonly workersAgeMs: number | undefined;
 }
 
 /** Logs a decision. */
 export type LogDecision = (name: DecisionName, data: DecisionData) => void;
 
-/** Knows how old the views are on which the leader decides, and lets no task start on a view that is too old. */
+/**
+ * Knows how old the views are on which the leader decides. An order to start is valid only as long as no record that is not
+ * known yet can rule it out, so it gets shorter as the views age. If too little is left, nothing is started.
+ */
 export class ViewController {
     private readonly machine: Machine<number, ViewState, ViewEvent, never, ViewAction>;
-    /** Validity of an order to start, in ms. */
-    readonly startValidityMs: number;
-    private readonly maxStartAgeMs: number;
+    private readonly boundedViews: readonly BoundedView[];
 
     private constructor(
         private readonly views: StreamViews,
         limits: DispatchLimits,
         log: LogDecision,
     ) {
-        this.startValidityMs = Math.min(START_VALIDITY_MS, limits.cancelMs * MAX_VALIDITY_RATIO);
-        this.maxStartAgeMs = limits.cancelMs - this.startValidityMs - LEASE_MARGIN_MS;
+        this.boundedViews = [
+            { name: "jobs", view: views.jobs, boundMs: limits.cancelMs },
+            { name: "workers", view: views.workers, boundMs: limits.drainMs },
+        ];
         this.machine = Machine.create(chart, {
             guards: {},
             actions: {
-                logOld: now => log("view-old", { ...this.ageFields(now) }),
+                logOld: now => log("view-old", { old: this.oldViews(now).join(), ...this.ageFields(now) }),
                 logRecent: now => log("view-recent", { ...this.ageFields(now) }),
             },
         });
@@ -63,7 +70,7 @@
     /**
      * @param views The streams on which decisions depend.
      * @param limits Limits of the deployment.
-     * @param log Logs when the view of the jobs becomes too old, and when it is recent again.
+     * @param log Logs when a view becomes too old for starts, and when all are recent again.
      * @returns The controller.
      */
     static create(views: StreamViews, limits: DispatchLimits, log: LogDecision): ViewController {
@@ -71,29 +78,44 @@
     }
 
     /**
-     * Decides whether tasks may be started. An order that is sent now reaches its worker within its validity, and then no
-     * cancellation that is not known yet may be older than the deployment allows.
      * @param now Time in ms.
-     * @returns Whether the view of the jobs is recent enough.
+     * @returns Whether tasks may be started: all views on which this is decided are recent enough.
      */
     canStart(now: number): boolean {
-        const { knownUntil } = this.views.jobs;
-        const isRecent = knownUntil !== undefined && now - knownUntil <= this.maxStartAgeMs;
+        const isRecent = this.oldViews(now).length === 0;
         this.machine.fire(isRecent ? "caught-up" : "aged", now);
         return isRecent;
     }
 
+    /**
+     * Returns the validity of an order to start. Within it, no cancellation and no notice of a worker that is not known yet
+     * is older than the deployment allows.
+     * @param now Time in ms.
+     * @returns The validity in ms; below `MIN_START_VALIDITY_MS` or negative while tasks may not be started.
+     */
+    startValidityMs(now: number): number {
+        return Math.min(START_VALIDITY_MS, ...this.boundedViews.map(each => validityOn(each, now)));
+    }
+
+    private oldViews(now: number): string[] {
+        return this.boundedViews.filter(each => validityOn(each, now) < MIN_START_VALIDITY_MS).map(each => each.name);
+    }
+
     /** @param now Time in ms. @returns Fields for the log line of a decision. */
     ageFields(now: number): ViewAgeFields {
         const { jobs, configuration, workers } = this.views;
         return {
             jobsAgeMs: ageOf(jobs, now),
+            workersAgeMs: ageOf(workers, now),
             configAgeMs: ifOld(ageOf(configuration, now)),
-            workersAgeMs: ifOld(ageOf(workers, now)),
         };
     }
 }
 
+function validityOn({ view, boundMs }: BoundedView, now: number): number {
+    return (view.knownUntil ?? Number.NEGATIVE_INFINITY) + boundMs - LEASE_MARGIN_MS - now;
+}
+
 function ageOf(view: StreamView, now: number): number | undefined {
     return view.knownUntil === undefined ? undefined : Math.round(now - view.knownUntil);
 }
--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -53,10 +53,13 @@
  */
 const LEADER_JOBS_TIMING: ReadTiming = { waitMs: 400, pauseMs: 25, repeatAfterMs: 900 };
 
-/** Reads of the stream of workers on the leader. Entries are renewed continually, so one read collects several. */
-const LEADER_WORKERS_TIMING: ReadTiming = { waitMs: 2_000, pauseMs: 400 };
+/**
+ * Reads of the stream of workers on the leader. Entries are renewed continually, so one read collects several. The wait is
+ * short, since a read that is not answered does not show that no worker has announced that it leaves.
+ */
+const LEADER_WORKERS_TIMING: ReadTiming = { waitMs: 200, pauseMs: 400, repeatAfterMs: 900 };
 
-/** Reads of the stream of workers on standby, so that a new leader starts with a list of workers. */
+/** Reads of the stream of workers on standby. A new leader reads it at once. */
 const STANDBY_WORKERS_TIMING: ReadTiming = { waitMs: 2_000, pauseMs: 3_000 };
 
 /** Reads of the configuration. It changes rarely; the short wait of each read shows that the store is reachable. */
@@ -361,6 +364,7 @@
             this.lifecycle.fire("loaded", now);
         }
         this.jobsFollower.tick(now);
+        this.workersFollower.tick(now);
         this.leadership.tick(now);
         this.beginEpochIfRead();
         this.scheduler?.tick(now, wallNow);
@@ -385,6 +389,7 @@
 
     private startTakeover(writer: RecordWriter): void {
         const { epoch } = this.leadership;
+        this.workersFollower.hasten();
         this.takeover = Takeover.create(epoch, this.identity.nonce, () => this.now, this.outbox);
         this.takeover.onDidLoad(takeover => {
             this.beginEpoch = () => this.startScheduling(writer, takeover);
--- a/src/host/common/jobSettings.ts
+++ b/src/host/common/jobSettings.ts
@@ -1,8 +1,13 @@
 import * as z from "zod/mini";
+import { LEASE_MARGIN_MS, MIN_START_VALIDITY_MS } from "../../dispatch/common/dispatchLimits";
 
 const address = z.string().check(z.regex(/^[^\s:]+:\d{1,5}$/, "not an address"));
 const milliseconds = z.number().check(z.nonnegative());
 
+/** Below this bound, no order to start would be valid for long enough to be sent, in ms. */
+const MIN_START_BOUND_MS = MIN_START_VALIDITY_MS + LEASE_MARGIN_MS;
+const startBound = z.number().check(z.gt(MIN_START_BOUND_MS));
+
 /** Schema of the settings of one instance. Times are in ms unless the name says otherwise. */
 export const jobSettingsSchema = z.strictObject({
     instance: z.string().check(z.minLength(1)),
@@ -24,9 +29,9 @@
         longestLeaseMs: milliseconds,
         stopMs: milliseconds,
         /** Empty in deployments that do not bound it. */
-        cancelMs: z.nullish(milliseconds),
+        cancelMs: z.nullish(startBound),
         /** Empty in deployments that do not bound it. */
-        drainMs: z.nullish(milliseconds),
+        drainMs: z.nullish(startBound),
         gangWaitMs: milliseconds,
         harmMs: milliseconds,
         configurationMs: milliseconds,
--- a/src/proof/node/test/drain.test.ts
+++ b/src/proof/node/test/drain.test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { JobTrial } from "../jobTrial";
 import { JobFault, JobTrialPlan, WORKER_READ_FAULTS } from "../jobTrialPlan";
+import { InstanceFixture } from "./instanceFixture";
 
 type Plan = Omit<JobTrialPlan, "seed">;
 
@@ -46,3 +47,18 @@
     t.deepEqual(breaches, []);
     t.true(drained > 0 && starts > 0);
 });
+
+test("a new leader reads the stream of workers at once, so its first starts avoid a worker that has announced that it leaves", t => {
+    const fixture = new InstanceFixture(["w1", "w2"]);
+    fixture.advance(200);
+    // The instance pauses between two reads of the stream, as on standby.
+    fixture.storeOdd("w1", { state: "draining", drainRemainingMs: 6_000 });
+    fixture.workers.get("w1")!.hasHeartbeats = false;
+    fixture.submit(4);
+    for (let ms = 0; ms < 2_900 && !fixture.isLeading; ms += 25) {
+        fixture.advance(25);
+    }
+    t.true(fixture.isLeading);
+    fixture.advance(500);
+    t.deepEqual(fixture.takeStarted(), ["w2", "w2", "w2", "w2"]);
+});
