--- a/src/dispatch/common/test/scheduler.test.ts
+++ b/src/dispatch/common/test/scheduler.test.ts
@@ -1,189 +1,10 @@
 import test from "ava";
-import { Outbox } from "../../../base/common/outbox";
 import { StepSpec } from "../../../jobs/common/jobSpec";
-import { encodeSpec, jobKey } from "../../../jobs/common/jobRecord";
-import { JobTable } from "../../../jobs/common/jobTable";
-import { ProgressTable } from "../../../jobs/common/progressTable";
-import { QueueTable } from "../../../jobs/common/queueTable";
-import { Leadership } from "../../../records/common/leadership";
-import { RecordWriter } from "../../../records/common/recordWriter";
-import { DecisionEffect, DispatchEffect } from "../dispatchEffects";
-import { InterferenceRow } from "../latencyModel";
-import { LeaseAuthority } from "../leaseBook";
-import { LeaseTable } from "../leaseTable";
-import { Run } from "../run";
-import { Scheduler } from "../scheduler";
-import { SchedulerContext } from "../schedulerContext";
+import { START_VALIDITY_MS } from "../dispatchLimits";
 import { WorkerEntry } from "../workerEntry";
-import { ListedEnd, OrderOutcome, RunList, StartOrder, ThrottleOrder } from "../workerMessages";
-import { assign, createJob, createStep, createWorker, LIMITS, readingOf, TARGET_MS } from "./runs";
-
-const TICK_MS = 25;
-
-const HEARTBEAT_INTERVAL_MS = 1_500;
-
-/** A scheduler with two simulated workers and one job of one task. */
-class SchedulerFixture {
-    readonly starts: { readonly worker: string; readonly order: StartOrder }[] = [];
-    /** Highest number up to which ends were confirmed, by worker. */
-    readonly confirmed = new Map<string, number>();
-    /** Workers that do not answer. */
-    readonly silent = new Set<string>();
-    /** Lists that the workers answer with. */
-    readonly lists = new Map<string, RunList>();
-    private readonly outbox = Outbox.create<DispatchEffect>();
-    private readonly scheduler: Scheduler;
-    private readonly writers = ["jobs", "progress"].map(name =>
-        RecordWriter.create(name, name as "jobs", { name: "leader", epoch: 1 }, this.outbox),
-    );
-    private now = 0;
-    /** Latest entries of the workers. */
-    private readonly entries = new Map<string, WorkerEntry>();
-    private lastHeartbeatAt = 0;
-    private readonly heldAppends: (DispatchEffect & { readonly kind: "append" })[] = [];
-    /** Whether appends to the store are answered only when it is up again. */
-    isStoreDown = false;
-    /** Whether the workers renew their entries in service discovery. */
-    hasHeartbeats = true;
-    private readonly leadership: LeaseAuthority & { renewedAt: number | undefined };
-    /** How far the streams were read. */
-    private readonly view: { knownUntil: number | undefined } = { knownUntil: 0 };
-    /** How old the views of the streams are, in ms. */
-    viewAgeMs = 0;
-    /** How late the loop is. */
-    readonly loop = { summary: { medianMs: 0, mostMs: 0 } };
-    readonly decisions: DecisionEffect[] = [];
-    readonly throttles: ThrottleOrder[] = [];
-    /** Outcome of the orders to throttle; `undefined` while they are in flight. */
-    throttleOutcome: OrderOutcome | undefined;
-    /** Tail latencies (ms) that latency-critical tasks report. */
-    readonly latencies = new Map<string, number>();
-
-    private readonly jobs = JobTable.create();
-
-    private constructor(step: StepSpec, learnedInterference: readonly InterferenceRow[]) {
-        const { jobs } = this;
-        this.submit("a", step);
-        const rights = { canSendOrders: () => true, canExtendLeases: () => true, formerRenewedBy: undefined };
-        this.leadership = { ...rights, renewedAt: 0, leasesSince: 1 };
-        const leadership = this.leadership as unknown as Leadership;
-        const tables = { jobs, progress: ProgressTable.create(), queues: QueueTable.create() };
-        const context: SchedulerContext = {
-            ...tables,
-            leadership,
-            leases: LeaseTable.create(),
-            views: { jobs: this.view, configuration: this.view, workers: this.view, loop: this.loop },
-            limits: LIMITS,
-            learnedInterference,
-            effects: this.outbox,
-        };
-        const [jobsWriter, progress] = this.writers;
-        this.scheduler = Scheduler.create(context, 1, { jobs: jobsWriter, progress }, 0);
-        this.scheduler.restore(0);
-        this.scheduler.begin(0, 0);
-        ["w1", "w2"].forEach(id => this.updateWorker(createWorker(id).entry));
-    }
-
-    static create(
-        step = createStep("x", false),
-        learnedInterference: readonly InterferenceRow[] = [],
-    ): SchedulerFixture {
-        return new SchedulerFixture(step, learnedInterference);
-    }
-
-    /** Submits a job of one step. */
-    submit(id: string, step: StepSpec): void {
-        const { spec } = createJob(id, step);
-        this.jobs.apply({ key: jobKey("spec", id), value: encodeSpec(spec), offset: this.jobs.size });
-    }
-
-    /** Writes the entry of a worker, which the scheduler reads at once. */
-    updateWorker(entry: WorkerEntry): void {
-        this.entries.set(entry.id, entry);
-        this.scheduler.updateWorker(entry.id, readingOf(entry, this.now), this.now);
-    }
-
-    /** Whether the store confirms the renewals of the leader, which the fixture does not send. */
-    isEpochConfirmed = true;
-
-    /** Advances the time. @param ms By how much, in ms. */
-    advance(ms: number): void {
-        for (const until = this.now + ms; this.now < until; this.now += TICK_MS) {
-            this.view.knownUntil = this.now - this.viewAgeMs;
-            this.leadership.renewedAt = this.isEpochConfirmed ? this.now : -20_000;
-            if (this.hasHeartbeats && this.now - this.lastHeartbeatAt >= HEARTBEAT_INTERVAL_MS) {
-                this.lastHeartbeatAt = this.now;
-                this.entries.forEach(entry => this.updateWorker(entry));
-            }
-            this.scheduler.tick(this.now, this.now);
-            this.scheduler.schedule(this.now, this.now);
-            this.writers.forEach(writer => writer.flush(this.now));
-            const appends = this.isStoreDown ? [] : this.heldAppends.splice(0);
-            [...appends, ...this.outbox.drain()].forEach(effect => this.perform(effect));
-        }
-    }
-
-    /** Moves a run that is throttled. */
-    move(run: Run): void {
-        this.scheduler.moveThrottled(run, this.now);
-    }
-
-    private answerThrottle({ worker, order }: DispatchEffect & { readonly kind: "throttle" }): void {
-        if (this.throttleOutcome !== undefined) {
-            const clockMs = this.throttleOutcome === "no-answer" ? undefined : this.now;
-            const base = { worker: worker.id, sentAt: this.now, outcome: this.throttleOutcome, clockMs };
-            this.scheduler.handleWorkerAnswer({ kind: "throttle-answer", order, ...base }, this.now);
-        }
-    }
-
-    private perform(effect: DispatchEffect): void {
-        if (effect.kind === "append" && this.isStoreDown) {
-            this.heldAppends.push(effect);
-            return;
-        }
-        if (effect.kind === "append") {
-            const result = { ok: true, val: 0 } as never;
-            const { sequence } = effect.append;
-            const writer = this.writers.find(each => each.name === effect.writer)!;
-            writer.handleAnswer({ kind: "append-answer", writer: effect.writer, sequence, result }, this.now);
-            return;
-        }
-        if (effect.kind === "decision") {
-            this.decisions.push(effect);
-        }
-        if (effect.kind === "throttle") {
-            this.throttles.push(effect.order);
-            this.answerThrottle(effect);
-        }
-        if (effect.kind !== "list" && effect.kind !== "start") {
-            return;
-        }
-        const { id } = effect.worker;
-        const isSilent = this.silent.has(id);
-        const outcome = isSilent ? ("no-answer" as const) : ("done" as const);
-        const base = { worker: id, sentAt: this.now, outcome, clockMs: isSilent ? undefined : this.now };
-        if (effect.kind === "start") {
-            const { task, run } = effect.order;
-            this.starts.push({ worker: id, order: effect.order });
-            const others = this.lists.get(id)?.running.filter(each => each.task !== task) ?? [];
-            const latency = this.latencies.get(task);
-            const latencyOrUsage = latency ?? 8_000;
-            const running = [
-                ...others,
-                { task, run, checkpoint: "", percent: latency === undefined ? 50 : 100, latencyOrUsage },
-            ];
-            this.lists.set(id, { incarnation: 1, running, ended: [] });
-            this.scheduler.handleWorkerAnswer({ kind: "start-answer", order: effect.order, ...base }, this.now);
-        } else {
-            const list = this.lists.get(id) ?? { incarnation: 1, running: [], ended: [] };
-            this.confirmed.set(id, Math.max(this.confirmed.get(id) ?? 0, isSilent ? 0 : effect.order.recordedUpTo));
-            this.scheduler.handleWorkerAnswer(
-                { kind: "list-answer", order: effect.order, list: isSilent ? undefined : list, ...base },
-                this.now,
-            );
-        }
-    }
-}
+import { ListedEnd, OrderOutcome, StartOrder } from "../workerMessages";
+import { assign, createJob, createStep, createWorker, LIMITS, TARGET_MS } from "./runs";
+import { SchedulerFixture, TICK_MS } from "./schedulerFixture";
 
 function endOf(order: StartOrder): ListedEnd {
     return { number: 1, task: order.task, run: order.run, end: "done", checkpoint: "" };
@@ -313,27 +134,42 @@
     }
 });
 
-test("a leader starts nothing on a view of the jobs that is older than the contract allows", t => {
-    const fixture = SchedulerFixture.create();
-    // An order may travel for 1.5 s, and no task may start 3 s after the acknowledgement of its cancellation.
-    fixture.viewAgeMs = 1_450;
-    fixture.advance(2_000);
-    t.is(fixture.starts.length, 0);
-    fixture.viewAgeMs = 1_350;
-    fixture.advance(500);
-    t.is(fixture.starts.length, 1);
-    const names = fixture.decisions.map(each => each.name).filter(name => name.startsWith("view-"));
-    t.deepEqual(names, ["view-old", "view-recent"]);
-});
+for (const [stream, boundMs] of [["jobs", LIMITS.cancelMs] as const, ["workers", LIMITS.drainMs] as const]) {
+    test(`a leader starts nothing on a view of the ${stream} that is older than the contract allows`, t => {
+        const fixture = SchedulerFixture.create();
+        // An order is valid for at least 0.5 s, and ends 0.1 s before the bound.
+        fixture.viewAgesMs[stream] = boundMs - 550;
+        fixture.advance(2_000);
+        t.is(fixture.starts.length, 0);
+        fixture.viewAgesMs[stream] = boundMs - 650;
+        fixture.advance(500);
+        t.is(fixture.starts.length, 1);
+        const names = fixture.decisions.map(each => each.name).filter(name => name.startsWith("view-"));
+        t.deepEqual(names, ["view-old", "view-recent"]);
+    });
+
+    test(`an order to start ends before what an old view of the ${stream} does not show yet counts`, t => {
+        for (const ageMs of [0, 500, 1_000, 1_500, boundMs - 650]) {
+            const fixture = SchedulerFixture.create();
+            fixture.viewAgesMs[stream] = ageMs;
+            fixture.advance(500);
+            const [{ order, sentAt }] = fixture.starts;
+            // The clocks of the workers show the time.
+            const validityMs = order.validUntil - sentAt;
+            t.true(sentAt - ageMs + boundMs > order.validUntil, `${ageMs} ms`);
+            t.true(validityMs <= START_VALIDITY_MS && validityMs > 450, `${validityMs} ms`);
+        }
+    });
+}
 
-test("the line of a start has the age of the view of jobs, and of the others while these are old", t => {
+test("the line of a start has the ages of the views of jobs and workers, and of the configuration while it is old", t => {
     const fixture = SchedulerFixture.create();
-    fixture.viewAgeMs = 600;
+    Object.assign(fixture.viewAgesMs, { jobs: 600, workers: 700, configuration: 800 });
     fixture.advance(500);
     const { data } = fixture.decisions.find(each => each.name === "run-started")!;
     t.is(data.jobsAgeMs, 600);
+    t.is(data.workersAgeMs, 700);
     t.is(data.configAgeMs, undefined);
-    t.is(data.workersAgeMs, undefined);
 });
 
 test("the line of a start has the delay of the loop while it is late", t => {
--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -56,10 +56,13 @@
  */
 const LEADER_JOBS_TIMING: ReadTiming = { waitMs: 400, pauseMs: 25, repeatAfterMs: 900 };
 
-/** Reads of the stream of workers on the leader. Entries are renewed continually, so one read collects several. */
-const LEADER_WORKERS_TIMING: ReadTiming = { waitMs: 2_000, pauseMs: 400 };
+/**
+ * Reads of the stream of workers on the leader. Entries are renewed continually, so one read collects several. The wait is
+ * short, since a read that is not answered does not show that no worker has announced that it leaves.
+ */
+const LEADER_WORKERS_TIMING: ReadTiming = { waitMs: 200, pauseMs: 400, repeatAfterMs: 900 };
 
-/** Reads of the stream of workers on standby, so that a new leader starts with a list of workers. */
+/** Reads of the stream of workers on standby. A new leader reads it at once. */
 const STANDBY_WORKERS_TIMING: ReadTiming = { waitMs: 2_000, pauseMs: 3_000 };
 
 /** Reads of the configuration. It changes rarely; the short wait of each read shows that the store is reachable. */
@@ -379,6 +382,7 @@
             this.lifecycle.fire("loaded", now);
         }
         this.jobsFollower.tick(now);
+        this.workersFollower.tick(now);
         this.leadership.tick(now);
         this.scheduler?.tick(now, wallNow);
         const isIdle = this.callHandler.openCallCount === 0 && this.leadership.isResignationStored;
@@ -402,6 +406,7 @@
 
     private startTakeover(writer: RecordWriter): void {
         const { epoch } = this.leadership;
+        this.workersFollower.hasten();
         const host = new InstanceTakeoverHost(this, writer);
         this.takeover = Takeover.create(epoch, this.identity.nonce, () => this.now, this.outbox, host);
     }
