--- a/src/proof/node/test/takeoverFixture.ts
+++ b/src/proof/node/test/takeoverFixture.ts
@@ -94,6 +94,7 @@
     private readonly workers = new Map<string, FixtureWorker>();
     private readonly meter: WorkMeter;
     private jobCount = 0;
+    private advancedUntil = 0;
     private seed = 1;
 
     /**
@@ -119,7 +120,8 @@
 
     /** Advances the time. @param ms By how much, in ms. */
     advance(ms: number): void {
-        this.schedule.runUntil(this.schedule.now + ms);
+        this.advancedUntil += ms;
+        this.schedule.runUntil(this.advancedUntil);
     }
 
     /** From now on, work takes time. */
--- a/src/proof/node/test/takeoverUnderLoad.test.ts
+++ b/src/proof/node/test/takeoverUnderLoad.test.ts
@@ -41,3 +41,29 @@
     fixture.advance(12_000);
     t.deepEqual(epochsOf(fixture), [1, 2]);
 });
+
+test.serial("a new leader that is lost in its takeover is replaced in a bounded time", t => {
+    const fixture = createBusyInstances(t, 300, 6);
+    fixture.killLeader();
+    const hasLeader = () => fixture.loops.some(each => each.isAlive && each.instance.isLeading);
+    for (let waitedMs = 0; !hasLeader() && waitedMs < MAX_FAILOVER_MS; waitedMs += 5) {
+        fixture.advance(5);
+    }
+    t.true(hasLeader());
+    t.deepEqual(epochsOf(fixture), [1]);
+    const killedAt = fixture.schedule.now;
+    fixture.killLeader();
+    fixture.advance(8_000);
+    t.deepEqual(epochsOf(fixture), [1, 3]);
+    t.true(fixture.epochs[1].beganAt - killedAt < MAX_FAILOVER_MS);
+});
+
+test.serial("a new leader keeps its office while the store does not answer for the progress", t => {
+    const fixture = createBusyInstances(t, 300, 6);
+    fixture.killLeader();
+    fixture.progressDownUntil = fixture.schedule.now + 6_000;
+    fixture.advance(6_000);
+    t.deepEqual(epochsOf(fixture), [1]);
+    fixture.advance(4_000);
+    t.deepEqual(epochsOf(fixture), [1, 2]);
+});
