Handle the events of an instance by urgency

The loop handled events in the order in which the sockets were read, and all that had arrived before it read again: the answer to a read that brings a cancellation, or to the append that renews the leader's record, was behind a hundred answers of workers.

Agenda, whose states are a chart, collects the events that are read, and hands out renewals first, then reads and calls, then answers of workers in their order, for 40 ms before the process reads again; none waits for over 250 ms for more urgent ones. The trials with the cost model use the same class. An event that waits for longer than a tick counts for the delay of the loop, too.

--- a/src/base/node/loop.ts
+++ b/src/base/node/loop.ts
@@ -39,11 +39,16 @@
      * Starts posting an event at regular intervals.
      * @param createTick Creates the event. `dueAt` is the monotonic time in ms at which it is due; a busy loop handles it later.
      * @param intervalMs Interval in ms.
+     * @param post Receives the event; this loop by default.
      */
-    startTicking(createTick: (dueAt: number) => Event, intervalMs: number): void {
+    startTicking(
+        createTick: (dueAt: number) => Event,
+        intervalMs: number,
+        post = (event: Event) => this.post(event),
+    ): void {
         let dueAt = performance.now() + intervalMs;
         this.timer = setInterval(() => {
-            this.post(createTick(dueAt));
+            post(createTick(dueAt));
             dueAt = performance.now() + intervalMs;
         }, intervalMs);
     }
--- a/src/host/node/jobProcess.ts
+++ b/src/host/node/jobProcess.ts
@@ -1,7 +1,7 @@
 import { Server } from "node:http";
 import { Disposable, toDisposable } from "../../base/common/disposable";
 import { DisposableStore } from "../../base/common/disposableStore";
-import { Loop } from "../../base/node/loop";
+import { AgendaLoop } from "../../base/node/agendaLoop";
 import { WorkClock } from "../../base/node/workClock";
 import { WorkerClient } from "../../dispatch/common/workerClient";
 import { JobAnswer, JobCall } from "../../jobs/common/jobCall";
@@ -9,6 +9,7 @@
 import { JobInstance } from "../common/jobInstance";
 import { JobSettings } from "../common/jobSettings";
 import { JobInstanceEffect, JobInstanceEvent } from "../common/jobInstanceEvents";
+import { classOfEvent, EVENT_CLASSES, EventClass } from "../common/eventClass";
 import { LoadRecorder } from "../common/loadRecorder";
 import { WorkKind } from "../common/workKind";
 import { DecisionLog } from "./decisionLog";
@@ -36,7 +37,7 @@
 /** One running instance that serves jobs: its event loop, servers and performers of effects. */
 export class JobProcess implements Disposable {
     private readonly resources = DisposableStore.create();
-    private readonly loop: Loop<JobInstanceEvent, JobInstanceEffect>;
+    private readonly loop: AgendaLoop<JobInstanceEvent, JobInstanceEffect, EventClass>;
     private readonly performers: JobPerformers;
     private readonly metrics = JobMetrics.create();
     private readonly load = LoadRecorder.create();
@@ -61,7 +62,9 @@
             work.measure(effect.kind === "decision" ? "log" : "send", () => this.performers.perform(effect));
         const dispatch = (event: JobInstanceEvent, now: number, wallNow: number) =>
             work.measure(event.kind, () => instance.dispatch(event, now, wallNow));
-        this.loop = this.resources.add(Loop.create(dispatch, perform, onError));
+        const onArrival = (arrivedAt: number, now: number) => this.recordArrival(arrivedAt, now);
+        const urgency = { classes: EVENT_CLASSES, classOf: classOfEvent };
+        this.loop = this.resources.add(AgendaLoop.create({ ...urgency, dispatch, perform, onError, onArrival }));
         this.observeLoad();
     }
 
@@ -146,6 +149,13 @@
         );
     }
 
+    /** An event that waits for longer than a tick is late; a tick is so itself, from the time at which it was due. */
+    private recordArrival(arrivedAt: number, now: number): void {
+        if (now - arrivedAt > TICK_INTERVAL_MS) {
+            this.instance.loopDelay.record(arrivedAt, now);
+        }
+    }
+
     /** Logs the load of the leader. The other instances do little, and their lines would only add to the log. */
     private reportLoad(delayMs: number, now: number): void {
         const { instance, load, parts } = this;
--- a/src/proof/node/trialProcessor.ts
+++ b/src/proof/node/trialProcessor.ts
@@ -1,4 +1,6 @@
+import { Agenda } from "../../base/common/agenda";
 import { WorkMeter } from "../../base/common/workMeter";
+import { classOfEvent, EVENT_CLASSES, EventClass } from "../../host/common/eventClass";
 import { JobInstanceEffect, JobInstanceEvent } from "../../host/common/jobInstanceEvents";
 import { WorkKind } from "../../host/common/workKind";
 import { TrialCosts } from "./trialCosts";
@@ -16,12 +18,12 @@
 }
 
 /**
- * The processor of one instance of a trial: its work takes time, and events that arrive meanwhile are handled later, in order of
- * arrival.
+ * The processor of one instance of a trial: its work takes time, and events that arrive meanwhile are handled later, the most
+ * urgent first.
  */
 export class TrialProcessor extends WorkMeter<WorkKind> {
-    private readonly queue: { readonly event: JobInstanceEvent; readonly arrivedAt: number }[] = [];
-    private isBusy = false;
+    private readonly agenda: Agenda<JobInstanceEvent, EventClass>;
+    private isTickWaiting = false;
     /** Time in ms of a whole core that the present event has taken so far. */
     private chargedMs = 0;
     /** Time in ms of a whole core that the latest pass took. */
@@ -33,6 +35,7 @@
         private readonly host: ProcessorHost,
     ) {
         super();
+        this.agenda = Agenda.create(EVENT_CLASSES, classOfEvent, () => this.schedule.add(0, () => this.beginTurn()));
     }
 
     /**
@@ -60,24 +63,27 @@
     /** Adds an event. */
     post(event: JobInstanceEvent): void {
         // The timer of the loop is set again only when a tick is handled.
-        if (event.kind === "tick" && this.queue.some(each => each.event.kind === "tick")) {
+        if (event.kind === "tick" && this.isTickWaiting) {
             return;
         }
-        this.queue.push({ event, arrivedAt: this.schedule.now });
-        if (!this.isBusy) {
-            this.handleNext();
-        }
+        this.isTickWaiting ||= event.kind === "tick";
+        this.agenda.add(event, this.schedule.now);
+    }
+
+    private beginTurn(): void {
+        this.agenda.beginTurn(this.schedule.now);
+        this.handleNext();
     }
 
     private handleNext(): void {
-        const next = this.queue.shift();
-        this.isBusy = next !== undefined;
+        const next = this.agenda.next(this.schedule.now);
         if (next === undefined) {
             return;
         }
         const { event, arrivedAt } = next;
-        this.host.onDelay(this.schedule.now - arrivedAt);
         const { costs, host } = this;
+        this.isTickWaiting &&= event.kind !== "tick";
+        host.onDelay(this.schedule.now - arrivedAt);
         this.chargedMs = costs.eventMs;
         const effects = host.dispatch(event);
         this.chargedMs += effects.length * costs.effectMs;
