Send fewer starts after one that came too late

StartWindow halves the number of starts in flight, at most once while an order may travel, and raises it slowly again. The view of the jobs must also be recent enough by the time at which a late loop sends the order: a leader that is late starts nothing on a view that is too old then (a test failed before).

--- a/src/dispatch/common/test/scheduler.test.ts
+++ b/src/dispatch/common/test/scheduler.test.ts
@@ -335,15 +335,24 @@
 });
 
 test("the line of a start has the delay of the loop while it is late", t => {
+    const loggedDelay = (mostMs: number) => {
+        const fixture = SchedulerFixture.create();
+        fixture.loop.summary = { medianMs: 1, mostMs };
+        fixture.advance(500);
+        return fixture.decisions.find(each => each.name === "run-started")!.data.delayMs;
+    };
+    t.deepEqual([340.4, 49].map(loggedDelay), [340, undefined]);
+});
+
+test("a leader that is late starts nothing on a view that is too old when the order leaves the process", t => {
     const fixture = SchedulerFixture.create();
-    fixture.loop.summary = { medianMs: 120, mostMs: 340.4 };
+    fixture.viewAgeMs = 1_300;
+    fixture.loop.summary = { medianMs: 150, mostMs: 400 };
+    fixture.advance(2_000);
+    t.is(fixture.starts.length, 0);
+    fixture.loop.summary = { medianMs: 50, mostMs: 400 };
     fixture.advance(500);
-    const data = fixture.decisions.find(each => each.name === "run-started")!.data;
-    t.is(data.delayMs, 340);
-    const onTime = SchedulerFixture.create();
-    onTime.loop.summary = { medianMs: 1, mostMs: 49 };
-    onTime.advance(500);
-    t.is(onTime.decisions.find(each => each.name === "run-started")!.data.delayMs, undefined);
+    t.is(fixture.starts.length, 1);
 });
 
 test("an end is confirmed after it is stored", t => {
--- a/src/dispatch/common/viewController.ts
+++ b/src/dispatch/common/viewController.ts
@@ -83,7 +83,9 @@
      */
     canStart(now: number): boolean {
         const { knownUntil } = this.views.jobs;
-        const isRecent = knownUntil !== undefined && now - knownUntil <= this.maxStartAgeMs;
+        // An order that is sent now may leave the process as late as the loop is.
+        const sentBy = now + (this.views.loop?.summary.medianMs ?? 0);
+        const isRecent = knownUntil !== undefined && sentBy - knownUntil <= this.maxStartAgeMs;
         this.machine.fire(isRecent ? "caught-up" : "aged", now);
         return isRecent;
     }
--- a/src/dispatch/common/workerPool.ts
+++ b/src/dispatch/common/workerPool.ts
@@ -4,9 +4,10 @@
 import { DispatchEffect } from "./dispatchEffects";
 import { LeaseBook } from "./leaseBook";
 import { Run } from "./run";
+import { StartWindow } from "./startWindow";
 import { ContactState, WorkerContact } from "./workerContact";
 import { EntryReading, WorkerEntry } from "./workerEntry";
-import { ListedEnd, WorkerEvent } from "./workerMessages";
+import { ListedEnd, OrderOutcome, WorkerEvent } from "./workerMessages";
 
 /**
  * Time for which a worker holds a list request until a run ends, in ms, and so the age of the latencies that it
@@ -83,6 +84,7 @@
 /** The workers of one leader: which are registered, which answer, and what each runs. */
 export class WorkerPool {
     private readonly contacts = new Map<string, WorkerContact>();
+    private readonly startWindow = StartWindow.create();
 
     private constructor(
         private readonly epoch: number,
@@ -127,7 +129,7 @@
 
     /** @returns How many more starts may be in flight. */
     remainingStarts(): number {
-        let count = Math.max(MIN_STARTS_IN_FLIGHT, this.contacts.size);
+        let count = this.startWindow.limitOf(this.maxStartsInFlight);
         for (const worker of this.contacts.values()) {
             for (const run of worker.runs.values()) {
                 count -= run.state === "assigned" || run.state === "starting" ? 1 : 0;
@@ -136,6 +138,10 @@
         return count;
     }
 
+    private get maxStartsInFlight(): number {
+        return Math.max(MIN_STARTS_IN_FLIGHT, this.contacts.size);
+    }
+
     /** @param id Identifier of a worker. @returns The worker, if it is known. */
     find(id: string): WorkerContact | undefined {
         return this.contacts.get(id);
@@ -217,6 +223,8 @@
         }
         if (event.kind === "list-answer") {
             this.handleList(worker, event, now);
+        } else if (event.kind === "start-answer") {
+            this.recordTimeliness(event.outcome, now);
         }
         return worker;
     }
@@ -227,6 +235,14 @@
         worker.nextListAt = Math.min(worker.nextListAt, Math.max(now, earliest));
     }
 
+    private recordTimeliness(outcome: OrderOutcome, now: number): void {
+        if (outcome === "too-late") {
+            this.startWindow.recordLate(this.maxStartsInFlight, now);
+        } else if (outcome === "done") {
+            this.startWindow.recordInTime();
+        }
+    }
+
     private handleList(
         worker: WorkerContact,
         event: WorkerEvent & { readonly kind: "list-answer" },
