--- a/src/dispatch/common/viewController.ts
+++ b/src/dispatch/common/viewController.ts
@@ -87,7 +87,9 @@
      * @returns Whether tasks may be started: all views on which this is decided are recent enough.
      */
     canStart(now: number): boolean {
-        const isRecent = this.oldViews(now).length === 0;
+        // An order that is sent now may leave the process as late as the loop is.
+        const sentBy = now + (this.views.loop?.summary.medianMs ?? 0);
+        const isRecent = this.oldViews(sentBy).length === 0;
         this.machine.fire(isRecent ? "caught-up" : "aged", now);
         return isRecent;
     }
