Give a job without a run one within three seconds while its service has room

Cause: a best-effort job waited 3 s for full speed and up to 8 s for any speed, longer than the 3 s that callers accept, and the wait began again with each task and with each leader. Below full speed only workers with half of their memory and a quarter of the requested CPU to spare were open, and a start that its worker did not confirm held up all other tasks of the job.

WaitController now decides what a waiting task accepts. While the service has room (ServiceRoom: less than 55% of CPU, memory and accelerators in use; callers count below 50%), the stages are derived from the bound: BoundedWaitPolicy falls to any worker on which the task fits after 3,000 ms less 500 ms for a late leader and 200 ms for the start. Such jobs are placed before all others, one task each, the longest wait first. Without room PatientWaitPolicy has the former stages. A job that this leader has not seen before has waited since it was accepted or due. A run counts while its worker reports it; one that is not confirmed for 1 s holds up no other task. The speed that is ordered is still what the neighbors tolerate.

job-waits states the number of waiting tasks and for how long the service has had room.

The sabotage of the trials that offers no worker below full speed does not keep tasks from being placed any more; best-effort tasks are now never placed there.

--- a/src/dispatch/common/activeJob.ts
+++ b/src/dispatch/common/activeJob.ts
@@ -2,6 +2,7 @@
 import { JobProgress, TaskRecord } from "../../jobs/common/jobRecord";
 import { JobSpec, JobState, StepSpec } from "../../jobs/common/jobSpec";
 import { isFinal } from "../../jobs/common/jobTable";
+import type { Run } from "./run";
 import { Task } from "./task";
 import { TaskSuspicion } from "./taskSuspicion";
 
@@ -82,9 +83,9 @@
         return this.hasTask(task => task.run !== undefined);
     }
 
-    /** Whether one of its tasks has a run that a worker has reported. */
-    get hasReportedRun(): boolean {
-        return this.hasTask(task => task.run?.report !== undefined);
+    /** @returns Whether one of its tasks has a run for which this holds. */
+    hasRunLike(isMatch: (run: Run) => boolean): boolean {
+        return this.hasTask(task => task.run !== undefined && isMatch(task.run));
     }
 
     /** Whether every task of every occurrence is done. */
@@ -128,6 +129,11 @@
         return group.step.after.every(step => this.groupsByKey.get(`${group.occurrence}.${step}`)!.done.isFull);
     }
 
+    /** @returns Time from which a group may run, apart from the steps before it, in ms since the Unix epoch. */
+    readyAtMs(group: TaskGroup): number {
+        return Math.max(this.spec.acceptedAtMs, this.dueMs(group.occurrence));
+    }
+
     /** Whether the job has a long-running step and so runs until it is cancelled. */
     get isLongRunning(): boolean {
         return this.spec.steps.some(step => step.mode === "long-running");
--- a/src/dispatch/common/dispatchLimits.ts
+++ b/src/dispatch/common/dispatchLimits.ts
@@ -31,3 +31,12 @@
 
 /** Margin by which a lease is extended less than allowed, in ms, since the worker's clock is only estimated. */
 export const LEASE_MARGIN_MS = 100;
+
+/** Longest time for which an accepted job may have nothing running while its service has room, in ms. */
+export const MAX_IDLE_MS = 3_000;
+
+/** How late the leader may be, in ms. */
+export const MAX_LEADER_DELAY_MS = 500;
+
+/** Time from the choice of a worker until the run is at work, in ms: its assignment is stored, then its start is sent. */
+export const START_DELAY_MS = 200;
--- a/src/dispatch/common/placer.ts
+++ b/src/dispatch/common/placer.ts
@@ -5,12 +5,16 @@
 import { Task } from "./task";
 import { PlacementOffer, PlacementPolicy, SpeedLimit } from "./placementPolicy";
 import { RejectionTable } from "./rejectionTable";
+import { ANY_WORKER_PERCENT } from "./waitPolicy";
 import { WorkerContact } from "./workerContact";
 import { forecastFor, WorkerForecast } from "./workerForecast";
 
 /** Cost of each percent of speed that a task cannot have on a worker, in thousandths of a core; it exceeds all other costs. */
 const COST_PER_PERCENT_MILLIS = 1e9;
 
+/** Loss of speed, in percent, to which a worker is equal that is closed below full speed: it comes after all others. */
+const CLOSED_PENALTY_PERCENT = 101;
+
 /**
  * What keeps a worker from running a task at full speed: the service or the label, too little free capacity, what limits its speed,
  * or a limit per worker or an earlier failure of the task itself.
@@ -77,7 +81,7 @@
      * @param task A waiting task.
      * @param service Service whose workers may run it.
      * @param isAllowed Additional constraint on the worker.
-     * @param minSpeedPercent Lowest speed at which it may run, in percent of full speed.
+     * @param minSpeedPercent Lowest speed at which it may run, in percent of full speed, or `ANY_WORKER_PERCENT`.
      * @returns The worker on which it runs fastest; of several, the one with the lowest cost. `undefined` if the task has to wait.
      */
     choose(
@@ -95,7 +99,7 @@
             if (!isSufficient(offer, minSpeedPercent)) {
                 continue;
             }
-            const rank = offer.cost + (100 - offer.speedPercent) * COST_PER_PERCENT_MILLIS;
+            const rank = offer.cost + lostSpeedPercent(offer) * COST_PER_PERCENT_MILLIS;
             if (rank < bestRank && isAcceptable(task, worker) && isAllowed(worker)) {
                 best = { worker, speedPercent: offer.speedPercent };
                 bestRank = rank;
@@ -298,10 +302,18 @@
 function isSufficient(offer: PlacementOffer | undefined, minSpeedPercent: number): offer is PlacementOffer {
     return (
         offer !== undefined &&
-        (offer.limit === undefined || (offer.isOpenBelowFullSpeed && offer.speedPercent >= minSpeedPercent))
+        (offer.limit === undefined ||
+            minSpeedPercent === ANY_WORKER_PERCENT ||
+            (offer.isOpenBelowFullSpeed && offer.speedPercent >= minSpeedPercent))
     );
 }
 
+function lostSpeedPercent({ limit, speedPercent, isOpenBelowFullSpeed }: PlacementOffer): number {
+    return limit === undefined || isOpenBelowFullSpeed
+        ? 100 - speedPercent
+        : CLOSED_PENALTY_PERCENT + 100 - speedPercent;
+}
+
 /** @returns Whether a worker has the service and the label that all tasks of a step require. */
 function isOfKind(step: StepSpec, service: string, worker: WorkerContact): boolean {
     return worker.entry.service === service && worker.hasLabel(step.requiredLabel);
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -13,7 +13,7 @@
 import { SuspectTable } from "./suspectTable";
 import { ignoringFailures, Task } from "./task";
 import { WaitReporter } from "./waitReporter";
-import { WaitTable } from "./waitTable";
+import { WaitController } from "./waitController";
 import { WaitingOrder, WaitingRank } from "./waitingOrder";
 import { WorkerContact } from "./workerContact";
 
@@ -26,6 +26,10 @@
     readonly tasks: readonly Task[];
     /** Time for which its first task has waited without a run at work, in ms. */
     readonly waitedMs: number;
+    /** Time for which its service has had room, in ms, or `undefined` if it has none. */
+    readonly roomMs: number | undefined;
+    /** Whether it goes before all others with its first task, so that its job has a run in time. */
+    readonly isDue: boolean;
     /** Whether the tasks have runs that are throttled, and move if another worker offers a higher speed. */
     readonly isThrottled: boolean;
     /** Whether they are suspected of crashing their workers. */
@@ -41,7 +45,7 @@
  */
 export class StepQueue {
     private readonly probation: ProbationPlacer;
-    private readonly waits = WaitTable.create();
+    private readonly waits = WaitController.create();
     private readonly waitReporter = WaitReporter.create();
     private readonly reviewer = RunReviewer.create();
     /** Fires for a job that has nothing running although a step is ready. */
@@ -98,6 +102,7 @@
         wallNow: number,
     ): void {
         this.remainingStarts = maxStarts;
+        this.waits.updateRoom(workers, now);
         const waiting: WaitingGroup[] = [];
         for (const job of jobs) {
             if (!isFinal(job.state)) {
@@ -116,10 +121,18 @@
         const placer = Placer.create(open, this.model);
         this.moves.prune(open, now);
         this.finishMoves(unsuspected, placer, now);
+        this.placeDue(unsuspected, placer, now);
         this.placeInOrder(unsuspected, placer, now);
         this.waitReporter.review(waiting, placer, now);
     }
 
+    /** Places one task, or the gang, of each job that has to have a run soon, the one that has waited longest first. */
+    private placeDue(waiting: readonly WaitingGroup[], placer: Placer, now: number): void {
+        const due = waiting.filter(entry => entry.isDue).sort((a, b) => b.waitedMs - a.waitedMs);
+        const first = due.map(entry => (isGang(entry) ? entry : { ...entry, tasks: entry.tasks.slice(0, 1) }));
+        this.placeInOrder(first, placer, now);
+    }
+
     private placeInOrder(waiting: readonly WaitingGroup[], placer: Placer, now: number): void {
         for (const entry of waiting) {
             if (this.remainingStarts <= 0) {
@@ -127,7 +140,7 @@
             }
             if (entry.isThrottled) {
                 this.moveTasks(entry, placer, now);
-            } else if (entry.group.step.mode === "gang") {
+            } else if (isGang(entry)) {
                 this.placeGang(entry, placer, now);
             } else {
                 this.placeTasks(entry, placer, now);
@@ -138,25 +151,33 @@
     private collectWaiting(job: ActiveJob, now: number, wallNow: number, waiting: WaitingGroup[]): void {
         const { service, priority } = this.queues.latestSettings(job.spec.queue);
         const groups = [...job.groups].filter(group => !group.done.isFull && job.isReady(group));
-        this.waits.update(job, groups, now);
+        this.waits.updateJob(job, groups, now, wallNow);
         for (const group of groups) {
             const { tasks, throttled } = this.tasksToPlace(group, now);
-            const isGang = group.step.mode === "gang";
-            const isComplete = !isGang || tasks.length === group.tasks.length;
+            const isComplete = !isGang({ group }) || tasks.length === group.tasks.length;
             if ((tasks.length === 0 || !isComplete) && throttled.length === 0) {
                 continue;
             }
             const rank = this.order.rank(job, job.remainingMs(group), wallNow);
-            const add = (entryTasks: readonly Task[], isSuspected: boolean, isThrottled: boolean) => {
-                const waitedMs = isThrottled ? 0 : this.waits.waitedMs(group, entryTasks[0], now);
-                waiting.push({ group, tasks: entryTasks, waitedMs, isThrottled, isSuspected, service, priority, rank });
-            };
+            const roomMs = this.waits.roomMs(service, now);
+            const common = { group, service, priority, rank, roomMs };
             if (throttled.length > 0) {
-                add(throttled, false, true);
+                waiting.push({
+                    ...common,
+                    tasks: throttled,
+                    waitedMs: 0,
+                    isDue: false,
+                    isSuspected: false,
+                    isThrottled: true,
+                });
             }
             if (tasks.length > 0 && isComplete) {
                 this.recordDemand(group, service, now);
-                this.separateSuspected(tasks, isGang).forEach(each => add(each.tasks, each.isSuspected, false));
+                for (const each of this.separateSuspected(tasks, isGang({ group }))) {
+                    const waitedMs = this.waits.waitedMs(group, each.tasks[0], now);
+                    const isDue = this.waits.isDue(group, each.tasks[0], service, now);
+                    waiting.push({ ...common, ...each, waitedMs, isDue, isThrottled: false });
+                }
             }
         }
     }
@@ -178,9 +199,9 @@
     }
 
     /** Suspected tasks start one by one, apart from the others of their step; a gang starts as a whole. */
-    private separateSuspected(tasks: readonly Task[], isGang: boolean): Pick<WaitingGroup, "tasks" | "isSuspected">[] {
+    private separateSuspected(tasks: readonly Task[], isAll: boolean): Pick<WaitingGroup, "tasks" | "isSuspected">[] {
         const suspected = this.suspects.isEmpty ? [] : tasks.filter(task => this.suspects.has(task));
-        if (suspected.length === 0 || isGang) {
+        if (suspected.length === 0 || isAll) {
             return [{ tasks, isSuspected: suspected.length > 0 }];
         }
         const others = tasks.filter(task => !this.suspects.has(task));
@@ -244,13 +265,13 @@
         }
     }
 
-    private minSpeedPercent({ group }: WaitingGroup, task: Task, now: number): number {
-        return this.waits.minSpeedPercent(group, task, now);
+    private minSpeedPercent({ group, service }: WaitingGroup, task: Task, now: number): number {
+        return this.waits.minSpeedPercent(group, task, service, now);
     }
 
     /** Moves throttled tasks that run faster on another worker. Each worker is offered to one of them in a pass. */
     private moveTasks(entry: WaitingGroup, placer: Placer, now: number): void {
-        if (entry.group.step.mode === "gang") {
+        if (isGang(entry)) {
             this.moveGang(entry, placer, now);
             return;
         }
@@ -371,6 +392,7 @@
 
     private assignTo(task: Task, { worker, speedPercent }: PlacementChoice, placer: Placer, now: number): void {
         this.host.assign(task, worker, speedPercent, now);
+        this.waits.recordAssignment(task, worker.entry.service, now);
         placer.invalidate(worker);
         this.remainingStarts -= 1;
     }
@@ -398,6 +420,10 @@
     }
 }
 
+function isGang({ group }: Pick<WaitingGroup, "group">): boolean {
+    return group.step.mode === "gang";
+}
+
 /** @returns The rack of the first task in the group that has a run, if any. */
 function rackOf(group: TaskGroup): string | undefined {
     return group.tasks.find(task => task.run !== undefined)?.run?.rack;
--- a/src/dispatch/common/test/runs.ts
+++ b/src/dispatch/common/test/runs.ts
@@ -47,7 +47,8 @@
 
     /** @param assignTask Assigns a task to a worker. @returns The host. */
     static create(
-        assignTask: (task: Task, worker: WorkerContact, now: number) => Run = (task, worker) => assign(worker, task),
+        assignTask: (task: Task, worker: WorkerContact, now: number) => Run = (task, worker, now) =>
+            assign(worker, task, now),
     ): AssigningHost {
         return new AssigningHost(assignTask);
     }
@@ -133,8 +134,8 @@
     return assign(worker, task);
 }
 
-/** @returns A job of one step that is due. */
-export function createJob(id: string, step: StepSpec): ActiveJob {
+/** @param acceptedAtMs Time (ms) at which it was accepted. @returns A job of one step that is due. */
+export function createJob(id: string, step: StepSpec, acceptedAtMs = 0): ActiveJob {
     const queue = { name: "q", host: "h", prefix: "/q/", service: "svc", priority: 0, maxAttempts: 3 };
     const timing = { stretch: 2, slackMs: 1_000, timeoutMs: 3_000 };
     const spec: JobSpec = {
@@ -145,20 +146,20 @@
         occurrences: 0,
         firstDueMs: 0,
         intervalMs: 0,
-        acceptedAtMs: 0,
+        acceptedAtMs,
     };
     const job = ActiveJob.create(spec, 0, undefined);
     job.openDue(0);
     return job;
 }
 
-/** Assigns a task to a worker. @returns The run. */
-export function assign(worker: WorkerContact, task: Task): Run {
+/** Assigns a task to a worker, and sends its start. @param now Time in ms. @returns The run. */
+export function assign(worker: WorkerContact, task: Task, now = 0): Run {
     const record = { task: task.name, run: 1, worker: worker.entry.id, incarnation: 0, checkpoint: "" };
-    const run = Run.create(task, record, new NoopRunHost(), 0);
+    const run = Run.create(task, record, new NoopRunHost(), now);
     task.run = run;
     worker.runs.set(task.name, run);
-    run.fire("stored", { now: 0 });
+    run.fire("stored", { now });
     return run;
 }
 
--- a/src/dispatch/common/test/scheduler.test.ts
+++ b/src/dispatch/common/test/scheduler.test.ts
@@ -88,7 +88,7 @@
 
     /** Submits a job of one step. */
     submit(id: string, step: StepSpec): void {
-        const { spec } = createJob(id, step);
+        const { spec } = createJob(id, step, this.now);
         this.jobs.apply({ key: jobKey("spec", id), value: encodeSpec(spec), offset: this.jobs.size });
     }
 
--- a/src/dispatch/common/test/stepQueue.test.ts
+++ b/src/dispatch/common/test/stepQueue.test.ts
@@ -85,7 +85,9 @@
         queue.placeWaiting([job], workers, 100, now, now);
     }
     const counts = { workers: 3, otherKind: 2, noRoom: 1, noHeadroom: 0, interference: 0, noSpareCpu: 0, ownLimit: 0 };
-    t.deepEqual(reports, [{ task: "a.0.0.0", waitedMs: 2_000, oldestEstimateMs: undefined, ...counts }]);
+    t.deepEqual(reports, [
+        { task: "a.0.0.0", waitedMs: 2_000, waiting: 1, roomMs: 2_000, oldestEstimateMs: undefined, ...counts },
+    ]);
 });
 
 test("each of many waiting jobs is reported about every five seconds", t => {
@@ -305,14 +307,14 @@
     const other = createJob("b", createBestEffort({ tasks: 1, request }));
     const idle = createWorker("idle");
     const usable = [...workers, idle];
-    queue.placeWaiting([job, other], usable, 100, 10_000, 10_000);
+    queue.placeWaiting([job, other], usable, 100, 10_000, 0);
     t.deepEqual(host.moved, [run]);
     // The stop takes some passes.
     run.fire("stop", { now: 10_000 });
-    queue.placeWaiting([job, other], usable, 100, 10_100, 10_100);
+    queue.placeWaiting([job, other], usable, 100, 10_100, 100);
     workers[0].runs.delete(task.name);
     task.run = undefined;
-    queue.placeWaiting([job, other], usable, 100, 10_200, 10_200);
+    queue.placeWaiting([job, other], usable, 100, 10_200, 200);
     t.is((task.run as { record: { worker: string } } | undefined)?.record.worker, "idle");
 });
 
--- a/src/dispatch/common/test/stepQueueMoves.test.ts
+++ b/src/dispatch/common/test/stepQueueMoves.test.ts
@@ -78,7 +78,7 @@
         queue.placeWaiting([job], usable, 100, 10_000, 10_000);
         t.deepEqual(host.moved, [run]);
         run.fire("stop", { now: 10_000 });
-        const waiting = createJob("b", createBestEffort(overrides));
+        const waiting = createJob("b", createBestEffort(overrides), 10_100);
         queue.placeWaiting([job, waiting], usable, 100, 10_100, 10_100);
         t.false(waiting.hasRun);
         end(run, usable);
--- a/src/dispatch/common/waitReporter.ts
+++ b/src/dispatch/common/waitReporter.ts
@@ -20,6 +20,10 @@
     readonly task: string;
     /** Time for which the step has waited, in ms. */
     readonly waitedMs: number;
+    /** Number of tasks of the step that wait. */
+    readonly waiting: number;
+    /** Part of that time for which about half of the service's capacity was free, in ms, or `undefined` if it is not now. */
+    readonly roomMs: number | undefined;
     /** Usable workers of all services that accept other tasks. */
     readonly workers: number;
     /** Age of the oldest estimate of interference that is in the way, in ms, if one with reports is. */
@@ -33,6 +37,8 @@
     readonly service: string;
     /** Time for which it has waited without any run of its job, in ms. */
     readonly waitedMs: number;
+    /** Time for which its service has had room, in ms, or `undefined` if it has none. */
+    readonly roomMs: number | undefined;
 }
 
 /** Reports the jobs that have nothing running although a step is ready, with the reasons. */
@@ -62,7 +68,7 @@
         }
         this.nextReviewAt = now + REVIEW_INTERVAL_MS;
         let reports = 0;
-        for (const { group, tasks, service, waitedMs } of waiting) {
+        for (const { group, tasks, service, waitedMs, roomMs } of waiting) {
             const [task] = tasks;
             const isDue = now - (this.reportedAt.get(group) ?? -Infinity) >= REPORT_INTERVAL_MS;
             if (waitedMs >= MIN_WAIT_MS && isDue && reports < MAX_REPORTS_PER_REVIEW && !task.job.hasRun) {
@@ -74,6 +80,8 @@
                 this.didWait.fire({
                     task: task.name,
                     waitedMs: Math.round(waitedMs),
+                    waiting: tasks.length,
+                    roomMs: roomMs && Math.round(Math.min(roomMs, waitedMs)),
                     workers,
                     oldestEstimateMs,
                     ...obstacles,
--- a/src/proof/node/test/jobTrial.test.ts
+++ b/src/proof/node/test/jobTrial.test.ts
@@ -1,5 +1,5 @@
 import test, { ExecutionContext } from "ava";
-import { BestEffortPolicy } from "../../../dispatch/common/bestEffortPolicy";
+import { Placer } from "../../../dispatch/common/placer";
 import { RENEWAL_WINDOW_MS } from "../../../dispatch/common/dispatchLimits";
 import { LatencyModel } from "../../../dispatch/common/latencyModel";
 import { Scheduler } from "../../../dispatch/common/scheduler";
@@ -496,8 +496,11 @@
 
 test.serial("jobs whose tasks are never placed wait although there is room", t => {
     const plan = { ...COLOCATED, colocation: LIGHT };
-    const offer = { cost: 0, speedPercent: 0, limit: "noSpareCpu" as const, isOpenBelowFullSpeed: false };
-    expectViolation(t, ["bounded-wait"], BestEffortPolicy.prototype, "assess", () => offer, plan);
+    const { choose } = Placer.prototype;
+    const chooseReserved = function (this: Placer, ...args: Parameters<Placer["choose"]>) {
+        return args[0].step.usesSpareCpu ? undefined : choose.apply(this, args);
+    };
+    expectViolation(t, ["bounded-wait"], Placer.prototype, "choose", chooseReserved, plan);
 });
 
 /** Faults beside which another writer stores odd entries. */
