--- a/src/dispatch/common/activeJob.ts
+++ b/src/dispatch/common/activeJob.ts
@@ -87,9 +87,9 @@
         return this.runCount > 0;
     }
 
-    /** Whether one of its tasks has a run that a worker has reported. */
-    get hasReportedRun(): boolean {
-        return this.hasRun && this.hasTask(task => task.run?.report !== undefined);
+    /** @returns Whether one of its tasks has a run for which this holds. */
+    hasRunLike(isMatch: (run: Run) => boolean): boolean {
+        return this.hasRun && this.hasTask(task => task.run !== undefined && isMatch(task.run));
     }
 
     /** Increases with each change of which tasks wait: their occurrences, runs, speeds, ends and suspicions. */
@@ -149,6 +149,11 @@
         return group.step.after.every(step => this.groupsByKey.get(`${group.occurrence}.${step}`)!.done.isFull);
     }
 
+    /** @returns Time from which a group may run, apart from the steps before it, in ms since the Unix epoch. */
+    readyAtMs(group: TaskGroup): number {
+        return Math.max(this.spec.acceptedAtMs, this.dueMs(group.occurrence));
+    }
+
     /** @returns Estimated duration of the group's step and the steps that depend on it, in ms. */
     remainingMs(group: TaskGroup): number {
         const first = this.spec.steps.indexOf(group.step);
--- a/src/dispatch/common/capacityBounds.ts
+++ b/src/dispatch/common/capacityBounds.ts
@@ -1,5 +1,6 @@
 import { StepSpec } from "../../jobs/common/jobSpec";
 import { PlacementPolicy } from "./placementPolicy";
+import { ANY_WORKER_PERCENT } from "./waitPolicy";
 import { WorkerContact } from "./workerContact";
 import { WorkerForecast } from "./workerForecast";
 
@@ -78,12 +79,14 @@
     next(kind: KindBounds, step: StepSpec, minSpeedPercent: number, from: number): number {
         const { cpuMillis, memoryMb } = step.request;
         const isSlowAllowed = minSpeedPercent < 100;
+        const isAnyAllowed = minSpeedPercent === ANY_WORKER_PERCENT;
         const { length } = this.workers;
         for (let position = from; position < length; position++) {
             if (kind.versions[position] !== this.versions[position]) {
                 this.update(kind, step, position);
             }
-            const hasCpu = cpuMillis <= kind.fullSpeedMillis[position] || (isSlowAllowed && kind.isOpenBelow[position]);
+            const isSlowOpen = isAnyAllowed || (isSlowAllowed && kind.isOpenBelow[position]);
+            const hasCpu = cpuMillis <= kind.fullSpeedMillis[position] || isSlowOpen;
             if (hasCpu && memoryMb <= kind.memoryMb[position]) {
                 return position;
             }
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -13,8 +13,8 @@
 import { SuspectTable } from "./suspectTable";
 import { ignoringFailures, Task } from "./task";
 import { WaitReporter } from "./waitReporter";
+import { WaitController } from "./waitController";
 import { CollectedJob, IndexedEntry, WaitingIndex } from "./waitingIndex";
-import { WaitTable } from "./waitTable";
 import { WaitingOrder, WaitingRank } from "./waitingOrder";
 import { WorkerContact } from "./workerContact";
 
@@ -27,6 +27,8 @@
     readonly tasks: readonly Task[];
     /** Time for which its first task has waited without a run at work, in ms; kept up to date for reports only. */
     waitedMs: number;
+    /** Time for which its service has had room, in ms, or `undefined` if it has none; kept up to date for reports only. */
+    roomMs: number | undefined;
     /** Whether the tasks have runs that are throttled, and move if another worker offers a higher speed. */
     readonly isThrottled: boolean;
     /** Whether they are suspected of crashing their workers. */
@@ -50,7 +52,7 @@
  */
 export class StepQueue {
     private readonly probation: ProbationPlacer;
-    private readonly waits = WaitTable.create();
+    private readonly waits = WaitController.create();
     private readonly waitReporter = WaitReporter.create();
     private readonly reviewer = RunReviewer.create();
     /** Fires for a job that has nothing running although a step is ready. */
@@ -108,6 +110,7 @@
         wallNow: number,
     ): void {
         this.remainingStarts = maxStarts;
+        this.waits.updateRoom(workers, now);
         const waiting = this.orderWaiting(jobs, now, wallNow);
         if (waiting.length === 0) {
             return;
@@ -119,6 +122,7 @@
         const placer = Placer.create(open, this.model);
         this.moves.prune(open, now);
         this.finishMoves(unsuspected, placer, now);
+        this.placeDue(unsuspected, placer, now);
         this.placeInOrder(unsuspected, placer, now);
         this.reviewWaits(waiting, placer, now);
     }
@@ -127,6 +131,7 @@
         if (this.waitReporter.isDue(now)) {
             for (const entry of waiting) {
                 entry.waitedMs = entry.isThrottled ? 0 : this.waits.waitedMs(entry.group, entry.tasks[0], now);
+                entry.roomMs = this.waits.roomMs(entry.service, now);
             }
             this.waitReporter.review(waiting, placer, now);
         }
@@ -148,6 +153,17 @@
         return this.index.sort((a, b) => this.compare(a, b));
     }
 
+    /** Places one task, or the gang, of each job that has to have a run soon, the one that has waited longest first. */
+    private placeDue(waiting: readonly WaitingGroup[], placer: Placer, now: number): void {
+        const waitedMs = ({ group, tasks }: WaitingGroup) => this.waits.waitedMs(group, tasks[0], now);
+        const due = waiting.filter(
+            entry => !entry.isThrottled && this.waits.isDue(entry.group, entry.tasks[0], entry.service, now),
+        );
+        due.sort((a, b) => waitedMs(b) - waitedMs(a));
+        const first = due.map(entry => (isGang(entry) ? entry : { ...entry, tasks: entry.tasks.slice(0, 1) }));
+        this.placeInOrder(first, placer, now);
+    }
+
     private placeInOrder(waiting: readonly WaitingGroup[], placer: Placer, now: number): void {
         for (const entry of waiting) {
             if (this.remainingStarts <= 0) {
@@ -155,7 +171,7 @@
             }
             if (entry.isThrottled) {
                 this.moveTasks(entry, placer, now);
-            } else if (entry.group.step.mode === "gang") {
+            } else if (isGang(entry)) {
                 this.placeGang(entry, placer, now);
             } else {
                 this.placeTasks(entry, placer, now);
@@ -166,7 +182,7 @@
     /** Updates what changes with time in a job that has not changed. Without a run, it waits on as before. */
     private refresh(job: ActiveJob, kept: CollectedJob<WaitingGroup>, now: number, wallNow: number): void {
         if (job.hasRun) {
-            this.waits.update(job, kept.groups, now);
+            this.waits.updateJob(job, kept.groups, now, wallNow);
         }
         for (const entry of kept.entries) {
             entry.rank = this.order.rank(job, entry.rank.remainingMs, wallNow);
@@ -178,19 +194,18 @@
         let isLasting = true;
         const { service, priority } = this.queues.latestSettings(job.spec.queue);
         const groups = [...job.groups].filter(group => !group.done.isFull && job.isReady(group));
-        this.waits.update(job, groups, now);
+        this.waits.updateJob(job, groups, now, wallNow);
         for (const group of groups) {
             const { tasks, throttled, hasThrottledRun } = this.tasksToPlace(group, now);
             isLasting &&= !hasThrottledRun;
-            const isGang = group.step.mode === "gang";
-            const isComplete = !isGang || tasks.length === group.tasks.length;
+            const isComplete = !isGang({ group }) || tasks.length === group.tasks.length;
             if ((tasks.length === 0 || !isComplete) && throttled.length === 0) {
                 continue;
             }
             const rank = this.order.rank(job, job.remainingMs(group), wallNow);
             const add = (entryTasks: readonly Task[], isSuspected: boolean, isThrottled: boolean) => {
                 const waitedMs = isThrottled ? 0 : this.waits.waitedMs(group, entryTasks[0], now);
-                const kind = { isThrottled, isSuspected, service, priority };
+                const kind = { isThrottled, isSuspected, service, priority, roomMs: undefined };
                 waiting.push({ group, tasks: entryTasks, waitedMs, ...kind, rank, pass: 0, position: 0 });
             };
             if (throttled.length > 0) {
@@ -198,7 +213,8 @@
             }
             if (tasks.length > 0 && isComplete) {
                 this.recordDemand(group, service, now);
-                this.separateSuspected(tasks, isGang).forEach(each => add(each.tasks, each.isSuspected, false));
+                const isAll = isGang({ group });
+                this.separateSuspected(tasks, isAll).forEach(each => add(each.tasks, each.isSuspected, false));
             }
         }
         return { groups, entries: waiting, isLasting };
@@ -226,9 +242,9 @@
     }
 
     /** Suspected tasks start one by one, apart from the others of their step; a gang starts as a whole. */
-    private separateSuspected(tasks: readonly Task[], isGang: boolean): Pick<WaitingGroup, "tasks" | "isSuspected">[] {
+    private separateSuspected(tasks: readonly Task[], isAll: boolean): Pick<WaitingGroup, "tasks" | "isSuspected">[] {
         const suspected = this.suspects.isEmpty ? [] : tasks.filter(task => this.suspects.has(task));
-        if (suspected.length === 0 || isGang) {
+        if (suspected.length === 0 || isAll) {
             return [{ tasks, isSuspected: suspected.length > 0 }];
         }
         const others = tasks.filter(task => !this.suspects.has(task));
@@ -298,13 +314,13 @@
         }
     }
 
-    private minSpeedPercent({ group }: WaitingGroup, task: Task, now: number): number {
-        return this.waits.minSpeedPercent(group, task, now);
+    private minSpeedPercent({ group, service }: WaitingGroup, task: Task, now: number): number {
+        return this.waits.minSpeedPercent(group, task, service, now);
     }
 
     /** Moves throttled tasks that run faster on another worker. Each worker is offered to one of them in a pass. */
     private moveTasks(entry: WaitingGroup, placer: Placer, now: number): void {
-        if (entry.group.step.mode === "gang") {
+        if (isGang(entry)) {
             this.moveGang(entry, placer, now);
             return;
         }
@@ -426,6 +442,7 @@
 
     private assignTo(task: Task, { worker, speedPercent }: PlacementChoice, placer: Placer, now: number): void {
         this.host.assign(task, worker, speedPercent, now);
+        this.waits.recordAssignment(task, worker.entry.service, now);
         placer.invalidate(worker);
         this.remainingStarts -= 1;
     }
@@ -453,6 +470,10 @@
     }
 }
 
+function isGang({ group }: Pick<WaitingGroup, "group">): boolean {
+    return group.step.mode === "gang";
+}
+
 /** @returns The rack of the first task in the group that has a run, if any. */
 function rackOf(group: TaskGroup): string | undefined {
     return group.tasks.find(task => task.run !== undefined)?.run?.rack;
