Let a job wait from when its next step is ready, also if it is kept from one pass to the next

Merged, the kept entries and the new table of waits left out the update of a job whose steps are all waiting for others or for their time: its wait then counted from its first pass. The comparison of kept and collected entries failed with it.

--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -181,7 +181,7 @@
 
     /** Updates what changes with time in a job that has not changed. Without a run, it waits on as before. */
     private refresh(job: ActiveJob, kept: CollectedJob<WaitingGroup>, now: number, wallNow: number): void {
-        if (job.hasRun) {
+        if (job.hasRun || kept.groups.length === 0) {
             this.waits.updateJob(job, kept.groups, now, wallNow);
         }
         for (const entry of kept.entries) {
--- a/src/dispatch/common/test/viewController.test.ts
+++ b/src/dispatch/common/test/viewController.test.ts
@@ -64,5 +64,10 @@
 
 test("the ages of the views on which starts are decided are always stated", t => {
     const { controller } = createController({ jobs: 30, workers: 400 });
-    t.deepEqual(controller.ageFields(NOW), { jobsAgeMs: 30, workersAgeMs: 400, configAgeMs: undefined });
+    t.deepEqual(controller.ageFields(NOW), {
+        jobsAgeMs: 30,
+        workersAgeMs: 400,
+        configAgeMs: undefined,
+        delayMs: undefined,
+    });
 });
