Leave the wait as it was while a service has no room

While a service has no room, a late leader took starts that were not reported within 1 s for none at work, and started further tasks of their jobs below full speed; a new leader started all waiting jobs so at once. Both are more work just when it is late.

Without room the wait is again that of the present leader, and a job with any run waits for full speed. A start counts for 2.5 s instead of 1 s.

--- a/src/dispatch/common/waitController.ts
+++ b/src/dispatch/common/waitController.ts
@@ -7,8 +7,8 @@
 import { isAtWork, WaitTable } from "./waitTable";
 import { WorkerContact } from "./workerContact";
 
-/** Time within which a start is answered by a worker that can be reached, in ms. */
-const START_ANSWER_MS = 1_000;
+/** Time within which a start is answered by a worker that can be reached, in ms; the leader may be late. */
+const START_ANSWER_MS = 2_500;
 
 /** Bounds the time for which jobs have nothing running: decides what their tasks accept, and which go before all others. */
 export class WaitController {
@@ -16,6 +16,8 @@
     private readonly room = ServiceRoom.create();
     private readonly bounded = BoundedWaitPolicy.create();
     private readonly patient = PatientWaitPolicy.create();
+    /** Time (ms) of the first review of the workers. */
+    private startedAt: number | undefined;
 
     private constructor() {}
 
@@ -26,6 +28,7 @@
 
     /** Reviews the workers once in a pass. @param workers Usable workers. @param now Time in ms. */
     updateRoom(workers: readonly WorkerContact[], now: number): void {
+        this.startedAt ??= now;
         this.room.update(workers, now);
     }
 
@@ -62,11 +65,17 @@
         if (!group.step.usesSpareCpu) {
             return 100;
         }
-        const percent = Math.min(
-            this.patient.minSpeedPercent(this.waitedMs(group, task, now)),
-            this.bounded.minSpeedPercent(this.waitedWithRoomMs(group, task, service, now)),
+        const bounded = this.bounded.minSpeedPercent(this.waitedWithRoomMs(group, task, service, now));
+        const patient = this.patient.minSpeedPercent(this.waitedUnderLeaderMs(group, task, now));
+        return Math.min(
+            bounded < 100 && !hasOtherRun(task, now) ? bounded : 100,
+            patient < 100 && (group.step.mode === "long-running" || !task.job.hasRun) ? patient : 100,
         );
-        return percent < 100 && hasOtherRun(task, now) ? 100 : percent;
+    }
+
+    /** Starts below full speed are work for a leader that has just begun, so without room the wait begins with it. */
+    private waitedUnderLeaderMs(group: TaskGroup, task: Task, now: number): number {
+        return Math.min(this.waitedMs(group, task, now), now - (this.startedAt ?? now));
     }
 
     private waitedWithRoomMs(group: TaskGroup, task: Task, service: string, now: number): number {
