Reject a share of the processor that is more than there is

Settings with a share above the processor were accepted, and the instance claimed the leadership as one with that many cores. Settings without a processor, or with a share of 0, were rejected before, with the place; tests state all three.

--- a/src/host/common/jobSettings.ts
+++ b/src/host/common/jobSettings.ts
@@ -17,7 +17,12 @@
         metrics: z.optional(address),
     }),
     /** CPU available to the instance: its share of a processor, and that processor's speed relative to one core. */
-    processor: z.strictObject({ share: z.number().check(z.positive()), speed: z.number().check(z.positive()) }),
+    processor: z.strictObject({ share: z.number().check(z.positive()), speed: z.number().check(z.positive()) }).check(
+        z.refine(({ share, speed }) => share <= Math.max(1, speed), {
+            error: "is more than the processor has",
+            path: ["share"],
+        }),
+    ),
     /** Address of the platform's store. */
     store: address,
     scheduling: z.strictObject({
