--- a/src/host/common/orderQueue.ts
+++ b/src/host/common/orderQueue.ts
@@ -8,9 +8,6 @@
 
 type OrderClass = (typeof ORDER_CLASSES)[number];
 
-/** Classes that may use the last connection, so that a stop or a lease never waits for the answer to a start. */
-const URGENT_CLASSES: readonly OrderClass[] = ["stop", "list"];
-
 /**
  * Limit of the orders to each worker that are in flight, so that none waits in the HTTP client, which knows no priorities: it has as
  * many connections to each worker.
@@ -67,8 +64,7 @@
         if (orders === undefined || orders.inFlight >= this.limit) {
             return undefined;
         }
-        const isLastConnection = orders.inFlight === this.limit - 1 && this.limit > 1;
-        for (const orderClass of isLastConnection ? URGENT_CLASSES : ORDER_CLASSES) {
+        for (const orderClass of ORDER_CLASSES) {
             const next = orders.waiting.get(orderClass)?.shift();
             if (next !== undefined) {
                 orders.inFlight += 1;
