--- a/src/records/common/leadership.ts
+++ b/src/records/common/leadership.ts
@@ -34,7 +34,7 @@
  * Longest time without a renewal of a leader that takes over or is late. It bounds the time without a leader if that one is
  * lost; leases of workers last longer.
  */
-const MAX_LEADER_TIMEOUT_MS = 2_500;
+const MAX_LEADER_TIMEOUT_MS = 2_000;
 
 /** How much longer others wait for a leader that is late, as a multiple of its latest delay. */
 const LATE_RATIO = 2;
@@ -43,7 +43,7 @@
 const MIN_LATE_MS = 50;
 
 /** Time after the jobs are restored for which a leader still counts as taking over, in ms: workers report all their ends. */
-const TAKEOVER_SETTLING_MS = 1_500;
+const TAKEOVER_SETTLING_MS = 1_000;
 
 /**
  * Gap between two successful reads that counts as a store outage: three long polls. The leader could not renew during
--- a/src/records/common/test/leadership.test.ts
+++ b/src/records/common/test/leadership.test.ts
@@ -349,7 +349,7 @@
     const leader = createInstance(log, "a", 10);
     leader.read(1_000);
     log.append(leader.claim(1_000)[0].append);
-    t.is(claimTime(createInstance(log, "b", 20)), 2_600);
+    t.is(claimTime(createInstance(log, "b", 20)), 2_100);
 });
 
 test("a leader that has taken over is replaced as soon as any other", t => {
@@ -386,7 +386,7 @@
 test("others wait a bounded time for a leader that is very late", t => {
     const log = KeyedLog.create();
     log.store("leader", JSON.stringify({ epoch: 1, instance: "a", cores: 1, lateMs: 60_000 }));
-    t.is(claimTime(createInstance(log, "b", 20)), 2_600);
+    t.is(claimTime(createInstance(log, "b", 20)), 2_100);
 });
 
 test("records of earlier versions and odd delays leave the timeout as it is", t => {
@@ -409,7 +409,7 @@
     t.false(result.ok);
     second.leadership.handleAppendAnswer({ kind: "append-answer", writer, sequence: append.sequence, result }, 1_010);
     second.read(1_300);
-    t.is(claimTime(second, 1_400), 3_900);
+    t.is(claimTime(second, 1_400), 3_400);
 });
 
 test("renewals that an instance reads late count from when it reads them", t => {
