--- /dev/null
+++ b/src/records/common/test/claimant.ts
@@ -0,0 +1,71 @@
+import { Ok } from "ts-results";
+import { Outbox } from "../../../base/common/outbox";
+import { KeyedLog } from "../../../standin/common/keyedLog";
+import { Leadership } from "../leadership";
+import { RecordFollower, RecordReceiver } from "../recordFollower";
+import { NewestPage } from "../recordStore";
+import { RecordEffect } from "../recordEvents";
+
+class LeaderReceiver extends RecordReceiver {
+    leadership: Leadership | undefined;
+    now = 0;
+    isFollowed = true;
+
+    override apply(record: Parameters<RecordReceiver["apply"]>[0]): void {
+        this.leadership!.apply(record, this.now, this.isFollowed);
+    }
+
+    override retainKeys(): void {}
+}
+
+/** An instance whose reads and claims are made by the test. */
+export function createInstance(log: KeyedLog, instance: string, nonce: number, cores = 1) {
+    const outbox = Outbox.create<RecordEffect>();
+    const receiver = new LeaderReceiver();
+    const follower = RecordFollower.create("jobs", receiver, () => ({ waitMs: 0, pauseMs: 0 }), outbox);
+    const leadership = Leadership.create({ instance, nonce, storeRoundTripMs: () => 1, cores }, follower, outbox);
+    receiver.leadership = leadership;
+    let number = 0;
+    const drain = () => {
+        const effects = outbox.drain();
+        effects.forEach(effect => (number = effect.kind === "append" ? number : effect.number));
+        return effects;
+    };
+    follower.start();
+    drain();
+    follower.handleAnswer({ kind: "newest-answer", stream: "jobs", number, sentAt: 0, result: log.newest(undefined) });
+    leadership.tick(0);
+    drain();
+    const read = (now: number) => {
+        receiver.now = now;
+        follower.handleAnswer({
+            kind: "read-answer",
+            stream: "jobs",
+            number,
+            sentAt: now,
+            result: log.read(follower.nextOffset),
+        });
+        drain();
+    };
+    const claim = (now: number) => {
+        leadership.tick(now);
+        return drain().flatMap(effect => (effect.kind === "append" ? [effect] : []));
+    };
+    const flush = (now: number) => {
+        leadership.writer!.flush(now);
+        return drain().flatMap(effect => (effect.kind === "append" ? [effect] : []));
+    };
+    const renew = (now: number) => {
+        leadership.tick(now);
+        return flush(now);
+    };
+    /** Answers the read of a page of newest records. */
+    const load = (now: number, page: NewestPage) => {
+        receiver.now = now;
+        receiver.isFollowed = false;
+        follower.handleAnswer({ kind: "newest-answer", stream: "jobs", number, sentAt: now, result: Ok(page) });
+        receiver.isFollowed = true;
+        drain();
+    };
+    return { leadership, read, claim, renew, flush, load };
+}
