--- a/src/records/common/test/claimant.ts
+++ b/src/records/common/test/claimant.ts
@@ -1,11 +1,17 @@
-import { Ok } from "ts-results";
+import { Ok, Result } from "ts-results";
 import { Outbox } from "../../../base/common/outbox";
-import { KeyedLog } from "../../../standin/common/keyedLog";
 import { Leadership } from "../leadership";
 import { RecordFollower, RecordReceiver } from "../recordFollower";
-import { NewestPage } from "../recordStore";
+import { RecordOffset } from "../record";
+import { NewestPage, ReadError, RecordPage } from "../recordStore";
 import { RecordEffect } from "../recordEvents";
 
+/** The stream that holds the claims. */
+interface ClaimLog {
+    newest(after: string | undefined): Result<NewestPage, ReadError>;
+    read(from: RecordOffset): Result<RecordPage, ReadError>;
+}
+
 class LeaderReceiver extends RecordReceiver {
     leadership: Leadership | undefined;
     now = 0;
@@ -19,7 +25,7 @@
 }
 
 /** An instance whose reads and claims are made by the test. */
-export function createInstance(log: KeyedLog, instance: string, nonce: number, cores = 1) {
+export function createInstance(log: ClaimLog, instance: string, nonce: number, cores = 1) {
     const outbox = Outbox.create<RecordEffect>();
     const receiver = new LeaderReceiver();
     const follower = RecordFollower.create("jobs", receiver, () => ({ waitMs: 0, pauseMs: 0 }), outbox);
