Let overdue events take turns with more urgent ones

Overdue events now go in turn with more urgent ones, so what is due waits for one of them, and what can wait is handled at least every second time. The new test of a backlog failed before: a0, a1, a2 instead of a0, u1, a1.

--- a/src/base/common/agenda.ts
+++ b/src/base/common/agenda.ts
@@ -19,7 +19,7 @@
 /** Time that the events of one turn may take before input is read again, in ms. */
 const TURN_BUDGET_MS = 40;
 
-/** Time after which an event is handled whatever its class, in ms, so that none waits for ever. */
+/** Time after which an event takes turns with more urgent ones, in ms, so that none waits for ever. */
 const MAX_WAIT_MS = 250;
 
 /** An event that waits, and the time (ms) at which it arrived. */
@@ -30,12 +30,14 @@
 
 /**
  * The events of a loop that wait, by urgency. Events of one class keep their order. A loop that is on time handles each at once; one
- * that is late handles what is due before what can wait.
+ * that is late handles what is due before what can wait, or both in turn if that has waited for long.
  */
 export class Agenda<Event, Class extends string> {
     private readonly machine: Machine<undefined, AgendaState, AgendaEvent, never, AgendaAction>;
     private readonly items: AgendaItem<Event>[][];
     private turnStartedAt = 0;
+    /** Whether the latest event went before more urgent ones, since it had waited for long. */
+    private wasOverdue = false;
 
     private constructor(
         private readonly classes: readonly Class[],
@@ -80,7 +82,13 @@
             this.machine.fire(waiting.length === 0 ? "emptied" : "spent", undefined);
             return undefined;
         }
-        const oldest = waiting.reduce((a, b) => (b[0].arrivedAt < a[0].arrivedAt ? b : a));
-        return (now - oldest[0].arrivedAt > MAX_WAIT_MS ? oldest : waiting[0]).shift();
+        const [mostUrgent, ...others] = waiting;
+        const overdue = others.filter(each => now - each[0].arrivedAt > MAX_WAIT_MS);
+        this.wasOverdue = overdue.length > 0 && !this.wasOverdue;
+        return (this.wasOverdue ? overdue.reduce(older) : mostUrgent).shift();
     }
 }
+
+function older<E>(a: AgendaItem<E>[], b: AgendaItem<E>[]): AgendaItem<E>[] {
+    return b[0].arrivedAt < a[0].arrivedAt ? b : a;
+}
--- a/src/base/common/test/agenda.test.ts
+++ b/src/base/common/test/agenda.test.ts
@@ -46,6 +46,26 @@
     t.is(agenda.next(251)?.event, "a");
 });
 
+test("an urgent event that arrives behind a long backlog waits for one event of it, not for all", t => {
+    const { agenda } = createAgenda();
+    Array.from({ length: 80 }, (_, index) => agenda.add(`a${index}`, 0));
+    agenda.add("u1", 300);
+    agenda.add("u2", 300);
+    agenda.beginTurn(300);
+    const handled = Array.from({ length: 5 }, () => agenda.next(301)?.event);
+    t.deepEqual(handled, ["a0", "u1", "a1", "u2", "a2"]);
+});
+
+test("what has waited for long is handled at least in turn with more urgent events", t => {
+    const { agenda } = createAgenda();
+    agenda.add("a", 0);
+    agenda.add("b", 0);
+    Array.from({ length: 10 }, (_, index) => agenda.add(`u${index}`, 400));
+    agenda.beginTurn(400);
+    const handled = Array.from({ length: 4 }, () => agenda.next(400)?.event);
+    t.deepEqual(handled, ["a", "u0", "b", "u1"]);
+});
+
 test("an item states when its event arrived", t => {
     const { agenda } = createAgenda();
     agenda.add("a", 7);
