Post no further tick while one waits

A loop that was late got a tick every 25 ms all the same, each of which visits all workers: 32 of them waited after 1.3 s of other work (review). The cost model of the trials assumed that they did not. The test failed before with four ticks instead of one. An error of the listener of arrivals no longer ends the turns of the loop.

--- a/src/base/node/agendaLoop.ts
+++ b/src/base/node/agendaLoop.ts
@@ -62,11 +62,20 @@
     private runTurn(): void {
         this.agenda.beginTurn(performance.now());
         for (let item = this.nextItem(); item !== undefined; item = this.nextItem()) {
-            this.parts.onArrival(item.arrivedAt, performance.now());
+            this.reportArrival(item.arrivedAt);
             this.loop.post(item.event);
         }
     }
 
+    /** An error of the listener must not end the turn: the agenda would request no other one. */
+    private reportArrival(arrivedAt: number): void {
+        try {
+            this.parts.onArrival(arrivedAt, performance.now());
+        } catch (error) {
+            this.parts.onError(error);
+        }
+    }
+
     private nextItem() {
         return this.isDisposed ? undefined : this.agenda.next(performance.now());
     }
--- a/src/base/node/loop.ts
+++ b/src/base/node/loop.ts
@@ -18,6 +18,8 @@
     private isRunning = false;
     private timer: NodeJS.Timeout | undefined;
     private isDisposed = false;
+    /** The tick that is not handled yet. A loop that is late gets no further one, since each visits all that may be due. */
+    private waitingTick: Event | undefined;
 
     private constructor(
         private readonly dispatch: DispatchEvent<Event, Effect>,
@@ -46,10 +48,14 @@
         intervalMs: number,
         post = (event: Event) => this.post(event),
     ): void {
-        let dueAt = performance.now() + intervalMs;
+        let nextDueAt = performance.now() + intervalMs;
         this.timer = setInterval(() => {
-            post(createTick(dueAt));
-            dueAt = performance.now() + intervalMs;
+            const dueAt = nextDueAt;
+            nextDueAt = performance.now() + intervalMs;
+            if (this.waitingTick === undefined) {
+                this.waitingTick = createTick(dueAt);
+                post(this.waitingTick);
+            }
         }, intervalMs);
     }
 
@@ -82,6 +88,7 @@
     }
 
     private handle(event: Event): void {
+        this.waitingTick = event === this.waitingTick ? undefined : this.waitingTick;
         let effects: Effect[] = [];
         try {
             effects = this.dispatch(event, performance.now(), Date.now());
--- a/src/base/node/test/loop.test.ts
+++ b/src/base/node/test/loop.test.ts
@@ -46,3 +46,30 @@
     t.deepEqual(delays, [0, 0, 50, 0]);
     loop.dispose();
 });
+
+test.serial("a loop that is late has one tick waiting, which states when the first one was due", t => {
+    const clock = FakeTimers.install();
+    t.teardown(() => clock.uninstall());
+    const delays: number[] = [];
+    const loop = Loop.create<number, never>(
+        (dueAt, now) => {
+            delays.push(now - dueAt);
+            return [];
+        },
+        () => undefined,
+        error => t.fail(String(error)),
+    );
+    const waiting: number[] = [];
+    loop.startTicking(
+        dueAt => dueAt,
+        25,
+        tick => waiting.push(tick),
+    );
+    clock.tick(100);
+    t.is(waiting.length, 1);
+    loop.post(waiting[0]);
+    t.deepEqual(delays, [75]);
+    clock.tick(25);
+    t.is(waiting.length, 2);
+    loop.dispose();
+});
--- a/src/proof/node/trialProcessor.ts
+++ b/src/proof/node/trialProcessor.ts
@@ -62,7 +62,7 @@
 
     /** Adds an event. */
     post(event: JobInstanceEvent): void {
-        // The timer of the loop is set again only when a tick is handled.
+        // As in the loop, there is no further tick while one waits.
         if (event.kind === "tick" && this.isTickWaiting) {
             return;
         }
