Estimate the clock of a worker from when its answer arrived

The estimate took the time at which an answer was handled for the one at which it arrived, so a leader that handled it 1 s late took the clock for 1 s behind, and sent starts and leases that were 1 s shorter: late starts followed from being late. The clock was read before the answer arrived, so the time of receipt is a bound, too. Found by a review; the test failed before.

--- a/src/dispatch/common/test/workerContact.test.ts
+++ b/src/dispatch/common/test/workerContact.test.ts
@@ -33,3 +33,10 @@
     run.isSpeedConfirmed = false;
     t.false(worker.isUsable(30_000));
 });
+
+test("an answer that is handled late does not shorten the starts that follow", t => {
+    const [onTime, late] = [createWorker(), createWorker()];
+    onTime.updateClock(10_000, 9_990, 10_000);
+    late.updateClock(10_000, 9_990, 11_000, 10_000);
+    t.is(late.clockReadingIn(1_500, 11_000), onTime.clockReadingIn(1_500, 11_000));
+});
--- a/src/dispatch/common/workerContact.ts
+++ b/src/dispatch/common/workerContact.ts
@@ -252,8 +252,10 @@
      * @param sentAt Time (ms) at which the answered order was sent: a lower bound for when the clock was read, however
      * long the answer took.
      * @param now Time in ms.
+     * @param receivedAt Time (ms) at which the answer arrived: an upper bound for when the clock was read. A loop that is late
+     * handles it later, which says nothing about the clock.
      */
-    updateClock(reading: number, sentAt: number, now: number): void {
+    updateClock(reading: number, sentAt: number, now: number, receivedAt = now): void {
         const expected = this.clockReadingIn(0, sentAt);
         if (expected !== undefined && reading < expected - MAX_CLOCK_LAG_MS) {
             // A new incarnation numbers its ends from the start again, and none of them is stored yet.
@@ -263,7 +265,7 @@
             // An earlier leader may have extended the lease until now; from now on the worker rejects its orders.
             this.leaseUntil = reading + this.longestLeaseMs;
         }
-        this.clock = WorkerClock.create(String(this.latestEntry.incarnation), reading, now);
+        this.clock = WorkerClock.create(String(this.latestEntry.incarnation), reading, receivedAt);
         this.leaseUntil = Math.min(this.leaseUntil, reading + this.longestLeaseMs);
         this.isListUnanswered = false;
         this.machine.fire("answered", now);
--- a/src/dispatch/common/workerMessages.ts
+++ b/src/dispatch/common/workerMessages.ts
@@ -114,6 +114,8 @@
     readonly clockMs: number | undefined;
     /** Time (ms) at which the order was sent. */
     readonly sentAt: number;
+    /** Time (ms) at which the answer arrived, if it is handled later. */
+    readonly receivedAt?: number;
 }
 
 /** Answers of workers. */
--- a/src/host/node/jobPerformers.ts
+++ b/src/host/node/jobPerformers.ts
@@ -165,7 +165,8 @@
             this.metrics.recordOrderWait(effect.kind, answer.unsentMs);
             this.didWaitToSend.fire({ order: effect.kind, waitMs: answer.unsentMs });
         }
-        const base = { worker, sentAt, outcome: answer.outcome, clockMs: answer.clockMs };
+        const receivedAt = performance.now();
+        const base = { worker, sentAt, receivedAt, outcome: answer.outcome, clockMs: answer.clockMs };
         switch (effect.kind) {
             case "start":
                 this.post({ kind: "start-answer", order: effect.order, ...base });
