Send lists in any case, and give up higher speeds early

A list that was not sent within 0.8 s behind stops counted as an unanswered one: the worker counted as silent and its lease was not extended, though nobody had asked it. A higher speed that waited kept a lower one of the same run, which protects its neighbors, from being ordered. Found by a review; both tests failed before (unreachable instead of done; no answer within 200 ms).

--- a/src/host/common/orderQueue.ts
+++ b/src/host/common/orderQueue.ts
@@ -14,8 +14,23 @@
  */
 export const MAX_ORDERS_IN_FLIGHT = 4;
 
-/** Time after which an order that was not sent is given up, in ms. What it is based on has changed meanwhile. */
-export const MAX_ORDER_WAIT_MS = 800;
+/**
+ * Time after which an order that was not sent is given up, in ms: what it is based on has changed meanwhile. A higher speed waits
+ * less, since no lower one is ordered for its run until then. A list is sent in any case: one that was not sent says nothing
+ * about its worker.
+ */
+const MAX_WAIT_MS: Readonly<Record<OrderClass, number | undefined>> = {
+    stop: 800,
+    list: undefined,
+    "slow-down": 800,
+    start: 800,
+    "speed-up": 200,
+};
+
+/** @returns Time after which an order that was not sent is given up, in ms, or `undefined` if it waits until it is sent. */
+export function maxWaitMsOf(effect: WorkerEffect): number | undefined {
+    return MAX_WAIT_MS[classOf(effect)];
+}
 
 /** An order that has not been answered. */
 export interface QueuedOrder {
--- a/src/host/node/orderSender.ts
+++ b/src/host/node/orderSender.ts
@@ -1,7 +1,7 @@
 import { Disposable } from "../../base/common/disposable";
 import { OrderAnswer } from "../../dispatch/common/workerClient";
 import { OrderOutcome, WorkerEffect } from "../../dispatch/common/workerMessages";
-import { MAX_ORDER_WAIT_MS, MAX_ORDERS_IN_FLIGHT, OrderQueue } from "../common/orderQueue";
+import { MAX_ORDERS_IN_FLIGHT, maxWaitMsOf, OrderQueue } from "../common/orderQueue";
 
 /** Sends an order over a free connection. */
 export type SendOrder = (effect: WorkerEffect) => Promise<OrderAnswer>;
@@ -38,11 +38,7 @@
             if (withdrawn !== undefined) {
                 this.giveUp(withdrawn, "superseded");
             }
-            order.timer = setTimeout(
-                () => this.queue.remove(order) && this.giveUp(order, "unreachable"),
-                MAX_ORDER_WAIT_MS,
-            );
-            this.timers.add(order.timer);
+            this.startTimer(order);
             this.sendNext(effect.worker.id);
         });
     }
@@ -53,6 +49,14 @@
         this.timers.clear();
     }
 
+    private startTimer(order: WaitingOrder): void {
+        const maxWaitMs = maxWaitMsOf(order.effect);
+        if (maxWaitMs !== undefined) {
+            order.timer = setTimeout(() => this.queue.remove(order) && this.giveUp(order, "unreachable"), maxWaitMs);
+            this.timers.add(order.timer);
+        }
+    }
+
     private sendNext(worker: string): void {
         const order = this.queue.takeNext(worker);
         if (order === undefined) {
--- a/src/host/node/test/orderSender.test.ts
+++ b/src/host/node/test/orderSender.test.ts
@@ -90,3 +90,25 @@
     t.is((await stopped).outcome, "done");
     sender.dispose();
 });
+
+test.serial("a list waits until it is sent, so that its worker does not count as silent", async t => {
+    const { clock, sent, sender } = createSender(t, 500);
+    for (let index = 0; index < 12; index++) {
+        void sender.send({ ...STOP, order: { ...STOP.order, task: `t${index}` } });
+    }
+    const order = { epoch: 1, leaseUntil: 0, recordedUpTo: 0, waitMs: 0 };
+    const listed = sender.send({ kind: "list", worker: WORKER, order });
+    await clock.tickAsync(2_000);
+    t.is((await listed).outcome, "done");
+    t.true(sent.includes("list"));
+});
+
+test.serial("a higher speed that is not sent soon is given up, so that a lower one can be ordered", async t => {
+    const { clock, sender } = createSender(t, 5_000);
+    for (let index = 0; index < 4; index++) {
+        void sender.send({ ...STOP, order: { ...STOP.order, task: `t${index}` } });
+    }
+    const answer = sender.send(speedUp("x"));
+    await clock.tickAsync(200);
+    t.is((await answer).outcome, "unreachable");
+});
--- a/src/proof/node/trialConnections.ts
+++ b/src/proof/node/trialConnections.ts
@@ -1,6 +1,6 @@
 import { OrderOutcome, WorkerEffect } from "../../dispatch/common/workerMessages";
 import { JobInstanceEvent } from "../../host/common/jobInstanceEvents";
-import { MAX_ORDER_WAIT_MS, OrderQueue } from "../../host/common/orderQueue";
+import { maxWaitMsOf, OrderQueue } from "../../host/common/orderQueue";
 import { TrialSchedule } from "./trialSchedule";
 
 /** Where orders are sent. */
@@ -50,7 +50,10 @@
         if (withdrawn !== undefined) {
             this.giveUp(withdrawn, "superseded");
         }
-        this.schedule.add(MAX_ORDER_WAIT_MS, () => this.queue.remove(order) && this.giveUp(order, "unreachable"));
+        const maxWaitMs = maxWaitMsOf(order.effect);
+        if (maxWaitMs !== undefined) {
+            this.schedule.add(maxWaitMs, () => this.queue.remove(order) && this.giveUp(order, "unreachable"));
+        }
         this.sendNext(effect.worker.id);
     }
 
