Count a leader as taking over for 0.6 s after its jobs are restored

A leader that is lost just after its takeover was replaced 2.6 s later, since its last record said that it takes over.

--- a/src/records/common/leadership.ts
+++ b/src/records/common/leadership.ts
@@ -43,7 +43,7 @@
 const MIN_LATE_MS = 50;
 
 /** Time after the jobs are restored for which a leader still counts as taking over, in ms: workers report all their ends. */
-const TAKEOVER_SETTLING_MS = 1_000;
+const TAKEOVER_SETTLING_MS = 600;
 
 /**
  * Gap between two successful reads that counts as a store outage: three long polls. The leader could not renew during
