--- a/src/proof/node/test/jobTrial.test.ts
+++ b/src/proof/node/test/jobTrial.test.ts
@@ -168,13 +168,8 @@
 }
 
 // Each run was cleared when its worker had survived the start for long enough.
-for (const [crashDelayMs, seed] of [
-    [3_000, 602],
-    [3_500, 602],
-    [5_000, 602],
-    [8_000, 603],
-    [8_000, 604],
-]) {
+const LATE_CRASHES = [...[3_000, 3_500, 5_000].map(ms => [ms, 602]), [8_000, 603], [8_000, 604]];
+for (const [crashDelayMs, seed] of LATE_CRASHES) {
     test.serial(
         `a task that crashes its workers is not started again and again, after ${crashDelayMs} ms, ${seed}`,
         t => {
