--- a/src/dispatch/common/workerPool.ts
+++ b/src/dispatch/common/workerPool.ts
@@ -262,7 +262,9 @@
             this.reportLoss(worker, [...worker.runs.values()], "replaced");
             this.logTransition(worker, now, () => worker.markGone(now));
         } else if (event.clockMs !== undefined) {
-            this.logTransition(worker, now, () => worker.updateClock(event.clockMs!, event.sentAt, now, event.receivedAt));
+            this.logTransition(worker, now, () =>
+                worker.updateClock(event.clockMs!, event.sentAt, now, event.receivedAt),
+            );
         }
         if (event.kind === "list-answer") {
             this.handleList(worker, event, now);
