--- a/src/proof/node/leaderLoad.ts
+++ b/src/proof/node/leaderLoad.ts
@@ -16,6 +16,7 @@
 import { LeaderLoadWorkers } from "./leaderLoadWorkers";
 import { ProcessorMeter } from "./processorMeter";
 import { Random } from "./random";
+import { LIMITS } from "./jobTrialPlan";
 
 /** Time between two steps of the virtual clock, between two ticks, and between two entries of a worker, in ms. */
 const STEP_MS = 5;
@@ -109,16 +110,7 @@
             leadership: this.leadership as unknown as Leadership,
             leases: LeaseTable.create(),
             views: { jobs: this.view, configuration: this.view, workers: this.view },
-            limits: {
-                longestLeaseMs: 6_000,
-                stopMs: 200,
-                cancelMs: 3_000,
-                drainMs: 2_500,
-                gangWaitMs: 3_000,
-                harmMs: 4_000,
-                configurationMs: 2_500,
-                retentionMs: 120_000,
-            },
+            limits: LIMITS,
             learnedInterference: [],
             effects: this.outbox,
         };
--- a/src/proof/node/test/instanceFixture.ts
+++ b/src/proof/node/test/instanceFixture.ts
@@ -1,4 +1,3 @@
-import { DispatchLimits } from "../../../dispatch/common/dispatchLimits";
 import { OrderAnswer } from "../../../dispatch/common/workerClient";
 import { StartOrder, WorkerEffect } from "../../../dispatch/common/workerMessages";
 import { JobInstance } from "../../../host/common/jobInstance";
@@ -8,6 +7,7 @@
 import { KeyedLog } from "../../../standin/common/keyedLog";
 import { decodeSubmission } from "../../../platform/common/jobDecoder";
 import { StreamDecoder } from "../../../platform/common/streamDecoder";
+import { LIMITS } from "../jobTrialPlan";
 
 const TICK_MS = 25;
 const HEARTBEAT_INTERVAL_MS = 1_500;
@@ -16,17 +16,6 @@
 
 const WALL_START_MS = 1_700_000_000_000;
 
-const LIMITS: DispatchLimits = {
-    longestLeaseMs: 6_000,
-    stopMs: 200,
-    cancelMs: 3_000,
-    drainMs: 2_500,
-    gangWaitMs: 3_000,
-    harmMs: 4_000,
-    configurationMs: 2_500,
-    retentionMs: 120_000,
-};
-
 export const CONFIGURATION = {
     version: 1,
     routes: [{ host: "host", prefix: "/q/", service: "svc" }],
--- a/src/proof/node/test/takeoverFixture.ts
+++ b/src/proof/node/test/takeoverFixture.ts
@@ -1,5 +1,4 @@
 import { ExecutionContext } from "ava";
-import { DispatchLimits } from "../../../dispatch/common/dispatchLimits";
 import { ListedEnd, RunList, WorkerEffect } from "../../../dispatch/common/workerMessages";
 import { JobInstance } from "../../../host/common/jobInstance";
 import { JobInstanceEffect, JobInstanceEvent } from "../../../host/common/jobInstanceEvents";
@@ -12,17 +11,7 @@
 import { BusyLoop } from "./busyLoop";
 import { CONFIGURATION } from "./instanceFixture";
 import { WorkMeter } from "./workMeter";
-
-const LIMITS: DispatchLimits = {
-    longestLeaseMs: 6_000,
-    stopMs: 200,
-    cancelMs: 3_000,
-    drainMs: 2_500,
-    gangWaitMs: 3_000,
-    harmMs: 4_000,
-    configurationMs: 2_500,
-    retentionMs: 120_000,
-};
+import { LIMITS } from "../jobTrialPlan";
 
 const HEARTBEAT_INTERVAL_MS = 1_500;
 const STORE_LATENCY_MS = 4;
