Check once in a pass whether a search for a worker is useless

A first check asked for rejections at speed 0, to spare the computation of the lowest speed. Since a task that has waited for long accepts any worker, also one that is closed below full speed, a rejection at speed 0 says nothing about it any more: it could have been passed over. The check that follows covers all cases.

--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -293,11 +293,8 @@
             if (task.run !== undefined) {
                 continue;
             }
-            if (this.remainingStarts <= 0 || placer.isInfeasible(task, entry.service, 0)) {
-                return;
-            }
             const minSpeedPercent = this.minSpeedPercent(entry, task, now);
-            if (placer.isInfeasible(task, entry.service, minSpeedPercent)) {
+            if (this.remainingStarts <= 0 || placer.isInfeasible(task, entry.service, minSpeedPercent)) {
                 return;
             }
             const choice =
