--- a/src/host/common/orderQueue.ts
+++ b/src/host/common/orderQueue.ts
@@ -69,7 +69,9 @@
             this.remove(withdrawn);
         }
         const orderClass = classOf(effect);
-        orders.waiting.set(orderClass, [...(orders.waiting.get(orderClass) ?? []), order]);
+        const waiting = orders.waiting.get(orderClass) ?? [];
+        waiting.push(order);
+        orders.waiting.set(orderClass, waiting);
         return withdrawn;
     }
 
