--- a/src/host/common/loadRecorder.ts
+++ b/src/host/common/loadRecorder.ts
@@ -1,3 +1,4 @@
+import { MAX_LEADER_DELAY_MS } from "../../dispatch/common/dispatchLimits";
 import { WorkKind } from "./workKind";
 
 /** Interval between two reports, in ms. */
@@ -6,9 +7,6 @@
 /** The delay is judged by the largest of each half second. */
 const DELAY_INTERVAL_MS = 500;
 
-/** Delay of the loop that is too long for the bounds of the contract, in ms. */
-const MAX_DELAY_MS = 500;
-
 /** Kinds of work that are reported; the others are summed up as `otherMs`. */
 const REPORTED_KINDS = {
     pass: "passMs",
@@ -92,7 +90,7 @@
             p99Ms: quantile(0.99),
             mostMs: quantile(1),
             halfSeconds: this.mostByInterval.size,
-            lateHalfSeconds: [...this.mostByInterval.values()].filter(ms => ms > MAX_DELAY_MS).length,
+            lateHalfSeconds: [...this.mostByInterval.values()].filter(ms => ms > MAX_LEADER_DELAY_MS).length,
             ...this.workFields(),
             ...this.orderFields(),
         };
