--- a/src/base/node/test/loop.test.ts
+++ b/src/base/node/test/loop.test.ts
@@ -1,5 +1,5 @@
 import FakeTimers from "@sinonjs/fake-timers";
-import test from "ava";
+import test, { ExecutionContext } from "ava";
 import { Loop } from "../loop";
 
 test("an error in an event or an effect is reported, and later events are handled", t => {
@@ -26,7 +26,8 @@
     loop.dispose();
 });
 
-test.serial("a tick says when it was due, also if the loop was busy then", t => {
+/** @returns A loop whose events are the times at which they were due, and by how much it handled each later. */
+function createTickLoop(t: ExecutionContext) {
     const clock = FakeTimers.install();
     t.teardown(() => clock.uninstall());
     const delays: number[] = [];
@@ -38,6 +39,11 @@
         () => undefined,
         error => t.fail(String(error)),
     );
+    return { clock, delays, loop };
+}
+
+test.serial("a tick says when it was due, also if the loop was busy then", t => {
+    const { clock, delays, loop } = createTickLoop(t);
     loop.startTicking(dueAt => dueAt, 25);
     clock.tick(50);
     // The process does something else at the time of the next tick.
@@ -48,17 +54,7 @@
 });
 
 test.serial("a loop that is late has one tick waiting, which states when the first one was due", t => {
-    const clock = FakeTimers.install();
-    t.teardown(() => clock.uninstall());
-    const delays: number[] = [];
-    const loop = Loop.create<number, never>(
-        (dueAt, now) => {
-            delays.push(now - dueAt);
-            return [];
-        },
-        () => undefined,
-        error => t.fail(String(error)),
-    );
+    const { clock, delays, loop } = createTickLoop(t);
     const waiting: number[] = [];
     loop.startTicking(
         dueAt => dueAt,
