--- a/src/proof/node/jobSoak.tool.ts
+++ b/src/proof/node/jobSoak.tool.ts
@@ -55,10 +55,10 @@
     };
 }
 
-/** @param untilMs Time up to which the leader is killed, in ms. */
-function readPlannedFaults(untilMs: number): (readonly [number, PlannedFault])[] {
+/** @param endMs Time up to which the leader is killed, in ms. */
+function readPlannedFaults(endMs: number): (readonly [number, PlannedFault])[] {
     const intervalMs = readNumber("kill-leader", 0) || Number.POSITIVE_INFINITY;
-    return Array.from({ length: Math.floor(untilMs / intervalMs) }, (_, index) => [
+    return Array.from({ length: Math.floor(endMs / intervalMs) }, (_, index) => [
         (index + 1) * intervalMs,
         "kill-leader",
     ]);
