State in job-waits how much of the service's capacity is in use

Hypothesis 1 of the incident of jobs without a run between two tasks could not be told from the logs: a wait without roomMs says that the leader counts no room, not of which resource.

--- a/src/dispatch/common/serviceRoom.ts
+++ b/src/dispatch/common/serviceRoom.ts
@@ -26,6 +26,13 @@
     readonly free: Record<keyof TaskRequest, number>;
 }
 
+/** Shares of a service's capacity that are in use, in percent. */
+export interface ServiceUsage {
+    /** Without best-effort tasks. */
+    readonly cpuUsedPercent: number | undefined;
+    readonly memoryUsedPercent: number | undefined;
+}
+
 /** Knows since when services have room: little of their capacity is in use, apart from the CPU of best-effort tasks. */
 export class ServiceRoom {
     private capacities = new Map<string, ServiceCapacity>();
@@ -94,6 +101,15 @@
         return since === undefined || this.fullSince.has(service) ? undefined : now - since;
     }
 
+    /** @returns How much of a service's capacity is in use, in percent, as far as it is known. */
+    usage(service: string): ServiceUsage {
+        const own = this.capacities.get(service);
+        return {
+            cpuUsedPercent: own && usedPercent(own, "cpuMillis"),
+            memoryUsedPercent: own && usedPercent(own, "memoryMb"),
+        };
+    }
+
     private markFull(service: string, now: number): void {
         this.fullSince.set(service, this.fullSince.get(service) ?? now);
     }
@@ -119,3 +135,7 @@
         resource => capacity[resource] === 0 || free[resource] > capacity[resource] * (1 - MAX_USED_RATIO),
     );
 }
+
+function usedPercent({ capacity, free }: ServiceCapacity, resource: keyof TaskRequest): number {
+    return Math.round(100 * (1 - free[resource] / Math.max(1, capacity[resource])));
+}
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -133,7 +133,7 @@
                 entry.waitedMs = entry.isThrottled ? 0 : this.waits.waitedMs(entry.group, entry.tasks[0], now);
                 entry.roomMs = this.waits.roomMs(entry.service, now);
             }
-            this.waitReporter.review(waiting, placer, now);
+            this.waitReporter.review(waiting, placer, service => this.waits.usage(service), now);
         }
     }
 
--- a/src/dispatch/common/test/stepQueue.test.ts
+++ b/src/dispatch/common/test/stepQueue.test.ts
@@ -85,9 +85,9 @@
         queue.placeWaiting([job], workers, 100, now, now);
     }
     const counts = { workers: 3, otherKind: 2, noRoom: 1, noHeadroom: 0, interference: 0, noSpareCpu: 0, ownLimit: 0 };
-    t.deepEqual(reports, [
-        { task: "a.0.0.0", waitedMs: 2_000, waiting: 1, roomMs: 2_000, oldestEstimateMs: undefined, ...counts },
-    ]);
+    const usage = { cpuUsedPercent: 4, memoryUsedPercent: 0 };
+    const waiting = { waitedMs: 2_000, waiting: 1, roomMs: 2_000, oldestEstimateMs: undefined };
+    t.deepEqual(reports, [{ task: "a.0.0.0", ...waiting, ...usage, ...counts }]);
 });
 
 test("each of many waiting jobs is reported about every five seconds", t => {
--- a/src/dispatch/common/waitController.ts
+++ b/src/dispatch/common/waitController.ts
@@ -2,7 +2,7 @@
 import { BoundedWaitPolicy } from "./boundedWaitPolicy";
 import { PatientWaitPolicy } from "./patientWaitPolicy";
 import { Run } from "./run";
-import { ServiceRoom } from "./serviceRoom";
+import { ServiceRoom, ServiceUsage } from "./serviceRoom";
 import { Task } from "./task";
 import { isAtWork, WaitTable } from "./waitTable";
 import { WorkerContact } from "./workerContact";
@@ -52,6 +52,11 @@
         return this.room.roomMs(service, now);
     }
 
+    /** @returns How much of a service's capacity is in use. */
+    usage(service: string): ServiceUsage {
+        return this.room.usage(service);
+    }
+
     /** @returns Whether a waiting task goes before all others: its job has to have a run soon, and its service has room. */
     isDue(group: TaskGroup, task: Task, service: string, now: number): boolean {
         return this.bounded.isDue(this.waitedWithRoomMs(group, task, service, now)) && !hasOtherRun(task, now);
--- a/src/dispatch/common/waitReporter.ts
+++ b/src/dispatch/common/waitReporter.ts
@@ -1,6 +1,7 @@
 import { Emitter } from "../../base/common/emitter";
 import { TaskGroup } from "./activeJob";
 import { Obstacle, Placer } from "./placer";
+import { ServiceUsage } from "./serviceRoom";
 import { Task } from "./task";
 
 /** Time for which a job must have waited with a step that is ready and no run before it is reported, in ms. */
@@ -16,7 +17,7 @@
 const MAX_REPORTS_PER_REVIEW = 16;
 
 /** Why a job waits: the number of usable workers by what keeps them from running its next task at full speed. */
-export interface WaitReport extends Readonly<Record<Obstacle, number>> {
+export interface WaitReport extends ServiceUsage, Readonly<Record<Obstacle, number>> {
     readonly task: string;
     /** Time for which the step has waited, in ms. */
     readonly waitedMs: number;
@@ -65,9 +66,15 @@
      * Reviews the steps that were ready in a pass, if a review is due.
      * @param waiting The steps, the most urgent first. Some of their tasks may have been placed in the pass.
      * @param placer Placer of the pass.
+     * @param usage Returns how much of a service's capacity is in use.
      * @param now Time in ms.
      */
-    review(waiting: readonly WaitingTasks[], placer: Placer, now: number): void {
+    review(
+        waiting: readonly WaitingTasks[],
+        placer: Placer,
+        usage: (service: string) => ServiceUsage,
+        now: number,
+    ): void {
         if (!this.isDue(now)) {
             return;
         }
@@ -87,6 +94,7 @@
                     waitedMs: Math.round(waitedMs),
                     waiting: tasks.length,
                     roomMs: roomMs && Math.round(Math.min(roomMs, waitedMs)),
+                    ...usage(service),
                     workers,
                     oldestEstimateMs,
                     ...obstacles,
