--- a/src/dispatch/common/test/stepQueueWaits.test.ts
+++ b/src/dispatch/common/test/stepQueueWaits.test.ts
@@ -145,3 +145,105 @@
     }
     t.is([...job.tasks()].filter(task => task.run !== undefined).length, 1);
 });
+
+/** How late a leader may handle each event while jobs still have a run in time, in ms. */
+const LATE_LEADER_MS = 2_000;
+
+// The wait for full speed began anew with each task of a step.
+test("a job has used up its wait for full speed after one task, and a late leader starts the next ones in time", t => {
+    const model = LatencyModel.create(HEAVY_MODEL);
+    const workers = createBusyWorkers(model, 0.9);
+    const queue = createQueue(model);
+    const job = createJob("a", createBestEffort({ tasks: 6 }));
+    let now = waitForRun(queue, job, workers)!;
+    for (let ended = 1; ended < 6; ended++) {
+        const task = [...job.tasks()].find(each => each.run !== undefined)!;
+        report(task.run!, 0, now + 1_000);
+        queue.placeWaiting([job], workers, 100, now + 1_000, now + 1_000);
+        finish(task, workers);
+        now += 1_100;
+        const waitedMs = waitForRun(queue, job, workers, now);
+        t.true(waitedMs !== undefined && waitedMs <= 3_000 - LATE_LEADER_MS, `task ${ended} waited ${waitedMs} ms`);
+        now += waitedMs ?? 0;
+    }
+});
+
+/** Occupies a share of each worker with a run that it has reported. */
+function occupy(workers: readonly WorkerContact[], cpuRatio: number, memoryRatio: number, now = 0): void {
+    for (const worker of workers) {
+        const request = { cpuMillis: 64_000 * cpuRatio, memoryMb: 256_000 * memoryRatio, accelerators: 0 };
+        const step = createStep("other", false, { usesSpareCpu: false, request });
+        report(place(worker, `o-${worker.entry.id}`, step), 0, now);
+    }
+}
+
+function vacate(workers: readonly WorkerContact[]): void {
+    workers.forEach(worker => worker.runs.delete(`o-${worker.entry.id}.0.0.0`));
+}
+
+// The leader counted a service as full from 55% of any resource on, and no bound held.
+for (const [name, cpuRatio, memoryRatio] of [
+    ["memory", 0.3, 0.57],
+    ["CPU", 0.57, 0.3],
+] as const) {
+    test(`a job is not left without a run while ${name} is just over half in use, and the rest is not`, t => {
+        const model = LatencyModel.create(HEAVY_MODEL);
+        const workers = createBusyWorkers(model, 0.9);
+        occupy(workers, cpuRatio, memoryRatio);
+        const waitedMs = waitForRun(createQueue(model), createJob("a", createBestEffort({ tasks: 6 })), workers);
+        t.true(waitedMs !== undefined && waitedMs <= MAX_IDLE_MS, `waited ${waitedMs} ms`);
+    });
+}
+
+// The wait began anew each time that the leader saw the service over its threshold for a second.
+test("a job is not left without a run while the use of its service crosses the half again and again", t => {
+    const model = LatencyModel.create(HEAVY_MODEL);
+    const workers = createBusyWorkers(model, 0.9);
+    const queue = createQueue(model);
+    const job = createJob("a", createBestEffort({ tasks: 6 }));
+    let waitedMs: number | undefined;
+    for (let now = 0; now <= 20_000 && waitedMs === undefined; now += PASS_INTERVAL_MS) {
+        vacate(workers);
+        const isOverHalf = now % 3_000 >= 1_500;
+        occupy(workers, isOverHalf ? 0.53 : 0.4, isOverHalf ? 0.57 : 0.45, now);
+        queue.placeWaiting([job], workers, 100, now, now);
+        waitedMs = job.hasRun ? now : undefined;
+    }
+    t.true(waitedMs !== undefined && waitedMs <= MAX_IDLE_MS, `waited ${waitedMs} ms`);
+});
+
+// The wait counted from the time at which the service had room, although callers had waited before.
+test("a job that has waited while its service was full has a run as soon as there is room", t => {
+    const model = LatencyModel.create(HEAVY_MODEL);
+    const workers = createBusyWorkers(model, 0.9);
+    occupy(workers, 0.9, 0.9);
+    const queue = createQueue(model);
+    const job = createJob(
+        "a",
+        createBestEffort({ tasks: 6, request: { cpuMillis: 8_000, memoryMb: 30_000, accelerators: 0 } }),
+    );
+    for (let now = 0; now < 10_000; now += PASS_INTERVAL_MS) {
+        queue.placeWaiting([job], workers, 100, now, now);
+    }
+    t.false(job.hasRun);
+    vacate(workers);
+    const waitedMs = waitForRun(queue, job, workers, 10_000);
+    t.true(waitedMs !== undefined && waitedMs <= 3_000 - LATE_LEADER_MS, `waited ${waitedMs} ms`);
+});
+
+// A run counted as at work for 4 s after its last report, and the wait began only then.
+test("a job whose only run is not reported any more has another one within the time that callers accept", t => {
+    const model = LatencyModel.create(HEAVY_MODEL);
+    const workers = createBusyWorkers(model, 0.9);
+    const silent = createWorker("silent");
+    const queue = createQueue(model);
+    const job = createJob("a", createBestEffort({ tasks: 2 }));
+    const [first, second] = [...job.tasks()];
+    report(assign(silent, first), 0, 0);
+    let at: number | undefined;
+    for (let now = 0; now <= 20_000 && at === undefined; now += PASS_INTERVAL_MS) {
+        queue.placeWaiting([job], workers, 100, now, now);
+        at = second.run === undefined ? undefined : now;
+    }
+    t.true(at !== undefined && at <= MAX_IDLE_MS, `waited ${at} ms`);
+});
