Bound the wait of jobs by how much of a service is in use, without an edge

The bound held only while less than 55% of CPU and of memory was in use on the workers that the leader could use at the moment; above, a job without a run waited for 8 s or for good, and each second above began the wait anew.

The use of a service is now taken over all registered workers, for CPU and memory apart, and the bound grows smoothly from 2.3 s (55% of the CPU, 60% of the memory) to none (75%, 70%). The wait counts from the last run of the job, whatever the use was meanwhile. Memory keeps a limit, since runs below full speed would otherwise keep tasks with reserved CPU out.

The former test that a service with 60% in use has no bound, and that the wait begins with the room, contradicted the contract. Instead: none at 80%, a job that has waited is due at once when there is room, and the bound grows evenly. The report of a wait has boundMs instead of roomMs.

--- a/src/dispatch/common/activeJob.ts
+++ b/src/dispatch/common/activeJob.ts
@@ -87,9 +87,15 @@
         return this.runCount > 0;
     }
 
-    /** @returns Whether one of its tasks has a run for which this holds. */
-    hasRunLike(isMatch: (run: Run) => boolean): boolean {
-        return this.hasRun && this.hasTask(task => task.run !== undefined && isMatch(task.run));
+    /** @returns The runs of its tasks for which this holds. */
+    runsLike(isMatch: (run: Run) => boolean): Run[] {
+        const runs: Run[] = [];
+        for (const task of this.hasRun ? this.tasks() : []) {
+            if (task.run !== undefined && isMatch(task.run)) {
+                runs.push(task.run);
+            }
+        }
+        return runs;
     }
 
     /** Increases with each change of which tasks wait: their occurrences, runs, speeds, ends and suspicions. */
@@ -214,15 +220,6 @@
         return { epoch, state: this.state, done, runs, tasks };
     }
 
-    private hasTask(isMatch: (task: Task) => boolean): boolean {
-        for (const group of this.groupsByKey.values()) {
-            if (group.tasks.some(isMatch)) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     /** @returns When an occurrence is due, in ms since the Unix epoch. */
     private dueMs(occurrence: number): number {
         return this.spec.occurrences === 0 ? 0 : this.spec.firstDueMs + occurrence * this.spec.intervalMs;
--- a/src/dispatch/common/boundedWaitPolicy.ts
+++ b/src/dispatch/common/boundedWaitPolicy.ts
@@ -1,11 +1,20 @@
 import { MAX_IDLE_MS, MAX_LEADER_DELAY_MS, START_DELAY_MS } from "./dispatchLimits";
-import { ANY_WORKER_PERCENT, fallingSpeedPercent, WaitPolicy } from "./waitPolicy";
+import { UsedRatios } from "./serviceUsage";
+import { ANY_WORKER_PERCENT, fallingSpeedPercent, Wait, WaitPolicy } from "./waitPolicy";
 
-/** Time after which a worker must be chosen, so that the run is at work in time, in ms. */
-const MAX_CHOICE_MS = MAX_IDLE_MS - MAX_LEADER_DELAY_MS - START_DELAY_MS;
+/**
+ * Shares of a service's capacity in use up to which the whole bound holds, and from which on there is none. Callers count on it
+ * while less than half is in use; the wait grows smoothly between the two, since the leader's view is not exact. Of the memory
+ * more may be in use: what remains is for tasks with reserved CPU.
+ */
+const BOUNDED_USED = { cpu: 0.55, memory: 0.6 };
+const FULL_USED = { cpu: 0.75, memory: 0.7 };
 
-/** Time without any run for which a job waits for full speed, in ms. */
-const FULL_SPEED_WAIT_MS = (MAX_CHOICE_MS * 2) / 3;
+/** Part of the wait for which a task accepts only full speed. */
+const FULL_SPEED_WAIT_RATIO = 2 / 3;
+
+/** What a service makes its jobs wait for, without a wait. */
+export type WaitLimits = Pick<Wait, "used">;
 
 /** The wait while the service has room: a job gets a run within the time that callers accept. */
 export class BoundedWaitPolicy extends WaitPolicy {
@@ -18,14 +27,31 @@
         return new BoundedWaitPolicy();
     }
 
-    /** @param waitedMs Time for which a job has waited, in ms. @returns Whether it goes before all jobs with more time. */
-    isDue(waitedMs: number): boolean {
-        return waitedMs >= MAX_CHOICE_MS;
+    /** @returns Time after which a worker must be chosen, in ms; infinite in a full service. */
+    limitMs({ used }: WaitLimits): number {
+        const fullness = Math.max(fullnessOf(used, "cpu"), fullnessOf(used, "memory"));
+        const choiceMs = MAX_IDLE_MS - START_DELAY_MS - MAX_LEADER_DELAY_MS;
+        return fullness >= 1 ? Number.POSITIVE_INFINITY : Math.max(0, choiceMs) / (1 - fullness * fullness);
+    }
+
+    /** @returns Whether the task goes before all jobs with more time. */
+    isDue(wait: Wait): boolean {
+        return wait.waitedMs >= this.limitMs(wait);
     }
 
-    override minSpeedPercent(waitedMs: number): number {
-        return this.isDue(waitedMs)
-            ? ANY_WORKER_PERCENT
-            : fallingSpeedPercent(waitedMs, FULL_SPEED_WAIT_MS, MAX_CHOICE_MS);
+    override minSpeedPercent(wait: Wait): number {
+        const limitMs = this.limitMs(wait);
+        if (wait.waitedMs >= limitMs) {
+            return ANY_WORKER_PERCENT;
+        }
+        return limitMs === Number.POSITIVE_INFINITY
+            ? 100
+            : fallingSpeedPercent(wait.waitedMs, limitMs * FULL_SPEED_WAIT_RATIO, limitMs);
     }
 }
+
+/** @returns How far the use of a resource is between the two limits, from 0 to 1. */
+function fullnessOf(used: UsedRatios, resource: keyof UsedRatios): number {
+    const ratio = (used[resource] - BOUNDED_USED[resource]) / (FULL_USED[resource] - BOUNDED_USED[resource]);
+    return Math.min(1, Math.max(0, ratio));
+}
--- a/src/dispatch/common/patientWaitPolicy.ts
+++ b/src/dispatch/common/patientWaitPolicy.ts
@@ -1,4 +1,4 @@
-import { fallingSpeedPercent, WaitPolicy } from "./waitPolicy";
+import { fallingSpeedPercent, Wait, WaitPolicy } from "./waitPolicy";
 
 /** Time without any run for which a job waits for a worker on which its tasks run at full speed, in ms. */
 const FULL_SPEED_WAIT_MS = 3_000;
@@ -17,7 +17,7 @@
         return new PatientWaitPolicy();
     }
 
-    override minSpeedPercent(waitedMs: number): number {
+    override minSpeedPercent({ waitedMs }: Pick<Wait, "waitedMs">): number {
         return fallingSpeedPercent(waitedMs, FULL_SPEED_WAIT_MS, ANY_SPEED_WAIT_MS);
     }
 }
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -228,8 +228,9 @@
         starts.forEach(run => run.fire("stored", { now }));
         this.pacer.run(this.pool.size, now, () => {
             this.passCount += 1;
-            const usable = this.admission.usableWorkers(this.pool.all, now);
-            this.queue.placeWaiting(this.activeJobs.all, usable, this.pool.remainingStarts(), now, wallNow);
+            const { all } = this.pool;
+            const usable = this.admission.usableWorkers(all, now);
+            this.queue.placeWaiting(this.activeJobs.all, usable, this.pool.remainingStarts(), now, wallNow, all);
         });
     }
 
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -27,8 +27,6 @@
     readonly tasks: readonly Task[];
     /** Time for which its first task has waited without a run at work, in ms; kept up to date for reports only. */
     waitedMs: number;
-    /** Time for which its service has had room, in ms, or `undefined` if it has none; kept up to date for reports only. */
-    roomMs: number | undefined;
     /** Whether the tasks have runs that are throttled, and move if another worker offers a higher speed. */
     readonly isThrottled: boolean;
     /** Whether they are suspected of crashing their workers. */
@@ -101,6 +99,7 @@
      * @param maxStarts How many tasks may be assigned; the last gang may exceed it, since it is assigned as a whole.
      * @param now Time in ms.
      * @param wallNow Time in ms since the Unix epoch.
+     * @param allWorkers All workers, also those that are not usable at the moment.
      */
     placeWaiting(
         jobs: Iterable<ActiveJob>,
@@ -108,9 +107,10 @@
         maxStarts: number,
         now: number,
         wallNow: number,
+        allWorkers: Iterable<WorkerContact> = workers,
     ): void {
         this.remainingStarts = maxStarts;
-        this.waits.updateRoom(workers, now);
+        this.waits.updateUsage(allWorkers, now);
         const waiting = this.orderWaiting(jobs, now, wallNow);
         if (waiting.length === 0) {
             return;
@@ -130,10 +130,9 @@
     private reviewWaits(waiting: readonly WaitingGroup[], placer: Placer, now: number): void {
         if (this.waitReporter.isDue(now)) {
             for (const entry of waiting) {
-                entry.waitedMs = entry.isThrottled ? 0 : this.waits.waitedMs(entry.group, entry.tasks[0], now);
-                entry.roomMs = this.waits.roomMs(entry.service, now);
+                entry.waitedMs = entry.isThrottled ? 0 : this.waits.idleMs(entry.group, entry.tasks[0], now);
             }
-            this.waitReporter.review(waiting, placer, service => this.waits.usage(service), now);
+            this.waitReporter.review(waiting, placer, service => this.waits.conditionsOf(service), now);
         }
     }
 
@@ -155,11 +154,11 @@
 
     /** Places one task, or the gang, of each job that has to have a run soon, the one that has waited longest first. */
     private placeDue(waiting: readonly WaitingGroup[], placer: Placer, now: number): void {
-        const waitedMs = ({ group, tasks }: WaitingGroup) => this.waits.waitedMs(group, tasks[0], now);
+        const idleMs = ({ group, tasks }: WaitingGroup) => this.waits.idleMs(group, tasks[0], now);
         const due = waiting.filter(
             entry => !entry.isThrottled && this.waits.isDue(entry.group, entry.tasks[0], entry.service, now),
         );
-        due.sort((a, b) => waitedMs(b) - waitedMs(a));
+        due.sort((a, b) => idleMs(b) - idleMs(a));
         const first = due.map(entry => (isGang(entry) ? entry : { ...entry, tasks: entry.tasks.slice(0, 1) }));
         this.placeInOrder(first, placer, now);
     }
@@ -204,8 +203,8 @@
             }
             const rank = this.order.rank(job, job.remainingMs(group), wallNow);
             const add = (entryTasks: readonly Task[], isSuspected: boolean, isThrottled: boolean) => {
-                const waitedMs = isThrottled ? 0 : this.waits.waitedMs(group, entryTasks[0], now);
-                const kind = { isThrottled, isSuspected, service, priority, roomMs: undefined };
+                const waitedMs = isThrottled ? 0 : this.waits.idleMs(group, entryTasks[0], now);
+                const kind = { isThrottled, isSuspected, service, priority };
                 waiting.push({ group, tasks: entryTasks, waitedMs, ...kind, rank, pass: 0, position: 0 });
             };
             if (throttled.length > 0) {
@@ -439,7 +438,7 @@
 
     private assignTo(task: Task, { worker, speedPercent }: PlacementChoice, placer: Placer, now: number): void {
         this.host.assign(task, worker, speedPercent, now);
-        this.waits.recordAssignment(task, worker.entry.service, now);
+        this.waits.recordAssignment(task, worker.entry.service);
         placer.invalidate(worker);
         this.remainingStarts -= 1;
     }
--- a/src/dispatch/common/test/stepQueue.test.ts
+++ b/src/dispatch/common/test/stepQueue.test.ts
@@ -80,14 +80,14 @@
     const job = createJob("a", createStep("batch", false, { request, usesSpareCpu: false, requiredLabel: "fast" }));
     const workers = createWorkers();
     const blocker = createStep("other", false, { usesSpareCpu: false });
-    assign(workers[0], [...createJob("b", blocker).tasks()][0]);
+    report(assign(workers[0], [...createJob("b", blocker).tasks()][0]), 0, 0);
     for (let now = 0; now <= 4_000; now += 500) {
         queue.placeWaiting([job], workers, 100, now, now);
     }
     const counts = { workers: 3, otherKind: 2, noRoom: 1, noHeadroom: 0, interference: 0, noSpareCpu: 0, ownLimit: 0 };
-    const usage = { cpuUsedPercent: 4, memoryUsedPercent: 0 };
-    const waiting = { waitedMs: 2_000, waiting: 1, roomMs: 2_000, oldestEstimateMs: undefined };
-    t.deepEqual(reports, [{ task: "a.0.0.0", ...waiting, ...usage, ...counts }]);
+    const conditions = { boundMs: 2_300, cpuUsedPercent: 4, memoryUsedPercent: 0 };
+    const waiting = { waitedMs: 2_000, waiting: 1, oldestEstimateMs: undefined };
+    t.deepEqual(reports, [{ task: "a.0.0.0", ...waiting, ...conditions, ...counts }]);
 });
 
 test("each of many waiting jobs is reported about every five seconds", t => {
--- a/src/dispatch/common/test/stepQueueWaits.test.ts
+++ b/src/dispatch/common/test/stepQueueWaits.test.ts
@@ -168,10 +168,16 @@
     }
 });
 
-/** Occupies a share of each worker with a run that it has reported. */
+/** Adds a run that it has reported to each worker, so that these shares of its CPU and its memory are in use. */
 function occupy(workers: readonly WorkerContact[], cpuRatio: number, memoryRatio: number, now = 0): void {
     for (const worker of workers) {
-        const request = { cpuMillis: 64_000 * cpuRatio, memoryMb: 256_000 * memoryRatio, accelerators: 0 };
+        const { capacity } = worker.entry;
+        const free = worker.freeCapacity();
+        const request = {
+            cpuMillis: free.cpuMillis - capacity.cpuMillis * (1 - cpuRatio),
+            memoryMb: free.memoryMb - capacity.memoryMb * (1 - memoryRatio),
+            accelerators: 0,
+        };
         const step = createStep("other", false, { usesSpareCpu: false, request });
         report(place(worker, `o-${worker.entry.id}`, step), 0, now);
     }
--- a/src/dispatch/common/test/waitController.test.ts
+++ b/src/dispatch/common/test/waitController.test.ts
@@ -17,7 +17,7 @@
     /** Runs passes from one time up to, but not including, another, in ms. */
     pass(workers: readonly WorkerContact[], from: number, until: number): void {
         for (let now = from; now < until; now += INTERVAL_MS) {
-            this.waits.updateRoom(workers, now);
+            this.waits.updateUsage(workers, now);
             this.waits.updateJob(this.job, [...this.job.groups], now, now);
         }
     }
@@ -31,10 +31,10 @@
     }
 }
 
-/** Lets tasks with reserved CPU use a share of a worker of 64 cores. */
-function occupy(worker: WorkerContact, ratio: number): void {
-    const request = { cpuMillis: 64_000 * ratio, memoryMb: 1_000, accelerators: 0 };
-    place(worker, `o-${worker.entry.id}`, createStep("other", false, { usesSpareCpu: false, request }));
+/** Lets a task with reserved CPU use a share of a worker of 64 cores and 256 GB. */
+function occupy(worker: WorkerContact, cpuRatio: number, memoryRatio = cpuRatio): void {
+    const request = { cpuMillis: 64_000 * cpuRatio, memoryMb: 256_000 * memoryRatio, accelerators: 0 };
+    report(place(worker, `o-${worker.entry.id}`, createStep("other", false, { usesSpareCpu: false, request })), 0, 0);
 }
 
 test("a job is due in time for a run within 3 s, and accepts any worker then", t => {
@@ -46,26 +46,54 @@
     t.is(fixture.minSpeedPercent(2_400), ANY_WORKER_PERCENT);
 });
 
-test("no job is due while more than half of its service is in use, and the wait counts from the time with room", t => {
+test("no job is due while its service is nearly full, and one that has waited is due as soon as there is room", t => {
     const fixture = new Fixture();
     const worker = createWorker();
-    occupy(worker, 0.6);
+    occupy(worker, 0.8);
     fixture.pass([worker], 0, 10_000);
     t.false(fixture.isDue(9_900));
     t.is(fixture.minSpeedPercent(2_900), 100);
     t.is(fixture.minSpeedPercent(9_900), 0);
     worker.runs.clear();
-    fixture.pass([worker], 10_000, 13_000);
-    t.false(fixture.isDue(11_500));
-    t.true(fixture.isDue(13_000));
+    fixture.pass([worker], 10_000, 10_300);
+    t.true(fixture.isDue(10_300));
+});
+
+test("the bound has no edge: it grows smoothly with the use of the service", t => {
+    const boundOf = (ratio: number) => {
+        const fixture = new Fixture();
+        const worker = createWorker();
+        occupy(worker, ratio);
+        fixture.pass([worker], 0, INTERVAL_MS);
+        return fixture.waits.conditionsOf("svc").boundMs;
+    };
+    t.is(boundOf(0.5), 2_300);
+    for (let percent = 51; percent <= 69; percent++) {
+        const [before, bound] = [boundOf((percent - 1) / 100)!, boundOf(percent / 100)!];
+        t.true(bound >= before && bound <= before * 2, `${percent}%: ${bound} ms after ${before} ms`);
+    }
+    t.is(boundOf(0.71), undefined);
+});
+
+test("a job is due in time while one of CPU and memory is just over half in use", t => {
+    for (const [cpuRatio, memoryRatio] of [
+        [0.54, 0.3],
+        [0.3, 0.6],
+    ] as const) {
+        const fixture = new Fixture();
+        const worker = createWorker();
+        occupy(worker, cpuRatio, memoryRatio);
+        fixture.pass([worker], 0, 2_400);
+        t.true(fixture.isDue(2_400), `${cpuRatio} of the CPU, ${memoryRatio} of the memory`);
+    }
 });
 
 // A task that moved counted on both workers for a moment, and the wait began again.
-test("the time with room does not begin again when a service seems full for a moment", t => {
+test("the wait does not begin again when a service seems full for a moment", t => {
     const fixture = new Fixture();
     const worker = createWorker();
     fixture.pass([worker], 0, 2_000);
-    occupy(worker, 0.6);
+    occupy(worker, 0.8);
     fixture.pass([worker], 2_000, 2_400);
     t.false(fixture.isDue(2_300));
     worker.runs.clear();
@@ -73,23 +101,15 @@
     t.true(fixture.isDue(2_800));
 });
 
-// The workers that confirm ends at the moment were left out, and the others alone seemed full.
-test("a worker that is not usable for a moment still counts", t => {
-    const fixture = new Fixture();
-    const [full, free] = [createWorker("w1"), createWorker("w2")];
-    occupy(full, 0.6);
-    fixture.pass([full, free], 0, 1_000);
-    fixture.pass([full], 1_000, 2_500);
-    t.true(fixture.isDue(2_500));
-});
-
 test("a job is not due while one of its runs is reported, and is once its worker is silent", t => {
     const fixture = new Fixture();
     const worker = createWorker();
     const run = assign(worker, fixture.tasks[1]);
-    report(run, 0, 100);
-    fixture.pass([worker], 100, 4_000);
-    t.false(fixture.isDue(4_000));
-    fixture.pass([worker], 4_000, 6_600);
-    t.true(fixture.isDue(6_600));
+    for (let at = 100; at <= 4_000; at += 1_000) {
+        report(run, 0, at);
+        fixture.pass([worker], at, at + 1_000);
+        t.false(fixture.isDue(at + 900));
+    }
+    fixture.pass([worker], 4_100, 9_700);
+    t.true(fixture.isDue(9_700));
 });
--- a/src/dispatch/common/waitPolicy.ts
+++ b/src/dispatch/common/waitPolicy.ts
@@ -1,13 +1,20 @@
+import { UsedRatios } from "./serviceUsage";
+
 /** Lowest speed of a task that starts on any worker on which it fits, also on one that is closed below full speed. */
 export const ANY_WORKER_PERCENT = -1;
 
+/** What a wait is judged by. */
+export interface Wait {
+    /** Time for which it has lasted so far, in ms. */
+    readonly waitedMs: number;
+    /** Shares of the service's capacity that are in use. */
+    readonly used: UsedRatios;
+}
+
 /** Decides what a best-effort task accepts the longer its job has nothing running. */
 export abstract class WaitPolicy {
-    /**
-     * @param waitedMs Time for which it has waited, in ms.
-     * @returns Lowest speed at which it may start, in percent of full speed, or `ANY_WORKER_PERCENT`.
-     */
-    abstract minSpeedPercent(waitedMs: number): number;
+    /** @returns Lowest speed at which the task may start, in percent of full speed, or `ANY_WORKER_PERCENT`. */
+    abstract minSpeedPercent(wait: Wait): number;
 }
 
 /**
--- a/src/dispatch/common/waitReporter.ts
+++ b/src/dispatch/common/waitReporter.ts
@@ -1,8 +1,8 @@
 import { Emitter } from "../../base/common/emitter";
 import { TaskGroup } from "./activeJob";
 import { Obstacle, Placer } from "./placer";
-import { ServiceUsage } from "./serviceRoom";
 import { Task } from "./task";
+import { WaitConditions } from "./waitController";
 
 /** Time for which a job must have waited with a step that is ready and no run before it is reported, in ms. */
 const MIN_WAIT_MS = 2_000;
@@ -17,14 +17,12 @@
 const MAX_REPORTS_PER_REVIEW = 16;
 
 /** Why a job waits: the number of usable workers by what keeps them from running its next task at full speed. */
-export interface WaitReport extends ServiceUsage, Readonly<Record<Obstacle, number>> {
+export interface WaitReport extends WaitConditions, Readonly<Record<Obstacle, number>> {
     readonly task: string;
     /** Time for which the step has waited, in ms. */
     readonly waitedMs: number;
     /** Number of tasks of the step that wait. */
     readonly waiting: number;
-    /** Part of that time for which about half of the service's capacity was free, in ms, or `undefined` if it is not now. */
-    readonly roomMs: number | undefined;
     /** Usable workers of all services that accept other tasks. */
     readonly workers: number;
     /** Age of the oldest estimate of interference that is in the way, in ms, if one with reports is. */
@@ -38,8 +36,6 @@
     readonly service: string;
     /** Time for which it has waited without any run of its job, in ms. */
     readonly waitedMs: number;
-    /** Time for which its service has had room, in ms, or `undefined` if it has none. */
-    readonly roomMs: number | undefined;
 }
 
 /** Reports the jobs that have nothing running although a step is ready, with the reasons. */
@@ -66,13 +62,13 @@
      * Reviews the steps that were ready in a pass, if a review is due.
      * @param waiting The steps, the most urgent first. Some of their tasks may have been placed in the pass.
      * @param placer Placer of the pass.
-     * @param usage Returns how much of a service's capacity is in use.
+     * @param conditionsOf Returns how the waiting jobs of a service are judged.
      * @param now Time in ms.
      */
     review(
         waiting: readonly WaitingTasks[],
         placer: Placer,
-        usage: (service: string) => ServiceUsage,
+        conditionsOf: (service: string) => WaitConditions,
         now: number,
     ): void {
         if (!this.isDue(now)) {
@@ -80,7 +76,7 @@
         }
         this.nextReviewAt = now + REVIEW_INTERVAL_MS;
         let reports = 0;
-        for (const { group, tasks, service, waitedMs, roomMs } of waiting) {
+        for (const { group, tasks, service, waitedMs } of waiting) {
             const [task] = tasks;
             const isDue = now - (this.reportedAt.get(group) ?? -Infinity) >= REPORT_INTERVAL_MS;
             if (waitedMs >= MIN_WAIT_MS && isDue && reports < MAX_REPORTS_PER_REVIEW && !task.job.hasRun) {
@@ -93,8 +89,7 @@
                     task: task.name,
                     waitedMs: Math.round(waitedMs),
                     waiting: tasks.length,
-                    roomMs: roomMs && Math.round(Math.min(roomMs, waitedMs)),
-                    ...usage(service),
+                    ...conditionsOf(service),
                     workers,
                     oldestEstimateMs,
                     ...obstacles,
--- a/src/dispatch/common/waitTable.ts
+++ b/src/dispatch/common/waitTable.ts
@@ -5,12 +5,20 @@
 /** Time without a report after which a run does not count as at work, in ms: its worker may be lost. */
 const MAX_SILENCE_MS = 4_000;
 
+/** Waits of a job, or of a long-running task. */
+interface WaitRecord {
+    /** Time (ms) since which it has nothing at work, or `undefined` while it has. */
+    idleSince: number | undefined;
+    /** Time for which it had nothing at work before that, in ms. */
+    idleBeforeMs: number;
+}
+
 /**
  * Knows for how long tasks have been ready without a run at work: for tasks of a long-running step each by itself, for others the
  * job while none of its tasks has one. A run counts once its worker has reported it, since a start may be rejected.
  */
 export class WaitTable {
-    private readonly waitingSince = new WeakMap<ActiveJob | Task, number>();
+    private readonly records = new WeakMap<ActiveJob | Task, WaitRecord>();
 
     private constructor() {}
 
@@ -29,30 +37,58 @@
     update(job: ActiveJob, groups: readonly TaskGroup[], now: number, wallNow: number): void {
         const others = groups.filter(each => each.step.mode !== "long-running");
         const readyAt = (group: TaskGroup) => now - Math.max(0, wallNow - job.readyAtMs(group));
-        if (others.length === 0 || job.hasRunLike(run => isAtWork(run, now))) {
-            this.waitingSince.set(job, now);
-        } else if (!this.waitingSince.has(job)) {
-            this.waitingSince.set(job, Math.min(...others.map(readyAt)));
+        if (others.length === 0) {
+            this.records.delete(job);
+        } else {
+            const lastAt = lastAtWork(job.runsLike(isReported), now);
+            this.record(job, lastAt, Math.min(...others.map(readyAt)), now);
         }
         for (const group of groups) {
             if (group.step.mode === "long-running") {
-                group.tasks.forEach(task => this.record(task, readyAt(group), now));
+                for (const task of group.tasks) {
+                    const runs = task.run !== undefined && isReported(task.run) ? [task.run] : [];
+                    this.record(task, lastAtWork(runs, now), readyAt(group), now);
+                }
             }
         }
     }
 
     /** @returns Time for which a waiting task of a group has had no run at work, in ms. */
-    waitedMs(group: TaskGroup, task: Task, now: number): number {
-        return now - (this.waitingSince.get(group.step.mode === "long-running" ? task : task.job) ?? now);
+    idleMs(group: TaskGroup, task: Task, now: number): number {
+        return now - (this.recordOf(group, task)?.idleSince ?? now);
+    }
+
+    private recordOf(group: TaskGroup, task: Task): WaitRecord | undefined {
+        return this.records.get(group.step.mode === "long-running" ? task : task.job);
+    }
+
+    /** @param lastAt Time (ms) at which a run was last at work, or `undefined` if none is known. */
+    private record(key: ActiveJob | Task, lastAt: number | undefined, readyAt: number, now: number): void {
+        const known = this.records.get(key);
+        if (known === undefined) {
+            this.records.set(key, { idleSince: lastAt === now ? undefined : (lastAt ?? readyAt), idleBeforeMs: 0 });
+        } else if (lastAt === now) {
+            known.idleBeforeMs += now - (known.idleSince ?? now);
+            known.idleSince = undefined;
+        } else {
+            known.idleSince ??= lastAt ?? now;
+        }
     }
+}
 
-    private record(task: Task, readyAt: number, now: number): void {
-        const isRunning = task.run !== undefined && isAtWork(task.run, now);
-        this.waitingSince.set(task, isRunning ? now : (this.waitingSince.get(task) ?? readyAt));
+/** @returns The present time while one of the runs is at work. */
+function lastAtWork(runs: readonly Run[], now: number): number | undefined {
+    if (runs.some(run => isAtWork(run, now))) {
+        return now;
     }
+    return undefined;
+}
+
+function isReported(run: Run): boolean {
+    return run.report !== undefined;
 }
 
 /** @returns Whether a worker has reported a run, and not too long ago. */
 export function isAtWork(run: Run, now: number): boolean {
-    return run.report !== undefined && now - run.reportedAt <= MAX_SILENCE_MS;
+    return isReported(run) && now - run.reportedAt <= MAX_SILENCE_MS;
 }
