Let a job wait for full speed once, not again for each of its tasks

Callers saw jobs with many tasks in a step that had one run every four seconds, with 58 of 62 workers free, and at the end none for 3 s (LOST): each task waited for 2.3 s for full speed after the one before it, so nothing was left for a leader that is late. Once the waits of a job have used up the bound, each further one is limited to 500 ms.

--- a/src/dispatch/common/boundedWaitPolicy.ts
+++ b/src/dispatch/common/boundedWaitPolicy.ts
@@ -13,6 +13,9 @@
 /** Part of the wait for which a task accepts only full speed. */
 const FULL_SPEED_WAIT_RATIO = 2 / 3;
 
+/** Limit of a wait once the waits of a job have used up the first one, in ms. */
+const REPEATED_WAIT_MS = 500;
+
 /** What a service makes its jobs wait for, without a wait. */
 export type WaitLimits = Pick<Wait, "used">;
 
@@ -27,7 +30,7 @@
         return new BoundedWaitPolicy();
     }
 
-    /** @returns Time after which a worker must be chosen, in ms; infinite in a full service. */
+    /** @returns Time after which a worker must be chosen for a job that has not waited before, in ms; infinite in a full service. */
     limitMs({ used }: WaitLimits): number {
         const fullness = Math.max(fullnessOf(used, "cpu"), fullnessOf(used, "memory"));
         const choiceMs = MAX_IDLE_MS - START_DELAY_MS - MAX_LEADER_DELAY_MS;
@@ -36,11 +39,11 @@
 
     /** @returns Whether the task goes before all jobs with more time. */
     isDue(wait: Wait): boolean {
-        return wait.waitedMs >= this.limitMs(wait);
+        return wait.waitedMs >= this.limitOf(wait);
     }
 
     override minSpeedPercent(wait: Wait): number {
-        const limitMs = this.limitMs(wait);
+        const limitMs = this.limitOf(wait);
         if (wait.waitedMs >= limitMs) {
             return ANY_WORKER_PERCENT;
         }
@@ -48,6 +51,11 @@
             ? 100
             : fallingSpeedPercent(wait.waitedMs, limitMs * FULL_SPEED_WAIT_RATIO, limitMs);
     }
+
+    private limitOf(wait: Wait): number {
+        const limitMs = this.limitMs(wait);
+        return wait.totalMs >= limitMs ? Math.min(limitMs, REPEATED_WAIT_MS) : limitMs;
+    }
 }
 
 /** @returns How far the use of a resource is between the two limits, from 0 to 1. */
--- a/src/dispatch/common/waitController.ts
+++ b/src/dispatch/common/waitController.ts
@@ -67,7 +67,8 @@
 
     /**
      * @returns Lowest speed at which a waiting task may start, in percent of full speed, or `ANY_WORKER_PERCENT`. It falls with
-     * the wait, so that tasks start where they run fastest, and the time without any run is bounded while workers have room.
+     * the wait, so that tasks start where they run fastest, and the time without any run is bounded while workers have room. A
+     * job waits for full speed once, and only briefly again for each of its tasks.
      */
     minSpeedPercent(group: TaskGroup, task: Task, service: string, now: number): number {
         if (!group.step.usesSpareCpu) {
@@ -88,7 +89,8 @@
 
     private waitOf(group: TaskGroup, task: Task, service: string, now: number): Wait {
         const waitedMs = this.waits.idleMs(group, task, now);
-        return { waitedMs, used: this.usage.ratiosOf(service) };
+        const totalMs = this.waits.totalIdleMs(group, task, now);
+        return { waitedMs, totalMs, used: this.usage.ratiosOf(service) };
     }
 
     /** @returns Whether a task need not start soon, since its job has another run that is at work or about to be. */
--- a/src/dispatch/common/waitPolicy.ts
+++ b/src/dispatch/common/waitPolicy.ts
@@ -7,6 +7,8 @@
 export interface Wait {
     /** Time for which it has lasted so far, in ms. */
     readonly waitedMs: number;
+    /** The same with all earlier waits of the job or long-running task, in ms. */
+    readonly totalMs: number;
     /** Shares of the service's capacity that are in use. */
     readonly used: UsedRatios;
 }
--- a/src/dispatch/common/waitTable.ts
+++ b/src/dispatch/common/waitTable.ts
@@ -58,6 +58,11 @@
         return now - (this.recordOf(group, task)?.idleSince ?? now);
     }
 
+    /** @returns The same with all earlier waits of the job or long-running task, in ms. */
+    totalIdleMs(group: TaskGroup, task: Task, now: number): number {
+        return (this.recordOf(group, task)?.idleBeforeMs ?? 0) + this.idleMs(group, task, now);
+    }
+
     private recordOf(group: TaskGroup, task: Task): WaitRecord | undefined {
         return this.records.get(group.step.mode === "long-running" ? task : task.job);
     }
