Count the wait of a job whose only run is silent from its last report

A run counted as at work for 4 s after its last report, and the wait began only then: a job whose worker was lost had no other run for 6.3 s. Reports come every 1.2 s at most, so a run counts for 2 s, and the wait begins with its last report. Only other tasks of the job start; the silent one is kept until its lease ends, as before.

--- a/src/dispatch/common/test/waitController.test.ts
+++ b/src/dispatch/common/test/waitController.test.ts
@@ -101,7 +101,7 @@
     t.true(fixture.isDue(2_800));
 });
 
-test("a job is not due while one of its runs is reported, and is once its worker is silent", t => {
+test("a job is not due while one of its runs is reported, and is in time once its worker is silent", t => {
     const fixture = new Fixture();
     const worker = createWorker();
     const run = assign(worker, fixture.tasks[1]);
@@ -110,6 +110,6 @@
         fixture.pass([worker], at, at + 1_000);
         t.false(fixture.isDue(at + 900));
     }
-    fixture.pass([worker], 4_100, 9_700);
-    t.true(fixture.isDue(9_700));
+    fixture.pass([worker], 4_100, 5_500);
+    t.true(fixture.isDue(3_100 + 2_400));
 });
--- a/src/dispatch/common/waitTable.ts
+++ b/src/dispatch/common/waitTable.ts
@@ -2,8 +2,11 @@
 import { Run } from "./run";
 import { Task } from "./task";
 
-/** Time without a report after which a run does not count as at work, in ms: its worker may be lost. */
-const MAX_SILENCE_MS = 4_000;
+/**
+ * Time after its latest report for which a run counts as at work, in ms: somewhat longer than the interval between the reports
+ * of a worker that is reachable. After that its worker may be lost.
+ */
+const MAX_SILENCE_MS = 2_000;
 
 /** Waits of a job, or of a long-running task. */
 interface WaitRecord {
@@ -81,12 +84,12 @@
     }
 }
 
-/** @returns The present time while one of the runs is at work. */
+/** @returns The present time while one of the runs is at work, otherwise the latest time (ms) of a report. */
 function lastAtWork(runs: readonly Run[], now: number): number | undefined {
     if (runs.some(run => isAtWork(run, now))) {
         return now;
     }
-    return undefined;
+    return runs.length === 0 ? undefined : Math.max(...runs.map(run => run.reportedAt));
 }
 
 function isReported(run: Run): boolean {
