Take the measured delay of the leader off the bound of a wait

One that would be too late in any case keeps two runs of a job where it has the tasks, and a start that is not answered after 1 s and this delay does not hold up the others.

New tests have a leader that is 0.5, 1 and 2 s late; before, the delay was not known to the waits.

--- a/src/dispatch/common/boundedWaitPolicy.ts
+++ b/src/dispatch/common/boundedWaitPolicy.ts
@@ -17,7 +17,7 @@
 const REPEATED_WAIT_MS = 500;
 
 /** What a service makes its jobs wait for, without a wait. */
-export type WaitLimits = Pick<Wait, "used">;
+export type WaitLimits = Pick<Wait, "used" | "lateMs">;
 
 /** The wait while the service has room: a job gets a run within the time that callers accept. */
 export class BoundedWaitPolicy extends WaitPolicy {
@@ -31,9 +31,9 @@
     }
 
     /** @returns Time after which a worker must be chosen for a job that has not waited before, in ms; infinite in a full service. */
-    limitMs({ used }: WaitLimits): number {
+    limitMs({ used, lateMs }: WaitLimits): number {
         const fullness = Math.max(fullnessOf(used, "cpu"), fullnessOf(used, "memory"));
-        const choiceMs = MAX_IDLE_MS - START_DELAY_MS - MAX_LEADER_DELAY_MS;
+        const choiceMs = MAX_IDLE_MS - START_DELAY_MS - Math.max(MAX_LEADER_DELAY_MS, lateMs);
         return fullness >= 1 ? Number.POSITIVE_INFINITY : Math.max(0, choiceMs) / (1 - fullness * fullness);
     }
 
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -87,7 +87,9 @@
             this.throttle.change(run, percent, this.now),
         );
         this.failures = FailureController.create(context.queues, this.suspects, SchedulerFailureHost.create(this));
-        this.queue = StepQueue.create(context.queues, this.model, this.suspects, SchedulerQueueHost.create(this));
+        const queueHost = SchedulerQueueHost.create(this);
+        const { queues, views } = context;
+        this.queue = StepQueue.create(queues, this.model, this.suspects, queueHost, undefined, views.loop);
         this.resources.add(this.queue.onDidWait(report => this.logWait(report)));
         this.resources.add(this.activeJobs.onDidCancel(job => this.stopRuns(job, this.now)));
         this.resources.add(
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -10,6 +10,7 @@
 import { Run } from "./run";
 import { RunReviewer } from "./runReviewer";
 import { ShortTaskReserve } from "./shortTaskReserve";
+import { LoopView } from "./streamViews";
 import { SuspectTable } from "./suspectTable";
 import { ignoringFailures, Task } from "./task";
 import { WaitReporter } from "./waitReporter";
@@ -50,7 +51,7 @@
  */
 export class StepQueue {
     private readonly probation: ProbationPlacer;
-    private readonly waits = WaitController.create();
+    private readonly waits: WaitController;
     private readonly waitReporter = WaitReporter.create();
     private readonly reviewer = RunReviewer.create();
     /** Fires for a job that has nothing running although a step is ready. */
@@ -70,7 +71,9 @@
         private readonly suspects: SuspectTable,
         private readonly host: QueueHost,
         private readonly order: WaitingOrder,
+        loop: LoopView | undefined,
     ) {
+        this.waits = WaitController.create(loop);
         this.probation = ProbationPlacer.create(suspects, model);
     }
 
@@ -80,6 +83,7 @@
      * @param suspects Tasks that are suspected of crashing their workers.
      * @param host Assigns tasks to workers and moves them.
      * @param order Order of the jobs of one priority.
+     * @param loop How late the leader's loop is; left out if it is not measured.
      * @returns The queue.
      */
     static create(
@@ -88,8 +92,9 @@
         suspects: SuspectTable,
         host: QueueHost,
         order: WaitingOrder = ObjectiveOrder.create(),
+        loop?: LoopView,
     ): StepQueue {
-        return new StepQueue(queues, model, suspects, host, order);
+        return new StepQueue(queues, model, suspects, host, order, loop);
     }
 
     /**
--- a/src/dispatch/common/test/waitController.test.ts
+++ b/src/dispatch/common/test/waitController.test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import { ActiveJob } from "../activeJob";
+import { LoopView } from "../streamViews";
 import { Task } from "../task";
 import { WaitController } from "../waitController";
 import { WorkerContact } from "../workerContact";
@@ -8,12 +9,21 @@
 
 const INTERVAL_MS = 100;
 
+/** Longest time for which callers accept that a job has nothing running while its service has room, in ms. */
+const MAX_IDLE_MS = 3_000;
+
 /** A job of two tasks, and the passes of a leader. */
 class Fixture {
-    readonly waits = WaitController.create();
+    readonly waits: WaitController;
     readonly job: ActiveJob = createJob("a", createBestEffort({ tasks: 2 }));
     readonly tasks: readonly Task[] = [...this.job.tasks()];
 
+    /** @param delayMs How late the leader's loop is, in ms. */
+    constructor(delayMs = 0) {
+        const loop: LoopView = { summary: { medianMs: delayMs, mostMs: delayMs } };
+        this.waits = WaitController.create(loop);
+    }
+
     /** Runs passes from one time up to, but not including, another, in ms. */
     pass(workers: readonly WorkerContact[], from: number, until: number): void {
         for (let now = from; now < until; now += INTERVAL_MS) {
@@ -101,6 +111,28 @@
     t.true(fixture.isDue(2_800));
 });
 
+test("the delay of a late leader is taken off its bound, with the end of one run and with the start of the next", t => {
+    for (const delayMs of [500, 1_000, 2_000]) {
+        const fixture = new Fixture(delayMs);
+        const dueAt = Math.max(0, MAX_IDLE_MS - 200 - 2 * delayMs);
+        fixture.pass([createWorker()], 0, dueAt + INTERVAL_MS);
+        t.true(fixture.isDue(dueAt), `${delayMs} ms late`);
+    }
+});
+
+test("a leader that is too late to start the next run in time keeps two runs of a job, one that is on time does not", t => {
+    for (const [delayMs, isDue] of [
+        [2_000, true],
+        [200, false],
+    ] as const) {
+        const fixture = new Fixture(delayMs);
+        const worker = createWorker();
+        report(assign(worker, fixture.tasks[1]), 0, 0);
+        fixture.pass([worker], 0, 1_000);
+        t.is(fixture.isDue(1_000), isDue, `${delayMs} ms late`);
+    }
+});
+
 test("a job is not due while one of its runs is reported, and is in time once its worker is silent", t => {
     const fixture = new Fixture();
     const worker = createWorker();
@@ -113,3 +145,11 @@
     fixture.pass([worker], 4_100, 5_500);
     t.true(fixture.isDue(3_100 + 2_400));
 });
+
+test("a start that is not answered within a second does not keep the other tasks of its job waiting", t => {
+    const fixture = new Fixture();
+    const worker = createWorker();
+    assign(worker, fixture.tasks[1]);
+    fixture.pass([worker], 0, 2_400);
+    t.true(fixture.isDue(2_400));
+});
--- a/src/dispatch/common/waitController.ts
+++ b/src/dispatch/common/waitController.ts
@@ -1,15 +1,20 @@
 import { ActiveJob, TaskGroup } from "./activeJob";
 import { BoundedWaitPolicy } from "./boundedWaitPolicy";
+import { MAX_IDLE_MS, START_DELAY_MS } from "./dispatchLimits";
 import { PatientWaitPolicy } from "./patientWaitPolicy";
 import { Run } from "./run";
 import { ServiceUsage, UsageReport } from "./serviceUsage";
+import { LoopView } from "./streamViews";
 import { Task } from "./task";
 import { Wait } from "./waitPolicy";
 import { isAtWork, WaitTable } from "./waitTable";
 import { WorkerContact } from "./workerContact";
 
-/** Time within which a start is answered by a worker that can be reached, in ms; the leader may be late. */
-const START_ANSWER_MS = 2_500;
+/** Time within which a start is answered by a worker that can be reached, in ms, apart from the leader's own delay. */
+const START_ANSWER_MS = 1_000;
+
+/** How often a late leader is late between two runs of a job: with the end of the one, and with the answer that the next is stored. */
+const LATE_TURNS = 2;
 
 /** How a waiting job is judged, for reports. */
 export interface WaitConditions extends UsageReport {
@@ -26,11 +31,11 @@
     /** Time (ms) of the first review of the workers. */
     private startedAt: number | undefined;
 
-    private constructor() {}
+    private constructor(private readonly loop: LoopView | undefined) {}
 
-    /** @returns A controller that has seen no job. */
-    static create(): WaitController {
-        return new WaitController();
+    /** @param loop How late the leader's loop is; left out if it is not measured. @returns A controller that has seen no job. */
+    static create(loop?: LoopView): WaitController {
+        return new WaitController(loop);
     }
 
     /** Reviews the workers once in a pass. @param workers All workers. @param now Time in ms. */
@@ -56,7 +61,7 @@
 
     /** @returns How the jobs of a service that wait are judged. */
     conditionsOf(service: string): WaitConditions {
-        const limitMs = this.bounded.limitMs({ used: this.usage.ratiosOf(service) });
+        const limitMs = this.bounded.limitMs({ used: this.usage.ratiosOf(service), lateMs: this.lateMs });
         return { boundMs: Number.isFinite(limitMs) ? Math.round(limitMs) : undefined, ...this.usage.reportOf(service) };
     }
 
@@ -90,17 +95,30 @@
     private waitOf(group: TaskGroup, task: Task, service: string, now: number): Wait {
         const waitedMs = this.waits.idleMs(group, task, now);
         const totalMs = this.waits.totalIdleMs(group, task, now);
-        return { waitedMs, totalMs, used: this.usage.ratiosOf(service) };
+        return { waitedMs, totalMs, used: this.usage.ratiosOf(service), lateMs: this.lateMs };
+    }
+
+    private get lateMs(): number {
+        return LATE_TURNS * (this.loop?.summary.mostMs ?? 0);
     }
 
-    /** @returns Whether a task need not start soon, since its job has another run that is at work or about to be. */
+    /**
+     * @returns Whether a task need not start soon, since its job has another run that is at work or about to be. A leader that would
+     * know of its end and start the next one too late needs two.
+     */
     private isCovered(task: Task, now: number): boolean {
-        const others = task.job.runsLike(run => isAtWork(run, now) || isStarting(run, now));
-        return task.step.mode !== "long-running" && others.length > 0;
+        if (task.step.mode === "long-running") {
+            return false;
+        }
+        const { lateMs } = this;
+        const needed = lateMs + START_DELAY_MS >= MAX_IDLE_MS ? 2 : 1;
+        const others = task.job.runsLike(run => isAtWork(run, now) || isStarting(run, now, lateMs));
+        return others.length >= needed;
     }
 }
 
 /** @returns Whether a run may soon be at work: the answer to its start, or the first list of its worker, is not overdue. */
-function isStarting(run: Run, now: number): boolean {
-    return run.report === undefined && run.state !== "unconfirmed" && now - run.changedAt <= START_ANSWER_MS;
+function isStarting(run: Run, now: number, lateMs: number): boolean {
+    const isUnreported = run.report === undefined && run.state !== "unconfirmed";
+    return isUnreported && now - run.changedAt <= START_ANSWER_MS + lateMs;
 }
--- a/src/dispatch/common/waitPolicy.ts
+++ b/src/dispatch/common/waitPolicy.ts
@@ -11,6 +11,8 @@
     readonly totalMs: number;
     /** Shares of the service's capacity that are in use. */
     readonly used: UsedRatios;
+    /** Time that the leader needs to know of an end and to start the next run because its loop is late, in ms. */
+    readonly lateMs: number;
 }
 
 /** Decides what a best-effort task accepts the longer its job has nothing running. */
