--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -230,7 +230,7 @@
         starts.forEach(run => run.fire("stored", { now }));
         this.pacer.run(this.pool.size, now, () => {
             this.passCount += 1;
-            const { all } = this.pool;
+            const all = [...this.pool.all];
             const usable = this.admission.usableWorkers(all, now);
             this.queue.placeWaiting(this.activeJobs.all, usable, this.pool.remainingStarts(), now, wallNow, all);
         });
