--- a/src/proof/node/trialSchedule.ts
+++ b/src/proof/node/trialSchedule.ts
@@ -1,14 +1,13 @@
 /** An action at a virtual time; actions at the same time are performed in the order in which they were scheduled. */
 interface ScheduledAction {
     readonly at: number;
-    readonly sequence: number;
     readonly perform: () => void;
 }
 
 /** The virtual clock of a trial and the actions that are due on it. */
 export class TrialSchedule {
-    private actions: ScheduledAction[] = [];
-    private lastSequence = 0;
+    /** In the order in which they are performed. */
+    private readonly actions: ScheduledAction[] = [];
     private time = 0;
 
     private constructor() {}
@@ -25,14 +24,22 @@
 
     /** Schedules an action. @param delayMs Time until then, in ms. @param perform The action. */
     add(delayMs: number, perform: () => void): void {
-        this.lastSequence += 1;
-        this.actions.push({ at: this.time + delayMs, sequence: this.lastSequence, perform });
+        const at = this.time + delayMs;
+        let [low, high] = [0, this.actions.length];
+        while (low < high) {
+            const middle = (low + high) >> 1;
+            if (this.actions[middle].at <= at) {
+                low = middle + 1;
+            } else {
+                high = middle;
+            }
+        }
+        this.actions.splice(low, 0, { at, perform });
     }
 
     /** Performs the actions that are due up to a time. @param endMs The time in ms. */
     runUntil(endMs: number): void {
         while (this.actions.length > 0) {
-            this.actions.sort((a, b) => a.at - b.at || a.sequence - b.sequence);
             const [next] = this.actions;
             if (next.at > endMs) {
                 return;
