Count waits of jobs while less than half of either CPU or memory is in use

The contract says that under half of the service's capacity is in use, without naming the resource. It now counts a wait if less than half of any one of both is in use, by runs on workers that are alive; a run on a worker that is lost is no run at work. That there is room for two such tasks, and the bound of 3 s, stay.

The unit test 'a wait does not count while half of the memory is in use or only one such task has room' stated the old reading. Its case of full memory now has half of the CPU in use as well; two tests are new, for either resource alone and for lost workers.

--- a/src/proof/node/test/waitChecker.test.ts
+++ b/src/proof/node/test/waitChecker.test.ts
@@ -42,15 +42,20 @@
         this.schedule.add(REVIEW_INTERVAL_MS, () => this.review());
     }
 
-    /** Lets another job, which only the checker of waits considers, hold memory of a worker. */
-    occupy(worker: LeasedWorker, memoryMb: number): void {
+    /** Lets another job, which only the checker of waits considers, hold memory of a worker, and CPU that it reserves. */
+    occupy(worker: LeasedWorker, memoryMb: number, cpuMillis = 0): void {
         const draft = createBestEffortDraft(Random.create(2));
-        const request = { cpuMillis: 1_000, memoryMb, accelerators: 0 };
-        const steps = draft.steps.slice(0, 1).map(step => ({ ...step, tasks: 1, request }));
+        const request = { cpuMillis, memoryMb, accelerators: 0 };
+        const steps = draft.steps.slice(0, 1).map(step => ({ ...step, tasks: 1, request, usesSpareCpu: false }));
         this.checker.recordSubmission({ id: "2", queue: QUEUE, acceptedAtMs: 0, ...draft, steps });
         this.checker.onStart(worker, "2.0.0.0", 1);
     }
 
+    /** Loses a worker, which reports no end of its runs. */
+    lose(worker: LeasedWorker): void {
+        this.workers.splice(this.workers.indexOf(worker), 1);
+    }
+
     at(ms: number, perform: () => void): void {
         this.schedule.add(ms, perform);
     }
@@ -96,9 +101,9 @@
     }
 });
 
-test("a wait does not count while half of the memory is in use or only one such task has room", t => {
+test("a wait does not count while half of the CPU and of the memory is in use or only one such task has room", t => {
     const full = new Fixture(1_000);
-    full.occupy(full.workers[0], 64_000);
+    full.occupy(full.workers[0], 64_000, 16_000);
     t.deepEqual(full.brokenRules(30_000), []);
     const wide = new Fixture(40_000);
     wide.occupy(wide.workers[0], 30_000);
@@ -108,6 +113,26 @@
     t.deepEqual(free.brokenRules(30_000), ["bounded-wait"]);
 });
 
+test("a wait counts while less than half of one resource is in use, however much of the other is", t => {
+    const withoutMemory = new Fixture();
+    withoutMemory.occupy(withoutMemory.workers[0], 64_000, 15_900);
+    t.deepEqual(withoutMemory.brokenRules(30_000), ["bounded-wait"]);
+    const withoutCpu = new Fixture();
+    withoutCpu.occupy(withoutCpu.workers[0], 63_900, 16_000);
+    t.deepEqual(withoutCpu.brokenRules(30_000), ["bounded-wait"]);
+});
+
+test("only runs on workers that are alive are at work", t => {
+    const full = new Fixture();
+    full.occupy(full.workers[0], 64_000, 16_000);
+    full.lose(full.workers[0]);
+    t.deepEqual(full.brokenRules(30_000), ["bounded-wait"]);
+    const lost = new Fixture();
+    lost.checker.onStart(lost.workers[0], "1.0.0.0", 1);
+    lost.lose(lost.workers[0]);
+    t.deepEqual(lost.brokenRules(30_000), ["bounded-wait"]);
+});
+
 test("a wait does not count from a disruption until 4 s after its end", t => {
     const fixture = new Fixture();
     fixture.at(2_000, () => fixture.checker.recordDisruption(3_000));
--- a/src/proof/node/waitChecker.ts
+++ b/src/proof/node/waitChecker.ts
@@ -7,11 +7,13 @@
 /** How many tasks like the waiting one must fit into the free capacity. */
 const ROOM_FOR_TASKS = 2;
 
-/** Share of the reserved CPU and of the memory of a service below which most of its capacity is free. */
+/** Share of a resource of a service below which most of it is free. */
 const MAX_USED_RATIO = 0.5;
 
 const RESOURCES = ["cpuMillis", "memoryMb", "accelerators"] as const;
 
+type FreeCapacity = Record<(typeof RESOURCES)[number], number>;
+
 /** Checks that accepted jobs get a run within a bounded time while their service has room. */
 export class WaitChecker {
     private readonly jobs = new Map<string, JobSpec>();
@@ -53,14 +55,15 @@
     /**
      * Reviews the waits; to be called every few hundred milliseconds.
      * @param accepted Jobs that were accepted and that nobody has cancelled.
-     * @param workers Workers of the service.
+     * @param workers Workers of the service that are alive.
      * @param isCalm Whether all of them are sound and no disruption is near.
      * @param now Time in ms.
      */
     review(accepted: Iterable<string>, workers: readonly LeasedWorker[], isCalm: boolean, now: number): void {
-        const free = workers.map(worker => this.freeCapacity(worker));
-        const isMostlyFree = isCalm && this.isMostlyFree(workers);
-        const running = new Set([...this.runs.keys()].map(task => task.split(".")[0]));
+        const free = this.freeCapacities(workers);
+        const isMostlyFree = isCalm && isAnyMostlyFree(workers, free);
+        const atWork = [...this.runs].filter(([, worker]) => workers.includes(worker));
+        const running = new Set(atWork.map(([task]) => task.split(".")[0]));
         for (const id of accepted) {
             const step = isMostlyFree && !running.has(id) ? this.readyStep(id) : undefined;
             if (step === undefined || !hasRoom(step, free)) {
@@ -89,35 +92,40 @@
         return hasFailed ? undefined : steps.find((step, index) => !isComplete(index) && step.after.every(isComplete));
     }
 
-    private isMostlyFree(workers: readonly LeasedWorker[]): boolean {
-        return (["cpuMillis", "memoryMb"] as const).every(resource => {
-            const capacity = workers.reduce((sum, worker) => sum + worker.entry.capacity[resource], 0);
-            const free = workers.reduce((sum, worker) => sum + this.freeCapacity(worker)[resource], 0);
-            return capacity - free < capacity * MAX_USED_RATIO;
-        });
-    }
-
-    private freeCapacity(worker: LeasedWorker): Record<(typeof RESOURCES)[number], number> {
-        const { cpuMillis, memoryMb, accelerators } = worker.entry.capacity;
-        const free = { cpuMillis, memoryMb, accelerators };
-        for (const [task, each] of this.runs) {
+    /** @returns What each worker has left. */
+    private freeCapacities(workers: readonly LeasedWorker[]): FreeCapacity[] {
+        const free = new Map(workers.map(worker => [worker, { ...worker.entry.capacity }]));
+        for (const [task, worker] of this.runs) {
             const [id, , index] = task.split(".");
-            const step = each === worker ? this.jobs.get(id)?.steps[Number(index)] : undefined;
-            if (step !== undefined) {
-                RESOURCES.forEach(resource => (free[resource] -= requestOf(step, resource)));
+            const step = this.jobs.get(id)?.steps[Number(index)];
+            const left = free.get(worker);
+            if (step !== undefined && left !== undefined) {
+                RESOURCES.forEach(resource => (left[resource] -= requestOf(step, resource)));
             }
         }
-        return free;
+        return [...free.values()];
     }
 }
 
+/**
+ * @returns Whether less than half of any one resource is in use. The contract does not say which resource counts, so the reading
+ * under which most waits count is checked.
+ */
+function isAnyMostlyFree(workers: readonly LeasedWorker[], free: readonly FreeCapacity[]): boolean {
+    return (["cpuMillis", "memoryMb"] as const).some(resource => {
+        const capacity = workers.reduce((sum, worker) => sum + worker.entry.capacity[resource], 0);
+        const left = free.reduce((sum, each) => sum + each[resource], 0);
+        return capacity - left < capacity * MAX_USED_RATIO;
+    });
+}
+
 /** Best-effort tasks reserve no CPU. */
 function requestOf(step: StepSpec, resource: (typeof RESOURCES)[number]): number {
     return step.usesSpareCpu && resource === "cpuMillis" ? 0 : step.request[resource];
 }
 
 /** @returns Whether the workers have room for several tasks of a step. */
-function hasRoom(step: StepSpec, free: readonly Record<(typeof RESOURCES)[number], number>[]): boolean {
+function hasRoom(step: StepSpec, free: readonly FreeCapacity[]): boolean {
     const needed = RESOURCES.filter(resource => requestOf(step, resource) > 0);
     const places = free.map(each =>
         Math.min(
