Trials of jobs that wait although their service has room

Plans can now say what latency-critical tasks reserve, how long best-effort tasks are and how narrow their steps, and when the fleet nearly doubles, half of it is lost for 2 s, or all instances are killed; the cost model has further costs per start, list and answer. Trials without them are as before.

--- a/src/proof/node/colocationPlan.ts
+++ b/src/proof/node/colocationPlan.ts
@@ -12,6 +12,12 @@
     readonly maxTasks?: number;
     /** Memory that a best-effort task requests, in MB; 8 to 20 GB if undefined. */
     readonly memoryMb?: number;
+    /** Smallest number of tasks of a step of a best-effort job; 1 if undefined. */
+    readonly minTasks?: number;
+    /** Bounds of the work of a best-effort task at full speed, in ms; 0.3 to 7.5 s if undefined. */
+    readonly workMs?: { readonly min: number; readonly max: number };
+    /** What a latency-critical task reserves; 6 cores and 14 GB if undefined. */
+    readonly reserved?: { readonly cpuMillis: number; readonly memoryMb: number };
 }
 
 /** Largest number of tasks of a step of a best-effort job if the plan has none. */
@@ -24,6 +30,9 @@
 export const LATENCY_CRITICAL_JOBS = 2;
 export const LATENCY_CRITICAL_INTERVAL_MS = 4_000;
 
+/** What a latency-critical task reserves if the plan does not say it. */
+const DEFAULT_RESERVED = { cpuMillis: 6_000, memoryMb: 14_000 };
+
 /** Target of the tail latency, in ms. */
 const TAIL_TARGET_MS = 24;
 
@@ -41,15 +50,20 @@
 /**
  * @param index Number of the job among the latency-critical ones, which together have a task for each worker.
  * @param workers Number of workers.
+ * @param plan What each task reserves.
  * @returns A job of long-running latency-critical tasks, at most one on a worker.
  */
-export function createLatencyCriticalDraft(index: number, workers: number): JobDraft {
+export function createLatencyCriticalDraft(
+    index: number,
+    workers: number,
+    { reserved = DEFAULT_RESERVED }: Pick<ColocationPlan, "reserved"> = {},
+): JobDraft {
     const first = Math.floor((index * workers) / LATENCY_CRITICAL_JOBS);
     const tasks = Math.floor(((index + 1) * workers) / LATENCY_CRITICAL_JOBS) - first;
     const step: StepSpec = {
         ...COMMON_STEP,
         tasks,
-        request: { cpuMillis: 6_000, memoryMb: 14_000, accelerators: 0 },
+        request: { ...reserved, accelerators: 0 },
         estimateMs: 60_000,
         mode: "long-running",
         maxPerWorker: 1,
@@ -67,7 +81,11 @@
  */
 export function createBestEffortDraft(
     random: Random,
-    { maxTasks = DEFAULT_MAX_TASKS, memoryMb }: Pick<ColocationPlan, "maxTasks" | "memoryMb"> = {},
+    {
+        minTasks = 1,
+        maxTasks = DEFAULT_MAX_TASKS,
+        memoryMb,
+    }: Pick<ColocationPlan, "minTasks" | "maxTasks" | "memoryMb"> = {},
 ): JobDraft {
     const image = `batch-${random.between(0, BEST_EFFORT_IMAGES - 1)}`;
     const request = {
@@ -78,7 +96,7 @@
     request.memoryMb = memoryMb ?? request.memoryMb;
     const steps = [0, 1].map((index): StepSpec => ({
         ...COMMON_STEP,
-        tasks: random.between(1, maxTasks),
+        tasks: random.between(minTasks, maxTasks),
         request,
         estimateMs: 4_000,
         after: index === 0 ? [] : [index - 1],
--- a/src/proof/node/jobTrial.ts
+++ b/src/proof/node/jobTrial.ts
@@ -121,7 +121,7 @@
             this.schedule(3_000, () => this.injector.injectNext());
         }
         this.injector.planDrains();
-        this.timeline.runUntil(this.plan.lengthMs + RECOVERY_TIMEOUT_MS);
+        this.timeline.runUntil(this.plan.lengthMs + (this.plan.recoveryMs ?? RECOVERY_TIMEOUT_MS));
         this.checkFinished();
         const accepted = this.checker.accepted.size;
         const finished = [...this.checker.accepted].filter(id => this.jobState(id) === "done").length;
--- a/src/proof/node/jobTrialPlan.ts
+++ b/src/proof/node/jobTrialPlan.ts
@@ -104,10 +104,13 @@
 ];
 
 /**
- * A planned fault of a trial. `lose-worker`: the worker with the most runs is lost for good. The others concern the leader:
- * it is killed, is frozen for 3 s, or is told to stop and is started again once it has.
+ * A planned fault of a trial. `lose-worker`: the worker with the most runs is lost for good. `lose-half`: half of the workers
+ * crash and are back after 2 s. `add-workers`: there are nearly twice as many workers from then on. `kill-all`: all instances
+ * are killed. The others concern the leader: it is killed, is frozen for 3 s, or is told to stop and is started again once it
+ * has.
  */
-export type PlannedFault = "lose-worker" | "kill-leader" | "freeze-leader" | "stop-leader";
+export type PlannedFault =
+    "lose-worker" | "lose-half" | "add-workers" | "kill-all" | "kill-leader" | "freeze-leader" | "stop-leader";
 
 /** Jobs that last until the end of a trial. */
 export interface LastingJobs {
@@ -132,6 +135,8 @@
     readonly faultEveryMs: number;
     /** Time up to which faults are injected, in ms; `lengthMs` if undefined. */
     readonly faultsUntilMs?: number;
+    /** Time for which the trial goes on after `lengthMs`, in ms; 60 s if undefined, in which all jobs must end. */
+    readonly recoveryMs?: number;
     /** Share of the jobs with a deadly task, from 0 to 1; none if undefined. */
     readonly deadlyRatio?: number;
     /** Time from the start of a deadly task to the crash of its worker, in ms; 10 if undefined. */
@@ -274,10 +279,14 @@
     };
 }
 
+/** Bounds of the duration of a run, in ms. */
+export const MIN_RUN_MS = 100;
+export const MAX_RUN_MS = 2_500;
+
 /** @returns Duration of a run in ms and its end, both derived from the run alone. */
 export function simulateRun(task: string, run: number): { ms: number; end: RunEnd } {
     const random = Random.create([...`${task}/${run}`].reduce((sum, char) => (sum * 31 + char.charCodeAt(0)) | 0, 7));
-    return { ms: random.between(100, 2_500), end: random.chance(0.04) ? "failed" : "done" };
+    return { ms: random.between(MIN_RUN_MS, MAX_RUN_MS), end: random.chance(0.04) ? "failed" : "done" };
 }
 
 /** One in so many jobs has long runs in trials with cancellations, and how much longer they are. */
--- /dev/null
+++ b/src/proof/node/test/waitTrial.test.ts
@@ -0,0 +1,23 @@
+import test from "ava";
+import { JobTrial } from "../jobTrial";
+import { WAIT_PLANS, WaitPlanName } from "../waitTrialPlan";
+
+/** Seeds with which jobs waited for over 3 s although their service had room, and what came before. */
+const REGRESSIONS: readonly (readonly [plan: WaitPlanName, seed: number, title: string])[] = [
+    ["memory-over-half", 1, "while just over half of the memory and under half of the CPU is in use"],
+    ["memory-over-half", 3, "while just over half of the memory and under half of the CPU is in use"],
+    ["fleet-grows", 2, "after the number of workers has nearly doubled"],
+    ["half-lost", 1, "after half of the workers were lost and came back"],
+    ["all-killed", 2, "after the leader and then all instances were killed"],
+    ["late-leader", 1, "beside wide steps under a leader that is late"],
+    ["late-leader-with-memory", 4, "beside wide steps under a leader that is late, with memory free"],
+    ["whole-day", 3, "after a late leader, a grown fleet, lost workers and a restart of all instances"],
+];
+
+for (const [plan, seed, title] of REGRESSIONS) {
+    test.serial(`no job is without a run for over 3 s ${title}, seed ${seed}`, t => {
+        const { breaches, starts } = JobTrial.run({ ...WAIT_PLANS[plan], seed });
+        t.deepEqual(breaches, []);
+        t.true(starts > 100);
+    });
+}
--- a/src/proof/node/trialColocation.ts
+++ b/src/proof/node/trialColocation.ts
@@ -59,7 +59,7 @@
         const isLatencyCritical = index < LATENCY_CRITICAL_JOBS;
         this.draftCount.latencyCritical += isLatencyCritical ? 1 : 0;
         const draft = isLatencyCritical
-            ? createLatencyCriticalDraft(index, this.workers)
+            ? createLatencyCriticalDraft(index, this.workers, this.plan)
             : createBestEffortDraft(this.random, this.plan);
         this.steps.set(id, draft.steps);
         const nextInMs = isLatencyCritical
--- a/src/proof/node/trialCosts.ts
+++ b/src/proof/node/trialCosts.ts
@@ -8,6 +8,10 @@
     readonly effectMs: number;
     /** Time that a pass over the waiting tasks takes for each job that is not finished. */
     readonly passMsPerJob: number;
+    /** Further time that an order to start a run takes, one to list the runs, and each answer of a worker; none if undefined. */
+    readonly startMs?: number;
+    readonly listMs?: number;
+    readonly answerMs?: number;
     /** Connections of an instance to each worker; an order waits until one is free. */
     readonly connections: number;
 }
--- a/src/proof/node/trialInjector.ts
+++ b/src/proof/node/trialInjector.ts
@@ -83,6 +83,13 @@
         this.context.trace.push(`${Math.round(this.context.schedule.now)} FAULT ${fault} n${leader?.index}`);
         if (fault === "lose-worker") {
             this.context.workers.removeBusiest();
+        } else if (fault === "lose-half") {
+            this.context.checker.recordDisruption(this.context.workers.loseHalf());
+        } else if (fault === "add-workers") {
+            this.context.workers.addMore();
+        } else if (fault === "kill-all") {
+            this.context.checker.recordDisruption(MAX_DOWN_MS);
+            this.context.nodes.forEach(each => this.host.kill(each));
         } else if (leader === undefined) {
             throw new Error(`no leader at ${this.context.schedule.now} ms to ${fault}`);
         } else if (fault === "kill-leader") {
--- a/src/proof/node/trialProcessor.ts
+++ b/src/proof/node/trialProcessor.ts
@@ -70,6 +70,12 @@
         this.agenda.add(event, this.schedule.now);
     }
 
+    /** @returns Time that an effect takes, in ms of a whole core. */
+    private costOf(effect: JobInstanceEffect): number {
+        const { effectMs, startMs = 0, listMs = 0 } = this.costs;
+        return effectMs + (effect.kind === "start" ? startMs : effect.kind === "list" ? listMs : 0);
+    }
+
     private beginTurn(): void {
         this.agenda.beginTurn(this.schedule.now);
         this.handleNext();
@@ -84,9 +90,9 @@
         const { costs, host } = this;
         this.isTickWaiting &&= event.kind !== "tick";
         host.onDelay(this.schedule.now - arrivedAt);
-        this.chargedMs = costs.eventMs;
+        this.chargedMs = costs.eventMs + (classOfEvent(event) === "worker" ? (costs.answerMs ?? 0) : 0);
         const effects = host.dispatch(event);
-        this.chargedMs += effects.length * costs.effectMs;
+        this.chargedMs += effects.reduce((sum, effect) => sum + this.costOf(effect), 0);
         this.schedule.add(this.chargedMs / costs.share, () => {
             effects.forEach(effect => host.perform(effect));
             this.handleNext();
--- a/src/proof/node/trialWorkers.ts
+++ b/src/proof/node/trialWorkers.ts
@@ -6,6 +6,8 @@
 import {
     CALL_TIMEOUTS_MS,
     createWorkerEntry,
+    MAX_RUN_MS,
+    MIN_RUN_MS,
     encodePlatformEntry,
     executeOrder,
     JobTrialPlan,
@@ -26,6 +28,12 @@
 /** Time for which a worker is down after a deadly task has crashed it, in ms. */
 const DOWN_MS = 3_000;
 
+/** Time for which half of the workers are down, in ms. */
+const HALF_DOWN_MS = 2_000;
+
+/** Number of workers that are added, relative to the number of workers before. */
+const ADDED_RATIO = 0.9;
+
 /** Bounds of the CPU of a worker whose capacity has shrunk, in thousandths of a core; the largest task fits. */
 const SHRUNK_CPU_MILLIS = { min: 6_000, max: 12_000 };
 
@@ -134,6 +142,21 @@
         this.remove(counts.indexOf(Math.max(...counts)));
     }
 
+    /** Crashes every second worker, which is back later under the same id. @returns Time for which they are down, in ms. */
+    loseHalf(): number {
+        const lost = this.workers.filter((worker, index) => index % 2 === 0 && !this.down.has(worker));
+        lost.forEach(worker => this.takeDown(worker, worker.entry.id, HALF_DOWN_MS));
+        return HALF_DOWN_MS;
+    }
+
+    /** Nearly doubles the number of workers. */
+    addMore(): void {
+        const count = Math.round(this.workers.length * ADDED_RATIO);
+        for (let added = 0; added < count; added++) {
+            this.add(this.workers.length, `w${this.workers.length}`);
+        }
+    }
+
     /** @param killLeader Kills the leader. @returns Lets workers leave; half of them always stay. */
     drainHost(killLeader: () => void): DrainHost {
         const candidates = () => {
@@ -297,17 +320,23 @@
         }
         const { id, address } = worker.entry;
         this.context.trace.push(`${Math.round(this.now)} FAULT deadly-task ${id} ${task}`);
-        this.crash(worker);
-        this.down.add(worker);
         this.downCount += 1;
         const newId = this.downCount % 2 === 0 ? `${address}-r${this.downCount}` : id;
         if (newId !== id) {
             this.deregisterLater(id);
         }
-        this.context.schedule.add(DOWN_MS, () => {
+        this.takeDown(worker, newId, DOWN_MS);
+    }
+
+    /** Crashes a worker, which is back later under an id. */
+    private takeDown(worker: LeasedWorker, newId: string, durationMs: number): void {
+        const index = this.workers.indexOf(worker);
+        this.crash(worker);
+        this.down.add(worker);
+        this.context.schedule.add(durationMs, () => {
             this.down.delete(worker);
             if (this.workers[index] === worker) {
-                this.add(index, newId, address);
+                this.add(index, newId, worker.entry.address);
             }
         });
     }
@@ -385,7 +414,7 @@
         if (step?.checkpoints === true) {
             // The work of all runs is the same, since each continues that of the one before.
             return {
-                ms: BEST_EFFORT_WORK_RATIO * simulateRun(task, 0).ms,
+                ms: this.bestEffortWorkMs(task),
                 end: simulateRun(task, run).end,
                 checkpointMs: CHECKPOINT_INTERVAL_MS,
             };
@@ -393,6 +422,14 @@
         return this.planExclusiveRun(task, run);
     }
 
+    private bestEffortWorkMs(task: string): number {
+        const { ms } = simulateRun(task, 0);
+        const bounds = this.context.plan.colocation?.workMs;
+        return bounds === undefined
+            ? BEST_EFFORT_WORK_RATIO * ms
+            : bounds.min + (bounds.max - bounds.min) * ((ms - MIN_RUN_MS) / (MAX_RUN_MS - MIN_RUN_MS));
+    }
+
     /** A deadly task is still at work when it crashes its worker. */
     private planExclusiveRun(task: string, run: number): RunPlan {
         if (this.context.checker.lastingTasks.has(task)) {
--- /dev/null
+++ b/src/proof/node/waitTrialPlan.ts
@@ -0,0 +1,90 @@
+import { ColocationPlan } from "./colocationPlan";
+import { JobTrialPlan } from "./jobTrialPlan";
+import { MEASURED_COSTS, TrialCosts } from "./trialCosts";
+
+/** A way in which jobs come to wait although their service has room. */
+export type WaitPlanName =
+    | "memory-over-half"
+    | "fleet-grows"
+    | "half-lost"
+    | "all-killed"
+    | "late-leader"
+    | "late-leader-with-memory"
+    | "whole-day";
+
+/** Costs of an instance that cannot keep up with a large fleet: it is up to 1 s late. */
+const BUSY_COSTS: TrialCosts = { ...MEASURED_COSTS, startMs: 0.6, listMs: 0.3, answerMs: 0.3 };
+
+/** Latency-critical tasks that reserve under half of the CPU, and jobs of short tasks beside them. */
+const SHARED_WORKERS: ColocationPlan = {
+    heavyRatio: 0.5,
+    bestEffortEveryMs: 700,
+    maxTasks: 6,
+    memoryMb: 9_000,
+    workMs: { min: 1_000, max: 3_000 },
+    reserved: { cpuMillis: 7_200, memoryMb: 20_000 },
+};
+
+/**
+ * Jobs of short tasks beside latency-critical ones that reserve under half of the CPU; with the memory of both, just over half of
+ * it is in use, up and down.
+ */
+const MEMORY_OVER_HALF: Omit<JobTrialPlan, "seed"> = {
+    lengthMs: 30_000,
+    recoveryMs: 15_000,
+    instances: 3,
+    workers: 12,
+    faultEveryMs: 0,
+    colocation: SHARED_WORKERS,
+};
+
+/** A large fleet that nearly doubles, led by an instance that cannot keep up, and wide jobs. */
+const LATE_LEADER: Omit<JobTrialPlan, "seed"> = {
+    ...MEMORY_OVER_HALF,
+    workers: 33,
+    lengthMs: 20_000,
+    recoveryMs: 8_000,
+    plannedFaults: [[14_000, "add-workers"]],
+    colocation: { ...SHARED_WORKERS, bestEffortEveryMs: 250, minTasks: 10, maxTasks: 17 },
+    costs: BUSY_COSTS,
+};
+
+/** The plans of the trials of waits, without seeds. */
+export const WAIT_PLANS: Readonly<Record<WaitPlanName, Omit<JobTrialPlan, "seed">>> = {
+    "memory-over-half": MEMORY_OVER_HALF,
+    "fleet-grows": {
+        ...MEMORY_OVER_HALF,
+        workers: 8,
+        plannedFaults: [[14_000, "add-workers"]],
+        colocation: { ...SHARED_WORKERS, bestEffortEveryMs: 250 },
+    },
+    "half-lost": { ...MEMORY_OVER_HALF, plannedFaults: [[20_000, "lose-half"]] },
+    "all-killed": {
+        ...MEMORY_OVER_HALF,
+        plannedFaults: [
+            [24_000, "kill-leader"],
+            [29_000, "kill-all"],
+        ],
+    },
+    "late-leader": LATE_LEADER,
+    "late-leader-with-memory": {
+        ...LATE_LEADER,
+        colocation: {
+            ...LATE_LEADER.colocation!,
+            heavyRatio: 0.1,
+            bestEffortEveryMs: 150,
+            memoryMb: 6_000,
+            reserved: { cpuMillis: 7_200, memoryMb: 12_000 },
+        },
+    },
+    "whole-day": {
+        ...LATE_LEADER,
+        recoveryMs: 12_000,
+        plannedFaults: [
+            [12_000, "add-workers"],
+            [15_000, "kill-leader"],
+            [17_500, "lose-half"],
+            [20_000, "kill-all"],
+        ],
+    },
+};
