--- a/src/dispatch/common/boundedWaitPolicy.ts
+++ b/src/dispatch/common/boundedWaitPolicy.ts
@@ -4,11 +4,11 @@
 
 /**
  * Shares of a service's capacity in use up to which the whole bound holds, and from which on there is none. Callers count on it
- * while less than half is in use; the wait grows smoothly between the two, since the leader's view is not exact. Of the memory
- * more may be in use: what remains is for tasks with reserved CPU.
+ * while less than half is in use; the wait grows smoothly between the two, since the leader's view is not exact. Runs that are
+ * throttled hold their memory for long, and tasks with reserved CPU have to find room, too.
  */
-const BOUNDED_USED = { cpu: 0.55, memory: 0.6 };
-const FULL_USED = { cpu: 0.75, memory: 0.7 };
+const BOUNDED_USED: UsedRatios = { cpu: 0.55, idleMemory: 0.5 };
+const FULL_USED: UsedRatios = { cpu: 0.75, idleMemory: 0.7 };
 
 /** Part of the wait for which a task accepts only full speed. */
 const FULL_SPEED_WAIT_RATIO = 2 / 3;
@@ -32,7 +32,7 @@
 
     /** @returns Time after which a worker must be chosen for a job that has not waited before, in ms; infinite in a full service. */
     limitMs({ used, lateMs }: WaitLimits): number {
-        const fullness = Math.max(fullnessOf(used, "cpu"), fullnessOf(used, "memory"));
+        const fullness = Math.max(fullnessOf(used, "cpu"), fullnessOf(used, "idleMemory"));
         const choiceMs = MAX_IDLE_MS - START_DELAY_MS - Math.max(MAX_LEADER_DELAY_MS, lateMs);
         return fullness >= 1 ? Number.POSITIVE_INFINITY : Math.max(0, choiceMs) / (1 - fullness * fullness);
     }
--- a/src/dispatch/common/serviceUsage.ts
+++ b/src/dispatch/common/serviceUsage.ts
@@ -10,6 +10,8 @@
     /** Without best-effort tasks. */
     readonly cpuUsedPercent: number | undefined;
     readonly memoryUsedPercent: number | undefined;
+    /** Memory of throttled runs, each by how far it is throttled. */
+    readonly memoryIdlePercent: number | undefined;
 }
 
 /** What the workers of a service have in all, and what is in use of it. */
@@ -18,17 +20,21 @@
     memoryMb: number;
     usedCpuMillis: number;
     usedMemoryMb: number;
+    idleMemoryMb: number;
 }
 
+const NOTHING: ServiceTotals = { cpuMillis: 0, memoryMb: 0, usedCpuMillis: 0, usedMemoryMb: 0, idleMemoryMb: 0 };
+
 /** Shares of a service's capacity that are in use, from 0 to 1. */
 export interface UsedRatios {
     /** Without best-effort tasks. */
     readonly cpu: number;
-    readonly memory: number;
+    /** Memory of throttled runs, each by how far it is throttled: it does little work, and is not free for long. */
+    readonly idleMemory: number;
 }
 
 /** Of a service of which nothing is known. */
-const FULL: UsedRatios = { cpu: 1, memory: 1 };
+const FULL: UsedRatios = { cpu: 1, idleMemory: 1 };
 
 /**
  * Knows how much of each service is in use, as its callers see it: of all workers that are registered, whether or not the leader
@@ -63,11 +69,11 @@
         }
     }
 
-    /** Records that a task was assigned to a worker after the latest review. */
-    recordAssignment({ step }: Task, service: string): void {
+    /** Records that a task was assigned to a worker after the latest review. @param speedPercent Its speed, in percent. */
+    recordAssignment({ step }: Task, service: string, speedPercent: number): void {
         const own = this.totals.get(service);
         if (own !== undefined) {
-            addRequest(own, step);
+            addRequest(own, step, speedPercent);
         }
     }
 
@@ -78,32 +84,38 @@
             ? FULL
             : {
                   cpu: own.usedCpuMillis / Math.max(1, own.cpuMillis),
-                  memory: own.usedMemoryMb / Math.max(1, own.memoryMb),
+                  idleMemory: own.idleMemoryMb / Math.max(1, own.memoryMb),
               };
     }
 
     /** @returns How much of a service's capacity is in use, as far as it is known. */
     reportOf(service: string): UsageReport {
-        const ratios = this.totals.has(service) ? this.ratiosOf(service) : undefined;
+        const own = this.totals.get(service);
         return {
-            cpuUsedPercent: ratios && Math.round(100 * ratios.cpu),
-            memoryUsedPercent: ratios && Math.round(100 * ratios.memory),
+            cpuUsedPercent: own && percentOf(own.usedCpuMillis, own.cpuMillis),
+            memoryUsedPercent: own && percentOf(own.usedMemoryMb, own.memoryMb),
+            memoryIdlePercent: own && percentOf(own.idleMemoryMb, own.memoryMb),
         };
     }
 
     private add(worker: WorkerContact): void {
         const { service, capacity } = worker.entry;
-        const sum = this.totals.get(service) ?? { cpuMillis: 0, memoryMb: 0, usedCpuMillis: 0, usedMemoryMb: 0 };
+        const sum = this.totals.get(service) ?? { ...NOTHING };
         sum.cpuMillis += capacity.cpuMillis;
         sum.memoryMb += capacity.memoryMb;
-        for (const { task } of worker.runs.values()) {
-            addRequest(sum, task.step);
+        for (const { task, speedPercent } of worker.runs.values()) {
+            addRequest(sum, task.step, speedPercent);
         }
         this.totals.set(service, sum);
     }
 }
 
-function addRequest(totals: ServiceTotals, { request, usesSpareCpu }: StepSpec): void {
+function addRequest(totals: ServiceTotals, { request, usesSpareCpu }: StepSpec, speedPercent: number): void {
     totals.usedCpuMillis += usesSpareCpu ? 0 : request.cpuMillis;
     totals.usedMemoryMb += request.memoryMb;
+    totals.idleMemoryMb += request.memoryMb * (1 - speedPercent / 100);
+}
+
+function percentOf(used: number, capacity: number): number {
+    return Math.round((100 * used) / Math.max(1, capacity));
 }
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -443,7 +443,7 @@
 
     private assignTo(task: Task, { worker, speedPercent }: PlacementChoice, placer: Placer, now: number): void {
         this.host.assign(task, worker, speedPercent, now);
-        this.waits.recordAssignment(task, worker.entry.service);
+        this.waits.recordAssignment(task, worker.entry.service, speedPercent);
         placer.invalidate(worker);
         this.remainingStarts -= 1;
     }
--- a/src/dispatch/common/waitController.ts
+++ b/src/dispatch/common/waitController.ts
@@ -49,9 +49,9 @@
         this.waits.update(job, groups, now, wallNow);
     }
 
-    /** Records that a task was assigned: it takes capacity of its service. */
-    recordAssignment(task: Task, service: string): void {
-        this.usage.recordAssignment(task, service);
+    /** Records that a task was assigned: it takes capacity of its service. @param speedPercent Its speed, in percent. */
+    recordAssignment(task: Task, service: string, speedPercent: number): void {
+        this.usage.recordAssignment(task, service, speedPercent);
     }
 
     /** @returns Time for which a waiting task of a group has had no run at work, in ms. */
