Count the workers that are alive and left out of passes, by cause

The leader logged how many workers take part in a pass, but not why the others do not: WorkerContact.isUsable has ten conditions, and StartAdmission one more. Each has a name now (ExclusionCause).

--- a/src/dispatch/common/dispatchEffects.ts
+++ b/src/dispatch/common/dispatchEffects.ts
@@ -29,6 +29,7 @@
     | "task-cleared"
     | "worker-excluded"
     | "worker-draining"
+    | "workers-left-out"
     | "job-ended"
     | "job-waits"
     | "suspended"
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -451,7 +451,8 @@
     }
 
     private logWait(report: WaitReport): void {
-        this.logDecision("job-waits", { ...report, delayMs: this.views.loggedDelayMs });
+        const counts = this.admission.latestCounts;
+        this.logDecision("job-waits", { ...report, ...counts, delayMs: this.views.loggedDelayMs });
     }
 
     private onJobChange(entry: JobEntry): void {
--- a/src/dispatch/common/startAdmission.ts
+++ b/src/dispatch/common/startAdmission.ts
@@ -4,6 +4,7 @@
 import { START_VALIDITY_MS } from "./dispatchLimits";
 import { DecisionEffect } from "./dispatchEffects";
 import { Run } from "./run";
+import { WorkerCensus, WorkerCounts } from "./workerCensus";
 import { WorkerContact } from "./workerContact";
 
 /** Time after which a shrink of a worker's capacity counts, in ms: `stableWindowMs` and one heartbeat. */
@@ -37,6 +38,7 @@
  */
 export class StartAdmission {
     private lastLoggedAt = Number.NEGATIVE_INFINITY;
+    private readonly census = WorkerCensus.create();
 
     private constructor(
         private readonly queues: QueueTable,
@@ -54,21 +56,46 @@
         return new StartAdmission(queues, find, effects);
     }
 
+    /** Workers of the latest pass, by why they were left out. */
+    get latestCounts(): WorkerCounts {
+        return this.census.latest;
+    }
+
     /** @param workers All workers. @param now Time in ms. @returns Those that may be given tasks. */
     usableWorkers(workers: Iterable<WorkerContact>, now: number): WorkerContact[] {
-        const usable = [...workers].filter(each => each.isUsable(now));
-        const known = usable.filter(each => this.isCapacityKnown(each, now));
-        if (known.length < usable.length && now - this.lastLoggedAt >= LOG_INTERVAL_MS) {
-            this.lastLoggedAt = now;
-            const ages = usable.map(each => each.entryAgeMs(now)).filter(age => age !== undefined);
-            const data = {
-                workers: usable.length - known.length,
-                of: usable.length,
-                oldestMs: ages.length === 0 ? undefined : Math.max(...ages),
-            };
-            this.effects.emit({ kind: "decision", name: "capacity-unknown", data });
+        const usable: WorkerContact[] = [];
+        const unknown: WorkerContact[] = [];
+        this.census.beginPass();
+        for (const worker of workers) {
+            const cause = worker.exclusionCause(now);
+            const isKnown = cause !== undefined || this.isCapacityKnown(worker, now);
+            this.census.count(isKnown ? cause : "capacityUnknown");
+            if (cause === undefined) {
+                (isKnown ? usable : unknown).push(worker);
+            }
+        }
+        this.logCensus(now);
+        this.logUnknown(unknown, usable, now);
+        return usable;
+    }
+
+    private logCensus(now: number): void {
+        const data = this.census.takeReport(now);
+        if (data !== undefined) {
+            this.effects.emit({ kind: "decision", name: "workers-left-out", data });
+        }
+    }
+
+    private logUnknown(unknown: readonly WorkerContact[], usable: readonly WorkerContact[], now: number): void {
+        if (unknown.length === 0 || now - this.lastLoggedAt < LOG_INTERVAL_MS) {
+            return;
         }
-        return known;
+        this.lastLoggedAt = now;
+        const all = [...unknown, ...usable];
+        const ages = all.map(each => each.entryAgeMs(now)).filter(age => age !== undefined);
+        const oldestMs = ages.length === 0 ? undefined : Math.max(...ages);
+        const data = { workers: unknown.length, of: all.length, oldestMs };
+        this.effects.emit({ kind: "decision", name: "capacity-unknown", data });
     }
 
     /**
--- a/src/dispatch/common/workerContact.ts
+++ b/src/dispatch/common/workerContact.ts
@@ -7,6 +7,7 @@
 import { LEASE_MARGIN_MS } from "./dispatchLimits";
 import { Run } from "./run";
 import chartText from "./workerContact.chart.yaml";
+import { ExclusionCause } from "./workerCensus";
 import { EntryReading, WorkerEntry } from "./workerEntry";
 import { WorkerLease } from "./workerLease";
 import { ListedEnd, OrderOutcome } from "./workerMessages";
@@ -177,18 +178,41 @@
 
     /** Whether it may be given tasks. */
     isUsable(now: number): boolean {
-        return (
-            this.state === "reachable" &&
-            this.isRegistered &&
-            this.isReady &&
-            now >= this.backoffUntil &&
-            this.mayExtendLease &&
-            !this.isConfirmationInFlight &&
-            this.keptEndCount < MAX_KEPT_ENDS &&
-            !this.isConfirmationOverdue(now) &&
-            this.trust.state !== "excluded" &&
-            (this.trust.state !== "trial" || !this.hasTrialRun())
-        );
+        return this.exclusionCause(now) === undefined;
+    }
+
+    /** @param now Time in ms. @returns Why it may not be given tasks, or `undefined` if it may. */
+    exclusionCause(now: number): ExclusionCause | undefined {
+        if (!this.isRegistered || this.latestEntry.state !== "ready") {
+            return this.isRegistered ? "draining" : "deregistered";
+        }
+        if (this.state !== "reachable") {
+            return this.state === "uncontacted" ? "uncontacted" : "silent";
+        }
+        if (!this.isOfListedIncarnation) {
+            return "otherIncarnation";
+        }
+        if (now < this.backoffUntil) {
+            return "rejecting";
+        }
+        return this.mayExtendLease ? (this.keptEndsCause(now) ?? this.distrustCause) : "leaseRecorded";
+    }
+
+    private keptEndsCause(now: number): ExclusionCause | undefined {
+        if (this.isConfirmationInFlight) {
+            return "confirming";
+        }
+        if (this.isConfirmationOverdue(now)) {
+            return "confirmationOverdue";
+        }
+        return this.keptEndCount < MAX_KEPT_ENDS ? undefined : "manyEnds";
+    }
+
+    private get distrustCause(): ExclusionCause | undefined {
+        if (this.trust.state === "excluded") {
+            return "distrusted";
+        }
+        return this.trust.state === "trial" && this.hasTrialRun() ? "onTrial" : undefined;
     }
 
     /**
