Keep workers usable while ends are confirmed

Callers saw jobs without a run although 58 workers had room.

Cause: a confirmation and a start must not reach a new incarnation of the worker in that order of sending, since the numbers of ends start again and no order names the incarnation. The scheduler kept them apart by closing the worker, so each turn took the answer to every start, a list of it, and the answer to the confirmation, each with the delay of the loop.

Now the ConfirmationGate keeps them apart where the orders are sent: a start waits for the answer to a confirmation in flight, one round trip; a list confirms nothing if, when it is sent, a start is in flight or may be elsewhere. The answer to a start shows the incarnation by the worker's clock, so it need not be listed first. After a confirmation without an answer nothing is started until the scheduler has ordered another list. All trials send orders through the queue now, so that the gate is part of them, also without the cost model.

Two tests of WorkerPool demanded the fault itself (a worker is unusable while a confirmation is in flight, and when starts have delayed one for too long). They are replaced by tests that confirmations are neither delayed by starts nor sent beside one that may be elsewhere, and by tests of the queue that starts and confirmations are never in flight together.

--- a/src/dispatch/common/run.ts
+++ b/src/dispatch/common/run.ts
@@ -111,6 +111,8 @@
     isWorkerLost = false;
     /** Whether an earlier leader started it, so that its age is unknown. */
     isInherited = false;
+    /** Whether the answer to its start shows that it is on the incarnation of the worker that was listed before. */
+    isStartProven = false;
     /** Rack of its worker. */
     rack = "";
     /** Ticket of the advice service that the start carries. */
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -31,7 +31,7 @@
 import { WorkerContact } from "./workerContact";
 import { EntryReading } from "./workerEntry";
 import { WorkerLossCause, WorkerPool } from "./workerPool";
-import { ListedEnd, NOT_EXECUTED_OUTCOMES, WorkerEvent } from "./workerMessages";
+import { isStartProven, ListedEnd, NOT_EXECUTED_OUTCOMES, WorkerEvent } from "./workerMessages";
 
 /** Size of the range of run numbers per task and epoch. Separate ranges keep two leaders from using the same number. */
 const MAX_RUNS_PER_EPOCH = 1_000;
@@ -258,6 +258,7 @@
             epoch: this.epoch,
             checkpoint,
             ticket: run.ticket,
+            provingClockMs: worker.provingClockMs(now),
         };
         this.context.effects.emit({ kind: "start", worker: worker.entry, order });
         const { id, rack } = worker.entry;
@@ -434,6 +435,7 @@
             return;
         }
         if (event.outcome === "done") {
+            run.isStartProven = isStartProven(event.order, event.outcome, event.clockMs);
             run.fire("accepted", { now });
             this.throttleController.applyPlannedSpeed(run, worker, now);
             this.pool.requestListSoon(worker, now);
--- a/src/dispatch/common/workerCensus.ts
+++ b/src/dispatch/common/workerCensus.ts
@@ -7,8 +7,6 @@
     | "otherIncarnation"
     | "rejecting"
     | "leaseRecorded"
-    | "confirming"
-    | "confirmationOverdue"
     | "manyEnds"
     | "distrusted"
     | "onTrial"
--- a/src/dispatch/common/workerContact.ts
+++ b/src/dispatch/common/workerContact.ts
@@ -10,7 +10,7 @@
 import { ExclusionCause } from "./workerCensus";
 import { EntryReading, WorkerEntry } from "./workerEntry";
 import { WorkerLease } from "./workerLease";
-import { ListedEnd, OrderOutcome } from "./workerMessages";
+import { ListedEnd, OrderOutcome, startKeyOf } from "./workerMessages";
 
 /** State of the leader's contact with a worker. */
 export type ContactState = "uncontacted" | "reachable" | "silent" | "vacant";
@@ -45,10 +45,10 @@
 const MAX_CLOCK_LAG_MS = 500;
 
 /**
- * Time for which starts may delay the confirmation of ends, in ms. A worker that keeps ends answers lists at once instead
- * of waiting for the next end.
+ * Reading of a worker's clock from which an answer to a start proves the incarnation, in ms. A later incarnation began after the
+ * latest answer of this one, and a start is answered within 0.8 s in the queue and a call of 2.4 s, so its clock shows less.
  */
-const MAX_CONFIRMATION_DELAY_MS = 1_500;
+const MIN_PROVING_CLOCK_MS = 10_000;
 
 /**
  * Number of ends that a worker keeps from which it gets no tasks. Some ends can never be confirmed, and a list contains
@@ -102,10 +102,6 @@
     /** Number of the first end in the latest list, or `undefined` if it had none: the worker keeps unconfirmed ends. */
     private firstKeptEnd: number | undefined;
     private keptEndCount = 0;
-    /** Time (ms) since which the worker has kept the first of them. */
-    private keptEndsSince = 0;
-    /** Whether a list request that confirms ends is in flight. */
-    isConfirmationInFlight = false;
     /** Earliest time (ms) at which it may leave, if it is draining. */
     leavesAt: number | undefined;
     /** Time (ms) before which it is given no tasks, after it rejected a start as full or unhealthy. */
@@ -195,17 +191,10 @@
         if (now < this.backoffUntil) {
             return "rejecting";
         }
-        return this.mayExtendLease ? (this.keptEndsCause(now) ?? this.distrustCause) : "leaseRecorded";
-    }
-
-    private keptEndsCause(now: number): ExclusionCause | undefined {
-        if (this.isConfirmationInFlight) {
-            return "confirming";
-        }
-        if (this.isConfirmationOverdue(now)) {
-            return "confirmationOverdue";
+        if (!this.mayExtendLease) {
+            return "leaseRecorded";
         }
-        return this.keptEndCount < MAX_KEPT_ENDS ? undefined : "manyEnds";
+        return this.keptEndCount < MAX_KEPT_ENDS ? this.distrustCause : "manyEnds";
     }
 
     private get distrustCause(): ExclusionCause | undefined {
@@ -371,11 +360,9 @@
         return this.firstKeptEnd !== undefined;
     }
 
-    /** Records which ends the worker keeps. @param ends The ends in its list. @param now Time in ms. */
-    updateKeptEnds(ends: readonly ListedEnd[], now: number): void {
-        const firstKeptEnd = ends.length === 0 ? undefined : Math.min(...ends.map(each => each.number));
-        this.keptEndsSince = firstKeptEnd === this.firstKeptEnd ? this.keptEndsSince : now;
-        this.firstKeptEnd = firstKeptEnd;
+    /** Records which ends the worker keeps. @param ends The ends in its list. */
+    updateKeptEnds(ends: readonly ListedEnd[]): void {
+        this.firstKeptEnd = ends.length === 0 ? undefined : Math.min(...ends.map(each => each.number));
         this.keptEndCount = ends.length;
     }
 
@@ -404,27 +391,39 @@
 
     /**
      * Whether the ends that are recorded may be confirmed. Their numbers are those of the incarnation in the latest list.
-     * If the worker has restarted since, a start that is not listed yet may run there, and the confirmation would make
-     * the new incarnation forget its end.
+     * If the worker has restarted since, a start that is not known to be on the listed one may run there, and the confirmation
+     * would make the new incarnation forget its end. Starts that are not answered are left to the `ConfirmationGate`.
      */
     get canConfirmEnds(): boolean {
         return (
             this.state === "reachable" &&
             this.hasConfirmableEnds &&
-            [...this.runs.values()].every(run => run.report !== undefined)
+            [...this.runs.values()].every(run => run.report !== undefined || run.isStartProven || isStartPending(run))
         );
     }
 
+    /** Starts, by `startKeyOf`, that are ordered and whose answers are not handled yet. */
+    get unansweredStarts(): string[] {
+        const starting = [...this.runs.values()].filter(run => run.state === "starting");
+        return starting.map(run => startKeyOf(run.record));
+    }
+
+    /**
+     * @param now Time in ms.
+     * @returns Reading (ms) that the clock of the listed incarnation has passed, or `undefined` while it is so young that the
+     * answer of a later incarnation could show it, too.
+     */
+    provingClockMs(now: number): number | undefined {
+        const reading = this.clock?.minReadingAt(now);
+        const isKnown = reading !== undefined && this.latestIncarnation !== undefined;
+        return isKnown && reading >= MIN_PROVING_CLOCK_MS ? Math.floor(reading) : undefined;
+    }
+
     /** Whether the worker keeps ends that are recorded. */
     private get hasConfirmableEnds(): boolean {
         return this.firstKeptEnd !== undefined && this.recordedUpTo >= this.firstKeptEnd;
     }
 
-    /** Whether new starts have kept the ends from being confirmed for too long. */
-    private isConfirmationOverdue(now: number): boolean {
-        return this.hasConfirmableEnds && now - this.keptEndsSince > MAX_CONFIRMATION_DELAY_MS;
-    }
-
     /** Incarnation in the latest list, in ms since the Unix epoch. */
     get incarnation(): number | undefined {
         return this.latestIncarnation;
@@ -497,3 +496,8 @@
         [...this.runs.values()].forEach(run => run.fire(event, { now }));
     }
 }
+
+/** Whether the start of a run is not sent yet, or not answered. */
+function isStartPending(run: Run): boolean {
+    return run.state === "assigned" || run.state === "starting";
+}
--- a/src/dispatch/common/workerMessages.ts
+++ b/src/dispatch/common/workerMessages.ts
@@ -10,6 +10,11 @@
     readonly epoch: number;
     readonly checkpoint: string;
     readonly ticket?: string;
+    /**
+     * Reading that the clock of the worker's listed incarnation had passed when the start was ordered; left out while the worker
+     * is so young that a later incarnation could show it, too.
+     */
+    readonly provingClockMs?: number;
 }
 
 /** Order to stop a run. The worker rejects a start of the run that arrives later. */
@@ -32,6 +37,8 @@
     readonly leaseUntil?: number;
     /** Ends up to this number are stored: the worker may forget them. */
     readonly recordedUpTo: number;
+    /** Starts, by `startKeyOf`, whose answers the scheduler has not handled. */
+    readonly unansweredStarts?: readonly string[];
     /** Time for which the worker may hold the request until a run ends, in ms. */
     readonly waitMs: number;
 }
@@ -93,6 +100,22 @@
     "unreachable",
 ];
 
+/** @returns Name of a start among the orders to one worker. */
+export function startKeyOf({ task, run }: Pick<StartOrder, "task" | "run">): string {
+    return `${task}/${run}`;
+}
+
+/** @returns Whether the answer to a start shows that it was executed by the incarnation that was listed when it was ordered. */
+export function isStartProven(order: StartOrder, outcome: OrderOutcome, clockMs: number | undefined): boolean {
+    const { provingClockMs } = order;
+    return outcome === "done" && provingClockMs !== undefined && clockMs !== undefined && clockMs >= provingClockMs;
+}
+
+/** @returns Whether the answer to a start shows that no later incarnation has executed it. */
+export function isStartAccountedFor(order: StartOrder, outcome: OrderOutcome, clockMs: number | undefined): boolean {
+    return NOT_EXECUTED_OUTCOMES.includes(outcome) || isStartProven(order, outcome, clockMs);
+}
+
 /** Orders to workers. */
 export type WorkerEffect =
     | { readonly kind: "start"; readonly worker: WorkerEntry; readonly order: StartOrder }
--- a/src/dispatch/common/workerPool.ts
+++ b/src/dispatch/common/workerPool.ts
@@ -294,7 +294,6 @@
         now: number,
     ): void {
         worker.isListInFlight = false;
-        worker.isConfirmationInFlight = false;
         if (event.list === undefined) {
             if (event.outcome === "no-answer" || event.outcome === "unreachable") {
                 this.logTransition(worker, now, () => worker.onNoAnswer(now));
@@ -308,7 +307,7 @@
             return;
         }
         worker.lastListSentAt = event.sentAt;
-        worker.updateKeptEnds(ended, now);
+        worker.updateKeptEnds(ended);
         for (const end of ended) {
             if (worker.processEnd(end)) {
                 const hasLaterLapse = ended.some(other => other.end === "lapsed" && other.number > end.number);
@@ -364,10 +363,9 @@
         // A request without an answer may still be executed, so a silent worker's lease is not extended and expires.
         const isReachable = worker.state === "reachable";
         const isConfirming = worker.canConfirmEnds;
-        // A worker that keeps ends answers at once, and while a confirmation is in flight it gets no starts.
+        // A worker that keeps ends answers at once, and starts wait until a confirmation is answered.
         const mayWait = isBusy && !isTransient && isReachable && worker.mayExtendLease && !worker.hasKeptEnds;
         worker.isListInFlight = true;
-        worker.isConfirmationInFlight = isConfirming;
         this.effects.emit({
             kind: "list",
             worker: worker.entry,
@@ -376,6 +374,7 @@
                 leaseUntil:
                     isBusy && isReachable && this.host.mayExtend(now) ? worker.extendLeaseToMax(now) : undefined,
                 recordedUpTo: isConfirming ? worker.recordedUpTo : 0,
+                unansweredStarts: isConfirming ? worker.unansweredStarts : undefined,
                 waitMs: mayWait ? this.listWaitMs(worker, now) : 0,
             },
         });
--- a/src/host/common/orderQueue.ts
+++ b/src/host/common/orderQueue.ts
@@ -1,4 +1,5 @@
 import { WorkerEffect } from "../../dispatch/common/workerMessages";
+import { ConfirmationGate, OrderResult } from "./confirmationGate";
 
 /**
  * Importance of an order, the most urgent first: what a cancelled job still runs; leases; speeds that protect latency-critical
@@ -37,9 +38,23 @@
     readonly effect: WorkerEffect;
 }
 
+/** An order that is to be sent. */
+export interface AdmittedOrder<Order> {
+    readonly order: Order;
+    /** What to send for it: a list may confirm less than was ordered. */
+    readonly effect: WorkerEffect;
+}
+
+/**
+ * Limit of the workers of which something is remembered. Above it, the one to which nothing was ordered for the longest is forgotten;
+ * it is lost, since a worker is listed every second or so.
+ */
+const MAX_REMEMBERED_WORKERS = 5_000;
+
 interface WorkerOrders<Order> {
     inFlight: number;
     readonly waiting: Map<OrderClass, Order[]>;
+    readonly gate: ConfirmationGate;
 }
 
 /**
@@ -58,16 +73,18 @@
 
     /**
      * Adds an order.
-     * @returns A waiting start that is withdrawn, because the order stops its run.
+     * @returns Waiting starts that are withdrawn: the order stops the run, or a confirmation before them was not answered.
      */
-    add(order: Order): Order | undefined {
+    add(order: Order): Order[] {
         const { effect } = order;
         const orders = this.ordersOf(effect);
-        const withdrawn =
-            effect.kind === "stop" ? this.findStart(orders, effect.order.task, effect.order.run) : undefined;
-        if (withdrawn !== undefined) {
-            this.remove(withdrawn);
+        const withdrawn: Order[] = [];
+        if (effect.kind === "stop") {
+            withdrawn.push(...this.findStart(orders, effect.order.task, effect.order.run));
+        } else if (effect.kind === "list") {
+            orders.gate.recordList(effect.order, () => withdrawn.push(...(orders.waiting.get("start") ?? [])));
         }
+        withdrawn.forEach(each => this.remove(each));
         const orderClass = classOf(effect);
         const waiting = orders.waiting.get(orderClass) ?? [];
         waiting.push(order);
@@ -75,28 +92,33 @@
         return withdrawn;
     }
 
-    /** @param worker Identifier of a worker. @returns The order to send to it now, if any; it is in flight until `finish`. */
-    takeNext(worker: string): Order | undefined {
+    /**
+     * @param worker Identifier of a worker.
+     * @returns The order to send to it now, if any; it is in flight until `finish`.
+     */
+    takeNext(worker: string): AdmittedOrder<Order> | undefined {
         const orders = this.workers.get(worker);
         if (orders === undefined || orders.inFlight >= this.limit) {
             return undefined;
         }
         for (const orderClass of ORDER_CLASSES) {
-            const next = orders.waiting.get(orderClass)?.shift();
-            if (next !== undefined) {
+            const mayTake = orderClass !== "start" || orders.gate.isOpen;
+            const order = mayTake ? orders.waiting.get(orderClass)?.shift() : undefined;
+            if (order !== undefined) {
                 orders.inFlight += 1;
-                return next;
+                return { order, effect: orders.gate.admit(order.effect) };
             }
         }
         return undefined;
     }
 
-    /** Records that an order to a worker is answered or given up. @param worker Identifier of the worker. */
-    finish(worker: string): void {
-        const orders = this.workers.get(worker)!;
+    /** Records that an order is answered or given up. @param effect The order that was sent. @param result Its answer. */
+    finish(effect: WorkerEffect, result: OrderResult): void {
+        const orders = this.workers.get(effect.worker.id)!;
         orders.inFlight -= 1;
-        if (orders.inFlight === 0 && [...orders.waiting.values()].every(waiting => waiting.length === 0)) {
-            this.workers.delete(worker);
+        orders.gate.recordAnswer(effect, result);
+        if (isUnused(orders) && orders.gate.isIdle) {
+            this.workers.delete(effect.worker.id);
         }
     }
 
@@ -110,19 +132,30 @@
         return index >= 0;
     }
 
-    private ordersOf(effect: WorkerEffect): WorkerOrders<Order> {
-        const orders = this.workers.get(effect.worker.id) ?? { inFlight: 0, waiting: new Map() };
-        this.workers.set(effect.worker.id, orders);
+    private ordersOf({ worker }: WorkerEffect): WorkerOrders<Order> {
+        const known = this.workers.get(worker.id);
+        const orders = known ?? { inFlight: 0, waiting: new Map(), gate: ConfirmationGate.create() };
+        // The map is in the order of the latest orders.
+        this.workers.delete(worker.id);
+        this.workers.set(worker.id, orders);
+        const [oldest] = this.workers;
+        if (this.workers.size > MAX_REMEMBERED_WORKERS && isUnused(oldest[1])) {
+            this.workers.delete(oldest[0]);
+        }
         return orders;
     }
 
-    private findStart(orders: WorkerOrders<Order>, task: string, run: number): Order | undefined {
-        return orders.waiting
-            .get("start")
-            ?.find(({ effect }) => effect.kind === "start" && effect.order.task === task && effect.order.run === run);
+    private findStart(orders: WorkerOrders<Order>, task: string, run: number): Order[] {
+        const isStart = ({ effect }: Order) =>
+            effect.kind === "start" && effect.order.task === task && effect.order.run === run;
+        return (orders.waiting.get("start") ?? []).filter(isStart);
     }
 }
 
+function isUnused({ inFlight, waiting }: WorkerOrders<unknown>): boolean {
+    return inFlight === 0 && [...waiting.values()].every(each => each.length === 0);
+}
+
 function classOf(effect: WorkerEffect): OrderClass {
     if (effect.kind !== "throttle") {
         return effect.kind;
--- a/src/host/node/orderSender.ts
+++ b/src/host/node/orderSender.ts
@@ -1,6 +1,7 @@
 import { Disposable } from "../../base/common/disposable";
 import { OrderAnswer } from "../../dispatch/common/workerClient";
 import { OrderOutcome, WorkerEffect } from "../../dispatch/common/workerMessages";
+import { OrderResult } from "../common/confirmationGate";
 import { MAX_ORDERS_IN_FLIGHT, maxWaitMsOf, OrderQueue } from "../common/orderQueue";
 
 /** Sends an order over a free connection. */
@@ -34,10 +35,7 @@
     send(effect: WorkerEffect): Promise<OrderAnswer> {
         return new Promise(settle => {
             const order: WaitingOrder = { effect, addedAt: performance.now(), settle, timer: undefined };
-            const withdrawn = this.queue.add(order);
-            if (withdrawn !== undefined) {
-                this.giveUp(withdrawn, "superseded");
-            }
+            this.queue.add(order).forEach(each => this.giveUp(each, "superseded"));
             this.startTimer(order);
             this.sendNext(effect.worker.id);
         });
@@ -58,17 +56,28 @@
     }
 
     private sendNext(worker: string): void {
-        const order = this.queue.takeNext(worker);
-        if (order === undefined) {
+        const next = this.queue.takeNext(worker);
+        if (next === undefined) {
             return;
         }
+        const { order, effect } = next;
         this.clearTimer(order);
         const waitedMs = performance.now() - order.addedAt;
-        const call = this.sendNow(order.effect).finally(() => {
-            this.queue.finish(worker);
+        const finish = (result: OrderResult) => {
+            this.queue.finish(effect, result);
             this.sendNext(worker);
-        });
-        order.settle(call.then(answer => ({ ...answer, unsentMs: waitedMs + (answer.unsentMs ?? 0) })));
+        };
+        const call = this.sendNow(effect).then(
+            answer => {
+                finish(answer);
+                return { ...answer, unsentMs: waitedMs + (answer.unsentMs ?? 0) };
+            },
+            (error: unknown) => {
+                finish({ outcome: "no-answer", clockMs: undefined });
+                throw error;
+            },
+        );
+        order.settle(call);
     }
 
     private giveUp(order: WaitingOrder, outcome: OrderOutcome): void {
--- a/src/proof/node/jobTrialNode.ts
+++ b/src/proof/node/jobTrialNode.ts
@@ -16,6 +16,6 @@
     deferred: (() => void)[];
     /** Processor of this incarnation; left out if its work takes no time. */
     processor?: TrialProcessor;
-    /** Connections of this incarnation; left out if there are any number of them. */
+    /** Connections of this incarnation. */
     connections?: TrialConnections;
 }
