Keep the delays of a loop sorted instead of sorting them at each event

Callers saw jobs without a run while the leader was late; a late leader recorded the delay of nearly every event, and sorted up to 256 of them each time to tell whether it is late. So the record of the lateness made it later.

Processor time of one record with a full window, on arm64 beside other work: 48 us before, 0.7 to 1.1 us after. At 400 events a second that is 19 of the 270 ms a second that the leader has. A window is kept as a queue and as a sorted list; the summary is the same, which a test compares with sorting for 2,000 events. The test passes on the former code, too, since no test asserts a measured time.

--- a/src/base/common/loopDelay.ts
+++ b/src/base/common/loopDelay.ts
@@ -58,8 +58,10 @@
  */
 export class LoopDelay {
     private readonly machine: Machine<number, DelayState, DelayEvent, never, DelayAction>;
-    private delays: Delay[] = [];
-    private cached: DelaySummary | undefined;
+    /** The delays of the window, the earliest first. */
+    private readonly delays: Delay[] = [];
+    /** The same delays, the shortest first: each event is recorded, so a late loop must not sort them anew each time. */
+    private readonly sortedMs: number[] = [];
     private changedAt: number | undefined;
     private readonly didRecord = Emitter.create<number>();
     /** Fires with each delay, in ms. */
@@ -87,8 +89,9 @@
 
     /** The median and the largest of the latest delays. */
     get summary(): DelaySummary {
-        this.cached ??= summaryOf(this.delays);
-        return this.cached;
+        const { sortedMs } = this;
+        const { length } = sortedMs;
+        return length === 0 ? NO_DELAY : { medianMs: sortedMs[(length - 1) >> 1], mostMs: sortedMs[length - 1] };
     }
 
     /**
@@ -98,12 +101,12 @@
      */
     record(dueAt: number, now: number): void {
         this.changedAt ??= now;
-        const isKept = (delay: Delay, index: number) =>
-            now - delay.at <= WINDOW_MS && this.delays.length - index < MAX_DELAYS;
-        this.delays = this.delays.filter(isKept);
+        while (this.delays.length >= MAX_DELAYS || now - (this.delays[0]?.at ?? now) > WINDOW_MS) {
+            this.sortedMs.splice(positionOf(this.delays.shift()!.ms, this.sortedMs), 1);
+        }
         const ms = Math.max(0, now - dueAt);
         this.delays.push({ at: now, ms });
-        this.cached = undefined;
+        this.sortedMs.splice(positionOf(ms, this.sortedMs), 0, ms);
         this.didRecord.fire(ms);
         const { medianMs, mostMs } = this.summary;
         if (medianMs >= LATE_MEDIAN_MS || mostMs >= LATE_MOST_MS) {
@@ -120,10 +123,17 @@
     }
 }
 
-function summaryOf(delays: readonly Delay[]): DelaySummary {
-    if (delays.length === 0) {
-        return NO_DELAY;
+/** @returns Index of the first of the sorted values that is not below a value. */
+function positionOf(value: number, sorted: readonly number[]): number {
+    let from = 0;
+    let to = sorted.length;
+    while (from < to) {
+        const middle = (from + to) >> 1;
+        if (sorted[middle] < value) {
+            from = middle + 1;
+        } else {
+            to = middle;
+        }
     }
-    const sorted = delays.map(delay => delay.ms).sort((a, b) => a - b);
-    return { medianMs: sorted[Math.floor((sorted.length - 1) / 2)], mostMs: sorted[sorted.length - 1] };
+    return from;
 }
--- a/src/base/common/test/loopDelay.test.ts
+++ b/src/base/common/test/loopDelay.test.ts
@@ -20,6 +20,24 @@
     t.deepEqual(delay.summary, { medianMs: 5, mostMs: 5 });
 });
 
+test("the summary is that of the latest 256 delays within 2 s, whatever their order", t => {
+    const delay = LoopDelay.create();
+    const recorded: { readonly at: number; readonly ms: number }[] = [];
+    for (let index = 0; index < 2_000; index++) {
+        // Events follow each other closely, then rarely.
+        const now = index < 1_500 ? index * 4 : 6_000 + (index - 1_500) * 30;
+        const ms = (index * 7_919) % 701;
+        recorded.push({ at: now, ms });
+        delay.record(now - ms, now);
+        if (index % 50 === 0) {
+            const kept = recorded.slice(-256).filter(each => now - each.at <= 2_000);
+            const sorted = kept.map(each => each.ms).sort((a, b) => a - b);
+            const medianMs = sorted[Math.floor((sorted.length - 1) / 2)];
+            t.deepEqual(delay.summary, { medianMs, mostMs: sorted[sorted.length - 1] });
+        }
+    }
+});
+
 test("an event that is handled before it is due has no delay", t => {
     const delay = LoopDelay.create();
     delay.record(1_000, 990);
