Record how late events are in trials as the process does

The process records the delay of ticks and of each other event that waited for longer than a tick; trials recorded only the ticks, which go first. So in a trial a late leader took itself for on time, and no decision that depends on its lateness could be tested.

--- a/src/proof/node/jobTrial.ts
+++ b/src/proof/node/jobTrial.ts
@@ -171,13 +171,24 @@
         node.processor = TrialProcessor.create(costs, this.timeline, {
             openJobs: () => [...this.checker.accepted].filter(isOpen).length,
             dispatch: event => this.dispatch(node, incarnation, event),
-            onDelay: waitedMs => node.instance?.isLeading && this.delays.record(waitedMs, this.now),
+            onDelay: waitedMs => this.recordDelay(node, waitedMs),
             perform: effect => node.incarnation === incarnation && this.perform(node, incarnation, effect),
         });
         node.connections?.close();
         node.connections = TrialConnections.create(costs.connections, this.timeline, this.workers);
     }
 
+    private recordDelay({ instance, frozenMs }: TrialNode, waitedMs: number): void {
+        if (instance?.isLeading) {
+            this.delays.record(waitedMs, this.now);
+        }
+        // As in the process, an event that waits for longer than a tick is late.
+        if (waitedMs > TICK_INTERVAL_MS) {
+            const now = this.now - frozenMs;
+            instance?.loopDelay.record(now - waitedMs, now);
+        }
+    }
+
     private tick(node: TrialNode, incarnation: number): void {
         if (node.incarnation !== incarnation || node.instance === undefined) {
             return;
