Take the wait for a late loop off from the time that starts may be in flight

A leader with 62 workers and 0.27 of a core was 0.25 to 0.80 s late in the median: up to 128 starts were in flight, whatever time they took, and waited for each other in the leader itself, before the ends and the starts of jobs with nothing running.

The window now counts the starts that were answered in the last 2 s and how long they took. If the median delay of the loop is above a quarter of the delay that the leader may have, what a start waits too long for the loop, twice, is taken off, and no more are in flight than are answered in the rest and in one interval between passes. A slow network alone changes nothing, and the number rises as starts are quick.

--- a/src/dispatch/common/passPacer.ts
+++ b/src/dispatch/common/passPacer.ts
@@ -53,7 +53,8 @@
         }
     }
 
-    private intervalMs(workers: number): number {
+    /** @param workers Number of workers. @returns Shortest time between two passes now, in ms. */
+    intervalMs(workers: number): number {
         const byCost = Math.min(MAX_EXPENSIVE_INTERVAL_MS, this.work.lastMs("pass") / MAX_PASS_RATIO);
         return Math.max(MIN_INTERVAL_MS, workers * INTERVAL_PER_WORKER_MS, byCost);
     }
--- a/src/dispatch/common/run.ts
+++ b/src/dispatch/common/run.ts
@@ -82,6 +82,8 @@
 export class Run {
     private readonly machine: Machine<RunEventData, RunState, RunEvent, never, RunAction>;
 
+    /** Time (ms) at which it was assigned to its worker, or inherited. */
+    readonly assignedAt: number;
     /** Time (ms) of the latest state change; only a list that was requested later can show that the run is absent. */
     changedAt: number;
     /** Time for which the run had worked when it was last paused, in ms. */
@@ -122,6 +124,7 @@
         private readonly host: RunHost,
         now: number,
     ) {
+        this.assignedAt = now;
         this.changedAt = now;
         this.workingSince = now;
         this.machine = Machine.create(chart, {
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -23,6 +23,7 @@
 import { SchedulerQueueHost } from "./schedulerQueueHost";
 import { SchedulerRunHost } from "./schedulerRunHost";
 import { StartAdmission } from "./startAdmission";
+import { StartLoad } from "./startWindow";
 import { StepQueue } from "./stepQueue";
 import { SuspectTable } from "./suspectTable";
 import { firstWaitMs, Task } from "./task";
@@ -228,11 +229,18 @@
         starts.forEach(run => run.fire("stored", { now }));
         this.pacer.run(this.pool.size, now, () => {
             this.passCount += 1;
+            const delayMs = this.context.views.loop?.summary.medianMs ?? 0;
+            this.pool.reviewStarts({ delayMs, intervalMs: this.pacer.intervalMs(this.pool.size) }, now);
             const usable = this.admission.usableWorkers(this.pool.all, now);
             this.queue.placeWaiting(this.activeJobs.all, usable, this.pool.remainingStarts(), now, wallNow);
         });
     }
 
+    /** The starts in flight. */
+    get startLoad(): StartLoad {
+        return this.pool.startLoad;
+    }
+
     /** @param now Time in ms. @returns Whether leases may be extended. */
     mayExtend(now: number): boolean {
         return this.context.leadership.canExtendLeases() && this.leases.isRenewalRecent(now);
--- a/src/dispatch/common/workerPool.ts
+++ b/src/dispatch/common/workerPool.ts
@@ -4,10 +4,10 @@
 import { DispatchEffect } from "./dispatchEffects";
 import { LeaseBook } from "./leaseBook";
 import { Run } from "./run";
-import { StartWindow } from "./startWindow";
+import { StartLoad, StartPace, StartWindow } from "./startWindow";
 import { ContactState, WorkerContact } from "./workerContact";
 import { EntryReading, WorkerEntry } from "./workerEntry";
-import { ListedEnd, OrderOutcome, WorkerEvent } from "./workerMessages";
+import { ListedEnd, WorkerEvent } from "./workerMessages";
 
 /**
  * Time for which a worker holds a list request until a run ends, in ms, and so the age of the latencies that it
@@ -142,10 +142,25 @@
 
     /** @returns How many more starts may be in flight. */
     remainingStarts(): number {
-        let count = this.startWindow.limitOf(this.maxStartsInFlight);
+        return this.startWindow.limitOf(this.maxStartsInFlight) - this.startsInFlight;
+    }
+
+    /** Adapts the number of starts in flight to how busy the leader is. @param now Time in ms. */
+    reviewStarts(pace: StartPace, now: number): void {
+        this.startWindow.review(pace, now);
+    }
+
+    /** Starts in flight, and how many may be. */
+    get startLoad(): StartLoad {
+        const { startsInFlight: inFlight, startWindow } = this;
+        return { inFlight, window: startWindow.limitOf(this.maxStartsInFlight), tookMs: startWindow.medianMs };
+    }
+
+    private get startsInFlight(): number {
+        let count = 0;
         for (const worker of this.contacts.values()) {
             for (const run of worker.runs.values()) {
-                count -= run.state === "assigned" || run.state === "starting" ? 1 : 0;
+                count += run.state === "assigned" || run.state === "starting" ? 1 : 0;
             }
         }
         return count;
@@ -269,7 +284,7 @@
         if (event.kind === "list-answer") {
             this.handleList(worker, event, now);
         } else if (event.kind === "start-answer") {
-            this.recordTimeliness(event.outcome, now);
+            this.recordStartAnswer(worker, event, now);
         }
         return worker;
     }
@@ -280,12 +295,14 @@
         worker.nextListAt = Math.min(worker.nextListAt, Math.max(now, earliest));
     }
 
-    private recordTimeliness(outcome: OrderOutcome, now: number): void {
-        if (outcome === "too-late") {
-            this.startWindow.recordLate(this.maxStartsInFlight, now);
-        } else if (outcome === "done") {
-            this.startWindow.recordInTime();
-        }
+    private recordStartAnswer(
+        worker: WorkerContact,
+        { order, outcome, sentAt }: WorkerEvent & { readonly kind: "start-answer" },
+        now: number,
+    ): void {
+        const run = worker.runs.get(order.task);
+        const assignedAt = run?.record.run === order.run ? run.assignedAt : sentAt;
+        this.startWindow.recordAnswer({ outcome, tookMs: now - assignedAt }, this.maxStartsInFlight, now);
     }
 
     private handleList(
