State starts in flight, their window and their time in loop-load

Nothing in the log told how many starts were in flight and how long they took, so a leader whose starts wait for each other looked like one whose workers are slow.

--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -6,6 +6,7 @@
 import { WorkMeter } from "../../base/common/workMeter";
 import { DispatchLimits } from "../../dispatch/common/dispatchLimits";
 import { Scheduler } from "../../dispatch/common/scheduler";
+import { StartLoad } from "../../dispatch/common/startWindow";
 import { LeaseTable } from "../../dispatch/common/leaseTable";
 import { EntryReading } from "../../dispatch/common/workerEntry";
 import { JobCallHandler } from "../../jobs/common/jobCallHandler";
@@ -210,6 +211,11 @@
         return this.leadership.isLeading;
     }
 
+    /** The starts in flight, if the instance schedules. */
+    get startLoad(): StartLoad | undefined {
+        return this.scheduler?.startLoad;
+    }
+
     /** @param id Identifier of a job. @returns Its state as known to this instance, or `undefined`. */
     stateOfJob(id: string): JobState | undefined {
         const entry = this.jobs.find(id);
--- a/src/host/common/loadRecorder.ts
+++ b/src/host/common/loadRecorder.ts
@@ -1,4 +1,5 @@
 import { MAX_LEADER_DELAY_MS } from "../../dispatch/common/dispatchLimits";
+import { StartLoad } from "../../dispatch/common/startWindow";
 import { WorkKind } from "./workKind";
 
 /** Interval between two reports, in ms. */
@@ -42,6 +43,11 @@
     /** Number of half seconds, and of those with an event that was handled too late. */
     readonly halfSeconds: number;
     readonly lateHalfSeconds: number;
+    /** Starts in flight at the end, and how many may be; left out if the loop schedules nothing. */
+    readonly startsInFlight?: number;
+    readonly startWindow?: number;
+    /** Median time from the choice of a worker to the answer to the start, of late; left out if none was answered. */
+    readonly startMs?: number;
 }
 
 /** Collects how late a loop is and how long it spends on each kind of work, for a periodic report. */
@@ -77,8 +83,12 @@
         this.orderWaitMs.set(order, Math.max(ms, this.orderWaitMs.get(order) ?? 0));
     }
 
-    /** @param now Time in ms. @returns The report if one is due; the next one begins with it. */
-    takeReport(now: number): LoadReport | undefined {
+    /**
+     * @param now Time in ms.
+     * @param starts The starts in flight, if the loop schedules.
+     * @returns The report if one is due; the next one begins with it.
+     */
+    takeReport(now: number, starts?: StartLoad): LoadReport | undefined {
         if (this.startedAt === undefined || now - this.startedAt < REPORT_INTERVAL_MS) {
             return undefined;
         }
@@ -93,6 +103,7 @@
             lateHalfSeconds: [...this.mostByInterval.values()].filter(ms => ms > MAX_LEADER_DELAY_MS).length,
             ...this.workFields(),
             ...this.orderFields(),
+            ...startFields(starts),
         };
         this.reset();
         return report;
@@ -120,3 +131,11 @@
         return Object.fromEntries([...this.orderWaitMs].map(([order, ms]) => [ORDER_FIELDS[order], Math.round(ms)]));
     }
 }
+
+function startFields(starts: StartLoad | undefined): Partial<LoadReport> {
+    if (starts === undefined) {
+        return {};
+    }
+    const { inFlight: startsInFlight, window: startWindow, tookMs } = starts;
+    return { startsInFlight, startWindow, ...(tookMs === undefined ? {} : { startMs: Math.round(tookMs) }) };
+}
--- a/src/host/common/test/loadRecorder.test.ts
+++ b/src/host/common/test/loadRecorder.test.ts
@@ -26,6 +26,15 @@
     t.is(recorder.takeReport(10_000), undefined);
 });
 
+test("a report has the starts in flight of a loop that schedules", t => {
+    const recorder = LoadRecorder.create();
+    recorder.recordDelay(0, 0);
+    const report = recorder.takeReport(5_000, { inFlight: 20, window: 32, tookMs: 180.4 });
+    t.like(report, { startsInFlight: 20, startWindow: 32, startMs: 180 });
+    recorder.recordDelay(0, 5_000);
+    t.false("startMs" in recorder.takeReport(10_000, { inFlight: 0, window: 128, tookMs: undefined })!);
+});
+
 test("what was recorded before a reset is not reported", t => {
     const recorder = LoadRecorder.create();
     recorder.recordDelay(900, 0);
--- a/src/host/node/jobProcess.ts
+++ b/src/host/node/jobProcess.ts
@@ -164,7 +164,7 @@
             return;
         }
         load.recordDelay(delayMs, now);
-        const report = load.takeReport(now);
+        const report = load.takeReport(now, instance.startLoad);
         if (report !== undefined) {
             parts.log.log("loop-load", { ...report, logDelayMs: Math.round(parts.log.delayMs) });
         }
