Let a pass be requested for when a job has to have a run

After a pass that takes 250 ms the next one follows in 1 s, while a job without a run is to get one 2.3 s after its last one ended, with half a second for a late leader. PassPacer.requestBy makes the pass at that time independent of the interval, up to half of the loop's time. A job that is due and finds no worker waits for the next usual pass. QueueHost.requestPassBy is for the step queue, which does not call it yet. The first new test failed with the interval alone: the pass was at 400 ms instead of 300.

--- a/src/dispatch/common/passPacer.ts
+++ b/src/dispatch/common/passPacer.ts
@@ -10,6 +10,9 @@
 /** Share of the loop's time that passes may take. The rest is for what is due: renewals, answers, cancellations and stops. */
 const MAX_PASS_RATIO = 0.25;
 
+/** Share of the loop's time that passes may take when a job has to have a run soon. */
+const MAX_DUE_PASS_RATIO = 0.5;
+
 /** Longest interval that an expensive pass leads to, in ms: an accepted job is to start within a second while there is room. */
 const MAX_EXPENSIVE_INTERVAL_MS = 1_000;
 
@@ -21,6 +24,8 @@
     /** Whether a pass is needed. */
     private isNeeded = true;
     private lastAt = 0;
+    /** Time (ms) of the next pass that is not to wait for the interval. */
+    private dueAt = Number.POSITIVE_INFINITY;
 
     private constructor(private readonly work: WorkMeter<"pass">) {}
 
@@ -34,6 +39,17 @@
         this.isNeeded = true;
     }
 
+    /**
+     * Requests a pass at a time, also if the interval has not passed: a job has to have a run by then. Passes that are due
+     * already when the latest one begins are ignored, so that a job that finds no worker does not lead to one pass after the other.
+     * @param at Time in ms.
+     */
+    requestBy(at: number): void {
+        if (at > this.lastAt) {
+            this.dueAt = Math.min(this.dueAt, at);
+        }
+    }
+
     /** Requests a pass if the latest one is long ago. @param now Time in ms. */
     tick(now: number): void {
         this.isNeeded ||= now - this.lastAt > MAX_INTERVAL_MS;
@@ -46,13 +62,21 @@
      * @param pass Does the pass.
      */
     run(workers: number, now: number, pass: () => void): void {
-        if (this.isNeeded && now - this.lastAt >= this.intervalMs(workers)) {
+        const intervalMs = this.intervalMs(workers);
+        const sinceMs = now - this.lastAt;
+        const isDue = now >= this.dueAt && sinceMs >= Math.min(intervalMs, this.dueIntervalMs);
+        if (isDue || (this.isNeeded && sinceMs >= intervalMs)) {
             this.isNeeded = false;
+            this.dueAt = Number.POSITIVE_INFINITY;
             this.lastAt = now;
             this.work.measure("pass", pass);
         }
     }
 
+    private get dueIntervalMs(): number {
+        return Math.max(MIN_INTERVAL_MS, this.work.lastMs("pass") / MAX_DUE_PASS_RATIO);
+    }
+
     /** @param workers Number of workers. @returns Shortest time between two passes now, in ms. */
     intervalMs(workers: number): number {
         const byCost = Math.min(MAX_EXPENSIVE_INTERVAL_MS, this.work.lastMs("pass") / MAX_PASS_RATIO);
--- a/src/dispatch/common/queueHost.ts
+++ b/src/dispatch/common/queueHost.ts
@@ -20,4 +20,10 @@
      * @param now Time in ms.
      */
     abstract move(run: Run, now: number): void;
+
+    /**
+     * Requests a review of the waiting tasks at a time, also if the latest one was expensive: a job has to have a run by then.
+     * @param at Time in ms.
+     */
+    abstract requestPassBy(at: number): void;
 }
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -404,6 +404,11 @@
         this.stop(run, "slowed-down", now);
     }
 
+    /** Requests a pass at a time, also if the latest one was expensive. @param at Time in ms. */
+    requestPassBy(at: number): void {
+        this.pacer.requestBy(at);
+    }
+
     /** Handles the end of a run: finishes its task, counts its failure or lets the task wait again. */
     onRunEnd(run: Run, outcome: RunOutcome, checkpoint: string, now: number): void {
         const { task, record } = run;
--- a/src/dispatch/common/schedulerQueueHost.ts
+++ b/src/dispatch/common/schedulerQueueHost.ts
@@ -22,4 +22,8 @@
     override move(run: Run, now: number): void {
         this.scheduler.moveThrottled(run, now);
     }
+
+    override requestPassBy(at: number): void {
+        this.scheduler.requestPassBy(at);
+    }
 }
--- a/src/dispatch/common/test/passPacer.test.ts
+++ b/src/dispatch/common/test/passPacer.test.ts
@@ -43,6 +43,41 @@
     t.is(countPasses(5_000, 33), 9);
 });
 
+/** @returns Times (ms) of the passes after one at 1,000 that took a given time, each of which makes the next one due 300 ms later. */
+function timesOfDuePasses(costMs: number): number[] {
+    const pacer = PassPacer.create(new FixedCost(costMs));
+    const passes: number[] = [];
+    for (let now = 1_000; now < 3_000; now += 5) {
+        pacer.request();
+        pacer.run(33, now, () => {
+            passes.push(now);
+            pacer.requestBy(now + 300);
+        });
+    }
+    return passes.slice(1);
+}
+
+test("a job that has to have a run does not wait until the interval after an expensive pass is over", t => {
+    t.is(timesOfDuePasses(100)[0], 1_300);
+});
+
+test("passes for jobs that have to have a run take at most half of the time", t => {
+    t.deepEqual(timesOfDuePasses(200).slice(0, 2), [1_400, 1_800]);
+});
+
+test("a job that was due already in the latest pass does not lead to another one before the interval is over", t => {
+    const pacer = PassPacer.create(new FixedCost(200));
+    const passes: number[] = [];
+    for (let now = 1_000; now < 3_000; now += 5) {
+        pacer.request();
+        pacer.run(33, now, () => {
+            passes.push(now);
+            pacer.requestBy(now);
+        });
+    }
+    t.deepEqual(passes, [1_000, 1_800, 2_600]);
+});
+
 test("a pass is done only when it is needed, and after 150 ms in any case", t => {
     const pacer = PassPacer.create(new FixedCost(0));
     const passes: number[] = [];
--- a/src/dispatch/common/test/runs.ts
+++ b/src/dispatch/common/test/runs.ts
@@ -38,9 +38,11 @@
     override onEnd(): void {}
 }
 
-/** Assigns tasks by a function, and records the moves of runs. */
+/** Assigns tasks by a function, and records the moves of runs and the requested passes. */
 export class AssigningHost extends QueueHost {
     readonly moved: Run[] = [];
+    /** Times (ms) at which passes were requested. */
+    readonly requestedPasses: number[] = [];
 
     private constructor(private readonly assignTask: (task: Task, worker: WorkerContact, now: number) => Run) {
         super();
@@ -65,6 +67,10 @@
     override move(run: Run): void {
         this.moved.push(run);
     }
+
+    override requestPassBy(at: number): void {
+        this.requestedPasses.push(at);
+    }
 }
 
 /** @returns A step of one task of 8 cores: a latency-critical or a best-effort one. */
