Correct the expectation of the test of starts that wait for a late loop

The delay in the test is 525 ms instead of 500, so that each start waits 0.4 s too long as its comment says; the expected 50 is the same.

--- a/src/dispatch/common/test/startWindow.test.ts
+++ b/src/dispatch/common/test/startWindow.test.ts
@@ -47,7 +47,7 @@
 test("starts that wait for a late loop are not sent as long as they would wait", t => {
     const window = StartWindow.create();
     const now = recordStarts(window, 200, 1_200);
-    window.review({ delayMs: 500, intervalMs: 100 }, now);
+    window.review({ delayMs: 525, intervalMs: 100 }, now);
     // 100 starts a second; of 1.2 s, each waits 0.4 s too long for the loop, and that twice.
     t.is(window.limitOf(MOST), 50);
 });
