Let passes of a late leader take 15% of its time instead of 25%

With the window of starts alone, a leader that is on time starts fewer runs than a late one: it gets a list for nearly each end, and a quarter of its time goes into passes that find few free places. While its loop is late, passes now follow each other less closely; requestBy is for jobs that have to have a run.

The trials of a late leader pass; the new test of the pacer failed with 25%.

--- a/src/base/common/loopDelay.ts
+++ b/src/base/common/loopDelay.ts
@@ -4,7 +4,8 @@
 import chartText from "./loopDelay.chart.yaml";
 import { Machine } from "./machine";
 
-type DelayState = "on-time" | "late";
+/** Whether a loop handles its events in time. */
+export type DelayState = "on-time" | "late";
 type DelayEvent = "delayed" | "caught-up";
 type DelayAction = "reportLate" | "reportOnTime";
 
--- a/src/dispatch/common/dispatchLimits.ts
+++ b/src/dispatch/common/dispatchLimits.ts
@@ -46,5 +46,11 @@
 /** How late the leader may be, in ms. */
 export const MAX_LEADER_DELAY_MS = 500;
 
+/**
+ * Median delay of the leader's loop above which fewer starts are in flight, in ms. The delay varies with passes and with batches of
+ * answers; its peaks are several times as high.
+ */
+export const MAX_MEDIAN_DELAY_MS = MAX_LEADER_DELAY_MS / 4;
+
 /** Time from the choice of a worker until the run is at work, in ms: its assignment is stored, then its start is sent. */
 export const START_DELAY_MS = 200;
--- a/src/dispatch/common/passPacer.ts
+++ b/src/dispatch/common/passPacer.ts
@@ -10,6 +10,9 @@
 /** Share of the loop's time that passes may take. The rest is for what is due: renewals, answers, cancellations and stops. */
 const MAX_PASS_RATIO = 0.25;
 
+/** The same while the loop is late. */
+const MAX_LATE_PASS_RATIO = 0.15;
+
 /** Share of the loop's time that passes may take when a job has to have a run soon. */
 const MAX_DUE_PASS_RATIO = 0.5;
 
@@ -26,6 +29,8 @@
     private lastAt = 0;
     /** Time (ms) of the next pass that is not to wait for the interval. */
     private dueAt = Number.POSITIVE_INFINITY;
+    /** Whether the loop is late, so that passes take less of its time. */
+    isLate = false;
 
     private constructor(private readonly work: WorkMeter<"pass">) {}
 
@@ -79,7 +84,8 @@
 
     /** @param workers Number of workers. @returns Shortest time between two passes now, in ms. */
     intervalMs(workers: number): number {
-        const byCost = Math.min(MAX_EXPENSIVE_INTERVAL_MS, this.work.lastMs("pass") / MAX_PASS_RATIO);
+        const ratio = this.isLate ? MAX_LATE_PASS_RATIO : MAX_PASS_RATIO;
+        const byCost = Math.min(MAX_EXPENSIVE_INTERVAL_MS, this.work.lastMs("pass") / ratio);
         return Math.max(MIN_INTERVAL_MS, workers * INTERVAL_PER_WORKER_MS, byCost);
     }
 }
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -227,9 +227,11 @@
         const starts = this.pendingStarts;
         this.pendingStarts = [];
         starts.forEach(run => run.fire("stored", { now }));
+        const { loop } = this.context.views;
+        this.pacer.isLate = loop?.state === "late";
         this.pacer.run(this.pool.size, now, () => {
             this.passCount += 1;
-            const delayMs = this.context.views.loop?.summary.medianMs ?? 0;
+            const delayMs = loop?.summary.medianMs ?? 0;
             this.pool.reviewStarts({ delayMs, intervalMs: this.pacer.intervalMs(this.pool.size) }, now);
             const usable = this.admission.usableWorkers(this.pool.all, now);
             this.queue.placeWaiting(this.activeJobs.all, usable, this.pool.remainingStarts(), now, wallNow);
--- a/src/dispatch/common/startWindow.ts
+++ b/src/dispatch/common/startWindow.ts
@@ -1,4 +1,4 @@
-import { MAX_LEADER_DELAY_MS, START_DELAY_MS } from "./dispatchLimits";
+import { MAX_MEDIAN_DELAY_MS, START_DELAY_MS } from "./dispatchLimits";
 import { OrderOutcome } from "./workerMessages";
 
 /** Limit on starts in flight that is never gone below, whatever they take. */
@@ -13,12 +13,6 @@
 /** By how much the limit rises with each start that was carried out, after the loop was late. */
 const LOAD_INCREASE = 0.25;
 
-/**
- * Median delay of the loop from which starts wait for it, in ms. The delay varies with passes and with batches of answers; its peaks
- * are several times as high.
- */
-const MAX_MEDIAN_DELAY_MS = MAX_LEADER_DELAY_MS / 4;
-
 /** How often a start waits for the loop: when its assignment is stored, and when it is answered. */
 const LOOP_WAITS = 2;
 
--- a/src/dispatch/common/streamViews.ts
+++ b/src/dispatch/common/streamViews.ts
@@ -1,4 +1,4 @@
-import { DelaySummary } from "../../base/common/loopDelay";
+import { DelayState, DelaySummary } from "../../base/common/loopDelay";
 
 /** How far a stream has been read. */
 export interface StreamView {
@@ -9,6 +9,7 @@
 /** How late the loop is that reads the streams. */
 export interface LoopView {
     readonly summary: DelaySummary;
+    readonly state: DelayState;
 }
 
 /** The streams on which a leader's decisions depend. */
--- a/src/dispatch/common/test/passPacer.test.ts
+++ b/src/dispatch/common/test/passPacer.test.ts
@@ -18,8 +18,9 @@
 }
 
 /** @returns Number of passes in 10 s, of which each event needs one. */
-function countPasses(costMs: number, workers: number): number {
+function countPasses(costMs: number, workers: number, isLate = false): number {
     const pacer = PassPacer.create(new FixedCost(costMs));
+    pacer.isLate = isLate;
     let count = 0;
     for (let now = 0; now < 10_000; now += 5) {
         pacer.request();
@@ -39,6 +40,11 @@
     t.true(countPasses(200, 33) * 200 <= 2_500);
 });
 
+test("passes of a late loop take at most 15% of the time", t => {
+    t.true(countPasses(40, 33, true) * 40 <= 1_500);
+    t.is(countPasses(5_000, 33, true), 9);
+});
+
 test("even the most expensive passes are one second apart", t => {
     t.is(countPasses(5_000, 33), 9);
 });
--- a/src/dispatch/common/test/schedulerFixture.ts
+++ b/src/dispatch/common/test/schedulerFixture.ts
@@ -1,3 +1,4 @@
+import { DelayState, DelaySummary } from "../../../base/common/loopDelay";
 import { Outbox } from "../../../base/common/outbox";
 import { StepSpec } from "../../../jobs/common/jobSpec";
 import { encodeSpec, jobKey } from "../../../jobs/common/jobRecord";
@@ -58,7 +59,10 @@
     /** How old the views of the streams are, in ms. */
     readonly viewAgesMs: Record<BoundedStream, number> = { jobs: 0, configuration: 0, workers: 0 };
     /** How late the loop is. */
-    readonly loop = { summary: { medianMs: 0, mostMs: 0 } };
+    readonly loop: { state: DelayState; summary: DelaySummary } = {
+        state: "on-time",
+        summary: { medianMs: 0, mostMs: 0 },
+    };
     readonly decisions: DecisionEffect[] = [];
     readonly throttles: ThrottleOrder[] = [];
     /** Outcome of the orders to throttle; `undefined` while they are in flight. */
