--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -23,6 +23,7 @@
 import { SchedulerQueueHost } from "./schedulerQueueHost";
 import { SchedulerRunHost } from "./schedulerRunHost";
 import { StartAdmission } from "./startAdmission";
+import { StartLoad } from "./startWindow";
 import { StepQueue } from "./stepQueue";
 import { SuspectTable } from "./suspectTable";
 import { firstWaitMs, Task } from "./task";
@@ -228,14 +229,23 @@
         const starts = this.pendingStarts;
         this.pendingStarts = [];
         starts.forEach(run => run.fire("stored", { now }));
+        const { loop } = this.context.views;
+        this.pacer.isLate = loop?.state === "late";
         this.pacer.run(this.pool.size, now, () => {
             this.passCount += 1;
+            const delayMs = loop?.summary.medianMs ?? 0;
+            this.pool.reviewStarts({ delayMs, intervalMs: this.pacer.intervalMs(this.pool.size) }, now);
             const all = [...this.pool.all];
             const usable = this.admission.usableWorkers(all, now);
             this.queue.placeWaiting(this.activeJobs.all, usable, this.pool.remainingStarts(), now, wallNow, all);
         });
     }
 
+    /** The starts in flight. */
+    get startLoad(): StartLoad {
+        return this.pool.startLoad;
+    }
+
     /** @param now Time in ms. @returns Whether leases may be extended. */
     mayExtend(now: number): boolean {
         return this.context.leadership.canExtendLeases() && this.leases.isRenewalRecent(now);
@@ -400,6 +410,11 @@
         this.stop(run, "slowed-down", now);
     }
 
+    /** Requests a pass at a time, also if the latest one was expensive. @param at Time in ms. */
+    requestPassBy(at: number): void {
+        this.pacer.requestBy(at);
+    }
+
     /** Handles the end of a run: finishes its task, counts its failure or lets the task wait again. */
     onRunEnd(run: Run, outcome: RunOutcome, checkpoint: string, now: number): void {
         const { task, record } = run;
