Start jobs that have to have a run beyond the limit on starts in flight

With fewer starts in flight under a late leader, a job without a run could wait for starts of other tasks, and for a pass that is up to a second away. Up to 8 more starts may be in flight of jobs that are due, and the queue asks for a pass when the next one is. Two tests, which failed before: no start was made, and no pass requested.

--- a/src/dispatch/common/boundedWaitPolicy.ts
+++ b/src/dispatch/common/boundedWaitPolicy.ts
@@ -37,9 +37,9 @@
         return fullness >= 1 ? Number.POSITIVE_INFINITY : Math.max(0, choiceMs) / (1 - fullness * fullness);
     }
 
-    /** @returns Whether the task goes before all jobs with more time. */
-    isDue(wait: Wait): boolean {
-        return wait.waitedMs >= this.limitOf(wait);
+    /** @returns Time until the task goes before all jobs with more time, in ms; infinite in a full service. */
+    dueMs(wait: Wait): number {
+        return Math.max(0, this.limitOf(wait) - wait.waitedMs);
     }
 
     override minSpeedPercent(wait: Wait): number {
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -22,6 +22,9 @@
 /** How much faster a throttled task must run on another worker for a move, in percent of full speed. */
 const MIN_SPEED_GAIN_PERCENT = 40;
 
+/** How many more starts than usual may be in flight, of jobs that have to have a run soon. */
+const MAX_DUE_STARTS = 8;
+
 /** A task group with waiting or throttled tasks, and the criteria for its position in the queue. */
 interface WaitingGroup extends IndexedEntry {
     readonly group: TaskGroup;
@@ -57,6 +60,8 @@
     /** Fires for a job that has nothing running although a step is ready. */
     readonly onDidWait = this.waitReporter.onDidWait;
     private remainingStarts = 0;
+    /** Remaining starts at which no task is placed. */
+    private lastStart = 0;
     private readonly reserve = ShortTaskReserve.create();
     /** Workers on which no new long-running tasks are placed in this pass. */
     private reserved: ReadonlySet<WorkerContact> = new Set();
@@ -160,17 +165,30 @@
     /** Places one task, or the gang, of each job that has to have a run soon, the one that has waited longest first. */
     private placeDue(waiting: readonly WaitingGroup[], placer: Placer, now: number): void {
         const idleMs = ({ group, tasks }: WaitingGroup) => this.waits.idleMs(group, tasks[0], now);
-        const due = waiting.filter(
-            entry => !entry.isThrottled && this.waits.isDue(entry.group, entry.tasks[0], entry.service, now),
-        );
+        const due: WaitingGroup[] = [];
+        let nextDueMs = Number.POSITIVE_INFINITY;
+        for (const entry of waiting) {
+            const dueMs = entry.isThrottled
+                ? undefined
+                : this.waits.dueMs(entry.group, entry.tasks[0], entry.service, now);
+            if (dueMs === 0) {
+                due.push(isGang(entry) ? entry : { ...entry, tasks: entry.tasks.slice(0, 1) });
+            } else if (dueMs !== undefined) {
+                nextDueMs = Math.min(nextDueMs, dueMs);
+            }
+        }
         due.sort((a, b) => idleMs(b) - idleMs(a));
-        const first = due.map(entry => (isGang(entry) ? entry : { ...entry, tasks: entry.tasks.slice(0, 1) }));
-        this.placeInOrder(first, placer, now);
+        this.lastStart = -MAX_DUE_STARTS;
+        this.placeInOrder(due, placer, now);
+        this.lastStart = 0;
+        if (Number.isFinite(nextDueMs)) {
+            this.host.requestPassBy(now + nextDueMs);
+        }
     }
 
     private placeInOrder(waiting: readonly WaitingGroup[], placer: Placer, now: number): void {
         for (const entry of waiting) {
-            if (this.remainingStarts <= 0) {
+            if (this.remainingStarts <= this.lastStart) {
                 return;
             }
             if (entry.isThrottled) {
@@ -298,7 +316,7 @@
                 continue;
             }
             const minSpeedPercent = this.minSpeedPercent(entry, task, now);
-            if (this.remainingStarts <= 0 || placer.isInfeasible(task, entry.service, minSpeedPercent)) {
+            if (this.remainingStarts <= this.lastStart || placer.isInfeasible(task, entry.service, minSpeedPercent)) {
                 return;
             }
             const choice =
--- a/src/dispatch/common/test/stepQueueWaits.test.ts
+++ b/src/dispatch/common/test/stepQueueWaits.test.ts
@@ -6,6 +6,7 @@
 import { Task } from "../task";
 import { WorkerContact } from "../workerContact";
 import {
+    AssigningHost,
     assign,
     createBestEffort,
     createBusyWorkers,
@@ -253,3 +254,29 @@
     }
     t.true(at !== undefined && at <= MAX_IDLE_MS, `waited ${at} ms`);
 });
+
+// Starts of other tasks that were in flight kept it from starting.
+test("a job that has to have a run starts although as many starts are in flight as the leader keeps up with", t => {
+    const workers = [createWorker()];
+    const queue = createQueue(LatencyModel.create());
+    const jobs = ["a", "b"].map(id => createJob(id, createBestEffort({ tasks: 2 })));
+    for (let now = 0; now < 2_000; now += PASS_INTERVAL_MS) {
+        queue.placeWaiting(jobs, workers, 0, now, now);
+        t.false(
+            jobs.some(job => job.hasRun),
+            `after ${now} ms`,
+        );
+    }
+    queue.placeWaiting(jobs, workers, 0, 2_400, 2_400);
+    t.true(jobs.every(job => [...job.tasks()].filter(task => task.run !== undefined).length === 1));
+});
+
+// Passes of a late leader are up to a second apart.
+test("a pass is requested for when a job has to have a run", t => {
+    const host = AssigningHost.create();
+    const queue = createQueue(LatencyModel.create(), host);
+    const job = createJob("a", createBestEffort({ requiredLabel: "none" }));
+    queue.placeWaiting([job], [createWorker()], 100, 0, 0);
+    queue.placeWaiting([job], [createWorker()], 100, 1_000, 1_000);
+    t.deepEqual(host.requestedPasses, [2_300, 2_300]);
+});
--- a/src/dispatch/common/test/waitController.test.ts
+++ b/src/dispatch/common/test/waitController.test.ts
@@ -20,7 +20,7 @@
 
     /** @param delayMs How late the leader's loop is, in ms. */
     constructor(delayMs = 0) {
-        const loop: LoopView = { summary: { medianMs: delayMs, mostMs: delayMs } };
+        const loop: LoopView = { state: "on-time", summary: { medianMs: delayMs, mostMs: delayMs } };
         this.waits = WaitController.create(loop);
     }
 
@@ -33,7 +33,7 @@
     }
 
     isDue(now: number, task = this.tasks[0]): boolean {
-        return this.waits.isDue([...this.job.groups][0], task, "svc", now);
+        return this.waits.dueMs([...this.job.groups][0], task, "svc", now) === 0;
     }
 
     minSpeedPercent(now: number): number {
--- a/src/dispatch/common/waitController.ts
+++ b/src/dispatch/common/waitController.ts
@@ -65,9 +65,13 @@
         return { boundMs: Number.isFinite(limitMs) ? Math.round(limitMs) : undefined, ...this.usage.reportOf(service) };
     }
 
-    /** @returns Whether a waiting task goes before all others: its job has to have a run soon. */
-    isDue(group: TaskGroup, task: Task, service: string, now: number): boolean {
-        return this.bounded.isDue(this.waitOf(group, task, service, now)) && !this.isCovered(task, now);
+    /**
+     * @returns Time until a waiting task goes before all others, in ms; 0 if its job has to have a run soon. `undefined` while another
+     * run of the job is at work or about to be.
+     */
+    dueMs(group: TaskGroup, task: Task, service: string, now: number): number | undefined {
+        const dueMs = this.bounded.dueMs(this.waitOf(group, task, service, now));
+        return this.isCovered(task, now) ? undefined : dueMs;
     }
 
     /**
