Count what the leader takes itself from the end of a run to the next start

What is taken off is now twice the largest delay of the loop, for the list and the pass, and the measured time of a start. A leader that takes over half of the 3 s itself keeps two runs of a job that has the tasks, and does not move runs, which would leave their jobs without one for as long. A further wait of a job is a fifth of its bound, so that it shrinks with it.

--- a/src/dispatch/common/boundedWaitPolicy.ts
+++ b/src/dispatch/common/boundedWaitPolicy.ts
@@ -13,8 +13,8 @@
 /** Part of the wait for which a task accepts only full speed. */
 const FULL_SPEED_WAIT_RATIO = 2 / 3;
 
-/** Limit of a wait once the waits of a job have used up the first one, in ms. */
-const REPEATED_WAIT_MS = 500;
+/** Part of the bound to which a wait is limited once the waits of a job have used up the first one. */
+const REPEATED_WAIT_RATIO = 0.2;
 
 /** What a service makes its jobs wait for, without a wait. */
 export type WaitLimits = Pick<Wait, "used" | "lateMs">;
@@ -33,7 +33,7 @@
     /** @returns Time after which a worker must be chosen for a job that has not waited before, in ms; infinite in a full service. */
     limitMs({ used, lateMs }: WaitLimits): number {
         const fullness = Math.max(fullnessOf(used, "cpu"), fullnessOf(used, "idleMemory"));
-        const choiceMs = MAX_IDLE_MS - START_DELAY_MS - Math.max(MAX_LEADER_DELAY_MS, lateMs);
+        const choiceMs = MAX_IDLE_MS - Math.max(MAX_LEADER_DELAY_MS + START_DELAY_MS, lateMs);
         return fullness >= 1 ? Number.POSITIVE_INFINITY : Math.max(0, choiceMs) / (1 - fullness * fullness);
     }
 
@@ -54,7 +54,7 @@
 
     private limitOf(wait: Wait): number {
         const limitMs = this.limitMs(wait);
-        return wait.totalMs >= limitMs ? Math.min(limitMs, REPEATED_WAIT_MS) : limitMs;
+        return wait.totalMs >= limitMs ? limitMs * REPEATED_WAIT_RATIO : limitMs;
     }
 }
 
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -19,6 +19,7 @@
 import { RunThrottle } from "./runThrottle";
 import { SchedulerContext } from "./schedulerContext";
 import { SchedulerFailureHost } from "./schedulerFailureHost";
+import { SchedulerPace } from "./schedulerPace";
 import { SchedulerPoolHost } from "./schedulerPoolHost";
 import { SchedulerQueueHost } from "./schedulerQueueHost";
 import { SchedulerRunHost } from "./schedulerRunHost";
@@ -78,8 +79,8 @@
         this.views = ViewController.create(context.views, context.limits, logView);
         this.runHost = SchedulerRunHost.create(this);
         this.leases = LeaseBook.create(context, { epoch, records: writers.jobs }, now);
-        const poolHost = SchedulerPoolHost.create(this);
-        this.pool = WorkerPool.create(epoch, this.leases, context.limits, poolHost, context.effects);
+        const { limits, effects } = context;
+        this.pool = WorkerPool.create(epoch, this.leases, limits, SchedulerPoolHost.create(this), effects);
         this.activeJobs = ActiveJobTable.create(epoch, writers);
         this.pruner = JobPruner.create(context.jobs, this.activeJobs, writers, context.limits.retentionMs);
         this.admission = StartAdmission.create(context.queues, id => this.pool.find(id), context.effects);
@@ -89,8 +90,8 @@
         );
         this.failures = FailureController.create(context.queues, this.suspects, SchedulerFailureHost.create(this));
         const queueHost = SchedulerQueueHost.create(this);
-        const { queues, views } = context;
-        this.queue = StepQueue.create(queues, this.model, this.suspects, queueHost, undefined, views.loop);
+        const pace = SchedulerPace.create(context.views.loop, this.pool);
+        this.queue = StepQueue.create(context.queues, this.model, this.suspects, queueHost, undefined, pace);
         this.resources.add(this.queue.onDidWait(report => this.logWait(report)));
         this.resources.add(this.activeJobs.onDidCancel(job => this.stopRuns(job, this.now)));
         this.resources.add(
@@ -233,8 +234,7 @@
         this.pacer.isLate = loop?.state === "late";
         this.pacer.run(this.pool.size, now, () => {
             this.passCount += 1;
-            const delayMs = loop?.summary.medianMs ?? 0;
-            this.pool.reviewStarts({ delayMs, intervalMs: this.pacer.intervalMs(this.pool.size) }, now);
+            this.pool.reviewStarts(loop?.summary.medianMs ?? 0, this.pacer.intervalMs(this.pool.size), now);
             const all = [...this.pool.all];
             const usable = this.admission.usableWorkers(all, now);
             this.queue.placeWaiting(this.activeJobs.all, usable, this.pool.remainingStarts(), now, wallNow, all);
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -10,9 +10,10 @@
 import { Run } from "./run";
 import { RunReviewer } from "./runReviewer";
 import { ShortTaskReserve } from "./shortTaskReserve";
-import { LoopView } from "./streamViews";
+import { LeaderPace } from "./streamViews";
 import { SuspectTable } from "./suspectTable";
 import { ignoringFailures, Task } from "./task";
+import { alignRuns, isGang, rackOf } from "./taskGroups";
 import { WaitReporter } from "./waitReporter";
 import { WaitController } from "./waitController";
 import { CollectedJob, IndexedEntry, WaitingIndex } from "./waitingIndex";
@@ -76,9 +77,9 @@
         private readonly suspects: SuspectTable,
         private readonly host: QueueHost,
         private readonly order: WaitingOrder,
-        loop: LoopView | undefined,
+        pace: LeaderPace | undefined,
     ) {
-        this.waits = WaitController.create(loop);
+        this.waits = WaitController.create(pace);
         this.probation = ProbationPlacer.create(suspects, model);
     }
 
@@ -88,7 +89,7 @@
      * @param suspects Tasks that are suspected of crashing their workers.
      * @param host Assigns tasks to workers and moves them.
      * @param order Order of the jobs of one priority.
-     * @param loop How late the leader's loop is; left out if it is not measured.
+     * @param pace How long the leader takes for what it does; left out if it is not measured.
      * @returns The queue.
      */
     static create(
@@ -97,9 +98,9 @@
         suspects: SuspectTable,
         host: QueueHost,
         order: WaitingOrder = ObjectiveOrder.create(),
-        loop?: LoopView,
+        pace?: LeaderPace,
     ): StepQueue {
-        return new StepQueue(queues, model, suspects, host, order, loop);
+        return new StepQueue(queues, model, suspects, host, order, pace);
     }
 
     /**
@@ -120,7 +121,7 @@
         allWorkers: Iterable<WorkerContact> = workers,
     ): void {
         this.remainingStarts = maxStarts;
-        this.waits.updateUsage(allWorkers, now);
+        this.waits.beginPass(allWorkers, now);
         const waiting = this.orderWaiting(jobs, now, wallNow);
         if (waiting.length === 0) {
             return;
@@ -339,6 +340,10 @@
 
     /** Moves throttled tasks that run faster on another worker. Each worker is offered to one of them in a pass. */
     private moveTasks(entry: WaitingGroup, placer: Placer, now: number): void {
+        // A late leader takes too long until the task runs again.
+        if (this.waits.isLate) {
+            return;
+        }
         if (isGang(entry)) {
             this.moveGang(entry, placer, now);
             return;
@@ -488,18 +493,3 @@
         }
     }
 }
-
-function isGang({ group }: Pick<WaitingGroup, "group">): boolean {
-    return group.step.mode === "gang";
-}
-
-/** @returns The rack of the first task in the group that has a run, if any. */
-function rackOf(group: TaskGroup): string | undefined {
-    return group.tasks.find(task => task.run !== undefined)?.run?.rack;
-}
-
-/** Gives the tasks of a gang the same highest run, so that their next runs have the same number. */
-function alignRuns(tasks: readonly Task[]): void {
-    const highestRun = Math.max(...tasks.map(task => task.highestRun));
-    tasks.forEach(task => (task.highestRun = highestRun));
-}
--- a/src/dispatch/common/streamViews.ts
+++ b/src/dispatch/common/streamViews.ts
@@ -21,3 +21,11 @@
     /** Left out if it is not measured. */
     readonly loop?: LoopView;
 }
+
+/** How long the leader takes for what it does. */
+export interface LeaderPace {
+    /** Largest delay of its loop of late, in ms. */
+    readonly delayMs: number;
+    /** Time from the choice of a worker to the answer to the start, in ms; `undefined` if no start was answered of late. */
+    readonly startMs: number | undefined;
+}
--- a/src/dispatch/common/test/waitController.test.ts
+++ b/src/dispatch/common/test/waitController.test.ts
@@ -1,6 +1,5 @@
 import test from "ava";
 import { ActiveJob } from "../activeJob";
-import { LoopView } from "../streamViews";
 import { Task } from "../task";
 import { WaitController } from "../waitController";
 import { WorkerContact } from "../workerContact";
@@ -18,16 +17,15 @@
     readonly job: ActiveJob = createJob("a", createBestEffort({ tasks: 2 }));
     readonly tasks: readonly Task[] = [...this.job.tasks()];
 
-    /** @param delayMs How late the leader's loop is, in ms. */
-    constructor(delayMs = 0) {
-        const loop: LoopView = { state: "on-time", summary: { medianMs: delayMs, mostMs: delayMs } };
-        this.waits = WaitController.create(loop);
+    /** @param delayMs How late the leader's loop is, in ms. @param startMs How long its starts take, in ms. */
+    constructor(delayMs = 0, startMs?: number) {
+        this.waits = WaitController.create({ delayMs, startMs });
     }
 
     /** Runs passes from one time up to, but not including, another, in ms. */
     pass(workers: readonly WorkerContact[], from: number, until: number): void {
         for (let now = from; now < until; now += INTERVAL_MS) {
-            this.waits.updateUsage(workers, now);
+            this.waits.beginPass(workers, now);
             this.waits.updateJob(this.job, [...this.job.groups], now, now);
         }
     }
@@ -124,25 +122,33 @@
     t.true(fixture.isDue(2_800));
 });
 
-test("the delay of a late leader is taken off its bound, with the end of one run and with the start of the next", t => {
-    for (const delayMs of [500, 1_000, 2_000]) {
-        const fixture = new Fixture(delayMs);
-        const dueAt = Math.max(0, MAX_IDLE_MS - 200 - 2 * delayMs);
+test("what a late leader takes itself is taken off its bound: for the list, for the pass and for the start", t => {
+    for (const [delayMs, startMs] of [
+        [500, 200],
+        [500, 900],
+        [1_000, 800],
+        [2_000, 2_000],
+    ] as const) {
+        const fixture = new Fixture(delayMs, startMs);
+        const dueAt = Math.max(0, MAX_IDLE_MS - 2 * delayMs - startMs);
         fixture.pass([createWorker()], 0, dueAt + INTERVAL_MS);
-        t.true(fixture.isDue(dueAt), `${delayMs} ms late`);
+        t.true(fixture.isDue(dueAt), `${delayMs} ms late, ${startMs} ms for a start`);
     }
 });
 
 test("a leader that is too late to start the next run in time keeps two runs of a job, one that is on time does not", t => {
     for (const [delayMs, isDue] of [
         [2_000, true],
+        [700, true],
         [200, false],
     ] as const) {
-        const fixture = new Fixture(delayMs);
+        const fixture = new Fixture(delayMs, 500);
         const worker = createWorker();
         report(assign(worker, fixture.tasks[1]), 0, 0);
-        fixture.pass([worker], 0, 1_000);
-        t.is(fixture.isDue(1_000), isDue, `${delayMs} ms late`);
+        fixture.pass([worker], 0, 3_000);
+        report(fixture.tasks[1].run!, 0, 3_000);
+        fixture.pass([worker], 3_000, 3_300);
+        t.is(fixture.isDue(3_300), isDue, `${delayMs} ms late`);
     }
 });
 
--- a/src/dispatch/common/waitController.ts
+++ b/src/dispatch/common/waitController.ts
@@ -4,18 +4,21 @@
 import { PatientWaitPolicy } from "./patientWaitPolicy";
 import { Run } from "./run";
 import { ServiceUsage, UsageReport } from "./serviceUsage";
-import { LoopView } from "./streamViews";
+import { LeaderPace } from "./streamViews";
 import { Task } from "./task";
-import { Wait } from "./waitPolicy";
+import { ANY_WORKER_PERCENT, Wait } from "./waitPolicy";
 import { isAtWork, WaitTable } from "./waitTable";
 import { WorkerContact } from "./workerContact";
 
 /** Time within which a start is answered by a worker that can be reached, in ms, apart from the leader's own delay. */
 const START_ANSWER_MS = 1_000;
 
-/** How often a late leader is late between two runs of a job: with the end of the one, and with the answer that the next is stored. */
+/** How often a late loop delays the choice of the next worker after a run has ended: with the list of its end, and with the pass. */
 const LATE_TURNS = 2;
 
+/** Share of the accepted time that a leader may take for itself; one that takes more is too late to start runs one after the other. */
+const MAX_LATE_RATIO = 0.5;
+
 /** How a waiting job is judged, for reports. */
 export interface WaitConditions extends UsageReport {
     /** Time without any run after which it goes before others, in ms, or `undefined` while its service is full. */
@@ -30,17 +33,21 @@
     private readonly patient = PatientWaitPolicy.create();
     /** Time (ms) of the first review of the workers. */
     private startedAt: number | undefined;
+    /** Time that the leader itself takes from the end of a run to the start of the next one, in ms. */
+    private lateMs = 0;
 
-    private constructor(private readonly loop: LoopView | undefined) {}
+    private constructor(private readonly pace: LeaderPace | undefined) {}
 
-    /** @param loop How late the leader's loop is; left out if it is not measured. @returns A controller that has seen no job. */
-    static create(loop?: LoopView): WaitController {
-        return new WaitController(loop);
+    /** @param pace How long the leader takes; left out if it is not measured. @returns A controller that has seen no job. */
+    static create(pace?: LeaderPace): WaitController {
+        return new WaitController(pace);
     }
 
-    /** Reviews the workers once in a pass. @param workers All workers. @param now Time in ms. */
-    updateUsage(workers: Iterable<WorkerContact>, now: number): void {
+    /** Reviews the leader and the workers once in a pass. @param workers All workers. @param now Time in ms. */
+    beginPass(workers: Iterable<WorkerContact>, now: number): void {
         this.startedAt ??= now;
+        const { delayMs = 0, startMs = 0 } = this.pace ?? {};
+        this.lateMs = LATE_TURNS * delayMs + Math.max(START_DELAY_MS, startMs);
         this.usage.update(workers, now);
     }
 
@@ -70,8 +77,11 @@
      * run of the job is at work or about to be.
      */
     dueMs(group: TaskGroup, task: Task, service: string, now: number): number | undefined {
-        const dueMs = this.bounded.dueMs(this.waitOf(group, task, service, now));
-        return this.isCovered(task, now) ? undefined : dueMs;
+        const wait = this.waitOf(group, task, service, now);
+        if (this.isCovered(task, now)) {
+            return undefined;
+        }
+        return this.needsSecondRun(task, wait) ? 0 : this.bounded.dueMs(wait);
     }
 
     /**
@@ -83,7 +93,8 @@
         if (!group.step.usesSpareCpu) {
             return 100;
         }
-        const bounded = this.bounded.minSpeedPercent(this.waitOf(group, task, service, now));
+        const wait = this.waitOf(group, task, service, now);
+        const bounded = this.needsSecondRun(task, wait) ? ANY_WORKER_PERCENT : this.bounded.minSpeedPercent(wait);
         const patient = this.patient.minSpeedPercent({ waitedMs: this.idleUnderLeaderMs(group, task, now) });
         return Math.min(
             bounded < 100 && !this.isCovered(task, now) ? bounded : 100,
@@ -102,20 +113,27 @@
         return { waitedMs, totalMs, used: this.usage.ratiosOf(service), lateMs: this.lateMs };
     }
 
-    private get lateMs(): number {
-        return LATE_TURNS * (this.loop?.summary.mostMs ?? 0);
+    /** Whether the leader takes too much of the accepted time itself. */
+    get isLate(): boolean {
+        return this.lateMs > MAX_IDLE_MS * MAX_LATE_RATIO;
+    }
+
+    /** @returns Whether a job with a run needs another one now, since the leader is too late to start it after the end of the first. */
+    private needsSecondRun(task: Task, wait: Wait): boolean {
+        const hasRun = task.step.mode !== "long-running" && task.job.hasRun;
+        return this.isLate && hasRun && Number.isFinite(this.bounded.limitMs(wait));
     }
 
     /**
-     * @returns Whether a task need not start soon, since its job has another run that is at work or about to be. A leader that would
-     * know of its end and start the next one too late needs two.
+     * @returns Whether a task need not start soon, since its job has another run that is at work or about to be. A leader that is
+     * too late to start the next one after its end needs two.
      */
     private isCovered(task: Task, now: number): boolean {
         if (task.step.mode === "long-running") {
             return false;
         }
         const { lateMs } = this;
-        const needed = lateMs + START_DELAY_MS >= MAX_IDLE_MS ? 2 : 1;
+        const needed = this.isLate ? 2 : 1;
         const others = task.job.runsLike(run => isAtWork(run, now) || isStarting(run, now, lateMs));
         return others.length >= needed;
     }
--- a/src/dispatch/common/waitPolicy.ts
+++ b/src/dispatch/common/waitPolicy.ts
@@ -11,7 +11,7 @@
     readonly totalMs: number;
     /** Shares of the service's capacity that are in use. */
     readonly used: UsedRatios;
-    /** Time that the leader needs to know of an end and to start the next run because its loop is late, in ms. */
+    /** Time that the leader itself takes from the end of a run to the start of the next one, in ms. */
     readonly lateMs: number;
 }
 
--- a/src/dispatch/common/workerPool.ts
+++ b/src/dispatch/common/workerPool.ts
@@ -4,7 +4,7 @@
 import { DispatchEffect } from "./dispatchEffects";
 import { LeaseBook } from "./leaseBook";
 import { Run } from "./run";
-import { StartLoad, StartPace, StartWindow } from "./startWindow";
+import { StartLoad, StartWindow } from "./startWindow";
 import { ContactState, WorkerContact } from "./workerContact";
 import { EntryReading, WorkerEntry } from "./workerEntry";
 import { ListedEnd, WorkerEvent } from "./workerMessages";
@@ -145,9 +145,14 @@
         return this.startWindow.limitOf(this.maxStartsInFlight) - this.startsInFlight;
     }
 
-    /** Adapts the number of starts in flight to how busy the leader is. @param now Time in ms. */
-    reviewStarts(pace: StartPace, now: number): void {
-        this.startWindow.review(pace, now);
+    /**
+     * Adapts the number of starts in flight to how busy the leader is.
+     * @param delayMs Median delay of its loop, in ms.
+     * @param intervalMs Interval between two choices of workers, in ms.
+     * @param now Time in ms.
+     */
+    reviewStarts(delayMs: number, intervalMs: number, now: number): void {
+        this.startWindow.review({ delayMs, intervalMs }, now);
     }
 
     /** Starts in flight, and how many may be. */
@@ -156,6 +161,11 @@
         return { inFlight, window: startWindow.limitOf(this.maxStartsInFlight), tookMs: startWindow.medianMs };
     }
 
+    /** Median time from the choice of a worker to the answer to the start, in ms; `undefined` if none was answered of late. */
+    get startMs(): number | undefined {
+        return this.startWindow.medianMs;
+    }
+
     private get startsInFlight(): number {
         let count = 0;
         for (const worker of this.contacts.values()) {
