--- a/src/proof/node/jobSoak.tool.ts
+++ b/src/proof/node/jobSoak.tool.ts
@@ -1,15 +1,16 @@
 import { ColocationPlan } from "./colocationPlan";
+import { JobRule } from "./jobRuleChecker";
 import { JobTrial } from "./jobTrial";
 import { FAULTS, JobFault, JobTrialPlan, PlannedFault, READ_FAULTS, WORKER_READ_FAULTS } from "./jobTrialPlan";
 import { MEASURED_COSTS } from "./trialCosts";
+import { WAIT_PLANS, WaitPlanName } from "./waitTrialPlan";
 
 /**
  * Reads a flag with a whole number. Flags: `--seed FIRST --count N --workers N --length MS --every MS --deadly PERCENT
  * --crash-delay MS --shrink MS --cancel PERCENT --reads --lasting N --lease MS --colocate PERCENT --jobs-every MS --slow
- * --max-tasks N --memory MB --kill-leader MS --drain MS --faults KINDS --until MS --submit-every MS --costs PERCENT --trace`,
- * where `--deadly` is the share of the jobs with a task that
- * crashes its workers, that long after each start, `--shrink` the mean time between two times at which a worker's capacity
- * shrinks, `--cancel` the share of the jobs that is cancelled, `--reads` adds faults of the reads of the jobs, `--lasting` is
+ * --max-tasks N --memory MB --kill-leader MS --drain MS --faults KINDS --until MS --submit-every MS --costs PERCENT
+ * --plan NAME --trace`, where `--deadly` is the share of the jobs with a task that crashes its workers, that long after each
+ * start, `--shrink` the mean time between two times at which a worker's capacity shrinks, `--cancel` the share of the jobs that is cancelled, `--reads` adds faults of the reads of the jobs, `--lasting` is
  * the number of jobs that last until the end, `--lease` the longest lease that a worker accepts, `--colocate` runs
  * latency-critical and best-effort jobs of which that share of the pairs of images interferes heavily, `--jobs-every` is the
  * mean time between two best-effort jobs, `--max-tasks` the largest number of tasks of their steps, `--memory` what each of
@@ -17,7 +18,8 @@
  * `--faults` the kinds that it names, separated by commas, `--drain` is the mean time between two times at which workers
  * announce that they leave, around which the leader is killed; it adds faults of the reads of the workers, `--until` is the
  * time up to which faults are injected, `--submit-every` the longest time between two submissions, and `--costs` charges the
- * instances for their work, with that share of a core in percent.
+ * instances for their work, with that share of a core in percent. `--plan` runs a plan of `WAIT_PLANS` instead; then the flags
+ * but `--seed`, `--count` and `--trace` have no effect. The last line says in how many trials each rule was broken.
  */
 function readNumber(name: string, fallback: number): number {
     const index = process.argv.indexOf(`--${name}`);
@@ -64,9 +66,26 @@
     ]);
 }
 
+/** @returns The plan that `--plan` names, or `undefined` without the flag. */
+function readWaitPlan(): Omit<JobTrialPlan, "seed"> | undefined {
+    const index = process.argv.indexOf("--plan");
+    if (index < 0) {
+        return undefined;
+    }
+    const name = process.argv[index + 1];
+    if (!Object.hasOwn(WAIT_PLANS, name)) {
+        console.error(`--plan must be one of ${Object.keys(WAIT_PLANS).join(", ")}`);
+        process.exit(2);
+    }
+    return WAIT_PLANS[name as WaitPlanName];
+}
+
 const first = readNumber("seed", 1);
 const count = readNumber("count", 10);
 const lengthMs = readNumber("length", 40_000);
+const waitPlan = readWaitPlan();
+/** Number of trials in which each rule was broken. */
+const brokenTrials = new Map<JobRule, number>();
 for (let seed = first; seed < first + count; seed++) {
     const faultEveryMs = readNumber("every", 2_500);
     const plan: JobTrialPlan = {
@@ -89,7 +108,8 @@
         submitEveryMs: readNumber("submit-every", 0) || undefined,
         costs: readNumber("costs", 0) === 0 ? undefined : { ...MEASURED_COSTS, share: readNumber("costs", 0) / 100 },
     };
-    const { breaches, trace, ...counts } = JobTrial.run(plan);
+    const { breaches, trace, ...counts } = JobTrial.run(waitPlan === undefined ? plan : { ...waitPlan, seed });
+    new Set(breaches.map(each => each.rule)).forEach(rule => brokenTrials.set(rule, (brokenTrials.get(rule) ?? 0) + 1));
     console.log(`seed ${seed}`, JSON.stringify(counts), `breaches ${breaches.length}`);
     if (breaches.length > 0) {
         process.exitCode = 1;
@@ -103,3 +123,4 @@
         }
     }
 }
+console.log(`${count} trials; trials with broken rules:`, JSON.stringify(Object.fromEntries(brokenTrials)));
