Say in a violation of a wait what the leader last said about the job

A violation named the job and nothing of the reason, so each failing trial had to be run again with its trace. The detail now ends with the latest job-waits of the job, on one line, or says that there was none; the same for tasks that last.

--- a/src/proof/node/jobRuleChecker.ts
+++ b/src/proof/node/jobRuleChecker.ts
@@ -7,6 +7,7 @@
 import { TargetChecker } from "./targetChecker";
 import { TrialSchedule } from "./trialSchedule";
 import { WaitChecker } from "./waitChecker";
+import { WaitReports } from "./waitReports";
 
 /** Number of crashes under a task after which it may be given up, and number after which its starts are limited. */
 const CRASHES_BEFORE_FAILED = 2;
@@ -72,6 +73,7 @@
     readonly cancellations: CancellationChecker;
     readonly drains: DrainChecker;
     readonly lastingTasks: LastingTaskChecker;
+    readonly reports = WaitReports.create();
     private readonly waits: WaitChecker;
     private readonly targets: TargetChecker;
     /** Time (ms) from which no disruption is near. */
@@ -86,9 +88,12 @@
     ) {
         this.cancellations = CancellationChecker.create(schedule, detail => this.check("unasked", false, detail));
         this.drains = DrainChecker.create(schedule, detail => this.check("drained", false, detail));
-        const reportGap = (detail: string) => this.check("lasting-run", false, detail);
+        const reportGap = (id: string, detail: string) =>
+            this.check("lasting-run", false, `${detail}; ${this.reports.describe(id)}`);
         this.lastingTasks = LastingTaskChecker.create(schedule, maxGapMs, reportGap);
-        this.waits = WaitChecker.create(detail => this.check("bounded-wait", false, detail));
+        this.waits = WaitChecker.create((id, detail) =>
+            this.check("bounded-wait", false, `${id} ${detail}; ${this.reports.describe(id)}`),
+        );
         this.targets = TargetChecker.create(detail => this.check("target-kept", false, detail));
     }
 
--- a/src/proof/node/jobTrial.ts
+++ b/src/proof/node/jobTrial.ts
@@ -236,6 +236,7 @@
                 this.onAnswer(effect.call.path.slice(QUEUE.prefix.length), effect.call.request.kind, effect.answer);
                 break;
             case "decision":
+                this.checker.reports.record(effect.name, effect.data, this.now);
                 this.trace.push(`${Math.round(this.now)} n${node.index} ${effect.name} ${JSON.stringify(effect.data)}`);
                 break;
             case "stopped":
--- a/src/proof/node/lastingTaskChecker.ts
+++ b/src/proof/node/lastingTaskChecker.ts
@@ -10,16 +10,20 @@
     private constructor(
         private readonly schedule: TrialSchedule,
         private readonly maxGapMs: number,
-        private readonly report: (detail: string) => void,
+        private readonly report: (id: string, detail: string) => void,
     ) {}
 
     /**
      * @param schedule Clock of the trial.
      * @param maxGapMs Longest time for which a task may be without a run, in ms.
-     * @param report Receives violations.
+     * @param report Receives the job of a violation and what happened.
      * @returns A checker without observations.
      */
-    static create(schedule: TrialSchedule, maxGapMs: number, report: (detail: string) => void): LastingTaskChecker {
+    static create(
+        schedule: TrialSchedule,
+        maxGapMs: number,
+        report: (id: string, detail: string) => void,
+    ): LastingTaskChecker {
         return new LastingTaskChecker(schedule, maxGapMs, report);
     }
 
@@ -60,7 +64,7 @@
         const endedAt = this.endedAt.get(task);
         const gapMs = endedAt === undefined ? 0 : Math.round(this.schedule.now - endedAt);
         if (gapMs > this.maxGapMs) {
-            this.report(`${task} is without a run for ${gapMs} ms`);
+            this.report(task.split(".")[0], `${task} is without a run for ${gapMs} ms`);
         }
     }
 }
--- a/src/proof/node/test/waitChecker.test.ts
+++ b/src/proof/node/test/waitChecker.test.ts
@@ -139,3 +139,17 @@
     t.deepEqual(fixture.brokenRules(12_000), []);
     t.deepEqual(fixture.brokenRules(12_500), ["bounded-wait"]);
 });
+
+test("a violation says on one line what the leader last said about the job", t => {
+    const unheard = new Fixture();
+    unheard.brokenRules(4_000);
+    t.regex(unheard.checker.violations[0].detail, /^1 has nothing running .*; the leader said nothing about its wait$/);
+    const heard = new Fixture();
+    heard.checker.reports.record("job-waits", { task: "1.0.0.0", waitedMs: 100 }, 1_000);
+    heard.checker.reports.record("job-waits", { task: "1.0.0.0", waitedMs: 2_100, noRoom: 1 }, 3_000);
+    heard.checker.reports.record("job-waits", { task: "2.0.0.0", waitedMs: 5_000 }, 3_000);
+    heard.checker.reports.record("task-suspected", { task: "1.0.0.0" }, 3_000);
+    heard.brokenRules(4_000);
+    const said = 'at 3000 ms the leader said job-waits {"task":"1.0.0.0","waitedMs":2100,"noRoom":1}';
+    t.true(heard.checker.violations[0].detail.endsWith(`; ${said}`));
+});
--- a/src/proof/node/waitChecker.ts
+++ b/src/proof/node/waitChecker.ts
@@ -25,10 +25,10 @@
     /** Jobs whose present wait is reported. */
     private readonly reported = new Set<string>();
 
-    private constructor(private readonly report: (detail: string) => void) {}
+    private constructor(private readonly report: (id: string, detail: string) => void) {}
 
-    /** @param report Receives violations. @returns A checker without observations. */
-    static create(report: (detail: string) => void): WaitChecker {
+    /** @param report Receives the job of a violation and what happened. @returns A checker without observations. */
+    static create(report: (id: string, detail: string) => void): WaitChecker {
         return new WaitChecker(report);
     }
 
@@ -75,7 +75,7 @@
             this.waitingSince.set(id, since);
             if (now - since > MAX_WAIT_MS && !this.reported.has(id)) {
                 this.reported.add(id);
-                this.report(`${id} has nothing running for over ${MAX_WAIT_MS} ms although its service has room`);
+                this.report(id, `has nothing running for over ${MAX_WAIT_MS} ms although its service has room`);
             }
         }
     }
