Check that tasks that last are not without a run in calm, however full the service is

A task that lasts was only bounded in trials that lose a worker on purpose, by a bound of their plan. In all trials with shared workers the rule lasting-run now is: from 6 s after its last run a task that lasts may not be without one for over 3 s while these 3 s and the 4 s before are without a disruption. Whether the service has room does not matter.

--- a/src/proof/node/jobRuleChecker.ts
+++ b/src/proof/node/jobRuleChecker.ts
@@ -126,13 +126,14 @@
         this.calmFrom = Math.max(this.calmFrom, this.schedule.now + lastsMs + STABLE_WINDOW_MS);
     }
 
-    /** Checks the waits of jobs and the targets of latency-critical tasks. @param workers The workers that are up. */
+    /** Checks the waits of jobs, the tasks that last and the targets of latency-critical tasks. @param workers The workers that are up. */
     reviewColocation(workers: readonly LeasedWorker[]): void {
         const { now } = this.schedule;
         const isCalm = now >= this.calmFrom;
         const wanted = [...this.accepted].filter(id => !this.cancellations.isCancelled(id));
         this.waits.review(wanted, workers, isCalm, now);
         this.targets.review(workers, isCalm, now);
+        this.lastingTasks.review(id => !this.cancellations.isCancelled(id), this.calmFrom);
     }
 
     /** Records that a worker crashes under the runs that are active on it. */
