--- a/src/proof/node/test/waitTrial.test.ts
+++ b/src/proof/node/test/waitTrial.test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { JobRule } from "../jobRuleChecker";
 import { JobTrial } from "../jobTrial";
 import { WAIT_PLANS, WaitPlanName } from "../waitTrialPlan";
 
@@ -21,3 +22,23 @@
         t.true(starts > 100);
     });
 }
+
+/** @returns Violations of the rule of tasks that last; with more jobs than memory, waits of other jobs may break theirs. */
+function lastingRunBreaches(plan: WaitPlanName, seed: number): readonly string[] {
+    const rule: JobRule = "lasting-run";
+    return JobTrial.run({ ...WAIT_PLANS[plan], seed })
+        .breaches.filter(each => each.rule === rule)
+        .map(each => `${each.atMs} ${each.detail}`);
+}
+
+test.serial(
+    "a task that lasts runs again in time after its worker was lost, beside more jobs than memory, seed 1",
+    t => {
+        t.deepEqual(lastingRunBreaches("worker-lost-in-overload", 1), []);
+    },
+);
+
+// The next leader cannot know when the lease ends: the worker was lost just before its predecessor.
+test.serial("a task that lasts runs again in time after its worker and the leader were lost, seed 1", t => {
+    t.deepEqual(lastingRunBreaches("worker-and-leader-lost", 1), []);
+});
--- a/src/proof/node/waitTrialPlan.ts
+++ b/src/proof/node/waitTrialPlan.ts
@@ -8,6 +8,8 @@
     | "fleet-grows"
     | "half-lost"
     | "all-killed"
+    | "worker-lost-in-overload"
+    | "worker-and-leader-lost"
     | "late-leader"
     | "late-leader-with-memory"
     | "whole-day";
@@ -49,6 +51,18 @@
     costs: BUSY_COSTS,
 };
 
+/** Time at which a worker is lost for good, in ms. */
+const WORKER_LOST_AT_MS = 18_000;
+
+/** More jobs than there is memory for, and a worker that is lost for good, with a task that lasts. */
+const WORKER_LOST: Omit<JobTrialPlan, "seed"> = {
+    ...MEMORY_OVER_HALF,
+    lengthMs: 24_000,
+    recoveryMs: 10_000,
+    plannedFaults: [[WORKER_LOST_AT_MS, "lose-worker"]],
+    colocation: { ...SHARED_WORKERS, bestEffortEveryMs: 150 },
+};
+
 /** The plans of the trials of waits, without seeds. */
 export const WAIT_PLANS: Readonly<Record<WaitPlanName, Omit<JobTrialPlan, "seed">>> = {
     "memory-over-half": MEMORY_OVER_HALF,
@@ -66,6 +80,14 @@
             [29_000, "kill-all"],
         ],
     },
+    "worker-lost-in-overload": WORKER_LOST,
+    "worker-and-leader-lost": {
+        ...WORKER_LOST,
+        plannedFaults: [
+            [WORKER_LOST_AT_MS, "lose-worker"],
+            [WORKER_LOST_AT_MS + 500, "kill-leader"],
+        ],
+    },
     "late-leader": LATE_LEADER,
     "late-leader-with-memory": {
         ...LATE_LEADER,
