--- a/src/proof/node/test/waitChecker.test.ts
+++ b/src/proof/node/test/waitChecker.test.ts
@@ -28,10 +28,14 @@
         ),
     );
 
-    constructor(memoryMb = 20_000) {
+    /** @param memoryMb What a task requests. @param sideStepMb What a task of a third step requests, which is ready at once. */
+    constructor(memoryMb = 20_000, sideStepMb?: number) {
         const draft = createBestEffortDraft(Random.create(1));
         const request = { cpuMillis: 4_000, memoryMb, accelerators: 0 };
-        const steps = draft.steps.map(step => ({ ...step, tasks: 1, request }));
+        const chain = draft.steps.map(step => ({ ...step, tasks: 1, request }));
+        const sideSteps =
+            sideStepMb === undefined ? [] : [{ ...chain[0], request: { ...request, memoryMb: sideStepMb } }];
+        const steps = [...chain, ...sideSteps];
         this.checker.recordSubmission({ id: JOB, queue: QUEUE, acceptedAtMs: 0, ...draft, steps });
         this.checker.accepted.add(JOB);
         this.review();
@@ -122,6 +126,11 @@
     t.deepEqual(withoutCpu.brokenRules(30_000), ["bounded-wait"]);
 });
 
+test("a wait counts if there is room for any step that is ready", t => {
+    t.deepEqual(new Fixture(65_000).brokenRules(30_000), []);
+    t.deepEqual(new Fixture(65_000, 20_000).brokenRules(30_000), ["bounded-wait"]);
+});
+
 test("only runs on workers that are alive are at work", t => {
     const full = new Fixture();
     full.occupy(full.workers[0], 64_000, 16_000);
--- a/src/proof/node/waitChecker.ts
+++ b/src/proof/node/waitChecker.ts
@@ -65,8 +65,8 @@
         const atWork = [...this.runs].filter(([, worker]) => workers.includes(worker));
         const running = new Set(atWork.map(([task]) => task.split(".")[0]));
         for (const id of accepted) {
-            const step = isMostlyFree && !running.has(id) ? this.readyStep(id) : undefined;
-            if (step === undefined || !hasRoom(step, free)) {
+            const steps = isMostlyFree && !running.has(id) ? this.readySteps(id) : [];
+            if (!steps.some(step => hasRoom(step, free))) {
                 this.waitingSince.delete(id);
                 this.reported.delete(id);
                 continue;
@@ -80,7 +80,7 @@
         }
     }
 
-    private readyStep(id: string): StepSpec | undefined {
+    private readySteps(id: string): StepSpec[] {
         const { steps, queue } = this.jobs.get(id)!;
         const hasFailed = [...this.failures].some(
             ([task, count]) => task.startsWith(`${id}.`) && count >= queue.maxAttempts,
@@ -89,7 +89,7 @@
             Array.from({ length: steps[index].tasks }, (_, task) => `${id}.0.${index}.${task}`).every(task =>
                 this.completedTasks.has(task),
             );
-        return hasFailed ? undefined : steps.find((step, index) => !isComplete(index) && step.after.every(isComplete));
+        return hasFailed ? [] : steps.filter((step, index) => !isComplete(index) && step.after.every(isComplete));
     }
 
     /** @returns What each worker has left. */
