--- a/src/proof/node/test/waitChecker.test.ts
+++ b/src/proof/node/test/waitChecker.test.ts
@@ -152,6 +152,8 @@
 test("a violation says on one line what the leader last said about the job", t => {
     const unheard = new Fixture();
     unheard.brokenRules(4_000);
+    const room = "0% of the CPU and 0% of the memory in use";
+    t.true(unheard.checker.violations[0].detail.includes(`although its service has room, ${room}; `));
     t.regex(unheard.checker.violations[0].detail, /^1 has nothing running .*; the leader said nothing about it$/);
     const heard = new Fixture();
     heard.checker.reports.record("job-waits", { task: "1.0.0.0", waitedMs: 100 }, 1_000);
--- a/src/proof/node/waitChecker.ts
+++ b/src/proof/node/waitChecker.ts
@@ -61,7 +61,9 @@
      */
     review(accepted: Iterable<string>, workers: readonly LeasedWorker[], isCalm: boolean, now: number): void {
         const free = this.freeCapacities(workers);
-        const isMostlyFree = isCalm && isAnyMostlyFree(workers, free);
+        const used = usedRatios(workers, free);
+        // The contract does not say which resource counts, so the reading under which most waits count is checked.
+        const isMostlyFree = isCalm && Math.min(used.cpuMillis, used.memoryMb) < MAX_USED_RATIO;
         const atWork = [...this.runs].filter(([, worker]) => workers.includes(worker));
         const running = new Set(atWork.map(([task]) => task.split(".")[0]));
         for (const id of accepted) {
@@ -75,7 +77,11 @@
             this.waitingSince.set(id, since);
             if (now - since > MAX_WAIT_MS && !this.reported.has(id)) {
                 this.reported.add(id);
-                this.report(id, `has nothing running for over ${MAX_WAIT_MS} ms although its service has room`);
+                const inUse = `${percentOf(used.cpuMillis)} of the CPU and ${percentOf(used.memoryMb)} of the memory in use`;
+                this.report(
+                    id,
+                    `has nothing running for over ${MAX_WAIT_MS} ms although its service has room, ${inUse}`,
+                );
             }
         }
     }
@@ -107,16 +113,22 @@
     }
 }
 
-/**
- * @returns Whether less than half of any one resource is in use. The contract does not say which resource counts, so the reading
- * under which most waits count is checked.
- */
-function isAnyMostlyFree(workers: readonly LeasedWorker[], free: readonly FreeCapacity[]): boolean {
-    return (["cpuMillis", "memoryMb"] as const).some(resource => {
+/** @returns The share of each resource that is in use, from 0 to 1. */
+function usedRatios(
+    workers: readonly LeasedWorker[],
+    free: readonly FreeCapacity[],
+): Record<"cpuMillis" | "memoryMb", number> {
+    const ratioOf = (resource: "cpuMillis" | "memoryMb") => {
         const capacity = workers.reduce((sum, worker) => sum + worker.entry.capacity[resource], 0);
         const left = free.reduce((sum, each) => sum + each[resource], 0);
-        return capacity - left < capacity * MAX_USED_RATIO;
-    });
+        return (capacity - left) / Math.max(1, capacity);
+    };
+    return { cpuMillis: ratioOf("cpuMillis"), memoryMb: ratioOf("memoryMb") };
+}
+
+/** @param ratio A share from 0 to 1. @returns It as text. */
+function percentOf(ratio: number): string {
+    return `${Math.round(100 * ratio)}%`;
 }
 
 /** Best-effort tasks reserve no CPU. */
