--- a/src/proof/node/test/waitChecker.test.ts
+++ b/src/proof/node/test/waitChecker.test.ts
@@ -28,10 +28,14 @@
         ),
     );
 
-    constructor(memoryMb = 20_000) {
+    /** @param memoryMb What a task requests. @param sideStepMb What a task of a third step requests, which is ready at once. */
+    constructor(memoryMb = 20_000, sideStepMb?: number) {
         const draft = createBestEffortDraft(Random.create(1));
         const request = { cpuMillis: 4_000, memoryMb, accelerators: 0 };
-        const steps = draft.steps.map(step => ({ ...step, tasks: 1, request }));
+        const chain = draft.steps.map(step => ({ ...step, tasks: 1, request }));
+        const sideSteps =
+            sideStepMb === undefined ? [] : [{ ...chain[0], request: { ...request, memoryMb: sideStepMb } }];
+        const steps = [...chain, ...sideSteps];
         this.checker.recordSubmission({ id: JOB, queue: QUEUE, acceptedAtMs: 0, ...draft, steps });
         this.checker.accepted.add(JOB);
         this.review();
@@ -122,6 +126,11 @@
     t.deepEqual(withoutCpu.brokenRules(30_000), ["bounded-wait"]);
 });
 
+test("a wait counts if there is room for any step that is ready", t => {
+    t.deepEqual(new Fixture(65_000).brokenRules(30_000), []);
+    t.deepEqual(new Fixture(65_000, 20_000).brokenRules(30_000), ["bounded-wait"]);
+});
+
 test("only runs on workers that are alive are at work", t => {
     const full = new Fixture();
     full.occupy(full.workers[0], 64_000, 16_000);
@@ -139,3 +148,22 @@
     t.deepEqual(fixture.brokenRules(12_000), []);
     t.deepEqual(fixture.brokenRules(12_500), ["bounded-wait"]);
 });
+
+test("a violation says on one line what the leader last said about the job", t => {
+    const unheard = new Fixture();
+    unheard.brokenRules(4_000);
+    const room = "0% of the CPU and 0% of the memory in use";
+    t.true(unheard.checker.violations[0].detail.includes(`although its service has room, ${room}; `));
+    t.regex(unheard.checker.violations[0].detail, /^1 has nothing running .*; the leader said nothing about it$/);
+    const heard = new Fixture();
+    heard.checker.reports.record("job-waits", { task: "1.0.0.0", waitedMs: 100 }, 1_000);
+    heard.checker.reports.record("job-waits", { task: "1.0.0.0", waitedMs: 2_100, noRoom: 1 }, 3_000);
+    heard.checker.reports.record("job-waits", { task: "2.0.0.0", waitedMs: 5_000 }, 3_000);
+    heard.checker.reports.record("run-ended", { task: "1.0.0.1", outcome: "done" }, 900);
+    heard.checker.reports.record("run-throttled", { task: "1.0.0.1" }, 3_000);
+    heard.checker.reports.record("leader-load", { half: 1 }, 3_000);
+    heard.brokenRules(4_000);
+    const wait = 'at 3000 ms job-waits {"task":"1.0.0.0","waitedMs":2100,"noRoom":1}';
+    const run = 'at 900 ms run-ended {"task":"1.0.0.1","outcome":"done"}';
+    t.true(heard.checker.violations[0].detail.endsWith(`; the leader last said ${wait}, ${run}`));
+});
