List a restarted worker when its entry is read

Cause: one list is in flight to a worker at a time. The one that was in flight to the former incarnation was awaited for its whole timeout, then came the delay of the loop and the interval for workers that do not answer.

Now an entry of a later incarnation lets the worker be listed at once. The answer to an earlier list is told by the time at which it was sent: if it is given up, the worker is not silent. A list that is sent beside a confirmation confirms nothing, so that the gate opens with the answer to that confirmation only.

Workers that this leader has not reached count as uncontacted in workers-left-out, also when the leases of former leaders have expired.

--- a/src/dispatch/common/test/workerPool.test.ts
+++ b/src/dispatch/common/test/workerPool.test.ts
@@ -212,6 +212,22 @@
     }
 });
 
+test("a worker that has restarted is listed when its entry is read, and not when the list in flight is given up", t => {
+    const { pool, worker, list } = createBusyPool();
+    const { order } = list(10);
+    pool.register(readingOf({ ...worker.entry, incarnation: 2 }), 50);
+    t.false(worker.isUsable(50));
+    const listed = list(60);
+    const runs = { incarnation: 2, running: [], ended: [] };
+    const answer = { outcome: "done" as const, clockMs: 30, list: runs, sentAt: 60 };
+    pool.handleAnswer({ kind: "list-answer", worker: worker.entry.id, order: listed.order, ...answer }, 80);
+    t.true(worker.isUsable(80));
+    const lost = { outcome: "no-answer" as const, clockMs: undefined, list: undefined, sentAt: 10 };
+    pool.handleAnswer({ kind: "list-answer", worker: worker.entry.id, order, ...lost }, 900);
+    t.is(worker.state, "reachable");
+    t.true(worker.isUsable(900));
+});
+
 test("a delayed answer does not count as a restart of the worker", t => {
     const { worker } = createBusyPool();
     worker.updateClock(10_000, 10_000, 10_000);
--- a/src/dispatch/common/workerContact.ts
+++ b/src/dispatch/common/workerContact.ts
@@ -91,6 +91,8 @@
     isRegistered = true;
     /** Whether a list request is in flight. */
     isListInFlight = false;
+    /** Time (ms) at which the latest list was requested; answers to earlier requests may still arrive. */
+    listRequestedAt = Number.NEGATIVE_INFINITY;
     /** Time (ms) at which the next list is due. */
     nextListAt = 0;
     /** Whether lists may be requested; not before the first one of a new leader has its turn. */
@@ -156,6 +158,11 @@
         return this.machine.state;
     }
 
+    /** Whether it has answered this leader. */
+    get hasAnswered(): boolean {
+        return this.clock !== undefined;
+    }
+
     /** Whether its entry is that of the incarnation in the latest list, which may be of another kind, and says that it is ready. */
     get isReady(): boolean {
         return this.latestEntry.state === "ready" && this.isOfListedIncarnation;
@@ -183,7 +190,7 @@
             return this.isRegistered ? "draining" : "deregistered";
         }
         if (this.state !== "reachable") {
-            return this.state === "uncontacted" ? "uncontacted" : "silent";
+            return this.hasAnswered ? "silent" : "uncontacted";
         }
         if (!this.isOfListedIncarnation) {
             return "otherIncarnation";
--- a/src/dispatch/common/workerPool.ts
+++ b/src/dispatch/common/workerPool.ts
@@ -170,8 +170,11 @@
         const { entry, writtenAfter } = reading;
         const known = this.contacts.get(entry.id);
         if (known !== undefined) {
+            const { incarnation } = known.entry;
             known.updateEntry(reading, now);
             if (!known.isOfListedIncarnation) {
+                // A list in flight may be lost with the former incarnation.
+                known.isListInFlight &&= known.entry.incarnation <= incarnation;
                 this.requestListSoon(known, now);
             }
             return known;
@@ -293,7 +296,11 @@
         event: WorkerEvent & { readonly kind: "list-answer" },
         now: number,
     ): void {
-        worker.isListInFlight = false;
+        const isLatest = event.sentAt >= worker.listRequestedAt;
+        worker.isListInFlight &&= !isLatest;
+        if (event.list === undefined && !isLatest) {
+            return;
+        }
         if (event.list === undefined) {
             if (event.outcome === "no-answer" || event.outcome === "unreachable") {
                 this.logTransition(worker, now, () => worker.onNoAnswer(now));
@@ -366,6 +373,7 @@
         // A worker that keeps ends answers at once, and starts wait until a confirmation is answered.
         const mayWait = isBusy && !isTransient && isReachable && worker.mayExtendLease && !worker.hasKeptEnds;
         worker.isListInFlight = true;
+        worker.listRequestedAt = now;
         this.effects.emit({
             kind: "list",
             worker: worker.entry,
--- a/src/host/common/confirmationGate.ts
+++ b/src/host/common/confirmationGate.ts
@@ -76,7 +76,8 @@
     /**
      * Records that an order is sent.
      * @param effect The order.
-     * @returns The order to send: a list confirms nothing while starts before it may be on another incarnation.
+     * @returns The order to send: a list confirms nothing while starts before it may be on another incarnation, or beside another
+     * confirmation.
      */
     admit(effect: WorkerEffect): WorkerEffect {
         if (effect.kind === "start") {
@@ -85,7 +86,7 @@
         if (effect.kind !== "list" || effect.order.recordedUpTo === 0) {
             return effect;
         }
-        if (this.startsInFlight.size > 0 || this.startsInDoubt.size > 0) {
+        if (!this.isOpen || this.startsInFlight.size > 0 || this.startsInDoubt.size > 0) {
             return { ...effect, order: { ...effect.order, recordedUpTo: 0 } };
         }
         this.machine.fire("confirmation-sent", () => undefined);
--- a/src/host/common/test/orderQueue.test.ts
+++ b/src/host/common/test/orderQueue.test.ts
@@ -148,3 +148,12 @@
     queue.add({ effect: start("c") });
     t.deepEqual(sendAll(queue), ["list", "start c"]);
 });
+
+test("a list confirms nothing beside another confirmation, whose answer alone lets starts pass", t => {
+    const queue = queueOf(4, [confirmation(), start("a")]);
+    const first = queue.takeNext("w")!;
+    t.is(sendConfirmation(queue), 0);
+    t.is(queue.takeNext("w"), undefined);
+    queue.finish(first.effect, DONE);
+    t.is(queue.takeNext("w")?.effect.kind, "start");
+});
