Reset the age of the stream of jobs after a suspension

A leader whose process was suspended while the monotonic clock stood still took its view of the jobs for as recent as before the suspension, until the next read was answered. If that read was late, it could start a task of a job whose cancellation was acknowledged during the suspension, for up to 2.4 s of its own clock. The view of the workers has been reset in that case since it has a bound.

Now the stream counts as not known until a read that was sent after the suspension is answered.

Calls do not depend on that age: an instance accepts jobs as soon as it has loaded the stream once. A count of waiting jobs is refused while the age is not known, and a read of an unknown job waits for the next read, as before.

--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -396,6 +396,7 @@
         const offset = wallNow - now;
         if (this.clockOffset !== undefined && Math.abs(offset - this.clockOffset) > SUSPENSION_THRESHOLD_MS) {
             this.leadership.handleSuspension(now);
+            this.jobsFollower.handleSuspension(now);
             this.workersFollower.handleSuspension(now);
             this.workers.forEach(({ entry }, id) => this.workers.set(id, { entry, writtenAfter: undefined }));
             this.scheduler?.handleSuspension();
--- a/src/jobs/common/jobCallHandler.ts
+++ b/src/jobs/common/jobCallHandler.ts
@@ -29,7 +29,9 @@
 
 /** How far the stream of jobs has been read. */
 export interface JobStreamState {
-    /** Time (ms) up to which all records are known; `undefined` before the stream is loaded. */
+    /** Whether the stream has been loaded once. */
+    readonly hasLoaded: boolean;
+    /** Time (ms) up to which all records are known; `undefined` before the stream is loaded, and after a suspension. */
     readonly knownUntil: number | undefined;
 }
 
@@ -90,7 +92,7 @@
 
     /** Handles a call. @param call The call. @param now Time in ms. @param wallNow Time in ms since the Unix epoch. */
     handle(call: JobCall, now: number, wallNow: number): void {
-        if (this.queues.version === undefined || this.stream.knownUntil === undefined) {
+        if (this.queues.version === undefined || !this.stream.hasLoaded) {
             this.sendAnswer(call, { kind: "unavailable", retryAfterMs: RETRY_AFTER_MS });
             return;
         }
@@ -168,7 +170,7 @@
         this.openCalls.set(openCall.call.number, openCall);
         if (this.jobs.find(openCall.id) !== undefined) {
             this.completeReadOrCancel(openCall);
-        } else if (!this.isStreamFresh(now)) {
+        } else if (this.isStreamStale(now)) {
             this.complete(openCall, { kind: "unavailable", retryAfterMs: RETRY_AFTER_MS });
         }
     }
@@ -195,8 +197,14 @@
         this.sendAnswer(call, answer);
     }
 
+    /** The count must not be that of a stream of unknown age. */
     private isStreamFresh(now: number): boolean {
-        return now - this.stream.knownUntil! < MAX_STREAM_AGE_MS;
+        return this.stream.knownUntil !== undefined && !this.isStreamStale(now);
+    }
+
+    /** Whether the stream is read too late for a call to wait for it. After a suspension, the next read is awaited. */
+    private isStreamStale(now: number): boolean {
+        return now - (this.stream.knownUntil ?? now) >= MAX_STREAM_AGE_MS;
     }
 
     /**
--- a/src/jobs/common/test/jobCallHandler.test.ts
+++ b/src/jobs/common/test/jobCallHandler.test.ts
@@ -3,7 +3,7 @@
 import { Outbox } from "../../../base/common/outbox";
 import { RecordEffect } from "../../../records/common/recordEvents";
 import { RecordWriter } from "../../../records/common/recordWriter";
-import { JobAnswer, JobCall, JobDraft } from "../jobCall";
+import { JobAnswer, JobDraft, JobRequest } from "../jobCall";
 import { JobCallHandler } from "../jobCallHandler";
 import { JobTable } from "../jobTable";
 import { QueueTable } from "../queueTable";
@@ -21,26 +21,28 @@
     const writer = RecordWriter.create("submissions", "jobs", { name: "i", epoch: 1 }, outbox);
     const answers = new Map<number, JobAnswer["kind"]>();
     const retriesAfterMs: number[] = [];
-    const handler = JobCallHandler.create(JobTable.create(), queues, writer, { knownUntil: 0 }, (call, answer) => {
+    const stream: { hasLoaded: boolean; knownUntil: number | undefined } = { hasLoaded: true, knownUntil: 0 };
+    const handler = JobCallHandler.create(JobTable.create(), queues, writer, stream, (call, answer) => {
         answers.set(call.number, answer.kind);
         if (answer.kind === "unavailable") {
             retriesAfterMs.push(answer.retryAfterMs);
         }
     });
-    const submit = (number: number, now: number) => {
-        const path = `/q/${number.toString(16).padStart(16, "0")}`;
-        const request = { kind: "submit" as const, draft: DRAFT };
-        const call: JobCall = { number, host: "host", path, callerTimeoutMs: CALLER_TIMEOUT_MS, request };
-        handler.handle(call, now, now);
+    const call = (number: number, path: string, request: JobRequest, now: number) => {
+        handler.handle({ number, host: "host", path, callerTimeoutMs: CALLER_TIMEOUT_MS, request }, now, now);
         writer.flush(now);
     };
+    const pathOf = (number: number) => `/q/${number.toString(16).padStart(16, "0")}`;
+    const submit = (number: number, now: number) => call(number, pathOf(number), { kind: "submit", draft: DRAFT }, now);
+    const read = (number: number, now: number) => call(number, pathOf(number), { kind: "read" }, now);
+    const count = (number: number, now: number) => call(number, "/q/", { kind: "read" }, now);
     const answerAppend = (isStored: boolean, now: number) => {
         const [append] = outbox.drain().flatMap(effect => (effect.kind === "append" ? [effect] : []));
         const { sequence } = append.append;
         const result = isStored ? Ok(0) : Err("unknown" as const);
         writer.handleAnswer({ kind: "append-answer", writer: "submissions", sequence, result }, now);
     };
-    return { handler, submit, answerAppend, answers, retriesAfterMs };
+    return { handler, stream, submit, read, count, answerAppend, answers, retriesAfterMs };
 }
 
 test("a submission is accepted once it is stored", t => {
@@ -74,3 +76,29 @@
     submit(3, 2_500);
     t.true(retriesAfterMs[1] > retriesAfterMs[0]);
 });
+
+test("while the age of the stream is unknown, counts are refused, and a read of an unknown job waits for the stream", t => {
+    const { handler, stream, count, read, answers } = createHandler();
+    stream.knownUntil = undefined;
+    count(1, 5_000);
+    read(2, 5_000);
+    handler.tick(5_100);
+    t.deepEqual([...answers], [[1, "unavailable"]]);
+    stream.knownUntil = 5_050;
+    handler.tick(5_200);
+    t.is(answers.get(2), "no-job");
+});
+
+test("no call is answered before the stream has been loaded", t => {
+    const { stream, submit, answers } = createHandler();
+    stream.hasLoaded = false;
+    stream.knownUntil = undefined;
+    submit(1, 0);
+    t.is(answers.get(1), "unavailable");
+});
+
+test("a read of an unknown job is refused while the stream is read late", t => {
+    const { read, answers } = createHandler();
+    read(1, 2_000);
+    t.is(answers.get(1), "unavailable");
+});
--- a/src/proof/node/test/instanceFixture.ts
+++ b/src/proof/node/test/instanceFixture.ts
@@ -1,6 +1,7 @@
 import { OrderAnswer } from "../../../dispatch/common/workerClient";
 import { StartOrder, WorkerEffect } from "../../../dispatch/common/workerMessages";
 import { JobInstance } from "../../../host/common/jobInstance";
+import { JobRequest } from "../../../jobs/common/jobCall";
 import { JobInstanceEffect, JobInstanceEvent } from "../../../host/common/jobInstanceEvents";
 import { RecordEffect } from "../../../records/common/recordEvents";
 import { StreamName } from "../../../records/common/recordStore";
@@ -49,7 +50,11 @@
     readonly starts: { readonly worker: string; readonly address: string; readonly order: StartOrder }[] = [];
     readonly decisions: { readonly name: string; readonly data: object }[] = [];
     readonly answers: string[] = [];
+    /** Streams whose reads are not answered. */
+    readonly heldStreams = new Set<StreamName>();
     private instance: JobInstance;
+    /** Total time for which the process was suspended, in ms. */
+    private suspendedMs = 0;
     private takenCount = 0;
     private now = 0;
     private callCount = 0;
@@ -107,10 +112,19 @@
         this.callCount += 1;
         const id = this.callCount.toString(16).padStart(16, "0");
         const body = JSON.stringify({ spec: "s", steps: [{ count, cpu: 1_000, estMs: 1_000, ...step }], ...job });
-        const request = decodeSubmission(body);
+        this.call(id, decodeSubmission(body));
+        return id;
+    }
+
+    /** Asks for the state of a job. @param id Its id. */
+    read(id: string): void {
+        this.callCount += 1;
+        this.call(id, { kind: "read" });
+    }
+
+    private call(id: string, request: JobRequest): void {
         const call = { number: this.callCount, host: "host", path: `/q/${id}`, callerTimeoutMs: 3_000, request };
         this.dispatch({ kind: "call", call });
-        return id;
     }
 
     /** @returns Workers that got a start since this was last called, one name for each start. */
@@ -125,6 +139,11 @@
         return this.decisions.filter(each => each.name === name).map(each => each.data);
     }
 
+    /** Suspends the process: its monotonic clock stands still, the time of day goes on. @param ms For how long, in ms. */
+    suspend(ms: number): void {
+        this.suspendedMs += ms;
+    }
+
     /** Advances the time. @param ms By how much, in ms. */
     advance(ms: number): void {
         for (const until = this.now + ms; this.now < until;) {
@@ -148,7 +167,7 @@
     }
 
     private dispatch(event: JobInstanceEvent): void {
-        const effects = this.instance.dispatch(event, this.now, WALL_START_MS + this.now);
+        const effects = this.instance.dispatch(event, this.now, WALL_START_MS + this.now + this.suspendedMs);
         effects.forEach(effect => this.perform(effect));
     }
 
@@ -195,14 +214,12 @@
         const { number } = effect;
         this.after(effect.delayMs, () => {
             const sentAt = this.now;
-            if (effect.kind === "read-newest") {
-                const result = log.newest(effect.after);
-                this.after(TICK_MS, () => this.dispatch({ kind: "newest-answer", stream, number, sentAt, result }));
-                return;
-            }
             const read = () => {
-                const isAnswered = log.end > effect.from || this.now - sentAt >= effect.waitMs;
-                if (isAnswered) {
+                if (this.heldStreams.has(stream)) {
+                    this.after(TICK_MS, read);
+                } else if (effect.kind === "read-newest") {
+                    this.dispatch({ kind: "newest-answer", stream, number, sentAt, result: log.newest(effect.after) });
+                } else if (log.end > effect.from || this.now - sentAt >= effect.waitMs) {
                     this.dispatch({ kind: "read-answer", stream, number, sentAt, result: log.read(effect.from) });
                 } else {
                     this.after(TICK_MS, read);
--- a/src/records/common/recordFollower.ts
+++ b/src/records/common/recordFollower.ts
@@ -120,9 +120,15 @@
 
     /** Offset of the next record to be read. */
     nextOffset: RecordOffset = 0;
-    /** Time (ms) up to which all records are known: when the latest read was sent that reached the end of the stream. */
+    /**
+     * Time (ms) up to which all records are known: when the latest read was sent that reached the end of the stream. `undefined`
+     * before the stream is loaded, and after a suspension until a later read is answered.
+     */
     knownUntil: number | undefined;
 
+    /** Whether the stream has been loaded once. */
+    hasLoaded = false;
+
     /** Whether the latest read failed. */
     isFailing = false;
 
@@ -272,6 +278,7 @@
     private finishLoad(): void {
         this.receiver.retainKeys(this.loadedKeys);
         this.loadedKeys = new Set();
+        this.hasLoaded = true;
         this.nextOffset = this.followFrom!;
         this.unreachedEnd = undefined;
         // Pages are no snapshot: a record of a key before the latest page may have been appended since the first one.
