Withhold a start on a worker of a service from which its queue was moved after the assignment

A start is sent when its assignment is stored, which may take as long as an outage of the store. What the leader learns meanwhile was checked again for the worker, but not for the queue: a task was started on a worker of the service to which only an earlier configuration sends its queue, although the leader knew the later one.

Now it is withheld with the reason `other-service`, and the task waits for a worker of the new one. A queue that was removed keeps the service with which the job was accepted.

--- a/src/dispatch/common/startAdmission.ts
+++ b/src/dispatch/common/startAdmission.ts
@@ -20,11 +20,13 @@
 
 /**
  * Why the start of a run is not sent. `not-ready`: the worker drains, has left, or has restarted and may be of another kind.
+ * `other-service`: the configuration has sent the queue to another service since the worker was chosen.
  * `shrunk`: its runs exceed its capacity. `capacity-unknown`: its entry is too old to show what it can hold, or it has runs of
  * unknown size. `lease-recorded`: a record still says that its lease is not extended. `gang`: one of these holds for another
  * member.
  */
-export type WithholdReason = "unreachable" | "lease-recorded" | "not-ready" | "shrunk" | "capacity-unknown" | "gang";
+export type WithholdReason =
+    "unreachable" | "lease-recorded" | "not-ready" | "other-service" | "shrunk" | "capacity-unknown" | "gang";
 
 /** Returns a worker by its identifier, if it is known. */
 export type FindWorker = (id: string) => WorkerContact | undefined;
@@ -98,6 +100,9 @@
         if (!worker.isRegistered || !worker.isReady || !worker.hasLabel(run.task.step.requiredLabel)) {
             return "not-ready";
         }
+        if (worker.entry.service !== this.queues.latestSettings(run.task.job.spec.queue).service) {
+            return "other-service";
+        }
         if (worker.isOvercommitted) {
             return "shrunk";
         }
--- a/src/dispatch/common/test/schedulerFixture.ts
+++ b/src/dispatch/common/test/schedulerFixture.ts
@@ -67,14 +67,16 @@
     readonly latencies = new Map<string, number>();
 
     private readonly jobs = JobTable.create();
+    /** Queues as configured; none at first, so that each job has the settings with which it was accepted. */
+    readonly queues = QueueTable.create();
 
     private constructor(step: StepSpec, learnedInterference: readonly InterferenceRow[]) {
-        const { jobs } = this;
+        const { jobs, queues } = this;
         this.submit("a", step);
         const rights = { canSendOrders: () => true, canExtendLeases: () => true, formerRenewedBy: undefined };
         this.leadership = { ...rights, renewedAt: 0, leasesSince: 1 };
         const leadership = this.leadership as unknown as Leadership;
-        const tables = { jobs, progress: ProgressTable.create(), queues: QueueTable.create() };
+        const tables = { jobs, progress: ProgressTable.create(), queues };
         const context: SchedulerContext = {
             ...tables,
             leadership,
