Bound the age of the configuration on which tasks start and calls are answered

The view of the configuration had no bound but readiness after 3 s. With one response that stalls, a leader started tasks of jobs that were handed in after a change on the service to which only the former configuration sends their queue, and an instance accepted or refused calls by it.

The contract allows 2.5 s (configurationMs), for calls and so for the starts of what they hand in.

- The validity of an order to start follows from the age of this view, too, and `view-old` names it.
`configAgeMs` is always stated.
- The leader reads the configuration with waits of 0.4 s instead of 1 s, so that orders are not shortened while reads are in time; a new leader asks for its end at once.
Others wait for 0.7 s: two reads have to take less than the bound, also on an instance that is late.
- A read that fails or is late is followed by a check of the end of the stream (state `checking` of the follower).
The records are not sent again: large ones may be on their way over a link that is full.
- An instance refuses calls while its view is older than configurationMs, unless its reads fail.
After a suspension the view is not known until a later read is answered, for which it asks at once.
- A bound below which no order could be valid is an error of the settings, as for cancellations and notices.

Tests that change: the line of a start states `configAgeMs` in any case, which two tests expected only from 2.5 s on; the view of the configuration is one of the views that the tests of ViewController combine; the settings of a test of the processor have a valid bound.

--- a/src/dispatch/common/test/scheduler.test.ts
+++ b/src/dispatch/common/test/scheduler.test.ts
@@ -162,14 +162,14 @@
     });
 }
 
-test("the line of a start has the ages of the views of jobs and workers, and of the configuration while it is old", t => {
+test("the line of a start has the ages of the views of jobs, workers and configuration", t => {
     const fixture = SchedulerFixture.create();
     Object.assign(fixture.viewAgesMs, { jobs: 600, workers: 700, configuration: 800 });
     fixture.advance(500);
     const { data } = fixture.decisions.find(each => each.name === "run-started")!;
     t.is(data.jobsAgeMs, 600);
     t.is(data.workersAgeMs, 700);
-    t.is(data.configAgeMs, undefined);
+    t.is(data.configAgeMs, 800);
 });
 
 test("the line of a start has the delay of the loop while it is late", t => {
--- a/src/dispatch/common/viewController.ts
+++ b/src/dispatch/common/viewController.ts
@@ -19,15 +19,12 @@
     }),
 );
 
-/** The age of the configuration is logged from this one on, in ms; a shorter one is that of a stream that is read in time. */
-const MIN_LOGGED_AGE_MS = 2_500;
-
 /** The delay of the loop is logged from this one on, in ms; a shorter one is less than the interval between passes. */
 const MIN_LOGGED_DELAY_MS = 50;
 
 /** A view on which starts are decided, and how old it may be when a task starts. */
 interface BoundedView {
-    readonly name: "jobs" | "workers";
+    readonly name: "jobs" | "workers" | "configuration";
     readonly view: StreamView;
     /** Time (ms) after a record of the stream is stored from which no task starts that it rules out. */
     readonly boundMs: number;
@@ -37,7 +34,6 @@
 export interface ViewAgeFields {
     readonly jobsAgeMs: number | undefined;
     readonly workersAgeMs: number | undefined;
-    /** `undefined` while the view is current, to keep the lines short. */
     readonly configAgeMs: number | undefined;
     /** Largest delay of the loop of late, in ms; `undefined` while it is on time. */
     readonly delayMs: number | undefined;
@@ -62,6 +58,7 @@
         this.boundedViews = [
             { name: "jobs", view: views.jobs, boundMs: limits.cancelMs },
             { name: "workers", view: views.workers, boundMs: limits.drainMs },
+            { name: "configuration", view: views.configuration, boundMs: limits.configurationMs },
         ];
         this.machine = Machine.create(chart, {
             guards: {},
@@ -96,7 +93,7 @@
 
     /**
      * Returns the validity of an order to start. Within it, no cancellation and no notice of a worker that is not known yet
-     * is older than the deployment allows.
+     * is older than the deployment allows, and no configuration that is not known yet must be in force.
      * @param now Time in ms.
      * @returns The validity in ms; below `MIN_START_VALIDITY_MS` or negative while tasks may not be started.
      */
@@ -114,7 +111,7 @@
         return {
             jobsAgeMs: ageOf(jobs, now),
             workersAgeMs: ageOf(workers, now),
-            configAgeMs: ifOld(ageOf(configuration, now)),
+            configAgeMs: ageOf(configuration, now),
             delayMs: this.loggedDelayMs,
         };
     }
@@ -133,7 +130,3 @@
 function ageOf(view: StreamView, now: number): number | undefined {
     return view.knownUntil === undefined ? undefined : Math.round(now - view.knownUntil);
 }
-
-function ifOld(ageMs: number | undefined): number | undefined {
-    return ageMs === undefined || ageMs < MIN_LOGGED_AGE_MS ? undefined : ageMs;
-}
--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -65,8 +65,14 @@
 /** Reads of the stream of workers on standby. A new leader reads it at once. */
 const STANDBY_WORKERS_TIMING: ReadTiming = { waitMs: 2_000, pauseMs: 3_000 };
 
-/** Reads of the configuration. It changes rarely; the short wait of each read shows that the store is reachable. */
-const OPERATOR_TIMING: ReadTiming = { waitMs: 1_000, pauseMs: 0 };
+/**
+ * Reads of the configuration on standby. It changes rarely; the short wait of each read shows that the store is reachable. Two reads,
+ * or a read and a check, take less than the time within which a configuration must be in force, also on an instance that is late.
+ */
+const STANDBY_OPERATOR_TIMING: ReadTiming = { waitMs: 700, pauseMs: 0, repeatAfterMs: 1_000 };
+
+/** Reads of the configuration on the leader, whose orders to start end before an unknown configuration must be in force. */
+const LEADER_OPERATOR_TIMING: ReadTiming = { waitMs: 400, pauseMs: 0, repeatAfterMs: 900 };
 
 /**
  * Pause after a large configuration, as a ratio of the time within which the next one must be in force. All instances
@@ -125,15 +131,13 @@
         const { outbox } = this;
         const workersTiming = () => (this.leadership.isLeading ? LEADER_WORKERS_TIMING : STANDBY_WORKERS_TIMING);
         const largePauseMs = limits.configurationMs * LARGE_CONFIGURATION_PAUSE_RATIO;
-        const operatorTiming = { ...OPERATOR_TIMING, largePauseMs };
+        const operatorTiming = (): ReadTiming => ({
+            ...(this.leadership.isLeading ? LEADER_OPERATOR_TIMING : STANDBY_OPERATOR_TIMING),
+            largePauseMs,
+        });
         const jobsTiming = () => (this.leadership.isLeading ? LEADER_JOBS_TIMING : STANDBY_JOBS_TIMING);
         this.jobsFollower = RecordFollower.create("jobs", new JobsReceiver(this), jobsTiming, outbox);
-        this.operatorFollower = RecordFollower.create(
-            "operator",
-            new OperatorReceiver(this),
-            () => operatorTiming,
-            outbox,
-        );
+        this.operatorFollower = RecordFollower.create("operator", new OperatorReceiver(this), operatorTiming, outbox);
         this.workersFollower = RecordFollower.create("workers", new WorkersReceiver(this), workersTiming, outbox);
         this.submissionWriter = RecordWriter.create(
             "submissions",
@@ -146,7 +150,8 @@
             this.jobs,
             this.queues,
             this.submissionWriter,
-            this.jobsFollower,
+            { jobs: this.jobsFollower, configuration: this.operatorFollower },
+            limits.configurationMs,
             (call, answer) => outbox.emit({ kind: "answer", call, answer }),
         );
         this.jobs.onDidIgnore(({ key, offset }) => this.logMalformed("jobs", key, offset));
@@ -382,6 +387,7 @@
             this.lifecycle.fire("loaded", now);
         }
         this.jobsFollower.tick(now);
+        this.operatorFollower.tick(now);
         this.workersFollower.tick(now);
         this.leadership.tick(now);
         this.scheduler?.tick(now, wallNow);
@@ -397,6 +403,8 @@
         if (this.clockOffset !== undefined && Math.abs(offset - this.clockOffset) > SUSPENSION_THRESHOLD_MS) {
             this.leadership.handleSuspension(now);
             this.jobsFollower.handleSuspension(now);
+            this.operatorFollower.handleSuspension(now);
+            this.operatorFollower.hasten();
             this.workersFollower.handleSuspension(now);
             this.workers.forEach(({ entry }, id) => this.workers.set(id, { entry, writtenAfter: undefined }));
             this.scheduler?.handleSuspension();
@@ -408,6 +416,7 @@
     private startTakeover(writer: RecordWriter): void {
         const { epoch } = this.leadership;
         this.workersFollower.hasten();
+        this.operatorFollower.hasten();
         const host = new InstanceTakeoverHost(this, writer);
         this.takeover = Takeover.create(epoch, this.identity.nonce, () => this.now, this.outbox, host);
     }
--- a/src/host/common/jobSettings.ts
+++ b/src/host/common/jobSettings.ts
@@ -39,7 +39,7 @@
         drainMs: z.nullish(startBound),
         gangWaitMs: milliseconds,
         harmMs: milliseconds,
-        configurationMs: milliseconds,
+        configurationMs: startBound,
         retentionS: milliseconds,
     }),
 });
--- a/src/host/common/test/jobSettings.test.ts
+++ b/src/host/common/test/jobSettings.test.ts
@@ -3,8 +3,8 @@
 import { parseYaml } from "../../../base/common/schemaFindings";
 import { jobSettingsSchema } from "../jobSettings";
 
-/** @param bounds Lines of the section `scheduling`. @returns Errors of a settings file with them, with their positions. */
-function checkScheduling(bounds: readonly string[]): string[] {
+/** @param bounds Further lines of the section `scheduling`. @returns Errors of a settings file with them, with their positions. */
+function checkScheduling(bounds: readonly string[], configurationMs = 2_500): string[] {
     const text = [
         "instance: edge-1",
         "region: north",
@@ -17,7 +17,7 @@
         "    stopMs: 900",
         "    gangWaitMs: 3000",
         "    harmMs: 4000",
-        "    configurationMs: 2500",
+        `    configurationMs: ${configurationMs}`,
         "    retentionS: 120",
         ...bounds.map(line => `    ${line}`),
     ].join("\n");
@@ -35,6 +35,7 @@
     t.is(lines.length, 2);
     t.regex(lines[0], /^entry.yaml:14:15: scheduling.cancelMs is 600 \(expected more than 600\)/);
     t.regex(lines[1], /^entry.yaml:15:14: scheduling.drainMs is 0 \(expected more than 600\)/);
+    t.regex(checkScheduling([], 600)[0], /^entry.yaml:12:22: scheduling.configurationMs is 600/);
     t.regex(checkScheduling(["drainMs: soon"])[0], /^entry.yaml:14:14: scheduling.drainMs/);
 });
 
@@ -46,7 +47,7 @@
         "failureDomain: d",
         "listen: { calls: 'h:1', readiness: 'h:2' }",
         "store: 'h:3'",
-        "scheduling: { longestLeaseMs: 1, stopMs: 1, gangWaitMs: 1, harmMs: 1, configurationMs: 1, retentionS: 1 }",
+        "scheduling: { longestLeaseMs: 1, stopMs: 1, gangWaitMs: 1, harmMs: 1, configurationMs: 2500, retentionS: 1 }",
         ...processor,
     ].join("\n");
 }
--- a/src/jobs/common/test/jobCallHandler.test.ts
+++ b/src/jobs/common/test/jobCallHandler.test.ts
@@ -12,6 +12,9 @@
 
 const CALLER_TIMEOUT_MS = 3_000;
 
+/** Time within which a configuration must be in force, in ms. */
+const CONFIGURATION_MS = 6_000;
+
 function createHandler() {
     const outbox = Outbox.create<RecordEffect>();
     const queues = QueueTable.create();
@@ -22,7 +25,10 @@
     const answers = new Map<number, JobAnswer["kind"]>();
     const retriesAfterMs: number[] = [];
     const stream: { hasLoaded: boolean; knownUntil: number | undefined } = { hasLoaded: true, knownUntil: 0 };
-    const handler = JobCallHandler.create(JobTable.create(), queues, writer, stream, (call, answer) => {
+    const configuration: { knownUntil: number | undefined; isFailing: boolean } = { knownUntil: 0, isFailing: false };
+    const streams = { jobs: stream, configuration };
+    const jobs = JobTable.create();
+    const handler = JobCallHandler.create(jobs, queues, writer, streams, CONFIGURATION_MS, (call, answer) => {
         answers.set(call.number, answer.kind);
         if (answer.kind === "unavailable") {
             retriesAfterMs.push(answer.retryAfterMs);
@@ -42,7 +48,7 @@
         const result = isStored ? Ok(0) : Err("unknown" as const);
         writer.handleAnswer({ kind: "append-answer", writer: "submissions", sequence, result }, now);
     };
-    return { handler, stream, submit, read, count, answerAppend, answers, retriesAfterMs };
+    return { handler, stream, configuration, call, submit, read, count, answerAppend, answers, retriesAfterMs };
 }
 
 test("a submission is accepted once it is stored", t => {
@@ -102,3 +108,23 @@
     read(1, 2_000);
     t.is(answers.get(1), "unavailable");
 });
+
+test("a call is refused by a configuration that may not be in force any more, also one for an unknown queue", t => {
+    const { call, configuration, answers } = createHandler();
+    const request: JobRequest = { kind: "read" };
+    call(1, "/none/", request, CONFIGURATION_MS);
+    call(2, "/none/", request, CONFIGURATION_MS + 1);
+    call(3, "/q/", request, CONFIGURATION_MS + 1);
+    configuration.knownUntil = 1;
+    call(4, "/none/", request, CONFIGURATION_MS + 1);
+    configuration.knownUntil = undefined;
+    call(5, "/none/", request, CONFIGURATION_MS + 1);
+    t.deepEqual([...answers.values()], ["no-queue", "unavailable", "unavailable", "no-queue", "unavailable"]);
+});
+
+test("while the store cannot be reached, the latest known configuration counts", t => {
+    const { call, configuration, answers } = createHandler();
+    configuration.isFailing = true;
+    call(1, "/none/", { kind: "read" }, 100 * CONFIGURATION_MS);
+    t.is(answers.get(1), "no-queue");
+});
--- a/src/proof/node/test/instanceFixture.ts
+++ b/src/proof/node/test/instanceFixture.ts
@@ -1,3 +1,4 @@
+import { Err } from "ts-results";
 import { OrderAnswer } from "../../../dispatch/common/workerClient";
 import { StartOrder, WorkerEffect } from "../../../dispatch/common/workerMessages";
 import { JobInstance } from "../../../host/common/jobInstance";
@@ -12,6 +13,8 @@
 
 const TICK_MS = 25;
 const HEARTBEAT_INTERVAL_MS = 1_500;
+/** Time after which a read that stalls fails, in ms. */
+const STALL_MS = 3_900;
 /** Time in which a run makes one percent of progress, in ms. */
 const MS_PER_PERCENT = 250;
 
@@ -52,6 +55,12 @@
     readonly answers: string[] = [];
     /** Streams whose reads are not answered. */
     readonly heldStreams = new Set<StreamName>();
+    /** Streams whose reads fail at once. */
+    readonly failingStreams = new Set<StreamName>();
+    /** Time by which the answers to the reads of a stream are late, in ms. */
+    readonly lateMs = new Map<StreamName, number>();
+    /** Time (ms) up to which the reads of a stream that were sent get no answer. */
+    private readonly stalledUntil = new Map<StreamName, number>();
     private instance: JobInstance;
     /** Total time for which the process was suspended, in ms. */
     private suspendedMs = 0;
@@ -67,9 +76,9 @@
     }
 
     /** Adds a worker. @param index Number of the worker, of which its address is derived. */
-    addWorker(id: string, index: number): void {
+    addWorker(id: string, index: number, service = "svc"): void {
         const entry = {
-            service: "svc",
+            service,
             addr: `10.0.0.${index + 1}:8080`,
             zone: "z",
             state: "ready",
@@ -122,8 +131,14 @@
         this.call(id, { kind: "read" });
     }
 
-    private call(id: string, request: JobRequest): void {
-        const call = { number: this.callCount, host: "host", path: `/q/${id}`, callerTimeoutMs: 3_000, request };
+    /** Asks for the state of a job of a queue that is not configured. */
+    callOther(): void {
+        this.callCount += 1;
+        this.call("0", { kind: "read" }, "/none/");
+    }
+
+    private call(id: string, request: JobRequest, prefix = "/q/"): void {
+        const call = { number: this.callCount, host: "host", path: `${prefix}${id}`, callerTimeoutMs: 3_000, request };
         this.dispatch({ kind: "call", call });
     }
 
@@ -144,6 +159,16 @@
         this.suspendedMs += ms;
     }
 
+    /** Lets the reads of a stream that are in flight stall: they fail much later. */
+    stallReads(stream: StreamName): void {
+        this.stalledUntil.set(stream, this.now);
+    }
+
+    /** Time in ms. */
+    get time(): number {
+        return this.now;
+    }
+
     /** Advances the time. @param ms By how much, in ms. */
     advance(ms: number): void {
         for (const until = this.now + ms; this.now < until;) {
@@ -214,13 +239,20 @@
         const { number } = effect;
         this.after(effect.delayMs, () => {
             const sentAt = this.now;
+            const answer = (event: JobInstanceEvent) =>
+                this.after(this.lateMs.get(stream) ?? 0, () => this.dispatch(event));
             const read = () => {
-                if (this.heldStreams.has(stream)) {
+                const isStalled = sentAt <= (this.stalledUntil.get(stream) ?? -1);
+                if (isStalled || this.failingStreams.has(stream)) {
+                    const kind = effect.kind === "read" ? "read-answer" : "newest-answer";
+                    const event = { kind, stream, number, sentAt, result: Err("unavailable" as const) } as const;
+                    this.after(isStalled ? STALL_MS : 0, () => this.dispatch(event));
+                } else if (this.heldStreams.has(stream)) {
                     this.after(TICK_MS, read);
                 } else if (effect.kind === "read-newest") {
-                    this.dispatch({ kind: "newest-answer", stream, number, sentAt, result: log.newest(effect.after) });
+                    answer({ kind: "newest-answer", stream, number, sentAt, result: log.newest(effect.after) });
                 } else if (log.end > effect.from || this.now - sentAt >= effect.waitMs) {
-                    this.dispatch({ kind: "read-answer", stream, number, sentAt, result: log.read(effect.from) });
+                    answer({ kind: "read-answer", stream, number, sentAt, result: log.read(effect.from) });
                 } else {
                     this.after(TICK_MS, read);
                 }
--- a/src/proof/node/test/suspension.test.ts
+++ b/src/proof/node/test/suspension.test.ts
@@ -46,6 +46,7 @@
     const { fixture } = createLeaderWithWaitingTask();
     fixture.heldStreams.add("jobs");
     fixture.suspend(SUSPENSION_MS);
+    fixture.advance(100);
     fixture.submit(1);
     fixture.advance(200);
     t.deepEqual(fixture.answers, ["accepted", "accepted"]);
@@ -55,6 +56,7 @@
     const { fixture } = createLeaderWithWaitingTask();
     fixture.heldStreams.add("jobs");
     fixture.suspend(SUSPENSION_MS);
+    fixture.advance(100);
     fixture.read("00000000000000ff");
     fixture.advance(500);
     t.deepEqual(fixture.answers, ["accepted"]);
@@ -62,3 +64,18 @@
     fixture.advance(SETTLE_MS);
     t.deepEqual(fixture.answers, ["accepted", "no-job"]);
 });
+
+test("an instance that was suspended refuses calls until it has read the configuration again", t => {
+    const { fixture } = createLeaderWithWaitingTask();
+    fixture.heldStreams.add("operator");
+    fixture.suspend(SUSPENSION_MS);
+    fixture.submit(1);
+    fixture.advance(200);
+    fixture.submit(1);
+    t.deepEqual(fixture.answers, ["accepted", "unavailable", "unavailable"]);
+    fixture.heldStreams.clear();
+    fixture.advance(100);
+    fixture.submit(1);
+    fixture.advance(200);
+    t.deepEqual(fixture.answers.slice(3), ["accepted"]);
+});
--- a/src/records/common/recordFollower.ts
+++ b/src/records/common/recordFollower.ts
@@ -7,9 +7,9 @@
 import { StreamName } from "./recordStore";
 import { RecordEffect, RecordEvent } from "./recordEvents";
 
-type FollowerState = "loading" | "following" | "pausing";
+type FollowerState = "loading" | "following" | "pausing" | "checking";
 type FollowerEvent = "page" | "last-page" | "records" | "truncated" | "failed" | "late" | "hasten" | "late-records";
-type FollowerGuard = "isLarge" | "isFarBehind";
+type FollowerGuard = "isLarge" | "isFarBehind" | "hasLargeRecords";
 type FollowerAction =
     | "applyPage"
     | "applyRecords"
@@ -18,6 +18,8 @@
     | "readNextPage"
     | "readMore"
     | "readEnd"
+    | "checkEnd"
+    | "checkEndNow"
     | "readNow"
     | "restart";
 
@@ -26,9 +28,9 @@
         chartText,
         "recordFollower.chart.yaml",
         {
-            states: ["loading", "following", "pausing"],
+            states: ["loading", "following", "pausing", "checking"],
             events: ["page", "last-page", "records", "truncated", "failed", "late", "hasten", "late-records"],
-            guards: ["isLarge", "isFarBehind"],
+            guards: ["isLarge", "isFarBehind", "hasLargeRecords"],
             actions: [
                 "applyPage",
                 "applyRecords",
@@ -37,6 +39,8 @@
                 "readNextPage",
                 "readMore",
                 "readEnd",
+                "checkEnd",
+                "checkEndNow",
                 "readNow",
                 "restart",
             ],
@@ -75,8 +79,9 @@
      */
     readonly largePauseMs?: number;
     /**
-     * Time after which a read without an answer is sent again over another connection, in ms. The first is still awaited,
-     * and at most three are. Without it, a response that stalls delays all later records until it is given up.
+     * Time after which a read without an answer is sent again over another connection, in ms, beside its pause after a page of
+     * large records. The first is still awaited, and at most three are. Without it, a response that stalls delays all later
+     * records until it is given up. Of a stream with large records, only the end is asked for.
      */
     readonly repeatAfterMs?: number;
 }
@@ -111,6 +116,8 @@
     private unreachedEnd: { readonly end: RecordOffset; readonly sentAt: number } | undefined;
     /** Time (ms) at which `tick` first saw the read in flight. */
     private waitingSince: number | undefined;
+    /** Time after which the latest read is sent, in ms, if it asks for the end of the stream. */
+    private endReadDelayMs = 0;
     /** Number of the latest read. Its answer leads to the next read; answers to earlier reads do not. */
     private latestRead = 0;
     /** Number of earlier reads that are not answered. */
@@ -142,6 +149,7 @@
             guards: {
                 isLarge: answer => this.isLarge(answer!),
                 isFarBehind: answer => answer!.result.unwrap().end > this.nextOffset + 1,
+                hasLargeRecords: () => this.readTiming().largePauseMs !== undefined,
             },
             actions: {
                 applyPage: answer => this.applyPage(answer!),
@@ -149,7 +157,9 @@
                 finishLoad: () => this.finishLoad(),
                 markKnown: answer => this.markKnown(answer!),
                 readNextPage: () => this.emitPageRead(),
-                readEnd: () => this.emitEndRead(),
+                readEnd: () => this.emitEndRead(this.readTiming().largePauseMs ?? 0),
+                checkEnd: () => this.emitEndRead(RETRY_BACKOFF_MS),
+                checkEndNow: () => this.emitEndReadNow(),
                 readMore: () => this.emitRead(),
                 readNow: () => this.emitReadNow(),
                 restart: () => this.start(),
@@ -202,7 +212,7 @@
     tick(now: number): void {
         this.waitingSince ??= now;
         const { repeatAfterMs } = this.readTiming();
-        const isLate = repeatAfterMs !== undefined && now - this.waitingSince > repeatAfterMs;
+        const isLate = repeatAfterMs !== undefined && now - this.waitingSince > repeatAfterMs + this.endReadDelayMs;
         if (isLate && this.lateReadCount < MAX_LATE_READS) {
             this.machine.fire("late", undefined);
         }
@@ -327,9 +337,9 @@
         }
     }
 
-    private emitEndRead(): void {
-        const delayMs = this.readTiming().largePauseMs ?? 0;
+    private emitEndRead(delayMs: number): void {
         const number = this.nextReadNumber();
+        this.endReadDelayMs = delayMs;
         this.effects.emit({ kind: "read-newest", stream: this.stream, number, after: KEY_AFTER_ALL, delayMs });
     }
 
@@ -343,6 +353,13 @@
         });
     }
 
+    /** The latest read becomes one of the earlier reads. */
+    private emitEndReadNow(): void {
+        this.lateReadCount += 1;
+        this.waitingSince = undefined;
+        this.emitEndRead(0);
+    }
+
     /** The latest read becomes one of the earlier reads. */
     private emitReadNow(): void {
         this.lateReadCount += 1;
@@ -353,6 +370,7 @@
 
     private nextReadNumber(): number {
         this.latestRead += 1;
+        this.endReadDelayMs = 0;
         return this.latestRead;
     }
 
--- a/src/records/common/test/recordFollower.test.ts
+++ b/src/records/common/test/recordFollower.test.ts
@@ -71,6 +71,20 @@
         this.follower.handleAnswer({ kind: "read-answer", stream: "operator", number, sentAt, result });
     }
 
+    /** Answers a read of the end of the stream with the end that there is now. */
+    answerEnd({ effect, sentAt }: SentRead): void {
+        const result = this.log.newest(effect.kind === "read-newest" ? effect.after : undefined);
+        const number = numberOf(effect);
+        this.follower.handleAnswer({ kind: "newest-answer", stream: "operator", number, sentAt, result });
+    }
+
+    /** Lets a read fail. */
+    fail({ effect, sentAt }: SentRead): void {
+        const kind = effect.kind === "read" ? "read-answer" : "newest-answer";
+        const result = Err("unavailable" as const);
+        this.follower.handleAnswer({ kind, stream: "operator", number: numberOf(effect), sentAt, result });
+    }
+
     /** Advances the time. @param ms By how much, in ms. */
     tickFor(ms: number): void {
         for (const until = this.now + ms; this.now < until; this.now += 25) {
@@ -352,3 +366,88 @@
     t.deepEqual(fixture.collector.values, ["first", "2", "3", "4"]);
     t.is(fixture.follower.nextOffset, fixture.log.end);
 });
+
+/** Timing of a stream with large records whose late reads are repeated. */
+const LARGE_TIMING: ReadTiming = { waitMs: 400, pauseMs: 0, largePauseMs: LARGE_PAUSE_MS, repeatAfterMs: 600 };
+
+/** @returns The reads as text: whether they ask for records or for the end, and their delays in ms. */
+function describe(reads: readonly SentRead[]): string[] {
+    return reads.map(({ effect }) => (effect.kind === "append" ? effect.kind : `${effect.kind} ${effect.delayMs}`));
+}
+
+test("of a stream with large records, a read that is late is followed by a check of the end, and its records count when they come", t => {
+    const fixture = new Fixture(LARGE_TIMING);
+    fixture.step();
+    const late = fixture.take();
+    fixture.tickFor(500);
+    t.deepEqual(fixture.take(), []);
+    fixture.tickFor(200);
+    const checks = fixture.take();
+    t.deepEqual(describe(checks), ["read-newest 0"]);
+    fixture.log.store("config", LARGE_VALUE);
+    fixture.answer(late[0]);
+    t.is(fixture.collector.values.length, 2);
+    t.deepEqual(fixture.take(), []);
+    // A check that is not answered is not sent again: slow answers would never be the latest.
+    fixture.tickFor(3_000);
+    t.deepEqual(fixture.take(), []);
+    fixture.answerEnd(checks[0]);
+    t.is(fixture.follower.knownUntil, checks[0].sentAt);
+    t.deepEqual(describe(fixture.take()), ["read 0"]);
+});
+
+test("of a stream with large records, a check that finds a record leads to its read, and one that finds several to a load", t => {
+    for (const [count, kind] of [
+        [1, "read 0"],
+        [2, "read-newest 0"],
+    ] as const) {
+        const fixture = new Fixture(LARGE_TIMING);
+        fixture.step();
+        fixture.take();
+        fixture.tickFor(700);
+        const [check] = fixture.take();
+        const knownBefore = fixture.follower.knownUntil;
+        for (let index = 0; index < count; index++) {
+            fixture.log.store("config", String(index));
+        }
+        fixture.answerEnd(check);
+        t.is(fixture.follower.knownUntil, knownBefore);
+        t.deepEqual(describe(fixture.take()), [kind]);
+    }
+});
+
+test("of a stream with large records, the end is asked for while reads fail, so that it is known as soon as one succeeds", t => {
+    const fixture = new Fixture(LARGE_TIMING);
+    fixture.step();
+    for (let index = 0; index < 3; index++) {
+        const [read] = fixture.take();
+        t.is(read.effect.kind, index === 0 ? "read" : "read-newest");
+        fixture.fail(read);
+        t.true(fixture.follower.isFailing);
+    }
+    const [check] = fixture.take();
+    fixture.answerEnd(check);
+    t.false(fixture.follower.isFailing);
+    t.is(fixture.follower.knownUntil, check.sentAt);
+    t.deepEqual(describe(fixture.take()), ["read 0"]);
+});
+
+test("the pause after a large record does not count as a late read", t => {
+    const fixture = new Fixture(LARGE_TIMING);
+    fixture.step();
+    fixture.log.store("config", LARGE_VALUE);
+    fixture.step();
+    t.deepEqual(describe(fixture.take()), [`read-newest ${LARGE_PAUSE_MS}`]);
+    fixture.tickFor(LARGE_PAUSE_MS + 500);
+    t.deepEqual(fixture.take(), []);
+    fixture.tickFor(200);
+    t.deepEqual(describe(fixture.take()), ["read-newest 0"]);
+});
+
+test("a hastened read of a stream with large records asks for the end only", t => {
+    const fixture = new Fixture(LARGE_TIMING);
+    fixture.step();
+    fixture.take();
+    fixture.follower.hasten();
+    t.deepEqual(describe(fixture.take()), ["read-newest 0"]);
+});
