--- a/src/proof/node/test/instanceFixture.ts
+++ b/src/proof/node/test/instanceFixture.ts
@@ -1,6 +1,8 @@
+import { Err } from "ts-results";
 import { OrderAnswer } from "../../../dispatch/common/workerClient";
 import { StartOrder, WorkerEffect } from "../../../dispatch/common/workerMessages";
 import { JobInstance } from "../../../host/common/jobInstance";
+import { JobRequest } from "../../../jobs/common/jobCall";
 import { JobInstanceEffect, JobInstanceEvent } from "../../../host/common/jobInstanceEvents";
 import { RecordEffect } from "../../../records/common/recordEvents";
 import { StreamName } from "../../../records/common/recordStore";
@@ -11,6 +13,8 @@
 
 const TICK_MS = 25;
 const HEARTBEAT_INTERVAL_MS = 1_500;
+/** Time after which a read that stalls fails, in ms. */
+const STALL_MS = 3_900;
 /** Time in which a run makes one percent of progress, in ms. */
 const MS_PER_PERCENT = 250;
 
@@ -49,7 +53,17 @@
     readonly starts: { readonly worker: string; readonly address: string; readonly order: StartOrder }[] = [];
     readonly decisions: { readonly name: string; readonly data: object }[] = [];
     readonly answers: string[] = [];
+    /** Streams whose reads are not answered. */
+    readonly heldStreams = new Set<StreamName>();
+    /** Streams whose reads fail at once. */
+    readonly failingStreams = new Set<StreamName>();
+    /** Time by which the answers to the reads of a stream are late, in ms. */
+    readonly lateMs = new Map<StreamName, number>();
+    /** Time (ms) up to which the reads of a stream that were sent get no answer. */
+    private readonly stalledUntil = new Map<StreamName, number>();
     private instance: JobInstance;
+    /** Total time for which the process was suspended, in ms. */
+    private suspendedMs = 0;
     private takenCount = 0;
     private now = 0;
     private callCount = 0;
@@ -62,9 +76,9 @@
     }
 
     /** Adds a worker. @param index Number of the worker, of which its address is derived. */
-    addWorker(id: string, index: number): void {
+    addWorker(id: string, index: number, service = "svc"): void {
         const entry = {
-            service: "svc",
+            service,
             addr: `10.0.0.${index + 1}:8080`,
             zone: "z",
             state: "ready",
@@ -107,12 +121,27 @@
         this.callCount += 1;
         const id = this.callCount.toString(16).padStart(16, "0");
         const body = JSON.stringify({ spec: "s", steps: [{ count, cpu: 1_000, estMs: 1_000, ...step }], ...job });
-        const request = decodeSubmission(body);
-        const call = { number: this.callCount, host: "host", path: `/q/${id}`, callerTimeoutMs: 3_000, request };
-        this.dispatch({ kind: "call", call });
+        this.call(id, decodeSubmission(body));
         return id;
     }
 
+    /** Asks for the state of a job. @param id Its id. */
+    read(id: string): void {
+        this.callCount += 1;
+        this.call(id, { kind: "read" });
+    }
+
+    /** Asks for the state of a job of a queue that is not configured. */
+    callOther(): void {
+        this.callCount += 1;
+        this.call("0", { kind: "read" }, "/none/");
+    }
+
+    private call(id: string, request: JobRequest, prefix = "/q/"): void {
+        const call = { number: this.callCount, host: "host", path: `${prefix}${id}`, callerTimeoutMs: 3_000, request };
+        this.dispatch({ kind: "call", call });
+    }
+
     /** @returns Workers that got a start since this was last called, one name for each start. */
     takeStarted(): string[] {
         const started = this.starts.slice(this.takenCount).map(each => each.worker);
@@ -125,6 +154,21 @@
         return this.decisions.filter(each => each.name === name).map(each => each.data);
     }
 
+    /** Suspends the process: its monotonic clock stands still, the time of day goes on. @param ms For how long, in ms. */
+    suspend(ms: number): void {
+        this.suspendedMs += ms;
+    }
+
+    /** Lets the reads of a stream that are in flight stall: they fail much later. */
+    stallReads(stream: StreamName): void {
+        this.stalledUntil.set(stream, this.now);
+    }
+
+    /** Time in ms. */
+    get time(): number {
+        return this.now;
+    }
+
     /** Advances the time. @param ms By how much, in ms. */
     advance(ms: number): void {
         for (const until = this.now + ms; this.now < until;) {
@@ -148,7 +192,7 @@
     }
 
     private dispatch(event: JobInstanceEvent): void {
-        const effects = this.instance.dispatch(event, this.now, WALL_START_MS + this.now);
+        const effects = this.instance.dispatch(event, this.now, WALL_START_MS + this.now + this.suspendedMs);
         effects.forEach(effect => this.perform(effect));
     }
 
@@ -195,15 +239,20 @@
         const { number } = effect;
         this.after(effect.delayMs, () => {
             const sentAt = this.now;
-            if (effect.kind === "read-newest") {
-                const result = log.newest(effect.after);
-                this.after(TICK_MS, () => this.dispatch({ kind: "newest-answer", stream, number, sentAt, result }));
-                return;
-            }
+            const answer = (event: JobInstanceEvent) =>
+                this.after(this.lateMs.get(stream) ?? 0, () => this.dispatch(event));
             const read = () => {
-                const isAnswered = log.end > effect.from || this.now - sentAt >= effect.waitMs;
-                if (isAnswered) {
-                    this.dispatch({ kind: "read-answer", stream, number, sentAt, result: log.read(effect.from) });
+                const isStalled = sentAt <= (this.stalledUntil.get(stream) ?? -1);
+                if (isStalled || this.failingStreams.has(stream)) {
+                    const kind = effect.kind === "read" ? "read-answer" : "newest-answer";
+                    const event = { kind, stream, number, sentAt, result: Err("unavailable" as const) } as const;
+                    this.after(isStalled ? STALL_MS : 0, () => this.dispatch(event));
+                } else if (this.heldStreams.has(stream)) {
+                    this.after(TICK_MS, read);
+                } else if (effect.kind === "read-newest") {
+                    answer({ kind: "newest-answer", stream, number, sentAt, result: log.newest(effect.after) });
+                } else if (log.end > effect.from || this.now - sentAt >= effect.waitMs) {
+                    answer({ kind: "read-answer", stream, number, sentAt, result: log.read(effect.from) });
                 } else {
                     this.after(TICK_MS, read);
                 }
