Count evidence about one task for those that shared its lost worker

Cause: the loss of a worker that had just started several tasks made all of them suspected, and each was tried by itself, even when the others had been cleared, or one of them had been accused and the loss was explained. Nothing recorded which tasks had shared a loss.

Change: `SharedLossTable` knows them. When all but one have been cleared or are done, the loss counts as one of the remaining task alone; when one is accused of a loss alone, the others are cleared unless they shared another loss. A loss by an expired lease is left out: the worker may only have been out of reach, so its tasks may never have started.

--- a/src/dispatch/common/failureController.ts
+++ b/src/dispatch/common/failureController.ts
@@ -4,6 +4,7 @@
 import { DecisionData, DecisionName } from "./dispatchEffects";
 import { LossRate } from "./lossRate";
 import { Run } from "./run";
+import { SharedLossTable, startUnitOf } from "./sharedLossTable";
 import { SuspectTable } from "./suspectTable";
 import { Task } from "./task";
 import { TaskSuspicion } from "./taskSuspicion";
@@ -51,11 +52,12 @@
  * lost with a worker, those whose start it has not survived for long are suspected. Each suspected task is started again
  * on a worker that starts nothing else meanwhile (`ProbationPlacer`). There it is cleared when the worker survives it,
  * and accused when the worker is lost; how many such losses convict it depends on how often workers are lost otherwise
- * (`LossRate`). A task that crashes its workers after some time is cleared each time, so the losses in a row are counted,
+ * (`LossRate`). Evidence about one of the tasks that shared a lost worker counts for the others, too (`SharedLossTable`). A task that crashes its workers after some time is cleared each time, so the losses in a row are counted,
  * too.
  */
 export class FailureController {
     private readonly lossRate = LossRate.create();
+    private readonly sharedLosses = SharedLossTable.create();
 
     private constructor(
         private readonly queues: QueueTable,
@@ -111,7 +113,11 @@
         const suspects = mostLikely(recent.length > 0 ? recent : runs.filter(isEarly));
         // If the worker had survived all starts, this loss alone is no evidence against any of them.
         const isAlone = recent.length > 0 && new Set(suspects.map(run => startUnitOf(run.task))).size === 1;
-        suspects.forEach(run => this.accuse(run.task, worker, isAlone));
+        suspects.forEach(run => this.accuse(run.task, worker.entry.id, isAlone));
+        // A worker whose lease expired may only have been out of reach.
+        if (recent.length > 0 && !isAlone && cause !== "lease-expired") {
+            this.sharedLosses.add(suspects.map(run => run.task));
+        }
         const culprits = new Set(suspects.filter(run => run.task.suspicion?.isAccusedAgain === true));
         if (![...culprits].some(run => run.task.suspicion?.state === "convicted")) {
             this.lossRate.recordLoss();
@@ -122,6 +128,11 @@
         }
     }
 
+    /** Records that a task is done: its last worker has survived it. */
+    recordSuccess(task: Task): void {
+        this.attributeSharedLosses(task);
+    }
+
     /** Measures how many workers are at work. @param workers Number of workers with runs. @param now Time in ms. */
     recordUptime(workers: number, now: number): void {
         this.lossRate.recordUptime(workers, now);
@@ -160,7 +171,8 @@
         }
     }
 
-    private accuse(task: Task, worker: WorkerContact, isAlone: boolean): void {
+    /** @param worker The worker that was lost, or `undefined` for one of which all other tasks have been cleared since. */
+    private accuse(task: Task, worker: string | undefined, isAlone: boolean): void {
         if (isFinal(task.job.state)) {
             return;
         }
@@ -168,13 +180,16 @@
         const coincidence = this.lossRate.probabilityWithin(ATTRIBUTION_MS + task.lossAgeMs);
         task.suspicion.fire(isAlone ? "lost-alone" : "lost-with-others", coincidence);
         const { state } = task.suspicion;
-        const data = { task: task.name, worker: worker.entry.id, state, coincidence: coincidence.toFixed(3) };
+        const data = { task: task.name, worker, state, coincidence: coincidence.toFixed(3) };
         this.host.logDecision("task-suspected", data);
         if (state === "convicted") {
             this.giveUp(task, {});
         }
         this.suspects.update(task);
         this.host.onSuspicionChange(task.job);
+        if (isAlone) {
+            this.sharedLosses.attributeTo(task).forEach(each => this.clearIfSuspected(each));
+        }
     }
 
     private clear(task: Task): void {
@@ -186,6 +201,23 @@
         this.suspects.update(task);
         this.host.logDecision("task-cleared", { task: task.name });
         this.host.onSuspicionChange(task.job);
+        this.attributeSharedLosses(task);
+    }
+
+    /** Clears a task whose losses an accused task explains, unless there is other evidence against it. */
+    private clearIfSuspected(task: Task): void {
+        if (task.suspicion?.state === "suspected") {
+            this.clear(task);
+        }
+    }
+
+    /** Attributes the losses that a task shared with others and did not cause to the only one of them that remains. */
+    private attributeSharedLosses(innocent: Task): void {
+        for (const task of this.sharedLosses.clear(innocent)) {
+            if (task.suspicion?.state === "suspected") {
+                this.accuse(task, undefined, true);
+            }
+        }
     }
 
     /** Gives up a task that crashes its workers. */
@@ -224,8 +256,3 @@
 function canBeSuspected(run: Run): boolean {
     return !run.isInherited || run.task.suspicion?.recorded !== undefined;
 }
-
-/** @returns What starts as a unit: the members of a gang do so together, other tasks alone. */
-function startUnitOf(task: Task): string {
-    return task.step.mode === "gang" ? `${task.job.spec.id}.${task.groupKey}` : task.name;
-}
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -483,6 +483,7 @@
     private finishTask(task: Task, now: number): void {
         const { job } = task;
         job.markDone(task);
+        this.failures.recordSuccess(task);
         if (task.run !== undefined) {
             this.stop(task.run, "done-elsewhere", now);
         }
--- a/src/dispatch/common/test/failureController.test.ts
+++ b/src/dispatch/common/test/failureController.test.ts
@@ -48,6 +48,61 @@
     t.deepEqual(host.failedJobs, []);
 });
 
+/** Starts tasks side by side on a worker and loses it. */
+function loseTogether(failures: FailureController, worker: WorkerContact, tasks: readonly Task[]): void {
+    tasks.forEach(task => start(worker, task, 0));
+    lose(failures, worker);
+}
+
+/** Starts a task on a worker, which survives it. */
+function survive(failures: FailureController, worker: WorkerContact, task: Task): void {
+    report(start(worker, task, 0), 0, SURVIVED_MS);
+    failures.reviewSurvival(worker);
+}
+
+test("the guilty one of two tasks crashes no worker more for having shared the first one", t => {
+    const { host, failures } = createController();
+    const [task, neighbor] = [createTask("a"), createTask("b")];
+    loseTogether(failures, createWorker("w1"), [task, neighbor]);
+    survive(failures, createWorker("w2"), neighbor);
+    t.is(task.suspicion?.state, "accused");
+    loseTogether(failures, createWorker("w3"), [task]);
+    loseTogether(failures, createWorker("w4"), [task]);
+    t.deepEqual(host.failedJobs, [task.job]);
+});
+
+test("tasks that are done leave the last one of a lost worker accused", t => {
+    const { failures } = createController();
+    const [task, ...neighbors] = ["a", "b", "c"].map(createTask);
+    loseTogether(failures, createWorker("w1"), [task, ...neighbors]);
+    failures.recordSuccess(neighbors[0]);
+    t.is(task.suspicion?.state, "suspected");
+    failures.recordSuccess(neighbors[1]);
+    t.is(task.suspicion?.state, "accused");
+});
+
+test("tasks whose only loss an accused task explains start among others again", t => {
+    const { suspects, failures } = createController();
+    const [task, explained, other, guilty, last] = ["a", "b", "c", "d", "e"].map(createTask);
+    loseTogether(failures, createWorker("w1"), [task, explained, other]);
+    loseTogether(failures, createWorker("w2"), [guilty, last]);
+    loseTogether(failures, createWorker("w3"), [other, guilty]);
+    t.true(suspects.has(explained) && suspects.has(other));
+    loseTogether(failures, createWorker("w4"), [task]);
+    t.false(suspects.has(explained));
+    t.true(suspects.has(other));
+});
+
+test("no task is accused of the loss of a worker that may only have been out of reach", t => {
+    const { failures } = createController();
+    const [task, neighbor] = [createTask("a"), createTask("b")];
+    const worker = createWorker("w1");
+    [task, neighbor].forEach(each => start(worker, each, 0));
+    failures.reviewLoss(worker, [...worker.runs.values()], "lease-expired");
+    failures.recordSuccess(neighbor);
+    t.is(task.suspicion?.state, "suspected");
+});
+
 test("runs whose start the worker has survived are not suspected beside one that has just started", t => {
     const { suspects, failures } = createController();
     const [task, neighbor] = [createTask("a"), createTask("b")];
