Give a task on its last attempt a worker for itself

Cause: five losses in a row give a task up, whatever else ran on the lost workers: the limit on starts of a task that crashes its workers some seconds after each start leaves no more. A task that has been cleared of a suspicion starts among others, whose crashes then count against it.

Change: after four losses in a row the next run has its worker for itself until it counts as survived for long, or has ended. The worker is reserved, and the run starts when it is empty, or after 2.5 s beside runs whose starts are survived. The limit itself is as before: the fifth loss gives the task up.

--- a/src/dispatch/common/activeJobTable.ts
+++ b/src/dispatch/common/activeJobTable.ts
@@ -78,9 +78,10 @@
         return run < (task?.highestRun ?? this.restarts.get(jobIdOf(name))?.get(name) ?? 0);
     }
 
-    /** @returns The tasks that are suspected of crashing their workers, according to the records of earlier leaders. */
+    /** @returns The tasks under which workers were lost, according to the records of earlier leaders. */
     suspects(): Task[] {
-        return [...this.jobs.values()].flatMap(job => [...job.tasks()].filter(task => task.suspicion !== undefined));
+        const hasEvidence = (task: Task) => task.suspicion !== undefined || task.lossesInARow > 0;
+        return [...this.jobs.values()].flatMap(job => [...job.tasks()].filter(hasEvidence));
     }
 
     /** @param name Name of a task. @returns The task, if its job is in the table. */
--- a/src/dispatch/common/failureController.ts
+++ b/src/dispatch/common/failureController.ts
@@ -5,7 +5,7 @@
 import { LossRate } from "./lossRate";
 import { Run } from "./run";
 import { SharedLossTable, startUnitOf } from "./sharedLossTable";
-import { SuspectTable } from "./suspectTable";
+import { MAX_LOSSES_IN_A_ROW, SuspectTable } from "./suspectTable";
 import { Task } from "./task";
 import { TaskSuspicion } from "./taskSuspicion";
 import { WorkerContact } from "./workerContact";
@@ -14,13 +14,6 @@
 /** Age from which a run that is lost with its worker is no longer suspected of being the cause, in ms. */
 const MAX_SUSPECT_AGE_MS = 3_000;
 
-/**
- * Number of workers lost under a task in a row from which it is given up, however often workers are lost. Each loss may be
- * a coincidence, so this is the largest number with which a task that crashes its workers is started twice after the third
- * crash, not more.
- */
-const MAX_LOSSES_IN_A_ROW = 5;
-
 /** Number of losses in a row that count although another task was accused of them again: one accusation may be wrong. */
 const MAX_EXPLAINED_LOSSES = 1;
 
@@ -53,7 +46,7 @@
  * on a worker that starts nothing else meanwhile (`ProbationPlacer`). There it is cleared when the worker survives it,
  * and accused when the worker is lost; how many such losses convict it depends on how often workers are lost otherwise
  * (`LossRate`). Evidence about one of the tasks that shared a lost worker counts for the others, too (`SharedLossTable`). A task that crashes its workers after some time is cleared each time, so the losses in a row are counted,
- * too.
+ * too, and the last run before it would be given up for them has a worker for itself.
  */
 export class FailureController {
     private readonly lossRate = LossRate.create();
@@ -87,7 +80,7 @@
         }
         task.lastRun = run;
         task.failures += 1;
-        clearLosses(task);
+        this.clearLosses(task);
         this.clear(task);
         if (worker !== undefined) {
             task.failedOn.add(worker.entry.id);
@@ -143,7 +136,7 @@
         for (const run of worker.runs.values()) {
             const { task } = run;
             if (task.lossesInARow > 0 && run.provenAgeMs > MAX_COUNTED_AGE_MS) {
-                clearLosses(task);
+                this.clearLosses(task);
                 this.host.onSuspicionChange(task.job);
             }
             if ((task.lossAgeMs > 0 || task.suspicion !== undefined) && run.isProven) {
@@ -162,13 +155,20 @@
             return;
         }
         if (provenAgeMs > MAX_COUNTED_AGE_MS) {
-            clearLosses(task);
+            this.clearLosses(task);
         } else {
             task.lossesInARow += 1;
         }
         if (task.lossesInARow >= MAX_LOSSES_IN_A_ROW) {
             this.giveUp(task, { losses: task.lossesInARow });
         }
+        this.suspects.update(task);
+    }
+
+    private clearLosses(task: Task): void {
+        task.lossesInARow = 0;
+        task.explainedLosses = 0;
+        this.suspects.update(task);
     }
 
     /** @param worker The worker that was lost, or `undefined` for one of which all other tasks have been cleared since. */
@@ -237,11 +237,6 @@
     }
 }
 
-function clearLosses(task: Task): void {
-    task.lossesInARow = 0;
-    task.explainedLosses = 0;
-}
-
 /** @returns The runs of accused tasks, or else of suspected ones, if there are any: they are a more likely cause. */
 function mostLikely(runs: readonly Run[]): readonly Run[] {
     const accused = runs.filter(run => run.task.suspicion?.isAccused === true);
--- a/src/dispatch/common/probationPlacer.ts
+++ b/src/dispatch/common/probationPlacer.ts
@@ -1,6 +1,6 @@
 import { LatencyModel } from "./latencyModel";
 import { Placer } from "./placer";
-import { SuspectTable } from "./suspectTable";
+import { isLastAttempt, SuspectTable } from "./suspectTable";
 import { Task } from "./task";
 import { WorkerContact } from "./workerContact";
 
@@ -13,6 +13,9 @@
 /** Time for which a worker is kept free of new tasks until the starts of its other runs are survived, in ms. */
 const MAX_RESERVATION_MS = 3_000;
 
+/** Time for which a task on its last attempt waits until the other runs of its reserved worker have ended, in ms. */
+const MAX_WAIT_FOR_EMPTY_WORKER_MS = 2_500;
+
 /** Uptime from which a worker is preferred, in ms: the loss of one that restarts again and again says nothing. */
 const MIN_STEADY_UPTIME_MS = 10_000;
 
@@ -44,7 +47,8 @@
 
 /**
  * Places suspected tasks so that the loss of their worker shows the cause: on workers that have survived the start of
- * all other runs and are given no other task until the suspected one is cleared.
+ * all other runs and are given no other task until the suspected one is cleared. A task on its last attempt starts on a worker
+ * without other runs, if one becomes empty soon.
  *
  * Load pattern: workers start several tasks a second, so one that crashes has usually just started several. Without
  * probation, tasks that were only beside the guilty one would be suspected with it again and again.
@@ -97,7 +101,7 @@
             if (!this.reservations.has(first) && closed.size < maxClosed) {
                 this.reserve(group, placer, closed, at);
             }
-            this.startIfReady(group, placer, assign);
+            this.startIfReady(group, placer, at.now, assign);
         }
         return closed;
     }
@@ -105,10 +109,16 @@
     private startIfReady(
         { tasks, service, minSpeedPercent }: ProbationGroup,
         placer: Placer,
+        now: number,
         assign: AssignSuspect,
     ): void {
-        const reserved = this.reservations.get(tasks[0])?.workers;
-        if (reserved === undefined || ![...reserved].every(hasOnlyProvenRuns)) {
+        const reservation = this.reservations.get(tasks[0]);
+        if (reservation === undefined) {
+            return;
+        }
+        const { workers: reserved, since } = reservation;
+        const needsEmpty = tasks.some(isLastAttempt) && now - since < MAX_WAIT_FOR_EMPTY_WORKER_MS;
+        if (![...reserved].every(needsEmpty ? isEmpty : hasOnlyProvenRuns)) {
             return;
         }
         this.reservations.delete(tasks[0]);
@@ -124,8 +134,10 @@
         const isOpen = (worker: WorkerContact) => !closed.has(worker);
         const isSteady = (worker: WorkerContact) =>
             isOpen(worker) && at.wallNow - worker.entry.incarnation >= MIN_STEADY_UPTIME_MS;
+        const isSteadyAndEmpty = (worker: WorkerContact) => isSteady(worker) && isEmpty(worker);
         const isNearData = (worker: WorkerContact) => isSteady(worker) && worker.entry.rack === dataRack;
-        for (const isAllowed of dataRack === undefined ? [isSteady, isOpen] : [isNearData, isSteady, isOpen]) {
+        const preferred = tasks.some(isLastAttempt) ? [isSteadyAndEmpty] : dataRack === undefined ? [] : [isNearData];
+        for (const isAllowed of [...preferred, isSteady, isOpen]) {
             const chosen = placer.chooseAll(tasks, service, isAllowed, minSpeedPercent);
             if (chosen !== undefined) {
                 this.reservations.set(tasks[0], { workers: new Set(chosen.map(each => each.worker)), since: at.now });
@@ -150,6 +162,10 @@
     }
 }
 
+function isEmpty(worker: WorkerContact): boolean {
+    return worker.runs.size === 0;
+}
+
 function hasOnlyProvenRuns(worker: WorkerContact): boolean {
     return [...worker.runs.values()].every(run => run.isProven || run.isPauseProven);
 }
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -241,13 +241,13 @@
         return { tasks, throttled: isWhole ? group.tasks : throttled, hasThrottledRun };
     }
 
-    /** Suspected tasks start one by one, apart from the others of their step; a gang starts as a whole. */
+    /** Suspected tasks, and those on their last attempt, start one by one, apart from others; a gang starts as a whole. */
     private separateSuspected(tasks: readonly Task[], isAll: boolean): Pick<WaitingGroup, "tasks" | "isSuspected">[] {
-        const suspected = this.suspects.isEmpty ? [] : tasks.filter(task => this.suspects.has(task));
+        const suspected = this.suspects.isEmpty ? [] : tasks.filter(task => this.suspects.startsApart(task));
         if (suspected.length === 0 || isAll) {
             return [{ tasks, isSuspected: suspected.length > 0 }];
         }
-        const others = tasks.filter(task => !this.suspects.has(task));
+        const others = tasks.filter(task => !this.suspects.startsApart(task));
         const unsuspected = others.length === 0 ? [] : [{ tasks: others, isSuspected: false }];
         return [...unsuspected, ...suspected.map(task => ({ tasks: [task], isSuspected: true }))];
     }
--- a/src/dispatch/common/suspectTable.ts
+++ b/src/dispatch/common/suspectTable.ts
@@ -2,7 +2,14 @@
 import { Task } from "./task";
 import { WorkerContact } from "./workerContact";
 
-/** The tasks that are suspected of crashing the workers that start them. */
+/**
+ * Number of workers lost under a task in a row from which it is given up, however often workers are lost. Each loss may be
+ * a coincidence, so this is the largest number with which a task that crashes its workers is started twice after the third
+ * crash, not more.
+ */
+export const MAX_LOSSES_IN_A_ROW = 5;
+
+/** The tasks that are suspected of crashing the workers that start them, and those that are on their last attempt. */
 export class SuspectTable {
     private readonly tasks = new Set<Task>();
 
@@ -13,27 +20,32 @@
         return new SuspectTable();
     }
 
-    /** Whether no task is suspected. */
+    /** Whether all tasks start among others. */
     get isEmpty(): boolean {
         return this.tasks.size === 0;
     }
 
     /** @param task A task. @returns Whether it is suspected. */
     has(task: Task): boolean {
+        return this.tasks.has(task) && task.suspicion?.recorded !== undefined;
+    }
+
+    /** @param task A task. @returns Whether it starts apart from others: it is suspected, or on its last attempt. */
+    startsApart(task: Task): boolean {
         return this.tasks.has(task);
     }
 
     /** Adds or removes a task, according to the evidence against it. */
     update(task: Task): void {
-        const isCleared =
-            task.suspicion?.recorded === undefined || isFinal(task.job.state) || task.job.isTaskDone(task);
-        if (isCleared === this.tasks.has(task)) {
+        const hasEvidence = task.suspicion?.recorded !== undefined || isLastAttempt(task);
+        const isListed = hasEvidence && !isFinal(task.job.state) && !task.job.isTaskDone(task);
+        if (isListed !== this.tasks.has(task)) {
             task.job.recordChange();
         }
-        if (isCleared) {
-            this.tasks.delete(task);
-        } else {
+        if (isListed) {
             this.tasks.add(task);
+        } else {
+            this.tasks.delete(task);
         }
     }
 
@@ -42,9 +54,9 @@
         this.tasks.forEach(task => this.update(task));
     }
 
-    /** @param worker A worker. @returns Whether it runs a suspected task that is not paused: a pause may last. */
+    /** @param worker A worker. @returns Whether it runs a task that started apart and is not paused: a pause may last. */
     isOnProbation(worker: WorkerContact): boolean {
-        return [...worker.runs.values()].some(run => this.has(run.task) && !run.isPauseProven);
+        return [...worker.runs.values()].some(run => this.startsApart(run.task) && !run.isPauseProven);
     }
 
     /** @param task A suspected task. @returns Whether another task of its job, one that is accused, is at work. */
@@ -59,3 +71,12 @@
         return false;
     }
 }
+
+/**
+ * @param task A task.
+ * @returns Whether it is given up for the losses in a row if one more worker is lost under it: its run shares no worker then,
+ * so that the loss is not another task's.
+ */
+export function isLastAttempt(task: Task): boolean {
+    return task.lossesInARow === MAX_LOSSES_IN_A_ROW - 1;
+}
--- a/src/dispatch/common/test/failureController.test.ts
+++ b/src/dispatch/common/test/failureController.test.ts
@@ -166,6 +166,71 @@
     t.is(failing.lossesInARow, 4);
 });
 
+test("a task that lost four workers with others at work has the next one for itself", t => {
+    const { host, suspects, failures } = createController();
+    const task = createTask("a");
+    const workers = Array.from({ length: 4 }, (_, index) => createWorker(`w${index}`));
+    const queue = StepQueue.create(QueueTable.create(), LatencyModel.create(), suspects, AssigningHost.create());
+    const place = (tasks: readonly Task[], now: number) =>
+        queue.placeWaiting(
+            tasks.map(each => each.job),
+            workers,
+            100,
+            now,
+            now,
+        );
+    for (let loss = 1; loss <= 4; loss++) {
+        loseAt(failures, createWorker(`l${loss}`), task, 5_000);
+    }
+    t.is(task.lossesInARow, 4);
+    // Each worker has a run whose start it has survived.
+    const others = workers.map((worker, index) => {
+        const other = createTask(`b${index}`);
+        report(start(worker, other, 0), 0, 20_000);
+        return other;
+    });
+    place([task], 20_000);
+    t.is(task.run, undefined);
+    workers.forEach((worker, index) => worker.runs.delete(others[index].name));
+    place([task], 20_500);
+    const worker = workers.find(each => each.runs.has(task.name))!;
+    report(task.run!, 0, 25_500);
+    failures.reviewSurvival(worker);
+    place(
+        Array.from({ length: 30 }, (_, index) => createTask(`c${index}`)),
+        25_500,
+    );
+    t.is(worker.runs.size, 1);
+    report(task.run!, 0, 31_500);
+    failures.reviewSurvival(worker);
+    place(
+        Array.from({ length: 30 }, (_, index) => createTask(`d${index}`)),
+        31_500,
+    );
+    t.true(worker.runs.size > 1);
+    t.deepEqual(host.failedJobs, []);
+});
+
+test("a task on its last attempt starts beside runs that last, also under a new leader", t => {
+    const { suspects, failures } = createController();
+    const former = createTask("a");
+    for (let loss = 1; loss <= 4; loss++) {
+        loseAt(failures, createWorker(`l${loss}`), former, 5_000);
+    }
+    const progress = decodeProgress(encodeProgress(former.job.progress(1)))!;
+    const task = ActiveJob.create(former.job.spec, 0, progress).find(former.name)!;
+    suspects.update(task);
+    t.true(suspects.startsApart(task));
+    const worker = createWorker("w1");
+    report(start(worker, createTask("b"), 0), 0, 20_000);
+    const queue = StepQueue.create(QueueTable.create(), LatencyModel.create(), suspects, AssigningHost.create());
+    for (let now = 20_000; now <= 22_500; now += 500) {
+        t.is(task.run, undefined);
+        queue.placeWaiting([task.job], [worker], 100, now, now);
+    }
+    t.not(task.run, undefined);
+});
+
 /** Loses workers that had just started only this task, until its job has ended. @returns Their number. */
 function loseAlone(failures: FailureController, task: Task, max: number): number {
     let losses = 0;
