Start suspected tasks of jobs that are due beside each other

What callers saw: a suspected task is placed apart from others, so a job could have nothing running for longer than the 3 s that they accept while its service has room. After the loss of 8 of 33 workers with ten runs of one-task jobs each, the last of these jobs had a run again after 4.7 s (a unit test).

Cause: each suspected task needs a worker for itself, on at most a quarter of the workers, or half of them while no other tasks wait; and a worker was reserved without regard to whether the task could start there at once.

Change: a worker on which all runs are survived is reserved first, and the task starts at once. When a job is due, that is, it has waited for as long as it may and its service has room, its task goes before the other suspected ones, on up to half of the workers also while others wait. If none is left, and the task has only shared lost workers with others, it starts beside up to three tasks like it. Accused tasks and those on their last attempt are still alone.

--- a/src/dispatch/common/probationPlacer.ts
+++ b/src/dispatch/common/probationPlacer.ts
@@ -16,6 +16,9 @@
 /** Time for which a task on its last attempt waits until the other runs of its reserved worker have ended, in ms. */
 const MAX_WAIT_FOR_EMPTY_WORKER_MS = 2_500;
 
+/** Largest number of tasks that are tried on one worker at the same time; only tasks of jobs that are due share one. */
+const MAX_SUSPECTS_PER_WORKER = 4;
+
 /** Uptime from which a worker is preferred, in ms: the loss of one that restarts again and again says nothing. */
 const MIN_STEADY_UPTIME_MS = 10_000;
 
@@ -25,6 +28,8 @@
     readonly service: string;
     /** Lowest speed at which they may run, in percent of full speed. */
     readonly minSpeedPercent: number;
+    /** Whether their job has to have a run soon. Their service has room then. */
+    readonly isDue: boolean;
 }
 
 /** Workers that are given no new tasks until the starts of their runs are survived. */
@@ -42,13 +47,16 @@
     readonly wallNow: number;
 }
 
+type WorkerCondition = (worker: WorkerContact) => boolean;
+
 /** Assigns a task to a worker, at a speed in percent of full speed. */
 export type AssignSuspect = (task: Task, worker: WorkerContact, speedPercent: number) => void;
 
 /**
  * Places suspected tasks so that the loss of their worker shows the cause: on workers that have survived the start of
  * all other runs and are given no other task until the suspected one is cleared. A task on its last attempt starts on a worker
- * without other runs, if one becomes empty soon.
+ * without other runs, if one becomes empty soon. When a job has to have a run soon, a task against which there is little evidence
+ * starts beside others like it: more than one in a few of them are rarely guilty.
  *
  * Load pattern: workers start several tasks a second, so one that crashes has usually just started several. Without
  * probation, tasks that were only beside the guilty one would be suspected with it again and again.
@@ -91,17 +99,21 @@
         const closed = new Set(workers.filter(worker => this.suspects.isOnProbation(worker)));
         this.reservations.forEach(each => each.workers.forEach(worker => closed.add(worker)));
         const placer = Placer.create(workers, this.model);
-        const maxRatio = isContested ? MAX_PROBATION_RATIO : MAX_UNCONTESTED_RATIO;
-        const maxClosed = Math.max(1, Math.floor(workers.length * maxRatio));
-        for (const group of groups) {
+        const maxClosed = (maxRatio: number) => Math.max(1, Math.floor(workers.length * maxRatio));
+        const due = groups.filter(each => each.isDue);
+        for (const group of [...due, ...groups.filter(each => !each.isDue)]) {
             const [first] = group.tasks;
             if (this.suspects.isJobOnProbation(first)) {
                 continue;
             }
-            if (!this.reservations.has(first) && closed.size < maxClosed) {
+            const maxRatio = isContested && !group.isDue ? MAX_PROBATION_RATIO : MAX_UNCONTESTED_RATIO;
+            if (!this.reservations.has(first) && closed.size < maxClosed(maxRatio)) {
                 this.reserve(group, placer, closed, at);
             }
             this.startIfReady(group, placer, at.now, assign);
+            if (group.isDue && first.run === undefined) {
+                this.startBesideSuspects(group, placer, closed, assign);
+            }
         }
         return closed;
     }
@@ -127,17 +139,42 @@
         reserved.forEach(worker => placer.invalidate(worker));
     }
 
-    /** Reserves workers for a group, if possible on the rack of its data and not shortly after they started. */
+    /** Starts a task of a job that is due beside others against which there is as little evidence. */
+    private startBesideSuspects(
+        { tasks, service, minSpeedPercent }: ProbationGroup,
+        placer: Placer,
+        closed: ReadonlySet<WorkerContact>,
+        assign: AssignSuspect,
+    ): void {
+        const isShared = (worker: WorkerContact) => closed.has(worker) && hasRoomForSuspect(worker);
+        const [task] = tasks;
+        const choice =
+            tasks.length === 1 && hasLittleEvidence(task)
+                ? placer.choose(task, service, isShared, minSpeedPercent)
+                : undefined;
+        if (choice !== undefined) {
+            this.reservations.delete(task);
+            assign(task, choice.worker, choice.speedPercent);
+            placer.invalidate(choice.worker);
+        }
+    }
+
+    /** Reserves workers for a group, if possible such that it can start at once, and not shortly after they started. */
     private reserve(group: ProbationGroup, placer: Placer, closed: Set<WorkerContact>, at: Moment): void {
         const { tasks, service, minSpeedPercent } = group;
-        const { dataRack } = tasks[0].step;
-        const isOpen = (worker: WorkerContact) => !closed.has(worker);
-        const isSteady = (worker: WorkerContact) =>
-            isOpen(worker) && at.wallNow - worker.entry.incarnation >= MIN_STEADY_UPTIME_MS;
-        const isSteadyAndEmpty = (worker: WorkerContact) => isSteady(worker) && isEmpty(worker);
-        const isNearData = (worker: WorkerContact) => isSteady(worker) && worker.entry.rack === dataRack;
-        const preferred = tasks.some(isLastAttempt) ? [isSteadyAndEmpty] : dataRack === undefined ? [] : [isNearData];
-        for (const isAllowed of [...preferred, isSteady, isOpen]) {
+        const isReady = tasks.some(isLastAttempt) ? isEmpty : hasOnlyProvenRuns;
+        const isSteady = (worker: WorkerContact) => at.wallNow - worker.entry.incarnation >= MIN_STEADY_UPTIME_MS;
+        const isNearData = (worker: WorkerContact) => worker.entry.rack === tasks[0].step.dataRack;
+        const preferences: readonly WorkerCondition[][] = [
+            [isSteady, isReady, isNearData],
+            [isSteady, isReady],
+            [isSteady, isNearData],
+            [isSteady],
+            [],
+        ];
+        for (const conditions of preferences) {
+            const isAllowed = (worker: WorkerContact) =>
+                !closed.has(worker) && conditions.every(isMet => isMet(worker));
             const chosen = placer.chooseAll(tasks, service, isAllowed, minSpeedPercent);
             if (chosen !== undefined) {
                 this.reservations.set(tasks[0], { workers: new Set(chosen.map(each => each.worker)), since: at.now });
@@ -166,6 +203,18 @@
     return worker.runs.size === 0;
 }
 
+/** @returns Whether a worker tries only tasks with little evidence against them, and may try another one. */
+function hasRoomForSuspect(worker: WorkerContact): boolean {
+    const tried = [...worker.runs.values()].filter(run => !run.isProven && !run.isPauseProven);
+    const isTrying = tried.length > 0 && tried.length < MAX_SUSPECTS_PER_WORKER;
+    return isTrying && tried.every(run => hasLittleEvidence(run.task));
+}
+
+/** @returns Whether a task has only shared the worker of a loss with others. */
+function hasLittleEvidence(task: Task): boolean {
+    return task.suspicion?.state === "suspected" && !isLastAttempt(task);
+}
+
 function hasOnlyProvenRuns(worker: WorkerContact): boolean {
     return [...worker.runs.values()].every(run => run.isProven || run.isPauseProven);
 }
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -261,7 +261,11 @@
     ): WorkerContact[] {
         const groups = waiting
             .filter(entry => entry.isSuspected)
-            .map(entry => ({ ...entry, minSpeedPercent: this.minSpeedPercent(entry, entry.tasks[0], now) }));
+            .map(entry => ({
+                ...entry,
+                minSpeedPercent: this.minSpeedPercent(entry, entry.tasks[0], now),
+                isDue: this.waits.isDue(entry.group, entry.tasks[0], entry.service, now),
+            }));
         groups.forEach(({ tasks }) => alignRuns(tasks));
         const isContested = waiting.some(entry => !entry.isSuspected && !entry.isThrottled);
         const closed = this.probation.place(
--- a/src/dispatch/common/test/probationPlacer.test.ts
+++ b/src/dispatch/common/test/probationPlacer.test.ts
@@ -23,11 +23,17 @@
     override logDecision(): void {}
 }
 
-/** @returns A job with a step of tasks of one core. */
-function createWideJob(id: string, tasks: number, isLongRunning: boolean): ActiveJob {
+/** Time for which an accepted job may have nothing running while its service has room, in ms. */
+const MAX_IDLE_MS = 3_000;
+
+/** Time in ms since the Unix epoch at which the measurements begin. */
+const WALL_START_MS = 1_700_000_000_000;
+
+/** @param acceptedAtMs Time in ms since the Unix epoch. @returns A job with a step of tasks of one core. */
+function createWideJob(id: string, tasks: number, isLongRunning: boolean, acceptedAtMs?: number): ActiveJob {
     const request = { cpuMillis: 1_000, memoryMb: 1_000, accelerators: 0 };
     const mode = isLongRunning ? "long-running" : "independent";
-    return createJob(id, createStep(id, false, { tasks, request, mode, usesSpareCpu: false }));
+    return createJob(id, createStep(id, false, { tasks, request, mode, usesSpareCpu: false }), acceptedAtMs);
 }
 
 /**
@@ -54,7 +60,7 @@
     });
     const queue = StepQueue.create(QueueTable.create(), LatencyModel.create(), suspects, host);
     for (; startedAt.size < tasks.length && now < 120_000; now += PASS_INTERVAL_MS) {
-        queue.placeWaiting(jobs, workers, 1_000, now, 1_700_000_000_000 + now);
+        queue.placeWaiting(jobs, workers, 1_000, now, WALL_START_MS + now);
         workers.forEach((worker, index) => list(worker, index, now, startedAt, failures));
     }
     return now;
@@ -84,3 +90,9 @@
     const interruptionMs = measureInterruption(jobs);
     t.true(interruptionMs <= MAX_INTERRUPTION_MS, `${interruptionMs} ms`);
 });
+
+test("after the loss of a rack, jobs with room for their tasks are without a run only as long as callers accept", t => {
+    const jobs = Array.from({ length: 80 }, (_, index) => createWideJob(`j${index}`, 1, false, WALL_START_MS));
+    const interruptionMs = measureInterruption(jobs);
+    t.true(interruptionMs <= MAX_IDLE_MS, `${interruptionMs} ms`);
+});
