Attribute and share losses only while they are rare

Cause: a loss that was shared with tasks that were cleared later counted like one of a task alone, also while losses for no known cause are so frequent that one in seven tasks meets one. And nothing bounded how often a task is cleared, or started beside others.

Change: a shared loss is attributed only while its coincidence is at most 0.05; only a task under which one worker was lost is cleared because another task explains it, or starts beside others.

--- a/src/dispatch/common/failureController.ts
+++ b/src/dispatch/common/failureController.ts
@@ -5,7 +5,7 @@
 import { LossRate } from "./lossRate";
 import { Run } from "./run";
 import { SharedLossTable, startUnitOf } from "./sharedLossTable";
-import { MAX_LOSSES_IN_A_ROW, SuspectTable } from "./suspectTable";
+import { hasOneLoss, MAX_LOSSES_IN_A_ROW, SuspectTable } from "./suspectTable";
 import { Task } from "./task";
 import { TaskSuspicion } from "./taskSuspicion";
 import { WorkerContact } from "./workerContact";
@@ -26,6 +26,12 @@
  */
 const ATTRIBUTION_MS = 1_000;
 
+/**
+ * Probability of a loss being a coincidence above which a loss that was shared with tasks that are cleared is no evidence against
+ * the only one that remains: while many workers are lost, such losses are too frequent.
+ */
+const MAX_ATTRIBUTED_COINCIDENCE = 0.05;
+
 /** Host of a failure controller. */
 export abstract class FailureHost {
     /** Called when a job has failed. @param data Why it has failed. */
@@ -204,17 +210,18 @@
         this.attributeSharedLosses(task);
     }
 
-    /** Clears a task whose losses an accused task explains, unless there is other evidence against it. */
+    /** Clears a task whose only loss an accused task explains. */
     private clearIfSuspected(task: Task): void {
-        if (task.suspicion?.state === "suspected") {
+        if (task.suspicion?.state === "suspected" && hasOneLoss(task)) {
             this.clear(task);
         }
     }
 
     /** Attributes the losses that a task shared with others and did not cause to the only one of them that remains. */
     private attributeSharedLosses(innocent: Task): void {
+        const isUnlikely = this.lossRate.probabilityWithin(ATTRIBUTION_MS) <= MAX_ATTRIBUTED_COINCIDENCE;
         for (const task of this.sharedLosses.clear(innocent)) {
-            if (task.suspicion?.state === "suspected") {
+            if (task.suspicion?.state === "suspected" && isUnlikely) {
                 this.accuse(task, undefined, true);
             }
         }
--- a/src/dispatch/common/probationPlacer.ts
+++ b/src/dispatch/common/probationPlacer.ts
@@ -1,6 +1,6 @@
 import { LatencyModel } from "./latencyModel";
 import { Placer } from "./placer";
-import { isLastAttempt, SuspectTable } from "./suspectTable";
+import { hasOneLoss, isLastAttempt, SuspectTable } from "./suspectTable";
 import { Task } from "./task";
 import { WorkerContact } from "./workerContact";
 
@@ -210,9 +210,9 @@
     return isTrying && tried.every(run => hasLittleEvidence(run.task));
 }
 
-/** @returns Whether a task has only shared the worker of a loss with others. */
+/** @returns Whether a task has only shared one lost worker with others. */
 function hasLittleEvidence(task: Task): boolean {
-    return task.suspicion?.state === "suspected" && !isLastAttempt(task);
+    return task.suspicion?.state === "suspected" && hasOneLoss(task);
 }
 
 function hasOnlyProvenRuns(worker: WorkerContact): boolean {
--- a/src/dispatch/common/suspectTable.ts
+++ b/src/dispatch/common/suspectTable.ts
@@ -80,3 +80,8 @@
 export function isLastAttempt(task: Task): boolean {
     return task.lossesInARow === MAX_LOSSES_IN_A_ROW - 1;
 }
+
+/** @param task A task. @returns Whether not more than one worker was lost under it since it last worked for some time. */
+export function hasOneLoss(task: Task): boolean {
+    return task.lossesInARow <= 1 && task.explainedLosses <= 1;
+}
