--- a/src/dispatch/common/failureController.ts
+++ b/src/dispatch/common/failureController.ts
@@ -4,7 +4,8 @@
 import { DecisionData, DecisionName } from "./dispatchEffects";
 import { LossRate } from "./lossRate";
 import { Run } from "./run";
-import { SuspectTable } from "./suspectTable";
+import { SharedLossTable, startUnitOf } from "./sharedLossTable";
+import { hasOneLoss, MAX_LOSSES_IN_A_ROW, SuspectTable } from "./suspectTable";
 import { Task } from "./task";
 import { TaskSuspicion } from "./taskSuspicion";
 import { WorkerContact } from "./workerContact";
@@ -13,13 +14,6 @@
 /** Age from which a run that is lost with its worker is no longer suspected of being the cause, in ms. */
 const MAX_SUSPECT_AGE_MS = 3_000;
 
-/**
- * Number of workers lost under a task in a row from which it is given up, however often workers are lost. Each loss may be
- * a coincidence, so this is the largest number with which a task that crashes its workers is started twice after the third
- * crash, not more.
- */
-const MAX_LOSSES_IN_A_ROW = 5;
-
 /** Number of losses in a row that count although another task was accused of them again: one accusation may be wrong. */
 const MAX_EXPLAINED_LOSSES = 1;
 
@@ -32,6 +26,12 @@
  */
 const ATTRIBUTION_MS = 1_000;
 
+/**
+ * Probability of a loss being a coincidence above which a loss that was shared with tasks that are cleared is no evidence against
+ * the only one that remains: while many workers are lost, such losses are too frequent.
+ */
+const MAX_ATTRIBUTED_COINCIDENCE = 0.05;
+
 /** Host of a failure controller. */
 export abstract class FailureHost {
     /** Called when a job has failed. @param data Why it has failed. */
@@ -51,11 +51,12 @@
  * lost with a worker, those whose start it has not survived for long are suspected. Each suspected task is started again
  * on a worker that starts nothing else meanwhile (`ProbationPlacer`). There it is cleared when the worker survives it,
  * and accused when the worker is lost; how many such losses convict it depends on how often workers are lost otherwise
- * (`LossRate`). A task that crashes its workers after some time is cleared each time, so the losses in a row are counted,
- * too.
+ * (`LossRate`). Evidence about one of the tasks that shared a lost worker counts for the others, too (`SharedLossTable`). A task that crashes its workers after some time is cleared each time, so the losses in a row are counted,
+ * too, and the last run before it would be given up for them has a worker for itself.
  */
 export class FailureController {
     private readonly lossRate = LossRate.create();
+    private readonly sharedLosses = SharedLossTable.create();
 
     private constructor(
         private readonly queues: QueueTable,
@@ -85,7 +86,7 @@
         }
         task.lastRun = run;
         task.failures += 1;
-        clearLosses(task);
+        this.clearLosses(task);
         this.clear(task);
         if (worker !== undefined) {
             task.failedOn.add(worker.entry.id);
@@ -111,7 +112,11 @@
         const suspects = mostLikely(recent.length > 0 ? recent : runs.filter(isEarly));
         // If the worker had survived all starts, this loss alone is no evidence against any of them.
         const isAlone = recent.length > 0 && new Set(suspects.map(run => startUnitOf(run.task))).size === 1;
-        suspects.forEach(run => this.accuse(run.task, worker, isAlone));
+        suspects.forEach(run => this.accuse(run.task, worker.entry.id, isAlone));
+        // A worker whose lease expired may only have been out of reach.
+        if (recent.length > 0 && !isAlone && cause !== "lease-expired") {
+            this.sharedLosses.add(suspects.map(run => run.task));
+        }
         const culprits = new Set(suspects.filter(run => run.task.suspicion?.isAccusedAgain === true));
         if (![...culprits].some(run => run.task.suspicion?.state === "convicted")) {
             this.lossRate.recordLoss();
@@ -122,6 +127,11 @@
         }
     }
 
+    /** Records that a task is done: its last worker has survived it. */
+    recordSuccess(task: Task): void {
+        this.attributeSharedLosses(task);
+    }
+
     /** Measures how many workers are at work. @param workers Number of workers with runs. @param now Time in ms. */
     recordUptime(workers: number, now: number): void {
         this.lossRate.recordUptime(workers, now);
@@ -132,7 +142,7 @@
         for (const run of worker.runs.values()) {
             const { task } = run;
             if (task.lossesInARow > 0 && run.provenAgeMs > MAX_COUNTED_AGE_MS) {
-                clearLosses(task);
+                this.clearLosses(task);
                 this.host.onSuspicionChange(task.job);
             }
             if ((task.lossAgeMs > 0 || task.suspicion !== undefined) && run.isProven) {
@@ -151,16 +161,24 @@
             return;
         }
         if (provenAgeMs > MAX_COUNTED_AGE_MS) {
-            clearLosses(task);
+            this.clearLosses(task);
         } else {
             task.lossesInARow += 1;
         }
         if (task.lossesInARow >= MAX_LOSSES_IN_A_ROW) {
             this.giveUp(task, { losses: task.lossesInARow });
         }
+        this.suspects.update(task);
+    }
+
+    private clearLosses(task: Task): void {
+        task.lossesInARow = 0;
+        task.explainedLosses = 0;
+        this.suspects.update(task);
     }
 
-    private accuse(task: Task, worker: WorkerContact, isAlone: boolean): void {
+    /** @param worker The worker that was lost, or `undefined` for one of which all other tasks have been cleared since. */
+    private accuse(task: Task, worker: string | undefined, isAlone: boolean): void {
         if (isFinal(task.job.state)) {
             return;
         }
@@ -168,13 +186,16 @@
         const coincidence = this.lossRate.probabilityWithin(ATTRIBUTION_MS + task.lossAgeMs);
         task.suspicion.fire(isAlone ? "lost-alone" : "lost-with-others", coincidence);
         const { state } = task.suspicion;
-        const data = { task: task.name, worker: worker.entry.id, state, coincidence: coincidence.toFixed(3) };
+        const data = { task: task.name, worker, state, coincidence: coincidence.toFixed(3) };
         this.host.logDecision("task-suspected", data);
         if (state === "convicted") {
             this.giveUp(task, {});
         }
         this.suspects.update(task);
         this.host.onSuspicionChange(task.job);
+        if (isAlone) {
+            this.sharedLosses.attributeTo(task).forEach(each => this.clearIfSuspected(each));
+        }
     }
 
     private clear(task: Task): void {
@@ -186,6 +207,24 @@
         this.suspects.update(task);
         this.host.logDecision("task-cleared", { task: task.name });
         this.host.onSuspicionChange(task.job);
+        this.attributeSharedLosses(task);
+    }
+
+    /** Clears a task whose only loss an accused task explains. */
+    private clearIfSuspected(task: Task): void {
+        if (task.suspicion?.state === "suspected" && hasOneLoss(task)) {
+            this.clear(task);
+        }
+    }
+
+    /** Attributes the losses that a task shared with others and did not cause to the only one of them that remains. */
+    private attributeSharedLosses(innocent: Task): void {
+        const isUnlikely = this.lossRate.probabilityWithin(ATTRIBUTION_MS) <= MAX_ATTRIBUTED_COINCIDENCE;
+        for (const task of this.sharedLosses.clear(innocent)) {
+            if (task.suspicion?.state === "suspected" && isUnlikely) {
+                this.accuse(task, undefined, true);
+            }
+        }
     }
 
     /** Gives up a task that crashes its workers. */
@@ -205,11 +244,6 @@
     }
 }
 
-function clearLosses(task: Task): void {
-    task.lossesInARow = 0;
-    task.explainedLosses = 0;
-}
-
 /** @returns The runs of accused tasks, or else of suspected ones, if there are any: they are a more likely cause. */
 function mostLikely(runs: readonly Run[]): readonly Run[] {
     const accused = runs.filter(run => run.task.suspicion?.isAccused === true);
@@ -224,8 +258,3 @@
 function canBeSuspected(run: Run): boolean {
     return !run.isInherited || run.task.suspicion?.recorded !== undefined;
 }
-
-/** @returns What starts as a unit: the members of a gang do so together, other tasks alone. */
-function startUnitOf(task: Task): string {
-    return task.step.mode === "gang" ? `${task.job.spec.id}.${task.groupKey}` : task.name;
-}
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -264,13 +264,13 @@
         return { tasks, throttled: isWhole ? group.tasks : throttled, hasThrottledRun };
     }
 
-    /** Suspected tasks start one by one, apart from the others of their step; a gang starts as a whole. */
+    /** Suspected tasks, and those on their last attempt, start one by one, apart from others; a gang starts as a whole. */
     private separateSuspected(tasks: readonly Task[], isAll: boolean): Pick<WaitingGroup, "tasks" | "isSuspected">[] {
-        const suspected = this.suspects.isEmpty ? [] : tasks.filter(task => this.suspects.has(task));
+        const suspected = this.suspects.isEmpty ? [] : tasks.filter(task => this.suspects.startsApart(task));
         if (suspected.length === 0 || isAll) {
             return [{ tasks, isSuspected: suspected.length > 0 }];
         }
-        const others = tasks.filter(task => !this.suspects.has(task));
+        const others = tasks.filter(task => !this.suspects.startsApart(task));
         const unsuspected = others.length === 0 ? [] : [{ tasks: others, isSuspected: false }];
         return [...unsuspected, ...suspected.map(task => ({ tasks: [task], isSuspected: true }))];
     }
@@ -284,7 +284,11 @@
     ): WorkerContact[] {
         const groups = waiting
             .filter(entry => entry.isSuspected)
-            .map(entry => ({ ...entry, minSpeedPercent: this.minSpeedPercent(entry, entry.tasks[0], now) }));
+            .map(entry => ({
+                ...entry,
+                minSpeedPercent: this.minSpeedPercent(entry, entry.tasks[0], now),
+                isDue: this.waits.isDue(entry.group, entry.tasks[0], entry.service, now),
+            }));
         groups.forEach(({ tasks }) => alignRuns(tasks));
         const isContested = waiting.some(entry => !entry.isSuspected && !entry.isThrottled);
         const closed = this.probation.place(
