--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -471,8 +471,7 @@
     }
 
     private logWait(report: WaitReport): void {
-        const counts = this.admission.latestCounts;
-        this.logDecision("job-waits", { ...report, ...counts, delayMs: this.views.loggedDelayMs });
+        this.logDecision("job-waits", { ...report, ...this.admission.latestCounts, delayMs: this.views.loggedDelayMs });
     }
 
     private onJobChange(entry: JobEntry): void {
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -287,7 +287,7 @@
             .map(entry => ({
                 ...entry,
                 minSpeedPercent: this.minSpeedPercent(entry, entry.tasks[0], now),
-                isDue: this.waits.isDue(entry.group, entry.tasks[0], entry.service, now),
+                isDue: this.waits.dueMs(entry.group, entry.tasks[0], entry.service, now) === 0,
             }));
         groups.forEach(({ tasks }) => alignRuns(tasks));
         const isContested = waiting.some(entry => !entry.isSuspected && !entry.isThrottled);
