Name the view that is too old only because the loop is late

Whether tasks may start is decided for the time at which an order leaves a late loop, but the names in `view-old` were those of views that are too old at the time of the decision: in two plays the line named none. Both now come from one review. The new test failed before: the name was empty.

--- a/src/dispatch/common/viewController.ts
+++ b/src/dispatch/common/viewController.ts
@@ -22,6 +22,14 @@
 /** The delay of the loop is logged from this one on, in ms; a shorter one is less than the interval between passes. */
 const MIN_LOGGED_DELAY_MS = 50;
 
+/** Views that are too old for a decision. */
+interface ViewReview {
+    /** Time of the decision in ms. */
+    readonly now: number;
+    /** Their names. */
+    readonly old: readonly string[];
+}
+
 /** A view on which starts are decided, and how old it may be when a task starts. */
 interface BoundedView {
     readonly name: "jobs" | "workers" | "configuration";
@@ -47,7 +55,7 @@
  * known yet can rule it out, so it gets shorter as the views age. If too little is left, nothing is started.
  */
 export class ViewController {
-    private readonly machine: Machine<number, ViewState, ViewEvent, never, ViewAction>;
+    private readonly machine: Machine<ViewReview, ViewState, ViewEvent, never, ViewAction>;
     private readonly boundedViews: readonly BoundedView[];
 
     private constructor(
@@ -63,8 +71,8 @@
         this.machine = Machine.create(chart, {
             guards: {},
             actions: {
-                logOld: now => log("view-old", { old: this.oldViews(now).join(), ...this.ageFields(now) }),
-                logRecent: now => log("view-recent", { ...this.ageFields(now) }),
+                logOld: ({ now, old }) => log("view-old", { old: old.join(), ...this.ageFields(now) }),
+                logRecent: ({ now }) => log("view-recent", { ...this.ageFields(now) }),
             },
         });
     }
@@ -86,9 +94,9 @@
     canStart(now: number): boolean {
         // An order that is sent now may leave the process as late as the loop is.
         const sentBy = now + (this.views.loop?.summary.medianMs ?? 0);
-        const isRecent = this.oldViews(sentBy).length === 0;
-        this.machine.fire(isRecent ? "caught-up" : "aged", now);
-        return isRecent;
+        const old = this.oldViews(sentBy);
+        this.machine.fire(old.length === 0 ? "caught-up" : "aged", { now, old });
+        return old.length === 0;
     }
 
     /**
