Count the loss of a run once, over changes of leader

One start on a slow link was not answered; one leader counted it as lost with its worker, which had restarted, and the next one as lost by the expiry of the worker's lease.

Cause: that a loss is counted was known to the leader only. The record of the run had the new incarnation of its worker, which keeps the next leader from counting the same restart, but not another kind of loss.

Change: a run whose loss is counted is recorded as the task's last counted run, and a leader that inherits such a run counts no loss of it. Its end is still counted. The form of the record is as before. The loss is recorded even if no suspicion changes.

--- a/src/dispatch/common/activeJob.ts
+++ b/src/dispatch/common/activeJob.ts
@@ -204,7 +204,8 @@
                 done[group.key] = group.done.pack();
             }
             for (const task of group.tasks) {
-                const hasProgress = task.lastRun > 0 || task.checkpoint !== "" || task.lossesInARow > 0;
+                const hasLoss = task.lossesInARow > 0 || task.run?.isWorkerLost === true;
+                const hasProgress = task.lastRun > 0 || task.checkpoint !== "" || hasLoss;
                 const isUnfinished = !group.done.has(task.index) && hasProgress;
                 if (isUnfinished || task.hasLostRun || task.suspicion?.recorded !== undefined) {
                     tasks.push(recordOf(task));
@@ -262,10 +263,14 @@
     }
 }
 
-/** The highest run of a done task shows a later leader whether the end of an earlier run still counts. */
+/**
+ * The highest run of a done task shows a later leader whether the end of an earlier run still counts. A run whose worker is lost
+ * counts like one that has ended, so that the next leader does not count the loss again.
+ */
 function recordOf(task: Task): TaskRecord {
     const { name, failures, checkpoint, highestRun, hasLostRun, run, lossesInARow } = task;
-    const lastRun = hasLostRun && run === undefined ? highestRun : task.lastRun;
+    const endedRun = run === undefined && hasLostRun ? highestRun : task.lastRun;
+    const lastRun = run?.isWorkerLost === true ? run.record.run : endedRun;
     return { task: name, failures, checkpoint, lastRun, suspicion: task.suspicion?.recorded, lossesInARow };
 }
 
--- a/src/dispatch/common/failureController.ts
+++ b/src/dispatch/common/failureController.ts
@@ -124,6 +124,7 @@
         for (const run of runs) {
             run.task.lossAgeMs = isEarly(run) ? run.provenAgeMs : 0;
             this.countLoss(run, culprits.size > 0 && !culprits.has(run));
+            this.host.onSuspicionChange(run.task.job);
         }
     }
 
--- a/src/dispatch/common/run.ts
+++ b/src/dispatch/common/run.ts
@@ -107,7 +107,7 @@
     isSpeedOrderInFlight = false;
     /** Time (ms) at which it was throttled from full speed. */
     throttledAt = 0;
-    /** Whether its worker was lost while the run may have been on it. */
+    /** Whether its worker was lost while the run may have been on it, and the loss is counted. */
     isWorkerLost = false;
     /** Whether an earlier leader started it, so that its age is unknown. */
     isInherited = false;
@@ -152,6 +152,25 @@
         return new Run(task, record, host, now);
     }
 
+    /**
+     * @param task The task, as it was recorded.
+     * @param record The assignment, as an earlier leader recorded it.
+     * @param host Sends its orders.
+     * @param now Time in ms.
+     * @returns A run that may be on its worker, at an unknown speed.
+     */
+    static inherit(task: Task, record: RunRecord, host: RunHost, now: number): Run {
+        const run = new Run(task, record, host, now);
+        run.isSpeedConfirmed = false;
+        if (task.lastRun >= record.run) {
+            // The earlier leader counted the loss of its worker. Its end is still to be counted.
+            run.isWorkerLost = true;
+            task.lastRun = record.run - 1;
+        }
+        run.fire("inherit", { now });
+        return run;
+    }
+
     /** The assignment, as it is recorded. */
     get record(): RunRecord {
         return this.recorded;
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -469,12 +469,10 @@
 
     private inheritRun(task: Task, record: RunRecord, now: number): void {
         const worker = this.pool.findOrCreate(record);
-        const run = Run.create(task, record, this.runHost, now);
+        const run = Run.inherit(task, record, this.runHost, now);
         task.run = run;
         task.highestRun = Math.max(task.highestRun, record.run);
         worker.runs.set(task.name, run);
-        run.isSpeedConfirmed = false;
-        run.fire("inherit", { now });
         if (isFinal(task.job.state)) {
             run.fire("stop", { now });
         }
--- a/src/dispatch/common/test/workerPool.test.ts
+++ b/src/dispatch/common/test/workerPool.test.ts
@@ -1,5 +1,7 @@
 import test from "ava";
 import { Outbox } from "../../../base/common/outbox";
+import { decodeProgress, encodeProgress } from "../../../jobs/common/jobRecord";
+import { ActiveJob } from "../activeJob";
 import { DispatchEffect } from "../dispatchEffects";
 import { TaskSuspicion } from "../taskSuspicion";
 import { Run } from "../run";
@@ -280,6 +282,30 @@
     t.deepEqual(successor.host.lost, ["w0"]);
 });
 
+// One leader counted the restart of a worker under a start that was not answered, the next one the expiry of its lease.
+test("the loss of a run by a restart is not counted again by a leader under which the lease of its worker expires", t => {
+    const former = createPool(1);
+    const task = createJob("j", createStep("batch", false)).find("j.0.0.0")!;
+    const [lost] = [...former.pool.all];
+    const run = assign(lost, task);
+    run.fire("unanswered", { now: 1 });
+    former.pool.tick(LATER_MS);
+    former.answer(LATER_MS, 7);
+    t.deepEqual(former.host.lost, ["w0"]);
+
+    const progress = decodeProgress(encodeProgress(task.job.progress(1)))!;
+    const restored = ActiveJob.create(task.job.spec, 0, progress).find(task.name)!;
+    const successor = createPool(1);
+    const [worker] = [...successor.pool.all];
+    const inherited = Run.inherit(restored, progress.runs![0], new NoopRunHost(), 0);
+    worker.runs.set(task.name, inherited);
+    worker.onNoAnswer(500);
+    successor.pool.tick(10_500);
+    t.is(inherited.state, "over");
+    t.deepEqual(successor.host.lost, []);
+    t.is(restored.lastRun, 0);
+});
+
 test("each stop that is not confirmed is sent again after 0.8 s, whenever it was ordered", t => {
     const { pool } = createPool(1);
     const [worker] = [...pool.all];
