Let long-running tasks go first among those that have to run, and hold room for them

Jobs that wait start below full speed in time now, so a service is filled to the last gap with best-effort tasks, and a long-running task that had lost its worker had no run for 9 s: each gap that was too small for it was filled again. Of the workers on which it lacks only memory, the one with most of it free is now kept for it, pass by pass.

--- a/src/dispatch/common/passPacer.ts
+++ b/src/dispatch/common/passPacer.ts
@@ -10,12 +10,9 @@
 /** Share of the loop's time that passes may take. The rest is for what is due: renewals, answers, cancellations and stops. */
 const MAX_PASS_RATIO = 0.25;
 
-/** The same while the loop is late. */
+/** The same while the loop is late and no job has to have a run. */
 const MAX_LATE_PASS_RATIO = 0.15;
 
-/** Share of the loop's time that passes may take when a job has to have a run soon. */
-const MAX_DUE_PASS_RATIO = 0.5;
-
 /** Longest interval that an expensive pass leads to, in ms: an accepted job is to start within a second while there is room. */
 const MAX_EXPENSIVE_INTERVAL_MS = 1_000;
 
@@ -79,7 +76,7 @@
     }
 
     private get dueIntervalMs(): number {
-        return Math.max(MIN_INTERVAL_MS, this.work.lastMs("pass") / MAX_DUE_PASS_RATIO);
+        return Math.max(MIN_INTERVAL_MS, this.work.lastMs("pass") / MAX_PASS_RATIO);
     }
 
     /** @param workers Number of workers. @returns Shortest time between two passes now, in ms. */
--- a/src/dispatch/common/placer.ts
+++ b/src/dispatch/common/placer.ts
@@ -330,6 +330,27 @@
         });
     }
 
+    /**
+     * Keeps the worker that soonest has room for a task from other tasks for the rest of the pass: of those on which it lacks only
+     * memory, the one that has most of it free.
+     */
+    holdRoom(task: Task, service: string): void {
+        const { step } = task;
+        let best: WorkerContact | undefined;
+        let mostMb = Number.NEGATIVE_INFINITY;
+        this.workers.forEach((worker, position) => {
+            const { cpuMillis, memoryMb, accelerators } = this.forecastAt(position).freeCapacity;
+            const hasRest = step.request.cpuMillis <= cpuMillis && step.request.accelerators <= accelerators;
+            if (memoryMb > mostMb && hasRest && isOfKind(step, service, worker) && isAcceptable(task, worker)) {
+                best = worker;
+                mostMb = memoryMb;
+            }
+        });
+        if (best !== undefined) {
+            this.reserve(task, best);
+        }
+    }
+
     private update(position: number, forecast: WorkerForecast | undefined): void {
         this.forecasts[position] = forecast;
         this.versions[position] += 1;
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -13,7 +13,7 @@
 import { LeaderPace } from "./streamViews";
 import { SuspectTable } from "./suspectTable";
 import { ignoringFailures, Task } from "./task";
-import { alignRuns, isGang, rackOf } from "./taskGroups";
+import { alignRuns, isGang, isLasting, rackOf } from "./taskGroups";
 import { WaitReporter } from "./waitReporter";
 import { WaitController } from "./waitController";
 import { CollectedJob, IndexedEntry, WaitingIndex } from "./waitingIndex";
@@ -163,7 +163,10 @@
         return this.index.sort((a, b) => this.compare(a, b));
     }
 
-    /** Places one task, or the gang, of each job that has to have a run soon, the one that has waited longest first. */
+    /**
+     * Places one task, or the gang, of each job that has to have a run soon: first long-running tasks, which have to run however full
+     * the service is, then the one that has waited longest.
+     */
     private placeDue(waiting: readonly WaitingGroup[], placer: Placer, now: number): void {
         const idleMs = ({ group, tasks }: WaitingGroup) => this.waits.idleMs(group, tasks[0], now);
         const due: WaitingGroup[] = [];
@@ -180,7 +183,12 @@
         }
         due.sort((a, b) => idleMs(b) - idleMs(a));
         this.lastStart = -MAX_DUE_STARTS;
-        this.placeInOrder(due, placer, now);
+        const lasting = due.filter(isLasting);
+        this.placeInOrder(lasting, placer, now);
+        // Best-effort tasks would fill each gap that is too small for it.
+        lasting.forEach(({ tasks: [task], service }) => task.run ?? placer.holdRoom(task, service));
+        const others = due.filter(entry => !isLasting(entry));
+        this.placeInOrder(others, placer, now);
         this.lastStart = 0;
         if (Number.isFinite(nextDueMs)) {
             this.host.requestPassBy(now + nextDueMs);
--- a/src/dispatch/common/taskGroups.ts
+++ b/src/dispatch/common/taskGroups.ts
@@ -6,6 +6,11 @@
     return group.step.mode === "gang";
 }
 
+/** @returns Whether the tasks of a group run until their job is cancelled. */
+export function isLasting({ group }: { readonly group: TaskGroup }): boolean {
+    return group.step.mode === "long-running";
+}
+
 /** @returns The rack of the first task in the group that has a run, if any. */
 export function rackOf(group: TaskGroup): string | undefined {
     return group.tasks.find(task => task.run !== undefined)?.run?.rack;
