Leave workers to other jobs while last attempts of suspected tasks run

Found by the review: last attempts of jobs that are due could close every worker, for as long as their runs last; with 4 workers and 6 such tasks a healthy job had no run for 25 s. They take up to half of the workers, as other suspected tasks of due jobs do.

--- a/src/dispatch/common/probationPlacer.ts
+++ b/src/dispatch/common/probationPlacer.ts
@@ -106,10 +106,7 @@
             if (this.suspects.isJobOnProbation(first)) {
                 continue;
             }
-            // Last attempts take as long as their runs, so they do not wait for each other while there is room.
-            const isUrgent = group.isDue && group.tasks.some(isLastAttempt);
-            const maxShared = isContested && !group.isDue ? MAX_PROBATION_RATIO : MAX_UNCONTESTED_RATIO;
-            const maxRatio = isUrgent ? 1 : maxShared;
+            const maxRatio = isContested && !group.isDue ? MAX_PROBATION_RATIO : MAX_UNCONTESTED_RATIO;
             if (!this.reservations.has(first) && closed.size < maxClosed(maxRatio)) {
                 this.reserve(group, placer, closed, at);
             }
