--- a/src/dispatch/common/placer.ts
+++ b/src/dispatch/common/placer.ts
@@ -340,7 +340,9 @@
         let mostMb = Number.NEGATIVE_INFINITY;
         this.workers.forEach((worker, position) => {
             const { cpuMillis, memoryMb, accelerators } = this.forecastAt(position).freeCapacity;
-            const hasRest = step.request.cpuMillis <= cpuMillis && step.request.accelerators <= accelerators;
+            const { request } = step;
+            const lacksMemory = request.memoryMb > memoryMb && request.memoryMb <= worker.entry.capacity.memoryMb;
+            const hasRest = lacksMemory && request.cpuMillis <= cpuMillis && request.accelerators <= accelerators;
             if (memoryMb > mostMb && hasRest && isOfKind(step, service, worker) && isAcceptable(task, worker)) {
                 best = worker;
                 mostMb = memoryMb;
--- a/src/dispatch/common/serviceUsage.ts
+++ b/src/dispatch/common/serviceUsage.ts
@@ -33,6 +33,9 @@
     readonly idleMemory: number;
 }
 
+/** Of a service without runs. */
+export const UNUSED: UsedRatios = { cpu: 0, idleMemory: 0 };
+
 /** Of a service of which nothing is known. */
 const FULL: UsedRatios = { cpu: 1, idleMemory: 1 };
 
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -171,22 +171,22 @@
         const idleMs = ({ group, tasks }: WaitingGroup) => this.waits.idleMs(group, tasks[0], now);
         const due: WaitingGroup[] = [];
         let nextDueMs = Number.POSITIVE_INFINITY;
-        for (const entry of waiting) {
-            const dueMs = entry.isThrottled
-                ? undefined
-                : this.waits.dueMs(entry.group, entry.tasks[0], entry.service, now);
-            if (dueMs === 0) {
-                due.push(isGang(entry) ? entry : { ...entry, tasks: entry.tasks.slice(0, 1) });
-            } else if (dueMs !== undefined) {
-                nextDueMs = Math.min(nextDueMs, dueMs);
+        for (const entry of waiting.filter(each => !each.isThrottled)) {
+            // Each task of a long-running step waits by itself, a job of others for one run.
+            const tasks = isLasting(entry) ? entry.tasks : entry.tasks.slice(0, 1);
+            const dueMs = tasks.map(task => this.waits.dueMs(entry.group, task, entry.service, now));
+            const dueTasks = tasks.filter((_, index) => dueMs[index] === 0);
+            if (dueTasks.length > 0) {
+                due.push({ ...entry, tasks: isGang(entry) ? entry.tasks : dueTasks });
             }
+            nextDueMs = Math.min(nextDueMs, ...dueMs.filter(ms => ms !== undefined && ms > 0).map(Number));
         }
         due.sort((a, b) => idleMs(b) - idleMs(a));
-        this.lastStart = -MAX_DUE_STARTS;
+        this.lastStart = Math.min(0, this.remainingStarts) - MAX_DUE_STARTS;
         const lasting = due.filter(isLasting);
         this.placeInOrder(lasting, placer, now);
         // Best-effort tasks would fill each gap that is too small for it.
-        lasting.forEach(({ tasks: [task], service }) => task.run ?? placer.holdRoom(task, service));
+        lasting.forEach(({ tasks, service }) => tasks.forEach(task => task.run ?? placer.holdRoom(task, service)));
         const others = due.filter(entry => !isLasting(entry));
         this.placeInOrder(others, placer, now);
         this.lastStart = 0;
--- a/src/dispatch/common/waitController.ts
+++ b/src/dispatch/common/waitController.ts
@@ -2,8 +2,8 @@
 import { BoundedWaitPolicy } from "./boundedWaitPolicy";
 import { MAX_IDLE_MS, START_DELAY_MS } from "./dispatchLimits";
 import { PatientWaitPolicy } from "./patientWaitPolicy";
-import { Run } from "./run";
-import { ServiceUsage, UsageReport } from "./serviceUsage";
+import { Run, RunState } from "./run";
+import { ServiceUsage, UNUSED, UsageReport } from "./serviceUsage";
 import { LeaderPace } from "./streamViews";
 import { Task } from "./task";
 import { ANY_WORKER_PERCENT, Wait } from "./waitPolicy";
@@ -13,6 +13,9 @@
 /** Time within which a start is answered by a worker that can be reached, in ms, apart from the leader's own delay. */
 const START_ANSWER_MS = 1_000;
 
+/** States of a run that may soon be reported. */
+const STARTING_STATES: ReadonlySet<RunState> = new Set<RunState>(["assigned", "inherited", "starting", "running"]);
+
 /** How often a late loop delays the choice of the next worker after a run has ended: with the list of its end, and with the pass. */
 const LATE_TURNS = 2;
 
@@ -110,7 +113,10 @@
     private waitOf(group: TaskGroup, task: Task, service: string, now: number): Wait {
         const waitedMs = this.waits.idleMs(group, task, now);
         const totalMs = this.waits.totalIdleMs(group, task, now);
-        return { waitedMs, totalMs, used: this.usage.ratiosOf(service), lateMs: this.lateMs };
+        // A task that lasts has to run however full its service is; it takes no CPU that is reserved for others.
+        const isBoundless = group.step.mode === "long-running" && !group.step.usesSpareCpu;
+        const used = isBoundless ? UNUSED : this.usage.ratiosOf(service);
+        return { waitedMs, totalMs, used, lateMs: this.lateMs };
     }
 
     /** Whether the leader takes too much of the accepted time itself. */
@@ -141,6 +147,6 @@
 
 /** @returns Whether a run may soon be at work: the answer to its start, or the first list of its worker, is not overdue. */
 function isStarting(run: Run, now: number, lateMs: number): boolean {
-    const isUnreported = run.report === undefined && run.state !== "unconfirmed";
-    return isUnreported && now - run.changedAt <= START_ANSWER_MS + lateMs;
+    const mayStart = run.report === undefined && STARTING_STATES.has(run.state);
+    return mayStart && now - run.assignedAt <= START_ANSWER_MS + lateMs;
 }
