--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -13,7 +13,7 @@
 import { LeaderPace } from "./streamViews";
 import { SuspectTable } from "./suspectTable";
 import { ignoringFailures, Task } from "./task";
-import { alignRuns, isGang, isLasting, rackOf } from "./taskGroups";
+import { alignRuns, isGang, isLongRunning, rackOf } from "./taskGroups";
 import { WaitReporter } from "./waitReporter";
 import { WaitController } from "./waitController";
 import { CollectedJob, IndexedEntry, WaitingIndex } from "./waitingIndex";
@@ -173,7 +173,7 @@
         let nextDueMs = Number.POSITIVE_INFINITY;
         for (const entry of waiting.filter(each => !each.isThrottled)) {
             // Each task of a long-running step waits by itself, a job of others for one run.
-            const tasks = isLasting(entry) ? entry.tasks : entry.tasks.slice(0, 1);
+            const tasks = isLongRunning(entry) ? entry.tasks : entry.tasks.slice(0, 1);
             const dueMs = tasks.map(task => this.waits.dueMs(entry.group, task, entry.service, now));
             const dueTasks = tasks.filter((_, index) => dueMs[index] === 0);
             if (dueTasks.length > 0) {
@@ -183,11 +183,11 @@
         }
         due.sort((a, b) => idleMs(b) - idleMs(a));
         this.lastStart = Math.min(0, this.remainingStarts) - MAX_DUE_STARTS;
-        const lasting = due.filter(isLasting);
+        const lasting = due.filter(isLongRunning);
         this.placeInOrder(lasting, placer, now);
         // Best-effort tasks would fill each gap that is too small for it.
         lasting.forEach(({ tasks, service }) => tasks.forEach(task => task.run ?? placer.holdRoom(task, service)));
-        const others = due.filter(entry => !isLasting(entry));
+        const others = due.filter(entry => !isLongRunning(entry));
         this.placeInOrder(others, placer, now);
         this.lastStart = 0;
         if (Number.isFinite(nextDueMs)) {
--- a/src/dispatch/common/taskGroups.ts
+++ b/src/dispatch/common/taskGroups.ts
@@ -7,7 +7,7 @@
 }
 
 /** @returns Whether the tasks of a group run until their job is cancelled. */
-export function isLasting({ group }: { readonly group: TaskGroup }): boolean {
+export function isLongRunning({ group }: { readonly group: TaskGroup }): boolean {
     return group.step.mode === "long-running";
 }
 
--- a/src/dispatch/common/waitController.ts
+++ b/src/dispatch/common/waitController.ts
@@ -114,8 +114,8 @@
         const waitedMs = this.waits.idleMs(group, task, now);
         const totalMs = this.waits.totalIdleMs(group, task, now);
         // A task that lasts has to run however full its service is; it takes no CPU that is reserved for others.
-        const isBoundless = group.step.mode === "long-running" && !group.step.usesSpareCpu;
-        const used = isBoundless ? UNUSED : this.usage.ratiosOf(service);
+        const isAlwaysBounded = group.step.mode === "long-running" && !group.step.usesSpareCpu;
+        const used = isAlwaysBounded ? UNUSED : this.usage.ratiosOf(service);
         return { waitedMs, totalMs, used, lateMs: this.lateMs };
     }
 
