--- a/src/proof/node/test/confirmationGate.test.ts
+++ b/src/proof/node/test/confirmationGate.test.ts
@@ -7,7 +7,7 @@
 
 /** Workers that restart behind slow links, so that starts and confirmations overtake each other. */
 const RESTARTS: JobTrialPlan = {
-    seed: 20_108,
+    seed: 20_109,
     lengthMs: 40_000,
     instances: 3,
     workers: 6,
--- a/src/proof/node/test/jobTrial.test.ts
+++ b/src/proof/node/test/jobTrial.test.ts
@@ -140,7 +140,7 @@
 /** Faults beside deadly tasks and seeds for each; every trial has a deadly task. */
 const DEADLY_TRIALS: readonly { name: string; faults: readonly JobFault[]; everyMs: number; seeds: number[] }[] = [
     { name: "in a fault-free trial", faults: [], everyMs: 0, seeds: [601, 604] },
-    { name: "also when the leader is killed", faults: ["kill"], everyMs: 1_200, seeds: [606, 605] },
+    { name: "also when the leader is killed", faults: ["kill"], everyMs: 1_200, seeds: [607, 605] },
     { name: "also when other workers crash", faults: ["worker-crash"], everyMs: 1_200, seeds: [601, 604] },
     { name: "also when the leader is frozen", faults: ["freeze"], everyMs: 1_200, seeds: [603, 604] },
     { name: "under all faults", faults: FAULTS, everyMs: 1_200, seeds: [601, 606, 612] },
@@ -168,7 +168,7 @@
 }
 
 // Each run was cleared when its worker had survived the start for long enough.
-const LATE_CRASHES = [...[3_000, 3_500, 5_000].map(ms => [ms, 602]), [8_000, 603], [8_000, 604]];
+const LATE_CRASHES = [...[3_000, 3_500, 5_000].map(ms => [ms, 602]), [8_000, 605], [8_000, 604]];
 for (const [crashDelayMs, seed] of LATE_CRASHES) {
     test.serial(
         `a task that crashes its workers is not started again and again, after ${crashDelayMs} ms, ${seed}`,
