--- a/src/dispatch/common/waitController.ts
+++ b/src/dispatch/common/waitController.ts
@@ -76,15 +76,13 @@
     }
 
     /**
-     * @returns Time until a waiting task goes before all others, in ms; 0 if its job has to have a run soon. `undefined` while another
-     * run of the job is at work or about to be.
+     * @returns Time until a waiting task goes before all others, in ms: 0 if its job has to have a run soon, infinite in a full service.
+     * `undefined` while another run of the job is at work or about to be.
      */
     dueMs(group: TaskGroup, task: Task, service: string, now: number): number | undefined {
         const wait = this.waitOf(group, task, service, now);
-        if (this.isCovered(task, now)) {
-            return undefined;
-        }
-        return this.needsSecondRun(task, wait) ? 0 : this.bounded.dueMs(wait);
+        const dueMs = this.needsSecondRun(task, wait) ? 0 : this.bounded.dueMs(wait);
+        return Number.isFinite(dueMs) && this.isCovered(task, now) ? undefined : dueMs;
     }
 
     /**
