review: case 3, LOST for a sound job whose workers lost power

Two starts that silent workers never carried out convict a task of crashing its workers, and its job is shown as failed. The stand-in of a worker can lose power without closing its connections.

--- a/review/standin/worker.mjs
+++ b/review/standin/worker.mjs
@@ -78,6 +78,7 @@
     /** Begins a life: it holds and knows nothing of before. */
     begin() {
         this.isUp = true;
+        this.sockets.forEach(socket => socket.destroy());
         this.born = Date.now();
         this.startedAt = performance.now();
         this.active = new Map();
@@ -94,9 +95,13 @@
         this.tickTimer = setInterval(() => this.tick(), TICK_MS);
     }
 
-    /** Crashes: everything that runs ends, nothing is listed. The connections break. */
-    crash() {
+    /**
+     * Crashes: everything that runs ends, nothing is listed.
+     * @param isSilent Whether the connections stay open without an answer, as after a loss of power; otherwise they break.
+     */
+    crash(isSilent = false) {
         this.isUp = false;
+        this.isSilent = isSilent;
         clearInterval(this.beatTimer);
         clearInterval(this.tickTimer);
         const runs = [...this.active.values()];
@@ -108,7 +113,9 @@
         for (const active of runs) {
             this.breakGang(active);
         }
-        this.sockets.forEach(socket => socket.destroy());
+        if (!isSilent) {
+            this.sockets.forEach(socket => socket.destroy());
+        }
     }
 
     close() {
@@ -151,7 +158,9 @@
 
     receive(request, response) {
         if (!this.isUp) {
-            request.socket.destroy();
+            if (!this.isSilent) {
+                request.socket.destroy();
+            }
             return;
         }
         const chunks = [];
