review: the stand-ins end all processes, and a case ends within its time

A signal or 115 s without a verdict end a case with 2, after its processes. Checked: SIGTERM and a missing binary exit with 2 and leave no process.

--- a/review/standin/deployment.mjs
+++ b/review/standin/deployment.mjs
@@ -12,6 +12,9 @@
 const RULE_HELD = 0;
 const NOT_RUN = 2;
 
+/** Time after which a case that has no verdict is ended, in ms. */
+const LIMIT_MS = 115_000;
+
 /** The same names as in the settings that the platform fills in, with the figures of the site `kerblason`. */
 const BOUNDS = {
     stableWindowMs: 4000,
@@ -63,6 +66,7 @@
         this.jobs = new Jobs();
         this.gangs = new Gangs();
         this.entries = [];
+        this.processes = [];
         this.workers = [];
         this.agent = new Agent({ keepAlive: true, maxSockets: 64 });
     }
@@ -76,7 +80,8 @@
     };
 
     async start() {
-        this.record("case", { trouble: hasTrouble, ...this.options });
+        const { observer: _observer, holdOrder: _holdOrder, ...options } = this.options;
+        this.record("case", { trouble: hasTrouble, ...options });
         this.store = new Store(this.record);
         await this.store.listen();
         const { workers, cpu, memMb } = this.options;
@@ -146,7 +151,9 @@
         child.stdout.on("data", chunk => this.options.onLog?.(entry, chunk.toString("utf8")));
         entry.starts += 1;
         entry.process = child;
+        this.processes.push(child);
         this.record("process starts", { node: entry.node, starts: entry.starts });
+        child.on("error", error => this.record("process does not start", { node: entry.node, error: error.message }));
         child.on("exit", (code, signal) => {
             this.record("process ends", { node: entry.node, code, signal });
             this.options.onExit?.(entry, code, signal);
@@ -235,7 +242,8 @@
     }
 
     async stop() {
-        const live = this.entries.map(each => each.process).filter(each => each?.exitCode === null && !each.signalCode);
+        const isLive = each => each?.pid !== undefined && each.exitCode === null && each.signalCode === null;
+        const live = this.processes.filter(isLive);
         live.forEach(each => each.kill("SIGKILL"));
         await Promise.all(live.map(each => new Promise(resolve => each.once("exit", resolve))));
         this.workers.forEach(worker => worker.close());
@@ -273,10 +281,14 @@
  */
 export async function runCase(deployment, play) {
     let code = NOT_RUN;
+    let abort;
+    const aborted = new Promise((_, reject) => (abort = reason => reject(new Error(reason))));
+    const timer = setTimeout(() => abort("no verdict in time"), LIMIT_MS);
+    ["SIGINT", "SIGTERM"].forEach(signal => process.once(signal, () => abort(signal)));
     try {
         await deployment.start();
-        await deployment.untilReady();
-        const breaches = await play();
+        await Promise.race([deployment.untilReady(), aborted]);
+        const breaches = await Promise.race([play(), aborted]);
         breaches.forEach(each => deployment.record("RULE BROKEN", each));
         code = breaches.length > 0 ? RULE_BROKEN : RULE_HELD;
         deployment.record(code === RULE_BROKEN ? "verdict: broken" : "verdict: held");
@@ -285,6 +297,7 @@
         deployment.record("could not run", { error: error.stack });
         console.log(`could not run: ${error.message}`);
     } finally {
+        clearTimeout(timer);
         await deployment.stop();
     }
     process.exit(code);
