Start long-running tasks again however their runs end

Cause: Scheduler.onRunEnd and onEndReported took an end `done` for the end of the task, whatever the mode of its step. Ruled out: the worker, which lists the end and is told that it is recorded; the queue, which skips what is marked as done; lack of room (seven eighths of the capacity are free).

Fix: isFinishedBy decides whether an end finishes a task; that of a long-running one never does. The same cause on related paths: a late end of a given-up run stopped the present one, was not confirmed to its worker (which gets no tasks from 250 unconfirmed ends on), and a new leader took recorded long-running tasks for done.

Why it works: nothing marks a long-running task as done any more, so it waits as after any other end, and its job can only end by a cancellation.

--- a/src/dispatch/common/activeJob.ts
+++ b/src/dispatch/common/activeJob.ts
@@ -4,7 +4,7 @@
 import { isFinal } from "../../jobs/common/jobTable";
 import { ActiveTask } from "./activeTask";
 import type { Run } from "./run";
-import { Task } from "./task";
+import { isFinishedBy, Task } from "./task";
 import { TaskSuspicion } from "./taskSuspicion";
 
 /** The tasks of one step in one occurrence. */
@@ -200,7 +200,7 @@
     progress(epoch: number): JobProgress {
         const runs = [...this.tasks()].flatMap(task => (task.run === undefined ? [] : [task.run.record]));
         if (isFinal(this.state)) {
-            const restarted = [...this.tasks()].filter(task => task.hasLostRun);
+            const restarted = [...this.tasks()].filter(task => task.hasLostRun && isFinishedBy(task, "done"));
             return { epoch, state: this.state, runs, tasks: restarted.map(recordOf) };
         }
         const done: Record<string, string> = {};
@@ -237,7 +237,9 @@
         this.recordChange();
         this.spec.steps.forEach((step, number) => {
             const key = `${occurrence}.${number}`;
-            const done = DoneSet.create(step.tasks, progress?.done?.[key]);
+            // Earlier versions recorded long-running tasks as done.
+            const recorded = step.mode === "long-running" ? undefined : progress?.done?.[key];
+            const done = DoneSet.create(step.tasks, recorded);
             const tasks = Array.from({ length: step.tasks }, (_, index) => ActiveTask.create(this, step, key, index));
             this.groupsByKey.set(key, { key, step, occurrence, done, tasks });
         });
--- a/src/dispatch/common/activeJobTable.ts
+++ b/src/dispatch/common/activeJobTable.ts
@@ -5,7 +5,7 @@
 import { ProgressTable } from "../../jobs/common/progressTable";
 import { RecordWriter, StoredListener } from "../../records/common/recordWriter";
 import { ActiveJob } from "./activeJob";
-import { Task } from "./task";
+import { isFinishedBy, Task } from "./task";
 
 /** The leader's writers. */
 export interface LeaderWriters {
@@ -71,11 +71,14 @@
      * @param name Name of a task.
      * @param run One of its runs.
      * @returns Whether the task was started again after that run was given up. Then its end `done` cannot be confirmed
-     * as the one that counts, unless the worker's lease expired after it.
+     * as the one that counts, unless the worker's lease expired after it. No end of a long-running task counts as such.
      */
     isRestartedAfter(name: string, run: number): boolean {
         const task = this.findTask(name);
-        return run < (task?.highestRun ?? this.restarts.get(jobIdOf(name))?.get(name) ?? 0);
+        if (task === undefined) {
+            return run < (this.restarts.get(jobIdOf(name))?.get(name) ?? 0);
+        }
+        return isFinishedBy(task, "done") && run < task.highestRun;
     }
 
     /** @returns The tasks under which workers were lost, according to the records of earlier leaders. */
--- a/src/dispatch/common/failureController.ts
+++ b/src/dispatch/common/failureController.ts
@@ -6,7 +6,7 @@
 import { Run } from "./run";
 import { SharedLossTable, startUnitOf } from "./sharedLossTable";
 import { hasOneLoss, MAX_LOSSES_IN_A_ROW, SuspectTable } from "./suspectTable";
-import { Task } from "./task";
+import { isFinishedBy, Task } from "./task";
 import { TaskSuspicion } from "./taskSuspicion";
 import { WorkerContact } from "./workerContact";
 import { WorkerLossCause } from "./workerPool";
@@ -128,8 +128,12 @@
         }
     }
 
-    /** Records that a task is done: its last worker has survived it. */
+    /** Records that a run of a task has ended as `done`: its worker has survived it. */
     recordSuccess(task: Task): void {
+        if (!isFinishedBy(task, "done")) {
+            this.clearLosses(task);
+            this.clear(task);
+        }
         this.attributeSharedLosses(task);
     }
 
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -27,7 +27,7 @@
 import { StartLoad } from "./startWindow";
 import { StepQueue } from "./stepQueue";
 import { SuspectTable } from "./suspectTable";
-import { firstWaitMs, Task } from "./task";
+import { firstWaitMs, isFinishedBy, Task } from "./task";
 import { ViewController } from "./viewController";
 import { WaitReport } from "./waitReporter";
 import { WorkerContact } from "./workerContact";
@@ -320,9 +320,9 @@
         const run = worker.runs.get(end.task);
         if (run?.record.run === end.run) {
             run.fire("ended", { now, end });
-        } else if (end.end === "done" && !task.job.isTaskDone(task)) {
+        } else if (isFinishedBy(task, end.end) && !task.job.isTaskDone(task)) {
             // The run was given up before the worker reported this end; a later run, if any, is stopped.
-            this.finishTask(task, now);
+            this.recordDone(task, now);
         } else if (end.end === "failed") {
             this.failures.recordFailure(task, end.run, worker);
         }
@@ -415,7 +415,7 @@
         this.pacer.requestBy(at);
     }
 
-    /** Handles the end of a run: finishes its task, counts its failure or lets the task wait again. */
+    /** Handles the end of a run: finishes its task if the end does so, counts a failure or lets the task wait again. */
     onRunEnd(run: Run, outcome: RunOutcome, checkpoint: string, now: number): void {
         const { task, record } = run;
         const worker = this.pool.find(record.worker);
@@ -428,7 +428,7 @@
         }
         if (outcome === "done") {
             worker?.trust.recordSuccess(now);
-            this.finishTask(task, now);
+            this.recordDone(task, now);
         } else if (outcome === "failed") {
             this.failures.recordFailure(task, record.run, worker);
             worker?.trust.recordFailure({ now, familyFailureRate: 0 });
@@ -498,12 +498,15 @@
         }
     }
 
-    private finishTask(task: Task, now: number): void {
+    /** Handles a run that ended as done, and finishes its task unless it is long-running. */
+    private recordDone(task: Task, now: number): void {
         const { job } = task;
-        job.markDone(task);
         this.failures.recordSuccess(task);
-        if (task.run !== undefined) {
-            this.stop(task.run, "done-elsewhere", now);
+        if (isFinishedBy(task, "done")) {
+            job.markDone(task);
+            if (task.run !== undefined) {
+                this.stop(task.run, "done-elsewhere", now);
+            }
         }
         if (job.isDone && !isFinal(job.state)) {
             job.state = "done";
--- a/src/dispatch/common/task.ts
+++ b/src/dispatch/common/task.ts
@@ -1,6 +1,6 @@
 import { StepSpec } from "../../jobs/common/jobSpec";
 import type { ActiveJob } from "./activeJob";
-import type { Run } from "./run";
+import type { Run, RunOutcome } from "./run";
 import { TaskSuspicion } from "./taskSuspicion";
 
 /** A task of an active job. */
@@ -36,6 +36,15 @@
     moves: number;
 }
 
+/**
+ * @param task A task.
+ * @param outcome How one of its runs has ended.
+ * @returns Whether this finishes the task. A long-running task is restarted however its runs end, until its job is cancelled.
+ */
+export function isFinishedBy(task: Task, outcome: RunOutcome): boolean {
+    return outcome === "done" && task.step.mode !== "long-running";
+}
+
 /**
  * @param task A task that is started.
  * @param wallNow Time in ms since the Unix epoch.
--- a/src/dispatch/common/test/activeJob.test.ts
+++ b/src/dispatch/common/test/activeJob.test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { DoneSet } from "../../../jobs/common/doneSet";
 import { ActiveJob } from "../activeJob";
 import { createJob, createStep } from "./runs";
 
@@ -13,3 +14,14 @@
     t.true(job.openDue(3));
     t.is([...job.groups].length, 5_001);
 });
+
+// LOST: a new leader took over that a long-running task was done.
+test("a long-running task that an earlier leader recorded as done is not done", t => {
+    const { spec } = createJob("j", createStep("web", true));
+    const done = DoneSet.create(1, undefined);
+    done.add(0);
+    const progress = { epoch: 1, state: "running" as const, done: { "0.0": done.pack() }, runs: [], tasks: [] };
+    const job = ActiveJob.create(spec, 0, progress);
+    t.false(job.isTaskDone([...job.tasks()][0]));
+    t.false(job.isDone);
+});
--- a/src/proof/node/jobTrialPlan.ts
+++ b/src/proof/node/jobTrialPlan.ts
@@ -120,6 +120,8 @@
     readonly maxGapMs?: number;
     /** Whether no other jobs are submitted. */
     readonly isAlone?: boolean;
+    /** Work after which a run of them ends as `done`, in ms; none ends by itself if undefined. */
+    readonly runMs?: number;
 }
 
 /** Parameters of a trial. */
--- a/src/proof/node/trialWorkers.ts
+++ b/src/proof/node/trialWorkers.ts
@@ -433,7 +433,7 @@
     /** A deadly task is still at work when it crashes its worker. */
     private planExclusiveRun(task: string, run: number): RunPlan {
         if (this.context.checker.lastingTasks.has(task)) {
-            return { ms: Number.POSITIVE_INFINITY, end: "done" };
+            return { ms: this.context.plan.lasting?.runMs ?? Number.POSITIVE_INFINITY, end: "done" };
         }
         const { ms, end } = runPlannerOf(this.context.plan)(task, run);
         const isDeadly = this.context.checker.isDeadly(task);
