Log which read of the store failed, and when the view of the configuration is too old

The logs could not tell which of the reads was awaited: `store-call-failed` had only "read" for the pages of all streams, checks of the end and long polls, and no line said how old the configuration was by which calls were answered.

Now the line names the call and the stream, and `config-old` and `config-recent` say when the view gets older than allowed and whether the latest read failed. The condition has a class of its own with a chart, ConfigurationView; no decision has changed.

--- a/src/dispatch/common/dispatchEffects.ts
+++ b/src/dispatch/common/dispatchEffects.ts
@@ -36,7 +36,9 @@
     | "view-old"
     | "view-recent"
     | "record-malformed"
-    | "config-applied";
+    | "config-applied"
+    | "config-old"
+    | "config-recent";
 
 /** A line for the decision log. */
 export interface DecisionEffect {
--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -9,6 +9,7 @@
 import { StartLoad } from "../../dispatch/common/startWindow";
 import { LeaseTable } from "../../dispatch/common/leaseTable";
 import { EntryReading } from "../../dispatch/common/workerEntry";
+import { ConfigurationView } from "../../jobs/common/configurationView";
 import { JobCallHandler } from "../../jobs/common/jobCallHandler";
 import { JobState } from "../../jobs/common/jobSpec";
 import { JobTable, visibleStateOf } from "../../jobs/common/jobTable";
@@ -115,6 +116,7 @@
     private readonly workersFollower: RecordFollower;
     private readonly submissionWriter: RecordWriter;
     private readonly leadership: Leadership;
+    private readonly configurationView: ConfigurationView;
     private readonly callHandler: JobCallHandler;
     private scheduler: Scheduler | undefined;
     private takeover: Takeover | undefined;
@@ -147,12 +149,16 @@
             outbox,
         );
         this.leadership = Leadership.create(identity, this.jobsFollower, outbox);
+        this.configurationView = ConfigurationView.create(this.operatorFollower, this.queues, limits.configurationMs);
+        this.configurationView.onDidChange(({ state, ...data }) => {
+            const name = state === "old" ? "config-old" : "config-recent";
+            outbox.emit({ kind: "decision", name, data });
+        });
         this.callHandler = JobCallHandler.create(
             this.jobs,
             this.queues,
             this.submissionWriter,
-            { jobs: this.jobsFollower, configuration: this.operatorFollower },
-            limits.configurationMs,
+            { jobs: this.jobsFollower, configuration: this.configurationView },
             (call, answer) => outbox.emit({ kind: "answer", call, answer }),
         );
         this.jobs.onDidIgnore(({ key, offset }) => this.logMalformed("jobs", key, offset));
@@ -395,6 +401,7 @@
         this.jobsFollower.tick(now);
         this.operatorFollower.tick(now);
         this.workersFollower.tick(now);
+        this.configurationView.review(now);
         this.leadership.tick(now);
         this.scheduler?.tick(now, wallNow);
         const isIdle = this.callHandler.openCallCount === 0 && this.leadership.isResignationStored;
--- a/src/jobs/common/jobCallHandler.ts
+++ b/src/jobs/common/jobCallHandler.ts
@@ -1,4 +1,5 @@
 import { RecordWriter } from "../../records/common/recordWriter";
+import { ConfigurationView } from "./configurationView";
 import { JobAnswer, JobCall, JobDraft } from "./jobCall";
 import { encodeSpec, jobKey } from "./jobRecord";
 import { isFinal, JobTable, visibleStateOf } from "./jobTable";
@@ -35,18 +36,10 @@
     readonly knownUntil: number | undefined;
 }
 
-/** How far the configuration has been read. */
-export interface ConfigurationStreamState {
-    /** Time (ms) up to which all records are known; `undefined` before the stream is loaded, and after a suspension. */
-    readonly knownUntil: number | undefined;
-    /** Whether the latest read failed. */
-    readonly isFailing: boolean;
-}
-
-/** The streams on which the answers to calls depend. */
-export interface CallStreams {
+/** What the answers to calls depend on. */
+export interface CallViews {
     readonly jobs: JobStreamState;
-    readonly configuration: ConfigurationStreamState;
+    readonly configuration: ConfigurationView;
 }
 
 /** A call that has not been answered. */
@@ -68,8 +61,7 @@
         private readonly jobs: JobTable,
         private readonly queues: QueueTable,
         private readonly writer: RecordWriter,
-        private readonly streams: CallStreams,
-        private readonly configurationMs: number,
+        private readonly views: CallViews,
         private readonly sendAnswer: (call: JobCall, answer: JobAnswer) => void,
     ) {}
 
@@ -77,8 +69,7 @@
      * @param jobs All known jobs.
      * @param queues The configured queues.
      * @param writer Writes submissions and cancellations.
-     * @param streams How far the streams have been read.
-     * @param configurationMs Time within which a configuration must be in force, in ms.
+     * @param views How far the streams have been read.
      * @param sendAnswer Sends the answer to a call.
      * @returns A handler without calls.
      */
@@ -86,11 +77,10 @@
         jobs: JobTable,
         queues: QueueTable,
         writer: RecordWriter,
-        streams: CallStreams,
-        configurationMs: number,
+        views: CallViews,
         sendAnswer: (call: JobCall, answer: JobAnswer) => void,
     ): JobCallHandler {
-        return new JobCallHandler(jobs, queues, writer, streams, configurationMs, sendAnswer);
+        return new JobCallHandler(jobs, queues, writer, views, sendAnswer);
     }
 
     /** Number of calls that have not been answered. */
@@ -109,7 +99,7 @@
 
     /** Handles a call. @param call The call. @param now Time in ms. @param wallNow Time in ms since the Unix epoch. */
     handle(call: JobCall, now: number, wallNow: number): void {
-        if (!this.isConfigured(now) || !this.streams.jobs.hasLoaded) {
+        if (!this.views.configuration.isInForce(now) || !this.views.jobs.hasLoaded) {
             this.sendAnswer(call, { kind: "unavailable", retryAfterMs: RETRY_AFTER_MS });
             return;
         }
@@ -135,7 +125,7 @@
     tick(now: number): void {
         const isStoreWorking = this.isStoreWorking(now);
         for (const openCall of [...this.openCalls.values()]) {
-            if (openCall.isAwaitingStream && (this.streams.jobs.knownUntil ?? 0) > openCall.receivedAt) {
+            if (openCall.isAwaitingStream && (this.views.jobs.knownUntil ?? 0) > openCall.receivedAt) {
                 this.completeReadOrCancel(openCall);
             } else if (now >= openCall.answerDeadline) {
                 this.expire(openCall);
@@ -145,16 +135,6 @@
         }
     }
 
-    /**
-     * Whether the known configuration may be in force: a later one that is not known yet needs not to be. While reads fail, the
-     * store cannot be reached, and there is no later one for its clients.
-     */
-    private isConfigured(now: number): boolean {
-        const { knownUntil, isFailing } = this.streams.configuration;
-        const isRecent = now - (knownUntil ?? Number.NEGATIVE_INFINITY) <= this.configurationMs;
-        return this.queues.version !== undefined && (isRecent || isFailing);
-    }
-
     private handleJobCall(call: JobCall, queue: Queue, id: string, now: number, wallNow: number): void {
         const timeoutMs = Math.max(0, (call.callerTimeoutMs ?? DEFAULT_CALLER_TIMEOUT_MS) - CALLER_TIMEOUT_MARGIN_MS);
         const base = { call, receivedAt: now, answerDeadline: now + timeoutMs, queue, id };
@@ -226,12 +206,12 @@
 
     /** The count must not be that of a stream of unknown age. */
     private isStreamFresh(now: number): boolean {
-        return this.streams.jobs.knownUntil !== undefined && !this.isStreamStale(now);
+        return this.views.jobs.knownUntil !== undefined && !this.isStreamStale(now);
     }
 
     /** Whether the stream is read too late for a call to wait for it. After a suspension, the next read is awaited. */
     private isStreamStale(now: number): boolean {
-        return now - (this.streams.jobs.knownUntil ?? now) >= MAX_STREAM_AGE_MS;
+        return now - (this.views.jobs.knownUntil ?? now) >= MAX_STREAM_AGE_MS;
     }
 
     /**
--- a/src/jobs/common/test/jobCallHandler.test.ts
+++ b/src/jobs/common/test/jobCallHandler.test.ts
@@ -3,6 +3,7 @@
 import { Outbox } from "../../../base/common/outbox";
 import { RecordEffect } from "../../../records/common/recordEvents";
 import { RecordWriter } from "../../../records/common/recordWriter";
+import { ConfigurationView } from "../configurationView";
 import { JobAnswer, JobDraft, JobRequest } from "../jobCall";
 import { JobCallHandler } from "../jobCallHandler";
 import { JobTable } from "../jobTable";
@@ -26,9 +27,9 @@
     const retriesAfterMs: number[] = [];
     const stream: { hasLoaded: boolean; knownUntil: number | undefined } = { hasLoaded: true, knownUntil: 0 };
     const configuration: { knownUntil: number | undefined; isFailing: boolean } = { knownUntil: 0, isFailing: false };
-    const streams = { jobs: stream, configuration };
+    const views = { jobs: stream, configuration: ConfigurationView.create(configuration, queues, CONFIGURATION_MS) };
     const jobs = JobTable.create();
-    const handler = JobCallHandler.create(jobs, queues, writer, streams, CONFIGURATION_MS, (call, answer) => {
+    const handler = JobCallHandler.create(jobs, queues, writer, views, (call, answer) => {
         answers.set(call.number, answer.kind);
         if (answer.kind === "unavailable") {
             retriesAfterMs.push(answer.retryAfterMs);
--- a/src/platform/node/platformStore.ts
+++ b/src/platform/node/platformStore.ts
@@ -97,10 +97,10 @@
                 timeoutMs: Math.round(timeoutMs),
             });
             this.recordAppendDuration(performance.now() - startedAt);
-            return this.appendResult(answer);
+            return this.appendResult(stream, answer);
         } catch (error) {
             this.recordAppendDuration(timeoutMs);
-            this.onFailure("append", String(error));
+            this.onFailure(`append ${stream}`, String(error));
             return Err(isNotSent(error) ? "not-done" : "unknown");
         }
     }
@@ -111,7 +111,7 @@
         waitMs: number,
     ): Promise<Result<RecordPage, ReadError>> {
         const path = `/api/log-read?topic=${TOPICS[stream]}&part=0&from=${from}&waitMs=${waitMs}`;
-        const answer = await this.get(path, waitMs + READ_TIMEOUT_MS);
+        const answer = await this.get(`read ${stream}`, path, waitMs + READ_TIMEOUT_MS);
         if (answer?.status === 410) {
             return Err("truncated");
         }
@@ -127,7 +127,8 @@
         const afterQuery = after === undefined ? "" : `&after=${encodeURIComponent(after)}`;
         const startedAt = performance.now();
         const timeoutMs = this.pageTimeoutsMs.get(stream) ?? READ_TIMEOUT_MS;
-        const answer = await this.get(`/api/log-newest?topic=${TOPICS[stream]}&part=0${afterQuery}`, timeoutMs);
+        const path = `/api/log-newest?topic=${TOPICS[stream]}&part=0${afterQuery}`;
+        const answer = await this.get(`newest ${stream}`, path, timeoutMs);
         this.pageTimeoutsMs.set(
             stream,
             answer === undefined ? Math.min(MAX_PAGE_TIMEOUT_MS, timeoutMs * 2) : READ_TIMEOUT_MS,
@@ -141,32 +142,33 @@
         this.updateRoundTrip(performance.now() - startedAt);
         const page = decodeNewestPage(answer.body);
         if (page === undefined) {
-            this.onFailure("newest", "malformed page");
+            this.onFailure(`newest ${stream}`, "malformed page");
             return Err("unavailable");
         }
         return Ok(page);
     }
 
-    private async get(path: string, timeoutMs: number): Promise<HttpResponse | undefined> {
+    /** @param name Name of the call in the log. */
+    private async get(name: string, path: string, timeoutMs: number): Promise<HttpResponse | undefined> {
         try {
             const call = { origin: this.origin, method: "GET" as const, path, timeoutMs };
             const answer = await this.client.call({ ...call, idleTimeoutMs: IDLE_TIMEOUT_MS });
             if (answer.status >= 400 && answer.status !== 410) {
-                this.onFailure("read", `status ${answer.status}`);
+                this.onFailure(name, `status ${answer.status}`);
             }
             return answer;
         } catch (error) {
-            this.onFailure("read", String(error));
+            this.onFailure(name, String(error));
             return undefined;
         }
     }
 
-    private appendResult(answer: HttpResponse): Result<RecordOffset, AppendError> {
+    private appendResult(stream: StreamName, answer: HttpResponse): Result<RecordOffset, AppendError> {
         switch (answer.status) {
             case 200: {
                 const offset = decodeAppendAnswer(answer.body);
                 if (offset === undefined) {
-                    this.onFailure("append", "malformed answer");
+                    this.onFailure(`append ${stream}`, "malformed answer");
                 }
                 return offset === undefined ? Err("unknown") : Ok(offset);
             }
@@ -175,7 +177,7 @@
             case 412:
                 return Err("conflict");
             default:
-                this.onFailure("append", `status ${answer.status}`);
+                this.onFailure(`append ${stream}`, `status ${answer.status}`);
                 return Err("not-done");
         }
     }
