Start the members of a gang with one checkpoint

Cause: a placed gang got one run number, but each member kept its own checkpoint. The one whose worker was lost had an older one, or none, so the members of every further run resumed from different points and did not work together. Ruled out: different run numbers (aligned since long) and starts that are sent apart.

The new test failed in both forms before.

Why it works: alignMembers sets both wherever a gang is placed, so all starts of a run carry one value.

--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -13,7 +13,7 @@
 import { LeaderPace } from "./streamViews";
 import { SuspectTable } from "./suspectTable";
 import { ignoringFailures, Task } from "./task";
-import { alignRuns, isGang, isLongRunning, rackOf } from "./taskGroups";
+import { alignMembers, isGang, isLongRunning, rackOf } from "./taskGroups";
 import { WaitReporter } from "./waitReporter";
 import { WaitController } from "./waitController";
 import { CollectedJob, IndexedEntry, WaitingIndex } from "./waitingIndex";
@@ -297,7 +297,7 @@
                 minSpeedPercent: this.minSpeedPercent(entry, entry.tasks[0], now),
                 isDue: this.waits.dueMs(entry.group, entry.tasks[0], entry.service, now) === 0,
             }));
-        groups.forEach(({ tasks }) => alignRuns(tasks));
+        groups.forEach(({ tasks }) => alignMembers(tasks));
         const isContested = waiting.some(entry => !entry.isSuspected && !entry.isThrottled);
         const closed = this.probation.place(
             groups,
@@ -417,7 +417,7 @@
         const workers = new Set(tasks.map(task => this.moves.destinationOf(task)));
         const chosen = placer.chooseAll(tasks, service, worker => workers.has(worker), 0);
         if (chosen !== undefined) {
-            alignRuns(tasks);
+            alignMembers(tasks);
             chosen.forEach((choice, index) => this.assignTo(tasks[index], choice, placer, now));
         }
         tasks.forEach(task => this.moves.delete(task));
@@ -498,7 +498,7 @@
             const hasFailed = rack === undefined && tasks.some(task => task.failedOn.size > 0);
             const chosen = choose() ?? (hasFailed ? ignoringFailures(tasks, choose) : undefined);
             if (chosen !== undefined) {
-                alignRuns(tasks);
+                alignMembers(tasks);
                 tasks.forEach((task, index) => this.assignTo(task, chosen[index], placer, now));
                 return;
             }
--- a/src/dispatch/common/taskGroups.ts
+++ b/src/dispatch/common/taskGroups.ts
@@ -16,8 +16,17 @@
     return group.tasks.find(task => task.run !== undefined)?.run?.rack;
 }
 
-/** Gives the tasks of a gang the same highest run, so that their next runs have the same number. */
-export function alignRuns(tasks: readonly Task[]): void {
+/**
+ * Gives the tasks of a gang the same highest run and the same checkpoint: their next runs work together only if they have the same
+ * number and resume from the same point. A checkpoint of any member is valid for all. That of a member whose worker was lost is
+ * older than those that the other members listed when they ended, so it is the last choice.
+ */
+export function alignMembers(tasks: readonly Task[]): void {
     const highestRun = Math.max(...tasks.map(task => task.highestRun));
-    tasks.forEach(task => (task.highestRun = highestRun));
+    const saved = tasks.filter(task => task.checkpoint !== "");
+    const latest = saved.find(task => task.lossesInARow === 0) ?? saved[0];
+    for (const task of tasks) {
+        task.highestRun = highestRun;
+        task.checkpoint = latest?.checkpoint ?? "";
+    }
 }
--- a/src/dispatch/common/test/stepQueue.test.ts
+++ b/src/dispatch/common/test/stepQueue.test.ts
@@ -325,6 +325,33 @@
     t.not(timeOfFirstRun(createQueue(LatencyModel.create()), job, workers), undefined);
 });
 
+// GANG: after the loss of a worker, the members were started with different checkpoints and ended alone, again and again.
+for (const isSuspected of [false, true]) {
+    test(`the members of a gang start with one checkpoint after one was lost, ${isSuspected ? "suspected" : "not suspected"}`, t => {
+        const workers = ["w1", "w2", "w3"].map(id => createWorker(id));
+        const job = createJob(
+            "a",
+            createStep("x", false, { tasks: 3, mode: "gang", maxPerWorker: 1, usesSpareCpu: false }),
+        );
+        const [lost, other, late] = [...job.tasks()];
+        lost.checkpoint = "before";
+        lost.lossesInARow = 1;
+        other.checkpoint = "after";
+        late.checkpoint = "";
+        const suspects = SuspectTable.create();
+        if (isSuspected) {
+            lost.suspicion = TaskSuspicion.create("suspected");
+            suspects.update(lost);
+        }
+        const queue = StepQueue.create(QueueTable.create(), LatencyModel.create(), suspects, AssigningHost.create());
+        queue.placeWaiting([job], workers, 100, 0, 0);
+        t.deepEqual(
+            [lost, other, late].map(task => [task.run !== undefined, task.checkpoint]),
+            Array.from({ length: 3 }, () => [true, "after"]),
+        );
+    });
+}
+
 test("each task of a best-effort long-running step gets a run, not only the first", t => {
     const model = LatencyModel.create(HEAVY_MODEL);
     const workers = createBusyWorkers(model);
