Tell callers to come back later while the configuration is old

Suspected cause: the refusal told callers to come back after 1 s, where the refusal of a submission in a long outage says 2 s, since callers retry only a few times.

The new test failed before.

--- a/src/jobs/common/jobCallHandler.ts
+++ b/src/jobs/common/jobCallHandler.ts
@@ -100,7 +100,7 @@
     /** Handles a call. @param call The call. @param now Time in ms. @param wallNow Time in ms since the Unix epoch. */
     handle(call: JobCall, now: number, wallNow: number): void {
         if (!this.views.configuration.isInForce(now) || !this.views.jobs.hasLoaded) {
-            this.sendAnswer(call, { kind: "unavailable", retryAfterMs: RETRY_AFTER_MS });
+            this.sendAnswer(call, { kind: "unavailable", retryAfterMs: this.retryAfterMsWithoutViews() });
             return;
         }
         const resolved = this.queues.resolve(call.host, call.path);
@@ -135,6 +135,12 @@
         }
     }
 
+    /** An instance that starts is ready soon. One whose view has become old has been without the store for longer than that. */
+    private retryAfterMsWithoutViews(): number {
+        const isStarting = this.queues.version === undefined || !this.views.jobs.hasLoaded;
+        return isStarting ? RETRY_AFTER_MS : LONG_OUTAGE_RETRY_AFTER_MS;
+    }
+
     private handleJobCall(call: JobCall, queue: Queue, id: string, now: number, wallNow: number): void {
         const timeoutMs = Math.max(0, (call.callerTimeoutMs ?? DEFAULT_CALLER_TIMEOUT_MS) - CALLER_TIMEOUT_MARGIN_MS);
         const base = { call, receivedAt: now, answerDeadline: now + timeoutMs, queue, id };
--- a/src/jobs/common/test/jobCallHandler.test.ts
+++ b/src/jobs/common/test/jobCallHandler.test.ts
@@ -84,6 +84,15 @@
     t.true(retriesAfterMs[1] > retriesAfterMs[0]);
 });
 
+// Callers used up their retries while the store was away: it has been for longer than the short delay when a view gets old.
+test("callers get a longer retry delay while the configuration is old, and a short one from an instance that starts", t => {
+    const { read, stream, retriesAfterMs } = createHandler();
+    read(1, CONFIGURATION_MS + 1);
+    stream.hasLoaded = false;
+    read(2, CONFIGURATION_MS + 1);
+    t.deepEqual(retriesAfterMs, [2_000, 1_000]);
+});
+
 test("while the age of the stream is unknown, counts are refused, and a read of an unknown job waits for the stream", t => {
     const { handler, stream, count, read, answers } = createHandler();
     stream.knownUntil = undefined;
