Derive what a page is read for from its key, and share the steps of superseded reads

- Whether a page of newest records is read for the end of the stream follows from the key after which it begins, so the field `scope` of the reads and the parameter of RecordStore.readNewest that said it again are gone.
- PlatformStore built the path of a page in two places, and a probe was a second copy of a check of the end: newestPath and getEnd.
- RecordFollower had three copies of what makes the latest read an earlier one, and two of what an answer says about the store: supersedeRead and recordOutcome.
- Comments that were inexact or in private words.

Assertions are unchanged.

--- a/src/dispatch/common/test/activeJobTable.test.ts
+++ b/src/dispatch/common/test/activeJobTable.test.ts
@@ -112,7 +112,7 @@
     );
 });
 
-// A worker keeps an end that is never confirmed, and gets no more tasks once it keeps too many.
+// A worker keeps each end that is not confirmed, and is given no tasks from 250 of them on.
 test("the end of a given-up run of a long-running task is confirmable after its job was cancelled", t => {
     const { table } = createTable(createStep("web", true));
     const [job] = [...table.all];
--- a/src/host/node/jobPerformers.ts
+++ b/src/host/node/jobPerformers.ts
@@ -124,7 +124,7 @@
                     this.post({ kind: "read-answer", stream, number, sentAt, result }),
                 );
             } else {
-                const send = () => this.store.readNewest(stream, effect.after, effect.scope);
+                const send = () => this.store.readNewest(stream, effect.after);
                 void this.callStore("newest", send, unavailable).then(({ result, sentAt }) =>
                     this.post({ kind: "newest-answer", stream, number, sentAt, result }),
                 );
--- a/src/platform/node/pageProbe.ts
+++ b/src/platform/node/pageProbe.ts
@@ -1,6 +1,6 @@
 import { Disposable } from "../../base/common/disposable";
 
-/** Interval between two probes, in ms: a store that is back is noticed within about this time. */
+/** Interval between two probes, in ms. The end of an outage is detected within about this time. */
 const PROBE_INTERVAL_MS = 900;
 
 /**
--- a/src/platform/node/platformStore.ts
+++ b/src/platform/node/platformStore.ts
@@ -5,7 +5,6 @@
     AppendError,
     KEY_AFTER_ALL,
     NewestPage,
-    PageScope,
     ReadError,
     RecordPage,
     RecordStore,
@@ -42,8 +41,8 @@
 const MAX_PAGE_TIMEOUT_MS = 12_000;
 
 /**
- * Timeout of a check of the end of a stream, in ms: four intervals at which a check is repeated, so that no more are in flight. A later
- * answer would be too old to decide on.
+ * Timeout of a check of the end of a stream, in ms: four intervals at which a check is repeated, so that at most four are in flight. A
+ * later answer would be too old to decide on.
  */
 const END_TIMEOUT_MS = 2_400;
 
@@ -136,18 +135,12 @@
         return Ok({ records: unpackRecords(answer.body, from), end });
     }
 
-    override async readNewest(
-        stream: StreamName,
-        after: string | undefined,
-        scope: PageScope,
-    ): Promise<Result<NewestPage, ReadError>> {
-        const afterQuery = after === undefined ? "" : `&after=${encodeURIComponent(after)}`;
+    override async readNewest(stream: StreamName, after: string | undefined): Promise<Result<NewestPage, ReadError>> {
         const startedAt = performance.now();
-        const path = `/api/log-newest?topic=${TOPICS[stream]}&part=0${afterQuery}`;
         const answer =
-            scope === "end"
-                ? await this.get(`end ${stream}`, path, { timeoutMs: END_TIMEOUT_MS })
-                : await this.getPage(stream, path);
+            after === KEY_AFTER_ALL
+                ? await this.getEnd("end", stream)
+                : await this.getPage(stream, newestPath(stream, after));
         if (answer?.status === 404) {
             return Ok({ records: [], end: 0, hasMore: false });
         }
@@ -169,7 +162,7 @@
         const lost = new AbortController();
         const probe = PageProbe.create(
             probeDelayMs,
-            () => this.probe(stream),
+            async () => (await this.getEnd("probe", stream))?.status === 200,
             () => lost.abort(new Error("the store answers, but not this call")),
         );
         const answer = await this.get(`newest ${stream}`, path, {
@@ -183,11 +176,9 @@
         return answer;
     }
 
-    /** @returns Whether the store answers a small call. */
-    private async probe(stream: StreamName): Promise<boolean> {
-        const path = `/api/log-newest?topic=${TOPICS[stream]}&part=0&after=${KEY_AFTER_ALL}`;
-        const answer = await this.get(`probe ${stream}`, path, { timeoutMs: END_TIMEOUT_MS });
-        return answer?.status === 200;
+    /** @param name Name of the call in the log, beside the stream. */
+    private getEnd(name: string, stream: StreamName): Promise<HttpResponse | undefined> {
+        return this.get(`${name} ${stream}`, newestPath(stream, KEY_AFTER_ALL), { timeoutMs: END_TIMEOUT_MS });
     }
 
     /** @param name Name of the call in the log. */
@@ -233,3 +224,9 @@
         this.roundTripMs = Math.min(this.roundTripMs ?? durationMs, durationMs);
     }
 }
+
+/** @param after Key after which the page begins. @returns Path of a page of the newest records of a stream. */
+function newestPath(stream: StreamName, after: string | undefined): string {
+    const afterQuery = after === undefined ? "" : `&after=${encodeURIComponent(after)}`;
+    return `/api/log-newest?topic=${TOPICS[stream]}&part=0${afterQuery}`;
+}
--- a/src/platform/node/test/platformStore.test.ts
+++ b/src/platform/node/test/platformStore.test.ts
@@ -35,10 +35,10 @@
             response.end(PAGE);
         }
     });
-    const lost = await store.readNewest("operator", undefined, "records");
+    const lost = await store.readNewest("operator", undefined);
     t.true(lost.err);
     t.true(failures.some(each => each.startsWith("newest operator: ")));
-    t.is((await store.readNewest("operator", undefined, "records")).unwrap().end, 7);
+    t.is((await store.readNewest("operator", undefined)).unwrap().end, 7);
     const returnMs = performance.now() - start - SILENT_MS;
     t.true(returnMs >= 0 && returnMs < RETURN_MS, `${returnMs} ms`);
     stop();
@@ -59,7 +59,7 @@
             }
         }, 1_000);
     });
-    t.is((await store.readNewest("operator", undefined, "records")).unwrap().end, 7);
+    t.is((await store.readNewest("operator", undefined)).unwrap().end, 7);
     t.deepEqual(failures, []);
     stop();
 });
--- a/src/proof/node/test/instanceFixture.ts
+++ b/src/proof/node/test/instanceFixture.ts
@@ -6,7 +6,7 @@
 import { JobInstanceEffect, JobInstanceEvent } from "../../../host/common/jobInstanceEvents";
 import { LEADER_KEY } from "../../../records/common/leaderRecord";
 import { RecordEffect } from "../../../records/common/recordEvents";
-import { StreamName } from "../../../records/common/recordStore";
+import { KEY_AFTER_ALL, StreamName } from "../../../records/common/recordStore";
 import { KeyedLog } from "../../../standin/common/keyedLog";
 import { decodeSubmission } from "../../../platform/common/jobDecoder";
 import { StreamDecoder } from "../../../platform/common/streamDecoder";
@@ -253,8 +253,8 @@
             if (this.silentStreams.has(stream)) {
                 const kind = effect.kind === "read" ? "read-answer" : "newest-answer";
                 const event = { kind, stream, number, sentAt, result: Err("unavailable" as const) } as const;
-                const scope = effect.kind === "read" ? "records" : effect.scope;
-                this.after(SILENCE_MS[scope], () => this.dispatch(event));
+                const isCheck = effect.kind === "read-newest" && effect.after === KEY_AFTER_ALL;
+                this.after(isCheck ? SILENCE_MS.end : SILENCE_MS.records, () => this.dispatch(event));
                 return;
             }
             const answer = (event: JobInstanceEvent) =>
--- a/src/records/common/recordEvents.ts
+++ b/src/records/common/recordEvents.ts
@@ -1,6 +1,6 @@
 import { Result } from "ts-results";
 import { RecordOffset } from "./record";
-import { Append, AppendError, NewestPage, PageScope, ReadError, RecordPage, StreamName } from "./recordStore";
+import { Append, AppendError, NewestPage, ReadError, RecordPage, StreamName } from "./recordStore";
 
 /** Calls to the store. The event with the answer carries the writer, or the number and the time of the read. */
 export type RecordEffect =
@@ -16,7 +16,6 @@
       }
     | {
           readonly kind: "read-newest";
-          readonly scope: PageScope;
           readonly stream: StreamName;
           readonly number: number;
           readonly after: string | undefined;
--- a/src/records/common/recordFollower.ts
+++ b/src/records/common/recordFollower.ts
@@ -267,8 +267,7 @@
             return;
         }
         this.waitingSince = undefined;
-        this.isFailing = !answer.result.ok;
-        this.nextPauseMs = answer.result.ok ? this.readTiming().pauseMs : RETRY_BACKOFF_MS;
+        this.recordOutcome(answer.result.ok);
         if (!answer.result.ok) {
             this.machine.fire(answer.result.val === "truncated" ? "truncated" : "failed", answer);
         } else if (answer.kind === "read-answer") {
@@ -279,6 +278,11 @@
         }
     }
 
+    private recordOutcome(isAnswered: boolean): void {
+        this.isFailing = !isAnswered;
+        this.nextPauseMs = isAnswered ? this.readTiming().pauseMs : RETRY_BACKOFF_MS;
+    }
+
     /** An error must not keep the later records from being applied, or the next read from being sent. */
     private apply(record: StoredRecord, writtenAfter: number | undefined): void {
         try {
@@ -296,12 +300,16 @@
         }
     }
 
-    /** An earlier check was answered, so the latest one becomes one of the earlier reads. */
+    /** An earlier check was answered, so the latest one is superseded. */
     private supersedeCheck(): void {
+        this.supersedeRead();
+        this.recordOutcome(true);
+    }
+
+    /** The latest read becomes one of the earlier reads. */
+    private supersedeRead(): void {
         this.lateReadCount += 1;
         this.waitingSince = undefined;
-        this.isFailing = false;
-        this.nextPauseMs = this.readTiming().pauseMs;
     }
 
     private applyPage(answer: StoreAnswer): void {
@@ -370,14 +378,12 @@
     private emitEndRead(delayMs: number): void {
         const number = this.nextReadNumber();
         this.endReadDelayMs = delayMs;
-        const { stream } = this;
-        this.effects.emit({ kind: "read-newest", scope: "end", stream, number, after: KEY_AFTER_ALL, delayMs });
+        this.effects.emit({ kind: "read-newest", stream: this.stream, number, after: KEY_AFTER_ALL, delayMs });
     }
 
     private emitPageRead(): void {
         this.effects.emit({
             kind: "read-newest",
-            scope: "records",
             stream: this.stream,
             number: this.nextReadNumber(),
             after: this.lastKey,
@@ -385,17 +391,13 @@
         });
     }
 
-    /** The latest read becomes one of the earlier reads. */
     private emitEndReadNow(): void {
-        this.lateReadCount += 1;
-        this.waitingSince = undefined;
+        this.supersedeRead();
         this.emitEndRead(0);
     }
 
-    /** The latest read becomes one of the earlier reads. */
     private emitReadNow(): void {
-        this.lateReadCount += 1;
-        this.waitingSince = undefined;
+        this.supersedeRead();
         const number = this.nextReadNumber();
         this.effects.emit({ kind: "read", stream: this.stream, number, from: this.nextOffset, waitMs: 0, delayMs: 0 });
     }
--- a/src/records/common/recordLoader.ts
+++ b/src/records/common/recordLoader.ts
@@ -98,6 +98,6 @@
     private readPage(delayMs: number): void {
         this.latestRead += 1;
         const { stream, latestRead: number, lastKey: after } = this;
-        this.effects.emit({ kind: "read-newest", scope: "records", stream, number, after, delayMs });
+        this.effects.emit({ kind: "read-newest", stream, number, after, delayMs });
     }
 }
--- a/src/records/common/recordStore.ts
+++ b/src/records/common/recordStore.ts
@@ -36,9 +36,6 @@
     readonly hasMore: boolean;
 }
 
-/** What a page of the newest records is read for: its records, or only the end of the stream. Then it has no records. */
-export type PageScope = "records" | "end";
-
 /** Key after all keys of a stream: a page that begins after it has the end of the stream and no records. */
 export const KEY_AFTER_ALL = "~";
 
@@ -60,13 +57,8 @@
 
     /**
      * @param stream The stream.
-     * @param after Key after which to continue.
-     * @param scope What the page is read for.
+     * @param after Key after which to continue; `KEY_AFTER_ALL` to read only the end of the stream.
      * @returns Newest records in key order.
      */
-    abstract readNewest(
-        stream: StreamName,
-        after: string | undefined,
-        scope: PageScope,
-    ): Promise<Result<NewestPage, ReadError>>;
+    abstract readNewest(stream: StreamName, after: string | undefined): Promise<Result<NewestPage, ReadError>>;
 }
--- a/src/services/node/pendingCall.ts
+++ b/src/services/node/pendingCall.ts
@@ -1,13 +1,13 @@
 import type { Dispatcher } from "undici";
 import { NotSentError } from "./notSentError";
 
-/** How long a response is awaited, and who is told that the request was sent. */
+/** How long a response is awaited, what aborts the request, and listeners to its progress. */
 export interface CallObservation {
     /** Time within which the response must be complete, in ms. */
     readonly timeoutMs: number;
     /** If given, a response that has begun may take longer while data arrives at least this often, in ms. */
     readonly idleTimeoutMs?: number;
-    /** Called when the request is sent. */
+    /** Called when a connection was free and the request is sent. */
     readonly onSent?: () => void;
     /** Called when the response begins. */
     readonly onBegin?: () => void;
