Publish and log what each shard has in use and what waits in it

Each leader now logs a line shard-load for each service every 5 s, with gauges, and on a divided fleet publishes the same figures every 300 ms beside its renewals. Nothing is decided by them yet.

--- a/src/dispatch/common/dispatchEffects.ts
+++ b/src/dispatch/common/dispatchEffects.ts
@@ -12,6 +12,7 @@
     | "leader-began"
     | "leader-ended"
     | "fleet-divided"
+    | "shard-load"
     | "leader-late"
     | "leader-on-time"
     | "run-started"
--- /dev/null
+++ b/src/dispatch/common/jobDemand.ts
@@ -0,0 +1,38 @@
+import { ActiveJob, TaskGroup } from "./activeJob";
+
+/** What the tasks of a job request that are ready and have no run. */
+export interface JobDemand {
+    /** CPU with a reservation, in thousandths of a core. */
+    readonly cpuMillis: number;
+    /** CPU of best-effort tasks, in thousandths of a core. */
+    readonly spareCpuMillis: number;
+    /** Number of the tasks. */
+    readonly tasks: number;
+    /** Whether some of the tasks run until the job is cancelled. */
+    readonly isLongRunning: boolean;
+}
+
+/** @param job A job whose due occurrences are open. @returns What it waits for. */
+export function demandOf(job: ActiveJob): JobDemand {
+    let cpuMillis = 0;
+    let spareCpuMillis = 0;
+    let tasks = 0;
+    let isLongRunning = false;
+    for (const group of job.groups) {
+        const waiting = group.done.isFull || !job.isReady(group) ? 0 : countWaiting(group);
+        const { request, usesSpareCpu, mode } = group.step;
+        cpuMillis += usesSpareCpu ? 0 : waiting * request.cpuMillis;
+        spareCpuMillis += usesSpareCpu ? waiting * request.cpuMillis : 0;
+        tasks += waiting;
+        isLongRunning ||= waiting > 0 && mode === "long-running";
+    }
+    return { cpuMillis, spareCpuMillis, tasks, isLongRunning };
+}
+
+function countWaiting({ tasks, done }: TaskGroup): number {
+    let count = 0;
+    for (const task of tasks) {
+        count += task.run === undefined && !done.has(task.index) ? 1 : 0;
+    }
+    return count;
+}
--- /dev/null
+++ b/src/dispatch/common/loadPublisher.ts
@@ -0,0 +1,109 @@
+import { isFinal } from "../../jobs/common/jobTable";
+import { QueueTable } from "../../jobs/common/queueTable";
+import { RecordWriter } from "../../records/common/recordWriter";
+import { ActiveJob } from "./activeJob";
+import { DecisionData, DecisionName } from "./dispatchEffects";
+import { demandOf } from "./jobDemand";
+import { addLoad, emptyLoad, percentOf, ServiceLoad } from "./serviceLoad";
+import { ServiceUsage } from "./serviceUsage";
+import { ShardFleet } from "./shardFleet";
+import { encodeShardLoad, loadKey } from "./shardLoad";
+import { LeaderPace } from "./streamViews";
+
+/** Interval between two reviews of the load, and between two records of it, in ms: that of the leader's renewals. */
+const REVIEW_INTERVAL_MS = 300;
+
+/** Interval between two lines about each service, in ms. */
+const LINE_INTERVAL_MS = 5_000;
+
+/** What a load is made of. */
+export interface LoadSources {
+    /** Returns the active jobs. */
+    readonly jobs: () => Iterable<ActiveJob>;
+    readonly queues: QueueTable;
+    readonly usage: ServiceUsage;
+    readonly pace: LeaderPace;
+    /** Writes to the stream that all instances follow. */
+    readonly writer: RecordWriter;
+    readonly log: (name: DecisionName, data: DecisionData) => void;
+}
+
+/** Publishes what a shard has in use and what waits in it: for the leaders of the other shards, and in the log. */
+export class LoadPublisher {
+    private reviewedAt = Number.NEGATIVE_INFINITY;
+    private loggedAt: number | undefined;
+    /** Load of each service as of the latest review. */
+    private loads: ReadonlyMap<string, ServiceLoad> = new Map();
+
+    private constructor(
+        private readonly fleet: ShardFleet,
+        private readonly sources: LoadSources,
+    ) {}
+
+    /**
+     * @param fleet The shard and the others.
+     * @param sources What the load is made of.
+     * @returns A publisher that has published nothing.
+     */
+    static create(fleet: ShardFleet, sources: LoadSources): LoadPublisher {
+        return new LoadPublisher(fleet, sources);
+    }
+
+    /** @param service A service. @returns Its load in this shard as of the latest review, or `undefined` if it has no workers here. */
+    loadOf(service: string): ServiceLoad | undefined {
+        return this.loads.get(service);
+    }
+
+    /** Reviews the load if that is due. @param now Time in ms. @returns Whether it was reviewed. */
+    tick(now: number): boolean {
+        if (now - this.reviewedAt < REVIEW_INTERVAL_MS) {
+            return false;
+        }
+        this.reviewedAt = now;
+        this.loads = this.review();
+        if (this.fleet.count > 1) {
+            const { loads: services } = this;
+            const { delayMs } = this.sources.pace;
+            this.sources.writer.write(loadKey(this.fleet.shard), () => encodeShardLoad({ delayMs, services }));
+        }
+        this.loggedAt ??= now;
+        if (now - this.loggedAt >= LINE_INTERVAL_MS) {
+            this.loggedAt = now;
+            this.loads.forEach((load, service) => this.sources.log("shard-load", { service, ...reportOf(load) }));
+        }
+        return true;
+    }
+
+    private review(): Map<string, ServiceLoad> {
+        const { usage, queues } = this.sources;
+        const loads = new Map<string, ServiceLoad>();
+        usage.loads.forEach((used, service) => {
+            const load = emptyLoad();
+            addLoad(load, used);
+            loads.set(service, load);
+        });
+        for (const job of this.sources.jobs()) {
+            const load = isFinal(job.state) ? undefined : loads.get(queues.latestSettings(job.spec.queue).service);
+            if (load !== undefined) {
+                const demand = demandOf(job);
+                load.waitingCpuMillis += demand.cpuMillis;
+                load.waitingSpareCpuMillis += demand.spareCpuMillis;
+            }
+        }
+        return loads;
+    }
+}
+
+/** @returns The shares of a service's capacity, in percent, for the log. */
+function reportOf(load: ServiceLoad): DecisionData {
+    const ofCpu = (cpuMillis: number) => percentOf(cpuMillis, load.cpuMillis);
+    return {
+        cpuMillis: load.cpuMillis,
+        cpuUsedPercent: ofCpu(load.usedCpuMillis),
+        cpuSparePercent: ofCpu(load.spareCpuMillis),
+        memoryUsedPercent: percentOf(load.usedMemoryMb, load.memoryMb),
+        memoryIdlePercent: percentOf(load.idleMemoryMb, load.memoryMb),
+        cpuWaitingPercent: ofCpu(load.waitingCpuMillis),
+        cpuSpareWaitingPercent: ofCpu(load.waitingSpareCpuMillis),
+    };
+}
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -12,6 +12,7 @@
 import { FailureController } from "./failureController";
 import { LatencyModel } from "./latencyModel";
 import { LeaseBook } from "./leaseBook";
+import { LoadPublisher } from "./loadPublisher";
 import { LatencyModelRecorder } from "./latencyModelRecorder";
 import { ThrottleController } from "./throttleController";
 import { Run, RunHost, RunOutcome } from "./run";
@@ -23,6 +24,9 @@
 import { SchedulerPoolHost } from "./schedulerPoolHost";
 import { SchedulerQueueHost } from "./schedulerQueueHost";
 import { SchedulerRunHost } from "./schedulerRunHost";
+import { ServiceUsage } from "./serviceUsage";
+import { ShardFleet } from "./shardFleet";
+import { ShardLoadTable } from "./shardLoadTable";
 import { StartAdmission } from "./startAdmission";
 import { StartLoad } from "./startWindow";
 import { StepQueue } from "./stepQueue";
@@ -39,6 +43,9 @@
 /** Size of the range of run numbers per task and epoch. Separate ranges keep two leaders from using the same number. */
 const MAX_RUNS_PER_EPOCH = 1_000;
 
+/** A fleet that is not divided. */
+const UNDIVIDED_FLEET: ShardFleet = { shard: 0, count: 1, loads: ShardLoadTable.create() };
+
 /** Decides which worker runs which task during one leader's epoch. */
 export class Scheduler implements Disposable {
     private readonly resources = DisposableStore.create();
@@ -66,6 +73,7 @@
     /** Number of passes over the waiting tasks so far. */
     passCount = 0;
     private readonly modelRecorder: LatencyModelRecorder;
+    private readonly publisher: LoadPublisher;
     private now = 0;
     private wallNow = 0;
 
@@ -79,8 +87,8 @@
         this.pacer = PassPacer.create(context.work ?? UnmeasuredWork.create());
         this.model = LatencyModel.create(context.learnedInterference);
         this.modelRecorder = LatencyModelRecorder.create(this.model, writers.progress, now);
-        const logView = (name: DecisionName, data: DecisionData) => this.logDecision(name, data);
-        this.views = ViewController.create(context.views, context.limits, logView);
+        const log = (name: DecisionName, data: DecisionData) => this.logDecision(name, data);
+        this.views = ViewController.create(context.views, context.limits, log);
         this.leases = LeaseBook.create(context, { epoch, records: writers.jobs, shard: context.leases.shard }, now);
         const { limits, effects } = context;
         this.pool = WorkerPool.create(epoch, this.leases, limits, SchedulerPoolHost.create(this), effects);
@@ -96,7 +104,16 @@
         this.failures = FailureController.create(context.queues, this.suspects, SchedulerFailureHost.create(this));
         const queueHost = SchedulerQueueHost.create(this);
         const pace = SchedulerPace.create(context.views.loop, this.pool);
-        this.queue = StepQueue.create(context.queues, this.model, this.suspects, queueHost, undefined, pace);
+        const usage = ServiceUsage.create();
+        this.queue = StepQueue.create(context.queues, this.model, this.suspects, queueHost, undefined, pace, usage);
+        this.publisher = LoadPublisher.create(context.fleet ?? UNDIVIDED_FLEET, {
+            jobs: () => this.activeJobs.all,
+            queues: context.queues,
+            usage,
+            pace,
+            writer: writers.jobs,
+            log,
+        });
         this.resources.add(this.queue.onDidWait(report => this.logWait(report)));
         this.resources.add(this.activeJobs.onDidCancel(job => this.stopRuns(job, this.now)));
         this.resources.add(
@@ -232,6 +249,7 @@
         this.pruner.tick(now);
         this.modelRecorder.tick(now);
         this.pacer.tick(now);
+        this.publisher.tick(now);
     }
 
     /**
--- a/src/dispatch/common/schedulerContext.ts
+++ b/src/dispatch/common/schedulerContext.ts
@@ -8,6 +8,7 @@
 import { DispatchLimits } from "./dispatchLimits";
 import { InterferenceRow } from "./latencyModel";
 import { LeaseContext } from "./leaseBook";
+import { ShardFleet } from "./shardFleet";
 import { StreamViews } from "./streamViews";
 
 /** Dependencies of the scheduler. */
@@ -24,6 +25,8 @@
     /** Latency model of an earlier leader. */
     readonly learnedInterference: readonly InterferenceRow[];
     readonly effects: EffectSink<DispatchEffect>;
+    /** The shard and the others; left out of a fleet that is not divided. */
+    readonly fleet?: ShardFleet;
     /** Measures the passes over the waiting tasks; left out if they are not measured. */
     readonly work?: WorkMeter<"pass">;
 }
--- a/src/dispatch/common/serviceUsage.ts
+++ b/src/dispatch/common/serviceUsage.ts
@@ -1,4 +1,5 @@
 import { StepSpec } from "../../jobs/common/jobSpec";
+import { emptyLoad, percentOf, ServiceLoad } from "./serviceLoad";
 import { Task } from "./task";
 import { WorkerContact } from "./workerContact";
 
@@ -14,17 +15,6 @@
     readonly memoryIdlePercent: number | undefined;
 }
 
-/** What the workers of a service have in all, and what is in use of it. */
-interface ServiceTotals {
-    cpuMillis: number;
-    memoryMb: number;
-    usedCpuMillis: number;
-    usedMemoryMb: number;
-    idleMemoryMb: number;
-}
-
-const NOTHING: ServiceTotals = { cpuMillis: 0, memoryMb: 0, usedCpuMillis: 0, usedMemoryMb: 0, idleMemoryMb: 0 };
-
 /** Shares of a service's capacity that are in use, from 0 to 1. */
 export interface UsedRatios {
     /** Without best-effort tasks. */
@@ -44,7 +34,7 @@
  * can use them at the moment.
  */
 export class ServiceUsage {
-    private totals = new Map<string, ServiceTotals>();
+    private totals = new Map<string, ServiceLoad>();
     private reviewedAt: number | undefined;
 
     private constructor() {}
@@ -80,6 +70,11 @@
         }
     }
 
+    /** What is in use of each service, without what waits. */
+    get loads(): ReadonlyMap<string, ServiceLoad> {
+        return this.totals;
+    }
+
     /** @returns How much of a service's capacity is in use; all of it if nothing is known of the service. */
     ratiosOf(service: string): UsedRatios {
         const own = this.totals.get(service);
@@ -103,7 +98,7 @@
 
     private add(worker: WorkerContact): void {
         const { service, capacity } = worker.entry;
-        const sum = this.totals.get(service) ?? { ...NOTHING };
+        const sum = this.totals.get(service) ?? emptyLoad();
         sum.cpuMillis += capacity.cpuMillis;
         sum.memoryMb += capacity.memoryMb;
         for (const { task, speedPercent } of worker.runs.values()) {
@@ -113,12 +108,8 @@
     }
 }
 
-function addRequest(totals: ServiceTotals, { request, usesSpareCpu }: StepSpec, speedPercent: number): void {
-    totals.usedCpuMillis += usesSpareCpu ? 0 : request.cpuMillis;
+function addRequest(totals: ServiceLoad, { request, usesSpareCpu }: StepSpec, speedPercent: number): void {
+    totals[usesSpareCpu ? "spareCpuMillis" : "usedCpuMillis"] += request.cpuMillis;
     totals.usedMemoryMb += request.memoryMb;
     totals.idleMemoryMb += request.memoryMb * (1 - speedPercent / 100);
 }
-
-function percentOf(used: number, capacity: number): number {
-    return Math.round((100 * used) / Math.max(1, capacity));
-}
--- /dev/null
+++ b/src/dispatch/common/shardLoad.ts
@@ -0,0 +1,62 @@
+import * as z from "zod/mini";
+import { nameIn, parseShard } from "../../records/common/shardNames";
+import { ServiceLoad } from "./serviceLoad";
+
+/** Key of the record that states the load of the first shard. */
+const LOAD_KEY = "load";
+
+/** What the leader of a shard publishes for those of the others. */
+export interface ShardLoad {
+    /** Largest delay of the leader's loop of late, in ms. */
+    readonly delayMs: number;
+    /** Load of each service of which the shard has workers. */
+    readonly services: ReadonlyMap<string, ServiceLoad>;
+}
+
+const amount = z.number().check(z.nonnegative());
+const loadSchema = z.object({
+    cpuMillis: amount,
+    memoryMb: amount,
+    usedCpuMillis: amount,
+    usedMemoryMb: amount,
+    idleMemoryMb: amount,
+    spareCpuMillis: amount,
+    waitingCpuMillis: amount,
+    waitingSpareCpuMillis: amount,
+});
+const FIELDS = Object.keys(loadSchema.shape) as (keyof ServiceLoad)[];
+
+/** The numbers of a load, in the order of `FIELDS`. */
+const recordSchema = z.object({ delayMs: amount, services: z.record(z.string(), z.array(amount)) });
+
+/** @param shard Number of a shard. @returns Key of the record that states its load. */
+export function loadKey(shard: number): string {
+    return nameIn(LOAD_KEY, shard);
+}
+
+/** @param key Key of a record. @returns The shard whose load it states, or `undefined` if it states none. */
+export function parseLoadKey(key: string): number | undefined {
+    return parseShard(key, LOAD_KEY);
+}
+
+/** @param load A load. @returns Value of its record. */
+export function encodeShardLoad({ delayMs, services }: ShardLoad): string {
+    const numbers: Record<string, readonly number[]> = {};
+    services.forEach((load, service) => (numbers[service] = FIELDS.map(field => Math.round(load[field]))));
+    return JSON.stringify({ delayMs: Math.round(delayMs), services: numbers });
+}
+
+/** @param value Value of a record. @returns The load, or `undefined` if the value is malformed. */
+export function decodeShardLoad(value: string): ShardLoad | undefined {
+    try {
+        const { delayMs, services } = recordSchema.parse(JSON.parse(value));
+        const loads = Object.entries(services).map(([service, numbers]): [string, ServiceLoad] => [
+            service,
+            loadSchema.parse(Object.fromEntries(FIELDS.map((field, index) => [field, numbers[index]] as const))),
+        ]);
+        return { delayMs, services: new Map(loads) };
+    } catch {
+        // The caller reports the record as malformed.
+        return undefined;
+    }
+}
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -9,6 +9,7 @@
 import { QueueHost } from "./queueHost";
 import { Run } from "./run";
 import { RunReviewer } from "./runReviewer";
+import { ServiceUsage } from "./serviceUsage";
 import { ShortTaskReserve } from "./shortTaskReserve";
 import { LeaderPace } from "./streamViews";
 import { SuspectTable } from "./suspectTable";
@@ -76,8 +77,9 @@
         private readonly host: QueueHost,
         private readonly order: WaitingOrder,
         pace: LeaderPace | undefined,
+        usage: ServiceUsage | undefined,
     ) {
-        this.waits = WaitController.create(pace);
+        this.waits = WaitController.create(pace, usage);
         this.probation = ProbationPlacer.create(suspects, model);
     }
 
@@ -88,6 +90,7 @@
      * @param host Assigns tasks to workers and moves them.
      * @param order Order of the jobs of one priority.
      * @param pace How long the leader takes for what it does; left out if it is not measured.
+     * @param usage How much of each service is in use; that of the workers in the passes if undefined.
      * @returns The queue.
      */
     static create(
@@ -97,8 +100,9 @@
         host: QueueHost,
         order: WaitingOrder = ObjectiveOrder.create(),
         pace?: LeaderPace,
+        usage?: ServiceUsage,
     ): StepQueue {
-        return new StepQueue(queues, model, suspects, host, order, pace);
+        return new StepQueue(queues, model, suspects, host, order, pace, usage);
     }
 
     /**
--- a/src/dispatch/common/waitController.ts
+++ b/src/dispatch/common/waitController.ts
@@ -31,7 +31,6 @@
 /** Bounds the time for which jobs have nothing running: decides what their tasks accept, and which go before all others. */
 export class WaitController {
     private readonly waits = WaitTable.create();
-    private readonly usage = ServiceUsage.create();
     private readonly bounded = BoundedWaitPolicy.create();
     private readonly patient = PatientWaitPolicy.create();
     /** Time (ms) of the first review of the workers. */
@@ -39,11 +38,18 @@
     /** Time that the leader itself takes from the end of a run to the start of the next one, in ms. */
     private lateMs = 0;
 
-    private constructor(private readonly pace: LeaderPace | undefined) {}
+    private constructor(
+        private readonly pace: LeaderPace | undefined,
+        private readonly usage: ServiceUsage,
+    ) {}
 
-    /** @param pace How long the leader takes; left out if it is not measured. @returns A controller that has seen no job. */
-    static create(pace?: LeaderPace): WaitController {
-        return new WaitController(pace);
+    /**
+     * @param pace How long the leader takes; left out if it is not measured.
+     * @param usage How much of each service is in use.
+     * @returns A controller that has seen no job.
+     */
+    static create(pace?: LeaderPace, usage = ServiceUsage.create()): WaitController {
+        return new WaitController(pace, usage);
     }
 
     /** Reviews the leader and the workers once in a pass. @param workers All workers. @param now Time in ms. */
--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -5,6 +5,8 @@
 import { Outbox } from "../../base/common/outbox";
 import { DispatchLimits } from "../../dispatch/common/dispatchLimits";
 import { parseLeaseKey } from "../../dispatch/common/leaseRecord";
+import { parseLoadKey } from "../../dispatch/common/shardLoad";
+import { ShardLoadTable } from "../../dispatch/common/shardLoadTable";
 import { StartLoad } from "../../dispatch/common/startWindow";
 import { ConfigurationView } from "../../jobs/common/configurationView";
 import { JobCallHandler } from "../../jobs/common/jobCallHandler";
@@ -97,6 +99,7 @@
     private readonly jobs = JobTable.create();
     private readonly queues = QueueTable.create();
     private readonly shards = ShardTable.create();
+    private readonly loads = ShardLoadTable.create();
     private readonly workers = WorkerTable.create(this.shards);
     private readonly jobsFollower: RecordFollower;
     private readonly operatorFollower: RecordFollower;
@@ -285,11 +288,19 @@
             this.ensureOffice(leaseShard).leases.apply(record, this.now);
         } else if (this.shards.isPlanKey(record.key)) {
             this.shards.apply(record);
+        } else if (parseLoadKey(record.key) !== undefined) {
+            this.applyLoad(record);
         } else {
             this.jobs.apply(record);
         }
     }
 
+    private applyLoad(record: StoredRecord): void {
+        if (!this.loads.apply(record, this.now)) {
+            this.logMalformed("jobs", record.key, record.offset);
+        }
+    }
+
     /** Applies a record of the operator. */
     applyOperatorRecord(record: StoredRecord): void {
         const configuration = this.decoder.decodeConfiguration(record);
@@ -413,12 +424,12 @@
     }
 
     private createOfficeContext(): OfficeContext {
-        const { identity, limits, jobs, queues, shards, workers, loopDelay, outbox: effects } = this;
+        const { identity, limits, jobs, queues, shards, loads, workers, loopDelay, outbox: effects } = this;
         const { jobsFollower, operatorFollower, workersFollower } = this;
         const followers = { jobsFollower, operatorFollower, workersFollower };
         const countOtherOffices = (own: number) =>
             this.offices.filter(office => office.shard !== own && office.isCandidate).length;
-        const tables = { jobs, queues, shards, workers };
+        const tables = { jobs, queues, shards, loads, workers };
         return { identity, limits, ...tables, ...followers, loopDelay, effects, countOtherOffices };
     }
 
--- a/src/host/common/shardOffice.ts
+++ b/src/host/common/shardOffice.ts
@@ -4,6 +4,8 @@
 import { DispatchLimits } from "../../dispatch/common/dispatchLimits";
 import { LeaseTable } from "../../dispatch/common/leaseTable";
 import { Scheduler } from "../../dispatch/common/scheduler";
+import { ShardFleet } from "../../dispatch/common/shardFleet";
+import { ShardLoadTable } from "../../dispatch/common/shardLoadTable";
 import { StartLoad } from "../../dispatch/common/startWindow";
 import { EntryReading } from "../../dispatch/common/workerEntry";
 import { WorkerEvent } from "../../dispatch/common/workerMessages";
@@ -32,6 +34,7 @@
     readonly jobs: JobTable;
     readonly queues: QueueTable;
     readonly shards: ShardTable;
+    readonly loads: ShardLoadTable;
     readonly workers: WorkerTable;
     readonly jobsFollower: RecordFollower;
     readonly operatorFollower: RecordFollower;
@@ -50,6 +53,7 @@
     readonly leases: LeaseTable;
     private readonly leadership: Leadership;
     private readonly jobs: ShardJobs;
+    private readonly fleet: ShardFleet;
     private readonly effects: EffectSink<JobInstanceEffect>;
     private scheduler: Scheduler | undefined;
     private takeover: Takeover | undefined;
@@ -64,6 +68,13 @@
         this.leases = LeaseTable.create(shard);
         this.jobs = ShardJobs.create(jobs, shards, shard);
         this.effects = shard === FIRST_SHARD ? context.effects : createNamingSink(context.effects, shard);
+        this.fleet = {
+            shard,
+            loads: context.loads,
+            get count() {
+                return shards.count;
+            },
+        };
         const candidate = {
             instance: identity.instance,
             nonce: identity.nonce + shard * CLAIM_SPREAD_MS,
@@ -221,7 +232,8 @@
         const views = { jobs: jobsFollower, configuration: operatorFollower, workers: workersFollower, loop };
         const tables = { jobs, progress, queues, leases };
         const { work } = this.context.identity;
-        const context = { ...tables, leadership, views, limits, learnedInterference, effects, work };
+        const { fleet } = this;
+        const context = { ...tables, leadership, views, limits, learnedInterference, effects, work, fleet };
         const writers = { jobs: writer, progress: takeover.writer };
         return Scheduler.create(context, leadership.epoch, writers, this.now);
     }
--- a/src/host/node/jobMetrics.ts
+++ b/src/host/node/jobMetrics.ts
@@ -14,6 +14,9 @@
 /** Bucket bounds of the delay of the loop: from less than a tick to the time in which leadership is lost. */
 const LOOP_DELAY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 5];
 
+/** End of the names of the shares in a line about the load of a shard. */
+const PERCENT_SUFFIX = "Percent";
+
 /** Counters, gauges and latency histograms of one instance. */
 export class JobMetrics {
     private readonly registry = new Registry();
@@ -32,6 +35,12 @@
         labelNames: ["kind"],
         registers: [this.registry],
     });
+    private readonly shardLoads = new Gauge({
+        name: "wigeonstall_service_load_percent",
+        help: "Share of a service's CPU or memory in a shard that this instance leads, by what uses it or waits for it.",
+        labelNames: ["shard", "service", "part"],
+        registers: [this.registry],
+    });
     private readonly runTimes = new Histogram({
         name: "wigeonstall_run_held_seconds",
         help: "Time from the choice of a worker until the end of the run was read, for which the run holds its CPU.",
@@ -147,11 +156,22 @@
         if (name === "run-ended" && typeof data.heldMs === "number") {
             this.runTimes.observe({ outcome }, data.heldMs / MS_PER_SECOND);
         }
+        if (name === "shard-load") {
+            this.recordShardLoad(data);
+        }
         if (name === "run-started" && typeof data.waitedMs === "number") {
             this.startWaits.observe(data.waitedMs / MS_PER_SECOND);
         }
     }
 
+    private recordShardLoad({ shard = 0, service = "", ...parts }: DecisionData): void {
+        for (const [part, value] of Object.entries(parts)) {
+            if (part.endsWith(PERCENT_SUFFIX) && typeof value === "number") {
+                this.shardLoads.set({ shard: String(shard), service: String(service), part }, value);
+            }
+        }
+    }
+
     /** Records how late an event was handled. @param delayMs Delay in ms. */
     recordLoopDelay(delayMs: number): void {
         this.loopDelays.observe(delayMs / MS_PER_SECOND);
