Divide a fleet by the CPU of its racks, not by their number

Callers saw jobs wait longer in one shard than in the others. Racks differ in size, and a division that gives each shard as many of each failure domain left one of 18, 18 and 14 workers in the test. Racks are now dealt out the largest first, each to the shard with the fewest of its failure domain and, among these, the least CPU: 17, 17 and 16. The test failed before.

--- a/src/host/common/fleetDivision.ts
+++ b/src/host/common/fleetDivision.ts
@@ -119,11 +119,43 @@
     }
 }
 
-/** @returns The shard of each rack, so that the shards have as many racks of each failure domain. */
+/** A rack with its workers. */
+interface Rack {
+    readonly name: string;
+    readonly failureDomain: string;
+    /** CPU of its workers, in thousandths of a core. */
+    cpuMillis: number;
+}
+
+/** @returns The shard of each rack, so that the shards have as many racks of each failure domain, and as much CPU. */
 function assignRacks(workers: readonly WorkerEntry[], count: number): Record<string, number> {
-    const domains = new Map(workers.filter(({ rack }) => rack !== "").map(each => [each.rack, each.failureDomain]));
-    const racks = [...domains.keys()].sort((a, b) => compare(domains.get(a)!, domains.get(b)!) || compare(a, b));
-    return Object.fromEntries(racks.map((rack, index) => [rack, index % count]));
+    const shards = Array.from({ length: count }, () => ({ cpuMillis: 0, domains: new Map<string, number>() }));
+    const assigned: Record<string, number> = {};
+    for (const { name, failureDomain, cpuMillis } of collectRacks(workers)) {
+        const racksOf = (shard: number) => shards[shard].domains.get(failureDomain) ?? 0;
+        const [shard] = [...shards.keys()].sort(
+            (a, b) => racksOf(a) - racksOf(b) || shards[a].cpuMillis - shards[b].cpuMillis,
+        );
+        assigned[name] = shard;
+        shards[shard].cpuMillis += cpuMillis;
+        shards[shard].domains.set(failureDomain, racksOf(shard) + 1);
+    }
+    return assigned;
+}
+
+/** @returns The racks of each failure domain, the largest first. */
+function collectRacks(workers: readonly WorkerEntry[]): Rack[] {
+    const racks = new Map<string, Rack>();
+    for (const { rack: name, failureDomain, capacity } of workers) {
+        if (name !== "") {
+            const rack = racks.get(name) ?? { name, failureDomain, cpuMillis: 0 };
+            rack.cpuMillis += capacity.cpuMillis;
+            racks.set(name, rack);
+        }
+    }
+    return [...racks.values()].sort(
+        (a, b) => compare(a.failureDomain, b.failureDomain) || b.cpuMillis - a.cpuMillis || compare(a.name, b.name),
+    );
 }
 
 function compare(a: string, b: string): number {
--- a/src/host/common/test/fleetDivision.test.ts
+++ b/src/host/common/test/fleetDivision.test.ts
@@ -68,6 +68,21 @@
     t.true(division.isDecided);
 });
 
+test("the shards have as much CPU if racks are of different sizes", t => {
+    const { division, storedPlan } = createDivision();
+    const { all } = createWorkers(60);
+    // Of each failure domain, every third rack has half as many workers.
+    const kept = [...all].filter(
+        ([id, { entry }]) => Number(entry.rack.split("-")[1]) % 3 > 0 || Number(id.slice(1)) % 4 < 2,
+    );
+    const workers = { size: kept.length, all: new Map(kept) };
+    division.review({ now: 4_500, workers, ...IDLE });
+    division.review({ now: 5_600, workers, ...IDLE });
+    const plan = storedPlan(5_600)!;
+    const counts = [0, 1, 2].map(shard => kept.filter(([, { entry }]) => plan.racks[entry.rack] === shard).length);
+    t.true(Math.max(...counts) - Math.min(...counts) <= 1, counts.join());
+});
+
 test("jobs do not wait for further workers to register", t => {
     const { division } = createDivision();
     division.review({ now: 100, workers: createWorkers(12), hasJobs: true, hasAssigned: false });
