Judge the use of a service by all shards of a divided fleet

Callers are promised a run within 3 s while their service as a whole is under half in use. ServiceUsage now adds the loads that the other leaders publish, and takes the lower of the two shares, so the bound holds while the shard or the whole service has room. The test is new: with the shard at 90% and the service at 26%, the job was not due after 2.4 s before.

--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -104,9 +104,10 @@
         this.failures = FailureController.create(context.queues, this.suspects, SchedulerFailureHost.create(this));
         const queueHost = SchedulerQueueHost.create(this);
         const pace = SchedulerPace.create(context.views.loop, this.pool);
-        const usage = ServiceUsage.create();
+        const { fleet = UNDIVIDED_FLEET } = context;
+        const usage = ServiceUsage.create(service => fleet.loads.loadsOf(service, fleet.shard, this.now));
         this.queue = StepQueue.create(context.queues, this.model, this.suspects, queueHost, undefined, pace, usage);
-        this.publisher = LoadPublisher.create(context.fleet ?? UNDIVIDED_FLEET, {
+        this.publisher = LoadPublisher.create(fleet, {
             jobs: () => this.activeJobs.all,
             queues: context.queues,
             usage,
--- a/src/dispatch/common/serviceUsage.ts
+++ b/src/dispatch/common/serviceUsage.ts
@@ -1,5 +1,5 @@
 import { StepSpec } from "../../jobs/common/jobSpec";
-import { emptyLoad, percentOf, ServiceLoad } from "./serviceLoad";
+import { addLoad, emptyLoad, percentOf, ServiceLoad } from "./serviceLoad";
 import { Task } from "./task";
 import { WorkerContact } from "./workerContact";
 
@@ -23,6 +23,9 @@
     readonly idleMemory: number;
 }
 
+/** Returns the loads of a service on workers of other leaders. */
+export type LoadsElsewhere = (service: string) => Iterable<ServiceLoad>;
+
 /** Of a service without runs. */
 export const UNUSED: UsedRatios = { cpu: 0, idleMemory: 0 };
 
@@ -35,13 +38,18 @@
  */
 export class ServiceUsage {
     private totals = new Map<string, ServiceLoad>();
+    /** Loads on workers of other leaders, as of the latest review. */
+    private readonly elsewhere = new Map<string, ServiceLoad>();
     private reviewedAt: number | undefined;
 
-    private constructor() {}
+    private constructor(private readonly loadsElsewhere: LoadsElsewhere) {}
 
-    /** @returns A table that has seen no worker. */
-    static create(): ServiceUsage {
-        return new ServiceUsage();
+    /**
+     * @param loadsElsewhere Returns the loads of a service on workers of other leaders; there are none if undefined.
+     * @returns A table that has seen no worker.
+     */
+    static create(loadsElsewhere: LoadsElsewhere = () => []): ServiceUsage {
+        return new ServiceUsage(loadsElsewhere);
     }
 
     /**
@@ -60,6 +68,15 @@
                 this.add(worker);
             }
         }
+        this.elsewhere.clear();
+        for (const service of this.totals.keys()) {
+            const sum = emptyLoad();
+            const loads = [...this.loadsElsewhere(service)];
+            loads.forEach(load => addLoad(sum, load));
+            if (loads.length > 0) {
+                this.elsewhere.set(service, sum);
+            }
+        }
     }
 
     /** Records that a task was assigned to a worker after the latest review. @param speedPercent Its speed, in percent. */
@@ -75,15 +92,18 @@
         return this.totals;
     }
 
-    /** @returns How much of a service's capacity is in use; all of it if nothing is known of the service. */
+    /**
+     * Callers do not know of shards, so a service has room if it has room as a whole, also while one shard is full.
+     * @returns How much of a service's capacity is in use, on the workers of this leader or on all if that is less; all of it if
+     * nothing is known of the service.
+     */
     ratiosOf(service: string): UsedRatios {
         const own = this.totals.get(service);
-        return own === undefined
-            ? FULL
-            : {
-                  cpu: own.usedCpuMillis / Math.max(1, own.cpuMillis),
-                  idleMemory: own.idleMemoryMb / Math.max(1, own.memoryMb),
-              };
+        if (own === undefined) {
+            return FULL;
+        }
+        const other = this.elsewhere.get(service);
+        return other === undefined ? usedRatios(own) : leastRatios(usedRatios(own), usedRatios(own, other));
     }
 
     /** @returns How much of a service's capacity is in use, as far as it is known. */
@@ -108,6 +128,18 @@
     }
 }
 
+/** @returns How much is in use of the capacity of one load, or of two together. */
+function usedRatios(load: ServiceLoad, other = emptyLoad()): UsedRatios {
+    return {
+        cpu: (load.usedCpuMillis + other.usedCpuMillis) / Math.max(1, load.cpuMillis + other.cpuMillis),
+        idleMemory: (load.idleMemoryMb + other.idleMemoryMb) / Math.max(1, load.memoryMb + other.memoryMb),
+    };
+}
+
+function leastRatios(a: UsedRatios, b: UsedRatios): UsedRatios {
+    return { cpu: Math.min(a.cpu, b.cpu), idleMemory: Math.min(a.idleMemory, b.idleMemory) };
+}
+
 function addRequest(totals: ServiceLoad, { request, usesSpareCpu }: StepSpec, speedPercent: number): void {
     totals[usesSpareCpu ? "spareCpuMillis" : "usedCpuMillis"] += request.cpuMillis;
     totals.usedMemoryMb += request.memoryMb;
--- a/src/dispatch/common/test/waitController.test.ts
+++ b/src/dispatch/common/test/waitController.test.ts
@@ -1,5 +1,7 @@
 import test from "ava";
 import { ActiveJob } from "../activeJob";
+import { emptyLoad, ServiceLoad } from "../serviceLoad";
+import { ServiceUsage } from "../serviceUsage";
 import { Task } from "../task";
 import { WaitController } from "../waitController";
 import { WorkerContact } from "../workerContact";
@@ -17,9 +19,16 @@
     readonly job: ActiveJob = createJob("a", createBestEffort({ tasks: 2 }));
     readonly tasks: readonly Task[] = [...this.job.tasks()];
 
-    /** @param delayMs How late the leader's loop is, in ms. @param startMs How long its starts take, in ms. */
-    constructor(delayMs = 0, startMs?: number) {
-        this.waits = WaitController.create({ delayMs, startMs });
+    /**
+     * @param delayMs How late the leader's loop is, in ms.
+     * @param startMs How long its starts take, in ms.
+     * @param elsewhere Loads of the service in other shards.
+     */
+    constructor(delayMs = 0, startMs?: number, elsewhere: readonly ServiceLoad[] = []) {
+        this.waits = WaitController.create(
+            { delayMs, startMs },
+            ServiceUsage.create(() => elsewhere),
+        );
     }
 
     /** Runs passes from one time up to, but not including, another, in ms. */
@@ -54,6 +63,20 @@
     t.is(fixture.minSpeedPercent(2_400), ANY_WORKER_PERCENT);
 });
 
+test("a job of a full shard is due in time while its service as a whole has room", t => {
+    const worker = createWorker();
+    occupy(worker, 0.9);
+    const load = { ...emptyLoad(), cpuMillis: 192_000, memoryMb: 768_000 };
+    for (const [usedCpuMillis, isDue] of [
+        [10_000, true],
+        [180_000, false],
+    ] as const) {
+        const fixture = new Fixture(0, undefined, [{ ...load, usedCpuMillis }]);
+        fixture.pass([worker], 0, 2_400);
+        t.is(fixture.isDue(2_400), isDue);
+    }
+});
+
 test("no job is due while its service is nearly full, and one that has waited is due as soon as there is room", t => {
     const fixture = new Fixture();
     const worker = createWorker();
