--- a/src/dispatch/common/activeJob.ts
+++ b/src/dispatch/common/activeJob.ts
@@ -32,6 +32,10 @@
     isCancelled = false;
     /** State in the latest progress record. */
     recordedState: JobState = "queued";
+    /** How often it was transferred between shards. */
+    transfers = 0;
+    /** Number of progress records that are not stored yet. */
+    unstoredRecords = 0;
     /** State that was last published to all instances. */
     publishedState: JobState = "queued";
     /** Time by which the job should be finished to have its full value, in ms since the Unix epoch. */
@@ -61,6 +65,7 @@
     static create(spec: JobSpec, specOffset: number, progress: JobProgress | undefined): ActiveJob {
         const job = new ActiveJob(spec, specOffset);
         job.state = progress?.state ?? "queued";
+        job.transfers = progress?.transfers ?? 0;
         const keys = [
             ...Object.keys(progress?.done ?? {}),
             ...[...(progress?.tasks ?? []), ...(progress?.runs ?? [])].map(each => groupKeyOf(each.task)),
@@ -201,7 +206,7 @@
         const runs = [...this.tasks()].flatMap(task => (task.run === undefined ? [] : [task.run.record]));
         if (isFinal(this.state)) {
             const restarted = [...this.tasks()].filter(task => task.hasLostRun && isFinishedBy(task, "done"));
-            return { epoch, state: this.state, runs, tasks: restarted.map(recordOf) };
+            return { epoch, state: this.state, runs, tasks: restarted.map(recordOf), transfers: this.transfers };
         }
         const done: Record<string, string> = {};
         const tasks: TaskRecord[] = [];
@@ -218,7 +223,24 @@
                 }
             }
         }
-        return { epoch, state: this.state, done, runs, tasks };
+        return { epoch, state: this.state, done, runs, tasks, transfers: this.transfers };
+    }
+
+    /**
+     * Whether the leader of another shard can schedule it from now on: no worker can have a run of it, and all that is known of
+     * its former runs is recorded.
+     */
+    get isTransferable(): boolean {
+        if (isFinal(this.state) || this.hasRun || this.unstoredRecords > 0) {
+            return false;
+        }
+        for (const task of this.tasks()) {
+            const isSuspected = task.suspicion !== undefined || task.lossesInARow > 0;
+            if (task.hasLostRun || task.highestRun > task.lastRun || isSuspected) {
+                return false;
+            }
+        }
+        return true;
     }
 
     /** @returns When an occurrence is due, in ms since the Unix epoch. */
--- a/src/dispatch/common/activeJobTable.ts
+++ b/src/dispatch/common/activeJobTable.ts
@@ -2,6 +2,7 @@
 import { encodeProgress, encodeSpec, jobKey, JobProgress, RunRecord, TaskRecord } from "../../jobs/common/jobRecord";
 import { JobSpec, JobState } from "../../jobs/common/jobSpec";
 import { isFinal, JobEntry } from "../../jobs/common/jobTable";
+import { encodeTransfer } from "../../jobs/common/jobTransfer";
 import { JobSource } from "../../jobs/common/shardJobs";
 import { ProgressTable } from "../../jobs/common/progressTable";
 import { RecordWriter, StoredListener } from "../../records/common/recordWriter";
@@ -28,6 +29,10 @@
     private readonly finished = new Set<string>();
     /** Highest runs of the tasks of finished jobs that were started again after a run was given up, by task and job. */
     private readonly restarts = new Map<string, ReadonlyMap<string, number>>();
+    /** Jobs that were left to other shards, with the number of transfers after which they may be back. */
+    private readonly departed = new Map<string, number>();
+    /** Jobs that were submitted or transferred and not taken by `takeArrivals` yet. */
+    private arrivals: ActiveJob[] = [];
     private readonly didCancel = Emitter.create<ActiveJob>();
 
     private readonly didIgnoreJob = Emitter.create<string>();
@@ -106,7 +111,7 @@
      * @returns Number of the tasks that were created.
      */
     restore(entry: JobEntry, progress: ProgressTable, inherit: (task: Task, record: RunRecord) => void): number {
-        const known = progress.find(entry.id);
+        const known = latestProgress(entry, progress);
         const isFinished = known !== undefined && isFinal(known.state) && (known.runs ?? []).length === 0;
         if (isFinished) {
             this.finished.add(entry.id);
@@ -136,19 +141,46 @@
 
     /** Applies a change in the table of all jobs. */
     update(entry: JobEntry): void {
-        if (entry.spec === undefined || this.finished.has(entry.id)) {
+        const { id, spec, transfer } = entry;
+        if (spec === undefined || this.finished.has(id) || (transfer?.count ?? 0) < (this.departed.get(id) ?? 0)) {
             return;
         }
-        let job = this.jobs.get(entry.id);
+        let job = this.jobs.get(id);
         if (job === undefined) {
-            job = ActiveJob.create(entry.spec, entry.specOffset, undefined);
-            this.jobs.set(entry.id, job);
+            this.departed.delete(id);
+            job = ActiveJob.create(spec, entry.specOffset, transfer?.progress);
+            job.transfers = transfer?.count ?? 0;
+            job.publishedState = entry.state;
+            this.jobs.set(id, job);
+            this.arrivals.push(job);
         }
         if (entry.isCancelled) {
             this.cancel(job);
         }
     }
 
+    /** @returns The jobs that were submitted, or transferred to this shard, since the last call. */
+    takeArrivals(): readonly ActiveJob[] {
+        const { arrivals } = this;
+        this.arrivals = [];
+        return arrivals.filter(job => this.jobs.get(job.spec.id) === job);
+    }
+
+    /**
+     * Leaves a job to the leader of another shard, which schedules it once it has read the record. If this leader is superseded
+     * before the record is stored, the job stays with the shard.
+     * @param job A job that is transferable.
+     * @param shard The other shard.
+     */
+    transfer(job: ActiveJob, shard: number): void {
+        const { id } = job.spec;
+        const count = job.transfers + 1;
+        const progress = job.state === "queued" ? undefined : job.progress(this.epoch);
+        this.jobs.delete(id);
+        this.departed.set(id, count);
+        this.writers.jobs.write(jobKey("transfer", id), () => encodeTransfer({ shard, count, progress }));
+    }
+
     /**
      * Records the job's progress, and removes the job from the active ones if it is finished and has no runs.
      * @param job The job.
@@ -161,7 +193,9 @@
             job.recordedState = progress.state;
             return encodeProgress(progress);
         };
+        job.unstoredRecords += 1;
         this.writers.progress.write(jobKey("progress", id), encode, sentAt => {
+            job.unstoredRecords -= 1;
             this.publishState(id, job.publishedState, job.recordedState);
             job.publishedState = job.recordedState;
             if (isFinal(job.recordedState) && this.finishing.delete(id)) {
@@ -216,6 +250,7 @@
         inherit: (task: Task, record: RunRecord) => void,
     ): number {
         const job = ActiveJob.create(spec, entry.specOffset, progress);
+        job.transfers = entry.transfer?.count ?? 0;
         this.publishState(entry.id, entry.state, job.state);
         job.publishedState = job.state;
         this.jobs.set(entry.id, job);
@@ -241,6 +276,16 @@
     }
 }
 
+/**
+ * @param entry A job.
+ * @param table Progress as the leaders of its shard recorded it.
+ * @returns Its progress: that of its latest transfer, unless a leader has recorded some since then.
+ */
+function latestProgress({ id, transfer }: JobEntry, table: ProgressTable): JobProgress | undefined {
+    const recorded = table.find(id);
+    return transfer !== undefined && (recorded?.transfers ?? 0) < transfer.count ? transfer.progress : recorded;
+}
+
 /** @param name Name of a task. @returns Identifier of its job. */
 function jobIdOf(name: string): string {
     return name.slice(0, name.indexOf("."));
--- a/src/dispatch/common/dispatchEffects.ts
+++ b/src/dispatch/common/dispatchEffects.ts
@@ -13,6 +13,8 @@
     | "leader-ended"
     | "fleet-divided"
     | "shard-load"
+    | "job-transferred"
+    | "job-adopted"
     | "leader-late"
     | "leader-on-time"
     | "run-started"
--- a/src/dispatch/common/jobPruner.ts
+++ b/src/dispatch/common/jobPruner.ts
@@ -12,6 +12,8 @@
 /** Deletes the records of jobs whose retention has passed. */
 export class JobPruner {
     private readonly finishedAt = new Map<string, number>();
+    /** Times (ms) at which transfers were first seen whose jobs are deleted. */
+    private readonly orphanedAt = new Map<string, number>();
     private nextCheckAt = 0;
 
     private constructor(
@@ -39,6 +41,9 @@
         }
         this.nextCheckAt = now + CHECK_INTERVAL_MS;
         for (const entry of this.jobs.all) {
+            if (entry.spec === undefined && entry.transfer !== undefined) {
+                this.reviewOrphan(entry.id, now);
+            }
             if (!isFinal(entry.state) || !this.activeJobs.isFinished(entry.id)) {
                 continue;
             }
@@ -51,14 +56,29 @@
         }
     }
 
+    /** Deletes a transfer without a job. It remains if a leader is lost after it deleted the spec of an expired job. */
+    private reviewOrphan(id: string, now: number): void {
+        const orphanedAt = this.orphanedAt.get(id) ?? now;
+        this.orphanedAt.set(id, orphanedAt);
+        if (now - orphanedAt > RETENTION_MARGIN_MS) {
+            this.orphanedAt.delete(id);
+            this.writers.jobs.write(jobKey("transfer", id), () => undefined);
+        }
+    }
+
     /** Deletes the progress last: if the spec were left without it, the job would run again. */
     private prune(id: string): void {
+        const isTransferred = this.jobs.find(id)?.transfer !== undefined;
         this.writers.jobs.write(jobKey("cancellation", id), () => undefined);
         this.writers.jobs.write(
             jobKey("spec", id),
             () => undefined,
             () => {
                 this.writers.progress.write(jobKey("progress", id), () => undefined);
+                if (isTransferred) {
+                    // Without it, a job that is still recorded would be scheduled by its former shard again.
+                    this.writers.jobs.write(jobKey("transfer", id), () => undefined);
+                }
                 this.activeJobs.remove(id);
             },
         );
--- /dev/null
+++ b/src/dispatch/common/roomTransferPolicy.ts
@@ -0,0 +1,70 @@
+import { MAX_LEADER_DELAY_MS } from "./dispatchLimits";
+import { JobDemand } from "./jobDemand";
+import { ShardOption, TransferPolicy, TransferRequest } from "./transferPolicy";
+
+/** How jobs of one kind are transferred. Pressures are shares of the CPU of a service in a shard. */
+interface TransferTerms {
+    /** Pressure of its shard from which on a job that has just been submitted is transferred. */
+    readonly minPressure: number;
+    /** How much lower the pressure of the other shard is at least. */
+    readonly minGain: number;
+    /** Time for which a job waits before it is transferred later, in ms. */
+    readonly minWaitMs: number;
+}
+
+/** Jobs that last stay for minutes, so they are spread while there is room for all. */
+const LONG_RUNNING_TERMS: TransferTerms = { minPressure: 0, minGain: 0.02, minWaitMs: 1_000 };
+
+/** Short tasks with reserved CPU start at once while there is room, and a transfer costs them a round trip to the store. */
+const RESERVED_TERMS: TransferTerms = { minPressure: 0.85, minGain: 0.05, minWaitMs: 500 };
+
+/** Best-effort tasks wait for a worker on which they run fast. */
+const BEST_EFFORT_TERMS: TransferTerms = { minPressure: 0.9, minGain: 0.1, minWaitMs: 1_500 };
+
+/** Pressure that a shard without the rack that holds a job's data counts as having more. */
+const REMOTE_DATA_PRESSURE = 0.2;
+
+/** Transfers a job to the shard with the most room if its own has much less. */
+export class RoomTransferPolicy extends TransferPolicy {
+    private constructor() {
+        super();
+    }
+
+    /** @returns The policy. */
+    static create(): RoomTransferPolicy {
+        return new RoomTransferPolicy();
+    }
+
+    override choose(
+        { demand, waitedMs }: TransferRequest,
+        own: ShardOption,
+        others: readonly ShardOption[],
+    ): ShardOption | undefined {
+        const maxDelayMs = Math.max(own.delayMs, MAX_LEADER_DELAY_MS);
+        const pressure = (option: ShardOption) => pressureOf(option, demand);
+        const [best] = others
+            .filter(each => each.isSuitable && each.delayMs <= maxDelayMs)
+            .sort((a, b) => pressure(a) - pressure(b));
+        if (best === undefined || !own.isSuitable) {
+            return best;
+        }
+        const { minPressure, minGain, minWaitMs } = termsOf(demand);
+        const isDue = waitedMs === undefined ? pressure(own) >= minPressure : waitedMs >= minWaitMs;
+        return isDue && pressure(own) - pressure(best) >= minGain ? best : undefined;
+    }
+}
+
+function termsOf({ isLongRunning, spareCpuMillis }: JobDemand): TransferTerms {
+    if (isLongRunning) {
+        return LONG_RUNNING_TERMS;
+    }
+    return spareCpuMillis > 0 ? BEST_EFFORT_TERMS : RESERVED_TERMS;
+}
+
+/** @returns What the tasks of a service and of the job request together, as a share of its CPU. Best-effort tasks use what others leave. */
+function pressureOf({ load, hasData }: ShardOption, demand: JobDemand): number {
+    const reserved = load.usedCpuMillis + load.waitingCpuMillis + demand.cpuMillis;
+    const spare = load.spareCpuMillis + load.waitingSpareCpuMillis + demand.spareCpuMillis;
+    const requested = demand.spareCpuMillis > 0 ? reserved + spare : reserved;
+    return requested / Math.max(1, load.cpuMillis) + (hasData ? 0 : REMOTE_DATA_PRESSURE);
+}
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -12,7 +12,6 @@
 import { FailureController } from "./failureController";
 import { LatencyModel } from "./latencyModel";
 import { LeaseBook } from "./leaseBook";
-import { LoadPublisher } from "./loadPublisher";
 import { LatencyModelRecorder } from "./latencyModelRecorder";
 import { ThrottleController } from "./throttleController";
 import { Run, RunHost, RunOutcome } from "./run";
@@ -24,9 +23,7 @@
 import { SchedulerPoolHost } from "./schedulerPoolHost";
 import { SchedulerQueueHost } from "./schedulerQueueHost";
 import { SchedulerRunHost } from "./schedulerRunHost";
-import { ServiceUsage } from "./serviceUsage";
-import { ShardFleet } from "./shardFleet";
-import { ShardLoadTable } from "./shardLoadTable";
+import { ShardController } from "./shardController";
 import { StartAdmission } from "./startAdmission";
 import { StartLoad } from "./startWindow";
 import { StepQueue } from "./stepQueue";
@@ -43,9 +40,6 @@
 /** Size of the range of run numbers per task and epoch. Separate ranges keep two leaders from using the same number. */
 const MAX_RUNS_PER_EPOCH = 1_000;
 
-/** A fleet that is not divided. */
-const UNDIVIDED_FLEET: ShardFleet = { shard: 0, count: 1, loads: ShardLoadTable.create() };
-
 /** Decides which worker runs which task during one leader's epoch. */
 export class Scheduler implements Disposable {
     private readonly resources = DisposableStore.create();
@@ -73,7 +67,7 @@
     /** Number of passes over the waiting tasks so far. */
     passCount = 0;
     private readonly modelRecorder: LatencyModelRecorder;
-    private readonly publisher: LoadPublisher;
+    private readonly shards: ShardController;
     private now = 0;
     private wallNow = 0;
 
@@ -104,17 +98,10 @@
         this.failures = FailureController.create(context.queues, this.suspects, SchedulerFailureHost.create(this));
         const queueHost = SchedulerQueueHost.create(this);
         const pace = SchedulerPace.create(context.views.loop, this.pool);
-        const { fleet = UNDIVIDED_FLEET } = context;
-        const usage = ServiceUsage.create(service => fleet.loads.loadsOf(service, fleet.shard, this.now));
+        const usage = ShardController.createUsage(context.fleet, () => this.now);
         this.queue = StepQueue.create(context.queues, this.model, this.suspects, queueHost, undefined, pace, usage);
-        this.publisher = LoadPublisher.create(fleet, {
-            jobs: () => this.activeJobs.all,
-            queues: context.queues,
-            usage,
-            pace,
-            writer: writers.jobs,
-            log,
-        });
+        const sources = { jobs: this.activeJobs, queues: context.queues, usage, pace, writer: writers.jobs, log };
+        this.shards = ShardController.create(context.fleet, sources);
         this.resources.add(this.queue.onDidWait(report => this.logWait(report)));
         this.resources.add(this.activeJobs.onDidCancel(job => this.stopRuns(job, this.now)));
         this.resources.add(
@@ -250,7 +237,7 @@
         this.pruner.tick(now);
         this.modelRecorder.tick(now);
         this.pacer.tick(now);
-        this.publisher.tick(now);
+        this.shards.tick(now);
     }
 
     /**
@@ -266,6 +253,7 @@
         if (!isLeading || !this.views.canStart(now)) {
             return;
         }
+        this.shards.review(now, wallNow);
         const starts = this.pendingStarts;
         this.pendingStarts = [];
         starts.forEach(run => run.fire("stored", { now }));
--- /dev/null
+++ b/src/dispatch/common/shardBalancer.ts
@@ -0,0 +1,231 @@
+import { QueueTable } from "../../jobs/common/queueTable";
+import { ActiveJob } from "./activeJob";
+import { ActiveJobTable } from "./activeJobTable";
+import { DecisionData, DecisionName } from "./dispatchEffects";
+import { demandOf, JobDemand } from "./jobDemand";
+import { LoadPublisher } from "./loadPublisher";
+import { addLoad, emptyLoad, percentOf, ServiceLoad } from "./serviceLoad";
+import { ShardFleet } from "./shardFleet";
+import { suitabilityOf } from "./shardSuitability";
+import { ShardOption } from "./transferPolicy";
+import { WorkerEntry } from "./workerEntry";
+
+/** Interval between two reviews of the jobs that wait, in ms. */
+const REVIEW_INTERVAL_MS = 300;
+
+/** Limit of the jobs that one review transfers: the loads of the others do not show them yet. */
+const MAX_TRANSFERS_PER_REVIEW = 16;
+
+/** Time after a transfer by which the load of the other shard includes the job, in ms. */
+const PUBLICATION_DELAY_MS = 800;
+
+/** Time for which a job that was transferred stays at least, in ms; twice as long with each further transfer. */
+const MIN_STAY_MS = 2_000;
+
+/** Interval at which the workers of the other shards are looked at, in ms. Their kinds change rarely. */
+const WORKERS_INTERVAL_MS = 2_000;
+
+/** What the leader of one shard balances. */
+export interface BalancedShard {
+    readonly jobs: ActiveJobTable;
+    readonly queues: QueueTable;
+    readonly publisher: LoadPublisher;
+    /** Largest delay of the leader's loop of late, in ms. */
+    readonly delayMs: () => number;
+    readonly log: (name: DecisionName, data: DecisionData) => void;
+}
+
+/** A job that was left to another shard, whose published load may not include it yet. */
+interface RecentTransfer {
+    readonly shard: number;
+    readonly service: string;
+    readonly load: ServiceLoad;
+    /** Time (ms) of the transfer. */
+    readonly at: number;
+}
+
+/**
+ * Leaves jobs to the leaders of other shards.
+ *
+ * Load pattern: a fleet with several leaders, whose jobs are distributed by hashes of their identifiers. Few and wide jobs, or jobs
+ * that need what only some workers have, fill one shard while others have room. A job is transferred when it is submitted, before
+ * any of its tasks is assigned, or later while it waits without a run.
+ */
+export class ShardBalancer {
+    private recent: RecentTransfer[] = [];
+    /** Time (ms) since which a job has had no run. */
+    private readonly waitingSince = new WeakMap<ActiveJob, number>();
+    /** Time (ms) at which a job was transferred to this shard. */
+    private readonly arrivedAt = new WeakMap<ActiveJob, number>();
+    private reviewedAt = Number.NEGATIVE_INFINITY;
+    private workers = new Map<number, readonly WorkerEntry[]>();
+    private workersReadAt = Number.NEGATIVE_INFINITY;
+
+    private constructor(
+        private readonly fleet: ShardFleet,
+        private readonly shard: BalancedShard,
+    ) {}
+
+    /** @param fleet The shards. @param shard The shard that is balanced with the others. @returns The balancer. */
+    static create(fleet: ShardFleet, shard: BalancedShard): ShardBalancer {
+        return new ShardBalancer(fleet, shard);
+    }
+
+    /**
+     * Transfers jobs that have just been submitted, and at intervals those that wait.
+     * @param now Time in ms.
+     * @param wallNow Time in ms since the Unix epoch.
+     */
+    review(now: number, wallNow: number): void {
+        const arrivals = this.shard.jobs.takeArrivals();
+        if (this.fleet.count === 1) {
+            return;
+        }
+        this.recent = this.recent.filter(each => now - each.at < PUBLICATION_DELAY_MS);
+        for (const job of arrivals) {
+            if (job.transfers > 0) {
+                this.arrivedAt.set(job, now);
+                this.shard.log("job-adopted", { job: job.spec.id, transfers: job.transfers });
+            } else {
+                job.openDue(wallNow);
+                this.reviewArrival(job, now);
+            }
+        }
+        if (now - this.reviewedAt >= REVIEW_INTERVAL_MS) {
+            this.reviewedAt = now;
+            this.reviewWaiting(now);
+        }
+    }
+
+    private reviewArrival(job: ActiveJob, now: number): void {
+        const demand = demandOf(job);
+        if (demand.tasks > 0 && !this.transfer(job, demand, undefined, now)) {
+            // The load of this shard shows the job only after its next review.
+            this.shift(job, demand, 1);
+        }
+    }
+
+    private reviewWaiting(now: number): void {
+        const waiting: { readonly job: ActiveJob; readonly demand: JobDemand; readonly waitedMs: number }[] = [];
+        for (const job of this.shard.jobs.all) {
+            const demand = job.hasRun ? undefined : demandOf(job);
+            if (demand === undefined || demand.tasks === 0) {
+                this.waitingSince.delete(job);
+                continue;
+            }
+            const since = this.waitingSince.get(job) ?? now;
+            this.waitingSince.set(job, since);
+            if (now - since > 0 && this.mayLeave(job, now)) {
+                waiting.push({ job, demand, waitedMs: now - since });
+            }
+        }
+        waiting.sort((a, b) => b.waitedMs - a.waitedMs);
+        let transfers = 0;
+        for (const { job, demand, waitedMs } of waiting) {
+            if (transfers >= MAX_TRANSFERS_PER_REVIEW) {
+                return;
+            }
+            this.shift(job, demand, -1);
+            if (this.transfer(job, demand, waitedMs, now)) {
+                transfers += 1;
+            } else {
+                this.shift(job, demand, 1);
+            }
+        }
+    }
+
+    private mayLeave(job: ActiveJob, now: number): boolean {
+        const stayMs = job.transfers === 0 ? 0 : MIN_STAY_MS * 2 ** (job.transfers - 1);
+        return now - (this.arrivedAt.get(job) ?? -Infinity) >= stayMs;
+    }
+
+    /** @param waitedMs Time for which it has waited, in ms; `undefined` for a new job. @returns Whether it was left to another shard. */
+    private transfer(job: ActiveJob, demand: JobDemand, waitedMs: number | undefined, now: number): boolean {
+        if (!job.isTransferable) {
+            return false;
+        }
+        const { service } = this.shard.queues.latestSettings(job.spec.queue);
+        const { fleet, shard } = this;
+        const ownLoad = shard.publisher.loadOf(service);
+        const own = this.optionOf(job, service, fleet.shard, shard.delayMs(), ownLoad, now);
+        const others = [...Array(fleet.count).keys()].flatMap(each => this.otherOption(job, service, each, now) ?? []);
+        const chosen = fleet.policy.choose({ demand, waitedMs }, own, others);
+        if (chosen === undefined) {
+            return false;
+        }
+        const load = loadOf(demand);
+        this.recent.push({ shard: chosen.shard, service, load, at: now });
+        shard.log("job-transferred", {
+            job: job.spec.id,
+            to: chosen.shard,
+            transfers: job.transfers + 1,
+            waitedMs: waitedMs === undefined ? undefined : Math.round(waitedMs),
+            cpuMillis: demand.cpuMillis + demand.spareCpuMillis,
+            isSuitable: own.isSuitable,
+            ...percentsOf("", own.load),
+            ...percentsOf("to", chosen.load),
+        });
+        shard.jobs.transfer(job, chosen.shard);
+        return true;
+    }
+
+    private otherOption(job: ActiveJob, service: string, number: number, now: number): ShardOption | undefined {
+        const published = number === this.fleet.shard ? undefined : this.fleet.loads.loadOf(number, now);
+        const load = published?.services.get(service);
+        if (published === undefined || load === undefined) {
+            return undefined;
+        }
+        const sum = emptyLoad();
+        addLoad(sum, load);
+        this.recent
+            .filter(each => each.shard === number && each.service === service)
+            .forEach(each => addLoad(sum, each.load));
+        return this.optionOf(job, service, number, published.delayMs, sum, now);
+    }
+
+    private optionOf(
+        job: ActiveJob,
+        service: string,
+        number: number,
+        delayMs: number,
+        load: ServiceLoad | undefined,
+        now: number,
+    ): ShardOption {
+        const suitability = suitabilityOf(job, service, this.workersOf(number, now));
+        return { shard: number, load: load ?? emptyLoad(), delayMs, ...suitability };
+    }
+
+    private workersOf(number: number, now: number): readonly WorkerEntry[] {
+        if (now - this.workersReadAt >= WORKERS_INTERVAL_MS) {
+            this.workersReadAt = now;
+            this.workers = new Map();
+        }
+        const workers = this.workers.get(number) ?? this.fleet.workersOf(number);
+        this.workers.set(number, workers);
+        return workers;
+    }
+
+    /** Adds a waiting job to the load of this shard, or takes it out of it. @param sign 1 or -1. */
+    private shift(job: ActiveJob, demand: JobDemand, sign: 1 | -1): void {
+        const load = this.shard.publisher.loadOf(this.shard.queues.latestSettings(job.spec.queue).service);
+        if (load !== undefined) {
+            load.waitingCpuMillis = Math.max(0, load.waitingCpuMillis + sign * demand.cpuMillis);
+            load.waitingSpareCpuMillis = Math.max(0, load.waitingSpareCpuMillis + sign * demand.spareCpuMillis);
+        }
+    }
+}
+
+function loadOf({ cpuMillis, spareCpuMillis }: JobDemand): ServiceLoad {
+    return { ...emptyLoad(), waitingCpuMillis: cpuMillis, waitingSpareCpuMillis: spareCpuMillis };
+}
+
+/** @returns What is requested of a service's CPU, in percent, for the log. */
+function percentsOf(prefix: "" | "to", load: ServiceLoad): DecisionData {
+    const reserved = load.usedCpuMillis + load.waitingCpuMillis;
+    const spare = load.spareCpuMillis + load.waitingSpareCpuMillis;
+    const name = (text: string) => (prefix === "" ? text : `${prefix}${text[0].toUpperCase()}${text.slice(1)}`);
+    return {
+        [name("reservedPercent")]: percentOf(reserved, load.cpuMillis),
+        [name("sparePercent")]: percentOf(spare, load.cpuMillis),
+    };
+}
--- /dev/null
+++ b/src/dispatch/common/shardController.ts
@@ -0,0 +1,70 @@
+import { QueueTable } from "../../jobs/common/queueTable";
+import { RecordWriter } from "../../records/common/recordWriter";
+import { ActiveJobTable } from "./activeJobTable";
+import { DecisionData, DecisionName } from "./dispatchEffects";
+import { LoadPublisher } from "./loadPublisher";
+import { RoomTransferPolicy } from "./roomTransferPolicy";
+import { ServiceUsage } from "./serviceUsage";
+import { ShardBalancer } from "./shardBalancer";
+import { ShardFleet } from "./shardFleet";
+import { ShardLoadTable } from "./shardLoadTable";
+import { LeaderPace } from "./streamViews";
+
+/** A fleet that is not divided. */
+const UNDIVIDED_FLEET: ShardFleet = {
+    shard: 0,
+    count: 1,
+    loads: ShardLoadTable.create(),
+    policy: RoomTransferPolicy.create(),
+    workersOf: () => [],
+};
+
+/** What the leader of a shard schedules with. */
+export interface ShardSources {
+    readonly jobs: ActiveJobTable;
+    readonly queues: QueueTable;
+    readonly usage: ServiceUsage;
+    readonly pace: LeaderPace;
+    /** Writes to the stream that all instances follow. */
+    readonly writer: RecordWriter;
+    readonly log: (name: DecisionName, data: DecisionData) => void;
+}
+
+/** The part of a leader that concerns the other shards: publishes the load of its own, and leaves jobs to them. */
+export class ShardController {
+    private constructor(
+        private readonly publisher: LoadPublisher,
+        private readonly balancer: ShardBalancer,
+    ) {}
+
+    /** @param fleet The shards; `undefined` if the fleet is not divided. @param sources What the leader schedules with. @returns The controller. */
+    static create(fleet = UNDIVIDED_FLEET, sources: ShardSources): ShardController {
+        const { jobs, queues, usage, pace, writer, log } = sources;
+        const publisher = LoadPublisher.create(fleet, { jobs: () => jobs.all, queues, usage, pace, writer, log });
+        const delayMs = () => pace.delayMs;
+        return new ShardController(publisher, ShardBalancer.create(fleet, { jobs, queues, publisher, delayMs, log }));
+    }
+
+    /**
+     * @param fleet The shards; `undefined` if the fleet is not divided.
+     * @param clock Returns the time in ms.
+     * @returns How much of each service is in use, in its shard and in all.
+     */
+    static createUsage(fleet = UNDIVIDED_FLEET, clock: () => number): ServiceUsage {
+        return ServiceUsage.create(service => fleet.loads.loadsOf(service, fleet.shard, clock()));
+    }
+
+    /** Publishes the load if that is due. @param now Time in ms. */
+    tick(now: number): void {
+        this.publisher.tick(now);
+    }
+
+    /**
+     * Leaves jobs to other shards that have just been submitted or wait.
+     * @param now Time in ms.
+     * @param wallNow Time in ms since the Unix epoch.
+     */
+    review(now: number, wallNow: number): void {
+        this.balancer.review(now, wallNow);
+    }
+}
--- a/src/dispatch/common/shardFleet.ts
+++ b/src/dispatch/common/shardFleet.ts
@@ -1,4 +1,6 @@
 import { ShardLoadTable } from "./shardLoadTable";
+import { TransferPolicy } from "./transferPolicy";
+import { WorkerEntry } from "./workerEntry";
 
 /** What the leader of one shard knows of the fleet. */
 export interface ShardFleet {
@@ -8,4 +10,8 @@
     readonly count: number;
     /** The loads that the leaders of the shards publish. */
     readonly loads: ShardLoadTable;
+    /** Decides which jobs are left to other shards. */
+    readonly policy: TransferPolicy;
+    /** @param shard Number of a shard. @returns Its registered workers. */
+    readonly workersOf: (shard: number) => readonly WorkerEntry[];
 }
--- a/src/dispatch/common/test/activeJobTable.test.ts
+++ b/src/dispatch/common/test/activeJobTable.test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { Outbox } from "../../../base/common/outbox";
-import { encodeSpec, jobKey } from "../../../jobs/common/jobRecord";
+import { encodeProgress, encodeSpec, JobProgress, jobKey } from "../../../jobs/common/jobRecord";
+import { decodeTransfer, encodeTransfer } from "../../../jobs/common/jobTransfer";
 import { JobTable, visibleStateOf } from "../../../jobs/common/jobTable";
 import { ProgressTable } from "../../../jobs/common/progressTable";
 import { RecordEffect } from "../../../records/common/recordEvents";
@@ -125,3 +126,77 @@
     t.true(table.isFinished("a"));
     t.false(table.isRestartedAfter("a.0.0.0", 1));
 });
+
+/** @returns A table with a job, and the job. */
+function createTableWithJob() {
+    const fixture = createTable();
+    const [job] = [...fixture.table.all];
+    return { ...fixture, job };
+}
+
+test("a job that was transferred is scheduled again only after a later transfer", t => {
+    const { table, jobs, job, appends } = createTableWithJob();
+    t.true(job.isTransferable);
+    table.transfer(job, 1);
+    t.is(table.size, 0);
+    const [{ append }] = appends();
+    t.is(append.records[0].key, "m/a");
+    t.deepEqual(decodeTransfer(append.records[0].value!), { shard: 1, count: 1 });
+    const entry = jobs.find("a")!;
+    // Its cancellation is read before the transfer.
+    table.update({ ...entry, isCancelled: true });
+    t.is(table.size, 0);
+    table.update({ ...entry, transfer: { shard: 0, count: 2 } });
+    t.is(table.size, 1);
+    t.deepEqual(
+        table.takeArrivals().map(each => each.transfers),
+        [2],
+    );
+});
+
+test("a job whose record is not stored, or that has a run, is not transferable", t => {
+    const { table, job, appends, store } = createTableWithJob();
+    table.takeArrivals();
+    job.openDue(0);
+    const [task] = [...job.tasks()];
+    const run = assign(createWorker(), task);
+    t.false(job.isTransferable);
+    run.fire("not-started", { now: 1 });
+    task.run = undefined;
+    table.recordProgress(job);
+    t.false(job.isTransferable);
+    const [progress] = appends();
+    store("progress", progress.append.sequence);
+    t.true(job.isTransferable);
+    for (const change of [{ hasLostRun: true }, { lossesInARow: 1 }, { highestRun: task.lastRun + 1 }]) {
+        const before = { hasLostRun: task.hasLostRun, lossesInARow: task.lossesInARow, highestRun: task.highestRun };
+        Object.assign(task, change);
+        t.false(job.isTransferable);
+        Object.assign(task, before);
+    }
+    t.true(job.isTransferable);
+});
+
+test("the next leader continues a transferred job from its transfer, or from later progress", t => {
+    const jobs = JobTable.create();
+    const { spec } = createJob("a", createStep("x", false, { tasks: 4 }));
+    const ofTransfer = { epoch: 3, state: "running", done: { "0.0": "1" }, runs: [], tasks: [] } as const;
+    const transfer = { shard: 1, count: 2, progress: ofTransfer };
+    jobs.apply({ key: jobKey("spec", "a"), value: encodeSpec(spec), offset: 0 });
+    jobs.apply({ key: jobKey("transfer", "a"), value: encodeTransfer(transfer), offset: 1 });
+    const doneOf = (progress: JobProgress | undefined) => {
+        const recorded = ProgressTable.create();
+        if (progress !== undefined) {
+            recorded.apply({ key: jobKey("progress", "a"), value: encodeProgress(progress), offset: 0 });
+        }
+        const table = ActiveJobTable.create(5, createWriters());
+        JobRestorer.create(jobs, recorded, table, () => undefined).restore();
+        const [job] = [...table.all];
+        t.is(job.transfers, 2);
+        return [...job.groups][0].done.pack();
+    };
+    t.is(doneOf(undefined), "1");
+    t.is(doneOf({ ...ofTransfer, done: { "0.0": "3" } }), "1");
+    t.is(doneOf({ ...ofTransfer, done: { "0.0": "3" }, transfers: 1 }), "1");
+    t.is(doneOf({ ...ofTransfer, done: { "0.0": "7" }, transfers: 2 }), "7");
+});
--- a/src/dispatch/common/test/jobPruner.test.ts
+++ b/src/dispatch/common/test/jobPruner.test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { Outbox } from "../../../base/common/outbox";
 import { encodeProgress, encodeSpec, jobKey } from "../../../jobs/common/jobRecord";
+import { encodeTransfer } from "../../../jobs/common/jobTransfer";
 import { JobTable } from "../../../jobs/common/jobTable";
 import { ProgressTable } from "../../../jobs/common/progressTable";
 import { RecordEffect } from "../../../records/common/recordEvents";
@@ -35,7 +36,7 @@
         writers.progress.flush(now);
         return outbox.drain().flatMap(effect => (effect.kind === "append" ? [effect] : []));
     };
-    return { pruner: JobPruner.create(jobs, activeJobs, writers, RETENTION_MS), writers, appends };
+    return { jobs, pruner: JobPruner.create(jobs, activeJobs, writers, RETENTION_MS), writers, appends };
 }
 
 test("a finished job is deleted after the retention, an unfinished one is kept", t => {
@@ -66,3 +67,26 @@
         ["p/a"],
     );
 });
+
+test("the transfer of a job is deleted after its spec, also if the leader that deleted the spec is lost before", t => {
+    const { jobs, pruner, writers, appends } = createPruner();
+    jobs.apply({ key: jobKey("transfer", "a"), value: encodeTransfer({ shard: 0, count: 1 }), offset: 9 });
+    pruner.tick(0);
+    pruner.tick(2 * RETENTION_MS);
+    const [effect] = appends(2 * RETENTION_MS);
+    t.false(effect.append.records.some(each => each.key === "m/a"));
+    const { sequence } = effect.append;
+    const result = { ok: true, val: 0 } as never;
+    writers.jobs.handleAnswer({ kind: "append-answer", writer: "jobs", sequence, result }, 2 * RETENTION_MS);
+    const [deletion] = appends(2 * RETENTION_MS).filter(each => each.stream === "jobs");
+    t.deepEqual(deletion.append.records, [{ key: "m/a", value: undefined }]);
+
+    const next = createPruner();
+    next.jobs.apply({ key: jobKey("transfer", "c"), value: encodeTransfer({ shard: 0, count: 1 }), offset: 9 });
+    next.pruner.tick(0);
+    t.deepEqual(next.appends(0), []);
+    next.pruner.tick(RETENTION_MS);
+    t.deepEqual(next.appends(RETENTION_MS)[0].append.records, [{ key: "m/c", value: undefined }]);
+    next.jobs.apply({ key: jobKey("transfer", "c"), value: undefined, offset: 10 });
+    t.is(next.jobs.transferOf("c"), undefined);
+});
--- a/src/dispatch/common/test/loadPublisher.test.ts
+++ b/src/dispatch/common/test/loadPublisher.test.ts
@@ -5,6 +5,7 @@
 import { RecordWriter } from "../../../records/common/recordWriter";
 import { DecisionData } from "../dispatchEffects";
 import { LoadPublisher } from "../loadPublisher";
+import { RoomTransferPolicy } from "../roomTransferPolicy";
 import { ServiceUsage } from "../serviceUsage";
 import { decodeShardLoad, encodeShardLoad, loadKey, parseLoadKey } from "../shardLoad";
 import { ShardLoadTable } from "../shardLoadTable";
@@ -25,7 +26,7 @@
     ];
     const lines: DecisionData[] = [];
     const publisher = LoadPublisher.create(
-        { shard: 1, count, loads: ShardLoadTable.create() },
+        { shard: 1, count, loads: ShardLoadTable.create(), policy: RoomTransferPolicy.create(), workersOf: () => [] },
         {
             jobs: () => jobs,
             queues: QueueTable.create(),
--- /dev/null
+++ b/src/dispatch/common/test/roomTransferPolicy.test.ts
@@ -0,0 +1,74 @@
+import test from "ava";
+import { JobDemand } from "../jobDemand";
+import { RoomTransferPolicy } from "../roomTransferPolicy";
+import { emptyLoad } from "../serviceLoad";
+import { suitabilityOf } from "../shardSuitability";
+import { ShardOption } from "../transferPolicy";
+import { createBestEffort, createJob, createStep, createWorker } from "./runs";
+
+const policy = RoomTransferPolicy.create();
+
+/** Three in a thousand of the CPU of a shard. */
+const URGENT: JobDemand = { cpuMillis: 3_000, spareCpuMillis: 0, tasks: 3, isLongRunning: false };
+const BEST_EFFORT: JobDemand = { cpuMillis: 0, spareCpuMillis: 3_000, tasks: 3, isLongRunning: false };
+const LASTING: JobDemand = { cpuMillis: 40_000, spareCpuMillis: 0, tasks: 4, isLongRunning: true };
+
+/** @returns A shard with 1,000 cores, of which a share is reserved, and a share is requested by best-effort tasks. */
+function shard(number: number, reserved: number, spare = 0, others: Partial<ShardOption> = {}): ShardOption {
+    const load = { ...emptyLoad(), cpuMillis: 1e6, usedCpuMillis: reserved * 1e6, spareCpuMillis: spare * 1e6 };
+    return { shard: number, load, delayMs: 0, isSuitable: true, hasData: true, ...others };
+}
+
+function choose(demand: JobDemand, waitedMs: number | undefined, own: ShardOption, ...others: ShardOption[]) {
+    return policy.choose({ demand, waitedMs }, own, others)?.shard;
+}
+
+test("a job that has just been submitted stays while its shard has room", t => {
+    t.is(choose(URGENT, undefined, shard(0, 0.7), shard(1, 0.1)), undefined);
+    t.is(choose(BEST_EFFORT, undefined, shard(0, 0.4, 0.3), shard(1, 0.1)), undefined);
+});
+
+test("a job of a full shard goes to the one with the most room", t => {
+    t.is(choose(URGENT, undefined, shard(0, 0.95), shard(1, 0.8), shard(2, 0.6)), 2);
+    t.is(choose(BEST_EFFORT, undefined, shard(0, 0.6, 0.8), shard(1, 0.6, 0.7), shard(2, 0.6, 0.2)), 2);
+    t.is(choose(URGENT, undefined, shard(0, 0.95), shard(1, 0.93)), undefined);
+});
+
+test("jobs that last are spread while all shards have room", t => {
+    t.is(choose(LASTING, undefined, shard(0, 0.04), shard(1, 0.0)), 1);
+    t.is(choose(LASTING, undefined, shard(0, 0.04), shard(1, 0.03)), undefined);
+});
+
+test("a job that waits goes elsewhere after a while, whatever its shard has in use", t => {
+    t.is(choose(URGENT, 100, shard(0, 0.8), shard(1, 0.3)), undefined);
+    t.is(choose(URGENT, 600, shard(0, 0.8), shard(1, 0.3)), 1);
+    t.is(choose(BEST_EFFORT, 600, shard(0, 0.6, 0.2), shard(1, 0.3)), undefined);
+    t.is(choose(BEST_EFFORT, 1_600, shard(0, 0.6, 0.2), shard(1, 0.3)), 1);
+});
+
+test("a shard whose workers cannot run a job leaves it to one whose workers can, and none goes to a leader that is later", t => {
+    const unsuitable = { isSuitable: false };
+    t.is(choose(URGENT, undefined, shard(0, 0.1, 0, unsuitable), shard(1, 0.99), shard(2, 0.2, 0, unsuitable)), 1);
+    t.is(choose(URGENT, undefined, shard(0, 0.1, 0, unsuitable), shard(1, 0.99, 0, unsuitable)), undefined);
+    t.is(choose(URGENT, undefined, shard(0, 0.99), shard(1, 0.1, 0, { delayMs: 900 })), undefined);
+    t.is(choose(URGENT, undefined, shard(0, 0.99, 0, { delayMs: 1_000 }), shard(1, 0.1, 0, { delayMs: 900 })), 1);
+    t.is(choose(URGENT, undefined, shard(0, 0.99), shard(1, 0.85, 0, { hasData: false })), undefined);
+});
+
+test("workers can run a job if each step fits on one, and a gang on all together", t => {
+    const workers = ["w1", "w2"].map(id => createWorker(id, { labels: ["big"], rack: "r7" }).entry);
+    const request = { cpuMillis: 40_000, memoryMb: 1_000, accelerators: 0 };
+    const isSuitable = (step: Parameters<typeof createBestEffort>[0]) =>
+        suitabilityOf(createJob("a", createStep("x", false, { request, ...step })), "svc", workers).isSuitable;
+    t.true(isSuitable({ tasks: 9 }));
+    t.true(isSuitable({ tasks: 2, mode: "gang" }));
+    t.false(isSuitable({ tasks: 3, mode: "gang" }));
+    t.true(isSuitable({ requiredLabel: "big" }));
+    t.false(isSuitable({ requiredLabel: "small" }));
+    t.false(isSuitable({ request: { ...request, accelerators: 1 } }));
+    t.false(isSuitable({ tasks: 2, mode: "gang", maxPerWorker: 0 }));
+    const dataRack = (rack: string) => createJob("a", createStep("x", false, { dataRack: rack }));
+    t.true(suitabilityOf(dataRack("r7"), "svc", workers).hasData);
+    t.false(suitabilityOf(dataRack("r8"), "svc", workers).hasData);
+    t.false(suitabilityOf(dataRack("r7"), "other", workers).isSuitable);
+});
--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -5,9 +5,11 @@
 import { Outbox } from "../../base/common/outbox";
 import { DispatchLimits } from "../../dispatch/common/dispatchLimits";
 import { parseLeaseKey } from "../../dispatch/common/leaseRecord";
+import { RoomTransferPolicy } from "../../dispatch/common/roomTransferPolicy";
 import { parseLoadKey } from "../../dispatch/common/shardLoad";
 import { ShardLoadTable } from "../../dispatch/common/shardLoadTable";
 import { StartLoad } from "../../dispatch/common/startWindow";
+import { TransferPolicy } from "../../dispatch/common/transferPolicy";
 import { ConfigurationView } from "../../jobs/common/configurationView";
 import { JobCallHandler } from "../../jobs/common/jobCallHandler";
 import { JobState } from "../../jobs/common/jobSpec";
@@ -118,6 +120,7 @@
         private readonly identity: JobInstanceIdentity,
         private readonly limits: DispatchLimits,
         private readonly decoder: EntryDecoder,
+        private readonly transferPolicy: TransferPolicy,
     ) {
         const { outbox } = this;
         const workersTiming = () => (this.isLeading ? LEADER_WORKERS_TIMING : STANDBY_WORKERS_TIMING);
@@ -166,10 +169,16 @@
      * @param identity Identity and resources of the instance.
      * @param limits Limits of the deployment.
      * @param decoder Decodes the records of the operator and the workers.
+     * @param transferPolicy Decides which jobs are transferred between the shards of a divided fleet.
      * @returns The instance. It has no effects before `start`.
      */
-    static create(identity: JobInstanceIdentity, limits: DispatchLimits, decoder: EntryDecoder): JobInstance {
-        return new JobInstance(identity, limits, decoder);
+    static create(
+        identity: JobInstanceIdentity,
+        limits: DispatchLimits,
+        decoder: EntryDecoder,
+        transferPolicy: TransferPolicy = RoomTransferPolicy.create(),
+    ): JobInstance {
+        return new JobInstance(identity, limits, decoder, transferPolicy);
     }
 
     /** @param now Time in ms. @returns Whether the instance should receive new connections. */
@@ -430,7 +439,8 @@
         const countOtherOffices = (own: number) =>
             this.offices.filter(office => office.shard !== own && office.isCandidate).length;
         const tables = { jobs, queues, shards, loads, workers };
-        return { identity, limits, ...tables, ...followers, loopDelay, effects, countOtherOffices };
+        const { transferPolicy } = this;
+        return { identity, limits, ...tables, ...followers, transferPolicy, loopDelay, effects, countOtherOffices };
     }
 
     private divide(plan: ShardPlan): void {
--- a/src/host/common/shardOffice.ts
+++ b/src/host/common/shardOffice.ts
@@ -7,6 +7,7 @@
 import { ShardFleet } from "../../dispatch/common/shardFleet";
 import { ShardLoadTable } from "../../dispatch/common/shardLoadTable";
 import { StartLoad } from "../../dispatch/common/startWindow";
+import { TransferPolicy } from "../../dispatch/common/transferPolicy";
 import { EntryReading } from "../../dispatch/common/workerEntry";
 import { WorkerEvent } from "../../dispatch/common/workerMessages";
 import { JobTable } from "../../jobs/common/jobTable";
@@ -35,6 +36,7 @@
     readonly queues: QueueTable;
     readonly shards: ShardTable;
     readonly loads: ShardLoadTable;
+    readonly transferPolicy: TransferPolicy;
     readonly workers: WorkerTable;
     readonly jobsFollower: RecordFollower;
     readonly operatorFollower: RecordFollower;
@@ -71,6 +73,8 @@
         this.fleet = {
             shard,
             loads: context.loads,
+            policy: context.transferPolicy,
+            workersOf: number => context.workers.entriesOf(number),
             get count() {
                 return shards.count;
             },
--- a/src/host/common/workerTable.ts
+++ b/src/host/common/workerTable.ts
@@ -1,4 +1,4 @@
-import { EntryReading } from "../../dispatch/common/workerEntry";
+import { EntryReading, WorkerEntry } from "../../dispatch/common/workerEntry";
 import { ShardTable } from "../../jobs/common/shardTable";
 
 /** The registered workers, as read from service discovery, and their shards. */
@@ -53,6 +53,11 @@
         this.readings.forEach(({ entry }, id) => this.readings.set(id, { entry, writtenAfter: undefined }));
     }
 
+    /** @param shard Number of a shard. @returns Its workers. */
+    entriesOf(shard: number): WorkerEntry[] {
+        return [...this.readings.values()].flatMap(({ entry }) => (this.shardOf(entry.id) === shard ? entry : []));
+    }
+
     /** @param id Identifier of a worker. @returns Its shard, or `undefined` if it is not registered. */
     shardOf(id: string): number | undefined {
         return this.shards.get(id);
--- a/src/jobs/common/jobRecord.ts
+++ b/src/jobs/common/jobRecord.ts
@@ -5,15 +5,17 @@
 const CANCEL_PREFIX = "c/";
 const STATE_PREFIX = "s/";
 const PROGRESS_PREFIX = "p/";
+const TRANSFER_PREFIX = "m/";
 
 /** Kind of a record about a job. Progress has a separate stream, which only leaders read. */
-export type JobRecordKind = "spec" | "cancellation" | "state" | "progress";
+export type JobRecordKind = "spec" | "cancellation" | "state" | "progress" | "transfer";
 
 const KINDS: Readonly<Record<string, JobRecordKind>> = {
     [SPEC_PREFIX]: "spec",
     [CANCEL_PREFIX]: "cancellation",
     [STATE_PREFIX]: "state",
     [PROGRESS_PREFIX]: "progress",
+    [TRANSFER_PREFIX]: "transfer",
 };
 
 const PREFIXES: Readonly<Record<JobRecordKind, string>> = {
@@ -21,6 +23,7 @@
     cancellation: CANCEL_PREFIX,
     state: STATE_PREFIX,
     progress: PROGRESS_PREFIX,
+    transfer: TRANSFER_PREFIX,
 };
 
 /** A run that may be on a worker. It is recorded before its start is sent. */
@@ -56,6 +59,8 @@
     readonly done?: Readonly<Record<string, string>>;
     readonly runs?: readonly RunRecord[];
     readonly tasks?: readonly TaskRecord[];
+    /** How often the job had been transferred between shards; 0 if undefined. */
+    readonly transfers?: number;
 }
 
 /** @param kind Kind of the record. @param id Identifier of the job. @returns Key of the record. */
@@ -119,6 +124,7 @@
     z.record(z.string(), z.string()),
     z.array(runSchema),
     z.array(taskSchema),
+    z.optional(z.int()),
 ]);
 
 /** @param value Value of a record. @returns The job, or `undefined` if the value is malformed. */
@@ -148,7 +154,9 @@
         }
         return suspicion === undefined ? fields : [...fields, suspicion];
     });
-    return JSON.stringify([progress.epoch, progress.state, progress.done ?? {}, runs, tasks]);
+    const fields = [progress.epoch, progress.state, progress.done ?? {}, runs, tasks];
+    const { transfers = 0 } = progress;
+    return JSON.stringify(transfers === 0 ? fields : [...fields, transfers]);
 }
 
 /** @param value Value of a record. @returns The progress, or `undefined` if the value is malformed. */
@@ -157,11 +165,12 @@
     if (parsed === undefined) {
         return undefined;
     }
-    const [epoch, state, done, runs, tasks] = parsed;
+    const [epoch, state, done, runs, tasks, transfers] = parsed;
     return {
         epoch,
         state,
         done,
+        transfers,
         runs: runs.map(([task, run, worker, incarnation, checkpoint]) => ({
             task,
             run,
--- a/src/jobs/common/jobTable.ts
+++ b/src/jobs/common/jobTable.ts
@@ -2,6 +2,7 @@
 import { RecordOffset, StoredRecord } from "../../records/common/record";
 import { decodeSpec, decodeState, parseJobKey } from "./jobRecord";
 import { JobSpec, JobState } from "./jobSpec";
+import { decodeTransfer, JobTransfer } from "./jobTransfer";
 
 /** A job as recorded in the stream. */
 export interface JobEntry {
@@ -13,6 +14,8 @@
     /** Latest state that a leader recorded. */
     state: JobState;
     stateOffset: RecordOffset;
+    /** Latest transfer to another shard; `undefined` while the job is where its identifier puts it. */
+    transfer?: JobTransfer;
 }
 
 /** All jobs, folded from the stream. Every instance has a table, so it can answer calls about every job. */
@@ -57,7 +60,8 @@
             return;
         }
         if (record.value === undefined) {
-            if (key.kind === "spec") {
+            const isOrphan = key.kind === "transfer" && this.find(key.id) === undefined;
+            if (key.kind === "spec" || isOrphan) {
                 this.entries.delete(key.id);
             }
             return;
@@ -75,9 +79,17 @@
             case "state":
                 this.applyState(key.id, record, record.value);
                 break;
+            case "transfer":
+                this.applyTransfer(key.id, record, record.value);
+                break;
         }
     }
 
+    /** @param id Identifier. @returns Its latest transfer to another shard, or `undefined` if there was none. */
+    transferOf(id: string): JobTransfer | undefined {
+        return this.entries.get(id)?.transfer;
+    }
+
     /** @param queue Name of a queue. @returns Number of its accepted jobs that have not started. */
     countQueued(queue: string): number {
         let count = 0;
@@ -115,6 +127,19 @@
         }
     }
 
+    private applyTransfer(id: string, record: StoredRecord, value: string): void {
+        const transfer = decodeTransfer(value);
+        if (transfer === undefined) {
+            this.didIgnore.fire(record);
+            return;
+        }
+        const entry = this.getOrCreate(id);
+        if (transfer.count > (entry.transfer?.count ?? 0)) {
+            entry.transfer = transfer;
+            this.didChange.fire(entry);
+        }
+    }
+
     private getOrCreate(id: string): JobEntry {
         const existing = this.entries.get(id);
         if (existing !== undefined) {
--- a/src/jobs/common/shardJobs.ts
+++ b/src/jobs/common/shardJobs.ts
@@ -37,8 +37,8 @@
         return this.has(id) ? this.jobs.find(id) : undefined;
     }
 
-    /** @param id Identifier of a job. @returns Whether it is of this shard. */
+    /** @param id Identifier of a job. @returns Whether it is of this shard: that of its identifier until it is transferred. */
     has(id: string): boolean {
-        return this.shards.shardOfJob(id) === this.shard;
+        return (this.jobs.transferOf(id)?.shard ?? this.shards.shardOfJob(id)) === this.shard;
     }
 }
--- a/src/proof/node/jobSoak.tool.ts
+++ b/src/proof/node/jobSoak.tool.ts
@@ -9,7 +9,8 @@
  * Reads a flag with a whole number. Flags: `--seed FIRST --count N --workers N --length MS --every MS --deadly PERCENT
  * --crash-delay MS --shrink MS --cancel PERCENT --reads --lasting N --lease MS --colocate PERCENT --jobs-every MS --slow
  * --max-tasks N --memory MB --kill-leader MS --drain MS --faults KINDS --until MS --submit-every MS --costs PERCENT
- * --shards N --plan NAME --trace`, where `--shards` divides the workers among as many leaders, 2 at most, `--deadly` is the share of the jobs with a task that crashes its workers, that long after each
+ * --shards N --transfers PERCENT --plan NAME --trace`, where `--shards` divides the workers among as many leaders, 2 at most,
+ * `--transfers` is the probability with which a job is transferred whenever it may be, `--deadly` is the share of the jobs with a task that crashes its workers, that long after each
  * start, `--shrink` the mean time between two times at which a worker's capacity shrinks, `--cancel` the share of the jobs that is cancelled, `--reads` adds faults of the reads of the jobs, `--lasting` is
  * the number of jobs that last until the end, `--lease` the longest lease that a worker accepts, `--colocate` runs
  * latency-critical and best-effort jobs of which that share of the pairs of images interferes heavily, `--jobs-every` is the
@@ -107,6 +108,7 @@
         plannedFaults: readPlannedFaults(lengthMs),
         submitEveryMs: readNumber("submit-every", 0) || undefined,
         shards: readNumber("shards", 1),
+        transferRatio: readNumber("transfers", 0) === 0 ? undefined : readNumber("transfers", 0) / 100,
         costs: readNumber("costs", 0) === 0 ? undefined : { ...MEASURED_COSTS, share: readNumber("costs", 0) / 100 },
     };
     const { breaches, trace, ...counts } = JobTrial.run(waitPlan === undefined ? plan : { ...waitPlan, seed });
--- a/src/proof/node/jobTrial.ts
+++ b/src/proof/node/jobTrial.ts
@@ -17,6 +17,7 @@
 import { TrialNode } from "./jobTrialNode";
 import { JobRuleChecker } from "./jobRuleChecker";
 import { Random } from "./random";
+import { RandomTransferPolicy } from "./randomTransferPolicy";
 import { TrialCancellations } from "./trialCancellations";
 import { TrialColocation } from "./trialColocation";
 import { TrialConnections } from "./trialConnections";
@@ -50,6 +51,7 @@
     private readonly delays = TrialDelays.create();
     /** How often an instance became leader. */
     private leaders = 0;
+    private transfers = 0;
 
     private readonly workers: TrialWorkers;
     private readonly colocation: TrialColocation | undefined;
@@ -132,7 +134,8 @@
         const counts = { jobs: jobs.size, accepted, finished, starts, leaders, ...delays.counts };
         const cancelled = checker.cancellations.count;
         const drained = checker.drains.count;
-        return { breaches, ...counts, crashes, sharedCrashes, shrinks, cancelled, drained, trace };
+        const { transfers } = this;
+        return { breaches, ...counts, crashes, sharedCrashes, shrinks, cancelled, drained, transfers, trace };
     }
 
     /** Stores a plan by which the shards have as many racks. */
@@ -164,7 +167,9 @@
             work: node.processor,
         };
         const limits = { ...LIMITS, longestLeaseMs: this.plan.longestLeaseMs ?? LIMITS.longestLeaseMs };
-        const instance = JobInstance.create(identity, limits, new TrialDecoder(this.plan));
+        const { seed, transferRatio } = this.plan;
+        const policy = transferRatio === undefined ? undefined : RandomTransferPolicy.create(seed, transferRatio);
+        const instance = JobInstance.create(identity, limits, new TrialDecoder(this.plan), policy);
         node.instance = instance;
         this.schedule(this.random.between(0, 50), () => {
             instance.start().forEach(effect => this.perform(node, incarnation, effect));
@@ -260,6 +265,7 @@
                 break;
             case "decision":
                 this.checker.reports.record(effect.name, effect.data, this.now);
+                this.transfers += effect.name === "job-transferred" ? 1 : 0;
                 this.trace.push(`${Math.round(this.now)} n${node.index} ${effect.name} ${JSON.stringify(effect.data)}`);
                 break;
             case "stopped":
--- a/src/proof/node/jobTrialPlan.ts
+++ b/src/proof/node/jobTrialPlan.ts
@@ -169,6 +169,8 @@
     readonly submitEveryMs?: number;
     /** Number of shards, at most 2; one if undefined. */
     readonly shards?: number;
+    /** Probability with which a job is transferred to another shard whenever it may be; by the room of the shards if undefined. */
+    readonly transferRatio?: number;
     /** What the work of the instances costs; it takes no time if undefined. */
     readonly costs?: TrialCosts;
     /** Breaks a mechanism on purpose, to prove that a rule detects it. */
@@ -194,6 +196,8 @@
     readonly cancelled: number;
     /** Workers that have announced that they leave. */
     readonly drained: number;
+    /** How often a job was transferred to another shard. */
+    readonly transfers: number;
     /** Half seconds with events of a leader whose work takes time, and those in which one waited over 500 ms. */
     readonly halfSeconds: number;
     readonly lateHalfSeconds: number;
--- /dev/null
+++ b/src/proof/node/randomTransferPolicy.ts
@@ -0,0 +1,29 @@
+import { ShardOption, TransferPolicy, TransferRequest } from "../../dispatch/common/transferPolicy";
+import { Random } from "./random";
+
+/** Transfers jobs at random, whatever room there is, so that trials have many transfers. */
+export class RandomTransferPolicy extends TransferPolicy {
+    private constructor(
+        private readonly random: Random,
+        private readonly ratio: number,
+    ) {
+        super();
+    }
+
+    /**
+     * @param seed Seed of the draws.
+     * @param ratio Probability with which a job is transferred each time that it may be, from 0 to 1.
+     * @returns The policy.
+     */
+    static create(seed: number, ratio: number): RandomTransferPolicy {
+        return new RandomTransferPolicy(Random.create(seed), ratio);
+    }
+
+    override choose(
+        _request: TransferRequest,
+        _own: ShardOption,
+        others: readonly ShardOption[],
+    ): ShardOption | undefined {
+        return others.length > 0 && this.random.chance(this.ratio) ? this.random.pick([...others]) : undefined;
+    }
+}
--- a/src/proof/node/test/fullShard.test.ts
+++ b/src/proof/node/test/fullShard.test.ts
@@ -61,7 +61,7 @@
     const fixture = new TakeoverFixture(t, { instances: 6, workers: WORKERS, cores: 0.25 });
     fixture.advance(8_000);
     fixture.submit(20, 12, { step: { longRunning: true }, isAllowed: isOfFirstShard });
-    fixture.advance(3_000);
+    fixture.advance(START_TARGET_MS);
     t.is(fixture.starts.length, 240);
     const counts = new Map<string, number>();
     fixture.starts.forEach(({ instance }) => counts.set(instance, (counts.get(instance) ?? 0) + 1));
--- a/src/proof/node/test/takeoverFixture.ts
+++ b/src/proof/node/test/takeoverFixture.ts
@@ -23,6 +23,7 @@
 interface FixtureRun {
     readonly task: string;
     readonly run: number;
+    readonly startedAt: number;
     readonly endsAt: number;
 }
 
@@ -48,12 +49,12 @@
         }
     }
 
-    list(): RunList {
-        const running = [...this.runs.values()].map(({ task, run }) => ({
+    list(now: number): RunList {
+        const running = [...this.runs.values()].map(({ task, run, startedAt, endsAt }) => ({
             task,
             run,
             checkpoint: "",
-            percent: 50,
+            percent: Math.floor((100 * (now - startedAt)) / (endsAt - startedAt)),
             latencyOrUsage: 0,
         }));
         return { incarnation: 1, running, ended: [...this.ended] };
@@ -285,11 +286,11 @@
             }
         } else if (effect.kind === "start") {
             const { task, run } = effect.order;
-            worker.runs.set(task, { task, run, endsAt: now + this.drawDurationMs() });
+            worker.runs.set(task, { task, run, startedAt: now, endsAt: now + this.drawDurationMs() });
         } else if (effect.kind === "stop") {
             worker.end(effect.order.task, effect.order.run, "stopped");
         }
-        const list = effect.kind === "list" ? worker.list() : undefined;
+        const list = effect.kind === "list" ? worker.list(now) : undefined;
         const base = { worker: effect.worker.id, sentAt, outcome: "done" as const, clockMs: now };
         this.answer(loop, { kind: `${effect.kind}-answer`, order: effect.order, list, ...base } as JobInstanceEvent);
     }
