Let a task that lasts and has to run use a worker reserved for short tasks that has room for two

The contract bounds that wait however full the service is. From 2.3 s on the task went before others, but a task that never ran was kept off the workers that are reserved for short tasks as long as the others lacked only CPU, so with a reserve of a fifth of the workers it waited beside free room without a bound. It now takes a reserved worker once it has to run, if that has room for two such tasks, which is when callers count it as capacity; otherwise the reserve stays.

The test failed before: no run within 8 s, now within 2.5 s.

--- a/src/dispatch/common/placer.ts
+++ b/src/dispatch/common/placer.ts
@@ -227,6 +227,12 @@
         );
     }
 
+    /** @returns Whether a worker has room for two such tasks. */
+    hasRoomTwice({ step }: Task, worker: WorkerContact): boolean {
+        const { cpuMillis, memoryMb } = this.forecastAt(this.positions.get(worker)!).freeCapacity;
+        return step.request.cpuMillis * 2 <= cpuMillis && step.request.memoryMb * 2 <= memoryMb;
+    }
+
     /** @param service A service. @returns Racks of its usable workers. */
     racks(service: string): string[] {
         const racks = this.workers.filter(each => each.entry.service === service).map(each => each.entry.rack);
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -333,7 +333,7 @@
             }
             const choice =
                 this.choosePreferred(task, entry.service, placer, rack) ??
-                this.chooseAny(task, entry.service, placer, minSpeedPercent);
+                this.chooseAny(task, entry, placer, minSpeedPercent, now);
             if (choice === undefined) {
                 placer.recordRejection(task, entry.service, minSpeedPercent);
                 if (task.failedOn.size === 0) {
@@ -441,27 +441,26 @@
 
     private chooseAny(
         task: Task,
-        service: string,
+        entry: WaitingGroup,
         placer: Placer,
         minSpeedPercent: number,
+        now: number,
     ): PlacementChoice | undefined {
-        const choice = this.chooseOutsideReserve(task, service, placer, minSpeedPercent);
-        if (choice !== undefined || task.failedOn.size === 0) {
-            return choice;
-        }
+        const choose = () => this.chooseOutsideReserve(task, entry, placer, minSpeedPercent, now);
         // No worker without a failure of this task has capacity, so those with a failure are allowed, too.
-        return ignoringFailures([task], () => this.chooseOutsideReserve(task, service, placer, minSpeedPercent));
+        return choose() ?? (task.failedOn.size === 0 ? undefined : ignoringFailures([task], choose));
     }
 
     /**
-     * New long-running tasks use no reserved worker while others lack only CPU. One that ran before is back in service as soon
-     * as possible, if need be on a reserved worker.
+     * New long-running tasks use no reserved worker while others lack only CPU, until they have to run: then one with room for two.
+     * One that ran before is back in service as soon as possible, if need be on a reserved worker.
      */
     private chooseOutsideReserve(
         task: Task,
-        service: string,
+        { group, service }: WaitingGroup,
         placer: Placer,
         minSpeedPercent: number,
+        now: number,
     ): PlacementChoice | undefined {
         const isAllowed = (worker: WorkerContact) => this.isOpenFor(task, worker);
         if (task.step.mode !== "long-running") {
@@ -469,10 +468,12 @@
         }
         const isUnreserved = (worker: WorkerContact) => isAllowed(worker) && !this.reserved.has(worker);
         const choice = placer.choose(task, service, isUnreserved, minSpeedPercent);
-        if (choice !== undefined || (task.highestRun === 0 && placer.lacksOnlyCpu(task, service, isUnreserved))) {
-            return choice;
+        if (choice !== undefined || task.highestRun > 0 || !placer.lacksOnlyCpu(task, service, isUnreserved)) {
+            return choice ?? placer.choose(task, service, isAllowed, minSpeedPercent);
         }
-        return placer.choose(task, service, isAllowed, minSpeedPercent);
+        const hasRoom = (worker: WorkerContact) => isAllowed(worker) && placer.hasRoomTwice(task, worker);
+        const isDue = this.waits.dueMs(group, task, service, now) === 0;
+        return isDue ? placer.choose(task, service, hasRoom, minSpeedPercent) : undefined;
     }
 
     private assignTo(task: Task, { worker, speedPercent }: PlacementChoice, placer: Placer, now: number): void {
--- /dev/null
+++ b/src/dispatch/common/test/reservedWaits.test.ts
@@ -0,0 +1,63 @@
+import test from "ava";
+import { ActiveJob } from "../activeJob";
+import { LatencyModel } from "../latencyModel";
+import { WorkerContact } from "../workerContact";
+import { createJob, createQueue, createStep, createWorker, place } from "./runs";
+
+/** Time without any run after which a task that lasts must be assigned, in ms: callers accept 3 s, of which the leader takes some. */
+const MAX_IDLE_MS = 3_000 - 500;
+
+/** Time after which the test gives up, in ms. */
+const MAX_WAIT_MS = 8_000;
+
+const PASS_INTERVAL_MS = 100;
+
+/** Time after which the reserve follows the measured demand, in ms. */
+const OBSERVATION_MS = 4_000;
+
+/** @returns Ten workers of 64 cores, of which the first eight are full, and the others have this much CPU left, in cores. */
+function createWorkers(leftCores: number): WorkerContact[] {
+    return Array.from({ length: 10 }, (_, index) => {
+        const worker = createWorker(`w${index}`);
+        const usedCores = index < 8 ? 64 : 64 - leftCores;
+        const request = { cpuMillis: usedCores * 1_000, memoryMb: 1_000, accelerators: 0 };
+        if (usedCores > 0) {
+            place(worker, `l${index}`, createStep("l", true, { request }));
+        }
+        return worker;
+    });
+}
+
+/** @returns A job of short tasks whose demand reserves two of ten workers; it can run on none of them. */
+function createUrgentJob(): ActiveJob {
+    const request = { cpuMillis: 64_000, memoryMb: 1_000, accelerators: 0 };
+    const demand = { tasks: 20, estimateMs: 10_000, usesSpareCpu: false, requiredLabel: "other" };
+    return createJob("urgent", createStep("urgent", false, { ...demand, request }));
+}
+
+/** @returns Time until a new task of 8 cores that lasts is assigned, in ms; infinite if it is not. */
+function waitBesideReserve(leftCores: number): number {
+    const queue = createQueue(LatencyModel.create());
+    const workers = createWorkers(leftCores);
+    const urgent = createUrgentJob();
+    for (let now = 0; now < OBSERVATION_MS; now += PASS_INTERVAL_MS) {
+        queue.placeWaiting([urgent], workers, 100, now, now);
+    }
+    const job = createJob("lasting", createStep("lasting", true), OBSERVATION_MS);
+    for (let now = OBSERVATION_MS; now <= OBSERVATION_MS + MAX_WAIT_MS; now += PASS_INTERVAL_MS) {
+        queue.placeWaiting([urgent, job], workers, 100, now, now);
+        if (job.hasRun) {
+            return now - OBSERVATION_MS;
+        }
+    }
+    return Number.POSITIVE_INFINITY;
+}
+
+test("a task that lasts does not wait for long beside workers that are reserved for short tasks and have room for two", t => {
+    const waitedMs = waitBesideReserve(64);
+    t.true(waitedMs > 0 && waitedMs <= MAX_IDLE_MS, String(waitedMs));
+});
+
+test("a new task that lasts leaves a reserved worker without room for two to short tasks", t => {
+    t.is(waitBesideReserve(12), Number.POSITIVE_INFINITY);
+});
