A suspected task does not wait for an accused one of its job whose worker is silent

While an accused task of a job is at work, no other suspected one of the job starts, so that one guilty task does not crash several workers. A run counted as at work until it was given up, which for a silent worker is when its lease has certainly expired.

--- a/src/dispatch/common/suspectTable.ts
+++ b/src/dispatch/common/suspectTable.ts
@@ -1,5 +1,6 @@
 import { isFinal } from "../../jobs/common/jobTable";
 import { Task } from "./task";
+import { isSilent } from "./waitTable";
 import { WorkerContact } from "./workerContact";
 
 /**
@@ -59,12 +60,16 @@
         return [...worker.runs.values()].some(run => this.startsApart(run.task) && !run.isPauseProven);
     }
 
-    /** @param task A suspected task. @returns Whether another task of its job, one that is accused, is at work. */
-    isJobOnProbation(task: Task): boolean {
+    /**
+     * @param task A suspected task.
+     * @param now Time in ms.
+     * @returns Whether another task of its job, one that is accused, is being tried. One on a silent worker is not: whether the
+     * worker has survived it may be known only when the lease ends.
+     */
+    isJobOnProbation(task: Task, now: number): boolean {
         for (const other of this.tasks) {
             const isSameGang = other.groupKey === task.groupKey && task.step.mode === "gang";
-            const isAccusedAtWork = other.run?.isPauseProven === false && other.suspicion?.isAccused === true;
-            if (other.job === task.job && isAccusedAtWork && !isSameGang) {
+            if (other.job === task.job && !isSameGang && isAccusedAtWork(other, now)) {
                 return true;
             }
         }
@@ -72,6 +77,10 @@
     }
 }
 
+function isAccusedAtWork({ run, suspicion }: Task, now: number): boolean {
+    return run !== undefined && !run.isPauseProven && !isSilent(run, now) && suspicion?.isAccused === true;
+}
+
 /**
  * @param task A task.
  * @returns Whether it is given up for the losses in a row if one more worker is lost under it: its run shares no worker then,
--- a/src/dispatch/common/waitTable.ts
+++ b/src/dispatch/common/waitTable.ts
@@ -100,3 +100,8 @@
 export function isAtWork(run: Run, now: number): boolean {
     return isReported(run) && now - run.reportedAt <= MAX_SILENCE_MS;
 }
+
+/** @returns Whether nothing is known of a run for so long that its worker may be lost: it was assigned and reported too long ago. */
+export function isSilent(run: Run, now: number): boolean {
+    return now - Math.max(run.assignedAt, run.reportedAt) > MAX_SILENCE_MS;
+}
