Request a pass for when a suspected task has to have a run

A job whose tasks are all suspected got its run only in an ordinary pass, up to a second after the time by which it has to have one when passes are expensive. The times at which jobs have to have a run were collected while the tasks that are not suspected were placed. They are collected of all waiting tasks now, and the pass is requested once, after both are placed.

--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -63,6 +63,8 @@
     private remainingStarts = 0;
     /** Remaining starts at which no task is placed. */
     private lastStart = 0;
+    /** Time until the next job that waits has to have a run, in ms. */
+    private nextDueMs = Number.POSITIVE_INFINITY;
     private readonly reserve = ShortTaskReserve.create();
     /** Workers on which no new long-running tasks are placed in this pass. */
     private reserved: ReadonlySet<WorkerContact> = new Set();
@@ -119,6 +121,7 @@
         allWorkers: Iterable<WorkerContact> = workers,
     ): void {
         this.remainingStarts = maxStarts;
+        this.nextDueMs = Number.POSITIVE_INFINITY;
         this.waits.beginPass(allWorkers, now);
         const waiting = this.orderWaiting(jobs, now, wallNow);
         if (waiting.length === 0) {
@@ -133,6 +136,9 @@
         this.finishMoves(unsuspected, placer, now);
         this.placeDue(unsuspected, placer, now);
         this.placeInOrder(unsuspected, placer, now);
+        if (Number.isFinite(this.nextDueMs)) {
+            this.host.requestPassBy(now + this.nextDueMs);
+        }
         this.reviewWaits(waiting, placer, now);
     }
 
@@ -173,16 +179,13 @@
     private placeDue(waiting: readonly WaitingGroup[], placer: Placer, now: number): void {
         const idleMs = ({ group, tasks }: WaitingGroup) => this.waits.idleMs(group, tasks[0], now);
         const due: WaitingGroup[] = [];
-        let nextDueMs = Number.POSITIVE_INFINITY;
         for (const entry of waiting.filter(each => !each.isThrottled)) {
             // Each task of a long-running step waits by itself, a job of others for one run.
             const tasks = isLongRunning(entry) ? entry.tasks : entry.tasks.slice(0, 1);
-            const dueMs = tasks.map(task => this.waits.dueMs(entry.group, task, entry.service, now));
-            const dueTasks = tasks.filter((_, index) => dueMs[index] === 0);
+            const dueTasks = tasks.filter(task => this.reviewDue(entry, task, now));
             if (dueTasks.length > 0) {
                 due.push({ ...entry, tasks: isGang(entry) ? entry.tasks : dueTasks });
             }
-            nextDueMs = Math.min(nextDueMs, ...dueMs.filter(ms => ms !== undefined && ms > 0).map(Number));
         }
         due.sort((a, b) => idleMs(b) - idleMs(a));
         this.lastStart = Math.min(0, this.remainingStarts) - MAX_DUE_STARTS;
@@ -193,9 +196,15 @@
         const others = due.filter(entry => !isLongRunning(entry));
         this.placeInOrder(others, placer, now);
         this.lastStart = 0;
-        if (Number.isFinite(nextDueMs)) {
-            this.host.requestPassBy(now + nextDueMs);
+    }
+
+    /** @returns Whether a waiting task has to have a run soon; if it will have to, a pass is requested for then. */
+    private reviewDue({ group, service }: WaitingGroup, task: Task, now: number): boolean {
+        const dueMs = this.waits.dueMs(group, task, service, now);
+        if (dueMs !== undefined && dueMs > 0) {
+            this.nextDueMs = Math.min(this.nextDueMs, dueMs);
         }
+        return dueMs === 0;
     }
 
     private placeInOrder(waiting: readonly WaitingGroup[], placer: Placer, now: number): void {
@@ -298,7 +307,7 @@
             .map(entry => ({
                 ...entry,
                 minSpeedPercent: this.minSpeedPercent(entry, entry.tasks[0], now),
-                isDue: this.waits.dueMs(entry.group, entry.tasks[0], entry.service, now) === 0,
+                isDue: this.reviewDue(entry, entry.tasks[0], now),
             }));
         groups.forEach(({ tasks }) => alignMembers(tasks));
         const isContested = waiting.some(entry => !entry.isSuspected && !entry.isThrottled);
