The wait of a last attempt for an empty worker does not begin anew

A task on its last attempt starts on an empty worker, or after 2.5 s on one with other runs. The 2.5 s counted from the reservation, and a reservation is dropped when its worker is not usable in one pass, for example for 0.2 s after it has rejected a start. So the task had no run for as long as that happened every 2 s, 30 s in the test. The time counts from the first reservation for the task now, for as long as it waits, whichever worker is reserved. A reservation itself is still dropped with its worker, so the task may go to another one.

--- a/src/dispatch/common/probationPlacer.ts
+++ b/src/dispatch/common/probationPlacer.ts
@@ -64,6 +64,8 @@
 export class ProbationPlacer {
     /** Reservations for waiting groups, by the first task of the group. */
     private readonly reservations = new Map<Task, Reservation>();
+    /** Times (ms) at which workers were first reserved for waiting groups: their worker may change, and the wait goes on. */
+    private readonly reservedSince = new Map<Task, number>();
 
     private constructor(
         private readonly suspects: SuspectTable,
@@ -128,9 +130,8 @@
         if (reservation === undefined) {
             return;
         }
-        const { workers: reserved, since } = reservation;
-        const needsEmpty = tasks.some(isLastAttempt) && now - since < MAX_WAIT_FOR_EMPTY_WORKER_MS;
-        if (![...reserved].every(needsEmpty ? isEmpty : hasOnlyProvenRuns)) {
+        const { workers: reserved } = reservation;
+        if (![...reserved].every(this.readinessOf(tasks, now))) {
             return;
         }
         this.reservations.delete(tasks[0]);
@@ -162,7 +163,7 @@
     /** Reserves workers for a group, if possible such that it can start at once, and not shortly after they started. */
     private reserve(group: ProbationGroup, placer: Placer, closed: Set<WorkerContact>, at: Moment): void {
         const { tasks, service, minSpeedPercent } = group;
-        const isReady = tasks.some(isLastAttempt) ? isEmpty : hasOnlyProvenRuns;
+        const isReady = this.readinessOf(tasks, at.now);
         const isSteady = (worker: WorkerContact) => at.wallNow - worker.entry.incarnation >= MIN_STEADY_UPTIME_MS;
         const isNearData = (worker: WorkerContact) => worker.entry.rack === tasks[0].step.dataRack;
         const preferences: readonly WorkerCondition[][] = [
@@ -178,6 +179,7 @@
             const chosen = placer.chooseAll(tasks, service, isAllowed, minSpeedPercent);
             if (chosen !== undefined) {
                 this.reservations.set(tasks[0], { workers: new Set(chosen.map(each => each.worker)), since: at.now });
+                this.reservedSince.set(tasks[0], this.reservedSince.get(tasks[0]) ?? at.now);
                 chosen.forEach(({ worker }) => {
                     closed.add(worker);
                     placer.invalidate(worker);
@@ -187,6 +189,12 @@
         }
     }
 
+    /** @returns Whether a worker is ready for a group: empty for one on its last attempt, unless that takes too long. */
+    private readinessOf(tasks: readonly Task[], now: number): WorkerCondition {
+        const waitedMs = now - (this.reservedSince.get(tasks[0]) ?? now);
+        return tasks.some(isLastAttempt) && waitedMs < MAX_WAIT_FOR_EMPTY_WORKER_MS ? isEmpty : hasOnlyProvenRuns;
+    }
+
     private dropReservations(groups: readonly ProbationGroup[], workers: readonly WorkerContact[], now: number): void {
         const waiting = new Set(groups.map(({ tasks }) => tasks[0]));
         const usable = new Set(workers);
@@ -196,6 +204,11 @@
                 this.reservations.delete(first);
             }
         }
+        for (const first of this.reservedSince.keys()) {
+            if (!waiting.has(first)) {
+                this.reservedSince.delete(first);
+            }
+        }
     }
 }
 
