Weigh the loss of a worker by the time for which it counts against a start

A loss counts against a start until a report shows that the worker has survived it, which for a worker that does not answer is when it is back or its lease has expired, 2 to 12 s later. The probability of a coincidence was that of a loss within 1 s.

Now the probability is that of a loss within the time from the start to when the loss comes to light, and 3 s more for a run that the leader has inherited, whose start it does not know. All losses of a task are judged by the present rate; before, the probability of the latest one was taken for all, three at most. A shared loss that is attributed later keeps its time.

Tests: "losses of workers that were silent for seconds before are weaker evidence" and "the loss of an inherited run is weaker evidence than that of one that the leader has just started" failed before. The measured time of measureLosses() now ends at time 0, at which the runs of these tests start: it ended 60 s after them, which made no difference before.

--- a/src/dispatch/common/failureController.ts
+++ b/src/dispatch/common/failureController.ts
@@ -21,11 +21,14 @@
 const MAX_COUNTED_AGE_MS = 10_000;
 
 /**
- * Time for which a loss of the worker is attributed to a start, in ms: until a report shows that the worker has survived
+ * Shortest time for which a loss of the worker is attributed to a start, in ms: until a report shows that the worker has survived
  * it.
  */
 const ATTRIBUTION_MS = 1_000;
 
+/** Time before a leader inherits a run for which its worker may have had it unsurvived, in ms: until a change of leader is over. */
+const INHERITED_ATTRIBUTION_MS = 3_000;
+
 /**
  * Probability of a loss being a coincidence above which a loss that was shared with tasks that are cleared is no evidence against
  * the only one that remains: while many workers are lost, such losses are too frequent.
@@ -57,6 +60,8 @@
 export class FailureController {
     private readonly lossRate = LossRate.create();
     private readonly sharedLosses = SharedLossTable.create();
+    /** Time (ms) of the latest measurement. */
+    private now: number | undefined;
 
     private constructor(
         private readonly queues: QueueTable,
@@ -112,10 +117,14 @@
         const suspects = mostLikely(recent.length > 0 ? recent : runs.filter(isEarly));
         // If the worker had survived all starts, this loss alone is no evidence against any of them.
         const isAlone = recent.length > 0 && new Set(suspects.map(run => startUnitOf(run.task))).size === 1;
-        suspects.forEach(run => this.accuse(run.task, worker.entry.id, isAlone));
+        const withinMs = Math.max(ATTRIBUTION_MS, ...suspects.map(run => this.attributionMs(run)));
+        suspects.forEach(run => this.accuse(run.task, worker.entry.id, isAlone, withinMs));
         // A worker whose lease expired may only have been out of reach.
         if (recent.length > 0 && !isAlone && cause !== "lease-expired") {
-            this.sharedLosses.add(suspects.map(run => run.task));
+            this.sharedLosses.add(
+                suspects.map(run => run.task),
+                withinMs,
+            );
         }
         const culprits = new Set(suspects.filter(run => run.task.suspicion?.isAccusedAgain === true));
         if (![...culprits].some(run => run.task.suspicion?.state === "convicted")) {
@@ -139,6 +148,7 @@
 
     /** Measures how many workers are at work. @param workers Number of workers with runs. @param now Time in ms. */
     recordUptime(workers: number, now: number): void {
+        this.now = now;
         this.lossRate.recordUptime(workers, now);
     }
 
@@ -182,14 +192,27 @@
         this.suspects.update(task);
     }
 
-    /** @param worker The worker that was lost, or `undefined` for one of which all other tasks have been cleared since. */
-    private accuse(task: Task, worker: string | undefined, isAlone: boolean): void {
+    /**
+     * A worker that does not answer is lost at an unknown time before the loss is known, and all that time it counts against a
+     * start that no report has shown to be survived.
+     */
+    private attributionMs(run: Run): number {
+        const beforeMs = run.isInherited ? INHERITED_ATTRIBUTION_MS : 0;
+        const heldMs = this.now === undefined ? 0 : beforeMs + this.now - run.assignedAt;
+        return Math.max(ATTRIBUTION_MS + run.task.lossAgeMs, heldMs);
+    }
+
+    /**
+     * @param worker The worker that was lost, or `undefined` for one of which all other tasks have been cleared since.
+     * @param withinMs Time within which it was lost, in ms.
+     */
+    private accuse(task: Task, worker: string | undefined, isAlone: boolean, withinMs: number): void {
         if (isFinal(task.job.state)) {
             return;
         }
         task.suspicion ??= TaskSuspicion.create();
-        const coincidence = this.lossRate.probabilityWithin(ATTRIBUTION_MS + task.lossAgeMs);
-        task.suspicion.fire(isAlone ? "lost-alone" : "lost-with-others", coincidence);
+        const coincidence = this.lossRate.probabilityWithin(withinMs);
+        task.suspicion.fire(isAlone ? "lost-alone" : "lost-with-others", { withinMs, rate: this.lossRate });
         const { state } = task.suspicion;
         const data = { task: task.name, worker, state, coincidence: coincidence.toFixed(3) };
         this.host.logDecision("task-suspected", data);
@@ -225,9 +248,9 @@
     /** Attributes the losses that a task shared with others and did not cause to the only one of them that remains. */
     private attributeSharedLosses(innocent: Task): void {
         const isUnlikely = this.lossRate.probabilityWithin(ATTRIBUTION_MS) <= MAX_ATTRIBUTED_COINCIDENCE;
-        for (const task of this.sharedLosses.clear(innocent)) {
+        for (const { task, withinMs } of this.sharedLosses.clear(innocent)) {
             if (task.suspicion?.state === "suspected" && isUnlikely) {
-                this.accuse(task, undefined, true);
+                this.accuse(task, undefined, true, withinMs);
             }
         }
     }
--- a/src/dispatch/common/sharedLossTable.ts
+++ b/src/dispatch/common/sharedLossTable.ts
@@ -1,8 +1,20 @@
 import { isFinal } from "../../jobs/common/jobTable";
 import { Task } from "./task";
 
-/** Tasks that a worker had just started when it was lost, and any of which may be the cause. */
-type SharedLoss = Set<Task>;
+/** The loss of a worker that had just started several tasks. */
+interface SharedLoss {
+    /** The tasks that may be the cause. */
+    readonly tasks: Set<Task>;
+    /** Time within which the worker was lost, in ms. */
+    readonly withinMs: number;
+}
+
+/** A loss of which all tasks but one, or one gang, have been left out. */
+export interface AttributedLoss {
+    readonly task: Task;
+    /** Time within which the worker was lost, in ms. */
+    readonly withinMs: number;
+}
 
 /** Knows which tasks shared the worker of a loss, so that evidence about one of them counts for the others. */
 export class SharedLossTable {
@@ -15,22 +27,25 @@
         return new SharedLossTable();
     }
 
-    /** Adds a loss. @param tasks Tasks that the worker had just started. */
-    add(tasks: readonly Task[]): void {
-        this.losses = this.losses.filter(each => [...each].some(task => !isFinal(task.job.state)));
-        this.losses.push(new Set(tasks));
+    /** Adds a loss. @param tasks Tasks that the worker had just started. @param withinMs Time within which it was lost, in ms. */
+    add(tasks: readonly Task[], withinMs: number): void {
+        this.losses = this.losses.filter(each => [...each.tasks].some(task => !isFinal(task.job.state)));
+        this.losses.push({ tasks: new Set(tasks), withinMs });
     }
 
     /**
      * Leaves out a task that is not the cause.
      * @param innocent The task.
-     * @returns The tasks that are the only ones, or the only gang, left of a loss.
+     * @returns The losses of which only one task, or one gang, is left; one for each of these tasks.
      */
-    clear(innocent: Task): Task[] {
-        const shared = this.losses.filter(each => each.delete(innocent));
-        const attributed = shared.filter(each => countUnits(each) === 1).flatMap(each => [...each]);
-        this.losses = this.losses.filter(each => countUnits(each) > 1);
-        return [...new Set(attributed)];
+    clear(innocent: Task): AttributedLoss[] {
+        const shared = this.losses.filter(each => each.tasks.delete(innocent));
+        const attributed = new Map<Task, AttributedLoss>();
+        for (const { tasks, withinMs } of shared.filter(each => countUnits(each.tasks) === 1)) {
+            tasks.forEach(task => attributed.set(task, { task, withinMs }));
+        }
+        this.losses = this.losses.filter(each => countUnits(each.tasks) > 1);
+        return [...attributed.values()];
     }
 
     /**
@@ -39,9 +54,9 @@
      * @returns The tasks that shared these losses and no other one.
      */
     attributeTo(culprit: Task): Task[] {
-        const explained = this.losses.filter(each => each.has(culprit)).flatMap(each => [...each]);
-        this.losses = this.losses.filter(each => !each.has(culprit));
-        const isExplained = (task: Task) => !this.losses.some(each => each.has(task));
+        const explained = this.losses.filter(each => each.tasks.has(culprit)).flatMap(each => [...each.tasks]);
+        this.losses = this.losses.filter(each => !each.tasks.has(culprit));
+        const isExplained = (task: Task) => !this.losses.some(each => each.tasks.has(task));
         const unit = startUnitOf(culprit);
         return [...new Set(explained)].filter(task => startUnitOf(task) !== unit && isExplained(task));
     }
--- a/src/dispatch/common/taskSuspicion.ts
+++ b/src/dispatch/common/taskSuspicion.ts
@@ -2,6 +2,7 @@
 import { ChartRegistry } from "../../base/common/chartRegistry";
 import { Machine } from "../../base/common/machine";
 import { RecordedSuspicion } from "../../jobs/common/jobRecord";
+import type { LossRate } from "./lossRate";
 import chartText from "./taskSuspicion.chart.yaml";
 
 /** Whether a task is suspected of crashing its workers. */
@@ -26,24 +27,37 @@
     "accused-again": ["lost-alone", "lost-alone"],
 };
 
-/** Number of workers that were lost alone under an accused task; further ones may have been. */
+/** Number of workers that were lost alone under an accused task, at least. */
 const LOSSES_ALONE: Partial<Record<SuspicionState, number>> = { accused: 1, "accused-again": 2 };
 
 /** Probability of all losses being a coincidence from which a task is guilty: few of the suspected tasks are. */
 const MAX_COINCIDENCE_PROBABILITY = 0.001;
 
-/** Probability of a loss that is certainly a coincidence. */
-const CERTAIN = 1;
+/** The loss of a worker under a task. */
+export interface TaskLoss {
+    /** Time within which the worker was lost, in ms. */
+    readonly withinMs: number;
+    /** How often workers are lost otherwise. */
+    readonly rate: LossRate;
+}
 
 /** The evidence that a task crashes the workers that start it. */
 export class TaskSuspicion {
-    private readonly machine = Machine.create<number, SuspicionState, SuspicionEvent, SuspicionGuard, never>(chart, {
+    private readonly machine = Machine.create<
+        TaskLoss | undefined,
+        SuspicionState,
+        SuspicionEvent,
+        SuspicionGuard,
+        never
+    >(chart, {
         guards: {
-            isCoincidenceUnlikely: probability =>
-                probability ** ((LOSSES_ALONE[this.state] ?? 0) + 1) <= MAX_COINCIDENCE_PROBABILITY,
+            isCoincidenceUnlikely: loss =>
+                loss !== undefined && this.coincidenceWith(loss) <= MAX_COINCIDENCE_PROBABILITY,
         },
         actions: {},
     });
+    /** Times within which workers were lost alone under this leader, in ms, since the task was last cleared. */
+    private lostWithinMs: number[] = [];
 
     private constructor() {}
 
@@ -53,7 +67,7 @@
      */
     static create(recorded?: RecordedSuspicion): TaskSuspicion {
         const suspicion = new TaskSuspicion();
-        EVENTS_BEFORE[recorded ?? "cleared"].forEach(event => suspicion.fire(event));
+        EVENTS_BEFORE[recorded ?? "cleared"].forEach(event => suspicion.machine.fire(event, undefined));
         return suspicion;
     }
 
@@ -81,9 +95,26 @@
     /**
      * Handles the loss of a worker, or a report that shows that a worker survived the start.
      * @param event What has happened.
-     * @param coincidence Probability of the loss if the task is not the cause, from 0 to 1.
+     * @param loss The loss; left out if it is no evidence for a conviction.
+     */
+    fire(event: SuspicionEvent, loss?: TaskLoss): void {
+        this.machine.fire(event, loss);
+        if (event === "survived") {
+            this.lostWithinMs = [];
+        } else if (event === "lost-alone" && loss !== undefined) {
+            this.lostWithinMs.push(loss.withinMs);
+        }
+    }
+
+    /**
+     * @returns Probability of all losses alone being coincidences, by the present rate: it may have been unknown when the first ones
+     * were seen. Those that an earlier leader has seen are taken to be as likely as this one.
      */
-    fire(event: SuspicionEvent, coincidence = CERTAIN): void {
-        this.machine.fire(event, coincidence);
+    private coincidenceWith({ withinMs, rate }: TaskLoss): number {
+        const unseen = Math.max(0, (LOSSES_ALONE[this.state] ?? 0) - this.lostWithinMs.length);
+        return this.lostWithinMs.reduce(
+            (product, ms) => product * rate.probabilityWithin(ms),
+            rate.probabilityWithin(withinMs) ** (unseen + 1),
+        );
     }
 }
--- a/src/dispatch/common/test/failureController.test.ts
+++ b/src/dispatch/common/test/failureController.test.ts
@@ -8,7 +8,7 @@
 import { Task } from "../task";
 import { WorkerContact } from "../workerContact";
 import { AssigningHost, createWorker, report } from "./runs";
-import { createController, createTask, inherit, lose, start, SURVIVED_MS } from "./failures";
+import { createController, createTask, inherit, lose, measureLosses, start, SURVIVED_MS } from "./failures";
 
 test("a task that crashes its workers is given up after three that had started nothing else", t => {
     const { host, failures } = createController();
@@ -243,18 +243,6 @@
     return losses;
 }
 
-/** Records that workers are at work for 60 s, and loses some of them with runs that are not suspected. */
-function measureLosses(failures: FailureController, workers: number, losses: number): void {
-    for (let now = 0; now <= 60_000; now += 100) {
-        failures.recordUptime(workers, now);
-    }
-    for (let loss = 0; loss < losses; loss++) {
-        const worker = createWorker(`other${loss}`);
-        report(start(worker, createTask(`other${loss}`), 0), 0, 20_000);
-        lose(failures, worker);
-    }
-}
-
 test("a task that crashes its workers is given up after two while hardly any worker is lost otherwise", t => {
     const { host, failures } = createController();
     measureLosses(failures, 30, 5);
--- /dev/null
+++ b/src/dispatch/common/test/failureEvidence.test.ts
@@ -0,0 +1,38 @@
+import test from "ava";
+import { TaskSuspicion } from "../taskSuspicion";
+import { createController, createTask, inherit, lose, measureLosses } from "./failures";
+import { assign, createWorker } from "./runs";
+
+// A loss was taken to follow within a second of the start, also one that came to light many seconds after it.
+test("losses of workers that were silent for seconds before are weaker evidence", t => {
+    const { host, failures } = createController();
+    measureLosses(failures, 30, 5);
+    const task = createTask("a");
+    const losses = [0, 8_000, 16_000].map(startedAt => {
+        const worker = createWorker(`w${startedAt}`);
+        const run = assign(worker, task, startedAt);
+        run.fire("stored", { now: startedAt });
+        for (let now = startedAt; now <= startedAt + 8_000; now += 100) {
+            failures.recordUptime(30, now);
+        }
+        lose(failures, worker);
+        return task.suspicion?.state;
+    });
+    t.deepEqual(losses, ["accused", "accused-again", "convicted"]);
+    t.deepEqual(host.failedJobs, [task.job]);
+});
+
+// The start of an inherited run was taken to be as recent as the change of leader.
+test("the loss of an inherited run is weaker evidence than that of one that the leader has just started", t => {
+    const { host, failures } = createController();
+    measureLosses(failures, 30, 10);
+    const task = createTask("a");
+    for (const id of ["w1", "w2"]) {
+        const worker = createWorker(id);
+        inherit(worker, task);
+        task.suspicion ??= TaskSuspicion.create("suspected");
+        lose(failures, worker);
+    }
+    t.is(task.suspicion?.state, "accused-again");
+    t.deepEqual(host.failedJobs, []);
+});
--- a/src/dispatch/common/test/failures.ts
+++ b/src/dispatch/common/test/failures.ts
@@ -6,7 +6,7 @@
 import { SuspectTable } from "../suspectTable";
 import { Task } from "../task";
 import { WorkerContact } from "../workerContact";
-import { assign, createJob, createStep, NoopRunHost } from "./runs";
+import { assign, createJob, createStep, createWorker, NoopRunHost, report } from "./runs";
 
 /** Time after which a run is listed and its start counts as survived, in ms. */
 export const SURVIVED_MS = 600;
@@ -62,3 +62,15 @@
         task.run = undefined;
     }
 }
+
+/** Records that workers are at work for 60 s up to time 0, and loses some of them with runs that are not suspected. */
+export function measureLosses(failures: FailureController, workers: number, losses: number): void {
+    for (let now = -60_000; now <= 0; now += 100) {
+        failures.recordUptime(workers, now);
+    }
+    for (let loss = 0; loss < losses; loss++) {
+        const worker = createWorker(`other${loss}`);
+        report(start(worker, createTask(`other${loss}`), 0), 0, 20_000);
+        lose(failures, worker);
+    }
+}
