Take a start without an answer for evidence against its task only if its worker was heard of later

Each run without a report counted as one that its worker had not survived, and a worker gets starts until its silence is noticed.

A start that was not answered is now evidence only if a list that was requested after it was answered, or the run was reported. Other tasks on the worker are judged as if the start had not been sent, and worker-lost names it.

The changes to FailureController are in reviewLoss and a function that joins names.

--- a/src/dispatch/common/failureController.ts
+++ b/src/dispatch/common/failureController.ts
@@ -100,16 +100,21 @@
     /**
      * Handles the loss of a worker.
      * @param worker The worker.
-     * @param lostRuns Runs that were lost with it. Those that were paused are no evidence against their tasks.
+     * @param lostRuns Runs that were lost with it. Those that were paused are no evidence against their tasks. Those whose
+     * start the worker may not have got count as losses in a row only, which bounds the starts of a task that crashes its workers
+     * before they answer.
      * @param cause How it was lost.
      */
     reviewLoss(worker: WorkerContact, lostRuns: readonly Run[], cause: WorkerLossCause): void {
         const runs = lostRuns.filter(run => !run.isPauseProven);
-        const recent = runs.filter(run => !run.isProven && canBeSuspected(run));
-        const unproven = recent.map(run => run.record.task).join(" ");
-        this.host.logDecision("worker-lost", { worker: worker.entry.id, cause, runs: lostRuns.length, unproven });
+        const started = runs.filter(run => worker.canHaveStarted(run));
+        const recent = started.filter(run => !run.isProven && canBeSuspected(run));
+        const unproven = namesOf(recent);
+        const unanswered = namesOf(runs.filter(run => !started.includes(run)));
+        const data = { worker: worker.entry.id, cause, runs: lostRuns.length, unproven, unanswered };
+        this.host.logDecision("worker-lost", data);
         const isEarly = (run: Run) => run.provenAgeMs <= MAX_SUSPECT_AGE_MS && canBeSuspected(run);
-        const suspects = mostLikely(recent.length > 0 ? recent : runs.filter(isEarly));
+        const suspects = mostLikely(recent.length > 0 ? recent : started.filter(isEarly));
         // If the worker had survived all starts, this loss alone is no evidence against any of them.
         const isAlone = recent.length > 0 && new Set(suspects.map(run => startUnitOf(run.task))).size === 1;
         suspects.forEach(run => this.accuse(run.task, worker.entry.id, isAlone));
@@ -249,6 +254,10 @@
     }
 }
 
+function namesOf(runs: readonly Run[]): string {
+    return runs.map(run => run.record.task).join(" ");
+}
+
 /** @returns The runs of accused tasks, or else of suspected ones, if there are any: they are a more likely cause. */
 function mostLikely(runs: readonly Run[]): readonly Run[] {
     const accused = runs.filter(run => run.task.suspicion?.isAccused === true);
--- a/src/dispatch/common/run.ts
+++ b/src/dispatch/common/run.ts
@@ -115,6 +115,9 @@
     isInherited = false;
     /** Whether the answer to its start shows that it is on the incarnation of the worker that was listed before. */
     isStartProven = false;
+    /** Time (ms) at which its start was sent, if it was. */
+    private sentAt: number | undefined;
+    private hasUnansweredStart = false;
     /** Rack of its worker. */
     rack = "";
     /** Ticket of the advice service that the start carries. */
@@ -133,6 +136,7 @@
             guards: {},
             actions: {
                 sendStart: ({ now }) => {
+                    this.sentAt = now;
                     this.workedMs = 0;
                     this.provenMs = 0;
                     this.workingSince = now;
@@ -237,6 +241,11 @@
         return this.state !== "assigned" && this.state !== "over";
     }
 
+    /** Time (ms) at which its start was sent, if it was not answered and the worker has never reported the run. */
+    get unansweredSince(): number | undefined {
+        return this.hasUnansweredStart && this.report === undefined ? this.sentAt : undefined;
+    }
+
     /** Age of the run in the latest report, in ms, without pauses: the worker has survived its work for this long. */
     get provenAgeMs(): number {
         return this.provenMs;
@@ -265,6 +274,7 @@
         const before = this.machine.state;
         this.isInherited ||= event === "inherit";
         this.machine.fire(event, data);
+        this.hasUnansweredStart ||= before === "starting" && event === "unanswered";
         if (this.machine.state !== before) {
             this.changedAt = data.now;
         }
--- a/src/dispatch/common/workerContact.ts
+++ b/src/dispatch/common/workerContact.ts
@@ -326,6 +326,16 @@
         return this.clock === undefined ? undefined : Math.round(this.clock.minReadingAt(now) + ms);
     }
 
+    /**
+     * @param run One of its runs.
+     * @returns Whether it may have carried out the start of the run before it was last heard of. If not, it may have been lost
+     * before it got the order.
+     */
+    canHaveStarted(run: Run): boolean {
+        const { unansweredSince } = run;
+        return unansweredSince === undefined || (this.lastListSentAt ?? Number.NEGATIVE_INFINITY) > unansweredSince;
+    }
+
     /** Whether it cannot be reached: it left a list unanswered, or has no address. */
     get isUnreachable(): boolean {
         return this.state !== "reachable" && (this.isListUnanswered || this.latestEntry.address === "");
