Store the progress of a wide job in parts, and leave out a record that is too large for the store

One record grew with the job without a bound, and one record could block its writer.

What waits for a record waits until all parts are stored as they were then. encodeProgress and decodeProgress are as before.

--- a/src/dispatch/common/activeJob.ts
+++ b/src/dispatch/common/activeJob.ts
@@ -240,6 +240,10 @@
             // Earlier versions recorded long-running tasks as done.
             const recorded = step.mode === "long-running" ? undefined : progress?.done?.[key];
             const done = DoneSet.create(step.tasks, recorded);
+            if (step.mode === "gang" && !done.isEmpty) {
+                // Its tasks are done together, but may be in several records, of which one was not stored.
+                done.addAll();
+            }
             const tasks = Array.from({ length: step.tasks }, (_, index) => ActiveTask.create(this, step, key, index));
             this.groupsByKey.set(key, { key, step, occurrence, done, tasks });
         });
--- a/src/dispatch/common/activeJobTable.ts
+++ b/src/dispatch/common/activeJobTable.ts
@@ -1,11 +1,12 @@
 import { Emitter } from "../../base/common/emitter";
-import { encodeProgress, encodeSpec, jobKey, JobProgress, RunRecord, TaskRecord } from "../../jobs/common/jobRecord";
+import { encodeSpec, jobKey, JobProgress, RunRecord, TaskRecord } from "../../jobs/common/jobRecord";
 import { JobSpec, JobState } from "../../jobs/common/jobSpec";
 import { isFinal, JobEntry } from "../../jobs/common/jobTable";
 import { JobSource } from "../../jobs/common/shardJobs";
 import { ProgressTable } from "../../jobs/common/progressTable";
 import { RecordWriter, StoredListener } from "../../records/common/recordWriter";
 import { ActiveJob } from "./activeJob";
+import { ProgressRecorder } from "./progressRecorder";
 import { isFinishedBy, Task } from "./task";
 
 /** The leader's writers. */
@@ -28,6 +29,7 @@
     private readonly finished = new Set<string>();
     /** Highest runs of the tasks of finished jobs that were started again after a run was given up, by task and job. */
     private readonly restarts = new Map<string, ReadonlyMap<string, number>>();
+    private readonly recorder: ProgressRecorder;
     private readonly didCancel = Emitter.create<ActiveJob>();
 
     private readonly didIgnoreJob = Emitter.create<string>();
@@ -40,7 +42,9 @@
     private constructor(
         private readonly epoch: number,
         private readonly writers: LeaderWriters,
-    ) {}
+    ) {
+        this.recorder = ProgressRecorder.create(writers.progress);
+    }
 
     /** @param epoch Epoch of the leader. @param writers The leader's writers. @returns A table without jobs. */
     static create(epoch: number, writers: LeaderWriters): ActiveJobTable {
@@ -67,8 +71,9 @@
         [...this.jobs.keys()].filter(id => !isOwn(id)).forEach(id => this.jobs.delete(id));
     }
 
-    /** Removes a finished job whose records are deleted. @param id Its identifier. */
+    /** Removes a finished job whose spec is deleted, and deletes its progress. @param id Its identifier. */
     remove(id: string): void {
+        this.recorder.delete(id);
         this.finished.delete(id);
         this.restarts.delete(id);
     }
@@ -107,6 +112,9 @@
      */
     restore(entry: JobEntry, progress: ProgressTable, inherit: (task: Task, record: RunRecord) => void): number {
         const known = progress.find(entry.id);
+        if (entry.spec !== undefined) {
+            this.recorder.restore(entry.spec, progress);
+        }
         const isFinished = known !== undefined && isFinal(known.state) && (known.runs ?? []).length === 0;
         if (isFinished) {
             this.finished.add(entry.id);
@@ -129,7 +137,7 @@
     deleteOrphans(table: JobSource, progress: ProgressTable): void {
         for (const id of progress.ids) {
             if (table.find(id) === undefined) {
-                this.writers.progress.write(jobKey("progress", id), () => undefined);
+                this.recorder.delete(id, progress.keysOf(id));
             }
         }
     }
@@ -156,15 +164,15 @@
      */
     recordProgress(job: ActiveJob, onStored?: StoredListener): void {
         const { id } = job.spec;
-        const encode = () => {
-            const progress = job.progress(this.epoch);
-            job.recordedState = progress.state;
-            return encodeProgress(progress);
+        const progress = () => {
+            const current = job.progress(this.epoch);
+            job.recordedState = current.state;
+            return current;
         };
-        this.writers.progress.write(jobKey("progress", id), encode, sentAt => {
+        this.recorder.record(job.spec, progress, sentAt => {
             this.publishState(id, job.publishedState, job.recordedState);
             job.publishedState = job.recordedState;
-            if (isFinal(job.recordedState) && this.finishing.delete(id)) {
+            if (isFinal(job.recordedState) && this.recorder.isStored(id) && this.finishing.delete(id)) {
                 this.truncateSpec(job);
             }
             onStored?.(sentAt);
--- a/src/dispatch/common/dispatchEffects.ts
+++ b/src/dispatch/common/dispatchEffects.ts
@@ -1,4 +1,4 @@
-import { RecordEffect } from "../../records/common/recordEvents";
+import { RecordWriterEffect } from "../../records/common/recordEvents";
 import { WorkerEffect } from "./workerMessages";
 
 /** Data of a decision, for the decision log. */
@@ -49,4 +49,4 @@
 }
 
 /** Effects of the scheduler. */
-export type DispatchEffect = RecordEffect | WorkerEffect | DecisionEffect;
+export type DispatchEffect = RecordWriterEffect | WorkerEffect | DecisionEffect;
--- a/src/dispatch/common/jobPruner.ts
+++ b/src/dispatch/common/jobPruner.ts
@@ -57,10 +57,7 @@
         this.writers.jobs.write(
             jobKey("spec", id),
             () => undefined,
-            () => {
-                this.writers.progress.write(jobKey("progress", id), () => undefined);
-                this.activeJobs.remove(id);
-            },
+            () => this.activeJobs.remove(id),
         );
         this.writers.jobs.write(jobKey("state", id), () => undefined);
     }
--- a/src/dispatch/common/test/activeJob.test.ts
+++ b/src/dispatch/common/test/activeJob.test.ts
@@ -25,3 +25,11 @@
     t.false(job.isTaskDone([...job.tasks()][0]));
     t.false(job.isDone);
 });
+
+test("a gang of which only some of the records with its tasks were stored as done is done", t => {
+    const { spec } = createJob("j", createStep("solver", false, { tasks: 300, mode: "gang" }));
+    const progress = { epoch: 1, state: "running" as const, done: { "0.0": "f" }, runs: [], tasks: [] };
+    const job = ActiveJob.create(spec, 0, progress);
+    t.true(job.isTaskDone(job.find("j.0.0.299")!));
+    t.true(job.isDone);
+});
--- a/src/dispatch/common/test/activeJobTable.test.ts
+++ b/src/dispatch/common/test/activeJobTable.test.ts
@@ -4,6 +4,7 @@
 import { JobTable, visibleStateOf } from "../../../jobs/common/jobTable";
 import { ProgressTable } from "../../../jobs/common/progressTable";
 import { RecordEffect } from "../../../records/common/recordEvents";
+import { isTooLarge } from "../../../records/common/recordSize";
 import { RecordWriter } from "../../../records/common/recordWriter";
 import { ActiveJobTable, LeaderWriters } from "../activeJobTable";
 import { JobRestorer } from "../jobRestorer";
@@ -125,3 +126,84 @@
     t.true(table.isFinished("a"));
     t.false(table.isRestartedAfter("a.0.0.0", 1));
 });
+
+/** Stores all appends of the table's writers. @returns Keys of the records, in order. */
+function storeAll({ appends, store }: ReturnType<typeof createTable>): string[] {
+    const keys: string[] = [];
+    for (let pending = appends(); pending.length > 0; pending = appends()) {
+        for (const { stream, append } of pending) {
+            keys.push(...append.records.map(({ key }) => key));
+            store(stream as "jobs" | "progress", append.sequence);
+        }
+    }
+    return keys;
+}
+
+// The record of such a job was rejected by the store, and no job was started from then on.
+test("the assignments of a job with 10,000 tasks are stored in records that the store accepts", t => {
+    const fixture = createTable(createStep("x", false, { tasks: 10_000 }));
+    const [job] = [...fixture.table.all];
+    job.openDue(0);
+    const worker = createWorker("i-7f3a91c200");
+    let stored = 0;
+    for (const task of job.tasks()) {
+        assign(worker, task);
+        fixture.table.recordProgress(job, () => (stored += 1));
+    }
+    job.state = "running";
+    const appends = fixture.appends();
+    t.deepEqual(appends.flatMap(({ append }) => append.records).filter(isTooLarge), []);
+    appends.forEach(({ append }) => fixture.store("progress", append.sequence));
+    storeAll(fixture);
+    t.is(stored, 10_000);
+});
+
+test("an assignment counts as stored only when the records of all ends before it are", t => {
+    const fixture = createTable(createStep("x", false, { tasks: 20_000 }));
+    const [job] = [...fixture.table.all];
+    job.openDue(0);
+    const worker = createWorker("i-7f3a91c200");
+    [...job.tasks()].forEach(task => assign(worker, task));
+    let stored = 0;
+    fixture.table.recordProgress(job, () => (stored += 1));
+    const [first] = fixture.appends();
+    fixture.store("progress", first.append.sequence);
+    t.is(stored, 0);
+    storeAll(fixture);
+    t.is(stored, 1);
+});
+
+test("the records of a wide job are deleted with it, also by a new leader that knows it as finished", t => {
+    const fixture = createTable(createStep("x", false, { tasks: 600 }));
+    const [job] = [...fixture.table.all];
+    job.openDue(0);
+    const tasks = [...job.tasks()];
+    const [lost] = tasks;
+    tasks.forEach(task => job.markDone(task));
+    lost.hasLostRun = true;
+    lost.highestRun = 2;
+    job.state = "done";
+    fixture.table.recordProgress(job);
+    const [progress] = fixture.appends();
+    t.deepEqual(
+        progress.append.records.map(({ key }) => key),
+        ["p/a", "q/a/0"],
+    );
+    const stored = ProgressTable.create();
+    progress.append.records.forEach(({ key, value }, offset) => stored.apply({ key, value, offset }));
+    const outbox = Outbox.create<RecordEffect>();
+    const writers = createWriters(outbox);
+    const table = ActiveJobTable.create(2, writers);
+    JobRestorer.create(fixture.jobs, stored, table, () => t.fail()).restore();
+    t.true(table.isFinished("a"));
+    t.true(table.isRestartedAfter("a.0.0.0", 1));
+    table.remove("a");
+    writers.progress.flush(1);
+    t.deepEqual(
+        outbox.drain().flatMap(effect => (effect.kind === "append" ? effect.append.records : [])),
+        [
+            { key: "p/a", value: undefined },
+            { key: "q/a/0", value: undefined },
+        ],
+    );
+});
--- a/src/host/common/takeover.ts
+++ b/src/host/common/takeover.ts
@@ -10,7 +10,7 @@
 import { ProgressTable } from "../../jobs/common/progressTable";
 import { StoredRecord } from "../../records/common/record";
 import { LoadReceiver, RecordLoader } from "../../records/common/recordLoader";
-import { RecordEffect, RecordEvent } from "../../records/common/recordEvents";
+import { RecordEvent, RecordWriterEffect } from "../../records/common/recordEvents";
 import { RecordWriter } from "../../records/common/recordWriter";
 import { ProgressStream } from "../../records/common/recordStore";
 import { leaderProducer, progressStream } from "../../records/common/shardNames";
@@ -76,7 +76,7 @@
         epoch: number,
         nonce: number,
         private readonly clock: () => number,
-        private readonly effects: EffectSink<RecordEffect>,
+        private readonly effects: EffectSink<RecordWriterEffect>,
         private readonly host: TakeoverHost,
         shard: number,
     ) {
@@ -115,7 +115,7 @@
         epoch: number,
         nonce: number,
         clock: () => number,
-        effects: EffectSink<RecordEffect>,
+        effects: EffectSink<RecordWriterEffect>,
         host: TakeoverHost,
         shard = 0,
     ): Takeover {
--- a/src/host/node/jobPerformers.ts
+++ b/src/host/node/jobPerformers.ts
@@ -4,6 +4,7 @@
 import { OrderAnswer, WorkerClient } from "../../dispatch/common/workerClient";
 import { WorkerEffect } from "../../dispatch/common/workerMessages";
 import { JobAnswer, JobCall } from "../../jobs/common/jobCall";
+import { MAX_RECORD_BYTES } from "../../records/common/recordSize";
 import { RecordStore } from "../../records/common/recordStore";
 import { RecordEffect } from "../../records/common/recordEvents";
 import { JobInstanceEffect, JobInstanceEvent } from "../common/jobInstanceEvents";
@@ -92,6 +93,11 @@
                 this.metrics.recordDecision(effect.name, effect.data);
                 this.log.log(effect.name, effect.data, importanceOf(effect.name));
                 break;
+            case "record-dropped": {
+                const { stream, key, bytes } = effect;
+                this.log.log("record-dropped", { stream, key, bytes, limit: MAX_RECORD_BYTES });
+                break;
+            }
             case "stopped":
                 this.onStopped();
                 break;
--- a/src/jobs/common/doneSet.ts
+++ b/src/jobs/common/doneSet.ts
@@ -25,6 +25,11 @@
         this.bits[index] = true;
     }
 
+    /** Adds all tasks. */
+    addAll(): void {
+        this.bits.fill(true);
+    }
+
     /** Whether all tasks are done. */
     get isFull(): boolean {
         return this.bits.every(bit => bit);
--- a/src/jobs/common/jobCallHandler.ts
+++ b/src/jobs/common/jobCallHandler.ts
@@ -1,3 +1,4 @@
+import { isTooLarge, MAX_RECORD_BYTES, recordBytes } from "../../records/common/recordSize";
 import { RecordWriter } from "../../records/common/recordWriter";
 import { ConfigurationView } from "./configurationView";
 import { JobAnswer, JobCall, JobDraft } from "./jobCall";
@@ -169,11 +170,16 @@
             this.sendAnswer(call, this.unavailableAnswer(now));
             return;
         }
+        const record = { key: jobKey("spec", id), value: encodeSpec({ id, queue, acceptedAtMs: wallNow, ...draft }) };
+        if (isTooLarge(record)) {
+            const fault = `the job takes ${recordBytes(record)} bytes of the ${MAX_RECORD_BYTES} that can be stored`;
+            this.sendAnswer(call, { kind: "invalid", faults: [fault] });
+            return;
+        }
         this.openCalls.set(call.number, openCall);
-        const value = encodeSpec({ id, queue, acceptedAtMs: wallNow, ...draft });
         this.writer.write(
-            jobKey("spec", id),
-            () => value,
+            record.key,
+            () => record.value,
             () => this.complete(openCall, { kind: "accepted" }),
         );
     }
--- a/src/jobs/common/progressTable.ts
+++ b/src/jobs/common/progressTable.ts
@@ -1,9 +1,12 @@
 import { StoredRecord } from "../../records/common/record";
-import { decodeProgress, JobProgress, parseJobKey } from "./jobRecord";
+import { decodeProgress, jobKey, JobProgress, parseJobKey } from "./jobRecord";
+import { decodeHead, joinProgress, parsePartKey, partKey } from "./progressPart";
 
 /** Progress of all jobs as recorded by earlier leaders. A new leader reads it during takeover. */
 export class ProgressTable {
     private readonly entries = new Map<string, JobProgress>();
+    /** Parts of the progress of jobs with many tasks, by job and number. */
+    private readonly parts = new Map<string, Map<number, JobProgress>>();
     private readonly malformed = new Set<string>();
 
     private constructor() {}
@@ -15,17 +18,25 @@
 
     /** Identifiers of the jobs with recorded progress. */
     get ids(): Iterable<string> {
-        return this.entries.keys();
+        return new Set([...this.entries.keys(), ...this.parts.keys()]);
     }
 
     /** Whether no leader has recorded progress of a job. */
     get isEmpty(): boolean {
-        return this.entries.size === 0 && this.malformed.size === 0;
+        return this.entries.size === 0 && this.parts.size === 0 && this.malformed.size === 0;
     }
 
     /** @param id Identifier of a job. @returns Its progress, or `undefined` if none was recorded. */
     find(id: string): JobProgress | undefined {
-        return this.entries.get(id);
+        const head = this.entries.get(id);
+        const parts = this.parts.get(id);
+        return parts === undefined ? head : joinProgress(head, [...parts.values()]);
+    }
+
+    /** @param id Identifier of a job. @returns Keys of the records with its progress. */
+    keysOf(id: string): string[] {
+        const head = this.entries.has(id) ? [jobKey("progress", id)] : [];
+        return [...head, ...[...(this.parts.get(id)?.keys() ?? [])].map(number => partKey(id, number))];
     }
 
     /** @param id Identifier of a job. @returns Whether its progress is malformed, so that its runs are not known. */
@@ -35,14 +46,29 @@
 
     /** Applies the newest record of a key. */
     apply(record: StoredRecord): void {
+        const { value } = record;
         const key = parseJobKey(record.key);
-        if (key?.kind === "progress" && record.value !== undefined) {
-            const progress = decodeProgress(record.value);
-            if (progress === undefined) {
-                this.malformed.add(key.id);
-            } else {
-                this.entries.set(key.id, progress);
-            }
+        const part = parsePartKey(record.key);
+        if (value === undefined) {
+            return;
+        }
+        if (key?.kind === "progress") {
+            this.add(key.id, decodeProgress(value) ?? decodeHead(value), progress =>
+                this.entries.set(key.id, progress),
+            );
+        } else if (part !== undefined) {
+            this.add(part.id, decodeProgress(value), progress => {
+                const parts = this.parts.get(part.id) ?? new Map<number, JobProgress>();
+                this.parts.set(part.id, parts.set(part.number, progress));
+            });
+        }
+    }
+
+    private add(id: string, progress: JobProgress | undefined, keep: (progress: JobProgress) => void): void {
+        if (progress === undefined) {
+            this.malformed.add(id);
+        } else {
+            keep(progress);
         }
     }
 }
--- a/src/jobs/common/test/jobCallHandler.test.ts
+++ b/src/jobs/common/test/jobCallHandler.test.ts
@@ -60,6 +60,16 @@
     t.is(answers.get(1), "accepted");
 });
 
+test("a submission that the store would not take is refused, and others are accepted", t => {
+    const { call, submit, answerAppend, answers } = createHandler();
+    const draft = { ...DRAFT, payload: "\u20ac".repeat(90_000) };
+    call(1, "/q/0000000000000001", { kind: "submit", draft }, 0);
+    t.is(answers.get(1), "invalid");
+    submit(2, 10);
+    answerAppend(true, 20);
+    t.is(answers.get(2), "accepted");
+});
+
 test("during a store outage, unsent submissions are rejected early and one that may be stored is undecided", t => {
     const { handler, submit, answerAppend, answers } = createHandler();
     submit(1, 0);
--- a/src/proof/node/jobTrial.ts
+++ b/src/proof/node/jobTrial.ts
@@ -262,6 +262,9 @@
                 this.checker.reports.record(effect.name, effect.data, this.now);
                 this.trace.push(`${Math.round(this.now)} n${node.index} ${effect.name} ${JSON.stringify(effect.data)}`);
                 break;
+            case "record-dropped":
+                this.trace.push(`${Math.round(this.now)} n${node.index} record-dropped ${effect.key} ${effect.bytes}`);
+                break;
             case "stopped":
                 this.kill(node);
                 break;
--- a/src/records/common/recordEvents.ts
+++ b/src/records/common/recordEvents.ts
@@ -22,6 +22,17 @@
           readonly delayMs: number;
       };
 
+/** Reports a record that is not written, since it is larger than the store accepts. */
+export interface RecordDropped {
+    readonly kind: "record-dropped";
+    readonly stream: StreamName;
+    readonly key: string;
+    readonly bytes: number;
+}
+
+/** Effects of a writer. */
+export type RecordWriterEffect = RecordEffect | RecordDropped;
+
 /** Answers of the store. */
 export type RecordEvent =
     | {
--- a/src/records/common/recordWriter.ts
+++ b/src/records/common/recordWriter.ts
@@ -4,19 +4,20 @@
 import { Machine } from "../../base/common/machine";
 import { KeyedRecord } from "./record";
 import { Append, Producer, StreamName } from "./recordStore";
-import { RecordEffect, RecordEvent } from "./recordEvents";
+import { RecordEvent, RecordWriterEffect } from "./recordEvents";
+import { isTooLarge, recordBytes } from "./recordSize";
 import chartText from "./recordWriter.chart.yaml";
 
 type WriterState = "idle" | "sending" | "waiting" | "unconfirmed" | "resending" | "rejected";
-type WriterEvent = "flush" | "stored" | "not-done" | "unknown" | "retry-due" | "reject";
-type WriterGuard = "hasPending";
+type WriterEvent = "flush" | "nothing-left" | "stored" | "not-done" | "unknown" | "retry-due" | "reject";
+type WriterGuard = "hasPending" | "hasNoAppend";
 type WriterAction = "send" | "resend" | "confirmBatch" | "requeue" | "backOff";
 
 const chart = ChartRegistry.instance.register(
     ChartLoader.load<WriterState, WriterEvent, WriterGuard, WriterAction>(chartText, "recordWriter.chart.yaml", {
         states: ["idle", "sending", "waiting", "unconfirmed", "resending", "rejected"],
-        events: ["flush", "stored", "not-done", "unknown", "retry-due", "reject"],
-        guards: ["hasPending"],
+        events: ["flush", "nothing-left", "stored", "not-done", "unknown", "retry-due", "reject"],
+        guards: ["hasPending", "hasNoAppend"],
         actions: ["send", "resend", "confirmBatch", "requeue", "backOff"],
     }),
 );
@@ -31,11 +32,12 @@
 /** Called when a record is stored. `sentAt` is the time (ms) at which its append was first sent. */
 export type StoredListener = (sentAt: number) => void;
 
-interface PendingRecord {
+/** Records that are stored in one append. */
+interface PendingRecords {
     readonly key: string;
     /** Called when the append is built, so that the newest state is written. */
-    readonly value: () => string | undefined;
-    readonly onStored: StoredListener[];
+    readonly build: () => readonly KeyedRecord[];
+    readonly onStored: readonly StoredListener[];
 }
 
 /**
@@ -44,8 +46,8 @@
  */
 export class RecordWriter {
     private readonly machine: Machine<number, WriterState, WriterEvent, WriterGuard, WriterAction>;
-    private pending = new Map<string, PendingRecord>();
-    private batch: PendingRecord[] = [];
+    private pending = new Map<string, PendingRecords>();
+    private batch: PendingRecords[] = [];
     private append: Append | undefined;
     private sequence = 0;
     private backoffMs = MIN_RETRY_BACKOFF_MS;
@@ -59,10 +61,10 @@
         readonly name: string,
         private readonly stream: StreamName,
         private readonly producer: Producer,
-        private readonly effects: EffectSink<RecordEffect>,
+        private readonly effects: EffectSink<RecordWriterEffect>,
     ) {
         this.machine = Machine.create(chart, {
-            guards: { hasPending: () => this.pending.size > 0 },
+            guards: { hasPending: () => this.pending.size > 0, hasNoAppend: () => this.append === undefined },
             actions: {
                 send: now => this.send(now),
                 resend: () => this.emitAppend(),
@@ -85,7 +87,7 @@
         name: string,
         stream: StreamName,
         producer: Producer,
-        effects: EffectSink<RecordEffect>,
+        effects: EffectSink<RecordWriterEffect>,
         sequence = 0,
     ): RecordWriter {
         const writer = new RecordWriter(name, stream, producer, effects);
@@ -110,9 +112,19 @@
      * @param onStored Called when the record is stored.
      */
     write(key: string, value: () => string | undefined, onStored?: StoredListener): void {
-        const earlier = this.pending.get(key)?.onStored ?? [];
-        const listeners = onStored === undefined ? earlier : [...earlier, onStored];
-        this.pending.set(key, { key, value, onStored: listeners });
+        this.writeTogether(key, () => [{ key, value: value() }], onStored);
+    }
+
+    /**
+     * Queues records that are stored in one append, or none of them. They replace what is pending under the same name.
+     * @param name Name of the records: the key of one of them.
+     * @param build Returns the records when the append is built; at least one.
+     * @param onStored Called once when the records are stored, also if it is queued twice.
+     */
+    writeTogether(name: string, build: () => readonly KeyedRecord[], onStored?: StoredListener): void {
+        const earlier = this.pending.get(name)?.onStored ?? [];
+        const added = onStored === undefined ? [] : [onStored];
+        this.pending.set(name, { key: name, build, onStored: join(earlier, added) });
     }
 
     /**
@@ -130,6 +142,7 @@
         if (now >= this.retryAt) {
             this.machine.fire("retry-due", now);
         }
+        this.machine.fire("nothing-left", now);
     }
 
     /** Handles the store's answer. @param event The answer. @param now Time in ms. */
@@ -151,22 +164,39 @@
         this.batch = [];
         const records: KeyedRecord[] = [];
         let bytes = 0;
-        for (const each of this.pending.values()) {
-            const value = each.value();
-            bytes += each.key.length + (value?.length ?? 0);
+        for (const each of [...this.pending.values()]) {
+            const built = each.build();
+            if (this.dropIfTooLarge(each, built)) {
+                continue;
+            }
+            bytes += built.reduce((sum, { key, value }) => sum + key.length + (value?.length ?? 0), 0);
             if (records.length > 0 && bytes > MAX_APPEND_BYTES) {
                 break;
             }
             this.batch.push(each);
-            records.push({ key: each.key, value });
+            records.push(...built);
         }
         this.batch.forEach(each => this.pending.delete(each.key));
+        if (records.length === 0) {
+            return;
+        }
         this.sequence += 1;
         this.batchSentAt = now;
         this.append = { producer: this.producer, sequence: this.sequence, records };
         this.emitAppend();
     }
 
+    /** The store would reject each append with such a record, and the records behind it would wait for good. */
+    private dropIfTooLarge({ key: name }: PendingRecords, built: readonly KeyedRecord[]): boolean {
+        const tooLarge = built.find(isTooLarge);
+        if (tooLarge !== undefined) {
+            this.pending.delete(name);
+            const { key } = tooLarge;
+            this.effects.emit({ kind: "record-dropped", stream: this.stream, key, bytes: recordBytes(tooLarge) });
+        }
+        return tooLarge !== undefined;
+    }
+
     private emitAppend(): void {
         this.effects.emit({ kind: "append", writer: this.name, stream: this.stream, append: this.append! });
     }
@@ -188,7 +218,7 @@
         this.append = undefined;
         newer.forEach(each => {
             const earlier = this.pending.get(each.key)?.onStored ?? [];
-            this.pending.set(each.key, { ...each, onStored: [...earlier, ...each.onStored] });
+            this.pending.set(each.key, { ...each, onStored: join(earlier, each.onStored) });
         });
     }
 
@@ -198,3 +228,7 @@
         this.backoffMs = Math.min(this.backoffMs * 2, MAX_RETRY_BACKOFF_MS);
     }
 }
+
+function join(earlier: readonly StoredListener[], later: readonly StoredListener[]): StoredListener[] {
+    return [...new Set([...earlier, ...later])];
+}
