--- a/src/dispatch/common/activeJobTable.ts
+++ b/src/dispatch/common/activeJobTable.ts
@@ -1,12 +1,14 @@
 import { Emitter } from "../../base/common/emitter";
-import { encodeProgress, encodeSpec, jobKey, JobProgress, RunRecord, TaskRecord } from "../../jobs/common/jobRecord";
+import { encodeSpec, jobKey, JobProgress, RunRecord, TaskRecord } from "../../jobs/common/jobRecord";
 import { JobSpec, JobState } from "../../jobs/common/jobSpec";
 import { isFinal, JobEntry } from "../../jobs/common/jobTable";
 import { encodeTransfer } from "../../jobs/common/jobTransfer";
 import { JobSource } from "../../jobs/common/shardJobs";
 import { ProgressTable } from "../../jobs/common/progressTable";
+import { isTooLarge } from "../../records/common/recordSize";
 import { RecordWriter, StoredListener } from "../../records/common/recordWriter";
 import { ActiveJob } from "./activeJob";
+import { ProgressRecorder } from "./progressRecorder";
 import { isFinishedBy, Task } from "./task";
 
 /** The leader's writers. */
@@ -33,6 +35,7 @@
     private readonly departed = new Map<string, number>();
     /** Jobs that were submitted or transferred and not taken by `takeArrivals` yet. */
     private arrivals: ActiveJob[] = [];
+    private readonly recorder: ProgressRecorder;
     private readonly didCancel = Emitter.create<ActiveJob>();
 
     private readonly didIgnoreJob = Emitter.create<string>();
@@ -45,7 +48,9 @@
     private constructor(
         private readonly epoch: number,
         private readonly writers: LeaderWriters,
-    ) {}
+    ) {
+        this.recorder = ProgressRecorder.create(writers.progress);
+    }
 
     /** @param epoch Epoch of the leader. @param writers The leader's writers. @returns A table without jobs. */
     static create(epoch: number, writers: LeaderWriters): ActiveJobTable {
@@ -72,8 +77,9 @@
         [...this.jobs.keys()].filter(id => !isOwn(id)).forEach(id => this.jobs.delete(id));
     }
 
-    /** Removes a finished job whose records are deleted. @param id Its identifier. */
+    /** Removes a finished job whose spec is deleted, and deletes its progress. @param id Its identifier. */
     remove(id: string): void {
+        this.recorder.delete(id);
         this.finished.delete(id);
         this.restarts.delete(id);
     }
@@ -112,6 +118,9 @@
      */
     restore(entry: JobEntry, progress: ProgressTable, inherit: (task: Task, record: RunRecord) => void): number {
         const known = latestProgress(entry, progress);
+        if (entry.spec !== undefined) {
+            this.recorder.restore(entry.spec, progress);
+        }
         const isFinished = known !== undefined && isFinal(known.state) && (known.runs ?? []).length === 0;
         if (isFinished) {
             this.finished.add(entry.id);
@@ -134,7 +143,7 @@
     deleteOrphans(table: JobSource, progress: ProgressTable): void {
         for (const id of progress.ids) {
             if (table.find(id) === undefined) {
-                this.writers.progress.write(jobKey("progress", id), () => undefined);
+                this.recorder.delete(id, progress.keysOf(id));
             }
         }
     }
@@ -171,14 +180,20 @@
      * before the record is stored, the job stays with the shard.
      * @param job A job that is transferable.
      * @param shard The other shard.
+     * @returns Whether it is left; not if its progress is too large for one record.
      */
-    transfer(job: ActiveJob, shard: number): void {
+    transfer(job: ActiveJob, shard: number): boolean {
         const { id } = job.spec;
         const count = job.transfers + 1;
         const progress = job.state === "queued" ? undefined : job.progress(this.epoch);
+        const record = { key: jobKey("transfer", id), value: encodeTransfer({ shard, count, progress }) };
+        if (isTooLarge(record)) {
+            return false;
+        }
         this.jobs.delete(id);
         this.departed.set(id, count);
-        this.writers.jobs.write(jobKey("transfer", id), () => encodeTransfer({ shard, count, progress }));
+        this.writers.jobs.write(record.key, () => record.value);
+        return true;
     }
 
     /**
@@ -188,17 +203,17 @@
      */
     recordProgress(job: ActiveJob, onStored?: StoredListener): void {
         const { id } = job.spec;
-        const encode = () => {
-            const progress = job.progress(this.epoch);
-            job.recordedState = progress.state;
-            return encodeProgress(progress);
+        const progress = () => {
+            const current = job.progress(this.epoch);
+            job.recordedState = current.state;
+            return current;
         };
         job.unstoredRecords += 1;
-        this.writers.progress.write(jobKey("progress", id), encode, sentAt => {
+        this.recorder.record(job.spec, progress, sentAt => {
             job.unstoredRecords -= 1;
             this.publishState(id, job.publishedState, job.recordedState);
             job.publishedState = job.recordedState;
-            if (isFinal(job.recordedState) && this.finishing.delete(id)) {
+            if (isFinal(job.recordedState) && this.recorder.isStored(id) && this.finishing.delete(id)) {
                 this.truncateSpec(job);
             }
             onStored?.(sentAt);
--- a/src/dispatch/common/jobPruner.ts
+++ b/src/dispatch/common/jobPruner.ts
@@ -74,7 +74,6 @@
             jobKey("spec", id),
             () => undefined,
             () => {
-                this.writers.progress.write(jobKey("progress", id), () => undefined);
                 if (isTransferred) {
                     // Without it, a job that is still recorded would be scheduled by its former shard again.
                     this.writers.jobs.write(jobKey("transfer", id), () => undefined);
--- a/src/dispatch/common/shardBalancer.ts
+++ b/src/dispatch/common/shardBalancer.ts
@@ -150,7 +150,8 @@
         const own = this.optionOf(job, service, fleet.shard, shard.delayMs(), ownLoad, now);
         const others = [...Array(fleet.count).keys()].flatMap(each => this.otherOption(job, service, each, now) ?? []);
         const chosen = fleet.policy.choose({ demand, waitedMs }, own, others);
-        if (chosen === undefined) {
+        const { transfers } = job;
+        if (chosen === undefined || !shard.jobs.transfer(job, chosen.shard)) {
             return false;
         }
         const load = loadOf(demand);
@@ -158,14 +159,13 @@
         shard.log("job-transferred", {
             job: job.spec.id,
             to: chosen.shard,
-            transfers: job.transfers + 1,
+            transfers: transfers + 1,
             waitedMs: waitedMs === undefined ? undefined : Math.round(waitedMs),
             cpuMillis: demand.cpuMillis + demand.spareCpuMillis,
             isSuitable: own.isSuitable,
             ...percentsOf("", own.load),
             ...percentsOf("to", chosen.load),
         });
-        shard.jobs.transfer(job, chosen.shard);
         return true;
     }
 
--- a/src/proof/node/jobTrial.ts
+++ b/src/proof/node/jobTrial.ts
@@ -268,6 +268,9 @@
                 this.transfers += effect.name === "job-transferred" ? 1 : 0;
                 this.trace.push(`${Math.round(this.now)} n${node.index} ${effect.name} ${JSON.stringify(effect.data)}`);
                 break;
+            case "record-dropped":
+                this.trace.push(`${Math.round(this.now)} n${node.index} record-dropped ${effect.key} ${effect.bytes}`);
+                break;
             case "stopped":
                 this.kill(node);
                 break;
