Schedule a job that is submitted again after its leader had left an earlier one of that id to another shard

Callers would see an accepted job stay queued for as long as the leader of its shard stays the same: it had left a job of the same id to another shard, which ran it and deleted it after its retention. What it remembered of that was the number of transfers alone, so the new job, without any, counted as one whose transfer is not read yet. It remembers the offset of the spec, too, by which jobs of one id differ. Found by reading. The test failed before: no job in the table.

--- a/src/dispatch/common/activeJobTable.ts
+++ b/src/dispatch/common/activeJobTable.ts
@@ -5,6 +5,7 @@
 import { encodeTransfer } from "../../jobs/common/jobTransfer";
 import { JobSource } from "../../jobs/common/shardJobs";
 import { ProgressTable } from "../../jobs/common/progressTable";
+import { RecordOffset } from "../../records/common/record";
 import { RecordWriter, StoredListener } from "../../records/common/recordWriter";
 import { ActiveJob } from "./activeJob";
 import { isFinishedBy, Task } from "./task";
@@ -17,6 +18,14 @@
     readonly progress: RecordWriter;
 }
 
+/** A job that was left to another shard. */
+interface DepartedJob {
+    /** Offset of its spec. A job that is submitted under its id after its retention has another one. */
+    readonly specOffset: RecordOffset;
+    /** Number of transfers after which it may be back. */
+    readonly count: number;
+}
+
 /**
  * The jobs that the leader schedules. Records their progress and, once it is stored, publishes their state to the
  * stream that all instances read.
@@ -29,8 +38,8 @@
     private readonly finished = new Set<string>();
     /** Highest runs of the tasks of finished jobs that were started again after a run was given up, by task and job. */
     private readonly restarts = new Map<string, ReadonlyMap<string, number>>();
-    /** Jobs that were left to other shards, with the number of transfers after which they may be back. */
-    private readonly departed = new Map<string, number>();
+    /** Jobs that were left to other shards. */
+    private readonly departed = new Map<string, DepartedJob>();
     /** Jobs that were submitted or transferred and not taken by `takeArrivals` yet. */
     private arrivals: ActiveJob[] = [];
     private readonly didCancel = Emitter.create<ActiveJob>();
@@ -142,7 +151,7 @@
     /** Applies a change in the table of all jobs. */
     update(entry: JobEntry): void {
         const { id, spec, transfer } = entry;
-        if (spec === undefined || this.finished.has(id) || (transfer?.count ?? 0) < (this.departed.get(id) ?? 0)) {
+        if (spec === undefined || this.finished.has(id) || this.hasDeparted(entry)) {
             return;
         }
         let job = this.jobs.get(id);
@@ -159,6 +168,12 @@
         }
     }
 
+    /** @returns Whether a job was left to another shard, and its transfer back is not read. */
+    private hasDeparted({ id, specOffset, transfer }: JobEntry): boolean {
+        const departed = this.departed.get(id);
+        return departed?.specOffset === specOffset && (transfer?.count ?? 0) < departed.count;
+    }
+
     /** @returns The jobs that were submitted, or transferred to this shard, since the last call. */
     takeArrivals(): readonly ActiveJob[] {
         const { arrivals } = this;
@@ -177,7 +192,7 @@
         const count = job.transfers + 1;
         const progress = job.state === "queued" ? undefined : job.progress(this.epoch);
         this.jobs.delete(id);
-        this.departed.set(id, count);
+        this.departed.set(id, { specOffset: job.specOffset, count });
         this.writers.jobs.write(jobKey("transfer", id), () => encodeTransfer({ shard, count, progress }));
     }
 
--- a/src/dispatch/common/test/activeJobTable.test.ts
+++ b/src/dispatch/common/test/activeJobTable.test.ts
@@ -200,3 +200,14 @@
     t.is(doneOf({ ...ofTransfer, done: { "0.0": "3" }, transfers: 1 }), "1");
     t.is(doneOf({ ...ofTransfer, done: { "0.0": "7" }, transfers: 2 }), "7");
 });
+
+test("a job that is submitted again after its retention is scheduled by the leader that had left the earlier one to another shard", t => {
+    const { table, jobs, job } = createTableWithJob();
+    table.transfer(job, 1);
+    jobs.apply({ key: jobKey("transfer", "a"), value: encodeTransfer({ shard: 1, count: 1 }), offset: 1 });
+    jobs.apply({ key: jobKey("spec", "a"), value: undefined, offset: 2 });
+    jobs.apply({ key: jobKey("transfer", "a"), value: undefined, offset: 3 });
+    jobs.apply({ key: jobKey("spec", "a"), value: encodeSpec(job.spec), offset: 4 });
+    table.update(jobs.find("a")!);
+    t.is(table.size, 1);
+});
