--- a/src/dispatch/common/activeJobTable.ts
+++ b/src/dispatch/common/activeJobTable.ts
@@ -5,6 +5,7 @@
 import { encodeTransfer } from "../../jobs/common/jobTransfer";
 import { JobSource } from "../../jobs/common/shardJobs";
 import { ProgressTable } from "../../jobs/common/progressTable";
+import { RecordOffset } from "../../records/common/record";
 import { isTooLarge } from "../../records/common/recordSize";
 import { RecordWriter, StoredListener } from "../../records/common/recordWriter";
 import { ActiveJob } from "./activeJob";
@@ -19,6 +20,14 @@
     readonly progress: RecordWriter;
 }
 
+/** A job that was left to another shard. */
+interface DepartedJob {
+    /** Offset of its spec. A job that is submitted under its id after its retention has another one. */
+    readonly specOffset: RecordOffset;
+    /** Number of transfers after which it may be back. */
+    readonly count: number;
+}
+
 /**
  * The jobs that the leader schedules. Records their progress and, once it is stored, publishes their state to the
  * stream that all instances read.
@@ -31,8 +40,8 @@
     private readonly finished = new Set<string>();
     /** Highest runs of the tasks of finished jobs that were started again after a run was given up, by task and job. */
     private readonly restarts = new Map<string, ReadonlyMap<string, number>>();
-    /** Jobs that were left to other shards, with the number of transfers after which they may be back. */
-    private readonly departed = new Map<string, number>();
+    /** Jobs that were left to other shards. */
+    private readonly departed = new Map<string, DepartedJob>();
     /** Jobs that were submitted or transferred and not taken by `takeArrivals` yet. */
     private arrivals: ActiveJob[] = [];
     private readonly recorder: ProgressRecorder;
@@ -151,7 +160,7 @@
     /** Applies a change in the table of all jobs. */
     update(entry: JobEntry): void {
         const { id, spec, transfer } = entry;
-        if (spec === undefined || this.finished.has(id) || (transfer?.count ?? 0) < (this.departed.get(id) ?? 0)) {
+        if (spec === undefined || this.finished.has(id) || this.hasDeparted(entry)) {
             return;
         }
         let job = this.jobs.get(id);
@@ -168,6 +177,12 @@
         }
     }
 
+    /** @returns Whether a job was left to another shard, and its transfer back is not read. */
+    private hasDeparted({ id, specOffset, transfer }: JobEntry): boolean {
+        const departed = this.departed.get(id);
+        return departed?.specOffset === specOffset && (transfer?.count ?? 0) < departed.count;
+    }
+
     /** @returns The jobs that were submitted, or transferred to this shard, since the last call. */
     takeArrivals(): readonly ActiveJob[] {
         const { arrivals } = this;
@@ -191,11 +206,25 @@
             return false;
         }
         this.jobs.delete(id);
-        this.departed.set(id, count);
-        this.writers.jobs.write(record.key, () => record.value);
+        this.departed.set(id, { specOffset: job.specOffset, count });
+        this.writers.jobs.write(
+            record.key,
+            () => record.value,
+            () => this.deleteProgress(id, count),
+        );
         return true;
     }
 
+    /**
+     * Deletes progress that a stored transfer replaces: a job that is submitted under its id after its retention is another one.
+     * After a later transfer it may be that of the job's last stay.
+     */
+    private deleteProgress(id: string, count: number): void {
+        if (this.departed.get(id)?.count === count) {
+            this.recorder.delete(id);
+        }
+    }
+
     /**
      * Records the job's progress, and removes the job from the active ones if it is finished and has no runs.
      * @param job The job.
--- a/src/dispatch/common/jobPruner.ts
+++ b/src/dispatch/common/jobPruner.ts
@@ -73,14 +73,12 @@
         this.writers.jobs.write(
             jobKey("spec", id),
             () => undefined,
-            () => {
-                if (isTransferred) {
-                    // Without it, a job that is still recorded would be scheduled by its former shard again.
-                    this.writers.jobs.write(jobKey("transfer", id), () => undefined);
-                }
-                this.activeJobs.remove(id);
-            },
+            () => this.activeJobs.remove(id),
         );
+        if (isTransferred) {
+            // Not before the spec: a job that is still recorded would be scheduled by its former shard again.
+            this.writers.jobs.write(jobKey("transfer", id), () => undefined);
+        }
         this.writers.jobs.write(jobKey("state", id), () => undefined);
     }
 }
--- a/src/jobs/common/jobTable.ts
+++ b/src/jobs/common/jobTable.ts
@@ -1,6 +1,6 @@
 import { Emitter } from "../../base/common/emitter";
 import { RecordOffset, StoredRecord } from "../../records/common/record";
-import { decodeSpec, decodeState, parseJobKey } from "./jobRecord";
+import { decodeSpec, decodeState, JobRecordKind, parseJobKey } from "./jobRecord";
 import { JobSpec, JobState } from "./jobSpec";
 import { decodeTransfer, JobTransfer } from "./jobTransfer";
 
@@ -60,10 +60,7 @@
             return;
         }
         if (record.value === undefined) {
-            const isOrphan = key.kind === "transfer" && this.find(key.id) === undefined;
-            if (key.kind === "spec" || isOrphan) {
-                this.entries.delete(key.id);
-            }
+            this.applyDeletion(key);
             return;
         }
         switch (key.kind) {
@@ -85,6 +82,19 @@
         }
     }
 
+    /** A transfer remains until it is deleted itself: instances that load the stream later have it, too. */
+    private applyDeletion({ kind, id }: { readonly kind: JobRecordKind; readonly id: string }): void {
+        const transfer = this.transferOf(id);
+        if (kind === "spec") {
+            this.entries.delete(id);
+            if (transfer !== undefined) {
+                this.getOrCreate(id).transfer = transfer;
+            }
+        } else if (kind === "transfer" && this.find(id) === undefined) {
+            this.entries.delete(id);
+        }
+    }
+
     /** @param id Identifier. @returns Its latest transfer to another shard, or `undefined` if there was none. */
     transferOf(id: string): JobTransfer | undefined {
         return this.entries.get(id)?.transfer;
