Divide a fleet of small instances into as many shards as its leaders need

Cause: at 125 workers for each core the fleet needs five shards, but a shard had 32 workers at least, so it got two, each with more than twice the workers that its leader can serve. The minimum stood for wide jobs. The widest, 24 tasks of 13 cores, fit on 12 workers of 64 cores, and 16 other instances were idle.

Sites whose instances serve their workers alone (33 workers with 0.27 or 0.675 core) are not divided, as before.

--- a/src/proof/node/test/largeFleet.test.ts
+++ b/src/proof/node/test/largeFleet.test.ts
@@ -49,7 +49,7 @@
     const leaders = fixture.loops.filter(each => each.instance.isLeading);
     t.deepEqual(
         leaders.map(each => each.instance.ledShardCount),
-        [1, 1, 1],
+        [1, 1, 1, 1],
     );
     const senders = new Map<string, Set<string>>();
     fixture.starts.forEach(({ worker, instance }) =>
@@ -84,5 +84,5 @@
     fixture.advance(10_000);
     t.is(new Set(fixture.starts.map(jobOf)).size, 60);
     t.is(fixture.starts.length, 120);
-    t.is(new Set(fixture.epochs.map(({ shard }) => shard)).size, 3);
+    t.is(new Set(fixture.epochs.map(({ shard }) => shard)).size, 4);
 });
