Merge runs of jobs under late leaders, and smaller shards

The tests of full shards ask for a quarter of the tasks in each of four shards instead of a third in each of three: 96 workers with 0.25 core are divided in four now.

--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -24,7 +24,7 @@
 /** How much faster a throttled task must run on another worker for a move, in percent of full speed. */
 const MIN_SPEED_GAIN_PERCENT = 40;
 
-/** How many more starts than usual may be in flight, of jobs that have to have a run soon. */
+/** How many more starts than usual may be in flight, of jobs without a run that have to have one soon. */
 const MAX_DUE_STARTS = 8;
 
 /** A task group with waiting or throttled tasks, and the criteria for its position in the queue. */
@@ -178,17 +178,18 @@
 
     /**
      * Places one task, or the gang, of each job that has to have a run soon: first long-running tasks, which have to run however full
-     * the service is, then the one that has waited longest.
+     * the service is, then the one that has waited longest. Jobs with a run that need another one come last, those with the fewest first.
      */
     private placeDue(waiting: readonly WaitingGroup[], placer: Placer, now: number): void {
         const idleMs = ({ group, tasks }: WaitingGroup) => this.waits.idleMs(group, tasks[0], now);
-        const due: WaitingGroup[] = [];
+        const due: (WaitingGroup & { readonly runs: number })[] = [];
         for (const entry of waiting.filter(each => !each.isThrottled)) {
             // Each task of a long-running step waits by itself, a job of others for one run.
             const tasks = isLongRunning(entry) ? entry.tasks : entry.tasks.slice(0, 1);
             const dueTasks = tasks.filter(task => this.reviewDue(entry, task, now));
             if (dueTasks.length > 0) {
-                due.push({ ...entry, tasks: isGang(entry) ? entry.tasks : dueTasks });
+                const runs = this.waits.coveringRuns(dueTasks[0], now);
+                due.push({ ...entry, runs, tasks: isGang(entry) ? entry.tasks : dueTasks });
             }
         }
         due.sort((a, b) => idleMs(b) - idleMs(a));
@@ -198,8 +199,12 @@
         // Best-effort tasks would fill each gap that is too small for it.
         lasting.forEach(({ tasks, service }) => tasks.forEach(task => task.run ?? placer.holdRoom(task, service)));
         const others = due.filter(entry => !isLongRunning(entry));
-        this.placeInOrder(others, placer, now);
+        const first = others.filter(({ runs }) => runs === 0);
+        this.placeInOrder(first, placer, now);
+        // Further runs of a job beyond the limit on starts would only delay the first ones of others.
         this.lastStart = 0;
+        const further = others.filter(({ runs }) => runs > 0).sort((a, b) => a.runs - b.runs);
+        this.placeInOrder(further, placer, now);
     }
 
     /** @returns Whether a waiting task has to have a run soon; if it will have to, a pass is requested for then. */
--- a/src/proof/node/test/fullShard.test.ts
+++ b/src/proof/node/test/fullShard.test.ts
@@ -2,7 +2,7 @@
 import { bucketOf } from "../../../coordination/common/rendezvous";
 import { SeenStart, TakeoverFixture } from "./takeoverFixture";
 
-const SHARDS = 3;
+const SHARDS = 4;
 
 /** Number of the workers, each of 4 cores. */
 const WORKERS = 96;
@@ -43,7 +43,7 @@
     t => {
         const fixture = new TakeoverFixture(t, { instances: 6, workers: WORKERS, cores: 0.25 });
         fixture.advance(8_000);
-        // 10 jobs of 4 tasks of 1 to 3 s in each 0.5 s request 160 of 384 cores, and each shard has about 128.
+        // 10 jobs of 4 tasks of 1 to 3 s in each 0.5 s request 160 of 384 cores, and each shard has about 96.
         for (let round = 0; round < 24; round++) {
             fixture.submit(10, 4, { isAllowed: isOfFirstShard });
             fixture.advance(500);
@@ -66,6 +66,6 @@
     const counts = new Map<string, number>();
     fixture.starts.forEach(({ instance }) => counts.set(instance, (counts.get(instance) ?? 0) + 1));
     t.is(workersByLeader(fixture).size, SHARDS);
-    // A third of the tasks, and two jobs more or less.
-    [...counts.values()].forEach(count => t.true(count >= 56 && count <= 104, String(count)));
+    // A quarter of the tasks, and two jobs more or less.
+    [...counts.values()].forEach(count => t.true(count >= 36 && count <= 84, String(count)));
 });
