Show how many bytes each instance reads of each stream, and how long pages travel

Nothing said how many bytes the instances read of which stream, so it could not be told whether pages of the configuration fill the link between the regions.

--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -298,7 +298,9 @@
         }
         if (configuration !== undefined && this.queues.apply(configuration)) {
             const { version } = configuration;
-            this.outbox.emit({ kind: "decision", name: "config-applied", data: { version } });
+            const { transfer } = this.operatorFollower;
+            const travel = transfer && { bytes: transfer.bytes, transferMs: Math.round(transfer.durationMs) };
+            this.outbox.emit({ kind: "decision", name: "config-applied", data: { version, ...travel } });
         }
     }
 
--- a/src/host/node/jobMetrics.ts
+++ b/src/host/node/jobMetrics.ts
@@ -1,6 +1,7 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import { RequestKind } from "../../dispatch/common/requestKind";
 import { DecisionData, DecisionName } from "../../dispatch/common/dispatchEffects";
+import { StreamName } from "../../records/common/recordStore";
 import { WorkKind } from "../common/workKind";
 
 const MS_PER_SECOND = 1_000;
@@ -32,6 +33,12 @@
         labelNames: ["kind"],
         registers: [this.registry],
     });
+    private readonly readBytes = new Counter({
+        name: "wigeonstall_read_bytes_total",
+        help: "Bytes of the pages that were read of each stream of the store.",
+        labelNames: ["stream"],
+        registers: [this.registry],
+    });
     private readonly runTimes = new Histogram({
         name: "wigeonstall_run_held_seconds",
         help: "Time from the choice of a worker until the end of the run was read, for which the run holds its CPU.",
@@ -167,6 +174,11 @@
         this.sentBytes.inc({ kind }, bytes);
     }
 
+    /** Records a page that was read. @param bytes Size of its body, in bytes. */
+    recordRead(stream: StreamName, bytes: number): void {
+        this.readBytes.inc({ stream }, bytes);
+    }
+
     /** Records lines omitted from the log. */
     recordOmittedLines(count: number): void {
         this.omittedLines.inc(count);
--- a/src/host/node/jobPerformers.ts
+++ b/src/host/node/jobPerformers.ts
@@ -4,7 +4,7 @@
 import { OrderAnswer, WorkerClient } from "../../dispatch/common/workerClient";
 import { WorkerEffect } from "../../dispatch/common/workerMessages";
 import { JobAnswer, JobCall } from "../../jobs/common/jobCall";
-import { RecordStore } from "../../records/common/recordStore";
+import { PageTransfer, RecordStore, StreamName } from "../../records/common/recordStore";
 import { RecordEffect } from "../../records/common/recordEvents";
 import { JobInstanceEffect, JobInstanceEvent } from "../common/jobInstanceEvents";
 import { DecisionLog, LineImportance } from "./decisionLog";
@@ -27,6 +27,12 @@
     readonly waitMs: number;
 }
 
+/** A page of a stream that was read. */
+export interface PageRead {
+    readonly stream: StreamName;
+    readonly transfer: PageTransfer;
+}
+
 /** Performs the effects of an instance and posts the resulting events. */
 export class JobPerformers implements Disposable {
     private readonly pendingReplies = new Map<number, PendingReply>();
@@ -35,6 +41,9 @@
     private readonly didWaitToSend = Emitter.create<OrderWait>();
     /** Fires with the time for which each order waited before it was sent. */
     readonly onDidWaitToSend = this.didWaitToSend.event;
+    private readonly didRead = Emitter.create<PageRead>();
+    /** Fires with each page that was read, if its transfer was measured. */
+    readonly onDidRead = this.didRead.event;
 
     private constructor(
         private readonly store: RecordStore,
@@ -120,18 +129,27 @@
         this.delay(effect.delayMs, () => {
             if (effect.kind === "read") {
                 const send = () => this.store.read(stream, effect.from, effect.waitMs);
-                void this.callStore("read", send, unavailable).then(({ result, sentAt }) =>
-                    this.post({ kind: "read-answer", stream, number, sentAt, result }),
-                );
+                void this.callStore("read", send, unavailable).then(({ result, sentAt }) => {
+                    this.reportRead(stream, result);
+                    this.post({ kind: "read-answer", stream, number, sentAt, result });
+                });
             } else {
                 const send = () => this.store.readNewest(stream, effect.after);
-                void this.callStore("newest", send, unavailable).then(({ result, sentAt }) =>
-                    this.post({ kind: "newest-answer", stream, number, sentAt, result }),
-                );
+                void this.callStore("newest", send, unavailable).then(({ result, sentAt }) => {
+                    this.reportRead(stream, result);
+                    this.post({ kind: "newest-answer", stream, number, sentAt, result });
+                });
             }
         });
     }
 
+    private reportRead(stream: StreamName, result: Result<{ readonly transfer?: PageTransfer }, string>): void {
+        const transfer = result.ok ? result.val.transfer : undefined;
+        if (transfer !== undefined) {
+            this.didRead.fire({ stream, transfer });
+        }
+    }
+
     /**
      * Calls the store and records the duration and the outcome.
      * @param call Name of the call in log and metrics.
--- a/src/host/node/jobProcess.ts
+++ b/src/host/node/jobProcess.ts
@@ -14,6 +14,7 @@
 import { JobInstanceEffect, JobInstanceEvent } from "../common/jobInstanceEvents";
 import { classOfEvent, EVENT_CLASSES, EventClass } from "../common/eventClass";
 import { LoadRecorder } from "../common/loadRecorder";
+import { ReadRecorder } from "../common/readRecorder";
 import { WorkKind } from "../common/workKind";
 import { DecisionLog } from "./decisionLog";
 import { JobMetrics } from "./jobMetrics";
@@ -46,6 +47,7 @@
     private readonly performers: JobPerformers;
     private readonly metrics = JobMetrics.create();
     private readonly load = LoadRecorder.create();
+    private readonly reads = ReadRecorder.create();
     /** Use of the loop at the time of the latest report, if the instance leads. */
     private utilization: EventLoopUtilization | undefined;
     private isStopRequested = false;
@@ -146,9 +148,16 @@
             instance.loopDelay.onDidRecord(delayMs => {
                 metrics.recordLoopDelay(delayMs);
                 this.reportLoad(delayMs, performance.now());
+                this.reportReads(performance.now());
             }),
         );
         resources.add(this.performers.onDidWaitToSend(({ order, waitMs }) => load.recordOrderWait(order, waitMs)));
+        resources.add(
+            this.performers.onDidRead(({ stream, transfer }) => {
+                metrics.recordRead(stream, transfer.bytes);
+                this.reads.record(stream, transfer);
+            }),
+        );
         resources.add(
             parts.traffic.onDidSend(({ kind, bytes }) => {
                 metrics.recordSent(kind, bytes);
@@ -186,6 +195,13 @@
         }
     }
 
+    private reportReads(now: number): void {
+        const report = this.reads.takeReport(now);
+        if (report !== undefined) {
+            this.parts.log.log("read-load", { ...report });
+        }
+    }
+
     private takeBusyMs(): number {
         const { active } = performance.eventLoopUtilization(this.utilization);
         this.utilization = performance.eventLoopUtilization();
--- a/src/host/node/test/jobMetrics.test.ts
+++ b/src/host/node/test/jobMetrics.test.ts
@@ -46,3 +46,10 @@
     metrics.recordOrderWait("stop", 300);
     t.true((await metrics.text()).includes('wigeonstall_order_wait_seconds_sum{order="stop"} 0.3'));
 });
+
+test("the bytes that are read are counted by stream", async t => {
+    const metrics = JobMetrics.create();
+    metrics.recordRead("operator", 350_000);
+    metrics.recordRead("operator", 24);
+    t.true((await metrics.text()).includes('wigeonstall_read_bytes_total{stream="operator"} 350024'));
+});
--- a/src/platform/node/platformStore.ts
+++ b/src/platform/node/platformStore.ts
@@ -7,6 +7,7 @@
     AppendError,
     KEY_AFTER_ALL,
     NewestPage,
+    PageTransfer,
     ReadError,
     RecordPage,
     RecordStore,
@@ -57,6 +58,11 @@
 /** Weight of the latest append in the average duration. */
 const SMOOTHING_RATIO = 0.2;
 
+/** A complete response to a read. */
+interface ReadResponse extends HttpResponse {
+    readonly transfer: PageTransfer;
+}
+
 /** Keyed streams in the platform's store. */
 export class PlatformStore extends RecordStore {
     private averageAppendMs = MIN_APPEND_TIMEOUT_MS / APPEND_TIMEOUT_RATIO;
@@ -147,7 +153,7 @@
         }
         const view = Buffer.from(answer.body.buffer, answer.body.byteOffset, answer.body.byteLength);
         const end = Number(view.readBigUInt64BE(0));
-        return Ok({ records: unpackRecords(answer.body, from), end });
+        return Ok({ records: unpackRecords(answer.body, from), end, transfer: answer.transfer });
     }
 
     override async readNewest(stream: StreamName, after: string | undefined): Promise<Result<NewestPage, ReadError>> {
@@ -168,11 +174,11 @@
             this.onFailure(`newest ${stream}`, "malformed page");
             return Err("unavailable");
         }
-        return Ok(page);
+        return Ok({ ...page, transfer: answer.transfer });
     }
 
     /** Gets a page, or gives it up as soon as the store answers something else and nothing of the page has arrived. */
-    private async getPage(stream: StreamName, path: string): Promise<HttpResponse | undefined> {
+    private async getPage(stream: StreamName, path: string): Promise<ReadResponse | undefined> {
         const probeDelayMs = this.probeDelaysMs.get(stream) ?? READ_TIMEOUT_MS;
         const lost = new AbortController();
         const probe = PageProbe.create(
@@ -192,20 +198,26 @@
     }
 
     /** @param name Name of the call in the log, beside the stream. */
-    private getEnd(name: string, stream: StreamName): Promise<HttpResponse | undefined> {
+    private getEnd(name: string, stream: StreamName): Promise<ReadResponse | undefined> {
         return this.get(`${name} ${stream}`, newestPath(stream, KEY_AFTER_ALL), { timeoutMs: END_TIMEOUT_MS });
     }
 
     /** @param name Name of the call in the log. */
-    private async get(name: string, path: string, observation: CallObservation): Promise<HttpResponse | undefined> {
+    private async get(name: string, path: string, observation: CallObservation): Promise<ReadResponse | undefined> {
         this.traffic.record("read", 0);
+        let begunAt = performance.now();
+        const onBegin = () => {
+            begunAt = performance.now();
+            observation.onBegin?.();
+        };
         try {
-            const call = { origin: this.origin, method: "GET" as const, path, ...observation };
+            const call = { origin: this.origin, method: "GET" as const, path, ...observation, onBegin };
             const answer = await this.client.call({ ...call, idleTimeoutMs: IDLE_TIMEOUT_MS });
             if (answer.status >= 400 && answer.status !== 410) {
                 this.onFailure(name, `status ${answer.status}`);
             }
-            return answer;
+            const durationMs = performance.now() - begunAt;
+            return { ...answer, transfer: { bytes: answer.body.length, durationMs } };
         } catch (error) {
             this.onFailure(name, String(error));
             return undefined;
--- a/src/platform/node/test/platformStore.test.ts
+++ b/src/platform/node/test/platformStore.test.ts
@@ -63,3 +63,15 @@
     t.deepEqual(failures, []);
     stop();
 });
+
+test("a page states its size and how long it travelled, without the wait for records", async t => {
+    const waitMs = 300;
+    const { store, stop } = await startStore((_request, response) => {
+        setTimeout(() => response.end(PAGE), waitMs);
+    });
+    const start = performance.now();
+    const { transfer } = (await store.readNewest("operator", undefined)).unwrap();
+    t.is(transfer?.bytes, PAGE.length);
+    t.true(transfer!.durationMs <= performance.now() - start - waitMs + 1, `${transfer!.durationMs} ms`);
+    stop();
+});
--- a/src/records/common/recordFollower.ts
+++ b/src/records/common/recordFollower.ts
@@ -4,7 +4,7 @@
 import { Machine } from "../../base/common/machine";
 import { RecordOffset, StoredRecord } from "./record";
 import chartText from "./recordFollower.chart.yaml";
-import { KEY_AFTER_ALL, StreamName } from "./recordStore";
+import { KEY_AFTER_ALL, PageTransfer, StreamName } from "./recordStore";
 import { RecordEffect, RecordEvent } from "./recordEvents";
 
 type FollowerState = "loading" | "following" | "pausing" | "checking";
@@ -149,6 +149,9 @@
      */
     knownUntil: number | undefined;
 
+    /** How the latest page with records travelled, if it was measured. */
+    transfer: PageTransfer | undefined;
+
     /** Whether the stream has been loaded once. */
     hasLoaded = false;
 
@@ -313,7 +316,8 @@
     }
 
     private applyPage(answer: StoreAnswer): void {
-        const { records, end } = answer.result.unwrap();
+        const { records, end, transfer } = answer.result.unwrap();
+        this.transfer = transfer;
         this.followFrom ??= end;
         this.loadSentAt ??= answer.sentAt;
         for (const record of records) {
@@ -334,7 +338,8 @@
     }
 
     private applyRecords(answer: StoreAnswer): void {
-        const { records, end } = answer.result.unwrap();
+        const { records, end, transfer } = answer.result.unwrap();
+        this.transfer = transfer;
         for (const record of records) {
             if (record.offset >= this.nextOffset) {
                 // All earlier records were known by then.
--- a/src/records/common/recordStore.ts
+++ b/src/records/common/recordStore.ts
@@ -26,10 +26,20 @@
 /** Why an append was not confirmed. After `unknown` it may have been stored, or may still be. */
 export type AppendError = "not-done" | "unknown" | "fenced" | "conflict" | "out-of-sequence";
 
+/** How a page travelled. */
+export interface PageTransfer {
+    /** Size of the body of the response, in bytes. */
+    readonly bytes: number;
+    /** Time from the beginning of the response to its end, in ms. */
+    readonly durationMs: number;
+}
+
 /** Consecutive records of a stream. `end` is the offset after the last record of the stream. */
 export interface RecordPage {
     readonly records: readonly StoredRecord[];
     readonly end: RecordOffset;
+    /** Left out if it was not measured. */
+    readonly transfer?: PageTransfer;
 }
 
 /** A page of the newest records by key, in key order. `end` is the offset after the last record of the stream. */
@@ -37,6 +47,8 @@
     readonly records: readonly StoredRecord[];
     readonly end: RecordOffset;
     readonly hasMore: boolean;
+    /** Left out if it was not measured. */
+    readonly transfer?: PageTransfer;
 }
 
 /** Key after all keys of a stream: a page that begins after it has the end of the stream and no records. */
