Spread the reads of large configurations, and do not read replaced heartbeats on standby

With the 44 Mbit/s that they read anyway, two thirds of them heartbeats, the link of 105 Mbit/s was full for seconds, orders did not cross it, and leases ended.

An instance on standby now reads large records in slots: every 0.65 of the time within which a configuration must be in force, with a phase of its own. Meanwhile it only asks for the end of the stream. Of several configurations it reads the last one as a record instead of the newest in base64. The heartbeats of a fleet whose reads are large are loaded every 9 s instead of read one by one; what checks of the end have shown tells the age of the entries, so a new leader needs no further heartbeat. A leader reads as before, but for the last record. Readiness asks for an answer of the store and a view in force, not for a configuration without a newer one.

--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -14,6 +14,7 @@
 import { FIRST_SHARD, ShardPlan } from "../../jobs/common/shardPlan";
 import { ShardTable } from "../../jobs/common/shardTable";
 import { StoredRecord } from "../../records/common/record";
+import { ReadSlots } from "../../records/common/readSlots";
 import { ReadTiming, RecordFollower, RecordReceiver } from "../../records/common/recordFollower";
 import { RecordEvent } from "../../records/common/recordEvents";
 import { StreamName } from "../../records/common/recordStore";
@@ -76,12 +77,24 @@
 /** Reads of the configuration on the leader, whose orders to start end before an unknown configuration must be in force. */
 const LEADER_OPERATOR_TIMING: ReadTiming = { waitMs: 400, pauseMs: 0, repeatAfterMs: 900 };
 
+/** Interval between two reads of the workers of a large fleet on standby. Heartbeats that are replaced meanwhile are not read. */
+const LARGE_FLEET_PERIOD_MS = 9_000;
+
 /**
- * Pause after a large configuration, as a ratio of the time within which the next one must be in force. All instances
- * read each configuration, so a quick succession of large ones would fill the links between regions.
+ * Pause of a leader after a large configuration, as a ratio of the time within which the next one must be in force: its orders get
+ * shorter as its view ages.
  */
 const LARGE_CONFIGURATION_PAUSE_RATIO = 0.3;
 
+/**
+ * Interval between two reads of a large configuration on standby, as a ratio of the same time. All instances read each of them, and
+ * those of a region over one link that orders need. The rest of the time is for the check before the read, and the page itself.
+ */
+const LARGE_CONFIGURATION_PERIOD_RATIO = 0.65;
+
+/** Number of the phases by which the reads of large records are spread over their interval. */
+const READ_PHASES = 1_000;
+
 /** Time that a stopping instance keeps answering, so that the platform notices that it is not ready. */
 const SHUTDOWN_GRACE_PERIOD_MS = 2_200;
 
@@ -117,12 +130,18 @@
         private readonly decoder: EntryDecoder,
     ) {
         const { outbox } = this;
-        const workersTiming = () => (this.isLeading ? LEADER_WORKERS_TIMING : STANDBY_WORKERS_TIMING);
-        const largePauseMs = limits.configurationMs * LARGE_CONFIGURATION_PAUSE_RATIO;
-        const operatorTiming = (): ReadTiming => ({
-            ...(this.isLeading ? LEADER_OPERATOR_TIMING : STANDBY_OPERATOR_TIMING),
-            largePauseMs,
-        });
+        const phase = (identity.nonce % READ_PHASES) / READ_PHASES;
+        const standbyWorkersTiming = {
+            ...STANDBY_WORKERS_TIMING,
+            slots: ReadSlots.create(LARGE_FLEET_PERIOD_MS, phase),
+        };
+        const workersTiming = () => (this.isLeading ? LEADER_WORKERS_TIMING : standbyWorkersTiming);
+        const { configurationMs } = limits;
+        const largePauseMs = configurationMs * LARGE_CONFIGURATION_PAUSE_RATIO;
+        const leaderOperatorTiming = { ...LEADER_OPERATOR_TIMING, largePauseMs };
+        const slots = ReadSlots.create(configurationMs * LARGE_CONFIGURATION_PERIOD_RATIO, phase);
+        const standbyOperatorTiming = { ...STANDBY_OPERATOR_TIMING, largePauseMs, slots };
+        const operatorTiming = () => (this.isLeading ? leaderOperatorTiming : standbyOperatorTiming);
         const jobsTiming = () => (this.isLeading ? LEADER_JOBS_TIMING : STANDBY_JOBS_TIMING);
         this.jobsFollower = RecordFollower.create("jobs", new JobsReceiver(this), jobsTiming, outbox);
         this.operatorFollower = RecordFollower.create("operator", new OperatorReceiver(this), operatorTiming, outbox);
@@ -171,12 +190,16 @@
 
     /** @param now Time in ms. @returns Whether the instance should receive new connections. */
     isReady(now: number): boolean {
-        const isFresh = (follower: RecordFollower) =>
-            !follower.isFailing && now - (follower.knownUntil ?? -Infinity) < MAX_READ_AGE_MS;
+        const { jobsFollower, operatorFollower } = this;
+        const isFresh = (sentAt: number) => now - sentAt < MAX_READ_AGE_MS;
+        // A large configuration that waits for its time to be read does not make the known one unusable.
         return (
             this.lifecycle.state === "serving" &&
-            isFresh(this.jobsFollower) &&
-            isFresh(this.operatorFollower) &&
+            !jobsFollower.isFailing &&
+            !operatorFollower.isFailing &&
+            isFresh(jobsFollower.knownUntil ?? Number.NEGATIVE_INFINITY) &&
+            isFresh(operatorFollower.answeredSince) &&
+            this.configurationView.isInForce(now) &&
             this.callHandler.isStoreWorking(now)
         );
     }
@@ -248,10 +271,10 @@
                 this.handleAppendAnswer(event, now);
                 break;
             case "read-answer":
-                this.followerOf(event.stream)?.handleAnswer(event);
+                this.followerOf(event.stream)?.handleAnswer(event, now);
                 break;
             case "newest-answer":
-                this.handleNewestAnswer(event);
+                this.handleNewestAnswer(event, now);
                 break;
             case "tick":
                 this.loopDelay.record(event.dueAt ?? now, now);
@@ -304,6 +327,11 @@
         }
     }
 
+    /** @returns Whether a record of the operator is a configuration, which is complete; nothing else of the stream is used. */
+    isConfiguration(record: StoredRecord): boolean {
+        return this.decoder.isConfiguration(record);
+    }
+
     /** Applies a record of a worker. @param writtenAfter Time (ms) after which it was certainly written, if known. */
     applyWorkerRecord(record: StoredRecord, writtenAfter: number | undefined): void {
         const entry = this.decoder.decodeWorker(record);
@@ -366,10 +394,10 @@
         }
     }
 
-    private handleNewestAnswer(event: RecordEvent & { readonly kind: "newest-answer" }): void {
+    private handleNewestAnswer(event: RecordEvent & { readonly kind: "newest-answer" }, now: number): void {
         const follower = this.followerOf(event.stream);
         if (follower !== undefined) {
-            follower.handleAnswer(event);
+            follower.handleAnswer(event, now);
         } else {
             this.offices.forEach(office => office.handleNewestAnswer(event));
         }
@@ -468,6 +496,10 @@
     override retainKeys(): void {
         // A configuration stays in force until there is a newer one.
     }
+
+    override replacesAll(record: StoredRecord): boolean {
+        return this.instance.isConfiguration(record);
+    }
 }
 
 class WorkersReceiver extends RecordReceiver {
--- a/src/records/common/recordFollower.ts
+++ b/src/records/common/recordFollower.ts
@@ -2,6 +2,7 @@
 import { ChartRegistry } from "../../base/common/chartRegistry";
 import { EffectSink } from "../../base/common/effectSink";
 import { Machine } from "../../base/common/machine";
+import { ReadSlots } from "./readSlots";
 import { RecordOffset, StoredRecord } from "./record";
 import chartText from "./recordFollower.chart.yaml";
 import { KEY_AFTER_ALL, PageTransfer, StreamName } from "./recordStore";
@@ -10,7 +11,7 @@
 type FollowerState = "loading" | "following" | "pausing" | "checking";
 type FollowerEvent =
     "page" | "last-page" | "records" | "truncated" | "failed" | "late" | "hasten" | "late-records" | "late-end";
-type FollowerGuard = "isLarge" | "isFarBehind" | "hasLargeRecords";
+type FollowerGuard = "isLarge" | "isFarBehind" | "hasLargeRecords" | "waitsForSlot" | "canSkip" | "isGap";
 type FollowerAction =
     | "applyPage"
     | "applyRecords"
@@ -23,6 +24,8 @@
     | "checkEndNow"
     | "readNow"
     | "supersedeCheck"
+    | "takeSlot"
+    | "skipToLast"
     | "restart";
 
 const chart = ChartRegistry.instance.register(
@@ -42,7 +45,7 @@
                 "late-records",
                 "late-end",
             ],
-            guards: ["isLarge", "isFarBehind", "hasLargeRecords"],
+            guards: ["isLarge", "isFarBehind", "hasLargeRecords", "waitsForSlot", "canSkip", "isGap"],
             actions: [
                 "applyPage",
                 "applyRecords",
@@ -55,6 +58,8 @@
                 "checkEndNow",
                 "readNow",
                 "supersedeCheck",
+                "takeSlot",
+                "skipToLast",
                 "restart",
             ],
         },
@@ -73,6 +78,9 @@
 /** Limit of the earlier reads that are awaited beside the latest one: their pages use the link, too. */
 const MAX_LATE_READS = 3;
 
+/** Limit of the ends of a stream that are kept to tell the age of records. */
+const MAX_MARKS = 4;
+
 /** Receives the records of a stream. */
 export abstract class RecordReceiver {
     /**
@@ -84,6 +92,11 @@
 
     /** Called after a complete load with the existing keys. All others have been deleted. */
     abstract retainKeys(keys: ReadonlySet<string>): void;
+
+    /** @returns Whether a record makes all earlier ones of its stream needless, so that these need not be read. */
+    replacesAll(_record: StoredRecord): boolean {
+        return false;
+    }
 }
 
 /** Timing of a follower's reads. */
@@ -97,6 +110,11 @@
      * record is read.
      */
     readonly largePauseMs?: number;
+    /**
+     * Times at which large records are read, instead of a pause of fixed length. In between, and until a page is small again, only
+     * the end of the stream is asked for, at the interval of the wait. Without them, all readers read a large record at once.
+     */
+    readonly slots?: ReadSlots;
     /**
      * Time after which a read without an answer is sent again over another connection, in ms, beside its pause after a page of
      * large records. The first is still awaited, and at most three are. Without it, a response that stalls delays all later
@@ -105,7 +123,7 @@
     readonly repeatAfterMs?: number;
 }
 
-/** Size of a page, in characters, from which it is large: reading it takes 10 ms at 50 Mbit/s. */
+/** Size of a page, or of all pages of a load, in characters, from which it is large: reading it takes 10 ms at 50 Mbit/s. */
 const LARGE_PAGE_LENGTH = 64_000;
 
 type StoreAnswer = RecordEvent & { readonly kind: "read-answer" | "newest-answer" };
@@ -124,6 +142,8 @@
     /** Errors with which records of the answer that is being handled could not be applied. */
     private readonly errors: unknown[] = [];
     private loadedKeys = new Set<string>();
+    /** Size of the pages of the load so far, in characters. */
+    private loadedLength = 0;
     private lastKey: string | undefined;
     private nextPauseMs = 0;
     /** Time (ms) of the latest suspension. */
@@ -140,6 +160,16 @@
     private lateReadCount = 0;
     /** Time (ms) at which the first page of the load was requested. */
     private loadSentAt: number | undefined;
+    /** Time (ms) from which large records may be read next; `undefined` while the records are small. */
+    private slotAt: number | undefined;
+    /** Whether the latest record that was read makes all earlier ones needless. */
+    private hasReplacedAll = false;
+    /** Offset from which the stream is read although earlier records were not. */
+    private skippedTo: RecordOffset | undefined;
+    /** Ends of the stream, and when they were asked for, oldest first. Records from there on were written later. */
+    private marks: { readonly end: RecordOffset; readonly sentAt: number }[] = [];
+    /** Time (ms) of the answer that is being handled. */
+    private now = 0;
 
     /** Offset of the next record to be read. */
     nextOffset: RecordOffset = 0;
@@ -149,6 +179,9 @@
      */
     knownUntil: number | undefined;
 
+    /** Time (ms) at which the latest read was sent that the store answered, whether it reached the end of the stream or not. */
+    answeredSince = Number.NEGATIVE_INFINITY;
+
     /** How the latest page with records travelled, if it was measured. */
     transfer: PageTransfer | undefined;
 
@@ -168,7 +201,10 @@
             guards: {
                 isLarge: answer => this.isLarge(answer!),
                 isFarBehind: answer => answer!.result.unwrap().end > this.nextOffset + 1,
-                hasLargeRecords: () => this.readTiming().largePauseMs !== undefined,
+                hasLargeRecords: () => this.hasLargeRecords,
+                waitsForSlot: answer => this.waitsForSlot(answer!),
+                canSkip: answer => this.hasReplacedAll && answer!.result.unwrap().end > this.nextOffset + 1,
+                isGap: answer => this.isGap(answer!),
             },
             actions: {
                 applyPage: answer => this.applyPage(answer!),
@@ -176,12 +212,14 @@
                 finishLoad: () => this.finishLoad(),
                 markKnown: answer => this.markKnown(answer!),
                 readNextPage: () => this.emitPageRead(),
-                readEnd: () => this.emitEndRead(this.readTiming().largePauseMs ?? 0),
+                readEnd: answer => this.emitEndRead(this.pauseMsAfter(answer!)),
                 checkEnd: () => this.emitEndRead(RETRY_BACKOFF_MS),
                 checkEndNow: () => this.emitEndReadNow(),
                 readMore: () => this.emitRead(),
                 readNow: () => this.emitReadNow(),
                 supersedeCheck: () => this.supersedeCheck(),
+                takeSlot: () => this.takeSlot(),
+                skipToLast: answer => this.skipTo(answer!.result.unwrap().end - 1),
                 restart: () => this.start(),
             },
         });
@@ -213,6 +251,7 @@
         this.followFrom = undefined;
         this.loadSentAt = undefined;
         this.loadedKeys = new Set();
+        this.loadedLength = 0;
         this.lastKey = undefined;
         this.emitPageRead();
     }
@@ -226,6 +265,7 @@
         this.suspendedAt = now;
         this.knownUntil = undefined;
         this.unreachedEnd = undefined;
+        this.marks = [];
     }
 
     /** Repeats a read that is not answered in time. @param now Time in ms. */
@@ -254,9 +294,12 @@
 
     /**
      * Handles the answer to a read of this stream.
+     * @param answer The answer.
+     * @param now Time in ms.
      * @throws The first error with which a record could not be applied, after all others were applied.
      */
-    handleAnswer(answer: StoreAnswer): void {
+    handleAnswer(answer: StoreAnswer, now: number): void {
+        this.now = now;
         this.processAnswer(answer);
         const errors = this.errors.splice(0);
         if (errors.length > 0) {
@@ -265,6 +308,9 @@
     }
 
     private processAnswer(answer: StoreAnswer): void {
+        if (answer.result.ok) {
+            this.answeredSince = Math.max(this.answeredSince, answer.sentAt);
+        }
         if (answer.number !== this.latestRead) {
             this.handleLateAnswer(answer);
             return;
@@ -323,8 +369,10 @@
         for (const record of records) {
             this.loadedKeys.add(record.key);
             this.lastKey = record.key;
-            this.apply(record, undefined);
+            this.apply(record, this.marks.findLast(mark => mark.end <= record.offset)?.sentAt);
         }
+        this.updateSlot(answer);
+        this.loadedLength += lengthOf(answer);
     }
 
     private finishLoad(): void {
@@ -333,6 +381,7 @@
         this.hasLoaded = true;
         this.nextOffset = this.followFrom!;
         this.unreachedEnd = undefined;
+        this.skippedTo = undefined;
         // Pages are no snapshot: a record of a key before the latest page may have been appended since the first one.
         this.updateKnownUntil(this.loadSentAt!);
     }
@@ -340,11 +389,13 @@
     private applyRecords(answer: StoreAnswer): void {
         const { records, end, transfer } = answer.result.unwrap();
         this.transfer = transfer;
+        this.updateSlot(answer);
         for (const record of records) {
             if (record.offset >= this.nextOffset) {
                 // All earlier records were known by then.
                 this.apply(record, this.knownUntil);
                 this.nextOffset = record.offset + 1;
+                this.skippedTo = undefined;
             }
         }
         if (this.nextOffset >= end) {
@@ -360,17 +411,72 @@
         this.unreachedEnd ??= { end, sentAt: answer.sentAt };
     }
 
+    private get hasLargeRecords(): boolean {
+        const { largePauseMs, slots } = this.readTiming();
+        return largePauseMs !== undefined || slots !== undefined;
+    }
+
     private isLarge(answer: StoreAnswer): boolean {
+        const earlierLength = answer.kind === "newest-answer" ? this.loadedLength : 0;
+        return this.hasLargeRecords && earlierLength + lengthOf(answer) >= LARGE_PAGE_LENGTH;
+    }
+
+    /** Whether nothing is to be read after a check of the end: there is nothing new, or it is not yet time for it. */
+    private waitsForSlot({ sentAt, result }: StoreAnswer): boolean {
+        const { slotAt } = this;
+        const isPaced = this.readTiming().slots !== undefined && slotAt !== undefined;
+        return isPaced && (sentAt < slotAt || result.unwrap().end <= this.nextOffset);
+    }
+
+    /** Whether the record that was read after others had been skipped does not replace them. */
+    private isGap(answer: StoreAnswer): boolean {
+        const record = answer.result.unwrap().records.find(({ offset }) => offset === this.skippedTo);
+        return record !== undefined && !this.receiver.replacesAll(record);
+    }
+
+    private skipTo(offset: RecordOffset): void {
+        this.nextOffset = offset;
+        this.skippedTo = offset;
+    }
+
+    /** The read that follows uses the present slot, however long it takes. */
+    private takeSlot(): void {
+        this.slotAt = this.slotAt === undefined ? undefined : this.readTiming().slots?.after(this.now);
+    }
+
+    /** After a large page, the next ones are read in slots. */
+    private updateSlot(answer: StoreAnswer): void {
         const { records } = answer.result.unwrap();
-        const length = records.reduce((sum, { value }) => sum + (value?.length ?? 0), 0);
-        return this.readTiming().largePauseMs !== undefined && length >= LARGE_PAGE_LENGTH;
+        if (records.length === 0) {
+            return;
+        }
+        const { slots } = this.readTiming();
+        this.hasReplacedAll = this.receiver.replacesAll(records[records.length - 1]);
+        const isAhead = this.slotAt !== undefined && this.slotAt > this.now;
+        this.slotAt = this.isLarge(answer) ? (isAhead ? this.slotAt : slots?.after(this.now)) : undefined;
+    }
+
+    /** @param answer The latest answer. @returns Time until the end of the stream is asked for, in ms. */
+    private pauseMsAfter({ sentAt }: StoreAnswer): number {
+        const { largePauseMs, slots, waitMs } = this.readTiming();
+        if (slots === undefined || this.slotAt === undefined) {
+            return largePauseMs ?? 0;
+        }
+        if (this.slotAt <= sentAt) {
+            this.slotAt = slots.after(this.now);
+        }
+        return Math.max(0, Math.min(waitMs, this.slotAt - this.now));
     }
 
     /** All records are known if the page reached the end of the stream; the others are read next. */
     private markKnown(answer: StoreAnswer): void {
-        if (answer.result.unwrap().end <= this.nextOffset) {
+        const { end } = answer.result.unwrap();
+        if (end <= this.nextOffset) {
             this.updateKnownUntil(answer.sentAt);
         }
+        if (answer.sentAt > this.suspendedAt && this.readTiming().slots !== undefined) {
+            this.marks = [...this.marks, { end, sentAt: answer.sentAt }].slice(-MAX_MARKS);
+        }
     }
 
     /** A late answer may follow that to a later read. */
@@ -424,3 +530,8 @@
         });
     }
 }
+
+/** @returns Size of the records of a page, in characters. */
+function lengthOf(answer: StoreAnswer): number {
+    return answer.result.unwrap().records.reduce((sum, { value }) => sum + (value?.length ?? 0), 0);
+}
--- a/src/records/common/test/claimant.ts
+++ b/src/records/common/test/claimant.ts
@@ -39,18 +39,16 @@
     };
     follower.start();
     drain();
-    follower.handleAnswer({ kind: "newest-answer", stream: "jobs", number, sentAt: 0, result: log.newest(undefined) });
+    follower.handleAnswer(
+        { kind: "newest-answer", stream: "jobs", number, sentAt: 0, result: log.newest(undefined) },
+        0,
+    );
     leadership.tick(0);
     drain();
     const read = (now: number) => {
         receiver.now = now;
-        follower.handleAnswer({
-            kind: "read-answer",
-            stream: "jobs",
-            number,
-            sentAt: now,
-            result: log.read(follower.nextOffset),
-        });
+        const result = log.read(follower.nextOffset);
+        follower.handleAnswer({ kind: "read-answer", stream: "jobs", number, sentAt: now, result }, now);
         drain();
     };
     const claim = (now: number) => {
@@ -69,7 +67,7 @@
     const load = (now: number, page: NewestPage) => {
         receiver.now = now;
         receiver.isFollowed = false;
-        follower.handleAnswer({ kind: "newest-answer", stream: "jobs", number, sentAt: now, result: Ok(page) });
+        follower.handleAnswer({ kind: "newest-answer", stream: "jobs", number, sentAt: now, result: Ok(page) }, now);
         receiver.isFollowed = true;
         drain();
     };
--- a/src/records/common/test/recordFollower.test.ts
+++ b/src/records/common/test/recordFollower.test.ts
@@ -1,136 +1,24 @@
 import test from "ava";
-import { Err, Ok } from "ts-results";
-import { Outbox } from "../../../base/common/outbox";
+import { Err } from "ts-results";
 import { KeyedLog } from "../../../standin/common/keyedLog";
-import { StoredRecord } from "../record";
-import { ReadTiming, RecordFollower, RecordReceiver } from "../recordFollower";
-import { RecordEffect } from "../recordEvents";
-
-const LARGE_VALUE = "x".repeat(200_000);
-const LARGE_PAUSE_MS = 800;
-
-class Collector extends RecordReceiver {
-    readonly values: (string | undefined)[] = [];
-    /** Times (ms) after which they were written. */
-    readonly writtenAfter: (number | undefined)[] = [];
-    /** Value of the records that cannot be applied. */
-    rejected: string | undefined;
-
-    override apply(record: StoredRecord, writtenAfter: number | undefined): void {
-        if (record.value !== undefined && record.value === this.rejected) {
-            throw new Error(record.value);
-        }
-        this.values.push(record.value);
-        this.writtenAfter.push(writtenAfter);
-    }
-
-    /** Keys that existed at the latest load. */
-    retained: ReadonlySet<string> = new Set();
-
-    override retainKeys(keys: ReadonlySet<string>): void {
-        this.retained = keys;
-    }
-}
-
-interface SentRead {
-    readonly effect: RecordEffect;
-    readonly sentAt: number;
-}
-
-function numberOf(read: RecordEffect): number {
-    return read.kind === "append" ? 0 : read.number;
-}
-
-/** Follows a stream; each step answers the follower's read. */
-class Fixture {
-    readonly log = KeyedLog.create();
-    readonly collector = new Collector();
-    readonly follower: RecordFollower;
-    private readonly outbox = Outbox.create<RecordEffect>();
-    private now = 0;
-    /** Largest number of records in the answer to a read. */
-    maxPageRecords = Number.POSITIVE_INFINITY;
-
-    constructor(timing: ReadTiming) {
-        this.log.store("config", "first");
-        this.follower = RecordFollower.create("operator", this.collector, () => timing, this.outbox);
-        this.follower.start();
-    }
-
-    /** @returns The reads that were sent since the latest call. */
-    take(): SentRead[] {
-        const effects = this.outbox.drain();
-        this.now += 10;
-        return effects.map(effect => ({ effect, sentAt: this.now }));
-    }
-
-    /** Answers a read with the records that there are now. */
-    answer({ effect, sentAt }: SentRead): void {
-        const result = this.log.read(effect.kind === "read" ? effect.from : 0);
-        const number = numberOf(effect);
-        this.follower.handleAnswer({ kind: "read-answer", stream: "operator", number, sentAt, result });
-    }
-
-    /** Answers a read of the end of the stream with the end that there is now. */
-    answerEnd({ effect, sentAt }: SentRead): void {
-        const result = this.log.newest(effect.kind === "read-newest" ? effect.after : undefined);
-        const number = numberOf(effect);
-        this.follower.handleAnswer({ kind: "newest-answer", stream: "operator", number, sentAt, result });
-    }
-
-    /** Lets a read fail. */
-    fail({ effect, sentAt }: SentRead): void {
-        const kind = effect.kind === "read" ? "read-answer" : "newest-answer";
-        const result = Err("unavailable" as const);
-        this.follower.handleAnswer({ kind, stream: "operator", number: numberOf(effect), sentAt, result });
-    }
-
-    /** Advances the time. @param ms By how much, in ms. */
-    tickFor(ms: number): void {
-        for (const until = this.now + ms; this.now < until; this.now += 25) {
-            this.follower.tick(this.now);
-        }
-    }
-
-    /** Time (ms) at which the latest read was sent. */
-    get sentAt(): number {
-        return this.now;
-    }
-
-    /** Answers the read in flight with a page that is not the last one. @param count Number of its records. */
-    stepPartially(count: number): void {
-        const [effect] = this.outbox.drain();
-        this.now += 10;
-        const page = this.log.read(effect.kind === "read" ? effect.from : 0).unwrap();
-        const result = Ok({ ...page, records: page.records.slice(0, count) });
-        const number = numberOf(effect);
-        this.follower.handleAnswer({ kind: "read-answer", stream: "operator", number, sentAt: this.now, result });
-    }
-
-    /** Answers the read in flight. @param ageMs How long ago it was sent, in ms. @returns The read. */
-    step(ageMs = 0): RecordEffect {
-        const [effect] = this.outbox.drain();
-        this.now += 10;
-        const base = { stream: "operator" as const, number: numberOf(effect), sentAt: this.now - ageMs };
-        if (effect.kind === "read") {
-            const result = this.log.read(effect.from).map(({ records, end }) => ({
-                records: records.slice(0, this.maxPageRecords),
-                end,
-            }));
-            this.follower.handleAnswer({ kind: "read-answer", ...base, result });
-        } else if (effect.kind === "read-newest") {
-            this.follower.handleAnswer({ kind: "newest-answer", ...base, result: this.log.newest(effect.after) });
-        }
-        return effect;
-    }
-
-    suspend(): void {
-        this.follower.handleSuspension(this.now);
-    }
+import { ReadTiming } from "../recordFollower";
+import {
+    describe,
+    FollowerFixture,
+    LARGE_PAUSE_MS,
+    LARGE_TIMING,
+    LARGE_VALUE,
+    numberOf,
+    SentRead,
+} from "./followerFixture";
+
+/** @returns A follower of a stream in memory. */
+function createFixture(timing: ReadTiming | (() => ReadTiming)) {
+    return new FollowerFixture(KeyedLog.create(), timing);
 }
 
 test("of large records in quick succession, only the first and the newest are read", t => {
-    const fixture = new Fixture({ waitMs: 1_000, pauseMs: 0, largePauseMs: LARGE_PAUSE_MS });
+    const fixture = createFixture({ waitMs: 1_000, pauseMs: 0, largePauseMs: LARGE_PAUSE_MS });
     fixture.step();
     fixture.log.store("config", `1${LARGE_VALUE}`);
     fixture.step();
@@ -149,7 +37,7 @@
 });
 
 test("a single record after a large one is read by its offset, and the stream counts as known", t => {
-    const fixture = new Fixture({ waitMs: 1_000, pauseMs: 0, largePauseMs: LARGE_PAUSE_MS });
+    const fixture = createFixture({ waitMs: 1_000, pauseMs: 0, largePauseMs: LARGE_PAUSE_MS });
     fixture.step();
     fixture.log.store("config", LARGE_VALUE);
     fixture.step();
@@ -162,7 +50,7 @@
 });
 
 test("without a pause for large records, every record is read", t => {
-    const fixture = new Fixture({ waitMs: 1_000, pauseMs: 0 });
+    const fixture = createFixture({ waitMs: 1_000, pauseMs: 0 });
     fixture.step();
     for (let version = 1; version <= 3; version++) {
         fixture.log.store("config", LARGE_VALUE);
@@ -172,7 +60,7 @@
 });
 
 test("after a restart, a key that was deleted is not among those that a follower retains", t => {
-    const fixture = new Fixture({ waitMs: 1_000, pauseMs: 0 });
+    const fixture = createFixture({ waitMs: 1_000, pauseMs: 0 });
     fixture.log.store("gone", "1");
     fixture.log.store("gone", undefined);
     fixture.step();
@@ -181,7 +69,7 @@
 });
 
 test("a reload after the history has expired retains only the keys that still exist", t => {
-    const fixture = new Fixture({ waitMs: 1_000, pauseMs: 0 });
+    const fixture = createFixture({ waitMs: 1_000, pauseMs: 0 });
     fixture.log.store("left", "1");
     fixture.step();
     fixture.log.store("left", undefined);
@@ -193,7 +81,7 @@
 });
 
 test("a stream whose page is limited counts as known only up to the read whose end is reached", t => {
-    const fixture = new Fixture({ waitMs: 1_000, pauseMs: 0 });
+    const fixture = createFixture({ waitMs: 1_000, pauseMs: 0 });
     fixture.step();
     const knownBefore = fixture.follower.knownUntil!;
     fixture.maxPageRecords = 2;
@@ -210,7 +98,7 @@
 });
 
 test("a record was written after the read before the one that returned it, or at any time if it was loaded", t => {
-    const fixture = new Fixture({ waitMs: 1_000, pauseMs: 0 });
+    const fixture = createFixture({ waitMs: 1_000, pauseMs: 0 });
     fixture.step();
     fixture.log.store("config", "1");
     fixture.step();
@@ -220,7 +108,7 @@
 });
 
 test("after a suspension, records are of any age until a read that was sent later is answered", t => {
-    const fixture = new Fixture({ waitMs: 1_000, pauseMs: 0 });
+    const fixture = createFixture({ waitMs: 1_000, pauseMs: 0 });
     fixture.step();
     fixture.suspend();
     t.is(fixture.follower.knownUntil, undefined);
@@ -232,7 +120,7 @@
 });
 
 test("after a page that does not reach the end, the stream is known only up to the read before", t => {
-    const fixture = new Fixture({ waitMs: 1_000, pauseMs: 0 });
+    const fixture = createFixture({ waitMs: 1_000, pauseMs: 0 });
     fixture.step();
     const knownBefore = fixture.follower.knownUntil;
     ["a", "b", "c"].forEach(key => fixture.log.store(key, "1"));
@@ -245,7 +133,7 @@
 });
 
 test("after a load of several pages, the stream is known up to the request of the first one", t => {
-    const fixture = new Fixture({ waitMs: 1_000, pauseMs: 0 });
+    const fixture = createFixture({ waitMs: 1_000, pauseMs: 0 });
     for (let key = 0; key < 50; key++) {
         fixture.log.store(`k${key}`, "1");
     }
@@ -264,7 +152,7 @@
 });
 
 test("a read that is not answered in time is repeated, and its own late answer starts no further reads", t => {
-    const fixture = new Fixture({ waitMs: 400, pauseMs: 0, repeatAfterMs: 900 });
+    const fixture = createFixture({ waitMs: 400, pauseMs: 0, repeatAfterMs: 900 });
     fixture.step();
     const late = fixture.take();
     fixture.log.store("cancelled", "1");
@@ -291,7 +179,7 @@
 });
 
 test("a hastened read is sent at once, and the one that was paused starts no further reads", t => {
-    const fixture = new Fixture({ waitMs: 2_000, pauseMs: 3_000 });
+    const fixture = createFixture({ waitMs: 2_000, pauseMs: 3_000 });
     fixture.step();
     const [paused] = fixture.take();
     t.is(paused.effect.kind === "read" && paused.effect.delayMs, 3_000);
@@ -315,26 +203,26 @@
 });
 
 test("a hastened read that fails is retried, and a load is not hastened", t => {
-    const fixture = new Fixture({ waitMs: 2_000, pauseMs: 3_000 });
+    const fixture = createFixture({ waitMs: 2_000, pauseMs: 3_000 });
     fixture.follower.hasten();
     t.deepEqual(
         fixture.take().map(each => each.effect.kind),
         ["read-newest"],
     );
-    const loaded = new Fixture({ waitMs: 2_000, pauseMs: 3_000 });
+    const loaded = createFixture({ waitMs: 2_000, pauseMs: 3_000 });
     loaded.step();
     loaded.take();
     loaded.follower.hasten();
     const [hastened] = loaded.take();
     const result = Err("unavailable" as const);
     const base = { stream: "operator" as const, number: numberOf(hastened.effect), sentAt: hastened.sentAt };
-    loaded.follower.handleAnswer({ kind: "read-answer", ...base, result });
+    loaded.follower.handleAnswer({ kind: "read-answer", ...base, result }, loaded.sentAt);
     const [retried] = loaded.take();
     t.true(retried.effect.kind === "read" && retried.effect.delayMs < 1_000);
 });
 
 test("however often a read is hastened, at most three earlier ones are awaited", t => {
-    const fixture = new Fixture({ waitMs: 2_000, pauseMs: 3_000 });
+    const fixture = createFixture({ waitMs: 2_000, pauseMs: 3_000 });
     fixture.step();
     fixture.take();
     for (let count = 0; count < 10; count++) {
@@ -344,7 +232,7 @@
 });
 
 test("at most three late reads are awaited beside the latest one", t => {
-    const fixture = new Fixture({ waitMs: 400, pauseMs: 0, repeatAfterMs: 900 });
+    const fixture = createFixture({ waitMs: 400, pauseMs: 0, repeatAfterMs: 900 });
     fixture.step();
     fixture.take();
     fixture.tickFor(10_000);
@@ -352,7 +240,7 @@
 });
 
 test("a record that cannot be applied keeps neither the others from being applied nor the next read from being sent", t => {
-    const fixture = new Fixture({ waitMs: 1_000, pauseMs: 0 });
+    const fixture = createFixture({ waitMs: 1_000, pauseMs: 0 });
     fixture.collector.rejected = "odd";
     fixture.log.store("w1", "odd");
     fixture.log.store("w2", "2");
@@ -367,16 +255,8 @@
     t.is(fixture.follower.nextOffset, fixture.log.end);
 });
 
-/** Timing of a stream with large records whose late reads are repeated. */
-const LARGE_TIMING: ReadTiming = { waitMs: 400, pauseMs: 0, largePauseMs: LARGE_PAUSE_MS, repeatAfterMs: 600 };
-
-/** @returns The reads as text: whether they ask for records or for the end, and their delays in ms. */
-function describe(reads: readonly SentRead[]): string[] {
-    return reads.map(({ effect }) => (effect.kind === "append" ? effect.kind : `${effect.kind} ${effect.delayMs}`));
-}
-
 test("of a stream with large records, a read that is late is followed by a check of the end, and its records count when they come", t => {
-    const fixture = new Fixture(LARGE_TIMING);
+    const fixture = createFixture(LARGE_TIMING);
     fixture.step();
     const late = fixture.take();
     fixture.tickFor(500);
@@ -401,7 +281,7 @@
 
 // CONFIG: a check that was sent just before a silent store came back was awaited for 6 s, and nothing else asked meanwhile.
 test("of a stream with large records, the end is asked for again while checks are not answered, at most four at a time", t => {
-    const fixture = new Fixture(LARGE_TIMING);
+    const fixture = createFixture(LARGE_TIMING);
     fixture.step();
     fixture.take();
     const checks: SentRead[] = [];
@@ -426,7 +306,7 @@
         [1, "read 0"],
         [2, "read-newest 0"],
     ] as const) {
-        const fixture = new Fixture(LARGE_TIMING);
+        const fixture = createFixture(LARGE_TIMING);
         fixture.step();
         fixture.take();
         fixture.tickFor(700);
@@ -442,7 +322,7 @@
 });
 
 test("of a stream with large records, the end is asked for while reads fail, so that it is known as soon as one succeeds", t => {
-    const fixture = new Fixture(LARGE_TIMING);
+    const fixture = createFixture(LARGE_TIMING);
     fixture.step();
     for (let index = 0; index < 3; index++) {
         const [read] = fixture.take();
@@ -458,7 +338,7 @@
 });
 
 test("the pause after a large record does not count as a late read", t => {
-    const fixture = new Fixture(LARGE_TIMING);
+    const fixture = createFixture(LARGE_TIMING);
     fixture.step();
     fixture.log.store("config", LARGE_VALUE);
     fixture.step();
@@ -470,7 +350,7 @@
 });
 
 test("a hastened read of a stream with large records asks for the end only", t => {
-    const fixture = new Fixture(LARGE_TIMING);
+    const fixture = createFixture(LARGE_TIMING);
     fixture.step();
     fixture.take();
     fixture.follower.hasten();
