Bound the time of a loss by when nothing listens at the worker's address

A loss is weighed by the time for which it counts against a start.

When a list is refused, nothing listens at the address, so the process has ended by then. That time bounds the time of the loss, unless the lease expires: a worker that is only cut off is refused, too, and may be lost later. A list that is answered starts it anew.

Test: "losses of workers at whose address nothing listened soon after the start are strong evidence", which failed before.

--- a/src/dispatch/common/failureController.ts
+++ b/src/dispatch/common/failureController.ts
@@ -117,7 +117,7 @@
         const suspects = mostLikely(recent.length > 0 ? recent : runs.filter(isEarly));
         // If the worker had survived all starts, this loss alone is no evidence against any of them.
         const isAlone = recent.length > 0 && new Set(suspects.map(run => startUnitOf(run.task))).size === 1;
-        const withinMs = Math.max(ATTRIBUTION_MS, ...suspects.map(run => this.attributionMs(run)));
+        const withinMs = Math.max(ATTRIBUTION_MS, ...suspects.map(run => this.attributionMs(run, worker, cause)));
         suspects.forEach(run => this.accuse(run.task, worker.entry.id, isAlone, withinMs));
         // A worker whose lease expired may only have been out of reach.
         if (recent.length > 0 && !isAlone && cause !== "lease-expired") {
@@ -193,13 +193,14 @@
     }
 
     /**
-     * A worker that does not answer is lost at an unknown time before the loss is known, and all that time it counts against a
-     * start that no report has shown to be survived.
+     * @returns Time for which the loss of a worker counts against a start that no report has shown to be survived, in ms. A worker
+     * that does not answer may be lost at any time until the loss is known, or until nothing listens at its address.
      */
-    private attributionMs(run: Run): number {
-        const beforeMs = run.isInherited ? INHERITED_ATTRIBUTION_MS : 0;
-        const heldMs = this.now === undefined ? 0 : beforeMs + this.now - run.assignedAt;
-        return Math.max(ATTRIBUTION_MS + run.task.lossAgeMs, heldMs);
+    private attributionMs(run: Run, worker: WorkerContact, cause: WorkerLossCause): number {
+        const now = this.now ?? run.assignedAt;
+        const lostBy = cause === "lease-expired" ? now : Math.min(now, worker.refusedAt ?? now);
+        const beforeMs = run.isInherited && this.now !== undefined ? INHERITED_ATTRIBUTION_MS : 0;
+        return Math.max(ATTRIBUTION_MS + run.task.lossAgeMs, beforeMs + lostBy - run.assignedAt);
     }
 
     /**
--- a/src/dispatch/common/test/failureEvidence.test.ts
+++ b/src/dispatch/common/test/failureEvidence.test.ts
@@ -1,21 +1,27 @@
 import test from "ava";
+import { FailureController } from "../failureController";
+import { Task } from "../task";
 import { TaskSuspicion } from "../taskSuspicion";
+import { WorkerContact } from "../workerContact";
 import { createController, createTask, inherit, lose, measureLosses } from "./failures";
 import { assign, createWorker } from "./runs";
 
+/** Starts a task on a worker whose loss comes to light 8 s later. */
+function loseLate(failures: FailureController, worker: WorkerContact, task: Task, startedAt: number): void {
+    assign(worker, task, startedAt).fire("stored", { now: startedAt });
+    for (let now = startedAt; now <= startedAt + 8_000; now += 100) {
+        failures.recordUptime(30, now);
+    }
+    lose(failures, worker);
+}
+
 // A loss was taken to follow within a second of the start, also one that came to light many seconds after it.
 test("losses of workers that were silent for seconds before are weaker evidence", t => {
     const { host, failures } = createController();
     measureLosses(failures, 30, 5);
     const task = createTask("a");
     const losses = [0, 8_000, 16_000].map(startedAt => {
-        const worker = createWorker(`w${startedAt}`);
-        const run = assign(worker, task, startedAt);
-        run.fire("stored", { now: startedAt });
-        for (let now = startedAt; now <= startedAt + 8_000; now += 100) {
-            failures.recordUptime(30, now);
-        }
-        lose(failures, worker);
+        loseLate(failures, createWorker(`w${startedAt}`), task, startedAt);
         return task.suspicion?.state;
     });
     t.deepEqual(losses, ["accused", "accused-again", "convicted"]);
@@ -36,3 +42,17 @@
     t.is(task.suspicion?.state, "accused-again");
     t.deepEqual(host.failedJobs, []);
 });
+
+// Tasks that crash their workers crashed a quarter more of them, since each crash comes to light only when the worker is back.
+test("losses of workers at whose address nothing listened soon after the start are strong evidence", t => {
+    const { host, failures } = createController();
+    measureLosses(failures, 30, 5);
+    const task = createTask("a");
+    for (const startedAt of [0, 8_000]) {
+        t.deepEqual(host.failedJobs, []);
+        const worker = createWorker(`w${startedAt}`);
+        worker.refusedAt = startedAt + 500;
+        loseLate(failures, worker, task, startedAt);
+    }
+    t.deepEqual(host.failedJobs, [task.job]);
+});
--- a/src/dispatch/common/workerContact.ts
+++ b/src/dispatch/common/workerContact.ts
@@ -104,6 +104,8 @@
     /** Number of the first end in the latest list, or `undefined` if it had none: the worker keeps unconfirmed ends. */
     private firstKeptEnd: number | undefined;
     private keptEndCount = 0;
+    /** Time (ms) since which nothing listens at its address: its process has ended by then. Unknown if undefined. */
+    refusedAt: number | undefined;
     /** Earliest time (ms) at which it may leave, if it is draining. */
     leavesAt: number | undefined;
     /** Time (ms) before which it is given no tasks, after it rejected a start as full or unhealthy. */
--- a/src/dispatch/common/workerPool.ts
+++ b/src/dispatch/common/workerPool.ts
@@ -335,6 +335,9 @@
             return;
         }
         if (event.list === undefined) {
+            if (event.outcome === "unreachable") {
+                worker.refusedAt ??= now;
+            }
             if (event.outcome === "no-answer" || event.outcome === "unreachable") {
                 this.logTransition(worker, now, () => worker.onNoAnswer(now));
             }
@@ -347,6 +350,7 @@
             return;
         }
         worker.lastListSentAt = event.sentAt;
+        worker.refusedAt = undefined;
         worker.updateKeptEnds(ended);
         for (const end of ended) {
             if (worker.processEnd(end)) {
