--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -17,8 +17,9 @@
 import { alignMembers, isGang, isLongRunning, rackOf } from "./taskGroups";
 import { WaitReporter } from "./waitReporter";
 import { WaitController } from "./waitController";
-import { CollectedJob, IndexedEntry, WaitingIndex } from "./waitingIndex";
-import { WaitingOrder, WaitingRank } from "./waitingOrder";
+import { TasksToPlace, WaitingGroup } from "./waitingGroup";
+import { CollectedJob, WaitingIndex } from "./waitingIndex";
+import { WaitingOrder } from "./waitingOrder";
 import { WorkerContact } from "./workerContact";
 
 /** How much faster a throttled task must run on another worker for a move, in percent of full speed. */
@@ -27,29 +28,6 @@
 /** How many more starts than usual may be in flight, of jobs without a run that have to have one soon. */
 const MAX_DUE_STARTS = 8;
 
-/** A task group with waiting or throttled tasks, and the criteria for its position in the queue. */
-interface WaitingGroup extends IndexedEntry {
-    readonly group: TaskGroup;
-    readonly tasks: readonly Task[];
-    /** Time for which its first task has waited without a run at work, in ms; kept up to date for reports only. */
-    waitedMs: number;
-    /** Whether the tasks have runs that are throttled, and move if another worker offers a higher speed. */
-    readonly isThrottled: boolean;
-    /** Whether they are suspected of crashing their workers. */
-    readonly isSuspected: boolean;
-    readonly service: string;
-    readonly priority: number;
-    rank: WaitingRank;
-}
-
-/** Tasks of a group that wait or should move. */
-interface TasksToPlace {
-    readonly tasks: readonly Task[];
-    readonly throttled: readonly Task[];
-    /** Whether a run is throttled so far that its task should move some time. */
-    readonly hasThrottledRun: boolean;
-}
-
 /**
  * Orders the waiting task groups and assigns their tasks to workers with free capacity. Throttled tasks take their turn in the same
  * order, and move if another worker offers them a higher speed.
