Delete a job's progress in the shard that it was transferred from

Callers would see a job done although its tasks had not run since it was submitted: its id is that of an earlier job, which one shard left to another. That one deletes the job after its retention, but only in its own stream of progress. In the former shard the progress remained, so the next leader there took it for that of the new job if none of its own was recorded yet. It is deleted once the transfer is stored, which has it, unless the job is back by then. Found by reading. The test failed before: the new job was restored as running.

--- a/src/dispatch/common/activeJobTable.ts
+++ b/src/dispatch/common/activeJobTable.ts
@@ -193,7 +193,16 @@
         const progress = job.state === "queued" ? undefined : job.progress(this.epoch);
         this.jobs.delete(id);
         this.departed.set(id, { specOffset: job.specOffset, count });
-        this.writers.jobs.write(jobKey("transfer", id), () => encodeTransfer({ shard, count, progress }));
+        const encode = () => encodeTransfer({ shard, count, progress });
+        const onStored = progress === undefined ? undefined : () => this.deleteProgress(id);
+        this.writers.jobs.write(jobKey("transfer", id), encode, onStored);
+    }
+
+    /** Deletes progress that a stored transfer replaces: a job that is submitted under its id after its retention is another one. */
+    private deleteProgress(id: string): void {
+        if (this.departed.has(id)) {
+            this.writers.progress.write(jobKey("progress", id), () => undefined);
+        }
     }
 
     /**
--- a/src/dispatch/common/test/activeJobTable.test.ts
+++ b/src/dispatch/common/test/activeJobTable.test.ts
@@ -211,3 +211,32 @@
     table.update(jobs.find("a")!);
     t.is(table.size, 1);
 });
+
+test("progress of a job that was transferred is not that of one which is submitted under its id after its retention", t => {
+    const { table, jobs, job, appends, store } = createTableWithJob();
+    const newest = new Map<string, string | undefined>();
+    const storeAll = () => {
+        for (let sent = appends(); sent.length > 0; sent = appends()) {
+            sent.filter(({ stream }) => stream === "progress").forEach(({ append }) =>
+                append.records.forEach(({ key, value }) => newest.set(key, value)),
+            );
+            sent.forEach(({ stream, append }) => store(stream as "jobs" | "progress", append.sequence));
+        }
+    };
+    job.openDue(0);
+    job.state = "running";
+    table.recordProgress(job);
+    storeAll();
+    table.transfer(job, 1);
+    storeAll();
+    jobs.apply({ key: jobKey("spec", "a"), value: undefined, offset: 2 });
+    jobs.apply({ key: jobKey("spec", "a"), value: encodeSpec(job.spec), offset: 4 });
+    const stored = ProgressTable.create();
+    newest.forEach((value, key) => stored.apply({ key, value, offset: 0 }));
+    const next = ActiveJobTable.create(2, createWriters());
+    JobRestorer.create(jobs, stored, next, () => undefined).restore();
+    t.deepEqual(
+        [...next.all].map(({ state }) => state),
+        ["queued"],
+    );
+});
