Failing test: instances disagree on the shard of a job that is submitted again beside an old transfer

A job is transferred, finishes and expires; its leader deletes the spec and is lost before it deletes the transfer, or the same id is submitted between the two deletions. Instances that follow the stream have dropped the transfer with the spec, and have the new job in the shard of its id. Those that load the stream later have the old transfer, and with it the former job's progress. Leaders of both shards would run the job. Found by reading; the test fails on this commit: the one has { shard: 1, count: 1 }, the other none.

--- a/src/jobs/common/test/jobTable.test.ts
+++ b/src/jobs/common/test/jobTable.test.ts
@@ -2,6 +2,7 @@
 import { createJob, createStep } from "../../../dispatch/common/test/runs";
 import { encodeSpec, jobKey } from "../jobRecord";
 import { JobTable } from "../jobTable";
+import { encodeTransfer } from "../jobTransfer";
 import { ProgressTable } from "../progressTable";
 
 const MALFORMED = ["", "{", "null", "[]", '{"id":"a"}', '{"id":"a","steps":[{"tasks":-1}]}'];
@@ -26,3 +27,23 @@
     t.is(progress.find("a"), undefined);
     t.false(progress.isMalformed("b"));
 });
+
+// A leader that is lost between the two deletions leaves the transfer. Instances that follow the stream have dropped it with the spec.
+test("all instances have a job in the same shard that is submitted again while the transfer of an earlier one remains", t => {
+    const [earlier, later] = [1, 2].map(acceptedAtMs =>
+        encodeSpec({ ...createJob("a", createStep("x", false)).spec, acceptedAtMs }),
+    );
+    const following = JobTable.create();
+    const transfer = encodeTransfer({ shard: 1, count: 1 });
+    const history: [key: string, value: string | undefined][] = [
+        [jobKey("spec", "a"), earlier],
+        [jobKey("transfer", "a"), transfer],
+        [jobKey("spec", "a"), undefined],
+        [jobKey("spec", "a"), later],
+    ];
+    history.forEach(([key, value], offset) => following.apply({ key, value, offset }));
+    const loading = JobTable.create();
+    loading.apply({ key: jobKey("spec", "a"), value: later, offset: 3 });
+    loading.apply({ key: jobKey("transfer", "a"), value: transfer, offset: 1 });
+    t.deepEqual(loading.transferOf("a"), following.transferOf("a"));
+});
