Count transferred jobs until a load of the other shard shows them

Callers would see jobs wait in a shard that has been given too many. A leader counted what it had transferred for 0.8 s, but goes by a published load for up to 2 s: the other leader is late or lost, and each later job saw the room that earlier ones had taken. Transfers now count until a load is read that includes them.

--- a/src/dispatch/common/shardBalancer.ts
+++ b/src/dispatch/common/shardBalancer.ts
@@ -16,7 +16,7 @@
 /** Limit of the jobs that one review transfers: the loads of the others do not show them yet. */
 const MAX_TRANSFERS_PER_REVIEW = 16;
 
-/** Time after a transfer by which the load of the other shard includes the job, in ms. */
+/** Time after a transfer from which on a load of the other shard that is read includes the job, in ms. */
 const PUBLICATION_DELAY_MS = 800;
 
 /** Time for which a job that was transferred stays at least, in ms; twice as long with each further transfer. */
@@ -81,7 +81,7 @@
         if (this.fleet.count === 1) {
             return;
         }
-        this.recent = this.recent.filter(each => now - each.at < PUBLICATION_DELAY_MS);
+        this.recent = this.recent.filter(each => !this.isPublished(each));
         for (const job of arrivals) {
             if (job.transfers > 0) {
                 this.arrivedAt.set(job, now);
@@ -97,6 +97,11 @@
         }
     }
 
+    /** Whether the latest load of the other shard includes a job: a leader that is late or lost publishes none. */
+    private isPublished({ shard, at }: RecentTransfer): boolean {
+        return (this.fleet.loads.readAtOf(shard) ?? at) >= at + PUBLICATION_DELAY_MS;
+    }
+
     private reviewArrival(job: ActiveJob, now: number): void {
         const demand = demandOf(job);
         if (demand.tasks > 0 && !this.transfer(job, demand, undefined, now)) {
--- a/src/dispatch/common/shardLoadTable.ts
+++ b/src/dispatch/common/shardLoadTable.ts
@@ -46,6 +46,11 @@
         return known === undefined || now - known.readAt > MAX_LOAD_AGE_MS ? undefined : known.load;
     }
 
+    /** @param shard Number of a shard. @returns Time (ms) at which its latest load was read, or `undefined` if none was. */
+    readAtOf(shard: number): number | undefined {
+        return this.loads.get(shard)?.readAt;
+    }
+
     /**
      * @param service A service.
      * @param own A shard that is left out.
--- /dev/null
+++ b/src/dispatch/common/test/shardBalancer.test.ts
@@ -0,0 +1,71 @@
+import test from "ava";
+import { Outbox } from "../../../base/common/outbox";
+import { encodeSpec, jobKey } from "../../../jobs/common/jobRecord";
+import { JobTable } from "../../../jobs/common/jobTable";
+import { QueueTable } from "../../../jobs/common/queueTable";
+import { RecordEffect } from "../../../records/common/recordEvents";
+import { RecordWriter } from "../../../records/common/recordWriter";
+import { ActiveJobTable } from "../activeJobTable";
+import { LoadPublisher } from "../loadPublisher";
+import { RoomTransferPolicy } from "../roomTransferPolicy";
+import { emptyLoad } from "../serviceLoad";
+import { ServiceUsage } from "../serviceUsage";
+import { ShardBalancer } from "../shardBalancer";
+import { encodeShardLoad } from "../shardLoad";
+import { ShardLoadTable } from "../shardLoadTable";
+import { createJob, createStep, createWorker, place } from "./runs";
+
+/** CPU of each shard, in thousandths of a core: that of one worker. */
+const SHARD_MILLIS = 64_000;
+
+/** Interval between two submissions, in ms. */
+const INTERVAL_MS = 100;
+
+/** A full shard, and another one without runs and waiting tasks. Each job requests an eighth of a shard. */
+function createFullShard() {
+    const writer = RecordWriter.create("leader", "jobs", { name: "leader", epoch: 1 }, Outbox.create<RecordEffect>());
+    const jobs = ActiveJobTable.create(1, { jobs: writer, progress: writer });
+    const table = JobTable.create();
+    const loads = ShardLoadTable.create();
+    const worker = createWorker("w1");
+    const full = { cpuMillis: SHARD_MILLIS, memoryMb: 1_000, accelerators: 0 };
+    place(worker, "full", createStep("full", false, { usesSpareCpu: false, request: full }));
+    const usage = ServiceUsage.create();
+    usage.update([worker], 0);
+    const queues = QueueTable.create();
+    const workersOf = () => [worker.entry];
+    const fleet = { shard: 0, count: 2, loads, policy: RoomTransferPolicy.create(), workersOf };
+    const pace = { delayMs: 0, startMs: undefined };
+    const log = () => undefined;
+    const publisher = LoadPublisher.create(fleet, { jobs: () => jobs.all, queues, usage, pace, writer, log });
+    const balancer = ShardBalancer.create(fleet, { jobs, queues, publisher, delayMs: () => 0, log });
+    const publishEmpty = (now: number) => {
+        const services = new Map([["svc", { ...emptyLoad(), cpuMillis: SHARD_MILLIS }]]);
+        const value = encodeShardLoad({ delayMs: 0, services });
+        return loads.apply({ key: "load-1", value, offset: 0 }, now);
+    };
+    let submitted = 0;
+    /** Submits a job; returns how many have left the shard so far. */
+    const submit = (now: number) => {
+        const id = `job${submitted}`;
+        const { spec } = createJob(id, createStep("x", false, { usesSpareCpu: false }));
+        table.apply({ key: jobKey("spec", id), value: encodeSpec(spec), offset: submitted });
+        submitted += 1;
+        jobs.update(table.find(id)!);
+        publisher.tick(now);
+        balancer.review(now, now);
+        return submitted - jobs.size;
+    };
+    return { publishEmpty, submit };
+}
+
+test("a shard gets no more jobs than it has room for while its leader publishes nothing", t => {
+    const { publishEmpty, submit } = createFullShard();
+    publishEmpty(0);
+    let left = 0;
+    for (let now = INTERVAL_MS; now <= 2_000; now += INTERVAL_MS) {
+        left = submit(now);
+    }
+    // With 14 of the 20 jobs, as much is requested of the other shard as of the full one with the rest.
+    t.true(left > 0 && left <= 14, String(left));
+});
