Leave a job to another shard if the workers that could run it are about to leave

Callers would see a job wait in a shard in which only draining workers have the label, the kind or the room that it needs: draining ones are given no tasks, but counted as able to run it. Only workers that accept tasks count now. The test failed before for the draining worker.

--- a/src/dispatch/common/shardBalancer.ts
+++ b/src/dispatch/common/shardBalancer.ts
@@ -58,7 +58,8 @@
     /** Time (ms) at which a job was transferred to this shard. */
     private readonly arrivedAt = new WeakMap<ActiveJob, number>();
     private reviewedAt = Number.NEGATIVE_INFINITY;
-    private workers = new Map<number, readonly WorkerEntry[]>();
+    /** Workers of each shard by service. */
+    private workers = new Map<number, ReadonlyMap<string, readonly WorkerEntry[]>>();
     private workersReadAt = Number.NEGATIVE_INFINITY;
 
     private constructor(
@@ -196,18 +197,18 @@
         load: ServiceLoad | undefined,
         now: number,
     ): ShardOption {
-        const suitability = suitabilityOf(job, service, this.workersOf(number, now));
+        const suitability = suitabilityOf(job, this.workersOf(number, service, now));
         return { shard: number, load: load ?? emptyLoad(), delayMs, ...suitability };
     }
 
-    private workersOf(number: number, now: number): readonly WorkerEntry[] {
+    private workersOf(number: number, service: string, now: number): readonly WorkerEntry[] {
         if (now - this.workersReadAt >= WORKERS_INTERVAL_MS) {
             this.workersReadAt = now;
             this.workers = new Map();
         }
-        const workers = this.workers.get(number) ?? this.fleet.workersOf(number);
+        const workers = this.workers.get(number) ?? groupByService(this.fleet.workersOf(number));
         this.workers.set(number, workers);
-        return workers;
+        return workers.get(service) ?? [];
     }
 
     /** Adds a waiting job to the load of this shard, or takes it out of it. @param sign 1 or -1. */
@@ -220,6 +221,17 @@
     }
 }
 
+/** @returns The workers of each service that accept new tasks. */
+function groupByService(workers: readonly WorkerEntry[]): Map<string, WorkerEntry[]> {
+    const groups = new Map<string, WorkerEntry[]>();
+    for (const worker of workers.filter(({ state }) => state === "ready")) {
+        const known = groups.get(worker.service) ?? [];
+        known.push(worker);
+        groups.set(worker.service, known);
+    }
+    return groups;
+}
+
 function loadOf({ cpuMillis, spareCpuMillis }: JobDemand): ServiceLoad {
     return { ...emptyLoad(), waitingCpuMillis: cpuMillis, waitingSpareCpuMillis: spareCpuMillis };
 }
--- a/src/dispatch/common/shardSuitability.ts
+++ b/src/dispatch/common/shardSuitability.ts
@@ -12,16 +12,14 @@
 
 /**
  * @param job A job.
- * @param service Service whose workers run it.
- * @param workers Registered workers.
+ * @param workers Workers of its service that accept new tasks.
  * @returns Whether they can run it.
  */
-export function suitabilityOf(job: ActiveJob, service: string, workers: readonly WorkerEntry[]): Suitability {
-    const own = workers.filter(worker => worker.service === service);
+export function suitabilityOf(job: ActiveJob, workers: readonly WorkerEntry[]): Suitability {
     const { steps } = job.spec;
     return {
-        isSuitable: steps.every(step => canRun(step, own)),
-        hasData: steps.every(({ dataRack }) => dataRack === undefined || own.some(({ rack }) => rack === dataRack)),
+        isSuitable: steps.every(step => canRun(step, workers)),
+        hasData: steps.every(({ dataRack }) => dataRack === undefined || workers.some(({ rack }) => rack === dataRack)),
     };
 }
 
--- a/src/dispatch/common/test/roomTransferPolicy.test.ts
+++ b/src/dispatch/common/test/roomTransferPolicy.test.ts
@@ -59,7 +59,7 @@
     const workers = ["w1", "w2"].map(id => createWorker(id, { labels: ["big"], rack: "r7" }).entry);
     const request = { cpuMillis: 40_000, memoryMb: 1_000, accelerators: 0 };
     const isSuitable = (step: Parameters<typeof createBestEffort>[0]) =>
-        suitabilityOf(createJob("a", createStep("x", false, { request, ...step })), "svc", workers).isSuitable;
+        suitabilityOf(createJob("a", createStep("x", false, { request, ...step })), workers).isSuitable;
     t.true(isSuitable({ tasks: 9 }));
     t.true(isSuitable({ tasks: 2, mode: "gang" }));
     t.false(isSuitable({ tasks: 3, mode: "gang" }));
@@ -68,7 +68,7 @@
     t.false(isSuitable({ request: { ...request, accelerators: 1 } }));
     t.false(isSuitable({ tasks: 2, mode: "gang", maxPerWorker: 0 }));
     const dataRack = (rack: string) => createJob("a", createStep("x", false, { dataRack: rack }));
-    t.true(suitabilityOf(dataRack("r7"), "svc", workers).hasData);
-    t.false(suitabilityOf(dataRack("r8"), "svc", workers).hasData);
-    t.false(suitabilityOf(dataRack("r7"), "other", workers).isSuitable);
+    t.true(suitabilityOf(dataRack("r7"), workers).hasData);
+    t.false(suitabilityOf(dataRack("r8"), workers).hasData);
+    t.false(suitabilityOf(dataRack("r7"), []).isSuitable);
 });
--- a/src/dispatch/common/test/shardBalancer.test.ts
+++ b/src/dispatch/common/test/shardBalancer.test.ts
@@ -13,6 +13,7 @@
 import { ShardBalancer } from "../shardBalancer";
 import { encodeShardLoad } from "../shardLoad";
 import { ShardLoadTable } from "../shardLoadTable";
+import { WorkerEntry } from "../workerEntry";
 import { createJob, createStep, createWorker, place } from "./runs";
 
 /** CPU of each shard, in thousandths of a core: that of one worker. */
@@ -21,19 +22,25 @@
 /** Interval between two submissions, in ms. */
 const INTERVAL_MS = 100;
 
-/** A full shard, and another one without runs and waiting tasks. Each job requests an eighth of a shard. */
-function createFullShard() {
+/**
+ * A shard with one worker, and another one without runs and waiting tasks. Each job requests an eighth of a shard.
+ * @param isFull Whether a run has reserved the CPU of the first one.
+ * @param entry Fields of its worker.
+ */
+function createShards(isFull: boolean, entry: Partial<WorkerEntry> = {}) {
     const writer = RecordWriter.create("leader", "jobs", { name: "leader", epoch: 1 }, Outbox.create<RecordEffect>());
     const jobs = ActiveJobTable.create(1, { jobs: writer, progress: writer });
     const table = JobTable.create();
     const loads = ShardLoadTable.create();
-    const worker = createWorker("w1");
+    const worker = createWorker("w1", entry);
     const full = { cpuMillis: SHARD_MILLIS, memoryMb: 1_000, accelerators: 0 };
-    place(worker, "full", createStep("full", false, { usesSpareCpu: false, request: full }));
+    if (isFull) {
+        place(worker, "full", createStep("full", false, { usesSpareCpu: false, request: full }));
+    }
     const usage = ServiceUsage.create();
     usage.update([worker], 0);
     const queues = QueueTable.create();
-    const workersOf = () => [worker.entry];
+    const workersOf = (shard: number) => [shard === 0 ? worker.entry : createWorker("w2").entry];
     const fleet = { shard: 0, count: 2, loads, policy: RoomTransferPolicy.create(), workersOf };
     const pace = { delayMs: 0, startMs: undefined };
     const log = () => undefined;
@@ -60,7 +67,7 @@
 }
 
 test("a shard gets no more jobs than it has room for while its leader publishes nothing", t => {
-    const { publishEmpty, submit } = createFullShard();
+    const { publishEmpty, submit } = createShards(true);
     publishEmpty(0);
     let left = 0;
     for (let now = INTERVAL_MS; now <= 2_000; now += INTERVAL_MS) {
@@ -69,3 +76,14 @@
     // With 14 of the 20 jobs, as much is requested of the other shard as of the full one with the rest.
     t.true(left > 0 && left <= 14, String(left));
 });
+
+test("a job leaves a shard in which only workers of another service, or such that leave, could run it", t => {
+    for (const entry of [{ service: "other" }, { state: "draining" }] as const) {
+        const { publishEmpty, submit } = createShards(false, entry);
+        publishEmpty(0);
+        t.is(submit(INTERVAL_MS), 1);
+    }
+    const { publishEmpty, submit } = createShards(false);
+    publishEmpty(0);
+    t.is(submit(INTERVAL_MS), 0);
+});
