Transfer a job between its steps if they need workers of different shards

Callers would see a job wait without end: one of its steps needs a label that only one shard has, another one a label of another shard. No shard can run all of its steps, so none was ever chosen, and the job stayed where the next step cannot run. If no shard can run all steps, the ready ones count. The test failed before: the job was still in its first shard after 1.4 s.

--- a/src/dispatch/common/roomTransferPolicy.ts
+++ b/src/dispatch/common/roomTransferPolicy.ts
@@ -42,10 +42,13 @@
     ): ShardOption | undefined {
         const maxDelayMs = Math.max(own.delayMs, MAX_LEADER_DELAY_MS);
         const pressure = (option: ShardOption) => pressureOf(option, demand);
+        // If the steps need workers of several shards, the job goes from one to the other between them.
+        const hasSuitable = [own, ...others].some(each => each.isSuitable);
+        const isSuitable = (option: ShardOption) => (hasSuitable ? option.isSuitable : option.canStart);
         const [best] = others
-            .filter(each => each.isSuitable && each.delayMs <= maxDelayMs)
+            .filter(each => isSuitable(each) && each.delayMs <= maxDelayMs)
             .sort((a, b) => pressure(a) - pressure(b));
-        if (best === undefined || !own.isSuitable) {
+        if (best === undefined || !isSuitable(own)) {
             return best;
         }
         const { minPressure, minGain, minWaitMs } = termsOf(demand);
--- a/src/dispatch/common/shardSuitability.ts
+++ b/src/dispatch/common/shardSuitability.ts
@@ -6,6 +6,8 @@
 export interface Suitability {
     /** Whether they can run all of its steps. */
     readonly isSuitable: boolean;
+    /** Whether they can run those of its steps that are ready. */
+    readonly canStart: boolean;
     /** Whether the racks that hold the data of its steps are among theirs. */
     readonly hasData: boolean;
 }
@@ -19,6 +21,9 @@
     const { steps } = job.spec;
     return {
         isSuitable: steps.every(step => canRun(step, workers)),
+        canStart: [...job.groups].every(
+            group => group.done.isFull || !job.isReady(group) || canRun(group.step, workers),
+        ),
         hasData: steps.every(({ dataRack }) => dataRack === undefined || workers.some(({ rack }) => rack === dataRack)),
     };
 }
--- a/src/dispatch/common/test/roomTransferPolicy.test.ts
+++ b/src/dispatch/common/test/roomTransferPolicy.test.ts
@@ -16,7 +16,7 @@
 /** @returns A shard with 1,000 cores, of which a share is reserved, and a share is requested by best-effort tasks. */
 function shard(number: number, reserved: number, spare = 0, others: Partial<ShardOption> = {}): ShardOption {
     const load = { ...emptyLoad(), cpuMillis: 1e6, usedCpuMillis: reserved * 1e6, spareCpuMillis: spare * 1e6 };
-    return { shard: number, load, delayMs: 0, isSuitable: true, hasData: true, ...others };
+    return { shard: number, load, delayMs: 0, isSuitable: true, canStart: true, hasData: true, ...others };
 }
 
 function choose(demand: JobDemand, waitedMs: number | undefined, own: ShardOption, ...others: ShardOption[]) {
@@ -47,7 +47,7 @@
 });
 
 test("a shard whose workers cannot run a job leaves it to one whose workers can, and none goes to a leader that is later", t => {
-    const unsuitable = { isSuitable: false };
+    const unsuitable = { isSuitable: false, canStart: false };
     t.is(choose(URGENT, undefined, shard(0, 0.1, 0, unsuitable), shard(1, 0.99), shard(2, 0.2, 0, unsuitable)), 1);
     t.is(choose(URGENT, undefined, shard(0, 0.1, 0, unsuitable), shard(1, 0.99, 0, unsuitable)), undefined);
     t.is(choose(URGENT, undefined, shard(0, 0.99), shard(1, 0.1, 0, { delayMs: 900 })), undefined);
--- a/src/dispatch/common/test/shardBalancer.test.ts
+++ b/src/dispatch/common/test/shardBalancer.test.ts
@@ -40,7 +40,9 @@
     const usage = ServiceUsage.create();
     usage.update([worker], 0);
     const queues = QueueTable.create();
-    const workersOf = (shard: number) => [shard === 0 ? worker.entry : createWorker("w2").entry];
+    const workersOf = (shard: number) => [
+        shard === 0 ? worker.entry : createWorker("w2", { labels: ["second"] }).entry,
+    ];
     const fleet = { shard: 0, count: 2, loads, policy: RoomTransferPolicy.create(), workersOf };
     const pace = { delayMs: 0, startMs: undefined };
     const log = () => undefined;
@@ -51,19 +53,22 @@
         const value = encodeShardLoad({ delayMs: 0, services });
         return loads.apply({ key: "load-1", value, offset: 0 }, now);
     };
+    const review = (now: number) => {
+        publisher.tick(now);
+        balancer.review(now, now);
+    };
     let submitted = 0;
     /** Submits a job; returns how many have left the shard so far. */
-    const submit = (now: number) => {
+    const submit = (now: number, steps = [createStep("x", false, { usesSpareCpu: false })]) => {
         const id = `job${submitted}`;
-        const { spec } = createJob(id, createStep("x", false, { usesSpareCpu: false }));
+        const spec = { ...createJob(id, steps[0]).spec, steps };
         table.apply({ key: jobKey("spec", id), value: encodeSpec(spec), offset: submitted });
         submitted += 1;
         jobs.update(table.find(id)!);
-        publisher.tick(now);
-        balancer.review(now, now);
+        review(now);
         return submitted - jobs.size;
     };
-    return { publishEmpty, submit };
+    return { publishEmpty, submit, review, jobs };
 }
 
 test("a shard gets no more jobs than it has room for while its leader publishes nothing", t => {
@@ -87,3 +92,21 @@
     publishEmpty(0);
     t.is(submit(INTERVAL_MS), 0);
 });
+
+test("a job whose steps need workers of two shards goes from one to the other between the steps", t => {
+    const { publishEmpty, submit, review, jobs } = createShards(false, { labels: ["first"] });
+    const step = { usesSpareCpu: false };
+    const steps = [
+        createStep("x", false, { ...step, requiredLabel: "first" }),
+        createStep("x", false, { ...step, requiredLabel: "second", after: [0] }),
+    ];
+    publishEmpty(0);
+    t.is(submit(INTERVAL_MS, steps), 0);
+    const [job] = [...jobs.all];
+    job.markDone([...job.tasks()][0]);
+    for (let now = 2 * INTERVAL_MS; now <= 1_500; now += INTERVAL_MS) {
+        publishEmpty(now);
+        review(now);
+    }
+    t.is(jobs.size, 0);
+});
--- a/src/dispatch/common/transferPolicy.ts
+++ b/src/dispatch/common/transferPolicy.ts
@@ -10,6 +10,8 @@
     readonly delayMs: number;
     /** Whether it has workers that can run all steps of the job. */
     readonly isSuitable: boolean;
+    /** Whether it has workers that can run the steps that are ready. */
+    readonly canStart: boolean;
     /** Whether it has the racks that hold the data of the steps. */
     readonly hasData: boolean;
 }
