Merge the rest of the review of transfers: memory and accelerators, draining workers, steps of several shards

Jobs that wait for memory or accelerators stayed in a shard that had none free, since pressures were shares of the CPU: the largest of the three counts now (both tests failed before). Further findings: a job that its shard cannot run goes to a late leader, too (test); loads that are read while the stream is loaded are of any age, and one older than 1 s attracts no jobs; a review looks at 200 waiting jobs at most.

--- a/src/dispatch/common/activeJobTable.ts
+++ b/src/dispatch/common/activeJobTable.ts
@@ -207,11 +207,8 @@
         }
         this.jobs.delete(id);
         this.departed.set(id, { specOffset: job.specOffset, count });
-        this.writers.jobs.write(
-            record.key,
-            () => record.value,
-            () => this.deleteProgress(id, count),
-        );
+        const onStored = progress === undefined ? undefined : () => this.deleteProgress(id, count);
+        this.writers.jobs.write(record.key, () => record.value, onStored);
         return true;
     }
 
--- a/src/dispatch/common/jobDemand.ts
+++ b/src/dispatch/common/jobDemand.ts
@@ -6,6 +6,8 @@
     readonly cpuMillis: number;
     /** CPU of best-effort tasks, in thousandths of a core. */
     readonly spareCpuMillis: number;
+    readonly memoryMb: number;
+    readonly accelerators: number;
     /** Number of the tasks. */
     readonly tasks: number;
     /** Whether some of the tasks run until the job is cancelled. */
@@ -16,6 +18,8 @@
 export function demandOf(job: ActiveJob): JobDemand {
     let cpuMillis = 0;
     let spareCpuMillis = 0;
+    let memoryMb = 0;
+    let accelerators = 0;
     let tasks = 0;
     let isLongRunning = false;
     for (const group of job.groups) {
@@ -23,10 +27,12 @@
         const { request, usesSpareCpu, mode } = group.step;
         cpuMillis += usesSpareCpu ? 0 : waiting * request.cpuMillis;
         spareCpuMillis += usesSpareCpu ? waiting * request.cpuMillis : 0;
+        memoryMb += waiting * request.memoryMb;
+        accelerators += waiting * request.accelerators;
         tasks += waiting;
         isLongRunning ||= waiting > 0 && mode === "long-running";
     }
-    return { cpuMillis, spareCpuMillis, tasks, isLongRunning };
+    return { cpuMillis, spareCpuMillis, memoryMb, accelerators, tasks, isLongRunning };
 }
 
 function countWaiting({ tasks, done }: TaskGroup): number {
--- a/src/dispatch/common/loadPublisher.ts
+++ b/src/dispatch/common/loadPublisher.ts
@@ -88,6 +88,8 @@
                 const demand = demandOf(job);
                 load.waitingCpuMillis += demand.cpuMillis;
                 load.waitingSpareCpuMillis += demand.spareCpuMillis;
+                load.waitingMemoryMb += demand.memoryMb;
+                load.waitingAccelerators += demand.accelerators;
             }
         }
         return loads;
--- a/src/dispatch/common/roomTransferPolicy.ts
+++ b/src/dispatch/common/roomTransferPolicy.ts
@@ -2,7 +2,7 @@
 import { JobDemand } from "./jobDemand";
 import { ShardOption, TransferPolicy, TransferRequest } from "./transferPolicy";
 
-/** How jobs of one kind are transferred. Pressures are shares of the CPU of a service in a shard. */
+/** How jobs of one kind are transferred. Pressures are shares of the CPU, memory or accelerators of a service in a shard. */
 interface TransferTerms {
     /** Pressure of its shard from which on a job that has just been submitted is transferred. */
     readonly minPressure: number;
@@ -42,10 +42,13 @@
     ): ShardOption | undefined {
         const maxDelayMs = Math.max(own.delayMs, MAX_LEADER_DELAY_MS);
         const pressure = (option: ShardOption) => pressureOf(option, demand);
+        // If the steps need workers of several shards, the job goes from one to the other between them.
+        const hasSuitable = [own, ...others].some(each => each.isSuitable);
+        const isSuitable = (option: ShardOption) => (hasSuitable ? option.isSuitable : option.canStart);
         const [best] = others
-            .filter(each => each.isSuitable && each.delayMs <= maxDelayMs)
+            .filter(each => isSuitable(each) && (each.delayMs <= maxDelayMs || !isSuitable(own)))
             .sort((a, b) => pressure(a) - pressure(b));
-        if (best === undefined || !own.isSuitable) {
+        if (best === undefined || !isSuitable(own)) {
             return best;
         }
         const { minPressure, minGain, minWaitMs } = termsOf(demand);
@@ -61,10 +64,20 @@
     return spareCpuMillis > 0 ? BEST_EFFORT_TERMS : RESERVED_TERMS;
 }
 
-/** @returns What the tasks of a service and of the job request together, as a share of its CPU. Best-effort tasks use what others leave. */
+/**
+ * @returns What the tasks of a service and of the job request together, as a share of what it has: of the resource of which most is
+ * requested. Best-effort tasks use the CPU that others leave.
+ */
 function pressureOf({ load, hasData }: ShardOption, demand: JobDemand): number {
     const reserved = load.usedCpuMillis + load.waitingCpuMillis + demand.cpuMillis;
     const spare = load.spareCpuMillis + load.waitingSpareCpuMillis + demand.spareCpuMillis;
-    const requested = demand.spareCpuMillis > 0 ? reserved + spare : reserved;
-    return requested / Math.max(1, load.cpuMillis) + (hasData ? 0 : REMOTE_DATA_PRESSURE);
+    const cpu = shareOf(demand.spareCpuMillis > 0 ? reserved + spare : reserved, load.cpuMillis);
+    const memory = shareOf(load.usedMemoryMb + load.waitingMemoryMb + demand.memoryMb, load.memoryMb);
+    const requested = load.usedAccelerators + load.waitingAccelerators + demand.accelerators;
+    const accelerators = demand.accelerators === 0 ? 0 : shareOf(requested, load.accelerators);
+    return Math.max(cpu, memory, accelerators) + (hasData ? 0 : REMOTE_DATA_PRESSURE);
+}
+
+function shareOf(requested: number, capacity: number): number {
+    return requested / Math.max(1, capacity);
 }
--- a/src/dispatch/common/serviceLoad.ts
+++ b/src/dispatch/common/serviceLoad.ts
@@ -2,9 +2,11 @@
 export interface ServiceLoad {
     cpuMillis: number;
     memoryMb: number;
+    accelerators: number;
     /** CPU that is reserved by runs. */
     usedCpuMillis: number;
     usedMemoryMb: number;
+    usedAccelerators: number;
     /** Memory of throttled runs, each by how far it is throttled. */
     idleMemoryMb: number;
     /** CPU that best-effort runs request. */
@@ -13,6 +15,9 @@
     waitingCpuMillis: number;
     /** CPU that waiting best-effort tasks request. */
     waitingSpareCpuMillis: number;
+    /** Memory and accelerators that waiting tasks request. */
+    waitingMemoryMb: number;
+    waitingAccelerators: number;
 }
 
 /** @returns A load without workers, runs and waiting tasks. */
@@ -20,12 +25,16 @@
     return {
         cpuMillis: 0,
         memoryMb: 0,
+        accelerators: 0,
         usedCpuMillis: 0,
         usedMemoryMb: 0,
+        usedAccelerators: 0,
         idleMemoryMb: 0,
         spareCpuMillis: 0,
         waitingCpuMillis: 0,
         waitingSpareCpuMillis: 0,
+        waitingMemoryMb: 0,
+        waitingAccelerators: 0,
     };
 }
 
--- a/src/dispatch/common/serviceUsage.ts
+++ b/src/dispatch/common/serviceUsage.ts
@@ -121,6 +121,7 @@
         const sum = this.totals.get(service) ?? emptyLoad();
         sum.cpuMillis += capacity.cpuMillis;
         sum.memoryMb += capacity.memoryMb;
+        sum.accelerators += capacity.accelerators;
         for (const { task, speedPercent } of worker.runs.values()) {
             addRequest(sum, task.step, speedPercent);
         }
@@ -143,5 +144,6 @@
 function addRequest(totals: ServiceLoad, { request, usesSpareCpu }: StepSpec, speedPercent: number): void {
     totals[usesSpareCpu ? "spareCpuMillis" : "usedCpuMillis"] += request.cpuMillis;
     totals.usedMemoryMb += request.memoryMb;
+    totals.usedAccelerators += request.accelerators;
     totals.idleMemoryMb += request.memoryMb * (1 - speedPercent / 100);
 }
--- a/src/dispatch/common/shardBalancer.ts
+++ b/src/dispatch/common/shardBalancer.ts
@@ -22,6 +22,12 @@
 /** Time for which a job that was transferred stays at least, in ms; twice as long with each further transfer. */
 const MIN_STAY_MS = 2_000;
 
+/** Age of a load up to which jobs are transferred by it, in ms: after three records that are missing, the other leader may be lost. */
+const MAX_LOAD_AGE_MS = 1_000;
+
+/** Limit of the waiting jobs that one review looks at; the next one goes on with the others. */
+const MAX_JOBS_PER_REVIEW = 200;
+
 /** Interval at which the workers of the other shards are looked at, in ms. Their kinds change rarely. */
 const WORKERS_INTERVAL_MS = 2_000;
 
@@ -58,7 +64,10 @@
     /** Time (ms) at which a job was transferred to this shard. */
     private readonly arrivedAt = new WeakMap<ActiveJob, number>();
     private reviewedAt = Number.NEGATIVE_INFINITY;
-    private workers = new Map<number, readonly WorkerEntry[]>();
+    /** Number of the waiting job with which the next review begins. */
+    private firstReviewed = 0;
+    /** Workers of each shard by service. */
+    private workers = new Map<number, ReadonlyMap<string, readonly WorkerEntry[]>>();
     private workersReadAt = Number.NEGATIVE_INFINITY;
 
     private constructor(
@@ -124,9 +133,11 @@
                 waiting.push({ job, demand, waitedMs: now - since });
             }
         }
-        waiting.sort((a, b) => b.waitedMs - a.waitedMs);
+        const first = this.firstReviewed < waiting.length ? this.firstReviewed : 0;
+        this.firstReviewed = first + MAX_JOBS_PER_REVIEW;
+        const reviewed = waiting.slice(first, this.firstReviewed).sort((a, b) => b.waitedMs - a.waitedMs);
         let transfers = 0;
-        for (const { job, demand, waitedMs } of waiting) {
+        for (const { job, demand, waitedMs } of reviewed) {
             if (transfers >= MAX_TRANSFERS_PER_REVIEW) {
                 return;
             }
@@ -175,7 +186,8 @@
     }
 
     private otherOption(job: ActiveJob, service: string, number: number, now: number): ShardOption | undefined {
-        const published = number === this.fleet.shard ? undefined : this.fleet.loads.loadOf(number, now);
+        const { shard, loads } = this.fleet;
+        const published = number === shard ? undefined : loads.loadOf(number, now, MAX_LOAD_AGE_MS);
         const load = published?.services.get(service);
         if (published === undefined || load === undefined) {
             return undefined;
@@ -196,18 +208,18 @@
         load: ServiceLoad | undefined,
         now: number,
     ): ShardOption {
-        const suitability = suitabilityOf(job, service, this.workersOf(number, now));
+        const suitability = suitabilityOf(job, this.workersOf(number, service, now));
         return { shard: number, load: load ?? emptyLoad(), delayMs, ...suitability };
     }
 
-    private workersOf(number: number, now: number): readonly WorkerEntry[] {
+    private workersOf(number: number, service: string, now: number): readonly WorkerEntry[] {
         if (now - this.workersReadAt >= WORKERS_INTERVAL_MS) {
             this.workersReadAt = now;
             this.workers = new Map();
         }
-        const workers = this.workers.get(number) ?? this.fleet.workersOf(number);
+        const workers = this.workers.get(number) ?? groupByService(this.fleet.workersOf(number));
         this.workers.set(number, workers);
-        return workers;
+        return workers.get(service) ?? [];
     }
 
     /** Adds a waiting job to the load of this shard, or takes it out of it. @param sign 1 or -1. */
@@ -216,12 +228,31 @@
         if (load !== undefined) {
             load.waitingCpuMillis = Math.max(0, load.waitingCpuMillis + sign * demand.cpuMillis);
             load.waitingSpareCpuMillis = Math.max(0, load.waitingSpareCpuMillis + sign * demand.spareCpuMillis);
+            load.waitingMemoryMb = Math.max(0, load.waitingMemoryMb + sign * demand.memoryMb);
+            load.waitingAccelerators = Math.max(0, load.waitingAccelerators + sign * demand.accelerators);
         }
     }
 }
 
-function loadOf({ cpuMillis, spareCpuMillis }: JobDemand): ServiceLoad {
-    return { ...emptyLoad(), waitingCpuMillis: cpuMillis, waitingSpareCpuMillis: spareCpuMillis };
+/** @returns The workers of each service that accept new tasks. */
+function groupByService(workers: readonly WorkerEntry[]): Map<string, WorkerEntry[]> {
+    const groups = new Map<string, WorkerEntry[]>();
+    for (const worker of workers.filter(({ state }) => state === "ready")) {
+        const known = groups.get(worker.service) ?? [];
+        known.push(worker);
+        groups.set(worker.service, known);
+    }
+    return groups;
+}
+
+function loadOf({ cpuMillis, spareCpuMillis, memoryMb, accelerators }: JobDemand): ServiceLoad {
+    return {
+        ...emptyLoad(),
+        waitingCpuMillis: cpuMillis,
+        waitingSpareCpuMillis: spareCpuMillis,
+        waitingMemoryMb: memoryMb,
+        waitingAccelerators: accelerators,
+    };
 }
 
 /** @returns What is requested of a service's CPU, in percent, for the log. */
--- a/src/dispatch/common/shardLoad.ts
+++ b/src/dispatch/common/shardLoad.ts
@@ -17,12 +17,16 @@
 const loadSchema = z.object({
     cpuMillis: amount,
     memoryMb: amount,
+    accelerators: amount,
     usedCpuMillis: amount,
     usedMemoryMb: amount,
+    usedAccelerators: amount,
     idleMemoryMb: amount,
     spareCpuMillis: amount,
     waitingCpuMillis: amount,
     waitingSpareCpuMillis: amount,
+    waitingMemoryMb: amount,
+    waitingAccelerators: amount,
 });
 const FIELDS = Object.keys(loadSchema.shape) as (keyof ServiceLoad)[];
 
--- a/src/dispatch/common/shardLoadTable.ts
+++ b/src/dispatch/common/shardLoadTable.ts
@@ -40,10 +40,15 @@
         return load !== undefined;
     }
 
-    /** @param shard Number of a shard. @param now Time in ms. @returns Its load, or `undefined` if no recent one is known. */
-    loadOf(shard: number, now: number): ShardLoad | undefined {
+    /**
+     * @param shard Number of a shard.
+     * @param now Time in ms.
+     * @param maxAgeMs Age up to which its load counts, in ms.
+     * @returns Its load, or `undefined` if no recent one is known.
+     */
+    loadOf(shard: number, now: number, maxAgeMs = MAX_LOAD_AGE_MS): ShardLoad | undefined {
         const known = this.loads.get(shard);
-        return known === undefined || now - known.readAt > MAX_LOAD_AGE_MS ? undefined : known.load;
+        return known === undefined || now - known.readAt > maxAgeMs ? undefined : known.load;
     }
 
     /** @param shard Number of a shard. @returns Time (ms) at which its latest load was read, or `undefined` if none was. */
--- a/src/dispatch/common/shardSuitability.ts
+++ b/src/dispatch/common/shardSuitability.ts
@@ -6,22 +6,25 @@
 export interface Suitability {
     /** Whether they can run all of its steps. */
     readonly isSuitable: boolean;
+    /** Whether they can run those of its steps that are ready. */
+    readonly canStart: boolean;
     /** Whether the racks that hold the data of its steps are among theirs. */
     readonly hasData: boolean;
 }
 
 /**
  * @param job A job.
- * @param service Service whose workers run it.
- * @param workers Registered workers.
+ * @param workers Workers of its service that accept new tasks.
  * @returns Whether they can run it.
  */
-export function suitabilityOf(job: ActiveJob, service: string, workers: readonly WorkerEntry[]): Suitability {
-    const own = workers.filter(worker => worker.service === service);
+export function suitabilityOf(job: ActiveJob, workers: readonly WorkerEntry[]): Suitability {
     const { steps } = job.spec;
     return {
-        isSuitable: steps.every(step => canRun(step, own)),
-        hasData: steps.every(({ dataRack }) => dataRack === undefined || own.some(({ rack }) => rack === dataRack)),
+        isSuitable: steps.every(step => canRun(step, workers)),
+        canStart: [...job.groups].every(
+            group => group.done.isFull || !job.isReady(group) || canRun(group.step, workers),
+        ),
+        hasData: steps.every(({ dataRack }) => dataRack === undefined || workers.some(({ rack }) => rack === dataRack)),
     };
 }
 
--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -321,14 +321,15 @@
         } else if (this.shards.isPlanKey(record.key)) {
             this.shards.apply(record);
         } else if (parseLoadKey(record.key) !== undefined) {
-            this.applyLoad(record);
+            this.applyLoad(record, isFollowed);
         } else {
             this.jobs.apply(record);
         }
     }
 
-    private applyLoad(record: StoredRecord): void {
-        if (!this.loads.apply(record, this.now)) {
+    /** One that is read while the stream is loaded may be of any age. */
+    private applyLoad(record: StoredRecord, isFollowed: boolean): void {
+        if (isFollowed && !this.loads.apply(record, this.now)) {
             this.logMalformed("jobs", record.key, record.offset);
         }
     }
