--- a/src/dispatch/common/test/shardBalancer.test.ts
+++ b/src/dispatch/common/test/shardBalancer.test.ts
@@ -57,7 +57,9 @@
     const publisher = LoadPublisher.create(fleet, { jobs: () => jobs.all, queues, usage, pace, writer, log });
     const balancer = ShardBalancer.create(fleet, { jobs, queues, publisher, delayMs: () => 0, log });
     const publish = (now: number, used: Partial<ServiceLoad> = {}) => {
-        const services = new Map([["svc", { ...emptyLoad(), cpuMillis: SHARD_MILLIS, memoryMb: 256_000, ...used }]]);
+        const services = new Map([
+            ["svc", { ...emptyLoad(), cpuMillis: SHARD_MILLIS, memoryMb: 256_000, accelerators: 4, ...used }],
+        ]);
         const value = encodeShardLoad({ delayMs: 0, services });
         return loads.apply({ key: "load-1", value, offset: 0 }, now);
     };
