--- a/src/proof/node/test/standbyWorkers.test.ts
+++ b/src/proof/node/test/standbyWorkers.test.ts
@@ -7,11 +7,20 @@
 /** Time in which the first tasks start after an instance begins to lead, in ms. */
 const MAX_START_MS = 3_000;
 
+/** How long the instance is on standby, in ms, and whether workers renew their entries once it leads. */
+const CASES = [
+    { standbyMs: 10_000, hasHeartbeats: false },
+    { standbyMs: 12_500, hasHeartbeats: true },
+    { standbyMs: 15_000, hasHeartbeats: false },
+    { standbyMs: 17_500, hasHeartbeats: false },
+];
+
 /** A leader answers for the capacity of workers that do not reject tasks, so it has to know the age of their entries. */
 for (const rejectsOverload of [true, false]) {
     const kind = rejectsOverload ? "that reject what does not fit" : "that start what they are told to";
-    for (const standbyMs of [10_000, 12_500, 15_000, 17_500]) {
-        test(`an instance that leads after ${standbyMs} ms on standby starts tasks in time on a large fleet of workers ${kind}`, t => {
+    for (const { standbyMs, hasHeartbeats } of CASES) {
+        const entries = hasHeartbeats ? "" : ", by entries from before";
+        test(`an instance that leads after ${standbyMs} ms on standby starts tasks in time on workers ${kind}${entries}`, t => {
             const fixture = new InstanceFixture([]);
             const services = [{ name: "svc", rejectsOverload }];
             fixture.streams.operator.store("config", JSON.stringify({ ...CONFIGURATION, version: 2, services }));
@@ -27,6 +36,7 @@
                 fixture.advance(25);
             }
             const beganAt = fixture.time;
+            fixture.workers.forEach(worker => (worker.hasHeartbeats = hasHeartbeats));
             fixture.advance(MAX_START_MS);
             const started = new Set(fixture.takeStarted());
             t.true(fixture.time - beganAt <= MAX_START_MS);
--- a/src/records/common/recordFollower.ts
+++ b/src/records/common/recordFollower.ts
@@ -421,11 +421,16 @@
         return this.hasLargeRecords && earlierLength + lengthOf(answer) >= LARGE_PAGE_LENGTH;
     }
 
-    /** Whether nothing is to be read after a check of the end: there is nothing new, or it is not yet time for it. */
+    /**
+     * Whether nothing is to be read after a check of the end: there is nothing new, or it is not yet time for it. After a suspension, the
+     * records are read at once.
+     */
     private waitsForSlot({ sentAt, result }: StoreAnswer): boolean {
         const { slotAt } = this;
-        const isPaced = this.readTiming().slots !== undefined && slotAt !== undefined;
-        return isPaced && (sentAt < slotAt || result.unwrap().end <= this.nextOffset);
+        if (this.readTiming().slots === undefined || slotAt === undefined) {
+            return false;
+        }
+        return result.unwrap().end <= this.nextOffset || (sentAt < slotAt && this.knownUntil !== undefined);
     }
 
     /** Whether the record that was read after others had been skipped does not replace them. */
--- a/src/records/common/test/recordFollowerSlots.test.ts
+++ b/src/records/common/test/recordFollowerSlots.test.ts
@@ -103,6 +103,20 @@
     t.true(dueAt(read) > fixture.sentAt);
 });
 
+test("after a suspension, a reader does not wait for its slot", t => {
+    const fixture = createFixture(SLOT_TIMING);
+    fixture.step();
+    fixture.log.store("config", LARGE_VALUE);
+    fixture.step();
+    fixture.take();
+    fixture.log.store("config", "1");
+    fixture.suspend();
+    fixture.follower.hasten();
+    const [check] = fixture.take();
+    fixture.answerEnd(check);
+    t.deepEqual(describe(fixture.take()), ["read 0"]);
+});
+
 test("after a small record, a reader with slots reads at once again", t => {
     const fixture = createFixture(SLOT_TIMING);
     fixture.step();
