Keep further runs of a late leader's jobs within the limit on starts, and as many as its delay asks for

Cause: a leader that takes over half of the accepted 3 s keeps a second run of each job. These starts were treated like the first run of a job without any: each pass could send eight beyond the limit on starts in flight, however many were in flight already. A late leader became later, so that more jobs needed second runs, and the first runs of others came after them in the leader's queues.

Change: starts beyond the limit are for jobs without a run that is at work or about to be. Further runs come next, within the limit, jobs with the fewest runs first, and before the ordinary order. How many a job keeps follows from the delay: one, and one more for each duration of a task (as estimated, 0.5 s at least) in what the leader takes beyond half of the accepted time. It was two, whatever the delay.

Evidence: a new plan of trials, small-instances (one leader with 0.12 core for 33 workers, jobs of 16 to 24 tasks of 1 to 1.5 s in each step). Of the unit tests, "further runs of jobs that have one ..." and "the later a leader is ..." failed before.

--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -23,7 +23,7 @@
 /** How much faster a throttled task must run on another worker for a move, in percent of full speed. */
 const MIN_SPEED_GAIN_PERCENT = 40;
 
-/** How many more starts than usual may be in flight, of jobs that have to have a run soon. */
+/** How many more starts than usual may be in flight, of jobs without a run that have to have one soon. */
 const MAX_DUE_STARTS = 8;
 
 /** A task group with waiting or throttled tasks, and the criteria for its position in the queue. */
@@ -168,11 +168,11 @@
 
     /**
      * Places one task, or the gang, of each job that has to have a run soon: first long-running tasks, which have to run however full
-     * the service is, then the one that has waited longest.
+     * the service is, then the one that has waited longest. Jobs with a run that need another one come last, those with the fewest first.
      */
     private placeDue(waiting: readonly WaitingGroup[], placer: Placer, now: number): void {
         const idleMs = ({ group, tasks }: WaitingGroup) => this.waits.idleMs(group, tasks[0], now);
-        const due: WaitingGroup[] = [];
+        const due: (WaitingGroup & { readonly runs: number })[] = [];
         let nextDueMs = Number.POSITIVE_INFINITY;
         for (const entry of waiting.filter(each => !each.isThrottled)) {
             // Each task of a long-running step waits by itself, a job of others for one run.
@@ -180,7 +180,8 @@
             const dueMs = tasks.map(task => this.waits.dueMs(entry.group, task, entry.service, now));
             const dueTasks = tasks.filter((_, index) => dueMs[index] === 0);
             if (dueTasks.length > 0) {
-                due.push({ ...entry, tasks: isGang(entry) ? entry.tasks : dueTasks });
+                const runs = this.waits.coveringRuns(dueTasks[0], now);
+                due.push({ ...entry, runs, tasks: isGang(entry) ? entry.tasks : dueTasks });
             }
             nextDueMs = Math.min(nextDueMs, ...dueMs.filter(ms => ms !== undefined && ms > 0).map(Number));
         }
@@ -191,8 +192,12 @@
         // Best-effort tasks would fill each gap that is too small for it.
         lasting.forEach(({ tasks, service }) => tasks.forEach(task => task.run ?? placer.holdRoom(task, service)));
         const others = due.filter(entry => !isLongRunning(entry));
-        this.placeInOrder(others, placer, now);
+        const first = others.filter(({ runs }) => runs === 0);
+        this.placeInOrder(first, placer, now);
+        // Further runs of a job beyond the limit on starts would only delay the first ones of others.
         this.lastStart = 0;
+        const further = others.filter(({ runs }) => runs > 0).sort((a, b) => a.runs - b.runs);
+        this.placeInOrder(further, placer, now);
         if (Number.isFinite(nextDueMs)) {
             this.host.requestPassBy(now + nextDueMs);
         }
--- a/src/dispatch/common/test/stepQueueWaits.test.ts
+++ b/src/dispatch/common/test/stepQueueWaits.test.ts
@@ -1,8 +1,11 @@
 import test from "ava";
 import { StepSpec } from "../../../jobs/common/jobSpec";
+import { QueueTable } from "../../../jobs/common/queueTable";
 import { ActiveJob } from "../activeJob";
 import { LatencyModel } from "../latencyModel";
+import { ObjectiveOrder } from "../objectiveOrder";
 import { StepQueue } from "../stepQueue";
+import { SuspectTable } from "../suspectTable";
 import { Task } from "../task";
 import { WorkerContact } from "../workerContact";
 import {
@@ -280,3 +283,53 @@
     queue.placeWaiting([job], [createWorker()], 100, 1_000, 1_000);
     t.deepEqual(host.requestedPasses, [2_300, 2_300]);
 });
+
+/** How much later than the jobs accept a leader is, in ms. */
+const LATE_MS = 1_400;
+
+/** @returns A queue of a leader that is late. */
+function createLateQueue(): StepQueue {
+    const pace = { delayMs: LATE_MS, startMs: 900 };
+    const host = AssigningHost.create();
+    return StepQueue.create(
+        QueueTable.create(),
+        LatencyModel.create(),
+        SuspectTable.create(),
+        host,
+        ObjectiveOrder.create(),
+        pace,
+    );
+}
+
+/** @returns Jobs of six tasks, each with a run that its worker has just reported. */
+function createRunningJobs(count: number, workers: readonly WorkerContact[], now: number): ActiveJob[] {
+    return Array.from({ length: count }, (_, index) => {
+        const job = createJob(`running-${index}`, createBestEffort({ tasks: 6, estimateMs: 1_000 }));
+        report(assign(workers[index % workers.length], [...job.tasks()][0], now), 0, now);
+        return job;
+    });
+}
+
+function countRuns(job: ActiveJob): number {
+    return job.runsLike(() => true).length;
+}
+
+// Their second runs went beyond the limit with each pass, and a late leader became later.
+test("further runs of jobs that have one are started within the limit on starts, the first ones of others beyond it", t => {
+    const workers = Array.from({ length: 8 }, (_, index) => createWorker(`w${index}`));
+    const queue = createLateQueue();
+    const running = createRunningJobs(12, workers, 5_000);
+    const idle = createJob("idle", createBestEffort({ tasks: 6 }));
+    queue.placeWaiting([...running, idle], workers, -20, 5_000, 5_000);
+    t.deepEqual(running.map(countRuns), Array(12).fill(1));
+    t.is(countRuns(idle), 1);
+});
+
+test("of jobs that need further runs under a late leader, those with the fewest runs get them first", t => {
+    const workers = Array.from({ length: 8 }, (_, index) => createWorker(`w${index}`));
+    const queue = createLateQueue();
+    const running = createRunningJobs(4, workers, 5_000);
+    running.slice(0, 3).forEach((job, index) => report(assign(workers[index], [...job.tasks()][1], 5_000), 0, 5_000));
+    queue.placeWaiting(running, workers, 1, 5_000, 5_000);
+    t.deepEqual(running.map(countRuns), [2, 2, 2, 2]);
+});
--- a/src/dispatch/common/test/waitController.test.ts
+++ b/src/dispatch/common/test/waitController.test.ts
@@ -152,6 +152,30 @@
     }
 });
 
+test("the later a leader is for the duration of its tasks, the more runs a job keeps", t => {
+    const runsFor = (delayMs: number, estimateMs: number) => {
+        const waits = WaitController.create({ delayMs, startMs: 500 });
+        const job = createJob("a", createBestEffort({ tasks: 12, estimateMs }));
+        const [group] = job.groups;
+        const worker = createWorker();
+        const waiting = [...job.tasks()];
+        do {
+            report(assign(worker, waiting.shift()!), 0, 0);
+            waits.beginPass([worker], 0);
+            waits.updateJob(job, [group], 0, 0);
+        } while (waiting.length > 0 && waits.dueMs(group, waiting[0], "svc", 0) === 0);
+        return 12 - waiting.length;
+    };
+    t.deepEqual(
+        [0, 500, 700, 1_100, 1_600, 2_100].map(delayMs => runsFor(delayMs, 1_000)),
+        [1, 1, 2, 3, 4, 5],
+    );
+    t.deepEqual(
+        [500, 1_000, 2_000, 4_000].map(estimateMs => runsFor(2_000, estimateMs)),
+        [7, 4, 3, 2],
+    );
+});
+
 test("a job is not due while one of its runs is reported, and is in time once its worker is silent", t => {
     const fixture = new Fixture();
     const worker = createWorker();
--- a/src/dispatch/common/waitController.ts
+++ b/src/dispatch/common/waitController.ts
@@ -22,6 +22,9 @@
 /** Share of the accepted time that a leader may take for itself; one that takes more is too late to start runs one after the other. */
 const MAX_LATE_RATIO = 0.5;
 
+/** Shortest duration of a task that counts, in ms: estimates are rough. */
+const MIN_DURATION_MS = 500;
+
 /** How a waiting job is judged, for reports. */
 export interface WaitConditions extends UsageReport {
     /** Time without any run after which it goes before others, in ms, or `undefined` while its service is full. */
@@ -81,7 +84,7 @@
      */
     dueMs(group: TaskGroup, task: Task, service: string, now: number): number | undefined {
         const wait = this.waitOf(group, task, service, now);
-        const dueMs = this.needsSecondRun(task, wait) ? 0 : this.bounded.dueMs(wait);
+        const dueMs = this.needsFurtherRun(task, wait) ? 0 : this.bounded.dueMs(wait);
         return Number.isFinite(dueMs) && this.isCovered(task, now) ? undefined : dueMs;
     }
 
@@ -95,7 +98,7 @@
             return 100;
         }
         const wait = this.waitOf(group, task, service, now);
-        const bounded = this.needsSecondRun(task, wait) ? ANY_WORKER_PERCENT : this.bounded.minSpeedPercent(wait);
+        const bounded = this.needsFurtherRun(task, wait) ? ANY_WORKER_PERCENT : this.bounded.minSpeedPercent(wait);
         const patient = this.patient.minSpeedPercent({ waitedMs: this.idleUnderLeaderMs(group, task, now) });
         return Math.min(
             bounded < 100 && !this.isCovered(task, now) ? bounded : 100,
@@ -122,24 +125,27 @@
         return this.lateMs > MAX_IDLE_MS * MAX_LATE_RATIO;
     }
 
+    /** @returns Number of runs of the task's job, other than its own, that are at work or about to be. */
+    coveringRuns(task: Task, now: number): number {
+        const { lateMs } = this;
+        return task.job.runsLike(run => isAtWork(run, now) || isStarting(run, now, lateMs)).length;
+    }
+
     /** @returns Whether a job with a run needs another one now, since the leader is too late to start it after the end of the first. */
-    private needsSecondRun(task: Task, wait: Wait): boolean {
+    private needsFurtherRun(task: Task, wait: Wait): boolean {
         const hasRun = task.step.mode !== "long-running" && task.job.hasRun;
         return this.isLate && hasRun && Number.isFinite(this.bounded.limitMs(wait));
     }
 
-    /**
-     * @returns Whether a task need not start soon, since its job has another run that is at work or about to be. A leader that is
-     * too late to start the next one after its end needs two.
-     */
+    /** @returns Whether a task need not start soon, since its job has runs that last until the leader has started the next one. */
     private isCovered(task: Task, now: number): boolean {
-        if (task.step.mode === "long-running") {
-            return false;
-        }
-        const { lateMs } = this;
-        const needed = this.isLate ? 2 : 1;
-        const others = task.job.runsLike(run => isAtWork(run, now) || isStarting(run, now, lateMs));
-        return others.length >= needed;
+        return task.step.mode !== "long-running" && this.coveringRuns(task, now) >= this.neededRuns(task);
+    }
+
+    /** @returns How many runs cover the time that the leader takes beyond its share: one more for each duration of a task. */
+    private neededRuns({ step }: Task): number {
+        const excessMs = Math.max(0, this.lateMs - MAX_IDLE_MS * MAX_LATE_RATIO);
+        return 1 + Math.ceil(excessMs / Math.max(MIN_DURATION_MS, step.estimateMs));
     }
 }
 
--- a/src/proof/node/waitTrialPlan.ts
+++ b/src/proof/node/waitTrialPlan.ts
@@ -12,11 +12,15 @@
     | "worker-and-leader-lost"
     | "late-leader"
     | "late-leader-with-memory"
+    | "small-instances"
     | "whole-day";
 
 /** Costs of an instance that cannot keep up with a large fleet: it is up to 1 s late. */
 const BUSY_COSTS: TrialCosts = { ...MEASURED_COSTS, startMs: 0.6, listMs: 0.3, answerMs: 0.3 };
 
+/** Costs of an instance with a small share of a core, which is late all the time beside a queue of wide jobs. */
+const SMALL_COSTS: TrialCosts = { ...BUSY_COSTS, share: 0.12 };
+
 /** Latency-critical tasks that reserve under half of the CPU, and jobs of short tasks beside them. */
 const SHARED_WORKERS: ColocationPlan = {
     heavyRatio: 0.5,
@@ -99,6 +103,20 @@
             reserved: { cpuMillis: 7_200, memoryMb: 12_000 },
         },
     },
+    "small-instances": {
+        ...MEMORY_OVER_HALF,
+        workers: 33,
+        lengthMs: 24_000,
+        recoveryMs: 12_000,
+        colocation: {
+            ...SHARED_WORKERS,
+            bestEffortEveryMs: 200,
+            minTasks: 16,
+            maxTasks: 24,
+            workMs: { min: 1_000, max: 1_500 },
+        },
+        costs: SMALL_COSTS,
+    },
     "whole-day": {
         ...LATE_LEADER,
         recoveryMs: 12_000,
