Let workers hold lists for longer while the loop of the leader is late

Seen: a leader with 0.12 core for 33 workers is busy all the time; over a third of its requests are lists that end because nothing happened for 0.5 s.

Cause: the time for which a worker holds a list followed from the number of workers only, not from what the leader can handle.

Change: four times the median delay of the loop is added, up to the 1.2 s that large fleets have already. Ends are reported at once as before.

--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -254,7 +254,7 @@
         this.pacer.isLate = loop?.state === "late";
         this.pacer.run(this.pool.size, now, () => {
             this.passCount += 1;
-            this.pool.reviewStarts(loop?.summary.medianMs ?? 0, this.pacer.intervalMs(this.pool.size), now);
+            this.pool.reviewPace(loop?.summary.medianMs ?? 0, this.pacer.intervalMs(this.pool.size), now);
             const all = [...this.pool.all];
             const usable = this.admission.usableWorkers(all, now);
             this.queue.placeWaiting(this.activeJobs.all, usable, this.pool.remainingStarts(), now, wallNow, all);
--- a/src/dispatch/common/test/workerPool.test.ts
+++ b/src/dispatch/common/test/workerPool.test.ts
@@ -16,6 +16,7 @@
     createWorker,
     LIMITS,
     NoopRunHost,
+    place,
     readingOf,
     report,
 } from "./runs";
@@ -85,6 +86,24 @@
     t.true(waitOf(2_000) < 2_000);
 });
 
+test("list requests are held longer while the loop is late, but not where reports decide on speeds", t => {
+    const waitOf = (delayMs: number, images: readonly string[]) => {
+        const { pool, lists } = createPool(33);
+        const [worker] = [...pool.all];
+        images.forEach(image => place(worker, image, createStep(image, image === "web")).fire("accepted", { now: 1 }));
+        pool.reviewPace(delayMs, 150, LATER_MS);
+        pool.requestListSoon(worker, LATER_MS);
+        pool.tick(LATER_MS);
+        return lists()[0].order.waitMs;
+    };
+    t.deepEqual(
+        [0, 50, 100, 300].map(delayMs => waitOf(delayMs, ["batch"])),
+        [500, 700, 900, 1_200],
+    );
+    t.is(waitOf(300, ["web"]), 1_200);
+    t.is(waitOf(300, ["web", "batch"]), 500);
+});
+
 test("lists that are requested early are spaced in proportion to the number of workers", t => {
     const { pool, lists } = createPool(400);
     const [first] = [...pool.all];
--- a/src/dispatch/common/workerPool.ts
+++ b/src/dispatch/common/workerPool.ts
@@ -11,11 +11,12 @@
 
 /**
  * Time for which a worker holds a list request until a run ends, in ms, and so the age of the latencies that it
- * reports. A list costs the leader about 0.5 ms, so the wait grows with the number of workers, up to what the reaction
- * time to a missed latency target allows.
+ * reports. Each list is work for the leader, so the wait grows with the number of workers, up to what the reaction time to a
+ * missed latency target allows, and with the delay of the loop where no speed depends on the reports.
  */
 const MIN_LIST_WAIT_MS = 500;
 const LIST_WAIT_PER_WORKER_MS = 4;
+const LIST_WAIT_PER_DELAY_MS = 4;
 const MAX_LIST_WAIT_MS = 1_200;
 
 /** Interval between lists of an idle worker, in ms. */
@@ -94,6 +95,8 @@
     private firstLists: WorkerContact[] = [];
     private firstListsPerTick = 0;
     private readonly startWindow = StartWindow.create();
+    /** Median delay of the leader's loop, in ms. */
+    private loopDelayMs = 0;
 
     private constructor(
         private readonly epoch: number,
@@ -146,12 +149,13 @@
     }
 
     /**
-     * Adapts the number of starts in flight to how busy the leader is.
+     * Adapts the number of starts in flight, and the wait of lists, to how busy the leader is.
      * @param delayMs Median delay of its loop, in ms.
      * @param intervalMs Interval between two choices of workers, in ms.
      * @param now Time in ms.
      */
-    reviewStarts(delayMs: number, intervalMs: number, now: number): void {
+    reviewPace(delayMs: number, intervalMs: number, now: number): void {
+        this.loopDelayMs = delayMs;
         this.startWindow.review({ delayMs, intervalMs }, now);
     }
 
@@ -423,8 +427,10 @@
 
     /** A worker answers at the latest when it has survived the start of its suspected tasks, so that these are cleared. */
     private listWaitMs(worker: WorkerContact, now: number): number {
-        const waitMs = Math.max(MIN_LIST_WAIT_MS, this.contacts.size * LIST_WAIT_PER_WORKER_MS);
-        const onProbation = [...worker.runs.values()].filter(run => run.task.suspicion?.recorded !== undefined);
+        const runs = [...worker.runs.values()];
+        const forWorkersMs = Math.max(MIN_LIST_WAIT_MS, this.contacts.size * LIST_WAIT_PER_WORKER_MS);
+        const waitMs = forWorkersMs + (isShared(runs) ? 0 : this.loopDelayMs * LIST_WAIT_PER_DELAY_MS);
+        const onProbation = runs.filter(run => run.task.suspicion?.recorded !== undefined);
         const unproven = onProbation.filter(run => !run.isProven).map(run => Math.max(0, run.provenInMs(now)));
         return Math.round(Math.min(MAX_LIST_WAIT_MS, waitMs, ...unproven));
     }
@@ -483,6 +489,11 @@
         : STABLE_LIST_INTERVAL_MS;
 }
 
+/** @returns Whether latency-critical tasks run beside best-effort ones, whose speeds depend on what the worker reports. */
+function isShared(runs: readonly Run[]): boolean {
+    return runs.some(run => run.task.step.usesSpareCpu) && runs.some(run => run.task.step.tailTargetMs !== undefined);
+}
+
 function deregisteredEntry(record: RunRecord): WorkerEntry {
     return {
         id: record.worker,
--- a/src/proof/node/test/waitTrial.test.ts
+++ b/src/proof/node/test/waitTrial.test.ts
@@ -13,6 +13,7 @@
     ["late-leader", 1, "beside wide steps under a leader that is late"],
     ["late-leader-with-memory", 4, "beside wide steps under a leader that is late, with memory free"],
     ["small-instances", 1, "beside more wide jobs than the leader can start tasks for"],
+    ["small-instances", 4, "beside more wide jobs than the leader can start tasks for"],
     ["small-instances", 5, "beside more wide jobs than the leader can start tasks for"],
     ["whole-day", 3, "after a late leader, a grown fleet, lost workers and a restart of all instances"],
 ];
