Say what processor time and garbage collection a leader's loop takes

Callers' jobs waited under late leaders, and 2.2 to 2.9 s of each 5 s of their loops had no name in loop-load. The line now also has the processor time of the process (cpuMs), by which a loop that is busy can be told from one that waits for its processor, and the time of garbage collections (gcMs); the metric wigeonstall_gc_seconds_total has the latter.

--- a/src/host/common/loadRecorder.ts
+++ b/src/host/common/loadRecorder.ts
@@ -40,8 +40,19 @@
 type OrderKind = keyof typeof ORDER_FIELDS;
 type OrderField = (typeof ORDER_FIELDS)[OrderKind];
 
+/** What the process of a loop took, in ms. */
+export interface RuntimeUse {
+    /** Time for which the loop was not idle; the part that no kind of work has is that of the runtime and its libraries. */
+    readonly busyMs: number;
+    /** Processor time. Less of it than of busy time shows that the processor was not available. */
+    readonly cpuMs: number;
+    /** Time spent on garbage collection, also within work. */
+    readonly gcMs: number;
+}
+
 /** Delay of a loop and what it did, since the last report. All times are in ms. */
-export interface LoadReport extends Readonly<Partial<Record<WorkField | OrderField | ByteField, number>>> {
+export interface LoadReport
+    extends Partial<RuntimeUse>, Readonly<Partial<Record<WorkField | OrderField | ByteField, number>>> {
     readonly overMs: number;
     readonly medianMs: number;
     readonly p99Ms: number;
@@ -49,8 +60,6 @@
     /** Number of half seconds, and of those with an event that was handled too late. */
     readonly halfSeconds: number;
     readonly lateHalfSeconds: number;
-    /** Time for which the loop was not idle; the part that no kind of work has is that of the runtime and its libraries. */
-    readonly busyMs?: number;
     /** Number of requests that were sent. */
     readonly requests?: number;
     /** Starts in flight at the end, and how many may be; left out if the loop schedules nothing. */
@@ -104,10 +113,10 @@
     /**
      * @param now Time in ms.
      * @param starts The starts in flight, if the loop schedules.
-     * @param takeBusyMs Returns the time for which the loop was not idle since it was last called, in ms.
+     * @param takeUse Returns what the process took since it was last called.
      * @returns The report if one is due; the next one begins with it.
      */
-    takeReport(now: number, starts?: StartLoad, takeBusyMs?: () => number): LoadReport | undefined {
+    takeReport(now: number, starts?: StartLoad, takeUse?: () => RuntimeUse): LoadReport | undefined {
         if (this.startedAt === undefined || now - this.startedAt < REPORT_INTERVAL_MS) {
             return undefined;
         }
@@ -120,7 +129,7 @@
             mostMs: quantile(1),
             halfSeconds: this.mostByInterval.size,
             lateHalfSeconds: [...this.mostByInterval.values()].filter(ms => ms > MAX_LEADER_DELAY_MS).length,
-            ...(takeBusyMs === undefined ? {} : { busyMs: Math.round(takeBusyMs()) }),
+            ...(takeUse === undefined ? {} : roundedUse(takeUse())),
             ...this.workFields(),
             ...this.orderFields(),
             ...this.byteFields(),
@@ -166,6 +175,10 @@
     }
 }
 
+function roundedUse({ busyMs, cpuMs, gcMs }: RuntimeUse): RuntimeUse {
+    return { busyMs: Math.round(busyMs), cpuMs: Math.round(cpuMs), gcMs: Math.round(gcMs) };
+}
+
 function startFields(starts: StartLoad | undefined): Partial<LoadReport> {
     if (starts === undefined) {
         return {};
--- a/src/host/common/test/loadRecorder.test.ts
+++ b/src/host/common/test/loadRecorder.test.ts
@@ -35,7 +35,7 @@
     t.false("startMs" in recorder.takeReport(10_000, { inFlight: 0, window: 128, tookMs: undefined })!);
 });
 
-test("a report has the busy time of the loop and the bytes that were sent", t => {
+test("a report has what the process took and the bytes that were sent", t => {
     const recorder = LoadRecorder.create();
     recorder.recordDelay(0, 0);
     recorder.recordSent("start", 1_000);
@@ -43,9 +43,11 @@
     recorder.recordSent("append", 200);
     recorder.recordSent("read", 0);
     t.like(
-        recorder.takeReport(5_000, undefined, () => 1_234.4),
+        recorder.takeReport(5_000, undefined, () => ({ busyMs: 1_234.4, cpuMs: 600.2, gcMs: 80.6 })),
         {
             busyMs: 1_234,
+            cpuMs: 600,
+            gcMs: 81,
             startBytes: 1_500,
             appendBytes: 200,
             requests: 4,
--- a/src/host/node/jobMetrics.ts
+++ b/src/host/node/jobMetrics.ts
@@ -26,6 +26,11 @@
     private readonly omittedLines: Counter;
     private readonly loopDelays: Histogram;
     private readonly workSeconds: Counter<"kind">;
+    private readonly collectionSeconds = new Counter({
+        name: "wigeonstall_gc_seconds_total",
+        help: "Time that the runtime spent on garbage collection.",
+        registers: [this.registry],
+    });
     private readonly sentBytes = new Counter({
         name: "wigeonstall_sent_bytes_total",
         help: "Bytes of the bodies of orders to workers and of appends to the store.",
@@ -162,6 +167,11 @@
         this.workSeconds.inc({ kind }, durationMs / MS_PER_SECOND);
     }
 
+    /** Records a garbage collection. @param durationMs Duration in ms. */
+    recordCollection(durationMs: number): void {
+        this.collectionSeconds.inc(durationMs / MS_PER_SECOND);
+    }
+
     /** Records a request that is sent. @param bytes Size of its body, in bytes. */
     recordSent(kind: RequestKind, bytes: number): void {
         this.sentBytes.inc({ kind }, bytes);
--- a/src/host/node/jobProcess.ts
+++ b/src/host/node/jobProcess.ts
@@ -1,5 +1,4 @@
 import { Server } from "node:http";
-import { EventLoopUtilization, performance } from "node:perf_hooks";
 import { Disposable, toDisposable } from "../../base/common/disposable";
 import { DisposableStore } from "../../base/common/disposableStore";
 import { TrafficMeter } from "../../base/common/trafficMeter";
@@ -20,6 +19,7 @@
 import { JobPerformers } from "./jobPerformers";
 import { listen } from "./listen";
 import { createProbeServer } from "./probeServer";
+import { RuntimeMeter } from "./runtimeMeter";
 
 /** Interval between two ticks of the loop. */
 const TICK_INTERVAL_MS = 25;
@@ -46,8 +46,9 @@
     private readonly performers: JobPerformers;
     private readonly metrics = JobMetrics.create();
     private readonly load = LoadRecorder.create();
-    /** Use of the loop at the time of the latest report, if the instance leads. */
-    private utilization: EventLoopUtilization | undefined;
+    private readonly runtime = this.resources.add(RuntimeMeter.create());
+    /** Whether a report of the load has begun, which it does when the instance leads. */
+    private isReporting = false;
     private isStopRequested = false;
     private resolveStopped: () => void = () => undefined;
     private readonly stopped = new Promise<void>(resolve => (this.resolveStopped = resolve));
@@ -149,6 +150,7 @@
             }),
         );
         resources.add(this.performers.onDidWaitToSend(({ order, waitMs }) => load.recordOrderWait(order, waitMs)));
+        resources.add(this.runtime.onDidCollect(durationMs => metrics.recordCollection(durationMs)));
         resources.add(
             parts.traffic.onDidSend(({ kind, bytes }) => {
                 metrics.recordSent(kind, bytes);
@@ -175,23 +177,20 @@
         const { instance, load, parts } = this;
         if (!instance.isLeading) {
             load.reset();
-            this.utilization = undefined;
+            this.isReporting = false;
             return;
         }
-        this.utilization ??= performance.eventLoopUtilization();
+        if (!this.isReporting) {
+            this.isReporting = true;
+            this.runtime.take();
+        }
         load.recordDelay(delayMs, now);
-        const report = load.takeReport(now, instance.startLoad, () => this.takeBusyMs());
+        const report = load.takeReport(now, instance.startLoad, () => this.runtime.take());
         if (report !== undefined) {
             parts.log.log("loop-load", { ...report, logDelayMs: Math.round(parts.log.delayMs) });
         }
     }
 
-    private takeBusyMs(): number {
-        const { active } = performance.eventLoopUtilization(this.utilization);
-        this.utilization = performance.eventLoopUtilization();
-        return active;
-    }
-
     private async startServing(): Promise<void> {
         this.registerGauges();
         const { listen: addresses } = this.settings;
--- a/src/host/node/test/jobMetrics.test.ts
+++ b/src/host/node/test/jobMetrics.test.ts
@@ -46,3 +46,10 @@
     metrics.recordOrderWait("stop", 300);
     t.true((await metrics.text()).includes('wigeonstall_order_wait_seconds_sum{order="stop"} 0.3'));
 });
+
+test("the time of garbage collections is summed up", async t => {
+    const metrics = JobMetrics.create();
+    metrics.recordCollection(12);
+    metrics.recordCollection(8);
+    t.true((await metrics.text()).includes("wigeonstall_gc_seconds_total 0.02"));
+});
