--- a/src/host/node/test/jobMetrics.test.ts
+++ b/src/host/node/test/jobMetrics.test.ts
@@ -53,3 +53,10 @@
     metrics.recordRead("operator", 24);
     t.true((await metrics.text()).includes('wigeonstall_read_bytes_total{stream="operator"} 350024'));
 });
+
+test("the time of garbage collections is summed up", async t => {
+    const metrics = JobMetrics.create();
+    metrics.recordCollection(12);
+    metrics.recordCollection(8);
+    t.true((await metrics.text()).includes("wigeonstall_gc_seconds_total 0.02"));
+});
