Hold back a last attempt while each worker is lost every few seconds

The run before it waits now while each worker is lost once in 20 s or more often, by the short memory of LossRate, and the latest loss is less than 3 s ago, so that it is in time again after a calm of 7 s. An expired lease does not prolong the wait.

Test: "a last attempt waits while workers are lost every few seconds, and not for long after that" started the task at once before.

--- a/src/dispatch/common/failureController.ts
+++ b/src/dispatch/common/failureController.ts
@@ -35,6 +35,9 @@
  */
 const MAX_ATTRIBUTED_COINCIDENCE = 0.05;
 
+/** Time after a loss for which no task starts on its last attempt while workers are lost often, in ms: the next one may follow. */
+const LAST_ATTEMPT_HOLD_MS = 3_000;
+
 /** Host of a failure controller. */
 export abstract class FailureHost {
     /** Called when a job has failed. @param data Why it has failed. */
@@ -62,6 +65,8 @@
     private readonly sharedLosses = SharedLossTable.create();
     /** Time (ms) of the latest measurement. */
     private now: number | undefined;
+    /** Time (ms) at which the latest worker was lost for no known cause. */
+    private lostAt = Number.NEGATIVE_INFINITY;
 
     private constructor(
         private readonly queues: QueueTable,
@@ -129,6 +134,8 @@
         const culprits = new Set(suspects.filter(run => run.task.suspicion?.isAccusedAgain === true));
         if (![...culprits].some(run => run.task.suspicion?.state === "convicted")) {
             this.lossRate.recordLoss();
+            // The lease of a worker that is silent expires long after the loss.
+            this.lostAt = cause === "lease-expired" ? this.lostAt : (this.now ?? this.lostAt);
         }
         for (const run of runs) {
             run.task.lossAgeMs = isEarly(run) ? run.provenAgeMs : 0;
@@ -150,6 +157,7 @@
     recordUptime(workers: number, now: number): void {
         this.now = now;
         this.lossRate.recordUptime(workers, now);
+        this.suspects.holdsLastAttempts = this.lossRate.isHigh && now - this.lostAt < LAST_ATTEMPT_HOLD_MS;
     }
 
     /** Clears the suspected tasks whose start the worker has survived, after a list of the worker. */
--- a/src/dispatch/common/lossRate.ts
+++ b/src/dispatch/common/lossRate.ts
@@ -10,6 +10,9 @@
     { memoryMs: 60_000, priorLosses: 1 },
 ];
 
+/** Probability of a loss within a second, by the short memory, from which losses are frequent. */
+const FREQUENT_WITHIN_1S = 0.05;
+
 /** Longest time between two measurements that counts, in ms: the process may have been suspended meanwhile. */
 const MAX_INTERVAL_MS = 1_000;
 
@@ -60,11 +63,19 @@
         this.measurements.forEach(each => (each.losses = Math.max(0, each.losses - count)));
     }
 
+    /** Whether workers have been lost so often of late, for no known cause, that the loss of one more says little. */
+    get isHigh(): boolean {
+        const [recent] = this.measurements;
+        return -Math.expm1(-1_000 * rateOf(recent)) > FREQUENT_WITHIN_1S;
+    }
+
     /** @param ms A time in ms. @returns Probability that a worker is lost within that time for no known cause. */
     probabilityWithin(ms: number): number {
-        const rates = this.measurements.map(
-            each => (each.priorLosses + each.losses) / (PRIOR_UPTIME_MS + each.uptimeMs),
-        );
-        return -Math.expm1(-ms * Math.max(...rates));
+        return -Math.expm1(-ms * Math.max(...this.measurements.map(rateOf)));
     }
 }
+
+/** @returns Losses of a worker in a ms. */
+function rateOf({ priorLosses, losses, uptimeMs }: Measurement): number {
+    return (priorLosses + losses) / (PRIOR_UPTIME_MS + uptimeMs);
+}
--- a/src/dispatch/common/probationPlacer.ts
+++ b/src/dispatch/common/probationPlacer.ts
@@ -105,7 +105,8 @@
         const due = groups.filter(each => each.isDue);
         for (const group of [...due, ...groups.filter(each => !each.isDue)]) {
             const [first] = group.tasks;
-            if (this.suspects.isJobOnProbation(first, at.now)) {
+            const isHeld = this.suspects.holdsLastAttempts && group.tasks.some(isLastAttempt);
+            if (isHeld || this.suspects.isJobOnProbation(first, at.now)) {
                 continue;
             }
             const maxRatio = isContested && !group.isDue ? MAX_PROBATION_RATIO : MAX_UNCONTESTED_RATIO;
--- a/src/dispatch/common/suspectTable.ts
+++ b/src/dispatch/common/suspectTable.ts
@@ -13,6 +13,8 @@
 /** The tasks that are suspected of crashing the workers that start them, and those that are on their last attempt. */
 export class SuspectTable {
     private readonly tasks = new Set<Task>();
+    /** Whether no task starts on its last attempt now: workers are lost so often that it would be lost by coincidence. */
+    holdsLastAttempts = false;
 
     private constructor() {}
 
--- a/src/dispatch/common/test/failureEvidence.test.ts
+++ b/src/dispatch/common/test/failureEvidence.test.ts
@@ -1,10 +1,13 @@
 import test from "ava";
+import { QueueTable } from "../../../jobs/common/queueTable";
 import { FailureController } from "../failureController";
+import { LatencyModel } from "../latencyModel";
+import { StepQueue } from "../stepQueue";
 import { Task } from "../task";
 import { TaskSuspicion } from "../taskSuspicion";
 import { WorkerContact } from "../workerContact";
 import { createController, createTask, inherit, lose, measureLosses } from "./failures";
-import { assign, createWorker } from "./runs";
+import { AssigningHost, assign, createWorker, report } from "./runs";
 
 /** Starts a task on a worker whose loss comes to light 8 s later. */
 function loseLate(failures: FailureController, worker: WorkerContact, task: Task, startedAt: number): void {
@@ -56,3 +59,25 @@
     }
     t.deepEqual(host.failedJobs, [task.job]);
 });
+
+// Tasks were given up after five losses in a row, each of them one of many in a few seconds.
+test("a last attempt waits while workers are lost every few seconds, and not for long after that", t => {
+    const { suspects, failures } = createController();
+    const queue = StepQueue.create(QueueTable.create(), LatencyModel.create(), suspects, AssigningHost.create());
+    const workers = Array.from({ length: 6 }, (_, index) => createWorker(`w${index}`));
+    const task = createTask("a");
+    task.lossesInARow = 4;
+    suspects.update(task);
+    let at: number | undefined;
+    for (let now = 0; now <= 30_000 && at === undefined; now += 100) {
+        failures.recordUptime(workers.length, now);
+        if (now <= 15_000 && now % 500 === 0) {
+            const lost = createWorker(`lost${now}`);
+            report(assign(lost, createTask(`other${now}`), now - 5_000), 0, now);
+            lose(failures, lost);
+        }
+        queue.placeWaiting(now < 5_000 ? [] : [task.job], workers, 100, now, 1_700_000_000_000 + now);
+        at = task.run === undefined ? undefined : now;
+    }
+    t.true(at !== undefined && at > 15_000 && at <= 18_100, `waited until ${at}`);
+});
