Tell each new incarnation of a worker to reject the starts of before that were not answered

The clock of the new life makes the order valid again, its fence is that of the leader, and the stop is forgotten. The leader stopped only the runs that it still knew.

Each incarnation of the worker that a list shows is told to stop them until it confirms, and then rejects them.

--- a/src/dispatch/common/workerPool.ts
+++ b/src/dispatch/common/workerPool.ts
@@ -2,6 +2,7 @@
 import { RunRecord } from "../../jobs/common/jobRecord";
 import { DispatchLimits } from "./dispatchLimits";
 import { DispatchEffect } from "./dispatchEffects";
+import { LateStartTable } from "./lateStartTable";
 import { LeaseBook } from "./leaseBook";
 import { Run } from "./run";
 import { StartLoad, StartWindow } from "./startWindow";
@@ -94,6 +95,7 @@
     private firstLists: WorkerContact[] = [];
     private firstListsPerTick = 0;
     private readonly startWindow = StartWindow.create();
+    private readonly lateStarts = LateStartTable.create((worker, task, run) => this.sendStop(worker, task, run));
 
     private constructor(
         private readonly epoch: number,
@@ -265,6 +267,7 @@
     /** Requests lists that are due, retries stops, and gives up runs whose lease has expired. @param now Time in ms. */
     tick(now: number): void {
         this.leases.tick(this.contacts, now);
+        this.lateStarts.prune(now);
         this.firstLists.splice(0, this.firstListsPerTick).forEach(worker => (worker.mayList = true));
         for (const worker of this.contacts.values()) {
             if (worker.state === "reachable") {
@@ -304,6 +307,8 @@
             this.handleList(worker, event, now);
         } else if (event.kind === "start-answer") {
             this.recordStartAnswer(worker, event, now);
+        } else if (event.kind === "stop-answer" && event.outcome === "done") {
+            this.lateStarts.confirmStop(worker, event.order);
         }
         return worker;
     }
@@ -322,6 +327,9 @@
         const run = worker.runs.get(order.task);
         const assignedAt = run?.record.run === order.run ? run.assignedAt : sentAt;
         this.startWindow.recordAnswer({ outcome, tookMs: now - assignedAt }, this.maxStartsInFlight, now);
+        if (outcome === "no-answer") {
+            this.lateStarts.add(worker.entry.id, order, now);
+        }
     }
 
     private handleList(
@@ -363,7 +371,7 @@
                 run.recordReport(listed, now);
             } else {
                 worker.hasUnknownRuns = true;
-                this.stopUnknown(worker, listed.task, listed.run);
+                this.sendStop(worker, listed.task, listed.run);
             }
         }
         for (const run of [...worker.runs.values()]) {
@@ -371,6 +379,7 @@
                 run.fire("unlisted", { now });
             }
         }
+        this.lateStarts.review(worker, now);
         this.host.onRunList(worker, now);
         worker.nextListAt = now + listIntervalMs(worker);
     }
@@ -446,8 +455,8 @@
         }
     }
 
-    /** Stops a run that the leader does not know on this worker: its task has ended or runs elsewhere. */
-    private stopUnknown(worker: WorkerContact, task: string, run: number): void {
+    /** Stops a run that the leader does not know on this worker, or does not want there: its task has ended or runs elsewhere. */
+    private sendStop(worker: WorkerContact, task: string, run: number): void {
         this.effects.emit({ kind: "stop", worker: worker.entry, order: { task, run, epoch: this.epoch } });
     }
 
