--- a/src/records/common/recordFollower.ts
+++ b/src/records/common/recordFollower.ts
@@ -411,14 +411,16 @@
         this.unreachedEnd ??= { end, sentAt: answer.sentAt };
     }
 
+    /** Whether the next record may be large: a stream with slots only has large pages while its latest one was large. */
     private get hasLargeRecords(): boolean {
-        const { largePauseMs, slots } = this.readTiming();
-        return largePauseMs !== undefined || slots !== undefined;
+        return this.readTiming().largePauseMs !== undefined || this.slotAt !== undefined;
     }
 
     private isLarge(answer: StoreAnswer): boolean {
+        const { largePauseMs, slots } = this.readTiming();
+        const isPaced = largePauseMs !== undefined || slots !== undefined;
         const earlierLength = answer.kind === "newest-answer" ? this.loadedLength : 0;
-        return this.hasLargeRecords && earlierLength + lengthOf(answer) >= LARGE_PAGE_LENGTH;
+        return isPaced && earlierLength + lengthOf(answer) >= LARGE_PAGE_LENGTH;
     }
 
     /**
