--- a/src/dispatch/common/shardBalancer.ts
+++ b/src/dispatch/common/shardBalancer.ts
@@ -115,7 +115,7 @@
         const demand = demandOf(job);
         if (demand.tasks > 0 && !this.transfer(job, demand, undefined, now)) {
             // The load of this shard shows the job only after its next review.
-            this.shift(job, demand, 1);
+            this.adjustOwnLoad(job, demand, 1);
         }
     }
 
@@ -141,11 +141,11 @@
             if (transfers >= MAX_TRANSFERS_PER_REVIEW) {
                 return;
             }
-            this.shift(job, demand, -1);
+            this.adjustOwnLoad(job, demand, -1);
             if (this.transfer(job, demand, waitedMs, now)) {
                 transfers += 1;
             } else {
-                this.shift(job, demand, 1);
+                this.adjustOwnLoad(job, demand, 1);
             }
         }
     }
@@ -223,7 +223,7 @@
     }
 
     /** Adds a waiting job to the load of this shard, or takes it out of it. @param sign 1 or -1. */
-    private shift(job: ActiveJob, demand: JobDemand, sign: 1 | -1): void {
+    private adjustOwnLoad(job: ActiveJob, demand: JobDemand, sign: 1 | -1): void {
         const load = this.shard.publisher.loadOf(this.shard.queues.latestSettings(job.spec.queue).service);
         if (load !== undefined) {
             load.waitingCpuMillis = Math.max(0, load.waitingCpuMillis + sign * demand.cpuMillis);
