--- a/src/dispatch/common/lateStartTable.ts
+++ b/src/dispatch/common/lateStartTable.ts
@@ -24,7 +24,7 @@
 
 /**
  * Knows the starts that were not answered, beyond the life of their runs. A worker that has restarted under its id knows no stop
- * and no order of before, so a start that arrives then would run beside a later run of its task. Each new incarnation is told to
+ * and no order of before, so a start that arrives then would run beside a later run of its task. Each new incarnation is ordered to
  * stop these runs, and then rejects their starts.
  */
 export class LateStartTable {
