Count what a job waits for in a load at one place

What a waiting job requests was added to a load in three ways: field by field when the load is published, with a sign when the own load is adjusted, and as a load of its own for a recent transfer. addDemand serves all three. Also left out: the transfers that ActiveJob.create took from the progress, which both callers set again from the record of the transfer; the result of LoadPublisher.tick, which nobody used; and an empty load that was made for each waiting task of an undivided shard. Behaviour is as before; no test changed.

--- a/src/dispatch/common/activeJob.ts
+++ b/src/dispatch/common/activeJob.ts
@@ -65,7 +65,6 @@
     static create(spec: JobSpec, specOffset: number, progress: JobProgress | undefined): ActiveJob {
         const job = new ActiveJob(spec, specOffset);
         job.state = progress?.state ?? "queued";
-        job.transfers = progress?.transfers ?? 0;
         const keys = [
             ...Object.keys(progress?.done ?? {}),
             ...[...(progress?.tasks ?? []), ...(progress?.runs ?? [])].map(each => groupKeyOf(each.task)),
--- a/src/dispatch/common/jobDemand.ts
+++ b/src/dispatch/common/jobDemand.ts
@@ -1,4 +1,5 @@
 import { ActiveJob, TaskGroup } from "./activeJob";
+import { ServiceLoad } from "./serviceLoad";
 
 /** What the tasks of a job request that are ready and have no run. */
 export interface JobDemand {
@@ -35,6 +36,14 @@
     return { cpuMillis, spareCpuMillis, memoryMb, accelerators, tasks, isLongRunning };
 }
 
+/** Adds what a job waits for to a load, or takes it out of it. @param load Changed by the call. @param sign 1 or -1. */
+export function addDemand(load: ServiceLoad, demand: JobDemand, sign: 1 | -1 = 1): void {
+    load.waitingCpuMillis = Math.max(0, load.waitingCpuMillis + sign * demand.cpuMillis);
+    load.waitingSpareCpuMillis = Math.max(0, load.waitingSpareCpuMillis + sign * demand.spareCpuMillis);
+    load.waitingMemoryMb = Math.max(0, load.waitingMemoryMb + sign * demand.memoryMb);
+    load.waitingAccelerators = Math.max(0, load.waitingAccelerators + sign * demand.accelerators);
+}
+
 function countWaiting({ tasks, done }: TaskGroup): number {
     let count = 0;
     for (const task of tasks) {
--- a/src/dispatch/common/loadPublisher.ts
+++ b/src/dispatch/common/loadPublisher.ts
@@ -3,7 +3,7 @@
 import { RecordWriter } from "../../records/common/recordWriter";
 import { ActiveJob } from "./activeJob";
 import { DecisionData, DecisionName } from "./dispatchEffects";
-import { demandOf } from "./jobDemand";
+import { addDemand, demandOf } from "./jobDemand";
 import { addLoad, emptyLoad, percentOf, ServiceLoad } from "./serviceLoad";
 import { ServiceUsage } from "./serviceUsage";
 import { ShardFleet } from "./shardFleet";
@@ -54,10 +54,10 @@
         return this.loads.get(service);
     }
 
-    /** Reviews the load if that is due. @param now Time in ms. @returns Whether it was reviewed. */
-    tick(now: number): boolean {
+    /** Reviews the load if that is due. @param now Time in ms. */
+    tick(now: number): void {
         if (now - this.reviewedAt < REVIEW_INTERVAL_MS) {
-            return false;
+            return;
         }
         this.reviewedAt = now;
         this.loads = this.review();
@@ -71,7 +71,6 @@
             this.loggedAt = now;
             this.loads.forEach((load, service) => this.sources.log("shard-load", { service, ...reportOf(load) }));
         }
-        return true;
     }
 
     private review(): Map<string, ServiceLoad> {
@@ -85,11 +84,7 @@
         for (const job of this.sources.jobs()) {
             const load = isFinal(job.state) ? undefined : loads.get(queues.latestSettings(job.spec.queue).service);
             if (load !== undefined) {
-                const demand = demandOf(job);
-                load.waitingCpuMillis += demand.cpuMillis;
-                load.waitingSpareCpuMillis += demand.spareCpuMillis;
-                load.waitingMemoryMb += demand.memoryMb;
-                load.waitingAccelerators += demand.accelerators;
+                addDemand(load, demandOf(job));
             }
         }
         return loads;
--- a/src/dispatch/common/serviceUsage.ts
+++ b/src/dispatch/common/serviceUsage.ts
@@ -29,6 +29,9 @@
 /** Of a service without runs. */
 export const UNUSED: UsedRatios = { cpu: 0, idleMemory: 0 };
 
+/** Load of a service that no other leader has workers of. */
+const NOTHING: Readonly<ServiceLoad> = emptyLoad();
+
 /** Of a service of which nothing is known. */
 const FULL: UsedRatios = { cpu: 1, idleMemory: 1 };
 
@@ -130,7 +133,7 @@
 }
 
 /** @returns How much is in use of the capacity of one load, or of two together. */
-function usedRatios(load: ServiceLoad, other = emptyLoad()): UsedRatios {
+function usedRatios(load: ServiceLoad, other = NOTHING): UsedRatios {
     return {
         cpu: (load.usedCpuMillis + other.usedCpuMillis) / Math.max(1, load.cpuMillis + other.cpuMillis),
         idleMemory: (load.idleMemoryMb + other.idleMemoryMb) / Math.max(1, load.memoryMb + other.memoryMb),
--- a/src/dispatch/common/shardBalancer.ts
+++ b/src/dispatch/common/shardBalancer.ts
@@ -2,7 +2,7 @@
 import { ActiveJob } from "./activeJob";
 import { ActiveJobTable } from "./activeJobTable";
 import { DecisionData, DecisionName } from "./dispatchEffects";
-import { demandOf, JobDemand } from "./jobDemand";
+import { addDemand, demandOf, JobDemand } from "./jobDemand";
 import { LoadPublisher } from "./loadPublisher";
 import { addLoad, emptyLoad, percentOf, ServiceLoad } from "./serviceLoad";
 import { ShardFleet } from "./shardFleet";
@@ -170,7 +170,8 @@
         if (chosen === undefined || !shard.jobs.transfer(job, chosen.shard)) {
             return false;
         }
-        const load = loadOf(demand);
+        const load = emptyLoad();
+        addDemand(load, demand);
         this.recent.push({ shard: chosen.shard, service, load, at: now });
         shard.log("job-transferred", {
             job: job.spec.id,
@@ -226,10 +227,7 @@
     private adjustOwnLoad(job: ActiveJob, demand: JobDemand, sign: 1 | -1): void {
         const load = this.shard.publisher.loadOf(this.shard.queues.latestSettings(job.spec.queue).service);
         if (load !== undefined) {
-            load.waitingCpuMillis = Math.max(0, load.waitingCpuMillis + sign * demand.cpuMillis);
-            load.waitingSpareCpuMillis = Math.max(0, load.waitingSpareCpuMillis + sign * demand.spareCpuMillis);
-            load.waitingMemoryMb = Math.max(0, load.waitingMemoryMb + sign * demand.memoryMb);
-            load.waitingAccelerators = Math.max(0, load.waitingAccelerators + sign * demand.accelerators);
+            addDemand(load, demand, sign);
         }
     }
 }
@@ -245,16 +243,6 @@
     return groups;
 }
 
-function loadOf({ cpuMillis, spareCpuMillis, memoryMb, accelerators }: JobDemand): ServiceLoad {
-    return {
-        ...emptyLoad(),
-        waitingCpuMillis: cpuMillis,
-        waitingSpareCpuMillis: spareCpuMillis,
-        waitingMemoryMb: memoryMb,
-        waitingAccelerators: accelerators,
-    };
-}
-
 /** @returns What is requested of a service's CPU, in percent, for the log. */
 function percentsOf(prefix: "" | "to", load: ServiceLoad): DecisionData {
     const reserved = load.usedCpuMillis + load.waitingCpuMillis;
