Report the tasks that last and wait, also while others of their job run

job-waits names jobs without any run, so a task that lasts and waits beside running siblings was in no line, and its start could be among the lines that are omitted when many workers are lost.

lasting-tasks-wait states every 2 s, for each service, how many wait, how many of them are suspected, and what the workers lack for the one that has waited longest; it is a line of the essential kind. The number is a metric, too.

--- a/src/dispatch/common/dispatchEffects.ts
+++ b/src/dispatch/common/dispatchEffects.ts
@@ -36,6 +36,7 @@
     | "workers-left-out"
     | "job-ended"
     | "job-waits"
+    | "lasting-tasks-wait"
     | "suspended"
     | "view-old"
     | "view-recent"
--- a/src/dispatch/common/placer.ts
+++ b/src/dispatch/common/placer.ts
@@ -22,6 +22,9 @@
  */
 export type Obstacle = "otherKind" | "noRoom" | SpeedLimit | "ownLimit";
 
+/** What a worker lacks for a task: it is of another kind, or of CPU or memory, or only a limit or failure of the task itself is in the way. */
+export type Shortage = "otherKind" | "lacksCpu" | "lacksMemory" | "lacksBoth" | "ownLimit" | "hasRoom";
+
 const NO_OBSTACLES: Readonly<Record<Obstacle, number>> = {
     otherKind: 0,
     noRoom: 0,
@@ -163,6 +166,30 @@
         return counts;
     }
 
+    /** @returns Number of workers by what they lack for a task. */
+    countShortages(task: Task, service: string): Partial<Record<Shortage, number>> {
+        const counts: Partial<Record<Shortage, number>> = {};
+        this.workers.forEach((worker, position) => {
+            const shortage = this.shortage(task, service, worker, position);
+            counts[shortage] = (counts[shortage] ?? 0) + 1;
+        });
+        return counts;
+    }
+
+    private shortage(task: Task, service: string, worker: WorkerContact, position: number): Shortage {
+        const { request, usesSpareCpu } = task.step;
+        const { cpuMillis, memoryMb } = this.forecastAt(position).freeCapacity;
+        const lacksCpu = !usesSpareCpu && request.cpuMillis > cpuMillis;
+        const lacksMemory = request.memoryMb > memoryMb;
+        if (!isOfKind(task.step, service, worker)) {
+            return "otherKind";
+        }
+        if (lacksCpu || lacksMemory) {
+            return lacksCpu && lacksMemory ? "lacksBoth" : lacksCpu ? "lacksCpu" : "lacksMemory";
+        }
+        return isAcceptable(task, worker) ? "hasRoom" : "ownLimit";
+    }
+
     /**
      * @param task A waiting task.
      * @param service Service whose workers may run it.
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -103,6 +103,9 @@
         const sources = { jobs: this.activeJobs, queues: context.queues, usage, pace, writer: writers.jobs, log };
         this.shards = ShardController.create(context.fleet, sources);
         this.resources.add(this.queue.onDidWait(report => this.logWait(report)));
+        this.resources.add(
+            this.queue.onDidLastingWait(report => this.logDecision("lasting-tasks-wait", { ...report })),
+        );
         this.resources.add(this.activeJobs.onDidCancel(job => this.stopRuns(job, this.now)));
         this.resources.add(
             this.activeJobs.onDidIgnoreJob(job =>
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -1,6 +1,7 @@
 import { QueueTable } from "../../jobs/common/queueTable";
 import { isFinal } from "../../jobs/common/jobTable";
 import { ActiveJob, TaskGroup } from "./activeJob";
+import { LastingWaitReporter } from "./lastingWaitReporter";
 import { LatencyModel } from "./latencyModel";
 import { MoveTable } from "./moveTable";
 import { ObjectiveOrder } from "./objectiveOrder";
@@ -36,9 +37,12 @@
     private readonly probation: ProbationPlacer;
     private readonly waits: WaitController;
     private readonly waitReporter = WaitReporter.create();
+    private readonly lastingReporter = LastingWaitReporter.create();
     private readonly reviewer = RunReviewer.create();
     /** Fires for a job that has nothing running although a step is ready. */
     readonly onDidWait = this.waitReporter.onDidWait;
+    /** Fires for the long-running tasks of a service that wait for a run. */
+    readonly onDidLastingWait = this.lastingReporter.onDidWait;
     private remainingStarts = 0;
     /** Remaining starts at which no task is placed. */
     private lastStart = 0;
@@ -107,6 +111,7 @@
         this.waits.beginPass(allWorkers, now);
         const waiting = this.orderWaiting(jobs, now, wallNow);
         if (waiting.length === 0) {
+            this.lastingReporter.reportNone();
             return;
         }
         this.suspects.prune();
@@ -121,7 +126,7 @@
         if (Number.isFinite(this.nextDueMs)) {
             this.host.requestPassBy(now + this.nextDueMs);
         }
-        this.reviewWaits(waiting, placer, now);
+        this.reviewWaits(waiting, placer, workers.length, now);
     }
 
     /** Records the end of a run. @param run The run. @param now Time in ms. */
@@ -129,7 +134,9 @@
         this.reserve.recordEnd(run, this.queues.latestSettings(run.task.job.spec.queue).service, now);
     }
 
-    private reviewWaits(waiting: readonly WaitingGroup[], placer: Placer, now: number): void {
+    private reviewWaits(waiting: readonly WaitingGroup[], placer: Placer, usableCount: number, now: number): void {
+        const idleMs = ({ group }: { readonly group: TaskGroup }, task: Task) => this.waits.idleMs(group, task, now);
+        this.lastingReporter.review(waiting, idleMs, placer, usableCount, now);
         if (this.waitReporter.isDue(now)) {
             for (const entry of waiting) {
                 entry.waitedMs = entry.isThrottled ? 0 : this.waits.idleMs(entry.group, entry.tasks[0], now);
--- a/src/host/node/jobMetrics.ts
+++ b/src/host/node/jobMetrics.ts
@@ -47,6 +47,12 @@
         labelNames: ["shard", "service", "part"],
         registers: [this.registry],
     });
+    private readonly lastingWaits = new Gauge({
+        name: "wigeonstall_lasting_tasks_waiting",
+        help: "Long-running tasks of a service in a shard that this instance leads that have had no run for 2 s.",
+        labelNames: ["shard", "service"],
+        registers: [this.registry],
+    });
     private readonly readBytes = new Counter({
         name: "wigeonstall_read_bytes_total",
         help: "Bytes of the pages that were read of each stream of the store.",
@@ -171,6 +177,10 @@
         if (name === "shard-load") {
             this.recordShardLoad(data);
         }
+        if (name === "lasting-tasks-wait" && typeof data.waiting === "number") {
+            const { shard = 0, service = "" } = data;
+            this.lastingWaits.set({ shard: String(shard), service: String(service) }, data.waiting);
+        }
         if (name === "run-started" && typeof data.waitedMs === "number") {
             this.startWaits.observe(data.waitedMs / MS_PER_SECOND);
         }
