Keep CPU for a task that lasts and has lost its run until short tasks leave enough

lasting-tasks-wait shows why: 26.6 s, 39 tasks wait in one shard and 19 in the other, none suspected, no worker closed, lacksCpu on 102 of 112 and 107 of 114 workers. Such a task needs 13 to 18 cores, a short one 8. Each gap that short tasks leave is smaller than the former, so the next short one takes it, and the gaps never add up. A worker was only kept for a task that lacks nothing but memory.

Placer.holdRoom now keeps the worker that lacks the least of CPU and memory, if what its short runs hold is enough: nothing else is placed there until the task fits. That holds for tasks that ran before, as the use of reserved workers does; a new one leaves what short tasks release to them. The same condition ends the wait on a worker whose memory is held by runs that last.

The new test, with 13 cores against 8, had an infinite wait before.

--- a/src/dispatch/common/placer.ts
+++ b/src/dispatch/common/placer.ts
@@ -1,4 +1,4 @@
-import { StepSpec } from "../../jobs/common/jobSpec";
+import { StepSpec, TaskRequest } from "../../jobs/common/jobSpec";
 import { CapacityBounds } from "./capacityBounds";
 import { LatencyModel } from "./latencyModel";
 import { ReservedPolicy } from "./reservedPolicy";
@@ -25,6 +25,9 @@
 /** What a worker lacks for a task: it is of another kind, or of CPU or memory, or only a limit or failure of the task itself is in the way. */
 export type Shortage = "otherKind" | "lacksCpu" | "lacksMemory" | "lacksBoth" | "ownLimit" | "hasRoom";
 
+/** Resources for which a task waits on a worker until other runs end. */
+const RELEASED_RESOURCES = ["cpuMillis", "memoryMb"] as const;
+
 const NO_OBSTACLES: Readonly<Record<Obstacle, number>> = {
     otherKind: 0,
     noRoom: 0,
@@ -364,21 +367,20 @@
     }
 
     /**
-     * Keeps the worker that soonest has room for a task from other tasks for the rest of the pass: of those on which it lacks only
-     * memory, the one that has most of it free.
+     * Keeps the worker that soonest has room for a task from other tasks for the rest of the pass: of those on which the runs that end
+     * by themselves leave enough, the one that lacks the least.
+     * @param task A task that has to run soon and for which no worker has room.
+     * @param service Service whose workers may run it.
+     * @param mayHoldCpu Whether it is also kept from tasks with reserved CPU; otherwise only a worker that lacks just memory is kept.
      */
-    holdRoom(task: Task, service: string): void {
-        const { step } = task;
+    holdRoom(task: Task, service: string, mayHoldCpu: boolean): void {
         let best: WorkerContact | undefined;
-        let mostMb = Number.NEGATIVE_INFINITY;
+        let leastRatio = Number.POSITIVE_INFINITY;
         this.workers.forEach((worker, position) => {
-            const { cpuMillis, memoryMb, accelerators } = this.forecastAt(position).freeCapacity;
-            const { request } = step;
-            const lacksMemory = request.memoryMb > memoryMb && request.memoryMb <= worker.entry.capacity.memoryMb;
-            const hasRest = lacksMemory && request.cpuMillis <= cpuMillis && request.accelerators <= accelerators;
-            if (memoryMb > mostMb && hasRest && isOfKind(step, service, worker) && isAcceptable(task, worker)) {
+            const ratio = this.shortageRatio(task.step, worker, position, mayHoldCpu);
+            if (ratio < leastRatio && isOfKind(task.step, service, worker) && isAcceptable(task, worker)) {
                 best = worker;
-                mostMb = memoryMb;
+                leastRatio = ratio;
             }
         });
         if (best !== undefined) {
@@ -386,6 +388,21 @@
         }
     }
 
+    /**
+     * @returns The largest share of a request that a worker lacks; infinite if it lacks nothing, and only other reasons keep the task
+     * from it, or if its short runs do not leave as much when they end.
+     */
+    private shortageRatio({ request }: StepSpec, worker: WorkerContact, position: number, mayHoldCpu: boolean): number {
+        const { freeCapacity } = this.forecastAt(position);
+        const missing = (resource: keyof TaskRequest) => Math.max(0, request[resource] - freeCapacity[resource]);
+        const lacking = RELEASED_RESOURCES.filter(each => missing(each) > 0);
+        const isExcluded = missing("accelerators") > 0 || (missing("cpuMillis") > 0 && !mayHoldCpu);
+        if (lacking.length === 0 || isExcluded || lacking.some(each => missing(each) > heldByShortRuns(worker, each))) {
+            return Number.POSITIVE_INFINITY;
+        }
+        return Math.max(...lacking.map(each => missing(each) / request[each]));
+    }
+
     private update(position: number, forecast: WorkerForecast | undefined): void {
         this.forecasts[position] = forecast;
         this.versions[position] += 1;
@@ -434,3 +451,14 @@
     }
     return count;
 }
+
+/** @returns How much of a resource is held on a worker by runs that end by themselves. */
+function heldByShortRuns(worker: WorkerContact, resource: (typeof RELEASED_RESOURCES)[number]): number {
+    let held = 0;
+    for (const { task } of worker.runs.values()) {
+        const { mode, request, usesSpareCpu } = task.step;
+        const isHeld = mode !== "long-running" && (resource !== "cpuMillis" || !usesSpareCpu);
+        held += isHeld ? request[resource] : 0;
+    }
+    return held;
+}
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -181,8 +181,10 @@
         this.lastStart = Math.min(0, this.remainingStarts) - MAX_DUE_STARTS;
         const lasting = due.filter(isLongRunning);
         this.placeInOrder(lasting, placer, now);
-        // Best-effort tasks would fill each gap that is too small for it.
-        lasting.forEach(({ tasks, service }) => tasks.forEach(task => task.run ?? placer.holdRoom(task, service)));
+        // Others would fill each gap that is too small for it. One that never ran leaves the CPU that is reserved for short tasks to them.
+        lasting.forEach(({ tasks, service }) =>
+            tasks.forEach(task => task.run ?? placer.holdRoom(task, service, task.highestRun > 0)),
+        );
         const others = due.filter(entry => !isLongRunning(entry));
         const first = others.filter(({ runs }) => runs === 0);
         this.placeInOrder(first, placer, now);
--- a/src/dispatch/common/test/reservedWaits.test.ts
+++ b/src/dispatch/common/test/reservedWaits.test.ts
@@ -61,3 +61,52 @@
 test("a new task that lasts leaves a reserved worker without room for two to short tasks", t => {
     t.is(waitBesideReserve(12), Number.POSITIVE_INFINITY);
 });
+
+/** Interval at which a short task ends on a worker, in ms. */
+const SHORT_END_INTERVAL_MS = 500;
+
+/**
+ * @param hasRun Whether the task that lasts ran before.
+ * @returns Time until a task of 13 cores that lasts is assigned, in ms, on workers with two short tasks of 8 cores each, which end one
+ * after the other while others wait; infinite if it is not.
+ */
+function waitBehindShortTasks(hasRun: boolean): number {
+    const queue = createQueue(LatencyModel.create());
+    const workers = Array.from({ length: 4 }, (_, index) => createWorker(`w${index}`));
+    const lasting = { cpuMillis: 48_000, memoryMb: 1_000, accelerators: 0 };
+    workers.forEach((worker, index) => place(worker, `l${index}`, createStep("l", true, { request: lasting })));
+    const arriving = createJob("short", createStep("short", false, { usesSpareCpu: false, tasks: 400 }));
+    const request = { cpuMillis: 13_000, memoryMb: 1_000, accelerators: 0 };
+    const job = createJob("lasting", createStep("lasting", true, { request }));
+    job.find("lasting.0.0.0")!.highestRun = hasRun ? 1 : 0;
+    queue.placeWaiting([arriving], workers, 100, 0, 0);
+    for (let now = 0; now <= MAX_WAIT_MS; now += PASS_INTERVAL_MS) {
+        queue.placeWaiting([arriving, job], workers, 100, now, now);
+        if (job.hasRun) {
+            return now;
+        }
+        if (now % SHORT_END_INTERVAL_MS === 0) {
+            workers.forEach(endOldestShortRun);
+        }
+    }
+    return Number.POSITIVE_INFINITY;
+}
+
+function endOldestShortRun(worker: WorkerContact): void {
+    const run = [...worker.runs.values()].find(({ task }) => task.step.mode !== "long-running");
+    if (run !== undefined) {
+        worker.runs.delete(run.task.name);
+        run.task.run = undefined;
+        run.task.job.markDone(run.task);
+    }
+}
+
+// Short tasks took each gap that was too small for it.
+test("a task that lasts and has lost its worker does not wait for long behind short tasks that need less", t => {
+    const waitedMs = waitBehindShortTasks(true);
+    t.true(waitedMs <= MAX_IDLE_MS + 2 * SHORT_END_INTERVAL_MS, String(waitedMs));
+});
+
+test("a task that lasts and never ran leaves the CPU that short tasks release to them", t => {
+    t.is(waitBehindShortTasks(false), Number.POSITIVE_INFINITY);
+});
