Compile the parser of the HTTP client without the optimizing compiler

The parser of the HTTP client is WebAssembly. The runtime compiles it with its baseline compiler first, and then, a few responses later, its largest functions with the optimizing compiler, in the background of each process.

--- a/src/services/node/connectionPool.ts
+++ b/src/services/node/connectionPool.ts
@@ -1,3 +1,4 @@
+import { setFlagsFromString } from "node:v8";
 import type { Pool } from "undici";
 import methods from "undici/lib/api/index.js";
 import Dispatcher from "undici/lib/dispatcher/dispatcher.js";
@@ -6,6 +7,10 @@
 // The index of the package does this, too; it is not loaded, to save memory (see undici.d.ts).
 Object.assign(Dispatcher.prototype, methods);
 
+// The parser of the library is WebAssembly. Optimizing it costs each process more memory than the rest of its start and much processor
+// time, and calls become no cheaper.
+setFlagsFromString("--liftoff-only");
+
 /** Time after which an idle connection is closed, in ms. */
 const KEEP_ALIVE_TIMEOUT_MS = 10_000;
 
