Wait for answers of workers as long as those of their failure domain take

The leaders were on time (0.17 s late at most), but 41 of 125 workers stayed uncontacted from 33.7 to 37.5 s, all of them in the other region, whose link was full: the instances that had been killed loaded their streams, and one of their pages took up to 1.4 s. The timeout of calls was 0.8 s: it follows the average duration over all workers, which those of the leader's region keep low, and calls that are given up did not count, so it could not grow where each call took longer. The lists of the far workers were given up and sent again until the leases had expired.

The average is now one for each failure domain, whose workers share the links, and a call that is given up counts with the time for which it was awaited.

The test fails before: all 14 far workers, which answer after 1.1 s, stay without an answer.

--- a/src/platform/node/platformWorkers.ts
+++ b/src/platform/node/platformWorkers.ts
@@ -6,18 +6,9 @@
 import { isNotSent } from "../../services/node/connectionPool";
 import { HttpClient } from "../../services/node/httpClient";
 import { decodeWorkerAnswer } from "../common/answerDecoder";
+import { AnswerTimes } from "../common/answerTimes";
 import { FailureListener } from "../common/failureListener";
 
-/**
- * Bounds of the timeout of a call to a worker, in addition to the time that the worker waits: 20 round trips between
- * regions, and a time that allows a retry within a lease.
- */
-const MIN_ANSWER_TIMEOUT_MS = 800;
-const MAX_ANSWER_TIMEOUT_MS = 2_400;
-
-/** Timeout of a call, as a multiple of the average duration over all workers. */
-const ANSWER_TIMEOUT_RATIO = 4;
-
 /** Path of each order. */
 const PATHS: Readonly<Record<WorkerEffect["kind"], string>> = {
     start: "/api/run-start",
@@ -26,13 +17,9 @@
     list: "/api/hold",
 };
 
-/** Weight of the latest answer in the average duration. */
-const SMOOTHING_RATIO = 0.05;
-
 /** Calls workers over HTTP. */
 export class PlatformWorkers extends WorkerClient {
-    /** Average duration of calls in ms. It rises when this instance is slow, so workers do not seem unreachable. */
-    private averageAnswerMs = 0;
+    private readonly times = AnswerTimes.create();
 
     private constructor(
         private readonly client: HttpClient,
@@ -99,6 +86,7 @@
     ): Promise<OrderAnswer> {
         const path = PATHS[kind];
         const body = JSON.stringify(order);
+        const timeoutMs = waitMs + this.times.timeoutMs(worker.failureDomain);
         const startedAt = performance.now();
         let sentAt: number | undefined;
         const unsentMs = () => (sentAt ?? performance.now()) - startedAt;
@@ -109,19 +97,26 @@
                 path,
                 headers: { "content-type": "application/json", "expect-instance": worker.id },
                 body,
-                timeoutMs: waitMs + this.timeoutMs(),
+                timeoutMs,
                 onSent: () => {
                     sentAt = performance.now();
                     this.traffic.record(kind, Buffer.byteLength(body));
                 },
             });
-            this.recordAnswerDuration(performance.now() - startedAt, waitMs);
+            if (waitMs === 0) {
+                // It is not known how long the worker waited before it answered a long poll.
+                this.times.record(worker.failureDomain, performance.now() - startedAt);
+            }
             const decoded = decodeWorkerAnswer(answer.status, answer.body);
             if (decoded === undefined) {
                 this.onFailure(path, `malformed answer of ${worker.id}, status ${answer.status}`);
             }
             return { ...(decoded ?? { outcome: "no-answer", clockMs: undefined }), unsentMs: unsentMs() };
         } catch (error) {
+            const durationMs = performance.now() - startedAt;
+            if (durationMs >= timeoutMs) {
+                this.times.record(worker.failureDomain, durationMs - waitMs);
+            }
             return {
                 outcome: isNotSent(error) ? "unreachable" : "no-answer",
                 clockMs: undefined,
@@ -129,20 +124,4 @@
             };
         }
     }
-
-    private timeoutMs(): number {
-        return Math.round(
-            Math.max(
-                MIN_ANSWER_TIMEOUT_MS,
-                Math.min(MAX_ANSWER_TIMEOUT_MS, this.averageAnswerMs * ANSWER_TIMEOUT_RATIO),
-            ),
-        );
-    }
-
-    /** Answers to long polls are ignored, because it is not known how long the worker waited. */
-    private recordAnswerDuration(durationMs: number, waitMs: number): void {
-        if (waitMs === 0) {
-            this.averageAnswerMs += SMOOTHING_RATIO * (durationMs - this.averageAnswerMs);
-        }
-    }
 }
