Reset the recorder of the load when a report begins

Every tick on standby emptied what the recorder had collected for the report of a leader, 7 of 300 ms that a standby was busy in 12 s (profile). It is emptied when an instance begins to lead instead, so the report is the same.

--- a/src/host/node/jobProcess.ts
+++ b/src/host/node/jobProcess.ts
@@ -188,12 +188,12 @@
     private reportLoad(delayMs: number, now: number): void {
         const { instance, load, parts } = this;
         if (!instance.isLeading) {
-            load.reset();
             this.isReporting = false;
             return;
         }
         if (!this.isReporting) {
             this.isReporting = true;
+            load.reset();
             this.runtime.take();
         }
         load.recordDelay(delayMs, now);
