Start no task in a failure domain that the operator evacuates

The operator requests with a record that nothing more be sent to the workers of a failure domain until it is removed.

Now the platform's decoder names the domain, a table that all instances keep follows the records and, after a reload, the keys that are left. Workers of an evacuated domain are left out of passes and of the capacity that waits, transfers and loads rest on; a start whose assignment waited for the store is checked again and withheld. An order ends before an evacuation counts that the leader cannot know yet: its validity has one more bound on the view of the operator's stream, evacuationMs, which is left out where the deployment has none. Runs that are there go on. A change requests a pass, so workers that are taken back are used at once.

--- a/src/dispatch/common/dispatchEffects.ts
+++ b/src/dispatch/common/dispatchEffects.ts
@@ -42,7 +42,9 @@
     | "record-malformed"
     | "config-applied"
     | "config-old"
-    | "config-recent";
+    | "config-recent"
+    | "domain-evacuated"
+    | "domain-restored";
 
 /** A line for the decision log. */
 export interface DecisionEffect {
--- a/src/dispatch/common/dispatchLimits.ts
+++ b/src/dispatch/common/dispatchLimits.ts
@@ -8,6 +8,11 @@
     readonly cancelMs: number;
     /** Time after the store has accepted that a worker leaves from which no task starts there. */
     readonly drainMs: number;
+    /**
+     * Time after the store has accepted the evacuation of a failure domain from which no task starts there; left out where it is
+     * not bounded.
+     */
+    readonly evacuationMs?: number;
     /** Time for which the members of a gang wait for each other. */
     readonly gangWaitMs: number;
     /** Longest time for which a latency-critical task may exceed its target. */
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -88,7 +88,8 @@
         this.pool = WorkerPool.create(epoch, this.leases, limits, SchedulerPoolHost.create(this), effects);
         this.activeJobs = ActiveJobTable.create(epoch, writers);
         this.pruner = JobPruner.create(context.jobs, this.activeJobs, writers, context.limits.retentionMs);
-        this.admission = StartAdmission.create(context.queues, id => this.pool.find(id), context.effects);
+        const { queues, evacuations } = context;
+        this.admission = StartAdmission.create(queues, evacuations, id => this.pool.find(id), context.effects);
         this.orders = RunOrders.create(context, epoch, this.pool, this.admission, this.views);
         this.runHost = SchedulerRunHost.create(this, this.orders);
         this.throttle = RunThrottle.create(epoch, id => this.pool.find(id), context.effects);
@@ -113,6 +114,7 @@
             this.inheritRun(task, record, this.now),
         );
         this.resources.add(context.jobs.onDidChange(entry => this.onJobChange(entry)));
+        this.resources.add(evacuations.onDidChange(() => this.pacer.request()));
     }
 
     /**
@@ -264,7 +266,9 @@
             this.pool.reviewPace(loop?.summary.medianMs ?? 0, this.pacer.intervalMs(this.pool.size), now);
             const all = [...this.pool.all];
             const usable = this.admission.usableWorkers(all, now);
-            this.queue.placeWaiting(this.activeJobs.all, usable, this.pool.remainingStarts(), now, wallNow, all);
+            // What may not be used is no room for which a job could wait.
+            const counted = all.filter(({ entry }) => !this.context.evacuations.includes(entry));
+            this.queue.placeWaiting(this.activeJobs.all, usable, this.pool.remainingStarts(), now, wallNow, counted);
         });
     }
 
--- a/src/dispatch/common/schedulerContext.ts
+++ b/src/dispatch/common/schedulerContext.ts
@@ -6,6 +6,7 @@
 import { Leadership } from "../../records/common/leadership";
 import { DispatchEffect } from "./dispatchEffects";
 import { DispatchLimits } from "./dispatchLimits";
+import { EvacuationTable } from "./evacuationTable";
 import { InterferenceRow } from "./latencyModel";
 import { LeaseContext } from "./leaseBook";
 import { ShardFleet } from "./shardFleet";
@@ -18,6 +19,8 @@
     /** Progress of the jobs as recorded by earlier leaders. */
     readonly progress: ProgressTable;
     readonly queues: QueueTable;
+    /** Failure domains that are evacuated. */
+    readonly evacuations: EvacuationTable;
     readonly leadership: Leadership;
     /** Streams that this instance follows. */
     readonly views: StreamViews;
--- a/src/dispatch/common/shardFleet.ts
+++ b/src/dispatch/common/shardFleet.ts
@@ -12,6 +12,6 @@
     readonly loads: ShardLoadTable;
     /** Decides which jobs are left to other shards. */
     readonly policy: TransferPolicy;
-    /** @param shard Number of a shard. @returns Its registered workers. */
+    /** @param shard Number of a shard. @returns Its registered workers whose failure domains are not evacuated. */
     readonly workersOf: (shard: number) => readonly WorkerEntry[];
 }
--- a/src/dispatch/common/startAdmission.ts
+++ b/src/dispatch/common/startAdmission.ts
@@ -3,8 +3,9 @@
 import { QueueTable } from "../../jobs/common/queueTable";
 import { START_VALIDITY_MS } from "./dispatchLimits";
 import { DecisionEffect } from "./dispatchEffects";
+import { EvacuationTable } from "./evacuationTable";
 import { Run } from "./run";
-import { WorkerCensus, WorkerCounts } from "./workerCensus";
+import { ExclusionCause, WorkerCensus, WorkerCounts } from "./workerCensus";
 import { WorkerContact } from "./workerContact";
 
 /** Time after which a shrink of a worker's capacity counts, in ms: `stableWindowMs` and one heartbeat. */
@@ -21,13 +22,20 @@
 
 /**
  * Why the start of a run is not sent. `not-ready`: the worker drains, has left, or has restarted and may be of another kind.
- * `other-service`: the configuration has sent the queue to another service since the worker was chosen.
+ * `evacuated`: the operator has requested that nothing be sent to its failure domain. `other-service`: the configuration has sent the queue to another service since the worker was chosen.
  * `shrunk`: its runs exceed its capacity. `capacity-unknown`: its entry is too old to show what it can hold, or it has runs of
  * unknown size. `lease-recorded`: a record still says that its lease is not extended. `gang`: one of these holds for another
  * member.
  */
 export type WithholdReason =
-    "unreachable" | "lease-recorded" | "not-ready" | "other-service" | "shrunk" | "capacity-unknown" | "gang";
+    | "unreachable"
+    | "lease-recorded"
+    | "not-ready"
+    | "evacuated"
+    | "other-service"
+    | "shrunk"
+    | "capacity-unknown"
+    | "gang";
 
 /** Returns a worker by its identifier, if it is known. */
 export type FindWorker = (id: string) => WorkerContact | undefined;
@@ -44,18 +52,25 @@
 
     private constructor(
         private readonly queues: QueueTable,
+        private readonly evacuations: EvacuationTable,
         private readonly find: FindWorker,
         private readonly effects: EffectSink<DecisionEffect>,
     ) {}
 
     /**
      * @param queues Services as configured.
+     * @param evacuations Failure domains to whose workers nothing is sent.
      * @param find Finds the worker of a run.
      * @param effects Sink for log lines.
      * @returns The admission.
      */
-    static create(queues: QueueTable, find: FindWorker, effects: EffectSink<DecisionEffect>): StartAdmission {
-        return new StartAdmission(queues, find, effects);
+    static create(
+        queues: QueueTable,
+        evacuations: EvacuationTable,
+        find: FindWorker,
+        effects: EffectSink<DecisionEffect>,
+    ): StartAdmission {
+        return new StartAdmission(queues, evacuations, find, effects);
     }
 
     /** Workers of the latest pass, by why they were left out. */
@@ -69,7 +84,7 @@
         const unknown: WorkerContact[] = [];
         this.census.beginPass();
         for (const worker of workers) {
-            const cause = worker.exclusionCause(now);
+            const cause = this.exclusionCause(worker, now);
             const isKnown = cause !== undefined || this.isCapacityKnown(worker, now);
             this.census.count(isKnown ? cause : "capacityUnknown");
             if (cause === undefined) {
@@ -81,6 +96,11 @@
         return usable;
     }
 
+    private exclusionCause(worker: WorkerContact, now: number): ExclusionCause | undefined {
+        const isEvacuated = worker.isRegistered && this.evacuations.includes(worker.entry);
+        return isEvacuated ? "evacuated" : worker.exclusionCause(now);
+    }
+
     private logCensus(now: number): void {
         const data = this.census.takeReport(now);
         if (data !== undefined) {
@@ -127,6 +147,9 @@
         if (!worker.isRegistered || !worker.isReady || !worker.hasLabel(run.task.step.requiredLabel)) {
             return "not-ready";
         }
+        if (this.evacuations.includes(worker.entry)) {
+            return "evacuated";
+        }
         if (worker.entry.service !== this.queues.latestSettings(run.task.job.spec.queue).service) {
             return "other-service";
         }
--- a/src/dispatch/common/streamViews.ts
+++ b/src/dispatch/common/streamViews.ts
@@ -16,6 +16,7 @@
 export interface StreamViews {
     /** Submissions and cancellations. */
     readonly jobs: StreamView;
+    /** Configurations and evacuations. */
     readonly configuration: StreamView;
     readonly workers: StreamView;
     /** Left out if it is not measured. */
--- a/src/dispatch/common/test/schedulerFixture.ts
+++ b/src/dispatch/common/test/schedulerFixture.ts
@@ -8,6 +8,7 @@
 import { Leadership } from "../../../records/common/leadership";
 import { RecordWriter } from "../../../records/common/recordWriter";
 import { DecisionEffect, DispatchEffect } from "../dispatchEffects";
+import { EvacuationTable } from "../evacuationTable";
 import { InterferenceRow } from "../latencyModel";
 import { LeaseAuthority } from "../leaseBook";
 import { LeaseTable } from "../leaseTable";
@@ -80,7 +81,8 @@
         const rights = { canSendOrders: () => true, canExtendLeases: () => true, formerRenewedBy: undefined };
         this.leadership = { ...rights, renewedAt: 0, leasesSince: 1 };
         const leadership = this.leadership as unknown as Leadership;
-        const tables = { jobs, progress: ProgressTable.create(), queues };
+        const evacuations = EvacuationTable.create();
+        const tables = { jobs, progress: ProgressTable.create(), queues, evacuations };
         const context: SchedulerContext = {
             ...tables,
             leadership,
--- a/src/dispatch/common/test/viewController.test.ts
+++ b/src/dispatch/common/test/viewController.test.ts
@@ -91,3 +91,18 @@
     t.false(controller.canStart(NOW));
     t.deepEqual(lines, ["configuration"]);
 });
+
+test("an order ends before an evacuation that is not known yet is too old, if the deployment bounds it", t => {
+    const bounded = { ...LIMITS, configurationMs: 20_000, evacuationMs: 5_000 };
+    for (const configuration of [0, 3_500, 4_400]) {
+        const { controller } = createController({ jobs: 0, workers: 0, configuration }, bounded);
+        t.true(controller.canStart(NOW));
+        t.true(configuration + controller.startValidityMs(NOW) + LEASE_MARGIN_MS <= bounded.evacuationMs);
+    }
+    const old = createController({ jobs: 0, workers: 0, configuration: 4_401 }, bounded);
+    t.false(old.controller.canStart(NOW));
+    t.deepEqual(old.lines, [{ name: "view-old", old: "evacuations" }]);
+    const unbounded = { ...bounded, evacuationMs: undefined };
+    t.true(createController({ jobs: 0, workers: 0, configuration: 4_401 }, unbounded).controller.canStart(NOW));
+    t.false(createController({ jobs: 0, workers: 0 }, unbounded).controller.canStart(NOW));
+});
--- a/src/dispatch/common/test/workerCensus.test.ts
+++ b/src/dispatch/common/test/workerCensus.test.ts
@@ -2,13 +2,14 @@
 import { Outbox } from "../../../base/common/outbox";
 import { QueueTable } from "../../../jobs/common/queueTable";
 import { DecisionEffect } from "../dispatchEffects";
+import { EvacuationTable } from "../evacuationTable";
 import { StartAdmission } from "../startAdmission";
 import { createWorker } from "./runs";
 
 /** @returns An admission, and the data of its log lines of one name. */
-function createAdmission() {
+function createAdmission(evacuations = EvacuationTable.create()) {
     const outbox = Outbox.create<DecisionEffect>();
-    const admission = StartAdmission.create(QueueTable.create(), () => undefined, outbox);
+    const admission = StartAdmission.create(QueueTable.create(), evacuations, () => undefined, outbox);
     const lines = (name: string) =>
         outbox
             .drain()
@@ -58,3 +59,17 @@
     admission.usableWorkers([worker], 2_000);
     t.deepEqual(admission.latestCounts, { alive: 1, manyEnds: 1 });
 });
+
+test("workers of an evacuated domain get no tasks, and are counted apart from those that are alive", t => {
+    const evacuations = EvacuationTable.create();
+    const { admission } = createAdmission(evacuations);
+    const workers = ["w1", "w2", "w3"].map(createReachable);
+    workers[2].isRegistered = false;
+    const { failureDomain } = workers[0].entry;
+    evacuations.set({ failureDomain, isEvacuated: true });
+    t.deepEqual(admission.usableWorkers(workers, 0), []);
+    t.deepEqual(admission.latestCounts, { evacuated: 2 });
+    evacuations.retain(new Set());
+    t.deepEqual(admission.usableWorkers(workers, 0), workers.slice(0, 2));
+    t.deepEqual(admission.latestCounts, { alive: 2, usable: 2 });
+});
--- a/src/dispatch/common/viewController.ts
+++ b/src/dispatch/common/viewController.ts
@@ -32,7 +32,7 @@
 
 /** A view on which starts are decided, and how old it may be when a task starts. */
 interface BoundedView {
-    readonly name: "jobs" | "workers" | "configuration";
+    readonly name: "jobs" | "workers" | "configuration" | "evacuations";
     readonly view: StreamView;
     /** Time (ms) after a record of the stream is stored from which no task starts that it rules out. */
     readonly boundMs: number;
@@ -63,10 +63,15 @@
         limits: DispatchLimits,
         log: LogDecision,
     ) {
+        const { cancelMs, drainMs, configurationMs, evacuationMs } = limits;
+        const { jobs, workers, configuration: operator } = views;
         this.boundedViews = [
-            { name: "jobs", view: views.jobs, boundMs: limits.cancelMs },
-            { name: "workers", view: views.workers, boundMs: limits.drainMs },
-            { name: "configuration", view: views.configuration, boundMs: limits.configurationMs },
+            { name: "jobs", view: jobs, boundMs: cancelMs },
+            { name: "workers", view: workers, boundMs: drainMs },
+            { name: "configuration", view: operator, boundMs: configurationMs },
+            ...(evacuationMs === undefined
+                ? []
+                : [{ name: "evacuations" as const, view: operator, boundMs: evacuationMs }]),
         ];
         this.machine = Machine.create(chart, {
             guards: {},
@@ -100,8 +105,8 @@
     }
 
     /**
-     * Returns the validity of an order to start. Within it, no cancellation and no notice of a worker that is not known yet
-     * is older than the deployment allows, and no configuration that is not known yet must be in force.
+     * Returns the validity of an order to start. Within it, no cancellation, no notice of a worker and no evacuation that is not
+     * known yet is older than the deployment allows, and no configuration that is not known yet must be in force.
      * @param now Time in ms.
      * @returns The validity in ms; below `MIN_START_VALIDITY_MS` or negative while tasks may not be started.
      */
--- a/src/dispatch/common/workerCensus.ts
+++ b/src/dispatch/common/workerCensus.ts
@@ -2,6 +2,7 @@
 export type ExclusionCause =
     | "deregistered"
     | "draining"
+    | "evacuated"
     | "uncontacted"
     | "silent"
     | "otherIncarnation"
@@ -12,14 +13,14 @@
     | "onTrial"
     | "capacityUnknown";
 
-/** Workers that callers count as available, and the ones of them that get no tasks, by cause. */
+/** Workers that callers count as available, the ones of them that get no tasks, by cause, and those that are evacuated. */
 export type WorkerCounts = Readonly<Partial<Record<ExclusionCause | "alive" | "usable", number>>>;
 
 /** Interval between two reports, in ms. */
 const REPORT_INTERVAL_MS = 5_000;
 
-/** Causes that callers know: such a worker is to get no tasks. */
-const EXPECTED_CAUSES: ReadonlySet<ExclusionCause> = new Set(["deregistered", "draining"]);
+/** Causes that callers know: such a worker is to get no tasks, so it does not count as alive. */
+const EXPECTED_CAUSES: ReadonlySet<ExclusionCause> = new Set(["deregistered", "draining", "evacuated"]);
 
 /** Counts the workers that are registered and ready and still left out of passes, by cause. */
 export class WorkerCensus {
@@ -51,6 +52,8 @@
         if (cause === undefined || !EXPECTED_CAUSES.has(cause)) {
             this.add("alive");
             this.add(cause ?? "usable");
+        } else if (cause === "evacuated") {
+            this.add(cause);
         }
     }
 
--- a/src/host/common/entryDecoder.ts
+++ b/src/host/common/entryDecoder.ts
@@ -13,6 +13,15 @@
      */
     abstract decodeConfiguration(record: StoredRecord): Configuration | undefined;
 
+    /** @param key Key of a record of the operator. @returns Whether the record should request the evacuation of a failure domain. */
+    abstract isEvacuation(key: string): boolean;
+
+    /**
+     * @param key Key of a record of the operator. The domain is evacuated while there is the record, whatever its value.
+     * @returns The failure domain, or `undefined` if the key names none.
+     */
+    abstract decodeEvacuation(key: string): string | undefined;
+
     /**
      * @param record A record of a worker.
      * @returns The worker, or `undefined` if it was removed or the record is not valid.
--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -4,6 +4,7 @@
 import { Machine } from "../../base/common/machine";
 import { Outbox } from "../../base/common/outbox";
 import { DispatchLimits } from "../../dispatch/common/dispatchLimits";
+import { EvacuationTable } from "../../dispatch/common/evacuationTable";
 import { parseLeaseKey } from "../../dispatch/common/leaseRecord";
 import { RoomTransferPolicy } from "../../dispatch/common/roomTransferPolicy";
 import { parseLoadKey } from "../../dispatch/common/shardLoad";
@@ -29,6 +30,7 @@
 import { JobInstanceEffect, JobInstanceEvent } from "./jobInstanceEvents";
 import { JobInstanceIdentity } from "./jobInstanceIdentity";
 import { MalformedKeys } from "./malformedKeys";
+import { OperatorReceiver } from "./operatorReceiver";
 import { OfficeContext, ShardOffice } from "./shardOffice";
 import { WorkerTable } from "./workerTable";
 
@@ -113,6 +115,7 @@
     private readonly lifecycle: Machine<number, LifecycleState, LifecycleEvent, never, LifecycleAction>;
     private readonly jobs = JobTable.create();
     private readonly queues = QueueTable.create();
+    private readonly evacuations = EvacuationTable.create();
     private readonly shards = ShardTable.create();
     private readonly loads = ShardLoadTable.create();
     private readonly workers = WorkerTable.create(this.shards);
@@ -150,7 +153,12 @@
         const operatorTiming = () => (this.isLeading ? leaderOperatorTiming : standbyOperatorTiming);
         const jobsTiming = () => (this.isLeading ? LEADER_JOBS_TIMING : STANDBY_JOBS_TIMING);
         this.jobsFollower = RecordFollower.create("jobs", new JobsReceiver(this), jobsTiming, outbox);
-        this.operatorFollower = RecordFollower.create("operator", new OperatorReceiver(this), operatorTiming, outbox);
+        this.operatorFollower = RecordFollower.create(
+            "operator",
+            this.createOperatorReceiver(),
+            operatorTiming,
+            outbox,
+        );
         this.workersFollower = RecordFollower.create("workers", new WorkersReceiver(this), workersTiming, outbox);
         this.submissionWriter = RecordWriter.create(
             "submissions",
@@ -231,6 +239,11 @@
         return this.queues.version;
     }
 
+    /** Number of failure domains that are evacuated. */
+    get evacuatedCount(): number {
+        return this.evacuations.size;
+    }
+
     /** Number of known jobs. */
     get jobCount(): number {
         return this.jobs.size;
@@ -334,25 +347,6 @@
         }
     }
 
-    /** Applies a record of the operator. */
-    applyOperatorRecord(record: StoredRecord): void {
-        const configuration = this.decoder.decodeConfiguration(record);
-        if (configuration === undefined && this.decoder.isConfiguration(record)) {
-            this.logMalformed("operator", record.key, record.offset);
-        }
-        if (configuration !== undefined && this.queues.apply(configuration)) {
-            const { version } = configuration;
-            const { transfer } = this.operatorFollower;
-            const travel = transfer && { bytes: transfer.bytes, transferMs: Math.round(transfer.durationMs) };
-            this.outbox.emit({ kind: "decision", name: "config-applied", data: { version, ...travel } });
-        }
-    }
-
-    /** @returns Whether a record of the operator is a configuration, which is complete; nothing else of the stream is used. */
-    isConfiguration(record: StoredRecord): boolean {
-        return this.decoder.isConfiguration(record);
-    }
-
     /** Applies a record of a worker. @param writtenAfter Time (ms) after which it was certainly written, if known. */
     applyWorkerRecord(record: StoredRecord, writtenAfter: number | undefined): void {
         const entry = this.decoder.decodeWorker(record);
@@ -463,13 +457,19 @@
         return this.offices[shard];
     }
 
+    private createOperatorReceiver(): OperatorReceiver {
+        const { decoder, queues, evacuations, outbox } = this;
+        return OperatorReceiver.create(decoder, { queues, evacuations }, outbox, () => this.operatorFollower.transfer);
+    }
+
     private createOfficeContext(): OfficeContext {
-        const { identity, limits, jobs, queues, shards, loads, workers, loopDelay, outbox: effects } = this;
+        const { identity, limits, jobs, queues, evacuations, shards, loads, workers, loopDelay } = this;
+        const { outbox: effects } = this;
         const { jobsFollower, operatorFollower, workersFollower } = this;
         const followers = { jobsFollower, operatorFollower, workersFollower };
         const countOtherOffices = (own: number) =>
             this.offices.filter(office => office.shard !== own && office.isCandidate).length;
-        const tables = { jobs, queues, shards, loads, workers };
+        const tables = { jobs, queues, evacuations, shards, loads, workers };
         const { transferPolicy } = this;
         return { identity, limits, ...tables, ...followers, transferPolicy, loopDelay, effects, countOtherOffices };
     }
@@ -506,24 +506,6 @@
     }
 }
 
-class OperatorReceiver extends RecordReceiver {
-    constructor(private readonly instance: JobInstance) {
-        super();
-    }
-
-    override apply(record: StoredRecord): void {
-        this.instance.applyOperatorRecord(record);
-    }
-
-    override retainKeys(): void {
-        // A configuration stays in force until there is a newer one.
-    }
-
-    override replacesAll(record: StoredRecord): boolean {
-        return this.instance.isConfiguration(record);
-    }
-}
-
 class WorkersReceiver extends RecordReceiver {
     constructor(private readonly instance: JobInstance) {
         super();
--- a/src/host/common/jobSettings.ts
+++ b/src/host/common/jobSettings.ts
@@ -37,6 +37,8 @@
         cancelMs: z.nullish(startBound),
         /** Empty in deployments that do not bound it. */
         drainMs: z.nullish(startBound),
+        /** Empty in deployments without evacuations. */
+        evacuationMs: z.nullish(startBound),
         gangWaitMs: milliseconds,
         harmMs: milliseconds,
         configurationMs: startBound,
--- a/src/host/common/shardOffice.ts
+++ b/src/host/common/shardOffice.ts
@@ -8,6 +8,7 @@
 import { ShardLoadTable } from "../../dispatch/common/shardLoadTable";
 import { StartLoad } from "../../dispatch/common/startWindow";
 import { TransferPolicy } from "../../dispatch/common/transferPolicy";
+import { EvacuationTable } from "../../dispatch/common/evacuationTable";
 import { EntryReading } from "../../dispatch/common/workerEntry";
 import { WorkerEvent } from "../../dispatch/common/workerMessages";
 import { JobTable } from "../../jobs/common/jobTable";
@@ -34,6 +35,7 @@
     readonly limits: DispatchLimits;
     readonly jobs: JobTable;
     readonly queues: QueueTable;
+    readonly evacuations: EvacuationTable;
     readonly shards: ShardTable;
     readonly loads: ShardLoadTable;
     readonly transferPolicy: TransferPolicy;
@@ -74,7 +76,7 @@
             shard,
             loads: context.loads,
             policy: context.transferPolicy,
-            workersOf: number => context.workers.entriesOf(number),
+            workersOf: number => context.workers.entriesOf(number).filter(each => !context.evacuations.includes(each)),
             get count() {
                 return shards.count;
             },
@@ -230,11 +232,19 @@
 
     /** @returns A scheduler for the epoch that a takeover begins. @param writer Writer of the leader's records. */
     createScheduler(takeover: Takeover, writer: RecordWriter): Scheduler {
-        const { queues, limits, jobsFollower, operatorFollower, workersFollower, loopDelay: loop } = this.context;
+        const {
+            queues,
+            evacuations,
+            limits,
+            jobsFollower,
+            operatorFollower,
+            workersFollower,
+            loopDelay: loop,
+        } = this.context;
         const { jobs, leadership, leases, effects } = this;
         const { progress, learnedInterference } = takeover;
         const views = { jobs: jobsFollower, configuration: operatorFollower, workers: workersFollower, loop };
-        const tables = { jobs, progress, queues, leases };
+        const tables = { jobs, progress, queues, evacuations, leases };
         const { work } = this.context.identity;
         const { fleet } = this;
         const context = { ...tables, leadership, views, limits, learnedInterference, effects, work, fleet };
--- a/src/host/common/test/jobSettings.test.ts
+++ b/src/host/common/test/jobSettings.test.ts
@@ -24,10 +24,10 @@
     return parseYaml(text, "entry.yaml", jobSettingsSchema).findings.map(formatFinding);
 }
 
-test("the bounds of cancellations and of workers that leave may be missing or empty", t => {
+test("the bounds of cancellations, of workers that leave and of evacuations may be missing or empty", t => {
     t.deepEqual(checkScheduling([]), []);
-    t.deepEqual(checkScheduling(["cancelMs:", "drainMs:"]), []);
-    t.deepEqual(checkScheduling(["cancelMs: 3000", "drainMs: 5000"]), []);
+    t.deepEqual(checkScheduling(["cancelMs:", "drainMs:", "evacuationMs:"]), []);
+    t.deepEqual(checkScheduling(["cancelMs: 3000", "drainMs: 5000", "evacuationMs: 5000"]), []);
 });
 
 test("a bound so short that nothing could be started is an error with its position", t => {
@@ -35,6 +35,7 @@
     t.is(lines.length, 2);
     t.regex(lines[0], /^entry.yaml:14:15: scheduling.cancelMs is 600 \(expected more than 600\)/);
     t.regex(lines[1], /^entry.yaml:15:14: scheduling.drainMs is 0 \(expected more than 600\)/);
+    t.regex(checkScheduling(["evacuationMs: 600"])[0], /^entry.yaml:14:19: scheduling.evacuationMs is 600/);
     t.regex(checkScheduling([], 600)[0], /^entry.yaml:12:22: scheduling.configurationMs is 600/);
     t.regex(checkScheduling(["drainMs: soon"])[0], /^entry.yaml:14:14: scheduling.drainMs/);
 });
--- a/src/host/node/jobProcess.ts
+++ b/src/host/node/jobProcess.ts
@@ -135,6 +135,7 @@
         );
         metrics.addGauge("open_calls", "Callers that wait for an answer.", () => instance.openCallCount);
         metrics.addGauge("config_version", "Version of the configuration in force.", () => instance.configVersion ?? 0);
+        metrics.addGauge("evacuated_domains", "Failure domains that are evacuated.", () => instance.evacuatedCount);
         metrics.addGauge("jobs", "Jobs that are known.", () => instance.jobCount);
         metrics.addGauge(
             "log_delay_seconds",
--- a/src/platform/common/streamDecoder.ts
+++ b/src/platform/common/streamDecoder.ts
@@ -7,6 +7,12 @@
 
 const CONFIG_KEY = "config";
 
+/** Begins the key of a record that requests the evacuation of a zone; the zone follows. */
+const EVACUATION_PREFIX = "evacuate/";
+
+/** Zones are names in entries and settings; a key that cannot be read as text names none. */
+const ZONE_NAME = /^[\x21-\x7e\u00a0-\ufffc]{1,255}$/;
+
 /** An order names its worker in a header, so an id has visible ASCII characters only. */
 const WORKER_ID = /^[\x21-\x7e]{1,255}$/;
 
@@ -130,6 +136,15 @@
         };
     }
 
+    override isEvacuation(key: string): boolean {
+        return key.startsWith(EVACUATION_PREFIX);
+    }
+
+    override decodeEvacuation(key: string): string | undefined {
+        const zone = this.isEvacuation(key) ? key.slice(EVACUATION_PREFIX.length) : "";
+        return ZONE_NAME.test(zone) ? zone : undefined;
+    }
+
     override decodeWorker(record: StoredRecord): WorkerEntry | undefined {
         const text = record.value?.replace(HEARTBEAT_COUNT, "");
         const known = this.decodedEntries.get(record.key);
--- a/src/platform/common/test/streamDecoder.test.ts
+++ b/src/platform/common/test/streamDecoder.test.ts
@@ -255,3 +255,20 @@
     t.is(decodeText(`${text}x`, "w-7"), undefined);
     t.truthy(decodeText(text, "w-7"));
 });
+
+test("the record of an evacuation names the zone in its key", t => {
+    const zones = ["evacuate/caerdydd", "evacuate/z/1", "evacuate/\u00ee"].map(key => decoder.decodeEvacuation(key));
+    t.deepEqual(zones, ["caerdydd", "z/1", "\u00ee"]);
+    t.false(decoder.isConfiguration({ key: "evacuate/config", value: "{}", offset: 1 }));
+});
+
+test("a key that names no zone, or cannot be read, evacuates nothing", t => {
+    for (const zone of ["", " ", "a b", "a\n", "\u0000", "\ufffd", "x".repeat(256)]) {
+        t.true(decoder.isEvacuation(`evacuate/${zone}`));
+        t.is(decoder.decodeEvacuation(`evacuate/${zone}`), undefined);
+    }
+    for (const key of ["config", "wave/1", "evacuate", "evacuated/a", "x/evacuate/a", ""]) {
+        t.false(decoder.isEvacuation(key));
+        t.is(decoder.decodeEvacuation(key), undefined);
+    }
+});
--- a/src/proof/node/jobTrialPlan.ts
+++ b/src/proof/node/jobTrialPlan.ts
@@ -234,14 +234,22 @@
         super();
     }
 
-    override isConfiguration(): boolean {
-        return true;
+    override isConfiguration(record: StoredRecord): boolean {
+        return this.decoder.isConfiguration(record);
     }
 
     override decodeConfiguration(): Configuration {
         return configurationOf(this.plan);
     }
 
+    override isEvacuation(key: string): boolean {
+        return this.decoder.isEvacuation(key);
+    }
+
+    override decodeEvacuation(key: string): string | undefined {
+        return this.decoder.decodeEvacuation(key);
+    }
+
     override decodeWorker(record: StoredRecord): WorkerEntry | undefined {
         if (this.plan.oddEntryEveryMs !== undefined) {
             const entry = this.decoder.decodeWorker(record);
--- a/src/proof/node/leaderLoad.ts
+++ b/src/proof/node/leaderLoad.ts
@@ -3,6 +3,7 @@
 import { DispatchEffect } from "../../dispatch/common/dispatchEffects";
 import { LeaseTable } from "../../dispatch/common/leaseTable";
 import { Scheduler } from "../../dispatch/common/scheduler";
+import { EvacuationTable } from "../../dispatch/common/evacuationTable";
 import { SchedulerContext } from "../../dispatch/common/schedulerContext";
 import { encodeSpec, jobKey } from "../../jobs/common/jobRecord";
 import { JobSpec } from "../../jobs/common/jobSpec";
@@ -107,6 +108,7 @@
             jobs: this.jobs,
             progress: ProgressTable.create(),
             queues: QueueTable.create(),
+            evacuations: EvacuationTable.create(),
             leadership: this.leadership as unknown as Leadership,
             leases: LeaseTable.create(),
             views: { jobs: this.view, configuration: this.view, workers: this.view },
--- a/src/proof/node/test/instanceFixture.ts
+++ b/src/proof/node/test/instanceFixture.ts
@@ -1,4 +1,5 @@
 import { Err } from "ts-results";
+import { DispatchLimits } from "../../../dispatch/common/dispatchLimits";
 import { OrderAnswer } from "../../../dispatch/common/workerClient";
 import { StartOrder, WorkerEffect } from "../../../dispatch/common/workerMessages";
 import { JobInstance } from "../../../host/common/jobInstance";
@@ -55,6 +56,9 @@
     readonly answers: string[] = [];
     /** Streams whose reads are not answered. */
     readonly heldStreams = new Set<StreamName>();
+    /** Streams whose appends are stored but not answered. */
+    private readonly heldAppends = new Set<StreamName>();
+    private heldAnswers: (() => void)[] = [];
     /** Streams whose reads are received and never answered; they fail after some seconds. */
     readonly silentStreams = new Set<StreamName>();
     /** Whether another instance leads, which renews its record. */
@@ -73,18 +77,22 @@
     private callCount = 0;
     private due: DueAction[] = [];
 
-    constructor(workers: readonly string[]) {
+    /** @param limits Limits of the deployment that differ from those of the trials. */
+    constructor(
+        workers: readonly string[],
+        private readonly limits: Partial<DispatchLimits> = {},
+    ) {
         this.streams.operator.store("config", JSON.stringify(CONFIGURATION));
         workers.forEach((id, index) => this.addWorker(id, index));
         this.instance = this.startInstance();
     }
 
     /** Adds a worker. @param index Number of the worker, of which its address is derived. */
-    addWorker(id: string, index: number, service = "svc"): void {
+    addWorker(id: string, index: number, service = "svc", zone = "z"): void {
         const entry = {
             service,
             addr: `10.0.0.${index + 1}:8080`,
-            zone: "z",
+            zone,
             state: "ready",
             seq: 0,
             capacity: { cpu: 4_000, memMb: 8_000 },
@@ -116,6 +124,22 @@
         this.instance = this.startInstance();
     }
 
+    /** Lets appends to a stream be stored but not answered. */
+    holdAppends(stream: StreamName): void {
+        this.heldAppends.add(stream);
+    }
+
+    /** Answers the appends that were held back, and later ones at once. */
+    releaseAppends(): void {
+        this.heldAppends.clear();
+        this.heldAnswers.splice(0).forEach(answer => answer());
+    }
+
+    /** @param zone A failure domain. @returns The tasks that run on its workers. */
+    runsOf(zone: string): string[] {
+        return [...this.workers.values()].flatMap(({ entry, runs }) => (entry.zone === zone ? [...runs.keys()] : []));
+    }
+
     get isLeading(): boolean {
         return this.instance.isLeading;
     }
@@ -193,7 +217,8 @@
     private startInstance(): JobInstance {
         const name = `n${this.now}`;
         const identity = { instance: name, nonce: 7, storeRoundTripMs: () => 5, cores: 1 };
-        const instance = JobInstance.create(identity, LIMITS, StreamDecoder.create());
+        const limits = { ...LIMITS, ...this.limits };
+        const instance = JobInstance.create(identity, limits, StreamDecoder.create());
         instance.start().forEach(effect => this.perform(effect));
         return instance;
     }
@@ -239,7 +264,12 @@
             const { sequence } = append;
             this.after(TICK_MS, () => {
                 const result = log.append(append);
-                this.dispatch({ kind: "append-answer", writer, sequence, result });
+                const answer = () => this.dispatch({ kind: "append-answer", writer, sequence, result });
+                if (this.heldAppends.has(stream)) {
+                    this.heldAnswers.push(answer);
+                } else {
+                    answer();
+                }
             });
             return;
         }
