Read the records of other keys when large configurations are skipped

Evacuations between large configurations were not known until the history expired: nothing was sent, or nothing stopped being sent, to the domain by their records (evacuation.test.ts, two tests that failed with the evacuations alone). After a page of large records an instance asks for the end of the stream, and if several records were appended, reads the last one only, since a configuration replaces those before it. That was right while nothing else of the stream was used.

The newest records of the other keys, which follow the configuration's in key order, are now read first, in one small page that is sent again if it is late; the keys that are absent count as removed, as after a load. Then the last record is read, as before. Alternative: to load all keys, which takes a third more bytes of each configuration, on the link that orders need.

Changed tests: the two that expected the last record to be read at once expect the small page first; the records that they demand, and the load after a record that does not replace the skipped ones, are the same.

--- a/src/proof/node/test/evacuation.test.ts
+++ b/src/proof/node/test/evacuation.test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { InstanceFixture } from "./instanceFixture";
+import { CONFIGURATION, InstanceFixture } from "./instanceFixture";
 
 /** Time in which an instance without a leader before it begins to lead and contacts the workers, in ms. */
 const START_MS = 6_000;
@@ -225,3 +225,31 @@
     fixture.advance(1_000);
     t.deepEqual(startedDomains(fixture), ["west"]);
 });
+
+/** @returns A configuration that takes the link some time. */
+function largeConfiguration(version: number): string {
+    return JSON.stringify({ ...CONFIGURATION, version, padding: "x".repeat(200_000) });
+}
+
+// Of several records after a large configuration, only the last was read.
+for (const isRemoved of [false, true]) {
+    const change = isRemoved ? "the end of an evacuation" : "an evacuation";
+    test(`${change} between large configurations in quick succession is known in time`, t => {
+        const fixture = createLeader();
+        const { operator } = fixture.streams;
+        if (isRemoved) {
+            evacuate(fixture);
+            fixture.advance(500);
+        }
+        operator.store("config", largeConfiguration(2));
+        fixture.advance(500);
+        operator.store("config", largeConfiguration(3));
+        operator.store(EVACUATION_KEY, isRemoved ? undefined : "{}");
+        operator.store("config", largeConfiguration(4));
+        fixture.advance(CONFIGURATION_MS);
+        t.deepEqual(fixture.decisionsOf("domain-evacuated"), [{ failureDomain: "east" }]);
+        t.is(fixture.decisionsOf("domain-restored").length, isRemoved ? 1 : 0);
+        const applied = fixture.decisionsOf("config-applied").map(each => (each as { version: number }).version);
+        t.deepEqual(applied, [1, 2, 4]);
+    });
+}
--- a/src/records/common/recordFollower.ts
+++ b/src/records/common/recordFollower.ts
@@ -8,7 +8,7 @@
 import { KEY_AFTER_ALL, PageTransfer, StreamName } from "./recordStore";
 import { RecordEffect, RecordEvent } from "./recordEvents";
 
-type FollowerState = "loading" | "following" | "pausing" | "checking";
+type FollowerState = "loading" | "following" | "pausing" | "checking" | "skipping";
 type FollowerEvent =
     "page" | "last-page" | "records" | "truncated" | "failed" | "late" | "hasten" | "late-records" | "late-end";
 type FollowerGuard = "isLarge" | "isFarBehind" | "hasLargeRecords" | "waitsForSlot" | "canSkip" | "isGap";
@@ -25,6 +25,10 @@
     | "readNow"
     | "supersedeCheck"
     | "takeSlot"
+    | "readOthers"
+    | "readOthersNow"
+    | "readMoreOthers"
+    | "applyOthers"
     | "skipToLast"
     | "restart";
 
@@ -33,7 +37,7 @@
         chartText,
         "recordFollower.chart.yaml",
         {
-            states: ["loading", "following", "pausing", "checking"],
+            states: ["loading", "following", "pausing", "checking", "skipping"],
             events: [
                 "page",
                 "last-page",
@@ -59,6 +63,10 @@
                 "readNow",
                 "supersedeCheck",
                 "takeSlot",
+                "readOthers",
+                "readOthersNow",
+                "readMoreOthers",
+                "applyOthers",
                 "skipToLast",
                 "restart",
             ],
@@ -93,7 +101,10 @@
     /** Called after a complete load with the existing keys. All others have been deleted. */
     abstract retainKeys(keys: ReadonlySet<string>): void;
 
-    /** @returns Whether a record makes all earlier ones of its stream needless, so that these need not be read. */
+    /**
+     * @returns Whether a record is complete, so that earlier ones of its key need not be read. All keys of its stream that matter
+     * beside its own come after it in key order.
+     */
     replacesAll(_record: StoredRecord): boolean {
         return false;
     }
@@ -162,8 +173,8 @@
     private loadSentAt: number | undefined;
     /** Time (ms) from which large records may be read next; `undefined` while the records are small. */
     private slotAt: number | undefined;
-    /** Whether the latest record that was read makes all earlier ones needless. */
-    private hasReplacedAll = false;
+    /** Key of the latest records that were read, if they make all earlier ones of it needless. */
+    private replacingKey: string | undefined;
     /** Offset from which the stream is read although earlier records were not. */
     private skippedTo: RecordOffset | undefined;
     /** Ends of the stream, and when they were asked for, oldest first. Records from there on were written later. */
@@ -203,7 +214,7 @@
                 isFarBehind: answer => answer!.result.unwrap().end > this.nextOffset + 1,
                 hasLargeRecords: () => this.hasLargeRecords,
                 waitsForSlot: answer => this.waitsForSlot(answer!),
-                canSkip: answer => this.hasReplacedAll && answer!.result.unwrap().end > this.nextOffset + 1,
+                canSkip: answer => this.replacingKey !== undefined && answer!.result.unwrap().end > this.nextOffset + 1,
                 isGap: answer => this.isGap(answer!),
             },
             actions: {
@@ -219,7 +230,11 @@
                 readNow: () => this.emitReadNow(),
                 supersedeCheck: () => this.supersedeCheck(),
                 takeSlot: () => this.takeSlot(),
-                skipToLast: answer => this.skipTo(answer!.result.unwrap().end - 1),
+                readOthers: () => this.startReadOfOthers(),
+                readOthersNow: () => this.readOthersNow(),
+                readMoreOthers: () => this.emitPageRead(),
+                applyOthers: answer => this.collectPage(answer!),
+                skipToLast: () => this.skipToLast(),
                 restart: () => this.start(),
             },
         });
@@ -362,17 +377,42 @@
     }
 
     private applyPage(answer: StoreAnswer): void {
+        this.loadSentAt ??= answer.sentAt;
+        this.collectPage(answer);
+        this.updateSlot(answer);
+        this.loadedLength += lengthOf(answer);
+    }
+
+    private collectPage(answer: StoreAnswer): void {
         const { records, end, transfer } = answer.result.unwrap();
         this.transfer = transfer;
         this.followFrom ??= end;
-        this.loadSentAt ??= answer.sentAt;
         for (const record of records) {
             this.loadedKeys.add(record.key);
             this.lastKey = record.key;
             this.apply(record, this.marks.findLast(mark => mark.end <= record.offset)?.sentAt);
         }
-        this.updateSlot(answer);
-        this.loadedLength += lengthOf(answer);
+    }
+
+    /** Reads the newest records of all keys but that of the large ones, of which only the last is read afterwards. */
+    private startReadOfOthers(): void {
+        this.followFrom = undefined;
+        this.loadedKeys = new Set([this.replacingKey!]);
+        this.lastKey = this.replacingKey;
+        this.emitPageRead();
+    }
+
+    private readOthersNow(): void {
+        this.supersedeRead();
+        this.startReadOfOthers();
+    }
+
+    /** The other records are known as of the end of the stream then; the last one before it should replace all that were skipped. */
+    private skipToLast(): void {
+        this.receiver.retainKeys(this.loadedKeys);
+        this.loadedKeys = new Set();
+        this.skippedTo = this.followFrom! - 1;
+        this.nextOffset = this.skippedTo;
     }
 
     private finishLoad(): void {
@@ -441,11 +481,6 @@
         return record !== undefined && !this.receiver.replacesAll(record);
     }
 
-    private skipTo(offset: RecordOffset): void {
-        this.nextOffset = offset;
-        this.skippedTo = offset;
-    }
-
     /** The read that follows uses the present slot, however long it takes. */
     private takeSlot(): void {
         this.slotAt = this.slotAt === undefined ? undefined : this.readTiming().slots?.after(this.now);
@@ -458,7 +493,7 @@
             return;
         }
         const { slots } = this.readTiming();
-        this.hasReplacedAll = this.receiver.replacesAll(records[records.length - 1]);
+        this.replacingKey = records.findLast(record => this.receiver.replacesAll(record))?.key;
         const isAhead = this.slotAt !== undefined && this.slotAt > this.now;
         this.slotAt = this.isLarge(answer) ? (isAhead ? this.slotAt : slots?.after(this.now)) : undefined;
     }
--- a/src/records/common/test/recordFollowerSlots.test.ts
+++ b/src/records/common/test/recordFollowerSlots.test.ts
@@ -137,12 +137,53 @@
     fixture.step();
     ["1", "2", "3"].forEach(value => fixture.log.store("config", value));
     fixture.step();
+    // Records of other keys may be among those that are skipped.
+    const others = fixture.step();
+    t.deepEqual(others.kind === "read-newest" && others.after, "config");
     const read = fixture.step();
     t.deepEqual(read.kind === "read" && read.from, fixture.log.end - 1);
     t.deepEqual(fixture.collector.values.slice(2), ["3"]);
     t.is(fixture.follower.knownUntil, fixture.sentAt);
 });
 
+// Evacuations between two large configurations were not read.
+for (const trouble of ["none", "late", "failed", "several pages"]) {
+    test(`records of other keys are not skipped with those that are replaced, trouble: ${trouble}`, t => {
+        const fixture = createFixture({ ...LARGE_TIMING });
+        fixture.collector.replacingKey = "config";
+        fixture.log.store("gone", "x");
+        fixture.step();
+        fixture.log.store("config", LARGE_VALUE);
+        fixture.step();
+        const knownBefore = fixture.follower.knownUntil;
+        const before = fixture.collector.values.length;
+        fixture.log.store("config", "1");
+        const count = trouble === "several pages" ? 50 : 1;
+        Array.from({ length: count }, (_, index) => fixture.log.store(`other-${index}`, "y"));
+        fixture.log.store("gone", undefined);
+        fixture.log.store("config", "2");
+        fixture.step();
+        if (trouble === "late") {
+            const [first] = fixture.take();
+            fixture.tickFor(LARGE_TIMING.repeatAfterMs! + 100);
+            const [second] = fixture.take();
+            fixture.answerEnd(first);
+            t.is(fixture.collector.values.length, before);
+            fixture.answerEnd(second);
+        } else if (trouble === "failed") {
+            fixture.fail(fixture.take()[0]);
+        }
+        t.is(fixture.follower.knownUntil, knownBefore);
+        while (fixture.follower.nextOffset < fixture.log.end) {
+            fixture.step();
+        }
+        t.deepEqual(fixture.collector.values.slice(before), [...Array.from({ length: count }, () => "y"), "2"]);
+        t.false(fixture.collector.retained.has("gone"));
+        t.true(fixture.collector.retained.has("config") && fixture.collector.retained.has("other-0"));
+        t.is(fixture.follower.knownUntil, fixture.sentAt);
+    });
+}
+
 test("if the last record does not replace those that were skipped, the newest of each key are loaded", t => {
     for (const isLate of [false, true]) {
         const fixture = createFixture({ ...LARGE_TIMING });
@@ -153,6 +194,9 @@
         ["1", "2"].forEach(value => fixture.log.store("config", value));
         fixture.log.store("other", "x");
         fixture.step();
+        const [others] = fixture.take();
+        fixture.answerEnd(others);
+        t.deepEqual(fixture.collector.values.slice(2), ["x"]);
         const reads = fixture.take();
         t.deepEqual(describe(reads), ["read 0"]);
         if (isLate) {
@@ -160,7 +204,7 @@
             t.deepEqual(describe(fixture.take()), ["read-newest 0"]);
         }
         fixture.answer(reads[0]);
-        t.deepEqual(fixture.collector.values.slice(2), []);
+        t.deepEqual(fixture.collector.values.slice(2), ["x"]);
         t.deepEqual(describe(fixture.take()), ["read-newest 0"]);
         t.false(fixture.follower.isLoaded);
     }
