Trials in which failure domains are evacuated

Domains are evacuated at random, a quarter of the times all of them, and taken back after 3 to 15 s; the rule 'evacuated' says that no instance in touch starts a task in one of them later than 5 s after the request. Reads of the operator's records can be slow and stall. The trials measure the time from when a domain is taken back, of which all were evacuated, to the next start: jobs wait then, and it has to be at most 3 s.

--- a/src/proof/node/jobRuleChecker.ts
+++ b/src/proof/node/jobRuleChecker.ts
@@ -3,6 +3,7 @@
 import { LeasedWorker, LeasedWorkerObserver } from "../../standin/common/leasedWorker";
 import { CancellationChecker } from "./cancellationChecker";
 import { DrainChecker } from "./drainChecker";
+import { EvacuationChecker } from "./evacuationChecker";
 import { LastingTaskChecker } from "./lastingTaskChecker";
 import { TargetChecker } from "./targetChecker";
 import { TrialSchedule } from "./trialSchedule";
@@ -33,6 +34,7 @@
     | "asked"
     | "unasked"
     | "drained"
+    | "evacuated"
     | "shown-done"
     | "known"
     | "finished"
@@ -72,6 +74,7 @@
     readonly violations: RuleViolation[] = [];
     readonly cancellations: CancellationChecker;
     readonly drains: DrainChecker;
+    readonly evacuations: EvacuationChecker;
     readonly lastingTasks: LastingTaskChecker;
     readonly reports = WaitReports.create();
     private readonly waits: WaitChecker;
@@ -85,9 +88,13 @@
     private constructor(
         private readonly schedule: TrialSchedule,
         maxGapMs: number,
+        evacuationMs: number | undefined,
     ) {
         this.cancellations = CancellationChecker.create(schedule, detail => this.check("unasked", false, detail));
         this.drains = DrainChecker.create(schedule, detail => this.check("drained", false, detail));
+        this.evacuations = EvacuationChecker.create(schedule, evacuationMs, detail =>
+            this.check("evacuated", false, detail),
+        );
         const reportGap = (id: string, detail: string) =>
             this.check("lasting-run", false, `${detail}; ${this.reports.describe(id)}`);
         this.lastingTasks = LastingTaskChecker.create(schedule, maxGapMs, reportGap);
@@ -100,10 +107,11 @@
     /**
      * @param schedule Clock of the trial.
      * @param maxGapMs Longest time for which a task that lasts may be without a run after its first one, in ms.
+     * @param evacuationMs Time after an evacuation from which no task starts there, in ms.
      * @returns A checker without any observations.
      */
-    static create(schedule: TrialSchedule, maxGapMs = Number.POSITIVE_INFINITY): JobRuleChecker {
-        return new JobRuleChecker(schedule, maxGapMs);
+    static create(schedule: TrialSchedule, maxGapMs = Number.POSITIVE_INFINITY, evacuationMs?: number): JobRuleChecker {
+        return new JobRuleChecker(schedule, maxGapMs, evacuationMs);
     }
 
     /** Records that a job is submitted. @param job The job. @param deadlyTask Its task that crashes workers, if any. */
@@ -168,6 +176,7 @@
         this.starts += 1;
         this.cancellations.onStart(worker, task, run);
         this.drains.onStart(worker, task, run);
+        this.evacuations.onStart(worker, task, run);
         this.lastingTasks.onStart(task);
         this.waits.onStart(worker, task);
         const [id, occurrence, step] = task.split(".");
--- a/src/proof/node/jobSoak.tool.ts
+++ b/src/proof/node/jobSoak.tool.ts
@@ -1,14 +1,22 @@
 import { ColocationPlan } from "./colocationPlan";
 import { JobRule } from "./jobRuleChecker";
 import { JobTrial } from "./jobTrial";
-import { FAULTS, JobFault, JobTrialPlan, PlannedFault, READ_FAULTS, WORKER_READ_FAULTS } from "./jobTrialPlan";
+import {
+    FAULTS,
+    JobFault,
+    JobTrialPlan,
+    OPERATOR_READ_FAULTS,
+    PlannedFault,
+    READ_FAULTS,
+    WORKER_READ_FAULTS,
+} from "./jobTrialPlan";
 import { MEASURED_COSTS } from "./trialCosts";
 import { WAIT_PLANS, WaitPlanName } from "./waitTrialPlan";
 
 /**
  * Reads a flag with a whole number. Flags: `--seed FIRST --count N --workers N --length MS --every MS --deadly PERCENT
  * --crash-delay MS --shrink MS --cancel PERCENT --reads --lasting N --lease MS --colocate PERCENT --jobs-every MS --slow
- * --max-tasks N --memory MB --kill-leader MS --drain MS --faults KINDS --until MS --submit-every MS --costs PERCENT
+ * --max-tasks N --memory MB --kill-leader MS --drain MS --evacuate MS --evacuation-bound MS --faults KINDS --until MS --submit-every MS --costs PERCENT
  * --shards N --transfers PERCENT --plan NAME --trace`, where `--shards` divides the workers among as many leaders, 2 at most,
  * `--transfers` is the probability with which a job is transferred whenever it may be, `--deadly` is the share of the jobs with a task that crashes its workers, that long after each
  * start, `--shrink` the mean time between two times at which a worker's capacity shrinks, `--cancel` the share of the jobs that is cancelled, `--reads` adds faults of the reads of the jobs, `--lasting` is
@@ -17,7 +25,7 @@
  * mean time between two best-effort jobs, `--max-tasks` the largest number of tasks of their steps, `--memory` what each of
  * their tasks requests, `--kill-leader` the interval at which the leader is killed, `--slow` injects slow workers only,
  * `--faults` the kinds that it names, separated by commas, `--drain` is the mean time between two times at which workers
- * announce that they leave, around which the leader is killed; it adds faults of the reads of the workers, `--until` is the
+ * announce that they leave, around which the leader is killed; it adds faults of the reads of the workers, `--evacuate` the same for evacuations of failure domains and reads of the operator's records, `--evacuation-bound` the time after which they count, `--until` is the
  * time up to which faults are injected, `--submit-every` the longest time between two submissions, and `--costs` charges the
  * instances for their work, with that share of a core in percent. `--plan` runs a plan of `WAIT_PLANS` instead; then the flags
  * but `--seed`, `--count` and `--trace` have no effect. The last line says in how many trials each rule was broken.
@@ -42,7 +50,12 @@
     }
     const hasReadFaults = process.argv.includes("--reads");
     const hasDrains = process.argv.includes("--drain");
-    const added = [...(hasReadFaults ? READ_FAULTS : []), ...(hasDrains ? WORKER_READ_FAULTS : [])];
+    const hasEvacuations = process.argv.includes("--evacuate");
+    const added = [
+        ...(hasReadFaults ? READ_FAULTS : []),
+        ...(hasDrains ? WORKER_READ_FAULTS : []),
+        ...(hasEvacuations ? OPERATOR_READ_FAULTS : []),
+    ];
     return added.length > 0 ? [...FAULTS, ...added] : undefined;
 }
 
@@ -102,6 +115,14 @@
         shrinkEveryMs: readNumber("shrink", 0) || undefined,
         cancelRatio: readNumber("cancel", 0) / 100,
         drains: readNumber("drain", 0) === 0 ? undefined : { everyMs: readNumber("drain", 0), killsLeaders: true },
+        evacuations:
+            readNumber("evacuate", 0) === 0
+                ? undefined
+                : {
+                      everyMs: readNumber("evacuate", 0),
+                      killsLeaders: true,
+                      boundMs: readNumber("evacuation-bound", 0) || undefined,
+                  },
         lasting: readNumber("lasting", 0) === 0 ? undefined : { count: readNumber("lasting", 0) },
         longestLeaseMs: readNumber("lease", 0) || undefined,
         colocation: readColocation(),
--- a/src/proof/node/jobTrial.ts
+++ b/src/proof/node/jobTrial.ts
@@ -10,7 +10,7 @@
     JobTrialPlan,
     JobTrialResult,
     QUEUE,
-    LIMITS,
+    limitsOf,
     submitDelayMs,
     TrialDecoder,
 } from "./jobTrialPlan";
@@ -62,10 +62,11 @@
 
     private constructor(private readonly plan: JobTrialPlan) {
         this.random = Random.create(plan.seed);
-        this.checker = JobRuleChecker.create(this.timeline, plan.lasting?.maxGapMs);
+        this.checker = JobRuleChecker.create(this.timeline, plan.lasting?.maxGapMs, plan.evacuations?.boundMs);
         this.reads = {
             jobs: TrialReads.create(plan.seed, "jobs", this.timeline),
             workers: TrialReads.create(plan.seed, "workers", this.timeline),
+            operator: TrialReads.create(plan.seed, "operator", this.timeline),
         };
         this.store = TrialStore.create(this.random, this.timeline, this.reads);
         this.cancellations = TrialCancellations.create(
@@ -125,6 +126,7 @@
             this.schedule(3_000, () => this.injector.injectNext());
         }
         this.injector.planDrains();
+        this.injector.planEvacuations();
         this.timeline.runUntil(this.plan.lengthMs + (this.plan.recoveryMs ?? RECOVERY_TIMEOUT_MS));
         this.checkFinished();
         const accepted = this.checker.accepted.size;
@@ -134,8 +136,10 @@
         const counts = { jobs: jobs.size, accepted, finished, starts, leaders, ...delays.counts };
         const cancelled = checker.cancellations.count;
         const drained = checker.drains.count;
+        const { count: evacuated, longestWaitMs: takeBackMs } = checker.evacuations;
         const { transfers } = this;
-        return { breaches, ...counts, crashes, sharedCrashes, shrinks, cancelled, drained, transfers, trace };
+        const changes = { shrinks, cancelled, drained, evacuated, takeBackMs, transfers };
+        return { breaches, ...counts, crashes, sharedCrashes, ...changes, trace };
     }
 
     /** Stores a plan by which the shards have as many racks. */
@@ -166,10 +170,9 @@
             cores: 1,
             work: node.processor,
         };
-        const limits = { ...LIMITS, longestLeaseMs: this.plan.longestLeaseMs ?? LIMITS.longestLeaseMs };
         const { seed, transferRatio } = this.plan;
         const policy = transferRatio === undefined ? undefined : RandomTransferPolicy.create(seed, transferRatio);
-        const instance = JobInstance.create(identity, limits, new TrialDecoder(this.plan), policy);
+        const instance = JobInstance.create(identity, limitsOf(this.plan), new TrialDecoder(this.plan), policy);
         node.instance = instance;
         this.schedule(this.random.between(0, 50), () => {
             instance.start().forEach(effect => this.perform(node, incarnation, effect));
@@ -253,6 +256,7 @@
             case "start":
                 this.checker.cancellations.recordOrder(effect.order.task, effect.order.run, node.index);
                 this.checker.drains.recordOrder(effect.order.task, effect.order.run, node.index);
+                this.checker.evacuations.recordOrder(effect.order.task, effect.order.run, node.index);
                 this.callWorker(node, incarnation, effect);
                 break;
             case "stop":
--- a/src/proof/node/jobTrialPlan.ts
+++ b/src/proof/node/jobTrialPlan.ts
@@ -14,6 +14,8 @@
 import { RuleViolation } from "./jobRuleChecker";
 import { TrialCosts } from "./trialCosts";
 import { DrainPlan } from "./trialDrains";
+import { EVACUATION_MS } from "./evacuationChecker";
+import { EvacuationPlan } from "./trialEvacuations";
 
 /** The queue of all jobs of a trial. */
 export const QUEUE: Queue = {
@@ -47,6 +49,21 @@
     retentionMs: 120_000,
 };
 
+/** Bound of the configuration in trials with evacuations, in ms: both are in one stream, and the shorter bound decides. */
+const CONFIGURATION_BESIDE_EVACUATIONS_MS = 4 * EVACUATION_MS;
+
+/** @param plan Parameters of a trial. @returns Time limits of its instances. */
+export function limitsOf({ longestLeaseMs = LIMITS.longestLeaseMs, evacuations }: JobTrialPlan): DispatchLimits {
+    const bounds =
+        evacuations === undefined
+            ? undefined
+            : {
+                  evacuationMs: evacuations.boundMs ?? EVACUATION_MS,
+                  configurationMs: CONFIGURATION_BESIDE_EVACUATIONS_MS,
+              };
+    return { ...LIMITS, longestLeaseMs, ...bounds };
+}
+
 /** Timeouts of calls to the store and to workers, in ms. */
 export const CALL_TIMEOUTS_MS = { store: 400, worker: 800 };
 
@@ -68,10 +85,16 @@
     | SpeedFault;
 
 /**
- * Kinds of faults of the reads of the jobs, or of the workers, by one instance: its pages arrive late, as over a link that
- * other pages fill, or one response stalls.
+ * Kinds of faults of the reads of the jobs, of the workers or of the operator's records, by one instance: its pages arrive late, as
+ * over a link that other pages fill, or one response stalls.
  */
-export type ReadFault = "slow-pages" | "stalled-read" | "slow-worker-pages" | "stalled-worker-read";
+export type ReadFault =
+    | "slow-pages"
+    | "stalled-read"
+    | "slow-worker-pages"
+    | "stalled-worker-read"
+    | "slow-operator-pages"
+    | "stalled-operator-read";
 
 /** Kinds of faults of the reads of the jobs. They are apart from the others, whose list decides the trials of earlier seeds. */
 export const READ_FAULTS: readonly ReadFault[] = ["slow-pages", "stalled-read"];
@@ -79,6 +102,9 @@
 /** Kinds of faults of the reads of the workers. */
 export const WORKER_READ_FAULTS: readonly ReadFault[] = ["slow-worker-pages", "stalled-worker-read"];
 
+/** Kinds of faults of the reads of the operator's records. */
+export const OPERATOR_READ_FAULTS: readonly ReadFault[] = ["slow-operator-pages", "stalled-operator-read"];
+
 /** Kinds of faults of the speed: some workers work several times slower, and the tail latencies there rise as much. */
 export type SpeedFault = "worker-slow";
 
@@ -152,6 +178,8 @@
     readonly cancelRatio?: number;
     /** Workers that announce that they leave; none if undefined. */
     readonly drains?: DrainPlan;
+    /** Failure domains that are evacuated; none if undefined. */
+    readonly evacuations?: EvacuationPlan;
     /** Jobs that last until the end; none if undefined. */
     readonly lasting?: LastingJobs;
     /** Longest lease that a worker accepts, in ms; that of `LIMITS` if undefined. */
@@ -196,6 +224,10 @@
     readonly cancelled: number;
     /** Workers that have announced that they leave. */
     readonly drained: number;
+    /** How often a failure domain was evacuated. */
+    readonly evacuated: number;
+    /** Longest time from when a domain was taken back, of which all were evacuated, to the next start, in ms. */
+    readonly takeBackMs: number;
     /** How often a job was transferred to another shard. */
     readonly transfers: number;
     /** Half seconds with events of a leader whose work takes time, and those in which one waited over 500 ms. */
--- a/src/proof/node/trialInjector.ts
+++ b/src/proof/node/trialInjector.ts
@@ -3,6 +3,7 @@
     FAULTS_OF_WORKERS,
     JobFault,
     JobTrialPlan,
+    OPERATOR_READ_FAULTS,
     PlannedFault,
     ReadFault,
     WORKER_READ_FAULTS,
@@ -11,6 +12,7 @@
 import { TrialNode } from "./jobTrialNode";
 import { Random } from "./random";
 import { TrialDrains } from "./trialDrains";
+import { TrialEvacuations } from "./trialEvacuations";
 import { DelayedStream, TrialReads } from "./trialReads";
 import { TrialSchedule } from "./trialSchedule";
 import { TrialStore } from "./trialStore";
@@ -19,6 +21,10 @@
 /** How many times longer a fault lasts than others. */
 const DURATION_RATIOS: Partial<Record<JobFault, number>> = { "slow-link": 3, "worker-slow": 2 };
 
+/** Kinds of faults of reads: responses that stall, and pages that arrive late. */
+const STALLS: readonly JobFault[] = ["stalled-read", "stalled-worker-read", "stalled-operator-read"];
+const SLOW_PAGES: readonly JobFault[] = ["slow-pages", "slow-worker-pages", "slow-operator-pages"];
+
 /** Longest time for which an instance that was killed is down, in ms. */
 export const MAX_DOWN_MS = 1_500;
 
@@ -118,6 +124,18 @@
         }
     }
 
+    /** Evacuates failure domains, if the plan says so. */
+    planEvacuations(): void {
+        const { schedule, checker, store, trace } = this.context;
+        const { evacuations: plan, seed, lengthMs: untilMs } = this.context.plan;
+        if (plan !== undefined) {
+            const killLeader = () => this.killLeader();
+            const { operator } = store.streams;
+            const context = { seed, plan, untilMs, schedule, operator, trace, killLeader };
+            TrialEvacuations.create({ ...context, checker: checker.evacuations });
+        }
+    }
+
     private killLeader(): void {
         const leader = this.context.nodes.find(each => each.instance?.isLeading === true);
         if (leader !== undefined) {
@@ -142,10 +160,12 @@
         switch (fault) {
             case "slow-pages":
             case "slow-worker-pages":
+            case "slow-operator-pages":
                 this.readsOf(fault).slowDown(node.index, durationMs);
                 break;
             case "stalled-read":
             case "stalled-worker-read":
+            case "stalled-operator-read":
                 this.readsOf(fault).stallNext(node.index);
                 break;
             case "kill":
@@ -198,23 +218,25 @@
     }
 
     private readsOf(fault: ReadFault): TrialReads {
-        return WORKER_READ_FAULTS.includes(fault) ? this.context.reads.workers : this.context.reads.jobs;
+        const { jobs, workers, operator } = this.context.reads;
+        return OPERATOR_READ_FAULTS.includes(fault) ? operator : WORKER_READ_FAULTS.includes(fault) ? workers : jobs;
     }
 
     /** A response that stalls disrupts nothing, and slow pages fill the links of instances that stay in touch. */
     private recordDisruption(fault: JobFault, index: number, durationMs: number): void {
-        if (fault === "stalled-read" || fault === "stalled-worker-read") {
+        if (STALLS.includes(fault)) {
             return;
         }
         const isOfWorker = fault === "worker-slow" || FAULTS_OF_WORKERS.includes(fault);
         const isOfAll = fault === "kill-all" || fault === "store-down" || fault === "lost-answers";
         const all = this.context.nodes.map(each => each.index);
-        const isOfReads = fault === "slow-pages" || fault === "slow-worker-pages";
+        const isOfReads = SLOW_PAGES.includes(fault);
         const instances = isOfAll ? all : isOfWorker || isOfReads ? [] : [index];
         const isKill = fault === "kill" || fault === "kill-all";
         const lastsMs = isKill ? MAX_DOWN_MS : (DURATION_RATIOS[fault] ?? 1) * durationMs;
         this.context.checker.recordDisruption(lastsMs);
         this.context.checker.cancellations.recordDisruption(lastsMs, instances);
         this.context.checker.drains.recordDisruption(lastsMs, instances);
+        this.context.checker.evacuations.recordDisruption(lastsMs, instances);
     }
 }
--- a/src/proof/node/trialReads.ts
+++ b/src/proof/node/trialReads.ts
@@ -10,10 +10,14 @@
 const MAX_STALL_MS = 3_900;
 
 /** A stream whose reads can be delayed. */
-export type DelayedStream = "jobs" | "workers";
+export type DelayedStream = "jobs" | "workers" | "operator";
 
 /** Distinguishes the random sequence of the delays of a stream from that of the trial with the same seed. */
-const SEED_OFFSETS: Readonly<Record<DelayedStream, number>> = { jobs: 104_729, workers: 1_299_709 };
+const SEED_OFFSETS: Readonly<Record<DelayedStream, number>> = {
+    jobs: 104_729,
+    workers: 1_299_709,
+    operator: 179_424_673,
+};
 
 /** Delays of the reads of one stream. It draws from its own sequence, as the cancellations do. */
 export class TrialReads {
--- a/src/proof/node/trialStore.ts
+++ b/src/proof/node/trialStore.ts
@@ -116,7 +116,7 @@
     }
 
     private readsOf(stream: StreamName): TrialReads | undefined {
-        return stream === "jobs" || stream === "workers" ? this.reads[stream] : undefined;
+        return stream === "jobs" || stream === "workers" || stream === "operator" ? this.reads[stream] : undefined;
     }
 
     private isReachable(node: TrialNode): boolean {
