Tests that workers of evacuated domains are no room

With the exclusions taken out they fail: 48 instead of 95% of the service count as in use while a job waits for the domain that is left, and jobs of a shard whose workers are all evacuated never start, although the other shards have room.

--- a/src/proof/node/test/evacuation.test.ts
+++ b/src/proof/node/test/evacuation.test.ts
@@ -124,6 +124,21 @@
     t.is(fixture.takeStarted().length, 4);
 });
 
+// Jobs waited for a worker on which they ran fast, as if the service had room.
+test("workers of an evacuated domain are no room of the service by which waits are bounded", t => {
+    const fixture = createLeader();
+    evacuate(fixture);
+    fixture.advance(500);
+    fixture.submit(20, { cpu: 3_800, maxPerServer: 1 });
+    fixture.advance(1_000);
+    t.deepEqual(startedDomains(fixture), ["west"]);
+    fixture.submit(1, { cpu: 1_000 });
+    fixture.advance(2_500);
+    const [report] = fixture.decisionsOf("job-waits") as { cpuUsedPercent: number; boundMs: number | undefined }[];
+    t.is(report.cpuUsedPercent, 95);
+    t.is(report.boundMs, undefined);
+});
+
 test("an evacuation without a record after a reload of the newest keys is over, and one that has a record holds", t => {
     const fixture = createLeader();
     const { operator } = fixture.streams;
--- a/src/proof/node/test/fullShard.test.ts
+++ b/src/proof/node/test/fullShard.test.ts
@@ -69,3 +69,32 @@
     // A quarter of the tasks, and two jobs more or less.
     [...counts.values()].forEach(count => t.true(count >= 36 && count <= 84, String(count)));
 });
+
+/** @returns The failure domain of a worker: that of the first shard is a domain of its own. */
+function zoneOf(worker: string): string {
+    return bucketOf(worker, SHARDS) === 0 ? "first" : "other";
+}
+
+test.serial(
+    "jobs of a shard whose workers are all evacuated start in time in the others, and there again once it is back",
+    t => {
+        const fixture = new TakeoverFixture(t, { instances: 6, workers: WORKERS, cores: 0.25, zoneOf });
+        fixture.advance(8_000);
+        fixture.streams.operator.store("evacuate/first", "{}");
+        fixture.advance(1_000);
+        const submitFor = (ms: number) => {
+            const before = fixture.starts.length;
+            for (const until = fixture.schedule.now + ms; fixture.schedule.now < until;) {
+                fixture.submit(5, 4, { isAllowed: isOfFirstShard });
+                fixture.advance(500);
+            }
+            fixture.advance(START_TARGET_MS);
+            return new Set(fixture.starts.slice(before).map(({ worker }) => zoneOf(worker)));
+        };
+        t.deepEqual([...submitFor(6_000)], ["other"]);
+        t.true(Math.max(...startDelays(fixture)) <= MAX_IDLE_MS, `${Math.max(...startDelays(fixture))} ms`);
+        fixture.streams.operator.store("evacuate/first", undefined);
+        fixture.advance(500);
+        t.true(submitFor(3_000).has("first"));
+    },
+);
--- a/src/proof/node/test/takeoverFixture.ts
+++ b/src/proof/node/test/takeoverFixture.ts
@@ -93,6 +93,8 @@
     readonly workers: number;
     /** CPU of each instance, in cores; 1 if undefined. */
     readonly cores?: number;
+    /** Returns the failure domain of a worker; all are of one if undefined. */
+    readonly zoneOf?: (worker: string) => string;
 }
 
 /** Several instances for which work takes time, with one store and workers that run tasks. */
@@ -303,7 +305,7 @@
         const entry = {
             service: "svc",
             addr: `10.0.0.${index + 1}:8080`,
-            zone: "z",
+            zone: this.counts.zoneOf?.(id) ?? "z",
             state: "ready",
             seq: 0,
             capacity: { cpu: 4_000, memMb: 8_000 },
