--- a/src/proof/node/jobTrial.ts
+++ b/src/proof/node/jobTrial.ts
@@ -160,6 +160,7 @@
     private startNode(node: TrialNode): void {
         node.incarnation += 1;
         node.frozenMs = 0;
+        node.frozenUntil = 0;
         node.deferred = [];
         const { incarnation } = node;
         this.startProcessor(node, incarnation);
