A successor does not wait for the right of a leader that has ended

Callers saw tasks that last without a run for 14 s and more after a worker was lost for good just before the leader: the leader had not recorded the lease, so its successor waited for the former one's right to extend leases, 8 s, and a lease.

An instance that has started now records on which host it runs, how far it has read the stream of jobs and how long ago it started. On a host one incarnation runs at a time, so records of the host up to there are of processes that have ended. FormerLeaders takes the right to extend leases from such leaders as of then; leaders before the last one still count, and leaders say for how long these may extend leases, for instances that load the stream later. A statement covers only what its instance has read, since an append of an earlier incarnation may be stored late. Leadership.formersEndBy replaces formerRenewedBy: tests of it and of LeaseBook expect the same time, with the 8 s included.

--- a/src/dispatch/common/dispatchLimits.ts
+++ b/src/dispatch/common/dispatchLimits.ts
@@ -18,13 +18,6 @@
     readonly retentionMs: number;
 }
 
-/**
- * Time after its latest confirmed renewal during which a leader extends leases, in ms. Tasks survive an outage of the
- * store for this long; a successor waits this long before it gives up a worker that it cannot reach, unless a record shows
- * when the worker's lease expires.
- */
-export const RENEWAL_WINDOW_MS = 8_000;
-
 /**
  * Validity of an order to start, in ms; the worker rejects an order that arrives later. Long enough for a slow network,
  * but short, since the task cannot be started elsewhere until it has passed.
--- a/src/dispatch/common/leaseBook.ts
+++ b/src/dispatch/common/leaseBook.ts
@@ -1,6 +1,7 @@
 import { withDrift } from "../../coordination/common/duration";
+import { RENEWAL_WINDOW_MS } from "../../records/common/formerLeaders";
 import { Leadership } from "../../records/common/leadership";
-import { DispatchLimits, RENEWAL_WINDOW_MS } from "./dispatchLimits";
+import { DispatchLimits } from "./dispatchLimits";
 import { LeaseTable } from "./leaseTable";
 import type { WorkerContact } from "./workerContact";
 import { LeaseWriter, WorkerLease } from "./workerLease";
@@ -12,7 +13,7 @@
 const MAX_RENEWAL_AGE_MS = 900;
 
 /** The right to lead, as far as leases depend on it. */
-export type LeaseAuthority = Pick<Leadership, "renewedAt" | "formerRenewedBy" | "leasesSince">;
+export type LeaseAuthority = Pick<Leadership, "renewedAt" | "formersEndBy" | "leasesSince">;
 
 /** Dependencies of the leases; the scheduler has the same. */
 export interface LeaseContext {
@@ -25,11 +26,10 @@
 /** The leases of all workers during one epoch, and their records for the next leader. */
 export class LeaseBook {
     private readonly leases = new Map<string, WorkerLease>();
-    /** Time (ms) by which all leases that former leaders extended have expired. */
-    private readonly formerEndsBy: number;
-    /** The same for the workers of which a former leader left a record. */
+    /** Time (ms) by which the leases have expired of which a former leader left a record. */
     private readonly recordedEnds: Map<string, number>;
     private readonly authority: LeaseAuthority;
+    private readonly longestLeaseMs: number;
 
     private constructor(
         { leases, limits, leadership }: LeaseContext,
@@ -38,9 +38,8 @@
         readonly epochStartedAt: number,
     ) {
         this.authority = leadership;
-        const renewedBy = leadership.formerRenewedBy ?? epochStartedAt;
-        this.formerEndsBy = renewedBy + RENEWAL_WINDOW_MS + withDrift(limits.longestLeaseMs);
-        const end = (id: string) => Math.min(this.formerEndsBy, leases.endOf(id, leadership.leasesSince) ?? Infinity);
+        this.longestLeaseMs = limits.longestLeaseMs;
+        const end = (id: string) => leases.endOf(id, leadership.leasesSince) ?? Number.POSITIVE_INFINITY;
         this.recordedEnds = new Map([...leases.workers].map(id => [id, end(id)]));
         this.recordedEnds.forEach((_, id) => this.find(id));
     }
@@ -65,7 +64,7 @@
         let lease = this.leases.get(worker);
         if (lease === undefined) {
             const recordedEnd = this.recordedEnds.get(worker);
-            const endsBy = recordedEnd ?? this.formerEndsBy;
+            const endsBy = () => Math.min(this.formerEndsBy, recordedEnd ?? Number.POSITIVE_INFINITY);
             lease = WorkerLease.create(worker, endsBy, this.writer, recordedEnd !== undefined);
             this.leases.set(worker, lease);
         }
@@ -95,6 +94,12 @@
         }
     }
 
+    /** Time (ms) by which all leases that former leaders extended have expired. */
+    private get formerEndsBy(): number {
+        const rightsEndBy = this.authority.formersEndBy ?? this.epochStartedAt + RENEWAL_WINDOW_MS;
+        return rightsEndBy + withDrift(this.longestLeaseMs);
+    }
+
     private renewalAgeMs(now: number): number {
         return now - (this.authority.renewedAt ?? Number.NEGATIVE_INFINITY);
     }
--- a/src/dispatch/common/test/leaseBook.test.ts
+++ b/src/dispatch/common/test/leaseBook.test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { Ok } from "ts-results";
 import { Outbox } from "../../../base/common/outbox";
-import { RENEWAL_WINDOW_MS } from "../dispatchLimits";
+import { RENEWAL_WINDOW_MS } from "../../../records/common/formerLeaders";
 import { DispatchEffect } from "../dispatchEffects";
 import { encodeLease, leaseKey } from "../leaseRecord";
 import { LeaseTable } from "../leaseTable";
@@ -30,7 +30,7 @@
 
 /** @returns A pool with worker w1 and one run on it that lasts. */
 function createPool(table?: LeaseTable) {
-    const fixture = createLeases(table, 0);
+    const fixture = createLeases(table, RENEWAL_WINDOW_MS);
     const orders = Outbox.create<DispatchEffect>();
     const pool = WorkerPool.create(1, fixture.book, LIMITS, new NoopPoolHost(), orders);
     pool.register(readingOf(createWorker("w1").entry), 0);
@@ -61,7 +61,7 @@
 }
 
 test("without a record, a lease ends by the latest renewal of the former leader, not by the beginning of the epoch", t => {
-    const { book } = createLeases(undefined, -2_000);
+    const { book } = createLeases(undefined, RENEWAL_WINDOW_MS - 2_000);
     t.is(book.find("w1").formerEndsBy, FORMER_END_MS - 2_000);
     t.is(createLeases().book.find("w1").formerEndsBy, FORMER_END_MS);
 });
@@ -69,14 +69,14 @@
 test("the remaining time of a recorded lease counts from the time at which the record was read", t => {
     const table = createTable(3_000);
     table.apply({ key: leaseKey("w1"), value: encodeLease({ epoch: 1, remainingMs: 3_000 }), offset: 1 }, 2_000);
-    t.is(createLeases(table, 0).book.find("w1").formerEndsBy, 3_060);
+    t.is(createLeases(table, RENEWAL_WINDOW_MS).book.find("w1").formerEndsBy, 3_060);
 });
 
 test("a record by a leader before one of an earlier version, and a malformed one, do not shorten the wait", t => {
-    t.is(createLeases(createTable(3_000, 0), 0).book.find("w1").formerEndsBy, FORMER_END_MS);
+    t.is(createLeases(createTable(3_000, 0), RENEWAL_WINDOW_MS).book.find("w1").formerEndsBy, FORMER_END_MS);
     const malformed = LeaseTable.create();
     malformed.apply({ key: leaseKey("w1"), value: '{"epoch":1}', offset: 1 }, 0);
-    const lease = createLeases(malformed, 0).book.find("w1");
+    const lease = createLeases(malformed, RENEWAL_WINDOW_MS).book.find("w1");
     t.is(lease.formerEndsBy, FORMER_END_MS);
     t.false(lease.mayExtend);
 });
--- a/src/dispatch/common/test/runs.ts
+++ b/src/dispatch/common/test/runs.ts
@@ -113,18 +113,18 @@
     readonly book: LeaseBook;
     readonly writer: RecordWriter;
     readonly outbox: Outbox<RecordEffect>;
-    readonly authority: { renewedAt: number | undefined; formerRenewedBy: number | undefined; leasesSince: number };
+    readonly authority: { renewedAt: number | undefined; formersEndBy: number | undefined; leasesSince: number };
 }
 
 /**
  * @param table Leases that former leaders recorded.
- * @param formerRenewedBy Time (ms) by which the former leader's latest renewal was stored, if it is known.
+ * @param formersEndBy Time (ms) by which former leaders have lost the right to extend leases, if it is known.
  * @returns The leases of an epoch that begins at 0.
  */
-export function createLeases(table = LeaseTable.create(), formerRenewedBy?: number): LeaseFixture {
+export function createLeases(table = LeaseTable.create(), formersEndBy?: number): LeaseFixture {
     const outbox = Outbox.create<RecordEffect>();
     const writer = RecordWriter.create("leader-1", "jobs", { name: "leader", epoch: 1 }, outbox);
-    const authority = { renewedAt: 0, formerRenewedBy, leasesSince: 1 };
+    const authority = { renewedAt: 0, formersEndBy, leasesSince: 1 };
     const context = { leases: table, leadership: authority, limits: LIMITS };
     const book = LeaseBook.create(context, { epoch: 1, records: writer }, 0);
     return { book, writer, outbox, authority };
--- a/src/dispatch/common/test/schedulerFixture.ts
+++ b/src/dispatch/common/test/schedulerFixture.ts
@@ -77,7 +77,7 @@
     private constructor(step: StepSpec, learnedInterference: readonly InterferenceRow[]) {
         const { jobs, queues } = this;
         this.submit("a", step);
-        const rights = { canSendOrders: () => true, canExtendLeases: () => true, formerRenewedBy: undefined };
+        const rights = { canSendOrders: () => true, canExtendLeases: () => true, formersEndBy: undefined };
         this.leadership = { ...rights, renewedAt: 0, leasesSince: 1 };
         const leadership = this.leadership as unknown as Leadership;
         const tables = { jobs, progress: ProgressTable.create(), queues };
--- a/src/dispatch/common/workerLease.ts
+++ b/src/dispatch/common/workerLease.ts
@@ -41,8 +41,7 @@
 
     private constructor(
         private readonly worker: string,
-        /** Time (ms) by which the lease has expired if no leader has extended it since this epoch began. */
-        readonly formerEndsBy: number,
+        private readonly latestFormerEnd: () => number,
         private readonly writer: LeaseWriter,
     ) {
         this.machine = Machine.create(chart, {
@@ -56,19 +55,33 @@
 
     /**
      * @param worker Identifier of the worker.
-     * @param formerEndsBy Time (ms) by which the lease has expired if no leader has extended it since this epoch began.
+     * @param latestFormerEnd Returns the time (ms) by which the lease has expired if it was not extended in this epoch, as far as
+     * it is known now.
      * @param writer Writes the record.
      * @param isRecorded Whether a former leader left a record.
      * @returns The lease.
      */
-    static create(worker: string, formerEndsBy: number, writer: LeaseWriter, isRecorded: boolean): WorkerLease {
-        const lease = new WorkerLease(worker, formerEndsBy, writer);
+    static create(
+        worker: string,
+        latestFormerEnd: () => number,
+        writer: LeaseWriter,
+        isRecorded: boolean,
+    ): WorkerLease {
+        const lease = new WorkerLease(worker, latestFormerEnd, writer);
         if (isRecorded) {
             lease.machine.fire("inherited", undefined);
         }
         return lease;
     }
 
+    /**
+     * Time (ms) by which the lease has expired if no leader has extended it since this epoch began. It is earlier once it is known
+     * that a former leader has ended.
+     */
+    get formerEndsBy(): number {
+        return this.latestFormerEnd();
+    }
+
     /** Whether it may be extended: no record that says otherwise is stored, or could be. */
     get mayExtend(): boolean {
         return this.machine.state === "unrecorded";
--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -17,6 +17,8 @@
 import { QueueTable } from "../../jobs/common/queueTable";
 import { FIRST_SHARD, ShardPlan } from "../../jobs/common/shardPlan";
 import { ShardTable } from "../../jobs/common/shardTable";
+import { encodeHost, hostKey, parseHostKey } from "../../records/common/hostRecord";
+import { HostTable } from "../../records/common/hostTable";
 import { StoredRecord } from "../../records/common/record";
 import { ReadSlots } from "../../records/common/readSlots";
 import { ReadTiming, RecordFollower, RecordReceiver } from "../../records/common/recordFollower";
@@ -34,14 +36,14 @@
 
 type LifecycleState = "loading" | "serving" | "stopping" | "stopped";
 type LifecycleEvent = "loaded" | "stop" | "drained";
-type LifecycleAction = "resign" | "reportStopped";
+type LifecycleAction = "writeHost" | "resign" | "reportStopped";
 
 const chart = ChartRegistry.instance.register(
     ChartLoader.load<LifecycleState, LifecycleEvent, never, LifecycleAction>(chartText, "jobInstance.chart.yaml", {
         states: ["loading", "serving", "stopping", "stopped"],
         events: ["loaded", "stop", "drained"],
         guards: [],
-        actions: ["resign", "reportStopped"],
+        actions: ["writeHost", "resign", "reportStopped"],
     }),
 );
 
@@ -115,6 +117,7 @@
     private readonly queues = QueueTable.create();
     private readonly shards = ShardTable.create();
     private readonly loads = ShardLoadTable.create();
+    private readonly hosts = HostTable.create();
     private readonly workers = WorkerTable.create(this.shards);
     private readonly jobsFollower: RecordFollower;
     private readonly operatorFollower: RecordFollower;
@@ -126,6 +129,7 @@
     private readonly callHandler: JobCallHandler;
     private readonly malformedWorkers = MalformedKeys.create();
     private clockOffset: number | undefined;
+    private startedAt = 0;
     private stoppingSince = 0;
     private now = 0;
 
@@ -178,6 +182,7 @@
         this.lifecycle = Machine.create(chart, {
             guards: {},
             actions: {
+                writeHost: () => this.writeHost(),
                 resign: now => this.offices.forEach(office => office.resign(now)),
                 reportStopped: () => outbox.emit({ kind: "stopped" }),
             },
@@ -257,8 +262,13 @@
         return entry === undefined ? undefined : visibleStateOf(entry);
     }
 
-    /** Starts to follow the streams. @returns The first effects. */
-    start(): JobInstanceEffect[] {
+    /**
+     * Starts to follow the streams.
+     * @param now Time (ms) by which all former incarnations on the host have ended.
+     * @returns The first effects.
+     */
+    start(now: number): JobInstanceEffect[] {
+        this.startedAt = now;
         this.jobsFollower.start();
         this.operatorFollower.start();
         this.workersFollower.start();
@@ -318,6 +328,8 @@
             this.ensureOffice(ledShard).applyLeader(record, this.now, isFollowed);
         } else if (leaseShard !== undefined) {
             this.ensureOffice(leaseShard).leases.apply(record, this.now);
+        } else if (parseHostKey(record.key) !== undefined) {
+            this.hosts.apply(record, this.now);
         } else if (this.shards.isPlanKey(record.key)) {
             this.shards.apply(record);
         } else if (parseLoadKey(record.key) !== undefined) {
@@ -381,6 +393,15 @@
         this.offices.forEach(office => office.retainWorkers(ids));
     }
 
+    /** Tells the other instances that a leader which was a former incarnation has ended. */
+    private writeHost(): void {
+        const { instance, host } = this.identity;
+        const { startedAt, jobsFollower } = this;
+        this.submissionWriter.write(hostKey(host), () =>
+            encodeHost({ instance, readTo: jobsFollower.nextOffset, ageMs: Math.floor(this.now - startedAt) }),
+        );
+    }
+
     private logDelay({ state, afterMs, medianMs, mostMs }: DelayReport): void {
         if (this.isLeading) {
             const name = state === "late" ? "leader-late" : "leader-on-time";
@@ -464,12 +485,12 @@
     }
 
     private createOfficeContext(): OfficeContext {
-        const { identity, limits, jobs, queues, shards, loads, workers, loopDelay, outbox: effects } = this;
+        const { identity, limits, jobs, queues, shards, loads, hosts, workers, loopDelay, outbox: effects } = this;
         const { jobsFollower, operatorFollower, workersFollower } = this;
         const followers = { jobsFollower, operatorFollower, workersFollower };
         const countOtherOffices = (own: number) =>
             this.offices.filter(office => office.shard !== own && office.isCandidate).length;
-        const tables = { jobs, queues, shards, loads, workers };
+        const tables = { jobs, queues, shards, loads, hosts, workers };
         const { transferPolicy } = this;
         return { identity, limits, ...tables, ...followers, transferPolicy, loopDelay, effects, countOtherOffices };
     }
--- a/src/host/common/jobInstanceIdentity.ts
+++ b/src/host/common/jobInstanceIdentity.ts
@@ -5,6 +5,8 @@
 export interface JobInstanceIdentity {
     /** Name that is unique to each start. */
     readonly instance: string;
+    /** Name of its host, on which one process with this name runs at a time. */
+    readonly host: string;
     /** Number that differs between instances. */
     readonly nonce: number;
     /** Round trip to the store in ms, or `undefined` before the first call. */
--- a/src/host/common/shardOffice.ts
+++ b/src/host/common/shardOffice.ts
@@ -16,6 +16,7 @@
 import { FIRST_SHARD } from "../../jobs/common/shardPlan";
 import { ShardTable } from "../../jobs/common/shardTable";
 import { Leadership } from "../../records/common/leadership";
+import { HostTable } from "../../records/common/hostTable";
 import { RecordEvent } from "../../records/common/recordEvents";
 import { RecordFollower } from "../../records/common/recordFollower";
 import { RecordWriter } from "../../records/common/recordWriter";
@@ -36,6 +37,7 @@
     readonly queues: QueueTable;
     readonly shards: ShardTable;
     readonly loads: ShardLoadTable;
+    readonly hosts: HostTable;
     readonly transferPolicy: TransferPolicy;
     readonly workers: WorkerTable;
     readonly jobsFollower: RecordFollower;
@@ -81,6 +83,7 @@
         };
         const candidate = {
             instance: identity.instance,
+            host: identity.host,
             nonce: identity.nonce + shard * CLAIM_SPREAD_MS,
             storeRoundTripMs: identity.storeRoundTripMs,
             get cores() {
@@ -90,7 +93,7 @@
                 return shards.plan?.epoch;
             },
         };
-        this.leadership = Leadership.create(candidate, jobsFollower, this.effects, shard);
+        this.leadership = Leadership.create(candidate, jobsFollower, this.effects, shard, context.hosts);
         this.leadership.onDidBecomeLeader(writer => this.startTakeover(writer));
         this.leadership.onDidStepDown(() => this.stopScheduling());
         this.leadership.onDidChangeOffice(({ kind, ...data }) =>
--- a/src/host/node/jobProcess.ts
+++ b/src/host/node/jobProcess.ts
@@ -218,7 +218,8 @@
             const metrics = createProbeServer(async () => ({ status: 200, body: await this.metrics.text() }));
             await this.listenOn(metrics, addresses.metrics);
         }
-        this.instance.start().forEach(effect => this.performers.perform(effect));
+        // A former incarnation has ended, since it listened on the same addresses.
+        this.instance.start(performance.now()).forEach(effect => this.performers.perform(effect));
         this.loop.startTicking(dueAt => ({ kind: "tick", dueAt }), TICK_INTERVAL_MS);
         this.parts.log.log("started", { calls: addresses.calls, failureDomain: this.settings.failureDomain });
     }
--- a/src/platform/node/platformProcess.ts
+++ b/src/platform/node/platformProcess.ts
@@ -65,6 +65,7 @@
     const work = WorkClock.create<WorkKind>();
     const identity = {
         instance: name,
+        host: settings.instance,
         nonce: randomInt(MAX_NONCE),
         storeRoundTripMs: () => store.roundTripMs,
         cores: share * speed,
--- a/src/proof/node/jobTrial.ts
+++ b/src/proof/node/jobTrial.ts
@@ -161,6 +161,7 @@
         this.startProcessor(node, incarnation);
         const identity = {
             instance: `n${node.index}-${node.incarnation}`,
+            host: `n${node.index}`,
             nonce: this.random.between(0, 1_000_000),
             storeRoundTripMs: () => 5 + node.index,
             cores: 1,
@@ -171,8 +172,9 @@
         const policy = transferRatio === undefined ? undefined : RandomTransferPolicy.create(seed, transferRatio);
         const instance = JobInstance.create(identity, limits, new TrialDecoder(this.plan), policy);
         node.instance = instance;
+        const startedAt = this.now;
         this.schedule(this.random.between(0, 50), () => {
-            instance.start().forEach(effect => this.perform(node, incarnation, effect));
+            instance.start(startedAt).forEach(effect => this.perform(node, incarnation, effect));
             this.tick(node, incarnation);
         });
     }
--- a/src/proof/node/leaderLoad.ts
+++ b/src/proof/node/leaderLoad.ts
@@ -82,7 +82,7 @@
     private readonly view = { knownUntil: 0 };
     private readonly leadership = {
         renewedAt: 0,
-        formerRenewedBy: undefined,
+        formersEndBy: undefined,
         leasesSince: 1,
         canSendOrders: () => true,
         canExtendLeases: () => true,
--- a/src/proof/node/test/busyLoop.ts
+++ b/src/proof/node/test/busyLoop.ts
@@ -30,7 +30,7 @@
         private readonly perform: (effect: JobInstanceEffect) => void,
     ) {
         this.nextTickAt = schedule.now + TICK_MS;
-        this.instance.start().forEach(perform);
+        this.instance.start(schedule.now).forEach(perform);
         this.wakeAt(this.nextTickAt);
     }
 
--- a/src/proof/node/test/instanceFixture.ts
+++ b/src/proof/node/test/instanceFixture.ts
@@ -192,9 +192,9 @@
 
     private startInstance(): JobInstance {
         const name = `n${this.now}`;
-        const identity = { instance: name, nonce: 7, storeRoundTripMs: () => 5, cores: 1 };
+        const identity = { instance: name, host: name, nonce: 7, storeRoundTripMs: () => 5, cores: 1 };
         const instance = JobInstance.create(identity, LIMITS, StreamDecoder.create());
-        instance.start().forEach(effect => this.perform(effect));
+        instance.start(this.now).forEach(effect => this.perform(effect));
         return instance;
     }
 
--- a/src/proof/node/test/jobTrial.test.ts
+++ b/src/proof/node/test/jobTrial.test.ts
@@ -1,6 +1,6 @@
 import test, { ExecutionContext } from "ava";
 import { Placer } from "../../../dispatch/common/placer";
-import { RENEWAL_WINDOW_MS } from "../../../dispatch/common/dispatchLimits";
+import { RENEWAL_WINDOW_MS } from "../../../records/common/formerLeaders";
 import { LatencyModel } from "../../../dispatch/common/latencyModel";
 import { Scheduler } from "../../../dispatch/common/scheduler";
 import { ThrottleController } from "../../../dispatch/common/throttleController";
--- a/src/proof/node/test/lastingTrial.test.ts
+++ b/src/proof/node/test/lastingTrial.test.ts
@@ -1,5 +1,8 @@
 import test from "ava";
+import { HostTable } from "../../../records/common/hostTable";
 import { JobTrial } from "../jobTrial";
+import { MAX_DOWN_MS } from "../trialInjector";
+import { replaceMethod } from "./replaceMethod";
 
 /** Time during which jobs are submitted and faults injected, in ms. */
 const LENGTH_MS = 30_000;
@@ -30,3 +33,54 @@
         t.true(starts > (lasting.count * LENGTH_MS) / RUN_MS);
     });
 }
+
+const LONGEST_LEASE_MS = 6_000;
+
+/** Time (ms) at which a worker is lost, and the leader some time later. */
+const WORKER_LOST_AT_MS = 10_000;
+const LEADER_LOST_AT_MS = WORKER_LOST_AT_MS + 300;
+
+/** Time within which a task is at work again once its lease has expired, in ms. */
+const RESTART_MS = 700;
+
+/** The leader's host is back after this time, which shows that the leader extends no lease any more; then one lease ends. */
+const MAX_GAP_MS = LEADER_LOST_AT_MS - WORKER_LOST_AT_MS + MAX_DOWN_MS + LONGEST_LEASE_MS * 1.02 + RESTART_MS;
+
+// The next leader waited for 8 s for the right of a leader to extend leases that had ended.
+for (const fault of ["kill-leader", "kill-all"] as const) {
+    test.serial(`tasks of a worker that is lost just before ${fault} run again when a lease has ended`, t => {
+        for (const seed of [1, 2, 3, 4]) {
+            const { breaches, leaders } = JobTrial.run({
+                seed,
+                lengthMs: 20_000,
+                instances: 3,
+                workers: 6,
+                faultEveryMs: 0,
+                longestLeaseMs: LONGEST_LEASE_MS,
+                lasting: { count: 4, maxGapMs: MAX_GAP_MS, isAlone: true },
+                plannedFaults: [
+                    [WORKER_LOST_AT_MS, "lose-worker"],
+                    [LEADER_LOST_AT_MS, fault],
+                ],
+            });
+            t.deepEqual(breaches, []);
+            t.is(leaders, 2);
+        }
+    });
+}
+
+test.serial("a leader that is taken for ended although it leads on lets a task that lasts run twice", t => {
+    replaceMethod(t, HostTable.prototype, "endOf", () => 0);
+    const rules = [1, 2, 3, 4, 5, 6].flatMap(seed =>
+        JobTrial.run({
+            seed,
+            lengthMs: 40_000,
+            instances: 3,
+            workers: 6,
+            faultEveryMs: 1_200,
+            faults: ["worker-cut", "cut-store", "freeze"],
+            lasting: { count: 4 },
+        }).breaches.map(each => each.rule),
+    );
+    t.true(rules.includes("single-run"));
+});
--- a/src/proof/node/test/regionFixture.ts
+++ b/src/proof/node/test/regionFixture.ts
@@ -97,7 +97,13 @@
         const limits: DispatchLimits = { ...LIMITS, configurationMs: plan.configurationMs };
         this.instances = Array.from({ length: plan.instances }, (_, index) =>
             JobInstance.create(
-                { instance: `far-${index}`, nonce: index * 7_919, storeRoundTripMs: () => 2 * plan.delayMs, cores: 1 },
+                {
+                    instance: `far-${index}`,
+                    host: `far-${index}`,
+                    nonce: index * 7_919,
+                    storeRoundTripMs: () => 2 * plan.delayMs,
+                    cores: 1,
+                },
                 limits,
                 StreamDecoder.create(),
             ),
@@ -116,7 +122,7 @@
         this.instances.forEach((instance, index) => {
             // Instances do not start at the same moment.
             this.schedule.add((index * 300) / plan.instances, () => {
-                instance.start().forEach(effect => this.perform(instance, effect));
+                instance.start(this.schedule.now).forEach(effect => this.perform(instance, effect));
                 this.repeat(TICK_MS, 0, () => this.dispatch(instance, { kind: "tick" }));
             });
         });
--- a/src/proof/node/test/takeoverFixture.ts
+++ b/src/proof/node/test/takeoverFixture.ts
@@ -192,6 +192,7 @@
     private startInstance(name: string, index: number): void {
         const identity = {
             instance: name,
+            host: name,
             nonce: 1 + index * 37,
             storeRoundTripMs: () => 5,
             cores: this.counts.cores ?? 1,
--- a/src/proof/node/test/waitTrial.test.ts
+++ b/src/proof/node/test/waitTrial.test.ts
@@ -41,7 +41,7 @@
     },
 );
 
-// The next leader cannot know when the lease ends: the worker was lost just before its predecessor.
+// The next leader waited for the right of its predecessor, which had not recorded the lease, to extend it.
 test.serial("a task that lasts runs again in time after its worker and the leader were lost, seed 1", t => {
     t.deepEqual(lastingRunBreaches("worker-and-leader-lost", 1), []);
 });
--- a/src/records/common/leaderRecord.ts
+++ b/src/records/common/leaderRecord.ts
@@ -6,6 +6,8 @@
     /** Increases with each claim. Workers reject orders of lower epochs. */
     readonly epoch: number;
     readonly instance: string;
+    /** Host of the instance, whose next incarnation shows that this one has ended. Earlier versions leave it out. */
+    readonly host?: string;
     /** CPU available to the instance, in cores. */
     readonly cores: number;
     /** Whether the leader gives up leadership. */
@@ -17,6 +19,11 @@
     readonly leasesSince?: number;
     /** Whether the leader takes over from another one, so that renewals may be late. Earlier versions leave it out. */
     readonly takingOver?: boolean;
+    /**
+     * Upper bound of the time for which leaders before it may still extend leases, in ms. Left out by earlier versions, and by
+     * claims, which do not know the latest renewal before them.
+     */
+    readonly formersMs?: number;
     /** By how much the renewal is late, in ms; left out by earlier versions, and by a leader that is on time. */
     readonly lateMs?: number;
 }
@@ -29,7 +36,10 @@
         const leasesSince = Number.isSafeInteger(record.leasesSince) ? record.leasesSince : undefined;
         const takingOver = record.takingOver === true ? true : undefined;
         const lateMs = Number.isFinite(record.lateMs) && record.lateMs! > 0 ? record.lateMs : undefined;
-        return isLeader ? { ...record, cores: record.cores ?? 0, leasesSince, takingOver, lateMs } : undefined;
+        const host = typeof record.host === "string" ? record.host : undefined;
+        const formersMs = Number.isFinite(record.formersMs) && record.formersMs! >= 0 ? record.formersMs : undefined;
+        const optional = { host, leasesSince, takingOver, formersMs, lateMs };
+        return isLeader ? { ...record, cores: record.cores ?? 0, ...optional } : undefined;
     } catch {
         return undefined;
     }
--- a/src/records/common/leadership.ts
+++ b/src/records/common/leadership.ts
@@ -3,6 +3,9 @@
 import { EffectSink } from "../../base/common/effectSink";
 import { Emitter } from "../../base/common/emitter";
 import { Machine } from "../../base/common/machine";
+import { withDrift } from "../../coordination/common/duration";
+import { FormerLeaders } from "./formerLeaders";
+import { HostTable } from "./hostTable";
 import { decodeLeader, LeaderRecord } from "./leaderRecord";
 import chartText from "./leadership.chart.yaml";
 import { StoredRecord } from "./record";
@@ -72,6 +75,8 @@
 /** An instance that may claim leadership. */
 export interface LeadershipCandidate {
     readonly instance: string;
+    /** Name of its host, on which one incarnation runs at a time; the instance is never known to have ended if undefined. */
+    readonly host?: string;
     /** Number that differs between instances. It sets the claim jitter and the first sequence number of appends. */
     readonly nonce: number;
     /**
@@ -126,6 +131,8 @@
     private ledEpoch = 0;
     /** Offset of the latest record of a leader that was read. */
     private latestOffset = 0;
+    /** Offset of the first record of the latest leader that was read. */
+    private firstOffset = 0;
     /** Offset of the claim with which this instance became the leader. */
     private claimOffset = 0;
     private nextClaimAt = 0;
@@ -140,10 +147,7 @@
     private suspendedAt: number | undefined;
     /** Time (ms) at which the first claim of the claimed epoch was sent. */
     private claimedAt = 0;
-    /** Time (ms) by which the latest renewal of the leader before the latest known one was stored. */
-    private previousRenewedBy: number | undefined;
-    /** Whether that leader extends leases by the age of its renewals. */
-    private isPreviousBoundByRenewals = false;
+    private readonly formers: FormerLeaders;
 
     /**
      * Time (ms) at which the leader's latest confirmed renewal was sent, or the claim if there is none. A successor has read
@@ -168,7 +172,9 @@
         private readonly follower: RecordFollower,
         private readonly effects: EffectSink<RecordEffect>,
         private readonly shard: number,
+        hosts: HostTable,
     ) {
+        this.formers = FormerLeaders.create(hosts);
         this.machine = Machine.create(chart, {
             guards: {},
             actions: {
@@ -187,6 +193,7 @@
      * @param follower Follows the stream that holds the claims.
      * @param effects Receives claims and appends.
      * @param shard Number of the shard.
+     * @param hosts Shows which former leaders have ended.
      * @returns An election in which this instance is on standby.
      */
     static create(
@@ -194,8 +201,9 @@
         follower: RecordFollower,
         effects: EffectSink<RecordEffect>,
         shard = 0,
+        hosts = HostTable.create(),
     ): Leadership {
-        return new Leadership(candidate, follower, effects, shard);
+        return new Leadership(candidate, follower, effects, shard, hosts);
     }
 
     /** Epoch of the latest known leader, or 0. */
@@ -227,11 +235,11 @@
     }
 
     /**
-     * Time (ms) by which the latest renewal of the former leader was certainly stored, or `undefined` if there is no former
-     * leader or it is of a version that extends leases after any append.
+     * Time (ms) by which former leaders have lost the right to extend leases. It is earlier once a record shows that a leader
+     * has ended. `undefined` if there is no former leader or the last one is of a version that extends leases after any append.
      */
-    get formerRenewedBy(): number | undefined {
-        return this.isPreviousBoundByRenewals ? this.previousRenewedBy : undefined;
+    get formersEndBy(): number | undefined {
+        return this.formers.rightEndsBy;
     }
 
     /** Whether no resignation is waiting to be stored. */
@@ -275,8 +283,8 @@
             return;
         }
         if (latest.epoch > this.epoch) {
-            this.previousRenewedBy = isFollowed ? (this.renewalReadAt ?? now) : now;
-            this.isPreviousBoundByRenewals = this.latestRecord?.leasesSince !== undefined;
+            this.recordFormers(latest, now, isFollowed);
+            this.firstOffset = record.offset;
         }
         this.renewalReadAt = now;
         this.leaderFirstSeenAt = latest.epoch === this.epoch ? this.leaderFirstSeenAt : now;
@@ -291,6 +299,19 @@
         }
     }
 
+    /** Records that a leader has superseded the latest known one, and others if not all records before its own were read. */
+    private recordFormers(latest: LeaderRecord, now: number, isFollowed: boolean): void {
+        const { latestRecord: former, firstOffset: offset } = this;
+        if (!isFollowed) {
+            this.formers.addUnknown(now, latest.formersMs && withDrift(latest.formersMs));
+        }
+        if (former !== undefined) {
+            const { host, instance, leasesSince } = former;
+            const renewedBy = isFollowed ? (this.renewalReadAt ?? now) : now;
+            this.formers.add({ host, instance, offset, renewedBy, isBoundByRenewals: leasesSince !== undefined }, now);
+        }
+    }
+
     /**
      * Handles the answer to a claim or to an append of the leader. Answers to those of an earlier epoch are ignored.
      * @param event The answer.
@@ -483,11 +504,12 @@
     }
 
     private encodeRecord(resigned: boolean): string {
-        const { instance, cores } = this.candidate;
+        const { instance, host, cores } = this.candidate;
         const { leasesSince } = this;
         const takingOver = this.now < this.takingOverUntil ? true : undefined;
-        const state = { leasesSince, takingOver, lateMs: this.takeLateMs() };
-        const record: LeaderRecord = { epoch: this.claimedEpoch, instance, cores, ...state };
+        const formersMs = this.isLeading ? this.formers.remainingMs(this.now) : undefined;
+        const state = { leasesSince, takingOver, formersMs, lateMs: this.takeLateMs() };
+        const record: LeaderRecord = { epoch: this.claimedEpoch, instance, host, cores, ...state };
         return JSON.stringify(resigned ? { ...record, resigned } : record);
     }
 }
--- a/src/records/common/test/leadership.test.ts
+++ b/src/records/common/test/leadership.test.ts
@@ -1,6 +1,7 @@
 import test, { ExecutionContext } from "ava";
 import { Err } from "ts-results";
 import { KeyedLog } from "../../../standin/common/keyedLog";
+import { RENEWAL_WINDOW_MS } from "../formerLeaders";
 import { LeaderRecord } from "../leaderRecord";
 import { OfficeChange } from "../leadership";
 import { createInstance } from "./claimant";
@@ -193,7 +194,7 @@
     log.append(effect.append);
     read(3_200);
     t.true(leadership.isLeading);
-    t.is(leadership.formerRenewedBy, 1_300);
+    t.is(leadership.formersEndBy, 1_300 + RENEWAL_WINDOW_MS);
     t.is(leadership.leasesSince, 2);
 });
 
@@ -211,7 +212,7 @@
     read(2_000);
     load(2_100, log.newest(undefined).unwrap());
     t.true(leadership.isLeading);
-    t.is(leadership.formerRenewedBy, 2_100);
+    t.is(leadership.formersEndBy, 2_100 + RENEWAL_WINDOW_MS);
 });
 
 test("records of leases do not count from before a leader of an earlier version", t => {
@@ -225,7 +226,7 @@
     log.append(effect.append);
     read(2_000);
     t.true(leadership.isLeading);
-    t.is(leadership.formerRenewedBy, undefined);
+    t.is(leadership.formersEndBy, undefined);
     t.is(leadership.leasesSince, 4);
 });
 
