State the ends of former incarnations only where there has been a leader

An instance that starts before the first leader is elected has nothing to state: no append at the first start of a system.

--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -393,8 +393,11 @@
         this.offices.forEach(office => office.retainWorkers(ids));
     }
 
-    /** Tells the other instances that a leader which was a former incarnation has ended. */
+    /** Tells the other instances that a leader which was a former incarnation has ended, if there has been a leader. */
     private writeHost(): void {
+        if (!this.offices.some(office => office.hasHadLeader)) {
+            return;
+        }
         const { instance, host } = this.identity;
         const { startedAt, jobsFollower } = this;
         this.submissionWriter.write(hostKey(host), () =>
--- a/src/host/common/shardOffice.ts
+++ b/src/host/common/shardOffice.ts
@@ -116,6 +116,11 @@
         return this.leadership.isCandidate;
     }
 
+    /** Whether the shard has had a leader. */
+    get hasHadLeader(): boolean {
+        return this.leadership.epoch > 0;
+    }
+
     /** Whether no resignation is waiting to be stored. */
     get isResignationStored(): boolean {
         return this.leadership.isResignationStored;
