A leader that has ended is replaced at once

After a leader was killed, no task was started for up to 2.5 s: others waited for 1.2 s without a renewal, and saw the lack of one only with the next read. The next incarnation on its host now states that the leader has ended, which counts like a resignation: others claim when they read it. A statement that covers an earlier incarnation only does not count.

--- a/src/records/common/leadership.ts
+++ b/src/records/common/leadership.ts
@@ -172,7 +172,7 @@
         private readonly follower: RecordFollower,
         private readonly effects: EffectSink<RecordEffect>,
         private readonly shard: number,
-        hosts: HostTable,
+        private readonly hosts: HostTable,
     ) {
         this.formers = FormerLeaders.create(hosts);
         this.machine = Machine.create(chart, {
@@ -387,7 +387,7 @@
 
     /** A leader that is late is told from one that is gone by what its latest record states. */
     private leaderTimeoutMs(): number {
-        if (this.latestRecord === undefined || this.latestRecord.resigned === true) {
+        if (this.latestRecord === undefined || this.latestRecord.resigned === true || this.hasLeaderEnded) {
             return 0;
         }
         const { takingOver, lateMs = 0 } = this.latestRecord;
@@ -395,6 +395,11 @@
         return takingOver === true ? MAX_LEADER_TIMEOUT_MS : Math.min(MAX_LEADER_TIMEOUT_MS, timeoutMs);
     }
 
+    private get hasLeaderEnded(): boolean {
+        const { host, instance } = this.latestRecord!;
+        return this.hosts.endOf({ host, instance, offset: this.firstOffset }) !== undefined;
+    }
+
     private recordRead(knownUntil: number): void {
         const isOutageOver = this.lastReadAt !== undefined && knownUntil - this.lastReadAt > STORE_OUTAGE_THRESHOLD_MS;
         this.leaderLastSeenAt = isOutageOver ? knownUntil : (this.leaderLastSeenAt ?? knownUntil);
--- a/src/records/common/test/claimant.ts
+++ b/src/records/common/test/claimant.ts
@@ -1,5 +1,7 @@
 import { Ok, Result } from "ts-results";
 import { Outbox } from "../../../base/common/outbox";
+import { parseHostKey } from "../hostRecord";
+import { HostTable } from "../hostTable";
 import { Leadership } from "../leadership";
 import { RecordFollower, RecordReceiver } from "../recordFollower";
 import { RecordOffset } from "../record";
@@ -14,11 +16,16 @@
 
 class LeaderReceiver extends RecordReceiver {
     leadership: Leadership | undefined;
+    readonly hosts = HostTable.create();
     now = 0;
     isFollowed = true;
 
     override apply(record: Parameters<RecordReceiver["apply"]>[0]): void {
-        this.leadership!.apply(record, this.now, this.isFollowed);
+        if (parseHostKey(record.key) === undefined) {
+            this.leadership!.apply(record, this.now, this.isFollowed);
+        } else {
+            this.hosts.apply(record, this.now);
+        }
     }
 
     override retainKeys(): void {}
@@ -29,7 +36,8 @@
     const outbox = Outbox.create<RecordEffect>();
     const receiver = new LeaderReceiver();
     const follower = RecordFollower.create("jobs", receiver, () => ({ waitMs: 0, pauseMs: 0 }), outbox);
-    const leadership = Leadership.create({ instance, nonce, storeRoundTripMs: () => 1, cores }, follower, outbox);
+    const candidate = { instance, nonce, storeRoundTripMs: () => 1, cores };
+    const leadership = Leadership.create(candidate, follower, outbox, 0, receiver.hosts);
     receiver.leadership = leadership;
     let number = 0;
     const drain = () => {
--- a/src/records/common/test/leadership.test.ts
+++ b/src/records/common/test/leadership.test.ts
@@ -2,6 +2,7 @@
 import { Err } from "ts-results";
 import { KeyedLog } from "../../../standin/common/keyedLog";
 import { RENEWAL_WINDOW_MS } from "../formerLeaders";
+import { encodeHost, hostKey } from "../hostRecord";
 import { LeaderRecord } from "../leaderRecord";
 import { OfficeChange } from "../leadership";
 import { createInstance } from "./claimant";
@@ -198,6 +199,25 @@
     t.is(leadership.leasesSince, 2);
 });
 
+test("a leader is replaced at once when the next incarnation on its host has started, and not for an earlier one", t => {
+    const log = KeyedLog.create();
+    const { leadership, read, claim } = createInstance(log, "a", 10);
+    const renew = () =>
+        log.store("leader", JSON.stringify({ epoch: 3, instance: "h-b", host: "h", cores: 1, leasesSince: 2 }));
+    renew();
+    read(1_000);
+    log.store(hostKey("h"), encodeHost({ instance: "h-a", readTo: 0, ageMs: 10 }));
+    read(1_200);
+    t.deepEqual(claim(1_200), []);
+    log.store(hostKey("h"), encodeHost({ instance: "h-c", readTo: 2, ageMs: 100 }));
+    read(1_300);
+    const [effect] = claim(1_300);
+    log.append(effect.append);
+    read(1_400);
+    t.true(leadership.isLeading);
+    t.is(leadership.formersEndBy, 1_300 - 100 * 0.98);
+});
+
 test("a claim that is read during a load shows only that earlier renewals were stored before it was read", t => {
     const log = KeyedLog.create();
     log.store("leader", renewal(3, 2));
