Stop best-effort runs for a task that lasts, has lost its run and lacks only memory

Callers saw a task that lasts without a run for 9 s and more although its run had been given up in time: the memory of all workers was held by best-effort runs, most of them throttled, so the worker that is kept for the task became free only 2 to 4.6 s later. RoomKeeper, which takes the step over from StepQueue, now stops runs on that worker, the slowest first, if they save their work and leave enough. Memory of runs that are being stopped counts as free for the choice of the worker, so that one worker is cleared and not another one in the next pass. A task that never ran, or that also lacks CPU, stops nothing.

--- a/src/dispatch/common/placer.ts
+++ b/src/dispatch/common/placer.ts
@@ -3,6 +3,7 @@
 import { LatencyModel } from "./latencyModel";
 import { ReservedPolicy } from "./reservedPolicy";
 import { BestEffortPolicy } from "./bestEffortPolicy";
+import { Run } from "./run";
 import { Task } from "./task";
 import { PlacementOffer, PlacementPolicy, SpeedLimit } from "./placementPolicy";
 import { RejectionTable } from "./rejectionTable";
@@ -27,6 +28,13 @@
 
 /** Resources for which a task waits on a worker until other runs end. */
 const RELEASED_RESOURCES = ["cpuMillis", "memoryMb"] as const;
+type ReleasedResource = (typeof RELEASED_RESOURCES)[number];
+
+/** A worker that is kept for a task, and what the task lacks there until further runs end. */
+export interface HeldRoom {
+    readonly worker: WorkerContact;
+    readonly missing: Readonly<Record<ReleasedResource, number>>;
+}
 
 const NO_OBSTACLES: Readonly<Record<Obstacle, number>> = {
     otherKind: 0,
@@ -372,35 +380,52 @@
      * @param task A task that has to run soon and for which no worker has room.
      * @param service Service whose workers may run it.
      * @param mayHoldCpu Whether it is also kept from tasks with reserved CPU; otherwise only a worker that lacks just memory is kept.
+     * @returns The worker, or `undefined` if none is kept.
      */
-    holdRoom(task: Task, service: string, mayHoldCpu: boolean): void {
-        let best: WorkerContact | undefined;
+    holdRoom(task: Task, service: string, mayHoldCpu: boolean): HeldRoom | undefined {
+        const { request } = task.step;
+        let best: HeldRoom | undefined;
         let leastRatio = Number.POSITIVE_INFINITY;
         this.workers.forEach((worker, position) => {
-            const ratio = this.shortageRatio(task.step, worker, position, mayHoldCpu);
-            if (ratio < leastRatio && isOfKind(task.step, service, worker) && isAcceptable(task, worker)) {
-                best = worker;
+            const missing = this.missingRoom(task.step, worker, position, mayHoldCpu);
+            const ratio = Math.max(...RELEASED_RESOURCES.map(each => (missing?.[each] ?? Infinity) / request[each]));
+            if (
+                missing !== undefined &&
+                ratio < leastRatio &&
+                isOfKind(task.step, service, worker) &&
+                isAcceptable(task, worker)
+            ) {
+                best = { worker, missing };
                 leastRatio = ratio;
             }
         });
         if (best !== undefined) {
-            this.reserve(task, best);
+            this.reserve(task, best.worker);
         }
+        return best;
     }
 
     /**
-     * @returns The largest share of a request that a worker lacks; infinite if it lacks nothing, and only other reasons keep the task
-     * from it, or if its short runs do not leave as much when they end.
+     * @returns What a worker lacks for a step beyond what runs that are being stopped leave. `undefined` if it lacks nothing, and only
+     * other reasons keep the task from it, or if its short runs do not leave as much when they end.
      */
-    private shortageRatio({ request }: StepSpec, worker: WorkerContact, position: number, mayHoldCpu: boolean): number {
+    private missingRoom(
+        { request }: StepSpec,
+        worker: WorkerContact,
+        position: number,
+        mayHoldCpu: boolean,
+    ): HeldRoom["missing"] | undefined {
         const { freeCapacity } = this.forecastAt(position);
         const missing = (resource: keyof TaskRequest) => Math.max(0, request[resource] - freeCapacity[resource]);
         const lacking = RELEASED_RESOURCES.filter(each => missing(each) > 0);
         const isExcluded = missing("accelerators") > 0 || (missing("cpuMillis") > 0 && !mayHoldCpu);
-        if (lacking.length === 0 || isExcluded || lacking.some(each => missing(each) > heldByShortRuns(worker, each))) {
-            return Number.POSITIVE_INFINITY;
+        const isEnough = lacking.every(each => missing(each) <= heldByRuns(worker, each, isShort));
+        if (lacking.length === 0 || isExcluded || !isEnough) {
+            return undefined;
         }
-        return Math.max(...lacking.map(each => missing(each) / request[each]));
+        const left = (resource: ReleasedResource) =>
+            Math.max(0, missing(resource) - heldByRuns(worker, resource, isBeingStopped));
+        return { cpuMillis: left("cpuMillis"), memoryMb: left("memoryMb") };
     }
 
     private update(position: number, forecast: WorkerForecast | undefined): void {
@@ -452,12 +477,21 @@
     return count;
 }
 
-/** @returns How much of a resource is held on a worker by runs that end by themselves. */
-function heldByShortRuns(worker: WorkerContact, resource: (typeof RELEASED_RESOURCES)[number]): number {
+/** Whether a run ends by itself. */
+function isShort({ task }: Run): boolean {
+    return task.step.mode !== "long-running";
+}
+
+function isBeingStopped({ state }: Run): boolean {
+    return state === "stopping" || state === "stopped";
+}
+
+/** @returns How much of a resource is held on a worker by the runs that a predicate names. */
+function heldByRuns(worker: WorkerContact, resource: ReleasedResource, isCounted: (run: Run) => boolean): number {
     let held = 0;
-    for (const { task } of worker.runs.values()) {
-        const { mode, request, usesSpareCpu } = task.step;
-        const isHeld = mode !== "long-running" && (resource !== "cpuMillis" || !usesSpareCpu);
+    for (const run of worker.runs.values()) {
+        const { request, usesSpareCpu } = run.task.step;
+        const isHeld = isCounted(run) && (resource !== "cpuMillis" || !usesSpareCpu);
         held += isHeld ? request[resource] : 0;
     }
     return held;
--- a/src/dispatch/common/queueHost.ts
+++ b/src/dispatch/common/queueHost.ts
@@ -21,6 +21,13 @@
      */
     abstract move(run: Run, now: number): void;
 
+    /**
+     * Stops a best-effort run, which waits again: a long-running task that has to run needs its memory.
+     * @param run The run.
+     * @param now Time in ms.
+     */
+    abstract preempt(run: Run, now: number): void;
+
     /**
      * Requests a review of the waiting tasks at a time, also if the latest one was expensive: a job has to have a run by then.
      * @param at Time in ms.
--- a/src/dispatch/common/runReviewer.ts
+++ b/src/dispatch/common/runReviewer.ts
@@ -60,15 +60,24 @@
      * @returns Whether it has been throttled for so long that its task should move if a worker offers a higher speed.
      */
     isSlowedDown(run: Run, now: number): boolean {
-        const { moves, step } = run.task;
-        const throttledMs = Math.min(MAX_THROTTLED_MS, MIN_THROTTLED_MS * 2 ** moves);
+        const throttledMs = Math.min(MAX_THROTTLED_MS, MIN_THROTTLED_MS * 2 ** run.task.moves);
         return (
             run.state === "running" &&
             this.isThrottled(run) &&
             now - run.throttledAt > throttledMs &&
-            (step.checkpoints || (run.report?.percent ?? 0) < MAX_LOST_PROGRESS_PERCENT)
+            losesLittleWork(run)
         );
     }
+
+    /** @returns Whether a run may be stopped for a task that lasts: it is a short best-effort one, and loses little work. */
+    isPreemptible(run: Run): boolean {
+        const { usesSpareCpu, mode } = run.task.step;
+        return run.state === "running" && usesSpareCpu && mode === "independent" && losesLittleWork(run);
+    }
+}
+
+function losesLittleWork({ task, report }: Run): boolean {
+    return task.step.checkpoints || (report?.percent ?? 0) < MAX_LOST_PROGRESS_PERCENT;
 }
 
 /** Long-running tasks move at once, to keep their interruption short; others may still end before the worker leaves. */
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -400,6 +400,11 @@
         this.stop(run, "slowed-down", now);
     }
 
+    /** Stops a best-effort run: a long-running task needs its memory. */
+    preempt(run: Run, now: number): void {
+        this.stop(run, "preempted", now);
+    }
+
     /** Requests a pass at a time, also if the latest one was expensive. @param at Time in ms. */
     requestPassBy(at: number): void {
         this.pacer.requestBy(at);
--- a/src/dispatch/common/schedulerQueueHost.ts
+++ b/src/dispatch/common/schedulerQueueHost.ts
@@ -23,6 +23,10 @@
         this.scheduler.moveThrottled(run, now);
     }
 
+    override preempt(run: Run, now: number): void {
+        this.scheduler.preempt(run, now);
+    }
+
     override requestPassBy(at: number): void {
         this.scheduler.requestPassBy(at);
     }
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -8,6 +8,7 @@
 import { PlacementChoice, Placer } from "./placer";
 import { ProbationPlacer } from "./probationPlacer";
 import { QueueHost } from "./queueHost";
+import { RoomKeeper } from "./roomKeeper";
 import { Run } from "./run";
 import { RunReviewer } from "./runReviewer";
 import { ServiceUsage } from "./serviceUsage";
@@ -35,6 +36,7 @@
  */
 export class StepQueue {
     private readonly probation: ProbationPlacer;
+    private readonly roomKeeper = RoomKeeper.create();
     private readonly waits: WaitController;
     private readonly waitReporter = WaitReporter.create();
     private readonly lastingReporter = LastingWaitReporter.create();
@@ -179,18 +181,13 @@
         }
         due.sort((a, b) => idleMs(b) - idleMs(a));
         this.lastStart = Math.min(0, this.remainingStarts) - MAX_DUE_STARTS;
-        const lasting = due.filter(isLongRunning);
-        this.placeInOrder(lasting, placer, now);
-        // Others would fill each gap that is too small for it. One that never ran leaves the CPU that is reserved for short tasks to them.
-        lasting.forEach(({ tasks, service }) =>
-            tasks.forEach(task => task.run ?? placer.holdRoom(task, service, task.highestRun > 0)),
-        );
-        const others = due.filter(entry => !isLongRunning(entry));
-        const first = others.filter(({ runs }) => runs === 0);
+        this.placeInOrder(due.filter(isLongRunning), placer, now);
+        this.roomKeeper.keep(due, placer, this.host, now);
+        const first = due.filter(entry => !isLongRunning(entry) && entry.runs === 0);
         this.placeInOrder(first, placer, now);
         // Further runs of a job beyond the limit on starts would only delay the first ones of others.
         this.lastStart = 0;
-        const further = others.filter(({ runs }) => runs > 0).sort((a, b) => a.runs - b.runs);
+        const further = due.filter(entry => !isLongRunning(entry) && entry.runs > 0).sort((a, b) => a.runs - b.runs);
         this.placeInOrder(further, placer, now);
     }
 
--- a/src/dispatch/common/test/runs.ts
+++ b/src/dispatch/common/test/runs.ts
@@ -41,6 +41,7 @@
 /** Assigns tasks by a function, and records the moves of runs and the requested passes. */
 export class AssigningHost extends QueueHost {
     readonly moved: Run[] = [];
+    readonly preempted: Run[] = [];
     /** Times (ms) at which passes were requested. */
     readonly requestedPasses: number[] = [];
 
@@ -68,6 +69,11 @@
         this.moved.push(run);
     }
 
+    override preempt(run: Run, now: number): void {
+        this.preempted.push(run);
+        run.fire("stop", { now });
+    }
+
     override requestPassBy(at: number): void {
         this.requestedPasses.push(at);
     }
