--- a/src/host/common/shardOffice.ts
+++ b/src/host/common/shardOffice.ts
@@ -17,6 +17,7 @@
 import { FIRST_SHARD } from "../../jobs/common/shardPlan";
 import { ShardTable } from "../../jobs/common/shardTable";
 import { Leadership } from "../../records/common/leadership";
+import { HostTable } from "../../records/common/hostTable";
 import { RecordEvent } from "../../records/common/recordEvents";
 import { RecordFollower } from "../../records/common/recordFollower";
 import { RecordWriter } from "../../records/common/recordWriter";
@@ -38,6 +39,7 @@
     readonly evacuations: EvacuationTable;
     readonly shards: ShardTable;
     readonly loads: ShardLoadTable;
+    readonly hosts: HostTable;
     readonly transferPolicy: TransferPolicy;
     readonly workers: WorkerTable;
     readonly jobsFollower: RecordFollower;
@@ -83,6 +85,7 @@
         };
         const candidate = {
             instance: identity.instance,
+            host: identity.host,
             nonce: identity.nonce + shard * CLAIM_SPREAD_MS,
             storeRoundTripMs: identity.storeRoundTripMs,
             get cores() {
@@ -92,7 +95,7 @@
                 return shards.plan?.epoch;
             },
         };
-        this.leadership = Leadership.create(candidate, jobsFollower, this.effects, shard);
+        this.leadership = Leadership.create(candidate, jobsFollower, this.effects, shard, context.hosts);
         this.leadership.onDidBecomeLeader(writer => this.startTakeover(writer));
         this.leadership.onDidStepDown(() => this.stopScheduling());
         this.leadership.onDidChangeOffice(({ kind, ...data }) =>
@@ -115,6 +118,11 @@
         return this.leadership.isCandidate;
     }
 
+    /** Whether the shard has had a leader. */
+    get hasHadLeader(): boolean {
+        return this.leadership.epoch > 0;
+    }
+
     /** Whether no resignation is waiting to be stored. */
     get isResignationStored(): boolean {
         return this.leadership.isResignationStored;
--- a/src/host/node/jobProcess.ts
+++ b/src/host/node/jobProcess.ts
@@ -222,7 +222,8 @@
             const metrics = createProbeServer(async () => ({ status: 200, body: await this.metrics.text() }));
             await this.listenOn(metrics, addresses.metrics);
         }
-        this.instance.start().forEach(effect => this.performers.perform(effect));
+        // A former incarnation has ended, since it listened on the same addresses.
+        this.instance.start(performance.now()).forEach(effect => this.performers.perform(effect));
         const tickIntervalMs = () => (this.instance.isLeading ? TICK_INTERVAL_MS : STANDBY_TICK_INTERVAL_MS);
         this.loop.startTicking(dueAt => ({ kind: "tick", dueAt }), tickIntervalMs);
         this.parts.log.log("started", { calls: addresses.calls, failureDomain: this.settings.failureDomain });
