Read single tasks that are left to another shard from records of their own

A task that has lost its worker can be given a run only by the leader of its job's shard, however full that is: a job is transferred as a whole or not at all. This adds the record of one task: key t/TASK, the shard that gives it runs, how often it was transferred, and what is known of it (failures, checkpoint, evidence, the highest number given to a run). JobTable keeps the record with the highest count of each task, also after the job's deletion until its own, as it does for transfers of jobs. ShardJobs counts a job as one of the shard if it or one of its tasks is, and tells which shard has the job itself. Nothing writes such records yet, and nobody has any, so behaviour is as before.

Evidence: jobTable.test.ts, "the transfer of a task counts until it is deleted after its job, and an older or malformed one has no effect".

--- a/src/jobs/common/jobRecord.ts
+++ b/src/jobs/common/jobRecord.ts
@@ -6,9 +6,10 @@
 const STATE_PREFIX = "s/";
 const PROGRESS_PREFIX = "p/";
 const TRANSFER_PREFIX = "m/";
+const TASK_TRANSFER_PREFIX = "t/";
 
-/** Kind of a record about a job. Progress has a separate stream, which only leaders read. */
-export type JobRecordKind = "spec" | "cancellation" | "state" | "progress" | "transfer";
+/** Kind of a record about a job, or about one of its tasks. Progress has a separate stream, which only leaders read. */
+export type JobRecordKind = "spec" | "cancellation" | "state" | "progress" | "transfer" | "task-transfer";
 
 const KINDS: Readonly<Record<string, JobRecordKind>> = {
     [SPEC_PREFIX]: "spec",
@@ -16,6 +17,7 @@
     [STATE_PREFIX]: "state",
     [PROGRESS_PREFIX]: "progress",
     [TRANSFER_PREFIX]: "transfer",
+    [TASK_TRANSFER_PREFIX]: "task-transfer",
 };
 
 const PREFIXES: Readonly<Record<JobRecordKind, string>> = {
@@ -24,6 +26,7 @@
     state: STATE_PREFIX,
     progress: PROGRESS_PREFIX,
     transfer: TRANSFER_PREFIX,
+    "task-transfer": TASK_TRANSFER_PREFIX,
 };
 
 /** A run that may be on a worker. It is recorded before its start is sent. */
@@ -63,17 +66,22 @@
     readonly transfers?: number;
 }
 
-/** @param kind Kind of the record. @param id Identifier of the job. @returns Key of the record. */
+/** @param kind Kind of the record. @param id Identifier of the job, or name of the task. @returns Key of the record. */
 export function jobKey(kind: JobRecordKind, id: string): string {
     return PREFIXES[kind] + id;
 }
 
-/** @param key Key of a record. @returns Its kind and job, or `undefined` if it is not about a job. */
+/** @param key Key of a record. @returns Its kind and the job or task, or `undefined` if it is not about a job. */
 export function parseJobKey(key: string): { readonly kind: JobRecordKind; readonly id: string } | undefined {
     const kind = KINDS[key.slice(0, SPEC_PREFIX.length)];
     return kind === undefined ? undefined : { kind, id: key.slice(SPEC_PREFIX.length) };
 }
 
+/** @param name Name of a task, JOB.OCCURRENCE.STEP.INDEX. @returns Identifier of its job. */
+export function jobIdOf(name: string): string {
+    return name.slice(0, name.indexOf("."));
+}
+
 /** @param spec A job. @returns Value of its record. */
 export function encodeSpec(spec: JobSpec): string {
     return JSON.stringify(spec);
@@ -110,7 +118,9 @@
 
 const runSchema = z.tuple([z.string(), z.int(), z.string(), z.number(), z.string()]);
 const suspicionSchema = z.enum(["cleared", "suspected", "accused", "accused-again"]);
-const taskSchema = z.tuple([
+
+/** A task as it is recorded. */
+export const taskSchema = z.tuple([
     z.string(),
     z.int(),
     z.string(),
@@ -137,6 +147,22 @@
     return stateSchema.safeParse(value).data;
 }
 
+/** @param record A task. @returns It as it is recorded: an array in place of an object. */
+export function encodeTask({ task, failures, checkpoint, lastRun, suspicion, lossesInARow }: TaskRecord): unknown[] {
+    const fields = [task, failures, checkpoint, lastRun];
+    if ((lossesInARow ?? 0) > 0) {
+        return [...fields, suspicion ?? "cleared", lossesInARow];
+    }
+    return suspicion === undefined ? fields : [...fields, suspicion];
+}
+
+/** @param record A task as it is recorded. @returns The task. */
+export function decodeTask(record: z.infer<typeof taskSchema>): TaskRecord {
+    const [task, failures, checkpoint, lastRun, suspicion, lossesInARow = 0] = record;
+    const recorded = suspicion === "cleared" ? undefined : suspicion;
+    return { task, failures, checkpoint, lastRun, suspicion: recorded, lossesInARow };
+}
+
 /** @param progress Progress of a job. @returns Value of its record: arrays in place of objects. */
 export function encodeProgress(progress: JobProgress): string {
     const runs = (progress.runs ?? []).map(each => [
@@ -146,14 +172,7 @@
         each.incarnation,
         each.checkpoint,
     ]);
-    const tasks = (progress.tasks ?? []).map(each => {
-        const fields = [each.task, each.failures, each.checkpoint, each.lastRun];
-        const { suspicion, lossesInARow } = each;
-        if ((lossesInARow ?? 0) > 0) {
-            return [...fields, suspicion ?? "cleared", lossesInARow];
-        }
-        return suspicion === undefined ? fields : [...fields, suspicion];
-    });
+    const tasks = (progress.tasks ?? []).map(encodeTask);
     const fields = [progress.epoch, progress.state, progress.done ?? {}, runs, tasks];
     const { transfers = 0 } = progress;
     return JSON.stringify(transfers === 0 ? fields : [...fields, transfers]);
@@ -178,14 +197,7 @@
             incarnation,
             checkpoint,
         })),
-        tasks: tasks.map(([task, failures, checkpoint, lastRun, suspicion, lossesInARow]) => ({
-            task,
-            failures,
-            checkpoint,
-            lastRun,
-            suspicion: suspicion === "cleared" ? undefined : suspicion,
-            lossesInARow: lossesInARow ?? 0,
-        })),
+        tasks: tasks.map(decodeTask),
     };
 }
 
--- a/src/jobs/common/jobTable.ts
+++ b/src/jobs/common/jobTable.ts
@@ -1,8 +1,10 @@
 import { Emitter } from "../../base/common/emitter";
 import { RecordOffset, StoredRecord } from "../../records/common/record";
-import { decodeSpec, decodeState, JobRecordKind, parseJobKey } from "./jobRecord";
+import { decodeSpec, decodeState, jobIdOf, JobRecordKind, parseJobKey } from "./jobRecord";
 import { JobSpec, JobState } from "./jobSpec";
 import { decodeTransfer, JobTransfer } from "./jobTransfer";
+import { FIRST_SHARD } from "./shardPlan";
+import { decodeTaskTransfer, TaskTransfer } from "./taskTransfer";
 
 /** A job as recorded in the stream. */
 export interface JobEntry {
@@ -16,6 +18,8 @@
     stateOffset: RecordOffset;
     /** Latest transfer to another shard; `undefined` while the job is where its identifier puts it. */
     transfer?: JobTransfer;
+    /** Latest transfers of single tasks, by name; `undefined` if there was none. */
+    taskTransfers?: Map<string, TaskTransfer>;
 }
 
 /** All jobs, folded from the stream. Every instance has a table, so it can answer calls about every job. */
@@ -37,6 +41,14 @@
         return new JobTable();
     }
 
+    /** Number of the shard that all jobs are in; a fleet that is divided has `ShardJobs`. */
+    readonly shard: number = FIRST_SHARD;
+
+    /** @returns Shard of the leader that has a job; it may have left some of its tasks to others. */
+    homeOf(_id: string): number {
+        return this.shard;
+    }
+
     /** All jobs. */
     get all(): Iterable<JobEntry> {
         return this.entries.values();
@@ -79,19 +91,36 @@
             case "transfer":
                 this.applyTransfer(key.id, record, record.value);
                 break;
+            case "task-transfer":
+                this.applyTaskTransfer(key.id, record, record.value);
+                break;
         }
     }
 
     /** A transfer remains until it is deleted itself: instances that load the stream later have it, too. */
     private applyDeletion({ kind, id }: { readonly kind: JobRecordKind; readonly id: string }): void {
-        const transfer = this.transferOf(id);
+        const jobId = kind === "task-transfer" ? jobIdOf(id) : id;
+        const entry = this.entries.get(jobId);
+        if (entry === undefined || (kind !== "spec" && entry.spec !== undefined)) {
+            return;
+        }
         if (kind === "spec") {
-            this.entries.delete(id);
-            if (transfer !== undefined) {
-                this.getOrCreate(id).transfer = transfer;
-            }
-        } else if (kind === "transfer" && this.find(id) === undefined) {
-            this.entries.delete(id);
+            this.keepTransfers(entry, entry.transfer);
+        } else if (kind === "transfer") {
+            this.keepTransfers(entry, undefined);
+        } else if (kind === "task-transfer") {
+            entry.taskTransfers?.delete(id);
+            this.keepTransfers(entry, entry.transfer);
+        }
+    }
+
+    /** Forgets a job but for its transfers. */
+    private keepTransfers({ id, taskTransfers }: JobEntry, transfer: JobTransfer | undefined): void {
+        this.entries.delete(id);
+        if (transfer !== undefined || (taskTransfers?.size ?? 0) > 0) {
+            const entry = this.getOrCreate(id);
+            entry.transfer = transfer;
+            entry.taskTransfers = taskTransfers;
         }
     }
 
@@ -100,6 +129,11 @@
         return this.entries.get(id)?.transfer;
     }
 
+    /** @param id Identifier. @returns The latest transfers of its tasks. */
+    taskTransfersOf(id: string): Iterable<TaskTransfer> {
+        return this.entries.get(id)?.taskTransfers?.values() ?? [];
+    }
+
     /** @param queue Name of a queue. @returns Number of its accepted jobs that have not started. */
     countQueued(queue: string): number {
         let count = 0;
@@ -150,6 +184,20 @@
         }
     }
 
+    private applyTaskTransfer(task: string, record: StoredRecord, value: string): void {
+        const transfer = decodeTaskTransfer(value);
+        if (transfer === undefined) {
+            this.didIgnore.fire(record);
+            return;
+        }
+        const entry = this.getOrCreate(jobIdOf(task));
+        entry.taskTransfers ??= new Map();
+        if (transfer.count > (entry.taskTransfers.get(task)?.count ?? 0)) {
+            entry.taskTransfers.set(task, transfer);
+            this.didChange.fire(entry);
+        }
+    }
+
     private getOrCreate(id: string): JobEntry {
         const existing = this.entries.get(id);
         if (existing !== undefined) {
--- a/src/jobs/common/progressTable.ts
+++ b/src/jobs/common/progressTable.ts
@@ -1,5 +1,6 @@
 import { StoredRecord } from "../../records/common/record";
 import { decodeProgress, jobKey, JobProgress, parseJobKey } from "./jobRecord";
+import { JobEntry } from "./jobTable";
 import { decodeHead, joinProgress, parsePartKey, partKey } from "./progressPart";
 
 /** Progress of all jobs as recorded by earlier leaders. A new leader reads it during takeover. */
@@ -33,6 +34,17 @@
         return parts === undefined ? head : joinProgress(head, [...parts.values()]);
     }
 
+    /**
+     * @param entry A job.
+     * @param isGuest Whether another shard has it: what was recorded before its transfer is not that of single tasks.
+     * @returns Its progress: that of its latest transfer, unless a leader has recorded some since then.
+     */
+    latestOf({ id, transfer }: JobEntry, isGuest: boolean): JobProgress | undefined {
+        const recorded = this.find(id);
+        const ofTransfer = isGuest ? undefined : transfer?.progress;
+        return transfer !== undefined && (recorded?.transfers ?? 0) < transfer.count ? ofTransfer : recorded;
+    }
+
     /** @param id Identifier of a job. @returns Keys of the records with its progress. */
     keysOf(id: string): string[] {
         const head = this.entries.has(id) ? [jobKey("progress", id)] : [];
--- a/src/jobs/common/shardJobs.ts
+++ b/src/jobs/common/shardJobs.ts
@@ -3,14 +3,14 @@
 import { ShardTable } from "./shardTable";
 
 /** The jobs that a leader schedules, and their changes. */
-export type JobSource = Pick<JobTable, "all" | "find" | "onDidChange">;
+export type JobSource = Pick<JobTable, "all" | "find" | "onDidChange" | "shard" | "homeOf">;
 
-/** The jobs of one shard. */
+/** The jobs of one shard, and those of which it has single tasks. */
 export class ShardJobs implements JobSource {
     private constructor(
         private readonly jobs: JobTable,
         private readonly shards: ShardTable,
-        private readonly shard: number,
+        readonly shard: number,
     ) {}
 
     /**
@@ -27,18 +27,32 @@
     readonly onDidChange: Event<JobEntry> = listener =>
         this.jobs.onDidChange(entry => this.has(entry.id) && listener(entry));
 
-    /** All jobs of the shard. */
+    /** All jobs of the shard, and those of which it has tasks. */
     get all(): Iterable<JobEntry> {
         return [...this.jobs.all].filter(entry => this.has(entry.id));
     }
 
-    /** @param id Identifier. @returns The job, or `undefined` if its submission was not read or it is of another shard. */
+    /** @param id Identifier. @returns The job, or `undefined` if its submission was not read or all of it is of other shards. */
     find(id: string): JobEntry | undefined {
         return this.has(id) ? this.jobs.find(id) : undefined;
     }
 
-    /** @param id Identifier of a job. @returns Whether it is of this shard: that of its identifier until it is transferred. */
+    /** @param id Identifier of a job. @returns Whether it, or one of its tasks, is of this shard. */
     has(id: string): boolean {
-        return (this.jobs.transferOf(id)?.shard ?? this.shards.shardOfJob(id)) === this.shard;
+        return this.homeOf(id) === this.shard || this.hasTaskOf(id);
+    }
+
+    /** @param id Identifier of a job. @returns Its shard: that of its identifier until it is transferred. */
+    homeOf(id: string): number {
+        return this.jobs.transferOf(id)?.shard ?? this.shards.shardOfJob(id);
+    }
+
+    private hasTaskOf(id: string): boolean {
+        for (const { shard } of this.jobs.taskTransfersOf(id)) {
+            if (shard === this.shard) {
+                return true;
+            }
+        }
+        return false;
     }
 }
--- a/src/jobs/common/test/jobTable.test.ts
+++ b/src/jobs/common/test/jobTable.test.ts
@@ -4,6 +4,7 @@
 import { JobTable } from "../jobTable";
 import { encodeTransfer } from "../jobTransfer";
 import { ProgressTable } from "../progressTable";
+import { encodeTaskTransfer } from "../taskTransfer";
 
 const MALFORMED = ["", "{", "null", "[]", '{"id":"a"}', '{"id":"a","steps":[{"tasks":-1}]}'];
 
@@ -47,3 +48,26 @@
     loading.apply({ key: jobKey("transfer", "a"), value: transfer, offset: 1 });
     t.deepEqual(loading.transferOf("a"), following.transferOf("a"));
 });
+
+test("the transfer of a task counts until it is deleted after its job, and an older or malformed one has no effect", t => {
+    const jobs = JobTable.create();
+    const record = { task: "a.0.0.1", failures: 1, checkpoint: "c", lastRun: 7, suspicion: undefined, lossesInARow: 0 };
+    let offset = 0;
+    const apply = (key: string, value: string | undefined) => jobs.apply({ key, value, offset: offset++ });
+    const applyTransfer = (shard: number, count: number) =>
+        apply(jobKey("task-transfer", record.task), encodeTaskTransfer({ shard, count, record }));
+    const transfers = () => [...jobs.taskTransfersOf("a")];
+    let ignored = 0;
+    jobs.onDidIgnore(() => (ignored += 1));
+    apply(jobKey("spec", "a"), encodeSpec(createJob("a", createStep("x", false)).spec));
+    applyTransfer(1, 2);
+    applyTransfer(0, 1);
+    apply(jobKey("task-transfer", record.task), '{"shard":1,"count":3}');
+    t.deepEqual(transfers(), [{ shard: 1, count: 2, record }]);
+    t.is(ignored, 1);
+    apply(jobKey("spec", "a"), undefined);
+    t.is(transfers().length, 1);
+    apply(jobKey("task-transfer", record.task), undefined);
+    t.deepEqual(transfers(), []);
+    t.is(jobs.size, 0);
+});
