--- a/src/dispatch/common/activeJob.ts
+++ b/src/dispatch/common/activeJob.ts
@@ -2,6 +2,7 @@
 import { JobProgress, TaskRecord } from "../../jobs/common/jobRecord";
 import { JobSpec, JobState, StepSpec } from "../../jobs/common/jobSpec";
 import { isFinal } from "../../jobs/common/jobTable";
+import { TaskTransfer } from "../../jobs/common/taskTransfer";
 import { ActiveTask } from "./activeTask";
 import type { Run } from "./run";
 import { isFinishedBy, Task } from "./task";
@@ -27,6 +28,8 @@
     private openedCount = 0;
     private runCount = 0;
     private changes = 0;
+    /** Whether one of its tasks was transferred by itself: then the others stay. */
+    private hasTaskTransfers = false;
 
     state: JobState = "queued";
     isCancelled = false;
@@ -49,6 +52,8 @@
         readonly spec: JobSpec,
         /** Offset of its spec in the stream. */
         readonly specOffset: number,
+        /** Whether another shard has the job, and this one only tasks that were transferred to it. */
+        readonly isGuest: boolean,
     ) {
         const { queue } = spec;
         this.objectiveMs = spec.acceptedAtMs + queue.stretch * criticalPathMs(spec.steps) + queue.slackMs;
@@ -60,11 +65,12 @@
      * @param spec The job.
      * @param specOffset Offset of its spec in the stream.
      * @param progress Progress recorded by an earlier leader, if any.
+     * @param isGuest Whether another shard has it; then all of its tasks are elsewhere until they are transferred.
      * @returns The job; the caller adds its runs.
      */
-    static create(spec: JobSpec, specOffset: number, progress: JobProgress | undefined): ActiveJob {
-        const job = new ActiveJob(spec, specOffset);
-        job.state = progress?.state ?? "queued";
+    static create(spec: JobSpec, specOffset: number, progress: JobProgress | undefined, isGuest = false): ActiveJob {
+        const job = new ActiveJob(spec, specOffset, isGuest);
+        job.state = progress?.state ?? (isGuest ? "running" : "queued");
         const keys = [
             ...Object.keys(progress?.done ?? {}),
             ...[...(progress?.tasks ?? []), ...(progress?.runs ?? [])].map(each => groupKeyOf(each.task)),
@@ -154,9 +160,12 @@
         return [...this.groups].reduce((sum, group) => sum + (group.done.isFull ? 0 : group.tasks.length), 0);
     }
 
-    /** @returns Whether all steps on which the group's step depends are done. */
+    /** @returns Whether all steps on which the group's step depends are done. Only tasks that were ready are transferred. */
     isReady(group: TaskGroup): boolean {
-        return group.step.after.every(step => this.groupsByKey.get(`${group.occurrence}.${step}`)!.done.isFull);
+        return (
+            this.isGuest ||
+            group.step.after.every(step => this.groupsByKey.get(`${group.occurrence}.${step}`)!.done.isFull)
+        );
     }
 
     /** @returns Time from which a group may run, apart from the steps before it, in ms since the Unix epoch. */
@@ -230,7 +239,7 @@
      * its former runs is recorded.
      */
     get isTransferable(): boolean {
-        if (isFinal(this.state) || this.hasRun || this.unstoredRecords > 0) {
+        if (isFinal(this.state) || this.hasRun || this.unstoredRecords > 0 || !this.isWhole) {
             return false;
         }
         for (const task of this.tasks()) {
@@ -242,6 +251,63 @@
         return true;
     }
 
+    /** Whether the leader of its shard has all of its tasks. */
+    get isWhole(): boolean {
+        return !this.isGuest && !this.hasTaskTransfers;
+    }
+
+    /** Whether the leader of this shard gives runs to any of its tasks. */
+    get hasOwnTask(): boolean {
+        return !this.isGuest || [...this.tasks()].some(task => !task.isElsewhere);
+    }
+
+    /**
+     * Whether the leader of another shard can give a task runs from now on. No worker can have one of it: one that was given up is
+     * over, since its lease has expired or its worker does not list it. Unlike for other tasks, how it has ended does not count.
+     */
+    isTaskTransferable(task: Task): boolean {
+        const { mode, usesSpareCpu } = task.step;
+        const isOpen = !isFinal(this.state) && this.state !== "queued" && this.unstoredRecords === 0;
+        return isOpen && mode === "long-running" && !usesSpareCpu && task.run === undefined && !task.isElsewhere;
+    }
+
+    /** Leaves a task to another shard. @param task A transferable task. @param shard The other shard. @returns What is recorded. */
+    leaveTask(task: Task, shard: number): TaskTransfer {
+        const lastRun = Math.max(task.highestRun, task.lastRun);
+        const record = { ...recordOf(task), lastRun };
+        task.lastRun = lastRun;
+        task.highestRun = lastRun;
+        task.transfers += 1;
+        task.isElsewhere = true;
+        this.hasTaskTransfers = true;
+        this.recordChange();
+        return { shard, count: task.transfers, record };
+    }
+
+    /**
+     * Applies the transfer of a task, unless it is known.
+     * @param name Name of the task.
+     * @param transfer The transfer.
+     * @param isHere Whether its shard is that of this leader.
+     * @returns The task if it is here from now on.
+     */
+    applyTransfer(name: string, { count, record }: TaskTransfer, isHere: boolean): Task[] {
+        this.open(Number(groupKeyOf(name).split(".")[0]), undefined);
+        const task = this.find(name);
+        if (task === undefined || count <= task.transfers) {
+            return [];
+        }
+        task.transfers = count;
+        task.isElsewhere = !isHere;
+        this.hasTaskTransfers = true;
+        // What a leader of this shard has recorded may be of an earlier stay, or of this one.
+        if (isHere && record.lastRun > task.lastRun) {
+            this.restoreTask(record);
+        }
+        this.recordChange();
+        return isHere ? [task] : [];
+    }
+
     /** @returns When an occurrence is due, in ms since the Unix epoch. */
     private dueMs(occurrence: number): number {
         return this.spec.occurrences === 0 ? 0 : this.spec.firstDueMs + occurrence * this.spec.intervalMs;
@@ -265,7 +331,11 @@
                 // Its tasks are done together, but may be in several records, of which one was not stored.
                 done.addAll();
             }
-            const tasks = Array.from({ length: step.tasks }, (_, index) => ActiveTask.create(this, step, key, index));
+            const tasks = Array.from({ length: step.tasks }, (_, index) => {
+                const task = ActiveTask.create(this, step, key, index);
+                task.isElsewhere = this.isGuest;
+                return task;
+            });
             this.groupsByKey.set(key, { key, step, occurrence, done, tasks });
         });
         if (this.groupsOf(occurrence).every(each => each.done.isFull)) {
--- a/src/dispatch/common/activeJobTable.ts
+++ b/src/dispatch/common/activeJobTable.ts
@@ -1,8 +1,9 @@
 import { Emitter } from "../../base/common/emitter";
-import { encodeSpec, jobKey, JobProgress, RunRecord, TaskRecord } from "../../jobs/common/jobRecord";
+import { encodeSpec, jobIdOf, jobKey, JobProgress, RunRecord, TaskRecord } from "../../jobs/common/jobRecord";
 import { JobSpec, JobState } from "../../jobs/common/jobSpec";
 import { isFinal, JobEntry } from "../../jobs/common/jobTable";
 import { encodeTransfer } from "../../jobs/common/jobTransfer";
+import { encodeTaskTransfer } from "../../jobs/common/taskTransfer";
 import { JobSource } from "../../jobs/common/shardJobs";
 import { ProgressTable } from "../../jobs/common/progressTable";
 import { RecordOffset } from "../../records/common/record";
@@ -11,6 +12,7 @@
 import { ActiveJob } from "./activeJob";
 import { ProgressRecorder } from "./progressRecorder";
 import { isFinishedBy, Task } from "./task";
+import { JobPlaces, TaskTransferTable, UNDIVIDED_PLACES } from "./taskTransferTable";
 
 /** The leader's writers. */
 export interface LeaderWriters {
@@ -44,26 +46,39 @@
     private readonly departed = new Map<string, DepartedJob>();
     /** Jobs that were submitted or transferred and not taken by `takeArrivals` yet. */
     private arrivals: ActiveJob[] = [];
+    /** Offsets of the specs of finished jobs that other shards have. */
+    private readonly finishedGuests = new Map<string, RecordOffset>();
     private readonly recorder: ProgressRecorder;
+    private readonly tasks: TaskTransferTable;
     private readonly didCancel = Emitter.create<ActiveJob>();
+    private readonly didAdoptTask = Emitter.create<Task>();
 
     private readonly didIgnoreJob = Emitter.create<string>();
 
     /** Fires with a job that is not scheduled because its progress is malformed. */
     readonly onDidIgnoreJob = this.didIgnoreJob.event;
-    /** Fires when a job is cancelled. */
+    /** Fires with a task that was transferred to this shard. */
+    readonly onDidAdoptTask = this.didAdoptTask.event;
+    /** Fires when a job is cancelled, or has ended in the shard that has it. */
     readonly onDidCancel = this.didCancel.event;
 
     private constructor(
         private readonly epoch: number,
         private readonly writers: LeaderWriters,
+        places: JobPlaces,
     ) {
+        this.tasks = TaskTransferTable.create(places);
         this.recorder = ProgressRecorder.create(writers.progress);
     }
 
-    /** @param epoch Epoch of the leader. @param writers The leader's writers. @returns A table without jobs. */
-    static create(epoch: number, writers: LeaderWriters): ActiveJobTable {
-        return new ActiveJobTable(epoch, writers);
+    /**
+     * @param epoch Epoch of the leader.
+     * @param writers The leader's writers.
+     * @param places Its shard, and those of jobs.
+     * @returns A table without jobs.
+     */
+    static create(epoch: number, writers: LeaderWriters, places = UNDIVIDED_PLACES): ActiveJobTable {
+        return new ActiveJobTable(epoch, writers, places);
     }
 
     /** Jobs that are not finished or still have runs. */
@@ -91,6 +106,17 @@
         this.recorder.delete(id);
         this.finished.delete(id);
         this.restarts.delete(id);
+        this.finishedGuests.delete(id);
+        this.tasks.forget(id);
+    }
+
+    /** Removes the finished jobs of other shards whose leaders have deleted them. @param table All jobs. */
+    pruneGuests(table: JobSource): void {
+        for (const [id, specOffset] of this.finishedGuests) {
+            if (table.find(id)?.specOffset !== specOffset) {
+                this.remove(id);
+            }
+        }
     }
 
     /**
@@ -109,7 +135,8 @@
 
     /** @returns The tasks under which workers were lost, according to the records of earlier leaders. */
     suspects(): Task[] {
-        const hasEvidence = (task: Task) => task.suspicion !== undefined || task.lossesInARow > 0;
+        const hasEvidence = (task: Task) =>
+            !task.isElsewhere && (task.suspicion !== undefined || task.lossesInARow > 0);
         return [...this.jobs.values()].flatMap(job => [...job.tasks()].filter(hasEvidence));
     }
 
@@ -126,15 +153,16 @@
      * @returns Number of the tasks that were created.
      */
     restore(entry: JobEntry, progress: ProgressTable, inherit: (task: Task, record: RunRecord) => void): number {
-        const known = latestProgress(entry, progress);
+        const known = progress.latestOf(entry, this.tasks.isGuest(entry.id));
         if (entry.spec !== undefined) {
             this.recorder.restore(entry.spec, progress);
         }
         const isFinished = known !== undefined && isFinal(known.state) && (known.runs ?? []).length === 0;
         if (isFinished) {
-            this.finished.add(entry.id);
-            this.recordRestarts(entry.id, known.tasks ?? []);
-            this.publishState(entry.id, entry.state, known.state);
+            this.recordFinish(entry.id, entry.specOffset, known.tasks);
+            if (!this.tasks.isGuest(entry.id)) {
+                this.publishState(entry.id, entry.state, known.state);
+            }
         } else if (progress.isMalformed(entry.id)) {
             // Its runs are not known. If it were scheduled, tasks could run twice.
             this.finished.add(entry.id);
@@ -159,22 +187,37 @@
 
     /** Applies a change in the table of all jobs. */
     update(entry: JobEntry): void {
-        const { id, spec, transfer } = entry;
+        const { id, spec } = entry;
+        if (this.finishedGuests.has(id) && this.finishedGuests.get(id) !== entry.specOffset) {
+            // Another job under the id of one that is deleted.
+            this.remove(id);
+        }
         if (spec === undefined || this.finished.has(id) || this.hasDeparted(entry)) {
             return;
         }
-        let job = this.jobs.get(id);
-        if (job === undefined) {
-            this.departed.delete(id);
-            job = ActiveJob.create(spec, entry.specOffset, transfer?.progress);
-            job.transfers = transfer?.count ?? 0;
-            job.publishedState = entry.state;
-            this.jobs.set(id, job);
-            this.arrivals.push(job);
+        const job = this.jobs.get(id) ?? this.addJob(entry, spec);
+        if (job !== undefined) {
+            this.tasks.apply(job, entry).forEach(task => this.didAdoptTask.fire(task));
+            this.applyEnd(job, entry);
         }
-        if (entry.isCancelled) {
-            this.cancel(job);
+    }
+
+    /** @returns The job; `undefined` if another shard has it, and no task of it is here. */
+    private addJob(entry: JobEntry, spec: JobSpec): ActiveJob | undefined {
+        const { id, transfer, specOffset } = entry;
+        const isGuest = this.tasks.isGuest(id);
+        if (isGuest && (!this.tasks.hasTaskOf(entry) || entry.isCancelled || isFinal(entry.state))) {
+            return undefined;
+        }
+        this.departed.delete(id);
+        const job = ActiveJob.create(spec, specOffset, isGuest ? undefined : transfer?.progress, isGuest);
+        job.transfers = transfer?.count ?? 0;
+        job.publishedState = entry.state;
+        this.jobs.set(id, job);
+        if (!isGuest) {
+            this.arrivals.push(job);
         }
+        return job;
     }
 
     /** @returns Whether a job was left to another shard, and its transfer back is not read. */
@@ -212,6 +255,40 @@
         return true;
     }
 
+    /**
+     * Leaves a task to the leader of another shard, which gives it runs once it has read the record. If this leader is superseded before
+     * the record is stored, the task stays with the shard.
+     * @param task A task that is transferable.
+     * @param shard The other shard.
+     */
+    transferTask(task: Task, shard: number): void {
+        const { job, name } = task;
+        const { id } = job.spec;
+        const transfer = job.leaveTask(task, shard);
+        this.tasks.recordDeparture(task);
+        const hasLeft = !job.hasOwnTask;
+        if (hasLeft) {
+            this.jobs.delete(id);
+        }
+        this.writers.jobs.write(
+            jobKey("task-transfer", name),
+            () => encodeTaskTransfer(transfer),
+            () => this.deleteGuest(id, hasLeft),
+        );
+    }
+
+    /** @param id Identifier of a job. @returns Shard that has it. */
+    homeOf(id: string): number {
+        return this.tasks.homeOf(id);
+    }
+
+    /** Deletes the progress of a job of another shard, of which this one has no task any more, unless one came back meanwhile. */
+    private deleteGuest(id: string, hasLeft: boolean): void {
+        if (hasLeft && !this.jobs.has(id) && !this.finished.has(id)) {
+            this.recorder.delete(id);
+        }
+    }
+
     /**
      * Deletes progress that a stored transfer replaces: a job that is submitted under its id after its retention is another one.
      * After a later transfer it may be that of the job's last stay.
@@ -237,8 +314,10 @@
         job.unstoredRecords += 1;
         this.recorder.record(job.spec, progress, sentAt => {
             job.unstoredRecords -= 1;
-            this.publishState(id, job.publishedState, job.recordedState);
-            job.publishedState = job.recordedState;
+            if (!job.isGuest) {
+                this.publishState(id, job.publishedState, job.recordedState);
+                job.publishedState = job.recordedState;
+            }
             if (isFinal(job.recordedState) && this.recorder.isStored(id) && this.finishing.delete(id)) {
                 this.truncateSpec(job);
             }
@@ -247,8 +326,15 @@
         if (isFinal(job.state) && !job.hasRun) {
             this.jobs.delete(id);
             this.finishing.set(id, job);
-            this.finished.add(id);
-            this.recordRestarts(id, job.progress(this.epoch).tasks ?? []);
+            this.recordFinish(id, job.specOffset, job.progress(this.epoch).tasks);
+        }
+    }
+
+    private recordFinish(id: string, specOffset: RecordOffset, tasks: readonly TaskRecord[] = []): void {
+        this.finished.add(id);
+        this.recordRestarts(id, tasks);
+        if (this.tasks.isGuest(id)) {
+            this.finishedGuests.set(id, specOffset);
         }
     }
 
@@ -269,6 +355,10 @@
     /** Removes payload and steps from the spec of a finished job: instances that start later do not need them. */
     private truncateSpec(job: ActiveJob): void {
         const { spec } = job;
+        if (!job.isWhole) {
+            // A later leader of another shard may have to know the steps of its runs, to stop them.
+            return;
+        }
         this.writers.jobs.write(jobKey("spec", spec.id), () => encodeSpec({ ...spec, payload: "", steps: [] }));
     }
 
@@ -290,44 +380,34 @@
         progress: JobProgress | undefined,
         inherit: (task: Task, record: RunRecord) => void,
     ): number {
-        const job = ActiveJob.create(spec, entry.specOffset, progress);
+        const job = ActiveJob.create(spec, entry.specOffset, progress, this.tasks.isGuest(entry.id));
         job.transfers = entry.transfer?.count ?? 0;
-        this.publishState(entry.id, entry.state, job.state);
-        job.publishedState = job.state;
+        if (!job.isGuest) {
+            this.publishState(entry.id, entry.state, job.state);
+            job.publishedState = job.state;
+        }
         this.jobs.set(entry.id, job);
+        this.tasks.apply(job, entry);
         for (const record of progress?.runs ?? []) {
             const task = job.find(record.task);
-            if (task !== undefined) {
+            // A run before the latest transfer of its task is over.
+            const lastRun = entry.taskTransfers?.get(record.task)?.record.lastRun ?? 0;
+            if (task !== undefined && !task.isElsewhere && record.run > lastRun) {
                 inherit(task, record);
             }
         }
-        if (entry.isCancelled) {
-            this.cancel(job);
-        }
+        this.applyEnd(job, entry);
         return [...job.groups].reduce((sum, { tasks }) => sum + tasks.length, 0);
     }
 
-    private cancel(job: ActiveJob): void {
-        job.isCancelled = true;
-        if (!isFinal(job.state)) {
-            job.state = "cancelled";
+    /** Ends a job that is cancelled, or that the leader of the shard that has it has ended. */
+    private applyEnd(job: ActiveJob, { isCancelled, state }: JobEntry): void {
+        job.isCancelled ||= isCancelled;
+        const isEnded = isCancelled || (job.isGuest && isFinal(state));
+        if (isEnded && !isFinal(job.state)) {
+            job.state = isCancelled ? "cancelled" : state;
             this.didCancel.fire(job);
             this.recordProgress(job);
         }
     }
 }
-
-/**
- * @param entry A job.
- * @param table Progress as the leaders of its shard recorded it.
- * @returns Its progress: that of its latest transfer, unless a leader has recorded some since then.
- */
-function latestProgress({ id, transfer }: JobEntry, table: ProgressTable): JobProgress | undefined {
-    const recorded = table.find(id);
-    return transfer !== undefined && (recorded?.transfers ?? 0) < transfer.count ? transfer.progress : recorded;
-}
-
-/** @param name Name of a task. @returns Identifier of its job. */
-function jobIdOf(name: string): string {
-    return name.slice(0, name.indexOf("."));
-}
--- a/src/dispatch/common/activeTask.ts
+++ b/src/dispatch/common/activeTask.ts
@@ -17,6 +17,8 @@
     lossesInARow = 0;
     explainedLosses = 0;
     readonly failedOn = new Set<string>();
+    transfers = 0;
+    isElsewhere = false;
     moves = 0;
     private currentRun: Run | undefined = undefined;
 
--- a/src/dispatch/common/dispatchEffects.ts
+++ b/src/dispatch/common/dispatchEffects.ts
@@ -15,6 +15,8 @@
     | "shard-load"
     | "job-transferred"
     | "job-adopted"
+    | "task-transferred"
+    | "task-adopted"
     | "leader-late"
     | "leader-on-time"
     | "run-started"
--- a/src/dispatch/common/failureController.ts
+++ b/src/dispatch/common/failureController.ts
@@ -158,6 +158,15 @@
         this.attributeSharedLosses(task);
     }
 
+    /** Reviews a task of earlier leaders, or of another shard's: that may have given it up, and left its job to this one. */
+    reviewEvidence(task: Task): void {
+        if (!task.job.isGuest && task.lossesInARow >= MAX_LOSSES_IN_A_ROW) {
+            this.failJob(task, { task: task.name, reason: "crashes-workers", losses: task.lossesInARow });
+            this.host.onSuspicionChange(task.job);
+        }
+        this.suspects.update(task);
+    }
+
     /** Measures how many workers are at work. @param workers Number of workers with runs. @param now Time in ms. */
     recordUptime(workers: number, now: number): void {
         this.now = now;
@@ -279,7 +288,11 @@
 
     private failJob(task: Task, data: DecisionData): void {
         const { job } = task;
-        if (!isFinal(job.state)) {
+        if (job.isGuest) {
+            // The leader of its shard lets it fail, once the task is back there.
+            task.lossesInARow = Math.max(task.lossesInARow, MAX_LOSSES_IN_A_ROW);
+            job.recordChange();
+        } else if (!isFinal(job.state)) {
             job.state = "failed";
             this.host.onJobFailed(job, data);
         }
--- a/src/dispatch/common/jobDemand.ts
+++ b/src/dispatch/common/jobDemand.ts
@@ -1,3 +1,5 @@
+import { StepSpec } from "../../jobs/common/jobSpec";
+import { isFinal } from "../../jobs/common/jobTable";
 import { ActiveJob, TaskGroup } from "./activeJob";
 import { ServiceLoad } from "./serviceLoad";
 
@@ -44,10 +46,22 @@
     load.waitingAccelerators = Math.max(0, load.waitingAccelerators + sign * demand.accelerators);
 }
 
+/** @param job A job. @returns The steps of its tasks that last and wait, with reserved CPU, one for each task. */
+export function lastingStepsOf(job: ActiveJob): StepSpec[] {
+    const steps: StepSpec[] = [];
+    for (const group of job.isLongRunning && !isFinal(job.state) ? job.groups : []) {
+        const { mode, usesSpareCpu } = group.step;
+        if (mode === "long-running" && !usesSpareCpu && job.isReady(group)) {
+            steps.push(...Array<StepSpec>(countWaiting(group)).fill(group.step));
+        }
+    }
+    return steps;
+}
+
 function countWaiting({ tasks, done }: TaskGroup): number {
     let count = 0;
     for (const task of tasks) {
-        count += task.run === undefined && !done.has(task.index) ? 1 : 0;
+        count += task.run === undefined && !task.isElsewhere && !done.has(task.index) ? 1 : 0;
     }
     return count;
 }
--- a/src/dispatch/common/jobPruner.ts
+++ b/src/dispatch/common/jobPruner.ts
@@ -1,5 +1,5 @@
 import { jobKey } from "../../jobs/common/jobRecord";
-import { isFinal } from "../../jobs/common/jobTable";
+import { isFinal, JobEntry } from "../../jobs/common/jobTable";
 import { JobSource } from "../../jobs/common/shardJobs";
 import { ActiveJobTable, LeaderWriters } from "./activeJobTable";
 
@@ -40,9 +40,13 @@
             return;
         }
         this.nextCheckAt = now + CHECK_INTERVAL_MS;
+        this.activeJobs.pruneGuests(this.jobs);
         for (const entry of this.jobs.all) {
-            if (entry.spec === undefined && entry.transfer !== undefined) {
-                this.reviewOrphan(entry.id, now);
+            if (this.jobs.homeOf(entry.id) !== this.jobs.shard) {
+                continue;
+            }
+            if (entry.spec === undefined && hasTransfers(entry)) {
+                this.reviewOrphan(entry, now);
             }
             if (!isFinal(entry.state) || !this.activeJobs.isFinished(entry.id)) {
                 continue;
@@ -51,34 +55,45 @@
             this.finishedAt.set(entry.id, finishedAt);
             if (now - finishedAt > this.retentionMs + RETENTION_MARGIN_MS) {
                 this.finishedAt.delete(entry.id);
-                this.prune(entry.id);
+                this.prune(entry);
             }
         }
     }
 
-    /** Deletes a transfer without a job. It remains if a leader is lost after it deleted the spec of an expired job. */
-    private reviewOrphan(id: string, now: number): void {
+    /** Deletes the transfers of a job and of its tasks without a job. It remains if a leader is lost after it deleted the spec of an expired job. */
+    private reviewOrphan(entry: JobEntry, now: number): void {
+        const { id } = entry;
         const orphanedAt = this.orphanedAt.get(id) ?? now;
         this.orphanedAt.set(id, orphanedAt);
         if (now - orphanedAt > RETENTION_MARGIN_MS) {
             this.orphanedAt.delete(id);
-            this.writers.jobs.write(jobKey("transfer", id), () => undefined);
+            this.deleteTogether(transferKeysOf(entry));
         }
     }
 
     /** Deletes the progress last: if the spec were left without it, the job would run again. */
-    private prune(id: string): void {
-        const isTransferred = this.jobs.find(id)?.transfer !== undefined;
+    private prune(entry: JobEntry): void {
+        const { id } = entry;
         this.writers.jobs.write(jobKey("cancellation", id), () => undefined);
-        this.writers.jobs.write(
-            jobKey("spec", id),
-            () => undefined,
-            () => this.activeJobs.remove(id),
-        );
-        if (isTransferred) {
-            // Not before the spec: a job that is still recorded would be scheduled by its former shard again.
-            this.writers.jobs.write(jobKey("transfer", id), () => undefined);
-        }
+        // Together: a job that is still recorded would be scheduled by its former shard again, and one that is submitted under its id
+        // in between by the shards that have read the transfers, or by others.
+        const keys = [jobKey("spec", id), ...transferKeysOf(entry)];
+        this.deleteTogether(keys, () => this.activeJobs.remove(id));
         this.writers.jobs.write(jobKey("state", id), () => undefined);
     }
+
+    /** Deletes records in one append. */
+    private deleteTogether(keys: readonly string[], onStored?: () => void): void {
+        this.writers.jobs.writeTogether(keys[0], () => keys.map(key => ({ key, value: undefined })), onStored);
+    }
+}
+
+function hasTransfers(entry: JobEntry): boolean {
+    return transferKeysOf(entry).length > 0;
+}
+
+/** @returns Keys of the records of where a job and its tasks were transferred. */
+function transferKeysOf({ id, transfer, taskTransfers }: JobEntry): string[] {
+    const ofJob = transfer === undefined ? [] : [jobKey("transfer", id)];
+    return [...ofJob, ...[...(taskTransfers?.keys() ?? [])].map(task => jobKey("task-transfer", task))];
 }
--- a/src/dispatch/common/loadPublisher.ts
+++ b/src/dispatch/common/loadPublisher.ts
@@ -3,12 +3,14 @@
 import { RecordWriter } from "../../records/common/recordWriter";
 import { ActiveJob } from "./activeJob";
 import { DecisionData, DecisionName } from "./dispatchEffects";
-import { addDemand, demandOf } from "./jobDemand";
+import { addDemand, demandOf, lastingStepsOf } from "./jobDemand";
 import { addLoad, emptyLoad, percentOf, ServiceLoad } from "./serviceLoad";
 import { ServiceUsage } from "./serviceUsage";
 import { ShardFleet } from "./shardFleet";
 import { encodeShardLoad, loadKey } from "./shardLoad";
 import { LeaderPace } from "./streamViews";
+import { WorkerContact } from "./workerContact";
+import { largestRooms, takePlace, WorkerRoom } from "./workerRoom";
 
 /** Interval between two reviews of the load, and between two records of it, in ms: that of the leader's renewals. */
 const REVIEW_INTERVAL_MS = 300;
@@ -16,12 +18,17 @@
 /** Interval between two lines about each service, in ms. */
 const LINE_INTERVAL_MS = 5_000;
 
+/** Number of the workers of each service whose room is published: all instances read it. */
+const MAX_ROOMS = 4;
+
 /** What a load is made of. */
 export interface LoadSources {
     /** Returns the active jobs. */
     readonly jobs: () => Iterable<ActiveJob>;
     readonly queues: QueueTable;
     readonly usage: ServiceUsage;
+    /** Returns the workers that may be given tasks. */
+    readonly usable: () => Iterable<WorkerContact>;
     readonly pace: LeaderPace;
     /** Writes to the stream that all instances follow. */
     readonly writer: RecordWriter;
@@ -34,6 +41,8 @@
     private loggedAt: number | undefined;
     /** Load of each service as of the latest review. */
     private loads: ReadonlyMap<string, ServiceLoad> = new Map();
+    /** The largest rooms of each service as of the latest review. */
+    private rooms: ReadonlyMap<string, readonly WorkerRoom[]> = new Map();
 
     private constructor(
         private readonly fleet: ShardFleet,
@@ -54,6 +63,11 @@
         return this.loads.get(service);
     }
 
+    /** @param service A service. @returns Its workers with the most room as of the latest review. */
+    roomsOf(service: string): readonly WorkerRoom[] {
+        return this.rooms.get(service) ?? [];
+    }
+
     /** Reviews the load if that is due. @param now Time in ms. */
     tick(now: number): void {
         if (now - this.reviewedAt < REVIEW_INTERVAL_MS) {
@@ -62,9 +76,10 @@
         this.reviewedAt = now;
         this.loads = this.review();
         if (this.fleet.count > 1) {
-            const { loads: services } = this;
+            this.rooms = this.reviewRooms();
+            const { loads: services, rooms } = this;
             const { delayMs } = this.sources.pace;
-            this.sources.writer.write(loadKey(this.fleet.shard), () => encodeShardLoad({ delayMs, services }));
+            this.sources.writer.write(loadKey(this.fleet.shard), () => encodeShardLoad({ delayMs, services, rooms }));
         }
         this.loggedAt ??= now;
         if (now - this.loggedAt >= LINE_INTERVAL_MS) {
@@ -73,6 +88,24 @@
         }
     }
 
+    private reviewRooms(): Map<string, readonly WorkerRoom[]> {
+        const { usable, jobs, queues } = this.sources;
+        const workers = new Map([...usable()].map(worker => [worker.entry.id, worker]));
+        const find = (id: string) => workers.get(id)?.entry;
+        const rooms = new Map<string, WorkerRoom[]>();
+        for (const [id, worker] of workers) {
+            const { service } = worker.entry;
+            const { cpuMillis, memoryMb, accelerators } = worker.freeCapacity();
+            const room = { worker: id, cpuMillis, memoryMb, accelerators: Math.max(0, accelerators) };
+            rooms.set(service, [...(rooms.get(service) ?? []), room]);
+        }
+        for (const job of jobs()) {
+            const ofService = rooms.get(queues.latestSettings(job.spec.queue).service) ?? [];
+            lastingStepsOf(job).forEach(step => takePlace(ofService, step, find));
+        }
+        return new Map([...rooms].map(([service, each]) => [service, largestRooms(each, find, MAX_ROOMS)]));
+    }
+
     private review(): Map<string, ServiceLoad> {
         const { usage, queues } = this.sources;
         const loads = new Map<string, ServiceLoad>();
--- a/src/dispatch/common/roomTransferPolicy.ts
+++ b/src/dispatch/common/roomTransferPolicy.ts
@@ -1,6 +1,6 @@
 import { MAX_LEADER_DELAY_MS } from "./dispatchLimits";
 import { JobDemand } from "./jobDemand";
-import { ShardOption, TransferPolicy, TransferRequest } from "./transferPolicy";
+import { ShardOption, TaskOption, TaskTransferRequest, TransferPolicy, TransferRequest } from "./transferPolicy";
 
 /** How jobs of one kind are transferred. Pressures are shares of the CPU, memory or accelerators of a service in a shard. */
 interface TransferTerms {
@@ -24,6 +24,15 @@
 /** Pressure that a shard without the rack that holds a job's data counts as having more. */
 const REMOTE_DATA_PRESSURE = 0.2;
 
+/** Time for which a task waits before it is transferred, in ms: its shard has placed those by then for which it has room. */
+const MIN_TASK_WAIT_MS = 800;
+
+/** The same if its shard seems to have a place, in ms: something else keeps the task from it. */
+const LONG_TASK_WAIT_MS = 2_500;
+
+/** Number of places from which on a shard has room for a task: another leader may fill one of them. */
+const MIN_PLACES = 2;
+
 /** Transfers a job to the shard with the most room if its own has much less. */
 export class RoomTransferPolicy extends TransferPolicy {
     private constructor() {
@@ -55,6 +64,21 @@
         const isDue = waitedMs === undefined ? pressure(own) >= minPressure : waitedMs >= minWaitMs;
         return isDue && pressure(own) - pressure(best) >= minGain ? best : undefined;
     }
+
+    override chooseForTask(
+        { waitedMs }: TaskTransferRequest,
+        own: TaskOption,
+        others: readonly TaskOption[],
+    ): TaskOption | undefined {
+        if (waitedMs < (own.places === 0 ? MIN_TASK_WAIT_MS : LONG_TASK_WAIT_MS)) {
+            return undefined;
+        }
+        const maxDelayMs = Math.max(own.delayMs, MAX_LEADER_DELAY_MS);
+        const [best] = others
+            .filter(each => each.places >= MIN_PLACES && each.delayMs <= maxDelayMs)
+            .sort((a, b) => b.places - a.places);
+        return best;
+    }
 }
 
 function termsOf({ isLongRunning, spareCpuMillis }: JobDemand): TransferTerms {
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -68,6 +68,8 @@
     passCount = 0;
     private readonly modelRecorder: LatencyModelRecorder;
     private readonly shards: ShardController;
+    /** Workers that could be given tasks in the latest pass. */
+    private usable: readonly WorkerContact[] = [];
     private now = 0;
     private wallNow = 0;
 
@@ -86,7 +88,7 @@
         this.leases = LeaseBook.create(context, { epoch, records: writers.jobs, shard: context.leases.shard }, now);
         const { limits, effects } = context;
         this.pool = WorkerPool.create(epoch, this.leases, limits, SchedulerPoolHost.create(this), effects);
-        this.activeJobs = ActiveJobTable.create(epoch, writers);
+        this.activeJobs = ActiveJobTable.create(epoch, writers, context.jobs);
         this.pruner = JobPruner.create(context.jobs, this.activeJobs, writers, context.limits.retentionMs);
         this.admission = StartAdmission.create(context.queues, id => this.pool.find(id), context.effects);
         this.orders = RunOrders.create(context, epoch, this.pool, this.admission, this.views);
@@ -100,10 +102,20 @@
         const pace = SchedulerPace.create(context.views.loop, this.pool);
         const usage = ShardController.createUsage(context.fleet, () => this.now);
         this.queue = StepQueue.create(context.queues, this.model, this.suspects, queueHost, undefined, pace, usage);
-        const sources = { jobs: this.activeJobs, queues: context.queues, usage, pace, writer: writers.jobs, log };
+        const usable = () => this.usable;
+        const sources = {
+            jobs: this.activeJobs,
+            queues: context.queues,
+            usage,
+            usable,
+            pace,
+            writer: writers.jobs,
+            log,
+        };
         this.shards = ShardController.create(context.fleet, sources);
         this.resources.add(this.queue.onDidWait(report => this.logWait(report)));
         this.resources.add(this.activeJobs.onDidCancel(job => this.stopRuns(job, this.now)));
+        this.resources.add(this.activeJobs.onDidAdoptTask(task => this.onTaskAdopted(task)));
         this.resources.add(
             this.activeJobs.onDidIgnoreJob(job =>
                 this.logDecision("record-malformed", { key: jobKey("progress", job) }),
@@ -149,7 +161,7 @@
      */
     begin(now: number, tookMs: number): void {
         this.resources.add(toDisposable(() => this.logDecision("leader-ended", { epoch: this.epoch })));
-        this.activeJobs.suspects().forEach(task => this.suspects.update(task));
+        this.activeJobs.suspects().forEach(task => this.failures.reviewEvidence(task));
         this.pool.spreadFirstLists();
         const jobs = this.activeJobs.size;
         this.logDecision("leader-began", { epoch: this.epoch, jobs, tookMs, ...this.views.ageFields(now) });
@@ -263,8 +275,8 @@
             this.passCount += 1;
             this.pool.reviewPace(loop?.summary.medianMs ?? 0, this.pacer.intervalMs(this.pool.size), now);
             const all = [...this.pool.all];
-            const usable = this.admission.usableWorkers(all, now);
-            this.queue.placeWaiting(this.activeJobs.all, usable, this.pool.remainingStarts(), now, wallNow, all);
+            this.usable = this.admission.usableWorkers(all, now);
+            this.queue.placeWaiting(this.activeJobs.all, this.usable, this.pool.remainingStarts(), now, wallNow, all);
         });
     }
 
@@ -463,6 +475,11 @@
         this.logDecision("job-waits", { ...report, ...this.admission.latestCounts, delayMs: this.views.loggedDelayMs });
     }
 
+    private onTaskAdopted(task: Task): void {
+        this.shards.recordArrival(task, this.now);
+        this.failures.reviewEvidence(task);
+    }
+
     private onJobChange(entry: JobEntry): void {
         // Without its progress, its tasks would run again.
         if (!this.restorer.isWaiting(entry.id)) {
--- a/src/dispatch/common/shardBalancer.ts
+++ b/src/dispatch/common/shardBalancer.ts
@@ -1,8 +1,10 @@
+import { StepSpec } from "../../jobs/common/jobSpec";
 import { QueueTable } from "../../jobs/common/queueTable";
 import { ActiveJob } from "./activeJob";
 import { ActiveJobTable } from "./activeJobTable";
+import { MAX_LOAD_AGE_MS, PUBLICATION_DELAY_MS, REVIEW_INTERVAL_MS, stayMs } from "./balancing";
 import { DecisionData, DecisionName } from "./dispatchEffects";
-import { addDemand, demandOf, JobDemand } from "./jobDemand";
+import { addDemand, demandOf, JobDemand, lastingStepsOf } from "./jobDemand";
 import { LoadPublisher } from "./loadPublisher";
 import { addLoad, emptyLoad, percentOf, ServiceLoad } from "./serviceLoad";
 import { ShardFleet } from "./shardFleet";
@@ -10,21 +12,9 @@
 import { ShardOption } from "./transferPolicy";
 import { WorkerEntry } from "./workerEntry";
 
-/** Interval between two reviews of the jobs that wait, in ms. */
-const REVIEW_INTERVAL_MS = 300;
-
 /** Limit of the jobs that one review transfers: the loads of the others do not show them yet. */
 const MAX_TRANSFERS_PER_REVIEW = 16;
 
-/** Time after a transfer from which on a load of the other shard that is read includes the job, in ms. */
-const PUBLICATION_DELAY_MS = 800;
-
-/** Time for which a job that was transferred stays at least, in ms; twice as long with each further transfer. */
-const MIN_STAY_MS = 2_000;
-
-/** Age of a load up to which jobs are transferred by it, in ms: after three records that are missing, the other leader may be lost. */
-const MAX_LOAD_AGE_MS = 1_000;
-
 /** Limit of the waiting jobs that one review looks at; the next one goes on with the others. */
 const MAX_JOBS_PER_REVIEW = 200;
 
@@ -46,6 +36,8 @@
     readonly shard: number;
     readonly service: string;
     readonly load: ServiceLoad;
+    /** Steps of its tasks that last and wait, one for each task. */
+    readonly lasting: readonly StepSpec[];
     /** Time (ms) of the transfer. */
     readonly at: number;
 }
@@ -106,6 +98,11 @@
         }
     }
 
+    /** @returns Steps of the tasks that last of jobs which a shard has been left of late, one for each task. */
+    recentLastingSteps(shard: number, service: string): StepSpec[] {
+        return this.recent.flatMap(each => (each.shard === shard && each.service === service ? each.lasting : []));
+    }
+
     /** Whether the latest load of the other shard includes a job: a leader that is late or lost publishes none. */
     private isPublished({ shard, at }: RecentTransfer): boolean {
         return (this.fleet.loads.readAtOf(shard) ?? at) >= at + PUBLICATION_DELAY_MS;
@@ -151,8 +148,7 @@
     }
 
     private mayLeave(job: ActiveJob, now: number): boolean {
-        const stayMs = job.transfers === 0 ? 0 : MIN_STAY_MS * 2 ** (job.transfers - 1);
-        return now - (this.arrivedAt.get(job) ?? -Infinity) >= stayMs;
+        return now - (this.arrivedAt.get(job) ?? -Infinity) >= stayMs(job.transfers);
     }
 
     /** @param waitedMs Time for which it has waited, in ms; `undefined` for a new job. @returns Whether it was left to another shard. */
@@ -167,12 +163,13 @@
         const others = [...Array(fleet.count).keys()].flatMap(each => this.otherOption(job, service, each, now) ?? []);
         const chosen = fleet.policy.choose({ demand, waitedMs }, own, others);
         const { transfers } = job;
+        const lasting = lastingStepsOf(job);
         if (chosen === undefined || !shard.jobs.transfer(job, chosen.shard)) {
             return false;
         }
         const load = emptyLoad();
         addDemand(load, demand);
-        this.recent.push({ shard: chosen.shard, service, load, at: now });
+        this.recent.push({ shard: chosen.shard, service, load, lasting, at: now });
         shard.log("job-transferred", {
             job: job.spec.id,
             to: chosen.shard,
--- a/src/dispatch/common/shardController.ts
+++ b/src/dispatch/common/shardController.ts
@@ -9,6 +9,9 @@
 import { ShardFleet } from "./shardFleet";
 import { ShardLoadTable } from "./shardLoadTable";
 import { LeaderPace } from "./streamViews";
+import { Task } from "./task";
+import { TaskBalancer } from "./taskBalancer";
+import { WorkerContact } from "./workerContact";
 
 /** A fleet that is not divided. */
 const UNDIVIDED_FLEET: ShardFleet = {
@@ -24,6 +27,8 @@
     readonly jobs: ActiveJobTable;
     readonly queues: QueueTable;
     readonly usage: ServiceUsage;
+    /** Returns the workers that may be given tasks. */
+    readonly usable: () => Iterable<WorkerContact>;
     readonly pace: LeaderPace;
     /** Writes to the stream that all instances follow. */
     readonly writer: RecordWriter;
@@ -35,14 +40,16 @@
     private constructor(
         private readonly publisher: LoadPublisher,
         private readonly balancer: ShardBalancer,
+        private readonly taskBalancer: TaskBalancer,
     ) {}
 
     /** @param fleet The shards; `undefined` if the fleet is not divided. @param sources What the leader schedules with. @returns The controller. */
     static create(fleet = UNDIVIDED_FLEET, sources: ShardSources): ShardController {
-        const { jobs, queues, usage, pace, writer, log } = sources;
-        const publisher = LoadPublisher.create(fleet, { jobs: () => jobs.all, queues, usage, pace, writer, log });
-        const delayMs = () => pace.delayMs;
-        return new ShardController(publisher, ShardBalancer.create(fleet, { jobs, queues, publisher, delayMs, log }));
+        const { jobs, queues, pace, log } = sources;
+        const publisher = LoadPublisher.create(fleet, { ...sources, jobs: () => jobs.all });
+        const shard = { jobs, queues, publisher, delayMs: () => pace.delayMs, log };
+        const balancer = ShardBalancer.create(fleet, shard);
+        return new ShardController(publisher, balancer, TaskBalancer.create(fleet, shard, balancer));
     }
 
     /**
@@ -60,11 +67,17 @@
     }
 
     /**
-     * Leaves jobs to other shards that have just been submitted or wait.
+     * Leaves jobs to other shards that have just been submitted or wait, and tasks that wait while others of their job run.
      * @param now Time in ms.
      * @param wallNow Time in ms since the Unix epoch.
      */
     review(now: number, wallNow: number): void {
         this.balancer.review(now, wallNow);
+        this.taskBalancer.review(now);
+    }
+
+    /** Records that a task was transferred to the shard. @param now Time in ms. */
+    recordArrival(task: Task, now: number): void {
+        this.taskBalancer.recordArrival(task, now);
     }
 }
--- a/src/dispatch/common/shardLoad.ts
+++ b/src/dispatch/common/shardLoad.ts
@@ -1,6 +1,7 @@
 import * as z from "zod/mini";
 import { nameIn, parseShard } from "../../records/common/shardNames";
 import { ServiceLoad } from "./serviceLoad";
+import { WorkerRoom } from "./workerRoom";
 
 /** Key of the record that states the load of the first shard. */
 const LOAD_KEY = "load";
@@ -11,6 +12,11 @@
     readonly delayMs: number;
     /** Load of each service of which the shard has workers. */
     readonly services: ReadonlyMap<string, ServiceLoad>;
+    /**
+     * The workers of each service with the most room, beside its tasks that last and wait for it; a shard that fills up is left out.
+     * Earlier versions publish none.
+     */
+    readonly rooms?: ReadonlyMap<string, readonly WorkerRoom[]>;
 }
 
 const amount = z.number().check(z.nonnegative());
@@ -31,7 +37,11 @@
 const FIELDS = Object.keys(loadSchema.shape) as (keyof ServiceLoad)[];
 
 /** The numbers of a load, in the order of `FIELDS`. */
-const recordSchema = z.object({ delayMs: amount, services: z.record(z.string(), z.array(amount)) });
+const recordSchema = z.object({
+    delayMs: amount,
+    services: z.record(z.string(), z.array(amount)),
+    rooms: z.optional(z.record(z.string(), z.array(z.tuple([z.string(), amount, amount, amount])))),
+});
 
 /** @param shard Number of a shard. @returns Key of the record that states its load. */
 export function loadKey(shard: number): string {
@@ -44,21 +54,33 @@
 }
 
 /** @param load A load. @returns Value of its record. */
-export function encodeShardLoad({ delayMs, services }: ShardLoad): string {
+export function encodeShardLoad({ delayMs, services, rooms }: ShardLoad): string {
     const numbers: Record<string, readonly number[]> = {};
     services.forEach((load, service) => (numbers[service] = FIELDS.map(field => Math.round(load[field]))));
-    return JSON.stringify({ delayMs: Math.round(delayMs), services: numbers });
+    const places: Record<string, readonly (string | number)[][]> = {};
+    rooms?.forEach((each, service) => {
+        places[service] = each.map(({ worker, cpuMillis, memoryMb, accelerators }) => [
+            worker,
+            ...[cpuMillis, memoryMb, accelerators].map(Math.floor),
+        ]);
+    });
+    return JSON.stringify({ delayMs: Math.round(delayMs), services: numbers, rooms: rooms && places });
 }
 
 /** @param value Value of a record. @returns The load, or `undefined` if the value is malformed. */
 export function decodeShardLoad(value: string): ShardLoad | undefined {
     try {
-        const { delayMs, services } = recordSchema.parse(JSON.parse(value));
+        const { delayMs, services, rooms } = recordSchema.parse(JSON.parse(value));
         const loads = Object.entries(services).map(([service, numbers]): [string, ServiceLoad] => [
             service,
             loadSchema.parse(Object.fromEntries(FIELDS.map((field, index) => [field, numbers[index]] as const))),
         ]);
-        return { delayMs, services: new Map(loads) };
+        const places = Object.entries(rooms ?? {}).map(([service, each]): [string, WorkerRoom[]] => [
+            service,
+            each.map(([worker, cpuMillis, memoryMb, accelerators]) => ({ worker, cpuMillis, memoryMb, accelerators })),
+        ]);
+        const load = { delayMs, services: new Map(loads) };
+        return rooms === undefined ? load : { ...load, rooms: new Map(places) };
     } catch {
         // The caller reports the record as malformed.
         return undefined;
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -12,7 +12,7 @@
 import { ServiceUsage } from "./serviceUsage";
 import { ShortTaskReserve } from "./shortTaskReserve";
 import { LeaderPace } from "./streamViews";
-import { SuspectTable } from "./suspectTable";
+import { mayStart, SuspectTable } from "./suspectTable";
 import { ignoringFailures, Task } from "./task";
 import { alignMembers, isGang, isLongRunning, rackOf } from "./taskGroups";
 import { WaitReporter } from "./waitReporter";
@@ -257,7 +257,7 @@
         const throttled: Task[] = [];
         for (const task of group.tasks) {
             if (task.run === undefined) {
-                if (!group.done.has(task.index)) {
+                if (!group.done.has(task.index) && mayStart(task)) {
                     tasks.push(task);
                 }
             } else if (group.step.usesSpareCpu && this.reviewer.isThrottled(task.run)) {
--- a/src/dispatch/common/suspectTable.ts
+++ b/src/dispatch/common/suspectTable.ts
@@ -41,7 +41,7 @@
     /** Adds or removes a task, according to the evidence against it. */
     update(task: Task): void {
         const hasEvidence = task.suspicion?.recorded !== undefined || isLastAttempt(task);
-        const isListed = hasEvidence && !isFinal(task.job.state) && !task.job.isTaskDone(task);
+        const isListed = hasEvidence && !isFinal(task.job.state) && !task.job.isTaskDone(task) && !task.isElsewhere;
         if (isListed !== this.tasks.has(task)) {
             task.job.recordChange();
         }
@@ -92,6 +92,15 @@
     return task.lossesInARow === MAX_LOSSES_IN_A_ROW - 1;
 }
 
+/**
+ * @param task A task.
+ * @returns Whether this leader may start it. One that it gives up, of a job that another shard has, goes back there: only that
+ * shard's leader lets the job fail.
+ */
+export function mayStart(task: Task): boolean {
+    return !task.isElsewhere && !(task.job.isGuest && task.lossesInARow >= MAX_LOSSES_IN_A_ROW);
+}
+
 /** @param task A task. @returns Whether not more than one worker was lost under it since it last worked for some time. */
 export function hasOneLoss(task: Task): boolean {
     return task.lossesInARow <= 1 && task.explainedLosses <= 1;
--- a/src/dispatch/common/task.ts
+++ b/src/dispatch/common/task.ts
@@ -32,6 +32,10 @@
     run: Run | undefined;
     /** Workers on which it failed or was stuck; they are avoided. */
     readonly failedOn: Set<string>;
+    /** How often it was transferred by itself between shards. */
+    transfers: number;
+    /** Whether the leader of another shard gives it runs. */
+    isElsewhere: boolean;
     /** Number of moves because it was throttled. */
     moves: number;
 }
--- /dev/null
+++ b/src/dispatch/common/taskBalancer.ts
@@ -0,0 +1,163 @@
+import { StepSpec } from "../../jobs/common/jobSpec";
+import { ActiveJob } from "./activeJob";
+import { MAX_LOAD_AGE_MS, PUBLICATION_DELAY_MS, REVIEW_INTERVAL_MS, stayMs } from "./balancing";
+import { BalancedShard, ShardBalancer } from "./shardBalancer";
+import { ShardFleet } from "./shardFleet";
+import { mayStart } from "./suspectTable";
+import { Task } from "./task";
+import { TaskOption } from "./transferPolicy";
+import { WorkerEntry } from "./workerEntry";
+import { countPlaces, takePlace, WorkerRoom } from "./workerRoom";
+
+/** A task that was left to another shard, whose published room may not account for it yet. */
+interface RecentTask {
+    readonly shard: number;
+    readonly service: string;
+    readonly step: StepSpec;
+    /** Time (ms) of the transfer. */
+    readonly at: number;
+}
+
+/** A task that waits. */
+interface WaitingTask {
+    readonly task: Task;
+    readonly waitedMs: number;
+}
+
+/**
+ * Leaves single tasks to the leaders of other shards, whose job stays.
+ *
+ * Load pattern: a shard loses workers, and the tasks that last of many jobs, whose other tasks run on, find no place in what is left,
+ * while other shards have room. Each of these tasks has to run by itself.
+ */
+export class TaskBalancer {
+    private recent: RecentTask[] = [];
+    /** Time (ms) since which a task has had no run. */
+    private readonly waitingSince = new WeakMap<Task, number>();
+    /** Time (ms) at which a task was transferred to this shard. */
+    private readonly arrivedAt = new WeakMap<Task, number>();
+    /** Entries of the workers of each shard in this review, by id. */
+    private entries = new Map<number, ReadonlyMap<string, WorkerEntry>>();
+    private reviewedAt = Number.NEGATIVE_INFINITY;
+
+    private constructor(
+        private readonly fleet: ShardFleet,
+        private readonly shard: BalancedShard,
+        private readonly jobs: ShardBalancer,
+    ) {}
+
+    /**
+     * @param fleet The shards.
+     * @param shard The shard that is balanced with the others.
+     * @param jobs Leaves whole jobs to them.
+     * @returns The balancer.
+     */
+    static create(fleet: ShardFleet, shard: BalancedShard, jobs: ShardBalancer): TaskBalancer {
+        return new TaskBalancer(fleet, shard, jobs);
+    }
+
+    /** Records that a task was transferred to this shard. @param now Time in ms. */
+    recordArrival(task: Task, now: number): void {
+        this.arrivedAt.set(task, now);
+        this.shard.log("task-adopted", { task: task.name, transfers: task.transfers });
+    }
+
+    /** Transfers the tasks that have waited for long and for which another shard has room, at intervals. @param now Time in ms. */
+    review(now: number): void {
+        const { fleet, shard } = this;
+        if (fleet.count === 1 || now - this.reviewedAt < REVIEW_INTERVAL_MS) {
+            return;
+        }
+        this.reviewedAt = now;
+        this.entries = new Map();
+        this.recent = this.recent.filter(each => !this.isPublished(each));
+        const waiting = [...shard.jobs.all].flatMap(job => this.collectWaiting(job, now));
+        waiting.sort((a, b) => b.waitedMs - a.waitedMs).forEach(each => this.reviewTask(each, now));
+    }
+
+    private collectWaiting(job: ActiveJob, now: number): WaitingTask[] {
+        const waiting: WaitingTask[] = [];
+        for (const group of job.isLongRunning ? job.groups : []) {
+            for (const task of group.step.mode === "long-running" && job.isReady(group) ? group.tasks : []) {
+                if (task.run !== undefined || task.isElsewhere) {
+                    this.waitingSince.delete(task);
+                    continue;
+                }
+                const since = this.waitingSince.get(task) ?? now;
+                this.waitingSince.set(task, since);
+                if (job.isTaskTransferable(task)) {
+                    waiting.push({ task, waitedMs: now - since });
+                }
+            }
+        }
+        return waiting;
+    }
+
+    private reviewTask({ task, waitedMs }: WaitingTask, now: number): void {
+        const { fleet, shard } = this;
+        if (!mayStart(task)) {
+            this.transfer(task, { shard: shard.jobs.homeOf(task.job.spec.id), places: 0, delayMs: 0 }, waitedMs, now);
+            return;
+        }
+        if (now - (this.arrivedAt.get(task) ?? Number.NEGATIVE_INFINITY) < stayMs(task.transfers)) {
+            return;
+        }
+        const { service } = shard.queues.latestSettings(task.job.spec.queue);
+        const places = this.placesIn(fleet.shard, service, task.step, shard.publisher.roomsOf(service));
+        const own = { shard: fleet.shard, places, delayMs: shard.delayMs() };
+        const others = [...Array(fleet.count).keys()].flatMap(each => this.otherOption(task, service, each, now) ?? []);
+        const chosen = fleet.policy.chooseForTask({ waitedMs }, own, others);
+        if (chosen !== undefined) {
+            this.transfer(task, chosen, waitedMs, now, own.places);
+        }
+    }
+
+    private transfer(task: Task, chosen: TaskOption, waitedMs: number, now: number, ownPlaces?: number): void {
+        const { service } = this.shard.queues.latestSettings(task.job.spec.queue);
+        this.shard.jobs.transferTask(task, chosen.shard);
+        this.waitingSince.delete(task);
+        this.recent.push({ shard: chosen.shard, service, step: task.step, at: now });
+        this.shard.log("task-transferred", {
+            task: task.name,
+            to: chosen.shard,
+            transfers: task.transfers,
+            waitedMs: Math.round(waitedMs),
+            places: chosen.places,
+            ownPlaces,
+        });
+    }
+
+    private otherOption(task: Task, service: string, number: number, now: number): TaskOption | undefined {
+        const { shard, loads } = this.fleet;
+        const published = number === shard ? undefined : loads.loadOf(number, now, MAX_LOAD_AGE_MS);
+        if (published === undefined) {
+            return undefined;
+        }
+        const places = this.placesIn(number, service, task.step, published.rooms?.get(service) ?? []);
+        return { shard: number, places, delayMs: published.delayMs };
+    }
+
+    /** @returns How many tasks of a step a shard has places for, beside those that were left to it of late. */
+    private placesIn(number: number, service: string, step: StepSpec, published: readonly WorkerRoom[]): number {
+        if (published.length === 0) {
+            return 0;
+        }
+        const entries =
+            this.entries.get(number) ?? new Map(this.fleet.workersOf(number).map(entry => [entry.id, entry]));
+        this.entries.set(number, entries);
+        const find = (worker: string) => {
+            const entry = entries.get(worker);
+            return entry?.state === "ready" && entry.service === service ? entry : undefined;
+        };
+        const rooms = published.map(room => ({ ...room }));
+        const sent = this.recent.filter(each => each.shard === number && each.service === service);
+        const steps = [...sent.map(each => each.step), ...this.jobs.recentLastingSteps(number, service)];
+        steps.forEach(each => takePlace(rooms, each, find));
+        return countPlaces(rooms, step, find);
+    }
+
+    /** Whether the latest room of the other shard accounts for a task: a leader that is late or lost publishes none. */
+    private isPublished({ shard, at }: RecentTask): boolean {
+        return (this.fleet.loads.readAtOf(shard) ?? at) >= at + PUBLICATION_DELAY_MS;
+    }
+}
--- a/src/dispatch/common/test/loadPublisher.test.ts
+++ b/src/dispatch/common/test/loadPublisher.test.ts
@@ -3,6 +3,7 @@
 import { QueueTable } from "../../../jobs/common/queueTable";
 import { RecordEffect } from "../../../records/common/recordEvents";
 import { RecordWriter } from "../../../records/common/recordWriter";
+import { ActiveJob } from "../activeJob";
 import { DecisionData } from "../dispatchEffects";
 import { LoadPublisher } from "../loadPublisher";
 import { RoomTransferPolicy } from "../roomTransferPolicy";
@@ -11,19 +12,24 @@
 import { ShardLoadTable } from "../shardLoadTable";
 import { createBestEffort, createJob, createStep, createWorker, place } from "./runs";
 
+/** What each task requests. */
+const REQUEST = { cpuMillis: 16_000, memoryMb: 64_000, accelerators: 0 };
+
 /** A shard with one worker of 64 cores, on which a task with 16 reserved cores runs, and two jobs that wait. */
-function createPublisher(count: number) {
+function createPublisher(count: number, others: readonly ActiveJob[] = []) {
     const outbox = Outbox.create<RecordEffect>();
     const writer = RecordWriter.create("leader", "jobs", { name: "leader", epoch: 1 }, outbox);
     const worker = createWorker();
-    const request = { cpuMillis: 16_000, memoryMb: 64_000, accelerators: 0 };
+    const request = REQUEST;
     place(worker, "o", createStep("other", false, { usesSpareCpu: false, request }));
     const usage = ServiceUsage.create();
     usage.update([worker], 0);
     const jobs = [
         createJob("a", createBestEffort({ tasks: 2, request })),
         createJob("b", createStep("x", false, { usesSpareCpu: false, request })),
+        ...others,
     ];
+    others.forEach(job => job.openDue(0));
     const lines: DecisionData[] = [];
     const publisher = LoadPublisher.create(
         { shard: 1, count, loads: ShardLoadTable.create(), policy: RoomTransferPolicy.create(), workersOf: () => [] },
@@ -31,6 +37,7 @@
             jobs: () => jobs,
             queues: QueueTable.create(),
             usage,
+            usable: () => [worker],
             pace: { delayMs: 7, startMs: undefined },
             writer,
             log: (_, data) => lines.push(data),
@@ -60,6 +67,18 @@
     });
 });
 
+test("a leader publishes what its workers have free beside its tasks that last and wait", t => {
+    const { published } = createPublisher(2, [
+        createJob("c", createStep("x", false, { mode: "long-running", usesSpareCpu: false, request: REQUEST })),
+    ]);
+    const [{ value }] = published(1_000);
+    const room = { worker: "w1", cpuMillis: 32_000, memoryMb: 128_000, accelerators: 0 };
+    t.deepEqual(decodeShardLoad(value!)!.rooms, new Map([["svc", [room]]]));
+    // Earlier versions publish no room.
+    const earlier = JSON.stringify({ ...(JSON.parse(value!) as object), rooms: undefined });
+    t.is(decodeShardLoad(earlier)!.rooms, undefined);
+});
+
 test("the load of a shard is logged, also of a fleet that is not divided, which publishes nothing", t => {
     const { published, lines } = createPublisher(1);
     t.deepEqual(published(1_000), []);
--- a/src/dispatch/common/test/shardBalancer.test.ts
+++ b/src/dispatch/common/test/shardBalancer.test.ts
@@ -54,7 +54,15 @@
     const fleet = { shard: 0, count: 2, loads, policy: RoomTransferPolicy.create(), workersOf };
     const pace = { delayMs: 0, startMs: undefined };
     const log = () => undefined;
-    const publisher = LoadPublisher.create(fleet, { jobs: () => jobs.all, queues, usage, pace, writer, log });
+    const publisher = LoadPublisher.create(fleet, {
+        jobs: () => jobs.all,
+        queues,
+        usage,
+        usable: () => [worker],
+        pace,
+        writer,
+        log,
+    });
     const balancer = ShardBalancer.create(fleet, { jobs, queues, publisher, delayMs: () => 0, log });
     const publish = (now: number, used: Partial<ServiceLoad> = {}) => {
         const services = new Map([
--- a/src/dispatch/common/transferPolicy.ts
+++ b/src/dispatch/common/transferPolicy.ts
@@ -23,7 +23,22 @@
     readonly waitedMs: number | undefined;
 }
 
-/** Decides which jobs are left to the leaders of other shards. */
+/** A shard that may give runs to a task. */
+export interface TaskOption {
+    readonly shard: number;
+    /** Number of such tasks for which the workers with the most room have places, beside tasks that wait there. */
+    readonly places: number;
+    /** Largest delay of its leader's loop of late, in ms. */
+    readonly delayMs: number;
+}
+
+/** A task of a long-running step that has no run, whether or not others of its job have. */
+export interface TaskTransferRequest {
+    /** Time for which it has had no run, in ms. */
+    readonly waitedMs: number;
+}
+
+/** Decides which jobs, and which single tasks of others, are left to the leaders of other shards. */
 export abstract class TransferPolicy {
     /**
      * @param request The job.
@@ -36,4 +51,16 @@
         own: ShardOption,
         others: readonly ShardOption[],
     ): ShardOption | undefined;
+
+    /**
+     * @param request The task.
+     * @param own The shard that has it.
+     * @param others The other shards whose rooms are known.
+     * @returns The shard that is to have it, or `undefined` if it stays.
+     */
+    abstract chooseForTask(
+        request: TaskTransferRequest,
+        own: TaskOption,
+        others: readonly TaskOption[],
+    ): TaskOption | undefined;
 }
--- a/src/dispatch/common/waitTable.ts
+++ b/src/dispatch/common/waitTable.ts
@@ -49,6 +49,10 @@
         for (const group of groups) {
             if (group.step.mode === "long-running") {
                 for (const task of group.tasks) {
+                    if (task.isElsewhere) {
+                        this.records.delete(task);
+                        continue;
+                    }
                     const runs = task.run !== undefined && isReported(task.run) ? [task.run] : [];
                     this.record(task, lastAtWork(runs, now), readyAt(group), now);
                 }
--- a/src/jobs/common/progressTable.ts
+++ b/src/jobs/common/progressTable.ts
@@ -1,6 +1,6 @@
 import { StoredRecord } from "../../records/common/record";
 import { decodeProgress, jobKey, JobProgress, parseJobKey } from "./jobRecord";
-import { JobEntry } from "./jobTable";
+import { isFinal, JobEntry } from "./jobTable";
 import { decodeHead, joinProgress, parsePartKey, partKey } from "./progressPart";
 
 /** Progress of all jobs as recorded by earlier leaders. A new leader reads it during takeover. */
@@ -39,10 +39,14 @@
      * @param isGuest Whether another shard has it: what was recorded before its transfer is not that of single tasks.
      * @returns Its progress: that of its latest transfer, unless a leader has recorded some since then.
      */
-    latestOf({ id, transfer }: JobEntry, isGuest: boolean): JobProgress | undefined {
+    latestOf({ id, transfer, isCancelled, state }: JobEntry, isGuest: boolean): JobProgress | undefined {
         const recorded = this.find(id);
-        const ofTransfer = isGuest ? undefined : transfer?.progress;
-        return transfer !== undefined && (recorded?.transfers ?? 0) < transfer.count ? ofTransfer : recorded;
+        if (transfer !== undefined && (recorded?.transfers ?? 0) < transfer.count) {
+            return isGuest ? undefined : transfer.progress;
+        }
+        // A guest ends after its job: otherwise that is the end of a former job with this id.
+        const isOfFormer = isGuest && recorded !== undefined && isFinal(recorded.state);
+        return isOfFormer && !isCancelled && !isFinal(state) ? undefined : recorded;
     }
 
     /** @param id Identifier of a job. @returns Keys of the records with its progress. */
--- a/src/proof/node/jobSoak.tool.ts
+++ b/src/proof/node/jobSoak.tool.ts
@@ -7,20 +7,23 @@
 
 /**
  * Reads a flag with a whole number. Flags: `--seed FIRST --count N --workers N --length MS --every MS --deadly PERCENT
- * --crash-delay MS --shrink MS --cancel PERCENT --reads --lasting N --lease MS --colocate PERCENT --jobs-every MS --slow
- * --max-tasks N --memory MB --kill-leader MS --drain MS --faults KINDS --until MS --submit-every MS --costs PERCENT
- * --shards N --transfers PERCENT --plan NAME --trace`, where `--shards` divides the workers among as many leaders, 2 at most,
- * `--transfers` is the probability with which a job is transferred whenever it may be, `--deadly` is the share of the jobs with a task that crashes its workers, that long after each
- * start, `--shrink` the mean time between two times at which a worker's capacity shrinks, `--cancel` the share of the jobs that is cancelled, `--reads` adds faults of the reads of the jobs, `--lasting` is
- * the number of jobs that last until the end, `--lease` the longest lease that a worker accepts, `--colocate` runs
- * latency-critical and best-effort jobs of which that share of the pairs of images interferes heavily, `--jobs-every` is the
- * mean time between two best-effort jobs, `--max-tasks` the largest number of tasks of their steps, `--memory` what each of
- * their tasks requests, `--kill-leader` the interval at which the leader is killed, `--slow` injects slow workers only,
- * `--faults` the kinds that it names, separated by commas, `--drain` is the mean time between two times at which workers
- * announce that they leave, around which the leader is killed; it adds faults of the reads of the workers, `--until` is the
- * time up to which faults are injected, `--submit-every` the longest time between two submissions, and `--costs` charges the
- * instances for their work, with that share of a core in percent. `--plan` runs a plan of `WAIT_PLANS` instead; then the flags
- * but `--seed`, `--count` and `--trace` have no effect. The last line says in how many trials each rule was broken.
+ * --crash-delay MS --shrink MS --cancel PERCENT --reads --lasting N --lasting-run MS --lease MS --colocate PERCENT
+ * --jobs-every MS --slow --max-tasks N --memory MB --kill-leader MS --lose-third MS --drain MS --faults KINDS --until MS
+ * --submit-every MS --costs PERCENT --shards N --transfers PERCENT --plan NAME --trace`, where `--shards` divides the workers
+ * among as many leaders, 2 at most, `--transfers` is the probability with which a job is transferred whenever it may be,
+ * `--deadly` is the share of the jobs with a task that crashes its workers, that long after each start, `--shrink` the mean
+ * time between two times at which a worker's capacity shrinks, `--cancel` the share of the jobs that is cancelled, `--reads`
+ * adds faults of the reads of the jobs, `--lasting` is the number of jobs that last until the end, `--lasting-run` the time
+ * after which a run of theirs ends and is followed by another one, `--lease` the longest lease that a worker accepts,
+ * `--colocate` runs latency-critical and best-effort jobs of which that share of the pairs of images interferes heavily,
+ * `--jobs-every` is the mean time between two best-effort jobs, `--max-tasks` the largest number of tasks of their steps,
+ * `--memory` what each of their tasks requests, `--kill-leader` the interval at which the leader is killed, `--lose-third`
+ * the time at which a third of the workers of the first rack is lost for good, `--slow` injects slow workers only, `--faults`
+ * the kinds that it names, separated by commas, `--drain` is the mean time between two times at which workers announce that
+ * they leave, around which the leader is killed; it adds faults of the reads of the workers, `--until` is the time up to
+ * which faults are injected, `--submit-every` the longest time between two submissions, and `--costs` charges the instances
+ * for their work, with that share of a core in percent. `--plan` runs a plan of `WAIT_PLANS` instead; then the flags but
+ * `--seed`, `--count` and `--trace` have no effect. The last line says in how many trials each rule was broken.
  */
 function readNumber(name: string, fallback: number): number {
     const index = process.argv.indexOf(`--${name}`);
@@ -61,10 +64,12 @@
 /** @param endMs Time up to which the leader is killed, in ms. */
 function readPlannedFaults(endMs: number): (readonly [number, PlannedFault])[] {
     const intervalMs = readNumber("kill-leader", 0) || Number.POSITIVE_INFINITY;
-    return Array.from({ length: Math.floor(endMs / intervalMs) }, (_, index) => [
+    const kills = Array.from({ length: Math.floor(endMs / intervalMs) }, (_, index): [number, PlannedFault] => [
         (index + 1) * intervalMs,
         "kill-leader",
     ]);
+    const loseThirdMs = readNumber("lose-third", 0);
+    return loseThirdMs === 0 ? kills : [...kills, [loseThirdMs, "lose-third"]];
 }
 
 /** @returns The plan that `--plan` names, or `undefined` without the flag. */
@@ -102,7 +107,10 @@
         shrinkEveryMs: readNumber("shrink", 0) || undefined,
         cancelRatio: readNumber("cancel", 0) / 100,
         drains: readNumber("drain", 0) === 0 ? undefined : { everyMs: readNumber("drain", 0), killsLeaders: true },
-        lasting: readNumber("lasting", 0) === 0 ? undefined : { count: readNumber("lasting", 0) },
+        lasting:
+            readNumber("lasting", 0) === 0
+                ? undefined
+                : { count: readNumber("lasting", 0), runMs: readNumber("lasting-run", 0) || undefined },
         longestLeaseMs: readNumber("lease", 0) || undefined,
         colocation: readColocation(),
         plannedFaults: readPlannedFaults(lengthMs),
--- a/src/proof/node/jobTrial.ts
+++ b/src/proof/node/jobTrial.ts
@@ -52,6 +52,7 @@
     /** How often an instance became leader. */
     private leaders = 0;
     private transfers = 0;
+    private taskTransfers = 0;
 
     private readonly workers: TrialWorkers;
     private readonly colocation: TrialColocation | undefined;
@@ -134,8 +135,19 @@
         const counts = { jobs: jobs.size, accepted, finished, starts, leaders, ...delays.counts };
         const cancelled = checker.cancellations.count;
         const drained = checker.drains.count;
-        const { transfers } = this;
-        return { breaches, ...counts, crashes, sharedCrashes, shrinks, cancelled, drained, transfers, trace };
+        const { transfers, taskTransfers } = this;
+        return {
+            breaches,
+            ...counts,
+            crashes,
+            sharedCrashes,
+            shrinks,
+            cancelled,
+            drained,
+            transfers,
+            taskTransfers,
+            trace,
+        };
     }
 
     /** Stores a plan by which the shards have as many racks. */
@@ -266,6 +278,7 @@
             case "decision":
                 this.checker.reports.record(effect.name, effect.data, this.now);
                 this.transfers += effect.name === "job-transferred" ? 1 : 0;
+                this.taskTransfers += effect.name === "task-transferred" ? 1 : 0;
                 this.trace.push(`${Math.round(this.now)} n${node.index} ${effect.name} ${JSON.stringify(effect.data)}`);
                 break;
             case "record-dropped":
--- a/src/proof/node/jobTrialPlan.ts
+++ b/src/proof/node/jobTrialPlan.ts
@@ -105,12 +105,19 @@
 
 /**
  * A planned fault of a trial. `lose-worker`: the worker with the most runs is lost for good. `lose-half`: half of the workers
- * crash and are back after 2 s. `add-workers`: there are nearly twice as many workers from then on. `kill-all`: all instances
+ * crash and are back after 2 s. `lose-third`: a third of the workers of the first rack is lost for good. `add-workers`: there are nearly twice as many workers from then on. `kill-all`: all instances
  * are killed. The others concern the leader: it is killed, is frozen for 3 s, or is told to stop and is started again once it
  * has.
  */
 export type PlannedFault =
-    "lose-worker" | "lose-half" | "add-workers" | "kill-all" | "kill-leader" | "freeze-leader" | "stop-leader";
+    | "lose-worker"
+    | "lose-half"
+    | "lose-third"
+    | "add-workers"
+    | "kill-all"
+    | "kill-leader"
+    | "freeze-leader"
+    | "stop-leader";
 
 /** Jobs that last until the end of a trial. */
 export interface LastingJobs {
@@ -198,6 +205,8 @@
     readonly drained: number;
     /** How often a job was transferred to another shard. */
     readonly transfers: number;
+    /** How often a single task was. */
+    readonly taskTransfers: number;
     /** Half seconds with events of a leader whose work takes time, and those in which one waited over 500 ms. */
     readonly halfSeconds: number;
     readonly lateHalfSeconds: number;
--- a/src/proof/node/randomTransferPolicy.ts
+++ b/src/proof/node/randomTransferPolicy.ts
@@ -1,7 +1,13 @@
-import { ShardOption, TransferPolicy, TransferRequest } from "../../dispatch/common/transferPolicy";
+import {
+    ShardOption,
+    TaskOption,
+    TaskTransferRequest,
+    TransferPolicy,
+    TransferRequest,
+} from "../../dispatch/common/transferPolicy";
 import { Random } from "./random";
 
-/** Transfers jobs at random, whatever room there is, so that trials have many transfers. */
+/** Transfers jobs and tasks at random, whatever room there is, so that trials have many transfers. */
 export class RandomTransferPolicy extends TransferPolicy {
     private constructor(
         private readonly random: Random,
@@ -24,6 +30,18 @@
         _own: ShardOption,
         others: readonly ShardOption[],
     ): ShardOption | undefined {
+        return this.chooseAny(others);
+    }
+
+    override chooseForTask(
+        _request: TaskTransferRequest,
+        _own: TaskOption,
+        others: readonly TaskOption[],
+    ): TaskOption | undefined {
+        return this.chooseAny(others);
+    }
+
+    private chooseAny<Option>(others: readonly Option[]): Option | undefined {
         return others.length > 0 && this.random.chance(this.ratio) ? this.random.pick([...others]) : undefined;
     }
 }
--- a/src/proof/node/trialInjector.ts
+++ b/src/proof/node/trialInjector.ts
@@ -86,6 +86,9 @@
             this.context.workers.removeBusiest();
         } else if (fault === "lose-half") {
             this.context.checker.recordDisruption(this.context.workers.loseHalf());
+        } else if (fault === "lose-third") {
+            this.context.checker.recordDisruption(0);
+            this.context.workers.loseThird();
         } else if (fault === "add-workers") {
             this.context.workers.addMore();
         } else if (fault === "kill-all") {
--- a/src/proof/node/trialWorkers.ts
+++ b/src/proof/node/trialWorkers.ts
@@ -149,6 +149,17 @@
         return HALF_DOWN_MS;
     }
 
+    /** Loses a third of the workers of the first rack permanently. */
+    loseThird(): void {
+        const [{ rack }] = this.workers.map(each => each.entry);
+        const ofRack = this.workers.filter(each => each.entry.rack === rack && !this.down.has(each));
+        for (const worker of ofRack.slice(0, Math.ceil(ofRack.length / 3))) {
+            this.crash(worker);
+            this.down.add(worker);
+            this.deregisterLater(worker.entry.id);
+        }
+    }
+
     /** Nearly doubles the number of workers. */
     addMore(): void {
         const count = Math.round(this.workers.length * ADDED_RATIO);
