Publish the room of the workers as they are, with each set of labels among them

The room that a shard offers to tasks of others was that of the workers which could be given tasks in its latest pass. A shard where nothing waits passes up to a second later, so a worker that had been lost or told to leave meanwhile was offered, and all of its CPU as free; and a task that needs a label of few workers found none of them among the four with the most room. Now the workers are asked when the load is published, and six rooms are those of each set of labels in turn. Found by reading; workerRoom.test.ts has the choice.

--- a/src/dispatch/common/loadPublisher.ts
+++ b/src/dispatch/common/loadPublisher.ts
@@ -19,7 +19,7 @@
 const LINE_INTERVAL_MS = 5_000;
 
 /** Number of the workers of each service whose room is published: all instances read it. */
-const MAX_ROOMS = 4;
+const MAX_ROOMS = 6;
 
 /** What a load is made of. */
 export interface LoadSources {
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -68,8 +68,6 @@
     passCount = 0;
     private readonly modelRecorder: LatencyModelRecorder;
     private readonly shards: ShardController;
-    /** Workers that could be given tasks in the latest pass. */
-    private usable: readonly WorkerContact[] = [];
     private now = 0;
     private wallNow = 0;
 
@@ -102,7 +100,7 @@
         const pace = SchedulerPace.create(context.views.loop, this.pool);
         const usage = ShardController.createUsage(context.fleet, () => this.now);
         this.queue = StepQueue.create(context.queues, this.model, this.suspects, queueHost, undefined, pace, usage);
-        const usable = () => this.usable;
+        const usable = () => [...this.pool.all].filter(worker => this.admission.isUsable(worker, this.now));
         const sources = {
             jobs: this.activeJobs,
             queues: context.queues,
@@ -275,8 +273,8 @@
             this.passCount += 1;
             this.pool.reviewPace(loop?.summary.medianMs ?? 0, this.pacer.intervalMs(this.pool.size), now);
             const all = [...this.pool.all];
-            this.usable = this.admission.usableWorkers(all, now);
-            this.queue.placeWaiting(this.activeJobs.all, this.usable, this.pool.remainingStarts(), now, wallNow, all);
+            const usable = this.admission.usableWorkers(all, now);
+            this.queue.placeWaiting(this.activeJobs.all, usable, this.pool.remainingStarts(), now, wallNow, all);
         });
     }
 
--- a/src/dispatch/common/startAdmission.ts
+++ b/src/dispatch/common/startAdmission.ts
@@ -81,6 +81,11 @@
         return usable;
     }
 
+    /** @param worker A worker. @param now Time in ms. @returns Whether it may be given tasks. */
+    isUsable(worker: WorkerContact, now: number): boolean {
+        return worker.exclusionCause(now) === undefined && this.isCapacityKnown(worker, now);
+    }
+
     private logCensus(now: number): void {
         const data = this.census.takeReport(now);
         if (data !== undefined) {
--- a/src/dispatch/common/workerRoom.ts
+++ b/src/dispatch/common/workerRoom.ts
@@ -38,7 +38,8 @@
  * @param rooms Rooms.
  * @param find Finds their workers.
  * @param count How many are returned at most.
- * @returns Those with the largest share of their worker free, of the resource of which they have least.
+ * @returns Those with the largest share of their worker free, of the resource of which they have least: first the largest of the
+ * workers with each set of labels, then the second largest of each, and so on.
  */
 export function largestRooms(rooms: readonly WorkerRoom[], find: FindEntry, count: number): WorkerRoom[] {
     const shareOf = (room: WorkerRoom) => {
@@ -46,8 +47,16 @@
         return Math.min(room.cpuMillis / (capacity?.cpuMillis ?? 1), room.memoryMb / (capacity?.memoryMb ?? 1));
     };
     const shares = new Map(rooms.map(room => [room, shareOf(room)]));
-    const free = rooms.filter(room => shares.get(room)! > 0);
-    return free.sort((a, b) => shares.get(b)! - shares.get(a)!).slice(0, count);
+    const free = rooms.filter(room => shares.get(room)! > 0).sort((a, b) => shares.get(b)! - shares.get(a)!);
+    const counts = new Map<string, number>();
+    const ranks = new Map<WorkerRoom, number>();
+    for (const room of free) {
+        const labels = [...(find(room.worker)?.labels ?? [])].sort().join();
+        const rank = counts.get(labels) ?? 0;
+        counts.set(labels, rank + 1);
+        ranks.set(room, rank);
+    }
+    return free.sort((a, b) => ranks.get(a)! - ranks.get(b)!).slice(0, count);
 }
 
 function placesOn(room: WorkerRoom, step: StepSpec, find: FindEntry): number {
