--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -86,7 +86,7 @@
         this.leases = LeaseBook.create(context, { epoch, records: writers.jobs, shard: context.leases.shard }, now);
         const { limits, effects } = context;
         this.pool = WorkerPool.create(epoch, this.leases, limits, SchedulerPoolHost.create(this), effects);
-        this.activeJobs = ActiveJobTable.create(epoch, writers);
+        this.activeJobs = ActiveJobTable.create(epoch, writers, context.jobs);
         this.pruner = JobPruner.create(context.jobs, this.activeJobs, writers, context.limits.retentionMs);
         const { queues, evacuations } = context;
         this.admission = StartAdmission.create(queues, evacuations, id => this.pool.find(id), context.effects);
@@ -101,13 +101,23 @@
         const pace = SchedulerPace.create(context.views.loop, this.pool);
         const usage = ShardController.createUsage(context.fleet, () => this.now);
         this.queue = StepQueue.create(context.queues, this.model, this.suspects, queueHost, undefined, pace, usage);
-        const sources = { jobs: this.activeJobs, queues: context.queues, usage, pace, writer: writers.jobs, log };
+        const usable = () => [...this.pool.all].filter(worker => this.admission.isUsable(worker, this.now));
+        const sources = {
+            jobs: this.activeJobs,
+            queues: context.queues,
+            usage,
+            usable,
+            pace,
+            writer: writers.jobs,
+            log,
+        };
         this.shards = ShardController.create(context.fleet, sources);
         this.resources.add(this.queue.onDidWait(report => this.logWait(report)));
         this.resources.add(
             this.queue.onDidLastingWait(report => this.logDecision("lasting-tasks-wait", { ...report })),
         );
         this.resources.add(this.activeJobs.onDidCancel(job => this.stopRuns(job, this.now)));
+        this.resources.add(this.activeJobs.onDidAdoptTask(task => this.onTaskAdopted(task)));
         this.resources.add(
             this.activeJobs.onDidIgnoreJob(job =>
                 this.logDecision("record-malformed", { key: jobKey("progress", job) }),
@@ -154,7 +164,7 @@
      */
     begin(now: number, tookMs: number): void {
         this.resources.add(toDisposable(() => this.logDecision("leader-ended", { epoch: this.epoch })));
-        this.activeJobs.suspects().forEach(task => this.suspects.update(task));
+        this.activeJobs.suspects().forEach(task => this.failures.reviewEvidence(task));
         this.pool.spreadFirstLists();
         const jobs = this.activeJobs.size;
         this.logDecision("leader-began", { epoch: this.epoch, jobs, tookMs, ...this.views.ageFields(now) });
@@ -475,6 +485,11 @@
         this.logDecision("job-waits", { ...report, ...this.admission.latestCounts, delayMs: this.views.loggedDelayMs });
     }
 
+    private onTaskAdopted(task: Task): void {
+        this.shards.recordArrival(task, this.now);
+        this.failures.reviewEvidence(task);
+    }
+
     private onJobChange(entry: JobEntry): void {
         // Without its progress, its tasks would run again.
         if (!this.restorer.isWaiting(entry.id)) {
--- a/src/dispatch/common/startAdmission.ts
+++ b/src/dispatch/common/startAdmission.ts
@@ -101,6 +101,11 @@
         return isEvacuated ? "evacuated" : worker.exclusionCause(now);
     }
 
+    /** @param worker A worker. @param now Time in ms. @returns Whether it may be given tasks. */
+    isUsable(worker: WorkerContact, now: number): boolean {
+        return this.exclusionCause(worker, now) === undefined && this.isCapacityKnown(worker, now);
+    }
+
     private logCensus(now: number): void {
         const data = this.census.takeReport(now);
         if (data !== undefined) {
--- a/src/proof/node/jobTrial.ts
+++ b/src/proof/node/jobTrial.ts
@@ -52,6 +52,7 @@
     /** How often an instance became leader. */
     private leaders = 0;
     private transfers = 0;
+    private taskTransfers = 0;
 
     private readonly workers: TrialWorkers;
     private readonly colocation: TrialColocation | undefined;
@@ -137,8 +138,8 @@
         const cancelled = checker.cancellations.count;
         const drained = checker.drains.count;
         const { count: evacuated, longestWaitMs: takeBackMs } = checker.evacuations;
-        const { transfers } = this;
-        const changes = { shrinks, cancelled, drained, evacuated, takeBackMs, transfers };
+        const { transfers, taskTransfers } = this;
+        const changes = { shrinks, cancelled, drained, evacuated, takeBackMs, transfers, taskTransfers };
         return { breaches, ...counts, crashes, sharedCrashes, ...changes, trace };
     }
 
@@ -273,6 +274,7 @@
             case "decision":
                 this.checker.reports.record(effect.name, effect.data, this.now);
                 this.transfers += effect.name === "job-transferred" ? 1 : 0;
+                this.taskTransfers += effect.name === "task-transferred" ? 1 : 0;
                 this.trace.push(`${Math.round(this.now)} n${node.index} ${effect.name} ${JSON.stringify(effect.data)}`);
                 break;
             case "record-dropped":
