Leave a task that lasts to a shard where only larger ones wait

Their shard was full; the other one had gaps that only its short tasks used, since its own tasks that last needed 17 cores. None of these gaps was ever published as a place: it is filled in the pass in which it appears.

Each leader now publishes what its smallest waiting tasks that last request. A task that has waited for 2.5 s and for which no shard shows two places goes where fewer tasks that need no more CPU wait: there the next gap that is large enough is its own. The stay in a shard doubles with each transfer, so it does not go back and forth.

The new test fails before: no task leaves.

--- a/src/dispatch/common/loadPublisher.ts
+++ b/src/dispatch/common/loadPublisher.ts
@@ -21,6 +21,9 @@
 /** Number of the workers of each service whose room is published: all instances read it. */
 const MAX_ROOMS = 6;
 
+/** Number of the tasks of each service that last and wait whose requests are published. */
+const MAX_LASTING_WAITS = 16;
+
 /** What a load is made of. */
 export interface LoadSources {
     /** Returns the active jobs. */
@@ -43,6 +46,8 @@
     private loads: ReadonlyMap<string, ServiceLoad> = new Map();
     /** The largest rooms of each service as of the latest review. */
     private rooms: ReadonlyMap<string, readonly WorkerRoom[]> = new Map();
+    /** What the smallest tasks of each service that last and wait request, in thousandths of a core. */
+    private lastingWaits: ReadonlyMap<string, readonly number[]> = new Map();
 
     private constructor(
         private readonly fleet: ShardFleet,
@@ -68,6 +73,11 @@
         return this.rooms.get(service) ?? [];
     }
 
+    /** @param service A service. @returns What its smallest tasks that last and wait request, in thousandths of a core, ascending. */
+    lastingWaitsOf(service: string): readonly number[] {
+        return this.lastingWaits.get(service) ?? [];
+    }
+
     /** Reviews the load if that is due. @param now Time in ms. */
     tick(now: number): void {
         if (now - this.reviewedAt < REVIEW_INTERVAL_MS) {
@@ -77,9 +87,12 @@
         this.loads = this.review();
         if (this.fleet.count > 1) {
             this.rooms = this.reviewRooms();
-            const { loads: services, rooms } = this;
+            this.lastingWaits = this.reviewLastingWaits();
+            const { loads: services, rooms, lastingWaits } = this;
             const { delayMs } = this.sources.pace;
-            this.sources.writer.write(loadKey(this.fleet.shard), () => encodeShardLoad({ delayMs, services, rooms }));
+            this.sources.writer.write(loadKey(this.fleet.shard), () =>
+                encodeShardLoad({ delayMs, services, rooms, lastingWaits }),
+            );
         }
         this.loggedAt ??= now;
         if (now - this.loggedAt >= LINE_INTERVAL_MS) {
@@ -106,6 +119,17 @@
         return new Map([...rooms].map(([service, each]) => [service, largestRooms(each, find, MAX_ROOMS)]));
     }
 
+    private reviewLastingWaits(): Map<string, readonly number[]> {
+        const waits = new Map([...this.loads.keys()].map((service): [string, number[]] => [service, []]));
+        for (const job of this.sources.jobs()) {
+            const { service } = this.sources.queues.latestSettings(job.spec.queue);
+            const requests = lastingStepsOf(job).map(({ request }) => request.cpuMillis);
+            waits.set(service, [...(waits.get(service) ?? []), ...requests]);
+        }
+        const smallest = (each: number[]) => each.sort((a, b) => a - b).slice(0, MAX_LASTING_WAITS);
+        return new Map([...waits].map(([service, each]) => [service, smallest(each)]));
+    }
+
     private review(): Map<string, ServiceLoad> {
         const { usage, queues } = this.sources;
         const loads = new Map<string, ServiceLoad>();
--- a/src/dispatch/common/roomTransferPolicy.ts
+++ b/src/dispatch/common/roomTransferPolicy.ts
@@ -74,10 +74,15 @@
             return undefined;
         }
         const maxDelayMs = Math.max(own.delayMs, MAX_LEADER_DELAY_MS);
-        const [best] = others
-            .filter(each => each.places >= MIN_PLACES && each.delayMs <= maxDelayMs)
-            .sort((a, b) => b.places - a.places);
-        return best;
+        const inTime = others.filter(each => each.delayMs <= maxDelayMs);
+        const [best] = inTime.filter(each => each.places >= MIN_PLACES).sort((a, b) => b.places - a.places);
+        if (best !== undefined || waitedMs < LONG_TASK_WAIT_MS) {
+            return best;
+        }
+        // Where short tasks take the gaps as they come, none is seen as a place, and the next one is its own.
+        const rivals = (option: TaskOption) => option.rivals ?? Number.POSITIVE_INFINITY;
+        const [least] = inTime.sort((a, b) => rivals(a) - rivals(b));
+        return least !== undefined && rivals(least) < rivals(own) ? least : undefined;
     }
 }
 
--- a/src/dispatch/common/shardLoad.ts
+++ b/src/dispatch/common/shardLoad.ts
@@ -17,6 +17,8 @@
      * Earlier versions publish none.
      */
     readonly rooms?: ReadonlyMap<string, readonly WorkerRoom[]>;
+    /** What the smallest tasks of each service that last and wait request, in thousandths of a core. Earlier versions publish none. */
+    readonly lastingWaits?: ReadonlyMap<string, readonly number[]>;
 }
 
 const amount = z.number().check(z.nonnegative());
@@ -41,6 +43,7 @@
     delayMs: amount,
     services: z.record(z.string(), z.array(amount)),
     rooms: z.optional(z.record(z.string(), z.array(z.tuple([z.string(), amount, amount, amount])))),
+    lastingWaits: z.optional(z.record(z.string(), z.array(amount))),
 });
 
 /** @param shard Number of a shard. @returns Key of the record that states its load. */
@@ -54,7 +57,7 @@
 }
 
 /** @param load A load. @returns Value of its record. */
-export function encodeShardLoad({ delayMs, services, rooms }: ShardLoad): string {
+export function encodeShardLoad({ delayMs, services, rooms, lastingWaits: waits }: ShardLoad): string {
     const numbers: Record<string, readonly number[]> = {};
     services.forEach((load, service) => (numbers[service] = FIELDS.map(field => Math.round(load[field]))));
     const places: Record<string, readonly (string | number)[][]> = {};
@@ -64,13 +67,14 @@
             ...[cpuMillis, memoryMb, accelerators].map(Math.floor),
         ]);
     });
-    return JSON.stringify({ delayMs: Math.round(delayMs), services: numbers, rooms: rooms && places });
+    const lastingWaits = waits && Object.fromEntries(waits);
+    return JSON.stringify({ delayMs: Math.round(delayMs), services: numbers, rooms: rooms && places, lastingWaits });
 }
 
 /** @param value Value of a record. @returns The load, or `undefined` if the value is malformed. */
 export function decodeShardLoad(value: string): ShardLoad | undefined {
     try {
-        const { delayMs, services, rooms } = recordSchema.parse(JSON.parse(value));
+        const { delayMs, services, rooms, lastingWaits } = recordSchema.parse(JSON.parse(value));
         const loads = Object.entries(services).map(([service, numbers]): [string, ServiceLoad] => [
             service,
             loadSchema.parse(Object.fromEntries(FIELDS.map((field, index) => [field, numbers[index]] as const))),
@@ -79,8 +83,12 @@
             service,
             each.map(([worker, cpuMillis, memoryMb, accelerators]) => ({ worker, cpuMillis, memoryMb, accelerators })),
         ]);
-        const load = { delayMs, services: new Map(loads) };
-        return rooms === undefined ? load : { ...load, rooms: new Map(places) };
+        return {
+            delayMs,
+            services: new Map(loads),
+            ...(rooms === undefined ? {} : { rooms: new Map(places) }),
+            ...(lastingWaits === undefined ? {} : { lastingWaits: new Map(Object.entries(lastingWaits)) }),
+        };
     } catch {
         // The caller reports the record as malformed.
         return undefined;
--- a/src/dispatch/common/taskBalancer.ts
+++ b/src/dispatch/common/taskBalancer.ts
@@ -18,6 +18,9 @@
     readonly at: number;
 }
 
+/** Where a task that is given up goes: its job is told there, whatever room there is. */
+const GIVEN_UP = { places: 0, rivals: undefined, delayMs: 0 };
+
 /** A task that waits. */
 interface WaitingTask {
     readonly task: Task;
@@ -96,7 +99,7 @@
     private reviewTask({ task, waitedMs }: WaitingTask, now: number): void {
         const { fleet, shard } = this;
         if (!mayStart(task)) {
-            this.transfer(task, { shard: shard.jobs.homeOf(task.job.spec.id), places: 0, delayMs: 0 }, waitedMs, now);
+            this.transfer(task, { ...GIVEN_UP, shard: shard.jobs.homeOf(task.job.spec.id) }, waitedMs, now);
             return;
         }
         if (now - (this.arrivedAt.get(task) ?? Number.NEGATIVE_INFINITY) < stayMs(task.transfers)) {
@@ -104,7 +107,8 @@
         }
         const { service } = shard.queues.latestSettings(task.job.spec.queue);
         const places = this.placesIn(fleet.shard, service, task.step, shard.publisher.roomsOf(service));
-        const own = { shard: fleet.shard, places, delayMs: shard.delayMs() };
+        const rivals = this.ownRivals(service, task.step, now);
+        const own = { shard: fleet.shard, places, rivals, delayMs: shard.delayMs() };
         const others = [...Array(fleet.count).keys()].flatMap(each => this.otherOption(task, service, each, now) ?? []);
         const chosen = fleet.policy.chooseForTask({ waitedMs }, own, others);
         if (chosen !== undefined) {
@@ -123,6 +127,7 @@
             transfers: task.transfers,
             waitedMs: Math.round(waitedMs),
             places: chosen.places,
+            rivals: chosen.rivals,
             ownPlaces,
         });
     }
@@ -134,7 +139,26 @@
             return undefined;
         }
         const places = this.placesIn(number, service, task.step, published.rooms?.get(service) ?? []);
-        return { shard: number, places, delayMs: published.delayMs };
+        const rivals = this.rivalsIn(number, service, task.step, published.lastingWaits?.get(service));
+        return { shard: number, places, rivals, delayMs: published.delayMs };
+    }
+
+    /** @returns How many tasks that last, need no more CPU and wait this shard has, without those that have left in this review. */
+    private ownRivals(service: string, step: StepSpec, now: number): number {
+        const left = this.recent.filter(each => each.at === now && each.service === service);
+        const waits = this.shard.publisher.lastingWaitsOf(service);
+        return countUpTo(step, waits) - countUpTo(step, left.map(requestOf));
+    }
+
+    /** @returns How many tasks that last, need no more CPU and wait a shard has, with those that were left to it of late. */
+    private rivalsIn(
+        number: number,
+        service: string,
+        step: StepSpec,
+        published: readonly number[] | undefined,
+    ): number | undefined {
+        const sent = this.recent.filter(each => each.shard === number && each.service === service);
+        return published && countUpTo(step, [...published, ...sent.map(requestOf)]);
     }
 
     /** @returns How many tasks of a step a shard has places for, beside those that were left to it of late. */
@@ -161,3 +185,12 @@
         return (this.fleet.loads.readAtOf(shard) ?? at) >= at + PUBLICATION_DELAY_MS;
     }
 }
+
+function requestOf({ step }: RecentTask): number {
+    return step.request.cpuMillis;
+}
+
+/** @returns How many of these requests, in thousandths of a core, are not larger than that of a step. */
+function countUpTo({ request }: StepSpec, requests: readonly number[]): number {
+    return requests.filter(cpuMillis => cpuMillis <= request.cpuMillis).length;
+}
--- a/src/dispatch/common/test/roomTransferPolicy.test.ts
+++ b/src/dispatch/common/test/roomTransferPolicy.test.ts
@@ -90,15 +90,18 @@
 });
 
 test("a task that lasts leaves a shard without a place soon, and one that has places only if it does not get them", t => {
-    const own = { shard: 0, places: 0, delayMs: 0 };
+    const own = { shard: 0, places: 0, rivals: undefined, delayMs: 0 };
     const others = [
-        { shard: 1, places: 2, delayMs: 0 },
-        { shard: 2, places: 5, delayMs: 0 },
-        { shard: 3, places: 9, delayMs: 5_000 },
+        { shard: 1, places: 2, rivals: undefined, delayMs: 0 },
+        { shard: 2, places: 5, rivals: undefined, delayMs: 0 },
+        { shard: 3, places: 9, rivals: undefined, delayMs: 5_000 },
     ];
     const shardFor = (waitedMs: number, places: number) =>
         policy.chooseForTask({ waitedMs }, { ...own, places }, others)?.shard;
     t.deepEqual([shardFor(300, 0), shardFor(900, 0)], [undefined, 2]);
     t.deepEqual([shardFor(900, 1), shardFor(2_600, 1)], [undefined, 2]);
-    t.is(policy.chooseForTask({ waitedMs: 9_000 }, own, [{ shard: 1, places: 1, delayMs: 0 }]), undefined);
+    t.is(
+        policy.chooseForTask({ waitedMs: 9_000 }, own, [{ shard: 1, places: 1, rivals: undefined, delayMs: 0 }]),
+        undefined,
+    );
 });
--- a/src/dispatch/common/test/taskBalancer.test.ts
+++ b/src/dispatch/common/test/taskBalancer.test.ts
@@ -74,12 +74,16 @@
         log: (name, data) => lines.push({ name, at, ...data }),
     });
     /** Reviews at intervals, with what the other shard publishes; none if undefined. @returns The tasks that have left. */
-    const run = (endMs: number, room: Omit<WorkerRoom, "worker"> | undefined) => {
+    const run = (endMs: number, room: Omit<WorkerRoom, "worker"> | undefined, waits?: readonly number[]) => {
         for (; at <= endMs; at += INTERVAL_MS) {
             if (room !== undefined) {
                 const services = new Map([["svc", emptyLoad()]]);
                 const rooms = new Map([["svc", [{ worker: "w2", ...room }]]]);
-                loads.apply({ key: "load-1", value: encodeShardLoad({ delayMs: 0, services, rooms }), offset: 0 }, at);
+                const lastingWaits = waits && new Map([["svc", waits]]);
+                loads.apply(
+                    { key: "load-1", value: encodeShardLoad({ delayMs: 0, services, rooms, lastingWaits }), offset: 0 },
+                    at,
+                );
             }
             controller.tick(at);
             controller.review(at, at);
@@ -132,3 +136,14 @@
     task.lossesInARow = MAX_LOSSES_IN_A_ROW;
     t.like(run(200, undefined), [{ task: task.name, to: 1 }]);
 });
+
+// LOST: short tasks took the gaps of the other shard as they came, so that it never showed a place.
+test("a task that lasts goes after a while where only larger ones wait, also if no place is seen", t => {
+    const { run } = createShards(1);
+    const larger = [TASK_MILLIS + 1, TASK_MILLIS + 2];
+    t.is(run(2_000, roomFor(0), larger).length, 0);
+    t.is(run(4_000, roomFor(0), larger).length, 1);
+    t.is(createShards(1).run(5_000, roomFor(0), [TASK_MILLIS, ...larger]).length, 0);
+    // The load of the other shard does not show the first one yet.
+    t.is(createShards(3).run(3_200, roomFor(0), [TASK_MILLIS, ...larger]).length, 1);
+});
--- a/src/dispatch/common/transferPolicy.ts
+++ b/src/dispatch/common/transferPolicy.ts
@@ -28,6 +28,11 @@
     readonly shard: number;
     /** Number of such tasks for which the workers with the most room have places, beside tasks that wait there. */
     readonly places: number;
+    /**
+     * Number of tasks that last and wait there and request no more CPU, so that they take each gap that is large enough; `undefined` if
+     * its leader does not publish it.
+     */
+    readonly rivals: number | undefined;
     /** Largest delay of its leader's loop of late, in ms. */
     readonly delayMs: number;
 }
