--- a/src/dispatch/common/startWindow.ts
+++ b/src/dispatch/common/startWindow.ts
@@ -112,3 +112,12 @@
         this.done.splice(0, firstKept < 0 ? this.done.length : firstKept);
     }
 }
+
+/** @returns The starts in flight of two shards together. */
+export function addLoads(sum: StartLoad | undefined, load: StartLoad): StartLoad {
+    if (sum === undefined) {
+        return load;
+    }
+    const tookMs = Math.max(sum.tookMs ?? 0, load.tookMs ?? 0) || undefined;
+    return { inFlight: sum.inFlight + load.inFlight, window: sum.window + load.window, tookMs };
+}
--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -8,7 +8,7 @@
 import { RoomTransferPolicy } from "../../dispatch/common/roomTransferPolicy";
 import { parseLoadKey } from "../../dispatch/common/shardLoad";
 import { ShardLoadTable } from "../../dispatch/common/shardLoadTable";
-import { StartLoad } from "../../dispatch/common/startWindow";
+import { addLoads, StartLoad } from "../../dispatch/common/startWindow";
 import { TransferPolicy } from "../../dispatch/common/transferPolicy";
 import { ConfigurationView } from "../../jobs/common/configurationView";
 import { JobCallHandler } from "../../jobs/common/jobCallHandler";
@@ -506,15 +506,6 @@
     }
 }
 
-/** @returns The starts in flight of two shards together. */
-function addLoads(sum: StartLoad | undefined, load: StartLoad): StartLoad {
-    if (sum === undefined) {
-        return load;
-    }
-    const tookMs = Math.max(sum.tookMs ?? 0, load.tookMs ?? 0) || undefined;
-    return { inFlight: sum.inFlight + load.inFlight, window: sum.window + load.window, tookMs };
-}
-
 class JobsReceiver extends RecordReceiver {
     constructor(private readonly instance: JobInstance) {
         super();
