Do not suspect tasks for the loss of many workers at one moment

Callers saw tasks that last without a run while short tasks went on starting: when three in ten workers were cut off within a second, up to 188 tasks became suspected, and a quarter of the workers that were left was closed for their probation.

Each loss was judged by itself, by the rate of independent losses. CutDetector finds the moment at which most lost workers may have been lost, between the last answer of each and the first list without one, and compares their number with what comes independently in that time. A cut suspects no task without evidence of its own; the suspicions of its first losses are taken back.

A shard with 4 or 5 of 15 workers lost does not see a cut.

--- a/src/dispatch/common/dispatchEffects.ts
+++ b/src/dispatch/common/dispatchEffects.ts
@@ -31,6 +31,7 @@
     | "worker-lost"
     | "task-suspected"
     | "task-cleared"
+    | "workers-cut"
     | "worker-excluded"
     | "worker-draining"
     | "workers-left-out"
--- a/src/dispatch/common/failureController.ts
+++ b/src/dispatch/common/failureController.ts
@@ -1,10 +1,11 @@
 import { isFinal } from "../../jobs/common/jobTable";
 import { QueueTable } from "../../jobs/common/queueTable";
 import { ActiveJob } from "./activeJob";
+import { CutDetector, WorkerLoss } from "./cutDetector";
 import { DecisionData, DecisionName } from "./dispatchEffects";
 import { LossRate } from "./lossRate";
 import { Run } from "./run";
-import { SharedLossTable, startUnitOf } from "./sharedLossTable";
+import { SharedLoss, SharedLossTable, startUnitOf } from "./sharedLossTable";
 import { hasOneLoss, MAX_LOSSES_IN_A_ROW, SuspectTable } from "./suspectTable";
 import { isFinishedBy, Task } from "./task";
 import { TaskSuspicion } from "./taskSuspicion";
@@ -38,6 +39,19 @@
 /** Time after a loss for which no task starts on its last attempt while workers are lost often, in ms: the next one may follow. */
 const LAST_ATTEMPT_HOLD_MS = 3_000;
 
+/** The loss of a worker, with the evidence that it gave. */
+interface ReviewedLoss extends WorkerLoss {
+    /** Its suspects against which there was no evidence before. */
+    readonly firstSuspects: readonly Task[];
+    /** The loss as it is shared by several suspects, if it is. */
+    shared?: SharedLoss;
+    /** Whether it counts as a loss for no known cause. */
+    isCounted: boolean;
+}
+
+/** Number of losses in a row from which the loss of a task's worker is evidence also if many workers were lost with it. */
+const MIN_LOSSES_OF_ITS_OWN = 2;
+
 /** Host of a failure controller. */
 export abstract class FailureHost {
     /** Called when a job has failed. @param data Why it has failed. */
@@ -63,6 +77,7 @@
 export class FailureController {
     private readonly lossRate = LossRate.create();
     private readonly sharedLosses = SharedLossTable.create();
+    private readonly cuts = CutDetector.create<ReviewedLoss>();
     /** Time (ms) of the latest measurement. */
     private now: number | undefined;
     /** Time (ms) at which the latest worker was lost for no known cause. */
@@ -124,31 +139,69 @@
         const data = { worker: worker.entry.id, cause, runs: lostRuns.length, unproven, unanswered };
         this.host.logDecision("worker-lost", data);
         const isEarly = (run: Run) => run.provenAgeMs <= MAX_SUSPECT_AGE_MS && canBeSuspected(run);
-        const suspects = mostLikely(recent.length > 0 ? recent : started.filter(isEarly));
+        const candidates = mostLikely(recent.length > 0 ? recent : started.filter(isEarly));
+        const loss = this.createLoss(worker, candidates);
+        const isCut = worker.heardAt !== undefined && this.reviewCut(loss);
+        const suspects = isCut ? candidates.filter(run => hasOwnEvidence(run.task)) : candidates;
         // If the worker had survived all starts, this loss alone is no evidence against any of them.
         const isAlone = recent.length > 0 && new Set(suspects.map(run => startUnitOf(run.task))).size === 1;
         const withinMs = Math.max(ATTRIBUTION_MS, ...suspects.map(run => this.attributionMs(run, worker, cause)));
         suspects.forEach(run => this.accuse(run.task, worker.entry.id, isAlone, withinMs));
         // A worker whose lease expired may only have been out of reach.
-        if (recent.length > 0 && !isAlone && cause !== "lease-expired") {
-            this.sharedLosses.add(
+        if (recent.length > 0 && !isCut && !isAlone && cause !== "lease-expired") {
+            loss.shared = this.sharedLosses.add(
                 suspects.map(run => run.task),
                 withinMs,
             );
         }
         const culprits = new Set(suspects.filter(run => run.task.suspicion?.isAccusedAgain === true));
-        if (![...culprits].some(run => run.task.suspicion?.state === "convicted")) {
+        if (!isCut && ![...culprits].some(run => run.task.suspicion?.state === "convicted")) {
             this.lossRate.recordLoss();
+            loss.isCounted = true;
             // The lease of a worker that is silent expires long after the loss.
             this.lostAt = cause === "lease-expired" ? this.lostAt : (this.now ?? this.lostAt);
         }
         for (const run of runs) {
-            run.task.lossAgeMs = isEarly(run) ? run.provenAgeMs : 0;
+            run.task.lossAgeMs = isEarly(run) && !isCut ? run.provenAgeMs : 0;
             this.countLoss(run, culprits.size > 0 && !culprits.has(run));
             this.host.onSuspicionChange(run.task.job);
         }
     }
 
+    private createLoss(worker: WorkerContact, suspects: readonly Run[]): ReviewedLoss {
+        const now = this.now ?? 0;
+        const tasks = suspects.map(run => run.task);
+        return {
+            worker: worker.entry.id,
+            heardAt: worker.heardAt ?? now,
+            silentBy: worker.silentBy(now),
+            jobs: new Set(tasks.map(task => task.job)),
+            firstSuspects: tasks.filter(task => task.suspicion?.recorded === undefined && task.lossesInARow === 0),
+            isCounted: false,
+        };
+    }
+
+    /** @returns Whether many workers were lost at the same moment. Then the suspicions of the earlier ones are taken back. */
+    private reviewCut(loss: ReviewedLoss): boolean {
+        const cut = this.cuts.add(loss);
+        const counted = cut.filter(each => each.isCounted);
+        this.lossRate.discountLosses(counted.length);
+        for (const each of counted) {
+            each.isCounted = false;
+            if (each.shared !== undefined) {
+                this.sharedLosses.delete(each.shared);
+            }
+            each.firstSuspects.filter(hasOneLoss).forEach(task => this.clear(task));
+        }
+        if (counted.length > 0) {
+            this.host.logDecision("workers-cut", {
+                worker: loss.worker,
+                workers: new Set(cut.map(each => each.worker)).size,
+            });
+        }
+        return cut.length > 0;
+    }
+
     /** Records that a run of a task has ended as `done`: its worker has survived it. */
     recordSuccess(task: Task): void {
         if (!isFinishedBy(task, "done")) {
@@ -162,9 +215,15 @@
     recordUptime(workers: number, now: number): void {
         this.now = now;
         this.lossRate.recordUptime(workers, now);
+        this.cuts.recordUptime(workers, now);
         this.suspects.holdsLastAttempts = this.lossRate.isHigh && now - this.lostAt < LAST_ATTEMPT_HOLD_MS;
     }
 
+    /** Records that runs are started. */
+    recordStarts(runs: readonly Run[]): void {
+        this.cuts.recordStarts(runs.filter(each => each.record.run === 1).length);
+    }
+
     /** Clears the suspected tasks whose start the worker has survived, after a list of the worker. */
     reviewSurvival(worker: WorkerContact): void {
         for (const run of worker.runs.values()) {
@@ -297,6 +356,11 @@
     return [accused, suspected].find(each => each.length > 0) ?? runs;
 }
 
+/** @returns Whether a task was accused, or lost workers more than once since it last worked for some time, also at one moment with others. */
+function hasOwnEvidence(task: Task): boolean {
+    return task.suspicion?.isAccused === true || task.lossesInARow >= MIN_LOSSES_OF_ITS_OWN;
+}
+
 /**
  * An inherited run may have been at work for hours, so it is no cause for a first suspicion: when workers are lost
  * together with the leader, all their tasks would be suspected.
--- a/src/dispatch/common/lossRate.ts
+++ b/src/dispatch/common/lossRate.ts
@@ -69,6 +69,16 @@
         return -Math.expm1(-1_000 * rateOf(recent)) > FREQUENT_WITHIN_1S;
     }
 
+    /**
+     * @param ms A time in ms.
+     * @param without Number of losses to leave out.
+     * @returns How many losses of a worker are expected within that time.
+     */
+    expectedWithin(ms: number, without: number): number {
+        const rates = this.measurements.map(each => rateOf({ ...each, losses: Math.max(0, each.losses - without) }));
+        return ms * Math.max(...rates);
+    }
+
     /** @param ms A time in ms. @returns Probability that a worker is lost within that time for no known cause. */
     probabilityWithin(ms: number): number {
         return -Math.expm1(-ms * Math.max(...this.measurements.map(rateOf)));
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -256,6 +256,7 @@
         this.shards.review(now, wallNow);
         const starts = this.pendingStarts;
         this.pendingStarts = [];
+        this.failures.recordStarts(starts);
         starts.forEach(run => run.fire("stored", { now }));
         const { loop } = this.context.views;
         this.pacer.isLate = loop?.state === "late";
--- a/src/dispatch/common/sharedLossTable.ts
+++ b/src/dispatch/common/sharedLossTable.ts
@@ -2,7 +2,7 @@
 import { Task } from "./task";
 
 /** The loss of a worker that had just started several tasks. */
-interface SharedLoss {
+export interface SharedLoss {
     /** The tasks that may be the cause. */
     readonly tasks: Set<Task>;
     /** Time within which the worker was lost, in ms. */
@@ -27,10 +27,22 @@
         return new SharedLossTable();
     }
 
-    /** Adds a loss. @param tasks Tasks that the worker had just started. @param withinMs Time within which it was lost, in ms. */
-    add(tasks: readonly Task[], withinMs: number): void {
+    /**
+     * Adds a loss.
+     * @param tasks Tasks that the worker had just started.
+     * @param withinMs Time within which it was lost, in ms.
+     * @returns The loss.
+     */
+    add(tasks: readonly Task[], withinMs: number): SharedLoss {
         this.losses = this.losses.filter(each => [...each.tasks].some(task => !isFinal(task.job.state)));
-        this.losses.push({ tasks: new Set(tasks), withinMs });
+        const loss = { tasks: new Set(tasks), withinMs };
+        this.losses.push(loss);
+        return loss;
+    }
+
+    /** Forgets a loss of which none of the tasks was the cause. */
+    delete(loss: SharedLoss): void {
+        this.losses = this.losses.filter(each => each !== loss);
     }
 
     /**
--- a/src/dispatch/common/workerContact.ts
+++ b/src/dispatch/common/workerContact.ts
@@ -106,6 +106,9 @@
     private keptEndCount = 0;
     /** Time (ms) since which nothing listens at its address: its process has ended by then. Unknown if undefined. */
     refusedAt: number | undefined;
+    /** Time (ms) at which its latest list arrived, and the time by which it has left a list unanswered since, if it has. */
+    heardAt: number | undefined;
+    private unansweredBy: number | undefined;
     /** Earliest time (ms) at which it may leave, if it is draining. */
     leavesAt: number | undefined;
     /** Time (ms) before which it is given no tasks, after it rejected a start as full or unhealthy. */
@@ -293,9 +296,21 @@
         this.machine.fire("answered", now);
     }
 
+    /** Records that a list of the latest incarnation has arrived. @param receivedAt Time in ms. */
+    recordList(receivedAt: number): void {
+        this.heardAt = receivedAt;
+        this.unansweredBy = undefined;
+    }
+
+    /** @param now Time in ms. @returns Time (ms) by which it had stopped answering, if it has been lost. */
+    silentBy(now: number): number {
+        return this.unansweredBy ?? now;
+    }
+
     /** Handles an order that was not answered. @param now Time in ms. */
     onNoAnswer(now: number): void {
         this.isListUnanswered = true;
+        this.unansweredBy ??= now;
         this.machine.fire("unanswered", now);
     }
 
--- a/src/dispatch/common/workerPool.ts
+++ b/src/dispatch/common/workerPool.ts
@@ -362,6 +362,7 @@
             return;
         }
         worker.lastListSentAt = event.sentAt;
+        worker.recordList(event.receivedAt ?? now);
         worker.refusedAt = undefined;
         worker.updateKeptEnds(ended);
         for (const end of ended) {
--- a/src/proof/node/jobTrialPlan.ts
+++ b/src/proof/node/jobTrialPlan.ts
@@ -105,17 +105,26 @@
 
 /**
  * A planned fault of a trial. `lose-worker`: the worker with the most runs is lost for good. `lose-half`: half of the workers
- * crash and are back after 2 s. `add-workers`: there are nearly twice as many workers from then on. `kill-all`: all instances
+ * crash and are back after 2 s. `lose-domain`: three in ten workers crash, and new ones come after 10 s. `add-workers`: there are nearly twice as many workers from then on. `kill-all`: all instances
  * are killed. The others concern the leader: it is killed, is frozen for 3 s, or is told to stop and is started again once it
  * has.
  */
 export type PlannedFault =
-    "lose-worker" | "lose-half" | "add-workers" | "kill-all" | "kill-leader" | "freeze-leader" | "stop-leader";
+    | "lose-worker"
+    | "lose-half"
+    | "lose-domain"
+    | "add-workers"
+    | "kill-all"
+    | "kill-leader"
+    | "freeze-leader"
+    | "stop-leader";
 
 /** Jobs that last until the end of a trial. */
 export interface LastingJobs {
     /** Number of jobs. */
     readonly count: number;
+    /** CPU that each of their tasks requests, in thousandths of a core; 2 cores if undefined. */
+    readonly cpuMillis?: number;
     /** Longest time for which a task of them may be without a run after its first one, in ms; unlimited if undefined. */
     readonly maxGapMs?: number;
     /** Whether no other jobs are submitted. */
@@ -344,12 +353,12 @@
     );
 }
 
-/** @returns A job whose tasks last. */
-export function createLastingDraft(): JobDraft {
+/** @param cpuMillis CPU that each task requests, in thousandths of a core. @returns A job whose tasks last. */
+export function createLastingDraft(cpuMillis = 2_000): JobDraft {
     return draftOf([
         {
             tasks: 3,
-            request: { cpuMillis: 2_000, memoryMb: 1_000, accelerators: 0 },
+            request: { cpuMillis, memoryMb: 1_000, accelerators: 0 },
             estimateMs: 60_000,
             after: [],
             mode: "long-running",
--- a/src/proof/node/trialInjector.ts
+++ b/src/proof/node/trialInjector.ts
@@ -86,6 +86,8 @@
             this.context.workers.removeBusiest();
         } else if (fault === "lose-half") {
             this.context.checker.recordDisruption(this.context.workers.loseHalf());
+        } else if (fault === "lose-domain") {
+            this.context.checker.recordDisruption(this.context.workers.loseDomain());
         } else if (fault === "add-workers") {
             this.context.workers.addMore();
         } else if (fault === "kill-all") {
--- a/src/proof/node/trialWorkers.ts
+++ b/src/proof/node/trialWorkers.ts
@@ -31,6 +31,10 @@
 /** Time for which half of the workers are down, in ms. */
 const HALF_DOWN_MS = 2_000;
 
+/** Share of the workers that a failure domain takes with it, and the time for which they are down, in ms: longer than a lease. */
+const DOMAIN_RATIO = 0.3;
+const DOMAIN_DOWN_MS = 10_000;
+
 /** Number of workers that are added, relative to the number of workers before. */
 const ADDED_RATIO = 0.9;
 
@@ -149,6 +153,17 @@
         return HALF_DOWN_MS;
     }
 
+    /** Crashes three in ten workers, which are back later as new ones. @returns Time for which they are down, in ms. */
+    loseDomain(): number {
+        const isLost = (index: number) => Math.floor((index + 1) * DOMAIN_RATIO) > Math.floor(index * DOMAIN_RATIO);
+        const lost = this.workers.filter((worker, index) => isLost(index) && !this.down.has(worker));
+        for (const worker of lost) {
+            this.deregisterLater(worker.entry.id);
+            this.takeDown(worker, `${worker.entry.id}-b`, DOMAIN_DOWN_MS);
+        }
+        return DOMAIN_DOWN_MS;
+    }
+
     /** Nearly doubles the number of workers. */
     addMore(): void {
         const count = Math.round(this.workers.length * ADDED_RATIO);
--- a/src/proof/node/waitTrialPlan.ts
+++ b/src/proof/node/waitTrialPlan.ts
@@ -10,6 +10,7 @@
     | "all-killed"
     | "worker-lost-in-overload"
     | "worker-and-leader-lost"
+    | "domain-lost"
     | "late-leader"
     | "late-leader-with-memory"
     | "small-instances"
@@ -67,6 +68,21 @@
     colocation: { ...SHARED_WORKERS, bestEffortEveryMs: 150 },
 };
 
+/**
+ * Three in ten workers are lost at once in a service that is full of tasks that last, each of which starts again every second, and
+ * of more short tasks than there is room for. A task that lasts has to run 6 s after its last run, and 3 s more.
+ */
+const DOMAIN_LOST: Omit<JobTrialPlan, "seed"> = {
+    lengthMs: 22_000,
+    recoveryMs: 16_000,
+    instances: 3,
+    workers: 30,
+    faultEveryMs: 0,
+    lasting: { count: 35, maxGapMs: 9_000, runMs: 1_000 },
+    submitEveryMs: 180,
+    plannedFaults: [[14_000, "lose-domain"]],
+};
+
 /** The plans of the trials of waits, without seeds. */
 export const WAIT_PLANS: Readonly<Record<WaitPlanName, Omit<JobTrialPlan, "seed">>> = {
     "memory-over-half": MEMORY_OVER_HALF,
@@ -92,6 +108,7 @@
             [WORKER_LOST_AT_MS + 500, "kill-leader"],
         ],
     },
+    "domain-lost": DOMAIN_LOST,
     "late-leader": LATE_LEADER,
     "late-leader-with-memory": {
         ...LATE_LEADER,
