Start a task that lasts, is due and only shared a loss, wherever it has room

Callers saw tasks that last wait for longer than 6 s and 3 s more: with one shared loss they waited for a reservation, which half of the workers in probation, or an accused task of the same job that is being tried, kept from them without a bound.

Such a task starts beside other suspects, or else among other tasks. If it is guilty, that costs one worker; with two losses it keeps to probation.

--- a/src/dispatch/common/probationPlacer.ts
+++ b/src/dispatch/common/probationPlacer.ts
@@ -1,5 +1,6 @@
 import { LatencyModel } from "./latencyModel";
 import { Placer } from "./placer";
+import { Run } from "./run";
 import { hasOneLoss, isLastAttempt, SuspectTable } from "./suspectTable";
 import { Task } from "./task";
 import { WorkerContact } from "./workerContact";
@@ -98,15 +99,18 @@
         assign: AssignSuspect,
     ): Set<WorkerContact> {
         this.dropReservations(groups, workers, at.now);
-        const closed = new Set(workers.filter(worker => this.suspects.isOnProbation(worker)));
+        const maxClosed = (maxRatio: number) => Math.max(1, Math.floor(workers.length * maxRatio));
+        const closed = this.closedForProbation(workers, maxClosed(MAX_UNCONTESTED_RATIO));
         this.reservations.forEach(each => each.workers.forEach(worker => closed.add(worker)));
         const placer = Placer.create(workers, this.model);
-        const maxClosed = (maxRatio: number) => Math.max(1, Math.floor(workers.length * maxRatio));
         const due = groups.filter(each => each.isDue);
-        for (const group of [...due, ...groups.filter(each => !each.isDue)]) {
+        const promised = due.filter(hasPromisedStart);
+        const others = due.filter(each => !hasPromisedStart(each));
+        for (const group of [...promised, ...others, ...groups.filter(each => !each.isDue)]) {
             const [first] = group.tasks;
+            const isPromised = hasPromisedStart(group);
             const isHeld = this.suspects.holdsLastAttempts && group.tasks.some(isLastAttempt);
-            if (isHeld || this.suspects.isJobOnProbation(first, at.now)) {
+            if (!isPromised && (isHeld || this.suspects.isJobOnProbation(first, at.now))) {
                 continue;
             }
             const maxRatio = isContested && !group.isDue ? MAX_PROBATION_RATIO : MAX_UNCONTESTED_RATIO;
@@ -117,6 +121,9 @@
             if (group.isDue && first.run === undefined) {
                 this.startBesideSuspects(group, placer, closed, assign);
             }
+            if (isPromised && first.run === undefined) {
+                this.startAmongOthers(group, placer, assign);
+            }
         }
         return closed;
     }
@@ -161,6 +168,45 @@
         }
     }
 
+    /**
+     * Starts a task that lasts and has to run, against which there is little evidence, wherever it has room: first on a worker that
+     * is not reserved. If it is guilty, one worker more is lost; with two losses it keeps to probation.
+     */
+    private startAmongOthers(
+        { tasks: [task], service, minSpeedPercent }: ProbationGroup,
+        placer: Placer,
+        assign: AssignSuspect,
+    ): void {
+        this.reservations.delete(task);
+        const isFree = (worker: WorkerContact) => !this.suspects.isOnProbation(worker);
+        const choice =
+            placer.choose(task, service, worker => isFree(worker) && !this.isReserved(worker), minSpeedPercent) ??
+            placer.choose(task, service, isFree, minSpeedPercent);
+        if (choice !== undefined) {
+            assign(task, choice.worker, choice.speedPercent);
+            placer.invalidate(choice.worker);
+        }
+    }
+
+    private isReserved(worker: WorkerContact): boolean {
+        return [...this.reservations.values()].some(each => each.workers.has(worker));
+    }
+
+    /**
+     * @returns The workers on probation. Beyond the limit those stay open that try only tasks with little evidence against them, which
+     * had to start.
+     */
+    private closedForProbation(workers: readonly WorkerContact[], maxClosed: number): Set<WorkerContact> {
+        const onProbation = workers.filter(worker => this.suspects.isOnProbation(worker));
+        const closed = new Set(onProbation.filter(worker => !triesLittleEvidence(worker)));
+        for (const worker of onProbation) {
+            if (closed.size < maxClosed) {
+                closed.add(worker);
+            }
+        }
+        return closed;
+    }
+
     /** Reserves workers for a group, if possible such that it can start at once, and not shortly after they started. */
     private reserve(group: ProbationGroup, placer: Placer, closed: Set<WorkerContact>, at: Moment): void {
         const { tasks, service, minSpeedPercent } = group;
@@ -219,9 +265,23 @@
 
 /** @returns Whether a worker tries only tasks with little evidence against them, and may try another one. */
 function hasRoomForSuspect(worker: WorkerContact): boolean {
-    const tried = [...worker.runs.values()].filter(run => !run.isProven && !run.isPauseProven);
-    const isTrying = tried.length > 0 && tried.length < MAX_SUSPECTS_PER_WORKER;
-    return isTrying && tried.every(run => hasLittleEvidence(run.task));
+    const tried = triedRuns(worker);
+    return tried.length > 0 && tried.length < MAX_SUSPECTS_PER_WORKER && triesLittleEvidence(worker);
+}
+
+function triedRuns(worker: WorkerContact): Run[] {
+    return [...worker.runs.values()].filter(run => !run.isProven && !run.isPauseProven);
+}
+
+/** @returns Whether there is little evidence against all tasks of which a worker has not survived the start yet. */
+function triesLittleEvidence(worker: WorkerContact): boolean {
+    return triedRuns(worker).every(run => hasLittleEvidence(run.task));
+}
+
+/** @returns Whether a task has to start however full the service is, and whatever is reserved: it lasts, and there is little evidence. */
+function hasPromisedStart({ tasks, isDue }: ProbationGroup): boolean {
+    const [task] = tasks;
+    return isDue && tasks.length === 1 && task.step.mode === "long-running" && hasLittleEvidence(task);
 }
 
 /** @returns Whether a task has only shared one lost worker with others. */
