Keep no reserved worker from a task that lasts and has to run

A worker that was reserved for a suspected task, until its runs were survived, was closed to all other tasks, also to those that last and have to run however full the service is. They are offered these workers after all others; workers on probation stay closed. The test waited forever before.

--- a/src/dispatch/common/probationPlacer.ts
+++ b/src/dispatch/common/probationPlacer.ts
@@ -188,6 +188,11 @@
         }
     }
 
+    /** @param workers Usable workers. @returns Those that are reserved and try no suspected task yet. */
+    reservedOf(workers: readonly WorkerContact[]): WorkerContact[] {
+        return workers.filter(worker => this.isReserved(worker) && !this.suspects.isOnProbation(worker));
+    }
+
     private isReserved(worker: WorkerContact): boolean {
         return [...this.reservations.values()].some(each => each.workers.has(worker));
     }
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -116,7 +116,7 @@
         const placer = Placer.create(open, this.model);
         this.moves.prune(open, now);
         this.finishMoves(unsuspected, placer, now);
-        this.placeDue(unsuspected, placer, now);
+        this.placeDue(unsuspected, placer, this.probation.reservedOf(workers), now);
         this.placeInOrder(unsuspected, placer, now);
         if (Number.isFinite(this.nextDueMs)) {
             this.host.requestPassBy(now + this.nextDueMs);
@@ -158,7 +158,12 @@
      * Places one task, or the gang, of each job that has to have a run soon: first long-running tasks, which have to run however full
      * the service is, then the one that has waited longest. Jobs with a run that need another one come last, those with the fewest first.
      */
-    private placeDue(waiting: readonly WaitingGroup[], placer: Placer, now: number): void {
+    private placeDue(
+        waiting: readonly WaitingGroup[],
+        placer: Placer,
+        reservedForSuspects: readonly WorkerContact[],
+        now: number,
+    ): void {
         const idleMs = ({ group, tasks }: WaitingGroup) => this.waits.idleMs(group, tasks[0], now);
         const due: (WaitingGroup & { readonly runs: number })[] = [];
         for (const entry of waiting.filter(each => !each.isThrottled)) {
@@ -174,6 +179,7 @@
         this.lastStart = Math.min(0, this.remainingStarts) - MAX_DUE_STARTS;
         const lasting = due.filter(isLongRunning);
         this.placeInOrder(lasting, placer, now);
+        this.placeInOrder(lasting, Placer.create(reservedForSuspects, this.model), now);
         // Best-effort tasks would fill each gap that is too small for it.
         lasting.forEach(({ tasks, service }) => tasks.forEach(task => task.run ?? placer.holdRoom(task, service)));
         const others = due.filter(entry => !isLongRunning(entry));
--- a/src/dispatch/common/test/lastingSuspects.test.ts
+++ b/src/dispatch/common/test/lastingSuspects.test.ts
@@ -6,7 +6,7 @@
 import { Task } from "../task";
 import { WorkerContact } from "../workerContact";
 import { createController, createTask, lose } from "./failures";
-import { assign, AssigningHost, createJob, createStep, createWorker, report } from "./runs";
+import { assign, AssigningHost, createJob, createStep, createWorker, place, report } from "./runs";
 
 /** Time for which a task that lasts may be without a run, in ms. */
 const MAX_IDLE_MS = 3_000;
@@ -93,3 +93,20 @@
     fixture.tryAccused(fixture.workers[1], "y");
     t.is(fixture.waitOf(task, [job]), Number.POSITIVE_INFINITY);
 });
+
+// The only worker with room was closed for an accused task, which waited for the runs there to be survived.
+test("a task that lasts and has to run starts on a worker that is reserved for a suspected one", t => {
+    const fixture = new Fixture();
+    const request = { cpuMillis: 64_000, memoryMb: 1_000, accelerators: 0 };
+    fixture.workers.slice(1).forEach((worker, index) => {
+        report(place(worker, `full${index}`, createStep("full", true, { request })), 0, 30_000);
+    });
+    place(fixture.workers[0], "unproven", createStep("short", false, { usesSpareCpu: false }));
+    const accused = createTask("x");
+    fixture.loseUnder(accused);
+    const job = createLasting("a");
+    const [task] = [...job.tasks()];
+    const waitedMs = fixture.waitOf(task, [accused.job, job]);
+    t.true(waitedMs <= MAX_IDLE_MS, String(waitedMs));
+    t.is(accused.run, undefined);
+});
