--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -123,7 +123,7 @@
         const placer = Placer.create(open, this.model);
         this.moves.prune(open, now);
         this.finishMoves(unsuspected, placer, now);
-        this.placeDue(unsuspected, placer, now);
+        this.placeDue(unsuspected, placer, this.probation.reservedOf(workers), now);
         this.placeInOrder(unsuspected, placer, now);
         if (Number.isFinite(this.nextDueMs)) {
             this.host.requestPassBy(now + this.nextDueMs);
@@ -167,7 +167,12 @@
      * Places one task, or the gang, of each job that has to have a run soon: first long-running tasks, which have to run however full
      * the service is, then the one that has waited longest. Jobs with a run that need another one come last, those with the fewest first.
      */
-    private placeDue(waiting: readonly WaitingGroup[], placer: Placer, now: number): void {
+    private placeDue(
+        waiting: readonly WaitingGroup[],
+        placer: Placer,
+        reservedForSuspects: readonly WorkerContact[],
+        now: number,
+    ): void {
         const idleMs = ({ group, tasks }: WaitingGroup) => this.waits.idleMs(group, tasks[0], now);
         const due: (WaitingGroup & { readonly runs: number })[] = [];
         for (const entry of waiting.filter(each => !each.isThrottled)) {
@@ -181,7 +186,9 @@
         }
         due.sort((a, b) => idleMs(b) - idleMs(a));
         this.lastStart = Math.min(0, this.remainingStarts) - MAX_DUE_STARTS;
-        this.placeInOrder(due.filter(isLongRunning), placer, now);
+        const lasting = due.filter(isLongRunning);
+        this.placeInOrder(lasting, placer, now);
+        this.placeInOrder(lasting, Placer.create(reservedForSuspects, this.model), now);
         this.roomKeeper.keep(due, placer, this.host, now);
         const first = due.filter(entry => !isLongRunning(entry) && entry.runs === 0);
         this.placeInOrder(first, placer, now);
--- a/src/proof/node/trialInjector.ts
+++ b/src/proof/node/trialInjector.ts
@@ -95,6 +95,8 @@
         } else if (fault === "lose-third") {
             this.context.checker.recordDisruption(0);
             this.context.workers.loseThird();
+        } else if (fault === "lose-domain") {
+            this.context.checker.recordDisruption(this.context.workers.loseDomain());
         } else if (fault === "add-workers") {
             this.context.workers.addMore();
         } else if (fault === "kill-all") {
