--- a/src/dispatch/common/test/lastingSuspects.test.ts
+++ b/src/dispatch/common/test/lastingSuspects.test.ts
@@ -76,7 +76,7 @@
     const fixture = new Fixture();
     const job = createLasting("a", 2);
     const [accused, task] = [...job.tasks()];
-    fixture.loseUnder(accused, task);
+    fixture.loseUnder(task, createTask("other"));
     fixture.loseUnder(accused);
     const tried = assign(fixture.workers[0], accused);
     const waitedMs = fixture.waitOf(task, [job], now => report(tried, 0, now));
