--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -4,6 +4,7 @@
 import { jobKey, RunRecord } from "../../jobs/common/jobRecord";
 import { isFinal, JobEntry } from "../../jobs/common/jobTable";
 import { ActiveJob } from "./activeJob";
+import { createAssignment } from "./assignment";
 import { DecisionData, DecisionName } from "./dispatchEffects";
 import { ActiveJobTable, LeaderWriters } from "./activeJobTable";
 import { JobPruner } from "./jobPruner";
@@ -37,9 +38,6 @@
 import { WorkerLossCause, WorkerPool } from "./workerPool";
 import { isStartProven, ListedEnd, NOT_EXECUTED_OUTCOMES, WorkerEvent } from "./workerMessages";
 
-/** Size of the range of run numbers per task and epoch. Separate ranges keep two leaders from using the same number. */
-const MAX_RUNS_PER_EPOCH = 1_000;
-
 /** Decides which worker runs which task during one leader's epoch. */
 export class Scheduler implements Disposable {
     private readonly resources = DisposableStore.create();
@@ -385,15 +383,7 @@
      */
     assign(task: Task, worker: WorkerContact, speedPercent: number, now: number): Run {
         this.hasAssigned = true;
-        const firstRun = (this.epoch - 1) * MAX_RUNS_PER_EPOCH;
-        task.highestRun = Math.max(task.highestRun, task.lastRun, firstRun) + 1;
-        const record: RunRecord = {
-            task: task.name,
-            run: task.highestRun,
-            worker: worker.entry.id,
-            incarnation: Math.max(worker.entry.incarnation, worker.incarnation ?? 0),
-            checkpoint: task.checkpoint,
-        };
+        const record = createAssignment(task, worker, this.epoch);
         const run = Run.create(task, record, this.runHost, now);
         run.rack = worker.entry.rack;
         if (speedPercent < 100) {
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -257,7 +257,7 @@
             if (tasks.length > 0 && isComplete) {
                 this.reserve.recordReady(group, service, now);
                 const isAll = isGang({ group });
-                this.separateSuspected(tasks, isAll).forEach(each => add(each.tasks, each.isSuspected, false));
+                this.suspects.separate(tasks, isAll).forEach(each => add(each.tasks, each.isSuspected, false));
             }
         }
         return { groups, entries: waiting, isLasting };
@@ -284,17 +284,6 @@
         return { tasks, throttled: isWhole ? group.tasks : throttled, hasThrottledRun };
     }
 
-    /** Suspected tasks, and those on their last attempt, start one by one, apart from others; a gang starts as a whole. */
-    private separateSuspected(tasks: readonly Task[], isAll: boolean): Pick<WaitingGroup, "tasks" | "isSuspected">[] {
-        const suspected = this.suspects.isEmpty ? [] : tasks.filter(task => this.suspects.startsApart(task));
-        if (suspected.length === 0 || isAll) {
-            return [{ tasks, isSuspected: suspected.length > 0 }];
-        }
-        const others = tasks.filter(task => !this.suspects.startsApart(task));
-        const unsuspected = others.length === 0 ? [] : [{ tasks: others, isSuspected: false }];
-        return [...unsuspected, ...suspected.map(task => ({ tasks: [task], isSuspected: true }))];
-    }
-
     /** @returns The workers on which other tasks may be placed. */
     private placeSuspected(
         waiting: readonly WaitingGroup[],
--- a/src/dispatch/common/suspectTable.ts
+++ b/src/dispatch/common/suspectTable.ts
@@ -10,6 +10,12 @@
  */
 export const MAX_LOSSES_IN_A_ROW = 5;
 
+/** Tasks that start apart from others. */
+export interface SeparateTasks {
+    readonly tasks: readonly Task[];
+    readonly isSuspected: boolean;
+}
+
 /** The tasks that are suspected of crashing the workers that start them, and those that are on their last attempt. */
 export class SuspectTable {
     private readonly tasks = new Set<Task>();
@@ -38,6 +44,22 @@
         return this.tasks.has(task);
     }
 
+    /**
+     * Separates suspected tasks, and those on their last attempt, from others: they start one by one.
+     * @param tasks Tasks of a group that wait.
+     * @param isAll Whether they start as a whole.
+     * @returns The units that start apart from each other.
+     */
+    separate(tasks: readonly Task[], isAll: boolean): SeparateTasks[] {
+        const suspected = this.isEmpty ? [] : tasks.filter(task => this.startsApart(task));
+        if (suspected.length === 0 || isAll) {
+            return [{ tasks, isSuspected: suspected.length > 0 }];
+        }
+        const others = tasks.filter(task => !this.startsApart(task));
+        const unsuspected = others.length === 0 ? [] : [{ tasks: others, isSuspected: false }];
+        return [...unsuspected, ...suspected.map(task => ({ tasks: [task], isSuspected: true }))];
+    }
+
     /** Adds or removes a task, according to the evidence against it. */
     update(task: Task): void {
         const hasEvidence = task.suspicion?.recorded !== undefined || isLastAttempt(task);
