Keep progress that is recorded while the deletion of earlier progress waits

A leader deletes the progress of a wide job when the last of its tasks, or the job, leaves its shard or expires. If a task of it arrives, or it is submitted again, while that deletion waits for the store, the records of the new progress took the place of the deleted head in the queue, in front of the deletions of the parts. The parts of the new progress were deleted with the same append, and since they counted as stored, not written again. The next leader would not know their runs and would start the tasks a second time.

All records of a job are now deleted in one entry of the queue, which later progress replaces as a whole. That progress also deletes what it does not have.

--- a/src/dispatch/common/progressRecorder.ts
+++ b/src/dispatch/common/progressRecorder.ts
@@ -24,6 +24,8 @@
 /** Writes the progress of jobs: one record for each, or several for one with many tasks. */
 export class ProgressRecorder {
     private readonly divided = new Map<string, DividedJob>();
+    /** Keys of the records whose deletion may not be stored, by job. */
+    private readonly deleting = new Map<string, ReadonlySet<string>>();
 
     private constructor(private readonly writer: RecordWriter) {}
 
@@ -49,11 +51,13 @@
     record(spec: JobSpec, progress: () => JobProgress, onStored: StoredListener): void {
         const { id } = spec;
         const known = this.divided.get(id);
-        if (known === undefined && !ProgressDivision.create(spec).isDivided) {
+        const deleting = [...(this.deleting.get(id) ?? [])];
+        if (known === undefined && deleting.length <= 1 && !ProgressDivision.create(spec).isDivided) {
             this.writer.write(jobKey("progress", id), () => encodeProgress(progress()), onStored);
             return;
         }
-        const job = known ?? this.addDivided(spec, []);
+        // It replaces a deletion that waits, and has to delete what the new records do not replace.
+        const job = known ?? this.addDivided(spec, deleting);
         job.progress = progress;
         job.pending.push({ build: job.records.nextBuild, listener: onStored });
         this.write(id, job);
@@ -66,8 +70,18 @@
 
     /** Deletes the progress of a job, of which this or a former leader has written it. @param keys Keys of its records. */
     delete(id: string, keys: Iterable<string> = this.divided.get(id)?.records.keys ?? []): void {
-        new Set([jobKey("progress", id), ...keys]).forEach(key => this.writer.write(key, () => undefined));
+        const head = jobKey("progress", id);
+        const deleted = new Set([head, ...keys, ...(this.deleting.get(id) ?? [])]);
         this.divided.delete(id);
+        this.deleting.set(id, deleted);
+        const build = () => [...deleted].map(key => ({ key, value: undefined }));
+        this.writer.writeTogether(head, build, () => this.onDeleted(id, deleted));
+    }
+
+    private onDeleted(id: string, deleted: ReadonlySet<string>): void {
+        if (this.deleting.get(id) === deleted) {
+            this.deleting.delete(id);
+        }
     }
 
     private addDivided(spec: JobSpec, keys: readonly string[]): DividedJob {
