Keep room for suspected tasks that last, too

A task that lasts and has lost its worker is often suspected, with all others that the worker had just started. Suspected tasks are placed before the room is kept, and only on workers that have room then. While short tasks with reserved CPU wait, they take each gap that is too small for it, as they did for tasks that are not suspected, so it waits without end.

ProbationPlacer now tells which due groups lack nothing but room, no more of them than workers may be closed for suspects, and room is kept for these behind the others that are due. Once it is large enough, the worker is reserved as before.

The new test, with 13 cores against 8, had an infinite wait before; it is that of tasks that are not suspected, whose bound it uses. Its short runs are reported now, since a suspect starts only beside runs that are proven.

--- a/src/dispatch/common/probationPlacer.ts
+++ b/src/dispatch/common/probationPlacer.ts
@@ -66,6 +66,8 @@
     private readonly reservations = new Map<Task, Reservation>();
     /** Times (ms) at which workers were first reserved for waiting groups: their worker may change, and the wait goes on. */
     private readonly reservedSince = new Map<Task, number>();
+    /** First tasks of the groups that were due in the latest pass and would have had a worker reserved, if one had room. */
+    private readonly lackingRoom = new Set<Task>();
 
     private constructor(
         private readonly suspects: SuspectTable,
@@ -98,6 +100,7 @@
         assign: AssignSuspect,
     ): Set<WorkerContact> {
         this.dropReservations(groups, workers, at.now);
+        this.lackingRoom.clear();
         const closed = new Set(workers.filter(worker => this.suspects.isOnProbation(worker)));
         this.reservations.forEach(each => each.workers.forEach(worker => closed.add(worker)));
         const placer = Placer.create(workers, this.model);
@@ -113,14 +116,26 @@
             if (!this.reservations.has(first) && closed.size < maxClosed(maxRatio)) {
                 this.reserve(group, placer, closed, at);
             }
+            const isWithinRatio = closed.size + this.lackingRoom.size < maxClosed(maxRatio);
+            const lacksRoom = group.isDue && !this.reservations.has(first) && isWithinRatio;
             this.startIfReady(group, placer, at.now, assign);
             if (group.isDue && first.run === undefined) {
                 this.startBesideSuspects(group, placer, closed, assign);
             }
+            if (lacksRoom && first.run === undefined) {
+                this.lackingRoom.add(first);
+            }
         }
         return closed;
     }
 
+    /** @returns Those suspected groups that were due in the latest pass and could not start since no worker had room for them. */
+    withoutRoom<T extends Pick<ProbationGroup, "tasks"> & { readonly isSuspected: boolean }>(
+        groups: readonly T[],
+    ): T[] {
+        return groups.filter(({ tasks, isSuspected }) => isSuspected && this.lackingRoom.has(tasks[0]));
+    }
+
     private startIfReady(
         { tasks, service, minSpeedPercent }: ProbationGroup,
         placer: Placer,
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -123,7 +123,7 @@
         const placer = Placer.create(open, this.model);
         this.moves.prune(open, now);
         this.finishMoves(unsuspected, placer, now);
-        this.placeDue(unsuspected, placer, now);
+        this.placeDue(waiting, placer, now);
         this.placeInOrder(unsuspected, placer, now);
         if (Number.isFinite(this.nextDueMs)) {
             this.host.requestPassBy(now + this.nextDueMs);
@@ -166,11 +166,12 @@
     /**
      * Places one task, or the gang, of each job that has to have a run soon: first long-running tasks, which have to run however full
      * the service is, then the one that has waited longest. Jobs with a run that need another one come last, those with the fewest first.
+     * Suspected tasks start apart; here, room is kept for those that lack nothing else.
      */
     private placeDue(waiting: readonly WaitingGroup[], placer: Placer, now: number): void {
         const idleMs = ({ group, tasks }: WaitingGroup) => this.waits.idleMs(group, tasks[0], now);
         const due: (WaitingGroup & { readonly runs: number })[] = [];
-        for (const entry of waiting.filter(each => !each.isThrottled)) {
+        for (const entry of waiting.filter(each => !each.isThrottled && !each.isSuspected)) {
             // Each task of a long-running step waits by itself, a job of others for one run.
             const tasks = isLongRunning(entry) ? entry.tasks : entry.tasks.slice(0, 1);
             const dueTasks = tasks.filter(task => this.reviewDue(entry, task, now));
@@ -182,7 +183,7 @@
         due.sort((a, b) => idleMs(b) - idleMs(a));
         this.lastStart = Math.min(0, this.remainingStarts) - MAX_DUE_STARTS;
         this.placeInOrder(due.filter(isLongRunning), placer, now);
-        this.roomKeeper.keep(due, placer, this.host, now);
+        this.roomKeeper.keep([...due, ...this.probation.withoutRoom(waiting)], placer, this.host, now);
         const first = due.filter(entry => !isLongRunning(entry) && entry.runs === 0);
         this.placeInOrder(first, placer, now);
         // Further runs of a job beyond the limit on starts would only delay the first ones of others.
--- a/src/dispatch/common/test/reservedWaits.test.ts
+++ b/src/dispatch/common/test/reservedWaits.test.ts
@@ -1,8 +1,12 @@
 import test from "ava";
+import { QueueTable } from "../../../jobs/common/queueTable";
 import { ActiveJob } from "../activeJob";
 import { LatencyModel } from "../latencyModel";
+import { StepQueue } from "../stepQueue";
+import { SuspectTable } from "../suspectTable";
+import { TaskSuspicion } from "../taskSuspicion";
 import { WorkerContact } from "../workerContact";
-import { createJob, createQueue, createStep, createWorker, place } from "./runs";
+import { AssigningHost, createJob, createQueue, createStep, createWorker, place, report } from "./runs";
 
 /** Time without any run after which a task that lasts must be assigned, in ms: callers accept 3 s, of which the leader takes some. */
 const MAX_IDLE_MS = 3_000 - 500;
@@ -67,20 +71,26 @@
 
 /**
  * @param hasRun Whether the task that lasts ran before.
+ * @param isSuspected Whether a worker was lost under it and others.
  * @returns Time until a task of 13 cores that lasts is assigned, in ms, on workers with two short tasks of 8 cores each, which end one
  * after the other while others wait; infinite if it is not.
  */
-function waitBehindShortTasks(hasRun: boolean): number {
-    const queue = createQueue(LatencyModel.create());
+function waitBehindShortTasks(hasRun: boolean, isSuspected = false): number {
+    const suspects = SuspectTable.create();
+    const queue = StepQueue.create(QueueTable.create(), LatencyModel.create(), suspects, AssigningHost.create());
     const workers = Array.from({ length: 4 }, (_, index) => createWorker(`w${index}`));
     const lasting = { cpuMillis: 48_000, memoryMb: 1_000, accelerators: 0 };
     workers.forEach((worker, index) => place(worker, `l${index}`, createStep("l", true, { request: lasting })));
     const arriving = createJob("short", createStep("short", false, { usesSpareCpu: false, tasks: 400 }));
     const request = { cpuMillis: 13_000, memoryMb: 1_000, accelerators: 0 };
     const job = createJob("lasting", createStep("lasting", true, { request }));
-    job.find("lasting.0.0.0")!.highestRun = hasRun ? 1 : 0;
+    const task = job.find("lasting.0.0.0")!;
+    task.highestRun = hasRun ? 1 : 0;
+    task.suspicion = isSuspected ? TaskSuspicion.create("suspected") : undefined;
+    suspects.update(task);
     queue.placeWaiting([arriving], workers, 100, 0, 0);
     for (let now = 0; now <= MAX_WAIT_MS; now += PASS_INTERVAL_MS) {
+        workers.forEach(worker => worker.runs.forEach(run => report(run, 8_000, now)));
         queue.placeWaiting([arriving, job], workers, 100, now, now);
         if (job.hasRun) {
             return now;
@@ -107,6 +117,12 @@
     t.true(waitedMs <= MAX_IDLE_MS + 2 * SHORT_END_INTERVAL_MS, String(waitedMs));
 });
 
+// LOST: only tasks that are not suspected kept room, while short tasks took each gap.
+test("a task that lasts and is suspected since its worker was lost does not wait longer behind short tasks", t => {
+    const waitedMs = waitBehindShortTasks(true, true);
+    t.true(waitedMs <= MAX_IDLE_MS + 2 * SHORT_END_INTERVAL_MS, String(waitedMs));
+});
+
 test("a task that lasts and never ran leaves the CPU that short tasks release to them", t => {
     t.is(waitBehindShortTasks(false), Number.POSITIVE_INFINITY);
 });
