Let the time after which a weaker leader is replaced begin when it has taken over

The wait of 6 s for each challenge kept one instance leading several shards of a fleet that starts: fullShard and largeFleet failed (3 leaders instead of 4 after 9 s, and workers with orders of two instances).

What matters is that a new leader has extended the leases of inherited runs. So it states that it takes over until the workers with such runs have answered, 6 s at most, and the 2 s begin then. A first leader has none, and is replaced as soon as before but for the 0.6 s of its takeover.

--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -168,6 +168,11 @@
         this.logDecision("leader-began", { epoch: this.epoch, jobs, tookMs, ...this.views.ageFields(now) });
     }
 
+    /** Whether workers with runs of former leaders have not answered yet. */
+    get isAwaitingWorkers(): boolean {
+        return this.pool.isAwaitingFirstAnswers;
+    }
+
     /** Whether there are jobs that are not finished. */
     get hasJobs(): boolean {
         return this.activeJobs.size > 0;
--- a/src/dispatch/common/workerPool.ts
+++ b/src/dispatch/common/workerPool.ts
@@ -145,6 +145,11 @@
         return count;
     }
 
+    /** Whether workers with runs have not answered this leader yet. */
+    get isAwaitingFirstAnswers(): boolean {
+        return [...this.contacts.values()].some(worker => worker.state === "uncontacted" && worker.runs.size > 0);
+    }
+
     /** @returns How many more starts may be in flight. */
     remainingStarts(): number {
         return this.startWindow.limitOf(this.maxStartsInFlight) - this.startsInFlight;
--- a/src/host/common/shardOffice.ts
+++ b/src/host/common/shardOffice.ts
@@ -30,6 +30,9 @@
 type AppendAnswer = RecordEvent & { readonly kind: "append-answer" };
 type NewestAnswer = RecordEvent & { readonly kind: "newest-answer" };
 
+/** Time after its beginning for which an epoch counts as a takeover at most, in ms: the shortest lease of workers. */
+const MAX_CONTACT_MS = 6_000;
+
 /** What the offices of one instance share. */
 export interface OfficeContext {
     readonly identity: JobInstanceIdentity;
@@ -65,6 +68,8 @@
     private takeover: Takeover | undefined;
     private division: FleetDivision | undefined;
     private now = 0;
+    /** Time (ms) at which the epoch began, while it counts as a takeover. */
+    private beganAt: number | undefined;
 
     private constructor(
         readonly shard: number,
@@ -150,6 +155,16 @@
             this.leadership.tick(now);
         }
         this.scheduler?.tick(now, wallNow);
+        this.reviewTakeover(now);
+    }
+
+    /** Ends the takeover once the leases of all inherited runs are extended, or cannot be extended in time. */
+    private reviewTakeover(now: number): void {
+        const { beganAt } = this;
+        if (beganAt !== undefined && (this.scheduler?.isAwaitingWorkers !== true || now - beganAt >= MAX_CONTACT_MS)) {
+            this.beganAt = undefined;
+            this.leadership.endTakeover(now);
+        }
     }
 
     /**
@@ -263,9 +278,10 @@
     /** Begins an epoch with the restored jobs. @param tookMs Time that the takeover took, in ms. */
     beginEpoch(scheduler: Scheduler, writer: RecordWriter, tookMs: number): void {
         this.scheduler = scheduler;
-        this.leadership.endTakeover(this.now);
         this.context.workers.all.forEach((reading, id) => this.updateWorker(id, reading, this.now));
         scheduler.begin(this.now, tookMs);
+        this.beganAt = this.now;
+        this.reviewTakeover(this.now);
         if (this.shard === FIRST_SHARD && this.context.shards.plan === undefined) {
             const leader = { epoch: this.leadership.epoch, cores: this.context.identity.cores, writer };
             this.division = FleetDivision.create(leader, CapacityShardPlanner.create(), this.now);
@@ -295,6 +311,7 @@
         this.takeover?.dispose();
         this.takeover = undefined;
         this.scheduler = undefined;
+        this.beganAt = undefined;
         this.division = undefined;
     }
 }
--- a/src/records/common/leadership.ts
+++ b/src/records/common/leadership.ts
@@ -65,12 +65,9 @@
 const CAPACITY_DELAY_STEP_MS = 100;
 const MAX_CAPACITY_DELAY_MS = 500;
 
-/**
- * An instance with this many times the leader's cores replaces it after observing it for the window below, in ms: the shortest lease. A
- * second change of leader within it would let leases end that the new one has not extended yet.
- */
+/** An instance with this many times the leader's cores replaces it after observing it for the window below. */
 const MIN_CHALLENGE_CORES_RATIO = 2;
-const CHALLENGE_OBSERVATION_WINDOW_MS = 6_000;
+const CHALLENGE_OBSERVATION_WINDOW_MS = 2_000;
 
 /** Minimum interval between two claims of this instance. */
 const MIN_CLAIM_INTERVAL_MS = 200;
@@ -290,7 +287,9 @@
             this.firstOffset = record.offset;
         }
         this.renewalReadAt = now;
-        this.leaderFirstSeenAt = latest.epoch === this.epoch ? this.leaderFirstSeenAt : now;
+        // A second change of leader would let leases end that this one has not extended yet.
+        const isObserved = latest.epoch === this.epoch && latest.takingOver !== true;
+        this.leaderFirstSeenAt = isObserved ? this.leaderFirstSeenAt : now;
         this.latestRecord = latest;
         this.leaderLastSeenAt = now;
         this.latestOffset = record.offset;
@@ -361,7 +360,7 @@
         }
     }
 
-    /** Called when the jobs of former leaders are restored. @param now Time in ms. */
+    /** Called when the jobs of former leaders are restored, and their workers reached. @param now Time in ms. */
     endTakeover(now: number): void {
         this.takingOverUntil = now + TAKEOVER_SETTLING_MS;
     }
