--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -82,12 +82,11 @@
         const log = (name: DecisionName, data: DecisionData) => this.logDecision(name, data);
         this.views = ViewController.create(context.views, context.limits, log);
         this.leases = LeaseBook.create(context, { epoch, records: writers.jobs, shard: context.leases.shard }, now);
-        const { limits, effects } = context;
+        const { limits, effects, queues, evacuations } = context;
         this.pool = WorkerPool.create(epoch, this.leases, limits, SchedulerPoolHost.create(this), effects);
         this.activeJobs = ActiveJobTable.create(epoch, writers, context.jobs);
         this.pruner = JobPruner.create(context.jobs, this.activeJobs, writers, context.limits.retentionMs);
-        const { queues, evacuations } = context;
-        this.admission = StartAdmission.create(queues, evacuations, id => this.pool.find(id), context.effects);
+        this.admission = StartAdmission.create(queues, evacuations, id => this.pool.find(id), effects);
         this.orders = RunOrders.create(context, epoch, this.pool, this.admission, this.views);
         this.runHost = SchedulerRunHost.create(this, this.orders);
         this.throttle = RunThrottle.create(epoch, id => this.pool.find(id), context.effects);
@@ -100,15 +99,7 @@
         const usage = ShardController.createUsage(context.fleet, () => this.now);
         this.queue = StepQueue.create(context.queues, this.model, this.suspects, queueHost, undefined, pace, usage);
         const usable = () => [...this.pool.all].filter(worker => this.admission.isUsable(worker, this.now));
-        const sources = {
-            jobs: this.activeJobs,
-            queues: context.queues,
-            usage,
-            usable,
-            pace,
-            writer: writers.jobs,
-            log,
-        };
+        const sources = { jobs: this.activeJobs, queues, usage, usable, pace, writer: writers.jobs, log };
         this.shards = ShardController.create(context.fleet, sources);
         this.resources.add(this.queue.onDidWait(report => this.logWait(report)));
         this.resources.add(
