Count a task that was left to another shard once, soon after it has arrived

Their shard saw 18 places in the other one, sent six tasks, and then counted these twice for 0.8 s: as sent, and in what the other shard published meanwhile. So the next batches were small, and the last one left 2.7 s after its loss.

The other leader gives such a task a worker as soon as it has read the record, so a load that is read 0.4 s later shows it; a job that is transferred may wait.

--- a/src/dispatch/common/balancing.ts
+++ b/src/dispatch/common/balancing.ts
@@ -4,6 +4,9 @@
 /** Time after a transfer from which on a load of the other shard that is read includes what was transferred, in ms. */
 export const PUBLICATION_DELAY_MS = 800;
 
+/** The same for a single task, in ms: it is given a worker as soon as the other leader has read its transfer. */
+export const TASK_PUBLICATION_DELAY_MS = 400;
+
 /** Age of a load up to which it decides on transfers, in ms: after three records that are missing, the other leader may be lost. */
 export const MAX_LOAD_AGE_MS = 1_000;
 
--- a/src/dispatch/common/taskBalancer.ts
+++ b/src/dispatch/common/taskBalancer.ts
@@ -1,6 +1,6 @@
 import { StepSpec } from "../../jobs/common/jobSpec";
 import { ActiveJob } from "./activeJob";
-import { MAX_LOAD_AGE_MS, PUBLICATION_DELAY_MS, REVIEW_INTERVAL_MS, stayMs } from "./balancing";
+import { MAX_LOAD_AGE_MS, REVIEW_INTERVAL_MS, stayMs, TASK_PUBLICATION_DELAY_MS } from "./balancing";
 import { BalancedShard, ShardBalancer } from "./shardBalancer";
 import { ShardFleet } from "./shardFleet";
 import { mayStart } from "./suspectTable";
@@ -182,7 +182,7 @@
 
     /** Whether the latest room of the other shard accounts for a task: a leader that is late or lost publishes none. */
     private isPublished({ shard, at }: RecentTask): boolean {
-        return (this.fleet.loads.readAtOf(shard) ?? at) >= at + PUBLICATION_DELAY_MS;
+        return (this.fleet.loads.readAtOf(shard) ?? at) >= at + TASK_PUBLICATION_DELAY_MS;
     }
 }
 
