Walk the jobs once for what a load says of tasks that last; call what exists

Found in a read of the change, with the same behaviour:

- Every 300 ms LoadPublisher collected the waiting tasks that last twice, and copied its lists with each job and worker that it added.
It collects them once and appends.
- Placer checked the states of a run that is being stopped by itself, beside Run.isEnding.
- TaskBalancer filtered the tasks that were sent to a shard in two places.

--- a/src/dispatch/common/loadPublisher.ts
+++ b/src/dispatch/common/loadPublisher.ts
@@ -1,4 +1,5 @@
 import { isFinal } from "../../jobs/common/jobTable";
+import { StepSpec } from "../../jobs/common/jobSpec";
 import { QueueTable } from "../../jobs/common/queueTable";
 import { RecordWriter } from "../../records/common/recordWriter";
 import { ActiveJob } from "./activeJob";
@@ -86,8 +87,9 @@
         this.reviewedAt = now;
         this.loads = this.review();
         if (this.fleet.count > 1) {
-            this.rooms = this.reviewRooms();
-            this.lastingWaits = this.reviewLastingWaits();
+            const lasting = this.collectLastingSteps();
+            this.rooms = this.reviewRooms(lasting);
+            this.lastingWaits = this.reviewLastingWaits(lasting);
             const { loads: services, rooms, lastingWaits } = this;
             const { delayMs } = this.sources.pace;
             this.sources.writer.write(loadKey(this.fleet.shard), () =>
@@ -101,33 +103,37 @@
         }
     }
 
-    private reviewRooms(): Map<string, readonly WorkerRoom[]> {
-        const { usable, jobs, queues } = this.sources;
-        const workers = new Map([...usable()].map(worker => [worker.entry.id, worker]));
+    /** @returns Steps of the tasks of each service that last and wait, one for each task. */
+    private collectLastingSteps(): Map<string, StepSpec[]> {
+        const lasting = new Map<string, StepSpec[]>();
+        for (const job of this.sources.jobs()) {
+            addTo(lasting, this.sources.queues.latestSettings(job.spec.queue).service, ...lastingStepsOf(job));
+        }
+        return lasting;
+    }
+
+    private reviewRooms(lasting: ReadonlyMap<string, readonly StepSpec[]>): Map<string, readonly WorkerRoom[]> {
+        const workers = new Map([...this.sources.usable()].map(worker => [worker.entry.id, worker]));
         const find = (id: string) => workers.get(id)?.entry;
         const rooms = new Map<string, WorkerRoom[]>();
         for (const [id, worker] of workers) {
             const { service } = worker.entry;
             const { cpuMillis, memoryMb, accelerators } = worker.freeCapacity();
             const room = { worker: id, cpuMillis, memoryMb, accelerators: Math.max(0, accelerators) };
-            rooms.set(service, [...(rooms.get(service) ?? []), room]);
-        }
-        for (const job of jobs()) {
-            const ofService = rooms.get(queues.latestSettings(job.spec.queue).service) ?? [];
-            lastingStepsOf(job).forEach(step => takePlace(ofService, step, find));
+            addTo(rooms, service, room);
         }
+        lasting.forEach((steps, service) => steps.forEach(step => takePlace(rooms.get(service) ?? [], step, find)));
         return new Map([...rooms].map(([service, each]) => [service, largestRooms(each, find, MAX_ROOMS)]));
     }
 
-    private reviewLastingWaits(): Map<string, readonly number[]> {
-        const waits = new Map([...this.loads.keys()].map((service): [string, number[]] => [service, []]));
-        for (const job of this.sources.jobs()) {
-            const { service } = this.sources.queues.latestSettings(job.spec.queue);
-            const requests = lastingStepsOf(job).map(({ request }) => request.cpuMillis);
-            waits.set(service, [...(waits.get(service) ?? []), ...requests]);
-        }
-        const smallest = (each: number[]) => each.sort((a, b) => a - b).slice(0, MAX_LASTING_WAITS);
-        return new Map([...waits].map(([service, each]) => [service, smallest(each)]));
+    private reviewLastingWaits(lasting: ReadonlyMap<string, readonly StepSpec[]>): Map<string, readonly number[]> {
+        const services = new Set([...this.loads.keys(), ...lasting.keys()]);
+        const smallest = (steps: readonly StepSpec[]) =>
+            steps
+                .map(({ request }) => request.cpuMillis)
+                .sort((a, b) => a - b)
+                .slice(0, MAX_LASTING_WAITS);
+        return new Map([...services].map(service => [service, smallest(lasting.get(service) ?? [])]));
     }
 
     private review(): Map<string, ServiceLoad> {
@@ -148,6 +154,15 @@
     }
 }
 
+function addTo<Value>(groups: Map<string, Value[]>, key: string, ...values: readonly Value[]): void {
+    const known = groups.get(key);
+    if (known === undefined) {
+        groups.set(key, [...values]);
+    } else {
+        known.push(...values);
+    }
+}
+
 /** @returns The shares of a service's capacity, in percent, for the log. */
 function reportOf(load: ServiceLoad): DecisionData {
     const ofCpu = (cpuMillis: number) => percentOf(cpuMillis, load.cpuMillis);
--- a/src/dispatch/common/placer.ts
+++ b/src/dispatch/common/placer.ts
@@ -424,7 +424,7 @@
             return undefined;
         }
         const left = (resource: ReleasedResource) =>
-            Math.max(0, missing(resource) - heldByRuns(worker, resource, isBeingStopped));
+            Math.max(0, missing(resource) - heldByRuns(worker, resource, run => run.isEnding));
         return { cpuMillis: left("cpuMillis"), memoryMb: left("memoryMb") };
     }
 
@@ -482,10 +482,6 @@
     return task.step.mode !== "long-running";
 }
 
-function isBeingStopped({ state }: Run): boolean {
-    return state === "stopping" || state === "stopped";
-}
-
 /** @returns How much of a resource is held on a worker by the runs that a predicate names. */
 function heldByRuns(worker: WorkerContact, resource: ReleasedResource, isCounted: (run: Run) => boolean): number {
     let held = 0;
--- a/src/dispatch/common/taskBalancer.ts
+++ b/src/dispatch/common/taskBalancer.ts
@@ -18,7 +18,7 @@
     readonly at: number;
 }
 
-/** Where a task that is given up goes: its job is told there, whatever room there is. */
+/** Option for a task that is given up: it goes to the shard of its job, which then fails there, whatever room there is. */
 const GIVEN_UP = { places: 0, rivals: undefined, delayMs: 0 };
 
 /** A task that waits. */
@@ -157,8 +157,7 @@
         step: StepSpec,
         published: readonly number[] | undefined,
     ): number | undefined {
-        const sent = this.recent.filter(each => each.shard === number && each.service === service);
-        return published && countUpTo(step, [...published, ...sent.map(requestOf)]);
+        return published && countUpTo(step, [...published, ...this.sentTo(number, service).map(requestOf)]);
     }
 
     /** @returns How many tasks of a step a shard has places for, beside those that were left to it of late. */
@@ -174,12 +173,16 @@
             return entry?.state === "ready" && entry.service === service ? entry : undefined;
         };
         const rooms = published.map(room => ({ ...room }));
-        const sent = this.recent.filter(each => each.shard === number && each.service === service);
-        const steps = [...sent.map(each => each.step), ...this.jobs.recentLastingSteps(number, service)];
+        const sent = this.sentTo(number, service).map(each => each.step);
+        const steps = [...sent, ...this.jobs.recentLastingSteps(number, service)];
         steps.forEach(each => takePlace(rooms, each, find));
         return countPlaces(rooms, step, find);
     }
 
+    private sentTo(shard: number, service: string): RecentTask[] {
+        return this.recent.filter(each => each.shard === shard && each.service === service);
+    }
+
     /** Whether the latest room of the other shard accounts for a task: a leader that is late or lost publishes none. */
     private isPublished({ shard, at }: RecentTask): boolean {
         return (this.fleet.loads.readAtOf(shard) ?? at) >= at + TASK_PUBLICATION_DELAY_MS;
