Lines: why a task that lasts and was interrupted waits, and why it stays in its shard

Callers saw tasks that last wait for ten seconds after a failed run with room for them. lasting-tasks-wait described the task that had waited longest, mostly one that had never run, and no line named what other shards offered. It now prefers tasks that ran before and counts them (interrupted); task-stays has the options of the balancer; shard-load has the most CPU that a worker has free, and what is published of it.

Both tests fail without the change, for want of the line.

--- a/src/dispatch/common/dispatchEffects.ts
+++ b/src/dispatch/common/dispatchEffects.ts
@@ -19,6 +19,7 @@
     | "job-adopted"
     | "task-transferred"
     | "task-adopted"
+    | "task-stays"
     | "leader-late"
     | "leader-on-time"
     | "run-started"
--- a/src/dispatch/common/lastingWaitReporter.ts
+++ b/src/dispatch/common/lastingWaitReporter.ts
@@ -10,14 +10,19 @@
 /** Interval between two reports of a service, in ms. */
 const REPORT_INTERVAL_MS = 2_000;
 
-/** The long-running tasks of a service that wait for a run, and what the workers lack for the one that has waited longest. */
+/**
+ * The long-running tasks of a service that wait for a run, and what the workers lack for the one that has waited longest of those that
+ * ran before, or of all if none did.
+ */
 export interface LastingWaitReport extends Readonly<Partial<Record<Shortage, number>>> {
     readonly service: string;
     /** Number of tasks that wait, suspected ones included. */
     readonly waiting: number;
     /** Number of them that are suspected of crashing their workers. */
     readonly suspected: number;
-    /** Task that has waited longest, and for how long, in ms. */
+    /** Number of them that ran before. */
+    readonly interrupted: number;
+    /** Task that is described, and for how long it has waited, in ms. */
     readonly task?: string;
     readonly oldestMs?: number;
     /** Whether it is suspected. */
@@ -31,6 +36,8 @@
     readonly closed?: number;
 }
 
+const NONE_WAITING = { waiting: 0, suspected: 0, interrupted: 0 };
+
 /** Tasks that wait, as the reporter sees them. */
 export interface ReviewedTasks extends WaitingTasks {
     readonly isSuspected: boolean;
@@ -87,7 +94,7 @@
 
     /** Reports for each service with a task that waited that none waits any more. */
     reportNone(): void {
-        this.services.forEach(service => this.didWait.fire({ service, waiting: 0, suspected: 0 }));
+        this.services.forEach(service => this.didWait.fire({ service, ...NONE_WAITING }));
         this.services.clear();
     }
 }
@@ -116,11 +123,14 @@
     placer: Placer,
     usableCount: number,
 ): LastingWaitReport {
-    const counts = { service, waiting: waits.length, suspected: waits.filter(each => each.isSuspected).length };
+    const interrupted = waits.filter(({ task: { highestRun } }) => highestRun > 0);
+    const suspected = waits.filter(each => each.isSuspected).length;
+    const counts = { service, waiting: waits.length, suspected, interrupted: interrupted.length };
     if (waits.length === 0) {
         return counts;
     }
-    const oldest = waits.reduce((a, b) => (b.waitedMs > a.waitedMs ? b : a));
+    const described = interrupted.length > 0 ? interrupted : waits;
+    const oldest = described.reduce((a, b) => (b.waitedMs > a.waitedMs ? b : a));
     const { task, waitedMs, isSuspected } = oldest;
     return {
         ...counts,
--- a/src/dispatch/common/loadPublisher.ts
+++ b/src/dispatch/common/loadPublisher.ts
@@ -47,6 +47,8 @@
     private loads: ReadonlyMap<string, ServiceLoad> = new Map();
     /** The largest rooms of each service as of the latest review. */
     private rooms: ReadonlyMap<string, readonly WorkerRoom[]> = new Map();
+    /** The most CPU that a worker of each service has free, before tasks that last and wait are taken off, in thousandths of a core. */
+    private mostFreeMillis: ReadonlyMap<string, number> = new Map();
     /** What the smallest tasks of each service that last and wait request, in thousandths of a core. */
     private lastingWaits: ReadonlyMap<string, readonly number[]> = new Map();
 
@@ -99,7 +101,11 @@
         this.loggedAt ??= now;
         if (now - this.loggedAt >= LINE_INTERVAL_MS) {
             this.loggedAt = now;
-            this.loads.forEach((load, service) => this.sources.log("shard-load", { service, ...reportOf(load) }));
+            this.loads.forEach((load, service) => {
+                const mostRoomMillis = mostMillis(this.roomsOf(service));
+                const room = { mostFreeMillis: this.mostFreeMillis.get(service), mostRoomMillis };
+                this.sources.log("shard-load", { service, ...reportOf(load), ...room });
+            });
         }
     }
 
@@ -122,6 +128,7 @@
             const room = { worker: id, cpuMillis, memoryMb, accelerators: Math.max(0, accelerators) };
             addTo(rooms, service, room);
         }
+        this.mostFreeMillis = new Map([...rooms].map(([service, each]) => [service, mostMillis(each)]));
         lasting.forEach((steps, service) => steps.forEach(step => takePlace(rooms.get(service) ?? [], step, find)));
         return new Map([...rooms].map(([service, each]) => [service, largestRooms(each, find, MAX_ROOMS)]));
     }
@@ -154,6 +161,10 @@
     }
 }
 
+function mostMillis(rooms: readonly WorkerRoom[]): number {
+    return Math.max(0, ...rooms.map(({ cpuMillis }) => cpuMillis));
+}
+
 function addTo<Value>(groups: Map<string, Value[]>, key: string, ...values: readonly Value[]): void {
     const known = groups.get(key);
     if (known === undefined) {
--- a/src/dispatch/common/taskBalancer.ts
+++ b/src/dispatch/common/taskBalancer.ts
@@ -21,6 +21,9 @@
 /** Option for a task that is given up: it goes to the shard of its job, which then fails there, whatever room there is. */
 const GIVEN_UP = { places: 0, rivals: undefined, delayMs: 0 };
 
+/** Time for which a task waits before a line says why it stays, and interval between two such lines, in ms. */
+const STAY_LINE_INTERVAL_MS = 2_000;
+
 /** A task that waits. */
 interface WaitingTask {
     readonly task: Task;
@@ -42,6 +45,8 @@
     /** Entries of the workers of each shard in this review, by id. */
     private entries = new Map<number, ReadonlyMap<string, WorkerEntry>>();
     private reviewedAt = Number.NEGATIVE_INFINITY;
+    /** Time (ms) of the latest line about a task that stays. */
+    private stayLoggedAt = Number.NEGATIVE_INFINITY;
 
     private constructor(
         private readonly fleet: ShardFleet,
@@ -113,9 +118,32 @@
         const chosen = fleet.policy.chooseForTask({ waitedMs }, own, others);
         if (chosen !== undefined) {
             this.transfer(task, chosen, waitedMs, now, own.places);
+        } else if (task.highestRun > 0 && waitedMs >= STAY_LINE_INTERVAL_MS) {
+            this.logStay({ task, waitedMs }, own, others, now);
         }
     }
 
+    /** Logs what the shards have to offer to a task that ran before, at intervals. */
+    private logStay(
+        { task, waitedMs }: WaitingTask,
+        own: TaskOption,
+        others: readonly TaskOption[],
+        now: number,
+    ): void {
+        if (now - this.stayLoggedAt < STAY_LINE_INTERVAL_MS) {
+            return;
+        }
+        this.stayLoggedAt = now;
+        this.shard.log("task-stays", {
+            task: task.name,
+            waitedMs: Math.round(waitedMs),
+            transfers: task.transfers,
+            ...task.step.request,
+            own: textOf(own),
+            others: others.map(textOf).join(" "),
+        });
+    }
+
     private transfer(task: Task, chosen: TaskOption, waitedMs: number, now: number, ownPlaces?: number): void {
         const { service } = this.shard.queues.latestSettings(task.job.spec.queue);
         this.shard.jobs.transferTask(task, chosen.shard);
@@ -189,6 +217,11 @@
     }
 }
 
+/** @returns An option for the log: SHARD:PLACES/RIVALS/DELAY. */
+function textOf({ shard, places, rivals, delayMs }: TaskOption): string {
+    return `${shard}:${places}/${rivals ?? "-"}/${Math.round(delayMs)}`;
+}
+
 function requestOf({ step }: RecentTask): number {
     return step.request.cpuMillis;
 }
--- a/src/dispatch/common/test/lastingWaitReporter.test.ts
+++ b/src/dispatch/common/test/lastingWaitReporter.test.ts
@@ -27,7 +27,7 @@
     for (let now = 6_100; now <= 12_000; now += PASS_INTERVAL_MS) {
         queue.placeWaiting([job], workers, 100, now, now);
     }
-    t.deepEqual(reports.slice(3), [{ service: reports[0].service, waiting: 0, suspected: 0 }]);
+    t.deepEqual(reports.slice(3), [{ service: reports[0].service, waiting: 0, suspected: 0, interrupted: 0 }]);
 });
 
 test("the last report of a service says that no task waits any more", t => {
@@ -49,3 +49,20 @@
         [1, 0],
     );
 });
+
+// LOST: the line described a new task that waited, and said nothing of one that had lost its run.
+test("of the tasks that last and wait, one that ran before is described, however long new ones have waited", t => {
+    const worker = createWorker("a");
+    const queue = createQueue(LatencyModel.create());
+    const reports: LastingWaitReport[] = [];
+    queue.onDidLastingWait(report => reports.push(report));
+    const step = createStep("lasting", true, { requiredLabel: "absent" });
+    const added = createJob("added", step);
+    const known = createJob("known", step);
+    for (let now = 0; now <= 7_900; now += PASS_INTERVAL_MS) {
+        const isKnown = now >= 3_000;
+        queue.placeWaiting(isKnown ? [added, known] : [added], [worker], 100, now, now);
+        [...known.tasks()].forEach(task => (task.highestRun = 1));
+    }
+    t.like(reports.at(-1), { waiting: 2, interrupted: 1, task: "known.0.0.0" });
+});
--- a/src/dispatch/common/test/taskBalancer.test.ts
+++ b/src/dispatch/common/test/taskBalancer.test.ts
@@ -90,7 +90,7 @@
         }
         return lines.filter(({ name }) => name === "task-transferred");
     };
-    return { run, job };
+    return { run, job, lines };
 }
 
 const roomFor = (tasks: number) => ({ cpuMillis: tasks * TASK_MILLIS, memoryMb: 64_000, accelerators: 0 });
@@ -130,6 +130,19 @@
     t.is(createShards(1, { usesSpareCpu: true }).run(5_000, roomFor(4)).length, 0);
 });
 
+// LOST: no line said why a task that had lost its run stayed in its full shard.
+test("why a task that lasts and was interrupted stays is logged, with what the other shard offers", t => {
+    const { run, job, lines } = createShards(1);
+    const task = [...job.tasks()].at(-1)!;
+    run(3_000, roomFor(1));
+    const stays = () => lines.filter(({ name }) => name === "task-stays");
+    t.is(stays().length, 0);
+    task.highestRun = 1;
+    run(6_000, roomFor(1));
+    t.is(stays().length, 2);
+    t.like(stays()[0], { task: task.name, cpuMillis: TASK_MILLIS, own: "0:0/1/0", others: "1:1/-/0" });
+});
+
 test("a task of another shard's job that is given up goes back there", t => {
     const { run, job } = createShards(1, {}, {}, 1);
     const task = [...job.tasks()].at(-1)!;
