--- a/src/proof/node/jobTrialPlan.ts
+++ b/src/proof/node/jobTrialPlan.ts
@@ -136,7 +136,7 @@
 /**
  * A planned fault of a trial. `lose-worker`: the worker with the most runs is lost for good. `lose-half`: half of the workers
  * crash and are back after 2 s. `lose-third`: a third of the workers of the first rack is lost for good. `lose-domain`: three in
- * ten workers crash, and new ones come after 10 s. `add-workers`: there are nearly twice as many workers from then on. `kill-all`: all instances
+ * ten workers crash, and new ones come after 10 s. `add-workers`: there are nearly twice as many workers from then on. `add-to-last-rack`: there are half as many more, in one rack. `kill-all`: all instances
  * are killed. `lose-site`: so they are, and the host of the leader stays away for 15 s. `outage-2s`, `outage-6s`, `outage-8s`: the store refuses
  * all calls for that long. The others concern the leader: it is killed, is frozen for 3 s, or is told to stop and is started again once it
  * has.
@@ -147,6 +147,7 @@
     | "lose-third"
     | "lose-domain"
     | "add-workers"
+    | "add-to-last-rack"
     | "kill-all"
     | "lose-site"
     | PlannedOutage
--- a/src/proof/node/test/taskTransferTrial.test.ts
+++ b/src/proof/node/test/taskTransferTrial.test.ts
@@ -45,6 +45,45 @@
     t.true(breaches.filter(({ rule }) => rule === "lasting-run").length >= LEFT_OVER);
 });
 
+/** Time within which a task that lasts has to run once workers have room for it, however long it has waited, in ms. */
+const MAX_WAIT_BESIDE_ROOM_MS = 3_000;
+
+/** Time at which the shards of `FULL_PLAN` get room, in ms. */
+const ROOM_AT_MS = 35_000;
+
+/**
+ * Two shards of six workers that tasks that last fill, also before a third of the first one is lost: for 20 s tasks wait in both. Then the
+ * second shard gets room for all of them.
+ */
+const FULL_PLAN: Omit<JobTrialPlan, "seed"> = {
+    ...PLAN,
+    lengthMs: 50_000,
+    recoveryMs: 10_000,
+    lasting: { count: 36, isAlone: true },
+    plannedFaults: [
+        [15_000, "lose-third"],
+        [ROOM_AT_MS, "add-to-last-rack"],
+    ],
+};
+
+// LOST: tasks that had been left from one full shard to another waited there for ten seconds after workers elsewhere had room.
+for (const seed of [1, 2, 3]) {
+    test.serial(
+        `tasks that last run as soon as another shard has room, however often they were transferred, seed ${seed}`,
+        t => {
+            replaceMethod(t, RoomTransferPolicy.prototype, "choose", () => undefined);
+            const { trace, taskTransfers } = JobTrial.run({ ...FULL_PLAN, seed });
+            const startedAt = trace
+                .filter(line => line.includes(" run-started "))
+                .map(line => Number.parseInt(line, 10));
+            const waitsMs = startedAt.map(at => at - ROOM_AT_MS).filter(ms => ms >= 0);
+            t.true(taskTransfers >= 10, String(taskTransfers));
+            t.true(waitsMs.length >= LEFT_OVER, String(waitsMs.length));
+            t.true(Math.max(...waitsMs) <= MAX_WAIT_BESIDE_ROOM_MS, waitsMs.join(" "));
+        },
+    );
+}
+
 /** Two shards of six workers, and a job of eight tasks, of which a worker may run one. */
 const WIDE_PLAN: Omit<JobTrialPlan, "seed"> = {
     lengthMs: 12_000,
--- a/src/proof/node/trialInjector.ts
+++ b/src/proof/node/trialInjector.ts
@@ -111,6 +111,8 @@
             this.context.checker.recordDisruption(this.context.workers.loseDomain());
         } else if (fault === "add-workers") {
             this.context.workers.addMore();
+        } else if (fault === "add-to-last-rack") {
+            this.context.workers.addToLastRack();
         } else if (fault === "kill-all") {
             this.context.checker.recordDisruption(MAX_DOWN_MS);
             this.context.nodes.forEach(each => this.host.kill(each));
--- a/src/proof/node/trialWorkers.ts
+++ b/src/proof/node/trialWorkers.ts
@@ -180,6 +180,16 @@
         }
     }
 
+    /** Adds half as many workers, all in the last rack. */
+    addToLastRack(): void {
+        const lastRackPlace = 1;
+        const count = Math.round(this.workers.length / 2);
+        for (let added = 0; added < count; added++) {
+            const id = `w${this.workers.length}`;
+            this.add(this.workers.length, id, id, lastRackPlace);
+        }
+    }
+
     /** @param killLeader Kills the leader. @returns Lets workers leave; half of them always stay. */
     drainHost(killLeader: () => void): DrainHost {
         const candidates = () => {
@@ -454,9 +464,10 @@
         worker.crash();
     }
 
-    private add(index: number, id: string, address = id): void {
+    /** @param place Decides its rack and its failure domain. */
+    private add(index: number, id: string, address = id, place = index): void {
         const startedAt = Math.round(this.now);
-        const entry = createWorkerEntry(index, id, startedAt, address);
+        const entry = createWorkerEntry(place, id, startedAt, address);
         const rate = 1 - (this.context.plan.seed % 2 === 0 ? 0 : 0.02);
         const planRun: RunPlanner = (task, run) => this.planRun(task, run);
         const { checker, plan, colocation } = this.context;
