Leave a task that lasts to a late leader if only its shard has places

In the record a third of the urgent jobs fail, as if one leader of three were late, and the leader that has the waiting tasks is on time: it uses the next gap within 97 ms. That is suspected, not shown.

Cause: a shard whose leader was later than 0.5 s, and than the own one, within the latest 2 s was no option for a task, whatever room it had and however long the task had waited. The limit is that for jobs, which run elsewhere meanwhile; a task without a place does not.

The new test failed before (it stays for good). From 2.5 s on a late leader is chosen if no other one has places and the own shard has none: it starts the task later, but it does.

--- a/src/dispatch/common/roomTransferPolicy.ts
+++ b/src/dispatch/common/roomTransferPolicy.ts
@@ -75,10 +75,15 @@
         }
         const maxDelayMs = Math.max(own.delayMs, MAX_LEADER_DELAY_MS);
         const inTime = others.filter(each => each.delayMs <= maxDelayMs);
-        const [best] = inTime.filter(each => each.places >= MIN_PLACES).sort((a, b) => b.places - a.places);
-        if (best !== undefined || waitedMs < LONG_TASK_WAIT_MS || !mayQueueElsewhere) {
+        const best = withMostPlaces(inTime);
+        if (best !== undefined || waitedMs < LONG_TASK_WAIT_MS) {
             return best;
         }
+        // A late leader starts the task sooner than one that has no place for it.
+        const late = own.places === 0 ? withMostPlaces(others) : undefined;
+        if (late !== undefined || !mayQueueElsewhere) {
+            return late;
+        }
         // Where short tasks take the gaps as they come, none is seen as a place, and the next one is its own.
         const rivals = (option: TaskOption) => option.rivals ?? Number.POSITIVE_INFINITY;
         const [least] = inTime.sort((a, b) => rivals(a) - rivals(b));
@@ -86,6 +91,12 @@
     }
 }
 
+/** @returns The shard with the most places, if it has room for the task. */
+function withMostPlaces(options: readonly TaskOption[]): TaskOption | undefined {
+    const [best] = options.filter(each => each.places >= MIN_PLACES).sort((a, b) => b.places - a.places);
+    return best;
+}
+
 function termsOf({ isLongRunning, spareCpuMillis }: JobDemand): TransferTerms {
     if (isLongRunning) {
         return LONG_RUNNING_TERMS;
--- a/src/dispatch/common/test/roomTransferPolicy.test.ts
+++ b/src/dispatch/common/test/roomTransferPolicy.test.ts
@@ -3,7 +3,7 @@
 import { RoomTransferPolicy } from "../roomTransferPolicy";
 import { emptyLoad } from "../serviceLoad";
 import { suitabilityOf } from "../shardSuitability";
-import { ShardOption } from "../transferPolicy";
+import { ShardOption, TaskOption } from "../transferPolicy";
 import { createBestEffort, createJob, createStep, createWorker } from "./runs";
 
 const policy = RoomTransferPolicy.create();
@@ -107,3 +107,15 @@
         undefined,
     );
 });
+
+// LOST: a task stayed in its full shard while workers of a shard with a late leader had room.
+test("a task that lasts goes to a late leader only if no other one has a place for it", t => {
+    const own = { shard: 0, places: 0, rivals: 1, delayMs: 0 };
+    const late = { shard: 1, places: 9, rivals: 9, delayMs: 2_000 };
+    const full = { shard: 2, places: 0, rivals: 9, delayMs: 0 };
+    const shardFor = (waitedMs: number, places: number, others: readonly TaskOption[]) =>
+        policy.chooseForTask({ waitedMs, mayQueueElsewhere: false }, { ...own, places }, others)?.shard;
+    t.deepEqual([shardFor(900, 0, [late, full]), shardFor(2_600, 0, [late, full])], [undefined, 1]);
+    t.is(shardFor(2_600, 0, [late, { ...full, places: 2 }]), 2);
+    t.is(shardFor(2_600, 1, [late, full]), undefined);
+});
