Keep a task that was transferred of late in a shard that has places for it

Without a place in its own shard it still goes to one at any time. The request states whether it stays, instead of whether it may queue elsewhere; the test did not hold without the condition on the own places.

--- a/src/dispatch/common/roomTransferPolicy.ts
+++ b/src/dispatch/common/roomTransferPolicy.ts
@@ -66,11 +66,12 @@
     }
 
     override chooseForTask(
-        { waitedMs, mayQueueElsewhere }: TaskTransferRequest,
+        { waitedMs, isStaying }: TaskTransferRequest,
         own: TaskOption,
         others: readonly TaskOption[],
     ): TaskOption | undefined {
-        if (waitedMs < (own.places === 0 ? MIN_TASK_WAIT_MS : LONG_TASK_WAIT_MS)) {
+        const isNeeded = own.places === 0;
+        if (waitedMs < (isNeeded ? MIN_TASK_WAIT_MS : LONG_TASK_WAIT_MS) || (isStaying && !isNeeded)) {
             return undefined;
         }
         const maxDelayMs = Math.max(own.delayMs, MAX_LEADER_DELAY_MS);
@@ -80,8 +81,8 @@
             return best;
         }
         // A late leader starts the task sooner than one that has no place for it.
-        const late = own.places === 0 ? withMostPlaces(others) : undefined;
-        if (late !== undefined || !mayQueueElsewhere) {
+        const late = isNeeded ? withMostPlaces(others) : undefined;
+        if (late !== undefined || isStaying) {
             return late;
         }
         // Where short tasks take the gaps as they come, none is seen as a place, and the next one is its own.
--- a/src/dispatch/common/taskBalancer.ts
+++ b/src/dispatch/common/taskBalancer.ts
@@ -112,9 +112,8 @@
         const rivals = this.ownRivals(service, task.step, now);
         const own = { shard: fleet.shard, places, rivals, delayMs: shard.delayMs() };
         const others = [...Array(fleet.count).keys()].flatMap(each => this.otherOption(task, service, each, now) ?? []);
-        // Full shards would leave a task to each other again and again; one with room for it gets it at any time.
-        const mayQueueElsewhere = now - (this.arrivedAt.get(task) ?? -Infinity) >= stayMs(task.transfers);
-        const chosen = fleet.policy.chooseForTask({ waitedMs, mayQueueElsewhere }, own, others);
+        const isStaying = now - (this.arrivedAt.get(task) ?? Number.NEGATIVE_INFINITY) < stayMs(task.transfers);
+        const chosen = fleet.policy.chooseForTask({ waitedMs, isStaying }, own, others);
         if (chosen !== undefined) {
             this.transfer(task, chosen, waitedMs, now, own.places);
         } else if (task.highestRun > 0 && waitedMs >= STAY_LINE_INTERVAL_MS) {
--- a/src/dispatch/common/test/roomTransferPolicy.test.ts
+++ b/src/dispatch/common/test/roomTransferPolicy.test.ts
@@ -97,11 +97,11 @@
         { shard: 3, places: 9, rivals: undefined, delayMs: 5_000 },
     ];
     const shardFor = (waitedMs: number, places: number) =>
-        policy.chooseForTask({ waitedMs, mayQueueElsewhere: true }, { ...own, places }, others)?.shard;
+        policy.chooseForTask({ waitedMs, isStaying: false }, { ...own, places }, others)?.shard;
     t.deepEqual([shardFor(300, 0), shardFor(900, 0)], [undefined, 2]);
     t.deepEqual([shardFor(900, 1), shardFor(2_600, 1)], [undefined, 2]);
     t.is(
-        policy.chooseForTask({ waitedMs: 9_000, mayQueueElsewhere: true }, own, [
+        policy.chooseForTask({ waitedMs: 9_000, isStaying: false }, own, [
             { shard: 1, places: 1, rivals: undefined, delayMs: 0 },
         ]),
         undefined,
@@ -114,8 +114,16 @@
     const late = { shard: 1, places: 9, rivals: 9, delayMs: 2_000 };
     const full = { shard: 2, places: 0, rivals: 9, delayMs: 0 };
     const shardFor = (waitedMs: number, places: number, others: readonly TaskOption[]) =>
-        policy.chooseForTask({ waitedMs, mayQueueElsewhere: false }, { ...own, places }, others)?.shard;
+        policy.chooseForTask({ waitedMs, isStaying: true }, { ...own, places }, others)?.shard;
     t.deepEqual([shardFor(900, 0, [late, full]), shardFor(2_600, 0, [late, full])], [undefined, 1]);
     t.is(shardFor(2_600, 0, [late, { ...full, places: 2 }]), 2);
     t.is(shardFor(2_600, 1, [late, full]), undefined);
 });
+
+test("a task that was transferred of late does not leave a shard that has places for it", t => {
+    const own = { shard: 0, places: 1, rivals: 3, delayMs: 0 };
+    const other = { shard: 1, places: 5, rivals: 0, delayMs: 0 };
+    const shardFor = (isStaying: boolean, places: number) =>
+        policy.chooseForTask({ waitedMs: 9_000, isStaying }, { ...own, places }, [other])?.shard;
+    t.deepEqual([shardFor(true, 1), shardFor(false, 1), shardFor(true, 0)], [undefined, 1, 1]);
+});
--- a/src/dispatch/common/transferPolicy.ts
+++ b/src/dispatch/common/transferPolicy.ts
@@ -41,8 +41,8 @@
 export interface TaskTransferRequest {
     /** Time for which it has had no run, in ms. */
     readonly waitedMs: number;
-    /** Whether it may go where it has to wait, too. */
-    readonly mayQueueElsewhere: boolean;
+    /** Whether it was transferred of late: then it stays unless its shard has no place for it, and another one has. */
+    readonly isStaying: boolean;
 }
 
 /** Decides which jobs, and which single tasks of others, are left to the leaders of other shards. */
--- a/src/proof/node/randomTransferPolicy.ts
+++ b/src/proof/node/randomTransferPolicy.ts
@@ -34,11 +34,11 @@
     }
 
     override chooseForTask(
-        { mayQueueElsewhere }: TaskTransferRequest,
+        { isStaying }: TaskTransferRequest,
         _own: TaskOption,
         others: readonly TaskOption[],
     ): TaskOption | undefined {
-        return mayQueueElsewhere ? this.chooseAny(others) : undefined;
+        return isStaying ? undefined : this.chooseAny(others);
     }
 
     private chooseAny<Option>(others: readonly Option[]): Option | undefined {
