Publish the room that new tasks leave to short ones for tasks that ran before

Cause: a leader publishes the room of its workers less what tasks that last and wait there request. New tasks leave single places on workers that are reserved for short tasks, and so wait beside them; tasks that ran before may use these places, but those of another shard do not see them.

Both new tests failed before. The load has the room a second time, less what only tasks that ran before and wait request, where it differs. Earlier versions ignore the field, and leaders of theirs publish none, so that the first one counts. New tasks go where they went before.

--- a/src/dispatch/common/jobDemand.ts
+++ b/src/dispatch/common/jobDemand.ts
@@ -2,6 +2,7 @@
 import { isFinal } from "../../jobs/common/jobTable";
 import { ActiveJob, TaskGroup } from "./activeJob";
 import { ServiceLoad } from "./serviceLoad";
+import { Task } from "./task";
 
 /** What the tasks of a job request that are ready and have no run. */
 export interface JobDemand {
@@ -48,20 +49,29 @@
 
 /** @param job A job. @returns The steps of its tasks that last and wait, with reserved CPU, one for each task. */
 export function lastingStepsOf(job: ActiveJob): StepSpec[] {
-    const steps: StepSpec[] = [];
+    return waitingLastingTasks(job).map(({ step }) => step);
+}
+
+/** @param job A job. @returns Its tasks that last, with reserved CPU, and wait. */
+export function waitingLastingTasks(job: ActiveJob): Task[] {
+    const tasks: Task[] = [];
     for (const group of job.isLongRunning && !isFinal(job.state) ? job.groups : []) {
         const { mode, usesSpareCpu } = group.step;
         if (mode === "long-running" && !usesSpareCpu && job.isReady(group)) {
-            steps.push(...Array<StepSpec>(countWaiting(group)).fill(group.step));
+            tasks.push(...group.tasks.filter(task => isWaiting(task, group)));
         }
     }
-    return steps;
+    return tasks;
 }
 
-function countWaiting({ tasks, done }: TaskGroup): number {
+function countWaiting(group: TaskGroup): number {
     let count = 0;
-    for (const task of tasks) {
-        count += task.run === undefined && !task.isElsewhere && !done.has(task.index) ? 1 : 0;
+    for (const task of group.tasks) {
+        count += isWaiting(task, group) ? 1 : 0;
     }
     return count;
 }
+
+function isWaiting({ run, isElsewhere, index }: Task, { done }: TaskGroup): boolean {
+    return run === undefined && !isElsewhere && !done.has(index);
+}
--- a/src/dispatch/common/lastingWaitReporter.ts
+++ b/src/dispatch/common/lastingWaitReporter.ts
@@ -1,6 +1,6 @@
 import { Emitter } from "../../base/common/emitter";
 import { Placer, Shortage } from "./placer";
-import { Task } from "./task";
+import { hasRunBefore, Task } from "./task";
 import { isLongRunning } from "./taskGroups";
 import { WaitingTasks } from "./waitReporter";
 
@@ -123,7 +123,7 @@
     placer: Placer,
     usableCount: number,
 ): LastingWaitReport {
-    const interrupted = waits.filter(({ task: { highestRun } }) => highestRun > 0);
+    const interrupted = waits.filter(({ task }) => hasRunBefore(task));
     const suspected = waits.filter(each => each.isSuspected).length;
     const counts = { service, waiting: waits.length, suspected, interrupted: interrupted.length };
     if (waits.length === 0) {
--- a/src/dispatch/common/loadPublisher.ts
+++ b/src/dispatch/common/loadPublisher.ts
@@ -1,15 +1,15 @@
 import { isFinal } from "../../jobs/common/jobTable";
-import { StepSpec } from "../../jobs/common/jobSpec";
 import { QueueTable } from "../../jobs/common/queueTable";
 import { RecordWriter } from "../../records/common/recordWriter";
 import { ActiveJob } from "./activeJob";
 import { DecisionData, DecisionName } from "./dispatchEffects";
-import { addDemand, demandOf, lastingStepsOf } from "./jobDemand";
+import { addDemand, demandOf, waitingLastingTasks } from "./jobDemand";
 import { addLoad, emptyLoad, percentOf, ServiceLoad } from "./serviceLoad";
 import { ServiceUsage } from "./serviceUsage";
 import { ShardFleet } from "./shardFleet";
 import { encodeShardLoad, loadKey } from "./shardLoad";
 import { LeaderPace } from "./streamViews";
+import { hasRunBefore, Task } from "./task";
 import { WorkerContact } from "./workerContact";
 import { largestRooms, takePlace, WorkerRoom } from "./workerRoom";
 
@@ -47,6 +47,8 @@
     private loads: ReadonlyMap<string, ServiceLoad> = new Map();
     /** The largest rooms of each service as of the latest review. */
     private rooms: ReadonlyMap<string, readonly WorkerRoom[]> = new Map();
+    /** The same for tasks that ran before. */
+    private restartRooms: ReadonlyMap<string, readonly WorkerRoom[]> = new Map();
     /** The most CPU that a worker of each service has free, before tasks that last and wait are taken off, in thousandths of a core. */
     private mostFreeMillis: ReadonlyMap<string, number> = new Map();
     /** What the smallest tasks of each service that last and wait request, in thousandths of a core. */
@@ -76,6 +78,11 @@
         return this.rooms.get(service) ?? [];
     }
 
+    /** @param service A service. @returns The same for tasks that ran before. */
+    restartRoomsOf(service: string): readonly WorkerRoom[] {
+        return this.restartRooms.get(service) ?? this.roomsOf(service);
+    }
+
     /** @param service A service. @returns What its smallest tasks that last and wait request, in thousandths of a core, ascending. */
     lastingWaitsOf(service: string): readonly number[] {
         return this.lastingWaits.get(service) ?? [];
@@ -89,13 +96,13 @@
         this.reviewedAt = now;
         this.loads = this.review();
         if (this.fleet.count > 1) {
-            const lasting = this.collectLastingSteps();
-            this.rooms = this.reviewRooms(lasting);
+            const lasting = this.collectLastingTasks();
+            this.reviewRooms(lasting);
             this.lastingWaits = this.reviewLastingWaits(lasting);
-            const { loads: services, rooms, lastingWaits } = this;
+            const { loads: services, rooms, restartRooms, lastingWaits } = this;
             const { delayMs } = this.sources.pace;
             this.sources.writer.write(loadKey(this.fleet.shard), () =>
-                encodeShardLoad({ delayMs, services, rooms, lastingWaits }),
+                encodeShardLoad({ delayMs, services, rooms, restartRooms, lastingWaits }),
             );
         }
         this.loggedAt ??= now;
@@ -103,41 +110,55 @@
             this.loggedAt = now;
             this.loads.forEach((load, service) => {
                 const mostRoomMillis = mostMillis(this.roomsOf(service));
-                const room = { mostFreeMillis: this.mostFreeMillis.get(service), mostRoomMillis };
+                const mostRestartMillis = mostMillis(this.restartRoomsOf(service));
+                const room = { mostFreeMillis: this.mostFreeMillis.get(service), mostRoomMillis, mostRestartMillis };
                 this.sources.log("shard-load", { service, ...reportOf(load), ...room });
             });
         }
     }
 
-    /** @returns Steps of the tasks of each service that last and wait, one for each task. */
-    private collectLastingSteps(): Map<string, StepSpec[]> {
-        const lasting = new Map<string, StepSpec[]>();
+    /** @returns Tasks of each service that last and wait. */
+    private collectLastingTasks(): Map<string, Task[]> {
+        const lasting = new Map<string, Task[]>();
         for (const job of this.sources.jobs()) {
-            addTo(lasting, this.sources.queues.latestSettings(job.spec.queue).service, ...lastingStepsOf(job));
+            addTo(lasting, this.sources.queues.latestSettings(job.spec.queue).service, ...waitingLastingTasks(job));
         }
         return lasting;
     }
 
-    private reviewRooms(lasting: ReadonlyMap<string, readonly StepSpec[]>): Map<string, readonly WorkerRoom[]> {
+    private reviewRooms(lasting: ReadonlyMap<string, readonly Task[]>): void {
         const workers = new Map([...this.sources.usable()].map(worker => [worker.entry.id, worker]));
         const find = (id: string) => workers.get(id)?.entry;
-        const rooms = new Map<string, WorkerRoom[]>();
+        const free = new Map<string, WorkerRoom[]>();
         for (const [id, worker] of workers) {
-            const { service } = worker.entry;
             const { cpuMillis, memoryMb, accelerators } = worker.freeCapacity();
             const room = { worker: id, cpuMillis, memoryMb, accelerators: Math.max(0, accelerators) };
-            addTo(rooms, service, room);
+            addTo(free, worker.entry.service, room);
+        }
+        const largestBeside = (rooms: readonly WorkerRoom[], tasks: readonly Task[]) => {
+            const left = rooms.map(room => ({ ...room }));
+            tasks.forEach(({ step }) => takePlace(left, step, find));
+            return largestRooms(left, find, MAX_ROOMS);
+        };
+        this.mostFreeMillis = new Map([...free].map(([service, each]) => [service, mostMillis(each)]));
+        this.rooms = new Map(
+            [...free].map(([service, each]) => [service, largestBeside(each, lasting.get(service) ?? [])]),
+        );
+        const restartRooms = new Map<string, readonly WorkerRoom[]>();
+        for (const [service, tasks] of lasting) {
+            const restarts = tasks.filter(hasRunBefore);
+            if (restarts.length < tasks.length && free.has(service)) {
+                restartRooms.set(service, largestBeside(free.get(service)!, restarts));
+            }
         }
-        this.mostFreeMillis = new Map([...rooms].map(([service, each]) => [service, mostMillis(each)]));
-        lasting.forEach((steps, service) => steps.forEach(step => takePlace(rooms.get(service) ?? [], step, find)));
-        return new Map([...rooms].map(([service, each]) => [service, largestRooms(each, find, MAX_ROOMS)]));
+        this.restartRooms = restartRooms;
     }
 
-    private reviewLastingWaits(lasting: ReadonlyMap<string, readonly StepSpec[]>): Map<string, readonly number[]> {
+    private reviewLastingWaits(lasting: ReadonlyMap<string, readonly Task[]>): Map<string, readonly number[]> {
         const services = new Set([...this.loads.keys(), ...lasting.keys()]);
-        const smallest = (steps: readonly StepSpec[]) =>
-            steps
-                .map(({ request }) => request.cpuMillis)
+        const smallest = (tasks: readonly Task[]) =>
+            tasks
+                .map(({ step }) => step.request.cpuMillis)
                 .sort((a, b) => a - b)
                 .slice(0, MAX_LASTING_WAITS);
         return new Map([...services].map(service => [service, smallest(lasting.get(service) ?? [])]));
--- a/src/dispatch/common/roomKeeper.ts
+++ b/src/dispatch/common/roomKeeper.ts
@@ -3,7 +3,7 @@
 import { QueueHost } from "./queueHost";
 import { Run } from "./run";
 import { RunReviewer } from "./runReviewer";
-import { Task } from "./task";
+import { hasRunBefore, Task } from "./task";
 import { isLongRunning } from "./taskGroups";
 import { WorkerContact } from "./workerContact";
 
@@ -45,7 +45,7 @@
 
     /** A task that never ran leaves the CPU that is reserved for short tasks to them. */
     private keepFor(task: Task, service: string, placer: Placer, host: QueueHost, now: number): void {
-        const hasRun = task.highestRun > 0;
+        const hasRun = hasRunBefore(task);
         const held = placer.holdRoom(task, service, hasRun);
         if (held !== undefined && hasRun && held.missing.cpuMillis === 0) {
             this.runsToStop(held.worker, held.missing.memoryMb).forEach(run => host.preempt(run, now));
--- a/src/dispatch/common/shardLoad.ts
+++ b/src/dispatch/common/shardLoad.ts
@@ -17,6 +17,11 @@
      * Earlier versions publish none.
      */
     readonly rooms?: ReadonlyMap<string, readonly WorkerRoom[]>;
+    /**
+     * The same for tasks that ran before, beside those of them that wait: they also use what new ones leave to short tasks. Services for
+     * which it is the same are left out.
+     */
+    readonly restartRooms?: ReadonlyMap<string, readonly WorkerRoom[]>;
     /** What the smallest tasks of each service that last and wait request, in thousandths of a core. Earlier versions publish none. */
     readonly lastingWaits?: ReadonlyMap<string, readonly number[]>;
 }
@@ -38,11 +43,15 @@
 });
 const FIELDS = Object.keys(loadSchema.shape) as (keyof ServiceLoad)[];
 
+const roomsSchema = z.record(z.string(), z.array(z.tuple([z.string(), amount, amount, amount])));
+type RoomsRecord = z.infer<typeof roomsSchema>;
+
 /** The numbers of a load, in the order of `FIELDS`. */
 const recordSchema = z.object({
     delayMs: amount,
     services: z.record(z.string(), z.array(amount)),
-    rooms: z.optional(z.record(z.string(), z.array(z.tuple([z.string(), amount, amount, amount])))),
+    rooms: z.optional(roomsSchema),
+    restartRooms: z.optional(roomsSchema),
     lastingWaits: z.optional(z.record(z.string(), z.array(amount))),
 });
 
@@ -57,36 +66,28 @@
 }
 
 /** @param load A load. @returns Value of its record. */
-export function encodeShardLoad({ delayMs, services, rooms, lastingWaits: waits }: ShardLoad): string {
+export function encodeShardLoad({ delayMs, services, lastingWaits: waits, ...places }: ShardLoad): string {
     const numbers: Record<string, readonly number[]> = {};
     services.forEach((load, service) => (numbers[service] = FIELDS.map(field => Math.round(load[field]))));
-    const places: Record<string, readonly (string | number)[][]> = {};
-    rooms?.forEach((each, service) => {
-        places[service] = each.map(({ worker, cpuMillis, memoryMb, accelerators }) => [
-            worker,
-            ...[cpuMillis, memoryMb, accelerators].map(Math.floor),
-        ]);
-    });
     const lastingWaits = waits && Object.fromEntries(waits);
-    return JSON.stringify({ delayMs: Math.round(delayMs), services: numbers, rooms: rooms && places, lastingWaits });
+    const rooms = encodeRooms(places.rooms);
+    const restartRooms = encodeRooms(places.restartRooms);
+    return JSON.stringify({ delayMs: Math.round(delayMs), services: numbers, rooms, restartRooms, lastingWaits });
 }
 
 /** @param value Value of a record. @returns The load, or `undefined` if the value is malformed. */
 export function decodeShardLoad(value: string): ShardLoad | undefined {
     try {
-        const { delayMs, services, rooms, lastingWaits } = recordSchema.parse(JSON.parse(value));
+        const { delayMs, services, rooms, restartRooms, lastingWaits } = recordSchema.parse(JSON.parse(value));
         const loads = Object.entries(services).map(([service, numbers]): [string, ServiceLoad] => [
             service,
             loadSchema.parse(Object.fromEntries(FIELDS.map((field, index) => [field, numbers[index]] as const))),
         ]);
-        const places = Object.entries(rooms ?? {}).map(([service, each]): [string, WorkerRoom[]] => [
-            service,
-            each.map(([worker, cpuMillis, memoryMb, accelerators]) => ({ worker, cpuMillis, memoryMb, accelerators })),
-        ]);
         return {
             delayMs,
             services: new Map(loads),
-            ...(rooms === undefined ? {} : { rooms: new Map(places) }),
+            ...(rooms === undefined ? {} : { rooms: decodeRooms(rooms) }),
+            ...(restartRooms === undefined ? {} : { restartRooms: decodeRooms(restartRooms) }),
             ...(lastingWaits === undefined ? {} : { lastingWaits: new Map(Object.entries(lastingWaits)) }),
         };
     } catch {
@@ -94,3 +95,23 @@
         return undefined;
     }
 }
+
+function encodeRooms(rooms: ReadonlyMap<string, readonly WorkerRoom[]> | undefined): RoomsRecord | undefined {
+    const encode = ({ worker, cpuMillis, memoryMb, accelerators }: WorkerRoom): RoomsRecord[string][number] => [
+        worker,
+        Math.floor(cpuMillis),
+        Math.floor(memoryMb),
+        Math.floor(accelerators),
+    ];
+    return rooms && Object.fromEntries([...rooms].map(([service, each]) => [service, each.map(encode)]));
+}
+
+function decodeRooms(record: RoomsRecord): Map<string, WorkerRoom[]> {
+    const decode = ([worker, cpuMillis, memoryMb, accelerators]: RoomsRecord[string][number]) => ({
+        worker,
+        cpuMillis,
+        memoryMb,
+        accelerators,
+    });
+    return new Map(Object.entries(record).map(([service, each]) => [service, each.map(decode)]));
+}
--- a/src/dispatch/common/stepQueue.ts
+++ b/src/dispatch/common/stepQueue.ts
@@ -15,7 +15,7 @@
 import { ShortTaskReserve } from "./shortTaskReserve";
 import { LeaderPace } from "./streamViews";
 import { mayStart, SuspectTable } from "./suspectTable";
-import { ignoringFailures, Task } from "./task";
+import { hasRunBefore, ignoringFailures, Task } from "./task";
 import { alignMembers, isGang, isLongRunning, rackOf } from "./taskGroups";
 import { WaitReporter } from "./waitReporter";
 import { WaitController } from "./waitController";
@@ -463,7 +463,7 @@
         }
         const isUnreserved = (worker: WorkerContact) => isAllowed(worker) && !this.reserved.has(worker);
         const choice = placer.choose(task, service, isUnreserved, minSpeedPercent);
-        if (choice !== undefined || task.highestRun > 0 || !placer.lacksOnlyCpu(task, service, isUnreserved)) {
+        if (choice !== undefined || hasRunBefore(task) || !placer.lacksOnlyCpu(task, service, isUnreserved)) {
             return choice ?? placer.choose(task, service, isAllowed, minSpeedPercent);
         }
         const hasRoom = (worker: WorkerContact) => isAllowed(worker) && placer.hasRoomTwice(task, worker);
--- a/src/dispatch/common/task.ts
+++ b/src/dispatch/common/task.ts
@@ -40,6 +40,11 @@
     moves: number;
 }
 
+/** @param task A task. @returns Whether it was given a run before. */
+export function hasRunBefore(task: Task): boolean {
+    return task.highestRun > 0;
+}
+
 /**
  * @param task A task.
  * @param outcome How one of its runs has ended.
--- a/src/dispatch/common/taskBalancer.ts
+++ b/src/dispatch/common/taskBalancer.ts
@@ -4,7 +4,7 @@
 import { BalancedShard, ShardBalancer } from "./shardBalancer";
 import { ShardFleet } from "./shardFleet";
 import { mayStart } from "./suspectTable";
-import { Task } from "./task";
+import { hasRunBefore, Task } from "./task";
 import { TaskOption } from "./transferPolicy";
 import { WorkerEntry } from "./workerEntry";
 import { countPlaces, takePlace, WorkerRoom } from "./workerRoom";
@@ -108,7 +108,9 @@
             return;
         }
         const { service } = shard.queues.latestSettings(task.job.spec.queue);
-        const places = this.placesIn(fleet.shard, service, task.step, shard.publisher.roomsOf(service));
+        const { publisher } = shard;
+        const rooms = hasRunBefore(task) ? publisher.restartRoomsOf(service) : publisher.roomsOf(service);
+        const places = this.placesIn(fleet.shard, service, task.step, rooms);
         const rivals = this.ownRivals(service, task.step, now);
         const own = { shard: fleet.shard, places, rivals, delayMs: shard.delayMs() };
         const others = [...Array(fleet.count).keys()].flatMap(each => this.otherOption(task, service, each, now) ?? []);
@@ -116,7 +118,7 @@
         const chosen = fleet.policy.chooseForTask({ waitedMs, isStaying }, own, others);
         if (chosen !== undefined) {
             this.transfer(task, chosen, waitedMs, now, own.places);
-        } else if (task.highestRun > 0 && waitedMs >= STAY_LINE_INTERVAL_MS) {
+        } else if (hasRunBefore(task) && waitedMs >= STAY_LINE_INTERVAL_MS) {
             this.logStay({ task, waitedMs }, own, others, now);
         }
     }
@@ -164,7 +166,9 @@
         if (published === undefined) {
             return undefined;
         }
-        const places = this.placesIn(number, service, task.step, published.rooms?.get(service) ?? []);
+        const restartRooms = hasRunBefore(task) ? published.restartRooms?.get(service) : undefined;
+        const rooms = restartRooms ?? published.rooms?.get(service) ?? [];
+        const places = this.placesIn(number, service, task.step, rooms);
         const rivals = this.rivalsIn(number, service, task.step, published.lastingWaits?.get(service));
         return { shard: number, places, rivals, delayMs: published.delayMs };
     }
--- a/src/dispatch/common/test/loadPublisher.test.ts
+++ b/src/dispatch/common/test/loadPublisher.test.ts
@@ -10,6 +10,7 @@
 import { ServiceUsage } from "../serviceUsage";
 import { decodeShardLoad, encodeShardLoad, loadKey, parseLoadKey } from "../shardLoad";
 import { ShardLoadTable } from "../shardLoadTable";
+import { WorkerRoom } from "../workerRoom";
 import { createBestEffort, createJob, createStep, createWorker, place } from "./runs";
 
 /** What each task requests. */
@@ -79,6 +80,27 @@
     t.is(decodeShardLoad(earlier)!.rooms, undefined);
 });
 
+// LOST: new tasks waited beside the room that they leave to short ones, and hid it from tasks of other shards that had lost their run.
+test("a leader publishes what new tasks that last and wait leave free for those that ran before", t => {
+    const createLasting = (id: string) =>
+        createJob(id, createStep("x", false, { mode: "long-running", usesSpareCpu: false, request: REQUEST }));
+    const roomOf = (rooms: ReadonlyMap<string, readonly WorkerRoom[]> | undefined) =>
+        rooms?.get("svc")?.map(({ cpuMillis }) => cpuMillis);
+    /** @returns What is published for new tasks, and for those that ran before, of which as many wait. */
+    const publishedRooms = (ranBefore: number) => {
+        const waiting = ["c", "d", "e"].map(createLasting);
+        const { published } = createPublisher(2, waiting);
+        const tasks = waiting.flatMap(job => [...job.tasks()]);
+        tasks.slice(0, ranBefore).forEach(task => (task.highestRun = 1));
+        const { rooms, restartRooms } = decodeShardLoad(published(1_000)[0].value!)!;
+        return [roomOf(rooms), roomOf(restartRooms)];
+    };
+    t.deepEqual(publishedRooms(0), [[], [48_000]]);
+    t.deepEqual(publishedRooms(1), [[], [32_000]]);
+    // All of them take what is published for both.
+    t.deepEqual(publishedRooms(3), [[], undefined]);
+});
+
 test("the load of a shard is logged, also of a fleet that is not divided, which publishes nothing", t => {
     const { published, lines } = createPublisher(1);
     t.deepEqual(published(1_000), []);
--- a/src/dispatch/common/test/taskBalancer.test.ts
+++ b/src/dispatch/common/test/taskBalancer.test.ts
@@ -73,17 +73,26 @@
         writer,
         log: (name, data) => lines.push({ name, at, ...data }),
     });
-    /** Reviews at intervals, with what the other shard publishes; none if undefined. @returns The tasks that have left. */
-    const run = (endMs: number, room: Omit<WorkerRoom, "worker"> | undefined, waits?: readonly number[]) => {
+    /**
+     * Reviews at intervals, with what the other shard publishes; none if undefined.
+     * @param restartRoom What it publishes for tasks that ran before; the same if undefined.
+     * @returns The tasks that have left.
+     */
+    const run = (
+        endMs: number,
+        room: Omit<WorkerRoom, "worker"> | undefined,
+        waits?: readonly number[],
+        restartRoom?: Omit<WorkerRoom, "worker">,
+    ) => {
         for (; at <= endMs; at += INTERVAL_MS) {
             if (room !== undefined) {
                 const services = new Map([["svc", emptyLoad()]]);
-                const rooms = new Map([["svc", [{ worker: "w2", ...room }]]]);
+                const roomsOf = (each: Omit<WorkerRoom, "worker">) => new Map([["svc", [{ worker: "w2", ...each }]]]);
+                const rooms = roomsOf(room);
+                const restartRooms = restartRoom && roomsOf(restartRoom);
                 const lastingWaits = waits && new Map([["svc", waits]]);
-                loads.apply(
-                    { key: "load-1", value: encodeShardLoad({ delayMs: 0, services, rooms, lastingWaits }), offset: 0 },
-                    at,
-                );
+                const value = encodeShardLoad({ delayMs: 0, services, rooms, restartRooms, lastingWaits });
+                loads.apply({ key: "load-1", value, offset: 0 }, at);
             }
             controller.tick(at);
             controller.review(at, at);
@@ -174,3 +183,15 @@
     t.is(sent.length, 3);
     t.true(sent.every(({ at }) => at <= 6_500));
 });
+
+// LOST: a task that had lost its run waited in a full shard, while new tasks hid the room of another one that they do not use.
+test("a task that ran before goes where only such tasks have places, and a new one stays", t => {
+    const { run, job } = createShards(2);
+    const [interrupted] = [...job.tasks()].filter(task => task.run === undefined);
+    interrupted.highestRun = 1;
+    const sent = run(2_000, roomFor(0), [TASK_MILLIS, TASK_MILLIS], roomFor(3));
+    t.deepEqual(
+        sent.map(({ task, places }) => [task, places]),
+        [[interrupted.name, 3]],
+    );
+});
