--- a/src/proof/node/randomTransferPolicy.ts
+++ b/src/proof/node/randomTransferPolicy.ts
@@ -26,11 +26,11 @@
     }
 
     override choose(
-        _request: TransferRequest,
+        { isStaying }: TransferRequest,
         _own: ShardOption,
         others: readonly ShardOption[],
     ): ShardOption | undefined {
-        return this.chooseAny(others);
+        return isStaying ? undefined : this.chooseAny(others);
     }
 
     override chooseForTask(
