Publish room of each kind of worker, whichever rack it is in

Found while looking for the same class: room that another shard has and does not publish. Six workers of a service are published, the largest of each set of labels first. The rack is one of the labels on the platform, so each rack was a set of its own, and with more than six racks a worker of a rare kind was left out, though tasks that need its label have no other place.

The new test failed before.

--- a/src/dispatch/common/test/workerRoom.test.ts
+++ b/src/dispatch/common/test/workerRoom.test.ts
@@ -23,3 +23,17 @@
     t.deepEqual(names(3), ["b", "rare", "c"]);
     t.deepEqual(names(9), ["b", "rare", "c", "a"]);
 });
+
+// Room of workers of a rare kind was not published on a fleet with many racks, each of which is a label of its workers.
+test("a worker of a rare kind is among the largest rooms, however many racks there are", t => {
+    const kindOf = (worker: string) => (worker === "w7" ? "rare" : "common");
+    const find = (worker: string) => createWorker(worker, { labels: [kindOf(worker), worker], rack: worker }).entry;
+    const rooms = [...Array(8).keys()].map(index => {
+        const cpuMillis = 9_000 - index;
+        return { worker: `w${index}`, cpuMillis, memoryMb: 64_000, accelerators: 0 };
+    });
+    t.deepEqual(
+        largestRooms(rooms, find, 3).map(({ worker }) => worker),
+        ["w0", "w7", "w1"],
+    );
+});
--- a/src/dispatch/common/workerRoom.ts
+++ b/src/dispatch/common/workerRoom.ts
@@ -39,7 +39,7 @@
  * @param find Finds their workers.
  * @param count How many are returned at most.
  * @returns Those with the largest share of their worker free, of the resource of which they have least: first the largest of the
- * workers with each set of labels, then the second largest of each, and so on.
+ * workers of each kind, then the second largest of each, and so on.
  */
 export function largestRooms(rooms: readonly WorkerRoom[], find: FindEntry, count: number): WorkerRoom[] {
     const shareOf = (room: WorkerRoom) => {
@@ -51,14 +51,20 @@
     const counts = new Map<string, number>();
     const ranks = new Map<WorkerRoom, number>();
     for (const room of free) {
-        const labels = [...(find(room.worker)?.labels ?? [])].sort().join();
-        const rank = counts.get(labels) ?? 0;
-        counts.set(labels, rank + 1);
+        const kind = kindOf(find(room.worker));
+        const rank = counts.get(kind) ?? 0;
+        counts.set(kind, rank + 1);
         ranks.set(room, rank);
     }
     return free.sort((a, b) => ranks.get(a)! - ranks.get(b)!).slice(0, count);
 }
 
+/** @returns The labels of a worker but for its rack. */
+function kindOf(entry: WorkerEntry | undefined): string {
+    const labels = entry?.labels.filter(label => label !== entry.rack) ?? [];
+    return labels.sort().join();
+}
+
 function placesOn(room: WorkerRoom, step: StepSpec, find: FindEntry): number {
     const { request, requiredLabel, maxPerWorker = Number.POSITIVE_INFINITY } = step;
     const labels = find(room.worker)?.labels;
