--- a/src/dispatch/common/balancing.ts
+++ b/src/dispatch/common/balancing.ts
@@ -11,8 +11,8 @@
 export const MAX_LOAD_AGE_MS = 1_000;
 
 /**
- * Time for which a job or task that was transferred stays at least, in ms; twice as long with each further transfer. One without room goes
- * to where there is some at any time.
+ * Time for which a job or task that was transferred stays at least, in ms; twice as long with each further transfer. A task without a
+ * place goes to one at any time.
  */
 const MIN_STAY_MS = 2_000;
 
--- a/src/dispatch/common/roomTransferPolicy.ts
+++ b/src/dispatch/common/roomTransferPolicy.ts
@@ -21,9 +21,6 @@
 /** Best-effort tasks wait for a worker on which they run fast. */
 const BEST_EFFORT_TERMS: TransferTerms = { minPressure: 0.9, minGain: 0.1, minWaitMs: 1_500 };
 
-/** Pressure above which a shard does not have room for all that is requested. */
-const FULL_PRESSURE = 1;
-
 /** Pressure that a shard without the rack that holds a job's data counts as having more. */
 const REMOTE_DATA_PRESSURE = 0.2;
 
@@ -48,7 +45,7 @@
     }
 
     override choose(
-        { demand, waitedMs, isStaying }: TransferRequest,
+        { demand, waitedMs }: TransferRequest,
         own: ShardOption,
         others: readonly ShardOption[],
     ): ShardOption | undefined {
@@ -61,10 +58,7 @@
             .filter(each => isSuitable(each) && (each.delayMs <= maxDelayMs || !isSuitable(own)))
             .sort((a, b) => pressure(a) - pressure(b));
         if (best === undefined || !isSuitable(own)) {
-            return isStaying ? undefined : best;
-        }
-        if (isStaying && (pressure(own) <= FULL_PRESSURE || pressure(best) > FULL_PRESSURE)) {
-            return undefined;
+            return best;
         }
         const { minPressure, minGain, minWaitMs } = termsOf(demand);
         const isDue = waitedMs === undefined ? pressure(own) >= minPressure : waitedMs >= minWaitMs;
--- a/src/dispatch/common/shardBalancer.ts
+++ b/src/dispatch/common/shardBalancer.ts
@@ -126,7 +126,7 @@
             }
             const since = this.waitingSince.get(job) ?? now;
             this.waitingSince.set(job, since);
-            if (now - since > 0) {
+            if (now - since > 0 && this.mayLeave(job, now)) {
                 waiting.push({ job, demand, waitedMs: now - since });
             }
         }
@@ -147,8 +147,8 @@
         }
     }
 
-    private isStaying(job: ActiveJob, now: number): boolean {
-        return now - (this.arrivedAt.get(job) ?? -Infinity) < stayMs(job.transfers);
+    private mayLeave(job: ActiveJob, now: number): boolean {
+        return now - (this.arrivedAt.get(job) ?? -Infinity) >= stayMs(job.transfers);
     }
 
     /** @param waitedMs Time for which it has waited, in ms; `undefined` for a new job. @returns Whether it was left to another shard. */
@@ -161,7 +161,7 @@
         const ownLoad = shard.publisher.loadOf(service);
         const own = this.optionOf(job, service, fleet.shard, shard.delayMs(), ownLoad, now);
         const others = [...Array(fleet.count).keys()].flatMap(each => this.otherOption(job, service, each, now) ?? []);
-        const chosen = fleet.policy.choose({ demand, waitedMs, isStaying: this.isStaying(job, now) }, own, others);
+        const chosen = fleet.policy.choose({ demand, waitedMs }, own, others);
         const { transfers } = job;
         const lasting = lastingStepsOf(job);
         if (chosen === undefined || !shard.jobs.transfer(job, chosen.shard)) {
--- a/src/dispatch/common/transferPolicy.ts
+++ b/src/dispatch/common/transferPolicy.ts
@@ -21,8 +21,6 @@
     readonly demand: JobDemand;
     /** Time for which it has had no run, in ms; `undefined` for a job that has just been submitted. */
     readonly waitedMs: number | undefined;
-    /** Whether it was transferred of late: then it stays unless its shard has no room for it, and another one has. */
-    readonly isStaying: boolean;
 }
 
 /** A shard that may give runs to a task. */
--- a/src/proof/node/randomTransferPolicy.ts
+++ b/src/proof/node/randomTransferPolicy.ts
@@ -26,11 +26,11 @@
     }
 
     override choose(
-        { isStaying }: TransferRequest,
+        _request: TransferRequest,
         _own: ShardOption,
         others: readonly ShardOption[],
     ): ShardOption | undefined {
-        return isStaying ? undefined : this.chooseAny(others);
+        return this.chooseAny(others);
     }
 
     override chooseForTask(
