--- a/src/platform/node/test/platformStore.test.ts
+++ b/src/platform/node/test/platformStore.test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { createServer, IncomingMessage, Server, ServerResponse } from "node:http";
-import { AddressInfo } from "node:net";
+import { AddressInfo, Socket } from "node:net";
+import { KEY_AFTER_ALL, StreamName } from "../../../records/common/recordStore";
 import { HttpClient } from "../../../services/node/httpClient";
 import { PlatformStore } from "../platformStore";
 
@@ -12,6 +13,11 @@
 /** Time for which the store stays silent, in ms; probes begin in it. */
 const SILENT_MS = 2_000;
 
+/** Time for which an answer is held, in ms: calls that are sent together use different connections. */
+const CONNECTION_HOLD_MS = 100;
+
+const STREAMS: readonly StreamName[] = ["jobs", "workers", "operator"];
+
 async function startStore(onRequest: (request: IncomingMessage, response: ServerResponse) => void) {
     const server: Server = createServer(onRequest);
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
@@ -75,3 +81,24 @@
     t.true(transfer!.durationMs <= performance.now() - start - waitMs + 1, `${transfer!.durationMs} ms`);
     stop();
 });
+
+// CONFIG, DRAIN: the connections to the store had gone silent without a reset, while new ones worked.
+test("each connection to the store that has gone silent for good loses one call", async t => {
+    const silent = new Set<Socket>();
+    const opened = new Set<Socket>();
+    const { store, failures, stop } = await startStore((request, response) => {
+        opened.add(request.socket);
+        if (!silent.has(request.socket)) {
+            setTimeout(() => response.end(PAGE), CONNECTION_HOLD_MS);
+        }
+    });
+    const readAll = () => Promise.all(STREAMS.map(each => store.readNewest(each, KEY_AFTER_ALL)));
+    t.true((await readAll()).every(each => each.ok));
+    opened.forEach(socket => silent.add(socket));
+    await readAll();
+    t.true(failures.length > 0);
+    await readAll();
+    t.true(failures.length <= silent.size);
+    t.true((await readAll()).every(each => each.ok));
+    stop();
+});
