--- a/src/proof/node/colocationPlan.ts
+++ b/src/proof/node/colocationPlan.ts
@@ -14,6 +14,8 @@
     readonly memoryMb?: number;
     /** Smallest number of tasks of a step of a best-effort job; 1 if undefined. */
     readonly minTasks?: number;
+    /** Number of steps of a best-effort job, each of which depends on the one before; 2 if undefined. */
+    readonly steps?: number;
     /** Bounds of the work of a best-effort task at full speed, in ms; 0.3 to 7.5 s if undefined. */
     readonly workMs?: { readonly min: number; readonly max: number };
     /** What a latency-critical task reserves; 6 cores and 14 GB if undefined. */
@@ -23,6 +25,9 @@
 /** Largest number of tasks of a step of a best-effort job if the plan has none. */
 const DEFAULT_MAX_TASKS = 4;
 
+/** Number of steps of a best-effort job if the plan has none. */
+const DEFAULT_STEPS = 2;
+
 /** Number of images of best-effort tasks. */
 const BEST_EFFORT_IMAGES = 5;
 
@@ -77,7 +82,7 @@
 /**
  * @param random Source of randomness.
  * @param plan Sizes of the steps and their tasks.
- * @returns A job of best-effort tasks in two steps, all with checkpoints.
+ * @returns A job of best-effort tasks in steps that follow each other, all with checkpoints.
  */
 export function createBestEffortDraft(
     random: Random,
@@ -85,7 +90,8 @@
         minTasks = 1,
         maxTasks = DEFAULT_MAX_TASKS,
         memoryMb,
-    }: Pick<ColocationPlan, "minTasks" | "maxTasks" | "memoryMb"> = {},
+        steps: stepCount = DEFAULT_STEPS,
+    }: Pick<ColocationPlan, "minTasks" | "maxTasks" | "memoryMb" | "steps"> = {},
 ): JobDraft {
     const image = `batch-${random.between(0, BEST_EFFORT_IMAGES - 1)}`;
     const request = {
@@ -94,7 +100,7 @@
         accelerators: 0,
     };
     request.memoryMb = memoryMb ?? request.memoryMb;
-    const steps = [0, 1].map((index): StepSpec => ({
+    const steps = Array.from({ length: stepCount }, (_, index): StepSpec => ({
         ...COMMON_STEP,
         tasks: random.between(minTasks, maxTasks),
         request,
--- a/src/proof/node/test/waitTrial.test.ts
+++ b/src/proof/node/test/waitTrial.test.ts
@@ -15,6 +15,9 @@
     ["small-instances", 1, "beside more wide jobs than the leader can start tasks for"],
     ["small-instances", 4, "beside more wide jobs than the leader can start tasks for"],
     ["small-instances", 5, "beside more wide jobs than the leader can start tasks for"],
+    ["scarce-processor", 1, "between narrow steps under a leader that is late"],
+    ["scarce-processor", 2, "between narrow steps under a leader that is late"],
+    ["scarce-processor", 8, "between narrow steps under a leader that is late"],
     ["whole-day", 3, "after a late leader, a grown fleet, lost workers and a restart of all instances"],
 ];
 
--- a/src/proof/node/waitTrialPlan.ts
+++ b/src/proof/node/waitTrialPlan.ts
@@ -14,6 +14,7 @@
     | "late-leader"
     | "late-leader-with-memory"
     | "small-instances"
+    | "scarce-processor"
     | "whole-day";
 
 /** Costs of an instance that cannot keep up with a large fleet: it is up to 1 s late. */
@@ -56,6 +57,26 @@
     costs: BUSY_COSTS,
 };
 
+/**
+ * Instances that have just enough processor time to start a task of each job in time, and jobs of several narrow steps: between two
+ * of them, no runs of a job overlap.
+ */
+const SCARCE_PROCESSOR: Omit<JobTrialPlan, "seed"> = {
+    ...MEMORY_OVER_HALF,
+    workers: 33,
+    lengthMs: 20_000,
+    recoveryMs: 12_000,
+    colocation: {
+        ...SHARED_WORKERS,
+        bestEffortEveryMs: 300,
+        minTasks: 1,
+        maxTasks: 3,
+        steps: 4,
+        workMs: { min: 600, max: 1_500 },
+    },
+    costs: { ...SMALL_COSTS, share: 0.07 },
+};
+
 /** Time at which a worker is lost for good, in ms. */
 const WORKER_LOST_AT_MS = 18_000;
 
@@ -134,6 +155,7 @@
         },
         costs: SMALL_COSTS,
     },
+    "scarce-processor": SCARCE_PROCESSOR,
     "whole-day": {
         ...LATE_LEADER,
         recoveryMs: 12_000,
