A job waits from the end of its last run on, and not at all under a late leader

Cause: a wait ended only when a list showed a run at work, and most short runs begin and end between two lists. Jobs without a run are started in the order of their waits, so the jobs with the shortest tasks always came first, and others waited behind them. And a leader that is late by part of the 3 s still let a job wait for full speed, for what its own estimate left, and was then later than estimated.

The wait counts from the arrival of the list with the end (lastEndAt); what it lasted before counts as an earlier wait, so a job still waits for full speed once only. A leader that takes over half of the 3 s itself lets no job without a run wait.

--- a/src/dispatch/common/activeJob.ts
+++ b/src/dispatch/common/activeJob.ts
@@ -39,6 +39,8 @@
     transfers = 0;
     /** Number of progress records that are not stored yet. */
     unstoredRecords = 0;
+    /** Time (ms) at which the latest list with the end of one of its runs arrived; the run may never have been listed before. */
+    lastEndAt: number | undefined;
     /** State that was last published to all instances. */
     publishedState: JobState = "queued";
     /** Time by which the job should be finished to have its full value, in ms since the Unix epoch. */
--- a/src/dispatch/common/idleReporter.ts
+++ b/src/dispatch/common/idleReporter.ts
@@ -79,7 +79,7 @@
         const known = this.records.get(job);
         const current = known?.activity === activity ? known : { activity, since: now };
         this.records.set(job, current);
-        const ms = now - current.since;
+        const ms = now - Math.max(current.since, activity === "idle" ? (job.lastEndAt ?? 0) : 0);
         if (activity !== "working" && ms >= (this.longest.get(activity)?.ms ?? 0)) {
             this.longest.set(activity, { job: job.spec.id, ms });
         }
--- a/src/dispatch/common/scheduler.ts
+++ b/src/dispatch/common/scheduler.ts
@@ -260,7 +260,7 @@
     schedule(now: number, wallNow: number): void {
         this.wallNow = wallNow;
         // A process that was paused may still believe that it leads: its successor waits only until its leases have ended.
-        if (!this.canStartRuns(now) || !this.views.canStart(now)) {
+        if (!this.canStart(now)) {
             return;
         }
         this.shards.review(now, wallNow);
@@ -293,9 +293,10 @@
     }
 
     /** A start lets a worker run its task for as long as it is valid. */
-    private canStartRuns(now: number): boolean {
+    private canStart(now: number): boolean {
         const { leadership } = this.context;
-        return leadership.canSendOrders() && now + START_VALIDITY_MS <= (leadership.leasesMayLastUntil ?? now);
+        const mayLast = now + START_VALIDITY_MS <= (leadership.leasesMayLastUntil ?? now);
+        return leadership.canSendOrders() && mayLast && this.views.canStart(now);
     }
 
     /**
@@ -437,6 +438,9 @@
             worker?.trust.recordFailure({ now, familyFailureRate: 0 });
         }
         task.hasLostRun ||= outcome === "lost";
+        if (outcome !== "lost" && outcome !== "unstarted") {
+            task.job.lastEndAt = worker?.heardAt ?? now;
+        }
         if (outcome !== "unstarted") {
             task.lastRun = Math.max(task.lastRun, record.run);
         }
--- a/src/dispatch/common/test/waitController.test.ts
+++ b/src/dispatch/common/test/waitController.test.ts
@@ -159,6 +159,19 @@
     }
 });
 
+// LOST: a leader that was late for part of the bound only let jobs wait for full speed, and was later than it had estimated.
+test("a job without a run is due at once under a late leader, and accepts any worker", t => {
+    for (const [delayMs, isDue] of [
+        [700, true],
+        [200, false],
+    ] as const) {
+        const fixture = new Fixture(delayMs, 500);
+        fixture.pass([createWorker()], 0, INTERVAL_MS);
+        t.is(fixture.isDue(INTERVAL_MS), isDue, `${delayMs} ms late`);
+        t.is(fixture.minSpeedPercent(INTERVAL_MS), isDue ? ANY_WORKER_PERCENT : 100);
+    }
+});
+
 test("a leader that is too late to start the next run in time keeps two runs of a job, one that is on time does not", t => {
     for (const [delayMs, isDue] of [
         [2_000, true],
--- a/src/dispatch/common/test/waitRegressions.test.ts
+++ b/src/dispatch/common/test/waitRegressions.test.ts
@@ -219,3 +219,22 @@
     }
     t.true(at !== undefined && at <= 3_000, `waited ${at}`);
 });
+
+// LOST: runs that end before they are listed did not count, so jobs of short tasks always seemed to have waited longest.
+test("a job whose last run ended before it was listed goes after one that has waited longer", t => {
+    const order: string[] = [];
+    const host = AssigningHost.create((task, worker, now) => {
+        order.push(task.job.spec.id);
+        return assign(worker, task, now);
+    });
+    const queue = createQueue(LatencyModel.create(), host);
+    const [short, other] = ["short", "other"].map(id => createJob(id, createBestEffort({ tasks: 2 })));
+    for (let now = 0; now <= 2_400 && order.length === 0; now += 100) {
+        if (now === 1_000) {
+            short.lastEndAt = now;
+            short.recordChange();
+        }
+        queue.placeWaiting([short, other], now < 2_400 ? [] : [createWorker()], 0, now, now, [createWorker()]);
+    }
+    t.deepEqual(order, ["other", "short"]);
+});
--- a/src/dispatch/common/waitController.ts
+++ b/src/dispatch/common/waitController.ts
@@ -90,7 +90,7 @@
      */
     dueMs(group: TaskGroup, task: Task, service: string, now: number): number | undefined {
         const wait = this.waitOf(group, task, service, now);
-        const dueMs = this.needsFurtherRun(task, wait) ? 0 : this.bounded.dueMs(wait);
+        const dueMs = this.needsRunNow(task, wait) ? 0 : this.bounded.dueMs(wait);
         return Number.isFinite(dueMs) && this.isCovered(task, now) ? undefined : dueMs;
     }
 
@@ -104,7 +104,7 @@
             return 100;
         }
         const wait = this.waitOf(group, task, service, now);
-        const bounded = this.needsFurtherRun(task, wait) ? ANY_WORKER_PERCENT : this.bounded.minSpeedPercent(wait);
+        const bounded = this.needsRunNow(task, wait) ? ANY_WORKER_PERCENT : this.bounded.minSpeedPercent(wait);
         const patient = this.patient.minSpeedPercent({ waitedMs: this.idleUnderLeaderMs(group, task, now) });
         return Math.min(
             bounded < 100 && !this.isCovered(task, now) ? bounded : 100,
@@ -137,10 +137,9 @@
         return task.job.runsLike(run => isAtWork(run, now) || isStarting(run, now, lateMs)).length;
     }
 
-    /** @returns Whether a job with a run needs another one now, since the leader is too late to start it after the end of the first. */
-    private needsFurtherRun(task: Task, wait: Wait): boolean {
-        const hasRun = task.step.mode !== "long-running" && task.job.hasRun;
-        return this.isLate && hasRun && Number.isFinite(this.bounded.limitMs(wait));
+    /** @returns Whether a job needs a run now, its first or another one: the leader is too late to let it wait, or to start it later. */
+    private needsRunNow(task: Task, wait: Wait): boolean {
+        return this.isLate && task.step.mode !== "long-running" && Number.isFinite(this.bounded.limitMs(wait));
     }
 
     /** @returns Whether a task need not start soon, since its job has runs that last until the leader has started the next one. */
--- a/src/dispatch/common/waitTable.ts
+++ b/src/dispatch/common/waitTable.ts
@@ -18,7 +18,7 @@
 
 /**
  * Knows for how long tasks have been ready without a run at work: for tasks of a long-running step each by itself, for others the
- * job while none of its tasks has one. A run counts once its worker has reported it, since a start may be rejected.
+ * job while none of its tasks has one. A run counts once its worker has reported it or its end, since a start may be rejected.
  */
 export class WaitTable {
     private readonly records = new WeakMap<ActiveJob | Task, WaitRecord>();
@@ -43,8 +43,7 @@
         if (others.length === 0) {
             this.records.delete(job);
         } else {
-            const lastAt = lastAtWork(job.runsLike(isReported), now);
-            this.record(job, lastAt, Math.min(...others.map(readyAt)), now);
+            this.record(job, job.runsLike(isReported), job.lastEndAt, Math.min(...others.map(readyAt)), now);
         }
         for (const group of groups) {
             if (group.step.mode === "long-running") {
@@ -54,7 +53,7 @@
                         continue;
                     }
                     const runs = task.run !== undefined && isReported(task.run) ? [task.run] : [];
-                    this.record(task, lastAtWork(runs, now), readyAt(group), now);
+                    this.record(task, runs, undefined, readyAt(group), now);
                 }
             }
         }
@@ -74,26 +73,35 @@
         return this.records.get(group.step.mode === "long-running" ? task : task.job);
     }
 
-    /** @param lastAt Time (ms) at which a run was last at work, or `undefined` if none is known. */
-    private record(key: ActiveJob | Task, lastAt: number | undefined, readyAt: number, now: number): void {
+    /** @param runs Its runs that were reported. @param lastEndAt Time (ms) of the latest end of a run, if it is known. */
+    private record(
+        key: ActiveJob | Task,
+        runs: readonly Run[],
+        lastEndAt: number | undefined,
+        readyAt: number,
+        now: number,
+    ): void {
         const known = this.records.get(key);
+        const isWorking = runs.some(run => isAtWork(run, now));
+        const lastAt = latestOf([...runs.map(run => run.reportedAt), ...(lastEndAt === undefined ? [] : [lastEndAt])]);
         if (known === undefined) {
-            this.records.set(key, { idleSince: lastAt === now ? undefined : (lastAt ?? readyAt), idleBeforeMs: 0 });
-        } else if (lastAt === now) {
+            this.records.set(key, { idleSince: isWorking ? undefined : (lastAt ?? readyAt), idleBeforeMs: 0 });
+        } else if (isWorking) {
             known.idleBeforeMs += now - (known.idleSince ?? now);
             known.idleSince = undefined;
-        } else {
-            known.idleSince ??= lastAt ?? now;
+        } else if (known.idleSince === undefined) {
+            known.idleSince = lastAt ?? now;
+        } else if (lastAt !== undefined && lastAt > known.idleSince) {
+            // A run has begun and ended without being listed in between.
+            known.idleBeforeMs += lastAt - known.idleSince;
+            known.idleSince = lastAt;
         }
     }
 }
 
-/** @returns The present time while one of the runs is at work, otherwise the latest time (ms) of a report. */
-function lastAtWork(runs: readonly Run[], now: number): number | undefined {
-    if (runs.some(run => isAtWork(run, now))) {
-        return now;
-    }
-    return runs.length === 0 ? undefined : Math.max(...runs.map(run => run.reportedAt));
+/** @returns The latest of some times, or `undefined` if there are none. */
+function latestOf(times: readonly number[]): number | undefined {
+    return times.length === 0 ? undefined : Math.max(...times);
 }
 
 function isReported(run: Run): boolean {
