--- a/src/dispatch/common/cutDetector.ts
+++ b/src/dispatch/common/failures/cutDetector.ts
@@ -1,4 +1,4 @@
-import type { ActiveJob } from "./activeJob";
+import type { ActiveJob } from "../jobs/activeJob";
 import { LossRate } from "./lossRate";
 
 /** Probability of losses of different causes coming together from which they are taken to have one cause. */
--- a/src/dispatch/common/failureController.ts
+++ b/src/dispatch/common/failures/failureController.ts
@@ -1,16 +1,16 @@
-import { isFinal } from "../../jobs/common/jobTable";
-import { QueueTable } from "../../jobs/common/queueTable";
-import { ActiveJob } from "./activeJob";
+import { isFinal } from "../../../jobs/common/jobTable";
+import { QueueTable } from "../../../jobs/common/queueTable";
+import { ActiveJob } from "../jobs/activeJob";
 import { CutDetector, WorkerLoss } from "./cutDetector";
-import { DecisionData, DecisionName } from "./dispatchEffects";
+import { DecisionData, DecisionName } from "../scheduler/dispatchEffects";
 import { LossRate } from "./lossRate";
-import { Run } from "./run";
+import { Run } from "../runs/run";
 import { SharedLoss, SharedLossTable, startUnitOf } from "./sharedLossTable";
 import { hasOneLoss, MAX_LOSSES_IN_A_ROW, SuspectTable } from "./suspectTable";
-import { isFinishedBy, Task } from "./task";
+import { isFinishedBy, Task } from "../jobs/task";
 import { TaskSuspicion } from "./taskSuspicion";
-import { WorkerContact } from "./workerContact";
-import { WorkerLossCause } from "./workerPool";
+import { WorkerContact } from "../workers/workerContact";
+import { WorkerLossCause } from "../workers/workerPool";
 
 /** Age from which a run that is lost with its worker is no longer suspected of being the cause, in ms. */
 const MAX_SUSPECT_AGE_MS = 3_000;
--- a/src/dispatch/common/probationPlacer.ts
+++ b/src/dispatch/common/failures/probationPlacer.ts
@@ -1,9 +1,9 @@
-import { LatencyModel } from "./latencyModel";
-import { Placer } from "./placer";
-import { Run } from "./run";
+import { LatencyModel } from "../placement/latencyModel";
+import { Placer } from "../placement/placer";
+import { Run } from "../runs/run";
 import { hasOneLoss, isLastAttempt, SuspectTable } from "./suspectTable";
-import { Task } from "./task";
-import { WorkerContact } from "./workerContact";
+import { Task } from "../jobs/task";
+import { WorkerContact } from "../workers/workerContact";
 
 /** Largest share of the workers on which suspected tasks are tried at the same time, while other tasks wait. */
 const MAX_PROBATION_RATIO = 0.25;
--- a/src/dispatch/common/sharedLossTable.ts
+++ b/src/dispatch/common/failures/sharedLossTable.ts
@@ -1,5 +1,5 @@
-import { isFinal } from "../../jobs/common/jobTable";
-import { Task } from "./task";
+import { isFinal } from "../../../jobs/common/jobTable";
+import { Task } from "../jobs/task";
 
 /** The loss of a worker that had just started several tasks. */
 export interface SharedLoss {
--- a/src/dispatch/common/suspectTable.ts
+++ b/src/dispatch/common/failures/suspectTable.ts
@@ -1,7 +1,7 @@
-import { isFinal } from "../../jobs/common/jobTable";
-import { Task } from "./task";
-import { isSilent } from "./waitTable";
-import { WorkerContact } from "./workerContact";
+import { isFinal } from "../../../jobs/common/jobTable";
+import { Task } from "../jobs/task";
+import { isSilent } from "../waits/waitTable";
+import { WorkerContact } from "../workers/workerContact";
 
 /**
  * Number of workers lost under a task in a row from which it is given up, however often workers are lost. Each loss may be
--- a/src/dispatch/common/taskSuspicion.ts
+++ b/src/dispatch/common/failures/taskSuspicion.ts
@@ -1,7 +1,7 @@
-import { ChartLoader } from "../../base/common/chartLoader";
-import { ChartRegistry } from "../../base/common/chartRegistry";
-import { Machine } from "../../base/common/machine";
-import { RecordedSuspicion } from "../../jobs/common/jobRecord";
+import { ChartLoader } from "../../../base/common/chartLoader";
+import { ChartRegistry } from "../../../base/common/chartRegistry";
+import { Machine } from "../../../base/common/machine";
+import { RecordedSuspicion } from "../../../jobs/common/jobRecord";
 import type { LossRate } from "./lossRate";
 import chartText from "./taskSuspicion.chart.yaml";
 
--- a/src/dispatch/common/test/cutDetector.test.ts
+++ b/src/dispatch/common/failures/test/cutDetector.test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
-import type { ActiveJob } from "../activeJob";
+import type { ActiveJob } from "../../jobs/activeJob";
 import { CutDetector, WorkerLoss } from "../cutDetector";
-import { createJob, createStep } from "./runs";
+import { createJob, createStep } from "../../jobs/test/runs";
 
 /** Number of workers at work. */
 const WORKERS = 30;
--- a/src/dispatch/common/test/failureController.test.ts
+++ b/src/dispatch/common/failures/test/failureController.test.ts
@@ -1,13 +1,13 @@
 import test from "ava";
-import { decodeProgress, encodeProgress } from "../../../jobs/common/jobRecord";
-import { QueueTable } from "../../../jobs/common/queueTable";
-import { ActiveJob } from "../activeJob";
+import { decodeProgress, encodeProgress } from "../../../../jobs/common/jobRecord";
+import { QueueTable } from "../../../../jobs/common/queueTable";
+import { ActiveJob } from "../../jobs/activeJob";
 import { FailureController } from "../failureController";
-import { LatencyModel } from "../latencyModel";
-import { StepQueue } from "../stepQueue";
-import { Task } from "../task";
-import { WorkerContact } from "../workerContact";
-import { AssigningHost, createWorker, report } from "./runs";
+import { LatencyModel } from "../../placement/latencyModel";
+import { StepQueue } from "../../waits/stepQueue";
+import { Task } from "../../jobs/task";
+import { WorkerContact } from "../../workers/workerContact";
+import { AssigningHost, createWorker, report } from "../../jobs/test/runs";
 import { createController, createTask, inherit, lose, measureLosses, start, SURVIVED_MS } from "./failures";
 
 test("a task that crashes its workers is given up after three that had started nothing else", t => {
--- a/src/dispatch/common/test/failureEvidence.test.ts
+++ b/src/dispatch/common/failures/test/failureEvidence.test.ts
@@ -1,13 +1,13 @@
 import test from "ava";
-import { QueueTable } from "../../../jobs/common/queueTable";
+import { QueueTable } from "../../../../jobs/common/queueTable";
 import { FailureController } from "../failureController";
-import { LatencyModel } from "../latencyModel";
-import { StepQueue } from "../stepQueue";
-import { Task } from "../task";
+import { LatencyModel } from "../../placement/latencyModel";
+import { StepQueue } from "../../waits/stepQueue";
+import { Task } from "../../jobs/task";
 import { TaskSuspicion } from "../taskSuspicion";
-import { WorkerContact } from "../workerContact";
+import { WorkerContact } from "../../workers/workerContact";
 import { createController, createTask, inherit, lose, measureLosses } from "./failures";
-import { AssigningHost, assign, createWorker, report } from "./runs";
+import { AssigningHost, assign, createWorker, report } from "../../jobs/test/runs";
 
 /** Starts a task on a worker whose loss comes to light 8 s later. */
 function loseLate(failures: FailureController, worker: WorkerContact, task: Task, startedAt: number): void {
--- a/src/dispatch/common/test/failures.ts
+++ b/src/dispatch/common/failures/test/failures.ts
@@ -1,12 +1,12 @@
-import { QueueTable } from "../../../jobs/common/queueTable";
-import { ActiveJob } from "../activeJob";
-import { DecisionData } from "../dispatchEffects";
+import { QueueTable } from "../../../../jobs/common/queueTable";
+import { ActiveJob } from "../../jobs/activeJob";
+import { DecisionData } from "../../scheduler/dispatchEffects";
 import { FailureController, FailureHost } from "../failureController";
-import { Run } from "../run";
+import { Run } from "../../runs/run";
 import { SuspectTable } from "../suspectTable";
-import { Task } from "../task";
-import { WorkerContact } from "../workerContact";
-import { assign, createJob, createStep, createWorker, NoopRunHost, report } from "./runs";
+import { Task } from "../../jobs/task";
+import { WorkerContact } from "../../workers/workerContact";
+import { assign, createJob, createStep, createWorker, NoopRunHost, report } from "../../jobs/test/runs";
 
 /** Time after which a run is listed and its start counts as survived, in ms. */
 export const SURVIVED_MS = 600;
--- a/src/dispatch/common/test/lastingSuspects.test.ts
+++ b/src/dispatch/common/failures/test/lastingSuspects.test.ts
@@ -1,12 +1,12 @@
 import test from "ava";
-import { QueueTable } from "../../../jobs/common/queueTable";
-import { ActiveJob } from "../activeJob";
-import { LatencyModel } from "../latencyModel";
-import { StepQueue } from "../stepQueue";
-import { Task } from "../task";
-import { WorkerContact } from "../workerContact";
+import { QueueTable } from "../../../../jobs/common/queueTable";
+import { ActiveJob } from "../../jobs/activeJob";
+import { LatencyModel } from "../../placement/latencyModel";
+import { StepQueue } from "../../waits/stepQueue";
+import { Task } from "../../jobs/task";
+import { WorkerContact } from "../../workers/workerContact";
 import { createController, createTask, lose } from "./failures";
-import { assign, AssigningHost, createJob, createStep, createWorker, place, report } from "./runs";
+import { assign, AssigningHost, createJob, createStep, createWorker, place, report } from "../../jobs/test/runs";
 
 /** Time for which a task that lasts may be without a run, in ms. */
 const MAX_IDLE_MS = 3_000;
--- a/src/dispatch/common/test/probationPlacer.test.ts
+++ b/src/dispatch/common/failures/test/probationPlacer.test.ts
@@ -1,13 +1,13 @@
 import test from "ava";
-import { QueueTable } from "../../../jobs/common/queueTable";
-import { ActiveJob } from "../activeJob";
+import { QueueTable } from "../../../../jobs/common/queueTable";
+import { ActiveJob } from "../../jobs/activeJob";
 import { FailureController, FailureHost } from "../failureController";
-import { LatencyModel } from "../latencyModel";
-import { StepQueue } from "../stepQueue";
+import { LatencyModel } from "../../placement/latencyModel";
+import { StepQueue } from "../../waits/stepQueue";
 import { SuspectTable } from "../suspectTable";
-import { Task } from "../task";
-import { WorkerContact } from "../workerContact";
-import { assign, AssigningHost, createJob, createStep, createWorker, report } from "./runs";
+import { Task } from "../../jobs/task";
+import { WorkerContact } from "../../workers/workerContact";
+import { assign, AssigningHost, createJob, createStep, createWorker, report } from "../../jobs/test/runs";
 
 const PASS_INTERVAL_MS = 20;
 
--- a/src/dispatch/common/activeJob.ts
+++ b/src/dispatch/common/jobs/activeJob.ts
@@ -1,12 +1,12 @@
-import { DoneSet } from "../../jobs/common/doneSet";
-import { JobProgress, TaskRecord } from "../../jobs/common/jobRecord";
-import { JobSpec, JobState, StepSpec } from "../../jobs/common/jobSpec";
-import { isFinal } from "../../jobs/common/jobTable";
-import { TaskTransfer } from "../../jobs/common/taskTransfer";
+import { DoneSet } from "../../../jobs/common/doneSet";
+import { JobProgress, TaskRecord } from "../../../jobs/common/jobRecord";
+import { JobSpec, JobState, StepSpec } from "../../../jobs/common/jobSpec";
+import { isFinal } from "../../../jobs/common/jobTable";
+import { TaskTransfer } from "../../../jobs/common/taskTransfer";
 import { ActiveTask } from "./activeTask";
-import type { Run } from "./run";
+import type { Run } from "../runs/run";
 import { isFinishedBy, Task } from "./task";
-import { TaskSuspicion } from "./taskSuspicion";
+import { TaskSuspicion } from "../failures/taskSuspicion";
 
 /** The tasks of one step in one occurrence. */
 export interface TaskGroup {
--- a/src/dispatch/common/activeJobTable.ts
+++ b/src/dispatch/common/jobs/activeJobTable.ts
@@ -1,18 +1,18 @@
-import { Emitter } from "../../base/common/emitter";
-import { encodeSpec, jobIdOf, jobKey, JobProgress, RunRecord, TaskRecord } from "../../jobs/common/jobRecord";
-import { JobSpec, JobState } from "../../jobs/common/jobSpec";
-import { isFinal, JobEntry } from "../../jobs/common/jobTable";
-import { encodeTransfer } from "../../jobs/common/jobTransfer";
-import { encodeTaskTransfer } from "../../jobs/common/taskTransfer";
-import { JobSource } from "../../jobs/common/shardJobs";
-import { ProgressTable } from "../../jobs/common/progressTable";
-import { RecordOffset } from "../../records/common/record";
-import { isTooLarge } from "../../records/common/recordSize";
-import { RecordWriter, StoredListener } from "../../records/common/recordWriter";
+import { Emitter } from "../../../base/common/emitter";
+import { encodeSpec, jobIdOf, jobKey, JobProgress, RunRecord, TaskRecord } from "../../../jobs/common/jobRecord";
+import { JobSpec, JobState } from "../../../jobs/common/jobSpec";
+import { isFinal, JobEntry } from "../../../jobs/common/jobTable";
+import { encodeTransfer } from "../../../jobs/common/jobTransfer";
+import { encodeTaskTransfer } from "../../../jobs/common/taskTransfer";
+import { JobSource } from "../../../jobs/common/shardJobs";
+import { ProgressTable } from "../../../jobs/common/progressTable";
+import { RecordOffset } from "../../../records/common/record";
+import { isTooLarge } from "../../../records/common/recordSize";
+import { RecordWriter, StoredListener } from "../../../records/common/recordWriter";
 import { ActiveJob } from "./activeJob";
 import { ProgressRecorder } from "./progressRecorder";
 import { isFinishedBy, Task } from "./task";
-import { JobPlaces, TaskTransferTable, UNDIVIDED_PLACES } from "./taskTransferTable";
+import { JobPlaces, TaskTransferTable, UNDIVIDED_PLACES } from "../shards/taskTransferTable";
 
 /** The leader's writers. */
 export interface LeaderWriters {
--- a/src/dispatch/common/activeTask.ts
+++ b/src/dispatch/common/jobs/activeTask.ts
@@ -1,8 +1,8 @@
-import { StepSpec } from "../../jobs/common/jobSpec";
+import { StepSpec } from "../../../jobs/common/jobSpec";
 import type { ActiveJob } from "./activeJob";
-import type { Run } from "./run";
+import type { Run } from "../runs/run";
 import { Task } from "./task";
-import { TaskSuspicion } from "./taskSuspicion";
+import { TaskSuspicion } from "../failures/taskSuspicion";
 
 /** A task that tells its job when it gets or loses a run. */
 export class ActiveTask implements Task {
--- a/src/dispatch/common/dividedProgress.ts
+++ b/src/dispatch/common/jobs/dividedProgress.ts
@@ -1,7 +1,7 @@
-import { JobProgress, jobKey } from "../../jobs/common/jobRecord";
-import { isFinal } from "../../jobs/common/jobTable";
-import { ProgressDivision } from "../../jobs/common/progressDivision";
-import { KeyedRecord } from "../../records/common/record";
+import { JobProgress, jobKey } from "../../../jobs/common/jobRecord";
+import { isFinal } from "../../../jobs/common/jobTable";
+import { ProgressDivision } from "../../../jobs/common/progressDivision";
+import { KeyedRecord } from "../../../records/common/record";
 
 /** Limit of what is written of one job in one append, in characters: other jobs are not to wait for all of a wide one. */
 const MAX_BUILD_LENGTH = 400_000;
--- a/src/dispatch/common/jobDemand.ts
+++ b/src/dispatch/common/jobs/jobDemand.ts
@@ -1,7 +1,7 @@
-import { StepSpec } from "../../jobs/common/jobSpec";
-import { isFinal } from "../../jobs/common/jobTable";
+import { StepSpec } from "../../../jobs/common/jobSpec";
+import { isFinal } from "../../../jobs/common/jobTable";
 import { ActiveJob, TaskGroup } from "./activeJob";
-import { ServiceLoad } from "./serviceLoad";
+import { ServiceLoad } from "../shards/serviceLoad";
 import { Task } from "./task";
 
 /** What the tasks of a job request that are ready and have no run. */
--- a/src/dispatch/common/jobPruner.ts
+++ b/src/dispatch/common/jobs/jobPruner.ts
@@ -1,6 +1,6 @@
-import { jobKey } from "../../jobs/common/jobRecord";
-import { isFinal, JobEntry } from "../../jobs/common/jobTable";
-import { JobSource } from "../../jobs/common/shardJobs";
+import { jobKey } from "../../../jobs/common/jobRecord";
+import { isFinal, JobEntry } from "../../../jobs/common/jobTable";
+import { JobSource } from "../../../jobs/common/shardJobs";
 import { ActiveJobTable, LeaderWriters } from "./activeJobTable";
 
 /** Interval between checks for expired jobs, in ms. */
--- a/src/dispatch/common/jobRestorer.ts
+++ b/src/dispatch/common/jobs/jobRestorer.ts
@@ -1,7 +1,7 @@
-import { RunRecord } from "../../jobs/common/jobRecord";
-import { JobEntry } from "../../jobs/common/jobTable";
-import { JobSource } from "../../jobs/common/shardJobs";
-import { ProgressTable } from "../../jobs/common/progressTable";
+import { RunRecord } from "../../../jobs/common/jobRecord";
+import { JobEntry } from "../../../jobs/common/jobTable";
+import { JobSource } from "../../../jobs/common/shardJobs";
+import { ProgressTable } from "../../../jobs/common/progressTable";
 import { ActiveJobTable } from "./activeJobTable";
 import { Task } from "./task";
 
--- a/src/dispatch/common/progressRecorder.ts
+++ b/src/dispatch/common/jobs/progressRecorder.ts
@@ -1,8 +1,8 @@
-import { encodeProgress, jobKey, JobProgress } from "../../jobs/common/jobRecord";
-import { JobSpec } from "../../jobs/common/jobSpec";
-import { ProgressDivision } from "../../jobs/common/progressDivision";
-import { ProgressTable } from "../../jobs/common/progressTable";
-import { RecordWriter, StoredListener } from "../../records/common/recordWriter";
+import { encodeProgress, jobKey, JobProgress } from "../../../jobs/common/jobRecord";
+import { JobSpec } from "../../../jobs/common/jobSpec";
+import { ProgressDivision } from "../../../jobs/common/progressDivision";
+import { ProgressTable } from "../../../jobs/common/progressTable";
+import { RecordWriter, StoredListener } from "../../../records/common/recordWriter";
 import { DividedProgress } from "./dividedProgress";
 
 /** Waits until all records of the progress of a job are stored as a build, or a later one, has them. */
--- a/src/dispatch/common/task.ts
+++ b/src/dispatch/common/jobs/task.ts
@@ -1,7 +1,7 @@
-import { StepSpec } from "../../jobs/common/jobSpec";
+import { StepSpec } from "../../../jobs/common/jobSpec";
 import type { ActiveJob } from "./activeJob";
-import type { Run, RunOutcome } from "./run";
-import { TaskSuspicion } from "./taskSuspicion";
+import type { Run, RunOutcome } from "../runs/run";
+import { TaskSuspicion } from "../failures/taskSuspicion";
 
 /** A task of an active job. */
 export interface Task {
--- a/src/dispatch/common/test/activeJob.test.ts
+++ b/src/dispatch/common/jobs/test/activeJob.test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { DoneSet } from "../../../jobs/common/doneSet";
+import { DoneSet } from "../../../../jobs/common/doneSet";
 import { ActiveJob } from "../activeJob";
 import { createJob, createStep } from "./runs";
 
--- a/src/dispatch/common/test/dividedProgress.test.ts
+++ b/src/dispatch/common/jobs/test/dividedProgress.test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
-import { JobProgress, jobKey, RunRecord } from "../../../jobs/common/jobRecord";
-import { ProgressDivision } from "../../../jobs/common/progressDivision";
+import { JobProgress, jobKey, RunRecord } from "../../../../jobs/common/jobRecord";
+import { ProgressDivision } from "../../../../jobs/common/progressDivision";
 import { DividedProgress } from "../dividedProgress";
 
 const HEAD = jobKey("progress", "a");
--- a/src/dispatch/common/test/jobPruner.test.ts
+++ b/src/dispatch/common/jobs/test/jobPruner.test.ts
@@ -1,11 +1,11 @@
 import test from "ava";
-import { Outbox } from "../../../base/common/outbox";
-import { encodeProgress, encodeSpec, jobKey } from "../../../jobs/common/jobRecord";
-import { encodeTransfer } from "../../../jobs/common/jobTransfer";
-import { JobTable } from "../../../jobs/common/jobTable";
-import { ProgressTable } from "../../../jobs/common/progressTable";
-import { RecordEffect } from "../../../records/common/recordEvents";
-import { RecordWriter } from "../../../records/common/recordWriter";
+import { Outbox } from "../../../../base/common/outbox";
+import { encodeProgress, encodeSpec, jobKey } from "../../../../jobs/common/jobRecord";
+import { encodeTransfer } from "../../../../jobs/common/jobTransfer";
+import { JobTable } from "../../../../jobs/common/jobTable";
+import { ProgressTable } from "../../../../jobs/common/progressTable";
+import { RecordEffect } from "../../../../records/common/recordEvents";
+import { RecordWriter } from "../../../../records/common/recordWriter";
 import { ActiveJobTable } from "../activeJobTable";
 import { JobPruner } from "../jobPruner";
 import { JobRestorer } from "../jobRestorer";
--- a/src/dispatch/common/test/jobRestorer.test.ts
+++ b/src/dispatch/common/jobs/test/jobRestorer.test.ts
@@ -1,10 +1,10 @@
 import test from "ava";
-import { Outbox } from "../../../base/common/outbox";
-import { encodeProgress, encodeSpec, jobKey } from "../../../jobs/common/jobRecord";
-import { JobTable } from "../../../jobs/common/jobTable";
-import { ProgressTable } from "../../../jobs/common/progressTable";
-import { RecordEffect } from "../../../records/common/recordEvents";
-import { RecordWriter } from "../../../records/common/recordWriter";
+import { Outbox } from "../../../../base/common/outbox";
+import { encodeProgress, encodeSpec, jobKey } from "../../../../jobs/common/jobRecord";
+import { JobTable } from "../../../../jobs/common/jobTable";
+import { ProgressTable } from "../../../../jobs/common/progressTable";
+import { RecordEffect } from "../../../../records/common/recordEvents";
+import { RecordWriter } from "../../../../records/common/recordWriter";
 import { ActiveJobTable } from "../activeJobTable";
 import { JobRestorer } from "../jobRestorer";
 import { createJob, createStep } from "./runs";
--- a/src/dispatch/common/test/progressRecorder.test.ts
+++ b/src/dispatch/common/jobs/test/progressRecorder.test.ts
@@ -1,8 +1,8 @@
 import test from "ava";
-import { Outbox } from "../../../base/common/outbox";
-import { JobProgress } from "../../../jobs/common/jobRecord";
-import { RecordEffect } from "../../../records/common/recordEvents";
-import { RecordWriter } from "../../../records/common/recordWriter";
+import { Outbox } from "../../../../base/common/outbox";
+import { JobProgress } from "../../../../jobs/common/jobRecord";
+import { RecordEffect } from "../../../../records/common/recordEvents";
+import { RecordWriter } from "../../../../records/common/recordWriter";
 import { ProgressRecorder } from "../progressRecorder";
 import { createJob, createStep } from "./runs";
 
--- a/src/dispatch/common/bestEffortPolicy.ts
+++ b/src/dispatch/common/placement/bestEffortPolicy.ts
@@ -1,9 +1,9 @@
-import { StepSpec } from "../../jobs/common/jobSpec";
+import { StepSpec } from "../../../jobs/common/jobSpec";
 import { LatencyModel } from "./latencyModel";
-import { Task } from "./task";
+import { Task } from "../jobs/task";
 import { PlacementOffer, PlacementPolicy, SpeedLimit } from "./placementPolicy";
-import { FreeCapacity, WorkerContact } from "./workerContact";
-import { LatencyForecast, WorkerForecast } from "./workerForecast";
+import { FreeCapacity, WorkerContact } from "../workers/workerContact";
+import { LatencyForecast, WorkerForecast } from "../workers/workerForecast";
 
 /** Share of its requested CPU that a latency-critical task is expected to use. */
 const EXPECTED_LOAD_RATIO = 0.5;
--- a/src/dispatch/common/capacityBounds.ts
+++ b/src/dispatch/common/placement/capacityBounds.ts
@@ -1,8 +1,8 @@
-import { StepSpec } from "../../jobs/common/jobSpec";
+import { StepSpec } from "../../../jobs/common/jobSpec";
 import { PlacementPolicy } from "./placementPolicy";
-import { ANY_WORKER_PERCENT } from "./waitPolicy";
-import { WorkerContact } from "./workerContact";
-import { WorkerForecast } from "./workerForecast";
+import { ANY_WORKER_PERCENT } from "../waits/waitPolicy";
+import { WorkerContact } from "../workers/workerContact";
+import { WorkerForecast } from "../workers/workerForecast";
 
 /** Tolerance of the bounds for rounding, as a ratio: a worker at a bound is assessed. */
 const ROUNDING_RATIO = 1e-6;
--- a/src/dispatch/common/latencyModel.ts
+++ b/src/dispatch/common/placement/latencyModel.ts
@@ -1,5 +1,5 @@
-import { Run } from "./run";
-import { WorkerContact } from "./workerContact";
+import { Run } from "../runs/run";
+import { WorkerContact } from "../workers/workerContact";
 
 /**
  * Assumed loss of headroom of a latency-critical task when a neighbor uses all CPU of the worker, and its variance, for
--- a/src/dispatch/common/latencyModelRecorder.ts
+++ b/src/dispatch/common/placement/latencyModelRecorder.ts
@@ -1,4 +1,4 @@
-import { RecordWriter } from "../../records/common/recordWriter";
+import { RecordWriter } from "../../../records/common/recordWriter";
 import { LatencyModel } from "./latencyModel";
 import { encodeLatencyModel, LATENCY_MODEL_KEY } from "./latencyModelRecord";
 
--- a/src/dispatch/common/placementPolicy.ts
+++ b/src/dispatch/common/placement/placementPolicy.ts
@@ -1,7 +1,7 @@
-import { StepSpec } from "../../jobs/common/jobSpec";
-import { Task } from "./task";
-import { WorkerContact } from "./workerContact";
-import { WorkerForecast } from "./workerForecast";
+import { StepSpec } from "../../../jobs/common/jobSpec";
+import { Task } from "../jobs/task";
+import { WorkerContact } from "../workers/workerContact";
+import { WorkerForecast } from "../workers/workerForecast";
 
 /**
  * What keeps a task below full speed on a worker: a latency-critical task there is without headroom in any case, would lose too
--- a/src/dispatch/common/placer.ts
+++ b/src/dispatch/common/placement/placer.ts
@@ -1,15 +1,15 @@
-import { StepSpec, TaskRequest } from "../../jobs/common/jobSpec";
+import { StepSpec, TaskRequest } from "../../../jobs/common/jobSpec";
 import { CapacityBounds } from "./capacityBounds";
 import { LatencyModel } from "./latencyModel";
 import { ReservedPolicy } from "./reservedPolicy";
 import { BestEffortPolicy } from "./bestEffortPolicy";
-import { Run } from "./run";
-import { Task } from "./task";
+import { Run } from "../runs/run";
+import { Task } from "../jobs/task";
 import { PlacementOffer, PlacementPolicy, SpeedLimit } from "./placementPolicy";
 import { RejectionTable } from "./rejectionTable";
-import { ANY_WORKER_PERCENT } from "./waitPolicy";
-import { WorkerContact } from "./workerContact";
-import { forecastFor, WorkerForecast } from "./workerForecast";
+import { ANY_WORKER_PERCENT } from "../waits/waitPolicy";
+import { WorkerContact } from "../workers/workerContact";
+import { forecastFor, WorkerForecast } from "../workers/workerForecast";
 
 /** Cost of each percent of speed that a task cannot have on a worker, in thousandths of a core; it exceeds all other costs. */
 const COST_PER_PERCENT_MILLIS = 1e9;
--- a/src/dispatch/common/rejectionTable.ts
+++ b/src/dispatch/common/placement/rejectionTable.ts
@@ -1,4 +1,4 @@
-import { StepSpec } from "../../jobs/common/jobSpec";
+import { StepSpec } from "../../../jobs/common/jobSpec";
 import { horizonOf } from "./bestEffortPolicy";
 
 interface Rejection {
--- a/src/dispatch/common/reservedPolicy.ts
+++ b/src/dispatch/common/placement/reservedPolicy.ts
@@ -1,8 +1,8 @@
-import { StepSpec } from "../../jobs/common/jobSpec";
-import { Task } from "./task";
+import { StepSpec } from "../../../jobs/common/jobSpec";
+import { Task } from "../jobs/task";
 import { PlacementOffer, PlacementPolicy } from "./placementPolicy";
-import { WorkerContact } from "./workerContact";
-import { WorkerForecast } from "./workerForecast";
+import { WorkerContact } from "../workers/workerContact";
+import { WorkerForecast } from "../workers/workerForecast";
 
 /** Cost of a latency-critical task of another image on the same worker, in thousandths of a core. */
 const OTHER_IMAGE_COST_MILLIS = 40_000;
--- a/src/dispatch/common/roomKeeper.ts
+++ b/src/dispatch/common/placement/roomKeeper.ts
@@ -1,11 +1,11 @@
-import { TaskGroup } from "./activeJob";
+import { TaskGroup } from "../jobs/activeJob";
 import { Placer } from "./placer";
-import { QueueHost } from "./queueHost";
-import { Run } from "./run";
-import { RunReviewer } from "./runReviewer";
-import { hasRunBefore, Task } from "./task";
-import { isLongRunning } from "./taskGroups";
-import { WorkerContact } from "./workerContact";
+import { QueueHost } from "../waits/queueHost";
+import { Run } from "../runs/run";
+import { RunReviewer } from "../runs/runReviewer";
+import { hasRunBefore, Task } from "../jobs/task";
+import { isLongRunning } from "../jobs/taskGroups";
+import { WorkerContact } from "../workers/workerContact";
 
 /** Tasks of one group that have to run soon, and the service whose workers may run them. */
 export interface DueTasks {
--- a/src/dispatch/common/shortTaskReserve.ts
+++ b/src/dispatch/common/placement/shortTaskReserve.ts
@@ -1,7 +1,7 @@
-import { StepSpec } from "../../jobs/common/jobSpec";
-import { TaskGroup } from "./activeJob";
-import { Run } from "./run";
-import { WorkerContact } from "./workerContact";
+import { StepSpec } from "../../../jobs/common/jobSpec";
+import { TaskGroup } from "../jobs/activeJob";
+import { Run } from "../runs/run";
+import { WorkerContact } from "../workers/workerContact";
 
 /** Time constant of the measured demand, in ms: a few times the duration of a short task. */
 const DEMAND_WINDOW_MS = 10_000;
--- a/src/dispatch/common/test/capacityBounds.test.ts
+++ b/src/dispatch/common/placement/test/capacityBounds.test.ts
@@ -1,14 +1,14 @@
 import test from "ava";
-import { StepSpec } from "../../../jobs/common/jobSpec";
-import { Random } from "../../../proof/node/random";
+import { StepSpec } from "../../../../jobs/common/jobSpec";
+import { Random } from "../../../../proof/node/random";
 import { BestEffortPolicy } from "../bestEffortPolicy";
 import { CapacityBounds } from "../capacityBounds";
 import { InterferenceRow, LatencyModel } from "../latencyModel";
 import { PlacementOffer } from "../placementPolicy";
 import { ReservedPolicy } from "../reservedPolicy";
-import { WorkerContact } from "../workerContact";
-import { forecastFor } from "../workerForecast";
-import { createJob, createStep, createWorker, place, report, TARGET_MS } from "./runs";
+import { WorkerContact } from "../../workers/workerContact";
+import { forecastFor } from "../../workers/workerForecast";
+import { createJob, createStep, createWorker, place, report, TARGET_MS } from "../../jobs/test/runs";
 
 const IMAGES = ["batch", "index", "render"];
 const SERVICES = ["web", "shop"];
--- a/src/dispatch/common/test/latencyModel.test.ts
+++ b/src/dispatch/common/placement/test/latencyModel.test.ts
@@ -1,10 +1,10 @@
 import test from "ava";
 import { LatencyModel } from "../latencyModel";
 import { BestEffortPolicy } from "../bestEffortPolicy";
-import { forecastFor } from "../workerForecast";
-import { Run } from "../run";
-import { WorkerContact } from "../workerContact";
-import { createStep, createWorker, place, report, TARGET_MS } from "./runs";
+import { forecastFor } from "../../workers/workerForecast";
+import { Run } from "../../runs/run";
+import { WorkerContact } from "../../workers/workerContact";
+import { createStep, createWorker, place, report, TARGET_MS } from "../../jobs/test/runs";
 
 /** Time between two reports, in ms. */
 const REPORT_INTERVAL_MS = 500;
--- a/src/dispatch/common/test/latencyModelRecord.test.ts
+++ b/src/dispatch/common/placement/test/latencyModelRecord.test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { isTooLarge } from "../../../records/common/recordSize";
+import { isTooLarge } from "../../../../records/common/recordSize";
 import { InterferenceRow } from "../latencyModel";
 import { decodeLatencyModel, encodeLatencyModel, LATENCY_MODEL_KEY } from "../latencyModelRecord";
 
--- a/src/dispatch/common/test/placer.test.ts
+++ b/src/dispatch/common/placement/test/placer.test.ts
@@ -1,11 +1,20 @@
 import test from "ava";
-import { StepSpec } from "../../../jobs/common/jobSpec";
-import { Random } from "../../../proof/node/random";
+import { StepSpec } from "../../../../jobs/common/jobSpec";
+import { Random } from "../../../../proof/node/random";
 import { LatencyModel } from "../latencyModel";
 import { Placer } from "../placer";
-import { Task } from "../task";
-import { WorkerContact } from "../workerContact";
-import { assign, createJob, createStep, createWorker, HEAVY_MODEL, place, report, TARGET_MS } from "./runs";
+import { Task } from "../../jobs/task";
+import { WorkerContact } from "../../workers/workerContact";
+import {
+    assign,
+    createJob,
+    createStep,
+    createWorker,
+    HEAVY_MODEL,
+    place,
+    report,
+    TARGET_MS,
+} from "../../jobs/test/runs";
 
 const SERVICE = "svc";
 
--- a/src/dispatch/common/test/roomKeeper.test.ts
+++ b/src/dispatch/common/placement/test/roomKeeper.test.ts
@@ -1,9 +1,18 @@
 import test from "ava";
-import { StepSpec } from "../../../jobs/common/jobSpec";
-import { ActiveJob } from "../activeJob";
+import { StepSpec } from "../../../../jobs/common/jobSpec";
+import { ActiveJob } from "../../jobs/activeJob";
 import { LatencyModel } from "../latencyModel";
-import { WorkerContact } from "../workerContact";
-import { AssigningHost, assign, createJob, createQueue, createStep, createWorker, place, report } from "./runs";
+import { WorkerContact } from "../../workers/workerContact";
+import {
+    AssigningHost,
+    assign,
+    createJob,
+    createQueue,
+    createStep,
+    createWorker,
+    place,
+    report,
+} from "../../jobs/test/runs";
 
 const PASS_INTERVAL_MS = 100;
 
--- a/src/dispatch/common/test/shortTaskReserve.test.ts
+++ b/src/dispatch/common/placement/test/shortTaskReserve.test.ts
@@ -1,12 +1,12 @@
 import test from "ava";
-import { QueueTable } from "../../../jobs/common/queueTable";
-import { ActiveJob } from "../activeJob";
+import { QueueTable } from "../../../../jobs/common/queueTable";
+import { ActiveJob } from "../../jobs/activeJob";
 import { LatencyModel } from "../latencyModel";
 import { ShortTaskReserve } from "../shortTaskReserve";
-import { StepQueue } from "../stepQueue";
-import { SuspectTable } from "../suspectTable";
-import { WorkerContact } from "../workerContact";
-import { assign, AssigningHost, createJob, createStep, createWorker, place } from "./runs";
+import { StepQueue } from "../../waits/stepQueue";
+import { SuspectTable } from "../../failures/suspectTable";
+import { WorkerContact } from "../../workers/workerContact";
+import { assign, AssigningHost, createJob, createStep, createWorker, place } from "../../jobs/test/runs";
 
 const SERVICE = "svc";
 const WORKERS = 20;
--- a/src/dispatch/common/assignment.ts
+++ b/src/dispatch/common/runs/assignment.ts
@@ -1,6 +1,6 @@
-import { RunRecord } from "../../jobs/common/jobRecord";
-import { Task } from "./task";
-import { WorkerContact } from "./workerContact";
+import { RunRecord } from "../../../jobs/common/jobRecord";
+import { Task } from "../jobs/task";
+import { WorkerContact } from "../workers/workerContact";
 
 /** Size of the range of run numbers per task and epoch. Separate ranges keep two leaders from using the same number. */
 const MAX_RUNS_PER_EPOCH = 1_000;
--- a/src/dispatch/common/lateStartTable.ts
+++ b/src/dispatch/common/runs/lateStartTable.ts
@@ -1,5 +1,5 @@
-import { WorkerContact } from "./workerContact";
-import { StartOrder, startKeyOf } from "./workerMessages";
+import { WorkerContact } from "../workers/workerContact";
+import { StartOrder, startKeyOf } from "../workers/workerMessages";
 
 /** Time after which an order that was not answered is not carried out any more, in ms. */
 const MAX_ORDER_AGE_MS = 20_000;
--- a/src/dispatch/common/moveTable.ts
+++ b/src/dispatch/common/runs/moveTable.ts
@@ -1,5 +1,5 @@
-import { Task } from "./task";
-import { WorkerContact } from "./workerContact";
+import { Task } from "../jobs/task";
+import { WorkerContact } from "../workers/workerContact";
 
 /** Time for which a worker is held for a task that moves there, in ms: until its run is stopped and the worker has listed the end. */
 const MAX_HOLD_MS = 2_000;
--- a/src/dispatch/common/run.ts
+++ b/src/dispatch/common/runs/run.ts
@@ -1,10 +1,10 @@
-import { ChartLoader } from "../../base/common/chartLoader";
-import { ChartRegistry } from "../../base/common/chartRegistry";
-import { Machine } from "../../base/common/machine";
-import { RunRecord } from "../../jobs/common/jobRecord";
+import { ChartLoader } from "../../../base/common/chartLoader";
+import { ChartRegistry } from "../../../base/common/chartRegistry";
+import { Machine } from "../../../base/common/machine";
+import { RunRecord } from "../../../jobs/common/jobRecord";
 import chartText from "./run.chart.yaml";
-import { Task } from "./task";
-import { ListedEnd, ListedRun, RunEnd } from "./workerMessages";
+import { Task } from "../jobs/task";
+import { ListedEnd, ListedRun, RunEnd } from "../workers/workerMessages";
 
 /** State of a run as the leader knows it. */
 export type RunState =
--- a/src/dispatch/common/runMover.ts
+++ b/src/dispatch/common/runs/runMover.ts
@@ -1,6 +1,6 @@
 import { Run } from "./run";
 import { MoveReason, RunReviewer } from "./runReviewer";
-import { WorkerContact } from "./workerContact";
+import { WorkerContact } from "../workers/workerContact";
 
 /** Stops a run, so that its task starts on another worker. */
 export type StopRun = (run: Run, reason: MoveReason, now: number) => void;
--- a/src/dispatch/common/runOrders.ts
+++ b/src/dispatch/common/runs/runOrders.ts
@@ -1,11 +1,11 @@
-import { DecisionData, DecisionName } from "./dispatchEffects";
+import { DecisionData, DecisionName } from "../scheduler/dispatchEffects";
 import { Run } from "./run";
-import { SchedulerContext } from "./schedulerContext";
+import { SchedulerContext } from "../scheduler/schedulerContext";
 import { StartAdmission } from "./startAdmission";
-import { firstWaitMs } from "./task";
-import { ViewController } from "./viewController";
-import { WorkerContact } from "./workerContact";
-import { WorkerPool } from "./workerPool";
+import { firstWaitMs } from "../jobs/task";
+import { ViewController } from "../scheduler/viewController";
+import { WorkerContact } from "../workers/workerContact";
+import { WorkerPool } from "../workers/workerPool";
 
 /** Sends the orders to start and to stop runs during one leader's epoch. */
 export class RunOrders {
--- a/src/dispatch/common/runReviewer.ts
+++ b/src/dispatch/common/runs/runReviewer.ts
@@ -1,5 +1,5 @@
 import { Run } from "./run";
-import { WorkerContact } from "./workerContact";
+import { WorkerContact } from "../workers/workerContact";
 
 /** Why a run is stopped and its task started again on another worker, wherever that is. */
 export type MoveReason = "draining" | "stuck";
--- a/src/dispatch/common/runThrottle.ts
+++ b/src/dispatch/common/runs/runThrottle.ts
@@ -1,6 +1,6 @@
-import { EffectSink } from "../../base/common/effectSink";
-import { DispatchEffect } from "./dispatchEffects";
-import { FenceAuthority } from "./fenceAuthority";
+import { EffectSink } from "../../../base/common/effectSink";
+import { DispatchEffect } from "../scheduler/dispatchEffects";
+import { FenceAuthority } from "../workers/fenceAuthority";
 import { Run } from "./run";
 import { FindWorker } from "./startAdmission";
 
--- a/src/dispatch/common/startAdmission.ts
+++ b/src/dispatch/common/runs/startAdmission.ts
@@ -1,12 +1,12 @@
-import { EffectSink } from "../../base/common/effectSink";
-import { withDrift } from "../../coordination/common/duration";
-import { QueueTable } from "../../jobs/common/queueTable";
-import { START_VALIDITY_MS } from "./dispatchLimits";
-import { DecisionEffect } from "./dispatchEffects";
-import { EvacuationTable } from "./evacuationTable";
+import { EffectSink } from "../../../base/common/effectSink";
+import { withDrift } from "../../../coordination/common/duration";
+import { QueueTable } from "../../../jobs/common/queueTable";
+import { START_VALIDITY_MS } from "../scheduler/dispatchLimits";
+import { DecisionEffect } from "../scheduler/dispatchEffects";
+import { EvacuationTable } from "../workers/evacuationTable";
 import { Run } from "./run";
-import { ExclusionCause, WorkerCensus, WorkerCounts } from "./workerCensus";
-import { WorkerContact } from "./workerContact";
+import { ExclusionCause, WorkerCensus, WorkerCounts } from "../workers/workerCensus";
+import { WorkerContact } from "../workers/workerContact";
 
 /** Time after which a shrink of a worker's capacity counts, in ms: `stableWindowMs` and one heartbeat. */
 const SHRINK_GRACE_MS = 4_000 + 1_500;
--- a/src/dispatch/common/startWindow.ts
+++ b/src/dispatch/common/runs/startWindow.ts
@@ -1,5 +1,5 @@
-import { MAX_MEDIAN_DELAY_MS, START_DELAY_MS } from "./dispatchLimits";
-import { OrderOutcome } from "./workerMessages";
+import { MAX_MEDIAN_DELAY_MS, START_DELAY_MS } from "../scheduler/dispatchLimits";
+import { OrderOutcome } from "../workers/workerMessages";
 
 /** Limit on starts in flight that is never gone below, whatever they take. */
 const MIN_STARTS = 8;
--- a/src/dispatch/common/test/lateStartTable.test.ts
+++ b/src/dispatch/common/runs/test/lateStartTable.test.ts
@@ -1,9 +1,18 @@
 import test from "ava";
-import { Outbox } from "../../../base/common/outbox";
-import { DispatchEffect } from "../dispatchEffects";
-import { PoolHost, WorkerPool } from "../workerPool";
-import { ListedRun, StartOrder } from "../workerMessages";
-import { assign, AUTHORITY, createJob, createLeases, createStep, createWorker, LIMITS, readingOf } from "./runs";
+import { Outbox } from "../../../../base/common/outbox";
+import { DispatchEffect } from "../../scheduler/dispatchEffects";
+import { PoolHost, WorkerPool } from "../../workers/workerPool";
+import { ListedRun, StartOrder } from "../../workers/workerMessages";
+import {
+    assign,
+    AUTHORITY,
+    createJob,
+    createLeases,
+    createStep,
+    createWorker,
+    LIMITS,
+    readingOf,
+} from "../../jobs/test/runs";
 
 const TASK = "a.0.0.0";
 
--- a/src/dispatch/common/test/moveTable.test.ts
+++ b/src/dispatch/common/runs/test/moveTable.test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { MoveTable } from "../moveTable";
-import { Task } from "../task";
-import { createJob, createStep, createWorker } from "./runs";
+import { Task } from "../../jobs/task";
+import { createJob, createStep, createWorker } from "../../jobs/test/runs";
 
 function createTask(id: string): Task {
     return [...createJob(id, createStep("batch", false)).tasks()][0];
--- a/src/dispatch/common/test/pausedRun.test.ts
+++ b/src/dispatch/common/runs/test/pausedRun.test.ts
@@ -1,9 +1,9 @@
 import test from "ava";
-import { QueueTable } from "../../../jobs/common/queueTable";
-import { LatencyModel } from "../latencyModel";
-import { StepQueue } from "../stepQueue";
-import { AssigningHost, createWorker, report } from "./runs";
-import { createController, createTask, lose, start, SURVIVED_MS } from "./failures";
+import { QueueTable } from "../../../../jobs/common/queueTable";
+import { LatencyModel } from "../../placement/latencyModel";
+import { StepQueue } from "../../waits/stepQueue";
+import { AssigningHost, createWorker, report } from "../../jobs/test/runs";
+import { createController, createTask, lose, start, SURVIVED_MS } from "../../failures/test/failures";
 
 test("a suspected task is not cleared by a run that is paused before it has worked long enough", t => {
     const { suspects, failures } = createController();
--- a/src/dispatch/common/test/runMover.test.ts
+++ b/src/dispatch/common/runs/test/runMover.test.ts
@@ -1,10 +1,10 @@
 import test from "ava";
-import { Random } from "../../../proof/node/random";
+import { Random } from "../../../../proof/node/random";
 import { Run } from "../run";
 import { RunMover } from "../runMover";
 import { RunReviewer } from "../runReviewer";
-import { WorkerContact } from "../workerContact";
-import { createStep, createWorker, place, readingOf } from "./runs";
+import { WorkerContact } from "../../workers/workerContact";
+import { createStep, createWorker, place, readingOf } from "../../jobs/test/runs";
 
 const TICK_MS = 25;
 const RUNS = 3;
--- a/src/dispatch/common/test/runReviewer.test.ts
+++ b/src/dispatch/common/runs/test/runReviewer.test.ts
@@ -1,8 +1,8 @@
 import test from "ava";
-import { StepSpec } from "../../../jobs/common/jobSpec";
+import { StepSpec } from "../../../../jobs/common/jobSpec";
 import { Run } from "../run";
 import { RunReviewer } from "../runReviewer";
-import { createStep, createWorker, place } from "./runs";
+import { createStep, createWorker, place } from "../../jobs/test/runs";
 
 /** Time at which the runs are throttled, in ms. */
 const THROTTLED_AT_MS = 5_000;
--- a/src/dispatch/common/test/startAdmission.test.ts
+++ b/src/dispatch/common/runs/test/startAdmission.test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
-import { createJob, createStep, createWorker } from "./runs";
-import { SchedulerFixture } from "./schedulerFixture";
+import { createJob, createStep, createWorker } from "../../jobs/test/runs";
+import { SchedulerFixture } from "../../scheduler/test/schedulerFixture";
 
 /** Sends the queue of the fixture's job to a service. */
 function configure(fixture: SchedulerFixture, version: number, service: string): void {
--- a/src/dispatch/common/test/throttleController.test.ts
+++ b/src/dispatch/common/runs/test/throttleController.test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
-import { LatencyModel } from "../latencyModel";
+import { LatencyModel } from "../../placement/latencyModel";
 import { ThrottleController } from "../throttleController";
-import { createStep, createWorker, place, report, TARGET_MS } from "./runs";
+import { createStep, createWorker, place, report, TARGET_MS } from "../../jobs/test/runs";
 
 test("runs that interfere are throttled, others keep their speed", t => {
     const worker = createWorker();
--- a/src/dispatch/common/test/unansweredStart.test.ts
+++ b/src/dispatch/common/runs/test/unansweredStart.test.ts
@@ -1,8 +1,8 @@
 import test from "ava";
-import { FailureController } from "../failureController";
-import { Task } from "../task";
-import { createController, createTask, lose, start } from "./failures";
-import { createWorker } from "./runs";
+import { FailureController } from "../../failures/failureController";
+import { Task } from "../../jobs/task";
+import { createController, createTask, lose, start } from "../../failures/test/failures";
+import { createWorker } from "../../jobs/test/runs";
 
 /** Time (ms) at which the call of a start that is sent at 0 times out. */
 const TIMEOUT_MS = 800;
--- a/src/dispatch/common/throttleController.ts
+++ b/src/dispatch/common/runs/throttleController.ts
@@ -1,6 +1,6 @@
-import { headroomOf, LatencyModel, measuredCpuShare } from "./latencyModel";
+import { headroomOf, LatencyModel, measuredCpuShare } from "../placement/latencyModel";
 import { Run } from "./run";
-import { WorkerContact } from "./workerContact";
+import { WorkerContact } from "../workers/workerContact";
 
 /** Headroom that latency-critical tasks keep, as ratio of target to tail latency: reports are delayed and imprecise. */
 const MIN_HEADROOM_RATIO = 1.12;
--- a/src/dispatch/common/dispatchEffects.ts
+++ b/src/dispatch/common/scheduler/dispatchEffects.ts
@@ -1,5 +1,5 @@
-import { RecordWriterEffect } from "../../records/common/recordEvents";
-import { WorkerEffect } from "./workerMessages";
+import { RecordWriterEffect } from "../../../records/common/recordEvents";
+import { WorkerEffect } from "../workers/workerMessages";
 
 /** Data of a decision, for the decision log. */
 export type DecisionData = Readonly<Record<string, string | number | boolean | undefined>>;
--- a/src/dispatch/common/passPacer.ts
+++ b/src/dispatch/common/scheduler/passPacer.ts
@@ -1,4 +1,4 @@
-import { WorkMeter } from "../../base/common/workMeter";
+import { WorkMeter } from "../../../base/common/workMeter";
 
 /** Minimum interval between passes over the waiting tasks, in ms. It grows with the workers: a pass visits them all. */
 const MIN_INTERVAL_MS = 20;
--- a/src/dispatch/common/schedulerContext.ts
+++ b/src/dispatch/common/scheduler/schedulerContext.ts
@@ -1,15 +1,15 @@
-import { EffectSink } from "../../base/common/effectSink";
-import { WorkMeter } from "../../base/common/workMeter";
-import { JobSource } from "../../jobs/common/shardJobs";
-import { ProgressTable } from "../../jobs/common/progressTable";
-import { QueueTable } from "../../jobs/common/queueTable";
-import { Leadership } from "../../records/common/leadership";
+import { EffectSink } from "../../../base/common/effectSink";
+import { WorkMeter } from "../../../base/common/workMeter";
+import { JobSource } from "../../../jobs/common/shardJobs";
+import { ProgressTable } from "../../../jobs/common/progressTable";
+import { QueueTable } from "../../../jobs/common/queueTable";
+import { Leadership } from "../../../records/common/leadership";
 import { DispatchEffect } from "./dispatchEffects";
 import { DispatchLimits } from "./dispatchLimits";
-import { EvacuationTable } from "./evacuationTable";
-import { InterferenceRow } from "./latencyModel";
-import { LeaseContext } from "./leaseBook";
-import { ShardFleet } from "./shardFleet";
+import { EvacuationTable } from "../workers/evacuationTable";
+import { InterferenceRow } from "../placement/latencyModel";
+import { LeaseContext } from "../workers/leaseBook";
+import { ShardFleet } from "../shards/shardFleet";
 import { StreamViews } from "./streamViews";
 
 /** Dependencies of the scheduler. */
--- a/src/dispatch/common/schedulerFailureHost.ts
+++ b/src/dispatch/common/scheduler/schedulerFailureHost.ts
@@ -1,6 +1,6 @@
-import { ActiveJob } from "./activeJob";
+import { ActiveJob } from "../jobs/activeJob";
 import { DecisionData, DecisionName } from "./dispatchEffects";
-import { FailureHost } from "./failureController";
+import { FailureHost } from "../failures/failureController";
 import type { Scheduler } from "./scheduler";
 
 /** Forwards the calls of the failure controller to the scheduler. */
--- a/src/dispatch/common/schedulerPace.ts
+++ b/src/dispatch/common/scheduler/schedulerPace.ts
@@ -1,5 +1,5 @@
 import { LeaderPace, LoopView } from "./streamViews";
-import { WorkerPool } from "./workerPool";
+import { WorkerPool } from "../workers/workerPool";
 
 /** How long the leader takes, as its loop and the answers to its starts show. */
 export class SchedulerPace implements LeaderPace {
--- a/src/dispatch/common/schedulerPoolHost.ts
+++ b/src/dispatch/common/scheduler/schedulerPoolHost.ts
@@ -1,8 +1,8 @@
-import { Run } from "./run";
+import { Run } from "../runs/run";
 import type { Scheduler } from "./scheduler";
-import { WorkerContact } from "./workerContact";
-import { PoolHost, WorkerLossCause } from "./workerPool";
-import { ListedEnd } from "./workerMessages";
+import { WorkerContact } from "../workers/workerContact";
+import { PoolHost, WorkerLossCause } from "../workers/workerPool";
+import { ListedEnd } from "../workers/workerMessages";
 
 /** Forwards the calls of the worker pool to the scheduler. */
 export class SchedulerPoolHost extends PoolHost {
--- a/src/dispatch/common/schedulerQueueHost.ts
+++ b/src/dispatch/common/scheduler/schedulerQueueHost.ts
@@ -1,8 +1,8 @@
-import { QueueHost } from "./queueHost";
-import { Run } from "./run";
+import { QueueHost } from "../waits/queueHost";
+import { Run } from "../runs/run";
 import type { Scheduler } from "./scheduler";
-import { Task } from "./task";
-import { WorkerContact } from "./workerContact";
+import { Task } from "../jobs/task";
+import { WorkerContact } from "../workers/workerContact";
 
 /** Forwards the calls of the step queue to the scheduler. */
 export class SchedulerQueueHost extends QueueHost {
--- a/src/dispatch/common/schedulerRunHost.ts
+++ b/src/dispatch/common/scheduler/schedulerRunHost.ts
@@ -1,5 +1,5 @@
-import { Run, RunHost, RunOutcome } from "./run";
-import { RunOrders } from "./runOrders";
+import { Run, RunHost, RunOutcome } from "../runs/run";
+import { RunOrders } from "../runs/runOrders";
 import type { Scheduler } from "./scheduler";
 
 /** Sends the orders of runs, and forwards their ends to the scheduler. */
--- a/src/dispatch/common/streamViews.ts
+++ b/src/dispatch/common/scheduler/streamViews.ts
@@ -1,4 +1,4 @@
-import { DelayState, DelaySummary } from "../../base/common/loopDelay";
+import { DelayState, DelaySummary } from "../../../base/common/loopDelay";
 
 /** How far a stream has been read. */
 export interface StreamView {
--- a/src/dispatch/common/test/passPacer.test.ts
+++ b/src/dispatch/common/scheduler/test/passPacer.test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { WorkMeter } from "../../../base/common/workMeter";
+import { WorkMeter } from "../../../../base/common/workMeter";
 import { PassPacer } from "../passPacer";
 
 /** Claims that each pass took a given time. */
--- a/src/dispatch/common/test/scheduler.test.ts
+++ b/src/dispatch/common/scheduler/test/scheduler.test.ts
@@ -1,9 +1,9 @@
 import test from "ava";
-import { StepSpec } from "../../../jobs/common/jobSpec";
+import { StepSpec } from "../../../../jobs/common/jobSpec";
 import { START_VALIDITY_MS } from "../dispatchLimits";
-import { WorkerEntry } from "../workerEntry";
-import { ListedEnd, OrderOutcome, StartOrder } from "../workerMessages";
-import { assign, createJob, createStep, createWorker, LIMITS, TARGET_MS } from "./runs";
+import { WorkerEntry } from "../../workers/workerEntry";
+import { ListedEnd, OrderOutcome, StartOrder } from "../../workers/workerMessages";
+import { assign, createJob, createStep, createWorker, LIMITS, TARGET_MS } from "../../jobs/test/runs";
 import { SchedulerFixture, TICK_MS } from "./schedulerFixture";
 
 function endOf(order: StartOrder): ListedEnd {
--- a/src/dispatch/common/test/viewController.test.ts
+++ b/src/dispatch/common/scheduler/test/viewController.test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { LEASE_MARGIN_MS, MIN_START_VALIDITY_MS, START_VALIDITY_MS } from "../dispatchLimits";
 import { ViewController } from "../viewController";
-import { LIMITS } from "./runs";
+import { LIMITS } from "../../jobs/test/runs";
 
 const NOW = 100_000;
 
--- a/src/dispatch/common/viewController.ts
+++ b/src/dispatch/common/scheduler/viewController.ts
@@ -1,6 +1,6 @@
-import { ChartLoader } from "../../base/common/chartLoader";
-import { ChartRegistry } from "../../base/common/chartRegistry";
-import { Machine } from "../../base/common/machine";
+import { ChartLoader } from "../../../base/common/chartLoader";
+import { ChartRegistry } from "../../../base/common/chartRegistry";
+import { Machine } from "../../../base/common/machine";
 import { DecisionData, DecisionName } from "./dispatchEffects";
 import { DispatchLimits, LEASE_MARGIN_MS, MIN_START_VALIDITY_MS, START_VALIDITY_MS } from "./dispatchLimits";
 import { StreamView, StreamViews } from "./streamViews";
--- a/src/dispatch/common/capacityShardPlanner.ts
+++ b/src/dispatch/common/shards/capacityShardPlanner.ts
@@ -1,4 +1,4 @@
-import { MAX_SHARDS } from "../../jobs/common/shardPlan";
+import { MAX_SHARDS } from "../../../jobs/common/shardPlan";
 import { Fleet, ShardPlanner } from "./shardPlanner";
 
 /** Workers for which one core of a leader is enough: it lists them, starts their tasks and places waiting ones in time. */
--- a/src/dispatch/common/loadPublisher.ts
+++ b/src/dispatch/common/shards/loadPublisher.ts
@@ -1,17 +1,17 @@
-import { isFinal } from "../../jobs/common/jobTable";
-import { QueueTable } from "../../jobs/common/queueTable";
-import { RecordWriter } from "../../records/common/recordWriter";
-import { ActiveJob } from "./activeJob";
-import { DecisionData, DecisionName } from "./dispatchEffects";
-import { addDemand, demandOf, waitingLastingTasks } from "./jobDemand";
+import { isFinal } from "../../../jobs/common/jobTable";
+import { QueueTable } from "../../../jobs/common/queueTable";
+import { RecordWriter } from "../../../records/common/recordWriter";
+import { ActiveJob } from "../jobs/activeJob";
+import { DecisionData, DecisionName } from "../scheduler/dispatchEffects";
+import { addDemand, demandOf, waitingLastingTasks } from "../jobs/jobDemand";
 import { addLoad, emptyLoad, percentOf, ServiceLoad } from "./serviceLoad";
-import { ServiceUsage } from "./serviceUsage";
+import { ServiceUsage } from "../workers/serviceUsage";
 import { ShardFleet } from "./shardFleet";
 import { encodeShardLoad, loadKey } from "./shardLoad";
-import { LeaderPace } from "./streamViews";
-import { hasRunBefore, Task } from "./task";
-import { WorkerContact } from "./workerContact";
-import { largestRooms, takePlace, WorkerRoom } from "./workerRoom";
+import { LeaderPace } from "../scheduler/streamViews";
+import { hasRunBefore, Task } from "../jobs/task";
+import { WorkerContact } from "../workers/workerContact";
+import { largestRooms, takePlace, WorkerRoom } from "../workers/workerRoom";
 
 /** Interval between two reviews of the load, and between two records of it, in ms: that of the leader's renewals. */
 const REVIEW_INTERVAL_MS = 300;
--- a/src/dispatch/common/roomTransferPolicy.ts
+++ b/src/dispatch/common/shards/roomTransferPolicy.ts
@@ -1,5 +1,5 @@
-import { MAX_LEADER_DELAY_MS } from "./dispatchLimits";
-import { JobDemand } from "./jobDemand";
+import { MAX_LEADER_DELAY_MS } from "../scheduler/dispatchLimits";
+import { JobDemand } from "../jobs/jobDemand";
 import { ShardOption, TaskOption, TaskTransferRequest, TransferPolicy, TransferRequest } from "./transferPolicy";
 
 /** How jobs of one kind are transferred. Pressures are shares of the CPU, memory or accelerators of a service in a shard. */
--- a/src/dispatch/common/shardBalancer.ts
+++ b/src/dispatch/common/shards/shardBalancer.ts
@@ -1,16 +1,16 @@
-import { StepSpec } from "../../jobs/common/jobSpec";
-import { QueueTable } from "../../jobs/common/queueTable";
-import { ActiveJob } from "./activeJob";
-import { ActiveJobTable } from "./activeJobTable";
+import { StepSpec } from "../../../jobs/common/jobSpec";
+import { QueueTable } from "../../../jobs/common/queueTable";
+import { ActiveJob } from "../jobs/activeJob";
+import { ActiveJobTable } from "../jobs/activeJobTable";
 import { MAX_LOAD_AGE_MS, PUBLICATION_DELAY_MS, REVIEW_INTERVAL_MS, stayMs } from "./balancing";
-import { DecisionData, DecisionName } from "./dispatchEffects";
-import { addDemand, demandOf, JobDemand, lastingStepsOf } from "./jobDemand";
+import { DecisionData, DecisionName } from "../scheduler/dispatchEffects";
+import { addDemand, demandOf, JobDemand, lastingStepsOf } from "../jobs/jobDemand";
 import { LoadPublisher } from "./loadPublisher";
 import { addLoad, emptyLoad, percentOf, ServiceLoad } from "./serviceLoad";
 import { ShardFleet } from "./shardFleet";
 import { suitabilityOf } from "./shardSuitability";
 import { ShardOption } from "./transferPolicy";
-import { WorkerEntry } from "./workerEntry";
+import { WorkerEntry } from "../workers/workerEntry";
 
 /** Limit of the jobs that one review transfers: the loads of the others do not show them yet. */
 const MAX_TRANSFERS_PER_REVIEW = 16;
--- a/src/dispatch/common/shardController.ts
+++ b/src/dispatch/common/shards/shardController.ts
@@ -1,17 +1,17 @@
-import { QueueTable } from "../../jobs/common/queueTable";
-import { RecordWriter } from "../../records/common/recordWriter";
-import { ActiveJobTable } from "./activeJobTable";
-import { DecisionData, DecisionName } from "./dispatchEffects";
+import { QueueTable } from "../../../jobs/common/queueTable";
+import { RecordWriter } from "../../../records/common/recordWriter";
+import { ActiveJobTable } from "../jobs/activeJobTable";
+import { DecisionData, DecisionName } from "../scheduler/dispatchEffects";
 import { LoadPublisher } from "./loadPublisher";
 import { RoomTransferPolicy } from "./roomTransferPolicy";
-import { ServiceUsage } from "./serviceUsage";
+import { ServiceUsage } from "../workers/serviceUsage";
 import { ShardBalancer } from "./shardBalancer";
 import { ShardFleet } from "./shardFleet";
 import { ShardLoadTable } from "./shardLoadTable";
-import { LeaderPace } from "./streamViews";
-import { Task } from "./task";
+import { LeaderPace } from "../scheduler/streamViews";
+import { Task } from "../jobs/task";
 import { TaskBalancer } from "./taskBalancer";
-import { WorkerContact } from "./workerContact";
+import { WorkerContact } from "../workers/workerContact";
 
 /** A fleet that is not divided. */
 const UNDIVIDED_FLEET: ShardFleet = {
--- a/src/dispatch/common/shardFleet.ts
+++ b/src/dispatch/common/shards/shardFleet.ts
@@ -1,6 +1,6 @@
 import { ShardLoadTable } from "./shardLoadTable";
 import { TransferPolicy } from "./transferPolicy";
-import { WorkerEntry } from "./workerEntry";
+import { WorkerEntry } from "../workers/workerEntry";
 
 /** What the leader of one shard knows of the fleet. */
 export interface ShardFleet {
--- a/src/dispatch/common/shardLoad.ts
+++ b/src/dispatch/common/shards/shardLoad.ts
@@ -1,7 +1,7 @@
 import * as z from "zod/mini";
-import { nameIn, parseShard } from "../../records/common/shardNames";
+import { nameIn, parseShard } from "../../../records/common/shardNames";
 import { ServiceLoad } from "./serviceLoad";
-import { WorkerRoom } from "./workerRoom";
+import { WorkerRoom } from "../workers/workerRoom";
 
 /** Key of the record that states the load of the first shard. */
 const LOAD_KEY = "load";
--- a/src/dispatch/common/shardLoadTable.ts
+++ b/src/dispatch/common/shards/shardLoadTable.ts
@@ -1,4 +1,4 @@
-import { StoredRecord } from "../../records/common/record";
+import { StoredRecord } from "../../../records/common/record";
 import { ServiceLoad } from "./serviceLoad";
 import { decodeShardLoad, parseLoadKey, ShardLoad } from "./shardLoad";
 
--- a/src/dispatch/common/shardSuitability.ts
+++ b/src/dispatch/common/shards/shardSuitability.ts
@@ -1,6 +1,6 @@
-import { StepSpec } from "../../jobs/common/jobSpec";
-import { ActiveJob } from "./activeJob";
-import { WorkerEntry } from "./workerEntry";
+import { StepSpec } from "../../../jobs/common/jobSpec";
+import { ActiveJob } from "../jobs/activeJob";
+import { WorkerEntry } from "../workers/workerEntry";
 
 /** Whether workers can run a job, by their kinds; how much of them is in use does not matter. */
 export interface Suitability {
--- a/src/dispatch/common/taskBalancer.ts
+++ b/src/dispatch/common/shards/taskBalancer.ts
@@ -1,13 +1,13 @@
-import { StepSpec } from "../../jobs/common/jobSpec";
-import { ActiveJob } from "./activeJob";
+import { StepSpec } from "../../../jobs/common/jobSpec";
+import { ActiveJob } from "../jobs/activeJob";
 import { MAX_LOAD_AGE_MS, REVIEW_INTERVAL_MS, stayMs, TASK_PUBLICATION_DELAY_MS } from "./balancing";
 import { BalancedShard, ShardBalancer } from "./shardBalancer";
 import { ShardFleet } from "./shardFleet";
-import { mayStart } from "./suspectTable";
-import { hasRunBefore, Task } from "./task";
+import { mayStart } from "../failures/suspectTable";
+import { hasRunBefore, Task } from "../jobs/task";
 import { TaskOption } from "./transferPolicy";
-import { WorkerEntry } from "./workerEntry";
-import { countPlaces, takePlace, WorkerRoom } from "./workerRoom";
+import { WorkerEntry } from "../workers/workerEntry";
+import { countPlaces, takePlace, WorkerRoom } from "../workers/workerRoom";
 
 /** A task that was left to another shard, whose published room may not account for it yet. */
 interface RecentTask {
--- a/src/dispatch/common/taskTransferTable.ts
+++ b/src/dispatch/common/shards/taskTransferTable.ts
@@ -1,10 +1,10 @@
-import { JobEntry } from "../../jobs/common/jobTable";
-import { JobSource } from "../../jobs/common/shardJobs";
-import { FIRST_SHARD } from "../../jobs/common/shardPlan";
-import { TaskTransfer } from "../../jobs/common/taskTransfer";
-import { RecordOffset } from "../../records/common/record";
-import { ActiveJob } from "./activeJob";
-import { Task } from "./task";
+import { JobEntry } from "../../../jobs/common/jobTable";
+import { JobSource } from "../../../jobs/common/shardJobs";
+import { FIRST_SHARD } from "../../../jobs/common/shardPlan";
+import { TaskTransfer } from "../../../jobs/common/taskTransfer";
+import { RecordOffset } from "../../../records/common/record";
+import { ActiveJob } from "../jobs/activeJob";
+import { Task } from "../jobs/task";
 
 /** In which shard a leader is, and each job. */
 export type JobPlaces = Pick<JobSource, "shard" | "homeOf">;
--- a/src/dispatch/common/test/loadPublisher.test.ts
+++ b/src/dispatch/common/shards/test/loadPublisher.test.ts
@@ -1,17 +1,17 @@
 import test from "ava";
-import { Outbox } from "../../../base/common/outbox";
-import { QueueTable } from "../../../jobs/common/queueTable";
-import { RecordEffect } from "../../../records/common/recordEvents";
-import { RecordWriter } from "../../../records/common/recordWriter";
-import { ActiveJob } from "../activeJob";
-import { DecisionData } from "../dispatchEffects";
+import { Outbox } from "../../../../base/common/outbox";
+import { QueueTable } from "../../../../jobs/common/queueTable";
+import { RecordEffect } from "../../../../records/common/recordEvents";
+import { RecordWriter } from "../../../../records/common/recordWriter";
+import { ActiveJob } from "../../jobs/activeJob";
+import { DecisionData } from "../../scheduler/dispatchEffects";
 import { LoadPublisher } from "../loadPublisher";
 import { RoomTransferPolicy } from "../roomTransferPolicy";
-import { ServiceUsage } from "../serviceUsage";
+import { ServiceUsage } from "../../workers/serviceUsage";
 import { decodeShardLoad, encodeShardLoad, loadKey, parseLoadKey } from "../shardLoad";
 import { ShardLoadTable } from "../shardLoadTable";
-import { WorkerRoom } from "../workerRoom";
-import { createBestEffort, createJob, createStep, createWorker, place } from "./runs";
+import { WorkerRoom } from "../../workers/workerRoom";
+import { createBestEffort, createJob, createStep, createWorker, place } from "../../jobs/test/runs";
 
 /** What each task requests. */
 const REQUEST = { cpuMillis: 16_000, memoryMb: 64_000, accelerators: 0 };
--- a/src/dispatch/common/test/roomTransferPolicy.test.ts
+++ b/src/dispatch/common/shards/test/roomTransferPolicy.test.ts
@@ -1,10 +1,10 @@
 import test from "ava";
-import { JobDemand } from "../jobDemand";
+import { JobDemand } from "../../jobs/jobDemand";
 import { RoomTransferPolicy } from "../roomTransferPolicy";
 import { emptyLoad } from "../serviceLoad";
 import { suitabilityOf } from "../shardSuitability";
 import { ShardOption, TaskOption } from "../transferPolicy";
-import { createBestEffort, createJob, createStep, createWorker } from "./runs";
+import { createBestEffort, createJob, createStep, createWorker } from "../../jobs/test/runs";
 
 const policy = RoomTransferPolicy.create();
 
--- a/src/dispatch/common/test/shardBalancer.test.ts
+++ b/src/dispatch/common/shards/test/shardBalancer.test.ts
@@ -1,21 +1,21 @@
 import test from "ava";
-import { Outbox } from "../../../base/common/outbox";
-import { encodeSpec, jobKey } from "../../../jobs/common/jobRecord";
-import { StepSpec } from "../../../jobs/common/jobSpec";
-import { JobTable } from "../../../jobs/common/jobTable";
-import { QueueTable } from "../../../jobs/common/queueTable";
-import { RecordEffect } from "../../../records/common/recordEvents";
-import { RecordWriter } from "../../../records/common/recordWriter";
-import { ActiveJobTable } from "../activeJobTable";
+import { Outbox } from "../../../../base/common/outbox";
+import { encodeSpec, jobKey } from "../../../../jobs/common/jobRecord";
+import { StepSpec } from "../../../../jobs/common/jobSpec";
+import { JobTable } from "../../../../jobs/common/jobTable";
+import { QueueTable } from "../../../../jobs/common/queueTable";
+import { RecordEffect } from "../../../../records/common/recordEvents";
+import { RecordWriter } from "../../../../records/common/recordWriter";
+import { ActiveJobTable } from "../../jobs/activeJobTable";
 import { LoadPublisher } from "../loadPublisher";
 import { RoomTransferPolicy } from "../roomTransferPolicy";
 import { emptyLoad, ServiceLoad } from "../serviceLoad";
-import { ServiceUsage } from "../serviceUsage";
+import { ServiceUsage } from "../../workers/serviceUsage";
 import { ShardBalancer } from "../shardBalancer";
 import { encodeShardLoad } from "../shardLoad";
 import { ShardLoadTable } from "../shardLoadTable";
-import { WorkerEntry } from "../workerEntry";
-import { createJob, createStep, createWorker, place } from "./runs";
+import { WorkerEntry } from "../../workers/workerEntry";
+import { createJob, createStep, createWorker, place } from "../../jobs/test/runs";
 
 /** CPU of each shard, in thousandths of a core: that of one worker. */
 const SHARD_MILLIS = 64_000;
--- a/src/dispatch/common/transferPolicy.ts
+++ b/src/dispatch/common/shards/transferPolicy.ts
@@ -1,4 +1,4 @@
-import { JobDemand } from "./jobDemand";
+import { JobDemand } from "../jobs/jobDemand";
 import { ServiceLoad } from "./serviceLoad";
 
 /** A shard that may schedule a job. */
--- a/src/dispatch/common/boundedWaitPolicy.ts
+++ b/src/dispatch/common/waits/boundedWaitPolicy.ts
@@ -1,5 +1,5 @@
-import { MAX_IDLE_MS, MAX_LEADER_DELAY_MS, START_DELAY_MS } from "./dispatchLimits";
-import { UsedRatios } from "./serviceUsage";
+import { MAX_IDLE_MS, MAX_LEADER_DELAY_MS, START_DELAY_MS } from "../scheduler/dispatchLimits";
+import { UsedRatios } from "../workers/serviceUsage";
 import { ANY_WORKER_PERCENT, fallingSpeedPercent, Wait, WaitPolicy } from "./waitPolicy";
 
 /**
--- a/src/dispatch/common/idleReporter.ts
+++ b/src/dispatch/common/waits/idleReporter.ts
@@ -1,6 +1,6 @@
-import { Emitter } from "../../base/common/emitter";
-import { isFinal } from "../../jobs/common/jobTable";
-import { ActiveJob } from "./activeJob";
+import { Emitter } from "../../../base/common/emitter";
+import { isFinal } from "../../../jobs/common/jobTable";
+import { ActiveJob } from "../jobs/activeJob";
 import { isAtWork } from "./waitTable";
 
 /** Interval between two reviews, in ms, since each visits all tasks of the jobs. */
--- a/src/dispatch/common/lastingWaitReporter.ts
+++ b/src/dispatch/common/waits/lastingWaitReporter.ts
@@ -1,7 +1,7 @@
-import { Emitter } from "../../base/common/emitter";
-import { Placer, Shortage } from "./placer";
-import { hasRunBefore, Task } from "./task";
-import { isLongRunning } from "./taskGroups";
+import { Emitter } from "../../../base/common/emitter";
+import { Placer, Shortage } from "../placement/placer";
+import { hasRunBefore, Task } from "../jobs/task";
+import { isLongRunning } from "../jobs/taskGroups";
 import { WaitingTasks } from "./waitReporter";
 
 /** Time for which a task must have been without a run to be counted, in ms. */
--- a/src/dispatch/common/objectiveOrder.ts
+++ b/src/dispatch/common/waits/objectiveOrder.ts
@@ -1,4 +1,4 @@
-import { ActiveJob } from "./activeJob";
+import { ActiveJob } from "../jobs/activeJob";
 import { Timeliness, WaitingOrder, WaitingRank } from "./waitingOrder";
 
 /** A job that ends after this multiple of the time from its acceptance to its objective has no value left. */
--- a/src/dispatch/common/queueHost.ts
+++ b/src/dispatch/common/waits/queueHost.ts
@@ -1,6 +1,6 @@
-import { Run } from "./run";
-import { Task } from "./task";
-import { WorkerContact } from "./workerContact";
+import { Run } from "../runs/run";
+import { Task } from "../jobs/task";
+import { WorkerContact } from "../workers/workerContact";
 
 /** Carries out what a step queue decides. */
 export abstract class QueueHost {
--- a/src/dispatch/common/test/idleReporter.test.ts
+++ b/src/dispatch/common/waits/test/idleReporter.test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
-import { ActiveJob } from "../activeJob";
+import { ActiveJob } from "../../jobs/activeJob";
 import { IdleReport, IdleReporter } from "../idleReporter";
-import { createBestEffort, createWorker, place, report } from "./runs";
+import { createBestEffort, createWorker, place, report } from "../../jobs/test/runs";
 
 const PASS_INTERVAL_MS = 100;
 
--- a/src/dispatch/common/test/lastingWaitReporter.test.ts
+++ b/src/dispatch/common/waits/test/lastingWaitReporter.test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { LastingWaitReport } from "../lastingWaitReporter";
-import { LatencyModel } from "../latencyModel";
-import { assign, createJob, createQueue, createStep, createWorker, place } from "./runs";
+import { LatencyModel } from "../../placement/latencyModel";
+import { assign, createJob, createQueue, createStep, createWorker, place } from "../../jobs/test/runs";
 
 const PASS_INTERVAL_MS = 100;
 
--- a/src/dispatch/common/test/objectiveOrder.test.ts
+++ b/src/dispatch/common/waits/test/objectiveOrder.test.ts
@@ -1,13 +1,13 @@
 import test from "ava";
-import { QueueTable } from "../../../jobs/common/queueTable";
-import { Random } from "../../../proof/node/random";
-import { ActiveJob } from "../activeJob";
-import { LatencyModel } from "../latencyModel";
+import { QueueTable } from "../../../../jobs/common/queueTable";
+import { Random } from "../../../../proof/node/random";
+import { ActiveJob } from "../../jobs/activeJob";
+import { LatencyModel } from "../../placement/latencyModel";
 import { ObjectiveOrder } from "../objectiveOrder";
 import { StepQueue } from "../stepQueue";
-import { SuspectTable } from "../suspectTable";
+import { SuspectTable } from "../../failures/suspectTable";
 import { WaitingOrder, WaitingRank } from "../waitingOrder";
-import { assign, AssigningHost, createJob, createStep, createWorker } from "./runs";
+import { assign, AssigningHost, createJob, createStep, createWorker } from "../../jobs/test/runs";
 
 const ESTIMATE_MS = 2_000;
 const STEP_MS = 100;
--- a/src/dispatch/common/test/reservedWaits.test.ts
+++ b/src/dispatch/common/waits/test/reservedWaits.test.ts
@@ -1,12 +1,12 @@
 import test from "ava";
-import { QueueTable } from "../../../jobs/common/queueTable";
-import { ActiveJob } from "../activeJob";
-import { LatencyModel } from "../latencyModel";
+import { QueueTable } from "../../../../jobs/common/queueTable";
+import { ActiveJob } from "../../jobs/activeJob";
+import { LatencyModel } from "../../placement/latencyModel";
 import { StepQueue } from "../stepQueue";
-import { SuspectTable } from "../suspectTable";
-import { TaskSuspicion } from "../taskSuspicion";
-import { WorkerContact } from "../workerContact";
-import { AssigningHost, createJob, createQueue, createStep, createWorker, place, report } from "./runs";
+import { SuspectTable } from "../../failures/suspectTable";
+import { TaskSuspicion } from "../../failures/taskSuspicion";
+import { WorkerContact } from "../../workers/workerContact";
+import { AssigningHost, createJob, createQueue, createStep, createWorker, place, report } from "../../jobs/test/runs";
 
 /** Time without any run after which a task that lasts must be assigned, in ms: callers accept 3 s, of which the leader takes some. */
 const MAX_IDLE_MS = 3_000 - 500;
--- a/src/dispatch/common/test/stepQueue.test.ts
+++ b/src/dispatch/common/waits/test/stepQueue.test.ts
@@ -1,13 +1,13 @@
 import test from "ava";
-import { StepSpec } from "../../../jobs/common/jobSpec";
-import { QueueTable } from "../../../jobs/common/queueTable";
-import { ActiveJob } from "../activeJob";
-import { LatencyModel } from "../latencyModel";
+import { StepSpec } from "../../../../jobs/common/jobSpec";
+import { QueueTable } from "../../../../jobs/common/queueTable";
+import { ActiveJob } from "../../jobs/activeJob";
+import { LatencyModel } from "../../placement/latencyModel";
 import { StepQueue } from "../stepQueue";
-import { SuspectTable } from "../suspectTable";
-import { TaskSuspicion } from "../taskSuspicion";
+import { SuspectTable } from "../../failures/suspectTable";
+import { TaskSuspicion } from "../../failures/taskSuspicion";
 import { WaitReport } from "../waitReporter";
-import { WorkerContact } from "../workerContact";
+import { WorkerContact } from "../../workers/workerContact";
 import {
     assign,
     AssigningHost,
@@ -20,7 +20,7 @@
     HEAVY_MODEL,
     place,
     report,
-} from "./runs";
+} from "../../jobs/test/runs";
 
 /** Places the waiting tasks of two jobs in one pass. @returns Number of tasks of the second job that are placed. */
 function placeBehind(first: ActiveJob, second: ActiveJob, workers: readonly WorkerContact[]): number {
--- a/src/dispatch/common/test/stepQueueMoves.test.ts
+++ b/src/dispatch/common/waits/test/stepQueueMoves.test.ts
@@ -1,10 +1,10 @@
 import test from "ava";
-import { StepSpec } from "../../../jobs/common/jobSpec";
-import { ActiveJob } from "../activeJob";
-import { LatencyModel } from "../latencyModel";
-import { Run } from "../run";
-import { Task } from "../task";
-import { WorkerContact } from "../workerContact";
+import { StepSpec } from "../../../../jobs/common/jobSpec";
+import { ActiveJob } from "../../jobs/activeJob";
+import { LatencyModel } from "../../placement/latencyModel";
+import { Run } from "../../runs/run";
+import { Task } from "../../jobs/task";
+import { WorkerContact } from "../../workers/workerContact";
 import {
     assign,
     AssigningHost,
@@ -14,7 +14,7 @@
     createQueue,
     createWorker,
     HEAVY_MODEL,
-} from "./runs";
+} from "../../jobs/test/runs";
 
 /** Assigns the tasks of a best-effort job to workers, one each. @returns Its runs, all throttled since the start. */
 function assignThrottled(job: ActiveJob, workers: readonly WorkerContact[]): Run[] {
--- a/src/dispatch/common/test/stepQueueWaits.test.ts
+++ b/src/dispatch/common/waits/test/stepQueueWaits.test.ts
@@ -1,13 +1,13 @@
 import test from "ava";
-import { StepSpec } from "../../../jobs/common/jobSpec";
-import { QueueTable } from "../../../jobs/common/queueTable";
-import { ActiveJob } from "../activeJob";
-import { LatencyModel } from "../latencyModel";
+import { StepSpec } from "../../../../jobs/common/jobSpec";
+import { QueueTable } from "../../../../jobs/common/queueTable";
+import { ActiveJob } from "../../jobs/activeJob";
+import { LatencyModel } from "../../placement/latencyModel";
 import { ObjectiveOrder } from "../objectiveOrder";
 import { StepQueue } from "../stepQueue";
-import { SuspectTable } from "../suspectTable";
-import { Task } from "../task";
-import { WorkerContact } from "../workerContact";
+import { SuspectTable } from "../../failures/suspectTable";
+import { Task } from "../../jobs/task";
+import { WorkerContact } from "../../workers/workerContact";
 import {
     AssigningHost,
     assign,
@@ -20,7 +20,7 @@
     HEAVY_MODEL,
     place,
     report,
-} from "./runs";
+} from "../../jobs/test/runs";
 
 /**
  * Time without any run after which a run must be assigned while workers have room, in ms: callers accept 3 s, of which a leader
--- a/src/dispatch/common/test/waitController.test.ts
+++ b/src/dispatch/common/waits/test/waitController.test.ts
@@ -1,12 +1,12 @@
 import test from "ava";
-import { ActiveJob } from "../activeJob";
-import { emptyLoad, ServiceLoad } from "../serviceLoad";
-import { ServiceUsage } from "../serviceUsage";
-import { Task } from "../task";
+import { ActiveJob } from "../../jobs/activeJob";
+import { emptyLoad, ServiceLoad } from "../../shards/serviceLoad";
+import { ServiceUsage } from "../../workers/serviceUsage";
+import { Task } from "../../jobs/task";
 import { WaitController } from "../waitController";
-import { WorkerContact } from "../workerContact";
+import { WorkerContact } from "../../workers/workerContact";
 import { ANY_WORKER_PERCENT } from "../waitPolicy";
-import { assign, createBestEffort, createJob, createStep, createWorker, place, report } from "./runs";
+import { assign, createBestEffort, createJob, createStep, createWorker, place, report } from "../../jobs/test/runs";
 
 const INTERVAL_MS = 100;
 
--- a/src/dispatch/common/test/waitRegressions.test.ts
+++ b/src/dispatch/common/waits/test/waitRegressions.test.ts
@@ -1,10 +1,10 @@
 import test from "ava";
-import { QueueTable } from "../../../jobs/common/queueTable";
-import { FailureController, FailureHost } from "../failureController";
-import { LatencyModel } from "../latencyModel";
+import { QueueTable } from "../../../../jobs/common/queueTable";
+import { FailureController, FailureHost } from "../../failures/failureController";
+import { LatencyModel } from "../../placement/latencyModel";
 import { StepQueue } from "../stepQueue";
-import { SuspectTable } from "../suspectTable";
-import { WorkerContact } from "../workerContact";
+import { SuspectTable } from "../../failures/suspectTable";
+import { WorkerContact } from "../../workers/workerContact";
 import {
     AssigningHost,
     assign,
@@ -15,7 +15,7 @@
     createWorker,
     place,
     report,
-} from "./runs";
+} from "../../jobs/test/runs";
 
 /** Adds a run with reserved CPU to each worker. */
 function fill(workers: readonly WorkerContact[], cpuMillis: number, memoryMb: number, now: number): void {
--- a/src/dispatch/common/test/waitingIndex.test.ts
+++ b/src/dispatch/common/waits/test/waitingIndex.test.ts
@@ -1,16 +1,25 @@
 import test from "ava";
-import { StepSpec } from "../../../jobs/common/jobSpec";
-import { Random } from "../../../proof/node/random";
-import { ActiveJob } from "../activeJob";
-import { LatencyModel } from "../latencyModel";
-import { QueueTable } from "../../../jobs/common/queueTable";
+import { StepSpec } from "../../../../jobs/common/jobSpec";
+import { Random } from "../../../../proof/node/random";
+import { ActiveJob } from "../../jobs/activeJob";
+import { LatencyModel } from "../../placement/latencyModel";
+import { QueueTable } from "../../../../jobs/common/queueTable";
 import { StepQueue } from "../stepQueue";
-import { SuspectTable } from "../suspectTable";
-import { Task } from "../task";
-import { TaskSuspicion } from "../taskSuspicion";
+import { SuspectTable } from "../../failures/suspectTable";
+import { Task } from "../../jobs/task";
+import { TaskSuspicion } from "../../failures/taskSuspicion";
 import { WaitingIndex } from "../waitingIndex";
-import { WorkerContact } from "../workerContact";
-import { assign, AssigningHost, createJob, createStep, createWorker, place, report, TARGET_MS } from "./runs";
+import { WorkerContact } from "../../workers/workerContact";
+import {
+    assign,
+    AssigningHost,
+    createJob,
+    createStep,
+    createWorker,
+    place,
+    report,
+    TARGET_MS,
+} from "../../jobs/test/runs";
 
 const PASS_MS = 50;
 const LENGTH_MS = 30_000;
--- a/src/dispatch/common/waitController.ts
+++ b/src/dispatch/common/waits/waitController.ts
@@ -1,14 +1,14 @@
-import { ActiveJob, TaskGroup } from "./activeJob";
+import { ActiveJob, TaskGroup } from "../jobs/activeJob";
 import { BoundedWaitPolicy } from "./boundedWaitPolicy";
-import { MAX_IDLE_MS, START_DELAY_MS } from "./dispatchLimits";
+import { MAX_IDLE_MS, START_DELAY_MS } from "../scheduler/dispatchLimits";
 import { PatientWaitPolicy } from "./patientWaitPolicy";
-import { Run, RunState } from "./run";
-import { ServiceUsage, UNUSED, UsageReport } from "./serviceUsage";
-import { LeaderPace } from "./streamViews";
-import { Task } from "./task";
+import { Run, RunState } from "../runs/run";
+import { ServiceUsage, UNUSED, UsageReport } from "../workers/serviceUsage";
+import { LeaderPace } from "../scheduler/streamViews";
+import { Task } from "../jobs/task";
 import { ANY_WORKER_PERCENT, Wait } from "./waitPolicy";
 import { isAtWork, WaitTable } from "./waitTable";
-import { WorkerContact } from "./workerContact";
+import { WorkerContact } from "../workers/workerContact";
 
 /** Time within which a start is answered by a worker that can be reached, in ms, apart from the leader's own delay. */
 const START_ANSWER_MS = 1_000;
--- a/src/dispatch/common/waitLog.ts
+++ b/src/dispatch/common/waits/waitLog.ts
@@ -1,10 +1,10 @@
-import { Disposable } from "../../base/common/disposable";
-import { DisposableStore } from "../../base/common/disposableStore";
-import { ActiveJob } from "./activeJob";
+import { Disposable } from "../../../base/common/disposable";
+import { DisposableStore } from "../../../base/common/disposableStore";
+import { ActiveJob } from "../jobs/activeJob";
 import { IdleReporter } from "./idleReporter";
-import { StartAdmission } from "./startAdmission";
+import { StartAdmission } from "../runs/startAdmission";
 import { StepQueue } from "./stepQueue";
-import { LogDecision, ViewController } from "./viewController";
+import { LogDecision, ViewController } from "../scheduler/viewController";
 
 /** Logs which jobs and tasks wait or stand still, and why. */
 export class WaitLog implements Disposable {
--- a/src/dispatch/common/waitPolicy.ts
+++ b/src/dispatch/common/waits/waitPolicy.ts
@@ -1,4 +1,4 @@
-import { UsedRatios } from "./serviceUsage";
+import { UsedRatios } from "../workers/serviceUsage";
 
 /** Lowest speed of a task that starts on any worker on which it fits, also on one that is closed below full speed. */
 export const ANY_WORKER_PERCENT = -1;
--- a/src/dispatch/common/waitReporter.ts
+++ b/src/dispatch/common/waits/waitReporter.ts
@@ -1,7 +1,7 @@
-import { Emitter } from "../../base/common/emitter";
-import { TaskGroup } from "./activeJob";
-import { Obstacle, Placer } from "./placer";
-import { Task } from "./task";
+import { Emitter } from "../../../base/common/emitter";
+import { TaskGroup } from "../jobs/activeJob";
+import { Obstacle, Placer } from "../placement/placer";
+import { Task } from "../jobs/task";
 import { WaitConditions } from "./waitController";
 
 /** Time for which a job must have waited with a step that is ready and no run before it is reported, in ms. */
--- a/src/dispatch/common/waitTable.ts
+++ b/src/dispatch/common/waits/waitTable.ts
@@ -1,6 +1,6 @@
-import { ActiveJob, TaskGroup } from "./activeJob";
-import { Run } from "./run";
-import { Task } from "./task";
+import { ActiveJob, TaskGroup } from "../jobs/activeJob";
+import { Run } from "../runs/run";
+import { Task } from "../jobs/task";
 
 /**
  * Time after its latest report for which a run counts as at work, in ms: somewhat longer than the interval between the reports
--- a/src/dispatch/common/waitingGroup.ts
+++ b/src/dispatch/common/waits/waitingGroup.ts
@@ -1,5 +1,5 @@
-import { TaskGroup } from "./activeJob";
-import { Task } from "./task";
+import { TaskGroup } from "../jobs/activeJob";
+import { Task } from "../jobs/task";
 import { IndexedEntry } from "./waitingIndex";
 import { WaitingRank } from "./waitingOrder";
 
--- a/src/dispatch/common/waitingIndex.ts
+++ b/src/dispatch/common/waits/waitingIndex.ts
@@ -1,4 +1,4 @@
-import { ActiveJob, TaskGroup } from "./activeJob";
+import { ActiveJob, TaskGroup } from "../jobs/activeJob";
 
 /** What the index records of an entry; it is set by the index. */
 export interface IndexedEntry {
--- a/src/dispatch/common/waitingOrder.ts
+++ b/src/dispatch/common/waits/waitingOrder.ts
@@ -1,4 +1,4 @@
-import { ActiveJob } from "./activeJob";
+import { ActiveJob } from "../jobs/activeJob";
 
 /** Whether a job can still meet its objective, will be late, or will be so late that it has no value. */
 export type Timeliness = "in-time" | "late" | "no-value";
--- a/src/dispatch/common/evacuationTable.ts
+++ b/src/dispatch/common/workers/evacuationTable.ts
@@ -1,4 +1,4 @@
-import { Emitter } from "../../base/common/emitter";
+import { Emitter } from "../../../base/common/emitter";
 
 /** The evacuation of a failure domain is requested, or taken back. */
 export interface EvacuationChange {
--- a/src/dispatch/common/fenceProbe.ts
+++ b/src/dispatch/common/workers/fenceProbe.ts
@@ -1,9 +1,9 @@
-import { ChartLoader } from "../../base/common/chartLoader";
-import { ChartRegistry } from "../../base/common/chartRegistry";
-import { Machine } from "../../base/common/machine";
-import { probeFenceOf } from "../../records/common/fence";
-import { FENCE_SETTLING_MS } from "../../records/common/outageRight";
-import { RenewalRecord } from "../../records/common/renewalRecord";
+import { ChartLoader } from "../../../base/common/chartLoader";
+import { ChartRegistry } from "../../../base/common/chartRegistry";
+import { Machine } from "../../../base/common/machine";
+import { probeFenceOf } from "../../../records/common/fence";
+import { FENCE_SETTLING_MS } from "../../../records/common/outageRight";
+import { RenewalRecord } from "../../../records/common/renewalRecord";
 import chartText from "./fenceProbe.chart.yaml";
 import { OrderOutcome } from "./workerMessages";
 
--- a/src/dispatch/common/leaseBook.ts
+++ b/src/dispatch/common/workers/leaseBook.ts
@@ -1,8 +1,8 @@
-import { withDrift } from "../../coordination/common/duration";
-import { UNSTATED_WINDOW_MS } from "../../records/common/formerLeaders";
-import { Leadership } from "../../records/common/leadership";
-import { WitnessClocks } from "../../records/common/witnessClocks";
-import { DispatchLimits } from "./dispatchLimits";
+import { withDrift } from "../../../coordination/common/duration";
+import { UNSTATED_WINDOW_MS } from "../../../records/common/formerLeaders";
+import { Leadership } from "../../../records/common/leadership";
+import { WitnessClocks } from "../../../records/common/witnessClocks";
+import { DispatchLimits } from "../scheduler/dispatchLimits";
 import { LeaseTable } from "./leaseTable";
 import type { WorkerContact } from "./workerContact";
 import { LeaseWriter, WorkerLease } from "./workerLease";
--- a/src/dispatch/common/leaseRecord.ts
+++ b/src/dispatch/common/workers/leaseRecord.ts
@@ -1,6 +1,6 @@
 import * as z from "zod/mini";
-import { nameIn, parseShard } from "../../records/common/shardNames";
-import { WitnessReading, witnessReadingsSchema } from "../../records/common/witnessClocks";
+import { nameIn, parseShard } from "../../../records/common/shardNames";
+import { WitnessReading, witnessReadingsSchema } from "../../../records/common/witnessClocks";
 
 /** First part of a key, before the worker, in the first shard. */
 const LEASE_PREFIX = "lease";
--- a/src/dispatch/common/leaseTable.ts
+++ b/src/dispatch/common/workers/leaseTable.ts
@@ -1,6 +1,6 @@
-import { withDrift } from "../../coordination/common/duration";
-import { RecordOffset, StoredRecord } from "../../records/common/record";
-import { WitnessClocks } from "../../records/common/witnessClocks";
+import { withDrift } from "../../../coordination/common/duration";
+import { RecordOffset, StoredRecord } from "../../../records/common/record";
+import { WitnessClocks } from "../../../records/common/witnessClocks";
 import { decodeLease, leaseKey, LeaseRecord, parseLeaseKey } from "./leaseRecord";
 
 interface RecordedLease {
--- a/src/dispatch/common/serviceUsage.ts
+++ b/src/dispatch/common/workers/serviceUsage.ts
@@ -1,6 +1,6 @@
-import { StepSpec } from "../../jobs/common/jobSpec";
-import { addLoad, emptyLoad, percentOf, ServiceLoad } from "./serviceLoad";
-import { Task } from "./task";
+import { StepSpec } from "../../../jobs/common/jobSpec";
+import { addLoad, emptyLoad, percentOf, ServiceLoad } from "../shards/serviceLoad";
+import { Task } from "../jobs/task";
 import { WorkerContact } from "./workerContact";
 
 /** Interval between two reviews, in ms, since each visits all runs. */
--- a/src/dispatch/common/test/fenceProbe.test.ts
+++ b/src/dispatch/common/workers/test/fenceProbe.test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { RenewalRecord } from "../../../records/common/renewalRecord";
+import { RenewalRecord } from "../../../../records/common/renewalRecord";
 import { FenceProbe } from "../fenceProbe";
 
 const WITNESSES = ["w1", "w2", "w3"].map(id => ({ id, incarnation: 5, clockMs: 0 }));
--- a/src/dispatch/common/test/leaseBook.test.ts
+++ b/src/dispatch/common/workers/test/leaseBook.test.ts
@@ -1,13 +1,22 @@
 import test from "ava";
 import { Ok } from "ts-results";
-import { Outbox } from "../../../base/common/outbox";
-import { UNSTATED_WINDOW_MS } from "../../../records/common/formerLeaders";
-import { WitnessClocks } from "../../../records/common/witnessClocks";
-import { DispatchEffect } from "../dispatchEffects";
+import { Outbox } from "../../../../base/common/outbox";
+import { UNSTATED_WINDOW_MS } from "../../../../records/common/formerLeaders";
+import { WitnessClocks } from "../../../../records/common/witnessClocks";
+import { DispatchEffect } from "../../scheduler/dispatchEffects";
 import { encodeLease, leaseKey } from "../leaseRecord";
 import { LeaseTable } from "../leaseTable";
 import { PoolHost, WorkerPool } from "../workerPool";
-import { assign, AUTHORITY, createJob, createLeases, createStep, createWorker, LIMITS, readingOf } from "./runs";
+import {
+    assign,
+    AUTHORITY,
+    createJob,
+    createLeases,
+    createStep,
+    createWorker,
+    LIMITS,
+    readingOf,
+} from "../../jobs/test/runs";
 
 class NoopPoolHost extends PoolHost {
     override onEndReported(): void {}
--- a/src/dispatch/common/test/workerCensus.test.ts
+++ b/src/dispatch/common/workers/test/workerCensus.test.ts
@@ -1,10 +1,10 @@
 import test from "ava";
-import { Outbox } from "../../../base/common/outbox";
-import { QueueTable } from "../../../jobs/common/queueTable";
-import { DecisionEffect } from "../dispatchEffects";
+import { Outbox } from "../../../../base/common/outbox";
+import { QueueTable } from "../../../../jobs/common/queueTable";
+import { DecisionEffect } from "../../scheduler/dispatchEffects";
 import { EvacuationTable } from "../evacuationTable";
-import { StartAdmission } from "../startAdmission";
-import { createWorker } from "./runs";
+import { StartAdmission } from "../../runs/startAdmission";
+import { createWorker } from "../../jobs/test/runs";
 
 /** @returns An admission, and the data of its log lines of one name. */
 function createAdmission(evacuations = EvacuationTable.create()) {
--- a/src/dispatch/common/test/workerContact.test.ts
+++ b/src/dispatch/common/workers/test/workerContact.test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { createStep, createWorker, place } from "./runs";
+import { createStep, createWorker, place } from "../../jobs/test/runs";
 
 test("a worker on trial is not left unused because a best-effort run there makes no progress", t => {
     const worker = createWorker();
--- a/src/dispatch/common/test/workerPool.test.ts
+++ b/src/dispatch/common/workers/test/workerPool.test.ts
@@ -1,11 +1,11 @@
 import test from "ava";
-import { Outbox } from "../../../base/common/outbox";
-import { MAX_CLOCK_DRIFT_RATIO } from "../../../coordination/common/duration";
-import { decodeProgress, encodeProgress } from "../../../jobs/common/jobRecord";
-import { ActiveJob } from "../activeJob";
-import { DispatchEffect } from "../dispatchEffects";
-import { TaskSuspicion } from "../taskSuspicion";
-import { Run } from "../run";
+import { Outbox } from "../../../../base/common/outbox";
+import { MAX_CLOCK_DRIFT_RATIO } from "../../../../coordination/common/duration";
+import { decodeProgress, encodeProgress } from "../../../../jobs/common/jobRecord";
+import { ActiveJob } from "../../jobs/activeJob";
+import { DispatchEffect } from "../../scheduler/dispatchEffects";
+import { TaskSuspicion } from "../../failures/taskSuspicion";
+import { Run } from "../../runs/run";
 import { WorkerContact } from "../workerContact";
 import { PoolHost, WorkerPool } from "../workerPool";
 import {
@@ -20,7 +20,7 @@
     readingOf,
     report,
     AUTHORITY,
-} from "./runs";
+} from "../../jobs/test/runs";
 
 /** Time (ms) at which the next list of a worker is due, however many workers there are. */
 const LATER_MS = 5_000;
--- a/src/dispatch/common/test/workerRoom.test.ts
+++ b/src/dispatch/common/workers/test/workerRoom.test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import { largestRooms } from "../workerRoom";
-import { createWorker } from "./runs";
+import { createWorker } from "../../jobs/test/runs";
 
 test("the largest rooms are those of the resource of which a worker has least, with each set of labels among them", t => {
     const capacity = { cpuMillis: 10_000, memoryMb: 10_000, accelerators: 0 };
--- a/src/dispatch/common/workerEntry.ts
+++ b/src/dispatch/common/workers/workerEntry.ts
@@ -1,4 +1,4 @@
-import { TaskRequest } from "../../jobs/common/jobSpec";
+import { TaskRequest } from "../../../jobs/common/jobSpec";
 
 /** Whether a worker accepts new tasks. */
 export type WorkerState = "ready" | "draining";
--- a/src/dispatch/common/workerForecast.ts
+++ b/src/dispatch/common/workers/workerForecast.ts
@@ -1,4 +1,4 @@
-import { expectedCpuShare, LatencyModel } from "./latencyModel";
+import { expectedCpuShare, LatencyModel } from "../placement/latencyModel";
 import { FreeCapacity, WorkerContact } from "./workerContact";
 
 /** A latency-critical task on a worker, and its expected headroom next to the current runs. */
--- a/src/dispatch/common/workerLease.ts
+++ b/src/dispatch/common/workers/workerLease.ts
@@ -1,7 +1,7 @@
-import { ChartLoader } from "../../base/common/chartLoader";
-import { ChartRegistry } from "../../base/common/chartRegistry";
-import { Machine } from "../../base/common/machine";
-import { RecordWriter } from "../../records/common/recordWriter";
+import { ChartLoader } from "../../../base/common/chartLoader";
+import { ChartRegistry } from "../../../base/common/chartRegistry";
+import { Machine } from "../../../base/common/machine";
+import { RecordWriter } from "../../../records/common/recordWriter";
 import { encodeLease, leaseKey, LeaseRecord } from "./leaseRecord";
 import chartText from "./workerLease.chart.yaml";
 
--- a/src/dispatch/common/workerRoom.ts
+++ b/src/dispatch/common/workers/workerRoom.ts
@@ -1,4 +1,4 @@
-import { StepSpec } from "../../jobs/common/jobSpec";
+import { StepSpec } from "../../../jobs/common/jobSpec";
 import { WorkerEntry } from "./workerEntry";
 
 /** What a worker has free. CPU in thousandths of a core, memory in MB. */
--- a/src/host/common/confirmationGate.ts
+++ b/src/host/common/confirmationGate.ts
@@ -8,7 +8,7 @@
     startKeyOf,
     StartOrder,
     WorkerEffect,
-} from "../../dispatch/common/workerMessages";
+} from "../../dispatch/common/workers/workerMessages";
 import chartText from "./confirmationGate.chart.yaml";
 
 type GateState = "open" | "confirming" | "closed";
--- a/src/host/common/entryDecoder.ts
+++ b/src/host/common/entryDecoder.ts
@@ -1,4 +1,4 @@
-import { WorkerEntry } from "../../dispatch/common/workerEntry";
+import { WorkerEntry } from "../../dispatch/common/workers/workerEntry";
 import { Configuration } from "../../jobs/common/queueTable";
 import { StoredRecord } from "../../records/common/record";
 
--- a/src/host/common/fleetDivision.ts
+++ b/src/host/common/fleetDivision.ts
@@ -1,8 +1,8 @@
 import { ChartLoader } from "../../base/common/chartLoader";
 import { ChartRegistry } from "../../base/common/chartRegistry";
 import { Machine } from "../../base/common/machine";
-import { ShardPlanner } from "../../dispatch/common/shardPlanner";
-import { EntryReading, WorkerEntry } from "../../dispatch/common/workerEntry";
+import { ShardPlanner } from "../../dispatch/common/shards/shardPlanner";
+import { EntryReading, WorkerEntry } from "../../dispatch/common/workers/workerEntry";
 import { encodeShardPlan, SHARD_PLAN_KEY, ShardPlan } from "../../jobs/common/shardPlan";
 import { RecordWriter } from "../../records/common/recordWriter";
 import chartText from "./fleetDivision.chart.yaml";
--- a/src/host/common/jobInstanceEvents.ts
+++ b/src/host/common/jobInstanceEvents.ts
@@ -1,5 +1,5 @@
-import { DispatchEffect } from "../../dispatch/common/dispatchEffects";
-import { WorkerEvent } from "../../dispatch/common/workerMessages";
+import { DispatchEffect } from "../../dispatch/common/scheduler/dispatchEffects";
+import { WorkerEvent } from "../../dispatch/common/workers/workerMessages";
 import { JobAnswer, JobCall } from "../../jobs/common/jobCall";
 import { RecordEvent } from "../../records/common/recordEvents";
 
--- a/src/host/common/jobSettings.ts
+++ b/src/host/common/jobSettings.ts
@@ -1,5 +1,5 @@
 import * as z from "zod/mini";
-import { LEASE_MARGIN_MS, MIN_START_VALIDITY_MS } from "../../dispatch/common/dispatchLimits";
+import { LEASE_MARGIN_MS, MIN_START_VALIDITY_MS } from "../../dispatch/common/scheduler/dispatchLimits";
 
 const address = z.string().check(z.regex(/^[^\s:]+:\d{1,5}$/, "not an address"));
 const milliseconds = z.number().check(z.nonnegative());
--- a/src/host/common/loadRecorder.ts
+++ b/src/host/common/loadRecorder.ts
@@ -1,6 +1,6 @@
-import { MAX_LEADER_DELAY_MS } from "../../dispatch/common/dispatchLimits";
-import { RequestKind } from "../../dispatch/common/requestKind";
-import { StartLoad } from "../../dispatch/common/startWindow";
+import { MAX_LEADER_DELAY_MS } from "../../dispatch/common/scheduler/dispatchLimits";
+import { RequestKind } from "../../dispatch/common/placement/requestKind";
+import { StartLoad } from "../../dispatch/common/runs/startWindow";
 import { WorkKind } from "./workKind";
 
 /** Interval between two reports, in ms. */
--- a/src/host/common/operatorReceiver.ts
+++ b/src/host/common/operatorReceiver.ts
@@ -1,6 +1,6 @@
 import { EffectSink } from "../../base/common/effectSink";
-import { DecisionEffect } from "../../dispatch/common/dispatchEffects";
-import { EvacuationTable } from "../../dispatch/common/evacuationTable";
+import { DecisionEffect } from "../../dispatch/common/scheduler/dispatchEffects";
+import { EvacuationTable } from "../../dispatch/common/workers/evacuationTable";
 import { QueueTable } from "../../jobs/common/queueTable";
 import { StoredRecord } from "../../records/common/record";
 import { RecordReceiver } from "../../records/common/recordFollower";
--- a/src/host/common/orderQueue.ts
+++ b/src/host/common/orderQueue.ts
@@ -1,4 +1,4 @@
-import { WorkerEffect } from "../../dispatch/common/workerMessages";
+import { WorkerEffect } from "../../dispatch/common/workers/workerMessages";
 import { ConfirmationGate, OrderResult } from "./confirmationGate";
 
 /**
--- a/src/host/common/test/fleetDivision.test.ts
+++ b/src/host/common/test/fleetDivision.test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { Outbox } from "../../../base/common/outbox";
-import { Fleet, ShardPlanner } from "../../../dispatch/common/shardPlanner";
-import { WorkerEntry } from "../../../dispatch/common/workerEntry";
+import { Fleet, ShardPlanner } from "../../../dispatch/common/shards/shardPlanner";
+import { WorkerEntry } from "../../../dispatch/common/workers/workerEntry";
 import { decodeShardPlan, ShardPlan } from "../../../jobs/common/shardPlan";
 import { RecordEffect } from "../../../records/common/recordEvents";
 import { RecordWriter } from "../../../records/common/recordWriter";
--- a/src/host/common/test/orderQueue.test.ts
+++ b/src/host/common/test/orderQueue.test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
-import { WorkerEntry } from "../../../dispatch/common/workerEntry";
-import { WorkerEffect } from "../../../dispatch/common/workerMessages";
+import { WorkerEntry } from "../../../dispatch/common/workers/workerEntry";
+import { WorkerEffect } from "../../../dispatch/common/workers/workerMessages";
 import { OrderQueue, QueuedOrder } from "../orderQueue";
 
 const WORKER = { id: "w" } as WorkerEntry;
--- a/src/host/common/workerTable.ts
+++ b/src/host/common/workerTable.ts
@@ -1,4 +1,4 @@
-import { EntryReading, WorkerEntry } from "../../dispatch/common/workerEntry";
+import { EntryReading, WorkerEntry } from "../../dispatch/common/workers/workerEntry";
 import { ShardTable } from "../../jobs/common/shardTable";
 
 /** The registered workers, as read from service discovery, and their shards. */
--- a/src/host/node/jobMetrics.ts
+++ b/src/host/node/jobMetrics.ts
@@ -1,6 +1,6 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
-import { RequestKind } from "../../dispatch/common/requestKind";
-import { DecisionData, DecisionName } from "../../dispatch/common/dispatchEffects";
+import { RequestKind } from "../../dispatch/common/placement/requestKind";
+import { DecisionData, DecisionName } from "../../dispatch/common/scheduler/dispatchEffects";
 import { StreamName } from "../../records/common/recordStore";
 import { WorkKind } from "../common/workKind";
 
--- a/src/host/node/jobPerformers.ts
+++ b/src/host/node/jobPerformers.ts
@@ -1,8 +1,8 @@
 import { Err, Result } from "ts-results";
 import { Disposable } from "../../base/common/disposable";
 import { Emitter } from "../../base/common/emitter";
-import { OrderAnswer, WorkerClient } from "../../dispatch/common/workerClient";
-import { WorkerEffect } from "../../dispatch/common/workerMessages";
+import { OrderAnswer, WorkerClient } from "../../dispatch/common/workers/workerClient";
+import { WorkerEffect } from "../../dispatch/common/workers/workerMessages";
 import { JobAnswer, JobCall } from "../../jobs/common/jobCall";
 import { MAX_RECORD_BYTES } from "../../records/common/recordSize";
 import { PageTransfer, RecordStore, StreamName } from "../../records/common/recordStore";
--- a/src/host/node/orderSender.ts
+++ b/src/host/node/orderSender.ts
@@ -1,6 +1,6 @@
 import { Disposable } from "../../base/common/disposable";
-import { OrderAnswer } from "../../dispatch/common/workerClient";
-import { OrderOutcome, WorkerEffect } from "../../dispatch/common/workerMessages";
+import { OrderAnswer } from "../../dispatch/common/workers/workerClient";
+import { OrderOutcome, WorkerEffect } from "../../dispatch/common/workers/workerMessages";
 import { OrderResult } from "../common/confirmationGate";
 import { AdmittedOrder, MAX_ORDERS_IN_FLIGHT, maxWaitMsOf, OrderQueue } from "../common/orderQueue";
 
--- a/src/host/node/test/orderSender.test.ts
+++ b/src/host/node/test/orderSender.test.ts
@@ -1,8 +1,8 @@
 import FakeTimers from "@sinonjs/fake-timers";
 import test, { ExecutionContext } from "ava";
-import { OrderAnswer } from "../../../dispatch/common/workerClient";
-import { WorkerEntry } from "../../../dispatch/common/workerEntry";
-import { WorkerEffect } from "../../../dispatch/common/workerMessages";
+import { OrderAnswer } from "../../../dispatch/common/workers/workerClient";
+import { WorkerEntry } from "../../../dispatch/common/workers/workerEntry";
+import { WorkerEffect } from "../../../dispatch/common/workers/workerMessages";
 import { OrderSender } from "../orderSender";
 
 const WORKER = { id: "w" } as WorkerEntry;
--- a/src/jobs/common/test/jobTable.test.ts
+++ b/src/jobs/common/test/jobTable.test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { createJob, createStep } from "../../../dispatch/common/test/runs";
+import { createJob, createStep } from "../../../dispatch/common/jobs/test/runs";
 import { encodeSpec, jobKey } from "../jobRecord";
 import { JobTable } from "../jobTable";
 import { encodeTransfer } from "../jobTransfer";
--- a/src/platform/common/answerDecoder.ts
+++ b/src/platform/common/answerDecoder.ts
@@ -1,5 +1,5 @@
-import { OrderAnswer } from "../../dispatch/common/workerClient";
-import { ListedEnd, ListedRun, OrderOutcome, RunEnd, RunList } from "../../dispatch/common/workerMessages";
+import { OrderAnswer } from "../../dispatch/common/workers/workerClient";
+import { ListedEnd, ListedRun, OrderOutcome, RunEnd, RunList } from "../../dispatch/common/workers/workerMessages";
 import { NewestPage } from "../../records/common/recordStore";
 import { WireLists } from "./wireTypes";
 
--- a/src/platform/common/streamDecoder.ts
+++ b/src/platform/common/streamDecoder.ts
@@ -1,5 +1,5 @@
 import * as z from "zod/mini";
-import { WorkerEntry } from "../../dispatch/common/workerEntry";
+import { WorkerEntry } from "../../dispatch/common/workers/workerEntry";
 import { EntryDecoder } from "../../host/common/entryDecoder";
 import { Configuration } from "../../jobs/common/queueTable";
 import { StoredRecord } from "../../records/common/record";
--- a/src/platform/node/platformProcess.ts
+++ b/src/platform/node/platformProcess.ts
@@ -1,7 +1,7 @@
 import { randomBytes, randomInt } from "node:crypto";
 import { TrafficMeter } from "../../base/common/trafficMeter";
 import { WorkClock } from "../../base/node/workClock";
-import { RequestKind } from "../../dispatch/common/requestKind";
+import { RequestKind } from "../../dispatch/common/placement/requestKind";
 import { JobInstance } from "../../host/common/jobInstance";
 import { JobSettings } from "../../host/common/jobSettings";
 import { MAX_ORDERS_IN_FLIGHT } from "../../host/common/orderQueue";
--- a/src/platform/node/platformStore.ts
+++ b/src/platform/node/platformStore.ts
@@ -1,6 +1,6 @@
 import { Err, Ok, Result } from "ts-results";
 import { TrafficMeter } from "../../base/common/trafficMeter";
-import { RequestKind } from "../../dispatch/common/requestKind";
+import { RequestKind } from "../../dispatch/common/placement/requestKind";
 import { RecordOffset } from "../../records/common/record";
 import {
     Append,
--- a/src/platform/node/platformWorkers.ts
+++ b/src/platform/node/platformWorkers.ts
@@ -1,8 +1,14 @@
 import { TrafficMeter } from "../../base/common/trafficMeter";
-import { RequestKind } from "../../dispatch/common/requestKind";
-import { OrderAnswer, WorkerClient } from "../../dispatch/common/workerClient";
-import { WorkerEntry } from "../../dispatch/common/workerEntry";
-import { ListOrder, StartOrder, StopOrder, ThrottleOrder, WorkerEffect } from "../../dispatch/common/workerMessages";
+import { RequestKind } from "../../dispatch/common/placement/requestKind";
+import { OrderAnswer, WorkerClient } from "../../dispatch/common/workers/workerClient";
+import { WorkerEntry } from "../../dispatch/common/workers/workerEntry";
+import {
+    ListOrder,
+    StartOrder,
+    StopOrder,
+    ThrottleOrder,
+    WorkerEffect,
+} from "../../dispatch/common/workers/workerMessages";
 import { isNotSent } from "../../services/node/connectionPool";
 import { HttpClient } from "../../services/node/httpClient";
 import { decodeWorkerAnswer } from "../common/answerDecoder";
--- a/src/platform/node/test/platformWorkers.test.ts
+++ b/src/platform/node/test/platformWorkers.test.ts
@@ -2,7 +2,7 @@
 import { createServer } from "node:http";
 import { AddressInfo } from "node:net";
 import test, { ExecutionContext } from "ava";
-import { WorkerEntry } from "../../../dispatch/common/workerEntry";
+import { WorkerEntry } from "../../../dispatch/common/workers/workerEntry";
 import { HttpClient } from "../../../services/node/httpClient";
 import { PlatformWorkers } from "../platformWorkers";
 
--- a/src/proof/node/fenceChecker.ts
+++ b/src/proof/node/fenceChecker.ts
@@ -1,4 +1,4 @@
-import { WorkerEffect } from "../../dispatch/common/workerMessages";
+import { WorkerEffect } from "../../dispatch/common/workers/workerMessages";
 import { LeasedWorker } from "../../standin/common/leasedWorker";
 
 /** What one incarnation of a worker has accepted. */
--- a/src/proof/node/jobRuleChecker.ts
+++ b/src/proof/node/jobRuleChecker.ts
@@ -1,5 +1,5 @@
 import { JobSpec, TaskRequest } from "../../jobs/common/jobSpec";
-import { RunEnd } from "../../dispatch/common/workerMessages";
+import { RunEnd } from "../../dispatch/common/workers/workerMessages";
 import { LeasedWorker, LeasedWorkerObserver } from "../../standin/common/leasedWorker";
 import { CancellationChecker } from "./cancellationChecker";
 import { DrainChecker } from "./drainChecker";
--- a/src/proof/node/jobTrial.ts
+++ b/src/proof/node/jobTrial.ts
@@ -1,4 +1,4 @@
-import { WorkerEffect } from "../../dispatch/common/workerMessages";
+import { WorkerEffect } from "../../dispatch/common/workers/workerMessages";
 import { JobInstance } from "../../host/common/jobInstance";
 import { JobInstanceEffect, JobInstanceEvent } from "../../host/common/jobInstanceEvents";
 import { JobDraft, JobRequest } from "../../jobs/common/jobCall";
--- a/src/proof/node/jobTrialPlan.ts
+++ b/src/proof/node/jobTrialPlan.ts
@@ -1,6 +1,6 @@
-import { DispatchLimits } from "../../dispatch/common/dispatchLimits";
-import { WorkerEntry } from "../../dispatch/common/workerEntry";
-import { OrderOutcome, RunEnd, WorkerEffect } from "../../dispatch/common/workerMessages";
+import { DispatchLimits } from "../../dispatch/common/scheduler/dispatchLimits";
+import { WorkerEntry } from "../../dispatch/common/workers/workerEntry";
+import { OrderOutcome, RunEnd, WorkerEffect } from "../../dispatch/common/workers/workerMessages";
 import { EntryDecoder } from "../../host/common/entryDecoder";
 import { Configuration, Queue } from "../../jobs/common/queueTable";
 import { JobDraft } from "../../jobs/common/jobCall";
--- a/src/proof/node/leaderLoad.ts
+++ b/src/proof/node/leaderLoad.ts
@@ -1,10 +1,10 @@
 import { Ok } from "ts-results";
 import { Outbox } from "../../base/common/outbox";
-import { DispatchEffect } from "../../dispatch/common/dispatchEffects";
-import { LeaseTable } from "../../dispatch/common/leaseTable";
-import { Scheduler } from "../../dispatch/common/scheduler";
-import { EvacuationTable } from "../../dispatch/common/evacuationTable";
-import { SchedulerContext } from "../../dispatch/common/schedulerContext";
+import { DispatchEffect } from "../../dispatch/common/scheduler/dispatchEffects";
+import { LeaseTable } from "../../dispatch/common/workers/leaseTable";
+import { Scheduler } from "../../dispatch/common/scheduler/scheduler";
+import { EvacuationTable } from "../../dispatch/common/workers/evacuationTable";
+import { SchedulerContext } from "../../dispatch/common/scheduler/schedulerContext";
 import { encodeSpec, jobKey } from "../../jobs/common/jobRecord";
 import { JobSpec } from "../../jobs/common/jobSpec";
 import { JobTable } from "../../jobs/common/jobTable";
--- a/src/proof/node/leaderLoadWorkers.ts
+++ b/src/proof/node/leaderLoadWorkers.ts
@@ -1,5 +1,5 @@
-import { WorkerEntry } from "../../dispatch/common/workerEntry";
-import { OrderOutcome, RunList, WorkerEffect, WorkerEvent } from "../../dispatch/common/workerMessages";
+import { WorkerEntry } from "../../dispatch/common/workers/workerEntry";
+import { OrderOutcome, RunList, WorkerEffect, WorkerEvent } from "../../dispatch/common/workers/workerMessages";
 import { LeasedWorker } from "../../standin/common/leasedWorker";
 import { createWorkerEntry, executeOrder } from "./jobTrialPlan";
 import { LeaderLoadJobs } from "./leaderLoadJobs";
--- a/src/proof/node/oddEntryWriter.ts
+++ b/src/proof/node/oddEntryWriter.ts
@@ -1,4 +1,4 @@
-import { WorkerEntry } from "../../dispatch/common/workerEntry";
+import { WorkerEntry } from "../../dispatch/common/workers/workerEntry";
 import { KeyedLog } from "../../standin/common/keyedLog";
 import { encodePlatformEntry, JobTrialPlan } from "./jobTrialPlan";
 import { Random } from "./random";
--- a/src/proof/node/randomTransferPolicy.ts
+++ b/src/proof/node/randomTransferPolicy.ts
@@ -4,7 +4,7 @@
     TaskTransferRequest,
     TransferPolicy,
     TransferRequest,
-} from "../../dispatch/common/transferPolicy";
+} from "../../dispatch/common/shards/transferPolicy";
 import { Random } from "./random";
 
 /** Transfers jobs and tasks at random, whatever room there is, so that trials have many transfers. */
--- a/src/proof/node/test/confirmationGate.test.ts
+++ b/src/proof/node/test/confirmationGate.test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { WorkerEffect } from "../../../dispatch/common/workerMessages";
+import { WorkerEffect } from "../../../dispatch/common/workers/workerMessages";
 import { ConfirmationGate } from "../../../host/common/confirmationGate";
 import { JobTrial } from "../jobTrial";
 import { JobTrialPlan } from "../jobTrialPlan";
--- a/src/proof/node/test/evacuationTrial.test.ts
+++ b/src/proof/node/test/evacuationTrial.test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
-import { START_VALIDITY_MS } from "../../../dispatch/common/dispatchLimits";
-import { EvacuationTable } from "../../../dispatch/common/evacuationTable";
-import { ViewController } from "../../../dispatch/common/viewController";
+import { START_VALIDITY_MS } from "../../../dispatch/common/scheduler/dispatchLimits";
+import { EvacuationTable } from "../../../dispatch/common/workers/evacuationTable";
+import { ViewController } from "../../../dispatch/common/scheduler/viewController";
 import { JobTrial } from "../jobTrial";
 import { FAULTS, JobFault, JobTrialPlan, OPERATOR_READ_FAULTS } from "../jobTrialPlan";
 import { replaceMethod } from "./replaceMethod";
--- a/src/proof/node/test/fenceChecker.test.ts
+++ b/src/proof/node/test/fenceChecker.test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { WorkerEffect } from "../../../dispatch/common/workerMessages";
+import { WorkerEffect } from "../../../dispatch/common/workers/workerMessages";
 import { LeasedWorker } from "../../../standin/common/leasedWorker";
 import { FenceChecker } from "../fenceChecker";
 import { JobRuleChecker } from "../jobRuleChecker";
--- a/src/proof/node/test/instanceFixture.ts
+++ b/src/proof/node/test/instanceFixture.ts
@@ -1,7 +1,7 @@
 import { Err } from "ts-results";
-import { DispatchLimits } from "../../../dispatch/common/dispatchLimits";
-import { OrderAnswer } from "../../../dispatch/common/workerClient";
-import { StartOrder, WorkerEffect } from "../../../dispatch/common/workerMessages";
+import { DispatchLimits } from "../../../dispatch/common/scheduler/dispatchLimits";
+import { OrderAnswer } from "../../../dispatch/common/workers/workerClient";
+import { StartOrder, WorkerEffect } from "../../../dispatch/common/workers/workerMessages";
 import { JobInstance } from "../../../host/common/jobInstance";
 import { JobRequest } from "../../../jobs/common/jobCall";
 import { JobInstanceEffect, JobInstanceEvent } from "../../../host/common/jobInstanceEvents";
--- a/src/proof/node/test/jobTrial.test.ts
+++ b/src/proof/node/test/jobTrial.test.ts
@@ -1,11 +1,11 @@
 import test, { ExecutionContext } from "ava";
-import { Placer } from "../../../dispatch/common/placer";
-import { LatencyModel } from "../../../dispatch/common/latencyModel";
-import { Scheduler } from "../../../dispatch/common/scheduler";
-import { ThrottleController } from "../../../dispatch/common/throttleController";
-import { WorkerContact } from "../../../dispatch/common/workerContact";
-import { WorkerLease } from "../../../dispatch/common/workerLease";
-import { StartOrder } from "../../../dispatch/common/workerMessages";
+import { Placer } from "../../../dispatch/common/placement/placer";
+import { LatencyModel } from "../../../dispatch/common/placement/latencyModel";
+import { Scheduler } from "../../../dispatch/common/scheduler/scheduler";
+import { ThrottleController } from "../../../dispatch/common/runs/throttleController";
+import { WorkerContact } from "../../../dispatch/common/workers/workerContact";
+import { WorkerLease } from "../../../dispatch/common/workers/workerLease";
+import { StartOrder } from "../../../dispatch/common/workers/workerMessages";
 import { JobCallHandler } from "../../../jobs/common/jobCallHandler";
 import { ProgressTable } from "../../../jobs/common/progressTable";
 import { parseJobKey } from "../../../jobs/common/jobRecord";
--- a/src/proof/node/test/regionFixture.ts
+++ b/src/proof/node/test/regionFixture.ts
@@ -1,5 +1,5 @@
 import { Err, Ok } from "ts-results";
-import { DispatchLimits } from "../../../dispatch/common/dispatchLimits";
+import { DispatchLimits } from "../../../dispatch/common/scheduler/dispatchLimits";
 import { JobInstance } from "../../../host/common/jobInstance";
 import { JobInstanceEffect, JobInstanceEvent } from "../../../host/common/jobInstanceEvents";
 import { StreamDecoder } from "../../../platform/common/streamDecoder";
--- a/src/proof/node/test/siteRestartPlan.test.ts
+++ b/src/proof/node/test/siteRestartPlan.test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { FenceProbe } from "../../../dispatch/common/fenceProbe";
+import { FenceProbe } from "../../../dispatch/common/workers/fenceProbe";
 import { OutageRight } from "../../../records/common/outageRight";
 import { LeasedWorker } from "../../../standin/common/leasedWorker";
 import { JobRule } from "../jobRuleChecker";
--- a/src/proof/node/test/takeoverFixture.ts
+++ b/src/proof/node/test/takeoverFixture.ts
@@ -1,5 +1,5 @@
 import { ExecutionContext } from "ava";
-import { ListedEnd, RunList, WorkerEffect } from "../../../dispatch/common/workerMessages";
+import { ListedEnd, RunList, WorkerEffect } from "../../../dispatch/common/workers/workerMessages";
 import { JobInstance } from "../../../host/common/jobInstance";
 import { JobInstanceEffect, JobInstanceEvent } from "../../../host/common/jobInstanceEvents";
 import { decodeSubmission } from "../../../platform/common/jobDecoder";
--- a/src/proof/node/test/taskTransferTrial.test.ts
+++ b/src/proof/node/test/taskTransferTrial.test.ts
@@ -1,8 +1,8 @@
 import test from "ava";
-import { ActiveJob } from "../../../dispatch/common/activeJob";
-import { RoomTransferPolicy } from "../../../dispatch/common/roomTransferPolicy";
-import { Task } from "../../../dispatch/common/task";
-import { TaskBalancer } from "../../../dispatch/common/taskBalancer";
+import { ActiveJob } from "../../../dispatch/common/jobs/activeJob";
+import { RoomTransferPolicy } from "../../../dispatch/common/shards/roomTransferPolicy";
+import { Task } from "../../../dispatch/common/jobs/task";
+import { TaskBalancer } from "../../../dispatch/common/shards/taskBalancer";
 import { JobTrial } from "../jobTrial";
 import { JobTrialPlan } from "../jobTrialPlan";
 import { replaceMethod } from "./replaceMethod";
--- a/src/proof/node/test/transferTrial.test.ts
+++ b/src/proof/node/test/transferTrial.test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
-import { ActiveJob } from "../../../dispatch/common/activeJob";
-import { ActiveJobTable } from "../../../dispatch/common/activeJobTable";
+import { ActiveJob } from "../../../dispatch/common/jobs/activeJob";
+import { ActiveJobTable } from "../../../dispatch/common/jobs/activeJobTable";
 import { JobTrial } from "../jobTrial";
 import { JobTrialPlan } from "../jobTrialPlan";
 import { replaceMethod } from "./replaceMethod";
--- a/src/proof/node/test/trialColocation.test.ts
+++ b/src/proof/node/test/trialColocation.test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { ThrottleOrder } from "../../../dispatch/common/workerMessages";
+import { ThrottleOrder } from "../../../dispatch/common/workers/workerMessages";
 import { LeasedWorker } from "../../../standin/common/leasedWorker";
 import { ColocationPlan } from "../colocationPlan";
 import { JobRuleChecker } from "../jobRuleChecker";
--- a/src/proof/node/test/usableWorkers.test.ts
+++ b/src/proof/node/test/usableWorkers.test.ts
@@ -1,9 +1,9 @@
 import test, { ExecutionContext } from "ava";
-import { MAX_IDLE_MS } from "../../../dispatch/common/dispatchLimits";
-import { StartAdmission } from "../../../dispatch/common/startAdmission";
-import { WorkerContact } from "../../../dispatch/common/workerContact";
-import { WorkerEntry } from "../../../dispatch/common/workerEntry";
-import { WorkerPool } from "../../../dispatch/common/workerPool";
+import { MAX_IDLE_MS } from "../../../dispatch/common/scheduler/dispatchLimits";
+import { StartAdmission } from "../../../dispatch/common/runs/startAdmission";
+import { WorkerContact } from "../../../dispatch/common/workers/workerContact";
+import { WorkerEntry } from "../../../dispatch/common/workers/workerEntry";
+import { WorkerPool } from "../../../dispatch/common/workers/workerPool";
 import { JobTrial } from "../jobTrial";
 import { JobTrialPlan } from "../jobTrialPlan";
 import { MEASURED_COSTS } from "../trialCosts";
--- a/src/proof/node/test/workMeter.ts
+++ b/src/proof/node/test/workMeter.ts
@@ -1,6 +1,6 @@
 import { ExecutionContext } from "ava";
-import { ActiveJob } from "../../../dispatch/common/activeJob";
-import { StepQueue } from "../../../dispatch/common/stepQueue";
+import { ActiveJob } from "../../../dispatch/common/jobs/activeJob";
+import { StepQueue } from "../../../dispatch/common/waits/stepQueue";
 import { JobInstanceEffect, JobInstanceEvent } from "../../../host/common/jobInstanceEvents";
 import { replaceMethod } from "./replaceMethod";
 
--- a/src/proof/node/trialConnections.ts
+++ b/src/proof/node/trialConnections.ts
@@ -1,4 +1,4 @@
-import { OrderOutcome, WorkerEffect } from "../../dispatch/common/workerMessages";
+import { OrderOutcome, WorkerEffect } from "../../dispatch/common/workers/workerMessages";
 import { JobInstanceEvent } from "../../host/common/jobInstanceEvents";
 import { OrderResult } from "../../host/common/confirmationGate";
 import { AdmittedOrder, maxWaitMsOf, OrderQueue } from "../../host/common/orderQueue";
--- a/src/proof/node/trialWorkers.ts
+++ b/src/proof/node/trialWorkers.ts
@@ -1,4 +1,4 @@
-import { OrderOutcome, RunList } from "../../dispatch/common/workerMessages";
+import { OrderOutcome, RunList } from "../../dispatch/common/workers/workerMessages";
 import { JobInstanceEvent } from "../../host/common/jobInstanceEvents";
 import { KeyedLog } from "../../standin/common/keyedLog";
 import { LeasedWorker, RunPlan, RunPlanner } from "../../standin/common/leasedWorker";
--- a/src/standin/common/leasedWorker.ts
+++ b/src/standin/common/leasedWorker.ts
@@ -1,4 +1,4 @@
-import { WorkerEntry } from "../../dispatch/common/workerEntry";
+import { WorkerEntry } from "../../dispatch/common/workers/workerEntry";
 import { TaskRequest } from "../../jobs/common/jobSpec";
 import {
     ListedEnd,
@@ -9,7 +9,7 @@
     StartOrder,
     StopOrder,
     ThrottleOrder,
-} from "../../dispatch/common/workerMessages";
+} from "../../dispatch/common/workers/workerMessages";
 import { ColocationModel, RunCondition } from "./colocationModel";
 import { IndependentRuns } from "./independentRuns";
 
