Wait longer for a leader while the store is slow

Cause: while the store takes a third of a second for each call, appends queue behind each other, so the renewals of a leader that is well are seconds late. Change: instances measure how much longer than usual the store takes (StoreLatency). While it does, a leader is awaited for longer, 2.5 s at most, claims are further apart in the order of the claimants' suitability (claimDelay), and an append is not sent again while it only waits its turn. Result: two tests of Leadership, which fail before: a standby claimed 1.8 s after the last renewal, a small instance 0.3 s after a strong one.

--- a/src/host/common/jobInstanceIdentity.ts
+++ b/src/host/common/jobInstanceIdentity.ts
@@ -11,6 +11,8 @@
     readonly nonce: number;
     /** Round trip to the store in ms, or `undefined` before the first call. */
     readonly storeRoundTripMs: () => number | undefined;
+    /** How much longer than the round trip the store takes to answer now, in ms; 0 if left out. */
+    readonly storeExcessMs?: () => number;
     /** CPU available to the instance, in cores. */
     readonly cores: number;
     /** Measures the work of the instance; left out if it is not measured. */
--- a/src/host/common/shardOffice.ts
+++ b/src/host/common/shardOffice.ts
@@ -96,6 +96,7 @@
             host: identity.host,
             nonce: identity.nonce + shard * CLAIM_SPREAD_MS,
             storeRoundTripMs: identity.storeRoundTripMs,
+            storeExcessMs: identity.storeExcessMs ?? (() => 0),
             get cores() {
                 return identity.cores / (1 + context.countOtherOffices(shard));
             },
--- a/src/platform/node/platformProcess.ts
+++ b/src/platform/node/platformProcess.ts
@@ -68,7 +68,8 @@
         instance: name,
         host: settings.instance,
         nonce: randomInt(MAX_NONCE),
-        storeRoundTripMs: () => store.roundTripMs,
+        storeRoundTripMs: () => store.latency.shortestMs,
+        storeExcessMs: () => store.latency.excessMs(performance.now()),
         cores: share * speed,
         work,
     };
--- a/src/platform/node/platformStore.ts
+++ b/src/platform/node/platformStore.ts
@@ -2,6 +2,7 @@
 import { TrafficMeter } from "../../base/common/trafficMeter";
 import { RequestKind } from "../../dispatch/common/placement/requestKind";
 import { RecordOffset } from "../../records/common/record";
+import { StoreLatency } from "../../records/common/storeLatency";
 import {
     Append,
     AppendError,
@@ -55,6 +56,12 @@
 /** Timeout of an append, as a multiple of the average duration. */
 const APPEND_TIMEOUT_RATIO = 5;
 
+/**
+ * Timeout of an append, as a multiple of how much longer than usual the store takes to answer: appends to one stream are carried out
+ * one after the other, and one that is sent again while it waits makes all others wait longer.
+ */
+const SLOW_STORE_RATIO = 6;
+
 /** Weight of the latest append in the average duration. */
 const SMOOTHING_RATIO = 0.2;
 
@@ -73,8 +80,8 @@
      */
     private readonly probeDelaysMs = new Map<StreamName, number>();
 
-    /** Shortest duration of a call in ms, or `undefined` before the first one. */
-    roundTripMs: number | undefined;
+    /** How long the store takes to answer. */
+    readonly latency = StoreLatency.create();
 
     private constructor(
         private readonly origin: string,
@@ -113,11 +120,8 @@
         if (expectedEnd !== undefined) {
             query.set("at", String(expectedEnd));
         }
-        const timeoutMs = Math.min(
-            MAX_APPEND_TIMEOUT_MS,
-            Math.max(MIN_APPEND_TIMEOUT_MS, this.averageAppendMs * APPEND_TIMEOUT_RATIO),
-        );
         const startedAt = performance.now();
+        const timeoutMs = this.appendTimeoutMs(startedAt);
         const body = packRecords(records);
         this.traffic.record("append", body.length);
         try {
@@ -129,7 +133,9 @@
                 body,
                 timeoutMs: Math.round(timeoutMs),
             });
-            this.recordAppendDuration(performance.now() - startedAt);
+            const answeredAt = performance.now();
+            this.recordAppendDuration(answeredAt - startedAt);
+            this.latency.record(answeredAt - startedAt, answeredAt);
             return this.appendResult(stream, answer);
         } catch (error) {
             this.recordAppendDuration(timeoutMs);
@@ -144,6 +150,7 @@
         waitMs: number,
     ): Promise<Result<RecordPage, ReadError>> {
         const path = `/api/log-read?topic=${topicOf(stream)}&part=0&from=${from}&waitMs=${waitMs}`;
+        const startedAt = performance.now();
         const answer = await this.get(`read ${stream}`, path, { timeoutMs: waitMs + READ_TIMEOUT_MS });
         if (answer?.status === 410) {
             return Err("truncated");
@@ -151,6 +158,11 @@
         if (answer?.status !== 200 || answer.body.length < PAGE_HEADER_BYTES) {
             return Err("unavailable");
         }
+        if (answer.body.length === PAGE_HEADER_BYTES) {
+            // Without records, the store has held the read for the whole wait.
+            const answeredAt = performance.now();
+            this.latency.record(Math.max(0, answeredAt - startedAt - waitMs), answeredAt);
+        }
         const view = Buffer.from(answer.body.buffer, answer.body.byteOffset, answer.body.byteLength);
         const end = Number(view.readBigUInt64BE(0));
         return Ok({ records: unpackRecords(answer.body, from), end, transfer: answer.transfer });
@@ -168,7 +180,10 @@
         if (answer?.status !== 200) {
             return Err("unavailable");
         }
-        this.updateRoundTrip(performance.now() - startedAt);
+        if (after === KEY_AFTER_ALL) {
+            const answeredAt = performance.now();
+            this.latency.record(answeredAt - startedAt, answeredAt);
+        }
         const page = decodeNewestPage(answer.body);
         if (page === undefined) {
             this.onFailure(`newest ${stream}`, "malformed page");
@@ -245,11 +260,12 @@
 
     private recordAppendDuration(durationMs: number): void {
         this.averageAppendMs += SMOOTHING_RATIO * (durationMs - this.averageAppendMs);
-        this.updateRoundTrip(durationMs);
     }
 
-    private updateRoundTrip(durationMs: number): void {
-        this.roundTripMs = Math.min(this.roundTripMs ?? durationMs, durationMs);
+    private appendTimeoutMs(now: number): number {
+        const slowMs = this.latency.excessMs(now) * SLOW_STORE_RATIO;
+        const timeoutMs = Math.max(MIN_APPEND_TIMEOUT_MS, this.averageAppendMs * APPEND_TIMEOUT_RATIO, slowMs);
+        return Math.min(MAX_APPEND_TIMEOUT_MS, timeoutMs);
     }
 }
 
--- a/src/records/common/leadership.ts
+++ b/src/records/common/leadership.ts
@@ -8,6 +8,7 @@
 import { OutageState, WitnessAnswer } from "./outageRight";
 import { RenewalRecord } from "./renewalRecord";
 import { decodeLeader, LeaderRecord } from "./leaderRecord";
+import { claimDelayMs, MAX_CLAIM_JITTER_MS, slowStoreWaitMs } from "./claimDelay";
 import chartText from "./leadership.chart.yaml";
 import { StoredRecord } from "./record";
 import { RecordFollower } from "./recordFollower";
@@ -56,16 +57,6 @@
  */
 const STORE_OUTAGE_THRESHOLD_MS = 1_200;
 
-/** Bound of the claim jitter, which differs by instance, so that one claim usually succeeds before the next is made. */
-const MAX_CLAIM_JITTER_MS = 250;
-
-/**
- * Extra claim delay of an instance with fewer cores than the latest leader, per multiple of its own cores that it
- * lacks, so that stronger instances claim first. The bound keeps failover short when no strong instance is left.
- */
-const CAPACITY_DELAY_STEP_MS = 100;
-const MAX_CAPACITY_DELAY_MS = 500;
-
 /** An instance with this many times the leader's cores replaces it after observing it for the window below. */
 const MIN_CHALLENGE_CORES_RATIO = 2;
 const CHALLENGE_OBSERVATION_WINDOW_MS = 2_000;
@@ -84,6 +75,8 @@
      * Round trip to the store in ms, or `undefined` before the first call. Instances closer to the store claim first.
      */
     readonly storeRoundTripMs: () => number | undefined;
+    /** How much longer than the round trip the store takes to answer now, in ms. */
+    readonly storeExcessMs: () => number;
     /** CPU that the instance has for this office, in cores; less than all of it if it holds others, too. */
     readonly cores: number;
     /** Epoch that the first claim follows, if the shard was part of another one until then. */
@@ -449,7 +442,12 @@
         if (!this.follower.isLoaded || knownUntil === undefined || roundTripMs === undefined) {
             return false;
         }
-        const delayMs = roundTripMs * 8 + (this.candidate.nonce % MAX_CLAIM_JITTER_MS) + this.capacityDelayMs();
+        const { candidate, latestRecord } = this;
+        const delayMs = claimDelayMs(
+            candidate,
+            { roundTripMs, excessMs: this.candidate.storeExcessMs() },
+            latestRecord?.cores,
+        );
         this.recordRead(knownUntil);
         return (
             knownUntil - this.leaderLastSeenAt! > this.leaderTimeoutMs() + delayMs ||
@@ -464,7 +462,8 @@
         }
         const { takingOver, lateMs = 0 } = this.latestRecord;
         const timeoutMs = LEADER_TIMEOUT_MS + lateMs * LATE_RATIO;
-        return takingOver === true ? MAX_LEADER_TIMEOUT_MS : Math.min(MAX_LEADER_TIMEOUT_MS, timeoutMs);
+        const limitedMs = takingOver === true ? MAX_LEADER_TIMEOUT_MS : Math.min(MAX_LEADER_TIMEOUT_MS, timeoutMs);
+        return limitedMs + slowStoreWaitMs(this.candidate.storeExcessMs());
     }
 
     private get hasLeaderEnded(): boolean {
@@ -478,12 +477,6 @@
         this.lastReadAt = knownUntil;
     }
 
-    /** Before the first leader, the cores of other instances are unknown, so one core is assumed. */
-    private capacityDelayMs(): number {
-        const shortfall = (this.latestRecord?.cores ?? 1) / this.candidate.cores - 1;
-        return Math.max(0, Math.min(MAX_CAPACITY_DELAY_MS, shortfall * CAPACITY_DELAY_STEP_MS));
-    }
-
     private isLeaderMuchWeaker(): boolean {
         return (
             this.latestRecord !== undefined &&
@@ -530,7 +523,7 @@
         }
         this.reportedClaim = claimedEpoch;
         const silentMs = epoch === 0 ? undefined : Math.round((follower.knownUntil ?? 0) - (leaderLastSeenAt ?? 0));
-        const timeoutMs = this.leaderTimeoutMs();
+        const timeoutMs = Math.round(this.leaderTimeoutMs());
         this.didChangeOffice.fire({ kind: "leader-claimed", epoch: claimedEpoch, former: leader, silentMs, timeoutMs });
     }
 
--- a/src/records/common/test/claimant.ts
+++ b/src/records/common/test/claimant.ts
@@ -39,12 +39,12 @@
 /** Longest lease that workers accept, in ms. */
 export const LONGEST_LEASE_MS = 6_000;
 
-/** An instance whose reads and claims are made by the test. */
-export function createInstance(log: ClaimLog, instance: string, nonce: number, cores = 1) {
+/** An instance whose reads and claims are made by the test. @param storeExcessMs How much longer than usual the store takes, in ms. */
+export function createInstance(log: ClaimLog, instance: string, nonce: number, cores = 1, storeExcessMs = () => 0) {
     const outbox = Outbox.create<RecordEffect>();
     const receiver = new LeaderReceiver();
     const follower = RecordFollower.create("jobs", receiver, () => ({ waitMs: 0, pauseMs: 0 }), outbox);
-    const candidate = { instance, nonce, storeRoundTripMs: () => 1, cores };
+    const candidate = { instance, nonce, storeRoundTripMs: () => 1, storeExcessMs, cores };
     const { hosts, clocks } = receiver;
     const knowledge = { hosts, clocks, longestLeaseMs: LONGEST_LEASE_MS };
     const leadership = Leadership.create(candidate, follower, outbox, 0, knowledge);
