--- a/src/records/common/claimDelay.ts
+++ b/src/records/common/claimDelay.ts
@@ -1,3 +1,17 @@
+import { LeaderRecord } from "./leaderRecord";
+
+/** Time without a renewal after which another instance claims leadership. */
+const LEADER_TIMEOUT_MS = 1_200;
+
+/**
+ * Longest time without a renewal of a leader that takes over or is late. It bounds the time without a leader if that one is
+ * lost; leases of workers last longer.
+ */
+const MAX_LEADER_TIMEOUT_MS = 2_000;
+
+/** How much longer others wait for a leader that is late, as a multiple of its latest delay. */
+const LATE_RATIO = 2;
+
 /** Bound of the claim jitter, which differs by instance, so that one claim usually succeeds before the next is made. */
 export const MAX_CLAIM_JITTER_MS = 250;
 
@@ -46,7 +60,13 @@
     return roundTripMs * ROUND_TRIP_RATIO + orderMs * (1 + excessMs / CLAIM_SPREAD_STEP_MS);
 }
 
-/** @param excessMs How much longer than usual the store takes to answer, in ms. @returns How much longer a leader is awaited, in ms. */
-export function slowStoreWaitMs(excessMs: number): number {
-    return Math.min(MAX_SLOW_STORE_WAIT_MS, excessMs * SLOW_STORE_RATIO);
+/**
+ * @param record Latest record of the leader. A leader that is late is told from one that is gone by what it states.
+ * @param excessMs How much longer than usual the store takes to answer, in ms.
+ * @returns Time without a renewal after which another instance claims leadership, in ms.
+ */
+export function leaderTimeoutMs({ takingOver, lateMs = 0 }: LeaderRecord, excessMs: number): number {
+    const timeoutMs = takingOver === true ? MAX_LEADER_TIMEOUT_MS : LEADER_TIMEOUT_MS + lateMs * LATE_RATIO;
+    const slowStoreMs = Math.min(MAX_SLOW_STORE_WAIT_MS, excessMs * SLOW_STORE_RATIO);
+    return Math.min(MAX_LEADER_TIMEOUT_MS, timeoutMs) + slowStoreMs;
 }
--- a/src/records/common/leadership.ts
+++ b/src/records/common/leadership.ts
@@ -8,7 +8,7 @@
 import { OutageState, WitnessAnswer } from "./outageRight";
 import { RenewalRecord } from "./renewalRecord";
 import { decodeLeader, LeaderRecord } from "./leaderRecord";
-import { claimDelayMs, MAX_CLAIM_JITTER_MS, slowStoreWaitMs } from "./claimDelay";
+import { claimDelayMs, leaderTimeoutMs, MAX_CLAIM_JITTER_MS } from "./claimDelay";
 import chartText from "./leadership.chart.yaml";
 import { StoredRecord } from "./record";
 import { RecordFollower } from "./recordFollower";
@@ -33,18 +33,6 @@
 /** Interval at which the leader renews its record. Three renewals may be lost before another instance claims. */
 const RENEWAL_INTERVAL_MS = 300;
 
-/** Time without a renewal after which another instance claims leadership. */
-const LEADER_TIMEOUT_MS = 1_200;
-
-/**
- * Longest time without a renewal of a leader that takes over or is late. It bounds the time without a leader if that one is
- * lost; leases of workers last longer.
- */
-const MAX_LEADER_TIMEOUT_MS = 2_000;
-
-/** How much longer others wait for a leader that is late, as a multiple of its latest delay. */
-const LATE_RATIO = 2;
-
 /** Delay of a renewal from which the record states it, in ms: two ticks of the loop. */
 const MIN_LATE_MS = 50;
 
@@ -460,10 +448,7 @@
         if (this.latestRecord === undefined || this.latestRecord.resigned === true || this.hasLeaderEnded) {
             return 0;
         }
-        const { takingOver, lateMs = 0 } = this.latestRecord;
-        const timeoutMs = LEADER_TIMEOUT_MS + lateMs * LATE_RATIO;
-        const limitedMs = takingOver === true ? MAX_LEADER_TIMEOUT_MS : Math.min(MAX_LEADER_TIMEOUT_MS, timeoutMs);
-        return limitedMs + slowStoreWaitMs(this.candidate.storeExcessMs());
+        return leaderTimeoutMs(this.latestRecord, this.candidate.storeExcessMs());
     }
 
     private get hasLeaderEnded(): boolean {
