--- a/src/records/common/test/claimant.ts
+++ b/src/records/common/test/claimant.ts
@@ -1,3 +1,4 @@
+import { ExecutionContext } from "ava";
 import { Ok, Result } from "ts-results";
 import { Outbox } from "../../../base/common/outbox";
 import { parseHostKey } from "../hostRecord";
@@ -6,12 +7,13 @@
 import { parseRenewalKey } from "../renewalRecord";
 import { RecordFollower, RecordReceiver } from "../recordFollower";
 import { RecordOffset } from "../record";
-import { NewestPage, ReadError, RecordPage } from "../recordStore";
+import { Append, AppendError, NewestPage, ReadError, RecordPage } from "../recordStore";
 import { RecordEffect } from "../recordEvents";
 import { WitnessClocks } from "../witnessClocks";
 
 /** The stream that holds the claims. */
 interface ClaimLog {
+    append(append: Append): Result<RecordOffset, AppendError>;
     newest(after: string | undefined): Result<NewestPage, ReadError>;
     read(from: RecordOffset): Result<RecordPage, ReadError>;
 }
@@ -91,3 +93,20 @@
     };
     return { leadership, clocks, read, claim, renew, flush, load };
 }
+
+/** An instance whose reads and claims are made by the test. */
+export type Instance = ReturnType<typeof createInstance>;
+
+/** Makes an instance the leader, which has taken over at 1.1 s and renews its record on time until 2.6 s. */
+export function lead(t: ExecutionContext, log: ClaimLog, { leadership, read, claim, renew }: Instance): void {
+    read(1_000);
+    t.true(log.append(claim(1_000)[0].append).ok);
+    read(1_100);
+    leadership.endTakeover(1_100);
+    for (let now = 1_400; now <= 2_600; now += 300) {
+        const [{ writer, append }] = renew(now);
+        const result = log.append(append);
+        t.true(result.ok);
+        leadership.handleAppendAnswer({ kind: "append-answer", writer, sequence: append.sequence, result }, now + 10);
+    }
+}
