Load streams in turn where many instances share the link of a region

Cause: when all instances of a site restart, each loads three streams at once, 1.2 to 1.5 MB with a large configuration. Change: LoadSequence starts a follower when the one before has loaded, in regions of three failure domains or more (setting failureDomains); elsewhere all start at once as before.

--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -32,6 +32,7 @@
 import chartText from "./jobInstance.chart.yaml";
 import { JobInstanceEffect, JobInstanceEvent } from "./jobInstanceEvents";
 import { JobInstanceIdentity } from "./jobInstanceIdentity";
+import { LoadSequence } from "./loadSequence";
 import { MalformedKeys } from "./malformedKeys";
 import { OperatorReceiver } from "./operatorReceiver";
 import { OfficeContext, ShardOffice } from "./shardOffice";
@@ -126,6 +127,7 @@
     private readonly jobsFollower: RecordFollower;
     private readonly operatorFollower: RecordFollower;
     private readonly workersFollower: RecordFollower;
+    private startupLoads: LoadSequence | undefined;
     private readonly submissionWriter: RecordWriter;
     /** The offices of this instance, by shard. */
     private readonly offices: ShardOffice[] = [];
@@ -283,9 +285,9 @@
      */
     start(now: number): JobInstanceEffect[] {
         this.startedAt = now;
-        this.jobsFollower.start();
-        this.operatorFollower.start();
-        this.workersFollower.start();
+        const followers = [this.jobsFollower, this.operatorFollower, this.workersFollower];
+        this.startupLoads = LoadSequence.create(followers, this.identity.loadOrder ?? "together");
+        this.startupLoads.advance();
         return this.outbox.drain();
     }
 
@@ -441,6 +443,7 @@
         const follower = this.followerOf(event.stream);
         if (follower !== undefined) {
             follower.handleAnswer(event, now);
+            this.startupLoads?.advance();
         } else {
             this.offices.forEach(office => office.handleNewestAnswer(event));
         }
--- a/src/host/common/jobInstanceIdentity.ts
+++ b/src/host/common/jobInstanceIdentity.ts
@@ -1,4 +1,5 @@
 import { WorkMeter } from "../../base/common/workMeter";
+import { LoadOrder } from "./loadSequence";
 import { WorkKind } from "./workKind";
 
 /** Identity and resources of one instance. */
@@ -13,6 +14,8 @@
     readonly storeRoundTripMs: () => number | undefined;
     /** How much longer than the round trip the store takes to answer now, in ms; 0 if left out. */
     readonly storeExcessMs?: () => number;
+    /** In which order it loads its streams; all at once if left out. */
+    readonly loadOrder?: LoadOrder;
     /** CPU available to the instance, in cores. */
     readonly cores: number;
     /** Measures the work of the instance; left out if it is not measured. */
--- a/src/platform/node/platformProcess.ts
+++ b/src/platform/node/platformProcess.ts
@@ -4,6 +4,7 @@
 import { RequestKind } from "../../dispatch/common/placement/requestKind";
 import { JobInstance } from "../../host/common/jobInstance";
 import { JobSettings } from "../../host/common/jobSettings";
+import { loadOrderOf } from "../../host/common/loadSequence";
 import { MAX_ORDERS_IN_FLIGHT } from "../../host/common/orderQueue";
 import { WorkKind } from "../../host/common/workKind";
 import { DecisionLog } from "../../host/node/decisionLog";
@@ -70,6 +71,7 @@
         nonce: randomInt(MAX_NONCE),
         storeRoundTripMs: () => store.latency.shortestMs,
         storeExcessMs: () => store.latency.excessMs(performance.now()),
+        loadOrder: loadOrderOf(settings.failureDomains ?? {}, settings.region),
         cores: share * speed,
         work,
     };
