A refusal states its reason in the answer, the log and the metrics

Cause: 503s of an instance that starts, whose view is old, or whose store fails or is late could not be told apart: the line call-answered with the answer unavailable named no cause.

Change: JobCallHandler, which decides the answer, gives each refusal a reason of the string union UnavailableReason; call-answered has it, and wigeonstall_calls_unavailable_total counts by request and reason.

Tests: each reason by the situation that leads to it; the counter.

--- a/src/host/node/jobMetrics.ts
+++ b/src/host/node/jobMetrics.ts
@@ -1,6 +1,7 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import { RequestKind } from "../../dispatch/common/placement/requestKind";
 import { DecisionData, DecisionName } from "../../dispatch/common/scheduler/dispatchEffects";
+import { UnavailableReason } from "../../jobs/common/jobCall";
 import { StreamName } from "../../records/common/recordStore";
 import { WorkKind } from "../common/workKind";
 
@@ -59,6 +60,12 @@
         labelNames: ["stream"],
         registers: [this.registry],
     });
+    private readonly unavailableCalls = new Counter({
+        name: "wigeonstall_calls_unavailable_total",
+        help: "Calls that were answered with unavailable, by reason.",
+        labelNames: ["request", "reason"],
+        registers: [this.registry],
+    });
     private readonly runTimes = new Histogram({
         name: "wigeonstall_run_held_seconds",
         help: "Time from the choice of a worker until the end of the run was read, for which the run holds its CPU.",
@@ -152,6 +159,11 @@
         this.calls.observe({ request, answer }, durationMs / MS_PER_SECOND);
     }
 
+    /** Records a call that was answered with `unavailable`. */
+    recordUnavailable(request: string, reason: UnavailableReason): void {
+        this.unavailableCalls.inc({ request, reason });
+    }
+
     /** Records a call to the store. @param durationMs Duration in ms. */
     recordStoreCall(call: string, outcome: string, durationMs: number): void {
         this.storeCalls.observe({ call, outcome }, durationMs / MS_PER_SECOND);
--- a/src/host/node/jobPerformers.ts
+++ b/src/host/node/jobPerformers.ts
@@ -228,6 +228,9 @@
         this.pendingReplies.delete(call.number);
         const tookMs = performance.now() - (pending?.receivedAt ?? performance.now());
         this.metrics.recordCall(call.request.kind, answer.kind, tookMs);
+        if (answer.kind === "unavailable") {
+            this.metrics.recordUnavailable(call.request.kind, answer.reason);
+        }
         if (answer.kind !== "state" && answer.kind !== "pending") {
             const { kind } = call.request;
             this.log.log("call-answered", {
--- a/src/host/node/test/jobMetrics.test.ts
+++ b/src/host/node/test/jobMetrics.test.ts
@@ -12,6 +12,16 @@
     t.true(text.includes('wigeonstall_call_seconds_count{request="submit",answer="unavailable"} 1'));
 });
 
+test("calls that were answered with unavailable are counted by reason", async t => {
+    const metrics = JobMetrics.create();
+    metrics.recordUnavailable("submit", "store-late");
+    metrics.recordUnavailable("submit", "store-late");
+    metrics.recordUnavailable("read", "jobs-late");
+    const text = await metrics.text();
+    t.true(text.includes('wigeonstall_calls_unavailable_total{request="submit",reason="store-late"} 2'));
+    t.true(text.includes('wigeonstall_calls_unavailable_total{request="read",reason="jobs-late"} 1'));
+});
+
 test("the wait is observed for the first start of a task only", async t => {
     const metrics = JobMetrics.create();
     metrics.recordDecision("run-started", { task: "a", waitedMs: 80 });
--- a/src/jobs/common/jobCall.ts
+++ b/src/jobs/common/jobCall.ts
@@ -27,6 +27,16 @@
     readonly request: JobRequest;
 }
 
+/**
+ * Why a call cannot be answered now.
+ * - `starting`: the configuration or the jobs are not loaded yet.
+ * - `configuration-old`: the configuration may not be in force any more.
+ * - `store-failing`: appends to the store have failed for a while, so the submission was not sent.
+ * - `store-late`: the submission was not sent, or the cancellation not confirmed, before the caller times out.
+ * - `jobs-late`: the jobs have not been read recently, or not up to the call before its caller times out.
+ */
+export type UnavailableReason = "starting" | "configuration-old" | "store-failing" | "store-late" | "jobs-late";
+
 /** Answer to a call. `undecided`: the submission may or may not be stored. */
 export type JobAnswer =
     | { readonly kind: "accepted" }
@@ -36,5 +46,5 @@
     | { readonly kind: "no-job" }
     | { readonly kind: "no-queue" }
     | { readonly kind: "invalid"; readonly faults: readonly string[] }
-    | { readonly kind: "unavailable"; readonly retryAfterMs: number }
+    | { readonly kind: "unavailable"; readonly reason: UnavailableReason; readonly retryAfterMs: number }
     | { readonly kind: "undecided" };
--- a/src/jobs/common/jobCallHandler.ts
+++ b/src/jobs/common/jobCallHandler.ts
@@ -101,7 +101,7 @@
     /** Handles a call. @param call The call. @param now Time in ms. @param wallNow Time in ms since the Unix epoch. */
     handle(call: JobCall, now: number, wallNow: number): void {
         if (!this.views.configuration.isInForce(now) || !this.views.jobs.hasLoaded) {
-            this.sendAnswer(call, { kind: "unavailable", retryAfterMs: this.retryAfterMsWithoutViews() });
+            this.sendAnswer(call, this.answerWithoutViews());
             return;
         }
         const resolved = this.queues.resolve(call.host, call.path);
@@ -137,9 +137,11 @@
     }
 
     /** An instance that starts is ready soon. One whose view has become old has been without the store for longer than that. */
-    private retryAfterMsWithoutViews(): number {
+    private answerWithoutViews(): JobAnswer {
         const isStarting = this.queues.version === undefined || !this.views.jobs.hasLoaded;
-        return isStarting ? RETRY_AFTER_MS : LONG_OUTAGE_RETRY_AFTER_MS;
+        return isStarting
+            ? { kind: "unavailable", reason: "starting", retryAfterMs: RETRY_AFTER_MS }
+            : { kind: "unavailable", reason: "configuration-old", retryAfterMs: LONG_OUTAGE_RETRY_AFTER_MS };
     }
 
     private handleJobCall(call: JobCall, queue: Queue, id: string, now: number, wallNow: number): void {
@@ -190,7 +192,7 @@
         if (this.jobs.find(openCall.id) !== undefined) {
             this.completeReadOrCancel(openCall);
         } else if (this.isStreamStale(now)) {
-            this.complete(openCall, { kind: "unavailable", retryAfterMs: RETRY_AFTER_MS });
+            this.complete(openCall, { kind: "unavailable", reason: "jobs-late", retryAfterMs: RETRY_AFTER_MS });
         }
     }
 
@@ -212,7 +214,7 @@
     private answerPendingCount(call: JobCall, queue: Queue, now: number): void {
         const answer: JobAnswer = this.isStreamFresh(now)
             ? { kind: "pending", count: this.jobs.countQueued(queue.name) }
-            : { kind: "unavailable", retryAfterMs: RETRY_AFTER_MS };
+            : { kind: "unavailable", reason: "jobs-late", retryAfterMs: RETRY_AFTER_MS };
         this.sendAnswer(call, answer);
     }
 
@@ -239,6 +241,7 @@
         const outageMs = now - (this.writer.firstFailedAt ?? now);
         return {
             kind: "unavailable",
+            reason: "store-failing",
             retryAfterMs: outageMs < RETRY_AFTER_MS ? RETRY_AFTER_MS : LONG_OUTAGE_RETRY_AFTER_MS,
         };
     }
@@ -247,9 +250,10 @@
         const { request } = openCall.call;
         const isWithdrawn = request.kind === "submit" && this.writer.withdraw(jobKey("spec", openCall.id));
         const isUndecided = request.kind === "submit" && !isWithdrawn;
+        const reason = openCall.isAwaitingStream ? "jobs-late" : "store-late";
         const answer: JobAnswer = isUndecided
             ? { kind: "undecided" }
-            : { kind: "unavailable", retryAfterMs: RETRY_AFTER_MS };
+            : { kind: "unavailable", reason, retryAfterMs: RETRY_AFTER_MS };
         this.complete(openCall, answer);
     }
 
--- a/src/jobs/common/test/jobCallHandler.test.ts
+++ b/src/jobs/common/test/jobCallHandler.test.ts
@@ -4,8 +4,9 @@
 import { RecordEffect } from "../../../records/common/recordEvents";
 import { RecordWriter } from "../../../records/common/recordWriter";
 import { ConfigurationView } from "../configurationView";
-import { JobAnswer, JobDraft, JobRequest } from "../jobCall";
+import { JobAnswer, JobDraft, JobRequest, UnavailableReason } from "../jobCall";
 import { JobCallHandler } from "../jobCallHandler";
+import { encodeSpec, jobKey } from "../jobRecord";
 import { JobTable } from "../jobTable";
 import { QueueTable } from "../queueTable";
 
@@ -25,6 +26,7 @@
     const writer = RecordWriter.create("submissions", "jobs", { name: "i", epoch: 1 }, outbox);
     const answers = new Map<number, JobAnswer["kind"]>();
     const retriesAfterMs: number[] = [];
+    const reasons: UnavailableReason[] = [];
     const stream: { hasLoaded: boolean; knownUntil: number | undefined } = { hasLoaded: true, knownUntil: 0 };
     const configuration: { knownUntil: number | undefined; isFailing: boolean } = { knownUntil: 0, isFailing: false };
     const views = { jobs: stream, configuration: ConfigurationView.create(configuration, queues, CONFIGURATION_MS) };
@@ -33,6 +35,7 @@
         answers.set(call.number, answer.kind);
         if (answer.kind === "unavailable") {
             retriesAfterMs.push(answer.retryAfterMs);
+            reasons.push(answer.reason);
         }
     });
     const call = (number: number, path: string, request: JobRequest, now: number) => {
@@ -49,7 +52,24 @@
         const result = isStored ? Ok(0) : Err("unknown" as const);
         writer.handleAnswer({ kind: "append-answer", writer: "submissions", sequence, result }, now);
     };
-    return { handler, stream, configuration, call, submit, read, count, answerAppend, answers, retriesAfterMs };
+    const addJob = (id: string) => {
+        const spec = encodeSpec({ id, queue, acceptedAtMs: 0, ...DRAFT });
+        jobs.apply({ key: jobKey("spec", id), value: spec, offset: 0 });
+    };
+    return {
+        handler,
+        addJob,
+        stream,
+        configuration,
+        call,
+        submit,
+        read,
+        count,
+        answerAppend,
+        answers,
+        retriesAfterMs,
+        reasons,
+    };
 }
 
 test("a submission is accepted once it is stored", t => {
@@ -142,6 +162,45 @@
     t.deepEqual([...answers.values()], ["no-queue", "unavailable", "unavailable", "no-queue", "unavailable"]);
 });
 
+test("a refusal states its reason: the instance starts, or its configuration is old", t => {
+    const { submit, read, stream, reasons } = createHandler();
+    submit(1, CONFIGURATION_MS + 1);
+    stream.hasLoaded = false;
+    read(2, 0);
+    t.deepEqual(reasons, ["configuration-old", "starting"]);
+});
+
+test("a refusal states its reason: the store fails, on arrival and while a submission waits to be sent", t => {
+    const { handler, submit, answerAppend, reasons } = createHandler();
+    submit(1, 0);
+    submit(2, 10);
+    answerAppend(false, 300);
+    handler.tick(1_100);
+    submit(3, 1_200);
+    t.deepEqual(reasons, ["store-failing", "store-failing"]);
+});
+
+test("a refusal states its reason: the store is late, for a submission that was not sent and for a cancellation", t => {
+    const { handler, addJob, call, submit, answers, reasons } = createHandler();
+    addJob("0000000000000004");
+    submit(1, 0);
+    submit(2, 10);
+    call(3, "/q/0000000000000004", { kind: "cancel" }, 20);
+    handler.tick(CALLER_TIMEOUT_MS);
+    t.deepEqual([...answers.values()], ["undecided", "unavailable", "unavailable"]);
+    t.deepEqual(reasons, ["store-late", "store-late"]);
+});
+
+test("a refusal states its reason: the jobs are read late, on arrival and until the caller times out", t => {
+    const { handler, count, read, stream, reasons } = createHandler();
+    count(1, 2_000);
+    read(2, 2_000);
+    stream.knownUntil = 2_000;
+    read(3, 2_100);
+    handler.tick(2_100 + CALLER_TIMEOUT_MS);
+    t.deepEqual(reasons, ["jobs-late", "jobs-late", "jobs-late"]);
+});
+
 // CONFIG: calls were answered by a configuration of any age from the first failed read on.
 test("a call is refused by an old configuration also while reads fail, since the store may serve others", t => {
     const { call, configuration, answers } = createHandler();
