An instance that is not ready says why

Change: Readiness, a chart that is reviewed each tick, reports the first failure at once (instance-unready) and the recovery once it has lasted for 1 s (instance-ready, with the time in all), so there are at most two lines in that time. isReady is decided as before, from the same list of obstacles.

--- a/src/dispatch/common/scheduler/dispatchEffects.ts
+++ b/src/dispatch/common/scheduler/dispatchEffects.ts
@@ -51,6 +51,8 @@
     | "config-applied"
     | "config-old"
     | "config-recent"
+    | "instance-unready"
+    | "instance-ready"
     | "domain-evacuated"
     | "domain-restored";
 
--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -34,10 +34,10 @@
 import { JobInstanceIdentity } from "./jobInstanceIdentity";
 import { MalformedKeys } from "./malformedKeys";
 import { OperatorReceiver } from "./operatorReceiver";
+import { LifecycleState, Readiness } from "./readiness";
 import { OfficeContext, ShardOffice } from "./shardOffice";
 import { WorkerTable } from "./workerTable";
 
-type LifecycleState = "loading" | "serving" | "stopping" | "stopped";
 type LifecycleEvent = "loaded" | "stop" | "drained";
 type LifecycleAction = "writeHost" | "resign" | "reportStopped";
 
@@ -53,12 +53,6 @@
 /** Drift between the monotonic clock and the time of day that counts as a suspension of the process. */
 const SUSPENSION_THRESHOLD_MS = 200;
 
-/**
- * An instance whose latest successful read was sent longer ago than this, two long reads, is not ready: new connections
- * should go to other instances.
- */
-const MAX_READ_AGE_MS = 3_000;
-
 /** Reads of the stream of jobs on standby. The long poll shows how long the leader has not renewed its record. */
 const STANDBY_JOBS_TIMING: ReadTiming = { waitMs: 400, pauseMs: 120 };
 
@@ -132,6 +126,7 @@
     private readonly configurationView: ConfigurationView;
     private readonly callHandler: JobCallHandler;
     private readonly malformedWorkers = MalformedKeys.create();
+    private readonly readiness: Readiness;
     private clockOffset: number | undefined;
     private startedAt = 0;
     private stoppingSince = 0;
@@ -188,14 +183,8 @@
         this.shards.onDidIgnore(({ key, offset }) => this.logMalformed("jobs", key, offset));
         this.shards.onDidDivide(plan => this.divide(plan));
         this.loopDelay.onDidChange(report => this.logDelay(report));
-        this.lifecycle = Machine.create(chart, {
-            guards: {},
-            actions: {
-                writeHost: () => this.writeHost(),
-                resign: now => this.offices.forEach(office => office.resign(now)),
-                reportStopped: () => outbox.emit({ kind: "stopped" }),
-            },
-        });
+        this.lifecycle = this.createLifecycle();
+        this.readiness = this.createReadiness();
     }
 
     /**
@@ -216,18 +205,7 @@
 
     /** @param now Time in ms. @returns Whether the instance should receive new connections. */
     isReady(now: number): boolean {
-        const { jobsFollower, operatorFollower } = this;
-        const isFresh = (sentAt: number) => now - sentAt < MAX_READ_AGE_MS;
-        // A large configuration that waits for its time to be read does not make the known one unusable.
-        return (
-            this.lifecycle.state === "serving" &&
-            !jobsFollower.isFailing &&
-            !operatorFollower.isFailing &&
-            isFresh(jobsFollower.knownUntil ?? Number.NEGATIVE_INFINITY) &&
-            isFresh(operatorFollower.answeredSince) &&
-            this.configurationView.isInForce(now) &&
-            this.callHandler.isStoreWorking(now)
-        );
+        return this.readiness.isReady(now);
     }
 
     /** Limit of a request body, in bytes. */
@@ -283,6 +261,7 @@
      */
     start(now: number): JobInstanceEffect[] {
         this.startedAt = now;
+        this.readiness.start(now);
         this.jobsFollower.start();
         this.operatorFollower.start();
         this.workersFollower.start();
@@ -454,6 +433,7 @@
         this.operatorFollower.tick(now);
         this.workersFollower.tick(now);
         this.configurationView.review(now);
+        this.readiness.review(now);
         this.offices.forEach(office => office.tick(now, wallNow));
         const isResigned = this.offices.every(office => office.isResignationStored);
         const isIdle = this.callHandler.openCallCount === 0 && isResigned;
@@ -485,6 +465,28 @@
         return this.offices[shard];
     }
 
+    private createLifecycle(): Machine<number, LifecycleState, LifecycleEvent, never, LifecycleAction> {
+        return Machine.create(chart, {
+            guards: {},
+            actions: {
+                writeHost: () => this.writeHost(),
+                resign: now => this.offices.forEach(office => office.resign(now)),
+                reportStopped: () => this.outbox.emit({ kind: "stopped" }),
+            },
+        });
+    }
+
+    private createReadiness(): Readiness {
+        const { jobsFollower: jobs, operatorFollower, configurationView, callHandler, lifecycle } = this;
+        const configuration = { stream: operatorFollower, view: configurationView };
+        const readiness = Readiness.create({ lifecycle, jobs, configuration, submissions: callHandler });
+        readiness.onDidChange(({ state, obstacles, ...data }) => {
+            const name = state === "ready" ? "instance-ready" : "instance-unready";
+            this.outbox.emit({ kind: "decision", name, data: { obstacles: obstacles.join(), ...data } });
+        });
+        return readiness;
+    }
+
     private createOperatorReceiver(): OperatorReceiver {
         const { decoder, queues, evacuations, outbox } = this;
         return OperatorReceiver.create(decoder, { queues, evacuations }, outbox, () => this.operatorFollower.transfer);
