A stop ends within the grace period also while the store does not answer

Cause: a leader that was told to stop waited until its resignation was stored, and every instance until each open call had its answer. While the store does not answer the first takes as long as the outage; the second as long as the most patient caller states. The process was killed at the end of the grace period then, with callers that learned nothing.

Change: 1 s before the end of the grace period (graceS of the settings, 6 s if it is missing) the chart of the instance goes from stopping to stopped: open calls get the answer of a timeout (unavailable if the job was certainly not stored, undecided otherwise), and stop-out-of-time says what was open. The readiness emits its lines itself.

--- a/src/dispatch/common/jobs/test/runs.ts
+++ b/src/dispatch/common/jobs/test/runs.ts
@@ -31,6 +31,7 @@
     harmMs: 4_000,
     configurationMs: 2_500,
     retentionMs: 120_000,
+    graceMs: 6_000,
 };
 
 /** Host of runs whose orders go nowhere. */
--- a/src/dispatch/common/scheduler/dispatchEffects.ts
+++ b/src/dispatch/common/scheduler/dispatchEffects.ts
@@ -51,6 +51,7 @@
     | "config-applied"
     | "config-old"
     | "config-recent"
+    | "stop-out-of-time"
     | "instance-unready"
     | "instance-ready"
     | "domain-evacuated"
--- a/src/dispatch/common/scheduler/dispatchLimits.ts
+++ b/src/dispatch/common/scheduler/dispatchLimits.ts
@@ -21,6 +21,8 @@
     readonly configurationMs: number;
     /** Time for which the state of a finished job is kept. */
     readonly retentionMs: number;
+    /** Time after a request to stop from which the process may be killed. */
+    readonly graceMs: number;
 }
 
 /**
--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -38,15 +38,15 @@
 import { OfficeContext, ShardOffice } from "./shardOffice";
 import { WorkerTable } from "./workerTable";
 
-type LifecycleEvent = "loaded" | "stop" | "drained";
-type LifecycleAction = "writeHost" | "resign" | "reportStopped";
+type LifecycleEvent = "loaded" | "stop" | "drained" | "out-of-time";
+type LifecycleAction = "writeHost" | "resign" | "answerOpenCalls" | "reportStopped";
 
 const chart = ChartRegistry.instance.register(
     ChartLoader.load<LifecycleState, LifecycleEvent, never, LifecycleAction>(chartText, "jobInstance.chart.yaml", {
         states: ["loading", "serving", "stopping", "stopped"],
-        events: ["loaded", "stop", "drained"],
+        events: ["loaded", "stop", "drained", "out-of-time"],
         guards: [],
-        actions: ["writeHost", "resign", "reportStopped"],
+        actions: ["writeHost", "resign", "answerOpenCalls", "reportStopped"],
     }),
 );
 
@@ -101,6 +101,12 @@
 /** Time that a stopping instance keeps answering, so that the platform notices that it is not ready. */
 const SHUTDOWN_GRACE_PERIOD_MS = 2_200;
 
+/**
+ * Time before the end of the grace period at which an instance stops in any case, in ms: its last answers and log lines are sent, also
+ * by a machine that is slow.
+ */
+const SHUTDOWN_MARGIN_MS = 1_000;
+
 /** Limit of a request body before the first configuration. Such requests are rejected, since no queue is known. */
 const UNCONFIGURED_MAX_BODY_BYTES = 262_144;
 
@@ -440,6 +446,17 @@
         if (isIdle && now - this.stoppingSince > SHUTDOWN_GRACE_PERIOD_MS) {
             this.lifecycle.fire("drained", now);
         }
+        if (now - this.stoppingSince > this.limits.graceMs - SHUTDOWN_MARGIN_MS) {
+            this.lifecycle.fire("out-of-time", now);
+        }
+    }
+
+    /** The process would be killed while callers wait, who would not learn whether their jobs are stored. */
+    private answerOpenCalls(): void {
+        const isResignationStored = this.offices.every(office => office.isResignationStored);
+        const data = { openCalls: this.callHandler.openCallCount, isResignationStored };
+        this.outbox.emit({ kind: "decision", name: "stop-out-of-time", data });
+        this.callHandler.expireAll();
     }
 
     /** The monotonic clock stops while the machine is suspended, the time of day does not. */
@@ -471,6 +488,7 @@
             actions: {
                 writeHost: () => this.writeHost(),
                 resign: now => this.offices.forEach(office => office.resign(now)),
+                answerOpenCalls: () => this.answerOpenCalls(),
                 reportStopped: () => this.outbox.emit({ kind: "stopped" }),
             },
         });
@@ -479,12 +497,7 @@
     private createReadiness(): Readiness {
         const { jobsFollower: jobs, operatorFollower, configurationView, callHandler, lifecycle } = this;
         const configuration = { stream: operatorFollower, view: configurationView };
-        const readiness = Readiness.create({ lifecycle, jobs, configuration, submissions: callHandler });
-        readiness.onDidChange(({ state, obstacles, ...data }) => {
-            const name = state === "ready" ? "instance-ready" : "instance-unready";
-            this.outbox.emit({ kind: "decision", name, data: { obstacles: obstacles.join(), ...data } });
-        });
-        return readiness;
+        return Readiness.create({ lifecycle, jobs, configuration, submissions: callHandler }, this.outbox);
     }
 
     private createOperatorReceiver(): OperatorReceiver {
--- a/src/host/common/jobSettings.ts
+++ b/src/host/common/jobSettings.ts
@@ -43,6 +43,8 @@
         harmMs: milliseconds,
         configurationMs: startBound,
         retentionS: milliseconds,
+        /** Empty in deployments that do not state it. */
+        graceS: z.nullish(milliseconds),
     }),
 });
 
--- a/src/host/common/readiness.ts
+++ b/src/host/common/readiness.ts
@@ -1,7 +1,8 @@
 import { ChartLoader } from "../../base/common/chartLoader";
 import { ChartRegistry } from "../../base/common/chartRegistry";
-import { Emitter } from "../../base/common/emitter";
+import { EffectSink } from "../../base/common/effectSink";
 import { Machine } from "../../base/common/machine";
+import { DecisionEffect } from "../../dispatch/common/scheduler/dispatchEffects";
 import chartText from "./readiness.chart.yaml";
 
 /** State of an instance. */
@@ -40,21 +41,6 @@
     | "configuration-old"
     | "store-failing";
 
-/** A change that is reported. */
-export type ReadinessChange =
-    | { readonly state: "unready"; readonly obstacles: readonly ReadinessObstacle[] }
-    | {
-          readonly state: "ready";
-          /** All obstacles since the instance was ready before. */
-          readonly obstacles: readonly ReadinessObstacle[];
-          /** Time since the first of them, in ms. */
-          readonly afterMs: number;
-          /** Time for which the instance was not ready, in ms. */
-          readonly unreadyMs: number;
-          /** Number of times that it was not ready. */
-          readonly times: number;
-      };
-
 /** What decides whether an instance is ready. */
 export interface ReadinessViews {
     readonly lifecycle: { readonly state: LifecycleState };
@@ -77,19 +63,19 @@
 /** Whether new connections should go to an instance; reports when it is not ready, why, and when it is again. */
 export class Readiness {
     private readonly machine: Machine<number, ReadinessState, ReadinessEvent, never, ReadinessAction>;
-    private readonly didChange = Emitter.create<ReadinessChange>();
     /** Obstacles since the instance was ready before. */
     private readonly obstacles = new Set<ReadinessObstacle>();
+    /** Number of times that the instance was not ready since then, and for how long, in ms. */
     private times = 1;
     private unreadyMs = 0;
     private firstUnreadyAt = 0;
     private unreadySince = 0;
     private recoveredAt = 0;
 
-    /** Fires with each change that is reported. */
-    readonly onDidChange = this.didChange.event;
-
-    private constructor(private readonly views: ReadinessViews) {
+    private constructor(
+        private readonly views: ReadinessViews,
+        private readonly effects: EffectSink<DecisionEffect>,
+    ) {
         this.machine = Machine.create(chart, {
             guards: {},
             actions: {
@@ -101,9 +87,13 @@
         });
     }
 
-    /** @param views What decides. @returns The readiness of an instance that starts. */
-    static create(views: ReadinessViews): Readiness {
-        return new Readiness(views);
+    /**
+     * @param views What decides.
+     * @param effects Receives the lines.
+     * @returns The readiness of an instance that starts.
+     */
+    static create(views: ReadinessViews, effects: EffectSink<DecisionEffect>): Readiness {
+        return new Readiness(views, effects);
     }
 
     /** @param now Time in ms at which the instance starts. */
@@ -155,7 +145,8 @@
         this.times = 0;
         this.unreadyMs = 0;
         this.recordFailure(now);
-        this.didChange.fire({ state: "unready", obstacles: this.findObstacles(now) });
+        const obstacles = this.findObstacles(now).join();
+        this.effects.emit({ kind: "decision", name: "instance-unready", data: { obstacles } });
     }
 
     private recordFailure(now: number): void {
@@ -170,7 +161,8 @@
 
     private reportReady(): void {
         const { times, unreadyMs, recoveredAt, firstUnreadyAt } = this;
-        const obstacles = [...this.obstacles];
-        this.didChange.fire({ state: "ready", obstacles, afterMs: recoveredAt - firstUnreadyAt, unreadyMs, times });
+        const afterMs = Math.round(recoveredAt - firstUnreadyAt);
+        const data = { obstacles: [...this.obstacles].join(), afterMs, unreadyMs: Math.round(unreadyMs), times };
+        this.effects.emit({ kind: "decision", name: "instance-ready", data });
     }
 }
--- a/src/host/common/test/jobSettings.test.ts
+++ b/src/host/common/test/jobSettings.test.ts
@@ -26,7 +26,8 @@
 
 test("the bounds of cancellations, of workers that leave and of evacuations may be missing or empty", t => {
     t.deepEqual(checkScheduling([]), []);
-    t.deepEqual(checkScheduling(["cancelMs:", "drainMs:", "evacuationMs:"]), []);
+    t.deepEqual(checkScheduling(["cancelMs:", "drainMs:", "evacuationMs:", "graceS:"]), []);
+    t.deepEqual(checkScheduling(["graceS: 6"]), []);
     t.deepEqual(checkScheduling(["cancelMs: 3000", "drainMs: 5000", "evacuationMs: 5000"]), []);
 });
 
--- a/src/jobs/common/jobCallHandler.ts
+++ b/src/jobs/common/jobCallHandler.ts
@@ -136,6 +136,11 @@
         }
     }
 
+    /** Answers all calls with what is known now, as at the end of their timeouts. */
+    expireAll(): void {
+        [...this.openCalls.values()].forEach(each => this.expire(each));
+    }
+
     /** An instance that starts is ready soon. One whose view has become old has been without the store for longer than that. */
     private answerWithoutViews(): JobAnswer {
         const isStarting = this.queues.version === undefined || !this.views.jobs.hasLoaded;
--- a/src/platform/node/platformProcess.ts
+++ b/src/platform/node/platformProcess.ts
@@ -30,6 +30,9 @@
 /** Time from which no task of a cancelled job starts, where the settings do not say it, in ms. */
 const DEFAULT_CANCEL_MS = 3_000;
 
+/** Time after a request to stop from which the process may be killed, where the settings do not say it, in s. */
+const DEFAULT_GRACE_S = 6;
+
 /** Time from which no task starts on a worker that leaves, where the settings do not say it, in ms. */
 const DEFAULT_DRAIN_MS = 2_500;
 
@@ -54,13 +57,14 @@
         (call, failure) => log.log("worker-call-failed", { call, failure }, "detail"),
         traffic,
     );
-    const { retentionS, cancelMs, drainMs, evacuationMs, ...scheduling } = settings.scheduling;
+    const { retentionS, graceS, cancelMs, drainMs, evacuationMs, ...scheduling } = settings.scheduling;
     const limits = {
         ...scheduling,
         cancelMs: cancelMs ?? DEFAULT_CANCEL_MS,
         drainMs: drainMs ?? DEFAULT_DRAIN_MS,
         evacuationMs: evacuationMs ?? undefined,
         retentionMs: retentionS * MS_PER_SECOND,
+        graceMs: (graceS ?? DEFAULT_GRACE_S) * MS_PER_SECOND,
     };
     const { share, speed } = settings.processor;
     const work = WorkClock.create<WorkKind>();
--- a/src/proof/node/jobTrialPlan.ts
+++ b/src/proof/node/jobTrialPlan.ts
@@ -48,6 +48,7 @@
     harmMs: 4_000,
     configurationMs: 2_500,
     retentionMs: 120_000,
+    graceMs: 6_000,
 };
 
 /** Bound of the configuration in trials with evacuations, in ms: both are in one stream, and the shorter bound decides. */
--- a/src/proof/node/test/instanceFixture.ts
+++ b/src/proof/node/test/instanceFixture.ts
@@ -54,6 +54,10 @@
     readonly starts: { readonly worker: string; readonly address: string; readonly order: StartOrder }[] = [];
     readonly decisions: { readonly name: string; readonly data: object }[] = [];
     readonly answers: string[] = [];
+    /** Time (ms) at which the instance had stopped, if it has. */
+    stoppedAt: number | undefined;
+    /** Timeout that callers state, in ms. */
+    callerTimeoutMs = 3_000;
     /** Streams whose reads are not answered. */
     readonly heldStreams = new Set<StreamName>();
     /** Streams whose appends are stored but not answered. */
@@ -153,6 +157,11 @@
         return id;
     }
 
+    /** Tells the instance to stop. */
+    stop(): void {
+        this.dispatch({ kind: "stop" });
+    }
+
     /** Asks for the state of a job. @param id Its id. */
     read(id: string): void {
         this.callCount += 1;
@@ -166,7 +175,8 @@
     }
 
     private call(id: string, request: JobRequest, prefix = "/q/"): void {
-        const call = { number: this.callCount, host: "host", path: `${prefix}${id}`, callerTimeoutMs: 3_000, request };
+        const { callCount: number, callerTimeoutMs } = this;
+        const call = { number, host: "host", path: `${prefix}${id}`, callerTimeoutMs, request };
         this.dispatch({ kind: "call", call });
     }
 
@@ -252,6 +262,7 @@
                 this.decisions.push(effect);
                 break;
             case "stopped":
+                this.stoppedAt = this.now;
                 break;
         }
     }
