An instance whose refused submissions are all withdrawn learns that the store is back

Cause: while appends fail for over 700 ms, submissions that are not sent are withdrawn and refused, and so is each new one. Once none was left, the writer had nothing to retry, its failure never ended, and the instance refused all jobs and failed its readiness probe until somebody cancelled a job through it.

Change: an idle writer ends its failure when the store has answered another call that was sent after it, a read of the jobs (event store-answered of the chart). If appends alone still fail, the next submission waits 700 ms at most and is refused as before.

--- a/src/jobs/common/jobCallHandler.ts
+++ b/src/jobs/common/jobCallHandler.ts
@@ -91,7 +91,8 @@
 
     /**
      * @param now Time in ms.
-     * @returns Whether the latest append was confirmed, or appends began to fail only recently.
+     * @returns Whether the latest append was confirmed, appends began to fail only recently, or none is left to be retried and the jobs
+     * were read since the latest failure.
      */
     isStoreWorking(now: number): boolean {
         const { firstFailedAt } = this.writer;
@@ -124,6 +125,10 @@
      * @param now Time in ms.
      */
     tick(now: number): void {
+        const { knownUntil } = this.views.jobs;
+        if (knownUntil !== undefined) {
+            this.writer.handleStoreAnswer(knownUntil);
+        }
         const isStoreWorking = this.isStoreWorking(now);
         for (const openCall of [...this.openCalls.values()]) {
             if (openCall.isAwaitingStream && (this.views.jobs.knownUntil ?? 0) > openCall.receivedAt) {
--- a/src/proof/node/test/instanceFixture.ts
+++ b/src/proof/node/test/instanceFixture.ts
@@ -67,6 +67,8 @@
     readonly silentStreams = new Set<StreamName>();
     /** Whether another instance leads, which renews its record. */
     hasOtherLeader = false;
+    /** Streams whose appends are not done. */
+    readonly failingAppends = new Set<StreamName>();
     /** Streams whose reads fail at once. */
     readonly failingStreams = new Set<StreamName>();
     /** Time by which the answers to the reads of a stream are late, in ms. */
@@ -274,7 +276,7 @@
             const { writer, append } = effect;
             const { sequence } = append;
             this.after(TICK_MS, () => {
-                const result = log.append(append);
+                const result = this.failingAppends.has(stream) ? Err("not-done" as const) : log.append(append);
                 const answer = () => this.dispatch({ kind: "append-answer", writer, sequence, result });
                 if (this.heldAppends.has(stream)) {
                     this.heldAnswers.push(answer);
--- a/src/records/common/recordWriter.ts
+++ b/src/records/common/recordWriter.ts
@@ -9,16 +9,17 @@
 import chartText from "./recordWriter.chart.yaml";
 
 type WriterState = "idle" | "sending" | "waiting" | "unconfirmed" | "resending" | "rejected";
-type WriterEvent = "flush" | "nothing-left" | "stored" | "not-done" | "unknown" | "retry-due" | "reject";
-type WriterGuard = "hasPending" | "hasNoAppend";
-type WriterAction = "send" | "resend" | "confirmBatch" | "requeue" | "backOff";
+type WriterEvent =
+    "flush" | "nothing-left" | "stored" | "not-done" | "unknown" | "retry-due" | "store-answered" | "reject";
+type WriterGuard = "hasPending" | "hasNoAppend" | "isSentAfterFailure";
+type WriterAction = "send" | "resend" | "confirmBatch" | "requeue" | "backOff" | "endFailure";
 
 const chart = ChartRegistry.instance.register(
     ChartLoader.load<WriterState, WriterEvent, WriterGuard, WriterAction>(chartText, "recordWriter.chart.yaml", {
         states: ["idle", "sending", "waiting", "unconfirmed", "resending", "rejected"],
-        events: ["flush", "nothing-left", "stored", "not-done", "unknown", "retry-due", "reject"],
-        guards: ["hasPending", "hasNoAppend"],
-        actions: ["send", "resend", "confirmBatch", "requeue", "backOff"],
+        events: ["flush", "nothing-left", "stored", "not-done", "unknown", "retry-due", "store-answered", "reject"],
+        guards: ["hasPending", "hasNoAppend", "isSentAfterFailure"],
+        actions: ["send", "resend", "confirmBatch", "requeue", "backOff", "endFailure"],
     }),
 );
 
@@ -53,8 +54,10 @@
     private backoffMs = MIN_RETRY_BACKOFF_MS;
     private retryAt = 0;
     private batchSentAt = 0;
+    /** Time (ms) of the latest failure. */
+    private lastFailedAt = Number.NEGATIVE_INFINITY;
 
-    /** Time (ms) of the first failure since the latest confirmed append. */
+    /** Time (ms) of the first failure since the latest confirmed append, or since the store has answered other calls again. */
     firstFailedAt: number | undefined;
 
     private constructor(
@@ -64,13 +67,18 @@
         private readonly effects: EffectSink<RecordWriterEffect>,
     ) {
         this.machine = Machine.create(chart, {
-            guards: { hasPending: () => this.pending.size > 0, hasNoAppend: () => this.append === undefined },
+            guards: {
+                hasPending: () => this.pending.size > 0,
+                hasNoAppend: () => this.append === undefined,
+                isSentAfterFailure: sentAt => sentAt > this.lastFailedAt,
+            },
             actions: {
                 send: now => this.send(now),
                 resend: () => this.emitAppend(),
                 confirmBatch: () => this.confirmBatch(),
                 requeue: () => this.requeue(),
                 backOff: now => this.backOff(now),
+                endFailure: () => this.endFailure(),
             },
         });
     }
@@ -160,6 +168,14 @@
         this.flush(now);
     }
 
+    /**
+     * Handles that the store has answered another call: a writer that has nothing left to retry would not learn that it is back.
+     * @param sentAt Time (ms) at which the call was sent.
+     */
+    handleStoreAnswer(sentAt: number): void {
+        this.machine.fire("store-answered", sentAt);
+    }
+
     private send(now: number): void {
         this.batch = [];
         const records: KeyedRecord[] = [];
@@ -205,8 +221,7 @@
         const { batch } = this;
         this.batch = [];
         this.append = undefined;
-        this.firstFailedAt = undefined;
-        this.backoffMs = MIN_RETRY_BACKOFF_MS;
+        this.endFailure();
         batch.forEach(each => each.onStored.forEach(listener => listener(this.batchSentAt)));
     }
 
@@ -222,8 +237,14 @@
         });
     }
 
+    private endFailure(): void {
+        this.firstFailedAt = undefined;
+        this.backoffMs = MIN_RETRY_BACKOFF_MS;
+    }
+
     private backOff(now: number): void {
         this.firstFailedAt ??= now;
+        this.lastFailedAt = now;
         this.retryAt = now + this.backoffMs;
         this.backoffMs = Math.min(this.backoffMs * 2, MAX_RETRY_BACKOFF_MS);
     }
--- a/src/records/common/test/recordWriter.test.ts
+++ b/src/records/common/test/recordWriter.test.ts
@@ -38,6 +38,22 @@
     t.deepEqual(outbox.drain(), []);
 });
 
+test("a failure after which nothing is left to be stored ends with the answer to a call that was sent after it", t => {
+    const outbox = Outbox.create<RecordEffect>();
+    const writer = RecordWriter.create("w", "jobs", { name: "p", epoch: 1 }, outbox);
+    writer.write("k", () => "1");
+    writer.flush(0);
+    writer.handleAnswer({ kind: "append-answer", writer: "w", sequence: 1, result: Err("not-done") }, 10);
+    writer.handleStoreAnswer(20);
+    t.is(writer.firstFailedAt, 10);
+    t.true(writer.withdraw("k"));
+    writer.flush(1_000);
+    writer.handleStoreAnswer(10);
+    t.is(writer.firstFailedAt, 10);
+    writer.handleStoreAnswer(11);
+    t.is(writer.firstFailedAt, undefined);
+});
+
 test("a writer whose epoch was superseded makes no further appends", t => {
     const outbox = Outbox.create<RecordEffect>();
     const writer = RecordWriter.create("w", "jobs", { name: "p", epoch: 1 }, outbox);
