--- a/src/dispatch/common/scheduler/dispatchEffects.ts
+++ b/src/dispatch/common/scheduler/dispatchEffects.ts
@@ -51,6 +51,9 @@
     | "config-applied"
     | "config-old"
     | "config-recent"
+    | "stop-out-of-time"
+    | "instance-unready"
+    | "instance-ready"
     | "domain-evacuated"
     | "domain-restored";
 
--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -35,31 +35,25 @@
 import { LoadSequence } from "./loadSequence";
 import { MalformedKeys } from "./malformedKeys";
 import { OperatorReceiver } from "./operatorReceiver";
+import { LifecycleState, Readiness } from "./readiness";
 import { OfficeContext, ShardOffice } from "./shardOffice";
 import { WorkerTable } from "./workerTable";
 
-type LifecycleState = "loading" | "serving" | "stopping" | "stopped";
-type LifecycleEvent = "loaded" | "stop" | "drained";
-type LifecycleAction = "writeHost" | "resign" | "reportStopped";
+type LifecycleEvent = "loaded" | "stop" | "drained" | "out-of-time";
+type LifecycleAction = "writeHost" | "resign" | "answerOpenCalls" | "reportStopped";
 
 const chart = ChartRegistry.instance.register(
     ChartLoader.load<LifecycleState, LifecycleEvent, never, LifecycleAction>(chartText, "jobInstance.chart.yaml", {
         states: ["loading", "serving", "stopping", "stopped"],
-        events: ["loaded", "stop", "drained"],
+        events: ["loaded", "stop", "drained", "out-of-time"],
         guards: [],
-        actions: ["writeHost", "resign", "reportStopped"],
+        actions: ["writeHost", "resign", "answerOpenCalls", "reportStopped"],
     }),
 );
 
 /** Drift between the monotonic clock and the time of day that counts as a suspension of the process. */
 const SUSPENSION_THRESHOLD_MS = 200;
 
-/**
- * An instance whose latest successful read was sent longer ago than this, two long reads, is not ready: new connections
- * should go to other instances.
- */
-const MAX_READ_AGE_MS = 3_000;
-
 /** Reads of the stream of jobs on standby. The long poll shows how long the leader has not renewed its record. */
 const STANDBY_JOBS_TIMING: ReadTiming = { waitMs: 400, pauseMs: 120 };
 
@@ -108,6 +102,12 @@
 /** Time that a stopping instance keeps answering, so that the platform notices that it is not ready. */
 const SHUTDOWN_GRACE_PERIOD_MS = 2_200;
 
+/**
+ * Time before the end of the grace period at which an instance stops in any case, in ms: its last answers and log lines are sent, also
+ * by a machine that is slow.
+ */
+const SHUTDOWN_MARGIN_MS = 1_000;
+
 /** Limit of a request body before the first configuration. Such requests are rejected, since no queue is known. */
 const UNCONFIGURED_MAX_BODY_BYTES = 262_144;
 
@@ -134,6 +134,7 @@
     private readonly configurationView: ConfigurationView;
     private readonly callHandler: JobCallHandler;
     private readonly malformedWorkers = MalformedKeys.create();
+    private readonly readiness: Readiness;
     private clockOffset: number | undefined;
     private startedAt = 0;
     private stoppingSince = 0;
@@ -190,14 +191,8 @@
         this.shards.onDidIgnore(({ key, offset }) => this.logMalformed("jobs", key, offset));
         this.shards.onDidDivide(plan => this.divide(plan));
         this.loopDelay.onDidChange(report => this.logDelay(report));
-        this.lifecycle = Machine.create(chart, {
-            guards: {},
-            actions: {
-                writeHost: () => this.writeHost(),
-                resign: now => this.offices.forEach(office => office.resign(now)),
-                reportStopped: () => outbox.emit({ kind: "stopped" }),
-            },
-        });
+        this.lifecycle = this.createLifecycle();
+        this.readiness = this.createReadiness();
     }
 
     /**
@@ -218,18 +213,7 @@
 
     /** @param now Time in ms. @returns Whether the instance should receive new connections. */
     isReady(now: number): boolean {
-        const { jobsFollower, operatorFollower } = this;
-        const isFresh = (sentAt: number) => now - sentAt < MAX_READ_AGE_MS;
-        // A large configuration that waits for its time to be read does not make the known one unusable.
-        return (
-            this.lifecycle.state === "serving" &&
-            !jobsFollower.isFailing &&
-            !operatorFollower.isFailing &&
-            isFresh(jobsFollower.knownUntil ?? Number.NEGATIVE_INFINITY) &&
-            isFresh(operatorFollower.answeredSince) &&
-            this.configurationView.isInForce(now) &&
-            this.callHandler.isStoreWorking(now)
-        );
+        return this.readiness.isReady(now);
     }
 
     /** Limit of a request body, in bytes. */
@@ -285,6 +269,7 @@
      */
     start(now: number): JobInstanceEffect[] {
         this.startedAt = now;
+        this.readiness.start(now);
         const followers = [this.jobsFollower, this.operatorFollower, this.workersFollower];
         this.startupLoads = LoadSequence.create(followers, this.identity.loadOrder ?? "together");
         this.startupLoads.advance();
@@ -457,12 +442,24 @@
         this.operatorFollower.tick(now);
         this.workersFollower.tick(now);
         this.configurationView.review(now);
+        this.readiness.review(now);
         this.offices.forEach(office => office.tick(now, wallNow));
         const isResigned = this.offices.every(office => office.isResignationStored);
         const isIdle = this.callHandler.openCallCount === 0 && isResigned;
         if (isIdle && now - this.stoppingSince > SHUTDOWN_GRACE_PERIOD_MS) {
             this.lifecycle.fire("drained", now);
         }
+        if (now - this.stoppingSince > this.limits.graceMs - SHUTDOWN_MARGIN_MS) {
+            this.lifecycle.fire("out-of-time", now);
+        }
+    }
+
+    /** The process would be killed while callers wait, who would not learn whether their jobs are stored. */
+    private answerOpenCalls(): void {
+        const isResignationStored = this.offices.every(office => office.isResignationStored);
+        const data = { openCalls: this.callHandler.openCallCount, isResignationStored };
+        this.outbox.emit({ kind: "decision", name: "stop-out-of-time", data });
+        this.callHandler.expireAll();
     }
 
     /** The monotonic clock stops while the machine is suspended, the time of day does not. */
@@ -488,6 +485,24 @@
         return this.offices[shard];
     }
 
+    private createLifecycle(): Machine<number, LifecycleState, LifecycleEvent, never, LifecycleAction> {
+        return Machine.create(chart, {
+            guards: {},
+            actions: {
+                writeHost: () => this.writeHost(),
+                resign: now => this.offices.forEach(office => office.resign(now)),
+                answerOpenCalls: () => this.answerOpenCalls(),
+                reportStopped: () => this.outbox.emit({ kind: "stopped" }),
+            },
+        });
+    }
+
+    private createReadiness(): Readiness {
+        const { jobsFollower: jobs, operatorFollower, configurationView, callHandler, lifecycle } = this;
+        const configuration = { stream: operatorFollower, view: configurationView };
+        return Readiness.create({ lifecycle, jobs, configuration, submissions: callHandler }, this.outbox);
+    }
+
     private createOperatorReceiver(): OperatorReceiver {
         const { decoder, queues, evacuations, outbox } = this;
         return OperatorReceiver.create(decoder, { queues, evacuations }, outbox, () => this.operatorFollower.transfer);
--- a/src/jobs/common/jobCallHandler.ts
+++ b/src/jobs/common/jobCallHandler.ts
@@ -91,7 +91,8 @@
 
     /**
      * @param now Time in ms.
-     * @returns Whether the latest append was confirmed, or appends began to fail only recently.
+     * @returns Whether the latest append was confirmed, appends began to fail only recently, or none is left to be retried and the jobs
+     * were read since the latest failure.
      */
     isStoreWorking(now: number): boolean {
         const { firstFailedAt } = this.writer;
@@ -101,7 +102,7 @@
     /** Handles a call. @param call The call. @param now Time in ms. @param wallNow Time in ms since the Unix epoch. */
     handle(call: JobCall, now: number, wallNow: number): void {
         if (!this.views.configuration.isInForce(now) || !this.views.jobs.hasLoaded) {
-            this.sendAnswer(call, { kind: "unavailable", retryAfterMs: this.retryAfterMsWithoutViews() });
+            this.sendAnswer(call, this.answerWithoutViews());
             return;
         }
         const resolved = this.queues.resolve(call.host, call.path);
@@ -124,6 +125,10 @@
      * @param now Time in ms.
      */
     tick(now: number): void {
+        const { knownUntil } = this.views.jobs;
+        if (knownUntil !== undefined) {
+            this.writer.handleStoreAnswer(knownUntil);
+        }
         const isStoreWorking = this.isStoreWorking(now);
         for (const openCall of [...this.openCalls.values()]) {
             if (openCall.isAwaitingStream && (this.views.jobs.knownUntil ?? 0) > openCall.receivedAt) {
@@ -136,10 +141,17 @@
         }
     }
 
+    /** Answers all calls with what is known now, as at the end of their timeouts. */
+    expireAll(): void {
+        [...this.openCalls.values()].forEach(each => this.expire(each));
+    }
+
     /** An instance that starts is ready soon. One whose view has become old has been without the store for longer than that. */
-    private retryAfterMsWithoutViews(): number {
+    private answerWithoutViews(): JobAnswer {
         const isStarting = this.queues.version === undefined || !this.views.jobs.hasLoaded;
-        return isStarting ? RETRY_AFTER_MS : LONG_OUTAGE_RETRY_AFTER_MS;
+        return isStarting
+            ? { kind: "unavailable", reason: "starting", retryAfterMs: RETRY_AFTER_MS }
+            : { kind: "unavailable", reason: "configuration-old", retryAfterMs: LONG_OUTAGE_RETRY_AFTER_MS };
     }
 
     private handleJobCall(call: JobCall, queue: Queue, id: string, now: number, wallNow: number): void {
@@ -190,7 +202,7 @@
         if (this.jobs.find(openCall.id) !== undefined) {
             this.completeReadOrCancel(openCall);
         } else if (this.isStreamStale(now)) {
-            this.complete(openCall, { kind: "unavailable", retryAfterMs: RETRY_AFTER_MS });
+            this.complete(openCall, { kind: "unavailable", reason: "jobs-late", retryAfterMs: RETRY_AFTER_MS });
         }
     }
 
@@ -212,7 +224,7 @@
     private answerPendingCount(call: JobCall, queue: Queue, now: number): void {
         const answer: JobAnswer = this.isStreamFresh(now)
             ? { kind: "pending", count: this.jobs.countQueued(queue.name) }
-            : { kind: "unavailable", retryAfterMs: RETRY_AFTER_MS };
+            : { kind: "unavailable", reason: "jobs-late", retryAfterMs: RETRY_AFTER_MS };
         this.sendAnswer(call, answer);
     }
 
@@ -239,6 +251,7 @@
         const outageMs = now - (this.writer.firstFailedAt ?? now);
         return {
             kind: "unavailable",
+            reason: "store-failing",
             retryAfterMs: outageMs < RETRY_AFTER_MS ? RETRY_AFTER_MS : LONG_OUTAGE_RETRY_AFTER_MS,
         };
     }
@@ -247,9 +260,10 @@
         const { request } = openCall.call;
         const isWithdrawn = request.kind === "submit" && this.writer.withdraw(jobKey("spec", openCall.id));
         const isUndecided = request.kind === "submit" && !isWithdrawn;
+        const reason = openCall.isAwaitingStream ? "jobs-late" : "store-late";
         const answer: JobAnswer = isUndecided
             ? { kind: "undecided" }
-            : { kind: "unavailable", retryAfterMs: RETRY_AFTER_MS };
+            : { kind: "unavailable", reason, retryAfterMs: RETRY_AFTER_MS };
         this.complete(openCall, answer);
     }
 
