Move the moves of throttled tasks out of the step queue

MoveController holds the destinations, stops the runs and starts their tasks where they were to go; the queue only says when it may.

--- a/src/dispatch/common/waits/stepQueue.ts
+++ b/src/dispatch/common/waits/stepQueue.ts
@@ -3,7 +3,7 @@
 import { ActiveJob, TaskGroup } from "../jobs/activeJob";
 import { LastingWaitReporter } from "./lastingWaitReporter";
 import { LatencyModel } from "../placement/latencyModel";
-import { MoveTable } from "../runs/moveTable";
+import { MoveController } from "../runs/moveController";
 import { ObjectiveOrder } from "./objectiveOrder";
 import { PlacementChoice, Placer } from "../placement/placer";
 import { ProbationPlacer } from "../failures/probationPlacer";
@@ -24,9 +24,6 @@
 import { WaitingOrder } from "./waitingOrder";
 import { WorkerContact } from "../workers/workerContact";
 
-/** How much faster a throttled task must run on another worker for a move, in percent of full speed. */
-const MIN_SPEED_GAIN_PERCENT = 40;
-
 /** How many more starts than usual may be in flight, of jobs without a run that have to have one soon. */
 const MAX_DUE_STARTS = 8;
 
@@ -53,7 +50,7 @@
     private readonly reserve = ShortTaskReserve.create();
     /** Workers on which no new long-running tasks are placed in this pass. */
     private reserved: ReadonlySet<WorkerContact> = new Set();
-    private readonly moves = MoveTable.create();
+    private readonly moves: MoveController;
     private readonly index = WaitingIndex.create<WaitingGroup>();
 
     private constructor(
@@ -67,6 +64,7 @@
     ) {
         this.waits = WaitController.create(pace, usage);
         this.probation = ProbationPlacer.create(suspects, model);
+        this.moves = MoveController.create(host);
     }
 
     /**
@@ -122,7 +120,7 @@
         this.reserved = this.reserve.choose(open, now);
         const placer = Placer.create(open, this.model);
         this.moves.prune(open, now);
-        this.finishMoves(unsuspected, placer, now);
+        this.moves.finish(unsuspected, placer, (task, choice) => this.assignTo(task, choice, placer, now));
         this.placeDue(waiting, placer, this.probation.reservedOf(workers), now);
         this.placeInOrder(unsuspected, placer, now);
         if (Number.isFinite(this.nextDueMs)) {
@@ -344,77 +342,11 @@
         return this.waits.minSpeedPercent(group, task, service, now);
     }
 
-    /** Moves throttled tasks that run faster on another worker. Each worker is offered to one of them in a pass. */
+    /** Moves throttled tasks, unless a late leader would take too long until they run again. */
     private moveTasks(entry: WaitingGroup, placer: Placer, now: number): void {
-        // A late leader takes too long until the task runs again.
-        if (this.waits.isLate) {
-            return;
-        }
-        if (isGang(entry)) {
-            this.moveGang(entry, placer, now);
-            return;
-        }
-        for (const { run } of entry.tasks) {
-            if (run !== undefined) {
-                this.moveRun(run, entry.service, placer, now);
-            }
-        }
-    }
-
-    private moveRun(run: Run, service: string, placer: Placer, now: number): void {
-        const minSpeedPercent = run.speedPercent + MIN_SPEED_GAIN_PERCENT;
-        if (placer.isInfeasible(run.task, service, minSpeedPercent)) {
-            return;
-        }
-        const isAllowed = (worker: WorkerContact) =>
-            worker.entry.id !== run.record.worker && !this.moves.isHeld(worker);
-        const choice = placer.choose(run.task, service, isAllowed, minSpeedPercent);
-        if (choice === undefined) {
-            placer.recordRejection(run.task, service, minSpeedPercent);
-            return;
-        }
-        placer.reserve(run.task, choice.worker);
-        this.moves.add(run.task, choice.worker, now);
-        this.host.move(run, now);
-    }
-
-    /** A gang works only together, so it moves if workers without its members have room for all of them. */
-    private moveGang({ tasks, service }: WaitingGroup, placer: Placer, now: number): void {
-        const runs = tasks.flatMap(task => task.run ?? []);
-        const own = new Set(runs.map(run => run.record.worker));
-        const isAllowed = (worker: WorkerContact) => !own.has(worker.entry.id) && !this.moves.isHeld(worker);
-        const minSpeedPercent = Math.min(...runs.map(run => run.speedPercent)) + MIN_SPEED_GAIN_PERCENT;
-        const chosen = placer.chooseAll(tasks, service, isAllowed, minSpeedPercent);
-        if (chosen !== undefined) {
-            chosen.forEach(({ worker }, index) => this.moves.add(tasks[index], worker, now));
-            runs.forEach(run => this.host.move(run, now));
-        }
-    }
-
-    /** Starts the moved tasks whose runs have ended where they are to run, and keeps room there for the others. */
-    private finishMoves(waiting: readonly WaitingGroup[], placer: Placer, now: number): void {
-        if (this.moves.isEmpty) {
-            return;
-        }
-        const moving = new Set([...this.moves.all].map(([task]) => task.job.groupOf(task)));
-        for (const { group, tasks, service, isThrottled } of waiting.filter(each => moving.has(each.group))) {
-            const ended = isThrottled ? [] : tasks.filter(task => this.moves.destinationOf(task) !== undefined);
-            const units = group.step.mode === "gang" && ended.length > 0 ? [tasks] : ended.map(task => [task]);
-            units.forEach(unit => this.finishMove(unit, service, placer, now));
-        }
-        for (const [task, worker] of this.moves.all) {
-            placer.reserve(task, worker);
-        }
-    }
-
-    private finishMove(tasks: readonly Task[], service: string, placer: Placer, now: number): void {
-        const workers = new Set(tasks.map(task => this.moves.destinationOf(task)));
-        const chosen = placer.chooseAll(tasks, service, worker => workers.has(worker), 0);
-        if (chosen !== undefined) {
-            alignMembers(tasks);
-            chosen.forEach((choice, index) => this.assignTo(tasks[index], choice, placer, now));
+        if (!this.waits.isLate) {
+            this.moves.move(entry, placer, now);
         }
-        tasks.forEach(task => this.moves.delete(task));
     }
 
     /** @returns Whether a worker may be given a task: best-effort tasks keep away from one that is held for another task. */
