Wait for the rack on which tasks run fastest, as long as that pays

Cause: a task whose data is on a rack, a one-rack step and a gang started anywhere as soon as their rack was full, and then took crossRackFactor times as long, often beside room that ended free in 100 ms. A gang with a data rack did not try that rack at all. Room of a rack that many jobs want went to whoever came first, and to tasks that have no use for it.

Change: where the settings state scheduling.crossRackFactor, PlaceController plans each pass. EstimatedCostPolicy compares a start elsewhere with a wait, from measured ends of runs on the rack, the tasks ahead, the error of the queue's estimates, the job's objective and the bound by which it must have a run. Steps that gain most for the room that they take get it; other tasks keep off a rack that is waited for unless they are done in time or have no room elsewhere. Waits are given up when the rack is gone. The rack of inherited runs is now known from the worker's entry.

--- a/src/dispatch/common/jobs/taskGroups.ts
+++ b/src/dispatch/common/jobs/taskGroups.ts
@@ -16,6 +16,12 @@
     return group.tasks.find(task => task.run !== undefined)?.run?.rack;
 }
 
+/** @returns The racks on which tasks of a group have runs, as far as they are known, in the order of the tasks. */
+export function racksOf(group: TaskGroup): string[] {
+    const racks = group.tasks.flatMap(({ run }) => run?.rack ?? []);
+    return [...new Set(racks)].filter(rack => rack !== "");
+}
+
 /**
  * Gives the tasks of a gang the same highest run and the same checkpoint: their next runs work together only if they have the same
  * number and resume from the same point. A checkpoint of any member is valid for all. That of a member whose worker was lost is
--- a/src/dispatch/common/placement/placer.ts
+++ b/src/dispatch/common/placement/placer.ts
@@ -8,7 +8,7 @@
 import { PlacementOffer, PlacementPolicy, SpeedLimit } from "./placementPolicy";
 import { RejectionTable } from "./rejectionTable";
 import { ANY_WORKER_PERCENT } from "../waits/waitPolicy";
-import { WorkerContact } from "../workers/workerContact";
+import { FreeCapacity, WorkerContact } from "../workers/workerContact";
 import { forecastFor, WorkerForecast } from "../workers/workerForecast";
 
 /** Cost of each percent of speed that a task cannot have on a worker, in thousandths of a core; it exceeds all other costs. */
@@ -271,6 +271,16 @@
         return step.request.cpuMillis * 2 <= cpuMillis && step.request.memoryMb * 2 <= memoryMb;
     }
 
+    /** @param service A service. @returns Its usable workers. */
+    workersOf(service: string): WorkerContact[] {
+        return this.workers.filter(({ entry }) => entry.service === service);
+    }
+
+    /** @returns What a usable worker has left for further tasks of the pass. */
+    freeCapacityOf(worker: WorkerContact): FreeCapacity {
+        return this.forecastAt(this.positions.get(worker)!).freeCapacity;
+    }
+
     /** @param service A service. @returns Racks of its usable workers. */
     racks(service: string): string[] {
         const racks = this.workers.filter(each => each.entry.service === service).map(each => each.entry.rack);
--- a/src/dispatch/common/runs/run.ts
+++ b/src/dispatch/common/runs/run.ts
@@ -3,6 +3,7 @@
 import { Machine } from "../../../base/common/machine";
 import { RunRecord } from "../../../jobs/common/jobRecord";
 import chartText from "./run.chart.yaml";
+import type { PlaceOutcome } from "../locality/placeReporter";
 import { Task } from "../jobs/task";
 import { ListedEnd, ListedRun, RunEnd } from "../workers/workerMessages";
 
@@ -118,8 +119,10 @@
     /** Time (ms) at which its start was sent, if it was. */
     private sentAt: number | undefined;
     private hasUnansweredStart = false;
-    /** Rack of its worker. */
+    /** Rack of its worker; empty if this leader has not read the entry of the worker yet. */
     rack = "";
+    /** Whether it is on the rack on which its task runs fastest; `undefined` if that does not matter, or an earlier leader chose it. */
+    place: PlaceOutcome | undefined;
     /** Ticket of the advice service that the start carries. */
     ticket: string | undefined;
 
--- a/src/dispatch/common/runs/runOrders.ts
+++ b/src/dispatch/common/runs/runOrders.ts
@@ -71,6 +71,7 @@
             epoch: this.epoch,
             rack,
             waitedMs: firstWaitMs(run.task, wallNow),
+            ...placeFields(run),
             storedMs: Math.round(now - run.assignedAt),
             entryAgeMs,
             ...this.views.ageFields(now),
@@ -95,3 +96,8 @@
         this.context.effects.emit({ kind: "decision", name, data });
     }
 }
+
+/** @returns Where a run was placed and why, as fields of its log line; none if its place does not matter. */
+function placeFields({ place }: Run): DecisionData {
+    return place === undefined ? {} : { place: place.kind, placeReason: place.reason, placeWaitMs: place.waitedMs };
+}
--- a/src/dispatch/common/scheduler/dispatchEffects.ts
+++ b/src/dispatch/common/scheduler/dispatchEffects.ts
@@ -44,6 +44,7 @@
     | "job-waits"
     | "jobs-idle"
     | "lasting-tasks-wait"
+    | "rack-placements"
     | "suspended"
     | "view-old"
     | "view-recent"
--- a/src/dispatch/common/scheduler/dispatchLimits.ts
+++ b/src/dispatch/common/scheduler/dispatchLimits.ts
@@ -1,4 +1,4 @@
-/** Limits that the deployment sets for scheduling, in ms. */
+/** Limits that the deployment sets for scheduling, in ms unless a limit says otherwise. */
 export interface DispatchLimits {
     /** Longest lease that a worker accepts. */
     readonly longestLeaseMs: number;
@@ -19,6 +19,8 @@
     readonly harmMs: number;
     /** Time within which a configuration must be in force. */
     readonly configurationMs: number;
+    /** How many times as long a task takes that is not on the rack that it prefers; left out where it is not known. */
+    readonly crossRackFactor?: number;
     /** Time for which the state of a finished job is kept. */
     readonly retentionMs: number;
 }
--- a/src/dispatch/common/scheduler/scheduler.ts
+++ b/src/dispatch/common/scheduler/scheduler.ts
@@ -15,6 +15,7 @@
 import { LatencyModel } from "../placement/latencyModel";
 import { LeaseBook } from "../workers/leaseBook";
 import { LatencyModelRecorder } from "../placement/latencyModelRecorder";
+import { PlaceController } from "../locality/placeController";
 import { ThrottleController } from "../runs/throttleController";
 import { Run, RunHost, RunOutcome } from "../runs/run";
 import { RunMover } from "../runs/runMover";
@@ -84,8 +85,7 @@
         const log = (name: DecisionName, data: DecisionData) => this.logDecision(name, data);
         this.views = ViewController.create(context.views, context.limits, log);
         this.leases = LeaseBook.create(context, { epoch, records: writers.jobs, shard: context.leases.shard }, now);
-        const { limits, effects, queues, evacuations } = context;
-        const { leadership } = context;
+        const { limits, effects, queues, evacuations, leadership } = context;
         this.pool = WorkerPool.create(leadership, this.leases, limits, SchedulerPoolHost.create(this), effects);
         this.activeJobs = ActiveJobTable.create(epoch, writers, context.jobs);
         this.pruner = JobPruner.create(context.jobs, this.activeJobs, writers, context.limits.retentionMs);
@@ -97,10 +97,11 @@
             this.throttle.change(run, percent, this.now),
         );
         this.failures = FailureController.create(context.queues, this.suspects, SchedulerFailureHost.create(this));
-        const queueHost = SchedulerQueueHost.create(this);
+        const host = SchedulerQueueHost.create(this);
+        const places = PlaceController.create(limits.crossRackFactor);
         const pace = SchedulerPace.create(context.views.loop, this.pool);
         const usage = ShardController.createUsage(context.fleet, () => this.now);
-        this.queue = StepQueue.create(context.queues, this.model, this.suspects, queueHost, undefined, pace, usage);
+        this.queue = StepQueue.create(queues, this.model, this.suspects, host, undefined, pace, usage, places);
         const usable = () => [...this.pool.all].filter(worker => this.admission.isUsable(worker, this.now));
         const sources = { jobs: this.activeJobs, queues, usage, usable, pace, writer: writers.jobs, log };
         this.shards = ShardController.create(context.fleet, sources);
--- a/src/dispatch/common/waits/objectiveOrder.ts
+++ b/src/dispatch/common/waits/objectiveOrder.ts
@@ -2,7 +2,7 @@
 import { Timeliness, WaitingOrder, WaitingRank } from "./waitingOrder";
 
 /** A job that ends after this multiple of the time from its acceptance to its objective has no value left. */
-const NO_VALUE_FACTOR = 3;
+export const NO_VALUE_FACTOR = 3;
 
 /** Ratio of the time left to the remaining duration that a job needs to count as in time before it has started. */
 const UNSTARTED_MARGIN_RATIO = 1.35;
--- a/src/dispatch/common/waits/stepQueue.ts
+++ b/src/dispatch/common/waits/stepQueue.ts
@@ -5,6 +5,7 @@
 import { LatencyModel } from "../placement/latencyModel";
 import { MoveController } from "../runs/moveController";
 import { ObjectiveOrder } from "./objectiveOrder";
+import { PlaceController } from "../locality/placeController";
 import { PlacementChoice, Placer } from "../placement/placer";
 import { ProbationPlacer } from "../failures/probationPlacer";
 import { QueueHost } from "./queueHost";
@@ -42,6 +43,8 @@
     readonly onDidWait = this.waitReporter.onDidWait;
     /** Fires for the long-running tasks of a service that wait for a run. */
     readonly onDidLastingWait = this.lastingReporter.onDidWait;
+    /** Fires for the tasks that run fastest on one rack. */
+    readonly onDidPlace: PlaceController["onDidReport"];
     private remainingStarts = 0;
     /** Remaining starts at which no task is placed. */
     private lastStart = 0;
@@ -61,7 +64,9 @@
         private readonly order: WaitingOrder,
         pace: LeaderPace | undefined,
         usage: ServiceUsage | undefined,
+        private readonly places: PlaceController,
     ) {
+        this.onDidPlace = places.onDidReport;
         this.waits = WaitController.create(pace, usage);
         this.probation = ProbationPlacer.create(suspects, model);
         this.moves = MoveController.create(host);
@@ -75,6 +80,7 @@
      * @param order Order of the jobs of one priority.
      * @param pace How long the leader takes for what it does; left out if it is not measured.
      * @param usage How much of each service is in use; that of the workers in the passes if undefined.
+     * @param places Decides how long tasks wait for the rack on which they run fastest; they do not if undefined.
      * @returns The queue.
      */
     static create(
@@ -85,8 +91,9 @@
         order: WaitingOrder = ObjectiveOrder.create(),
         pace?: LeaderPace,
         usage?: ServiceUsage,
+        places = PlaceController.create(),
     ): StepQueue {
-        return new StepQueue(queues, model, suspects, host, order, pace, usage);
+        return new StepQueue(queues, model, suspects, host, order, pace, usage, places);
     }
 
     /**
@@ -112,6 +119,7 @@
         const waiting = this.orderWaiting(jobs, now, wallNow);
         if (waiting.length === 0) {
             this.lastingReporter.reportNone();
+            this.places.skip(now);
             return;
         }
         this.suspects.prune();
@@ -121,6 +129,7 @@
         const placer = Placer.create(open, this.model);
         this.moves.prune(open, now);
         this.moves.finish(unsuspected, placer, (task, choice) => this.assignTo(task, choice, placer, now));
+        this.places.plan(unsuspected, { placer, now, wallNow, dueMs: entry => this.dueMs(entry, now) });
         this.placeDue(waiting, placer, this.probation.reservedOf(workers), now);
         this.placeInOrder(unsuspected, placer, now);
         if (Number.isFinite(this.nextDueMs)) {
@@ -131,6 +140,7 @@
 
     /** Records the end of a run. @param run The run. @param now Time in ms. */
     recordEnd(run: Run, now: number): void {
+        this.places.recordEnd(run, now);
         this.reserve.recordEnd(run, this.queues.latestSettings(run.task.job.spec.queue).service, now);
     }
 
@@ -197,6 +207,10 @@
         this.placeInOrder(further, placer, now);
     }
 
+    private dueMs({ group, tasks, service }: WaitingGroup, now: number): number | undefined {
+        return this.waits.dueMs(group, tasks[0], service, now);
+    }
+
     /** @returns Whether a waiting task has to have a run soon; if it will have to, a pass is requested for then. */
     private reviewDue({ group, service }: WaitingGroup, task: Task, now: number): boolean {
         const dueMs = this.waits.dueMs(group, task, service, now);
@@ -315,7 +329,8 @@
 
     /** Tasks of a step are alike: when no worker has free capacity for one of them, none has for the others. */
     private placeTasks(entry: WaitingGroup, placer: Placer, now: number): void {
-        const rack = entry.group.step.prefersOneRack ? rackOf(entry.group) : undefined;
+        const place = this.places.decisionOf(entry.group);
+        const rack = place?.rack ?? (entry.group.step.prefersOneRack ? rackOf(entry.group) : undefined);
         for (const task of entry.tasks) {
             if (task.run !== undefined) {
                 continue;
@@ -324,11 +339,14 @@
             if (this.remainingStarts <= this.lastStart || placer.isInfeasible(task, entry.service, minSpeedPercent)) {
                 return;
             }
+            const preferred = place?.leavesRack ? undefined : this.choosePreferred(task, entry.service, placer, rack);
+            const isWaiting = place?.isWaiting === true;
             const choice =
-                this.choosePreferred(task, entry.service, placer, rack) ??
-                this.chooseAny(task, entry, placer, minSpeedPercent, now);
+                preferred ?? (isWaiting ? undefined : this.chooseAny(task, entry, placer, minSpeedPercent, now));
             if (choice === undefined) {
-                placer.recordRejection(task, entry.service, minSpeedPercent);
+                if (!isWaiting) {
+                    placer.recordRejection(task, entry.service, minSpeedPercent);
+                }
                 if (task.failedOn.size === 0) {
                     return;
                 }
@@ -373,11 +391,27 @@
         minSpeedPercent: number,
         now: number,
     ): PlacementChoice | undefined {
-        const choose = () => this.chooseOutsideReserve(task, entry, placer, minSpeedPercent, now);
+        const choose = () => this.chooseOutsideKept(task, entry, placer, minSpeedPercent, now);
         // No worker without a failure of this task has capacity, so those with a failure are allowed, too.
         return choose() ?? (task.failedOn.size === 0 ? undefined : ignoringFailures([task], choose));
     }
 
+    /** Leaves racks to tasks that gain more there, unless no other worker has room. */
+    private chooseOutsideKept(
+        task: Task,
+        entry: WaitingGroup,
+        placer: Placer,
+        minSpeedPercent: number,
+        now: number,
+    ): PlacementChoice | undefined {
+        const isKept = this.places.keptFrom(task);
+        const choose = (isAllowed: (worker: WorkerContact) => boolean) =>
+            this.chooseOutsideReserve(task, entry, placer, minSpeedPercent, now, isAllowed);
+        const isOpen = (worker: WorkerContact) => this.isOpenFor(task, worker);
+        const choice = isKept && choose(worker => isOpen(worker) && !isKept(worker));
+        return choice ?? choose(isOpen);
+    }
+
     /**
      * New long-running tasks use no reserved worker while others lack only CPU, until they have to run: then one with room for two.
      * One that ran before is back in service as soon as possible, if need be on a reserved worker.
@@ -388,8 +422,8 @@
         placer: Placer,
         minSpeedPercent: number,
         now: number,
+        isAllowed: (worker: WorkerContact) => boolean,
     ): PlacementChoice | undefined {
-        const isAllowed = (worker: WorkerContact) => this.isOpenFor(task, worker);
         if (task.step.mode !== "long-running") {
             return placer.choose(task, service, isAllowed, minSpeedPercent);
         }
@@ -404,7 +438,8 @@
     }
 
     private assignTo(task: Task, { worker, speedPercent }: PlacementChoice, placer: Placer, now: number): void {
-        this.host.assign(task, worker, speedPercent, now);
+        const run = this.host.assign(task, worker, speedPercent, now);
+        this.places.recordStart(task, run, now);
         this.waits.recordAssignment(task, worker.entry.service, speedPercent);
         placer.invalidate(worker);
         this.remainingStarts -= 1;
@@ -416,9 +451,12 @@
         if (tasks[0].run !== undefined) {
             return;
         }
+        const place = this.places.decisionOf(entry.group);
         const racks = entry.group.step.prefersOneRack ? placer.racks(service) : [];
+        const first = place === undefined || place.leavesRack ? [] : [place.rack];
+        const preferred = new Set([...first, ...racks]);
         const minSpeedPercent = this.minSpeedPercent(entry, tasks[0], now);
-        for (const rack of [...racks, undefined]) {
+        for (const rack of place?.isWaiting ? preferred : [...preferred, undefined]) {
             const isAllowed = (worker: WorkerContact) =>
                 (rack === undefined || worker.entry.rack === rack) && this.isOpenFor(tasks[0], worker);
             const choose = () => placer.chooseAll(tasks, service, isAllowed, minSpeedPercent);
--- a/src/dispatch/common/waits/waitLog.ts
+++ b/src/dispatch/common/waits/waitLog.ts
@@ -17,6 +17,7 @@
                 log("job-waits", { ...report, ...admission.latestCounts, delayMs: views.loggedDelayMs }),
             ),
         );
+        this.resources.add(queue.onDidPlace(report => log("rack-placements", { ...report })));
         this.resources.add(queue.onDidLastingWait(report => log("lasting-tasks-wait", { ...report })));
         this.resources.add(this.idleReporter.onDidReview(report => log("jobs-idle", { ...report })));
     }
--- a/src/dispatch/common/workers/test/workerContact.test.ts
+++ b/src/dispatch/common/workers/test/workerContact.test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { createStep, createWorker, place } from "../../jobs/test/runs";
+import { createStep, createWorker, place, readingOf } from "../../jobs/test/runs";
 
 test("a worker on trial is not left unused because a best-effort run there makes no progress", t => {
     const worker = createWorker();
@@ -40,3 +40,11 @@
     late.updateClock(10_000, 9_990, 11_000, 10_000);
     t.is(late.clockReadingIn(1_500, 11_000), onTime.clockReadingIn(1_500, 11_000));
 });
+
+test("the rack of a run that an earlier leader started is known once the entry of its worker is read", t => {
+    const worker = createWorker("w1", { rack: "" });
+    const run = place(worker, "a", createStep("x", false));
+    t.is(run.rack, "");
+    worker.updateEntry(readingOf({ ...worker.entry, rack: "r7" }, 100), 100);
+    t.is(run.rack, "r7");
+});
--- a/src/dispatch/common/workers/workerContact.ts
+++ b/src/dispatch/common/workers/workerContact.ts
@@ -243,6 +243,10 @@
         // An entry of unknown age is at least as new as the one before it.
         this.entryWrittenAfter = writtenAfter ?? this.entryWrittenAfter;
         this.isRegistered = true;
+        // A leader inherits runs before it has read where their workers are.
+        for (const run of this.runs.values()) {
+            run.rack ||= entry.rack;
+        }
         // Each entry may be read late, so the earliest of these times is the closest.
         const leavesAt = Math.min(this.leavesAt ?? Number.POSITIVE_INFINITY, now + (entry.drainLeftMs ?? 0));
         this.leavesAt = entry.state === "draining" ? leavesAt : undefined;
--- a/src/host/common/jobSettings.ts
+++ b/src/host/common/jobSettings.ts
@@ -8,6 +8,9 @@
 const MIN_START_BOUND_MS = MIN_START_VALIDITY_MS + LEASE_MARGIN_MS;
 const startBound = z.number().check(z.gt(MIN_START_BOUND_MS));
 
+/** A larger factor would only make a wrong setting hold tasks back for long. */
+const MAX_CROSS_RACK_FACTOR = 100;
+
 /** Schema of the settings of one instance. Times are in ms unless the name says otherwise. */
 export const jobSettingsSchema = z.strictObject({
     instance: z.string().check(z.minLength(1)),
@@ -41,6 +44,8 @@
         evacuationMs: z.nullish(startBound),
         gangWaitMs: milliseconds,
         harmMs: milliseconds,
+        /** How many times as long a task takes that is not on the rack that it prefers. Empty in deployments that do not state it. */
+        crossRackFactor: z.nullish(z.number().check(z.gte(1), z.lte(MAX_CROSS_RACK_FACTOR))),
         configurationMs: startBound,
         retentionS: milliseconds,
     }),
--- a/src/host/common/test/jobSettings.test.ts
+++ b/src/host/common/test/jobSettings.test.ts
@@ -40,6 +40,13 @@
     t.regex(checkScheduling(["drainMs: soon"])[0], /^entry.yaml:14:14: scheduling.drainMs/);
 });
 
+test("the factor of tasks that are not on their rack may be missing or empty, and is at least 1", t => {
+    t.deepEqual(checkScheduling(["crossRackFactor:"]), []);
+    t.deepEqual(checkScheduling(["crossRackFactor: 1.5"]), []);
+    t.regex(checkScheduling(["crossRackFactor: 0.5"])[0], /^entry.yaml:14:22: scheduling.crossRackFactor is 0.5/);
+    t.regex(checkScheduling(["crossRackFactor: 1000"])[0], /^entry.yaml:14:22: scheduling.crossRackFactor is 1000/);
+});
+
 /** @param processor Lines about the processor. @returns Settings of an instance. */
 function settingsWith(processor: readonly string[]): string {
     return [
--- a/src/host/node/jobMetrics.ts
+++ b/src/host/node/jobMetrics.ts
@@ -53,6 +53,19 @@
         labelNames: ["shard", "service"],
         registers: [this.registry],
     });
+    private readonly places = new Counter({
+        name: "wigeonstall_placed_tasks_total",
+        help: "Starts of tasks that run fastest on one rack, by where they started and why.",
+        labelNames: ["place", "reason"],
+        registers: [this.registry],
+    });
+    private readonly placeWaits = new Histogram({
+        name: "wigeonstall_place_wait_seconds",
+        help: "Time for which a task had waited for the rack on which it runs fastest when it started there or elsewhere.",
+        buckets: START_WAIT_BUCKETS_S,
+        labelNames: ["place"],
+        registers: [this.registry],
+    });
     private readonly readBytes = new Counter({
         name: "wigeonstall_read_bytes_total",
         help: "Bytes of the pages that were read of each stream of the store.",
@@ -184,6 +197,11 @@
         if (name === "run-started" && typeof data.waitedMs === "number") {
             this.startWaits.observe(data.waitedMs / MS_PER_SECOND);
         }
+        if (typeof data.place === "string") {
+            const { place, placeReason = "", placeWaitMs } = data;
+            this.places.inc({ place, reason: String(placeReason) });
+            this.placeWaits.observe({ place }, Number(placeWaitMs) / MS_PER_SECOND);
+        }
     }
 
     private recordShardLoad({ shard = 0, service = "", ...parts }: DecisionData): void {
--- a/src/host/node/test/jobMetrics.test.ts
+++ b/src/host/node/test/jobMetrics.test.ts
@@ -21,6 +21,18 @@
     t.true(text.includes('wigeonstall_decisions_total{decision="run-started",outcome=""} 2'));
 });
 
+test("starts are counted by whether they are on the rack that the task prefers, with the wait for it", async t => {
+    const metrics = JobMetrics.create();
+    metrics.recordDecision("run-started", { task: "a", place: "near", placeReason: "room", placeWaitMs: 300 });
+    metrics.recordDecision("run-started", { task: "b", place: "elsewhere", placeReason: "costly", placeWaitMs: 0 });
+    metrics.recordDecision("run-started", { task: "c" });
+    const text = await metrics.text();
+    t.true(text.includes('wigeonstall_placed_tasks_total{place="near",reason="room"} 1'));
+    t.true(text.includes('wigeonstall_placed_tasks_total{place="elsewhere",reason="costly"} 1'));
+    t.true(text.includes('wigeonstall_place_wait_seconds_bucket{le="0.25",place="near"} 0'));
+    t.true(text.includes('wigeonstall_place_wait_seconds_count{place="near"} 1'));
+});
+
 test("gauges read their value at each collection", async t => {
     const metrics = JobMetrics.create();
     let jobs = 1;
--- a/src/platform/node/platformProcess.ts
+++ b/src/platform/node/platformProcess.ts
@@ -54,12 +54,13 @@
         (call, failure) => log.log("worker-call-failed", { call, failure }, "detail"),
         traffic,
     );
-    const { retentionS, cancelMs, drainMs, evacuationMs, ...scheduling } = settings.scheduling;
+    const { retentionS, cancelMs, drainMs, evacuationMs, crossRackFactor, ...scheduling } = settings.scheduling;
     const limits = {
         ...scheduling,
         cancelMs: cancelMs ?? DEFAULT_CANCEL_MS,
         drainMs: drainMs ?? DEFAULT_DRAIN_MS,
         evacuationMs: evacuationMs ?? undefined,
+        crossRackFactor: crossRackFactor ?? undefined,
         retentionMs: retentionS * MS_PER_SECOND,
     };
     const { share, speed } = settings.processor;
