Bound what waits for places cost in a pass over a long queue

Cause: with 240 workers on 30 racks that are full, and 400 steps of ten tasks that wait, a pass took several times as long as without the plan: tasks that keep off a rack searched the workers twice although none was suitable, and each one-rack step looked at all racks.

Change: the second search is left out when the first one found no suitable worker whatever the constraint, and 40 steps a pass look at all racks.

--- a/src/dispatch/common/locality/placeController.ts
+++ b/src/dispatch/common/locality/placeController.ts
@@ -62,6 +62,9 @@
 
 const MILLIS_MS_PER_CORE_SECOND = 1e6;
 
+/** How many steps look at all racks in a pass. The others would wait behind them. */
+const MAX_RACK_SEARCHES = 40;
+
 /**
  * Decides which tasks that run fastest on one rack start there, which wait for it, and which start elsewhere.
  *
@@ -80,6 +83,8 @@
     private readonly claims = new Map<string, Claim>();
     private rooms = new Map<string, RackRooms>();
     private pass = 0;
+    /** Steps that may look at all racks in the rest of the pass. */
+    private remainingSearches = 0;
 
     private constructor(
         private readonly factor: number,
@@ -143,6 +148,7 @@
 
     private beginPass(): void {
         this.pass += 1;
+        this.remainingSearches = MAX_RACK_SEARCHES;
         this.decisions.clear();
         this.claims.clear();
     }
@@ -212,6 +218,10 @@
         const { step } = group;
         const rooms = this.roomsOf(service, pass.placer);
         const rack = this.rackFor(candidate.entry, rooms, pass.now);
+        if (rack === undefined && this.remainingSearches === 0) {
+            this.conclude(group, "", "costly", pass.now);
+            return;
+        }
         if (rack === undefined || !rooms.hasWorkerFor(rack, step)) {
             this.conclude(group, rack ?? "", "rack-gone", pass.now);
             return;
@@ -306,6 +316,10 @@
         if (fixed !== undefined) {
             return fixed;
         }
+        if (this.remainingSearches === 0) {
+            return undefined;
+        }
+        this.remainingSearches -= 1;
         const awaited = this.waits.get(group)?.rack;
         let best: string | undefined;
         let leastMs = Number.POSITIVE_INFINITY;
--- a/src/dispatch/common/placement/placer.ts
+++ b/src/dispatch/common/placement/placer.ts
@@ -141,6 +141,13 @@
         return task.step.usesSpareCpu && this.rejections.covers(task.step, service, minSpeedPercent);
     }
 
+    /** @returns Whether the latest search was for the step of a task, and no worker was suitable whatever the constraint on it. */
+    hasJustFailed({ step }: Task, service: string, minSpeedPercent = 100): boolean {
+        const last = this.lastSearch;
+        const isSame = last?.step === step && last.service === service && last.minSpeedPercent === minSpeedPercent;
+        return isSame && !last.hasSuitable;
+    }
+
     /**
      * Records that `choose` found no worker for a task. Only best-effort tasks count, and only if no worker was suitable:
      * a limit per worker or an earlier failure of this task says nothing about the tasks of other steps.
--- a/src/dispatch/common/waits/stepQueue.ts
+++ b/src/dispatch/common/waits/stepQueue.ts
@@ -409,7 +409,8 @@
             this.chooseOutsideReserve(task, entry, placer, minSpeedPercent, now, isAllowed);
         const isOpen = (worker: WorkerContact) => this.isOpenFor(task, worker);
         const choice = isKept && choose(worker => isOpen(worker) && !isKept(worker));
-        return choice ?? choose(isOpen);
+        const isUseless = isKept !== undefined && placer.hasJustFailed(task, entry.service, minSpeedPercent);
+        return choice ?? (isUseless ? undefined : choose(isOpen));
     }
 
     /**
