--- a/src/dispatch/common/waits/stepQueue.ts
+++ b/src/dispatch/common/waits/stepQueue.ts
@@ -3,8 +3,9 @@
 import { ActiveJob, TaskGroup } from "../jobs/activeJob";
 import { LastingWaitReporter } from "./lastingWaitReporter";
 import { LatencyModel } from "../placement/latencyModel";
-import { MoveTable } from "../runs/moveTable";
+import { MoveController } from "../runs/moveController";
 import { ObjectiveOrder } from "./objectiveOrder";
+import { PlaceController } from "../locality/placeController";
 import { PlacementChoice, Placer } from "../placement/placer";
 import { ProbationPlacer } from "../failures/probationPlacer";
 import { QueueHost } from "./queueHost";
@@ -24,9 +25,6 @@
 import { WaitingOrder } from "./waitingOrder";
 import { WorkerContact } from "../workers/workerContact";
 
-/** How much faster a throttled task must run on another worker for a move, in percent of full speed. */
-const MIN_SPEED_GAIN_PERCENT = 40;
-
 /** How many more starts than usual may be in flight, of jobs without a run that have to have one soon. */
 const MAX_DUE_STARTS = 8;
 
@@ -45,6 +43,8 @@
     readonly onDidWait = this.waitReporter.onDidWait;
     /** Fires for the long-running tasks of a service that wait for a run. */
     readonly onDidLastingWait = this.lastingReporter.onDidWait;
+    /** Fires for the tasks that run fastest on one rack. */
+    readonly onDidPlace: PlaceController["onDidReport"];
     private remainingStarts = 0;
     /** Remaining starts at which no task is placed. */
     private lastStart = 0;
@@ -53,7 +53,7 @@
     private readonly reserve = ShortTaskReserve.create();
     /** Workers on which no new long-running tasks are placed in this pass. */
     private reserved: ReadonlySet<WorkerContact> = new Set();
-    private readonly moves = MoveTable.create();
+    private readonly moves: MoveController;
     private readonly index = WaitingIndex.create<WaitingGroup>();
 
     private constructor(
@@ -64,9 +64,12 @@
         private readonly order: WaitingOrder,
         pace: LeaderPace | undefined,
         usage: ServiceUsage | undefined,
+        private readonly places: PlaceController,
     ) {
+        this.onDidPlace = places.onDidReport;
         this.waits = WaitController.create(pace, usage);
         this.probation = ProbationPlacer.create(suspects, model);
+        this.moves = MoveController.create(host);
     }
 
     /**
@@ -77,6 +80,7 @@
      * @param order Order of the jobs of one priority.
      * @param pace How long the leader takes for what it does; left out if it is not measured.
      * @param usage How much of each service is in use; that of the workers in the passes if undefined.
+     * @param places Decides how long tasks wait for the rack on which they run fastest; they do not if undefined.
      * @returns The queue.
      */
     static create(
@@ -87,8 +91,9 @@
         order: WaitingOrder = ObjectiveOrder.create(),
         pace?: LeaderPace,
         usage?: ServiceUsage,
+        places = PlaceController.create(),
     ): StepQueue {
-        return new StepQueue(queues, model, suspects, host, order, pace, usage);
+        return new StepQueue(queues, model, suspects, host, order, pace, usage, places);
     }
 
     /**
@@ -114,6 +119,7 @@
         const waiting = this.orderWaiting(jobs, now, wallNow);
         if (waiting.length === 0) {
             this.lastingReporter.reportNone();
+            this.places.skip(now);
             return;
         }
         this.suspects.prune();
@@ -122,7 +128,8 @@
         this.reserved = this.reserve.choose(open, now);
         const placer = Placer.create(open, this.model);
         this.moves.prune(open, now);
-        this.finishMoves(unsuspected, placer, now);
+        this.moves.finish(unsuspected, placer, (task, choice) => this.assignTo(task, choice, placer, now));
+        this.places.plan(unsuspected, { placer, now, wallNow, dueMs: entry => this.dueMs(entry, now) });
         this.placeDue(waiting, placer, this.probation.reservedOf(workers), now);
         this.placeInOrder(unsuspected, placer, now);
         if (Number.isFinite(this.nextDueMs)) {
@@ -133,6 +140,7 @@
 
     /** Records the end of a run. @param run The run. @param now Time in ms. */
     recordEnd(run: Run, now: number): void {
+        this.places.recordEnd(run, now);
         this.reserve.recordEnd(run, this.queues.latestSettings(run.task.job.spec.queue).service, now);
     }
 
@@ -199,6 +207,10 @@
         this.placeInOrder(further, placer, now);
     }
 
+    private dueMs({ group, tasks, service }: WaitingGroup, now: number): number | undefined {
+        return this.waits.dueMs(group, tasks[0], service, now);
+    }
+
     /** @returns Whether a waiting task has to have a run soon; if it will have to, a pass is requested for then. */
     private reviewDue({ group, service }: WaitingGroup, task: Task, now: number): boolean {
         const dueMs = this.waits.dueMs(group, task, service, now);
@@ -317,7 +329,8 @@
 
     /** Tasks of a step are alike: when no worker has free capacity for one of them, none has for the others. */
     private placeTasks(entry: WaitingGroup, placer: Placer, now: number): void {
-        const rack = entry.group.step.prefersOneRack ? rackOf(entry.group) : undefined;
+        const place = this.places.decisionOf(entry.group);
+        const rack = place?.rack ?? (entry.group.step.prefersOneRack ? rackOf(entry.group) : undefined);
         for (const task of entry.tasks) {
             if (task.run !== undefined) {
                 continue;
@@ -326,11 +339,14 @@
             if (this.remainingStarts <= this.lastStart || placer.isInfeasible(task, entry.service, minSpeedPercent)) {
                 return;
             }
+            const preferred = place?.leavesRack ? undefined : this.choosePreferred(task, entry.service, placer, rack);
+            const isWaiting = place?.isWaiting === true;
             const choice =
-                this.choosePreferred(task, entry.service, placer, rack) ??
-                this.chooseAny(task, entry, placer, minSpeedPercent, now);
+                preferred ?? (isWaiting ? undefined : this.chooseAny(task, entry, placer, minSpeedPercent, now));
             if (choice === undefined) {
-                placer.recordRejection(task, entry.service, minSpeedPercent);
+                if (!isWaiting) {
+                    placer.recordRejection(task, entry.service, minSpeedPercent);
+                }
                 if (task.failedOn.size === 0) {
                     return;
                 }
@@ -344,79 +360,13 @@
         return this.waits.minSpeedPercent(group, task, service, now);
     }
 
-    /** Moves throttled tasks that run faster on another worker. Each worker is offered to one of them in a pass. */
+    /** Moves throttled tasks, unless a late leader would take too long until they run again. */
     private moveTasks(entry: WaitingGroup, placer: Placer, now: number): void {
-        // A late leader takes too long until the task runs again.
-        if (this.waits.isLate) {
-            return;
-        }
-        if (isGang(entry)) {
-            this.moveGang(entry, placer, now);
-            return;
-        }
-        for (const { run } of entry.tasks) {
-            if (run !== undefined) {
-                this.moveRun(run, entry.service, placer, now);
-            }
-        }
-    }
-
-    private moveRun(run: Run, service: string, placer: Placer, now: number): void {
-        const minSpeedPercent = run.speedPercent + MIN_SPEED_GAIN_PERCENT;
-        if (placer.isInfeasible(run.task, service, minSpeedPercent)) {
-            return;
-        }
-        const isAllowed = (worker: WorkerContact) =>
-            worker.entry.id !== run.record.worker && !this.moves.isHeld(worker);
-        const choice = placer.choose(run.task, service, isAllowed, minSpeedPercent);
-        if (choice === undefined) {
-            placer.recordRejection(run.task, service, minSpeedPercent);
-            return;
-        }
-        placer.reserve(run.task, choice.worker);
-        this.moves.add(run.task, choice.worker, now);
-        this.host.move(run, now);
-    }
-
-    /** A gang works only together, so it moves if workers without its members have room for all of them. */
-    private moveGang({ tasks, service }: WaitingGroup, placer: Placer, now: number): void {
-        const runs = tasks.flatMap(task => task.run ?? []);
-        const own = new Set(runs.map(run => run.record.worker));
-        const isAllowed = (worker: WorkerContact) => !own.has(worker.entry.id) && !this.moves.isHeld(worker);
-        const minSpeedPercent = Math.min(...runs.map(run => run.speedPercent)) + MIN_SPEED_GAIN_PERCENT;
-        const chosen = placer.chooseAll(tasks, service, isAllowed, minSpeedPercent);
-        if (chosen !== undefined) {
-            chosen.forEach(({ worker }, index) => this.moves.add(tasks[index], worker, now));
-            runs.forEach(run => this.host.move(run, now));
+        if (!this.waits.isLate) {
+            this.moves.move(entry, placer, now);
         }
     }
 
-    /** Starts the moved tasks whose runs have ended where they are to run, and keeps room there for the others. */
-    private finishMoves(waiting: readonly WaitingGroup[], placer: Placer, now: number): void {
-        if (this.moves.isEmpty) {
-            return;
-        }
-        const moving = new Set([...this.moves.all].map(([task]) => task.job.groupOf(task)));
-        for (const { group, tasks, service, isThrottled } of waiting.filter(each => moving.has(each.group))) {
-            const ended = isThrottled ? [] : tasks.filter(task => this.moves.destinationOf(task) !== undefined);
-            const units = group.step.mode === "gang" && ended.length > 0 ? [tasks] : ended.map(task => [task]);
-            units.forEach(unit => this.finishMove(unit, service, placer, now));
-        }
-        for (const [task, worker] of this.moves.all) {
-            placer.reserve(task, worker);
-        }
-    }
-
-    private finishMove(tasks: readonly Task[], service: string, placer: Placer, now: number): void {
-        const workers = new Set(tasks.map(task => this.moves.destinationOf(task)));
-        const chosen = placer.chooseAll(tasks, service, worker => workers.has(worker), 0);
-        if (chosen !== undefined) {
-            alignMembers(tasks);
-            chosen.forEach((choice, index) => this.assignTo(tasks[index], choice, placer, now));
-        }
-        tasks.forEach(task => this.moves.delete(task));
-    }
-
     /** @returns Whether a worker may be given a task: best-effort tasks keep away from one that is held for another task. */
     private isOpenFor(task: Task, worker: WorkerContact): boolean {
         return !task.step.usesSpareCpu || !this.moves.isHeld(worker);
@@ -441,11 +391,28 @@
         minSpeedPercent: number,
         now: number,
     ): PlacementChoice | undefined {
-        const choose = () => this.chooseOutsideReserve(task, entry, placer, minSpeedPercent, now);
+        const choose = () => this.chooseOutsideKept(task, entry, placer, minSpeedPercent, now);
         // No worker without a failure of this task has capacity, so those with a failure are allowed, too.
         return choose() ?? (task.failedOn.size === 0 ? undefined : ignoringFailures([task], choose));
     }
 
+    /** Leaves racks to tasks that gain more there, unless no other worker has room. */
+    private chooseOutsideKept(
+        task: Task,
+        entry: WaitingGroup,
+        placer: Placer,
+        minSpeedPercent: number,
+        now: number,
+    ): PlacementChoice | undefined {
+        const isKept = this.places.keptFrom(task);
+        const choose = (isAllowed: (worker: WorkerContact) => boolean) =>
+            this.chooseOutsideReserve(task, entry, placer, minSpeedPercent, now, isAllowed);
+        const isOpen = (worker: WorkerContact) => this.isOpenFor(task, worker);
+        const choice = isKept && choose(worker => isOpen(worker) && !isKept(worker));
+        const isUseless = isKept !== undefined && placer.hasJustFailed(task, entry.service, minSpeedPercent);
+        return choice ?? (isUseless ? undefined : choose(isOpen));
+    }
+
     /**
      * New long-running tasks use no reserved worker while others lack only CPU, until they have to run: then one with room for two.
      * One that ran before is back in service as soon as possible, if need be on a reserved worker.
@@ -456,8 +423,8 @@
         placer: Placer,
         minSpeedPercent: number,
         now: number,
+        isAllowed: (worker: WorkerContact) => boolean,
     ): PlacementChoice | undefined {
-        const isAllowed = (worker: WorkerContact) => this.isOpenFor(task, worker);
         if (task.step.mode !== "long-running") {
             return placer.choose(task, service, isAllowed, minSpeedPercent);
         }
@@ -472,7 +439,8 @@
     }
 
     private assignTo(task: Task, { worker, speedPercent }: PlacementChoice, placer: Placer, now: number): void {
-        this.host.assign(task, worker, speedPercent, now);
+        const run = this.host.assign(task, worker, speedPercent, now);
+        this.places.recordStart(task, run, now);
         this.waits.recordAssignment(task, worker.entry.service, speedPercent);
         placer.invalidate(worker);
         this.remainingStarts -= 1;
@@ -484,9 +452,12 @@
         if (tasks[0].run !== undefined) {
             return;
         }
+        const place = this.places.decisionOf(entry.group);
         const racks = entry.group.step.prefersOneRack ? placer.racks(service) : [];
+        const first = place === undefined || place.leavesRack ? [] : [place.rack];
+        const preferred = new Set([...first, ...racks]);
         const minSpeedPercent = this.minSpeedPercent(entry, tasks[0], now);
-        for (const rack of [...racks, undefined]) {
+        for (const rack of place?.isWaiting ? preferred : [...preferred, undefined]) {
             const isAllowed = (worker: WorkerContact) =>
                 (rack === undefined || worker.entry.rack === rack) && this.isOpenFor(tasks[0], worker);
             const choose = () => placer.chooseAll(tasks, service, isAllowed, minSpeedPercent);
--- a/src/platform/node/platformProcess.ts
+++ b/src/platform/node/platformProcess.ts
@@ -58,12 +58,13 @@
         (call, failure) => log.log("worker-call-failed", { call, failure }, "detail"),
         traffic,
     );
-    const { retentionS, graceS, cancelMs, drainMs, evacuationMs, ...scheduling } = settings.scheduling;
+    const { retentionS, graceS, cancelMs, drainMs, evacuationMs, crossRackFactor, ...scheduling } = settings.scheduling;
     const limits = {
         ...scheduling,
         cancelMs: cancelMs ?? DEFAULT_CANCEL_MS,
         drainMs: drainMs ?? DEFAULT_DRAIN_MS,
         evacuationMs: evacuationMs ?? undefined,
+        crossRackFactor: crossRackFactor ?? undefined,
         retentionMs: retentionS * MS_PER_SECOND,
         graceMs: (graceS ?? DEFAULT_GRACE_S) * MS_PER_SECOND,
     };
