--- a/soak/node/soakSite.ts
+++ b/soak/node/soakSite.ts
@@ -141,6 +141,7 @@
                 ip: this.host,
                 zone: "quimper",
                 region: "finistere",
+                zones: { quimper: "finistere" },
                 listen,
                 portRange: [metrics, metrics],
                 limits: { cpuShare: 0.27, cores: 1 },
--- a/src/host/common/jobSettings.ts
+++ b/src/host/common/jobSettings.ts
@@ -16,8 +16,8 @@
     instance: z.string().check(z.minLength(1)),
     region: z.string(),
     failureDomain: z.string(),
-    /** Region of each failure domain of the deployment. Left out, the deployment counts as small. */
-    failureDomains: z.optional(z.record(z.string(), z.string())),
+    /** Region of each failure domain of the deployment. Empty, the deployment counts as small. */
+    failureDomains: z.nullish(z.record(z.string(), z.string())),
     listen: z.strictObject({
         /** Address for callers. */
         calls: address,
