--- a/eslint.config.js
+++ b/eslint.config.js
@@ -9,6 +9,7 @@
     ["records"],
     ["jobs"],
     ["dispatch"],
+    ["handover"],
     ["serving", "host"],
     ["platform"],
     ["standin"],
--- a/src/dispatch/common/scheduler/dispatchLimits.ts
+++ b/src/dispatch/common/scheduler/dispatchLimits.ts
@@ -21,6 +21,11 @@
     readonly configurationMs: number;
     /** Time for which the state of a finished job is kept. */
     readonly retentionMs: number;
+    /**
+     * Time from the request to stop a process to its forced end; left out where it is not stated. Where it is, leaders of a
+     * divided fleet hand their shards over.
+     */
+    readonly graceMs?: number;
 }
 
 /**
--- a/src/dispatch/common/scheduler/scheduler.ts
+++ b/src/dispatch/common/scheduler/scheduler.ts
@@ -150,15 +150,17 @@
      * Begins the epoch with the restored jobs and the workers that are registered by then.
      * @param now Time in ms.
      * @param tookMs Time since this instance read its claim, in ms.
+     * @param isPrepared Whether it has got ready while the former leader led.
      */
-    begin(now: number, tookMs: number): void {
+    begin(now: number, tookMs: number, isPrepared = false): void {
         this.resources.add(toDisposable(() => this.logDecision("leader-ended", { epoch: this.epoch })));
         this.activeJobs.suspects().forEach(task => this.failures.reviewEvidence(task));
-        this.pool.spreadFirstLists();
+        this.pool.spreadFirstLists(isPrepared);
         const jobs = this.activeJobs.size;
         const formerLeasesMs = Math.round(Math.max(0, this.leases.formerEndsBy - now));
         const leases = { formerLeasesMs, formerBasis: this.context.leadership.formerBasis };
-        this.logDecision("leader-began", { epoch: this.epoch, jobs, tookMs, ...leases, ...this.views.ageFields(now) });
+        const took = { tookMs, warm: isPrepared ? true : undefined };
+        this.logDecision("leader-began", { epoch: this.epoch, jobs, ...took, ...leases, ...this.views.ageFields(now) });
     }
 
     /** Whether workers with runs of former leaders have not answered yet. */
--- a/src/dispatch/common/workers/firstLists.ts
+++ b/src/dispatch/common/workers/firstLists.ts
@@ -6,6 +6,9 @@
  */
 const FIRST_LIST_TICKS = 8;
 
+/** The same after a handover: the former leader has confirmed nearly all ends, and connections are open. */
+const PREPARED_LIST_TICKS = 3;
+
 /** Workers whose first list is not requested yet, in the order in which it will be. */
 export class FirstLists {
     private waiting: WorkerContact[] = [];
@@ -23,14 +26,15 @@
      * whose lease ends first.
      * @param workers The workers.
      * @param isUrgent Whether a worker comes before all others.
+     * @param isPrepared Whether the former leader has worked until now.
      */
-    spread(workers: readonly WorkerContact[], isUrgent: (worker: WorkerContact) => boolean): void {
+    spread(workers: readonly WorkerContact[], isUrgent: (worker: WorkerContact) => boolean, isPrepared = false): void {
         const others = workers.filter(worker => !isUrgent(worker));
         const busy = others.filter(worker => worker.runs.size > 0).sort((a, b) => a.leaseEndsBy - b.leaseEndsBy);
         const idle = others.filter(worker => worker.runs.size === 0);
         this.waiting = [...workers.filter(isUrgent), ...busy, ...idle];
         this.waiting.forEach(worker => (worker.mayList = false));
-        this.perTick = Math.ceil(workers.length / FIRST_LIST_TICKS);
+        this.perTick = Math.ceil(workers.length / (isPrepared ? PREPARED_LIST_TICKS : FIRST_LIST_TICKS));
     }
 
     /** Lets the next workers be listed. */
--- a/src/dispatch/common/workers/workerPool.ts
+++ b/src/dispatch/common/workers/workerPool.ts
@@ -246,10 +246,13 @@
         return contact;
     }
 
-    /** Spreads the first lists of all workers, witnesses and those with inherited runs first, of these the ones whose lease ends first. */
-    spreadFirstLists(): void {
+    /**
+     * Spreads the first lists of all workers, witnesses and those with inherited runs first, of these the ones whose lease ends first.
+     * @param isPrepared Whether the former leader has worked until now.
+     */
+    spreadFirstLists(isPrepared = false): void {
         const isProbed = (worker: WorkerContact) => this.probe.fenceFor(worker.entry.id) !== undefined;
-        this.firstLists.spread([...this.contacts.values()], isProbed);
+        this.firstLists.spread([...this.contacts.values()], isProbed, isPrepared);
     }
 
     /** Requests lists that are due, retries stops, and gives up runs whose lease has expired. @param now Time in ms. */
--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -18,11 +18,10 @@
 import { QueueTable } from "../../jobs/common/queueTable";
 import { FIRST_SHARD, ShardPlan } from "../../jobs/common/shardPlan";
 import { ShardTable } from "../../jobs/common/shardTable";
-import { encodeHost, hostKey, parseHostKey } from "../../records/common/hostRecord";
+import { encodeHost, hostKey, HostRecord, parseHostKey } from "../../records/common/hostRecord";
 import { HostTable } from "../../records/common/hostTable";
 import { StoredRecord } from "../../records/common/record";
-import { ReadSlots } from "../../records/common/readSlots";
-import { ReadTiming, RecordFollower, RecordReceiver } from "../../records/common/recordFollower";
+import { RecordFollower, RecordReceiver } from "../../records/common/recordFollower";
 import { RecordEvent } from "../../records/common/recordEvents";
 import { StreamName } from "../../records/common/recordStore";
 import { RecordWriter } from "../../records/common/recordWriter";
@@ -34,19 +33,20 @@
 import { JobInstanceIdentity } from "./jobInstanceIdentity";
 import { MalformedKeys } from "./malformedKeys";
 import { OperatorReceiver } from "./operatorReceiver";
+import { createReadTimings } from "./readTimings";
 import { OfficeContext, ShardOffice } from "./shardOffice";
 import { WorkerTable } from "./workerTable";
 
 type LifecycleState = "loading" | "serving" | "stopping" | "stopped";
-type LifecycleEvent = "loaded" | "stop" | "drained";
-type LifecycleAction = "writeHost" | "resign" | "reportStopped";
+type LifecycleEvent = "loaded" | "divided" | "stop" | "drained";
+type LifecycleAction = "writeHost" | "writeProfile" | "stopLeading" | "reportStopped";
 
 const chart = ChartRegistry.instance.register(
     ChartLoader.load<LifecycleState, LifecycleEvent, never, LifecycleAction>(chartText, "jobInstance.chart.yaml", {
         states: ["loading", "serving", "stopping", "stopped"],
-        events: ["loaded", "stop", "drained"],
+        events: ["loaded", "divided", "stop", "drained"],
         guards: [],
-        actions: ["writeHost", "resign", "reportStopped"],
+        actions: ["writeHost", "writeProfile", "stopLeading", "reportStopped"],
     }),
 );
 
@@ -59,51 +59,6 @@
  */
 const MAX_READ_AGE_MS = 3_000;
 
-/** Reads of the stream of jobs on standby. The long poll shows how long the leader has not renewed its record. */
-const STANDBY_JOBS_TIMING: ReadTiming = { waitMs: 400, pauseMs: 120 };
-
-/**
- * Reads of the stream of jobs on the leader, which needs new submissions with little delay. A response that stalls is given up
- * only after seconds, in which cancellations would not be known.
- */
-const LEADER_JOBS_TIMING: ReadTiming = { waitMs: 400, pauseMs: 25, repeatAfterMs: 900 };
-
-/**
- * Reads of the stream of workers on the leader. Entries are renewed continually, so one read collects several. The wait is
- * short, since a read that is not answered does not show that no worker has announced that it leaves.
- */
-const LEADER_WORKERS_TIMING: ReadTiming = { waitMs: 200, pauseMs: 400, repeatAfterMs: 900 };
-
-/** Reads of the stream of workers on standby. A new leader reads it at once. */
-const STANDBY_WORKERS_TIMING: ReadTiming = { waitMs: 2_000, pauseMs: 3_000 };
-
-/**
- * Reads of the configuration on standby. It changes rarely; the short wait of each read shows that the store is reachable. Two reads,
- * or a read and a check, take less than the time within which a configuration must be in force, also on an instance that is late.
- */
-const STANDBY_OPERATOR_TIMING: ReadTiming = { waitMs: 700, pauseMs: 0, repeatAfterMs: 1_000 };
-
-/** Reads of the configuration on the leader, whose orders to start end before an unknown configuration must be in force. */
-const LEADER_OPERATOR_TIMING: ReadTiming = { waitMs: 400, pauseMs: 0, repeatAfterMs: 900 };
-
-/** Interval between two reads of the workers of a large fleet on standby. Heartbeats that are replaced meanwhile are not read. */
-const LARGE_FLEET_PERIOD_MS = 9_000;
-
-/**
- * Pause of a leader after a large configuration, as a ratio of the time within which the next one must be in force: its orders get
- * shorter as its view ages.
- */
-const LARGE_CONFIGURATION_PAUSE_RATIO = 0.3;
-
-/**
- * Interval between two reads of a large configuration on standby, as a ratio of the same time. All instances read each of them, and
- * those of a region over one link that orders need. The rest of the time is for the check before the read, and the page itself.
- */
-const LARGE_CONFIGURATION_PERIOD_RATIO = 0.65;
-
-/** Number of the phases by which the reads of large records are spread over their interval. */
-const READ_PHASES = 1_000;
-
 /** Time that a stopping instance keeps answering, so that the platform notices that it is not ready. */
 const SHUTDOWN_GRACE_PERIOD_MS = 2_200;
 
@@ -144,27 +99,15 @@
         private readonly transferPolicy: TransferPolicy,
     ) {
         const { outbox } = this;
-        const phase = (identity.nonce % READ_PHASES) / READ_PHASES;
-        const standbyWorkersTiming = {
-            ...STANDBY_WORKERS_TIMING,
-            slots: ReadSlots.create(LARGE_FLEET_PERIOD_MS, phase),
-        };
-        const workersTiming = () => (this.isLeading ? LEADER_WORKERS_TIMING : standbyWorkersTiming);
-        const { configurationMs } = limits;
-        const largePauseMs = configurationMs * LARGE_CONFIGURATION_PAUSE_RATIO;
-        const leaderOperatorTiming = { ...LEADER_OPERATOR_TIMING, largePauseMs };
-        const slots = ReadSlots.create(configurationMs * LARGE_CONFIGURATION_PERIOD_RATIO, phase);
-        const standbyOperatorTiming = { ...STANDBY_OPERATOR_TIMING, largePauseMs, slots };
-        const operatorTiming = () => (this.isLeading ? leaderOperatorTiming : standbyOperatorTiming);
-        const jobsTiming = () => (this.isLeading ? LEADER_JOBS_TIMING : STANDBY_JOBS_TIMING);
-        this.jobsFollower = RecordFollower.create("jobs", new JobsReceiver(this), jobsTiming, outbox);
+        const timings = createReadTimings(identity.nonce, limits.configurationMs, () => this.isActive);
+        this.jobsFollower = RecordFollower.create("jobs", new JobsReceiver(this), timings.jobs, outbox);
         this.operatorFollower = RecordFollower.create(
             "operator",
             this.createOperatorReceiver(),
-            operatorTiming,
+            timings.operator,
             outbox,
         );
-        this.workersFollower = RecordFollower.create("workers", new WorkersReceiver(this), workersTiming, outbox);
+        this.workersFollower = RecordFollower.create("workers", new WorkersReceiver(this), timings.workers, outbox);
         this.submissionWriter = RecordWriter.create(
             "submissions",
             "jobs",
@@ -192,7 +135,8 @@
             guards: {},
             actions: {
                 writeHost: () => this.writeHost(),
-                resign: now => this.offices.forEach(office => office.resign(now)),
+                writeProfile: () => this.writeProfile(),
+                stopLeading: now => this.offices.forEach(office => office.stop(now)),
                 reportStopped: () => outbox.emit({ kind: "stopped" }),
             },
         });
@@ -260,6 +204,11 @@
         return this.ledShardCount > 0;
     }
 
+    /** Whether the instance leads a shard, or gets ready to. */
+    private get isActive(): boolean {
+        return this.offices.some(office => office.isLeading || office.isWarming);
+    }
+
     /** Number of shards that the instance leads. */
     get ledShardCount(): number {
         return this.offices.filter(office => office.isLeading).length;
@@ -307,10 +256,8 @@
                 this.handleAppendAnswer(event, now);
                 break;
             case "read-answer":
-                this.followerOf(event.stream)?.handleAnswer(event, now);
-                break;
             case "newest-answer":
-                this.handleNewestAnswer(event, now);
+                this.handleStoreAnswer(event, now);
                 break;
             case "tick":
                 this.loopDelay.record(event.dueAt ?? now, now);
@@ -391,16 +338,42 @@
         this.offices.forEach(office => office.retainWorkers(ids));
     }
 
-    /** Tells the other instances that a leader which was a former incarnation has ended, if there has been a leader. */
+    /**
+     * Tells the other instances that a leader which was a former incarnation has ended, if there may have been one, and what this
+     * instance is, where leaders hand over.
+     */
     private writeHost(): void {
-        if (!this.offices.some(office => office.hasHadLeader)) {
+        if (!this.handsOver && !this.offices.some(office => office.hasHadLeader)) {
             return;
         }
         const { instance, host } = this.identity;
         const { startedAt, jobsFollower } = this;
-        this.submissionWriter.write(hostKey(host), () =>
-            encodeHost({ instance, readTo: jobsFollower.nextOffset, ageMs: Math.floor(this.now - startedAt) }),
-        );
+        this.submissionWriter.write(hostKey(host), () => {
+            const ageMs = Math.floor(this.now - startedAt);
+            return encodeHost({ instance, readTo: jobsFollower.nextOffset, ageMs, ...this.profile });
+        });
+    }
+
+    /** Tells leaders what this instance is, where they hand their shards over. */
+    private writeProfile(): void {
+        if (this.handsOver) {
+            this.writeHost();
+        }
+    }
+
+    private get profile(): Pick<HostRecord, "cores" | "storeMs" | "stopping"> {
+        if (!this.handsOver) {
+            return {};
+        }
+        const { cores, storeRoundTripMs } = this.identity;
+        const roundTripMs = storeRoundTripMs();
+        const storeMs = roundTripMs === undefined ? undefined : Math.round(roundTripMs);
+        return { cores, storeMs, stopping: this.lifecycle.state === "stopping" ? true : undefined };
+    }
+
+    /** Whether leaders hand their shards over: in a divided fleet whose deployment states how long a stop may take. */
+    private get handsOver(): boolean {
+        return this.limits.graceMs !== undefined && this.shards.count > 1;
     }
 
     private logDelay({ state, afterMs, medianMs, mostMs }: DelayReport): void {
@@ -415,7 +388,7 @@
         this.outbox.emit({ kind: "decision", name: "record-malformed", data: { stream, key, offset } });
     }
 
-    /** @returns What follows a stream, or `undefined` for one that only a new leader loads. */
+    /** @returns What follows a stream, or `undefined` for one that only a new leader reads. */
     private followerOf(stream: StreamName): RecordFollower | undefined {
         switch (stream) {
             case "jobs":
@@ -437,12 +410,15 @@
         }
     }
 
-    private handleNewestAnswer(event: RecordEvent & { readonly kind: "newest-answer" }, now: number): void {
+    private handleStoreAnswer(
+        event: RecordEvent & { readonly kind: "read-answer" | "newest-answer" },
+        now: number,
+    ): void {
         const follower = this.followerOf(event.stream);
         if (follower !== undefined) {
             follower.handleAnswer(event, now);
         } else {
-            this.offices.forEach(office => office.handleNewestAnswer(event));
+            this.offices.forEach(office => office.handleProgressAnswer(event, now));
         }
     }
 
@@ -499,13 +475,16 @@
             this.offices.filter(office => office.shard !== own && office.isCandidate).length;
         const tables = { jobs, queues, evacuations, shards, loads, hosts, workers };
         const { transferPolicy } = this;
-        return { identity, limits, ...tables, ...followers, transferPolicy, loopDelay, effects, countOtherOffices };
+        const otherOffices = (own: number) => this.offices.filter(office => office.shard !== own);
+        const others = { countOtherOffices, otherOffices, handsOver: () => this.handsOver };
+        return { identity, limits, ...tables, ...followers, transferPolicy, loopDelay, effects, ...others };
     }
 
     private divide(plan: ShardPlan): void {
         this.ensureOffice(plan.count - 1);
         this.workers.divide();
         this.offices.forEach(office => office.divide());
+        this.lifecycle.fire("divided", this.now);
         this.outbox.emit({ kind: "decision", name: "fleet-divided", data: { shards: plan.count, epoch: plan.epoch } });
     }
 }
--- a/src/host/common/jobSettings.ts
+++ b/src/host/common/jobSettings.ts
@@ -44,6 +44,13 @@
         configurationMs: startBound,
         retentionS: milliseconds,
     }),
+    /** How leaders of a divided fleet hand their shards over; left out in deployments whose leaders only resign. */
+    handover: z.optional(
+        z.strictObject({
+            /** Time from the request to stop a process to its forced end, in seconds. Empty in deployments that do not state it. */
+            graceS: z.nullish(z.number().check(z.positive())),
+        }),
+    ),
 });
 
 /** Settings of one instance that serves jobs. */
--- a/src/host/common/shardOffice.ts
+++ b/src/host/common/shardOffice.ts
@@ -25,11 +25,12 @@
 import { FleetDivision } from "./fleetDivision";
 import { JobInstanceEffect } from "./jobInstanceEvents";
 import { JobInstanceIdentity } from "./jobInstanceIdentity";
+import { OfficeHandover } from "./officeHandover";
 import { Takeover, TakeoverHost } from "./takeover";
 import { WorkerTable } from "./workerTable";
 
 type AppendAnswer = RecordEvent & { readonly kind: "append-answer" };
-type NewestAnswer = RecordEvent & { readonly kind: "newest-answer" };
+type ProgressAnswer = RecordEvent & { readonly kind: "read-answer" | "newest-answer" };
 
 /** Time after its beginning for which an epoch counts as a takeover at most, in ms: the shortest lease of workers. */
 const MAX_CONTACT_MS = 6_000;
@@ -53,6 +54,10 @@
     readonly effects: EffectSink<JobInstanceEffect>;
     /** @param shard A shard. @returns Number of the other shards that this instance leads, or may soon. */
     readonly countOtherOffices: (shard: number) => number;
+    /** @param shard A shard. @returns Offices of the other shards. */
+    readonly otherOffices: (shard: number) => readonly ShardOffice[];
+    /** Whether leaders hand their shards over. */
+    readonly handsOver: () => boolean;
 }
 
 /** Spreads the claims of one instance over its offices, in ms, so that usually a different instance claims each shard first. */
@@ -64,6 +69,7 @@
     /** Clocks of the workers of the shard. */
     private readonly clocks = WitnessClocks.create();
     private readonly leadership: Leadership;
+    private readonly handover: OfficeHandover;
     private readonly jobs: ShardJobs;
     private readonly fleet: ShardFleet;
     private readonly effects: EffectSink<JobInstanceEffect>;
@@ -102,10 +108,18 @@
             get precedingEpoch() {
                 return shards.plan?.epoch;
             },
+            get otherOffices() {
+                return context.handsOver() ? context.countOtherOffices(shard) : undefined;
+            },
+            get handsOver() {
+                return context.handsOver();
+            },
+            isWarm: () => this.handover.isWarm,
         };
         const { hosts, limits } = context;
         const knowledge = { hosts, clocks: this.clocks, longestLeaseMs: limits.longestLeaseMs };
         this.leadership = Leadership.create(candidate, jobsFollower, this.effects, shard, knowledge);
+        this.handover = this.createHandover(() => candidate.cores);
         this.leadership.onDidBecomeLeader(writer => this.startTakeover(writer));
         this.leadership.onDidStepDown(() => this.stopScheduling());
         this.leadership.onDidChangeOffice(({ kind, ...data }) =>
@@ -133,9 +147,24 @@
         return this.leadership.epoch > 0;
     }
 
-    /** Whether no resignation is waiting to be stored. */
+    /** Whether no successor is awaited, and no resignation is waiting to be stored. */
     get isResignationStored(): boolean {
-        return this.leadership.isResignationStored;
+        return this.leadership.isResignationStored && !this.handover.isAwaiting;
+    }
+
+    /** Whether the leader of the shard awaits its successor, as its latest record or this office says. */
+    get isHandingOver(): boolean {
+        return this.handover.isAwaiting;
+    }
+
+    /** Whether the instance gets ready to lead the shard. */
+    get isWarming(): boolean {
+        return this.handover.isWarming;
+    }
+
+    /** The leader of the shard, and the successor that it has named. */
+    get engagedInstances(): string[] {
+        return [this.leadership.leader ?? [], this.leadership.successor ?? []].flat();
     }
 
     /** The starts in flight, if the instance schedules the shard. */
@@ -143,9 +172,9 @@
         return this.scheduler?.startLoad;
     }
 
-    /** Gives up leadership before a planned stop. @param now Time in ms. */
-    resign(now: number): void {
-        this.leadership.resign(now);
+    /** Hands the shard over, or resigns, before a planned stop. @param now Time in ms. */
+    stop(now: number): void {
+        this.handover.stop(now);
     }
 
     /** Renews the record of the leader if that is due. @param now Time in ms. */
@@ -161,6 +190,7 @@
         }
         this.scheduler?.tick(now, wallNow);
         this.reviewTakeover(now);
+        this.handover.tick(now);
     }
 
     /** Ends the takeover once the leases of all inherited runs are extended, or cannot be extended in time. */
@@ -169,6 +199,7 @@
         if (beganAt !== undefined && (this.scheduler?.isAwaitingWorkers !== true || now - beganAt >= MAX_CONTACT_MS)) {
             this.beganAt = undefined;
             this.leadership.endTakeover(now);
+            this.handover.settle(now);
         }
     }
 
@@ -178,6 +209,7 @@
      * @param wallNow Time in ms since the Unix epoch.
      */
     advance(now: number, wallNow: number): void {
+        this.handover.advance(now);
         this.takeover?.advance(now);
         // Before the first task is assigned.
         this.reviewDivision(now);
@@ -196,18 +228,29 @@
     handleAppendAnswer(event: AppendAnswer, now: number): void {
         const { takeover } = this;
         if (event.writer !== takeover?.writer.name) {
+            const wasCandidate = this.isCandidate && !this.isLeading;
             this.leadership.handleAppendAnswer(event, now);
+            if (
+                wasCandidate &&
+                event.writer === this.leadership.claimWriter &&
+                event.result.ok &&
+                this.context.handsOver()
+            ) {
+                // The leader is known only when its claim is read.
+                this.context.jobsFollower.hasten();
+            }
             return;
         }
-        takeover.writer.handleAnswer(event, now);
+        takeover.handleAppendAnswer(event, now);
         if (takeover.writer.isRejected) {
             this.leadership.handleRejection(now);
         }
     }
 
-    /** Handles the answer to a read of progress, if this office has sent it. */
-    handleNewestAnswer(event: NewestAnswer): void {
-        if (event.stream === this.takeover?.stream) {
+    /** Handles the answer to a read of progress, if this office has sent it. @param now Time in ms. */
+    handleProgressAnswer(event: ProgressAnswer, now: number): void {
+        this.handover.handleStoreAnswer(event, now);
+        if (event.kind === "newest-answer" && event.stream === this.takeover?.stream) {
             this.takeover.handleAnswer(event);
         }
     }
@@ -289,7 +332,8 @@
     beginEpoch(scheduler: Scheduler, writer: RecordWriter, tookMs: number): void {
         this.scheduler = scheduler;
         this.context.workers.all.forEach((reading, id) => this.updateWorker(id, reading, this.now));
-        scheduler.begin(this.now, tookMs);
+        scheduler.begin(this.now, tookMs, this.takeover?.isPrepared);
+        this.handover.begin();
         this.beganAt = this.now;
         this.reviewTakeover(this.now);
         if (this.shard === FIRST_SHARD && this.context.shards.plan === undefined) {
@@ -314,10 +358,31 @@
         workersFollower.hasten();
         operatorFollower.hasten();
         const host = new OfficeTakeoverHost(this, writer);
-        this.takeover = Takeover.create(epoch, identity.nonce, () => this.now, this.effects, host, this.shard);
+        const start = this.handover.startTakeover();
+        this.takeover = Takeover.create(epoch, identity.nonce, () => this.now, this.effects, host, this.shard, start);
+    }
+
+    private createHandover(cores: () => number): OfficeHandover {
+        const { shard, leadership, effects, context } = this;
+        const { identity, hosts, jobsFollower, workersFollower, operatorFollower, handsOver, limits } = context;
+        return OfficeHandover.create({
+            shard,
+            instance: identity.instance,
+            get graceMs() {
+                return handsOver() ? limits.graceMs : undefined;
+            },
+            leadership,
+            effects,
+            cores,
+            profiles: () => hosts.profiles,
+            engaged: () => new Set(context.otherOffices(shard).flatMap(office => office.engagedInstances)),
+            isHandingOverElsewhere: () => context.otherOffices(shard).some(office => office.isHandingOver),
+            onDidStartWarmup: () => [jobsFollower, workersFollower, operatorFollower].forEach(each => each.hasten()),
+        });
     }
 
     private stopScheduling(): void {
+        this.handover.stepDown(this.leadership.leader, this.now);
         this.takeover?.dispose();
         this.takeover = undefined;
         this.scheduler = undefined;
--- a/src/host/common/takeover.ts
+++ b/src/host/common/takeover.ts
@@ -7,8 +7,9 @@
 import { InterferenceRow } from "../../dispatch/common/placement/latencyModel";
 import { decodeLatencyModel, LATENCY_MODEL_KEY } from "../../dispatch/common/placement/latencyModelRecord";
 import { Scheduler } from "../../dispatch/common/scheduler/scheduler";
+import { Warmup } from "../../handover/common/warmup";
 import { ProgressTable } from "../../jobs/common/progressTable";
-import { StoredRecord } from "../../records/common/record";
+import { RecordOffset, StoredRecord } from "../../records/common/record";
 import { LoadReceiver, RecordLoader } from "../../records/common/recordLoader";
 import { RecordEvent, RecordWriterEffect } from "../../records/common/recordEvents";
 import { RecordWriter } from "../../records/common/recordWriter";
@@ -39,6 +40,17 @@
 /** Schedules once its jobs are restored; see `Scheduler`. */
 export type RestoredScheduler = Pick<Scheduler, "isRestored" | "restore" | "dispose">;
 
+/** The progress that an instance has followed before it took over. */
+export type FollowedProgress = Pick<Warmup, "hasRead" | "records" | "review">;
+
+/** What a takeover begins with. */
+export interface TakeoverStart {
+    /** Progress that was followed while the former leader led; it is loaded if undefined. */
+    readonly followed?: FollowedProgress;
+    /** Number above which reads of the progress are counted. */
+    readonly latestRead?: number;
+}
+
 /** Host of a takeover. */
 export abstract class TakeoverHost {
     /** Whether every record before the claim is read. */
@@ -66,6 +78,8 @@
     learnedInterference: readonly InterferenceRow[] = [];
 
     private loader: RecordLoader | undefined;
+    /** Offset of the record that fences the former leader, once it is stored. */
+    private fenceOffset: RecordOffset | undefined;
     private scheduler: RestoredScheduler | undefined;
     private readonly startedAt: number;
     private readonly didLoad = Emitter.create<Takeover>();
@@ -79,6 +93,7 @@
         private readonly effects: EffectSink<RecordWriterEffect>,
         private readonly host: TakeoverHost,
         shard: number,
+        private readonly start: TakeoverStart,
     ) {
         this.startedAt = clock();
         this.stream = progressStream(shard);
@@ -109,6 +124,7 @@
      * @param effects Receives the appends and the reads.
      * @param host Creates the scheduler and is told when it has its jobs.
      * @param shard Number of the shard.
+     * @param start What it begins with.
      * @returns The takeover. Flushing its writer sends the first append.
      */
     static create(
@@ -118,8 +134,14 @@
         effects: EffectSink<RecordWriterEffect>,
         host: TakeoverHost,
         shard = 0,
+        start: TakeoverStart = {},
     ): Takeover {
-        return new Takeover(epoch, nonce, clock, effects, host, shard);
+        return new Takeover(epoch, nonce, clock, effects, host, shard, start);
+    }
+
+    /** Whether the progress was followed before. */
+    get isPrepared(): boolean {
+        return this.start.followed !== undefined;
     }
 
     /** Handles the answer to a read of the progress. */
@@ -127,8 +149,17 @@
         this.loader?.handleAnswer(event);
     }
 
+    /** Handles the answer to an append of the writer. @param now Time in ms. */
+    handleAppendAnswer(event: RecordEvent & { readonly kind: "append-answer" }, now: number): void {
+        if (event.result.ok) {
+            this.fenceOffset ??= event.result.val;
+        }
+        this.writer.handleAnswer(event, now);
+    }
+
     /** Continues in a turn of the loop. @param now Time in ms. */
     advance(now: number): void {
+        this.reviewFollowed(now);
         this.machine.fire("turn", now);
         if (this.scheduler?.isRestored === true) {
             this.machine.fire("restored", now);
@@ -155,7 +186,24 @@
     }
 
     private load(): void {
-        this.loader = RecordLoader.start(this.stream, this.clock(), new TakeoverReceiver(this), this.effects);
+        if (!this.isPrepared) {
+            const receiver = new TakeoverReceiver(this);
+            const { latestRead } = this.start;
+            this.loader = RecordLoader.start(this.stream, this.clock(), receiver, this.effects, latestRead);
+        }
+    }
+
+    /** The progress that was followed is complete once the record is read after which the former leader stores nothing. */
+    private reviewFollowed(now: number): void {
+        const { followed } = this.start;
+        if (followed === undefined || this.machine.state !== "loading") {
+            return;
+        }
+        followed.review(now);
+        if (this.fenceOffset !== undefined && followed.hasRead(this.fenceOffset)) {
+            followed.records.forEach(record => this.apply(record));
+            this.finish();
+        }
     }
 }
 
--- a/src/platform/node/platformProcess.ts
+++ b/src/platform/node/platformProcess.ts
@@ -55,12 +55,14 @@
         traffic,
     );
     const { retentionS, cancelMs, drainMs, evacuationMs, ...scheduling } = settings.scheduling;
+    const graceS = settings.handover?.graceS ?? undefined;
     const limits = {
         ...scheduling,
         cancelMs: cancelMs ?? DEFAULT_CANCEL_MS,
         drainMs: drainMs ?? DEFAULT_DRAIN_MS,
         evacuationMs: evacuationMs ?? undefined,
         retentionMs: retentionS * MS_PER_SECOND,
+        graceMs: graceS === undefined ? undefined : graceS * MS_PER_SECOND,
     };
     const { share, speed } = settings.processor;
     const work = WorkClock.create<WorkKind>();
--- a/src/proof/node/jobSoak.tool.ts
+++ b/src/proof/node/jobSoak.tool.ts
@@ -18,7 +18,7 @@
  * Reads a flag with a whole number. Flags: `--seed FIRST --count N --workers N --length MS --every MS --deadly PERCENT
  * --crash-delay MS --shrink MS --cancel PERCENT --reads --lasting N --lasting-run MS --lease MS --colocate PERCENT
  * --jobs-every MS --slow --max-tasks N --memory MB --kill-leader MS --lose-third MS --drain MS --evacuate MS
- * --evacuation-bound MS --faults KINDS --until MS --submit-every MS --costs PERCENT --shards N --transfers PERCENT --plan NAME --trace`, where `--shards` divides the workers
+ * --evacuation-bound MS --faults KINDS --until MS --submit-every MS --costs PERCENT --shards N --transfers PERCENT --grace MS --plan NAME --trace`, where `--shards` divides the workers
  * among as many leaders, 2 at most, `--transfers` is the probability with which a job is transferred whenever it may be,
  * `--deadly` is the share of the jobs with a task that crashes its workers, that long after each start, `--shrink` the mean
  * time between two times at which a worker's capacity shrinks, `--cancel` the share of the jobs that is cancelled, `--reads`
@@ -32,7 +32,8 @@
  * they leave, around which the leader is killed; it adds faults of the reads of the workers, `--evacuate` the same for
  * evacuations of failure domains and reads of the operator's records, `--evacuation-bound` the time after which they count,
  * `--until` is the time up to which faults are injected, `--submit-every` the longest time between two submissions, and `--costs` charges the instances
- * for their work, with that share of a core in percent. `--plan` runs a plan of `WAIT_PLANS` or, for
+ * for their work, with that share of a core in percent. `--grace` adds planned stops, each of which ends with a kill that long after it, and
+ * lets leaders of two shards hand over. `--plan` runs a plan of `WAIT_PLANS` or, for
  * `site-restart`, the restart of a whole site that the seed draws, for `leader-cut`, a leader that is cut off, or for `leader-split`, one in a split network; then the flags but
  * `--seed`, `--count` and `--trace` have no effect. The last line says in how many trials each rule was broken.
  */
@@ -46,6 +47,9 @@
     return value;
 }
 
+/** Planned stops, as often as all other faults together. */
+const PLANNED_STOPS: readonly JobFault[] = FAULTS.map(() => "stop");
+
 function readFaults(): readonly JobFault[] | undefined {
     const index = process.argv.indexOf("--faults");
     if (index >= 0) {
@@ -61,6 +65,7 @@
         ...(hasReadFaults ? READ_FAULTS : []),
         ...(hasDrains ? WORKER_READ_FAULTS : []),
         ...(hasEvacuations ? OPERATOR_READ_FAULTS : []),
+        ...(process.argv.includes("--grace") ? PLANNED_STOPS : []),
     ];
     return added.length > 0 ? [...FAULTS, ...added] : undefined;
 }
@@ -151,6 +156,7 @@
         submitEveryMs: readNumber("submit-every", 0) || undefined,
         shards: readNumber("shards", 1),
         transferRatio: readNumber("transfers", 0) === 0 ? undefined : readNumber("transfers", 0) / 100,
+        graceMs: readNumber("grace", 0) || undefined,
         costs: readNumber("costs", 0) === 0 ? undefined : { ...MEASURED_COSTS, share: readNumber("costs", 0) / 100 },
     };
     const { breaches, trace, ...counts } = JobTrial.run(createPlan?.(seed) ?? plan);
--- a/src/proof/node/jobTrial.ts
+++ b/src/proof/node/jobTrial.ts
@@ -280,6 +280,9 @@
                 this.checker.reports.record(effect.name, effect.data, this.now);
                 this.transfers += effect.name === "job-transferred" ? 1 : 0;
                 this.taskTransfers += effect.name === "task-transferred" ? 1 : 0;
+                if (effect.name === "successor-named" && this.plan.handoverFault !== undefined) {
+                    this.injector.strikeHandover(this.plan.handoverFault, node, String(effect.data.successor));
+                }
                 this.trace.push(`${Math.round(this.now)} n${node.index} ${effect.name} ${JSON.stringify(effect.data)}`);
                 break;
             case "record-dropped":
@@ -378,9 +381,14 @@
         return TrialInjector.create(context, new JobTrialNodeHost(this));
     }
 
-    /** Tells an instance to stop; it starts again when it has stopped. */
+    /** Tells an instance to stop; it starts again when it has stopped, or is killed at the end of its grace period. */
     stop(node: TrialNode): void {
-        this.post(node, node.incarnation, { kind: "stop" });
+        const { incarnation } = node;
+        this.post(node, incarnation, { kind: "stop" });
+        const { graceMs } = this.plan;
+        if (graceMs !== undefined && node.instance !== undefined) {
+            this.schedule(graceMs, () => node.incarnation === incarnation && this.kill(node));
+        }
     }
 
     /** Kills an instance, which starts again later. @param downMs How much later, in ms; a short random time if undefined. */
--- a/src/proof/node/jobTrialPlan.ts
+++ b/src/proof/node/jobTrialPlan.ts
@@ -54,7 +54,11 @@
 const CONFIGURATION_BESIDE_EVACUATIONS_MS = 4 * EVACUATION_MS;
 
 /** @param plan Parameters of a trial. @returns Time limits of its instances. */
-export function limitsOf({ longestLeaseMs = LIMITS.longestLeaseMs, evacuations }: JobTrialPlan): DispatchLimits {
+export function limitsOf({
+    longestLeaseMs = LIMITS.longestLeaseMs,
+    evacuations,
+    graceMs,
+}: JobTrialPlan): DispatchLimits {
     const bounds =
         evacuations === undefined
             ? undefined
@@ -62,7 +66,7 @@
                   evacuationMs: evacuations.boundMs ?? EVACUATION_MS,
                   configurationMs: CONFIGURATION_BESIDE_EVACUATIONS_MS,
               };
-    return { ...LIMITS, longestLeaseMs, ...bounds };
+    return { ...LIMITS, longestLeaseMs, graceMs, ...bounds };
 }
 
 /** Timeouts of calls to the store and to workers, in ms. */
@@ -83,7 +87,8 @@
     | "slow-link"
     | "expire"
     | ReadFault
-    | SpeedFault;
+    | SpeedFault
+    | StopFault;
 
 /**
  * Kinds of faults of the reads of the jobs, of the workers or of the operator's records, by one instance: its pages arrive late, as
@@ -119,7 +124,10 @@
     "expire",
 ];
 
-/** All kinds of faults but those of the reads. */
+/** Kinds of planned stops: an instance, mostly a leader, is told to stop, and is killed at the end of its grace period. */
+export type StopFault = "stop";
+
+/** All kinds of faults but those of the reads, of the speed, and planned stops. */
 export const FAULTS: readonly JobFault[] = [
     "kill",
     "kill-all",
@@ -155,6 +163,13 @@
     | "freeze-leader"
     | "stop-leader";
 
+/**
+ * A fault that strikes a handover when its successor has just been named: the leader or the successor is killed, frozen for 3 s or cut off
+ * from the store, or the store refuses all calls or loses answers, or a worker is cut off, for 2 s.
+ */
+export type HandoverFault =
+    `${"kill" | "freeze" | "cut"}-${"leader" | "successor"}` | "store-down" | "lost-answers" | "worker-cut";
+
 /** Jobs that last until the end of a trial. */
 export interface LastingJobs {
     /** Number of jobs. */
@@ -226,6 +241,10 @@
     readonly shards?: number;
     /** Probability with which a job is transferred to another shard whenever it may be; by the room of the shards if undefined. */
     readonly transferRatio?: number;
+    /** Fault that strikes each handover; none if undefined. */
+    readonly handoverFault?: HandoverFault;
+    /** Time from the request to stop an instance to its kill, in ms; none is killed, and none hands over, if undefined. */
+    readonly graceMs?: number;
     /** What the work of the instances costs; it takes no time if undefined. */
     readonly costs?: TrialCosts;
     /** Breaks a mechanism on purpose, to prove that a rule detects it. */
--- a/src/proof/node/trialInjector.ts
+++ b/src/proof/node/trialInjector.ts
@@ -1,6 +1,7 @@
 import {
     FAULTS,
     FAULTS_OF_WORKERS,
+    HandoverFault,
     JobFault,
     JobTrialPlan,
     OPERATOR_READ_FAULTS,
@@ -40,6 +41,9 @@
     "outage-8s": 8_000,
 };
 
+/** Duration of a fault that strikes a handover, in ms. */
+const HANDOVER_FAULT_MS = 2_000;
+
 /** Duration of a planned freeze, in ms: long enough for another instance to become the leader. */
 const PLANNED_FREEZE_MS = 3_000;
 
@@ -134,6 +138,28 @@
         }
     }
 
+    /** Strikes a handover. @param leader The leader. @param successor Name of the instance that it has just named. */
+    strikeHandover(fault: HandoverFault, leader: TrialNode, successor: string): void {
+        const { nodes, schedule, store, workers, checker, trace } = this.context;
+        const [kind, role] = fault.split("-");
+        const node = role === "successor" ? nodes.find(each => successor.startsWith(`n${each.index}-`))! : leader;
+        trace.push(`${Math.round(schedule.now)} FAULT ${fault} n${node.index}`);
+        checker.recordDisruption(PLANNED_FREEZE_MS);
+        if (fault === "store-down") {
+            store.takeDown(HANDOVER_FAULT_MS);
+        } else if (fault === "lost-answers") {
+            store.loseAnswers(HANDOVER_FAULT_MS);
+        } else if (fault === "worker-cut") {
+            workers.cut(0, HANDOVER_FAULT_MS);
+        } else if (kind === "kill") {
+            this.host.kill(node);
+        } else if (kind === "freeze") {
+            this.host.freeze(node, PLANNED_FREEZE_MS);
+        } else {
+            node.storeCutUntil = schedule.now + HANDOVER_FAULT_MS;
+        }
+    }
+
     /** Restarts the whole site, if the plan says so. */
     planRestart(): void {
         const { siteRestart } = this.context.plan;
@@ -207,6 +233,9 @@
             case "kill-all":
                 this.context.nodes.forEach(each => this.host.kill(each));
                 break;
+            case "stop":
+                this.host.stop(node);
+                break;
             case "freeze":
                 this.host.freeze(node, durationMs);
                 break;
@@ -265,8 +294,9 @@
         const all = this.context.nodes.map(each => each.index);
         const isOfReads = SLOW_PAGES.includes(fault);
         const instances = isOfAll ? all : isOfWorker || isOfReads ? [] : [index];
-        const isKill = fault === "kill" || fault === "kill-all";
-        const lastsMs = isKill ? MAX_DOWN_MS : (DURATION_RATIOS[fault] ?? 1) * durationMs;
+        const stopMs = (this.context.plan.graceMs ?? 0) + MAX_DOWN_MS;
+        const planned: Partial<Record<JobFault, number>> = { kill: MAX_DOWN_MS, "kill-all": MAX_DOWN_MS, stop: stopMs };
+        const lastsMs = planned[fault] ?? (DURATION_RATIOS[fault] ?? 1) * durationMs;
         this.context.checker.recordDisruption(lastsMs);
         this.context.checker.cancellations.recordDisruption(lastsMs, instances);
         this.context.checker.drains.recordDisruption(lastsMs, instances);
--- a/src/records/common/hostRecord.ts
+++ b/src/records/common/hostRecord.ts
@@ -13,12 +13,21 @@
     readonly readTo: RecordOffset;
     /** Time since the start of the instance, by which the former incarnations had ended, in ms. */
     readonly ageMs: number;
+    /** CPU available to the instance, in cores. This field and the following are left out by earlier versions and in small fleets. */
+    readonly cores?: number;
+    /** Round trip to the store, in ms. */
+    readonly storeMs?: number;
+    /** Whether the instance was told to stop. */
+    readonly stopping?: boolean;
 }
 
 const hostSchema = z.object({
     instance: z.string(),
     readTo: z.int(),
     ageMs: z.number().check(z.nonnegative()),
+    cores: z.optional(z.number().check(z.nonnegative())),
+    storeMs: z.optional(z.number().check(z.nonnegative())),
+    stopping: z.optional(z.boolean()),
 });
 
 /** @param host Name of a host. @returns Key of the record of its latest incarnation. */
--- a/src/records/common/leaderRecord.ts
+++ b/src/records/common/leaderRecord.ts
@@ -23,6 +23,10 @@
     readonly statesLeases?: boolean;
     /** By how much the renewal is late, in ms; left out by earlier versions, and by a leader that is on time. */
     readonly lateMs?: number;
+    /** Instance that the leader hands over to; left out by earlier versions, and while there is no handover. */
+    readonly successor?: string;
+    /** Whether the leader hands over by itself to an instance that suits better, so that others need not replace it. */
+    readonly handsOver?: boolean;
 }
 
 /** @param value Value of a stored record. @returns The leader's record, or `undefined` if the value is malformed. */
@@ -35,7 +39,9 @@
         const lateMs = Number.isFinite(record.lateMs) && record.lateMs! > 0 ? record.lateMs : undefined;
         const host = typeof record.host === "string" ? record.host : undefined;
         const statesLeases = record.statesLeases === true ? true : undefined;
-        const optional = { host, leasesSince, takingOver, lateMs, statesLeases };
+        const successor = typeof record.successor === "string" ? record.successor : undefined;
+        const handsOver = record.handsOver === true ? true : undefined;
+        const optional = { host, leasesSince, takingOver, lateMs, statesLeases, successor, handsOver };
         return isLeader ? { ...record, cores: record.cores ?? 0, ...optional } : undefined;
     } catch {
         return undefined;
--- a/src/records/common/leadership.ts
+++ b/src/records/common/leadership.ts
@@ -3,11 +3,13 @@
 import { EffectSink } from "../../base/common/effectSink";
 import { Emitter } from "../../base/common/emitter";
 import { Machine } from "../../base/common/machine";
+import { claimDelayMs, isMuchStronger, leaderTimeoutMs, observationMs } from "./claimTiming";
 import { FormerLeaseBasis, LeaseKnowledge } from "./formerLeaders";
 import { LeaderLeases } from "./leaderLeases";
 import { OutageState, WitnessAnswer } from "./outageRight";
 import { RenewalRecord } from "./renewalRecord";
 import { decodeLeader, LeaderRecord } from "./leaderRecord";
+import { OfficeChange } from "./officeChange";
 import chartText from "./leadership.chart.yaml";
 import { StoredRecord } from "./record";
 import { RecordFollower } from "./recordFollower";
@@ -16,14 +18,15 @@
 import { claimWriterName, leaderKey, leaderProducer, leaderWriterName } from "./shardNames";
 
 type LeadershipState = "standby" | "claiming" | "leading" | "resigning" | "resigned";
-type LeadershipEvent = "claim" | "claim-failed" | "own-claim-seen" | "other-leader-seen" | "fenced" | "resign";
+type LeadershipEvent =
+    "claim" | "claim-failed" | "own-claim-seen" | "other-leader-seen" | "fenced" | "resign" | "withdraw";
 type LeadershipAction =
     "sendClaim" | "startLeading" | "reportLostClaim" | "reportDeposed" | "stepDown" | "writeResignation";
 
 const chart = ChartRegistry.instance.register(
     ChartLoader.load<LeadershipState, LeadershipEvent, never, LeadershipAction>(chartText, "leadership.chart.yaml", {
         states: ["standby", "claiming", "leading", "resigning", "resigned"],
-        events: ["claim", "claim-failed", "own-claim-seen", "other-leader-seen", "fenced", "resign"],
+        events: ["claim", "claim-failed", "own-claim-seen", "other-leader-seen", "fenced", "resign", "withdraw"],
         guards: [],
         actions: ["sendClaim", "startLeading", "reportLostClaim", "reportDeposed", "stepDown", "writeResignation"],
     }),
@@ -32,18 +35,6 @@
 /** Interval at which the leader renews its record. Three renewals may be lost before another instance claims. */
 const RENEWAL_INTERVAL_MS = 300;
 
-/** Time without a renewal after which another instance claims leadership. */
-const LEADER_TIMEOUT_MS = 1_200;
-
-/**
- * Longest time without a renewal of a leader that takes over or is late. It bounds the time without a leader if that one is
- * lost; leases of workers last longer.
- */
-const MAX_LEADER_TIMEOUT_MS = 2_000;
-
-/** How much longer others wait for a leader that is late, as a multiple of its latest delay. */
-const LATE_RATIO = 2;
-
 /** Delay of a renewal from which the record states it, in ms: two ticks of the loop. */
 const MIN_LATE_MS = 50;
 
@@ -56,20 +47,6 @@
  */
 const STORE_OUTAGE_THRESHOLD_MS = 1_200;
 
-/** Bound of the claim jitter, which differs by instance, so that one claim usually succeeds before the next is made. */
-const MAX_CLAIM_JITTER_MS = 250;
-
-/**
- * Extra claim delay of an instance with fewer cores than the latest leader, per multiple of its own cores that it
- * lacks, so that stronger instances claim first. The bound keeps failover short when no strong instance is left.
- */
-const CAPACITY_DELAY_STEP_MS = 100;
-const MAX_CAPACITY_DELAY_MS = 500;
-
-/** An instance with this many times the leader's cores replaces it after observing it for the window below. */
-const MIN_CHALLENGE_CORES_RATIO = 2;
-const CHALLENGE_OBSERVATION_WINDOW_MS = 2_000;
-
 /** Minimum interval between two claims of this instance. */
 const MIN_CLAIM_INTERVAL_MS = 200;
 
@@ -88,43 +65,14 @@
     readonly cores: number;
     /** Epoch that the first claim follows, if the shard was part of another one until then. */
     readonly precedingEpoch?: number;
+    /** Number of other shards that it leads; left out where leaders do not hand over. */
+    readonly otherOffices?: number;
+    /** Whether it hands its office over by itself. */
+    readonly handsOver?: boolean;
+    /** Whether it is ready for the office for which it was named. */
+    readonly isWarm?: () => boolean;
 }
 
-/** A claim, the loss of one or of the office to another instance, or a change of what is known of leases. */
-export type OfficeChange =
-    | {
-          readonly kind: "leader-claimed";
-          readonly epoch: number;
-          /** The leader that has timed out, if there was one. */
-          readonly former: string | undefined;
-          /** Time for which it was not seen, and for which it was awaited, in ms. */
-          readonly silentMs: number | undefined;
-          readonly timeoutMs: number;
-      }
-    | { readonly kind: "claim-lost"; readonly epoch: number; readonly leader: string | undefined }
-    | {
-          readonly kind: "leader-deposed";
-          readonly epoch: number;
-          /** The leader of a later epoch, if it is known. */
-          readonly leader: string | undefined;
-          /** Age of the latest confirmed renewal, in ms. */
-          readonly renewalAgeMs: number;
-      }
-    | {
-          readonly kind: "outage-right";
-          readonly state: OutageState;
-          readonly fence: number;
-          /** Age of the latest confirmed renewal, in ms. */
-          readonly renewalAgeMs: number;
-      }
-    | {
-          readonly kind: "former-unraised";
-          /** Epoch of the former leader. */
-          readonly epoch: number;
-          /** Time until all leases have ended that former leaders extended, in ms. */
-          readonly formerLeasesMs: number;
-      };
-
 /** Leader election by claims appended to the stream of a shard. */
 export class Leadership {
     private readonly machine: Machine<number, LeadershipState, LeadershipEvent, never, LeadershipAction>;
@@ -162,6 +110,7 @@
     private takingOverUntil = Infinity;
     private now = 0;
     private suspendedAt: number | undefined;
+    private ownSuccessor: string | undefined;
     /** Time (ms) at which the first claim of the claimed epoch was sent. */
     private claimedAt = 0;
     private readonly leases: LeaderLeases;
@@ -387,7 +336,7 @@
      * @param now Time in ms.
      */
     handleAppendAnswer(event: RecordEvent & { readonly kind: "append-answer" }, now: number): void {
-        if (event.writer === claimWriterName(this.shard, this.claimedEpoch)) {
+        if (event.writer === this.claimWriter) {
             if (!event.result.ok) {
                 this.machine.fire("claim-failed", now);
             }
@@ -413,6 +362,40 @@
         this.machine.fire("resign", now);
     }
 
+    /** Lets an instance that is told to stop claim nothing more. @param now Time in ms. */
+    withdraw(now: number): void {
+        this.machine.fire("withdraw", now);
+    }
+
+    /** Instance that the leader has named as its successor, if any. */
+    get successor(): string | undefined {
+        return this.isLeading ? this.ownSuccessor : this.latestRecord?.successor;
+    }
+
+    /** Writer name that answers to the latest claim carry. */
+    get claimWriter(): string {
+        return claimWriterName(this.shard, this.claimedEpoch);
+    }
+
+    /** Whether this instance may claim: it is not stopping. */
+    get canBecomeLeader(): boolean {
+        return this.machine.state === "standby";
+    }
+
+    /** Whether the leader is another instance and has named this one as its successor. */
+    get isNamed(): boolean {
+        return !this.isLeading && this.successor === this.candidate.instance;
+    }
+
+    /** Names the instance that this leader hands over to. @param successor Its name, or `undefined` to hand over no more. */
+    nameSuccessor(successor: string | undefined): void {
+        this.ownSuccessor = successor;
+        if (this.machine.state === "leading") {
+            this.nextRenewalAt = this.now + RENEWAL_INTERVAL_MS;
+            this.writeRecord(false);
+        }
+    }
+
     /**
      * Renews the leader's record if that is due. It is called before each event is handled: while a turn of the loop has many
      * events to handle, timers wait.
@@ -449,22 +432,27 @@
         if (!this.follower.isLoaded || knownUntil === undefined || roundTripMs === undefined) {
             return false;
         }
-        const delayMs = roundTripMs * 8 + (this.candidate.nonce % MAX_CLAIM_JITTER_MS) + this.capacityDelayMs();
+        const { candidate, latestRecord } = this;
         this.recordRead(knownUntil);
         return (
-            knownUntil - this.leaderLastSeenAt! > this.leaderTimeoutMs() + delayMs ||
-            (this.isLeaderMuchWeaker() && this.hasObservedLeader(knownUntil))
+            (this.isNamed && candidate.isWarm?.() === true) ||
+            knownUntil - this.leaderLastSeenAt! >
+                this.timeoutMs() + claimDelayMs(candidate, latestRecord, roundTripMs) ||
+            this.mayReplace(knownUntil)
         );
     }
 
-    /** A leader that is late is told from one that is gone by what its latest record states. */
-    private leaderTimeoutMs(): number {
-        if (this.latestRecord === undefined || this.latestRecord.resigned === true || this.hasLeaderEnded) {
-            return 0;
-        }
-        const { takingOver, lateMs = 0 } = this.latestRecord;
-        const timeoutMs = LEADER_TIMEOUT_MS + lateMs * LATE_RATIO;
-        return takingOver === true ? MAX_LEADER_TIMEOUT_MS : Math.min(MAX_LEADER_TIMEOUT_MS, timeoutMs);
+    private mayReplace(knownUntil: number): boolean {
+        const { candidate, latestRecord } = this;
+        return (
+            latestRecord !== undefined &&
+            isMuchStronger(candidate, latestRecord.cores) &&
+            knownUntil - (this.leaderFirstSeenAt ?? knownUntil) > observationMs(candidate, latestRecord)
+        );
+    }
+
+    private timeoutMs(): number {
+        return leaderTimeoutMs(this.latestRecord, this.latestRecord !== undefined && this.hasLeaderEnded);
     }
 
     private get hasLeaderEnded(): boolean {
@@ -478,25 +466,6 @@
         this.lastReadAt = knownUntil;
     }
 
-    /** Before the first leader, the cores of other instances are unknown, so one core is assumed. */
-    private capacityDelayMs(): number {
-        const shortfall = (this.latestRecord?.cores ?? 1) / this.candidate.cores - 1;
-        return Math.max(0, Math.min(MAX_CAPACITY_DELAY_MS, shortfall * CAPACITY_DELAY_STEP_MS));
-    }
-
-    private isLeaderMuchWeaker(): boolean {
-        return (
-            this.latestRecord !== undefined &&
-            this.latestRecord.cores * MIN_CHALLENGE_CORES_RATIO <= this.candidate.cores
-        );
-    }
-
-    /** The window has the same jitter as claims, so that usually one of several strong instances challenges. */
-    private hasObservedLeader(knownUntil: number): boolean {
-        const observedMs = knownUntil - (this.leaderFirstSeenAt ?? knownUntil);
-        return observedMs > CHALLENGE_OBSERVATION_WINDOW_MS + (this.candidate.nonce % MAX_CLAIM_JITTER_MS);
-    }
-
     private sendClaim(now: number): void {
         const nextEpoch = Math.max(this.epoch, this.candidate.precedingEpoch ?? 0) + 1;
         if (this.claimedEpoch !== nextEpoch) {
@@ -507,6 +476,7 @@
         this.takingOverUntil = Infinity;
         this.unsentDueAt = undefined;
         this.lateMs = 0;
+        this.ownSuccessor = undefined;
         this.leasesSince = this.latestRecord?.leasesSince ?? this.claimedEpoch;
         this.nextClaimAt = now + MIN_CLAIM_INTERVAL_MS;
         this.reportClaim();
@@ -530,7 +500,7 @@
         }
         this.reportedClaim = claimedEpoch;
         const silentMs = epoch === 0 ? undefined : Math.round((follower.knownUntil ?? 0) - (leaderLastSeenAt ?? 0));
-        const timeoutMs = this.leaderTimeoutMs();
+        const timeoutMs = this.timeoutMs();
         this.didChangeOffice.fire({ kind: "leader-claimed", epoch: claimedEpoch, former: leader, silentMs, timeoutMs });
     }
 
@@ -555,6 +525,9 @@
     private reportDeposed(now: number): void {
         const { claimedEpoch, epoch } = this;
         const leader = epoch > claimedEpoch ? this.leader : undefined;
+        if (this.ownSuccessor !== undefined && (leader === undefined || leader === this.ownSuccessor)) {
+            return;
+        }
         const renewalAgeMs = Math.round(now - (this.renewedAt ?? now));
         this.didChangeOffice.fire({ kind: "leader-deposed", epoch: claimedEpoch, leader, renewalAgeMs });
     }
@@ -601,7 +574,8 @@
         // Until a renewal is stored, the leases of a leader of an earlier version are stated nowhere.
         const statesLeases = this.leases.hasStated || this.formerStatesLeases;
         const state = { takingOver, leasesSince, statesLeases, lateMs: this.takeLateMs() };
-        const record: LeaderRecord = { epoch: this.claimedEpoch, instance, host, cores, ...state };
-        return JSON.stringify(resigned ? { ...record, resigned } : record);
+        const handsOver = this.candidate.handsOver === true ? true : undefined;
+        const record: LeaderRecord = { epoch: this.claimedEpoch, instance, host, cores, ...state, handsOver };
+        return JSON.stringify(resigned ? { ...record, resigned } : { ...record, successor: this.ownSuccessor });
     }
 }
--- a/src/records/common/recordFollower.ts
+++ b/src/records/common/recordFollower.ts
@@ -165,8 +165,6 @@
     private waitingSince: number | undefined;
     /** Time after which the latest read is sent, in ms, if it asks for the end of the stream. */
     private endReadDelayMs = 0;
-    /** Number of the latest read. Its answer leads to the next read; answers to earlier reads do not. */
-    private latestRead = 0;
     /** Number of earlier reads that are not answered. */
     private lateReadCount = 0;
     /** Time (ms) at which the first page of the load was requested. */
@@ -207,6 +205,8 @@
         private readonly receiver: RecordReceiver,
         private readonly readTiming: () => ReadTiming,
         private readonly effects: EffectSink<RecordEffect>,
+        /** Number of the latest read. Its answer leads to the next read; answers to earlier reads do not. */
+        private latestRead: number,
     ) {
         this.machine = Machine.create(chart, {
             guards: {
@@ -245,6 +245,7 @@
      * @param receiver Applies the records.
      * @param readTiming Returns the timing of the next read.
      * @param effects Receives the reads.
+     * @param latestRead Number of the latest read by an earlier follower of the stream, whose answers may still arrive.
      * @returns A follower that has not started to read.
      */
     static create(
@@ -252,8 +253,9 @@
         receiver: RecordReceiver,
         readTiming: () => ReadTiming,
         effects: EffectSink<RecordEffect>,
+        latestRead = 0,
     ): RecordFollower {
-        return new RecordFollower(stream, receiver, readTiming, effects);
+        return new RecordFollower(stream, receiver, readTiming, effects, latestRead);
     }
 
     /** Whether the stream has been loaded. */
--- a/src/records/common/recordLoader.ts
+++ b/src/records/common/recordLoader.ts
@@ -37,14 +37,14 @@
 export class RecordLoader {
     private readonly machine: Machine<NewestAnswer, LoaderState, LoaderEvent, never, LoaderAction>;
     private lastKey: string | undefined;
-    /** Number of the latest read. */
-    private latestRead = 0;
 
     private constructor(
         private readonly stream: StreamName,
         private readonly startedAt: number,
         private readonly receiver: LoadReceiver,
         private readonly effects: EffectSink<RecordEffect>,
+        /** Number of the latest read. */
+        private latestRead: number,
     ) {
         this.machine = Machine.create(chart, {
             guards: {},
@@ -63,6 +63,7 @@
      * @param now Time in ms. Answers to reads sent earlier are ignored.
      * @param receiver Applies the records.
      * @param effects Receives the reads.
+     * @param latestRead Number above which its reads are counted: answers to earlier reads of the stream may still arrive.
      * @returns The loader.
      */
     static start(
@@ -70,8 +71,9 @@
         now: number,
         receiver: LoadReceiver,
         effects: EffectSink<RecordEffect>,
+        latestRead = 0,
     ): RecordLoader {
-        const loader = new RecordLoader(stream, now, receiver, effects);
+        const loader = new RecordLoader(stream, now, receiver, effects, latestRead);
         loader.readPage(0);
         return loader;
     }
--- a/src/records/common/test/leadership.test.ts
+++ b/src/records/common/test/leadership.test.ts
@@ -4,7 +4,7 @@
 import { UNSTATED_WINDOW_MS } from "../formerLeaders";
 import { encodeHost, hostKey } from "../hostRecord";
 import { LeaderRecord } from "../leaderRecord";
-import { OfficeChange } from "../leadership";
+import { OfficeChange } from "../officeChange";
 import { createInstance, LONGEST_LEASE_MS } from "./claimant";
 
 type Instance = ReturnType<typeof createInstance>;
