Merge: shards are handed over before a planned stop

Beside the merge: the claim delay while the store is slow moves to claimTiming; the receivers of streams are classes of their own; the hosts of the scheduler state the calls that they need, which cuts the import circle between them and the scheduler.

--- a/src/dispatch/common/scheduler/dispatchLimits.ts
+++ b/src/dispatch/common/scheduler/dispatchLimits.ts
@@ -25,6 +25,8 @@
     readonly retentionMs: number;
     /** Time after a request to stop from which the process may be killed. */
     readonly graceMs: number;
+    /** The same time where leaders of a divided fleet hand their shards over within it; left out where they do not. */
+    readonly handoverGraceMs?: number;
 }
 
 /**
--- a/src/dispatch/common/scheduler/scheduler.ts
+++ b/src/dispatch/common/scheduler/scheduler.ts
@@ -86,7 +86,13 @@
         this.views = ViewController.create(context.views, context.limits, log);
         this.leases = LeaseBook.create(context, { epoch, records: writers.jobs, shard: context.leases.shard }, now);
         const { limits, effects, queues, evacuations, leadership } = context;
-        this.pool = WorkerPool.create(leadership, this.leases, limits, SchedulerPoolHost.create(this), effects);
+        this.pool = WorkerPool.create(
+            leadership,
+            this.leases,
+            limits,
+            SchedulerPoolHost.create(this, leadership),
+            effects,
+        );
         this.activeJobs = ActiveJobTable.create(epoch, writers, context.jobs);
         this.pruner = JobPruner.create(context.jobs, this.activeJobs, writers, context.limits.retentionMs);
         this.admission = StartAdmission.create(queues, evacuations, id => this.pool.find(id), effects);
@@ -151,15 +157,17 @@
      * Begins the epoch with the restored jobs and the workers that are registered by then.
      * @param now Time in ms.
      * @param tookMs Time since this instance read its claim, in ms.
+     * @param isPrepared Whether it has got ready while the former leader led.
      */
-    begin(now: number, tookMs: number): void {
+    begin(now: number, tookMs: number, isPrepared = false): void {
         this.resources.add(toDisposable(() => this.logDecision("leader-ended", { epoch: this.epoch })));
         this.activeJobs.suspects().forEach(task => this.failures.reviewEvidence(task));
-        this.pool.spreadFirstLists();
+        this.pool.spreadFirstLists(isPrepared);
         const jobs = this.activeJobs.size;
         const formerLeasesMs = Math.round(Math.max(0, this.leases.formerEndsBy - now));
         const leases = { formerLeasesMs, formerBasis: this.context.leadership.formerBasis };
-        this.logDecision("leader-began", { epoch: this.epoch, jobs, tookMs, ...leases, ...this.views.ageFields(now) });
+        const took = { tookMs, warm: isPrepared ? true : undefined };
+        this.logDecision("leader-began", { epoch: this.epoch, jobs, ...took, ...leases, ...this.views.ageFields(now) });
     }
 
     /** Whether workers with runs of former leaders have not answered yet. */
@@ -352,11 +360,6 @@
         this.failures.reviewLoss(worker, runs, cause);
     }
 
-    /** Handles the rejection of an order by a worker that knows a later epoch. */
-    onFenced(now: number): void {
-        this.context.leadership.handleRejection(now);
-    }
-
     /** Logs that a job has failed, and stops its runs. @param data Why it has failed. */
     onJobFailed(job: ActiveJob, data: DecisionData): void {
         this.logDecision("job-ended", { job: job.spec.id, state: job.state, ...data });
--- a/src/dispatch/common/scheduler/schedulerFailureHost.ts
+++ b/src/dispatch/common/scheduler/schedulerFailureHost.ts
@@ -1,16 +1,22 @@
 import { ActiveJob } from "../jobs/activeJob";
 import { DecisionData, DecisionName } from "./dispatchEffects";
 import { FailureHost } from "../failures/failureController";
-import type { Scheduler } from "./scheduler";
+
+/** Carries out what the failure controller decides. */
+export interface FailureCalls {
+    onJobFailed(job: ActiveJob, data: DecisionData): void;
+    recordProgress(job: ActiveJob): void;
+    logDecision(name: DecisionName, data: DecisionData): void;
+}
 
 /** Forwards the calls of the failure controller to the scheduler. */
 export class SchedulerFailureHost extends FailureHost {
-    private constructor(private readonly scheduler: Scheduler) {
+    private constructor(private readonly scheduler: FailureCalls) {
         super();
     }
 
     /** @param scheduler Handles the calls. @returns The host. */
-    static create(scheduler: Scheduler): SchedulerFailureHost {
+    static create(scheduler: FailureCalls): SchedulerFailureHost {
         return new SchedulerFailureHost(scheduler);
     }
 
--- a/src/dispatch/common/scheduler/schedulerRunHost.ts
+++ b/src/dispatch/common/scheduler/schedulerRunHost.ts
@@ -1,18 +1,24 @@
 import { Run, RunHost, RunOutcome } from "../runs/run";
 import { RunOrders } from "../runs/runOrders";
-import type { Scheduler } from "./scheduler";
+
+/** Handles the ends of runs. */
+export interface RunCalls {
+    /** Time in ms since the Unix epoch, as of the latest event. */
+    readonly wallTime: number;
+    onRunEnd(run: Run, outcome: RunOutcome, checkpoint: string, now: number): void;
+}
 
 /** Sends the orders of runs, and forwards their ends to the scheduler. */
 export class SchedulerRunHost extends RunHost {
     private constructor(
-        private readonly scheduler: Scheduler,
+        private readonly scheduler: RunCalls,
         private readonly orders: RunOrders,
     ) {
         super();
     }
 
     /** @param scheduler Handles the ends. @param orders Sends the orders. @returns The host. */
-    static create(scheduler: Scheduler, orders: RunOrders): SchedulerRunHost {
+    static create(scheduler: RunCalls, orders: RunOrders): SchedulerRunHost {
         return new SchedulerRunHost(scheduler, orders);
     }
 
--- a/src/platform/node/platformProcess.ts
+++ b/src/platform/node/platformProcess.ts
@@ -59,6 +59,7 @@
         traffic,
     );
     const { retentionS, graceS, cancelMs, drainMs, evacuationMs, crossRackFactor, ...scheduling } = settings.scheduling;
+    const handoverGraceS = settings.handover?.graceS ?? undefined;
     const limits = {
         ...scheduling,
         cancelMs: cancelMs ?? DEFAULT_CANCEL_MS,
@@ -67,6 +68,7 @@
         crossRackFactor: crossRackFactor ?? undefined,
         retentionMs: retentionS * MS_PER_SECOND,
         graceMs: (graceS ?? DEFAULT_GRACE_S) * MS_PER_SECOND,
+        handoverGraceMs: handoverGraceS === undefined ? undefined : handoverGraceS * MS_PER_SECOND,
     };
     const { share, speed } = settings.processor;
     const work = WorkClock.create<WorkKind>();
--- a/src/records/common/leadership.ts
+++ b/src/records/common/leadership.ts
@@ -3,12 +3,13 @@
 import { EffectSink } from "../../base/common/effectSink";
 import { Emitter } from "../../base/common/emitter";
 import { Machine } from "../../base/common/machine";
+import { claimDelayMs, isMuchStronger, leaderTimeoutMs, observationMs } from "./claimTiming";
 import { FormerLeaseBasis, LeaseKnowledge } from "./formerLeaders";
 import { LeaderLeases } from "./leaderLeases";
 import { OutageState, WitnessAnswer } from "./outageRight";
 import { RenewalRecord } from "./renewalRecord";
 import { decodeLeader, LeaderRecord } from "./leaderRecord";
-import { claimDelayMs, leaderTimeoutMs, MAX_CLAIM_JITTER_MS } from "./claimDelay";
+import { OfficeChange } from "./officeChange";
 import chartText from "./leadership.chart.yaml";
 import { StoredRecord } from "./record";
 import { RecordFollower } from "./recordFollower";
@@ -17,14 +18,15 @@
 import { claimWriterName, leaderKey, leaderProducer, leaderWriterName } from "./shardNames";
 
 type LeadershipState = "standby" | "claiming" | "leading" | "resigning" | "resigned";
-type LeadershipEvent = "claim" | "claim-failed" | "own-claim-seen" | "other-leader-seen" | "fenced" | "resign";
+type LeadershipEvent =
+    "claim" | "claim-failed" | "own-claim-seen" | "other-leader-seen" | "fenced" | "resign" | "withdraw";
 type LeadershipAction =
     "sendClaim" | "startLeading" | "reportLostClaim" | "reportDeposed" | "stepDown" | "writeResignation";
 
 const chart = ChartRegistry.instance.register(
     ChartLoader.load<LeadershipState, LeadershipEvent, never, LeadershipAction>(chartText, "leadership.chart.yaml", {
         states: ["standby", "claiming", "leading", "resigning", "resigned"],
-        events: ["claim", "claim-failed", "own-claim-seen", "other-leader-seen", "fenced", "resign"],
+        events: ["claim", "claim-failed", "own-claim-seen", "other-leader-seen", "fenced", "resign", "withdraw"],
         guards: [],
         actions: ["sendClaim", "startLeading", "reportLostClaim", "reportDeposed", "stepDown", "writeResignation"],
     }),
@@ -45,10 +47,6 @@
  */
 const STORE_OUTAGE_THRESHOLD_MS = 1_200;
 
-/** An instance with this many times the leader's cores replaces it after observing it for the window below. */
-const MIN_CHALLENGE_CORES_RATIO = 2;
-const CHALLENGE_OBSERVATION_WINDOW_MS = 2_000;
-
 /** Minimum interval between two claims of this instance. */
 const MIN_CLAIM_INTERVAL_MS = 200;
 
@@ -69,43 +67,14 @@
     readonly cores: number;
     /** Epoch that the first claim follows, if the shard was part of another one until then. */
     readonly precedingEpoch?: number;
+    /** Number of other shards that it leads; left out where leaders do not hand over. */
+    readonly otherOffices?: number;
+    /** Whether it hands its office over by itself. */
+    readonly handsOver?: boolean;
+    /** Whether it is ready for the office for which it was named. */
+    readonly isWarm?: () => boolean;
 }
 
-/** A claim, the loss of one or of the office to another instance, or a change of what is known of leases. */
-export type OfficeChange =
-    | {
-          readonly kind: "leader-claimed";
-          readonly epoch: number;
-          /** The leader that has timed out, if there was one. */
-          readonly former: string | undefined;
-          /** Time for which it was not seen, and for which it was awaited, in ms. */
-          readonly silentMs: number | undefined;
-          readonly timeoutMs: number;
-      }
-    | { readonly kind: "claim-lost"; readonly epoch: number; readonly leader: string | undefined }
-    | {
-          readonly kind: "leader-deposed";
-          readonly epoch: number;
-          /** The leader of a later epoch, if it is known. */
-          readonly leader: string | undefined;
-          /** Age of the latest confirmed renewal, in ms. */
-          readonly renewalAgeMs: number;
-      }
-    | {
-          readonly kind: "outage-right";
-          readonly state: OutageState;
-          readonly fence: number;
-          /** Age of the latest confirmed renewal, in ms. */
-          readonly renewalAgeMs: number;
-      }
-    | {
-          readonly kind: "former-unraised";
-          /** Epoch of the former leader. */
-          readonly epoch: number;
-          /** Time until all leases have ended that former leaders extended, in ms. */
-          readonly formerLeasesMs: number;
-      };
-
 /** Leader election by claims appended to the stream of a shard. */
 export class Leadership {
     private readonly machine: Machine<number, LeadershipState, LeadershipEvent, never, LeadershipAction>;
@@ -143,6 +112,7 @@
     private takingOverUntil = Infinity;
     private now = 0;
     private suspendedAt: number | undefined;
+    private ownSuccessor: string | undefined;
     /** Time (ms) at which the first claim of the claimed epoch was sent. */
     private claimedAt = 0;
     private readonly leases: LeaderLeases;
@@ -368,7 +338,7 @@
      * @param now Time in ms.
      */
     handleAppendAnswer(event: RecordEvent & { readonly kind: "append-answer" }, now: number): void {
-        if (event.writer === claimWriterName(this.shard, this.claimedEpoch)) {
+        if (event.writer === this.claimWriter) {
             if (!event.result.ok) {
                 this.machine.fire("claim-failed", now);
             }
@@ -394,6 +364,40 @@
         this.machine.fire("resign", now);
     }
 
+    /** Lets an instance that is told to stop claim nothing more. @param now Time in ms. */
+    withdraw(now: number): void {
+        this.machine.fire("withdraw", now);
+    }
+
+    /** Instance that the leader has named as its successor, if any. */
+    get successor(): string | undefined {
+        return this.isLeading ? this.ownSuccessor : this.latestRecord?.successor;
+    }
+
+    /** Writer name that answers to the latest claim carry. */
+    get claimWriter(): string {
+        return claimWriterName(this.shard, this.claimedEpoch);
+    }
+
+    /** Whether this instance may claim: it is not stopping. */
+    get canBecomeLeader(): boolean {
+        return this.machine.state === "standby";
+    }
+
+    /** Whether the leader is another instance and has named this one as its successor. */
+    get isNamed(): boolean {
+        return !this.isLeading && this.successor === this.candidate.instance;
+    }
+
+    /** Names the instance that this leader hands over to. @param successor Its name, or `undefined` to hand over no more. */
+    nameSuccessor(successor: string | undefined): void {
+        this.ownSuccessor = successor;
+        if (this.machine.state === "leading") {
+            this.nextRenewalAt = this.now + RENEWAL_INTERVAL_MS;
+            this.writeRecord(false);
+        }
+    }
+
     /**
      * Renews the leader's record if that is due. It is called before each event is handled: while a turn of the loop has many
      * events to handle, timers wait.
@@ -431,24 +435,27 @@
             return false;
         }
         const { candidate, latestRecord } = this;
-        const delayMs = claimDelayMs(
-            candidate,
-            { roundTripMs, excessMs: this.candidate.storeExcessMs() },
-            latestRecord?.cores,
-        );
+        const delayMs = claimDelayMs(candidate, latestRecord, { roundTripMs, excessMs: candidate.storeExcessMs() });
         this.recordRead(knownUntil);
         return (
-            knownUntil - this.leaderLastSeenAt! > this.leaderTimeoutMs() + delayMs ||
-            (this.isLeaderMuchWeaker() && this.hasObservedLeader(knownUntil))
+            (this.isNamed && candidate.isWarm?.() === true) ||
+            knownUntil - this.leaderLastSeenAt! > this.timeoutMs() + delayMs ||
+            this.mayReplace(knownUntil)
         );
     }
 
-    /** A leader that is late is told from one that is gone by what its latest record states. */
-    private leaderTimeoutMs(): number {
-        if (this.latestRecord === undefined || this.latestRecord.resigned === true || this.hasLeaderEnded) {
-            return 0;
-        }
-        return leaderTimeoutMs(this.latestRecord, this.candidate.storeExcessMs());
+    private mayReplace(knownUntil: number): boolean {
+        const { candidate, latestRecord } = this;
+        return (
+            latestRecord !== undefined &&
+            isMuchStronger(candidate, latestRecord.cores) &&
+            knownUntil - (this.leaderFirstSeenAt ?? knownUntil) > observationMs(candidate, latestRecord)
+        );
+    }
+
+    private timeoutMs(): number {
+        const hasEnded = this.latestRecord !== undefined && this.hasLeaderEnded;
+        return leaderTimeoutMs(this.latestRecord, hasEnded, this.candidate.storeExcessMs());
     }
 
     private get hasLeaderEnded(): boolean {
@@ -462,19 +469,6 @@
         this.lastReadAt = knownUntil;
     }
 
-    private isLeaderMuchWeaker(): boolean {
-        return (
-            this.latestRecord !== undefined &&
-            this.latestRecord.cores * MIN_CHALLENGE_CORES_RATIO <= this.candidate.cores
-        );
-    }
-
-    /** The window has the same jitter as claims, so that usually one of several strong instances challenges. */
-    private hasObservedLeader(knownUntil: number): boolean {
-        const observedMs = knownUntil - (this.leaderFirstSeenAt ?? knownUntil);
-        return observedMs > CHALLENGE_OBSERVATION_WINDOW_MS + (this.candidate.nonce % MAX_CLAIM_JITTER_MS);
-    }
-
     private sendClaim(now: number): void {
         const nextEpoch = Math.max(this.epoch, this.candidate.precedingEpoch ?? 0) + 1;
         if (this.claimedEpoch !== nextEpoch) {
@@ -485,6 +479,7 @@
         this.takingOverUntil = Infinity;
         this.unsentDueAt = undefined;
         this.lateMs = 0;
+        this.ownSuccessor = undefined;
         this.leasesSince = this.latestRecord?.leasesSince ?? this.claimedEpoch;
         this.nextClaimAt = now + MIN_CLAIM_INTERVAL_MS;
         this.reportClaim();
@@ -508,7 +503,7 @@
         }
         this.reportedClaim = claimedEpoch;
         const silentMs = epoch === 0 ? undefined : Math.round((follower.knownUntil ?? 0) - (leaderLastSeenAt ?? 0));
-        const timeoutMs = Math.round(this.leaderTimeoutMs());
+        const timeoutMs = Math.round(this.timeoutMs());
         this.didChangeOffice.fire({ kind: "leader-claimed", epoch: claimedEpoch, former: leader, silentMs, timeoutMs });
     }
 
@@ -533,6 +528,9 @@
     private reportDeposed(now: number): void {
         const { claimedEpoch, epoch } = this;
         const leader = epoch > claimedEpoch ? this.leader : undefined;
+        if (this.ownSuccessor !== undefined && (leader === undefined || leader === this.ownSuccessor)) {
+            return;
+        }
         const renewalAgeMs = Math.round(now - (this.renewedAt ?? now));
         this.didChangeOffice.fire({ kind: "leader-deposed", epoch: claimedEpoch, leader, renewalAgeMs });
     }
@@ -579,7 +577,8 @@
         // Until a renewal is stored, the leases of a leader of an earlier version are stated nowhere.
         const statesLeases = this.leases.hasStated || this.formerStatesLeases;
         const state = { takingOver, leasesSince, statesLeases, lateMs: this.takeLateMs() };
-        const record: LeaderRecord = { epoch: this.claimedEpoch, instance, host, cores, ...state };
-        return JSON.stringify(resigned ? { ...record, resigned } : record);
+        const handsOver = this.candidate.handsOver === true ? true : undefined;
+        const record: LeaderRecord = { epoch: this.claimedEpoch, instance, host, cores, ...state, handsOver };
+        return JSON.stringify(resigned ? { ...record, resigned } : { ...record, successor: this.ownSuccessor });
     }
 }
