--- a/src/dispatch/common/scheduler/scheduler.ts
+++ b/src/dispatch/common/scheduler/scheduler.ts
@@ -86,13 +86,8 @@
         this.views = ViewController.create(context.views, context.limits, log);
         this.leases = LeaseBook.create(context, { epoch, records: writers.jobs, shard: context.leases.shard }, now);
         const { limits, effects, queues, evacuations, leadership } = context;
-        this.pool = WorkerPool.create(
-            leadership,
-            this.leases,
-            limits,
-            SchedulerPoolHost.create(this, leadership),
-            effects,
-        );
+        const poolHost = SchedulerPoolHost.create(this, leadership);
+        this.pool = WorkerPool.create(leadership, this.leases, limits, poolHost, effects);
         this.activeJobs = ActiveJobTable.create(epoch, writers, context.jobs);
         this.pruner = JobPruner.create(context.jobs, this.activeJobs, writers, context.limits.retentionMs);
         this.admission = StartAdmission.create(queues, evacuations, id => this.pool.find(id), effects);
