A leader whose renewals wait behind submissions is not replaced

Cause: renewals are appended to the stream of jobs.

Change, where leaders hand over: an instance that misses renewals looks at the end of the shard's progress, which only the leader writes. A leader without a confirmed renewal writes its epoch there again. A leader that has less CPU for a shard, since it has just taken over another one, is observed anew before it is replaced. An order that was sent before the leader raised its own fence is no sign of a later epoch: leaders deposed themselves by their own orders in flight.

--- a/src/dispatch/common/workers/workerPool.ts
+++ b/src/dispatch/common/workers/workerPool.ts
@@ -290,7 +290,10 @@
             return worker;
         }
         if (event.outcome === "fenced") {
-            this.host.onFenced(now);
+            // An order that was sent before this leader raised its fence says nothing of a later epoch.
+            if (event.order.fence === this.authority.fence) {
+                this.host.onFenced(now);
+            }
         } else if (event.outcome === "other-incarnation") {
             this.handleReplacement(worker, now);
         } else if (event.clockMs !== undefined) {
--- a/src/handover/common/warmup.ts
+++ b/src/handover/common/warmup.ts
@@ -26,6 +26,9 @@
 /** Reads of the progress while the former leader still writes it. */
 const PROGRESS_TIMING: ReadTiming = { waitMs: 400, pauseMs: 20, repeatAfterMs: 900 };
 
+/** Limit of the reads of one reader of the progress: its numbers are apart from those of the next. */
+export const MAX_READS_PER_READER = 1_000_000;
+
 /** What an instance warms up for. */
 export interface WarmupTarget {
     readonly stream: ProgressStream;
@@ -104,7 +107,8 @@
 
     /** Handles an answer to a read of the progress. @param now Time in ms. */
     handleAnswer(answer: StoreAnswer, now: number): void {
-        if (answer.number > this.target.latestRead) {
+        const { latestRead } = this.target;
+        if (answer.number > latestRead && answer.number <= latestRead + MAX_READS_PER_READER) {
             this.follower.handleAnswer(answer, now);
         }
     }
--- a/src/host/common/officeHandover.ts
+++ b/src/host/common/officeHandover.ts
@@ -1,7 +1,8 @@
 import { EffectSink } from "../../base/common/effectSink";
 import { Handover, HandoverDecision, HandoverHost, HandoverReason } from "../../handover/common/handover";
 import { chooseSuccessor, SuccessorChoice } from "../../handover/common/successorChoice";
-import { Warmup } from "../../handover/common/warmup";
+import { LeaderWatch } from "../../handover/common/leaderWatch";
+import { MAX_READS_PER_READER, Warmup } from "../../handover/common/warmup";
 import { HostProfile } from "../../records/common/hostTable";
 import { Leadership } from "../../records/common/leadership";
 import { RecordEvent } from "../../records/common/recordEvents";
@@ -11,9 +12,6 @@
 
 type StoreAnswer = RecordEvent & { readonly kind: "read-answer" | "newest-answer" };
 
-/** Numbers by which the reads of one reader of the progress differ from those of the next. */
-const READS_PER_READER = 1_000_000;
-
 /** Cores of an instance that replaces a leader that goes on, as a multiple of the leader's. */
 const MIN_OUTCLASSING_RATIO = 2;
 
@@ -49,7 +47,12 @@
     private settledAt: number | undefined;
     private isStopping = false;
 
-    private constructor(private readonly context: HandoverContext) {}
+    private readonly watch: LeaderWatch;
+
+    private constructor(private readonly context: HandoverContext) {
+        const { shard, effects } = context;
+        this.watch = LeaderWatch.create(progressStream(shard), effects, () => this.nextReads());
+    }
 
     /** @param context What it depends on. @returns An office without a handover. */
     static create(context: HandoverContext): OfficeHandover {
@@ -119,10 +122,18 @@
         }
     }
 
+    /** @param silentMs Time without a renewal, in ms. @returns Time (ms) at which the leader was seen to work, if it was. */
+    leaderActiveAt(silentMs: number): number | undefined {
+        return this.watch.activeAt(silentMs);
+    }
+
     /** Gets ready while the leader names this instance, and claims once it is. @param now Time in ms. */
     advance(now: number): void {
-        const { leadership } = this.context;
+        const { leadership, graceMs } = this.context;
         this.warmup?.review(now);
+        if (graceMs !== undefined) {
+            this.watch.review(leadership.epoch, leadership.silentMs ?? 0, now);
+        }
         if (leadership.isLeading || leadership.isCandidate) {
             return;
         }
@@ -130,7 +141,7 @@
         if (!leadership.isNamed || isOther) {
             this.warmup = undefined;
         }
-        if (leadership.isNamed && this.context.graceMs !== undefined && leadership.canBecomeLeader) {
+        if (leadership.isNamed && graceMs !== undefined && leadership.canBecomeLeader) {
             this.warmup ??= this.startWarmup(now);
         }
         if (this.isWarm) {
@@ -145,8 +156,12 @@
 
     /** Handles the answer to a read of the progress. @param now Time in ms. */
     handleStoreAnswer(event: StoreAnswer, now: number): void {
-        if (event.stream === progressStream(this.context.shard)) {
-            this.warmup?.handleAnswer(event, now);
+        if (event.stream !== progressStream(this.context.shard)) {
+            return;
+        }
+        this.warmup?.handleAnswer(event, now);
+        if (event.kind === "newest-answer") {
+            this.watch.handleAnswer(event);
         }
     }
 
@@ -163,7 +178,7 @@
 
     private nextReads(): number {
         this.readerCount += 1;
-        return this.readerCount * READS_PER_READER;
+        return this.readerCount * MAX_READS_PER_READER;
     }
 }
 
--- a/src/host/common/shardOffice.ts
+++ b/src/host/common/shardOffice.ts
@@ -35,6 +35,10 @@
 /** Time after its beginning for which an epoch counts as a takeover at most, in ms: the shortest lease of workers. */
 const MAX_CONTACT_MS = 6_000;
 
+/** Age of the latest confirmed renewal from which a leader shows in its progress that it goes on, and the interval of that, in ms. */
+const MAX_RENEWAL_AGE_MS = 900;
+const RESTATE_INTERVAL_MS = 300;
+
 /** What the offices of one instance share. */
 export interface OfficeContext {
     readonly identity: JobInstanceIdentity;
@@ -79,6 +83,8 @@
     private now = 0;
     /** Time (ms) at which the epoch began, while it counts as a takeover. */
     private beganAt: number | undefined;
+    /** Time (ms) from which the progress may show again that this leader goes on. */
+    private restateAt = 0;
 
     private constructor(
         readonly shard: number,
@@ -115,6 +121,7 @@
                 return context.handsOver();
             },
             isWarm: () => this.handover.isWarm,
+            leaderActiveAt: (silentMs: number) => this.handover.leaderActiveAt(silentMs),
         };
         const { hosts, limits } = context;
         const knowledge = { hosts, clocks: this.clocks, longestLeaseMs: limits.longestLeaseMs };
@@ -191,6 +198,18 @@
         this.scheduler?.tick(now, wallNow);
         this.reviewTakeover(now);
         this.handover.tick(now);
+        this.reviewRenewals(now);
+    }
+
+    /** While the store confirms no renewal, the progress shows the others that this leader goes on: they look at it then. */
+    private reviewRenewals(now: number): void {
+        const { renewedAt = now } = this.leadership;
+        if (this.scheduler !== undefined && this.context.handsOver() && now - renewedAt > MAX_RENEWAL_AGE_MS) {
+            if (now >= this.restateAt) {
+                this.restateAt = now + RESTATE_INTERVAL_MS;
+                this.takeover?.restate();
+            }
+        }
     }
 
     /** Ends the takeover once the leases of all inherited runs are extended, or cannot be extended in time. */
--- a/src/host/common/takeover.ts
+++ b/src/host/common/takeover.ts
@@ -87,7 +87,7 @@
     readonly onDidLoad = this.didLoad.event;
 
     private constructor(
-        epoch: number,
+        private readonly epoch: number,
         nonce: number,
         private readonly clock: () => number,
         private readonly effects: EffectSink<RecordWriterEffect>,
@@ -117,6 +117,12 @@
         );
     }
 
+    /** Writes the epoch again, which shows others that its leader goes on. */
+    restate(): void {
+        const { epoch } = this;
+        this.writer.write(EPOCH_KEY, () => String(epoch));
+    }
+
     /**
      * @param epoch Epoch of the new leader.
      * @param nonce Number that differs between instances.
--- a/src/proof/node/jobTrialPlan.ts
+++ b/src/proof/node/jobTrialPlan.ts
@@ -141,6 +141,9 @@
 /** A planned outage of the store. */
 export type PlannedOutage = "outage-2s" | "outage-6s" | "outage-8s";
 
+/** A time in which the stream of jobs stores one append at a time, and slowly; other streams are as fast as ever. */
+export type PlannedSlowness = "slow-jobs-3s";
+
 /**
  * A planned fault of a trial. `lose-worker`: the worker with the most runs is lost for good. `lose-half`: half of the workers
  * crash and are back after 2 s. `lose-third`: a third of the workers of the first rack is lost for good. `lose-domain`: three in
@@ -159,6 +162,7 @@
     | "kill-all"
     | "lose-site"
     | PlannedOutage
+    | PlannedSlowness
     | "kill-leader"
     | "freeze-leader"
     | "stop-leader";
--- a/src/proof/node/test/handoverTrial.test.ts
+++ b/src/proof/node/test/handoverTrial.test.ts
@@ -70,6 +70,20 @@
     }
 });
 
+test("a leader whose renewals wait behind submissions in a slow store goes on, and is not replaced", t => {
+    const slow: JobTrialPlan = { ...BURST, plannedFaults: [[STOP_MS, "slow-jobs-3s"]] };
+    const leadersOf = ({ of }: ReturnType<typeof run>) => of("leader-began").length;
+    let replacedBefore = 0;
+    for (let seed = 1; seed <= 4; seed++) {
+        const trial = run({ ...slow, seed });
+        t.deepEqual(trial.breaches, [], `seed ${seed}`);
+        t.is(leadersOf(trial), 2, `seed ${seed}`);
+        t.is(trial.lapsed, 0);
+        replacedBefore += leadersOf(run({ ...slow, seed, graceMs: undefined })) - 2;
+    }
+    t.true(replacedBefore > 0);
+});
+
 test("when instances are restarted in turn, each shard goes to one that has been restarted, or is not restarted next", t => {
     const restarts = [10_000, 12_000, 14_000, 16_000].map(at => [at, "stop-leader"] as const);
     const trial = run({ ...BURST, lengthMs: 24_000, plannedFaults: restarts });
--- a/src/proof/node/trialInjector.ts
+++ b/src/proof/node/trialInjector.ts
@@ -41,6 +41,9 @@
     "outage-8s": 8_000,
 };
 
+/** Time for which appends of jobs are slow, in ms. */
+const SLOW_JOBS_MS = 3_000;
+
 /** Duration of a fault that strikes a handover, in ms. */
 const HANDOVER_FAULT_MS = 2_000;
 
@@ -123,6 +126,9 @@
         } else if (isOutage(fault)) {
             this.context.checker.recordDisruption(OUTAGE_MS[fault]);
             this.context.store.takeDown(OUTAGE_MS[fault]);
+        } else if (fault === "slow-jobs-3s") {
+            this.context.checker.recordDisruption(SLOW_JOBS_MS);
+            this.context.store.slowDownJobs(SLOW_JOBS_MS);
         } else if (leader === undefined) {
             throw new Error(`no leader at ${this.context.schedule.now} ms to ${fault}`);
         } else if (fault === "lose-site") {
--- a/src/proof/node/trialStore.ts
+++ b/src/proof/node/trialStore.ts
@@ -13,11 +13,18 @@
 /** Time that a read takes to the store, in ms. */
 const LINK_DELAY_MS = 2;
 
+/** Time that a slow append takes, and the longest wait of one for those before it, in ms. */
+const SLOW_APPEND_MS = 360;
+const MAX_APPEND_WAIT_MS = 2_000;
+
 /** The in-memory store of a trial, and the calls to it. */
 export class TrialStore {
     readonly streams: Readonly<Record<StreamName, KeyedLog>> = createStreams();
     private downUntil = 0;
     private lostAnswersUntil = 0;
+    private slowJobsUntil = 0;
+    /** Time (ms) from which the next append of jobs is stored. */
+    private jobsFreeAt = 0;
 
     private constructor(
         private readonly random: Random,
@@ -53,6 +60,22 @@
         this.lostAnswersUntil = this.now + durationMs;
     }
 
+    /** Lets the stream of jobs store one append after the other, and slowly. @param durationMs Duration in ms. */
+    slowDownJobs(durationMs: number): void {
+        this.slowJobsUntil = this.now + durationMs;
+    }
+
+    /** @returns Time in ms until an append of jobs is stored, or `undefined` if too many wait before it. */
+    private takeJobsDelayMs(): number | undefined {
+        const waitMs = Math.max(0, this.jobsFreeAt - this.now);
+        if (waitMs > MAX_APPEND_WAIT_MS) {
+            return undefined;
+        }
+        const delayMs = waitMs + (this.now < this.slowJobsUntil ? SLOW_APPEND_MS : LINK_DELAY_MS);
+        this.jobsFreeAt = this.now + delayMs;
+        return delayMs;
+    }
+
     /** Removes what the store keeps for a limited time only. */
     expire(): void {
         Object.values(this.streams).forEach(log => log.expire());
@@ -76,6 +99,20 @@
                 postAnswer({ kind: "append-answer", writer: effect.writer, sequence: effect.append.sequence, result });
             if (!this.isReachable(node)) {
                 this.schedule(CALL_TIMEOUTS_MS.store, () => reply(Err("unknown")));
+            } else if (stream === "jobs" && this.now < Math.max(this.slowJobsUntil, this.jobsFreeAt)) {
+                const delayMs = this.takeJobsDelayMs();
+                if (delayMs === undefined) {
+                    this.schedule(LINK_DELAY_MS, () => reply(Err("not-done")));
+                    return;
+                }
+                const isLate = delayMs > CALL_TIMEOUTS_MS.store;
+                this.schedule(delayMs, () => {
+                    const result = log.append(effect.append);
+                    return isLate ? undefined : reply(result);
+                });
+                if (isLate) {
+                    this.schedule(CALL_TIMEOUTS_MS.store, () => reply(Err("unknown")));
+                }
             } else if (this.now < this.lostAnswersUntil && this.random.chance(0.4)) {
                 const delayMs = this.random.chance(0.5) ? 1 : this.random.between(1_000, 5_000);
                 this.schedule(delayMs, () => log.append(effect.append));
--- a/src/records/common/leadership.ts
+++ b/src/records/common/leadership.ts
@@ -71,6 +71,8 @@
     readonly handsOver?: boolean;
     /** Whether it is ready for the office for which it was named. */
     readonly isWarm?: () => boolean;
+    /** @param silentMs Time without a renewal, in ms. @returns Time (ms) at which the leader was seen to work, if it was. */
+    readonly leaderActiveAt?: (silentMs: number) => number | undefined;
 }
 
 /** Leader election by claims appended to the stream of a shard. */
@@ -302,8 +304,10 @@
             this.firstOffset = record.offset;
         }
         this.recordLeader(latest, now);
-        // A second change of leader would let leases end that this one has not extended yet.
-        const isObserved = latest.epoch === this.epoch && latest.takingOver !== true;
+        // A second change of leader would let leases end that this one has not extended yet. One that has just taken over another shard has
+        // less for this one, and hands one of them over.
+        const hasAsMuch = latest.cores >= (this.latestRecord?.cores ?? 0);
+        const isObserved = latest.epoch === this.epoch && latest.takingOver !== true && hasAsMuch;
         this.leaderFirstSeenAt = isObserved ? this.leaderFirstSeenAt : now;
         this.latestRecord = latest;
         this.leaderLastSeenAt = now;
@@ -377,6 +381,12 @@
         return claimWriterName(this.shard, this.claimedEpoch);
     }
 
+    /** Time since the latest renewal of another leader that goes on was read, in ms; `undefined` if there is none. */
+    get silentMs(): number | undefined {
+        const isGone = this.isLeading || this.latestRecord?.resigned === true;
+        return isGone || this.leaderLastSeenAt === undefined ? undefined : this.now - this.leaderLastSeenAt;
+    }
+
     /** Whether this instance may claim: it is not stopping. */
     get canBecomeLeader(): boolean {
         return this.machine.state === "standby";
@@ -434,10 +444,11 @@
         }
         const { candidate, latestRecord } = this;
         this.recordRead(knownUntil);
+        const activeAt = candidate.leaderActiveAt?.(this.silentMs ?? 0);
+        const seenAt = Math.max(this.leaderLastSeenAt!, activeAt ?? Number.NEGATIVE_INFINITY);
         return (
             (this.isNamed && candidate.isWarm?.() === true) ||
-            knownUntil - this.leaderLastSeenAt! >
-                this.timeoutMs() + claimDelayMs(candidate, latestRecord, roundTripMs) ||
+            knownUntil - seenAt > this.timeoutMs() + claimDelayMs(candidate, latestRecord, roundTripMs) ||
             this.mayReplace(knownUntil)
         );
     }
