An instance that is told to stop claims no leadership

Cause: a stop reached only leaders. An instance on standby went on to claim for the 2.2 s until it ended, and one whose claim was in flight led a shard, or ended before its claim was stored: the others then waited for a leader that did not exist. Seen with a slow store beside restarts in turn: the claim of an instance was stored after it had ended, and its shard had no leader for 3.1 s.

Change: in the chart, resign leads from standby to resigned, and from claiming to withdrawing, where a claim that is stored after all is followed by a resignation.

--- a/src/records/common/leadership.ts
+++ b/src/records/common/leadership.ts
@@ -15,14 +15,14 @@
 import { RecordWriter } from "./recordWriter";
 import { claimWriterName, leaderKey, leaderProducer, leaderWriterName } from "./shardNames";
 
-type LeadershipState = "standby" | "claiming" | "leading" | "resigning" | "resigned";
+type LeadershipState = "standby" | "claiming" | "withdrawing" | "leading" | "resigning" | "resigned";
 type LeadershipEvent = "claim" | "claim-failed" | "own-claim-seen" | "other-leader-seen" | "fenced" | "resign";
 type LeadershipAction =
     "sendClaim" | "startLeading" | "reportLostClaim" | "reportDeposed" | "stepDown" | "writeResignation";
 
 const chart = ChartRegistry.instance.register(
     ChartLoader.load<LeadershipState, LeadershipEvent, never, LeadershipAction>(chartText, "leadership.chart.yaml", {
-        states: ["standby", "claiming", "leading", "resigning", "resigned"],
+        states: ["standby", "claiming", "withdrawing", "leading", "resigning", "resigned"],
         events: ["claim", "claim-failed", "own-claim-seen", "other-leader-seen", "fenced", "resign"],
         guards: [],
         actions: ["sendClaim", "startLeading", "reportLostClaim", "reportDeposed", "stepDown", "writeResignation"],
