--- a/src/host/common/shardOffice.ts
+++ b/src/host/common/shardOffice.ts
@@ -112,12 +112,12 @@
             get cores() {
                 return identity.cores / (1 + context.countOtherOffices(shard));
             },
+            get otherOffices() {
+                return context.countOtherOffices(shard);
+            },
             get precedingEpoch() {
                 return shards.plan?.epoch;
             },
-            get otherOffices() {
-                return context.handsOver() ? context.countOtherOffices(shard) : undefined;
-            },
             get handsOver() {
                 return context.handsOver();
             },
--- a/src/records/common/claimTiming.ts
+++ b/src/records/common/claimTiming.ts
@@ -38,8 +38,11 @@
 /** Claim delay by round trip to the store: instances closer to it claim first. */
 const ROUND_TRIPS = 8;
 
-/** Extra claim delay of an instance that leads another shard, so that one without an office claims first. */
-const OTHER_OFFICE_DELAY_MS = 600;
+/**
+ * Extra claim delay of an instance that leads another shard, or claims one, in ms. It is longer than the jitter, so that an instance
+ * without an office claims first: otherwise the other shard would change its leader, too, since this one has fewer cores for it.
+ */
+const OTHER_OFFICE_DELAY_MS = 300;
 
 /** Extra claim delay of all others while a leader that has resigned or is lost had named its successor. */
 const SUCCESSOR_HEAD_START_MS = 300;
@@ -62,7 +65,7 @@
     readonly instance: string;
     readonly nonce: number;
     readonly cores: number;
-    /** Number of other shards that it leads, where leaders hand over. */
+    /** Number of other shards that it leads, or may soon; none if undefined. */
     readonly otherOffices?: number;
 }
 
--- a/src/records/common/leadership.ts
+++ b/src/records/common/leadership.ts
@@ -17,7 +17,7 @@
 import { RecordWriter } from "./recordWriter";
 import { claimWriterName, leaderKey, leaderProducer, leaderWriterName } from "./shardNames";
 
-type LeadershipState = "standby" | "claiming" | "leading" | "resigning" | "resigned";
+type LeadershipState = "standby" | "claiming" | "withdrawing" | "leading" | "resigning" | "resigned";
 type LeadershipEvent =
     "claim" | "claim-failed" | "own-claim-seen" | "other-leader-seen" | "fenced" | "resign" | "withdraw";
 type LeadershipAction =
@@ -25,7 +25,7 @@
 
 const chart = ChartRegistry.instance.register(
     ChartLoader.load<LeadershipState, LeadershipEvent, never, LeadershipAction>(chartText, "leadership.chart.yaml", {
-        states: ["standby", "claiming", "leading", "resigning", "resigned"],
+        states: ["standby", "claiming", "withdrawing", "leading", "resigning", "resigned"],
         events: ["claim", "claim-failed", "own-claim-seen", "other-leader-seen", "fenced", "resign", "withdraw"],
         guards: [],
         actions: ["sendClaim", "startLeading", "reportLostClaim", "reportDeposed", "stepDown", "writeResignation"],
@@ -65,10 +65,10 @@
     readonly storeExcessMs: () => number;
     /** CPU that the instance has for this office, in cores; less than all of it if it holds others, too. */
     readonly cores: number;
+    /** Number of other shards that the instance leads, or may soon; none if undefined. */
+    readonly otherOffices?: number;
     /** Epoch that the first claim follows, if the shard was part of another one until then. */
     readonly precedingEpoch?: number;
-    /** Number of other shards that it leads; left out where leaders do not hand over. */
-    readonly otherOffices?: number;
     /** Whether it hands its office over by itself. */
     readonly handsOver?: boolean;
     /** Whether it is ready for the office for which it was named. */
--- a/src/records/common/test/slowStore.test.ts
+++ b/src/records/common/test/slowStore.test.ts
@@ -6,7 +6,7 @@
 test("a leader is not replaced for renewals that wait in a slow store", t => {
     const log = KeyedLog.create();
     let excessMs = 0;
-    const standby = createInstance(log, "b", 10, 1, () => excessMs);
+    const standby = createInstance(log, "b", 10, 1, 0, () => excessMs);
     lead(t, log, createInstance(log, "a", 10));
     standby.read(2_600);
     excessMs = 350;
@@ -22,8 +22,8 @@
 test("in a slow store, a small instance claims only after the claim of a strong one can be read", t => {
     const log = KeyedLog.create();
     const excessMs = 350;
-    const strong = createInstance(log, "strong", 0, 1, () => excessMs);
-    const small = createInstance(log, "small", 0, 0.25, () => excessMs);
+    const strong = createInstance(log, "strong", 0, 1, 0, () => excessMs);
+    const small = createInstance(log, "small", 0, 0.25, 0, () => excessMs);
     lead(t, log, createInstance(log, "a", 10));
     const claimedAt = ({ read, claim }: Instance) => {
         read(2_600);
