--- a/soak/node/entryProcess.ts
+++ b/soak/node/entryProcess.ts
@@ -35,6 +35,13 @@
 const children = new Set<ChildProcess>();
 process.once("exit", () => children.forEach(child => child.kill("SIGKILL")));
 
+/** Host and port at which an entry takes calls, says whether it is ready, and shows its metrics. */
+export interface EntryAddresses {
+    readonly front: string;
+    readonly ready: string;
+    readonly metrics: string;
+}
+
 /** Process of one entry: the built program, with the command of the deployment file. */
 export class EntryProcess {
     private readonly machine: Machine<string, EntryState, EntryEvent, never, EntryAction>;
@@ -49,8 +56,7 @@
 
     private constructor(
         readonly node: string,
-        /** Host and port at which it answers whether it is ready. */
-        readonly ready: string,
+        readonly addresses: EntryAddresses,
         private readonly settingsFile: string,
         logFile: string,
         private readonly observe: (observation: SoakObservation) => void,
@@ -73,19 +79,24 @@
     /** @param fields Name, addresses, files and the observer. @returns An entry whose process is not started yet. */
     static create(fields: {
         readonly node: string;
-        readonly ready: string;
+        readonly addresses: EntryAddresses;
         readonly settingsFile: string;
         readonly logFile: string;
         readonly observe: (observation: SoakObservation) => void;
     }): EntryProcess {
-        const { node, ready, settingsFile, logFile, observe } = fields;
-        return new EntryProcess(node, ready, settingsFile, logFile, observe);
+        const { node, addresses, settingsFile, logFile, observe } = fields;
+        return new EntryProcess(node, addresses, settingsFile, logFile, observe);
     }
 
     get state(): EntryState {
         return this.machine.state;
     }
 
+    /** ID of the latest process. */
+    get pid(): number | undefined {
+        return this.child?.pid;
+    }
+
     start(): void {
         this.machine.fire("start", "");
     }
--- a/soak/node/soakSite.ts
+++ b/soak/node/soakSite.ts
@@ -24,12 +24,22 @@
 
 const TEMPLATE_FILE = "deploy/settings.yaml";
 
+/** Limits of the machine of each entry, and of a body. */
+export interface SiteLimits {
+    readonly memoryMb: number;
+    readonly maxFds: number;
+    readonly maxBodyBytes: number;
+}
+
+const DEFAULT_LIMITS: SiteLimits = { memoryMb: 350, maxFds: 4_100, maxBodyBytes: 262_144 };
+
 /** What a site needs to start. */
 export interface SoakSiteOptions {
     readonly size: SiteSize;
     /** Folder of the settings and the logs. */
     readonly folder: string;
     readonly random: Random;
+    readonly limits?: SiteLimits;
     readonly jobs: ReadonlyMap<string, SoakJob>;
     readonly planTask: (task: string, run: number) => TaskPlan;
     readonly observe: (observation: SoakObservation) => void;
@@ -102,13 +112,17 @@
         this.store.dispose();
     }
 
+    private get limits(): SiteLimits {
+        return this.options.limits ?? DEFAULT_LIMITS;
+    }
+
     private putConfiguration(): void {
         const queue = { host: QUEUE.host, prefix: QUEUE.prefix, kind: "unsafe", timeoutMs: 3_000, sloMs: 500 };
         this.store.put("keyed.op", "config", {
             version: 1,
             routes: [{ name: "r-1", ...queue, service: SERVICE, attempts: MAX_ATTEMPTS, stretch: 1.5 }],
             services: [{ name: SERVICE, healthPath: "/healthz", rejectsOverload: false }],
-            limits: { maxBodyBytes: 262_144 },
+            limits: { maxBodyBytes: this.limits.maxBodyBytes },
         });
     }
 
@@ -135,6 +149,8 @@
             this.callerLinks.push(await LinkProxy.start(this.host, front));
             const node = `edge-quimper-${number + 1}`;
             const listen = { front: `${this.host}:${front}`, ready: `${this.host}:${ready}` };
+            const addresses = { ...listen, metrics: `${this.host}:${metrics}` };
+            const { memoryMb, maxFds } = this.limits;
             const settingsFile = join(folder, `${node}.yaml`);
             const fields = {
                 node,
@@ -143,13 +159,13 @@
                 region: "finistere",
                 listen,
                 portRange: [metrics, metrics],
-                limits: { cpuShare: 0.27, cores: 1 },
+                limits: { cpuShare: 0.27, cores: 1, memoryMb, maxFds },
                 platform: { addr: link.address },
                 bounds: BOUNDS,
             };
             writeFileSync(settingsFile, fillIn(readFileSync(TEMPLATE_FILE, "utf8"), fields));
             const logFile = join(folder, `${node}.log`);
-            this.entries.push(EntryProcess.create({ node, ready: listen.ready, settingsFile, logFile, observe }));
+            this.entries.push(EntryProcess.create({ node, addresses, settingsFile, logFile, observe }));
         }
         await release();
     }
@@ -158,7 +174,7 @@
         const agent = new Agent();
         const deadline = performance.now() + MAX_START_MS;
         for (const entry of this.entries) {
-            while ((await sendCall(agent, entry.ready, "GET", "/api/readyz"))?.status !== 200) {
+            while ((await sendCall(agent, entry.addresses.ready, "GET", "/api/readyz"))?.status !== 200) {
                 if (performance.now() > deadline) {
                     throw new Error(`${entry.node} is not ready after ${MAX_START_MS} ms`);
                 }
