A budget of the process for clients that nobody controls

Cause: the ports had no bound on connections, on bodies together, on requests at work and unread answers, and read bodies over the limit to their end. 150 clients at a path took a process with a machine of 160 MB to 3.9 GB.

Change: src/ingress, a layer of its own. IngressGuard decides (pure, the time is a parameter; connection.chart.yaml is the life of a connection): connections by the machine's memory and descriptors, large bodies by room that is given in turn, requests at work a connection, a minimal pace, a limit of idle time; on a crowded port, and while bodies wait for room, what makes no progress is closed, the cheapest first. GuardedConnection is the edge: it hands the HTTP server one request at a time. Bodies over the limit are answered with 413 and not read on; values and nesting are counted before JSON is parsed; costly parsing has a quarter of the time. The ports for callers, readiness and metrics and the server of serving use it; settings machine and ingress; counter, gauges and a bounded line.

Jobs: JobAdmission refuses submissions with 503 and Retry-After while known jobs would take over a quarter of the machine's memory.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,6 +4,7 @@
 const LAYERS = [
     ["base"],
     ["services"],
+    ["ingress"],
     ["coordination"],
     ["scheduling", "routing"],
     ["records"],
--- a/src/dispatch/common/dispatchLimits.ts
+++ b/src/dispatch/common/dispatchLimits.ts
@@ -21,6 +21,8 @@
     readonly configurationMs: number;
     /** Time for which the state of a finished job is kept. */
     readonly retentionMs: number;
+    /** Memory that jobs may take, in bytes; left out where it is not bounded. */
+    readonly maxJobBytes?: number;
 }
 
 /**
--- a/src/host/common/jobInstance.ts
+++ b/src/host/common/jobInstance.ts
@@ -165,12 +165,8 @@
             outbox,
         );
         this.workersFollower = RecordFollower.create("workers", new WorkersReceiver(this), workersTiming, outbox);
-        this.submissionWriter = RecordWriter.create(
-            "submissions",
-            "jobs",
-            { name: identity.instance, epoch: 1 },
-            outbox,
-        );
+        const producer = { name: identity.instance, epoch: 1 };
+        this.submissionWriter = RecordWriter.create("submissions", "jobs", producer, outbox);
         this.ensureOffice(FIRST_SHARD);
         this.configurationView = ConfigurationView.create(this.operatorFollower, this.queues, limits.configurationMs);
         this.configurationView.onDidChange(({ state, ...data }) => {
@@ -183,6 +179,7 @@
             this.submissionWriter,
             { jobs: this.jobsFollower, configuration: this.configurationView },
             (call, answer) => outbox.emit({ kind: "answer", call, answer }),
+            limits.maxJobBytes,
         );
         this.jobs.onDidIgnore(({ key, offset }) => this.logMalformed("jobs", key, offset));
         this.shards.onDidIgnore(({ key, offset }) => this.logMalformed("jobs", key, offset));
@@ -250,6 +247,11 @@
         return this.evacuations.size;
     }
 
+    /** Estimated memory of the known jobs, in bytes. */
+    get jobBytes(): number {
+        return this.jobs.heldBytes;
+    }
+
     /** Number of known jobs. */
     get jobCount(): number {
         return this.jobs.size;
--- a/src/host/common/jobSettings.ts
+++ b/src/host/common/jobSettings.ts
@@ -1,5 +1,6 @@
 import * as z from "zod/mini";
 import { LEASE_MARGIN_MS, MIN_START_VALIDITY_MS } from "../../dispatch/common/dispatchLimits";
+import { ingressSettingsSchema, machineSettingsSchema } from "../../ingress/common/ingressLimits";
 
 const address = z.string().check(z.regex(/^[^\s:]+:\d{1,5}$/, "not an address"));
 const milliseconds = z.number().check(z.nonnegative());
@@ -28,6 +29,10 @@
             path: ["share"],
         }),
     ),
+    /** What the process may use of its machine, from which the limits on clients are derived. */
+    machine: z.optional(machineSettingsSchema),
+    /** Limits on clients that replace derived ones. */
+    ingress: z.optional(ingressSettingsSchema),
     /** Address of the platform's store. */
     store: address,
     scheduling: z.strictObject({
--- a/src/host/node/jobMetrics.ts
+++ b/src/host/node/jobMetrics.ts
@@ -1,6 +1,7 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import { RequestKind } from "../../dispatch/common/requestKind";
 import { DecisionData, DecisionName } from "../../dispatch/common/dispatchEffects";
+import { Refusal } from "../../ingress/common/ingressGuard";
 import { StreamName } from "../../records/common/recordStore";
 import { WorkKind } from "../common/workKind";
 
@@ -67,6 +68,15 @@
         registers: [this.registry],
     });
 
+    private readonly refusals = new Counter({
+        name: "wigeonstall_refused_clients_total",
+        help: "Clients that were refused, or whose connection was closed, by the port and why.",
+        labelNames: ["port", "reason"],
+        registers: [this.registry],
+    });
+    /** The text that is being collected, if any. */
+    private nextPage: Promise<Buffer> | undefined;
+
     private constructor() {
         const registers = [this.registry];
         const callOptions = { registers, buckets: CALL_BUCKETS_S };
@@ -219,6 +229,11 @@
         this.readBytes.inc({ stream }, bytes);
     }
 
+    /** Records a client that was refused. */
+    recordRefusal({ port, reason }: Refusal): void {
+        this.refusals.inc({ port, reason });
+    }
+
     /** Records lines omitted from the log. */
     recordOmittedLines(count: number): void {
         this.omittedLines.inc(count);
@@ -228,4 +243,13 @@
     text(): Promise<string> {
         return this.registry.metrics();
     }
+
+    /** @returns The encoded text, which readers that ask at the same time share. */
+    page(): Promise<Buffer> {
+        this.nextPage ??= this.text().then(text => {
+            this.nextPage = undefined;
+            return Buffer.from(text);
+        });
+        return this.nextPage;
+    }
 }
--- a/src/host/node/jobProcess.ts
+++ b/src/host/node/jobProcess.ts
@@ -1,4 +1,5 @@
-import { Server } from "node:http";
+import { RequestListener } from "node:http";
+import { Server } from "node:net";
 import { Disposable, toDisposable } from "../../base/common/disposable";
 import { DisposableStore } from "../../base/common/disposableStore";
 import { TrafficMeter } from "../../base/common/trafficMeter";
@@ -6,6 +7,9 @@
 import { WorkClock } from "../../base/node/workClock";
 import { RequestKind } from "../../dispatch/common/requestKind";
 import { WorkerClient } from "../../dispatch/common/workerClient";
+import { IngressPort } from "../../ingress/common/ingressGuard";
+import { deriveIngressLimits } from "../../ingress/common/ingressLimits";
+import { Ingress } from "../../ingress/node/ingress";
 import { JobAnswer, JobCall } from "../../jobs/common/jobCall";
 import { RecordStore } from "../../records/common/recordStore";
 import { JobInstance } from "../common/jobInstance";
@@ -19,7 +23,7 @@
 import { JobMetrics } from "./jobMetrics";
 import { JobPerformers } from "./jobPerformers";
 import { listen } from "./listen";
-import { createProbeServer } from "./probeServer";
+import { createProbeListener } from "./probeServer";
 import { RuntimeMeter } from "./runtimeMeter";
 
 /** Interval between two ticks of the loop of a leader. An event that waits for longer is late. */
@@ -39,8 +43,8 @@
     readonly work: WorkClock<WorkKind>;
     /** Counts the requests that the store and the workers are sent. */
     readonly traffic: TrafficMeter<RequestKind>;
-    /** Creates the server for callers. */
-    readonly createFrontEnd: (process: JobProcess) => Server;
+    /** Creates what serves callers. */
+    readonly createFrontEnd: (process: JobProcess, ingress: Ingress) => RequestListener;
 }
 
 /** One running instance that serves jobs: its event loop, servers and performers of effects. */
@@ -48,6 +52,7 @@
     private readonly resources = DisposableStore.create();
     private readonly loop: AgendaLoop<JobInstanceEvent, JobInstanceEffect, EventClass>;
     private readonly performers: JobPerformers;
+    private readonly ingress: Ingress;
     private readonly metrics = JobMetrics.create();
     private readonly load = LoadRecorder.create();
     private readonly reads = ReadRecorder.create();
@@ -69,6 +74,9 @@
         const onError = (error: unknown) =>
             log.log("unexpected-error", { error: error instanceof Error ? error.stack : String(error) });
         log.onDidOmit(count => this.metrics.recordOmittedLines(count));
+        const limits = deriveIngressLimits(settings.machine, settings.ingress);
+        this.ingress = this.resources.add(Ingress.create(limits, count => log.log("clients-refused", count)));
+        this.ingress.guard.onDidRefuse(refusal => this.metrics.recordRefusal(refusal));
         this.performers = JobPerformers.create(store, workers, log, this.metrics, post, onStopped);
         this.resources.add(this.performers);
         const perform = (effect: JobInstanceEffect) =>
@@ -140,6 +148,7 @@
         metrics.addGauge("config_version", "Version of the configuration in force.", () => instance.configVersion ?? 0);
         metrics.addGauge("evacuated_domains", "Failure domains that are evacuated.", () => instance.evacuatedCount);
         metrics.addGauge("jobs", "Jobs that are known.", () => instance.jobCount);
+        metrics.addGauge("job_bytes", "Estimated memory of the known jobs.", () => instance.jobBytes);
         metrics.addGauge(
             "log_delay_seconds",
             "How long the oldest log line that is not written has waited.",
@@ -214,13 +223,16 @@
     private async startServing(): Promise<void> {
         this.registerGauges();
         const { listen: addresses } = this.settings;
-        await this.listenOn(this.parts.createFrontEnd(this), addresses.calls);
+        const { connections, probeConnections, requestsPerConnection } = this.ingress.guard.limits;
+        const calls = { name: "calls", maxConnections: connections, maxRequests: requestsPerConnection };
+        await this.listenOn(calls, addresses.calls, this.parts.createFrontEnd(this, this.ingress));
+        const probe = { maxConnections: probeConnections, maxRequests: 1 };
         const isReady = () => this.instance.isReady(performance.now());
-        const readiness = createProbeServer(() => ({ status: isReady() ? 200 : 503, body: "" }));
-        await this.listenOn(readiness, addresses.readiness);
+        const readiness = createProbeListener(() => ({ status: isReady() ? 200 : 503, body: "" }));
+        await this.listenOn({ name: "readiness", ...probe }, addresses.readiness, readiness);
         if (addresses.metrics !== undefined) {
-            const metrics = createProbeServer(async () => ({ status: 200, body: await this.metrics.text() }));
-            await this.listenOn(metrics, addresses.metrics);
+            const metrics = createProbeListener(async () => ({ status: 200, body: await this.metrics.page() }));
+            await this.listenOn({ name: "metrics", ...probe }, addresses.metrics, metrics);
         }
         // A former incarnation has ended, since it listened on the same addresses.
         this.instance.start(performance.now()).forEach(effect => this.performers.perform(effect));
@@ -229,13 +241,13 @@
         this.parts.log.log("started", { calls: addresses.calls, failureDomain: this.settings.failureDomain });
     }
 
-    private async listenOn(server: Server, address: string): Promise<void> {
+    private async listenOn(port: IngressPort, address: string, serve: RequestListener): Promise<void> {
+        const server: Server = this.ingress.createServer(port, serve);
         await listen(server, address);
-        this.resources.add(
-            toDisposable(() => {
-                server.close();
-                server.closeIdleConnections();
-            }),
+        const { guard } = this.ingress;
+        this.metrics.addGauge(`${port.name}_connections`, `Open connections of the port for ${port.name}.`, () =>
+            guard.connectionCount(port.name),
         );
+        this.resources.add(toDisposable(() => server.close()));
     }
 }
--- a/src/host/node/listen.ts
+++ b/src/host/node/listen.ts
@@ -1,4 +1,4 @@
-import { Server } from "node:http";
+import { Server } from "node:net";
 
 /**
  * Starts to listen.
--- a/src/jobs/common/jobCallHandler.ts
+++ b/src/jobs/common/jobCallHandler.ts
@@ -2,6 +2,8 @@
 import { RecordWriter } from "../../records/common/recordWriter";
 import { ConfigurationView } from "./configurationView";
 import { JobAnswer, JobCall, JobDraft } from "./jobCall";
+import { JobAdmission } from "./jobAdmission";
+import { estimateJobBytes } from "./jobMemory";
 import { encodeSpec, jobKey } from "./jobRecord";
 import { isFinal, JobTable, visibleStateOf } from "./jobTable";
 import { Queue, QueueTable } from "./queueTable";
@@ -29,6 +31,9 @@
  */
 const LONG_OUTAGE_RETRY_AFTER_MS = 2_000;
 
+/** Retry delay while jobs take all memory that they may: they end within seconds, and not all at once. */
+const FULL_RETRY_AFTER_MS = 2_000;
+
 /** How far the stream of jobs has been read. */
 export interface JobStreamState {
     /** Whether the stream has been loaded once. */
@@ -52,6 +57,8 @@
     readonly id: string;
     /** Whether the call waits until the stream is known up to `receivedAt`. */
     readonly isAwaitingStream: boolean;
+    /** Memory of the job that is being stored, in bytes. */
+    readonly jobBytes: number;
 }
 
 /** Handles calls about jobs: answers from the tables, and writes submissions and cancellations to the stream. */
@@ -64,6 +71,7 @@
         private readonly writer: RecordWriter,
         private readonly views: CallViews,
         private readonly sendAnswer: (call: JobCall, answer: JobAnswer) => void,
+        private readonly admission: JobAdmission,
     ) {}
 
     /**
@@ -72,6 +80,7 @@
      * @param writer Writes submissions and cancellations.
      * @param views How far the streams have been read.
      * @param sendAnswer Sends the answer to a call.
+     * @param maxJobBytes Memory for jobs, in bytes.
      * @returns A handler without calls.
      */
     static create(
@@ -80,8 +89,10 @@
         writer: RecordWriter,
         views: CallViews,
         sendAnswer: (call: JobCall, answer: JobAnswer) => void,
+        maxJobBytes = Number.POSITIVE_INFINITY,
     ): JobCallHandler {
-        return new JobCallHandler(jobs, queues, writer, views, sendAnswer);
+        const admission = JobAdmission.create(maxJobBytes, () => jobs.heldBytes);
+        return new JobCallHandler(jobs, queues, writer, views, sendAnswer, admission);
     }
 
     /** Number of calls that have not been answered. */
@@ -144,7 +155,7 @@
 
     private handleJobCall(call: JobCall, queue: Queue, id: string, now: number, wallNow: number): void {
         const timeoutMs = Math.max(0, (call.callerTimeoutMs ?? DEFAULT_CALLER_TIMEOUT_MS) - CALLER_TIMEOUT_MARGIN_MS);
-        const base = { call, receivedAt: now, answerDeadline: now + timeoutMs, queue, id };
+        const base = { call, receivedAt: now, answerDeadline: now + timeoutMs, queue, id, jobBytes: 0 };
         const { request } = call;
         switch (request.kind) {
             case "invalid":
@@ -176,14 +187,33 @@
             this.sendAnswer(call, { kind: "invalid", faults: [fault] });
             return;
         }
-        this.openCalls.set(call.number, openCall);
+        const jobBytes = estimateJobBytes(draft, true);
+        const refusal = this.refusalOf(jobBytes);
+        if (refusal !== undefined) {
+            this.sendAnswer(call, refusal);
+            return;
+        }
+        const admitted = { ...openCall, jobBytes };
+        this.admission.begin(jobBytes);
+        this.openCalls.set(call.number, admitted);
         this.writer.write(
             record.key,
             () => record.value,
-            () => this.complete(openCall, { kind: "accepted" }),
+            () => this.complete(admitted, { kind: "accepted" }),
         );
     }
 
+    private refusalOf(jobBytes: number): JobAnswer | undefined {
+        switch (this.admission.judge(jobBytes)) {
+            case "admitted":
+                return undefined;
+            case "full":
+                return { kind: "unavailable", retryAfterMs: FULL_RETRY_AFTER_MS };
+            case "too-large":
+                return { kind: "invalid", faults: ["the job would take more memory than jobs may take"] };
+        }
+    }
+
     /** A job that is not known may just have been accepted by another instance, so the call waits for newer records. */
     private handleReadOrCancel(openCall: OpenCall, now: number): void {
         this.openCalls.set(openCall.call.number, openCall);
@@ -255,6 +285,7 @@
 
     private complete(openCall: OpenCall, answer: JobAnswer): void {
         if (this.openCalls.delete(openCall.call.number)) {
+            this.admission.end(openCall.jobBytes);
             this.sendAnswer(openCall.call, answer);
         }
     }
--- a/src/jobs/common/jobTable.ts
+++ b/src/jobs/common/jobTable.ts
@@ -1,5 +1,6 @@
 import { Emitter } from "../../base/common/emitter";
 import { RecordOffset, StoredRecord } from "../../records/common/record";
+import { estimateJobBytes, JobMemory } from "./jobMemory";
 import { decodeSpec, decodeState, jobIdOf, JobRecordKind, parseJobKey } from "./jobRecord";
 import { JobSpec, JobState } from "./jobSpec";
 import { decodeTransfer, JobTransfer } from "./jobTransfer";
@@ -25,6 +26,7 @@
 /** All jobs, folded from the stream. Every instance has a table, so it can answer calls about every job. */
 export class JobTable {
     private readonly entries = new Map<string, JobEntry>();
+    private readonly memory = JobMemory.create();
     private readonly didChange = Emitter.create<JobEntry>();
     private readonly didIgnore = Emitter.create<StoredRecord>();
 
@@ -59,6 +61,11 @@
         return this.entries.size;
     }
 
+    /** Estimated memory of all jobs, in bytes. */
+    get heldBytes(): number {
+        return this.memory.bytes;
+    }
+
     /** @param id Identifier. @returns The job, or `undefined` if its submission was not read. */
     find(id: string): JobEntry | undefined {
         const entry = this.entries.get(id);
@@ -82,6 +89,7 @@
             case "cancellation": {
                 const entry = this.getOrCreate(key.id);
                 entry.isCancelled = true;
+                this.recordMemory(entry);
                 this.didChange.fire(entry);
                 break;
             }
@@ -117,6 +125,7 @@
     /** Forgets a job but for its transfers. */
     private keepTransfers({ id, taskTransfers }: JobEntry, transfer: JobTransfer | undefined): void {
         this.entries.delete(id);
+        this.memory.record(id, 0);
         if (transfer !== undefined || (taskTransfers?.size ?? 0) > 0) {
             const entry = this.getOrCreate(id);
             entry.transfer = transfer;
@@ -153,6 +162,7 @@
         if (entry.spec === undefined) {
             entry.spec = spec;
             entry.specOffset = record.offset;
+            this.recordMemory(entry);
             this.didChange.fire(entry);
         }
     }
@@ -167,6 +177,7 @@
         if (record.offset > entry.stateOffset) {
             entry.state = state;
             entry.stateOffset = record.offset;
+            this.recordMemory(entry);
             this.didChange.fire(entry);
         }
     }
@@ -198,6 +209,12 @@
         }
     }
 
+    private recordMemory(entry: JobEntry): void {
+        if (entry.spec !== undefined) {
+            this.memory.record(entry.id, estimateJobBytes(entry.spec, !isFinal(visibleStateOf(entry))));
+        }
+    }
+
     private getOrCreate(id: string): JobEntry {
         const existing = this.entries.get(id);
         if (existing !== undefined) {
--- a/src/jobs/common/test/jobCallHandler.test.ts
+++ b/src/jobs/common/test/jobCallHandler.test.ts
@@ -4,7 +4,7 @@
 import { RecordEffect } from "../../../records/common/recordEvents";
 import { RecordWriter } from "../../../records/common/recordWriter";
 import { ConfigurationView } from "../configurationView";
-import { JobAnswer, JobDraft, JobRequest } from "../jobCall";
+import { JobAnswer, JobCall, JobDraft, JobRequest } from "../jobCall";
 import { JobCallHandler } from "../jobCallHandler";
 import { JobTable } from "../jobTable";
 import { QueueTable } from "../queueTable";
@@ -16,7 +16,7 @@
 /** Time within which a configuration must be in force, in ms. */
 const CONFIGURATION_MS = 6_000;
 
-function createHandler() {
+function createHandler(maxJobBytes?: number) {
     const outbox = Outbox.create<RecordEffect>();
     const queues = QueueTable.create();
     const base = { service: "svc", priority: 0, maxAttempts: 1, stretch: 2, slackMs: 0, timeoutMs: CALLER_TIMEOUT_MS };
@@ -29,12 +29,13 @@
     const configuration: { knownUntil: number | undefined; isFailing: boolean } = { knownUntil: 0, isFailing: false };
     const views = { jobs: stream, configuration: ConfigurationView.create(configuration, queues, CONFIGURATION_MS) };
     const jobs = JobTable.create();
-    const handler = JobCallHandler.create(jobs, queues, writer, views, (call, answer) => {
+    const sendAnswer = (call: JobCall, answer: JobAnswer) => {
         answers.set(call.number, answer.kind);
         if (answer.kind === "unavailable") {
             retriesAfterMs.push(answer.retryAfterMs);
         }
-    });
+    };
+    const handler = JobCallHandler.create(jobs, queues, writer, views, sendAnswer, maxJobBytes);
     const call = (number: number, path: string, request: JobRequest, now: number) => {
         handler.handle({ number, host: "host", path, callerTimeoutMs: CALLER_TIMEOUT_MS, request }, now, now);
         writer.flush(now);
@@ -151,3 +152,18 @@
     call(3, "/q/", { kind: "read" }, 100 * CONFIGURATION_MS);
     t.deepEqual([...answers.values()], ["no-queue", "unavailable", "unavailable"]);
 });
+
+test("a submission without memory for its job is refused and not stored; one that can never have it is invalid", t => {
+    const { submit, answerAppend, answers, retriesAfterMs } = createHandler(3_000);
+    submit(1, 0);
+    submit(2, 1);
+    t.deepEqual([answers.get(1), answers.get(2)], [undefined, "unavailable"]);
+    t.deepEqual(retriesAfterMs, [2_000]);
+    answerAppend(true, 5);
+    t.is(answers.get(1), "accepted");
+    submit(3, 6);
+    t.is(answers.get(3), undefined);
+    const small = createHandler(1_000);
+    small.submit(1, 0);
+    t.is(small.answers.get(1), "invalid");
+});
--- a/src/platform/common/jobDecoder.ts
+++ b/src/platform/common/jobDecoder.ts
@@ -8,6 +8,8 @@
 /** Limits that reject submissions which are obviously mistaken. */
 const MAX_TASKS_PER_STEP = 10_000;
 const MAX_STEPS_PER_JOB = 200;
+/** Faults of a body that are listed in its answer. */
+const MAX_LISTED_FAULTS = 20;
 /** Tasks of all occurrences. */
 const MAX_TASKS_PER_JOB = 2_000_000;
 /** Durations in ms: one year. Sums of larger ones would not be finite. */
@@ -49,7 +51,7 @@
 /**
  * Decodes the body of a submission.
  * @param body The JSON text.
- * @returns The submission, or `invalid` with all faults of the body.
+ * @returns The submission, or `invalid` with the first faults of the body.
  */
 export function decodeSubmission(body: string): JobRequest {
     let value: unknown;
@@ -60,7 +62,9 @@
     }
     const parsed = jobSchema.safeParse(value);
     if (!parsed.success) {
-        const faults = parsed.error.issues.map(issue => `${issue.path.map(String).join(".")}: ${issue.message}`);
+        const faults = parsed.error.issues
+            .slice(0, MAX_LISTED_FAULTS)
+            .map(issue => `${issue.path.map(String).join(".")}: ${issue.message}`);
         return { kind: "invalid", faults };
     }
     const job: WireJob = parsed.data;
@@ -74,7 +78,7 @@
         faults.push(`times: the job has ${tasks} tasks, more than ${MAX_TASKS_PER_JOB}`);
     }
     if (faults.length > 0) {
-        return { kind: "invalid", faults };
+        return { kind: "invalid", faults: faults.slice(0, MAX_LISTED_FAULTS) };
     }
     const draft = {
         payload: job.spec ?? "",
--- a/src/platform/node/platformFrontEnd.ts
+++ b/src/platform/node/platformFrontEnd.ts
@@ -1,11 +1,15 @@
-import { createServer, IncomingMessage, Server, ServerResponse } from "node:http";
+import { IncomingMessage, RequestListener, ServerResponse } from "node:http";
+import { findShapeFault } from "../../ingress/common/bodyShape";
+import { BodyResult, BoundedBody } from "../../ingress/node/boundedBody";
+import { GuardedConnection } from "../../ingress/node/guardedConnection";
+import { Ingress } from "../../ingress/node/ingress";
 import { JobAnswer, JobCall, JobRequest } from "../../jobs/common/jobCall";
 import { decodeSubmission } from "../common/jobDecoder";
 
 const CALLER_TIMEOUT_HEADER = "deadline-ms";
 
-/** Time that an idle connection is kept open: longer than the time between two requests of a caller. */
-const KEEP_ALIVE_TIMEOUT_MS = 30_000;
+/** Retry delay for a request that found no room: others that make no progress have been closed by then. */
+const NO_ROOM_RETRY_AFTER_MS = 1_000;
 
 const MS_PER_SECOND = 1_000;
 
@@ -25,39 +29,67 @@
 export class PlatformFrontEnd {
     private callCount = 0;
 
-    private constructor(private readonly host: FrontEndHost) {}
+    private constructor(
+        private readonly ingress: Ingress,
+        private readonly host: FrontEndHost,
+    ) {}
 
-    /** @param host Handles the calls. @returns A server that is not listening yet. */
-    static create(host: FrontEndHost): Server {
-        const frontEnd = new PlatformFrontEnd(host);
-        const server = createServer((request, response) => frontEnd.receive(request, response));
-        server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
-        return server;
+    /** @param ingress Limits what callers may take. @param host Handles the calls. @returns Serves the requests. */
+    static create(ingress: Ingress, host: FrontEndHost): RequestListener {
+        const frontEnd = new PlatformFrontEnd(ingress, host);
+        return (request, response) =>
+            BoundedBody.read(request, host.maxBodyBytes(), result => frontEnd.receive(request, response, result));
     }
 
-    private receive(request: IncomingMessage, response: ServerResponse): void {
-        const chunks: Buffer[] = [];
-        let bytes = 0;
-        request.on("data", (chunk: Buffer) => {
-            bytes += chunk.length;
-            if (bytes <= this.host.maxBodyBytes()) {
-                chunks.push(chunk);
-            }
-        });
-        request.on("end", () => {
-            if (bytes > this.host.maxBodyBytes()) {
+    private receive(request: IncomingMessage, response: ServerResponse, result: BodyResult): void {
+        switch (result.kind) {
+            case "read":
+                this.handle(request, response, result.body);
+                break;
+            case "too-large":
+                response.setHeader("connection", "close");
                 this.send(response, 413, { faults: ["the body is too large"] });
-                return;
-            }
-            const decoded = decodeRequest(request.method, Buffer.concat(chunks).toString("utf8"));
-            if (decoded === undefined) {
-                this.send(response, 405, { faults: ["the method is not GET, POST or DELETE"] });
-                return;
-            }
-            const call = this.toCall(request, decoded);
-            this.host.handleCall(call, answer => this.sendAnswer(response, answer));
-        });
-        request.on("error", () => response.destroy());
+                break;
+            case "no-room":
+                response.setHeader("connection", "close");
+                this.sendAnswer(response, { kind: "unavailable", retryAfterMs: NO_ROOM_RETRY_AFTER_MS });
+                break;
+            case "broken":
+                response.destroy();
+                break;
+        }
+    }
+
+    private handle(request: IncomingMessage, response: ServerResponse, body: Buffer): void {
+        const decoded = this.decode(request, body);
+        if (decoded === undefined) {
+            this.send(response, 405, { faults: ["the method is not GET, POST or DELETE"] });
+            return;
+        }
+        const call = this.toCall(request, decoded);
+        this.host.handleCall(call, answer => this.sendAnswer(response, answer));
+    }
+
+    private decode(request: IncomingMessage, body: Buffer): JobRequest | undefined {
+        switch (request.method) {
+            case "GET":
+                return { kind: "read" };
+            case "DELETE":
+                return { kind: "cancel" };
+            case "POST":
+                return this.decodeBody(request, body);
+            default:
+                return undefined;
+        }
+    }
+
+    private decodeBody(request: IncomingMessage, body: Buffer): JobRequest {
+        const fault = findShapeFault(body, this.ingress.guard.limits);
+        if (fault === undefined) {
+            return decodeSubmission(body.toString("utf8"));
+        }
+        GuardedConnection.of(request)?.recordRefusal("body-too-complex");
+        return { kind: "invalid", faults: [fault] };
     }
 
     private toCall(request: IncomingMessage, decoded: JobRequest): JobCall {
@@ -112,16 +144,3 @@
         response.end(text);
     }
 }
-
-function decodeRequest(method: string | undefined, body: string): JobRequest | undefined {
-    switch (method) {
-        case "GET":
-            return { kind: "read" };
-        case "DELETE":
-            return { kind: "cancel" };
-        case "POST":
-            return decodeSubmission(body);
-        default:
-            return undefined;
-    }
-}
--- a/src/platform/node/platformProcess.ts
+++ b/src/platform/node/platformProcess.ts
@@ -8,6 +8,7 @@
 import { WorkKind } from "../../host/common/workKind";
 import { DecisionLog } from "../../host/node/decisionLog";
 import { JobProcess } from "../../host/node/jobProcess";
+import { deriveIngressLimits } from "../../ingress/common/ingressLimits";
 import { HttpClient } from "../../services/node/httpClient";
 import { StreamDecoder } from "../common/streamDecoder";
 import { PlatformFrontEnd } from "./platformFrontEnd";
@@ -61,6 +62,7 @@
         drainMs: drainMs ?? DEFAULT_DRAIN_MS,
         evacuationMs: evacuationMs ?? undefined,
         retentionMs: retentionS * MS_PER_SECOND,
+        maxJobBytes: deriveIngressLimits(settings.machine, settings.ingress).jobBytes,
     };
     const { share, speed } = settings.processor;
     const work = WorkClock.create<WorkKind>();
@@ -79,8 +81,8 @@
         log,
         work,
         traffic,
-        createFrontEnd: process =>
-            PlatformFrontEnd.create({
+        createFrontEnd: (process, ingress) =>
+            PlatformFrontEnd.create(ingress, {
                 handleCall: (call, reply) => process.handleCall(call, reply),
                 maxBodyBytes: () => instance.maxBodyBytes,
                 isStopping: () => process.isStopping,
--- a/src/serving/common/settings.ts
+++ b/src/serving/common/settings.ts
@@ -1,4 +1,5 @@
 import * as z from "zod/mini";
+import { ingressSettingsSchema, machineSettingsSchema } from "../../ingress/common/ingressLimits";
 
 const address = z.string().check(z.regex(/^[^\s:]+:\d{1,5}$/, "must be HOST:PORT"));
 const origin = z.string().check(z.regex(/^https?:\/\/[^\s/]+$/, "must be an http or https origin"));
@@ -42,6 +43,10 @@
     metrics: z.optional(
         z.strictObject({ host: z.string(), port: z.int(), prefix: z._default(z.string(), "wigeonstall.") }),
     ),
+    /** What the process may use of its machine, from which the limits on clients are derived. */
+    machine: z.optional(machineSettingsSchema),
+    /** Limits on clients that replace derived ones. */
+    ingress: z.optional(ingressSettingsSchema),
     drainMs: z._default(z.int().check(z.nonnegative()), DEFAULT_DRAIN_TIMEOUT_MS),
 });
 
--- a/src/serving/node/frontEnd.ts
+++ b/src/serving/node/frontEnd.ts
@@ -1,7 +1,10 @@
 import { createHash, timingSafeEqual } from "node:crypto";
-import { createServer as createHttpServer, IncomingMessage, Server, ServerResponse } from "node:http";
+import { IncomingMessage, ServerResponse } from "node:http";
+import { Server } from "node:net";
 import { formatFinding, Finding } from "../../base/common/finding";
 import { parseYaml } from "../../base/common/schemaFindings";
+import { BodyResult } from "../../ingress/node/boundedBody";
+import { FrontFactory, Ingress } from "../../ingress/node/ingress";
 import { RouteEvent } from "../../routing/common/routeEvents";
 import { UniversalHandler } from "../../services/node/connectTypes";
 import { serveConnect } from "../../services/node/connectServer";
@@ -14,11 +17,9 @@
 import { PendingReplies, UnnumberedRequest } from "./pendingReplies";
 import { OUTCOME_HEADER, RequestTable } from "./requestTable";
 
-/** Limits on clients' connections and requests. */
-const MAX_HEADER_BYTES = 16_384;
-const HEADERS_TIMEOUT_MS = 10_000;
+/** Limits on clients' handshakes and requests. */
+const HANDSHAKE_TIMEOUT_MS = 10_000;
 const MAX_DEADLINE_MS = 120_000;
-const MAX_OPEN_CONNECTIONS = 4_096;
 const MAX_OPERATOR_BODY_BYTES = 262_144;
 
 const MS_PER_SECOND = 1_000;
@@ -32,6 +33,7 @@
 export interface FrontEndOptions {
     readonly settings: Settings;
     readonly instance: Instance;
+    readonly ingress: Ingress;
     readonly requests: RequestTable;
     readonly pendingReplies: PendingReplies;
     readonly peerHandlers: readonly UniversalHandler[];
@@ -53,26 +55,24 @@
 
     /** @returns A server that is not listening yet. */
     async createServer(): Promise<Server> {
-        const limits = { maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: HEADERS_TIMEOUT_MS };
+        const { ingress } = this.options;
+        const { connections, requestsPerConnection } = ingress.guard.limits;
+        const port = { name: "calls", maxConnections: connections, maxRequests: requestsPerConnection };
         const serve = (request: IncomingMessage, response: ServerResponse) => void this.serve(request, response);
-        const server = await this.createHttpOrHttpsServer(limits, serve);
-        server.maxConnections = MAX_OPEN_CONNECTIONS;
-        return server;
+        return ingress.createServer(port, serve, await this.createFront());
     }
 
-    private async createHttpOrHttpsServer(
-        limits: { readonly maxHeaderSize: number; readonly headersTimeout: number },
-        serve: (request: IncomingMessage, response: ServerResponse) => void,
-    ): Promise<Server> {
+    private async createFront(): Promise<FrontFactory | undefined> {
         const { tls } = this.options.settings;
         if (tls === undefined) {
-            return createHttpServer(limits, serve);
+            return undefined;
         }
         // Loaded only if TLS is configured, to save memory.
         const { readFile } = await import("node:fs/promises");
-        const https = await import("node:https");
+        const { createServer } = await import("node:tls");
         const [cert, key] = await Promise.all([readFile(tls.certificate), readFile(tls.key)]);
-        return https.createServer({ ...limits, cert, key }, serve);
+        const options = { cert, key, handshakeTimeout: HANDSHAKE_TIMEOUT_MS, noDelay: true };
+        return onConnection => createServer(options, onConnection).on("tlsClientError", () => undefined);
     }
 
     private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -145,8 +145,7 @@
         }
         const body = await readBody(request, config.limits().bodyBytes);
         if (body.kind !== "read") {
-            const error = body.kind === "broken" ? "the body is not whole" : "the body is too large";
-            return sendJson(response, 413, { outcome: "not-run", error }, "not-run");
+            return sendUnread(response, body.kind);
         }
         this.requestCount += 1;
         const id = this.requestCount;
@@ -194,7 +193,7 @@
         }
         const body = await readBody(request, this.options.instance.shared.config.limits().bodyBytes);
         if (body.kind !== "read") {
-            return sendJson(response, 413, { outcome: "not-run", error: `the body is ${body.kind}` }, "not-run");
+            return sendUnread(response, body.kind);
         }
         // JSON is a subset of YAML, so findings have positions in either format.
         const parsed = parseYaml(body.body.toString(), "body", taskSchema);
@@ -233,7 +232,7 @@
     private async fileTicket({ request, response }: RequestContext): Promise<void> {
         const body = await readBody(request, MAX_OPERATOR_BODY_BYTES);
         if (body.kind !== "read") {
-            return sendJson(response, 413, { error: `the body is ${body.kind}` });
+            return sendUnread(response, body.kind);
         }
         const parsed = parseYaml(body.body.toString(), "body", ticketSchema);
         if (!("value" in parsed)) {
@@ -303,6 +302,16 @@
     sendJson(response, 400, { outcome: "not-run", findings: findings.map(formatFinding) }, "not-run");
 }
 
+/** Answers a request without its body. The rest of the body is not read. */
+function sendUnread(response: ServerResponse, kind: Exclude<BodyResult["kind"], "read">): void {
+    response.setHeader("connection", "close");
+    if (kind === "no-room") {
+        return sendNotRun(response, 503, "too many bodies are being received");
+    }
+    const error = kind === "broken" ? "the body is not whole" : "the body is too large";
+    sendJson(response, 413, { outcome: "not-run", error }, "not-run");
+}
+
 function sendNotRun(response: ServerResponse, status: number, message: string, retryAfterMs = MS_PER_SECOND): void {
     response.setHeader("retry-after", String(Math.ceil(retryAfterMs / MS_PER_SECOND)));
     sendJson(response, status, { outcome: "not-run", error: message }, "not-run");
--- a/src/serving/node/instanceProcess.ts
+++ b/src/serving/node/instanceProcess.ts
@@ -1,7 +1,6 @@
 import { randomBytes } from "node:crypto";
 import { readFile } from "node:fs/promises";
-import { AddressInfo } from "node:net";
-import { Server } from "node:http";
+import { AddressInfo, Server } from "node:net";
 import { Disposable, toDisposable } from "../../base/common/disposable";
 import { DisposableStore } from "../../base/common/disposableStore";
 import { Invariants } from "../../base/common/invariants";
@@ -119,7 +118,7 @@
         this.server = server;
         this.resources.add(
             toDisposable(() => {
-                server.closeAllConnections();
+                this.performers.ingress.closeAllConnections();
                 server.close();
             }),
         );
@@ -149,7 +148,7 @@
     private closeServer(): Promise<void> {
         return new Promise(resolve => {
             this.server?.close(() => resolve());
-            this.server?.closeIdleConnections();
+            this.performers.ingress.drain();
         });
     }
 }
--- a/src/serving/node/performers.ts
+++ b/src/serving/node/performers.ts
@@ -1,5 +1,7 @@
-import { Server } from "node:http";
+import { Server } from "node:net";
 import { Disposable } from "../../base/common/disposable";
+import { deriveIngressLimits } from "../../ingress/common/ingressLimits";
+import { Ingress } from "../../ingress/node/ingress";
 import { HttpClient } from "../../services/node/httpClient";
 import { HttpInstanceList } from "../../services/node/httpInstanceList";
 import { HttpLogService } from "../../services/node/httpLogService";
@@ -17,9 +19,13 @@
 import { UpstreamPerformer } from "./upstreamPerformer";
 import { WorkerPerformer } from "./workerPerformer";
 
+/** Connections of clients where the settings do not bound them. */
+const MAX_CONNECTIONS = 4_096;
+
 /** Performs the effects of one instance, each with the performer of its kind. */
 export class Performers implements Disposable {
     readonly audit: AuditTrail;
+    readonly ingress: Ingress;
     private readonly log: LogPerformer;
     private readonly instanceList: HttpInstanceList;
     private readonly workers: WorkerPerformer;
@@ -38,6 +44,8 @@
     ) {
         const logger = createLogger(settings.log);
         this.audit = AuditTrail.create(entry => logger.info("audit", { ...entry }));
+        const limits = deriveIngressLimits(settings.machine, { connections: MAX_CONNECTIONS, ...settings.ingress });
+        this.ingress = Ingress.create(limits, count => logger.warn("clients refused", count));
         this.log = LogPerformer.create(HttpLogService.create(settings.platform.log, client), post);
         this.instanceList = HttpInstanceList.create(settings.platform.instances, client, count =>
             logger.warn("malformed entries of service discovery are ignored", { count }),
@@ -66,9 +74,10 @@
     }
 
     createServer(): Promise<Server> {
-        const { settings, instance, requests, pendingReplies, post } = this;
+        const { settings, instance, ingress, requests, pendingReplies, post } = this;
         const peerHandlers = this.peers.handlers;
-        return FrontEnd.create({ settings, instance, requests, pendingReplies, peerHandlers, post }).createServer();
+        const options = { settings, instance, ingress, requests, pendingReplies, peerHandlers, post };
+        return FrontEnd.create(options).createServer();
     }
 
     perform(effect: InstanceEffect): void {
@@ -109,6 +118,7 @@
     }
 
     dispose(): void {
+        this.ingress.dispose();
         this.upstreams.dispose();
     }
 
