--- a/src/ingress/common/ingressLimits.ts
+++ b/src/ingress/common/ingressLimits.ts
@@ -13,7 +13,7 @@
 const CONNECTION_BYTES = 98_304;
 
 /** Shares of the machine's memory for connections, for large bodies and for jobs, and of its descriptors for connections. */
-const CONNECTION_MEMORY_RATIO = 1 / 4;
+const CONNECTION_MEMORY_RATIO = 1 / 6;
 const BODY_MEMORY_RATIO = 1 / 16;
 const JOB_MEMORY_RATIO = 1 / 4;
 const CONNECTION_DESCRIPTOR_RATIO = 1 / 2;
--- a/src/ingress/node/boundedBody.ts
+++ b/src/ingress/node/boundedBody.ts
@@ -57,8 +57,8 @@
 
     private reject(reason: RefusalReason): void {
         this.connection?.recordRefusal(reason);
-        this.connection?.refuse(reason);
         this.finish({ kind: "too-large" });
+        this.connection?.refuse(reason);
     }
 
     private finish(result: BodyResult): void {
--- a/src/ingress/node/collector.ts
+++ b/src/ingress/node/collector.ts
@@ -5,6 +5,9 @@
 const MINOR_INTERVAL_BYTES = 2_097_152;
 const MAJOR_INTERVAL_BYTES = 33_554_432;
 
+/** Garbage that a closed connection leaves. */
+const CLOSED_CONNECTION_BYTES = 16_384;
+
 /** Collects garbage: what is new, or all. */
 type Collect = (options: { readonly type: "minor" | "major" }) => void;
 
@@ -38,6 +41,11 @@
         }
     }
 
+    /** Takes note of a connection that was closed. */
+    recordClosed(): void {
+        this.recordRead(CLOSED_CONNECTION_BYTES);
+    }
+
     private run(type: "minor" | "major"): void {
         this.collect ??= exposeCollection();
         this.collect({ type });
--- a/src/ingress/node/guardedConnection.ts
+++ b/src/ingress/node/guardedConnection.ts
@@ -218,6 +218,7 @@
     override _destroy(error: Error | null, onDone: (error?: Error | null) => void): void {
         this.guard.remove(this.entry, performance.now());
         this.shared.turns.remove(this);
+        this.shared.collector.recordClosed();
         this.socket.destroy();
         onDone(error);
     }
--- a/src/ingress/node/ingress.ts
+++ b/src/ingress/node/ingress.ts
@@ -11,6 +11,9 @@
 
 const TICK_INTERVAL_MS = 100;
 
+/** Share of the limit of idle time that clients are told. */
+const ADVERTISED_IDLE_RATIO = 1 / 2;
+
 /** Largest header of a request, in bytes. */
 const MAX_HEADER_BYTES = 16_384;
 
@@ -70,6 +73,8 @@
             GuardedConnection.of(request)?.begin(request, response);
             serve(request, response);
         });
+        // What clients are told, so that they do not use a connection that is just being closed.
+        server.keepAliveTimeout = this.guard.limits.idleMs * ADVERTISED_IDLE_RATIO;
         const front = createFront(socket => {
             const connection = GuardedConnection.create(socket, this.guard, port, this.shared);
             if (connection !== undefined) {
