--- a/src/dispatch/common/scheduler/dispatchLimits.ts
+++ b/src/dispatch/common/scheduler/dispatchLimits.ts
@@ -27,6 +27,8 @@
     readonly graceMs: number;
     /** The same time where leaders of a divided fleet hand their shards over within it; left out where they do not. */
     readonly handoverGraceMs?: number;
+    /** Memory that jobs may take, in bytes; left out where it is not bounded. */
+    readonly maxJobBytes?: number;
 }
 
 /**
--- a/src/jobs/common/jobCall.ts
+++ b/src/jobs/common/jobCall.ts
@@ -34,8 +34,11 @@
  * - `store-failing`: appends to the store have failed for a while, so the submission was not sent.
  * - `store-late`: the submission was not sent, or the cancellation not confirmed, before the caller times out.
  * - `jobs-late`: the jobs have not been read recently, or not up to the call before its caller times out.
+ * - `jobs-full`: the jobs that are known take as much memory as they may.
+ * - `bodies-full`: the bodies that are being received take as much memory as they may.
  */
-export type UnavailableReason = "starting" | "configuration-old" | "store-failing" | "store-late" | "jobs-late";
+export type UnavailableReason =
+    "starting" | "configuration-old" | "store-failing" | "store-late" | "jobs-late" | "jobs-full" | "bodies-full";
 
 /** Answer to a call. `undecided`: the submission may or may not be stored. */
 export type JobAnswer =
--- a/src/platform/node/platformProcess.ts
+++ b/src/platform/node/platformProcess.ts
@@ -9,6 +9,7 @@
 import { WorkKind } from "../../host/common/workKind";
 import { DecisionLog } from "../../host/node/decisionLog";
 import { JobProcess } from "../../host/node/jobProcess";
+import { deriveIngressLimits } from "../../ingress/common/ingressLimits";
 import { HttpClient } from "../../services/node/httpClient";
 import { StreamDecoder } from "../common/streamDecoder";
 import { PlatformFrontEnd } from "./platformFrontEnd";
@@ -69,6 +70,7 @@
         retentionMs: retentionS * MS_PER_SECOND,
         graceMs: (graceS ?? DEFAULT_GRACE_S) * MS_PER_SECOND,
         handoverGraceMs: handoverGraceS === undefined ? undefined : handoverGraceS * MS_PER_SECOND,
+        maxJobBytes: deriveIngressLimits(settings.machine, settings.ingress).jobBytes,
     };
     const { share, speed } = settings.processor;
     const work = WorkClock.create<WorkKind>();
@@ -89,8 +91,8 @@
         log,
         work,
         traffic,
-        createFrontEnd: process =>
-            PlatformFrontEnd.create({
+        createFrontEnd: (process, ingress) =>
+            PlatformFrontEnd.create(ingress, {
                 handleCall: (call, reply) => process.handleCall(call, reply),
                 maxBodyBytes: () => instance.maxBodyBytes,
                 isStopping: () => process.isStopping,
