Trials with jobs that want one rack; the wait of a step ends when it is given up

Cause: the waits for racks were tested with the queue alone, without failures of instances and workers. placeWaitMs of a task that started long after its wait was given up counted the time since then, too.

The wait of a step stands still once it is given up.

--- a/src/dispatch/common/locality/placeWait.ts
+++ b/src/dispatch/common/locality/placeWait.ts
@@ -40,6 +40,7 @@
     /** Number of the latest pass in which the tasks waited. */
     pass = 0;
     private stoppedFor: PlaceReason | undefined;
+    private stoppedAt: number | undefined;
 
     private constructor(
         readonly rack: string,
@@ -53,6 +54,7 @@
                 recordPlaced: end,
                 recordStopped: moment => {
                     this.stoppedFor = moment.reason;
+                    this.stoppedAt = moment.now;
                     end(moment);
                 },
             },
@@ -74,9 +76,9 @@
         return this.stoppedFor;
     }
 
-    /** @param now Time in ms. @returns Time since it began, in ms. */
+    /** @param now Time in ms. @returns Time since it began, or until it was given up, in ms. */
     waitedMs(now: number): number {
-        return now - this.since;
+        return (this.stoppedAt ?? now) - this.since;
     }
 
     /** Handles the start of the last waiting task. @param now Time in ms. */
--- a/src/proof/node/jobSoak.tool.ts
+++ b/src/proof/node/jobSoak.tool.ts
@@ -17,7 +17,7 @@
 /**
  * Reads a flag with a whole number. Flags: `--seed FIRST --count N --workers N --length MS --every MS --deadly PERCENT
  * --crash-delay MS --shrink MS --cancel PERCENT --reads --lasting N --lasting-run MS --lease MS --colocate PERCENT
- * --jobs-every MS --slow --max-tasks N --memory MB --kill-leader MS --lose-third MS --drain MS --evacuate MS
+ * --near PERCENT --jobs-every MS --slow --max-tasks N --memory MB --kill-leader MS --lose-third MS --drain MS --evacuate MS
  * --evacuation-bound MS --faults KINDS --until MS --submit-every MS --costs PERCENT --shards N --transfers PERCENT --plan NAME --trace`, where `--shards` divides the workers
  * among as many leaders, 2 at most, `--transfers` is the probability with which a job is transferred whenever it may be,
  * `--deadly` is the share of the jobs with a task that crashes its workers, that long after each start, `--shrink` the mean
@@ -25,7 +25,7 @@
  * adds faults of the reads of the jobs, `--lasting` is the number of jobs that last until the end, `--lasting-run` the time
  * after which a run of theirs ends and is followed by another one, `--lease` the longest lease that a worker accepts,
  * `--colocate` runs latency-critical and best-effort jobs of which that share of the pairs of images interferes heavily,
- * `--jobs-every` is the mean time between two best-effort jobs, `--max-tasks` the largest number of tasks of their steps,
+ * `--near` is the share of the jobs that run fastest on one rack, `--jobs-every` is the mean time between two best-effort jobs, `--max-tasks` the largest number of tasks of their steps,
  * `--memory` what each of their tasks requests, `--kill-leader` the interval at which the leader is killed, `--lose-third`
  * the time at which a third of the workers of the first rack is lost for good, `--slow` injects slow workers only, `--faults`
  * the kinds that it names, separated by commas, `--drain` is the mean time between two times at which workers announce that
@@ -141,6 +141,7 @@
                       killsLeaders: true,
                       boundMs: readNumber("evacuation-bound", 0) || undefined,
                   },
+        places: readNumber("near", 0) === 0 ? undefined : { ratio: readNumber("near", 0) / 100, factor: 3 },
         lasting:
             readNumber("lasting", 0) === 0
                 ? undefined
--- a/src/proof/node/jobTrial.ts
+++ b/src/proof/node/jobTrial.ts
@@ -16,6 +16,7 @@
 } from "./jobTrialPlan";
 import { TrialNode } from "./jobTrialNode";
 import { JobRuleChecker } from "./jobRuleChecker";
+import { preferRack } from "./placePlan";
 import { Random } from "./random";
 import { RandomTransferPolicy } from "./randomTransferPolicy";
 import { TrialCancellations } from "./trialCancellations";
@@ -307,7 +308,7 @@
             .toString(16)
             .padStart(16, "0");
         const colocated = this.colocation?.nextDraft(id);
-        this.submitFirst(id, colocated?.draft ?? createDraft(this.random));
+        this.submitFirst(id, colocated?.draft ?? preferRack(id, createDraft(this.random), this.plan.places));
         this.schedule(colocated?.nextInMs ?? submitDelayMs(this.plan, this.random), () => this.submitNext());
     }
 
