A leader counts as gone when its progress stands still

Change: a claim over a leader that does not renew waits until the progress of the shard has not grown for 1.2 s.

--- a/src/handover/common/leaderWatch.ts
+++ b/src/handover/common/leaderWatch.ts
@@ -5,11 +5,14 @@
 
 type NewestAnswer = RecordEvent & { readonly kind: "newest-answer" };
 
-/** Time without a renewal of the leader after which its progress is looked at, in ms: two renewals, or a long read on standby. */
-const DOUBT_MS = 600;
+/** Time without a renewal of the leader after which its progress is looked at, in ms: longer than between two renewals on standby. */
+const DOUBT_MS = 500;
 
-/** Interval between two looks, in ms. Two of them are answered before others claim. */
-const LOOK_INTERVAL_MS = 350;
+/** Interval between two looks, in ms. */
+const LOOK_INTERVAL_MS = 300;
+
+/** Time without an append after which a leader counts as gone, in ms. One whose appends time out and are repeated makes one a second. */
+const MIN_STILL_MS = 1_200;
 
 /**
  * Longest time without a renewal for which the progress counts in its place, in ms. By then the leases end that the leader has extended
@@ -17,9 +20,11 @@
  */
 const MAX_UNRENEWED_MS = 6_000;
 
-interface Look {
+interface Stillness {
     readonly end: RecordOffset;
-    readonly sentAt: number;
+    /** Time (ms) at which the first and the latest look were sent that found this end. */
+    readonly from: number;
+    readonly to: number;
 }
 
 /**
@@ -32,8 +37,7 @@
     private lookedAt = Number.NEGATIVE_INFINITY;
     /** Number of the latest look. */
     private number = 0;
-    private latest: Look | undefined;
-    private appendedAt: number | undefined;
+    private stillness: Stillness | undefined;
 
     private constructor(
         private readonly stream: ProgressStream,
@@ -60,8 +64,7 @@
     review(epoch: number, silentMs: number, now: number): void {
         if (epoch !== this.epoch || silentMs < DOUBT_MS) {
             this.epoch = epoch;
-            this.latest = undefined;
-            this.appendedAt = undefined;
+            this.stillness = undefined;
         } else if (silentMs < MAX_UNRENEWED_MS && now - this.lookedAt >= LOOK_INTERVAL_MS) {
             this.lookedAt = now;
             this.number = this.nextRead();
@@ -75,19 +78,14 @@
         if (number !== this.number || !result.ok) {
             return;
         }
-        const { latest } = this;
         const { end } = result.val;
-        if (latest !== undefined && end > latest.end) {
-            this.appendedAt = latest.sentAt;
-        }
-        this.latest = { end, sentAt };
+        const from = this.stillness?.end === end ? this.stillness.from : sentAt;
+        this.stillness = { end, from, to: sentAt };
     }
 
-    /**
-     * @param silentMs Time without a renewal, in ms.
-     * @returns Time (ms) after which the leader has certainly appended to its progress, if it has and that still counts.
-     */
-    activeAt(silentMs: number): number | undefined {
-        return silentMs < MAX_UNRENEWED_MS ? this.appendedAt : undefined;
+    /** @param silentMs Time without a renewal, in ms. @returns Whether the leader appends nothing, or has renewed nothing for too long. */
+    isGone(silentMs: number): boolean {
+        const { from = 0, to = 0 } = this.stillness ?? {};
+        return to - from >= MIN_STILL_MS || silentMs >= MAX_UNRENEWED_MS;
     }
 }
--- a/src/host/common/officeHandover.ts
+++ b/src/host/common/officeHandover.ts
@@ -122,9 +122,9 @@
         }
     }
 
-    /** @param silentMs Time without a renewal, in ms. @returns Time (ms) at which the leader was seen to work, if it was. */
-    leaderActiveAt(silentMs: number): number | undefined {
-        return this.watch.activeAt(silentMs);
+    /** @param silentMs Time without a renewal, in ms. @returns Whether the leader is gone, as far as its progress shows. */
+    isLeaderGone(silentMs: number): boolean {
+        return this.context.graceMs === undefined || this.watch.isGone(silentMs);
     }
 
     /** Gets ready while the leader names this instance, and claims once it is. @param now Time in ms. */
--- a/src/host/common/shardOffice.ts
+++ b/src/host/common/shardOffice.ts
@@ -121,7 +121,7 @@
                 return context.handsOver();
             },
             isWarm: () => this.handover.isWarm,
-            leaderActiveAt: (silentMs: number) => this.handover.leaderActiveAt(silentMs),
+            isLeaderGone: (silentMs: number) => this.handover.isLeaderGone(silentMs),
         };
         const { hosts, limits } = context;
         const knowledge = { hosts, clocks: this.clocks, longestLeaseMs: limits.longestLeaseMs };
--- a/src/records/common/leadership.ts
+++ b/src/records/common/leadership.ts
@@ -71,8 +71,8 @@
     readonly handsOver?: boolean;
     /** Whether it is ready for the office for which it was named. */
     readonly isWarm?: () => boolean;
-    /** @param silentMs Time without a renewal, in ms. @returns Time (ms) at which the leader was seen to work, if it was. */
-    readonly leaderActiveAt?: (silentMs: number) => number | undefined;
+    /** @param silentMs Time without a renewal, in ms. @returns Whether a leader that does not renew is gone, as far as is known. */
+    readonly isLeaderGone?: (silentMs: number) => boolean;
 }
 
 /** Leader election by claims appended to the stream of a shard. */
@@ -444,11 +444,12 @@
         }
         const { candidate, latestRecord } = this;
         this.recordRead(knownUntil);
-        const activeAt = candidate.leaderActiveAt?.(this.silentMs ?? 0);
-        const seenAt = Math.max(this.leaderLastSeenAt!, activeAt ?? Number.NEGATIVE_INFINITY);
+        const timeoutMs = this.timeoutMs();
+        const isGone = timeoutMs === 0 || candidate.isLeaderGone?.(this.silentMs ?? 0) !== false;
+        const silentMs = knownUntil - this.leaderLastSeenAt!;
         return (
             (this.isNamed && candidate.isWarm?.() === true) ||
-            knownUntil - seenAt > this.timeoutMs() + claimDelayMs(candidate, latestRecord, roundTripMs) ||
+            (isGone && silentMs > timeoutMs + claimDelayMs(candidate, latestRecord, roundTripMs)) ||
             this.mayReplace(knownUntil)
         );
     }
