--- a/src/host/common/shardOffice.ts
+++ b/src/host/common/shardOffice.ts
@@ -99,9 +99,6 @@
             get cores() {
                 return identity.cores / (1 + context.countOtherOffices(shard));
             },
-            get otherOffices() {
-                return context.countOtherOffices(shard);
-            },
             get precedingEpoch() {
                 return shards.plan?.epoch;
             },
--- a/src/records/common/leadership.ts
+++ b/src/records/common/leadership.ts
@@ -66,12 +66,6 @@
 const CAPACITY_DELAY_STEP_MS = 100;
 const MAX_CAPACITY_DELAY_MS = 500;
 
-/**
- * Extra claim delay of an instance that leads another shard, or claims one, in ms. It is longer than the jitter, so that an instance
- * without an office claims first: otherwise the other shard would change its leader, too, since this one has fewer cores for it.
- */
-const OTHER_OFFICE_DELAY_MS = 300;
-
 /** An instance with this many times the leader's cores replaces it after observing it for the window below. */
 const MIN_CHALLENGE_CORES_RATIO = 2;
 const CHALLENGE_OBSERVATION_WINDOW_MS = 2_000;
@@ -92,8 +86,6 @@
     readonly storeRoundTripMs: () => number | undefined;
     /** CPU that the instance has for this office, in cores; less than all of it if it holds others, too. */
     readonly cores: number;
-    /** Number of other shards that the instance leads, or may soon; none if undefined. */
-    readonly otherOffices?: number;
     /** Epoch that the first claim follows, if the shard was part of another one until then. */
     readonly precedingEpoch?: number;
 }
@@ -361,10 +353,8 @@
             this.firstOffset = record.offset;
         }
         this.recordLeader(latest, now);
-        // A second change of leader would let leases end that this one has not extended yet. One with fewer cores than before takes
-        // over another shard.
-        const hasAsManyCores = latest.cores >= (this.latestRecord?.cores ?? 0);
-        const isObserved = latest.epoch === this.epoch && latest.takingOver !== true && hasAsManyCores;
+        // A second change of leader would let leases end that this one has not extended yet.
+        const isObserved = latest.epoch === this.epoch && latest.takingOver !== true;
         this.leaderFirstSeenAt = isObserved ? this.leaderFirstSeenAt : now;
         this.latestRecord = latest;
         this.leaderLastSeenAt = now;
@@ -490,10 +480,8 @@
 
     /** Before the first leader, the cores of other instances are unknown, so one core is assumed. */
     private capacityDelayMs(): number {
-        const { cores, otherOffices = 0 } = this.candidate;
-        const shortfall = (this.latestRecord?.cores ?? 1) / cores - 1;
-        const delayMs = Math.max(0, Math.min(MAX_CAPACITY_DELAY_MS, shortfall * CAPACITY_DELAY_STEP_MS));
-        return otherOffices === 0 ? delayMs : delayMs + OTHER_OFFICE_DELAY_MS;
+        const shortfall = (this.latestRecord?.cores ?? 1) / this.candidate.cores - 1;
+        return Math.max(0, Math.min(MAX_CAPACITY_DELAY_MS, shortfall * CAPACITY_DELAY_STEP_MS));
     }
 
     private isLeaderMuchWeaker(): boolean {
--- a/src/records/common/test/claimant.ts
+++ b/src/records/common/test/claimant.ts
@@ -40,11 +40,11 @@
 export const LONGEST_LEASE_MS = 6_000;
 
 /** An instance whose reads and claims are made by the test. */
-export function createInstance(log: ClaimLog, instance: string, nonce: number, cores = 1, otherOffices = 0) {
+export function createInstance(log: ClaimLog, instance: string, nonce: number, cores = 1) {
     const outbox = Outbox.create<RecordEffect>();
     const receiver = new LeaderReceiver();
     const follower = RecordFollower.create("jobs", receiver, () => ({ waitMs: 0, pauseMs: 0 }), outbox);
-    const candidate = { instance, nonce, storeRoundTripMs: () => 1, cores, otherOffices };
+    const candidate = { instance, nonce, storeRoundTripMs: () => 1, cores };
     const { hosts, clocks } = receiver;
     const knowledge = { hosts, clocks, longestLeaseMs: LONGEST_LEASE_MS };
     const leadership = Leadership.create(candidate, follower, outbox, 0, knowledge);
