--- a/src/records/common/claimTiming.ts
+++ b/src/records/common/claimTiming.ts
@@ -38,12 +38,6 @@
 /** Claim delay by round trip to the store: instances closer to it claim first. */
 const ROUND_TRIPS = 8;
 
-/**
- * Extra claim delay of an instance that leads another shard, or claims one, in ms. It is longer than the jitter, so that an instance
- * without an office claims first: otherwise the other shard would change its leader, too, since this one has fewer cores for it.
- */
-const OTHER_OFFICE_DELAY_MS = 300;
-
 /** Extra claim delay of all others while a leader that has resigned or is lost had named its successor. */
 const SUCCESSOR_HEAD_START_MS = 300;
 
@@ -65,8 +59,6 @@
     readonly instance: string;
     readonly nonce: number;
     readonly cores: number;
-    /** Number of other shards that it leads, or may soon; none if undefined. */
-    readonly otherOffices?: number;
 }
 
 /**
@@ -102,9 +94,8 @@
     }
     const shortfall = (latest?.cores ?? 1) / candidate.cores - 1;
     const capacityMs = Math.max(0, Math.min(MAX_CAPACITY_DELAY_MS, shortfall * CAPACITY_DELAY_STEP_MS));
-    const officeMs = (candidate.otherOffices ?? 0) > 0 ? OTHER_OFFICE_DELAY_MS : 0;
     const headStartMs = latest?.successor === undefined ? 0 : SUCCESSOR_HEAD_START_MS;
-    const orderMs = jitterMs(candidate) + capacityMs + officeMs + headStartMs;
+    const orderMs = jitterMs(candidate) + capacityMs + headStartMs;
     return roundTripMs * ROUND_TRIPS + orderMs * (1 + excessMs / CLAIM_SPREAD_STEP_MS);
 }
 
--- a/src/records/common/leadership.ts
+++ b/src/records/common/leadership.ts
@@ -65,8 +65,6 @@
     readonly storeExcessMs: () => number;
     /** CPU that the instance has for this office, in cores; less than all of it if it holds others, too. */
     readonly cores: number;
-    /** Number of other shards that the instance leads, or may soon; none if undefined. */
-    readonly otherOffices?: number;
     /** Epoch that the first claim follows, if the shard was part of another one until then. */
     readonly precedingEpoch?: number;
     /** Whether it hands its office over by itself. */
