--- a/src/dispatch/common/runs/throttleController.ts
+++ b/src/dispatch/common/runs/throttleController.ts
@@ -1,4 +1,5 @@
-import { headroomOf, LatencyModel, measuredCpuShare } from "../placement/latencyModel";
+import { headroomOf, LatencyModel } from "../placement/latencyModel";
+import { measuredCpuShare } from "../placement/recentNeighbors";
 import { Run } from "./run";
 import { WorkerContact } from "../workers/workerContact";
 
