--- a/src/dispatch/common/jobs/test/runs.ts
+++ b/src/dispatch/common/jobs/test/runs.ts
@@ -161,9 +161,9 @@
     return assign(worker, task);
 }
 
-/** @param acceptedAtMs Time (ms) at which it was accepted. @param priority Of its queue. @returns A job of one step that is due. */
-export function createJob(id: string, step: StepSpec, acceptedAtMs = 0, priority = 0): ActiveJob {
-    const queue = { name: "q", host: "h", prefix: "/q/", service: "svc", priority, maxAttempts: 3 };
+/** @param acceptedAtMs Time (ms) at which it was accepted. @returns A job of one step that is due. */
+export function createJob(id: string, step: StepSpec, acceptedAtMs = 0): ActiveJob {
+    const queue = { name: "q", host: "h", prefix: "/q/", service: "svc", priority: 0, maxAttempts: 3 };
     const timing = { stretch: 2, slackMs: 1_000, timeoutMs: 3_000 };
     const spec: JobSpec = {
         id,
--- a/src/dispatch/common/placement/bestEffortPolicy.ts
+++ b/src/dispatch/common/placement/bestEffortPolicy.ts
@@ -29,18 +29,6 @@
 /** Headroom that latency-critical tasks must keep after a placement, as ratio of target to tail latency. */
 const MIN_HEADROOM_RATIO = 1.05;
 
-/**
- * Standard deviations of its reports by which a latency-critical task must stay above its target after the placement of a task of
- * a lower priority: its load varies within seconds, and the delay of the other task counts less than a missed target.
- */
-const MARGIN_DEVIATIONS = 3;
-
-/** Standard deviations from which on more headroom makes no difference to the choice among workers. */
-const COMFORT_DEVIATIONS = 4;
-
-/** Limit of the headroom that is kept so, as ratio of target to tail latency. */
-const MAX_HEADROOM_RATIO = 1.5;
-
 /** Longest time over which the load of latency-critical tasks is extrapolated, in s. */
 const MAX_HORIZON_S = 2;
 
@@ -72,7 +60,6 @@
         { freeCapacity, latencyCritical }: WorkerForecast,
     ): PlacementOffer {
         const { request, image } = task.step;
-        const { priority } = task.job.spec.queue;
         const share = request.cpuMillis / worker.entry.capacity.cpuMillis;
         const horizonS = horizonOf(task.step);
         let unused = freeCapacity.unrequestedCpuMillis;
@@ -82,11 +69,10 @@
         for (const each of latencyCritical) {
             unused += each.cpuMillis * (1 - EXPECTED_LOAD_RATIO);
             const added = this.model.conservativeInterference(each.image, image, share);
-            const required = requiredHeadroom(each, priority);
-            const spare = spareHeadroom(each, horizonS, required);
+            const spare = spareHeadroom(each, horizonS);
             cost +=
                 added * INTERFERENCE_COST_MILLIS +
-                shortfall(each, priority, spare + required, added) * SHORTFALL_COST_MILLIS;
+                Math.max(0, MIN_HEADROOM_RATIO - each.minHeadroom + added) * SHORTFALL_COST_MILLIS;
             if (spare < 0) {
                 speed = 0;
                 limit = "noHeadroom";
@@ -127,7 +113,7 @@
         let limit = Number.POSITIVE_INFINITY;
         for (const each of latencyCritical) {
             unused += each.cpuMillis * (1 - EXPECTED_LOAD_RATIO);
-            const spare = spareHeadroom(each, horizonS, MIN_HEADROOM_RATIO);
+            const spare = spareHeadroom(each, horizonS);
             const addedByAll = this.model.conservativeInterference(each.image, step.image, 1);
             const bound = addedByAll === 0 ? Number.POSITIVE_INFINITY : spare / addedByAll;
             limit = Math.min(limit, spare < 0 ? -1 : bound * worker.entry.capacity.cpuMillis);
@@ -145,32 +131,9 @@
     return Math.min(MAX_HORIZON_S, step.estimateMs / 1_000);
 }
 
-/** @returns Headroom above the required one that a latency-critical task can lose within this many seconds; negative if it has too little. */
-function spareHeadroom(forecast: LatencyForecast, horizonS: number, required: number): number {
-    const { headroom, minHeadroom, declinePerS } = forecast;
-    return Math.min(headroom, Math.max(minHeadroom, headroom + declinePerS * horizonS)) - required;
-}
-
-/**
- * @param expected Headroom that a latency-critical task is expected to have.
- * @param added What a placement takes of it.
- * @returns What it lacks then. A task of a lower priority goes where the present load leaves most, any other where the recent peak does.
- */
-function shortfall(forecast: LatencyForecast, priority: number, expected: number, added: number): number {
-    const lacking =
-        priority > forecast.priority
-            ? 1 + COMFORT_DEVIATIONS * forecast.spreadRatio - expected
-            : MIN_HEADROOM_RATIO - forecast.minHeadroom;
-    return Math.max(0, lacking + added);
-}
-
-/** @returns Headroom that a latency-critical task must keep after the placement of a task of a priority. */
-function requiredHeadroom(forecast: LatencyForecast, priority: number): number {
-    if (priority <= forecast.priority) {
-        return MIN_HEADROOM_RATIO;
-    }
-    const required = 1 + MARGIN_DEVIATIONS * forecast.spreadRatio;
-    return Math.max(MIN_HEADROOM_RATIO, Math.min(MAX_HEADROOM_RATIO, required));
+/** @returns Headroom that a latency-critical task can lose within this many seconds; negative if it has too little. */
+function spareHeadroom({ headroom, minHeadroom, declinePerS }: LatencyForecast, horizonS: number): number {
+    return Math.min(headroom, Math.max(minHeadroom, headroom + declinePerS * horizonS)) - MIN_HEADROOM_RATIO;
 }
 
 function hasSpareRoom({ memoryMb, accelerators }: FreeCapacity, { entry: { capacity } }: WorkerContact): boolean {
--- a/src/dispatch/common/placement/latencyModel.ts
+++ b/src/dispatch/common/placement/latencyModel.ts
@@ -1,14 +1,22 @@
 import { Run } from "../runs/run";
-import { PairInterference } from "./pairInterference";
-import { NeighborShares, RecentNeighbors } from "./recentNeighbors";
 import { WorkerContact } from "../workers/workerContact";
 
+/**
+ * Assumed loss of headroom of a latency-critical task when a neighbor uses all CPU of the worker, and its variance, for
+ * a pair of images without reports.
+ */
+const PRIOR_INTERFERENCE = 1.5;
+const PRIOR_VARIANCE = 25;
+
 /** Standard deviation of a report relative to its headroom: reports cover short windows and are rounded to whole ms. */
 const REPORT_DEVIATION_RATIO = 0.15;
 
 /** Minimum variance of a reported headroom, since the load changes while a report is in flight. */
 const MIN_REPORT_VARIANCE = 0.02;
 
+/** Growth of a pair's variance with each report, since interference changes over time. */
+const DRIFT_VARIANCE = 0.0001;
+
 /** Time without a report on a pair after which its estimate ages, in ms. */
 const MIN_REPORT_GAP_MS = 2_000;
 
@@ -26,7 +34,7 @@
 const MIN_INFORMATIVE_SHARE = 0.002;
 
 /** Standard deviations that are added to the estimated interference when a run is placed. */
-const CAUTION_DEVIATIONS = 1;
+const CAUTION_DEVIATIONS = 0.5;
 
 /** Weights of a report in a job's headroom without interference, and in the trend of that headroom. */
 const HEADROOM_WEIGHT = 0.25;
@@ -35,15 +43,6 @@
 /** Weight of a report in the smoothed headroom; with six tasks, it averages the reports of about 1 s. */
 const SMOOTHED_WEIGHT = 0.1;
 
-/** Weight of a report in the spread of a job's reports; with six tasks, it averages those of some seconds. */
-const SPREAD_WEIGHT = 0.02;
-
-/** Relative spread that is assumed for a job without reports. */
-const DEFAULT_SPREAD_RATIO = 0.15;
-
-/** Limit of a single report, in standard deviations of the job's reports. */
-const MAX_REPORT_DEVIATIONS = 3;
-
 /** Minimum time for a trend, in ms: reports of a job's tasks arrive in succession, and a shorter trend is noise. */
 const MIN_TREND_MS = 100;
 
@@ -62,6 +61,14 @@
 /** Upper limit of the headroom, as ratio of target to tail latency. */
 const MAX_HEADROOM_RATIO = 10;
 
+interface PairInterference {
+    /** Loss of headroom when the neighbor uses all CPU of the worker. */
+    interference: number;
+    variance: number;
+    /** Time (ms) of the latest report that changed the estimate, or `undefined` if this leader has seen none. */
+    updatedAt?: number;
+}
+
 /** Headroom of the tasks of a latency-critical job without interference. */
 interface JobBaseline {
     /** Estimate for the present load. */
@@ -72,8 +79,6 @@
     smoothedHeadroom: number;
     /** Recent minimum of the smoothed headroom. */
     minHeadroom: number;
-    /** Mean square of the deviation of a report, relative to the headroom. */
-    spread: number;
     updatedAt: number;
 }
 
@@ -82,7 +87,6 @@
     trendPerS: 0,
     smoothedHeadroom: DEFAULT_HEADROOM,
     minHeadroom: DEFAULT_HEADROOM,
-    spread: DEFAULT_SPREAD_RATIO ** 2,
     updatedAt: 0,
 };
 
@@ -99,7 +103,6 @@
     private readonly pairs = new Map<string | undefined, Map<string | undefined, PairInterference>>();
     private readonly baselines = new Map<string, JobBaseline>();
     private readonly updatedAt = new WeakMap<Run, number>();
-    private readonly neighbors = new WeakMap<WorkerContact, RecentNeighbors>();
     /** Time (ms) of the first report: estimates of an earlier leader are at least this old. */
     private startedAt: number | undefined;
     private agedAt: number | undefined;
@@ -110,7 +113,7 @@
     static create(rows: readonly InterferenceRow[] = []): LatencyModel {
         const model = new LatencyModel();
         rows.forEach(([image, neighborImage, interference, variance]) =>
-            model.pairsWith(neighborImage).set(image, PairInterference.restore(interference, variance)),
+            model.pairsWith(neighborImage).set(image, { interference, variance }),
         );
         return model;
     }
@@ -118,10 +121,10 @@
     /** @returns The estimates of all pairs. */
     rows(): InterferenceRow[] {
         return [...this.pairs].flatMap(([neighborImage, pairs]) =>
-            [...pairs].map(([image, { mean, variance }]): InterferenceRow => [
+            [...pairs].map(([image, { interference, variance }]): InterferenceRow => [
                 image ?? "",
                 neighborImage ?? "",
-                round(mean),
+                round(interference),
                 round(variance),
             ]),
         );
@@ -130,12 +133,11 @@
     /** Updates the estimates from the latest reports. @param worker Worker of the runs. @param now Time in ms. */
     update(worker: WorkerContact, now: number): void {
         this.ageEstimates(now);
-        const shares = this.sharesOf(worker).update(worker, now);
         for (const run of worker.runs.values()) {
             const observed = headroomOf(run);
             if (observed !== undefined && now - (this.updatedAt.get(run) ?? 0) >= REPORT_WINDOW_MS) {
                 this.updatedAt.set(run, now);
-                this.updateFrom(run, observed, shares, now);
+                this.updateFrom(run, observed, worker, now);
             }
         }
     }
@@ -145,20 +147,15 @@
         return this.baselines.get(run.task.job.spec.id) ?? DEFAULT_BASELINE;
     }
 
-    /** @returns Standard deviation of the reports of a latency-critical run, relative to its headroom. */
-    spreadRatio(run: Run): number {
-        return Math.sqrt(this.baseline(run).spread);
-    }
-
     /** @returns Loss of headroom of an image when a neighbor image uses a share (0 to 1) of the worker's CPU. */
     interference(image: string | undefined, neighborImage: string | undefined, share: number): number {
-        return this.pair(image, neighborImage).mean * share;
+        return this.pair(image, neighborImage).interference * share;
     }
 
     /** @returns Loss of headroom assumed for a placement: the estimate plus a margin that grows with uncertainty. */
     conservativeInterference(image: string | undefined, neighborImage: string | undefined, share: number): number {
-        const { mean, variance } = this.pair(image, neighborImage);
-        return (mean + CAUTION_DEVIATIONS * Math.sqrt(variance)) * share;
+        const { interference, variance } = this.pair(image, neighborImage);
+        return (interference + CAUTION_DEVIATIONS * Math.sqrt(variance)) * share;
     }
 
     /** @returns Time since the latest report on a pair, in ms, or `undefined` if this leader has seen none. */
@@ -172,36 +169,34 @@
         let sum = 0;
         for (const run of worker.runs.values()) {
             if (run.task.step.usesSpareCpu) {
-                const [image, neighborImage, share] = [affected.task.step.image, run.task.step.image, shareOf(run)];
-                sum +=
-                    run.report === undefined
-                        ? this.conservativeInterference(image, neighborImage, share)
-                        : this.interference(image, neighborImage, share);
+                sum += this.interference(affected.task.step.image, run.task.step.image, shareOf(run));
             }
         }
         return sum;
     }
 
-    private updateFrom(affected: Run, observed: number, shares: NeighborShares, now: number): void {
+    private updateFrom(affected: Run, observed: number, worker: WorkerContact, now: number): void {
         const baseline = this.baseline(affected);
-        const neighbors = [...shares].map(([image, share]) => ({
-            pair: this.pair(affected.task.step.image, image),
-            share,
-        }));
-        const sumOf = (value: (each: (typeof neighbors)[number]) => number) =>
-            neighbors.reduce((sum, each) => sum + value(each), 0);
-        const residual = baseline.headroom - sumOf(({ pair, share }) => pair.mean * share) - observed;
+        const neighbors = [...worker.runs.values()]
+            .filter(run => run.task.step.usesSpareCpu && run.report !== undefined)
+            .map(run => ({
+                pair: this.pair(affected.task.step.image, run.task.step.image),
+                share: measuredCpuShare(run, worker),
+            }));
+        const predicted =
+            baseline.headroom - neighbors.reduce((sum, each) => sum + each.pair.interference * each.share, 0);
+        const residual = predicted - observed;
         const reportVariance = MIN_REPORT_VARIANCE + (REPORT_DEVIATION_RATIO * observed) ** 2;
-        const variance = reportVariance + sumOf(({ pair, share }) => pair.variance * share ** 2);
+        const variance = neighbors.reduce((sum, each) => sum + each.pair.variance * each.share ** 2, reportVariance);
         if (this.baselines.has(affected.task.job.spec.id)) {
-            const informative = neighbors.filter(({ share }) => share >= MIN_INFORMATIVE_SHARE);
-            const own = informative.map(({ pair, share }) => pair.variance * share ** 2);
-            informative.forEach(({ pair, share }, index) => {
-                pair.update(residual, share, variance - own[index]);
-                pair.updatedAt = now;
-            });
+            for (const { pair, share } of neighbors) {
+                const gain = (pair.variance * share) / variance;
+                pair.interference = Math.max(0, pair.interference + gain * residual);
+                pair.variance = pair.variance * (1 - gain * share) + DRIFT_VARIANCE;
+                pair.updatedAt = share >= MIN_INFORMATIVE_SHARE ? now : pair.updatedAt;
+            }
         }
-        const interference = sumOf(({ pair, share }) => pair.mean * share);
+        const interference = neighbors.reduce((sum, each) => sum + each.pair.interference * each.share, 0);
         this.updateBaseline(affected, observed + interference, reportVariance / variance, now);
     }
 
@@ -219,7 +214,8 @@
         for (const pairs of this.pairs.values()) {
             for (const pair of pairs.values()) {
                 if (now - (pair.updatedAt ?? this.startedAt) >= MIN_REPORT_GAP_MS) {
-                    pair.age(meanRatio, varianceRatio);
+                    pair.interference += (PRIOR_INTERFERENCE - pair.interference) * meanRatio;
+                    pair.variance += (PRIOR_VARIANCE - pair.variance) * varianceRatio;
                 }
             }
         }
@@ -235,18 +231,13 @@
                 trendPerS: 0,
                 smoothedHeadroom: headroom,
                 minHeadroom: headroom,
-                spread: DEFAULT_SPREAD_RATIO ** 2,
                 updatedAt: now,
             });
             return;
         }
         const elapsedS = (now - baseline.updatedAt) / 1_000;
         const expected = baseline.headroom + baseline.trendPerS * elapsedS;
-        const deviation = headroom - expected;
-        const level = Math.max(1, expected);
-        const limit = MAX_REPORT_DEVIATIONS * level * Math.sqrt(baseline.spread);
-        const residual = Math.max(-limit, Math.min(limit, deviation));
-        baseline.spread += SPREAD_WEIGHT * certainty * ((residual / level) ** 2 - baseline.spread);
+        const residual = headroom - expected;
         baseline.headroom = expected + HEADROOM_WEIGHT * certainty * residual;
         const trendPerS =
             baseline.trendPerS + (TREND_WEIGHT * certainty * residual) / Math.max(elapsedS, MIN_TREND_MS / 1_000);
@@ -265,21 +256,11 @@
         if (known !== undefined) {
             return known;
         }
-        const pair = PairInterference.create();
+        const pair = { interference: PRIOR_INTERFERENCE, variance: PRIOR_VARIANCE };
         pairs.set(image, pair);
         return pair;
     }
 
-    private sharesOf(worker: WorkerContact): RecentNeighbors {
-        const known = this.neighbors.get(worker);
-        if (known !== undefined) {
-            return known;
-        }
-        const neighbors = RecentNeighbors.create();
-        this.neighbors.set(worker, neighbors);
-        return neighbors;
-    }
-
     private pairsWith(neighborImage: string | undefined): Map<string | undefined, PairInterference> {
         const known = this.pairs.get(neighborImage);
         if (known !== undefined) {
@@ -300,6 +281,11 @@
     return Math.min(MAX_HEADROOM_RATIO, tailTargetMs / run.report.latencyOrUsage);
 }
 
+/** @returns Share of the worker's CPU that a run used according to its latest report. */
+export function measuredCpuShare(run: Run, worker: WorkerContact): number {
+    return (run.report?.latencyOrUsage ?? 0) / Math.max(1, worker.entry.capacity.cpuMillis);
+}
+
 /** @returns Share of the worker's CPU that a run may use at its current speed. */
 export function expectedCpuShare(run: Run, worker: WorkerContact): number {
     const requested = (run.task.step.request.cpuMillis * run.speedPercent) / 100;
--- a/src/dispatch/common/placement/placer.ts
+++ b/src/dispatch/common/placement/placer.ts
@@ -138,7 +138,7 @@
      * search is useless.
      */
     isInfeasible(task: Task, service: string, minSpeedPercent = 100): boolean {
-        return task.step.usesSpareCpu && this.rejections.covers(task, service, minSpeedPercent);
+        return task.step.usesSpareCpu && this.rejections.covers(task.step, service, minSpeedPercent);
     }
 
     /** @returns Whether the latest search was for the step of a task, and no worker was suitable whatever the constraint on it. */
@@ -154,7 +154,7 @@
      */
     recordRejection(task: Task, service: string, minSpeedPercent = 100): void {
         if (task.step.usesSpareCpu && !this.hasSuitable(task, service, minSpeedPercent)) {
-            this.rejections.add(task, service, minSpeedPercent);
+            this.rejections.add(task.step, service, minSpeedPercent);
         }
     }
 
--- a/src/dispatch/common/placement/rejectionTable.ts
+++ b/src/dispatch/common/placement/rejectionTable.ts
@@ -1,11 +1,8 @@
 import { StepSpec } from "../../../jobs/common/jobSpec";
-import { Task } from "../jobs/task";
 import { horizonOf } from "./bestEffortPolicy";
 
 interface Rejection {
     readonly step: StepSpec;
-    /** Priority of its queue: the lower it is, the more headroom a task has to leave to others. */
-    readonly priority: number;
     readonly service: string;
     readonly minSpeedPercent: number;
 }
@@ -25,18 +22,18 @@
     }
 
     /**
-     * Records that no worker of a service was suitable for the step of a task, apart from limits of its own.
+     * Records that no worker of a service was suitable for a step, apart from limits of its own.
      * @param minSpeedPercent Lowest speed that was accepted, in percent.
      */
-    add({ step, job }: Task, service: string, minSpeedPercent: number): void {
-        const rejection = { step, priority: job.spec.queue.priority, service, minSpeedPercent };
+    add(step: StepSpec, service: string, minSpeedPercent: number): void {
+        const rejection = { step, service, minSpeedPercent };
         const others = (this.rejections.get(step.image) ?? []).filter(each => !isImplied(each, rejection));
         this.rejections.set(step.image, [...others, rejection]);
     }
 
-    /** @returns Whether a rejected step of the same image needed no more than that of a task, at no higher a speed. */
-    covers({ step, job }: Task, service: string, minSpeedPercent: number): boolean {
-        const asked = { step, priority: job.spec.queue.priority, service, minSpeedPercent };
+    /** @returns Whether a rejected step of the same image needed no more than this one, at no higher a speed. */
+    covers(step: StepSpec, service: string, minSpeedPercent: number): boolean {
+        const asked = { step, service, minSpeedPercent };
         return this.rejections.get(step.image)?.some(each => isImplied(asked, each)) === true;
     }
 }
@@ -45,7 +42,6 @@
 function isImplied(rejection: Rejection, other: Rejection): boolean {
     return (
         other.service === rejection.service &&
-        other.priority <= rejection.priority &&
         other.minSpeedPercent <= rejection.minSpeedPercent &&
         needsNoMore(other.step, rejection.step)
     );
--- a/src/dispatch/common/placement/test/latencyModel.test.ts
+++ b/src/dispatch/common/placement/test/latencyModel.test.ts
@@ -111,8 +111,8 @@
     t.true(model.interference("web", "batch", full) < HEAVY_LOSS / 2);
 });
 
-/** Interference of a learned pair, above that of an unknown one, and the CPU (thousandths of a core) that an informative neighbor uses. */
-const LEARNED_INTERFERENCE = 12;
+/** Interference of a learned pair, and the CPU (thousandths of a core) that an informative neighbor uses. */
+const LEARNED_INTERFERENCE = 4;
 const INFORMATIVE_MILLIS = 8_000;
 
 /** CPU that is too little for a report to say anything about the interference, in thousandths of a core. */
--- a/src/dispatch/common/runs/throttleController.ts
+++ b/src/dispatch/common/runs/throttleController.ts
@@ -1,5 +1,4 @@
-import { headroomOf, LatencyModel } from "../placement/latencyModel";
-import { measuredCpuShare } from "../placement/recentNeighbors";
+import { headroomOf, LatencyModel, measuredCpuShare } from "../placement/latencyModel";
 import { Run } from "./run";
 import { WorkerContact } from "../workers/workerContact";
 
--- a/src/dispatch/common/workers/workerForecast.ts
+++ b/src/dispatch/common/workers/workerForecast.ts
@@ -5,15 +5,11 @@
 export interface LatencyForecast {
     readonly image: string | undefined;
     readonly cpuMillis: number;
-    /** Priority of its queue; 0 is the highest. */
-    readonly priority: number;
     readonly headroom: number;
     /** Change of the headroom per second while it falls, otherwise 0. */
     readonly declinePerS: number;
     /** Headroom at the recent peak of the load. */
     readonly minHeadroom: number;
-    /** Standard deviation of its reports, relative to its headroom. */
-    readonly spreadRatio: number;
 }
 
 /** Free capacity and latency-critical tasks of a worker, as input to a placement. */
@@ -37,11 +33,9 @@
             latencyCritical.push({
                 image,
                 cpuMillis: request.cpuMillis,
-                priority: run.task.job.spec.queue.priority,
                 headroom: baseline.headroom - loss,
                 declinePerS: Math.min(0, baseline.trendPerS),
                 minHeadroom: baseline.minHeadroom - loss,
-                spreadRatio: model.spreadRatio(run),
             });
         }
     }
