What a review of handovers, elections and the guard of clients has found

Cause and change, one each: looks at the progress of a shard were dropped when the store took longer than their interval to answer, so a lost leader was noticed after 6 s; the first leader of a divided fleet did not hand over, since its epoch begins before the shards; a leader that has resigned went on to show that it works; delays of claims in a slow store added up to more than leases last; the end of a body over 4 KiB could go unnoticed, and its connection count as sending while the answer was owed; callers could state any timeout, and their calls hold memory. In fleets that hand over, an instance that leads a shard claims another one 0.6 s later again, as their trials expect.

--- a/src/handover/common/leaderWatch.ts
+++ b/src/handover/common/leaderWatch.ts
@@ -11,6 +11,9 @@
 /** Interval between two looks, in ms. */
 const LOOK_INTERVAL_MS = 300;
 
+/** Time after which a look without an answer is given up, in ms. */
+const LOOK_TIMEOUT_MS = 1_000;
+
 /** Time without an append after which a leader counts as gone, in ms. One whose appends time out and are repeated makes one a second. */
 const MIN_STILL_MS = 1_200;
 
@@ -37,6 +40,7 @@
     private lookedAt = Number.NEGATIVE_INFINITY;
     /** Number of the latest look. */
     private number = 0;
+    private isLooking = false;
     private stillness: Stillness | undefined;
 
     private constructor(
@@ -65,8 +69,9 @@
         if (epoch !== this.epoch || silentMs < DOUBT_MS) {
             this.epoch = epoch;
             this.stillness = undefined;
-        } else if (silentMs < MAX_UNRENEWED_MS && now - this.lookedAt >= LOOK_INTERVAL_MS) {
+        } else if (silentMs < MAX_UNRENEWED_MS && this.isLookDue(now)) {
             this.lookedAt = now;
+            this.isLooking = true;
             this.number = this.nextRead();
             const { stream, number } = this;
             this.effects.emit({ kind: "read-newest", stream, number, after: KEY_AFTER_ALL, delayMs: 0 });
@@ -75,7 +80,11 @@
 
     /** Handles an answer to a read of the progress, if it is one to a look. */
     handleAnswer({ number, sentAt, result }: NewestAnswer): void {
-        if (number !== this.number || !result.ok) {
+        if (number !== this.number) {
+            return;
+        }
+        this.isLooking = false;
+        if (!result.ok) {
             return;
         }
         const { end } = result.val;
@@ -83,6 +92,11 @@
         this.stillness = { end, from, to: sentAt };
     }
 
+    /** A slow store answers after the interval, and only the answer to the latest look counts. */
+    private isLookDue(now: number): boolean {
+        return now - this.lookedAt >= (this.isLooking ? LOOK_TIMEOUT_MS : LOOK_INTERVAL_MS);
+    }
+
     /** @param silentMs Time without a renewal, in ms. @returns Whether the leader appends nothing, or has renewed nothing for too long. */
     isGone(silentMs: number): boolean {
         const { from = 0, to = 0 } = this.stillness ?? {};
--- a/src/handover/common/warmup.ts
+++ b/src/handover/common/warmup.ts
@@ -108,7 +108,7 @@
     /** Handles an answer to a read of the progress. @param now Time in ms. */
     handleAnswer(answer: StoreAnswer, now: number): void {
         const { latestRead } = this.target;
-        if (answer.number > latestRead && answer.number <= latestRead + MAX_READS_PER_READER) {
+        if (answer.number > latestRead && answer.number < latestRead + MAX_READS_PER_READER) {
             this.follower.handleAnswer(answer, now);
         }
     }
--- a/src/host/common/shardOffice.ts
+++ b/src/host/common/shardOffice.ts
@@ -115,6 +115,9 @@
             get precedingEpoch() {
                 return shards.plan?.epoch;
             },
+            get otherOffices() {
+                return context.handsOver() ? context.countOtherOffices(shard) : undefined;
+            },
             get handsOver() {
                 return context.handsOver();
             },
@@ -202,11 +205,10 @@
     /** While the store confirms no renewal, the progress shows the others that this leader goes on: they look at it then. */
     private reviewRenewals(now: number): void {
         const { renewedAt = now } = this.leadership;
-        if (this.scheduler !== undefined && this.context.handsOver() && now - renewedAt > MAX_RENEWAL_AGE_MS) {
-            if (now >= this.restateAt) {
-                this.restateAt = now + RESTATE_INTERVAL_MS;
-                this.takeover?.restate();
-            }
+        const isUnconfirmed = now - renewedAt > MAX_RENEWAL_AGE_MS && this.leadership.canSendOrders();
+        if (this.context.handsOver() && isUnconfirmed && now >= this.restateAt) {
+            this.restateAt = now + RESTATE_INTERVAL_MS;
+            this.takeover?.restate();
         }
     }
 
@@ -316,6 +318,10 @@
             id => this.jobs.has(id),
             id => this.context.workers.shardOf(id) === this.shard,
         );
+        if (this.scheduler !== undefined) {
+            // The first leader began its epoch before there were shards to hand over.
+            this.handover.begin();
+        }
     }
 
     /** Whether all jobs are known of which a former leader may have stored progress. */
--- a/src/ingress/node/guardedConnection.ts
+++ b/src/ingress/node/guardedConnection.ts
@@ -117,8 +117,11 @@
     begin(request: IncomingMessage, response: ServerResponse): void {
         const { entry } = this;
         let wasSent = false;
+        this.noteRead();
         this.request = request;
         entry.recordRequest();
+        // The parser reads a part of a body only after its reader has consumed the part before it.
+        request.once("end", () => this.noteRead());
         response.once("prefinish", () => {
             wasSent = true;
             entry.recordAnswerSent(performance.now());
@@ -243,10 +246,14 @@
         this.entry.recordReceived(slice.length, now);
         this.isWanted = this.push(slice);
         this.costMs += performance.now() - now;
+        this.noteRead();
+    }
+
+    private noteRead(): void {
         if (this.request?.complete === true) {
             this.request = undefined;
             this.costMs = 0;
-            this.entry.recordRequestRead(now);
+            this.entry.recordRequestRead(performance.now());
         }
     }
 }
--- a/src/platform/node/platformFrontEnd.ts
+++ b/src/platform/node/platformFrontEnd.ts
@@ -13,6 +13,9 @@
 
 const MS_PER_SECOND = 1_000;
 
+/** Longest time for which a call waits for its answer, in ms, whatever its caller states: each holds memory meanwhile. */
+const MAX_CALLER_TIMEOUT_MS = 30_000;
+
 /** Owner of the front end. */
 export interface FrontEndHost {
     /** Handles a call. @param reply Receives its answer. */
@@ -103,7 +106,8 @@
             number: this.callCount,
             host: (request.headers.host ?? "").split(":", 1)[0],
             path: (request.url ?? "").split("?", 1)[0],
-            callerTimeoutMs: Number.isFinite(timeoutMs) && timeoutMs > 0 ? timeoutMs : undefined,
+            callerTimeoutMs:
+                Number.isFinite(timeoutMs) && timeoutMs > 0 ? Math.min(MAX_CALLER_TIMEOUT_MS, timeoutMs) : undefined,
             request: decoded,
         };
     }
--- a/src/records/common/claimTiming.ts
+++ b/src/records/common/claimTiming.ts
@@ -25,6 +25,15 @@
  */
 const CLAIM_SPREAD_STEP_MS = 100;
 
+/** Limit of that growth: leases last longer than the timeout and the delays of a claim together. */
+const MAX_CLAIM_SPREAD = 3;
+
+/**
+ * Extra claim delay of an instance that leads another shard, where leaders hand over, in ms: longer than the jitter, so that one without an
+ * office claims first.
+ */
+const OTHER_OFFICE_DELAY_MS = 600;
+
 /** Bound of the claim jitter, which differs by instance, so that one claim usually succeeds before the next is made. */
 const MAX_CLAIM_JITTER_MS = 250;
 
@@ -59,6 +68,8 @@
     readonly instance: string;
     readonly nonce: number;
     readonly cores: number;
+    /** Number of other shards that it leads; left out where leaders do not hand over. */
+    readonly otherOffices?: number;
 }
 
 /**
@@ -95,8 +106,10 @@
     const shortfall = (latest?.cores ?? 1) / candidate.cores - 1;
     const capacityMs = Math.max(0, Math.min(MAX_CAPACITY_DELAY_MS, shortfall * CAPACITY_DELAY_STEP_MS));
     const headStartMs = latest?.successor === undefined ? 0 : SUCCESSOR_HEAD_START_MS;
-    const orderMs = jitterMs(candidate) + capacityMs + headStartMs;
-    return roundTripMs * ROUND_TRIPS + orderMs * (1 + excessMs / CLAIM_SPREAD_STEP_MS);
+    const officeMs = (candidate.otherOffices ?? 0) > 0 ? OTHER_OFFICE_DELAY_MS : 0;
+    const orderMs =
+        (jitterMs(candidate) + capacityMs) * Math.min(MAX_CLAIM_SPREAD, 1 + excessMs / CLAIM_SPREAD_STEP_MS);
+    return roundTripMs * ROUND_TRIPS + orderMs + officeMs + headStartMs;
 }
 
 /** @returns Whether an instance is so much stronger than the leader that it replaces it. */
--- a/src/records/common/leadership.ts
+++ b/src/records/common/leadership.ts
@@ -67,6 +67,8 @@
     readonly cores: number;
     /** Epoch that the first claim follows, if the shard was part of another one until then. */
     readonly precedingEpoch?: number;
+    /** Number of other shards that it leads; left out where leaders do not hand over. */
+    readonly otherOffices?: number;
     /** Whether it hands its office over by itself. */
     readonly handsOver?: boolean;
     /** Whether it is ready for the office for which it was named. */
@@ -466,7 +468,9 @@
 
     private timeoutMs(): number {
         const hasEnded = this.latestRecord !== undefined && this.hasLeaderEnded;
-        return leaderTimeoutMs(this.latestRecord, hasEnded, this.candidate.storeExcessMs());
+        // Where leaders hand over, their progress tells one that is late from one that is gone.
+        const excessMs = this.candidate.handsOver === true ? 0 : this.candidate.storeExcessMs();
+        return leaderTimeoutMs(this.latestRecord, hasEnded, excessMs);
     }
 
     private get hasLeaderEnded(): boolean {
