--- a/src/proof/node/test/handoverTrial.test.ts
+++ b/src/proof/node/test/handoverTrial.test.ts
@@ -10,7 +10,8 @@
 const BURST: JobTrialPlan = {
     seed: 1,
     lengthMs: 15_000,
-    recoveryMs: 20_000,
+    // The burst leaves more jobs than the workers do in 20 s.
+    recoveryMs: 40_000,
     instances: 5,
     workers: 12,
     shards: 2,
