--- a/src/ingress/node/test/ingress.test.ts
+++ b/src/ingress/node/test/ingress.test.ts
@@ -11,9 +11,12 @@
 for (const bytes of BODY_BYTES) {
     test(`a connection is without a request after the answer to a body of ${bytes} bytes that came with its header`, async t => {
         const ingress = Ingress.create(deriveIngressLimits(), () => undefined);
-        const server = ingress.createServer({ name: "test", maxConnections: 4, maxRequests: 4 }, (request, response) => {
-            BoundedBody.read(request, 100_000, result => response.end(result.kind));
-        });
+        const server = ingress.createServer(
+            { name: "test", maxConnections: 4, maxRequests: 4 },
+            (request, response) => {
+                BoundedBody.read(request, 100_000, result => response.end(result.kind));
+            },
+        );
         server.listen(0, "127.0.0.1");
         await once(server, "listening");
         const client = connect((server.address() as AddressInfo).port, "127.0.0.1");
