--- a/review/standin-3/site.mjs
+++ b/review/standin-3/site.mjs
@@ -22,7 +22,7 @@
 const RESTART_MS = 500;
 
 export class Site {
-    constructor({ record, workers, entries = 3, capacity = { cpu: 64_000, memMb: 256_000, gpu: 0 }, plan, attempts = 3 }) {
+    constructor({ record, workers, entries = 3, capacity = { cpu: 64_000, memMb: 256_000, gpu: 0 }, plan, attempts = 3, linkMs = 0 }) {
         const { pid } = process;
         this.host = `127.${64 + ((pid >> 16) & 0x3f)}.${(pid >> 8) & 0xff}.${pid & 0xff || 1}`;
         this.folder = mkdtempSync(join(tmpdir(), "case-"));
@@ -32,7 +32,11 @@
         this.jobs = new Map();
         this.plan = plan;
         this.attempts = attempts;
+        /** Time of a call and of its answer on the way to a worker, in ms. */
+        this.linkMs = linkMs;
         this.events = [];
+        /** When an end was listed last, by task and run. */
+        this.lastListed = new Map();
         this.entries = [];
         this.isOver = false;
         this.startedAt = performance.now();
--- a/review/standin-3/worker.mjs
+++ b/review/standin-3/worker.mjs
@@ -1,5 +1,6 @@
 // Stand-in of a worker (PROTOCOL.md, "Running tasks"). It guards its capacity.
 import { createServer } from "node:http";
+import { setTimeout as delay } from "node:timers/promises";
 
 const HEARTBEAT_MS = 1_500;
 const TICK_MS = 10;
@@ -104,7 +105,10 @@
         const chunks = [];
         request.on("data", chunk => chunks.push(chunk));
         request.on("error", () => response.destroy());
-        request.on("end", () => {
+        request.on("end", async () => {
+            if (this.site.linkMs > 0) {
+                await delay(this.site.linkMs);
+            }
             if (this.isCut) {
                 this.muted.add(request.socket);
                 return;
@@ -199,10 +203,7 @@
             const ended = listed.map(each => [each.number, each.task, each.run, each.how, each.saved]);
             const running = [...this.runs.values()].map(each => this.rowOf(each));
             this.reply(response, 200, { clockMs: this.clock, born: this.born, running, ended });
-            listed.filter(each => !each.isListed).forEach(each => {
-                each.isListed = true;
-                this.site.note({ kind: "listed", worker: this.id, task: each.task, run: each.run, how: each.how });
-            });
+            listed.forEach(each => this.site.lastListed.set(`${each.task}/${each.run}`, this.site.now));
         };
         const timer = setTimeout(finish, this.ends.length > 0 ? 0 : waitMs);
         this.waiting.add(finish);
@@ -244,12 +245,15 @@
         this.highest.set(task, Math.max(run, this.highest.get(task) ?? 0));
         this.endCount += 1;
         const saved = how === "done" ? "" : this.checkpointOf(active);
-        this.ends.push({ number: this.endCount, task, run, how, saved, isListed: false });
+        this.ends.push({ number: this.endCount, task, run, how, saved });
         this.site.note({ kind: "end", worker: this.id, task, run, how });
         [...this.waiting].forEach(wake => wake());
     }
 
-    reply(response, status, body) {
+    async reply(response, status, body) {
+        if (this.site.linkMs > 0) {
+            await delay(this.site.linkMs);
+        }
         if (response.destroyed || !response.socket || this.isCut || this.muted.has(response.socket)) {
             return;
         }
