Review: case 13, a worker that leaves while stops wait for it

One of 16 workers is emptied and taken away while stops wait for it; it is never listed again, and its runs are not given up.

--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -1,56 +1,90 @@
-// Case 13: a worker lists 500 ends at a time; runs whose ends are not among them are taken for lost, and started again.
+// Case 13: a worker that is emptied and leaves while stops wait for it is never listed again, so its runs are not given up.
 import { setTimeout as delay } from "node:timers/promises";
 import { Site, runCase } from "../standin-3/site.mjs";
 
-/** Many jobs at once, as wide as the widest of the sheet, of small tasks. Without the disruption a tenth of them. */
 const isTroubled = process.env.TROUBLE !== "0";
-const JOBS = isTroubled ? 130 : 7;
+/** One of them leaves: a share of 0.0625. */
+const WORKERS = 16;
+const JOBS = 60;
 const WIDTH = 36;
-const WORKERS = 2;
-/** The tasks wait for the same input, so they end together, this long after the site is ready. */
-const END_MS = 10_000;
-const WATCH_MS = 12_000;
+const WORK_MS = 9_000;
+const DRAIN_MS = 2_500;
+/** "And a little longer". */
+const LINGER_MS = 50;
+const FINISH_MS = 14_000;
+const MOST_IDLE_MS = 3_000;
+const WATCH_MS = 40_000;
 
-let readyAt = 0;
 const site = new Site({
     record: new URL("record.txt", import.meta.url).pathname,
     workers: WORKERS,
-    plan: () => ({ workMs: Math.max(100, readyAt + END_MS - site.now), end: "done" }),
+    // The entries are in one region, the workers in the other.
+    linkMs: 20,
+    workerZone: "vannes",
+    plan: () => ({ workMs: WORK_MS, end: "done" }),
 });
 await runCase(site, async () => {
-    readyAt = site.now;
-    const job = { spec: "proof", steps: [{ count: WIDTH, cpu: 25, memMb: 16, estMs: 4_000 }] };
+    const job = { spec: "proof", steps: [{ count: WIDTH, cpu: 100, memMb: 64, estMs: WORK_MS }] };
     const ids = Array.from({ length: JOBS }, (_, number) => `5c0e7a21d94d${number.toString(16).padStart(4, "0")}`);
     const answers = await Promise.all(ids.map((id, number) => site.submit(id, job, { from: number })));
     site.write(`POST ${JOBS} times ${JSON.stringify(job)}: ${[...new Set(answers)].join(", ")}`);
-    await delay(readyAt + END_MS - 200 - site.now);
-    site.write(`runs at work: ${site.workers.map(each => each.runs.size).join(", ")}`);
-    const until = site.now + WATCH_MS;
-    while (site.now < until) {
-        await delay(1_000);
-        const states = await Promise.all(ids.map((id, number) => site.stateOf(id, number)));
-        const kept = site.workers.map(each => each.ends.length).join(", ");
-        const running = site.workers.map(each => each.runs.size).join(", ");
-        site.write(`jobs done: ${states.filter(each => each === "done").length}; runs at work: ${running}; ends kept: ${kept}`);
+    const accepted = ids.filter((_, number) => answers[number] === 200);
+    const endOfTraffic = site.now;
+    await delay(5_000);
+    site.write(`runs of each worker: ${site.workers.map(each => each.runs.size).join(", ")}`);
+    const [leaving] = site.workers;
+    let stops = 0;
+    leaving.onOrder = path => (stops += path === "/api/run-stop" ? 1 : 0);
+    const state = () => `${leaving.runs.size} runs, ${stops} stops, ${leaving.ends.length} ends that are not confirmed`;
+    if (isTroubled) {
+        const until = site.now + DRAIN_MS;
+        Object.defineProperty(leaving, "drainRemainingMs", { get: () => Math.max(0, until - site.now) });
+        leaving.register();
+        site.write(`${leaving.id} drains: ${state()}`);
+        await delay(DRAIN_MS - 900);
+        site.write(`${leaving.id}, 900 ms before it may leave: ${state()}`);
+        await delay(until + LINGER_MS - site.now);
+        site.write(`${leaving.id} leaves: ${state()}`);
+        leaving.leave();
     }
-    // "A start after a run has ended `done`, if that end is taken note of then or later." "With no disruption near, an end counts as
-    // taken note of 100 ms after a worker has listed it." There is no disruption at all.
-    const noted = new Set(site.events.filter(each => each.kind === "noted").map(each => `${each.task}/${each.run}`));
-    const isNoted = key => noted.has(key) || site.lastListed.has(key);
-    const ended = new Map();
-    let twice = 0;
-    for (const { at, kind, task, run, how, worker } of site.events) {
-        if (kind === "end" && how === "done") {
-            ended.set(task, { at, run, worker });
-        } else if (kind === "start" && ended.has(task) && isNoted(`${task}/${ended.get(task).run}`)) {
-            const before = ended.get(task);
-            twice += 1;
-            if (twice <= 10) {
-                site.write(`${task}: run ${before.run} ended done at ${before.at} ms on ${before.worker}, run ${run} started at ${at} ms on ${worker}`);
-            }
+    const from = endOfTraffic + FINISH_MS;
+    await delay(from - site.now);
+    // From now on jobs are asked for. `idleFrom`: since when a job has nothing running while tasks of it are not done.
+    const idleFrom = new Map();
+    let longestMs = 0;
+    while (site.now < from + WATCH_MS) {
+        const done = new Set(site.events.filter(each => each.kind === "end" && each.how === "done").map(each => each.task));
+        const atWork = site.workers.flatMap(each => [...each.runs.keys()]);
+        const cores = site.workers.reduce((sum, each) => sum + (each.capacity.cpu - each.free.cpu) / 1_000, 0);
+        const busy = new Set(atWork.map(jobOf));
+        const open = accepted.filter(id => tasksOf(id).some(task => !done.has(task)));
+        const idle = open.filter(id => !busy.has(id));
+        for (const id of [...idleFrom.keys()].filter(each => !idle.includes(each))) {
+            idleFrom.delete(id);
         }
+        idle.forEach(id => idleFrom.set(id, idleFrom.get(id) ?? site.now));
+        longestMs = Math.max(longestMs, ...[...idleFrom.values()].map(each => site.now - each));
+        const states = await Promise.all(accepted.map((id, number) => site.stateOf(id, number)));
+        const shown = states.filter(each => each === "done").length;
+        const restarted = site.events.filter(each => each.kind === "start" && each.run > 1).length;
+        site.write(
+            `jobs shown as done: ${shown}; with tasks that are not done: ${open.length}, and nothing running: ${idle.length}; ` +
+                `tasks at work: ${atWork.length} on ${cores.toFixed(1)} of ${WORKERS * 64} cores; started again: ${restarted}`,
+        );
+        if (shown === accepted.length) {
+            break;
+        }
+        await delay(500);
     }
-    site.write(`starts: ${site.events.filter(each => each.kind === "start").length} of ${JOBS * WIDTH} tasks`);
-    site.write(`starts after a run had ended done, an end that was taken note of: ${twice}`);
-    return twice > 0;
+    const lost = site.events.filter(each => each.kind === "end" && each.how === "gone").length;
+    site.write(`tasks whose worker left: ${lost}; longest time that a job had nothing running, from ${FINISH_MS} ms after the traffic: ${longestMs} ms`);
+    return longestMs > MOST_IDLE_MS;
 });
+
+function tasksOf(id) {
+    return Array.from({ length: WIDTH }, (_, number) => `${id}.0.0.${number}`);
+}
+
+function jobOf(task) {
+    return task.split(".")[0];
+}
--- a/review/standin-3/site.mjs
+++ b/review/standin-3/site.mjs
@@ -22,7 +22,7 @@
 const RESTART_MS = 500;
 
 export class Site {
-    constructor({ record, workers, entries = 3, capacity = { cpu: 64_000, memMb: 256_000, gpu: 0 }, plan, attempts = 3, linkMs = 0 }) {
+    constructor({ record, workers, entries = 3, capacity = { cpu: 64_000, memMb: 256_000, gpu: 0 }, plan, attempts = 3, linkMs = 0, workerZone = "quimper" }) {
         const { pid } = process;
         this.host = `127.${64 + ((pid >> 16) & 0x3f)}.${(pid >> 8) & 0xff}.${pid & 0xff || 1}`;
         this.folder = mkdtempSync(join(tmpdir(), "case-"));
@@ -34,6 +34,7 @@
         this.attempts = attempts;
         /** Time of a call and of its answer on the way to a worker, in ms. */
         this.linkMs = linkMs;
+        this.workerZone = workerZone;
         this.events = [];
         /** When an end was listed last, by task and run. */
         this.lastListed = new Map();
@@ -100,7 +101,7 @@
         const settings = join(this.folder, `${node}.yaml`);
         const listen = { front: `${this.host}:${front}`, ready: `${this.host}:${ready}` };
         const fields = {
-            node, ip: this.host, zone: "quimper", region: "finistere", zones: { quimper: "finistere" }, listen,
+            node, ip: this.host, zone: "quimper", region: "finistere", zones: { quimper: "finistere", vannes: "morbihan" }, listen,
             portRange: [metrics, metrics], limits: { cpuShare: 0.27, cores: 1, memoryMb: 350, maxFds: 4100 },
             platform: { addr: this.store.address }, bounds: BOUNDS,
         };
--- a/review/standin-3/worker.mjs
+++ b/review/standin-3/worker.mjs
@@ -88,7 +88,7 @@
         this.site.store.put("keyed.servers", this.id, {
             service: this.site.service,
             addr: this.address,
-            zone: "quimper",
+            zone: this.site.workerZone,
             version: "v1",
             slots: 8,
             state: this.drainRemainingMs === undefined ? "ready" : "draining",
