--- a/src/dispatch/common/jobs/activeJob.ts
+++ b/src/dispatch/common/jobs/activeJob.ts
@@ -26,7 +26,7 @@
     /** Occurrences of which all steps are done. */
     private readonly finishedOccurrences = new Set<number>();
     private openedCount = 0;
-    private runCount = 0;
+    private readonly runs = new Set<Run>();
     private changes = 0;
     /** Whether one of its tasks was transferred by itself: then the others stay. */
     private hasTaskTransfers = false;
@@ -96,18 +96,12 @@
 
     /** Whether one of its tasks has a run. */
     get hasRun(): boolean {
-        return this.runCount > 0;
+        return this.runs.size > 0;
     }
 
     /** @returns The runs of its tasks for which this holds. */
     runsLike(isMatch: (run: Run) => boolean): Run[] {
-        const runs: Run[] = [];
-        for (const task of this.hasRun ? this.tasks() : []) {
-            if (task.run !== undefined && isMatch(task.run)) {
-                runs.push(task.run);
-            }
-        }
-        return runs;
+        return [...this.runs].filter(isMatch);
     }
 
     /** Increases with each change of which tasks wait: their occurrences, runs, speeds, ends and suspicions. */
@@ -122,7 +116,12 @@
 
     /** Records that a task has another run. @param before Its former run. @param after Its new one. */
     recordRunChange(before: Run | undefined, after: Run | undefined): void {
-        this.runCount += (after === undefined ? 0 : 1) - (before === undefined ? 0 : 1);
+        if (before !== undefined) {
+            this.runs.delete(before);
+        }
+        if (after !== undefined) {
+            this.runs.add(after);
+        }
         this.recordChange();
     }
 
--- a/src/dispatch/common/waits/waitController.ts
+++ b/src/dispatch/common/waits/waitController.ts
@@ -31,11 +31,20 @@
     readonly boundMs: number | undefined;
 }
 
+/** Number of covering runs of a job, which all of its waiting groups ask for. */
+interface JobCoverage {
+    readonly version: number;
+    readonly now: number;
+    readonly runs: number;
+}
+
 /** Bounds the time for which jobs have nothing running: decides what their tasks accept, and which go before all others. */
 export class WaitController {
     private readonly waits = WaitTable.create();
     private readonly bounded = BoundedWaitPolicy.create();
     private readonly patient = PatientWaitPolicy.create();
+    /** Number of covering runs of each job, as of a version of the job, in the current pass. */
+    private readonly coverage = new Map<ActiveJob, JobCoverage>();
     /** Time (ms) of the first review of the workers. */
     private startedAt: number | undefined;
     /** Time that the leader itself takes from the end of a run to the start of the next one, in ms. */
@@ -58,6 +67,7 @@
     /** Reviews the leader and the workers once in a pass. @param workers All workers. @param now Time in ms. */
     beginPass(workers: Iterable<WorkerContact>, now: number): void {
         this.startedAt ??= now;
+        this.coverage.clear();
         const { delayMs = 0, startMs = 0 } = this.pace ?? {};
         this.lateMs = LATE_TURNS * delayMs + Math.max(START_DELAY_MS, startMs);
         this.usage.update(workers, now);
@@ -132,9 +142,16 @@
     }
 
     /** @returns Number of runs of the task's job, other than its own, that are at work or about to be. */
-    coveringRuns(task: Task, now: number): number {
+    coveringRuns({ job }: Task, now: number): number {
+        const { version } = job;
+        const known = this.coverage.get(job);
+        if (known?.version === version && known.now === now) {
+            return known.runs;
+        }
         const { lateMs } = this;
-        return task.job.runsLike(run => isAtWork(run, now) || isStarting(run, now, lateMs)).length;
+        const runs = job.runsLike(run => isAtWork(run, now) || isStarting(run, now, lateMs)).length;
+        this.coverage.set(job, { version, now, runs });
+        return runs;
     }
 
     /** @returns Whether a job needs a run now, its first or another one: the leader is too late to let it wait, or to start it later. */
--- a/src/dispatch/common/waits/waitTable.ts
+++ b/src/dispatch/common/waits/waitTable.ts
@@ -43,7 +43,8 @@
         if (others.length === 0) {
             this.records.delete(job);
         } else {
-            this.record(job, job.runsLike(isReported), job.lastEndAt, Math.min(...others.map(readyAt)), now);
+            const firstReadyAt = others.reduce((first, group) => Math.min(first, readyAt(group)), Infinity);
+            this.record(job, job.runsLike(isReported), job.lastEndAt, firstReadyAt, now);
         }
         for (const group of groups) {
             if (group.step.mode === "long-running") {
@@ -101,7 +102,7 @@
 
 /** @returns The latest of some times, or `undefined` if there are none. */
 function latestOf(times: readonly number[]): number | undefined {
-    return times.length === 0 ? undefined : Math.max(...times);
+    return times.length === 0 ? undefined : times.reduce((latest, time) => Math.max(latest, time));
 }
 
 function isReported(run: Run): boolean {
