Further work of a leader that grew with the square of one submission

- A step may name an earlier step any number of times.
Each of 500,000 repeats was an argument of one call, which ended the process with a RangeError, and each following leader with it; fewer repeats were visited for each occurrence in each pass.
Repeats are dropped when a submission is decoded, and when a stored job is read.
- The remaining time of a step was estimated anew, over all steps, for each group of each occurrence.
It is kept for each step.
- Whether a step is done was found by visiting all of its tasks.
DoneSet counts.
- Each end of a member of a broken gang went over all tasks of the job, and each start of a member, too.
The runs of a broken gang are stopped once; a start looks at the tasks of its gang only.
- A gang with a limit per worker counted the chosen workers for each member and each offer.

Three tests of ActiveJob failed before (one of them with the RangeError) and pass now. 566 tests of dispatch, jobs and platform pass.

--- a/src/dispatch/common/jobs/activeJob.ts
+++ b/src/dispatch/common/jobs/activeJob.ts
@@ -27,6 +27,10 @@
     private readonly finishedOccurrences = new Set<number>();
     private openedCount = 0;
     private readonly runs = new Set<Run>();
+    /** Result of `remainingMs` for each step, which all occurrences share. */
+    private readonly remainingMsByStep = new Map<StepSpec, number>();
+    /** Highest run of each gang of which all runs are stopped, by group. */
+    private readonly stoppedGangRuns = new Map<string, number>();
     private changes = 0;
     /** Whether one of its tasks was transferred by itself: then the others stay. */
     private hasTaskTransfers = false;
@@ -175,15 +179,29 @@
     }
 
     /** @returns Estimated duration of the group's step and the steps that depend on it, in ms. */
-    remainingMs(group: TaskGroup): number {
-        const first = this.spec.steps.indexOf(group.step);
-        const endsMs = this.spec.steps.map(() => 0);
-        for (let number = first; number < endsMs.length; number++) {
-            const step = this.spec.steps[number];
-            const startMs = Math.max(0, ...step.after.map(each => endsMs[each]));
-            endsMs[number] = number === first || startMs > 0 ? startMs + step.estimateMs : 0;
+    remainingMs({ step }: TaskGroup): number {
+        const known = this.remainingMsByStep.get(step);
+        if (known !== undefined) {
+            return known;
         }
-        return Math.max(...endsMs);
+        const remainingMs = remainingPathMs(this.spec.steps, this.spec.steps.indexOf(step));
+        this.remainingMsByStep.set(step, remainingMs);
+        return remainingMs;
+    }
+
+    /**
+     * @param task A member of a gang whose run has ended.
+     * @param endedRun Number of that run.
+     * @returns The runs of the other members, which cannot go on; none if they were returned for a member that started with them.
+     */
+    gangRunsToStop(task: Task, endedRun: number): Run[] {
+        const { groupKey } = task;
+        if (endedRun <= (this.stoppedGangRuns.get(groupKey) ?? 0)) {
+            return [];
+        }
+        const runs = this.runsLike(run => run.task.groupKey === groupKey);
+        this.stoppedGangRuns.set(groupKey, Math.max(endedRun, ...runs.map(run => run.record.run)));
+        return runs;
     }
 
     /** Marks a task as done; for a gang, all its tasks. */
@@ -379,8 +397,23 @@
 export function criticalPathMs(steps: readonly StepSpec[]): number {
     const endsMs: number[] = [];
     for (const step of steps) {
-        const startMs = Math.max(0, ...step.after.map(each => endsMs[each]));
-        endsMs.push(startMs + step.estimateMs);
+        endsMs.push(latestMs(step.after.map(each => endsMs[each])) + step.estimateMs);
     }
-    return Math.max(0, ...endsMs);
+    return latestMs(endsMs);
+}
+
+/** @param first Index of a step. @returns Estimated duration of it and of the steps that depend on it, in ms. */
+function remainingPathMs(steps: readonly StepSpec[], first: number): number {
+    const endsMs = steps.map(() => 0);
+    for (let number = first; number < steps.length; number++) {
+        const { after, estimateMs } = steps[number];
+        const startMs = latestMs(after.map(each => endsMs[each]));
+        endsMs[number] = number === first || startMs > 0 ? startMs + estimateMs : 0;
+    }
+    return latestMs(endsMs);
+}
+
+/** @returns The largest of some times in ms, 0 if there are none. A caller may name more of them than a call may have arguments. */
+function latestMs(times: readonly number[]): number {
+    return times.reduce((latest, time) => Math.max(latest, time), 0);
 }
--- a/src/dispatch/common/jobs/test/activeJob.test.ts
+++ b/src/dispatch/common/jobs/test/activeJob.test.ts
@@ -1,7 +1,9 @@
 import test from "ava";
 import { DoneSet } from "../../../../jobs/common/doneSet";
+import { decodeSpec, encodeSpec } from "../../../../jobs/common/jobRecord";
+import { StepSpec } from "../../../../jobs/common/jobSpec";
 import { ActiveJob } from "../activeJob";
-import { createJob, createStep } from "./runs";
+import { assign, createJob, createStep, createWorker } from "./runs";
 
 test("of a million occurrences that are due at once, only so many are open as have 20,000 unfinished tasks", t => {
     const { spec } = createJob("j", createStep("batch", false, { tasks: 4 }));
@@ -33,3 +35,50 @@
     t.true(job.isTaskDone(job.find("j.0.0.299")!));
     t.true(job.isDone);
 });
+
+// Each end of a member went over all tasks of the job, so a leader hung when a gang of 10,000 broke beside other steps.
+test("the runs of a broken gang are stopped once, and those of its next start again", t => {
+    const { spec } = createJob("j", createStep("solver", false, { tasks: 3, mode: "gang" }));
+    const job = ActiveJob.create(spec, 0, undefined);
+    job.openDue(0);
+    const tasks = [...job.tasks()];
+    const worker = createWorker();
+    const runs = tasks.map(task => assign(worker, task));
+    tasks[0].run = undefined;
+    t.deepEqual(job.gangRunsToStop(tasks[0], runs[0].record.run), runs.slice(1));
+    tasks[1].run = undefined;
+    t.deepEqual(job.gangRunsToStop(tasks[1], runs[1].record.run), []);
+    tasks[2].run = undefined;
+    const restarted = tasks.map(task => assign(worker, task, 0, 2));
+    tasks[0].run = undefined;
+    t.deepEqual(job.gangRunsToStop(tasks[0], 2), restarted.slice(1));
+});
+
+// The estimate went over all steps for each group of each occurrence in a pass.
+test("the remaining time of a step is estimated once for all occurrences", t => {
+    let reads = 0;
+    const countEstimate = (step: StepSpec) =>
+        Object.defineProperty({ ...step }, "estimateMs", { get: () => ((reads += 1), step.estimateMs) });
+    const { spec } = createJob("j", createStep("batch", false));
+    const steps = [[], [0], [1]].map(after => countEstimate(createStep("batch", false, { after })));
+    const job = ActiveJob.create({ ...spec, steps, occurrences: 50 }, 0, undefined);
+    job.openDue(1);
+    const [first, ...others] = [...job.groups].filter(({ step }) => step === steps[0]);
+    const remainingMs = job.remainingMs(first);
+    t.is(remainingMs, 3 * createStep("batch", false).estimateMs);
+    reads = 0;
+    t.true(others.every(each => job.remainingMs(each) === remainingMs));
+    t.is(reads, 0);
+});
+
+// A call with too many arguments ended the leader, and each one after it.
+test("a step that names an earlier one 500,000 times is handled as one that names it once", t => {
+    const { spec } = createJob("j", createStep("batch", false));
+    const step = (repeats: number) => createStep("batch", false, { after: Array<number>(repeats).fill(0) });
+    const jobs = [1, 500_000].map(repeats => {
+        const repeated = { ...spec, steps: [createStep("batch", false), step(repeats)] };
+        return ActiveJob.create(decodeSpec(encodeSpec(repeated))!, 0, undefined);
+    });
+    t.is(jobs[1].objectiveMs, jobs[0].objectiveMs);
+    t.deepEqual(jobs[1].spec.steps, jobs[0].spec.steps);
+});
--- a/src/dispatch/common/jobs/test/runs.ts
+++ b/src/dispatch/common/jobs/test/runs.ts
@@ -180,9 +180,9 @@
     return job;
 }
 
-/** Assigns a task to a worker, and sends its start. @param now Time in ms. @returns The run. */
-export function assign(worker: WorkerContact, task: Task, now = 0): Run {
-    const record = { task: task.name, run: 1, worker: worker.entry.id, incarnation: 0, checkpoint: "" };
+/** Assigns a task to a worker, and sends its start. @param now Time in ms. @param number Number of the run. @returns The run. */
+export function assign(worker: WorkerContact, task: Task, now = 0, number = 1): Run {
+    const record = { task: task.name, run: number, worker: worker.entry.id, incarnation: 0, checkpoint: "" };
     const run = Run.create(task, record, new NoopRunHost(), now);
     task.run = run;
     worker.runs.set(task.name, run);
--- a/src/dispatch/common/placement/placer.ts
+++ b/src/dispatch/common/placement/placer.ts
@@ -241,14 +241,13 @@
         minSpeedPercent = 100,
     ): PlacementChoice[] | undefined {
         const chosen: PlacementChoice[] = [];
+        const counts = new Map<WorkerContact, number>();
         for (const task of tasks) {
             const { maxPerWorker } = task.step;
             const choice = this.choose(
                 task,
                 service,
-                each =>
-                    isAllowed(each) &&
-                    (maxPerWorker === undefined || chosen.filter(other => other.worker === each).length < maxPerWorker),
+                each => isAllowed(each) && (maxPerWorker === undefined || (counts.get(each) ?? 0) < maxPerWorker),
                 minSpeedPercent,
             );
             if (choice === undefined) {
@@ -256,6 +255,7 @@
                 return undefined;
             }
             chosen.push(choice);
+            counts.set(choice.worker, (counts.get(choice.worker) ?? 0) + 1);
             this.reserve(task, choice.worker);
         }
         return chosen;
--- a/src/dispatch/common/runs/startAdmission.ts
+++ b/src/dispatch/common/runs/startAdmission.ts
@@ -133,12 +133,12 @@
      */
     reasonToWithhold(run: Run, now: number): WithholdReason | undefined {
         const reason = this.reasonOf(run, now);
-        const { job, groupKey, step } = run.task;
+        const { job, step } = run.task;
         if (reason !== undefined || step.mode !== "gang") {
             return reason;
         }
         const isWithheld = (other: Run | undefined) => other?.state === "assigned" && this.reasonOf(other, now);
-        return [...job.tasks()].some(each => each.groupKey === groupKey && isWithheld(each.run)) ? "gang" : undefined;
+        return job.groupOf(run.task).tasks.some(each => isWithheld(each.run)) ? "gang" : undefined;
     }
 
     private reasonOf(run: Run, now: number): WithholdReason | undefined {
--- a/src/dispatch/common/scheduler/scheduler.ts
+++ b/src/dispatch/common/scheduler/scheduler.ts
@@ -444,7 +444,7 @@
             task.lastRun = Math.max(task.lastRun, record.run);
         }
         if (task.step.mode === "gang" && outcome !== "done") {
-            this.stopGroup(task, now);
+            this.stopGang(task, record.run, now);
         }
         this.activeJobs.recordProgress(task.job);
     }
@@ -530,12 +530,8 @@
         }
     }
 
-    private stopGroup(task: Task, now: number): void {
-        for (const each of task.job.tasks()) {
-            if (each.groupKey === task.groupKey && each.run !== undefined) {
-                this.stop(each.run, "gang-broken", now);
-            }
-        }
+    private stopGang(task: Task, endedRun: number, now: number): void {
+        task.job.gangRunsToStop(task, endedRun).forEach(run => this.stop(run, "gang-broken", now));
     }
 
     private stop(run: Run, reason: string, now: number): void {
--- a/src/jobs/common/doneSet.ts
+++ b/src/jobs/common/doneSet.ts
@@ -1,9 +1,12 @@
 /** Set of the done tasks of one step, which can be encoded as hexadecimal digits. */
 export class DoneSet {
     private readonly bits: boolean[];
+    /** Number of done tasks: each pass asks whether all are done. */
+    private count: number;
 
     private constructor(bits: boolean[]) {
         this.bits = bits;
+        this.count = bits.reduce((sum, bit) => sum + (bit ? 1 : 0), 0);
     }
 
     /** @param size Number of tasks. @param packed Digits returned by `pack`. @returns The set. */
@@ -22,22 +25,24 @@
 
     /** @param index Index of a task that is done. */
     add(index: number): void {
+        this.count += this.bits[index] ? 0 : 1;
         this.bits[index] = true;
     }
 
     /** Adds all tasks. */
     addAll(): void {
         this.bits.fill(true);
+        this.count = this.bits.length;
     }
 
     /** Whether all tasks are done. */
     get isFull(): boolean {
-        return this.bits.every(bit => bit);
+        return this.count === this.bits.length;
     }
 
     /** Whether no task is done. */
     get isEmpty(): boolean {
-        return !this.bits.some(bit => bit);
+        return this.count === 0;
     }
 
     /** @returns One hexadecimal digit for every four tasks, lowest task first. */
--- a/src/jobs/common/jobRecord.ts
+++ b/src/jobs/common/jobRecord.ts
@@ -115,7 +115,15 @@
 /** @param value Value of a record. @returns The job, or `undefined` if the value is malformed. */
 export function decodeSpec(value: string): JobSpec | undefined {
     const spec = parseJson(value);
-    return isJobSpec(spec) ? spec : undefined;
+    return isJobSpec(spec) ? withoutRepeats(spec) : undefined;
+}
+
+/** Earlier versions stored as many repeats of a dependency as the caller had stated; each review of a job visits them all. */
+function withoutRepeats(spec: JobSpec): JobSpec {
+    const { steps } = spec;
+    return steps.every(({ after }) => after.length <= steps.length)
+        ? spec
+        : { ...spec, steps: steps.map(step => ({ ...step, after: [...new Set(step.after)] })) };
 }
 
 /** @param value Value of a record. @returns The state, or `undefined` if the value is malformed. */
--- a/src/platform/common/jobDecoder.ts
+++ b/src/platform/common/jobDecoder.ts
@@ -95,7 +95,7 @@
         tasks: step.count,
         request: { cpuMillis: step.cpu ?? 0, memoryMb: step.memMb ?? 0, accelerators: step.gpu ?? 0 },
         estimateMs: step.estMs ?? 0,
-        after: step.after ?? [],
+        after: [...new Set(step.after)],
         mode: modeOf(step),
         checkpoints: step.checkpoint ?? false,
         prefersOneRack: step.sameRack ?? false,
