--- a/src/dispatch/common/runs/test/throttleController.test.ts
+++ b/src/dispatch/common/runs/test/throttleController.test.ts
@@ -75,7 +75,8 @@
     }
     t.false(worker.isUsable(1_000));
     worker.updateClock(60_000, 60_000, 60_000);
-    worker.tick(60_000);
+    worker.giveUpRuns(60_000);
+    worker.trust.tick(60_000);
     t.true(worker.isUsable(60_000));
 });
 
--- a/src/dispatch/common/workers/test/workerPool.test.ts
+++ b/src/dispatch/common/workers/test/workerPool.test.ts
@@ -7,7 +7,8 @@
 import { TaskSuspicion } from "../../failures/taskSuspicion";
 import { Run } from "../../runs/run";
 import { WorkerContact } from "../workerContact";
-import { PoolHost, WorkerPool } from "../workerPool";
+import { WorkerPool } from "../workerPool";
+import { createBusyPool, createPool, RecordingPoolHost } from "./poolFixture";
 import {
     assign,
     createJob,
@@ -25,39 +26,6 @@
 /** Time (ms) at which the next list of a worker is due, however many workers there are. */
 const LATER_MS = 5_000;
 
-class RecordingPoolHost extends PoolHost {
-    /** Workers that were lost. */
-    readonly lost: string[] = [];
-
-    override onEndReported(): void {}
-    override onRunList(): void {}
-    override onWorkerLost(worker: WorkerContact): void {
-        this.lost.push(worker.entry.id);
-    }
-    override onFenced(): void {}
-}
-
-/** @returns A pool whose workers have all answered once. */
-function createPool(workers: number) {
-    const outbox = Outbox.create<DispatchEffect>();
-    const host = new RecordingPoolHost();
-    const pool = WorkerPool.create(AUTHORITY, createLeases().book, LIMITS, host, outbox);
-    for (let index = 0; index < workers; index++) {
-        pool.register(readingOf(createWorker(`w${index}`).entry), 0);
-    }
-    const lists = () => outbox.drain().flatMap(effect => (effect.kind === "list" ? [effect] : []));
-    const answer = (now: number, incarnation = 1) => {
-        for (const { worker, order } of lists()) {
-            const list = { incarnation, running: [], ended: [] };
-            const base = { worker: worker.id, outcome: "done" as const, clockMs: now, sentAt: now };
-            pool.handleAnswer({ kind: "list-answer", order, list, ...base }, now);
-        }
-    };
-    pool.tick(0);
-    answer(0);
-    return { pool, lists, answer, host };
-}
-
 test("the number of starts in flight is limited, and accepted starts no longer count", t => {
     const { pool } = createPool(40);
     const maxStarts = pool.remainingStarts();
@@ -115,25 +83,6 @@
     );
 });
 
-/** @returns A pool with one worker that runs a task and whose ends up to number 5 are stored. */
-function createBusyPool() {
-    const { pool, lists } = createPool(1);
-    const [worker] = [...pool.all];
-    const [task] = [...createJob("j", createStep("batch", false)).tasks()];
-    assign(worker, task).fire("accepted", { now: 1 });
-    const end = { number: 5, task: "x.0.0.0", run: 1, end: "done" as const, checkpoint: "" };
-    worker.processEnd(end);
-    worker.markRecorded(5, 1);
-    worker.updateKeptEnds([end]);
-    report([...worker.runs.values()][0], 0, 1);
-    const list = (now: number) => {
-        pool.requestListSoon(worker, now);
-        pool.tick(now);
-        return lists()[0];
-    };
-    return { pool, worker, list };
-}
-
 test("a list request to a silent worker confirms no ends, since the worker may have restarted", t => {
     const { pool, list } = createBusyPool();
     const { worker, order } = list(10);
--- a/src/dispatch/common/workers/workerContact.ts
+++ b/src/dispatch/common/workers/workerContact.ts
@@ -47,6 +47,9 @@
  */
 const FIRST_ANSWER_MS = 1_000;
 
+/** Time for which a worker must seem unlisted before it counts as silent, in ms: a loop that was late handles answers within it. */
+const UNLISTED_GRACE_MS = 500;
+
 /** How far drift may put a worker's clock behind its estimate, in ms; a clock further behind shows a restart. */
 const MAX_CLOCK_LAG_MS = 500;
 
@@ -119,6 +122,8 @@
     /** Time from the list before the latest one to that one, in ms: an end in it was at most this old when it arrived. */
     listGapMs: number | undefined;
     private unansweredBy: number | undefined;
+    /** Time (ms) since which it seems unlisted. */
+    private unlistedSince: number | undefined;
     /** Earliest time (ms) at which it may leave, if it is draining. */
     leavesAt: number | undefined;
     /** Time (ms) before which it is given no tasks, after it rejected a start as full or unhealthy. */
@@ -336,19 +341,44 @@
         this.machine.fire("unanswered", now);
     }
 
-    /** Gives up the runs whose lease has expired, and starts a trial that is due. @param now Time in ms. */
-    tick(now: number): void {
+    /**
+     * Marks a reachable worker as silent if its runs have lost their lease since no list has arrived. It may answer other orders, or these
+     * may keep its list from being sent.
+     * @param now Time in ms.
+     */
+    reviewListing(now: number): void {
+        if (!this.isUnlisted(now)) {
+            this.unlistedSince = undefined;
+            return;
+        }
+        this.unlistedSince ??= now;
+        if (now - this.unlistedSince >= UNLISTED_GRACE_MS) {
+            this.onNoAnswer(now);
+        }
+    }
+
+    /** @param now Time in ms. @returns Whether a list of it has arrived within the longest lease. */
+    wasListedOfLate(now: number): boolean {
+        return now - (this.heardAt ?? this.knownSince) <= this.longestLeaseMs;
+    }
+
+    private isUnlisted(now: number): boolean {
+        const isLate = !this.wasListedOfLate(now) && this.isLeaseExpired(now, 0);
+        return isLate && [...this.runs.values()].some(run => run.isSent);
+    }
+
+    /** Gives up the runs whose lease has expired. @param now Time in ms. */
+    giveUpRuns(now: number): void {
         if (this.isGivenUp(now)) {
             this.machine.fire("lease-expired", now);
         } else {
             this.expiredRuns(now).forEach(run => run.fire("lost", { now }));
         }
-        this.trust.tick(now);
     }
 
     /**
      * @param now Time in ms.
-     * @returns The runs that the next tick gives up, since the lease of a worker that does not answer has expired.
+     * @returns The runs that `giveUpRuns` gives up, since the lease of a worker that does not answer has expired.
      * Long-running tasks end with the lease in any case, so they need no grace period.
      */
     expiredRuns(now: number): Run[] {
@@ -555,7 +585,10 @@
     }
 
     private isLeaseExpired(now: number, graceMs: number): boolean {
-        return now > this.leaseEndsBy + LEASE_MARGIN_MS + graceMs;
+        const minMs = LEASE_MARGIN_MS + graceMs;
+        // A clock that is read after the lease shows no earlier end of it than the time of the reading.
+        const reading = this.clock?.minReadingAt(now) ?? Number.NEGATIVE_INFINITY;
+        return now > this.leaseEndsBy + minMs || reading > Math.max(this.leaseUntil, this.formerLeaseUntil) + minMs;
     }
 
     /**
--- a/src/dispatch/common/workers/workerPool.ts
+++ b/src/dispatch/common/workers/workerPool.ts
@@ -261,12 +261,12 @@
         this.lateStarts.prune(now);
         this.firstLists.releaseNext();
         for (const worker of this.contacts.values()) {
-            if (worker.state === "reachable") {
-                worker.trust.tick(now);
-            } else {
+            this.logTransition(worker, now, () => worker.reviewListing(now));
+            if (worker.state !== "reachable") {
                 this.reportLoss(worker, worker.expiredRuns(now), "lease-expired");
-                this.logTransition(worker, now, () => worker.tick(now));
+                this.logTransition(worker, now, () => worker.giveUpRuns(now));
             }
+            worker.trust.tick(now);
             if (!worker.isRegistered && worker.runs.size === 0 && !worker.isListInFlight) {
                 this.contacts.delete(worker.entry.id);
                 continue;
@@ -498,9 +498,10 @@
         });
     }
 
+    /** A worker whose lists do not count may run anything, so its lease is left to expire. */
     private extendLease(worker: WorkerContact, now: number): number | undefined {
-        const { leasesMayLastUntil } = this.authority;
-        return leasesMayLastUntil === undefined ? undefined : worker.extendLeaseToMax(leasesMayLastUntil, now);
+        const until = worker.wasListedOfLate(now) ? this.authority.leasesMayLastUntil : undefined;
+        return until === undefined ? undefined : worker.extendLeaseToMax(until, now);
     }
 
     /** A worker answers at the latest when it has survived the start of its suspected tasks, so that these are cleared. */
--- a/src/host/common/orderQueue.ts
+++ b/src/host/common/orderQueue.ts
@@ -9,6 +9,12 @@
 
 type OrderClass = (typeof ORDER_CLASSES)[number];
 
+/**
+ * The same once a stop was sent while a list waited. Unconfirmed stops are ordered again and again, and only a list shows that they are
+ * not confirmed since the worker is gone.
+ */
+const ORDER_CLASSES_AFTER_STOP: readonly OrderClass[] = ["list", "stop", "slow-down", "start", "speed-up"];
+
 /**
  * Limit of the orders to each worker that are in flight, so that none waits in the HTTP client, which knows no priorities: it has as
  * many connections to each worker.
@@ -53,6 +59,8 @@
 
 interface WorkerOrders<Order> {
     inFlight: number;
+    /** Whether a stop was sent while the list that is next waited. */
+    hasListYielded: boolean;
     readonly waiting: Map<OrderClass, Order[]>;
     readonly gate: ConfirmationGate;
 }
@@ -101,11 +109,13 @@
         if (orders === undefined || orders.inFlight >= this.limit) {
             return undefined;
         }
-        for (const orderClass of ORDER_CLASSES) {
+        const isListWaiting = (orders.waiting.get("list") ?? []).length > 0;
+        for (const orderClass of orders.hasListYielded ? ORDER_CLASSES_AFTER_STOP : ORDER_CLASSES) {
             const mayTake = orderClass !== "start" || orders.gate.isOpen;
             const order = mayTake ? orders.waiting.get(orderClass)?.shift() : undefined;
             if (order !== undefined) {
                 orders.inFlight += 1;
+                orders.hasListYielded = orderClass === "stop" && isListWaiting;
                 return { order, effect: orders.gate.admit(order.effect) };
             }
         }
@@ -134,7 +144,12 @@
 
     private ordersOf({ worker }: WorkerEffect): WorkerOrders<Order> {
         const known = this.workers.get(worker.id);
-        const orders = known ?? { inFlight: 0, waiting: new Map(), gate: ConfirmationGate.create() };
+        const orders = known ?? {
+            inFlight: 0,
+            hasListYielded: false,
+            waiting: new Map(),
+            gate: ConfirmationGate.create(),
+        };
         // The map is in the order of the latest orders.
         this.workers.delete(worker.id);
         this.workers.set(worker.id, orders);
--- a/src/host/common/test/orderQueue.test.ts
+++ b/src/host/common/test/orderQueue.test.ts
@@ -66,6 +66,22 @@
     t.deepEqual(sendAll(queueOf(1, effects)), expected);
 });
 
+// Stops of a worker that had left were ordered again before their list was sent, so the worker was never found to be silent (review/13).
+test("a list waits for one stop at most, however many are ordered again", t => {
+    const queue = queueOf(1, [stop("a"), stop("b"), LIST]);
+    const sent: string[] = [];
+    for (let round = 0; round < 6; round++) {
+        const { effect } = queue.takeNext("w")!;
+        sent.push(effect.kind);
+        queue.finish(effect, NO_ANSWER);
+        queue.add({ effect: stop(`c${round}`) });
+        if (effect.kind === "list") {
+            queue.add({ effect: LIST });
+        }
+    }
+    t.deepEqual(sent, ["stop", "list", "stop", "list", "stop", "list"]);
+});
+
 test("orders of one class are sent in order of arrival", t => {
     t.deepEqual(sendAll(queueOf(1, [start("a"), start("b"), start("c")])), ["start a", "start b", "start c"]);
 });
