--- a/src/dispatch/common/jobs/activeJob.ts
+++ b/src/dispatch/common/jobs/activeJob.ts
@@ -47,6 +47,8 @@
     lastEndAt: number | undefined;
     /** State that was last published to all instances. */
     publishedState: JobState = "queued";
+    /** Whether a worker has started one of its tasks. A job with an assigned run is `running` for the leader, and `queued` for callers. */
+    hasStarted = false;
     /** Time by which the job should be finished to have its full value, in ms since the Unix epoch. */
     readonly objectiveMs: number;
     /** Whether the job has a long-running step and so runs until it is cancelled. */
@@ -83,9 +85,15 @@
         ];
         keys.forEach(key => job.open(Number(key.split(".")[0]), progress));
         (progress?.tasks ?? []).forEach(record => job.restoreTask(record));
+        job.hasStarted = hasEnds(progress);
         return job;
     }
 
+    /** State for callers, as of the latest progress record. */
+    get shownState(): JobState {
+        return this.recordedState === "running" && !this.hasStarted ? "queued" : this.recordedState;
+    }
+
     /** Task groups of the open occurrences. */
     get groups(): Iterable<TaskGroup> {
         return this.groupsByKey.values();
@@ -387,6 +395,12 @@
     return { task: name, failures, checkpoint, lastRun, suspicion: task.suspicion?.recorded, lossesInARow };
 }
 
+/** @returns Whether progress of a job shows that one of its tasks has run. */
+function hasEnds(progress: JobProgress | undefined): boolean {
+    const { done = {}, tasks = [] } = progress ?? {};
+    return Object.keys(done).length > 0 || tasks.some(({ lastRun }) => lastRun > 0);
+}
+
 /** @param name Name of a task, JOB.OCCURRENCE.STEP.INDEX. @returns Key of its group, OCCURRENCE.STEP. */
 function groupKeyOf(name: string): string {
     const [, occurrence, step] = name.split(".");
--- a/src/dispatch/common/jobs/activeJobTable.ts
+++ b/src/dispatch/common/jobs/activeJobTable.ts
@@ -213,6 +213,7 @@
         const job = ActiveJob.create(spec, specOffset, isGuest ? undefined : transfer?.progress, isGuest);
         job.transfers = transfer?.count ?? 0;
         job.publishedState = entry.state;
+        job.hasStarted ||= entry.state !== "queued";
         this.jobs.set(id, job);
         if (!isGuest) {
             this.arrivals.push(job);
@@ -268,6 +269,8 @@
         this.tasks.recordDeparture(task);
         const hasLeft = !job.hasOwnTask;
         if (hasLeft) {
+            // No other shard publishes states of this job, so callers would be told that it is queued until it ends.
+            this.recordStart(job);
             this.jobs.delete(id);
         }
         this.writers.jobs.write(
@@ -315,8 +318,7 @@
         this.recorder.record(job.spec, progress, sentAt => {
             job.unstoredRecords -= 1;
             if (!job.isGuest) {
-                this.publishState(id, job.publishedState, job.recordedState);
-                job.publishedState = job.recordedState;
+                this.publish(job, job.shownState);
             }
             if (isFinal(job.recordedState) && this.recorder.isStored(id) && this.finishing.delete(id)) {
                 this.truncateSpec(job);
@@ -330,6 +332,17 @@
         }
     }
 
+    /**
+     * Publishes a job as running. Until then callers are told that it is queued, also while a start is on its way or refused.
+     * @param job A job of which a worker has started a task, or all tasks are in other shards.
+     */
+    recordStart(job: ActiveJob): void {
+        job.hasStarted = true;
+        if (!job.isGuest && job.publishedState === "queued") {
+            this.publish(job, "running");
+        }
+    }
+
     private recordFinish(id: string, specOffset: RecordOffset, tasks: readonly TaskRecord[] = []): void {
         this.finished.add(id);
         this.recordRestarts(id, tasks);
@@ -368,6 +381,11 @@
         }
     }
 
+    private publish(job: ActiveJob, state: JobState): void {
+        this.publishState(job.spec.id, job.publishedState, state);
+        job.publishedState = state;
+    }
+
     private publishState(id: string, before: JobState, state: JobState): void {
         if (state !== before) {
             this.writers.jobs.write(jobKey("state", id), () => state);
@@ -383,8 +401,10 @@
         const job = ActiveJob.create(spec, entry.specOffset, progress, this.tasks.isGuest(entry.id));
         job.transfers = entry.transfer?.count ?? 0;
         if (!job.isGuest) {
-            this.publishState(entry.id, entry.state, job.state);
-            job.publishedState = job.state;
+            job.recordedState = job.state;
+            job.publishedState = entry.state;
+            job.hasStarted ||= entry.state !== "queued";
+            this.publish(job, job.shownState);
         }
         this.jobs.set(entry.id, job);
         this.tasks.apply(job, entry);
--- a/src/dispatch/common/jobs/test/runs.ts
+++ b/src/dispatch/common/jobs/test/runs.ts
@@ -38,6 +38,7 @@
 export class NoopRunHost extends RunHost {
     override sendStart(): void {}
     override sendStop(): void {}
+    override onStart(): void {}
     override onEnd(): void {}
 }
 
--- a/src/dispatch/common/runs/run.ts
+++ b/src/dispatch/common/runs/run.ts
@@ -27,7 +27,7 @@
     | "stop-confirmed"
     | "stop-due";
 
-type RunAction = "sendStart" | "sendStop" | "notifyEnded" | "notifyLost" | "notifyUnstarted";
+type RunAction = "sendStart" | "sendStop" | "notifyStarted" | "notifyEnded" | "notifyLost" | "notifyUnstarted";
 
 const chart = ChartRegistry.instance.register(
     ChartLoader.load<RunState, RunEvent, never, RunAction>(chartText, "run.chart.yaml", {
@@ -48,7 +48,7 @@
             "stop-due",
         ],
         guards: [],
-        actions: ["sendStart", "sendStop", "notifyEnded", "notifyLost", "notifyUnstarted"],
+        actions: ["sendStart", "sendStop", "notifyStarted", "notifyEnded", "notifyLost", "notifyUnstarted"],
     }),
 );
 
@@ -67,7 +67,7 @@
 /** Time after an order of a speed by which the run works at it, in ms. */
 const SPEED_DELAY_MS = 600;
 
-/** Sends the orders of a run and is notified of its end. */
+/** Sends the orders of a run and is notified of its start and its end. */
 export abstract class RunHost {
     /** Sends the order to start. */
     abstract sendStart(run: Run, now: number): void;
@@ -75,6 +75,9 @@
     /** Sends the order to stop. */
     abstract sendStop(run: Run, now: number): void;
 
+    /** Called when its worker is known to have started it. */
+    abstract onStart(run: Run): void;
+
     /** Called once, when the run has ended. */
     abstract onEnd(run: Run, outcome: RunOutcome, checkpoint: string, now: number): void;
 }
@@ -146,6 +149,7 @@
                     this.host.sendStart(this, now);
                 },
                 sendStop: ({ now }) => this.host.sendStop(this, now),
+                notifyStarted: () => this.host.onStart(this),
                 notifyEnded: ({ now, end }) => this.host.onEnd(this, end!.end, end!.checkpoint, now),
                 notifyLost: ({ now }) => this.host.onEnd(this, "lost", this.report?.checkpoint ?? "", now),
                 notifyUnstarted: ({ now }) => this.host.onEnd(this, "unstarted", recorded.checkpoint, now),
--- a/src/dispatch/common/scheduler/scheduler.ts
+++ b/src/dispatch/common/scheduler/scheduler.ts
@@ -323,6 +323,7 @@
             }
             return;
         }
+        this.activeJobs.recordStart(task.job);
         const run = worker.runs.get(end.task);
         if (run?.record.run === end.run) {
             run.fire("ended", { now, end });
@@ -414,6 +415,11 @@
         this.pacer.requestBy(at);
     }
 
+    /** Handles a start that a worker has carried out. */
+    onRunStart({ task }: Run): void {
+        this.activeJobs.recordStart(task.job);
+    }
+
     /** Handles the end of a run: finishes its task if the end does so, counts a failure or lets the task wait again. */
     onRunEnd(run: Run, outcome: RunOutcome, checkpoint: string, now: number): void {
         const { task, record } = run;
--- a/src/dispatch/common/scheduler/schedulerRunHost.ts
+++ b/src/dispatch/common/scheduler/schedulerRunHost.ts
@@ -1,14 +1,15 @@
 import { Run, RunHost, RunOutcome } from "../runs/run";
 import { RunOrders } from "../runs/runOrders";
 
-/** Handles the ends of runs. */
+/** Handles the starts and ends of runs. */
 export interface RunCalls {
     /** Time in ms since the Unix epoch, as of the latest event. */
     readonly wallTime: number;
+    onRunStart(run: Run): void;
     onRunEnd(run: Run, outcome: RunOutcome, checkpoint: string, now: number): void;
 }
 
-/** Sends the orders of runs, and forwards their ends to the scheduler. */
+/** Sends the orders of runs, and forwards their starts and ends to the scheduler. */
 export class SchedulerRunHost extends RunHost {
     private constructor(
         private readonly scheduler: RunCalls,
@@ -17,7 +18,7 @@
         super();
     }
 
-    /** @param scheduler Handles the ends. @param orders Sends the orders. @returns The host. */
+    /** @param scheduler Handles the starts and ends. @param orders Sends the orders. @returns The host. */
     static create(scheduler: RunCalls, orders: RunOrders): SchedulerRunHost {
         return new SchedulerRunHost(scheduler, orders);
     }
@@ -30,6 +31,10 @@
         this.orders.sendStop(run);
     }
 
+    override onStart(run: Run): void {
+        this.scheduler.onRunStart(run);
+    }
+
     override onEnd(run: Run, outcome: RunOutcome, checkpoint: string, now: number): void {
         this.scheduler.onRunEnd(run, outcome, checkpoint, now);
     }
--- a/src/dispatch/common/scheduler/test/schedulerFixture.ts
+++ b/src/dispatch/common/scheduler/test/schedulerFixture.ts
@@ -36,6 +36,10 @@
     readonly confirmed = new Map<string, number>();
     /** Workers that do not answer. */
     readonly silent = new Set<string>();
+    /** Workers that reject all starts. */
+    readonly unhealthy = new Set<string>();
+    /** Values of the records that were stored in the stream of jobs, by key. */
+    readonly published = new Map<string, string | undefined>();
     /** Lists that the workers answer with. */
     readonly lists = new Map<string, RunList>();
     private readonly outbox = Outbox.create<DispatchEffect>();
@@ -171,7 +175,10 @@
         }
         if (effect.kind === "append") {
             const result = { ok: true, val: 0 } as never;
-            const { sequence } = effect.append;
+            const { sequence, records } = effect.append;
+            if (effect.stream === "jobs") {
+                records.forEach(({ key, value }) => this.published.set(key, value));
+            }
             const writer = this.writers.find(each => each.name === effect.writer)!;
             writer.handleAnswer({ kind: "append-answer", writer: effect.writer, sequence, result }, this.now);
             return;
@@ -193,6 +200,14 @@
         if (effect.kind === "start") {
             const { task, run } = effect.order;
             this.starts.push({ worker: id, order: effect.order, sentAt: this.now });
+            if (this.unhealthy.has(id)) {
+                const rejection = { ...base, outcome: "unhealthy" as const };
+                this.scheduler.handleWorkerAnswer(
+                    { kind: "start-answer", order: effect.order, ...rejection },
+                    this.now,
+                );
+                return;
+            }
             const others = this.lists.get(id)?.running.filter(each => each.task !== task) ?? [];
             const latency = this.latencies.get(task);
             const latencyOrUsage = latency ?? 8_000;
