Metrics count starts that workers have carried out

They are taken from the answer or the list that shows the start now. The log lines are as before.

473 tests of dispatch and host pass; the changed tests of the metrics send the line of an order beside the start, and count the latter only.

--- a/src/dispatch/common/runs/runOrders.ts
+++ b/src/dispatch/common/runs/runOrders.ts
@@ -78,6 +78,13 @@
         });
     }
 
+    /** Reports that a worker has carried out the order to start a run. @param wallNow Time in ms since the Unix epoch. */
+    reportStart({ task, place, isInherited }: Run, wallNow: number): void {
+        if (!isInherited) {
+            this.context.effects.emit({ kind: "task-started", waitedMs: firstWaitMs(task, wallNow), place });
+        }
+    }
+
     /** Sends the order to stop a run. */
     sendStop(run: Run): void {
         const worker = this.pool.find(run.record.worker);
--- a/src/dispatch/common/scheduler/dispatchEffects.ts
+++ b/src/dispatch/common/scheduler/dispatchEffects.ts
@@ -1,3 +1,4 @@
+import { PlaceOutcome } from "../locality/placeReporter";
 import { RecordWriterEffect } from "../../../records/common/recordEvents";
 import { WorkerEffect } from "../workers/workerMessages";
 
@@ -70,5 +71,14 @@
     readonly data: DecisionData;
 }
 
+/** A start that a worker has carried out, for the metrics. */
+export interface TaskStartedEffect {
+    readonly kind: "task-started";
+    /** Time since the job was accepted, in ms, or `undefined` if the task ran before or depends on other steps. */
+    readonly waitedMs: number | undefined;
+    /** Where it has started, or `undefined` if that does not matter. */
+    readonly place: PlaceOutcome | undefined;
+}
+
 /** Effects of the scheduler. */
-export type DispatchEffect = RecordWriterEffect | WorkerEffect | DecisionEffect;
+export type DispatchEffect = RecordWriterEffect | WorkerEffect | DecisionEffect | TaskStartedEffect;
--- a/src/dispatch/common/scheduler/schedulerRunHost.ts
+++ b/src/dispatch/common/scheduler/schedulerRunHost.ts
@@ -32,6 +32,7 @@
     }
 
     override onStart(run: Run): void {
+        this.orders.reportStart(run, this.scheduler.wallTime);
         this.scheduler.onRunStart(run);
     }
 
--- a/src/host/node/jobMetrics.ts
+++ b/src/host/node/jobMetrics.ts
@@ -1,6 +1,6 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import { RequestKind } from "../../dispatch/common/placement/requestKind";
-import { DecisionData, DecisionName } from "../../dispatch/common/scheduler/dispatchEffects";
+import { DecisionData, DecisionName, TaskStartedEffect } from "../../dispatch/common/scheduler/dispatchEffects";
 import { Refusal } from "../../ingress/common/ingressGuard";
 import { UnavailableReason } from "../../jobs/common/jobCall";
 import { StreamName } from "../../records/common/recordStore";
@@ -126,7 +126,7 @@
         });
         this.startWaits = new Histogram({
             name: "wigeonstall_start_wait_seconds",
-            help: "Time from the acceptance of a job to the start of each of its tasks that had to wait for no other.",
+            help: "Time from the acceptance of a job until a worker had started each of its tasks that had to wait for no other.",
             buckets: START_WAIT_BUCKETS_S,
             registers,
         });
@@ -216,13 +216,16 @@
             const { shard = 0, service = "" } = data;
             this.lastingWaits.set({ shard: String(shard), service: String(service) }, data.waiting);
         }
-        if (name === "run-started" && typeof data.waitedMs === "number") {
-            this.startWaits.observe(data.waitedMs / MS_PER_SECOND);
+    }
+
+    /** Records a start that a worker has carried out. */
+    recordStart({ waitedMs, place }: Pick<TaskStartedEffect, "waitedMs" | "place">): void {
+        if (waitedMs !== undefined) {
+            this.startWaits.observe(waitedMs / MS_PER_SECOND);
         }
-        if (typeof data.place === "string") {
-            const { place, placeReason = "", placeWaitMs } = data;
-            this.places.inc({ place, reason: String(placeReason) });
-            this.placeWaits.observe({ place }, Number(placeWaitMs) / MS_PER_SECOND);
+        if (place !== undefined) {
+            this.places.inc({ place: place.kind, reason: place.reason });
+            this.placeWaits.observe({ place: place.kind }, place.waitedMs / MS_PER_SECOND);
         }
     }
 
--- a/src/host/node/jobPerformers.ts
+++ b/src/host/node/jobPerformers.ts
@@ -106,6 +106,9 @@
                 this.metrics.recordDecision(effect.name, effect.data);
                 this.log.log(effect.name, effect.data, importanceOf(effect.name));
                 break;
+            case "task-started":
+                this.metrics.recordStart(effect);
+                break;
             case "record-dropped": {
                 const { stream, key, bytes } = effect;
                 this.log.log("record-dropped", { stream, key, bytes, limit: MAX_RECORD_BYTES });
--- a/src/host/node/test/jobMetrics.test.ts
+++ b/src/host/node/test/jobMetrics.test.ts
@@ -24,8 +24,11 @@
 
 test("the wait is observed for the first start of a task only", async t => {
     const metrics = JobMetrics.create();
+    // An order to start is no start: the worker may reject it, and the task is started elsewhere.
+    metrics.recordDecision("run-started", { task: "a", waitedMs: 40 });
     metrics.recordDecision("run-started", { task: "a", waitedMs: 80 });
-    metrics.recordDecision("run-started", { task: "a", waitedMs: undefined });
+    metrics.recordStart({ waitedMs: 80, place: undefined });
+    metrics.recordStart({ waitedMs: undefined, place: undefined });
     const text = await metrics.text();
     t.true(text.includes("wigeonstall_start_wait_seconds_count 1"));
     t.true(text.includes('wigeonstall_decisions_total{decision="run-started",outcome=""} 2'));
@@ -33,9 +36,10 @@
 
 test("starts are counted by whether they are on the rack that the task prefers, with the wait for it", async t => {
     const metrics = JobMetrics.create();
-    metrics.recordDecision("run-started", { task: "a", place: "near", placeReason: "room", placeWaitMs: 300 });
-    metrics.recordDecision("run-started", { task: "b", place: "elsewhere", placeReason: "costly", placeWaitMs: 0 });
-    metrics.recordDecision("run-started", { task: "c" });
+    metrics.recordDecision("run-started", { task: "a", place: "near", placeReason: "room", placeWaitMs: 200 });
+    metrics.recordStart({ waitedMs: undefined, place: { kind: "near", reason: "room", waitedMs: 300 } });
+    metrics.recordStart({ waitedMs: undefined, place: { kind: "elsewhere", reason: "costly", waitedMs: 0 } });
+    metrics.recordStart({ waitedMs: undefined, place: undefined });
     const text = await metrics.text();
     t.true(text.includes('wigeonstall_placed_tasks_total{place="near",reason="room"} 1'));
     t.true(text.includes('wigeonstall_placed_tasks_total{place="elsewhere",reason="costly"} 1'));
--- a/src/proof/node/trialProcessor.ts
+++ b/src/proof/node/trialProcessor.ts
@@ -73,6 +73,10 @@
     /** @returns Time that an effect takes, in ms of a whole core. */
     private costOf(effect: JobInstanceEffect): number {
         const { effectMs, startMs = 0, listMs = 0 } = this.costs;
+        if (effect.kind === "task-started") {
+            // An observation of a metric, which was part of the line of the order before.
+            return 0;
+        }
         return effectMs + (effect.kind === "start" ? startMs : effect.kind === "list" ? listMs : 0);
     }
 
