--- a/src/dispatch/common/jobs/activeJobTable.ts
+++ b/src/dispatch/common/jobs/activeJobTable.ts
@@ -14,6 +14,9 @@
 import { isFinishedBy, Task } from "./task";
 import { JobPlaces, TaskTransferTable, UNDIVIDED_PLACES } from "../shards/taskTransferTable";
 
+/** Interval between publications of jobs that have started, in ms. Callers accept counts of queued jobs up to 2 s old. */
+const START_PUBLICATION_INTERVAL_MS = 250;
+
 /** The leader's writers. */
 export interface LeaderWriters {
     /** Writes to the stream that all instances follow. */
@@ -48,6 +51,9 @@
     private arrivals: ActiveJob[] = [];
     /** Offsets of the specs of finished jobs that other shards have. */
     private readonly finishedGuests = new Map<string, RecordOffset>();
+    /** Jobs that have started and are not published as such. */
+    private readonly started = new Set<ActiveJob>();
+    private startsPublishedAt = Number.NEGATIVE_INFINITY;
     private readonly recorder: ProgressRecorder;
     private readonly tasks: TaskTransferTable;
     private readonly didCancel = Emitter.create<ActiveJob>();
@@ -269,8 +275,10 @@
         this.tasks.recordDeparture(task);
         const hasLeft = !job.hasOwnTask;
         if (hasLeft) {
-            // No other shard publishes states of this job, so callers would be told that it is queued until it ends.
-            this.recordStart(job);
+            if (!job.isGuest && job.publishedState === "queued") {
+                // No other shard publishes states of this job, so callers would be told that it is queued until it ends.
+                this.publish(job, "running");
+            }
             this.jobs.delete(id);
         }
         this.writers.jobs.write(
@@ -333,14 +341,28 @@
     }
 
     /**
-     * Publishes a job as running. Until then callers are told that it is queued, also while a start is on its way or refused.
-     * @param job A job of which a worker has started a task, or all tasks are in other shards.
+     * Records that a worker has started a task of a job. Until this is published, callers are told that the job is queued, also while a start
+     * is on its way or rejected.
      */
     recordStart(job: ActiveJob): void {
         job.hasStarted = true;
         if (!job.isGuest && job.publishedState === "queued") {
-            this.publish(job, "running");
+            this.started.add(job);
+        }
+    }
+
+    /** Publishes the jobs that have started and are still in the table. @param now Time in ms. */
+    publishStarts(now: number): void {
+        if (now - this.startsPublishedAt < START_PUBLICATION_INTERVAL_MS) {
+            return;
+        }
+        this.startsPublishedAt = now;
+        for (const job of this.started) {
+            if (job.publishedState === "queued" && this.jobs.get(job.spec.id) === job) {
+                this.publish(job, "running");
+            }
         }
+        this.started.clear();
     }
 
     private recordFinish(id: string, specOffset: RecordOffset, tasks: readonly TaskRecord[] = []): void {
--- a/src/dispatch/common/scheduler/scheduler.ts
+++ b/src/dispatch/common/scheduler/scheduler.ts
@@ -249,6 +249,7 @@
         this.pool.tick(now);
         this.mover.tick(now);
         this.failures.recordUptime(this.pool.busyCount, now);
+        this.activeJobs.publishStarts(now);
         this.pruner.tick(now);
         this.modelRecorder.tick(now);
         this.pacer.tick(now);
