--- a/src/dispatch/common/jobs/activeJob.ts
+++ b/src/dispatch/common/jobs/activeJob.ts
@@ -1,6 +1,7 @@
 import { DoneSet } from "../../../jobs/common/doneSet";
 import { JobProgress, TaskRecord } from "../../../jobs/common/jobRecord";
 import { JobSpec, JobState, StepSpec } from "../../../jobs/common/jobSpec";
+import { OccurrenceSet } from "../../../jobs/common/occurrenceSet";
 import { isFinal } from "../../../jobs/common/jobTable";
 import { TaskTransfer } from "../../../jobs/common/taskTransfer";
 import { ActiveTask } from "./activeTask";
@@ -17,15 +18,21 @@
     readonly tasks: readonly Task[];
 }
 
-/** Number of unfinished tasks from which no further occurrence of a job is opened: many may be due at once. */
-const MAX_OPEN_TASKS = 20_000;
+/** Number of tasks with which no further occurrence of a job is opened: many may be due at once. */
+export const MAX_OPEN_TASKS = 20_000;
 
 /** A job that is not finished, with its tasks. The tasks of an occurrence are created when it is due. */
 export class ActiveJob {
     private readonly groupsByKey = new Map<string, TaskGroup>();
     /** Occurrences of which all steps are done. */
-    private readonly finishedOccurrences = new Set<number>();
+    private readonly finishedOccurrences = OccurrenceSet.create();
+    /** Those of which nothing but that is kept. */
+    private readonly closedOccurrences = OccurrenceSet.create();
+    /** Finished occurrences that are closed once their tasks have no runs. */
+    private readonly closing = new Set<number>();
     private openedCount = 0;
+    private unfinishedGroups = 0;
+    private readonly tasksPerOccurrence: number;
     private readonly runs = new Set<Run>();
     /** Result of `remainingMs` for each step, which all occurrences share. */
     private readonly remainingMsByStep = new Map<StepSpec, number>();
@@ -66,6 +73,7 @@
         const { queue } = spec;
         this.objectiveMs = spec.acceptedAtMs + queue.stretch * criticalPathMs(spec.steps) + queue.slackMs;
         this.occurrences = Math.max(1, spec.occurrences);
+        this.tasksPerOccurrence = spec.steps.reduce((sum, { tasks }) => sum + tasks, 0);
         this.isLongRunning = spec.steps.some(step => step.mode === "long-running");
     }
 
@@ -79,11 +87,17 @@
     static create(spec: JobSpec, specOffset: number, progress: JobProgress | undefined, isGuest = false): ActiveJob {
         const job = new ActiveJob(spec, specOffset, isGuest);
         job.state = progress?.state ?? (isGuest ? "running" : "queued");
-        const keys = [
-            ...Object.keys(progress?.done ?? {}),
-            ...[...(progress?.tasks ?? []), ...(progress?.runs ?? [])].map(each => groupKeyOf(each.task)),
-        ];
-        keys.forEach(key => job.open(Number(key.split(".")[0]), progress));
+        const occupied = [...(progress?.tasks ?? []), ...(progress?.runs ?? [])].map(each => groupKeyOf(each.task));
+        const open = new Set(occupied.map(occurrenceOf));
+        for (const occurrence of new Set(Object.keys(progress?.done ?? {}).map(occurrenceOf))) {
+            if (!open.has(occurrence) && job.canCloseRestored(occurrence, progress!)) {
+                job.finishedOccurrences.add(occurrence);
+                job.closedOccurrences.add(occurrence);
+            } else {
+                open.add(occurrence);
+            }
+        }
+        open.forEach(occurrence => job.open(occurrence, progress));
         (progress?.tasks ?? []).forEach(record => job.restoreTask(record));
         job.hasStarted = hasEnds(progress);
         return job;
@@ -148,29 +162,64 @@
         return this.groupsByKey.get(groupKeyOf(name))?.tasks[index];
     }
 
+    /** Number of tasks that it keeps beyond those of one occurrence. */
+    get tasksAhead(): number {
+        return Math.max(0, (this.groupsByKey.size / Math.max(1, this.spec.steps.length) - 1) * this.tasksPerOccurrence);
+    }
+
     /**
-     * Opens the occurrences that are due.
+     * Closes the occurrences that are finished, and opens those that are due.
      * @param wallNow Time in ms since the Unix epoch.
+     * @param maxTasksAhead How many tasks it may keep beyond those of one occurrence. One occurrence is open in any case.
      * @returns Whether one was opened.
      */
-    openDue(wallNow: number): boolean {
+    openDue(wallNow: number, maxTasksAhead = MAX_OPEN_TASKS - this.tasksPerOccurrence): boolean {
+        this.closing.forEach(each => this.close(each));
         const openedBefore = this.openedCount;
-        let openTasks: number | undefined;
         while (this.openedCount < this.occurrences && this.dueMs(this.openedCount) <= wallNow) {
-            openTasks ??= this.countOpenTasks();
-            if (openTasks >= MAX_OPEN_TASKS) {
+            const isKnown = this.closedOccurrences.has(this.openedCount) || this.isOpen(this.openedCount);
+            const hasRoom = this.unfinishedGroups === 0 || this.tasksAhead + this.tasksPerOccurrence <= maxTasksAhead;
+            if (!isKnown && !hasRoom) {
                 break;
             }
-            this.open(this.openedCount, undefined);
+            if (!isKnown) {
+                this.open(this.openedCount, undefined);
+            }
             this.openedCount += 1;
-            openTasks += this.spec.steps.reduce((sum, { tasks }) => sum + tasks, 0);
         }
         return this.openedCount > openedBefore;
     }
 
-    /** @returns Upper bound of the number of tasks of open occurrences that are not done. */
-    private countOpenTasks(): number {
-        return [...this.groups].reduce((sum, group) => sum + (group.done.isFull ? 0 : group.tasks.length), 0);
+    private isOpen(occurrence: number): boolean {
+        return this.groupsByKey.has(`${occurrence}.0`);
+    }
+
+    /** Forgets the tasks of a finished occurrence, unless their runs go on or count for later ends. */
+    private close(occurrence: number): void {
+        const tasks = this.groupsOf(occurrence).flatMap(group => group.tasks);
+        if (tasks.some(({ run }) => run !== undefined)) {
+            return;
+        }
+        this.closing.delete(occurrence);
+        if (tasks.every(task => !task.hasLostRun && task.suspicion === undefined && task.transfers === 0)) {
+            for (const { key } of this.groupsOf(occurrence)) {
+                this.groupsByKey.delete(key);
+                this.stoppedGangRuns.delete(key);
+            }
+            this.closedOccurrences.add(occurrence);
+            this.recordChange();
+        }
+    }
+
+    /** @returns Whether progress shows that all tasks of an occurrence are done. */
+    private canCloseRestored(occurrence: number, { done = {} }: JobProgress): boolean {
+        return (
+            this.occurrences > 1 &&
+            this.spec.steps.every(
+                ({ tasks, mode }, step) =>
+                    mode !== "long-running" && done[`${occurrence}.${step}`] === DoneSet.packFull(tasks),
+            )
+        );
     }
 
     /** @returns Whether all steps on which the group's step depends are done. Only tasks that were ready are transferred. */
@@ -216,19 +265,21 @@
     markDone(task: Task): void {
         const group = this.groupOf(task);
         this.recordChange();
+        const wasFull = group.done.isFull;
         if (task.step.mode === "gang") {
-            group.tasks.forEach(each => group.done.add(each.index));
+            group.done.addAll();
         } else {
             group.done.add(task.index);
         }
-        if (group.done.isFull && this.groupsOf(group.occurrence).every(each => each.done.isFull)) {
-            this.finishedOccurrences.add(group.occurrence);
+        if (group.done.isFull && !wasFull) {
+            this.unfinishedGroups -= 1;
+            this.recordFinished(group.occurrence);
         }
     }
 
     /** @param task A task. @returns Whether it is done. */
     isTaskDone(task: Task): boolean {
-        return this.groupOf(task).done.has(task.index);
+        return this.groupsByKey.get(task.groupKey)?.done.has(task.index) ?? true;
     }
 
     /** @param task One of its tasks. @returns The group of the task. */
@@ -258,7 +309,8 @@
                 }
             }
         }
-        return { epoch, state: this.state, done, runs, tasks, transfers: this.transfers };
+        const closed = this.closedOccurrences;
+        return { epoch, state: this.state, done, runs, tasks, transfers: this.transfers, closed };
     }
 
     /**
@@ -345,7 +397,7 @@
     }
 
     private open(occurrence: number, progress: JobProgress | undefined): void {
-        if (this.groupsByKey.has(`${occurrence}.0`)) {
+        if (this.isOpen(occurrence)) {
             return;
         }
         this.recordChange();
@@ -364,9 +416,17 @@
                 return task;
             });
             this.groupsByKey.set(key, { key, step, occurrence, done, tasks });
+            this.unfinishedGroups += done.isFull ? 0 : 1;
         });
+        this.recordFinished(occurrence);
+    }
+
+    private recordFinished(occurrence: number): void {
         if (this.groupsOf(occurrence).every(each => each.done.isFull)) {
             this.finishedOccurrences.add(occurrence);
+            if (this.occurrences > 1) {
+                this.closing.add(occurrence);
+            }
         }
     }
 
@@ -407,6 +467,11 @@
     return `${occurrence}.${step}`;
 }
 
+/** @param key Key of a group, OCCURRENCE.STEP. @returns Number of its occurrence. */
+function occurrenceOf(key: string): number {
+    return Number(key.split(".")[0]);
+}
+
 /** @param steps Steps of a job. @returns Estimated duration of the longest chain of dependent steps, in ms. */
 export function criticalPathMs(steps: readonly StepSpec[]): number {
     const endsMs: number[] = [];
--- a/src/dispatch/common/jobs/activeJobTable.ts
+++ b/src/dispatch/common/jobs/activeJobTable.ts
@@ -1,5 +1,13 @@
 import { Emitter } from "../../../base/common/emitter";
-import { encodeSpec, jobIdOf, jobKey, JobProgress, RunRecord, TaskRecord } from "../../../jobs/common/jobRecord";
+import {
+    encodeSpec,
+    jobIdOf,
+    jobKey,
+    JobProgress,
+    RunRecord,
+    TaskRecord,
+    withClosed,
+} from "../../../jobs/common/jobRecord";
 import { JobSpec, JobState } from "../../../jobs/common/jobSpec";
 import { isFinal, JobEntry } from "../../../jobs/common/jobTable";
 import { encodeTransfer } from "../../../jobs/common/jobTransfer";
@@ -250,7 +258,7 @@
     transfer(job: ActiveJob, shard: number): boolean {
         const { id } = job.spec;
         const count = job.transfers + 1;
-        const progress = job.state === "queued" ? undefined : job.progress(this.epoch);
+        const progress = job.state === "queued" ? undefined : withClosed(job.progress(this.epoch), job.spec.steps);
         const record = { key: jobKey("transfer", id), value: encodeTransfer({ shard, count, progress }) };
         if (isTooLarge(record)) {
             return false;
@@ -374,12 +382,13 @@
     }
 
     /**
-     * Waits until the final state of a job is stored, for a task that is no longer in the table.
+     * Waits until what is known of a job is stored, for a task that is no longer in the table.
      * @param name Name of the task.
      * @param onStored Called when it is stored, immediately if it already is.
      */
     whenFinishStored(name: string, onStored: () => void): void {
-        const job = this.finishing.get(jobIdOf(name));
+        // The task may also be of an occurrence that is closed, of a job that goes on.
+        const job = this.finishing.get(jobIdOf(name)) ?? this.jobs.get(jobIdOf(name));
         if (job === undefined) {
             onStored();
         } else {
--- a/src/dispatch/common/jobs/dividedProgress.ts
+++ b/src/dispatch/common/jobs/dividedProgress.ts
@@ -1,6 +1,8 @@
 import { JobProgress, jobKey } from "../../../jobs/common/jobRecord";
 import { isFinal } from "../../../jobs/common/jobTable";
 import { ProgressDivision } from "../../../jobs/common/progressDivision";
+import { OccurrenceSet } from "../../../jobs/common/occurrenceSet";
+import { parsePartKey, partKey } from "../../../jobs/common/progressPart";
 import { KeyedRecord } from "../../../records/common/record";
 
 /** Limit of what is written of one job in one append, in characters: other jobs are not to wait for all of a wide one. */
@@ -17,6 +19,10 @@
     private readonly staleSince = new Map<string, number>();
     private buildCount = 0;
     private latest = new Map<string, string | undefined>();
+    /** Parts of closed occurrences whose records are stored: they are not encoded and compared again. */
+    private settled = OccurrenceSet.create();
+    /** Keys in the latest build that will not change any more. */
+    private closing = new Set<string>();
 
     private constructor(
         private readonly id: string,
@@ -48,7 +54,8 @@
 
     /** Keys of the records that are stored, or may be. */
     get keys(): Iterable<string> {
-        return this.stored.keys();
+        const settled = [...this.settled.range(0, Number.POSITIVE_INFINITY)].map(part => partKey(this.id, part));
+        return [...this.stored.keys(), ...settled];
     }
 
     /**
@@ -59,7 +66,10 @@
      */
     build(progress: JobProgress): KeyedRecord[] {
         this.buildCount += 1;
-        const values = this.division.encode(progress);
+        if (progress.closed === undefined) {
+            this.unsettle();
+        }
+        const values = this.division.encode(progress, part => this.settled.has(part));
         const keys = new Set([...this.stored.keys(), ...values.keys()]);
         for (const key of keys) {
             const isStored = this.stored.has(key) === values.has(key) && this.stored.get(key) === values.get(key);
@@ -74,6 +84,7 @@
             key !== head ? this.staleSince.get(key)! : isFinal(progress.state) ? 0 : this.staleSince.get(key)! + 0.5;
         const stale = [...this.staleSince.keys()].sort((first, second) => rankOf(first) - rankOf(second));
         this.latest = new Map();
+        this.closing = new Set();
         let length = 0;
         for (const key of stale.length > 0 ? stale : [head]) {
             const value = values.get(key);
@@ -82,6 +93,9 @@
                 break;
             }
             this.latest.set(key, value);
+            if (this.isClosed(key, progress.closed)) {
+                this.closing.add(key);
+            }
         }
         return [...this.latest].map(([key, value]) => ({ key, value }));
     }
@@ -94,8 +108,30 @@
                 this.stored.delete(key);
             } else {
                 this.stored.set(key, value);
+                this.settle(key);
             }
         }
         this.latest = new Map();
     }
+
+    private settle(key: string): void {
+        const part = parsePartKey(key)?.number;
+        if (part !== undefined && this.closing.has(key)) {
+            this.settled.add(part);
+            this.stored.delete(key);
+        }
+    }
+
+    /** A job without closed occurrences has finished, or is no job of many: its parts are deleted or written again. */
+    private unsettle(): void {
+        for (const part of this.settled.range(0, Number.POSITIVE_INFINITY)) {
+            this.stored.set(partKey(this.id, part), undefined);
+        }
+        this.settled = OccurrenceSet.create();
+    }
+
+    private isClosed(key: string, closed: OccurrenceSet | undefined): boolean {
+        const part = parsePartKey(key)?.number;
+        return part !== undefined && closed !== undefined && this.division.isClosed(part, closed);
+    }
 }
--- a/src/dispatch/common/jobs/progressRecorder.ts
+++ b/src/dispatch/common/jobs/progressRecorder.ts
@@ -1,4 +1,4 @@
-import { encodeProgress, jobKey, JobProgress } from "../../../jobs/common/jobRecord";
+import { encodeProgress, jobKey, JobProgress, withClosed } from "../../../jobs/common/jobRecord";
 import { JobSpec } from "../../../jobs/common/jobSpec";
 import { ProgressDivision } from "../../../jobs/common/progressDivision";
 import { ProgressTable } from "../../../jobs/common/progressTable";
@@ -53,7 +53,11 @@
         const known = this.divided.get(id);
         const deleting = [...(this.deleting.get(id) ?? [])];
         if (known === undefined && deleting.length <= 1 && !ProgressDivision.create(spec).isDivided) {
-            this.writer.write(jobKey("progress", id), () => encodeProgress(progress()), onStored);
+            this.writer.write(
+                jobKey("progress", id),
+                () => encodeProgress(withClosed(progress(), spec.steps)),
+                onStored,
+            );
             return;
         }
         // It replaces a deletion that waits, and has to delete what the new records do not replace.
--- a/src/dispatch/common/jobs/test/activeJobTable.test.ts
+++ b/src/dispatch/common/jobs/test/activeJobTable.test.ts
@@ -73,6 +73,16 @@
     t.is(confirmed, 2);
 });
 
+test("an end in a job that goes on is confirmed only after its progress is stored, also if its task is not kept any more", t => {
+    const { table, appends, store } = createTable();
+    let confirmed = 0;
+    table.whenFinishStored("a.7.0.0", () => (confirmed += 1));
+    const [progress] = appends();
+    t.is(confirmed, 0);
+    store("progress", progress.append.sequence);
+    t.is(confirmed, 1);
+});
+
 test("a record about a finished job does not start it again", t => {
     const { table, jobs, finish } = createTable();
     finish();
--- a/src/dispatch/common/jobs/test/dividedProgress.test.ts
+++ b/src/dispatch/common/jobs/test/dividedProgress.test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
-import { JobProgress, jobKey, RunRecord } from "../../../../jobs/common/jobRecord";
+import { decodeProgress, JobProgress, jobKey, RunRecord } from "../../../../jobs/common/jobRecord";
+import { OccurrenceSet } from "../../../../jobs/common/occurrenceSet";
 import { ProgressDivision } from "../../../../jobs/common/progressDivision";
 import { DividedProgress } from "../dividedProgress";
 
@@ -86,3 +87,47 @@
     t.is(first.key, HEAD);
     t.deepEqual([...new Set(others.map(({ value }) => value))], [undefined]);
 });
+
+/** @returns Records of a job of 1,024 occurrences of one task, and its progress with the first ones closed. */
+function createScheduled() {
+    const spec = { id: "a", steps: [{ tasks: 1 }], occurrences: 1_024 };
+    const records = DividedProgress.create("a", ProgressDivision.create(spec as never), []);
+    const closed = OccurrenceSet.create();
+    const progressOf = (count: number, open: Readonly<Record<string, string>> = {}): JobProgress => {
+        for (let occurrence = closed.size; occurrence < count; occurrence++) {
+            closed.add(occurrence);
+        }
+        return { epoch: 1, state: "running", done: open, closed };
+    };
+    return { records, progressOf };
+}
+
+// All that was done of a job was encoded and compared for each append, so that these took longer and longer.
+test("a part whose occurrences are all closed is written once, and one of others whenever it changes", t => {
+    const { records, progressOf } = createScheduled();
+    const built = records.build(progressOf(300, { "301.0": "1" }));
+    const doneIn = (key: string) => decodeProgress(built.find(each => each.key === key)!.value!)!.done!;
+    t.is(Object.keys(doneIn("q/a/0")).length, 256);
+    t.is(Object.keys(doneIn("q/a/1")).length, 300 - 256 + 1);
+    records.confirm();
+    t.deepEqual(keysOf(records, progressOf(301, { "301.0": "1" })), ["q/a/1"]);
+    records.confirm();
+    t.deepEqual([...records.keys].sort(), [HEAD, "q/a/0", "q/a/1"].sort());
+});
+
+test("a part of closed occurrences that was not stored is written again", t => {
+    const { records, progressOf } = createScheduled();
+    records.build(progressOf(256));
+    t.true(keysOf(records, progressOf(256)).includes("q/a/0"));
+});
+
+test("the parts of closed occurrences are deleted when their job has finished", t => {
+    const { records, progressOf } = createScheduled();
+    records.build(progressOf(300));
+    records.confirm();
+    const finished = records.build({ epoch: 1, state: "done" });
+    t.deepEqual(
+        finished.filter(({ value }) => value === undefined).map(({ key }) => key),
+        ["q/a/1", "q/a/0"],
+    );
+});
--- a/src/dispatch/common/scheduler/scheduler.ts
+++ b/src/dispatch/common/scheduler/scheduler.ts
@@ -32,6 +32,7 @@
 import { StepQueue } from "../waits/stepQueue";
 import { SuspectTable } from "../failures/suspectTable";
 import { RunOrders } from "../runs/runOrders";
+import { OccurrenceBudget } from "../jobs/occurrenceBudget";
 import { isFinishedBy, Task } from "../jobs/task";
 import { ViewController } from "./viewController";
 import { WaitLog } from "../waits/waitLog";
@@ -102,7 +103,8 @@
         const places = PlaceController.create(limits.crossRackFactor);
         const pace = SchedulerPace.create(context.views.loop, this.pool);
         const usage = ShardController.createUsage(context.fleet, () => this.now);
-        this.queue = StepQueue.create(queues, this.model, this.suspects, host, undefined, pace, usage, places);
+        const budget = OccurrenceBudget.create(limits.maxJobBytes);
+        this.queue = StepQueue.create(queues, this.model, this.suspects, host, undefined, pace, usage, places, budget);
         const usable = () => [...this.pool.all].filter(worker => this.admission.isUsable(worker, this.now));
         const sources = { jobs: this.activeJobs, queues, usage, usable, pace, writer: writers.jobs, log };
         this.shards = ShardController.create(context.fleet, sources);
@@ -530,11 +532,7 @@
 
     /** Stops the runs of a job that has failed or is cancelled. */
     private stopRuns(job: ActiveJob, now: number): void {
-        for (const task of job.tasks()) {
-            if (task.run !== undefined) {
-                this.stop(task.run, job.state, now);
-            }
-        }
+        job.runsLike(() => true).forEach(run => this.stop(run, job.state, now));
     }
 
     private stopGang(task: Task, endedRun: number, now: number): void {
--- a/src/dispatch/common/shards/shardBalancer.ts
+++ b/src/dispatch/common/shards/shardBalancer.ts
@@ -88,7 +88,7 @@
                 this.arrivedAt.set(job, now);
                 this.shard.log("job-adopted", { job: job.spec.id, transfers: job.transfers });
             } else {
-                job.openDue(wallNow);
+                job.openDue(wallNow, 0);
                 this.reviewArrival(job, now);
             }
         }
--- a/src/dispatch/common/waits/stepQueue.ts
+++ b/src/dispatch/common/waits/stepQueue.ts
@@ -5,6 +5,7 @@
 import { LatencyModel } from "../placement/latencyModel";
 import { MoveController } from "../runs/moveController";
 import { ObjectiveOrder } from "./objectiveOrder";
+import { OccurrenceBudget } from "../jobs/occurrenceBudget";
 import { PlaceController } from "../locality/placeController";
 import { PlacementChoice, Placer } from "../placement/placer";
 import { ProbationPlacer } from "../failures/probationPlacer";
@@ -65,6 +66,7 @@
         pace: LeaderPace | undefined,
         usage: ServiceUsage | undefined,
         private readonly places: PlaceController,
+        private readonly budget: OccurrenceBudget,
     ) {
         this.onDidPlace = places.onDidReport;
         this.waits = WaitController.create(pace, usage);
@@ -81,6 +83,7 @@
      * @param pace How long the leader takes for what it does; left out if it is not measured.
      * @param usage How much of each service is in use; that of the workers in the passes if undefined.
      * @param places Decides how long tasks wait for the rack on which they run fastest; they do not if undefined.
+     * @param budget Decides how many occurrences are open at once.
      * @returns The queue.
      */
     static create(
@@ -92,8 +95,9 @@
         pace?: LeaderPace,
         usage?: ServiceUsage,
         places = PlaceController.create(),
+        budget = OccurrenceBudget.create(),
     ): StepQueue {
-        return new StepQueue(queues, model, suspects, host, order, pace, usage, places);
+        return new StepQueue(queues, model, suspects, host, order, pace, usage, places, budget);
     }
 
     /**
@@ -157,9 +161,10 @@
 
     private orderWaiting(jobs: Iterable<ActiveJob>, now: number, wallNow: number): readonly WaitingGroup[] {
         this.index.begin(this.queues.version);
+        this.budget.begin();
         for (const job of jobs) {
             if (!isFinal(job.state)) {
-                job.openDue(wallNow);
+                this.budget.openDue(job, wallNow);
                 const kept = this.index.keep(job);
                 if (kept === undefined) {
                     this.index.add(job, this.collectWaiting(job, now, wallNow));
--- a/src/jobs/common/doneSet.ts
+++ b/src/jobs/common/doneSet.ts
@@ -45,6 +45,12 @@
         return this.count === 0;
     }
 
+    /** @param size Number of tasks. @returns What `pack` returns of a set in which all are done. */
+    static packFull(size: number): string {
+        const rest = size % 4;
+        return "f".repeat(Math.floor(size / 4)) + (rest === 0 ? "" : ((1 << rest) - 1).toString(16));
+    }
+
     /** @returns One hexadecimal digit for every four tasks, lowest task first. */
     pack(): string {
         let packed = "";
--- a/src/jobs/common/jobMemory.ts
+++ b/src/jobs/common/jobMemory.ts
@@ -1,10 +1,13 @@
 import { StepSpec } from "./jobSpec";
 
-/** Estimated memory of a job besides its texts, of each step, of each step that it waits for, and of a task that is open. */
+/** Estimated memory of a task that is open. */
+export const TASK_BYTES = 1_024;
+
+/** The same of a job besides its texts, of each step, of each step that it waits for, and of the record that a step of an occurrence is done. */
 const JOB_BYTES = 2_048;
 const STEP_BYTES = 1_024;
 const DEPENDENCY_BYTES = 16;
-const TASK_BYTES = 1_024;
+const DONE_BYTES = 128;
 
 /** Memory of a character. */
 const CHARACTER_BYTES = 2;
@@ -13,17 +16,19 @@
 export interface JobSize {
     readonly payload: string;
     readonly steps: readonly StepSpec[];
+    readonly occurrences: number;
 }
 
 /**
  * Estimates the memory of a job.
  * @param job The job.
- * @param isOpen Whether it has tasks: those of one occurrence, since few are open at once.
+ * @param isOpen Whether it has tasks: those of one occurrence. `OccurrenceBudget` bounds the others.
  * @returns Memory in bytes.
  */
-export function estimateJobBytes({ payload, steps }: JobSize, isOpen: boolean): number {
+export function estimateJobBytes({ payload, steps, occurrences }: JobSize, isOpen: boolean): number {
     const stepBytes = steps.reduce((sum, step) => sum + bytesOfStep(step, isOpen), 0);
-    return JOB_BYTES + payload.length * CHARACTER_BYTES + stepBytes;
+    const doneBytes = isOpen ? occurrences * steps.length * DONE_BYTES : 0;
+    return JOB_BYTES + payload.length * CHARACTER_BYTES + stepBytes + doneBytes;
 }
 
 function bytesOfStep(step: StepSpec, isOpen: boolean): number {
--- a/src/jobs/common/jobRecord.ts
+++ b/src/jobs/common/jobRecord.ts
@@ -1,5 +1,7 @@
 import * as z from "zod/mini";
-import { JobSpec, JobState } from "./jobSpec";
+import { DoneSet } from "./doneSet";
+import { JobSpec, JobState, StepSpec } from "./jobSpec";
+import { OccurrenceSet } from "./occurrenceSet";
 import { isJobSpec } from "./specChecker";
 
 const SPEC_PREFIX = "j/";
@@ -65,6 +67,26 @@
     readonly tasks?: readonly TaskRecord[];
     /** How often the job had been transferred between shards; 0 if undefined. */
     readonly transfers?: number;
+    /** Occurrences that are not in `done` although all of their tasks are. Records have them in `done`: see `withClosed`. */
+    readonly closed?: OccurrenceSet;
+}
+
+/**
+ * @param progress Progress of a job.
+ * @param steps Steps of the job.
+ * @returns The same with its closed occurrences in `done`, as it is recorded.
+ */
+export function withClosed(progress: JobProgress, steps: readonly StepSpec[]): JobProgress {
+    const { closed, ...recorded } = progress;
+    if (closed === undefined || closed.size === 0) {
+        return recorded;
+    }
+    const done: Record<string, string> = { ...recorded.done };
+    const digits = steps.map(({ tasks }) => DoneSet.packFull(tasks));
+    for (const occurrence of closed.range(0, Number.POSITIVE_INFINITY)) {
+        digits.forEach((each, step) => (done[`${occurrence}.${step}`] = each));
+    }
+    return { ...recorded, done };
 }
 
 /** @param kind Kind of the record. @param id Identifier of the job, or name of the task. @returns Key of the record. */
--- a/src/jobs/common/progressDivision.ts
+++ b/src/jobs/common/progressDivision.ts
@@ -1,5 +1,7 @@
+import { DoneSet } from "./doneSet";
 import { encodeProgress, jobKey, JobProgress, RunRecord, TaskRecord } from "./jobRecord";
 import { JobSpec } from "./jobSpec";
+import { OccurrenceSet } from "./occurrenceSet";
 import { encodeHead, partKey } from "./progressPart";
 
 /**
@@ -45,24 +47,44 @@
         return this.tasksPerOccurrence * Math.max(1, this.spec.occurrences) > MAX_TASKS_PER_RECORD;
     }
 
-    /** @param progress Progress of the job. @returns Its records by key, the head last. */
-    encode(progress: JobProgress): Map<string, string> {
+    /** @param part Number of a part. @param closed Occurrences that are done for good. @returns Whether it has tasks of no others. */
+    isClosed(part: number, closed: OccurrenceSet): boolean {
+        const { first, last } = this.occurrencesOf(part);
+        for (let occurrence = first; occurrence <= last; occurrence++) {
+            if (!closed.has(occurrence)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /**
+     * @param progress Progress of the job.
+     * @param isSettled Whether the record of a part is stored and does not change any more.
+     * @returns Its records by key, the head last, without those of settled parts.
+     */
+    encode(progress: JobProgress, isSettled: (part: number) => boolean = () => false): Map<string, string> {
         const { id } = this.spec;
         const { epoch, state, transfers } = progress;
         const values = new Map<string, string>();
-        for (const [number, part] of this.divide(progress)) {
+        for (const [number, part] of this.divide(progress, isSettled)) {
             values.set(partKey(id, number), encodeProgress({ epoch, state: "running", transfers, ...part }));
         }
         return values.set(jobKey("progress", id), encodeHead({ epoch, state, transfers }));
     }
 
-    private divide(progress: JobProgress): Map<number, DraftPart> {
+    private divide(progress: JobProgress, isSettled: (part: number) => boolean): Map<number, DraftPart> {
         const parts = new Map<number, DraftPart>();
         const partAt = (number: number) => {
             const part = parts.get(number) ?? { done: {}, runs: [], tasks: [] };
             parts.set(number, part);
             return part;
         };
+        const addDone = (number: number, group: string, digits: string) => {
+            if (digits !== "") {
+                partAt(number).done[group] = digits;
+            }
+        };
         (progress.runs ?? []).forEach(each => partAt(this.partOf(each.task)).runs.push(each));
         (progress.tasks ?? []).forEach(each => partAt(this.partOf(each.task)).tasks.push(each));
         for (const [group, digits] of Object.entries(progress.done ?? {})) {
@@ -71,16 +93,51 @@
             while (from < digits.length * TASKS_PER_DIGIT) {
                 const number = Math.floor((first + from) / MAX_TASKS_PER_RECORD);
                 const to = (number + 1) * MAX_TASKS_PER_RECORD - first;
-                const kept = keepDigits(digits, from, to);
-                if (kept !== "") {
-                    partAt(number).done[group] = kept;
-                }
+                addDone(number, group, keepDigits(digits, from, to));
                 from = to;
             }
         }
+        const { closed } = progress;
+        const closedTasks = (closed?.end ?? 0) * this.tasksPerOccurrence;
+        for (let number = 0; closed !== undefined && number * MAX_TASKS_PER_RECORD < closedTasks; number++) {
+            if (!isSettled(number)) {
+                this.addClosed(number, closed, addDone);
+            }
+        }
         return parts;
     }
 
+    /** Adds what a part has of the closed occurrences. */
+    private addClosed(
+        part: number,
+        closed: OccurrenceSet,
+        addDone: (part: number, group: string, digits: string) => void,
+    ): void {
+        const { first, last } = this.occurrencesOf(part);
+        const from = part * MAX_TASKS_PER_RECORD;
+        for (const occurrence of closed.range(first, last + 1)) {
+            this.spec.steps.forEach(({ tasks }, step) => {
+                const start = occurrence * this.tasksPerOccurrence + this.firstTasks[step];
+                const isInPart = start < from + MAX_TASKS_PER_RECORD && start + tasks > from;
+                if (isInPart) {
+                    const digits = keepDigits(
+                        DoneSet.packFull(tasks),
+                        from - start,
+                        from + MAX_TASKS_PER_RECORD - start,
+                    );
+                    addDone(part, `${occurrence}.${step}`, digits);
+                }
+            });
+        }
+    }
+
+    private occurrencesOf(part: number): { readonly first: number; readonly last: number } {
+        const firstTask = part * MAX_TASKS_PER_RECORD;
+        const lastTask = firstTask + MAX_TASKS_PER_RECORD - 1;
+        const last = Math.min(Math.floor(lastTask / this.tasksPerOccurrence), Math.max(1, this.spec.occurrences) - 1);
+        return { first: Math.floor(firstTask / this.tasksPerOccurrence), last };
+    }
+
     private partOf(task: string): number {
         const indexAt = task.lastIndexOf(".") + 1;
         const index = Number(task.slice(indexAt));
--- a/src/jobs/common/test/jobMemory.test.ts
+++ b/src/jobs/common/test/jobMemory.test.ts
@@ -33,3 +33,11 @@
     jobs.apply({ key: jobKey("spec", "a"), value: undefined, offset: 4 });
     t.is(jobs.heldBytes, 0);
 });
+
+test("the record of each occurrence counts as long as a job is open", t => {
+    const { spec } = createJob("a", createStep("x", false));
+    const bytesOf = (occurrences: number, isOpen: boolean) => estimateJobBytes({ ...spec, occurrences }, isOpen);
+    t.true(bytesOf(1_000_000, true) > 100_000_000);
+    t.true(bytesOf(8, true) < bytesOf(0, true) * 1.5);
+    t.is(bytesOf(1_000_000, false), bytesOf(0, false));
+});
