--- a/src/dispatch/common/runs/lateStartTable.ts
+++ b/src/dispatch/common/runs/lateStartTable.ts
@@ -1,9 +1,7 @@
+import { MAX_ORDER_AGE_MS } from "../scheduler/dispatchLimits";
 import { WorkerContact } from "../workers/workerContact";
 import { StartOrder, startKeyOf } from "../workers/workerMessages";
 
-/** Time after which an order that was not answered is not carried out any more, in ms. */
-const MAX_ORDER_AGE_MS = 20_000;
-
 /** Minimum interval between two stops of the same run, in ms. */
 const STOP_INTERVAL_MS = 800;
 
--- a/src/dispatch/common/scheduler/dispatchLimits.ts
+++ b/src/dispatch/common/scheduler/dispatchLimits.ts
@@ -43,6 +43,9 @@
  */
 export const MIN_START_VALIDITY_MS = 500;
 
+/** Time after which an order that was not answered is not carried out any more, in ms. */
+export const MAX_ORDER_AGE_MS = 20_000;
+
 /** Margin by which a lease is extended less than allowed, in ms, since the worker's clock is only estimated. */
 export const LEASE_MARGIN_MS = 100;
 
--- a/src/dispatch/common/workers/test/poolFixture.ts
+++ b/src/dispatch/common/workers/test/poolFixture.ts
@@ -1,5 +1,6 @@
 import { Outbox } from "../../../../base/common/outbox";
 import { DispatchEffect } from "../../scheduler/dispatchEffects";
+import { Run } from "../../runs/run";
 import { WorkerContact } from "../workerContact";
 import { PoolHost, WorkerPool } from "../workerPool";
 import {
@@ -66,3 +67,9 @@
     };
     return { pool, worker, list };
 }
+
+/** @returns The run of a task that was started on a worker and whose start is not answered. */
+export function startOn(worker: WorkerContact, job: string): Run {
+    const [task] = [...createJob(job, createStep("batch", false)).tasks()];
+    return assign(worker, task);
+}
--- a/src/dispatch/common/workers/test/workerListing.test.ts
+++ b/src/dispatch/common/workers/test/workerListing.test.ts
@@ -1,7 +1,9 @@
 import test from "ava";
 import { WorkerContact } from "../workerContact";
 import { WorkerPool } from "../workerPool";
-import { createBusyPool, createPool } from "./poolFixture";
+import { Run } from "../../runs/run";
+import { createJob, createStep, NoopRunHost } from "../../jobs/test/runs";
+import { createBusyPool, createPool, startOn } from "./poolFixture";
 
 /** Lets a worker answer everything but lists for some time. */
 function answerStops(pool: WorkerPool, worker: WorkerContact, fromMs: number, untilMs: number): void {
@@ -44,3 +46,31 @@
     pool.handleAnswer({ kind: "list-answer", worker: worker.entry.id, order, ...answer }, 9_010);
     t.is(worker.state, "reachable");
 });
+
+// Runs whose ends did not fit into a list were taken for lost and started again, and the ends behind them never confirmed (review/9).
+test("a run that is in neither list of a worker with further ends is not given up", t => {
+    const { pool, worker, list } = createBusyPool();
+    const [batch] = [...worker.runs.values()];
+    const end = { number: 5, task: "x.0.0.0", run: 1, end: "done" as const, checkpoint: "" };
+    const answer = (now: number, hasMoreEnds: boolean) => {
+        const runs = { incarnation: 1, running: [], ended: [end], hasMoreEnds };
+        const base = { worker: worker.entry.id, outcome: "done" as const, clockMs: now, sentAt: now - 10 };
+        pool.handleAnswer({ kind: "list-answer", order: list(now - 10).order, list: runs, ...base }, now);
+    };
+    answer(1_000, true);
+    t.is(batch.state, "running");
+    answer(2_000, false);
+    t.is(batch.state, "over");
+});
+
+test("the ends in a full list are confirmed beside inherited runs that are not listed, once their starts cannot arrive", t => {
+    const { worker, list } = createBusyPool();
+    const { record } = startOn(worker, "k");
+    const [task] = [...createJob("l", createStep("batch", false)).tasks()];
+    worker.runs.delete(record.task);
+    worker.runs.set(task.name, Run.inherit(task, { ...record, task: task.name }, new NoopRunHost(), 0));
+    t.is(list(10_000).order.recordedUpTo, 0);
+    worker.isListInFlight = false;
+    worker.recordList(20_500);
+    t.is(list(20_500).order.recordedUpTo, 5);
+});
--- a/src/dispatch/common/workers/test/workerPool.test.ts
+++ b/src/dispatch/common/workers/test/workerPool.test.ts
@@ -6,9 +6,8 @@
 import { DispatchEffect } from "../../scheduler/dispatchEffects";
 import { TaskSuspicion } from "../../failures/taskSuspicion";
 import { Run } from "../../runs/run";
-import { WorkerContact } from "../workerContact";
 import { WorkerPool } from "../workerPool";
-import { createBusyPool, createPool, RecordingPoolHost } from "./poolFixture";
+import { createBusyPool, createPool, RecordingPoolHost, startOn } from "./poolFixture";
 import {
     assign,
     createJob,
@@ -102,12 +101,6 @@
     t.is(list(50).order.recordedUpTo, 0);
 });
 
-/** @returns The run of a task that was started on a worker and whose start is not answered. */
-function startOn(worker: WorkerContact, job: string): Run {
-    const [task] = [...createJob(job, createStep("batch", false)).tasks()];
-    return assign(worker, task);
-}
-
 test("ends are not confirmed while a start is accepted by an unknown incarnation, and are once it is listed", t => {
     const { worker, list } = createBusyPool();
     const run = startOn(worker, "k");
--- a/src/dispatch/common/workers/workerContact.ts
+++ b/src/dispatch/common/workers/workerContact.ts
@@ -4,7 +4,7 @@
 import { TaskRequest } from "../../../jobs/common/jobSpec";
 import { WorkerClock } from "../../../scheduling/common/workerClock";
 import { WorkerTrust } from "../../../scheduling/common/workerTrust";
-import { LEASE_MARGIN_MS } from "../scheduler/dispatchLimits";
+import { LEASE_MARGIN_MS, MAX_ORDER_AGE_MS } from "../scheduler/dispatchLimits";
 import { Run } from "../runs/run";
 import chartText from "./workerContact.chart.yaml";
 import { ExclusionCause } from "./workerCensus";
@@ -491,13 +491,15 @@
     /**
      * Whether the ends that are recorded may be confirmed. Their numbers are those of the incarnation in the latest list.
      * If the worker has restarted since, a start that is not known to be on the listed one may run there, and the confirmation
-     * would make the new incarnation forget its end. Starts that are not answered are left to the `ConfirmationGate`.
+     * would make the new incarnation forget its end. Starts that are not answered are left to the `ConfirmationGate`. An inherited run
+     * that is not listed may have ended behind the ends in the list, which has further ones only once these are confirmed.
      */
-    get canConfirmEnds(): boolean {
+    canConfirmEnds(now: number): boolean {
+        const isKnown = (run: Run) => run.report !== undefined || run.isStartProven || isStartPending(run);
         return (
             this.state === "reachable" &&
             this.hasConfirmableEnds &&
-            [...this.runs.values()].every(run => run.report !== undefined || run.isStartProven || isStartPending(run))
+            [...this.runs.values()].every(run => isKnown(run) || isInheritedLongAgo(run, now))
         );
     }
 
@@ -604,6 +606,11 @@
     }
 }
 
+/** Whether a run was inherited so long ago that its start is not carried out any more. */
+function isInheritedLongAgo(run: Run, now: number): boolean {
+    return run.state === "inherited" && now - run.assignedAt > MAX_ORDER_AGE_MS;
+}
+
 /** Whether the start of a run is not sent yet, or not answered. */
 function isStartPending(run: Run): boolean {
     return run.state === "assigned" || run.state === "starting";
--- a/src/dispatch/common/workers/workerMessages.ts
+++ b/src/dispatch/common/workers/workerMessages.ts
@@ -73,6 +73,8 @@
     readonly incarnation: number | undefined;
     readonly running: readonly ListedRun[];
     readonly ended: readonly ListedEnd[];
+    /** Whether the worker may keep further ends: a run that is in neither list may have ended, too. */
+    readonly hasMoreEnds?: boolean;
 }
 
 /** Outcome of an order. `unreachable`: nothing was sent. `no-answer`: it may have been executed, or may still be. */
--- a/src/dispatch/common/workers/workerPool.ts
+++ b/src/dispatch/common/workers/workerPool.ts
@@ -389,7 +389,7 @@
             }
         }
         for (const run of [...worker.runs.values()]) {
-            if (!present.has(run.task.name) && run.changedAt < event.sentAt) {
+            if (!present.has(run.task.name) && run.changedAt < event.sentAt && event.list.hasMoreEnds !== true) {
                 run.fire("unlisted", { now });
             }
         }
@@ -479,7 +479,7 @@
         const isTransient = [...worker.runs.values()].some(run => TRANSIENT_STATES.has(run.state));
         // A request without an answer may still be executed, so a silent worker's lease is not extended and expires.
         const isReachable = worker.state === "reachable";
-        const isConfirming = worker.canConfirmEnds;
+        const isConfirming = worker.canConfirmEnds(now);
         // A worker that keeps ends answers at once, and starts wait until a confirmation is answered.
         const isHurried = worker.hasKeptEnds || this.authority.isAwaited(worker.entry.id);
         const mayWait = isBusy && !isTransient && isReachable && worker.mayExtendLease && !isHurried;
--- a/src/platform/common/answerDecoder.ts
+++ b/src/platform/common/answerDecoder.ts
@@ -67,13 +67,17 @@
     return isNumber(offset) ? offset : undefined;
 }
 
+/** Number of ends that a worker lists at a time. */
+const MAX_LISTED_ENDS = 500;
+
 /** Checked by hand, as all answers here: lists are the most frequent messages, and a schema costs several times as much. */
 function decodeRunList(value: Partial<Record<keyof WireLists, unknown>>): RunList | undefined {
     const { born, running = [], ended = [] } = value;
     if (!isOptionalTime(born) || !isArrayOf(running, isRunRow) || !isArrayOf(ended, isEndRow)) {
         return undefined;
     }
-    return { incarnation: born, running: running.map(toListedRun), ended: ended.map(toListedEnd) };
+    const hasMoreEnds = ended.length >= MAX_LISTED_ENDS;
+    return { incarnation: born, running: running.map(toListedRun), ended: ended.map(toListedEnd), hasMoreEnds };
 }
 
 function toListedRun([task, run, checkpoint, percent, measure]: RunRow): ListedRun {
--- a/src/platform/common/test/answerDecoder.test.ts
+++ b/src/platform/common/test/answerDecoder.test.ts
@@ -21,11 +21,21 @@
             incarnation: 7,
             running: [{ task: "a.0.0.0", run: 1, checkpoint: "", percent: 40, latencyOrUsage: 12 }],
             ended: [{ number: 3, task: "a.0.0.1", run: 2, end: "done", checkpoint: "c" }],
+            hasMoreEnds: false,
         },
     });
     t.deepEqual(decodeWorkerAnswer(409, bytes({ clockMs: 5, reason: "fence" })), { outcome: "fenced", clockMs: 5 });
 });
 
+test("a list with as many ends as it may have may be followed by others", t => {
+    const listOf = (count: number) => {
+        const ended = Array.from({ length: count }, (_, index) => [index + 1, "a.0.0.0", 1, "done", ""]);
+        return decodeWorkerAnswer(200, bytes({ clockMs: 5, ended }))?.list;
+    };
+    t.false(listOf(499)?.hasMoreEnds);
+    t.true(listOf(500)?.hasMoreEnds);
+});
+
 test("an answer that is not JSON, has another shape or breaks off counts as no answer", t => {
     const row = ["a.0.0.0", 1, "", 40];
     const malformed = [
