--- a/src/dispatch/common/jobs/dividedProgress.ts
+++ b/src/dispatch/common/jobs/dividedProgress.ts
@@ -122,7 +122,7 @@
         }
     }
 
-    /** A job without closed occurrences has finished, or is no job of many: its parts are deleted or written again. */
+    /** The progress of a finished job has no closed occurrences: the records of its parts are deleted like all others. */
     private unsettle(): void {
         for (const part of this.settled.range(0, Number.POSITIVE_INFINITY)) {
             this.stored.set(partKey(this.id, part), undefined);
