A run that a restarted worker lists was not lost with its former incarnation

Callers see a job as failed, or its tasks wait as suspects, although no worker crashed under them.

Cause: the loss of a former incarnation was reported for all runs that were ordered from it, before the list that shows the restart was compared. A start may reach a worker only after its restart; then the run is in that list, at work or ended, and was reported as lost.

Evidence: two tests with a start that only the new incarnation has carried out; the worker was reported as lost.

Change: runs in the list are not reported. LossReporter has what WorkerPool did about losses.

--- a/src/dispatch/common/workers/test/workerPool.test.ts
+++ b/src/dispatch/common/workers/test/workerPool.test.ts
@@ -6,6 +6,7 @@
 import { DispatchEffect } from "../../scheduler/dispatchEffects";
 import { TaskSuspicion } from "../../failures/taskSuspicion";
 import { Run } from "../../runs/run";
+import { RunList } from "../workerMessages";
 import { WorkerPool } from "../workerPool";
 import { createBusyPool, createPool, RecordingPoolHost, startOn } from "./poolFixture";
 import {
@@ -385,3 +386,33 @@
     const others = [1, 2, 3, 4, 5, 6].flatMap(tick => listedBy(2_000 + tick * 25));
     t.is(new Set([...first, ...others]).size, 175);
 });
+
+/** @returns A pool with one worker, on which a start is not answered, and a function that lets the worker answer a list. */
+function createStartedPool() {
+    const fixture = createPool(1);
+    const [worker] = [...fixture.pool.all];
+    const run = startOn(worker, "j");
+    const answerWith = (now: number, list: RunList) => {
+        fixture.pool.requestListSoon(worker, now);
+        fixture.pool.tick(now);
+        const [{ order }] = fixture.lists();
+        const base = { worker: "w0", outcome: "done" as const, clockMs: now, sentAt: now };
+        fixture.pool.handleAnswer({ kind: "list-answer", order, list, ...base }, now);
+    };
+    return { ...fixture, worker, run, answerWith };
+}
+
+const LISTED_RUN = { task: "j.0.0.0", run: 1, checkpoint: "", percent: 10, latencyOrUsage: 0 };
+
+for (const how of ["running", "ended"] as const) {
+    // The task of a run that a restarted worker had carried out was suspected of having crashed it.
+    test(`a run that is listed as ${how} by the new incarnation of its worker was not lost with the former one`, t => {
+        const { run, answerWith, host } = createStartedPool();
+        const running = how === "running" ? [LISTED_RUN] : [];
+        const end = { number: 1, task: "j.0.0.0", run: 1, end: "done" as const, checkpoint: "" };
+        answerWith(LATER_MS, { incarnation: 7, running, ended: how === "ended" ? [end] : [] });
+        t.deepEqual(host.lost, []);
+        t.false(run.isWorkerLost);
+        t.is(run.record.incarnation, 7);
+    });
+}
--- a/src/dispatch/common/workers/workerPool.ts
+++ b/src/dispatch/common/workers/workerPool.ts
@@ -8,11 +8,12 @@
 import { LateStartTable } from "../runs/lateStartTable";
 import { LeaseBook } from "./leaseBook";
 import { LIST_RETRY_INTERVAL_MS, listIntervalMs, TRANSIENT_STATES } from "./listInterval";
+import { LossReporter } from "./lossReporter";
 import { Run } from "../runs/run";
 import { StartLoad, StartWindow } from "../runs/startWindow";
 import { ContactState, WorkerContact } from "./workerContact";
 import { deregisteredEntry, EntryReading } from "./workerEntry";
-import { ListedEnd, WorkerEvent } from "./workerMessages";
+import { ListedEnd, RunList, WorkerEvent } from "./workerMessages";
 
 /**
  * Time for which a worker holds a list request until a run ends, in ms, and so the age of the latencies that it
@@ -77,6 +78,7 @@
     /** Median delay of the leader's loop, in ms. */
     private loopDelayMs = 0;
     private readonly probe: FenceProbe;
+    private readonly losses = LossReporter.create((...loss) => this.host.onWorkerLost(...loss));
     private readonly lateStarts = LateStartTable.create((worker, task, run) => this.sendStop(worker, task, run));
 
     private constructor(
@@ -263,7 +265,7 @@
         for (const worker of this.contacts.values()) {
             this.logTransition(worker, now, () => worker.reviewListing(now));
             if (worker.state !== "reachable") {
-                this.reportLoss(worker, worker.expiredRuns(now), "lease-expired");
+                this.losses.report(worker, worker.expiredRuns(now), "lease-expired");
                 this.logTransition(worker, now, () => worker.giveUpRuns(now));
             }
             worker.trust.tick(now);
@@ -332,7 +334,7 @@
 
     /** Another worker answers at the address. */
     private handleReplacement(worker: WorkerContact, now: number): void {
-        this.reportLoss(worker, [...worker.runs.values()], "replaced");
+        this.losses.report(worker, [...worker.runs.values()], "replaced");
         this.logTransition(worker, now, () => worker.markGone(now));
     }
 
@@ -360,8 +362,8 @@
             this.handleMissingList(worker, event, now);
             return;
         }
-        const { incarnation, running, ended } = event.list;
-        if (incarnation !== undefined && !this.updateIncarnation(worker, incarnation, event.sentAt, now)) {
+        const { running, ended } = event.list;
+        if (!this.updateIncarnation(worker, event.list, event.sentAt, now)) {
             worker.nextListAt = now + LIST_RETRY_INTERVAL_MS;
             return;
         }
@@ -416,12 +418,14 @@
         }
     }
 
-    private updateIncarnation(worker: WorkerContact, incarnation: number, sentAt: number, now: number): boolean {
+    /** @returns Whether a list is of the latest incarnation, as far as it states one. */
+    private updateIncarnation(worker: WorkerContact, list: RunList, sentAt: number, now: number): boolean {
+        const { incarnation } = list;
+        if (incarnation === undefined) {
+            return true;
+        }
+        this.losses.reportRestart(worker, list, incarnation);
         const previous = worker.incarnation;
-        // An earlier leader may have started runs on a former incarnation that this one never saw.
-        const lost = [...worker.runs.values()].filter(run => run.record.incarnation < incarnation);
-        lost.forEach(run => run.updateIncarnation(incarnation));
-        this.reportLoss(worker, lost, "restarted");
         const isLatest = worker.updateIncarnation(incarnation, sentAt, now);
         if (previous !== undefined && worker.incarnation !== previous) {
             const data = { worker: worker.entry.id, incarnation, before: previous, runs: worker.runs.size };
@@ -430,14 +434,6 @@
         return isLatest;
     }
 
-    private reportLoss(worker: WorkerContact, runs: readonly Run[], cause: WorkerLossCause): void {
-        const lost = runs.filter(run => run.isSent && !run.isWorkerLost);
-        if (lost.length > 0 && worker.leavesAt === undefined) {
-            lost.forEach(run => (run.isWorkerLost = true));
-            this.host.onWorkerLost(worker, lost, cause);
-        }
-    }
-
     /** Requests the next list, or learns which fence the worker has seen before it sees that of this leader. */
     private requestNext(worker: WorkerContact, now: number): void {
         const { id } = worker.entry;
