A run that a worker lists after its restart is lost with the next one

Callers see a task start on more workers than it may crash.

Cause: a start that was on its way while its worker restarted was marked as lost with the former incarnation. When the new one listed the run, the mark remained, so that the loss of that incarnation was not reported, and the record told the next leader so, too.

Evidence: a test in which a run is listed after a restart, and its worker restarts again: one loss instead of two.

Change: a report of the run takes the mark back.

--- a/src/dispatch/common/runs/run.ts
+++ b/src/dispatch/common/runs/run.ts
@@ -294,6 +294,8 @@
         }
         this.report = report;
         this.reportedAt = now;
+        // A loss that was counted before was that of a former incarnation, which never had the run.
+        this.isWorkerLost = false;
         this.provenMs = this.workedUntil(now);
         this.fire("listed", { now });
     }
--- a/src/dispatch/common/workers/test/workerPool.test.ts
+++ b/src/dispatch/common/workers/test/workerPool.test.ts
@@ -416,3 +416,14 @@
         t.is(run.record.incarnation, 7);
     });
 }
+
+// The restart of the worker had been counted before the start reached the new incarnation.
+test("a run that a worker lists after its restart is lost with the next one", t => {
+    const { run, answerWith, host } = createStartedPool();
+    answerWith(LATER_MS, { incarnation: 7, running: [], ended: [] });
+    t.deepEqual(host.lost, ["w0"]);
+    answerWith(2 * LATER_MS, { incarnation: 7, running: [LISTED_RUN], ended: [] });
+    t.is(run.state, "running");
+    answerWith(3 * LATER_MS, { incarnation: 9, running: [], ended: [] });
+    t.deepEqual(host.lost, ["w0", "w0"]);
+});
