A worker that is only out of reach is not lost when its lease expires

Callers see a job that lasts as failed, although no worker has crashed: its worker leaves orders unanswered until the lease expires, five times.

Cause: a lease that expires was reported as the loss of the worker, also if its entry in service discovery was renewed all the while.

Change: if the entry of the listed incarnation was written 2 s or more after the worker had stopped answering, and it is registered, its runs are given up as before, and no loss is reported. A worker that crashes renews nothing.

--- a/src/dispatch/common/workers/lossReporter.ts
+++ b/src/dispatch/common/workers/lossReporter.ts
@@ -35,10 +35,15 @@
         this.report(worker, lost, "restarted");
     }
 
-    /** Reports the loss of a worker. @param runs Its runs. @param cause How it was lost. */
+    /**
+     * Reports the loss of a worker. Runs whose lease expires on a worker that is only out of reach have ended, and did not crash it.
+     * @param runs Its runs.
+     * @param cause How it was lost.
+     */
     report(worker: WorkerContact, runs: readonly Run[], cause: WorkerLossCause): void {
         const lost = runs.filter(run => run.isSent && !run.isWorkerLost);
-        if (lost.length > 0 && worker.leavesAt === undefined) {
+        const isOutOfReach = cause === "lease-expired" && worker.isOutOfReach;
+        if (lost.length > 0 && worker.leavesAt === undefined && !isOutOfReach) {
             lost.forEach(run => (run.isWorkerLost = true));
             this.onWorkerLost(worker, lost, cause);
         }
--- a/src/dispatch/common/workers/test/workerPool.test.ts
+++ b/src/dispatch/common/workers/test/workerPool.test.ts
@@ -427,3 +427,35 @@
     answerWith(3 * LATER_MS, { incarnation: 9, running: [], ended: [] });
     t.deepEqual(host.lost, ["w0", "w0"]);
 });
+
+/** @returns Workers that are lost if one does not answer from 2 s on and its entry is renewed once. */
+function lostOf(renewal: {
+    readonly incarnation: number;
+    readonly writtenAfter: number;
+    readonly isRemoved?: boolean;
+}) {
+    const { pool, worker, run, host } = createStartedPool();
+    run.fire("accepted", { now: 1 });
+    worker.updateClock(1_000, 1_000, 1_000);
+    worker.extendLeaseToMax(Number.POSITIVE_INFINITY, 1_000);
+    worker.onNoAnswer(2_000);
+    const { incarnation, writtenAfter, isRemoved } = renewal;
+    pool.register(readingOf({ ...worker.entry, incarnation }, writtenAfter), 6_500);
+    if (isRemoved === true) {
+        pool.deregister("w0");
+    }
+    pool.tick(10_500);
+    return { state: run.state, lost: host.lost };
+}
+
+// A task whose worker was out of reach five times was given up (review/8).
+test("a worker whose entry is renewed while it does not answer is not lost when its lease expires", t => {
+    t.deepEqual(lostOf({ incarnation: 1, writtenAfter: 6_000 }), { state: "over", lost: [] });
+});
+
+test("a worker whose entry was written before it fell silent, or is of another incarnation or removed, is lost", t => {
+    const expected = { state: "over", lost: ["w0"] };
+    t.deepEqual(lostOf({ incarnation: 1, writtenAfter: 2_500 }), expected);
+    t.deepEqual(lostOf({ incarnation: 2, writtenAfter: 6_000 }), expected);
+    t.deepEqual(lostOf({ incarnation: 1, writtenAfter: 6_000, isRemoved: true }), expected);
+});
--- a/src/dispatch/common/workers/workerContact.ts
+++ b/src/dispatch/common/workers/workerContact.ts
@@ -47,6 +47,12 @@
  */
 const FIRST_ANSWER_MS = 1_000;
 
+/**
+ * Time after a worker has stopped answering from which its entry must have been written to show that it is up, in ms: what it sent
+ * before may be stored late.
+ */
+const MIN_RENEWAL_MS = 2_000;
+
 /** Time for which a worker must seem unlisted before it counts as silent, in ms: a loop that was late handles answers within it. */
 const UNLISTED_GRACE_MS = 500;
 
@@ -334,6 +340,14 @@
         return this.unansweredBy ?? now;
     }
 
+    /** Whether its entry shows that it was up long after it had stopped answering: it is out of reach, and no run has crashed it. */
+    get isOutOfReach(): boolean {
+        const { incarnation } = this.latestEntry;
+        const renewedBy = this.entryWrittenAfter ?? Number.NEGATIVE_INFINITY;
+        const isRenewed = renewedBy >= (this.unansweredBy ?? Number.POSITIVE_INFINITY) + MIN_RENEWAL_MS;
+        return this.isRegistered && isRenewed && incarnation === this.latestIncarnation;
+    }
+
     /** Handles an order that was not answered. @param now Time in ms. */
     onNoAnswer(now: number): void {
         this.isListUnanswered = true;
