The runs of a silent worker are lost together, although some of them end earlier

Callers see a sound task given up for one loss that it shared with others, or for a worker that never crashed.

Cause: the long-running tasks of a silent worker end with their leases, its other runs are given up 3 s later while its entry remains. Each part was reported as a loss of its own, so a task was accused of having been alone on the worker, and the worker counted as lost twice. If it answered within the 3 s, the first part stayed counted.

Change: the runs that end early are reported with the others, or not at all if the worker answers a list in the same incarnation.

--- a/src/dispatch/common/workers/lossReporter.ts
+++ b/src/dispatch/common/workers/lossReporter.ts
@@ -13,6 +13,9 @@
 
 /** Decides which runs were lost with their workers, and reports each of them once. */
 export class LossReporter {
+    /** Runs whose leases have expired on workers that do not answer, and that are not given up yet. */
+    private readonly expired = new WeakMap<WorkerContact, readonly Run[]>();
+
     private constructor(private readonly onWorkerLost: WorkerLossListener) {}
 
     /** @param onWorkerLost Called when a worker was lost. @returns The reporter. */
@@ -28,24 +31,52 @@
      * @param incarnation That incarnation.
      */
     reportRestart(worker: WorkerContact, { running, ended }: RunList, incarnation: number): void {
-        const former = [...worker.runs.values()].filter(run => run.record.incarnation < incarnation);
+        const runs = [...worker.runs.values()];
+        const isFormer = (run: Run) => run.record.incarnation < incarnation;
         const listed = new Set([...running, ...ended].map(startKeyOf));
-        former.forEach(run => run.updateIncarnation(incarnation));
-        const lost = former.filter(run => !listed.has(startKeyOf(run.record)));
+        const isListed = (run: Run) => listed.has(startKeyOf(run.record));
+        const lost = [...this.takeExpired(worker), ...runs.filter(isLoss)].filter(
+            run => isFormer(run) && !isListed(run),
+        );
+        runs.filter(isFormer).forEach(run => run.updateIncarnation(incarnation));
         this.report(worker, lost, "restarted");
     }
 
+    /** Reports all runs of a worker: another one answers at its address. */
+    reportReplacement(worker: WorkerContact): void {
+        this.report(worker, [...this.takeExpired(worker), ...[...worker.runs.values()].filter(isLoss)], "replaced");
+    }
+
     /**
-     * Reports the loss of a worker. Runs whose lease expires on a worker that is only out of reach have ended, and did not crash it.
-     * @param runs Its runs.
-     * @param cause How it was lost.
+     * Reports the runs of a worker that is given up, since it does not answer and its lease has expired. Its long-running tasks, whose
+     * runs end earlier, are lost together with the others. Runs on a worker that is only out of reach did not crash it.
+     * @param worker A worker that does not answer, before its runs end.
+     * @param now Time in ms.
      */
-    report(worker: WorkerContact, runs: readonly Run[], cause: WorkerLossCause): void {
-        const lost = runs.filter(run => run.isSent && !run.isWorkerLost);
-        const isOutOfReach = cause === "lease-expired" && worker.isOutOfReach;
-        if (lost.length > 0 && worker.leavesAt === undefined && !isOutOfReach) {
-            lost.forEach(run => (run.isWorkerLost = true));
-            this.onWorkerLost(worker, lost, cause);
+    reportExpiry(worker: WorkerContact, now: number): void {
+        const runs = [...this.takeExpired(worker), ...worker.expiredRuns(now).filter(isLoss)];
+        if (!worker.isGivenUp(now)) {
+            this.expired.set(worker, runs);
+        } else if (!worker.isOutOfReach) {
+            this.report(worker, runs, "lease-expired");
+        }
+    }
+
+    private takeExpired(worker: WorkerContact): readonly Run[] {
+        const runs = this.expired.get(worker) ?? [];
+        this.expired.delete(worker);
+        return runs;
+    }
+
+    private report(worker: WorkerContact, runs: readonly Run[], cause: WorkerLossCause): void {
+        if (runs.length > 0 && worker.leavesAt === undefined) {
+            runs.forEach(run => (run.isWorkerLost = true));
+            this.onWorkerLost(worker, runs, cause);
         }
     }
 }
+
+/** @returns Whether a run is lost with its worker, and that was not reported before. */
+function isLoss(run: Run): boolean {
+    return run.isSent && !run.isWorkerLost;
+}
--- a/src/dispatch/common/workers/test/poolFixture.ts
+++ b/src/dispatch/common/workers/test/poolFixture.ts
@@ -19,11 +19,14 @@
 export class RecordingPoolHost extends PoolHost {
     /** Workers that were lost. */
     readonly lost: string[] = [];
+    /** Runs that were lost with them. */
+    readonly lostRuns: Run[] = [];
 
     override onEndReported(): void {}
     override onRunList(): void {}
-    override onWorkerLost(worker: WorkerContact): void {
+    override onWorkerLost(worker: WorkerContact, runs: readonly Run[]): void {
         this.lost.push(worker.entry.id);
+        this.lostRuns.push(...runs);
     }
     override onFenced(): void {}
 }
--- a/src/dispatch/common/workers/test/workerPool.test.ts
+++ b/src/dispatch/common/workers/test/workerPool.test.ts
@@ -6,7 +6,6 @@
 import { DispatchEffect } from "../../scheduler/dispatchEffects";
 import { TaskSuspicion } from "../../failures/taskSuspicion";
 import { Run } from "../../runs/run";
-import { RunList } from "../workerMessages";
 import { WorkerPool } from "../workerPool";
 import { createBusyPool, createPool, RecordingPoolHost, startOn } from "./poolFixture";
 import {
@@ -386,76 +385,3 @@
     const others = [1, 2, 3, 4, 5, 6].flatMap(tick => listedBy(2_000 + tick * 25));
     t.is(new Set([...first, ...others]).size, 175);
 });
-
-/** @returns A pool with one worker, on which a start is not answered, and a function that lets the worker answer a list. */
-function createStartedPool() {
-    const fixture = createPool(1);
-    const [worker] = [...fixture.pool.all];
-    const run = startOn(worker, "j");
-    const answerWith = (now: number, list: RunList) => {
-        fixture.pool.requestListSoon(worker, now);
-        fixture.pool.tick(now);
-        const [{ order }] = fixture.lists();
-        const base = { worker: "w0", outcome: "done" as const, clockMs: now, sentAt: now };
-        fixture.pool.handleAnswer({ kind: "list-answer", order, list, ...base }, now);
-    };
-    return { ...fixture, worker, run, answerWith };
-}
-
-const LISTED_RUN = { task: "j.0.0.0", run: 1, checkpoint: "", percent: 10, latencyOrUsage: 0 };
-
-for (const how of ["running", "ended"] as const) {
-    // The task of a run that a restarted worker had carried out was suspected of having crashed it.
-    test(`a run that is listed as ${how} by the new incarnation of its worker was not lost with the former one`, t => {
-        const { run, answerWith, host } = createStartedPool();
-        const running = how === "running" ? [LISTED_RUN] : [];
-        const end = { number: 1, task: "j.0.0.0", run: 1, end: "done" as const, checkpoint: "" };
-        answerWith(LATER_MS, { incarnation: 7, running, ended: how === "ended" ? [end] : [] });
-        t.deepEqual(host.lost, []);
-        t.false(run.isWorkerLost);
-        t.is(run.record.incarnation, 7);
-    });
-}
-
-// The restart of the worker had been counted before the start reached the new incarnation.
-test("a run that a worker lists after its restart is lost with the next one", t => {
-    const { run, answerWith, host } = createStartedPool();
-    answerWith(LATER_MS, { incarnation: 7, running: [], ended: [] });
-    t.deepEqual(host.lost, ["w0"]);
-    answerWith(2 * LATER_MS, { incarnation: 7, running: [LISTED_RUN], ended: [] });
-    t.is(run.state, "running");
-    answerWith(3 * LATER_MS, { incarnation: 9, running: [], ended: [] });
-    t.deepEqual(host.lost, ["w0", "w0"]);
-});
-
-/** @returns Workers that are lost if one does not answer from 2 s on and its entry is renewed once. */
-function lostOf(renewal: {
-    readonly incarnation: number;
-    readonly writtenAfter: number;
-    readonly isRemoved?: boolean;
-}) {
-    const { pool, worker, run, host } = createStartedPool();
-    run.fire("accepted", { now: 1 });
-    worker.updateClock(1_000, 1_000, 1_000);
-    worker.extendLeaseToMax(Number.POSITIVE_INFINITY, 1_000);
-    worker.onNoAnswer(2_000);
-    const { incarnation, writtenAfter, isRemoved } = renewal;
-    pool.register(readingOf({ ...worker.entry, incarnation }, writtenAfter), 6_500);
-    if (isRemoved === true) {
-        pool.deregister("w0");
-    }
-    pool.tick(10_500);
-    return { state: run.state, lost: host.lost };
-}
-
-// A task whose worker was out of reach five times was given up (review/8).
-test("a worker whose entry is renewed while it does not answer is not lost when its lease expires", t => {
-    t.deepEqual(lostOf({ incarnation: 1, writtenAfter: 6_000 }), { state: "over", lost: [] });
-});
-
-test("a worker whose entry was written before it fell silent, or is of another incarnation or removed, is lost", t => {
-    const expected = { state: "over", lost: ["w0"] };
-    t.deepEqual(lostOf({ incarnation: 1, writtenAfter: 2_500 }), expected);
-    t.deepEqual(lostOf({ incarnation: 2, writtenAfter: 6_000 }), expected);
-    t.deepEqual(lostOf({ incarnation: 1, writtenAfter: 6_000, isRemoved: true }), expected);
-});
--- a/src/dispatch/common/workers/workerContact.ts
+++ b/src/dispatch/common/workers/workerContact.ts
@@ -590,7 +590,8 @@
         );
     }
 
-    private isGivenUp(now: number): boolean {
+    /** @param now Time in ms. @returns Whether all of its runs are given up: it does not answer, and its lease has expired. */
+    isGivenUp(now: number): boolean {
         const graceMs = this.isRegistered ? REGISTERED_GRACE_PERIOD_MS : 0;
         return this.isAwaitedInVain(now) && this.isLeaseExpired(now, graceMs);
     }
--- a/src/dispatch/common/workers/workerPool.ts
+++ b/src/dispatch/common/workers/workerPool.ts
@@ -265,7 +265,7 @@
         for (const worker of this.contacts.values()) {
             this.logTransition(worker, now, () => worker.reviewListing(now));
             if (worker.state !== "reachable") {
-                this.losses.report(worker, worker.expiredRuns(now), "lease-expired");
+                this.losses.reportExpiry(worker, now);
                 this.logTransition(worker, now, () => worker.giveUpRuns(now));
             }
             worker.trust.tick(now);
@@ -334,7 +334,7 @@
 
     /** Another worker answers at the address. */
     private handleReplacement(worker: WorkerContact, now: number): void {
-        this.losses.report(worker, [...worker.runs.values()], "replaced");
+        this.losses.reportReplacement(worker);
         this.logTransition(worker, now, () => worker.markGone(now));
     }
 
