A start that is not answered yet is no evidence against its task

Callers see a sound task wait as a suspect, or given up, for the crash of a worker that never got its start.

Cause: a start that was not answered counted only once the call had timed out. One that was still on its way, for example in the queue of a busy leader, while the crash came to light counted as a run that the worker had started.

Change: until it is answered, a start is treated like one that was not answered: it counts in a row only, unless a later list was answered.

--- a/src/dispatch/common/runs/run.ts
+++ b/src/dispatch/common/runs/run.ts
@@ -248,9 +248,10 @@
         return this.state !== "assigned" && this.state !== "over";
     }
 
-    /** Time (ms) at which its start was sent, if it was not answered and the worker has never reported the run. */
+    /** Time (ms) at which its start was sent, if it was not answered so far and the worker has never reported the run. */
     get unansweredSince(): number | undefined {
-        return this.hasUnansweredStart && this.report === undefined ? this.sentAt : undefined;
+        const isUnanswered = this.hasUnansweredStart || this.state === "starting";
+        return isUnanswered && this.report === undefined ? this.sentAt : undefined;
     }
 
     /** Age of the run in the latest report, in ms, without pauses: the worker has survived its work for this long. */
