A gang resumes from a checkpoint of a member whose worker was not lost

Callers see a gang repeat work that was saved, after it had been at work for more than 10 s and one of its workers was lost.

Cause: the member with the oldest checkpoint was known by its losses in a row, and a run that was at work for 10 s starts that count again. Evidence against a task says nothing about the age of its checkpoint.

Evidence: a test in which one member is lost after 12 s and the other ends broken with a newer checkpoint: both resumed from the older one.

Change: a task knows whether its latest run was lost; a new leader goes by the losses in a row, as before.

--- a/src/dispatch/common/jobs/activeTask.ts
+++ b/src/dispatch/common/jobs/activeTask.ts
@@ -12,6 +12,7 @@
     lastRun = 0;
     highestRun = 0;
     hasLostRun = false;
+    hasOldCheckpoint = false;
     suspicion: TaskSuspicion | undefined = undefined;
     lossAgeMs = 0;
     lossesInARow = 0;
--- a/src/dispatch/common/jobs/task.ts
+++ b/src/dispatch/common/jobs/task.ts
@@ -20,6 +20,8 @@
     highestRun: number;
     /** Whether a run was given up that may have ended unnoticed. */
     hasLostRun: boolean;
+    /** Whether its latest run was lost: what that one saved last is not known, so its checkpoint may be an older one. */
+    hasOldCheckpoint: boolean;
     /** Evidence that it crashes its workers; `undefined` unless a worker was lost under it. */
     suspicion: TaskSuspicion | undefined;
     /** Age up to which its runs were survived when their workers were lost, in ms; 0 if none was lost early. */
--- a/src/dispatch/common/jobs/taskGroups.ts
+++ b/src/dispatch/common/jobs/taskGroups.ts
@@ -30,7 +30,7 @@
 export function alignMembers(tasks: readonly Task[]): void {
     const highestRun = Math.max(...tasks.map(task => task.highestRun));
     const saved = tasks.filter(task => task.checkpoint !== "");
-    const latest = saved.find(task => task.lossesInARow === 0) ?? saved[0];
+    const latest = saved.find(task => !task.hasOldCheckpoint && task.lossesInARow === 0) ?? saved[0];
     for (const task of tasks) {
         task.highestRun = highestRun;
         task.checkpoint = latest?.checkpoint ?? "";
--- a/src/dispatch/common/scheduler/scheduler.ts
+++ b/src/dispatch/common/scheduler/scheduler.ts
@@ -450,6 +450,7 @@
             task.job.lastEndAt = worker?.heardAt ?? now;
         }
         if (outcome !== "unstarted") {
+            task.hasOldCheckpoint = outcome === "lost";
             task.lastRun = Math.max(task.lastRun, record.run);
         }
         if (task.step.mode === "gang" && outcome !== "done") {
