A loss of a worker that something explains is evidence for no purpose (LOST)

Callers saw a job as failed that nobody had cancelled, though no task of it had ended `failed`: its workers were lost under it.

Cause: the loss of a worker was explained for one purpose and counted for another. The losses of a recognised cut were left out of the rate of losses, so that further ones looked improbable, but kept as evidence against a task that had lost a worker before. The verdict was passed before the other losses of the moment were known. An expired lease counted as a crash for good. In a series of cuts the losses of the recognised ones raised the usual rate, until the fourth was not recognised.

Change: a loss is one object with a chart (`reviewed-loss`) that all of its readers ask: unconfirmed, awaited, unexplained, cut, out of reach. When it is explained, it is withdrawn from the suspicion of each task, from its losses in a row beyond the third one and from the losses that tasks share. A verdict waits until the other workers have been listed since; the share of them that was lost at the moment bounds how unlikely the loss was from below. An expired lease is taken back if the same incarnation answers, and is a crash once another one does. Several losses of one worker are one coincidence. From the third loss in a row on, not the fourth, a task starts on a worker for itself and not within 3 s of a loss in a series or of a cut, since a task that does crash its workers may be started only twice then. A run that was stopped, and one that the former leader had counted, are as before. The losses of a worker that tried a task with such evidence are no part of a cut, nor are two workers alone. First starts are told by the ends of a task, not by the number of the run, which only the first leader gives from 1.

--- a/src/dispatch/common/failures/cutDetector.ts
+++ b/src/dispatch/common/failures/cutDetector.ts
@@ -10,6 +10,9 @@
 /** Shortest time within which losses that come together may be independent, in ms: tasks that are started together crash together. */
 const MIN_INDEPENDENT_MS = 1_000;
 
+/** Smallest number of workers that are lost by a cut: two tasks that crash their workers may have started together. */
+const MIN_WORKERS = 3;
+
 /** Time for which a loss may be part of a cut, in ms: the lease of a worker that is silent expires by then. */
 const MAX_LOSS_AGE_MS = 30_000;
 
@@ -22,6 +25,8 @@
     readonly silentBy: number;
     /** Jobs whose tasks it had just started: one of them may be the cause of several losses. */
     readonly jobs: ReadonlySet<ActiveJob>;
+    /** Whether it tried a task that was accused of such losses before, which is a cause of its own. */
+    readonly isExperiment?: boolean;
 }
 
 /**
@@ -33,8 +38,8 @@
  * distribution.
  */
 export class CutDetector<T extends WorkerLoss> {
-    private losses: { readonly loss: T; readonly knownAt: number }[] = [];
-    /** All losses of workers, also those whose cause is known. */
+    private losses: { readonly loss: T; readonly knownAt: number; isInRate: boolean }[] = [];
+    /** Losses of workers that are not part of a cut: a series of cuts would make the next one look like usual losses. */
     private readonly rate = LossRate.create();
     /** Times (ms) and numbers of first starts of tasks. */
     private starts: { readonly at: number; readonly count: number }[] = [];
@@ -77,13 +82,22 @@
         if (isFirstOf) {
             this.rate.recordLoss();
         }
-        this.losses.push({ loss, knownAt: this.now });
+        this.losses.push({ loss, knownAt: this.now, isInRate: isFirstOf });
         const together = this.lossesAtMomentOf(loss);
-        return this.isCut(together) ? together : [];
+        if (!this.isCut(together)) {
+            return [];
+        }
+        const ofCut = this.losses.filter(each => each.isInRate && together.includes(each.loss));
+        ofCut.forEach(each => (each.isInRate = false));
+        this.rate.discountLosses(ofCut.length);
+        return together;
     }
 
-    /** @returns The largest number of losses, with this one, that may have happened at one moment. */
-    private lossesAtMomentOf(loss: T): readonly T[] {
+    /**
+     * @param loss A loss that was recorded.
+     * @returns The largest number of losses, with this one, that may have happened at one moment.
+     */
+    lossesAtMomentOf(loss: T): readonly T[] {
         const overlapping = this.losses
             .map(each => each.loss)
             .filter(each => each.heardAt <= loss.silentBy && each.silentBy >= loss.heardAt);
@@ -99,8 +113,12 @@
         return this.starts.reduce((sum, { at, count }) => sum + (from <= at && at <= until ? count : 0), 0);
     }
 
-    private isCut(losses: readonly T[]): boolean {
+    private isCut(together: readonly T[]): boolean {
+        const losses = together.filter(each => each.isExperiment !== true);
         const count = new Set(losses.map(each => each.worker)).size;
+        if (count < MIN_WORKERS) {
+            return false;
+        }
         const until = Math.max(...losses.map(each => each.silentBy));
         const from = Math.min(until - MIN_INDEPENDENT_MS, ...losses.map(each => each.heardAt));
         const crashes = this.workers * this.rate.expectedWithin(until - from, count);
--- a/src/dispatch/common/failures/failureController.ts
+++ b/src/dispatch/common/failures/failureController.ts
@@ -1,12 +1,15 @@
 import { isFinal } from "../../../jobs/common/jobTable";
 import { QueueTable } from "../../../jobs/common/queueTable";
 import { ActiveJob } from "../jobs/activeJob";
-import { CutDetector, WorkerLoss } from "./cutDetector";
+import { ControlGroup } from "./controlGroup";
+import { CutDetector } from "./cutDetector";
 import { DecisionData, DecisionName } from "../scheduler/dispatchEffects";
 import { LossRate } from "./lossRate";
+import { LossSeries, MAX_LOSSES_IN_A_ROW } from "./lossSeries";
+import { ReviewedLoss } from "./reviewedLoss";
 import { Run } from "../runs/run";
-import { SharedLoss, SharedLossTable, startUnitOf } from "./sharedLossTable";
-import { hasOneLoss, MAX_LOSSES_IN_A_ROW, SuspectTable } from "./suspectTable";
+import { SharedLossTable, startUnitOf } from "./sharedLossTable";
+import { hasOneLoss, isLastAttempt, SuspectTable } from "./suspectTable";
 import { isFinishedBy, Task } from "../jobs/task";
 import { TaskSuspicion } from "./taskSuspicion";
 import { WorkerContact } from "../workers/workerContact";
@@ -15,9 +18,6 @@
 /** Age from which a run that is lost with its worker is no longer suspected of being the cause, in ms. */
 const MAX_SUSPECT_AGE_MS = 3_000;
 
-/** Number of losses in a row that count although another task was accused of them again: one accusation may be wrong. */
-const MAX_EXPLAINED_LOSSES = 1;
-
 /** Age from which a run that is lost does not count as one in a row, in ms: long-running tasks are all lost some time. */
 const MAX_COUNTED_AGE_MS = 10_000;
 
@@ -36,22 +36,15 @@
  */
 const MAX_ATTRIBUTED_COINCIDENCE = 0.05;
 
-/** Time after a loss for which no task starts on its last attempt while workers are lost often, in ms: the next one may follow. */
+/** Time after a loss for which no task starts on a last attempt while workers are lost often, in ms: the next one may follow. */
 const LAST_ATTEMPT_HOLD_MS = 3_000;
 
-/** The loss of a worker, with the evidence that it gave. */
-interface ReviewedLoss extends WorkerLoss {
-    /** Its suspects against which there was no evidence before. */
-    readonly firstSuspects: readonly Task[];
-    /** The loss as it is shared by several suspects, if it is. */
-    shared?: SharedLoss;
-    /** Whether it counts as a loss for no known cause. */
-    isCounted: boolean;
-}
-
-/** Number of losses in a row from which the loss of a task's worker is evidence also if many workers were lost with it. */
+/** Number of losses in a row from which a task may well be the cause of the next one. */
 const MIN_LOSSES_OF_ITS_OWN = 2;
 
+/** Time after a cut in which the next one may follow, in ms. */
+const CUT_SERIES_MS = 10_000;
+
 /** Host of a failure controller. */
 export abstract class FailureHost {
     /** Called when a job has failed. @param data Why it has failed. */
@@ -71,17 +64,24 @@
  * lost with a worker, those whose start it has not survived for long are suspected. Each suspected task is started again
  * on a worker that starts nothing else meanwhile (`ProbationPlacer`). There it is cleared when the worker survives it,
  * and accused when the worker is lost; how many such losses convict it depends on how often workers are lost otherwise
- * (`LossRate`). Evidence about one of the tasks that shared a lost worker counts for the others, too (`SharedLossTable`). A task that crashes its workers after some time is cleared each time, so the losses in a row are counted,
- * too, and the last run before it would be given up for them has a worker for itself.
+ * (`LossRate`) and on how many other workers were lost at that moment (`ControlGroup`). Evidence about one of the tasks that shared a
+ * lost worker counts for the others, too (`SharedLossTable`). A task that crashes its workers after some time is cleared each time, so
+ * the losses in a row are counted, too (`LossSeries`), and the last runs before it would be given up for them have a worker for
+ * themselves while no other is lost. When something else turns out to explain a loss (`ReviewedLoss`), it is no evidence any more.
  */
 export class FailureController {
     private readonly lossRate = LossRate.create();
     private readonly sharedLosses = SharedLossTable.create();
     private readonly cuts = CutDetector.create<ReviewedLoss>();
+    private readonly controls = ControlGroup.create();
+    /** Losses of which it is not known yet whether something else explains them. */
+    private openLosses: ReviewedLoss[] = [];
     /** Time (ms) of the latest measurement. */
     private now: number | undefined;
-    /** Time (ms) at which the latest worker was lost for no known cause. */
+    /** Time (ms) at which the latest loss of a worker came to light that was not by an expired lease. */
     private lostAt = Number.NEGATIVE_INFINITY;
+    /** Time (ms) at which the latest cut came to light. */
+    private cutAt = Number.NEGATIVE_INFINITY;
 
     private constructor(
         private readonly queues: QueueTable,
@@ -131,77 +131,139 @@
      * @param cause How it was lost.
      */
     reviewLoss(worker: WorkerContact, lostRuns: readonly Run[], cause: WorkerLossCause): void {
-        const runs = lostRuns.filter(run => !run.isPauseProven);
+        // A run that was stopped before is not on the worker any more.
+        const runs = lostRuns.filter(run => !run.isPauseProven && run.state !== "stopped");
         const started = runs.filter(run => worker.canHaveStarted(run));
         const recent = started.filter(run => !run.isProven && canBeSuspected(run));
-        const unproven = namesOf(recent);
-        const unanswered = namesOf(runs.filter(run => !started.includes(run)));
-        const silentMs = this.now === undefined ? undefined : worker.silentMs(this.now);
-        const lease = { leaseBasis: worker.leaseBasis, silentMs };
-        const data = { worker: worker.entry.id, cause, runs: lostRuns.length, ...lease, unproven, unanswered };
-        this.host.logDecision("worker-lost", data);
+        this.logLoss(worker, lostRuns, cause, {
+            unproven: recent,
+            unanswered: runs.filter(run => !started.includes(run)),
+        });
         const isEarly = (run: Run) => run.provenAgeMs <= MAX_SUSPECT_AGE_MS && canBeSuspected(run);
         const candidates = mostLikely(recent.length > 0 ? recent : started.filter(isEarly));
-        const loss = this.createLoss(worker, candidates);
-        const isCut = worker.heardAt !== undefined && this.reviewCut(loss);
-        const suspects = isCut ? candidates.filter(run => hasOwnEvidence(run.task)) : candidates;
+        const isExperiment =
+            candidates.some(run => hasOwnEvidence(run.task)) || started.some(run => isLastAttempt(run.task));
+        const loss = this.createLoss(worker, cause, candidates, isExperiment);
+        const suspects = loss.isExplained ? [] : candidates;
         // If the worker had survived all starts, this loss alone is no evidence against any of them.
         const isAlone = recent.length > 0 && new Set(suspects.map(run => startUnitOf(run.task))).size === 1;
         const withinMs = Math.max(ATTRIBUTION_MS, ...suspects.map(run => this.attributionMs(run, worker, cause)));
-        suspects.forEach(run => this.accuse(run.task, worker.entry.id, isAlone, withinMs));
+        suspects.forEach(run => this.accuse(run.task, loss, isAlone, withinMs));
         // A worker whose lease expired may only have been out of reach.
-        if (recent.length > 0 && !isCut && !isAlone && cause !== "lease-expired") {
-            loss.shared = this.sharedLosses.add(
-                suspects.map(run => run.task),
-                withinMs,
-            );
+        if (recent.length > 0 && suspects.length > 0 && !isAlone && cause !== "lease-expired") {
+            const tasks = suspects.map(run => run.task);
+            loss.shared = this.sharedLosses.add(loss, tasks, withinMs);
         }
         const culprits = new Set(suspects.filter(run => run.task.suspicion?.isAccusedAgain === true));
-        if (!isCut && ![...culprits].some(run => run.task.suspicion?.state === "convicted")) {
-            this.lossRate.recordLoss();
-            loss.isCounted = true;
-            // The lease of a worker that is silent expires long after the loss.
-            this.lostAt = cause === "lease-expired" ? this.lostAt : (this.now ?? this.lostAt);
-        }
         for (const run of runs) {
-            run.task.lossAgeMs = isEarly(run) && !isCut ? run.provenAgeMs : 0;
-            this.countLoss(run, culprits.size > 0 && !culprits.has(run));
+            run.task.lossAgeMs = isEarly(run) && !loss.isExplained ? run.provenAgeMs : 0;
+            this.countLoss(run, loss, culprits.size > 0 && !culprits.has(run));
             this.host.onSuspicionChange(run.task.job);
         }
+        this.reviewReport(loss);
+    }
+
+    private logLoss(
+        worker: WorkerContact,
+        lostRuns: readonly Run[],
+        cause: WorkerLossCause,
+        { unproven, unanswered }: { readonly unproven: readonly Run[]; readonly unanswered: readonly Run[] },
+    ): void {
+        const { incarnation, leaseBasis } = worker;
+        const silentMs = this.now === undefined ? undefined : worker.silentMs(this.now);
+        const about = { worker: worker.entry.id, cause, incarnation, runs: lostRuns.length, leaseBasis, silentMs };
+        const data = { ...about, unproven: namesOf(unproven), unanswered: namesOf(unanswered) };
+        this.host.logDecision("worker-lost", data);
     }
 
-    private createLoss(worker: WorkerContact, suspects: readonly Run[]): ReviewedLoss {
+    private createLoss(
+        worker: WorkerContact,
+        cause: WorkerLossCause,
+        candidates: readonly Run[],
+        isExperiment: boolean,
+    ): ReviewedLoss {
         const now = this.now ?? 0;
-        const tasks = suspects.map(run => run.task);
-        return {
-            worker: worker.entry.id,
-            heardAt: worker.heardAt ?? now,
-            silentBy: worker.silentBy(now),
-            jobs: new Set(tasks.map(task => task.job)),
-            firstSuspects: tasks.filter(task => task.suspicion?.recorded === undefined && task.lossesInARow === 0),
-            isCounted: false,
-        };
+        const suspects = candidates.map(run => run.task);
+        const loss = ReviewedLoss.create(worker, cause, suspects, isExperiment, now);
+        this.controls.recordLoss(worker);
+        this.lossRate.recordLoss();
+        loss.isRated = true;
+        // The lease of a worker that is silent expires long after the loss.
+        this.lostAt = cause === "lease-expired" ? this.lostAt : now;
+        if (worker.heardAt !== undefined) {
+            this.reviewCut(loss);
+        }
+        this.openLosses.push(loss);
+        return loss;
     }
 
-    /** @returns Whether many workers were lost at the same moment. Then the suspicions of the earlier ones are taken back. */
-    private reviewCut(loss: ReviewedLoss): boolean {
+    /** Explains the losses of many workers at the same moment by a cut. */
+    private reviewCut(loss: ReviewedLoss): void {
         const cut = this.cuts.add(loss);
-        const counted = cut.filter(each => each.isCounted);
-        this.lossRate.discountLosses(counted.length);
-        for (const each of counted) {
-            each.isCounted = false;
-            if (each.shared !== undefined) {
-                this.sharedLosses.delete(each.shared);
+        const isKnown = cut.some(each => each.state === "cut");
+        for (const each of cut.filter(other => !other.isExplained)) {
+            each.fire("cut");
+            this.withdraw(each);
+        }
+        if (cut.length > 0) {
+            this.cutAt = this.now ?? this.cutAt;
+        }
+        if (cut.length > 0 && !isKnown) {
+            const workers = new Set(cut.map(each => each.worker)).size;
+            this.host.logDecision("workers-cut", { worker: loss.worker, workers });
+        } else if (cut.length === 0) {
+            const others = this.othersAtMomentOf(loss);
+            loss.lossRatio = this.controls.lossRatio(loss, others);
+        }
+    }
+
+    /** @returns The workers that were lost at the moment of a loss without having tried an accused task. */
+    private othersAtMomentOf(loss: ReviewedLoss): ReadonlySet<string> {
+        const others = this.cuts.lossesAtMomentOf(loss).filter(each => !each.isExperiment);
+        return new Set(others.map(each => each.worker));
+    }
+
+    /** Takes back all evidence of a loss that something else explains. */
+    private withdraw(loss: ReviewedLoss): void {
+        if (loss.shared !== undefined) {
+            this.sharedLosses.delete(loss.shared);
+        }
+        for (const task of loss.series.keys()) {
+            const wasSuspected = task.suspicion?.recorded !== undefined;
+            task.suspicion?.withdraw(loss);
+            if (wasSuspected && task.suspicion?.recorded === undefined) {
+                task.lossAgeMs = 0;
+                this.host.logDecision("task-cleared", { task: task.name });
             }
-            each.firstSuspects.filter(hasOneLoss).forEach(task => this.clear(task));
+            this.suspects.update(task);
+            this.host.onSuspicionChange(task.job);
         }
-        if (counted.length > 0) {
-            this.host.logDecision("workers-cut", {
-                worker: loss.worker,
-                workers: new Set(cut.map(each => each.worker)).size,
-            });
+    }
+
+    /** Reviews a loss once the other workers have been listed since. */
+    private reviewReport(loss: ReviewedLoss): void {
+        const now = this.now ?? loss.knownAt;
+        if (loss.state === "awaited" && this.controls.hasReported(loss, now)) {
+            loss.lossRatio = this.controls.lossRatio(loss, this.othersAtMomentOf(loss), true);
+            loss.fire("reported");
+            loss.series.forEach((_, task) => this.reviewVerdict(task));
         }
-        return cut.length > 0;
+    }
+
+    /** Gives up a task if the losses that nothing else explains are hardly a coincidence, or too many. */
+    private reviewVerdict(task: Task): void {
+        if (isFinal(task.job.state)) {
+            return;
+        }
+        task.suspicion?.review();
+        if (task.suspicion?.state === "convicted") {
+            this.host.logDecision("task-suspected", { task: task.name, state: "convicted" });
+            this.giveUp(task, {});
+        } else if (task.lossesInARow >= MAX_LOSSES_IN_A_ROW) {
+            this.giveUp(task, { losses: task.lossesInARow });
+        }
+        this.suspects.update(task);
+        this.host.onSuspicionChange(task.job);
     }
 
     /** Records that a run of a task has ended as `done`: its worker has survived it. */
@@ -227,16 +289,27 @@
         this.now = now;
         this.lossRate.recordUptime(workers, now);
         this.cuts.recordUptime(workers, now);
-        this.suspects.holdsLastAttempts = this.lossRate.isHigh && now - this.lostAt < LAST_ATTEMPT_HOLD_MS;
+        this.controls.prune(now);
+        this.openLosses.forEach(loss => this.reviewOpenLoss(loss, now));
+        this.openLosses = this.openLosses.filter(({ state }) => state === "unconfirmed" || state === "awaited");
+        const isSeries = this.lossRate.isHigh || now - this.cutAt < CUT_SERIES_MS;
+        this.suspects.holdsLastAttempts = isSeries && now - this.lostAt < LAST_ATTEMPT_HOLD_MS;
+    }
+
+    private reviewOpenLoss(loss: ReviewedLoss, now: number): void {
+        loss.reviewAge(now);
+        this.reviewReport(loss);
     }
 
     /** Records that runs are started. */
     recordStarts(runs: readonly Run[]): void {
-        this.cuts.recordStarts(runs.filter(each => each.record.run === 1).length);
+        this.cuts.recordStarts(runs.filter(each => each.task.lastRun === 0).length);
     }
 
     /** Clears the suspected tasks whose start the worker has survived, after a list of the worker. */
     reviewSurvival(worker: WorkerContact): void {
+        this.controls.recordList(worker);
+        this.openLosses.filter(({ state }) => state === "unconfirmed").forEach(loss => this.reviewAnswer(loss, worker));
         for (const run of worker.runs.values()) {
             const { task } = run;
             if (task.lossesInARow > 0 && run.provenAgeMs > MAX_COUNTED_AGE_MS) {
@@ -249,29 +322,30 @@
         }
     }
 
-    /**
-     * Counts a loss as one in a row. Left out are losses that accused tasks explain, but for the first: one explanation
-     * may be wrong.
-     */
-    private countLoss({ task, provenAgeMs }: Run, isExplained: boolean): void {
-        task.explainedLosses += isExplained ? 1 : 0;
-        if (isExplained && task.explainedLosses > MAX_EXPLAINED_LOSSES) {
-            return;
+    /** Takes back a loss if the answer of its worker shows that it has not crashed. */
+    private reviewAnswer(loss: ReviewedLoss, worker: WorkerContact): void {
+        loss.reviewAnswer(worker);
+        if (loss.state === "out-of-reach") {
+            this.lossRate.discountLosses(1);
+            this.host.logDecision("loss-explained", { worker: loss.worker, state: loss.state });
+            this.withdraw(loss);
         }
+    }
+
+    /** Counts a loss as one in a row. @param isOthers Whether another task was accused of it again. */
+    private countLoss({ task, provenAgeMs }: Run, loss: ReviewedLoss, isOthers: boolean): void {
         if (provenAgeMs > MAX_COUNTED_AGE_MS) {
             this.clearLosses(task);
-        } else {
-            task.lossesInARow += 1;
-        }
-        if (task.lossesInARow >= MAX_LOSSES_IN_A_ROW) {
-            this.giveUp(task, { losses: task.lossesInARow });
+            return;
         }
+        task.losses ??= LossSeries.create(0);
+        task.losses.add(loss, isOthers);
+        loss.series.set(task, task.losses);
         this.suspects.update(task);
     }
 
     private clearLosses(task: Task): void {
-        task.lossesInARow = 0;
-        task.explainedLosses = 0;
+        task.losses = undefined;
         this.suspects.update(task);
     }
 
@@ -286,23 +360,18 @@
         return Math.max(ATTRIBUTION_MS + run.task.lossAgeMs, beforeMs + lostBy - run.assignedAt);
     }
 
-    /**
-     * @param worker The worker that was lost, or `undefined` for one of which all other tasks have been cleared since.
-     * @param withinMs Time within which it was lost, in ms.
-     */
-    private accuse(task: Task, worker: string | undefined, isAlone: boolean, withinMs: number): void {
+    /** @param withinMs Time within which the worker was lost, in ms. */
+    private accuse(task: Task, loss: ReviewedLoss, isAlone: boolean, withinMs: number): void {
         if (isFinal(task.job.state)) {
             return;
         }
         task.suspicion ??= TaskSuspicion.create();
-        const coincidence = this.lossRate.probabilityWithin(withinMs);
-        task.suspicion.fire(isAlone ? "lost-alone" : "lost-with-others", { withinMs, rate: this.lossRate });
+        const coincidence = () =>
+            Math.max(loss.lossRatio, this.lossRate.probabilityWithin(withinMs, loss.isRated ? 1 : 0));
+        task.suspicion.recordLoss(isAlone ? "lost-alone" : "lost-with-others", { loss, coincidence });
         const { state } = task.suspicion;
-        const data = { task: task.name, worker, state, coincidence: coincidence.toFixed(3) };
+        const data = { task: task.name, worker: loss.worker, state, coincidence: coincidence().toFixed(3) };
         this.host.logDecision("task-suspected", data);
-        if (state === "convicted") {
-            this.giveUp(task, {});
-        }
         this.suspects.update(task);
         this.host.onSuspicionChange(task.job);
         if (isAlone) {
@@ -315,7 +384,7 @@
         if (task.suspicion?.recorded === undefined) {
             return;
         }
-        task.suspicion.fire("survived");
+        task.suspicion.clear();
         this.suspects.update(task);
         this.host.logDecision("task-cleared", { task: task.name });
         this.host.onSuspicionChange(task.job);
@@ -332,9 +401,9 @@
     /** Attributes the losses that a task shared with others and did not cause to the only one of them that remains. */
     private attributeSharedLosses(innocent: Task): void {
         const isUnlikely = this.lossRate.probabilityWithin(ATTRIBUTION_MS) <= MAX_ATTRIBUTED_COINCIDENCE;
-        for (const { task, withinMs } of this.sharedLosses.clear(innocent)) {
-            if (task.suspicion?.state === "suspected" && isUnlikely) {
-                this.accuse(task, undefined, true, withinMs);
+        for (const { task, loss, withinMs } of this.sharedLosses.clear(innocent)) {
+            if (task.suspicion?.state === "suspected" && isUnlikely && !loss.isExplained) {
+                this.accuse(task, loss, true, withinMs);
             }
         }
     }
@@ -343,7 +412,8 @@
     private giveUp(task: Task, data: DecisionData): void {
         if (!isFinal(task.job.state)) {
             this.lossRate.discountLosses(task.lossesInARow);
-            this.failJob(task, { task: task.name, reason: "crashes-workers", ...data });
+            const lost = task.losses?.all.map(each => `${each.worker}:${each.state}`).join(" ");
+            this.failJob(task, { task: task.name, reason: "crashes-workers", ...data, lost });
         }
     }
 
@@ -371,7 +441,7 @@
     return [accused, suspected].find(each => each.length > 0) ?? runs;
 }
 
-/** @returns Whether a task was accused, or lost workers more than once since it last worked for some time, also at one moment with others. */
+/** @returns Whether a task was accused, or lost workers more than once since it last worked for some time. */
 function hasOwnEvidence(task: Task): boolean {
     return task.suspicion?.isAccused === true || task.lossesInARow >= MIN_LOSSES_OF_ITS_OWN;
 }
--- a/src/dispatch/common/failures/lossRate.ts
+++ b/src/dispatch/common/failures/lossRate.ts
@@ -79,9 +79,13 @@
         return ms * Math.max(...rates);
     }
 
-    /** @param ms A time in ms. @returns Probability that a worker is lost within that time for no known cause. */
-    probabilityWithin(ms: number): number {
-        return -Math.expm1(-ms * Math.max(...this.measurements.map(rateOf)));
+    /**
+     * @param ms A time in ms.
+     * @param without Number of losses to leave out.
+     * @returns Probability that a worker is lost within that time for no known cause.
+     */
+    probabilityWithin(ms: number, without = 0): number {
+        return -Math.expm1(-this.expectedWithin(ms, without));
     }
 }
 
--- a/src/dispatch/common/failures/probationPlacer.ts
+++ b/src/dispatch/common/failures/probationPlacer.ts
@@ -112,7 +112,7 @@
         for (const group of [...promised, ...others, ...groups.filter(each => !each.isDue)]) {
             const [first] = group.tasks;
             const isPromised = hasPromisedStart(group);
-            const isHeld = this.suspects.holdsLastAttempts && group.tasks.some(isLastAttempt);
+            const isHeld = group.tasks.some(task => this.suspects.isHeld(task));
             if (!isPromised && (isHeld || this.suspects.isJobOnProbation(first, at.now))) {
                 continue;
             }
--- a/src/dispatch/common/failures/sharedLossTable.ts
+++ b/src/dispatch/common/failures/sharedLossTable.ts
@@ -1,10 +1,12 @@
 import { isFinal } from "../../../jobs/common/jobTable";
 import { Task } from "../jobs/task";
+import type { ReviewedLoss } from "./reviewedLoss";
 
 /** The loss of a worker that had just started several tasks. */
 export interface SharedLoss {
     /** The tasks that may be the cause. */
     readonly tasks: Set<Task>;
+    readonly loss: ReviewedLoss;
     /** Time within which the worker was lost, in ms. */
     readonly withinMs: number;
 }
@@ -12,6 +14,7 @@
 /** A loss of which all tasks but one, or one gang, have been left out. */
 export interface AttributedLoss {
     readonly task: Task;
+    readonly loss: ReviewedLoss;
     /** Time within which the worker was lost, in ms. */
     readonly withinMs: number;
 }
@@ -29,20 +32,21 @@
 
     /**
      * Adds a loss.
+     * @param loss The loss of the worker.
      * @param tasks Tasks that the worker had just started.
      * @param withinMs Time within which it was lost, in ms.
      * @returns The loss.
      */
-    add(tasks: readonly Task[], withinMs: number): SharedLoss {
+    add(loss: ReviewedLoss, tasks: readonly Task[], withinMs: number): SharedLoss {
         this.losses = this.losses.filter(each => [...each.tasks].some(task => !isFinal(task.job.state)));
-        const loss = { tasks: new Set(tasks), withinMs };
-        this.losses.push(loss);
-        return loss;
+        const shared = { loss, tasks: new Set(tasks), withinMs };
+        this.losses.push(shared);
+        return shared;
     }
 
     /** Forgets a loss of which none of the tasks was the cause. */
-    delete(loss: SharedLoss): void {
-        this.losses = this.losses.filter(each => each !== loss);
+    delete(shared: SharedLoss): void {
+        this.losses = this.losses.filter(each => each !== shared);
     }
 
     /**
@@ -53,8 +57,8 @@
     clear(innocent: Task): AttributedLoss[] {
         const shared = this.losses.filter(each => each.tasks.delete(innocent));
         const attributed = new Map<Task, AttributedLoss>();
-        for (const { tasks, withinMs } of shared.filter(each => countUnits(each.tasks) === 1)) {
-            tasks.forEach(task => attributed.set(task, { task, withinMs }));
+        for (const { loss, tasks, withinMs } of shared.filter(each => countUnits(each.tasks) === 1)) {
+            tasks.forEach(task => attributed.set(task, { task, loss, withinMs }));
         }
         this.losses = this.losses.filter(each => countUnits(each.tasks) > 1);
         return [...attributed.values()];
--- a/src/dispatch/common/failures/suspectTable.ts
+++ b/src/dispatch/common/failures/suspectTable.ts
@@ -1,14 +1,10 @@
 import { isFinal } from "../../../jobs/common/jobTable";
 import { Task } from "../jobs/task";
+import { LOSSES_BEFORE_LAST_ATTEMPTS, MAX_LOSSES_IN_A_ROW } from "./lossSeries";
 import { isSilent } from "../waits/waitTable";
 import { WorkerContact } from "../workers/workerContact";
 
-/**
- * Number of workers lost under a task in a row from which it is given up, however often workers are lost. Each loss may be
- * a coincidence, so this is the largest number with which a task that crashes its workers is started twice after the third
- * crash, not more.
- */
-export const MAX_LOSSES_IN_A_ROW = 5;
+export { MAX_LOSSES_IN_A_ROW } from "./lossSeries";
 
 /** Tasks that start apart from others. */
 export interface SeparateTasks {
@@ -19,8 +15,10 @@
 /** The tasks that are suspected of crashing the workers that start them, and those that are on their last attempt. */
 export class SuspectTable {
     private readonly tasks = new Set<Task>();
-    /** Whether no task starts on its last attempt now: workers are lost so often that it would be lost by coincidence. */
+    /** Whether no task starts on a last attempt now: workers are lost so often that it would be lost by coincidence. */
     holdsLastAttempts = false;
+    /** Tasks that are given up unless other workers turn out to have been lost together with theirs. */
+    private readonly awaited = new Set<Task>();
 
     private constructor() {}
 
@@ -39,6 +37,16 @@
         return this.tasks.has(task) && task.suspicion?.recorded !== undefined;
     }
 
+    /** Tasks that are given up unless other workers turn out to have been lost together with theirs. */
+    get awaitingVerdict(): readonly Task[] {
+        return [...this.awaited];
+    }
+
+    /** @param task A task. @returns Whether it does not start now: the loss of one more worker would come too early, or at a bad time. */
+    isHeld(task: Task): boolean {
+        return this.awaited.has(task) || (this.holdsLastAttempts && isLastAttempt(task));
+    }
+
     /** @param task A task. @returns Whether it starts apart from others: it is suspected, or on its last attempt. */
     startsApart(task: Task): boolean {
         return this.tasks.has(task);
@@ -72,6 +80,12 @@
         } else {
             this.tasks.delete(task);
         }
+        const isAwaited = task.suspicion?.isVerdictAwaited === true || task.losses?.isVerdictAwaited === true;
+        if (isListed && isAwaited) {
+            this.awaited.add(task);
+        } else {
+            this.awaited.delete(task);
+        }
     }
 
     /** Removes the tasks that have ended. */
@@ -107,11 +121,11 @@
 
 /**
  * @param task A task.
- * @returns Whether it is given up for the losses in a row if one more worker is lost under it: its run shares no worker then,
- * so that the loss is not another task's.
+ * @returns Whether it is on one of the last attempts before it is given up for losses in a row: its run shares no worker then, so that
+ * a loss is not another task's.
  */
 export function isLastAttempt(task: Task): boolean {
-    return task.lossesInARow === MAX_LOSSES_IN_A_ROW - 1;
+    return task.lossesInARow >= LOSSES_BEFORE_LAST_ATTEMPTS;
 }
 
 /**
@@ -125,5 +139,5 @@
 
 /** @param task A task. @returns Whether not more than one worker was lost under it since it last worked for some time. */
 export function hasOneLoss(task: Task): boolean {
-    return task.lossesInARow <= 1 && task.explainedLosses <= 1;
+    return task.lossesInARow <= 1 && (task.losses?.othersCount ?? 0) <= 1;
 }
--- a/src/dispatch/common/failures/test/cutDetector.test.ts
+++ b/src/dispatch/common/failures/test/cutDetector.test.ts
@@ -73,3 +73,20 @@
         [],
     );
 });
+
+// The losses of recognised cuts raised the rate of usual losses, until the next cut was taken for such.
+test("each of a series of cuts is recognised", t => {
+    const cuts = Array.from({ length: 12 }, (_, cut) =>
+        JOBS.slice(0, 9).map((job, index) => ({
+            loss: createLoss(index, cut * 2_200 - index * 20, job),
+            knownAt: cut * 2_200 + 800,
+        })),
+    );
+    const sizes = review(cuts.flat());
+    cuts.forEach((_, cut) => t.true(sizes[cut * 9 + 8] >= 9, `cut ${cut}`));
+});
+
+test("two workers that are lost at the same moment are no cut", t => {
+    const losses = JOBS.slice(0, 2).map((job, index) => ({ loss: createLoss(index, 0, job), knownAt: 3_000 }));
+    t.deepEqual(review(losses), [0, 0]);
+});
--- /dev/null
+++ b/src/dispatch/common/failures/test/explainedLosses.test.ts
@@ -0,0 +1,218 @@
+import test from "ava";
+import { decodeProgress, encodeProgress } from "../../../../jobs/common/jobRecord";
+import { ActiveJob } from "../../jobs/activeJob";
+import { assign, createWorker, report } from "../../jobs/test/runs";
+import { Task } from "../../jobs/task";
+import { WorkerContact } from "../../workers/workerContact";
+import { createController, createTask, start } from "./failures";
+
+const WORKERS = 30;
+const TICK_MS = 100;
+
+/** Interval between the lists of a worker, in ms. */
+const LIST_INTERVAL_MS = 500;
+
+/** A fleet that is listed regularly, and of which workers are lost. */
+class Fleet {
+    private readonly controller = createController();
+    readonly workers = Array.from({ length: WORKERS }, (_, index) => createWorker(`w${index}`));
+    private readonly lost = new Set<WorkerContact>();
+    private now = 0;
+
+    private constructor() {
+        this.workers.forEach((worker, index) => {
+            report(start(worker, createTask(`sound${index}`), 0), 0, 20_000);
+        });
+    }
+
+    /** @returns A fleet of which no worker was lost for a minute. */
+    static create(): Fleet {
+        const fleet = new Fleet();
+        fleet.advance(60_000);
+        return fleet;
+    }
+
+    get failedJobs(): readonly ActiveJob[] {
+        return this.controller.host.failedJobs;
+    }
+
+    get decisions(): readonly string[] {
+        return this.controller.host.decisions;
+    }
+
+    get suspects() {
+        return this.controller.suspects;
+    }
+
+    /** Lists all workers that are not lost for a time in ms. */
+    advance(ms: number): void {
+        const until = this.now + ms;
+        for (; this.now < until; this.now += TICK_MS) {
+            this.controller.failures.recordUptime(WORKERS - this.lost.size, this.now);
+            this.workers.forEach((worker, index) => {
+                if (!this.lost.has(worker) && (this.now + index * TICK_MS) % LIST_INTERVAL_MS === 0) {
+                    this.list(worker);
+                }
+            });
+        }
+    }
+
+    list(worker: WorkerContact): void {
+        worker.recordList(this.now);
+        this.controller.failures.reviewSurvival(worker);
+    }
+
+    /** Starts a task on a worker. */
+    start(task: Task, index: number): void {
+        assign(this.workers[index], task, this.now).fire("accepted", { now: this.now });
+    }
+
+    /** Workers stop answering, and leave the next list unanswered. */
+    silence(...indices: number[]): void {
+        for (const index of indices) {
+            this.lost.add(this.workers[index]);
+            this.workers[index].onNoAnswer(this.now + LIST_INTERVAL_MS);
+        }
+    }
+
+    /** The loss of workers comes to light. */
+    reveal(cause: "restarted" | "lease-expired", ...indices: number[]): void {
+        for (const index of indices) {
+            const worker = this.workers[index];
+            this.controller.failures.reviewLoss(worker, [...worker.runs.values()], cause);
+            worker.runs.forEach(run => (run.task.run = undefined));
+            worker.runs.clear();
+        }
+    }
+
+    /** Silent workers answer again, with a run that is survived. */
+    restore(...indices: number[]): void {
+        for (const index of indices) {
+            const worker = this.workers[index];
+            this.lost.delete(worker);
+            report(start(worker, createTask(`restored${index}-${this.now}`), this.now), 0, this.now);
+            this.list(worker);
+        }
+    }
+}
+
+const TENTH = Array.from({ length: 10 }, (_, index) => index);
+
+// The losses of each cut were left out of the rate of losses, so that those under the task looked improbable.
+test("a task is not given up for losses that were all part of cuts", t => {
+    const fleet = Fleet.create();
+    const task = createTask("a");
+    for (let cut = 0; cut < 6; cut++) {
+        fleet.start(task, 0);
+        fleet.silence(...TENTH);
+        fleet.advance(800);
+        fleet.reveal("restarted", ...TENTH);
+        fleet.restore(...TENTH);
+        fleet.advance(1_400);
+    }
+    t.deepEqual(fleet.failedJobs, []);
+    t.is(fleet.decisions.filter(each => each.startsWith("workers-cut")).length, 6);
+    t.false(fleet.suspects.has(task));
+    t.is(task.lossesInARow, 3);
+});
+
+// A task was given up for the first loss of a cut that came to light, its second one.
+test("a verdict waits until other workers have been listed since the loss", t => {
+    const fleet = Fleet.create();
+    const task = createTask("a");
+    fleet.start(task, 0);
+    fleet.silence(0);
+    fleet.advance(3_000);
+    fleet.reveal("restarted", 0);
+    t.is(task.suspicion?.state, "accused");
+    fleet.start(task, 1);
+    fleet.silence(...TENTH.slice(1));
+    fleet.advance(300);
+    fleet.reveal("restarted", 1);
+    t.deepEqual(fleet.failedJobs, []);
+    t.true(fleet.suspects.isHeld(task));
+    fleet.advance(300);
+    fleet.reveal("restarted", ...TENTH.slice(2));
+    fleet.advance(5_000);
+    t.deepEqual(fleet.failedJobs, []);
+    t.is(task.suspicion?.state, "accused");
+    t.false(fleet.suspects.isHeld(task));
+});
+
+test("a task that crashes two workers alone is given up once all others have been listed", t => {
+    const fleet = Fleet.create();
+    const task = createTask("a");
+    for (const index of [0, 1]) {
+        t.deepEqual(fleet.failedJobs, []);
+        fleet.start(task, index);
+        fleet.silence(index);
+        fleet.advance(300);
+        fleet.reveal("restarted", index);
+        fleet.advance(1_000);
+    }
+    t.deepEqual(fleet.failedJobs, [task.job]);
+    t.is(task.job.state, "failed");
+});
+
+// Leases that lapsed five times let a job fail although its worker was up all the time.
+test("a loss by an expired lease is taken back when the same incarnation answers again", t => {
+    const fleet = Fleet.create();
+    const task = createTask("a");
+    fleet.list(fleet.workers[0]);
+    fleet.workers[0].updateIncarnation(1, 0, 0);
+    for (let lapse = 0; lapse < 8; lapse++) {
+        fleet.start(task, 0);
+        fleet.silence(0);
+        fleet.advance(6_000);
+        fleet.reveal("lease-expired", 0);
+        t.is(task.lossesInARow, 1);
+        fleet.restore(0);
+        t.is(task.lossesInARow, 0);
+        t.false(fleet.suspects.has(task));
+    }
+    t.deepEqual(fleet.failedJobs, []);
+});
+
+test("a loss by an expired lease counts once another incarnation answers", t => {
+    const fleet = Fleet.create();
+    const task = createTask("a");
+    fleet.workers[0].updateIncarnation(1, 0, 0);
+    fleet.start(task, 0);
+    fleet.silence(0);
+    fleet.advance(6_000);
+    fleet.reveal("lease-expired", 0);
+    fleet.workers[0].updateIncarnation(2, 0, 0);
+    fleet.restore(0);
+    t.is(task.lossesInARow, 1);
+});
+
+test("a run that was stopped before its worker was lost is no evidence", t => {
+    const fleet = Fleet.create();
+    const task = createTask("a");
+    fleet.start(task, 0);
+    const [run] = [...fleet.workers[0].runs.values()].filter(each => each.task === task);
+    run.fire("stop", { now: 60_000 });
+    run.fire("stop-confirmed", { now: 60_000 });
+    fleet.silence(0);
+    fleet.advance(1_000);
+    fleet.reveal("restarted", 0);
+    t.is(task.lossesInARow, 0);
+    t.false(fleet.suspects.has(task));
+});
+
+// The sixth start of a task that crashes its workers followed a change of leader while a verdict was awaited.
+test("a new leader does not start a task again whose verdict was awaited", t => {
+    const fleet = Fleet.create();
+    const task = createTask("a");
+    task.lossesInARow = 4;
+    fleet.start(task, 0);
+    fleet.silence(0);
+    fleet.advance(6_000);
+    fleet.reveal("lease-expired", 0);
+    t.deepEqual(fleet.failedJobs, []);
+    const progress = decodeProgress(encodeProgress(task.job.progress(1)))!;
+    const { failures, host } = createController();
+    const successor = ActiveJob.create(task.job.spec, 0, progress).find(task.name)!;
+    failures.reviewEvidence(successor);
+    t.deepEqual(host.failedJobs, [successor.job]);
+});
--- a/src/dispatch/common/jobs/activeJob.ts
+++ b/src/dispatch/common/jobs/activeJob.ts
@@ -449,9 +449,10 @@
  * counts like one that has ended, so that the next leader does not count the loss again.
  */
 function recordOf(task: Task): TaskRecord {
-    const { name, failures, checkpoint, highestRun, hasLostRun, run, lossesInARow } = task;
+    const { name, failures, checkpoint, highestRun, hasLostRun, run } = task;
     const endedRun = run === undefined && hasLostRun ? highestRun : task.lastRun;
     const lastRun = run?.isWorkerLost === true ? run.record.run : endedRun;
+    const lossesInARow = task.losses?.recorded ?? 0;
     return { task: name, failures, checkpoint, lastRun, suspicion: task.suspicion?.recorded, lossesInARow };
 }
 
--- a/src/dispatch/common/jobs/activeTask.ts
+++ b/src/dispatch/common/jobs/activeTask.ts
@@ -1,6 +1,7 @@
 import { StepSpec } from "../../../jobs/common/jobSpec";
 import type { ActiveJob } from "./activeJob";
 import type { Run } from "../runs/run";
+import { LossSeries } from "../failures/lossSeries";
 import { Task } from "./task";
 import { TaskSuspicion } from "../failures/taskSuspicion";
 
@@ -15,8 +16,7 @@
     hasOldCheckpoint = false;
     suspicion: TaskSuspicion | undefined = undefined;
     lossAgeMs = 0;
-    lossesInARow = 0;
-    explainedLosses = 0;
+    losses: LossSeries | undefined = undefined;
     readonly failedOn = new Set<string>();
     transfers = 0;
     isElsewhere = false;
@@ -43,6 +43,14 @@
         return new ActiveTask(job, step, groupKey, index);
     }
 
+    get lossesInARow(): number {
+        return this.losses?.count ?? 0;
+    }
+
+    set lossesInARow(count: number) {
+        this.losses = count === 0 ? undefined : LossSeries.create(count);
+    }
+
     get run(): Run | undefined {
         return this.currentRun;
     }
--- a/src/dispatch/common/jobs/task.ts
+++ b/src/dispatch/common/jobs/task.ts
@@ -1,6 +1,7 @@
 import { StepSpec } from "../../../jobs/common/jobSpec";
 import type { ActiveJob } from "./activeJob";
 import type { Run, RunOutcome } from "../runs/run";
+import type { LossSeries } from "../failures/lossSeries";
 import { TaskSuspicion } from "../failures/taskSuspicion";
 
 /** A task of an active job. */
@@ -26,10 +27,10 @@
     suspicion: TaskSuspicion | undefined;
     /** Age up to which its runs were survived when their workers were lost, in ms; 0 if none was lost early. */
     lossAgeMs: number;
-    /** Number of workers that were lost under it since it last worked for some time or reported a failure. */
+    /** The workers that were lost under it since it last worked for some time or reported a failure; `undefined` if none was. */
+    losses: LossSeries | undefined;
+    /** Number of these losses that count against it. */
     lossesInARow: number;
-    /** Number of losses since then of which another task was accused again. */
-    explainedLosses: number;
     /** Current run, if any. */
     run: Run | undefined;
     /** Workers on which it failed or was stuck; they are avoided. */
--- a/src/dispatch/common/scheduler/dispatchEffects.ts
+++ b/src/dispatch/common/scheduler/dispatchEffects.ts
@@ -43,6 +43,7 @@
     | "task-suspected"
     | "task-cleared"
     | "workers-cut"
+    | "loss-explained"
     | "worker-excluded"
     | "worker-draining"
     | "workers-left-out"
