Trials: a worker that is back under its id does not answer for another incarnation

What was seen: in trials with workers that are back 0.8 s or 3 s after a crash, single-run and capacity: a task starts elsewhere while the new life of its worker carries out its start.

Cause: a call that was sent while the worker was down, and arrived when it was up again under the same id, was answered with "other-incarnation". On the platform that answer means that the address has a worker with another id, so the leader gave up all runs of the worker, also those whose starts were on their way to its new life.

Change: such a call is refused, as by a process that does not listen yet.

The draws of other trials are as before unless such a call occurs.

--- a/src/proof/node/trialWorkers.ts
+++ b/src/proof/node/trialWorkers.ts
@@ -1,3 +1,4 @@
+import { WorkerEntry } from "../../dispatch/common/workers/workerEntry";
 import { OrderOutcome, RunList } from "../../dispatch/common/workers/workerMessages";
 import { JobInstanceEvent } from "../../host/common/jobInstanceEvents";
 import { KeyedLog } from "../../standin/common/keyedLog";
@@ -322,7 +323,7 @@
         const { id } = effect.worker;
         // A crash closes the connections of waiting calls.
         if (worker === undefined || this.links.isBroken(sent.sender, id) || this.find(id) !== worker) {
-            const refusal = worker === undefined ? this.refusalAt(effect.worker.address) : undefined;
+            const refusal = worker === undefined ? this.refusalAt(effect.worker) : undefined;
             if (refusal !== undefined) {
                 reply(refusal);
             } else {
@@ -348,15 +349,16 @@
     }
 
     /**
-     * @param address Address at which a call did not find the worker that it names.
-     * @returns Outcome of the call, or `undefined` if nothing answers there.
+     * @param recipient Worker that a call names, which was not there when it was sent.
+     * @returns Outcome of the call, or `undefined` if nothing answers at the address.
      */
-    private refusalAt(address: string): OrderOutcome | undefined {
+    private refusalAt({ id, address }: WorkerEntry): OrderOutcome | undefined {
         const worker = this.workers.find(each => each.entry.address === address);
         if (worker === undefined || this.links.isCut(worker.entry.id)) {
             return undefined;
         }
-        return this.down.has(worker) ? "unreachable" : "other-incarnation";
+        // The connection of a call was refused even if the worker is back under its id when the caller learns it.
+        return this.down.has(worker) || worker.entry.id === id ? "unreachable" : "other-incarnation";
     }
 
     private execute(worker: LeasedWorker, { effect, sender }: SentOrder): OrderOutcome {
