Trials: crashes of one worker, a third or a rack, in series

Trials could crash random workers one by one only, and half or three in ten of them at planned times. The draws have a generator of their own. Slow workers have moved to a class of their own, with the same draws.

--- a/src/proof/node/jobSoak.tool.ts
+++ b/src/proof/node/jobSoak.tool.ts
@@ -12,12 +12,13 @@
 } from "./jobTrialPlan";
 import { createLeaderCutPlan, createLeaderSplitPlan, createSiteRestartPlan } from "./siteRestartPlan";
 import { MEASURED_COSTS } from "./trialCosts";
+import { CrashFault, createCrashSeries } from "./workerCrashes";
 import { WAIT_PLANS, WaitPlanName } from "./waitTrialPlan";
 
 /**
  * Reads a flag with a whole number. Flags: `--seed FIRST --count N --workers N --length MS --every MS --deadly PERCENT
  * --crash-delay MS --shrink MS --cancel PERCENT --reads --lasting N --lasting-run MS --lease MS --colocate PERCENT
- * --near PERCENT --jobs-every MS --slow --max-tasks N --memory MB --kill-leader MS --lose-third MS --drain MS --evacuate MS
+ * --near PERCENT --jobs-every MS --slow --max-tasks N --memory MB --kill-leader MS --lose-third MS --crash KINDS --crash-every MS --crash-for MS --drain MS --evacuate MS
  * --evacuation-bound MS --faults KINDS --until MS --submit-every MS --costs PERCENT --shards N --transfers PERCENT --grace MS --plan NAME --trace`, where `--shards` divides the workers
  * among as many leaders, 2 at most, `--transfers` is the probability with which a job is transferred whenever it may be,
  * `--deadly` is the share of the jobs with a task that crashes its workers, that long after each start, `--shrink` the mean
@@ -27,7 +28,8 @@
  * `--colocate` runs latency-critical and best-effort jobs of which that share of the pairs of images interferes heavily,
  * `--near` is the share of the jobs that run fastest on one rack, `--jobs-every` is the mean time between two best-effort jobs, `--max-tasks` the largest number of tasks of their steps,
  * `--memory` what each of their tasks requests, `--kill-leader` the interval at which the leader is killed, `--lose-third`
- * the time at which a third of the workers of the first rack is lost for good, `--slow` injects slow workers only, `--faults`
+ * the time at which a third of the workers of the first rack is lost for good, `--crash` names crashes, separated by commas, that follow one
+ * another every `--crash-every` ms for `--crash-for` ms, `--slow` injects slow workers only, `--faults`
  * the kinds that it names, separated by commas, `--drain` is the mean time between two times at which workers announce that
  * they leave, around which the leader is killed; it adds faults of the reads of the workers, `--evacuate` the same for
  * evacuations of failure domains and reads of the operator's records, `--evacuation-bound` the time after which they count,
@@ -82,6 +84,18 @@
     };
 }
 
+/** Time (ms) at which a series of crashes begins. */
+const FIRST_CRASH_MS = 6_000;
+
+function readCrashes(): (readonly [number, PlannedFault])[] {
+    const index = process.argv.indexOf("--crash");
+    if (index < 0) {
+        return [];
+    }
+    const kinds = process.argv[index + 1].split(",") as CrashFault[];
+    return createCrashSeries(kinds, FIRST_CRASH_MS, readNumber("crash-every", 2_200), readNumber("crash-for", 26_000));
+}
+
 /** @param endMs Time up to which the leader is killed, in ms. */
 function readPlannedFaults(endMs: number): (readonly [number, PlannedFault])[] {
     const intervalMs = readNumber("kill-leader", 0) || Number.POSITIVE_INFINITY;
@@ -153,7 +167,7 @@
                 : { count: readNumber("lasting", 0), runMs: readNumber("lasting-run", 0) || undefined },
         longestLeaseMs: readNumber("lease", 0) || undefined,
         colocation: readColocation(),
-        plannedFaults: readPlannedFaults(lengthMs),
+        plannedFaults: [...readPlannedFaults(lengthMs), ...readCrashes()],
         submitEveryMs: readNumber("submit-every", 0) || undefined,
         shards: readNumber("shards", 1),
         transferRatio: readNumber("transfers", 0) === 0 ? undefined : readNumber("transfers", 0) / 100,
--- a/src/proof/node/jobTrialPlan.ts
+++ b/src/proof/node/jobTrialPlan.ts
@@ -18,6 +18,7 @@
 import { DrainPlan } from "./trialDrains";
 import { EVACUATION_MS } from "./evacuationChecker";
 import { EvacuationPlan } from "./trialEvacuations";
+import { CrashFault } from "./workerCrashes";
 
 /** The queue of all jobs of a trial. */
 export const QUEUE: Queue = {
@@ -162,7 +163,7 @@
  * crash and are back after 2 s. `lose-third`: a third of the workers of the first rack is lost for good. `lose-domain`: three in
  * ten workers crash, and new ones come after 10 s. `add-workers`: there are nearly twice as many workers from then on. `add-to-last-rack`: there are half as many more, in one rack. `kill-all`: all instances
  * are killed. `lose-site`: so they are, and the host of the leader stays away for 15 s. `outage-2s`, `outage-6s`, `outage-8s`: the store refuses
- * all calls for that long. The others concern the leader: it is killed, is frozen for 3 s, or is told to stop and is started again once it
+ * all calls for that long. A `CrashFault` crashes workers. The others concern the leader: it is killed, is frozen for 3 s, or is told to stop and is started again once it
  * has.
  */
 export type PlannedFault =
@@ -176,6 +177,7 @@
     | "lose-site"
     | PlannedOutage
     | PlannedSlowness
+    | CrashFault
     | "kill-leader"
     | "freeze-leader"
     | "stop-leader";
--- a/src/proof/node/trialInjector.ts
+++ b/src/proof/node/trialInjector.ts
@@ -20,6 +20,7 @@
 import { TrialSchedule } from "./trialSchedule";
 import { TrialStore } from "./trialStore";
 import { TrialWorkers } from "./trialWorkers";
+import { CrashFault } from "./workerCrashes";
 
 /** How many times longer a fault lasts than others. */
 const DURATION_RATIOS: Partial<Record<JobFault, number>> = { "slow-link": 3, "worker-slow": 2 };
@@ -116,6 +117,8 @@
             this.context.workers.loseThird();
         } else if (fault === "lose-domain") {
             this.context.checker.recordDisruption(this.context.workers.loseDomain());
+        } else if (isCrash(fault)) {
+            this.context.checker.recordDisruption(this.context.workers.crashSome(fault));
         } else if (fault === "add-workers") {
             this.context.workers.addMore();
         } else if (fault === "add-to-last-rack") {
@@ -313,3 +316,7 @@
 function isOutage(fault: PlannedFault): fault is PlannedOutage {
     return fault in OUTAGE_MS;
 }
+
+function isCrash(fault: PlannedFault): fault is CrashFault {
+    return fault.startsWith("crash-");
+}
--- a/src/proof/node/trialWorkers.ts
+++ b/src/proof/node/trialWorkers.ts
@@ -18,11 +18,13 @@
 } from "./jobTrialPlan";
 import { OddEntryWriter } from "./oddEntryWriter";
 import { Random } from "./random";
+import { SlowWorkers } from "./slowWorkers";
 import { TrialColocation } from "./trialColocation";
 import { OrderSink, SentOrder } from "./trialConnections";
 import { DrainHost } from "./trialDrains";
 import { TrialLinks } from "./trialLinks";
 import { TrialSchedule } from "./trialSchedule";
+import { CrashFault, WorkerCrashes } from "./workerCrashes";
 
 const HEARTBEAT_INTERVAL_MS = 1_500;
 
@@ -57,10 +59,6 @@
 /** How much longer best-effort tasks are than others. */
 const BEST_EFFORT_WORK_RATIO = 3;
 
-/** Bounds of the share of the workers that become slow at the same time, in percent, and of how much slower they work. */
-const SLOW_PERCENT = { min: 50, max: 80 };
-const SLOWNESS = { min: 8, max: 12 };
-
 /** What the workers share with the rest of the trial. */
 export interface TrialWorkersContext {
     readonly plan: JobTrialPlan;
@@ -83,18 +81,17 @@
     private readonly links: TrialLinks;
     /** Draws for changes of capacity, which leave the other draws of a seed as they are. */
     private readonly shrinkRandom: Random;
-    /** Draws for the workers that become slow. */
-    private readonly slowRandom: Random;
+    private readonly slowWorkers: SlowWorkers;
+    private readonly crashes: WorkerCrashes;
     private lateOrdersUntil = 0;
-    /** Time (ms) until which a worker is slow. */
-    private readonly slowUntil = new Map<LeasedWorker, number>();
     private replacementCount = 0;
     private downCount = 0;
 
     private constructor(private readonly context: TrialWorkersContext) {
         this.links = TrialLinks.create(context.schedule);
         this.shrinkRandom = Random.create(context.plan.seed);
-        this.slowRandom = Random.create(context.plan.seed);
+        this.slowWorkers = SlowWorkers.create(context.plan.seed, context.schedule, context.trace);
+        this.crashes = WorkerCrashes.create(context.plan.seed);
     }
 
     /** @param context What they share with the rest of the trial. @returns The workers of the plan, all running. */
@@ -152,6 +149,19 @@
         return HALF_DOWN_MS;
     }
 
+    /** Crashes random workers, which are back later under the same id. @returns Time for which the last one is down, in ms. */
+    crashSome(fault: CrashFault): number {
+        const crashed = this.crashes.draw(
+            fault,
+            this.workers.filter(each => !this.down.has(each)),
+        );
+        for (const { worker, downMs } of crashed) {
+            this.context.trace.push(`${Math.round(this.now)} FAULT crash ${worker.entry.id} ${downMs}`);
+            this.takeDown(worker, worker.entry.id, downMs);
+        }
+        return Math.max(0, ...crashed.map(each => each.downMs));
+    }
+
     /** Loses a third of the workers of the first rack permanently. */
     loseThird(): void {
         const [{ rack }] = this.workers.map(each => each.entry);
@@ -231,19 +241,7 @@
 
     /** Lets some workers work several times slower. @param durationMs Duration in ms. */
     slowDown(durationMs: number): void {
-        const percent = this.slowRandom.between(SLOW_PERCENT.min, SLOW_PERCENT.max);
-        const slowness = this.slowRandom.between(SLOWNESS.min, SLOWNESS.max);
-        const chosen = this.workers.filter(() => this.slowRandom.chance(percent / 100));
-        for (const worker of chosen) {
-            worker.setSlowness(slowness, this.now);
-            this.slowUntil.set(worker, this.now + durationMs);
-            this.context.trace.push(`${Math.round(this.now)} FAULT slow ${worker.entry.id} ${slowness} ${durationMs}`);
-        }
-        this.context.schedule.add(durationMs, () =>
-            chosen
-                .filter(worker => this.now >= this.slowUntil.get(worker)!)
-                .forEach(worker => worker.setSlowness(1, this.now)),
-        );
+        this.slowWorkers.slowDown(this.workers, durationMs);
     }
 
     /** Lets the workers execute some orders late. @param durationMs Duration in ms. */
