--- a/src/proof/node/test/lossSeriesTrial.test.ts
+++ b/src/proof/node/test/lossSeriesTrial.test.ts
@@ -25,6 +25,7 @@
 
 const THIRD: Series = { plannedFaults: createSeries("crash-third-800ms", MANY_EVERY_MS) };
 const THIRD_AND_LEADER: Series = { plannedFaults: [...THIRD.plannedFaults!, ...LEADER_KILLS] };
+const RACK: Series = { plannedFaults: createSeries("crash-rack-800ms", MANY_EVERY_MS) };
 const RACK_AND_LEADER: Series = {
     plannedFaults: [...createSeries("crash-rack-either", MANY_EVERY_MS), ...LEADER_KILLS],
 };
@@ -45,6 +46,8 @@
     ["a third of the workers crashes again and again", THIRD, 10],
     ["a third of the workers of two shards crashes again and again", { ...THIRD, shards: 2 }, 6],
     ["a third of the workers crashes again and again, and the leader changes", THIRD_AND_LEADER, 8],
+    // The loss that decides is that of a run that is at work on the next life of its worker.
+    ["a rack crashes again and again", RACK, 21],
     ["a rack crashes again and again, and the leader changes", RACK_AND_LEADER, 3],
     ["workers crash one by one", ONE_BY_ONE, 2],
     ["workers crash one by one, and the leader changes", ONE_BY_ONE_AND_LEADER, 4],
