Tests: tasks that last wait as suspects after a series of crashes

A task that lasts is without a run for 16.7 s, the last 3 s in calm, after a third of 30 workers has crashed each 2.2 s: it is suspected, and suspects start one by one.

--- a/src/proof/node/test/lossSeriesTrial.test.ts
+++ b/src/proof/node/test/lossSeriesTrial.test.ts
@@ -71,6 +71,13 @@
     });
 }
 
+// They were suspected and waited for one another, behind workers that were closed to all but one of them.
+test.serial("tasks that last run again in time after a third of the workers has crashed again and again, seed 1", t => {
+    const lasting = { count: 8, isReviewed: true };
+    const { breaches } = JobTrial.run({ ...BASE, ...THIRD, lasting, recoveryMs: 20_000, seed: 1 });
+    t.deepEqual(breaches, []);
+});
+
 // A refused call was answered as if another worker had the address, so runs on their way to the new life were given up.
 test.serial("no task runs twice on workers that are back under their ids, seed 3", t => {
     const plannedFaults = createSeries("crash-third-either", MANY_EVERY_MS);
