--- a/src/proof/node/trialWorkers.ts
+++ b/src/proof/node/trialWorkers.ts
@@ -355,8 +355,9 @@
         if (worker === undefined || this.links.isCut(worker.entry.id)) {
             return undefined;
         }
-        // The connection of a call was refused even if the worker is back under its id when the caller learns it.
-        return this.down.has(worker) || worker.entry.id === id ? "unreachable" : "other-incarnation";
+        // The connection of a call was refused even if the worker is back under its id when the caller learns it. Trials without a
+        // CrashFault play as before.
+        return this.down.has(worker) || this.crashes.isBack(id, worker) ? "unreachable" : "other-incarnation";
     }
 
     private execute(worker: LeasedWorker, { effect, sender }: SentOrder): OrderOutcome {
--- a/src/proof/node/workerCrashes.ts
+++ b/src/proof/node/workerCrashes.ts
@@ -29,6 +29,9 @@
 
 /** Draws the workers that crash, without a change to the other draws of a seed. */
 export class WorkerCrashes {
+    /** Identifiers of the workers that have crashed. */
+    private readonly crashed = new Set<string>();
+
     private constructor(private readonly random: Random) {}
 
     /** @param seed Seed of a trial. @returns The crashes of the trial. */
@@ -39,7 +42,14 @@
     /** @param fault The crash. @param workers Workers that are up. @returns Those that crash. */
     draw(fault: CrashFault, workers: readonly LeasedWorker[]): CrashedWorker[] {
         const [, scope, duration] = fault.split("-") as ["crash", CrashScope, CrashDuration];
-        return this.choose(scope, workers).map(worker => ({ worker, downMs: this.random.pick(DOWN_MS[duration]) }));
+        const chosen = this.choose(scope, workers);
+        chosen.forEach(worker => this.crashed.add(worker.entry.id));
+        return chosen.map(worker => ({ worker, downMs: this.random.pick(DOWN_MS[duration]) }));
+    }
+
+    /** @param id Identifier of a worker. @param worker A worker. @returns Whether it is that worker's next life, after a crash. */
+    isBack(id: string, worker: LeasedWorker): boolean {
+        return worker.entry.id === id && this.crashed.has(id);
     }
 
     private choose(scope: CrashScope, workers: readonly LeasedWorker[]): readonly LeasedWorker[] {
