Soak: series of crashes of workers

The plans of the soak crash each worker once or twice in a round, so no task loses its worker several times in a row.

The plan `crashes` lets workers crash for 20 s, one by one or up to a third of them at a moment, back after 0.8 s or only after the next crash, in some rounds beside a leader that is killed or paused. Tasks take 1 to 2.5 s there, so that the next crash often comes before their end.

The logs of a run have a file with what the workers ran, since a leader knows of a start only what it was told.

--- a/soak/common/faultPlan.ts
+++ b/soak/common/faultPlan.ts
@@ -2,10 +2,10 @@
 import { FaultKind, PlannedFault } from "./plannedFault";
 
 /** A named way to plan the faults of a round. */
-export type PlanName = "mixed" | "all" | "gone" | "noback" | "random" | "short";
+export type PlanName = "mixed" | "all" | "gone" | "noback" | "random" | "short" | "crashes";
 
 /** All plans. */
-export const PLAN_NAMES: readonly PlanName[] = ["mixed", "all", "gone", "noback", "random", "short"];
+export const PLAN_NAMES: readonly PlanName[] = ["mixed", "all", "gone", "noback", "random", "short", "crashes"];
 
 /** Number of entries and workers. */
 export interface SiteSize {
@@ -26,6 +26,19 @@
 const RANDOM_ROUND_MS = 15_000;
 const MAX_RANDOM_FAULT_MS = 6_000;
 
+/** Time over which the crashes of a round begin, and bounds of the time from one to the next, in ms. */
+const CRASH_ROUND_MS = 20_000;
+const CRASH_EVERY_MS = [1_600, 2_600] as const;
+const SINGLE_CRASH_EVERY_MS = [300, 900] as const;
+
+/** Largest number and largest share of the workers that crash at one moment. */
+const MAX_CRASHES_TOGETHER = 10;
+const MAX_CRASHED_RATIO = 1 / 3;
+
+/** Time for which a worker that restarts at once is down, and bounds of the time for others, in ms. */
+const SHORT_RESTART_MS = 800;
+const LONG_RESTART_MS = [2_000, 6_000] as const;
+
 const ENTRY_KINDS: readonly FaultKind[] = [
     "kill-all",
     "kill-some",
@@ -97,9 +110,20 @@
      */
     static round(name: PlanName, random: Random, size: SiteSize): PlannedFault[] {
         const plan = new FaultPlan(random, size);
-        const faults =
-            name === "random" ? plan.overlapping() : name === "short" ? plan.series() : plan.siteRestart(name);
-        return faults.sort((a, b) => a.atMs - b.atMs);
+        return plan.faults(name).sort((a, b) => a.atMs - b.atMs);
+    }
+
+    private faults(name: PlanName): PlannedFault[] {
+        switch (name) {
+            case "random":
+                return this.overlapping();
+            case "short":
+                return this.series();
+            case "crashes":
+                return this.crashSeries();
+            default:
+                return this.siteRestart(name);
+        }
     }
 
     /** Faults of any kinds that overlap. */
@@ -123,6 +147,30 @@
         });
     }
 
+    /** Workers crash again and again, one by one or many at a moment, and are back soon or only after the next crash. */
+    private crashSeries(): PlannedFault[] {
+        const { random, size } = this;
+        const isSingle = random.chance(0.25);
+        const [shortest, longest] = isSingle ? SINGLE_CRASH_EVERY_MS : CRASH_EVERY_MS;
+        const most = Math.max(1, Math.min(MAX_CRASHES_TOGETHER, Math.floor(size.workers * MAX_CRASHED_RATIO)));
+        const shortRatio = random.pick([0, 0.5, 1]);
+        const faults: PlannedFault[] = [];
+        for (let atMs = 0; atMs < CRASH_ROUND_MS; atMs += random.between(shortest, longest)) {
+            const kind = random.pick<FaultKind>(["worker-restarts", "worker-replaced"]);
+            const lastsMs = random.chance(shortRatio) ? SHORT_RESTART_MS : random.between(...LONG_RESTART_MS);
+            const count = isSingle ? 1 : random.between(Math.ceil(most / 2), most);
+            const targets = this.choose(size.workers, count);
+            faults.push({ kind, atMs, lastsMs, targets, isSilent: random.chance(0.5) });
+        }
+        return random.chance(0.4) ? [...faults, this.leaderFault()] : faults;
+    }
+
+    private leaderFault(): PlannedFault {
+        const kind = this.random.pick<FaultKind>(["kill-leader", "pause-leader"]);
+        const atMs = this.random.between(0, CRASH_ROUND_MS);
+        return { kind, atMs, lastsMs: this.random.between(500, 4_000), targets: [], isSilent: false };
+    }
+
     /** The whole site restarts while the store is away and workers are lost. */
     private siteRestart(name: "mixed" | "all" | "gone" | "noback"): PlannedFault[] {
         const { random } = this;
--- a/soak/common/test/faultPlan.test.ts
+++ b/soak/common/test/faultPlan.test.ts
@@ -34,6 +34,20 @@
     );
 });
 
+test("crashes: workers crash every few seconds, a third of them at most at one moment, in some rounds beside a leader", t => {
+    const plans = rounds("crashes", 3);
+    const crashes = plans.map(each => each.filter(fault => fault.kind.startsWith("worker")));
+    t.true(crashes.flat().every(each => ["worker-restarts", "worker-replaced"].includes(each.kind)));
+    t.true(crashes.flat().every(each => each.targets.length <= SIZE.workers / 3 && each.lastsMs >= 800));
+    t.true(crashes.every(each => each.length >= 8 && each.at(-1)!.atMs > 17_000));
+    t.true(crashes.flat().every((each, index, all) => index === 0 || each.atMs - all[index - 1].atMs <= 2_600));
+    t.true(crashes.some(each => each.every(fault => fault.targets.length === 1)));
+    t.true(crashes.some(each => each.some((a, i) => i > 0 && each[i - 1].atMs + each[i - 1].lastsMs > a.atMs)));
+    t.is(new Set(crashes.flat().map(each => each.isSilent)).size, 2);
+    const leaderFaults = plans.flatMap(each => each.map(fault => fault.kind).filter(kind => kind.endsWith("leader")));
+    t.deepEqual([...new Set(leaderFaults)].sort(), ["kill-leader", "pause-leader"]);
+});
+
 test("neighbouring seeds have nothing in common", t => {
     const first = Array.from({ length: 200 }, (_, seed) => createSeededRandom(seed, 0).fraction());
     const inTenth = first.map(each => Math.floor(each * 10));
--- a/soak/node/soak.ts
+++ b/soak/node/soak.ts
@@ -26,6 +26,18 @@
 /** Time after the end of the traffic in which jobs finish, and are checked, in ms. */
 const FINISH_MS = BOUNDS.finish_s * 1_000 + BOUNDS.stableWindowMs + MAX_IDLE_MS;
 
+/** Folder of the logs of the entries and the workers, in that of the run. */
+const LOG_FOLDER = "logs";
+
+/** What the workers' log says, since the entries know of a run only what they are told. */
+const WORKER_EVENTS: ReadonlySet<SoakObservation["kind"]> = new Set<SoakObservation["kind"]>([
+    "worker-began",
+    "worker-ended",
+    "run-started",
+    "run-ended",
+    "lease-lapsed",
+]);
+
 /** What the random numbers of a run are for. */
 const RANDOM_PURPOSES = { faults: 0, site: 1, traffic: 2 } as const;
 
@@ -53,6 +65,7 @@
 export class Soak {
     private readonly checker = SiteChecker.create();
     private readonly output: WriteStream;
+    private readonly workerLog: WriteStream;
     private readonly violations: RuleViolation[] = [];
     private readonly startedAt = performance.now();
     private starts = 0;
@@ -63,6 +76,8 @@
         rmSync(options.folder, { recursive: true, force: true });
         mkdirSync(options.folder, { recursive: true });
         this.output = createWriteStream(join(options.folder, "record.jsonl"));
+        mkdirSync(join(options.folder, LOG_FOLDER));
+        this.workerLog = createWriteStream(join(options.folder, LOG_FOLDER, "workers.log"));
     }
 
     /** @param options What to run. @returns What it has shown. The record is in the folder, the logs only after violations or long gaps. */
@@ -74,10 +89,10 @@
         const { seed, mode, rounds, dutyPercent, folder } = this.options;
         this.record("soak", { ...this.options });
         const jobs = this.checker.state.jobs;
-        const planTask = planTasks(seed, jobs);
+        const planTask = planTasks(mode, seed, jobs);
         const site = await SoakSite.start({
             size: this.options,
-            folder: join(folder, "logs"),
+            folder: join(folder, LOG_FOLDER),
             random: createSeededRandom(seed, RANDOM_PURPOSES.site),
             jobs,
             planTask,
@@ -136,10 +151,10 @@
         const { violations, starts } = this;
         const result = { violations, longestGapsMs, jobs: this.checker.state.accepted.size, starts };
         this.record("result", { violations: violations.length, longestGapsMs, jobs: result.jobs, starts });
-        await new Promise<void>(resolve => this.output.end(() => resolve()));
+        await Promise.all([this.output, this.workerLog].map(each => new Promise<void>(resolve => each.end(resolve))));
         const isLongGap = longestGapsMs.some(each => each > LASTING_GRACE_MS + MAX_IDLE_MS);
         if (violations.length === 0 && !isLongGap) {
-            rmSync(join(this.options.folder, "logs"), { recursive: true, force: true });
+            rmSync(join(this.options.folder, LOG_FOLDER), { recursive: true, force: true });
         }
         return result;
     }
@@ -155,13 +170,17 @@
             this.record("process-ended", { node: observation.node, detail: observation.detail });
         } else if (observation.kind === "log-line") {
             this.readLogLine(observation.node, observation.text);
+        } else if (WORKER_EVENTS.has(observation.kind)) {
+            this.write(this.workerLog, observation);
         }
     };
 
-    private readonly record = (what: string, fields: object): void => {
-        const line = { time: new Date().toISOString(), atMs: Math.round(this.elapsedMs), what, ...fields };
-        this.output.write(`${JSON.stringify(line)}\n`);
-    };
+    private readonly record = (what: string, fields: object): void => this.write(this.output, { what, ...fields });
+
+    private write(output: WriteStream, fields: object): void {
+        const line = { time: new Date().toISOString(), atMs: Math.round(this.elapsedMs), ...fields };
+        output.write(`${JSON.stringify(line)}\n`);
+    }
 
     private get elapsedMs(): number {
         return performance.now() - this.startedAt;
--- a/soak/node/soakTraffic.ts
+++ b/soak/node/soakTraffic.ts
@@ -1,6 +1,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { Random } from "../../src/proof/node/random";
 import { WORKER_CAPACITY } from "../common/bounds";
+import { PlanName } from "../common/faultPlan";
 import { createSeededRandom } from "../common/seededRandom";
 import { SoakJob, SoakObservation, SoakStep } from "../common/soakEvent";
 import { Caller } from "./caller";
@@ -138,14 +139,25 @@
 /** Runs of a task up to this number are planned apart from those of other tasks. */
 const MAX_RUNS = 1_000;
 
-/** @param seed Seed of the run. @returns What the tasks do, as the seed and their names decide. */
-export function planTasks(seed: number, jobs: ReadonlyMap<string, SoakJob>): (task: string, run: number) => TaskPlan {
+/** Bounds of the time for which a task works, in ms. */
+const WORK_MS = [800, 2_200] as const;
+
+/** The same where workers crash in series: longer, so that the next crash often comes before the end. */
+const WORK_BETWEEN_CRASHES_MS = [1_000, 2_500] as const;
+
+/** @param mode Plan of the faults. @param seed Seed of the run. @returns What the tasks do, as the seed and their names decide. */
+export function planTasks(
+    mode: PlanName,
+    seed: number,
+    jobs: ReadonlyMap<string, SoakJob>,
+): (task: string, run: number) => TaskPlan {
+    const [shortest, longest] = mode === "crashes" ? WORK_BETWEEN_CRASHES_MS : WORK_MS;
     return (task, run) => {
         const [id, , step, index] = task.split(".");
         if (jobs.get(id)?.steps[Number(step)].longRunning === true) {
             return { workMs: Number.POSITIVE_INFINITY, end: "done" };
         }
         const random = createSeededRandom(seed ^ parseInt(id.slice(0, 7), 16), Number(index) * MAX_RUNS + run);
-        return { workMs: random.between(800, 2_200), end: random.chance(FAIL_RATIO) ? "failed" : "done" };
+        return { workMs: random.between(shortest, longest), end: random.chance(FAIL_RATIO) ? "failed" : "done" };
     };
 }
