Soak: tasks that crash the workers that start them

No task of the soak crashes its worker, so it cannot show that such a task ends, nor what becomes of the jobs beside it.

With `--deadly PERCENT` that share of the jobs has a task that crashes each worker that starts it, 5 to 100 ms later, or 0.5 to 3.5 s in three of ten; the worker is back after 1 to 5 s. The rule `crash-budget` allows two starts after three crashes under such a task, as in the job trials. Its job may be shown as failed, need not finish and may be forgotten from the second crash on; one of another job may not.

Without the flag the draws are the same.

--- a/soak/common/bounds.ts
+++ b/soak/common/bounds.ts
@@ -25,6 +25,13 @@
 /** Number of failed runs after which a task may be given up. */
 export const MAX_ATTEMPTS = 2;
 
+/** Number of crashes under a task that crashes its workers after which it may be given up, and after which its starts are limited. */
+export const CRASHES_BEFORE_FAILED = 2;
+export const CRASHES_BEFORE_BUDGET = 3;
+
+/** Number of starts that the limit allows. */
+export const MAX_STARTS_AFTER_CRASHES = 2;
+
 /** Time after its last run from which a task that lasts must have another one, in ms. */
 export const LASTING_GRACE_MS = 6_000;
 
--- a/soak/common/ruleChecker.ts
+++ b/soak/common/ruleChecker.ts
@@ -7,6 +7,7 @@
     | "no-start-after-done"
     | "step-order"
     | "capacity"
+    | "crash-budget"
     | "unasked"
     | "known"
     | "shown-done"
--- a/soak/common/siteChecker.ts
+++ b/soak/common/siteChecker.ts
@@ -1,5 +1,6 @@
 import { CancellationChecker } from "./checkers/cancellationChecker";
 import { CapacityChecker } from "./checkers/capacityChecker";
+import { CrashBudgetChecker } from "./checkers/crashBudgetChecker";
 import { DoneTaskChecker } from "./checkers/doneTaskChecker";
 import { FinishedChecker } from "./checkers/finishedChecker";
 import { HolderChecker } from "./checkers/holderChecker";
@@ -23,6 +24,7 @@
         DoneTaskChecker.create(this.state),
         StepOrderChecker.create(this.state),
         CapacityChecker.create(this.state),
+        CrashBudgetChecker.create(this.state),
         CancellationChecker.create(this.state),
         JobStateChecker.create(this.state),
         KnownJobChecker.create(this.state),
--- a/soak/common/siteState.ts
+++ b/soak/common/siteState.ts
@@ -1,3 +1,4 @@
+import { CRASHES_BEFORE_FAILED, MAX_ATTEMPTS } from "./bounds";
 import { jobIdOf, RunEnd, SoakEvent, SoakJob, SoakStep, stepNumberOf, WorkerCapacity } from "./soakEvent";
 
 /** A run that is active on a worker. */
@@ -22,6 +23,10 @@
     readonly done = new Set<string>();
     /** Number of runs that ended `failed`, by task. */
     readonly failures = new Map<string, number>();
+    /** Number of runs that were lost with their worker, by task. */
+    readonly crashes = new Map<string, number>();
+    /** Tasks that crash the workers that start them. */
+    readonly deadlyTasks = new Set<string>();
     private readonly disruptions = new Map<string, number>();
     private lastDisruptionMs = Number.NEGATIVE_INFINITY;
 
@@ -52,6 +57,9 @@
                 break;
             case "run-started":
                 this.runs.set(event.task, [...this.runsOf(event.task), event]);
+                if (event.isDeadly) {
+                    this.deadlyTasks.add(event.task);
+                }
                 break;
             case "run-ended":
                 this.endRun(event.task, event.worker, event.end);
@@ -85,6 +93,16 @@
         return Array.from({ length: job.steps[step].count }, (_, index) => `${job.id}.0.${step}.${index}`);
     }
 
+    /** @returns Whether a job may be given up: a task has failed often enough, or has crashed enough workers. */
+    hasFailed(job: SoakJob): boolean {
+        const tasks = job.steps.flatMap((_, step) => this.tasksOf(job, step));
+        return tasks.some(
+            task =>
+                (this.failures.get(task) ?? 0) >= MAX_ATTEMPTS ||
+                (this.deadlyTasks.has(task) && (this.crashes.get(task) ?? 0) >= CRASHES_BEFORE_FAILED),
+        );
+    }
+
     /** @returns What the active runs on a worker request. */
     usedOn(worker: number): WorkerCapacity {
         let cpu = 0;
@@ -130,6 +148,8 @@
             this.done.add(task);
         } else if (end === "failed") {
             this.failures.set(task, (this.failures.get(task) ?? 0) + 1);
+        } else if (end === "lost") {
+            this.crashes.set(task, (this.crashes.get(task) ?? 0) + 1);
         }
     }
 
--- a/soak/common/soakEvent.ts
+++ b/soak/common/soakEvent.ts
@@ -46,6 +46,8 @@
           readonly spec: string;
           /** Whether the worker carried out the order later than it received it. */
           readonly isLate: boolean;
+          /** Whether the task crashes the workers that start it. */
+          readonly isDeadly: boolean;
       }
     | {
           readonly kind: "run-ended" | "end-confirmed";
--- a/soak/node/faultInjector.ts
+++ b/soak/node/faultInjector.ts
@@ -71,13 +71,17 @@
 
     /** Injects the faults. @returns When the last one is undone. */
     async play(faults: readonly PlannedFault[]): Promise<void> {
-        await Promise.all(faults.map(fault => this.inject(fault)));
+        const inject = async (fault: PlannedFault) => {
+            await delay(fault.atMs);
+            await this.injectNow(fault);
+        };
+        await Promise.all(faults.map(inject));
     }
 
-    private async inject(planned: PlannedFault): Promise<void> {
-        const { kind, atMs, lastsMs, isSilent } = planned;
+    /** Injects a fault at once, whatever its time is. @returns When it is undone. */
+    async injectNow(planned: PlannedFault): Promise<void> {
+        const { kind, lastsMs, isSilent } = planned;
         const fault = FAULTS[kind];
-        await delay(atMs);
         this.observe({ kind: "disruption-began", name: kind });
         const about = fault.begin(this.site, planned);
         this.record("fault", { fault: kind, lastsMs, isSilent, about });
--- a/soak/node/faultSoak.tool.ts
+++ b/soak/node/faultSoak.tool.ts
@@ -6,7 +6,7 @@
 
 /**
  * Soaks of real processes with faults from outside. Flags: `--seed FIRST --count N --rounds N --entries N --workers N --mode
- * NAME --duty PERCENT --out FOLDER`, where `--mode` names a plan of `FaultPlan`, `--duty` is the share of a core that each
+ * NAME --duty PERCENT --deadly PERCENT --out FOLDER`, where `--mode` names a plan of `FaultPlan`, `--duty` is the share of a core that each
  * entry gets, and `--out` gets a folder with the record of each run, and the logs of the entries if a rule was broken.
  * `--regressions` runs the seeds of `soak/regressions.json` instead. The exit code is 1 if a rule was broken.
  */
@@ -30,15 +30,16 @@
         workers: { type: "string", default: "16" },
         mode: { type: "string", default: "random" },
         duty: { type: "string", default: "100" },
+        deadly: { type: "string", default: "0" },
         out: { type: "string", default: "out/fault-soak" },
         regressions: { type: "boolean", default: false },
     },
 });
 
-function readNumber(name: "seed" | "count" | "rounds" | "entries" | "workers" | "duty"): number {
+function readNumber(name: "seed" | "count" | "rounds" | "entries" | "workers" | "duty" | "deadly", least = 1): number {
     const value = Number(values[name]);
-    if (!Number.isSafeInteger(value) || value < 1) {
-        console.error(`--${name} must be a positive whole number`);
+    if (!Number.isSafeInteger(value) || value < least) {
+        console.error(`--${name} must be a whole number of at least ${least}`);
         process.exit(2);
     }
     return value;
@@ -59,6 +60,7 @@
         entries: readNumber("entries"),
         workers: readNumber("workers"),
         dutyPercent: readNumber("duty"),
+        deadlyPercent: readNumber("deadly", 0),
     }));
 }
 
--- a/soak/node/soak.ts
+++ b/soak/node/soak.ts
@@ -1,9 +1,10 @@
 import { createWriteStream, mkdirSync, rmSync, WriteStream } from "node:fs";
 import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
+import { Random } from "../../src/proof/node/random";
 import { BOUNDS, LASTING_GRACE_MS, MAX_IDLE_MS } from "../common/bounds";
 import { FaultPlan, PlanName, SiteSize } from "../common/faultPlan";
-import { PlannedFault } from "../common/plannedFault";
+import { FaultKind, PlannedFault } from "../common/plannedFault";
 import { RuleViolation } from "../common/ruleChecker";
 import { SiteChecker } from "../common/siteChecker";
 import { createSeededRandom } from "../common/seededRandom";
@@ -39,7 +40,10 @@
 ]);
 
 /** What the random numbers of a run are for. */
-const RANDOM_PURPOSES = { faults: 0, site: 1, traffic: 2 } as const;
+const RANDOM_PURPOSES = { faults: 0, site: 1, traffic: 2, deadlyTasks: 3 } as const;
+
+/** Bounds of the time for which a worker is down that a task has crashed, in ms. */
+const DEADLY_CRASH_LASTS_MS = [1_000, 5_000] as const;
 
 /** What a soak runs. */
 export interface SoakOptions extends SiteSize {
@@ -48,6 +52,8 @@
     readonly rounds: number;
     /** Share of a core that each entry gets, in percent; 100 for no limit. */
     readonly dutyPercent: number;
+    /** Share of the jobs with a task that crashes each worker that starts it, in percent; none if undefined. */
+    readonly deadlyPercent?: number;
     /** Folder of the record and the logs. */
     readonly folder: string;
 }
@@ -70,11 +76,14 @@
     private readonly startedAt = performance.now();
     private starts = 0;
     private site: SoakSite | undefined;
+    private injector: FaultInjector | undefined;
+    private readonly deadlyRandom: Random;
     private expectedTickAt = Number.POSITIVE_INFINITY;
 
     private constructor(private readonly options: SoakOptions) {
         rmSync(options.folder, { recursive: true, force: true });
         mkdirSync(options.folder, { recursive: true });
+        this.deadlyRandom = createSeededRandom(options.seed, RANDOM_PURPOSES.deadlyTasks);
         this.output = createWriteStream(join(options.folder, "record.jsonl"));
         mkdirSync(join(options.folder, LOG_FOLDER));
         this.workerLog = createWriteStream(join(options.folder, LOG_FOLDER, "workers.log"));
@@ -86,19 +95,22 @@
     }
 
     private async run(): Promise<SoakResult> {
-        const { seed, mode, rounds, dutyPercent, folder } = this.options;
+        const { seed, mode, rounds, dutyPercent, deadlyPercent = 0, folder } = this.options;
         this.record("soak", { ...this.options });
         const jobs = this.checker.state.jobs;
-        const planTask = planTasks(mode, seed, jobs);
+        const planTask = planTasks(mode, seed, jobs, deadlyPercent / 100);
         const site = await SoakSite.start({
             size: this.options,
             folder: join(folder, LOG_FOLDER),
             random: createSeededRandom(seed, RANDOM_PURPOSES.site),
             jobs,
             planTask,
+            crashWorker: worker => this.crashWorker(worker),
             observe: this.observe,
         });
         this.site = site;
+        const injector = FaultInjector.create(site, this.observe, this.record);
+        this.injector = injector;
         const addresses = site.callerLinks.map(each => each.address);
         const traffic = SoakTraffic.create(
             this.options.workers,
@@ -114,7 +126,6 @@
             }
             await traffic.start();
             await delay(WARM_UP_MS);
-            const injector = FaultInjector.create(site, this.observe, this.record);
             const random = createSeededRandom(seed, RANDOM_PURPOSES.faults);
             for (let round = 1; round <= rounds; round++) {
                 gaps.push(await this.playRound(round, FaultPlan.round(mode, random, this.options), injector));
@@ -128,6 +139,18 @@
         return this.conclude(gaps);
     }
 
+    /** Crashes a worker, as a task has done. It returns as after other faults, under its ID or a new one. */
+    private crashWorker(worker: number): void {
+        const random = this.deadlyRandom;
+        void this.injector!.injectNow({
+            kind: random.pick<FaultKind>(["worker-restarts", "worker-replaced"]),
+            atMs: 0,
+            lastsMs: random.between(...DEADLY_CRASH_LASTS_MS),
+            targets: [worker],
+            isSilent: random.chance(0.5),
+        });
+    }
+
     private async playRound(round: number, faults: readonly PlannedFault[], injector: FaultInjector): Promise<number> {
         this.record("round", { round, faults });
         this.checker.lastingRuns.takeLongestGapMs();
--- a/soak/node/soakSite.ts
+++ b/soak/node/soakSite.ts
@@ -42,6 +42,8 @@
     readonly limits?: SiteLimits;
     readonly jobs: ReadonlyMap<string, SoakJob>;
     readonly planTask: (task: string, run: number) => TaskPlan;
+    /** Crashes a worker, as a task has done, and lets it return. */
+    readonly crashWorker: (worker: number) => void;
     readonly observe: (observation: SoakObservation) => void;
 }
 
@@ -127,8 +129,8 @@
     }
 
     private async startWorkers(): Promise<void> {
-        const { size, random, jobs, planTask, observe } = this.options;
-        const context = { host: this.host, service: SERVICE, store: this.store, jobs, random, planTask, observe };
+        const { size } = this.options;
+        const context = { ...this.options, host: this.host, service: SERVICE, store: this.store };
         for (let number = 0; number < size.workers; number++) {
             const worker = await WorkerServer.start(number, WORKER_CAPACITY, context);
             const link = await LinkProxy.start(this.host, worker.port);
--- a/soak/node/soakTraffic.ts
+++ b/soak/node/soakTraffic.ts
@@ -145,11 +145,25 @@
 /** The same where workers crash in series: longer, so that the next crash often comes before the end. */
 const WORK_BETWEEN_CRASHES_MS = [1_000, 2_500] as const;
 
-/** @param mode Plan of the faults. @param seed Seed of the run. @returns What the tasks do, as the seed and their names decide. */
+/** Bounds of the time from the start of a deadly task to the crash of its worker, in ms. */
+const EARLY_CRASH_MS = [5, 100] as const;
+const LATE_CRASH_MS = [500, 3_500] as const;
+
+/** Probability that a deadly task crashes its workers late. */
+const LATE_CRASH_RATIO = 0.3;
+
+/**
+ * @param mode Plan of the faults.
+ * @param seed Seed of the run.
+ * @param jobs The jobs that were submitted.
+ * @param deadlyRatio Share of the jobs with a task that crashes each worker that starts it.
+ * @returns What the tasks do, as the seed and their names decide.
+ */
 export function planTasks(
     mode: PlanName,
     seed: number,
     jobs: ReadonlyMap<string, SoakJob>,
+    deadlyRatio: number,
 ): (task: string, run: number) => TaskPlan {
     const [shortest, longest] = mode === "crashes" ? WORK_BETWEEN_CRASHES_MS : WORK_MS;
     return (task, run) => {
@@ -157,7 +171,29 @@
         if (jobs.get(id)?.steps[Number(step)].longRunning === true) {
             return { workMs: Number.POSITIVE_INFINITY, end: "done" };
         }
-        const random = createSeededRandom(seed ^ parseInt(id.slice(0, 7), 16), Number(index) * MAX_RUNS + run);
+        const jobSeed = seed ^ parseInt(id.slice(0, 7), 16);
+        const deadly = planDeadlyTask(jobs.get(id)!, jobSeed, deadlyRatio);
+        if (deadly?.task === task) {
+            return deadly.plan;
+        }
+        const random = createSeededRandom(jobSeed, Number(index) * MAX_RUNS + run);
         return { workMs: random.between(shortest, longest), end: random.chance(FAIL_RATIO) ? "failed" : "done" };
     };
 }
+
+/** @returns The task of a job that crashes each worker that starts it, if the job has one. */
+function planDeadlyTask(
+    { id, steps }: SoakJob,
+    jobSeed: number,
+    ratio: number,
+): { readonly task: string; readonly plan: TaskPlan } | undefined {
+    // Runs begin with 1, so no run of a task has these numbers.
+    const random = createSeededRandom(jobSeed, 0);
+    if (!random.chance(ratio)) {
+        return undefined;
+    }
+    const step = random.between(0, steps.length - 1);
+    const index = random.between(0, steps[step].count - 1);
+    const [shortest, longest] = random.chance(LATE_CRASH_RATIO) ? LATE_CRASH_MS : EARLY_CRASH_MS;
+    return { task: `${id}.0.${step}.${index}`, plan: { workMs: random.between(shortest, longest), end: "crash" } };
+}
--- a/soak/node/test/hostileClients.test.ts
+++ b/soak/node/test/hostileClients.test.ts
@@ -44,6 +44,7 @@
         limits: LIMITS,
         jobs,
         planTask: () => ({ workMs: 20, end: "done" }),
+        crashWorker: () => t.fail("no task crashes its worker"),
         observe,
     });
     const [entry] = site.entries;
--- a/soak/node/workerServer.ts
+++ b/soak/node/workerServer.ts
@@ -18,10 +18,10 @@
 /** Bounds of the time by which an order is carried out late, in ms. */
 const LATE_ORDER_MS = [500, 4_000] as const;
 
-/** What a task does: how long it works, in ms, and how it ends. */
+/** What a task does: how long it works, in ms, and how it ends; with `crash` it crashes its worker. */
 export interface TaskPlan {
     readonly workMs: number;
-    readonly end: "done" | "failed";
+    readonly end: "done" | "failed" | "crash";
 }
 
 interface ActiveRun {
@@ -54,6 +54,8 @@
     readonly jobs: ReadonlyMap<string, SoakJob>;
     readonly random: Random;
     readonly planTask: (task: string, run: number) => TaskPlan;
+    /** Crashes a worker, as a task has done, and lets it return. @param worker Its number. */
+    readonly crashWorker: (worker: number) => void;
     readonly observe: (observation: SoakObservation) => void;
 }
 
@@ -106,6 +108,9 @@
 
     /** Begins an incarnation, which knows nothing of the former ones. @param id ID under which it registers. */
     begin(id = this.id): void {
+        if (!this.server.listening) {
+            return;
+        }
         this.sockets.forEach(socket => socket.destroy());
         this.id = id;
         this.isUp = true;
@@ -221,6 +226,9 @@
 
     private execute(path: string, order: Order, reply: Reply, isLate: boolean): void {
         this.endDueRuns();
+        if (!this.isUp) {
+            return;
+        }
         const fence = order.fence ?? 0;
         if (fence < this.fence) {
             reply(409, { clockMs: this.clock, reason: "fence" });
@@ -253,13 +261,15 @@
         } else if (active !== undefined || run <= (this.highestRuns.get(task) ?? 0)) {
             reply(409, { clockMs: this.clock, reason: "old" });
         } else {
-            this.context.observe({ kind: "run-started", worker: this.number, task, run, spec, isLate });
-            if (step === undefined || job?.spec !== spec) {
+            const isAsked = step !== undefined && job?.spec === spec;
+            const plan = isAsked ? this.context.planTask(task, run) : undefined;
+            const isDeadly = plan?.end === "crash";
+            this.context.observe({ kind: "run-started", worker: this.number, task, run, spec, isLate, isDeadly });
+            if (step === undefined || plan === undefined) {
                 this.observeEnd(task, run, "failed");
                 reply(400, { clockMs: this.clock });
                 return;
             }
-            const plan = this.context.planTask(task, run);
             this.activeRuns.set(task, { task, run, step, plan, startedAt: performance.now(), stopsAt: undefined });
             reply(200, { clockMs: this.clock });
         }
@@ -316,6 +326,10 @@
             if (run.stopsAt !== undefined && now >= run.stopsAt) {
                 this.endRun(run, "stopped");
             } else if (now - run.startedAt >= run.plan.workMs) {
+                if (run.plan.end === "crash") {
+                    this.context.crashWorker(this.number);
+                    return;
+                }
                 this.endRun(run, run.plan.end);
             }
         }
