--- a/soak/common/faultPlan.ts
+++ b/soak/common/faultPlan.ts
@@ -153,12 +153,13 @@
         const isSingle = random.chance(0.25);
         const [shortest, longest] = isSingle ? SINGLE_CRASH_EVERY_MS : CRASH_EVERY_MS;
         const most = Math.max(1, Math.min(MAX_CRASHES_TOGETHER, Math.floor(size.workers * MAX_CRASHED_RATIO)));
+        const fewest = random.pick([Math.ceil(most / 2), most]);
         const shortRatio = random.pick([0, 0.5, 1]);
         const faults: PlannedFault[] = [];
         for (let atMs = 0; atMs < CRASH_ROUND_MS; atMs += random.between(shortest, longest)) {
             const kind = random.pick<FaultKind>(["worker-restarts", "worker-replaced"]);
             const lastsMs = random.chance(shortRatio) ? SHORT_RESTART_MS : random.between(...LONG_RESTART_MS);
-            const count = isSingle ? 1 : random.between(Math.ceil(most / 2), most);
+            const count = isSingle ? 1 : random.between(fewest, most);
             const targets = this.choose(size.workers, count);
             faults.push({ kind, atMs, lastsMs, targets, isSilent: random.chance(0.5) });
         }
--- a/soak/node/soak.ts
+++ b/soak/node/soak.ts
@@ -11,7 +11,7 @@
 import { SoakObservation } from "../common/soakEvent";
 import { FaultInjector } from "./faultInjector";
 import { SoakSite } from "./soakSite";
-import { planTasks, SoakTraffic } from "./soakTraffic";
+import { batchTrafficFor, planTasks, SoakTraffic } from "./soakTraffic";
 
 const TICK_MS = 100;
 
@@ -98,7 +98,8 @@
         const { seed, mode, rounds, dutyPercent, deadlyPercent = 0, folder } = this.options;
         this.record("soak", { ...this.options });
         const jobs = this.checker.state.jobs;
-        const planTask = planTasks(mode, seed, jobs, deadlyPercent / 100);
+        const batches = batchTrafficFor(mode);
+        const planTask = planTasks(batches, seed, jobs, deadlyPercent / 100);
         const site = await SoakSite.start({
             size: this.options,
             folder: join(folder, LOG_FOLDER),
@@ -113,6 +114,7 @@
         this.injector = injector;
         const addresses = site.callerLinks.map(each => each.address);
         const traffic = SoakTraffic.create(
+            batches,
             this.options.workers,
             createSeededRandom(seed, RANDOM_PURPOSES.traffic),
             addresses,
--- a/soak/node/soakTraffic.ts
+++ b/soak/node/soakTraffic.ts
@@ -30,8 +30,23 @@
 
 const LASTING_STEP: SoakStep = { count: LASTING_TASKS, cpu: 13_000, memMb: 26_000, estMs: 500, longRunning: true };
 
-/** Tasks of the first step of a finite job, for each worker. */
-const BATCH_TASKS_PER_WORKER = 0.5;
+/** Finite jobs of a soak. */
+export interface BatchTraffic {
+    /** Tasks of the first step of a job, for each worker. */
+    readonly tasksPerWorker: number;
+    /** Bounds of the time for which a task works, in ms. */
+    readonly workMs: readonly [number, number];
+}
+
+const USUAL_BATCHES: BatchTraffic = { tasksPerWorker: 0.5, workMs: [800, 2_200] };
+
+/** Where workers crash in series, the next crash often comes before the end of a task. */
+const BATCHES_BETWEEN_CRASHES: BatchTraffic = { tasksPerWorker: 1, workMs: [1_000, 2_500] };
+
+/** @param mode Plan of the faults. @returns The finite jobs that go with it. */
+export function batchTrafficFor(mode: PlanName): BatchTraffic {
+    return mode === "crashes" ? BATCHES_BETWEEN_CRASHES : USUAL_BATCHES;
+}
 
 /** What callers do: they submit jobs, cancel some, and read states. */
 export class SoakTraffic {
@@ -42,6 +57,7 @@
     private loops: Promise<void>[] = [];
 
     private constructor(
+        private readonly batches: BatchTraffic,
         private readonly workers: number,
         private readonly random: Random,
         addresses: readonly string[],
@@ -51,6 +67,7 @@
     }
 
     /**
+     * @param batches The finite jobs.
      * @param workers Number of workers, to which the traffic is scaled.
      * @param random Decides jobs and times.
      * @param addresses Host and port of each entry.
@@ -58,12 +75,13 @@
      * @returns Traffic that has not started.
      */
     static create(
+        batches: BatchTraffic,
         workers: number,
         random: Random,
         addresses: readonly string[],
         observe: (observation: SoakObservation) => void,
     ): SoakTraffic {
-        return new SoakTraffic(workers, random, addresses, observe);
+        return new SoakTraffic(batches, workers, random, addresses, observe);
     }
 
     /** Submits the jobs that last, then begins with the others. @returns When the jobs that last are accepted. */
@@ -110,7 +128,7 @@
     }
 
     private batchSteps(): SoakStep[] {
-        const count = Math.max(2, Math.round(this.workers * BATCH_TASKS_PER_WORKER));
+        const count = Math.max(2, Math.round(this.workers * this.batches.tasksPerWorker));
         const first = { count, cpu: 7_000, memMb: 8_000, estMs: 1_500 };
         const second = { count: 2, cpu: 7_000, memMb: 8_000, estMs: 1_500, after: [0] };
         return this.random.chance(SECOND_STEP_RATIO) ? [first, second] : [first];
@@ -139,12 +157,6 @@
 /** Runs of a task up to this number are planned apart from those of other tasks. */
 const MAX_RUNS = 1_000;
 
-/** Bounds of the time for which a task works, in ms. */
-const WORK_MS = [800, 2_200] as const;
-
-/** The same where workers crash in series: longer, so that the next crash often comes before the end. */
-const WORK_BETWEEN_CRASHES_MS = [1_000, 2_500] as const;
-
 /** Bounds of the time from the start of a deadly task to the crash of its worker, in ms. */
 const EARLY_CRASH_MS = [5, 100] as const;
 const LATE_CRASH_MS = [500, 3_500] as const;
@@ -153,19 +165,18 @@
 const LATE_CRASH_RATIO = 0.3;
 
 /**
- * @param mode Plan of the faults.
+ * @param batches The finite jobs.
  * @param seed Seed of the run.
  * @param jobs The jobs that were submitted.
  * @param deadlyRatio Share of the jobs with a task that crashes each worker that starts it.
  * @returns What the tasks do, as the seed and their names decide.
  */
 export function planTasks(
-    mode: PlanName,
+    batches: BatchTraffic,
     seed: number,
     jobs: ReadonlyMap<string, SoakJob>,
     deadlyRatio: number,
 ): (task: string, run: number) => TaskPlan {
-    const [shortest, longest] = mode === "crashes" ? WORK_BETWEEN_CRASHES_MS : WORK_MS;
     return (task, run) => {
         const [id, , step, index] = task.split(".");
         if (jobs.get(id)?.steps[Number(step)].longRunning === true) {
@@ -177,7 +188,7 @@
             return deadly.plan;
         }
         const random = createSeededRandom(jobSeed, Number(index) * MAX_RUNS + run);
-        return { workMs: random.between(shortest, longest), end: random.chance(FAIL_RATIO) ? "failed" : "done" };
+        return { workMs: random.between(...batches.workMs), end: random.chance(FAIL_RATIO) ? "failed" : "done" };
     };
 }
 
