--- a/src/dispatch/common/workers/lossReporter.ts
+++ b/src/dispatch/common/workers/lossReporter.ts
@@ -11,6 +11,11 @@
  */
 export type WorkerLossListener = (worker: WorkerContact, runs: readonly Run[], cause: WorkerLossCause) => void;
 
+/** What a list shows of the incarnation that states it. */
+export interface IncarnationList extends Pick<RunList, "running" | "ended"> {
+    readonly incarnation: number;
+}
+
 /** Decides which runs were lost with their workers, and reports each of them once. */
 export class LossReporter {
     /** Runs whose leases have expired on workers that do not answer, and that are not given up yet. */
@@ -25,20 +30,30 @@
 
     /**
      * Reports the runs that were lost with a former incarnation of their worker. An earlier leader may have started them there without
-     * this one ever having seen it.
+     * this one ever having seen it. A run in the list is on the listed incarnation.
      * @param worker The worker.
-     * @param list A list of it. A run in it has reached the incarnation that is listed, so it was not lost with a former one.
-     * @param incarnation That incarnation.
+     * @param list A list of it.
+     * @param now Time in ms.
      */
-    reportRestart(worker: WorkerContact, { running, ended }: RunList, incarnation: number): void {
+    reportRestart(worker: WorkerContact, { running, ended, incarnation }: IncarnationList, now: number): void {
         const runs = [...worker.runs.values()];
-        const isFormer = (run: Run) => run.record.incarnation < incarnation;
-        const listed = new Set([...running, ...ended].map(startKeyOf));
-        const isListed = (run: Run) => listed.has(startKeyOf(run.record));
+        const isFormer = (run: Run) => run.record.incarnation !== incarnation;
+        const reports = new Map(running.map(each => [startKeyOf(each), each]));
+        const endedKeys = new Set(ended.map(startKeyOf));
+        const isOnListed = (run: Run) => {
+            const key = startKeyOf(run.record);
+            return reports.has(key) || endedKeys.has(key);
+        };
         const lost = [...this.takeExpired(worker), ...runs.filter(isLoss)].filter(
-            run => isFormer(run) && !isListed(run),
+            run => isFormer(run) && !isOnListed(run),
         );
-        runs.filter(isFormer).forEach(run => run.updateIncarnation(incarnation));
+        for (const run of runs.filter(isFormer)) {
+            run.updateIncarnation(incarnation);
+            const listed = reports.get(startKeyOf(run.record));
+            if (listed !== undefined) {
+                run.recordReport(listed, now);
+            }
+        }
         this.report(worker, lost, "restarted");
     }
 
--- a/src/dispatch/common/workers/test/poolFixture.ts
+++ b/src/dispatch/common/workers/test/poolFixture.ts
@@ -71,8 +71,8 @@
     return { pool, worker, list };
 }
 
-/** @returns The run of a task that was started on a worker and whose start is not answered. */
-export function startOn(worker: WorkerContact, job: string): Run {
+/** @param now Time in ms. @returns The run of a task that was started on a worker and whose start is not answered. */
+export function startOn(worker: WorkerContact, job: string, now = 0): Run {
     const [task] = [...createJob(job, createStep("batch", false)).tasks()];
-    return assign(worker, task);
+    return assign(worker, task, now);
 }
--- a/src/dispatch/common/workers/workerContact.ts
+++ b/src/dispatch/common/workers/workerContact.ts
@@ -92,6 +92,8 @@
     private clock: WorkerClock | undefined;
     /** Incarnation in the latest list. */
     private latestIncarnation: number | undefined;
+    /** Time (ms) at which its first list arrived. */
+    private listedSince = Number.NEGATIVE_INFINITY;
     /** Reading of the worker's clock (ms) up to which this leader has let it run tasks. */
     private leaseUntil = 0;
     /** Reading of the worker's clock (ms) up to which an earlier leader may have let it run tasks, by what it accepts. */
@@ -146,6 +148,8 @@
     private entryReadAt: number;
     /** Whether a list that was requested after its entry was read states an earlier incarnation: the entry is false. */
     private isEntryRefuted = false;
+    /** Latest reading of its entry, if it was ignored as one of an earlier incarnation. */
+    private ignoredEntry: EntryReading | undefined;
 
     private constructor(
         private latestEntry: WorkerEntry,
@@ -243,11 +247,14 @@
      * before it is false or was not renewed.
      * @param now Time in ms.
      */
-    updateEntry({ entry, writtenAfter }: EntryReading, now: number): void {
+    updateEntry(reading: EntryReading, now: number): void {
+        const { entry, writtenAfter } = reading;
         const isEarlier = entry.incarnation < this.latestEntry.incarnation;
         if (isEarlier && !this.isEntryRefuted && now - this.entryReadAt < ENTRY_LIFETIME_MS) {
+            this.ignoredEntry = reading;
             return;
         }
+        this.ignoredEntry = undefined;
         this.latestEntry = entry;
         this.entryReadAt = now;
         this.isEntryRefuted = false;
@@ -271,25 +278,41 @@
     /**
      * Records the incarnation that a run list states. One that only service discovery states is ignored, since only a
      * list shows what runs.
-     * @param incarnation When the worker started, in ms since the Unix epoch.
+     * @param incarnation When the worker started, in ms since the Unix epoch: earlier than before if its time of day has jumped back.
      * @param sentAt Time (ms) at which the list was requested.
      * @param now Time in ms.
      * @returns Whether the list is from the latest incarnation.
      */
     updateIncarnation(incarnation: number, sentAt: number, now: number): boolean {
         this.isEntryRefuted = incarnation < this.latestEntry.incarnation && sentAt > this.entryReadAt;
-        const isNewer = this.latestIncarnation !== undefined && incarnation > this.latestIncarnation;
-        if (this.latestIncarnation !== undefined && incarnation < this.latestIncarnation) {
+        if (!this.isOfLatest(incarnation, sentAt)) {
             return false;
         }
-        this.latestIncarnation = incarnation;
-        if (isNewer) {
-            this.resetEndNumbers();
-            this.machine.fire("replaced", now);
+        if (incarnation !== this.latestIncarnation) {
+            const isReplaced = this.latestIncarnation !== undefined;
+            this.latestIncarnation = incarnation;
+            this.listedSince = now;
+            if (isReplaced) {
+                this.resetEndNumbers();
+                this.machine.fire("replaced", now);
+            }
+        }
+        if (this.isEntryRefuted && this.isRegistered && this.ignoredEntry?.entry.incarnation === incarnation) {
+            this.updateEntry(this.ignoredEntry, now);
         }
         return true;
     }
 
+    /**
+     * @param incarnation Incarnation that a list states.
+     * @param sentAt Time (ms) at which the list was requested.
+     * @returns Whether the list is not from a former incarnation: a request that was sent once the latest one was heard of cannot be
+     * answered by one before it.
+     */
+    isOfLatest(incarnation: number, sentAt: number): boolean {
+        return incarnation === (this.latestIncarnation ?? incarnation) || sentAt >= this.listedSince;
+    }
+
     /** Handles an answer of another worker at the address. @param now Time in ms. */
     markGone(now: number): void {
         this.isRegistered = false;
--- a/src/dispatch/common/workers/workerPool.ts
+++ b/src/dispatch/common/workers/workerPool.ts
@@ -7,7 +7,7 @@
 import { FirstLists } from "./firstLists";
 import { LateStartTable } from "../runs/lateStartTable";
 import { LeaseBook } from "./leaseBook";
-import { LIST_RETRY_INTERVAL_MS, listIntervalMs, TRANSIENT_STATES } from "./listInterval";
+import { LIST_RETRY_INTERVAL_MS, listIntervalMs, listWaitMs, TRANSIENT_STATES } from "./listInterval";
 import { LossReporter } from "./lossReporter";
 import { Run } from "../runs/run";
 import { StartLoad, StartWindow } from "../runs/startWindow";
@@ -15,16 +15,6 @@
 import { deregisteredEntry, EntryReading } from "./workerEntry";
 import { ListedEnd, RunList, WorkerEvent } from "./workerMessages";
 
-/**
- * Time for which a worker holds a list request until a run ends, in ms, and so the age of the latencies that it
- * reports. Each list is work for the leader, so the wait grows with the number of workers, up to what the reaction time to a
- * missed latency target allows, and with the delay of the loop where no speed depends on the reports.
- */
-const MIN_LIST_WAIT_MS = 500;
-const LIST_WAIT_PER_WORKER_MS = 4;
-const LIST_WAIT_PER_DELAY_MS = 4;
-const MAX_LIST_WAIT_MS = 1_200;
-
 /**
  * Limit on starts that are being stored or sent: this many, or one for each worker if these are more. An answer takes
  * about 50 ms, so this allows over 2,000 starts per second. When the leader is slow and answers take longer, it sends
@@ -424,8 +414,10 @@
         if (incarnation === undefined) {
             return true;
         }
-        this.losses.reportRestart(worker, list, incarnation);
         const previous = worker.incarnation;
+        if (worker.isOfLatest(incarnation, sentAt)) {
+            this.losses.reportRestart(worker, { ...list, incarnation }, now);
+        }
         const isLatest = worker.updateIncarnation(incarnation, sentAt, now);
         if (previous !== undefined && worker.incarnation !== previous) {
             const data = { worker: worker.entry.id, incarnation, before: previous, runs: worker.runs.size };
@@ -489,7 +481,7 @@
                 leaseUntil: isBusy && isReachable ? this.extendLease(worker, now) : undefined,
                 recordedUpTo: isConfirming ? worker.recordedUpTo : 0,
                 unansweredStarts: isConfirming ? worker.unansweredStarts : undefined,
-                waitMs: mayWait ? this.listWaitMs(worker, now) : 0,
+                waitMs: mayWait ? listWaitMs(worker, this.contacts.size, this.loopDelayMs, now) : 0,
             },
         });
     }
@@ -500,16 +492,6 @@
         return until === undefined ? undefined : worker.extendLeaseToMax(until, now);
     }
 
-    /** A worker answers at the latest when it has survived the start of its suspected tasks, so that these are cleared. */
-    private listWaitMs(worker: WorkerContact, now: number): number {
-        const runs = [...worker.runs.values()];
-        const forWorkersMs = Math.max(MIN_LIST_WAIT_MS, this.contacts.size * LIST_WAIT_PER_WORKER_MS);
-        const waitMs = forWorkersMs + (isShared(runs) ? 0 : this.loopDelayMs * LIST_WAIT_PER_DELAY_MS);
-        const onProbation = runs.filter(run => run.task.suspicion?.recorded !== undefined);
-        const unproven = onProbation.filter(run => !run.isProven).map(run => Math.max(0, run.provenInMs(now)));
-        return Math.round(Math.min(MAX_LIST_WAIT_MS, waitMs, ...unproven));
-    }
-
     /** A stop that is ordered after this review is due one interval after it at the earliest. */
     private retryStops(worker: WorkerContact, now: number): void {
         if (now - worker.oldestStopAt <= STOP_RETRY_INTERVAL_MS) {
@@ -551,8 +533,3 @@
     silent: "worker-silent",
     vacant: "worker-vacant",
 };
-
-/** @returns Whether latency-critical tasks run beside best-effort ones, whose speeds depend on what the worker reports. */
-function isShared(runs: readonly Run[]): boolean {
-    return runs.some(run => run.task.step.usesSpareCpu) && runs.some(run => run.task.step.tailTargetMs !== undefined);
-}
