Tasks that last do not wait for room behind workers that are closed for suspects

Callers see a task that lasts without a run for longer than they accept, while workers that try suspected tasks have room for it.

Cause: a worker that is reserved for a suspected task is open to tasks that last and have to run, but one that tries a suspected task is not. It is closed until the start is survived, and for 10 s with a task on its last attempt.

Evidence: tests with the only room on such workers: the tasks that last have no run within 10 s.

Change: a task that lasts, has to run and is known to be sound joins a suspected task if no other worker has room for it: it ran before, and lost no worker since it last worked for 10 s or ended by itself. Workers with little evidence against the suspected tasks come first. The loss of the worker is still evidence against the suspected task. Tasks that never ran, or that lost a worker, keep away: with them a loss would not show which one is the cause, and one that crashes its workers could be excused for each loss. So crash-budget is as before. A sound task can still be accused of a loss that a task on its last attempt caused after it had survived its start, since only recent starts are suspected.

--- a/src/dispatch/common/failures/probationPlacer.ts
+++ b/src/dispatch/common/failures/probationPlacer.ts
@@ -2,7 +2,7 @@
 import { Placer } from "../placement/placer";
 import { Run } from "../runs/run";
 import { hasOneLoss, isLastAttempt, SuspectTable } from "./suspectTable";
-import { Task } from "../jobs/task";
+import { hasRunBefore, Task } from "../jobs/task";
 import { WorkerContact } from "../workers/workerContact";
 
 /** Largest share of the workers on which suspected tasks are tried at the same time, while other tasks wait. */
@@ -57,7 +57,8 @@
  * Places suspected tasks so that the loss of their worker shows the cause: on workers that have survived the start of
  * all other runs and are given no other task until the suspected one is cleared. A task on its last attempt starts on a worker
  * without other runs, if one becomes empty soon. When a job has to have a run soon, a task against which there is little evidence
- * starts beside others like it: more than one in a few of them are rarely guilty.
+ * starts beside others like it: more than one in a few of them are rarely guilty. Tasks that last, have to run and are known to be sound
+ * may join a suspected one if no other worker has room for them.
  *
  * Load pattern: workers start several tasks a second, so one that crashes has usually just started several. Without
  * probation, tasks that were only beside the guilty one would be suspected with it again and again.
@@ -69,6 +70,8 @@
     private readonly reservedSince = new Map<Task, number>();
     /** First tasks of the groups that were due in the latest pass and would have had a worker reserved, if one had room. */
     private readonly lackingRoom = new Set<Task>();
+    /** Workers that were given no other tasks in the latest pass. */
+    private closed: ReadonlySet<WorkerContact> = new Set();
 
     private constructor(
         private readonly suspects: SuspectTable,
@@ -133,6 +136,7 @@
                 this.lackingRoom.add(first);
             }
         }
+        this.closed = closed;
         return closed;
     }
 
@@ -208,6 +212,18 @@
         return workers.filter(worker => this.isReserved(worker) && !this.suspects.isOnProbation(worker));
     }
 
+    /**
+     * @param workers Usable workers.
+     * @returns Those that were closed in the latest pass since they try suspected tasks: first the ones with little evidence against
+     * all that they try, which are lost less often, then the others.
+     */
+    triersOf(workers: readonly WorkerContact[]): WorkerContact[][] {
+        const triers = workers.filter(worker => this.closed.has(worker) && this.suspects.isOnProbation(worker));
+        const hasLittle = (worker: WorkerContact) =>
+            [...worker.runs.values()].every(({ task }) => !this.suspects.startsApart(task) || hasLittleEvidence(task));
+        return [triers.filter(hasLittle), triers.filter(worker => !hasLittle(worker))];
+    }
+
     private isReserved(worker: WorkerContact): boolean {
         return [...this.reservations.values()].some(each => each.workers.has(worker));
     }
@@ -298,6 +314,15 @@
     return triedRuns(worker).every(run => hasLittleEvidence(run.task));
 }
 
+/**
+ * @param task A task.
+ * @returns Whether it is known to be sound: it ran before, and no worker was lost under it since it last worked for some time. Beside
+ * it, the loss of a worker still shows that a suspected task is the cause.
+ */
+export function isKnownSound(task: Task): boolean {
+    return hasRunBefore(task) && task.lossesInARow === 0;
+}
+
 /** @returns Whether a task has to start however full the service is, and whatever is reserved: it lasts, and there is little evidence. */
 function hasPromisedStart({ tasks, isDue }: ProbationGroup): boolean {
     const [task] = tasks;
--- a/src/dispatch/common/waits/stepQueue.ts
+++ b/src/dispatch/common/waits/stepQueue.ts
@@ -8,7 +8,7 @@
 import { OccurrenceBudget } from "../jobs/occurrenceBudget";
 import { PlaceController } from "../locality/placeController";
 import { PlacementChoice, Placer } from "../placement/placer";
-import { ProbationPlacer } from "../failures/probationPlacer";
+import { isKnownSound, ProbationPlacer } from "../failures/probationPlacer";
 import { QueueHost } from "./queueHost";
 import { RoomKeeper } from "../placement/roomKeeper";
 import { Run } from "../runs/run";
@@ -134,7 +134,7 @@
         this.moves.prune(open, now);
         this.moves.finish(unsuspected, placer, (task, choice) => this.assignTo(task, choice, placer, now));
         this.places.plan(unsuspected, { placer, now, wallNow, dueMs: entry => this.dueMs(entry, now) });
-        this.placeDue(waiting, placer, this.probation.reservedOf(workers), now);
+        this.placeDue(waiting, placer, workers, now);
         this.placeInOrder(unsuspected, placer, now);
         if (Number.isFinite(this.nextDueMs)) {
             this.host.requestPassBy(now + this.nextDueMs);
@@ -184,7 +184,7 @@
     private placeDue(
         waiting: readonly WaitingGroup[],
         placer: Placer,
-        reservedForSuspects: readonly WorkerContact[],
+        workers: readonly WorkerContact[],
         now: number,
     ): void {
         const idleMs = ({ group, tasks }: WaitingGroup) => this.waits.idleMs(group, tasks[0], now);
@@ -202,7 +202,8 @@
         this.lastStart = Math.min(0, this.remainingStarts) - MAX_DUE_STARTS;
         const lasting = due.filter(isLongRunning);
         this.placeInOrder(lasting, placer, now);
-        this.placeInOrder(lasting, Placer.create(reservedForSuspects, this.model), now);
+        this.placeInOrder(lasting, Placer.create(this.probation.reservedOf(workers), this.model), now);
+        this.placeBesideSuspects(lasting, workers, now);
         this.roomKeeper.keep([...due, ...this.probation.withoutRoom(waiting)], placer, this.host, now);
         const first = due.filter(entry => !isLongRunning(entry) && entry.runs === 0);
         this.placeInOrder(first, placer, now);
@@ -212,6 +213,24 @@
         this.placeInOrder(further, placer, now);
     }
 
+    /**
+     * Places the tasks that are known to be sound on workers that try suspected ones, if no other worker has room for them. Others would
+     * leave open whether they or the suspected ones are the cause of a loss.
+     */
+    private placeBesideSuspects(due: readonly WaitingGroup[], workers: readonly WorkerContact[], now: number): void {
+        const sound = due
+            .map(entry => ({
+                ...entry,
+                tasks: entry.tasks.filter(task => task.run === undefined && isKnownSound(task)),
+            }))
+            .filter(({ tasks }) => tasks.length > 0);
+        if (sound.length > 0) {
+            this.probation
+                .triersOf(workers)
+                .forEach(triers => this.placeInOrder(sound, Placer.create(triers, this.model), now));
+        }
+    }
+
     private dueMs({ group, tasks, service }: WaitingGroup, now: number): number | undefined {
         return this.waits.dueMs(group, tasks[0], service, now);
     }
