A long batch task does not end as failed for five workers that are lost in its life

Callers see a batch task as failed, "lost with 5 workers in a row", although it only took so long that five of its workers were restarted.

Cause: each loss of an attempt counted, however long the attempt had worked.

Evidence: a test in shardFold.test.ts with attempts that are lost after an hour each.

Change: the record of the end of an attempt says for how long it was reported at work, by the worker's clock. The loss of one that was for over 10 s starts the count again. A non-idempotent task still ends as unknown. A task that crashes its workers later than that has no limit. Workers report every 10 s, so the time is a lower bound: a loss within the first reports counts, as does one under an owner that has just taken over.

Mixed versions: the field is optional. A record without it counts as before, and earlier versions read over it. They count the loss, though: after the fifth one such a task is failed for an instance of an earlier version, and queued for this one.

--- a/src/scheduling/common/attempt.ts
+++ b/src/scheduling/common/attempt.ts
@@ -47,6 +47,9 @@
     latestReport: RunningAttempt | undefined;
     /** Time (ms) of the first report of the running attempt, and its progress in it. */
     firstReport: { readonly at: number; readonly progress: number } | undefined;
+    /** Readings of the worker's clock (ms) in the first and the latest report of the running attempt. */
+    private reportedFrom: number | undefined;
+    private reportedUntil = 0;
     /** Whether it is to be evicted. */
     isEvicting = false;
     /** Whether the worker is ordered to throttle it. */
@@ -92,6 +95,24 @@
         return this.latestReport?.progress ?? 0;
     }
 
+    /** Time between the first and the latest report of the running attempt, in ms of the worker's clock. */
+    get workedMs(): number {
+        return this.reportedFrom === undefined ? 0 : this.reportedUntil - this.reportedFrom;
+    }
+
+    /**
+     * Records that a report lists the attempt as running.
+     * @param running What the report says about it.
+     * @param clock Reading of the worker's clock in the report, in ms.
+     * @param now Time in ms.
+     */
+    recordRunning(running: RunningAttempt, clock: number, now: number): void {
+        this.latestReport = running;
+        this.firstReport ??= { at: now, progress: running.progress };
+        this.reportedFrom ??= clock;
+        this.reportedUntil = Math.max(this.reportedUntil, clock);
+    }
+
     /** Fires an event. @param event The event. @param data Its data. @returns Whether it caused a transition. */
     fire(event: AttemptEvent, data: AttemptEventData = {}): boolean {
         return this.machine.fire(event, data);
--- a/src/scheduling/common/attemptTracker.ts
+++ b/src/scheduling/common/attemptTracker.ts
@@ -124,8 +124,7 @@
         } else if (finished !== undefined) {
             attempt.fire("finished", { finished });
         } else if (running !== undefined) {
-            attempt.latestReport = running;
-            attempt.firstReport ??= { at: now, progress: running.progress };
+            attempt.recordRunning(running, report.clock, now);
             // An earlier owner may have granted a full lease just before this report.
             attempt.leaseExpiresAt = Math.max(attempt.leaseExpiresAt, report.clock + TASK_LEASE_MS);
             attempt.fire("reported");
@@ -156,6 +155,7 @@
             end,
             result,
             checkpoint,
+            workedMs: attempt.workedMs,
         });
         context.audit("task", attempt.task.request.key, end, `attempt ${number} on ${worker}`);
         this.updateTrust(attempt, end);
--- a/src/scheduling/common/task.ts
+++ b/src/scheduling/common/task.ts
@@ -11,7 +11,14 @@
 /** Events of a batch task. */
 export type TaskEvent = "assign" | "cancel" | "refuse" | AttemptEnd;
 
-type TaskGuard = "hasRun" | "isNextAttempt" | "isCurrentAttempt" | "isFinalFailure" | "isFinalLoss" | "isNonIdempotent";
+type TaskGuard =
+    | "hasRun"
+    | "isNextAttempt"
+    | "isCurrentAttempt"
+    | "isFinalFailure"
+    | "isFinalLoss"
+    | "isLateLoss"
+    | "isNonIdempotent";
 type TaskAction =
     | "beginAttempt"
     | "endAttempt"
@@ -40,7 +47,15 @@
             "lost",
             "never-started",
         ],
-        guards: ["hasRun", "isNextAttempt", "isCurrentAttempt", "isFinalFailure", "isFinalLoss", "isNonIdempotent"],
+        guards: [
+            "hasRun",
+            "isNextAttempt",
+            "isCurrentAttempt",
+            "isFinalFailure",
+            "isFinalLoss",
+            "isLateLoss",
+            "isNonIdempotent",
+        ],
         actions: [
             "beginAttempt",
             "endAttempt",
@@ -65,6 +80,9 @@
  */
 export const MAX_LOSSES_IN_A_ROW = 5;
 
+/** Time of work in ms beyond which the loss of an attempt starts the count again: each long task loses a worker some time. */
+const MAX_COUNTED_WORK_MS = 10_000;
+
 /** Where an attempt was placed and what is reserved for it. */
 export interface Assignment {
     readonly worker: string;
@@ -90,7 +108,7 @@
     result: string;
     assignment: Assignment | undefined;
     failedOn: string[];
-    /** Number of attempts lost with their workers since one ended otherwise; undefined in older snapshots. */
+    /** Number of attempts lost with their workers since one ended otherwise or worked for long; undefined in older snapshots. */
     lossesInARow: number | undefined;
 }
 
@@ -108,6 +126,7 @@
             (task.request.idempotency === "non-idempotent" || failedWorkers(task).size >= MAX_FAILED_WORKERS),
         isFinalLoss: (task, payload) =>
             isCurrentAttempt(task, payload) && (task.lossesInARow ?? 0) + 1 >= MAX_LOSSES_IN_A_ROW,
+        isLateLoss: (task, payload) => isCurrentAttempt(task, payload) && workedMsOf(payload) > MAX_COUNTED_WORK_MS,
         isNonIdempotent: (task, payload) =>
             isCurrentAttempt(task, payload) && task.request.idempotency === "non-idempotent",
     },
@@ -160,6 +179,10 @@
     return payload?.kind === "attempt-ended" && payload.attempt === task.assignment?.attempt;
 }
 
+function workedMsOf(payload: TaskPayload): number {
+    return payload?.kind === "attempt-ended" ? (payload.workedMs ?? 0) : 0;
+}
+
 function failedWorkers(task: Task): Set<string> {
     return new Set([...task.failedOn, ...(task.assignment === undefined ? [] : [task.assignment.worker])]);
 }
--- a/src/scheduling/common/taskEntry.ts
+++ b/src/scheduling/common/taskEntry.ts
@@ -74,6 +74,8 @@
     readonly end: AttemptEnd;
     readonly result: string;
     readonly checkpoint: string;
+    /** Time for which the attempt was reported as running, in ms; undefined in records of earlier versions. */
+    readonly workedMs?: number;
 }
 
 /** The owner refused a task that cannot run on any worker of the shard. */
--- a/src/scheduling/common/test/shardFold.test.ts
+++ b/src/scheduling/common/test/shardFold.test.ts
@@ -18,8 +18,13 @@
     };
     const assign = (task: number, epoch: number, attempt: number, worker = "w") =>
         apply({ kind: "task-assigned", epoch, task, attempt, worker, boot: "b", ...SIZE });
-    const end = (task: number, epoch: number, attempt: number, outcome: AttemptEnd, checkpoint = "") =>
-        apply({ kind: "attempt-ended", epoch, task, attempt, end: outcome, result: "", checkpoint });
+    const end = (
+        task: number,
+        epoch: number,
+        attempt: number,
+        outcome: AttemptEnd,
+        { checkpoint = "", workedMs }: { readonly checkpoint?: string; readonly workedMs?: number } = {},
+    ) => apply({ kind: "attempt-ended", epoch, task, attempt, end: outcome, result: "", checkpoint, workedMs });
     const fence = (epoch: number) => apply({ kind: "shard-fenced", epoch, instance: "i" });
     return { fold, apply, submit, assign, end, fence };
 }
@@ -54,7 +59,7 @@
     fence(1);
     const task = submit("k");
     assign(task.number, 1, 1);
-    end(task.number, 1, 1, "evicted", "0.4");
+    end(task.number, 1, 1, "evicted", { checkpoint: "0.4" });
     t.is(task.checkpoint, "0.4");
     assign(task.number, 1, 1);
     t.is(task.state, "queued");
@@ -104,6 +109,43 @@
     t.is(evicted.state, "queued");
 });
 
+// The workers were restarted while the task was at work for hours.
+test("a long batch task does not end as failed for five workers that are lost in its life", t => {
+    const { submit, assign, end, fence } = create();
+    fence(1);
+    const task = submit("k");
+    for (let attempt = 1; attempt <= 12; attempt++) {
+        t.is(task.state, "queued");
+        assign(task.number, 1, attempt);
+        end(task.number, 1, attempt, "lost", { workedMs: 3_600_000 });
+    }
+    t.is(task.state, "queued");
+});
+
+test("a task that works for long once is given up after five further losses in a row", t => {
+    const { submit, assign, end, fence } = create();
+    fence(1);
+    const task = submit("k");
+    const workedMs = [0, undefined, 10_000, 2_000, 10_001, 0, undefined, 10_000, 2_000];
+    workedMs.forEach((worked, index) => {
+        assign(task.number, 1, index + 1);
+        end(task.number, 1, index + 1, "lost", { workedMs: worked });
+        t.is(task.state, "queued");
+    });
+    assign(task.number, 1, 10);
+    end(task.number, 1, 10, "lost", { workedMs: 0 });
+    t.is(task.state, "failed");
+});
+
+test("a non-idempotent task ends as unknown also when its attempt is lost after long work", t => {
+    const { submit, assign, end, fence } = create();
+    fence(1);
+    const task = submit("k", "non-idempotent");
+    assign(task.number, 1, 1);
+    end(task.number, 1, 1, "lost", { workedMs: 3_600_000 });
+    t.is(task.state, "unknown");
+});
+
 test("a fold restored from an image has the state of the original", t => {
     const { fold, apply, submit, assign, end, fence } = create();
     fence(1);
--- a/src/serving/node/test/recordCodec.test.ts
+++ b/src/serving/node/test/recordCodec.test.ts
@@ -37,6 +37,16 @@
         result: "",
         checkpoint: "0.35",
     },
+    {
+        kind: "attempt-ended",
+        epoch: 3,
+        task: 2 ** 40 + 1,
+        attempt: 2,
+        end: "lost",
+        result: "",
+        checkpoint: "",
+        workedMs: 0,
+    },
 ];
 
 test("log entries are unchanged after encoding and decoding", t => {
