A task that crashes its workers just before cuts ends as well

Change: a cut explains one loss beyond the third, and no task with three losses starts within 5 s of a cut, not 3 s. With a crash that coincides with one cut such a task may still be started a sixth time.

--- a/src/dispatch/common/failures/failureController.ts
+++ b/src/dispatch/common/failures/failureController.ts
@@ -42,8 +42,8 @@
 /** Number of losses in a row from which a task may well be the cause of the next one. */
 const MIN_LOSSES_OF_ITS_OWN = 2;
 
-/** Time after a cut in which the next one may follow, in ms. */
-const CUT_SERIES_MS = 10_000;
+/** Time after a cut for which no task starts on a last attempt, in ms: the next one may follow. */
+const CUT_HOLD_MS = 5_000;
 
 /** Host of a failure controller. */
 export abstract class FailureHost {
@@ -190,7 +190,7 @@
         loss.isRated = true;
         // The lease of a worker that is silent expires long after the loss.
         this.lostAt = cause === "lease-expired" ? this.lostAt : now;
-        if (worker.heardAt !== undefined) {
+        if (worker.heardAt !== undefined || [...worker.runs.values()].every(run => run.isInherited)) {
             this.reviewCut(loss);
         }
         this.openLosses.push(loss);
@@ -291,9 +291,9 @@
         this.cuts.recordUptime(workers, now);
         this.controls.prune(now);
         this.openLosses.forEach(loss => this.reviewOpenLoss(loss, now));
-        this.openLosses = this.openLosses.filter(({ state }) => state === "unconfirmed" || state === "awaited");
-        const isSeries = this.lossRate.isHigh || now - this.cutAt < CUT_SERIES_MS;
-        this.suspects.holdsLastAttempts = isSeries && now - this.lostAt < LAST_ATTEMPT_HOLD_MS;
+        this.openLosses = this.openLosses.filter(each => each.state === "awaited" || each.mayReturn);
+        const isLostOften = this.lossRate.isHigh && now - this.lostAt < LAST_ATTEMPT_HOLD_MS;
+        this.suspects.holdsLastAttempts = isLostOften || now - this.cutAt < CUT_HOLD_MS;
     }
 
     private reviewOpenLoss(loss: ReviewedLoss, now: number): void {
@@ -309,7 +309,7 @@
     /** Clears the suspected tasks whose start the worker has survived, after a list of the worker. */
     reviewSurvival(worker: WorkerContact): void {
         this.controls.recordList(worker);
-        this.openLosses.filter(({ state }) => state === "unconfirmed").forEach(loss => this.reviewAnswer(loss, worker));
+        this.openLosses.filter(each => each.mayReturn).forEach(loss => this.reviewAnswer(loss, worker));
         for (const run of worker.runs.values()) {
             const { task } = run;
             if (task.lossesInARow > 0 && run.provenAgeMs > MAX_COUNTED_AGE_MS) {
--- a/src/dispatch/common/failures/lossSeries.ts
+++ b/src/dispatch/common/failures/lossSeries.ts
@@ -13,6 +13,9 @@
  */
 export const LOSSES_BEFORE_LAST_ATTEMPTS = 3;
 
+/** Number of losses beyond these that cuts explain: a task that crashes its workers just before cuts is started once more for it. */
+const MAX_CUT_LOSSES = 1;
+
 /** Number of losses in a row that count although another task was accused of them again: one accusation may be wrong. */
 const MAX_OTHERS_LOSSES = 1;
 
@@ -69,16 +72,18 @@
 
     /** Counts the losses again. */
     review(): void {
-        this.counted = this.countIf(({ loss }) => loss.state === "unexplained");
+        this.counted = this.countIf(({ loss }) => loss.state === "unexplained" || loss.state === "cut");
     }
 
     /** @param isFinal Whether a loss counts as the one from which the task is given up. */
     private countIf(isFinal: (each: CountedLoss) => boolean): number {
         let count = this.before;
         let others = 0;
+        let cuts = 0;
         for (const each of this.losses) {
             const { loss, isOthers } = each;
-            const isCut = loss.state === "cut" && count >= LOSSES_BEFORE_LAST_ATTEMPTS;
+            cuts += loss.state === "cut" && count >= LOSSES_BEFORE_LAST_ATTEMPTS ? 1 : 0;
+            const isCut = loss.state === "cut" && count >= LOSSES_BEFORE_LAST_ATTEMPTS && cuts <= MAX_CUT_LOSSES;
             others += isOthers ? 1 : 0;
             const isOfOther = isOthers && others > MAX_OTHERS_LOSSES;
             const isLast = count === MAX_LOSSES_IN_A_ROW - 1;
--- a/src/dispatch/common/failures/reviewedLoss.ts
+++ b/src/dispatch/common/failures/reviewedLoss.ts
@@ -46,6 +46,7 @@
     shared: SharedLoss | undefined;
     /** Whether the rate of losses has it. */
     isRated = false;
+    private isByLease = false;
     /** Share of the other workers that were lost at the same moment, as far as is known, 0 to 1. */
     lossRatio = 0;
 
@@ -58,8 +59,8 @@
     ) {
         this.worker = worker.entry.id;
         this.address = worker.entry.address;
-        this.incarnation = worker.incarnation;
-        this.heardAt = worker.heardAt ?? knownAt;
+        this.incarnation = worker.incarnation ?? [...worker.runs.values()][0]?.record.incarnation;
+        this.heardAt = worker.heardAt ?? Math.min(knownAt, worker.knownSince);
         this.silentBy = worker.silentBy(knownAt);
         this.jobs = new Set(suspects.map(task => task.job));
     }
@@ -80,6 +81,7 @@
         now: number,
     ): ReviewedLoss {
         const loss = new ReviewedLoss(worker, suspects, now, isExperiment);
+        loss.isByLease = cause === "lease-expired";
         if (cause !== "lease-expired") {
             loss.fire("crashed");
         }
@@ -96,6 +98,11 @@
         return this.state === "cut" || this.state === "out-of-reach";
     }
 
+    /** Whether the lease of the worker has expired, and its answer has not shown yet whether it has crashed. */
+    get mayReturn(): boolean {
+        return this.isByLease && (this.state === "unconfirmed" || this.state === "cut");
+    }
+
     /** Handles what shows its cause. */
     fire(event: LossEvent): void {
         this.machine.fire(event, undefined);
@@ -108,16 +115,19 @@
      */
     reviewAnswer(worker: WorkerContact): void {
         if (worker.entry.id === this.worker) {
+            this.isByLease = false;
             this.fire(
                 this.incarnation !== undefined && worker.incarnation === this.incarnation ? "returned" : "crashed",
             );
         } else if (worker.entry.address === this.address) {
+            this.isByLease = false;
             this.fire("crashed");
         }
     }
 
     /** Reviews whether it is too old for the worker to return. @param now Time in ms. */
     reviewAge(now: number): void {
+        this.isByLease &&= now - this.knownAt < MAX_UNCONFIRMED_MS;
         if (this.state === "unconfirmed" && now - this.knownAt >= MAX_UNCONFIRMED_MS) {
             this.fire("crashed");
         }
--- a/src/dispatch/common/failures/test/explainedLosses.test.ts
+++ b/src/dispatch/common/failures/test/explainedLosses.test.ts
@@ -4,7 +4,7 @@
 import { assign, createWorker, report } from "../../jobs/test/runs";
 import { Task } from "../../jobs/task";
 import { WorkerContact } from "../../workers/workerContact";
-import { createController, createTask, start } from "./failures";
+import { createController, createTask, inherit, start } from "./failures";
 
 const WORKERS = 30;
 const TICK_MS = 100;
@@ -216,3 +216,84 @@
     failures.reviewEvidence(successor);
     t.deepEqual(host.failedJobs, [successor.job]);
 });
+
+// Each of its crashes was taken for a part of the next cut, and none counted from the third loss on.
+test("a task that crashes its workers ends although a cut follows shortly after each start", t => {
+    const fleet = Fleet.create();
+    const task = createTask("a");
+    let starts = 0;
+    let crashAt = 0;
+    for (let at = 0; at < 60_000 && fleet.failedJobs.length === 0; at += TICK_MS) {
+        if (at % 4_400 === 0) {
+            fleet.silence(...TENTH);
+        } else if (at % 4_400 === 800) {
+            fleet.reveal("restarted", ...TENTH);
+            fleet.restore(...TENTH);
+        }
+        if (task.run === undefined && !fleet.suspects.isHeld(task)) {
+            fleet.start(task, 20);
+            starts += 1;
+            crashAt = at + 300;
+        }
+        if (at === crashAt) {
+            fleet.silence(20);
+        } else if (task.run !== undefined && at === crashAt + 800) {
+            fleet.reveal("restarted", 20);
+            fleet.restore(20);
+        }
+        fleet.advance(TICK_MS);
+    }
+    t.true(starts <= 5, `${starts} starts`);
+    t.deepEqual(fleet.failedJobs, [task.job]);
+});
+
+// A recognised cut was not reviewed when its workers answered again, so that lapses counted as crashes.
+test("lapses that are part of a cut are taken back when the same incarnations answer again", t => {
+    const fleet = Fleet.create();
+    const task = createTask("a");
+    TENTH.forEach(index => fleet.workers[index].updateIncarnation(1, 0, 0));
+    fleet.start(task, 0);
+    fleet.silence(...TENTH);
+    fleet.advance(6_000);
+    fleet.reveal("lease-expired", ...TENTH);
+    fleet.restore(...TENTH);
+    t.true(fleet.decisions.some(each => each.startsWith("workers-cut")));
+    t.is(task.lossesInARow, 0);
+});
+
+// The successor has never heard from the workers, so their losses were not compared with each other.
+test("a job is not given up for a cut that changes the leader, too", t => {
+    const { failures, host } = createController();
+    const task = createTask("a");
+    task.lossesInARow = 4;
+    const listed = Array.from({ length: 20 }, (_, index) => createWorker(`listed${index}`));
+    const lost = TENTH.map(index => createWorker(`lost${index}`));
+    lost.forEach((worker, index) => inherit(worker, index === 0 ? task : createTask(`other${index}`)));
+    for (let now = 0; now < 5_000; now += TICK_MS) {
+        failures.recordUptime(WORKERS, now);
+        for (const worker of now % LIST_INTERVAL_MS === 0 ? listed : []) {
+            worker.recordList(now);
+            failures.reviewSurvival(worker);
+        }
+        for (const worker of now === 800 ? lost : []) {
+            failures.reviewLoss(worker, [...worker.runs.values()], "restarted");
+        }
+    }
+    t.deepEqual(host.failedJobs, []);
+});
+
+// The worker has not answered this leader, which took any incarnation for a later one.
+test("a loss of an inherited run is taken back when the recorded incarnation answers", t => {
+    const { failures } = createController();
+    const worker = createWorker("w");
+    const task = createTask("a");
+    inherit(worker, task);
+    task.run!.updateIncarnation(7);
+    failures.recordUptime(1, 6_000);
+    failures.reviewLoss(worker, [task.run!], "lease-expired");
+    t.is(task.lossesInARow, 1);
+    worker.updateIncarnation(7, 7_000, 7_000);
+    worker.recordList(7_000);
+    failures.reviewSurvival(worker);
+    t.is(task.lossesInARow, 0);
+});
