--- a/src/dispatch/common/failures/failureController.ts
+++ b/src/dispatch/common/failures/failureController.ts
@@ -156,7 +156,9 @@
         }
         const culprits = new Set(suspects.filter(run => run.task.suspicion?.isAccusedAgain === true));
         for (const run of runs) {
-            run.task.lossAgeMs = isEarly(run) && !loss.isExplained ? run.provenAgeMs : 0;
+            if (!loss.isExplained) {
+                run.task.lossAgeMs = isEarly(run) ? run.provenAgeMs : 0;
+            }
             this.countLoss(run, loss, culprits.size > 0 && !culprits.has(run));
             this.host.onSuspicionChange(run.task.job);
         }
@@ -187,10 +189,9 @@
         const loss = ReviewedLoss.create(worker, cause, suspects, isExperiment, now);
         this.controls.recordLoss(worker);
         this.lossRate.recordLoss();
-        loss.isRated = true;
         // The lease of a worker that is silent expires long after the loss.
         this.lostAt = cause === "lease-expired" ? this.lostAt : now;
-        if (worker.heardAt !== undefined || [...worker.runs.values()].every(run => run.isInherited)) {
+        if (worker.heardAt !== undefined) {
             this.reviewCut(loss);
         }
         this.openLosses.push(loss);
@@ -366,8 +367,7 @@
             return;
         }
         task.suspicion ??= TaskSuspicion.create();
-        const coincidence = () =>
-            Math.max(loss.lossRatio, this.lossRate.probabilityWithin(withinMs, loss.isRated ? 1 : 0));
+        const coincidence = () => Math.max(loss.lossRatio, this.lossRate.probabilityWithin(withinMs, 1));
         task.suspicion.recordLoss(isAlone ? "lost-alone" : "lost-with-others", { loss, coincidence });
         const { state } = task.suspicion;
         const data = { task: task.name, worker: loss.worker, state, coincidence: coincidence().toFixed(3) };
--- a/src/dispatch/common/failures/reviewedLoss.ts
+++ b/src/dispatch/common/failures/reviewedLoss.ts
@@ -44,8 +44,7 @@
     readonly series = new Map<Task, LossSeries>();
     /** The loss as it is shared by several suspects, if it is. */
     shared: SharedLoss | undefined;
-    /** Whether the rate of losses has it. */
-    isRated = false;
+    /** Whether the lease of the worker has expired, and it may still answer. */
     private isByLease = false;
     /** Share of the other workers that were lost at the same moment, as far as is known, 0 to 1. */
     lossRatio = 0;
@@ -60,7 +59,7 @@
         this.worker = worker.entry.id;
         this.address = worker.entry.address;
         this.incarnation = worker.incarnation ?? [...worker.runs.values()][0]?.record.incarnation;
-        this.heardAt = worker.heardAt ?? Math.min(knownAt, worker.knownSince);
+        this.heardAt = worker.heardAt ?? knownAt;
         this.silentBy = worker.silentBy(knownAt);
         this.jobs = new Set(suspects.map(task => task.job));
     }
--- a/src/dispatch/common/failures/suspectTable.ts
+++ b/src/dispatch/common/failures/suspectTable.ts
@@ -37,11 +37,6 @@
         return this.tasks.has(task) && task.suspicion?.recorded !== undefined;
     }
 
-    /** Tasks that are given up unless other workers turn out to have been lost together with theirs. */
-    get awaitingVerdict(): readonly Task[] {
-        return [...this.awaited];
-    }
-
     /** @param task A task. @returns Whether it does not start now: the loss of one more worker would come too early, or at a bad time. */
     isHeld(task: Task): boolean {
         return this.awaited.has(task) || (this.holdsLastAttempts && isLastAttempt(task));
--- a/src/dispatch/common/failures/test/explainedLosses.test.ts
+++ b/src/dispatch/common/failures/test/explainedLosses.test.ts
@@ -103,7 +103,9 @@
     const fleet = Fleet.create();
     const task = createTask("a");
     for (let cut = 0; cut < 6; cut++) {
-        fleet.start(task, 0);
+        if (!fleet.suspects.isHeld(task)) {
+            fleet.start(task, 0);
+        }
         fleet.silence(...TENTH);
         fleet.advance(800);
         fleet.reveal("restarted", ...TENTH);
@@ -114,6 +116,9 @@
     t.is(fleet.decisions.filter(each => each.startsWith("workers-cut")).length, 6);
     t.false(fleet.suspects.has(task));
     t.is(task.lossesInARow, 3);
+    t.true(fleet.suspects.isHeld(task));
+    fleet.advance(5_000);
+    t.false(fleet.suspects.isHeld(task));
 });
 
 // A task was given up for the first loss of a cut that came to light, its second one.
@@ -223,10 +228,10 @@
     const task = createTask("a");
     let starts = 0;
     let crashAt = 0;
-    for (let at = 0; at < 60_000 && fleet.failedJobs.length === 0; at += TICK_MS) {
-        if (at % 4_400 === 0) {
+    for (let at = 0; at < 80_000 && fleet.failedJobs.length === 0; at += TICK_MS) {
+        if (at % 4_400 === 0 && at < 60_000) {
             fleet.silence(...TENTH);
-        } else if (at % 4_400 === 800) {
+        } else if (at % 4_400 === 800 && at < 60_800) {
             fleet.reveal("restarted", ...TENTH);
             fleet.restore(...TENTH);
         }
