A job whose task loses its fifth worker in a cut ends

Found by reading: the verdict was passed when other workers had been listed since a loss, which is not awaited for one that is part of a cut. The second cut beyond the third loss counted to five, and the task was started again.

Change: the verdict is reviewed as well when a loss turns out to be part of a cut. Test: "a task is given up when the fifth loss that counts is one of a second cut", which failed before.

--- a/src/dispatch/common/failures/failureController.ts
+++ b/src/dispatch/common/failures/failureController.ts
@@ -162,6 +162,9 @@
             this.host.onSuspicionChange(run.task.job);
         }
         this.reviewReport(loss);
+        if (loss.state === "cut") {
+            loss.series.forEach((_, task) => this.reviewVerdict(task));
+        }
     }
 
     private logLoss(
@@ -235,8 +238,7 @@
                 task.lossAgeMs = 0;
                 this.host.logDecision("task-cleared", { task: task.name });
             }
-            this.suspects.update(task);
-            this.host.onSuspicionChange(task.job);
+            this.reviewVerdict(task);
         }
     }
 
--- a/src/dispatch/common/failures/test/explainedLosses.test.ts
+++ b/src/dispatch/common/failures/test/explainedLosses.test.ts
@@ -303,6 +303,24 @@
     t.is(task.lossesInARow, 0);
 });
 
+// A cut explains one loss beyond the third, since the starts of a task that crashes its workers have to end.
+test("a task is given up when the fifth loss that counts is one of a second cut", t => {
+    const fleet = Fleet.create();
+    const task = createTask("a");
+    task.lossesInARow = 4;
+    for (const expected of [4, 5]) {
+        t.deepEqual(fleet.failedJobs, []);
+        fleet.start(task, 0);
+        fleet.silence(...TENTH);
+        fleet.advance(800);
+        fleet.reveal("restarted", ...TENTH);
+        t.is(task.lossesInARow, expected);
+        fleet.restore(...TENTH);
+        fleet.advance(10_000);
+    }
+    t.deepEqual(fleet.failedJobs, [task.job]);
+});
+
 // Some sound tasks of thousands lose two workers in such a series, which improbable as it is for each of them says little.
 test("a task is not given up for two of many losses of workers one by one", t => {
     const fleet = Fleet.create();
