--- a/src/dispatch/common/failures/failureController.ts
+++ b/src/dispatch/common/failures/failureController.ts
@@ -74,7 +74,7 @@
     private readonly sharedLosses = SharedLossTable.create();
     private readonly cuts = CutDetector.create<ReviewedLoss>();
     private readonly controls = ControlGroup.create();
-    /** Losses of which it is not known yet whether something else explains them. */
+    /** Losses whose cause may still become known. */
     private openLosses: ReviewedLoss[] = [];
     /** Time (ms) of the latest measurement. */
     private now: number | undefined;
@@ -161,9 +161,9 @@
             this.countLoss(run, loss, culprits.size > 0 && !culprits.has(run));
             this.host.onSuspicionChange(run.task.job);
         }
-        this.reviewReport(loss);
+        this.settle(loss);
         if (loss.state === "cut") {
-            loss.series.forEach((_, task) => this.reviewVerdict(task));
+            loss.series.forEach((_, task) => this.decide(task));
         }
     }
 
@@ -238,22 +238,22 @@
                 task.lossAgeMs = 0;
                 this.host.logDecision("task-cleared", { task: task.name });
             }
-            this.reviewVerdict(task);
+            this.decide(task);
         }
     }
 
-    /** Reviews a loss once the other workers have been listed since. */
-    private reviewReport(loss: ReviewedLoss): void {
+    /** Counts a loss for good once the other workers have been listed since. */
+    private settle(loss: ReviewedLoss): void {
         const now = this.now ?? loss.knownAt;
         if (loss.state === "awaited" && this.controls.hasReported(loss, now)) {
             loss.lossRatio = this.controls.lossRatio(loss, this.othersAtMomentOf(loss), true);
             loss.fire("reported");
-            loss.series.forEach((_, task) => this.reviewVerdict(task));
+            loss.series.forEach((_, task) => this.decide(task));
         }
     }
 
     /** Gives up a task if the losses that nothing else explains are hardly a coincidence, or too many. */
-    private reviewVerdict(task: Task): void {
+    private decide(task: Task): void {
         if (isFinal(task.job.state)) {
             return;
         }
@@ -292,17 +292,15 @@
         this.lossRate.recordUptime(workers, now);
         this.cuts.recordUptime(workers, now);
         this.controls.prune(now);
-        this.openLosses.forEach(loss => this.reviewOpenLoss(loss, now));
+        for (const loss of this.openLosses) {
+            loss.reviewAge(now);
+            this.settle(loss);
+        }
         this.openLosses = this.openLosses.filter(each => each.state === "awaited" || each.mayReturn);
         const isLostOften = this.lossRate.isHigh && now - this.lostAt < LAST_ATTEMPT_HOLD_MS;
         this.suspects.isTroubled = isLostOften || now - this.cutAt < CUT_HOLD_MS;
     }
 
-    private reviewOpenLoss(loss: ReviewedLoss, now: number): void {
-        loss.reviewAge(now);
-        this.reviewReport(loss);
-    }
-
     /** Records that runs are started. */
     recordStarts(runs: readonly Run[]): void {
         this.cuts.recordStarts(runs.filter(each => each.task.lastRun === 0).length);
@@ -311,7 +309,7 @@
     /** Clears the suspected tasks whose start the worker has survived, after a list of the worker. */
     reviewSurvival(worker: WorkerContact): void {
         this.controls.recordList(worker);
-        this.openLosses.filter(each => each.mayReturn).forEach(loss => this.reviewAnswer(loss, worker));
+        this.openLosses.filter(each => each.mayReturn).forEach(loss => this.recordAnswer(loss, worker));
         for (const run of worker.runs.values()) {
             const { task } = run;
             if (task.lossesInARow > 0 && run.provenAgeMs > maxCountedAgeMs(task)) {
@@ -325,7 +323,7 @@
     }
 
     /** Takes back a loss if the answer of its worker shows that it has not crashed. */
-    private reviewAnswer(loss: ReviewedLoss, worker: WorkerContact): void {
+    private recordAnswer(loss: ReviewedLoss, worker: WorkerContact): void {
         loss.reviewAnswer(worker);
         if (loss.state === "out-of-reach") {
             this.lossRate.discountLosses(1);
--- a/src/dispatch/common/failures/reviewedLoss.ts
+++ b/src/dispatch/common/failures/reviewedLoss.ts
@@ -28,7 +28,7 @@
 /** Time after which a worker that has not answered again has crashed as far as anyone can tell, in ms. */
 const MAX_UNCONFIRMED_MS = 30_000;
 
-/** The loss of a worker. Whatever it is evidence for reads its state here, so that an explanation holds for all. */
+/** The loss of a worker. All that count it against a task ask for its state, so that an explanation holds for all of them. */
 export class ReviewedLoss implements WorkerLoss {
     private readonly machine = Machine.create<undefined, LossState, LossEvent, never, never>(chart, {
         guards: {},
@@ -44,8 +44,8 @@
     readonly series = new Map<Task, LossSeries>();
     /** The loss as it is shared by several suspects, if it is. */
     shared: SharedLoss | undefined;
-    /** Whether the lease of the worker has expired, and it may still answer. */
-    private isByLease = false;
+    /** Whether only an expired lease shows the loss, so that the worker may still answer. */
+    private isAnswerAwaited = false;
     /** Share of the other workers that were lost at the same moment, as far as is known, 0 to 1. */
     lossRatio = 0;
 
@@ -80,7 +80,7 @@
         now: number,
     ): ReviewedLoss {
         const loss = new ReviewedLoss(worker, suspects, now, isExperiment);
-        loss.isByLease = cause === "lease-expired";
+        loss.isAnswerAwaited = cause === "lease-expired";
         if (cause !== "lease-expired") {
             loss.fire("crashed");
         }
@@ -99,7 +99,7 @@
 
     /** Whether the lease of the worker has expired, and its answer has not shown yet whether it has crashed. */
     get mayReturn(): boolean {
-        return this.isByLease && (this.state === "unconfirmed" || this.state === "cut");
+        return this.isAnswerAwaited && (this.state === "unconfirmed" || this.state === "cut");
     }
 
     /** Handles what shows its cause. */
@@ -114,19 +114,19 @@
      */
     reviewAnswer(worker: WorkerContact): void {
         if (worker.entry.id === this.worker) {
-            this.isByLease = false;
+            this.isAnswerAwaited = false;
             this.fire(
                 this.incarnation !== undefined && worker.incarnation === this.incarnation ? "returned" : "crashed",
             );
         } else if (worker.entry.address === this.address) {
-            this.isByLease = false;
+            this.isAnswerAwaited = false;
             this.fire("crashed");
         }
     }
 
     /** Reviews whether it is too old for the worker to return. @param now Time in ms. */
     reviewAge(now: number): void {
-        this.isByLease &&= now - this.knownAt < MAX_UNCONFIRMED_MS;
+        this.isAnswerAwaited &&= now - this.knownAt < MAX_UNCONFIRMED_MS;
         if (this.state === "unconfirmed" && now - this.knownAt >= MAX_UNCONFIRMED_MS) {
             this.fire("crashed");
         }
